--- /dev/null
+++ b/bramleyport/__main__.py
@@ -0,0 +1,5 @@
+"""Run the command line with `python -m bramleyport`."""
+
+from bramleyport.cli import main
+
+main()
--- /dev/null
+++ b/bramleyport/admission/__init__.py
@@ -0,0 +1,11 @@
+"""Accept or reject requests at the entry."""
+
+from bramleyport.admission import _open as _open
+from bramleyport.admission._base import (
+    ADMISSION_POLICIES,
+    AdmissionPolicy,
+    Admitted,
+    Rejected,
+)
+
+__all__ = ["ADMISSION_POLICIES", "AdmissionPolicy", "Admitted", "Rejected"]
--- /dev/null
+++ b/bramleyport/callers/__init__.py
@@ -0,0 +1,26 @@
+"""HTTP front towards callers."""
+
+from bramleyport.callers._app import CallerApp, CallerHandler, send_error
+from bramleyport.callers._channel import make_site
+from bramleyport.callers._render import (
+    render_chunk,
+    render_error_event,
+    render_stop,
+    render_whole,
+)
+from bramleyport.callers._request import CallerRequest
+from bramleyport.callers._stream import CallerGoneError, CallerStream
+
+__all__ = [
+    "CallerApp",
+    "CallerGoneError",
+    "CallerHandler",
+    "CallerRequest",
+    "CallerStream",
+    "make_site",
+    "render_chunk",
+    "render_error_event",
+    "render_stop",
+    "render_whole",
+    "send_error",
+]
--- /dev/null
+++ b/bramleyport/callers/_app.py
@@ -0,0 +1,153 @@
+"""HTTP routes that callers, the balancer and operators' browsers use."""
+
+import asyncio
+import math
+from collections.abc import Coroutine
+from typing import Any, Final, Protocol
+
+from klein import Klein
+from result import Err, Result
+from twisted.internet.defer import Deferred
+from twisted.web.server import Request
+
+from bramleyport.callers._render import render_error, render_models
+from bramleyport.callers._request import (
+    CallerRequest,
+    parse_completion,
+    parse_plain,
+)
+from bramleyport.callers._stream import CallerGoneError, CallerStream
+from bramleyport.core import ErrorCode, Execution, ServeError
+from bramleyport.telemetry import events, log_event
+
+JSON_TYPE: Final = {"Content-Type": "application/json"}
+ANY_METHOD: Final = ("GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS")
+
+
+class CallerHandler(Protocol):
+    """Serve parsed requests; the entry implements it."""
+
+    async def serve(self, request: CallerRequest, stream: CallerStream) -> None:
+        """Answer one request on its stream."""
+        ...
+
+    def list_models(self) -> list[str]:
+        """Return the models that callers may name."""
+        ...
+
+    def explain_unready(self) -> str | None:
+        """Return why no request should be sent here, or None when ready."""
+        ...
+
+    def render_metrics(self) -> bytes:
+        """Return the metrics in the Prometheus text format."""
+        ...
+
+
+class CallerApp:
+    """Route HTTP requests to the handler."""
+
+    def __init__(self, handler: CallerHandler) -> None:
+        self._handler = handler
+        self.app = Klein()
+        route = self.app.route
+        route("/v1/chat/completions", methods=["POST"])(self._chat)
+        route("/v1/completions", methods=["POST"])(self._completion)
+        route("/v1/models", methods=["GET"])(self._models)
+        route("/services/<service>/", methods=ANY_METHOD, branch=True)(self._plain)
+        route("/healthz", methods=["GET"])(self._health)
+        route("/readyz", methods=["GET"])(self._ready)
+        route("/metrics", methods=["GET"])(self._metrics)
+
+    def _chat(self, request: Request) -> Any:
+        return self._complete(request, "/v1/chat/completions", chat=True)
+
+    def _completion(self, request: Request) -> Any:
+        return self._complete(request, "/v1/completions", chat=False)
+
+    def _complete(self, request: Request, path: str, *, chat: bool) -> Any:
+        body = _read_body(request)
+        headers = _read_headers(request)
+        return self._serve(request, parse_completion(path, headers, body, chat=chat))
+
+    def _plain(self, request: Request, service: str) -> Any:
+        rest = request.uri.decode("latin-1").split("/", 3)
+        path = "/" + (rest[3] if len(rest) > 3 else "")
+        method = request.method.decode()
+        body = _read_body(request)
+        headers = _read_headers(request)
+        return self._serve(request, parse_plain(service, method, path, headers, body))
+
+    def _serve(
+        self, request: Request, parsed: Result[CallerRequest, ServeError]
+    ) -> Any:
+        stream = CallerStream(request)
+        if isinstance(parsed, Err):
+            return _run(send_error(stream, parsed.err_value))
+        return _run(self._guard(parsed.ok_value, stream))
+
+    async def _guard(self, request: CallerRequest, stream: CallerStream) -> None:
+        try:
+            await self._handler.serve(request, stream)
+        except Exception as error:  # a fault in one request must not end the process
+            log_event(events.HANDLER_FAILED, step="serve", error=repr(error))
+            await send_error(stream, _make_internal_error())
+
+    def _models(self, request: Request) -> bytes:
+        request.setHeader(b"content-type", b"application/json")
+        return render_models(self._handler.list_models())
+
+    def _health(self, request: Request) -> bytes:
+        return b"ok\n"
+
+    def _ready(self, request: Request) -> bytes:
+        reason = self._handler.explain_unready()
+        if reason is None:
+            return b"ready\n"
+        request.setResponseCode(503)
+        return reason.encode() + b"\n"
+
+    def _metrics(self, request: Request) -> bytes:
+        request.setHeader(b"content-type", b"text/plain; version=0.0.4")
+        return self._handler.render_metrics()
+
+
+async def send_error(stream: CallerStream, error: ServeError) -> None:
+    """Answer a request with an error, or break an answer already begun."""
+    if stream.started:
+        stream.abort()
+        return
+    headers = dict(JSON_TYPE)
+    if error.retry_after_s is not None:
+        headers["Retry-After"] = str(max(1, math.ceil(error.retry_after_s)))
+    stream.start(error.http_status, headers)
+    try:
+        await stream.write(render_error(error))
+    except CallerGoneError:
+        return
+    stream.finish()
+
+
+def _make_internal_error() -> ServeError:
+    return ServeError(
+        code=ErrorCode.UPSTREAM_FAILED,
+        message="the request failed in the entry",
+        execution=Execution.UNKNOWN,
+        step="serve",
+    )
+
+
+def _run(coroutine: Coroutine[Any, Any, None]) -> Any:
+    return Deferred.fromFuture(asyncio.ensure_future(coroutine))
+
+
+def _read_body(request: Request) -> bytes:
+    body: bytes = request.content.read() if request.content else b""
+    return body
+
+
+def _read_headers(request: Request) -> dict[str, str]:
+    return {
+        name.decode("latin-1").lower(): values[-1].decode("latin-1")
+        for name, values in request.requestHeaders.getAllRawHeaders()
+    }
--- /dev/null
+++ b/bramleyport/callers/_channel.py
@@ -0,0 +1,90 @@
+"""HTTP connections of callers with bounded bodies held in memory."""
+
+import io
+from typing import Any, Final
+
+from twisted.internet.interfaces import IHalfCloseableProtocol
+from twisted.web.http import HTTPChannel
+from twisted.web.server import Request, Site
+from zope.interface import implementer
+
+from bramleyport.callers._render import render_error
+from bramleyport.callers._request import refuse
+from bramleyport.core import ErrorCode
+
+IDLE_TIMEOUT_S: Final = 60
+
+
+class CallerHttpRequest(Request):
+    """Refuse oversize bodies and keep accepted ones in memory.
+
+    Twisted writes bodies above 100 kB to a temporary file; hosts have no disks.
+    """
+
+    max_body_bytes = 2_000_000
+    _received_bytes = 0
+
+    def gotLength(self, length: int | None) -> None:  # noqa: N802
+        """Prepare for a body of a known or unknown length."""
+        self.content = io.BytesIO()
+        if length is not None and length > self.max_body_bytes:
+            self._refuse_size()
+
+    def handleContentChunk(self, data: bytes) -> None:  # noqa: N802
+        """Keep a piece of the body while it fits."""
+        self._received_bytes += len(data)
+        if self._received_bytes > self.max_body_bytes:
+            self._refuse_size()
+            return
+        super().handleContentChunk(data)  # type: ignore[no-untyped-call]
+
+    def _refuse_size(self) -> None:
+        message = f"the body exceeds {self.max_body_bytes} bytes"
+        _refuse_and_close(self.channel, refuse(ErrorCode.TOO_LARGE, message))
+
+
+@implementer(IHalfCloseableProtocol)
+class CallerChannel(HTTPChannel):
+    """Answer malformed and truncated requests with a JSON error."""
+
+    def readConnectionLost(self) -> None:  # noqa: N802
+        """Refuse a request whose body ended early."""
+        if self.requests and not self._is_whole():
+            message = "the body ended before it was whole"
+            _refuse_and_close(self, refuse(ErrorCode.MALFORMED, message))
+        elif not self.requests:
+            self.loseConnection()  # type: ignore[no-untyped-call]
+
+    def writeConnectionLost(self) -> None:  # noqa: N802
+        """Drop the connection when nothing more can be written."""
+        self.loseConnection()  # type: ignore[no-untyped-call]
+
+    def _respondToBadRequestAndDisconnect(self) -> None:  # noqa: N802
+        message = "the request is not valid HTTP"
+        _refuse_and_close(self, refuse(ErrorCode.MALFORMED, message))
+
+    def _is_whole(self) -> bool:
+        request: Any = self.requests[-1]
+        return bool(getattr(request, "method", b"") not in (b"", b"(no method yet)"))
+
+
+def _refuse_and_close(channel: Any, error: Any) -> None:
+    body = render_error(error)
+    head = (
+        f"HTTP/1.1 {error.http_status} Refused\r\n"
+        "Content-Type: application/json\r\n"
+        f"Content-Length: {len(body)}\r\n"
+        "Connection: close\r\n\r\n"
+    )
+    channel.transport.write(head.encode() + body)
+    channel.transport.loseConnection()
+
+
+def make_site(resource: Any, max_body_bytes: int) -> Site:
+    """Build the site that serves callers."""
+    bounded = type(
+        "BoundedRequest", (CallerHttpRequest,), {"max_body_bytes": max_body_bytes}
+    )
+    site = Site(resource, requestFactory=bounded, timeout=IDLE_TIMEOUT_S)
+    site.protocol = CallerChannel  # type: ignore[method-assign,assignment]
+    return site
--- /dev/null
+++ b/bramleyport/callers/_render.py
@@ -0,0 +1,97 @@
+"""Render answers and errors in the OpenAI JSON shapes."""
+
+import json
+from typing import Any, Final
+
+from bramleyport.core import RequestId, ServeError
+
+STREAM_END: Final = b"data: [DONE]\n\n"
+
+
+def render_error(error: ServeError) -> bytes:
+    """Return the JSON body of an error."""
+    value = {
+        "error": {
+            "message": error.message,
+            "type": error.code.value,
+            "code": error.code.value,
+            "param": None,
+        },
+        "execution": error.execution.value,
+    }
+    return json.dumps(value).encode()
+
+
+def render_error_event(error: ServeError) -> bytes:
+    """Return the server-sent event that ends a stream with an error."""
+    return b"data: " + render_error(error) + b"\n\n"
+
+
+def render_chunk(
+    request: RequestId, model: str, created: int, text: str, *, chat: bool
+) -> bytes:
+    """Return the server-sent event of one piece of text."""
+    delta: dict[str, Any] = {"delta": {"content": text}} if chat else {"text": text}
+    return _event(_envelope(request, model, created, delta, None, chat=chat, part=True))
+
+
+def render_stop(request: RequestId, model: str, created: int, *, chat: bool) -> bytes:
+    """Return the server-sent events that end a whole stream."""
+    delta: dict[str, Any] = {"delta": {}} if chat else {"text": ""}
+    value = _envelope(request, model, created, delta, "stop", chat=chat, part=True)
+    return _event(value) + STREAM_END
+
+
+def render_whole(
+    request: RequestId,
+    model: str,
+    created: int,
+    text: str,
+    prompt_tokens: int,
+    output_tokens: int,
+    *,
+    chat: bool,
+) -> bytes:
+    """Return the JSON body of a whole answer."""
+    content: dict[str, Any] = (
+        {"message": {"role": "assistant", "content": text}} if chat else {"text": text}
+    )
+    value = _envelope(request, model, created, content, "stop", chat=chat, part=False)
+    value["usage"] = {
+        "prompt_tokens": prompt_tokens,
+        "completion_tokens": output_tokens,
+        "total_tokens": prompt_tokens + output_tokens,
+    }
+    return json.dumps(value).encode()
+
+
+def render_models(names: list[str]) -> bytes:
+    """Return the JSON body of the model list."""
+    data = [{"id": name, "object": "model", "owned_by": "operator"} for name in names]
+    return json.dumps({"object": "list", "data": data}).encode()
+
+
+def _envelope(
+    request: RequestId,
+    model: str,
+    created: int,
+    content: dict[str, Any],
+    finish: str | None,
+    *,
+    chat: bool,
+    part: bool,
+) -> dict[str, Any]:
+    kind = "text_completion"
+    if chat:
+        kind = "chat.completion.chunk" if part else "chat.completion"
+    return {
+        "id": request,
+        "object": kind,
+        "created": created,
+        "model": model,
+        "choices": [{"index": 0, **content, "finish_reason": finish}],
+    }
+
+
+def _event(value: dict[str, Any]) -> bytes:
+    return b"data: " + json.dumps(value).encode() + b"\n\n"
--- /dev/null
+++ b/bramleyport/callers/_request.py
@@ -0,0 +1,186 @@
+"""Parse callers' requests; every failure is known to precede execution."""
+
+import json
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import Any, Final
+
+from result import Err, Ok, Result
+
+from bramleyport.core import (
+    AccountId,
+    AdapterName,
+    ErrorCode,
+    Execution,
+    Rank,
+    ServeError,
+    ServiceKind,
+)
+
+DEFAULT_MAX_TOKENS: Final = 256
+MAX_KEY_CHARACTERS: Final = 200
+ANONYMOUS: Final = AccountId("anonymous")
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class CallerRequest:
+    """Hold one parsed request of a caller."""
+
+    kind: ServiceKind
+    target: str
+    account: AccountId
+    rank: Rank
+    key: str | None
+    method: str
+    path: str
+    headers: Mapping[str, str]
+    body: bytes
+    prompt: str = ""
+    adapter: AdapterName | None = None
+    max_tokens: int = 0
+    stream: bool = False
+    chat: bool = False
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class CallerHeaders:
+    """Hold the headers that apply to every request."""
+
+    account: AccountId
+    rank: Rank
+    key: str | None
+
+
+def refuse(
+    code: ErrorCode, message: str, retry_after_s: float | None = None
+) -> ServeError:
+    """Build the error of a request that was refused before it ran."""
+    return ServeError(
+        code=code,
+        message=message,
+        execution=Execution.NOT_RUN,
+        step="parse",
+        peer="caller",
+        retry_after_s=retry_after_s,
+    )
+
+
+def parse_headers(headers: Mapping[str, str]) -> Result[CallerHeaders, ServeError]:
+    """Read the account, rank and idempotency key."""
+    raw_rank = headers.get("x-rank", Rank.STANDARD.value)
+    try:
+        rank = Rank(raw_rank)
+    except ValueError:
+        known = ", ".join(rank.value for rank in Rank)
+        message = f"X-Rank {raw_rank[:40]!r} is not one of {known}"
+        return Err(refuse(ErrorCode.UNKNOWN_RANK, message))
+    key = headers.get("idempotency-key")
+    if key is not None and not 0 < len(key) <= MAX_KEY_CHARACTERS:
+        message = f"Idempotency-Key must have 1 to {MAX_KEY_CHARACTERS} characters"
+        return Err(refuse(ErrorCode.MALFORMED, message))
+    account = AccountId(headers.get("x-account", ANONYMOUS))
+    return Ok(CallerHeaders(account=account, rank=rank, key=key))
+
+
+def parse_completion(
+    path: str, headers: Mapping[str, str], body: bytes, *, chat: bool
+) -> Result[CallerRequest, ServeError]:
+    """Read a chat or text completion request."""
+    common = parse_headers(headers)
+    if isinstance(common, Err):
+        return common
+    try:
+        document = json.loads(body)
+    except (ValueError, RecursionError):
+        return Err(refuse(ErrorCode.MALFORMED, "the body is not JSON"))
+    if not isinstance(document, dict):
+        return Err(refuse(ErrorCode.MALFORMED, "the body is not a JSON object"))
+    prompt = _read_chat(document) if chat else _read_prompt(document)
+    if isinstance(prompt, Err):
+        return prompt
+    fields = _check_fields(document)
+    if fields is not None:
+        return Err(fields)
+    adapter = document.get("adapter")
+    return Ok(
+        CallerRequest(
+            kind=ServiceKind.LANGUAGE,
+            target=document["model"],
+            account=common.ok_value.account,
+            rank=common.ok_value.rank,
+            key=common.ok_value.key,
+            method="POST",
+            path=path,
+            headers={},
+            body=body,
+            prompt=prompt.ok_value,
+            adapter=AdapterName(adapter) if adapter else None,
+            max_tokens=document.get("max_tokens", DEFAULT_MAX_TOKENS),
+            stream=document.get("stream", False),
+            chat=chat,
+        )
+    )
+
+
+def parse_plain(
+    service: str, method: str, path: str, headers: Mapping[str, str], body: bytes
+) -> Result[CallerRequest, ServeError]:
+    """Read a call of a plain service."""
+    common = parse_headers(headers)
+    if isinstance(common, Err):
+        return common
+    kept = {name: headers[name] for name in ("content-type",) if name in headers}
+    return Ok(
+        CallerRequest(
+            kind=ServiceKind.PLAIN,
+            target=service,
+            account=common.ok_value.account,
+            rank=common.ok_value.rank,
+            key=common.ok_value.key,
+            method=method,
+            path=path,
+            headers=kept,
+            body=body,
+        )
+    )
+
+
+def _check_fields(document: Mapping[str, Any]) -> ServeError | None:
+    if not isinstance(document.get("model"), str):
+        return refuse(ErrorCode.MALFORMED, "model must be text")
+    max_tokens = document.get("max_tokens", DEFAULT_MAX_TOKENS)
+    if (
+        isinstance(max_tokens, bool)
+        or not isinstance(max_tokens, int)
+        or max_tokens < 1
+    ):
+        return refuse(ErrorCode.MALFORMED, "max_tokens must be a whole number above 0")
+    if not isinstance(document.get("stream", False), bool):
+        return refuse(ErrorCode.MALFORMED, "stream must be true or false")
+    if not isinstance(document.get("adapter", ""), str | None):
+        return refuse(ErrorCode.MALFORMED, "adapter must be text")
+    return None
+
+
+def _read_prompt(document: Mapping[str, Any]) -> Result[str, ServeError]:
+    prompt = document.get("prompt")
+    if not isinstance(prompt, str) or not prompt:
+        return Err(refuse(ErrorCode.MALFORMED, "prompt must be text"))
+    return Ok(prompt)
+
+
+def _read_chat(document: Mapping[str, Any]) -> Result[str, ServeError]:
+    messages = document.get("messages")
+    if not isinstance(messages, list) or not messages:
+        return Err(refuse(ErrorCode.MALFORMED, "messages must be a list of messages"))
+    lines = []
+    for index, item in enumerate(messages):
+        if not (
+            isinstance(item, dict)
+            and isinstance(item.get("role"), str)
+            and isinstance(item.get("content"), str)
+        ):
+            message = f"messages[{index}] must have role and content as text"
+            return Err(refuse(ErrorCode.MALFORMED, message))
+        lines.append(f"{item['role']}: {item['content']}\n")
+    return Ok("".join(lines))
--- /dev/null
+++ b/bramleyport/callers/_stream.py
@@ -0,0 +1,72 @@
+"""Write an answer to a caller with back pressure."""
+
+import asyncio
+from collections.abc import Mapping
+from typing import Any
+
+from twisted.internet.interfaces import IPushProducer
+from twisted.web.server import Request
+from zope.interface import implementer
+
+
+class CallerGoneError(Exception):
+    """Report that the caller closed its connection."""
+
+
+@implementer(IPushProducer)
+class CallerStream:
+    """Send one answer and wait whenever the caller reads too slowly."""
+
+    def __init__(self, request: Request) -> None:
+        self.started = False
+        self.gone = asyncio.Event()
+        self._request = request
+        self._writable = asyncio.Event()
+        self._writable.set()
+        self._finished = False
+        request.notifyFinish().addErrback(lambda _: self._mark_gone())
+
+    def start(self, status: int, headers: Mapping[str, str]) -> None:
+        """Send the status and headers."""
+        self.started = True
+        self._request.setResponseCode(status)
+        for name, value in headers.items():
+            self._request.setHeader(name.encode(), value.encode())
+        self._request.registerProducer(self, True)
+
+    async def write(self, data: bytes) -> None:
+        """Send a piece of the body once the caller has room for it."""
+        await self._writable.wait()
+        if self.gone.is_set():
+            raise CallerGoneError
+        self._request.write(data)
+
+    def finish(self) -> None:
+        """End the answer."""
+        if self._finished or self.gone.is_set():
+            return
+        self._finished = True
+        self._request.unregisterProducer()
+        self._request.finish()
+
+    def abort(self) -> None:
+        """Break the connection so that a partial answer can't pass as whole."""
+        transport: Any = self._request.transport
+        if not self.gone.is_set() and transport is not None:
+            transport.abortConnection()
+
+    def pauseProducing(self) -> None:  # noqa: N802
+        """Hold back further writes."""
+        self._writable.clear()
+
+    def resumeProducing(self) -> None:  # noqa: N802
+        """Allow further writes."""
+        self._writable.set()
+
+    def stopProducing(self) -> None:  # noqa: N802
+        """Note that the caller has gone."""
+        self._mark_gone()
+
+    def _mark_gone(self) -> None:
+        self.gone.set()
+        self._writable.set()
--- /dev/null
+++ b/bramleyport/cli/_demo.py
@@ -0,0 +1,190 @@
+"""Run the whole path in one process on loopback."""
+
+import asyncio
+import json
+from typing import TYPE_CHECKING, Any, Final
+
+from bramleyport.composition import build_agent, build_entry
+from bramleyport.core import ServiceKind
+from bramleyport.settings import AgentSettings, EntrySettings, ProcessSettings
+from bramleyport.standins import (
+    LOOPBACK,
+    EngineProfile,
+    EngineStandin,
+    ObjectApiStandin,
+    PlainStandin,
+    read_port,
+    serve_app,
+    stop_listening,
+)
+
+if TYPE_CHECKING:
+    from twisted.internet.tcp import Port
+
+    from bramleyport.daemons._agent import AgentDaemon
+    from bramleyport.daemons._entry import EntryDaemon
+
+ENGINES: Final = 4
+MODEL: Final = "inspector-8b"
+ZONES: Final = ("lk-west-a", "lk-west-b", "lk-west-c")
+REGION: Final = "lk-west"
+
+RANKS: Final = {
+    "urgent": {
+        "first_token_s": 0.61,
+        "between_tokens_s": 0.057,
+        "answer_s": 20.0,
+        "price_per_million_tokens": 12.0,
+        "guaranteed_share": 0.5,
+    },
+    "standard": {
+        "first_token_s": 3.0,
+        "between_tokens_s": 0.1,
+        "answer_s": 60.0,
+        "price_per_million_tokens": 4.0,
+        "guaranteed_share": 0.2,
+    },
+    "batch": {
+        "first_token_s": 120.0,
+        "between_tokens_s": 1.0,
+        "answer_s": 600.0,
+        "price_per_million_tokens": 1.0,
+        "guaranteed_share": 0.1,
+    },
+}
+
+RECORDS: Final[dict[str, dict[str, Any]]] = {
+    "inspections": {
+        "name": "inspections",
+        "model": {"name": MODEL, "versions": ["1"], "adapters": []},
+        "ranks": RANKS,
+    },
+    "orders": {
+        "name": "orders",
+        "plain": {"repeatable_methods": ["GET", "HEAD"]},
+        "ranks": RANKS,
+    },
+}
+
+
+class Demo:
+    """Start stand-ins, agents and entries, and stop them in order."""
+
+    def __init__(self, port: int, seed: int) -> None:
+        self._port = port
+        self._seed = seed
+        self.store = ObjectApiStandin()
+        self.engines = [
+            EngineStandin((MODEL,), EngineProfile(), checks_fencing=index % 2 == 0)
+            for index in range(ENGINES)
+        ]
+        self.plain = PlainStandin()
+        self.agents: list[AgentDaemon] = []
+        self.entries: list[EntryDaemon] = []
+        self._listening: list[Port] = []
+        self._tasks: list[asyncio.Task[None]] = []
+
+    async def start(self) -> None:
+        """Start everything and wait until an entry is ready."""
+        for name, record in RECORDS.items():
+            self.store.store.put("services", name, {"spec": record})
+        store_url = await self._serve(self.store.app)
+        for index, engine in enumerate(self.engines):
+            self._tasks.append(asyncio.ensure_future(engine.run()))
+            url = await self._serve(engine.app)
+            await self._start_agent(f"engine-{index}", index, url, store_url)
+        url = await self._serve(self.plain.app)
+        await self._start_agent("orders-0", 0, url, store_url, ("orders",))
+        self._list_hosts()
+        for index in range(2):
+            await self._start_entry(index, store_url)
+        while any(len(entry.list_upstreams()) <= ENGINES for entry in self.entries):
+            await asyncio.sleep(0.05)
+
+    async def stop(self) -> None:
+        """Drain the entries, then the agents, then close the stand-ins."""
+        for entry in self.entries:
+            await entry.stop()
+        for agent in self.agents:
+            await agent.stop()
+        for task in self._tasks:
+            task.cancel()
+        for listening in self._listening:
+            await stop_listening(listening)
+
+    def describe(self) -> str:
+        """Return the addresses and requests to try."""
+        base = f"http://{LOOPBACK}:{self.entries[0].port}"
+        chat = json.dumps(
+            {
+                "model": "inspections",
+                "stream": True,
+                "max_tokens": 12,
+                "messages": [{"role": "user", "content": "Which helmets expire?"}],
+            }
+        )
+        return (
+            f"bramleyport demo serves {base} and "
+            f"http://{LOOPBACK}:{self.entries[1].port}\n"
+            f"curl -N {base}/v1/chat/completions -H 'X-Rank: urgent' -d '{chat}'\n"
+            f"curl {base}/services/orders/postings -H 'Idempotency-Key: order-1' "
+            "-d '{\"helmets\": 3}'"
+        )
+
+    async def _serve(self, app: Any) -> str:
+        listening = await serve_app(app, 0)
+        self._listening.append(listening)
+        return f"http://{LOOPBACK}:{read_port(listening)}"
+
+    async def _start_agent(
+        self,
+        name: str,
+        index: int,
+        url: str,
+        store_url: str,
+        services: tuple[str, ...] = (),
+    ) -> None:
+        settings = AgentSettings(
+            process=self._make_process(f"agent-{name}", index, store_url),
+            upstream=name,
+            upstream_url=url,
+            kind=ServiceKind.PLAIN if services else ServiceKind.LANGUAGE,
+            services=services,
+        )
+        agent = build_agent(settings)
+        await agent.start()
+        self.agents.append(agent)
+
+    async def _start_entry(self, index: int, store_url: str) -> None:
+        settings = EntrySettings(
+            process=self._make_process(f"entry-{index}", index, store_url),
+            http_port=self._port if index == 0 else 0,
+        )
+        entry = build_entry(settings, self._seed + index)
+        await entry.start()
+        self.entries.append(entry)
+
+    def _make_process(self, name: str, index: int, store_url: str) -> ProcessSettings:
+        return ProcessSettings(
+            process=name,
+            zone=ZONES[index % len(ZONES)],
+            region=REGION,
+            address=LOOPBACK,
+            peer_port=0,
+            object_api=store_url,
+        )
+
+    def _list_hosts(self) -> None:
+        rows = [
+            {
+                "process": agent.settings.process.process,
+                "role": "agent",
+                "address": LOOPBACK,
+                "port": agent.port,
+                "zone": agent.settings.process.zone,
+                "region": REGION,
+                "state": "live",
+            }
+            for agent in self.agents
+        ]
+        self.store.store.put("hosts", "current", {"spec": {"hosts": rows}})
--- /dev/null
+++ b/bramleyport/cli/_main.py
@@ -0,0 +1,91 @@
+"""Commands of the bramleyport program."""
+
+import sys
+from pathlib import Path
+from typing import TYPE_CHECKING, TypeVar
+
+import click
+from result import Err
+
+from bramleyport import __version__
+
+if TYPE_CHECKING:
+    from bramleyport.settings import LogSettings
+
+S = TypeVar("S")
+
+EXIT_INVALID = 2
+
+
+@click.group()
+@click.version_option(__version__)
+def main() -> None:
+    """Serve language models and plain services on a fixed fleet."""
+
+
+@main.command()
+@click.argument("settings", type=click.Path(exists=True, dir_okay=False))
+def entry(settings: str) -> None:
+    """Serve callers."""
+    from bramleyport.cli._runtime import install_reactor, run_daemon
+    from bramleyport.settings import EntrySettings
+
+    install_reactor()
+    from bramleyport.composition import build_entry
+
+    checked = _load(settings, EntrySettings)
+    _configure(checked.process.log, checked.process.process)
+    sys.exit(run_daemon(lambda: build_entry(checked)))
+
+
+@main.command()
+@click.argument("settings", type=click.Path(exists=True, dir_okay=False))
+def agent(settings: str) -> None:
+    """Serve one upstream."""
+    from bramleyport.cli._runtime import install_reactor, run_daemon
+    from bramleyport.settings import AgentSettings
+
+    install_reactor()
+    from bramleyport.composition import build_agent
+
+    checked = _load(settings, AgentSettings)
+    _configure(checked.process.log, checked.process.process)
+    sys.exit(run_daemon(lambda: build_agent(checked)))
+
+
+@main.command()
+@click.option("--port", default=8080, help="Port of the first entry; 0 picks one.")
+@click.option("--seed", default=1, help="Seed of the random choices.")
+@click.option("--log-level", default="WARNING", help="Least level that is logged.")
+def demo(port: int, seed: int, log_level: str) -> None:
+    """Run the whole path in one process on loopback."""
+    from bramleyport.cli._runtime import install_reactor, run_daemon
+
+    install_reactor()
+    from bramleyport.cli._demo import Demo
+    from bramleyport.telemetry import configure_logging
+
+    configure_logging(json_lines=False, level=log_level, process="demo")
+    running = Demo(port, seed)
+
+    async def describe() -> None:
+        click.echo(running.describe())
+
+    sys.exit(run_daemon(lambda: running, describe))
+
+
+def _load(path: str, kind: type[S]) -> S:
+    from bramleyport.settings import load_settings
+
+    result = load_settings(Path(path).read_text(), kind)
+    if isinstance(result, Err):
+        for reason in result.err_value:
+            click.echo(f"{path}: {reason}", err=True)
+        sys.exit(EXIT_INVALID)
+    return result.ok_value
+
+
+def _configure(log: "LogSettings", process: str) -> None:
+    from bramleyport.telemetry import configure_logging
+
+    configure_logging(json_lines=log.json_lines, level=log.level, process=process)
--- /dev/null
+++ b/bramleyport/cli/_runtime.py
@@ -0,0 +1,77 @@
+"""Run coroutines on Twisted's asyncio reactor until a signal stops them."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from typing import Any, Protocol
+
+
+class Daemon(Protocol):
+    """Start and stop as a unit."""
+
+    async def start(self) -> None:
+        """Begin serving."""
+        ...
+
+    async def stop(self) -> None:
+        """Finish what runs, then stop serving."""
+        ...
+
+
+def install_reactor() -> None:
+    """Install the reactor before anything imports the default one."""
+    from twisted.internet import asyncioreactor
+
+    # Twisted starts its first callbacks before the loop runs, so the loop must also be
+    # the thread's current one.
+    loop = asyncio.new_event_loop()
+    asyncio.set_event_loop(loop)
+    loop.set_exception_handler(_log_loop_error)
+    asyncioreactor.install(loop)
+
+
+def run_daemon(
+    build: Callable[[], Daemon], on_started: Callable[[], Awaitable[None]] | None = None
+) -> int:
+    """Serve until SIGTERM or SIGINT and return the exit code."""
+    from twisted.internet import reactor as _reactor
+    from twisted.internet.defer import Deferred
+
+    # Twisted types its global reactor as an interface without methods.
+    reactor: Any = _reactor
+    failures: list[BaseException] = []
+    running: list[Daemon] = []
+
+    async def start() -> None:
+        try:
+            daemon = build()
+            running.append(daemon)
+            await daemon.start()
+            if on_started is not None:
+                await on_started()
+        except Exception as error:  # reported by the caller once the reactor stopped
+            failures.append(error)
+            reactor.stop()
+
+    def stop() -> "Deferred[None]":
+        return Deferred.fromFuture(asyncio.ensure_future(_stop_all(running)))
+
+    reactor.callWhenRunning(lambda: asyncio.ensure_future(start()))
+    reactor.addSystemEventTrigger("before", "shutdown", stop)
+    reactor.run()
+    if failures:
+        raise failures[0]
+    return 0
+
+
+def _log_loop_error(loop: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
+    from bramleyport.telemetry import events, log_event
+
+    error = context.get("exception")
+    log_event(
+        events.HANDLER_FAILED, step="loop", error=repr(error), note=context["message"]
+    )
+
+
+async def _stop_all(daemons: list[Daemon]) -> None:
+    for daemon in daemons:
+        await daemon.stop()
--- /dev/null
+++ b/bramleyport/core/__init__.py
@@ -0,0 +1,78 @@
+"""Types shared by all packages: ids, states, work, views and errors."""
+
+from bramleyport.core._converter import make_strict_converter
+from bramleyport.core._errors import ErrorCode, Explanation, ServeError, StepError
+from bramleyport.core._ids import (
+    AccountId,
+    AdapterName,
+    AttemptId,
+    FencingNumber,
+    ModelName,
+    ModelVersion,
+    PoolName,
+    PrefixBlock,
+    ProcessId,
+    RegionName,
+    RequestId,
+    Revision,
+    ServiceName,
+    UpstreamId,
+    ZoneName,
+)
+from bramleyport.core._prompt import CHARACTERS_PER_TOKEN, count_tokens, digest_prefix
+from bramleyport.core._registry import Registry, UnknownPolicyError
+from bramleyport.core._states import (
+    EngineRole,
+    Execution,
+    Rank,
+    ServiceKind,
+    UpstreamState,
+)
+from bramleyport.core._views import (
+    CachedPrefixes,
+    EngineLoad,
+    EngineRates,
+    SentWork,
+    UpstreamView,
+)
+from bramleyport.core._work import Targets, Work
+
+__all__ = [
+    "CHARACTERS_PER_TOKEN",
+    "AccountId",
+    "AdapterName",
+    "AttemptId",
+    "CachedPrefixes",
+    "EngineLoad",
+    "EngineRates",
+    "EngineRole",
+    "ErrorCode",
+    "Execution",
+    "Explanation",
+    "FencingNumber",
+    "ModelName",
+    "ModelVersion",
+    "PoolName",
+    "PrefixBlock",
+    "ProcessId",
+    "Rank",
+    "RegionName",
+    "Registry",
+    "RequestId",
+    "Revision",
+    "SentWork",
+    "ServeError",
+    "ServiceKind",
+    "ServiceName",
+    "StepError",
+    "Targets",
+    "UnknownPolicyError",
+    "UpstreamId",
+    "UpstreamState",
+    "UpstreamView",
+    "Work",
+    "ZoneName",
+    "count_tokens",
+    "digest_prefix",
+    "make_strict_converter",
+]
--- /dev/null
+++ b/bramleyport/core/_errors.py
@@ -0,0 +1,78 @@
+"""Errors that name the step and the peer at which they arose."""
+
+from dataclasses import dataclass, field
+from enum import Enum
+
+from bramleyport.core._states import Execution
+
+
+class ErrorCode(str, Enum):
+    """Classify errors shown to callers."""
+
+    MALFORMED = "malformed_request"
+    TOO_LARGE = "request_too_large"
+    UNKNOWN_MODEL = "unknown_model"
+    UNKNOWN_SERVICE = "unknown_service"
+    UNKNOWN_RANK = "unknown_rank"
+    KEY_REQUIRED = "idempotency_key_required"
+    KEY_REUSED = "idempotency_key_reused"
+    IN_PROGRESS = "request_in_progress"
+    OVERLOADED = "overloaded"
+    NO_UPSTREAM = "no_upstream"
+    STORE_UNAVAILABLE = "store_unavailable"
+    UPSTREAM_FAILED = "upstream_failed"
+    DEADLINE = "deadline_exceeded"
+    STOPPING = "stopping"
+
+
+_STATUSES = {
+    ErrorCode.MALFORMED: 400,
+    ErrorCode.TOO_LARGE: 413,
+    ErrorCode.UNKNOWN_MODEL: 404,
+    ErrorCode.UNKNOWN_SERVICE: 404,
+    ErrorCode.UNKNOWN_RANK: 400,
+    ErrorCode.KEY_REQUIRED: 400,
+    ErrorCode.KEY_REUSED: 422,
+    ErrorCode.IN_PROGRESS: 409,
+    ErrorCode.OVERLOADED: 429,
+    ErrorCode.NO_UPSTREAM: 503,
+    ErrorCode.STORE_UNAVAILABLE: 503,
+    ErrorCode.UPSTREAM_FAILED: 502,
+    ErrorCode.DEADLINE: 504,
+    ErrorCode.STOPPING: 503,
+}
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ServeError:
+    """Describe why a request has no answer and whether it was run."""
+
+    code: ErrorCode
+    message: str
+    execution: Execution
+    step: str
+    peer: str = ""
+    retry_after_s: float | None = None
+
+    @property
+    def http_status(self) -> int:
+        """Return the HTTP status that callers see."""
+        return _STATUSES[self.code]
+
+
+class StepError(Exception):
+    """Carry the step and the peer at which an operation failed."""
+
+    def __init__(self, step: str, peer: str, reason: str) -> None:
+        super().__init__(f"{step} with {peer}: {reason}")
+        self.step = step
+        self.peer = peer
+        self.reason = reason
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Explanation:
+    """Give the reason code of a decision and the numbers it rested on."""
+
+    reason: str
+    numbers: dict[str, float] = field(default_factory=dict)
--- /dev/null
+++ b/bramleyport/core/_views.py
@@ -0,0 +1,83 @@
+"""What a process knows of an upstream."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+
+from bramleyport.core._ids import (
+    AdapterName,
+    ModelName,
+    PrefixBlock,
+    RegionName,
+    ServiceName,
+    UpstreamId,
+    ZoneName,
+)
+from bramleyport.core._states import EngineRole, Rank, ServiceKind, UpstreamState
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class EngineRates:
+    """Hold the measured speed of one engine."""
+
+    prefill_tokens_per_s: float = 8000.0
+    decode_tokens_per_s: float = 40.0
+    max_streams: int = 32
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class EngineLoad:
+    """Hold one load report of an upstream as its agent sent it."""
+
+    taken_s: float = 0.0
+    running: int = 0
+    queued: int = 0
+    queued_prefill_tokens: int = 0
+    running_decode_tokens: int = 0
+    blocks_used: int = 0
+    blocks_total: int = 0
+    wait_s: Mapping[Rank, float] = field(default_factory=dict)
+
+
+@dataclass(slots=True, kw_only=True)
+class SentWork:
+    """Count the work sent to an upstream since its latest load report."""
+
+    requests: int = 0
+    prefill_tokens: int = 0
+    decode_tokens: int = 0
+
+
+@dataclass(slots=True, kw_only=True)
+class CachedPrefixes:
+    """Hold the prefix blocks that an engine is believed to have cached."""
+
+    blocks: set[PrefixBlock] = field(default_factory=set)
+    last_sequence: int = 0
+    uncertain: bool = False
+
+    def count_cached(self, prefix: tuple[PrefixBlock, ...]) -> int:
+        """Return how many leading blocks of the prefix are cached."""
+        for index, block in enumerate(prefix):
+            if block not in self.blocks:
+                return index
+        return len(prefix)
+
+
+@dataclass(slots=True, kw_only=True)
+class UpstreamView:
+    """Hold what one process knows of one upstream."""
+
+    upstream: UpstreamId
+    kind: ServiceKind
+    zone: ZoneName
+    region: RegionName
+    services: frozenset[ServiceName] = frozenset()
+    role: EngineRole = EngineRole.MIXED
+    state: UpstreamState = UpstreamState.LIVE
+    models: frozenset[ModelName] = frozenset()
+    adapters: frozenset[AdapterName] = frozenset()
+    block_tokens: int = 1000
+    load: EngineLoad = field(default_factory=EngineLoad)
+    sent: SentWork = field(default_factory=SentWork)
+    cached: CachedPrefixes = field(default_factory=CachedPrefixes)
+    rates: EngineRates = field(default_factory=EngineRates)
--- /dev/null
+++ b/bramleyport/daemons/_agent.py
@@ -0,0 +1,366 @@
+"""The agent: the only path to one upstream."""
+
+import asyncio
+import time
+from dataclasses import replace
+from typing import TYPE_CHECKING, Any, Final
+
+from bramleyport.core import (
+    AttemptId,
+    EngineLoad,
+    EngineRates,
+    EngineRole,
+    Execution,
+    PrefixBlock,
+    Revision,
+    ServiceKind,
+    UpstreamId,
+    UpstreamState,
+    UpstreamView,
+    ZoneName,
+)
+from bramleyport.daemons._agent_attempt import AgentAttempt, Upstream
+from bramleyport.queueing import QueuedWork, QueuePolicy, Refused as QueueRefused
+from bramleyport.telemetry import events, log_event
+from bramleyport.transport import listen
+from bramleyport.upstreams import EngineClient, UpstreamError
+from bramleyport.wire import (
+    Accepted,
+    Ack,
+    CacheReport,
+    Cancel,
+    Execute,
+    Failed,
+    Leaving,
+    LoadReport,
+    Message,
+    Refused,
+    Resume,
+    UpstreamInfo,
+)
+
+if TYPE_CHECKING:
+    from websockets.asyncio.server import Server
+
+    from bramleyport.estimate import Estimator
+    from bramleyport.settings import AgentSettings
+    from bramleyport.transport import Connection, Identity
+
+ATTEMPT_GRACE_S: Final = 30.0
+EXPIRE_INTERVAL_S: Final = 0.2
+
+
+class AgentDaemon:
+    """Queue, run and report the work of one upstream."""
+
+    def __init__(
+        self,
+        settings: "AgentSettings",
+        identity: "Identity",
+        upstream: Upstream,
+        queue: QueuePolicy,
+        estimator: "Estimator",
+    ) -> None:
+        self.settings = settings
+        self._identity = identity
+        self._upstream = upstream
+        self._queue = queue
+        self._estimator = estimator
+        self._connections: set[Connection] = set()
+        self._attempts: dict[AttemptId, AgentAttempt] = {}
+        self._running: set[AttemptId] = set()
+        self._leaving = False
+        self._cache_sequence = 0
+        self._view = UpstreamView(
+            upstream=UpstreamId(settings.upstream),
+            kind=settings.kind,
+            zone=ZoneName(settings.process.zone),
+            region=identity.region,
+        )
+        self._server: Server | None = None
+        self._tasks: list[asyncio.Task[None]] = []
+        self._background: set[asyncio.Future[None]] = set()
+
+    @property
+    def port(self) -> int:
+        """Return the port on which peers connect."""
+        assert self._server is not None
+        return int(next(iter(self._server.sockets)).getsockname()[1])
+
+    async def start(self) -> None:
+        """Read the upstream's state and accept connections."""
+        await self._read_upstream()
+        process = self.settings.process
+        self._server = await listen(
+            process.address,
+            process.peer_port,
+            self._identity,
+            lambda: Revision(0),
+            self._greet,
+            self._handle,
+        )
+        self._tasks = [
+            asyncio.ensure_future(self._report_forever()),
+            asyncio.ensure_future(self._expire_forever()),
+        ]
+        log_event(events.PROCESS_STARTED, role="agent", process=process.process)
+
+    async def stop(self) -> None:
+        """Refuse new work, finish what runs, then close."""
+        log_event(events.PROCESS_STOPPING, process=self.settings.process.process)
+        self._leaving = True
+        for connection in list(self._connections):
+            connection.post(Leaving(process=self._identity.process))
+        deadline_s = time.monotonic() + self.settings.drain_timeout_s
+        while self._has_work() and time.monotonic() < deadline_s:
+            await asyncio.sleep(0.05)
+        for connection in list(self._connections):
+            await connection.flush()
+        for task in self._tasks:
+            task.cancel()
+        if self._server is not None:
+            self._server.close()
+            await self._server.wait_closed()
+        log_event(events.PROCESS_STOPPED, process=self.settings.process.process)
+
+    def _has_work(self) -> bool:
+        return bool(self._running) or len(self._queue) > 0
+
+    def _greet(self, connection: "Connection") -> None:
+        self._connections.add(connection)
+        connection.post(self._describe())
+        if self._leaving:
+            connection.post(Leaving(process=self._identity.process))
+        connection.post(self._make_load_report())
+        connection.post(
+            CacheReport(
+                upstream=self._view.upstream,
+                sequence=self._cache_sequence,
+                stored=tuple(self._view.cached.blocks),
+            )
+        )
+
+    def _handle(self, connection: "Connection", message: Message) -> None:
+        if isinstance(message, Execute):
+            self._accept(connection, message)
+        elif isinstance(message, Resume):
+            self._resume(connection, message)
+        elif isinstance(message, Ack):
+            attempt = self._attempts.get(message.attempt)
+            if attempt is not None:
+                attempt.acknowledge(message.next_frame)
+        elif isinstance(message, Cancel):
+            self._cancel(message.attempt)
+
+    def _accept(self, connection: "Connection", execute: Execute) -> None:
+        if self._leaving:
+            connection.post(Refused(attempt=execute.attempt, reason="leaving"))
+            return
+        if execute.attempt in self._attempts:
+            return
+        now_s = time.monotonic()
+        arrived_s = now_s - (execute.work.targets.answer_s - execute.time_left_s)
+        work = replace(execute.work, arrived_s=arrived_s)
+        estimate = self._estimator.estimate(work, self._view)
+        decision = self._queue.offer(
+            QueuedWork(
+                attempt=execute.attempt,
+                work=work,
+                deadline_s=work.answer_deadline_s,
+                prefill_s=estimate.prefill_s,
+                decode_s=estimate.decode_s,
+            ),
+            now_s,
+        )
+        if isinstance(decision, QueueRefused):
+            connection.post(
+                Refused(
+                    attempt=execute.attempt,
+                    reason=decision.explanation.reason,
+                    retry_after_s=decision.retry_after_s,
+                )
+            )
+            return
+        self._attempts[execute.attempt] = AgentAttempt(execute, connection)
+        connection.post(Accepted(attempt=execute.attempt))
+        self._start_queued()
+
+    def _start_queued(self) -> None:
+        free = self.settings.max_streams - len(self._running)
+        if free <= 0:
+            return
+        for item in self._queue.take(time.monotonic(), free):
+            attempt = self._attempts[item.attempt]
+            self._running.add(item.attempt)
+            attempt.task = asyncio.ensure_future(self._run(item.attempt, attempt))
+
+    async def _run(self, attempt_id: AttemptId, attempt: AgentAttempt) -> None:
+        try:
+            await attempt.run(self._upstream)
+        except asyncio.CancelledError:
+            if isinstance(self._upstream, EngineClient):
+                self._background.add(
+                    asyncio.ensure_future(self._cancel_upstream(attempt_id))
+                )
+        except Exception as error:  # a fault in one attempt must not end the process
+            log_event(events.HANDLER_FAILED, attempt=attempt_id, error=repr(error))
+            attempt.fail(Execution.UNKNOWN, "the agent failed")
+        finally:
+            self._running.discard(attempt_id)
+            self._queue.finish(attempt_id, time.monotonic())
+            self._start_queued()
+            # A peer whose connection broke may still ask for the held frames.
+            asyncio.get_running_loop().call_later(
+                ATTEMPT_GRACE_S, self._attempts.pop, attempt_id, None
+            )
+
+    async def _cancel_upstream(self, attempt_id: AttemptId) -> None:
+        assert isinstance(self._upstream, EngineClient)
+        try:
+            await self._upstream.cancel(attempt_id)
+        except UpstreamError as error:
+            log_event(
+                events.UPSTREAM_CALL_FAILED,
+                step="cancel",
+                peer=error.peer,
+                reason=error.reason,
+            )
+
+    def _resume(self, connection: "Connection", message: Resume) -> None:
+        attempt = self._attempts.get(message.attempt)
+        if attempt is None:
+            connection.post(
+                Failed(
+                    attempt=message.attempt,
+                    execution=Execution.UNKNOWN,
+                    reason="no such attempt",
+                )
+            )
+            return
+        log_event(events.ATTEMPT_RESUMED, attempt=message.attempt, peer=connection.peer)
+        attempt.resume(connection, message.next_frame)
+
+    def _cancel(self, attempt_id: AttemptId) -> None:
+        attempt = self._attempts.get(attempt_id)
+        if attempt is None:
+            return
+        if self._queue.cancel(attempt_id):
+            self._attempts.pop(attempt_id, None)
+        elif attempt.task is not None and self.settings.kind is ServiceKind.LANGUAGE:
+            attempt.task.cancel()
+
+    async def _expire_forever(self) -> None:
+        while True:
+            await asyncio.sleep(EXPIRE_INTERVAL_S)
+            for item in self._queue.expire(time.monotonic()):
+                attempt = self._attempts.pop(item.attempt, None)
+                if attempt is not None:
+                    attempt.connection.post(
+                        Refused(attempt=item.attempt, reason="deadline")
+                    )
+
+    async def _report_forever(self) -> None:
+        while True:
+            await asyncio.sleep(self.settings.load_interval_s)
+            self._connections = {c for c in self._connections if not c.closed.is_set()}
+            before = self._describe()
+            await self._read_upstream()
+            after = self._describe()
+            cache = await self._read_cache()
+            for connection in list(self._connections):
+                if after != before:
+                    connection.post(after)
+                connection.post(self._make_load_report())
+                if cache is not None:
+                    connection.post(cache)
+
+    async def _read_upstream(self) -> None:
+        if not isinstance(self._upstream, EngineClient):
+            self._view.services = frozenset(self.settings.services)  # type: ignore[arg-type]
+            return
+        try:
+            report = await self._upstream.read_load()
+        except UpstreamError as error:
+            self._view.state = UpstreamState.SUSPECT
+            log_event(
+                events.UPSTREAM_CALL_FAILED,
+                step="load",
+                peer=error.peer,
+                reason=error.reason,
+            )
+            return
+        self._view.state = UpstreamState.LIVE
+        self._apply_report(report)
+
+    def _apply_report(self, report: Any) -> None:
+        view = self._view
+        view.role = EngineRole(report["role"])
+        view.models = frozenset(report["models"])
+        view.adapters = frozenset(report["adapters"])
+        view.block_tokens = int(report["block_tokens"])
+        view.rates = EngineRates(
+            prefill_tokens_per_s=float(report["prefill_tokens_per_s"]),
+            decode_tokens_per_s=float(report["decode_tokens_per_s"]),
+            max_streams=int(report["max_streams"]),
+        )
+        view.load = EngineLoad(
+            taken_s=time.monotonic(),
+            running=int(report["running"]),
+            queued=int(report["queued"]),
+            queued_prefill_tokens=int(report["queued_prefill_tokens"]),
+            running_decode_tokens=int(report["running_decode_tokens"]),
+            blocks_used=int(report["blocks_used"]),
+            blocks_total=int(report["blocks_total"]),
+        )
+
+    async def _read_cache(self) -> CacheReport | None:
+        if not isinstance(self._upstream, EngineClient):
+            return None
+        try:
+            changes = await self._upstream.read_cache_events(self._cache_sequence)
+        except UpstreamError:
+            return None
+        if not changes:
+            return None
+        cached = self._view.cached
+        stored: set[PrefixBlock] = set()
+        evicted: set[PrefixBlock] = set()
+        for change in changes:
+            cached.blocks.update(change.stored)
+            cached.blocks.difference_update(change.evicted)
+            stored.update(change.stored)
+            evicted.update(change.evicted)
+            self._cache_sequence = change.sequence
+        return CacheReport(
+            upstream=self._view.upstream,
+            sequence=self._cache_sequence,
+            stored=tuple(stored & cached.blocks),
+            evicted=tuple(evicted - cached.blocks),
+        )
+
+    def _describe(self) -> UpstreamInfo:
+        view = self._view
+        return UpstreamInfo(
+            upstream=view.upstream,
+            kind=view.kind,
+            zone=view.zone,
+            region=view.region,
+            state=UpstreamState.LEAVING if self._leaving else view.state,
+            role=view.role,
+            models=tuple(sorted(view.models)),
+            adapters=tuple(sorted(view.adapters)),
+            services=tuple(sorted(view.services)),
+            block_tokens=view.block_tokens,
+            rates=view.rates,
+        )
+
+    def _make_load_report(self) -> LoadReport:
+        now_s = time.monotonic()
+        load = replace(
+            self._view.load,
+            running=len(self._running),
+            queued=len(self._queue),
+            wait_s=self._queue.forecast_wait(now_s),
+        )
+        age_s = max(0.0, now_s - load.taken_s) if load.taken_s else 0.0
+        return LoadReport(upstream=self._view.upstream, load=load, age_s=age_s)
--- /dev/null
+++ b/bramleyport/daemons/_entry_attempt.py
@@ -0,0 +1,164 @@
+"""One attempt of a request as the entry follows it."""
+
+import asyncio
+import time
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from typing import Final
+
+from result import Err, Ok, Result
+
+from bramleyport.answers import Assembler, Violation
+from bramleyport.core import AttemptId, Execution, Work
+from bramleyport.daemons._peers import AgentLink
+from bramleyport.retries import AttemptFailure, FailureKind
+from bramleyport.transport import Connection
+from bramleyport.wire import (
+    Accepted,
+    Ack,
+    Cancel,
+    End,
+    Execute,
+    Failed,
+    Frame,
+    Message,
+    Refused,
+    Resume,
+)
+
+ACK_FRAMES: Final = 32
+RESUME_WAIT_S: Final = 5.0
+POLL_S: Final = 0.25
+
+OnChunk = Callable[[bytes], Awaitable[None]]
+AttemptResult = Result[End, AttemptFailure]
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Call:
+    """Hold what an upstream needs to run a request."""
+
+    method: str
+    path: str
+    headers: dict[str, str]
+    body: bytes
+
+
+class EntryAttempt:
+    """Send one attempt to an agent and follow it to its end."""
+
+    def __init__(
+        self, attempt: AttemptId, link: AgentLink, work: Work, call: Call
+    ) -> None:
+        self.attempt = attempt
+        self.link = link
+        self.frames_shown = 0
+        self._work = work
+        self._call = call
+        self._assembler = Assembler(attempt)
+        self._inbox: asyncio.Queue[Message] = asyncio.Queue()
+        self._connection: Connection | None = link.connection
+
+    def deliver(self, connection: Connection, message: Message) -> None:
+        """Queue a message of this attempt if it came over its own connection."""
+        if connection is self._connection:
+            self._inbox.put_nowait(message)
+
+    def cancel(self) -> None:
+        """Ask the agent to stop the attempt."""
+        if self._connection is not None:
+            self._connection.post(Cancel(attempt=self.attempt))
+
+    async def run(self, on_chunk: OnChunk) -> AttemptResult:
+        """Run the attempt and hand its chunks on in order."""
+        if self._connection is None or self._connection.closed.is_set():
+            return self._fail(FailureKind.DISCONNECTED, Execution.NOT_RUN)
+        self._connection.post(self._make_execute())
+        while True:
+            message = await self._receive()
+            if message is None:
+                if not await self._reconnect():
+                    return self._fail(FailureKind.DISCONNECTED, Execution.UNKNOWN)
+                continue
+            result = await self._apply(message, on_chunk)
+            if result is not None:
+                return result
+
+    async def _receive(self) -> Message | None:
+        while True:
+            try:
+                async with asyncio.timeout(POLL_S):
+                    return await self._inbox.get()
+            except TimeoutError:
+                if self._connection is None or self._connection.closed.is_set():
+                    return None
+
+    async def _reconnect(self) -> bool:
+        try:
+            async with asyncio.timeout(RESUME_WAIT_S):
+                await self.link.connected.wait()
+        except TimeoutError:
+            return False
+        self._connection = self.link.connection
+        if self._connection is None:
+            return False
+        next_frame = self._assembler.next_frame
+        self._connection.post(Resume(attempt=self.attempt, next_frame=next_frame))
+        return True
+
+    async def _apply(self, message: Message, on_chunk: OnChunk) -> AttemptResult | None:
+        if isinstance(message, Accepted):
+            return None
+        if isinstance(message, Refused):
+            return self._fail(
+                FailureKind.REFUSED, Execution.NOT_RUN, message.retry_after_s
+            )
+        if isinstance(message, Failed):
+            return self._fail(FailureKind.UPSTREAM_ERROR, message.execution)
+        if isinstance(message, Frame):
+            return await self._take_frame(message, on_chunk)
+        if isinstance(message, End):
+            if self._assembler.finish(message) is not None:
+                return self._fail(FailureKind.BAD_ANSWER, Execution.UNKNOWN)
+            return Ok(message)
+        return None
+
+    async def _take_frame(
+        self, frame: Frame, on_chunk: OnChunk
+    ) -> AttemptResult | None:
+        accepted = self._assembler.accept(frame)
+        if isinstance(accepted, Violation):
+            return self._fail(FailureKind.BAD_ANSWER, Execution.UNKNOWN)
+        for chunk in accepted:
+            await on_chunk(chunk.payload)
+            self.frames_shown += 1
+        if self._assembler.next_frame % ACK_FRAMES == 0 and self._connection:
+            next_frame = self._assembler.next_frame
+            self._connection.post(Ack(attempt=self.attempt, next_frame=next_frame))
+        return None
+
+    def _make_execute(self) -> Execute:
+        return Execute(
+            attempt=self.attempt,
+            work=self._work,
+            method=self._call.method,
+            path=self._call.path,
+            headers=self._call.headers,
+            body=self._call.body,
+            time_left_s=self._work.answer_deadline_s - time.monotonic(),
+        )
+
+    def _fail(
+        self, kind: FailureKind, execution: Execution, retry_after_s: float = 0.0
+    ) -> AttemptResult:
+        view = self.link.view
+        assert view is not None
+        return Err(
+            AttemptFailure(
+                upstream=view.upstream,
+                kind=kind,
+                execution=execution,
+                frames_shown=self.frames_shown,
+                retry_after_s=retry_after_s,
+            )
+        )
--- /dev/null
+++ b/bramleyport/membership/_hosts.py
@@ -0,0 +1,38 @@
+"""Hosts as the platform's lagging list names them."""
+
+from dataclasses import dataclass
+from enum import Enum
+
+from bramleyport.core import ProcessId, RegionName, ZoneName
+
+
+class HostState(str, Enum):
+    """Name the states that the platform gives a host."""
+
+    LIVE = "live"
+    LEAVING = "leaving"
+
+
+class ProcessRole(str, Enum):
+    """Name the roles of the system's processes."""
+
+    ENTRY = "entry"
+    AGENT = "agent"
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Host:
+    """Hold one row of the host list."""
+
+    process: ProcessId
+    role: ProcessRole
+    address: str
+    port: int
+    zone: ZoneName
+    region: RegionName
+    state: HostState = HostState.LIVE
+
+    @property
+    def uri(self) -> str:
+        """Return the address of the process as a websocket URI."""
+        return f"ws://{self.address}:{self.port}"
--- /dev/null
+++ b/bramleyport/objectapi/_client.py
@@ -0,0 +1,205 @@
+"""Call the platform's object API over HTTP."""
+
+import asyncio
+import json
+from typing import TYPE_CHECKING, Any, Final
+
+import treq
+from cattrs import BaseValidationError
+from result import Err, Ok, Result
+from twisted.internet import reactor as _reactor
+from twisted.internet.defer import Deferred
+from twisted.internet.error import ConnectError
+from twisted.web.client import Agent, HTTPConnectionPool
+from twisted.web.http_headers import Headers
+
+from bramleyport.core import Revision, make_strict_converter
+from bramleyport.objectapi._types import (
+    Document,
+    Kind,
+    Listing,
+    ObjectName,
+    ObjectVersion,
+    StoredObject,
+    StoreError,
+    StoreFailure,
+    WatchBatch,
+)
+from bramleyport.telemetry import events, log_event
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+CALL_TIMEOUT_S: Final = 3.0
+WATCH_TIMEOUT_S: Final = 20.0
+
+_STATUS_FAILURES: Final = {
+    400: StoreFailure.INVALID,
+    404: StoreFailure.NOT_FOUND,
+    409: StoreFailure.CONFLICT,
+    410: StoreFailure.EXPIRED,
+    412: StoreFailure.CONFLICT,
+    413: StoreFailure.TOO_LARGE,
+    429: StoreFailure.UNAVAILABLE,
+    503: StoreFailure.UNAVAILABLE,
+}
+
+_converter = make_strict_converter()
+
+
+class ObjectClient:
+    """Read, write and watch objects; every call returns a result."""
+
+    def __init__(
+        self, base_url: str, on_call: "Callable[[str, str], None] | None" = None
+    ) -> None:
+        self.base_url = base_url.rstrip("/")
+        self._on_call = on_call
+        self._pool = HTTPConnectionPool(_reactor)
+        self._http = treq.client.HTTPClient(
+            Agent(_reactor, pool=self._pool)  # type: ignore[arg-type]
+        )
+
+    async def get(
+        self, kind: Kind, name: ObjectName
+    ) -> Result[StoredObject, StoreError]:
+        """Read one object."""
+        url = f"/objects/{kind.value}/{name}"
+        reply = await self._call("get", "GET", url)
+        return reply.and_then(lambda value: self._structure(value, StoredObject))
+
+    async def list_all(self, kind: Kind) -> Result[Listing, StoreError]:
+        """Read all objects of a kind."""
+        reply = await self._call("list", "GET", f"/objects/{kind.value}")
+        return reply.and_then(lambda value: self._structure(value, Listing))
+
+    async def create(
+        self, kind: Kind, name: ObjectName, spec: Document, status: Document
+    ) -> Result[StoredObject, StoreError]:
+        """Create an object that must not exist yet."""
+        return await self._put(kind, name, spec, status, {"If-None-Match": "*"})
+
+    async def update(
+        self,
+        kind: Kind,
+        name: ObjectName,
+        version: ObjectVersion,
+        spec: Document,
+        status: Document,
+    ) -> Result[StoredObject, StoreError]:
+        """Replace an object that must still have the given version."""
+        condition = {"If-Match": f'"{version}"'}
+        return await self._put(kind, name, spec, status, condition)
+
+    async def delete(
+        self, kind: Kind, name: ObjectName, version: ObjectVersion
+    ) -> Result[None, StoreError]:
+        """Delete an object that must still have the given version."""
+        url = f"/objects/{kind.value}/{name}"
+        condition = {"If-Match": f'"{version}"'}
+        reply = await self._call("delete", "DELETE", url, headers=condition)
+        return reply.map(lambda _: None)
+
+    async def watch(
+        self, kind: Kind, since: Revision, timeout_s: float = WATCH_TIMEOUT_S
+    ) -> Result[WatchBatch, StoreError]:
+        """Wait for changes of a kind after a revision."""
+        url = f"/watch/{kind.value}?since={since}&timeout_s={timeout_s}"
+        reply = await self._call(
+            "watch", "GET", url, call_timeout_s=timeout_s + CALL_TIMEOUT_S
+        )
+        return reply.and_then(lambda value: self._structure(value, WatchBatch))
+
+    async def close(self) -> None:
+        """Close the idle connections."""
+        await self._pool.closeCachedConnections().asFuture(asyncio.get_running_loop())
+
+    async def _put(
+        self,
+        kind: Kind,
+        name: ObjectName,
+        spec: Document,
+        status: Document,
+        condition: dict[str, str],
+    ) -> Result[StoredObject, StoreError]:
+        url = f"/objects/{kind.value}/{name}"
+        body = json.dumps({"spec": spec, "status": status}).encode()
+        reply = await self._call("put", "PUT", url, body=body, headers=condition)
+        return reply.and_then(lambda value: self._structure(value, StoredObject))
+
+    async def _call(
+        self,
+        step: str,
+        method: str,
+        url: str,
+        *,
+        body: bytes | None = None,
+        headers: dict[str, str] | None = None,
+        call_timeout_s: float = CALL_TIMEOUT_S,
+    ) -> Result[Any, StoreError]:
+        result = await self._exchange(
+            step, method, url, body, headers or {}, call_timeout_s
+        )
+        outcome = result.err_value.failure.value if isinstance(result, Err) else "ok"
+        if self._on_call is not None:
+            self._on_call(step, outcome)
+        if isinstance(result, Err) and result.err_value.failure in (
+            StoreFailure.UNAVAILABLE,
+            StoreFailure.UNKNOWN,
+        ):
+            log_event(
+                events.STORE_CALL_FAILED,
+                step=step,
+                peer=self.base_url,
+                url=url,
+                reason=result.err_value.message,
+            )
+        return result
+
+    async def _exchange(
+        self,
+        step: str,
+        method: str,
+        url: str,
+        body: bytes | None,
+        headers: dict[str, str],
+        call_timeout_s: float,
+    ) -> Result[Any, StoreError]:
+        try:
+            async with asyncio.timeout(call_timeout_s):
+                response = await _wait(
+                    self._http.request(
+                        method,
+                        self.base_url + url,
+                        data=body,
+                        headers=Headers({n: [v] for n, v in headers.items()}),
+                    )
+                )
+                content = await _wait(treq.content(response))
+        except ConnectError as error:
+            return Err(self._error(StoreFailure.UNAVAILABLE, step, repr(error)))
+        except Exception as error:  # Twisted raises many types for a broken exchange
+            return Err(self._error(StoreFailure.UNKNOWN, step, repr(error)))
+        if response.code >= 400:
+            failure = _STATUS_FAILURES.get(response.code, StoreFailure.UNKNOWN)
+            text = content[:200].decode(errors="replace")
+            return Err(self._error(failure, step, f"{response.code} {text}"))
+        try:
+            return Ok(json.loads(content) if content else None)
+        except ValueError as error:
+            return Err(self._error(StoreFailure.UNKNOWN, step, repr(error)))
+
+    def _structure(self, value: Any, kind: type[Any]) -> Result[Any, StoreError]:
+        try:
+            return Ok(_converter.structure(value, kind))
+        except (BaseValidationError, ValueError, TypeError, KeyError) as error:
+            return Err(self._error(StoreFailure.UNKNOWN, "decode", repr(error)))
+
+    def _error(self, failure: StoreFailure, step: str, message: str) -> StoreError:
+        return StoreError(
+            failure=failure, step=step, peer=self.base_url, message=message
+        )
+
+
+async def _wait(deferred: "Deferred[Any]") -> Any:
+    return await deferred.asFuture(asyncio.get_running_loop())
--- /dev/null
+++ b/bramleyport/objectapi/_types.py
@@ -0,0 +1,88 @@
+"""Objects of the platform's API and the errors of its calls."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from enum import Enum
+from typing import Any, NewType
+
+from bramleyport.core import Revision
+
+ObjectName = NewType("ObjectName", str)
+ObjectVersion = NewType("ObjectVersion", int)
+
+Document = Mapping[str, Any]
+
+
+class Kind(str, Enum):
+    """Name the kinds of objects that the system uses."""
+
+    SERVICES = "services"
+    LEASES = "leases"
+    ORDERS = "orders"
+    CLAIMS = "claims"
+    HOSTS = "hosts"
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class StoredObject:
+    """Hold one object as the platform returned it."""
+
+    kind: str
+    name: ObjectName
+    version: ObjectVersion
+    revision: Revision
+    spec: Document = field(default_factory=dict)
+    status: Document = field(default_factory=dict)
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Listing:
+    """Hold all objects of a kind at one revision."""
+
+    revision: Revision
+    items: tuple[StoredObject, ...]
+
+
+class WatchEventType(str, Enum):
+    """Name what happened to a watched object."""
+
+    PUT = "put"
+    DELETED = "deleted"
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class WatchEvent:
+    """Hold one change of a watched object."""
+
+    type: WatchEventType
+    object: StoredObject
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class WatchBatch:
+    """Hold the changes after a revision."""
+
+    revision: Revision
+    events: tuple[WatchEvent, ...]
+
+
+class StoreFailure(str, Enum):
+    """Classify failed calls by what the caller may conclude."""
+
+    CONFLICT = "conflict"
+    NOT_FOUND = "not_found"
+    TOO_LARGE = "too_large"
+    EXPIRED = "expired"
+    UNAVAILABLE = "unavailable"  # refused before any effect
+    UNKNOWN = "unknown"  # a write may have taken effect
+    INVALID = "invalid"
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class StoreError:
+    """Describe a failed call to the object API."""
+
+    failure: StoreFailure
+    step: str
+    peer: str
+    message: str = ""
--- /dev/null
+++ b/bramleyport/queueing/__init__.py
@@ -0,0 +1,12 @@
+"""The agent's queue: order, refusals and drops."""
+
+from bramleyport.queueing import _fifo as _fifo
+from bramleyport.queueing._base import (
+    QUEUE_POLICIES,
+    Queued,
+    QueuedWork,
+    QueuePolicy,
+    Refused,
+)
+
+__all__ = ["QUEUE_POLICIES", "QueuePolicy", "Queued", "QueuedWork", "Refused"]
--- /dev/null
+++ b/bramleyport/routing/_base.py
@@ -0,0 +1,47 @@
+"""Interface of routing policies and their decisions."""
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+from random import Random
+from typing import Final, Protocol
+
+from bramleyport.core import (
+    Explanation,
+    Registry,
+    ServiceKind,
+    UpstreamId,
+    UpstreamState,
+    UpstreamView,
+    Work,
+)
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Route:
+    """Name the upstream of a request, and a second one for decode if split."""
+
+    upstream: UpstreamId
+    decode_upstream: UpstreamId | None = None
+    explanation: Explanation
+
+
+class RoutingPolicy(Protocol):
+    """Choose an upstream for each request."""
+
+    def choose(
+        self, work: Work, views: Sequence[UpstreamView], now_s: float, rng: Random
+    ) -> Route | None:
+        """Choose among the eligible upstreams, or return None without any."""
+        ...
+
+
+ROUTING_POLICIES: Final[Registry[RoutingPolicy]] = Registry("routing policy")
+
+
+def is_eligible(work: Work, view: UpstreamView) -> bool:
+    """Return whether an upstream can take the work at all."""
+    if view.state is not UpstreamState.LIVE or view.kind is not work.kind:
+        return False
+    if work.kind is ServiceKind.PLAIN:
+        return work.service in view.services
+    return work.model in view.models
--- /dev/null
+++ b/bramleyport/routing/_least_loaded.py
@@ -0,0 +1,33 @@
+"""Baseline routing: the upstream with the fewest requests."""
+
+from collections.abc import Sequence
+from random import Random
+
+from bramleyport.core import Explanation, UpstreamView, Work
+from bramleyport.estimate import Estimator
+from bramleyport.routing._base import ROUTING_POLICIES, Route
+
+
+@ROUTING_POLICIES.register("least_loaded")
+class LeastLoadedRouting:
+    """Ignore caches and roles and balance the number of requests."""
+
+    def __init__(self, estimator: Estimator) -> None:
+        self._estimator = estimator
+
+    def choose(
+        self, work: Work, views: Sequence[UpstreamView], now_s: float, rng: Random
+    ) -> Route | None:
+        """Choose among the eligible upstreams, or return None without any."""
+        if not views:
+            return None
+        best = min(views, key=lambda view: (_count_requests(view), rng.random()))
+        numbers = {"requests": float(_count_requests(best))}
+        return Route(
+            upstream=best.upstream,
+            explanation=Explanation(reason="least_loaded", numbers=numbers),
+        )
+
+
+def _count_requests(view: UpstreamView) -> int:
+    return view.load.running + view.load.queued + view.sent.requests
--- /dev/null
+++ b/bramleyport/standins/_engine.py
@@ -0,0 +1,225 @@
+"""Stand-in of a model engine over HTTP."""
+
+import asyncio
+import json
+from dataclasses import dataclass, field
+from typing import Any, Final
+
+from klein import Klein
+from twisted.internet.defer import Deferred
+from twisted.web.server import Request
+
+from bramleyport.core import EngineRole, count_tokens, digest_prefix
+from bramleyport.standins._engine_model import EngineJob, EngineModel, EngineProfile
+from bramleyport.standins._http import break_connection, read_json, reply_json
+
+LOAD_LAG_S: Final = 0.5
+WORDS: Final = ("helmet", "valid", "until", "season", "advance", "posted", "note")
+ROLE_ORDER: Final = {role.value: role for role in EngineRole}
+
+
+@dataclass(slots=True)
+class EngineFaults:
+    """Hold the faults that tests switch on."""
+
+    crash_in_order: bool = False
+    break_streams_after: int | None = None
+    cache_event_gap: bool = False
+
+
+@dataclass(slots=True)
+class Stream:
+    """Hold the tokens of one request so that it can be resumed."""
+
+    tokens: list[str] = field(default_factory=list)
+    finished: bool = False
+    cancelled: bool = False
+    changed: asyncio.Event = field(default_factory=asyncio.Event)
+
+    def notify(self) -> None:
+        """Wake the readers of the stream."""
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+
+class EngineStandin:
+    """Serve completions, load, cache events and orders."""
+
+    def __init__(
+        self, models: tuple[str, ...], profile: EngineProfile, *, checks_fencing: bool
+    ) -> None:
+        self.model = EngineModel(profile)
+        self.models = set(models)
+        self.adapters: set[str] = set()
+        self.faults = EngineFaults()
+        self.checks_fencing = checks_fencing
+        self.order: dict[str, Any] = {"sequence": 0, "fencing": 0}
+        self.executions: list[str] = []
+        self._streams: dict[str, Stream] = {}
+        self._cache_log: list[dict[str, Any]] = []
+        self._lagging_load = self._read_load()
+        self._load_read_s = 0.0
+        self._wake = asyncio.Event()
+        self.app = Klein()
+        self._add_routes()
+
+    async def run(self) -> None:
+        """Run batch steps until cancelled."""
+        while True:
+            step = self.model.next_step()
+            if step is None:
+                self._wake.clear()
+                await self._wake.wait()
+                continue
+            await asyncio.sleep(step.duration_s)
+            for job in step.produced:
+                stream = self._streams[job]
+                stream.tokens.append(WORDS[len(stream.tokens) % len(WORDS)] + " ")
+                stream.finished = job in step.finished
+                stream.notify()
+            self._log_cache()
+
+    def _add_routes(self) -> None:
+        self.app.route("/v1/completions", methods=["POST"])(self._complete)
+        self.app.route("/v1/resume", methods=["POST"])(self._resume)
+        self.app.route("/v1/cancel", methods=["POST"])(self._cancel)
+        self.app.route("/load", methods=["GET"])(self._load)
+        self.app.route("/cache-events", methods=["GET"])(self._cache_events)
+        self.app.route("/order", methods=["GET", "PUT"])(self._order)
+
+    def _complete(self, request: Request) -> "Deferred[None]":
+        body = read_json(request)
+        job = str(body["request"])
+        prompt = str(body["prompt"])
+        self.executions.append(job)
+        self._streams[job] = Stream()
+        self.model.submit(
+            EngineJob(
+                job=job,
+                prompt_tokens=count_tokens(prompt),
+                output_tokens=max(1, int(body.get("max_tokens", 16))),
+                priority=int(body.get("priority", 0)),
+                prefix_blocks=digest_prefix(prompt, self.model.profile.block_tokens),
+            )
+        )
+        self._wake.set()
+        return self._start_stream(request, job, 0)
+
+    def _resume(self, request: Request) -> "Deferred[None] | bytes":
+        body = read_json(request)
+        job = str(body["request"])
+        if job not in self._streams:
+            return reply_json(request, 404, {"error": "no such request"})
+        return self._start_stream(request, job, int(body["next_token"]))
+
+    def _start_stream(self, request: Request, job: str, start: int) -> "Deferred[None]":
+        request.setHeader(b"content-type", b"text/event-stream")
+        return Deferred.fromFuture(
+            asyncio.ensure_future(self._send_tokens(request, job, start))
+        )
+
+    async def _send_tokens(self, request: Request, job: str, start: int) -> None:
+        stream = self._streams[job]
+        gone = asyncio.Event()
+        request.notifyFinish().addBoth(lambda _: gone.set())
+        position = start
+        while not gone.is_set():
+            while position < len(stream.tokens) and not gone.is_set():
+                request.write(_event({"text": stream.tokens[position]}))
+                position += 1
+                if position == self.faults.break_streams_after:
+                    break_connection(request)
+                    return
+            if stream.cancelled:
+                break
+            if stream.finished and position >= len(stream.tokens):
+                request.write(_event({"done": True, "output_tokens": position}))
+                break
+            await stream.changed.wait()
+
+    def _cancel(self, request: Request) -> bytes:
+        job = str(read_json(request)["request"])
+        found = self.model.cancel(job)
+        stream = self._streams.get(job)
+        if stream is not None and not stream.finished:
+            stream.cancelled = True
+            stream.notify()
+        return reply_json(request, 200, {"cancelled": found})
+
+    def _load(self, request: Request) -> bytes:
+        now_s = asyncio.get_running_loop().time()
+        if now_s - self._load_read_s >= LOAD_LAG_S:
+            self._load_read_s = now_s
+            self._lagging_load = self._read_load()
+        return reply_json(request, 200, self._lagging_load)
+
+    def _read_load(self) -> dict[str, Any]:
+        model = self.model
+        return {
+            "running": len(model.running),
+            "queued": len(model.waiting),
+            "queued_prefill_tokens": sum(job.prefill_left for job in model.waiting),
+            "running_decode_tokens": sum(
+                job.output_tokens - job.produced for job in model.running
+            ),
+            "blocks_used": model.count_used_blocks(),
+            "blocks_total": model.profile.blocks_total,
+            "block_tokens": model.profile.block_tokens,
+            "max_streams": model.profile.max_streams,
+            "prefill_tokens_per_s": model.profile.prefill_tokens_per_s,
+            "decode_tokens_per_s": 1 / model.profile.step_base_s,
+            "role": model.role.value,
+            "models": sorted(self.models),
+            "adapters": sorted(self.adapters),
+        }
+
+    def _log_cache(self) -> None:
+        cache = self.model.cache
+        if not cache.stored and not cache.evicted:
+            return
+        event = {
+            "sequence": len(self._cache_log) + 1,
+            "stored": [block.hex() for block in cache.stored],
+            "evicted": [block.hex() for block in cache.evicted],
+            "lost": self.faults.cache_event_gap,
+        }
+        self._cache_log.append(event)
+        cache.stored.clear()
+        cache.evicted.clear()
+
+    def _cache_events(self, request: Request) -> bytes:
+        since = int(request.args.get(b"since", [b"0"])[0])
+        kept = [event for event in self._cache_log[since:] if not event["lost"]]
+        return reply_json(request, 200, {"events": kept})
+
+    def _order(self, request: Request) -> "Deferred[bytes] | bytes":
+        if request.method == b"GET":
+            state = {**self.order, "role": self.model.role.value}
+            return reply_json(request, 200, {**state, "models": sorted(self.models)})
+        order = read_json(request)
+        if self.checks_fencing and order["fencing"] < self.order["fencing"]:
+            return reply_json(
+                request, 409, {"error": "old fencing number", **self.order}
+            )
+        return Deferred.fromFuture(
+            asyncio.ensure_future(self._apply_order(request, order))
+        )
+
+    async def _apply_order(self, request: Request, order: dict[str, Any]) -> bytes:
+        self.order = {"sequence": order["sequence"], "fencing": order["fencing"]}
+        if self.faults.crash_in_order:
+            self.model.cache.clear()
+            break_connection(request)
+            return b""
+        role = order.get("role")
+        if role in ROLE_ORDER and ROLE_ORDER[role] is not self.model.role:
+            await asyncio.sleep(self.model.profile.role_change_s)
+            self.model.role = ROLE_ORDER[role]
+            self.model.cache.clear()
+        self.models |= set(order.get("load", ()))
+        self.models -= set(order.get("unload", ()))
+        return reply_json(request, 200, {**self.order, "role": self.model.role.value})
+
+
+def _event(value: dict[str, Any]) -> bytes:
+    return b"data: " + json.dumps(value).encode() + b"\n\n"
--- /dev/null
+++ b/bramleyport/transport/_connection.py
@@ -0,0 +1,153 @@
+"""One authenticated websocket connection between two processes."""
+
+import asyncio
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Final
+
+from result import Err
+from websockets.asyncio.client import ClientConnection
+from websockets.asyncio.server import ServerConnection
+from websockets.exceptions import ConnectionClosed
+
+from bramleyport.core import ProcessId, RegionName, Revision, StepError, ZoneName
+from bramleyport.telemetry import events, log_event
+from bramleyport.wire import (
+    CloseSilent,
+    Heartbeat,
+    HeartbeatPolicy,
+    Message,
+    OpenReplacement,
+    Received,
+    SendHeartbeat,
+    Session,
+    Tick,
+    decode,
+    encode,
+)
+
+TICK_S: Final = 0.5
+QUEUE_MESSAGES: Final = 20_000
+
+WebSocket = ClientConnection | ServerConnection
+Handler = Callable[["Connection", Message], None]
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Identity:
+    """Describe this process to its peers."""
+
+    process: ProcessId
+    zone: ZoneName
+    region: RegionName
+    secret: bytes
+    heartbeats: HeartbeatPolicy = field(default_factory=HeartbeatPolicy)
+
+
+class Connection:
+    """Exchange messages with one peer until either side closes."""
+
+    def __init__(
+        self,
+        socket: WebSocket,
+        peer: ProcessId,
+        policy: HeartbeatPolicy,
+        read_revision: Callable[[], Revision],
+    ) -> None:
+        self.peer = peer
+        self.closed = asyncio.Event()
+        self.on_suspect: Callable[[], None] | None = None
+        self._socket = socket
+        self._session = Session(policy, time.monotonic())
+        self._read_revision = read_revision
+        self._closing: asyncio.Future[None] | None = None
+        self._outgoing: asyncio.Queue[Message] = asyncio.Queue(QUEUE_MESSAGES)
+
+    def post(self, message: Message) -> None:
+        """Queue a message for sending; a closed connection drops it."""
+        if self.closed.is_set():
+            return
+        try:
+            self._outgoing.put_nowait(message)
+        except asyncio.QueueFull:
+            # A peer that reads nothing must not grow this process.
+            self._closing = asyncio.ensure_future(self.close("send queue full"))
+
+    async def run(self, handler: Handler) -> None:
+        """Serve the connection until it closes."""
+        tasks = [
+            asyncio.ensure_future(self._receive(handler)),
+            asyncio.ensure_future(self._send()),
+            asyncio.ensure_future(self._watch()),
+        ]
+        try:
+            await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            self.closed.set()
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+            await self.close("done")
+            log_event(events.CONNECTION_CLOSED, peer=self.peer)
+
+    async def flush(self) -> None:
+        """Wait until all queued messages have been handed to the socket."""
+        while not self._outgoing.empty() and not self.closed.is_set():
+            await asyncio.sleep(0.01)
+
+    async def close(self, reason: str) -> None:
+        """Close the socket; pending messages are dropped."""
+        self.closed.set()
+        await self._socket.close(reason=reason[:100])
+
+    async def _receive(self, handler: Handler) -> None:
+        try:
+            async for data in self._socket:
+                self._session.step(Received(), time.monotonic())
+                result = decode(data if isinstance(data, bytes) else data.encode())
+                if isinstance(result, Err):
+                    log_event(
+                        events.MESSAGE_MALFORMED,
+                        step="receive",
+                        peer=self.peer,
+                        reason=result.err_value,
+                    )
+                    return
+                handler(self, result.ok_value)
+        except ConnectionClosed:
+            return
+        except Exception as error:  # one faulty message must not end the process
+            log_event(events.HANDLER_FAILED, peer=self.peer, error=repr(error))
+
+    async def _send(self) -> None:
+        try:
+            while True:
+                message = await self._outgoing.get()
+                await self._socket.send(encode(message))
+        except ConnectionClosed:
+            return
+
+    async def _watch(self) -> None:
+        while True:
+            await asyncio.sleep(TICK_S)
+            for action in self._session.step(Tick(), time.monotonic()):
+                if isinstance(action, SendHeartbeat):
+                    revision = self._read_revision()
+                    self.post(Heartbeat(sequence=action.sequence, revision=revision))
+                elif isinstance(action, OpenReplacement):
+                    if self.on_suspect is not None:
+                        self.on_suspect()
+                elif isinstance(action, CloseSilent):
+                    log_event(
+                        events.CONNECTION_SILENT,
+                        peer=self.peer,
+                        silent_s=round(action.silent_s, 1),
+                    )
+                    return
+
+
+def fail_step(step: str, peer: str, reason: str) -> StepError:
+    """Build the error of a failed handshake step and log it."""
+    log_event(events.CONNECTION_REFUSED, step=step, peer=peer, reason=reason)
+    return StepError(step, peer, reason)
--- /dev/null
+++ b/bramleyport/upstreams/_engine.py
@@ -0,0 +1,145 @@
+"""Client of a model engine."""
+
+import json
+from collections.abc import AsyncIterator, Mapping
+from dataclasses import dataclass
+from typing import Any
+
+from bramleyport.core import Execution, PrefixBlock
+from bramleyport.upstreams._body import BodyBrokenError, BodyReader
+from bramleyport.upstreams._http import UpstreamError, UpstreamHttp
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Completion:
+    """Describe one completion that an engine runs."""
+
+    job: str
+    prompt: str
+    max_tokens: int
+    priority: int
+    model: str
+    adapter: str | None
+
+
+@dataclass(frozen=True, slots=True)
+class Token:
+    """Hold one token of a completion."""
+
+    text: str
+
+
+@dataclass(frozen=True, slots=True)
+class Done:
+    """Report the end of a completion."""
+
+    output_tokens: int
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class CacheEvent:
+    """Hold one event of an engine's prefix cache."""
+
+    sequence: int
+    stored: tuple[PrefixBlock, ...]
+    evicted: tuple[PrefixBlock, ...]
+
+
+class EngineClient:
+    """Run completions on one engine and read its state."""
+
+    def __init__(self, base_url: str) -> None:
+        self._http = UpstreamHttp(base_url)
+
+    async def complete(self, completion: Completion) -> AsyncIterator[Token | Done]:
+        """Run a completion and yield its tokens, then its end."""
+        body = {
+            "request": completion.job,
+            "prompt": completion.prompt,
+            "max_tokens": completion.max_tokens,
+            "priority": completion.priority,
+            "model": completion.model,
+            "adapter": completion.adapter,
+        }
+        async for event in self._stream("/v1/completions", body):
+            yield event
+
+    async def resume(self, job: str, next_token: int) -> AsyncIterator[Token | Done]:
+        """Continue a completion from a token number."""
+        body = {"request": job, "next_token": next_token}
+        async for event in self._stream("/v1/resume", body):
+            yield event
+
+    async def cancel(self, job: str) -> None:
+        """Stop a completion."""
+        await self._http.request_json(
+            "POST", "/v1/cancel", json.dumps({"request": job}).encode()
+        )
+
+    async def read_load(self) -> Mapping[str, Any]:
+        """Return the engine's lagging load report."""
+        value: Mapping[str, Any] = await self._http.request_json("GET", "/load")
+        return value
+
+    async def read_cache_events(self, since: int) -> list[CacheEvent]:
+        """Return the cache events after a sequence number."""
+        value = await self._http.request_json("GET", f"/cache-events?since={since}")
+        return [_read_cache_event(event) for event in value["events"]]
+
+    async def read_order(self) -> Mapping[str, Any]:
+        """Return the order that the engine holds and its present state."""
+        value: Mapping[str, Any] = await self._http.request_json("GET", "/order")
+        return value
+
+    async def put_order(self, order: Mapping[str, Any]) -> Mapping[str, Any]:
+        """Give the engine an order and wait until it has been applied."""
+        body = json.dumps(dict(order)).encode()
+        value: Mapping[str, Any] = await self._http.request_json("PUT", "/order", body)
+        return value
+
+    async def _stream(
+        self, path: str, body: Mapping[str, Any]
+    ) -> AsyncIterator[Token | Done]:
+        headers = {"Content-Type": "application/json"}
+        data = json.dumps(body).encode()
+        response = await self._http.request("POST", path, headers, data)
+        if response.code != 200:
+            reason = f"status {response.code}"
+            raise UpstreamError(path, self._http.base_url, reason, Execution.NOT_RUN)
+        reader = BodyReader()
+        response.deliverBody(reader)
+        try:
+            async for event in _parse_events(reader):
+                yield event
+                if isinstance(event, Done):
+                    return
+        except BodyBrokenError as error:
+            raise UpstreamError(
+                path, self._http.base_url, str(error), Execution.UNKNOWN
+            ) from error
+        finally:
+            reader.stop()
+        raise UpstreamError(
+            path, self._http.base_url, "stream ended early", Execution.UNKNOWN
+        )
+
+
+async def _parse_events(reader: BodyReader) -> AsyncIterator[Token | Done]:
+    pending = b""
+    async for chunk in reader.read():
+        pending += chunk
+        *events, pending = pending.split(b"\n\n")
+        for event in events:
+            value = json.loads(event.removeprefix(b"data: "))
+            if value.get("done"):
+                yield Done(int(value["output_tokens"]))
+            else:
+                yield Token(str(value["text"]))
+
+
+def _read_cache_event(event: Mapping[str, Any]) -> CacheEvent:
+    return CacheEvent(
+        sequence=int(event["sequence"]),
+        stored=tuple(PrefixBlock(bytes.fromhex(b)) for b in event["stored"]),
+        evicted=tuple(PrefixBlock(bytes.fromhex(b)) for b in event["evicted"]),
+    )
--- /dev/null
+++ b/bramleyport/upstreams/_http.py
@@ -0,0 +1,74 @@
+"""HTTP calls to upstreams that tell a call not made from one that may have run."""
+
+import asyncio
+from typing import Any, Final
+
+import treq
+from twisted.internet import reactor as _reactor
+from twisted.internet.error import ConnectError
+from twisted.web.client import Agent, HTTPConnectionPool
+from twisted.web.http_headers import Headers
+
+from bramleyport.core import Execution
+
+CONNECT_TIMEOUT_S: Final = 2.0
+
+
+class UpstreamError(Exception):
+    """Report a failed call and whether it may have run."""
+
+    def __init__(self, step: str, peer: str, reason: str, execution: Execution) -> None:
+        super().__init__(f"{step} with {peer}: {reason}")
+        self.step = step
+        self.peer = peer
+        self.reason = reason
+        self.execution = execution
+
+
+class UpstreamHttp:
+    """Send requests to one upstream."""
+
+    def __init__(self, base_url: str) -> None:
+        self.base_url = base_url.rstrip("/")
+        # A kept connection may be closed by the upstream just as a call goes out; the
+        # call would then be in doubt. Each call opens its own connection.
+        pool = HTTPConnectionPool(_reactor, persistent=False)
+        agent = Agent(_reactor, pool=pool, connectTimeout=CONNECT_TIMEOUT_S)
+        self._http = treq.client.HTTPClient(agent)  # type: ignore[arg-type]
+
+    async def request(
+        self, method: str, path: str, headers: dict[str, str], body: bytes
+    ) -> Any:
+        """Send a request and return the response with its body unread."""
+        deferred = self._http.request(
+            method,
+            self.base_url + path,
+            headers=Headers({name: [text] for name, text in headers.items()}),
+            data=body or None,
+            unbuffered=True,
+            allow_redirects=False,
+        )
+        try:
+            response = await deferred.asFuture(asyncio.get_running_loop())
+        except ConnectError as error:
+            raise self._fail(method, path, error, Execution.NOT_RUN) from error
+        except Exception as error:  # Twisted raises many types for a broken exchange
+            raise self._fail(method, path, error, Execution.UNKNOWN) from error
+        return response
+
+    async def request_json(self, method: str, path: str, body: bytes = b"") -> Any:
+        """Send a request and return its decoded JSON answer."""
+        headers = {"Content-Type": "application/json"}
+        response = await self.request(method, path, headers, body)
+        loop = asyncio.get_running_loop()
+        value = await treq.json_content(response).asFuture(loop)
+        if response.code >= 400:
+            raise UpstreamError(
+                path, self.base_url, f"status {response.code}", Execution.NOT_RUN
+            )
+        return value
+
+    def _fail(
+        self, method: str, path: str, error: Exception, execution: Execution
+    ) -> UpstreamError:
+        return UpstreamError(f"{method} {path}", self.base_url, repr(error), execution)
--- /dev/null
+++ b/bramleyport/upstreams/_plain.py
@@ -0,0 +1,52 @@
+"""Client of a plain service."""
+
+from collections.abc import AsyncIterator, Mapping
+from dataclasses import dataclass, field
+from typing import Final
+
+from bramleyport.core import Execution
+from bramleyport.upstreams._body import BodyBrokenError, BodyReader
+from bramleyport.upstreams._http import UpstreamError, UpstreamHttp
+
+_FORWARDED: Final = ("content-type", "location", "etag", "cache-control")
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class PlainResponse:
+    """Hold the head of a plain answer and its unread body."""
+
+    status: int
+    headers: Mapping[str, str]
+    body: AsyncIterator[bytes] = field(repr=False)
+
+
+class PlainClient:
+    """Call one plain service."""
+
+    def __init__(self, base_url: str) -> None:
+        self._http = UpstreamHttp(base_url)
+
+    async def call(
+        self, method: str, path: str, headers: Mapping[str, str], body: bytes
+    ) -> PlainResponse:
+        """Send a call and return its answer with the body unread."""
+        response = await self._http.request(method, path, dict(headers), body)
+        kept = {}
+        for name in _FORWARDED:
+            values = response.headers.getRawHeaders(name, [])
+            if values:
+                kept[name] = values[0]
+        reader = BodyReader()
+        response.deliverBody(reader)
+        return PlainResponse(
+            status=response.code, headers=kept, body=self._read(path, reader)
+        )
+
+    async def _read(self, path: str, reader: BodyReader) -> AsyncIterator[bytes]:
+        try:
+            async for chunk in reader.read():
+                yield chunk
+        except BodyBrokenError as error:
+            raise UpstreamError(
+                path, self._http.base_url, str(error), Execution.UNKNOWN
+            ) from error
--- /dev/null
+++ b/bramleyport/wire/_messages.py
@@ -0,0 +1,287 @@
+"""Typed messages between the system's processes."""
+
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, field
+from typing import Final, TypeVar
+
+from bramleyport.core import (
+    AttemptId,
+    EngineLoad,
+    EngineRates,
+    EngineRole,
+    Execution,
+    PrefixBlock,
+    ProcessId,
+    RegionName,
+    Revision,
+    ServiceKind,
+    UpstreamId,
+    UpstreamState,
+    Work,
+    ZoneName,
+)
+
+PROTOCOL_MIN: Final = 1
+PROTOCOL_MAX: Final = 1
+
+MESSAGES: Final[dict[str, type["Message"]]] = {}
+
+M = TypeVar("M", bound="Message")
+
+
+class Message:
+    """Mark the types that may cross a connection between processes."""
+
+    __slots__ = ()
+    tag: str = ""
+
+
+def message(tag: str) -> Callable[[type[M]], type[M]]:
+    """Return a decorator that registers a message type under its tag."""
+
+    def add(cls: type[M]) -> type[M]:
+        if tag in MESSAGES:
+            raise ValueError(f"message tag {tag!r} is registered twice")
+        cls.tag = tag
+        MESSAGES[tag] = cls
+        return cls
+
+    return add
+
+
+@message("hello")
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Hello(Message):
+    """Open a connection and offer a range of protocol versions."""
+
+    process: ProcessId
+    zone: ZoneName
+    region: RegionName
+    version_min: int
+    version_max: int
+    nonce: bytes
+
+
+@message("welcome")
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Welcome(Message):
+    """Accept a connection, fix the version and prove knowledge of the secret."""
+
+    process: ProcessId
+    zone: ZoneName
+    region: RegionName
+    version: int
+    nonce: bytes
+    proof: bytes
+
+
+@message("proof")
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Proof(Message):
+    """Prove the client's knowledge of the secret."""
+
+    proof: bytes
+
+
+@message("heartbeat")
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Heartbeat(Message):
+    """Show that the sender is alive and which records it has in force."""
+
+    sequence: int
+    revision: Revision = Revision(0)
+
+
+@message("upstream_info")
+@dataclass(frozen=True, slots=True, kw_only=True)
+class UpstreamInfo(Message):
+    """Describe the upstream beside an agent."""
+
+    upstream: UpstreamId
+    kind: ServiceKind
+    zone: ZoneName
+    region: RegionName
+    state: UpstreamState
+    role: EngineRole = EngineRole.MIXED
+    models: tuple[str, ...] = ()
+    adapters: tuple[str, ...] = ()
+    services: tuple[str, ...] = ()
+    block_tokens: int = 1000
+    rates: EngineRates = field(default_factory=EngineRates)
+
+
+@message("execute")
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Execute(Message):
+    """Ask an agent to run one attempt of a request."""
+
+    attempt: AttemptId
+    work: Work
+    method: str
+    path: str
+    headers: Mapping[str, str]
+    body: bytes
+    time_left_s: float
+
+
+@message("accepted")
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Accepted(Message):
+    """Report that an attempt was queued or started."""
+
+    attempt: AttemptId
+
+
+@message("refused")
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Refused(Message):
+    """Report that an attempt was not run and never will be."""
+
+    attempt: AttemptId
+    reason: str
+    retry_after_s: float = 0.0
+
+
+@message("frame")
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Frame(Message):
+    """Carry one numbered piece of an answer."""
+
+    attempt: AttemptId
+    number: int
+    payload: bytes
+
+
+@message("end")
+@dataclass(frozen=True, slots=True, kw_only=True)
+class End(Message):
+    """Close an answer with its frame count and digest."""
+
+    attempt: AttemptId
+    total: int
+    digest: bytes
+    status: int
+    headers: Mapping[str, str] = field(default_factory=dict)
+    output_tokens: int = 0
+
+
+@message("failed")
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Failed(Message):
+    """Report that an attempt ended without a whole answer."""
+
+    attempt: AttemptId
+    execution: Execution
+    reason: str
+
+
+@message("ack")
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Ack(Message):
+    """Acknowledge all frames of an attempt below a number."""
+
+    attempt: AttemptId
+    next_frame: int
+
+
+@message("cancel")
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Cancel(Message):
+    """Stop an attempt whose caller has gone."""
+
+    attempt: AttemptId
+
+
+@message("resume")
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Resume(Message):
+    """Continue an attempt on this connection from a frame number."""
+
+    attempt: AttemptId
+    next_frame: int
+
+
+@message("load_report")
+@dataclass(frozen=True, slots=True, kw_only=True)
+class LoadReport(Message):
+    """Report the load of an upstream."""
+
+    upstream: UpstreamId
+    load: EngineLoad
+    age_s: float
+
+
+@message("cache_report")
+@dataclass(frozen=True, slots=True, kw_only=True)
+class CacheReport(Message):
+    """Report prefix blocks that an engine cached or evicted."""
+
+    upstream: UpstreamId
+    sequence: int
+    stored: tuple[PrefixBlock, ...] = ()
+    evicted: tuple[PrefixBlock, ...] = ()
+
+
+@message("leaving")
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Leaving(Message):
+    """Announce that a process takes no new work."""
+
+    process: ProcessId
+
+
+@message("order_notice")
+@dataclass(frozen=True, slots=True, kw_only=True)
+class OrderNotice(Message):
+    """Tell an agent that its order object has changed."""
+
+    upstream: UpstreamId
+    sequence: int
+
+
+@message("order_report")
+@dataclass(frozen=True, slots=True, kw_only=True)
+class OrderReport(Message):
+    """Report how far an agent has applied its order."""
+
+    upstream: UpstreamId
+    sequence: int
+    state: str
+
+
+@message("records_request")
+@dataclass(frozen=True, slots=True, kw_only=True)
+class RecordsRequest(Message):
+    """Ask a peer for the records that changed after a revision."""
+
+    after: Revision
+
+
+@message("records_snapshot")
+@dataclass(frozen=True, slots=True, kw_only=True)
+class RecordsSnapshot(Message):
+    """Carry all records in force at a revision."""
+
+    revision: Revision
+    documents: tuple[bytes, ...]
+
+
+@message("claim_forward")
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ClaimForward(Message):
+    """Ask the writer of a claim shard to record a claim."""
+
+    shard: int
+    key: bytes
+    body_digest: bytes
+    attempt: AttemptId
+
+
+@message("claim_decision")
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ClaimDecision(Message):
+    """Answer a forwarded claim."""
+
+    key: bytes
+    attempt: AttemptId
+    decision: str
--- /dev/null
+++ b/bramleyport/wire/_session.py
@@ -0,0 +1,87 @@
+"""Decide when to send heartbeats and when a connection has gone silent."""
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class HeartbeatPolicy:
+    """Hold the heartbeat interval and the silence that closes a connection."""
+
+    interval_s: float = 1.0
+    suspect_s: float = 2.5
+    silence_s: float = 6.0
+
+
+@dataclass(frozen=True, slots=True)
+class Received:
+    """Report that any message arrived."""
+
+
+@dataclass(frozen=True, slots=True)
+class Sent:
+    """Report that any message was sent."""
+
+
+@dataclass(frozen=True, slots=True)
+class Tick:
+    """Report that time has passed."""
+
+
+@dataclass(frozen=True, slots=True)
+class SendHeartbeat:
+    """Ask the transport to send a heartbeat."""
+
+    sequence: int
+
+
+@dataclass(frozen=True, slots=True)
+class OpenReplacement:
+    """Ask the transport to open a second connection to the peer."""
+
+
+@dataclass(frozen=True, slots=True)
+class CloseSilent:
+    """Ask the transport to close a connection that has gone silent."""
+
+    silent_s: float
+
+
+SessionEvent = Received | Sent | Tick
+SessionAction = SendHeartbeat | OpenReplacement | CloseSilent
+
+
+class Session:
+    """Track the liveness of one connection."""
+
+    def __init__(self, policy: HeartbeatPolicy, now_s: float) -> None:
+        self._policy = policy
+        self._last_received_s = now_s
+        self._last_heartbeat_s = now_s
+        self._sequence = 0
+        self._replacing = False
+        self._closed = False
+
+    def step(self, event: SessionEvent, now_s: float) -> list[SessionAction]:
+        """Apply an event and return what the transport has to do."""
+        if isinstance(event, Received):
+            self._last_received_s = now_s
+            self._replacing = False
+            return []
+        if isinstance(event, Sent) or self._closed:
+            return []
+        return self._tick(now_s)
+
+    def _tick(self, now_s: float) -> list[SessionAction]:
+        actions: list[SessionAction] = []
+        silent_s = now_s - self._last_received_s
+        if silent_s >= self._policy.silence_s:
+            self._closed = True
+            return [CloseSilent(silent_s)]
+        if silent_s >= self._policy.suspect_s and not self._replacing:
+            self._replacing = True
+            actions.append(OpenReplacement())
+        if now_s - self._last_heartbeat_s >= self._policy.interval_s:
+            self._last_heartbeat_s = now_s
+            self._sequence += 1
+            actions.append(SendHeartbeat(self._sequence))
+        return actions
--- /dev/null
+++ b/tests/conftest.py
@@ -0,0 +1,48 @@
+"""Shared fixtures: one event loop under Twisted's reactor, and a running demo."""
+
+import asyncio
+from collections.abc import Awaitable, Callable, Coroutine, Iterator
+from typing import Any, TypeVar
+
+import pytest
+from hypothesis import settings
+
+from bramleyport.cli._runtime import install_reactor
+
+install_reactor()
+
+settings.register_profile("ci", derandomize=True, deadline=None, print_blob=True)
+settings.load_profile("ci")
+
+T = TypeVar("T")
+Run = Callable[[Awaitable[T]], T]
+
+
+@pytest.fixture(scope="session")
+def loop() -> asyncio.AbstractEventLoop:
+    from twisted.internet import reactor
+
+    current = asyncio.get_event_loop()
+    reactor.startRunning(installSignalHandlers=False)  # type: ignore[attr-defined]
+    return current
+
+
+@pytest.fixture
+def run(loop: asyncio.AbstractEventLoop) -> Callable[[Coroutine[Any, Any, T]], T]:
+    """Run a coroutine to its end, with a limit that only a hang reaches."""
+
+    def call(coroutine: Coroutine[Any, Any, T]) -> T:
+        return loop.run_until_complete(asyncio.wait_for(coroutine, 120))
+
+    return call
+
+
+@pytest.fixture
+def demo(run: Callable[[Coroutine[Any, Any, Any]], Any]) -> Iterator[Any]:
+    """Start the whole path on loopback and stop it afterwards."""
+    from bramleyport.cli._demo import Demo
+
+    demo = Demo(0, 1)
+    run(demo.start())
+    yield demo
+    run(demo.stop())
--- /dev/null
+++ b/tests/http_client.py
@@ -0,0 +1,50 @@
+"""A small HTTP client for tests that shows exactly what a caller receives."""
+
+import asyncio
+import json
+from dataclasses import dataclass
+from typing import Any
+
+import treq
+from twisted.web.http_headers import Headers
+
+
+@dataclass
+class Answer:
+    status: int
+    headers: dict[str, str]
+    body: bytes
+
+    def json(self) -> Any:
+        return json.loads(self.body)
+
+
+async def fetch(
+    url: str,
+    method: str = "GET",
+    headers: dict[str, str] | None = None,
+    body: bytes = b"",
+) -> Answer:
+    loop = asyncio.get_running_loop()
+    raw = Headers({name: [value] for name, value in (headers or {}).items()})
+    response = await treq.request(
+        method, url, headers=raw, data=body, persistent=False
+    ).asFuture(loop)
+    content = await treq.content(response).asFuture(loop)
+    shown = {
+        name.decode().lower(): values[0].decode()
+        for name, values in response.headers.getAllRawHeaders()
+    }
+    return Answer(response.code, shown, content)
+
+
+async def exchange_raw(port: int, data: bytes, *, half_close: bool = False) -> bytes:
+    """Send raw bytes and return everything the server answers."""
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    writer.write(data)
+    await writer.drain()
+    if half_close:
+        writer.write_eof()
+    answer = await reader.read()
+    writer.close()
+    return answer
