--- a/Makefile
+++ b/Makefile
@@ -24,8 +24,8 @@
 	$(BIN)/python -m pytest
 
 format: $(VENV)/.installed
-	$(BIN)/ruff format bramleyport tests
 	$(BIN)/ruff check --fix bramleyport tests
+	$(BIN)/ruff format bramleyport tests
 
 build: $(VENV)/.installed
 	$(BIN)/python -m bramleyport.cli.package dist/bramleyport.pyz
--- a/tests/test_purity.py
+++ b/tests/test_purity.py
@@ -8,7 +8,24 @@
 import bramleyport
 
 ROOT = Path(bramleyport.__file__).parent
-PURE = ["admission", "answers", "authority", "charts", "claims", "core", "estimate", "membership", "planning", "queueing", "records", "replication", "retries", "routing", "settings", "wire"]
+PURE = [
+    "admission",
+    "answers",
+    "authority",
+    "charts",
+    "claims",
+    "core",
+    "estimate",
+    "membership",
+    "planning",
+    "queueing",
+    "records",
+    "replication",
+    "retries",
+    "routing",
+    "settings",
+    "wire",
+]
 FORBIDDEN = {"twisted", "asyncio", "websockets", "klein", "treq", "socket", "time"}
 SHELL = {"transport", "objectapi", "upstreams", "callers", "daemons", "standins"}
 
