Connect to IP addresses without Twisted's resolver threads

Cause: the HTTP agent resolves host names in a thread pool, even for IP addresses. The threads broke the rule of one thread and, in the test run, kept the process from ending: a stack dump of the hung run showed the main thread waiting at exit for the pool's workers. The tests themselves had passed. Change: HTTP clients use an endpoint factory that takes IP addresses only.

--- a/bramleyport/objectapi/_client.py
+++ b/bramleyport/objectapi/_client.py
@@ -7,10 +7,8 @@
 import treq
 from cattrs import BaseValidationError
 from result import Err, Ok, Result
-from twisted.internet import reactor as _reactor
 from twisted.internet.defer import Deferred
 from twisted.internet.error import ConnectError
-from twisted.web.client import Agent, HTTPConnectionPool
 from twisted.web.http_headers import Headers
 
 from bramleyport.core import Revision, make_strict_converter
@@ -26,6 +24,7 @@
     WatchBatch,
 )
 from bramleyport.telemetry import events, log_event
+from bramleyport.transport import make_http_client
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -55,10 +54,7 @@
     ) -> None:
         self.base_url = base_url.rstrip("/")
         self._on_call = on_call
-        self._pool = HTTPConnectionPool(_reactor)
-        self._http = treq.client.HTTPClient(
-            Agent(_reactor, pool=self._pool)  # type: ignore[arg-type]
-        )
+        self._http, self._pool = make_http_client(persistent=True)
 
     async def get(
         self, kind: Kind, name: ObjectName
--- a/bramleyport/transport/__init__.py
+++ b/bramleyport/transport/__init__.py
@@ -2,5 +2,13 @@
 
 from bramleyport.transport._connection import Connection, Handler, Identity
 from bramleyport.transport._endpoint import listen, open_connection
+from bramleyport.transport._http import make_http_client
 
-__all__ = ["Connection", "Handler", "Identity", "listen", "open_connection"]
+__all__ = [
+    "Connection",
+    "Handler",
+    "Identity",
+    "listen",
+    "make_http_client",
+    "open_connection",
+]
--- a/bramleyport/upstreams/_http.py
+++ b/bramleyport/upstreams/_http.py
@@ -1,17 +1,14 @@
 """HTTP calls to upstreams that tell a call not made from one that may have run."""
 
 import asyncio
-from typing import Any, Final
+from typing import Any
 
 import treq
-from twisted.internet import reactor as _reactor
 from twisted.internet.error import ConnectError
-from twisted.web.client import Agent, HTTPConnectionPool
 from twisted.web.http_headers import Headers
 
 from bramleyport.core import Execution
-
-CONNECT_TIMEOUT_S: Final = 2.0
+from bramleyport.transport import make_http_client
 
 
 class UpstreamError(Exception):
@@ -32,9 +29,7 @@
         self.base_url = base_url.rstrip("/")
         # A kept connection may be closed by the upstream just as a call goes out; the
         # call would then be in doubt. Each call opens its own connection.
-        pool = HTTPConnectionPool(_reactor, persistent=False)
-        agent = Agent(_reactor, pool=pool, connectTimeout=CONNECT_TIMEOUT_S)
-        self._http = treq.client.HTTPClient(agent)  # type: ignore[arg-type]
+        self._http, _ = make_http_client(persistent=False)
 
     async def request(
         self, method: str, path: str, headers: dict[str, str], body: bytes
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -20,11 +20,7 @@
 
 @pytest.fixture(scope="session")
 def loop() -> asyncio.AbstractEventLoop:
-    from twisted.internet import reactor
-
-    current = asyncio.get_event_loop()
-    reactor.startRunning(installSignalHandlers=False)  # type: ignore[attr-defined]
-    return current
+    return asyncio.get_event_loop()
 
 
 @pytest.fixture
--- a/tests/http_client.py
+++ b/tests/http_client.py
@@ -8,6 +8,8 @@
 import treq
 from twisted.web.http_headers import Headers
 
+from bramleyport.transport import make_http_client
+
 
 @dataclass
 class Answer:
@@ -27,9 +29,8 @@
 ) -> Answer:
     loop = asyncio.get_running_loop()
     raw = Headers({name: [value] for name, value in (headers or {}).items()})
-    response = await treq.request(
-        method, url, headers=raw, data=body, persistent=False
-    ).asFuture(loop)
+    client, _ = make_http_client(persistent=False)
+    response = await client.request(method, url, headers=raw, data=body).asFuture(loop)
     content = await treq.content(response).asFuture(loop)
     shown = {
         name.decode().lower(): values[0].decode()
