Add operators' commands and both record schema versions

Cause: records could only be written by hand into the store, only one schema version existed, and a wrong field was reported without its place. Change: 'record apply|get|list|withdraw|watch|explain' and 'check'; schema v1 beside v2 with conversion that carries what the other version can't express; YAML read without aliases, duplicate keys or tags; problems name file, line, field, an example and the nearest known name. Fault found: the converter turned the text '1' into the number 1 where a number was expected, because the library's own hook for the class came first. Conclusion: operators can drive the system by records; status is not written yet.

--- /dev/null
+++ b/bramleyport/cli/_check.py
@@ -0,0 +1,34 @@
+"""Check settings and record files without running anything."""
+
+from pathlib import Path
+from typing import TYPE_CHECKING, Any, Final
+
+import click
+from result import Err, Result
+
+from bramleyport.cli._output import ExitCode, fail_with
+from bramleyport.cli._record import read_record_file
+from bramleyport.settings import AgentSettings, EntrySettings, load_settings
+
+if TYPE_CHECKING:
+    from bramleyport.core import Problem
+
+ROLES: Final = {"entry": EntrySettings, "agent": AgentSettings}
+
+
+@click.command()
+@click.argument("kind", type=click.Choice([*ROLES, "record"]))
+@click.argument("paths", nargs=-1, required=True, type=click.Path(exists=True))
+def check(kind: str, paths: tuple[str, ...]) -> None:
+    """Check files of one kind and name every wrong field."""
+    for path in paths:
+        if kind == "record":
+            read_record_file(path)
+        else:
+            result: Result[Any, list[Problem]] = load_settings(
+                Path(path).read_bytes(), ROLES[kind]
+            )
+            if isinstance(result, Err):
+                lines = [problem.describe(path) for problem in result.err_value]
+                fail_with(ExitCode.INVALID, *lines)
+        click.echo(f"{path}: ok")
--- a/bramleyport/cli/_main.py
+++ b/bramleyport/cli/_main.py
@@ -8,6 +8,7 @@
 from result import Err
 
 from bramleyport import __version__
+from bramleyport.cli._lazy import LazyGroup
 
 if TYPE_CHECKING:
     from bramleyport.settings import LogSettings
@@ -16,8 +17,13 @@
 
 EXIT_INVALID = 2
 
+LAZY_COMMANDS = {
+    "record": "bramleyport.cli._record:record",
+    "check": "bramleyport.cli._check:check",
+}
 
-@click.group()
+
+@click.group(cls=LazyGroup, lazy=LAZY_COMMANDS)
 @click.version_option(__version__)
 def main() -> None:
     """Serve language models and plain services on a fixed fleet."""
@@ -77,10 +83,10 @@
 def _load(path: str, kind: type[S]) -> S:
     from bramleyport.settings import load_settings
 
-    result = load_settings(Path(path).read_text(), kind)
+    result = load_settings(Path(path).read_bytes(), kind)
     if isinstance(result, Err):
-        for reason in result.err_value:
-            click.echo(f"{path}: {reason}", err=True)
+        for problem in result.err_value:
+            click.echo(problem.describe(path), err=True)
         sys.exit(EXIT_INVALID)
     return result.ok_value
 
--- a/bramleyport/cli/_runtime.py
+++ b/bramleyport/cli/_runtime.py
@@ -1,6 +1,7 @@
 """Run coroutines on Twisted's asyncio reactor until a signal stops them."""
 
 import asyncio
+import sys
 from collections.abc import Awaitable, Callable
 from typing import Any, Protocol
 
@@ -21,6 +22,9 @@
     """Install the reactor before anything imports the default one."""
     from twisted.internet import asyncioreactor
 
+    installed = sys.modules.get("twisted.internet.reactor")
+    if isinstance(installed, asyncioreactor.AsyncioSelectorReactor):
+        return
     # Twisted starts its first callbacks before the loop runs, so the loop must also be
     # the thread's current one.
     loop = asyncio.new_event_loop()
--- a/bramleyport/core/__init__.py
+++ b/bramleyport/core/__init__.py
@@ -19,6 +19,7 @@
     UpstreamId,
     ZoneName,
 )
+from bramleyport.core._problems import Problem, list_problems
 from bramleyport.core._prompt import CHARACTERS_PER_TOKEN, count_tokens, digest_prefix
 from bramleyport.core._registry import Registry, UnknownPolicyError
 from bramleyport.core._states import (
@@ -36,6 +37,7 @@
     UpstreamView,
 )
 from bramleyport.core._work import Targets, Work
+from bramleyport.core._yaml import YamlDocument, read_yaml
 
 __all__ = [
     "CHARACTERS_PER_TOKEN",
@@ -54,6 +56,7 @@
     "ModelVersion",
     "PoolName",
     "PrefixBlock",
+    "Problem",
     "ProcessId",
     "Rank",
     "RegionName",
@@ -71,8 +74,11 @@
     "UpstreamState",
     "UpstreamView",
     "Work",
+    "YamlDocument",
     "ZoneName",
     "count_tokens",
     "digest_prefix",
+    "list_problems",
     "make_strict_converter",
+    "read_yaml",
 ]
--- /dev/null
+++ b/bramleyport/core/_problems.py
@@ -0,0 +1,70 @@
+"""What is wrong with a document, field by field."""
+
+import difflib
+import re
+from dataclasses import dataclass, fields, is_dataclass
+from typing import Any, Final
+
+from cattrs import BaseValidationError, transform_error
+from cattrs.errors import ForbiddenExtraKeysError
+
+_STEP: Final = re.compile(r"\.([^.\[]+)|\['([^']*)'\]|\[(\d+)\]")
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Problem:
+    """Name a wrong field, what was expected there and an example."""
+
+    reason: str
+    path: tuple[str, ...] = ()
+    example: str = ""
+    line: int | None = None
+
+    def describe(self, source: str = "") -> str:
+        """Return one line of text for people."""
+        place = ":".join(part for part in (source, _show(self.line)) if part)
+        field = ".".join(self.path)
+        example = f" (for example: {self.example})" if self.example else ""
+        parts = [part for part in (place, field) if part]
+        return ": ".join([*parts, self.reason]) + example
+
+
+def list_problems(error: BaseValidationError) -> list[Problem]:
+    """Return the problems of a failed conversion with their paths."""
+    texts = transform_error(error, format_exception=_format)
+    return [_parse(text) for text in texts]
+
+
+def _parse(text: str) -> Problem:
+    reason, _, path = text.rpartition(" @ ")
+    steps = tuple(next(part for part in match if part) for match in _STEP.findall(path))
+    return Problem(reason=reason, path=steps)
+
+
+def _format(error: BaseException, kind: type | None) -> str:
+    if isinstance(error, ForbiddenExtraKeysError):
+        return _explain_extra(error)
+    if isinstance(error, KeyError):
+        return "the field is missing"
+    if isinstance(error, TypeError) and error.args and not is_dataclass(kind):
+        return str(error.args[0])
+    name = getattr(kind, "__name__", str(kind))
+    return f"not a valid {name}: {error}"
+
+
+def _explain_extra(error: ForbiddenExtraKeysError) -> str:
+    known = _list_names(error.cl)
+    parts = []
+    for name in sorted(error.extra_fields):
+        nearest = difflib.get_close_matches(str(name), known, 1)
+        hint = f"; did you mean {nearest[0]}?" if nearest else ""
+        parts.append(f"unknown field {name!r}{hint}")
+    return ", ".join(parts)
+
+
+def _list_names(kind: Any) -> list[str]:
+    return [field.name for field in fields(kind)] if is_dataclass(kind) else []
+
+
+def _show(line: int | None) -> str:
+    return "" if line is None else str(line)
--- a/bramleyport/records/__init__.py
+++ b/bramleyport/records/__init__.py
@@ -1,6 +1,32 @@
-"""Service records: documents, validation and the form the system works with."""
+"""Service records: documents, conversion, validation and status."""
 
-from bramleyport.records._document import parse_record
-from bramleyport.records._record import ModelSpec, PlainSpec, ServiceRecord
+from bramleyport.records._conversion import convert_to_v1, convert_to_v2
+from bramleyport.records._document import SCHEMAS, parse_record
+from bramleyport.records._record import ModelSpec, PlainSpec, RankSpec, ServiceRecord
+from bramleyport.records._status import (
+    Condition,
+    ConditionType,
+    RankCounts,
+    RecordStatus,
+    make_conditions,
+    read_status,
+    write_status,
+)
 
-__all__ = ["ModelSpec", "PlainSpec", "ServiceRecord", "parse_record"]
+__all__ = [
+    "SCHEMAS",
+    "Condition",
+    "ConditionType",
+    "ModelSpec",
+    "PlainSpec",
+    "RankCounts",
+    "RankSpec",
+    "RecordStatus",
+    "ServiceRecord",
+    "convert_to_v1",
+    "convert_to_v2",
+    "make_conditions",
+    "parse_record",
+    "read_status",
+    "write_status",
+]
--- /dev/null
+++ b/bramleyport/records/_status.py
@@ -0,0 +1,87 @@
+"""Status of a record: what the system reports back to operators."""
+
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass, field
+from enum import Enum
+from typing import Any
+
+from bramleyport.core import Problem, Rank, Revision, make_strict_converter
+
+
+class ConditionType(str, Enum):
+    """Name the conditions of a record."""
+
+    VALID = "valid"
+    IN_FORCE = "in_force"
+    SERVABLE = "servable"
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Condition:
+    """State whether something holds and what to do if it does not."""
+
+    type: ConditionType
+    holds: bool
+    message: str = ""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class RankCounts:
+    """Count the requests of one rank since the reporting process started."""
+
+    in_time: int = 0
+    late: int = 0
+    rejected: int = 0
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class RecordStatus:
+    """Hold the status of one record."""
+
+    observed_revision: Revision
+    in_force: int = 0
+    processes: int = 0
+    ranks: Mapping[Rank, RankCounts] = field(default_factory=dict)
+    engines_by_role: Mapping[str, int] = field(default_factory=dict)
+    decisions: Sequence[str] = ()
+    conditions: Sequence[Condition] = ()
+    reported_by: str = ""
+
+
+_converter = make_strict_converter()
+
+
+def write_status(status: RecordStatus) -> dict[str, Any]:
+    """Return the document that stores a status."""
+    document: dict[str, Any] = _converter.unstructure(status)
+    return document
+
+
+def read_status(document: Mapping[str, Any]) -> RecordStatus | None:
+    """Return the status in a document, or None if there is none yet."""
+    if not document:
+        return None
+    return _converter.structure(document, RecordStatus)
+
+
+def make_conditions(
+    problems: Sequence[Problem], in_force: int, processes: int, upstreams: int
+) -> tuple[Condition, ...]:
+    """Return the conditions of a record from what is known of it."""
+    valid = Condition(
+        type=ConditionType.VALID,
+        holds=not problems,
+        message="; ".join(problem.describe() for problem in problems),
+    )
+    waiting = processes - in_force
+    force = Condition(
+        type=ConditionType.IN_FORCE,
+        holds=not problems and waiting <= 0,
+        message="" if waiting <= 0 else f"{waiting} processes have an older revision",
+    )
+    servable = Condition(
+        type=ConditionType.SERVABLE,
+        holds=upstreams > 0,
+        message="" if upstreams else "no live upstream serves it; check the host list",
+    )
+    return (valid, force, servable)
--- a/bramleyport/replication/_store.py
+++ b/bramleyport/replication/_store.py
@@ -67,7 +67,7 @@
         result = parse_record(document)
         if isinstance(result, Err):
             name = ServiceName(str(document.get("name", "")))
-            refused[name] = result.err_value
+            refused[name] = [item.describe() for item in result.err_value]
             if name in self.records:
                 accepted[name] = self.records[name]
             return
--- a/bramleyport/settings/_loader.py
+++ b/bramleyport/settings/_loader.py
@@ -1,25 +1,32 @@
 """Read settings files and name every wrong field."""
 
-from typing import Any, TypeVar
+from dataclasses import replace
+from typing import TypeVar
 
-import yaml
-from cattrs import BaseValidationError, transform_error
+from cattrs import BaseValidationError
 from result import Err, Ok, Result
 
-from bramleyport.core import make_strict_converter
+from bramleyport.core import Problem, list_problems, make_strict_converter, read_yaml
 
 S = TypeVar("S")
 
 _converter = make_strict_converter(forbid_extra_keys=True)
 
 
-def load_settings(text: str, kind: type[S]) -> Result[S, list[str]]:
-    """Return the settings in a YAML text or a reason for each wrong field."""
+def load_settings(raw: bytes, kind: type[S]) -> Result[S, list[Problem]]:
+    """Return the settings in a YAML text or a problem for each wrong field."""
+    document = read_yaml(raw)
+    if isinstance(document, Err):
+        return document
+    value = document.ok_value.value
+    if not isinstance(value, dict):
+        return Err([Problem(reason="expected a mapping of fields")])
     try:
-        document: Any = yaml.safe_load(text)
-    except yaml.YAMLError as error:
-        return Err([f"not YAML: {error}"])
-    try:
-        return Ok(_converter.structure(document, kind))
+        return Ok(_converter.structure(value, kind))
     except BaseValidationError as error:
-        return Err(transform_error(error))
+        return Err(
+            [
+                replace(problem, line=document.ok_value.find_line(problem.path))
+                for problem in list_problems(error)
+            ]
+        )
--- /dev/null
+++ b/tests/test_cli.py
@@ -0,0 +1,138 @@
+"""Guard the operators' commands: records, conflicts, exit codes, clear refusals."""
+
+import asyncio
+import json
+from collections.abc import Callable, Coroutine, Iterator
+from pathlib import Path
+from typing import Any
+
+import pytest
+from click.testing import CliRunner, Result
+
+from bramleyport.cli import main
+from bramleyport.standins import ObjectApiStandin, read_port, serve_app, stop_listening
+
+RECORD = """\
+schema: v2
+name: inspections
+model: {name: inspector-8b, versions: ["1"]}
+ranks:
+  urgent: {answer_s: 20}
+"""
+
+
+class Platform:
+    def __init__(self, directory: Path, standin: ObjectApiStandin, url: str) -> None:
+        self.directory = directory
+        self.standin = standin
+        self.url = url
+
+    def call(self, *arguments: str) -> Result:
+        environment = {"BRAMLEYPORT_STORE": self.url}
+        return CliRunner().invoke(main, ["record", *arguments], env=environment)
+
+    def write(self, text: str, name: str = "record.yaml") -> str:
+        path = self.directory / name
+        path.write_text(text)
+        return str(path)
+
+
+@pytest.fixture
+def platform(
+    tmp_path: Path,
+    loop: asyncio.AbstractEventLoop,
+    run: Callable[[Coroutine[Any, Any, Any]], Any],
+) -> Iterator[Platform]:
+    standin = ObjectApiStandin()
+    listening = run(serve_app(standin.app, 0))
+    yield Platform(tmp_path, standin, f"http://127.0.0.1:{read_port(listening)}")
+    run(stop_listening(listening))
+
+
+def test_record_is_applied_shown_and_withdrawn(platform: Platform) -> None:
+    path = platform.write(RECORD)
+    assert platform.call("apply", "-f", path).exit_code == 0
+    shown = platform.call("get", "inspections", "--output", "json")
+    assert json.loads(shown.output)["spec"]["schema"] == "v2"
+    assert "inspections" in platform.call("list").output
+    assert platform.call("withdraw", "inspections").exit_code == 0
+    assert platform.call("get", "inspections").exit_code == 4
+
+
+def test_dry_run_changes_nothing(platform: Platform) -> None:
+    result = platform.call("apply", "--dry-run", "-f", platform.write(RECORD))
+    assert result.exit_code == 0
+    assert platform.standin.store.objects == {}
+
+
+def test_invalid_record_is_refused_with_line_and_field(platform: Platform) -> None:
+    path = platform.write(RECORD.replace("answer_s: 20", "answer_s: -1"))
+    result = platform.call("apply", "-f", path)
+    assert result.exit_code == 2
+    assert f"{path}:5: ranks.urgent.answer_s: expected seconds" in result.output
+    assert platform.standin.store.objects == {}
+
+
+def test_expected_version_guards_against_racing_operators(platform: Platform) -> None:
+    path = platform.write(RECORD)
+    platform.call("apply", "-f", path)
+    platform.call("apply", "-f", path)
+    result = platform.call("apply", "--if-version", "1", "-f", path)
+    assert result.exit_code == 3
+    assert "stored is 2" in result.output
+
+
+def test_lost_store_answer_is_read_back(platform: Platform) -> None:
+    platform.standin.faults.lose_answers = 1
+    result = platform.call("apply", "-f", platform.write(RECORD))
+    assert result.exit_code == 0
+    assert platform.standin.store.objects["services", "inspections"]["version"] == 1
+
+
+def test_outage_is_reported(platform: Platform) -> None:
+    platform.standin.faults.outage = True
+    result = platform.call("apply", "-f", platform.write(RECORD))
+    assert result.exit_code == 1
+    assert "unavailable" in result.output
+
+
+def test_wait_times_out_while_nothing_reports(platform: Platform) -> None:
+    path = platform.write(RECORD)
+    assert platform.call("apply", "--wait", "0.1", "-f", path).exit_code == 5
+
+
+def test_explain_says_that_nothing_reported(platform: Platform) -> None:
+    platform.call("apply", "-f", platform.write(RECORD))
+    assert "no entry has reported" in platform.call("explain", "inspections").output
+
+
+ENTRY = """\
+process: {process: e-0, zone: a, region: r, address: 127.0.0.1, peer_port: 1,
+  object_api: "http://127.0.0.1:1"}
+http_port: 8080
+"""
+WRONG_SETTINGS = [
+    ("misspelt key", ENTRY + "drain_timout_s: 5\n", "did you mean drain_timeout_s?"),
+    ("wrong type", ENTRY.replace("8080", "'x'"), "http_port: expected a whole number"),
+    ("missing key", "http_port: 1\n", "process: the field is missing"),
+    ("not a mapping", "- 1\n", "expected a mapping"),
+]
+
+
+@pytest.mark.parametrize(
+    ("text", "expected"),
+    [row[1:] for row in WRONG_SETTINGS],
+    ids=[row[0] for row in WRONG_SETTINGS],
+)
+def test_wrong_settings_are_named(tmp_path: Path, text: str, expected: str) -> None:
+    path = tmp_path / "entry.yaml"
+    path.write_text(text)
+    result = CliRunner().invoke(main, ["check", "entry", str(path)])
+    assert result.exit_code == 2
+    assert expected in result.output
+
+
+def test_valid_settings_pass(tmp_path: Path) -> None:
+    path = tmp_path / "entry.yaml"
+    path.write_text(ENTRY)
+    assert CliRunner().invoke(main, ["check", "entry", str(path)]).exit_code == 0
