Ship one file, report status and show a status page

Cause: nothing could be installed on a host without disks, records had no status, and a person could see the state of an entry only through metrics. Ruled out: a one-file build by PyInstaller (two processes, unpacks to disk); loading extensions from memory files (shared memory is not allowed).

--- a/Makefile
+++ b/Makefile
@@ -28,4 +28,4 @@
 	$(BIN)/ruff format bramleyport tests
 
 build: $(VENV)/.installed
-	$(BIN)/python -m bramleyport.cli.package dist/bramleyport.pyz
+	$(BIN)/python -m bramleyport.packaging dist/bramleyport.pyz
--- a/bramleyport/callers/__init__.py
+++ b/bramleyport/callers/__init__.py
@@ -9,6 +9,7 @@
     render_whole,
 )
 from bramleyport.callers._request import CallerRequest
+from bramleyport.callers._status_page import EntryState
 from bramleyport.callers._stream import CallerGoneError, CallerStream
 
 __all__ = [
@@ -17,6 +18,7 @@
     "CallerHandler",
     "CallerRequest",
     "CallerStream",
+    "EntryState",
     "make_site",
     "render_chunk",
     "render_error_event",
--- a/bramleyport/callers/_app.py
+++ b/bramleyport/callers/_app.py
@@ -16,6 +16,7 @@
     parse_completion,
     parse_plain,
 )
+from bramleyport.callers._status_page import EntryState, render_status_page
 from bramleyport.callers._stream import CallerGoneError, CallerStream
 from bramleyport.core import ErrorCode, Execution, ServeError
 from bramleyport.telemetry import events, log_event
@@ -39,6 +40,10 @@
         """Return why no request should be sent here, or None when ready."""
         ...
 
+    def read_state(self) -> EntryState:
+        """Return what the status page shows."""
+        ...
+
     def render_metrics(self) -> bytes:
         """Return the metrics in the Prometheus text format."""
         ...
@@ -58,6 +63,7 @@
         route("/healthz", methods=["GET"])(self._health)
         route("/readyz", methods=["GET"])(self._ready)
         route("/metrics", methods=["GET"])(self._metrics)
+        route("/status", methods=["GET"])(self._status)
 
     def _chat(self, request: Request) -> Any:
         return self._complete(request, "/v1/chat/completions", chat=True)
@@ -107,6 +113,10 @@
         request.setResponseCode(503)
         return reason.encode() + b"\n"
 
+    def _status(self, request: Request) -> bytes:
+        request.setHeader(b"content-type", b"text/html; charset=utf-8")
+        return render_status_page(self._handler.read_state())
+
     def _metrics(self, request: Request) -> bytes:
         request.setHeader(b"content-type", b"text/plain; version=0.0.4")
         return self._handler.render_metrics()
--- a/bramleyport/cli/_record.py
+++ b/bramleyport/cli/_record.py
@@ -18,9 +18,8 @@
     show_table,
     show_value,
 )
-from bramleyport.core import Revision
 from bramleyport.objectapi import Kind, ObjectName, StoredObject, StoreFailure
-from bramleyport.records import parse_record, read_status
+from bramleyport.records import digest_spec, parse_record, read_status
 
 if TYPE_CHECKING:
     from bramleyport.objectapi import ObjectClient
@@ -225,8 +224,8 @@
     status = read_status(item.status)
     if status is None:
         return [*lines, "no status yet: no entry has reported on this record"]
-    if status.observed_revision < item.revision:
-        lines.append(f"the status is older: revision {status.observed_revision}")
+    if status.spec_digest != digest_spec(item.spec):
+        lines.append("the status is older than the record; wait for the next report")
     for condition in status.conditions:
         state = "yes" if condition.holds else f"no: {condition.message}"
         lines.append(f"{condition.type.value}: {state}")
@@ -312,7 +311,7 @@
     while time.monotonic() < deadline_s:
         item = await _read(client, written.name)
         status = read_status(item.status) if item else None
-        if status and status.observed_revision >= Revision(written.revision):
+        if status and status.spec_digest == digest_spec(written.spec):
             text = f"in force on {status.in_force} of {status.processes} processes"
             if text != shown:
                 click.echo(text)
--- a/bramleyport/composition.py
+++ b/bramleyport/composition.py
@@ -55,17 +55,20 @@
 def build_entry(settings: "EntrySettings", seed: int | None = None) -> "EntryDaemon":
     """Build an entry from its settings."""
     from bramleyport.admission import ADMISSION_POLICIES
+    from bramleyport.core import ProcessId
     from bramleyport.daemons._claims import ClaimWriter
     from bramleyport.daemons._dispatch import Dispatcher
     from bramleyport.daemons._entry import EntryDaemon
     from bramleyport.daemons._keyed import KeyedCalls
+    from bramleyport.daemons._outcomes import OutcomeCounter
     from bramleyport.daemons._peers import AgentLinks
+    from bramleyport.daemons._status import FleetState, StatusReporter
     from bramleyport.estimate import ESTIMATORS
     from bramleyport.objectapi import ObjectClient
     from bramleyport.replication import RecordStore
     from bramleyport.retries import RETRY_POLICIES
     from bramleyport.routing import ROUTING_POLICIES
-    from bramleyport.telemetry import Metrics
+    from bramleyport.telemetry import Journal, Metrics
 
     policies = settings.policies
     metrics = Metrics()
@@ -89,4 +92,26 @@
         lambda step, result: metrics.store_calls.inc({"kind": step, "result": result}),
     )
     keyed = KeyedCalls(ClaimWriter(client), dispatcher)
-    return EntryDaemon(settings, client, records, links, dispatcher, keyed, metrics)
+    outcomes = OutcomeCounter()
+    journal = Journal()
+    journal.attach()
+    status = StatusReporter(
+        ProcessId(settings.process.process),
+        client,
+        outcomes,
+        journal,
+        lambda: FleetState(views=links.list_views(), revisions=[records.revision]),
+        lambda: True,
+    )
+    return EntryDaemon(
+        settings,
+        client,
+        records,
+        links,
+        dispatcher,
+        keyed,
+        metrics,
+        outcomes,
+        journal,
+        status,
+    )
--- a/bramleyport/daemons/_entry.py
+++ b/bramleyport/daemons/_entry.py
@@ -11,6 +11,7 @@
     CallerGoneError,
     CallerRequest,
     CallerStream,
+    EntryState,
     make_site,
     render_chunk,
     render_stop,
@@ -22,10 +23,12 @@
     Execution,
     ServeError,
     ServiceKind,
+    ServiceName,
     UpstreamId,
     Work,
 )
 from bramleyport.daemons._keyed import KeyedCalls, KeyedResult
+from bramleyport.daemons._outcomes import Outcome, OutcomeCounter
 from bramleyport.daemons._records import (
     KindWatcher,
     make_host_handler,
@@ -33,18 +36,20 @@
 )
 from bramleyport.daemons._work import build_call, build_work, check_key, find_record
 from bramleyport.objectapi import Kind, ObjectClient
-from bramleyport.telemetry import Metrics, events, log_event
+from bramleyport.telemetry import Journal, Metrics, TenantLabels, events, log_event
 
 if TYPE_CHECKING:
     from twisted.internet.tcp import Port
 
     from bramleyport.daemons._dispatch import Dispatcher
     from bramleyport.daemons._peers import AgentLinks
+    from bramleyport.daemons._status import StatusReporter
     from bramleyport.records import ServiceRecord
     from bramleyport.replication import RecordStore
     from bramleyport.settings import EntrySettings
 
 STOP_RETRY_S: Final = 1.0
+EVENTS_SHOWN: Final = 25
 
 
 class EntryDaemon:
@@ -59,6 +64,9 @@
         dispatcher: "Dispatcher",
         keyed: KeyedCalls,
         metrics: Metrics,
+        outcomes: OutcomeCounter,
+        journal: Journal,
+        status: "StatusReporter",
     ) -> None:
         self.settings = settings
         self.records = records
@@ -67,6 +75,10 @@
         self._dispatcher = dispatcher
         self._keyed = keyed
         self._metrics = metrics
+        self._outcomes = outcomes
+        self._journal = journal
+        self._status = status
+        self._tenants = TenantLabels()
         self._stopping = False
         self._in_flight = 0
         self._tasks: list[asyncio.Task[None]] = []
@@ -92,6 +104,7 @@
             asyncio.ensure_future(
                 KindWatcher(self._client, Kind.HOSTS, host_handler).run()
             ),
+            asyncio.ensure_future(self._status.run()),
         ]
         site = make_site(CallerApp(self).app.resource(), self.settings.max_body_bytes)
         endpoint = endpoints.TCP4ServerEndpoint(
@@ -138,6 +151,21 @@
             return "no records yet"
         return None
 
+    def read_state(self) -> EntryState:
+        """Return what the status page shows."""
+        process = self.settings.process
+        return EntryState(
+            process=process.process,
+            zone=process.zone,
+            unready=self.explain_unready(),
+            revision=self.records.revision,
+            in_flight=self._in_flight,
+            records=self.records.records,
+            counts={n: self._outcomes.read(n) for n in self.records.records},
+            views=self._links.list_views(),
+            journal=self._journal.list_latest(EVENTS_SHOWN),
+        )
+
     def render_metrics(self) -> bytes:
         """Return the metrics in the Prometheus text format."""
         return self._metrics.render_text()
@@ -156,8 +184,13 @@
         labels = {"service": request.target[:80], "rank": request.rank.value}
         self._metrics.requests.inc({**labels, "result": result})
         if error is not None:
+            if error.execution is Execution.NOT_RUN:
+                service = ServiceName(request.target)
+                if service in self.records.records:
+                    self._outcomes.count(service, request.rank, Outcome.REJECTED)
             log_event(
                 events.REQUEST_FAILED,
+                service=request.target[:80],
                 step=error.step,
                 peer=error.peer,
                 code=error.code.value,
@@ -203,6 +236,7 @@
         if isinstance(outcome, Err):
             return outcome.err_value
         end = outcome.ok_value
+        self._outcomes.count_answer(work, None, time.monotonic() - work.arrived_s)
         headers = {**end.headers, "X-Request-Id": work.request}
         stream.start(end.status, headers)
         return await _write_all(stream, bytes(body))
@@ -213,6 +247,7 @@
         if isinstance(result, Err):
             return result.err_value
         answer = result.ok_value
+        self._outcomes.count_answer(work, None, time.monotonic() - work.arrived_s)
         stream.start(answer.status, {**answer.headers, "X-Request-Id": work.request})
         return await _write_all(stream, answer.body)
 
@@ -226,7 +261,8 @@
         rejected = self._dispatcher.admit(work)
         if rejected is not None:
             return rejected
-        writer = AnswerWriter(request, record, work, stream, self._metrics)
+        tenant = self._tenants.choose(work.account)
+        writer = AnswerWriter(request, record, work, stream, self._metrics, tenant)
         task = asyncio.ensure_future(
             self._dispatcher.run(work, build_call(request), writer.take)
         )
@@ -242,6 +278,9 @@
             return None
         if isinstance(outcome, Err):
             return outcome.err_value
+        self._outcomes.count_answer(
+            work, writer.first_token_s, time.monotonic() - work.arrived_s
+        )
         await writer.finish(outcome.ok_value.output_tokens)
         return None
 
@@ -256,7 +295,9 @@
         work: Work,
         stream: CallerStream,
         metrics: Metrics,
+        tenant: str,
     ) -> None:
+        self.first_token_s: float | None = None
         self._request = request
         self._model = record.name
         self._work = work
@@ -265,7 +306,7 @@
         self._created = int(time.time())
         self._parts: list[str] = []
         self._last_s: float | None = None
-        self._labels = {"tenant": work.account, "rank": work.rank.value}
+        self._labels = {"tenant": tenant, "rank": work.rank.value}
 
     async def take(self, chunk: bytes) -> None:
         """Stream a chunk or keep it for the whole answer."""
@@ -317,6 +358,7 @@
         now_s = time.monotonic()
         if self._last_s is None:
             elapsed_s = now_s - self._work.arrived_s
+            self.first_token_s = elapsed_s
             self._metrics.first_token_s.observe(self._labels, elapsed_s)
         else:
             self._metrics.between_tokens_s.observe(self._labels, now_s - self._last_s)
--- a/bramleyport/records/_status.py
+++ b/bramleyport/records/_status.py
@@ -1,5 +1,7 @@
 """Status of a record: what the system reports back to operators."""
 
+import hashlib
+import json
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass, field
 from enum import Enum
@@ -46,11 +48,31 @@
     decisions: Sequence[str] = ()
     conditions: Sequence[Condition] = ()
     reported_by: str = ""
+    spec_digest: str = ""
 
 
 _converter = make_strict_converter()
 
 
+def digest_spec(spec: Mapping[str, Any]) -> str:
+    """Return a digest that changes whenever the spec does."""
+    text = json.dumps(spec, sort_keys=True, default=str).encode()
+    return hashlib.blake2b(text, digest_size=8).hexdigest()
+
+
+def find_spec_revision(
+    spec: Mapping[str, Any], status: RecordStatus | None, revision: Revision
+) -> Revision:
+    """Return the revision of the last change to the spec.
+
+    Writing a status raises the object's revision too, so the status names the spec
+    that it reported on.
+    """
+    if status is not None and status.spec_digest == digest_spec(spec):
+        return status.observed_revision
+    return revision
+
+
 def write_status(status: RecordStatus) -> dict[str, Any]:
     """Return the document that stores a status."""
     document: dict[str, Any] = _converter.unstructure(status)
--- a/bramleyport/telemetry/_logging.py
+++ b/bramleyport/telemetry/_logging.py
@@ -6,11 +6,15 @@
 
 from loguru import logger
 
+from bramleyport.telemetry._throttle import EventThrottle
+
 if TYPE_CHECKING:
     from loguru import Message
 
     from bramleyport.telemetry._events import Event
 
+_throttle = EventThrottle()
+
 READABLE: Final = "{time:HH:mm:ss.SSS} {level:<7} {message}"
 
 
@@ -26,6 +30,11 @@
 
 def log_event(event: "Event", **fields: object) -> None:
     """Log a numbered event with its fields."""
+    suppressed = _throttle.check(event.number)
+    if suppressed is None:
+        return
+    if suppressed:
+        fields["suppressed"] = suppressed
     details = " ".join(f"{name}={value}" for name, value in fields.items())
     logger.bind(event=event.number, fields=fields).opt(depth=1).log(
         event.level, "{}", f"[{event.number}] {event.text} {details}".rstrip()
