Measure capacity slopes and hold the event catalogue complete

Change: 'bench capacity' fits a line through three or more sizes for frames, views, decisions, records, claims, connections, requests and tokens; the catalogue is generated and tested both ways; a caller that goes away no longer logs an unhandled error in the stand-ins.

--- a/bramleyport/callers/_app.py
+++ b/bramleyport/callers/_app.py
@@ -1,13 +1,10 @@
 """HTTP routes that callers, the balancer and operators' browsers use."""
 
-import asyncio
 import math
-from collections.abc import Coroutine
 from typing import Any, Final, Protocol
 
 from klein import Klein
 from result import Err, Result
-from twisted.internet.defer import Deferred
 from twisted.web.server import Request
 
 from bramleyport.callers._render import render_error, render_models
@@ -20,6 +17,7 @@
 from bramleyport.callers._stream import CallerGoneError, CallerStream
 from bramleyport.core import ErrorCode, Execution, ServeError
 from bramleyport.telemetry import events, log_event
+from bramleyport.transport import run_as_deferred
 
 JSON_TYPE: Final = {"Content-Type": "application/json"}
 ANY_METHOD: Final = ("GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS")
@@ -89,8 +87,8 @@
     ) -> Any:
         stream = CallerStream(request)
         if isinstance(parsed, Err):
-            return _run(send_error(stream, parsed.err_value))
-        return _run(self._guard(parsed.ok_value, stream))
+            return run_as_deferred(send_error(stream, parsed.err_value))
+        return run_as_deferred(self._guard(parsed.ok_value, stream))
 
     async def _guard(self, request: CallerRequest, stream: CallerStream) -> None:
         try:
@@ -147,10 +145,6 @@
     )
 
 
-def _run(coroutine: Coroutine[Any, Any, None]) -> Any:
-    return Deferred.fromFuture(asyncio.ensure_future(coroutine))
-
-
 def _read_body(request: Request) -> bytes:
     body: bytes = request.content.read() if request.content else b""
     return body
--- a/bramleyport/cli/_main.py
+++ b/bramleyport/cli/_main.py
@@ -18,6 +18,7 @@
 EXIT_INVALID = 2
 
 LAZY_COMMANDS = {
+    "bench": "bramleyport.cli._bench:bench",
     "record": "bramleyport.cli._record:record",
     "check": "bramleyport.cli._check:check",
 }
--- a/bramleyport/standins/_engine.py
+++ b/bramleyport/standins/_engine.py
@@ -12,6 +12,7 @@
 from bramleyport.core import EngineRole, count_tokens, digest_prefix
 from bramleyport.standins._engine_model import EngineJob, EngineModel, EngineProfile
 from bramleyport.standins._http import break_connection, read_json, reply_json
+from bramleyport.transport import run_as_deferred
 
 LOAD_LAG_S: Final = 0.5
 WORDS: Final = ("helmet", "valid", "until", "season", "advance", "posted", "note")
@@ -114,9 +115,7 @@
 
     def _start_stream(self, request: Request, job: str, start: int) -> "Deferred[None]":
         request.setHeader(b"content-type", b"text/event-stream")
-        return Deferred.fromFuture(
-            asyncio.ensure_future(self._send_tokens(request, job, start))
-        )
+        return run_as_deferred(self._send_tokens(request, job, start))
 
     async def _send_tokens(self, request: Request, job: str, start: int) -> None:
         stream = self._streams[job]
@@ -192,7 +191,7 @@
         kept = [event for event in self._cache_log[since:] if not event["lost"]]
         return reply_json(request, 200, {"events": kept})
 
-    def _order(self, request: Request) -> "Deferred[bytes] | bytes":
+    def _order(self, request: Request) -> "Deferred[bytes | None] | bytes":
         if request.method == b"GET":
             state = {**self.order, "role": self.model.role.value}
             return reply_json(request, 200, {**state, "models": sorted(self.models)})
@@ -201,9 +200,7 @@
             return reply_json(
                 request, 409, {"error": "old fencing number", **self.order}
             )
-        return Deferred.fromFuture(
-            asyncio.ensure_future(self._apply_order(request, order))
-        )
+        return run_as_deferred(self._apply_order(request, order))
 
     async def _apply_order(self, request: Request, order: dict[str, Any]) -> bytes:
         self.order = {"sequence": order["sequence"], "fencing": order["fencing"]}
--- a/bramleyport/standins/_objectapi.py
+++ b/bramleyport/standins/_objectapi.py
@@ -11,6 +11,7 @@
 from twisted.web.server import Request
 
 from bramleyport.standins._http import break_connection, read_body, reply_json
+from bramleyport.transport import run_as_deferred
 
 MAX_VALUE_BYTES: Final = 1_000_000
 HISTORY_EVENTS: Final = 10_000
@@ -95,21 +96,23 @@
         )
         self.app.route("/watch/<kind>", methods=["GET"])(self._watch)
 
-    def _list(self, request: Request, kind: str) -> "Deferred[bytes]":
+    def _list(self, request: Request, kind: str) -> "Deferred[bytes | None]":
         return self._run(request, "list", self._answer_list(kind))
 
-    def _object(self, request: Request, kind: str, name: str) -> "Deferred[bytes]":
+    def _object(
+        self, request: Request, kind: str, name: str
+    ) -> "Deferred[bytes | None]":
         step = request.method.decode().lower()
         return self._run(request, step, self._answer_object(request, kind, name))
 
-    def _watch(self, request: Request, kind: str) -> "Deferred[bytes]":
+    def _watch(self, request: Request, kind: str) -> "Deferred[bytes | None]":
         return self._run(request, "watch", self._answer_watch(request, kind))
 
-    def _run(self, request: Request, step: str, answer: Any) -> "Deferred[bytes]":
+    def _run(
+        self, request: Request, step: str, answer: Any
+    ) -> "Deferred[bytes | None]":
         self.store.calls[step] += 1
-        return Deferred.fromFuture(
-            asyncio.ensure_future(self._guard(request, step, answer))
-        )
+        return run_as_deferred(self._guard(request, step, answer))
 
     async def _guard(self, request: Request, step: str, answer: Any) -> bytes:
         if self.faults.delay_s:
--- /dev/null
+++ b/bramleyport/telemetry/__main__.py
@@ -0,0 +1,8 @@
+"""Print the catalogue of events."""
+
+import sys
+
+from bramleyport.telemetry._catalogue import render_catalogue
+
+if __name__ == "__main__":
+    sys.stdout.write(render_catalogue())
