Render the fixed part of streamed events once per answer

Cause: each token of a stream built and serialized the whole event. Change: a renderer per answer serializes the event once and inserts the text.

--- a/bramleyport/callers/__init__.py
+++ b/bramleyport/callers/__init__.py
@@ -3,7 +3,7 @@
 from bramleyport.callers._app import CallerApp, CallerHandler, send_error
 from bramleyport.callers._channel import make_site
 from bramleyport.callers._render import (
-    render_chunk,
+    ChunkRenderer,
     render_error_event,
     render_stop,
     render_whole,
@@ -18,9 +18,9 @@
     "CallerHandler",
     "CallerRequest",
     "CallerStream",
+    "ChunkRenderer",
     "EntryState",
     "make_site",
-    "render_chunk",
     "render_error_event",
     "render_stop",
     "render_whole",
--- a/bramleyport/callers/_render.py
+++ b/bramleyport/callers/_render.py
@@ -6,6 +6,7 @@
 from bramleyport.core import RequestId, ServeError
 
 STREAM_END: Final = b"data: [DONE]\n\n"
+TEXT_MARK: Final = "\0text\0"
 
 
 def render_error(error: ServeError) -> bytes:
@@ -27,12 +28,27 @@
     return b"data: " + render_error(error) + b"\n\n"
 
 
-def render_chunk(
-    request: RequestId, model: str, created: int, text: str, *, chat: bool
-) -> bytes:
-    """Return the server-sent event of one piece of text."""
-    delta: dict[str, Any] = {"delta": {"content": text}} if chat else {"text": text}
-    return _event(_envelope(request, model, created, delta, None, chat=chat, part=True))
+class ChunkRenderer:
+    """Render the server-sent events of one streamed answer.
+
+    All events of an answer differ only in their text, so the rest is rendered once.
+    """
+
+    def __init__(
+        self, request: RequestId, model: str, created: int, *, chat: bool
+    ) -> None:
+        content: dict[str, Any] = (
+            {"delta": {"content": TEXT_MARK}} if chat else {"text": TEXT_MARK}
+        )
+        event = _event(
+            _envelope(request, model, created, content, None, chat=chat, part=True)
+        )
+        mark = json.dumps(TEXT_MARK).encode()
+        self._head, _, self._tail = event.rpartition(mark)
+
+    def render(self, text: str) -> bytes:
+        """Return the event of one piece of text."""
+        return self._head + json.dumps(text).encode() + self._tail
 
 
 def render_stop(request: RequestId, model: str, created: int, *, chat: bool) -> bytes:
--- a/bramleyport/daemons/_entry.py
+++ b/bramleyport/daemons/_entry.py
@@ -11,9 +11,9 @@
     CallerGoneError,
     CallerRequest,
     CallerStream,
+    ChunkRenderer,
     EntryState,
     make_site,
-    render_chunk,
     render_stop,
     render_whole,
     send_error,
@@ -305,6 +305,9 @@
         self._metrics = metrics
         self._created = int(time.time())
         self._parts: list[str] = []
+        self._renderer = ChunkRenderer(
+            work.request, record.name, self._created, chat=request.chat
+        )
         self._last_s: float | None = None
         self._labels = {"tenant": tenant, "rank": work.rank.value}
 
@@ -317,15 +320,7 @@
             return
         if not self._stream.started:
             self._stream.start(200, self._headers("text/event-stream"))
-        await self._stream.write(
-            render_chunk(
-                self._work.request,
-                self._model,
-                self._created,
-                text,
-                chat=self._request.chat,
-            )
-        )
+        await self._stream.write(self._renderer.render(text))
 
     async def finish(self, output_tokens: int) -> None:
         """Send what ends the answer."""
