--- a/bramleyport/standins/_engine.py
+++ b/bramleyport/standins/_engine.py
@@ -9,12 +9,14 @@
 from twisted.internet.defer import Deferred
 from twisted.web.server import Request
 
-from bramleyport.core import EngineRole, count_tokens, digest_prefix
+from bramleyport.core import EngineRole, PrefixBlock, count_tokens, digest_prefix
 from bramleyport.standins._engine_model import EngineJob, EngineModel, EngineProfile
 from bramleyport.standins._http import break_connection, read_json, reply_json
 from bramleyport.transport import run_as_deferred
 
 LOAD_LAG_S: Final = 0.5
+KV_BYTES_PER_TOKEN: Final = 131_072
+KV_BYTES_PER_S: Final = 10e9
 WORDS: Final = ("helmet", "valid", "until", "season", "advance", "posted", "note")
 ROLE_ORDER: Final = {role.value: role for role in EngineRole}
 
@@ -84,6 +86,8 @@
         self.app.route("/v1/completions", methods=["POST"])(self._complete)
         self.app.route("/v1/resume", methods=["POST"])(self._resume)
         self.app.route("/v1/cancel", methods=["POST"])(self._cancel)
+        self.app.route("/kv/export", methods=["POST"])(self._export)
+        self.app.route("/kv/import", methods=["POST"])(self._import)
         self.app.route("/load", methods=["GET"])(self._load)
         self.app.route("/cache-events", methods=["GET"])(self._cache_events)
         self.app.route("/order", methods=["GET", "PUT"])(self._order)
@@ -145,6 +149,41 @@
             stream.notify()
         return reply_json(request, 200, {"cancelled": found})
 
+    def _export(self, request: Request) -> "Deferred[bytes | None]":
+        body = read_json(request)
+        return run_as_deferred(self._run_export(request, body))
+
+    async def _run_export(self, request: Request, body: dict[str, Any]) -> bytes:
+        job = str(body["request"])
+        prompt = str(body["prompt"])
+        stream = self._streams[job] = Stream()
+        blocks = digest_prefix(prompt, self.model.profile.block_tokens)
+        self.model.submit(
+            EngineJob(
+                job=job,
+                prompt_tokens=count_tokens(prompt),
+                output_tokens=1,
+                priority=int(body.get("priority", 0)),
+                prefix_blocks=blocks,
+            )
+        )
+        self._wake.set()
+        while not stream.finished:
+            await stream.changed.wait()
+        value = {"blocks": [block.hex() for block in blocks]}
+        return reply_json(request, 200, value)
+
+    def _import(self, request: Request) -> "Deferred[bytes | None]":
+        return run_as_deferred(self._run_import(request, read_json(request)))
+
+    async def _run_import(self, request: Request, body: dict[str, Any]) -> bytes:
+        blocks = tuple(PrefixBlock(bytes.fromhex(block)) for block in body["blocks"])
+        tokens = len(blocks) * self.model.profile.block_tokens
+        await asyncio.sleep(tokens * KV_BYTES_PER_TOKEN / KV_BYTES_PER_S)
+        self.model.cache.store(blocks)
+        self._log_cache()
+        return reply_json(request, 200, {"imported": len(blocks)})
+
     def _load(self, request: Request) -> bytes:
         now_s = asyncio.get_running_loop().time()
         if now_s - self._load_read_s >= LOAD_LAG_S:
--- a/bramleyport/standins/_objectapi.py
+++ b/bramleyport/standins/_objectapi.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 from collections import Counter
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from typing import Any, Final
 
@@ -17,6 +18,7 @@
 HISTORY_EVENTS: Final = 10_000
 
 StoredValue = dict[str, Any]
+Answer = Callable[[], Awaitable[tuple[int, Any]]]
 
 
 @dataclass(slots=True)
@@ -97,30 +99,31 @@
         self.app.route("/watch/<kind>", methods=["GET"])(self._watch)
 
     def _list(self, request: Request, kind: str) -> "Deferred[bytes | None]":
-        return self._run(request, "list", self._answer_list(kind))
+        return self._run(request, "list", lambda: self._answer_list(kind))
 
     def _object(
         self, request: Request, kind: str, name: str
     ) -> "Deferred[bytes | None]":
         step = request.method.decode().lower()
-        return self._run(request, step, self._answer_object(request, kind, name))
+        return self._run(
+            request, step, lambda: self._answer_object(request, kind, name)
+        )
 
     def _watch(self, request: Request, kind: str) -> "Deferred[bytes | None]":
-        return self._run(request, "watch", self._answer_watch(request, kind))
+        return self._run(request, "watch", lambda: self._answer_watch(request, kind))
 
     def _run(
-        self, request: Request, step: str, answer: Any
+        self, request: Request, step: str, answer: Answer
     ) -> "Deferred[bytes | None]":
         self.store.calls[step] += 1
         return run_as_deferred(self._guard(request, step, answer))
 
-    async def _guard(self, request: Request, step: str, answer: Any) -> bytes:
+    async def _guard(self, request: Request, step: str, answer: Answer) -> bytes:
         if self.faults.delay_s:
             await asyncio.sleep(self.faults.delay_s)
         if self.faults.outage:
-            answer.close()
             return _reply(request, 503, {"error": "unavailable"})
-        code, value = await answer
+        code, value = await answer()
         if step in ("put", "delete") and self.faults.lose_answers > 0:
             self.faults.lose_answers -= 1
             break_connection(request)
--- a/bramleyport/upstreams/_engine.py
+++ b/bramleyport/upstreams/_engine.py
@@ -76,6 +76,24 @@
             "POST", "/v1/cancel", json.dumps({"request": job}).encode()
         )
 
+    async def export_kv(
+        self, job: str, prompt: str, priority: int
+    ) -> tuple[PrefixBlock, ...]:
+        """Prefill a prompt and return the blocks that another engine may import."""
+        body = {"request": job, "prompt": prompt, "priority": priority}
+        value = await self._http.request_json(
+            "POST", "/kv/export", json.dumps(body).encode()
+        )
+        return tuple(PrefixBlock(bytes.fromhex(block)) for block in value["blocks"])
+
+    async def import_kv(self, source: str, blocks: tuple[PrefixBlock, ...]) -> int:
+        """Fetch blocks from another engine and return how many were stored."""
+        body = {"source": source, "blocks": [block.hex() for block in blocks]}
+        value = await self._http.request_json(
+            "POST", "/kv/import", json.dumps(body).encode()
+        )
+        return int(value["imported"])
+
     async def read_load(self) -> Mapping[str, Any]:
         """Return the engine's lagging load report."""
         value: Mapping[str, Any] = await self._http.request_json("GET", "/load")
--- /dev/null
+++ b/tests/test_contract_object_api.py
@@ -0,0 +1,141 @@
+"""Contract of the object API: what the client may rely on, and under each fault."""
+
+import asyncio
+from collections.abc import Callable, Coroutine, Iterator
+from typing import Any
+
+import pytest
+from result import Err, Ok
+
+from bramleyport.core import Revision
+from bramleyport.objectapi import (
+    Kind,
+    ObjectClient,
+    ObjectName,
+    ObjectVersion,
+    StoreFailure,
+    WatchEventType,
+)
+from bramleyport.standins import ObjectApiStandin, read_port, serve_app, stop_listening
+
+Run = Callable[[Coroutine[Any, Any, Any]], Any]
+NAME = ObjectName("a")
+
+
+@pytest.fixture
+def api(run: Run) -> Iterator[tuple[ObjectApiStandin, ObjectClient]]:
+    standin = ObjectApiStandin()
+    listening = run(serve_app(standin.app, 0))
+    client = ObjectClient(f"http://127.0.0.1:{read_port(listening)}")
+    yield standin, client
+    run(client.close())
+    run(stop_listening(listening))
+
+
+Api = tuple[ObjectApiStandin, ObjectClient]
+
+
+def test_versions_and_revisions_rise(api: Api, run: Run) -> None:
+    _, client = api
+    first = run(client.create(Kind.ORDERS, NAME, {"n": 1}, {})).ok_value
+    other = run(client.create(Kind.LEASES, NAME, {}, {})).ok_value
+    second = run(client.update(Kind.ORDERS, NAME, first.version, {"n": 2}, {})).ok_value
+    assert (first.version, second.version) == (1, 2)
+    assert first.revision < other.revision < second.revision
+
+
+def test_delete_needs_the_present_version(api: Api, run: Run) -> None:
+    _, client = api
+    run(client.create(Kind.ORDERS, NAME, {}, {}))
+    stale = run(client.delete(Kind.ORDERS, NAME, ObjectVersion(7)))
+    assert stale.err_value.failure is StoreFailure.CONFLICT
+    assert isinstance(run(client.delete(Kind.ORDERS, NAME, ObjectVersion(1))), Ok)
+
+
+def test_watch_returns_changes_after_a_revision(api: Api, run: Run) -> None:
+    _, client = api
+
+    async def change_during_watch() -> Any:
+        waiting = asyncio.ensure_future(client.watch(Kind.ORDERS, Revision(0), 5.0))
+        await client.create(Kind.LEASES, NAME, {}, {})
+        await client.create(Kind.ORDERS, NAME, {}, {})
+        return await waiting
+
+    batch = run(change_during_watch()).ok_value
+    assert [event.type for event in batch.events] == [WatchEventType.PUT]
+    assert batch.revision == 2
+
+
+def test_watch_from_a_forgotten_revision_expires(api: Api, run: Run) -> None:
+    standin, client = api
+    for index in range(3):
+        standin.store.put("orders", f"o{index}", {})
+    del standin.store.history[:2]
+    result = run(client.watch(Kind.ORDERS, Revision(0), 1.0))
+    assert result.err_value.failure is StoreFailure.EXPIRED
+
+
+def test_each_call_is_counted(api: Api, run: Run) -> None:
+    standin, client = api
+    run(client.list_all(Kind.ORDERS))
+    run(client.watch(Kind.ORDERS, Revision(0), 0.01))
+    assert standin.store.calls == {"list": 1, "watch": 1}
+
+
+def lose_one(standin: ObjectApiStandin) -> None:
+    standin.faults.lose_answers = 1
+
+
+def stop_serving(standin: ObjectApiStandin) -> None:
+    standin.faults.outage = True
+
+
+def answer_late(standin: ObjectApiStandin) -> None:
+    standin.faults.delay_s = 3.5
+
+
+def change_nothing(standin: ObjectApiStandin) -> None:
+    return None
+
+
+LARGE = {"x": "y" * 1_000_001}
+FAULTS: list[tuple[str, Any, dict[str, Any], StoreFailure, bool]] = [
+    ("outage", stop_serving, {}, StoreFailure.UNAVAILABLE, False),
+    ("lost answer", lose_one, {}, StoreFailure.UNKNOWN, True),
+    ("slow", answer_late, {}, StoreFailure.UNKNOWN, False),
+    (
+        "too large",
+        change_nothing,
+        {"x": "y" * 1_000_001},
+        StoreFailure.TOO_LARGE,
+        False,
+    ),
+]
+
+
+@pytest.mark.parametrize(
+    ("prepare", "spec", "failure", "stored"),
+    [row[1:] for row in FAULTS],
+    ids=[row[0] for row in FAULTS],
+)
+def test_failed_write_says_whether_it_may_have_taken_effect(
+    api: Api,
+    run: Run,
+    prepare: Callable[[ObjectApiStandin], None],
+    spec: dict[str, Any],
+    failure: StoreFailure,
+    stored: bool,
+) -> None:
+    standin, client = api
+    prepare(standin)
+    result = run(client.create(Kind.ORDERS, NAME, spec, {}))
+    assert isinstance(result, Err)
+    assert result.err_value.failure is failure
+    assert result.err_value.step == "put"
+    assert (("orders", "a") in standin.store.objects) is stored
+
+
+def test_refused_connection_is_known_to_have_had_no_effect(run: Run) -> None:
+    client = ObjectClient("http://127.0.0.1:1")
+    result = run(client.create(Kind.ORDERS, NAME, {}, {}))
+    assert result.err_value.failure is StoreFailure.UNAVAILABLE
