Fuzz the HTTP front and list all settings

Cause: malformed HTTP was tested in three shapes only, and defaults of settings were not documented. Fault found: a header line above the limit closed the connection with no answer, because the line receiver's default only drops the connection.

--- a/bramleyport/callers/_channel.py
+++ b/bramleyport/callers/_channel.py
@@ -59,6 +59,11 @@
         """Drop the connection when nothing more can be written."""
         self.loseConnection()  # type: ignore[no-untyped-call]
 
+    def lineLengthExceeded(self, line: bytes) -> None:  # noqa: N802
+        """Refuse a request line or header beyond the line limit."""
+        message = f"a header line exceeds {self.MAX_LENGTH} bytes"
+        _refuse_and_close(self, refuse(ErrorCode.MALFORMED, message))
+
     def _respondToBadRequestAndDisconnect(self) -> None:  # noqa: N802
         message = "the request is not valid HTTP"
         _refuse_and_close(self, refuse(ErrorCode.MALFORMED, message))
--- /dev/null
+++ b/bramleyport/settings/__main__.py
@@ -0,0 +1,8 @@
+"""Print the reference of settings."""
+
+import sys
+
+from bramleyport.settings._reference import render_reference
+
+if __name__ == "__main__":
+    sys.stdout.write(render_reference())
