Decide membership and record replication in pure modules

Cause: one host list was believed as it stood and only the store delivered records. Change: Membership combines the list, self reports and peers; RevisionedSet and Replica exchange records and hosts by revision; the codec checks the shape of a frame before it decodes it and omits fields that hold their default.

--- a/bramleyport/membership/_hosts.py
+++ b/bramleyport/membership/_hosts.py
@@ -31,8 +31,14 @@
     zone: ZoneName
     region: RegionName
     state: HostState = HostState.LIVE
+    incarnation: int = 0
 
     @property
     def uri(self) -> str:
         """Return the address of the process as a websocket URI."""
         return f"ws://{self.address}:{self.port}"
+
+    @property
+    def endpoint(self) -> tuple[str, int]:
+        """Return the address and port on which the process listens."""
+        return self.address, self.port
--- a/bramleyport/replication/_store.py
+++ b/bramleyport/replication/_store.py
@@ -1,14 +1,20 @@
-"""Records in force in one process, by revision, never going back."""
+"""Records and hosts in force in one process, by revision, never going back."""
 
 import json
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 from typing import Any
 
+from cattrs import BaseValidationError
 from result import Err
 
-from bramleyport.core import Revision, ServiceName
+from bramleyport.core import Revision, ServiceName, make_strict_converter
+from bramleyport.membership import Host
 from bramleyport.records import ServiceRecord, parse_record
+from bramleyport.replication._revisions import Outcome, RevisionedSet
+from bramleyport.wire import ReplicaEntry, ReplicaPart
+
+_converter = make_strict_converter()
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -38,37 +44,124 @@
     """Hold the records in force and the revision they belong to."""
 
     def __init__(self) -> None:
-        self.snapshot = Snapshot(revision=Revision(0), documents=())
+        self.held = RevisionedSet(_check_record)
         self.records: dict[ServiceName, ServiceRecord] = {}
 
     @property
     def revision(self) -> Revision:
         """Return the revision in force."""
-        return self.snapshot.revision
+        return self.held.revision
+
+    @property
+    def snapshot(self) -> Snapshot:
+        """Return the documents in force."""
+        documents = tuple(
+            item.document
+            for _, item in sorted(self.held.items.items())
+            if item.document is not None
+        )
+        return Snapshot(revision=self.revision, documents=documents)
 
     def offer(self, snapshot: Snapshot) -> Applied | Ignored:
         """Put a snapshot into force if it is newer."""
         if snapshot.revision <= self.revision:
             return Ignored(self.revision)
-        accepted: dict[ServiceName, ServiceRecord] = {}
-        refused: dict[str, list[str]] = {}
-        for raw in snapshot.documents:
-            self._add(json.loads(raw), accepted, refused)
-        self.records = accepted
-        self.snapshot = snapshot
-        return Applied(revision=snapshot.revision, refused=refused)
-
-    def _add(
-        self,
-        document: Mapping[str, Any],
-        accepted: dict[ServiceName, ServiceRecord],
-        refused: dict[str, list[str]],
-    ) -> None:
-        result = parse_record(document)
-        if isinstance(result, Err):
-            name = ServiceName(str(document.get("name", "")))
-            refused[name] = result.err_value
-            if name in self.records:
-                accepted[name] = self.records[name]
-            return
-        accepted[result.ok_value.name] = result.ok_value
+        items = [
+            ReplicaEntry(
+                name=_read_name(document),
+                revision=snapshot.revision,
+                document=document,
+            )
+            for document in snapshot.documents
+        ]
+        return self.offer_listing(snapshot.revision, items)
+
+    def offer_listing(
+        self, revision: Revision, items: Iterable[ReplicaEntry]
+    ) -> Applied | Ignored:
+        """Take a complete listing of the store."""
+        return self._finish(self.held.apply_listing(revision, items))
+
+    def offer_change(
+        self, revision: Revision, items: Iterable[ReplicaEntry]
+    ) -> Applied | Ignored:
+        """Take the changes that a watch reported."""
+        return self._finish(self.held.apply_change(revision, items))
+
+    def merge(self, part: ReplicaPart) -> Applied | Ignored:
+        """Take what a peer has in force."""
+        return self._finish(self.held.merge(part))
+
+    def _finish(self, outcome: Outcome) -> Applied | Ignored:
+        if not outcome.changed:
+            return Ignored(self.revision)
+        records: dict[ServiceName, ServiceRecord] = {}
+        for item in self.held.items.values():
+            record = parse_record(json.loads(item.document or b"null")).unwrap()
+            records[record.name] = record
+        self.records = records
+        return Applied(revision=self.revision, refused=outcome.refused)
+
+
+class HostStore:
+    """Hold the platform's host list as this process knows it."""
+
+    def __init__(self) -> None:
+        self.held = RevisionedSet(_check_host)
+
+    @property
+    def revision(self) -> Revision:
+        """Return the revision of the list."""
+        return self.held.revision
+
+    @property
+    def hosts(self) -> tuple[Host, ...]:
+        """Return the hosts on the list."""
+        return tuple(
+            _converter.structure(json.loads(item.document or b"null"), Host)
+            for item in self.held.items.values()
+        )
+
+    def offer(self, revision: Revision, rows: Iterable[Mapping[str, Any]]) -> bool:
+        """Take the rows of the store's list and return whether any changed."""
+        items: dict[str, ReplicaEntry] = {}
+        for row in rows:
+            name = str(row.get("process", ""))
+            document = json.dumps(row, sort_keys=True).encode()
+            held = self.held.items.get(name)
+            unchanged = held is not None and held.document == document
+            # Only changed rows get the new revision, so that deltas stay small.
+            since = held.revision if held is not None and unchanged else revision
+            items[name] = ReplicaEntry(name=name, revision=since, document=document)
+        return self.held.apply_listing(revision, items.values()).changed
+
+    def merge(self, part: ReplicaPart) -> bool:
+        """Take a peer's list and return whether it changed this one."""
+        return self.held.merge(part).changed
+
+
+def _read_name(document: bytes) -> str:
+    try:
+        value = json.loads(document)
+    except ValueError:
+        return ""
+    return str(value.get("name", "")) if isinstance(value, dict) else ""
+
+
+def _check_record(document: bytes) -> list[str]:
+    try:
+        value = json.loads(document)
+    except ValueError as error:
+        return [f"not JSON: {error}"]
+    if not isinstance(value, dict):
+        return ["not an object"]
+    result = parse_record(value)
+    return result.err_value if isinstance(result, Err) else []
+
+
+def _check_host(document: bytes) -> list[str]:
+    try:
+        _converter.structure(json.loads(document), Host)
+    except (BaseValidationError, ValueError, TypeError, KeyError) as error:
+        return [f"malformed host: {type(error).__name__}"]
+    return []
--- a/bramleyport/wire/__init__.py
+++ b/bramleyport/wire/__init__.py
@@ -1,12 +1,6 @@
 """Protocol between the system's processes: messages, codec, handshake, session."""
 
-from bramleyport.wire._codec import (
-    MAX_DEPTH,
-    MAX_FRAME_BYTES,
-    MAX_ITEMS,
-    decode,
-    encode,
-)
+from bramleyport.wire._codec import decode, encode
 from bramleyport.wire._handshake import (
     NONCE_BYTES,
     choose_version,
@@ -14,6 +8,12 @@
     sign_client,
     sign_server,
 )
+from bramleyport.wire._limits import (
+    MAX_DEPTH,
+    MAX_FRAME_BYTES,
+    MAX_ITEMS,
+    check_limits,
+)
 from bramleyport.wire._messages import (
     MESSAGES,
     PROTOCOL_MAX,
@@ -39,6 +39,8 @@
     RecordsRequest,
     RecordsSnapshot,
     Refused,
+    ReplicaEntry,
+    ReplicaPart,
     Resume,
     UpstreamInfo,
     Welcome,
@@ -87,6 +89,8 @@
     "RecordsRequest",
     "RecordsSnapshot",
     "Refused",
+    "ReplicaEntry",
+    "ReplicaPart",
     "Resume",
     "SendHeartbeat",
     "Sent",
@@ -94,6 +98,7 @@
     "Tick",
     "UpstreamInfo",
     "Welcome",
+    "check_limits",
     "choose_version",
     "decode",
     "encode",
--- a/bramleyport/wire/_codec.py
+++ b/bramleyport/wire/_codec.py
@@ -1,20 +1,30 @@
 """Encode messages as CBOR and refuse malformed input."""
 
-import io
-from typing import Final
+from dataclasses import is_dataclass
+from typing import Any
 
 import cbor2
-from cattrs import BaseValidationError
+from cattrs import BaseValidationError, Converter
+from cattrs.gen import make_dict_unstructure_fn
 from result import Err, Ok, Result
 
 from bramleyport.core import make_strict_converter
+from bramleyport.wire._limits import check_limits
 from bramleyport.wire._messages import MESSAGES, Message
 
-MAX_FRAME_BYTES: Final = 4 * 1024 * 1024
-MAX_ITEMS: Final = 200_000
-MAX_DEPTH: Final = 12
 
-_converter = make_strict_converter()
+def _make_converter() -> Converter:
+    converter = make_strict_converter()
+
+    def omit_defaults(kind: type[Any]) -> Any:
+        return make_dict_unstructure_fn(kind, converter, _cattrs_omit_if_default=True)
+
+    # Heartbeats are most of the traffic, and most of their fields keep the default.
+    converter.register_unstructure_hook_factory(is_dataclass, omit_defaults)
+    return converter
+
+
+_converter = _make_converter()
 
 
 def encode(message: Message) -> bytes:
@@ -24,11 +34,11 @@
 
 def decode(data: bytes) -> Result[Message, str]:
     """Decode one CBOR frame or say why it is malformed."""
-    if len(data) > MAX_FRAME_BYTES:
-        return Err(f"frame of {len(data)} bytes exceeds {MAX_FRAME_BYTES}")
+    reason = check_limits(data)
+    if reason:
+        return Err(reason)
     try:
-        source = io.BytesIO(data)
-        value = cbor2.CBORDecoder(source).decode()
+        value = cbor2.loads(data)
     except (
         cbor2.CBORError,
         ValueError,
@@ -38,11 +48,6 @@
         MemoryError,
     ) as error:
         return Err(f"not CBOR: {type(error).__name__}")
-    if source.read(1):
-        return Err("bytes after the end of the message")
-    reason = _check_limits(value)
-    if reason:
-        return Err(reason)
     return _structure(value)
 
 
@@ -59,20 +64,3 @@
         return Ok(_converter.structure(fields, kind))
     except (BaseValidationError, ValueError, TypeError, KeyError) as error:
         return Err(f"malformed {tag}: {type(error).__name__}")
-
-
-def _check_limits(value: object) -> str | None:
-    pending = [(value, 1)]
-    items = 0
-    while pending:
-        node, depth = pending.pop()
-        items += 1
-        if items > MAX_ITEMS:
-            return f"more than {MAX_ITEMS} items"
-        if depth > MAX_DEPTH:
-            return f"nested deeper than {MAX_DEPTH}"
-        if isinstance(node, dict):
-            pending.extend((child, depth + 1) for child in node.values())
-        elif isinstance(node, list | tuple):
-            pending.extend((child, depth + 1) for child in node)
-    return None
--- a/bramleyport/wire/_messages.py
+++ b/bramleyport/wire/_messages.py
@@ -60,6 +60,7 @@
     version_min: int
     version_max: int
     nonce: bytes
+    incarnation: int = 0
 
 
 @message("welcome")
@@ -73,6 +74,7 @@
     version: int
     nonce: bytes
     proof: bytes
+    incarnation: int = 0
 
 
 @message("proof")
@@ -90,6 +92,9 @@
 
     sequence: int
     revision: Revision = Revision(0)
+    hosts_revision: Revision = Revision(0)
+    digest: int = 0
+    store_age_ms: int = -1
 
 
 @message("upstream_info")
@@ -225,9 +230,14 @@
 @message("leaving")
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Leaving(Message):
-    """Announce that a process takes no new work."""
+    """Announce that a process takes no new work.
+
+    The receiver returns the message to a process that announced itself; after that
+    nothing sent earlier on the connection is still on its way.
+    """
 
     process: ProcessId
+    incarnation: int = 0
 
 
 @message("order_notice")
@@ -255,15 +265,37 @@
     """Ask a peer for the records that changed after a revision."""
 
     after: Revision
+    hosts_after: Revision | None = None
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ReplicaEntry:
+    """Carry one record or host at a revision; without a document it was removed."""
+
+    name: str
+    revision: Revision
+    document: bytes | None = None
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ReplicaPart:
+    """Carry what changed after a revision, or everything when `after` is absent."""
+
+    revision: Revision
+    after: Revision | None = None
+    entries: tuple[ReplicaEntry, ...] = ()
+    invalid: tuple[str, ...] = ()
 
 
 @message("records_snapshot")
 @dataclass(frozen=True, slots=True, kw_only=True)
 class RecordsSnapshot(Message):
-    """Carry all records in force at a revision."""
+    """Carry the records in force and the hosts that a peer lacks."""
 
-    revision: Revision
-    documents: tuple[bytes, ...]
+    revision: Revision = Revision(0)
+    documents: tuple[bytes, ...] = ()
+    records: ReplicaPart | None = None
+    hosts: ReplicaPart | None = None
 
 
 @message("claim_forward")
