Wire membership and replication into the entry and the agent

Cause: entries dropped any host missing from one list, watched the store one each and replaced a connection only after it had closed. Change: a hub per process holds the connections and drives Membership, Replica and Topology; entries listen for peers; agents hold the records; a connection is replaced when the old one turns suspect; agents and entries announce Leaving and wait for its confirmation before they drain; mutual TLS and heartbeats come from settings.

--- a/bramleyport/cli/_demo.py
+++ b/bramleyport/cli/_demo.py
@@ -98,6 +98,7 @@
         self._list_hosts()
         for index in range(2):
             await self._start_entry(index, store_url)
+        self._list_hosts()
         while any(len(entry.list_upstreams()) <= ENGINES for entry in self.entries):
             await asyncio.sleep(0.05)
 
@@ -175,16 +176,20 @@
         )
 
     def _list_hosts(self) -> None:
+        ports: list[tuple[str, AgentSettings | EntrySettings, int]] = [
+            ("agent", agent.settings, agent.port) for agent in self.agents
+        ]
+        ports += [("entry", entry.settings, entry.peer_port) for entry in self.entries]
         rows = [
             {
-                "process": agent.settings.process.process,
-                "role": "agent",
+                "process": settings.process.process,
+                "role": role,
                 "address": LOOPBACK,
-                "port": agent.port,
-                "zone": agent.settings.process.zone,
+                "port": port,
+                "zone": settings.process.zone,
                 "region": REGION,
                 "state": "live",
             }
-            for agent in self.agents
+            for role, settings, port in ports
         ]
         self.store.store.put("hosts", "current", {"spec": {"hosts": rows}})
--- a/bramleyport/composition.py
+++ b/bramleyport/composition.py
@@ -3,6 +3,7 @@
 Imports stand inside the functions so that each role loads only what it uses.
 """
 
+import time
 from pathlib import Path
 from random import Random
 from typing import TYPE_CHECKING
@@ -17,16 +18,33 @@
 def build_identity(settings: "ProcessSettings") -> "Identity":
     """Build the identity that peers see."""
     from bramleyport.core import ProcessId, RegionName, ZoneName
-    from bramleyport.transport import Identity
+    from bramleyport.transport import Identity, build_tls, is_loopback
+    from bramleyport.wire import HeartbeatPolicy
 
     secret = b""
     if settings.secret_file:
         secret = Path(settings.secret_file).read_bytes().strip()
+    files = settings.tls
+    tls = None
+    if files.enabled:
+        tls = build_tls(files.certificate_file, files.key_file, files.ca_file)
+    if not secret and tls is None and not is_loopback(settings.address):
+        raise ValueError(
+            f"{settings.address} is not loopback: set secret_file or tls for peers"
+        )
+    beats = settings.heartbeats
     return Identity(
         process=ProcessId(settings.process),
         zone=ZoneName(settings.zone),
         region=RegionName(settings.region),
         secret=secret,
+        heartbeats=HeartbeatPolicy(
+            interval_s=beats.interval_s,
+            suspect_s=beats.interval_s * beats.missed_suspect,
+            silence_s=beats.interval_s * beats.missed_silent,
+        ),
+        incarnation=time.time_ns() // 1_000_000,
+        tls=tls,
     )
 
 
@@ -34,8 +52,10 @@
     """Build an agent from its settings."""
     from bramleyport.core import ServiceKind
     from bramleyport.daemons._agent import AgentDaemon
+    from bramleyport.daemons._hub import PeerHub
     from bramleyport.estimate import ESTIMATORS
     from bramleyport.queueing import QUEUE_POLICIES
+    from bramleyport.replication import HostStore, RecordStore, Replica
     from bramleyport.upstreams import EngineClient, PlainClient
 
     upstream: EngineClient | PlainClient
@@ -43,12 +63,14 @@
         upstream = EngineClient(settings.upstream_url)
     else:
         upstream = PlainClient(settings.upstream_url)
+    identity = build_identity(settings.process)
     return AgentDaemon(
         settings,
-        build_identity(settings.process),
+        identity,
         upstream,
         QUEUE_POLICIES.create(settings.policies.queue, settings.max_streams),
         ESTIMATORS.create(settings.policies.estimator),
+        PeerHub(identity, Replica(RecordStore(), HostStore())),
     )
 
 
@@ -58,11 +80,12 @@
     from bramleyport.daemons._claims import ClaimWriter
     from bramleyport.daemons._dispatch import Dispatcher
     from bramleyport.daemons._entry import EntryDaemon
+    from bramleyport.daemons._hub import PeerHub
     from bramleyport.daemons._keyed import KeyedCalls
     from bramleyport.daemons._peers import AgentLinks
     from bramleyport.estimate import ESTIMATORS
     from bramleyport.objectapi import ObjectClient
-    from bramleyport.replication import RecordStore
+    from bramleyport.replication import HostStore, RecordStore, Replica, Topology
     from bramleyport.retries import RETRY_POLICIES
     from bramleyport.routing import ROUTING_POLICIES
     from bramleyport.telemetry import Metrics
@@ -78,15 +101,27 @@
         metrics,
         Random(seed),
     )
-    links = AgentLinks(
-        build_identity(settings.process),
-        lambda: records.revision,
-        dispatcher.deliver,
+    identity = build_identity(settings.process)
+    hub = PeerHub(
+        identity,
+        Replica(records, HostStore()),
+        Topology(identity.process, identity.zone),
     )
+    links = AgentLinks(identity, hub.read_revision, dispatcher.deliver, hub)
     dispatcher.links = links
     client = ObjectClient(
         settings.process.object_api,
         lambda step, result: metrics.store_calls.inc({"kind": step, "result": result}),
     )
     keyed = KeyedCalls(ClaimWriter(client), dispatcher)
-    return EntryDaemon(settings, client, records, links, dispatcher, keyed, metrics)
+    return EntryDaemon(
+        settings,
+        identity,
+        hub,
+        client,
+        records,
+        links,
+        dispatcher,
+        keyed,
+        metrics,
+    )
--- a/bramleyport/daemons/_agent.py
+++ b/bramleyport/daemons/_agent.py
@@ -12,7 +12,6 @@
     EngineRole,
     Execution,
     PrefixBlock,
-    Revision,
     ServiceKind,
     UpstreamId,
     UpstreamState,
@@ -21,7 +20,7 @@
 )
 from bramleyport.daemons._agent_attempt import AgentAttempt, Upstream
 from bramleyport.queueing import QueuedWork, QueuePolicy, Refused as QueueRefused
-from bramleyport.telemetry import events, log_event
+from bramleyport.telemetry import events, log_event, membership_events
 from bramleyport.transport import listen
 from bramleyport.upstreams import EngineClient, UpstreamError
 from bramleyport.wire import (
@@ -31,7 +30,6 @@
     Cancel,
     Execute,
     Failed,
-    Leaving,
     LoadReport,
     Message,
     Refused,
@@ -42,6 +40,7 @@
 if TYPE_CHECKING:
     from websockets.asyncio.server import Server
 
+    from bramleyport.daemons._hub import PeerHub
     from bramleyport.estimate import Estimator
     from bramleyport.settings import AgentSettings
     from bramleyport.transport import Connection, Identity
@@ -60,8 +59,10 @@
         upstream: Upstream,
         queue: QueuePolicy,
         estimator: "Estimator",
+        hub: "PeerHub",
     ) -> None:
         self.settings = settings
+        self._hub = hub
         self._identity = identity
         self._upstream = upstream
         self._queue = queue
@@ -95,10 +96,12 @@
             process.address,
             process.peer_port,
             self._identity,
-            lambda: Revision(0),
+            self._hub.read_revision,
             self._greet,
             self._handle,
+            self._hub.detach,
         )
+        self._hub.start(process.seeds)
         self._tasks = [
             asyncio.ensure_future(self._report_forever()),
             asyncio.ensure_future(self._expire_forever()),
@@ -109,28 +112,36 @@
         """Refuse new work, finish what runs, then close."""
         log_event(events.PROCESS_STOPPING, process=self.settings.process.process)
         self._leaving = True
-        for connection in list(self._connections):
-            connection.post(Leaving(process=self._identity.process))
+        await self._hub.announce_leaving()
         deadline_s = time.monotonic() + self.settings.drain_timeout_s
         while self._has_work() and time.monotonic() < deadline_s:
             await asyncio.sleep(0.05)
+        self._hand_back()
         for connection in list(self._connections):
             await connection.flush()
         for task in self._tasks:
             task.cancel()
+        await self._hub.close()
         if self._server is not None:
             self._server.close()
             await self._server.wait_closed()
         log_event(events.PROCESS_STOPPED, process=self.settings.process.process)
 
+    def _hand_back(self) -> None:
+        """Refuse the work still queued, so that it runs on another upstream."""
+        for attempt_id, attempt in list(self._attempts.items()):
+            if attempt.task is None and self._queue.cancel(attempt_id):
+                log_event(membership_events.WORK_HANDED_BACK, attempt=attempt_id)
+                refusal = Refused(attempt=attempt_id, reason="leaving")
+                attempt.connection.post(refusal)
+
     def _has_work(self) -> bool:
         return bool(self._running) or len(self._queue) > 0
 
     def _greet(self, connection: "Connection") -> None:
         self._connections.add(connection)
         connection.post(self._describe())
-        if self._leaving:
-            connection.post(Leaving(process=self._identity.process))
+        self._hub.attach(connection)
         connection.post(self._make_load_report())
         connection.post(
             CacheReport(
@@ -151,6 +162,8 @@
                 attempt.acknowledge(message.next_frame)
         elif isinstance(message, Cancel):
             self._cancel(message.attempt)
+        else:
+            self._hub.handle(connection, message)
 
     def _accept(self, connection: "Connection", execute: Execute) -> None:
         if self._leaving:
--- a/bramleyport/daemons/_entry.py
+++ b/bramleyport/daemons/_entry.py
@@ -26,23 +26,23 @@
     Work,
 )
 from bramleyport.daemons._keyed import KeyedCalls, KeyedResult
-from bramleyport.daemons._records import (
-    KindWatcher,
-    make_host_handler,
-    make_record_handler,
-)
+from bramleyport.daemons._records import StoreFollower
 from bramleyport.daemons._work import build_call, build_work, check_key, find_record
-from bramleyport.objectapi import Kind, ObjectClient
+from bramleyport.objectapi import ObjectClient
 from bramleyport.telemetry import Metrics, events, log_event
+from bramleyport.transport import listen
 
 if TYPE_CHECKING:
     from twisted.internet.tcp import Port
+    from websockets.asyncio.server import Server
 
     from bramleyport.daemons._dispatch import Dispatcher
+    from bramleyport.daemons._hub import PeerHub
     from bramleyport.daemons._peers import AgentLinks
     from bramleyport.records import ServiceRecord
     from bramleyport.replication import RecordStore
     from bramleyport.settings import EntrySettings
+    from bramleyport.transport import Identity
 
 STOP_RETRY_S: Final = 1.0
 
@@ -53,6 +53,8 @@
     def __init__(
         self,
         settings: "EntrySettings",
+        identity: "Identity",
+        hub: "PeerHub",
         client: ObjectClient,
         records: "RecordStore",
         links: "AgentLinks",
@@ -62,15 +64,18 @@
     ) -> None:
         self.settings = settings
         self.records = records
+        self._identity = identity
+        self._hub = hub
         self._client = client
+        self._follower = StoreFollower(client, hub)
         self._links = links
         self._dispatcher = dispatcher
         self._keyed = keyed
         self._metrics = metrics
         self._stopping = False
         self._in_flight = 0
-        self._tasks: list[asyncio.Task[None]] = []
         self._listening: Port | None = None
+        self._server: Server | None = None
 
     @property
     def port(self) -> int:
@@ -78,21 +83,28 @@
         assert self._listening is not None
         return int(self._listening.getHost().port)
 
+    @property
+    def peer_port(self) -> int:
+        """Return the port on which peers connect."""
+        assert self._server is not None
+        return int(next(iter(self._server.sockets)).getsockname()[1])
+
     async def start(self) -> None:
         """Follow records and hosts and accept callers."""
         from twisted.internet import endpoints, reactor
 
         process = self.settings.process
-        record_handler = make_record_handler(self.records, lambda: None)
-        host_handler = make_host_handler(self._links.apply_hosts)
-        self._tasks = [
-            asyncio.ensure_future(
-                KindWatcher(self._client, Kind.SERVICES, record_handler).run()
-            ),
-            asyncio.ensure_future(
-                KindWatcher(self._client, Kind.HOSTS, host_handler).run()
-            ),
-        ]
+        self._server = await listen(
+            process.address,
+            process.peer_port,
+            self._identity,
+            self._hub.read_revision,
+            self._hub.attach,
+            self._hub.handle,
+            self._hub.detach,
+        )
+        self._hub.on_topology = self._follower.update
+        self._hub.start(process.seeds)
         site = make_site(CallerApp(self).app.resource(), self.settings.max_body_bytes)
         endpoint = endpoints.TCP4ServerEndpoint(
             reactor, self.settings.http_port, interface=process.address
@@ -105,6 +117,7 @@
         """Refuse new requests, finish those in flight, then close."""
         log_event(events.PROCESS_STOPPING, process=self.settings.process.process)
         self._stopping = True
+        await self._hub.announce_leaving()
         deadline_s = time.monotonic() + self.settings.drain_timeout_s
         while self._in_flight and time.monotonic() < deadline_s:
             await asyncio.sleep(0.05)
@@ -112,9 +125,13 @@
             stopped = self._listening.stopListening()
             if stopped is not None:
                 await stopped.asFuture(asyncio.get_running_loop())
-        for task in self._tasks:
-            task.cancel()
+        self._hub.on_topology = None
+        self._follower.stop()
         await self._links.close()
+        await self._hub.close()
+        if self._server is not None:
+            self._server.close()
+            await self._server.wait_closed()
         await self._client.close()
         log_event(events.PROCESS_STOPPED, process=self.settings.process.process)
 
--- a/bramleyport/daemons/_entry_attempt.py
+++ b/bramleyport/daemons/_entry_attempt.py
@@ -92,6 +92,8 @@
             except TimeoutError:
                 if self._connection is None or self._connection.closed.is_set():
                     return None
+                if self.link.connection not in (None, self._connection):
+                    return None
 
     async def _reconnect(self) -> bool:
         try:
--- a/bramleyport/daemons/_peers.py
+++ b/bramleyport/daemons/_peers.py
@@ -2,8 +2,8 @@
 
 import asyncio
 import time
-from collections.abc import Callable, Iterable
-from typing import Final
+from collections.abc import Callable
+from functools import partial
 
 from bramleyport.core import (
     AdapterName,
@@ -13,19 +13,24 @@
     Revision,
     SentWork,
     ServiceName,
-    StepError,
     UpstreamId,
     UpstreamState,
     UpstreamView,
     Work,
 )
-from bramleyport.membership import Host, HostState, ProcessRole
-from bramleyport.telemetry import events, log_event
-from bramleyport.transport import Connection, Identity, open_connection
-from bramleyport.wire import CacheReport, Leaving, LoadReport, Message, UpstreamInfo
-
-RECONNECT_MIN_S: Final = 0.2
-RECONNECT_MAX_S: Final = 5.0
+from bramleyport.daemons._hub import PeerHub
+from bramleyport.daemons._kept import KeptConnection
+from bramleyport.membership import (
+    Change,
+    Host,
+    HostState,
+    ProcessRole,
+    Removed,
+    Spoke,
+    StateChanged,
+)
+from bramleyport.transport import Connection, Identity
+from bramleyport.wire import CacheReport, LoadReport, Message, UpstreamInfo
 
 
 class AgentLink:
@@ -34,6 +39,7 @@
     def __init__(self, host: Host) -> None:
         self.host = host
         self.connection: Connection | None = None
+        self.kept: KeptConnection | None = None
         self.view: UpstreamView | None = None
         self.leaving = False
         self.connected = asyncio.Event()
@@ -46,7 +52,6 @@
             and not self.connection.closed.is_set()
             and self.view is not None
             and not self.leaving
-            and self.host.state is HostState.LIVE
         )
 
     def apply_info(self, info: UpstreamInfo) -> None:
@@ -67,8 +72,6 @@
         view.services = frozenset(ServiceName(name) for name in info.services)
         view.block_tokens = info.block_tokens
         view.rates = info.rates
-        if info.state is UpstreamState.LEAVING:
-            self.leaving = True
 
     def apply_load(self, report: LoadReport) -> None:
         """Take a load report and forget the work that it already counts."""
@@ -106,35 +109,32 @@
 
 
 class AgentLinks:
-    """Keep the agents of the host list connected."""
+    """Connect to the agents that the membership names."""
 
     def __init__(
         self,
         identity: Identity,
         read_revision: Callable[[], Revision],
         on_message: Callable[[AgentLink, Connection, Message], None],
+        hub: PeerHub,
     ) -> None:
         self._identity = identity
         self._read_revision = read_revision
         self._on_message = on_message
+        self._hub = hub
         self._links: dict[ProcessId, AgentLink] = {}
-        self._tasks: dict[ProcessId, asyncio.Task[None]] = {}
-
-    def apply_hosts(self, hosts: Iterable[Host]) -> None:
-        """Connect to new agents and drop those that the list no longer names."""
-        agents = {h.process: h for h in hosts if h.role is ProcessRole.AGENT}
-        for process in set(self._links) - set(agents):
-            self._tasks.pop(process).cancel()
-            del self._links[process]
-        for process, host in agents.items():
-            link = self._links.get(process)
-            if link is None or link.host.uri != host.uri:
-                if process in self._tasks:
-                    self._tasks[process].cancel()
-                link = AgentLink(host)
-                self._links[process] = link
-                self._tasks[process] = asyncio.ensure_future(self._keep(link))
-            link.host = host
+        hub.on_change = self.apply_change
+
+    def apply_change(self, change: Change) -> None:
+        """Connect to new agents and drop those that are gone."""
+        if isinstance(change, Removed):
+            self._drop(change.process)
+        elif isinstance(change, StateChanged):
+            link = self._links.get(change.process)
+            if link is not None:
+                link.leaving = change.state is HostState.LEAVING
+        elif change.host.role is ProcessRole.AGENT:
+            self._apply_host(change.host)
 
     def list_views(self) -> list[UpstreamView]:
         """Return the views of the upstreams that may get new work."""
@@ -153,52 +153,59 @@
 
     async def close(self) -> None:
         """Close all connections."""
-        for task in self._tasks.values():
-            task.cancel()
-        for link in self._links.values():
-            if link.connection is not None:
-                await link.connection.close("stopping")
-
-    async def _keep(self, link: AgentLink) -> None:
-        delay_s = RECONNECT_MIN_S
-        while True:
-            try:
-                connection = await open_connection(
-                    link.host.uri, self._identity, self._read_revision
-                )
-            except StepError as error:
-                log_event(
-                    events.CONNECT_FAILED,
-                    step=error.step,
-                    peer=link.host.process,
-                    reason=error.reason,
-                )
-                await asyncio.sleep(delay_s)
-                delay_s = min(RECONNECT_MAX_S, delay_s * 2)
-                continue
-            delay_s = RECONNECT_MIN_S
-            await self._serve(link, connection)
-
-    async def _serve(self, link: AgentLink, connection: Connection) -> None:
+        kept = [link.kept for link in self._links.values() if link.kept is not None]
+        await asyncio.gather(*(connection.close() for connection in kept))
+
+    def _apply_host(self, host: Host) -> None:
+        link = self._links.get(host.process)
+        if link is not None and link.host.endpoint == host.endpoint:
+            # The process restarted in place; the connection is already to the new one.
+            link.host = host
+            link.leaving = host.state is HostState.LEAVING
+            return
+        self._drop(host.process)
+        link = AgentLink(host)
+        link.leaving = host.state is HostState.LEAVING
+        self._links[host.process] = link
+        link.kept = KeptConnection(
+            host.uri,
+            host.process,
+            self._identity,
+            self._read_revision,
+            partial(self._open, link),
+            partial(self._close, link),
+            partial(self._receive, link),
+        )
+
+    def _drop(self, process: ProcessId) -> None:
+        link = self._links.pop(process, None)
+        if link is not None and link.kept is not None:
+            # Answers that still run on the old connection are read to their end.
+            link.kept.retire()
+
+    def _open(self, link: AgentLink, connection: Connection) -> None:
         link.connection = connection
-        link.leaving = False
         link.connected.set()
-        try:
-            await connection.run(lambda c, message: self._receive(link, c, message))
-        finally:
+        self._hub.attach(connection)
+
+    def _close(self, link: AgentLink, connection: Connection) -> None:
+        if link.connection is connection:
             link.connected.clear()
             link.connection = None
+        self._hub.detach(connection)
 
     def _receive(
         self, link: AgentLink, connection: Connection, message: Message
     ) -> None:
         if isinstance(message, UpstreamInfo):
             link.apply_info(message)
+            if message.state is UpstreamState.LEAVING:
+                self._hub.report_leaving(connection)
+            else:
+                self._hub.report(Spoke(connection.peer))
         elif isinstance(message, LoadReport):
             link.apply_load(message)
         elif isinstance(message, CacheReport):
             link.apply_cache(message)
-        elif isinstance(message, Leaving):
-            link.leaving = True
-        else:
+        elif not self._hub.handle(connection, message):
             self._on_message(link, connection, message)
--- a/bramleyport/daemons/_records.py
+++ b/bramleyport/daemons/_records.py
@@ -3,41 +3,57 @@
 import asyncio
 import json
 from collections.abc import Callable, Iterable
-from typing import Any, Final
+from typing import TYPE_CHECKING, Any, Final, Protocol
 
-from cattrs import BaseValidationError
 from result import Err
 
-from bramleyport.core import Revision, make_strict_converter
-from bramleyport.membership import Host
+from bramleyport.core import Revision
 from bramleyport.objectapi import (
     Kind,
     ObjectClient,
     StoredObject,
     StoreFailure,
+    WatchEvent,
     WatchEventType,
 )
-from bramleyport.replication import Ignored, RecordStore, Snapshot
-from bramleyport.telemetry import events, log_event
+from bramleyport.replication import Applied, Changes
+from bramleyport.telemetry import log_event, membership_events
+from bramleyport.wire import ReplicaEntry
+
+if TYPE_CHECKING:
+    from bramleyport.daemons._hub import PeerHub
 
 RETRY_S: Final = 1.0
+# A short wait shows twice within the stall limit that the store still answers.
+WATCH_TIMEOUT_S: Final = 2.0
+
+
+class Feed(Protocol):
+    """Take what the store says of one kind."""
 
-_converter = make_strict_converter()
+    def take_listing(self, revision: Revision, items: Iterable[StoredObject]) -> None:
+        """Take all objects."""
+        ...
+
+    def take_events(self, revision: Revision, events: Iterable[WatchEvent]) -> None:
+        """Take the changes up to a revision."""
+        ...
 
 
 class KindWatcher:
-    """Keep a copy of all objects of one kind."""
+    """Follow all objects of one kind."""
 
     def __init__(
         self,
         client: ObjectClient,
         kind: Kind,
-        on_change: Callable[[Revision, Iterable[StoredObject]], None],
+        feed: Feed,
+        on_answer: Callable[[], None],
     ) -> None:
         self._client = client
         self._kind = kind
-        self._on_change = on_change
-        self._objects: dict[str, StoredObject] = {}
+        self._feed = feed
+        self._on_answer = on_answer
 
     async def run(self) -> None:
         """List once, then watch, and list again whenever the watch expires."""
@@ -46,64 +62,128 @@
             if isinstance(listing, Err):
                 await asyncio.sleep(RETRY_S)
                 continue
-            self._objects = {item.name: item for item in listing.ok_value.items}
+            self._on_answer()
             revision = listing.ok_value.revision
-            self._on_change(revision, self._objects.values())
+            self._feed.take_listing(revision, listing.ok_value.items)
             await self._follow(revision)
 
     async def _follow(self, revision: Revision) -> None:
         while True:
-            batch = await self._client.watch(self._kind, revision)
+            batch = await self._client.watch(self._kind, revision, WATCH_TIMEOUT_S)
             if isinstance(batch, Err):
                 if batch.err_value.failure is StoreFailure.EXPIRED:
                     return
                 await asyncio.sleep(RETRY_S)
                 continue
+            self._on_answer()
             revision = batch.ok_value.revision
-            for event in batch.ok_value.events:
-                if event.type is WatchEventType.DELETED:
-                    self._objects.pop(event.object.name, None)
-                else:
-                    self._objects[event.object.name] = event.object
-            if batch.ok_value.events:
-                self._on_change(revision, self._objects.values())
-
-
-def make_record_handler(
-    store: RecordStore, on_applied: Callable[[], None]
-) -> Callable[[Revision, Iterable[StoredObject]], None]:
-    """Return the handler that puts watched records into force."""
-
-    def apply(revision: Revision, objects: Iterable[StoredObject]) -> None:
-        documents = tuple(
-            json.dumps(dict(item.spec)).encode()
-            for item in sorted(objects, key=lambda item: item.name)
-        )
-        result = store.offer(Snapshot(revision=revision, documents=documents))
-        if isinstance(result, Ignored):
-            return
-        for name, reasons in result.refused.items():
-            log_event(events.RECORD_INVALID, record=name, reasons=reasons)
-        log_event(events.RECORDS_APPLIED, revision=revision, records=len(store.records))
-        on_applied()
-
-    return apply
-
-
-def make_host_handler(
-    on_hosts: Callable[[list[Host]], None],
-) -> Callable[[Revision, Iterable[StoredObject]], None]:
-    """Return the handler that reads the watched host list."""
-
-    def apply(revision: Revision, objects: Iterable[StoredObject]) -> None:
-        hosts: list[Host] = []
-        for item in objects:
-            rows: Any = item.spec.get("hosts", [])
-            try:
-                hosts.extend(_converter.structure(rows, list[Host]))
-            except BaseValidationError as error:
-                log_event(events.STORE_CALL_FAILED, step="hosts", reason=repr(error))
+            self._feed.take_events(revision, batch.ok_value.events)
+
+
+class RecordFeed:
+    """Put watched records into force."""
+
+    def __init__(self, hub: "PeerHub") -> None:
+        self._hub = hub
+
+    def take_listing(self, revision: Revision, items: Iterable[StoredObject]) -> None:
+        """Take all records."""
+        entries = [_make_entry(item) for item in items]
+        store = self._hub.replica.records
+        self._finish(store.offer_listing(revision, entries))
+
+    def take_events(self, revision: Revision, events: Iterable[WatchEvent]) -> None:
+        """Take the changed records up to a revision."""
+        entries = [
+            _make_entry(event.object, removed=event.type is WatchEventType.DELETED)
+            for event in events
+        ]
+        store = self._hub.replica.records
+        self._finish(store.offer_change(revision, entries))
+
+    def _finish(self, result: object) -> None:
+        if isinstance(result, Applied):
+            sends = self._hub.replica.push()
+            self._hub.apply(Changes(records=True, refused=result.refused, sends=sends))
+
+
+class HostFeed:
+    """Hand the watched host list to the membership."""
+
+    def __init__(self, hub: "PeerHub") -> None:
+        self._hub = hub
+        self._objects: dict[str, StoredObject] = {}
+
+    def take_listing(self, revision: Revision, items: Iterable[StoredObject]) -> None:
+        """Take the whole list."""
+        self._objects = {item.name: item for item in items}
+        self._offer(revision)
+
+    def take_events(self, revision: Revision, events: Iterable[WatchEvent]) -> None:
+        """Take the changes of the list up to a revision."""
+        latest = Revision(0)
+        for event in events:
+            latest = max(latest, event.object.revision)
+            if event.type is WatchEventType.DELETED:
+                self._objects.pop(event.object.name, None)
+            else:
+                self._objects[event.object.name] = event.object
+        self._hub.replica.hosts.held.note_covered(revision)
+        if latest:
+            self._offer(latest)
+
+    def _offer(self, revision: Revision) -> None:
+        rows: list[Any] = []
+        for item in self._objects.values():
+            value: Any = item.spec.get("hosts", [])
+            if not isinstance(value, list) or not all(
+                isinstance(row, dict) and row.get("process") for row in value
+            ):
+                log_event(membership_events.HOST_LIST_REFUSED, name=item.name)
                 return
-        on_hosts(hosts)
+            rows.extend(value)
+        if self._hub.replica.hosts.offer(revision, rows):
+            self._hub.apply(Changes(hosts=True, sends=self._hub.replica.push()))
+
 
-    return apply
+class StoreFollower:
+    """Watch the store while this entry is one of its zone's watchers."""
+
+    def __init__(self, client: ObjectClient, hub: "PeerHub") -> None:
+        self._client = client
+        self._hub = hub
+        self._tasks: list[asyncio.Task[None]] = []
+
+    def update(self) -> None:
+        """Start or stop watching as the topology says."""
+        assert self._hub.topology is not None
+        watching = self._hub.topology.watching
+        if watching and not self._tasks:
+            log_event(membership_events.WATCH_STARTED)
+            feeds: dict[Kind, Feed] = {
+                Kind.SERVICES: RecordFeed(self._hub),
+                Kind.HOSTS: HostFeed(self._hub),
+            }
+            self._tasks = [
+                asyncio.ensure_future(
+                    KindWatcher(
+                        self._client, kind, feed, self._hub.record_store_answer
+                    ).run()
+                )
+                for kind, feed in feeds.items()
+            ]
+        elif not watching and self._tasks:
+            log_event(membership_events.WATCH_STOPPED)
+            self.stop()
+
+    def stop(self) -> None:
+        """Stop watching."""
+        for task in self._tasks:
+            task.cancel()
+        self._tasks = []
+        self._hub.stop_watching()
+
+
+def _make_entry(item: StoredObject, *, removed: bool = False) -> ReplicaEntry:
+    document = None if removed else json.dumps(dict(item.spec)).encode()
+    return ReplicaEntry(name=item.name, revision=item.revision, document=document)
--- a/bramleyport/membership/_membership.py
+++ b/bramleyport/membership/_membership.py
@@ -127,6 +127,8 @@
     def __init__(self, policy: MembershipPolicy | None = None) -> None:
         self._policy = policy or MembershipPolicy()
         self._members: dict[ProcessId, _Member] = {}
+        # Connected processes that no list has named yet.
+        self._unlisted: dict[ProcessId, int] = {}
         self._revision = Revision(0)
 
     @property
@@ -147,6 +149,7 @@
             return self._expire(now_s)
         member = self._members.get(event.process)
         if member is None:
+            self._note_unlisted(event)
             return []
         if isinstance(event, Connected):
             return self._connect(member, event)
@@ -162,6 +165,12 @@
             return []
         return _set_leaving(member, event.source)
 
+    def _note_unlisted(self, event: Event) -> None:
+        if isinstance(event, Connected):
+            self._unlisted[event.process] = event.incarnation
+        elif isinstance(event, Disconnected):
+            self._unlisted.pop(event.process, None)
+
     def _connect(self, member: _Member, event: Connected) -> list[Change]:
         member.silent_since_s = None
         known = member.host.incarnation
@@ -187,6 +196,10 @@
         member = self._members.get(host.process)
         if member is None:
             member = _Member(host=host, silent_since_s=now_s)
+            if host.process in self._unlisted:
+                member.silent_since_s = None
+                incarnation = self._unlisted.pop(host.process)
+                member.host = replace(host, incarnation=incarnation)
             if host.state is HostState.LEAVING:
                 member.leaving = LeavingSource.HOST_LIST
             self._members[host.process] = member
--- a/bramleyport/replication/_revisions.py
+++ b/bramleyport/replication/_revisions.py
@@ -91,11 +91,10 @@
         if part.after is not None:
             return self._advance(part.revision, refused)
         named = {item.name for item in part.entries} | set(part.invalid)
-        for name in set(self.items) - named:
+        for name in (set(self.items) | set(self.invalid)) - named:
             self._remove(name, part.revision)
         for name in part.invalid:
-            if name not in self.items:
-                self.invalid[name] = part.revision
+            self.invalid[name] = part.revision
         return self._advance(part.revision, refused, floor=part.revision)
 
     def build_part(self, after: Revision) -> ReplicaPart:
@@ -142,13 +141,18 @@
         return item.revision if item else self._removed.get(name, Revision(0))
 
     def _fill_gaps(self, part: ReplicaPart) -> Outcome:
+        # At the same revision, a peer may have seen a valid version that was already
+        # replaced by an invalid one when this process first read the store.
+        if part.revision != self.revision:
+            return Outcome(False, {})
         missing = [
             item
             for item in part.entries
-            if item.name in self.invalid and item.name not in self.items
+            if item.name in self.invalid
+            and item.revision > self._get_revision(item.name)
         ]
         refused = self._take_all(missing)
-        return Outcome(any(item.name in self.items for item in missing), refused)
+        return Outcome(bool(missing), refused)
 
     def _take_all(self, items: Iterable[ReplicaEntry]) -> dict[str, list[str]]:
         refused: dict[str, list[str]] = {}
--- a/bramleyport/replication/_store.py
+++ b/bramleyport/replication/_store.py
@@ -124,16 +124,25 @@
 
     def offer(self, revision: Revision, rows: Iterable[Mapping[str, Any]]) -> bool:
         """Take the rows of the store's list and return whether any changed."""
-        items: dict[str, ReplicaEntry] = {}
-        for row in rows:
-            name = str(row.get("process", ""))
-            document = json.dumps(row, sort_keys=True).encode()
-            held = self.held.items.get(name)
-            unchanged = held is not None and held.document == document
-            # Only changed rows get the new revision, so that deltas stay small.
-            since = held.revision if held is not None and unchanged else revision
-            items[name] = ReplicaEntry(name=name, revision=since, document=document)
-        return self.held.apply_listing(revision, items.values()).changed
+        documents = {
+            str(row.get("process", "")): json.dumps(row, sort_keys=True).encode()
+            for row in rows
+        }
+        held = self.held.items
+        # Only changed rows get the new revision, so that deltas stay small.
+        changed = [
+            ReplicaEntry(name=name, revision=revision, document=document)
+            for name, document in documents.items()
+            if name not in held or held[name].document != document
+        ]
+        if self.revision == 0:
+            return self.held.apply_listing(revision, changed).changed
+        changed += [
+            ReplicaEntry(name=name, revision=revision)
+            for name in held
+            if name not in documents
+        ]
+        return self.held.apply_change(revision, changed).changed
 
     def merge(self, part: ReplicaPart) -> bool:
         """Take a peer's list and return whether it changed this one."""
--- a/bramleyport/settings/__init__.py
+++ b/bramleyport/settings/__init__.py
@@ -4,16 +4,20 @@
 from bramleyport.settings._schema import (
     AgentSettings,
     EntrySettings,
+    HeartbeatSettings,
     LogSettings,
     PolicySettings,
     ProcessSettings,
+    TlsSettings,
 )
 
 __all__ = [
     "AgentSettings",
     "EntrySettings",
+    "HeartbeatSettings",
     "LogSettings",
     "PolicySettings",
     "ProcessSettings",
+    "TlsSettings",
     "load_settings",
 ]
--- a/bramleyport/settings/_schema.py
+++ b/bramleyport/settings/_schema.py
@@ -13,6 +13,29 @@
     level: str = "INFO"
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class HeartbeatSettings:
+    """Set the heartbeat interval and the silences that follow from missed ones."""
+
+    interval_s: float = 1.0
+    missed_suspect: float = 2.5
+    missed_silent: float = 6.0
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class TlsSettings:
+    """Name the files for mutual TLS between processes."""
+
+    certificate_file: str = ""
+    key_file: str = ""
+    ca_file: str = ""
+
+    @property
+    def enabled(self) -> bool:
+        """Return whether connections use TLS."""
+        return bool(self.certificate_file or self.key_file or self.ca_file)
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class ProcessSettings:
     """Name a process, its place and its addresses."""
@@ -24,6 +47,11 @@
     peer_port: int
     object_api: str
     secret_file: str = ""
+    tls: TlsSettings = field(default_factory=TlsSettings)
+    heartbeats: HeartbeatSettings = field(default_factory=HeartbeatSettings)
+    # Peers ("address:port") that are asked for records and hosts when the store is
+    # down at the start.
+    seeds: tuple[str, ...] = ()
     log: LogSettings = field(default_factory=LogSettings)
 
 
--- a/bramleyport/transport/__init__.py
+++ b/bramleyport/transport/__init__.py
@@ -3,11 +3,15 @@
 from bramleyport.transport._connection import Connection, Handler, Identity
 from bramleyport.transport._endpoint import listen, open_connection
 from bramleyport.transport._http import make_http_client
+from bramleyport.transport._tls import TlsContexts, build_tls, is_loopback
 
 __all__ = [
     "Connection",
     "Handler",
     "Identity",
+    "TlsContexts",
+    "build_tls",
+    "is_loopback",
     "listen",
     "make_http_client",
     "open_connection",
--- a/bramleyport/transport/_connection.py
+++ b/bramleyport/transport/_connection.py
@@ -13,7 +13,9 @@
 
 from bramleyport.core import ProcessId, RegionName, Revision, StepError, ZoneName
 from bramleyport.telemetry import events, log_event
+from bramleyport.transport._tls import TlsContexts
 from bramleyport.wire import (
+    PROTOCOL_MAX,
     CloseSilent,
     Heartbeat,
     HeartbeatPolicy,
@@ -21,6 +23,7 @@
     OpenReplacement,
     Received,
     SendHeartbeat,
+    Sent,
     Session,
     Tick,
     decode,
@@ -31,7 +34,7 @@
 QUEUE_MESSAGES: Final = 20_000
 
 WebSocket = ClientConnection | ServerConnection
-Handler = Callable[["Connection", Message], None]
+Handler = Callable[["Connection", Message], object]
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -43,6 +46,8 @@
     region: RegionName
     secret: bytes
     heartbeats: HeartbeatPolicy = field(default_factory=HeartbeatPolicy)
+    incarnation: int = 0
+    tls: TlsContexts | None = None
 
 
 class Connection:
@@ -54,16 +59,27 @@
         peer: ProcessId,
         policy: HeartbeatPolicy,
         read_revision: Callable[[], Revision],
+        incarnation: int = 0,
+        version: int = PROTOCOL_MAX,
     ) -> None:
         self.peer = peer
+        self.incarnation = incarnation
+        self.version = version
+        self.make_heartbeat: Callable[[int], Heartbeat] | None = None
         self.closed = asyncio.Event()
         self.on_suspect: Callable[[], None] | None = None
         self._socket = socket
+        self._tick_s = min(TICK_S, policy.interval_s / 2)
         self._session = Session(policy, time.monotonic())
         self._read_revision = read_revision
         self._closing: asyncio.Future[None] | None = None
         self._outgoing: asyncio.Queue[Message] = asyncio.Queue(QUEUE_MESSAGES)
 
+    @property
+    def suspect(self) -> bool:
+        """Return whether the peer has been silent for too long or is gone."""
+        return self.closed.is_set() or self._session.suspect
+
     def post(self, message: Message) -> None:
         """Queue a message for sending; a closed connection drops it."""
         if self.closed.is_set():
@@ -125,16 +141,16 @@
             while True:
                 message = await self._outgoing.get()
                 await self._socket.send(encode(message))
+                self._session.step(Sent(), time.monotonic())
         except ConnectionClosed:
             return
 
     async def _watch(self) -> None:
         while True:
-            await asyncio.sleep(TICK_S)
+            await asyncio.sleep(self._tick_s)
             for action in self._session.step(Tick(), time.monotonic()):
                 if isinstance(action, SendHeartbeat):
-                    revision = self._read_revision()
-                    self.post(Heartbeat(sequence=action.sequence, revision=revision))
+                    self.post(self._build_heartbeat(action.sequence))
                 elif isinstance(action, OpenReplacement):
                     if self.on_suspect is not None:
                         self.on_suspect()
@@ -146,6 +162,11 @@
                     )
                     return
 
+    def _build_heartbeat(self, sequence: int) -> Heartbeat:
+        if self.make_heartbeat is not None:
+            return self.make_heartbeat(sequence)
+        return Heartbeat(sequence=sequence, revision=self._read_revision())
+
 
 def fail_step(step: str, peer: str, reason: str) -> StepError:
     """Build the error of a failed handshake step and log it."""
--- a/bramleyport/transport/_endpoint.py
+++ b/bramleyport/transport/_endpoint.py
@@ -37,6 +37,8 @@
 )
 
 HANDSHAKE_TIMEOUT_S: Final = 3.0
+# Handshake messages are about 200 bytes; a peer without proof gets no more memory.
+HANDSHAKE_BYTES: Final = 4096
 
 M = TypeVar("M", bound=Message)
 OnConnected = Callable[[Connection], None]
@@ -50,7 +52,8 @@
     try:
         async with asyncio.timeout(HANDSHAKE_TIMEOUT_S):
             socket = await connect(
-                uri,
+                _secure(uri) if identity.tls else uri,
+                ssl=identity.tls.client if identity.tls else None,
                 max_size=MAX_FRAME_BYTES,
                 compression=None,
                 ping_interval=None,
@@ -76,15 +79,29 @@
         version_min=PROTOCOL_MIN,
         version_max=PROTOCOL_MAX,
         nonce=os.urandom(NONCE_BYTES),
+        incarnation=identity.incarnation,
     )
     await socket.send(encode(hello))
     welcome = await _expect(socket, uri, Welcome)
     expected = sign_server(identity.secret, hello, welcome.nonce)
     if not match_proof(expected, welcome.proof):
         raise fail_step("welcome", uri, "the server's proof does not match")
+    if not PROTOCOL_MIN <= welcome.version <= PROTOCOL_MAX:
+        raise fail_step("welcome", uri, f"version {welcome.version} was not offered")
     await socket.send(encode(Proof(proof=sign_client(identity.secret, hello, welcome))))
     log_event(events.CONNECTION_OPENED, peer=welcome.process)
-    return Connection(socket, welcome.process, identity.heartbeats, read_revision)
+    return Connection(
+        socket,
+        welcome.process,
+        identity.heartbeats,
+        read_revision,
+        welcome.incarnation,
+        welcome.version,
+    )
+
+
+def _secure(uri: str) -> str:
+    return "wss://" + uri.removeprefix("ws://")
 
 
 async def listen(
@@ -94,6 +111,7 @@
     read_revision: ReadRevision,
     on_connected: OnConnected,
     handler: Handler,
+    on_closed: OnConnected | None = None,
 ) -> Server:
     """Accept connections from peers until the server is closed."""
 
@@ -104,12 +122,17 @@
         except (StepError, TimeoutError, WebSocketException):
             return
         on_connected(connection)
-        await connection.run(handler)
+        try:
+            await connection.run(handler)
+        finally:
+            if on_closed is not None:
+                on_closed(connection)
 
     return await serve(
         accept,
         host,
         port,
+        ssl=identity.tls.server if identity.tls else None,
         max_size=MAX_FRAME_BYTES,
         compression=None,
         ping_interval=None,
@@ -133,17 +156,27 @@
         version=version.ok_value,
         nonce=nonce,
         proof=sign_server(identity.secret, hello, nonce),
+        incarnation=identity.incarnation,
     )
     await socket.send(encode(welcome))
     proof = await _expect(socket, address, Proof)
     if not match_proof(sign_client(identity.secret, hello, welcome), proof.proof):
         raise fail_step("proof", address, "the client's proof does not match")
     log_event(events.CONNECTION_OPENED, peer=hello.process)
-    return Connection(socket, hello.process, identity.heartbeats, read_revision)
+    return Connection(
+        socket,
+        hello.process,
+        identity.heartbeats,
+        read_revision,
+        hello.incarnation,
+        version.ok_value,
+    )
 
 
 async def _expect(socket: WebSocket, peer: str, kind: type[M]) -> M:
     data = await socket.recv()
+    if len(data) > HANDSHAKE_BYTES:
+        raise fail_step("handshake", peer, f"{len(data)} bytes before the proof")
     result = decode(data if isinstance(data, bytes) else data.encode())
     if isinstance(result, Err):
         raise fail_step("handshake", peer, result.err_value)
--- a/bramleyport/wire/_session.py
+++ b/bramleyport/wire/_session.py
@@ -1,6 +1,11 @@
 """Decide when to send heartbeats and when a connection has gone silent."""
 
 from dataclasses import dataclass
+from typing import Final
+
+# Other messages show that the sender is alive, but the revision in force travels in
+# heartbeats, so one is sent at least every so many intervals.
+HEARTBEAT_EVERY: Final = 5.0
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -57,17 +62,26 @@
         self._policy = policy
         self._last_received_s = now_s
         self._last_heartbeat_s = now_s
+        self._last_sent_s = now_s
         self._sequence = 0
         self._replacing = False
         self._closed = False
 
+    @property
+    def suspect(self) -> bool:
+        """Return whether the peer has been silent for too long."""
+        return self._replacing or self._closed
+
     def step(self, event: SessionEvent, now_s: float) -> list[SessionAction]:
         """Apply an event and return what the transport has to do."""
         if isinstance(event, Received):
             self._last_received_s = now_s
             self._replacing = False
             return []
-        if isinstance(event, Sent) or self._closed:
+        if isinstance(event, Sent):
+            self._last_sent_s = now_s
+            return []
+        if self._closed:
             return []
         return self._tick(now_s)
 
@@ -80,8 +94,10 @@
         if silent_s >= self._policy.suspect_s and not self._replacing:
             self._replacing = True
             actions.append(OpenReplacement())
-        if now_s - self._last_heartbeat_s >= self._policy.interval_s:
-            self._last_heartbeat_s = now_s
+        interval_s = self._policy.interval_s
+        quiet = now_s - self._last_sent_s >= interval_s
+        if quiet or now_s - self._last_heartbeat_s >= HEARTBEAT_EVERY * interval_s:
+            self._last_heartbeat_s = self._last_sent_s = now_s
             self._sequence += 1
             actions.append(SendHeartbeat(self._sequence))
         return actions
--- /dev/null
+++ b/tests/test_membership.py
@@ -0,0 +1,168 @@
+"""Guard which hosts are believed live, leaving or gone."""
+
+from dataclasses import replace
+
+import pytest
+
+from bramleyport.core import ProcessId, RegionName, Revision, ZoneName
+from bramleyport.membership import (
+    Added,
+    Connected,
+    Disconnected,
+    Host,
+    HostList,
+    HostState,
+    LeavingReported,
+    LeavingSource,
+    Membership,
+    ProcessRole,
+    Removed,
+    Replaced,
+    Spoke,
+    StateChanged,
+    Tick,
+)
+
+A = ProcessId("agent-0")
+
+
+def make_host(index: int, state: HostState = HostState.LIVE) -> Host:
+    return Host(
+        process=ProcessId(f"agent-{index}"),
+        role=ProcessRole.AGENT,
+        address="127.0.0.1",
+        port=9000 + index,
+        zone=ZoneName("okara"),
+        region=RegionName("punjab"),
+        state=state,
+    )
+
+
+def make_membership(count: int = 10) -> Membership:
+    """Return a membership whose hosts are listed and connected at time 0."""
+    membership = Membership()
+    hosts = tuple(make_host(index) for index in range(count))
+    membership.step(HostList(revision=Revision(1), hosts=hosts), 0.0)
+    for host in hosts:
+        membership.step(Connected(process=host.process, incarnation=5), 0.0)
+    return membership
+
+
+def list_names(membership: Membership) -> set[str]:
+    return {host.process for host in membership.hosts}
+
+
+@pytest.mark.parametrize("kept", [0, 1, 4, 9], ids=["empty", "one", "few", "one lost"])
+def test_list_does_not_remove_connected_hosts(kept: int) -> None:
+    membership = make_membership()
+    hosts = tuple(make_host(index) for index in range(kept))
+    changes = membership.step(HostList(revision=Revision(2), hosts=hosts), 1.0)
+    changes += membership.step(Tick(), 3600.0)
+    assert changes == []
+    assert len(membership.hosts) == 10
+
+
+def test_missing_host_is_removed_once_silent() -> None:
+    membership = make_membership()
+    hosts = tuple(make_host(index) for index in range(1, 10))
+    membership.step(HostList(revision=Revision(2), hosts=hosts), 1.0)
+    membership.step(Disconnected(A), 10.0)
+    assert membership.step(Tick(), 15.9) == []
+    assert membership.step(Tick(), 16.0) == [Removed(A)]
+
+
+def test_silent_host_stays_while_listed() -> None:
+    membership = make_membership()
+    membership.step(Disconnected(A), 1.0)
+    assert membership.step(Tick(), 3600.0) == []
+
+
+@pytest.mark.parametrize("kept", [0, 3], ids=["empty", "shrunk"])
+def test_sudden_shrink_needs_long_silence(kept: int) -> None:
+    membership = make_membership()
+    hosts = tuple(make_host(index) for index in range(9, 9 - kept, -1))
+    membership.step(HostList(revision=Revision(2), hosts=hosts), 1.0)
+    membership.step(Disconnected(A), 1.0)
+    assert membership.step(Tick(), 60.0) == []
+    assert membership.step(Tick(), 61.0) == [Removed(A)]
+
+
+def test_host_connected_before_it_was_listed_stays() -> None:
+    membership = Membership()
+    membership.step(Connected(process=A, incarnation=5), 0.0)
+    hosts = (make_host(0), make_host(1))
+    membership.step(HostList(revision=Revision(1), hosts=hosts), 1.0)
+    membership.step(HostList(revision=Revision(2), hosts=hosts[1:]), 2.0)
+    membership.step(Tick(), 3600.0)
+    assert A in list_names(membership)
+
+
+def test_older_list_is_ignored() -> None:
+    membership = make_membership()
+    host = make_host(10)
+    assert membership.step(HostList(revision=Revision(1), hosts=(host,)), 1.0) == []
+
+
+LEAVING_SIGNS = {
+    "itself": LeavingReported(process=A, source=LeavingSource.ITSELF, incarnation=5),
+    "peer": LeavingReported(process=A, source=LeavingSource.PEER, incarnation=5),
+    "list": HostList(
+        revision=Revision(2),
+        hosts=(
+            make_host(0, HostState.LEAVING),
+            *(make_host(index) for index in range(1, 10)),
+        ),
+    ),
+}
+
+
+@pytest.mark.parametrize("first", LEAVING_SIGNS)
+def test_i7_first_sign_of_leaving_counts_at_once(first: str) -> None:
+    membership = make_membership()
+    changes = membership.step(LEAVING_SIGNS[first], 1.0)
+    assert changes == [StateChanged(A, HostState.LEAVING)]
+    for sign in LEAVING_SIGNS.values():
+        assert membership.step(sign, 2.0) == []
+
+
+def test_lagging_list_does_not_undo_leaving() -> None:
+    membership = make_membership()
+    membership.step(LEAVING_SIGNS["itself"], 1.0)
+    hosts = tuple(make_host(index) for index in range(10))
+    assert membership.step(HostList(revision=Revision(2), hosts=hosts), 2.0) == []
+    assert membership.find(A) == replace(
+        make_host(0), incarnation=5, state=HostState.LEAVING
+    )
+
+
+def test_own_word_overrides_a_peer_only() -> None:
+    membership = make_membership()
+    membership.step(LEAVING_SIGNS["peer"], 1.0)
+    assert membership.step(Spoke(A), 2.0) == [StateChanged(A, HostState.LIVE)]
+    membership.step(LEAVING_SIGNS["list"], 3.0)
+    assert membership.step(Spoke(A), 4.0) == []
+
+
+def test_restarted_process_replaces_its_old_entry() -> None:
+    membership = make_membership()
+    membership.step(LEAVING_SIGNS["itself"], 1.0)
+    changes = membership.step(Connected(process=A, incarnation=6), 2.0)
+    assert changes == [Replaced(replace(make_host(0), incarnation=6))]
+    # A late report about the old process must not stop the new one.
+    assert membership.step(LEAVING_SIGNS["peer"], 3.0) == []
+
+
+def test_new_address_replaces_the_old_entry() -> None:
+    membership = make_membership()
+    membership.step(LEAVING_SIGNS["itself"], 1.0)
+    moved = replace(make_host(0), port=9999)
+    hosts = (moved, *(make_host(index) for index in range(1, 10)))
+    changes = membership.step(HostList(revision=Revision(2), hosts=hosts), 2.0)
+    assert changes == [Replaced(moved)]
+    assert len(membership.hosts) == 10
+
+
+def test_new_host_is_added() -> None:
+    host = make_host(3)
+    changes = Membership().step(HostList(revision=Revision(1), hosts=(host,)), 0.0)
+    assert changes == [Added(host)]
