--- a/bramleyport/core/_converter.py
+++ b/bramleyport/core/_converter.py
@@ -1,8 +1,6 @@
 """Strict conversion between plain data and dataclasses."""
 
-import operator
 from enum import Enum
-from functools import partial
 from typing import Any
 
 from cattrs import Converter
@@ -20,9 +18,12 @@
     return float(value)
 
 
-def _check_str(value: object, _: type) -> str:
+def _check_str(value: object, target: type) -> object:
     if not isinstance(value, str):
         raise TypeError(f"expected text, got {value!r}")
+    # The hook of a class also takes its subclasses, here the string enumerations.
+    if isinstance(target, type) and issubclass(target, Enum):
+        return target(value)
     return value
 
 
@@ -49,8 +50,7 @@
         bytes: _check_bytes,
     }
     for kind, check in checks.items():
-        # A hook by class would also take the string enumerations.
-        converter.register_structure_hook_func(partial(operator.is_, kind), check)
+        converter.register_structure_hook(kind, check)
     converter.register_unstructure_hook(bytes, lambda value: value)
     converter.register_unstructure_hook(Enum, lambda value: value.value)
     return converter
--- a/bramleyport/transport/_connection.py
+++ b/bramleyport/transport/_connection.py
@@ -3,6 +3,7 @@
 import asyncio
 import time
 from collections.abc import Callable
+from contextlib import suppress
 from dataclasses import dataclass, field
 from typing import Final
 
@@ -10,6 +11,7 @@
 from websockets.asyncio.client import ClientConnection
 from websockets.asyncio.server import ServerConnection
 from websockets.exceptions import ConnectionClosed
+from websockets.frames import CloseCode
 
 from bramleyport.core import ProcessId, RegionName, Revision, StepError, ZoneName
 from bramleyport.telemetry import events, log_event
@@ -115,7 +117,10 @@
     async def close(self, reason: str) -> None:
         """Close the socket; pending messages are dropped."""
         self.closed.set()
-        await self._socket.close(reason=reason[:100])
+        # asyncio raises AttributeError when a transport that the peer reset while
+        # this side was still writing is aborted.
+        with suppress(AttributeError, ConnectionClosed):
+            await self._socket.close(reason=reason[:100])
 
     async def _receive(self, handler: Handler) -> None:
         try:
@@ -131,7 +136,14 @@
                     )
                     return
                 handler(self, result.ok_value)
-        except ConnectionClosed:
+        except ConnectionClosed as error:
+            if error.sent is not None and error.sent.code == CloseCode.MESSAGE_TOO_BIG:
+                log_event(
+                    events.MESSAGE_MALFORMED,
+                    step="receive",
+                    peer=self.peer,
+                    reason="the frame is too large",
+                )
             return
         except Exception as error:  # one faulty message must not end the process
             log_event(events.HANDLER_FAILED, peer=self.peer, error=repr(error))
@@ -157,6 +169,7 @@
                 elif isinstance(action, CloseSilent):
                     log_event(
                         events.CONNECTION_SILENT,
+                        step="heartbeat",
                         peer=self.peer,
                         silent_s=round(action.silent_s, 1),
                     )
--- a/bramleyport/transport/_endpoint.py
+++ b/bramleyport/transport/_endpoint.py
@@ -119,7 +119,10 @@
         try:
             async with asyncio.timeout(HANDSHAKE_TIMEOUT_S):
                 connection = await _answer(socket, identity, read_revision)
-        except (StepError, TimeoutError, WebSocketException):
+        except TimeoutError:
+            fail_step("handshake", str(socket.remote_address), "timed out")
+            return
+        except (StepError, WebSocketException):
             return
         on_connected(connection)
         try:
--- /dev/null
+++ b/tests/test_wire.py
@@ -0,0 +1,175 @@
+"""Guard the codec, its limits, version agreement and heartbeats."""
+
+from dataclasses import fields
+from typing import Any
+
+import cbor2
+import pytest
+from hypothesis import given, settings, strategies as st
+from result import Err, Ok
+
+from bramleyport.core import ProcessId, RegionName, Revision, ZoneName
+from bramleyport.wire import (
+    MAX_DEPTH,
+    MAX_FRAME_BYTES,
+    MAX_ITEMS,
+    MESSAGES,
+    CloseSilent,
+    Heartbeat,
+    HeartbeatPolicy,
+    Hello,
+    OpenReplacement,
+    Received,
+    SendHeartbeat,
+    Sent,
+    Session,
+    Tick,
+    choose_version,
+    decode,
+    encode,
+)
+
+# CBOR carries larger numbers as tags, which the limits refuse.
+st.register_type_strategy(int, st.integers(-(2**63), 2**63 - 1))
+st.register_type_strategy(float, st.floats(allow_nan=False))
+
+messages = st.one_of(*(st.from_type(kind) for kind in MESSAGES.values()))
+
+
+@settings(max_examples=400)
+@given(messages)
+def test_every_message_survives_the_codec(message: Any) -> None:
+    assert decode(encode(message)) == Ok(message)
+
+
+@settings(max_examples=1000)
+@given(st.binary(max_size=200))
+def test_random_bytes_are_refused(data: bytes) -> None:
+    decode(data)
+
+
+@settings(max_examples=1000)
+@given(messages, st.data())
+def test_damaged_messages_never_raise(message: Any, data: st.DataObject) -> None:
+    raw = bytearray(encode(message))
+    for _ in range(data.draw(st.integers(1, 4))):
+        raw[data.draw(st.integers(0, len(raw) - 1))] = data.draw(st.integers(0, 255))
+    cut = data.draw(st.integers(0, len(raw)))
+    decode(bytes(raw[:cut]))
+    decode(bytes(raw))
+
+
+plain = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text() | st.binary(),
+    lambda inner: st.lists(inner, max_size=3),
+    max_leaves=5,
+)
+field_names = sorted({f.name for kind in MESSAGES.values() for f in fields(kind)})
+
+
+@settings(max_examples=400)
+@given(
+    st.sampled_from(sorted(MESSAGES)),
+    st.dictionaries(st.sampled_from(field_names), plain, max_size=6),
+)
+def test_unexpected_values_never_raise(tag: str, values: dict[str, Any]) -> None:
+    decode(cbor2.dumps([tag, values]))
+
+
+def test_unknown_fields_are_ignored() -> None:
+    data = cbor2.dumps(["heartbeat", {"sequence": 1, "added_later": [1, 2]}])
+    assert decode(data) == Ok(Heartbeat(sequence=1))
+
+
+def nest(depth: int) -> bytes:
+    return b"\x81" * depth + b"\x80"
+
+
+MALFORMED = {
+    "empty": (b"", "truncated"),
+    "unknown tag": (cbor2.dumps(["news", {}]), "unknown message tag"),
+    "missing field": (cbor2.dumps(["heartbeat", {}]), "malformed heartbeat"),
+    "wrong type": (cbor2.dumps(["heartbeat", {"sequence": "1"}]), "malformed"),
+    "no fields": (cbor2.dumps(["heartbeat"]), "not a pair"),
+    "trailing bytes": (cbor2.dumps(["x", {}]) + b"\0", "bytes after the end"),
+    "deep": (nest(MAX_DEPTH + 1), "nested deeper"),
+    "very deep": (nest(100_000), "nested deeper"),
+    "many items": (cbor2.dumps([0] * (MAX_ITEMS + 1)), "more than"),
+    "claimed list": (b"\x9b" + b"\xff" * 8, "exceeds the frame"),
+    "claimed map": (b"\xbb" + b"\x7f" * 8, "exceeds the frame"),
+    "claimed bytes": (b"\x5a\x7f\xff\xff\xff", "exceeds the frame"),
+    "indefinite": (b"\x9f\xff", "indefinite"),
+    "shared reference": (b"\xd8\x1c\x81\xd8\x1d\x00", "tag"),
+    "oversize": (b"\0" * (MAX_FRAME_BYTES + 1), "exceeds"),
+}
+
+
+@pytest.mark.parametrize("case", MALFORMED)
+def test_malformed_frame_is_refused_with_its_reason(case: str) -> None:
+    data, reason = MALFORMED[case]
+    result = decode(data)
+    assert isinstance(result, Err)
+    assert reason in result.err_value
+
+
+def make_hello(low: int, high: int) -> Hello:
+    return Hello(
+        process=ProcessId("p"),
+        zone=ZoneName("z"),
+        region=RegionName("r"),
+        version_min=low,
+        version_max=high,
+        nonce=b"",
+    )
+
+
+@pytest.mark.parametrize(
+    ("low", "high", "agreed"), [(1, 1, 1), (1, 9, 1), (2, 9, None), (0, 0, None)]
+)
+def test_highest_common_version_is_agreed(
+    low: int, high: int, agreed: int | None
+) -> None:
+    assert choose_version(make_hello(low, high)).ok() == agreed
+
+
+POLICY = HeartbeatPolicy(interval_s=1.0, suspect_s=2.5, silence_s=6.0)
+
+
+def test_silent_peer_is_replaced_before_it_is_closed() -> None:
+    session = Session(POLICY, 0.0)
+    assert OpenReplacement() not in session.step(Tick(), 2.4)
+    assert OpenReplacement() in session.step(Tick(), 2.5)
+    assert OpenReplacement() not in session.step(Tick(), 3.0)
+    assert session.step(Tick(), 6.0) == [CloseSilent(6.0)]
+    assert session.step(Tick(), 7.0) == []
+
+
+def test_received_message_ends_suspicion() -> None:
+    session = Session(POLICY, 0.0)
+    session.step(Tick(), 2.5)
+    session.step(Received(), 2.6)
+    assert not session.suspect
+    assert OpenReplacement() in session.step(Tick(), 5.5)
+
+
+def test_heartbeat_is_sent_when_nothing_else_was() -> None:
+    session = Session(POLICY, 0.0)
+    assert session.step(Tick(), 1.0) == [SendHeartbeat(1)]
+    session.step(Sent(), 1.5)
+    assert session.step(Tick(), 2.0) == []
+
+
+def test_other_messages_do_not_hold_up_the_revision() -> None:
+    session = Session(POLICY, 0.0)
+    sent = []
+    for step in range(1, 13):
+        session.step(Received(), step / 2)
+        session.step(Sent(), step / 2)
+        sent += session.step(Tick(), step / 2)
+    assert sent == [SendHeartbeat(1)]
+
+
+def test_heartbeat_is_small() -> None:
+    """Heartbeats are most of the control traffic of an idle process."""
+    beat = Heartbeat(sequence=10_000, revision=Revision(10_000))
+    assert len(encode(beat)) < 50
