Keep apply_hosts as the agents' interface and rotate watchers without a timer

Cause: a list that names only dead entries would have left nobody watching the store; suspicion by time revisited the same few entries. Change: an entry always counts itself as a candidate, suspects are kept until they make progress or all are suspected; parsed records and hosts are cached by document.

--- a/bramleyport/daemons/_hub.py
+++ b/bramleyport/daemons/_hub.py
@@ -49,7 +49,7 @@
         self.replica = replica
         self.membership = Membership()
         self.topology = topology
-        self.on_change: Callable[[Change], None] | None = None
+        self.on_hosts: Callable[[list[Host]], None] | None = None
         self.on_records: Callable[[], None] | None = None
         self.on_topology: Callable[[], None] | None = None
         self._identity = identity
@@ -134,7 +134,7 @@
             if self.on_records is not None:
                 self.on_records()
         self._send(changes.sends)
-        if changes.hosts:
+        if changes.hosts and self.topology is not None:
             hosts = self.replica.hosts
             self.report(HostList(revision=hosts.revision, hosts=hosts.hosts))
             self.update_topology()
@@ -144,8 +144,8 @@
         changes = self.membership.step(event, time.monotonic())
         for change in changes:
             _log_change(change)
-            if self.on_change is not None:
-                self.on_change(change)
+        if changes and self.on_hosts is not None:
+            self.on_hosts(self.membership.hosts)
         return changes
 
     def report_leaving(self, connection: Connection) -> None:
--- a/bramleyport/daemons/_peers.py
+++ b/bramleyport/daemons/_peers.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from functools import partial
 
 from bramleyport.core import (
@@ -20,15 +20,7 @@
 )
 from bramleyport.daemons._hub import PeerHub
 from bramleyport.daemons._kept import KeptConnection
-from bramleyport.membership import (
-    Change,
-    Host,
-    HostState,
-    ProcessRole,
-    Removed,
-    Spoke,
-    StateChanged,
-)
+from bramleyport.membership import Host, HostState, ProcessRole, Spoke
 from bramleyport.transport import Connection, Identity
 from bramleyport.wire import CacheReport, LoadReport, Message, UpstreamInfo
 
@@ -41,7 +33,6 @@
         self.connection: Connection | None = None
         self.kept: KeptConnection | None = None
         self.view: UpstreamView | None = None
-        self.leaving = False
         self.connected = asyncio.Event()
 
     @property
@@ -51,7 +42,7 @@
             self.connection is not None
             and not self.connection.closed.is_set()
             and self.view is not None
-            and not self.leaving
+            and self.host.state is HostState.LIVE
         )
 
     def apply_info(self, info: UpstreamInfo) -> None:
@@ -123,18 +114,21 @@
         self._on_message = on_message
         self._hub = hub
         self._links: dict[ProcessId, AgentLink] = {}
-        hub.on_change = self.apply_change
+        hub.on_hosts = self.apply_hosts
 
-    def apply_change(self, change: Change) -> None:
+    def apply_hosts(self, hosts: Iterable[Host]) -> None:
         """Connect to new agents and drop those that are gone."""
-        if isinstance(change, Removed):
-            self._drop(change.process)
-        elif isinstance(change, StateChanged):
-            link = self._links.get(change.process)
-            if link is not None:
-                link.leaving = change.state is HostState.LEAVING
-        elif change.host.role is ProcessRole.AGENT:
-            self._apply_host(change.host)
+        agents = {h.process: h for h in hosts if h.role is ProcessRole.AGENT}
+        for process in set(self._links) - set(agents):
+            self._drop(process)
+        for process, host in agents.items():
+            link = self._links.get(process)
+            if link is None or link.host.uri != host.uri:
+                self._drop(process)
+                link = AgentLink(host)
+                self._links[process] = link
+                link.kept = self._connect(link)
+            link.host = host
 
     def list_views(self) -> list[UpstreamView]:
         """Return the views of the upstreams that may get new work."""
@@ -156,20 +150,10 @@
         kept = [link.kept for link in self._links.values() if link.kept is not None]
         await asyncio.gather(*(connection.close() for connection in kept))
 
-    def _apply_host(self, host: Host) -> None:
-        link = self._links.get(host.process)
-        if link is not None and link.host.endpoint == host.endpoint:
-            # The process restarted in place; the connection is already to the new one.
-            link.host = host
-            link.leaving = host.state is HostState.LEAVING
-            return
-        self._drop(host.process)
-        link = AgentLink(host)
-        link.leaving = host.state is HostState.LEAVING
-        self._links[host.process] = link
-        link.kept = KeptConnection(
-            host.uri,
-            host.process,
+    def _connect(self, link: AgentLink) -> KeptConnection:
+        return KeptConnection(
+            link.host.uri,
+            link.host.process,
             self._identity,
             self._read_revision,
             partial(self._open, link),
--- a/bramleyport/replication/_store.py
+++ b/bramleyport/replication/_store.py
@@ -3,10 +3,11 @@
 import json
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
+from functools import lru_cache
 from typing import Any
 
 from cattrs import BaseValidationError
-from result import Err
+from result import Err, Ok, Result
 
 from bramleyport.core import Revision, ServiceName, make_strict_converter
 from bramleyport.membership import Host
@@ -97,8 +98,9 @@
             return Ignored(self.revision)
         records: dict[ServiceName, ServiceRecord] = {}
         for item in self.held.items.values():
-            record = parse_record(json.loads(item.document or b"null")).unwrap()
-            records[record.name] = record
+            result = _parse_record(item.document or b"")
+            if isinstance(result, Ok):
+                records[result.ok_value.name] = result.ok_value
         self.records = records
         return Applied(revision=self.revision, refused=outcome.refused)
 
@@ -117,10 +119,8 @@
     @property
     def hosts(self) -> tuple[Host, ...]:
         """Return the hosts on the list."""
-        return tuple(
-            _converter.structure(json.loads(item.document or b"null"), Host)
-            for item in self.held.items.values()
-        )
+        found = [_parse_host(item.document or b"") for item in self.held.items.values()]
+        return tuple(result.ok_value for result in found if isinstance(result, Ok))
 
     def offer(self, revision: Revision, rows: Iterable[Mapping[str, Any]]) -> bool:
         """Take the rows of the store's list and return whether any changed."""
@@ -157,20 +157,29 @@
     return str(value.get("name", "")) if isinstance(value, dict) else ""
 
 
-def _check_record(document: bytes) -> list[str]:
+# A change of one record or host leaves the others as they were parsed before.
+@lru_cache(maxsize=4096)
+def _parse_record(document: bytes) -> Result[ServiceRecord, list[str]]:
     try:
         value = json.loads(document)
     except ValueError as error:
-        return [f"not JSON: {error}"]
+        return Err([f"not JSON: {error}"])
     if not isinstance(value, dict):
-        return ["not an object"]
-    result = parse_record(value)
-    return result.err_value if isinstance(result, Err) else []
+        return Err(["not an object"])
+    return parse_record(value)
 
 
-def _check_host(document: bytes) -> list[str]:
+@lru_cache(maxsize=8192)
+def _parse_host(document: bytes) -> Result[Host, list[str]]:
     try:
-        _converter.structure(json.loads(document), Host)
+        return Ok(_converter.structure(json.loads(document), Host))
     except (BaseValidationError, ValueError, TypeError, KeyError) as error:
-        return [f"malformed host: {type(error).__name__}"]
-    return []
+        return Err([f"malformed host: {type(error).__name__}"])
+
+
+def _check_record(document: bytes) -> list[str]:
+    return _parse_record(document).err() or []
+
+
+def _check_host(document: bytes) -> list[str]:
+    return _parse_host(document).err() or []
--- a/bramleyport/replication/_topology.py
+++ b/bramleyport/replication/_topology.py
@@ -16,21 +16,18 @@
     others: int = 2
     # Two missed answers of a watch that waits 2 s at most.
     stall_s: float = 4.0
-    # A watcher that made no progress is tried again after this time.
-    forgive_s: float = 30.0
 
 
 def choose_watchers(
     zone: ZoneName,
-    entries: Iterable[Host],
+    names: Iterable[ProcessId],
     suspects: Iterable[ProcessId] = (),
     count: int = 2,
 ) -> list[ProcessId]:
-    """Return the entries of a zone that watch the store."""
-    names = [host.process for host in entries if host.zone == zone]
+    """Return which of a zone's entries watch the store."""
     doubted = set(suspects)
     trusted = [name for name in names if name not in doubted]
-    return choose(f"watch:{zone}", trusted or names, count)
+    return choose(f"watch:{zone}", trusted, count)
 
 
 def choose_links(
@@ -62,7 +59,7 @@
         self._own = own
         self._zone = zone
         self._policy = policy or TopologyPolicy()
-        self._suspects: dict[ProcessId, float] = {}
+        self._suspects: set[ProcessId] = set()
         self._chosen_s: dict[ProcessId, float] = {}
         self._progress_s: dict[ProcessId, float] = {}
 
@@ -78,28 +75,32 @@
             for host in hosts
             if host.role is ProcessRole.ENTRY and host.state is HostState.LIVE
         ]
+        names = {host.process for host in entries if host.zone == self._zone}
+        # The lagging list may not name this process yet, or only dead ones.
+        names.add(self._own)
         count = self._policy.watchers
         self._judge(now_s)
-        first = choose_watchers(self._zone, entries, count=count)
-        acting = choose_watchers(self._zone, entries, self._suspects, count)
+        if self._suspects >= names:
+            self._suspects.clear()
+        first = choose_watchers(self._zone, names, count=count)
+        acting = choose_watchers(self._zone, names, self._suspects, count)
         self._note_chosen({*first, *acting}, now_s)
         # The first choice goes on trying, so that the zone returns to it.
-        self.watching = not entries or self._own in first or self._own in acting
+        self.watching = self._own in first or self._own in acting
         self.links = choose_links(
             self._own, self._zone, entries, {*first, *acting}, self._policy.others
         )
 
     def _judge(self, now_s: float) -> None:
-        policy = self._policy
+        stall_s = self._policy.stall_s
         for process, since_s in self._chosen_s.items():
             seen_s = max(since_s, self._get_progress(process))
-            if now_s - seen_s >= policy.stall_s:
-                self._suspects.setdefault(process, now_s)
+            if now_s - seen_s >= stall_s:
+                self._suspects.add(process)
         self._suspects = {
-            process: since_s
-            for process, since_s in self._suspects.items()
-            if now_s - since_s < policy.forgive_s
-            and now_s - self._get_progress(process) >= policy.stall_s
+            process
+            for process in self._suspects
+            if now_s - self._get_progress(process) >= stall_s
         }
 
     def _note_chosen(self, chosen: set[ProcessId], now_s: float) -> None:
