--- /dev/null
+++ b/bramleyport/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks of policy, recovery and capacity."""
