Start a fresh watcher at the revision of the last change

Cause: a fresh entry took the store's own revision, which lies above that of running peers, so that each start made the whole fleet fetch everything. Change: the revision of the last change is used; a peer with the same digest is adopted.

--- a/bramleyport/bench/_recovery_store.py
+++ b/bramleyport/bench/_recovery_store.py
@@ -144,7 +144,7 @@
     ) -> Callable[[Replica], Changes]:
         revision = Revision(self.revision)
         if kind == "hosts":
-            return self._build_hosts(Revision(self._changed["hosts"]), revision)
+            return self._build_hosts(Revision(self._changed["hosts"]))
         entries = [
             e for e in self._records.values() if not listed or e.revision > since
         ]
@@ -157,13 +157,10 @@
 
         return apply
 
-    def _build_hosts(
-        self, changed: Revision, covered: Revision
-    ) -> Callable[[Replica], Changes]:
+    def _build_hosts(self, changed: Revision) -> Callable[[Replica], Changes]:
         rows = [json.loads(_encode_host(host)) for host in self._hosts.values()]
 
         def apply(replica: Replica) -> Changes:
-            replica.hosts.held.note_covered(covered)
             # Nothing to compare when this revision has already come from a peer.
             if replica.hosts.revision >= changed:
                 return Changes()
--- a/bramleyport/daemons/_records.py
+++ b/bramleyport/daemons/_records.py
@@ -117,7 +117,8 @@
     def take_listing(self, revision: Revision, items: Iterable[StoredObject]) -> None:
         """Take the whole list."""
         self._objects = {item.name: item for item in items}
-        self._offer(revision)
+        changed = [item.revision for item in self._objects.values()]
+        self._offer(max(changed, default=revision))
 
     def take_events(self, revision: Revision, events: Iterable[WatchEvent]) -> None:
         """Take the changes of the list up to a revision."""
@@ -128,7 +129,6 @@
                 self._objects.pop(event.object.name, None)
             else:
                 self._objects[event.object.name] = event.object
-        self._hub.replica.hosts.held.note_covered(revision)
         if latest:
             self._offer(latest)
 
--- a/bramleyport/replication/_replica.py
+++ b/bramleyport/replication/_replica.py
@@ -111,9 +111,7 @@
         peer.heard = True
         peer.revision = max(peer.revision, beat.revision)
         peer.hosts_revision = max(peer.hosts_revision, beat.hosts_revision)
-        covered = self.records.held.cover(beat.revision)
-        covered = self.hosts.held.cover(beat.hosts_revision) or covered
-        if covered:
+        if self.records.held.cover(beat.revision, beat.digest):
             return self.push()
         behind = beat.revision > self.records.revision
         behind_hosts = beat.hosts_revision > self.hosts.revision
--- a/bramleyport/replication/_revisions.py
+++ b/bramleyport/replication/_revisions.py
@@ -27,11 +27,12 @@
 class RevisionedSet:
     """Hold the valid documents in force and compute deltas for peers."""
 
-    def __init__(self, check: Check) -> None:
+    def __init__(self, check: Check, *, follow_coverage: bool = True) -> None:
         self.revision = Revision(0)
         self.items: dict[str, ReplicaEntry] = {}
         self.invalid: dict[str, Revision] = {}
         self._check = check
+        self._follow_coverage = follow_coverage
         self._removed: dict[str, Revision] = {}
         # Deltas can be computed from this revision on.
         self._floor = Revision(0)
@@ -58,8 +59,12 @@
         listed = {item.name: item for item in items}
         newer = any(self._is_news(item) for item in listed.values())
         gone = (set(self.items) | set(self.invalid)) - set(listed)
-        self._covered = max(self._covered, revision)
-        if not newer and not gone and self.revision:
+        self.note_covered(revision)
+        if self.revision == 0 and listed:
+            # The revision of the last change is what running peers have as well; the
+            # store's own would make the whole fleet ask for what it already holds.
+            revision = max(item.revision for item in listed.values())
+        elif not newer and not gone and self.revision:
             return Outcome(False, {})
         refused = self._take_all(listed.values())
         for name in gone:
@@ -70,7 +75,7 @@
         self, revision: Revision, items: Iterable[ReplicaEntry]
     ) -> Outcome:
         """Take the changes that a watch of the store reported."""
-        self._covered = max(self._covered, revision)
+        self.note_covered(revision)
         fresh = [item for item in items if item.revision > self.revision]
         if not fresh:
             return Outcome(False, {})
@@ -115,20 +120,24 @@
         ]
         return ReplicaPart(revision=self.revision, after=after, entries=tuple(items))
 
-    def cover(self, revision: Revision) -> bool:
-        """Raise the revision to what the store is known to be unchanged up to.
+    def cover(self, revision: Revision, digest: int) -> bool:
+        """Raise the revision when a peer's is higher but the store was read beyond it.
 
-        A peer at a higher revision that the store's listing already covers may hold
-        documents that have since been removed.
+        Such a peer either holds the same or documents that have since been removed; in
+        the second case it must get everything.
         """
         if not self.revision < revision <= self._covered:
             return False
-        self.revision = self._floor = self._covered
+        if digest == self.digest:
+            self.revision = revision
+        else:
+            self.revision = self._floor = self._covered
         return True
 
     def note_covered(self, revision: Revision) -> None:
-        """Record that a watch found nothing up to a revision."""
-        self._covered = max(self._covered, revision)
+        """Record that the store has been read up to a revision."""
+        if self._follow_coverage:
+            self._covered = max(self._covered, revision)
 
     def _is_news(self, item: ReplicaEntry) -> bool:
         seen = max(
--- a/bramleyport/replication/_store.py
+++ b/bramleyport/replication/_store.py
@@ -109,7 +109,8 @@
     """Hold the platform's host list as this process knows it."""
 
     def __init__(self) -> None:
-        self.held = RevisionedSet(_check_host)
+        # The list lags anyway, and an unneeded exchange of all hosts is large.
+        self.held = RevisionedSet(_check_host, follow_coverage=False)
 
     @property
     def revision(self) -> Revision:
--- a/tests/test_replication.py
+++ b/tests/test_replication.py
@@ -238,6 +238,22 @@
     assert set(watcher.records.records) == set(peer.records.records) == {"a"}
 
 
+def test_fresh_watcher_does_not_make_running_peers_fetch_everything() -> None:
+    """The last change is a removal and other kinds have moved the store on."""
+    store, network = FakeStore(), Network(3)
+    watcher, _, fresh = network.replicas.values()
+    store.put("a")
+    store.put("b")
+    store.list_into(watcher)
+    store.delete("b")
+    watcher.records.offer_change(Revision(3), store.history[-1:])
+    network.settle()
+    store.revision += 5
+    store.list_into(fresh)
+    network.settle()
+    assert {r.records.revision for r in network.replicas.values()} == {3}
+
+
 def test_push_sends_a_delta() -> None:
     replica = Network.make()
     replica.records.offer_listing(Revision(2), [make_entry("a", 1), make_entry("b", 2)])
