--- a/bramleyport/transport/_connection.py
+++ b/bramleyport/transport/_connection.py
@@ -3,6 +3,7 @@
 import asyncio
 import time
 from collections.abc import Callable
+from contextlib import suppress
 from dataclasses import dataclass, field
 from typing import Final
 
@@ -10,10 +11,13 @@
 from websockets.asyncio.client import ClientConnection
 from websockets.asyncio.server import ServerConnection
 from websockets.exceptions import ConnectionClosed
+from websockets.frames import CloseCode
 
 from bramleyport.core import ProcessId, RegionName, Revision, StepError, ZoneName
 from bramleyport.telemetry import events, log_event
+from bramleyport.transport._tls import TlsContexts
 from bramleyport.wire import (
+    PROTOCOL_MAX,
     CloseSilent,
     Heartbeat,
     HeartbeatPolicy,
@@ -21,6 +25,7 @@
     OpenReplacement,
     Received,
     SendHeartbeat,
+    Sent,
     Session,
     Tick,
     decode,
@@ -31,7 +36,7 @@
 QUEUE_MESSAGES: Final = 20_000
 
 WebSocket = ClientConnection | ServerConnection
-Handler = Callable[["Connection", Message], None]
+Handler = Callable[["Connection", Message], object]
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -43,6 +48,8 @@
     region: RegionName
     secret: bytes
     heartbeats: HeartbeatPolicy = field(default_factory=HeartbeatPolicy)
+    incarnation: int = 0
+    tls: TlsContexts | None = None
 
 
 class Connection:
@@ -54,16 +61,27 @@
         peer: ProcessId,
         policy: HeartbeatPolicy,
         read_revision: Callable[[], Revision],
+        incarnation: int = 0,
+        version: int = PROTOCOL_MAX,
     ) -> None:
         self.peer = peer
+        self.incarnation = incarnation
+        self.version = version
+        self.make_heartbeat: Callable[[int], Heartbeat] | None = None
         self.closed = asyncio.Event()
         self.on_suspect: Callable[[], None] | None = None
         self._socket = socket
+        self._tick_s = min(TICK_S, policy.interval_s / 2)
         self._session = Session(policy, time.monotonic())
         self._read_revision = read_revision
         self._closing: asyncio.Future[None] | None = None
         self._outgoing: asyncio.Queue[Message] = asyncio.Queue(QUEUE_MESSAGES)
 
+    @property
+    def suspect(self) -> bool:
+        """Return whether the peer has been silent for too long or is gone."""
+        return self.closed.is_set() or self._session.suspect
+
     def post(self, message: Message) -> None:
         """Queue a message for sending; a closed connection drops it."""
         if self.closed.is_set():
@@ -99,7 +117,10 @@
     async def close(self, reason: str) -> None:
         """Close the socket; pending messages are dropped."""
         self.closed.set()
-        await self._socket.close(reason=reason[:100])
+        # asyncio raises AttributeError when a transport that the peer reset while
+        # this side was still writing is aborted.
+        with suppress(AttributeError, ConnectionClosed):
+            await self._socket.close(reason=reason[:100])
 
     async def _receive(self, handler: Handler) -> None:
         try:
@@ -115,7 +136,14 @@
                     )
                     return
                 handler(self, result.ok_value)
-        except ConnectionClosed:
+        except ConnectionClosed as error:
+            if error.sent is not None and error.sent.code == CloseCode.MESSAGE_TOO_BIG:
+                log_event(
+                    events.MESSAGE_MALFORMED,
+                    step="receive",
+                    peer=self.peer,
+                    reason="the frame is too large",
+                )
             return
         except Exception as error:  # one faulty message must not end the process
             log_event(events.HANDLER_FAILED, peer=self.peer, error=repr(error))
@@ -125,27 +153,33 @@
             while True:
                 message = await self._outgoing.get()
                 await self._socket.send(encode(message))
+                self._session.step(Sent(), time.monotonic())
         except ConnectionClosed:
             return
 
     async def _watch(self) -> None:
         while True:
-            await asyncio.sleep(TICK_S)
+            await asyncio.sleep(self._tick_s)
             for action in self._session.step(Tick(), time.monotonic()):
                 if isinstance(action, SendHeartbeat):
-                    revision = self._read_revision()
-                    self.post(Heartbeat(sequence=action.sequence, revision=revision))
+                    self.post(self._build_heartbeat(action.sequence))
                 elif isinstance(action, OpenReplacement):
                     if self.on_suspect is not None:
                         self.on_suspect()
                 elif isinstance(action, CloseSilent):
                     log_event(
                         events.CONNECTION_SILENT,
+                        step="heartbeat",
                         peer=self.peer,
                         silent_s=round(action.silent_s, 1),
                     )
                     return
 
+    def _build_heartbeat(self, sequence: int) -> Heartbeat:
+        if self.make_heartbeat is not None:
+            return self.make_heartbeat(sequence)
+        return Heartbeat(sequence=sequence, revision=self._read_revision())
+
 
 def fail_step(step: str, peer: str, reason: str) -> StepError:
     """Build the error of a failed handshake step and log it."""
