--- /dev/null
+++ b/bramleyport/authority/_book.py
@@ -0,0 +1,309 @@
+"""The controller's side of orders: one order object per engine.
+
+A holder first takes each order object over by writing its own fencing number into it
+(it seals the object). Every write of the holder before it then fails its condition,
+and so does the start of an order that an agent has read but not begun. A new order is
+written only over one that is settled or that the agent has not begun at the version
+the write requires, so no engine ever has two orders in progress.
+"""
+
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, replace
+from typing import Final
+
+from bramleyport.authority._lease import Extended, Granted, Revoked, Tick
+from bramleyport.authority._types import EngineChange, Order, OrderObject, Progress
+from bramleyport.core import FencingNumber, PoolName, UpstreamId
+
+# Reports from agents name the objects that changed; the list is a fallback, since one
+# holds every pool's objects (2,100 of about 600 bytes).
+RELIST_S: Final = 60.0
+NOTIFY_S: Final = 5.0
+REPLY_TIMEOUT_S: Final = 3.5
+RETRY_S: Final = 1.0
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class OrdersListed:
+    """Report the order objects of the pool."""
+
+    op: int
+    objects: tuple[OrderObject, ...]
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class OrderSeen:
+    """Report one order object as read; None when it is gone."""
+
+    op: int
+    upstream: UpstreamId
+    object: OrderObject | None
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class OrderWritten:
+    """Report that a write of an order took effect."""
+
+    op: int
+    upstream: UpstreamId
+    version: int
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class OrderNotWritten:
+    """Report a call that conflicted, failed or is in doubt: it is read back."""
+
+    op: int
+    upstream: UpstreamId
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Planned:
+    """Give the changes that a planner wants."""
+
+    changes: Mapping[UpstreamId, EngineChange]
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class OrderReported:
+    """Report an agent's word that its progress has changed."""
+
+    upstream: UpstreamId
+
+
+BookEvent = (
+    Tick
+    | Granted
+    | Extended
+    | Revoked
+    | OrdersListed
+    | OrderSeen
+    | OrderWritten
+    | OrderNotWritten
+    | OrderReported
+    | Planned
+)
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ListOrders:
+    """Read the order objects of the pool."""
+
+    op: int
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ReadOrderObject:
+    """Read one order object."""
+
+    op: int
+    upstream: UpstreamId
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class WriteOrder:
+    """Write the controller's part of an object that has the version.
+
+    The agent's part is written back as it was at that version. The write must not be
+    sent after `until_s`.
+    """
+
+    op: int
+    object: OrderObject
+    until_s: float
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class NotifyAgent:
+    """Tell an agent that its order object has changed."""
+
+    upstream: UpstreamId
+    sequence: int
+
+
+BookAction = ListOrders | ReadOrderObject | WriteOrder | NotifyAgent
+
+
+@dataclass(slots=True, kw_only=True)
+class _Slot:
+    object: OrderObject
+    writing: OrderObject | None = None
+    op: int = 0
+    reading: bool = False
+    retry_s: float = 0.0
+    notify_s: float = 0.0
+
+
+class OrderBook:
+    """Write the orders of one pool while this process holds its lease."""
+
+    def __init__(self, pool: PoolName, make_token: Callable[[], str]) -> None:
+        self.pool = pool
+        self._make_token = make_token
+        self._fencing: FencingNumber | None = None
+        self._until_s = 0.0
+        self._slots: dict[UpstreamId, _Slot] = {}
+        self._op = 0
+        self._list_op = 0
+        self._next_list_s = 0.0
+
+    def list_objects(self) -> list[OrderObject]:
+        """Return the objects that this holder has taken over."""
+        return [
+            slot.object
+            for slot in self._slots.values()
+            if slot.object.order.sealed == self._fencing
+        ]
+
+    def step(self, event: BookEvent, now_s: float) -> list[BookAction]:
+        """Take an event and return what to do."""
+        if isinstance(event, Granted):
+            self._fencing, self._until_s = event.fencing, event.until_s
+            self._slots.clear()
+            return self._list(now_s)
+        if isinstance(event, Extended):
+            self._until_s = event.until_s
+            return []
+        if isinstance(event, Revoked):
+            self._fencing = None
+            self._slots.clear()
+            return []
+        if self._fencing is None or now_s >= self._until_s:
+            return []
+        if isinstance(event, Tick):
+            return self._tick(now_s)
+        if isinstance(event, OrdersListed):
+            return self._take_list(event, now_s)
+        if isinstance(event, Planned):
+            return self._plan(event, now_s)
+        if isinstance(event, OrderReported):
+            slot = self._slots.get(event.upstream)
+            return [self._read(slot, now_s)] if slot and not slot.op else []
+        return self._take_reply(event, now_s)
+
+    def _begin(self) -> int:
+        self._op += 1
+        return self._op
+
+    def _list(self, now_s: float) -> list[BookAction]:
+        self._list_op = self._begin()
+        self._next_list_s = now_s + RELIST_S
+        return [ListOrders(op=self._list_op)]
+
+    def _tick(self, now_s: float) -> list[BookAction]:
+        actions: list[BookAction] = []
+        for slot in self._slots.values():
+            if slot.op and now_s >= slot.retry_s:
+                actions.append(self._read(slot, now_s))
+            elif not slot.op and now_s >= slot.notify_s:
+                actions += self._notify(slot, now_s)
+        if now_s >= self._next_list_s:
+            actions += self._list(now_s)
+        return actions
+
+    def _take_list(self, event: OrdersListed, now_s: float) -> list[BookAction]:
+        if event.op != self._list_op:
+            return []
+        actions: list[BookAction] = []
+        listed = {found.upstream for found in event.objects}
+        for gone in set(self._slots) - listed:
+            del self._slots[gone]
+        for found in event.objects:
+            slot = self._slots.setdefault(found.upstream, _Slot(object=found))
+            # A list that was read before the last write must not hide that write.
+            if slot.op == 0 and found.version >= slot.object.version:
+                slot.object = found
+                actions += self._seal(slot, now_s)
+        return actions
+
+    def _seal(self, slot: _Slot, now_s: float) -> list[BookAction]:
+        assert self._fencing is not None
+        order = slot.object.order
+        if order.sealed >= self._fencing:
+            return []
+        sealed = replace(order, sealed=self._fencing, token=self._make_token())
+        return [self._write(slot, sealed, now_s)]
+
+    def _plan(self, event: Planned, now_s: float) -> list[BookAction]:
+        actions: list[BookAction] = []
+        for upstream, change in event.changes.items():
+            slot = self._slots.get(upstream)
+            if slot is not None and self._is_free(slot, change):
+                actions.append(self._write(slot, self._make(slot, change), now_s))
+        return actions
+
+    def _is_free(self, slot: _Slot, change: EngineChange) -> bool:
+        current = slot.object
+        if slot.op or current.order.sealed != self._fencing:
+            return False
+        if current.state is Progress.BEGUN:
+            return False
+        same = current.order.change == change
+        mine = current.order.fencing == self._fencing
+        # An order that was dropped or failed may be given again.
+        waiting = current.state in (Progress.PENDING, Progress.DONE)
+        return not (same and waiting and mine)
+
+    def _make(self, slot: _Slot, change: EngineChange) -> Order:
+        assert self._fencing is not None
+        return Order(
+            sequence=slot.object.order.sequence + 1,
+            fencing=self._fencing,
+            sealed=self._fencing,
+            pool=self.pool,
+            change=change,
+            token=self._make_token(),
+        )
+
+    def _write(self, slot: _Slot, order: Order, now_s: float) -> BookAction:
+        self._call(slot, now_s, reading=False)
+        slot.writing = replace(slot.object, order=order)
+        return WriteOrder(op=slot.op, object=slot.writing, until_s=self._until_s)
+
+    def _call(self, slot: _Slot, now_s: float, *, reading: bool) -> None:
+        slot.op, slot.reading = self._begin(), reading
+        slot.retry_s = now_s + REPLY_TIMEOUT_S
+
+    def _read(self, slot: _Slot, now_s: float) -> BookAction:
+        self._call(slot, now_s, reading=True)
+        return ReadOrderObject(op=slot.op, upstream=slot.object.upstream)
+
+    def _take_reply(
+        self, event: OrderSeen | OrderWritten | OrderNotWritten, now_s: float
+    ) -> list[BookAction]:
+        slot = self._slots.get(event.upstream)
+        if slot is None or slot.op != event.op:
+            return []
+        if isinstance(event, OrderNotWritten):
+            if not slot.reading:
+                return [self._read(slot, now_s)]
+            slot.retry_s = now_s + RETRY_S
+            return []
+        slot.op = 0
+        if isinstance(event, OrderSeen):
+            return self._take_read(slot, event, now_s)
+        assert slot.writing is not None
+        slot.object = replace(slot.writing, version=event.version)
+        return self._notify(slot, now_s)
+
+    def _take_read(
+        self, slot: _Slot, event: OrderSeen, now_s: float
+    ) -> list[BookAction]:
+        if event.object is None:
+            del self._slots[event.upstream]
+            return []
+        written = slot.writing is not None and (
+            event.object.order.token == slot.writing.order.token
+        )
+        slot.object = event.object
+        if written:
+            return self._notify(slot, now_s)
+        return self._seal(slot, now_s)
+
+    def _notify(self, slot: _Slot, now_s: float) -> list[BookAction]:
+        order = slot.object.order
+        slot.writing = None
+        slot.notify_s = now_s + NOTIFY_S
+        if slot.object.state is not Progress.PENDING:
+            return []
+        return [NotifyAgent(upstream=slot.object.upstream, sequence=order.sequence)]
--- /dev/null
+++ b/bramleyport/authority/_lease.py
@@ -0,0 +1,240 @@
+"""Hold the lease of one pool, or watch it until it lapses.
+
+Whether a lease has lapsed is judged by each candidate's own monotonic clock: a lease
+whose object has not changed for a whole TTL since it was first seen in that state may
+be taken. A holder counts its TTL from before it sent the write and stops acting a
+margin earlier, so two holders never act together unless their clocks' rates differ by
+more than the margin allows.
+"""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Final
+
+from bramleyport.authority._types import Lease
+from bramleyport.charts import ChartMachine, load_chart
+from bramleyport.core import FencingNumber
+
+LEASE_TTL_S: Final = 10.0
+RENEW_INTERVAL_S: Final = 3.0
+# A holder acts for 6 s after the renewal it sent last: two renewals may be lost, and
+# 4 s remain for a write on its way and for clocks that run at different rates.
+ACT_MARGIN_S: Final = 4.0
+REPLY_TIMEOUT_S: Final = 3.5
+RETRY_S: Final = 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class Tick:
+    """Let time pass."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class LeaseSeen:
+    """Report a lease as read; None when there is no object yet."""
+
+    op: int
+    lease: Lease | None
+    version: int
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class LeaseWritten:
+    """Report that a write of the lease took effect."""
+
+    op: int
+    version: int
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class LeaseConflict:
+    """Report that another writer changed the lease first."""
+
+    op: int
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class LeaseFailed:
+    """Report a call that certainly had no effect."""
+
+    op: int
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class LeaseInDoubt:
+    """Report a write that may have taken effect."""
+
+    op: int
+
+
+LeaseEvent = (
+    Tick | LeaseSeen | LeaseWritten | LeaseConflict | LeaseFailed | LeaseInDoubt
+)
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ReadLease:
+    """Read the lease object."""
+
+    op: int
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class WriteLease:
+    """Write the lease if it has the version, or create it for None."""
+
+    op: int
+    expected: int | None
+    lease: Lease
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Granted:
+    """Start acting under a fencing number until a time."""
+
+    fencing: FencingNumber
+    until_s: float
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Extended:
+    """Act until a later time."""
+
+    until_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class Revoked:
+    """Stop acting at once."""
+
+
+LeaseAction = ReadLease | WriteLease | Granted | Extended | Revoked
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class _Pending:
+    lease: Lease
+    sent_s: float
+
+
+class LeaseKeeper:
+    """Acquire, renew and give up one lease."""
+
+    def __init__(self, holder: str, make_token: Callable[[], str]) -> None:
+        self.holder = holder
+        self.until_s = 0.0
+        self.fencing: FencingNumber | None = None
+        self._make_token = make_token
+        self._machine = ChartMachine(load_chart("lease"))
+        self._op = 0
+        self._op_sent_s: float | None = None
+        self._next_due_s = 0.0
+        self._version: int | None = None
+        self._highest = 0
+        self._seen_since_s = 0.0
+        self._known = False
+        self._pending: _Pending | None = None
+
+    def may_act(self, now_s: float) -> bool:
+        """Return whether this process may give orders now."""
+        return self.fencing is not None and now_s < self.until_s
+
+    def step(self, event: LeaseEvent, now_s: float) -> list[LeaseAction]:
+        """Take an event and return what to do."""
+        actions: list[LeaseAction] = []
+        if self.fencing is not None and now_s >= self.until_s:
+            actions += self._advance("lapsed", now_s)
+        if isinstance(event, Tick):
+            return actions + self._tick(now_s)
+        if event.op != self._op:
+            return actions  # the answer to a call that was given up
+        self._op_sent_s = None
+        return actions + self._advance(self._classify(event, now_s), now_s)
+
+    def _tick(self, now_s: float) -> list[LeaseAction]:
+        if self._op_sent_s is not None:
+            if now_s - self._op_sent_s < REPLY_TIMEOUT_S:
+                return []
+        elif now_s < self._next_due_s:
+            return []
+        return self._advance("due", now_s)
+
+    def _classify(self, event: LeaseEvent, now_s: float) -> str:
+        self._next_due_s = now_s + RETRY_S
+        if isinstance(event, LeaseSeen):
+            return self._classify_seen(event, now_s)
+        if isinstance(event, LeaseWritten):
+            assert self._pending is not None
+            self._note(self._pending.lease, event.version, now_s)
+            return "written"
+        if isinstance(event, LeaseConflict):
+            return "conflict"
+        return "failed" if isinstance(event, LeaseFailed) else "doubt"
+
+    def _classify_seen(self, event: LeaseSeen, now_s: float) -> str:
+        pending = self._pending
+        if event.lease is None:
+            self._known, self._version = True, None
+            return "free"
+        if not self._known or event.version != self._version:
+            self._note(event.lease, event.version, now_s)
+        in_doubt = self._machine.state.endswith("_in_doubt")
+        if in_doubt and pending and event.lease.token == pending.lease.token:
+            return "confirmed"
+        # Its own lease that it did not get to use, or that lapsed, is taken over at
+        # once under a higher number; another holder's only after it lapsed.
+        if event.lease.holder == self.holder:
+            return "free"
+        lapse_s = self._seen_since_s + LEASE_TTL_S
+        if now_s >= lapse_s:
+            return "free"
+        self._next_due_s = min(now_s + RENEW_INTERVAL_S, lapse_s)
+        return "taken"
+
+    def _note(self, lease: Lease, version: int, now_s: float) -> None:
+        self._known = True
+        self._highest = max(self._highest, lease.fencing)
+        self._version, self._seen_since_s = version, now_s
+
+    def _advance(self, event: str, now_s: float) -> list[LeaseAction]:
+        actions: list[LeaseAction] = []
+        for name in self._machine.step(event):
+            actions.append(getattr(self, f"_do_{name}")(now_s))
+        return actions
+
+    def _begin(self, now_s: float) -> int:
+        self._op += 1
+        self._op_sent_s = now_s
+        return self._op
+
+    def _do_read(self, now_s: float) -> LeaseAction:
+        return ReadLease(op=self._begin(now_s))
+
+    def _do_write(self, now_s: float) -> LeaseAction:
+        fencing = self.fencing
+        if fencing is None:
+            fencing = FencingNumber(self._highest + 1)
+        lease = Lease(holder=self.holder, fencing=fencing, token=self._make_token())
+        self._pending = _Pending(lease=lease, sent_s=now_s)
+        return WriteLease(op=self._begin(now_s), expected=self._version, lease=lease)
+
+    def _take_pending(self, now_s: float) -> FencingNumber:
+        assert self._pending is not None
+        self.until_s = self._pending.sent_s + LEASE_TTL_S - ACT_MARGIN_S
+        self._next_due_s = self._pending.sent_s + RENEW_INTERVAL_S
+        return self._pending.lease.fencing
+
+    def _do_grant(self, now_s: float) -> LeaseAction:
+        self.fencing = self._take_pending(now_s)
+        return Granted(fencing=self.fencing, until_s=self.until_s)
+
+    def _do_extend(self, now_s: float) -> LeaseAction:
+        self._take_pending(now_s)
+        return Extended(until_s=self.until_s)
+
+    def _do_revoke(self, now_s: float) -> LeaseAction:
+        self.fencing = None
+        self._pending = None
+        self._op += 1  # answers to calls of the lost term are ignored
+        self._op_sent_s = None
+        return Revoked()
--- /dev/null
+++ b/bramleyport/authority/_types.py
@@ -0,0 +1,175 @@
+"""Leases and orders as the object API stores them."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from enum import Enum
+from typing import Final
+
+from cattrs import BaseValidationError
+from result import Err, Ok, Result
+
+from bramleyport.core import (
+    EngineRole,
+    FencingNumber,
+    PoolName,
+    RegionName,
+    UpstreamId,
+    make_strict_converter,
+)
+
+# An engine takes one number. The lease's number leads and the agent's incarnation
+# follows, so that an engine that checks it also refuses a replaced agent.
+INCARNATION_LIMIT: Final = 1_000_000
+
+
+class Progress(str, Enum):
+    """Name how far an agent has carried out an order."""
+
+    PENDING = "pending"
+    BEGUN = "begun"
+    DONE = "done"
+    FAILED = "failed"
+    DROPPED = "dropped"
+
+
+SETTLED: Final = frozenset({Progress.DONE, Progress.FAILED, Progress.DROPPED})
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Lease:
+    """Hold the lease of one pool in one region."""
+
+    holder: str
+    fencing: FencingNumber
+    token: str
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class EngineChange:
+    """Name what an order changes at its engine."""
+
+    role: EngineRole | None = None
+    load: tuple[str, ...] = ()
+    unload: tuple[str, ...] = ()
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class EngineState:
+    """Hold an engine's state as it was read back."""
+
+    role: EngineRole
+    models: frozenset[str] = frozenset()
+    adapters: frozenset[str] = frozenset()
+
+    def satisfies(self, change: EngineChange) -> bool:
+        """Return whether the engine is as a change leaves it."""
+        held = self.models | self.adapters
+        if change.role is not None and change.role is not self.role:
+            return False
+        return held.issuperset(change.load) and held.isdisjoint(change.unload)
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Order:
+    """Hold the controller's part of an order object."""
+
+    sequence: int = 0
+    fencing: FencingNumber = FencingNumber(0)
+    # The last holder that took the object over, whether or not it gave an order.
+    sealed: FencingNumber = FencingNumber(0)
+    pool: PoolName = PoolName("")
+    change: EngineChange = field(default_factory=EngineChange)
+    token: str = ""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class AgentProgress:
+    """Hold the agent's part of an order object."""
+
+    agent: str = ""
+    incarnation: int = 0
+    sequence: int = 0
+    state: Progress = Progress.PENDING
+    reason: str = ""
+    engine: EngineState | None = None
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class OrderObject:
+    """Hold one engine's order object at one version."""
+
+    upstream: UpstreamId
+    version: int
+    order: Order
+    progress: AgentProgress
+
+    @property
+    def state(self) -> Progress:
+        """Return how far the present order has come."""
+        if self.order.sequence == 0:
+            return Progress.DONE
+        if self.progress.sequence < self.order.sequence:
+            return Progress.PENDING
+        return self.progress.state
+
+
+_converter = make_strict_converter()
+
+
+def name_lease(pool: PoolName, region: RegionName) -> str:
+    """Return the name of a pool's lease object."""
+    return f"{pool}.{region}"
+
+
+def make_engine_fencing(fencing: FencingNumber, incarnation: int) -> int:
+    """Return the number that an engine compares."""
+    return fencing * INCARNATION_LIMIT + incarnation
+
+
+def read_lease(spec: Mapping[str, object]) -> Result[Lease, str]:
+    """Build a lease from its stored document."""
+    try:
+        return Ok(_converter.structure(spec, Lease))
+    except (BaseValidationError, TypeError, ValueError) as error:
+        return Err(repr(error))
+
+
+def write_lease(lease: Lease) -> dict[str, object]:
+    """Return the document that stores a lease."""
+    document: dict[str, object] = _converter.unstructure(lease)
+    return document
+
+
+def read_order(
+    upstream: UpstreamId,
+    version: int,
+    spec: Mapping[str, object],
+    status: Mapping[str, object],
+) -> Result[OrderObject, str]:
+    """Build an order object from its stored documents."""
+    try:
+        order = _converter.structure(spec, Order)
+        progress = _converter.structure(status, AgentProgress)
+    except (BaseValidationError, TypeError, ValueError) as error:
+        return Err(repr(error))
+    return Ok(
+        OrderObject(upstream=upstream, version=version, order=order, progress=progress)
+    )
+
+
+def write_order(order: Order) -> dict[str, object]:
+    """Return the document that stores the controller's part."""
+    document: dict[str, object] = _converter.unstructure(order)
+    return document
+
+
+def write_progress(progress: AgentProgress) -> dict[str, object]:
+    """Return the document that stores the agent's part."""
+    plain: dict[str, object] = _converter.unstructure(progress)
+    if progress.engine is not None:
+        plain["engine"] = {
+            "role": progress.engine.role.value,
+            "models": sorted(progress.engine.models),
+            "adapters": sorted(progress.engine.adapters),
+        }
+    return plain
