Apply orders in the agent, control pools in the entry, settle claims

Cause: the state machines had no shell, a claim could stay open when its handler failed, and Resume was always answered unknown. Change: order application and controller shells, draining before a change, a claim ledger with bounded shards whose outcomes are recorded by tasks of their own, attempt ids that rise per entry run and a ledger of received ids, one resume of a broken engine stream.

--- a/bramleyport/answers/__init__.py
+++ b/bramleyport/answers/__init__.py
@@ -7,5 +7,15 @@
     FrameLog,
     Violation,
 )
+from bramleyport.answers._ledger import LEDGER_ATTEMPTS, AttemptIds, AttemptLedger
 
-__all__ = ["WINDOW_FRAMES", "Assembler", "Chunk", "FrameLog", "Violation"]
+__all__ = [
+    "LEDGER_ATTEMPTS",
+    "WINDOW_FRAMES",
+    "Assembler",
+    "AttemptIds",
+    "AttemptLedger",
+    "Chunk",
+    "FrameLog",
+    "Violation",
+]
--- a/bramleyport/answers/_frames.py
+++ b/bramleyport/answers/_frames.py
@@ -2,6 +2,7 @@
 
 import hashlib
 from collections import deque
+from collections.abc import Mapping
 from dataclasses import dataclass
 from typing import Final
 
@@ -25,6 +26,26 @@
     reason: str
 
 
+class AnswerDigest:
+    """Digest an answer so that no other attempt's answer has the same digest."""
+
+    def __init__(self, attempt: AttemptId) -> None:
+        self._hash = hashlib.blake2b(attempt.encode(), digest_size=16)
+
+    def add(self, frame: Frame) -> None:
+        """Add a frame with its number and its length."""
+        self._hash.update(f"\0{frame.number}:{len(frame.payload)}:".encode())
+        self._hash.update(frame.payload)
+
+    def finish(self, total: int, status: int, headers: Mapping[str, str]) -> bytes:
+        """Return the digest of the frames together with the head of the answer."""
+        whole = self._hash.copy()
+        whole.update(f"\0{total} {status}".encode())
+        for name in sorted(headers):
+            whole.update(f"\0{name}\0{headers[name]}".encode())
+        return whole.digest()
+
+
 class FrameLog:
     """Number outgoing frames and hold them until they are acknowledged."""
 
@@ -32,7 +53,7 @@
         self.attempt = attempt
         self._unacked: deque[Frame] = deque()
         self._next = 0
-        self._digest = hashlib.blake2b(digest_size=16)
+        self._digest = AnswerDigest(attempt)
         self.end: End | None = None
 
     @property
@@ -44,7 +65,7 @@
         """Number a payload and keep it until it is acknowledged."""
         frame = Frame(attempt=self.attempt, number=self._next, payload=payload)
         self._next += 1
-        self._digest.update(payload)
+        self._digest.add(frame)
         self._unacked.append(frame)
         return frame
 
@@ -53,7 +74,7 @@
         self.end = End(
             attempt=self.attempt,
             total=self._next,
-            digest=self._digest.digest(),
+            digest=self._digest.finish(self._next, status, headers),
             status=status,
             headers=headers,
             output_tokens=output_tokens,
@@ -80,7 +101,7 @@
     def __init__(self, attempt: AttemptId) -> None:
         self.attempt = attempt
         self.next_frame = 0
-        self._digest = hashlib.blake2b(digest_size=16)
+        self._digest = AnswerDigest(attempt)
         self.complete = False
 
     def accept(self, frame: Frame) -> list[Chunk] | Violation:
@@ -92,7 +113,7 @@
         if frame.number > self.next_frame:
             return Violation(f"frame {frame.number} where {self.next_frame} was due")
         self.next_frame += 1
-        self._digest.update(frame.payload)
+        self._digest.add(frame)
         return [Chunk(frame.payload)]
 
     def finish(self, end: End) -> Violation | None:
@@ -101,7 +122,7 @@
             return Violation(f"end of attempt {end.attempt}")
         if end.total != self.next_frame:
             return Violation(f"{self.next_frame} of {end.total} frames arrived")
-        if end.digest != self._digest.digest():
+        if end.digest != self._digest.finish(end.total, end.status, end.headers):
             return Violation("the digest does not match")
         self.complete = True
         return None
--- a/bramleyport/authority/_book.py
+++ b/bramleyport/authority/_book.py
@@ -187,7 +187,7 @@
 
     def _list(self, now_s: float) -> list[BookAction]:
         self._list_op = self._begin()
-        self._next_list_s = now_s + RELIST_S
+        self._next_list_s = now_s + REPLY_TIMEOUT_S
         return [ListOrders(op=self._list_op)]
 
     def _tick(self, now_s: float) -> list[BookAction]:
@@ -204,6 +204,7 @@
     def _take_list(self, event: OrdersListed, now_s: float) -> list[BookAction]:
         if event.op != self._list_op:
             return []
+        self._next_list_s = now_s + RELIST_S
         actions: list[BookAction] = []
         listed = {found.upstream for found in event.objects}
         for gone in set(self._slots) - listed:
--- a/bramleyport/claims/_shard.py
+++ b/bramleyport/claims/_shard.py
@@ -2,16 +2,32 @@
 
 import base64
 import hashlib
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field, replace
 from enum import Enum
 from typing import Final
 
-from bramleyport.core import AccountId, AttemptId, ServiceName, make_strict_converter
-
-SHARD_COUNT: Final = 16
+from bramleyport.core import (
+    AccountId,
+    AttemptId,
+    ProcessId,
+    ServiceName,
+    make_strict_converter,
+)
+
+# A finished claim without its answer takes about 320 bytes, so a shard holds 1,600 and
+# all shards 1.6 million: 18 claims/s kept for 25 hours. A full shard refuses new claims
+# before they run. Changing the count moves keys between shards and so forgets claims.
+SHARD_COUNT: Final = 1024
+MAX_SHARD_BYTES: Final = 512_000
+CLAIM_BYTES: Final = 320
 RETENTION_S: Final = 24 * 3600.0
+# Clocks of two entries may differ by this much: a claim outlives its retention by it,
+# and one whose entry seems dead is left alone for as long as CLAIM_GRACE_S.
+CLOCK_SKEW_S: Final = 3600.0
+CLAIM_GRACE_S: Final = 60.0
 MAX_ANSWER_BYTES: Final = 4096
+MAX_HEADER_CHARS: Final = 512
 
 
 class ClaimState(str, Enum):
@@ -30,6 +46,7 @@
     STORED = "stored"
     UNKNOWN = "unknown"
     MISMATCH = "mismatch"
+    FULL = "full"
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -53,8 +70,17 @@
     body_digest: str
     attempt: AttemptId
     claimed_s: float
+    # When the claim's entry has answered its caller, on that entry's clock.
+    answer_by_s: float = 0.0
     answer: StoredAnswer | None = None
 
+    def count_bytes(self) -> int:
+        """Return about how many bytes the stored claim takes."""
+        if self.answer is None:
+            return CLAIM_BYTES
+        headers = sum(len(n) + len(v) + 8 for n, v in self.answer.headers.items())
+        return CLAIM_BYTES + headers + len(self.answer.body or "")
+
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class ClaimRequest:
@@ -63,6 +89,9 @@
     key: str
     body_digest: str
     attempt: AttemptId
+    answer_s: float = 0.0
+    # Attempts of the same entry and key that it knows it never sent.
+    unsent: tuple[AttemptId, ...] = ()
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -135,7 +164,17 @@
 def keep_answer(status: int, headers: Mapping[str, str], body: bytes) -> StoredAnswer:
     """Return an answer in the form that is stored."""
     kept = base64.b64encode(body).decode() if len(body) <= MAX_ANSWER_BYTES else None
-    return StoredAnswer(status=status, headers=headers, body=kept)
+    short = {n: v for n, v in headers.items() if len(v) <= MAX_HEADER_CHARS}
+    return StoredAnswer(status=status, headers=short, body=kept)
+
+
+def choose_writer(shard: int, entries: Iterable[ProcessId]) -> ProcessId | None:
+    """Return the live entry that writes a shard, by rendezvous hashing."""
+    return max(entries, key=lambda entry: _weigh(shard, entry), default=None)
+
+
+def _weigh(shard: int, entry: ProcessId) -> bytes:
+    return hashlib.blake2b(f"{shard}\0{entry}".encode(), digest_size=8).digest()
 
 
 def apply_changes(
@@ -145,36 +184,52 @@
     claims = {
         key: claim
         for key, claim in shard.claims.items()
-        if now_s - claim.claimed_s < RETENTION_S
+        if now_s - claim.claimed_s < RETENTION_S + CLOCK_SKEW_S
     }
-    decisions = [_apply(claims, change, now_s) for change in changes]
+    room = MAX_SHARD_BYTES - sum(claim.count_bytes() for claim in claims.values())
+    decisions = []
+    for change in changes:
+        before = _count(claims.get(change.key))
+        decisions.append(_apply(claims, change, now_s, room))
+        room += before - _count(claims.get(change.key))
     return replace(shard, claims=claims), decisions
 
 
-def _apply(claims: dict[str, Claim], change: ClaimChange, now_s: float) -> Decision:
+def _count(claim: Claim | None) -> int:
+    return 0 if claim is None else claim.count_bytes()
+
+
+def _apply(
+    claims: dict[str, Claim], change: ClaimChange, now_s: float, room: int
+) -> Decision:
     claim = claims.get(change.key)
     if isinstance(change, ClaimRequest):
-        return _request(claims, claim, change, now_s)
+        return _request(claims, claim, change, now_s, room)
     if claim is None or claim.attempt != change.attempt:
         return Decision(kind=ClaimDecisionKind.UNKNOWN)
     if isinstance(change, ClaimRelease):
         del claims[change.key]
         return Decision(kind=ClaimDecisionKind.NEW)
     state = ClaimState.COMPLETED if change.answer else ClaimState.UNKNOWN
-    claims[change.key] = replace(claim, state=state, answer=change.answer)
-    return Decision(kind=ClaimDecisionKind.STORED, answer=change.answer)
+    finished = replace(claim, state=state, answer=change.answer)
+    if finished.count_bytes() - claim.count_bytes() > room and change.answer:
+        # Room for new claims matters more than a kept body: the claim itself stays.
+        finished = replace(finished, answer=StoredAnswer(status=change.answer.status))
+    claims[change.key] = finished
+    return Decision(kind=ClaimDecisionKind.STORED, answer=finished.answer)
 
 
 def _request(
-    claims: dict[str, Claim], claim: Claim | None, request: ClaimRequest, now_s: float
+    claims: dict[str, Claim],
+    claim: Claim | None,
+    request: ClaimRequest,
+    now_s: float,
+    room: int,
 ) -> Decision:
     if claim is None:
-        claims[request.key] = Claim(
-            state=ClaimState.CLAIMED,
-            body_digest=request.body_digest,
-            attempt=request.attempt,
-            claimed_s=now_s,
-        )
+        if room < CLAIM_BYTES:
+            return Decision(kind=ClaimDecisionKind.FULL)
+        claims[request.key] = _make_claim(request, now_s)
         return Decision(kind=ClaimDecisionKind.NEW)
     if claim.body_digest != request.body_digest:
         return Decision(kind=ClaimDecisionKind.MISMATCH)
@@ -183,6 +238,22 @@
         return Decision(kind=ClaimDecisionKind.NEW)
     if claim.state is ClaimState.COMPLETED:
         return Decision(kind=ClaimDecisionKind.STORED, answer=claim.answer)
-    if claim.state is ClaimState.UNKNOWN:
-        return Decision(kind=ClaimDecisionKind.UNKNOWN)
-    return Decision(kind=ClaimDecisionKind.RUNNING)
+    if claim.state is ClaimState.CLAIMED and claim.attempt in request.unsent:
+        # Only the entry that claimed it can prove that it sent nothing.
+        claims[request.key] = _make_claim(request, now_s)
+        return Decision(kind=ClaimDecisionKind.NEW)
+    if claim.state is ClaimState.CLAIMED and now_s < claim.answer_by_s + CLAIM_GRACE_S:
+        return Decision(kind=ClaimDecisionKind.RUNNING)
+    # Its entry died or can't reach the store. It may have sent the call.
+    claims[request.key] = replace(claim, state=ClaimState.UNKNOWN)
+    return Decision(kind=ClaimDecisionKind.UNKNOWN)
+
+
+def _make_claim(request: ClaimRequest, now_s: float) -> Claim:
+    return Claim(
+        state=ClaimState.CLAIMED,
+        body_digest=request.body_digest,
+        attempt=request.attempt,
+        claimed_s=now_s,
+        answer_by_s=now_s + request.answer_s,
+    )
--- a/bramleyport/composition.py
+++ b/bramleyport/composition.py
@@ -9,9 +9,12 @@
 
 if TYPE_CHECKING:
     from bramleyport.daemons._agent import AgentDaemon
+    from bramleyport.daemons._controller import Planner
     from bramleyport.daemons._entry import EntryDaemon
+    from bramleyport.daemons._orders import OrderApplier
     from bramleyport.settings import AgentSettings, EntrySettings, ProcessSettings
     from bramleyport.transport import Identity
+    from bramleyport.upstreams import EngineClient, PlainClient
 
 
 def build_identity(settings: "ProcessSettings") -> "Identity":
@@ -49,13 +52,41 @@
         upstream,
         QUEUE_POLICIES.create(settings.policies.queue, settings.max_streams),
         ESTIMATORS.create(settings.policies.estimator),
+        _build_orders(settings, upstream) if settings.pool else None,
     )
 
 
-def build_entry(settings: "EntrySettings", seed: int | None = None) -> "EntryDaemon":
+def _build_orders(
+    settings: "AgentSettings", upstream: "EngineClient | PlainClient"
+) -> "OrderApplier | None":
+    from uuid import uuid4
+
+    from bramleyport.authority import OrderGuard
+    from bramleyport.core import PoolName, RegionName, UpstreamId
+    from bramleyport.daemons._orders import OrderApplier
+    from bramleyport.objectapi import ObjectClient
+    from bramleyport.upstreams import EngineClient
+
+    if not isinstance(upstream, EngineClient):
+        return None
+    run = f"{settings.process.process}-{uuid4().hex[:12]}"
+    return OrderApplier(
+        ObjectClient(settings.process.object_api),
+        upstream,
+        OrderGuard(UpstreamId(settings.upstream), run, PoolName(settings.pool)),
+        RegionName(settings.process.region),
+    )
+
+
+def build_entry(
+    settings: "EntrySettings",
+    seed: int | None = None,
+    planner: "Planner | None" = None,
+) -> "EntryDaemon":
     """Build an entry from its settings."""
     from bramleyport.admission import ADMISSION_POLICIES
     from bramleyport.daemons._claims import ClaimWriter
+    from bramleyport.daemons._controller import Controllers
     from bramleyport.daemons._dispatch import Dispatcher
     from bramleyport.daemons._entry import EntryDaemon
     from bramleyport.daemons._keyed import KeyedCalls
@@ -66,6 +97,7 @@
     from bramleyport.retries import RETRY_POLICIES
     from bramleyport.routing import ROUTING_POLICIES
     from bramleyport.telemetry import Metrics
+    from bramleyport.wire import OrderReport
 
     policies = settings.policies
     metrics = Metrics()
@@ -81,7 +113,11 @@
     links = AgentLinks(
         build_identity(settings.process),
         lambda: records.revision,
-        dispatcher.deliver,
+        lambda link, connection, message: (
+            controllers.report(message)
+            if isinstance(message, OrderReport)
+            else dispatcher.deliver(link, connection, message)
+        ),
     )
     dispatcher.links = links
     client = ObjectClient(
@@ -89,4 +125,7 @@
         lambda step, result: metrics.store_calls.inc({"kind": step, "result": result}),
     )
     keyed = KeyedCalls(ClaimWriter(client), dispatcher)
-    return EntryDaemon(settings, client, records, links, dispatcher, keyed, metrics)
+    controllers = Controllers(settings, client, links, planner)
+    return EntryDaemon(
+        settings, client, records, links, dispatcher, keyed, metrics, controllers
+    )
--- a/bramleyport/daemons/_agent.py
+++ b/bramleyport/daemons/_agent.py
@@ -2,9 +2,11 @@
 
 import asyncio
 import time
+import uuid
 from dataclasses import replace
 from typing import TYPE_CHECKING, Any, Final
 
+from bramleyport.answers import AttemptLedger
 from bramleyport.core import (
     AttemptId,
     EngineLoad,
@@ -21,7 +23,7 @@
 )
 from bramleyport.daemons._agent_attempt import AgentAttempt, Upstream
 from bramleyport.queueing import QueuedWork, QueuePolicy, Refused as QueueRefused
-from bramleyport.telemetry import events, log_event
+from bramleyport.telemetry import authority_events, events, log_event
 from bramleyport.transport import listen
 from bramleyport.upstreams import EngineClient, UpstreamError
 from bramleyport.wire import (
@@ -34,6 +36,7 @@
     Leaving,
     LoadReport,
     Message,
+    OrderNotice,
     Refused,
     Resume,
     UpstreamInfo,
@@ -42,6 +45,7 @@
 if TYPE_CHECKING:
     from websockets.asyncio.server import Server
 
+    from bramleyport.daemons._orders import OrderApplier
     from bramleyport.estimate import Estimator
     from bramleyport.settings import AgentSettings
     from bramleyport.transport import Connection, Identity
@@ -60,7 +64,12 @@
         upstream: Upstream,
         queue: QueuePolicy,
         estimator: "Estimator",
+        orders: "OrderApplier | None" = None,
     ) -> None:
+        self._orders = orders
+        self._ledger = AttemptLedger()
+        self._run_id = uuid.uuid4().hex
+        self._changing = False
         self.settings = settings
         self._identity = identity
         self._upstream = upstream
@@ -103,6 +112,8 @@
             asyncio.ensure_future(self._report_forever()),
             asyncio.ensure_future(self._expire_forever()),
         ]
+        if self._orders is not None:
+            self._tasks.append(asyncio.ensure_future(self._orders.run(self)))
         log_event(events.PROCESS_STARTED, role="agent", process=process.process)
 
     async def stop(self) -> None:
@@ -118,11 +129,48 @@
             await connection.flush()
         for task in self._tasks:
             task.cancel()
+        if self._orders is not None:
+            await self._orders.close()
         if self._server is not None:
             self._server.close()
             await self._server.wait_closed()
         log_event(events.PROCESS_STOPPED, process=self.settings.process.process)
 
+    def begin_change(self) -> None:
+        """Refuse new and queued work; running work goes on."""
+        self._changing = True
+        for attempt_id in list(self._attempts):
+            if self._queue.cancel(attempt_id):
+                self._refuse(self._attempts.pop(attempt_id).connection, attempt_id)
+        self.post_all(self._describe())
+
+    def is_idle(self) -> bool:
+        """Return whether no work runs on the upstream."""
+        return not self._running
+
+    def end_change(self) -> None:
+        """Take new work again."""
+        if self._changing:
+            self._changing = False
+            self.post_all(self._describe())
+
+    def post_all(self, message: Message) -> None:
+        """Send a message to every connected peer."""
+        for connection in list(self._connections):
+            connection.post(message)
+
+    def _refuse(
+        self,
+        connection: "Connection",
+        attempt: AttemptId,
+        reason: str = "changing",
+        retry_after_s: float = 0.0,
+    ) -> None:
+        self._ledger.refuse(attempt)
+        connection.post(
+            Refused(attempt=attempt, reason=reason, retry_after_s=retry_after_s)
+        )
+
     def _has_work(self) -> bool:
         return bool(self._running) or len(self._queue) > 0
 
@@ -151,12 +199,16 @@
                 attempt.acknowledge(message.next_frame)
         elif isinstance(message, Cancel):
             self._cancel(message.attempt)
+        elif isinstance(message, OrderNotice) and self._orders is not None:
+            self._orders.notice(message.sequence)
 
     def _accept(self, connection: "Connection", execute: Execute) -> None:
-        if self._leaving:
-            connection.post(Refused(attempt=execute.attempt, reason="leaving"))
+        if not self._ledger.receive(execute.attempt):
+            log_event(authority_events.EXECUTE_DROPPED, attempt=execute.attempt)
             return
-        if execute.attempt in self._attempts:
+        if self._leaving or self._changing:
+            reason = "leaving" if self._leaving else "changing"
+            self._refuse(connection, execute.attempt, reason)
             return
         now_s = time.monotonic()
         arrived_s = now_s - (execute.work.targets.answer_s - execute.time_left_s)
@@ -173,12 +225,11 @@
             now_s,
         )
         if isinstance(decision, QueueRefused):
-            connection.post(
-                Refused(
-                    attempt=execute.attempt,
-                    reason=decision.explanation.reason,
-                    retry_after_s=decision.retry_after_s,
-                )
+            self._refuse(
+                connection,
+                execute.attempt,
+                decision.explanation.reason,
+                decision.retry_after_s,
             )
             return
         self._attempts[execute.attempt] = AgentAttempt(execute, connection)
@@ -229,10 +280,14 @@
     def _resume(self, connection: "Connection", message: Resume) -> None:
         attempt = self._attempts.get(message.attempt)
         if attempt is None:
+            # Another run of the agent may have received it: only this run's is known.
+            execution = Execution.UNKNOWN
+            if message.run == self._run_id:
+                execution = self._ledger.judge(message.attempt)
             connection.post(
                 Failed(
                     attempt=message.attempt,
-                    execution=Execution.UNKNOWN,
+                    execution=execution,
                     reason="no such attempt",
                 )
             )
@@ -246,6 +301,7 @@
             return
         if self._queue.cancel(attempt_id):
             self._attempts.pop(attempt_id, None)
+            self._ledger.refuse(attempt_id)
         elif attempt.task is not None and self.settings.kind is ServiceKind.LANGUAGE:
             attempt.task.cancel()
 
@@ -255,9 +311,7 @@
             for item in self._queue.expire(time.monotonic()):
                 attempt = self._attempts.pop(item.attempt, None)
                 if attempt is not None:
-                    attempt.connection.post(
-                        Refused(attempt=item.attempt, reason="deadline")
-                    )
+                    self._refuse(attempt.connection, item.attempt, "deadline")
 
     async def _report_forever(self) -> None:
         while True:
@@ -345,7 +399,8 @@
             kind=view.kind,
             zone=view.zone,
             region=view.region,
-            state=UpstreamState.LEAVING if self._leaving else view.state,
+            state=self._get_state(),
+            run=self._run_id,
             role=view.role,
             models=tuple(sorted(view.models)),
             adapters=tuple(sorted(view.adapters)),
@@ -354,6 +409,11 @@
             rates=view.rates,
         )
 
+    def _get_state(self) -> UpstreamState:
+        if self._leaving:
+            return UpstreamState.LEAVING
+        return UpstreamState.CHANGING if self._changing else self._view.state
+
     def _make_load_report(self) -> LoadReport:
         now_s = time.monotonic()
         load = replace(
--- a/bramleyport/daemons/_agent_attempt.py
+++ b/bramleyport/daemons/_agent_attempt.py
@@ -2,11 +2,12 @@
 
 import asyncio
 import json
-from typing import TYPE_CHECKING
+import time
+from typing import TYPE_CHECKING, Final
 
 from bramleyport.answers import FrameLog
 from bramleyport.core import Execution
-from bramleyport.telemetry import events, log_event
+from bramleyport.telemetry import authority_events, events, log_event
 from bramleyport.upstreams import (
     Completion,
     Done,
@@ -18,9 +19,14 @@
 from bramleyport.wire import Failed
 
 if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
     from bramleyport.transport import Connection
     from bramleyport.wire import Execute, Message
 
+PEER_GONE_S: Final = 30.0
+ROOM_POLL_S: Final = 1.0
+
 Upstream = EngineClient | PlainClient
 
 
@@ -94,13 +100,37 @@
             model=work.model,
             adapter=work.adapter,
         )
-        async for event in engine.complete(completion):
+        try:
+            await self._take_tokens(engine.complete(completion))
+        except UpstreamError as error:
+            if error.execution is Execution.NOT_RUN:
+                raise
+            await self._resume_stream(engine, error)
+
+    async def _take_tokens(self, stream: "AsyncIterator[Token | Done]") -> None:
+        async for event in stream:
             if isinstance(event, Token):
                 self.output_tokens += 1
                 await self._append(event.text.encode())
             elif isinstance(event, Done):
                 self._finish(200, {})
 
+    async def _resume_stream(self, engine: EngineClient, cause: UpstreamError) -> None:
+        job = self.execute.attempt
+        log_event(
+            authority_events.STREAM_RESUMED,
+            attempt=job,
+            peer=cause.peer,
+            next_token=self.output_tokens,
+        )
+        try:
+            await self._take_tokens(engine.resume(job, self.output_tokens))
+        except UpstreamError as error:
+            # The first stream was broken after it was sent, so it may have run.
+            raise UpstreamError(
+                error.step, error.peer, error.reason, Execution.UNKNOWN
+            ) from cause
+
     async def _run_call(self, service: PlainClient) -> None:
         execute = self.execute
         response = await service.call(
@@ -114,7 +144,22 @@
         self.connection.post(self.log.append(payload))
         if self.log.full:
             self._room.clear()
-            await self._room.wait()
+            await self._wait_for_room()
+
+    async def _wait_for_room(self) -> None:
+        lost_s: float | None = None
+        while not self._room.is_set():
+            try:
+                async with asyncio.timeout(ROOM_POLL_S):
+                    await self._room.wait()
+            except TimeoutError:
+                now_s = time.monotonic()
+                lost_s = (lost_s or now_s) if self.connection.closed.is_set() else None
+                if lost_s is not None and now_s - lost_s >= PEER_GONE_S and self.task:
+                    # Its peer will not come back; a slot held for it would also keep
+                    # the engine from ever draining.
+                    self.fail(Execution.UNKNOWN, "the peer is gone")
+                    self.task.cancel()
 
     def _finish(self, status: int, headers: dict[str, str]) -> None:
         self.connection.post(self.log.finish(status, headers, self.output_tokens))
--- a/bramleyport/daemons/_dispatch.py
+++ b/bramleyport/daemons/_dispatch.py
@@ -8,6 +8,7 @@
 from result import Err, Ok, Result
 
 from bramleyport.admission import AdmissionPolicy, Rejected
+from bramleyport.answers import AttemptIds
 from bramleyport.core import (
     AttemptId,
     ErrorCode,
@@ -49,6 +50,7 @@
         self._metrics = metrics
         self._rng = rng
         self._attempts: dict[AttemptId, EntryAttempt] = {}
+        self._attempt_ids = AttemptIds(uuid.uuid4().hex)
 
     def deliver(
         self, link: "AgentLink", connection: "Connection", message: Message
@@ -129,7 +131,7 @@
     async def _attempt(
         self, link: "AgentLink", work: Work, call: Call, on_chunk: OnChunk
     ) -> "Result[End, AttemptFailure]":
-        attempt_id = AttemptId(uuid.uuid4().hex)
+        attempt_id = self._attempt_ids.make()
         attempt = EntryAttempt(attempt_id, link, work, call)
         self._attempts[attempt_id] = attempt
         link.count_sent(work)
--- a/bramleyport/daemons/_entry.py
+++ b/bramleyport/daemons/_entry.py
@@ -38,6 +38,7 @@
 if TYPE_CHECKING:
     from twisted.internet.tcp import Port
 
+    from bramleyport.daemons._controller import Controllers
     from bramleyport.daemons._dispatch import Dispatcher
     from bramleyport.daemons._peers import AgentLinks
     from bramleyport.records import ServiceRecord
@@ -59,8 +60,10 @@
         dispatcher: "Dispatcher",
         keyed: KeyedCalls,
         metrics: Metrics,
+        controllers: "Controllers | None" = None,
     ) -> None:
         self.settings = settings
+        self.controllers = controllers
         self.records = records
         self._client = client
         self._links = links
@@ -93,6 +96,8 @@
                 KindWatcher(self._client, Kind.HOSTS, host_handler).run()
             ),
         ]
+        if self.controllers is not None:
+            self._tasks += self.controllers.start()
         site = make_site(CallerApp(self).app.resource(), self.settings.max_body_bytes)
         endpoint = endpoints.TCP4ServerEndpoint(
             reactor, self.settings.http_port, interface=process.address
@@ -112,6 +117,7 @@
             stopped = self._listening.stopListening()
             if stopped is not None:
                 await stopped.asFuture(asyncio.get_running_loop())
+        await self._keyed.drain()
         for task in self._tasks:
             task.cancel()
         await self._links.close()
--- a/bramleyport/daemons/_entry_attempt.py
+++ b/bramleyport/daemons/_entry_attempt.py
@@ -9,6 +9,7 @@
 from result import Err, Ok, Result
 
 from bramleyport.answers import Assembler, Violation
+from bramleyport.charts import ChartMachine, load_chart
 from bramleyport.core import AttemptId, Execution, Work
 from bramleyport.daemons._peers import AgentLink
 from bramleyport.retries import AttemptFailure, FailureKind
@@ -30,6 +31,14 @@
 RESUME_WAIT_S: Final = 5.0
 POLL_S: Final = 0.25
 
+_EVENTS: Final[dict[type[Message], str]] = {
+    Accepted: "accepted",
+    Refused: "refused",
+    Frame: "frame",
+    End: "end",
+    Failed: "failed",
+}
+
 OnChunk = Callable[[bytes], Awaitable[None]]
 AttemptResult = Result[End, AttemptFailure]
 
@@ -58,6 +67,8 @@
         self._assembler = Assembler(attempt)
         self._inbox: asyncio.Queue[Message] = asyncio.Queue()
         self._connection: Connection | None = link.connection
+        self._run = ""
+        self._machine = ChartMachine(load_chart("attempt"))
 
     def deliver(self, connection: Connection, message: Message) -> None:
         """Queue a message of this attempt if it came over its own connection."""
@@ -73,17 +84,52 @@
         """Run the attempt and hand its chunks on in order."""
         if self._connection is None or self._connection.closed.is_set():
             return self._fail(FailureKind.DISCONNECTED, Execution.NOT_RUN)
+        self._run = self._connection.peer_run
         self._connection.post(self._make_execute())
         while True:
             message = await self._receive()
-            if message is None:
-                if not await self._reconnect():
-                    return self._fail(FailureKind.DISCONNECTED, Execution.UNKNOWN)
-                continue
-            result = await self._apply(message, on_chunk)
+            event = "broken" if message is None else _EVENTS.get(type(message), "")
+            result = await self._advance(event, message, on_chunk) if event else None
             if result is not None:
                 return result
 
+    async def _advance(
+        self, event: str, message: Message | None, on_chunk: OnChunk
+    ) -> AttemptResult | None:
+        for action in self._machine.step(event):
+            if action == "reconnect":
+                found = await self._reconnect()
+                following = "reconnected" if found else "lost"
+                result = await self._advance(following, None, on_chunk)
+            else:
+                result = await self._act(action, message, on_chunk)
+            if result is not None:
+                return result
+        return None
+
+    async def _act(
+        self, action: str, message: Message | None, on_chunk: OnChunk
+    ) -> AttemptResult | None:
+        if isinstance(message, Frame) and action == "take_frame":
+            return await self._take_frame(message, on_chunk)
+        if isinstance(message, End) and action == "finish":
+            return self._finish(message)
+        if isinstance(message, Refused) and action == "not_run":
+            return self._fail(
+                FailureKind.REFUSED, Execution.NOT_RUN, message.retry_after_s
+            )
+        if isinstance(message, Failed):
+            # Frames that were received show that the attempt did run.
+            started = action == "fail_started"
+            execution = Execution.UNKNOWN if started else message.execution
+            return self._fail(FailureKind.UPSTREAM_ERROR, execution)
+        if action == "resume":
+            self._resume()
+            return None
+        if action == "unknown":
+            return self._fail(FailureKind.DISCONNECTED, Execution.UNKNOWN)
+        return self._reject()
+
     async def _receive(self) -> Message | None:
         while True:
             try:
@@ -100,35 +146,33 @@
         except TimeoutError:
             return False
         self._connection = self.link.connection
-        if self._connection is None:
-            return False
-        next_frame = self._assembler.next_frame
-        self._connection.post(Resume(attempt=self.attempt, next_frame=next_frame))
-        return True
-
-    async def _apply(self, message: Message, on_chunk: OnChunk) -> AttemptResult | None:
-        if isinstance(message, Accepted):
-            return None
-        if isinstance(message, Refused):
-            return self._fail(
-                FailureKind.REFUSED, Execution.NOT_RUN, message.retry_after_s
+        return self._connection is not None
+
+    def _resume(self) -> None:
+        assert self._connection is not None
+        self._connection.post(
+            Resume(
+                attempt=self.attempt,
+                next_frame=self._assembler.next_frame,
+                run=self._run,
             )
-        if isinstance(message, Failed):
-            return self._fail(FailureKind.UPSTREAM_ERROR, message.execution)
-        if isinstance(message, Frame):
-            return await self._take_frame(message, on_chunk)
-        if isinstance(message, End):
-            if self._assembler.finish(message) is not None:
-                return self._fail(FailureKind.BAD_ANSWER, Execution.UNKNOWN)
-            return Ok(message)
-        return None
+        )
+
+    def _finish(self, end: End) -> AttemptResult:
+        if self._assembler.finish(end) is not None:
+            return self._reject()
+        return Ok(end)
+
+    def _reject(self) -> AttemptResult:
+        self.cancel()
+        return self._fail(FailureKind.BAD_ANSWER, Execution.UNKNOWN)
 
     async def _take_frame(
         self, frame: Frame, on_chunk: OnChunk
     ) -> AttemptResult | None:
         accepted = self._assembler.accept(frame)
         if isinstance(accepted, Violation):
-            return self._fail(FailureKind.BAD_ANSWER, Execution.UNKNOWN)
+            return self._reject()
         for chunk in accepted:
             await on_chunk(chunk.payload)
             self.frames_shown += 1
--- a/bramleyport/daemons/_keyed.py
+++ b/bramleyport/daemons/_keyed.py
@@ -3,31 +3,42 @@
 import asyncio
 import time
 import uuid
+from collections.abc import Coroutine
 from dataclasses import dataclass
-from typing import TYPE_CHECKING, Final
+from typing import TYPE_CHECKING, Any, Final, TypeVar
 
 from result import Err, Ok, Result
 
 from bramleyport.claims import (
+    ClaimChange,
     ClaimDecisionKind,
     ClaimOutcome,
     ClaimRelease,
     ClaimRequest,
     Decision,
-    StoredAnswer,
     digest_body,
     keep_answer,
     make_key,
 )
 from bramleyport.core import AttemptId, ErrorCode, Execution, ServeError, Work
 from bramleyport.daemons._entry_attempt import Call
+from bramleyport.objectapi import StoreFailure
+from bramleyport.telemetry import authority_events, events, log_event
 
 if TYPE_CHECKING:
     from bramleyport.daemons._claims import ClaimWriter
     from bramleyport.daemons._dispatch import Dispatcher
 
 RUNNING_POLL_S: Final = 0.5
+RUNNING_POLL_MAX_S: Final = 4.0
 STORE_RETRY_S: Final = 2.0
+STORE_RETRY_MAX_S: Final = 30.0
+SETTLE_WAIT_S: Final = 1.0
+DRAIN_WAIT_S: Final = 5.0
+MAX_TASKS: Final = 10_000
+FULL_RETRY_S: Final = 60.0
+
+T = TypeVar("T")
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -42,87 +53,181 @@
 KeyedResult = Result[WholeAnswer, ServeError]
 
 
+@dataclass(frozen=True, slots=True)
+class RunningCall:
+    """Hold the answer of a call until its outcome is recorded."""
+
+    attempt: AttemptId
+    answer: "asyncio.Future[KeyedResult]"
+
+
 class KeyedCalls:
-    """Claim keys, run new calls once and give repeats the same answer."""
+    """Claim keys, run new calls once and give repeats the same answer.
+
+    A call runs in a task of its own: a caller that goes away, or a request handler
+    that is cancelled, never leaves a claim without an outcome.
+    """
 
     def __init__(self, claims: "ClaimWriter", dispatcher: "Dispatcher") -> None:
         self._claims = claims
         self._dispatcher = dispatcher
-        self._running: dict[str, asyncio.Future[KeyedResult]] = {}
+        self._running: dict[str, RunningCall] = {}
+        # Attempts whose claim may be recorded though their call was never sent.
+        self._unsent: dict[str, set[AttemptId]] = {}
+        self._tasks: set[asyncio.Task[Any]] = set()
 
     async def run(self, key: str, work: Work, call: Call) -> KeyedResult:
         """Run a keyed call or return the answer of its earlier run."""
-        claim = ClaimRequest(
-            key=make_key(work.account, work.service, key),
-            body_digest=digest_body(call.method, call.path, call.body),
-            attempt=AttemptId(uuid.uuid4().hex),
-        )
+        return await asyncio.shield(self._spawn(self._run(key, work, call)))
+
+    async def drain(self) -> None:
+        """Wait until the outcomes of all calls are recorded, within a limit."""
+        if self._tasks:
+            await asyncio.wait(set(self._tasks), timeout=DRAIN_WAIT_S)
+        for task in list(self._tasks):
+            task.cancel()
+
+    def _spawn(self, coroutine: Coroutine[object, object, T]) -> "asyncio.Task[T]":
+        task = asyncio.ensure_future(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return task
+
+    async def _run(self, key: str, work: Work, call: Call) -> KeyedResult:
+        scoped = make_key(work.account, work.service, key)
+        digest = digest_body(call.method, call.path, call.body)
+        attempt = AttemptId(uuid.uuid4().hex)
+        poll_s = RUNNING_POLL_S
         while True:
+            claim = ClaimRequest(
+                key=scoped,
+                body_digest=digest,
+                attempt=attempt,
+                answer_s=work.targets.answer_s,
+                unsent=tuple(sorted(self._unsent.get(scoped, ()))),
+            )
             result = await self._claims.change(claim)
             if isinstance(result, Err):
+                if result.err_value.failure is StoreFailure.UNKNOWN:
+                    self._withdraw(claim)
                 return Err(_refuse_without_store(result.err_value.message))
             decision = result.ok_value
             if decision.kind is ClaimDecisionKind.NEW:
                 return await self._run_new(claim, work, call)
             if decision.kind is not ClaimDecisionKind.RUNNING:
                 return _answer_repeat(decision)
-            running = self._running.get(claim.key)
+            running = self._running.get(scoped)
             if running is not None:
-                return await asyncio.shield(running)
+                return await asyncio.shield(running.answer)
             if time.monotonic() >= work.answer_deadline_s:
                 return Err(_explain_running())
-            await asyncio.sleep(RUNNING_POLL_S)
+            await asyncio.sleep(poll_s)
+            poll_s = min(poll_s * 2, RUNNING_POLL_MAX_S)
 
     async def _run_new(
         self, claim: ClaimRequest, work: Work, call: Call
     ) -> KeyedResult:
         future: asyncio.Future[KeyedResult] = asyncio.get_running_loop().create_future()
-        self._running[claim.key] = future
+        self._running[claim.key] = RunningCall(claim.attempt, future)
+        result, change = await self._run_guarded(claim, work, call)
+        future.set_result(result)
+        settled = self._record(change)
+        # A slow store must not hold back the answer; the outcome follows it.
+        await asyncio.wait({settled}, timeout=SETTLE_WAIT_S)
+        return result
+
+    async def _run_guarded(
+        self, claim: ClaimRequest, work: Work, call: Call
+    ) -> tuple[KeyedResult, ClaimChange]:
+        release = ClaimRelease(key=claim.key, attempt=claim.attempt)
+        lost = ClaimOutcome(key=claim.key, attempt=claim.attempt, answer=None)
+        sent = False
         try:
-            result = await self._run_once(claim, work, call)
-            future.set_result(result)
-            return result
-        finally:
-            del self._running[claim.key]
-            if not future.done():
-                future.set_result(Err(_explain_running()))
+            rejected = self._dispatcher.admit(work)
+            if rejected is not None:
+                return Err(rejected), release
+            sent = True
+            return await self._run_once(claim, work, call)
+        except (Exception, asyncio.CancelledError) as error:
+            log_event(
+                events.HANDLER_FAILED,
+                step="keyed",
+                request=work.request,
+                error=repr(error),
+            )
+            return Err(_explain_fault(sent=sent)), lost if sent else release
 
     async def _run_once(
         self, claim: ClaimRequest, work: Work, call: Call
-    ) -> KeyedResult:
+    ) -> tuple[KeyedResult, ClaimChange]:
         body = bytearray()
 
         async def collect(chunk: bytes) -> None:
             body.extend(chunk)
 
-        rejected = self._dispatcher.admit(work)
-        if rejected is not None:
-            await self._release(claim)
-            return Err(rejected)
         result = await self._dispatcher.run(work, call, collect)
         if isinstance(result, Err):
-            if result.err_value.execution is Execution.NOT_RUN:
-                await self._release(claim)
-            else:
-                await self._finish(claim, None)
-            return Err(result.err_value)
+            error = result.err_value
+            if error.execution is Execution.NOT_RUN:
+                return Err(error), ClaimRelease(key=claim.key, attempt=claim.attempt)
+            lost = ClaimOutcome(key=claim.key, attempt=claim.attempt, answer=None)
+            return Err(error), lost
         end = result.ok_value
         headers = dict(end.headers)
-        await self._finish(claim, keep_answer(end.status, headers, bytes(body)))
-        return Ok(WholeAnswer(status=end.status, headers=headers, body=bytes(body)))
+        answer = keep_answer(end.status, headers, bytes(body))
+        outcome = ClaimOutcome(key=claim.key, attempt=claim.attempt, answer=answer)
+        whole = WholeAnswer(status=end.status, headers=headers, body=bytes(body))
+        return Ok(whole), outcome
 
-    async def _release(self, claim: ClaimRequest) -> None:
-        await self._claims.change(ClaimRelease(key=claim.key, attempt=claim.attempt))
+    def _withdraw(self, claim: ClaimRequest) -> None:
+        # Beyond the limit the claim is left to lapse into `unknown`.
+        if len(self._tasks) < MAX_TASKS:
+            self._record(ClaimRelease(key=claim.key, attempt=claim.attempt))
 
-    async def _finish(self, claim: ClaimRequest, answer: StoredAnswer | None) -> None:
-        outcome = ClaimOutcome(key=claim.key, attempt=claim.attempt, answer=answer)
-        await self._claims.change(outcome)
+    def _record(self, change: ClaimChange) -> "asyncio.Task[None]":
+        if isinstance(change, ClaimRelease):
+            self._unsent.setdefault(change.key, set()).add(change.attempt)
+        return self._spawn(self._settle(change))
+
+    async def _settle(self, change: ClaimChange) -> None:
+        delay_s = STORE_RETRY_S
+        try:
+            while isinstance(result := await self._claims.change(change), Err):
+                log_event(
+                    authority_events.CLAIM_NOT_RECORDED,
+                    key=change.key,
+                    reason=result.err_value.message,
+                )
+                await asyncio.sleep(delay_s)
+                delay_s = min(delay_s * 2, STORE_RETRY_MAX_S)
+        finally:
+            self._forget(change.key, change.attempt)
+
+    def _forget(self, key: str, attempt: AttemptId) -> None:
+        running = self._running.get(key)
+        if running is not None and running.attempt == attempt:
+            del self._running[key]
+        attempts = self._unsent.get(key, set())
+        attempts.discard(attempt)
+        if not attempts:
+            self._unsent.pop(key, None)
 
 
 def _answer_repeat(decision: Decision) -> KeyedResult:
     if decision.kind is ClaimDecisionKind.MISMATCH:
         message = "the Idempotency-Key was used with another request"
         return Err(_fail(ErrorCode.KEY_REUSED, message, Execution.NOT_RUN))
+    if decision.kind is ClaimDecisionKind.FULL:
+        log_event(authority_events.CLAIM_SHARD_FULL)
+        message = "no room to record the claim"
+        return Err(
+            _fail(
+                ErrorCode.STORE_UNAVAILABLE,
+                message,
+                Execution.NOT_RUN,
+                FULL_RETRY_S,
+            )
+        )
     answer = decision.answer
     if decision.kind is ClaimDecisionKind.UNKNOWN or answer is None:
         message = "whether the first call with this key ran is not known"
@@ -140,6 +245,11 @@
     return _fail(ErrorCode.IN_PROGRESS, message, Execution.UNKNOWN, STORE_RETRY_S)
 
 
+def _explain_fault(*, sent: bool) -> ServeError:
+    execution = Execution.UNKNOWN if sent else Execution.NOT_RUN
+    return _fail(ErrorCode.UPSTREAM_FAILED, "the entry failed", execution)
+
+
 def _refuse_without_store(reason: str) -> ServeError:
     message = f"the claim could not be recorded: {reason}"
     return _fail(ErrorCode.STORE_UNAVAILABLE, message, Execution.NOT_RUN, STORE_RETRY_S)
--- a/bramleyport/daemons/_peers.py
+++ b/bramleyport/daemons/_peers.py
@@ -193,6 +193,7 @@
         self, link: AgentLink, connection: Connection, message: Message
     ) -> None:
         if isinstance(message, UpstreamInfo):
+            connection.peer_run = message.run
             link.apply_info(message)
         elif isinstance(message, LoadReport):
             link.apply_load(message)
--- a/bramleyport/settings/_schema.py
+++ b/bramleyport/settings/_schema.py
@@ -46,6 +46,8 @@
     http_port: int
     max_body_bytes: int = 2_000_000
     drain_timeout_s: float = 60.0
+    # The pools whose lease this entry may hold.
+    pools: tuple[str, ...] = ()
     policies: PolicySettings = field(default_factory=PolicySettings)
 
 
@@ -58,6 +60,8 @@
     upstream_url: str
     kind: ServiceKind = ServiceKind.LANGUAGE
     services: tuple[str, ...] = ()
+    # The pool whose lease holder orders this engine; without one it takes no orders.
+    pool: str = ""
     max_streams: int = 32
     load_interval_s: float = 0.5
     drain_timeout_s: float = 60.0
--- /dev/null
+++ b/bramleyport/telemetry/_authority_events.py
@@ -0,0 +1,21 @@
+"""Events of leases, orders and claims."""
+
+from typing import Final
+
+from bramleyport.telemetry._events import define
+
+LEASE_GRANTED: Final = define(2301, "INFO", "lease acquired")
+LEASE_LOST: Final = define(2302, "WARNING", "lease lost, orders stopped")
+ORDER_WRITTEN: Final = define(2303, "INFO", "order object written")
+ORDER_PROGRESS: Final = define(2311, "INFO", "order progress recorded")
+ORDER_DRAINING: Final = define(2312, "INFO", "upstream draining before an order")
+ORDER_SENT: Final = define(2313, "INFO", "order sent to the engine")
+ORDER_REPAIRED: Final = define(2314, "WARNING", "engine differed from its order")
+ORDER_REFUSED: Final = define(2315, "WARNING", "engine refused an order as old")
+AGENT_SUPERSEDED: Final = define(2316, "WARNING", "a newer agent serves the engine")
+ORDER_OBJECT_INVALID: Final = define(2317, "ERROR", "order or lease object unreadable")
+CLAIM_NOT_RECORDED: Final = define(2321, "WARNING", "claim outcome not recorded yet")
+CLAIM_IN_DOUBT: Final = define(2322, "WARNING", "claim settled as unknown")
+CLAIM_SHARD_FULL: Final = define(2323, "WARNING", "claim shard full, call refused")
+STREAM_RESUMED: Final = define(2331, "INFO", "engine stream resumed")
+EXECUTE_DROPPED: Final = define(2332, "WARNING", "late or repeated execute dropped")
--- a/bramleyport/transport/_connection.py
+++ b/bramleyport/transport/_connection.py
@@ -57,6 +57,8 @@
     ) -> None:
         self.peer = peer
         self.closed = asyncio.Event()
+        # The run of the agent at the other end, once it has described itself.
+        self.peer_run = ""
         self.on_suspect: Callable[[], None] | None = None
         self._socket = socket
         self._session = Session(policy, time.monotonic())
--- a/bramleyport/upstreams/_http.py
+++ b/bramleyport/upstreams/_http.py
@@ -14,12 +14,20 @@
 class UpstreamError(Exception):
     """Report a failed call and whether it may have run."""
 
-    def __init__(self, step: str, peer: str, reason: str, execution: Execution) -> None:
+    def __init__(
+        self,
+        step: str,
+        peer: str,
+        reason: str,
+        execution: Execution,
+        status: int | None = None,
+    ) -> None:
         super().__init__(f"{step} with {peer}: {reason}")
         self.step = step
         self.peer = peer
         self.reason = reason
         self.execution = execution
+        self.status = status
 
 
 class UpstreamHttp:
@@ -59,7 +67,11 @@
         value = await treq.json_content(response).asFuture(loop)
         if response.code >= 400:
             raise UpstreamError(
-                path, self.base_url, f"status {response.code}", Execution.NOT_RUN
+                path,
+                self.base_url,
+                f"status {response.code}",
+                Execution.NOT_RUN,
+                response.code,
             )
         return value
 
--- a/bramleyport/wire/_messages.py
+++ b/bramleyport/wire/_messages.py
@@ -108,6 +108,8 @@
     services: tuple[str, ...] = ()
     block_tokens: int = 1000
     rates: EngineRates = field(default_factory=EngineRates)
+    # Differs between runs of an agent, so that a restarted one is told apart.
+    run: str = ""
 
 
 @message("execute")
@@ -199,6 +201,8 @@
 
     attempt: AttemptId
     next_frame: int
+    # The run of the agent to which the attempt was sent.
+    run: str = ""
 
 
 @message("load_report")
