--- a/bramleyport/authority/_guard.py
+++ b/bramleyport/authority/_guard.py
@@ -242,7 +242,7 @@
         return ApplyOrder(
             op=self._begin(now_s),
             order=order,
-            engine_fencing=make_engine_fencing(order.fencing, self.incarnation),
+            engine_fencing=make_engine_fencing(order.sequence, self.incarnation),
             send_before_s=self._fresh_s + FRESH_S,
             repair=repair,
         )
--- a/bramleyport/authority/_types.py
+++ b/bramleyport/authority/_types.py
@@ -17,8 +17,9 @@
     make_strict_converter,
 )
 
-# An engine takes one number. The lease's number leads and the agent's incarnation
-# follows, so that an engine that checks it also refuses a replaced agent.
+# An engine compares one number. The order's sequence leads, which rises with the
+# lease's fencing number and also within one lease, so a call that was delayed past the
+# next order is refused too; the incarnation follows, to refuse a replaced agent.
 INCARNATION_LIMIT: Final = 1_000_000
 
 
@@ -121,9 +122,9 @@
     return f"{pool}.{region}"
 
 
-def make_engine_fencing(fencing: FencingNumber, incarnation: int) -> int:
+def make_engine_fencing(sequence: int, incarnation: int) -> int:
     """Return the number that an engine compares."""
-    return fencing * INCARNATION_LIMIT + incarnation
+    return sequence * INCARNATION_LIMIT + incarnation
 
 
 def read_lease(spec: Mapping[str, object]) -> Result[Lease, str]:
