--- a/bramleyport/composition.py
+++ b/bramleyport/composition.py
@@ -10,9 +10,12 @@
 
 if TYPE_CHECKING:
     from bramleyport.daemons._agent import AgentDaemon
+    from bramleyport.daemons._controller import Planner
     from bramleyport.daemons._entry import EntryDaemon
+    from bramleyport.daemons._orders import OrderApplier
     from bramleyport.settings import AgentSettings, EntrySettings, ProcessSettings
     from bramleyport.transport import Identity
+    from bramleyport.upstreams import EngineClient, PlainClient
 
 
 def build_identity(settings: "ProcessSettings") -> "Identity":
@@ -71,14 +74,42 @@
         QUEUE_POLICIES.create(settings.policies.queue, settings.max_streams),
         ESTIMATORS.create(settings.policies.estimator),
         PeerHub(identity, Replica(RecordStore(), HostStore())),
+        _build_orders(settings, upstream) if settings.pool else None,
+    )
+
+
+def _build_orders(
+    settings: "AgentSettings", upstream: "EngineClient | PlainClient"
+) -> "OrderApplier | None":
+    from uuid import uuid4
+
+    from bramleyport.authority import OrderGuard
+    from bramleyport.core import PoolName, RegionName, UpstreamId
+    from bramleyport.daemons._orders import OrderApplier
+    from bramleyport.objectapi import ObjectClient
+    from bramleyport.upstreams import EngineClient
+
+    if not isinstance(upstream, EngineClient):
+        return None
+    run = f"{settings.process.process}-{uuid4().hex[:12]}"
+    return OrderApplier(
+        ObjectClient(settings.process.object_api),
+        upstream,
+        OrderGuard(UpstreamId(settings.upstream), run, PoolName(settings.pool)),
+        RegionName(settings.process.region),
     )
 
 
-def build_entry(settings: "EntrySettings", seed: int | None = None) -> "EntryDaemon":
+def build_entry(
+    settings: "EntrySettings",
+    seed: int | None = None,
+    planner: "Planner | None" = None,
+) -> "EntryDaemon":
     """Build an entry from its settings."""
     from bramleyport.admission import ADMISSION_POLICIES
     from bramleyport.core import ProcessId
     from bramleyport.daemons._claims import ClaimWriter
+    from bramleyport.daemons._controller import Controllers
     from bramleyport.daemons._dispatch import Dispatcher
     from bramleyport.daemons._entry import EntryDaemon
     from bramleyport.daemons._hub import PeerHub
@@ -92,6 +123,7 @@
     from bramleyport.retries import RETRY_POLICIES
     from bramleyport.routing import ROUTING_POLICIES
     from bramleyport.telemetry import Journal, Metrics
+    from bramleyport.wire import OrderReport
 
     policies = settings.policies
     metrics = Metrics()
@@ -110,13 +142,23 @@
         Replica(records, HostStore()),
         Topology(identity.process, identity.zone),
     )
-    links = AgentLinks(identity, hub.read_revision, dispatcher.deliver, hub)
+    links = AgentLinks(
+        identity,
+        hub.read_revision,
+        lambda link, connection, message: (
+            controllers.report(message)
+            if isinstance(message, OrderReport)
+            else dispatcher.deliver(link, connection, message)
+        ),
+        hub,
+    )
     dispatcher.links = links
     client = ObjectClient(
         settings.process.object_api,
         lambda step, result: metrics.store_calls.inc({"kind": step, "result": result}),
     )
     keyed = KeyedCalls(ClaimWriter(client), dispatcher)
+    controllers = Controllers(settings, client, links, planner)
     outcomes = OutcomeCounter()
     journal = Journal()
     journal.attach()
@@ -141,4 +183,5 @@
         outcomes,
         journal,
         status,
+        controllers,
     )
--- a/bramleyport/daemons/_entry.py
+++ b/bramleyport/daemons/_entry.py
@@ -39,6 +39,7 @@
     from twisted.internet.tcp import Port
     from websockets.asyncio.server import Server
 
+    from bramleyport.daemons._controller import Controllers
     from bramleyport.daemons._dispatch import Dispatcher
     from bramleyport.daemons._hub import PeerHub
     from bramleyport.daemons._peers import AgentLinks
@@ -69,8 +70,10 @@
         outcomes: OutcomeCounter,
         journal: Journal,
         status: "StatusReporter",
+        controllers: "Controllers | None" = None,
     ) -> None:
         self.settings = settings
+        self.controllers = controllers
         self.records = records
         self._identity = identity
         self._hub = hub
@@ -86,6 +89,7 @@
         self._tenants = TenantLabels()
         self._stopping = False
         self._in_flight = 0
+        self._tasks: list[asyncio.Task[None]] = []
         self._listening: Port | None = None
         self._server: Server | None = None
 
@@ -117,6 +121,9 @@
         )
         self._hub.on_topology = self._follower.update
         self._hub.start(process.seeds)
+        self._tasks = [asyncio.ensure_future(self._status.run())]
+        if self.controllers is not None:
+            self._tasks += self.controllers.start()
         site = make_site(CallerApp(self).app.resource(), self.settings.max_body_bytes)
         endpoint = endpoints.TCP4ServerEndpoint(
             reactor, self.settings.http_port, interface=process.address
@@ -137,6 +144,9 @@
             stopped = self._listening.stopListening()
             if stopped is not None:
                 await stopped.asFuture(asyncio.get_running_loop())
+        await self._keyed.drain()
+        for task in self._tasks:
+            task.cancel()
         self._hub.on_topology = None
         self._follower.stop()
         await self._links.close()
--- a/bramleyport/daemons/_peers.py
+++ b/bramleyport/daemons/_peers.py
@@ -182,6 +182,7 @@
         self, link: AgentLink, connection: Connection, message: Message
     ) -> None:
         if isinstance(message, UpstreamInfo):
+            connection.peer_run = message.run
             link.apply_info(message)
             if message.state is UpstreamState.LEAVING:
                 self._hub.report_leaving(connection)
--- a/bramleyport/telemetry/__init__.py
+++ b/bramleyport/telemetry/__init__.py
@@ -1,6 +1,7 @@
 """Logs, numbered events and metrics."""
 
 from bramleyport.telemetry import (
+    _authority_events as authority_events,
     _events as events,
     _membership_events as membership_events,
 )
@@ -19,6 +20,7 @@
     "JournalEntry",
     "Metrics",
     "TenantLabels",
+    "authority_events",
     "configure_logging",
     "events",
     "log_event",
--- a/bramleyport/transport/_connection.py
+++ b/bramleyport/transport/_connection.py
@@ -69,6 +69,8 @@
         self.version = version
         self.make_heartbeat: Callable[[int], Heartbeat] | None = None
         self.closed = asyncio.Event()
+        # The run of the agent at the other end, once it has described itself.
+        self.peer_run = ""
         self.on_suspect: Callable[[], None] | None = None
         self._socket = socket
         self._tick_s = min(TICK_S, policy.interval_s / 2)
