Choose one entry to report status and count peers in force

Cause: every entry wrote the status of every record, and the count of processes in force knew only the writer itself. Change: rendezvous hashing over the live entries chooses the reporter; the revisions that peers state in their heartbeats are counted. Conclusion: status covers the processes the reporter is connected to.

--- a/bramleyport/composition.py
+++ b/bramleyport/composition.py
@@ -167,8 +167,10 @@
         client,
         outcomes,
         journal,
-        lambda: FleetState(views=links.list_views(), revisions=[records.revision]),
-        lambda: True,
+        lambda: FleetState(
+            views=links.list_views(), revisions=hub.replica.list_revisions()
+        ),
+        hub.is_reporter,
     )
     return EntryDaemon(
         settings,
--- a/bramleyport/daemons/_hub.py
+++ b/bramleyport/daemons/_hub.py
@@ -15,6 +15,7 @@
     Event,
     Host,
     HostList,
+    HostState,
     LeavingReported,
     LeavingSource,
     Membership,
@@ -22,6 +23,7 @@
     Replaced,
     StateChanged,
     Tick,
+    choose,
 )
 from bramleyport.replication import Changes, Replica, Send, Topology
 from bramleyport.telemetry import events, log_event, membership_events
@@ -62,6 +64,16 @@
         self._ticker: asyncio.Task[None] | None = None
         self._background: set[asyncio.Future[Any]] = set()
 
+    def is_reporter(self) -> bool:
+        """Return whether this process writes the status of the records."""
+        own = self._identity.process
+        live = {
+            host.process
+            for host in self.membership.hosts
+            if host.role is ProcessRole.ENTRY and host.state is HostState.LIVE
+        }
+        return choose("status", live | {own}, 1) == [own]
+
     def read_revision(self) -> Revision:
         """Return the revision of the records in force."""
         return self.replica.records.revision
--- a/bramleyport/replication/_replica.py
+++ b/bramleyport/replication/_replica.py
@@ -70,6 +70,10 @@
             store_age_ms=age_ms,
         )
 
+    def list_revisions(self) -> list[Revision]:
+        """Return the revision in force here and on each connected peer."""
+        return [self.records.revision, *(p.revision for p in self._peers.values())]
+
     def forget(self, peer: ProcessId) -> None:
         """Drop what is known of a peer whose connection closed."""
         self._peers.pop(peer, None)
