--- /dev/null
+++ b/bramleyport/retries/_budgeted.py
@@ -0,0 +1,63 @@
+"""Retries within a budget that is a ratio of first attempts."""
+
+from typing import Final
+
+from bramleyport.core import Explanation, Work
+from bramleyport.retries._base import (
+    RETRY_POLICIES,
+    AttemptFailure,
+    GiveUp,
+    RetryNow,
+    is_repeatable,
+)
+from bramleyport.retries._bucket import RetryBudget
+
+# A fault that follows the request from upstream to upstream is the request's own.
+MAX_ATTEMPTS: Final = 4
+RETRY_AFTER_S: Final = 1.0
+# Callers that come back while the budget is empty would only spend it again.
+RETRY_AFTER_MAX_S: Final = 10.0
+
+
+@RETRY_POLICIES.register("budget")
+class BudgetRetries:
+    """Retry repeatable work while the shared budget lasts."""
+
+    def __init__(self, budget: RetryBudget | None = None) -> None:
+        self.budget = budget or RetryBudget()
+
+    def record_request(self, now_s: float) -> None:
+        """Count a first attempt towards the retry budget."""
+        self.budget.record_request(now_s)
+
+    def next(
+        self, attempts: int, work: Work, failure: AttemptFailure, now_s: float
+    ) -> RetryNow | GiveUp:
+        """Decide whether to try again after the given number of attempts."""
+        reason = self._find_obstacle(attempts, work, failure, now_s)
+        if reason is None and not self.budget.take(now_s):
+            reason = "budget_spent"
+        numbers = {
+            "attempts": float(attempts),
+            "budget": round(self.budget.tokens, 3),
+            "time_left_s": round(work.answer_deadline_s - now_s, 3),
+        }
+        if reason is None:
+            return RetryNow(Explanation(reason="within_budget", numbers=numbers))
+        retry_after_s = max(failure.retry_after_s, RETRY_AFTER_S)
+        if reason == "budget_spent":
+            refill_s = min(RETRY_AFTER_MAX_S, self.budget.forecast_token())
+            retry_after_s = max(retry_after_s, refill_s)
+        explanation = Explanation(reason=reason, numbers=numbers)
+        return GiveUp(explanation, failure.execution, retry_after_s)
+
+    def _find_obstacle(
+        self, attempts: int, work: Work, failure: AttemptFailure, now_s: float
+    ) -> str | None:
+        if not is_repeatable(work, failure):
+            return "not_repeatable"
+        if now_s >= work.answer_deadline_s:
+            return "deadline"
+        if attempts >= MAX_ATTEMPTS:
+            return "attempts_spent"
+        return None
--- a/bramleyport/routing/__init__.py
+++ b/bramleyport/routing/__init__.py
@@ -1,11 +1,27 @@
 """Choose an upstream for each request."""
 
-from bramleyport.routing import _least_loaded as _least_loaded
+from bramleyport.routing import _affinity as _affinity, _least_loaded as _least_loaded
 from bramleyport.routing._base import (
     ROUTING_POLICIES,
+    Place,
     Route,
     RoutingPolicy,
     is_eligible,
 )
+from bramleyport.routing._cache_view import CacheChange, CacheFollower, CacheRecorder
+from bramleyport.routing._subsets import SubsetHost, SubsetSelector
+from bramleyport.routing._transfer import TransferCost
 
-__all__ = ["ROUTING_POLICIES", "Route", "RoutingPolicy", "is_eligible"]
+__all__ = [
+    "ROUTING_POLICIES",
+    "CacheChange",
+    "CacheFollower",
+    "CacheRecorder",
+    "Place",
+    "Route",
+    "RoutingPolicy",
+    "SubsetHost",
+    "SubsetSelector",
+    "TransferCost",
+    "is_eligible",
+]
--- /dev/null
+++ b/bramleyport/routing/_affinity.py
@@ -0,0 +1,237 @@
+"""Routing by forecast times, with prefix caches weighed against load."""
+
+from collections import OrderedDict
+from collections.abc import Sequence
+from dataclasses import dataclass
+from random import Random
+from typing import Final
+
+from bramleyport.core import (
+    EngineRole,
+    Explanation,
+    PrefixBlock,
+    ServiceKind,
+    UpstreamId,
+    UpstreamView,
+    Work,
+)
+from bramleyport.estimate import Estimate, Estimator
+from bramleyport.routing._base import ROUTING_POLICIES, Place, Route, is_eligible
+from bramleyport.routing._transfer import TransferCost
+
+# The scan is bounded so that a decision costs the same at any number of upstreams.
+FULL_SCAN_VIEWS: Final = 12
+SAMPLED_VIEWS: Final = 8
+REMEMBERED_PREFIXES: Final = 8192
+HOMES_PER_PREFIX: Final = 2
+PROBED_BLOCKS: Final = 4
+
+# Half, because a view with a gap is wrong about some blocks and right about others.
+UNCERTAIN_WEIGHT: Final = 0.5
+SAME_ZONE_S: Final = 0.0
+OTHER_ZONE_S: Final = 0.0015
+OTHER_REGION_S: Final = 0.030
+ADAPTER_LOAD_S: Final = 1.0
+LATE_WEIGHT: Final = 4.0
+# An engine outside its role slows the work that it is kept free for.
+ROLE_MISMATCH_FACTOR: Final = 2.0
+MIN_TARGET_S: Final = 0.05
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Candidate:
+    """Hold the forecast of one upstream and its score; lower is better."""
+
+    view: UpstreamView
+    estimate: Estimate
+    first_token_s: float
+    answer_s: float
+    cached_tokens: float
+    score: float
+
+
+@ROUTING_POLICIES.register("affinity")
+class AffinityRouting:
+    """Choose the upstream with the best forecast among a bounded few."""
+
+    def __init__(
+        self,
+        estimator: Estimator,
+        place: Place | None = None,
+        transfer: TransferCost | None = None,
+    ) -> None:
+        self._estimator = estimator
+        self._place = place
+        self._transfer = transfer
+        self._homes: OrderedDict[PrefixBlock, tuple[tuple[int, UpstreamId], ...]] = (
+            OrderedDict()
+        )
+
+    def choose(
+        self, work: Work, views: Sequence[UpstreamView], now_s: float, rng: Random
+    ) -> Route | None:
+        """Choose among the eligible upstreams, or return None without any."""
+        positions = self._pick_positions(work, views, rng)
+        scored = [
+            (self._score(work, views[position]), position)
+            for position in positions
+            if is_eligible(work, views[position])
+        ]
+        if not scored:
+            return self._choose_any(work, views)
+        best, position = min(scored, key=lambda item: (item[0].score, rng.random()))
+        self._remember(work, position, best.view.upstream)
+        return self._make_route(work, best, [candidate for candidate, _ in scored])
+
+    def _choose_any(self, work: Work, views: Sequence[UpstreamView]) -> Route | None:
+        # Only a caller that passes upstreams it has not filtered comes here.
+        for view in views:
+            if is_eligible(work, view):
+                best = self._score(work, view)
+                return self._make_route(work, best, [best])
+        return None
+
+    def _pick_positions(
+        self, work: Work, views: Sequence[UpstreamView], rng: Random
+    ) -> Sequence[int]:
+        count = len(views)
+        if count <= FULL_SCAN_VIEWS:
+            return range(count)
+        # Indexing by a draw is cheaper than Random.sample for a few of many.
+        picked = {int(rng.random() * count) for _ in range(SAMPLED_VIEWS)}
+        for block in work.prefix_blocks[: -PROBED_BLOCKS - 1 : -1]:
+            for position, upstream in self._homes.get(block, ()):
+                if position < count and views[position].upstream == upstream:
+                    picked.add(position)
+        if work.prefix_blocks:
+            # Requests of one first block meet at one engine before any is remembered.
+            picked.add(int.from_bytes(work.prefix_blocks[0][:8], "big") % count)
+        return sorted(picked)
+
+    def _remember(self, work: Work, position: int, upstream: UpstreamId) -> None:
+        for block in work.prefix_blocks[-PROBED_BLOCKS:]:
+            homes = self._homes.pop(block, ())
+            others = tuple(home for home in homes if home[1] != upstream)
+            kept = others[: HOMES_PER_PREFIX - 1]
+            self._homes[block] = ((position, upstream), *kept)
+        while len(self._homes) > REMEMBERED_PREFIXES:
+            self._homes.popitem(last=False)
+
+    def _score(self, work: Work, view: UpstreamView) -> Candidate:
+        estimate = self._estimator.estimate(work, view)
+        cached_tokens = _count_cached_tokens(work, view)
+        prefill_s = estimate.prefill_s
+        if view.cached.uncertain:
+            doubted = cached_tokens * (1 - UNCERTAIN_WEIGHT)
+            prefill_s += doubted / max(1.0, view.rates.prefill_tokens_per_s)
+        decode_s = estimate.decode_s
+        prefill_s *= _weigh_role(view.role, EngineRole.DECODE)
+        decode_s *= _weigh_role(view.role, EngineRole.PREFILL)
+        wait_s = estimate.wait_s + _forecast_slot_wait(view, decode_s)
+        network_s = 2 * self._measure_distance(view)
+        if work.adapter is not None and work.adapter not in view.adapters:
+            wait_s += ADAPTER_LOAD_S
+        first_token_s = wait_s + prefill_s + network_s
+        answer_s = first_token_s + decode_s * (1 + _measure_occupancy(view))
+        return Candidate(
+            view=view,
+            estimate=estimate,
+            first_token_s=first_token_s,
+            answer_s=answer_s,
+            cached_tokens=cached_tokens,
+            score=_weigh_targets(work, first_token_s, answer_s),
+        )
+
+    def _measure_distance(self, view: UpstreamView) -> float:
+        place = self._place
+        if place is None or view.zone == place.zone:
+            return SAME_ZONE_S
+        return OTHER_ZONE_S if view.region == place.region else OTHER_REGION_S
+
+    def _make_route(
+        self, work: Work, best: Candidate, candidates: list[Candidate]
+    ) -> Route:
+        numbers = {
+            "candidates": float(len(candidates)),
+            "first_token_s": round(best.first_token_s, 4),
+            "answer_s": round(best.answer_s, 4),
+            "cached_tokens": round(best.cached_tokens, 1),
+            "score": round(best.score, 4),
+        }
+        reason = _name_reason(best, candidates)
+        decode = self._find_decode(work, best, candidates)
+        if decode is not None:
+            partner, saved_s = decode
+            numbers["saved_s"] = round(saved_s, 4)
+            explanation = Explanation(reason="split", numbers=numbers)
+            return Route(
+                upstream=best.view.upstream,
+                decode_upstream=partner.view.upstream,
+                explanation=explanation,
+            )
+        explanation = Explanation(reason=reason, numbers=numbers)
+        return Route(upstream=best.view.upstream, explanation=explanation)
+
+    def _find_decode(
+        self, work: Work, best: Candidate, candidates: list[Candidate]
+    ) -> tuple[Candidate, float] | None:
+        """Return the engine to decode on if moving the KV cache pays."""
+        if self._transfer is None or work.kind is not ServiceKind.LANGUAGE:
+            return None
+        transfer_s = self._transfer.forecast(work.prompt_tokens)
+        saved: list[tuple[float, Candidate]] = []
+        for other in candidates:
+            if other is best or other.view.role is EngineRole.PREFILL:
+                continue
+            # Decode waits for a slot there only while the prefill runs here.
+            idle_s = max(0.0, other.estimate.wait_s - best.first_token_s)
+            split_s = best.first_token_s + transfer_s + idle_s + _decode_s(other)
+            saved.append((best.answer_s - split_s, other))
+        if not saved:
+            return None
+        saved_s, partner = max(saved, key=lambda item: item[0])
+        return (partner, saved_s) if saved_s > 0 else None
+
+
+def _decode_s(candidate: Candidate) -> float:
+    return candidate.estimate.decode_s * (1 + _measure_occupancy(candidate.view))
+
+
+def _count_cached_tokens(work: Work, view: UpstreamView) -> float:
+    if not work.prefix_blocks:
+        return 0.0
+    cached = view.cached.count_cached(work.prefix_blocks) * view.block_tokens
+    return float(min(cached, work.prompt_tokens))
+
+
+def _measure_occupancy(view: UpstreamView) -> float:
+    streams = view.load.running + view.sent.requests
+    return min(1.0, streams / max(1, view.rates.max_streams))
+
+
+def _forecast_slot_wait(view: UpstreamView, decode_s: float) -> float:
+    # The load report does not count the work sent after it.
+    slots = max(1, view.rates.max_streams)
+    excess = max(0, view.load.running + view.sent.requests - slots)
+    return excess / slots * decode_s
+
+
+def _weigh_role(role: EngineRole, mismatch: EngineRole) -> float:
+    return ROLE_MISMATCH_FACTOR if role is mismatch else 1.0
+
+
+def _weigh_targets(work: Work, first_token_s: float, answer_s: float) -> float:
+    first = first_token_s / max(MIN_TARGET_S, work.targets.first_token_s)
+    answer = answer_s / max(MIN_TARGET_S, work.targets.answer_s)
+    late = max(0.0, first - 1) + max(0.0, answer - 1)
+    return first + answer + LATE_WEIGHT * late
+
+
+def _name_reason(best: Candidate, candidates: list[Candidate]) -> str:
+    if len(candidates) == 1:
+        return "only_candidate"
+    if best.cached_tokens > 0:
+        return "prefix_cached"
+    if any(candidate.cached_tokens > 0 for candidate in candidates):
+        return "cache_overloaded"
+    return "least_forecast"
--- /dev/null
+++ b/bramleyport/routing/_subsets.py
@@ -0,0 +1,188 @@
+"""Subsets of upstreams per entry, balanced in both directions.
+
+Each entry computes its own subset from the host list alone, without coordination. The
+upstreams of its region are divided into cells, one per pool and zone. In each cell an
+entry has a quota and an upstream has a capacity; pairs are accepted in the order of
+their rendezvous hashes while both have room. A host that comes or goes changes the
+pairs of its own cell only, and few of them.
+"""
+
+import hashlib
+from collections import defaultdict
+from collections.abc import Iterable, Mapping, Sequence
+from dataclasses import dataclass
+from functools import lru_cache
+from typing import Final
+
+from bramleyport.core import ProcessId, RegionName, ZoneName
+
+MASK: Final = (1 << 64) - 1
+# Odd multipliers of the splitmix64 finaliser.
+MIX_1: Final = 0xBF58476D1CE4E5B9
+MIX_2: Final = 0x94D049BB133111EB
+DEFAULT_SUBSET: Final = 60
+MIN_PER_POOL: Final = 4
+
+
+@dataclass(frozen=True, slots=True)
+class SubsetHost:
+    """Hold what subset selection needs to know of a process."""
+
+    process: ProcessId
+    zone: ZoneName
+    region: RegionName
+    pool: str = ""
+
+
+Cell = tuple[str, ZoneName]
+Pairs = Mapping[ProcessId, tuple[ProcessId, ...]]
+
+
+class SubsetSelector:
+    """Choose the upstreams of every entry and remember the cells computed."""
+
+    def __init__(self, size: int = DEFAULT_SUBSET) -> None:
+        self._size = size
+        self._cells: dict[tuple[RegionName, Cell], tuple[object, Pairs]] = {}
+
+    def choose(
+        self,
+        entry: SubsetHost,
+        entries: Iterable[SubsetHost],
+        upstreams: Iterable[SubsetHost],
+    ) -> frozenset[ProcessId]:
+        """Return the upstreams that one entry connects to."""
+        known = list(upstreams)
+        if len(known) <= self._size:
+            return frozenset(host.process for host in known)
+        peers = {host.process for host in entries if host.region == entry.region}
+        peers.add(entry.process)
+        pairs = self._assign_region(entry.region, sorted(peers), known)
+        return frozenset(pairs.get(entry.process, ()))
+
+    def choose_all(
+        self, entries: Sequence[SubsetHost], upstreams: Sequence[SubsetHost]
+    ) -> dict[ProcessId, frozenset[ProcessId]]:
+        """Return the upstreams of each entry."""
+        return {
+            entry.process: self.choose(entry, entries, upstreams) for entry in entries
+        }
+
+    def _assign_region(
+        self,
+        region: RegionName,
+        entries: list[ProcessId],
+        upstreams: Sequence[SubsetHost],
+    ) -> dict[ProcessId, list[ProcessId]]:
+        pools = _group_pools(region, upstreams)
+        total = sum(len(hosts) for hosts in pools.values())
+        chosen: dict[ProcessId, list[ProcessId]] = defaultdict(list)
+        for pool in sorted(pools):
+            hosts = pools[pool]
+            share = round(self._size * len(hosts) / total)
+            quota = min(len(hosts), max(MIN_PER_POOL, share))
+            for zone, counts, members in _divide_zones(entries, hosts, quota):
+                pairs = self._assign_cell(region, (pool, zone), counts, members)
+                for entry, selected in pairs.items():
+                    chosen[entry].extend(selected)
+        return chosen
+
+    def _assign_cell(
+        self,
+        region: RegionName,
+        cell: Cell,
+        quotas: tuple[tuple[ProcessId, int], ...],
+        members: tuple[ProcessId, ...],
+    ) -> Pairs:
+        inputs = (quotas, members)
+        known = self._cells.get((region, cell))
+        if known is not None and known[0] == inputs:
+            return known[1]
+        pairs = assign_pairs(dict(quotas), members)
+        self._cells[region, cell] = (inputs, pairs)
+        return pairs
+
+
+def assign_pairs(
+    quotas: Mapping[ProcessId, int], members: Sequence[ProcessId]
+) -> Pairs:
+    """Give each entry its quota of members and each member an even load."""
+    wanted = {entry: min(quota, len(members)) for entry, quota in quotas.items()}
+    chosen: dict[ProcessId, set[ProcessId]] = {entry: set() for entry in wanted}
+    loads = dict.fromkeys(members, 0)
+    ordered = _order_pairs(list(wanted), members)
+    low = sum(wanted.values()) // max(1, len(members))
+    # The last pass has no limit: an entry may already hold the members with room.
+    for limit in (low, low + 1, len(wanted)):
+        left = []
+        for pair in ordered:
+            _, entry, member = pair
+            if len(chosen[entry]) >= wanted[entry]:
+                continue
+            if loads[member] >= limit:
+                left.append(pair)
+                continue
+            chosen[entry].add(member)
+            loads[member] += 1
+        ordered = left
+    return {entry: tuple(sorted(selected)) for entry, selected in chosen.items()}
+
+
+def _order_pairs(
+    entries: Sequence[ProcessId], members: Sequence[ProcessId]
+) -> list[tuple[int, ProcessId, ProcessId]]:
+    seeds = [(_digest(entry), entry) for entry in entries]
+    pairs = []
+    for member in members:
+        seed = _digest(member)
+        for other, entry in seeds:
+            mixed = ((seed ^ other) * MIX_1) & MASK
+            mixed = ((mixed ^ (mixed >> 31)) * MIX_2) & MASK
+            pairs.append((mixed, entry, member))
+    pairs.sort()
+    return pairs
+
+
+@lru_cache(maxsize=8192)
+def _digest(process: ProcessId) -> int:
+    return int.from_bytes(hashlib.blake2b(process.encode(), digest_size=8).digest())
+
+
+def _group_pools(
+    region: RegionName, upstreams: Iterable[SubsetHost]
+) -> dict[str, list[SubsetHost]]:
+    """Group the upstreams of a region; a pool absent there keeps all regions."""
+    every: dict[str, list[SubsetHost]] = defaultdict(list)
+    local: dict[str, list[SubsetHost]] = defaultdict(list)
+    for host in upstreams:
+        every[host.pool].append(host)
+        if host.region == region:
+            local[host.pool].append(host)
+    return {pool: local.get(pool) or hosts for pool, hosts in every.items()}
+
+
+def _divide_zones(
+    entries: Sequence[ProcessId], hosts: Sequence[SubsetHost], quota: int
+) -> list[tuple[ZoneName, tuple[tuple[ProcessId, int], ...], tuple[ProcessId, ...]]]:
+    """Divide each entry's quota over the zones in proportion to their hosts.
+
+    The fractions are rounded by a value between 0 and 1 drawn from the entry's hash, so
+    that over all entries each zone gets its exact proportion.
+    """
+    zones: dict[ZoneName, list[ProcessId]] = defaultdict(list)
+    for host in hosts:
+        zones[host.zone].append(host.process)
+    start = 0
+    parts = []
+    for zone in sorted(zones):
+        members = tuple(sorted(zones[zone]))
+        end = start + len(members)
+        counts = []
+        for entry in entries:
+            draw = _digest(entry) / (MASK + 1)
+            until = int(quota * end / len(hosts) + draw)
+            count = until - int(quota * start / len(hosts) + draw)
+            counts.append((entry, min(count, len(members))))
+        parts.append((zone, tuple(counts), members))
+        start = end
+    return parts
