Use affinity routing, subsets, retry budgets and guards by default

Cause: entries connected to every agent, trusted cache reports with gaps for ever and retried by count. Change: the dispatcher screens upstreams, spends a shared budget on retries and hedges and reports each decision; links follow the entry's subset; agents resend their whole cache view on request.

--- /dev/null
+++ b/bramleyport/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks of policies, recovery and capacity."""
--- a/bramleyport/composition.py
+++ b/bramleyport/composition.py
@@ -63,25 +63,36 @@
     from bramleyport.estimate import ESTIMATORS
     from bramleyport.objectapi import ObjectClient
     from bramleyport.replication import RecordStore
-    from bramleyport.retries import RETRY_POLICIES
-    from bramleyport.routing import ROUTING_POLICIES
+    from bramleyport.retries import (
+        HEDGE_POLICIES,
+        RETRY_POLICIES,
+        UPSTREAM_GUARDS,
+        RetryBudget,
+    )
+    from bramleyport.routing import ROUTING_POLICIES, Place, SubsetSelector
     from bramleyport.telemetry import Metrics
 
     policies = settings.policies
     metrics = Metrics()
     records = RecordStore()
     estimator = ESTIMATORS.create(policies.estimator)
+    identity = build_identity(settings.process)
+    place = Place(zone=identity.zone, region=identity.region)
+    budget = RetryBudget()
     dispatcher = Dispatcher(
         ADMISSION_POLICIES.create(policies.admission, estimator),
-        ROUTING_POLICIES.create(policies.routing, estimator),
-        RETRY_POLICIES.create(policies.retries),
+        ROUTING_POLICIES.create(policies.routing, estimator, place),
+        RETRY_POLICIES.create(policies.retries, budget),
         metrics,
         Random(seed),
+        UPSTREAM_GUARDS.create(policies.guard),
+        HEDGE_POLICIES.create(policies.hedging, budget),
     )
     links = AgentLinks(
-        build_identity(settings.process),
+        identity,
         lambda: records.revision,
         dispatcher.deliver,
+        SubsetSelector(settings.subset_size),
     )
     dispatcher.links = links
     client = ObjectClient(
--- a/bramleyport/daemons/_agent.py
+++ b/bramleyport/daemons/_agent.py
@@ -11,7 +11,6 @@
     EngineRates,
     EngineRole,
     Execution,
-    PrefixBlock,
     Revision,
     ServiceKind,
     UpstreamId,
@@ -20,6 +19,7 @@
     ZoneName,
 )
 from bramleyport.daemons._agent_attempt import AgentAttempt, Upstream
+from bramleyport.daemons._agent_cache import AgentCache
 from bramleyport.queueing import QueuedWork, QueuePolicy, Refused as QueueRefused
 from bramleyport.telemetry import events, log_event
 from bramleyport.transport import listen
@@ -27,7 +27,7 @@
 from bramleyport.wire import (
     Accepted,
     Ack,
-    CacheReport,
+    CacheRequest,
     Cancel,
     Execute,
     Failed,
@@ -70,13 +70,13 @@
         self._attempts: dict[AttemptId, AgentAttempt] = {}
         self._running: set[AttemptId] = set()
         self._leaving = False
-        self._cache_sequence = 0
         self._view = UpstreamView(
             upstream=UpstreamId(settings.upstream),
             kind=settings.kind,
             zone=ZoneName(settings.process.zone),
             region=identity.region,
         )
+        self._cache = AgentCache(self._view)
         self._server: Server | None = None
         self._tasks: list[asyncio.Task[None]] = []
         self._background: set[asyncio.Future[None]] = set()
@@ -132,13 +132,7 @@
         if self._leaving:
             connection.post(Leaving(process=self._identity.process))
         connection.post(self._make_load_report())
-        connection.post(
-            CacheReport(
-                upstream=self._view.upstream,
-                sequence=self._cache_sequence,
-                stored=tuple(self._view.cached.blocks),
-            )
-        )
+        connection.post(self._cache.make_full())
 
     def _handle(self, connection: "Connection", message: Message) -> None:
         if isinstance(message, Execute):
@@ -149,6 +143,8 @@
             attempt = self._attempts.get(message.attempt)
             if attempt is not None:
                 attempt.acknowledge(message.next_frame)
+        elif isinstance(message, CacheRequest):
+            connection.post(self._cache.make_full())
         elif isinstance(message, Cancel):
             self._cancel(message.attempt)
 
@@ -197,6 +193,9 @@
     async def _run(self, attempt_id: AttemptId, attempt: AgentAttempt) -> None:
         try:
             await attempt.run(self._upstream)
+            if attempt.log.end is not None:
+                prefix = attempt.execute.work.prefix_blocks
+                self._cache.confirm(prefix, time.monotonic())
         except asyncio.CancelledError:
             if isinstance(self._upstream, EngineClient):
                 self._background.add(
@@ -266,7 +265,9 @@
             before = self._describe()
             await self._read_upstream()
             after = self._describe()
-            cache = await self._read_cache()
+            cache = None
+            if isinstance(self._upstream, EngineClient):
+                cache = await self._cache.read(self._upstream, time.monotonic())
             for connection in list(self._connections):
                 if after != before:
                     connection.post(after)
@@ -313,31 +314,6 @@
             blocks_total=int(report["blocks_total"]),
         )
 
-    async def _read_cache(self) -> CacheReport | None:
-        if not isinstance(self._upstream, EngineClient):
-            return None
-        try:
-            changes = await self._upstream.read_cache_events(self._cache_sequence)
-        except UpstreamError:
-            return None
-        if not changes:
-            return None
-        cached = self._view.cached
-        stored: set[PrefixBlock] = set()
-        evicted: set[PrefixBlock] = set()
-        for change in changes:
-            cached.blocks.update(change.stored)
-            cached.blocks.difference_update(change.evicted)
-            stored.update(change.stored)
-            evicted.update(change.evicted)
-            self._cache_sequence = change.sequence
-        return CacheReport(
-            upstream=self._view.upstream,
-            sequence=self._cache_sequence,
-            stored=tuple(stored & cached.blocks),
-            evicted=tuple(evicted - cached.blocks),
-        )
-
     def _describe(self) -> UpstreamInfo:
         view = self._view
         return UpstreamInfo(
--- /dev/null
+++ b/bramleyport/daemons/_agent_cache.py
@@ -0,0 +1,57 @@
+"""The agent's record of its engine's prefix cache."""
+
+from typing import TYPE_CHECKING
+
+from bramleyport.routing import CacheChange, CacheRecorder
+from bramleyport.telemetry import log_event, routing_events
+from bramleyport.upstreams import UpstreamError
+from bramleyport.wire import CacheReport
+
+if TYPE_CHECKING:
+    from bramleyport.core import PrefixBlock, UpstreamView
+    from bramleyport.upstreams import EngineClient
+
+
+class AgentCache:
+    """Read the engine's cache events and make reports of them."""
+
+    def __init__(self, view: "UpstreamView") -> None:
+        self._view = view
+        self._recorder = CacheRecorder(view.cached)
+
+    async def read(self, engine: "EngineClient", now_s: float) -> CacheReport | None:
+        """Read new events and return what peers need to know."""
+        try:
+            changes = await engine.read_cache_events(self._view.cached.last_sequence)
+        except UpstreamError:
+            # The engine may come back empty and count its events from one again.
+            self._recorder.reset()
+            changes = []
+        for change in changes:
+            if self._recorder.record(change.sequence, change.stored, change.evicted):
+                log_event(
+                    routing_events.CACHE_EVENTS_LOST,
+                    upstream=self._view.upstream,
+                    sequence=change.sequence,
+                )
+        self._recorder.expire(now_s)
+        change_made = self._recorder.take_change()
+        return None if change_made is None else self._make_report(change_made)
+
+    def confirm(self, blocks: "tuple[PrefixBlock, ...]", now_s: float) -> None:
+        """Add the prompt blocks of an answered request."""
+        self._recorder.confirm(blocks, now_s)
+
+    def make_full(self) -> CacheReport:
+        """Return a report of all cached blocks."""
+        return self._make_report(self._recorder.make_full())
+
+    def _make_report(self, change: CacheChange) -> CacheReport:
+        return CacheReport(
+            upstream=self._view.upstream,
+            previous=change.previous,
+            sequence=change.sequence,
+            stored=change.stored,
+            evicted=change.evicted,
+            full=change.full,
+        )
--- a/bramleyport/daemons/_dispatch.py
+++ b/bramleyport/daemons/_dispatch.py
@@ -12,15 +12,33 @@
     AttemptId,
     ErrorCode,
     Execution,
+    Explanation,
     ServeError,
     UpstreamId,
     UpstreamView,
     Work,
 )
-from bramleyport.daemons._entry_attempt import Call, EntryAttempt, OnChunk
-from bramleyport.retries import AttemptFailure, FailureKind, GiveUp, RetryPolicy
+from bramleyport.daemons._entry_attempt import (
+    AttemptResult,
+    Call,
+    EntryAttempt,
+    OnChunk,
+)
+from bramleyport.daemons._race import Start, race_attempts
+from bramleyport.retries import (
+    HEDGE_POLICIES,
+    UPSTREAM_GUARDS,
+    AttemptFailure,
+    FailureKind,
+    GiveUp,
+    HedgePlan,
+    HedgePolicy,
+    RetryNow,
+    RetryPolicy,
+    UpstreamGuard,
+)
 from bramleyport.routing import RoutingPolicy, is_eligible
-from bramleyport.telemetry import Metrics, events, log_event
+from bramleyport.telemetry import Event, Metrics, events, log_event, routing_events
 from bramleyport.wire import Message
 
 if TYPE_CHECKING:
@@ -41,7 +59,11 @@
         retries: RetryPolicy,
         metrics: Metrics,
         rng: Random,
+        guard: UpstreamGuard | None = None,
+        hedging: HedgePolicy | None = None,
     ) -> None:
+        self._guard = guard or UPSTREAM_GUARDS.create("none")
+        self._hedging = hedging or HEDGE_POLICIES.create("none")
         self.links: AgentLinks | None = None
         self._admission = admission
         self._routing = routing
@@ -95,27 +117,57 @@
         while True:
             link = self._choose(work, tried)
             if link is None:
-                return Err(self._explain_no_upstream(worst))
+                return Err(self._explain_no_upstream(work, worst))
             attempts += 1
-            result = await self._attempt(link, work, call, on_chunk)
+            result = await self._attempt_hedged(link, work, call, on_chunk, tried)
             if isinstance(result, Ok):
                 return Ok(result.ok_value)
             failure = result.err_value
             tried.add(failure.upstream)
             if failure.execution is not Execution.NOT_RUN:
                 worst = Execution.UNKNOWN
-            decision = self._retries.next(attempts, work, failure, time.monotonic())
+            decision = self._decide_retry(attempts, work, failure)
             if isinstance(decision, GiveUp):
-                return Err(self._explain_give_up(work, failure, decision, worst))
+                return Err(self._explain_give_up(failure, decision, worst))
+
+    def _decide_retry(
+        self, attempts: int, work: Work, failure: AttemptFailure
+    ) -> RetryNow | GiveUp:
+        decision = self._retries.next(attempts, work, failure, time.monotonic())
+        denied = isinstance(decision, GiveUp)
+        self._report(
+            "retry",
+            routing_events.RETRY_DENIED if denied else routing_events.RETRY_ALLOWED,
+            decision.explanation,
+            request=work.request,
+            upstream=failure.upstream,
+            failure=failure.kind.value,
+        )
+        return decision
 
     def _choose(self, work: Work, tried: set[UpstreamId]) -> "AgentLink | None":
         assert self.links is not None
         views = self._list_eligible(work, tried) or self._list_eligible(work, set())
-        route = self._routing.choose(work, views, time.monotonic(), self._rng)
+        return self._route(work, views)
+
+    def _route(self, work: Work, views: list[UpstreamView]) -> "AgentLink | None":
+        assert self.links is not None
+        now_s = time.monotonic()
+        screened = self._guard.screen(views, now_s)
+        reason = screened.explanation.reason
+        self._metrics.decisions.inc({"kind": "screening", "reason": reason})
+        route = self._routing.choose(work, screened.views, now_s, self._rng)
         if route is None:
             return None
-        reason = route.explanation.reason
-        self._metrics.decisions.inc({"kind": "routing", "reason": reason})
+        self._report(
+            "routing",
+            routing_events.UPSTREAM_CHOSEN,
+            route.explanation,
+            request=work.request,
+            upstream=route.upstream,
+            screening=reason,
+            **screened.explanation.numbers,
+        )
         return self.links.find(route.upstream)
 
     def _list_eligible(self, work: Work, tried: set[UpstreamId]) -> list[UpstreamView]:
@@ -126,35 +178,140 @@
             if view.upstream not in tried and is_eligible(work, view)
         ]
 
+    async def _attempt_hedged(
+        self,
+        link: "AgentLink",
+        work: Work,
+        call: Call,
+        on_chunk: OnChunk,
+        tried: set[UpstreamId],
+    ) -> AttemptResult:
+        plan = self._hedging.plan(work, time.monotonic())
+        if plan is None:
+            return await self._attempt(link, work, call, on_chunk)
+
+        def find_second() -> Start | None:
+            other = self._start_hedge(link, work, plan, tried)
+            if other is None:
+                return None
+            return lambda take: self._attempt(other, work, call, take)
+
+        return await race_attempts(
+            lambda take: self._attempt(link, work, call, take),
+            find_second,
+            plan.delay_s,
+            on_chunk,
+        )
+
+    def _start_hedge(
+        self, link: "AgentLink", work: Work, plan: HedgePlan, tried: set[UpstreamId]
+    ) -> "AgentLink | None":
+        assert link.view is not None
+        used = {*tried, link.view.upstream}
+        views = self._list_eligible(work, used)
+        if not views:
+            return None
+        if not self._hedging.take(time.monotonic()):
+            denied = Explanation(
+                reason="budget_spent", numbers=plan.explanation.numbers
+            )
+            self._report(
+                "hedge", routing_events.HEDGE_DENIED, denied, request=work.request
+            )
+            return None
+        other = self._route(work, views)
+        if other is not None and other.view is not None:
+            tried.update(used, {other.view.upstream})
+            self._report(
+                "hedge",
+                routing_events.HEDGE_STARTED,
+                plan.explanation,
+                request=work.request,
+                upstream=other.view.upstream,
+            )
+        return other
+
     async def _attempt(
         self, link: "AgentLink", work: Work, call: Call, on_chunk: OnChunk
-    ) -> "Result[End, AttemptFailure]":
+    ) -> AttemptResult:
+        assert self.links is not None
+        assert link.view is not None
+        upstream = link.view.upstream
         attempt_id = AttemptId(uuid.uuid4().hex)
         attempt = EntryAttempt(attempt_id, link, work, call)
         self._attempts[attempt_id] = attempt
         link.count_sent(work)
+        link.in_flight += 1
+        self._guard.start(upstream)
         finished = False
         try:
-            result = await attempt.run(on_chunk)
+            result = await attempt.run(self._watch_first(upstream, work, on_chunk))
             finished = True
         finally:
             del self._attempts[attempt_id]
             if not finished:
                 attempt.cancel()
-        outcome = "ok" if isinstance(result, Ok) else result.err_value.kind.value
+                self._guard.abandon(upstream)
+            self.links.release(link)
+        self._finish(attempt_id, upstream, work, result)
+        return result
+
+    def _watch_first(
+        self, upstream: UpstreamId, work: Work, on_chunk: OnChunk
+    ) -> OnChunk:
+        sent_s = time.monotonic()
+        seen = False
+
+        async def take(chunk: bytes) -> None:
+            nonlocal seen
+            if not seen:
+                seen = True
+                now_s = time.monotonic()
+                self._guard.observe_first(upstream, work, now_s - sent_s, now_s)
+                self._hedging.observe_first(work, now_s - sent_s)
+            await on_chunk(chunk)
+
+        return take
+
+    def _finish(
+        self,
+        attempt_id: AttemptId,
+        upstream: UpstreamId,
+        work: Work,
+        result: AttemptResult,
+    ) -> None:
+        failure = result.err_value if isinstance(result, Err) else None
+        outcome = failure.kind.value if failure is not None else "ok"
         self._metrics.attempts.inc({"result": outcome})
-        if isinstance(result, Err):
+        if failure is not None:
             log_event(
                 events.ATTEMPT_FAILED,
                 request=work.request,
                 attempt=attempt_id,
-                peer=link.host.process,
+                peer=upstream,
                 reason=outcome,
-                execution=result.err_value.execution.value,
+                execution=failure.execution.value,
+            )
+        ejected = self._guard.finish(upstream, failure, time.monotonic())
+        if ejected is not None:
+            self._report(
+                "ejection", routing_events.UPSTREAM_EJECTED, ejected, upstream=upstream
             )
-        return result
 
-    def _explain_no_upstream(self, worst: Execution) -> ServeError:
+    def _report(
+        self, kind: str, event: Event, explanation: Explanation, **fields: object
+    ) -> None:
+        reason = explanation.reason
+        self._metrics.decisions.inc({"kind": kind, "reason": reason})
+        log_event(event, reason=reason, **{**explanation.numbers, **fields})
+
+    def _explain_no_upstream(self, work: Work, worst: Execution) -> ServeError:
+        self._report(
+            "routing",
+            routing_events.NO_UPSTREAM,
+            Explanation(reason="no_upstream"),
+            request=work.request,
+        )
         return ServeError(
             code=ErrorCode.NO_UPSTREAM,
             message="no upstream can take the request now",
@@ -164,7 +321,7 @@
         )
 
     def _explain_give_up(
-        self, work: Work, failure: AttemptFailure, decision: GiveUp, worst: Execution
+        self, failure: AttemptFailure, decision: GiveUp, worst: Execution
     ) -> ServeError:
         code = ErrorCode.UPSTREAM_FAILED
         if failure.kind is FailureKind.REFUSED:
--- a/bramleyport/daemons/_peers.py
+++ b/bramleyport/daemons/_peers.py
@@ -20,9 +20,22 @@
     Work,
 )
 from bramleyport.membership import Host, HostState, ProcessRole
-from bramleyport.telemetry import events, log_event
+from bramleyport.routing import (
+    CacheChange,
+    CacheFollower,
+    SubsetHost,
+    SubsetSelector,
+)
+from bramleyport.telemetry import events, log_event, routing_events
 from bramleyport.transport import Connection, Identity, open_connection
-from bramleyport.wire import CacheReport, Leaving, LoadReport, Message, UpstreamInfo
+from bramleyport.wire import (
+    CacheReport,
+    CacheRequest,
+    Leaving,
+    LoadReport,
+    Message,
+    UpstreamInfo,
+)
 
 RECONNECT_MIN_S: Final = 0.2
 RECONNECT_MAX_S: Final = 5.0
@@ -36,7 +49,11 @@
         self.connection: Connection | None = None
         self.view: UpstreamView | None = None
         self.leaving = False
+        # Outside the entry's subset: serves its attempts in flight and no new ones.
+        self.retired = False
+        self.in_flight = 0
         self.connected = asyncio.Event()
+        self._cache: CacheFollower | None = None
 
     @property
     def usable(self) -> bool:
@@ -46,6 +63,7 @@
             and not self.connection.closed.is_set()
             and self.view is not None
             and not self.leaving
+            and not self.retired
             and self.host.state is HostState.LIVE
         )
 
@@ -60,6 +78,7 @@
                 region=info.region,
             )
             self.view = view
+            self._cache = CacheFollower(view.cached)
         view.state = info.state
         view.role = info.role
         view.models = frozenset(ModelName(name) for name in info.models)
@@ -86,15 +105,37 @@
             wait_s=load.wait_s,
         )
         self.view.sent = SentWork()
+        # Load reports come steadily, so a lost request or answer is repeated.
+        self.request_cache()
 
     def apply_cache(self, report: CacheReport) -> None:
-        """Take a change of the engine's prefix cache."""
-        if self.view is None:
+        """Take a cache report and request a full one after a gap."""
+        if self._cache is None:
             return
-        cached = self.view.cached
-        cached.blocks.update(report.stored)
-        cached.blocks.difference_update(report.evicted)
-        cached.last_sequence = report.sequence
+        self._cache.apply(
+            CacheChange(
+                previous=report.previous,
+                sequence=report.sequence,
+                stored=report.stored,
+                evicted=report.evicted,
+                full=report.full,
+            )
+        )
+        self.request_cache()
+
+    def request_cache(self) -> None:
+        """Request the whole cache if the view is uncertain."""
+        if self._cache is None or self.view is None or self.connection is None:
+            return
+        if self._cache.take_request(time.monotonic()):
+            upstream = self.view.upstream
+            log_event(routing_events.CACHE_VIEW_UNCERTAIN, upstream=upstream)
+            self.connection.post(CacheRequest(upstream=upstream))
+
+    def forget_cache_request(self) -> None:
+        """Allow a cache request at once, since the last one may be lost."""
+        if self._cache is not None:
+            self._cache.forget_request()
 
     def count_sent(self, work: Work) -> None:
         """Count work that no load report has shown yet."""
@@ -113,20 +154,26 @@
         identity: Identity,
         read_revision: Callable[[], Revision],
         on_message: Callable[[AgentLink, Connection, Message], None],
+        subsets: SubsetSelector | None = None,
     ) -> None:
+        self._subsets = subsets or SubsetSelector()
         self._identity = identity
         self._read_revision = read_revision
         self._on_message = on_message
+        self._chosen: frozenset[ProcessId] = frozenset()
         self._links: dict[ProcessId, AgentLink] = {}
         self._tasks: dict[ProcessId, asyncio.Task[None]] = {}
 
     def apply_hosts(self, hosts: Iterable[Host]) -> None:
-        """Connect to new agents and drop those that the list no longer names."""
-        agents = {h.process: h for h in hosts if h.role is ProcessRole.AGENT}
+        """Connect to the agents of the subset and drop those that are gone."""
+        known = list(hosts)
+        agents = {h.process: h for h in known if h.role is ProcessRole.AGENT}
+        chosen = self._choose_subset(known)
         for process in set(self._links) - set(agents):
-            self._tasks.pop(process).cancel()
-            del self._links[process]
-        for process, host in agents.items():
+            self._drop(process)
+        self._retire(chosen, agents)
+        for process in sorted(chosen):
+            host = agents[process]
             link = self._links.get(process)
             if link is None or link.host.uri != host.uri:
                 if process in self._tasks:
@@ -135,6 +182,14 @@
                 self._links[process] = link
                 self._tasks[process] = asyncio.ensure_future(self._keep(link))
             link.host = host
+            link.retired = False
+
+    def release(self, link: AgentLink) -> None:
+        """Count the end of an attempt and close a retired link without any."""
+        link.in_flight -= 1
+        process = link.host.process
+        if link.retired and not link.in_flight and self._links.get(process) is link:
+            self._drop(process)
 
     def list_views(self) -> list[UpstreamView]:
         """Return the views of the upstreams that may get new work."""
@@ -151,6 +206,51 @@
                 return link
         return None
 
+    def _choose_subset(self, hosts: list[Host]) -> frozenset[ProcessId]:
+        me = SubsetHost(
+            self._identity.process, self._identity.zone, self._identity.region
+        )
+        live = [host for host in hosts if host.state is HostState.LIVE]
+        rows = {
+            role: [
+                SubsetHost(host.process, host.zone, host.region, host.pool)
+                for host in live
+                if host.role is role
+            ]
+            for role in ProcessRole
+        }
+        chosen = self._subsets.choose(
+            me, rows[ProcessRole.ENTRY], rows[ProcessRole.AGENT]
+        )
+        if chosen != self._chosen:
+            log_event(
+                routing_events.SUBSET_CHANGED,
+                upstreams=len(rows[ProcessRole.AGENT]),
+                entries=len(rows[ProcessRole.ENTRY]),
+                chosen=len(chosen),
+                added=len(chosen - self._chosen),
+                removed=len(self._chosen - chosen),
+            )
+            self._chosen = chosen
+        return chosen
+
+    def _retire(
+        self, chosen: frozenset[ProcessId], agents: dict[ProcessId, Host]
+    ) -> None:
+        for process in set(self._links) - chosen:
+            link = self._links[process]
+            link.host = agents[process]
+            # A leaving host closes its connections itself once its work has ended.
+            if link.host.state is HostState.LEAVING:
+                continue
+            link.retired = True
+            if not link.in_flight:
+                self._drop(process)
+
+    def _drop(self, process: ProcessId) -> None:
+        self._tasks.pop(process).cancel()
+        del self._links[process]
+
     async def close(self) -> None:
         """Close all connections."""
         for task in self._tasks.values():
@@ -182,6 +282,7 @@
     async def _serve(self, link: AgentLink, connection: Connection) -> None:
         link.connection = connection
         link.leaving = False
+        link.forget_cache_request()
         link.connected.set()
         try:
             await connection.run(lambda c, message: self._receive(link, c, message))
--- a/bramleyport/membership/_hosts.py
+++ b/bramleyport/membership/_hosts.py
@@ -31,6 +31,8 @@
     zone: ZoneName
     region: RegionName
     state: HostState = HostState.LIVE
+    # What the host serves, where the platform's list says so.
+    pool: str = ""
 
     @property
     def uri(self) -> str:
--- a/bramleyport/retries/_counted.py
+++ b/bramleyport/retries/_counted.py
@@ -10,6 +10,7 @@
     RetryNow,
     is_repeatable,
 )
+from bramleyport.retries._bucket import RetryBudget
 
 MAX_ATTEMPTS: Final = 3
 RETRY_AFTER_S: Final = 1.0
@@ -19,6 +20,9 @@
 class CountedRetries:
     """Try repeatable work up to a fixed number of times."""
 
+    def __init__(self, budget: RetryBudget | None = None) -> None:
+        self.budget = budget
+
     def record_request(self, now_s: float) -> None:
         """Ignore first attempts: this policy has no budget."""
 
--- a/bramleyport/settings/_schema.py
+++ b/bramleyport/settings/_schema.py
@@ -33,8 +33,10 @@
 
     estimator: str = "declared"
     admission: str = "open"
-    routing: str = "least_loaded"
-    retries: str = "counted"
+    routing: str = "affinity"
+    retries: str = "budget"
+    guard: str = "adaptive"
+    hedging: str = "spread"
     queue: str = "fifo"
 
 
@@ -46,6 +48,7 @@
     http_port: int
     max_body_bytes: int = 2_000_000
     drain_timeout_s: float = 60.0
+    subset_size: int = 60
     policies: PolicySettings = field(default_factory=PolicySettings)
 
 
--- a/bramleyport/wire/_messages.py
+++ b/bramleyport/wire/_messages.py
@@ -214,12 +214,25 @@
 @message("cache_report")
 @dataclass(frozen=True, slots=True, kw_only=True)
 class CacheReport(Message):
-    """Report prefix blocks that an engine cached or evicted."""
+    """Report prefix blocks that an engine cached or evicted.
+
+    A full report holds all cached blocks; another one continues report `previous`.
+    """
 
     upstream: UpstreamId
     sequence: int
     stored: tuple[PrefixBlock, ...] = ()
     evicted: tuple[PrefixBlock, ...] = ()
+    previous: int = 0
+    full: bool = False
+
+
+@message("cache_request")
+@dataclass(frozen=True, slots=True, kw_only=True)
+class CacheRequest(Message):
+    """Ask an agent for a report of all cached blocks."""
+
+    upstream: UpstreamId
 
 
 @message("leaving")
