--- a/bramleyport/routing/_subsets.py
+++ b/bramleyport/routing/_subsets.py
@@ -12,6 +12,7 @@
 from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass
 from functools import lru_cache
+from operator import attrgetter
 from typing import Final
 
 from bramleyport.core import ProcessId, RegionName, ZoneName
@@ -36,6 +37,7 @@
 
 Cell = tuple[str, ZoneName]
 Pairs = Mapping[ProcessId, tuple[ProcessId, ...]]
+Chosen = Mapping[ProcessId, Sequence[ProcessId]]
 
 
 class SubsetSelector:
@@ -43,6 +45,7 @@
 
     def __init__(self, size: int = DEFAULT_SUBSET) -> None:
         self._size = size
+        self._regions: dict[RegionName, tuple[object, Chosen]] = {}
         self._cells: dict[tuple[RegionName, Cell], tuple[object, Pairs]] = {}
 
     def choose(
@@ -57,8 +60,13 @@
             return frozenset(host.process for host in known)
         peers = {host.process for host in entries if host.region == entry.region}
         peers.add(entry.process)
-        pairs = self._assign_region(entry.region, sorted(peers), known)
-        return frozenset(pairs.get(entry.process, ()))
+        known.sort(key=attrgetter("process"))
+        inputs = (sorted(peers), known)
+        held = self._regions.get(entry.region)
+        if held is None or held[0] != inputs:
+            chosen = self._assign_region(entry.region, *inputs)
+            held = self._regions[entry.region] = (inputs, chosen)
+        return frozenset(held[1].get(entry.process, ()))
 
     def choose_all(
         self, entries: Sequence[SubsetHost], upstreams: Sequence[SubsetHost]
@@ -73,7 +81,7 @@
         region: RegionName,
         entries: list[ProcessId],
         upstreams: Sequence[SubsetHost],
-    ) -> dict[ProcessId, list[ProcessId]]:
+    ) -> Chosen:
         pools = _group_pools(region, upstreams)
         total = sum(len(hosts) for hosts in pools.values())
         chosen: dict[ProcessId, list[ProcessId]] = defaultdict(list)
@@ -81,7 +89,7 @@
             hosts = pools[pool]
             share = round(self._size * len(hosts) / total)
             quota = min(len(hosts), max(MIN_PER_POOL, share))
-            for zone, counts, members in _divide_zones(entries, hosts, quota):
+            for zone, counts, members in _divide_zones(pool, entries, hosts, quota):
                 pairs = self._assign_cell(region, (pool, zone), counts, members)
                 for entry, selected in pairs.items():
                     chosen[entry].extend(selected)
@@ -144,8 +152,8 @@
 
 
 @lru_cache(maxsize=8192)
-def _digest(process: ProcessId) -> int:
-    return int.from_bytes(hashlib.blake2b(process.encode(), digest_size=8).digest())
+def _digest(name: str) -> int:
+    return int.from_bytes(hashlib.blake2b(name.encode(), digest_size=8).digest())
 
 
 def _group_pools(
@@ -162,13 +170,15 @@
 
 
 def _divide_zones(
-    entries: Sequence[ProcessId], hosts: Sequence[SubsetHost], quota: int
+    pool: str, entries: Sequence[ProcessId], hosts: Sequence[SubsetHost], quota: int
 ) -> list[tuple[ZoneName, tuple[tuple[ProcessId, int], ...], tuple[ProcessId, ...]]]:
     """Divide each entry's quota over the zones in proportion to their hosts.
 
-    The fractions are rounded by a value between 0 and 1 drawn from the entry's hash, so
-    that over all entries each zone gets its exact proportion.
+    The fractions are rounded by a value between 0 and 1 drawn from the hashes of the
+    entry and the pool, so that over all entries each zone gets its exact proportion and
+    no entry lacks the same zone in every pool.
     """
+    offset = _digest(f"pool {pool}")
     zones: dict[ZoneName, list[ProcessId]] = defaultdict(list)
     for host in hosts:
         zones[host.zone].append(host.process)
@@ -179,7 +189,7 @@
         end = start + len(members)
         counts = []
         for entry in entries:
-            draw = _digest(entry) / (MASK + 1)
+            draw = ((_digest(entry) + offset) & MASK) / (MASK + 1)
             until = int(quota * end / len(hosts) + draw)
             count = until - int(quota * start / len(hosts) + draw)
             counts.append((entry, min(count, len(members))))
--- /dev/null
+++ b/tests/test_routing.py
@@ -0,0 +1,226 @@
+"""Guard routing decisions and the repair of cache views."""
+
+from dataclasses import replace
+from random import Random
+
+import pytest
+from hypothesis import given, settings, strategies as st
+
+from bramleyport.bench._routing import PLACE, make_views, make_work
+from bramleyport.core import (
+    AdapterName,
+    CachedPrefixes,
+    EngineLoad,
+    EngineRole,
+    ModelName,
+    PrefixBlock,
+    Rank,
+    RegionName,
+    UpstreamState,
+    UpstreamView,
+    ZoneName,
+)
+from bramleyport.estimate import ESTIMATORS
+from bramleyport.routing import (
+    ROUTING_POLICIES,
+    CacheChange,
+    CacheFollower,
+    CacheRecorder,
+    Route,
+    RoutingPolicy,
+    TransferCost,
+    is_eligible,
+)
+
+WORK = make_work(0, Random(1))
+BLOCKS = [PrefixBlock(bytes([number])) for number in range(12)]
+
+
+def make_policy(transfer: TransferCost | None = None) -> RoutingPolicy:
+    return ROUTING_POLICIES.create(
+        "affinity", ESTIMATORS.create("declared"), PLACE, transfer
+    )
+
+
+def make_pair() -> list[UpstreamView]:
+    views = make_views(2, Random(1))
+    for view in views:
+        view.load = EngineLoad()
+        view.cached = CachedPrefixes()
+        view.zone = PLACE.zone
+    return views
+
+
+def choose(views: list[UpstreamView], policy: RoutingPolicy | None = None) -> Route:
+    route = (policy or make_policy()).choose(WORK, views, 0.0, Random(1))
+    assert route is not None
+    return route
+
+
+def test_cached_prefix_wins_at_equal_load() -> None:
+    views = make_pair()
+    views[1].cached.blocks.update(WORK.prefix_blocks)
+    route = choose(views)
+    assert route.upstream == views[1].upstream
+    assert route.explanation.reason == "prefix_cached"
+
+
+def test_long_queue_outweighs_cached_prefix() -> None:
+    views = make_pair()
+    views[1].cached.blocks.update(WORK.prefix_blocks)
+    views[1].load = EngineLoad(wait_s={Rank.URGENT: 2.0})
+    route = choose(views)
+    assert route.upstream == views[0].upstream
+    assert route.explanation.reason == "cache_overloaded"
+
+
+def test_uncertain_cache_counts_less_than_a_certain_one() -> None:
+    views = make_pair()
+    for view in views:
+        view.cached.blocks.update(WORK.prefix_blocks)
+    views[0].cached.uncertain = True
+    assert choose(views).upstream == views[1].upstream
+
+
+@pytest.mark.parametrize("worse", ["zone", "region", "adapter", "role", "streams"])
+def test_worse_upstream_is_not_chosen(worse: str) -> None:
+    views = make_pair()
+    view = views[0]
+    work = replace(WORK, adapter=AdapterName("a"))
+    views[1].adapters = frozenset({AdapterName("a")})
+    view.adapters = frozenset() if worse == "adapter" else views[1].adapters
+    if worse == "zone":
+        view.zone = ZoneName("far")
+    elif worse == "region":
+        view.zone, view.region = ZoneName("far"), RegionName("far")
+        views[1].zone = ZoneName("near")
+    elif worse == "role":
+        view.role = EngineRole.PREFILL
+    elif worse == "streams":
+        view.load = EngineLoad(running=40)
+    route = make_policy().choose(work, views, 0.0, Random(1))
+    assert route is not None
+    assert route.upstream == views[1].upstream
+
+
+def test_decode_moves_only_where_the_transfer_pays() -> None:
+    views = make_pair()
+    views[0].cached.blocks.update(WORK.prefix_blocks)
+    views[0].load = EngineLoad(running=31)
+    # A queue on the other engine keeps the prefill where the prefix is cached.
+    views[1].load = EngineLoad(wait_s={Rank.URGENT: 0.4})
+    cheap = TransferCost(bytes_per_s=1e12)
+    dear = TransferCost(bytes_per_s=1e6)
+    policy = make_policy(cheap)
+    views[1].rates = replace(views[1].rates, decode_tokens_per_s=40.0)
+    work = replace(WORK, targets=replace(WORK.targets, first_token_s=0.1))
+    route = policy.choose(work, views, 0.0, Random(1))
+    assert route is not None
+    assert route.upstream == views[0].upstream
+    assert route.decode_upstream == views[1].upstream
+    kept = make_policy(dear).choose(work, views, 0.0, Random(1))
+    assert kept is not None
+    assert kept.decode_upstream is None
+
+
+@st.composite
+def mixed_views(draw: st.DrawFn) -> list[UpstreamView]:
+    views = make_views(draw(st.integers(0, 40)), Random(1))
+    for view in views:
+        view.state = draw(st.sampled_from(UpstreamState))
+        view.role = draw(st.sampled_from(EngineRole))
+        if draw(st.booleans()):
+            view.models = frozenset({ModelName("other")})
+    return views
+
+
+@given(views=mixed_views(), seed=st.integers(0, 9))
+def test_ineligible_upstream_is_never_chosen(
+    views: list[UpstreamView], seed: int
+) -> None:
+    rng = Random(seed)
+    policy = make_policy(TransferCost(bytes_per_s=1e12))
+    for _ in range(3):
+        route = policy.choose(WORK, views, 0.0, rng)
+        eligible = {view.upstream for view in views if is_eligible(WORK, view)}
+        assert (route is None) == (not eligible)
+        if route is not None:
+            assert route.upstream in eligible
+            assert route.decode_upstream in {None, *eligible}
+        for view in views[::2]:
+            view.state = UpstreamState.GONE
+
+
+EVENTS = st.lists(
+    st.tuples(
+        st.lists(st.sampled_from(BLOCKS), max_size=3),
+        st.lists(st.sampled_from(BLOCKS), max_size=3),
+        st.sampled_from(["kept", "lost", "repeated"]),
+    ),
+    max_size=30,
+)
+
+
+@given(steps=EVENTS, lost_answers=st.integers(0, 4))
+def test_gap_in_cache_reports_is_always_repaired(
+    steps: list[tuple[list[PrefixBlock], list[PrefixBlock], str]], lost_answers: int
+) -> None:
+    recorder = CacheRecorder(CachedPrefixes())
+    follower = CacheFollower(CachedPrefixes())
+    for number, (stored, evicted, fate) in enumerate(steps, 1):
+        recorder.record(number, tuple(stored), tuple(evicted))
+        change = recorder.take_change()
+        if change is None or fate == "lost":
+            continue
+        follower.apply(change)
+        if fate == "repeated":
+            follower.apply(change)
+        assert follower.cached.uncertain or (
+            follower.cached.blocks == recorder.cached.blocks
+        )
+    # Each load report checks for a due request; some answers are lost as well.
+    now_s = 0.0
+    recorder.record(len(steps) + 1, (BLOCKS[0],), ())
+    follower.apply(recorder.take_change() or recorder.make_full())
+    for _ in range(lost_answers + 1):
+        now_s += 10.0
+        if follower.take_request(now_s) and lost_answers:
+            lost_answers -= 1
+            continue
+        if follower.cached.uncertain:
+            follower.apply(recorder.make_full())
+    assert not follower.cached.uncertain
+    assert follower.cached.blocks == recorder.cached.blocks
+
+
+def test_request_is_repeated_but_not_at_once() -> None:
+    follower = CacheFollower(CachedPrefixes())
+    follower.apply(CacheChange(previous=3, sequence=4))
+    asked = [follower.take_request(now_s) for now_s in (0.0, 1.0, 4.9, 5.0)]
+    assert asked == [True, False, False, True]
+
+
+@given(steps=EVENTS)
+@settings(max_examples=50)
+def test_recorder_never_keeps_a_block_whose_eviction_was_lost(
+    steps: list[tuple[list[PrefixBlock], list[PrefixBlock], str]],
+) -> None:
+    recorder = CacheRecorder(CachedPrefixes())
+    truth: set[PrefixBlock] = set()
+    for number, (stored, evicted, fate) in enumerate(steps, 1):
+        truth |= set(stored)
+        truth -= set(evicted)
+        if fate != "lost":
+            recorder.record(number, tuple(stored), tuple(evicted))
+            assert recorder.cached.blocks <= truth
+    recorder.confirm(tuple(truth), 0.0)
+    assert recorder.cached.blocks >= truth
+
+
+def test_confirmed_block_expires_without_an_event() -> None:
+    recorder = CacheRecorder(CachedPrefixes())
+    recorder.confirm((BLOCKS[0],), 0.0)
+    recorder.expire(59.0)
+    assert recorder.cached.blocks == {BLOCKS[0]}
+    recorder.expire(61.0)
+    assert recorder.cached.blocks == set()
