--- a/bramleyport/routing/_subsets.py
+++ b/bramleyport/routing/_subsets.py
@@ -23,6 +23,7 @@
 MIX_2: Final = 0x94D049BB133111EB
 DEFAULT_SUBSET: Final = 60
 MIN_PER_POOL: Final = 4
+LIMIT_STEPS: Final = 5
 
 
 @dataclass(frozen=True, slots=True)
@@ -119,9 +120,8 @@
     chosen: dict[ProcessId, set[ProcessId]] = {entry: set() for entry in wanted}
     loads = dict.fromkeys(members, 0)
     ordered = _order_pairs(list(wanted), members)
-    low = sum(wanted.values()) // max(1, len(members))
     # The last pass has no limit: an entry may already hold the members with room.
-    for limit in (low, low + 1, len(wanted)):
+    for limit in (*_set_limits(wanted, members), len(wanted)):
         left = []
         for pair in ordered:
             _, entry, member = pair
@@ -136,6 +136,17 @@
     return {entry: tuple(sorted(selected)) for entry, selected in chosen.items()}
 
 
+def _set_limits(
+    wanted: Mapping[ProcessId, int], members: Sequence[ProcessId]
+) -> tuple[int, int, int]:
+    mean = sum(wanted.values()) / max(1, len(members))
+    # Limits at the mean itself would change with almost every host that comes or goes
+    # and move twice as many pairs as limits in steps of about a fifth of it.
+    step = max(1, round(mean / LIMIT_STEPS))
+    low = int(mean / step) * step
+    return low, low + step, low + 2 * step
+
+
 def _order_pairs(
     entries: Sequence[ProcessId], members: Sequence[ProcessId]
 ) -> list[tuple[int, ProcessId, ProcessId]]:
