Count silence as failure and end silent attempts at the deadline

Cause: a cancelled loser of a hedge left no trace, so an upstream that stopped answering was never ejected; an attempt without any chunk never ended. Change: abandoned attempts that were silent beyond the first-token target count as failures; idempotent attempts without a chunk fail at the answer deadline.

--- a/bramleyport/daemons/_dispatch.py
+++ b/bramleyport/daemons/_dispatch.py
@@ -24,6 +24,7 @@
     EntryAttempt,
     OnChunk,
 )
+from bramleyport.daemons._first_chunk import FirstChunk, run_until_deadline
 from bramleyport.daemons._race import Start, race_attempts
 from bramleyport.retries import (
     HEDGE_POLICIES,
@@ -243,35 +244,33 @@
         link.count_sent(work)
         link.in_flight += 1
         self._guard.start(upstream)
+        watch = FirstChunk(
+            on_chunk, lambda latency_s: self._observe_first(upstream, work, latency_s)
+        )
         finished = False
         try:
-            result = await attempt.run(self._watch_first(upstream, work, on_chunk))
+            result = await run_until_deadline(attempt, work, watch)
             finished = True
         finally:
             del self._attempts[attempt_id]
             if not finished:
                 attempt.cancel()
-                self._guard.abandon(upstream)
+                self._abandon(upstream, work, watch)
             self.links.release(link)
         self._finish(attempt_id, upstream, work, result)
         return result
 
-    def _watch_first(
-        self, upstream: UpstreamId, work: Work, on_chunk: OnChunk
-    ) -> OnChunk:
-        sent_s = time.monotonic()
-        seen = False
-
-        async def take(chunk: bytes) -> None:
-            nonlocal seen
-            if not seen:
-                seen = True
-                now_s = time.monotonic()
-                self._guard.observe_first(upstream, work, now_s - sent_s, now_s)
-                self._hedging.observe_first(work, now_s - sent_s)
-            await on_chunk(chunk)
+    def _observe_first(
+        self, upstream: UpstreamId, work: Work, latency_s: float
+    ) -> None:
+        self._guard.observe_first(upstream, work, latency_s, time.monotonic())
+        self._hedging.observe_first(work, latency_s)
 
-        return take
+    def _abandon(self, upstream: UpstreamId, work: Work, watch: FirstChunk) -> None:
+        now_s = time.monotonic()
+        silent_s = now_s - watch.sent_s if watch.latency_s is None else 0.0
+        ejected = self._guard.abandon(upstream, work, silent_s, now_s)
+        self._report_ejection(upstream, ejected)
 
     def _finish(
         self,
@@ -293,6 +292,11 @@
                 execution=failure.execution.value,
             )
         ejected = self._guard.finish(upstream, failure, time.monotonic())
+        self._report_ejection(upstream, ejected)
+
+    def _report_ejection(
+        self, upstream: UpstreamId, ejected: Explanation | None
+    ) -> None:
         if ejected is not None:
             self._report(
                 "ejection", routing_events.UPSTREAM_EJECTED, ejected, upstream=upstream
--- a/bramleyport/daemons/_entry_attempt.py
+++ b/bramleyport/daemons/_entry_attempt.py
@@ -72,13 +72,13 @@
     async def run(self, on_chunk: OnChunk) -> AttemptResult:
         """Run the attempt and hand its chunks on in order."""
         if self._connection is None or self._connection.closed.is_set():
-            return self._fail(FailureKind.DISCONNECTED, Execution.NOT_RUN)
+            return self.fail(FailureKind.DISCONNECTED, Execution.NOT_RUN)
         self._connection.post(self._make_execute())
         while True:
             message = await self._receive()
             if message is None:
                 if not await self._reconnect():
-                    return self._fail(FailureKind.DISCONNECTED, Execution.UNKNOWN)
+                    return self.fail(FailureKind.DISCONNECTED, Execution.UNKNOWN)
                 continue
             result = await self._apply(message, on_chunk)
             if result is not None:
@@ -110,16 +110,16 @@
         if isinstance(message, Accepted):
             return None
         if isinstance(message, Refused):
-            return self._fail(
+            return self.fail(
                 FailureKind.REFUSED, Execution.NOT_RUN, message.retry_after_s
             )
         if isinstance(message, Failed):
-            return self._fail(FailureKind.UPSTREAM_ERROR, message.execution)
+            return self.fail(FailureKind.UPSTREAM_ERROR, message.execution)
         if isinstance(message, Frame):
             return await self._take_frame(message, on_chunk)
         if isinstance(message, End):
             if self._assembler.finish(message) is not None:
-                return self._fail(FailureKind.BAD_ANSWER, Execution.UNKNOWN)
+                return self.fail(FailureKind.BAD_ANSWER, Execution.UNKNOWN)
             return Ok(message)
         return None
 
@@ -128,7 +128,7 @@
     ) -> AttemptResult | None:
         accepted = self._assembler.accept(frame)
         if isinstance(accepted, Violation):
-            return self._fail(FailureKind.BAD_ANSWER, Execution.UNKNOWN)
+            return self.fail(FailureKind.BAD_ANSWER, Execution.UNKNOWN)
         for chunk in accepted:
             await on_chunk(chunk.payload)
             self.frames_shown += 1
@@ -148,9 +148,10 @@
             time_left_s=self._work.answer_deadline_s - time.monotonic(),
         )
 
-    def _fail(
+    def fail(
         self, kind: FailureKind, execution: Execution, retry_after_s: float = 0.0
     ) -> AttemptResult:
+        """Return a failure of this attempt."""
         view = self.link.view
         assert view is not None
         return Err(
--- a/bramleyport/retries/_guard.py
+++ b/bramleyport/retries/_guard.py
@@ -49,8 +49,10 @@
         """Take the result of an attempt and return why it ejects, if it does."""
         ...
 
-    def abandon(self, upstream: UpstreamId) -> None:
-        """Forget an attempt that was cancelled and shows nothing."""
+    def abandon(
+        self, upstream: UpstreamId, work: Work, silent_s: float, now_s: float
+    ) -> Explanation | None:
+        """Forget a cancelled attempt; `silent_s` is 0 once it showed a chunk."""
         ...
 
 
@@ -79,8 +81,11 @@
         """Ignore the result."""
         return None
 
-    def abandon(self, upstream: UpstreamId) -> None:
+    def abandon(
+        self, upstream: UpstreamId, work: Work, silent_s: float, now_s: float
+    ) -> Explanation | None:
         """Ignore the attempt."""
+        return None
 
 
 @UPSTREAM_GUARDS.register("adaptive")
@@ -140,10 +145,19 @@
         reason = failure.kind.value if failure is not None else "failed"
         return Explanation(reason=reason, numbers=numbers)
 
-    def abandon(self, upstream: UpstreamId) -> None:
-        """Forget an attempt that was cancelled and shows nothing."""
+    def abandon(
+        self, upstream: UpstreamId, work: Work, silent_s: float, now_s: float
+    ) -> Explanation | None:
+        """Forget a cancelled attempt; `silent_s` is 0 once it showed a chunk."""
         limit = self._find(upstream)
         limit.in_flight = max(0, limit.in_flight - 1)
+        if silent_s <= work.targets.first_token_s:
+            return None
+        # Otherwise hedges would hide an upstream that has stopped answering.
+        limit.observe(silent_s, late=True, now_s=now_s)
+        if not self._ejector.record(upstream, failed=True, now_s=now_s):
+            return None
+        return Explanation(reason="silent", numbers={"silent_s": round(silent_s, 3)})
 
     def _has_room(self, upstream: UpstreamId, now_s: float) -> bool:
         limit = self._limits.get(upstream)
--- /dev/null
+++ b/tests/test_dispatch.py
@@ -0,0 +1,199 @@
+"""Guard retries, hedges and ejection as the dispatcher carries them out."""
+
+import asyncio
+import time
+from collections.abc import Callable, Coroutine
+from dataclasses import replace
+from random import Random
+from typing import Any
+
+import pytest
+from result import Err, Ok
+
+from bramleyport.admission import ADMISSION_POLICIES
+from bramleyport.answers import FrameLog
+from bramleyport.bench._routing import make_views, make_work
+from bramleyport.core import ErrorCode, Execution, UpstreamId, Work
+from bramleyport.daemons._dispatch import Dispatcher
+from bramleyport.daemons._entry_attempt import Call
+from bramleyport.daemons._peers import AgentLink
+from bramleyport.estimate import ESTIMATORS
+from bramleyport.retries import (
+    HEDGE_POLICIES,
+    RETRY_POLICIES,
+    UPSTREAM_GUARDS,
+    RetryBudget,
+)
+from bramleyport.routing import ROUTING_POLICIES
+from bramleyport.telemetry import Metrics
+from bramleyport.wire import Accepted, Cancel, Execute, Failed
+from tests.test_race import make_hosts
+
+Run = Callable[[Coroutine[Any, Any, Any]], Any]
+CALL = Call(method="POST", path="/", headers={}, body=b"{}")
+WORK = make_work(0, Random(1))
+
+
+class FakeAgent:
+    """Answer, fail or ignore the attempts sent to one upstream."""
+
+    def __init__(self, fleet: "FakeFleet", index: int, behaviour: str) -> None:
+        self.closed = asyncio.Event()
+        self.behaviour = behaviour
+        self.executed: list[Work] = []
+        self.cancelled = 0
+        self._fleet = fleet
+        self.link = AgentLink(make_hosts(index + 1)[index])
+        self.link.view = make_views(index + 1, Random(1))[index]
+        self.link.connection = self  # type: ignore[assignment]
+
+    def post(self, message: Any) -> None:
+        if isinstance(message, Cancel):
+            self.cancelled += 1
+        elif isinstance(message, Execute):
+            self.executed.append(message.work)
+            asyncio.get_running_loop().call_soon(self._reply, message)
+
+    def _reply(self, message: Execute) -> None:
+        log = FrameLog(message.attempt)
+        replies: list[Any] = [Accepted(attempt=message.attempt)]
+        if self.behaviour == "answer":
+            replies += [log.append(b"a"), log.finish(200, {}, 1)]
+        elif self.behaviour == "fail":
+            unknown = Execution.UNKNOWN
+            replies.append(
+                Failed(attempt=message.attempt, execution=unknown, reason="broken")
+            )
+        for reply in replies:
+            self._fleet.dispatcher.deliver(self.link, self, reply)  # type: ignore[arg-type]
+
+
+class FakeFleet:
+    """Stand in for the links of an entry."""
+
+    def __init__(self, *behaviours: str) -> None:
+        self.budget = RetryBudget()
+        self.hedging = HEDGE_POLICIES.create("spread", self.budget)
+        estimator = ESTIMATORS.create("declared")
+        self.dispatcher = Dispatcher(
+            ADMISSION_POLICIES.create("open", estimator),
+            ROUTING_POLICIES.create("affinity", estimator),
+            RETRY_POLICIES.create("budget", self.budget),
+            Metrics(),
+            Random(1),
+            UPSTREAM_GUARDS.create("adaptive"),
+            self.hedging,
+        )
+        self.dispatcher.links = self  # type: ignore[assignment]
+        self.agents = [
+            FakeAgent(self, index, behaviour)
+            for index, behaviour in enumerate(behaviours)
+        ]
+
+    def list_views(self) -> list[Any]:
+        return [agent.link.view for agent in self.agents if agent.link.usable]
+
+    def find(self, upstream: UpstreamId) -> AgentLink | None:
+        for agent in self.agents:
+            if agent.link.view is not None and agent.link.view.upstream == upstream:
+                return agent.link
+        return None
+
+    def release(self, link: AgentLink) -> None:
+        link.in_flight -= 1
+
+    def prefer(self, index: int) -> None:
+        """Make one upstream the best choice of all."""
+        view = self.agents[index].link.view
+        assert view is not None
+        view.cached.blocks.update(WORK.prefix_blocks)
+        view.load = replace(view.load, running=0, wait_s={})
+
+    async def run(self, *, idempotent: bool = True, answer_s: float = 20.0) -> Any:
+        targets = replace(WORK.targets, answer_s=answer_s)
+        work = replace(
+            WORK, arrived_s=time.monotonic(), targets=targets, idempotent=idempotent
+        )
+
+        async def take(chunk: bytes) -> None:
+            pass
+
+        return await self.dispatcher.run(work, CALL, take)
+
+    def count_executed(self) -> int:
+        return sum(len(agent.executed) for agent in self.agents)
+
+
+def test_failed_idempotent_work_is_retried_elsewhere(run: Run) -> None:
+    async def check() -> None:
+        fleet = FakeFleet("fail", "answer", "answer")
+        fleet.prefer(0)
+        assert isinstance(await fleet.run(), Ok)
+        assert len(fleet.agents[0].executed) == 1
+
+    run(check())
+
+
+def test_non_idempotent_work_that_may_have_run_is_not_retried(run: Run) -> None:
+    async def check() -> None:
+        fleet = FakeFleet("fail", "answer", "answer")
+        fleet.prefer(0)
+        result = await fleet.run(idempotent=False)
+        assert isinstance(result, Err)
+        assert result.err_value.execution is Execution.UNKNOWN
+        assert fleet.count_executed() == 1
+
+    run(check())
+
+
+@pytest.mark.parametrize("idempotent", [True, False])
+def test_only_idempotent_work_is_hedged(run: Run, idempotent: bool) -> None:
+    async def check() -> None:
+        fleet = FakeFleet("ignore", "answer", "answer")
+        fleet.prefer(0)
+        for number in range(100):
+            fleet.hedging.observe_first(WORK, 0.05 if number % 10 == 0 else 0.001)
+        task = asyncio.ensure_future(fleet.run(idempotent=idempotent))
+        await asyncio.wait({task}, timeout=0.5)
+        assert task.done() == idempotent
+        assert fleet.agents[0].cancelled == idempotent
+        assert fleet.count_executed() == 1 + idempotent
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+
+    run(check())
+
+
+def test_failing_upstream_gets_no_work_once_ejected(run: Run) -> None:
+    async def check() -> None:
+        fleet = FakeFleet("fail", "answer", "answer", "answer")
+        fleet.prefer(0)
+        for _ in range(20):
+            assert isinstance(await fleet.run(), Ok)
+        assert len(fleet.agents[0].executed) == 5
+
+    run(check())
+
+
+def test_silent_attempt_gets_its_final_answer_at_the_deadline(run: Run) -> None:
+    async def check() -> None:
+        fleet = FakeFleet("ignore")
+        result = await fleet.run(answer_s=0.1)
+        assert isinstance(result, Err)
+        assert result.err_value.code is ErrorCode.DEADLINE
+        assert result.err_value.retry_after_s >= 1.0
+        assert fleet.agents[0].cancelled == 1
+
+    run(check())
+
+
+def test_lost_fleet_spends_no_more_than_the_budget(run: Run) -> None:
+    async def check() -> None:
+        fleet = FakeFleet("fail", "fail", "fail")
+        for _ in range(100):
+            assert isinstance(await fleet.run(), Err)
+        extra = fleet.count_executed() - 100
+        # The floor adds 0.2 a second; the sequence takes well under ten seconds.
+        assert extra <= 10 + 0.1 * 100 + 2
+
+    run(check())
--- a/tests/test_retries.py
+++ b/tests/test_retries.py
@@ -222,3 +222,17 @@
     policy = HEDGE_POLICIES.create("spread", RetryBudget())
     feed(policy, 5.0)
     assert policy.plan(replace(WORK, rank=Rank.BATCH), 0.0) is None
+
+
+def test_upstream_that_hedges_rescue_from_silence_is_ejected() -> None:
+    guard = UPSTREAM_GUARDS.create("adaptive")
+    views = make_views(4, Random(1))
+    silent, other = views[0].upstream, views[1].upstream
+    for second in range(6):
+        for upstream in (silent, other):
+            guard.start(upstream)
+        guard.abandon(silent, WORK, 5.0, float(second))
+        guard.abandon(other, WORK, 0.0, float(second))
+    kept = {view.upstream for view in guard.screen(views, 6.0).views}
+    assert silent not in kept
+    assert other in kept
