--- a/bramleyport/bench/__init__.py
+++ b/bramleyport/bench/__init__.py
@@ -1,1 +1,1 @@
-"""Benchmarks of policy, recovery and capacity."""
+"""Benchmarks of policies, recovery and capacity."""
--- a/bramleyport/composition.py
+++ b/bramleyport/composition.py
@@ -120,8 +120,13 @@
     from bramleyport.estimate import ESTIMATORS
     from bramleyport.objectapi import ObjectClient
     from bramleyport.replication import HostStore, RecordStore, Replica, Topology
-    from bramleyport.retries import RETRY_POLICIES
-    from bramleyport.routing import ROUTING_POLICIES
+    from bramleyport.retries import (
+        HEDGE_POLICIES,
+        RETRY_POLICIES,
+        UPSTREAM_GUARDS,
+        RetryBudget,
+    )
+    from bramleyport.routing import ROUTING_POLICIES, Place, SubsetSelector
     from bramleyport.telemetry import Journal, Metrics
     from bramleyport.wire import OrderReport
 
@@ -129,14 +134,18 @@
     metrics = Metrics()
     records = RecordStore()
     estimator = ESTIMATORS.create(policies.estimator)
+    identity = build_identity(settings.process)
+    place = Place(zone=identity.zone, region=identity.region)
+    budget = RetryBudget()
     dispatcher = Dispatcher(
         ADMISSION_POLICIES.create(policies.admission, estimator),
-        ROUTING_POLICIES.create(policies.routing, estimator),
-        RETRY_POLICIES.create(policies.retries),
+        ROUTING_POLICIES.create(policies.routing, estimator, place),
+        RETRY_POLICIES.create(policies.retries, budget),
         metrics,
         Random(seed),
+        UPSTREAM_GUARDS.create(policies.guard),
+        HEDGE_POLICIES.create(policies.hedging, budget),
     )
-    identity = build_identity(settings.process)
     hub = PeerHub(
         identity,
         Replica(records, HostStore()),
@@ -151,6 +160,7 @@
             else dispatcher.deliver(link, connection, message)
         ),
         hub,
+        SubsetSelector(settings.subset_size),
     )
     dispatcher.links = links
     client = ObjectClient(
--- a/bramleyport/daemons/_entry_attempt.py
+++ b/bramleyport/daemons/_entry_attempt.py
@@ -83,7 +83,7 @@
     async def run(self, on_chunk: OnChunk) -> AttemptResult:
         """Run the attempt and hand its chunks on in order."""
         if self._connection is None or self._connection.closed.is_set():
-            return self._fail(FailureKind.DISCONNECTED, Execution.NOT_RUN)
+            return self.fail(FailureKind.DISCONNECTED, Execution.NOT_RUN)
         self._run = self._connection.peer_run
         self._connection.post(self._make_execute())
         while True:
@@ -115,19 +115,19 @@
         if isinstance(message, End) and action == "finish":
             return self._finish(message)
         if isinstance(message, Refused) and action == "not_run":
-            return self._fail(
+            return self.fail(
                 FailureKind.REFUSED, Execution.NOT_RUN, message.retry_after_s
             )
         if isinstance(message, Failed):
             # Frames that were received show that the attempt did run.
             started = action == "fail_started"
             execution = Execution.UNKNOWN if started else message.execution
-            return self._fail(FailureKind.UPSTREAM_ERROR, execution)
+            return self.fail(FailureKind.UPSTREAM_ERROR, execution)
         if action == "resume":
             self._resume()
             return None
         if action == "unknown":
-            return self._fail(FailureKind.DISCONNECTED, Execution.UNKNOWN)
+            return self.fail(FailureKind.DISCONNECTED, Execution.UNKNOWN)
         return self._reject()
 
     async def _receive(self) -> Message | None:
@@ -167,7 +167,7 @@
 
     def _reject(self) -> AttemptResult:
         self.cancel()
-        return self._fail(FailureKind.BAD_ANSWER, Execution.UNKNOWN)
+        return self.fail(FailureKind.BAD_ANSWER, Execution.UNKNOWN)
 
     async def _take_frame(
         self, frame: Frame, on_chunk: OnChunk
@@ -194,9 +194,10 @@
             time_left_s=self._work.answer_deadline_s - time.monotonic(),
         )
 
-    def _fail(
+    def fail(
         self, kind: FailureKind, execution: Execution, retry_after_s: float = 0.0
     ) -> AttemptResult:
+        """Return a failure of this attempt."""
         view = self.link.view
         assert view is not None
         return Err(
--- a/bramleyport/daemons/_peers.py
+++ b/bramleyport/daemons/_peers.py
@@ -21,8 +21,21 @@
 from bramleyport.daemons._hub import PeerHub
 from bramleyport.daemons._kept import KeptConnection
 from bramleyport.membership import Host, HostState, ProcessRole, Spoke
+from bramleyport.routing import (
+    CacheChange,
+    CacheFollower,
+    SubsetHost,
+    SubsetSelector,
+)
+from bramleyport.telemetry import log_event, routing_events
 from bramleyport.transport import Connection, Identity
-from bramleyport.wire import CacheReport, LoadReport, Message, UpstreamInfo
+from bramleyport.wire import (
+    CacheReport,
+    CacheRequest,
+    LoadReport,
+    Message,
+    UpstreamInfo,
+)
 
 
 class AgentLink:
@@ -33,7 +46,11 @@
         self.connection: Connection | None = None
         self.kept: KeptConnection | None = None
         self.view: UpstreamView | None = None
+        # Outside the entry's subset: serves its attempts in flight and no new ones.
+        self.retired = False
+        self.in_flight = 0
         self.connected = asyncio.Event()
+        self._cache: CacheFollower | None = None
 
     @property
     def usable(self) -> bool:
@@ -42,6 +59,7 @@
             self.connection is not None
             and not self.connection.closed.is_set()
             and self.view is not None
+            and not self.retired
             and self.host.state is HostState.LIVE
         )
 
@@ -56,6 +74,7 @@
                 region=info.region,
             )
             self.view = view
+            self._cache = CacheFollower(view.cached)
         view.state = info.state
         view.role = info.role
         view.models = frozenset(ModelName(name) for name in info.models)
@@ -80,15 +99,37 @@
             wait_s=load.wait_s,
         )
         self.view.sent = SentWork()
+        # Load reports come steadily, so a lost request or answer is repeated.
+        self.request_cache()
 
     def apply_cache(self, report: CacheReport) -> None:
-        """Take a change of the engine's prefix cache."""
-        if self.view is None:
+        """Take a cache report and request a full one after a gap."""
+        if self._cache is None:
             return
-        cached = self.view.cached
-        cached.blocks.update(report.stored)
-        cached.blocks.difference_update(report.evicted)
-        cached.last_sequence = report.sequence
+        self._cache.apply(
+            CacheChange(
+                previous=report.previous,
+                sequence=report.sequence,
+                stored=report.stored,
+                evicted=report.evicted,
+                full=report.full,
+            )
+        )
+        self.request_cache()
+
+    def request_cache(self) -> None:
+        """Request the whole cache if the view is uncertain."""
+        if self._cache is None or self.view is None or self.connection is None:
+            return
+        if self._cache.take_request(time.monotonic()):
+            upstream = self.view.upstream
+            log_event(routing_events.CACHE_VIEW_UNCERTAIN, upstream=upstream)
+            self.connection.post(CacheRequest(upstream=upstream))
+
+    def forget_cache_request(self) -> None:
+        """Allow a cache request at once, since the last one may be lost."""
+        if self._cache is not None:
+            self._cache.forget_request()
 
     def count_sent(self, work: Work) -> None:
         """Count work that no load report has shown yet."""
@@ -108,20 +149,27 @@
         read_revision: Callable[[], Revision],
         on_message: Callable[[AgentLink, Connection, Message], None],
         hub: PeerHub,
+        subsets: SubsetSelector | None = None,
     ) -> None:
+        self._subsets = subsets or SubsetSelector()
         self._identity = identity
         self._read_revision = read_revision
         self._on_message = on_message
         self._hub = hub
+        self._chosen: frozenset[ProcessId] = frozenset()
         self._links: dict[ProcessId, AgentLink] = {}
         hub.on_hosts = self.apply_hosts
 
     def apply_hosts(self, hosts: Iterable[Host]) -> None:
-        """Connect to new agents and drop those that are gone."""
-        agents = {h.process: h for h in hosts if h.role is ProcessRole.AGENT}
+        """Connect to the agents of the subset and drop those that are gone."""
+        known = list(hosts)
+        agents = {h.process: h for h in known if h.role is ProcessRole.AGENT}
+        chosen = self._choose_subset(known)
         for process in set(self._links) - set(agents):
             self._drop(process)
-        for process, host in agents.items():
+        self._retire(chosen, agents)
+        for process in sorted(chosen):
+            host = agents[process]
             link = self._links.get(process)
             if link is None or link.host.uri != host.uri:
                 self._drop(process)
@@ -129,6 +177,14 @@
                 self._links[process] = link
                 link.kept = self._connect(link)
             link.host = host
+            link.retired = False
+
+    def release(self, link: AgentLink) -> None:
+        """Count the end of an attempt and close a retired link without any."""
+        link.in_flight -= 1
+        process = link.host.process
+        if link.retired and not link.in_flight and self._links.get(process) is link:
+            self._drop(process)
 
     def list_views(self) -> list[UpstreamView]:
         """Return the views of the upstreams that may get new work."""
@@ -145,6 +201,47 @@
                 return link
         return None
 
+    def _choose_subset(self, hosts: list[Host]) -> frozenset[ProcessId]:
+        me = SubsetHost(
+            self._identity.process, self._identity.zone, self._identity.region
+        )
+        live = [host for host in hosts if host.state is HostState.LIVE]
+        rows = {
+            role: [
+                SubsetHost(host.process, host.zone, host.region, host.pool)
+                for host in live
+                if host.role is role
+            ]
+            for role in ProcessRole
+        }
+        chosen = self._subsets.choose(
+            me, rows[ProcessRole.ENTRY], rows[ProcessRole.AGENT]
+        )
+        if chosen != self._chosen:
+            log_event(
+                routing_events.SUBSET_CHANGED,
+                upstreams=len(rows[ProcessRole.AGENT]),
+                entries=len(rows[ProcessRole.ENTRY]),
+                chosen=len(chosen),
+                added=len(chosen - self._chosen),
+                removed=len(self._chosen - chosen),
+            )
+            self._chosen = chosen
+        return chosen
+
+    def _retire(
+        self, chosen: frozenset[ProcessId], agents: dict[ProcessId, Host]
+    ) -> None:
+        for process in set(self._links) - chosen:
+            link = self._links[process]
+            link.host = agents[process]
+            # A leaving host closes its connections itself once its work has ended.
+            if link.host.state is HostState.LEAVING:
+                continue
+            link.retired = True
+            if not link.in_flight:
+                self._drop(process)
+
     async def close(self) -> None:
         """Close all connections."""
         kept = [link.kept for link in self._links.values() if link.kept is not None]
@@ -169,6 +266,7 @@
 
     def _open(self, link: AgentLink, connection: Connection) -> None:
         link.connection = connection
+        link.forget_cache_request()
         link.connected.set()
         self._hub.attach(connection)
 
--- a/bramleyport/membership/_hosts.py
+++ b/bramleyport/membership/_hosts.py
@@ -32,6 +32,8 @@
     region: RegionName
     state: HostState = HostState.LIVE
     incarnation: int = 0
+    # What the host serves, where the platform's list says so.
+    pool: str = ""
 
     @property
     def uri(self) -> str:
--- a/bramleyport/settings/_schema.py
+++ b/bramleyport/settings/_schema.py
@@ -61,8 +61,10 @@
 
     estimator: str = "declared"
     admission: str = "open"
-    routing: str = "least_loaded"
-    retries: str = "counted"
+    routing: str = "affinity"
+    retries: str = "budget"
+    guard: str = "adaptive"
+    hedging: str = "spread"
     queue: str = "fifo"
 
 
@@ -76,6 +78,7 @@
     drain_timeout_s: float = 60.0
     # The pools whose lease this entry may hold.
     pools: tuple[str, ...] = ()
+    subset_size: int = 60
     policies: PolicySettings = field(default_factory=PolicySettings)
 
 
--- a/bramleyport/telemetry/__init__.py
+++ b/bramleyport/telemetry/__init__.py
@@ -4,6 +4,7 @@
     _authority_events as authority_events,
     _events as events,
     _membership_events as membership_events,
+    _routing_events as routing_events,
 )
 from bramleyport.telemetry._events import EVENTS, Event
 from bramleyport.telemetry._journal import Journal, JournalEntry
@@ -25,4 +26,5 @@
     "events",
     "log_event",
     "membership_events",
+    "routing_events",
 ]
