--- a/bramleyport/core/_views.py
+++ b/bramleyport/core/_views.py
@@ -13,6 +13,7 @@
     ZoneName,
 )
 from bramleyport.core._states import EngineRole, Rank, ServiceKind, UpstreamState
+from bramleyport.core._work import Work
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -45,6 +46,21 @@
     requests: int = 0
     prefill_tokens: int = 0
     decode_tokens: int = 0
+    prefill_by_rank: dict[Rank, int] = field(default_factory=dict)
+    decode_by_rank: dict[Rank, int] = field(default_factory=dict)
+
+    def add(self, work: Work) -> None:
+        """Count one request by its prompt and its declared output limit."""
+        rank = work.rank
+        self.requests += 1
+        self.prefill_tokens += work.prompt_tokens
+        self.decode_tokens += work.max_output_tokens
+        self.prefill_by_rank[rank] = (
+            self.prefill_by_rank.get(rank, 0) + work.prompt_tokens
+        )
+        self.decode_by_rank[rank] = (
+            self.decode_by_rank.get(rank, 0) + work.max_output_tokens
+        )
 
 
 @dataclass(slots=True, kw_only=True)
--- a/bramleyport/daemons/_peers.py
+++ b/bramleyport/daemons/_peers.py
@@ -98,11 +98,8 @@
 
     def count_sent(self, work: Work) -> None:
         """Count work that no load report has shown yet."""
-        if self.view is None:
-            return
-        self.view.sent.requests += 1
-        self.view.sent.prefill_tokens += work.prompt_tokens
-        self.view.sent.decode_tokens += work.max_output_tokens
+        if self.view is not None:
+            self.view.sent.add(work)
 
 
 class AgentLinks:
--- a/bramleyport/estimate/_base.py
+++ b/bramleyport/estimate/_base.py
@@ -15,6 +15,9 @@
     output_tokens: float
     output_spread: float
     wait_s: float
+    # Zero where the estimator has no figure.
+    between_tokens_s: float = 0.0
+    spread_s: float = 0.0
 
     @property
     def first_token_s(self) -> float:
--- a/bramleyport/queueing/__init__.py
+++ b/bramleyport/queueing/__init__.py
@@ -1,6 +1,6 @@
 """The agent's queue: order, refusals and drops."""
 
-from bramleyport.queueing import _fifo as _fifo
+from bramleyport.queueing import _fifo as _fifo, _ranked as _ranked
 from bramleyport.queueing._base import (
     QUEUE_POLICIES,
     Queued,
--- a/bramleyport/queueing/_base.py
+++ b/bramleyport/queueing/_base.py
@@ -16,6 +16,7 @@
     deadline_s: float
     prefill_s: float = 0.0
     decode_s: float = 0.0
+    spread_s: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/bramleyport/queueing/_ranked.py
@@ -0,0 +1,230 @@
+"""Queue that serves ranks by urgency and share, and accounts fairly."""
+
+from collections.abc import Mapping
+from typing import Any, Final
+
+from sortedcontainers import SortedList
+
+from bramleyport.core import AttemptId, Explanation, Rank, ServiceKind
+from bramleyport.queueing._accounts import Entry, FairAccounts
+from bramleyport.queueing._base import QUEUE_POLICIES, Queued, QueuedWork, Refused
+from bramleyport.queueing._shares import RankShares
+from bramleyport.queueing._usage import RecentUsage
+
+# Bodies of queued work are held in memory, so each rank has its own bound and a flood
+# of one rank cannot fill the queue for another.
+MAX_QUEUED_PER_RANK: Final = 1000
+MIN_RETRY_S: Final = 1.0
+MAX_RETRY_S: Final = 600.0
+# Work without a cost estimate must still be charged, or it could starve other work.
+MIN_COST_S: Final = 0.001
+MAX_COST_S: Final = 3600.0
+# Slots kept free of lower ranks while urgent work arrives, as a part of all slots. An
+# urgent request cannot displace a running one, and a slot may take seconds to free.
+RESERVE_DIVISOR: Final = 16
+RESERVE_WINDOW_S: Final = 10.0
+
+
+@QUEUE_POLICIES.register("ranked")
+class RankedQueue:
+    """Serve the most urgent rank first within guaranteed shares."""
+
+    def __init__(self, max_streams: int) -> None:
+        self._max_streams = max(1, max_streams)
+        self._shares = RankShares()
+        self._usage = RecentUsage()
+        self._ranks = {rank: FairAccounts() for rank in Rank}
+        self._entries: dict[AttemptId, Entry] = {}
+        self._by_latest_start: Any = SortedList()
+        self._dropped: list[QueuedWork] = []
+        self._running: dict[AttemptId, Rank] = {}
+        self._prefill_until_s = dict.fromkeys(Rank, 0.0)
+        self._last_urgent_s: float | None = None
+        self._next_number = 0
+
+    def offer(self, item: QueuedWork, now_s: float) -> Queued | Refused:
+        """Queue or refuse an attempt."""
+        self._advance(now_s)
+        rank = item.work.rank
+        self._shares.set_share(rank, item.work.targets.guaranteed_share)
+        if rank is Rank.URGENT:
+            self._last_urgent_s = now_s
+        entry = self._make_entry(item)
+        wait_s = self._forecast(rank, item, entry.cost_s, now_s)
+        numbers = {
+            "wait_s": wait_s,
+            "slack_s": entry.latest_start_s - now_s,
+            "cost_s": entry.cost_s,
+            "queued": float(len(self._ranks[rank])),
+        }
+        reason = self._find_refusal(entry, wait_s, now_s)
+        if reason is not None:
+            retry_s = wait_s - max(0.0, entry.latest_start_s - now_s)
+            return Refused(Explanation(reason=reason, numbers=numbers), _bound(retry_s))
+        self._entries[item.attempt] = entry
+        self._ranks[rank].add(entry)
+        self._by_latest_start.add(_late_key(entry))
+        return Queued(Explanation(reason="in_time", numbers=numbers))
+
+    def take(self, now_s: float, free_slots: int) -> list[QueuedWork]:
+        """Remove and return the attempts to start now."""
+        self._advance(now_s)
+        self._drop_late(now_s)
+        taken: list[QueuedWork] = []
+        while len(taken) < free_slots:
+            allowed = self._list_waiting()
+            if free_slots - len(taken) <= self._count_reserved(now_s):
+                # A rank that is owed service may use the reserve; without that its
+                # share would be lost whenever urgent work takes each freed slot.
+                allowed = [r for r in allowed if self._may_use_reserve(r)]
+            if not allowed:
+                break
+            taken.append(self._take_next(allowed, now_s))
+        return taken
+
+    def expire(self, now_s: float) -> list[QueuedWork]:
+        """Remove and return the attempts that can't meet their deadline."""
+        self._advance(now_s)
+        self._drop_late(now_s)
+        dropped, self._dropped = self._dropped, []
+        return dropped
+
+    def finish(self, attempt: AttemptId, now_s: float) -> None:
+        """Forget a running attempt that has ended."""
+        self._running.pop(attempt, None)
+
+    def cancel(self, attempt: AttemptId) -> bool:
+        """Remove a queued attempt and return whether it was queued."""
+        entry = self._entries.get(attempt)
+        if entry is None:
+            return False
+        self._ranks[entry.item.work.rank].remove(entry)
+        self._forget(entry)
+        return True
+
+    def forecast_wait(self, now_s: float) -> Mapping[Rank, float]:
+        """Return the seconds that new work of each rank would wait."""
+        self._advance(now_s)
+        return {rank: self._forecast(rank, None, 0.0, now_s) for rank in Rank}
+
+    def __len__(self) -> int:
+        return len(self._entries)
+
+    def _make_entry(self, item: QueuedWork) -> Entry:
+        cost_s = item.prefill_s + item.decode_s / self._max_streams
+        if not cost_s >= MIN_COST_S:
+            cost_s = MIN_COST_S
+        work = item.work
+        # Only work that is late even with a short answer is certain to be late.
+        least_s = item.prefill_s + max(0.0, item.decode_s - item.spread_s)
+        latest_s = item.deadline_s - least_s
+        if work.kind is ServiceKind.LANGUAGE:
+            latest_s = min(latest_s, work.first_token_deadline_s - item.prefill_s)
+        self._next_number += 1
+        return Entry(
+            item=item,
+            number=self._next_number,
+            cost_s=min(cost_s, MAX_COST_S),
+            latest_start_s=latest_s,
+        )
+
+    def _find_refusal(self, entry: Entry, wait_s: float, now_s: float) -> str | None:
+        work = entry.item.work
+        queue = self._ranks[work.rank]
+        if entry.latest_start_s < now_s:
+            return "too_late"
+        if now_s + wait_s > entry.latest_start_s:
+            return "wait_too_long"
+        # An account may hold at most as much as is still free, so a flood of one
+        # account always leaves room for the others.
+        free = MAX_QUEUED_PER_RANK - len(queue)
+        if free <= 0:
+            return "queue_full"
+        if queue.count_account(work.account) >= free:
+            return "account_queue_full"
+        return None
+
+    def _may_use_reserve(self, rank: Rank) -> bool:
+        return rank is Rank.URGENT or self._shares.is_owed(rank)
+
+    def _take_next(self, allowed: list[Rank], now_s: float) -> QueuedWork:
+        rank = self._shares.choose(allowed)
+        waiting = self._list_waiting()
+        entry = self._ranks[rank].take()
+        self._usage.add(rank, entry.cost_s, saturated=self._is_saturated())
+        self._forget(entry)
+        self._shares.charge(rank, entry.cost_s, waiting)
+        self._shares.clear_idle(self._list_waiting())
+        self._running[entry.item.attempt] = rank
+        self._count_prefill(rank, entry.item.prefill_s, now_s)
+        return entry.item
+
+    def _count_prefill(self, rank: Rank, prefill_s: float, now_s: float) -> None:
+        # Engines prefill by priority, so work delays its own rank and those below.
+        for other in Rank:
+            if other.priority >= rank.priority:
+                start_s = max(now_s, self._prefill_until_s[other])
+                self._prefill_until_s[other] = start_s + prefill_s
+
+    def _forecast(
+        self, rank: Rank, item: QueuedWork | None, cost_s: float, now_s: float
+    ) -> float:
+        prefill_s = max(0.0, self._prefill_until_s[rank] - now_s)
+        if len(self._running) < self._max_streams and not self._list_waiting():
+            return prefill_s
+        share = self._shares.get_share(rank)
+        below = sum(
+            self._shares.get_share(other)
+            for other in self._list_waiting()
+            if other.priority > rank.priority
+        )
+        rate = self._usage.forecast_rate(rank, share, below)
+        queue = self._ranks[rank]
+        own_s = queue.cost_s
+        if item is not None:
+            own_s = queue.forecast_before(item.work.account, cost_s)
+        above_s = sum(
+            other.cost_s
+            for other_rank, other in self._ranks.items()
+            if other_rank.priority < rank.priority
+        )
+        wait_s = (own_s + above_s) / rate
+        if share > 0:
+            wait_s = min(wait_s, own_s / (share * self._usage.speed))
+        return max(wait_s, prefill_s)
+
+    def _drop_late(self, now_s: float) -> None:
+        while self._by_latest_start and self._by_latest_start[0][0] < now_s:
+            entry = self._entries[self._by_latest_start[0][2]]
+            self._ranks[entry.item.work.rank].remove(entry)
+            self._forget(entry)
+            self._dropped.append(entry.item)
+
+    def _forget(self, entry: Entry) -> None:
+        del self._entries[entry.item.attempt]
+        self._by_latest_start.remove(_late_key(entry))
+
+    def _list_waiting(self) -> list[Rank]:
+        return [rank for rank, queue in self._ranks.items() if len(queue)]
+
+    def _count_reserved(self, now_s: float) -> int:
+        last_s = self._last_urgent_s
+        if last_s is None or now_s - last_s > RESERVE_WINDOW_S:
+            return 0
+        return self._max_streams // RESERVE_DIVISOR
+
+    def _advance(self, now_s: float) -> None:
+        self._usage.advance(now_s, saturated=self._is_saturated())
+
+    def _is_saturated(self) -> bool:
+        # Filling empty slots in a burst says nothing about the speed of the upstream.
+        threshold = self._max_streams - self._max_streams // RESERVE_DIVISOR - 1
+        return len(self) > 0 and len(self._running) >= threshold
+
+
+def _late_key(entry: Entry) -> tuple[float, int, AttemptId]:
+    return (entry.latest_start_s, entry.number, entry.item.attempt)
+
+
+def _bound(retry_s: float) -> float:
+    return min(MAX_RETRY_S, max(MIN_RETRY_S, retry_s))
--- a/bramleyport/settings/_schema.py
+++ b/bramleyport/settings/_schema.py
@@ -31,11 +31,11 @@
 class PolicySettings:
     """Choose a policy by name for each decision."""
 
-    estimator: str = "declared"
-    admission: str = "open"
+    estimator: str = "learned"
+    admission: str = "in_time"
     routing: str = "least_loaded"
     retries: str = "counted"
-    queue: str = "fifo"
+    queue: str = "ranked"
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
