Wire the policies into the entry and the agent

Cause: the daemons discarded what answers showed about cost, and drops carried no Retry-After. Change: the agent measures wait, prefill and decode time and sends them in End; both processes observe them; each queue and admission decision is logged and counted.

--- a/bramleyport/answers/_frames.py
+++ b/bramleyport/answers/_frames.py
@@ -48,8 +48,17 @@
         self._unacked.append(frame)
         return frame
 
-    def finish(self, status: int, headers: dict[str, str], output_tokens: int) -> End:
-        """Close the answer with its frame count and digest."""
+    def finish(
+        self,
+        status: int,
+        headers: dict[str, str],
+        output_tokens: int,
+        *,
+        wait_s: float = 0.0,
+        prefill_s: float = 0.0,
+        decode_s: float = 0.0,
+    ) -> End:
+        """Close the answer with its frame count, digest and measured times."""
         self.end = End(
             attempt=self.attempt,
             total=self._next,
@@ -57,6 +66,9 @@
             status=status,
             headers=headers,
             output_tokens=output_tokens,
+            wait_s=wait_s,
+            prefill_s=prefill_s,
+            decode_s=decode_s,
         )
         return self.end
 
--- a/bramleyport/composition.py
+++ b/bramleyport/composition.py
@@ -36,6 +36,7 @@
     from bramleyport.daemons._agent import AgentDaemon
     from bramleyport.estimate import ESTIMATORS
     from bramleyport.queueing import QUEUE_POLICIES
+    from bramleyport.telemetry import Metrics
     from bramleyport.upstreams import EngineClient, PlainClient
 
     upstream: EngineClient | PlainClient
@@ -49,6 +50,7 @@
         upstream,
         QUEUE_POLICIES.create(settings.policies.queue, settings.max_streams),
         ESTIMATORS.create(settings.policies.estimator),
+        Metrics(),
     )
 
 
@@ -77,6 +79,7 @@
         RETRY_POLICIES.create(policies.retries),
         metrics,
         Random(seed),
+        estimator,
     )
     links = AgentLinks(
         build_identity(settings.process),
--- a/bramleyport/daemons/_agent.py
+++ b/bramleyport/daemons/_agent.py
@@ -20,8 +20,9 @@
     ZoneName,
 )
 from bramleyport.daemons._agent_attempt import AgentAttempt, Upstream
-from bramleyport.queueing import QueuedWork, QueuePolicy, Refused as QueueRefused
-from bramleyport.telemetry import events, log_event
+from bramleyport.daemons._agent_schedule import AgentSchedule
+from bramleyport.queueing import QueuePolicy, Refused as QueueRefused
+from bramleyport.telemetry import Metrics, events, log_event
 from bramleyport.transport import listen
 from bramleyport.upstreams import EngineClient, UpstreamError
 from bramleyport.wire import (
@@ -60,12 +61,12 @@
         upstream: Upstream,
         queue: QueuePolicy,
         estimator: "Estimator",
+        metrics: Metrics | None = None,
     ) -> None:
         self.settings = settings
         self._identity = identity
         self._upstream = upstream
         self._queue = queue
-        self._estimator = estimator
         self._connections: set[Connection] = set()
         self._attempts: dict[AttemptId, AgentAttempt] = {}
         self._running: set[AttemptId] = set()
@@ -77,6 +78,9 @@
             zone=ZoneName(settings.process.zone),
             region=identity.region,
         )
+        self._schedule = AgentSchedule(
+            queue, estimator, self._view, metrics or Metrics()
+        )
         self._server: Server | None = None
         self._tasks: list[asyncio.Task[None]] = []
         self._background: set[asyncio.Future[None]] = set()
@@ -161,17 +165,7 @@
         now_s = time.monotonic()
         arrived_s = now_s - (execute.work.targets.answer_s - execute.time_left_s)
         work = replace(execute.work, arrived_s=arrived_s)
-        estimate = self._estimator.estimate(work, self._view)
-        decision = self._queue.offer(
-            QueuedWork(
-                attempt=execute.attempt,
-                work=work,
-                deadline_s=work.answer_deadline_s,
-                prefill_s=estimate.prefill_s,
-                decode_s=estimate.decode_s,
-            ),
-            now_s,
-        )
+        decision = self._schedule.offer(execute.attempt, work, now_s)
         if isinstance(decision, QueueRefused):
             connection.post(
                 Refused(
@@ -191,12 +185,15 @@
             return
         for item in self._queue.take(time.monotonic(), free):
             attempt = self._attempts[item.attempt]
+            attempt.cached_tokens = self._schedule.count_cached(item.work)
             self._running.add(item.attempt)
             attempt.task = asyncio.ensure_future(self._run(item.attempt, attempt))
+        self._refuse_late()
 
     async def _run(self, attempt_id: AttemptId, attempt: AgentAttempt) -> None:
         try:
             await attempt.run(self._upstream)
+            self._schedule.observe(attempt)
         except asyncio.CancelledError:
             if isinstance(self._upstream, EngineClient):
                 self._background.add(
@@ -252,12 +249,13 @@
     async def _expire_forever(self) -> None:
         while True:
             await asyncio.sleep(EXPIRE_INTERVAL_S)
-            for item in self._queue.expire(time.monotonic()):
-                attempt = self._attempts.pop(item.attempt, None)
-                if attempt is not None:
-                    attempt.connection.post(
-                        Refused(attempt=item.attempt, reason="deadline")
-                    )
+            self._refuse_late()
+
+    def _refuse_late(self) -> None:
+        for refused in self._schedule.refuse_late(time.monotonic()):
+            attempt = self._attempts.pop(refused.attempt, None)
+            if attempt is not None:
+                attempt.connection.post(refused)
 
     async def _report_forever(self) -> None:
         while True:
--- a/bramleyport/daemons/_agent_attempt.py
+++ b/bramleyport/daemons/_agent_attempt.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import time
 from typing import TYPE_CHECKING
 
 from bramleyport.answers import FrameLog
@@ -34,11 +35,17 @@
         self.failed: Failed | None = None
         self.task: asyncio.Task[None] | None = None
         self.output_tokens = 0
+        self.cached_tokens = 0
+        self._queued_s = time.monotonic()
+        self._started_s = self._queued_s
+        self._first_token_s = 0.0
+        self._was_blocked = False
         self._room = asyncio.Event()
         self._room.set()
 
     async def run(self, upstream: Upstream) -> None:
         """Run the attempt on the upstream until its answer is whole or failed."""
+        self._started_s = time.monotonic()
         try:
             if isinstance(upstream, EngineClient):
                 await self._run_completion(upstream)
@@ -97,6 +104,8 @@
         async for event in engine.complete(completion):
             if isinstance(event, Token):
                 self.output_tokens += 1
+                if self.output_tokens == 1:
+                    self._first_token_s = time.monotonic()
                 await self._append(event.text.encode())
             elif isinstance(event, Done):
                 self._finish(200, {})
@@ -113,8 +122,21 @@
     async def _append(self, payload: bytes) -> None:
         self.connection.post(self.log.append(payload))
         if self.log.full:
+            self._was_blocked = True
             self._room.clear()
             await self._room.wait()
 
     def _finish(self, status: int, headers: dict[str, str]) -> None:
-        self.connection.post(self.log.finish(status, headers, self.output_tokens))
+        now_s = time.monotonic()
+        first_s = self._first_token_s or self._started_s
+        # A slow reader holds the frames back, so the time says nothing of the engine.
+        decode_s = 0.0 if self._was_blocked else now_s - first_s
+        end = self.log.finish(
+            status,
+            headers,
+            self.output_tokens,
+            wait_s=self._started_s - self._queued_s,
+            prefill_s=first_s - self._started_s,
+            decode_s=decode_s,
+        )
+        self.connection.post(end)
--- /dev/null
+++ b/bramleyport/daemons/_agent_schedule.py
@@ -0,0 +1,110 @@
+"""Decisions of an agent about its queue, with their records."""
+
+from typing import TYPE_CHECKING, Final
+
+from bramleyport.core import AttemptId, Explanation, Rank, UpstreamView, Work
+from bramleyport.estimate import Observation
+from bramleyport.queueing import Queued, QueuedWork, QueuePolicy, Refused
+from bramleyport.telemetry import Event, Metrics, log_event, policy_events
+from bramleyport.wire import Refused as RefusedMessage
+
+if TYPE_CHECKING:
+    from bramleyport.daemons._agent_attempt import AgentAttempt
+    from bramleyport.estimate import Estimator
+
+MIN_RETRY_S: Final = 1.0
+FIRST_ERROR_STATUS: Final = 400
+
+
+class AgentSchedule:
+    """Offer work to the queue with its cost and learn from what was run."""
+
+    def __init__(
+        self,
+        queue: QueuePolicy,
+        estimator: "Estimator",
+        view: UpstreamView,
+        metrics: Metrics,
+    ) -> None:
+        self.queue = queue
+        self._estimator = estimator
+        self._view = view
+        self._metrics = metrics
+
+    def offer(self, attempt: AttemptId, work: Work, now_s: float) -> Queued | Refused:
+        """Queue or refuse an attempt."""
+        estimate = self._estimator.estimate(work, self._view)
+        decision = self.queue.offer(
+            QueuedWork(
+                attempt=attempt,
+                work=work,
+                deadline_s=work.answer_deadline_s,
+                prefill_s=estimate.prefill_s,
+                decode_s=estimate.decode_s,
+                spread_s=estimate.spread_s,
+            ),
+            now_s,
+        )
+        event = policy_events.ATTEMPT_QUEUED
+        if isinstance(decision, Refused):
+            event = policy_events.ATTEMPT_REFUSED
+        self._record(event, attempt, work.rank, decision.explanation)
+        return decision
+
+    def refuse_late(self, now_s: float) -> list[RefusedMessage]:
+        """Remove the attempts that can't be in time and return their refusals."""
+        late = self.queue.expire(now_s)
+        if not late:
+            return []
+        wait_s = self.queue.forecast_wait(now_s)
+        return [self._refuse(item, wait_s[item.work.rank], now_s) for item in late]
+
+    def count_cached(self, work: Work) -> int:
+        """Return the prompt tokens that the engine is believed to have cached."""
+        blocks = self._view.cached.count_cached(work.prefix_blocks)
+        return blocks * self._view.block_tokens
+
+    def observe(self, attempt: "AgentAttempt") -> None:
+        """Learn from an attempt whose answer is whole."""
+        end = attempt.log.end
+        if end is None or end.status >= FIRST_ERROR_STATUS:
+            return
+        self._estimator.observe(
+            Observation(
+                work=attempt.execute.work,
+                upstream=self._view.upstream,
+                output_tokens=end.output_tokens,
+                cached_tokens=attempt.cached_tokens,
+                wait_s=end.wait_s,
+                prefill_s=end.prefill_s,
+                decode_s=end.decode_s,
+            )
+        )
+
+    def _refuse(self, item: QueuedWork, wait_s: float, now_s: float) -> RefusedMessage:
+        retry_after_s = max(MIN_RETRY_S, wait_s)
+        numbers = {
+            "left_s": item.deadline_s - now_s,
+            "prefill_s": item.prefill_s,
+            "decode_s": item.decode_s,
+            "retry_after_s": retry_after_s,
+        }
+        explanation = Explanation(reason="deadline", numbers=numbers)
+        event = policy_events.ATTEMPT_DROPPED
+        self._record(event, item.attempt, item.work.rank, explanation)
+        return RefusedMessage(
+            attempt=item.attempt, reason="deadline", retry_after_s=retry_after_s
+        )
+
+    def _record(
+        self, event: Event, attempt: AttemptId, rank: Rank, explanation: Explanation
+    ) -> None:
+        reason = explanation.reason
+        self._metrics.decisions.inc({"kind": "queue", "reason": reason})
+        log_event(
+            event,
+            attempt=attempt,
+            rank=rank.value,
+            reason=reason,
+            **explanation.numbers,
+        )
--- a/bramleyport/daemons/_dispatch.py
+++ b/bramleyport/daemons/_dispatch.py
@@ -18,9 +18,10 @@
     Work,
 )
 from bramleyport.daemons._entry_attempt import Call, EntryAttempt, OnChunk
+from bramleyport.estimate import Estimator, Observation
 from bramleyport.retries import AttemptFailure, FailureKind, GiveUp, RetryPolicy
 from bramleyport.routing import RoutingPolicy, is_eligible
-from bramleyport.telemetry import Metrics, events, log_event
+from bramleyport.telemetry import Metrics, events, log_event, policy_events
 from bramleyport.wire import Message
 
 if TYPE_CHECKING:
@@ -29,6 +30,7 @@
     from bramleyport.wire import End
 
 NO_UPSTREAM_RETRY_S = 1.0
+FIRST_ERROR_STATUS = 400
 
 
 class Dispatcher:
@@ -41,6 +43,7 @@
         retries: RetryPolicy,
         metrics: Metrics,
         rng: Random,
+        estimator: Estimator | None = None,
     ) -> None:
         self.links: AgentLinks | None = None
         self._admission = admission
@@ -48,6 +51,7 @@
         self._retries = retries
         self._metrics = metrics
         self._rng = rng
+        self._estimator = estimator
         self._attempts: dict[AttemptId, EntryAttempt] = {}
 
     def deliver(
@@ -65,14 +69,18 @@
         )
         reason = decision.explanation.reason
         self._metrics.decisions.inc({"kind": "admission", "reason": reason})
-        if not isinstance(decision, Rejected):
-            return None
+        rejected = isinstance(decision, Rejected)
         log_event(
-            events.REQUEST_REJECTED,
+            events.REQUEST_REJECTED
+            if rejected
+            else policy_events.REQUEST_ADMITTED,
             request=work.request,
+            rank=work.rank.value,
             reason=reason,
             **decision.explanation.numbers,
         )
+        if not isinstance(decision, Rejected):
+            return None
         code = (
             ErrorCode.NO_UPSTREAM if reason == "no_upstream" else ErrorCode.OVERLOADED
         )
@@ -132,6 +140,7 @@
         attempt_id = AttemptId(uuid.uuid4().hex)
         attempt = EntryAttempt(attempt_id, link, work, call)
         self._attempts[attempt_id] = attempt
+        cached_tokens = _count_cached(link.view, work)
         link.count_sent(work)
         finished = False
         try:
@@ -143,6 +152,8 @@
                 attempt.cancel()
         outcome = "ok" if isinstance(result, Ok) else result.err_value.kind.value
         self._metrics.attempts.inc({"result": outcome})
+        if isinstance(result, Ok):
+            self._observe(link, work, result.ok_value, cached_tokens)
         if isinstance(result, Err):
             log_event(
                 events.ATTEMPT_FAILED,
@@ -154,6 +165,33 @@
             )
         return result
 
+    def _observe(
+        self, link: "AgentLink", work: Work, end: "End", cached_tokens: int
+    ) -> None:
+        if self._estimator is None or link.view is None:
+            return
+        if end.status >= FIRST_ERROR_STATUS:
+            return
+        observation = Observation(
+            work=work,
+            upstream=link.view.upstream,
+            output_tokens=end.output_tokens,
+            cached_tokens=cached_tokens,
+            wait_s=end.wait_s,
+            prefill_s=end.prefill_s,
+            decode_s=end.decode_s,
+        )
+        self._estimator.observe(observation)
+        log_event(
+            policy_events.ATTEMPT_OBSERVED,
+            request=work.request,
+            peer=link.host.process,
+            wait_s=end.wait_s,
+            prefill_s=end.prefill_s,
+            decode_s=end.decode_s,
+            output_tokens=end.output_tokens,
+        )
+
     def _explain_no_upstream(self, worst: Execution) -> ServeError:
         return ServeError(
             code=ErrorCode.NO_UPSTREAM,
@@ -179,3 +217,9 @@
             peer=failure.upstream,
             retry_after_s=decision.retry_after_s,
         )
+
+
+def _count_cached(view: UpstreamView | None, work: Work) -> int:
+    if view is None:
+        return 0
+    return view.cached.count_cached(work.prefix_blocks) * view.block_tokens
--- /dev/null
+++ b/bramleyport/telemetry/_policy_events.py
@@ -0,0 +1,11 @@
+"""Numbered log events of admission, queueing and estimates."""
+
+from typing import Final
+
+from bramleyport.telemetry._events import define
+
+REQUEST_ADMITTED: Final = define(2001, "DEBUG", "request admitted")
+ATTEMPT_QUEUED: Final = define(2011, "DEBUG", "attempt queued")
+ATTEMPT_REFUSED: Final = define(2012, "INFO", "attempt refused before it ran")
+ATTEMPT_DROPPED: Final = define(2013, "INFO", "queued attempt dropped as too late")
+ATTEMPT_OBSERVED: Final = define(2021, "DEBUG", "cost of an answer observed")
--- a/bramleyport/wire/_messages.py
+++ b/bramleyport/wire/_messages.py
@@ -163,6 +163,10 @@
     status: int
     headers: Mapping[str, str] = field(default_factory=dict)
     output_tokens: int = 0
+    # Times that the agent measured; zero where it could not.
+    wait_s: float = 0.0
+    prefill_s: float = 0.0
+    decode_s: float = 0.0
 
 
 @message("failed")
