--- a/bramleyport/queueing/_ranked.py
+++ b/bramleyport/queueing/_ranked.py
@@ -21,7 +21,7 @@
 MAX_COST_S: Final = 3600.0
 # Slots kept free of lower ranks while urgent work arrives, as a part of all slots. An
 # urgent request cannot displace a running one, and a slot may take seconds to free.
-RESERVE_DIVISOR: Final = 16
+RESERVE_DIVISOR: Final = 8
 RESERVE_WINDOW_S: Final = 10.0
 
 
@@ -173,11 +173,7 @@
         if len(self._running) < self._max_streams and not self._list_waiting():
             return prefill_s
         share = self._shares.get_share(rank)
-        below = sum(
-            self._shares.get_share(other)
-            for other in self._list_waiting()
-            if other.priority > rank.priority
-        )
+        below = self._shares.sum_demand_below(rank, now_s)
         rate = self._usage.forecast_rate(rank, share, below)
         queue = self._ranks[rank]
         own_s = queue.cost_s
@@ -192,6 +188,9 @@
         if share > 0:
             left_s = max(0.0, own_s - self._shares.owed_s[rank])
             wait_s = min(wait_s, left_s / (share * self._usage.speed))
+        if len(self._running) >= self._max_streams:
+            # The next slot frees after about one item's cost.
+            wait_s += self._usage.mean_cost_s / self._usage.speed
         return max(wait_s, prefill_s)
 
     def _drop_late(self, now_s: float) -> None:
--- a/bramleyport/queueing/_shares.py
+++ b/bramleyport/queueing/_shares.py
@@ -53,6 +53,15 @@
         """Note that work of a rank was offered."""
         self.demand_s[rank] = now_s
 
+    def sum_demand_below(self, rank: Rank, now_s: float) -> float:
+        """Return the shares of the less urgent ranks that have demand."""
+        return sum(
+            self.get_share(other)
+            for other in Rank
+            if other.priority > rank.priority
+            and now_s - self.demand_s[other] <= DEMAND_WINDOW_S
+        )
+
     def charge(
         self, rank: Rank, cost_s: float, waiting: Collection[Rank], now_s: float
     ) -> None:
--- a/bramleyport/queueing/_usage.py
+++ b/bramleyport/queueing/_usage.py
@@ -11,6 +11,7 @@
 PRIOR_S: Final = 2.0
 MIN_SPEED: Final = 0.1
 MAX_SPEED: Final = 10.0
+COST_GAIN: Final = 0.05
 MIN_RATE: Final = 0.01
 
 
@@ -18,6 +19,7 @@
     """Keep decayed sums of the cost taken by each rank."""
 
     def __init__(self) -> None:
+        self.mean_cost_s = 0.0
         self._last_s: float | None = None
         self._taken_s = dict.fromkeys(Rank, 0.0)
         self._busy_taken_s = 0.0
@@ -37,6 +39,7 @@
     def add(self, rank: Rank, cost_s: float, *, saturated: bool) -> None:
         """Count one item that was taken."""
         self._taken_s[rank] += cost_s
+        self.mean_cost_s += COST_GAIN * (cost_s - self.mean_cost_s)
         if saturated:
             self._busy_taken_s += cost_s
 
