Pace less urgent starts by the observed time between tokens

Cause: each prefill slows all running streams; under a 5x batch overload the queue kept slots and first tokens for urgent work, but its tokens came too slowly. Change: agents hand the observed token intervals to the queue, which holds back starts of less urgent ranks near the target of running urgent work, never below their share.

--- a/bramleyport/queueing/_base.py
+++ b/bramleyport/queueing/_base.py
@@ -57,6 +57,10 @@
         """Remove a queued attempt and return whether it was queued."""
         ...
 
+    def observe_interval(self, interval_s: float, now_s: float) -> None:
+        """Take the time between two tokens of one running attempt."""
+        ...
+
     def forecast_wait(self, now_s: float) -> Mapping[Rank, float]:
         """Return the seconds that new work of each rank would wait."""
         ...
--- a/bramleyport/queueing/_fifo.py
+++ b/bramleyport/queueing/_fifo.py
@@ -52,6 +52,9 @@
         self._items = deque(i for i in self._items if i.attempt != attempt)
         return len(self._items) < before
 
+    def observe_interval(self, interval_s: float, now_s: float) -> None:
+        """Ignore the speed of the upstream."""
+
     def forecast_wait(self, now_s: float) -> Mapping[Rank, float]:
         """Return the seconds that new work of each rank would wait."""
         queued_s = sum(item.prefill_s + item.decode_s for item in self._items)
--- a/bramleyport/queueing/_ranked.py
+++ b/bramleyport/queueing/_ranked.py
@@ -8,6 +8,7 @@
 from bramleyport.core import AttemptId, Explanation, Rank, ServiceKind
 from bramleyport.queueing._accounts import Entry, FairAccounts
 from bramleyport.queueing._base import QUEUE_POLICIES, Queued, QueuedWork, Refused
+from bramleyport.queueing._pacing import TokenPacing
 from bramleyport.queueing._shares import RankShares
 from bramleyport.queueing._usage import RecentUsage
 
@@ -38,6 +39,9 @@
         self._by_latest_start: Any = SortedList()
         self._dropped: list[QueuedWork] = []
         self._running: dict[AttemptId, Rank] = {}
+        self._running_ranks = dict.fromkeys(Rank, 0)
+        self._pacing = TokenPacing()
+        self._held: list[Rank] = []
         self._prefill_until_s = dict.fromkeys(Rank, 0.0)
         self._last_urgent_s: float | None = None
         self._next_number = 0
@@ -48,6 +52,7 @@
         rank = item.work.rank
         self._shares.set_share(rank, item.work.targets.guaranteed_share)
         self._shares.record_demand(rank, now_s)
+        self._pacing.set_target(rank, item.work.targets.between_tokens_s)
         if rank is Rank.URGENT:
             self._last_urgent_s = now_s
         entry = self._make_entry(item)
@@ -73,14 +78,16 @@
         self._drop_late(now_s)
         taken: list[QueuedWork] = []
         while len(taken) < free_slots:
-            allowed = self._list_waiting()
-            if free_slots - len(taken) <= self._count_reserved(now_s):
-                # A rank that is owed service may use the reserve; without that its
-                # share would be lost whenever urgent work takes each freed slot.
-                allowed = [r for r in allowed if self._may_use_reserve(r)]
+            reserved = free_slots - len(taken) <= self._count_reserved(now_s)
+            allowed = [
+                rank
+                for rank in self._list_waiting()
+                if self._may_start(rank, now_s, reserved=reserved)
+            ]
             if not allowed:
                 break
             taken.append(self._take_next(allowed, now_s))
+        self._held = self._list_waiting() if len(taken) < free_slots else []
         return taken
 
     def expire(self, now_s: float) -> list[QueuedWork]:
@@ -92,7 +99,9 @@
 
     def finish(self, attempt: AttemptId, now_s: float) -> None:
         """Forget a running attempt that has ended."""
-        self._running.pop(attempt, None)
+        rank = self._running.pop(attempt, None)
+        if rank is not None:
+            self._running_ranks[rank] -= 1
 
     def cancel(self, attempt: AttemptId) -> bool:
         """Remove a queued attempt and return whether it was queued."""
@@ -103,6 +112,10 @@
         self._forget(entry)
         return True
 
+    def observe_interval(self, interval_s: float, now_s: float) -> None:
+        """Take the time between two tokens of one running attempt."""
+        self._pacing.observe(interval_s, len(self._running), now_s)
+
     def forecast_wait(self, now_s: float) -> Mapping[Rank, float]:
         """Return the seconds that new work of each rank would wait."""
         self._advance(now_s)
@@ -145,8 +158,14 @@
             return "account_queue_full"
         return None
 
-    def _may_use_reserve(self, rank: Rank) -> bool:
-        return rank is Rank.URGENT or self._shares.is_owed(rank)
+    def _may_start(self, rank: Rank, now_s: float, *, reserved: bool) -> bool:
+        # A rank that is owed service starts in any case; without that its share would
+        # be lost whenever urgent work takes each freed slot.
+        if rank is Rank.URGENT or self._shares.is_owed(rank):
+            return True
+        prefill_s = self._prefill_until_s[rank] - now_s
+        held = self._pacing.is_held(rank, self._running_ranks, prefill_s, now_s)
+        return not reserved and not held
 
     def _take_next(self, allowed: list[Rank], now_s: float) -> QueuedWork:
         rank = self._shares.choose(allowed)
@@ -156,6 +175,7 @@
         self._forget(entry)
         self._shares.charge(rank, entry.cost_s, waiting, now_s)
         self._running[entry.item.attempt] = rank
+        self._running_ranks[rank] += 1
         self._count_prefill(rank, entry.item.prefill_s, now_s)
         return entry.item
 
@@ -214,7 +234,9 @@
         return self._max_streams // RESERVE_DIVISOR
 
     def _advance(self, now_s: float) -> None:
-        self._usage.advance(now_s, saturated=self._is_saturated())
+        elapsed_s = self._usage.advance(now_s, saturated=self._is_saturated())
+        for rank in self._held:
+            self._shares.credit_held(rank, elapsed_s * self._usage.speed)
 
     def _is_saturated(self) -> bool:
         # Filling empty slots in a burst says nothing about the speed of the upstream.
--- a/bramleyport/queueing/_shares.py
+++ b/bramleyport/queueing/_shares.py
@@ -53,6 +53,14 @@
         """Note that work of a rank was offered."""
         self.demand_s[rank] = now_s
 
+    def credit_held(self, rank: Rank, elapsed_s: float) -> None:
+        """Credit a rank for time in which it was held back beside free slots.
+
+        Without this a held rank would be owed a share of what others took rather than
+        of the capacity.
+        """
+        self.owed_s[rank] += self.get_share(rank) * elapsed_s
+
     def sum_demand_below(self, rank: Rank, now_s: float) -> float:
         """Return the shares of the less urgent ranks that have demand."""
         return sum(
--- a/bramleyport/queueing/_usage.py
+++ b/bramleyport/queueing/_usage.py
@@ -25,8 +25,11 @@
         self._busy_taken_s = 0.0
         self._busy_s = 0.0
 
-    def advance(self, now_s: float, *, saturated: bool) -> None:
-        """Let old use fade; a saturated queue has had work waiting for busy slots."""
+    def advance(self, now_s: float, *, saturated: bool) -> float:
+        """Let old use fade and return the elapsed time.
+
+        A saturated queue has had work waiting for busy slots.
+        """
         last_s = now_s if self._last_s is None else self._last_s
         elapsed_s = max(0.0, now_s - last_s)
         self._last_s = max(now_s, last_s)
@@ -35,6 +38,7 @@
             self._taken_s[rank] *= fade
         self._busy_taken_s *= fade
         self._busy_s = self._busy_s * fade + (elapsed_s if saturated else 0.0)
+        return elapsed_s
 
     def add(self, rank: Rank, cost_s: float, *, saturated: bool) -> None:
         """Count one item that was taken."""
--- a/tests/policy_model.py
+++ b/tests/policy_model.py
@@ -34,7 +34,7 @@
 IDLE_STEP_S = 0.005
 TARGETS = {
     Rank.URGENT: Targets(
-        first_token_s=0.61, between_tokens_s=0.1, answer_s=20.0, guaranteed_share=0.5
+        first_token_s=0.61, between_tokens_s=0.057, answer_s=20.0, guaranteed_share=0.5
     ),
     Rank.STANDARD: Targets(
         first_token_s=3.0, between_tokens_s=0.1, answer_s=60.0, guaranteed_share=0.2
@@ -112,7 +112,9 @@
         report_s = 0.0
         position = 0
         while now_s < end_s:
-            while position < len(arrivals) and arrivals[position].work.arrived_s <= now_s:
+            while (
+                position < len(arrivals) and arrivals[position].work.arrived_s <= now_s
+            ):
                 self._arrive(arrivals[position], now_s)
                 position += 1
             if now_s >= report_s:
@@ -125,6 +127,8 @@
                 continue
             now_s += step.duration_s
             for job in step.produced:
+                if self.flights[job].first_s:
+                    self.queue.observe_interval(step.duration_s, now_s)
                 self.flights[job].first_s = self.flights[job].first_s or now_s
             for job in step.finished:
                 self._finish(job, now_s)
@@ -200,8 +204,10 @@
         )
         self.estimator.observe(observation)
         self.entry_estimator.observe(observation)
+        between_s = (now_s - flight.first_s) / max(1, flight.output_tokens - 1)
         in_time = (
             flight.first_s <= work.first_token_deadline_s
+            and between_s <= work.targets.between_tokens_s
             and now_s <= work.answer_deadline_s
         )
         self._count(work, "in_time" if in_time else "late")
