Measure the speed of a saturated upstream only from refilled slots

Cause: with one slot the first item counted as service in no time, so the forecast wait was a sixth of the true one (test_work_that_cannot_be_in_time found it). Change: cost counts only after an interval in which work waited for busy slots; the agent feeds token intervals to the queue and retries held work every 20 ms.

--- a/bramleyport/daemons/_agent.py
+++ b/bramleyport/daemons/_agent.py
@@ -49,6 +49,8 @@
 
 ATTEMPT_GRACE_S: Final = 30.0
 EXPIRE_INTERVAL_S: Final = 0.2
+# About one batch step of an engine.
+HELD_RETRY_S: Final = 0.02
 
 
 class AgentDaemon:
@@ -81,6 +83,7 @@
         self._schedule = AgentSchedule(
             queue, estimator, self._view, metrics or Metrics()
         )
+        self._held_retry: asyncio.TimerHandle | None = None
         self._server: Server | None = None
         self._tasks: list[asyncio.Task[None]] = []
         self._background: set[asyncio.Future[None]] = set()
@@ -183,12 +186,24 @@
         free = self.settings.max_streams - len(self._running)
         if free <= 0:
             return
-        for item in self._queue.take(time.monotonic(), free):
+        taken = self._queue.take(time.monotonic(), free)
+        for item in taken:
             attempt = self._attempts[item.attempt]
+            attempt.on_interval = self._queue.observe_interval
             attempt.cached_tokens = self._schedule.count_cached(item.work)
             self._running.add(item.attempt)
             attempt.task = asyncio.ensure_future(self._run(item.attempt, attempt))
         self._refuse_late()
+        if len(taken) < free and len(self._queue) > 0:
+            self._retry_held()
+
+    def _retry_held(self) -> None:
+        """Offer the free slots again soon to work that the queue holds back."""
+        if self._held_retry is not None:
+            self._held_retry.cancel()
+        self._held_retry = asyncio.get_running_loop().call_later(
+            HELD_RETRY_S, self._start_queued
+        )
 
     async def _run(self, attempt_id: AttemptId, attempt: AgentAttempt) -> None:
         try:
--- a/bramleyport/daemons/_agent_attempt.py
+++ b/bramleyport/daemons/_agent_attempt.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import time
+from collections.abc import Callable
 from typing import TYPE_CHECKING
 
 from bramleyport.answers import FrameLog
@@ -39,6 +40,8 @@
         self._queued_s = time.monotonic()
         self._started_s = self._queued_s
         self._first_token_s = 0.0
+        self._last_token_s = 0.0
+        self.on_interval: Callable[[float, float], None] | None = None
         self._was_blocked = False
         self._room = asyncio.Event()
         self._room.set()
@@ -104,12 +107,19 @@
         async for event in engine.complete(completion):
             if isinstance(event, Token):
                 self.output_tokens += 1
-                if self.output_tokens == 1:
-                    self._first_token_s = time.monotonic()
+                self._time_token()
                 await self._append(event.text.encode())
             elif isinstance(event, Done):
                 self._finish(200, {})
 
+    def _time_token(self) -> None:
+        now_s = time.monotonic()
+        if self.output_tokens == 1:
+            self._first_token_s = now_s
+        elif self.on_interval is not None and not self._was_blocked:
+            self.on_interval(now_s - self._last_token_s, now_s)
+        self._last_token_s = now_s
+
     async def _run_call(self, service: PlainClient) -> None:
         execute = self.execute
         response = await service.call(
--- a/bramleyport/queueing/_ranked.py
+++ b/bramleyport/queueing/_ranked.py
@@ -99,6 +99,7 @@
 
     def finish(self, attempt: AttemptId, now_s: float) -> None:
         """Forget a running attempt that has ended."""
+        self._advance(now_s)
         rank = self._running.pop(attempt, None)
         if rank is not None:
             self._running_ranks[rank] -= 1
@@ -171,7 +172,7 @@
         rank = self._shares.choose(allowed)
         waiting = self._list_waiting()
         entry = self._ranks[rank].take()
-        self._usage.add(rank, entry.cost_s, saturated=self._is_saturated())
+        self._usage.add(rank, entry.cost_s)
         self._forget(entry)
         self._shares.charge(rank, entry.cost_s, waiting, now_s)
         self._running[entry.item.attempt] = rank
@@ -239,9 +240,8 @@
             self._shares.credit_held(rank, elapsed_s * self._usage.speed)
 
     def _is_saturated(self) -> bool:
-        # Filling empty slots in a burst says nothing about the speed of the upstream.
-        threshold = self._max_streams - self._max_streams // RESERVE_DIVISOR - 1
-        return len(self) > 0 and len(self._running) >= threshold
+        usable = self._max_streams - self._max_streams // RESERVE_DIVISOR
+        return len(self) > 0 and len(self._running) >= usable
 
 
 def _late_key(entry: Entry) -> tuple[float, int, AttemptId]:
--- a/bramleyport/queueing/_usage.py
+++ b/bramleyport/queueing/_usage.py
@@ -24,6 +24,7 @@
         self._taken_s = dict.fromkeys(Rank, 0.0)
         self._busy_taken_s = 0.0
         self._busy_s = 0.0
+        self._was_saturated = False
 
     def advance(self, now_s: float, *, saturated: bool) -> float:
         """Let old use fade and return the elapsed time.
@@ -33,6 +34,8 @@
         last_s = now_s if self._last_s is None else self._last_s
         elapsed_s = max(0.0, now_s - last_s)
         self._last_s = max(now_s, last_s)
+        if elapsed_s > 0:
+            self._was_saturated = saturated
         fade = math.exp(-elapsed_s / WINDOW_S)
         for rank in Rank:
             self._taken_s[rank] *= fade
@@ -40,11 +43,12 @@
         self._busy_s = self._busy_s * fade + (elapsed_s if saturated else 0.0)
         return elapsed_s
 
-    def add(self, rank: Rank, cost_s: float, *, saturated: bool) -> None:
+    def add(self, rank: Rank, cost_s: float) -> None:
         """Count one item that was taken."""
         self._taken_s[rank] += cost_s
         self.mean_cost_s += COST_GAIN * (cost_s - self.mean_cost_s)
-        if saturated:
+        # Filling empty slots in a burst says nothing about the speed of the upstream.
+        if self._was_saturated:
             self._busy_taken_s += cost_s
 
     @property
