--- a/tests/test_ranked_queue.py
+++ b/tests/test_ranked_queue.py
@@ -72,6 +72,7 @@
     return taken
 
 
+@settings(max_examples=25)
 @given(
     costs=st.lists(st.floats(0.01, 2.0), min_size=9, max_size=9),
     starts=st.integers(50, 200),
@@ -113,6 +114,7 @@
     assert got[Rank.STANDARD] >= 0.2 * 100 - 2
 
 
+@settings(max_examples=25)
 @given(st.randoms(use_true_random=False), st.integers(2, 20))
 def test_accounts_share_a_rank_equally(rng: Random, accounts: int) -> None:
     """One account with a long backlog must not hold up the others."""
