Stop admission at the first upstream in time

Cause: admission cost 25 us per upstream in view on every request. Change: later upstreams are only examined while none is in time; the output forecast of a request is computed once.

--- a/bramleyport/admission/_in_time.py
+++ b/bramleyport/admission/_in_time.py
@@ -47,11 +47,7 @@
             return Rejected(Explanation(reason="no_upstream"), NO_UPSTREAM_RETRY_S)
         usage = self._usage[work.rank]
         elapsed_s = max(0.0, now_s - work.arrived_s)
-        fits = [
-            self._fit(work, view, self._estimator.estimate(work, view), now_s)
-            for view in views
-        ]
-        best = min(fits, key=lambda fit: (fit.late_s, fit.wait_s))
+        best = self._find_fit(work, views, now_s)
         numbers = _describe(best, elapsed_s, len(views))
         explanation = Explanation(reason=best.reason, numbers=numbers)
         if best.late_s > 0:
@@ -59,6 +55,19 @@
         usage.add(work.account, _count_cost(best.estimate), now_s)
         return Admitted(explanation)
 
+    def _find_fit(self, work: Work, views: Sequence[UpstreamView], now_s: float) -> Fit:
+        """Return the first fit that is in time, or the one that is least late."""
+        best: Fit | None = None
+        for view in views:
+            estimate = self._estimator.estimate(work, view)
+            fit = self._fit(work, view, estimate, now_s)
+            if fit.late_s <= 0:
+                return fit
+            if best is None or fit.late_s < best.late_s:
+                best = fit
+        assert best is not None
+        return best
+
     def _fit(
         self, work: Work, view: UpstreamView, estimate: Estimate, now_s: float
     ) -> Fit:
--- a/bramleyport/estimate/_learned.py
+++ b/bramleyport/estimate/_learned.py
@@ -39,6 +39,11 @@
 FASTEST_FACTOR: Final = 0.25
 SLOWEST_FACTOR: Final = 8.0
 
+RANKS_AHEAD: Final = {
+    rank: tuple(other for other in Rank if other.priority <= rank.priority)
+    for rank in Rank
+}
+
 MIN_TOKENS_PER_S: Final = 0.1
 MAX_TOKENS_PER_S: Final = 1e7
 MAX_WAIT_S: Final = 3600.0
@@ -81,6 +86,7 @@
     """Forecast from reported rates corrected by observed answers."""
 
     def __init__(self) -> None:
+        self._latest: tuple[Work, Moments] | None = None
         self._lengths: BoundedTable[WorkKey, Moments] = BoundedTable(
             MAX_WORK_KEYS, Moments
         )
@@ -99,7 +105,7 @@
         if work.kind is ServiceKind.PLAIN:
             return self._estimate_call(work, view)
         speed = self._find_speed(view)
-        output = self._forecast_output(work)
+        output = self._recall_output(work)
         return Estimate(
             prefill_s=self._count_uncached(work, view) * speed.prefill_s,
             decode_s=output.mean * speed.decode_s,
@@ -112,6 +118,7 @@
 
     def observe(self, observation: Observation) -> None:
         """Learn from a finished request."""
+        self._latest = None
         work = observation.work
         if work.kind is ServiceKind.PLAIN:
             if observation.decode_s > 0:
@@ -137,6 +144,12 @@
             spread_s=call.spread,
         )
 
+    def _recall_output(self, work: Work) -> Moments:
+        # Admission estimates one request on many upstreams in a row.
+        if self._latest is None or self._latest[0] is not work:
+            self._latest = (work, self._forecast_output(work))
+        return self._latest[1]
+
     def _forecast_output(self, work: Work) -> Moments:
         limit = float(max(1, work.max_output_tokens))
         guess = min(limit, PRIOR_OUTPUT_TOKENS)
@@ -224,7 +237,7 @@
     """Return the work sent that runs before new work of the rank."""
     if not sent.requests_by_rank:
         return sent
-    ahead = [other for other in Rank if other.priority <= rank.priority]
+    ahead = RANKS_AHEAD[rank]
     return SentWork(
         requests=sum(sent.requests_by_rank.get(other, 0) for other in ahead),
         prefill_tokens=sum(sent.prefill_by_rank.get(other, 0) for other in ahead),
