Credit held ranks only for capacity that went unused

Cause: a held rank earned its share of what others took and of the elapsed time, so under urgent overload batch got 0.167 of the capacity with a guarantee of 0.1. Change: the cost taken meanwhile is subtracted from the capacity that is credited.

--- a/bramleyport/queueing/_ranked.py
+++ b/bramleyport/queueing/_ranked.py
@@ -236,8 +236,7 @@
 
     def _advance(self, now_s: float) -> None:
         elapsed_s = self._usage.advance(now_s, saturated=self._is_saturated())
-        for rank in self._held:
-            self._shares.credit_held(rank, elapsed_s * self._usage.speed)
+        self._shares.credit_held(self._held, elapsed_s * self._usage.speed)
 
     def _is_saturated(self) -> bool:
         usable = self._max_streams - self._max_streams // RESERVE_DIVISOR
--- a/bramleyport/queueing/_shares.py
+++ b/bramleyport/queueing/_shares.py
@@ -32,6 +32,7 @@
     demand_s: dict[Rank, float] = field(
         default_factory=lambda: dict.fromkeys(Rank, -math.inf)
     )
+    _unused_s: float = 0.0
 
     def set_share(self, rank: Rank, share: float) -> None:
         """Take the guaranteed share of a rank from its service record."""
@@ -56,14 +57,22 @@
         """Note that work of a rank was offered."""
         self.demand_s[rank] = now_s
 
-    def credit_held(self, rank: Rank, elapsed_s: float) -> None:
-        """Credit a rank for time in which it was held back beside free slots.
+    def credit_held(self, ranks: Collection[Rank], capacity_s: float) -> None:
+        """Credit ranks for capacity that went unused while they were held back.
 
         Without this a held rank would be owed a share of what others took rather than
         of the capacity.
         """
-        share = max(MIN_HELD_SHARE, self.get_share(rank))
-        self.owed_s[rank] += share * elapsed_s
+        if not ranks:
+            self._unused_s = 0.0
+            return
+        self._unused_s += capacity_s
+        if self._unused_s <= 0.0:
+            return
+        for rank in ranks:
+            share = max(MIN_HELD_SHARE, self.get_share(rank))
+            self.owed_s[rank] += share * self._unused_s
+        self._unused_s = 0.0
 
     def sum_demand_below(self, rank: Rank, now_s: float) -> float:
         """Return the shares of the less urgent ranks that have demand."""
@@ -88,3 +97,4 @@
             else:
                 self.owed_s[other] = min(0.0, owed_s)
         self.owed_s[rank] = max(self.owed_s[rank] - cost_s, -cost_s)
+        self._unused_s -= cost_s
