--- a/bramleyport/queueing/_ranked.py
+++ b/bramleyport/queueing/_ranked.py
@@ -162,11 +162,12 @@
     def _may_start(self, rank: Rank, now_s: float, *, reserved: bool) -> bool:
         # A rank that is owed service starts in any case; without that its share would
         # be lost whenever urgent work takes each freed slot.
-        if rank is Rank.URGENT or self._shares.is_owed(rank):
+        if self._shares.is_owed(rank):
             return True
+        if reserved and rank is not Rank.URGENT:
+            return False
         prefill_s = self._prefill_until_s[rank] - now_s
-        held = self._pacing.is_held(rank, self._running_ranks, prefill_s, now_s)
-        return not reserved and not held
+        return not self._pacing.is_held(rank, self._running_ranks, prefill_s, now_s)
 
     def _take_next(self, allowed: list[Rank], now_s: float) -> QueuedWork:
         rank = self._shares.choose(allowed)
