Test drops in the agent and any history of admissions

Cause: the refusal of dropped work and admission over time had no tests; a stopped agent could keep its retry timer. Change: two tests; stop() cancels the timer.

--- a/bramleyport/daemons/_agent.py
+++ b/bramleyport/daemons/_agent.py
@@ -125,6 +125,8 @@
             await connection.flush()
         for task in self._tasks:
             task.cancel()
+        if self._held_retry is not None:
+            self._held_retry.cancel()
         if self._server is not None:
             self._server.close()
             await self._server.wait_closed()
--- a/tests/test_in_time_admission.py
+++ b/tests/test_in_time_admission.py
@@ -1,9 +1,11 @@
 """Guard admission: rejects at once, with a time to retry, and fairly."""
 
 import json
+from dataclasses import replace
 from typing import Any
 
 import pytest
+from hypothesis import given, strategies as st
 
 from bramleyport.admission import ADMISSION_POLICIES, Admitted, Rejected
 from bramleyport.admission._usage import MAX_ACCOUNTS, AccountUsage
@@ -139,6 +141,34 @@
     assert usage.measure_load(AccountId("a"), 1.0, 0.0) == pytest.approx(1.0)
 
 
+@given(
+    st.lists(
+        st.tuples(
+            st.sampled_from("abc"),
+            st.sampled_from(Rank),
+            st.floats(0.0, 100.0),
+            st.floats(0.0, 5.0),
+        ),
+        max_size=60,
+    )
+)
+def test_any_history_gives_a_bounded_reasoned_decision(
+    history: list[tuple[str, Rank, float, float]],
+) -> None:
+    policy = ADMISSION_POLICIES.create("in_time", LearnedEstimator())
+    now_s = 0.0
+    for account, rank, wait_s, elapsed_s in history:
+        now_s += elapsed_s
+        work = replace(make_work(account, rank), arrived_s=now_s)
+        decision = policy.admit(work, [make_view(wait_s)], now_s)
+        assert decision.explanation.numbers["wait_s"] <= wait_s
+        if isinstance(decision, Rejected):
+            assert 1.0 <= decision.retry_after_s <= 600.0
+    # An idle upstream is used whatever came before.
+    work = replace(make_work("a"), arrived_s=now_s)
+    assert isinstance(policy.admit(work, [make_view(0.0)], now_s), Admitted)
+
+
 def test_account_memory_stays_bounded() -> None:
     usage = AccountUsage()
     for number in range(41_000):
--- a/tests/test_ranked_queue.py
+++ b/tests/test_ranked_queue.py
@@ -11,15 +11,22 @@
     AccountId,
     AttemptId,
     Rank,
+    RegionName,
     RequestId,
     ServiceKind,
     ServiceName,
     Targets,
+    UpstreamId,
+    UpstreamView,
     Work,
+    ZoneName,
 )
+from bramleyport.daemons._agent_schedule import AgentSchedule
+from bramleyport.estimate import LearnedEstimator
 from bramleyport.queueing import QUEUE_POLICIES, Queued, QueuedWork, Refused
 from bramleyport.queueing._accounts import MAX_IDLE_TAGS
 from bramleyport.queueing._ranked import MAX_QUEUED_PER_RANK, RankedQueue
+from bramleyport.telemetry import Metrics
 
 SHARES = {Rank.URGENT: 0.5, Rank.STANDARD: 0.2, Rank.BATCH: 0.1}
 STREAMS = 8
@@ -215,6 +222,33 @@
     assert 0.1 * 100 - 2 <= started <= 0.1 * 100 + 3
 
 
+def make_view() -> UpstreamView:
+    return UpstreamView(
+        upstream=UpstreamId("u"),
+        kind=ServiceKind.LANGUAGE,
+        zone=ZoneName("z"),
+        region=RegionName("r"),
+    )
+
+
+def test_dropped_work_is_refused_counted_and_never_run() -> None:
+    """A drop without Retry-After would bring the caller back at once."""
+    metrics = Metrics()
+    queue = RankedQueue(1)
+    schedule = AgentSchedule(queue, LearnedEstimator(), make_view(), metrics)
+    work = make_item(0, patience_s=5.0).work
+    assert isinstance(schedule.offer(AttemptId("t0"), work, 0.0), Queued)
+    assert schedule.refuse_late(4.0) == []
+    [refused] = schedule.refuse_late(6.0)
+    assert refused.attempt == "t0"
+    assert refused.reason == "deadline"
+    assert refused.retry_after_s >= 1.0
+    assert queue.take(6.0, 1) == []
+    text = metrics.render_text().decode()
+    assert 'kind="queue",reason="in_time"' in text
+    assert 'kind="queue",reason="deadline"' in text
+
+
 class QueueMachine(RuleBasedStateMachine):
     """Offer, take, finish, cancel and expire in any order."""
 
