--- a/bramleyport/daemons/_agent.py
+++ b/bramleyport/daemons/_agent.py
@@ -188,7 +188,7 @@
         free = self.settings.max_streams - len(self._running)
         if free <= 0:
             return
-        taken = self._queue.take(time.monotonic(), free)
+        taken = self._schedule.take(time.monotonic(), free)
         for item in taken:
             attempt = self._attempts[item.attempt]
             attempt.on_interval = self._queue.observe_interval
--- a/bramleyport/daemons/_agent_schedule.py
+++ b/bramleyport/daemons/_agent_schedule.py
@@ -51,6 +51,19 @@
         self._record(event, attempt, work.rank, decision.explanation)
         return decision
 
+    def take(self, now_s: float, free_slots: int) -> list[QueuedWork]:
+        """Remove and return the attempts to start now."""
+        taken = self.queue.take(now_s, free_slots)
+        for item in taken:
+            if item.explanation is not None:
+                self._record(
+                    policy_events.ATTEMPT_STARTED,
+                    item.attempt,
+                    item.work.rank,
+                    item.explanation,
+                )
+        return taken
+
     def refuse_late(self, now_s: float) -> list[RefusedMessage]:
         """Remove the attempts that can't be in time and return their refusals."""
         late = self.queue.expire(now_s)
--- a/bramleyport/queueing/_base.py
+++ b/bramleyport/queueing/_base.py
@@ -1,7 +1,7 @@
 """Interface of the agent's queue and its decisions."""
 
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Final, Protocol
 
 from bramleyport.core import AttemptId, Explanation, Rank, Registry, Work
@@ -17,6 +17,8 @@
     prefill_s: float = 0.0
     decode_s: float = 0.0
     spread_s: float = 0.0
+    # Set by the queue when it hands the attempt out.
+    explanation: Explanation | None = field(default=None, compare=False)
 
 
 @dataclass(frozen=True, slots=True)
--- a/bramleyport/queueing/_fifo.py
+++ b/bramleyport/queueing/_fifo.py
@@ -2,6 +2,7 @@
 
 from collections import deque
 from collections.abc import Mapping
+from dataclasses import replace
 from typing import Final
 
 from bramleyport.core import AttemptId, Explanation, Rank
@@ -30,7 +31,10 @@
     def take(self, now_s: float, free_slots: int) -> list[QueuedWork]:
         """Remove and return the attempts to start now."""
         count = min(free_slots, len(self._items))
-        taken = [self._items.popleft() for _ in range(count)]
+        reason = Explanation(reason="fifo")
+        taken = [
+            replace(self._items.popleft(), explanation=reason) for _ in range(count)
+        ]
         self._running.update(item.attempt for item in taken)
         return taken
 
--- a/bramleyport/queueing/_ranked.py
+++ b/bramleyport/queueing/_ranked.py
@@ -1,6 +1,7 @@
 """Queue that serves ranks by urgency and share, and accounts fairly."""
 
 from collections.abc import Mapping
+from dataclasses import replace
 from typing import Any, Final
 
 from sortedcontainers import SortedList
@@ -172,6 +173,7 @@
     def _take_next(self, allowed: list[Rank], now_s: float) -> QueuedWork:
         rank = self._shares.choose(allowed)
         waiting = self._list_waiting()
+        owed_s = self._shares.owed_s[rank]
         entry = self._ranks[rank].take()
         self._usage.add(rank, entry.cost_s)
         self._forget(entry)
@@ -179,7 +181,15 @@
         self._running[entry.item.attempt] = rank
         self._running_ranks[rank] += 1
         self._count_prefill(rank, entry.item.prefill_s, now_s)
-        return entry.item
+        numbers = {
+            "owed_s": owed_s,
+            "cost_s": entry.cost_s,
+            "slack_s": entry.latest_start_s - now_s,
+            "waiting": float(len(self)),
+        }
+        reason = "owed_share" if owed_s > 0 else "most_urgent"
+        explanation = Explanation(reason=reason, numbers=numbers)
+        return replace(entry.item, explanation=explanation)
 
     def _count_prefill(self, rank: Rank, prefill_s: float, now_s: float) -> None:
         # Engines prefill by priority, so work delays its own rank and those below.
--- a/tests/test_ranked_queue.py
+++ b/tests/test_ranked_queue.py
@@ -106,6 +106,8 @@
     taken = serve(queue, 100)
     got = count_cost(taken)
     assert taken[0].work.rank is Rank.URGENT
+    reasons = {item.explanation.reason for item in taken if item.explanation}
+    assert reasons == {"most_urgent", "owed_share"}
     assert got[Rank.URGENT] >= 0.7 * 100 - 2
 
 
