--- a/bramleyport/composition.py
+++ b/bramleyport/composition.py
@@ -59,6 +59,7 @@
     from bramleyport.estimate import ESTIMATORS
     from bramleyport.queueing import QUEUE_POLICIES
     from bramleyport.replication import HostStore, RecordStore, Replica
+    from bramleyport.telemetry import Metrics
     from bramleyport.upstreams import EngineClient, PlainClient
 
     upstream: EngineClient | PlainClient
@@ -75,6 +76,7 @@
         ESTIMATORS.create(settings.policies.estimator),
         PeerHub(identity, Replica(RecordStore(), HostStore())),
         _build_orders(settings, upstream) if settings.pool else None,
+        Metrics(),
     )
 
 
@@ -145,6 +147,7 @@
         Random(seed),
         UPSTREAM_GUARDS.create(policies.guard),
         HEDGE_POLICIES.create(policies.hedging, budget),
+        estimator,
     )
     hub = PeerHub(
         identity,
--- a/bramleyport/daemons/_agent.py
+++ b/bramleyport/daemons/_agent.py
@@ -21,8 +21,10 @@
 )
 from bramleyport.daemons._agent_attempt import AgentAttempt, Upstream
 from bramleyport.daemons._agent_cache import AgentCache
-from bramleyport.queueing import QueuedWork, QueuePolicy, Refused as QueueRefused
+from bramleyport.daemons._agent_schedule import AgentSchedule
+from bramleyport.queueing import QueuePolicy, Refused as QueueRefused
 from bramleyport.telemetry import (
+    Metrics,
     authority_events,
     events,
     log_event,
@@ -56,6 +58,8 @@
 
 ATTEMPT_GRACE_S: Final = 30.0
 EXPIRE_INTERVAL_S: Final = 0.2
+# About one batch step of an engine.
+HELD_RETRY_S: Final = 0.02
 
 
 class AgentDaemon:
@@ -70,6 +74,7 @@
         estimator: "Estimator",
         hub: "PeerHub",
         orders: "OrderApplier | None" = None,
+        metrics: Metrics | None = None,
     ) -> None:
         self._orders = orders
         self._ledger = AttemptLedger()
@@ -80,7 +85,6 @@
         self._identity = identity
         self._upstream = upstream
         self._queue = queue
-        self._estimator = estimator
         self._connections: set[Connection] = set()
         self._attempts: dict[AttemptId, AgentAttempt] = {}
         self._running: set[AttemptId] = set()
@@ -92,6 +96,10 @@
             region=identity.region,
         )
         self._cache = AgentCache(self._view)
+        self._schedule = AgentSchedule(
+            queue, estimator, self._view, metrics or Metrics()
+        )
+        self._held_retry: asyncio.TimerHandle | None = None
         self._server: Server | None = None
         self._tasks: list[asyncio.Task[None]] = []
         self._background: set[asyncio.Future[None]] = set()
@@ -137,6 +145,8 @@
             await connection.flush()
         for task in self._tasks:
             task.cancel()
+        if self._held_retry is not None:
+            self._held_retry.cancel()
         await self._hub.close()
         if self._orders is not None:
             await self._orders.close()
@@ -226,17 +236,7 @@
         now_s = time.monotonic()
         arrived_s = now_s - (execute.work.targets.answer_s - execute.time_left_s)
         work = replace(execute.work, arrived_s=arrived_s)
-        estimate = self._estimator.estimate(work, self._view)
-        decision = self._queue.offer(
-            QueuedWork(
-                attempt=execute.attempt,
-                work=work,
-                deadline_s=work.answer_deadline_s,
-                prefill_s=estimate.prefill_s,
-                decode_s=estimate.decode_s,
-            ),
-            now_s,
-        )
+        decision = self._schedule.offer(execute.attempt, work, now_s)
         if isinstance(decision, QueueRefused):
             self._refuse(
                 connection,
@@ -253,14 +253,29 @@
         free = self.settings.max_streams - len(self._running)
         if free <= 0:
             return
-        for item in self._queue.take(time.monotonic(), free):
+        taken = self._schedule.take(time.monotonic(), free)
+        for item in taken:
             attempt = self._attempts[item.attempt]
+            attempt.on_interval = self._queue.observe_interval
+            attempt.cached_tokens = self._schedule.count_cached(item.work)
             self._running.add(item.attempt)
             attempt.task = asyncio.ensure_future(self._run(item.attempt, attempt))
+        self._refuse_late()
+        if len(taken) < free and len(self._queue) > 0:
+            self._retry_held()
+
+    def _retry_held(self) -> None:
+        """Offer the free slots again soon to work that the queue holds back."""
+        if self._held_retry is not None:
+            self._held_retry.cancel()
+        self._held_retry = asyncio.get_running_loop().call_later(
+            HELD_RETRY_S, self._start_queued
+        )
 
     async def _run(self, attempt_id: AttemptId, attempt: AgentAttempt) -> None:
         try:
             await attempt.run(self._upstream)
+            self._schedule.observe(attempt)
             if attempt.log.end is not None:
                 prefix = attempt.execute.work.prefix_blocks
                 self._cache.confirm(prefix, time.monotonic())
@@ -324,10 +339,18 @@
     async def _expire_forever(self) -> None:
         while True:
             await asyncio.sleep(EXPIRE_INTERVAL_S)
-            for item in self._queue.expire(time.monotonic()):
-                attempt = self._attempts.pop(item.attempt, None)
-                if attempt is not None:
-                    self._refuse(attempt.connection, item.attempt, "deadline")
+            self._refuse_late()
+
+    def _refuse_late(self) -> None:
+        for refused in self._schedule.refuse_late(time.monotonic()):
+            attempt = self._attempts.pop(refused.attempt, None)
+            if attempt is not None:
+                self._refuse(
+                    attempt.connection,
+                    refused.attempt,
+                    refused.reason,
+                    refused.retry_after_s,
+                )
 
     async def _report_forever(self) -> None:
         while True:
--- a/bramleyport/daemons/_agent_attempt.py
+++ b/bramleyport/daemons/_agent_attempt.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import time
+from collections.abc import Callable
 from typing import TYPE_CHECKING, Final
 
 from bramleyport.answers import FrameLog
@@ -40,11 +41,19 @@
         self.failed: Failed | None = None
         self.task: asyncio.Task[None] | None = None
         self.output_tokens = 0
+        self.cached_tokens = 0
+        self._queued_s = time.monotonic()
+        self._started_s = self._queued_s
+        self._first_token_s = 0.0
+        self._last_token_s = 0.0
+        self.on_interval: Callable[[float, float], None] | None = None
+        self._was_blocked = False
         self._room = asyncio.Event()
         self._room.set()
 
     async def run(self, upstream: Upstream) -> None:
         """Run the attempt on the upstream until its answer is whole or failed."""
+        self._started_s = time.monotonic()
         try:
             if isinstance(upstream, EngineClient):
                 await self._run_completion(upstream)
@@ -111,6 +120,7 @@
         async for event in stream:
             if isinstance(event, Token):
                 self.output_tokens += 1
+                self._time_token()
                 await self._append(event.text.encode())
             elif isinstance(event, Done):
                 self._finish(200, {})
@@ -131,6 +141,14 @@
                 error.step, error.peer, error.reason, Execution.UNKNOWN
             ) from cause
 
+    def _time_token(self) -> None:
+        now_s = time.monotonic()
+        if self.output_tokens == 1:
+            self._first_token_s = now_s
+        elif self.on_interval is not None and not self._was_blocked:
+            self.on_interval(now_s - self._last_token_s, now_s)
+        self._last_token_s = now_s
+
     async def _run_call(self, service: PlainClient) -> None:
         execute = self.execute
         response = await service.call(
@@ -143,6 +161,7 @@
     async def _append(self, payload: bytes) -> None:
         self.connection.post(self.log.append(payload))
         if self.log.full:
+            self._was_blocked = True
             self._room.clear()
             await self._wait_for_room()
 
@@ -162,4 +181,16 @@
                     self.task.cancel()
 
     def _finish(self, status: int, headers: dict[str, str]) -> None:
-        self.connection.post(self.log.finish(status, headers, self.output_tokens))
+        now_s = time.monotonic()
+        first_s = self._first_token_s or self._started_s
+        # A slow reader holds the frames back, so the time says nothing of the engine.
+        decode_s = 0.0 if self._was_blocked else now_s - first_s
+        end = self.log.finish(
+            status,
+            headers,
+            self.output_tokens,
+            wait_s=self._started_s - self._queued_s,
+            prefill_s=first_s - self._started_s,
+            decode_s=decode_s,
+        )
+        self.connection.post(end)
--- a/bramleyport/daemons/_dispatch.py
+++ b/bramleyport/daemons/_dispatch.py
@@ -27,6 +27,7 @@
 )
 from bramleyport.daemons._first_chunk import FirstChunk, run_until_deadline
 from bramleyport.daemons._race import Start, race_attempts
+from bramleyport.estimate import Estimator, Observation
 from bramleyport.retries import (
     HEDGE_POLICIES,
     UPSTREAM_GUARDS,
@@ -40,7 +41,14 @@
     UpstreamGuard,
 )
 from bramleyport.routing import RoutingPolicy, is_eligible
-from bramleyport.telemetry import Event, Metrics, events, log_event, routing_events
+from bramleyport.telemetry import (
+    Event,
+    Metrics,
+    events,
+    log_event,
+    policy_events,
+    routing_events,
+)
 from bramleyport.wire import Message
 
 if TYPE_CHECKING:
@@ -49,6 +57,7 @@
     from bramleyport.wire import End
 
 NO_UPSTREAM_RETRY_S = 1.0
+FIRST_ERROR_STATUS = 400
 
 
 class Dispatcher:
@@ -63,6 +72,7 @@
         rng: Random,
         guard: UpstreamGuard | None = None,
         hedging: HedgePolicy | None = None,
+        estimator: Estimator | None = None,
     ) -> None:
         self._guard = guard or UPSTREAM_GUARDS.create("none")
         self._hedging = hedging or HEDGE_POLICIES.create("none")
@@ -72,6 +82,7 @@
         self._retries = retries
         self._metrics = metrics
         self._rng = rng
+        self._estimator = estimator
         self._attempts: dict[AttemptId, EntryAttempt] = {}
         self._attempt_ids = AttemptIds(uuid.uuid4().hex)
 
@@ -90,14 +101,16 @@
         )
         reason = decision.explanation.reason
         self._metrics.decisions.inc({"kind": "admission", "reason": reason})
-        if not isinstance(decision, Rejected):
-            return None
+        rejected = isinstance(decision, Rejected)
         log_event(
-            events.REQUEST_REJECTED,
+            events.REQUEST_REJECTED if rejected else policy_events.REQUEST_ADMITTED,
             request=work.request,
+            rank=work.rank.value,
             reason=reason,
             **decision.explanation.numbers,
         )
+        if not isinstance(decision, Rejected):
+            return None
         code = (
             ErrorCode.NO_UPSTREAM if reason == "no_upstream" else ErrorCode.OVERLOADED
         )
@@ -243,6 +256,7 @@
         attempt_id = self._attempt_ids.make()
         attempt = EntryAttempt(attempt_id, link, work, call)
         self._attempts[attempt_id] = attempt
+        cached_tokens = _count_cached(link.view, work)
         link.count_sent(work)
         link.in_flight += 1
         self._guard.start(upstream)
@@ -259,6 +273,8 @@
                 attempt.cancel()
                 self._abandon(upstream, work, watch)
             self.links.release(link)
+        if isinstance(result, Ok):
+            self._observe(link, work, result.ok_value, cached_tokens)
         self._finish(attempt_id, upstream, work, result)
         return result
 
@@ -311,6 +327,33 @@
         self._metrics.decisions.inc({"kind": kind, "reason": reason})
         log_event(event, reason=reason, **{**explanation.numbers, **fields})
 
+    def _observe(
+        self, link: "AgentLink", work: Work, end: "End", cached_tokens: int
+    ) -> None:
+        if self._estimator is None or link.view is None:
+            return
+        if end.status >= FIRST_ERROR_STATUS:
+            return
+        observation = Observation(
+            work=work,
+            upstream=link.view.upstream,
+            output_tokens=end.output_tokens,
+            cached_tokens=cached_tokens,
+            wait_s=end.wait_s,
+            prefill_s=end.prefill_s,
+            decode_s=end.decode_s,
+        )
+        self._estimator.observe(observation)
+        log_event(
+            policy_events.ATTEMPT_OBSERVED,
+            request=work.request,
+            peer=link.host.process,
+            wait_s=end.wait_s,
+            prefill_s=end.prefill_s,
+            decode_s=end.decode_s,
+            output_tokens=end.output_tokens,
+        )
+
     def _explain_no_upstream(self, work: Work, worst: Execution) -> ServeError:
         self._report(
             "routing",
@@ -342,3 +385,9 @@
             peer=failure.upstream,
             retry_after_s=decision.retry_after_s,
         )
+
+
+def _count_cached(view: UpstreamView | None, work: Work) -> int:
+    if view is None:
+        return 0
+    return view.cached.count_cached(work.prefix_blocks) * view.block_tokens
--- a/bramleyport/queueing/_base.py
+++ b/bramleyport/queueing/_base.py
@@ -1,7 +1,7 @@
 """Interface of the agent's queue and its decisions."""
 
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Final, Protocol
 
 from bramleyport.core import AttemptId, Explanation, Rank, Registry, Work
@@ -16,6 +16,9 @@
     deadline_s: float
     prefill_s: float = 0.0
     decode_s: float = 0.0
+    spread_s: float = 0.0
+    # Set by the queue when it hands the attempt out.
+    explanation: Explanation | None = field(default=None, compare=False)
 
 
 @dataclass(frozen=True, slots=True)
@@ -56,6 +59,10 @@
         """Remove a queued attempt and return whether it was queued."""
         ...
 
+    def observe_interval(self, interval_s: float, now_s: float) -> None:
+        """Take the time between two tokens of one running attempt."""
+        ...
+
     def forecast_wait(self, now_s: float) -> Mapping[Rank, float]:
         """Return the seconds that new work of each rank would wait."""
         ...
--- a/bramleyport/queueing/_fifo.py
+++ b/bramleyport/queueing/_fifo.py
@@ -2,6 +2,7 @@
 
 from collections import deque
 from collections.abc import Mapping
+from dataclasses import replace
 from typing import Final
 
 from bramleyport.core import AttemptId, Explanation, Rank
@@ -30,7 +31,10 @@
     def take(self, now_s: float, free_slots: int) -> list[QueuedWork]:
         """Remove and return the attempts to start now."""
         count = min(free_slots, len(self._items))
-        taken = [self._items.popleft() for _ in range(count)]
+        reason = Explanation(reason="fifo")
+        taken = [
+            replace(self._items.popleft(), explanation=reason) for _ in range(count)
+        ]
         self._running.update(item.attempt for item in taken)
         return taken
 
@@ -52,6 +56,9 @@
         self._items = deque(i for i in self._items if i.attempt != attempt)
         return len(self._items) < before
 
+    def observe_interval(self, interval_s: float, now_s: float) -> None:
+        """Ignore the speed of the upstream."""
+
     def forecast_wait(self, now_s: float) -> Mapping[Rank, float]:
         """Return the seconds that new work of each rank would wait."""
         queued_s = sum(item.prefill_s + item.decode_s for item in self._items)
--- a/bramleyport/settings/_schema.py
+++ b/bramleyport/settings/_schema.py
@@ -59,13 +59,13 @@
 class PolicySettings:
     """Choose a policy by name for each decision."""
 
-    estimator: str = "declared"
-    admission: str = "open"
+    estimator: str = "learned"
+    admission: str = "in_time"
     routing: str = "affinity"
     retries: str = "budget"
     guard: str = "adaptive"
     hedging: str = "spread"
-    queue: str = "fifo"
+    queue: str = "ranked"
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/bramleyport/telemetry/__init__.py
+++ b/bramleyport/telemetry/__init__.py
@@ -4,6 +4,7 @@
     _authority_events as authority_events,
     _events as events,
     _membership_events as membership_events,
+    _policy_events as policy_events,
     _routing_events as routing_events,
 )
 from bramleyport.telemetry._events import EVENTS, Event
@@ -26,5 +27,6 @@
     "events",
     "log_event",
     "membership_events",
+    "policy_events",
     "routing_events",
 ]
