--- /dev/null
+++ b/tests/fleet.py
@@ -0,0 +1,162 @@
+"""Stand-ins, agents and one controlling entry over real sockets."""
+
+import asyncio
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, field
+from typing import Any
+
+from bramleyport.authority import EngineChange, OrderObject, Progress, read_order
+from bramleyport.composition import build_agent, build_entry
+from bramleyport.core import EngineRole, UpstreamId
+from bramleyport.settings import AgentSettings, EntrySettings, ProcessSettings
+from bramleyport.standins import (
+    LOOPBACK,
+    EngineProfile,
+    EngineStandin,
+    ObjectApiStandin,
+    read_port,
+    serve_app,
+    stop_listening,
+)
+
+MODEL = "inspector-8b"
+RANK = {"first_token_s": 5.0, "between_tokens_s": 1.0, "answer_s": 60.0}
+RECORD = {
+    "name": "inspections",
+    "model": {"name": MODEL, "versions": ["1"], "adapters": []},
+    "ranks": {"standard": RANK},
+}
+
+
+@dataclass
+class FixedPlan:
+    changes: Mapping[UpstreamId, EngineChange]
+
+
+@dataclass
+class FixedPlanner:
+    """Want the roles that a test sets."""
+
+    roles: dict[str, EngineRole] = field(default_factory=dict)
+
+    def plan(self, pool: Any, now_s: float) -> FixedPlan:
+        return FixedPlan(
+            {UpstreamId(n): EngineChange(role=r) for n, r in self.roles.items()}
+        )
+
+
+class Fleet:
+    def __init__(self, *, checks_fencing: bool = True) -> None:
+        self.store = ObjectApiStandin()
+        self.engine = EngineStandin(
+            (MODEL,),
+            EngineProfile(role_change_s=0.2),
+            checks_fencing=checks_fencing,
+        )
+        self.planner = FixedPlanner()
+        self.agents: list[Any] = []
+        self.entries: list[Any] = []
+        self._listening: list[Any] = []
+        self._task: asyncio.Task[None] | None = None
+        self._urls: dict[str, str] = {}
+
+    async def start(self, entries: int = 1) -> None:
+        self.store.store.put("services", "inspections", {"spec": RECORD})
+        self._urls["store"] = await self._serve(self.store.app)
+        self._urls["engine"] = await self._serve(self.engine.app)
+        self._task = asyncio.ensure_future(self.engine.run())
+        await self.add_agent("agent-0")
+        for index in range(entries):
+            await self.add_entry(f"entry-{index}")
+        await self.wait(lambda: all(len(e.list_upstreams()) for e in self.entries))
+
+    async def stop(self) -> None:
+        for entry in self.entries:
+            await entry.stop()
+        for agent in self.agents:
+            await agent.stop()
+        if self._task is not None:
+            self._task.cancel()
+        for listening in self._listening:
+            await stop_listening(listening)
+
+    async def add_agent(self, name: str) -> Any:
+        settings = AgentSettings(
+            process=self._make_process(name),
+            upstream="engine-0",
+            upstream_url=self._urls["engine"],
+            pool=MODEL,
+            drain_timeout_s=5.0,
+        )
+        agent = build_agent(settings)
+        await agent.start()
+        self.agents.append(agent)
+        self._list_hosts()
+        return agent
+
+    async def add_entry(self, name: str) -> Any:
+        settings = EntrySettings(
+            process=self._make_process(name),
+            http_port=0,
+            pools=(MODEL,),
+            drain_timeout_s=5.0,
+        )
+        entry = build_entry(settings, 1, self.planner)
+        await entry.start()
+        self.entries.append(entry)
+        return entry
+
+    async def wait(self, condition: Callable[[], Any], limit_s: float = 60.0) -> None:
+        async with asyncio.timeout(limit_s):
+            while not condition():
+                await asyncio.sleep(0.02)
+
+    def read_order(self) -> OrderObject | None:
+        value = self.store.store.objects.get(("orders", "engine-0"))
+        if value is None:
+            return None
+        result = read_order(
+            UpstreamId("engine-0"), value["version"], value["spec"], value["status"]
+        )
+        return result.ok_value  # type: ignore[union-attr]
+
+    def has_settled(self, sequence: int = 1) -> bool:
+        found = self.read_order()
+        return (
+            found is not None
+            and found.progress.sequence >= sequence
+            and found.state is not Progress.BEGUN
+        )
+
+    def url(self, path: str) -> str:
+        return f"http://{LOOPBACK}:{self.entries[0].port}{path}"
+
+    async def _serve(self, app: Any) -> str:
+        listening = await serve_app(app, 0)
+        self._listening.append(listening)
+        return f"http://{LOOPBACK}:{read_port(listening)}"
+
+    def _make_process(self, name: str) -> ProcessSettings:
+        return ProcessSettings(
+            process=name,
+            zone="lk-west-a",
+            region="lk-west",
+            address=LOOPBACK,
+            peer_port=0,
+            object_api=self._urls["store"],
+        )
+
+    def _list_hosts(self) -> None:
+        rows = [
+            {
+                "process": agent.settings.process.process,
+                "role": "agent",
+                "address": LOOPBACK,
+                "port": agent.port,
+                "zone": "lk-west-a",
+                "region": "lk-west",
+                "state": "live",
+            }
+            for agent in self.agents
+        ]
+        self.store.store.put("hosts", "current", {"spec": {"hosts": rows}})
