Find order objects created after the last list and notify every agent

Cause: an engine whose agent joined after the list waited 60 s for its first order, and a notice reached only one of two agents beside an engine.

--- a/bramleyport/authority/_book.py
+++ b/bramleyport/authority/_book.py
@@ -143,6 +143,7 @@
         self._fencing: FencingNumber | None = None
         self._until_s = 0.0
         self._slots: dict[UpstreamId, _Slot] = {}
+        self._lookups: set[int] = set()
         self._op = 0
         self._list_op = 0
         self._next_list_s = 0.0
@@ -155,11 +156,16 @@
             if slot.object.order.sealed == self._fencing
         ]
 
+    def knows(self, upstream: UpstreamId) -> bool:
+        """Return whether the engine's order object has been read."""
+        return upstream in self._slots
+
     def step(self, event: BookEvent, now_s: float) -> list[BookAction]:
         """Take an event and return what to do."""
         if isinstance(event, Granted):
             self._fencing, self._until_s = event.fencing, event.until_s
             self._slots.clear()
+            self._lookups.clear()
             return self._list(now_s)
         if isinstance(event, Extended):
             self._until_s = event.until_s
@@ -177,8 +183,9 @@
         if isinstance(event, Planned):
             return self._plan(event, now_s)
         if isinstance(event, OrderReported):
-            slot = self._slots.get(event.upstream)
-            return [self._read(slot, now_s)] if slot and not slot.op else []
+            return self._take_report(event, now_s)
+        if isinstance(event, OrderSeen) and event.op in self._lookups:
+            return self._take_lookup(event, now_s)
         return self._take_reply(event, now_s)
 
     def _begin(self) -> int:
@@ -217,6 +224,24 @@
                 actions += self._seal(slot, now_s)
         return actions
 
+    def _take_report(self, event: OrderReported, now_s: float) -> list[BookAction]:
+        slot = self._slots.get(event.upstream)
+        if slot is not None:
+            return [] if slot.op else [self._read(slot, now_s)]
+        # An engine whose object was created after the last list.
+        self._lookups.add(self._begin())
+        return [ReadOrderObject(op=self._op, upstream=event.upstream)]
+
+    def _take_lookup(self, event: OrderSeen, now_s: float) -> list[BookAction]:
+        self._lookups.discard(event.op)
+        found = event.object
+        if found is None or found.order.pool != self.pool:
+            return []
+        if event.upstream in self._slots:
+            return []
+        slot = self._slots[event.upstream] = _Slot(object=found)
+        return self._seal(slot, now_s)
+
     def _seal(self, slot: _Slot, now_s: float) -> list[BookAction]:
         assert self._fencing is not None
         order = slot.object.order
--- a/bramleyport/daemons/_controller.py
+++ b/bramleyport/daemons/_controller.py
@@ -46,7 +46,7 @@
     write_order,
     write_progress,
 )
-from bramleyport.core import PoolName, RegionName, UpstreamId, UpstreamView
+from bramleyport.core import ModelName, PoolName, RegionName, UpstreamId, UpstreamView
 from bramleyport.objectapi import (
     Kind,
     ObjectClient,
@@ -203,9 +203,17 @@
             self._step_book(Tick())
             if now_s >= plan_s and self.keeper.may_act(now_s):
                 plan_s = now_s + PLAN_INTERVAL_S
+                self._look_up()
                 self._plan(now_s)
             await asyncio.sleep(TICK_S)
 
+    def _look_up(self) -> None:
+        for view in self._list_views():
+            if ModelName(self.pool) in view.models and not self.book.knows(
+                view.upstream
+            ):
+                self._step_book(OrderReported(upstream=view.upstream))
+
     def _plan(self, now_s: float) -> None:
         if self.planner is None:
             return
@@ -328,9 +336,11 @@
             pool.report(report.upstream)
 
     def _notify(self, upstream: UpstreamId, sequence: int) -> None:
-        link = self._links.find(upstream)
-        if link is not None and link.connection is not None:
-            link.connection.post(OrderNotice(upstream=upstream, sequence=sequence))
+        # A replaced agent learns from the notice that it is superseded.
+        notice = OrderNotice(upstream=upstream, sequence=sequence)
+        for link in self._links.find_all(upstream):
+            if link.connection is not None:
+                link.connection.post(notice)
 
 
 def _make_token() -> str:
--- a/bramleyport/daemons/_peers.py
+++ b/bramleyport/daemons/_peers.py
@@ -151,6 +151,14 @@
                 return link
         return None
 
+    def find_all(self, upstream: UpstreamId) -> list[AgentLink]:
+        """Return the links of every agent that claims to serve an upstream."""
+        return [
+            link
+            for link in self._links.values()
+            if link.view is not None and link.view.upstream == upstream
+        ]
+
     async def close(self) -> None:
         """Close all connections."""
         for task in self._tasks.values():
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -106,7 +106,7 @@
         self.entries.append(entry)
         return entry
 
-    async def wait(self, condition: Callable[[], Any], limit_s: float = 60.0) -> None:
+    async def wait(self, condition: Callable[[], Any], limit_s: float = 20.0) -> None:
         async with asyncio.timeout(limit_s):
             while not condition():
                 await asyncio.sleep(0.02)
