--- a/bramleyport/standins/_engine.py
+++ b/bramleyport/standins/_engine.py
@@ -128,6 +128,7 @@
                 request.write(_event({"text": stream.tokens[position]}))
                 position += 1
                 if position == self.faults.break_streams_after:
+                    self.faults.break_streams_after = None  # breaks one stream once
                     break_connection(request)
                     return
             if stream.cancelled:
