--- a/bramleyport/claims/_shard.py
+++ b/bramleyport/claims/_shard.py
@@ -15,11 +15,14 @@
     make_strict_converter,
 )
 
-# A finished claim without its answer takes about 320 bytes, so a shard holds 1,600 and
-# all shards 1.6 million: 18 claims/s kept for 25 hours. A full shard refuses new claims
-# before they run. Changing the count moves keys between shards and so forgets claims.
+# A claim without its answer takes about 320 bytes, so a shard holds 1,600 and all
+# shards 1.6 million: 18 claims/s kept for 25 hours. Kept answers take at most half of
+# a shard, which leaves room for 9 claims/s whatever the answers' size. A full shard
+# refuses new claims before they run. Another count would move keys between shards and
+# so forget claims.
 SHARD_COUNT: Final = 1024
 MAX_SHARD_BYTES: Final = 512_000
+ANSWER_ROOM_BYTES: Final = MAX_SHARD_BYTES // 2
 CLAIM_BYTES: Final = 320
 RETENTION_S: Final = 24 * 3600.0
 # Clocks of two entries may differ by this much: a claim outlives its retention by it,
@@ -212,8 +215,9 @@
         return Decision(kind=ClaimDecisionKind.NEW)
     state = ClaimState.COMPLETED if change.answer else ClaimState.UNKNOWN
     finished = replace(claim, state=state, answer=change.answer)
-    if finished.count_bytes() - claim.count_bytes() > room and change.answer:
-        # Room for new claims matters more than a kept body: the claim itself stays.
+    left = room - (finished.count_bytes() - claim.count_bytes())
+    if change.answer and left < MAX_SHARD_BYTES - ANSWER_ROOM_BYTES:
+        # The answer is not kept, but that the call completed is.
         finished = replace(finished, answer=StoredAnswer(status=change.answer.status))
     claims[change.key] = finished
     return Decision(kind=ClaimDecisionKind.STORED, answer=finished.answer)
--- a/bramleyport/daemons/_agent.py
+++ b/bramleyport/daemons/_agent.py
@@ -6,7 +6,6 @@
 from dataclasses import replace
 from typing import TYPE_CHECKING, Any, Final
 
-from bramleyport.answers import AttemptLedger
 from bramleyport.core import (
     AttemptId,
     EngineLoad,
@@ -22,6 +21,7 @@
     ZoneName,
 )
 from bramleyport.daemons._agent_attempt import AgentAttempt, Upstream
+from bramleyport.daemons._gate import WorkGate
 from bramleyport.queueing import QueuedWork, QueuePolicy, Refused as QueueRefused
 from bramleyport.telemetry import authority_events, events, log_event
 from bramleyport.transport import listen
@@ -37,7 +37,6 @@
     LoadReport,
     Message,
     OrderNotice,
-    Refused,
     Resume,
     UpstreamInfo,
 )
@@ -67,9 +66,7 @@
         orders: "OrderApplier | None" = None,
     ) -> None:
         self._orders = orders
-        self._ledger = AttemptLedger()
         self._run_id = uuid.uuid4().hex
-        self._changing = False
         self.settings = settings
         self._identity = identity
         self._upstream = upstream
@@ -78,6 +75,13 @@
         self._connections: set[Connection] = set()
         self._attempts: dict[AttemptId, AgentAttempt] = {}
         self._running: set[AttemptId] = set()
+        self._gate = WorkGate(
+            queue,
+            self._attempts,
+            self._running,
+            lambda: self._connections,
+            self._describe,
+        )
         self._leaving = False
         self._cache_sequence = 0
         self._view = UpstreamView(
@@ -113,7 +117,7 @@
             asyncio.ensure_future(self._expire_forever()),
         ]
         if self._orders is not None:
-            self._tasks.append(asyncio.ensure_future(self._orders.run(self)))
+            self._tasks.append(asyncio.ensure_future(self._orders.run(self._gate)))
         log_event(events.PROCESS_STARTED, role="agent", process=process.process)
 
     async def stop(self) -> None:
@@ -136,41 +140,6 @@
             await self._server.wait_closed()
         log_event(events.PROCESS_STOPPED, process=self.settings.process.process)
 
-    def begin_change(self) -> None:
-        """Refuse new and queued work; running work goes on."""
-        self._changing = True
-        for attempt_id in list(self._attempts):
-            if self._queue.cancel(attempt_id):
-                self._refuse(self._attempts.pop(attempt_id).connection, attempt_id)
-        self.post_all(self._describe())
-
-    def is_idle(self) -> bool:
-        """Return whether no work runs on the upstream."""
-        return not self._running
-
-    def end_change(self) -> None:
-        """Take new work again."""
-        if self._changing:
-            self._changing = False
-            self.post_all(self._describe())
-
-    def post_all(self, message: Message) -> None:
-        """Send a message to every connected peer."""
-        for connection in list(self._connections):
-            connection.post(message)
-
-    def _refuse(
-        self,
-        connection: "Connection",
-        attempt: AttemptId,
-        reason: str = "changing",
-        retry_after_s: float = 0.0,
-    ) -> None:
-        self._ledger.refuse(attempt)
-        connection.post(
-            Refused(attempt=attempt, reason=reason, retry_after_s=retry_after_s)
-        )
-
     def _has_work(self) -> bool:
         return bool(self._running) or len(self._queue) > 0
 
@@ -203,12 +172,12 @@
             self._orders.notice(message.sequence)
 
     def _accept(self, connection: "Connection", execute: Execute) -> None:
-        if not self._ledger.receive(execute.attempt):
+        if not self._gate.ledger.receive(execute.attempt):
             log_event(authority_events.EXECUTE_DROPPED, attempt=execute.attempt)
             return
-        if self._leaving or self._changing:
+        if self._leaving or self._gate.changing:
             reason = "leaving" if self._leaving else "changing"
-            self._refuse(connection, execute.attempt, reason)
+            self._gate.refuse(connection, execute.attempt, reason)
             return
         now_s = time.monotonic()
         arrived_s = now_s - (execute.work.targets.answer_s - execute.time_left_s)
@@ -225,7 +194,7 @@
             now_s,
         )
         if isinstance(decision, QueueRefused):
-            self._refuse(
+            self._gate.refuse(
                 connection,
                 execute.attempt,
                 decision.explanation.reason,
@@ -283,7 +252,7 @@
             # Another run of the agent may have received it: only this run's is known.
             execution = Execution.UNKNOWN
             if message.run == self._run_id:
-                execution = self._ledger.judge(message.attempt)
+                execution = self._gate.ledger.judge(message.attempt)
             connection.post(
                 Failed(
                     attempt=message.attempt,
@@ -301,7 +270,7 @@
             return
         if self._queue.cancel(attempt_id):
             self._attempts.pop(attempt_id, None)
-            self._ledger.refuse(attempt_id)
+            self._gate.ledger.refuse(attempt_id)
         elif attempt.task is not None and self.settings.kind is ServiceKind.LANGUAGE:
             attempt.task.cancel()
 
@@ -311,7 +280,7 @@
             for item in self._queue.expire(time.monotonic()):
                 attempt = self._attempts.pop(item.attempt, None)
                 if attempt is not None:
-                    self._refuse(attempt.connection, item.attempt, "deadline")
+                    self._gate.refuse(attempt.connection, item.attempt, "deadline")
 
     async def _report_forever(self) -> None:
         while True:
@@ -412,7 +381,7 @@
     def _get_state(self) -> UpstreamState:
         if self._leaving:
             return UpstreamState.LEAVING
-        return UpstreamState.CHANGING if self._changing else self._view.state
+        return UpstreamState.CHANGING if self._gate.changing else self._view.state
 
     def _make_load_report(self) -> LoadReport:
         now_s = time.monotonic()
--- /dev/null
+++ b/bramleyport/daemons/_gate.py
@@ -0,0 +1,70 @@
+"""Stop and restart the flow of new work to one upstream."""
+
+from collections.abc import Callable
+from typing import TYPE_CHECKING
+
+from bramleyport.answers import AttemptLedger
+from bramleyport.wire import Message, Refused
+
+if TYPE_CHECKING:
+    from bramleyport.core import AttemptId
+    from bramleyport.daemons._agent_attempt import AgentAttempt
+    from bramleyport.queueing import QueuePolicy
+    from bramleyport.transport import Connection
+
+
+class WorkGate:
+    """Refuse attempts for good and hold new work back during a change."""
+
+    def __init__(
+        self,
+        queue: "QueuePolicy",
+        attempts: "dict[AttemptId, AgentAttempt]",
+        running: "set[AttemptId]",
+        connections: "Callable[[], set[Connection]]",
+        describe: Callable[[], Message],
+    ) -> None:
+        self.ledger = AttemptLedger()
+        self.changing = False
+        self._queue = queue
+        self._attempts = attempts
+        self._running = running
+        self._connections = connections
+        self._describe = describe
+
+    def refuse(
+        self,
+        connection: "Connection",
+        attempt: "AttemptId",
+        reason: str,
+        retry_after_s: float = 0.0,
+    ) -> None:
+        """Tell a peer that its attempt was not run and never will be."""
+        self.ledger.refuse(attempt)
+        connection.post(
+            Refused(attempt=attempt, reason=reason, retry_after_s=retry_after_s)
+        )
+
+    def begin_change(self) -> None:
+        """Refuse new and queued work; running work goes on."""
+        self.changing = True
+        for attempt_id in list(self._attempts):
+            if self._queue.cancel(attempt_id):
+                connection = self._attempts.pop(attempt_id).connection
+                self.refuse(connection, attempt_id, "changing")
+        self.post_all(self._describe())
+
+    def is_idle(self) -> bool:
+        """Return whether no work runs on the upstream."""
+        return not self._running
+
+    def end_change(self) -> None:
+        """Take new work again."""
+        if self.changing:
+            self.changing = False
+            self.post_all(self._describe())
+
+    def post_all(self, message: Message) -> None:
+        """Send a message to every connected peer."""
+        for connection in list(self._connections()):
+            connection.post(message)
--- /dev/null
+++ b/tests/authority_simulation.py
@@ -0,0 +1,284 @@
+"""Lease holders, agents and engines over the in-memory network and store."""
+
+from typing import Any
+
+from bramleyport.authority import (
+    ApplyOrder,
+    Drained,
+    DrainEngine,
+    EngineChange,
+    EngineSeen,
+    EngineState,
+    LeaseConflict,
+    LeaseFailed,
+    LeaseInDoubt,
+    LeaseKeeper,
+    LeaseSeen,
+    LeaseWritten,
+    ListOrders,
+    Noticed,
+    NotifyAgent,
+    OrderApplied,
+    OrderBroken,
+    OrderNotSent,
+    OrderNotWritten,
+    OrderObject,
+    OrderRead,
+    OrderRefused,
+    OrderSeen,
+    OrdersListed,
+    OrderWritten,
+    Planned,
+    ProgressNotWritten,
+    ProgressWritten,
+    ReadEngine,
+    ReadFailed,
+    ReadLease,
+    ReadOrder,
+    ReadOrderObject,
+    Tick,
+    WriteLease,
+    WriteOrder,
+    WriteProgress,
+)
+from bramleyport.core import EngineRole, UpstreamId
+from tests.simulation import (
+    POOL,
+    InvariantError,
+    Item,
+    Process,
+    World,
+    dump_order,
+    load_order,
+)
+
+
+class Engine:
+    """Apply orders; remember which took effect."""
+
+    def __init__(self, world: World, name: UpstreamId, *, checks: bool) -> None:
+        self.world = world
+        self.name = name
+        self.checks = checks
+        self.number = 0
+        self.role = EngineRole.MIXED
+        self.applied: list[int] = []
+
+    def apply(self, action: ApplyOrder) -> str:
+        if self.checks and action.engine_fencing < self.number:
+            return "refused"
+        self.number = action.engine_fencing
+        order = action.order
+        self.check_i1_no_conflicting_order(order.sequence)
+        self.check_i3_no_lost_authority(order.sequence, order.fencing)
+        self.applied.append(order.sequence)
+        if order.change.role is not None:
+            self.role = order.change.role
+        return "applied"
+
+    def check_i1_no_conflicting_order(self, sequence: int) -> None:
+        """I1: an engine takes only orders that began, and none older than its own."""
+        if self.checks and self.applied and sequence < max(self.applied):
+            raise InvariantError(f"I1: order {sequence} after {max(self.applied)}")
+        version, value = self.world.objects["orders", self.name]
+        found = load_order(self.name, version, value)
+        began = found.progress.sequence >= sequence
+        if not began:
+            raise InvariantError(f"I1: order {sequence} took effect but never began")
+
+    def check_i3_no_lost_authority(self, sequence: int, fencing: int) -> None:
+        """I3: an order has an effect only if its writer held the lease then."""
+        held = self.world.lease_at_write[self.name, sequence]
+        if held != fencing:
+            raise InvariantError(f"I3: order of {fencing} written under {held}")
+
+
+class Holder(Process):
+    """Run a lease keeper and an order book with a planner that keeps changing."""
+
+    def __init__(self, world: World, name: str) -> None:
+        super().__init__(world, name)
+        self.keeper = LeaseKeeper(world.make_token(), world.make_token)
+        self.book = world.make_book(POOL, world.make_token)
+        self.want = EngineRole.PREFILL
+
+    def tick(self) -> None:
+        now_s = self.world.now_s
+        self.drive_lease(Tick())
+        self.drive_book(Tick())
+        if self.keeper.may_act(now_s) and self.world.rng.random() < 0.05:
+            self.want = self.world.rng.choice(list(EngineRole))
+            changes = {n: EngineChange(role=self.want) for n in self.world.engines}
+            self.drive_book(Planned(changes=changes))
+
+    def drive_lease(self, event: Any) -> None:
+        world = self.world
+        for action in self.keeper.step(event, world.now_s):
+            if isinstance(action, ReadLease):
+                self.call(
+                    lambda: world.read("leases", "pool"),
+                    lambda r, op=action.op: self.drive_lease(_lease_seen(op, r)),
+                )
+            elif isinstance(action, WriteLease):
+                self.call(
+                    lambda a=action: world.write(
+                        "leases", "pool", a.expected or 0, a.lease
+                    ),
+                    lambda r, op=action.op: self.drive_lease(_lease_written(op, r)),
+                )
+            else:
+                self.drive_book(action)
+
+    def drive_book(self, event: Any) -> None:
+        world = self.world
+        for action in self.book.step(event, world.now_s):
+            if isinstance(action, ListOrders):
+                self.call(self._list, lambda r, op=action.op: self._listed(op, r))
+            elif isinstance(action, ReadOrderObject):
+                self.call(
+                    lambda a=action: world.read("orders", a.upstream),
+                    lambda r, a=action: self.drive_book(_order_seen(a, r)),
+                )
+            elif isinstance(action, WriteOrder):
+                found = action.object
+                self.call(
+                    lambda f=found: world.write(
+                        "orders", f.upstream, f.version, dump_order(f)
+                    ),
+                    lambda r, a=action: self.drive_book(_order_written(a, r)),
+                )
+            elif isinstance(action, NotifyAgent):
+                self._notify(action)
+
+    def _list(self) -> Any:
+        if self.world.outage:
+            return "outage"
+        return tuple(
+            load_order(name, version, value)
+            for (kind, name), (version, value) in self.world.objects.items()
+            if kind == "orders"
+        )
+
+    def _listed(self, op: int, result: Any) -> None:
+        if isinstance(result, tuple):
+            self.drive_book(OrdersListed(op=op, objects=result))
+
+    def _notify(self, action: NotifyAgent) -> None:
+        for process in self.world.processes:
+            if isinstance(process, Agent) and process.engine.name == action.upstream:
+                notice = Noticed(sequence=action.sequence)
+                self.world.net.append(
+                    Item(process, lambda p=process, n=notice: p.drive(n))
+                )
+
+
+class Agent(Process):
+    """Run an order guard beside an engine."""
+
+    def __init__(self, world: World, name: str, engine: Engine) -> None:
+        super().__init__(world, name)
+        self.engine = engine
+        self.guard = world.make_guard(engine.name, world.make_token(), POOL)
+
+    def tick(self) -> None:
+        self.drive(Tick())
+
+    def drive(self, event: Any) -> None:
+        world = self.world
+        for action in self.guard.step(event, world.now_s):
+            if isinstance(action, ReadOrder):
+                self._read_order(action)
+            elif isinstance(action, WriteProgress):
+                found = action.object
+                self.call(
+                    lambda f=found: world.write(
+                        "orders", f.upstream, f.version, dump_order(f)
+                    ),
+                    lambda r, op=action.op: self.drive(_progress(op, r)),
+                )
+            elif isinstance(action, DrainEngine):
+                self.world.net.append(
+                    Item(
+                        self,
+                        lambda op=action.op: self.drive(Drained(op=op)),
+                        local=True,
+                    )
+                )
+            elif isinstance(action, ApplyOrder):
+                # The process may be paused before it sends.
+                self.world.net.append(
+                    Item(self, lambda a=action: self._apply(a), local=True)
+                )
+            elif isinstance(action, ReadEngine):
+                self.call(
+                    lambda: EngineState(role=self.engine.role),
+                    lambda r, op=action.op: self.drive(
+                        EngineSeen(op=op, state=r) if r else ReadFailed(op=op)
+                    ),
+                )
+
+    def _read_order(self, action: ReadOrder) -> None:
+        def take_lease(found: OrderObject | None, result: Any) -> None:
+            if not isinstance(result, tuple):
+                self.drive(ReadFailed(op=action.op))
+                return
+            self.drive(OrderRead(op=action.op, object=found, lease=result[1]))
+
+        def take_order(result: Any) -> None:
+            if not isinstance(result, tuple):
+                self.drive(ReadFailed(op=action.op))
+                return
+            version, value = result
+            name = self.engine.name
+            found = load_order(name, version, value) if value else None
+            self.call(
+                lambda: self.world.read("leases", "pool"),
+                lambda r: take_lease(found, r),
+            )
+
+        self.call(lambda: self.world.read("orders", self.engine.name), take_order)
+
+    def _apply(self, action: ApplyOrder) -> None:
+        if self.world.now_s > action.send_before_s:
+            self.drive(OrderNotSent(op=action.op))
+            return
+        replies = {
+            "applied": OrderApplied(op=action.op),
+            "refused": OrderRefused(op=action.op),
+            None: OrderBroken(op=action.op),
+        }
+        self.call(lambda: self.engine.apply(action), lambda r: self.drive(replies[r]))
+
+
+def _lease_seen(op: int, result: Any) -> Any:
+    if not isinstance(result, tuple):
+        return LeaseFailed(op=op)
+    return LeaseSeen(op=op, lease=result[1], version=result[0])
+
+
+def _lease_written(op: int, result: Any) -> Any:
+    if isinstance(result, int):
+        return LeaseWritten(op=op, version=result)
+    kinds = {"conflict": LeaseConflict, "outage": LeaseFailed}
+    return kinds.get(result, LeaseInDoubt)(op=op)
+
+
+def _order_seen(action: ReadOrderObject, result: Any) -> Any:
+    if not isinstance(result, tuple):
+        return OrderNotWritten(op=action.op, upstream=action.upstream)
+    version, value = result
+    found = load_order(action.upstream, version, value) if value else None
+    return OrderSeen(op=action.op, upstream=action.upstream, object=found)
+
+
+def _order_written(action: WriteOrder, result: Any) -> Any:
+    upstream = action.object.upstream
+    if isinstance(result, int):
+        return OrderWritten(op=action.op, upstream=upstream, version=result)
+    return OrderNotWritten(op=action.op, upstream=upstream)
+
+
+def _progress(op: int, result: Any) -> Any:
+    if isinstance(result, int):
+        return ProgressWritten(op=op, version=result)
+    return ProgressNotWritten(op=op)
--- a/tests/test_authority.py
+++ b/tests/test_authority.py
@@ -8,15 +8,8 @@
 
 from bramleyport.authority import OrderBook, OrderGuard, Progress
 from bramleyport.core import UpstreamId
-from tests.simulation import (
-    Agent,
-    Engine,
-    Faults,
-    Holder,
-    InvariantError,
-    World,
-    load_order,
-)
+from tests.authority_simulation import Agent, Engine, Holder
+from tests.simulation import Faults, InvariantError, World, load_order
 
 
 def build(world: World, *, checks: bool = True) -> World:
--- a/tests/test_order_faults.py
+++ b/tests/test_order_faults.py
@@ -169,7 +169,7 @@
         message = Resume(attempt=attempt, next_frame=0, run=agent._run_id)  # type: ignore[arg-type]
         agent._resume(connection, message)
         agent._resume(connection, Resume(attempt="run.2", next_frame=0, run="other"))  # type: ignore[arg-type]
-        assert not agent._ledger.receive(attempt)
+        assert not agent._gate.ledger.receive(attempt)
         return connection.posted
 
     first, second = run(scenario())
