--- a/bramleyport/daemons/_agent.py
+++ b/bramleyport/daemons/_agent.py
@@ -6,7 +6,6 @@
 from dataclasses import replace
 from typing import TYPE_CHECKING, Any, Final
 
-from bramleyport.answers import AttemptLedger
 from bramleyport.core import (
     AttemptId,
     EngineLoad,
@@ -22,6 +21,7 @@
 from bramleyport.daemons._agent_attempt import AgentAttempt, Upstream
 from bramleyport.daemons._agent_cache import AgentCache
 from bramleyport.daemons._agent_schedule import AgentSchedule
+from bramleyport.daemons._gate import WorkGate
 from bramleyport.queueing import QueuePolicy, Refused as QueueRefused
 from bramleyport.telemetry import (
     Metrics,
@@ -42,7 +42,6 @@
     LoadReport,
     Message,
     OrderNotice,
-    Refused,
     Resume,
     UpstreamInfo,
 )
@@ -77,9 +76,7 @@
         metrics: Metrics | None = None,
     ) -> None:
         self._orders = orders
-        self._ledger = AttemptLedger()
         self._run_id = uuid.uuid4().hex
-        self._changing = False
         self.settings = settings
         self._hub = hub
         self._identity = identity
@@ -88,6 +85,13 @@
         self._connections: set[Connection] = set()
         self._attempts: dict[AttemptId, AgentAttempt] = {}
         self._running: set[AttemptId] = set()
+        self._gate = WorkGate(
+            queue,
+            self._attempts,
+            self._running,
+            lambda: self._connections,
+            self._describe,
+        )
         self._leaving = False
         self._view = UpstreamView(
             upstream=UpstreamId(settings.upstream),
@@ -129,7 +133,7 @@
             asyncio.ensure_future(self._expire_forever()),
         ]
         if self._orders is not None:
-            self._tasks.append(asyncio.ensure_future(self._orders.run(self)))
+            self._tasks.append(asyncio.ensure_future(self._orders.run(self._gate)))
         log_event(events.PROCESS_STARTED, role="agent", process=process.process)
 
     async def stop(self) -> None:
@@ -160,42 +164,7 @@
         for attempt_id, attempt in list(self._attempts.items()):
             if attempt.task is None and self._queue.cancel(attempt_id):
                 log_event(membership_events.WORK_HANDED_BACK, attempt=attempt_id)
-                self._refuse(attempt.connection, attempt_id, "leaving")
-
-    def begin_change(self) -> None:
-        """Refuse new and queued work; running work goes on."""
-        self._changing = True
-        for attempt_id in list(self._attempts):
-            if self._queue.cancel(attempt_id):
-                self._refuse(self._attempts.pop(attempt_id).connection, attempt_id)
-        self.post_all(self._describe())
-
-    def is_idle(self) -> bool:
-        """Return whether no work runs on the upstream."""
-        return not self._running
-
-    def end_change(self) -> None:
-        """Take new work again."""
-        if self._changing:
-            self._changing = False
-            self.post_all(self._describe())
-
-    def post_all(self, message: Message) -> None:
-        """Send a message to every connected peer."""
-        for connection in list(self._connections):
-            connection.post(message)
-
-    def _refuse(
-        self,
-        connection: "Connection",
-        attempt: AttemptId,
-        reason: str = "changing",
-        retry_after_s: float = 0.0,
-    ) -> None:
-        self._ledger.refuse(attempt)
-        connection.post(
-            Refused(attempt=attempt, reason=reason, retry_after_s=retry_after_s)
-        )
+                self._gate.refuse(attempt.connection, attempt_id, "leaving")
 
     def _has_work(self) -> bool:
         return bool(self._running) or len(self._queue) > 0
@@ -226,19 +195,19 @@
             self._hub.handle(connection, message)
 
     def _accept(self, connection: "Connection", execute: Execute) -> None:
-        if not self._ledger.receive(execute.attempt):
+        if not self._gate.ledger.receive(execute.attempt):
             log_event(authority_events.EXECUTE_DROPPED, attempt=execute.attempt)
             return
-        if self._leaving or self._changing:
+        if self._leaving or self._gate.changing:
             reason = "leaving" if self._leaving else "changing"
-            self._refuse(connection, execute.attempt, reason)
+            self._gate.refuse(connection, execute.attempt, reason)
             return
         now_s = time.monotonic()
         arrived_s = now_s - (execute.work.targets.answer_s - execute.time_left_s)
         work = replace(execute.work, arrived_s=arrived_s)
         decision = self._schedule.offer(execute.attempt, work, now_s)
         if isinstance(decision, QueueRefused):
-            self._refuse(
+            self._gate.refuse(
                 connection,
                 execute.attempt,
                 decision.explanation.reason,
@@ -314,7 +283,7 @@
             # Another run of the agent may have received it: only this run's is known.
             execution = Execution.UNKNOWN
             if message.run == self._run_id:
-                execution = self._ledger.judge(message.attempt)
+                execution = self._gate.ledger.judge(message.attempt)
             connection.post(
                 Failed(
                     attempt=message.attempt,
@@ -332,7 +301,7 @@
             return
         if self._queue.cancel(attempt_id):
             self._attempts.pop(attempt_id, None)
-            self._ledger.refuse(attempt_id)
+            self._gate.ledger.refuse(attempt_id)
         elif attempt.task is not None and self.settings.kind is ServiceKind.LANGUAGE:
             attempt.task.cancel()
 
@@ -345,7 +314,7 @@
         for refused in self._schedule.refuse_late(time.monotonic()):
             attempt = self._attempts.pop(refused.attempt, None)
             if attempt is not None:
-                self._refuse(
+                self._gate.refuse(
                     attempt.connection,
                     refused.attempt,
                     refused.reason,
@@ -428,7 +397,7 @@
     def _get_state(self) -> UpstreamState:
         if self._leaving:
             return UpstreamState.LEAVING
-        return UpstreamState.CHANGING if self._changing else self._view.state
+        return UpstreamState.CHANGING if self._gate.changing else self._view.state
 
     def _make_load_report(self) -> LoadReport:
         now_s = time.monotonic()
--- a/bramleyport/daemons/_peers.py
+++ b/bramleyport/daemons/_peers.py
@@ -239,6 +239,14 @@
             if not link.in_flight:
                 self._drop(process)
 
+    def find_all(self, upstream: UpstreamId) -> list[AgentLink]:
+        """Return the links of every agent that claims to serve an upstream."""
+        return [
+            link
+            for link in self._links.values()
+            if link.view is not None and link.view.upstream == upstream
+        ]
+
     async def close(self) -> None:
         """Close all connections."""
         kept = [link.kept for link in self._links.values() if link.kept is not None]
