--- a/bramleyport/composition.py
+++ b/bramleyport/composition.py
@@ -33,6 +33,10 @@
             f"{settings.address} is not loopback: set secret_file or tls for peers"
         )
     beats = settings.heartbeats
+    if not (beats.interval_s > 0 and 1 < beats.missed_suspect < beats.missed_silent):
+        raise ValueError(
+            "heartbeats need interval_s > 0 and 1 < missed_suspect < missed_silent"
+        )
     return Identity(
         process=ProcessId(settings.process),
         zone=ZoneName(settings.zone),
--- a/bramleyport/daemons/_agent.py
+++ b/bramleyport/daemons/_agent.py
@@ -101,7 +101,7 @@
             self._handle,
             self._hub.detach,
         )
-        self._hub.start(process.seeds)
+        self._hub.start()
         self._tasks = [
             asyncio.ensure_future(self._report_forever()),
             asyncio.ensure_future(self._expire_forever()),
--- a/bramleyport/daemons/_hub.py
+++ b/bramleyport/daemons/_hub.py
@@ -192,7 +192,7 @@
         known = {host.process: host for host in hosts}
         wanted = {p: known[p] for p in self.topology.links if p in known}
         self._connect_peers(wanted)
-        if wanted and self._seeds:
+        if hosts and self._seeds:
             self._close_later(self._seeds)
             self._seeds = []
         if self.on_topology is not None:
--- /dev/null
+++ b/tests/relay.py
@@ -0,0 +1,38 @@
+"""A TCP relay that can drop the bytes of one connection without closing it."""
+
+import asyncio
+
+
+class Relay:
+    """Forward TCP bytes to a server until told to drop them silently."""
+
+    def __init__(self, port: int) -> None:
+        self.frozen: set[int] = set()
+        self.accepted = 0
+        self.listener: asyncio.Server | None = None
+        self._port = port
+
+    async def start(self) -> str:
+        self.listener = await asyncio.start_server(self._accept, "127.0.0.1", 0)
+        return f"ws://127.0.0.1:{self.listener.sockets[0].getsockname()[1]}"
+
+    async def _accept(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        index = self.accepted
+        self.accepted += 1
+        far_reader, far_writer = await asyncio.open_connection("127.0.0.1", self._port)
+        await asyncio.gather(
+            self._pipe(index, reader, far_writer), self._pipe(index, far_reader, writer)
+        )
+
+    async def _pipe(
+        self, index: int, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        try:
+            while data := await reader.read(65536):
+                if index not in self.frozen:
+                    writer.write(data)
+        except ConnectionError:
+            pass
+        writer.close()
--- a/tests/test_transport_faults.py
+++ b/tests/test_transport_faults.py
@@ -17,7 +17,7 @@
 from bramleyport.composition import build_identity
 from bramleyport.core import ProcessId, RegionName, Revision, StepError, ZoneName
 from bramleyport.daemons._kept import KeptConnection
-from bramleyport.settings import ProcessSettings, TlsSettings
+from bramleyport.settings import HeartbeatSettings, ProcessSettings, TlsSettings
 from bramleyport.telemetry import events
 from bramleyport.transport import (
     Connection,
@@ -38,6 +38,7 @@
     encode,
     sign_client,
 )
+from tests.relay import Relay
 
 Run = Callable[[Coroutine[Any, Any, Any]], Any]
 SECRET = b"secret"
@@ -202,41 +203,6 @@
     assert refusals[0]["step"] and refusals[0]["peer"]
 
 
-class Relay:
-    """Forward TCP bytes to a server until told to drop them silently."""
-
-    def __init__(self, port: int) -> None:
-        self.frozen: set[int] = set()
-        self.accepted = 0
-        self.listener: asyncio.Server | None = None
-        self._port = port
-
-    async def start(self) -> str:
-        self.listener = await asyncio.start_server(self._accept, "127.0.0.1", 0)
-        return f"ws://127.0.0.1:{self.listener.sockets[0].getsockname()[1]}"
-
-    async def _accept(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-    ) -> None:
-        index = self.accepted
-        self.accepted += 1
-        far_reader, far_writer = await asyncio.open_connection("127.0.0.1", self._port)
-        await asyncio.gather(
-            self._pipe(index, reader, far_writer), self._pipe(index, far_reader, writer)
-        )
-
-    async def _pipe(
-        self, index: int, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-    ) -> None:
-        try:
-            while data := await reader.read(65536):
-                if index not in self.frozen:
-                    writer.write(data)
-        except ConnectionError:
-            pass
-        writer.close()
-
-
 def test_half_open_connection_is_replaced_before_it_is_closed(run: Run) -> None:
     """An open connection goes silent for good while new ones work."""
 
@@ -401,6 +367,21 @@
     assert build_identity(make_process("10.0.0.1", tls=files)).tls is not None
 
 
+@pytest.mark.parametrize(
+    "beats",
+    [
+        HeartbeatSettings(interval_s=0.0),
+        HeartbeatSettings(missed_suspect=0.5),
+        HeartbeatSettings(missed_suspect=6.0, missed_silent=3.0),
+    ],
+)
+def test_heartbeats_that_suspect_live_peers_are_refused(
+    beats: HeartbeatSettings,
+) -> None:
+    with pytest.raises(ValueError, match="heartbeats need"):
+        build_identity(make_process("127.0.0.1", heartbeats=beats))
+
+
 def test_empty_secret_file_is_no_secret(tmp_path: Path) -> None:
     secret = tmp_path / "secret"
     secret.write_bytes(b"\n")
