--- a/bramleyport/bench/_recovery_fleet.py
+++ b/bramleyport/bench/_recovery_fleet.py
@@ -197,7 +197,7 @@
                 age_s = None
                 if node.store_answer_s is not None:
                     age_s = self.now_s - node.store_answer_s
-                beat = node.replica.make_heartbeat(action.sequence, age_s)
+                beat = node.replica.make_heartbeat(action.sequence, age_s, peer)
                 self._post(node, peer, beat)
             elif isinstance(action, CloseSilent):
                 self._close(node, peer)
--- a/bramleyport/daemons/_hub.py
+++ b/bramleyport/daemons/_hub.py
@@ -3,6 +3,7 @@
 import asyncio
 import time
 from collections.abc import Callable
+from functools import partial
 from typing import Any, Final
 
 from bramleyport.core import ProcessId, Revision
@@ -82,7 +83,7 @@
         """Take a new connection into use."""
         peers = self._connections.setdefault(connection.peer, [])
         peers.append(connection)
-        connection.make_heartbeat = self._make_heartbeat
+        connection.make_heartbeat = partial(self._make_heartbeat, connection.peer)
         self.report(
             Connected(process=connection.peer, incarnation=connection.incarnation)
         )
@@ -257,11 +258,11 @@
             process=self._identity.process, incarnation=self._identity.incarnation
         )
 
-    def _make_heartbeat(self, sequence: int) -> Heartbeat:
+    def _make_heartbeat(self, peer: ProcessId, sequence: int) -> Heartbeat:
         age_s = None
         if self._store_answer_s is not None:
             age_s = time.monotonic() - self._store_answer_s
-        return self.replica.make_heartbeat(sequence, age_s)
+        return self.replica.make_heartbeat(sequence, age_s, peer)
 
     def _record_progress(self, process: ProcessId, age_s: float) -> None:
         if self.topology is not None:
--- a/bramleyport/replication/_replica.py
+++ b/bramleyport/replication/_replica.py
@@ -19,6 +19,8 @@
 ASK_TIMEOUT_S: Final = 1.0
 # Larger updates are announced and fetched once instead of pushed by every neighbour.
 PUSH_BYTES: Final = 8_192
+# Every third heartbeat carries the state again, in case a message was lost.
+FULL_EVERY: Final = 3
 # A request with this revision gets everything that is in force.
 EVERYTHING: Final = Revision(0)
 
@@ -47,6 +49,7 @@
     hosts_revision: Revision = Revision(0)
     compared: tuple[int, int] | None = None
     heard: bool = False
+    told: tuple[Revision, Revision, int] | None = None
 
 
 class Replica:
@@ -59,14 +62,28 @@
         self._asked_s: float | None = None
         self._sequence = 0
 
-    def make_heartbeat(self, sequence: int, store_age_s: float | None) -> Heartbeat:
-        """Build a heartbeat that carries what is in force here."""
+    def make_heartbeat(
+        self,
+        sequence: int,
+        store_age_s: float | None = None,
+        peer: ProcessId | None = None,
+    ) -> Heartbeat:
+        """Build a heartbeat that carries what is in force here.
+
+        A peer that was told the same lately gets a short one.
+        """
         age_ms = -1 if store_age_s is None else int(store_age_s * 1000)
+        state = (self.records.revision, self.hosts.revision, self.records.held.digest)
+        known = self._peers.get(peer) if peer is not None else None
+        if known is not None:
+            if known.told == state and sequence % FULL_EVERY:
+                return Heartbeat(sequence=sequence, store_age_ms=age_ms)
+            known.told = state
         return Heartbeat(
             sequence=sequence,
-            revision=self.records.revision,
-            hosts_revision=self.hosts.revision,
-            digest=self.records.held.digest,
+            revision=state[0],
+            hosts_revision=state[1],
+            digest=state[2],
             store_age_ms=age_ms,
         )
 
@@ -77,7 +94,7 @@
     def greet(self, peer: ProcessId) -> list[Send]:
         """Tell a newly connected peer what is in force here."""
         self._peers[peer] = _Peer()
-        return [Send(peer, self.make_heartbeat(0, None))]
+        return [Send(peer, self.make_heartbeat(0, peer=peer))]
 
     def receive(self, peer: ProcessId, message: Message, now_s: float) -> Changes:
         """Apply a message of a peer and return what changed and what to send."""
@@ -100,7 +117,7 @@
             if records is None and hosts is None:
                 continue
             if _measure(records) + _measure(hosts) > PUSH_BYTES:
-                sends.append(Send(name, self.make_heartbeat(0, None)))
+                sends.append(Send(name, self.make_heartbeat(0, peer=name)))
                 continue
             self._note_sent(peer, records, hosts)
             sends.append(Send(name, RecordsSnapshot(records=records, hosts=hosts)))
--- a/tests/test_replication.py
+++ b/tests/test_replication.py
@@ -114,7 +114,7 @@
         for sender, replica in self.replicas.items():
             for peer in self.replicas:
                 if peer != sender:
-                    self.deliver(sender, [Send(peer, replica.make_heartbeat(1, None))])
+                    self.deliver(sender, [Send(peer, replica.make_heartbeat(1))])
 
     def settle(self) -> None:
         for _ in range(4):
@@ -339,3 +339,13 @@
         topology.step(hosts, 0.0)
         assert watchers - {host.process} <= topology.links
         assert len(topology.links) <= 4
+
+
+def test_heartbeat_repeats_the_state_only_now_and_then() -> None:
+    replica, peer = Network.make(), ProcessId("peer")
+    replica.records.offer_listing(Revision(1), [make_entry("a", 1)])
+    replica.greet(peer)
+    beats = [replica.make_heartbeat(number, peer=peer) for number in (1, 2, 3, 4)]
+    assert [beat.revision for beat in beats] == [0, 0, 1, 0]
+    replica.records.offer_change(Revision(2), [make_entry("a", 2)])
+    assert replica.make_heartbeat(5, peer=peer).revision == 2
