Rank entries and rebuild the host list on changes alone

Cause: each tick copied every host and hashed every entry; in a profile of 250 processes these copies were 8.5 of 23.4 s. Change: Membership keeps its host tuple until something changes and Topology chooses again only when the hosts or the suspects change. Result: 48 tests of membership, replication, model and outage pass.

--- a/bramleyport/daemons/_hub.py
+++ b/bramleyport/daemons/_hub.py
@@ -50,7 +50,7 @@
         self.replica = replica
         self.membership = Membership()
         self.topology = topology
-        self.on_hosts: Callable[[list[Host]], None] | None = None
+        self.on_hosts: Callable[[tuple[Host, ...]], None] | None = None
         self.on_records: Callable[[], None] | None = None
         self.on_topology: Callable[[], None] | None = None
         self._identity = identity
--- a/bramleyport/membership/_membership.py
+++ b/bramleyport/membership/_membership.py
@@ -120,6 +120,12 @@
     def state(self) -> HostState:
         return HostState.LIVE if self.leaving is None else HostState.LEAVING
 
+    @property
+    def believed(self) -> Host:
+        if self.host.state is self.state:
+            return self.host
+        return replace(self.host, state=self.state)
+
 
 class Membership:
     """Decide which hosts are live, leaving or gone."""
@@ -127,22 +133,31 @@
     def __init__(self, policy: MembershipPolicy | None = None) -> None:
         self._policy = policy or MembershipPolicy()
         self._members: dict[ProcessId, _Member] = {}
+        self._hosts: tuple[Host, ...] | None = None
         # Connected processes that no list has named yet.
         self._unlisted: dict[ProcessId, int] = {}
         self._revision = Revision(0)
 
     @property
-    def hosts(self) -> list[Host]:
-        """Return the known hosts with the state this process believes."""
-        return [replace(m.host, state=m.state) for m in self._members.values()]
+    def hosts(self) -> tuple[Host, ...]:
+        """Return the known hosts; the same object until one of them changes."""
+        if self._hosts is None:
+            self._hosts = tuple(m.believed for m in self._members.values())
+        return self._hosts
 
     def find(self, process: ProcessId) -> Host | None:
         """Return a known host."""
         member = self._members.get(process)
-        return replace(member.host, state=member.state) if member else None
+        return member.believed if member else None
 
     def step(self, event: Event, now_s: float) -> list[Change]:
         """Apply an event and return what changed."""
+        changes = self._apply(event, now_s)
+        if changes or isinstance(event, HostList):
+            self._hosts = None
+        return changes
+
+    def _apply(self, event: Event, now_s: float) -> list[Change]:
         if isinstance(event, HostList):
             return self._apply_list(event, now_s)
         if isinstance(event, Tick):
--- a/bramleyport/replication/_topology.py
+++ b/bramleyport/replication/_topology.py
@@ -60,6 +60,9 @@
         self._zone = zone
         self._policy = policy or TopologyPolicy()
         self._suspects: set[ProcessId] = set()
+        # What the last choice was based on.
+        self._judged: set[ProcessId] = set()
+        self._hosts: tuple[Host, ...] | None = None
         self._chosen_s: dict[ProcessId, float] = {}
         self._progress_s: dict[ProcessId, float] = {}
 
@@ -68,8 +71,16 @@
         moment_s = now_s - age_s
         self._progress_s[process] = max(moment_s, self._get_progress(process))
 
-    def step(self, hosts: Iterable[Host], now_s: float) -> None:
+    def step(self, hosts: tuple[Host, ...], now_s: float) -> None:
         """Choose again from the hosts and the progress seen so far."""
+        self._judge(now_s)
+        # Ranking takes a hash of every entry, so it is done on changes alone.
+        if hosts is not self._hosts or self._suspects != self._judged:
+            self._choose(hosts, now_s)
+            self._hosts = hosts
+            self._judged = set(self._suspects)
+
+    def _choose(self, hosts: tuple[Host, ...], now_s: float) -> None:
         entries = [
             host
             for host in hosts
@@ -79,7 +90,6 @@
         # The lagging list may not name this process yet, or only dead ones.
         names.add(self._own)
         count = self._policy.watchers
-        self._judge(now_s)
         if self._suspects >= names:
             self._suspects.clear()
         first = choose_watchers(self._zone, names, count=count)
--- a/tests/test_replication.py
+++ b/tests/test_replication.py
@@ -274,8 +274,8 @@
     assert replica.receive(ProcessId("b"), beat, 1.0).sends[0].peer == "b"
 
 
-def make_entries(count: int, zones: int = 1) -> list[Host]:
-    return [
+def make_entries(count: int, zones: int = 1) -> tuple[Host, ...]:
+    return tuple(
         Host(
             process=ProcessId(f"entry-{index}"),
             role=ProcessRole.ENTRY,
@@ -285,7 +285,7 @@
             region=RegionName("r"),
         )
         for index in range(count)
-    ]
+    )
 
 
 @pytest.mark.parametrize("count", [1, 2, 50])
