--- a/bramleyport/callers/_app.py
+++ b/bramleyport/callers/_app.py
@@ -1,13 +1,10 @@
 """HTTP routes that callers, the balancer and operators' browsers use."""
 
-import asyncio
 import math
-from collections.abc import Coroutine
 from typing import Any, Final, Protocol
 
 from klein import Klein
 from result import Err, Result
-from twisted.internet.defer import Deferred
 from twisted.web.server import Request
 
 from bramleyport.callers._render import render_error, render_models
@@ -16,9 +13,11 @@
     parse_completion,
     parse_plain,
 )
+from bramleyport.callers._status_page import EntryState, render_status_page
 from bramleyport.callers._stream import CallerGoneError, CallerStream
 from bramleyport.core import ErrorCode, Execution, ServeError
 from bramleyport.telemetry import events, log_event
+from bramleyport.transport import run_as_deferred
 
 JSON_TYPE: Final = {"Content-Type": "application/json"}
 ANY_METHOD: Final = ("GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS")
@@ -39,6 +38,10 @@
         """Return why no request should be sent here, or None when ready."""
         ...
 
+    def read_state(self) -> EntryState:
+        """Return what the status page shows."""
+        ...
+
     def render_metrics(self) -> bytes:
         """Return the metrics in the Prometheus text format."""
         ...
@@ -58,6 +61,7 @@
         route("/healthz", methods=["GET"])(self._health)
         route("/readyz", methods=["GET"])(self._ready)
         route("/metrics", methods=["GET"])(self._metrics)
+        route("/status", methods=["GET"])(self._status)
 
     def _chat(self, request: Request) -> Any:
         return self._complete(request, "/v1/chat/completions", chat=True)
@@ -83,8 +87,8 @@
     ) -> Any:
         stream = CallerStream(request)
         if isinstance(parsed, Err):
-            return _run(send_error(stream, parsed.err_value))
-        return _run(self._guard(parsed.ok_value, stream))
+            return run_as_deferred(send_error(stream, parsed.err_value))
+        return run_as_deferred(self._guard(parsed.ok_value, stream))
 
     async def _guard(self, request: CallerRequest, stream: CallerStream) -> None:
         try:
@@ -107,6 +111,10 @@
         request.setResponseCode(503)
         return reason.encode() + b"\n"
 
+    def _status(self, request: Request) -> bytes:
+        request.setHeader(b"content-type", b"text/html; charset=utf-8")
+        return render_status_page(self._handler.read_state())
+
     def _metrics(self, request: Request) -> bytes:
         request.setHeader(b"content-type", b"text/plain; version=0.0.4")
         return self._handler.render_metrics()
@@ -137,10 +145,6 @@
     )
 
 
-def _run(coroutine: Coroutine[Any, Any, None]) -> Any:
-    return Deferred.fromFuture(asyncio.ensure_future(coroutine))
-
-
 def _read_body(request: Request) -> bytes:
     body: bytes = request.content.read() if request.content else b""
     return body
--- a/bramleyport/daemons/_entry.py
+++ b/bramleyport/daemons/_entry.py
@@ -11,8 +11,9 @@
     CallerGoneError,
     CallerRequest,
     CallerStream,
+    ChunkRenderer,
+    EntryState,
     make_site,
-    render_chunk,
     render_stop,
     render_whole,
     send_error,
@@ -22,14 +23,16 @@
     Execution,
     ServeError,
     ServiceKind,
+    ServiceName,
     UpstreamId,
     Work,
 )
 from bramleyport.daemons._keyed import KeyedCalls, KeyedResult
+from bramleyport.daemons._outcomes import Outcome, OutcomeCounter
 from bramleyport.daemons._records import StoreFollower
 from bramleyport.daemons._work import build_call, build_work, check_key, find_record
 from bramleyport.objectapi import ObjectClient
-from bramleyport.telemetry import Metrics, events, log_event
+from bramleyport.telemetry import Journal, Metrics, TenantLabels, events, log_event
 from bramleyport.transport import listen
 
 if TYPE_CHECKING:
@@ -39,12 +42,14 @@
     from bramleyport.daemons._dispatch import Dispatcher
     from bramleyport.daemons._hub import PeerHub
     from bramleyport.daemons._peers import AgentLinks
+    from bramleyport.daemons._status import StatusReporter
     from bramleyport.records import ServiceRecord
     from bramleyport.replication import RecordStore
     from bramleyport.settings import EntrySettings
     from bramleyport.transport import Identity
 
 STOP_RETRY_S: Final = 1.0
+EVENTS_SHOWN: Final = 25
 
 
 class EntryDaemon:
@@ -61,6 +66,9 @@
         dispatcher: "Dispatcher",
         keyed: KeyedCalls,
         metrics: Metrics,
+        outcomes: OutcomeCounter,
+        journal: Journal,
+        status: "StatusReporter",
     ) -> None:
         self.settings = settings
         self.records = records
@@ -72,8 +80,13 @@
         self._dispatcher = dispatcher
         self._keyed = keyed
         self._metrics = metrics
+        self._outcomes = outcomes
+        self._journal = journal
+        self._status = status
+        self._tenants = TenantLabels()
         self._stopping = False
         self._in_flight = 0
+        self._tasks: list[asyncio.Task[None]] = []
         self._listening: Port | None = None
         self._server: Server | None = None
 
@@ -105,6 +118,7 @@
         )
         self._hub.on_topology = self._follower.update
         self._hub.start(process.seeds)
+        self._tasks = [asyncio.ensure_future(self._status.run())]
         site = make_site(CallerApp(self).app.resource(), self.settings.max_body_bytes)
         endpoint = endpoints.TCP4ServerEndpoint(
             reactor, self.settings.http_port, interface=process.address
@@ -125,6 +139,8 @@
             stopped = self._listening.stopListening()
             if stopped is not None:
                 await stopped.asFuture(asyncio.get_running_loop())
+        for task in self._tasks:
+            task.cancel()
         self._hub.on_topology = None
         self._follower.stop()
         await self._links.close()
@@ -155,6 +171,21 @@
             return "no records yet"
         return None
 
+    def read_state(self) -> EntryState:
+        """Return what the status page shows."""
+        process = self.settings.process
+        return EntryState(
+            process=process.process,
+            zone=process.zone,
+            unready=self.explain_unready(),
+            revision=self.records.revision,
+            in_flight=self._in_flight,
+            records=self.records.records,
+            counts={n: self._outcomes.read(n) for n in self.records.records},
+            views=self._links.list_views(),
+            journal=self._journal.list_latest(EVENTS_SHOWN),
+        )
+
     def render_metrics(self) -> bytes:
         """Return the metrics in the Prometheus text format."""
         return self._metrics.render_text()
@@ -173,8 +204,13 @@
         labels = {"service": request.target[:80], "rank": request.rank.value}
         self._metrics.requests.inc({**labels, "result": result})
         if error is not None:
+            if error.execution is Execution.NOT_RUN:
+                service = ServiceName(request.target)
+                if service in self.records.records:
+                    self._outcomes.count(service, request.rank, Outcome.REJECTED)
             log_event(
                 events.REQUEST_FAILED,
+                service=request.target[:80],
                 step=error.step,
                 peer=error.peer,
                 code=error.code.value,
@@ -220,6 +256,7 @@
         if isinstance(outcome, Err):
             return outcome.err_value
         end = outcome.ok_value
+        self._outcomes.count_answer(work, None, time.monotonic() - work.arrived_s)
         headers = {**end.headers, "X-Request-Id": work.request}
         stream.start(end.status, headers)
         return await _write_all(stream, bytes(body))
@@ -230,6 +267,7 @@
         if isinstance(result, Err):
             return result.err_value
         answer = result.ok_value
+        self._outcomes.count_answer(work, None, time.monotonic() - work.arrived_s)
         stream.start(answer.status, {**answer.headers, "X-Request-Id": work.request})
         return await _write_all(stream, answer.body)
 
@@ -243,7 +281,8 @@
         rejected = self._dispatcher.admit(work)
         if rejected is not None:
             return rejected
-        writer = AnswerWriter(request, record, work, stream, self._metrics)
+        tenant = self._tenants.choose(work.account)
+        writer = AnswerWriter(request, record, work, stream, self._metrics, tenant)
         task = asyncio.ensure_future(
             self._dispatcher.run(work, build_call(request), writer.take)
         )
@@ -259,6 +298,9 @@
             return None
         if isinstance(outcome, Err):
             return outcome.err_value
+        self._outcomes.count_answer(
+            work, writer.first_token_s, time.monotonic() - work.arrived_s
+        )
         await writer.finish(outcome.ok_value.output_tokens)
         return None
 
@@ -273,7 +315,9 @@
         work: Work,
         stream: CallerStream,
         metrics: Metrics,
+        tenant: str,
     ) -> None:
+        self.first_token_s: float | None = None
         self._request = request
         self._model = record.name
         self._work = work
@@ -281,8 +325,11 @@
         self._metrics = metrics
         self._created = int(time.time())
         self._parts: list[str] = []
+        self._renderer = ChunkRenderer(
+            work.request, record.name, self._created, chat=request.chat
+        )
         self._last_s: float | None = None
-        self._labels = {"tenant": work.account, "rank": work.rank.value}
+        self._labels = {"tenant": tenant, "rank": work.rank.value}
 
     async def take(self, chunk: bytes) -> None:
         """Stream a chunk or keep it for the whole answer."""
@@ -293,15 +340,7 @@
             return
         if not self._stream.started:
             self._stream.start(200, self._headers("text/event-stream"))
-        await self._stream.write(
-            render_chunk(
-                self._work.request,
-                self._model,
-                self._created,
-                text,
-                chat=self._request.chat,
-            )
-        )
+        await self._stream.write(self._renderer.render(text))
 
     async def finish(self, output_tokens: int) -> None:
         """Send what ends the answer."""
@@ -334,6 +373,7 @@
         now_s = time.monotonic()
         if self._last_s is None:
             elapsed_s = now_s - self._work.arrived_s
+            self.first_token_s = elapsed_s
             self._metrics.first_token_s.observe(self._labels, elapsed_s)
         else:
             self._metrics.between_tokens_s.observe(self._labels, now_s - self._last_s)
--- a/bramleyport/replication/_replica.py
+++ b/bramleyport/replication/_replica.py
@@ -128,7 +128,10 @@
         peer.heard = True
         peer.revision = max(peer.revision, beat.revision)
         peer.hosts_revision = max(peer.hosts_revision, beat.hosts_revision)
-        if self.records.held.cover(beat.revision, beat.digest):
+        # The digest tells whether a higher revision brings anything.
+        if not self.records.held.adopt(
+            beat.revision, beat.digest
+        ) and self.records.held.cover(beat.revision):
             return self.push()
         behind = beat.revision > self.records.revision
         behind_hosts = beat.hosts_revision > self.hosts.revision
@@ -187,7 +190,11 @@
 
 
 def _build(held: RevisionedSet, after: Revision) -> ReplicaPart | None:
-    return held.build_part(after) if after < held.revision else None
+    if after >= held.revision:
+        return None
+    part = held.build_part(after)
+    # A bare revision travels in the next heartbeat.
+    return part if part.entries or part.after is None else None
 
 
 def _measure(part: ReplicaPart | None) -> int:
--- a/bramleyport/replication/_store.py
+++ b/bramleyport/replication/_store.py
@@ -167,7 +167,9 @@
         return Err([f"not JSON: {error}"])
     if not isinstance(value, dict):
         return Err(["not an object"])
-    return parse_record(value)
+    return parse_record(value).map_err(
+        lambda problems: [problem.describe() for problem in problems]
+    )
 
 
 @lru_cache(maxsize=8192)
--- a/tests/test_replication.py
+++ b/tests/test_replication.py
@@ -1,6 +1,7 @@
 """Guard that records converge, never go back and never yield to invalid ones."""
 
 import json
+from dataclasses import replace
 from random import Random
 
 import pytest
@@ -68,6 +69,14 @@
         if valid:
             self.valid[name] = entry
 
+    def touch(self, name: str) -> None:
+        """Write the status alone."""
+        if name in self.objects:
+            self.revision += 1
+            revision = Revision(self.revision)
+            self.objects[name] = replace(self.objects[name], revision=revision)
+            self.history.append(self.objects[name])
+
     def delete(self, name: str) -> None:
         if name in self.objects:
             self.revision += 1
@@ -124,7 +133,17 @@
 STEPS = st.lists(
     st.tuples(
         st.sampled_from(
-            ["put", "invalid", "delete", "list", "watch", "beat", "restart", "part"]
+            [
+                "put",
+                "invalid",
+                "touch",
+                "delete",
+                "list",
+                "watch",
+                "beat",
+                "restart",
+                "part",
+            ]
         ),
         st.integers(0, 3),
     ),
@@ -158,6 +177,8 @@
             store.put(name)
         elif kind == "invalid":
             store.put(name, valid=False)
+        elif kind == "touch":
+            store.touch(name)
         elif kind == "delete":
             store.delete(name)
         elif kind in ("list", "watch") and number == 1:
@@ -254,6 +275,33 @@
     assert {r.records.revision for r in network.replicas.values()} == {3}
 
 
+@pytest.mark.parametrize("valid", [True, False])
+def test_status_writes_are_not_exchanged(valid: bool) -> None:
+    store, network = FakeStore(), Network(3)
+    watcher, other, _ = network.replicas.values()
+    store.put("a")
+    store.list_into(watcher)
+    store.put("a", valid=valid)
+    watcher.records.offer_change(Revision(2), store.history[1:])
+    network.settle()
+    for _ in range(3):
+        store.touch("a")
+    result = watcher.records.offer_change(Revision(5), store.history[2:])
+    assert isinstance(result, Ignored)
+    assert watcher.push() == []
+    # A fresh watcher reads the touched revision and makes nobody fetch the record.
+    fresh = network.replicas[ProcessId("p2")] = network.make()
+    store.list_into(fresh)
+    assert fresh.records.revision == 5
+    beat = fresh.make_heartbeat(1)
+    if valid:
+        assert other.receive(ProcessId("p2"), beat, 1e6).sends == []
+    network.settle()
+    assert {read_version(r.records, "a") for r in network.replicas.values()} == {
+        "2" if valid else "1"
+    }
+
+
 def test_push_sends_a_delta() -> None:
     replica = Network.make()
     replica.records.offer_listing(Revision(2), [make_entry("a", 1), make_entry("b", 2)])
