--- a/tests/test_planned_stops.py
+++ b/tests/test_planned_stops.py
@@ -4,9 +4,25 @@
 import json
 from collections import Counter
 from collections.abc import Callable, Coroutine
+from dataclasses import replace
 from typing import Any
 
-from bramleyport.composition import build_agent, build_entry
+from bramleyport.cli._demo import MODEL
+from bramleyport.composition import build_agent, build_entry, build_identity
+from bramleyport.core import (
+    AccountId,
+    AttemptId,
+    ModelName,
+    Rank,
+    RequestId,
+    Revision,
+    ServiceKind,
+    ServiceName,
+    Targets,
+    Work,
+)
+from bramleyport.transport import Connection, open_connection
+from bramleyport.wire import Accepted, Execute, Leaving, Message, Refused
 from tests.http_client import Answer, fetch
 
 Run = Callable[[Coroutine[Any, Any, Any]], Any]
@@ -40,6 +56,12 @@
             await asyncio.sleep(0.02)
 
 
+async def wait_until(condition: Callable[[], bool]) -> None:
+    async with asyncio.timeout(60):
+        while not condition():
+            await asyncio.sleep(0.02)
+
+
 async def restart_agent(demo: Any, index: int) -> None:
     await demo.agents[index].stop()
     agent = build_agent(demo.agents[index].settings)
@@ -115,3 +137,91 @@
         assert max(repeats.values()) == 1
 
     run(check())
+
+
+def test_agent_answers_work_that_crossed_its_leaving_notice(
+    demo: Any, run: Run
+) -> None:
+    """Work sent before the notice arrived must not be lost with the connection."""
+
+    async def check() -> None:
+        agent = demo.agents[0]
+        process = replace(demo.entries[0].settings.process, process="entry-9")
+        peer = await open_connection(
+            f"ws://127.0.0.1:{agent.port}", build_identity(process), lambda: Revision(0)
+        )
+        received: list[Message] = []
+
+        def take(_: Connection, message: Message) -> None:
+            received.append(message)
+
+        running = asyncio.ensure_future(peer.run(take))
+        await wait_until(lambda: bool(received))
+        stopping = asyncio.ensure_future(agent.stop())
+        await wait_until(lambda: any(isinstance(m, Leaving) for m in received))
+        notice = next(m for m in received if isinstance(m, Leaving))
+        peer.post(make_execute())
+        peer.post(notice)
+        await stopping
+        refusals = [m for m in received if isinstance(m, Refused)]
+        assert [m.reason for m in refusals] == ["leaving"]
+        await running
+
+    run(check())
+
+
+def test_queued_work_is_handed_back_at_the_drain_limit(demo: Any, run: Run) -> None:
+    """An entry may send refused work elsewhere; lost work it may not."""
+
+    async def check() -> None:
+        settings = demo.agents[0].settings
+        process = replace(settings.process, process="agent-9")
+        agent = build_agent(
+            replace(settings, process=process, max_streams=1, drain_timeout_s=0.0)
+        )
+        await agent.start()
+        received: list[Message] = []
+
+        def take(connection: Connection, message: Message) -> None:
+            received.append(message)
+            if isinstance(message, Leaving):
+                connection.post(message)
+
+        identity = build_identity(demo.entries[0].settings.process)
+        uri = f"ws://127.0.0.1:{agent.port}"
+        peer = await open_connection(uri, identity, lambda: Revision(0))
+        running = asyncio.ensure_future(peer.run(take))
+        peer.post(make_execute("running"))
+        peer.post(make_execute("queued"))
+        await wait_until(
+            lambda: sum(isinstance(message, Accepted) for message in received) == 2
+        )
+        await agent.stop()
+        refused = [m for m in received if isinstance(m, Refused)]
+        assert [(m.attempt, m.reason) for m in refused] == [("queued", "leaving")]
+        await running
+
+    run(check())
+
+
+def make_execute(attempt: str = "attempt-1") -> Execute:
+    work = Work(
+        request=RequestId("r"),
+        account=AccountId("a"),
+        service=ServiceName("inspections"),
+        kind=ServiceKind.LANGUAGE,
+        rank=Rank.URGENT,
+        targets=Targets(first_token_s=1, between_tokens_s=1, answer_s=9),
+        arrived_s=0.0,
+        model=ModelName(MODEL),
+        max_output_tokens=400,
+    )
+    return Execute(
+        attempt=AttemptId(attempt),
+        work=work,
+        method="POST",
+        path="/",
+        headers={},
+        body=b'{"prompt": "a"}',
+        time_left_s=9.0,
+    )
