--- a/bramleyport/bench/_recovery.py
+++ b/bramleyport/bench/_recovery.py
@@ -22,6 +22,8 @@
 SETTLE_S: Final = 10.0
 WINDOW_S: Final = 10.0
 LIMIT_S: Final = 30.0
+# The default interval of an agent's load reports.
+LOAD_S: Final = 0.5
 
 CONFIGURATION_TARGET_S: Final = 8.0
 LEAVING_TARGET_S: Final = 5.0
@@ -48,7 +50,9 @@
 class Experiment:
     """Run the fault cases on one fleet."""
 
-    def __init__(self, size: int, loss: float, seed: int) -> None:
+    def __init__(
+        self, size: int, loss: float, seed: int, load_interval_s: float = LOAD_S
+    ) -> None:
         self.size = size
         self.findings: list[Finding] = []
         self._rng = Random(seed)
@@ -56,6 +60,7 @@
         documents = {f"service-{i}": make_document(i, 0) for i in range(RECORDS)}
         self._store = VirtualStore(documents, hosts)
         self._fleet = Fleet(hosts, self._store, loss, seed)
+        self._fleet.load_interval_s = load_interval_s
         self._version = 0
 
     def run(self) -> list[Finding]:
@@ -239,12 +244,15 @@
 @click.option("--size", "sizes", type=int, multiple=True, help="Processes; repeatable.")
 @click.option("--loss", default=0.01, help="Share of messages lost.")
 @click.option("--seed", default=1, help="Seed of delays, losses and choices.")
+@click.option("--load-interval", default=LOAD_S, help="Seconds between load reports.")
 @click.option("--json", "as_json", is_flag=True, help="Print JSON instead of a table.")
-def recovery(sizes: tuple[int, ...], loss: float, seed: int, as_json: bool) -> None:
+def recovery(
+    sizes: tuple[int, ...], loss: float, seed: int, load_interval: float, as_json: bool
+) -> None:
     """Measure recovery of membership and records under a virtual clock."""
     findings: list[Finding] = []
     for size in sizes or SIZES:
-        findings += Experiment(size, loss, seed).run()
+        findings += Experiment(size, loss, seed, load_interval).run()
     if as_json:
         rows: list[dict[str, Any]] = [
             {**asdict(item), "met": item.met} for item in findings
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -173,3 +173,10 @@
     """Heartbeats are most of the control traffic of an idle process."""
     beat = Heartbeat(sequence=10_000, revision=Revision(10_000))
     assert len(encode(beat)) < 50
+
+
+def test_items_of_nested_lists_are_added_up() -> None:
+    """Each list alone stays below the limit."""
+    data = cbor2.dumps([[0] * (MAX_ITEMS // 2)] * 2 + [[0]])
+    result = decode(data)
+    assert isinstance(result, Err) and "more than" in result.err_value
