--- a/bramleyport/daemons/_hub.py
+++ b/bramleyport/daemons/_hub.py
@@ -3,6 +3,7 @@
 import asyncio
 import time
 from collections.abc import Callable
+from functools import partial
 from typing import Any, Final
 
 from bramleyport.core import ProcessId, Revision
@@ -51,7 +52,7 @@
         self.replica = replica
         self.membership = Membership()
         self.topology = topology
-        self.on_hosts: Callable[[list[Host]], None] | None = None
+        self.on_hosts: Callable[[tuple[Host, ...]], None] | None = None
         self.on_records: Callable[[], None] | None = None
         self.on_topology: Callable[[], None] | None = None
         self._identity = identity
@@ -94,7 +95,7 @@
         """Take a new connection into use."""
         peers = self._connections.setdefault(connection.peer, [])
         peers.append(connection)
-        connection.make_heartbeat = self._make_heartbeat
+        connection.make_heartbeat = partial(self._make_heartbeat, connection.peer)
         self.report(
             Connected(process=connection.peer, incarnation=connection.incarnation)
         )
@@ -204,7 +205,7 @@
         known = {host.process: host for host in hosts}
         wanted = {p: known[p] for p in self.topology.links if p in known}
         self._connect_peers(wanted)
-        if wanted and self._seeds:
+        if hosts and self._seeds:
             self._close_later(self._seeds)
             self._seeds = []
         if self.on_topology is not None:
@@ -269,11 +270,11 @@
             process=self._identity.process, incarnation=self._identity.incarnation
         )
 
-    def _make_heartbeat(self, sequence: int) -> Heartbeat:
+    def _make_heartbeat(self, peer: ProcessId, sequence: int) -> Heartbeat:
         age_s = None
         if self._store_answer_s is not None:
             age_s = time.monotonic() - self._store_answer_s
-        return self.replica.make_heartbeat(sequence, age_s)
+        return self.replica.make_heartbeat(sequence, age_s, peer)
 
     def _record_progress(self, process: ProcessId, age_s: float) -> None:
         if self.topology is not None:
--- a/bramleyport/replication/_revisions.py
+++ b/bramleyport/replication/_revisions.py
@@ -31,6 +31,7 @@
         self.revision = Revision(0)
         self.items: dict[str, ReplicaEntry] = {}
         self.invalid: dict[str, Revision] = {}
+        self._refused: dict[str, bytes] = {}
         self._check = check
         self._follow_coverage = follow_coverage
         self._removed: dict[str, Revision] = {}
@@ -44,7 +45,7 @@
     def digest(self) -> int:
         """Return a short digest of what is in force."""
         if self._digest is None:
-            state = hashlib.blake2b(digest_size=4)
+            state = hashlib.blake2b(digest_size=8)
             for name in sorted(self.items):
                 state.update(name.encode() + b"\0" + (self.items[name].document or b""))
             self._digest = int.from_bytes(state.digest(), "big")
@@ -76,7 +77,11 @@
     ) -> Outcome:
         """Take the changes that a watch of the store reported."""
         self.note_covered(revision)
-        fresh = [item for item in items if item.revision > self.revision]
+        fresh = [
+            item
+            for item in items
+            if item.revision > self.revision and self._differs(item)
+        ]
         if not fresh:
             return Outcome(False, {})
         refused = self._take_all(fresh)
@@ -120,18 +125,21 @@
         ]
         return ReplicaPart(revision=self.revision, after=after, entries=tuple(items))
 
-    def cover(self, revision: Revision, digest: int) -> bool:
+    def adopt(self, revision: Revision, digest: int) -> bool:
+        """Take over a peer's higher revision if the same documents are in force."""
+        if revision <= self.revision or digest != self.digest or not self.revision:
+            return False
+        self.revision = revision
+        return True
+
+    def cover(self, revision: Revision) -> bool:
         """Raise the revision when a peer's is higher but the store was read beyond it.
 
-        Such a peer either holds the same or documents that have since been removed; in
-        the second case it must get everything.
+        Such a peer holds documents that were removed since; it must get everything.
         """
         if not self.revision < revision <= self._covered:
             return False
-        if digest == self.digest:
-            self.revision = revision
-        else:
-            self.revision = self._floor = self._covered
+        self.revision = self._floor = self._covered
         return True
 
     def note_covered(self, revision: Revision) -> None:
@@ -143,7 +151,15 @@
         seen = max(
             self._get_revision(item.name), self.invalid.get(item.name, Revision(0))
         )
-        return item.revision > seen
+        return item.revision > seen and self._differs(item)
+
+    def _differs(self, item: ReplicaEntry) -> bool:
+        # Writes of a record's status raise its revision and leave the document as it
+        # is; they come every few seconds and must not make every process exchange it.
+        if item.name in self.invalid:
+            return item.document != self._refused.get(item.name)
+        held = self.items.get(item.name)
+        return item.document != (held.document if held else None)
 
     def _get_revision(self, name: str) -> Revision:
         item = self.items.get(name)
@@ -173,6 +189,7 @@
             if reasons:
                 refused[item.name] = reasons
                 self.invalid[item.name] = item.revision
+                self._refused[item.name] = item.document
                 continue
             held = self.items.get(item.name)
             if held is not None and held.revision >= item.revision:
