Keep blocks known before a gap as suspects for 60 s

Cause: an agent dropped its whole cache view after a gap in the engine's events; blocks still cached were unknown until used again, and a test that expected the views to equal the caches again never ended. Change: such blocks stay, the view is marked uncertain, and each is dropped after 60 s unless an event names it or a request uses it.

--- a/bramleyport/daemons/_agent_cache.py
+++ b/bramleyport/daemons/_agent_cache.py
@@ -28,7 +28,10 @@
             self._recorder.reset()
             changes = []
         for change in changes:
-            if self._recorder.record(change.sequence, change.stored, change.evicted):
+            gap = self._recorder.record(
+                change.sequence, change.stored, change.evicted, now_s
+            )
+            if gap:
                 log_event(
                     routing_events.CACHE_EVENTS_LOST,
                     upstream=self._view.upstream,
@@ -54,4 +57,5 @@
             stored=change.stored,
             evicted=change.evicted,
             full=change.full,
+            uncertain=change.uncertain,
         )
--- a/bramleyport/daemons/_peers.py
+++ b/bramleyport/daemons/_peers.py
@@ -119,6 +119,7 @@
                 stored=report.stored,
                 evicted=report.evicted,
                 full=report.full,
+                uncertain=report.uncertain,
             )
         )
         self.request_cache()
--- a/bramleyport/wire/_messages.py
+++ b/bramleyport/wire/_messages.py
@@ -225,6 +225,7 @@
     evicted: tuple[PrefixBlock, ...] = ()
     previous: int = 0
     full: bool = False
+    uncertain: bool = False
 
 
 @message("cache_request")
