Weigh model versions and stop retrying an upstream that refused

Cause: with one upstream a refused request was sent to it again at once; the view had no versions. Change: upstreams that refused are left out and the caller gets Retry-After; agents report versions where the engine names them, and routing weighs loading.

--- a/bramleyport/core/_views.py
+++ b/bramleyport/core/_views.py
@@ -6,6 +6,7 @@
 from bramleyport.core._ids import (
     AdapterName,
     ModelName,
+    ModelVersion,
     PrefixBlock,
     RegionName,
     ServiceName,
@@ -75,6 +76,8 @@
     role: EngineRole = EngineRole.MIXED
     state: UpstreamState = UpstreamState.LIVE
     models: frozenset[ModelName] = frozenset()
+    # Empty where the engine does not report versions.
+    versions: frozenset[ModelVersion] = frozenset()
     adapters: frozenset[AdapterName] = frozenset()
     block_tokens: int = 1000
     load: EngineLoad = field(default_factory=EngineLoad)
--- a/bramleyport/daemons/_agent.py
+++ b/bramleyport/daemons/_agent.py
@@ -297,6 +297,7 @@
         view = self._view
         view.role = EngineRole(report["role"])
         view.models = frozenset(report["models"])
+        view.versions = frozenset(report.get("versions", ()))
         view.adapters = frozenset(report["adapters"])
         view.block_tokens = int(report["block_tokens"])
         view.rates = EngineRates(
@@ -324,6 +325,7 @@
             state=UpstreamState.LEAVING if self._leaving else view.state,
             role=view.role,
             models=tuple(sorted(view.models)),
+            versions=tuple(sorted(view.versions)),
             adapters=tuple(sorted(view.adapters)),
             services=tuple(sorted(view.services)),
             block_tokens=view.block_tokens,
--- a/bramleyport/daemons/_dispatch.py
+++ b/bramleyport/daemons/_dispatch.py
@@ -113,18 +113,22 @@
         """Run an admitted request until it is answered or given up."""
         self._retries.record_request(time.monotonic())
         tried: set[UpstreamId] = set()
+        refused: set[UpstreamId] = set()
         worst = Execution.NOT_RUN
+        failure: AttemptFailure | None = None
         attempts = 0
         while True:
-            link = self._choose(work, tried)
+            link = self._choose(work, tried, refused)
             if link is None:
-                return Err(self._explain_no_upstream(work, worst))
+                return Err(self._explain_no_upstream(work, worst, failure))
             attempts += 1
             result = await self._attempt_hedged(link, work, call, on_chunk, tried)
             if isinstance(result, Ok):
                 return Ok(result.ok_value)
             failure = result.err_value
             tried.add(failure.upstream)
+            if failure.kind is FailureKind.REFUSED:
+                refused.add(failure.upstream)
             if failure.execution is not Execution.NOT_RUN:
                 worst = Execution.UNKNOWN
             decision = self._decide_retry(attempts, work, failure)
@@ -146,9 +150,12 @@
         )
         return decision
 
-    def _choose(self, work: Work, tried: set[UpstreamId]) -> "AgentLink | None":
+    def _choose(
+        self, work: Work, tried: set[UpstreamId], refused: set[UpstreamId]
+    ) -> "AgentLink | None":
         assert self.links is not None
-        views = self._list_eligible(work, tried) or self._list_eligible(work, set())
+        # An upstream that refused would refuse again; a broken connection may be back.
+        views = self._list_eligible(work, tried) or self._list_eligible(work, refused)
         return self._route(work, views)
 
     def _route(self, work: Work, views: list[UpstreamView]) -> "AgentLink | None":
@@ -309,13 +316,20 @@
         self._metrics.decisions.inc({"kind": kind, "reason": reason})
         log_event(event, reason=reason, **{**explanation.numbers, **fields})
 
-    def _explain_no_upstream(self, work: Work, worst: Execution) -> ServeError:
+    def _explain_no_upstream(
+        self, work: Work, worst: Execution, failure: AttemptFailure | None
+    ) -> ServeError:
         self._report(
             "routing",
             routing_events.NO_UPSTREAM,
             Explanation(reason="no_upstream"),
             request=work.request,
         )
+        if failure is not None:
+            retry_after_s = max(failure.retry_after_s, NO_UPSTREAM_RETRY_S)
+            explanation = Explanation(reason="no_other_upstream")
+            decision = GiveUp(explanation, failure.execution, retry_after_s)
+            return self._explain_give_up(failure, decision, worst)
         return ServeError(
             code=ErrorCode.NO_UPSTREAM,
             message="no upstream can take the request now",
--- a/bramleyport/daemons/_peers.py
+++ b/bramleyport/daemons/_peers.py
@@ -9,6 +9,7 @@
     AdapterName,
     EngineLoad,
     ModelName,
+    ModelVersion,
     ProcessId,
     Revision,
     SentWork,
@@ -82,6 +83,7 @@
         view.state = info.state
         view.role = info.role
         view.models = frozenset(ModelName(name) for name in info.models)
+        view.versions = frozenset(ModelVersion(name) for name in info.versions)
         view.adapters = frozenset(AdapterName(name) for name in info.adapters)
         view.services = frozenset(ServiceName(name) for name in info.services)
         view.block_tokens = info.block_tokens
--- a/bramleyport/routing/_affinity.py
+++ b/bramleyport/routing/_affinity.py
@@ -31,7 +31,9 @@
 SAME_ZONE_S: Final = 0.0
 OTHER_ZONE_S: Final = 0.0015
 OTHER_REGION_S: Final = 0.030
+# Assumed, not measured; long enough that a loaded engine with a short queue wins.
 ADAPTER_LOAD_S: Final = 1.0
+VERSION_LOAD_S: Final = 20.0
 LATE_WEIGHT: Final = 4.0
 # An engine outside its role slows the work that it is kept free for.
 ROLE_MISMATCH_FACTOR: Final = 2.0
@@ -128,9 +130,8 @@
         prefill_s *= _weigh_role(view.role, EngineRole.DECODE)
         decode_s *= _weigh_role(view.role, EngineRole.PREFILL)
         wait_s = estimate.wait_s + _forecast_slot_wait(view, decode_s)
+        wait_s += _forecast_loading(work, view)
         network_s = 2 * self._measure_distance(view)
-        if work.adapter is not None and work.adapter not in view.adapters:
-            wait_s += ADAPTER_LOAD_S
         first_token_s = wait_s + prefill_s + network_s
         answer_s = first_token_s + decode_s * (1 + _measure_occupancy(view))
         return Candidate(
@@ -216,6 +217,15 @@
     return excess / slots * decode_s
 
 
+def _forecast_loading(work: Work, view: UpstreamView) -> float:
+    loading_s = 0.0
+    if work.adapter is not None and work.adapter not in view.adapters:
+        loading_s += ADAPTER_LOAD_S
+    if work.version and view.versions and work.version not in view.versions:
+        loading_s += VERSION_LOAD_S
+    return loading_s
+
+
 def _weigh_role(role: EngineRole, mismatch: EngineRole) -> float:
     return ROLE_MISMATCH_FACTOR if role is mismatch else 1.0
 
--- a/bramleyport/wire/_messages.py
+++ b/bramleyport/wire/_messages.py
@@ -104,6 +104,7 @@
     state: UpstreamState
     role: EngineRole = EngineRole.MIXED
     models: tuple[str, ...] = ()
+    versions: tuple[str, ...] = ()
     adapters: tuple[str, ...] = ()
     services: tuple[str, ...] = ()
     block_tokens: int = 1000
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -26,7 +26,7 @@
 )
 from bramleyport.routing import ROUTING_POLICIES
 from bramleyport.telemetry import Metrics
-from bramleyport.wire import Accepted, Cancel, Execute, Failed
+from bramleyport.wire import Accepted, Cancel, Execute, Failed, Refused
 from tests.test_race import make_hosts
 
 Run = Callable[[Coroutine[Any, Any, Any]], Any]
@@ -64,6 +64,10 @@
             replies.append(
                 Failed(attempt=message.attempt, execution=unknown, reason="broken")
             )
+        elif self.behaviour == "refuse":
+            replies = [
+                Refused(attempt=message.attempt, reason="full", retry_after_s=7.0)
+            ]
         for reply in replies:
             self._fleet.dispatcher.deliver(self.link, self, reply)  # type: ignore[arg-type]
 
@@ -187,6 +191,19 @@
     run(check())
 
 
+def test_refusal_by_all_upstreams_tells_the_caller_when_to_return(run: Run) -> None:
+    async def check() -> None:
+        fleet = FakeFleet("refuse", "refuse")
+        result = await fleet.run(idempotent=False)
+        assert isinstance(result, Err)
+        assert result.err_value.code is ErrorCode.OVERLOADED
+        assert result.err_value.execution is Execution.NOT_RUN
+        assert result.err_value.retry_after_s == 7.0
+        assert [len(agent.executed) for agent in fleet.agents] == [1, 1]
+
+    run(check())
+
+
 def test_lost_fleet_spends_no_more_than_the_budget(run: Run) -> None:
     async def check() -> None:
         fleet = FakeFleet("fail", "fail", "fail")
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -13,6 +13,7 @@
     EngineLoad,
     EngineRole,
     ModelName,
+    ModelVersion,
     PrefixBlock,
     Rank,
     RegionName,
@@ -82,11 +83,15 @@
     assert choose(views).upstream == views[1].upstream
 
 
-@pytest.mark.parametrize("worse", ["zone", "region", "adapter", "role", "streams"])
+@pytest.mark.parametrize(
+    "worse", ["zone", "region", "adapter", "version", "role", "streams"]
+)
 def test_worse_upstream_is_not_chosen(worse: str) -> None:
     views = make_pair()
     view = views[0]
-    work = replace(WORK, adapter=AdapterName("a"))
+    work = replace(WORK, adapter=AdapterName("a"), version=ModelVersion("2"))
+    view.versions = frozenset({ModelVersion("1" if worse == "version" else "2")})
+    views[1].versions = frozenset({ModelVersion("1"), ModelVersion("2")})
     views[1].adapters = frozenset({AdapterName("a")})
     view.adapters = frozenset() if worse == "adapter" else views[1].adapters
     if worse == "zone":
