Split the dispatcher and keep unknown execution of raced attempts

Cause: if one of two raced attempts may have run and the other was refused last, the caller was told not_run.

--- a/bramleyport/daemons/_dispatch.py
+++ b/bramleyport/daemons/_dispatch.py
@@ -1,7 +1,6 @@
 """Run a request: admission, routing, attempts and retries."""
 
 import time
-import uuid
 from random import Random
 from typing import TYPE_CHECKING
 
@@ -9,7 +8,6 @@
 
 from bramleyport.admission import AdmissionPolicy, Rejected
 from bramleyport.core import (
-    AttemptId,
     ErrorCode,
     Execution,
     Explanation,
@@ -18,13 +16,13 @@
     UpstreamView,
     Work,
 )
+from bramleyport.daemons._attempt_runner import AttemptRunner, DecisionReporter
 from bramleyport.daemons._entry_attempt import (
     AttemptResult,
     Call,
-    EntryAttempt,
     OnChunk,
 )
-from bramleyport.daemons._first_chunk import FirstChunk, run_until_deadline
+from bramleyport.daemons._give_up import explain_give_up
 from bramleyport.daemons._race import Start, race_attempts
 from bramleyport.retries import (
     HEDGE_POLICIES,
@@ -39,7 +37,7 @@
     UpstreamGuard,
 )
 from bramleyport.routing import RoutingPolicy, is_eligible
-from bramleyport.telemetry import Event, Metrics, events, log_event, routing_events
+from bramleyport.telemetry import Metrics, events, log_event, routing_events
 from bramleyport.wire import Message
 
 if TYPE_CHECKING:
@@ -63,23 +61,22 @@
         guard: UpstreamGuard | None = None,
         hedging: HedgePolicy | None = None,
     ) -> None:
-        self._guard = guard or UPSTREAM_GUARDS.create("none")
-        self._hedging = hedging or HEDGE_POLICIES.create("none")
         self.links: AgentLinks | None = None
         self._admission = admission
         self._routing = routing
         self._retries = retries
         self._metrics = metrics
         self._rng = rng
-        self._attempts: dict[AttemptId, EntryAttempt] = {}
+        self._guard = guard or UPSTREAM_GUARDS.create("none")
+        self._hedging = hedging or HEDGE_POLICIES.create("none")
+        self._reporter = DecisionReporter(metrics)
+        self._runner = AttemptRunner(self._guard, self._hedging, metrics, self._release)
 
     def deliver(
         self, link: "AgentLink", connection: "Connection", message: Message
     ) -> None:
         """Hand a message to the attempt that it belongs to."""
-        attempt = self._attempts.get(getattr(message, "attempt", AttemptId("")))
-        if attempt is not None and attempt.link is link:
-            attempt.deliver(connection, message)
+        self._runner.deliver(link, connection, message)
 
     def admit(self, work: Work) -> ServeError | None:
         """Return why a request is rejected, or None to accept it."""
@@ -133,14 +130,14 @@
                 worst = Execution.UNKNOWN
             decision = self._decide_retry(attempts, work, failure)
             if isinstance(decision, GiveUp):
-                return Err(self._explain_give_up(failure, decision, worst))
+                return Err(explain_give_up(failure, decision, worst))
 
     def _decide_retry(
         self, attempts: int, work: Work, failure: AttemptFailure
     ) -> RetryNow | GiveUp:
         decision = self._retries.next(attempts, work, failure, time.monotonic())
         denied = isinstance(decision, GiveUp)
-        self._report(
+        self._reporter.report(
             "retry",
             routing_events.RETRY_DENIED if denied else routing_events.RETRY_ALLOWED,
             decision.explanation,
@@ -158,6 +155,10 @@
         views = self._list_eligible(work, tried) or self._list_eligible(work, refused)
         return self._route(work, views)
 
+    def _release(self, link: "AgentLink") -> None:
+        assert self.links is not None
+        self.links.release(link)
+
     def _route(self, work: Work, views: list[UpstreamView]) -> "AgentLink | None":
         assert self.links is not None
         now_s = time.monotonic()
@@ -167,7 +168,7 @@
         route = self._routing.choose(work, screened.views, now_s, self._rng)
         if route is None:
             return None
-        self._report(
+        self._reporter.report(
             "routing",
             routing_events.UPSTREAM_CHOSEN,
             route.explanation,
@@ -196,16 +197,16 @@
     ) -> AttemptResult:
         plan = self._hedging.plan(work, time.monotonic())
         if plan is None:
-            return await self._attempt(link, work, call, on_chunk)
+            return await self._runner.run(link, work, call, on_chunk)
 
         def find_second() -> Start | None:
             other = self._start_hedge(link, work, plan, tried)
             if other is None:
                 return None
-            return lambda take: self._attempt(other, work, call, take)
+            return lambda take: self._runner.run(other, work, call, take)
 
         return await race_attempts(
-            lambda take: self._attempt(link, work, call, take),
+            lambda take: self._runner.run(link, work, call, take),
             find_second,
             plan.delay_s,
             on_chunk,
@@ -223,14 +224,14 @@
             denied = Explanation(
                 reason="budget_spent", numbers=plan.explanation.numbers
             )
-            self._report(
+            self._reporter.report(
                 "hedge", routing_events.HEDGE_DENIED, denied, request=work.request
             )
             return None
         other = self._route(work, views)
         if other is not None and other.view is not None:
             tried.update(used, {other.view.upstream})
-            self._report(
+            self._reporter.report(
                 "hedge",
                 routing_events.HEDGE_STARTED,
                 plan.explanation,
@@ -239,87 +240,10 @@
             )
         return other
 
-    async def _attempt(
-        self, link: "AgentLink", work: Work, call: Call, on_chunk: OnChunk
-    ) -> AttemptResult:
-        assert self.links is not None
-        assert link.view is not None
-        upstream = link.view.upstream
-        attempt_id = AttemptId(uuid.uuid4().hex)
-        attempt = EntryAttempt(attempt_id, link, work, call)
-        self._attempts[attempt_id] = attempt
-        link.count_sent(work)
-        link.in_flight += 1
-        self._guard.start(upstream)
-        watch = FirstChunk(
-            on_chunk, lambda latency_s: self._observe_first(upstream, work, latency_s)
-        )
-        finished = False
-        try:
-            result = await run_until_deadline(attempt, work, watch)
-            finished = True
-        finally:
-            del self._attempts[attempt_id]
-            if not finished:
-                attempt.cancel()
-                self._abandon(upstream, work, watch)
-            self.links.release(link)
-        self._finish(attempt_id, upstream, work, result)
-        return result
-
-    def _observe_first(
-        self, upstream: UpstreamId, work: Work, latency_s: float
-    ) -> None:
-        self._guard.observe_first(upstream, work, latency_s, time.monotonic())
-        self._hedging.observe_first(work, latency_s)
-
-    def _abandon(self, upstream: UpstreamId, work: Work, watch: FirstChunk) -> None:
-        now_s = time.monotonic()
-        silent_s = now_s - watch.sent_s if watch.latency_s is None else 0.0
-        ejected = self._guard.abandon(upstream, work, silent_s, now_s)
-        self._report_ejection(upstream, ejected)
-
-    def _finish(
-        self,
-        attempt_id: AttemptId,
-        upstream: UpstreamId,
-        work: Work,
-        result: AttemptResult,
-    ) -> None:
-        failure = result.err_value if isinstance(result, Err) else None
-        outcome = failure.kind.value if failure is not None else "ok"
-        self._metrics.attempts.inc({"result": outcome})
-        if failure is not None:
-            log_event(
-                events.ATTEMPT_FAILED,
-                request=work.request,
-                attempt=attempt_id,
-                peer=upstream,
-                reason=outcome,
-                execution=failure.execution.value,
-            )
-        ejected = self._guard.finish(upstream, failure, time.monotonic())
-        self._report_ejection(upstream, ejected)
-
-    def _report_ejection(
-        self, upstream: UpstreamId, ejected: Explanation | None
-    ) -> None:
-        if ejected is not None:
-            self._report(
-                "ejection", routing_events.UPSTREAM_EJECTED, ejected, upstream=upstream
-            )
-
-    def _report(
-        self, kind: str, event: Event, explanation: Explanation, **fields: object
-    ) -> None:
-        reason = explanation.reason
-        self._metrics.decisions.inc({"kind": kind, "reason": reason})
-        log_event(event, reason=reason, **{**explanation.numbers, **fields})
-
     def _explain_no_upstream(
         self, work: Work, worst: Execution, failure: AttemptFailure | None
     ) -> ServeError:
-        self._report(
+        self._reporter.report(
             "routing",
             routing_events.NO_UPSTREAM,
             Explanation(reason="no_upstream"),
@@ -329,7 +253,7 @@
             retry_after_s = max(failure.retry_after_s, NO_UPSTREAM_RETRY_S)
             explanation = Explanation(reason="no_other_upstream")
             decision = GiveUp(explanation, failure.execution, retry_after_s)
-            return self._explain_give_up(failure, decision, worst)
+            return explain_give_up(failure, decision, worst)
         return ServeError(
             code=ErrorCode.NO_UPSTREAM,
             message="no upstream can take the request now",
@@ -337,20 +261,3 @@
             step="routing",
             retry_after_s=NO_UPSTREAM_RETRY_S,
         )
-
-    def _explain_give_up(
-        self, failure: AttemptFailure, decision: GiveUp, worst: Execution
-    ) -> ServeError:
-        code = ErrorCode.UPSTREAM_FAILED
-        if failure.kind is FailureKind.REFUSED:
-            code = ErrorCode.OVERLOADED
-        if decision.explanation.reason == "deadline":
-            code = ErrorCode.DEADLINE
-        return ServeError(
-            code=code,
-            message=f"{failure.kind.value}; {decision.explanation.reason}",
-            execution=worst,
-            step="attempt",
-            peer=failure.upstream,
-            retry_after_s=decision.retry_after_s,
-        )
--- /dev/null
+++ b/bramleyport/daemons/_give_up.py
@@ -0,0 +1,23 @@
+"""Errors of requests that are given up."""
+
+from bramleyport.core import ErrorCode, Execution, ServeError
+from bramleyport.retries import AttemptFailure, FailureKind, GiveUp
+
+
+def explain_give_up(
+    failure: AttemptFailure, decision: GiveUp, worst: Execution
+) -> ServeError:
+    """Return the final error of a request after its last attempt."""
+    code = ErrorCode.UPSTREAM_FAILED
+    if failure.kind is FailureKind.REFUSED:
+        code = ErrorCode.OVERLOADED
+    if decision.explanation.reason == "deadline":
+        code = ErrorCode.DEADLINE
+    return ServeError(
+        code=code,
+        message=f"{failure.kind.value}; {decision.explanation.reason}",
+        execution=worst,
+        step="attempt",
+        peer=failure.upstream,
+        retry_after_s=decision.retry_after_s,
+    )
--- a/bramleyport/daemons/_race.py
+++ b/bramleyport/daemons/_race.py
@@ -4,9 +4,11 @@
 from collections.abc import Callable, Coroutine
 from typing import Any
 
-from result import Ok
+from result import Err, Ok
 
+from bramleyport.core import Execution
 from bramleyport.daemons._entry_attempt import AttemptResult, OnChunk
+from bramleyport.retries import AttemptFailure
 
 Start = Callable[[OnChunk], Coroutine[Any, Any, AttemptResult]]
 
@@ -71,6 +73,7 @@
     claimed: "asyncio.Task[bool]",
 ) -> AttemptResult:
     pending = set(tasks)
+    failures: list[AttemptFailure] = []
     while True:
         await asyncio.wait({*pending, claimed}, return_when=asyncio.FIRST_COMPLETED)
         if gate.owner is not None:
@@ -84,7 +87,19 @@
             pending.discard(task)
             result = task.result()
             # An answer without chunks claims the gate at its end.
-            if isinstance(result, Ok) and gate.claim(index):
-                return result
+            if isinstance(result, Ok):
+                if gate.claim(index):
+                    return result
+                continue
+            failures.append(result.err_value)
             if not pending:
-                return result
+                return Err(_pick_failure(failures))
+
+
+def _pick_failure(failures: list[AttemptFailure]) -> AttemptFailure:
+    """Return a failure of an attempt that may have run, if there is one."""
+    # A refusal of one attempt does not show that the other one never ran.
+    for failure in failures:
+        if failure.execution is not Execution.NOT_RUN:
+            return failure
+    return failures[-1]
--- a/tests/test_race.py
+++ b/tests/test_race.py
@@ -2,8 +2,10 @@
 
 import asyncio
 from collections.abc import Callable, Coroutine
+from dataclasses import replace
 from typing import Any
 
+import pytest
 from result import Err, Ok
 
 from bramleyport.core import (
@@ -43,6 +45,7 @@
         self.turn = asyncio.Event()
         self.cancelled = False
         self._chunks = chunks
+        self.failure = FAILURE
         self._fails = fails
 
     async def start(self, take: OnChunk) -> AttemptResult:
@@ -54,7 +57,7 @@
             self.cancelled = True
             raise
         if self._fails:
-            return Err(FAILURE)
+            return Err(self.failure)
         return Ok(End(attempt=AttemptId(self.name), total=2, digest=b"", status=200))
 
 
@@ -114,13 +117,20 @@
     run(check())
 
 
-def test_last_failure_is_returned_when_both_fail(run: Run) -> None:
+@pytest.mark.parametrize("unknown_first", [True, False])
+def test_refusal_of_one_does_not_hide_that_the_other_may_have_run(
+    run: Run, unknown_first: bool
+) -> None:
     async def check() -> None:
         attempts = [FakeAttempt(name, 0, fails=True) for name in "ab"]
-        for attempt in attempts:
-            attempt.turn.set()
+        refusal = replace(FAILURE, execution=Execution.NOT_RUN)
+        attempts[unknown_first].failure = refusal
+        loop = asyncio.get_running_loop()
+        loop.call_later(0.02, attempts[0].turn.set)
+        loop.call_later(0.04, attempts[1].turn.set)
         result, shown = await race(*attempts)
         assert isinstance(result, Err)
+        assert result.err_value.execution is Execution.UNKNOWN
         assert shown == []
 
     run(check())
