Learn the pools of agents that the host list does not name

Cause: the platform's list names no pools, so a subset could lack a model or a plain service altogether. Change: an entry visits agents of unknown pools once, four at a time, and computes its subset again. Measured: tests/test_pool_scout.py reaches a plain service behind one of five agents from six entries; the load of visits at the target size is not measured.

--- a/bramleyport/daemons/_peers.py
+++ b/bramleyport/daemons/_peers.py
@@ -20,6 +20,7 @@
     UpstreamView,
     Work,
 )
+from bramleyport.daemons._pool_scout import PoolScout
 from bramleyport.membership import Host, HostState, ProcessRole
 from bramleyport.routing import (
     CacheChange,
@@ -163,13 +164,15 @@
         self._identity = identity
         self._read_revision = read_revision
         self._on_message = on_message
+        self._scout = PoolScout(identity, read_revision, self._reapply)
+        self._hosts: list[Host] = []
         self._chosen: frozenset[ProcessId] = frozenset()
         self._links: dict[ProcessId, AgentLink] = {}
         self._tasks: dict[ProcessId, asyncio.Task[None]] = {}
 
     def apply_hosts(self, hosts: Iterable[Host]) -> None:
         """Connect to the agents of the subset and drop those that are gone."""
-        known = list(hosts)
+        known = self._hosts = list(hosts)
         agents = {h.process: h for h in known if h.role is ProcessRole.AGENT}
         chosen = self._choose_subset(known)
         for process in set(self._links) - set(agents):
@@ -209,27 +212,42 @@
                 return link
         return None
 
+    def _reapply(self) -> None:
+        self.apply_hosts(self._hosts)
+
+    def _list_agents(self, hosts: list[Host]) -> list[SubsetHost]:
+        """Return the live agents with their pools, learning those unknown."""
+        agents = [host for host in hosts if host.role is ProcessRole.AGENT]
+        if len(agents) > self._subsets.size:
+            region = self._identity.region
+            near = [host for host in agents if host.region == region]
+            self._scout.visit(near or agents)
+            # Far agents of unknown pools would count as one large pool.
+            agents = [h for h in agents if not near or h.region == region or h.pool]
+        return [
+            SubsetHost(
+                host.process, host.zone, host.region, self._scout.name_pool(host)
+            )
+            for host in agents
+        ]
+
     def _choose_subset(self, hosts: list[Host]) -> frozenset[ProcessId]:
         me = SubsetHost(
             self._identity.process, self._identity.zone, self._identity.region
         )
         live = [host for host in hosts if host.state is HostState.LIVE]
-        rows = {
-            role: [
-                SubsetHost(host.process, host.zone, host.region, host.pool)
-                for host in live
-                if host.role is role
-            ]
-            for role in ProcessRole
-        }
-        chosen = self._subsets.choose(
-            me, rows[ProcessRole.ENTRY], rows[ProcessRole.AGENT]
-        )
+        entries = [
+            SubsetHost(host.process, host.zone, host.region)
+            for host in live
+            if host.role is ProcessRole.ENTRY
+        ]
+        agents = self._list_agents(live)
+        chosen = self._subsets.choose(me, entries, agents)
         if chosen != self._chosen:
             log_event(
                 routing_events.SUBSET_CHANGED,
-                upstreams=len(rows[ProcessRole.AGENT]),
-                entries=len(rows[ProcessRole.ENTRY]),
+                upstreams=len(agents),
+                entries=len(entries),
                 chosen=len(chosen),
                 added=len(chosen - self._chosen),
                 removed=len(self._chosen - chosen),
@@ -256,6 +274,7 @@
 
     async def close(self) -> None:
         """Close all connections."""
+        self._scout.close()
         for task in self._tasks.values():
             task.cancel()
         for link in self._links.values():
@@ -298,6 +317,7 @@
     ) -> None:
         if isinstance(message, UpstreamInfo):
             link.apply_info(message)
+            self._scout.learn(link.host.process, message)
         elif isinstance(message, LoadReport):
             link.apply_load(message)
         elif isinstance(message, CacheReport):
--- a/bramleyport/routing/_subsets.py
+++ b/bramleyport/routing/_subsets.py
@@ -45,7 +45,7 @@
     """Choose the upstreams of every entry and remember the cells computed."""
 
     def __init__(self, size: int = DEFAULT_SUBSET) -> None:
-        self._size = size
+        self.size = size
         self._regions: dict[RegionName, tuple[object, Chosen]] = {}
         self._cells: dict[tuple[RegionName, Cell], tuple[object, Pairs]] = {}
 
@@ -57,7 +57,7 @@
     ) -> frozenset[ProcessId]:
         """Return the upstreams that one entry connects to."""
         known = list(upstreams)
-        if len(known) <= self._size:
+        if len(known) <= self.size:
             return frozenset(host.process for host in known)
         peers = {host.process for host in entries if host.region == entry.region}
         peers.add(entry.process)
@@ -88,7 +88,7 @@
         chosen: dict[ProcessId, list[ProcessId]] = defaultdict(list)
         for pool in sorted(pools):
             hosts = pools[pool]
-            share = round(self._size * len(hosts) / total)
+            share = round(self.size * len(hosts) / total)
             quota = min(len(hosts), max(MIN_PER_POOL, share))
             for zone, counts, members in _divide_zones(pool, entries, hosts, quota):
                 pairs = self._assign_cell(region, (pool, zone), counts, members)
