--- a/bramleyport/daemons/_agent.py
+++ b/bramleyport/daemons/_agent.py
@@ -360,6 +360,7 @@
         view = self._view
         view.role = EngineRole(report["role"])
         view.models = frozenset(report["models"])
+        view.versions = frozenset(report.get("versions", ()))
         view.adapters = frozenset(report["adapters"])
         view.block_tokens = int(report["block_tokens"])
         view.rates = EngineRates(
@@ -388,6 +389,7 @@
             run=self._run_id,
             role=view.role,
             models=tuple(sorted(view.models)),
+            versions=tuple(sorted(view.versions)),
             adapters=tuple(sorted(view.adapters)),
             services=tuple(sorted(view.services)),
             block_tokens=view.block_tokens,
--- a/bramleyport/daemons/_peers.py
+++ b/bramleyport/daemons/_peers.py
@@ -9,6 +9,7 @@
     AdapterName,
     EngineLoad,
     ModelName,
+    ModelVersion,
     ProcessId,
     Revision,
     SentWork,
@@ -20,6 +21,7 @@
 )
 from bramleyport.daemons._hub import PeerHub
 from bramleyport.daemons._kept import KeptConnection
+from bramleyport.daemons._pool_scout import PoolScout
 from bramleyport.membership import Host, HostState, ProcessRole, Spoke
 from bramleyport.routing import (
     CacheChange,
@@ -78,6 +80,7 @@
         view.state = info.state
         view.role = info.role
         view.models = frozenset(ModelName(name) for name in info.models)
+        view.versions = frozenset(ModelVersion(name) for name in info.versions)
         view.adapters = frozenset(AdapterName(name) for name in info.adapters)
         view.services = frozenset(ServiceName(name) for name in info.services)
         view.block_tokens = info.block_tokens
@@ -113,6 +116,7 @@
                 stored=report.stored,
                 evicted=report.evicted,
                 full=report.full,
+                uncertain=report.uncertain,
             )
         )
         self.request_cache()
@@ -153,13 +157,15 @@
         self._read_revision = read_revision
         self._on_message = on_message
         self._hub = hub
+        self._scout = PoolScout(identity, read_revision, self._reapply)
+        self._hosts: list[Host] = []
         self._chosen: frozenset[ProcessId] = frozenset()
         self._links: dict[ProcessId, AgentLink] = {}
         hub.on_hosts = self.apply_hosts
 
     def apply_hosts(self, hosts: Iterable[Host]) -> None:
         """Connect to the agents of the subset and drop those that are gone."""
-        known = list(hosts)
+        known = self._hosts = list(hosts)
         agents = {h.process: h for h in known if h.role is ProcessRole.AGENT}
         chosen = self._choose_subset(known)
         for process in set(self._links) - set(agents):
@@ -198,27 +204,42 @@
                 return link
         return None
 
+    def _reapply(self) -> None:
+        self.apply_hosts(self._hosts)
+
+    def _list_agents(self, hosts: list[Host]) -> list[SubsetHost]:
+        """Return the live agents with their pools, learning those unknown."""
+        agents = [host for host in hosts if host.role is ProcessRole.AGENT]
+        if len(agents) > self._subsets.size:
+            region = self._identity.region
+            near = [host for host in agents if host.region == region]
+            self._scout.visit(near or agents)
+            # Far agents of unknown pools would count as one large pool.
+            agents = [h for h in agents if not near or h.region == region or h.pool]
+        return [
+            SubsetHost(
+                host.process, host.zone, host.region, self._scout.name_pool(host)
+            )
+            for host in agents
+        ]
+
     def _choose_subset(self, hosts: list[Host]) -> frozenset[ProcessId]:
         me = SubsetHost(
             self._identity.process, self._identity.zone, self._identity.region
         )
         live = [host for host in hosts if host.state is HostState.LIVE]
-        rows = {
-            role: [
-                SubsetHost(host.process, host.zone, host.region, host.pool)
-                for host in live
-                if host.role is role
-            ]
-            for role in ProcessRole
-        }
-        chosen = self._subsets.choose(
-            me, rows[ProcessRole.ENTRY], rows[ProcessRole.AGENT]
-        )
+        entries = [
+            SubsetHost(host.process, host.zone, host.region)
+            for host in live
+            if host.role is ProcessRole.ENTRY
+        ]
+        agents = self._list_agents(live)
+        chosen = self._subsets.choose(me, entries, agents)
         if chosen != self._chosen:
             log_event(
                 routing_events.SUBSET_CHANGED,
-                upstreams=len(rows[ProcessRole.AGENT]),
-                entries=len(rows[ProcessRole.ENTRY]),
+                upstreams=len(agents),
+                entries=len(entries),
                 chosen=len(chosen),
                 added=len(chosen - self._chosen),
                 removed=len(self._chosen - chosen),
@@ -249,6 +270,7 @@
 
     async def close(self) -> None:
         """Close all connections."""
+        self._scout.close()
         kept = [link.kept for link in self._links.values() if link.kept is not None]
         await asyncio.gather(*(connection.close() for connection in kept))
 
@@ -287,6 +309,7 @@
         if isinstance(message, UpstreamInfo):
             connection.peer_run = message.run
             link.apply_info(message)
+            self._scout.learn(link.host.process, message)
             if message.state is UpstreamState.LEAVING:
                 self._hub.report_leaving(connection)
             else:
--- a/bramleyport/wire/_messages.py
+++ b/bramleyport/wire/_messages.py
@@ -109,6 +109,7 @@
     state: UpstreamState
     role: EngineRole = EngineRole.MIXED
     models: tuple[str, ...] = ()
+    versions: tuple[str, ...] = ()
     adapters: tuple[str, ...] = ()
     services: tuple[str, ...] = ()
     block_tokens: int = 1000
@@ -238,6 +239,7 @@
     evicted: tuple[PrefixBlock, ...] = ()
     previous: int = 0
     full: bool = False
+    uncertain: bool = False
 
 
 @message("cache_request")
