--- a/tests/test_authority.py
+++ b/tests/test_authority.py
@@ -6,10 +6,33 @@
 from hypothesis import settings, strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, rule
 
-from bramleyport.authority import OrderBook, OrderGuard, Progress
-from bramleyport.core import UpstreamId
+from bramleyport.authority import (
+    ACT_MARGIN_S,
+    LEASE_TTL_S,
+    AgentProgress,
+    Granted,
+    LeaseKeeper,
+    LeaseSeen,
+    LeaseWritten,
+    ListOrders,
+    Order,
+    OrderBook,
+    OrderGuard,
+    OrderObject,
+    OrderReported,
+    OrderSeen,
+    OrdersListed,
+    Progress,
+    ReadLease,
+    ReadOrderObject,
+    Tick,
+    WriteLease,
+    WriteOrder,
+    make_engine_fencing,
+)
+from bramleyport.core import FencingNumber, UpstreamId
 from tests.authority_simulation import Agent, Engine, Holder
-from tests.simulation import Faults, InvariantError, World, load_order
+from tests.simulation import POOL, Faults, InvariantError, World, load_order
 
 
 def build(world: World, *, checks: bool = True) -> World:
@@ -159,3 +182,49 @@
     with pytest.raises(InvariantError, match=name):
         for seed in range(200):
             disturb(build(World(seed, **variant)))
+
+
+def test_object_created_after_the_list_gets_orders_at_once() -> None:
+    """Guards against an engine that waits for the next list for its first order."""
+    name = UpstreamId("engine-0")
+    book = OrderBook(POOL, lambda: "token")
+    listing = book.step(Granted(fencing=FencingNumber(1), until_s=6.0), 0.0)[0]
+    assert isinstance(listing, ListOrders)
+    book.step(OrdersListed(op=listing.op, objects=()), 0.1)
+    reading = book.step(OrderReported(upstream=name), 0.2)[0]
+    assert isinstance(reading, ReadOrderObject)
+    found = OrderObject(
+        upstream=name, version=1, order=Order(pool=POOL), progress=AgentProgress()
+    )
+    sealing = book.step(OrderSeen(op=reading.op, upstream=name, object=found), 0.3)[0]
+    assert isinstance(sealing, WriteOrder)
+    assert sealing.object.order.sealed == 1
+
+
+def test_holder_writes_nothing_after_its_time() -> None:
+    """Guards against a holder that acts on a lease that may have lapsed."""
+    book = OrderBook(POOL, lambda: "token")
+    book.step(Granted(fencing=FencingNumber(1), until_s=6.0), 0.0)
+    late = OrderReported(upstream=UpstreamId("engine-0"))
+    assert book.step(late, 6.0) == []
+    assert book.step(Tick(), 6.0) == []
+
+
+def test_holder_stops_before_another_may_take_the_lease() -> None:
+    """Guards against two holders that act at the same time."""
+    keeper = LeaseKeeper("a", lambda: "token")
+    (read,) = keeper.step(Tick(), 0.0)
+    assert isinstance(read, ReadLease)
+    (write,) = keeper.step(LeaseSeen(op=read.op, lease=None, version=0), 1.0)
+    assert isinstance(write, WriteLease)
+    (granted,) = keeper.step(LeaseWritten(op=write.op, version=1), 2.0)
+    assert isinstance(granted, Granted)
+    # Another candidate sees the write at 1.0 s at the earliest and waits for the TTL.
+    assert granted.until_s == 1.0 + LEASE_TTL_S - ACT_MARGIN_S
+    assert keeper.may_act(granted.until_s - 0.1)
+    assert not keeper.may_act(granted.until_s)
+
+
+def test_call_delayed_past_the_next_order_has_a_lower_number() -> None:
+    """Guards against a delayed call of the same lease at an engine that checks."""
+    assert make_engine_fencing(1, 9) < make_engine_fencing(2, 1)
