Wait before a failed order is given again

Cause: an engine that fails every order would cost three store writes a second, and 300 such engines more than the store supports. Change: a failed order is repeated after 10 s; faults in the order and controller loops are logged; a stopping entry waits for open keyed calls.

--- a/bramleyport/authority/_book.py
+++ b/bramleyport/authority/_book.py
@@ -21,6 +21,8 @@
 NOTIFY_S: Final = 5.0
 REPLY_TIMEOUT_S: Final = 3.5
 RETRY_S: Final = 1.0
+# An engine that keeps failing its order costs three writes each time it is given again.
+FAILED_RETRY_S: Final = 10.0
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -132,6 +134,17 @@
     reading: bool = False
     retry_s: float = 0.0
     notify_s: float = 0.0
+    failed_sequence: int = 0
+    again_s: float = 0.0
+
+    def may_repeat(self, now_s: float) -> bool:
+        """Return whether a failed order has waited long enough to be given again."""
+        if self.object.state is not Progress.FAILED:
+            return True
+        if self.failed_sequence != self.object.order.sequence:
+            self.failed_sequence = self.object.order.sequence
+            self.again_s = now_s + FAILED_RETRY_S
+        return now_s >= self.again_s
 
 
 class OrderBook:
@@ -254,11 +267,11 @@
         actions: list[BookAction] = []
         for upstream, change in event.changes.items():
             slot = self._slots.get(upstream)
-            if slot is not None and self._is_free(slot, change):
+            if slot is not None and self._is_free(slot, change, now_s):
                 actions.append(self._write(slot, self._make(slot, change), now_s))
         return actions
 
-    def _is_free(self, slot: _Slot, change: EngineChange) -> bool:
+    def _is_free(self, slot: _Slot, change: EngineChange, now_s: float) -> bool:
         current = slot.object
         if slot.op or current.order.sealed != self._fencing:
             return False
@@ -266,8 +279,10 @@
             return False
         same = current.order.change == change
         mine = current.order.fencing == self._fencing
-        # An order that was dropped or failed may be given again.
+        # An order that was dropped is given again at once, one that failed later.
         waiting = current.state in (Progress.PENDING, Progress.DONE)
+        if same and not slot.may_repeat(now_s):
+            return False
         return not (same and waiting and mine)
 
     def _make(self, slot: _Slot, change: EngineChange) -> Order:
--- a/bramleyport/daemons/_controller.py
+++ b/bramleyport/daemons/_controller.py
@@ -126,6 +126,8 @@
         """Hold the lease and write orders until cancelled."""
         try:
             await asyncio.gather(self._run_lease(), self._run_book())
+        except Exception as error:  # the lease lapses and passes to another entry
+            log_event(events.HANDLER_FAILED, step="controller", error=repr(error))
         finally:
             for task in self._tasks:
                 task.cancel()
--- a/bramleyport/daemons/_entry.py
+++ b/bramleyport/daemons/_entry.py
@@ -117,7 +117,7 @@
             stopped = self._listening.stopListening()
             if stopped is not None:
                 await stopped.asFuture(asyncio.get_running_loop())
-        await self._keyed.drain()
+        await self._keyed.drain(deadline_s - time.monotonic())
         for task in self._tasks:
             task.cancel()
         await self._links.close()
--- a/bramleyport/daemons/_keyed.py
+++ b/bramleyport/daemons/_keyed.py
@@ -80,10 +80,11 @@
         """Run a keyed call or return the answer of its earlier run."""
         return await asyncio.shield(self._spawn(self._run(key, work, call)))
 
-    async def drain(self) -> None:
+    async def drain(self, wait_s: float = 0.0) -> None:
         """Wait until the outcomes of all calls are recorded, within a limit."""
         if self._tasks:
-            await asyncio.wait(set(self._tasks), timeout=DRAIN_WAIT_S)
+            limit_s = max(wait_s, DRAIN_WAIT_S)
+            await asyncio.wait(set(self._tasks), timeout=limit_s)
         for task in list(self._tasks):
             task.cancel()
 
--- a/bramleyport/daemons/_orders.py
+++ b/bramleyport/daemons/_orders.py
@@ -113,10 +113,13 @@
                     await self._wake.wait()
             except TimeoutError:
                 pass
-            if self._wake.is_set():
-                self._wake.clear()
-                await self._drive(Noticed(sequence=self._noticed))
-            await self._drive(Tick())
+            try:
+                if self._wake.is_set():
+                    self._wake.clear()
+                    await self._drive(Noticed(sequence=self._noticed))
+                await self._drive(Tick())
+            except Exception as error:  # one fault must not end the agent's orders
+                log_event(events.HANDLER_FAILED, step="order", error=repr(error))
 
     async def close(self) -> None:
         """Close the idle connections to the store."""
--- a/tests/test_authority.py
+++ b/tests/test_authority.py
@@ -10,6 +10,7 @@
     ACT_MARGIN_S,
     LEASE_TTL_S,
     AgentProgress,
+    EngineChange,
     Granted,
     LeaseKeeper,
     LeaseSeen,
@@ -22,6 +23,7 @@
     OrderReported,
     OrderSeen,
     OrdersListed,
+    Planned,
     Progress,
     ReadLease,
     ReadOrderObject,
@@ -30,7 +32,8 @@
     WriteOrder,
     make_engine_fencing,
 )
-from bramleyport.core import FencingNumber, UpstreamId
+from bramleyport.authority._book import FAILED_RETRY_S
+from bramleyport.core import EngineRole, FencingNumber, UpstreamId
 from tests.authority_simulation import Agent, Engine, Holder
 from tests.simulation import POOL, Faults, InvariantError, World, load_order
 
@@ -165,7 +168,7 @@
 
 
 class NoWait(OrderBook):
-    def _is_free(self, slot: Any, change: Any) -> bool:
+    def _is_free(self, slot: Any, change: Any, now_s: float) -> bool:
         return not slot.op and slot.object.order.change != change
 
 
@@ -201,6 +204,24 @@
     assert sealing.object.order.sealed == 1
 
 
+def test_failed_order_is_not_repeated_at_once() -> None:
+    """Guards against a failing engine that uses up the store's writes."""
+    name = UpstreamId("engine-0")
+    change = EngineChange(role=EngineRole.DECODE)
+    sealed = FencingNumber(1)
+    order = Order(sequence=3, fencing=sealed, sealed=sealed, pool=POOL, change=change)
+    failed = AgentProgress(sequence=3, state=Progress.FAILED)
+    found = OrderObject(upstream=name, version=1, order=order, progress=failed)
+    book = OrderBook(POOL, lambda: "token")
+    listing = book.step(Granted(fencing=sealed, until_s=60.0), 0.0)[0]
+    assert isinstance(listing, ListOrders)
+    book.step(OrdersListed(op=listing.op, objects=(found,)), 0.1)
+    plan = Planned(changes={name: change})
+    assert book.step(plan, 1.0) == []
+    assert book.step(plan, 1.0 + FAILED_RETRY_S - 0.1) == []
+    assert len(book.step(plan, 1.0 + FAILED_RETRY_S)) == 1
+
+
 def test_holder_writes_nothing_after_its_time() -> None:
     """Guards against a holder that acts on a lease that may have lapsed."""
     book = OrderBook(POOL, lambda: "token")
