--- a/tests/authority_simulation.py
+++ b/tests/authority_simulation.py
@@ -63,6 +63,7 @@
         self.number = 0
         self.role = EngineRole.MIXED
         self.applied: list[int] = []
+        self.calls: list[ApplyOrder] = []
 
     def apply(self, action: ApplyOrder) -> str:
         if self.checks and action.engine_fencing < self.number:
@@ -72,6 +73,7 @@
         self.check_i1_no_conflicting_order(order.sequence)
         self.check_i3_no_lost_authority(order.sequence, order.fencing)
         self.applied.append(order.sequence)
+        self.calls.append(action)
         if order.change.role is not None:
             self.role = order.change.role
         return "applied"
--- a/tests/test_authority.py
+++ b/tests/test_authority.py
@@ -1,5 +1,6 @@
 """Guard that orders keep I1 and I3 through pauses, kills, outages and lost answers."""
 
+from collections.abc import Callable
 from typing import Any
 
 import pytest
@@ -83,6 +84,14 @@
             replace_process(world, index, keep_old=rng.random() < 0.6)
 
 
+def run_until(world: World, condition: Callable[[], bool]) -> None:
+    for _ in range(5000):
+        if condition():
+            return
+        world.run(1)
+    raise AssertionError("the condition did not come true")
+
+
 def settle(world: World) -> None:
     world.faults, world.outage = Faults(hold=0.0), False
     for process in world.processes:
@@ -249,3 +258,23 @@
 def test_call_delayed_past_the_next_order_has_a_lower_number() -> None:
     """Guards against a delayed call of the same lease at an engine that checks."""
     assert make_engine_fencing(1, 9) < make_engine_fencing(2, 1)
+
+
+@pytest.mark.parametrize("checks", [True, False])
+def test_late_call_of_a_paused_agent(checks: bool) -> None:
+    """Guards against a stale order that stays in force after its agent woke up."""
+    world = build(World(1), checks=checks)
+    engine = world.engines[UpstreamId("engine-0")]
+    run_until(world, lambda: engine.role is not EngineRole.MIXED)
+    stale = engine.calls[-1]
+    replace_process(world, 0, keep_old=True)
+    run_until(world, lambda: engine.role is not stale.order.change.role)
+    for process in world.processes:
+        process.alive = process.alive and not isinstance(process, Holder)
+    world.run(100)
+    wanted = engine.role
+    assert wanted is not stale.order.change.role
+    assert engine.apply(stale) == ("refused" if checks else "applied")
+    assert (engine.role is wanted) is checks
+    world.run(150)  # one inspection interval and the repair
+    assert engine.role is wanted
