--- a/tests/test_authority.py
+++ b/tests/test_authority.py
@@ -1,15 +1,42 @@
 """Guard that orders keep I1 and I3 through pauses, kills, outages and lost answers."""
 
+from collections.abc import Callable
 from typing import Any
 
 import pytest
 from hypothesis import settings, strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, rule
 
-from bramleyport.authority import OrderBook, OrderGuard, Progress
-from bramleyport.core import UpstreamId
+from bramleyport.authority import (
+    ACT_MARGIN_S,
+    LEASE_TTL_S,
+    AgentProgress,
+    EngineChange,
+    Granted,
+    LeaseKeeper,
+    LeaseSeen,
+    LeaseWritten,
+    ListOrders,
+    Order,
+    OrderBook,
+    OrderGuard,
+    OrderObject,
+    OrderReported,
+    OrderSeen,
+    OrdersListed,
+    Planned,
+    Progress,
+    ReadLease,
+    ReadOrderObject,
+    Tick,
+    WriteLease,
+    WriteOrder,
+    make_engine_fencing,
+)
+from bramleyport.authority._book import FAILED_RETRY_S
+from bramleyport.core import EngineRole, FencingNumber, UpstreamId
 from tests.authority_simulation import Agent, Engine, Holder
-from tests.simulation import Faults, InvariantError, World, load_order
+from tests.simulation import POOL, Faults, InvariantError, World, load_order
 
 
 def build(world: World, *, checks: bool = True) -> World:
@@ -57,6 +84,14 @@
             replace_process(world, index, keep_old=rng.random() < 0.6)
 
 
+def run_until(world: World, condition: Callable[[], bool]) -> None:
+    for _ in range(5000):
+        if condition():
+            return
+        world.run(1)
+    raise AssertionError("the condition did not come true")
+
+
 def settle(world: World) -> None:
     world.faults, world.outage = Faults(hold=0.0), False
     for process in world.processes:
@@ -142,7 +177,7 @@
 
 
 class NoWait(OrderBook):
-    def _is_free(self, slot: Any, change: Any) -> bool:
+    def _is_free(self, slot: Any, change: Any, now_s: float) -> bool:
         return not slot.op and slot.object.order.change != change
 
 
@@ -159,3 +194,87 @@
     with pytest.raises(InvariantError, match=name):
         for seed in range(200):
             disturb(build(World(seed, **variant)))
+
+
+def test_object_created_after_the_list_gets_orders_at_once() -> None:
+    """Guards against an engine that waits for the next list for its first order."""
+    name = UpstreamId("engine-0")
+    book = OrderBook(POOL, lambda: "token")
+    listing = book.step(Granted(fencing=FencingNumber(1), until_s=6.0), 0.0)[0]
+    assert isinstance(listing, ListOrders)
+    book.step(OrdersListed(op=listing.op, objects=()), 0.1)
+    reading = book.step(OrderReported(upstream=name), 0.2)[0]
+    assert isinstance(reading, ReadOrderObject)
+    found = OrderObject(
+        upstream=name, version=1, order=Order(pool=POOL), progress=AgentProgress()
+    )
+    sealing = book.step(OrderSeen(op=reading.op, upstream=name, object=found), 0.3)[0]
+    assert isinstance(sealing, WriteOrder)
+    assert sealing.object.order.sealed == 1
+
+
+def test_failed_order_is_not_repeated_at_once() -> None:
+    """Guards against a failing engine that uses up the store's writes."""
+    name = UpstreamId("engine-0")
+    change = EngineChange(role=EngineRole.DECODE)
+    sealed = FencingNumber(1)
+    order = Order(sequence=3, fencing=sealed, sealed=sealed, pool=POOL, change=change)
+    failed = AgentProgress(sequence=3, state=Progress.FAILED)
+    found = OrderObject(upstream=name, version=1, order=order, progress=failed)
+    book = OrderBook(POOL, lambda: "token")
+    listing = book.step(Granted(fencing=sealed, until_s=60.0), 0.0)[0]
+    assert isinstance(listing, ListOrders)
+    book.step(OrdersListed(op=listing.op, objects=(found,)), 0.1)
+    plan = Planned(changes={name: change})
+    assert book.step(plan, 1.0) == []
+    assert book.step(plan, 1.0 + FAILED_RETRY_S - 0.1) == []
+    assert len(book.step(plan, 1.0 + FAILED_RETRY_S)) == 1
+
+
+def test_holder_writes_nothing_after_its_time() -> None:
+    """Guards against a holder that acts on a lease that may have lapsed."""
+    book = OrderBook(POOL, lambda: "token")
+    book.step(Granted(fencing=FencingNumber(1), until_s=6.0), 0.0)
+    late = OrderReported(upstream=UpstreamId("engine-0"))
+    assert book.step(late, 6.0) == []
+    assert book.step(Tick(), 6.0) == []
+
+
+def test_holder_stops_before_another_may_take_the_lease() -> None:
+    """Guards against two holders that act at the same time."""
+    keeper = LeaseKeeper("a", lambda: "token")
+    (read,) = keeper.step(Tick(), 0.0)
+    assert isinstance(read, ReadLease)
+    (write,) = keeper.step(LeaseSeen(op=read.op, lease=None, version=0), 1.0)
+    assert isinstance(write, WriteLease)
+    (granted,) = keeper.step(LeaseWritten(op=write.op, version=1), 2.0)
+    assert isinstance(granted, Granted)
+    # Another candidate sees the write at 1.0 s at the earliest and waits for the TTL.
+    assert granted.until_s == 1.0 + LEASE_TTL_S - ACT_MARGIN_S
+    assert keeper.may_act(granted.until_s - 0.1)
+    assert not keeper.may_act(granted.until_s)
+
+
+def test_call_delayed_past_the_next_order_has_a_lower_number() -> None:
+    """Guards against a delayed call of the same lease at an engine that checks."""
+    assert make_engine_fencing(1, 9) < make_engine_fencing(2, 1)
+
+
+@pytest.mark.parametrize("checks", [True, False])
+def test_late_call_of_a_paused_agent(checks: bool) -> None:
+    """Guards against a stale order that stays in force after its agent woke up."""
+    world = build(World(1), checks=checks)
+    engine = world.engines[UpstreamId("engine-0")]
+    run_until(world, lambda: engine.role is not EngineRole.MIXED)
+    stale = engine.calls[-1]
+    replace_process(world, 0, keep_old=True)
+    run_until(world, lambda: engine.role is not stale.order.change.role)
+    for process in world.processes:
+        process.alive = process.alive and not isinstance(process, Holder)
+    world.run(100)
+    wanted = engine.role
+    assert wanted is not stale.order.change.role
+    assert engine.apply(stale) == ("refused" if checks else "applied")
+    assert (engine.role is wanted) is checks
+    world.run(150)  # one inspection interval and the repair
+    assert engine.role is wanted
