--- a/bramleyport/daemons/_keyed.py
+++ b/bramleyport/daemons/_keyed.py
@@ -171,6 +171,12 @@
             error = result.err_value
             if error.execution is Execution.NOT_RUN:
                 return Err(error), ClaimRelease(key=claim.key, attempt=claim.attempt)
+            log_event(
+                authority_events.CLAIM_IN_DOUBT,
+                request=work.request,
+                step=error.step,
+                peer=error.peer,
+            )
             lost = ClaimOutcome(key=claim.key, attempt=claim.attempt, answer=None)
             return Err(error), lost
         end = result.ok_value
--- a/tests/test_in_time_admission.py
+++ b/tests/test_in_time_admission.py
@@ -223,7 +223,7 @@
     body = json.dumps({"model": "inspections", "prompt": "a", "max_tokens": 3}).encode()
     answer = run(fetch(f"{base}/v1/completions", "POST", body=body))
     assert answer.status == 200
-    estimators = [demo.entries[0]._dispatcher._estimator]
+    estimators = [demo.entries[0]._dispatcher._runner._estimator]
     estimators += [agent._schedule._estimator for agent in demo.agents]
     learnt = [e for e in estimators if len(e._lengths) == 1]
     assert len(learnt) == 2
--- a/tests/test_pool_scout.py
+++ b/tests/test_pool_scout.py
@@ -6,8 +6,10 @@
 
 from bramleyport.cli._demo import ENGINES
 from bramleyport.core import ProcessId, RegionName, Revision, ZoneName
+from bramleyport.daemons._hub import PeerHub
 from bramleyport.daemons._peers import AgentLinks
 from bramleyport.membership import Host, ProcessRole
+from bramleyport.replication import HostStore, RecordStore, Replica
 from bramleyport.routing import SubsetSelector
 from bramleyport.transport import Identity
 from tests.test_race import make_hosts
@@ -36,7 +38,10 @@
         region=RegionName("region-0"),
         secret=b"",
     )
-    return AgentLinks(identity, lambda: Revision(0), lambda *_: None, SubsetSelector(2))
+    hub = PeerHub(identity, Replica(RecordStore(), HostStore()))
+    return AgentLinks(
+        identity, lambda: Revision(0), lambda *_: None, hub, SubsetSelector(2)
+    )
 
 
 def test_rare_service_is_reached_without_its_pool_in_the_host_list(
