Plan engine roles from the ratio of prefill to decode work

Engines had one fixed role. The planner compares mixes of roles by the engine model, moves engines only when the gain over the expected stay outweighs the lost seconds, and schedules loads on the weight store. The engine model gives roles an effect: chunk and batch sizes differ, and a change loses the cache. Not measured yet.

--- /dev/null
+++ b/bramleyport/planning/__init__.py
@@ -0,0 +1,35 @@
+"""Engine roles, and model and adapter loads."""
+
+from bramleyport.planning import _ratio as _ratio, _static as _static
+from bramleyport.planning._base import (
+    ROLE_PLANNERS,
+    Change,
+    DemandSample,
+    EngineCosts,
+    ModelLoad,
+    ModelWant,
+    Plan,
+    PoolEngine,
+    PoolState,
+    RoleChange,
+    RolePlanner,
+    WeightStore,
+)
+from bramleyport.planning._capacity import Mix, serve_factor
+
+__all__ = [
+    "ROLE_PLANNERS",
+    "Change",
+    "DemandSample",
+    "EngineCosts",
+    "Mix",
+    "ModelLoad",
+    "ModelWant",
+    "Plan",
+    "PoolEngine",
+    "PoolState",
+    "RoleChange",
+    "RolePlanner",
+    "WeightStore",
+    "serve_factor",
+]
--- a/bramleyport/standins/_engine.py
+++ b/bramleyport/standins/_engine.py
@@ -165,7 +165,7 @@
             "blocks_used": model.count_used_blocks(),
             "blocks_total": model.profile.blocks_total,
             "block_tokens": model.profile.block_tokens,
-            "max_streams": model.profile.max_streams,
+            "max_streams": model.max_streams,
             "prefill_tokens_per_s": model.profile.prefill_tokens_per_s,
             "decode_tokens_per_s": 1 / model.profile.step_base_s,
             "role": model.role.value,
@@ -213,9 +213,9 @@
             return b""
         role = order.get("role")
         if role in ROLE_ORDER and ROLE_ORDER[role] is not self.model.role:
-            await asyncio.sleep(self.model.profile.role_change_s)
-            self.model.role = ROLE_ORDER[role]
-            self.model.cache.clear()
+            await asyncio.sleep(self.model.begin_role_change(ROLE_ORDER[role]))
+            self.model.end_role_change()
+            self._wake.set()
         self.models |= set(order.get("load", ()))
         self.models -= set(order.get("unload", ()))
         return reply_json(request, 200, {**self.order, "role": self.model.role.value})
--- a/bramleyport/standins/_engine_model.py
+++ b/bramleyport/standins/_engine_model.py
@@ -23,6 +23,25 @@
     block_tokens: int = 1000
     blocks_total: int = 1000
     role_change_s: float = 8.0
+    # A prefill engine computes longer chunks, a decode engine shorter ones beside
+    # more streams.
+    prefill_role_chunk_tokens: int = 2048
+    decode_role_chunk_tokens: int = 128
+    decode_role_streams: int = 64
+
+    def limit_chunk(self, role: EngineRole) -> int:
+        """Return the prefill tokens of one step in a role."""
+        if role is EngineRole.PREFILL:
+            return self.prefill_role_chunk_tokens
+        if role is EngineRole.DECODE:
+            return self.decode_role_chunk_tokens
+        return self.prefill_chunk_tokens
+
+    def limit_streams(self, role: EngineRole) -> int:
+        """Return the largest batch in a role."""
+        if role is EngineRole.DECODE:
+            return self.decode_role_streams
+        return self.max_streams
 
 
 @dataclass(slots=True, kw_only=True)
@@ -38,6 +57,8 @@
     produced: int = 0
     cached_tokens: int = 0
     started: bool = False
+    # The KV cache of the prompt came from another engine.
+    imported: bool = False
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -92,6 +113,7 @@
     def __init__(self, profile: EngineProfile) -> None:
         self.profile = profile
         self.role = EngineRole.MIXED
+        self.changing_to: EngineRole | None = None
         self.cache = PrefixCache(profile.blocks_total // 2)
         self.waiting: list[EngineJob] = []
         self.running: list[EngineJob] = []
@@ -103,9 +125,28 @@
             cached_blocks * self.profile.block_tokens, max(0, job.prompt_tokens - 1)
         )
         job.prefill_left = job.prompt_tokens - job.cached_tokens
+        if job.imported:
+            job.prefill_left = 0
         self.waiting.append(job)
         self.waiting.sort(key=lambda item: item.priority)
 
+    @property
+    def max_streams(self) -> int:
+        """Return the largest batch in the present role."""
+        return self.profile.limit_streams(self.role)
+
+    def begin_role_change(self, role: EngineRole) -> float:
+        """Stop work, lose the cache and return the seconds that the change takes."""
+        self.changing_to = role
+        self.cache.clear()
+        return self.profile.role_change_s
+
+    def end_role_change(self) -> None:
+        """Continue work in the new role."""
+        if self.changing_to is not None:
+            self.role = self.changing_to
+        self.changing_to = None
+
     def cancel(self, job: str) -> bool:
         """Remove a job and return whether it was present."""
         before = len(self.waiting) + len(self.running)
@@ -121,7 +162,9 @@
         )
 
     def next_step(self) -> EngineStep | None:
-        """Run one batch step, or return None when idle."""
+        """Run one batch step, or return None when idle or changing role."""
+        if self.changing_to is not None:
+            return None
         self._start_waiting()
         if not self.running:
             return None
@@ -147,7 +190,7 @@
     def _start_waiting(self) -> None:
         used = self.count_used_blocks()
         size = self.profile.block_tokens
-        while self.waiting and len(self.running) < self.profile.max_streams:
+        while self.waiting and len(self.running) < self.max_streams:
             job = self.waiting[0]
             need = -(-(job.prompt_tokens + job.output_tokens) // size)
             if self.running and used + need > self.profile.blocks_total:
@@ -157,10 +200,9 @@
             self.running.append(self.waiting.pop(0))
 
     def _prefill(self) -> int:
-        budget = self.profile.prefill_chunk_tokens
-        for job in sorted(self.running, key=lambda item: item.priority):
-            if job.prefill_left <= 0:
-                continue
+        chunk = budget = self.profile.limit_chunk(self.role)
+        pending = [job for job in self.running if job.prefill_left > 0]
+        for job in sorted(pending, key=lambda item: item.priority):
             part = min(budget, job.prefill_left)
             job.prefill_left -= part
             budget -= part
@@ -168,4 +210,4 @@
                 self.cache.store(job.prefix_blocks)
             if budget <= 0:
                 break
-        return self.profile.prefill_chunk_tokens - budget
+        return chunk - budget
