--- /dev/null
+++ b/bramleyport/bench/_policy_agent.py
@@ -0,0 +1,298 @@
+"""Agents of the policy benchmark: the real queue in front of a modelled engine."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from functools import partial
+from typing import TYPE_CHECKING, Final
+
+from bramleyport.bench._policy_clock import VirtualClock
+from bramleyport.bench._policy_record import Recorder, RequestRun
+from bramleyport.core import (
+    AttemptId,
+    EngineLoad,
+    EngineRates,
+    EngineRole,
+    Execution,
+    UpstreamState,
+    UpstreamView,
+)
+from bramleyport.estimate import Estimator, Observation
+from bramleyport.queueing import QueuedWork, QueuePolicy, Refused
+from bramleyport.retries import AttemptFailure, FailureKind
+from bramleyport.standins import EngineJob, EngineModel, EngineProfile, EngineStep
+
+if TYPE_CHECKING:
+    from bramleyport.bench._policy_entry import SimEntry
+
+# One accelerator link moves 25 GB/s and a token's KV cache takes 128 KB.
+KV_TOKENS_PER_S: Final = 200_000.0
+KV_START_S: Final = 0.01
+SILENCE_S: Final = 1.0
+EXPIRE_INTERVAL_S: Final = 0.2
+
+
+@dataclass(slots=True, kw_only=True)
+class SimAttempt:
+    """Hold one attempt and where its phases run."""
+
+    attempt: AttemptId
+    run: RequestRun
+    entry: "SimEntry"
+    decode_agent: "SimAgent | None" = None
+    imported: bool = False
+    queued_s: float = 0.0
+    started_s: float = 0.0
+
+
+class SimAgent:
+    """Queue and run work on one modelled engine."""
+
+    def __init__(
+        self,
+        clock: VirtualClock,
+        view: UpstreamView,
+        profile: EngineProfile,
+        queue: QueuePolicy,
+        estimator: Estimator,
+        recorder: Recorder,
+    ) -> None:
+        self.view = view
+        self.model = EngineModel(profile)
+        self.queue = queue
+        self.publish: Callable[[SimAgent], None] = lambda _: None
+        self._clock = clock
+        self._estimator = estimator
+        self._recorder = recorder
+        self._waiting: dict[AttemptId, SimAttempt] = {}
+        self.running: dict[AttemptId, SimAttempt] = {}
+        self._stepping = False
+        self._target: EngineRole | None = None
+
+    @property
+    def target_role(self) -> EngineRole | None:
+        """Return the role that a change in progress leads to."""
+        return self._target
+
+    def execute(self, attempt: SimAttempt) -> None:
+        """Queue or refuse an attempt."""
+        if self.view.state is UpstreamState.GONE:
+            self._clock.call_later(SILENCE_S, partial(self._break, attempt))
+            return
+        if self.view.state is not UpstreamState.LIVE:
+            self._refuse(attempt, "not_live", 0.0)
+            return
+        now_s = self._clock.now_s
+        work = attempt.run.request.work
+        estimate = self._estimator.estimate(work, self.view)
+        decision = self.queue.offer(
+            QueuedWork(
+                attempt=attempt.attempt,
+                work=work,
+                deadline_s=work.answer_deadline_s,
+                prefill_s=0.0 if attempt.imported else estimate.prefill_s,
+                decode_s=estimate.decode_s,
+            ),
+            now_s,
+        )
+        if isinstance(decision, Refused):
+            self._refuse(attempt, decision.explanation.reason, decision.retry_after_s)
+            return
+        attempt.queued_s = now_s
+        self._waiting[attempt.attempt] = attempt
+        self._start_queued()
+
+    def change_role(self, role: EngineRole) -> None:
+        """Hand back queued work, finish what runs, then change the role."""
+        self._target = role
+        self._stop_accepting(UpstreamState.CHANGING)
+        self._change_when_idle()
+
+    def leave(self) -> None:
+        """Hand back queued work and finish what runs."""
+        self._stop_accepting(UpstreamState.LEAVING)
+
+    def crash(self) -> None:
+        """Stop at once; peers notice after the silence timeout."""
+        self.view.state = UpstreamState.GONE
+        for attempt in [*self._waiting.values(), *self.running.values()]:
+            self._clock.call_later(SILENCE_S, partial(self._break, attempt))
+        self._waiting.clear()
+        self.running.clear()
+        self._clock.call_later(SILENCE_S, lambda: self.publish(self))
+
+    def expire(self) -> None:
+        """Refuse queued work whose deadline has passed."""
+        for item in self.queue.expire(self._clock.now_s):
+            attempt = self._waiting.pop(item.attempt, None)
+            if attempt is not None:
+                self._recorder.counts["dropped"] += 1
+                self._refuse(attempt, "deadline", 0.0)
+
+    def read_load(self) -> EngineLoad:
+        """Return the load as the agent reports it."""
+        model = self.model
+        return EngineLoad(
+            taken_s=self._clock.now_s,
+            running=len(self.running),
+            queued=len(self.queue),
+            queued_prefill_tokens=sum(
+                attempt.run.request.work.prompt_tokens
+                for attempt in self._waiting.values()
+            )
+            + sum(job.prefill_left for job in (*model.waiting, *model.running)),
+            running_decode_tokens=sum(
+                job.output_tokens - job.produced for job in model.running
+            ),
+            blocks_used=model.count_used_blocks(),
+            blocks_total=model.profile.blocks_total,
+            wait_s=self.queue.forecast_wait(self._clock.now_s),
+        )
+
+    def _stop_accepting(self, state: UpstreamState) -> None:
+        self.view.state = state
+        self.publish(self)
+        for attempt in list(self._waiting.values()):
+            if self.queue.cancel(attempt.attempt):
+                del self._waiting[attempt.attempt]
+                self._refuse(attempt, state.value, 0.0)
+
+    def _change_when_idle(self) -> None:
+        if self._target is None or self.running or self._waiting:
+            return
+        if self.model.changing_to is not None:
+            return
+        if self.view.state is UpstreamState.CHANGING:
+            seconds = self.model.begin_role_change(self._target)
+            self._clock.call_later(seconds, self._end_change)
+
+    def _end_change(self) -> None:
+        if self.view.state is not UpstreamState.CHANGING:
+            return
+        self.model.end_role_change()
+        self._target = None
+        self._recorder.role_changes[self.view.upstream] += 1
+        self.view.role = self.model.role
+        self.view.state = UpstreamState.LIVE
+        self.view.rates = read_rates(self.model)
+        self.publish(self)
+
+    def _start_queued(self) -> None:
+        free = self.model.max_streams - len(self.running)
+        if free > 0:
+            for item in self.queue.take(self._clock.now_s, free):
+                self._start(self._waiting.pop(item.attempt))
+        self._step()
+
+    def _start(self, attempt: SimAttempt) -> None:
+        attempt.started_s = self._clock.now_s
+        self.running[attempt.attempt] = attempt
+        request = attempt.run.request
+        outputs = max(1, request.output_tokens - attempt.run.produced)
+        if attempt.decode_agent is not None:
+            outputs = 1
+        self.model.submit(
+            EngineJob(
+                job=attempt.attempt,
+                prompt_tokens=max(1, request.work.prompt_tokens),
+                output_tokens=outputs,
+                priority=request.work.rank.priority,
+                prefix_blocks=request.work.prefix_blocks,
+                imported=attempt.imported,
+            )
+        )
+
+    def _step(self) -> None:
+        if self._stepping or self.view.state is UpstreamState.GONE:
+            return
+        step = self.model.next_step()
+        if step is not None:
+            self._stepping = True
+            self._clock.call_later(step.duration_s, partial(self._end_step, step))
+
+    def _end_step(self, step: EngineStep) -> None:
+        self._stepping = False
+        if self.view.state is UpstreamState.GONE:
+            return
+        for job in step.produced:
+            self._count_token(self.running[AttemptId(job)])
+        for job in step.finished:
+            self._end_attempt(self.running.pop(AttemptId(job)))
+        self._start_queued()
+        self._change_when_idle()
+
+    def _count_token(self, attempt: SimAttempt) -> None:
+        run, now_s = attempt.run, self._clock.now_s
+        if run.first_s is None:
+            run.first_s = now_s
+        else:
+            self._recorder.count_gap(run.request.work.rank, now_s - run.last_s)
+        run.last_s = now_s
+        run.produced += 1
+
+    def _end_attempt(self, attempt: SimAttempt) -> None:
+        run, now_s = attempt.run, self._clock.now_s
+        self.queue.finish(attempt.attempt, now_s)
+        if attempt.decode_agent is not None and run.produced < (
+            run.request.output_tokens
+        ):
+            self._transfer(attempt)
+            return
+        if run.first_s is not None:
+            observation = Observation(
+                work=run.request.work,
+                upstream=self.view.upstream,
+                output_tokens=run.produced,
+                cached_tokens=0,
+                wait_s=max(0.0, attempt.started_s - attempt.queued_s),
+                prefill_s=max(0.0, run.first_s - attempt.started_s),
+                decode_s=now_s - run.first_s,
+            )
+            self._estimator.observe(observation)
+            attempt.entry.observe(observation)
+        attempt.entry.finish(attempt)
+
+    def _transfer(self, attempt: SimAttempt) -> None:
+        target = attempt.decode_agent
+        assert target is not None
+        if target.view.state is not UpstreamState.LIVE:
+            target = self
+        tokens = attempt.run.request.work.prompt_tokens
+        seconds = 0.0
+        if target is not self:
+            seconds = KV_START_S + tokens / KV_TOKENS_PER_S
+        attempt.decode_agent = None
+        attempt.imported = True
+        self._clock.call_later(seconds, partial(target.execute, attempt))
+
+    def _refuse(self, attempt: SimAttempt, reason: str, retry_after_s: float) -> None:
+        self._recorder.reasons[f"refused_{reason}"] += 1
+        self._fail(attempt, FailureKind.REFUSED, Execution.NOT_RUN, retry_after_s)
+
+    def _break(self, attempt: SimAttempt) -> None:
+        self._fail(attempt, FailureKind.DISCONNECTED, Execution.UNKNOWN, 0.0)
+
+    def _fail(
+        self,
+        attempt: SimAttempt,
+        kind: FailureKind,
+        execution: Execution,
+        retry_after_s: float,
+    ) -> None:
+        failure = AttemptFailure(
+            upstream=self.view.upstream,
+            kind=kind,
+            execution=execution,
+            frames_shown=attempt.run.produced,
+            retry_after_s=retry_after_s,
+        )
+        attempt.entry.fail(attempt, failure)
+
+
+def read_rates(model: EngineModel) -> EngineRates:
+    """Return the rates that an engine reports in its present role."""
+    profile = model.profile
+    return EngineRates(
+        prefill_tokens_per_s=profile.prefill_tokens_per_s,
+        decode_tokens_per_s=1 / profile.step_base_s,
+        max_streams=model.max_streams,
+    )
--- /dev/null
+++ b/bramleyport/bench/_policy_entry.py
@@ -0,0 +1,182 @@
+"""Entries of the policy benchmark: the real decision modules of an entry."""
+
+from collections.abc import Mapping
+from dataclasses import replace
+from functools import partial
+from random import Random
+from time import perf_counter
+from typing import Final
+
+from bramleyport.admission import AdmissionPolicy, Rejected
+from bramleyport.bench._policy_agent import SimAgent, SimAttempt
+from bramleyport.bench._policy_clock import VirtualClock
+from bramleyport.bench._policy_record import Recorder, RequestRun
+from bramleyport.bench._policy_traffic import Request
+from bramleyport.core import (
+    AttemptId,
+    EngineLoad,
+    PrefixBlock,
+    SentWork,
+    ServiceKind,
+    UpstreamId,
+    UpstreamState,
+    UpstreamView,
+    Work,
+)
+from bramleyport.estimate import Estimator, Observation
+from bramleyport.retries import AttemptFailure, GiveUp, RetryPolicy
+from bramleyport.routing import RoutingPolicy, is_eligible
+
+NETWORK_S: Final = 0.0015
+
+
+class SimEntry:
+    """Admit, route and retry requests."""
+
+    def __init__(
+        self,
+        clock: VirtualClock,
+        agents: Mapping[UpstreamId, SimAgent],
+        estimator: Estimator,
+        admission: AdmissionPolicy,
+        routing: RoutingPolicy,
+        retries: RetryPolicy,
+        recorder: Recorder,
+        rng: Random,
+    ) -> None:
+        self.views = {name: _copy_view(agent.view) for name, agent in agents.items()}
+        self.prefill_s = 0.0
+        self.decode_s = 0.0
+        self._clock = clock
+        self._agents = agents
+        self._estimator = estimator
+        self._admission = admission
+        self._routing = routing
+        self._retries = retries
+        self._recorder = recorder
+        self._rng = rng
+
+    def handle(self, request: Request) -> None:
+        """Decide on a new request."""
+        run = RequestRun(request)
+        self._recorder.runs.append(run)
+        work, now_s = request.work, self._clock.now_s
+        started = perf_counter()
+        decision = self._admission.admit(work, self._list_eligible(work, set()), now_s)
+        if isinstance(decision, Rejected):
+            self._recorder.decision_s.append(perf_counter() - started)
+            self._recorder.counts["rejected"] += 1
+            self._recorder.reasons[f"rejected_{decision.explanation.reason}"] += 1
+            run.result = "rejected"
+            self._count_demand(work, None)
+            return
+        self._retries.record_request(now_s)
+        route = self._choose(run)
+        self._recorder.decision_s.append(perf_counter() - started)
+        self._count_demand(work, route[0] if route else None)
+        self._send(run, route)
+
+    def finish(self, attempt: SimAttempt) -> None:
+        """End an answered request."""
+        attempt.run.result = "completed"
+
+    def observe(self, observation: Observation) -> None:
+        """Learn from a finished request."""
+        self._estimator.observe(observation)
+
+    def fail(self, attempt: SimAttempt, failure: AttemptFailure) -> None:
+        """Retry or give up after a failed attempt."""
+        run = attempt.run
+        run.tried.add(failure.upstream)
+        decision = self._retries.next(
+            run.attempts, run.request.work, failure, self._clock.now_s
+        )
+        if isinstance(decision, GiveUp):
+            self._recorder.counts["given_up"] += 1
+            self._recorder.reasons[f"gave_up_{decision.explanation.reason}"] += 1
+            run.result = "failed"
+            return
+        self._recorder.counts["retried"] += 1
+        self._send(run, self._choose(run))
+
+    def apply_load(self, upstream: UpstreamId, load: EngineLoad) -> None:
+        """Take over a load report and count sent work from there."""
+        view = self.views[upstream]
+        view.load = load
+        view.sent = SentWork()
+
+    def apply_state(self, source: UpstreamView) -> None:
+        """Take over the state and the role of an upstream."""
+        view = self.views[source.upstream]
+        view.state = source.state
+        view.role = source.role
+        view.rates = source.rates
+
+    def apply_cache(
+        self, upstream: UpstreamId, stored: set[PrefixBlock], evicted: set[PrefixBlock]
+    ) -> None:
+        """Take over the changes of a cache."""
+        cached = self.views[upstream].cached
+        cached.blocks.update(stored)
+        cached.blocks.difference_update(evicted)
+
+    def _count_demand(self, work: Work, agent: SimAgent | None) -> None:
+        """Count the work that arrived, less what the chosen cache saves."""
+        if work.kind is not ServiceKind.LANGUAGE or not self.views:
+            return
+        view = next(iter(self.views.values()))
+        cached_blocks = 0
+        if agent is not None:
+            view = self.views[agent.view.upstream]
+            cached_blocks = view.cached.count_cached(work.prefix_blocks)
+        uncached = max(0, work.prompt_tokens - cached_blocks * view.block_tokens)
+        estimate = self._estimator.estimate(work, view)
+        self.prefill_s += uncached / view.rates.prefill_tokens_per_s
+        self.decode_s += estimate.output_tokens / view.rates.decode_tokens_per_s
+
+    def _list_eligible(self, work: Work, tried: set[UpstreamId]) -> list[UpstreamView]:
+        return [
+            view
+            for view in self.views.values()
+            if view.upstream not in tried and is_eligible(work, view)
+        ]
+
+    def _choose(self, run: RequestRun) -> "tuple[SimAgent, SimAgent | None] | None":
+        work = run.request.work
+        views = self._list_eligible(work, run.tried) or self._list_eligible(work, set())
+        route = self._routing.choose(work, views, self._clock.now_s, self._rng)
+        if route is None:
+            return None
+        decode = route.decode_upstream
+        return self._agents[route.upstream], self._agents[decode] if decode else None
+
+    def _send(
+        self, run: RequestRun, route: "tuple[SimAgent, SimAgent | None] | None"
+    ) -> None:
+        if route is None:
+            run.result = "no_upstream"
+            self._recorder.counts["no_upstream"] += 1
+            return
+        agent, decode_agent = route
+        run.attempts += 1
+        work = run.request.work
+        view = self.views[agent.view.upstream]
+        view.sent.requests += 1
+        view.sent.prefill_tokens += work.prompt_tokens
+        view.sent.decode_tokens += work.max_output_tokens
+        if decode_agent is not None:
+            sent = self.views[decode_agent.view.upstream].sent
+            sent.requests += 1
+            sent.decode_tokens += work.max_output_tokens
+        attempt = SimAttempt(
+            attempt=AttemptId(f"{work.request}/{run.attempts}"),
+            run=run,
+            entry=self,
+            decode_agent=decode_agent,
+        )
+        self._clock.call_later(NETWORK_S, partial(agent.execute, attempt))
+
+
+def _copy_view(view: UpstreamView) -> UpstreamView:
+    cached = replace(view.cached, blocks=set(view.cached.blocks))
+    return replace(view, cached=cached, sent=SentWork(), state=UpstreamState.LIVE)
--- /dev/null
+++ b/bramleyport/bench/_policy_record.py
@@ -0,0 +1,61 @@
+"""What a run of the policy benchmark measures."""
+
+from collections import Counter, defaultdict
+from dataclasses import dataclass, field
+
+from bramleyport.bench._policy_traffic import Request
+from bramleyport.core import EngineRole, Rank, ServiceKind, UpstreamId
+
+
+@dataclass(slots=True)
+class RequestRun:
+    """Follow one request from its arrival to its end."""
+
+    request: Request
+    attempts: int = 0
+    tried: set[UpstreamId] = field(default_factory=set)
+    first_s: float | None = None
+    last_s: float = 0.0
+    produced: int = 0
+    result: str = "open"
+
+    def met_targets(self) -> bool:
+        """Return whether the answer came within all targets of its rank.
+
+        The time between tokens is the mean over the answer.
+        """
+        work = self.request.work
+        if self.result != "completed" or self.first_s is None:
+            return False
+        if self.last_s > work.answer_deadline_s:
+            return False
+        if work.kind is ServiceKind.PLAIN:
+            return True
+        gaps = max(1, self.produced - 1)
+        between_s = (self.last_s - self.first_s) / gaps
+        return (
+            self.first_s <= work.first_token_deadline_s
+            and between_s <= work.targets.between_tokens_s
+        )
+
+
+@dataclass(slots=True)
+class Recorder:
+    """Collect the measures of one run."""
+
+    runs: list[RequestRun] = field(default_factory=list)
+    # Time between tokens in whole milliseconds, by rank.
+    gaps_ms: defaultdict[Rank, Counter[int]] = field(
+        default_factory=lambda: defaultdict(Counter)
+    )
+    counts: Counter[str] = field(default_factory=Counter)
+    reasons: Counter[str] = field(default_factory=Counter)
+    role_changes: Counter[UpstreamId] = field(default_factory=Counter)
+    decision_s: list[float] = field(default_factory=list)
+    plan_s: list[float] = field(default_factory=list)
+    roles: list[tuple[float, dict[EngineRole, int]]] = field(default_factory=list)
+    engines: list[tuple[float, int]] = field(default_factory=list)
+
+    def count_gap(self, rank: Rank, gap_s: float) -> None:
+        """Count one time between tokens."""
+        self.gaps_ms[rank][round(gap_s * 1000)] += 1
--- /dev/null
+++ b/bramleyport/bench/_policy_report.py
@@ -0,0 +1,188 @@
+"""Summaries of policy runs as plain data and as a table."""
+
+from bisect import bisect_left
+from collections import Counter
+from collections.abc import Mapping, Sequence
+from itertools import accumulate
+from typing import Any, Final
+
+from bramleyport.bench._policy_bound import SLOT_S, compute_bound
+from bramleyport.bench._policy_record import Recorder, RequestRun
+from bramleyport.bench._policy_run import (
+    POLICY_SETS,
+    TAIL_S,
+    PolicyRun,
+)
+from bramleyport.bench._policy_scenario import LANGUAGE_WORKERS, SCENARIOS
+from bramleyport.core import Rank, ServiceKind
+from bramleyport.standins import EngineProfile
+
+QUANTILES: Final = (0.5, 0.95, 0.99)
+TIMELINE_S: Final = 10.0
+
+
+def run_policy(scenario: str, policies: str, seed: int, scale: int) -> dict[str, Any]:
+    """Run one scenario with one policy set and return its summary."""
+    run = PolicyRun(SCENARIOS[scenario], POLICY_SETS[policies], seed, scale)
+    recorder = run.run()
+    goodput = sum(r.request.tokens for r in _language(recorder) if r.met_targets())
+    engines = _list_engines(recorder, run.end_s + TAIL_S, scale)
+    bound = compute_bound(run.requests, engines, EngineProfile())
+    offered = sum(r.request.tokens for r in _language(recorder))
+    changes = recorder.role_changes
+    return {
+        "scenario": scenario,
+        "policies": policies,
+        "seed": seed,
+        "scale": scale,
+        "offered_tokens": offered,
+        "goodput_tokens": goodput,
+        "bound_tokens": round(bound),
+        "goodput_share": round(goodput / max(1.0, bound), 4),
+        "ranks": {
+            rank.value: _summarise_rank(recorder, rank, run.end_s) for rank in Rank
+        },
+        "role_changes": sum(changes.values()),
+        "role_changes_per_engine_max": max(changes.values(), default=0),
+        "counts": dict(sorted(recorder.counts.items())),
+        "reasons": dict(sorted(recorder.reasons.items())),
+        "decision_us": _list_quantiles(sorted(recorder.decision_s), 1e6),
+        "plan_ms": _list_quantiles(sorted(recorder.plan_s), 1e3),
+        "timeline": _make_timeline(recorder),
+    }
+
+
+def _language(recorder: Recorder) -> list[RequestRun]:
+    return [r for r in recorder.runs if r.request.work.kind is ServiceKind.LANGUAGE]
+
+
+def _list_engines(recorder: Recorder, end_s: float, scale: int) -> list[float]:
+    """Return the most engines in service in each slot of the bound."""
+    slots = int(-(-end_s // SLOT_S))
+    engines = []
+    for slot in range(slots):
+        count = LANGUAGE_WORKERS * scale
+        for at_s, left in recorder.engines:
+            if at_s <= slot * SLOT_S:
+                count = left
+        engines.append(float(count))
+    return engines
+
+
+def _summarise_rank(recorder: Recorder, rank: Rank, end_s: float) -> dict[str, Any]:
+    runs = [r for r in _language(recorder) if r.request.work.rank is rank]
+    plain = [
+        r
+        for r in recorder.runs
+        if r.request.work.kind is ServiceKind.PLAIN and r.request.work.rank is rank
+    ]
+    waits = sorted(
+        r.first_s - r.request.work.arrived_s for r in runs if r.first_s is not None
+    )
+    met = [r for r in runs if r.met_targets()]
+    admitted = [r for r in runs if r.result != "rejected"]
+    offered = sum(r.request.tokens for r in runs)
+    return {
+        "requests": len(runs),
+        "in_time": _divide(len(met), len(runs)),
+        "in_time_of_admitted": _divide(len(met), len(admitted)),
+        "in_time_tokens": _divide(sum(r.request.tokens for r in met), offered),
+        "goodput_tokens_per_s": round(sum(r.request.tokens for r in met) / end_s, 1),
+        "plain_in_time": _divide(sum(r.met_targets() for r in plain), len(plain)),
+        "first_token_s": _list_quantiles(waits, 1.0),
+        "between_tokens_ms": _list_counter_quantiles(recorder.gaps_ms[rank]),
+    }
+
+
+def _divide(part: float, whole: float) -> float | None:
+    return round(part / whole, 4) if whole else None
+
+
+def _list_quantiles(values: Sequence[float], factor: float) -> list[float]:
+    if not values:
+        return []
+    last = len(values) - 1
+    return [round(values[round(q * last)] * factor, 3) for q in QUANTILES]
+
+
+def _list_counter_quantiles(counter: Counter[int]) -> list[float]:
+    if not counter:
+        return []
+    values = sorted(counter)
+    sums = list(accumulate(counter[value] for value in values))
+    return [float(values[bisect_left(sums, q * sums[-1])]) for q in QUANTILES]
+
+
+def _make_timeline(recorder: Recorder) -> dict[str, Any]:
+    """Return goodput by the time of the answer, and the roles over time."""
+    tokens: Counter[int] = Counter()
+    for run in _language(recorder):
+        if run.met_targets():
+            tokens[int(run.last_s // TIMELINE_S)] += run.request.tokens
+    last = max(tokens, default=0)
+    return {
+        "interval_s": TIMELINE_S,
+        "goodput_tokens_per_s": [
+            round(tokens[index] / TIMELINE_S, 1) for index in range(last + 1)
+        ],
+        "roles": [
+            {"at_s": at_s, **{role.value: n for role, n in roles.items()}}
+            for at_s, roles in recorder.roles
+        ],
+    }
+
+
+COLUMNS: Final = (
+    "scenario",
+    "scale",
+    "policies",
+    "goodput",
+    "share",
+    "urgent",
+    "standard",
+    "batch",
+    "first p95 s",
+    "between p95 ms",
+    "changes",
+    "per engine",
+    "rejected",
+    "dropped",
+    "retried",
+    "decision p50/p99 us",
+)
+
+
+def format_table(summaries: Sequence[Mapping[str, Any]]) -> str:
+    """Return the summaries as a Markdown table."""
+    rows = [COLUMNS, tuple("---" for _ in COLUMNS)]
+    rows += [_make_row(summary) for summary in summaries]
+    return "\n".join("| " + " | ".join(row) + " |" for row in rows)
+
+
+def _make_row(summary: Mapping[str, Any]) -> tuple[str, ...]:
+    ranks = summary["ranks"]
+    counts = summary["counts"]
+
+    def join(field: str, index: int) -> str:
+        cells = [ranks[rank.value][field] for rank in Rank]
+        return "/".join(f"{cell[index]:g}" if cell else "-" for cell in cells)
+
+    decision = summary["decision_us"]
+    return (
+        summary["scenario"],
+        str(summary["scale"]),
+        summary["policies"],
+        str(summary["goodput_tokens"]),
+        f"{summary['goodput_share']:.3f}",
+        *(_format_share(ranks[rank.value]["in_time"]) for rank in Rank),
+        join("first_token_s", 1),
+        join("between_tokens_ms", 1),
+        str(summary["role_changes"]),
+        str(summary["role_changes_per_engine_max"]),
+        *(str(counts.get(name, 0)) for name in ("rejected", "dropped", "retried")),
+        f"{decision[0]:.0f}/{decision[2]:.0f}" if decision else "-",
+    )
+
+
+def _format_share(share: float | None) -> str:
+    return "-" if share is None else f"{share:.3f}"
--- a/bramleyport/standins/_engine_model.py
+++ b/bramleyport/standins/_engine_model.py
@@ -103,6 +103,10 @@
         self.evicted.extend(self._blocks)
         self._blocks.clear()
 
+    def list_blocks(self) -> list[PrefixBlock]:
+        """Return the cached blocks, least recently used first."""
+        return list(self._blocks)
+
     def __len__(self) -> int:
         return len(self._blocks)
 
