--- a/bramleyport/bench/_policy_agent.py
+++ b/bramleyport/bench/_policy_agent.py
@@ -13,20 +13,20 @@
     EngineRates,
     EngineRole,
     Execution,
+    UpstreamId,
     UpstreamState,
     UpstreamView,
 )
 from bramleyport.estimate import Estimator, Observation
 from bramleyport.queueing import QueuedWork, QueuePolicy, Refused
 from bramleyport.retries import AttemptFailure, FailureKind
+from bramleyport.routing import TransferCost
 from bramleyport.standins import EngineJob, EngineModel, EngineProfile, EngineStep
 
 if TYPE_CHECKING:
     from bramleyport.bench._policy_entry import SimEntry
 
-# One accelerator link moves 25 GB/s and a token's KV cache takes 128 KB.
-KV_TOKENS_PER_S: Final = 200_000.0
-KV_START_S: Final = 0.01
+TRANSFER: Final = TransferCost()
 SILENCE_S: Final = 1.0
 EXPIRE_INTERVAL_S: Final = 0.2
 
@@ -38,8 +38,11 @@
     attempt: AttemptId
     run: RequestRun
     entry: "SimEntry"
+    upstream: UpstreamId
+    sent_s: float
     decode_agent: "SimAgent | None" = None
     imported: bool = False
+    cached_tokens: int = 0
     queued_s: float = 0.0
     started_s: float = 0.0
 
@@ -91,6 +94,7 @@
                 deadline_s=work.answer_deadline_s,
                 prefill_s=0.0 if attempt.imported else estimate.prefill_s,
                 decode_s=estimate.decode_s,
+                spread_s=estimate.spread_s,
             ),
             now_s,
         )
@@ -190,16 +194,16 @@
         outputs = max(1, request.output_tokens - attempt.run.produced)
         if attempt.decode_agent is not None:
             outputs = 1
-        self.model.submit(
-            EngineJob(
-                job=attempt.attempt,
-                prompt_tokens=max(1, request.work.prompt_tokens),
-                output_tokens=outputs,
-                priority=request.work.rank.priority,
-                prefix_blocks=request.work.prefix_blocks,
-                imported=attempt.imported,
-            )
+        job = EngineJob(
+            job=attempt.attempt,
+            prompt_tokens=max(1, request.work.prompt_tokens),
+            output_tokens=outputs,
+            priority=request.work.rank.priority,
+            prefix_blocks=request.work.prefix_blocks,
+            imported=attempt.imported,
         )
+        self.model.submit(job)
+        attempt.cached_tokens = job.cached_tokens
 
     def _step(self) -> None:
         if self._stepping or self.view.state is UpstreamState.GONE:
@@ -242,7 +246,7 @@
                 work=run.request.work,
                 upstream=self.view.upstream,
                 output_tokens=run.produced,
-                cached_tokens=0,
+                cached_tokens=attempt.cached_tokens,
                 wait_s=max(0.0, attempt.started_s - attempt.queued_s),
                 prefill_s=max(0.0, run.first_s - attempt.started_s),
                 decode_s=now_s - run.first_s,
@@ -259,7 +263,7 @@
         tokens = attempt.run.request.work.prompt_tokens
         seconds = 0.0
         if target is not self:
-            seconds = KV_START_S + tokens / KV_TOKENS_PER_S
+            seconds = TRANSFER.forecast(tokens)
         attempt.decode_agent = None
         attempt.imported = True
         self._clock.call_later(seconds, partial(target.execute, attempt))
--- a/bramleyport/bench/_policy_entry.py
+++ b/bramleyport/bench/_policy_entry.py
@@ -24,7 +24,7 @@
     Work,
 )
 from bramleyport.estimate import Estimator, Observation
-from bramleyport.retries import AttemptFailure, GiveUp, RetryPolicy
+from bramleyport.retries import AttemptFailure, GiveUp, RetryPolicy, UpstreamGuard
 from bramleyport.routing import RoutingPolicy, is_eligible
 
 NETWORK_S: Final = 0.0015
@@ -41,6 +41,7 @@
         admission: AdmissionPolicy,
         routing: RoutingPolicy,
         retries: RetryPolicy,
+        guard: UpstreamGuard,
         recorder: Recorder,
         rng: Random,
     ) -> None:
@@ -53,6 +54,7 @@
         self._admission = admission
         self._routing = routing
         self._retries = retries
+        self._guard = guard
         self._recorder = recorder
         self._rng = rng
 
@@ -78,7 +80,13 @@
 
     def finish(self, attempt: SimAttempt) -> None:
         """End an answered request."""
-        attempt.run.result = "completed"
+        run, now_s = attempt.run, self._clock.now_s
+        run.result = "completed"
+        if run.first_s is not None:
+            first_s = run.first_s - attempt.sent_s
+            work = run.request.work
+            self._guard.observe_first(attempt.upstream, work, first_s, now_s)
+        self._guard.finish(attempt.upstream, None, now_s)
 
     def observe(self, observation: Observation) -> None:
         """Learn from a finished request."""
@@ -88,6 +96,7 @@
         """Retry or give up after a failed attempt."""
         run = attempt.run
         run.tried.add(failure.upstream)
+        self._guard.finish(attempt.upstream, failure, self._clock.now_s)
         decision = self._retries.next(
             run.attempts, run.request.work, failure, self._clock.now_s
         )
@@ -143,11 +152,15 @@
 
     def _choose(self, run: RequestRun) -> "tuple[SimAgent, SimAgent | None] | None":
         work = run.request.work
+        now_s = self._clock.now_s
         views = self._list_eligible(work, run.tried) or self._list_eligible(work, set())
-        route = self._routing.choose(work, views, self._clock.now_s, self._rng)
+        screened = self._guard.screen(views, now_s).views if views else []
+        route = self._routing.choose(work, screened, now_s, self._rng)
         if route is None:
             return None
         decode = route.decode_upstream
+        if decode:
+            self._recorder.counts["split"] += 1
         return self._agents[route.upstream], self._agents[decode] if decode else None
 
     def _send(
@@ -160,10 +173,8 @@
         agent, decode_agent = route
         run.attempts += 1
         work = run.request.work
-        view = self.views[agent.view.upstream]
-        view.sent.requests += 1
-        view.sent.prefill_tokens += work.prompt_tokens
-        view.sent.decode_tokens += work.max_output_tokens
+        self.views[agent.view.upstream].sent.add(work)
+        self._guard.start(agent.view.upstream)
         if decode_agent is not None:
             sent = self.views[decode_agent.view.upstream].sent
             sent.requests += 1
@@ -172,6 +183,8 @@
             attempt=AttemptId(f"{work.request}/{run.attempts}"),
             run=run,
             entry=self,
+            upstream=agent.view.upstream,
+            sent_s=self._clock.now_s,
             decode_agent=decode_agent,
         )
         self._clock.call_later(NETWORK_S, partial(agent.execute, attempt))
--- a/bramleyport/bench/_policy_run.py
+++ b/bramleyport/bench/_policy_run.py
@@ -1,6 +1,6 @@
 """Run one scenario with one set of policies."""
 
-from collections.abc import Iterator
+from collections.abc import Iterator, Set
 from dataclasses import dataclass, replace
 from functools import partial
 from random import Random
@@ -8,7 +8,12 @@
 from typing import Final
 
 from bramleyport.admission import ADMISSION_POLICIES
-from bramleyport.bench._policy_agent import EXPIRE_INTERVAL_S, SimAgent, read_rates
+from bramleyport.bench._policy_agent import (
+    EXPIRE_INTERVAL_S,
+    TRANSFER,
+    SimAgent,
+    read_rates,
+)
 from bramleyport.bench._policy_clock import VirtualClock
 from bramleyport.bench._policy_entry import NETWORK_S, SimEntry
 from bramleyport.bench._policy_record import Recorder
@@ -23,6 +28,7 @@
 from bramleyport.core import (
     EngineRole,
     PrefixBlock,
+    ProcessId,
     RegionName,
     ServiceKind,
     UpstreamId,
@@ -41,8 +47,13 @@
     RolePlanner,
 )
 from bramleyport.queueing import QUEUE_POLICIES
-from bramleyport.retries import RETRY_POLICIES
-from bramleyport.routing import ROUTING_POLICIES
+from bramleyport.retries import RETRY_POLICIES, UPSTREAM_GUARDS
+from bramleyport.routing import (
+    ROUTING_POLICIES,
+    Place,
+    SubsetHost,
+    SubsetSelector,
+)
 from bramleyport.standins import EngineModel, EngineProfile
 
 REPORT_INTERVAL_S: Final = 0.5
@@ -65,6 +76,7 @@
     admission: str = "open"
     routing: str = "least_loaded"
     retries: str = "counted"
+    guard: str = "none"
     queue: str = "fifo"
     planner: str = "static"
 
@@ -75,6 +87,7 @@
     admission="in_time",
     routing="affinity",
     retries="budget",
+    guard="adaptive",
     queue="ranked",
     planner="ratio",
 )
@@ -103,9 +116,7 @@
         self._planner: RolePlanner = ROLE_PLANNERS.create(policies.planner)
         self._demand: list[DemandSample] = []
         self._agents = self._make_agents(scale)
-        self._entries = [
-            self._make_entry(index, scale) for index in range(ENTRIES_PER_FLEET * scale)
-        ]
+        self._entries = self._make_entries(ENTRIES_PER_FLEET * scale)
         self._arrivals: Iterator[Request] = make_requests(scenario, seed, scale)
         self._next_entry = 0
 
@@ -149,22 +160,37 @@
             agents[name] = agent
         return agents
 
-    def _make_entry(self, index: int, scale: int) -> SimEntry:
-        """Build an entry that is connected to a subset of constant size."""
-        names = list(self._agents)
-        chosen = []
-        for start, count in ((0, LANGUAGE_WORKERS), (LANGUAGE_WORKERS, PLAIN_WORKERS)):
-            group = names[start * scale : (start + count) * scale]
-            first = index * count // ENTRIES_PER_FLEET
-            chosen += [group[(first + step) % len(group)] for step in range(count)]
-        estimator = ESTIMATORS.create(self._policies.estimator)
+    def _make_entries(self, count: int) -> list[SimEntry]:
+        """Build entries that are connected to subsets of constant size."""
+        hosts = [
+            SubsetHost(
+                ProcessId(f"entry-{index}"), ZoneName(ZONES[index % len(ZONES)]), REGION
+            )
+            for index in range(count)
+        ]
+        upstreams = [
+            SubsetHost(ProcessId(name), agent.view.zone, REGION, agent.view.kind.value)
+            for name, agent in self._agents.items()
+        ]
+        subsets = SubsetSelector(SUBSET).choose_all(hosts, upstreams)
+        return [self._make_entry(host, subsets[host.process]) for host in hosts]
+
+    def _make_entry(self, host: SubsetHost, subset: Set[ProcessId]) -> SimEntry:
+        policies = self._policies
+        estimator = ESTIMATORS.create(policies.estimator)
+        names = [UpstreamId(name) for name in sorted(subset)]
+        place = Place(zone=host.zone, region=host.region)
+        routing: tuple[object, ...] = (estimator, place)
+        if policies.routing == "affinity":
+            routing = (estimator, place, TRANSFER)
         return SimEntry(
             self._clock,
-            {name: self._agents[name] for name in chosen},
+            {name: self._agents[name] for name in names},
             estimator,
-            ADMISSION_POLICIES.create(self._policies.admission, estimator),
-            ROUTING_POLICIES.create(self._policies.routing, estimator),
-            RETRY_POLICIES.create(self._policies.retries),
+            ADMISSION_POLICIES.create(policies.admission, estimator),
+            ROUTING_POLICIES.create(policies.routing, *routing),
+            RETRY_POLICIES.create(policies.retries),
+            UPSTREAM_GUARDS.create(policies.guard),
             self.recorder,
             Random(self._rng.random()),
         )
--- a/bramleyport/daemons/_dispatch.py
+++ b/bramleyport/daemons/_dispatch.py
@@ -71,9 +71,7 @@
         self._metrics.decisions.inc({"kind": "admission", "reason": reason})
         rejected = isinstance(decision, Rejected)
         log_event(
-            events.REQUEST_REJECTED
-            if rejected
-            else policy_events.REQUEST_ADMITTED,
+            events.REQUEST_REJECTED if rejected else policy_events.REQUEST_ADMITTED,
             request=work.request,
             rank=work.rank.value,
             reason=reason,
