--- a/bramleyport/bench/_policy_record.py
+++ b/bramleyport/bench/_policy_record.py
@@ -20,23 +20,26 @@
     result: str = "open"
 
     def met_targets(self) -> bool:
-        """Return whether the answer came within all targets of its rank.
+        """Return whether the answer came within all targets of its rank."""
+        return self.find_miss() is None
+
+    def find_miss(self) -> str | None:
+        """Return the first target that was missed, or None if all were met.
 
         The time between tokens is the mean over the answer.
         """
         work = self.request.work
         if self.result != "completed" or self.first_s is None:
-            return False
+            return self.result
         if self.last_s > work.answer_deadline_s:
-            return False
+            return "answer"
         if work.kind is ServiceKind.PLAIN:
-            return True
+            return None
+        if self.first_s > work.first_token_deadline_s:
+            return "first_token"
         gaps = max(1, self.produced - 1)
         between_s = (self.last_s - self.first_s) / gaps
-        return (
-            self.first_s <= work.first_token_deadline_s
-            and between_s <= work.targets.between_tokens_s
-        )
+        return "between_tokens" if between_s > work.targets.between_tokens_s else None
 
 
 @dataclass(slots=True)
--- a/bramleyport/bench/_policy_report.py
+++ b/bramleyport/bench/_policy_report.py
@@ -80,12 +80,14 @@
         r.first_s - r.request.work.arrived_s for r in runs if r.first_s is not None
     )
     met = [r for r in runs if r.met_targets()]
+    missed = Counter(r.find_miss() or "" for r in runs if not r.met_targets())
     admitted = [r for r in runs if r.result != "rejected"]
     offered = sum(r.request.tokens for r in runs)
     return {
         "requests": len(runs),
         "in_time": _divide(len(met), len(runs)),
         "in_time_of_admitted": _divide(len(met), len(admitted)),
+        "missed": dict(sorted(missed.items())),
         "in_time_tokens": _divide(sum(r.request.tokens for r in met), offered),
         "goodput_tokens_per_s": round(sum(r.request.tokens for r in met) / end_s, 1),
         "plain_in_time": _divide(sum(r.met_targets() for r in plain), len(plain)),
