Route by the forecast time between tokens

Cause: affinity routing ignored that a prefill chunk lengthens the decode steps of the same batch, so short urgent answers missed their time between tokens.

--- a/bramleyport/routing/_affinity.py
+++ b/bramleyport/routing/_affinity.py
@@ -36,6 +36,9 @@
 # An engine outside its role slows the work that it is kept free for.
 ROLE_MISMATCH_FACTOR: Final = 2.0
 MIN_TARGET_S: Final = 0.05
+MIN_BETWEEN_S: Final = 0.005
+# A batch step with a prefill chunk takes about four times as long as one without.
+PREFILL_SLOWDOWN: Final = 3.0
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -46,6 +49,7 @@
     estimate: Estimate
     first_token_s: float
     answer_s: float
+    between_s: float
     cached_tokens: float
     score: float
 
@@ -133,13 +137,15 @@
             wait_s += ADAPTER_LOAD_S
         first_token_s = wait_s + prefill_s + network_s
         answer_s = first_token_s + decode_s * (1 + _measure_occupancy(view))
+        between_s = _forecast_between(work, view, estimate)
         return Candidate(
             view=view,
             estimate=estimate,
             first_token_s=first_token_s,
             answer_s=answer_s,
+            between_s=between_s,
             cached_tokens=cached_tokens,
-            score=_weigh_targets(work, first_token_s, answer_s),
+            score=_weigh_targets(work, first_token_s, answer_s, between_s),
         )
 
     def _measure_distance(self, view: UpstreamView) -> float:
@@ -179,18 +185,23 @@
         if self._transfer is None or work.kind is not ServiceKind.LANGUAGE:
             return None
         transfer_s = self._transfer.forecast(work.prompt_tokens)
-        saved: list[tuple[float, Candidate]] = []
+        splits: list[tuple[float, float, Candidate]] = []
         for other in candidates:
             if other is best or other.view.role is EngineRole.PREFILL:
                 continue
             # Decode waits for a slot there only while the prefill runs here.
             idle_s = max(0.0, other.estimate.wait_s - best.first_token_s)
-            split_s = best.first_token_s + transfer_s + idle_s + _decode_s(other)
-            saved.append((best.answer_s - split_s, other))
-        if not saved:
+            pause_s = transfer_s + idle_s
+            answer_s = best.first_token_s + pause_s + _decode_s(other)
+            gaps = max(1.0, other.estimate.output_tokens - 1)
+            score = _weigh_targets(
+                work, best.first_token_s, answer_s, other.between_s + pause_s / gaps
+            )
+            splits.append((score, best.answer_s - answer_s, other))
+        if not splits:
             return None
-        saved_s, partner = max(saved, key=lambda item: item[0])
-        return (partner, saved_s) if saved_s > 0 else None
+        score, saved_s, partner = min(splits, key=lambda item: item[0])
+        return (partner, saved_s) if score < best.score else None
 
 
 def _decode_s(candidate: Candidate) -> float:
@@ -220,10 +231,25 @@
     return ROLE_MISMATCH_FACTOR if role is mismatch else 1.0
 
 
-def _weigh_targets(work: Work, first_token_s: float, answer_s: float) -> float:
+def _forecast_between(work: Work, view: UpstreamView, estimate: Estimate) -> float:
+    """Return the time between tokens, with the prefill of other work in the batch."""
+    if work.kind is not ServiceKind.LANGUAGE:
+        return 0.0
+    tokens = max(1.0, estimate.output_tokens)
+    between_s = estimate.decode_s / tokens
+    prefill_tokens = view.load.queued_prefill_tokens + view.sent.prefill_tokens
+    backlog_s = prefill_tokens / max(1.0, view.rates.prefill_tokens_per_s)
+    overlap = min(1.0, backlog_s / max(MIN_TARGET_S, estimate.decode_s))
+    return between_s * (1 + PREFILL_SLOWDOWN * overlap)
+
+
+def _weigh_targets(
+    work: Work, first_token_s: float, answer_s: float, between_s: float
+) -> float:
     first = first_token_s / max(MIN_TARGET_S, work.targets.first_token_s)
     answer = answer_s / max(MIN_TARGET_S, work.targets.answer_s)
-    late = max(0.0, first - 1) + max(0.0, answer - 1)
+    between = between_s / max(MIN_BETWEEN_S, work.targets.between_tokens_s)
+    late = max(0.0, first - 1) + max(0.0, answer - 1) + max(0.0, between - 1)
     return first + answer + LATE_WEIGHT * late
 
 
