--- a/bramleyport/queueing/_usage.py
+++ b/bramleyport/queueing/_usage.py
@@ -11,6 +11,7 @@
 PRIOR_S: Final = 2.0
 MIN_SPEED: Final = 0.1
 MAX_SPEED: Final = 10.0
+COST_GAIN: Final = 0.05
 MIN_RATE: Final = 0.01
 
 
@@ -18,13 +19,17 @@
     """Keep decayed sums of the cost taken by each rank."""
 
     def __init__(self) -> None:
+        self.mean_cost_s = 0.0
         self._last_s: float | None = None
         self._taken_s = dict.fromkeys(Rank, 0.0)
         self._busy_taken_s = 0.0
         self._busy_s = 0.0
 
-    def advance(self, now_s: float, *, saturated: bool) -> None:
-        """Let old use fade; a saturated queue has had work waiting for busy slots."""
+    def advance(self, now_s: float, *, saturated: bool) -> float:
+        """Let old use fade and return the elapsed time.
+
+        A saturated queue has had work waiting for busy slots.
+        """
         last_s = now_s if self._last_s is None else self._last_s
         elapsed_s = max(0.0, now_s - last_s)
         self._last_s = max(now_s, last_s)
@@ -33,10 +38,12 @@
             self._taken_s[rank] *= fade
         self._busy_taken_s *= fade
         self._busy_s = self._busy_s * fade + (elapsed_s if saturated else 0.0)
+        return elapsed_s
 
     def add(self, rank: Rank, cost_s: float, *, saturated: bool) -> None:
         """Count one item that was taken."""
         self._taken_s[rank] += cost_s
+        self.mean_cost_s += COST_GAIN * (cost_s - self.mean_cost_s)
         if saturated:
             self._busy_taken_s += cost_s
 
