--- a/bramleyport/bench/_policy_agent.py
+++ b/bramleyport/bench/_policy_agent.py
@@ -229,7 +229,10 @@
         if run.first_s is None:
             run.first_s = now_s
         else:
-            self._recorder.count_gap(run.request.work.rank, now_s - run.last_s)
+            interval_s = now_s - run.last_s
+            self._recorder.count_gap(run.request.work.rank, interval_s)
+            if run.produced > 1 or not attempt.imported:
+                self.queue.observe_interval(interval_s, now_s)
         run.last_s = now_s
         run.produced += 1
 
