--- a/bramleyport/bench/_policy_agent.py
+++ b/bramleyport/bench/_policy_agent.py
@@ -1,7 +1,7 @@
 """Agents of the policy benchmark: the real queue in front of a modelled engine."""
 
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from functools import partial
 from typing import TYPE_CHECKING, Final
 
@@ -86,6 +86,10 @@
             return
         now_s = self._clock.now_s
         work = attempt.run.request.work
+        if attempt.imported:
+            # The first token has been sent, so only the answer is still due.
+            targets = replace(work.targets, first_token_s=work.targets.answer_s)
+            work = replace(work, targets=targets)
         estimate = self._estimator.estimate(work, self.view)
         decision = self.queue.offer(
             QueuedWork(
