--- a/bramleyport/retries/_bucket.py
+++ b/bramleyport/retries/_bucket.py
@@ -29,10 +29,10 @@
         self._refill(now_s)
         self.tokens = min(self.burst, self.tokens + self.ratio)
 
-    def take(self, now_s: float) -> bool:
-        """Spend one extra attempt if the budget allows it."""
+    def take(self, now_s: float, reserved: float = 0.0) -> bool:
+        """Spend one extra attempt if the budget above the reserve allows it."""
         self._refill(now_s)
-        if self.tokens < 1.0:
+        if self.tokens < 1.0 + reserved:
             return False
         self.tokens -= 1.0
         return True
--- a/bramleyport/retries/_budgeted.py
+++ b/bramleyport/retries/_budgeted.py
@@ -2,7 +2,7 @@
 
 from typing import Final
 
-from bramleyport.core import Explanation, Work
+from bramleyport.core import Explanation, Rank, Work
 from bramleyport.retries._base import (
     RETRY_POLICIES,
     AttemptFailure,
@@ -15,6 +15,9 @@
 # A fault that follows the request from upstream to upstream is the request's own.
 MAX_ATTEMPTS: Final = 4
 RETRY_AFTER_S: Final = 1.0
+# Parts of the budget that a rank leaves to more urgent ones; without them a flood of
+# refused batch work left no retry for a single refused urgent request.
+RESERVED_PARTS: Final = {Rank.URGENT: 0.0, Rank.STANDARD: 1 / 3, Rank.BATCH: 2 / 3}
 # Callers that come back while the budget is empty would only spend it again.
 RETRY_AFTER_MAX_S: Final = 10.0
 
@@ -35,7 +38,8 @@
     ) -> RetryNow | GiveUp:
         """Decide whether to try again after the given number of attempts."""
         reason = self._find_obstacle(attempts, work, failure, now_s)
-        if reason is None and not self.budget.take(now_s):
+        reserved = RESERVED_PARTS[work.rank] * self.budget.burst
+        if reason is None and not self.budget.take(now_s, reserved):
             reason = "budget_spent"
         numbers = {
             "attempts": float(attempts),
