--- a/tests/policy_model.py
+++ b/tests/policy_model.py
@@ -6,6 +6,7 @@
 from collections.abc import Sequence
 from dataclasses import dataclass, field
 from random import Random
+from statistics import mean
 
 from bramleyport.admission import ADMISSION_POLICIES, Rejected
 from bramleyport.core import (
@@ -32,6 +33,7 @@
 
 REPORT_INTERVAL_S = 0.5
 IDLE_STEP_S = 0.005
+DRAIN_S = 60.0
 TARGETS = {
     Rank.URGENT: Targets(
         first_token_s=0.61, between_tokens_s=0.057, answer_s=20.0, guaranteed_share=0.5
@@ -102,16 +104,18 @@
             region=RegionName("r"),
             rates=rates,
         )
+        self.end_s = 0.0
         self.flights: dict[str, Flight] = {}
         self.running: set[str] = set()
         self.outcomes = {rank: Outcome() for rank in Rank}
         self.by_account: dict[AccountId, Outcome] = {}
 
     def run(self, arrivals: Sequence[Flight], end_s: float) -> None:
+        self.end_s = end_s
         now_s = 0.0
         report_s = 0.0
         position = 0
-        while now_s < end_s:
+        while now_s < end_s + DRAIN_S:
             while (
                 position < len(arrivals) and arrivals[position].work.arrived_s <= now_s
             ):
@@ -211,6 +215,9 @@
             and now_s <= work.answer_deadline_s
         )
         self._count(work, "in_time" if in_time else "late")
+        if now_s > self.end_s:
+            # What is served after the last arrival would blur the shares.
+            return
         self.outcomes[work.rank].done_cost_s += (
             work.prompt_tokens / self.profile.prefill_tokens_per_s
             + flight.output_tokens * self.profile.step_base_s / self.profile.max_streams
@@ -255,23 +262,40 @@
 }
 
 
-def print_table(end_s: float = 300.0, seed: int = 1) -> None:
-    for case, rates in CASES.items():
-        arrivals = make_arrivals(rates, seed, end_s)
+def run_case(case: str, policies: Policies, seed: int, end_s: float) -> AgentModel:
+    model = AgentModel(policies)
+    model.run(make_arrivals(CASES[case], seed, end_s), end_s)
+    return model
+
+
+def print_table(end_s: float = 300.0, seeds: Sequence[int] = (1, 2, 3, 4, 5)) -> None:
+    """Print means over the seeds, and the lowest values in parentheses."""
+    print("| Case | Queue | Rank | Offered | In time | Late | Not run | Share |")
+    print("| --- | --- | --- | --- | --- | --- | --- | --- |")
+    for case in CASES:
         for policies in (BASELINE, BETTER):
-            model = AgentModel(policies)
-            model.run(
-                [Flight(flight.work, flight.output_tokens) for flight in arrivals],
-                end_s + 60.0,
-            )
-            total_s = sum(o.done_cost_s for o in model.outcomes.values())
-            for rank, got in model.outcomes.items():
-                print(
-                    f"| {case} | {policies.queue} | {rank.value} | {got.offered} "
-                    f"| {got.in_time / got.offered:.3f} | {got.late} | {got.rejected} "
-                    f"| {got.refused} | {got.dropped} "
-                    f"| {got.done_cost_s / total_s:.3f} |"
-                )
+            models = [run_case(case, policies, seed, end_s) for seed in seeds]
+            for rank in Rank:
+                row = describe_rank([model.outcomes for model in models], rank)
+                print(f"| {case} | {policies.queue} | {rank.value} | {row} |")
+
+
+def describe_rank(runs: Sequence[dict[Rank, Outcome]], rank: Rank) -> str:
+    got = [run[rank] for run in runs]
+    in_time = [one.in_time / one.offered for one in got]
+    shares = [
+        run[rank].done_cost_s / sum(one.done_cost_s for one in run.values())
+        for run in runs
+    ]
+    not_run = [one.rejected + one.refused + one.dropped for one in got]
+    cells = (
+        f"{mean(one.offered for one in got):.0f}",
+        f"{mean(in_time):.3f} ({min(in_time):.3f})",
+        f"{mean(one.late for one in got):.1f}",
+        f"{mean(not_run):.1f}",
+        f"{mean(shares):.3f} ({min(shares):.3f})",
+    )
+    return " | ".join(cells)
 
 
 if __name__ == "__main__":
