--- a/bramleyport/daemons/_agent.py
+++ b/bramleyport/daemons/_agent.py
@@ -125,6 +125,8 @@
             await connection.flush()
         for task in self._tasks:
             task.cancel()
+        if self._held_retry is not None:
+            self._held_retry.cancel()
         if self._server is not None:
             self._server.close()
             await self._server.wait_closed()
@@ -186,7 +188,7 @@
         free = self.settings.max_streams - len(self._running)
         if free <= 0:
             return
-        taken = self._queue.take(time.monotonic(), free)
+        taken = self._schedule.take(time.monotonic(), free)
         for item in taken:
             attempt = self._attempts[item.attempt]
             attempt.on_interval = self._queue.observe_interval
