--- a/bramleyport/bench/_policy_run.py
+++ b/bramleyport/bench/_policy_run.py
@@ -197,7 +197,7 @@
 
     def _schedule_arrival(self) -> None:
         request = next(self._arrivals, None)
-        if request is not None:
+        if request is not None and request.work.arrived_s < self.end_s:
             self.requests.append(request)
             self._clock.call_at(
                 request.work.arrived_s, partial(self._deliver_arrival, request)
