--- a/bramleyport/bench/_policy_report.py
+++ b/bramleyport/bench/_policy_report.py
@@ -14,6 +14,7 @@
     PolicyRun,
 )
 from bramleyport.bench._policy_scenario import LANGUAGE_WORKERS, SCENARIOS
+from bramleyport.bench._policy_traffic import token_s
 from bramleyport.core import Rank, ServiceKind
 from bramleyport.standins import EngineProfile
 
@@ -40,7 +41,9 @@
         "bound_tokens": round(bound),
         "goodput_share": round(goodput / max(1.0, bound), 4),
         "ranks": {
-            rank.value: _summarise_rank(recorder, rank, run.end_s) for rank in Rank
+            rank.value: _summarise_rank(recorder, rank, run.end_s)
+            | {"retained": _measure_retained(run, rank, scale)}
+            for rank in Rank
         },
         "role_changes": sum(changes.values()),
         "role_changes_per_engine_max": max(changes.values(), default=0),
@@ -96,6 +99,31 @@
     }
 
 
+def _measure_retained(run: PolicyRun, rank: Rank, scale: int) -> float | None:
+    """Return the part of its guaranteed share that a rank had in the overload.
+
+    Work is counted in engine seconds without a cache. A rank that asks for less than
+    its share is measured against what it asked for.
+    """
+    if run.scenario.overload is None:
+        return None
+    stretch = run.end_s / run.scenario.duration_s
+    start_s, end_s = (stretch * edge for edge in run.scenario.overload)
+    profile = EngineProfile()
+    offered = served = share = 0.0
+    for item in _language(run.recorder):
+        work = item.request.work
+        if work.rank is not rank or not start_s <= work.arrived_s < end_s:
+            continue
+        work_s = work.prompt_tokens / profile.prefill_tokens_per_s
+        work_s += item.request.output_tokens * token_s(profile)
+        offered += work_s
+        served += work_s if item.met_targets() else 0.0
+        share = work.targets.guaranteed_share
+    owed = share * LANGUAGE_WORKERS * scale * (end_s - start_s)
+    return _divide(served, min(offered, owed))
+
+
 def _divide(part: float, whole: float) -> float | None:
     return round(part / whole, 4) if whole else None
 
@@ -143,6 +171,7 @@
     "urgent",
     "standard",
     "batch",
+    "retained",
     "first p95 s",
     "between p95 ms",
     "changes",
@@ -177,6 +206,7 @@
         str(summary["goodput_tokens"]),
         f"{summary['goodput_share']:.3f}",
         *(_format_share(ranks[rank.value]["in_time"]) for rank in Rank),
+        "/".join(_format_share(ranks[rank.value]["retained"]) for rank in Rank),
         join("first_token_s", 1),
         join("between_tokens_ms", 1),
         str(summary["role_changes"]),
--- a/bramleyport/bench/_policy_scenario.py
+++ b/bramleyport/bench/_policy_scenario.py
@@ -38,6 +38,7 @@
     faults: tuple[Fault, ...] = ()
     report_lag_s: float = 0.5
     cache_gap: float = 0.0
+    overload: tuple[float, float] | None = None
 
     def shorten(self, scale: int) -> float:
         """Return the duration of a run with the given number of fleets."""
@@ -103,18 +104,21 @@
         duration_s=240,
         share=_hold(STEADY_SHARE),
         load=_flood((Rank.BATCH, 60, 180)),
+        overload=(60, 180),
     ),
     Scenario(
         name="flood_urgent",
         duration_s=240,
         share=_hold(STEADY_SHARE),
         load=_flood((Rank.URGENT, 60, 180)),
+        overload=(60, 180),
     ),
     Scenario(
         name="flood_both",
         duration_s=360,
         share=_hold(STEADY_SHARE),
         load=_flood((Rank.BATCH, 60, 160), (Rank.URGENT, 160, 260)),
+        overload=(60, 260),
     ),
     Scenario(
         name="engine_withdrawn",
