--- a/bramleyport/planning/_ratio.py
+++ b/bramleyport/planning/_ratio.py
@@ -19,7 +19,12 @@
     PoolState,
     RoleChange,
 )
-from bramleyport.planning._capacity import Mix, count_at_risk, serve_factor
+from bramleyport.planning._capacity import (
+    Mix,
+    count_at_risk,
+    decode_token_s,
+    serve_factor,
+)
 from bramleyport.planning._loads import schedule_loads
 from bramleyport.planning._trend import Trend, measure_trend
 
@@ -245,7 +250,11 @@
     demand = trend.demand_at(share, pool.costs)
     factor = min(ENOUGH_FACTOR, serve_factor(mix, demand, pool.costs))
     at_risk = count_at_risk(mix, demand, trend.short_s, pool.costs)
-    return factor * (trend.engine_seconds - at_risk)
+    # Goodput counts tokens, and short answers are nearly all prompt, which has more
+    # tokens per engine second than the average of the work.
+    prompt = pool.costs.prefill_tokens_per_s
+    mean = share * prompt + (1 - share) / decode_token_s(pool.costs)
+    return factor * (trend.engine_seconds - at_risk * prompt / mean)
 
 
 def _make_changes(move: _Move) -> tuple[RoleChange, ...]:
