--- /dev/null
+++ b/bramleyport/bench/_policy_entry.py
@@ -0,0 +1,209 @@
+"""Entries of the policy benchmark: the real decision modules of an entry."""
+
+from collections.abc import Mapping
+from dataclasses import replace
+from functools import partial
+from random import Random
+from time import perf_counter
+from typing import Final
+
+from bramleyport.admission import AdmissionPolicy, Rejected
+from bramleyport.bench._policy_agent import SimAgent, SimAttempt
+from bramleyport.bench._policy_clock import VirtualClock
+from bramleyport.bench._policy_record import Recorder, RequestRun
+from bramleyport.bench._policy_traffic import Request, token_s
+from bramleyport.core import (
+    AttemptId,
+    EngineLoad,
+    PrefixBlock,
+    SentWork,
+    ServiceKind,
+    UpstreamId,
+    UpstreamState,
+    UpstreamView,
+    Work,
+)
+from bramleyport.estimate import Estimator, Observation
+from bramleyport.retries import AttemptFailure, GiveUp, RetryPolicy, UpstreamGuard
+from bramleyport.routing import RoutingPolicy, is_eligible
+from bramleyport.standins import EngineProfile
+
+NETWORK_S: Final = 0.0015
+PROFILE: Final = EngineProfile()
+CHUNK_STEP_S: Final = (
+    PROFILE.step_base_s + PROFILE.prefill_chunk_tokens / PROFILE.prefill_tokens_per_s
+)
+# The prefill of a long prompt takes about this many steps.
+SHORT_TOKENS: Final = 128
+
+
+class SimEntry:
+    """Admit, route and retry requests."""
+
+    def __init__(
+        self,
+        clock: VirtualClock,
+        agents: Mapping[UpstreamId, SimAgent],
+        estimator: Estimator,
+        admission: AdmissionPolicy,
+        routing: RoutingPolicy,
+        retries: RetryPolicy,
+        guard: UpstreamGuard,
+        recorder: Recorder,
+        rng: Random,
+    ) -> None:
+        self.views = {name: _copy_view(agent.view) for name, agent in agents.items()}
+        self.prefill_s = 0.0
+        self.decode_s = 0.0
+        self.short_s = 0.0
+        self._clock = clock
+        self._agents = agents
+        self._estimator = estimator
+        self._admission = admission
+        self._routing = routing
+        self._retries = retries
+        self._guard = guard
+        self._recorder = recorder
+        self._rng = rng
+
+    def handle(self, request: Request) -> None:
+        """Decide on a new request."""
+        run = RequestRun(request)
+        self._recorder.runs.append(run)
+        work, now_s = request.work, self._clock.now_s
+        started = perf_counter()
+        decision = self._admission.admit(work, self._list_eligible(work, set()), now_s)
+        if isinstance(decision, Rejected):
+            self._recorder.decision_s.append(perf_counter() - started)
+            self._recorder.counts["rejected"] += 1
+            self._recorder.reasons[f"rejected_{decision.explanation.reason}"] += 1
+            run.result = "rejected"
+            self._count_demand(work, None)
+            return
+        self._retries.record_request(now_s)
+        route = self._choose(run)
+        self._recorder.decision_s.append(perf_counter() - started)
+        self._count_demand(work, route[0] if route else None)
+        self._send(run, route)
+
+    def finish(self, attempt: SimAttempt) -> None:
+        """End an answered request."""
+        run, now_s = attempt.run, self._clock.now_s
+        run.result = "completed"
+        if run.first_s is not None:
+            first_s = run.first_s - attempt.sent_s
+            work = run.request.work
+            self._guard.observe_first(attempt.upstream, work, first_s, now_s)
+        self._guard.finish(attempt.upstream, None, now_s)
+
+    def observe(self, observation: Observation) -> None:
+        """Learn from a finished request."""
+        self._estimator.observe(observation)
+
+    def fail(self, attempt: SimAttempt, failure: AttemptFailure) -> None:
+        """Retry or give up after a failed attempt."""
+        run = attempt.run
+        run.tried.add(failure.upstream)
+        self._guard.finish(attempt.upstream, failure, self._clock.now_s)
+        decision = self._retries.next(
+            run.attempts, run.request.work, failure, self._clock.now_s
+        )
+        if isinstance(decision, GiveUp):
+            self._recorder.counts["given_up"] += 1
+            self._recorder.reasons[f"gave_up_{decision.explanation.reason}"] += 1
+            run.result = "failed"
+            return
+        self._recorder.counts["retried"] += 1
+        self._send(run, self._choose(run))
+
+    def apply_load(self, upstream: UpstreamId, load: EngineLoad) -> None:
+        """Take over a load report and count sent work from there."""
+        view = self.views[upstream]
+        view.load = load
+        view.sent = SentWork()
+
+    def apply_state(self, source: UpstreamView) -> None:
+        """Take over the state and the role of an upstream."""
+        view = self.views[source.upstream]
+        view.state = source.state
+        view.role = source.role
+        view.rates = source.rates
+
+    def apply_cache(
+        self, upstream: UpstreamId, stored: set[PrefixBlock], evicted: set[PrefixBlock]
+    ) -> None:
+        """Take over the changes of a cache."""
+        cached = self.views[upstream].cached
+        cached.blocks.update(stored)
+        cached.blocks.difference_update(evicted)
+
+    def _count_demand(self, work: Work, agent: SimAgent | None) -> None:
+        """Count the work that arrived, less what the chosen cache saves."""
+        if work.kind is not ServiceKind.LANGUAGE or not self.views:
+            return
+        view = next(iter(self.views.values()))
+        cached_blocks = 0
+        if agent is not None:
+            view = self.views[agent.view.upstream]
+            cached_blocks = view.cached.count_cached(work.prefix_blocks)
+        uncached = max(0, work.prompt_tokens - cached_blocks * view.block_tokens)
+        estimate = self._estimator.estimate(work, view)
+        output_s = estimate.output_tokens * token_s(PROFILE)
+        if (
+            work.max_output_tokens <= SHORT_TOKENS
+            and work.targets.between_tokens_s < CHUNK_STEP_S
+        ):
+            self.short_s += uncached / view.rates.prefill_tokens_per_s + output_s
+        self.prefill_s += uncached / view.rates.prefill_tokens_per_s
+        self.decode_s += estimate.output_tokens / view.rates.decode_tokens_per_s
+
+    def _list_eligible(self, work: Work, tried: set[UpstreamId]) -> list[UpstreamView]:
+        return [
+            view
+            for view in self.views.values()
+            if view.upstream not in tried and is_eligible(work, view)
+        ]
+
+    def _choose(self, run: RequestRun) -> "tuple[SimAgent, SimAgent | None] | None":
+        work = run.request.work
+        now_s = self._clock.now_s
+        views = self._list_eligible(work, run.tried) or self._list_eligible(work, set())
+        screened = self._guard.screen(views, now_s).views if views else []
+        route = self._routing.choose(work, screened, now_s, self._rng)
+        if route is None:
+            return None
+        decode = route.decode_upstream
+        if decode:
+            self._recorder.counts["split"] += 1
+        return self._agents[route.upstream], self._agents[decode] if decode else None
+
+    def _send(
+        self, run: RequestRun, route: "tuple[SimAgent, SimAgent | None] | None"
+    ) -> None:
+        if route is None:
+            run.result = "no_upstream"
+            self._recorder.counts["no_upstream"] += 1
+            return
+        agent, decode_agent = route
+        run.attempts += 1
+        work = run.request.work
+        self.views[agent.view.upstream].sent.add(work)
+        self._guard.start(agent.view.upstream)
+        if decode_agent is not None:
+            sent = self.views[decode_agent.view.upstream].sent
+            sent.requests += 1
+            sent.decode_tokens += work.max_output_tokens
+        attempt = SimAttempt(
+            attempt=AttemptId(f"{work.request}/{run.attempts}"),
+            run=run,
+            entry=self,
+            upstream=agent.view.upstream,
+            sent_s=self._clock.now_s,
+            decode_agent=decode_agent,
+        )
+        self._clock.call_later(NETWORK_S, partial(agent.execute, attempt))
+
+
+def _copy_view(view: UpstreamView) -> UpstreamView:
+    cached = replace(view.cached, blocks=set(view.cached.blocks))
+    return replace(view, cached=cached, sent=SentWork(), state=UpstreamState.LIVE)
