Pack dependencies without documentation strings and plan roles in the entry

Load reports were most of the control traffic. The role planner was not reached by the running system. Change: the zipapp compiles dependencies without documentation strings; load reports travel as whole numbers in a fixed order, once a second; agents count the engine time that queued work asks for, and the lease holder plans roles from it; the listen queue of callers holds 1024 connections. Ruled out: dropping libraries; they are needed, their texts are not.

--- a/bramleyport/bench/_policy_entry.py
+++ b/bramleyport/bench/_policy_entry.py
@@ -11,7 +11,7 @@
 from bramleyport.bench._policy_agent import SimAgent, SimAttempt
 from bramleyport.bench._policy_clock import VirtualClock
 from bramleyport.bench._policy_record import Recorder, RequestRun
-from bramleyport.bench._policy_traffic import Request, token_s
+from bramleyport.bench._policy_traffic import Request
 from bramleyport.core import (
     AttemptId,
     EngineLoad,
@@ -24,17 +24,14 @@
     Work,
 )
 from bramleyport.estimate import Estimator, Observation
+from bramleyport.planning import EngineCosts, is_short, price_token
 from bramleyport.retries import AttemptFailure, GiveUp, RetryPolicy, UpstreamGuard
 from bramleyport.routing import RoutingPolicy, is_eligible
 from bramleyport.standins import EngineProfile
 
 NETWORK_S: Final = 0.0015
 PROFILE: Final = EngineProfile()
-CHUNK_STEP_S: Final = (
-    PROFILE.step_base_s + PROFILE.prefill_chunk_tokens / PROFILE.prefill_tokens_per_s
-)
-# The prefill of a long prompt takes about this many steps.
-SHORT_TOKENS: Final = 128
+COSTS: Final = EngineCosts()
 
 
 class SimEntry:
@@ -148,11 +145,8 @@
             cached_blocks = view.cached.count_cached(work.prefix_blocks)
         uncached = max(0, work.prompt_tokens - cached_blocks * view.block_tokens)
         estimate = self._estimator.estimate(work, view)
-        output_s = estimate.output_tokens * token_s(PROFILE)
-        if (
-            work.max_output_tokens <= SHORT_TOKENS
-            and work.targets.between_tokens_s < CHUNK_STEP_S
-        ):
+        output_s = estimate.output_tokens * price_token(COSTS)
+        if is_short(work, COSTS):
             self.short_s += uncached / view.rates.prefill_tokens_per_s + output_s
         self.prefill_s += uncached / view.rates.prefill_tokens_per_s
         self.decode_s += estimate.output_tokens / view.rates.decode_tokens_per_s
--- a/bramleyport/bench/_recovery_fleet.py
+++ b/bramleyport/bench/_recovery_fleet.py
@@ -8,7 +8,7 @@
 from typing import Any, Final
 
 from bramleyport.bench._recovery_store import VirtualStore
-from bramleyport.core import EngineLoad, ProcessId, Rank, UpstreamId
+from bramleyport.core import EngineLoad, ProcessId, Rank
 from bramleyport.membership import (
     Connected,
     Disconnected,
@@ -45,6 +45,7 @@
     Session,
     Tick,
     encode,
+    pack_load,
 )
 
 TICK_S: Final = 0.5
@@ -329,5 +330,8 @@
         blocks_used=1_200,
         blocks_total=3_000,
         wait_s={Rank.URGENT: 0.12, Rank.STANDARD: 1.2, Rank.BATCH: 12.3},
+        offered_prefill_ms=40_000_000,
+        offered_decode_ms=80_000_000,
+        offered_short_ms=9_000_000,
     )
-    return LoadReport(upstream=UpstreamId("engine-1234"), load=load, age_s=0.3)
+    return pack_load(load, now_s=1234.8)
--- a/bramleyport/cli/_demo.py
+++ b/bramleyport/cli/_demo.py
@@ -151,6 +151,7 @@
             upstream_url=url,
             kind=ServiceKind.PLAIN if services else ServiceKind.LANGUAGE,
             services=services,
+            pool="" if services else MODEL,
         )
         agent = build_agent(settings)
         await agent.start()
@@ -160,6 +161,7 @@
         settings = EntrySettings(
             process=self._make_process(f"entry-{index}", index, store_url),
             http_port=self._port if index == 0 else 0,
+            pools=(MODEL,),
         )
         entry = build_entry(settings, self._seed + index)
         await entry.start()
--- a/bramleyport/composition.py
+++ b/bramleyport/composition.py
@@ -4,6 +4,7 @@
 """
 
 import time
+from functools import partial
 from pathlib import Path
 from random import Random
 from typing import TYPE_CHECKING
@@ -122,9 +123,11 @@
     from bramleyport.daemons._keyed import KeyedCalls
     from bramleyport.daemons._outcomes import OutcomeCounter
     from bramleyport.daemons._peers import AgentLinks
+    from bramleyport.daemons._pool_planner import FleetPlanner
     from bramleyport.daemons._status import FleetState, StatusReporter
     from bramleyport.estimate import ESTIMATORS
     from bramleyport.objectapi import ObjectClient
+    from bramleyport.planning import ROLE_PLANNERS
     from bramleyport.replication import HostStore, RecordStore, Replica, Topology
     from bramleyport.retries import (
         HEDGE_POLICIES,
@@ -175,7 +178,10 @@
         lambda step, result: metrics.store_calls.inc({"kind": step, "result": result}),
     )
     keyed = KeyedCalls(ClaimWriter(client), dispatcher)
-    controllers = Controllers(settings, client, links, planner)
+    make_planner = partial(ROLE_PLANNERS.create, policies.planner)
+    controllers = Controllers(
+        settings, client, links, planner or FleetPlanner(make_planner, metrics)
+    )
     outcomes = OutcomeCounter()
     journal = Journal()
     journal.attach()
--- a/bramleyport/core/_views.py
+++ b/bramleyport/core/_views.py
@@ -38,6 +38,10 @@
     blocks_used: int = 0
     blocks_total: int = 0
     wait_s: Mapping[Rank, float] = field(default_factory=dict)
+    # Engine time that queued work asked for since the agent started.
+    offered_prefill_ms: int = 0
+    offered_decode_ms: int = 0
+    offered_short_ms: int = 0
 
 
 @dataclass(slots=True, kw_only=True)
--- a/bramleyport/daemons/_agent.py
+++ b/bramleyport/daemons/_agent.py
@@ -44,6 +44,7 @@
     OrderNotice,
     Resume,
     UpstreamInfo,
+    pack_load,
 )
 
 if TYPE_CHECKING:
@@ -57,6 +58,7 @@
 
 ATTEMPT_GRACE_S: Final = 30.0
 EXPIRE_INTERVAL_S: Final = 0.2
+MS_PER_S: Final = 1000
 # About one batch step of an engine.
 HELD_RETRY_S: Final = 0.02
 
@@ -408,6 +410,8 @@
             running=len(self._running),
             queued=len(self._queue),
             wait_s=self._queue.forecast_wait(now_s),
+            offered_prefill_ms=round(self._schedule.offered.prefill_s * MS_PER_S),
+            offered_decode_ms=round(self._schedule.offered.decode_s * MS_PER_S),
+            offered_short_ms=round(self._schedule.offered.short_s * MS_PER_S),
         )
-        age_s = max(0.0, now_s - load.taken_s) if load.taken_s else 0.0
-        return LoadReport(upstream=self._view.upstream, load=load, age_s=age_s)
+        return pack_load(load, now_s)
--- a/bramleyport/daemons/_agent_schedule.py
+++ b/bramleyport/daemons/_agent_schedule.py
@@ -1,9 +1,11 @@
 """Decisions of an agent about its queue, with their records."""
 
+from dataclasses import dataclass
 from typing import TYPE_CHECKING, Final
 
 from bramleyport.core import AttemptId, Explanation, Rank, UpstreamView, Work
-from bramleyport.estimate import Observation
+from bramleyport.estimate import Estimate, Observation
+from bramleyport.planning import EngineCosts, is_short, price_token
 from bramleyport.queueing import Queued, QueuedWork, QueuePolicy, Refused
 from bramleyport.telemetry import Event, Metrics, log_event, policy_events
 from bramleyport.wire import Refused as RefusedMessage
@@ -16,6 +18,24 @@
 FIRST_ERROR_STATUS: Final = 400
 
 
+@dataclass(slots=True)
+class OfferedWork:
+    """Sum up the engine time that queued work asked for."""
+
+    prefill_s: float = 0.0
+    decode_s: float = 0.0
+    short_s: float = 0.0
+
+    def add(self, work: Work, estimate: Estimate) -> None:
+        """Count one request."""
+        self.prefill_s += estimate.prefill_s
+        self.decode_s += estimate.decode_s
+        costs = EngineCosts()
+        if is_short(work, costs):
+            token_s = price_token(costs)
+            self.short_s += estimate.prefill_s + estimate.output_tokens * token_s
+
+
 class AgentSchedule:
     """Offer work to the queue with its cost and learn from what was run."""
 
@@ -30,6 +50,7 @@
         self._estimator = estimator
         self._view = view
         self._metrics = metrics
+        self.offered = OfferedWork()
 
     def offer(self, attempt: AttemptId, work: Work, now_s: float) -> Queued | Refused:
         """Queue or refuse an attempt."""
@@ -48,6 +69,8 @@
         event = policy_events.ATTEMPT_QUEUED
         if isinstance(decision, Refused):
             event = policy_events.ATTEMPT_REFUSED
+        else:
+            self.offered.add(work, estimate)
         self._record(event, attempt, work.rank, decision.explanation)
         return decision
 
--- a/bramleyport/daemons/_entry.py
+++ b/bramleyport/daemons/_entry.py
@@ -51,6 +51,8 @@
 
 STOP_RETRY_S: Final = 1.0
 EVENTS_SHOWN: Final = 25
+# The default of 50 loses connections when many callers come at once.
+LISTEN_BACKLOG: Final = 1024
 
 
 class EntryDaemon:
@@ -126,7 +128,10 @@
             self._tasks += self.controllers.start()
         site = make_site(CallerApp(self).app.resource(), self.settings.max_body_bytes)
         endpoint = endpoints.TCP4ServerEndpoint(
-            reactor, self.settings.http_port, interface=process.address
+            reactor,
+            self.settings.http_port,
+            backlog=LISTEN_BACKLOG,
+            interface=process.address,
         )
         loop = asyncio.get_running_loop()
         self._listening = await endpoint.listen(site).asFuture(loop)
--- a/bramleyport/daemons/_peers.py
+++ b/bramleyport/daemons/_peers.py
@@ -7,7 +7,6 @@
 
 from bramleyport.core import (
     AdapterName,
-    EngineLoad,
     ModelName,
     ModelVersion,
     ProcessId,
@@ -37,6 +36,7 @@
     LoadReport,
     Message,
     UpstreamInfo,
+    unpack_load,
 )
 
 
@@ -90,17 +90,7 @@
         """Take a load report and forget the work that it already counts."""
         if self.view is None:
             return
-        load = report.load
-        self.view.load = EngineLoad(
-            taken_s=time.monotonic() - report.age_s,
-            running=load.running,
-            queued=load.queued,
-            queued_prefill_tokens=load.queued_prefill_tokens,
-            running_decode_tokens=load.running_decode_tokens,
-            blocks_used=load.blocks_used,
-            blocks_total=load.blocks_total,
-            wait_s=load.wait_s,
-        )
+        self.view.load = unpack_load(report, time.monotonic())
         self.view.sent = SentWork()
         # Load reports come steadily, so a lost request or answer is repeated.
         self.request_cache()
--- a/bramleyport/packaging/_zipapp.py
+++ b/bramleyport/packaging/_zipapp.py
@@ -142,6 +142,9 @@
             dfile=name,
             doraise=True,
             invalidation_mode=py_compile.PycInvalidationMode.UNCHECKED_HASH,
+            # The documentation strings of the dependencies take megabytes of memory
+            # in each process; our own serve as the help texts of the command line.
+            optimize=0 if name.startswith("bramleyport/") else 2,
         )
         assert compiled is not None
         return Path(compiled).read_bytes()
--- a/bramleyport/planning/__init__.py
+++ b/bramleyport/planning/__init__.py
@@ -16,10 +16,12 @@
     WeightStore,
 )
 from bramleyport.planning._capacity import Mix, serve_factor
+from bramleyport.planning._demand import DemandMeter, is_short, price_token
 
 __all__ = [
     "ROLE_PLANNERS",
     "Change",
+    "DemandMeter",
     "DemandSample",
     "EngineCosts",
     "Mix",
@@ -31,5 +33,7 @@
     "RoleChange",
     "RolePlanner",
     "WeightStore",
+    "is_short",
+    "price_token",
     "serve_factor",
 ]
--- a/bramleyport/settings/_schema.py
+++ b/bramleyport/settings/_schema.py
@@ -66,6 +66,7 @@
     guard: str = "adaptive"
     hedging: str = "spread"
     queue: str = "ranked"
+    planner: str = "ratio"
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -94,6 +95,6 @@
     # The pool whose lease holder orders this engine; without one it takes no orders.
     pool: str = ""
     max_streams: int = 32
-    load_interval_s: float = 0.5
+    load_interval_s: float = 1.0
     drain_timeout_s: float = 60.0
     policies: PolicySettings = field(default_factory=PolicySettings)
--- a/bramleyport/wire/__init__.py
+++ b/bramleyport/wire/__init__.py
@@ -14,6 +14,7 @@
     MAX_ITEMS,
     check_limits,
 )
+from bramleyport.wire._load import pack_load, unpack_load
 from bramleyport.wire._messages import (
     MESSAGES,
     PROTOCOL_MAX,
@@ -105,6 +106,8 @@
     "decode",
     "encode",
     "match_proof",
+    "pack_load",
     "sign_client",
     "sign_server",
+    "unpack_load",
 ]
--- a/bramleyport/wire/_messages.py
+++ b/bramleyport/wire/_messages.py
@@ -6,7 +6,6 @@
 
 from bramleyport.core import (
     AttemptId,
-    EngineLoad,
     EngineRates,
     EngineRole,
     Execution,
@@ -218,11 +217,9 @@
 @message("load_report")
 @dataclass(frozen=True, slots=True, kw_only=True)
 class LoadReport(Message):
-    """Report the load of an upstream."""
+    """Report the load of an upstream as `pack_load` orders its values."""
 
-    upstream: UpstreamId
-    load: EngineLoad
-    age_s: float
+    values: tuple[int, ...]
 
 
 @message("cache_report")
--- a/tests/test_policy_bench.py
+++ b/tests/test_policy_bench.py
@@ -5,7 +5,7 @@
 
 from click.testing import CliRunner
 
-from bramleyport.bench import bench
+from bramleyport.bench._command import bench
 from bramleyport.bench._policy_bound import SLOT_S, compute_bound
 from bramleyport.bench._policy_report import run_policy
 from bramleyport.bench._policy_run import POLICY_SETS, PolicyRun
--- a/tests/test_whole_path.py
+++ b/tests/test_whole_path.py
@@ -1,5 +1,6 @@
 """Guard the whole path from caller to upstream over real sockets."""
 
+import asyncio
 import json
 from collections.abc import Callable, Coroutine
 from typing import Any
@@ -119,3 +120,14 @@
     answer = run(exchange_raw(port, HEAD + body, half_close=True))
     assert answer.startswith(b"HTTP/1.1 400")
     assert b'"execution": "not_run"' in answer
+
+
+def test_burst_of_connections_is_accepted(demo: Any, run: Run) -> None:
+    """A short listen queue lost connections when 200 callers came at once."""
+    port = demo.entries[0].port
+    head = b"GET /healthz HTTP/1.0\r\n\r\n"
+
+    async def call_all() -> list[bytes]:
+        return await asyncio.gather(*[exchange_raw(port, head) for _ in range(300)])
+
+    assert all(b"200 OK" in answer for answer in run(call_all()))
