Let the stream of the drain test outlast the order

Change: the stream starts once the order object is sealed and takes about 6 s; the assertions are the same and cover a longer stream.

--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -120,6 +120,10 @@
         )
         return result.ok_value  # type: ignore[union-attr]
 
+    def is_sealed(self) -> bool:
+        found = self.read_order()
+        return found is not None and found.order.sealed > 0
+
     def has_settled(self, sequence: int = 1) -> bool:
         found = self.read_order()
         return (
--- a/tests/test_order_faults.py
+++ b/tests/test_order_faults.py
@@ -79,7 +79,10 @@
 
 def test_role_change_cuts_no_stream(fleet: Fleet, run: Run) -> None:
     async def scenario() -> Any:
-        stream = asyncio.ensure_future(ask(fleet, 200))
+        # The stream must outlast the way of the order, so it starts once the holder
+        # has taken the order object over, and takes several seconds.
+        await fleet.wait(lambda: fleet.is_sealed())
+        stream = asyncio.ensure_future(ask(fleet, 600))
         await fleet.wait(lambda: fleet.engine.model.running)
         fleet.planner.roles["engine-0"] = EngineRole.PREFILL
         agent = fleet.agents[0]
@@ -93,7 +96,7 @@
         return answer, refused, still_running, role
 
     answer, refused, still_running, role = run(scenario())
-    assert answer.json()["usage"]["completion_tokens"] == 200
+    assert answer.json()["usage"]["completion_tokens"] == 600
     assert still_running
     assert role is EngineRole.MIXED
     assert refused.status == 503
