Report the prefill left of running jobs in the engine stand-in

Cause: the load counted waiting jobs only, so routing did not see the prefill that delays the streams of the batch.

--- a/bramleyport/standins/_engine.py
+++ b/bramleyport/standins/_engine.py
@@ -158,7 +158,9 @@
         return {
             "running": len(model.running),
             "queued": len(model.waiting),
-            "queued_prefill_tokens": sum(job.prefill_left for job in model.waiting),
+            "queued_prefill_tokens": sum(
+                job.prefill_left for job in (*model.waiting, *model.running)
+            ),
             "running_decode_tokens": sum(
                 job.output_tokens - job.produced for job in model.running
             ),
