--- a/bramleyport/charts/_machine.py
+++ b/bramleyport/charts/_machine.py
@@ -59,7 +59,7 @@
 
 def _make_method(event: str) -> Any:
     def method(self: object) -> Outcome:
-        raise NotImplementedError
+        raise TypeError("the machine of a chart runs its events")
 
     method.__name__ = method.__qualname__ = event
     return method
--- a/bramleyport/daemons/_agent.py
+++ b/bramleyport/daemons/_agent.py
@@ -4,13 +4,10 @@
 import time
 import uuid
 from dataclasses import replace
-from typing import TYPE_CHECKING, Any, Final
+from typing import TYPE_CHECKING, Final
 
 from bramleyport.core import (
     AttemptId,
-    EngineLoad,
-    EngineRates,
-    EngineRole,
     Execution,
     ServiceKind,
     UpstreamId,
@@ -21,6 +18,7 @@
 from bramleyport.daemons._agent_attempt import AgentAttempt, Upstream
 from bramleyport.daemons._agent_cache import AgentCache
 from bramleyport.daemons._agent_schedule import AgentSchedule
+from bramleyport.daemons._engine_report import apply_report
 from bramleyport.daemons._gate import WorkGate
 from bramleyport.queueing import QueuePolicy, Refused as QueueRefused
 from bramleyport.telemetry import (
@@ -356,29 +354,7 @@
             )
             return
         self._view.state = UpstreamState.LIVE
-        self._apply_report(report)
-
-    def _apply_report(self, report: Any) -> None:
-        view = self._view
-        view.role = EngineRole(report["role"])
-        view.models = frozenset(report["models"])
-        view.versions = frozenset(report.get("versions", ()))
-        view.adapters = frozenset(report["adapters"])
-        view.block_tokens = int(report["block_tokens"])
-        view.rates = EngineRates(
-            prefill_tokens_per_s=float(report["prefill_tokens_per_s"]),
-            decode_tokens_per_s=float(report["decode_tokens_per_s"]),
-            max_streams=int(report["max_streams"]),
-        )
-        view.load = EngineLoad(
-            taken_s=time.monotonic(),
-            running=int(report["running"]),
-            queued=int(report["queued"]),
-            queued_prefill_tokens=int(report["queued_prefill_tokens"]),
-            running_decode_tokens=int(report["running_decode_tokens"]),
-            blocks_used=int(report["blocks_used"]),
-            blocks_total=int(report["blocks_total"]),
-        )
+        apply_report(self._view, report, time.monotonic())
 
     def _describe(self) -> UpstreamInfo:
         view = self._view
--- /dev/null
+++ b/bramleyport/daemons/_engine_report.py
@@ -0,0 +1,29 @@
+"""Read the load reports that engines publish."""
+
+from collections.abc import Mapping
+from typing import Any
+
+from bramleyport.core import EngineLoad, EngineRates, EngineRole, UpstreamView
+
+
+def apply_report(view: UpstreamView, report: Mapping[str, Any], now_s: float) -> None:
+    """Take a load report of an engine over into its view."""
+    view.role = EngineRole(report["role"])
+    view.models = frozenset(report["models"])
+    view.versions = frozenset(report.get("versions", ()))
+    view.adapters = frozenset(report["adapters"])
+    view.block_tokens = int(report["block_tokens"])
+    view.rates = EngineRates(
+        prefill_tokens_per_s=float(report["prefill_tokens_per_s"]),
+        decode_tokens_per_s=float(report["decode_tokens_per_s"]),
+        max_streams=int(report["max_streams"]),
+    )
+    view.load = EngineLoad(
+        taken_s=now_s,
+        running=int(report["running"]),
+        queued=int(report["queued"]),
+        queued_prefill_tokens=int(report["queued_prefill_tokens"]),
+        running_decode_tokens=int(report["running_decode_tokens"]),
+        blocks_used=int(report["blocks_used"]),
+        blocks_total=int(report["blocks_total"]),
+    )
--- a/bramleyport/daemons/_hub.py
+++ b/bramleyport/daemons/_hub.py
@@ -7,7 +7,7 @@
 from typing import Any, Final
 
 from bramleyport.core import ProcessId, Revision
-from bramleyport.daemons._kept import KeptConnection
+from bramleyport.daemons._persistent import PersistentConnection
 from bramleyport.membership import (
     Added,
     Change,
@@ -57,8 +57,8 @@
         self.on_topology: Callable[[], None] | None = None
         self._identity = identity
         self._connections: dict[ProcessId, list[Connection]] = {}
-        self._links: dict[ProcessId, KeptConnection] = {}
-        self._seeds: list[KeptConnection] = []
+        self._links: dict[ProcessId, PersistentConnection] = {}
+        self._seeds: list[PersistentConnection] = []
         self._unconfirmed: set[Connection] = set()
         self._store_answer_s: float | None = None
         self._leaving = False
@@ -221,14 +221,14 @@
             if process not in self._links:
                 self._links[process] = self._link(host.uri, process)
 
-    def _close_later(self, links: list[KeptConnection]) -> None:
+    def _close_later(self, links: list[PersistentConnection]) -> None:
         for link in links:
             task = asyncio.ensure_future(link.close())
             self._background.add(task)
             task.add_done_callback(self._background.discard)
 
-    def _link(self, uri: str, expected: ProcessId | None) -> KeptConnection:
-        return KeptConnection(
+    def _link(self, uri: str, expected: ProcessId | None) -> PersistentConnection:
+        return PersistentConnection(
             uri,
             expected,
             self._identity,
--- a/bramleyport/daemons/_peers.py
+++ b/bramleyport/daemons/_peers.py
@@ -19,9 +19,9 @@
     Work,
 )
 from bramleyport.daemons._hub import PeerHub
-from bramleyport.daemons._kept import KeptConnection
-from bramleyport.daemons._pool_scout import PoolScout
-from bramleyport.membership import Host, HostState, ProcessRole, Spoke
+from bramleyport.daemons._persistent import PersistentConnection
+from bramleyport.daemons._pool_discovery import PoolDiscovery
+from bramleyport.membership import Host, HostState, MessageReceived, ProcessRole
 from bramleyport.routing import (
     CacheChange,
     CacheFollower,
@@ -46,7 +46,7 @@
     def __init__(self, host: Host) -> None:
         self.host = host
         self.connection: Connection | None = None
-        self.kept: KeptConnection | None = None
+        self.persistent: PersistentConnection | None = None
         self.view: UpstreamView | None = None
         # Outside the entry's subset: serves its attempts in flight and no new ones.
         self.retired = False
@@ -147,7 +147,7 @@
         self._read_revision = read_revision
         self._on_message = on_message
         self._hub = hub
-        self._scout = PoolScout(identity, read_revision, self._reapply)
+        self._discovery = PoolDiscovery(identity, read_revision, self._reapply)
         self._hosts: list[Host] = []
         self._chosen: frozenset[ProcessId] = frozenset()
         self._links: dict[ProcessId, AgentLink] = {}
@@ -168,7 +168,7 @@
                 self._drop(process)
                 link = AgentLink(host)
                 self._links[process] = link
-                link.kept = self._connect(link)
+                link.persistent = self._connect(link)
             link.host = host
             link.retired = False
 
@@ -203,12 +203,12 @@
         if len(agents) > self._subsets.size:
             region = self._identity.region
             near = [host for host in agents if host.region == region]
-            self._scout.visit(near or agents)
+            self._discovery.visit(near or agents)
             # Far agents of unknown pools would count as one large pool.
             agents = [h for h in agents if not near or h.region == region or h.pool]
         return [
             SubsetHost(
-                host.process, host.zone, host.region, self._scout.name_pool(host)
+                host.process, host.zone, host.region, self._discovery.name_pool(host)
             )
             for host in agents
         ]
@@ -260,12 +260,16 @@
 
     async def close(self) -> None:
         """Close all connections."""
-        self._scout.close()
-        kept = [link.kept for link in self._links.values() if link.kept is not None]
+        self._discovery.close()
+        kept = [
+            link.persistent
+            for link in self._links.values()
+            if link.persistent is not None
+        ]
         await asyncio.gather(*(connection.close() for connection in kept))
 
-    def _connect(self, link: AgentLink) -> KeptConnection:
-        return KeptConnection(
+    def _connect(self, link: AgentLink) -> PersistentConnection:
+        return PersistentConnection(
             link.host.uri,
             link.host.process,
             self._identity,
@@ -277,9 +281,9 @@
 
     def _drop(self, process: ProcessId) -> None:
         link = self._links.pop(process, None)
-        if link is not None and link.kept is not None:
+        if link is not None and link.persistent is not None:
             # Answers that still run on the old connection are read to their end.
-            link.kept.retire()
+            link.persistent.retire()
 
     def _open(self, link: AgentLink, connection: Connection) -> None:
         link.connection = connection
@@ -299,11 +303,11 @@
         if isinstance(message, UpstreamInfo):
             connection.peer_run = message.run
             link.apply_info(message)
-            self._scout.learn(link.host.process, message)
+            self._discovery.learn(link.host.process, message)
             if message.state is UpstreamState.LEAVING:
                 self._hub.report_leaving(connection)
             else:
-                self._hub.report(Spoke(connection.peer))
+                self._hub.report(MessageReceived(connection.peer))
         elif isinstance(message, LoadReport):
             link.apply_load(message)
         elif isinstance(message, CacheReport):
--- a/bramleyport/daemons/_kept.py
+++ b/bramleyport/daemons/_persistent.py
@@ -14,7 +14,7 @@
 RETIRE_S: Final = 2.0
 
 
-class KeptConnection:
+class PersistentConnection:
     """Reconnect to a peer for as long as it is wanted."""
 
     def __init__(
--- a/bramleyport/daemons/_pool_scout.py
+++ b/bramleyport/daemons/_pool_discovery.py
@@ -20,7 +20,7 @@
 VISIT_TIMEOUT_S: Final = 5.0
 
 
-class PoolScout:
+class PoolDiscovery:
     """Visit agents of unknown pools and remember what they serve."""
 
     def __init__(
--- a/bramleyport/membership/_membership.py
+++ b/bramleyport/membership/_membership.py
@@ -64,7 +64,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Spoke:
+class MessageReceived:
     """Report that a process itself said that it takes work."""
 
     process: ProcessId
@@ -104,7 +104,7 @@
     state: HostState
 
 
-Event = HostList | Connected | Disconnected | LeavingReported | Spoke | Tick
+Event = HostList | Connected | Disconnected | LeavingReported | MessageReceived | Tick
 Change = Added | Replaced | Removed | StateChanged
 
 
@@ -172,7 +172,7 @@
             if member.silent_since_s is None:
                 member.silent_since_s = now_s
             return []
-        if isinstance(event, Spoke):
+        if isinstance(event, MessageReceived):
             # The platform and the process itself know better than a peer's report.
             stronger = member.leaving is not LeavingSource.PEER
             return [] if stronger else _set_leaving(member, None)
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -15,10 +15,10 @@
     LeavingReported,
     LeavingSource,
     Membership,
+    MessageReceived,
     ProcessRole,
     Removed,
     Replaced,
-    Spoke,
     StateChanged,
     Tick,
 )
@@ -138,9 +138,9 @@
 def test_own_word_overrides_a_peer_only() -> None:
     membership = make_membership()
     membership.step(LEAVING_SIGNS["peer"], 1.0)
-    assert membership.step(Spoke(A), 2.0) == [StateChanged(A, HostState.LIVE)]
+    assert membership.step(MessageReceived(A), 2.0) == [StateChanged(A, HostState.LIVE)]
     membership.step(LEAVING_SIGNS["list"], 3.0)
-    assert membership.step(Spoke(A), 4.0) == []
+    assert membership.step(MessageReceived(A), 4.0) == []
 
 
 def test_restarted_process_replaces_its_old_entry() -> None:
--- a/tests/test_pool_scout.py
+++ b/tests/test_pool_discovery.py
@@ -63,9 +63,9 @@
     async def check() -> None:
         links = make_links("entry-0")
         links.apply_hosts(make_hosts(6))
-        while links._scout._workers:
+        while links._discovery._workers:
             await asyncio.sleep(0.02)
-        assert not links._scout._queue
+        assert not links._discovery._queue
         await links.close()
 
     run(check())
--- a/tests/test_transport_faults.py
+++ b/tests/test_transport_faults.py
@@ -16,7 +16,7 @@
 
 from bramleyport.composition import build_identity
 from bramleyport.core import ProcessId, RegionName, Revision, StepError, ZoneName
-from bramleyport.daemons._kept import KeptConnection
+from bramleyport.daemons._persistent import PersistentConnection
 from bramleyport.settings import HeartbeatSettings, ProcessSettings, TlsSettings
 from bramleyport.telemetry import events
 from bramleyport.transport import (
@@ -218,7 +218,7 @@
                     old_was_open.append(not opened[-1].closed.is_set())
                 opened.append(connection)
 
-            kept = KeptConnection(
+            kept = PersistentConnection(
                 uri,
                 ProcessId("server"),
                 make_identity("client"),
@@ -245,7 +245,7 @@
     async def check() -> None:
         async with serving() as endpoint:
             opened: list[Connection] = []
-            kept = KeptConnection(
+            kept = PersistentConnection(
                 endpoint.uri,
                 ProcessId("somebody-else"),
                 make_identity("client"),
