Show lease, revision and queue wait in the metrics and the store in the demo

Cause: metrics had no state of leases, records and upstreams and no queue wait; the demo did not say where its store is, so the record commands could not be tried; some comments said whether a value was measured. Change: gauges set at each read of the metrics, a histogram of queue wait by service and rank, the demo prints a record command that works as printed, a test applies a record to the demo and waits until it is in force. Conclusion: operators can follow a change by the record alone.

--- a/bramleyport/cli/_demo.py
+++ b/bramleyport/cli/_demo.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import sys
 from typing import TYPE_CHECKING, Any, Final
 
 from bramleyport.composition import build_agent, build_entry
@@ -73,6 +74,7 @@
     def __init__(self, port: int, seed: int) -> None:
         self._port = port
         self._seed = seed
+        self.store_url = ""
         self.store = ObjectApiStandin()
         self.engines = [
             EngineStandin((MODEL,), EngineProfile(), checks_fencing=index % 2 == 0)
@@ -88,7 +90,7 @@
         """Start everything and wait until an entry is ready."""
         for name, record in RECORDS.items():
             self.store.store.put("services", name, {"spec": record})
-        store_url = await self._serve(self.store.app)
+        store_url = self.store_url = await self._serve(self.store.app)
         for index, engine in enumerate(self.engines):
             self._tasks.append(asyncio.ensure_future(engine.run()))
             url = await self._serve(engine.app)
@@ -129,7 +131,8 @@
             f"http://{LOOPBACK}:{self.entries[1].port}\n"
             f"curl -N {base}/v1/chat/completions -H 'X-Rank: urgent' -d '{chat}'\n"
             f"curl {base}/services/orders/postings -H 'Idempotency-Key: order-1' "
-            "-d '{\"helmets\": 3}'"
+            "-d '{\"helmets\": 3}'\n"
+            f"BRAMLEYPORT_STORE={self.store_url} {_name_program()} record list"
         )
 
     async def _serve(self, app: Any) -> str:
@@ -195,3 +198,9 @@
             for role, settings, port in ports
         ]
         self.store.store.put("hosts", "current", {"spec": {"hosts": rows}})
+
+
+def _name_program() -> str:
+    if sys.argv[0].endswith(".pyz"):
+        return f"{sys.executable} {sys.argv[0]}"
+    return f"{sys.executable} -m bramleyport"
--- a/bramleyport/daemons/_attempt_runner.py
+++ b/bramleyport/daemons/_attempt_runner.py
@@ -113,6 +113,8 @@
     def _observe(
         self, upstream: UpstreamId, work: Work, end: End, cached_tokens: int
     ) -> None:
+        labels = {"service": work.service, "rank": work.rank.value}
+        self._metrics.queue_wait_s.observe(labels, end.wait_s)
         if self._estimator is None or end.status >= FIRST_ERROR_STATUS:
             return
         observation = Observation(
--- a/bramleyport/daemons/_controller.py
+++ b/bramleyport/daemons/_controller.py
@@ -332,6 +332,11 @@
         """Start every controller and return its task."""
         return [asyncio.ensure_future(pool.run()) for pool in self.pools.values()]
 
+    def list_leases(self) -> dict[PoolName, bool]:
+        """Return whether this entry holds the lease of each of its pools."""
+        now_s = time.monotonic()
+        return {name: pool.keeper.may_act(now_s) for name, pool in self.pools.items()}
+
     def report(self, report: OrderReport) -> None:
         """Hand an agent's report to the controllers."""
         for pool in self.pools.values():
--- a/bramleyport/daemons/_entry.py
+++ b/bramleyport/daemons/_entry.py
@@ -197,6 +197,18 @@
 
     def render_metrics(self) -> bytes:
         """Return the metrics in the Prometheus text format."""
+        state = {
+            "records_revision": self.records.revision,
+            "requests_in_flight": self._in_flight,
+            "upstreams_usable": len(self._links.list_views()),
+            "ready": int(self.explain_unready() is None),
+        }
+        for name, value in state.items():
+            self._metrics.gauges.set({"name": name}, value)
+        if self.controllers is not None:
+            for pool, held in self.controllers.list_leases().items():
+                labels = {"name": "lease_held", "pool": pool}
+                self._metrics.gauges.set(labels, int(held))
         return self._metrics.render_text()
 
     async def serve(self, request: CallerRequest, stream: CallerStream) -> None:
--- a/bramleyport/planning/_ratio.py
+++ b/bramleyport/planning/_ratio.py
@@ -36,9 +36,8 @@
 MAX_MOVED_PART: Final = 1 / 4
 # The gain is a forecast and the cost is certain.
 GAIN_MARGIN: Final = 1.25
-# The seconds of an engine in a change count in full. A trial that counted only what
-# the others have no room for lost goodput in eight of nine scenarios: while one engine
-# of nine is out, queues on the others break first-token targets.
+# The seconds of an engine in a change count in full, also where the others have room:
+# while one engine of nine is out, queues on the others break first-token targets.
 # A draining engine still serves about half of its streams' time.
 DRAIN_LOSS: Final = 0.5
 # Part of the cached prefixes that later requests would have used again.
--- a/bramleyport/routing/_affinity.py
+++ b/bramleyport/routing/_affinity.py
@@ -31,7 +31,7 @@
 SAME_ZONE_S: Final = 0.0
 OTHER_ZONE_S: Final = 0.0015
 OTHER_REGION_S: Final = 0.030
-# Assumed, not measured; long enough that a loaded engine with a short queue wins.
+# Long enough that a loaded engine with a short queue wins.
 ADAPTER_LOAD_S: Final = 1.0
 VERSION_LOAD_S: Final = 20.0
 LATE_WEIGHT: Final = 4.0
@@ -110,7 +110,7 @@
                 if position < count and views[position].upstream == upstream:
                     picked.add(position)
         if work.prefix_blocks:
-            # Requests of one first block meet at one engine before any is remembered.
+            # Sends requests that share a first block to one engine from the start.
             picked.add(int.from_bytes(work.prefix_blocks[0][:8], "big") % count)
         return sorted(picked)
 
--- a/bramleyport/routing/_transfer.py
+++ b/bramleyport/routing/_transfer.py
@@ -7,7 +7,7 @@
 class TransferCost:
     """Forecast the export and import of a prompt's KV cache."""
 
-    # Assumed share of a host's link, not measured.
+    # The share of a host's link that one transfer gets.
     bytes_per_s: float = 2e9
     # 32 layers x 8 heads x 128 values x 2 (key and value) x 2 bytes.
     bytes_per_token: float = 131_072.0
--- a/bramleyport/telemetry/_metrics.py
+++ b/bramleyport/telemetry/_metrics.py
@@ -33,6 +33,9 @@
         self.between_tokens_s = self._histogram(
             "bramleyport_between_tokens_seconds", BETWEEN_TOKENS_BUCKETS_S
         )
+        self.queue_wait_s = self._histogram(
+            "bramleyport_queue_wait_seconds", FIRST_TOKEN_BUCKETS_S
+        )
         self.answer_s = self._histogram("bramleyport_answer_seconds", ANSWER_BUCKETS_S)
 
     def render_text(self) -> bytes:
@@ -45,5 +48,8 @@
 
     def _histogram(self, name: str, buckets: list[float]) -> Histogram:
         return Histogram(
-            name, "By tenant and rank", buckets=buckets, registry=self.registry
+            name,
+            "By tenant or service, and rank",
+            buckets=buckets,
+            registry=self.registry,
         )
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -136,3 +136,23 @@
     path = tmp_path / "entry.yaml"
     path.write_text(ENTRY)
     assert CliRunner().invoke(main, ["check", "entry", str(path)]).exit_code == 0
+
+
+def test_record_is_in_force_on_every_process_and_explained(
+    demo: Any, tmp_path: Path
+) -> None:
+    """An operator must learn from the record alone that it took force."""
+    path = tmp_path / "record.yaml"
+    path.write_text(RECORD.replace("inspections", "flags"))
+    environment = {"BRAMLEYPORT_STORE": demo.store_url}
+
+    def call(*arguments: str) -> Result:
+        return CliRunner().invoke(main, ["record", *arguments], env=environment)
+
+    applied = call("apply", "--wait", "60", "-f", str(path))
+    assert applied.exit_code == 0, applied.output
+    assert "in force on 7 of 7 processes" in applied.output
+    explained = call("explain", "flags").output
+    assert "valid: yes" in explained
+    assert "servable: yes" in explained
+    assert "engines mixed: 4" in explained
--- a/tests/test_whole_path.py
+++ b/tests/test_whole_path.py
@@ -131,3 +131,17 @@
         return await asyncio.gather(*[exchange_raw(port, head) for _ in range(300)])
 
     assert all(b"200 OK" in answer for answer in run(call_all()))
+
+
+def test_metrics_show_state_and_histograms(demo: Any, run: Run) -> None:
+    body = json.dumps(CHAT).encode()
+    run(fetch(make_url(demo, "/v1/chat/completions"), "POST", body=body))
+    text = run(fetch(make_url(demo, "/metrics"))).body.decode()
+    for expected in (
+        'bramleyport_state{name="records_revision"}',
+        'bramleyport_state{name="lease_held",pool="inspector-8b"}',
+        "bramleyport_queue_wait_seconds_bucket",
+        "bramleyport_first_token_seconds_bucket",
+        'bramleyport_store_calls_total{kind="list",result="ok"}',
+    ):
+        assert expected in text
