--- a/bramleyport/bench/_policy_run.py
+++ b/bramleyport/bench/_policy_run.py
@@ -56,7 +56,7 @@
 )
 from bramleyport.standins import EngineModel, EngineProfile
 
-REPORT_INTERVAL_S: Final = 0.5
+REPORT_INTERVAL_S: Final = 1.0
 PLAN_INTERVAL_S: Final = 5.0
 PLAN_HISTORY: Final = 120
 ORDER_DELAY_S: Final = 0.5
