--- a/tests/test_keyed_calls.py
+++ b/tests/test_keyed_calls.py
@@ -51,7 +51,9 @@
             raise self.admit_error
         return None
 
-    async def run(self, work: Work, call: Call, on_chunk: Any) -> Any:
+    async def run(
+        self, work: Work, call: Call, on_chunk: Any, on_restart: Any = None
+    ) -> Any:
         self.runs += 1
         await self.release.wait()
         if self.error is not None:
