Show decisions of a record in its status

Cause: the status of a record lists its latest decisions, but admission and retry events did not name the service, so the list was always empty. Change: these events name the service; plans are found by the model's name.

--- a/bramleyport/daemons/_dispatch.py
+++ b/bramleyport/daemons/_dispatch.py
@@ -101,6 +101,7 @@
         rejected = isinstance(decision, Rejected)
         log_event(
             events.REQUEST_REJECTED if rejected else policy_events.REQUEST_ADMITTED,
+            service=work.service,
             request=work.request,
             rank=work.rank.value,
             reason=reason,
@@ -167,6 +168,7 @@
             "retry",
             routing_events.RETRY_DENIED if denied else routing_events.RETRY_ALLOWED,
             decision.explanation,
+            service=work.service,
             request=work.request,
             upstream=failure.upstream,
             failure=failure.kind.value,
--- a/bramleyport/daemons/_status.py
+++ b/bramleyport/daemons/_status.py
@@ -110,10 +110,14 @@
         problems: list[Problem] = []
         upstreams: list[UpstreamView] = []
         fleet = self._read_fleet()
+        # Plans are logged under the pool, which is named after the model.
+        names: set[str] = {item.name}
         if isinstance(parsed, Err):
             problems = parsed.err_value
         else:
             record = parsed.ok_value
+            if record.model is not None:
+                names.add(record.model.name)
             upstreams = [view for view in fleet.views if _serves(view, record)]
         stored = _read_stored(item)
         spec_revision = find_spec_revision(item.spec, stored, item.revision)
@@ -125,7 +129,7 @@
             processes=len(fleet.revisions),
             ranks=self._outcomes.read(ServiceName(item.name)),
             engines_by_role=dict(sorted(roles.items())),
-            decisions=self._list_decisions(item.name),
+            decisions=self._list_decisions(names),
             conditions=make_conditions(
                 problems, in_force, len(fleet.revisions), len(upstreams)
             ),
@@ -133,9 +137,9 @@
             spec_digest=digest_spec(item.spec),
         )
 
-    def _list_decisions(self, record: str) -> tuple[str, ...]:
+    def _list_decisions(self, names: set[str]) -> tuple[str, ...]:
         latest = self._journal.list_latest(100)
-        chosen = [entry for entry in latest if entry.fields.get("service") == record]
+        chosen = [entry for entry in latest if entry.fields.get("service") in names]
         return tuple(f"{e.time} {e.text}" for e in chosen[:DECISIONS_SHOWN])
 
 
