Give test processes ports that outgoing connections never take

Cause: a fleet of test processes waited 60 s for an agent that had ended. find_port returned a port of Linux's range for outgoing connections (32768-60999); a client connection to a stand-in took that port between the probe and the agent's own bind, which then failed with EADDRINUSE.

Ruled out: a hang of the daemons. The other five processes of the failed fleet served, and the entries reported the refused connection once per back-off interval.

Conclusion: the fault was in the test harness; the bound of 60 s stays.

--- a/tests/process_fleet.py
+++ b/tests/process_fleet.py
@@ -24,7 +24,7 @@
     stop_listening,
 )
 from tests.http_client import Answer, exchange_raw, fetch
-from tests.test_packaging import find_port
+from tests.ports import find_port
 
 READY_LIMIT_S = 60  # only a hang reaches it
 MODEL = "inspector-8b"
@@ -129,8 +129,15 @@
         async with asyncio.timeout(READY_LIMIT_S):
             for entry in ("entry-0", "entry-1"):
                 while not await self._sees_everything(entry):
+                    self._check_running()
                     await asyncio.sleep(0.1)
 
+    def _check_running(self) -> None:
+        """Fail at once, with its log, for a process that ended during the start."""
+        for name, process in self.processes.items():
+            log = self.directory / f"{name}.log"
+            assert process.poll() is None, f"{name} ended: {log.read_text()[-2000:]}"
+
     async def _sees_everything(self, entry: str) -> bool:
         head = b"GET /status HTTP/1.0\r\n\r\n"
         try:
--- a/tests/test_packaging.py
+++ b/tests/test_packaging.py
@@ -17,6 +17,7 @@
 
 from bramleyport.cli import main
 from bramleyport.packaging._zipapp import build_zipapp
+from tests.ports import find_port
 
 EXAMPLES = Path(__file__).parent.parent / "examples"
 STARTUP_LIMIT_S = 30  # only a hang reaches it
@@ -39,12 +40,6 @@
         assert result.exit_code == 0, result.output
 
 
-def find_port() -> int:
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return int(probe.getsockname()[1])
-
-
 def adapt(source: Path, target: Path) -> dict[str, Any]:
     """Write an example with loopback addresses and free ports."""
     settings: dict[str, Any] = yaml.safe_load(source.read_text())
