Keep the cached blocks of upstream views in sorted arrays

Cause: a cached block took 137 bytes in each entry that follows the engine. With 48 engines the 64 MB of an entry were reached at about 1,800 blocks an engine, fewer than the memory of an engine of several accelerators holds.

Change: the view that an entry follows keeps digests in a sorted array of 8 bytes each.

Ruled out: interned digests in sets, whose slots alone take 32 bytes or more a block; a limit on the blocks of a view, which forgets prefixes that engines still hold.

--- a/bramleyport/bench/_capacity.py
+++ b/bramleyport/bench/_capacity.py
@@ -14,6 +14,7 @@
 
 from bramleyport.bench._capacity_setup import (
     hold_connections,
+    make_blocks,
     make_claims,
     make_documents,
     make_views,
@@ -105,6 +106,12 @@
     return measure_memory(lambda: make_views(int(size), blocks=100))
 
 
+@subject("cached block in a view", "bytes", (1000, 2000, 4000))
+async def measure_blocks(size: float) -> float:
+    """Measure the memory of the cached blocks of one engine."""
+    return measure_memory(lambda: make_blocks(int(size)))
+
+
 @subject("decision over the subset", "s of CPU per candidate", (12, 24, 48, 96))
 async def measure_decision(size: float) -> float:
     """Measure admission and routing of one request by the number of candidates."""
--- a/bramleyport/core/__init__.py
+++ b/bramleyport/core/__init__.py
@@ -1,5 +1,6 @@
 """Types shared by all packages: ids, states, work, views and errors."""
 
+from bramleyport.core._blocks import BlockIndex
 from bramleyport.core._converter import make_strict_converter
 from bramleyport.core._errors import ErrorCode, Explanation, ServeError, StepError
 from bramleyport.core._ids import (
@@ -44,6 +45,7 @@
     "AccountId",
     "AdapterName",
     "AttemptId",
+    "BlockIndex",
     "CachedPrefixes",
     "EngineLoad",
     "EngineRates",
--- a/bramleyport/core/_views.py
+++ b/bramleyport/core/_views.py
@@ -3,6 +3,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
+from bramleyport.core._blocks import BlockIndex
 from bramleyport.core._ids import (
     AdapterName,
     ModelName,
@@ -74,12 +75,14 @@
 class CachedPrefixes:
     """Hold the prefix blocks that an engine is believed to have cached."""
 
-    blocks: set[PrefixBlock] = field(default_factory=set)
+    blocks: set[PrefixBlock] | BlockIndex = field(default_factory=set)
     last_sequence: int = 0
     uncertain: bool = False
 
     def count_cached(self, prefix: tuple[PrefixBlock, ...]) -> int:
         """Return how many leading blocks of the prefix are cached."""
+        if isinstance(self.blocks, BlockIndex):
+            return self.blocks.count_leading(prefix)
         for index, block in enumerate(prefix):
             if block not in self.blocks:
                 return index
--- a/bramleyport/routing/_cache_view.py
+++ b/bramleyport/routing/_cache_view.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 from typing import Final
 
-from bramleyport.core import CachedPrefixes, PrefixBlock
+from bramleyport.core import BlockIndex, CachedPrefixes, PrefixBlock
 
 # Long enough for a full report to arrive, short enough that a lost one is repeated.
 REQUEST_INTERVAL_S: Final = 5.0
@@ -37,6 +37,7 @@
 
     def __init__(self, cached: CachedPrefixes) -> None:
         self.cached = cached
+        cached.blocks = BlockIndex(cached.blocks)
         self._gap = False
         self._requested_s: float | None = None
 
@@ -44,7 +45,7 @@
         """Apply a change and mark the view if it leaves a gap."""
         cached = self.cached
         if change.full:
-            cached.blocks = set(change.stored)
+            cached.blocks = BlockIndex(change.stored)
             cached.last_sequence = change.sequence
             cached.uncertain = change.uncertain
             self._gap = False
