Run real processes under overlapping faults and check the invariants

Cause: faults were brought about one at a time or in simulations of the pure modules; pairs of them on real processes, with silent connections and lost store answers, were not.

The relay closes a connection whose server is down.

--- /dev/null
+++ b/tests/fault_campaign.py
@@ -0,0 +1,358 @@
+"""Real processes under a seeded sequence of overlapping faults, with checkers.
+
+Run as `python -m tests.fault_campaign --seed 1 --seconds 60`.
+"""
+
+import asyncio
+import os
+import signal
+import subprocess
+import sys
+import tempfile
+from collections import Counter
+from collections.abc import Awaitable, Callable
+from contextlib import suppress
+from dataclasses import dataclass, field
+from pathlib import Path
+from random import Random
+from typing import Any, Final
+
+import click
+
+from bramleyport.cli._runtime import install_reactor
+
+install_reactor()  # before treq imports the default reactor
+
+from tests.http_client import Answer  # noqa: E402
+from tests.process_fleet import ProcessFleet  # noqa: E402
+from tests.relay import Relay  # noqa: E402
+
+ENTRIES: Final = ("entry-0", "entry-1")
+AGENTS: Final = ("agent-0", "agent-1", "agent-2", "agent-plain")
+CLIENTS: Final = 4
+TOKENS: Final = 20
+MAX_REPEATS: Final = 30
+# Only a hang reaches these.
+ANSWER_LIMIT_S: Final = 60.0
+RECOVERY_LIMIT_S: Final = 90.0
+
+Fault = Callable[["FaultedFleet", Random], Awaitable[None]]
+FAULTS: Final[dict[str, Fault]] = {}
+
+
+def fault(name: str) -> Callable[[Fault], Fault]:
+    """Return a decorator that registers a fault."""
+
+    def add(function: Fault) -> Fault:
+        FAULTS[name] = function
+        return function
+
+    return add
+
+
+class FaultedFleet(ProcessFleet):
+    """Reach agents through relays and start ended processes again."""
+
+    def __init__(self, directory: Path, engines: int = 3) -> None:
+        super().__init__(directory, engines)
+        self.relays: dict[str, Relay] = {}
+
+    async def start(self) -> None:
+        await super().start()
+        for host in self._hosts:
+            if host["role"] != "agent":
+                continue
+            relay = self.relays[host["process"]] = Relay(host["port"])
+            host["port"] = int((await relay.start()).rsplit(":", 1)[1])
+        self.list_hosts()
+        await self._wait_until_serving()
+
+    async def stop(self) -> None:
+        await super().stop()
+        for relay in self.relays.values():
+            if relay.listener is not None:
+                relay.listener.close()
+
+    def list_hosts(self) -> None:
+        self.store.store.put("hosts", "current", {"spec": {"hosts": self._hosts}})
+
+    def respawn(self, name: str) -> None:
+        """Start an ended process with the settings that it had."""
+        role = "entry" if name in ENTRIES else "agent"
+        with (self.directory / f"{name}.log").open("ab") as log:
+            self.processes[name] = subprocess.Popen(
+                [
+                    sys.executable,
+                    "-m",
+                    "bramleyport",
+                    role,
+                    str(self.directory / f"{name}.yaml"),
+                ],
+                stderr=log,
+                env={**os.environ, "PYTHONPATH": os.getcwd()},
+            )
+
+    async def wait_for_end(self, name: str) -> int:
+        while (code := self.processes[name].poll()) is None:
+            await asyncio.sleep(0.05)
+        return code
+
+
+@fault("kill")
+async def kill_process(fleet: FaultedFleet, rng: Random) -> None:
+    """Kill a process and start it again."""
+    name = rng.choice([*ENTRIES, *AGENTS])
+    fleet.send_signal(name, signal.SIGKILL)
+    await fleet.wait_for_end(name)
+    await asyncio.sleep(rng.uniform(0.0, 3.0))
+    fleet.respawn(name)
+
+
+@fault("pause")
+async def pause_process(fleet: FaultedFleet, rng: Random) -> None:
+    """Pause a process for less or longer than its connections wait."""
+    name = rng.choice([*ENTRIES, *AGENTS])
+    fleet.send_signal(name, signal.SIGSTOP)
+    await asyncio.sleep(rng.choice([0.5, 4.0, 9.0]))
+    fleet.send_signal(name, signal.SIGCONT)
+
+
+@fault("stop")
+async def stop_process(fleet: FaultedFleet, rng: Random) -> None:
+    """Stop a process gracefully and start it again."""
+    name = rng.choice([*ENTRIES, *AGENTS])
+    fleet.send_signal(name, signal.SIGTERM)
+    await fleet.wait_for_end(name)
+    fleet.respawn(name)
+
+
+@fault("store_down")
+async def stop_store(fleet: FaultedFleet, rng: Random) -> None:
+    """Let the object API refuse all calls for a while."""
+    fleet.store.faults.outage = True
+    await asyncio.sleep(rng.uniform(0.5, 6.0))
+    fleet.store.faults.outage = False
+
+
+@fault("store_slow")
+async def delay_store(fleet: FaultedFleet, rng: Random) -> None:
+    """Let the object API answer late."""
+    fleet.store.faults.delay_s = rng.choice([0.3, 1.5])
+    await asyncio.sleep(rng.uniform(1.0, 4.0))
+    fleet.store.faults.delay_s = 0.0
+
+
+@fault("answers_lost")
+async def lose_answers(fleet: FaultedFleet, rng: Random) -> None:
+    """Lose answers of the object API after their writes took effect."""
+    fleet.store.faults.lose_answers += rng.randint(1, 5)
+
+
+@fault("silence")
+async def silence_connections(fleet: FaultedFleet, rng: Random) -> None:
+    """Drop the bytes of open connections to an agent while new ones work."""
+    relay = fleet.relays[rng.choice(AGENTS)]
+    relay.frozen.update(range(relay.accepted))
+
+
+@fault("hosts_wrong")
+async def empty_host_list(fleet: FaultedFleet, rng: Random) -> None:
+    """Let the platform's host list be empty for a while."""
+    fleet.store.store.put("hosts", "current", {"spec": {"hosts": []}})
+    await asyncio.sleep(rng.uniform(0.5, 3.0))
+    fleet.list_hosts()
+
+
+@dataclass
+class Order:
+    """Record what a caller was told of one order."""
+
+    key: str
+    answers: list[Answer] = field(default_factory=list)
+    lost: int = 0
+
+    @property
+    def executions(self) -> list[str]:
+        return [a.json().get("execution", "") for a in self.answers if a.status >= 400]
+
+
+@dataclass
+class Campaign:
+    """Drive callers and faults, and hold what was seen."""
+
+    fleet: FaultedFleet
+    rng: Random
+    stopped: bool = False
+    orders: list[Order] = field(default_factory=list)
+    whole: int = 0
+    failures: list[str] = field(default_factory=list)
+    faults: Counter[str] = field(default_factory=Counter)
+
+    async def run(self, seconds: float) -> None:
+        """Inject faults for a time, then wait until everything works again."""
+        callers = [
+            asyncio.ensure_future(self._post_orders(client))
+            for client in range(CLIENTS)
+        ]
+        callers += [asyncio.ensure_future(self._complete()) for _ in range(CLIENTS)]
+        await self._inject(seconds)
+        for name in ENTRIES:
+            await self._wait_until_working(name)
+        self.stopped = True
+        await asyncio.gather(*callers)
+
+    async def _inject(self, seconds: float) -> None:
+        loop = asyncio.get_running_loop()
+        end_s = loop.time() + seconds
+        running: dict[str, asyncio.Future[None]] = {}
+        while loop.time() < end_s:
+            name = self.rng.choice(sorted(FAULTS))
+            # Faults that end a process don't overlap with each other, because they
+            # could choose the same one; all other pairs do.
+            group = "process" if name in ("kill", "pause", "stop") else name
+            current = running.get(group)
+            if current is None or current.done():
+                self.faults[name] += 1
+                run = FAULTS[name](self.fleet, self.rng)
+                running[group] = asyncio.ensure_future(run)
+            await asyncio.sleep(self.rng.uniform(0.2, 1.5))
+        await asyncio.gather(*running.values())
+
+    async def _wait_until_working(self, entry: str) -> None:
+        async with asyncio.timeout(RECOVERY_LIMIT_S):
+            for number in range(MAX_REPEATS * 100):
+                order = Order(f"after-{entry}-{number}")
+                self.orders.append(order)
+                if await self._send(order, entry) == 201:
+                    return
+                await asyncio.sleep(0.2)
+
+    async def _post_orders(self, client: int) -> None:
+        rng = Random(self.rng.random())
+        number = 0
+        while not self.stopped:
+            order = Order(f"order-{client}-{number}")
+            number += 1
+            self.orders.append(order)
+            for repeat in range(MAX_REPEATS):
+                status = await self._send(order, ENTRIES[(client + repeat) % 2])
+                # Some callers give up, others ask again although they were answered.
+                if rng.random() < 0.3 and status is not None:
+                    break
+                await asyncio.sleep(0.1)
+                if status == 201 and rng.random() < 0.5:
+                    break
+
+    async def _send(self, order: Order, entry: str) -> int | None:
+        try:
+            async with asyncio.timeout(ANSWER_LIMIT_S):
+                answer = await self.fleet.post_order(entry, order.key)
+        except TimeoutError:
+            self.failures.append(f"{order.key}: no answer")
+            return None
+        except Exception:  # the entry is gone; a caller can't tell how far it was
+            order.lost += 1
+            return None
+        order.answers.append(answer)
+        return answer.status
+
+    async def _complete(self) -> None:
+        number = 0
+        while not self.stopped:
+            number += 1
+            answer = None
+            with suppress(Exception):
+                async with asyncio.timeout(ANSWER_LIMIT_S):
+                    answer = await self.fleet.complete(ENTRIES[number % 2], TOKENS)
+            if answer is None or answer.status != 200:
+                await asyncio.sleep(0.1)
+                continue
+            text = answer.json()["choices"][0]["text"]
+            if len(text.split()) == TOKENS:
+                self.whole += 1
+            else:
+                self.failures.append(f"an answer of {len(text.split())} tokens")
+
+    def check(self) -> list[str]:
+        """Return what contradicts the invariants."""
+        postings = self.fleet.plain.postings
+        counts = Counter(postings)
+        found = list(self.failures)
+        for order in self.orders:
+            found += check_order(order, counts[order.key], postings)
+        return found
+
+
+def check_order(order: Order, posted: int, postings: list[str]) -> list[str]:
+    """Return what contradicts the invariants for one order."""
+    found = []
+    if posted > 1:
+        found.append(f"I6: {order.key} ran {posted} times")
+    created = [a.json() for a in order.answers if a.status == 201]
+    if created and posted != 1:
+        found.append(f"I4: {order.key} was answered and ran {posted} times")
+    for value in created:
+        number = value["posting"]
+        if not 0 < number <= len(postings) or postings[number - 1] != order.key:
+            found.append(f"I4: {order.key} got the answer of another order")
+    told = order.executions
+    if posted and not order.lost and not created and set(told) == {"not_run"}:
+        found.append(f"I5: {order.key} was reported as not run and ran")
+    # An earlier answer stays true: what was completed is never reported as not run.
+    statuses = [a.status for a in order.answers]
+    if 201 in statuses:
+        after = order.answers[statuses.index(201) + 1 :]
+        if any(a.status == 201 and a.json() != created[0] for a in after):
+            found.append(f"I4: {order.key} got two different answers")
+    return found
+
+
+async def run_campaign(seed: int, seconds: float, directory: Path) -> Campaign:
+    """Run faults of one seed and return what was seen."""
+    fleet = FaultedFleet(directory)
+    try:
+        await fleet.start()
+        campaign = Campaign(fleet, Random(seed))
+        await campaign.run(seconds)
+        return campaign
+    finally:
+        await fleet.stop()
+
+
+@click.command()
+@click.option("--seed", "seeds", type=int, multiple=True, default=(1,))
+@click.option("--seconds", default=60.0, help="How long faults are injected.")
+def main(seeds: tuple[int, ...], seconds: float) -> None:
+    """Run campaigns and print what contradicts the invariants."""
+    loop = asyncio.get_event_loop()
+    failed = False
+    for seed in seeds:
+        with tempfile.TemporaryDirectory() as directory:
+            campaign = loop.run_until_complete(
+                run_campaign(seed, seconds, Path(directory))
+            )
+        found = campaign.check()
+        failed |= bool(found)
+        print(describe(seed, campaign))
+        for line in found:
+            print(f"  {line}")
+    sys.exit(failed)
+
+
+def describe(seed: int, campaign: Campaign) -> str:
+    """Return one line on a campaign."""
+    told = Counter(e for order in campaign.orders for e in order.executions)
+    values: dict[str, Any] = {
+        "seed": seed,
+        "faults": sum(campaign.faults.values()),
+        "orders": len(campaign.orders),
+        "posted": len(campaign.fleet.plain.postings),
+        "lost connections": sum(order.lost for order in campaign.orders),
+        "told": dict(told),
+        "whole completions": campaign.whole,
+    }
+    return ", ".join(f"{name} {value}" for name, value in values.items())
+
+
+if __name__ == "__main__":
+    main()
--- a/tests/relay.py
+++ b/tests/relay.py
@@ -21,7 +21,13 @@
     ) -> None:
         index = self.accepted
         self.accepted += 1
-        far_reader, far_writer = await asyncio.open_connection("127.0.0.1", self._port)
+        try:
+            far_reader, far_writer = await asyncio.open_connection(
+                "127.0.0.1", self._port
+            )
+        except OSError:  # the server is down
+            writer.close()
+            return
         await asyncio.gather(
             self._pipe(index, reader, far_writer), self._pipe(index, far_reader, writer)
         )
--- a/tests/test_race.py
+++ b/tests/test_race.py
@@ -221,7 +221,7 @@
             )
         )
         assert link.view is not None
-        blocks = (PrefixBlock(b"a"), PrefixBlock(b"b"))
+        blocks = (PrefixBlock(b"a" * 8), PrefixBlock(b"b" * 8))
         link.apply_cache(CacheReport(upstream=upstream, sequence=4, previous=3))
         assert link.view.cached.uncertain
         assert connection.posted == [CacheRequest(upstream=upstream)]
