Run controllers where an entry is a candidate, with the whole pool in view

Cause: an entry read the leases of all pools in its settings, a holder planned only for engines in its subset, and a controller that failed stayed down with its lease held until it lapsed.

Change: Controllers follow membership, records and known upstreams; the setting pools only restricts the pools. A lease is released on a graceful stop and when the entry is no longer a candidate. A controller or planner fault gives up the lease and restarts after 1 s, doubling up to 60 s. Calls of the store moved to _pool_store.py. Role changes applied and orders refused for an old number are counted by the holder.

Tests changed: test_order_faults.py::test_lease_passes_to_another_entry waits until the pools are learnt, since they no longer come from the settings.

--- a/bramleyport/composition.py
+++ b/bramleyport/composition.py
@@ -116,7 +116,7 @@
     from bramleyport.admission import ADMISSION_POLICIES
     from bramleyport.core import ProcessId
     from bramleyport.daemons._claims import ClaimWriter
-    from bramleyport.daemons._controller import Controllers
+    from bramleyport.daemons._controllers import Controllers
     from bramleyport.daemons._dispatch import Dispatcher
     from bramleyport.daemons._entry import EntryDaemon
     from bramleyport.daemons._hub import PeerHub
@@ -180,7 +180,12 @@
     keyed = KeyedCalls(ClaimWriter(client), dispatcher)
     make_planner = partial(ROLE_PLANNERS.create, policies.planner)
     controllers = Controllers(
-        settings, client, links, planner or FleetPlanner(make_planner, metrics)
+        settings,
+        client,
+        links,
+        planner or FleetPlanner(make_planner, metrics),
+        hub,
+        metrics,
     )
     outcomes = OutcomeCounter()
     journal = Journal()
--- a/bramleyport/daemons/_controller.py
+++ b/bramleyport/daemons/_controller.py
@@ -7,65 +7,49 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Final, Protocol
 
-from result import Err, Ok
-
 from bramleyport.authority import (
+    NOBODY,
     BookAction,
     BookEvent,
+    CandidacyChanged,
     EngineChange,
-    Extended,
     Granted,
     LeaseAction,
-    LeaseConflict,
     LeaseEvent,
-    LeaseFailed,
-    LeaseInDoubt,
     LeaseKeeper,
-    LeaseSeen,
     LeaseWritten,
     ListOrders,
     NotifyAgent,
     OrderBook,
-    OrderNotWritten,
     OrderObject,
     OrderReported,
     OrderSeen,
-    OrdersListed,
-    OrderWritten,
+    OrdersSettled,
     Planned,
     ReadLease,
     ReadOrderObject,
     Revoked,
+    SettleOrders,
     Tick,
     WriteLease,
     WriteOrder,
-    name_lease,
-    read_lease,
-    read_order,
-    write_lease,
-    write_order,
-    write_progress,
 )
 from bramleyport.core import ModelName, PoolName, RegionName, UpstreamId, UpstreamView
-from bramleyport.objectapi import (
-    Kind,
-    ObjectClient,
-    ObjectName,
-    ObjectVersion,
-    StoredObject,
-    StoreFailure,
-)
-from bramleyport.telemetry import authority_events, events, log_event
-from bramleyport.wire import OrderNotice, OrderReport
+from bramleyport.daemons._pool_store import PoolStore
+from bramleyport.telemetry import authority_events, lease_events, log_event
 
 if TYPE_CHECKING:
-    from bramleyport.daemons._peers import AgentLinks
-    from bramleyport.settings import EntrySettings
+    from bramleyport.daemons._order_counter import OrderCounter
+    from bramleyport.objectapi import ObjectClient
 
 TICK_S: Final = 0.25
 PLAN_INTERVAL_S: Final = 1.0
 # Bounds the writes of a holder that takes over a pool of many engines.
 MAX_CALLS: Final = 8
+RESTART_MIN_S: Final = 1.0
+RESTART_MAX_S: Final = 60.0
+# As long as a lease lasts: after that there is nothing left to release.
+RELEASE_LIMIT_S: Final = 10.0
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -103,44 +87,134 @@
         pool: PoolName,
         region: RegionName,
         process: str,
-        client: ObjectClient,
+        client: "ObjectClient",
         planner: Planner | None,
         list_views: Callable[[], Iterable[UpstreamView]],
         notify: Callable[[UpstreamId, int], None],
+        counter: "OrderCounter",
     ) -> None:
-        # The holder's name is unique to this run: a restarted process must not take
-        # the lease of its earlier run for its own.
-        holder = f"{process}-{uuid.uuid4().hex[:12]}"
         self.pool = pool
-        self.keeper = LeaseKeeper(holder, _make_token)
-        self.book = OrderBook(pool, _make_token)
         self.planner = planner
         self._region = region
-        self._client = client
+        self._process = process
+        self._store = PoolStore(client, pool, region)
         self._list_views = list_views
         self._notify = notify
+        self._counter = counter
+        self._candidate = True
+        self._dismissed = asyncio.Event()
         self._calls = asyncio.Semaphore(MAX_CALLS)
+        self._failed = asyncio.Event()
         self._tasks: set[asyncio.Future[None]] = set()
+        self._begin_run()
+
+    def set_candidate(self, candidate: bool) -> None:
+        """Allow this entry to hold the lease, or have it release the lease."""
+        self._candidate = candidate
+        if candidate:
+            self._dismissed.clear()
+        else:
+            self._dismissed.set()
 
     async def run(self) -> None:
-        """Hold the lease and write orders until cancelled."""
+        """Hold the lease and write orders until this entry is no longer a candidate."""
+        delay_s = RESTART_MIN_S
         try:
-            await asyncio.gather(self._run_lease(), self._run_book())
-        except Exception as error:  # the lease lapses and passes to another entry
-            log_event(events.HANDLER_FAILED, step="controller", error=repr(error))
+            while True:
+                begun_s = time.monotonic()
+                if await self._run_until_fault():
+                    return
+                if time.monotonic() - begun_s >= RESTART_MAX_S:
+                    delay_s = RESTART_MIN_S
+                await self._give_up()
+                await self._back_off(delay_s)
+                if not self._candidate:
+                    return
+                delay_s = min(RESTART_MAX_S, 2 * delay_s)
+                self._begin_run()
         finally:
             for task in self._tasks:
                 task.cancel()
 
     def report(self, upstream: UpstreamId) -> None:
         """Take an agent's word that its order has progressed."""
-        self._step_book(OrderReported(upstream=upstream))
+        try:
+            self._step_book(OrderReported(upstream=upstream))
+        except Exception as error:  # the reporting connection must stay open
+            self._fail(error)
+
+    def _begin_run(self) -> None:
+        # The holder's name is unique to this run: a restarted process or controller
+        # must not take the lease of its earlier run for its own.
+        holder = f"{self._process}-{uuid.uuid4().hex[:12]}"
+        self.keeper = LeaseKeeper(holder, _make_token)
+        self.book = OrderBook(self.pool, _make_token)
+        self._writes = 0
+        self._failed.clear()
+
+    async def _run_until_fault(self) -> bool:
+        """Return whether the controller ended without a fault."""
+        tasks = [
+            asyncio.ensure_future(work)
+            for work in (self._run_lease(), self._run_book(), self._wait_for_fault())
+        ]
+        try:
+            await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            for task in tasks:
+                task.cancel()
+        for result in await asyncio.gather(*tasks, return_exceptions=True):
+            if isinstance(result, Exception):
+                self._fail(result)
+        return not self._failed.is_set()
+
+    async def _wait_for_fault(self) -> None:
+        await self._failed.wait()
+
+    def _fail(self, error: BaseException) -> None:
+        log_event(lease_events.CONTROLLER_FAILED, pool=self.pool, error=repr(error))
+        self._failed.set()
+
+    async def _give_up(self) -> None:
+        # An empty book writes no orders and ignores the answers to earlier calls.
+        self.book = OrderBook(self.pool, _make_token)
+        try:
+            async with asyncio.timeout(RELEASE_LIMIT_S):
+                if self._tasks:
+                    await asyncio.wait(self._tasks)
+                await self._drive_lease(CandidacyChanged(candidate=False))
+                while not self.keeper.idle:
+                    await self._tick_lease()
+                    await asyncio.sleep(TICK_S)
+        except Exception as error:  # the keeper itself may be at fault
+            log_event(
+                lease_events.LEASE_NOT_RELEASED, pool=self.pool, error=repr(error)
+            )
+        left = list(self._tasks)
+        for task in left:
+            task.cancel()
+        await asyncio.gather(*left, return_exceptions=True)
+
+    async def _back_off(self, delay_s: float) -> None:
+        try:
+            async with asyncio.timeout(delay_s):
+                await self._dismissed.wait()
+        except TimeoutError:
+            pass
 
     async def _run_lease(self) -> None:
         while True:
-            await self._drive_lease(Tick())
+            await self._drive_lease(CandidacyChanged(candidate=self._candidate))
+            await self._tick_lease()
+            if self.keeper.idle:
+                return
             await asyncio.sleep(TICK_S)
 
+    async def _tick_lease(self) -> None:
+        await self._drive_lease(Tick())
+        if self.keeper.settling and self.book.settled and not self._writes:
+            await self._drive_lease(OrdersSettled())
+
     async def _drive_lease(self, event: LeaseEvent) -> None:
         pending = [event]
         while pending:
@@ -151,52 +225,29 @@
 
     async def _execute_lease(self, action: LeaseAction) -> LeaseEvent | None:
         if isinstance(action, ReadLease):
-            return await self._read_lease(action)
+            return await self._store.read_lease(action)
         if isinstance(action, WriteLease):
             return await self._write_lease(action)
         if isinstance(action, Granted):
             log_event(
                 authority_events.LEASE_GRANTED, pool=self.pool, fencing=action.fencing
             )
-        elif isinstance(action, Revoked):
+        elif isinstance(action, SettleOrders):
+            log_event(lease_events.LEASE_SETTLING, pool=self.pool)
+        elif isinstance(action, Revoked) and not self.keeper.releasing:
             log_event(authority_events.LEASE_LOST, pool=self.pool)
         self._step_book(action)
         return None
 
-    async def _read_lease(self, action: ReadLease) -> LeaseEvent:
-        name = ObjectName(name_lease(self.pool, self._region))
-        result = await self._client.get(Kind.LEASES, name)
-        if isinstance(result, Err):
-            if result.err_value.failure is StoreFailure.NOT_FOUND:
-                return LeaseSeen(op=action.op, lease=None, version=0)
-            return LeaseFailed(op=action.op)
-        lease = read_lease(result.ok_value.spec)
-        if isinstance(lease, Err):
+    async def _write_lease(self, action: WriteLease) -> LeaseEvent:
+        reply = await self._store.write_lease(action)
+        if action.lease.holder == NOBODY and isinstance(reply, LeaseWritten):
             log_event(
-                authority_events.ORDER_OBJECT_INVALID,
+                lease_events.LEASE_RELEASED,
                 pool=self.pool,
-                reason=lease.err_value,
+                fencing=action.lease.fencing,
             )
-            return LeaseFailed(op=action.op)
-        version = result.ok_value.version
-        return LeaseSeen(op=action.op, lease=lease.ok_value, version=version)
-
-    async def _write_lease(self, action: WriteLease) -> LeaseEvent:
-        name = ObjectName(name_lease(self.pool, self._region))
-        spec = write_lease(action.lease)
-        if action.expected is None:
-            result = await self._client.create(Kind.LEASES, name, spec, {})
-        else:
-            version = ObjectVersion(action.expected)
-            result = await self._client.update(Kind.LEASES, name, version, spec, {})
-        if isinstance(result, Ok):
-            return LeaseWritten(op=action.op, version=result.ok_value.version)
-        failure = result.err_value.failure
-        if failure is StoreFailure.CONFLICT:
-            return LeaseConflict(op=action.op)
-        if failure is StoreFailure.UNKNOWN:
-            return LeaseInDoubt(op=action.op)
-        return LeaseFailed(op=action.op)
+        return reply
 
     async def _run_book(self) -> None:
         plan_s = 0.0
@@ -225,129 +276,44 @@
             views=tuple(self._list_views()),
             orders=tuple(self.book.list_objects()),
         )
-        try:
-            plan = self.planner.plan(state, now_s)
-        except Exception as error:  # a planner's fault must not end the controller
-            log_event(events.HANDLER_FAILED, step="plan", error=repr(error))
-            return
+        plan = self.planner.plan(state, now_s)
         self._step_book(Planned(changes=plan.changes))
 
-    def _step_book(self, event: BookEvent | Extended) -> None:
+    def _step_book(self, event: BookEvent) -> None:
         for action in self.book.step(event, time.monotonic()):
             if isinstance(action, NotifyAgent):
                 self._notify(action.upstream, action.sequence)
                 continue
+            if isinstance(action, WriteOrder):
+                self._writes += 1
             task = asyncio.ensure_future(self._execute_book(action))
             self._tasks.add(task)
-            task.add_done_callback(self._tasks.discard)
+            task.add_done_callback(self._end_call)
+
+    def _end_call(self, task: "asyncio.Future[None]") -> None:
+        self._tasks.discard(task)
+        error = None if task.cancelled() else task.exception()
+        if error is not None:
+            self._fail(error)
 
     async def _execute_book(self, action: BookAction) -> None:
         async with self._calls:
             if isinstance(action, ListOrders):
-                await self._list_orders(action)
+                listed = await self._store.list_orders(action)
+                if listed is not None:  # a failed list is repeated later
+                    self._counter.note(listed.objects)
+                    self._step_book(listed)
             elif isinstance(action, ReadOrderObject):
-                self._step_book(await self._read_order(action))
+                reply = await self._store.read_order(action)
+                if isinstance(reply, OrderSeen) and reply.object is not None:
+                    self._counter.count(reply.object)
+                self._step_book(reply)
             elif isinstance(action, WriteOrder):
-                self._step_book(await self._write_order(action))
-
-    async def _list_orders(self, action: ListOrders) -> None:
-        result = await self._client.list_all(Kind.ORDERS)
-        if isinstance(result, Err):
-            return  # listed again later
-        found = [self._parse(item) for item in result.ok_value.items]
-        mine = tuple(o for o in found if o is not None and o.order.pool == self.pool)
-        self._step_book(OrdersListed(op=action.op, objects=mine))
-
-    def _parse(self, item: StoredObject) -> OrderObject | None:
-        upstream = UpstreamId(item.name)
-        result = read_order(upstream, item.version, item.spec, item.status)
-        if isinstance(result, Ok):
-            return result.ok_value
-        log_event(
-            authority_events.ORDER_OBJECT_INVALID,
-            upstream=upstream,
-            reason=result.err_value,
-        )
-        return None
-
-    async def _read_order(self, action: ReadOrderObject) -> BookEvent:
-        upstream = action.upstream
-        result = await self._client.get(Kind.ORDERS, ObjectName(upstream))
-        if isinstance(result, Ok):
-            found = self._parse(result.ok_value)
-            return OrderSeen(op=action.op, upstream=upstream, object=found)
-        if result.err_value.failure is StoreFailure.NOT_FOUND:
-            return OrderSeen(op=action.op, upstream=upstream, object=None)
-        return OrderNotWritten(op=action.op, upstream=upstream)
-
-    async def _write_order(self, action: WriteOrder) -> BookEvent:
-        wanted = action.object
-        upstream = wanted.upstream
-        if time.monotonic() >= action.until_s:
-            return OrderNotWritten(op=action.op, upstream=upstream)
-        result = await self._client.update(
-            Kind.ORDERS,
-            ObjectName(upstream),
-            ObjectVersion(wanted.version),
-            write_order(wanted.order),
-            write_progress(wanted.progress),
-        )
-        if isinstance(result, Err):
-            return OrderNotWritten(op=action.op, upstream=upstream)
-        log_event(
-            authority_events.ORDER_WRITTEN,
-            upstream=upstream,
-            sequence=wanted.order.sequence,
-            fencing=wanted.order.sealed,
-        )
-        version = result.ok_value.version
-        return OrderWritten(op=action.op, upstream=upstream, version=version)
-
-
-class Controllers:
-    """Run the controller of each pool for which this entry is a candidate."""
-
-    def __init__(
-        self,
-        settings: "EntrySettings",
-        client: ObjectClient,
-        links: "AgentLinks",
-        planner: Planner | None,
-    ) -> None:
-        self._links = links
-        self.pools = {
-            PoolName(name): PoolController(
-                PoolName(name),
-                RegionName(settings.process.region),
-                settings.process.process,
-                client,
-                planner,
-                links.list_views,
-                self._notify,
-            )
-            for name in settings.pools
-        }
-
-    def start(self) -> list["asyncio.Task[None]"]:
-        """Start every controller and return its task."""
-        return [asyncio.ensure_future(pool.run()) for pool in self.pools.values()]
-
-    def list_leases(self) -> dict[PoolName, bool]:
-        """Return whether this entry holds the lease of each of its pools."""
-        now_s = time.monotonic()
-        return {name: pool.keeper.may_act(now_s) for name, pool in self.pools.items()}
-
-    def report(self, report: OrderReport) -> None:
-        """Hand an agent's report to the controllers."""
-        for pool in self.pools.values():
-            pool.report(report.upstream)
-
-    def _notify(self, upstream: UpstreamId, sequence: int) -> None:
-        # A replaced agent learns from the notice that it is superseded.
-        notice = OrderNotice(upstream=upstream, sequence=sequence)
-        for link in self._links.find_all(upstream):
-            if link.connection is not None:
-                link.connection.post(notice)
+                try:
+                    reply = await self._store.write_order(action)
+                finally:
+                    self._writes -= 1
+                self._step_book(reply)
 
 
 def _make_token() -> str:
--- a/bramleyport/daemons/_entry.py
+++ b/bramleyport/daemons/_entry.py
@@ -37,7 +37,7 @@
     from twisted.internet.tcp import Port
     from websockets.asyncio.server import Server
 
-    from bramleyport.daemons._controller import Controllers
+    from bramleyport.daemons._controllers import Controllers
     from bramleyport.daemons._dispatch import Dispatcher
     from bramleyport.daemons._hub import PeerHub
     from bramleyport.daemons._peers import AgentLinks
@@ -139,6 +139,7 @@
         """Refuse new requests, finish those in flight, then close."""
         log_event(events.PROCESS_STOPPING, process=self.settings.process.process)
         self._stopping = True
+        releasing = asyncio.ensure_future(self._release_leases())
         await self._hub.announce_leaving()
         deadline_s = time.monotonic() + self.settings.drain_timeout_s
         while self._in_flight and time.monotonic() < deadline_s:
@@ -148,6 +149,7 @@
             if stopped is not None:
                 await stopped.asFuture(asyncio.get_running_loop())
         await self._keyed.drain(deadline_s - time.monotonic())
+        await releasing
         for task in self._tasks:
             task.cancel()
         self._hub.on_topology = None
@@ -160,6 +162,11 @@
         await self._client.close()
         log_event(events.PROCESS_STOPPED, process=self.settings.process.process)
 
+    async def _release_leases(self) -> None:
+        # Successors need not wait until the requests in flight have finished.
+        if self.controllers is not None:
+            await self.controllers.stop()
+
     def list_models(self) -> list[str]:
         """Return the models that callers may name."""
         return sorted(
--- /dev/null
+++ b/bramleyport/daemons/_order_counter.py
@@ -0,0 +1,42 @@
+"""Count what became of the orders of a pool while this entry holds its lease."""
+
+from collections.abc import Iterable
+
+from bramleyport.authority import FENCING_REFUSED, OrderObject, Progress
+from bramleyport.core import PoolName, UpstreamId
+from bramleyport.telemetry import Metrics
+
+
+class OrderCounter:
+    """Count each outcome once, when its object is first seen with it."""
+
+    def __init__(self, pool: PoolName, metrics: Metrics) -> None:
+        self._pool = pool
+        self._metrics = metrics
+        self._seen: dict[UpstreamId, tuple[int, Progress]] = {}
+
+    def note(self, objects: Iterable[OrderObject]) -> None:
+        """Remember outcomes that earlier holders have counted."""
+        self._seen = {item.upstream: _read_outcome(item) for item in objects}
+
+    def count(self, found: OrderObject) -> None:
+        """Count an outcome that is new since the object was last seen."""
+        outcome = _read_outcome(found)
+        before = self._seen.get(found.upstream)
+        self._seen[found.upstream] = outcome
+        if before is None or before == outcome:
+            return
+        role, state = found.order.change.role, found.state
+        if state is Progress.DONE and role is not None:
+            self._metrics.role_changes.inc({"pool": self._pool, "role": role.value})
+        elif state is Progress.DROPPED:
+            self._refuse("agent")
+        elif state is Progress.FAILED and found.progress.reason == FENCING_REFUSED:
+            self._refuse("engine")
+
+    def _refuse(self, refuser: str) -> None:
+        self._metrics.orders_refused.inc({"pool": self._pool, "by": refuser})
+
+
+def _read_outcome(found: OrderObject) -> tuple[int, Progress]:
+    return found.order.sequence, found.state
--- a/bramleyport/daemons/_peers.py
+++ b/bramleyport/daemons/_peers.py
@@ -9,6 +9,7 @@
     AdapterName,
     ModelName,
     ModelVersion,
+    PoolName,
     ProcessId,
     Revision,
     SentWork,
@@ -168,7 +169,7 @@
                 self._drop(process)
                 link = AgentLink(host)
                 self._links[process] = link
-                link.persistent = self._connect(link)
+                link.persistent = self.connect(link)
             link.host = host
             link.retired = False
 
@@ -194,6 +195,20 @@
                 return link
         return None
 
+    def list_outside(self, pools: frozenset[PoolName]) -> dict[ProcessId, Host]:
+        """Return the live agents of the pools in this region beyond the subset."""
+        if not pools:
+            return {}
+        return {
+            host.process: host
+            for host in self._hosts
+            if host.role is ProcessRole.AGENT
+            and host.state is HostState.LIVE
+            and host.region == self._identity.region
+            and host.process not in self._chosen
+            and not pools.isdisjoint(self._discovery.name_pool(host).split())
+        }
+
     def _reapply(self) -> None:
         self.apply_hosts(self._hosts)
 
@@ -268,7 +283,8 @@
         ]
         await asyncio.gather(*(connection.close() for connection in kept))
 
-    def _connect(self, link: AgentLink) -> PersistentConnection:
+    def connect(self, link: AgentLink) -> PersistentConnection:
+        """Connect to a link's agent and keep the link's view up to date."""
         return PersistentConnection(
             link.host.uri,
             link.host.process,
--- a/bramleyport/telemetry/__init__.py
+++ b/bramleyport/telemetry/__init__.py
@@ -3,6 +3,7 @@
 from bramleyport.telemetry import (
     _authority_events as authority_events,
     _events as events,
+    _lease_events as lease_events,
     _membership_events as membership_events,
     _planning_events as planning_events,
     _policy_events as policy_events,
@@ -26,6 +27,7 @@
     "authority_events",
     "configure_logging",
     "events",
+    "lease_events",
     "log_event",
     "membership_events",
     "planning_events",
--- a/bramleyport/telemetry/_metrics.py
+++ b/bramleyport/telemetry/_metrics.py
@@ -24,6 +24,13 @@
         self.decisions = self._count(
             "bramleyport_decisions_total", "Decisions by kind and reason"
         )
+        self.role_changes = self._count(
+            "bramleyport_role_changes_total", "Role changes applied by pool and role"
+        )
+        self.orders_refused = self._count(
+            "bramleyport_orders_refused_total",
+            "Orders refused for an old fencing number by pool and refuser",
+        )
         self.gauges = Gauge(
             "bramleyport_state", "State by name", registry=self.registry
         )
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -46,26 +46,34 @@
 
 
 class Fleet:
-    def __init__(self, *, checks_fencing: bool = True) -> None:
+    def __init__(
+        self, *, checks_fencing: bool = True, engines: int = 1, subset_size: int = 48
+    ) -> None:
         self.store = ObjectApiStandin()
-        self.engine = EngineStandin(
-            (MODEL,),
-            EngineProfile(role_change_s=0.2),
-            checks_fencing=checks_fencing,
-        )
-        self.planner = FixedPlanner()
+        self.engines = [
+            EngineStandin(
+                (MODEL,),
+                EngineProfile(role_change_s=0.2),
+                checks_fencing=checks_fencing,
+            )
+            for _ in range(engines)
+        ]
+        self.engine = self.engines[0]
+        self.planner: Any = FixedPlanner()
+        self.subset_size = subset_size
         self.agents: list[Any] = []
         self.entries: list[Any] = []
         self._listening: list[Any] = []
-        self._task: asyncio.Task[None] | None = None
+        self._tasks: list[asyncio.Task[None]] = []
         self._urls: dict[str, str] = {}
 
     async def start(self, entries: int = 1) -> None:
         self.store.store.put("services", "inspections", {"spec": RECORD})
         self._urls["store"] = await self._serve(self.store.app)
-        self._urls["engine"] = await self._serve(self.engine.app)
-        self._task = asyncio.ensure_future(self.engine.run())
-        await self.add_agent("agent-0")
+        for index, engine in enumerate(self.engines):
+            self._urls[f"engine-{index}"] = await self._serve(engine.app)
+            self._tasks.append(asyncio.ensure_future(engine.run()))
+            await self.add_agent(f"agent-{index}", f"engine-{index}")
         for index in range(entries):
             await self.add_entry(f"entry-{index}")
         await self.wait(lambda: all(len(e.list_upstreams()) for e in self.entries))
@@ -75,16 +83,16 @@
             await entry.stop()
         for agent in self.agents:
             await agent.stop()
-        if self._task is not None:
-            self._task.cancel()
+        for task in self._tasks:
+            task.cancel()
         for listening in self._listening:
             await stop_listening(listening)
 
-    async def add_agent(self, name: str) -> Any:
+    async def add_agent(self, name: str, upstream: str = "engine-0") -> Any:
         settings = AgentSettings(
             process=self._make_process(name),
-            upstream="engine-0",
-            upstream_url=self._urls["engine"],
+            upstream=upstream,
+            upstream_url=self._urls[upstream],
             pool=MODEL,
             drain_timeout_s=5.0,
         )
@@ -98,7 +106,7 @@
         settings = EntrySettings(
             process=self._make_process(name),
             http_port=0,
-            pools=(MODEL,),
+            subset_size=self.subset_size,
             drain_timeout_s=5.0,
         )
         entry = build_entry(settings, 1, self.planner)
--- a/tests/process_fleet.py
+++ b/tests/process_fleet.py
@@ -33,11 +33,17 @@
 class ProcessFleet:
     """Start, signal and stop the processes of a small fleet."""
 
-    def __init__(self, directory: Path, engines: int) -> None:
+    def __init__(self, directory: Path, engines: int, *, planned: bool) -> None:
         self.directory = directory
+        # Entries order the roles that the test names, instead of planning.
+        self.planned = planned
         self.store = ObjectApiStandin()
         self.engines = [
-            EngineStandin((MODEL,), EngineProfile(), checks_fencing=True)
+            EngineStandin(
+                (MODEL,),
+                EngineProfile(role_change_s=0.2) if planned else EngineProfile(),
+                checks_fencing=True,
+            )
             for _ in range(engines)
         ]
         self.plain = PlainStandin()
@@ -55,6 +61,8 @@
             self._tasks.append(asyncio.ensure_future(engine.run()))
             url = await self._serve(engine.app)
             extra = {"upstream": f"engine-{index}", "upstream_url": url}
+            if self.planned:
+                extra["pool"] = MODEL
             self._spawn(f"agent-{index}", "agent", extra)
         url = await self._serve(self.plain.app)
         extra = {"upstream": "orders", "upstream_url": url, "kind": "plain"}
@@ -90,6 +98,23 @@
         headers = {"Idempotency-Key": key, "X-Rank": "urgent"}
         return await fetch(url, "POST", headers, key.encode())
 
+    def want(self, entry: str, role: str) -> None:
+        """Set the role that an entry orders while it holds the lease."""
+        path = self.directory / f"{entry}.role"
+        path.with_suffix(".new").write_text(role)
+        path.with_suffix(".new").replace(path)
+
+    def read_lease(self) -> tuple[str, int]:
+        """Return the entry that the lease names and the fencing number."""
+        value = self.store.store.objects.get(("leases", f"{MODEL}.region-0"))
+        if value is None:
+            return "", 0
+        holder = value["spec"]["holder"]
+        return holder.rpartition("-")[0], value["spec"]["fencing"]
+
+    def read_log(self, name: str) -> str:
+        return (self.directory / f"{name}.log").read_text()
+
     def find_busy_agent(self) -> str | None:
         for index, engine in enumerate(self.engines):
             if engine.model.running:
@@ -118,8 +143,13 @@
         path = self.directory / f"{name}.yaml"
         path.write_text(yaml.safe_dump(settings))
         with (self.directory / f"{name}.log").open("wb") as log:
+            command = ["bramleyport", role, str(path)]
+            if self.planned and role == "entry":
+                self.want(name, "")
+                roles = self.directory / f"{name}.role"
+                command = ["tests.controlled_entry", str(path), str(roles)]
             self.processes[name] = subprocess.Popen(
-                [sys.executable, "-m", "bramleyport", role, str(path)],
+                [sys.executable, "-m", *command],
                 stderr=log,
                 env={**os.environ, "PYTHONPATH": os.getcwd()},
             )
@@ -149,8 +179,10 @@
 
 
 @asynccontextmanager
-async def run_fleet(directory: Path, engines: int = 3) -> AsyncIterator[ProcessFleet]:
-    fleet = ProcessFleet(directory, engines)
+async def run_fleet(
+    directory: Path, engines: int = 3, *, planned: bool = False
+) -> AsyncIterator[ProcessFleet]:
+    fleet = ProcessFleet(directory, engines, planned=planned)
     try:
         await fleet.start()
         yield fleet
--- a/tests/test_order_faults.py
+++ b/tests/test_order_faults.py
@@ -130,7 +130,10 @@
 def test_lease_passes_to_another_entry(fleet: Fleet, run: Run) -> None:
     async def scenario() -> tuple[int, int]:
         await fleet.add_entry("entry-1")
-        keepers = [e.controllers.pools[MODEL].keeper for e in fleet.entries]
+        controllers = [e.controllers for e in fleet.entries]
+        # The pools are learnt from the records.
+        await fleet.wait(lambda: all(MODEL in c.pools for c in controllers))
+        keepers = [c.pools[MODEL].keeper for c in controllers]
         await fleet.wait(lambda: keepers[0].fencing or keepers[1].fencing)
         index = 0 if keepers[0].fencing else 1
         before = int(keepers[index].fencing)
