--- a/bramleyport/authority/_candidates.py
+++ b/bramleyport/authority/_candidates.py
@@ -7,7 +7,7 @@
 from bramleyport.core import PoolName, ProcessId, RegionName
 from bramleyport.membership import choose
 
-# Only candidates read a lease: 380 readers of 30 leases would cost 3,800 reads/s.
+# Only candidates read a lease: 380 readers of 30 leases would cost 4,560 reads/s.
 LEASE_CANDIDATES: Final = 3
 
 
--- a/bramleyport/cli/_demo.py
+++ b/bramleyport/cli/_demo.py
@@ -164,7 +164,6 @@
         settings = EntrySettings(
             process=self._make_process(f"entry-{index}", index, store_url),
             http_port=self._port if index == 0 else 0,
-            pools=(MODEL,),
         )
         entry = build_entry(settings, self._seed + index)
         await entry.start()
--- a/bramleyport/settings/_schema.py
+++ b/bramleyport/settings/_schema.py
@@ -77,7 +77,7 @@
     http_port: int
     max_body_bytes: int = 2_000_000
     drain_timeout_s: float = 60.0
-    # The pools whose lease this entry may hold.
+    # The pools whose lease this entry may hold; all known pools when empty.
     pools: tuple[str, ...] = ()
     subset_size: int = 48
     policies: PolicySettings = field(default_factory=PolicySettings)
--- a/tests/test_controllers.py
+++ b/tests/test_controllers.py
@@ -2,14 +2,17 @@
 
 import asyncio
 import json
+from collections import Counter
 from collections.abc import Callable, Coroutine, Iterator
 from dataclasses import replace
+from types import SimpleNamespace
 from typing import Any
 
 import pytest
 
 from bramleyport.authority import (
     FENCING_REFUSED,
+    LEASE_CANDIDATES,
     AgentProgress,
     EngineChange,
     Order,
@@ -25,8 +28,10 @@
     ZoneName,
 )
 from bramleyport.daemons._controller import PoolController
-from bramleyport.daemons._controllers import _list_entries
+from bramleyport.daemons._controllers import Controllers, _list_entries
 from bramleyport.daemons._order_counter import OrderCounter
+from bramleyport.daemons._peers import AgentLink
+from bramleyport.daemons._pool_links import CONCURRENT_OPENS, PoolLinks
 from bramleyport.membership import Host, HostState, ProcessRole
 from bramleyport.telemetry import Metrics
 from tests.fleet import MODEL, FixedPlan, Fleet
@@ -169,30 +174,103 @@
     assert (counted in text) is (refuser is not None)
 
 
-def test_region_cut_off_decides_with_its_own_entries() -> None:
-    """Guards against a region that waits for entries of another one."""
+def make_host(name: str, region: str, **changes: Any) -> Host:
+    host = Host(
+        process=ProcessId(name),
+        role=ProcessRole.ENTRY,
+        address="10.0.0.1",
+        port=1,
+        zone=ZoneName("a"),
+        region=RegionName(region),
+    )
+    return replace(host, **changes)
 
-    def make(name: str, region: str, **changes: Any) -> Host:
-        host = Host(
-            process=ProcessId(name),
-            role=ProcessRole.ENTRY,
-            address="10.0.0.1",
-            port=1,
-            zone=ZoneName("a"),
-            region=RegionName(region),
-        )
-        return replace(host, **changes)
 
-    own = [make(f"entry-{n}", "own") for n in range(5)]
-    far = [make(f"far-{n}", "far") for n in range(5)]
-    gone = make("leaving", "own", state=HostState.LEAVING)
-    agent = make("agent", "own", role=ProcessRole.AGENT)
+def test_region_cut_off_decides_with_its_own_entries() -> None:
+    """Guards against a region that waits for entries of another one."""
+    own = [make_host(f"entry-{n}", "own") for n in range(5)]
+    far = [make_host(f"far-{n}", "far") for n in range(5)]
+    gone = make_host("leaving", "own", state=HostState.LEAVING)
+    agent = make_host("agent", "own", role=ProcessRole.AGENT)
     expected = {host.process for host in own}
     region = RegionName("own")
     assert _list_entries((*own, *far, gone, agent), region) == expected
     assert _list_entries(tuple(own), region) == expected
 
 
+def make_controllers(
+    own: str, hosts: list[Host], restricted: tuple[str, ...] = ()
+) -> Controllers:
+    names = [f"model-{n}" for n in range(10)]
+    records = {n: SimpleNamespace(model=SimpleNamespace(name=n)) for n in names}
+    place = SimpleNamespace(process=own, region="own")
+    arguments: list[Any] = [
+        SimpleNamespace(process=place, pools=restricted),
+        None,
+        SimpleNamespace(list_views=list),
+        None,
+        SimpleNamespace(
+            membership=SimpleNamespace(hosts=tuple(hosts)),
+            replica=SimpleNamespace(records=SimpleNamespace(records=records)),
+        ),
+        None,
+    ]
+    return Controllers(*arguments)
+
+
+def test_candidates_follow_the_membership() -> None:
+    """Guards against a pool that loses its candidates with the entries that leave."""
+    hosts = [make_host(f"entry-{n}", "own") for n in range(6)]
+    controllers = [make_controllers(host.process, hosts) for host in hosts]
+    for left in range(6, 0, -1):
+        live = hosts[:left]
+        gone = [replace(host, state=HostState.LEAVING) for host in hosts[left:]]
+        counts = Counter[PoolName]()
+        for controller in controllers[:left]:
+            controller._hub.membership.hosts = (*live, *gone)  # type: ignore[misc]
+            counts.update(controller._choose_pools())
+        assert set(counts.values()) == {min(left, LEASE_CANDIDATES)}
+        assert len(counts) == 10
+    restricted = make_controllers("entry-0", hosts[:1], ("model-3", "absent"))
+    assert restricted._choose_pools() == {"model-3"}
+    assert not make_controllers("entry-0", [])._choose_pools()
+
+
+class UnreachableAgents:
+    """Stand for links whose connections open only when a test says so."""
+
+    def __init__(self, hosts: list[Host]) -> None:
+        self.hosts = {host.process: host for host in hosts}
+        self.started: list[AgentLink] = []
+
+    def list_outside(self, pools: frozenset[PoolName]) -> dict[ProcessId, Host]:
+        return self.hosts if pools else {}
+
+    def connect(self, link: AgentLink) -> None:
+        self.started.append(link)
+
+
+def test_connections_beyond_the_subset_are_opened_a_few_at_a_time(run: Run) -> None:
+    """Guards against a new holder that connects to a whole pool at once."""
+
+    async def scenario() -> None:
+        agents = UnreachableAgents([make_host(f"agent-{n}", "own") for n in range(10)])
+        links = PoolLinks(agents)  # type: ignore[arg-type]
+        for _ in range(3):
+            links.update(frozenset({PoolName(MODEL)}))
+            await asyncio.sleep(0.01)
+        assert len(agents.started) == CONCURRENT_OPENS
+        for link in agents.started[:2]:
+            link.connected.set()
+        await asyncio.sleep(0.01)
+        assert len(agents.started) == CONCURRENT_OPENS + 2
+        links.update(frozenset())
+        assert not links._open
+        await links.close()
+
+    run(scenario())
+
+
 class FailingController(PoolController):
     """Fail at once each time and record the delays."""
 
