--- a/bramleyport/authority/_candidates.py
+++ b/bramleyport/authority/_candidates.py
@@ -14,9 +14,7 @@
 def choose_candidates(
     pool: PoolName, region: RegionName, entries: Iterable[ProcessId]
 ) -> list[ProcessId]:
-    """Return the candidates for a pool's lease among the live entries of its region.
-
-    Entries with different views may choose different candidates. That is safe, because
-    the conditional update of the lease lets one of them hold it.
-    """
+    """Return the candidates for a pool's lease among the live entries of its region."""
+    # Entries with different views may choose different candidates. That is safe: the
+    # conditional update of the lease lets one of them hold it.
     return choose(f"lease:{name_lease(pool, region)}", entries, LEASE_CANDIDATES)
--- a/bramleyport/daemons/_controllers.py
+++ b/bramleyport/daemons/_controllers.py
@@ -91,10 +91,8 @@
             pool.report(report.upstream)
 
     def list_views(self) -> list[UpstreamView]:
-        """Return the views that plans are made from: the subset and what lies beyond.
-
-        An engine that has just changed sides may be seen twice.
-        """
+        """Return the views of the subset and of the engines beyond it."""
+        # An engine that has just entered the subset is in both for a moment.
         views = {v.upstream: v for v in self._pool_links.list_views()}
         views.update({v.upstream: v for v in self._links.list_views()})
         return list(views.values())
