Add messages, settings and checks for prefill on another engine

Routing could name a decode engine, but no message asked for a prefill and nothing said which engines can move KV blocks. `Prefill`, `Prefilled`, the KV fields of `Execute` and the capability fields of `UpstreamInfo` are added; an agent that does not set them is never sent a `Prefill`. Engines report an address and the bytes per token in their load; without both no route is split. Adapters and differing versions are excluded, since block digests name neither.

A malformed or broken JSON answer of an engine raised untyped errors; it is an `UpstreamError` now. An export names the model.

`bench policy` gets the set `better_whole` (better without splits).

--- a/bramleyport/bench/_command.py
+++ b/bramleyport/bench/_command.py
@@ -10,7 +10,7 @@
 from bramleyport.bench._policy_scenario import SCENARIOS
 from bramleyport.core import EngineRole
 
-SETS: Final = ("baseline", "better", "better_static")
+SETS: Final = ("baseline", "better", "better_static", "better_whole")
 SCALES: Final = ("1", "10", "100")
 
 
--- a/bramleyport/bench/_policy_agent.py
+++ b/bramleyport/bench/_policy_agent.py
@@ -27,6 +27,8 @@
     from bramleyport.bench._policy_entry import SimEntry
 
 TRANSFER: Final = TransferCost()
+# 32 layers x 8 heads x 128 values x 2 (key and value) x 2 bytes.
+KV_BYTES_PER_TOKEN: Final = 131_072.0
 SILENCE_S: Final = 1.0
 EXPIRE_INTERVAL_S: Final = 0.2
 
@@ -270,7 +272,7 @@
         tokens = attempt.run.request.work.prompt_tokens
         seconds = 0.0
         if target is not self:
-            seconds = TRANSFER.forecast(tokens)
+            seconds = TRANSFER.forecast(tokens, KV_BYTES_PER_TOKEN)
         attempt.decode_agent = None
         attempt.imported = True
         self._clock.call_later(seconds, partial(target.execute, attempt))
--- a/bramleyport/bench/_policy_run.py
+++ b/bramleyport/bench/_policy_run.py
@@ -10,6 +10,7 @@
 from bramleyport.admission import ADMISSION_POLICIES
 from bramleyport.bench._policy_agent import (
     EXPIRE_INTERVAL_S,
+    KV_BYTES_PER_TOKEN,
     TRANSFER,
     SimAgent,
     read_rates,
@@ -79,6 +80,7 @@
     guard: str = "none"
     queue: str = "fifo"
     planner: str = "static"
+    splits: bool = False
 
 
 BASELINE: Final = PolicySet()
@@ -90,13 +92,17 @@
     guard="adaptive",
     queue="ranked",
     planner="ratio",
+    splits=True,
 )
 # Shows what the planner alone contributes.
 BETTER_STATIC: Final = replace(BETTER, planner="static")
+# Shows what prefill and decode on different engines contribute.
+BETTER_WHOLE: Final = replace(BETTER, splits=False)
 POLICY_SETS: Final = {
     "baseline": BASELINE,
     "better": BETTER,
     "better_static": BETTER_STATIC,
+    "better_whole": BETTER_WHOLE,
 }
 
 
@@ -146,6 +152,8 @@
                 region=REGION,
                 services=frozenset((ORDERS,)) if plain else frozenset(),
                 models=frozenset() if plain else frozenset((MODEL,)),
+                kv_address="" if plain else name,
+                kv_bytes_per_token=0.0 if plain else KV_BYTES_PER_TOKEN,
                 rates=read_rates(EngineModel(profile)),
             )
             agent = SimAgent(
@@ -181,7 +189,7 @@
         names = [UpstreamId(name) for name in sorted(subset)]
         place = Place(zone=host.zone, region=host.region)
         routing: tuple[object, ...] = (estimator, place)
-        if policies.routing == "affinity":
+        if policies.splits:
             routing = (estimator, place, TRANSFER)
         return SimEntry(
             self._clock,
--- a/bramleyport/bench/_routing.py
+++ b/bramleyport/bench/_routing.py
@@ -63,6 +63,8 @@
             zone=ZoneName(f"zone-{index % 3}"),
             region=REGION,
             models=frozenset({MODEL}),
+            kv_address=f"engine-{index}",
+            kv_bytes_per_token=131_072.0,
             load=EngineLoad(
                 running=rng.randrange(32), wait_s={Rank.URGENT: rng.random() / 5}
             ),
--- a/bramleyport/core/_views.py
+++ b/bramleyport/core/_views.py
@@ -105,4 +105,7 @@
     load: EngineLoad = field(default_factory=EngineLoad)
     sent: SentWork = field(default_factory=SentWork)
     cached: CachedPrefixes = field(default_factory=CachedPrefixes)
+    # Where other engines fetch KV blocks; empty where KV caches can't be moved.
+    kv_address: str = ""
+    kv_bytes_per_token: float = 0.0
     rates: EngineRates = field(default_factory=EngineRates)
--- a/bramleyport/daemons/_engine_report.py
+++ b/bramleyport/daemons/_engine_report.py
@@ -13,6 +13,7 @@
     view.versions = frozenset(report.get("versions", ()))
     view.adapters = frozenset(report["adapters"])
     view.block_tokens = int(report["block_tokens"])
+    _apply_kv(view, report.get("kv"))
     view.rates = EngineRates(
         prefill_tokens_per_s=float(report["prefill_tokens_per_s"]),
         decode_tokens_per_s=float(report["decode_tokens_per_s"]),
@@ -27,3 +28,13 @@
         blocks_used=int(report["blocks_used"]),
         blocks_total=int(report["blocks_total"]),
     )
+
+
+def _apply_kv(view: UpstreamView, kv: object) -> None:
+    """Take over how KV blocks move, or that the engine does not say so."""
+    view.kv_address, view.kv_bytes_per_token = "", 0.0
+    if not isinstance(kv, dict):
+        return
+    address, size = kv.get("address"), kv.get("bytes_per_token")
+    if isinstance(address, str) and isinstance(size, int | float) and size > 0:
+        view.kv_address, view.kv_bytes_per_token = address, float(size)
--- a/bramleyport/daemons/_peers.py
+++ b/bramleyport/daemons/_peers.py
@@ -84,6 +84,8 @@
         view.adapters = frozenset(AdapterName(name) for name in info.adapters)
         view.services = frozenset(ServiceName(name) for name in info.services)
         view.block_tokens = info.block_tokens
+        view.kv_address = info.kv_address
+        view.kv_bytes_per_token = info.kv_bytes_per_token
         view.rates = info.rates
 
     def apply_load(self, report: LoadReport) -> None:
--- a/bramleyport/routing/__init__.py
+++ b/bramleyport/routing/__init__.py
@@ -10,7 +10,7 @@
 )
 from bramleyport.routing._cache_view import CacheChange, CacheFollower, CacheRecorder
 from bramleyport.routing._subsets import DEFAULT_SUBSET, SubsetHost, SubsetSelector
-from bramleyport.routing._transfer import TransferCost
+from bramleyport.routing._transfer import TransferCost, can_split
 
 __all__ = [
     "DEFAULT_SUBSET",
@@ -24,5 +24,6 @@
     "SubsetHost",
     "SubsetSelector",
     "TransferCost",
+    "can_split",
     "is_eligible",
 ]
--- a/bramleyport/routing/_affinity.py
+++ b/bramleyport/routing/_affinity.py
@@ -17,7 +17,7 @@
 )
 from bramleyport.estimate import Estimate, Estimator
 from bramleyport.routing._base import ROUTING_POLICIES, Place, Route, is_eligible
-from bramleyport.routing._transfer import TransferCost
+from bramleyport.routing._transfer import TransferCost, can_split
 
 # The scan is bounded so that a decision costs the same at any number of upstreams.
 FULL_SCAN_VIEWS: Final = 12
@@ -183,12 +183,13 @@
         self, work: Work, best: Candidate, candidates: list[Candidate]
     ) -> tuple[Candidate, float] | None:
         """Return the engine to decode on if moving the KV cache pays."""
-        if self._transfer is None or work.kind is not ServiceKind.LANGUAGE:
+        if self._transfer is None or not best.view.kv_address:
             return None
-        transfer_s = self._transfer.forecast(work.prompt_tokens)
+        bytes_per_token = best.view.kv_bytes_per_token
+        transfer_s = self._transfer.forecast(work.prompt_tokens, bytes_per_token)
         splits: list[tuple[float, float, Candidate]] = []
         for other in candidates:
-            if other is best or other.view.role is EngineRole.PREFILL:
+            if not can_split(work, best.view, other.view):
                 continue
             # Decode waits for a slot there only while the prefill runs here.
             idle_s = max(0.0, other.estimate.wait_s - best.first_token_s)
--- a/bramleyport/routing/_transfer.py
+++ b/bramleyport/routing/_transfer.py
@@ -1,7 +1,9 @@
-"""Cost of moving a KV cache from one engine to another."""
+"""When a KV cache may move from one engine to another, and what that costs."""
 
 from dataclasses import dataclass
 
+from bramleyport.core import EngineRole, ServiceKind, UpstreamView, Work
+
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class TransferCost:
@@ -9,10 +11,24 @@
 
     # The share of a host's link that one transfer gets.
     bytes_per_s: float = 2e9
-    # 32 layers x 8 heads x 128 values x 2 (key and value) x 2 bytes.
-    bytes_per_token: float = 131_072.0
     overhead_s: float = 0.02
 
-    def forecast(self, prompt_tokens: int) -> float:
+    def forecast(self, prompt_tokens: int, bytes_per_token: float) -> float:
         """Return the seconds from the end of prefill to the start of decode."""
-        return self.overhead_s + prompt_tokens * self.bytes_per_token / self.bytes_per_s
+        return self.overhead_s + prompt_tokens * bytes_per_token / self.bytes_per_s
+
+
+def can_split(work: Work, source: UpstreamView, target: UpstreamView) -> bool:
+    """Return whether work may prefill on one engine and decode on the other."""
+    if work.kind is not ServiceKind.LANGUAGE or not work.idempotent:
+        return False
+    if target.role is EngineRole.PREFILL or source.upstream == target.upstream:
+        return False
+    # Block digests name neither an adapter nor a version, so blocks of another one
+    # would be taken for the right ones.
+    if work.adapter is not None or source.versions != target.versions:
+        return False
+    if not source.kv_address or not target.kv_address:
+        return False
+    # Blocks of another size are of another layout.
+    return 0 < source.kv_bytes_per_token == target.kv_bytes_per_token
--- a/bramleyport/settings/_schema.py
+++ b/bramleyport/settings/_schema.py
@@ -1,6 +1,7 @@
 """Typed settings of each role."""
 
 from dataclasses import dataclass, field
+from math import isfinite
 
 from bramleyport.core import ServiceKind
 
@@ -69,6 +70,29 @@
     planner: str = "ratio"
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class TransferSettings:
+    """Set when prefill and decode run on different engines.
+
+    Only engines that report how their KV blocks are fetched take part.
+    """
+
+    enabled: bool = True
+    # The share of a host's link that one transfer gets.
+    bytes_per_s: float = 2e9
+    overhead_s: float = 0.02
+    # The prefill may take this many times the rank's target for the first token.
+    prefill_limit_ratio: float = 2.0
+
+    def __post_init__(self) -> None:
+        if not (isfinite(self.bytes_per_s) and self.bytes_per_s > 0):
+            raise ValueError("bytes_per_s must be above 0")
+        if not (isfinite(self.overhead_s) and self.overhead_s >= 0):
+            raise ValueError("overhead_s must not be below 0")
+        if not (isfinite(self.prefill_limit_ratio) and self.prefill_limit_ratio > 0):
+            raise ValueError("prefill_limit_ratio must be above 0")
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class EntrySettings:
     """Hold the settings of an entry."""
@@ -80,6 +104,7 @@
     # The pools whose lease this entry may hold.
     pools: tuple[str, ...] = ()
     subset_size: int = 48
+    kv_transfer: TransferSettings = field(default_factory=TransferSettings)
     policies: PolicySettings = field(default_factory=PolicySettings)
 
 
--- a/bramleyport/standins/_engine.py
+++ b/bramleyport/standins/_engine.py
@@ -28,6 +28,9 @@
     crash_in_order: bool = False
     break_streams_after: int | None = None
     cache_event_gap: bool = False
+    fail_export: bool = False
+    fail_import: bool = False
+    hold_export: bool = False
 
 
 @dataclass(slots=True)
@@ -54,6 +57,10 @@
         self.model = EngineModel(profile)
         self.models = set(models)
         self.adapters: set[str] = set()
+        # Reported once set; without it the engine's KV blocks can't be fetched.
+        self.kv_address = ""
+        self.exports: list[str] = []
+        self.imports: list[str] = []
         self.faults = EngineFaults()
         self.checks_fencing = checks_fencing
         self.order: dict[str, Any] = {"sequence": 0, "fencing": 0}
@@ -145,18 +152,21 @@
         job = str(read_json(request)["request"])
         found = self.model.cancel(job)
         stream = self._streams.get(job)
-        if stream is not None and not stream.finished:
+        if stream is not None and (not stream.finished or self.faults.hold_export):
             stream.cancelled = True
             stream.notify()
         return reply_json(request, 200, {"cancelled": found})
 
-    def _export(self, request: Request) -> "Deferred[bytes | None]":
+    def _export(self, request: Request) -> "Deferred[bytes | None] | bytes":
         body = read_json(request)
+        if self.faults.fail_export:
+            return reply_json(request, 500, {"error": "export failed"})
         return run_as_deferred(self._run_export(request, body))
 
     async def _run_export(self, request: Request, body: dict[str, Any]) -> bytes:
         job = str(body["request"])
         prompt = str(body["prompt"])
+        self.exports.append(job)
         stream = self._streams[job] = Stream()
         blocks = digest_prefix(prompt, self.model.profile.block_tokens)
         self.model.submit(
@@ -169,18 +179,23 @@
             )
         )
         self._wake.set()
-        while not stream.finished:
+        while not stream.cancelled and (self.faults.hold_export or not stream.finished):
             await stream.changed.wait()
+        if stream.cancelled:
+            return reply_json(request, 409, {"error": "cancelled"})
         value = {"blocks": [block.hex() for block in blocks]}
         return reply_json(request, 200, value)
 
-    def _import(self, request: Request) -> "Deferred[bytes | None]":
+    def _import(self, request: Request) -> "Deferred[bytes | None] | bytes":
+        if self.faults.fail_import:
+            return reply_json(request, 500, {"error": "import failed"})
         return run_as_deferred(self._run_import(request, read_json(request)))
 
     async def _run_import(self, request: Request, body: dict[str, Any]) -> bytes:
         blocks = tuple(PrefixBlock(bytes.fromhex(block)) for block in body["blocks"])
         tokens = len(blocks) * self.model.profile.block_tokens
         await asyncio.sleep(tokens * KV_BYTES_PER_TOKEN / KV_BYTES_PER_S)
+        self.imports.append(str(body["source"]))
         self.model.cache.store(blocks)
         self._log_cache()
         return reply_json(request, 200, {"imported": len(blocks)})
@@ -194,7 +209,9 @@
 
     def _read_load(self) -> dict[str, Any]:
         model = self.model
+        kv = {"address": self.kv_address, "bytes_per_token": KV_BYTES_PER_TOKEN}
         return {
+            **({"kv": kv} if self.kv_address else {}),
             "running": len(model.running),
             "queued": len(model.waiting),
             "queued_prefill_tokens": sum(
--- a/bramleyport/upstreams/_engine.py
+++ b/bramleyport/upstreams/_engine.py
@@ -77,22 +77,26 @@
         )
 
     async def export_kv(
-        self, job: str, prompt: str, priority: int
+        self, job: str, prompt: str, priority: int, model: str
     ) -> tuple[PrefixBlock, ...]:
         """Prefill a prompt and return the blocks that another engine may import."""
-        body = {"request": job, "prompt": prompt, "priority": priority}
-        value = await self._http.request_json(
-            "POST", "/kv/export", json.dumps(body).encode()
-        )
-        return tuple(PrefixBlock(bytes.fromhex(block)) for block in value["blocks"])
+        path = "/kv/export"
+        body = {"request": job, "prompt": prompt, "priority": priority, "model": model}
+        value = await self._http.request_json("POST", path, json.dumps(body).encode())
+        try:
+            return tuple(PrefixBlock(bytes.fromhex(block)) for block in value["blocks"])
+        except (KeyError, TypeError, ValueError) as error:
+            raise self._reject(path, error) from error
 
     async def import_kv(self, source: str, blocks: tuple[PrefixBlock, ...]) -> int:
         """Fetch blocks from another engine and return how many were stored."""
+        path = "/kv/import"
         body = {"source": source, "blocks": [block.hex() for block in blocks]}
-        value = await self._http.request_json(
-            "POST", "/kv/import", json.dumps(body).encode()
-        )
-        return int(value["imported"])
+        value = await self._http.request_json("POST", path, json.dumps(body).encode())
+        try:
+            return int(value["imported"])
+        except (KeyError, TypeError, ValueError) as error:
+            raise self._reject(path, error) from error
 
     async def read_load(self) -> Mapping[str, Any]:
         """Return the engine's lagging load report."""
@@ -115,6 +119,10 @@
         value: Mapping[str, Any] = await self._http.request_json("PUT", "/order", body)
         return value
 
+    def _reject(self, path: str, error: Exception) -> UpstreamError:
+        reason = f"malformed answer: {error!r}"
+        return UpstreamError(path, self._http.base_url, reason, Execution.UNKNOWN)
+
     async def _stream(
         self, path: str, body: Mapping[str, Any]
     ) -> AsyncIterator[Token | Done]:
--- a/bramleyport/upstreams/_http.py
+++ b/bramleyport/upstreams/_http.py
@@ -1,6 +1,7 @@
 """HTTP calls to upstreams that tell a call not made from one that may have run."""
 
 import asyncio
+import json
 from typing import Any
 
 import treq
@@ -64,7 +65,10 @@
         headers = {"Content-Type": "application/json"}
         response = await self.request(method, path, headers, body)
         loop = asyncio.get_running_loop()
-        value = await treq.json_content(response).asFuture(loop)
+        try:
+            content = await treq.content(response).asFuture(loop)
+        except Exception as error:  # Twisted raises many types for a broken body
+            raise self._fail(method, path, error, Execution.UNKNOWN) from error
         if response.code >= 400:
             raise UpstreamError(
                 path,
@@ -73,7 +77,10 @@
                 Execution.NOT_RUN,
                 response.code,
             )
-        return value
+        try:
+            return json.loads(content)
+        except ValueError as error:
+            raise self._fail(method, path, error, Execution.UNKNOWN) from error
 
     def _fail(
         self, method: str, path: str, error: Exception, execution: Execution
--- a/bramleyport/wire/_messages.py
+++ b/bramleyport/wire/_messages.py
@@ -115,6 +115,11 @@
     rates: EngineRates = field(default_factory=EngineRates)
     # Differs between runs of an agent, so that a restarted one is told apart.
     run: str = ""
+    # Set by an agent that takes `Prefill` beside an engine that exports and imports
+    # KV blocks. Other agents are never sent one: the unknown tag would close the
+    # connection.
+    kv_address: str = ""
+    kv_bytes_per_token: float = 0.0
 
 
 @message("execute")
@@ -129,6 +134,32 @@
     headers: Mapping[str, str]
     body: bytes
     time_left_s: float
+    # The engine that holds the prompt's KV blocks, if they are to be imported.
+    kv_source: str = ""
+    kv_blocks: tuple[PrefixBlock, ...] = ()
+
+
+@message("prefill")
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Prefill(Message):
+    """Ask an agent to compute a prompt that another engine will decode."""
+
+    attempt: AttemptId
+    work: Work
+    body: bytes
+    time_left_s: float
+
+
+@message("prefilled")
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Prefilled(Message):
+    """Report the engine from which a prompt's KV blocks can be imported."""
+
+    attempt: AttemptId
+    source: str
+    blocks: tuple[PrefixBlock, ...] = ()
+    wait_s: float = 0.0
+    prefill_s: float = 0.0
 
 
 @message("accepted")
--- a/tests/test_contract_engine.py
+++ b/tests/test_contract_engine.py
@@ -121,7 +121,7 @@
     engine: Engine, run: Run
 ) -> None:
     other = Engine(run, checks_fencing=False)
-    blocks = engine.drive(engine.client.export_kv("a", PROMPT, 0))
+    blocks = engine.drive(engine.client.export_kv("a", PROMPT, 0, "m"))
     assert run(other.client.import_kv("engine-a", blocks)) == 10
     assert other.standin.model.cache.count_cached(blocks) == 10
     run(stop_listening(other.listening))
