--- a/bramleyport/routing/_affinity.py
+++ b/bramleyport/routing/_affinity.py
@@ -174,6 +174,7 @@
             return Route(
                 upstream=best.view.upstream,
                 decode_upstream=partner.view.upstream,
+                prefill_s=best.first_token_s,
                 explanation=explanation,
             )
         explanation = Explanation(reason=reason, numbers=numbers)
@@ -193,12 +194,10 @@
                 continue
             # Decode waits for a slot there only while the prefill runs here.
             idle_s = max(0.0, other.estimate.wait_s - best.first_token_s)
-            pause_s = transfer_s + idle_s
-            answer_s = best.first_token_s + pause_s + _decode_s(other)
-            gaps = max(1.0, other.estimate.output_tokens - 1)
-            score = _weigh_targets(
-                work, best.first_token_s, answer_s, other.between_s + pause_s / gaps
-            )
+            # The decode engine also makes the first token.
+            first_token_s = best.first_token_s + transfer_s + idle_s
+            answer_s = first_token_s + _decode_s(other)
+            score = _weigh_targets(work, first_token_s, answer_s, other.between_s)
             splits.append((score, best.answer_s - answer_s, other))
         if not splits:
             return None
--- a/bramleyport/routing/_base.py
+++ b/bramleyport/routing/_base.py
@@ -24,6 +24,8 @@
 
     upstream: UpstreamId
     decode_upstream: UpstreamId | None = None
+    # Forecast until the prompt is computed; zero where the policy has no figure.
+    prefill_s: float = 0.0
     explanation: Explanation
 
 
--- a/bramleyport/routing/_least_loaded.py
+++ b/bramleyport/routing/_least_loaded.py
@@ -6,13 +6,19 @@
 from bramleyport.core import Explanation, UpstreamView, Work
 from bramleyport.estimate import Estimator
 from bramleyport.routing._base import ROUTING_POLICIES, Place, Route
+from bramleyport.routing._transfer import TransferCost
 
 
 @ROUTING_POLICIES.register("least_loaded")
 class LeastLoadedRouting:
     """Ignore caches and roles and balance the number of requests."""
 
-    def __init__(self, estimator: Estimator, place: Place | None = None) -> None:
+    def __init__(
+        self,
+        estimator: Estimator,
+        place: Place | None = None,
+        transfer: TransferCost | None = None,
+    ) -> None:
         self._estimator = estimator
 
     def choose(
