Prefill on one engine and decode on another

The dispatcher ignored the decode engine of a route and the composition gave routing no transfer cost, so no request was split. The entry now sends `Prefill` first and `Execute` with the source of the KV blocks next. A failed first step is a failed attempt to the retry policy, and later attempts are not split. The agent queues, refuses, cancels and drains a prefill like other work, exports, and on the decode side imports before the completion runs; a failed import leaves the prompt to the decode engine.

A limit of twice the first-token target was tried first: the attempt that followed was refused as too late by every agent. The limit is now twice the forecast and at least a quarter of that target.

--- a/bramleyport/composition.py
+++ b/bramleyport/composition.py
@@ -135,7 +135,12 @@
         UPSTREAM_GUARDS,
         RetryBudget,
     )
-    from bramleyport.routing import ROUTING_POLICIES, Place, SubsetSelector
+    from bramleyport.routing import (
+        ROUTING_POLICIES,
+        Place,
+        SubsetSelector,
+        TransferCost,
+    )
     from bramleyport.telemetry import Journal, Metrics
     from bramleyport.wire import OrderReport
 
@@ -146,15 +151,22 @@
     identity = build_identity(settings.process)
     place = Place(zone=identity.zone, region=identity.region)
     budget = RetryBudget()
+    moving = settings.kv_transfer
+    transfer = None
+    if moving.enabled:
+        transfer = TransferCost(
+            bytes_per_s=moving.bytes_per_s, overhead_s=moving.overhead_s
+        )
     dispatcher = Dispatcher(
         ADMISSION_POLICIES.create(policies.admission, estimator),
-        ROUTING_POLICIES.create(policies.routing, estimator, place),
+        ROUTING_POLICIES.create(policies.routing, estimator, place, transfer),
         RETRY_POLICIES.create(policies.retries, budget),
         metrics,
         Random(seed),
         UPSTREAM_GUARDS.create(policies.guard),
         HEDGE_POLICIES.create(policies.hedging, budget),
         estimator,
+        settings.kv_transfer.prefill_limit_ratio,
     )
     hub = PeerHub(
         identity,
--- a/bramleyport/daemons/_agent.py
+++ b/bramleyport/daemons/_agent.py
@@ -17,6 +17,7 @@
 )
 from bramleyport.daemons._agent_attempt import AgentAttempt, Upstream
 from bramleyport.daemons._agent_cache import AgentCache
+from bramleyport.daemons._agent_prefill import AgentPrefill
 from bramleyport.daemons._agent_schedule import AgentSchedule
 from bramleyport.daemons._engine_report import apply_report
 from bramleyport.daemons._gate import WorkGate
@@ -40,6 +41,7 @@
     LoadReport,
     Message,
     OrderNotice,
+    Prefill,
     Resume,
     UpstreamInfo,
     pack_load,
@@ -178,7 +180,10 @@
 
     def _handle(self, connection: "Connection", message: Message) -> None:
         if isinstance(message, Execute):
-            self._accept(connection, message)
+            self._accept(AgentAttempt(message, connection))
+        elif isinstance(message, Prefill):
+            prefill = AgentPrefill(message, connection, lambda: self._view.kv_address)
+            self._accept(prefill)
         elif isinstance(message, Resume):
             self._resume(connection, message)
         elif isinstance(message, Ack):
@@ -194,7 +199,8 @@
         else:
             self._hub.handle(connection, message)
 
-    def _accept(self, connection: "Connection", execute: Execute) -> None:
+    def _accept(self, attempt: AgentAttempt) -> None:
+        connection, execute = attempt.connection, attempt.execute
         if not self._gate.ledger.receive(execute.attempt):
             log_event(authority_events.EXECUTE_DROPPED, attempt=execute.attempt)
             return
@@ -205,16 +211,13 @@
         now_s = time.monotonic()
         arrived_s = now_s - (execute.work.targets.answer_s - execute.time_left_s)
         work = replace(execute.work, arrived_s=arrived_s)
-        decision = self._schedule.offer(execute.attempt, work, now_s)
+        decision = self._schedule.offer(execute.attempt, work, now_s, attempt.part)
         if isinstance(decision, QueueRefused):
-            self._gate.refuse(
-                connection,
-                execute.attempt,
-                decision.explanation.reason,
-                decision.retry_after_s,
-            )
+            reason = decision.explanation.reason
+            retry_after_s = decision.retry_after_s
+            self._gate.refuse(connection, execute.attempt, reason, retry_after_s)
             return
-        self._attempts[execute.attempt] = AgentAttempt(execute, connection)
+        self._attempts[execute.attempt] = attempt
         connection.post(Accepted(attempt=execute.attempt))
         self._start_queued()
 
@@ -225,8 +228,7 @@
         taken = self._schedule.take(time.monotonic(), free)
         for item in taken:
             attempt = self._attempts[item.attempt]
-            attempt.on_interval = self._queue.observe_interval
-            attempt.cached_tokens = self._schedule.count_cached(item.work)
+            self._schedule.prepare(attempt, item.work)
             self._running.add(item.attempt)
             attempt.task = asyncio.ensure_future(self._run(item.attempt, attempt))
         self._refuse_late()
@@ -245,7 +247,7 @@
         try:
             await attempt.run(self._upstream)
             self._schedule.observe(attempt)
-            if attempt.log.end is not None:
+            if attempt.answered:
                 prefix = attempt.execute.work.prefix_blocks
                 self._cache.confirm(prefix, time.monotonic())
         except asyncio.CancelledError:
@@ -371,6 +373,8 @@
             adapters=tuple(sorted(view.adapters)),
             services=tuple(sorted(view.services)),
             block_tokens=view.block_tokens,
+            kv_address=view.kv_address,
+            kv_bytes_per_token=view.kv_bytes_per_token,
             rates=view.rates,
         )
 
--- a/bramleyport/daemons/_agent_attempt.py
+++ b/bramleyport/daemons/_agent_attempt.py
@@ -7,7 +7,10 @@
 from typing import TYPE_CHECKING, Final
 
 from bramleyport.answers import FrameLog
-from bramleyport.core import Execution
+from bramleyport.core import Execution, UpstreamId
+from bramleyport.daemons._agent_schedule import WorkPart
+from bramleyport.daemons._agent_transfer import import_blocks
+from bramleyport.estimate import Observation
 from bramleyport.telemetry import authority_events, events, log_event
 from bramleyport.upstreams import (
     Completion,
@@ -27,6 +30,7 @@
 
 PEER_GONE_S: Final = 30.0
 ROOM_POLL_S: Final = 1.0
+FIRST_ERROR_STATUS: Final = 400
 
 Upstream = EngineClient | PlainClient
 
@@ -42,6 +46,7 @@
         self.task: asyncio.Task[None] | None = None
         self.output_tokens = 0
         self.cached_tokens = 0
+        self.import_limit_s = 0.0
         self._queued_s = time.monotonic()
         self._started_s = self._queued_s
         self._first_token_s = 0.0
@@ -51,6 +56,31 @@
         self._room = asyncio.Event()
         self._room.set()
 
+    @property
+    def part(self) -> WorkPart:
+        """Return the part of the request that runs here."""
+        return WorkPart.DECODE if self.execute.kv_source else WorkPart.WHOLE
+
+    @property
+    def answered(self) -> bool:
+        """Return whether the attempt ended with all that was asked for."""
+        return self.log.end is not None
+
+    def measure(self, upstream: UpstreamId) -> Observation | None:
+        """Return the times of the attempt if they say something of the engine."""
+        end = self.log.end
+        if end is None or end.status >= FIRST_ERROR_STATUS:
+            return None
+        return Observation(
+            work=self.execute.work,
+            upstream=upstream,
+            output_tokens=end.output_tokens,
+            cached_tokens=self.cached_tokens,
+            wait_s=end.wait_s,
+            prefill_s=end.prefill_s,
+            decode_s=end.decode_s,
+        )
+
     async def run(self, upstream: Upstream) -> None:
         """Run the attempt on the upstream until its answer is whole or failed."""
         self._started_s = time.monotonic()
@@ -100,10 +130,11 @@
 
     async def _run_completion(self, engine: EngineClient) -> None:
         work = self.execute.work
-        body = json.loads(self.execute.body)
+        if self.part is WorkPart.DECODE:
+            await import_blocks(engine, self.execute, self.import_limit_s)
         completion = Completion(
             job=self.execute.attempt,
-            prompt=body["prompt"],
+            prompt=self._read_prompt(),
             max_tokens=work.max_output_tokens,
             priority=work.rank.priority,
             model=work.model,
@@ -116,6 +147,9 @@
                 raise
             await self._resume_stream(engine, error)
 
+    def _read_prompt(self) -> str:
+        return str(json.loads(self.execute.body)["prompt"])
+
     async def _take_tokens(self, stream: "AsyncIterator[Token | Done]") -> None:
         async for event in stream:
             if isinstance(event, Token):
@@ -185,12 +219,14 @@
         first_s = self._first_token_s or self._started_s
         # A slow reader holds the frames back, so the time says nothing of the engine.
         decode_s = 0.0 if self._was_blocked else now_s - first_s
+        # The prompt was computed elsewhere, so this time says nothing either.
+        moved = self.part is WorkPart.DECODE
         end = self.log.finish(
             status,
             headers,
             self.output_tokens,
             wait_s=self._started_s - self._queued_s,
-            prefill_s=first_s - self._started_s,
+            prefill_s=0.0 if moved else first_s - self._started_s,
             decode_s=decode_s,
         )
         self.connection.post(end)
--- a/bramleyport/daemons/_agent_schedule.py
+++ b/bramleyport/daemons/_agent_schedule.py
@@ -1,10 +1,11 @@
 """Decisions of an agent about its queue, with their records."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
+from enum import Enum
 from typing import TYPE_CHECKING, Final
 
 from bramleyport.core import AttemptId, Explanation, Rank, UpstreamView, Work
-from bramleyport.estimate import Estimate, Observation
+from bramleyport.estimate import Estimate
 from bramleyport.planning import EngineCosts, is_short, price_token
 from bramleyport.queueing import Queued, QueuedWork, QueuePolicy, Refused
 from bramleyport.telemetry import Event, Metrics, log_event, policy_events
@@ -15,7 +16,16 @@
     from bramleyport.estimate import Estimator
 
 MIN_RETRY_S: Final = 1.0
-FIRST_ERROR_STATUS: Final = 400
+# An import of a short prompt is not given up over a short pause of the link.
+MIN_IMPORT_S: Final = 0.5
+
+
+class WorkPart(Enum):
+    """Name the part of a request that an attempt runs on this engine."""
+
+    WHOLE = "whole"
+    PREFILL = "prefill"
+    DECODE = "decode"
 
 
 @dataclass(slots=True)
@@ -52,14 +62,29 @@
         self._metrics = metrics
         self.offered = OfferedWork()
 
-    def offer(self, attempt: AttemptId, work: Work, now_s: float) -> Queued | Refused:
+    def offer(
+        self,
+        attempt: AttemptId,
+        work: Work,
+        now_s: float,
+        part: WorkPart = WorkPart.WHOLE,
+    ) -> Queued | Refused:
         """Queue or refuse an attempt."""
         estimate = self._estimator.estimate(work, self._view)
+        deadline_s = work.answer_deadline_s
+        if part is WorkPart.PREFILL:
+            # The other engine still needs its time before the answer is due.
+            deadline_s -= max(0.0, estimate.decode_s - estimate.spread_s)
+            estimate = replace(estimate, decode_s=0.0, spread_s=0.0, output_tokens=0.0)
+        elif part is WorkPart.DECODE:
+            # A refusal for the first token's sake would waste the transfer.
+            work = _drop_first_token_target(work)
+            estimate = replace(estimate, prefill_s=0.0)
         decision = self.queue.offer(
             QueuedWork(
                 attempt=attempt,
                 work=work,
-                deadline_s=work.answer_deadline_s,
+                deadline_s=deadline_s,
                 prefill_s=estimate.prefill_s,
                 decode_s=estimate.decode_s,
                 spread_s=estimate.spread_s,
@@ -95,27 +120,20 @@
         wait_s = self.queue.forecast_wait(now_s)
         return [self._refuse(item, wait_s[item.work.rank], now_s) for item in late]
 
-    def count_cached(self, work: Work) -> int:
-        """Return the prompt tokens that the engine is believed to have cached."""
+    def prepare(self, attempt: "AgentAttempt", work: Work) -> None:
+        """Give an attempt that starts what its run and its observation need."""
+        attempt.on_interval = self.queue.observe_interval
         blocks = self._view.cached.count_cached(work.prefix_blocks)
-        return blocks * self._view.block_tokens
+        attempt.cached_tokens = blocks * self._view.block_tokens
+        rate = max(1.0, self._view.rates.prefill_tokens_per_s)
+        # Beyond this time, computing the prompt would have been faster.
+        attempt.import_limit_s = max(MIN_IMPORT_S, work.prompt_tokens / rate)
 
     def observe(self, attempt: "AgentAttempt") -> None:
-        """Learn from an attempt whose answer is whole."""
-        end = attempt.log.end
-        if end is None or end.status >= FIRST_ERROR_STATUS:
-            return
-        self._estimator.observe(
-            Observation(
-                work=attempt.execute.work,
-                upstream=self._view.upstream,
-                output_tokens=end.output_tokens,
-                cached_tokens=attempt.cached_tokens,
-                wait_s=end.wait_s,
-                prefill_s=end.prefill_s,
-                decode_s=end.decode_s,
-            )
-        )
+        """Learn from an attempt that ended with all that was asked for."""
+        observation = attempt.measure(self._view.upstream)
+        if observation is not None:
+            self._estimator.observe(observation)
 
     def _refuse(self, item: QueuedWork, wait_s: float, now_s: float) -> RefusedMessage:
         retry_after_s = max(MIN_RETRY_S, wait_s)
@@ -144,3 +162,9 @@
             reason=reason,
             **explanation.numbers,
         )
+
+
+def _drop_first_token_target(work: Work) -> Work:
+    targets = work.targets
+    late_s = max(targets.first_token_s, targets.answer_s)
+    return replace(work, targets=replace(targets, first_token_s=late_s))
--- /dev/null
+++ b/bramleyport/daemons/_agent_transfer.py
@@ -0,0 +1,33 @@
+"""Import of KV blocks on the agent's engine."""
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from bramleyport.telemetry import log_event, transfer_events
+from bramleyport.upstreams import EngineClient, UpstreamError
+
+if TYPE_CHECKING:
+    from bramleyport.wire import Execute
+
+
+async def import_blocks(
+    engine: EngineClient, execute: "Execute", limit_s: float
+) -> None:
+    """Import the blocks of a prompt; without them the engine computes it itself."""
+    reason, found = "imported", 0
+    try:
+        async with asyncio.timeout(limit_s):
+            found = await engine.import_kv(execute.kv_source, execute.kv_blocks)
+    except UpstreamError as error:
+        reason = error.reason
+    except TimeoutError:
+        reason = "timeout"
+    imported = reason == "imported"
+    log_event(
+        transfer_events.KV_IMPORTED if imported else transfer_events.KV_IMPORT_FAILED,
+        attempt=execute.attempt,
+        peer=execute.kv_source,
+        reason=reason,
+        blocks=found,
+        limit_s=limit_s,
+    )
--- a/bramleyport/daemons/_attempt_runner.py
+++ b/bramleyport/daemons/_attempt_runner.py
@@ -3,6 +3,7 @@
 import time
 import uuid
 from collections.abc import Callable
+from dataclasses import replace
 from typing import TYPE_CHECKING, Final
 
 from result import Err, Ok
@@ -15,9 +16,10 @@
     EntryAttempt,
     OnChunk,
 )
+from bramleyport.daemons._entry_prefill import EntryPrefill, PrefillResult
 from bramleyport.daemons._first_chunk import FirstChunk, run_until_deadline
 from bramleyport.estimate import Estimator, Observation
-from bramleyport.retries import HedgePolicy, UpstreamGuard
+from bramleyport.retries import AttemptFailure, HedgePolicy, UpstreamGuard
 from bramleyport.telemetry import (
     Event,
     Metrics,
@@ -26,7 +28,7 @@
     policy_events,
     routing_events,
 )
-from bramleyport.wire import End, Message
+from bramleyport.wire import End, Message, Prefilled
 
 if TYPE_CHECKING:
     from bramleyport.daemons._peers import AgentLink
@@ -69,7 +71,7 @@
         self._on_end = on_end
         self._estimator = estimator
         self._attempt_ids = AttemptIds(uuid.uuid4().hex)
-        self._attempts: dict[AttemptId, EntryAttempt] = {}
+        self._attempts: dict[AttemptId, EntryAttempt | EntryPrefill] = {}
 
     def deliver(
         self, link: "AgentLink", connection: "Connection", message: Message
@@ -79,21 +81,71 @@
         if attempt is not None and attempt.link is link:
             attempt.deliver(connection, message)
 
+    async def prefill(
+        self, link: "AgentLink", work: Work, call: Call, limit_s: float
+    ) -> PrefillResult:
+        """Have a prompt computed for another engine and feed the result back."""
+        assert link.view is not None
+        upstream = link.view.upstream
+        attempt_id = self._attempt_ids.make()
+        attempt = EntryPrefill(attempt_id, link, work, call)
+        self._attempts[attempt_id] = attempt
+        cached_tokens = _count_cached(link.view, work)
+        link.count_sent(replace(work, max_output_tokens=0))
+        link.in_flight += 1
+        self._guard.start(upstream)
+        sent_s = time.monotonic()
+        finished = False
+        try:
+            result = await attempt.run(limit_s)
+            finished = True
+        finally:
+            del self._attempts[attempt_id]
+            if not finished:
+                attempt.cancel()
+                self._abandon(upstream, work, time.monotonic() - sent_s)
+            self._on_end(link)
+        if isinstance(result, Ok):
+            times = result.ok_value
+            self._learn(
+                Observation(
+                    work=work,
+                    upstream=upstream,
+                    output_tokens=0,
+                    cached_tokens=cached_tokens,
+                    wait_s=times.wait_s,
+                    prefill_s=times.prefill_s,
+                    decode_s=0.0,
+                )
+            )
+        failure = result.err_value if isinstance(result, Err) else None
+        self._finish(attempt_id, upstream, work, failure)
+        return result
+
     async def run(
-        self, link: "AgentLink", work: Work, call: Call, on_chunk: OnChunk
+        self,
+        link: "AgentLink",
+        work: Work,
+        call: Call,
+        on_chunk: OnChunk,
+        moved: Prefilled | None = None,
     ) -> AttemptResult:
-        """Run one attempt and feed its results back."""
+        """Run one attempt and feed its results back.
+
+        With `moved`, the engine is told where it can import the prompt's KV blocks.
+        """
         assert link.view is not None
         upstream = link.view.upstream
         attempt_id = self._attempt_ids.make()
-        attempt = EntryAttempt(attempt_id, link, work, call)
+        attempt = EntryAttempt(attempt_id, link, work, call, moved)
         self._attempts[attempt_id] = attempt
         cached_tokens = _count_cached(link.view, work)
-        link.count_sent(work)
+        link.count_sent(replace(work, prompt_tokens=0) if moved else work)
         link.in_flight += 1
         self._guard.start(upstream)
         watch = FirstChunk(
-            on_chunk, lambda latency_s: self._observe_first(upstream, work, latency_s)
+            on_chunk,
+            lambda latency_s: self._observe_first(upstream, work, latency_s, moved),
         )
         finished = False
         try:
@@ -103,11 +155,14 @@
             del self._attempts[attempt_id]
             if not finished:
                 attempt.cancel()
-                self._abandon(upstream, work, watch)
+                now_s = time.monotonic()
+                silent_s = now_s - watch.sent_s if watch.latency_s is None else 0.0
+                self._abandon(upstream, work, silent_s)
             self._on_end(link)
         if isinstance(result, Ok):
             self._observe(upstream, work, result.ok_value, cached_tokens)
-        self._finish(attempt_id, upstream, work, result)
+        failure = result.err_value if isinstance(result, Err) else None
+        self._finish(attempt_id, upstream, work, failure)
         return result
 
     def _observe(
@@ -115,38 +170,49 @@
     ) -> None:
         labels = {"service": work.service, "rank": work.rank.value}
         self._metrics.queue_wait_s.observe(labels, end.wait_s)
-        if self._estimator is None or end.status >= FIRST_ERROR_STATUS:
+        if end.status >= FIRST_ERROR_STATUS:
             return
-        observation = Observation(
-            work=work,
-            upstream=upstream,
-            output_tokens=end.output_tokens,
-            cached_tokens=cached_tokens,
-            wait_s=end.wait_s,
-            prefill_s=end.prefill_s,
-            decode_s=end.decode_s,
+        self._learn(
+            Observation(
+                work=work,
+                upstream=upstream,
+                output_tokens=end.output_tokens,
+                cached_tokens=cached_tokens,
+                wait_s=end.wait_s,
+                prefill_s=end.prefill_s,
+                decode_s=end.decode_s,
+            )
         )
+
+    def _learn(self, observation: Observation) -> None:
+        if self._estimator is None:
+            return
         self._estimator.observe(observation)
         log_event(
             policy_events.ATTEMPT_OBSERVED,
-            request=work.request,
-            peer=upstream,
-            wait_s=end.wait_s,
-            prefill_s=end.prefill_s,
-            decode_s=end.decode_s,
-            output_tokens=end.output_tokens,
+            request=observation.work.request,
+            peer=observation.upstream,
+            wait_s=observation.wait_s,
+            prefill_s=observation.prefill_s,
+            decode_s=observation.decode_s,
+            output_tokens=observation.output_tokens,
         )
 
     def _observe_first(
-        self, upstream: UpstreamId, work: Work, latency_s: float
+        self,
+        upstream: UpstreamId,
+        work: Work,
+        latency_s: float,
+        moved: Prefilled | None,
     ) -> None:
+        # Without the prefill the latency compares with no other.
+        if moved is not None:
+            return
         self._guard.observe_first(upstream, work, latency_s, time.monotonic())
         self._hedging.observe_first(work, latency_s)
 
-    def _abandon(self, upstream: UpstreamId, work: Work, watch: FirstChunk) -> None:
-        now_s = time.monotonic()
-        silent_s = now_s - watch.sent_s if watch.latency_s is None else 0.0
-        ejected = self._guard.abandon(upstream, work, silent_s, now_s)
+    def _abandon(self, upstream: UpstreamId, work: Work, silent_s: float) -> None:
+        ejected = self._guard.abandon(upstream, work, silent_s, time.monotonic())
         self._report_ejection(upstream, ejected)
 
     def _finish(
@@ -154,9 +220,8 @@
         attempt_id: AttemptId,
         upstream: UpstreamId,
         work: Work,
-        result: AttemptResult,
+        failure: AttemptFailure | None,
     ) -> None:
-        failure = result.err_value if isinstance(result, Err) else None
         outcome = failure.kind.value if failure is not None else "ok"
         self._metrics.attempts.inc({"result": outcome})
         if failure is not None:
--- a/bramleyport/daemons/_dispatch.py
+++ b/bramleyport/daemons/_dispatch.py
@@ -2,7 +2,7 @@
 
 import time
 from collections.abc import Callable
-from dataclasses import replace
+from dataclasses import dataclass, replace
 from random import Random
 from typing import TYPE_CHECKING
 
@@ -25,6 +25,7 @@
     OnChunk,
 )
 from bramleyport.daemons._give_up import explain_give_up
+from bramleyport.daemons._prefill_step import DEFAULT_LIMIT_RATIO, PrefillStep
 from bramleyport.daemons._race import Start, race_attempts
 from bramleyport.estimate import Estimator
 from bramleyport.retries import (
@@ -39,7 +40,7 @@
     RetryPolicy,
     UpstreamGuard,
 )
-from bramleyport.routing import RoutingPolicy, is_eligible
+from bramleyport.routing import Route, RoutingPolicy, can_split, is_eligible
 from bramleyport.telemetry import (
     Metrics,
     events,
@@ -58,6 +59,15 @@
 FIRST_ERROR_STATUS = 400
 
 
+@dataclass(frozen=True, slots=True)
+class Target:
+    """Name where an attempt runs, and where it decodes if it is split."""
+
+    link: "AgentLink"
+    decode: "AgentLink | None" = None
+    prefill_s: float = 0.0
+
+
 class Dispatcher:
     """Carry out the decisions for each request."""
 
@@ -71,6 +81,7 @@
         guard: UpstreamGuard | None = None,
         hedging: HedgePolicy | None = None,
         estimator: Estimator | None = None,
+        prefill_limit_ratio: float = DEFAULT_LIMIT_RATIO,
     ) -> None:
         self.links: AgentLinks | None = None
         self._admission = admission
@@ -84,6 +95,7 @@
         self._runner = AttemptRunner(
             self._guard, self._hedging, metrics, self._release, estimator
         )
+        self._prefill_step = PrefillStep(self._runner, metrics, prefill_limit_ratio)
 
     def deliver(
         self, link: "AgentLink", connection: "Connection", message: Message
@@ -139,11 +151,12 @@
         failure: AttemptFailure | None = None
         attempts = 0
         while True:
-            link = self._choose(work, tried, refused)
-            if link is None:
+            # Only the first attempt is split, so a failed prefill costs one step.
+            target = self._choose(work, tried, refused, split=attempts == 0)
+            if target is None:
                 return Err(self._explain_no_upstream(work, worst, failure))
             attempts += 1
-            result = await self._attempt_hedged(link, work, call, on_chunk, tried)
+            result = await self._attempt(target, work, call, on_chunk, tried)
             if isinstance(result, Ok):
                 return Ok(result.ok_value)
             failure = result.err_value
@@ -176,18 +189,25 @@
         return decision
 
     def _choose(
-        self, work: Work, tried: set[UpstreamId], refused: set[UpstreamId]
-    ) -> "AgentLink | None":
-        assert self.links is not None
+        self,
+        work: Work,
+        tried: set[UpstreamId],
+        refused: set[UpstreamId],
+        *,
+        split: bool,
+    ) -> "Target | None":
         # An upstream that refused would refuse again; a broken connection may be back.
         views = self._list_eligible(work, tried) or self._list_eligible(work, refused)
-        return self._route(work, views)
+        target = self._route(work, views)
+        if target is None or split:
+            return target
+        return Target(target.link)
 
     def _release(self, link: "AgentLink") -> None:
         assert self.links is not None
         self.links.release(link)
 
-    def _route(self, work: Work, views: list[UpstreamView]) -> "AgentLink | None":
+    def _route(self, work: Work, views: list[UpstreamView]) -> "Target | None":
         assert self.links is not None
         now_s = time.monotonic()
         screened = self._guard.screen(views, now_s)
@@ -205,7 +225,22 @@
             screening=reason,
             **screened.explanation.numbers,
         )
-        return self.links.find(route.upstream)
+        link = self.links.find(route.upstream)
+        if link is None:
+            return None
+        return Target(link, self._find_decode(work, link, route), route.prefill_s)
+
+    def _find_decode(
+        self, work: Work, link: "AgentLink", route: Route
+    ) -> "AgentLink | None":
+        """Return where the work decodes if both agents can move its KV cache."""
+        assert self.links is not None
+        if route.decode_upstream is None or link.view is None:
+            return None
+        decode = self.links.find(route.decode_upstream)
+        if decode is None or decode.view is None:
+            return None
+        return decode if can_split(work, link.view, decode.view) else None
 
     def _list_eligible(self, work: Work, tried: set[UpstreamId]) -> list[UpstreamView]:
         assert self.links is not None
@@ -215,6 +250,25 @@
             if view.upstream not in tried and is_eligible(work, view)
         ]
 
+    async def _attempt(
+        self,
+        target: "Target",
+        work: Work,
+        call: Call,
+        on_chunk: OnChunk,
+        tried: set[UpstreamId],
+    ) -> AttemptResult:
+        if target.decode is None:
+            return await self._attempt_hedged(target.link, work, call, on_chunk, tried)
+        prefilled = await self._prefill_step.prefill(
+            target.link, target.decode, work, call, target.prefill_s
+        )
+        if isinstance(prefilled, Err):
+            return Err(prefilled.err_value)
+        return await self._runner.run(
+            target.decode, work, call, on_chunk, prefilled.ok_value
+        )
+
     async def _attempt_hedged(
         self,
         link: "AgentLink",
@@ -256,7 +310,8 @@
                 "hedge", routing_events.HEDGE_DENIED, denied, request=work.request
             )
             return None
-        other = self._route(work, views)
+        target = self._route(work, views)
+        other = target.link if target is not None else None
         if other is not None and other.view is not None:
             tried.update(used, {other.view.upstream})
             self._reporter.report(
--- a/bramleyport/daemons/_entry_attempt.py
+++ b/bramleyport/daemons/_entry_attempt.py
@@ -23,6 +23,7 @@
     Failed,
     Frame,
     Message,
+    Prefilled,
     Refused,
     Resume,
 )
@@ -57,13 +58,19 @@
     """Send one attempt to an agent and follow it to its end."""
 
     def __init__(
-        self, attempt: AttemptId, link: AgentLink, work: Work, call: Call
+        self,
+        attempt: AttemptId,
+        link: AgentLink,
+        work: Work,
+        call: Call,
+        moved: Prefilled | None = None,
     ) -> None:
         self.attempt = attempt
         self.link = link
         self.frames_shown = 0
         self._work = work
         self._call = call
+        self._moved = moved
         self._assembler = Assembler(attempt)
         self._inbox: asyncio.Queue[Message] = asyncio.Queue()
         self._connection: Connection | None = link.connection
@@ -192,6 +199,8 @@
             headers=self._call.headers,
             body=self._call.body,
             time_left_s=self._work.answer_deadline_s - time.monotonic(),
+            kv_source=self._moved.source if self._moved else "",
+            kv_blocks=self._moved.blocks if self._moved else (),
         )
 
     def fail(
--- /dev/null
+++ b/bramleyport/daemons/_prefill_step.py
@@ -0,0 +1,72 @@
+"""The first step of a request that decodes on another engine."""
+
+import time
+from typing import TYPE_CHECKING, Final
+
+from result import Err
+
+from bramleyport.telemetry import Metrics, log_event, transfer_events
+
+if TYPE_CHECKING:
+    from bramleyport.core import Work
+    from bramleyport.daemons._attempt_runner import AttemptRunner
+    from bramleyport.daemons._entry_attempt import Call
+    from bramleyport.daemons._entry_prefill import PrefillResult
+    from bramleyport.daemons._peers import AgentLink
+
+DEFAULT_LIMIT_RATIO: Final = 2.0
+# Load reports lag, so a forecast of nearly nothing may be wrong by some seconds.
+LEAST_TARGET_PART: Final = 0.25
+
+
+class PrefillStep:
+    """Have prompts computed for another engine within a limit."""
+
+    def __init__(
+        self, runner: "AttemptRunner", metrics: Metrics, limit_ratio: float
+    ) -> None:
+        self._runner = runner
+        self._metrics = metrics
+        self._limit_ratio = limit_ratio
+
+    async def prefill(
+        self,
+        source: "AgentLink",
+        decode: "AgentLink",
+        work: "Work",
+        call: "Call",
+        forecast_s: float,
+    ) -> "PrefillResult":
+        """Have the prompt computed and return where its KV blocks are."""
+        assert source.view is not None
+        assert decode.view is not None
+        limit_s = self._limit(work, forecast_s)
+        fields = {
+            "request": work.request,
+            "upstream": source.view.upstream,
+            "decode": decode.view.upstream,
+        }
+        log_event(transfer_events.SPLIT_STARTED, limit_s=limit_s, **fields)
+        result = await self._runner.prefill(source, work, call, limit_s)
+        failed = isinstance(result, Err)
+        reason = result.err_value.kind.value if isinstance(result, Err) else "prefilled"
+        self._metrics.splits.inc({"result": reason})
+        log_event(
+            transfer_events.SPLIT_ABANDONED
+            if failed
+            else transfer_events.SPLIT_PREFILLED,
+            reason=reason,
+            **fields,
+        )
+        return result
+
+    def _limit(self, work: "Work", forecast_s: float) -> float:
+        """Return the seconds for the prefill.
+
+        Agents refuse work that is late for its first token, so a prefill that hangs
+        must be given up while a whole attempt can still be in time.
+        """
+        left_s = work.answer_deadline_s - time.monotonic()
+        least_s = work.targets.first_token_s * LEAST_TARGET_PART
+        limit_s = max(least_s, forecast_s * self._limit_ratio)
+        return max(0.0, min(limit_s, left_s / 2))
--- a/bramleyport/settings/__init__.py
+++ b/bramleyport/settings/__init__.py
@@ -9,6 +9,7 @@
     PolicySettings,
     ProcessSettings,
     TlsSettings,
+    TransferSettings,
 )
 
 __all__ = [
@@ -19,5 +20,6 @@
     "PolicySettings",
     "ProcessSettings",
     "TlsSettings",
+    "TransferSettings",
     "load_settings",
 ]
--- a/bramleyport/settings/_schema.py
+++ b/bramleyport/settings/_schema.py
@@ -81,7 +81,7 @@
     # The share of a host's link that one transfer gets.
     bytes_per_s: float = 2e9
     overhead_s: float = 0.02
-    # The prefill may take this many times the rank's target for the first token.
+    # The prefill may take this many times its forecast.
     prefill_limit_ratio: float = 2.0
 
     def __post_init__(self) -> None:
--- a/bramleyport/telemetry/__init__.py
+++ b/bramleyport/telemetry/__init__.py
@@ -7,6 +7,7 @@
     _planning_events as planning_events,
     _policy_events as policy_events,
     _routing_events as routing_events,
+    _transfer_events as transfer_events,
 )
 from bramleyport.telemetry._events import EVENTS, Event
 from bramleyport.telemetry._journal import Journal, JournalEntry
@@ -31,4 +32,5 @@
     "planning_events",
     "policy_events",
     "routing_events",
+    "transfer_events",
 ]
--- a/bramleyport/telemetry/_metrics.py
+++ b/bramleyport/telemetry/_metrics.py
@@ -24,6 +24,12 @@
         self.decisions = self._count(
             "bramleyport_decisions_total", "Decisions by kind and reason"
         )
+        self.splits = self._count(
+            "bramleyport_splits_total", "Prefills for another engine by result"
+        )
+        self.imports = self._count(
+            "bramleyport_kv_imports_total", "Imports of KV blocks by result"
+        )
         self.gauges = Gauge(
             "bramleyport_state", "State by name", registry=self.registry
         )
