Stop the work of a caller that goes away before its first token

The HTTP layer cancels the handler when a connection is lost. The handler waited with asyncio.wait, which leaves the awaited task running, so the request ran on until its first chunk could not be written. The task is now cancelled in either case. Shown by test_caller_that_goes_away_stops_the_prefill, where the prefill ran on to its limit before.

--- a/bramleyport/daemons/_entry.py
+++ b/bramleyport/daemons/_entry.py
@@ -313,10 +313,15 @@
             )
         )
         gone = asyncio.ensure_future(stream.gone.wait())
-        await asyncio.wait({task, gone}, return_when=asyncio.FIRST_COMPLETED)
-        gone.cancel()
+        try:
+            await asyncio.wait({task, gone}, return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            gone.cancel()
+            # The HTTP layer also cancels this handler when the caller goes away, and
+            # cancelling a wait leaves the task running.
+            if not task.done():
+                task.cancel()
         if not task.done():
-            task.cancel()
             return None
         try:
             outcome = task.result()
