--- /dev/null
+++ b/tests/split_fleet.py
@@ -0,0 +1,187 @@
+"""Three engines, their agents and one entry whose requests are split."""
+
+import asyncio
+import json
+from collections.abc import Sequence
+from random import Random
+from typing import Any
+
+from bramleyport.composition import build_agent, build_entry
+from bramleyport.core import Explanation, UpstreamView, Work
+from bramleyport.routing import Route
+from bramleyport.settings import (
+    AgentSettings,
+    EntrySettings,
+    ProcessSettings,
+    TransferSettings,
+)
+from bramleyport.standins import (
+    LOOPBACK,
+    EngineProfile,
+    EngineStandin,
+    ObjectApiStandin,
+    read_port,
+    serve_app,
+    stop_listening,
+)
+from tests.http_client import Answer, fetch
+
+MODEL = "inspector-8b"
+TOKENS = 12
+# Three blocks of 1000 tokens.
+PROMPT = "helmet " * 2000
+TARGETS = {"between_tokens_s": 1.0, "answer_s": 40.0}
+RECORD = {
+    "name": "inspections",
+    "model": {"name": MODEL, "versions": ["1"], "adapters": []},
+    "ranks": {
+        "urgent": {**TARGETS, "first_token_s": 4.0},
+        "standard": {**TARGETS, "first_token_s": 15.0},
+    },
+}
+
+
+class SplitRouting:
+    """Prefill on the first eligible engine and decode on the second."""
+
+    def choose(
+        self, work: Work, views: Sequence[UpstreamView], now_s: float, rng: Random
+    ) -> Route | None:
+        names = sorted(view.upstream for view in views)
+        if not names:
+            return None
+        return Route(
+            upstream=names[0],
+            decode_upstream=names[1] if len(names) > 1 else None,
+            explanation=Explanation(reason="test"),
+        )
+
+
+class SplitFleet:
+    def __init__(self, *, forced: bool = True, capable: int = 3) -> None:
+        self.store = ObjectApiStandin()
+        profile = EngineProfile(prefill_tokens_per_s=80_000.0)
+        self.engines = [
+            EngineStandin((MODEL,), profile, checks_fencing=True) for _ in range(3)
+        ]
+        self.agents: list[Any] = []
+        self.entry: Any = None
+        self.dead: list[Any] = []
+        self._forced = forced
+        self._capable = capable
+        self._listening: list[Any] = []
+        self._tasks: list[asyncio.Task[None]] = []
+        self._store_url = ""
+
+    async def start(self) -> None:
+        self.store.store.put("services", "inspections", {"spec": RECORD})
+        self._store_url = await self._serve(self.store.app)
+        for index, engine in enumerate(self.engines):
+            self._tasks.append(asyncio.ensure_future(engine.run()))
+            url = await self._serve(engine.app)
+            if index < self._capable:
+                engine.kv_address = url
+            settings = AgentSettings(
+                process=self._make_process(f"agent-{index}"),
+                upstream=f"engine-{index}",
+                upstream_url=url,
+                load_interval_s=0.2,
+                drain_timeout_s=20.0,
+            )
+            agent = build_agent(settings)
+            await agent.start()
+            self.agents.append(agent)
+        self._list_hosts()
+        settings = EntrySettings(
+            process=self._make_process("entry-0"),
+            http_port=0,
+            kv_transfer=TransferSettings(bytes_per_s=1e12, overhead_s=0.001),
+        )
+        self.entry = build_entry(settings, 1)
+        if self._forced:
+            self.entry._dispatcher._routing = SplitRouting()
+        await self.entry.start()
+        await wait_until(lambda: len(self.entry.list_upstreams()) == 3)
+
+    async def stop(self) -> None:
+        await self.entry.stop()
+        for agent in self.agents:
+            if agent not in self.dead:
+                await agent.stop()
+        for task in self._tasks:
+            task.cancel()
+        for listening in self._listening:
+            await stop_listening(listening)
+
+    async def kill(self, index: int) -> None:
+        """End an agent at once: no message, connections reset, work stopped."""
+        agent = self.agents[index]
+        self.dead.append(agent)
+        for task in agent._tasks:
+            task.cancel()
+        agent._server.close(close_connections=False)
+        for connection in list(agent._connections):
+            connection._socket.transport.abort()
+        for attempt in agent._attempts.values():
+            if attempt.task is not None:
+                attempt.task.cancel()
+        await agent._hub.close()
+
+    async def ask(self, rank: str = "standard", **fields: Any) -> Answer:
+        body = {"model": "inspections", "prompt": PROMPT, "max_tokens": TOKENS}
+        url = f"http://{LOOPBACK}:{self.entry.port}/v1/completions"
+        data = json.dumps({**body, **fields}).encode()
+        return await fetch(url, "POST", {"X-Rank": rank}, data)
+
+    def count(self, name: str, **labels: str) -> float:
+        """Return the value of one of the entry's counters."""
+        return float(getattr(self.entry._metrics, name).values.get(labels, 0))
+
+    def release_exports(self, index: int) -> None:
+        engine = self.engines[index]
+        engine.faults.hold_export = False
+        for stream in engine._streams.values():
+            stream.notify()
+
+    def is_idle(self, index: int) -> bool:
+        """Return whether nothing of any request is left on an engine's agent."""
+        model, agent = self.engines[index].model, self.agents[index]
+        streams = self.engines[index]._streams.values()
+        open_streams = [s for s in streams if not (s.finished or s.cancelled)]
+        return not (model.running or model.waiting or agent._running or open_streams)
+
+    async def _serve(self, app: Any) -> str:
+        listening = await serve_app(app, 0)
+        self._listening.append(listening)
+        return f"http://{LOOPBACK}:{read_port(listening)}"
+
+    def _make_process(self, name: str) -> ProcessSettings:
+        return ProcessSettings(
+            process=name,
+            zone="lk-west-a",
+            region="lk-west",
+            address=LOOPBACK,
+            peer_port=0,
+            object_api=self._store_url,
+        )
+
+    def _list_hosts(self) -> None:
+        rows = [
+            {
+                "process": agent.settings.process.process,
+                "role": "agent",
+                "address": LOOPBACK,
+                "port": agent.port,
+                "zone": "lk-west-a",
+                "region": "lk-west",
+                "state": "live",
+            }
+            for agent in self.agents
+        ]
+        self.store.store.put("hosts", "current", {"spec": {"hosts": rows}})
+
+
+async def wait_until(condition: Any) -> None:
+    async with asyncio.timeout(30):
+        while not condition():
+            await asyncio.sleep(0.01)
