--- a/bramleyport/daemons/_agent_attempt.py
+++ b/bramleyport/daemons/_agent_attempt.py
@@ -47,6 +47,7 @@
         self.output_tokens = 0
         self.cached_tokens = 0
         self.import_limit_s = 0.0
+        self.on_import: Callable[[str], None] = lambda _: None
         self._queued_s = time.monotonic()
         self._started_s = self._queued_s
         self._first_token_s = 0.0
@@ -131,7 +132,9 @@
     async def _run_completion(self, engine: EngineClient) -> None:
         work = self.execute.work
         if self.part is WorkPart.DECODE:
-            await import_blocks(engine, self.execute, self.import_limit_s)
+            self.on_import(
+                await import_blocks(engine, self.execute, self.import_limit_s)
+            )
         completion = Completion(
             job=self.execute.attempt,
             prompt=self._read_prompt(),
--- a/bramleyport/daemons/_agent_schedule.py
+++ b/bramleyport/daemons/_agent_schedule.py
@@ -125,10 +125,14 @@
         attempt.on_interval = self.queue.observe_interval
         blocks = self._view.cached.count_cached(work.prefix_blocks)
         attempt.cached_tokens = blocks * self._view.block_tokens
+        attempt.on_import = self._count_import
         rate = max(1.0, self._view.rates.prefill_tokens_per_s)
         # Beyond this time, computing the prompt would have been faster.
         attempt.import_limit_s = max(MIN_IMPORT_S, work.prompt_tokens / rate)
 
+    def _count_import(self, result: str) -> None:
+        self._metrics.imports.inc({"result": result})
+
     def observe(self, attempt: "AgentAttempt") -> None:
         """Learn from an attempt that ended with all that was asked for."""
         observation = attempt.measure(self._view.upstream)
--- a/bramleyport/daemons/_agent_transfer.py
+++ b/bramleyport/daemons/_agent_transfer.py
@@ -12,17 +12,20 @@
 
 async def import_blocks(
     engine: EngineClient, execute: "Execute", limit_s: float
-) -> None:
-    """Import the blocks of a prompt; without them the engine computes it itself."""
-    reason, found = "imported", 0
+) -> str:
+    """Import the blocks of a prompt and return the result.
+
+    Without the blocks the engine computes the prompt itself.
+    """
+    result, reason, found = "imported", "", 0
     try:
         async with asyncio.timeout(limit_s):
             found = await engine.import_kv(execute.kv_source, execute.kv_blocks)
     except UpstreamError as error:
-        reason = error.reason
+        result, reason = "failed", error.reason
     except TimeoutError:
-        reason = "timeout"
-    imported = reason == "imported"
+        result, reason = "timeout", "limit reached"
+    imported = result == "imported"
     log_event(
         transfer_events.KV_IMPORTED if imported else transfer_events.KV_IMPORT_FAILED,
         attempt=execute.attempt,
@@ -31,3 +34,4 @@
         blocks=found,
         limit_s=limit_s,
     )
+    return result
--- a/tests/split_fleet.py
+++ b/tests/split_fleet.py
@@ -137,6 +137,11 @@
         """Return the value of one of the entry's counters."""
         return float(getattr(self.entry._metrics, name).values.get(labels, 0))
 
+    def count_imports(self, index: int, result: str) -> float:
+        """Return how many imports of one agent ended with a result."""
+        counter = self.agents[index]._schedule._metrics.imports
+        return float(counter.values.get({"result": result}, 0))
+
     def release_exports(self, index: int) -> None:
         engine = self.engines[index]
         engine.faults.hold_export = False
--- a/tests/test_split.py
+++ b/tests/test_split.py
@@ -59,6 +59,7 @@
         await wait_until(lambda: fleet.is_idle(0))
         assert fleet.count("splits", result="prefilled") == 1
         assert fleet.count("attempts", result="ok") == 2
+        assert fleet.count_imports(1, "imported") == 1
 
     run(check())
 
@@ -199,6 +200,7 @@
     async def check() -> None:
         fleet.engines[1].faults.fail_import = True
         assert_whole(await fleet.ask())
+        assert fleet.count_imports(1, "failed") == 1
         assert count_completions(fleet) == [0, 1, 0]
         assert fleet.count("decisions", kind="retry", reason="within_budget") == 0
         blocks = digest_prefix(PROMPT, 1000)
