Keep a failing export from spending the retry budget

Each request split over an engine that can't export took one retry, and the failures could eject an engine that runs whole requests well. After a failed export or a prefill beyond its limit the entry now splits nothing over that engine for 30 s, and the guard does not count the failure.

test_engine_that_cannot_export_costs_no_further_retries: 15 requests over such an engine make one retry.

--- a/bramleyport/daemons/_attempt_runner.py
+++ b/bramleyport/daemons/_attempt_runner.py
@@ -16,10 +16,14 @@
     EntryAttempt,
     OnChunk,
 )
-from bramleyport.daemons._entry_prefill import EntryPrefill, PrefillResult
+from bramleyport.daemons._entry_prefill import (
+    PREFILL_FAULTS,
+    EntryPrefill,
+    PrefillResult,
+)
 from bramleyport.daemons._first_chunk import FirstChunk, run_until_deadline
 from bramleyport.estimate import Estimator, Observation
-from bramleyport.retries import AttemptFailure, HedgePolicy, UpstreamGuard
+from bramleyport.retries import AttemptFailure, FailureKind, HedgePolicy, UpstreamGuard
 from bramleyport.telemetry import (
     Event,
     Metrics,
@@ -119,7 +123,15 @@
                 )
             )
         failure = result.err_value if isinstance(result, Err) else None
-        self._finish(attempt_id, upstream, work, failure)
+        if failure is not None and failure.kind in PREFILL_FAULTS:
+            # Neither a failed export nor a limit far below the rank's target shows
+            # that the engine fails whole requests.
+            timed_out = failure.kind is FailureKind.TIMEOUT
+            silent_s = time.monotonic() - sent_s if timed_out else 0.0
+            self._report(attempt_id, work, failure)
+            self._abandon(upstream, work, silent_s)
+        else:
+            self._finish(attempt_id, upstream, work, failure)
         return result
 
     async def run(
@@ -221,6 +233,13 @@
         upstream: UpstreamId,
         work: Work,
         failure: AttemptFailure | None,
+    ) -> None:
+        self._report(attempt_id, work, failure)
+        ejected = self._guard.finish(upstream, failure, time.monotonic())
+        self._report_ejection(upstream, ejected)
+
+    def _report(
+        self, attempt_id: AttemptId, work: Work, failure: AttemptFailure | None
     ) -> None:
         outcome = failure.kind.value if failure is not None else "ok"
         self._metrics.attempts.inc({"result": outcome})
@@ -229,12 +248,10 @@
                 events.ATTEMPT_FAILED,
                 request=work.request,
                 attempt=attempt_id,
-                peer=upstream,
+                peer=failure.upstream,
                 reason=outcome,
                 execution=failure.execution.value,
             )
-        ejected = self._guard.finish(upstream, failure, time.monotonic())
-        self._report_ejection(upstream, ejected)
 
     def _report_ejection(
         self, upstream: UpstreamId, ejected: Explanation | None
--- a/bramleyport/daemons/_dispatch.py
+++ b/bramleyport/daemons/_dispatch.py
@@ -237,6 +237,8 @@
         assert self.links is not None
         if route.decode_upstream is None or link.view is None:
             return None
+        if not self._prefill_step.allows(route.upstream):
+            return None
         decode = self.links.find(route.decode_upstream)
         if decode is None or decode.view is None:
             return None
--- a/bramleyport/daemons/_entry_prefill.py
+++ b/bramleyport/daemons/_entry_prefill.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import time
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Final
 
 from result import Err, Ok, Result
 
@@ -16,6 +16,9 @@
     from bramleyport.daemons._peers import AgentLink
     from bramleyport.transport import Connection
 
+# Failures of a prefill that say nothing of whole requests on the same engine.
+PREFILL_FAULTS: Final = frozenset({FailureKind.UPSTREAM_ERROR, FailureKind.TIMEOUT})
+
 PrefillResult = Result[Prefilled, AttemptFailure]
 
 
--- a/bramleyport/daemons/_prefill_step.py
+++ b/bramleyport/daemons/_prefill_step.py
@@ -5,6 +5,9 @@
 
 from result import Err
 
+from bramleyport.core import UpstreamId
+from bramleyport.daemons._entry_prefill import PREFILL_FAULTS
+from bramleyport.retries import AttemptFailure
 from bramleyport.telemetry import Metrics, log_event, transfer_events
 
 if TYPE_CHECKING:
@@ -17,6 +20,9 @@
 DEFAULT_LIMIT_RATIO: Final = 2.0
 # Load reports lag, so a forecast of nearly nothing may be wrong by some seconds.
 LEAST_TARGET_PART: Final = 0.25
+# An engine that can't export would otherwise take one retry of the budget for each
+# request that is split there, until other requests have none left.
+PAUSE_S: Final = 30.0
 
 
 class PrefillStep:
@@ -28,6 +34,11 @@
         self._runner = runner
         self._metrics = metrics
         self._limit_ratio = limit_ratio
+        self._paused_until_s: dict[UpstreamId, float] = {}
+
+    def allows(self, upstream: UpstreamId) -> bool:
+        """Return whether prefills on an engine have not failed lately."""
+        return self._paused_until_s.get(upstream, 0.0) <= time.monotonic()
 
     async def prefill(
         self,
@@ -48,8 +59,10 @@
         }
         log_event(transfer_events.SPLIT_STARTED, limit_s=limit_s, **fields)
         result = await self._runner.prefill(source, work, call, limit_s)
-        failed = isinstance(result, Err)
-        reason = result.err_value.kind.value if isinstance(result, Err) else "prefilled"
+        failed, reason = isinstance(result, Err), "prefilled"
+        if isinstance(result, Err):
+            reason = result.err_value.kind.value
+            self._pause(result.err_value)
         self._metrics.splits.inc({"result": reason})
         log_event(
             transfer_events.SPLIT_ABANDONED
@@ -60,6 +73,15 @@
         )
         return result
 
+    def _pause(self, failure: AttemptFailure) -> None:
+        if failure.kind not in PREFILL_FAULTS:
+            return
+        now_s = time.monotonic()
+        for upstream, until_s in list(self._paused_until_s.items()):
+            if until_s <= now_s:
+                del self._paused_until_s[upstream]
+        self._paused_until_s[failure.upstream] = now_s + PAUSE_S
+
     def _limit(self, work: "Work", forecast_s: float) -> float:
         """Return the seconds for the prefill.
 
--- a/tests/test_split.py
+++ b/tests/test_split.py
@@ -194,6 +194,22 @@
     run(check())
 
 
+def test_engine_that_cannot_export_costs_no_further_retries(
+    fleet: SplitFleet, run: Run
+) -> None:
+    """One retry for each request would spend the budget of all requests."""
+
+    async def check() -> None:
+        fleet.engines[0].faults.fail_export = True
+        for _ in range(15):
+            assert_whole(await fleet.ask())
+        assert fleet.count("splits", result="upstream_error") == 1
+        assert fleet.count("decisions", kind="retry", reason="within_budget") == 1
+        assert count_completions(fleet) == [14, 1, 0]
+
+    run(check())
+
+
 def test_failed_import_makes_the_decode_engine_compute_the_prompt(
     fleet: SplitFleet, run: Run
 ) -> None:
