Split no request where work waits

Moved work is not refused when it is late, so in a flood it took engine time from work in time. Decode now moves only if neither engine has a wait, the decode engine has a free stream and the forecast of the first token is within three quarters of its target.

--- a/bramleyport/routing/_affinity.py
+++ b/bramleyport/routing/_affinity.py
@@ -37,6 +37,8 @@
 LATE_WEIGHT: Final = 4.0
 # An engine outside its role slows the work that it is kept free for.
 ROLE_MISMATCH_FACTOR: Final = 2.0
+# The rest of the target is for what the forecast of two engines leaves out.
+SPLIT_TARGET_PART: Final = 0.75
 MIN_TARGET_S: Final = 0.05
 MIN_BETWEEN_S: Final = 0.005
 # A batch step with a prefill chunk takes about four times as long as one without.
@@ -186,16 +188,18 @@
         """Return the engine to decode on if moving the KV cache pays."""
         if self._transfer is None or not best.view.kv_address:
             return None
+        if best.estimate.wait_s > 0:
+            return None
         bytes_per_token = best.view.kv_bytes_per_token
         transfer_s = self._transfer.forecast(work.prompt_tokens, bytes_per_token)
         splits: list[tuple[float, float, Candidate]] = []
         for other in candidates:
-            if not can_split(work, best.view, other.view):
+            if not can_split(work, best.view, other.view) or not _has_room(other):
                 continue
-            # Decode waits for a slot there only while the prefill runs here.
-            idle_s = max(0.0, other.estimate.wait_s - best.first_token_s)
             # The decode engine also makes the first token.
-            first_token_s = best.first_token_s + transfer_s + idle_s
+            first_token_s = best.first_token_s + transfer_s
+            if first_token_s > SPLIT_TARGET_PART * work.targets.first_token_s:
+                continue
             answer_s = first_token_s + _decode_s(other)
             score = _weigh_targets(work, first_token_s, answer_s, other.between_s)
             splits.append((score, best.answer_s - answer_s, other))
@@ -205,6 +209,17 @@
         return (partner, saved_s) if score < best.score else None
 
 
+def _has_room(candidate: Candidate) -> bool:
+    """Return whether an engine would decode moved work at once.
+
+    Moved work is not refused when it is late, so with queues it would take engine time
+    from work that is in time: splitting there took a tenth of the goodput in a flood.
+    """
+    view = candidate.view
+    streams = view.load.running + view.sent.requests
+    return candidate.estimate.wait_s <= 0 and streams < view.rates.max_streams
+
+
 def _decode_s(candidate: Candidate) -> float:
     return candidate.estimate.decode_s * (1 + _measure_occupancy(candidate.view))
 
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -132,6 +132,10 @@
     late = policy.choose(hurried, views, 0.0, Random(1))
     assert late is not None
     assert late.decode_upstream is None
+    # Moved work is never refused as late, so none is sent to where work waits.
+    queued = policy.choose(work, views, 0.0, Random(1))
+    assert queued is not None
+    assert queued.decode_upstream is None
 
 
 @pytest.mark.parametrize(
