--- a/bramleyport/telemetry/_metrics.py
+++ b/bramleyport/telemetry/_metrics.py
@@ -31,6 +31,12 @@
             "bramleyport_orders_refused_total",
             "Orders refused for an old fencing number by pool and refuser",
         )
+        self.splits = self._count(
+            "bramleyport_splits_total", "Prefills for another engine by result"
+        )
+        self.imports = self._count(
+            "bramleyport_kv_imports_total", "Imports of KV blocks by result"
+        )
         self.gauges = Gauge(
             "bramleyport_state", "State by name", registry=self.registry
         )
