Keep the plan's reason and numbers in the order object

Cause: an order object named the wanted role and nothing of why; the reason of a plan was in the log of the lease holder only, which operators can't read.

Change: EngineChange carries the planner's explanation, at most eight finite numbers of four digits. It is not compared: a plan whose numbers alone have moved must not give the same order again. Types of explained requests (RequestCase) join the core package.

--- a/bramleyport/authority/_types.py
+++ b/bramleyport/authority/_types.py
@@ -10,6 +10,7 @@
 
 from bramleyport.core import (
     EngineRole,
+    Explanation,
     FencingNumber,
     PoolName,
     RegionName,
@@ -52,6 +53,9 @@
     role: EngineRole | None = None
     load: tuple[str, ...] = ()
     unload: tuple[str, ...] = ()
+    # Why the planner wants the change. It is not compared: a plan whose numbers alone
+    # have moved must not give the order again.
+    explanation: Explanation | None = field(default=None, compare=False)
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/bramleyport/core/__init__.py
+++ b/bramleyport/core/__init__.py
@@ -1,5 +1,13 @@
 """Types shared by all packages: ids, states, work, views and errors."""
 
+from bramleyport.core._cases import (
+    AttemptNote,
+    CaseKind,
+    DecisionNote,
+    LaggingProcess,
+    Outcome,
+    RequestCase,
+)
 from bramleyport.core._converter import make_strict_converter
 from bramleyport.core._errors import ErrorCode, Explanation, ServeError, StepError
 from bramleyport.core._ids import (
@@ -44,7 +52,10 @@
     "AccountId",
     "AdapterName",
     "AttemptId",
+    "AttemptNote",
     "CachedPrefixes",
+    "CaseKind",
+    "DecisionNote",
     "EngineLoad",
     "EngineRates",
     "EngineRole",
@@ -52,8 +63,10 @@
     "Execution",
     "Explanation",
     "FencingNumber",
+    "LaggingProcess",
     "ModelName",
     "ModelVersion",
+    "Outcome",
     "PoolName",
     "PrefixBlock",
     "Problem",
@@ -61,6 +74,7 @@
     "Rank",
     "RegionName",
     "Registry",
+    "RequestCase",
     "RequestId",
     "Revision",
     "SentWork",
--- a/bramleyport/core/_errors.py
+++ b/bramleyport/core/_errors.py
@@ -1,10 +1,14 @@
 """Errors that name the step and the peer at which they arose."""
 
+import math
 from dataclasses import dataclass, field
 from enum import Enum
+from typing import Final
 
 from bramleyport.core._states import Execution
 
+NUMBERS_KEPT: Final = 8
+
 
 class ErrorCode(str, Enum):
     """Classify errors shown to callers."""
@@ -76,3 +80,13 @@
 
     reason: str
     numbers: dict[str, float] = field(default_factory=dict)
+
+    def shorten(self) -> "Explanation":
+        """Return it with few and short numbers, as the store and peers take it."""
+        finite = [pair for pair in self.numbers.items() if math.isfinite(pair[1])]
+        return Explanation(
+            reason=self.reason,
+            numbers={
+                name: float(f"{value:.4g}") for name, value in finite[:NUMBERS_KEPT]
+            },
+        )
--- a/bramleyport/daemons/_pool_planner.py
+++ b/bramleyport/daemons/_pool_planner.py
@@ -155,9 +155,10 @@
 
 
 def _translate(change: Change) -> EngineChange:
+    why = change.explanation.shorten()
     if isinstance(change, RoleChange):
-        return EngineChange(role=change.role)
-    return EngineChange(load=(change.adapter or change.model,))
+        return EngineChange(role=change.role, explanation=why)
+    return EngineChange(load=(change.adapter or change.model,), explanation=why)
 
 
 def _choose_event(change: Change) -> Event:
