--- a/bramleyport/callers/_app.py
+++ b/bramleyport/callers/_app.py
@@ -15,7 +15,7 @@
 )
 from bramleyport.callers._status_page import EntryState, render_status_page
 from bramleyport.callers._stream import CallerGoneError, CallerStream
-from bramleyport.core import ErrorCode, Execution, ServeError
+from bramleyport.core import ErrorCode, Execution, RequestId, ServeError
 from bramleyport.telemetry import events, log_event
 from bramleyport.transport import run_as_deferred
 
@@ -38,7 +38,7 @@
         """Return why no request should be sent here, or None when ready."""
         ...
 
-    def read_state(self) -> EntryState:
+    async def read_state(self) -> EntryState:
         """Return what the status page shows."""
         ...
 
@@ -111,21 +111,28 @@
         request.setResponseCode(503)
         return reason.encode() + b"\n"
 
-    def _status(self, request: Request) -> bytes:
+    def _status(self, request: Request) -> Any:
         request.setHeader(b"content-type", b"text/html; charset=utf-8")
-        return render_status_page(self._handler.read_state())
+        return run_as_deferred(self._render_status())
+
+    async def _render_status(self) -> bytes:
+        return render_status_page(await self._handler.read_state())
 
     def _metrics(self, request: Request) -> bytes:
         request.setHeader(b"content-type", b"text/plain; version=0.0.4")
         return self._handler.render_metrics()
 
 
-async def send_error(stream: CallerStream, error: ServeError) -> None:
+async def send_error(
+    stream: CallerStream, error: ServeError, request: RequestId | None = None
+) -> None:
     """Answer a request with an error, or break an answer already begun."""
     if stream.started:
         stream.abort()
         return
     headers = dict(JSON_TYPE)
+    if request is not None:
+        headers["X-Request-Id"] = request
     if error.retry_after_s is not None:
         headers["Retry-After"] = str(max(1, math.ceil(error.retry_after_s)))
     stream.start(error.http_status, headers)
--- a/bramleyport/callers/_status_page.py
+++ b/bramleyport/callers/_status_page.py
@@ -6,7 +6,7 @@
 from typing import Final
 
 from bramleyport.core import Rank, Revision, ServiceName, UpstreamView
-from bramleyport.records import RankCounts, ServiceRecord
+from bramleyport.records import RankCounts, RecordStatus, ServiceRecord
 from bramleyport.telemetry import JournalEntry
 
 STYLE: Final = (
@@ -18,6 +18,9 @@
 )
 
 
+COUNTS_HEADER: Final = ("Record", "Rank", "In time", "Late", "Rejected", "Unknown")
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class EntryState:
     """Hold what the status page shows."""
@@ -29,6 +32,8 @@
     in_flight: int
     records: Mapping[ServiceName, ServiceRecord]
     counts: Mapping[ServiceName, Mapping[Rank, RankCounts]]
+    statuses: Mapping[ServiceName, RecordStatus]
+    statuses_age_s: float | None
     views: Sequence[UpstreamView]
     journal: Sequence[JournalEntry]
 
@@ -46,10 +51,11 @@
         f"{state.in_flight} requests in flight</p>",
         "<h2>Records in force</h2>",
         _make_table(("Record", "Kind", "Model", "Ranks"), _list_records(state)),
-        "<h2>Requests by rank, since this entry started</h2>",
-        _make_table(
-            ("Record", "Rank", "In time", "Late", "Rejected"), _list_counts(state)
-        ),
+        "<h2>Requests by rank on all entries</h2>",
+        f"<p>{html.escape(_describe_age(state.statuses_age_s))}</p>",
+        _make_table((*COUNTS_HEADER, "Since"), _list_totals(state)),
+        "<h2>Requests by rank on this entry, since it started</h2>",
+        _make_table(COUNTS_HEADER, _list_counts(state)),
         "<h2>Upstreams</h2>",
         _make_table(
             ("Upstream", "Zone", "Role", "State", "Running", "Queued", "Memory"),
@@ -74,20 +80,34 @@
     ]
 
 
+def _describe_age(age_s: float | None) -> str:
+    if age_s is None:
+        return "not read from the object API yet"
+    return f"read from the status of the records {age_s:.0f} s ago"
+
+
+def _list_totals(state: EntryState) -> list[tuple[str, ...]]:
+    return [
+        (*_make_row(name, rank, count), status.counts_since)
+        for name, status in sorted(state.statuses.items())
+        if status.counts_since
+        for rank, count in status.ranks.items()
+    ]
+
+
 def _list_counts(state: EntryState) -> list[tuple[str, ...]]:
     return [
-        (
-            name,
-            rank.value,
-            str(count.in_time),
-            str(count.late),
-            str(count.rejected),
-        )
+        _make_row(name, rank, count)
         for name, ranks in sorted(state.counts.items())
         for rank, count in ranks.items()
     ]
 
 
+def _make_row(name: str, rank: Rank, count: RankCounts) -> tuple[str, ...]:
+    numbers = (count.in_time, count.late, count.rejected, count.unknown)
+    return (name, rank.value, *map(str, numbers))
+
+
 def _list_views(state: EntryState) -> list[tuple[str, ...]]:
     return [
         (
--- a/bramleyport/cli/_record.py
+++ b/bramleyport/cli/_record.py
@@ -9,6 +9,12 @@
 import click
 from result import Err, Ok
 
+from bramleyport.cli._explain import (
+    describe_lagging,
+    explain_engine,
+    explain_object,
+    explain_request,
+)
 from bramleyport.cli._output import (
     ExitCode,
     Form,
@@ -87,6 +93,8 @@
         item = await _require(client, ObjectName(name))
         if Form(form) is Form.TABLE:
             show_table(HEADER, [_make_row(item)])
+            for line in describe_lagging(read_status(item.status)):
+                click.echo(line)
         else:
             show_value(describe_object(item), Form(form))
 
@@ -157,18 +165,33 @@
 
 @record.command()
 @store_option
-@click.argument("name")
-def explain(store: str, name: str) -> None:
-    """Say why a record is as it is and what to do about it."""
+@click.argument("subject", nargs=-1, required=True, metavar="[engine|request] NAME")
+def explain(store: str, subject: tuple[str, ...]) -> None:
+    """Say why a record, an engine or a request is as it is.
+
+    NAME alone is a record; `engine NAME` an engine; `request ID` the request with that
+    X-Request-Id.
+    """
+    kind, name = subject if len(subject) == 2 else ("record", subject[0])
+    if len(subject) > 2 or kind not in EXPLAINERS:
+        raise click.UsageError("expected NAME, engine NAME or request ID")
 
     async def run(client: "ObjectClient") -> None:
-        item = await _require(client, ObjectName(name))
-        for line in explain_object(item):
+        for line in await EXPLAINERS[kind](client, name):
             click.echo(line)
 
     run_with_store(store, run)
 
 
+async def _explain_record(client: "ObjectClient", name: str) -> list[str]:
+    return explain_object(await _require(client, ObjectName(name)))
+
+
+EXPLAINERS: Final = {
+    "record": _explain_record,
+    "engine": explain_engine,
+    "request": explain_request,
+}
 HEADER: Final = ("NAME", "KIND", "SCHEMA", "VERSION", "REVISION", "IN FORCE", "STATE")
 
 
@@ -214,31 +237,6 @@
     asyncio.get_event_loop().run_until_complete(call())
 
 
-def explain_object(item: StoredObject) -> list[str]:
-    """Return lines that explain the state of a record."""
-    lines = [f"{item.name}: version {item.version}, revision {item.revision}"]
-    parsed = parse_record(item.spec)
-    if isinstance(parsed, Err):
-        lines.append("refused; the last valid version stays in force:")
-        lines += [f"  {problem.describe()}" for problem in parsed.err_value]
-    status = read_status(item.status)
-    if status is None:
-        return [*lines, "no status yet: no entry has reported on this record"]
-    if status.spec_digest != digest_spec(item.spec):
-        lines.append("the status is older than the record; wait for the next report")
-    for condition in status.conditions:
-        state = "yes" if condition.holds else f"no: {condition.message}"
-        lines.append(f"{condition.type.value}: {state}")
-    for rank, count in sorted(status.ranks.items(), key=lambda pair: pair[0].priority):
-        lines.append(
-            f"{rank.value}: {count.in_time} in time, {count.late} late, "
-            f"{count.rejected} rejected"
-        )
-    lines += [f"engines {r}: {n}" for r, n in sorted(status.engines_by_role.items())]
-    lines += [f"decision: {decision}" for decision in status.decisions]
-    return lines
-
-
 async def _read(client: "ObjectClient", name: ObjectName) -> StoredObject | None:
     result = await client.get(Kind.SERVICES, name)
     if isinstance(result, Ok):
--- a/bramleyport/composition.py
+++ b/bramleyport/composition.py
@@ -124,6 +124,8 @@
     from bramleyport.daemons._outcomes import OutcomeCounter
     from bramleyport.daemons._peers import AgentLinks
     from bramleyport.daemons._pool_planner import FleetPlanner
+    from bramleyport.daemons._relay import CountRelay
+    from bramleyport.daemons._reports import CaseReporter
     from bramleyport.daemons._status import FleetState, StatusReporter
     from bramleyport.estimate import ESTIMATORS
     from bramleyport.objectapi import ObjectClient
@@ -182,7 +184,8 @@
     controllers = Controllers(
         settings, client, links, planner or FleetPlanner(make_planner, metrics)
     )
-    outcomes = OutcomeCounter()
+    outcomes = OutcomeCounter(identity.process)
+    relay = CountRelay(identity.process, hub, outcomes)
     journal = Journal()
     journal.attach()
     status = StatusReporter(
@@ -191,7 +194,10 @@
         outcomes,
         journal,
         lambda: FleetState(
-            views=links.list_views(), revisions=hub.replica.list_revisions()
+            views=links.list_views(),
+            revisions=hub.replica.list_revisions(),
+            peers=hub.replica.read_peers(),
+            reported=relay.list_lagging(time.monotonic()),
         ),
         hub.is_reporter,
     )
@@ -208,5 +214,7 @@
         outcomes,
         journal,
         status,
+        relay,
+        CaseReporter(client, outcomes, hub.is_reporter),
         controllers,
     )
--- a/bramleyport/daemons/_attempt_runner.py
+++ b/bramleyport/daemons/_attempt_runner.py
@@ -8,7 +8,14 @@
 from result import Err, Ok
 
 from bramleyport.answers import AttemptIds
-from bramleyport.core import AttemptId, Explanation, UpstreamId, UpstreamView, Work
+from bramleyport.core import (
+    AttemptId,
+    Execution,
+    Explanation,
+    UpstreamId,
+    UpstreamView,
+    Work,
+)
 from bramleyport.daemons._entry_attempt import (
     AttemptResult,
     Call,
@@ -16,6 +23,7 @@
     OnChunk,
 )
 from bramleyport.daemons._first_chunk import FirstChunk, run_until_deadline
+from bramleyport.daemons._trace import note_attempt, note_decision
 from bramleyport.estimate import Estimator, Observation
 from bramleyport.retries import HedgePolicy, UpstreamGuard
 from bramleyport.telemetry import (
@@ -48,6 +56,7 @@
         """Log a decision with its numbers and count it by reason."""
         reason = explanation.reason
         self._metrics.decisions.inc({"kind": kind, "reason": reason})
+        note_decision(kind, explanation)
         log_event(event, reason=reason, **{**explanation.numbers, **fields})
 
 
@@ -159,6 +168,8 @@
         failure = result.err_value if isinstance(result, Err) else None
         outcome = failure.kind.value if failure is not None else "ok"
         self._metrics.attempts.inc({"result": outcome})
+        execution = failure.execution if failure is not None else Execution.COMPLETED
+        note_attempt(upstream, outcome, execution)
         if failure is not None:
             log_event(
                 events.ATTEMPT_FAILED,
--- a/bramleyport/daemons/_dispatch.py
+++ b/bramleyport/daemons/_dispatch.py
@@ -26,6 +26,7 @@
 )
 from bramleyport.daemons._give_up import explain_give_up
 from bramleyport.daemons._race import Start, race_attempts
+from bramleyport.daemons._trace import note_decision
 from bramleyport.estimate import Estimator
 from bramleyport.retries import (
     HEDGE_POLICIES,
@@ -98,6 +99,7 @@
         )
         reason = decision.explanation.reason
         self._metrics.decisions.inc({"kind": "admission", "reason": reason})
+        note_decision("admission", decision.explanation)
         rejected = isinstance(decision, Rejected)
         log_event(
             events.REQUEST_REJECTED if rejected else policy_events.REQUEST_ADMITTED,
--- a/bramleyport/daemons/_entry.py
+++ b/bramleyport/daemons/_entry.py
@@ -4,7 +4,7 @@
 import time
 from typing import TYPE_CHECKING, Final
 
-from result import Err
+from result import Err, Ok
 
 from bramleyport.callers import (
     CallerApp,
@@ -20,14 +20,15 @@
     Execution,
     ServeError,
     ServiceKind,
-    ServiceName,
     UpstreamId,
     Work,
 )
 from bramleyport.daemons._answer_writer import AnswerWriter, write_all
 from bramleyport.daemons._keyed import KeyedCalls, KeyedResult
-from bramleyport.daemons._outcomes import Outcome, OutcomeCounter
+from bramleyport.daemons._outcomes import OutcomeCounter
 from bramleyport.daemons._records import StoreFollower
+from bramleyport.daemons._totals import StatusTotals
+from bramleyport.daemons._trace import RequestTrace, begin_trace
 from bramleyport.daemons._work import build_call, build_work, check_key, find_record
 from bramleyport.objectapi import ObjectClient
 from bramleyport.telemetry import Journal, Metrics, TenantLabels, events, log_event
@@ -41,6 +42,8 @@
     from bramleyport.daemons._dispatch import Dispatcher
     from bramleyport.daemons._hub import PeerHub
     from bramleyport.daemons._peers import AgentLinks
+    from bramleyport.daemons._relay import CountRelay
+    from bramleyport.daemons._reports import CaseReporter
     from bramleyport.daemons._status import StatusReporter
     from bramleyport.records import ServiceRecord
     from bramleyport.replication import RecordStore
@@ -70,6 +73,8 @@
         outcomes: OutcomeCounter,
         journal: Journal,
         status: "StatusReporter",
+        relay: "CountRelay",
+        reports: "CaseReporter",
         controllers: "Controllers | None" = None,
     ) -> None:
         self.settings = settings
@@ -86,6 +91,9 @@
         self._outcomes = outcomes
         self._journal = journal
         self._status = status
+        self._relay = relay
+        self._totals = StatusTotals(client)
+        self._reports = reports
         self._tenants = TenantLabels()
         self._stopping = False
         self._in_flight = 0
@@ -121,7 +129,8 @@
         )
         self._hub.on_topology = self._follower.update
         self._hub.start(process.seeds)
-        self._tasks = [asyncio.ensure_future(self._status.run())]
+        reporters = (self._status, self._relay, self._reports)
+        self._tasks = [asyncio.ensure_future(item.run()) for item in reporters]
         if self.controllers is not None:
             self._tasks += self.controllers.start()
         site = make_site(CallerApp(self).app.resource(), self.settings.max_body_bytes)
@@ -148,6 +157,8 @@
             if stopped is not None:
                 await stopped.asFuture(asyncio.get_running_loop())
         await self._keyed.drain(deadline_s - time.monotonic())
+        self._relay.send(time.monotonic())
+        await self._hub.flush()
         for task in self._tasks:
             task.cancel()
         self._hub.on_topology = None
@@ -180,8 +191,9 @@
             return "no records yet"
         return None
 
-    def read_state(self) -> EntryState:
+    async def read_state(self) -> EntryState:
         """Return what the status page shows."""
+        await self._totals.refresh()
         process = self.settings.process
         return EntryState(
             process=process.process,
@@ -191,6 +203,8 @@
             in_flight=self._in_flight,
             records=self.records.records,
             counts={n: self._outcomes.read(n) for n in self.records.records},
+            statuses=self._totals.statuses,
+            statuses_age_s=self._totals.age_s,
             views=self._links.list_views(),
             journal=self._journal.list_latest(EVENTS_SHOWN),
         )
@@ -217,31 +231,33 @@
             await send_error(stream, _refuse_stopping())
             return
         self._in_flight += 1
+        trace = begin_trace()
         try:
-            error = await self._serve(request, stream)
+            error = await self._serve(request, stream, trace)
         finally:
             self._in_flight -= 1
         result = error.code.value if error else "ok"
         labels = {"service": request.target[:80], "rank": request.rank.value}
         self._metrics.requests.inc({**labels, "result": result})
         if error is not None:
-            if error.execution is Execution.NOT_RUN:
-                service = ServiceName(request.target)
-                if service in self.records.records:
-                    self._outcomes.count(service, request.rank, Outcome.REJECTED)
+            record = find_record(self.records.records, request)
+            if isinstance(record, Ok):
+                service = record.ok_value.name
+                self._outcomes.count_error(service, request.rank, error, trace)
             log_event(
                 events.REQUEST_FAILED,
                 service=request.target[:80],
+                request=trace.request,
                 step=error.step,
                 peer=error.peer,
                 code=error.code.value,
                 execution=error.execution.value,
                 reason=error.message,
             )
-            await send_error(stream, error)
+            await send_error(stream, error, trace.request)
 
     async def _serve(
-        self, request: CallerRequest, stream: CallerStream
+        self, request: CallerRequest, stream: CallerStream, trace: RequestTrace
     ) -> ServeError | None:
         record = find_record(self.records.records, request)
         if isinstance(record, Err):
@@ -249,22 +265,26 @@
         refused = check_key(request, record.ok_value)
         if refused is not None:
             return refused
-        work = build_work(request, record.ok_value)
+        work = build_work(request, record.ok_value, trace.request)
         if isinstance(work, Err):
             return work.err_value
         if request.kind is ServiceKind.PLAIN:
-            return await self._serve_plain(request, work.ok_value, stream)
+            return await self._serve_plain(request, work.ok_value, stream, trace)
         return await self._serve_language(
-            request, record.ok_value, work.ok_value, stream
+            request, record.ok_value, work.ok_value, stream, trace
         )
 
     async def _serve_plain(
-        self, request: CallerRequest, work: Work, stream: CallerStream
+        self,
+        request: CallerRequest,
+        work: Work,
+        stream: CallerStream,
+        trace: RequestTrace,
     ) -> ServeError | None:
         call = build_call(request)
         if request.key is not None and not work.idempotent:
             result = await self._keyed.run(request.key, work, call)
-            return await self._send_whole(work, result, stream)
+            return await self._send_whole(work, result, stream, trace)
         rejected = self._dispatcher.admit(work)
         if rejected is not None:
             return rejected
@@ -277,18 +297,24 @@
         if isinstance(outcome, Err):
             return outcome.err_value
         end = outcome.ok_value
-        self._outcomes.count_answer(work, None, time.monotonic() - work.arrived_s)
+        elapsed_s = time.monotonic() - work.arrived_s
+        self._outcomes.count_answer(work, None, elapsed_s, trace)
         headers = {**end.headers, "X-Request-Id": work.request}
         stream.start(end.status, headers)
         return await write_all(stream, bytes(body))
 
     async def _send_whole(
-        self, work: Work, result: KeyedResult, stream: CallerStream
+        self,
+        work: Work,
+        result: KeyedResult,
+        stream: CallerStream,
+        trace: RequestTrace,
     ) -> ServeError | None:
         if isinstance(result, Err):
             return result.err_value
         answer = result.ok_value
-        self._outcomes.count_answer(work, None, time.monotonic() - work.arrived_s)
+        elapsed_s = time.monotonic() - work.arrived_s
+        self._outcomes.count_answer(work, None, elapsed_s, trace)
         stream.start(answer.status, {**answer.headers, "X-Request-Id": work.request})
         return await write_all(stream, answer.body)
 
@@ -298,6 +324,7 @@
         record: "ServiceRecord",
         work: Work,
         stream: CallerStream,
+        trace: RequestTrace,
     ) -> ServeError | None:
         rejected = self._dispatcher.admit(work)
         if rejected is not None:
@@ -325,7 +352,7 @@
         if isinstance(outcome, Err):
             return outcome.err_value
         self._outcomes.count_answer(
-            work, writer.first_token_s, time.monotonic() - work.arrived_s
+            work, writer.first_token_s, time.monotonic() - work.arrived_s, trace
         )
         await writer.finish(outcome.ok_value.output_tokens)
         return None
--- a/bramleyport/daemons/_hub.py
+++ b/bramleyport/daemons/_hub.py
@@ -3,6 +3,7 @@
 import asyncio
 import time
 from collections.abc import Callable
+from contextlib import suppress
 from functools import partial
 from typing import Any, Final
 
@@ -24,12 +25,12 @@
     Replaced,
     StateChanged,
     Tick,
-    choose,
 )
-from bramleyport.replication import Changes, Replica, Send, Topology
+from bramleyport.replication import Changes, Replica, Send, Topology, choose_reporter
 from bramleyport.telemetry import events, log_event, membership_events
 from bramleyport.transport import Connection, Identity
 from bramleyport.wire import (
+    Counts,
     Heartbeat,
     Leaving,
     Message,
@@ -39,6 +40,7 @@
 
 TICK_S: Final = 0.5
 LEAVING_WAIT_S: Final = 2.0
+FLUSH_WAIT_S: Final = 1.0
 
 _REPLICATED: Final = (Heartbeat, RecordsRequest, RecordsSnapshot)
 
@@ -55,6 +57,7 @@
         self.on_hosts: Callable[[tuple[Host, ...]], None] | None = None
         self.on_records: Callable[[], None] | None = None
         self.on_topology: Callable[[], None] | None = None
+        self.on_counts: Callable[[Counts], None] | None = None
         self._identity = identity
         self._connections: dict[ProcessId, list[Connection]] = {}
         self._links: dict[ProcessId, PersistentConnection] = {}
@@ -73,7 +76,8 @@
             for host in self.membership.hosts
             if host.role is ProcessRole.ENTRY and host.state is HostState.LIVE
         }
-        return choose("status", live | {own}, 1) == [own]
+        # Its peers choose another reporter as soon as they know that it is leaving.
+        return not self._leaving and choose_reporter(live | {own}) == own
 
     def read_revision(self) -> Revision:
         """Return the revision of the records in force."""
@@ -119,6 +123,9 @@
         if isinstance(message, Leaving):
             self._take_leaving(connection, message)
             return True
+        if isinstance(message, Counts) and self.on_counts is not None:
+            self.on_counts(message)
+            return True
         if not isinstance(message, _REPLICATED):
             return False
         now_s = time.monotonic()
@@ -152,6 +159,29 @@
             self.report(HostList(revision=hosts.revision, hosts=hosts.hosts))
             self.update_topology()
 
+    @property
+    def leaving(self) -> bool:
+        """Return whether this process has announced its end."""
+        return self._leaving
+
+    def connects(self, peer: ProcessId) -> bool:
+        """Return whether a connection to a peer works."""
+        return any(not c.suspect for c in self._connections.get(peer, []))
+
+    def post(self, peer: ProcessId, message: Message) -> bool:
+        """Send a message on a connection that works and return whether there is one."""
+        working = [c for c in self._connections.get(peer, []) if not c.suspect]
+        if working:
+            working[-1].post(message)
+        return bool(working)
+
+    async def flush(self) -> None:
+        """Wait until what was sent to peers is on its way."""
+        with suppress(TimeoutError):
+            async with asyncio.timeout(FLUSH_WAIT_S):
+                for connection in self._list_connections():
+                    await connection.flush()
+
     def report(self, event: Event) -> list[Change]:
         """Tell the membership of an event and pass on what changed."""
         changes = self.membership.step(event, time.monotonic())
--- a/bramleyport/daemons/_outcomes.py
+++ b/bramleyport/daemons/_outcomes.py
@@ -1,32 +1,39 @@
-"""Count how requests ended, by service and rank."""
+"""Count how requests ended, by service and rank, and keep those to explain."""
 
-from collections import Counter
-from enum import Enum
-
-from bramleyport.core import Rank, ServiceName, Work
-from bramleyport.records import RankCounts
-
-
-class Outcome(str, Enum):
-    """Name how a request ended, as its record's status counts it."""
-
-    IN_TIME = "in_time"
-    LATE = "late"
-    REJECTED = "rejected"
+from bramleyport.core import (
+    CaseKind,
+    Execution,
+    Outcome,
+    ProcessId,
+    Rank,
+    ServeError,
+    ServiceName,
+    Work,
+)
+from bramleyport.daemons._trace import RequestTrace
+from bramleyport.records import CaseBuffer, CountBook, RankCounts
 
 
 class OutcomeCounter:
-    """Hold the counts of one process."""
+    """Hold the counts of one process and what it has not yet passed on."""
 
-    def __init__(self) -> None:
-        self._counts: Counter[tuple[ServiceName, Rank, Outcome]] = Counter()
+    def __init__(self, process: ProcessId | None = None) -> None:
+        self.pending = CountBook()
+        self.cases = CaseBuffer()
+        self._process = process or ProcessId("")
+        self._own = CountBook()
 
     def count(self, service: ServiceName, rank: Rank, outcome: Outcome) -> None:
         """Count one request."""
-        self._counts[service, rank, outcome] += 1
+        self._own.add(service, rank, outcome)
+        self.pending.add(service, rank, outcome)
 
     def count_answer(
-        self, work: Work, first_token_s: float | None, answer_s: float
+        self,
+        work: Work,
+        first_token_s: float | None,
+        answer_s: float,
+        trace: RequestTrace | None = None,
     ) -> None:
         """Count an answered request as in time or late."""
         in_time = answer_s <= work.targets.answer_s
@@ -34,15 +41,27 @@
             in_time = False
         outcome = Outcome.IN_TIME if in_time else Outcome.LATE
         self.count(work.service, work.rank, outcome)
+        if trace is None:
+            return
+        trace.first_token_s = first_token_s or 0.0
+        trace.answer_s = answer_s
+        if not in_time or len(trace.attempts) > 1:
+            kind = CaseKind.RETRIED if in_time else CaseKind.LATE
+            self.cases.add(trace.explain(work.service, work.rank, kind, self._process))
+
+    def count_error(
+        self,
+        service: ServiceName,
+        rank: Rank,
+        error: ServeError,
+        trace: RequestTrace,
+    ) -> None:
+        """Count a request without an answer as rejected or unknown."""
+        rejected = error.execution is Execution.NOT_RUN
+        self.count(service, rank, Outcome.REJECTED if rejected else Outcome.UNKNOWN)
+        kind = CaseKind.REJECTED if rejected else CaseKind.UNKNOWN
+        self.cases.add(trace.explain(service, rank, kind, self._process, error))
 
     def read(self, service: ServiceName) -> dict[Rank, RankCounts]:
-        """Return the counts of a service by rank."""
-        return {
-            rank: RankCounts(
-                in_time=self._counts[service, rank, Outcome.IN_TIME],
-                late=self._counts[service, rank, Outcome.LATE],
-                rejected=self._counts[service, rank, Outcome.REJECTED],
-            )
-            for rank in Rank
-            if any(self._counts[service, rank, outcome] for outcome in Outcome)
-        }
+        """Return the counts of a service by rank since this process started."""
+        return self._own.read(service)
--- a/bramleyport/daemons/_status.py
+++ b/bramleyport/daemons/_status.py
@@ -2,24 +2,29 @@
 
 import asyncio
 from collections import Counter
-from collections.abc import Callable, Sequence
-from dataclasses import dataclass, replace
+from collections.abc import Callable, Mapping, Sequence
+from dataclasses import dataclass, field, replace
+from datetime import UTC, datetime
 from typing import TYPE_CHECKING, Final
 
-from result import Err
+from result import Err, Ok
 
 from bramleyport.core import (
     Problem,
     ProcessId,
+    Rank,
     Revision,
     ServiceKind,
     ServiceName,
     UpstreamView,
 )
-from bramleyport.objectapi import Kind, ObjectClient, StoredObject
+from bramleyport.objectapi import Kind, ObjectClient, StoredObject, StoreFailure
 from bramleyport.records import (
+    LAGGING_SHOWN,
+    RankCounts,
     RecordStatus,
     ServiceRecord,
+    add_ranks,
     digest_spec,
     find_spec_revision,
     make_conditions,
@@ -27,7 +32,7 @@
     read_status,
     write_status,
 )
-from bramleyport.telemetry import Journal, events, log_event
+from bramleyport.telemetry import Journal, events, log_event, operator_events
 
 if TYPE_CHECKING:
     from bramleyport.daemons._outcomes import OutcomeCounter
@@ -42,7 +47,20 @@
     """Hold what the reporting process knows of the fleet."""
 
     views: Sequence[UpstreamView]
+    # Of this process and of each connected peer.
     revisions: Sequence[Revision]
+    peers: Mapping[ProcessId, Revision] = field(default_factory=dict)
+    # What other entries have found to lag among their peers.
+    reported: Mapping[ProcessId, Revision] = field(default_factory=dict)
+
+
+RankTotals = Mapping[Rank, RankCounts]
+
+
+@dataclass(frozen=True, slots=True)
+class _DoubtfulWrite:
+    status: RecordStatus
+    added: RankTotals
 
 
 class StatusReporter:
@@ -64,6 +82,8 @@
         self._read_fleet = read_fleet
         self._is_reporter = is_reporter
         self._written_s: dict[str, float] = {}
+        # Writes whose answer was lost.
+        self._in_doubt: dict[str, _DoubtfulWrite] = {}
 
     async def run(self) -> None:
         """Report until cancelled."""
@@ -78,23 +98,57 @@
         if isinstance(listing, Err):
             return
         for item in listing.ok_value.items:
+            self._settle(item)
             status = self._describe(item)
             if self._is_due(item, status):
                 await self._write(item, status)
 
     async def _write(self, item: StoredObject, status: RecordStatus) -> None:
         self._written_s[item.name] = asyncio.get_running_loop().time()
+        service = ServiceName(item.name)
+        # Taken out before the call: they must not also be handed to another reporter
+        # that is chosen meanwhile.
+        added = self._outcomes.pending.take(service)
         result = await self._client.update(
             Kind.SERVICES, item.name, item.version, item.spec, write_status(status)
         )
-        # A conflict means that an operator wrote first; the next round reports on that.
-        if isinstance(result, Err):
+        if isinstance(result, Ok):
+            # The version has moved on, so a write in doubt can no longer take effect.
+            self._restore(service, self._in_doubt.pop(item.name, None))
+            self._report_lagging(item, status)
+        elif result.err_value.failure is StoreFailure.UNKNOWN:
+            self._restore(service, self._in_doubt.pop(item.name, None))
+            self._in_doubt[item.name] = _DoubtfulWrite(status, added)
+        else:
+            # After a conflict, the next round reports on what another writer wrote.
+            self._outcomes.pending.add_ranks(service, added)
             log_event(
                 events.STATUS_NOT_WRITTEN,
                 record=item.name,
                 reason=result.err_value.failure.value,
             )
 
+    def _settle(self, item: StoredObject) -> None:
+        """Find out whether a write whose answer was lost took effect."""
+        doubtful = self._in_doubt.get(item.name)
+        if doubtful is not None and _read_stored(item) == doubtful.status:
+            del self._in_doubt[item.name]
+
+    def _restore(self, service: ServiceName, doubtful: "_DoubtfulWrite | None") -> None:
+        if doubtful is not None:
+            self._outcomes.pending.add_ranks(service, doubtful.added)
+
+    def _report_lagging(self, item: StoredObject, status: RecordStatus) -> None:
+        before = _read_stored(item)
+        # Each change makes every process lag for a moment.
+        if before is not None and before.lagging and status.lagging:
+            log_event(
+                operator_events.PROCESSES_LAG,
+                record=item.name,
+                count=status.processes - status.in_force,
+                processes=",".join(status.lagging),
+            )
+
     def _is_due(self, item: StoredObject, status: RecordStatus) -> bool:
         before = _read_stored(item)
         if before is None:
@@ -122,21 +176,37 @@
         stored = _read_stored(item)
         spec_revision = find_spec_revision(item.spec, stored, item.revision)
         in_force = sum(revision >= spec_revision for revision in fleet.revisions)
+        lagging = _find_lagging(fleet, spec_revision)
+        # Processes that are not connected here are counted when they lag.
+        processes = len(fleet.revisions) + len(lagging - fleet.peers.keys())
         roles = Counter(view.role.value for view in upstreams)
         return RecordStatus(
             observed_revision=spec_revision,
             in_force=in_force,
-            processes=len(fleet.revisions),
-            ranks=self._outcomes.read(ServiceName(item.name)),
+            processes=processes,
+            ranks=self._add_counts(ServiceName(item.name), stored),
+            counts_since=_find_start(stored),
+            lagging=tuple(sorted(lagging))[:LAGGING_SHOWN],
             engines_by_role=dict(sorted(roles.items())),
             decisions=self._list_decisions(names),
-            conditions=make_conditions(
-                problems, in_force, len(fleet.revisions), len(upstreams)
-            ),
+            conditions=make_conditions(problems, in_force, processes, len(upstreams)),
             reported_by=self._process,
             spec_digest=digest_spec(item.spec),
         )
 
+    def _add_counts(
+        self, service: ServiceName, stored: RecordStatus | None
+    ) -> dict[Rank, RankCounts]:
+        """Return the stored counts and what has come since.
+
+        The store holds the sum, so that another reporter goes on from there.
+        """
+        before: RankTotals = {}
+        # Without a start, the counts are those of one process of an earlier version.
+        if stored is not None and stored.counts_since:
+            before = stored.ranks
+        return add_ranks(before, self._outcomes.pending.read(service))
+
     def _list_decisions(self, names: set[str]) -> tuple[str, ...]:
         latest = self._journal.list_latest(100)
         chosen = [entry for entry in latest if entry.fields.get("service") in names]
@@ -156,5 +226,17 @@
         return None
 
 
+def _find_lagging(fleet: FleetState, revision: Revision) -> set[ProcessId]:
+    """Return the processes that have not reached a revision."""
+    known = {**fleet.reported, **fleet.peers}
+    return {process for process, reached in known.items() if reached < revision}
+
+
+def _find_start(stored: RecordStatus | None) -> str:
+    if stored is not None and stored.counts_since:
+        return stored.counts_since
+    return datetime.now(UTC).isoformat(timespec="seconds")
+
+
 def _strip_counts(status: RecordStatus) -> RecordStatus:
-    return replace(status, ranks={}, decisions=())
+    return replace(status, ranks={}, decisions=(), lagging=(), counts_since="")
--- a/bramleyport/daemons/_work.py
+++ b/bramleyport/daemons/_work.py
@@ -2,7 +2,6 @@
 
 import json
 import time
-import uuid
 from collections.abc import Mapping
 
 from result import Err, Ok, Result
@@ -47,7 +46,7 @@
 
 
 def build_work(
-    request: CallerRequest, record: ServiceRecord
+    request: CallerRequest, record: ServiceRecord, identifier: RequestId
 ) -> Result[Work, ServeError]:
     """Return the work of a request under its service record."""
     targets = record.ranks.get(request.rank)
@@ -55,7 +54,6 @@
         known = ", ".join(sorted(rank.value for rank in record.ranks))
         message = f"{record.name} accepts the ranks {known}"
         return Err(_refuse(ErrorCode.UNKNOWN_RANK, message))
-    identifier = RequestId(f"req-{uuid.uuid4().hex}")
     if record.model is None:
         return Ok(_build_plain(identifier, request, record, targets))
     if request.adapter is not None and request.adapter not in record.model.adapters:
--- a/bramleyport/objectapi/_types.py
+++ b/bramleyport/objectapi/_types.py
@@ -21,6 +21,7 @@
     ORDERS = "orders"
     CLAIMS = "claims"
     HOSTS = "hosts"
+    REPORTS = "reports"
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/bramleyport/records/_status.py
+++ b/bramleyport/records/_status.py
@@ -5,7 +5,7 @@
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass, field
 from enum import Enum
-from typing import Any
+from typing import Any, Final
 
 from bramleyport.core import Problem, Rank, Revision, make_strict_converter
 
@@ -29,11 +29,12 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class RankCounts:
-    """Count the requests of one rank since the reporting process started."""
+    """Count the requests of one rank by how they ended."""
 
     in_time: int = 0
     late: int = 0
     rejected: int = 0
+    unknown: int = 0
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -43,7 +44,11 @@
     observed_revision: Revision
     in_force: int = 0
     processes: int = 0
+    # Requests on all entries since `counts_since`.
     ranks: Mapping[Rank, RankCounts] = field(default_factory=dict)
+    counts_since: str = ""
+    # Processes known to have an older revision in force, `LAGGING_SHOWN` at most.
+    lagging: Sequence[str] = ()
     engines_by_role: Mapping[str, int] = field(default_factory=dict)
     decisions: Sequence[str] = ()
     conditions: Sequence[Condition] = ()
@@ -51,6 +56,8 @@
     spec_digest: str = ""
 
 
+LAGGING_SHOWN: Final = 10
+
 _converter = make_strict_converter()
 
 
--- a/bramleyport/replication/__init__.py
+++ b/bramleyport/replication/__init__.py
@@ -13,6 +13,7 @@
     Topology,
     TopologyPolicy,
     choose_links,
+    choose_reporter,
     choose_watchers,
 )
 
@@ -29,5 +30,6 @@
     "Topology",
     "TopologyPolicy",
     "choose_links",
+    "choose_reporter",
     "choose_watchers",
 ]
--- a/bramleyport/replication/_replica.py
+++ b/bramleyport/replication/_replica.py
@@ -91,6 +91,10 @@
         """Return the revision in force here and on each connected peer."""
         return [self.records.revision, *(p.revision for p in self._peers.values())]
 
+    def read_peers(self) -> dict[ProcessId, Revision]:
+        """Return the revision in force on each connected peer that has reported."""
+        return {name: p.revision for name, p in self._peers.items() if p.heard}
+
     def forget(self, peer: ProcessId) -> None:
         """Drop what is known of a peer whose connection closed."""
         self._peers.pop(peer, None)
--- a/bramleyport/replication/_topology.py
+++ b/bramleyport/replication/_topology.py
@@ -30,15 +30,27 @@
     return choose(f"watch:{zone}", trusted, count)
 
 
+def choose_reporter(entries: Iterable[ProcessId]) -> ProcessId:
+    """Return which of the live entries writes the status of the records."""
+    return choose("status", entries, 1)[0]
+
+
 def choose_links(
     own: ProcessId,
     zone: ZoneName,
     entries: Iterable[Host],
     watchers: Iterable[ProcessId],
     count: int,
+    reporter: ProcessId | None = None,
 ) -> set[ProcessId]:
-    """Return the peers an entry connects to: its zone's watchers and a few others."""
+    """Return the peers an entry connects to: its zone's watchers and a few others.
+
+    With a reporter, one of the others is the reporter.
+    """
     linked = set(watchers) - {own}
+    if reporter is not None and reporter != own and reporter not in linked:
+        linked.add(reporter)
+        count -= 1
     others = [host for host in entries if host.process != own]
     # Peers of other zones bring records when the whole zone can't reach the store.
     far = [host.process for host in others if host.zone != zone]
@@ -56,6 +68,11 @@
     ) -> None:
         self.watching = False
         self.links: set[ProcessId] = set()
+        # Counts pass from an entry to its zone's collector and from there to the
+        # reporter, which thus has one more connection for each zone only.
+        self.collector = own
+        self.reporter = own
+        self.zone_entries = 1
         self._own = own
         self._zone = zone
         self._policy = policy or TopologyPolicy()
@@ -97,8 +114,16 @@
         self._note_chosen({*first, *acting}, now_s)
         # The first choice goes on trying, so that the zone returns to it.
         self.watching = self._own in first or self._own in acting
+        self.collector = first[0]
+        self.reporter = choose_reporter({*(e.process for e in entries), self._own})
+        self.zone_entries = len(names)
         self.links = choose_links(
-            self._own, self._zone, entries, {*first, *acting}, self._policy.others
+            self._own,
+            self._zone,
+            entries,
+            {*first, *acting},
+            self._policy.others,
+            self.reporter if self.collector == self._own else None,
         )
 
     def _judge(self, now_s: float) -> None:
--- a/bramleyport/wire/_messages.py
+++ b/bramleyport/wire/_messages.py
@@ -9,11 +9,14 @@
     EngineRates,
     EngineRole,
     Execution,
+    LaggingProcess,
     PrefixBlock,
     ProcessId,
     RegionName,
+    RequestCase,
     Revision,
     ServiceKind,
+    ServiceName,
     UpstreamId,
     UpstreamState,
     Work,
@@ -318,6 +321,27 @@
     hosts: ReplicaPart | None = None
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ServiceCounts:
+    """Carry the counts of one service, by rank and then by outcome."""
+
+    name: ServiceName
+    numbers: tuple[int, ...]
+
+
+@message("counts")
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Counts(Message):
+    """Hand on what has been counted since the last such message.
+
+    The receiver adds it to its own counts, and the sender forgets it.
+    """
+
+    services: tuple[ServiceCounts, ...] = ()
+    cases: tuple[RequestCase, ...] = ()
+    lagging: tuple[LaggingProcess, ...] = ()
+
+
 @message("claim_forward")
 @dataclass(frozen=True, slots=True, kw_only=True)
 class ClaimForward(Message):
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -7,7 +7,7 @@
 
 from bramleyport.authority import EngineChange, OrderObject, Progress, read_order
 from bramleyport.composition import build_agent, build_entry
-from bramleyport.core import EngineRole, UpstreamId
+from bramleyport.core import EngineRole, Explanation, UpstreamId
 from bramleyport.settings import AgentSettings, EntrySettings, ProcessSettings
 from bramleyport.standins import (
     LOOPBACK,
@@ -28,6 +28,9 @@
 }
 
 
+WHY = Explanation(reason="test", numbers={"need": 2.0})
+
+
 @dataclass
 class FixedPlan:
     changes: Mapping[UpstreamId, EngineChange]
@@ -41,7 +44,10 @@
 
     def plan(self, pool: Any, now_s: float) -> FixedPlan:
         return FixedPlan(
-            {UpstreamId(n): EngineChange(role=r) for n, r in self.roles.items()}
+            {
+                UpstreamId(name): EngineChange(role=role, explanation=WHY)
+                for name, role in self.roles.items()
+            }
         )
 
 
@@ -132,6 +138,10 @@
             and found.state is not Progress.BEGUN
         )
 
+    @property
+    def store_url(self) -> str:
+        return self._urls["store"]
+
     def url(self, path: str) -> str:
         return f"http://{LOOPBACK}:{self.entries[0].port}{path}"
 
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -10,6 +10,8 @@
 from click.testing import CliRunner, Result
 
 from bramleyport.cli import main
+from bramleyport.core import Revision
+from bramleyport.records import RecordStatus, write_status
 from bramleyport.standins import ObjectApiStandin, read_port, serve_app, stop_listening
 
 RECORD = """\
@@ -106,6 +108,20 @@
     assert "no entry has reported" in platform.call("explain", "inspections").output
 
 
+def test_processes_that_lag_are_named(platform: Platform) -> None:
+    """An operator must learn which host to look at."""
+    platform.call("apply", "-f", platform.write(RECORD))
+    status = RecordStatus(
+        observed_revision=Revision(1), in_force=4, processes=7, lagging=["agent-x"]
+    )
+    spec = platform.standin.store.objects["services", "inspections"]["spec"]
+    body = {"spec": spec, "status": write_status(status)}
+    platform.standin.store.put("services", "inspections", body)
+    expected = "lagging: agent-x and 2 more"
+    assert expected in platform.call("get", "inspections").output
+    assert expected in platform.call("explain", "inspections").output
+
+
 ENTRY = """\
 process: {process: e-0, zone: a, region: r, address: 127.0.0.1, peer_port: 1,
   object_api: "http://127.0.0.1:1"}
--- /dev/null
+++ b/tests/test_operators.py
@@ -0,0 +1,307 @@
+"""Guard what operators learn from the object API of engines, requests and counts."""
+
+import asyncio
+import time
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+import pytest
+from click.testing import CliRunner, Result
+
+from bramleyport.cli import main
+from bramleyport.core import (
+    CaseKind,
+    EngineRole,
+    Outcome,
+    ProcessId,
+    Rank,
+    RequestCase,
+    RequestId,
+    Revision,
+    ServiceName,
+)
+from bramleyport.daemons import _status
+from bramleyport.daemons._outcomes import OutcomeCounter
+from bramleyport.daemons._relay import CountRelay
+from bramleyport.membership import Host, HostState, ProcessRole
+from bramleyport.records import (
+    CASES_KEPT,
+    CaseBuffer,
+    RankCounts,
+    RecordStatus,
+    merge_cases,
+    read_cases,
+    write_status,
+)
+from bramleyport.replication import Topology, choose_reporter
+from bramleyport.wire import Counts, Message, decode, encode
+from tests.fleet import Fleet
+from tests.http_client import fetch
+
+Run = Callable[[Coroutine[Any, Any, Any]], Any]
+SERVICE = ServiceName("inspections")
+
+
+class FakeHub:
+    """Deliver at once to the other entries of one small world."""
+
+    def __init__(self, world: "World", own: ProcessId) -> None:
+        self.world = world
+        self.own = own
+        self.leaving = False
+        self.on_counts: Any = None
+        self.peers: dict[ProcessId, Revision] = {}
+        self.revision = Revision(9)
+        self.topology = Topology(own, world.find(own).zone)
+        self.topology.step(world.hosts, 0.0)
+        self.replica = self
+
+    def is_reporter(self) -> bool:
+        return not self.leaving and self.topology.reporter == self.own
+
+    def connects(self, peer: ProcessId) -> bool:
+        other = self.world.hubs[peer].topology.links
+        return peer in self.topology.links or self.own in other
+
+    def post(self, peer: ProcessId, message: Message) -> bool:
+        decoded = decode(encode(message)).unwrap()
+        assert isinstance(decoded, Counts)
+        self.world.messages.append((self.own, peer))
+        self.world.hubs[peer].on_counts(decoded)
+        return True
+
+    def read_peers(self) -> dict[ProcessId, Revision]:
+        return self.peers
+
+    def read_revision(self) -> Revision:
+        return self.revision
+
+
+class World:
+    """Hold the relays of some entries in some zones."""
+
+    def __init__(self, entries: int, zones: int) -> None:
+        self.hosts = tuple(
+            Host(
+                process=ProcessId(f"entry-{n}"),
+                role=ProcessRole.ENTRY,
+                address="127.0.0.1",
+                port=7000 + n,
+                zone=f"zone-{n % zones}",  # type: ignore[arg-type]
+                region="region",  # type: ignore[arg-type]
+                state=HostState.LIVE,
+            )
+            for n in range(entries)
+        )
+        self.messages: list[tuple[ProcessId, ProcessId]] = []
+        names = [host.process for host in self.hosts]
+        self.reporter = choose_reporter(names)
+        self.hubs = {name: FakeHub(self, name) for name in names}
+        self.counters = {name: OutcomeCounter(name) for name in names}
+        self.relays = {
+            name: CountRelay(name, self.hubs[name], self.counters[name])  # type: ignore[arg-type]
+            for name in names
+        }
+
+    def find(self, process: ProcessId) -> Host:
+        return next(host for host in self.hosts if host.process == process)
+
+    def send_all(self) -> None:
+        for relay in self.relays.values():
+            relay.send(time.monotonic())
+
+
+def make_case(number: int, kind: CaseKind = CaseKind.REJECTED) -> RequestCase:
+    return RequestCase(
+        request=RequestId(f"req-{number}"),
+        service=SERVICE,
+        rank=Rank.URGENT,
+        kind=kind,
+        ended_at=number,
+        entry=ProcessId("entry-0"),
+    )
+
+
+def test_counts_of_all_zones_reach_the_reporter_once() -> None:
+    """Counts lost or doubled on the way would mislead whoever reads the status."""
+    world = World(entries=24, zones=4)
+    for counter in world.counters.values():
+        counter.count(SERVICE, Rank.URGENT, Outcome.LATE)
+        counter.cases.add(make_case(1))
+    world.send_all()
+    world.send_all()
+    reporter = world.counters[world.reporter]
+    assert reporter.pending.read(SERVICE)[Rank.URGENT].late == 24
+    assert not any(c.pending for n, c in world.counters.items() if n != world.reporter)
+    assert len(world.messages) < 2 * 24
+
+
+def test_reporter_has_few_more_connections_for_the_counts() -> None:
+    """A connection from each of 380 entries would cost the reporter 7 MB."""
+    world = World(entries=60, zones=6)
+    added = [
+        hub
+        for hub in world.hubs.values()
+        if hub.topology.collector == hub.own and hub.own != world.reporter
+    ]
+    assert len(added) <= 6
+    assert all(hub.connects(world.reporter) for hub in added)
+
+
+def test_leaving_reporter_hands_on_what_it_holds() -> None:
+    world = World(entries=6, zones=2)
+    counter = world.counters[world.reporter]
+    counter.count(SERVICE, Rank.BATCH, Outcome.IN_TIME)
+    world.hubs[world.reporter].leaving = True
+    world.relays[world.reporter].send(time.monotonic())
+    held = [n for n, c in world.counters.items() if c.pending]
+    assert len(held) == 1
+    assert held != [world.reporter]
+
+
+def test_peer_that_stays_behind_is_reported_and_then_forgotten() -> None:
+    world = World(entries=4, zones=1)
+    own = next(name for name in world.hubs if name != world.reporter)
+    hub, relay = world.hubs[own], world.relays[own]
+    hub.peers = {ProcessId("agent-9"): Revision(5)}
+    relay.send(0.0)
+    hub.revision = Revision(12)
+    relay.send(1.0)
+    world.send_all()
+    now_s = time.monotonic()
+    lagging = world.relays[world.reporter].list_lagging(now_s)
+    assert lagging == {ProcessId("agent-9"): Revision(5)}
+    assert world.relays[world.reporter].list_lagging(now_s + 200) == {}
+
+
+def test_counts_from_a_newer_version_are_read() -> None:
+    """An upgrade changes the entries one by one."""
+    counter = OutcomeCounter()
+    counter.pending.add_packed(SERVICE, [1] * 40)
+    assert counter.pending.read(SERVICE)[Rank.URGENT].in_time == 1
+
+
+def test_flood_of_rejections_displaces_no_late_answer() -> None:
+    buffer = CaseBuffer()
+    buffer.add(make_case(1, CaseKind.LATE))
+    for number in range(2, 5000):
+        buffer.add(make_case(number))
+    taken = buffer.take(8)
+    assert [case.kind for case in taken].count(CaseKind.LATE) == 1
+    assert taken[1].request == "req-4999"
+    assert buffer.take(8) == ()
+
+
+def test_report_is_bounded_and_keeps_the_newest_of_each_kind() -> None:
+    stored = merge_cases((), [make_case(1, CaseKind.UNKNOWN)])
+    merged = merge_cases(stored, [make_case(n) for n in range(2, 100)])
+    assert len(merged) == CASES_KEPT + 1
+    assert merged[0].kind is CaseKind.UNKNOWN
+    assert merged[1].request == "req-99"
+
+
+def test_unreadable_report_rows_are_left_out() -> None:
+    assert read_cases({"cases": [3, {"request": 1}]}) == ()
+    assert read_cases({"cases": "x"}) == ()
+
+
+def call(store_url: str, *arguments: str) -> Result:
+    environment = {"BRAMLEYPORT_STORE": store_url}
+    return CliRunner().invoke(main, ["record", *arguments], env=environment)
+
+
+async def wait_for(condition: Callable[[], Any]) -> None:
+    async with asyncio.timeout(60):
+        while not condition():
+            await asyncio.sleep(0.1)
+
+
+def test_rejected_request_of_any_entry_is_counted_and_explained(
+    demo: Any, run: Run, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """The caller has only its request id, and the status only one writer."""
+    monkeypatch.setattr(_status, "COUNTS_INTERVAL_S", 0.0)
+    identifiers = []
+    for entry in demo.entries:
+        url = f"http://127.0.0.1:{entry.port}/services/orders/postings"
+        run(fetch(url, "POST", {"Idempotency-Key": "k"}, b"{}"))
+        refused = run(fetch(url, "POST", {"Idempotency-Key": "k"}, b'{"other": 1}'))
+        assert refused.status == 422
+        identifiers.append(refused.headers["x-request-id"])
+    objects = demo.store.store.objects
+
+    def is_reported() -> bool:
+        ranks = objects["services", "orders"]["status"].get("ranks", {})
+        cases = objects.get(("reports", "orders"), {"spec": {"cases": []}})["spec"]
+        counts = ranks.get("standard", {})
+        done = counts.get("rejected") == 2 and counts.get("in_time") == 2
+        return done and len(cases["cases"]) == 2
+
+    run(wait_for(is_reported))
+    for identifier in identifiers:
+        explained = call(demo.store_url, "explain", "request", identifier)
+        assert explained.exit_code == 0, explained.output
+        assert "rejected, orders as standard" in explained.output
+        assert "idempotency_key_reused, execution not_run" in explained.output
+    assert "2 rejected" in call(demo.store_url, "explain", "orders").output
+    absent = call(demo.store_url, "explain", "request", "req-none")
+    assert absent.exit_code == 4
+
+
+def test_engine_is_explained_from_its_order_and_lease(run: Run) -> None:
+    fleet = Fleet()
+
+    async def prepare() -> None:
+        await fleet.start()
+        await fleet.wait(fleet.is_sealed)
+        fleet.planner.roles["engine-0"] = EngineRole.PREFILL
+        await fleet.wait(fleet.has_settled)
+
+    run(prepare())
+    try:
+        shown = call(fleet.store_url, "explain", "engine", "engine-0")
+        absent = call(fleet.store_url, "explain", "engine", "engine-9")
+    finally:
+        run(fleet.stop())
+    assert shown.exit_code == 0, shown.output
+    for expected in (
+        "order: number 1 of pool inspector-8b, fencing number 1: role prefill",
+        "plan: test need=2",
+        "progress: done",
+        "incarnation 1",
+        "read back as role prefill",
+        "lease inspector-8b.lk-west: held by entry-0-",
+        "it has sealed this order object",
+    ):
+        assert expected in shown.output
+    assert absent.exit_code == 4
+
+
+def test_explain_refuses_an_unknown_subject() -> None:
+    assert call("http://127.0.0.1:1", "explain", "host", "x").exit_code == 2
+
+
+def test_status_page_shows_the_counts_of_all_entries_and_survives_an_outage(
+    demo: Any, run: Run
+) -> None:
+    status = RecordStatus(
+        observed_revision=Revision(1),
+        ranks={Rank.URGENT: RankCounts(late=7117)},
+        counts_since="2026-03-04T20:00:00+00:00",
+    )
+    spec = demo.store.store.objects["services", "orders"]["spec"]
+    body = {"spec": spec, "status": write_status(status)}
+    demo.store.store.put("services", "orders", body)
+    url = f"http://127.0.0.1:{demo.entries[0].port}/status"
+
+    async def read_page() -> None:
+        # A page waits half a second for the store and then shows what it has.
+        while b"<td>7117</td>" not in (await fetch(url)).body:
+            await asyncio.sleep(0.1)
+
+    run(read_page())
+    demo.store.faults.outage = True
+    page = run(fetch(f"http://127.0.0.1:{demo.entries[1].port}/status"))
+    demo.store.faults.outage = False
+    assert page.status == 200
+    assert b"not read from the object API yet" in page.body
--- a/tests/test_status.py
+++ b/tests/test_status.py
@@ -1,16 +1,26 @@
 """Guard what operators read back: conditions and the decisions with their reasons."""
 
+import json
 from collections.abc import Callable, Coroutine
+from dataclasses import replace
 from typing import Any
 
 from loguru import logger
-from result import Ok
+from result import Err, Ok
 
 from bramleyport.core import ProcessId, Rank, Revision, ServiceName
 from bramleyport.daemons._outcomes import Outcome, OutcomeCounter
 from bramleyport.daemons._status import FleetState, StatusReporter
-from bramleyport.objectapi import Kind, Listing, ObjectName, ObjectVersion, StoredObject
-from bramleyport.records import ConditionType, read_status
+from bramleyport.objectapi import (
+    Kind,
+    Listing,
+    ObjectName,
+    ObjectVersion,
+    StoredObject,
+    StoreError,
+    StoreFailure,
+)
+from bramleyport.records import LAGGING_SHOWN, ConditionType, read_status
 from bramleyport.telemetry import Journal, events, log_event
 
 Run = Callable[[Coroutine[Any, Any, Any]], Any]
@@ -33,15 +43,36 @@
             spec=spec,
         )
         self.written: list[Any] = []
+        self.failures: list[StoreFailure] = []
 
     async def list_all(self, kind: Kind) -> Any:
         return Ok(Listing(revision=Revision(7), items=(self.item,)))
 
     async def update(self, *arguments: Any) -> Any:
-        self.written.append(arguments[-1])
+        failure = self.failures.pop(0) if self.failures else None
+        if failure is not StoreFailure.CONFLICT:
+            self.written.append(arguments[-1])
+            stored = json.loads(json.dumps(arguments[-1]))
+            self.item = replace(self.item, status=stored)
+        if failure is not None:
+            return Err(StoreError(failure=failure, step="put", peer="store"))
         return Ok(self.item)
 
 
+def make_reporter(
+    client: FakeClient, outcomes: OutcomeCounter, name: str = "entry-0", **fleet: Any
+) -> StatusReporter:
+    state = FleetState(**{"views": (), "revisions": (Revision(7),), **fleet})
+    return StatusReporter(
+        ProcessId(name),
+        client,  # type: ignore[arg-type]
+        outcomes,
+        Journal(),
+        lambda: state,
+        lambda: True,
+    )
+
+
 def report(run: Run, spec: dict[str, Any]) -> Any:
     client, journal, outcomes = FakeClient(spec), Journal(), OutcomeCounter()
     sink = journal.attach()
@@ -84,3 +115,63 @@
     valid = next(c for c in status.conditions if c.type is ConditionType.VALID)
     assert not valid.holds
     assert "ranks.urgent.answer_s" in valid.message
+
+
+def count_late(client: FakeClient) -> int:
+    status = read_status(client.item.status)
+    assert status is not None
+    return status.ranks[Rank.URGENT].late
+
+
+def make_counter(late: int) -> OutcomeCounter:
+    counter = OutcomeCounter()
+    for _ in range(late):
+        counter.count(ServiceName("inspections"), Rank.URGENT, Outcome.LATE)
+    return counter
+
+
+def test_counts_go_on_where_a_replaced_reporter_left_them(run: Run) -> None:
+    client = FakeClient(SPEC)
+    run(make_reporter(client, make_counter(3)).report())
+    run(make_reporter(client, make_counter(2), "entry-1").report())
+    assert count_late(client) == 5
+
+
+def test_unchanged_status_is_not_written_again(run: Run) -> None:
+    client = FakeClient(SPEC)
+    reporter = make_reporter(client, make_counter(1))
+    run(reporter.report())
+    run(reporter.report())
+    assert len(client.written) == 1
+
+
+def test_counts_survive_a_conflict_and_a_lost_answer_once(run: Run) -> None:
+    """A write in doubt must be counted neither twice nor not at all."""
+    client = FakeClient(SPEC)
+    client.failures = [StoreFailure.CONFLICT, StoreFailure.UNKNOWN]
+    counter = make_counter(4)
+    reporter = make_reporter(client, counter)
+    for _ in range(3):
+        run(reporter.report())
+    assert count_late(client) == 4
+    counter.count(ServiceName("inspections"), Rank.URGENT, Outcome.LATE)
+    run(make_reporter(client, counter, "entry-1").report())
+    assert count_late(client) == 5
+
+
+def test_lagging_processes_are_named_and_bounded(run: Run) -> None:
+    client = FakeClient(SPEC)
+    peers = {ProcessId(f"entry-{n:02d}"): Revision(6) for n in range(12)}
+    reporter = make_reporter(
+        client,
+        OutcomeCounter(),
+        revisions=(Revision(7), *peers.values()),
+        peers=peers,
+        reported={ProcessId("agent-far"): Revision(5), ProcessId("entry-00"): 5},
+    )
+    run(reporter.report())
+    status = read_status(client.item.status)
+    assert status is not None
+    assert (status.in_force, status.processes) == (1, 14)
+    assert status.lagging[0] == "agent-far"
+    assert len(status.lagging) == LAGGING_SHOWN
