Serve metrics and health from an optional port of the agent

Cause: queue waits, token times, refusals and orders of one engine were seen by no one; entries measure from their own end, across all engines.

Change: with `metrics_port` an agent serves /metrics and /healthz for GET and HEAD on its address; without it there is no port and the HTTP server is not imported. Labels are ranks, roles, states and reasons of the code. Time between tokens is observed only where the port is open.

--- a/bramleyport/composition.py
+++ b/bramleyport/composition.py
@@ -15,6 +15,7 @@
     from bramleyport.daemons._entry import EntryDaemon
     from bramleyport.daemons._orders import OrderApplier
     from bramleyport.settings import AgentSettings, EntrySettings, ProcessSettings
+    from bramleyport.telemetry import Metrics
     from bramleyport.transport import Identity
     from bramleyport.upstreams import EngineClient, PlainClient
 
@@ -73,6 +74,7 @@
     else:
         upstream = PlainClient(settings.upstream_url)
     identity = build_identity(settings.process)
+    metrics = Metrics()
     return AgentDaemon(
         settings,
         identity,
@@ -80,13 +82,15 @@
         QUEUE_POLICIES.create(settings.policies.queue, settings.max_streams),
         ESTIMATORS.create(settings.policies.estimator),
         PeerHub(identity, Replica(RecordStore(), HostStore())),
-        _build_orders(settings, upstream) if settings.pool else None,
-        Metrics(),
+        _build_orders(settings, upstream, metrics) if settings.pool else None,
+        metrics,
     )
 
 
 def _build_orders(
-    settings: "AgentSettings", upstream: "EngineClient | PlainClient"
+    settings: "AgentSettings",
+    upstream: "EngineClient | PlainClient",
+    metrics: "Metrics",
 ) -> "OrderApplier | None":
     from uuid import uuid4
 
@@ -104,6 +108,7 @@
         upstream,
         OrderGuard(UpstreamId(settings.upstream), run, PoolName(settings.pool)),
         RegionName(settings.process.region),
+        metrics,
     )
 
 
--- a/bramleyport/daemons/_agent.py
+++ b/bramleyport/daemons/_agent.py
@@ -15,8 +15,9 @@
     UpstreamView,
     ZoneName,
 )
-from bramleyport.daemons._agent_attempt import AgentAttempt, Upstream
+from bramleyport.daemons._agent_attempt import AgentAttempt, Upstream, cancel_attempt
 from bramleyport.daemons._agent_cache import AgentCache
+from bramleyport.daemons._agent_metrics import AgentMetrics
 from bramleyport.daemons._agent_schedule import AgentSchedule
 from bramleyport.daemons._engine_report import apply_report
 from bramleyport.daemons._gate import WorkGate
@@ -85,12 +86,15 @@
         self._connections: set[Connection] = set()
         self._attempts: dict[AttemptId, AgentAttempt] = {}
         self._running: set[AttemptId] = set()
+        metrics = metrics or Metrics()
+        self._metrics = AgentMetrics(metrics, settings.metrics_port)
         self._gate = WorkGate(
             queue,
             self._attempts,
             self._running,
             lambda: self._connections,
             self._describe,
+            self._metrics.count_refusal,
         )
         self._leaving = False
         self._view = UpstreamView(
@@ -100,9 +104,7 @@
             region=identity.region,
         )
         self._cache = AgentCache(self._view)
-        self._schedule = AgentSchedule(
-            queue, estimator, self._view, metrics or Metrics()
-        )
+        self._schedule = AgentSchedule(queue, estimator, self._view, metrics)
         self._held_retry: asyncio.TimerHandle | None = None
         self._server: Server | None = None
         self._tasks: list[asyncio.Task[None]] = []
@@ -114,6 +116,11 @@
         assert self._server is not None
         return int(next(iter(self._server.sockets)).getsockname()[1])
 
+    @property
+    def metrics_port(self) -> int:
+        """Return the port on which metrics are read."""
+        return self._metrics.port
+
     async def start(self) -> None:
         """Read the upstream's state and accept connections."""
         await self._read_upstream()
@@ -127,6 +134,9 @@
             self._handle,
             self._hub.detach,
         )
+        await self._metrics.serve(
+            process.address, self._make_load_report, self._get_state
+        )
         self._hub.start()
         self._tasks = [
             asyncio.ensure_future(self._report_forever()),
@@ -151,6 +161,7 @@
             task.cancel()
         if self._held_retry is not None:
             self._held_retry.cancel()
+        await self._metrics.close()
         await self._hub.close()
         if self._orders is not None:
             await self._orders.close()
@@ -225,7 +236,9 @@
         taken = self._schedule.take(time.monotonic(), free)
         for item in taken:
             attempt = self._attempts[item.attempt]
-            attempt.on_interval = self._queue.observe_interval
+            attempt.on_interval = self._metrics.time_tokens(
+                item.work.rank, self._queue.observe_interval
+            )
             attempt.cached_tokens = self._schedule.count_cached(item.work)
             self._running.add(item.attempt)
             attempt.task = asyncio.ensure_future(self._run(item.attempt, attempt))
@@ -244,6 +257,7 @@
     async def _run(self, attempt_id: AttemptId, attempt: AgentAttempt) -> None:
         try:
             await attempt.run(self._upstream)
+            self._metrics.observe(attempt)
             self._schedule.observe(attempt)
             if attempt.log.end is not None:
                 prefix = attempt.execute.work.prefix_blocks
@@ -251,7 +265,7 @@
         except asyncio.CancelledError:
             if isinstance(self._upstream, EngineClient):
                 self._background.add(
-                    asyncio.ensure_future(self._cancel_upstream(attempt_id))
+                    asyncio.ensure_future(cancel_attempt(self._upstream, attempt_id))
                 )
         except Exception as error:  # a fault in one attempt must not end the process
             log_event(events.HANDLER_FAILED, attempt=attempt_id, error=repr(error))
@@ -265,18 +279,6 @@
                 ATTEMPT_GRACE_S, self._attempts.pop, attempt_id, None
             )
 
-    async def _cancel_upstream(self, attempt_id: AttemptId) -> None:
-        assert isinstance(self._upstream, EngineClient)
-        try:
-            await self._upstream.cancel(attempt_id)
-        except UpstreamError as error:
-            log_event(
-                events.UPSTREAM_CALL_FAILED,
-                step="cancel",
-                peer=error.peer,
-                reason=error.reason,
-            )
-
     def _resume(self, connection: "Connection", message: Resume) -> None:
         attempt = self._attempts.get(message.attempt)
         if attempt is None:
@@ -355,6 +357,7 @@
             return
         self._view.state = UpstreamState.LIVE
         apply_report(self._view, report, time.monotonic())
+        self._metrics.note_role(self._view.role)
 
     def _describe(self) -> UpstreamInfo:
         view = self._view
--- a/bramleyport/daemons/_agent_attempt.py
+++ b/bramleyport/daemons/_agent_attempt.py
@@ -22,6 +22,7 @@
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
 
+    from bramleyport.core import AttemptId
     from bramleyport.transport import Connection
     from bramleyport.wire import Execute, Message
 
@@ -51,6 +52,18 @@
         self._room = asyncio.Event()
         self._room.set()
 
+    @property
+    def wait_s(self) -> float:
+        """Return how long the attempt was queued."""
+        return self._started_s - self._queued_s
+
+    @property
+    def first_token_s(self) -> float | None:
+        """Return the time to the first token since the attempt arrived, if any."""
+        if not self._first_token_s:
+            return None
+        return self._first_token_s - self._queued_s
+
     async def run(self, upstream: Upstream) -> None:
         """Run the attempt on the upstream until its answer is whole or failed."""
         self._started_s = time.monotonic()
@@ -189,8 +202,21 @@
             status,
             headers,
             self.output_tokens,
-            wait_s=self._started_s - self._queued_s,
+            wait_s=self.wait_s,
             prefill_s=first_s - self._started_s,
             decode_s=decode_s,
         )
         self.connection.post(end)
+
+
+async def cancel_attempt(engine: EngineClient, attempt: "AttemptId") -> None:
+    """Ask an engine to stop an attempt."""
+    try:
+        await engine.cancel(attempt)
+    except UpstreamError as error:
+        log_event(
+            events.UPSTREAM_CALL_FAILED,
+            step="cancel",
+            peer=error.peer,
+            reason=error.reason,
+        )
--- a/bramleyport/daemons/_gate.py
+++ b/bramleyport/daemons/_gate.py
@@ -23,6 +23,7 @@
         running: "set[AttemptId]",
         connections: "Callable[[], set[Connection]]",
         describe: Callable[[], Message],
+        count_refusal: Callable[[str], None],
     ) -> None:
         self.ledger = AttemptLedger()
         self.changing = False
@@ -31,6 +32,7 @@
         self._running = running
         self._connections = connections
         self._describe = describe
+        self._count_refusal = count_refusal
 
     def refuse(
         self,
@@ -41,6 +43,7 @@
     ) -> None:
         """Tell a peer that its attempt was not run and never will be."""
         self.ledger.refuse(attempt)
+        self._count_refusal(reason)
         connection.post(
             Refused(attempt=attempt, reason=reason, retry_after_s=retry_after_s)
         )
--- a/bramleyport/daemons/_orders.py
+++ b/bramleyport/daemons/_orders.py
@@ -48,7 +48,7 @@
     ObjectVersion,
     StoreFailure,
 )
-from bramleyport.telemetry import authority_events, events, log_event
+from bramleyport.telemetry import Metrics, authority_events, events, log_event
 from bramleyport.upstreams import EngineClient, UpstreamError
 from bramleyport.wire import Message, OrderReport
 
@@ -89,8 +89,10 @@
         engine: EngineClient,
         guard: OrderGuard,
         region: RegionName,
+        metrics: Metrics | None = None,
     ) -> None:
         self.guard = guard
+        self._metrics = metrics or Metrics()
         self._client = client
         self._engine = engine
         self._region = region
@@ -179,6 +181,7 @@
             sequence=action.sequence,
             state=action.state,
         )
+        self._metrics.orders.inc({"result": action.state})
         self._gate.post_all(
             OrderReport(
                 upstream=self.guard.upstream,
@@ -266,6 +269,7 @@
                 upstream=self.guard.upstream,
                 sequence=order.sequence,
             )
+            self._metrics.orders.inc({"result": "refused_by_engine"})
             return OrderRefused(op=action.op)
         except TimeoutError:
             return OrderBroken(op=action.op)
--- a/bramleyport/settings/_schema.py
+++ b/bramleyport/settings/_schema.py
@@ -96,5 +96,7 @@
     pool: str = ""
     max_streams: int = 32
     load_interval_s: float = 1.0
+    # Serves /metrics and /healthz to read; without it there is no such port.
+    metrics_port: int | None = None
     drain_timeout_s: float = 60.0
     policies: PolicySettings = field(default_factory=PolicySettings)
--- a/bramleyport/telemetry/_metrics.py
+++ b/bramleyport/telemetry/_metrics.py
@@ -24,6 +24,12 @@
         self.decisions = self._count(
             "bramleyport_decisions_total", "Decisions by kind and reason"
         )
+        self.role_changes = self._count(
+            "bramleyport_role_changes_total", "Role changes of the engine by new role"
+        )
+        self.orders = self._count(
+            "bramleyport_orders_total", "Orders by progress or refusal"
+        )
         self.gauges = Gauge(
             "bramleyport_state", "State by name", registry=self.registry
         )
--- a/bramleyport/transport/__init__.py
+++ b/bramleyport/transport/__init__.py
@@ -3,7 +3,7 @@
 from bramleyport.transport._connection import Connection, Handler, Identity
 from bramleyport.transport._deferred import run_as_deferred
 from bramleyport.transport._endpoint import listen, open_connection
-from bramleyport.transport._http import make_http_client
+from bramleyport.transport._http import listen_http, make_http_client, stop_http
 from bramleyport.transport._tls import TlsContexts, build_tls, is_loopback
 
 __all__ = [
@@ -14,7 +14,9 @@
     "build_tls",
     "is_loopback",
     "listen",
+    "listen_http",
     "make_http_client",
     "open_connection",
     "run_as_deferred",
+    "stop_http",
 ]
--- a/bramleyport/transport/_http.py
+++ b/bramleyport/transport/_http.py
@@ -1,14 +1,20 @@
-"""HTTP clients that connect by IP address and start no resolver threads."""
+"""HTTP servers, and clients that connect by IP address without resolver threads."""
 
+import asyncio
 from typing import Any, Final
 
 import treq
-from twisted.internet.endpoints import TCP4ClientEndpoint
+from twisted.internet.endpoints import TCP4ClientEndpoint, TCP4ServerEndpoint
+from twisted.internet.error import CannotListenError
 from twisted.web.client import URI, Agent, HTTPConnectionPool
 from twisted.web.iweb import IAgentEndpointFactory
 from zope.interface import implementer
 
+from bramleyport.core import StepError
+
 CONNECT_TIMEOUT_S: Final = 2.0
+# The default of 50 loses connections when many callers come at once.
+LISTEN_BACKLOG: Final = 1024
 
 
 @implementer(IAgentEndpointFactory)
@@ -26,6 +32,31 @@
         )
 
 
+async def listen_http(site: Any, address: str, port: int) -> Any:
+    """Serve a site on a port and return what listens.
+
+    Raise StepError if the port can't be used.
+    """
+    from twisted.internet import reactor
+
+    endpoint = TCP4ServerEndpoint(
+        reactor, port, backlog=LISTEN_BACKLOG, interface=address
+    )
+    try:
+        return await endpoint.listen(site).asFuture(asyncio.get_running_loop())
+    except CannotListenError as error:
+        cause = error.socketError
+        reason = getattr(cause, "strerror", None) or repr(cause)
+        raise StepError("listen", f"{address}:{port}", reason) from error
+
+
+async def stop_http(listening: Any) -> None:
+    """Stop accepting connections; those that are open stay."""
+    stopped = listening.stopListening()
+    if stopped is not None:
+        await stopped.asFuture(asyncio.get_running_loop())
+
+
 def make_http_client(*, persistent: bool) -> tuple[Any, HTTPConnectionPool]:
     """Return an HTTP client and the pool that holds its idle connections."""
     # Importing the reactor installs the default one if none was chosen before.
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -60,6 +60,7 @@
             checks_fencing=checks_fencing,
         )
         self.planner = FixedPlanner()
+        self.metrics_port: int | None = None
         self.agents: list[Any] = []
         self.entries: list[Any] = []
         self._listening: list[Any] = []
@@ -92,6 +93,7 @@
             upstream="engine-0",
             upstream_url=self._urls["engine"],
             pool=MODEL,
+            metrics_port=self.metrics_port,
             drain_timeout_s=5.0,
         )
         agent = build_agent(settings)
