End a failed start with a numbered event and one line

Cause: a port in use, an unreadable secret or certificate file, settings that contradict each other and a settings file that vanished ended in a traceback.

Change: these raise StepError with the step and the peer (address or path). The command logs event 2361, prints one line and exits with code 1. SettingsError is also a ValueError, as before. Other errors are still raised.

Conclusion: done.

--- a/bramleyport/cli/_main.py
+++ b/bramleyport/cli/_main.py
@@ -31,7 +31,7 @@
 
 
 @main.command()
-@click.argument("settings", type=click.Path(exists=True, dir_okay=False))
+@click.argument("settings", type=click.Path())
 def entry(settings: str) -> None:
     """Serve callers."""
     from bramleyport.cli._runtime import install_reactor, run_daemon
@@ -46,7 +46,7 @@
 
 
 @main.command()
-@click.argument("settings", type=click.Path(exists=True, dir_okay=False))
+@click.argument("settings", type=click.Path())
 def agent(settings: str) -> None:
     """Serve one upstream."""
     from bramleyport.cli._runtime import install_reactor, run_daemon
@@ -82,9 +82,18 @@
 
 
 def _load(path: str, kind: type[S]) -> S:
+    from bramleyport.cli._runtime import fail_start
+    from bramleyport.core import StepError
     from bramleyport.settings import load_settings
+    from bramleyport.telemetry import configure_logging
 
-    result = load_settings(Path(path).read_bytes(), kind)
+    try:
+        raw = Path(path).read_bytes()
+    except OSError as error:
+        configure_logging(json_lines=True, level="INFO", process="")
+        reason = error.strerror or repr(error)
+        sys.exit(fail_start(StepError("read settings", path, reason)))
+    result = load_settings(raw, kind)
     if isinstance(result, Err):
         for problem in result.err_value:
             click.echo(problem.describe(path), err=True)
--- a/bramleyport/cli/_runtime.py
+++ b/bramleyport/cli/_runtime.py
@@ -3,7 +3,13 @@
 import asyncio
 import sys
 from collections.abc import Awaitable, Callable
-from typing import Any, Protocol
+from typing import Any, Final, Protocol
+
+import click
+
+from bramleyport.core import StepError
+
+EXIT_FAILED: Final = 1
 
 
 class Daemon(Protocol):
@@ -36,7 +42,11 @@
 def run_daemon(
     build: Callable[[], Daemon], on_started: Callable[[], Awaitable[None]] | None = None
 ) -> int:
-    """Serve until SIGTERM or SIGINT and return the exit code."""
+    """Serve until SIGTERM or SIGINT and return the exit code.
+
+    A start that fails at a known step is reported in one line; any other error is
+    raised.
+    """
     from twisted.internet import reactor as _reactor
     from twisted.internet.defer import Deferred
 
@@ -62,9 +72,25 @@
     reactor.callWhenRunning(lambda: asyncio.ensure_future(start()))
     reactor.addSystemEventTrigger("before", "shutdown", stop)
     reactor.run()
-    if failures:
-        raise failures[0]
-    return 0
+    if not failures:
+        return 0
+    if isinstance(failures[0], StepError):
+        return fail_start(failures[0])
+    raise failures[0]
+
+
+def fail_start(error: StepError) -> int:
+    """Report why a process can't start and return its exit code."""
+    from bramleyport.telemetry import log_event, operator_events
+
+    log_event(
+        operator_events.START_FAILED,
+        step=error.step,
+        peer=error.peer,
+        reason=error.reason,
+    )
+    click.echo(f"could not start: {error}", err=True)
+    return EXIT_FAILED
 
 
 def _log_loop_error(loop: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
--- a/bramleyport/composition.py
+++ b/bramleyport/composition.py
@@ -14,33 +14,39 @@
     from bramleyport.daemons._controller import Planner
     from bramleyport.daemons._entry import EntryDaemon
     from bramleyport.daemons._orders import OrderApplier
-    from bramleyport.settings import AgentSettings, EntrySettings, ProcessSettings
+    from bramleyport.settings import (
+        AgentSettings,
+        EntrySettings,
+        ProcessSettings,
+        TlsSettings,
+    )
     from bramleyport.telemetry import Metrics
-    from bramleyport.transport import Identity
+    from bramleyport.transport import Identity, TlsContexts
     from bramleyport.upstreams import EngineClient, PlainClient
 
 
 def build_identity(settings: "ProcessSettings") -> "Identity":
     """Build the identity that peers see."""
-    from bramleyport.core import ProcessId, RegionName, ZoneName
-    from bramleyport.transport import Identity, build_tls, is_loopback
+    from bramleyport.core import ProcessId, RegionName, SettingsError, ZoneName
+    from bramleyport.transport import Identity, is_loopback
     from bramleyport.wire import HeartbeatPolicy
 
     secret = b""
     if settings.secret_file:
-        secret = Path(settings.secret_file).read_bytes().strip()
-    files = settings.tls
-    tls = None
-    if files.enabled:
-        tls = build_tls(files.certificate_file, files.key_file, files.ca_file)
+        secret = _read_secret(settings.secret_file)
+    tls = _load_tls(settings.tls) if settings.tls.enabled else None
     if not secret and tls is None and not is_loopback(settings.address):
-        raise ValueError(
-            f"{settings.address} is not loopback: set secret_file or tls for peers"
+        raise SettingsError(
+            "check settings",
+            settings.process,
+            f"{settings.address} is not loopback: set secret_file or tls for peers",
         )
     beats = settings.heartbeats
     if not (beats.interval_s > 0 and 1 < beats.missed_suspect < beats.missed_silent):
-        raise ValueError(
-            "heartbeats need interval_s > 0 and 1 < missed_suspect < missed_silent"
+        raise SettingsError(
+            "check settings",
+            settings.process,
+            "heartbeats need interval_s > 0 and 1 < missed_suspect < missed_silent",
         )
     return Identity(
         process=ProcessId(settings.process),
@@ -57,6 +63,28 @@
     )
 
 
+def _read_secret(path: str) -> bytes:
+    from bramleyport.core import StepError
+
+    try:
+        return Path(path).read_bytes().strip()
+    except OSError as error:
+        reason = error.strerror or repr(error)
+        raise StepError("read secret_file", path, reason) from error
+
+
+def _load_tls(files: "TlsSettings") -> "TlsContexts":
+    from bramleyport.core import StepError
+    from bramleyport.transport import build_tls
+
+    try:
+        return build_tls(files.certificate_file, files.key_file, files.ca_file)
+    except OSError as error:  # also a file that holds no certificate or key
+        paths = f"{files.certificate_file}, {files.key_file}, {files.ca_file}"
+        reason = error.strerror or repr(error)
+        raise StepError("read tls files", paths, reason) from error
+
+
 def build_agent(settings: "AgentSettings") -> "AgentDaemon":
     """Build an agent from its settings."""
     from bramleyport.core import ServiceKind
--- a/bramleyport/core/__init__.py
+++ b/bramleyport/core/__init__.py
@@ -9,7 +9,13 @@
     RequestCase,
 )
 from bramleyport.core._converter import make_strict_converter
-from bramleyport.core._errors import ErrorCode, Explanation, ServeError, StepError
+from bramleyport.core._errors import (
+    ErrorCode,
+    Explanation,
+    ServeError,
+    SettingsError,
+    StepError,
+)
 from bramleyport.core._ids import (
     AccountId,
     AdapterName,
@@ -81,6 +87,7 @@
     "ServeError",
     "ServiceKind",
     "ServiceName",
+    "SettingsError",
     "StepError",
     "Targets",
     "UnknownPolicyError",
--- a/bramleyport/core/_errors.py
+++ b/bramleyport/core/_errors.py
@@ -74,6 +74,10 @@
         self.reason = reason
 
 
+class SettingsError(StepError, ValueError):
+    """Report settings that contradict each other."""
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Explanation:
     """Give the reason code of a decision and the numbers it rested on."""
--- a/bramleyport/daemons/_entry.py
+++ b/bramleyport/daemons/_entry.py
@@ -32,7 +32,7 @@
 from bramleyport.daemons._work import build_call, build_work, check_key, find_record
 from bramleyport.objectapi import ObjectClient
 from bramleyport.telemetry import Journal, Metrics, TenantLabels, events, log_event
-from bramleyport.transport import listen
+from bramleyport.transport import listen, listen_http, stop_http
 
 if TYPE_CHECKING:
     from twisted.internet.tcp import Port
@@ -52,8 +52,6 @@
 
 STOP_RETRY_S: Final = 1.0
 EVENTS_SHOWN: Final = 25
-# The default of 50 loses connections when many callers come at once.
-LISTEN_BACKLOG: Final = 1024
 
 
 class EntryDaemon:
@@ -115,8 +113,6 @@
 
     async def start(self) -> None:
         """Follow records and hosts and accept callers."""
-        from twisted.internet import endpoints, reactor
-
         process = self.settings.process
         self._server = await listen(
             process.address,
@@ -134,14 +130,9 @@
         if self.controllers is not None:
             self._tasks += self.controllers.start()
         site = make_site(CallerApp(self).app.resource(), self.settings.max_body_bytes)
-        endpoint = endpoints.TCP4ServerEndpoint(
-            reactor,
-            self.settings.http_port,
-            backlog=LISTEN_BACKLOG,
-            interface=process.address,
+        self._listening = await listen_http(
+            site, process.address, self.settings.http_port
         )
-        loop = asyncio.get_running_loop()
-        self._listening = await endpoint.listen(site).asFuture(loop)
         log_event(events.PROCESS_STARTED, role="entry", process=process.process)
 
     async def stop(self) -> None:
@@ -153,9 +144,7 @@
         while self._in_flight and time.monotonic() < deadline_s:
             await asyncio.sleep(0.05)
         if self._listening is not None:
-            stopped = self._listening.stopListening()
-            if stopped is not None:
-                await stopped.asFuture(asyncio.get_running_loop())
+            await stop_http(self._listening)
         await self._keyed.drain(deadline_s - time.monotonic())
         self._relay.send(time.monotonic())
         await self._hub.flush()
--- a/bramleyport/telemetry/_operator_events.py
+++ b/bramleyport/telemetry/_operator_events.py
@@ -4,6 +4,7 @@
 
 from bramleyport.telemetry._events import define
 
+START_FAILED: Final = define(2361, "ERROR", "process could not start")
 COUNTS_HELD: Final = define(
     2362, "INFO", "counts held back, no connection towards the reporter"
 )
--- a/bramleyport/transport/_endpoint.py
+++ b/bramleyport/transport/_endpoint.py
@@ -113,7 +113,10 @@
     handler: Handler,
     on_closed: OnConnected | None = None,
 ) -> Server:
-    """Accept connections from peers until the server is closed."""
+    """Accept connections from peers until the server is closed.
+
+    Raise StepError if the port can't be used.
+    """
 
     async def accept(socket: ServerConnection) -> None:
         try:
@@ -131,16 +134,20 @@
             if on_closed is not None:
                 on_closed(connection)
 
-    return await serve(
-        accept,
-        host,
-        port,
-        ssl=identity.tls.server if identity.tls else None,
-        max_size=MAX_FRAME_BYTES,
-        compression=None,
-        ping_interval=None,
-        close_timeout=1,
-    )
+    try:
+        return await serve(
+            accept,
+            host,
+            port,
+            ssl=identity.tls.server if identity.tls else None,
+            max_size=MAX_FRAME_BYTES,
+            compression=None,
+            ping_interval=None,
+            close_timeout=1,
+        )
+    except OSError as error:
+        reason = error.strerror or repr(error)
+        raise StepError("listen", f"{host}:{port}", reason) from error
 
 
 async def _answer(
