Name a service's failed requests, targets and the agent's reasons

Cause: a first walk through an incident on the demo showed a late request without the target that it missed, "refused" without the agent's reason, and no way from a record to a request without the caller's id.

Change: `record explain NAME` names up to three requests of each kind; a case holds the targets of its rank and the reason of each refused attempt.

A full report takes 19.2 kB, 17.3 before. Conclusion: a late and a rejected request can be explained from the object API alone.

--- a/bramleyport/cli/_explain.py
+++ b/bramleyport/cli/_explain.py
@@ -8,7 +8,7 @@
 
 from bramleyport.authority import Lease, OrderObject, read_lease, read_order
 from bramleyport.cli._output import ExitCode, fail_store, fail_with
-from bramleyport.core import Explanation, RequestCase, UpstreamId
+from bramleyport.core import CaseKind, Explanation, RequestCase, UpstreamId
 from bramleyport.objectapi import Kind, ObjectName, StoredObject, StoreFailure
 from bramleyport.records import (
     RecordStatus,
@@ -21,6 +21,7 @@
 if TYPE_CHECKING:
     from bramleyport.objectapi import ObjectClient
 
+REQUESTS_NAMED: Final = 3
 NOT_KEPT: Final = (
     "it may have been answered in time at the first attempt, be older than those kept, "
     "or have been left out while many requests failed at once"
@@ -90,6 +91,23 @@
     ]
 
 
+async def list_requests(client: "ObjectClient", service: str) -> list[str]:
+    """Return lines that name the latest requests of a service that are explained."""
+    stored = await client.get(Kind.REPORTS, ObjectName(service))
+    if isinstance(stored, Err):
+        if stored.err_value.failure is not StoreFailure.NOT_FOUND:
+            fail_store(stored.err_value)
+        return []
+    cases = read_cases(stored.ok_value.spec)
+    kinds = [(kind, [c for c in cases if c.kind is kind]) for kind in CaseKind]
+    return [
+        f"latest {kind.value}: "
+        + ", ".join(f"{c.request} ({c.rank.value})" for c in found[:REQUESTS_NAMED])
+        for kind, found in kinds
+        if found
+    ]
+
+
 async def explain_request(client: "ObjectClient", identifier: str) -> list[str]:
     """Return lines that explain how a request ended."""
     reports = await client.list_all(Kind.REPORTS)
@@ -175,16 +193,22 @@
     if case.message:
         lines.append(f"step {case.step}: {case.message}")
     if case.answer_s:
+        if case.first_token_s:
+            lines.append(
+                f"first token: after {case.first_token_s:g} s, "
+                f"due after {case.target_first_token_s:g} s"
+            )
         lines.append(
-            f"times: first token {case.first_token_s:g} s, answer {case.answer_s:g} s"
+            f"answer: after {case.answer_s:g} s, due after {case.target_answer_s:g} s"
         )
     lines += [
         f"{decision.kind}: {decision.reason} {_describe_numbers(decision.numbers)}"
         for decision in case.decisions
     ]
     lines += [
-        f"attempt {number} on {attempt.upstream}: {attempt.result}, "
-        f"execution {attempt.execution.value}"
+        f"attempt {number} on {attempt.upstream}: {attempt.result}"
+        + (f" ({attempt.reason})" if attempt.reason else "")
+        + f", execution {attempt.execution.value}"
         for number, attempt in enumerate(case.attempts, 1)
     ]
     answered = [attempt.upstream for attempt in case.attempts if attempt.result == "ok"]
--- a/bramleyport/cli/_record.py
+++ b/bramleyport/cli/_record.py
@@ -14,6 +14,7 @@
     explain_engine,
     explain_object,
     explain_request,
+    list_requests,
 )
 from bramleyport.cli._output import (
     ExitCode,
@@ -184,7 +185,8 @@
 
 
 async def _explain_record(client: "ObjectClient", name: str) -> list[str]:
-    return explain_object(await _require(client, ObjectName(name)))
+    lines = explain_object(await _require(client, ObjectName(name)))
+    return [*lines, *await list_requests(client, name)]
 
 
 EXPLAINERS: Final = {
--- a/bramleyport/core/_cases.py
+++ b/bramleyport/core/_cases.py
@@ -31,7 +31,8 @@
     """Hold how one attempt of a request ended."""
 
     upstream: str
-    result: str
+    result: str = "ok"
+    reason: str = ""
     execution: Execution = Execution.COMPLETED
 
 
@@ -61,6 +62,8 @@
     execution: Execution = Execution.COMPLETED
     first_token_s: float = 0.0
     answer_s: float = 0.0
+    target_first_token_s: float = 0.0
+    target_answer_s: float = 0.0
     attempts: tuple[AttemptNote, ...] = ()
     decisions: tuple[DecisionNote, ...] = ()
 
--- a/bramleyport/daemons/_attempt_runner.py
+++ b/bramleyport/daemons/_attempt_runner.py
@@ -10,7 +10,6 @@
 from bramleyport.answers import AttemptIds
 from bramleyport.core import (
     AttemptId,
-    Execution,
     Explanation,
     UpstreamId,
     UpstreamView,
@@ -168,8 +167,7 @@
         failure = result.err_value if isinstance(result, Err) else None
         outcome = failure.kind.value if failure is not None else "ok"
         self._metrics.attempts.inc({"result": outcome})
-        execution = failure.execution if failure is not None else Execution.COMPLETED
-        note_attempt(upstream, outcome, execution)
+        note_attempt(upstream, failure)
         if failure is not None:
             log_event(
                 events.ATTEMPT_FAILED,
--- a/bramleyport/daemons/_entry_attempt.py
+++ b/bramleyport/daemons/_entry_attempt.py
@@ -116,13 +116,17 @@
             return self._finish(message)
         if isinstance(message, Refused) and action == "not_run":
             return self.fail(
-                FailureKind.REFUSED, Execution.NOT_RUN, message.retry_after_s
+                FailureKind.REFUSED,
+                Execution.NOT_RUN,
+                message.retry_after_s,
+                message.reason,
             )
         if isinstance(message, Failed):
             # Frames that were received show that the attempt did run.
             started = action == "fail_started"
             execution = Execution.UNKNOWN if started else message.execution
-            return self.fail(FailureKind.UPSTREAM_ERROR, execution)
+            kind = FailureKind.UPSTREAM_ERROR
+            return self.fail(kind, execution, reason=message.reason)
         if action == "resume":
             self._resume()
             return None
@@ -195,7 +199,11 @@
         )
 
     def fail(
-        self, kind: FailureKind, execution: Execution, retry_after_s: float = 0.0
+        self,
+        kind: FailureKind,
+        execution: Execution,
+        retry_after_s: float = 0.0,
+        reason: str = "",
     ) -> AttemptResult:
         """Return a failure of this attempt."""
         view = self.link.view
@@ -207,5 +215,6 @@
                 execution=execution,
                 frames_shown=self.frames_shown,
                 retry_after_s=retry_after_s,
+                reason=reason,
             )
         )
--- a/bramleyport/daemons/_outcomes.py
+++ b/bramleyport/daemons/_outcomes.py
@@ -45,6 +45,7 @@
             return
         trace.first_token_s = first_token_s or 0.0
         trace.answer_s = answer_s
+        trace.targets = work.targets
         if not in_time or len(trace.attempts) > 1:
             kind = CaseKind.RETRIED if in_time else CaseKind.LATE
             self.cases.add(trace.explain(work.service, work.rank, kind, self._process))
--- a/bramleyport/daemons/_reports.py
+++ b/bramleyport/daemons/_reports.py
@@ -25,7 +25,7 @@
 
 TICK_S: Final = 1.0
 # One report at a time, so that the rate does not grow with the records: 0.06 writes/s;
-# a full report of 17 kB is read, sent and returned.
+# a full report of 19 kB is read, sent and returned.
 WRITE_INTERVAL_S: Final = 16.0
 
 
--- a/bramleyport/daemons/_trace.py
+++ b/bramleyport/daemons/_trace.py
@@ -18,11 +18,14 @@
     RequestId,
     ServeError,
     ServiceName,
+    Targets,
 )
+from bramleyport.retries import AttemptFailure
 
 # Bounds one case to about 1.5 kB.
 ATTEMPTS_NOTED: Final = 6
 MESSAGE_CHARACTERS: Final = 120
+REASON_CHARACTERS: Final = 40
 # Decisions that explain how a request ended; routing is seen in the attempts.
 NOTED_DECISIONS: Final = frozenset({"admission", "retry", "hedge"})
 
@@ -38,6 +41,7 @@
     decisions: dict[str, Explanation] = field(default_factory=dict)
     first_token_s: float = 0.0
     answer_s: float = 0.0
+    targets: Targets | None = None
 
     def explain(
         self,
@@ -61,6 +65,8 @@
             execution=error.execution if error else Execution.COMPLETED,
             first_token_s=round(self.first_token_s, 3),
             answer_s=round(self.answer_s, 3),
+            target_first_token_s=self.targets.first_token_s if self.targets else 0.0,
+            target_answer_s=self.targets.answer_s if self.targets else 0.0,
             attempts=tuple(self.attempts[-ATTEMPTS_NOTED:]),
             decisions=tuple(
                 _note(kind, explanation) for kind, explanation in self.decisions.items()
@@ -82,13 +88,20 @@
         trace.decisions[kind] = explanation
 
 
-def note_attempt(upstream: str, result: str, execution: Execution) -> None:
+def note_attempt(upstream: str, failure: AttemptFailure | None) -> None:
     """Note how an attempt of the current request ended."""
     trace = _current.get()
-    if trace is not None:
-        trace.attempts.append(
-            AttemptNote(upstream=upstream, result=result, execution=execution)
+    if trace is None:
+        return
+    note = AttemptNote(upstream=upstream)
+    if failure is not None:
+        note = AttemptNote(
+            upstream=upstream,
+            result=failure.kind.value,
+            reason=failure.reason[:REASON_CHARACTERS],
+            execution=failure.execution,
         )
+    trace.attempts.append(note)
 
 
 def _note(kind: str, explanation: Explanation) -> DecisionNote:
--- a/bramleyport/records/_reports.py
+++ b/bramleyport/records/_reports.py
@@ -14,7 +14,7 @@
 )
 
 # Of each kind in one service's report, so that a flood of rejections does not displace
-# the late answers. A case takes about 0.7 kB, a full report 17 kB.
+# the late answers. A case takes about 0.8 kB, a full report 19 kB.
 CASES_KEPT: Final = 6
 # In memory of one process, about 2 kB each.
 CASES_BUFFERED: Final = 128
--- a/bramleyport/retries/_base.py
+++ b/bramleyport/retries/_base.py
@@ -26,6 +26,8 @@
     execution: Execution
     frames_shown: int = 0
     retry_after_s: float = 0.0
+    # What the agent said, for explanations only.
+    reason: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -10,19 +10,27 @@
 
 from bramleyport.cli import main
 from bramleyport.core import (
+    AccountId,
     CaseKind,
     EngineRole,
+    Execution,
+    Explanation,
     Outcome,
     ProcessId,
     Rank,
     RequestCase,
     RequestId,
     Revision,
+    ServiceKind,
     ServiceName,
+    Targets,
+    UpstreamId,
+    Work,
 )
 from bramleyport.daemons import _status
 from bramleyport.daemons._outcomes import OutcomeCounter
 from bramleyport.daemons._relay import CountRelay
+from bramleyport.daemons._trace import begin_trace, note_attempt, note_decision
 from bramleyport.membership import Host, HostState, ProcessRole
 from bramleyport.records import (
     CASES_KEPT,
@@ -31,9 +39,11 @@
     RecordStatus,
     merge_cases,
     read_cases,
+    write_cases,
     write_status,
 )
 from bramleyport.replication import Topology, choose_reporter
+from bramleyport.retries import AttemptFailure, FailureKind
 from bramleyport.wire import Counts, Message, decode, encode
 from tests.fleet import Fleet
 from tests.http_client import fetch
@@ -243,7 +253,9 @@
         assert explained.exit_code == 0, explained.output
         assert "rejected, orders as standard" in explained.output
         assert "idempotency_key_reused, execution not_run" in explained.output
-    assert "2 rejected" in call(demo.store_url, "explain", "orders").output
+    explained = call(demo.store_url, "explain", "orders")
+    assert "2 rejected" in explained.output
+    assert "latest rejected: req-" in explained.output
     absent = call(demo.store_url, "explain", "request", "req-none")
     assert absent.exit_code == 4
 
@@ -305,3 +317,38 @@
     demo.store.faults.outage = False
     assert page.status == 200
     assert b"not read from the object API yet" in page.body
+
+
+def test_late_and_retried_requests_are_kept_with_their_attempts() -> None:
+    """A late answer without its targets and attempts explains nothing."""
+    counter = OutcomeCounter(ProcessId("entry-0"))
+    targets = Targets(first_token_s=0.5, between_tokens_s=1.0, answer_s=2.0)
+    for answer_s, upstreams in ((3.0, 1), (1.0, 2), (1.0, 1)):
+        trace = begin_trace()
+        note_decision("admission", Explanation(reason="in_time", numbers={"x": 0.1}))
+        if upstreams > 1:
+            failure = AttemptFailure(
+                upstream=UpstreamId("engine-0"),
+                kind=FailureKind.REFUSED,
+                execution=Execution.NOT_RUN,
+                reason="deadline",
+            )
+            note_attempt("engine-0", failure)
+        note_attempt("engine-1", None)
+        work = Work(
+            request=trace.request,
+            account=AccountId("a"),
+            service=SERVICE,
+            kind=ServiceKind.LANGUAGE,
+            rank=Rank.URGENT,
+            targets=targets,
+            arrived_s=0.0,
+        )
+        counter.count_answer(work, 0.1, answer_s, trace)
+    late, retried = counter.cases.take_service(SERVICE)
+    assert (late.kind, late.target_answer_s) == (CaseKind.LATE, 2.0)
+    assert retried.kind is CaseKind.RETRIED
+    assert [a.reason for a in retried.attempts] == ["deadline", ""]
+    assert retried.attempts[-1].result == "ok"
+    assert retried.decisions[0].numbers == {"x": 0.1}
+    assert read_cases(write_cases([late, retried])) == (late, retried)
--- a/tests/test_packaging.py
+++ b/tests/test_packaging.py
@@ -51,8 +51,9 @@
         object_api="http://127.0.0.1:1",
         secret_file=str(secret),
     )
-    if "http_port" in settings:
-        settings["http_port"] = find_port()
+    for name in ("http_port", "metrics_port"):
+        if name in settings:
+            settings[name] = find_port()
     target.write_text(yaml.safe_dump(settings))
     return settings
 
@@ -110,6 +111,11 @@
     process, settings, work = started
     port = settings.get("http_port") or settings["process"]["peer_port"]
     wait_for_port(port)
+    if "metrics_port" in settings:
+        # The HTTP server takes part of the memory, so it is loaded and used.
+        wait_for_port(settings["metrics_port"])
+        url = f"http://127.0.0.1:{settings['metrics_port']}/metrics"
+        assert b"bramleyport_state" in urllib.request.urlopen(url).read()
     status = read_status(process.pid)
     assert status["Threads"].strip() == "1"
     children = Path(f"/proc/{process.pid}/task/{process.pid}/children").read_text()
