Report a peer as lagging only after its heartbeats can have told

Change: a peer lags when it has not reached what was in force at least 20 s ago, and the reporter forgets it after the two intervals of its own zone and 10 s.

--- a/bramleyport/daemons/_relay.py
+++ b/bramleyport/daemons/_relay.py
@@ -29,8 +29,11 @@
 LAGGING_SENT: Final = 4
 LAGGING_FORWARDED: Final = 16
 LAGGING_HELD: Final = 64
-# Longer than the intervals of an entry in a zone of 60 and of its collector together.
-LAGGING_KEPT_S: Final = 150.0
+# Longer than it takes to hear of a peer's revision: every third heartbeat carries it,
+# and on a busy connection there is one heartbeat in 5 s.
+LAGGING_AFTER_S: Final = 20.0
+# Beyond the intervals of an entry and its collector, after which it is reported anew.
+LAGGING_MARGIN_S: Final = 10.0
 
 
 class CountRelay:
@@ -43,7 +46,10 @@
         self._hub = hub
         self._outcomes = outcomes
         self._lagging: dict[ProcessId, tuple[Revision, float]] = {}
-        self._revision = Revision(0)
+        # What was in force here at two moments; the older one is what peers must have.
+        self._older = Revision(0)
+        self._newer = Revision(0)
+        self._newer_s = time.monotonic()
         self._sent_s = time.monotonic()
         hub.on_counts = self.receive
 
@@ -58,13 +64,11 @@
 
     def find_interval(self) -> float:
         """Return the seconds between two messages of this entry."""
+        interval_s = self._find_entry_interval()
         topology = self._hub.topology
-        if topology is None:
-            return MIN_INTERVAL_S
-        interval_s = topology.zone_entries * INTERVAL_PER_ENTRY_S
-        if topology.collector == self._process:
-            interval_s = min(interval_s, COLLECTOR_INTERVAL_S)
-        return max(MIN_INTERVAL_S, interval_s)
+        if topology is not None and topology.collector == self._process:
+            return min(interval_s, COLLECTOR_INTERVAL_S)
+        return interval_s
 
     def receive(self, message: Counts) -> None:
         """Add what a peer has counted to what this entry passes on."""
@@ -92,13 +96,19 @@
 
     def list_lagging(self, now_s: float) -> dict[ProcessId, Revision]:
         """Return the processes that this entry or a peer has found to lag."""
+        kept_s = self._find_entry_interval() + COLLECTOR_INTERVAL_S + LAGGING_MARGIN_S
         self._lagging = {
             process: (revision, seen_s)
             for process, (revision, seen_s) in self._lagging.items()
-            if now_s - seen_s < LAGGING_KEPT_S
+            if now_s - seen_s < kept_s
         }
         return {process: revision for process, (revision, _) in self._lagging.items()}
 
+    def _find_entry_interval(self) -> float:
+        topology = self._hub.topology
+        entries = 1 if topology is None else topology.zone_entries
+        return max(MIN_INTERVAL_S, entries * INTERVAL_PER_ENTRY_S)
+
     def _build(self) -> Counts:
         topology = self._hub.topology
         collects = topology is not None and topology.collector == self._process
@@ -130,15 +140,17 @@
         return next((name for name in others if self._hub.connects(name)), None)
 
     def _compare_peers(self, now_s: float) -> None:
-        """Note peers that have not reached what was in force here one interval ago."""
+        """Note peers that have not reached what was in force here some time ago."""
+        if now_s - self._newer_s >= LAGGING_AFTER_S:
+            self._older, self._newer = self._newer, self._hub.read_revision()
+            self._newer_s = now_s
         for process, revision in self._hub.replica.read_peers().items():
-            if revision < self._revision:
+            if revision < self._older:
                 self._note_lagging(
                     LaggingProcess(process=process, revision=revision), now_s
                 )
             elif process in self._lagging:
                 del self._lagging[process]
-        self._revision = self._hub.read_revision()
 
     def _note_lagging(self, item: LaggingProcess, now_s: float) -> None:
         known = item.process in self._lagging
