Test that orders refused for an old fencing number are counted

Cause: the metrics test went through an order that succeeds only. Change: a refusal by the engine and one by the agent are both read from the metrics. Conclusion: both labels of bramleyport_orders_total are held.

--- a/tests/test_agent_metrics.py
+++ b/tests/test_agent_metrics.py
@@ -2,13 +2,31 @@
 
 import asyncio
 import json
+import math
 from collections.abc import Callable, Coroutine
 from typing import Any
 
-from bramleyport.core import EngineLoad, EngineRole, UpstreamState
+from bramleyport.authority import (
+    ApplyOrder,
+    Order,
+    OrderGuard,
+    OrderRefused,
+    ReportProgress,
+)
+from bramleyport.core import (
+    EngineLoad,
+    EngineRole,
+    Execution,
+    PoolName,
+    RegionName,
+    UpstreamId,
+    UpstreamState,
+)
 from bramleyport.daemons._agent_metrics import AgentMetrics
+from bramleyport.daemons._orders import OrderApplier
 from bramleyport.telemetry import Metrics
-from bramleyport.wire import pack_load
+from bramleyport.upstreams import UpstreamError
+from bramleyport.wire import Message, pack_load
 from tests.fleet import Fleet
 from tests.http_client import fetch
 
@@ -61,3 +79,35 @@
     numbers.count_refusal("deadline")
     text = numbers.render(pack_load(EngineLoad(), 0.0), UpstreamState.LIVE).decode()
     assert 'bramleyport_rejected_total{reason="deadline"} 1' in text
+
+
+class RefusingEngine:
+    async def put_order(self, body: dict[str, Any]) -> None:
+        raise UpstreamError("order", "engine", "old", Execution.NOT_RUN, 409)
+
+
+class SilentGate:
+    def post_all(self, message: Message) -> None:
+        """Take a report that no peer hears."""
+
+
+def test_orders_refused_for_an_old_fencing_number_are_counted(run: Run) -> None:
+    """Both the engine's refusal and the agent's own must show."""
+    metrics = Metrics()
+    guard = OrderGuard(UpstreamId("engine-0"), "agent", PoolName("pool"))
+    applier = OrderApplier(
+        None,  # type: ignore[arg-type]
+        RefusingEngine(),  # type: ignore[arg-type]
+        guard,
+        RegionName("region"),
+        metrics,
+    )
+    applier._gate = SilentGate()  # type: ignore[assignment]
+    action = ApplyOrder(
+        op=1, order=Order(), engine_fencing=1, send_before_s=math.inf, repair=False
+    )
+    assert isinstance(run(applier._call(action)), OrderRefused)
+    run(applier._execute(ReportProgress(sequence=1, state="dropped")))
+    text = metrics.render_text().decode()
+    assert 'bramleyport_orders_total{result="refused_by_engine"} 1' in text
+    assert 'bramleyport_orders_total{result="dropped"} 1' in text
