Merge explanations, aggregated counts, agent metrics and clean start failures

Resolved in the merge: the runner reports the prefill and the attempt of a split request to its trace alike; the agent's schedule prepares an attempt with the metrics of its rank; counters of both sides stay; the traffic of counts is set against the traffic with numbered fields.

Checked after the merge: tests of splits, operators, agent metrics, start faults, status, telemetry, settings, the command line, packaging, controllers, dispatch, the whole path, races, purity, threads, replication and planned stops.

--- a/bramleyport/composition.py
+++ b/bramleyport/composition.py
@@ -14,32 +14,39 @@
     from bramleyport.daemons._controller import Planner
     from bramleyport.daemons._entry import EntryDaemon
     from bramleyport.daemons._orders import OrderApplier
-    from bramleyport.settings import AgentSettings, EntrySettings, ProcessSettings
-    from bramleyport.transport import Identity
+    from bramleyport.settings import (
+        AgentSettings,
+        EntrySettings,
+        ProcessSettings,
+        TlsSettings,
+    )
+    from bramleyport.telemetry import Metrics
+    from bramleyport.transport import Identity, TlsContexts
     from bramleyport.upstreams import EngineClient, PlainClient
 
 
 def build_identity(settings: "ProcessSettings") -> "Identity":
     """Build the identity that peers see."""
-    from bramleyport.core import ProcessId, RegionName, ZoneName
-    from bramleyport.transport import Identity, build_tls, is_loopback
+    from bramleyport.core import ProcessId, RegionName, SettingsError, ZoneName
+    from bramleyport.transport import Identity, is_loopback
     from bramleyport.wire import HeartbeatPolicy
 
     secret = b""
     if settings.secret_file:
-        secret = Path(settings.secret_file).read_bytes().strip()
-    files = settings.tls
-    tls = None
-    if files.enabled:
-        tls = build_tls(files.certificate_file, files.key_file, files.ca_file)
+        secret = _read_secret(settings.secret_file)
+    tls = _load_tls(settings.tls) if settings.tls.enabled else None
     if not secret and tls is None and not is_loopback(settings.address):
-        raise ValueError(
-            f"{settings.address} is not loopback: set secret_file or tls for peers"
+        raise SettingsError(
+            "check settings",
+            settings.process,
+            f"{settings.address} is not loopback: set secret_file or tls for peers",
         )
     beats = settings.heartbeats
     if not (beats.interval_s > 0 and 1 < beats.missed_suspect < beats.missed_silent):
-        raise ValueError(
-            "heartbeats need interval_s > 0 and 1 < missed_suspect < missed_silent"
+        raise SettingsError(
+            "check settings",
+            settings.process,
+            "heartbeats need interval_s > 0 and 1 < missed_suspect < missed_silent",
         )
     return Identity(
         process=ProcessId(settings.process),
@@ -56,6 +63,28 @@
     )
 
 
+def _read_secret(path: str) -> bytes:
+    from bramleyport.core import StepError
+
+    try:
+        return Path(path).read_bytes().strip()
+    except OSError as error:
+        reason = error.strerror or repr(error)
+        raise StepError("read secret_file", path, reason) from error
+
+
+def _load_tls(files: "TlsSettings") -> "TlsContexts":
+    from bramleyport.core import StepError
+    from bramleyport.transport import build_tls
+
+    try:
+        return build_tls(files.certificate_file, files.key_file, files.ca_file)
+    except OSError as error:  # also a file that holds no certificate or key
+        paths = f"{files.certificate_file}, {files.key_file}, {files.ca_file}"
+        reason = error.strerror or repr(error)
+        raise StepError("read tls files", paths, reason) from error
+
+
 def build_agent(settings: "AgentSettings") -> "AgentDaemon":
     """Build an agent from its settings."""
     from bramleyport.core import ServiceKind
@@ -73,6 +102,7 @@
     else:
         upstream = PlainClient(settings.upstream_url)
     identity = build_identity(settings.process)
+    metrics = Metrics()
     return AgentDaemon(
         settings,
         identity,
@@ -80,13 +110,15 @@
         QUEUE_POLICIES.create(settings.policies.queue, settings.max_streams),
         ESTIMATORS.create(settings.policies.estimator),
         PeerHub(identity, Replica(RecordStore(), HostStore())),
-        _build_orders(settings, upstream) if settings.pool else None,
-        Metrics(),
+        _build_orders(settings, upstream, metrics) if settings.pool else None,
+        metrics,
     )
 
 
 def _build_orders(
-    settings: "AgentSettings", upstream: "EngineClient | PlainClient"
+    settings: "AgentSettings",
+    upstream: "EngineClient | PlainClient",
+    metrics: "Metrics",
 ) -> "OrderApplier | None":
     from uuid import uuid4
 
@@ -104,6 +136,7 @@
         upstream,
         OrderGuard(UpstreamId(settings.upstream), run, PoolName(settings.pool)),
         RegionName(settings.process.region),
+        metrics,
     )
 
 
@@ -124,6 +157,8 @@
     from bramleyport.daemons._outcomes import OutcomeCounter
     from bramleyport.daemons._peers import AgentLinks
     from bramleyport.daemons._pool_planner import FleetPlanner
+    from bramleyport.daemons._relay import CountRelay
+    from bramleyport.daemons._reports import CaseReporter
     from bramleyport.daemons._status import FleetState, StatusReporter
     from bramleyport.estimate import ESTIMATORS
     from bramleyport.objectapi import ObjectClient
@@ -199,7 +234,8 @@
         hub,
         metrics,
     )
-    outcomes = OutcomeCounter()
+    outcomes = OutcomeCounter(identity.process)
+    relay = CountRelay(identity.process, hub, outcomes)
     journal = Journal()
     journal.attach()
     status = StatusReporter(
@@ -208,7 +244,10 @@
         outcomes,
         journal,
         lambda: FleetState(
-            views=links.list_views(), revisions=hub.replica.list_revisions()
+            views=links.list_views(),
+            revisions=hub.replica.list_revisions(),
+            peers=hub.replica.read_peers(),
+            reported=relay.list_lagging(time.monotonic()),
         ),
         hub.is_reporter,
     )
@@ -225,5 +264,7 @@
         outcomes,
         journal,
         status,
+        relay,
+        CaseReporter(client, outcomes, hub.is_reporter),
         controllers,
     )
--- a/bramleyport/core/__init__.py
+++ b/bramleyport/core/__init__.py
@@ -1,8 +1,22 @@
 """Types shared by all packages: ids, states, work, views and errors."""
 
 from bramleyport.core._blocks import BlockIndex
+from bramleyport.core._cases import (
+    AttemptNote,
+    CaseKind,
+    DecisionNote,
+    LaggingProcess,
+    Outcome,
+    RequestCase,
+)
 from bramleyport.core._converter import make_strict_converter
-from bramleyport.core._errors import ErrorCode, Explanation, ServeError, StepError
+from bramleyport.core._errors import (
+    ErrorCode,
+    Explanation,
+    ServeError,
+    SettingsError,
+    StepError,
+)
 from bramleyport.core._ids import (
     AccountId,
     AdapterName,
@@ -45,8 +59,11 @@
     "AccountId",
     "AdapterName",
     "AttemptId",
+    "AttemptNote",
     "BlockIndex",
     "CachedPrefixes",
+    "CaseKind",
+    "DecisionNote",
     "EngineLoad",
     "EngineRates",
     "EngineRole",
@@ -54,8 +71,10 @@
     "Execution",
     "Explanation",
     "FencingNumber",
+    "LaggingProcess",
     "ModelName",
     "ModelVersion",
+    "Outcome",
     "PoolName",
     "PrefixBlock",
     "Problem",
@@ -63,12 +82,14 @@
     "Rank",
     "RegionName",
     "Registry",
+    "RequestCase",
     "RequestId",
     "Revision",
     "SentWork",
     "ServeError",
     "ServiceKind",
     "ServiceName",
+    "SettingsError",
     "StepError",
     "Targets",
     "UnknownPolicyError",
--- a/bramleyport/daemons/_agent_schedule.py
+++ b/bramleyport/daemons/_agent_schedule.py
@@ -13,6 +13,7 @@
 
 if TYPE_CHECKING:
     from bramleyport.daemons._agent_attempt import AgentAttempt
+    from bramleyport.daemons._agent_metrics import AgentMetrics
     from bramleyport.estimate import Estimator
 
 MIN_RETRY_S: Final = 1.0
@@ -120,9 +121,12 @@
         wait_s = self.queue.forecast_wait(now_s)
         return [self._refuse(item, wait_s[item.work.rank], now_s) for item in late]
 
-    def prepare(self, attempt: "AgentAttempt", work: Work) -> None:
+    def prepare(
+        self, attempt: "AgentAttempt", work: Work, metrics: "AgentMetrics"
+    ) -> None:
         """Give an attempt that starts what its run and its observation need."""
-        attempt.on_interval = self.queue.observe_interval
+        observe = self.queue.observe_interval
+        attempt.on_interval = metrics.time_tokens(work.rank, observe)
         blocks = self._view.cached.count_cached(work.prefix_blocks)
         attempt.cached_tokens = blocks * self._view.block_tokens
         attempt.on_import = self._count_import
--- a/bramleyport/daemons/_attempt_runner.py
+++ b/bramleyport/daemons/_attempt_runner.py
@@ -9,7 +9,13 @@
 from result import Err, Ok
 
 from bramleyport.answers import AttemptIds
-from bramleyport.core import AttemptId, Explanation, UpstreamId, UpstreamView, Work
+from bramleyport.core import (
+    AttemptId,
+    Explanation,
+    UpstreamId,
+    UpstreamView,
+    Work,
+)
 from bramleyport.daemons._entry_attempt import (
     AttemptResult,
     Call,
@@ -22,6 +28,7 @@
     PrefillResult,
 )
 from bramleyport.daemons._first_chunk import FirstChunk, run_until_deadline
+from bramleyport.daemons._trace import note_attempt, note_decision
 from bramleyport.estimate import Estimator, Observation
 from bramleyport.retries import AttemptFailure, FailureKind, HedgePolicy, UpstreamGuard
 from bramleyport.telemetry import (
@@ -54,6 +61,7 @@
         """Log a decision with its numbers and count it by reason."""
         reason = explanation.reason
         self._metrics.decisions.inc({"kind": kind, "reason": reason})
+        note_decision(kind, explanation)
         log_event(event, reason=reason, **{**explanation.numbers, **fields})
 
 
@@ -128,7 +136,7 @@
             # that the engine fails whole requests.
             timed_out = failure.kind is FailureKind.TIMEOUT
             silent_s = time.monotonic() - sent_s if timed_out else 0.0
-            self._report(attempt_id, work, failure)
+            self._report(attempt_id, upstream, work, failure)
             self._abandon(upstream, work, silent_s)
         else:
             self._finish(attempt_id, upstream, work, failure)
@@ -234,15 +242,20 @@
         work: Work,
         failure: AttemptFailure | None,
     ) -> None:
-        self._report(attempt_id, work, failure)
+        self._report(attempt_id, upstream, work, failure)
         ejected = self._guard.finish(upstream, failure, time.monotonic())
         self._report_ejection(upstream, ejected)
 
     def _report(
-        self, attempt_id: AttemptId, work: Work, failure: AttemptFailure | None
+        self,
+        attempt_id: AttemptId,
+        upstream: UpstreamId,
+        work: Work,
+        failure: AttemptFailure | None,
     ) -> None:
         outcome = failure.kind.value if failure is not None else "ok"
         self._metrics.attempts.inc({"result": outcome})
+        note_attempt(upstream, failure)
         if failure is not None:
             log_event(
                 events.ATTEMPT_FAILED,
--- a/bramleyport/telemetry/_metrics.py
+++ b/bramleyport/telemetry/_metrics.py
@@ -37,6 +37,9 @@
         self.imports = self._count(
             "bramleyport_kv_imports_total", "Imports of KV blocks by result"
         )
+        self.orders = self._count(
+            "bramleyport_orders_total", "Orders by progress or refusal"
+        )
         self.gauges = Gauge(
             "bramleyport_state", "State by name", registry=self.registry
         )
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -7,7 +7,7 @@
 
 from bramleyport.authority import EngineChange, OrderObject, Progress, read_order
 from bramleyport.composition import build_agent, build_entry
-from bramleyport.core import EngineRole, UpstreamId
+from bramleyport.core import EngineRole, Explanation, UpstreamId
 from bramleyport.settings import AgentSettings, EntrySettings, ProcessSettings
 from bramleyport.standins import (
     LOOPBACK,
@@ -28,6 +28,9 @@
 }
 
 
+WHY = Explanation(reason="test", numbers={"need": 2.0})
+
+
 @dataclass
 class FixedPlan:
     changes: Mapping[UpstreamId, EngineChange]
@@ -41,7 +44,10 @@
 
     def plan(self, pool: Any, now_s: float) -> FixedPlan:
         return FixedPlan(
-            {UpstreamId(n): EngineChange(role=r) for n, r in self.roles.items()}
+            {
+                UpstreamId(name): EngineChange(role=role, explanation=WHY)
+                for name, role in self.roles.items()
+            }
         )
 
 
@@ -61,6 +67,7 @@
         self.engine = self.engines[0]
         self.planner: Any = FixedPlanner()
         self.subset_size = subset_size
+        self.metrics_port: int | None = None
         self.agents: list[Any] = []
         self.entries: list[Any] = []
         self._listening: list[Any] = []
@@ -94,6 +101,7 @@
             upstream=upstream,
             upstream_url=self._urls[upstream],
             pool=MODEL,
+            metrics_port=self.metrics_port,
             drain_timeout_s=5.0,
         )
         agent = build_agent(settings)
@@ -140,6 +148,10 @@
             and found.state is not Progress.BEGUN
         )
 
+    @property
+    def store_url(self) -> str:
+        return self._urls["store"]
+
     def url(self, path: str) -> str:
         return f"http://{LOOPBACK}:{self.entries[0].port}{path}"
 
