--- a/bramleyport/bench/_capacity.py
+++ b/bramleyport/bench/_capacity.py
@@ -16,12 +16,13 @@
     hold_connections,
     make_claims,
     make_documents,
+    make_index,
     make_views,
     make_work,
     run_requests,
 )
 from bramleyport.bench._fit import Line, Point, fit_line
-from bramleyport.claims import Shard, apply_changes, write_shard
+from bramleyport.claims import ClaimIndex, Segment, read_segment, write_segment
 from bramleyport.core import AccountId, AttemptId, Revision
 from bramleyport.replication import RecordStore, Snapshot
 from bramleyport.wire import Frame, decode, encode
@@ -140,19 +141,39 @@
     return time_cpu(lambda: _put_in_force(int(size)))
 
 
-@subject("claim in a shard", "bytes of the shard object", (100, 500, 2000))
+@subject("claim in a log segment", "bytes of the segment object", (100, 300, 900))
 async def measure_claim_bytes(size: float) -> float:
     """Measure the stored size of claims."""
-    shard, _ = apply_changes(Shard(), make_claims(int(size)), 0.0)
-    return float(len(json.dumps(write_shard(shard))))
+    segment = Segment(entries=make_claims(int(size)))
+    return float(len(json.dumps(write_segment(segment))))
 
 
-@subject("claim carried in a shard write", "s of CPU per claim held", (100, 500, 2000))
+@subject("claim carried in an append", "s of CPU per claim held", (100, 300, 900))
 async def measure_claim_time(size: float) -> float:
-    """Measure one more claim in a shard that already holds many."""
-    shard, _ = apply_changes(Shard(), make_claims(int(size)), 0.0)
-    more = make_claims(1, prefix="more")
-    return time_cpu(lambda: json.dumps(write_shard(apply_changes(shard, more, 0.0)[0])))
+    """Measure the document of a segment that holds many claims."""
+    segment = Segment(entries=make_claims(int(size)))
+    return time_cpu(lambda: json.dumps(write_segment(segment)))
+
+
+@subject("claim in the index", "bytes of memory", (10_000, 40_000, 120_000))
+async def measure_claim_memory(size: float) -> float:
+    """Measure the memory of a log's index."""
+    return measure_memory(lambda: make_index(int(size)))
+
+
+@subject("claim read at a rebuild", "s of CPU", (100, 300, 900))
+async def measure_claim_rebuild(size: float) -> float:
+    """Measure reading a segment into the index."""
+    claims = make_claims(int(size))
+    text = json.dumps(write_segment(Segment(entries=claims)))
+
+    def rebuild() -> None:
+        index = ClaimIndex()
+        for entry in read_segment(json.loads(text)).entries:
+            entry.count_bytes()  # as the log does
+            index.apply(entry, 0, 0.0)
+
+    return time_cpu(rebuild)
 
 
 @subject("account known to the metrics", "bytes", (100, 1000, 10_000))
--- a/bramleyport/bench/_capacity_setup.py
+++ b/bramleyport/bench/_capacity_setup.py
@@ -7,10 +7,9 @@
 from contextlib import asynccontextmanager
 from typing import Any
 
-from bramleyport.claims import ClaimChange, ClaimRequest
+from bramleyport.claims import ClaimIndex, ClaimState, LogEntry
 from bramleyport.core import (
     AccountId,
-    AttemptId,
     CachedPrefixes,
     EngineLoad,
     ModelName,
@@ -94,16 +93,27 @@
     )
 
 
-def make_claims(count: int, prefix: str = "key") -> list[ClaimChange]:
-    """Return claims of distinct keys."""
-    return [
-        ClaimRequest(
-            key=f"{prefix}-{index:028d}",
-            body_digest="0" * 32,
-            attempt=AttemptId("a" * 32),
+def make_claims(count: int) -> tuple[LogEntry, ...]:
+    """Return log entries that claim distinct keys."""
+    return tuple(
+        LogEntry(
+            state=ClaimState.CLAIMED,
+            key=f"{index:032x}",
+            attempt="a" * 16,
+            at_s=1_700_000_000.123,
+            body="0" * 16,
+            answer_by_s=1_700_000_020.123,
         )
         for index in range(count)
-    ]
+    )
+
+
+def make_index(count: int) -> ClaimIndex:
+    """Return an index of distinct claims."""
+    index = ClaimIndex()
+    for entry in make_claims(count):
+        index.apply(entry, 0, entry.at_s)
+    return index
 
 
 @asynccontextmanager
--- /dev/null
+++ b/bramleyport/claims/_segment.py
@@ -0,0 +1,119 @@
+"""Segments of a claim log and the entries they hold."""
+
+import json
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import Any, Final
+
+from bramleyport.claims._changes import ClaimState, StoredAnswer
+from bramleyport.core import make_strict_converter
+
+# Every append writes the whole head and every log in use holds its head in memory, so
+# segments are a quarter of the size that the design allows (512 kB).
+MAX_SEGMENT_BYTES: Final = 128_000
+# A larger outcome is recorded without headers and body.
+MAX_ENTRY_BYTES: Final = 32_000
+# Token, seal and punctuation of the document.
+SEGMENT_HEAD_BYTES: Final = 200
+
+_converter = make_strict_converter()
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class LogEntry:
+    """Hold one claim, release or outcome as the log stores it.
+
+    `attempt` and `body` are the tags of the attempt id and of the body digest.
+    """
+
+    state: ClaimState
+    key: str
+    attempt: str
+    at_s: float
+    body: str = ""
+    # When the claim's entry has answered its caller, on the writer's clock.
+    answer_by_s: float = 0.0
+    answer: StoredAnswer | None = None
+
+    def count_bytes(self) -> int:
+        """Return how many bytes the entry adds to its segment's document."""
+        return len(json.dumps(_dump_entry(self))) + 2
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Segment:
+    """Hold a part of a log; a sealed one is followed by the next number."""
+
+    entries: tuple[LogEntry, ...] = ()
+    sealed_s: float | None = None
+    write_token: str = ""
+
+
+def write_segment(segment: Segment) -> dict[str, object]:
+    """Return the document that stores a segment."""
+    return {
+        "entries": [_dump_entry(entry) for entry in segment.entries],
+        "sealed_s": segment.sealed_s,
+        "write_token": segment.write_token,
+    }
+
+
+def read_segment(document: Mapping[str, Any]) -> Segment:
+    """Build a segment from its stored document; raise ValueError if malformed."""
+    try:
+        sealed_s = document["sealed_s"]
+        return Segment(
+            entries=tuple(_load_entry(row) for row in document["entries"]),
+            sealed_s=None if sealed_s is None else float(sealed_s),
+            write_token=str(document["write_token"]),
+        )
+    except (KeyError, TypeError, IndexError) as error:
+        raise ValueError(f"malformed segment: {error!r}") from error
+
+
+def find_answer(segment: Segment, key: str) -> StoredAnswer | None:
+    """Return the newest answer of a key that a segment holds."""
+    for entry in reversed(segment.entries):
+        if entry.key == key and entry.answer is not None:
+            return entry.answer
+    return None
+
+
+def _dump_entry(entry: LogEntry) -> list[Any]:
+    row: list[Any] = [
+        entry.state.value,
+        entry.key,
+        entry.attempt,
+        round(entry.at_s, 3),
+    ]
+    if entry.state is ClaimState.CLAIMED:
+        row += [entry.body, round(entry.answer_by_s, 3)]
+    elif entry.answer is not None:
+        answer = entry.answer
+        row += [answer.status, dict(answer.headers), answer.body]
+    return row
+
+
+def _load_entry(row: list[Any]) -> LogEntry:
+    state = ClaimState(row[0])
+    key, attempt = str(row[1]), str(row[2])
+    bytes.fromhex(attempt)
+    entry = LogEntry(state=state, key=key, attempt=attempt, at_s=float(row[3]))
+    if state is ClaimState.CLAIMED:
+        body = str(row[4])
+        bytes.fromhex(body)
+        return LogEntry(
+            state=state,
+            key=key,
+            attempt=attempt,
+            at_s=entry.at_s,
+            body=body,
+            answer_by_s=float(row[5]),
+        )
+    if len(row) == 4:
+        return entry
+    fields = {"status": row[4], "headers": row[5], "body": row[6]}
+    answer = _converter.structure(fields, StoredAnswer)
+    return LogEntry(
+        state=state, key=key, attempt=attempt, at_s=entry.at_s, answer=answer
+    )
--- a/bramleyport/composition.py
+++ b/bramleyport/composition.py
@@ -115,6 +115,7 @@
     """Build an entry from its settings."""
     from bramleyport.admission import ADMISSION_POLICIES
     from bramleyport.core import ProcessId
+    from bramleyport.daemons._claim_peers import ClaimPeers
     from bramleyport.daemons._claims import ClaimWriter
     from bramleyport.daemons._controller import Controllers
     from bramleyport.daemons._dispatch import Dispatcher
@@ -177,7 +178,10 @@
         settings.process.object_api,
         lambda step, result: metrics.store_calls.inc({"kind": step, "result": result}),
     )
-    keyed = KeyedCalls(ClaimWriter(client), dispatcher)
+    peers = ClaimPeers(identity.process, hub)
+    claims = ClaimWriter(client, peers)
+    peers.write = claims.write
+    keyed = KeyedCalls(claims, dispatcher)
     make_planner = partial(ROLE_PLANNERS.create, policies.planner)
     controllers = Controllers(
         settings, client, links, planner or FleetPlanner(make_planner, metrics)
--- /dev/null
+++ b/bramleyport/daemons/_claim_peers.py
@@ -0,0 +1,268 @@
+"""Forward claim changes to the entry that writes their log, and serve such forwards."""
+
+import asyncio
+import time
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+from typing import Any, Final
+
+from result import Ok
+
+from bramleyport.claims import (
+    ClaimChange,
+    ClaimDecisionKind,
+    ClaimOutcome,
+    ClaimRelease,
+    ClaimRequest,
+    Decision,
+    StoredAnswer,
+    choose_writer,
+)
+from bramleyport.core import ProcessId
+from bramleyport.daemons._claims import ClaimResult, Forwarded
+from bramleyport.daemons._hub import PeerHub
+from bramleyport.membership import Host, HostState, ProcessRole
+from bramleyport.objectapi import StoreFailure
+from bramleyport.telemetry import claim_events, log_event
+from bramleyport.transport import Connection
+from bramleyport.wire import (
+    ClaimAction,
+    ClaimDecision,
+    ClaimForward,
+    ClaimReply,
+    Message,
+)
+
+CONNECT_WAIT_S: Final = 0.5
+CONNECT_POLL_S: Final = 0.01
+# A writer that works on a change says so before its sender's patience ends.
+PENDING_S: Final = 0.4
+SILENT_S: Final = 1.0
+# A writer may have to load a whole log first.
+FORWARD_LIMIT_S: Final = 10.0
+# How long a writer that did not answer is not asked again.
+AVOID_S: Final = 5.0
+# A refusal that took longer shows a store that hangs, which a direct write meets too.
+QUICK_REFUSAL_S: Final = 1.0
+MAX_SERVED: Final = 2_000
+KEY_CHARS: Final = 32
+MAX_ATTEMPT_CHARS: Final = 128
+MAX_UNSENT: Final = 16
+
+_NOT_SENT: Final = Forwarded()
+_KINDS: Final = {kind.value: kind for kind in ClaimDecisionKind}
+
+
+@dataclass(slots=True)
+class Waiting:
+    """Hold a change that was forwarded and not yet decided."""
+
+    writer: ProcessId
+    deadline_s: float
+    reply: "asyncio.Future[ClaimDecision]" = field(
+        default_factory=lambda: asyncio.get_running_loop().create_future()
+    )
+
+
+class ClaimPeers:
+    """Choose the writer of a log, ask it, and write for others when asked.
+
+    A decision counts only while its sender waits for it. A late or repeated one is
+    dropped: by then its sender has written the change itself under the same attempt,
+    and the log decides an attempt once.
+    """
+
+    def __init__(self, own: ProcessId, hub: PeerHub) -> None:
+        self.write: Callable[[ClaimChange], Awaitable[ClaimResult]] | None = None
+        self._own = own
+        self._hub = hub
+        self._waiting: dict[int, Waiting] = {}
+        self._count = 0
+        self._avoid_s: dict[ProcessId, float] = {}
+        self._served: set[asyncio.Task[Any]] = set()
+        self._hosts: tuple[Host, ...] = ()
+        self._writers: dict[int, ProcessId | None] = {}
+        hub.on_claims = self.handle
+
+    async def forward(self, log: int, change: ClaimChange) -> Forwarded:
+        """Ask the writer of a log to record a change."""
+        writer = self.choose(log)
+        now_s = time.monotonic()
+        if writer is None or self._avoid_s.get(writer, 0.0) > now_s:
+            return _NOT_SENT
+        connection = await self._connect(writer)
+        if connection is None:
+            self._avoid(writer, log, "not connected")
+            return _NOT_SENT
+        self._count += 1
+        number = self._count
+        waiting = Waiting(writer, time.monotonic() + SILENT_S)
+        self._waiting[number] = waiting
+        try:
+            connection.post(make_forward(number, change))
+            decision = await self._wait(waiting, connection)
+        finally:
+            del self._waiting[number]
+        if decision is None:
+            self._avoid(writer, log, "no decision in time")
+            return Forwarded(in_doubt=True)
+        if decision.reply is ClaimReply.FAILED:
+            slow = time.monotonic() - now_s > QUICK_REFUSAL_S
+            return Forwarded(in_doubt=decision.in_doubt, refused=slow)
+        kind = _KINDS.get(decision.decision)
+        if kind is None:
+            return Forwarded(in_doubt=True)
+        return Forwarded(decision=Decision(kind=kind, segment=decision.segment))
+
+    def choose(self, log: int) -> ProcessId | None:
+        """Return the other entry that writes a log, or None when it is this one."""
+        hosts = self._hub.membership.hosts
+        if hosts is not self._hosts:
+            self._hosts, self._writers = hosts, {}
+        if log not in self._writers:
+            live = {
+                host.process
+                for host in hosts
+                if host.role is ProcessRole.ENTRY and host.state is HostState.LIVE
+            }
+            chosen = choose_writer(log, live | {self._own})
+            self._writers[log] = None if chosen == self._own else chosen
+        return self._writers[log]
+
+    def handle(self, connection: Connection, message: Message) -> None:
+        """Take a forwarded change or the decision on one."""
+        if isinstance(message, ClaimForward):
+            self._take_forward(connection, message)
+        elif isinstance(message, ClaimDecision):
+            waiting = self._waiting.get(message.number)
+            if waiting is None or waiting.writer != connection.peer:
+                return
+            if message.reply is ClaimReply.PENDING:
+                waiting.deadline_s = time.monotonic() + SILENT_S
+            elif not waiting.reply.done():
+                waiting.reply.set_result(message)
+
+    async def _connect(self, writer: ProcessId) -> Connection | None:
+        self._hub.request_link(writer)
+        deadline_s = time.monotonic() + CONNECT_WAIT_S
+        while (connection := self._hub.find_connection(writer)) is None:
+            if time.monotonic() >= deadline_s:
+                return None
+            await asyncio.sleep(CONNECT_POLL_S)
+        return connection
+
+    async def _wait(
+        self, waiting: Waiting, connection: Connection
+    ) -> ClaimDecision | None:
+        closed = asyncio.ensure_future(connection.closed.wait())
+        limit_s = time.monotonic() + FORWARD_LIMIT_S
+        try:
+            while not waiting.reply.done():
+                left_s = min(waiting.deadline_s, limit_s) - time.monotonic()
+                if left_s <= 0 or closed.done():
+                    return None
+                either: set[asyncio.Future[Any]] = {waiting.reply, closed}
+                await asyncio.wait(
+                    either,
+                    timeout=left_s,
+                    return_when=asyncio.FIRST_COMPLETED,
+                )
+            return waiting.reply.result()
+        finally:
+            closed.cancel()
+
+    def _avoid(self, writer: ProcessId, log: int, reason: str) -> None:
+        self._avoid_s[writer] = time.monotonic() + AVOID_S
+        log_event(
+            claim_events.CLAIM_FORWARD_FAILED, peer=writer, log=log, reason=reason
+        )
+
+    def _take_forward(self, connection: Connection, message: ClaimForward) -> None:
+        change = read_forward(message)
+        if change is None or self.write is None or len(self._served) >= MAX_SERVED:
+            connection.post(
+                ClaimDecision(number=message.number, reply=ClaimReply.FAILED)
+            )
+            return
+        task = asyncio.ensure_future(
+            self._serve(connection, message.number, self.write(change))
+        )
+        self._served.add(task)
+        task.add_done_callback(self._served.discard)
+
+    async def _serve(
+        self, connection: Connection, number: int, write: Awaitable[ClaimResult]
+    ) -> None:
+        writing = asyncio.ensure_future(write)
+        while not (await asyncio.wait({writing}, timeout=PENDING_S))[0]:
+            connection.post(ClaimDecision(number=number, reply=ClaimReply.PENDING))
+        connection.post(make_decision(number, writing.result()))
+
+
+def make_decision(number: int, result: ClaimResult) -> ClaimDecision:
+    """Return the message that carries a decision or its failure."""
+    if isinstance(result, Ok):
+        decision = result.ok_value
+        return ClaimDecision(
+            number=number,
+            reply=ClaimReply.DECIDED,
+            decision=decision.kind.value,
+            segment=decision.segment,
+        )
+    in_doubt = result.err_value.failure is StoreFailure.UNKNOWN
+    return ClaimDecision(number=number, reply=ClaimReply.FAILED, in_doubt=in_doubt)
+
+
+def make_forward(number: int, change: ClaimChange) -> ClaimForward:
+    """Return the message that carries a change."""
+    if isinstance(change, ClaimRequest):
+        return ClaimForward(
+            number=number,
+            action=ClaimAction.CLAIM,
+            key=change.key,
+            attempt=change.attempt,
+            body_digest=change.body_digest,
+            answer_s=change.answer_s,
+            unsent=change.unsent,
+        )
+    if isinstance(change, ClaimRelease):
+        return ClaimForward(
+            number=number,
+            action=ClaimAction.RELEASE,
+            key=change.key,
+            attempt=change.attempt,
+        )
+    answer = change.answer or StoredAnswer(status=0)
+    return ClaimForward(
+        number=number,
+        action=ClaimAction.OUTCOME,
+        key=change.key,
+        attempt=change.attempt,
+        status=answer.status,
+        headers=answer.headers,
+        body=answer.body,
+    )
+
+
+def read_forward(message: ClaimForward) -> ClaimChange | None:
+    """Return the change that a message carries, or None if it is malformed."""
+    key, attempt = message.key, message.attempt
+    fits = len(key) == KEY_CHARS and set(key) <= set("0123456789abcdef")
+    if not fits or len(attempt) > MAX_ATTEMPT_CHARS or len(message.unsent) > MAX_UNSENT:
+        return None
+    if message.action is ClaimAction.CLAIM:
+        return ClaimRequest(
+            key=key,
+            body_digest=message.body_digest,
+            attempt=attempt,
+            answer_s=message.answer_s,
+            unsent=message.unsent,
+        )
+    if message.action is ClaimAction.RELEASE:
+        return ClaimRelease(key=key, attempt=attempt)
+    answer = None
+    if message.status:
+        answer = StoredAnswer(
+            status=message.status, headers=message.headers, body=message.body
+        )
+    return ClaimOutcome(key=key, attempt=attempt, answer=answer)
--- /dev/null
+++ b/bramleyport/daemons/_claim_store.py
@@ -0,0 +1,166 @@
+"""Read and write the segments of claim logs in the object API."""
+
+from collections.abc import Mapping
+from typing import Final
+
+from result import Err, Ok, Result
+
+from bramleyport.claims import (
+    CallFailed,
+    FirstRead,
+    ReadFirst,
+    ReadSegment,
+    Segment,
+    SegmentConflict,
+    SegmentRead,
+    SegmentWritten,
+    StoredAnswer,
+    StoreEvent,
+    WriteInDoubt,
+    WriteSegment,
+    find_answer,
+    read_segment,
+    write_segment,
+)
+from bramleyport.objectapi import (
+    Kind,
+    ObjectClient,
+    ObjectName,
+    ObjectVersion,
+    StoredObject,
+    StoreError,
+    StoreFailure,
+)
+from bramleyport.telemetry import claim_events, log_event
+
+_ABSENT: Final = ObjectVersion(0)
+
+
+class ClaimStore:
+    """Keep each log as one small object with its first segment, and its segments."""
+
+    def __init__(self, client: ObjectClient) -> None:
+        self._client = client
+
+    async def read_first(self, log: int, action: ReadFirst) -> StoreEvent:
+        """Read which segment is the oldest that is kept."""
+        found = await self._get(name_log(log))
+        if isinstance(found, Err):
+            return CallFailed(op=action.op)
+        first = 0 if found.ok_value is None else found.ok_value.spec.get("first")
+        if not isinstance(first, int):
+            log_event(claim_events.CLAIM_SEGMENT_INVALID, object=name_log(log))
+            return CallFailed(op=action.op)
+        return FirstRead(op=action.op, first=first)
+
+    async def read(self, log: int, action: ReadSegment) -> StoreEvent:
+        """Read a segment."""
+        name = name_segment(log, action.number)
+        found = await self._get(name)
+        if isinstance(found, Err):
+            return CallFailed(op=action.op)
+        stored = found.ok_value
+        if stored is None:
+            return SegmentRead(op=action.op, segment=None)
+        segment = _parse(name, stored)
+        if segment is None:
+            return CallFailed(op=action.op)
+        return SegmentRead(op=action.op, segment=segment, version=stored.version)
+
+    async def write(self, log: int, action: WriteSegment) -> StoreEvent:
+        """Append to a segment, seal it or create it."""
+        result = await self._put(
+            name_segment(log, action.number),
+            ObjectVersion(action.expected),
+            write_segment(action.segment),
+        )
+        if isinstance(result, Ok):
+            return SegmentWritten(op=action.op, version=result.ok_value.version)
+        failure = result.err_value.failure
+        if failure is StoreFailure.CONFLICT:
+            return SegmentConflict(op=action.op)
+        if failure is StoreFailure.UNKNOWN:
+            return WriteInDoubt(op=action.op)
+        return CallFailed(op=action.op)
+
+    async def read_answer(
+        self, log: int, number: int, key: str
+    ) -> Result[StoredAnswer | None, StoreError]:
+        """Return the stored answer of a key from its segment."""
+        name = name_segment(log, number)
+        found = await self._get(name)
+        if isinstance(found, Err):
+            return found
+        segment = None if found.ok_value is None else _parse(name, found.ok_value)
+        return Ok(None if segment is None else find_answer(segment, key))
+
+    async def trim(self, log: int, first: int) -> None:
+        """Record the first segment kept, then delete those before it.
+
+        Segments are deleted one trim after the first number passed them, so a trim
+        that ends midway leaves none behind for good.
+        """
+        name = name_log(log)
+        found = await self._get(name)
+        if isinstance(found, Err):
+            return
+        stored = found.ok_value
+        recorded, trimmed = 0, 0
+        if stored is not None:
+            recorded = int(stored.spec.get("first", 0))
+            trimmed = int(stored.spec.get("trimmed", 0))
+        if first <= recorded:
+            return
+        for number in range(trimmed, recorded):
+            if not await self._delete(name_segment(log, number)):
+                return
+        version = _ABSENT if stored is None else stored.version
+        spec = {"first": first, "trimmed": recorded}
+        if isinstance(await self._put(name, version, spec), Ok):
+            log_event(
+                claim_events.CLAIM_LOG_TRIMMED, log=log, deleted=recorded - trimmed
+            )
+
+    async def _get(self, name: ObjectName) -> Result[StoredObject | None, StoreError]:
+        found = await self._client.get(Kind.CLAIMS, name)
+        if isinstance(found, Ok):
+            return Ok(found.ok_value)
+        if found.err_value.failure is StoreFailure.NOT_FOUND:
+            return Ok(None)
+        return found
+
+    async def _put(
+        self, name: ObjectName, version: ObjectVersion, spec: Mapping[str, object]
+    ) -> Result[StoredObject, StoreError]:
+        if version == _ABSENT:
+            return await self._client.create(Kind.CLAIMS, name, spec, {})
+        return await self._client.update(Kind.CLAIMS, name, version, spec, {})
+
+    async def _delete(self, name: ObjectName) -> bool:
+        found = await self._get(name)
+        if isinstance(found, Err):
+            return False
+        if found.ok_value is None:
+            return True
+        version = found.ok_value.version
+        return isinstance(await self._client.delete(Kind.CLAIMS, name, version), Ok)
+
+
+def name_log(log: int) -> ObjectName:
+    """Return the name of the object that holds a log's first segment number."""
+    return ObjectName(f"log-{log:02d}")
+
+
+def name_segment(log: int, number: int) -> ObjectName:
+    """Return the name of a segment object."""
+    return ObjectName(f"log-{log:02d}-{number:08d}")
+
+
+def _parse(name: ObjectName, stored: StoredObject) -> Segment | None:
+    try:
+        return read_segment(stored.spec)
+    except ValueError as error:
+        log_event(
+            claim_events.CLAIM_SEGMENT_INVALID, object=name, reason=repr(error)[:200]
+        )
+        return None
--- a/bramleyport/daemons/_claims.py
+++ b/bramleyport/daemons/_claims.py
@@ -1,175 +1,226 @@
-"""Write claims to the object API in batches."""
+"""Write claims to the logs in the object API in batches."""
 
 import asyncio
 import time
 import uuid
-from dataclasses import dataclass, field
-from typing import Final, Protocol
+from dataclasses import dataclass, field, replace
+from typing import Any, Final, Protocol
 
-from cattrs import BaseValidationError
 from result import Err, Ok, Result
 
 from bramleyport.claims import (
     ChangeAsked,
+    ChangesAsked,
     ClaimChange,
-    ClaimLedger,
+    ClaimDecisionKind,
+    ClaimLog,
+    ClaimRequest,
     Decide,
     Decision,
-    FailChange,
-    LedgerEvent,
-    ReadShard,
-    Shard,
-    ShardConflict,
-    ShardFailed,
-    ShardInDoubt,
-    ShardRead,
-    ShardWritten,
-    WriteShard,
-    choose_shard,
-    read_shard,
-    write_shard,
+    LogAction,
+    LogEvent,
+    ReadFirst,
+    ReadSegment,
+    Trim,
+    WriteSegment,
+    choose_log,
 )
-from bramleyport.objectapi import (
-    Kind,
-    ObjectClient,
-    ObjectName,
-    ObjectVersion,
-    StoreError,
-    StoreFailure,
-)
-from bramleyport.telemetry import events, log_event
+from bramleyport.daemons._claim_store import ClaimStore, name_log
+from bramleyport.objectapi import ObjectClient, StoreError, StoreFailure
+from bramleyport.telemetry import claim_events, events, log_event
 
 BATCH_DELAY_S: Final = 0.02
+# 64 logs with one write each 0.45 s make 142 writes/s, which leaves 50 of the store's
+# 200 to leases, orders and status. A few writes may follow each other at once, so a
+# log that is seldom used adds no delay.
+WRITE_INTERVAL_S: Final = 0.45
+WRITE_BURST: Final = 4.0
+# Beyond it the logs used least recently are dropped and loaded again when needed.
+MAX_HELD_BYTES: Final = 12_000_000
 
 ClaimResult = Result[Decision, StoreError]
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Forwarded:
+    """Hold what became of a change that another entry was asked to write."""
+
+    decision: Decision | None = None
+    # Whether the writer may have recorded the change, now or later.
+    in_doubt: bool = False
+    # Whether the store, not the writer, is what failed.
+    refused: bool = False
+
+
 class ClaimForwarder(Protocol):
-    """Reach the entry that writes a shard."""
+    """Reach the entry that writes a log."""
 
-    async def forward(self, shard: int, change: ClaimChange) -> ClaimResult | None:
-        """Return the writer's decision, or None to write the shard here."""
+    async def forward(self, log: int, change: ClaimChange) -> Forwarded:
+        """Return the writer's decision, or none to write the log here."""
         ...
 
 
+class Pace:
+    """Space the writes of one log by a token bucket."""
+
+    def __init__(self) -> None:
+        self._tokens = WRITE_BURST
+        self._counted_s = time.monotonic()
+
+    async def wait(self) -> None:
+        """Wait until the next write is due."""
+        now_s = time.monotonic()
+        refill = (now_s - self._counted_s) / WRITE_INTERVAL_S
+        self._tokens = min(WRITE_BURST, self._tokens + refill) - 1
+        self._counted_s = now_s
+        if self._tokens < 0:
+            await asyncio.sleep(-self._tokens * WRITE_INTERVAL_S)
+
+
 @dataclass(slots=True)
-class ShardWriter:
-    """Hold the ledger of one shard and the changes that wait for it."""
+class LogWriter:
+    """Hold one log and the changes that wait for it."""
 
-    ledger: ClaimLedger
+    log: ClaimLog
+    pace: Pace = field(default_factory=Pace)
     asked: list[ChangeAsked] = field(default_factory=list)
     futures: dict[int, asyncio.Future[ClaimResult]] = field(default_factory=dict)
     task: asyncio.Task[None] | None = None
 
 
 class ClaimWriter:
-    """Batch claim changes by shard and write them conditionally."""
+    """Batch claim changes by log and append them conditionally."""
 
     def __init__(
         self, client: ObjectClient, forwarder: ClaimForwarder | None = None
     ) -> None:
-        self._client = client
+        self._store = ClaimStore(client)
         self._forwarder = forwarder
-        self._writers: dict[int, ShardWriter] = {}
+        # In the order of their last use.
+        self._writers: dict[int, LogWriter] = {}
+        self._trims: set[asyncio.Task[Any]] = set()
         self._count = 0
 
     async def change(self, change: ClaimChange) -> ClaimResult:
-        """Apply a change durably and return its decision."""
-        shard = choose_shard(change.key)
+        """Record a change durably, here or through the log's writer."""
+        log = choose_log(change.key)
+        in_doubt = False
         if self._forwarder is not None:
-            forwarded = await self._forwarder.forward(shard, change)
-            if forwarded is not None:
-                return forwarded
-        writer = self._writers.get(shard)
+            forwarded = await self._forwarder.forward(log, change)
+            if forwarded.decision is not None:
+                return Ok(await self._add_answer(log, change, forwarded.decision))
+            in_doubt = forwarded.in_doubt
+            if forwarded.refused:
+                return Err(_give_up(log, in_doubt=in_doubt))
+        result = await self.write(change)
+        if isinstance(result, Ok):
+            return Ok(await self._add_answer(log, change, result.ok_value))
+        if in_doubt:
+            # The writer may still record what could not be written here.
+            return Err(replace(result.err_value, failure=StoreFailure.UNKNOWN))
+        return result
+
+    async def write(self, change: ClaimChange) -> ClaimResult:
+        """Record a change durably from this process."""
+        log = choose_log(change.key)
+        writer = self._writers.pop(log, None)
         if writer is None:
-            writer = ShardWriter(ClaimLedger(lambda: uuid.uuid4().hex))
-            self._writers[shard] = writer
+            writer = LogWriter(ClaimLog(lambda: uuid.uuid4().hex))
+        self._writers[log] = writer
         self._count += 1
         future: asyncio.Future[ClaimResult] = asyncio.get_running_loop().create_future()
         writer.futures[self._count] = future
         writer.asked.append(ChangeAsked(number=self._count, change=change))
         if writer.task is None:
-            writer.task = asyncio.ensure_future(self._flush(shard, writer))
+            writer.task = asyncio.ensure_future(self._flush(log, writer))
         return await future
 
-    async def _flush(self, shard: int, writer: ShardWriter) -> None:
+    async def _add_answer(
+        self, log: int, change: ClaimChange, decision: Decision
+    ) -> Decision:
+        wanted = (
+            isinstance(change, ClaimRequest)
+            and decision.kind is ClaimDecisionKind.STORED
+        )
+        if not wanted:
+            return decision
+        found = await self._store.read_answer(log, decision.segment, change.key)
+        answer = found.ok_value if isinstance(found, Ok) else None
+        if answer is None:
+            log_event(claim_events.CLAIM_ANSWER_UNREADABLE, log=log, key=change.key)
+        return replace(decision, answer=answer)
+
+    async def _flush(self, log: int, writer: LogWriter) -> None:
         try:
             while writer.asked:
                 await asyncio.sleep(BATCH_DELAY_S)
-                pending: list[LedgerEvent] = list(writer.asked)
-                writer.asked = []
-                await self._drive(shard, writer, pending)
+                await writer.pace.wait()
+                asked, writer.asked = tuple(writer.asked), []
+                loads = writer.log.loads
+                await self._drive(log, writer, ChangesAsked(changes=asked))
+                if writer.log.loads > loads:
+                    claims = writer.log.index.count
+                    log_event(claim_events.CLAIM_LOG_LOADED, log=log, claims=claims)
         except Exception as error:  # a fault must not leave a call waiting for ever
             log_event(events.HANDLER_FAILED, step="claim", error=repr(error))
+            self._writers.pop(log, None)
         finally:
-            # A shard is known only while its changes are written: keeping 1,024 of
-            # half a megabyte would exceed the memory of an entry.
             writer.task = None
-            self._writers.pop(shard, None)
             for future in writer.futures.values():
                 if not future.done():
-                    future.set_result(Err(_give_up(shard)))
-
-    async def _drive(
-        self, shard: int, writer: ShardWriter, pending: list[LedgerEvent]
-    ) -> None:
+                    future.set_result(Err(_give_up(log, in_doubt=True)))
+            writer.futures.clear()
+            writer.asked = []
+            self._evict()
+
+    def _evict(self) -> None:
+        held = sum(writer.log.bytes_held for writer in self._writers.values())
+        for log, writer in list(self._writers.items()):
+            if held <= MAX_HELD_BYTES:
+                return
+            if writer.task is None:
+                held -= writer.log.bytes_held
+                del self._writers[log]
+
+    async def _drive(self, log: int, writer: LogWriter, event: LogEvent) -> None:
+        pending = [event]
         while pending:
-            for action in writer.ledger.step(pending.pop(0), time.time()):
-                if isinstance(action, ReadShard):
-                    pending.append(await self._read(shard, action))
-                elif isinstance(action, WriteShard):
-                    pending.append(await self._write(shard, action))
-                elif isinstance(action, Decide):
-                    _settle(writer, action.number, Ok(action.decision))
-                elif isinstance(action, FailChange):
-                    _settle(writer, action.number, Err(_give_up(shard, action)))
-
-    async def _read(self, shard: int, action: ReadShard) -> LedgerEvent:
-        current = await self._client.get(Kind.CLAIMS, _name(shard))
-        if isinstance(current, Err):
-            if current.err_value.failure is StoreFailure.NOT_FOUND:
-                return ShardRead(op=action.op, shard=Shard(), version=0)
-            return ShardFailed(op=action.op)
-        try:
-            stored = read_shard(current.ok_value.spec)
-        except (BaseValidationError, TypeError, ValueError) as error:
-            log_event(events.HANDLER_FAILED, step="claim", error=repr(error))
-            return ShardFailed(op=action.op)
-        version = current.ok_value.version
-        return ShardRead(op=action.op, shard=stored, version=version)
-
-    async def _write(self, shard: int, action: WriteShard) -> LedgerEvent:
-        name, document = _name(shard), write_shard(action.shard)
-        if action.expected == 0:
-            result = await self._client.create(Kind.CLAIMS, name, document, {})
+            for action in writer.log.step(pending.pop(0), time.time()):
+                reply = await self._carry_out(log, writer, action)
+                if reply is not None:
+                    pending.append(reply)
+
+    async def _carry_out(
+        self, log: int, writer: LogWriter, action: LogAction
+    ) -> LogEvent | None:
+        if isinstance(action, ReadFirst):
+            return await self._store.read_first(log, action)
+        if isinstance(action, ReadSegment):
+            return await self._store.read(log, action)
+        if isinstance(action, WriteSegment):
+            return await self._store.write(log, action)
+        if isinstance(action, Trim):
+            task = asyncio.ensure_future(self._store.trim(log, action.first))
+            self._trims.add(task)
+            task.add_done_callback(self._trims.discard)
+        elif isinstance(action, Decide):
+            _settle(writer, action.number, Ok(action.decision))
         else:
-            version = ObjectVersion(action.expected)
-            result = await self._client.update(Kind.CLAIMS, name, version, document, {})
-        if isinstance(result, Ok):
-            return ShardWritten(op=action.op, version=result.ok_value.version)
-        failure = result.err_value.failure
-        if failure is StoreFailure.CONFLICT:
-            return ShardConflict(op=action.op)
-        if failure is StoreFailure.UNKNOWN:
-            return ShardInDoubt(op=action.op)
-        return ShardFailed(op=action.op)
+            failed = Err(_give_up(log, in_doubt=action.in_doubt))
+            _settle(writer, action.number, failed)
+        return None
 
 
-def _settle(writer: ShardWriter, number: int, result: ClaimResult) -> None:
+def _settle(writer: LogWriter, number: int, result: ClaimResult) -> None:
     future = writer.futures.pop(number)
     if not future.done():
         future.set_result(result)
 
 
-def _name(shard: int) -> ObjectName:
-    return ObjectName(f"shard-{shard:04d}")
-
-
-def _give_up(shard: int, action: FailChange | None = None) -> StoreError:
-    certain = action is not None and not action.in_doubt
+def _give_up(log: int, *, in_doubt: bool) -> StoreError:
     return StoreError(
-        failure=StoreFailure.UNAVAILABLE if certain else StoreFailure.UNKNOWN,
+        failure=StoreFailure.UNKNOWN if in_doubt else StoreFailure.UNAVAILABLE,
         step="claim",
-        peer=_name(shard),
-        message="the claim shard could not be written",
+        peer=name_log(log),
+        message="the claim log could not be written",
     )
--- a/bramleyport/daemons/_hub.py
+++ b/bramleyport/daemons/_hub.py
@@ -30,6 +30,8 @@
 from bramleyport.telemetry import events, log_event, membership_events
 from bramleyport.transport import Connection, Identity
 from bramleyport.wire import (
+    ClaimDecision,
+    ClaimForward,
     Heartbeat,
     Leaving,
     Message,
@@ -39,6 +41,8 @@
 
 TICK_S: Final = 0.5
 LEAVING_WAIT_S: Final = 2.0
+# Longer than most keyed calls, so that the outcome finds the connection of its claim.
+REQUESTED_LINK_S: Final = 30.0
 
 _REPLICATED: Final = (Heartbeat, RecordsRequest, RecordsSnapshot)
 
@@ -55,9 +59,12 @@
         self.on_hosts: Callable[[tuple[Host, ...]], None] | None = None
         self.on_records: Callable[[], None] | None = None
         self.on_topology: Callable[[], None] | None = None
+        self.on_claims: Callable[[Connection, Message], None] | None = None
         self._identity = identity
         self._connections: dict[ProcessId, list[Connection]] = {}
         self._links: dict[ProcessId, PersistentConnection] = {}
+        # Peers connected to on request, and until when.
+        self._requested: dict[ProcessId, float] = {}
         self._seeds: list[PersistentConnection] = []
         self._unconfirmed: set[Connection] = set()
         self._store_answer_s: float | None = None
@@ -119,6 +126,10 @@
         if isinstance(message, Leaving):
             self._take_leaving(connection, message)
             return True
+        if isinstance(message, ClaimForward | ClaimDecision):
+            if self.on_claims is not None:
+                self.on_claims(connection, message)
+            return True
         if not isinstance(message, _REPLICATED):
             return False
         now_s = time.monotonic()
@@ -152,6 +163,23 @@
             self.report(HostList(revision=hosts.revision, hosts=hosts.hosts))
             self.update_topology()
 
+    def find_connection(self, process: ProcessId) -> Connection | None:
+        """Return the newest connection to a peer that is not silent."""
+        for connection in reversed(self._connections.get(process, [])):
+            if not connection.suspect:
+                return connection
+        return None
+
+    def request_link(self, process: ProcessId) -> None:
+        """Connect to a peer, or stay connected, for a while."""
+        host = self.membership.find(process)
+        if host is None:
+            return
+        if process in self._requested or self.find_connection(process) is None:
+            self._requested[process] = time.monotonic() + REQUESTED_LINK_S
+        if process in self._requested and process not in self._links:
+            self._links[process] = self._link(host.uri, process)
+
     def report(self, event: Event) -> list[Change]:
         """Tell the membership of an event and pass on what changed."""
         changes = self.membership.step(event, time.monotonic())
@@ -203,7 +231,10 @@
         hosts = self.membership.hosts
         self.topology.step(hosts, time.monotonic())
         known = {host.process: host for host in hosts}
-        wanted = {p: known[p] for p in self.topology.links if p in known}
+        now_s = time.monotonic()
+        self._requested = {p: s for p, s in self._requested.items() if s > now_s}
+        chosen = self.topology.links | self._requested.keys()
+        wanted = {p: known[p] for p in chosen if p in known}
         self._connect_peers(wanted)
         if hosts and self._seeds:
             self._close_later(self._seeds)
--- a/bramleyport/daemons/_keyed.py
+++ b/bramleyport/daemons/_keyed.py
@@ -10,6 +10,7 @@
 from result import Err, Ok, Result
 
 from bramleyport.claims import (
+    CLAIM_GRACE_S,
     ClaimChange,
     ClaimDecisionKind,
     ClaimOutcome,
@@ -22,8 +23,9 @@
 )
 from bramleyport.core import AttemptId, ErrorCode, Execution, ServeError, Work
 from bramleyport.daemons._entry_attempt import Call
+from bramleyport.daemons._unsent import UnsentAttempts
 from bramleyport.objectapi import StoreFailure
-from bramleyport.telemetry import authority_events, events, log_event
+from bramleyport.telemetry import claim_events, events, log_event
 
 if TYPE_CHECKING:
     from bramleyport.daemons._claims import ClaimWriter
@@ -72,8 +74,7 @@
         self._claims = claims
         self._dispatcher = dispatcher
         self._running: dict[str, RunningCall] = {}
-        # Attempts whose claim may be recorded though their call was never sent.
-        self._unsent: dict[str, set[AttemptId]] = {}
+        self._unsent = UnsentAttempts()
         self._tasks: set[asyncio.Task[Any]] = set()
 
     async def run(self, key: str, work: Work, call: Call) -> KeyedResult:
@@ -105,22 +106,27 @@
                 body_digest=digest,
                 attempt=attempt,
                 answer_s=work.targets.answer_s,
-                unsent=tuple(sorted(self._unsent.get(scoped, ()))),
+                unsent=self._unsent.list_for(scoped),
             )
             result = await self._claims.change(claim)
             if isinstance(result, Err):
+                self._unsent.add(scoped, attempt)
                 if result.err_value.failure is StoreFailure.UNKNOWN:
                     self._withdraw(claim)
                 return Err(_refuse_without_store(result.err_value.message))
             decision = result.ok_value
             if decision.kind is ClaimDecisionKind.NEW:
                 return await self._run_new(claim, work, call)
+            # An earlier copy of this request may be late, and nothing is sent for it.
             if decision.kind is not ClaimDecisionKind.RUNNING:
+                self._unsent.add(scoped, attempt)
                 return _answer_repeat(decision)
             running = self._running.get(scoped)
             if running is not None:
+                self._unsent.add(scoped, attempt)
                 return await asyncio.shield(running.answer)
             if time.monotonic() >= work.answer_deadline_s:
+                self._unsent.add(scoped, attempt)
                 return Err(_explain_running())
             await asyncio.sleep(poll_s)
             poll_s = min(poll_s * 2, RUNNING_POLL_MAX_S)
@@ -144,6 +150,9 @@
         lost = ClaimOutcome(key=claim.key, attempt=claim.attempt, answer=None)
         sent = False
         try:
+            if time.monotonic() > work.answer_deadline_s + CLAIM_GRACE_S:
+                # This process was paused; the log may soon forget the claim.
+                return Err(_explain_late()), release
             rejected = self._dispatcher.admit(work)
             if rejected is not None:
                 return Err(rejected), release
@@ -172,7 +181,7 @@
             if error.execution is Execution.NOT_RUN:
                 return Err(error), ClaimRelease(key=claim.key, attempt=claim.attempt)
             log_event(
-                authority_events.CLAIM_IN_DOUBT,
+                claim_events.CLAIM_IN_DOUBT,
                 request=work.request,
                 step=error.step,
                 peer=error.peer,
@@ -193,7 +202,7 @@
 
     def _record(self, change: ClaimChange) -> "asyncio.Task[None]":
         if isinstance(change, ClaimRelease):
-            self._unsent.setdefault(change.key, set()).add(change.attempt)
+            self._unsent.add(change.key, change.attempt)
         return self._spawn(self._settle(change))
 
     async def _settle(self, change: ClaimChange) -> None:
@@ -201,7 +210,7 @@
         try:
             while isinstance(result := await self._claims.change(change), Err):
                 log_event(
-                    authority_events.CLAIM_NOT_RECORDED,
+                    claim_events.CLAIM_NOT_RECORDED,
                     key=change.key,
                     reason=result.err_value.message,
                 )
@@ -214,10 +223,6 @@
         running = self._running.get(key)
         if running is not None and running.attempt == attempt:
             del self._running[key]
-        attempts = self._unsent.get(key, set())
-        attempts.discard(attempt)
-        if not attempts:
-            self._unsent.pop(key, None)
 
 
 def _answer_repeat(decision: Decision) -> KeyedResult:
@@ -225,7 +230,7 @@
         message = "the Idempotency-Key was used with another request"
         return Err(_fail(ErrorCode.KEY_REUSED, message, Execution.NOT_RUN))
     if decision.kind is ClaimDecisionKind.FULL:
-        log_event(authority_events.CLAIM_SHARD_FULL)
+        log_event(claim_events.CLAIM_LOG_FULL)
         message = "no room to record the claim"
         return Err(
             _fail(
@@ -236,6 +241,16 @@
             )
         )
     answer = decision.answer
+    if decision.kind is ClaimDecisionKind.STORED and answer is None:
+        message = "the call completed; its answer can't be read now"
+        return Err(
+            _fail(
+                ErrorCode.STORE_UNAVAILABLE,
+                message,
+                Execution.COMPLETED,
+                STORE_RETRY_S,
+            )
+        )
     if decision.kind is ClaimDecisionKind.UNKNOWN or answer is None:
         message = "whether the first call with this key ran is not known"
         return Err(_fail(ErrorCode.UPSTREAM_FAILED, message, Execution.UNKNOWN))
@@ -252,6 +267,11 @@
     return _fail(ErrorCode.IN_PROGRESS, message, Execution.UNKNOWN, STORE_RETRY_S)
 
 
+def _explain_late() -> ServeError:
+    message = "the claim was recorded too late"
+    return _fail(ErrorCode.DEADLINE, message, Execution.NOT_RUN, STORE_RETRY_S)
+
+
 def _explain_fault(*, sent: bool) -> ServeError:
     execution = Execution.UNKNOWN if sent else Execution.NOT_RUN
     return _fail(ErrorCode.UPSTREAM_FAILED, "the entry failed", execution)
--- a/bramleyport/telemetry/__init__.py
+++ b/bramleyport/telemetry/__init__.py
@@ -2,6 +2,7 @@
 
 from bramleyport.telemetry import (
     _authority_events as authority_events,
+    _claim_events as claim_events,
     _events as events,
     _membership_events as membership_events,
     _planning_events as planning_events,
@@ -24,6 +25,7 @@
     "Metrics",
     "TenantLabels",
     "authority_events",
+    "claim_events",
     "configure_logging",
     "events",
     "log_event",
--- a/bramleyport/telemetry/_authority_events.py
+++ b/bramleyport/telemetry/_authority_events.py
@@ -1,4 +1,4 @@
-"""Events of leases, orders and claims."""
+"""Events of leases, orders and attempts."""
 
 from typing import Final
 
@@ -14,8 +14,5 @@
 ORDER_REFUSED: Final = define(2315, "WARNING", "engine refused an order as old")
 AGENT_SUPERSEDED: Final = define(2316, "WARNING", "a newer agent serves the engine")
 ORDER_OBJECT_INVALID: Final = define(2317, "ERROR", "order or lease object unreadable")
-CLAIM_NOT_RECORDED: Final = define(2321, "WARNING", "claim outcome not recorded yet")
-CLAIM_IN_DOUBT: Final = define(2322, "WARNING", "claim settled as unknown")
-CLAIM_SHARD_FULL: Final = define(2323, "WARNING", "claim shard full, call refused")
 STREAM_RESUMED: Final = define(2331, "INFO", "engine stream resumed")
 EXECUTE_DROPPED: Final = define(2332, "WARNING", "late or repeated execute dropped")
--- /dev/null
+++ b/tests/claim_simulation.py
@@ -0,0 +1,418 @@
+"""Several writers of one claim log over a store whose calls are late, lost or refused.
+
+Each store call is a step of its own: it is executed, answered, lost or refused in any
+order, also after its writer has given it up or was replaced.
+"""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from random import Random
+from typing import Any
+
+from bramleyport.claims import (
+    CLAIM_GRACE_S,
+    RETENTION_S,
+    CallFailed,
+    ChangeAsked,
+    ChangesAsked,
+    ClaimDecisionKind,
+    ClaimLog,
+    ClaimOutcome,
+    ClaimRelease,
+    ClaimRequest,
+    ClaimState,
+    Decide,
+    FirstRead,
+    ReadFirst,
+    ReadSegment,
+    Segment,
+    SegmentConflict,
+    SegmentRead,
+    SegmentWritten,
+    Trim,
+    WriteInDoubt,
+    WriteSegment,
+    find_answer,
+    keep_answer,
+    make_tag,
+    read_segment,
+    write_segment,
+)
+from bramleyport.claims._index import apply_entry
+from bramleyport.core import AttemptId
+from tests.simulation import InvariantError
+
+SEGMENT_BYTES = 900
+ANSWER_S = 20.0
+KEYS = [f"{index:032x}" for index in range(4)]
+JUMPS_S = [1.0, 1.0, 20.0, 100.0, 3700.0, 30_000.0]
+
+
+class LogStore:
+    """Keep the segments, and what a reader of all of them would know of each key."""
+
+    def __init__(self) -> None:
+        self.first = 0
+        self.objects: dict[int, tuple[int, Segment]] = {}
+        self.truth: dict[str, Any] = {}
+        # Every state of a key by the number of the write that brought it about.
+        self.timeline: dict[str, list[tuple[int, Any]]] = {}
+        self.durable: set[bytes] = set()
+        self.writes = 0
+        self.sealed = 0
+        self.trimmed = 0
+
+    def write(self, action: WriteSegment) -> Any:
+        version, old = self.objects.get(action.number, (0, Segment()))
+        if version != action.expected:
+            return SegmentConflict(op=action.op)
+        new = read_segment(write_segment(action.segment))
+        self.check_c1_append_only(old, new)
+        self.objects[action.number] = (version + 1, new)
+        if action.number >= self.first:
+            for entry in new.entries[len(old.entries) :]:
+                self._apply(entry, action.number)
+        self.sealed += new.sealed_s is not None
+        return SegmentWritten(op=action.op, version=version + 1)
+
+    def _apply(self, entry: Any, number: int) -> None:
+        self.writes += 1
+        row = self.truth.get(entry.key)
+        self.check_c2_withdrawn_stays_withdrawn(entry, row)
+        after = apply_entry(row, entry, number)
+        if after is not None:
+            self.truth[entry.key] = after
+            self.timeline.setdefault(entry.key, []).append((self.writes, after))
+        if entry.state is ClaimState.CLAIMED:
+            self.durable.add(bytes.fromhex(entry.attempt))
+
+    def trim(self, first: int) -> None:
+        self.first = max(self.first, first)
+        for number in [n for n in self.objects if n < self.first]:
+            del self.objects[number]
+            self.trimmed += 1
+
+    def check_c1_append_only(self, old: Segment, new: Segment) -> None:
+        """C1: a segment only grows, within its bound, until it is sealed."""
+        size = len(str(write_segment(new)))
+        if old.sealed_s is not None or new.entries[: len(old.entries)] != old.entries:
+            raise InvariantError("C1: a segment was rewritten")
+        if size > SEGMENT_BYTES + 100:
+            raise InvariantError(f"C1: a segment of {size} bytes")
+
+    def check_c2_withdrawn_stays_withdrawn(self, entry: Any, row: Any) -> None:
+        """C2: a late copy of a withdrawn claim does not claim the key again."""
+        if (
+            entry.state is ClaimState.CLAIMED
+            and row is not None
+            and row.state is ClaimState.RELEASED
+            and row.attempt.hex() == entry.attempt
+        ):
+            raise InvariantError("C2: a withdrawn claim was recorded again")
+
+
+@dataclass
+class Call:
+    writer: "Writer | None"
+    action: Any
+    result: Any = None
+    given_up: bool = False
+
+
+@dataclass
+class Asked:
+    change: Any
+    owner: "Owner"
+    since: int
+    reply: Callable[[Any], None]
+
+
+@dataclass
+class Owner:
+    """One request at the entry that its caller reached."""
+
+    key: str
+    attempt: AttemptId
+    body: str
+    home: int
+    waiting: bool = True
+    copies: int = 0
+    asked_s: float = 0.0
+    claimed_s: float = 0.0
+    answer: Any = None
+
+
+class Writer:
+    def __init__(self, sim: "ClaimSimulation") -> None:
+        self.sim = sim
+        self.log = sim.make_log(sim.make_token)
+        self.skew_s = sim.rng.uniform(0, 3000)
+        self.asked: dict[int, Asked] = {}
+
+    def step(self, event: Any) -> None:
+        sim = self.sim
+        for action in self.log.step(event, sim.now_s + self.skew_s):
+            if isinstance(action, Trim):
+                sim.store.trim(action.first)
+            elif isinstance(action, ReadFirst | ReadSegment | WriteSegment):
+                sim.calls.append(Call(self, action))
+            elif (asked := self.asked.pop(action.number, None)) is not None:
+                sim.check_decision(asked, action)
+                asked.reply(action)
+
+
+@dataclass
+class ClaimSimulation:
+    seed: int
+    make_log: Callable[..., Any] = lambda token: ClaimLog(
+        token, segment_bytes=SEGMENT_BYTES
+    )
+    calls: list[Call] = field(default_factory=list)
+    owners: list[Owner] = field(default_factory=list)
+    # Attempts each home knows it never sent.
+    unsent: dict[int, list[AttemptId]] = field(default_factory=dict)
+    executed: dict[str, list[Owner]] = field(default_factory=dict)
+    answered: int = 0
+    # Claims that were reported as certainly not recorded.
+    refused: set[bytes] = field(default_factory=set)
+
+    def __post_init__(self) -> None:
+        self.rng = Random(self.seed)
+        self.now_s = 100_000.0
+        self.count = 0
+        self.store = LogStore()
+        self.writers = [Writer(self) for _ in range(3)]
+
+    def make_token(self) -> str:
+        self.count += 1
+        return f"t{self.count}"
+
+    def run(self, steps: int) -> None:
+        for _ in range(steps):
+            self.rng.choices(
+                [self.submit, self.execute, self.answer, self.lose, self.disturb],
+                [3, 8, 8, 2, 1],
+            )[0]()
+
+    def submit(self) -> None:
+        rng = self.rng
+        home = rng.randrange(3)
+        owner = Owner(
+            key=rng.choice(KEYS),
+            attempt=AttemptId(self.make_token()),
+            body=rng.choice(["a", "a", "a", "b"]),
+            home=home,
+            asked_s=self.now_s,
+        )
+        self.owners.append(owner)
+        self.claim(owner)
+        if rng.random() < 0.3:
+            self.claim(owner)  # the writer did not answer in time, or a repeat
+
+    def claim(self, owner: Owner) -> None:
+        owner.copies += 1
+        request = ClaimRequest(
+            key=owner.key,
+            body_digest=owner.body,
+            attempt=owner.attempt,
+            answer_s=ANSWER_S,
+            unsent=tuple(self.unsent.get(owner.home, ())[-16:]),
+        )
+        self.ask(owner, request, lambda action: self.take(owner, action))
+
+    def ask(
+        self, owner: Owner, change: Any, reply: Callable[[Any], None] = lambda _: None
+    ) -> None:
+        writer = self.rng.choice(self.writers)
+        self.count += 1
+        asked = ChangeAsked(number=self.count, change=change)
+        writer.asked[self.count] = Asked(change, owner, self.store.writes, reply)
+        writer.step(ChangesAsked(changes=(asked,)))
+
+    def take(self, owner: Owner, action: Any) -> None:
+        """Act on the first decision; later ones are dropped."""
+        if not owner.waiting:
+            return
+        owner.waiting = False
+        kind = action.decision.kind if isinstance(action, Decide) else None
+        if kind is not ClaimDecisionKind.NEW:
+            self.unsent.setdefault(owner.home, []).append(owner.attempt)
+            if kind is None:
+                self.release(owner)
+            return
+        late = self.now_s - owner.asked_s > ANSWER_S + CLAIM_GRACE_S
+        if late or self.rng.random() < 0.3:
+            self.unsent.setdefault(owner.home, []).append(owner.attempt)
+            self.release(owner)
+            return
+        self.send(owner)
+
+    def send(self, owner: Owner) -> None:
+        self.check_c3_durable_before_sent(owner)
+        owner.claimed_s = self.now_s
+        runs = self.executed.setdefault(owner.key, [])
+        runs.append(owner)
+        self.check_c4_runs_once(runs)
+        if self.rng.random() < 0.8:  # else its entry dies
+            body = owner.attempt.encode()
+            owner.answer = keep_answer(201, {}, body)
+            if self.rng.random() < 0.2:
+                owner.answer = None
+            for _ in range(self.rng.choice([1, 1, 2])):
+                self.ask(
+                    owner,
+                    ClaimOutcome(
+                        key=owner.key, attempt=owner.attempt, answer=owner.answer
+                    ),
+                )
+
+    def release(self, owner: Owner) -> None:
+        for _ in range(self.rng.choice([1, 1, 2])):
+            self.ask(owner, ClaimRelease(key=owner.key, attempt=owner.attempt))
+
+    def pick(self, accept: Callable[[Call], bool]) -> Call | None:
+        found = [call for call in self.calls if accept(call)]
+        return self.rng.choice(found) if found else None
+
+    def execute(self) -> None:
+        call = self.pick(lambda c: c.result is None)
+        if call is None:
+            return
+        action = call.action
+        if isinstance(action, ReadFirst):
+            call.result = FirstRead(op=action.op, first=self.store.first)
+        elif isinstance(action, ReadSegment):
+            version, segment = self.store.objects.get(action.number, (0, None))
+            call.result = SegmentRead(op=action.op, segment=segment, version=version)
+        else:
+            call.result = self.store.write(action)
+        if call.given_up:
+            self.calls.remove(call)
+
+    def answer(self) -> None:
+        call = self.pick(lambda c: c.result is not None)
+        if call is not None:
+            self.calls.remove(call)
+            self._reply(call, call.result)
+
+    def lose(self) -> None:
+        """Lose an answer; a request under way may still be executed later."""
+        call = self.pick(lambda c: not c.given_up)
+        if call is None:
+            return
+        call.given_up = True
+        is_write = isinstance(call.action, WriteSegment)
+        refused = call.result is None and self.rng.random() < 0.5
+        if call.result is not None or refused or not is_write:
+            self.calls.remove(call)
+        doubtful = is_write and not refused
+        event = WriteInDoubt if doubtful else CallFailed
+        self._reply(call, event(op=call.action.op))
+
+    def _reply(self, call: Call, event: Any) -> None:
+        if call.writer in self.writers:
+            call.writer.step(event)
+
+    def disturb(self) -> None:
+        if self.rng.random() < 0.3:
+            index = self.rng.randrange(3)
+            for call in self.calls:
+                call.given_up |= call.writer is self.writers[index]
+            self.calls = [c for c in self.calls if not c.given_up or c.result is None]
+            self.writers[index] = Writer(self)
+        else:
+            self.now_s += self.rng.choice(JUMPS_S)
+
+    def check_c3_durable_before_sent(self, owner: Owner) -> None:
+        """C3: a claim is in a segment that is read before its call is sent."""
+        if make_tag(owner.attempt) not in self.store.durable:
+            raise InvariantError(f"C3: {owner.attempt} was sent without its claim")
+
+    def check_c4_runs_once(self, runs: list[Owner]) -> None:
+        """C4: a key runs at most once within the retention period."""
+        if len(runs) > 1 and runs[-1].claimed_s - runs[-2].claimed_s < RETENTION_S:
+            raise InvariantError(f"C4: {runs[-1].key} ran twice")
+
+    def check_decision(self, asked: Asked, action: Any) -> None:
+        change, tag = asked.change, make_tag(asked.owner.attempt)
+        if not isinstance(change, ClaimRequest):
+            return
+        if isinstance(action, Decide):
+            self.check_c5_current(asked, action.decision.kind)
+            if action.decision.kind is ClaimDecisionKind.STORED:
+                self.check_c6_own_answer(change.key, action.decision.segment)
+        elif not action.in_doubt and asked.owner.copies == 1:
+            self.check_c7_refused_is_not_recorded(tag)
+            self.refused.add(tag)
+
+    def check_c5_current(self, asked: Asked, kind: ClaimDecisionKind) -> None:
+        """C5: a decision holds at some moment between the request and the answer."""
+        rows = self.store.timeline.get(asked.change.key, [])
+        before = [row for at, row in rows if at <= asked.since][-1:] or [None]
+        final = kind is ClaimDecisionKind.STORED
+        during = [row for at, row in rows if final or at > asked.since]
+        if not any(fits(row, asked.change, kind) for row in before + during):
+            raise InvariantError(f"C5: {kind} for {asked.change.key}")
+
+    def check_c6_own_answer(self, key: str, number: int) -> None:
+        """C6: a stored answer is that of the call that ran under the key."""
+        self.answered += 1
+        if number not in self.store.objects:
+            return  # as old as the retention period
+        answer = find_answer(self.store.objects[number][1], key)
+        if answer is None or answer not in [o.answer for o in self.executed[key]]:
+            raise InvariantError(f"C6: {answer} for {key}")
+
+    def check_c7_refused_is_not_recorded(self, tag: bytes) -> None:
+        """C7: a claim reported as certainly not recorded never is."""
+        if tag in self.store.durable:
+            raise InvariantError(f"C7: {tag!r} was recorded")
+
+    def check_c8_rebuild(self) -> None:
+        """C8: an index built from the segments knows what the writers decided on."""
+        for tag in self.refused:
+            self.check_c7_refused_is_not_recorded(tag)
+        log = ClaimLog(self.make_token, segment_bytes=SEGMENT_BYTES)
+        now_s = self.now_s
+        change = ClaimRequest(key="f" * 32, body_digest="", attempt=AttemptId("end"))
+        drive(log, self.store, [change], now_s)
+        for key, row in self.store.truth.items():
+            if now_s - row.claimed_s < RETENTION_S and log.index.get(key) != row:
+                raise InvariantError(f"C8: {log.index.get(key)} is not {row}")
+
+
+def fits(row: Any, request: Any, kind: ClaimDecisionKind) -> bool:
+    """Return whether a decision may follow from a state of the log."""
+    if row is None:
+        return kind is ClaimDecisionKind.NEW
+    if row.attempt == make_tag(request.attempt):
+        return kind in (ClaimDecisionKind.NEW, ClaimDecisionKind.UNKNOWN)
+    if row.state is ClaimState.RELEASED:
+        return kind is ClaimDecisionKind.NEW
+    if row.body != make_tag(request.body_digest):
+        return kind is ClaimDecisionKind.MISMATCH
+    return kind.value == {"claimed": "running", "completed": "stored"}.get(
+        row.state.value, "unknown"
+    )
+
+
+def drive(log: Any, store: LogStore, changes: list[Any], now_s: float) -> list[Any]:
+    """Carry out changes without faults and return their decisions."""
+    asked = [ChangeAsked(number=n, change=c) for n, c in enumerate(changes)]
+    events: list[Any] = [ChangesAsked(changes=tuple(asked))]
+    decided: dict[int, Any] = {}
+    while events:
+        for action in log.step(events.pop(0), now_s):
+            if isinstance(action, ReadFirst):
+                events.append(FirstRead(op=action.op, first=store.first))
+            elif isinstance(action, ReadSegment):
+                version, found = store.objects.get(action.number, (0, None))
+                events.append(SegmentRead(op=action.op, segment=found, version=version))
+            elif isinstance(action, WriteSegment):
+                events.append(store.write(action))
+            elif isinstance(action, Trim):
+                store.trim(action.first)
+            else:
+                assert isinstance(action, Decide), action
+                decided[action.number] = action.decision
+    return [decided[number] for number in range(len(changes))]
--- a/tests/request_simulation.py
+++ b/tests/request_simulation.py
@@ -12,21 +12,23 @@
     Violation,
 )
 from bramleyport.claims import (
+    CallFailed,
     ChangeAsked,
+    ChangesAsked,
     ClaimDecisionKind,
-    ClaimLedger,
+    ClaimLog,
     ClaimOutcome,
     ClaimRelease,
     ClaimRequest,
     Decide,
-    ReadShard,
-    Shard,
-    ShardConflict,
-    ShardFailed,
-    ShardInDoubt,
-    ShardRead,
-    ShardWritten,
-    WriteShard,
+    FirstRead,
+    ReadFirst,
+    ReadSegment,
+    SegmentConflict,
+    SegmentRead,
+    SegmentWritten,
+    WriteInDoubt,
+    WriteSegment,
     keep_answer,
 )
 from bramleyport.core import AttemptId, Execution
@@ -34,6 +36,9 @@
 from tests.simulation import InvariantError, Item, Process, World
 
 ANSWER_S = 20.0
+FORWARD_S = 1.0
+# A few entries, so that segments are sealed all the time.
+SEGMENT_BYTES = 1500
 RESUME_AFTER_S = 2.0
 GIVE_UP_S = 8.0
 
@@ -110,8 +115,19 @@
     body: list[bytes] = field(default_factory=list)
 
 
+@dataclass
+class Forward:
+    number: int
+    change: Any
+    deadline_s: float
+
+
 class Entry(Process):
-    """Claim keys, send each new call once and record how it ended."""
+    """Claim keys, send each new call once and record how it ended.
+
+    Changes go through the entry believed to write the log, and directly to the log
+    when that entry does not answer in time.
+    """
 
     def __init__(
         self,
@@ -123,7 +139,11 @@
         super().__init__(world, name)
         self.service = service
         self.make_assembler = make_assembler
-        self.ledger = ClaimLedger(world.make_token)
+        self.log = ClaimLog(world.make_token, segment_bytes=SEGMENT_BYTES)
+        self.writer: Process = self
+        self.forwards: dict[int, Forward] = {}
+        # What to do with the decision on each change given to the own log.
+        self.replies: dict[int, Callable[[Any], None]] = {}
         self.skew_s = world.rng.uniform(-30, 30)
         self.ids = AttemptIds(world.make_token())
         self.requests: dict[int, Request] = {}
@@ -145,6 +165,10 @@
         self._change(self.count, claim)
 
     def tick(self) -> None:
+        for number, forward in list(self.forwards.items()):
+            if self.world.now_s > forward.deadline_s:
+                del self.forwards[number]
+                self._write(forward.number, forward.change, in_doubt=True)
         for number, request in list(self.requests.items()):
             if request.sent is None:
                 continue
@@ -233,38 +257,83 @@
             raise InvariantError(f"I4: {attempt} got {body!r}")
 
     def _change(self, number: int, change: Any) -> None:
-        self._drive(ChangeAsked(number=number, change=change))
+        writer = self.writer
+        if writer is self or not isinstance(writer, Entry):
+            self._write(number, change, in_doubt=False)
+            return
+        self.count += 1
+        forward = self.count
+        deadline_s = self.world.now_s + FORWARD_S
+        self.forwards[forward] = Forward(number, change, deadline_s)
+
+        def deliver() -> None:
+            writer._log_change(change, lambda action: self._answer(forward, action))
+
+        self.world.net.append(Item(writer, deliver))
+
+    def _answer(self, number: int, action: Any) -> None:
+        """Send the decision on a forwarded change back to this entry."""
+
+        def deliver() -> None:
+            forward = self.forwards.pop(number, None)
+            if forward is None:
+                return  # late or repeated
+            if isinstance(action, Decide):
+                self._decide(forward.number, action, in_doubt=False)
+            else:
+                self._write(forward.number, forward.change, in_doubt=action.in_doubt)
+
+        self.world.net.append(Item(self, deliver))
+
+    def _write(self, number: int, change: Any, *, in_doubt: bool) -> None:
+        self._log_change(
+            change, lambda action: self._decide(number, action, in_doubt=in_doubt)
+        )
+
+    def _log_change(self, change: Any, reply: Callable[[Any], None]) -> None:
+        self.count += 1
+        self.replies[self.count] = reply
+        asked = ChangeAsked(number=self.count, change=change)
+        self._drive(ChangesAsked(changes=(asked,)))
 
     def _drive(self, event: Any) -> None:
         world = self.world
-        for action in self.ledger.step(event, world.now_s + self.skew_s):
-            if isinstance(action, ReadShard):
+        for action in self.log.step(event, world.now_s + self.skew_s):
+            if isinstance(action, ReadFirst):
+                self._drive(FirstRead(op=action.op, first=0))
+            elif isinstance(action, ReadSegment):
                 self.call(
-                    lambda: world.read("claims", "shard"),
-                    lambda r, op=action.op: self._drive(_shard_read(op, r)),
+                    lambda n=action.number: world.read("claims", f"segment-{n}"),
+                    lambda r, op=action.op: self._drive(_segment_read(op, r)),
                 )
-            elif isinstance(action, WriteShard):
+            elif isinstance(action, WriteSegment):
                 self.call(
                     lambda a=action: world.write(
-                        "claims", "shard", a.expected, a.shard
+                        "claims", f"segment-{a.number}", a.expected, a.segment
                     ),
-                    lambda r, op=action.op: self._drive(_shard_written(op, r)),
+                    lambda r, op=action.op: self._drive(_segment_written(op, r)),
                 )
-            elif action.number in self.requests:
-                self._decide(action)
+            else:
+                self.replies.pop(action.number)(action)
 
-    def _decide(self, action: Any) -> None:
-        request = self.requests[action.number]
+    def _decide(self, number: int, action: Any, *, in_doubt: bool) -> None:
+        request = self.requests.get(number)
+        if request is None:
+            return
+        claim = request.claim
         if not isinstance(action, Decide):
-            self.unsent.add(request.claim.attempt)
-            del self.requests[action.number]
+            self.unsent.add(claim.attempt)
+            del self.requests[number]
+            if in_doubt or action.in_doubt:
+                self._change(0, ClaimRelease(key=claim.key, attempt=claim.attempt))
         elif action.decision.kind is ClaimDecisionKind.NEW:
             request.sent, request.sent_s = self.ids.make(), self.world.now_s
             request.run = self.service.run_id
             request.assembler = self.make_assembler(request.sent)
             self._post(make_execute(request.sent, request.claim.key))
         else:
-            del self.requests[action.number]
+            self.unsent.add(claim.attempt)
+            del self.requests[number]
 
 
 def make_execute(attempt: AttemptId, key: str) -> Any:
@@ -278,14 +347,14 @@
     path: str
 
 
-def _shard_read(op: int, result: Any) -> Any:
+def _segment_read(op: int, result: Any) -> Any:
     if not isinstance(result, tuple):
-        return ShardFailed(op=op)
-    return ShardRead(op=op, shard=result[1] or Shard(), version=result[0])
+        return CallFailed(op=op)
+    return SegmentRead(op=op, segment=result[1], version=result[0])
 
 
-def _shard_written(op: int, result: Any) -> Any:
+def _segment_written(op: int, result: Any) -> Any:
     if isinstance(result, int):
-        return ShardWritten(op=op, version=result)
-    kinds = {"conflict": ShardConflict, "outage": ShardFailed}
-    return kinds.get(result, ShardInDoubt)(op=op)
+        return SegmentWritten(op=op, version=result)
+    kinds = {"conflict": SegmentConflict, "outage": CallFailed}
+    return kinds.get(result, WriteInDoubt)(op=op)
--- a/tests/test_keyed_calls.py
+++ b/tests/test_keyed_calls.py
@@ -211,5 +211,6 @@
 def age_claims(bench: Bench, by_s: float) -> None:
     for (kind, _), value in bench.store.store.objects.items():
         if kind == "claims":
-            for claim in value["spec"]["claims"].values():
-                claim["answer_by_s"] -= by_s
+            for row in value["spec"].get("entries", ()):
+                if row[0] == "claimed":
+                    row[5] -= by_s
--- a/tests/test_request_invariants.py
+++ b/tests/test_request_invariants.py
@@ -6,9 +6,9 @@
 from hypothesis import settings, strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, rule
 
-import bramleyport.claims._shard as shard_module
+import bramleyport.claims._decide as decide_module
 from bramleyport.answers import Assembler, AttemptLedger, Chunk
-from bramleyport.claims import ClaimDecisionKind, ClaimState, Decision
+from bramleyport.claims import ClaimDecisionKind, ClaimState, Decision, Verdict
 from bramleyport.core import Execution
 from tests.request_simulation import Entry, Service
 from tests.simulation import Faults, InvariantError, Item, World
@@ -66,6 +66,7 @@
         world.outage = rng.random() < 0.1
         world.processes[rng.randint(0, 3)].paused = rng.random() < 0.3
         cross_messages(world)
+        entry.writer = rng.choice(world.processes[1:])
         if rng.random() < 0.1:
             replace_entry(world, rng.randint(1, 3), parts)
         if rng.random() < 0.1:
@@ -109,6 +110,13 @@
         if len(self.world.processes) < 12:
             replace_entry(self.world, index, {})
 
+    @rule(index=st.integers(1, 3), writer=st.integers(1, 3))
+    def choose_writer(self, index: int, writer: int) -> None:
+        """Let an entry believe that another one, or itself, writes the log."""
+        entry = self.world.processes[index]
+        assert isinstance(entry, Entry)
+        entry.writer = self.world.processes[writer]
+
     @rule()
     def restart_agent(self) -> None:
         service = self.world.processes[0]
@@ -159,16 +167,11 @@
         return Execution.NOT_RUN
 
 
-def take_over_expired(
-    claims: Any, claim: Any, request: Any, now_s: float, room: int
-) -> Decision:
+def take_over_expired(request: Any, row: Any, now_s: float, *, full: bool) -> Verdict:
     """Take over a claim whose entry seems dead and run it again."""
-    if claim is None or (
-        claim.state is ClaimState.CLAIMED and now_s > claim.answer_by_s
-    ):
-        claims[request.key] = shard_module._make_claim(request, now_s)
-        return Decision(kind=ClaimDecisionKind.NEW)
-    return Decision(kind=ClaimDecisionKind.RUNNING)
+    if row is None or (row.state is ClaimState.CLAIMED and now_s > row.answer_by_s):
+        return decide_module._claim(request, now_s)
+    return Verdict(Decision(kind=ClaimDecisionKind.RUNNING))
 
 
 @pytest.mark.parametrize(
@@ -184,7 +187,7 @@
 
 def test_checker_i6_finds_broken_variant(monkeypatch: pytest.MonkeyPatch) -> None:
     """Guards against a checker that never fails."""
-    monkeypatch.setattr(shard_module, "_request", take_over_expired)
+    monkeypatch.setattr(decide_module, "_request", take_over_expired)
     with pytest.raises(InvariantError, match="I6"):
         for seed in range(100):
             disturb(build(World(seed)), {})
