Test claim forwarding over real sockets and between real processes

Cause: nothing tested keyed calls while the writer of their log is killed, silent, replaced or disputed.

Two checks run against broken variants.

--- /dev/null
+++ b/tests/test_claim_forwarding.py
@@ -0,0 +1,423 @@
+"""Guard keyed calls over real sockets while the writer of their log fails."""
+
+import asyncio
+from collections import Counter
+from collections.abc import Callable, Coroutine, Iterator
+from typing import Any
+
+import pytest
+from result import Err, Ok
+
+import bramleyport.claims._decide as decide_module
+from bramleyport.bench._claim_fleet import ClaimNode, start_nodes
+from bramleyport.claims import ClaimDecisionKind, Decision, choose_log, make_key
+from bramleyport.core import AccountId, ErrorCode, Execution, RequestId, ServiceName
+from bramleyport.daemons._claim_peers import AVOID_S, SILENT_S
+from bramleyport.daemons._keyed import KeyedCalls
+from bramleyport.standins import (
+    LOOPBACK,
+    ObjectApiStandin,
+    read_port,
+    serve_app,
+    stop_listening,
+)
+from bramleyport.wire import ClaimAction, ClaimDecision, ClaimForward, End
+from tests.test_claim_log import claim_again
+from tests.test_keyed_calls import CALL, make_work
+
+Run = Callable[[Coroutine[Any, Any, Any]], Any]
+
+
+class CountingDispatcher:
+    """Run each call at once and count the runs by request id."""
+
+    def __init__(self) -> None:
+        self.runs: Counter[str] = Counter()
+        self.delay_s = 0.0
+
+    def admit(self, work: Any) -> None:
+        return None
+
+    async def run(
+        self, work: Any, call: Any, on_chunk: Any, on_restart: Any = None
+    ) -> Any:
+        self.runs[work.request] += 1
+        await asyncio.sleep(self.delay_s)
+        await on_chunk(work.request.encode())
+        return Ok(End(attempt="a", total=1, digest=b"", status=201))  # type: ignore[arg-type]
+
+
+class Fleet:
+    def __init__(self) -> None:
+        self.store = ObjectApiStandin()
+        self.dispatcher = CountingDispatcher()
+        self.nodes: list[ClaimNode] = []
+        self.stopped: list[ClaimNode] = []
+        self.keyed: list[KeyedCalls] = []
+        self._port: Any = None
+
+    async def start(self, count: int = 3) -> None:
+        self._port = await serve_app(self.store.app, 0)
+        url = f"http://{LOOPBACK}:{read_port(self._port)}"
+        self.nodes = await start_nodes(count, url)
+        self.keyed = [KeyedCalls(n.claims, self.dispatcher) for n in self.nodes]  # type: ignore[arg-type]
+
+    async def stop(self) -> None:
+        for keyed in self.keyed:
+            await keyed.drain()
+        for node in self.nodes:
+            if node not in self.stopped:
+                await node.stop()
+        await stop_listening(self._port)
+
+    async def kill(self, index: int) -> None:
+        self.stopped.append(self.nodes[index])
+        await self.nodes[index].stop()
+
+    async def post(self, index: int, key: str, answer_s: float = 30.0) -> Any:
+        work = make_work(answer_s)
+        work = type(work)(**{**fields(work), "request": RequestId(key)})
+        return await self.keyed[index].run(key, work, CALL)
+
+    def find_keys(self, sender: int, writer: int, count: int = 6) -> list[str]:
+        """Return keys that one entry forwards to another."""
+        process = self.nodes[writer].process
+        found = []
+        for index in range(2000):
+            key = f"k-{index}"
+            scoped = make_key(AccountId("a"), ServiceName("orders"), key)
+            if self.nodes[sender].peers.choose(choose_log(scoped)) == process:
+                found.append(key)
+        return found[:count]
+
+    def count_appends(self) -> int:
+        return self.store.store.calls["put"]
+
+
+def fields(work: Any) -> dict[str, Any]:
+    return {name: getattr(work, name) for name in type(work).__dataclass_fields__}
+
+
+@pytest.fixture
+def fleet(run: Run) -> Iterator[Fleet]:
+    fleet = Fleet()
+    run(fleet.start())
+    yield fleet
+    run(fleet.stop())
+
+
+def check_answers(fleet: Fleet, keys: list[str], answers: list[Any]) -> None:
+    """Check that each key ran once and every answer is its own."""
+    for key, answer in zip(keys, answers, strict=True):
+        assert isinstance(answer, Ok), answer
+        assert answer.ok_value.body == key.encode()
+        assert fleet.dispatcher.runs[key] == 1
+
+
+async def post_all(fleet: Fleet, index: int, keys: list[str]) -> list[Any]:
+    return list(await asyncio.gather(*(fleet.post(index, key) for key in keys)))
+
+
+def intercept(node: ClaimNode, replace: Callable[[Any, Any], bool]) -> list[Any]:
+    """Drop the claim messages that a test names, and keep what was dropped."""
+    dropped: list[Any] = []
+
+    def handle(connection: Any, message: Any) -> None:
+        if replace(connection, message):
+            dropped.append((connection, message))
+        else:
+            node.peers.handle(connection, message)
+
+    node.hub.on_claims = handle
+    return dropped
+
+
+def test_changes_are_written_by_the_writer_alone(fleet: Fleet, run: Run) -> None:
+    """Guards against entries that write the log themselves without a need."""
+
+    async def check() -> None:
+        keys = fleet.find_keys(0, 1)
+        check_answers(fleet, keys, await post_all(fleet, 0, keys))
+        check_answers(fleet, keys, await post_all(fleet, 2, keys))
+        assert not fleet.nodes[0].claims._writers
+        assert not fleet.nodes[2].claims._writers
+
+    run(check())
+
+
+def test_repeat_through_another_entry_gets_the_running_answer(
+    fleet: Fleet, run: Run
+) -> None:
+    async def check() -> None:
+        fleet.dispatcher.delay_s = 0.7
+        keys = fleet.find_keys(0, 1, 2)
+        both = await asyncio.gather(
+            post_all(fleet, 0, keys), post_all(fleet, 2, keys), post_all(fleet, 1, keys)
+        )
+        for answers in both:
+            check_answers(fleet, keys, answers)
+
+    run(check())
+
+
+def test_killed_writer_is_replaced_by_direct_writes(fleet: Fleet, run: Run) -> None:
+    async def check() -> None:
+        keys = fleet.find_keys(0, 1)
+        check_answers(fleet, keys, await post_all(fleet, 0, keys))
+        await fleet.kill(1)
+        check_answers(fleet, keys, await post_all(fleet, 0, keys))
+        more = fleet.find_keys(0, 1, 12)[6:]
+        check_answers(fleet, more, await post_all(fleet, 0, more))
+        check_answers(fleet, more, await post_all(fleet, 2, more))
+
+    run(check())
+
+
+def test_writer_killed_with_claims_under_way(fleet: Fleet, run: Run) -> None:
+    """Guards against a second run of a claim that the dead writer recorded."""
+
+    async def check() -> None:
+        keys = fleet.find_keys(0, 1)
+        fleet.store.faults.delay_s = 0.1
+        calls = asyncio.ensure_future(post_all(fleet, 0, keys))
+        while not fleet.store.store.objects:
+            await asyncio.sleep(0.005)
+        await fleet.kill(1)
+        check_answers(fleet, keys, await calls)
+        check_answers(fleet, keys, await post_all(fleet, 2, keys))
+
+    run(check())
+
+
+def test_silent_writer_delays_a_call_once(fleet: Fleet, run: Run) -> None:
+    async def check() -> None:
+        dropped = intercept(fleet.nodes[1], lambda *_: True)
+        keys = fleet.find_keys(0, 1)
+        check_answers(fleet, keys, await post_all(fleet, 0, keys))
+        asked = len(dropped)
+        more = fleet.find_keys(0, 1, 12)[6:]
+        check_answers(fleet, more, await post_all(fleet, 0, more))
+        assert len(dropped) == asked  # not asked again for a while
+        # What the silent writer took in is carried out late, and changes nothing.
+        for connection, message in dropped:
+            fleet.nodes[1].peers.handle(connection, message)
+        check_answers(fleet, keys, await post_all(fleet, 1, keys))
+        check_answers(fleet, keys, await post_all(fleet, 2, keys))
+
+    run(check())
+
+
+@pytest.mark.parametrize("action", list(ClaimAction))
+def test_lost_decision_changes_nothing(
+    fleet: Fleet, run: Run, action: ClaimAction
+) -> None:
+    """Guards against a change that counts twice when only its decision is lost."""
+
+    async def check() -> None:
+        numbers: set[int] = set()
+
+        def note(connection: Any, message: Any) -> bool:
+            if isinstance(message, ClaimForward) and message.action is action:
+                numbers.add(message.number)
+            return False
+
+        intercept(fleet.nodes[1], note)
+        dropped = intercept(
+            fleet.nodes[0],
+            lambda _, m: isinstance(m, ClaimDecision) and m.number in numbers,
+        )
+        keys = fleet.find_keys(0, 1)
+        if action is ClaimAction.RELEASE:
+            fleet.dispatcher.admit = raise_fault  # type: ignore[method-assign]
+            for answer in await post_all(fleet, 0, keys):
+                assert answer.err_value.execution is Execution.NOT_RUN
+            fleet.dispatcher.admit = lambda work: None  # type: ignore[method-assign]
+        else:
+            check_answers(fleet, keys, await post_all(fleet, 0, keys))
+        await fleet.keyed[0].drain(2 * SILENT_S)
+        assert dropped
+        check_answers(fleet, keys, await post_all(fleet, 2, keys))
+        # Decisions that come late, and twice, find nobody waiting.
+        for connection, message in dropped * 2:
+            fleet.nodes[0].peers.handle(connection, message)
+
+    run(check())
+
+
+def test_late_claim_after_its_release_leaves_the_key_free(
+    fleet: Fleet, run: Run
+) -> None:
+    """Guards against a delayed message that claims a key for a call not run."""
+
+    async def check() -> None:
+        dropped = intercept(fleet.nodes[1], lambda *_: True)
+        (key,) = fleet.find_keys(0, 1, 1)
+        fleet.dispatcher.admit = raise_fault  # type: ignore[method-assign]
+        refused = await fleet.post(0, key)
+        assert refused.err_value.execution is Execution.NOT_RUN
+        assert not fleet.dispatcher.runs
+        await fleet.keyed[0].drain(2 * SILENT_S)
+        fleet.dispatcher.admit = lambda work: None  # type: ignore[method-assign]
+        for connection, message in dropped:
+            fleet.nodes[1].peers.handle(connection, message)
+        while fleet.nodes[1].peers._served:
+            await asyncio.sleep(0.01)
+        check_answers(fleet, [key], [await fleet.post(2, key, 1.0)])
+
+    run(check())
+
+
+def raise_fault(work: Any) -> None:
+    raise RuntimeError("fault before sending")
+
+
+def test_late_claim_check_finds_a_log_that_forgets_releases(
+    fleet: Fleet, run: Run, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a check of late claims that never fails."""
+    monkeypatch.setattr(decide_module, "_request", claim_again)
+    with pytest.raises(AssertionError):
+        test_late_claim_after_its_release_leaves_the_key_free(fleet, run)
+
+
+def test_check_finds_a_sender_that_claims_anew_after_silence(
+    fleet: Fleet, run: Run, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a check of lost decisions that never fails."""
+    write = fleet.nodes[0].claims.write
+
+    async def claim_anew(change: Any) -> Any:
+        await write(change)
+        return Ok(Decision(kind=ClaimDecisionKind.NEW))
+
+    async def check() -> None:
+        intercept(fleet.nodes[0], lambda _, m: isinstance(m, ClaimDecision))
+        keys = fleet.find_keys(0, 1, 2)
+        both = await asyncio.gather(post_all(fleet, 0, keys), post_all(fleet, 2, keys))
+        for answers in both:
+            check_answers(fleet, keys, answers)
+
+    run(check())
+    monkeypatch.setattr(fleet.nodes[0].claims, "write", claim_anew)
+    with pytest.raises(AssertionError):
+        run(check())
+
+
+def test_entries_that_disagree_about_the_writer(fleet: Fleet, run: Run) -> None:
+    async def check() -> None:
+        names = [node.process for node in fleet.nodes]
+        # Each believes in another one, and the last in itself.
+        for node, writer in zip(fleet.nodes, [names[1], names[2], None], strict=True):
+            node.peers.choose = lambda log, w=writer: w  # type: ignore[method-assign]
+        keys = [f"d-{index}" for index in range(8)]
+        fleet.dispatcher.delay_s = 0.05
+        answers = await asyncio.gather(
+            *(post_all(fleet, index, keys) for index in range(3))
+        )
+        for row in answers:
+            check_answers(fleet, keys, row)
+
+    run(check())
+
+
+def test_entries_that_name_each_other_as_the_writer(fleet: Fleet, run: Run) -> None:
+    """Guards against a change that is forwarded in a circle."""
+
+    async def check() -> None:
+        first, second = fleet.nodes[:2]
+        first.peers.choose = lambda log: second.process  # type: ignore[method-assign]
+        second.peers.choose = lambda log: first.process  # type: ignore[method-assign]
+        keys = [f"c-{index}" for index in range(6)]
+        both = await asyncio.gather(
+            post_all(fleet, 0, keys), post_all(fleet, 1, keys), post_all(fleet, 0, keys)
+        )
+        for row in both:
+            check_answers(fleet, keys, row)
+
+    run(check())
+
+
+def test_outage_refuses_forwarded_calls_at_once(fleet: Fleet, run: Run) -> None:
+    async def check() -> None:
+        keys = fleet.find_keys(0, 1)
+        fleet.store.faults.outage = True
+        for answer in await post_all(fleet, 0, keys):
+            assert isinstance(answer, Err)
+            assert answer.err_value.code is ErrorCode.STORE_UNAVAILABLE
+            assert answer.err_value.execution is Execution.NOT_RUN
+        assert not fleet.dispatcher.runs
+        fleet.store.faults.outage = False
+        check_answers(fleet, keys, await post_all(fleet, 2, keys))
+
+    run(check())
+
+
+def test_completed_call_is_never_reported_as_not_run(fleet: Fleet, run: Run) -> None:
+    """Guards against `not_run` for a repeat whose stored answer can't be read."""
+
+    async def check() -> None:
+        keys = fleet.find_keys(0, 1)
+        check_answers(fleet, keys, await post_all(fleet, 0, keys))
+        await fleet.keyed[0].drain()
+        fleet.store.faults.outage = True
+        for answer in await post_all(fleet, 0, keys):
+            assert isinstance(answer, Err)
+            assert answer.err_value.execution is Execution.COMPLETED
+
+    run(check())
+
+
+def test_lost_store_answers_behind_the_writer(fleet: Fleet, run: Run) -> None:
+    async def check() -> None:
+        keys = fleet.find_keys(0, 1, 10)
+        for index, key in enumerate(keys):
+            fleet.store.faults.lose_answers = index % 3
+            check_answers(fleet, [key], [await fleet.post(0, key)])
+        check_answers(fleet, keys, await post_all(fleet, 2, keys))
+
+    run(check())
+
+
+def test_link_to_a_writer_is_opened_on_request(run: Run) -> None:
+    """Guards against entries that write directly where no peer connection exists."""
+
+    async def check() -> None:
+        fleet = Fleet()
+        await fleet.start(8)
+        links = [node.hub.topology.links for node in fleet.nodes]  # type: ignore[union-attr]
+        names = [node.process for node in fleet.nodes]
+        sender, writer = next(
+            (one, other)
+            for one in range(8)
+            for other in range(8)
+            if names[other] not in links[one]
+            and names[one] not in links[other]
+            and fleet.find_keys(one, other, 1)
+        )
+        keys = fleet.find_keys(sender, writer, 2)
+        check_answers(fleet, keys, await post_all(fleet, sender, keys))
+        assert not fleet.nodes[sender].claims._writers
+        assert fleet.nodes[writer].claims._writers
+        await fleet.stop()
+
+    run(check())
+
+
+def test_avoided_writer_is_asked_again(
+    fleet: Fleet, run: Run, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a writer that is given up for good after one silence."""
+
+    async def check() -> None:
+        intercept(fleet.nodes[1], lambda *_: True)
+        keys = fleet.find_keys(0, 1, 4)
+        check_answers(fleet, keys[:2], await post_all(fleet, 0, keys[:2]))
+        assert fleet.nodes[0].peers._avoid_s
+        fleet.nodes[1].hub.on_claims = fleet.nodes[1].peers.handle
+        for process in fleet.nodes[0].peers._avoid_s:
+            fleet.nodes[0].peers._avoid_s[process] -= AVOID_S
+        before = set(fleet.nodes[1].claims._writers)
+        check_answers(fleet, keys[2:], await post_all(fleet, 0, keys[2:]))
+        assert set(fleet.nodes[1].claims._writers) - before
+
+    run(check())
--- a/tests/test_real_processes.py
+++ b/tests/test_real_processes.py
@@ -97,3 +97,46 @@
             assert len(fleet.plain.postings) == len(set(fleet.plain.postings))
 
     run(check())
+
+
+def test_frozen_writer_of_claims_loses_and_repeats_no_order(
+    run: Run, tmp_path: Path
+) -> None:
+    """Guards against a writer that wakes up and repeats what others have written."""
+
+    async def check() -> None:
+        async with run_fleet(tmp_path) as fleet:
+            keys = [f"order-{n}" for n in range(8)]
+            half = [fleet.post_order("entry-0", key) for key in keys[:4]]
+            answers = list(await asyncio.gather(*half))
+            fleet.send_signal("entry-1", signal.SIGSTOP)
+            rest = [fleet.post_order("entry-0", key) for key in keys]
+            answers += await asyncio.gather(*rest)
+            fleet.send_signal("entry-1", signal.SIGCONT)
+            repeats = [fleet.post_order("entry-1", key) for key in keys]
+            answers += await asyncio.gather(*repeats)
+            assert [answer.status for answer in answers] == [201] * 20
+            assert sorted(fleet.plain.postings) == keys
+
+    run(check())
+
+
+def test_killed_writer_of_claims_loses_and_repeats_no_order(
+    run: Run, tmp_path: Path
+) -> None:
+    async def check() -> None:
+        async with run_fleet(tmp_path) as fleet:
+            keys = [f"order-{n}" for n in range(8)]
+            calls = [
+                asyncio.ensure_future(fleet.post_order("entry-0", key)) for key in keys
+            ]
+            while not fleet.plain.postings:
+                await asyncio.sleep(0.005)
+            fleet.send_signal("entry-1", signal.SIGKILL)
+            answers = list(await asyncio.gather(*calls))
+            repeats = [fleet.post_order("entry-0", key) for key in keys]
+            answers += await asyncio.gather(*repeats)
+            assert [answer.status for answer in answers] == [201] * 16
+            assert sorted(fleet.plain.postings) == keys
+
+    run(check())
