--- a/bramleyport/claims/_index.py
+++ b/bramleyport/claims/_index.py
@@ -45,16 +45,9 @@
 
     def __init__(self) -> None:
         self._parts = [_Part() for _ in range(PARTS)]
-
-    @property
-    def count(self) -> int:
-        """Return how many claims are held, expired ones included."""
-        return sum(part.count for part in self._parts)
-
-    @property
-    def bytes_held(self) -> int:
-        """Return the size of the arrays."""
-        return sum(len(part.table) for part in self._parts)
+        # How many claims are held, expired ones included, and the size of the arrays.
+        self.count = 0
+        self.bytes_held = sum(len(part.table) for part in self._parts)
 
     def get(self, key: str) -> ClaimRow | None:
         """Return the claim of a key, expired or not."""
@@ -67,12 +60,18 @@
         part = self._parts[digest[-1] % PARTS]
         row = apply_entry(part.get(digest), entry, segment)
         if row is not None:
+            self.count -= part.count
+            self.bytes_held -= len(part.table)
             part.put(digest, row, now_s)
+            self.count += part.count
+            self.bytes_held += len(part.table)
 
     def drop_expired(self, now_s: float) -> None:
         """Forget the claims that have outlived their retention."""
         for part in self._parts:
             part.rebuild(now_s)
+        self.count = sum(part.count for part in self._parts)
+        self.bytes_held = sum(len(part.table) for part in self._parts)
 
 
 def apply_entry(
--- a/bramleyport/claims/_log.py
+++ b/bramleyport/claims/_log.py
@@ -216,7 +216,8 @@
         assert self._number is not None
         for entry in segment.entries[len(self._head.entries) :]:
             self.index.apply(entry, self._number, now_s)
-            self._head_bytes += entry.count_bytes()
+            if segment.sealed_s is None:  # nothing is added to a sealed one
+                self._head_bytes += entry.count_bytes()
         self._head, self._version = segment, version
 
     def _advance(self, sealed_s: float, *, may_create: bool) -> None:
