--- a/bramleyport/claims/_index.py
+++ b/bramleyport/claims/_index.py
@@ -2,7 +2,6 @@
 
 import hashlib
 import struct
-from collections.abc import Iterator
 from dataclasses import dataclass, replace
 from typing import Final
 
@@ -12,6 +11,9 @@
 # Key, state, tags of attempt and body, segment, times. A dict of objects would take
 # about six times as many bytes.
 _ROW: Final = struct.Struct(">16sB8s8sIdd")
+_STATE_AT: Final = 16
+_CLAIMED: Final = struct.Struct(">d")
+_CLAIMED_AT: Final = 37
 _STATES: Final = (None, *ClaimState)
 _CODES: Final = {state: code for code, state in enumerate(_STATES)}
 MIN_SLOTS: Final = 8
@@ -34,7 +36,12 @@
 
     def is_expired(self, now_s: float) -> bool:
         """Return whether the claim may be forgotten."""
-        return now_s - self.claimed_s >= RETENTION_S + CLOCK_SKEW_S
+        return has_expired(self.claimed_s, now_s)
+
+
+def has_expired(claimed_s: float, now_s: float) -> bool:
+    """Return whether a claim of this time has outlived its retention."""
+    return now_s - claimed_s >= RETENTION_S + CLOCK_SKEW_S
 
 
 class ClaimIndex:
@@ -110,7 +117,7 @@
 
     def put(self, digest: bytes, row: ClaimRow, now_s: float) -> None:
         at = self._find(digest)
-        if not self.table[at + 16]:
+        if not self.table[at + _STATE_AT]:
             if self.count + 1 > self._slots * MAX_FILL:
                 self.rebuild(now_s)
                 at = self._find(digest)
@@ -118,14 +125,19 @@
         self._write(at, digest, row)
 
     def rebuild(self, now_s: float) -> None:
-        old = self.table
-        kept = sum(not row.is_expired(now_s) for _, row in _iterate(old))
-        self._slots = max(MIN_SLOTS, int((kept + 1) / NEW_FILL) + 1)
-        self.table = bytearray(self._slots * _ROW.size)
-        self.count = kept
-        for digest, row in _iterate(old):
-            if not row.is_expired(now_s):
-                self._write(self._find(digest), digest, row)
+        old, size = self.table, _ROW.size
+        kept = [
+            bytes(old[at : at + size])
+            for at in range(0, len(old), size)
+            if old[at + _STATE_AT]
+            and not has_expired(_CLAIMED.unpack_from(old, at + _CLAIMED_AT)[0], now_s)
+        ]
+        self._slots = max(MIN_SLOTS, int((len(kept) + 1) / NEW_FILL) + 1)
+        self.table = bytearray(self._slots * size)
+        self.count = len(kept)
+        for raw in kept:
+            at = self._find(raw[:_STATE_AT])
+            self.table[at : at + size] = raw
 
     def _write(self, at: int, digest: bytes, row: ClaimRow) -> None:
         _ROW.pack_into(
@@ -146,17 +158,11 @@
         slot = int.from_bytes(digest[:8], "big") % self._slots
         while True:
             at = slot * size
-            if not table[at + 16] or table[at : at + 16] == digest:
+            if not table[at + _STATE_AT] or table[at : at + _STATE_AT] == digest:
                 return at
             slot = (slot + 1) % self._slots
 
 
-def _iterate(table: bytearray) -> Iterator[tuple[bytes, ClaimRow]]:
-    for digest, code, *rest in _ROW.iter_unpack(table):
-        if code:
-            yield digest, _make_row(code, *rest)
-
-
 def _make_row(
     code: int,
     attempt: bytes,
