Test slow writers, hanging stores and late decisions of claims

Cause: three rules of forwarding had no test: a writer that reports that it is at work, a writer whose store hangs, and a claim decided after its deadline. Change: one test for each.

--- a/tests/test_claim_forwarding.py
+++ b/tests/test_claim_forwarding.py
@@ -21,7 +21,7 @@
     serve_app,
     stop_listening,
 )
-from bramleyport.wire import ClaimAction, ClaimDecision, ClaimForward, End
+from bramleyport.wire import ClaimAction, ClaimDecision, ClaimForward, ClaimReply, End
 from tests.test_claim_log import claim_again
 from tests.test_keyed_calls import CALL, make_work
 
@@ -421,3 +421,46 @@
         assert set(fleet.nodes[1].claims._writers) - before
 
     run(check())
+
+
+def test_slow_writer_that_reports_is_waited_for(fleet: Fleet, run: Run) -> None:
+    """Guards against every sender loading a log while its writer still loads it."""
+
+    async def check() -> None:
+        fleet.store.faults.delay_s = 0.6  # the first claim of a log takes five calls
+        keys = fleet.find_keys(0, 1, 2)
+        check_answers(fleet, keys, await post_all(fleet, 0, keys))
+        assert not fleet.nodes[0].claims._writers
+
+    run(check())
+
+
+def test_writer_whose_store_hangs_is_not_followed_by_a_direct_write(
+    fleet: Fleet, run: Run
+) -> None:
+    """Guards against a refusal that takes as long again as the writer's own."""
+
+    async def fail(connection: Any, number: int) -> None:
+        for _ in range(3):
+            connection.post(ClaimDecision(number=number, reply=ClaimReply.PENDING))
+            await asyncio.sleep(0.5)
+        connection.post(
+            ClaimDecision(number=number, reply=ClaimReply.FAILED, in_doubt=True)
+        )
+
+    async def check() -> None:
+        failing: list[Any] = []
+
+        def reply(connection: Any, message: Any) -> None:
+            failing.append(asyncio.ensure_future(fail(connection, message.number)))
+
+        fleet.nodes[1].hub.on_claims = reply
+        (key,) = fleet.find_keys(0, 1, 1)
+        answer = await fleet.post(0, key)
+        assert answer.err_value.execution is Execution.NOT_RUN
+        assert not fleet.dispatcher.runs
+        assert not fleet.nodes[0].claims._writers
+        fleet.nodes[1].hub.on_claims = fleet.nodes[1].peers.handle
+        check_answers(fleet, [key], [await fleet.post(0, key)])
+
+    run(check())
--- a/tests/test_keyed_calls.py
+++ b/tests/test_keyed_calls.py
@@ -7,6 +7,7 @@
 import pytest
 from result import Err, Ok
 
+from bramleyport.claims import CLAIM_GRACE_S
 from bramleyport.core import (
     AccountId,
     ErrorCode,
@@ -208,6 +209,26 @@
     assert bench.dispatcher.runs == 1
 
 
+def test_claim_decided_long_after_the_deadline_is_not_sent(
+    bench: Bench, run: Run
+) -> None:
+    """Guards against an entry that wakes up when the log has forgotten its claim."""
+
+    async def scenario() -> tuple[Any, Any]:
+        bench.dispatcher.release.set()
+        entry = bench.make_entry()
+        late = await entry.run("k", make_work(-CLAIM_GRACE_S - 1.0), CALL)
+        runs = bench.dispatcher.runs
+        assert runs == 0
+        await entry.drain()
+        return late, await repeat(bench)
+
+    late, again = run(scenario())
+    assert late.err_value.execution is Execution.NOT_RUN
+    assert isinstance(again, Ok)
+    assert bench.dispatcher.runs == 1
+
+
 def age_claims(bench: Bench, by_s: float) -> None:
     for (kind, _), value in bench.store.store.objects.items():
         if kind == "claims":
