--- a/bramleyport/wire/__init__.py
+++ b/bramleyport/wire/__init__.py
@@ -1,5 +1,11 @@
 """Protocol between the system's processes: messages, codec, handshake, session."""
 
+from bramleyport.wire._claim_messages import (
+    ClaimAction,
+    ClaimDecision,
+    ClaimForward,
+    ClaimReply,
+)
 from bramleyport.wire._codec import decode, decode_all, encode, join_batch
 from bramleyport.wire._compact import BATCH_VERSION
 from bramleyport.wire._handshake import (
@@ -25,8 +31,6 @@
     CacheReport,
     CacheRequest,
     Cancel,
-    ClaimDecision,
-    ClaimForward,
     Counts,
     End,
     Execute,
@@ -77,8 +81,10 @@
     "CacheReport",
     "CacheRequest",
     "Cancel",
+    "ClaimAction",
     "ClaimDecision",
     "ClaimForward",
+    "ClaimReply",
     "CloseSilent",
     "Counts",
     "End",
--- a/bramleyport/wire/_messages.py
+++ b/bramleyport/wire/_messages.py
@@ -371,24 +371,3 @@
     services: tuple[ServiceCounts, ...] = ()
     cases: tuple[RequestCase, ...] = ()
     lagging: tuple[LaggingProcess, ...] = ()
-
-
-@message("claim_forward")
-@dataclass(frozen=True, slots=True, kw_only=True)
-class ClaimForward(Message):
-    """Ask the writer of a claim shard to record a claim."""
-
-    shard: int
-    key: bytes
-    body_digest: bytes
-    attempt: AttemptId
-
-
-@message("claim_decision")
-@dataclass(frozen=True, slots=True, kw_only=True)
-class ClaimDecision(Message):
-    """Answer a forwarded claim."""
-
-    key: bytes
-    attempt: AttemptId
-    decision: str
