Send counts and claims only to peers that know them

Cause: an entry of protocol version 1 closes the connection on the tags of counts and forwarded claims, so a rolling update would have cut connections between entries at every count.

Change: messages between entries use connections of version 2 or later; otherwise counts are held back and claims are written directly, as with a peer that can't be reached.

--- a/bramleyport/daemons/_hub.py
+++ b/bramleyport/daemons/_hub.py
@@ -30,6 +30,7 @@
 from bramleyport.telemetry import events, log_event, membership_events
 from bramleyport.transport import Connection, Identity
 from bramleyport.wire import (
+    ENTRY_MESSAGES_VERSION,
     ClaimDecision,
     ClaimForward,
     Counts,
@@ -195,9 +196,10 @@
                     await connection.flush()
 
     def find_connection(self, process: ProcessId) -> Connection | None:
-        """Return the newest connection to a peer that is not silent."""
+        """Return the newest connection that carries messages between entries."""
         for connection in reversed(self._connections.get(process, [])):
-            if not connection.suspect:
+            usable = connection.version >= ENTRY_MESSAGES_VERSION
+            if usable and not connection.suspect:
                 return connection
         return None
 
--- a/bramleyport/wire/__init__.py
+++ b/bramleyport/wire/__init__.py
@@ -23,6 +23,7 @@
 )
 from bramleyport.wire._load import pack_load, unpack_load
 from bramleyport.wire._messages import (
+    ENTRY_MESSAGES_VERSION,
     MESSAGES,
     PROTOCOL_MAX,
     PROTOCOL_MIN,
@@ -69,6 +70,7 @@
 
 __all__ = [
     "BATCH_VERSION",
+    "ENTRY_MESSAGES_VERSION",
     "MAX_DEPTH",
     "MAX_FRAME_BYTES",
     "MAX_ITEMS",
--- a/bramleyport/wire/_messages.py
+++ b/bramleyport/wire/_messages.py
@@ -25,6 +25,9 @@
 
 PROTOCOL_MIN: Final = 1
 PROTOCOL_MAX: Final = 2
+# Counts and changes of claims are sent from this version on: an older peer closes the
+# connection on a tag that it does not know.
+ENTRY_MESSAGES_VERSION: Final = 2
 
 MESSAGES: Final[dict[str, type["Message"]]] = {}
 
--- a/tests/test_claim_forwarding.py
+++ b/tests/test_claim_forwarding.py
@@ -21,7 +21,15 @@
     serve_app,
     stop_listening,
 )
-from bramleyport.wire import ClaimAction, ClaimDecision, ClaimForward, ClaimReply, End
+from bramleyport.transport import _endpoint
+from bramleyport.wire import (
+    PROTOCOL_MIN,
+    ClaimAction,
+    ClaimDecision,
+    ClaimForward,
+    ClaimReply,
+    End,
+)
 from tests.test_claim_log import claim_again
 from tests.test_keyed_calls import CALL, make_work
 
@@ -145,6 +153,24 @@
     run(check())
 
 
+def test_peers_of_an_older_version_are_sent_no_claims(
+    run: Run, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards a rolling update: an old entry closes a connection on unknown tags."""
+
+    async def check() -> None:
+        monkeypatch.setattr(_endpoint, "PROTOCOL_MAX", PROTOCOL_MIN)
+        fleet = Fleet()
+        await fleet.start()
+        keys = fleet.find_keys(0, 1)
+        check_answers(fleet, keys, await post_all(fleet, 0, keys))
+        assert fleet.nodes[0].hub._connections
+        assert fleet.nodes[0].hub.find_connection(fleet.nodes[1].process) is None
+        await fleet.stop()
+
+    run(check())
+
+
 def test_repeat_through_another_entry_gets_the_running_answer(
     fleet: Fleet, run: Run
 ) -> None:
