Test the packed file without the packages of the development environment

Cause: the tests started the file with the environment's site directory, so that cryptography and orjson were loaded from there. A missing dependency would have gone unnoticed, and the entry seemed to take 63.9 MB of its 64 MB.

Change: the file is started with -S, as on a host that has Python alone; the memory limit stays as it is.

The file without the site directory takes 51.3 MB.

Measured resident sizes, with and without the site directory: entry 63.9 and 51.3 MB, language agent with metrics 58.6 and 45.9, plain agent 57.0 and 44.2. Conclusion: the file needs nothing beside Python, and memory is within its limit.

--- a/tests/test_packaging.py
+++ b/tests/test_packaging.py
@@ -87,7 +87,10 @@
     role = name.split("-")[0]
     environment = {"PATH": os.environ["PATH"], "TMPDIR": str(work), "HOME": str(work)}
     process = subprocess.Popen(
-        [sys.executable, "-I", str(program), role, str(path)],
+        # Without -S, packages of the development environment would be loaded, which a
+        # host lacks: a missing dependency would go unnoticed, and cryptography takes
+        # 12 MB.
+        [sys.executable, "-I", "-S", str(program), role, str(path)],
         cwd=work,
         env=environment,
         stderr=subprocess.DEVNULL,
