Check what callers are told of completed calls in the fault campaign

Cause: the claim log answers a repeat with the state completed when the answer can't be read back, which the checkers did not look at.

Change: an order reported as completed must have run once; one case each shows that the checker finds a violation and accepts what is promised.

--- a/tests/fault_campaign.py
+++ b/tests/fault_campaign.py
@@ -298,7 +298,9 @@
     told = order.executions
     if posted and not order.lost and not created and set(told) == {"not_run"}:
         found.append(f"I5: {order.key} was reported as not run and ran")
-    # An earlier answer stays true: what was completed is never reported as not run.
+    if "completed" in told and posted != 1:
+        found.append(f"I5: {order.key} was reported as completed and did not run")
+    # An earlier answer stays true.
     statuses = [a.status for a in order.answers]
     if 201 in statuses:
         after = order.answers[statuses.index(201) + 1 :]
--- a/tests/test_fault_campaign.py
+++ b/tests/test_fault_campaign.py
@@ -20,6 +20,7 @@
 
 POSTED = answer(201, posting=1)
 NOT_RUN = answer(503, execution="not_run")
+COMPLETED = answer(503, execution="completed")
 UNKNOWN = answer(503, execution="unknown")
 
 BROKEN = {
@@ -28,6 +29,7 @@
     "answer of another order": (Order("k", [POSTED]), ["other", "k"], "I4"),
     "answer of no order": (Order("k", [answer(201, posting=9)]), ["k"], "I4"),
     "two answers": (Order("k", [POSTED, answer(201, posting=2)]), ["k", "k"], "I4"),
+    "reported as completed": (Order("k", [COMPLETED]), [], "I5"),
     "reported as not run": (Order("k", [NOT_RUN, NOT_RUN]), ["k"], "I5"),
 }
 ALLOWED = {
@@ -35,6 +37,7 @@
     "lost connection": (Order("k", [NOT_RUN], lost=1), ["k"]),
     "unknown and ran": (Order("k", [UNKNOWN, NOT_RUN]), ["k"]),
     "unknown and did not run": (Order("k", [UNKNOWN]), []),
+    "completed, answer not kept": (Order("k", [COMPLETED]), ["k"]),
     "never run": (Order("k", [NOT_RUN]), []),
 }
 
