Report misses by rank and cause, and what an idle fleet could meet

Cause: the policy benchmark told which target was missed but not why, so the causes of urgent misses were known from one-off scripts only, and some of the misses could have been requests that no engine can meet.

Change: each run prints a table of missed requests by rank and cause (also in the JSON), and a column with the part of urgent requests that one idle mixed engine with every earlier prompt in its cache would answer in time. Slow answers are told apart by whether they would have been in time without the prefill chunks in their steps.

--- a/bramleyport/bench/_command.py
+++ b/bramleyport/bench/_command.py
@@ -54,7 +54,11 @@
     plot: str | None,
 ) -> None:
     """Run the decision modules on modelled engines under a virtual clock."""
-    from bramleyport.bench._policy_report import format_table, run_policy
+    from bramleyport.bench._policy_report import (
+        format_causes,
+        format_table,
+        run_policy,
+    )
 
     summaries = [
         run_policy(scenario, name, seed, int(scale))
@@ -64,7 +68,10 @@
     ]
     if plot:
         Path(plot).write_text(_plot(summaries))
-    click.echo(json.dumps(summaries, indent=1) if as_json else format_table(summaries))
+    if as_json:
+        click.echo(json.dumps(summaries, indent=1))
+    else:
+        click.echo(f"{format_table(summaries)}\n\n{format_causes(summaries)}")
 
 
 def _plot(summaries: Sequence[Mapping[str, Any]]) -> str:
--- a/bramleyport/bench/_policy_agent.py
+++ b/bramleyport/bench/_policy_agent.py
@@ -42,9 +42,6 @@
     sent_s: float
     decode_agent: "SimAgent | None" = None
     imported: bool = False
-    cached_tokens: int = 0
-    queued_s: float = 0.0
-    started_s: float = 0.0
 
 
 class SimAgent:
@@ -105,7 +102,7 @@
         if isinstance(decision, Refused):
             self._refuse(attempt, decision.explanation.reason, decision.retry_after_s)
             return
-        attempt.queued_s = now_s
+        attempt.run.queued_s = now_s
         self._waiting[attempt.attempt] = attempt
         self._start_queued()
 
@@ -192,10 +189,11 @@
         self._step()
 
     def _start(self, attempt: SimAttempt) -> None:
-        attempt.started_s = self._clock.now_s
+        run = attempt.run
+        run.started_s = self._clock.now_s
         self.running[attempt.attempt] = attempt
-        request = attempt.run.request
-        outputs = max(1, request.output_tokens - attempt.run.produced)
+        request = run.request
+        outputs = max(1, request.output_tokens - run.produced)
         if attempt.decode_agent is not None:
             outputs = 1
         job = EngineJob(
@@ -207,7 +205,7 @@
             imported=attempt.imported,
         )
         self.model.submit(job)
-        attempt.cached_tokens = job.cached_tokens
+        run.cached_tokens = job.cached_tokens
 
     def _step(self) -> None:
         if self._stepping or self.view.state is UpstreamState.GONE:
@@ -221,19 +219,23 @@
         self._stepping = False
         if self.view.state is UpstreamState.GONE:
             return
+        profile = self.model.profile
+        prefill_s = step.duration_s - profile.step_base_s
+        prefill_s -= profile.stream_step_s * len(step.produced)
         for job in step.produced:
-            self._count_token(self.running[AttemptId(job)])
+            self._count_token(self.running[AttemptId(job)], max(0.0, prefill_s))
         for job in step.finished:
             self._end_attempt(self.running.pop(AttemptId(job)))
         self._start_queued()
         self._change_when_idle()
 
-    def _count_token(self, attempt: SimAttempt) -> None:
+    def _count_token(self, attempt: SimAttempt, prefill_s: float) -> None:
         run, now_s = attempt.run, self._clock.now_s
         if run.first_s is None:
             run.first_s = now_s
         else:
             interval_s = now_s - run.last_s
+            run.beside_prefill_s += prefill_s
             self._recorder.count_gap(run.request.work.rank, interval_s)
             if run.produced > 1 or not attempt.imported:
                 self.queue.observe_interval(interval_s, now_s)
@@ -253,9 +255,9 @@
                 work=run.request.work,
                 upstream=self.view.upstream,
                 output_tokens=run.produced,
-                cached_tokens=attempt.cached_tokens,
-                wait_s=max(0.0, attempt.started_s - attempt.queued_s),
-                prefill_s=max(0.0, run.first_s - attempt.started_s),
+                cached_tokens=run.cached_tokens,
+                wait_s=max(0.0, run.started_s - run.queued_s),
+                prefill_s=max(0.0, run.first_s - run.started_s),
                 decode_s=now_s - run.first_s,
             )
             self._estimator.observe(observation)
@@ -277,9 +279,11 @@
 
     def _refuse(self, attempt: SimAttempt, reason: str, retry_after_s: float) -> None:
         self._recorder.reasons[f"refused_{reason}"] += 1
+        attempt.run.last_refusal = reason
         self._fail(attempt, FailureKind.REFUSED, Execution.NOT_RUN, retry_after_s)
 
     def _break(self, attempt: SimAttempt) -> None:
+        attempt.run.last_refusal = None
         self._fail(attempt, FailureKind.DISCONNECTED, Execution.UNKNOWN, 0.0)
 
     def _fail(
--- a/bramleyport/bench/_policy_entry.py
+++ b/bramleyport/bench/_policy_entry.py
@@ -109,6 +109,7 @@
             self._recorder.counts["given_up"] += 1
             self._recorder.reasons[f"gave_up_{decision.explanation.reason}"] += 1
             run.result = "failed"
+            run.gave_up = decision.explanation.reason
             return
         self._recorder.counts["retried"] += 1
         self._send(run, self._choose(run))
--- a/bramleyport/bench/_policy_record.py
+++ b/bramleyport/bench/_policy_record.py
@@ -18,6 +18,15 @@
     last_s: float = 0.0
     produced: int = 0
     result: str = "open"
+    # The latest attempt that was not refused.
+    queued_s: float = 0.0
+    started_s: float = 0.0
+    cached_tokens: int = 0
+    # Prefill in the batch steps between its tokens.
+    beside_prefill_s: float = 0.0
+    # Why the last attempt was refused, if it was, and why no other one followed.
+    last_refusal: str | None = None
+    gave_up: str = ""
 
     def met_targets(self) -> bool:
         """Return whether the answer came within all targets of its rank."""
--- a/bramleyport/bench/_policy_report.py
+++ b/bramleyport/bench/_policy_report.py
@@ -7,6 +7,7 @@
 from typing import Any, Final
 
 from bramleyport.bench._policy_bound import SLOT_S, compute_bound
+from bramleyport.bench._policy_causes import count_causes, list_possible
 from bramleyport.bench._policy_record import Recorder, RequestRun
 from bramleyport.bench._policy_run import (
     POLICY_SETS,
@@ -43,6 +44,7 @@
         "ranks": {
             rank.value: _summarise_rank(recorder, rank, run.end_s)
             | {"retained": _measure_retained(run, rank, scale)}
+            | {"possible": _measure_possible(run, rank)}
             for rank in Rank
         },
         "role_changes": sum(changes.values()),
@@ -91,6 +93,7 @@
         "in_time": _divide(len(met), len(runs)),
         "in_time_of_admitted": _divide(len(met), len(admitted)),
         "missed": dict(sorted(missed.items())),
+        "causes": count_causes(runs, EngineProfile()),
         "in_time_tokens": _divide(sum(r.request.tokens for r in met), offered),
         "goodput_tokens_per_s": round(sum(r.request.tokens for r in met) / end_s, 1),
         "plain_in_time": _divide(sum(r.met_targets() for r in plain), len(plain)),
@@ -99,6 +102,18 @@
     }
 
 
+def _measure_possible(run: PolicyRun, rank: Rank) -> float | None:
+    """Return the part of a rank's requests that an idle fleet could meet."""
+    requests = [
+        r.work
+        for r in run.requests
+        if r.work.kind is ServiceKind.LANGUAGE and r.work.rank is rank
+    ]
+    possible = list_possible(run.requests, EngineProfile())
+    met = sum(work.request in possible for work in requests)
+    return _divide(met, len(requests))
+
+
 def _measure_retained(run: PolicyRun, rank: Rank, scale: int) -> float | None:
     """Return the part of its guaranteed share that a rank had in the overload.
 
@@ -169,6 +184,7 @@
     "goodput",
     "share",
     "urgent",
+    "urgent possible",
     "standard",
     "batch",
     "retained",
@@ -205,7 +221,10 @@
         summary["policies"],
         str(summary["goodput_tokens"]),
         f"{summary['goodput_share']:.3f}",
-        *(_format_share(ranks[rank.value]["in_time"]) for rank in Rank),
+        _format_share(ranks["urgent"]["in_time"]),
+        _format_share(ranks["urgent"]["possible"]),
+        _format_share(ranks["standard"]["in_time"]),
+        _format_share(ranks["batch"]["in_time"]),
         "/".join(_format_share(ranks[rank.value]["retained"]) for rank in Rank),
         join("first_token_s", 1),
         join("between_tokens_ms", 1),
@@ -218,3 +237,23 @@
 
 def _format_share(share: float | None) -> str:
     return "-" if share is None else f"{share:.3f}"
+
+
+def format_causes(summaries: Sequence[Mapping[str, Any]]) -> str:
+    """Return the missed requests by rank and cause as a Markdown table."""
+    columns = ("scenario", "policies", "rank", "requests", "missed", "causes")
+    rows = [columns, tuple("---" for _ in columns)]
+    for summary in summaries:
+        for name, rank in summary["ranks"].items():
+            causes = sorted(rank["causes"].items(), key=lambda item: -item[1])
+            rows.append(
+                (
+                    summary["scenario"],
+                    summary["policies"],
+                    name,
+                    str(rank["requests"]),
+                    str(sum(rank["causes"].values())),
+                    ", ".join(f"{cause} {count}" for cause, count in causes) or "-",
+                )
+            )
+    return "\n".join("| " + " | ".join(row) + " |" for row in rows)
--- a/tests/test_policy_bench.py
+++ b/tests/test_policy_bench.py
@@ -1,17 +1,25 @@
 """Guard the policy benchmark: repeatable runs, role changes and the bound."""
 
 import json
+from dataclasses import replace
 from xml.etree import ElementTree
 
 from click.testing import CliRunner
 
 from bramleyport.bench._command import bench
 from bramleyport.bench._policy_bound import SLOT_S, compute_bound
+from bramleyport.bench._policy_causes import (
+    MissCause,
+    count_causes,
+    find_cause,
+    list_possible,
+)
+from bramleyport.bench._policy_record import RequestRun
 from bramleyport.bench._policy_report import run_policy
 from bramleyport.bench._policy_run import POLICY_SETS, PolicyRun
 from bramleyport.bench._policy_scenario import SCENARIOS
 from bramleyport.bench._policy_traffic import Request, make_requests
-from bramleyport.core import ServiceKind
+from bramleyport.core import PrefixBlock, Rank, RequestId, ServiceKind
 from bramleyport.standins import EngineProfile
 
 NAMES = {
@@ -113,3 +121,52 @@
         ElementTree.parse(path).getroot().iter("{http://www.w3.org/2000/svg}polyline")
     )
     assert len(list(lines)) == 4
+
+
+def test_causes_add_up_to_the_missed_requests() -> None:
+    """A miss without a cause, or counted twice, would misdirect the tuning."""
+    for scenario in ("flood_both", "zone_lost"):
+        run = PolicyRun(SCENARIOS[scenario], POLICY_SETS["better"], 1, 1)
+        run.end_s = 200.0
+        recorder = run.run()
+        for rank in Rank:
+            runs = [r for r in recorder.runs if r.request.work.rank is rank]
+            missed = sum(not r.met_targets() for r in runs)
+            causes = count_causes(runs, EngineProfile())
+            assert sum(causes.values()) == missed
+            assert set(causes) <= {cause.value for cause in MissCause}
+
+
+def test_prompts_beyond_the_first_token_target_are_not_possible() -> None:
+    """A long uncached prompt is late on any engine and must not count as avoidable."""
+    request = list_language("steady", 1)[0]
+    targets = replace(request.work.targets, first_token_s=0.61, between_tokens_s=0.057)
+    blocks = tuple(PrefixBlock(bytes([index])) for index in range(6))
+    first, later = (
+        replace(
+            request,
+            work=replace(
+                request.work,
+                request=RequestId(name),
+                prompt_tokens=6000,
+                prefix_blocks=blocks,
+                targets=targets,
+            ),
+        )
+        for name in ("first", "later")
+    )
+    possible = list_possible([first, later], EngineProfile())
+    assert possible == {"later"}
+
+
+def test_slow_answers_beside_prefill_are_told_from_full_batches() -> None:
+    """The two causes need different remedies."""
+    request = list_language("steady", 1)[0]
+    targets = replace(request.work.targets, between_tokens_s=0.05, answer_s=60.0)
+    request = replace(request, work=replace(request.work, targets=targets))
+    run = RequestRun(request, result="completed", produced=11)
+    run.first_s = request.work.arrived_s
+    run.last_s = run.first_s + 0.6
+    assert find_cause(run, EngineProfile()) is MissCause.BETWEEN_BATCH
+    run.beside_prefill_s = 0.2
+    assert find_cause(run, EngineProfile()) is MissCause.BETWEEN_PREFILL
