Keep work in an upstream's view until a report counts it

Cause: a load report cleared all work sent to its upstream, also what was sent while the report was on its way. At a lag of 0.5 s and a report each second, half of the work just sent was missing from the forecasts, so urgent work was routed beside prefill.

Change: sent work is kept with its time, and a report drops only what was sent before it was taken. An entry counts at most 5 s of work against a report that an agent repeats.

Role changes as before.

--- a/bramleyport/bench/_policy_entry.py
+++ b/bramleyport/bench/_policy_entry.py
@@ -115,10 +115,10 @@
         self._send(run, self._choose(run))
 
     def apply_load(self, upstream: UpstreamId, load: EngineLoad) -> None:
-        """Take over a load report and count sent work from there."""
+        """Take over a load report and keep the work sent since it was taken."""
         view = self.views[upstream]
         view.load = load
-        view.sent = SentWork()
+        view.sent = view.sent.list_since(load.taken_s - NETWORK_S)
 
     def apply_state(self, source: UpstreamView) -> None:
         """Take over the state and the role of an upstream."""
@@ -182,7 +182,7 @@
         agent, decode_agent = route
         run.attempts += 1
         work = run.request.work
-        self.views[agent.view.upstream].sent.add(work)
+        self.views[agent.view.upstream].sent.add(work, self._clock.now_s)
         self._guard.start(agent.view.upstream)
         if decode_agent is not None:
             sent = self.views[decode_agent.view.upstream].sent
--- a/bramleyport/core/_views.py
+++ b/bramleyport/core/_views.py
@@ -54,10 +54,20 @@
     requests_by_rank: dict[Rank, int] = field(default_factory=dict)
     prefill_by_rank: dict[Rank, int] = field(default_factory=dict)
     decode_by_rank: dict[Rank, int] = field(default_factory=dict)
+    log: list[tuple[float, Work]] = field(default_factory=list)
 
-    def add(self, work: Work) -> None:
+    def list_since(self, at_s: float) -> "SentWork":
+        """Return the work that was sent after a report was taken."""
+        kept = SentWork()
+        for sent_s, work in self.log:
+            if sent_s > at_s:
+                kept.add(work, sent_s)
+        return kept
+
+    def add(self, work: Work, now_s: float) -> None:
         """Count one request by its prompt and its declared output limit."""
         rank = work.rank
+        self.log.append((now_s, work))
         self.requests += 1
         self.prefill_tokens += work.prompt_tokens
         self.decode_tokens += work.max_output_tokens
--- a/bramleyport/daemons/_peers.py
+++ b/bramleyport/daemons/_peers.py
@@ -4,6 +4,7 @@
 import time
 from collections.abc import Callable, Iterable
 from functools import partial
+from typing import Final
 
 from bramleyport.core import (
     AdapterName,
@@ -11,7 +12,6 @@
     ModelVersion,
     ProcessId,
     Revision,
-    SentWork,
     ServiceName,
     UpstreamId,
     UpstreamState,
@@ -39,6 +39,10 @@
     unpack_load,
 )
 
+# Older sent work is not added to a report that an agent repeats because it can't read
+# its engine; the agent itself counts that work by then.
+MAX_SENT_AGE_S: Final = 5.0
+
 
 class AgentLink:
     """Keep one agent connected and hold the view of its upstream."""
@@ -90,8 +94,11 @@
         """Take a load report and forget the work that it already counts."""
         if self.view is None:
             return
-        self.view.load = unpack_load(report, time.monotonic())
-        self.view.sent = SentWork()
+        now_s = time.monotonic()
+        self.view.load = unpack_load(report, now_s)
+        # An agent that can't read its engine repeats an old report.
+        since_s = max(self.view.load.taken_s, now_s - MAX_SENT_AGE_S)
+        self.view.sent = self.view.sent.list_since(since_s)
         # Load reports come steadily, so a lost request or answer is repeated.
         self.request_cache()
 
@@ -128,7 +135,7 @@
     def count_sent(self, work: Work) -> None:
         """Count work that no load report has shown yet."""
         if self.view is not None:
-            self.view.sent.add(work)
+            self.view.sent.add(work, time.monotonic())
 
 
 class AgentLinks:
--- a/tests/policy_model.py
+++ b/tests/policy_model.py
@@ -150,7 +150,7 @@
         if isinstance(self.admission.admit(work, [self.view], now_s), Rejected):
             self._count(work, "rejected")
             return
-        self.view.sent.add(work)
+        self.view.sent.add(work, work.arrived_s)
         estimate = self.estimator.estimate(work, self.view)
         attempt = AttemptId(work.request)
         item = QueuedWork(
--- a/tests/test_learned_estimator.py
+++ b/tests/test_learned_estimator.py
@@ -160,7 +160,7 @@
 def test_urgent_wait_ignores_less_urgent_work_sent_since_the_report() -> None:
     view = make_view()
     for _ in range(20):
-        view.sent.add(make_work(rank=Rank.BATCH))
+        view.sent.add(make_work(rank=Rank.BATCH), 0.0)
     estimator = LearnedEstimator()
     urgent = estimator.estimate(make_work(rank=Rank.URGENT), view)
     batch = estimator.estimate(make_work(rank=Rank.BATCH), view)
@@ -205,7 +205,7 @@
 
     @rule(rank=st.sampled_from(Rank))
     def send(self, rank: Rank) -> None:
-        self.view.sent.add(make_work(rank=rank))
+        self.view.sent.add(make_work(rank=rank), 0.0)
 
     @rule(
         kind=st.sampled_from(ServiceKind),
@@ -235,3 +235,14 @@
 
 TestEstimatorMachine = EstimatorMachine.TestCase
 TestEstimatorMachine.settings = settings(max_examples=60, stateful_step_count=30)
+
+
+def test_work_sent_after_a_report_was_taken_still_counts() -> None:
+    """A report in transit does not show work that was sent after it was taken."""
+    sent = SentWork()
+    sent.add(make_work(prompt_tokens=1000), 1.0)
+    sent.add(make_work(prompt_tokens=500, rank=Rank.URGENT), 2.0)
+    kept = sent.list_since(1.5)
+    assert (kept.requests, kept.prefill_tokens) == (1, 500)
+    assert kept.prefill_by_rank == {Rank.URGENT: 500}
+    assert kept.list_since(2.0) == SentWork()
