Hold back prefill that would make a running short answer late

Pacing acts on the mean time between tokens of all streams and follows within a second; a short answer is over by then.

Change: the queue counts for each running answer with a low output limit how much prefill it can bear. A start of a less urgent rank that exceeds it waits until the answer has ended. A rank that is owed service starts in any case, and an answer that is late already holds nothing back.

--- a/bramleyport/queueing/_ranked.py
+++ b/bramleyport/queueing/_ranked.py
@@ -9,6 +9,7 @@
 from bramleyport.core import AttemptId, Explanation, Rank, ServiceKind
 from bramleyport.queueing._accounts import Entry, FairAccounts
 from bramleyport.queueing._base import QUEUE_POLICIES, Queued, QueuedWork, Refused
+from bramleyport.queueing._fragile import FragileStreams
 from bramleyport.queueing._pacing import TokenPacing
 from bramleyport.queueing._shares import RankShares
 from bramleyport.queueing._usage import RecentUsage
@@ -45,6 +46,7 @@
         self._running: dict[AttemptId, Rank] = {}
         self._running_ranks = dict.fromkeys(Rank, 0)
         self._pacing = TokenPacing()
+        self._fragile = FragileStreams()
         self._held: list[Rank] = []
         self._prefill_until_s = dict.fromkeys(Rank, 0.0)
         self._last_urgent_s: float | None = None
@@ -104,6 +106,7 @@
     def finish(self, attempt: AttemptId, now_s: float) -> None:
         """Forget a running attempt that has ended."""
         self._advance(now_s)
+        self._fragile.finish(attempt)
         rank = self._running.pop(attempt, None)
         if rank is not None:
             self._running_ranks[rank] -= 1
@@ -170,6 +173,11 @@
             return True
         if reserved and rank is not Rank.URGENT:
             return False
+        following = self._ranks[rank].peek()
+        if following is not None and self._fragile.would_break(
+            rank, following.item.prefill_s
+        ):
+            return False
         prefill_s = self._prefill_until_s[rank] - now_s
         return not self._pacing.is_held(rank, self._running_ranks, prefill_s, now_s)
 
@@ -183,6 +191,8 @@
         self._shares.charge(rank, entry.cost_s, waiting, now_s)
         self._running[entry.item.attempt] = rank
         self._running_ranks[rank] += 1
+        pending_s = max(0.0, max(self._prefill_until_s.values()) - now_s)
+        self._fragile.start(entry.item, pending_s)
         self._count_prefill(rank, entry.item.prefill_s, now_s)
         numbers = {
             "owed_s": owed_s,
