Do not retry work that an agent found too late

Cause: an agent refuses or drops work that is late even if started at once.

Change: a failure carries the agent's reason, and the budget policy gives up without a retry for too_late and deadline. The bound on extra attempts and its test are unchanged.

--- a/bramleyport/bench/_policy_agent.py
+++ b/bramleyport/bench/_policy_agent.py
@@ -299,6 +299,7 @@
             execution=execution,
             frames_shown=attempt.run.produced,
             retry_after_s=retry_after_s,
+            reason=attempt.run.last_refusal or "",
         )
         attempt.entry.fail(attempt, failure)
 
--- a/bramleyport/daemons/_entry_attempt.py
+++ b/bramleyport/daemons/_entry_attempt.py
@@ -116,7 +116,10 @@
             return self._finish(message)
         if isinstance(message, Refused) and action == "not_run":
             return self.fail(
-                FailureKind.REFUSED, Execution.NOT_RUN, message.retry_after_s
+                FailureKind.REFUSED,
+                Execution.NOT_RUN,
+                message.retry_after_s,
+                message.reason,
             )
         if isinstance(message, Failed):
             # Frames that were received show that the attempt did run.
@@ -195,7 +198,11 @@
         )
 
     def fail(
-        self, kind: FailureKind, execution: Execution, retry_after_s: float = 0.0
+        self,
+        kind: FailureKind,
+        execution: Execution,
+        retry_after_s: float = 0.0,
+        reason: str = "",
     ) -> AttemptResult:
         """Return a failure of this attempt."""
         view = self.link.view
@@ -207,5 +214,6 @@
                 execution=execution,
                 frames_shown=self.frames_shown,
                 retry_after_s=retry_after_s,
+                reason=reason,
             )
         )
--- a/bramleyport/retries/_base.py
+++ b/bramleyport/retries/_base.py
@@ -26,6 +26,8 @@
     execution: Execution
     frames_shown: int = 0
     retry_after_s: float = 0.0
+    # The agent's reason for a refusal.
+    reason: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/bramleyport/retries/_budgeted.py
+++ b/bramleyport/retries/_budgeted.py
@@ -15,6 +15,9 @@
 # A fault that follows the request from upstream to upstream is the request's own.
 MAX_ATTEMPTS: Final = 4
 RETRY_AFTER_S: Final = 1.0
+# An agent refuses or drops with these what is late even if started at once. Retries of
+# such work were nearly all refused again and spent the budget of work in time.
+TOO_LATE_REASONS: Final = frozenset(("too_late", "deadline"))
 # Parts of the budget that a rank leaves to more urgent ones; without them a flood of
 # refused batch work left no retry for a single refused urgent request.
 RESERVED_PARTS: Final = {Rank.URGENT: 0.0, Rank.STANDARD: 1 / 3, Rank.BATCH: 2 / 3}
@@ -64,4 +67,6 @@
             return "deadline"
         if attempts >= MAX_ATTEMPTS:
             return "attempts_spent"
+        if failure.reason in TOO_LATE_REASONS:
+            return "too_late"
         return None
--- a/tests/test_retries.py
+++ b/tests/test_retries.py
@@ -236,3 +236,17 @@
     kept = {view.upstream for view in guard.screen(views, 6.0).views}
     assert silent not in kept
     assert other in kept
+
+
+def test_work_that_is_too_late_spends_no_retry() -> None:
+    """Retries of late work were refused again and left none for work in time."""
+    budget = RetryBudget()
+    policy = RETRY_POLICIES.create("budget", budget)
+    for reason in ("too_late", "deadline"):
+        decision = policy.next(1, WORK, replace(REFUSED, reason=reason), 0.0)
+        assert isinstance(decision, GiveUp)
+        assert decision.explanation.reason == "too_late"
+        assert decision.execution is Execution.NOT_RUN
+    assert budget.tokens == budget.burst
+    waiting = replace(REFUSED, reason="wait_too_long")
+    assert isinstance(policy.next(1, WORK, waiting, 0.0), RetryNow)
