Change no roles while the pool is in an overload

Cause: a flood of one rank moves the measured ratio beyond its noise, because the lengths of its answers are learnt only then.

Change: the ratio planner moves no engine while the present roles serve less than 0.8 of the demand. Floors of zones are still repaired.

--- a/bramleyport/planning/_ratio.py
+++ b/bramleyport/planning/_ratio.py
@@ -30,6 +30,8 @@
 
 # Spare capacity brings no more work in time.
 ENOUGH_FACTOR: Final = 1.0
+# Below this part of the demand the pool is in an overload, whatever its roles.
+OVERLOAD_FACTOR: Final = 0.8
 NOISE_BAND: Final = 2.0
 # A plan moves at most this part of the fleet, so that drained engines don't
 # displace more work than the others take over.
@@ -92,6 +94,9 @@
         # the benchmark floods lost 1 to 5 % of their goodput by it.
         if not trend.moved:
             return None
+        demand = trend.demand_at(trend.share, pool.costs)
+        if serve_factor(_count_mix(engines), demand, pool.costs) < OVERLOAD_FACTOR:
+            return None
         moving = sum(e.state is UpstreamState.CHANGING for e in engines)
         limit = max(1, int(len(engines) * MAX_MOVED_PART)) - moving
         best: _Move | None = None
--- a/tests/test_planning.py
+++ b/tests/test_planning.py
@@ -281,3 +281,15 @@
     costs = EngineCosts()
     factors = [serve_factor(Mix(mixed=n), demand, costs) for n in range(4, 12)]
     assert factors == sorted(factors)
+
+
+def test_swing_in_an_overload_changes_nothing() -> None:
+    """A change takes capacity, so in an overload it costs more work than it gains."""
+    shares = [0.2] * 12 + [0.8] * 12
+    engines = tuple(
+        make_engine(i, (ZONES[i % 3], EngineRole.MIXED, UpstreamState.LIVE, None, 0, 0))
+        for i in range(9)
+    )
+    for volume, changes in ((6.0, True), (14.0, False)):
+        pool = PoolState(engines=engines, demand=make_demand(shares, volume, 0.5))
+        assert bool(list_roles(make_plan(pool))) is changes
