--- a/bramleyport/bench/_policy_entry.py
+++ b/bramleyport/bench/_policy_entry.py
@@ -107,7 +107,8 @@
         attempt.imported = True
         attempt.upstream = decode.view.upstream
         self._guard.start(attempt.upstream)
-        self.views[attempt.upstream].sent.add(replace(work, prompt_tokens=0))
+        sent = replace(work, prompt_tokens=0)
+        self.views[attempt.upstream].sent.add(sent, self._clock.now_s)
         transfer_s = TRANSFER.forecast(work.prompt_tokens, KV_BYTES_PER_TOKEN)
         delay_s = 2 * NETWORK_S + transfer_s
         self._clock.call_later(delay_s, partial(decode.execute, attempt))
@@ -128,15 +129,16 @@
             self._recorder.counts["given_up"] += 1
             self._recorder.reasons[f"gave_up_{decision.explanation.reason}"] += 1
             run.result = "failed"
+            run.gave_up = decision.explanation.reason
             return
         self._recorder.counts["retried"] += 1
         self._send(run, self._choose(run))
 
     def apply_load(self, upstream: UpstreamId, load: EngineLoad) -> None:
-        """Take over a load report and count sent work from there."""
+        """Take over a load report and keep the work sent since it was taken."""
         view = self.views[upstream]
         view.load = load
-        view.sent = SentWork()
+        view.sent = view.sent.list_since(load.taken_s - NETWORK_S)
 
     def apply_state(self, source: UpstreamView) -> None:
         """Take over the state and the role of an upstream."""
@@ -203,7 +205,7 @@
         run.attempts += 1
         work = run.request.work
         sent = replace(work, max_output_tokens=0) if decode_agent else work
-        self.views[agent.view.upstream].sent.add(sent)
+        self.views[agent.view.upstream].sent.add(sent, self._clock.now_s)
         self._guard.start(agent.view.upstream)
         attempt = SimAttempt(
             attempt=AttemptId(f"{work.request}/{run.attempts}"),
--- a/bramleyport/retries/_base.py
+++ b/bramleyport/retries/_base.py
@@ -26,7 +26,7 @@
     execution: Execution
     frames_shown: int = 0
     retry_after_s: float = 0.0
-    # What the agent said, for explanations only.
+    # What the agent said of a refusal or a failure.
     reason: str = ""
 
 
