Share the loopback part of the in-process test fleets

Change: a base class serves stand-ins and lists hosts; the fleet of forwarding entries has a module of its own. No test changes.

--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -8,16 +8,13 @@
 from bramleyport.authority import EngineChange, OrderObject, Progress, read_order
 from bramleyport.composition import build_agent, build_entry
 from bramleyport.core import EngineRole, Explanation, UpstreamId
-from bramleyport.settings import AgentSettings, EntrySettings, ProcessSettings
+from bramleyport.settings import AgentSettings, EntrySettings
 from bramleyport.standins import (
     LOOPBACK,
     EngineProfile,
     EngineStandin,
-    ObjectApiStandin,
-    read_port,
-    serve_app,
-    stop_listening,
 )
+from tests.loopback import LoopbackFleet
 
 MODEL = "inspector-8b"
 RANK = {"first_token_s": 5.0, "between_tokens_s": 1.0, "answer_s": 60.0}
@@ -51,11 +48,11 @@
         )
 
 
-class Fleet:
+class Fleet(LoopbackFleet):
     def __init__(
         self, *, checks_fencing: bool = True, engines: int = 1, subset_size: int = 48
     ) -> None:
-        self.store = ObjectApiStandin()
+        super().__init__()
         self.engines = [
             EngineStandin(
                 (MODEL,),
@@ -68,17 +65,15 @@
         self.planner: Any = FixedPlanner()
         self.subset_size = subset_size
         self.metrics_port: int | None = None
-        self.agents: list[Any] = []
         self.entries: list[Any] = []
-        self._listening: list[Any] = []
         self._tasks: list[asyncio.Task[None]] = []
         self._urls: dict[str, str] = {}
 
     async def start(self, entries: int = 1) -> None:
         self.store.store.put("services", "inspections", {"spec": RECORD})
-        self._urls["store"] = await self._serve(self.store.app)
+        await self.serve_store()
         for index, engine in enumerate(self.engines):
-            self._urls[f"engine-{index}"] = await self._serve(engine.app)
+            self._urls[f"engine-{index}"] = await self.serve(engine.app)
             self._tasks.append(asyncio.ensure_future(engine.run()))
             await self.add_agent(f"agent-{index}", f"engine-{index}")
         for index in range(entries):
@@ -92,12 +87,11 @@
             await agent.stop()
         for task in self._tasks:
             task.cancel()
-        for listening in self._listening:
-            await stop_listening(listening)
+        await self.stop_serving()
 
     async def add_agent(self, name: str, upstream: str = "engine-0") -> Any:
         settings = AgentSettings(
-            process=self._make_process(name),
+            process=self.make_process(name),
             upstream=upstream,
             upstream_url=self._urls[upstream],
             pool=MODEL,
@@ -107,12 +101,12 @@
         agent = build_agent(settings)
         await agent.start()
         self.agents.append(agent)
-        self._list_hosts()
+        self.list_hosts()
         return agent
 
     async def add_entry(self, name: str) -> Any:
         settings = EntrySettings(
-            process=self._make_process(name),
+            process=self.make_process(name),
             http_port=0,
             subset_size=self.subset_size,
             drain_timeout_s=5.0,
@@ -148,39 +142,5 @@
             and found.state is not Progress.BEGUN
         )
 
-    @property
-    def store_url(self) -> str:
-        return self._urls["store"]
-
     def url(self, path: str) -> str:
         return f"http://{LOOPBACK}:{self.entries[0].port}{path}"
-
-    async def _serve(self, app: Any) -> str:
-        listening = await serve_app(app, 0)
-        self._listening.append(listening)
-        return f"http://{LOOPBACK}:{read_port(listening)}"
-
-    def _make_process(self, name: str) -> ProcessSettings:
-        return ProcessSettings(
-            process=name,
-            zone="lk-west-a",
-            region="lk-west",
-            address=LOOPBACK,
-            peer_port=0,
-            object_api=self._urls["store"],
-        )
-
-    def _list_hosts(self) -> None:
-        rows = [
-            {
-                "process": agent.settings.process.process,
-                "role": "agent",
-                "address": LOOPBACK,
-                "port": agent.port,
-                "zone": "lk-west-a",
-                "region": "lk-west",
-                "state": "live",
-            }
-            for agent in self.agents
-        ]
-        self.store.store.put("hosts", "current", {"spec": {"hosts": rows}})
--- /dev/null
+++ b/tests/loopback.py
@@ -0,0 +1,62 @@
+"""What the in-process fleets of the tests have in common."""
+
+from typing import Any
+
+from bramleyport.settings import ProcessSettings
+from bramleyport.standins import (
+    LOOPBACK,
+    ObjectApiStandin,
+    read_port,
+    serve_app,
+    stop_listening,
+)
+
+ZONE = "lk-west-a"
+REGION = "lk-west"
+
+
+class LoopbackFleet:
+    """Serve stand-ins on loopback and list the agents beside them."""
+
+    def __init__(self) -> None:
+        self.store = ObjectApiStandin()
+        self.agents: list[Any] = []
+        self.store_url = ""
+        self._listening: list[Any] = []
+
+    async def serve_store(self) -> None:
+        self.store_url = await self.serve(self.store.app)
+
+    async def serve(self, app: Any) -> str:
+        listening = await serve_app(app, 0)
+        self._listening.append(listening)
+        return f"http://{LOOPBACK}:{read_port(listening)}"
+
+    async def stop_serving(self) -> None:
+        for listening in self._listening:
+            await stop_listening(listening)
+
+    def make_process(self, name: str) -> ProcessSettings:
+        return ProcessSettings(
+            process=name,
+            zone=ZONE,
+            region=REGION,
+            address=LOOPBACK,
+            peer_port=0,
+            object_api=self.store_url,
+        )
+
+    def list_hosts(self) -> None:
+        rows = [
+            {
+                "process": agent.settings.process.process,
+                "role": "agent",
+                "address": LOOPBACK,
+                "port": agent.port,
+                "zone": ZONE,
+                "region": REGION,
+                "state": "live",
+            }
+            for agent in self.agents
+        ]
+        self.store.store.put("hosts", "current", {"spec": {"hosts": rows}})
--- a/tests/split_fleet.py
+++ b/tests/split_fleet.py
@@ -12,19 +12,15 @@
 from bramleyport.settings import (
     AgentSettings,
     EntrySettings,
-    ProcessSettings,
     TransferSettings,
 )
 from bramleyport.standins import (
     LOOPBACK,
     EngineProfile,
     EngineStandin,
-    ObjectApiStandin,
-    read_port,
-    serve_app,
-    stop_listening,
 )
 from tests.http_client import Answer, fetch
+from tests.loopback import LoopbackFleet
 
 MODEL = "inspector-8b"
 TOKENS = 12
@@ -57,32 +53,29 @@
         )
 
 
-class SplitFleet:
+class SplitFleet(LoopbackFleet):
     def __init__(self, *, forced: bool = True, capable: int = 3) -> None:
-        self.store = ObjectApiStandin()
+        super().__init__()
         profile = EngineProfile(prefill_tokens_per_s=80_000.0)
         self.engines = [
             EngineStandin((MODEL,), profile, checks_fencing=True) for _ in range(3)
         ]
-        self.agents: list[Any] = []
         self.entry: Any = None
         self.dead: list[Any] = []
         self._forced = forced
         self._capable = capable
-        self._listening: list[Any] = []
         self._tasks: list[asyncio.Task[None]] = []
-        self._store_url = ""
 
     async def start(self) -> None:
         self.store.store.put("services", "inspections", {"spec": RECORD})
-        self._store_url = await self._serve(self.store.app)
+        await self.serve_store()
         for index, engine in enumerate(self.engines):
             self._tasks.append(asyncio.ensure_future(engine.run()))
-            url = await self._serve(engine.app)
+            url = await self.serve(engine.app)
             if index < self._capable:
                 engine.kv_address = url
             settings = AgentSettings(
-                process=self._make_process(f"agent-{index}"),
+                process=self.make_process(f"agent-{index}"),
                 upstream=f"engine-{index}",
                 upstream_url=url,
                 load_interval_s=0.2,
@@ -91,9 +84,9 @@
             agent = build_agent(settings)
             await agent.start()
             self.agents.append(agent)
-        self._list_hosts()
+        self.list_hosts()
         settings = EntrySettings(
-            process=self._make_process("entry-0"),
+            process=self.make_process("entry-0"),
             http_port=0,
             kv_transfer=TransferSettings(bytes_per_s=1e12, overhead_s=0.001),
         )
@@ -110,8 +103,7 @@
                 await agent.stop()
         for task in self._tasks:
             task.cancel()
-        for listening in self._listening:
-            await stop_listening(listening)
+        await self.stop_serving()
 
     async def kill(self, index: int) -> None:
         """End an agent at once: no message, connections reset, work stopped."""
@@ -155,36 +147,6 @@
         open_streams = [s for s in streams if not (s.finished or s.cancelled)]
         return not (model.running or model.waiting or agent._running or open_streams)
 
-    async def _serve(self, app: Any) -> str:
-        listening = await serve_app(app, 0)
-        self._listening.append(listening)
-        return f"http://{LOOPBACK}:{read_port(listening)}"
-
-    def _make_process(self, name: str) -> ProcessSettings:
-        return ProcessSettings(
-            process=name,
-            zone="lk-west-a",
-            region="lk-west",
-            address=LOOPBACK,
-            peer_port=0,
-            object_api=self._store_url,
-        )
-
-    def _list_hosts(self) -> None:
-        rows = [
-            {
-                "process": agent.settings.process.process,
-                "role": "agent",
-                "address": LOOPBACK,
-                "port": agent.port,
-                "zone": "lk-west-a",
-                "region": "lk-west",
-                "state": "live",
-            }
-            for agent in self.agents
-        ]
-        self.store.store.put("hosts", "current", {"spec": {"hosts": rows}})
-
 
 async def wait_until(condition: Any) -> None:
     async with asyncio.timeout(30):
--- a/tests/test_claim_forwarding.py
+++ b/tests/test_claim_forwarding.py
@@ -1,7 +1,6 @@
 """Guard keyed calls over real sockets while the writer of their log fails."""
 
 import asyncio
-from collections import Counter
 from collections.abc import Callable, Coroutine, Iterator
 from typing import Any
 
@@ -9,18 +8,9 @@
 from result import Err, Ok
 
 import bramleyport.claims._decide as decide_module
-from bramleyport.bench._claim_fleet import ClaimNode, start_nodes
-from bramleyport.claims import ClaimDecisionKind, Decision, choose_log, make_key
-from bramleyport.core import AccountId, ErrorCode, Execution, RequestId, ServiceName
+from bramleyport.claims import ClaimDecisionKind, Decision
+from bramleyport.core import ErrorCode, Execution
 from bramleyport.daemons._claim_peers import AVOID_S, SILENT_S
-from bramleyport.daemons._keyed import KeyedCalls
-from bramleyport.standins import (
-    LOOPBACK,
-    ObjectApiStandin,
-    read_port,
-    serve_app,
-    stop_listening,
-)
 from bramleyport.transport import _endpoint
 from bramleyport.wire import (
     PROTOCOL_MIN,
@@ -28,119 +18,22 @@
     ClaimDecision,
     ClaimForward,
     ClaimReply,
-    End,
 )
+from tests.claim_fleet import ClaimFleet, check_answers, intercept, post_all
 from tests.test_claim_log import claim_again
-from tests.test_keyed_calls import CALL, make_work
 
 Run = Callable[[Coroutine[Any, Any, Any]], Any]
 
 
-class CountingDispatcher:
-    """Run each call at once and count the runs by request id."""
-
-    def __init__(self) -> None:
-        self.runs: Counter[str] = Counter()
-        self.delay_s = 0.0
-
-    def admit(self, work: Any) -> None:
-        return None
-
-    async def run(
-        self, work: Any, call: Any, on_chunk: Any, on_restart: Any = None
-    ) -> Any:
-        self.runs[work.request] += 1
-        await asyncio.sleep(self.delay_s)
-        await on_chunk(work.request.encode())
-        return Ok(End(attempt="a", total=1, digest=b"", status=201))  # type: ignore[arg-type]
-
-
-class Fleet:
-    def __init__(self) -> None:
-        self.store = ObjectApiStandin()
-        self.dispatcher = CountingDispatcher()
-        self.nodes: list[ClaimNode] = []
-        self.stopped: list[ClaimNode] = []
-        self.keyed: list[KeyedCalls] = []
-        self._port: Any = None
-
-    async def start(self, count: int = 3) -> None:
-        self._port = await serve_app(self.store.app, 0)
-        url = f"http://{LOOPBACK}:{read_port(self._port)}"
-        self.nodes = await start_nodes(count, url)
-        self.keyed = [KeyedCalls(n.claims, self.dispatcher) for n in self.nodes]  # type: ignore[arg-type]
-
-    async def stop(self) -> None:
-        for keyed in self.keyed:
-            await keyed.drain()
-        for node in self.nodes:
-            if node not in self.stopped:
-                await node.stop()
-        await stop_listening(self._port)
-
-    async def kill(self, index: int) -> None:
-        self.stopped.append(self.nodes[index])
-        await self.nodes[index].stop()
-
-    async def post(self, index: int, key: str, answer_s: float = 30.0) -> Any:
-        work = make_work(answer_s)
-        work = type(work)(**{**fields(work), "request": RequestId(key)})
-        return await self.keyed[index].run(key, work, CALL)
-
-    def find_keys(self, sender: int, writer: int, count: int = 6) -> list[str]:
-        """Return keys that one entry forwards to another."""
-        process = self.nodes[writer].process
-        found = []
-        for index in range(2000):
-            key = f"k-{index}"
-            scoped = make_key(AccountId("a"), ServiceName("orders"), key)
-            if self.nodes[sender].peers.choose(choose_log(scoped)) == process:
-                found.append(key)
-        return found[:count]
-
-    def count_appends(self) -> int:
-        return self.store.store.calls["put"]
-
-
-def fields(work: Any) -> dict[str, Any]:
-    return {name: getattr(work, name) for name in type(work).__dataclass_fields__}
-
-
 @pytest.fixture
-def fleet(run: Run) -> Iterator[Fleet]:
-    fleet = Fleet()
+def fleet(run: Run) -> Iterator[ClaimFleet]:
+    fleet = ClaimFleet()
     run(fleet.start())
     yield fleet
     run(fleet.stop())
 
 
-def check_answers(fleet: Fleet, keys: list[str], answers: list[Any]) -> None:
-    """Check that each key ran once and every answer is its own."""
-    for key, answer in zip(keys, answers, strict=True):
-        assert isinstance(answer, Ok), answer
-        assert answer.ok_value.body == key.encode()
-        assert fleet.dispatcher.runs[key] == 1
-
-
-async def post_all(fleet: Fleet, index: int, keys: list[str]) -> list[Any]:
-    return list(await asyncio.gather(*(fleet.post(index, key) for key in keys)))
-
-
-def intercept(node: ClaimNode, replace: Callable[[Any, Any], bool]) -> list[Any]:
-    """Drop the claim messages that a test names, and keep what was dropped."""
-    dropped: list[Any] = []
-
-    def handle(connection: Any, message: Any) -> None:
-        if replace(connection, message):
-            dropped.append((connection, message))
-        else:
-            node.peers.handle(connection, message)
-
-    node.hub.on_claims = handle
-    return dropped
-
-
-def test_changes_are_written_by_the_writer_alone(fleet: Fleet, run: Run) -> None:
+def test_changes_are_written_by_the_writer_alone(fleet: ClaimFleet, run: Run) -> None:
     """Guards against entries that write the log themselves without a need."""
 
     async def check() -> None:
@@ -160,7 +53,7 @@
 
     async def check() -> None:
         monkeypatch.setattr(_endpoint, "PROTOCOL_MAX", PROTOCOL_MIN)
-        fleet = Fleet()
+        fleet = ClaimFleet()
         await fleet.start()
         keys = fleet.find_keys(0, 1)
         check_answers(fleet, keys, await post_all(fleet, 0, keys))
@@ -172,7 +65,7 @@
 
 
 def test_repeat_through_another_entry_gets_the_running_answer(
-    fleet: Fleet, run: Run
+    fleet: ClaimFleet, run: Run
 ) -> None:
     async def check() -> None:
         fleet.dispatcher.delay_s = 0.7
@@ -186,7 +79,9 @@
     run(check())
 
 
-def test_killed_writer_is_replaced_by_direct_writes(fleet: Fleet, run: Run) -> None:
+def test_killed_writer_is_replaced_by_direct_writes(
+    fleet: ClaimFleet, run: Run
+) -> None:
     async def check() -> None:
         keys = fleet.find_keys(0, 1)
         check_answers(fleet, keys, await post_all(fleet, 0, keys))
@@ -199,7 +94,7 @@
     run(check())
 
 
-def test_writer_killed_with_claims_under_way(fleet: Fleet, run: Run) -> None:
+def test_writer_killed_with_claims_under_way(fleet: ClaimFleet, run: Run) -> None:
     """Guards against a second run of a claim that the dead writer recorded."""
 
     async def check() -> None:
@@ -215,7 +110,7 @@
     run(check())
 
 
-def test_silent_writer_delays_a_call_once(fleet: Fleet, run: Run) -> None:
+def test_silent_writer_delays_a_call_once(fleet: ClaimFleet, run: Run) -> None:
     async def check() -> None:
         dropped = intercept(fleet.nodes[1], lambda *_: True)
         keys = fleet.find_keys(0, 1)
@@ -235,7 +130,7 @@
 
 @pytest.mark.parametrize("action", list(ClaimAction))
 def test_lost_decision_changes_nothing(
-    fleet: Fleet, run: Run, action: ClaimAction
+    fleet: ClaimFleet, run: Run, action: ClaimAction
 ) -> None:
     """Guards against a change that counts twice when only its decision is lost."""
 
@@ -271,7 +166,7 @@
 
 
 def test_late_claim_after_its_release_leaves_the_key_free(
-    fleet: Fleet, run: Run
+    fleet: ClaimFleet, run: Run
 ) -> None:
     """Guards against a delayed message that claims a key for a call not run."""
 
@@ -298,7 +193,7 @@
 
 
 def test_late_claim_check_finds_a_log_that_forgets_releases(
-    fleet: Fleet, run: Run, monkeypatch: pytest.MonkeyPatch
+    fleet: ClaimFleet, run: Run, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """Guards against a check of late claims that never fails."""
     monkeypatch.setattr(decide_module, "_request", claim_again)
@@ -307,7 +202,7 @@
 
 
 def test_check_finds_a_sender_that_claims_anew_after_silence(
-    fleet: Fleet, run: Run, monkeypatch: pytest.MonkeyPatch
+    fleet: ClaimFleet, run: Run, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """Guards against a check of lost decisions that never fails."""
     write = fleet.nodes[0].claims.write
@@ -329,7 +224,7 @@
         run(check())
 
 
-def test_entries_that_disagree_about_the_writer(fleet: Fleet, run: Run) -> None:
+def test_entries_that_disagree_about_the_writer(fleet: ClaimFleet, run: Run) -> None:
     async def check() -> None:
         names = [node.process for node in fleet.nodes]
         # Each believes in another one, and the last in itself.
@@ -346,7 +241,9 @@
     run(check())
 
 
-def test_entries_that_name_each_other_as_the_writer(fleet: Fleet, run: Run) -> None:
+def test_entries_that_name_each_other_as_the_writer(
+    fleet: ClaimFleet, run: Run
+) -> None:
     """Guards against a change that is forwarded in a circle."""
 
     async def check() -> None:
@@ -363,7 +260,7 @@
     run(check())
 
 
-def test_outage_refuses_forwarded_calls_at_once(fleet: Fleet, run: Run) -> None:
+def test_outage_refuses_forwarded_calls_at_once(fleet: ClaimFleet, run: Run) -> None:
     async def check() -> None:
         keys = fleet.find_keys(0, 1)
         fleet.store.faults.outage = True
@@ -378,7 +275,9 @@
     run(check())
 
 
-def test_completed_call_is_never_reported_as_not_run(fleet: Fleet, run: Run) -> None:
+def test_completed_call_is_never_reported_as_not_run(
+    fleet: ClaimFleet, run: Run
+) -> None:
     """Guards against `not_run` for a repeat whose stored answer can't be read."""
 
     async def check() -> None:
@@ -393,7 +292,7 @@
     run(check())
 
 
-def test_lost_store_answers_behind_the_writer(fleet: Fleet, run: Run) -> None:
+def test_lost_store_answers_behind_the_writer(fleet: ClaimFleet, run: Run) -> None:
     async def check() -> None:
         keys = fleet.find_keys(0, 1, 10)
         for index, key in enumerate(keys):
@@ -408,7 +307,7 @@
     """Guards against entries that write directly where no peer connection exists."""
 
     async def check() -> None:
-        fleet = Fleet()
+        fleet = ClaimFleet()
         await fleet.start(8)
         links = [node.hub.topology.links for node in fleet.nodes]  # type: ignore[union-attr]
         names = [node.process for node in fleet.nodes]
@@ -430,7 +329,7 @@
 
 
 def test_avoided_writer_is_asked_again(
-    fleet: Fleet, run: Run, monkeypatch: pytest.MonkeyPatch
+    fleet: ClaimFleet, run: Run, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """Guards against a writer that is given up for good after one silence."""
 
@@ -449,7 +348,7 @@
     run(check())
 
 
-def test_slow_writer_that_reports_is_waited_for(fleet: Fleet, run: Run) -> None:
+def test_slow_writer_that_reports_is_waited_for(fleet: ClaimFleet, run: Run) -> None:
     """Guards against every sender loading a log while its writer still loads it."""
 
     async def check() -> None:
@@ -462,7 +361,7 @@
 
 
 def test_writer_whose_store_hangs_is_not_followed_by_a_direct_write(
-    fleet: Fleet, run: Run
+    fleet: ClaimFleet, run: Run
 ) -> None:
     """Guards against a refusal that takes as long again as the writer's own."""
 
