--- a/bramleyport/claims/_log.py
+++ b/bramleyport/claims/_log.py
@@ -38,7 +38,7 @@
 )
 
 MAX_TRIES: Final = 8
-# At most 12 MB of index: with 12 MB beside an entry's 52 MB, its limit of 64 MB is
+# At most 12 MB of index: beside an entry's 54 MB, its limit of 64 MB is about
 # reached. 64 logs carry 89 claims/s kept for 25 hours.
 MAX_LOG_CLAIMS: Final = 125_000
 # A segment stays for 25 hours after it was sealed. An answer of the store counts only
