Wait for the role change to end before routing is tested

Cause: under load one of two runs of test_holder_plans_for_its_whole_pool_and_routes_in_its_subset got 503 not_run for a request. Its trace: the request came 9 ms before the agents recorded the role change that the test ordered on all seven engines at once; until then no upstream takes work, and the entry says so.

Change: the test sends its requests once each engine of the subset is live in its new role. Its assertions are the same.

Ruled out: a fault in routing; requests after the change were all answered.

Conclusion: the refusal is what the design asks for while every engine changes.

--- a/tests/test_controllers.py
+++ b/tests/test_controllers.py
@@ -25,6 +25,8 @@
     ProcessId,
     RegionName,
     UpstreamId,
+    UpstreamState,
+    UpstreamView,
     ZoneName,
 )
 from bramleyport.daemons._controller import PoolController
@@ -79,6 +81,10 @@
     return value["spec"] if value else {"holder": "", "fencing": 0}
 
 
+def is_changed(view: UpstreamView) -> bool:
+    return view.state is UpstreamState.LIVE and view.role is EngineRole.DECODE
+
+
 def test_holder_plans_for_its_whole_pool_and_routes_in_its_subset(
     fleet: Fleet, run: Run
 ) -> None:
@@ -94,6 +100,8 @@
         assert len(subset) == SUBSET
         beyond = entry.controllers._pool_links
         assert len(beyond.list_views()) == ENGINES - SUBSET
+        # Until then the agents drain their engines, and requests are refused `not_run`.
+        await fleet.wait(lambda: all(map(is_changed, entry._links.list_views())))
         answers = [await complete(fleet) for _ in range(3 * ENGINES)]
         assert all(answer.status == 200 for answer in answers)
         for index, engine in enumerate(fleet.engines):
