Move the store of the claim simulation into a module of its own

Change: the store with its two checkers and the driver without faults stand in tests/claim_store.py; begin_orders serves both tests. No check or bound changes.

--- a/tests/claim_simulation.py
+++ b/tests/claim_simulation.py
@@ -25,92 +25,23 @@
     FirstRead,
     ReadFirst,
     ReadSegment,
-    Segment,
-    SegmentConflict,
     SegmentRead,
-    SegmentWritten,
     Trim,
     WriteInDoubt,
     WriteSegment,
     find_answer,
     keep_answer,
     make_tag,
-    read_segment,
-    write_segment,
 )
-from bramleyport.claims._index import apply_entry
 from bramleyport.core import AttemptId
+from tests.claim_store import SEGMENT_BYTES, LogStore, drive
 from tests.simulation import InvariantError
 
-SEGMENT_BYTES = 900
 ANSWER_S = 20.0
 KEYS = [f"{index:032x}" for index in range(4)]
 JUMPS_S = [1.0, 1.0, 20.0, 100.0, 3700.0, 30_000.0]
 
 
-class LogStore:
-    """Keep the segments, and what a reader of all of them would know of each key."""
-
-    def __init__(self) -> None:
-        self.first = 0
-        self.objects: dict[int, tuple[int, Segment]] = {}
-        self.truth: dict[str, Any] = {}
-        # Every state of a key by the number of the write that brought it about.
-        self.timeline: dict[str, list[tuple[int, Any]]] = {}
-        self.durable: set[bytes] = set()
-        self.writes = 0
-        self.sealed = 0
-        self.trimmed = 0
-
-    def write(self, action: WriteSegment) -> Any:
-        version, old = self.objects.get(action.number, (0, Segment()))
-        if version != action.expected:
-            return SegmentConflict(op=action.op)
-        new = read_segment(write_segment(action.segment))
-        self.check_c1_append_only(old, new)
-        self.objects[action.number] = (version + 1, new)
-        if action.number >= self.first:
-            for entry in new.entries[len(old.entries) :]:
-                self._apply(entry, action.number)
-        self.sealed += new.sealed_s is not None
-        return SegmentWritten(op=action.op, version=version + 1)
-
-    def _apply(self, entry: Any, number: int) -> None:
-        self.writes += 1
-        row = self.truth.get(entry.key)
-        self.check_c2_withdrawn_stays_withdrawn(entry, row)
-        after = apply_entry(row, entry, number)
-        if after is not None:
-            self.truth[entry.key] = after
-            self.timeline.setdefault(entry.key, []).append((self.writes, after))
-        if entry.state is ClaimState.CLAIMED:
-            self.durable.add(bytes.fromhex(entry.attempt))
-
-    def trim(self, first: int) -> None:
-        self.first = max(self.first, first)
-        for number in [n for n in self.objects if n < self.first]:
-            del self.objects[number]
-            self.trimmed += 1
-
-    def check_c1_append_only(self, old: Segment, new: Segment) -> None:
-        """C1: a segment only grows, within its bound, until it is sealed."""
-        size = len(str(write_segment(new)))
-        if old.sealed_s is not None or new.entries[: len(old.entries)] != old.entries:
-            raise InvariantError("C1: a segment was rewritten")
-        if size > SEGMENT_BYTES + 100:
-            raise InvariantError(f"C1: a segment of {size} bytes")
-
-    def check_c2_withdrawn_stays_withdrawn(self, entry: Any, row: Any) -> None:
-        """C2: a late copy of a withdrawn claim does not claim the key again."""
-        if (
-            entry.state is ClaimState.CLAIMED
-            and row is not None
-            and row.state is ClaimState.RELEASED
-            and row.attempt.hex() == entry.attempt
-        ):
-            raise InvariantError("C2: a withdrawn claim was recorded again")
-
-
 @dataclass
 class Call:
     writer: "Writer | None"
@@ -394,25 +325,3 @@
     return kind.value == {"claimed": "running", "completed": "stored"}.get(
         row.state.value, "unknown"
     )
-
-
-def drive(log: Any, store: LogStore, changes: list[Any], now_s: float) -> list[Any]:
-    """Carry out changes without faults and return their decisions."""
-    asked = [ChangeAsked(number=n, change=c) for n, c in enumerate(changes)]
-    events: list[Any] = [ChangesAsked(changes=tuple(asked))]
-    decided: dict[int, Any] = {}
-    while events:
-        for action in log.step(events.pop(0), now_s):
-            if isinstance(action, ReadFirst):
-                events.append(FirstRead(op=action.op, first=store.first))
-            elif isinstance(action, ReadSegment):
-                version, found = store.objects.get(action.number, (0, None))
-                events.append(SegmentRead(op=action.op, segment=found, version=version))
-            elif isinstance(action, WriteSegment):
-                events.append(store.write(action))
-            elif isinstance(action, Trim):
-                store.trim(action.first)
-            else:
-                assert isinstance(action, Decide), action
-                decided[action.number] = action.decision
-    return [decided[number] for number in range(len(changes))]
--- a/tests/test_claim_log.py
+++ b/tests/test_claim_log.py
@@ -20,7 +20,8 @@
     StoredAnswer,
     Verdict,
 )
-from tests.claim_simulation import SEGMENT_BYTES, ClaimSimulation
+from tests.claim_simulation import ClaimSimulation
+from tests.claim_store import SEGMENT_BYTES
 from tests.simulation import InvariantError
 
 
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -24,7 +24,7 @@
     write_segment,
 )
 from bramleyport.daemons._unsent import UnsentAttempts
-from tests.claim_simulation import LogStore, drive
+from tests.claim_store import LogStore, drive
 
 DESIGN_LIMIT_BYTES = 512_000
 
--- a/tests/test_real_processes.py
+++ b/tests/test_real_processes.py
@@ -26,6 +26,17 @@
         assert len(answer.json()["choices"][0]["text"].split()) == TOKENS
 
 
+async def begin_orders(
+    fleet: ProcessFleet,
+) -> tuple[list[str], "list[asyncio.Future[Answer]]"]:
+    """Post orders through the first entry and wait until one has run."""
+    keys = [f"order-{n}" for n in range(8)]
+    calls = [asyncio.ensure_future(fleet.post_order("entry-0", key)) for key in keys]
+    while not fleet.plain.postings:
+        await asyncio.sleep(0.005)
+    return keys, calls
+
+
 def test_killed_agent_loses_no_idempotent_answer(run: Run, tmp_path: Path) -> None:
     async def check() -> None:
         async with run_fleet(tmp_path) as fleet:
@@ -79,12 +90,7 @@
 ) -> None:
     async def check() -> None:
         async with run_fleet(tmp_path) as fleet:
-            keys = [f"order-{n}" for n in range(8)]
-            calls = [
-                asyncio.ensure_future(fleet.post_order("entry-0", key)) for key in keys
-            ]
-            while not fleet.plain.postings:
-                await asyncio.sleep(0.005)
+            keys, calls = await begin_orders(fleet)
             fleet.send_signal("entry-0", signal.SIGKILL)
             await asyncio.gather(*calls, return_exceptions=True)
             # A repeat waits for the first call until its own deadline, here 20 s.
@@ -126,12 +132,7 @@
 ) -> None:
     async def check() -> None:
         async with run_fleet(tmp_path) as fleet:
-            keys = [f"order-{n}" for n in range(8)]
-            calls = [
-                asyncio.ensure_future(fleet.post_order("entry-0", key)) for key in keys
-            ]
-            while not fleet.plain.postings:
-                await asyncio.sleep(0.005)
+            keys, calls = await begin_orders(fleet)
             fleet.send_signal("entry-1", signal.SIGKILL)
             answers = list(await asyncio.gather(*calls))
             repeats = [fleet.post_order("entry-0", key) for key in keys]
