--- a/bramleyport/cli/_main.py
+++ b/bramleyport/cli/_main.py
@@ -60,6 +60,29 @@
     sys.exit(run_daemon(lambda: build_agent(checked)))
 
 
+@main.command()
+@click.argument("settings", type=click.Path(), required=False)
+@click.option("--log-level", default="INFO", help="Least level that is logged.")
+def gateway(settings: str | None, log_level: str) -> None:
+    """Serve callers on the platform, with the settings file that it names."""
+    from bramleyport.cli._runtime import fail_start, install_reactor, run_daemon
+    from bramleyport.core import SettingsError
+    from bramleyport.telemetry import configure_logging
+
+    install_reactor()
+    from bramleyport.composition import build_gateway
+    from bramleyport.platform import load_node_settings, locate_settings
+
+    configure_logging(json_lines=True, level=log_level, process="")
+    try:
+        path = Path(settings) if settings else locate_settings()
+        process = load_node_settings(path).process
+    except SettingsError as error:
+        sys.exit(fail_start(error))
+    configure_logging(json_lines=True, level=log_level, process=process)
+    sys.exit(run_daemon(lambda: build_gateway(path)))
+
+
 @main.command()
 @click.option("--port", default=8080, help="Port of the first entry; 0 picks one.")
 @click.option("--seed", default=1, help="Seed of the random choices.")
--- a/bramleyport/composition.py
+++ b/bramleyport/composition.py
@@ -14,6 +14,7 @@
     from bramleyport.daemons._controller import Planner
     from bramleyport.daemons._entry import EntryDaemon
     from bramleyport.daemons._orders import OrderApplier
+    from bramleyport.gateway._daemon import Gateway
     from bramleyport.settings import (
         AgentSettings,
         EntrySettings,
@@ -272,3 +273,34 @@
         CaseReporter(client, outcomes, hub.is_reporter),
         controllers,
     )
+
+
+def build_gateway(settings_path: Path) -> "Gateway":
+    """Build a gateway from the settings file of the platform."""
+    from twisted.internet import reactor
+
+    from bramleyport.gateway._attempt import AttemptSupport
+    from bramleyport.gateway._daemon import Gateway
+    from bramleyport.gateway._exchange import Exchanger
+    from bramleyport.gateway._forward import Forwarder
+    from bramleyport.gateway._peers import PeerLink
+    from bramleyport.gateway._plain import PlainServer
+    from bramleyport.gateway._prefill import Prefiller
+    from bramleyport.gateway._state import GatewayState
+    from bramleyport.gateway._stream import StreamServer
+    from bramleyport.gateway._tracker import Tracker
+    from bramleyport.http1 import HttpClient
+    from bramleyport.platform import StoreClient, load_node_settings
+
+    state = GatewayState(settings=load_node_settings(settings_path))
+    client = HttpClient(reactor)
+    store = StoreClient(client, state.settings.store)
+    exchanger = Exchanger(state, client)
+    tracker = Tracker(state)
+    support = AttemptSupport(state, exchanger, tracker)
+    prefiller = Prefiller(state, exchanger, tracker)
+    forwarder = Forwarder(
+        state, PlainServer(support), StreamServer(support, prefiller), Random()
+    )
+    peers = PeerLink(state, tracker)
+    return Gateway(state, settings_path, reactor, store, exchanger, forwarder, peers)
--- a/bramleyport/core/__init__.py
+++ b/bramleyport/core/__init__.py
@@ -34,6 +34,7 @@
     UpstreamId,
     ZoneName,
 )
+from bramleyport.core._place import Place
 from bramleyport.core._problems import Problem, list_problems
 from bramleyport.core._prompt import CHARACTERS_PER_TOKEN, count_tokens, digest_prefix
 from bramleyport.core._registry import Registry, UnknownPolicyError
@@ -75,6 +76,7 @@
     "ModelName",
     "ModelVersion",
     "Outcome",
+    "Place",
     "PoolName",
     "PrefixBlock",
     "Problem",
--- a/bramleyport/core/_converter.py
+++ b/bramleyport/core/_converter.py
@@ -1,9 +1,10 @@
 """Strict conversion between plain data and dataclasses."""
 
 from enum import Enum
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
-from cattrs import Converter
+if TYPE_CHECKING:
+    from cattrs import Converter
 
 
 def _check_int(value: object, _: type) -> int:
@@ -39,8 +40,11 @@
     return value
 
 
-def make_strict_converter(*, forbid_extra_keys: bool = False) -> Converter:
+def make_strict_converter(*, forbid_extra_keys: bool = False) -> "Converter":
     """Build a converter that never coerces one scalar type to another."""
+    # Loaded when used: a gateway starts without it.
+    from cattrs import Converter
+
     converter = Converter(forbid_extra_keys=forbid_extra_keys)
     checks: dict[type, Any] = {
         int: _check_int,
--- a/bramleyport/core/_problems.py
+++ b/bramleyport/core/_problems.py
@@ -3,10 +3,11 @@
 import difflib
 import re
 from dataclasses import dataclass, fields, is_dataclass
-from typing import Any, Final
+from typing import TYPE_CHECKING, Any, Final
 
-from cattrs import BaseValidationError, transform_error
-from cattrs.errors import ForbiddenExtraKeysError
+if TYPE_CHECKING:
+    from cattrs import BaseValidationError
+    from cattrs.errors import ForbiddenExtraKeysError
 
 _STEP: Final = re.compile(r"\.([^.\[]+)|\['([^']*)'\]|\[(\d+)\]")
 
@@ -29,8 +30,11 @@
         return ": ".join([*parts, self.reason]) + example
 
 
-def list_problems(error: BaseValidationError) -> list[Problem]:
+def list_problems(error: "BaseValidationError") -> list[Problem]:
     """Return the problems of a failed conversion with their paths."""
+    # Loaded when used: a gateway starts without it.
+    from cattrs import transform_error
+
     texts = transform_error(error, format_exception=_format)
     return [_parse(text) for text in texts]
 
@@ -42,6 +46,8 @@
 
 
 def _format(error: BaseException, kind: type | None) -> str:
+    from cattrs.errors import ForbiddenExtraKeysError
+
     if isinstance(error, ForbiddenExtraKeysError):
         return _explain_extra(error)
     if isinstance(error, KeyError):
@@ -52,7 +58,7 @@
     return f"not a valid {name}: {error}"
 
 
-def _explain_extra(error: ForbiddenExtraKeysError) -> str:
+def _explain_extra(error: "ForbiddenExtraKeysError") -> str:
     known = _list_names(error.cl)
     parts = []
     for name in sorted(error.extra_fields):
--- /dev/null
+++ b/bramleyport/fleet/__init__.py
@@ -0,0 +1,58 @@
+"""Decide, without I/O, where the calls of a gateway run."""
+
+from bramleyport.fleet._admission import admit
+from bramleyport.fleet._choice import Choice, Chooser
+from bramleyport.fleet._load import LoadBook, UpstreamLoad, Work
+from bramleyport.fleet._members import Membership
+from bramleyport.fleet._prefixes import PrefixCache, PrefixIndex
+from bramleyport.fleet._routes import RouteTable, choose_service
+from bramleyport.fleet._speed import ReadSpeeds
+from bramleyport.fleet._types import (
+    Address,
+    Call,
+    CallerLimits,
+    Configuration,
+    ConfigVersion,
+    EngineTraits,
+    PrefixId,
+    Prompt,
+    PromptPart,
+    Registration,
+    Repeatability,
+    Route,
+    RouteName,
+    ServiceConfig,
+    ServiceShare,
+    Stage,
+)
+
+__all__ = [
+    "Address",
+    "Call",
+    "CallerLimits",
+    "Choice",
+    "Chooser",
+    "ConfigVersion",
+    "Configuration",
+    "EngineTraits",
+    "LoadBook",
+    "Membership",
+    "PrefixCache",
+    "PrefixId",
+    "PrefixIndex",
+    "Prompt",
+    "PromptPart",
+    "ReadSpeeds",
+    "Registration",
+    "Repeatability",
+    "Route",
+    "RouteName",
+    "RouteTable",
+    "ServiceConfig",
+    "ServiceShare",
+    "Stage",
+    "UpstreamLoad",
+    "Work",
+    "admit",
+    "choose_service",
+]
--- /dev/null
+++ b/bramleyport/fleet/_choice.py
@@ -0,0 +1,196 @@
+"""Choose where a call runs."""
+
+import zlib
+from collections.abc import Collection, Sequence
+from dataclasses import dataclass
+from typing import Final
+
+from bramleyport.core import Explanation, Place, UpstreamId
+from bramleyport.fleet._load import LoadBook
+from bramleyport.fleet._members import Membership
+from bramleyport.fleet._prefixes import PrefixIndex
+from bramleyport.fleet._speed import ReadSpeeds
+from bramleyport.fleet._types import (
+    Call,
+    EngineTraits,
+    Prompt,
+    Registration,
+    Stage,
+)
+
+# Seconds that a transfer between engines takes beside the bytes.
+TRANSFER_SETUP_S: Final = 0.005
+# Weight of the engine time that a choice uses against the time its caller waits. What
+# an engine reads needlessly delays the calls after this one.
+WORK_WEIGHT: Final = 0.5
+# Bytes between zones are paid for; among about equal choices the own zone wins.
+OTHER_ZONE_S: Final = 0.01
+# Spreads first uses of a prefix alike in all gateways, without asking each other.
+SPREAD_S: Final = 0.01
+# An engine that reads a prompt slows those that decode beside it a little.
+RUNNING_S: Final = 0.001
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Choice:
+    """Say where a call runs and what is expected of it."""
+
+    upstream: Registration
+    # Reads the prompt first, where that is faster.
+    prefill: Registration | None = None
+    # Expected time to the first byte of the answer.
+    forecast_s: float = 0.0
+    wait_s: float = 0.0
+    read_s: float = 0.0
+    unread_tokens: int = 0
+    explanation: Explanation
+
+
+class Chooser:
+    """Choose upstreams by forecast, cached prefixes and load."""
+
+    def __init__(
+        self,
+        place: Place,
+        members: Membership,
+        loads: LoadBook,
+        prefixes: PrefixIndex,
+        speeds: ReadSpeeds,
+    ) -> None:
+        self._place = place
+        self._members = members
+        self._loads = loads
+        self._prefixes = prefixes
+        self._speeds = speeds
+
+    def choose(
+        self,
+        call: Call,
+        engine: EngineTraits | None,
+        excluded: Collection[UpstreamId],
+        now_s: float,
+    ) -> Choice | None:
+        """Return the best choice, or None where no upstream takes work."""
+        ready = [
+            item
+            for item in self._members.list_ready(call.service)
+            if item.upstream not in excluded
+        ]
+        if engine is None or call.prompt is None:
+            return self._choose_plain(ready)
+        return self._choose_engine(call, call.prompt, engine, ready, now_s)
+
+    def _choose_plain(self, ready: Sequence[Registration]) -> Choice | None:
+        if not ready:
+            return None
+        best = min(ready, key=self._rank_plain)
+        running = len(self._loads.of(best.upstream))
+        numbers = {"running": float(running), "candidates": float(len(ready))}
+        return Choice(
+            upstream=best,
+            explanation=Explanation(reason="least_loaded", numbers=numbers),
+        )
+
+    def _rank_plain(self, item: Registration) -> tuple[float, int, int]:
+        running = len(self._loads.of(item.upstream))
+        elsewhere = int(item.zone != self._place.zone)
+        # Up to half of its slots a plain upstream isn't slowed by more work.
+        steps = 0.0 if running < item.slots / 2 else running / max(1, item.slots)
+        return (steps, elsewhere, running)
+
+    def _choose_engine(
+        self,
+        call: Call,
+        prompt: Prompt,
+        engine: EngineTraits,
+        ready: Sequence[Registration],
+        now_s: float,
+    ) -> Choice | None:
+        decoders = [item for item in ready if item.stage is not Stage.PREFILL]
+        choices = [self._weigh_direct(call, prompt, item, now_s) for item in decoders]
+        if decoders:
+            target = min(decoders, key=lambda item: self._rank_decoder(item, now_s))
+            choices += [
+                self._weigh_split(call, prompt, engine, item, target, now_s)
+                for item in ready
+                if item.stage is Stage.PREFILL
+            ]
+        return min(choices, key=lambda pair: pair[0])[1] if choices else None
+
+    def _weigh_direct(
+        self, call: Call, prompt: Prompt, item: Registration, now_s: float
+    ) -> tuple[float, Choice]:
+        wait_s, read_s, unread = self._forecast_read(call, prompt, item, now_s)
+        running_s = RUNNING_S * len(self._loads.of(item.upstream))
+        forecast_s = wait_s + read_s + running_s
+        choice = Choice(
+            upstream=item,
+            forecast_s=forecast_s,
+            wait_s=wait_s,
+            read_s=read_s,
+            unread_tokens=unread,
+            explanation=_explain("direct", forecast_s, wait_s, unread),
+        )
+        score = forecast_s + WORK_WEIGHT * read_s + self._spread(prompt, item)
+        return score + self._weigh_zone(item), choice
+
+    def _weigh_split(
+        self,
+        call: Call,
+        prompt: Prompt,
+        engine: EngineTraits,
+        reader: Registration,
+        target: Registration,
+        now_s: float,
+    ) -> tuple[float, Choice]:
+        wait_s, read_s, unread = self._forecast_read(call, prompt, reader, now_s)
+        moved_s = prompt.tokens_in * engine.kv_token_bytes / engine.link_bytes_per_s
+        moved_s *= 1 if reader.zone == target.zone else 2
+        moved_s += TRANSFER_SETUP_S
+        # The engine that decodes reads at least the last token itself.
+        step_s = self._speeds.forecast(target.upstream, Stage.DECODE, 1)
+        forecast_s = wait_s + read_s + moved_s + step_s
+        choice = Choice(
+            upstream=target,
+            prefill=reader,
+            forecast_s=forecast_s,
+            wait_s=wait_s,
+            read_s=read_s,
+            unread_tokens=unread,
+            explanation=_explain("split", forecast_s, wait_s, unread),
+        )
+        score = forecast_s + WORK_WEIGHT * read_s + self._spread(prompt, reader)
+        return score + self._weigh_zone(reader) + self._weigh_zone(target), choice
+
+    def _forecast_read(
+        self, call: Call, prompt: Prompt, item: Registration, now_s: float
+    ) -> tuple[float, float, int]:
+        stage = item.stage or Stage.DECODE
+        cached = self._prefixes.count_cached(item.upstream, prompt)
+        unread = max(0, prompt.tokens_in - cached)
+        read_s = self._speeds.forecast(item.upstream, stage, unread)
+        load = self._loads.of(item.upstream)
+        return load.forecast_wait(call.route.priority, now_s), read_s, unread
+
+    def _rank_decoder(self, item: Registration, now_s: float) -> tuple[float, int]:
+        load = self._loads.of(item.upstream)
+        elsewhere = int(item.zone != self._place.zone)
+        return (round(load.forecast_wait(9, now_s), 1), elsewhere * 4 + len(load))
+
+    def _weigh_zone(self, item: Registration) -> float:
+        return 0.0 if item.zone == self._place.zone else OTHER_ZONE_S
+
+    def _spread(self, prompt: Prompt, item: Registration) -> float:
+        if len(prompt.parts) < 2:
+            return 0.0
+        key = f"{prompt.parts[0].prefix}/{item.upstream}".encode()
+        return SPREAD_S * (zlib.crc32(key) / 2**32)
+
+
+def _explain(reason: str, forecast_s: float, wait_s: float, unread: int) -> Explanation:
+    numbers = {
+        "forecast_s": round(forecast_s, 3),
+        "wait_s": round(wait_s, 3),
+        "unread_tokens": float(unread),
+    }
+    return Explanation(reason=reason, numbers=numbers)
--- /dev/null
+++ b/bramleyport/gateway/_attempt.py
@@ -0,0 +1,205 @@
+"""What plain calls and streams have in common."""
+
+import asyncio
+from http import HTTPStatus
+from typing import Final
+
+from bramleyport.admission import Rejected
+from bramleyport.core import Explanation, UpstreamId
+from bramleyport.fleet import Call, Choice, EngineTraits, admit
+from bramleyport.gateway._exchange import Exchanger
+from bramleyport.gateway._outcome import AttemptEnd, AttemptFailure, Attempts
+from bramleyport.gateway._reply import relay_answer, reply
+from bramleyport.gateway._state import GatewayState
+from bramleyport.gateway._tracker import Tracker
+from bramleyport.http1 import CallerConnection, CallerRequest
+from bramleyport.telemetry import gateway_events, log_event
+
+# Sends of one call that upstreams declined without running it, the last one included.
+MAX_SENDS: Final = 3
+# An upstream that is full has usually room again after this time.
+FULL_RETRY_S: Final = 0.3
+# With less time left a further attempt would hardly be answered.
+MIN_LEFT_S: Final = 0.05
+
+
+class CallContext:
+    """Hold one call while it is served."""
+
+    def __init__(
+        self,
+        call: Call,
+        request: CallerRequest,
+        connection: CallerConnection,
+        engine: EngineTraits | None,
+    ) -> None:
+        self.call = call
+        self.request = request
+        self.connection = connection
+        self.engine = engine
+        self.attempts = Attempts()
+        self.tried: set[UpstreamId] = set()
+        self.last_failure: AttemptFailure | None = None
+
+    @property
+    def left_s(self) -> float:
+        """Return the seconds until nobody waits for the answer."""
+        return self.call.deadline_s - asyncio.get_running_loop().time()
+
+
+class AttemptSupport:
+    """Choose upstreams, decide on retries and give final answers."""
+
+    def __init__(
+        self, state: GatewayState, exchanger: Exchanger, tracker: Tracker
+    ) -> None:
+        self.state = state
+        self.exchanger = exchanger
+        self.tracker = tracker
+
+    def choose(self, context: CallContext) -> Choice | Rejected:
+        """Choose an upstream, or say why there is none in time."""
+        now_s = asyncio.get_running_loop().time()
+        call = context.call
+        ejected = self.state.list_ejected(call.service, now_s)
+        chooser = self.state.chooser
+        excluded = ejected | context.tried
+        choice = chooser.choose(call, context.engine, excluded, now_s)
+        if choice is None and context.tried:
+            choice = chooser.choose(call, context.engine, ejected, now_s)
+        decision = admit(call, choice, now_s)
+        if choice is None or isinstance(decision, Rejected):
+            assert isinstance(decision, Rejected)
+            return decision
+        return choice
+
+    def begin(self, context: CallContext) -> None:
+        """Note that an attempt is sent."""
+        context.attempts.sends += 1
+        context.attempts.in_flight = True
+
+    def note_failure(self, context: CallContext, failure: AttemptFailure) -> None:
+        """Record a failed attempt."""
+        context.last_failure = failure
+        context.tried.add(failure.upstream)
+        now_s = asyncio.get_running_loop().time()
+        if failure.end is AttemptEnd.NOT_RUN:
+            event = gateway_events.ATTEMPT_NOT_RUN
+        else:
+            context.attempts.runs += 1
+            event = gateway_events.ATTEMPT_LOST
+            self.state.record_result(failure.upstream, failed=True, now_s=now_s)
+        log_event(
+            event,
+            request=context.call.request,
+            upstream=failure.upstream,
+            end=failure.end.value,
+            reason=failure.reason,
+            left_s=round(context.left_s, 3),
+        )
+
+    def may_retry(self, context: CallContext) -> Explanation:
+        """Decide whether to try again; the reason is "retry" if so."""
+        reason = self._find_obstacle(context) or "retry"
+        now_s = asyncio.get_running_loop().time()
+        budget = self.state.find_budget(context.call.service)
+        if reason == "retry" and not budget.take(now_s, self.state.gateways):
+            reason = "budget_spent"
+        numbers = {
+            "sends": float(context.attempts.sends),
+            "runs": float(context.attempts.runs),
+            "allowed": round(budget.allow(self.state.gateways), 1),
+            "left_s": round(context.left_s, 3),
+        }
+        return Explanation(reason=reason, numbers=numbers)
+
+    def give_up(self, context: CallContext, reason: str) -> None:
+        """Give the final answer of a call whose attempts have failed."""
+        failure = context.last_failure
+        call = context.call
+        if failure is not None and failure.answer is not None:
+            relay_answer(context.connection, failure.answer)
+            self._log_failed(context, reason, failure.answer.status)
+            return
+        if context.attempts.may_have_run:
+            late = context.left_s <= 0
+            status = HTTPStatus.GATEWAY_TIMEOUT if late else HTTPStatus.BAD_GATEWAY
+            reply(context.connection, status, call.request, reason)
+            self._log_failed(context, reason, status.value)
+            return
+        self.refuse(context, Rejected(Explanation(reason=reason), FULL_RETRY_S))
+
+    def refuse(self, context: CallContext, decision: Rejected) -> None:
+        """Refuse a call that has not run and say when to come back."""
+        status = HTTPStatus.SERVICE_UNAVAILABLE
+        request = context.call.request
+        reason = decision.explanation.reason
+        retry_after_s = decision.retry_after_s
+        reply(context.connection, status, request, reason, retry_after_s)
+        log_event(
+            gateway_events.CALL_REFUSED,
+            request=request,
+            route=context.call.route.name,
+            reason=reason,
+            retry_after_s=round(retry_after_s, 2),
+            sends=context.attempts.sends,
+            **decision.explanation.numbers,
+        )
+
+    def log_retry(self, context: CallContext, decision: Explanation) -> None:
+        """Log that a call is tried again."""
+        log_event(
+            gateway_events.CALL_RETRIED,
+            request=context.call.request,
+            **decision.numbers,
+        )
+
+    def log_sent(self, context: CallContext, choice: Choice) -> None:
+        """Log where a call is sent and why."""
+        log_event(
+            gateway_events.CALL_SENT,
+            request=context.call.request,
+            route=context.call.route.name,
+            upstream=choice.upstream.upstream,
+            prefill=choice.prefill.upstream if choice.prefill else "",
+            reason=choice.explanation.reason,
+            left_s=round(context.left_s, 3),
+            **choice.explanation.numbers,
+        )
+
+    def log_answered(self, context: CallContext, status: int) -> None:
+        """Log that a call got the answer of an upstream."""
+        now_s = asyncio.get_running_loop().time()
+        log_event(
+            gateway_events.CALL_ANSWERED,
+            request=context.call.request,
+            status=status,
+            took_s=round(now_s - context.call.arrived_s, 3),
+            sends=context.attempts.sends,
+        )
+
+    def _log_failed(self, context: CallContext, reason: str, status: int) -> None:
+        log_event(
+            gateway_events.CALL_FAILED,
+            request=context.call.request,
+            route=context.call.route.name,
+            reason=reason,
+            status=status,
+            sends=context.attempts.sends,
+            runs=context.attempts.runs,
+        )
+
+    def _find_obstacle(self, context: CallContext) -> str | None:
+        attempts = context.attempts
+        route = context.call.route
+        if context.left_s < MIN_LEFT_S:
+            return "deadline"
+        if attempts.sends >= max(MAX_SENDS, route.max_attempts):
+            return "sends_spent"
+        if not attempts.may_have_run:
+            return None
+        if not route.repeatability.may_rerun:
+            return "not_repeatable"
+        if attempts.runs >= route.max_attempts:
+            return "attempts_spent"
+        return None
--- /dev/null
+++ b/bramleyport/gateway/_daemon.py
@@ -0,0 +1,213 @@
+"""The gateway as a process: its listeners, followers and shutdown."""
+
+import asyncio
+import signal
+from collections.abc import Callable, Coroutine
+from pathlib import Path
+from typing import Any, Final
+
+from bramleyport.core import SettingsError, StepError, UpstreamId
+from bramleyport.fleet import Address
+from bramleyport.gateway._exchange import Exchanger
+from bramleyport.gateway._forward import Forwarder
+from bramleyport.gateway._peers import GREETING_S, PeerDirectory, PeerLink
+from bramleyport.gateway._readiness import Readiness
+from bramleyport.gateway._state import GatewayState
+from bramleyport.gateway._watch import (
+    ConfigurationFollower,
+    Follower,
+    RegistrationFollower,
+)
+from bramleyport.http1 import CallerFactory, ConnectionLimits
+from bramleyport.platform import ObjectKind, StoreClient, load_node_settings
+from bramleyport.telemetry import events, gateway_events, log_event
+
+# Callers reach a leaving gateway until the balancer has seen two failed checks, which it
+# makes once a second.
+UNREADY_S: Final = 3.0
+# Time for the last answers before the platform kills the process.
+STOP_MARGIN_S: Final = 1.0
+HOUSEKEEPING_S: Final = 0.5
+SETTINGS_CHECK_S: Final = 2.0
+BACKLOG: Final = 512
+# Requests in transit when the last connections close are answered within this time.
+CROSSING_S: Final = 0.1
+
+
+class Gateway:
+    """Serve callers until stopped."""
+
+    def __init__(
+        self,
+        state: GatewayState,
+        settings_path: Path,
+        reactor: Any,
+        store: StoreClient,
+        exchanger: Exchanger,
+        forwarder: Forwarder,
+        peers: PeerLink,
+    ) -> None:
+        self._state = state
+        self._settings_path = settings_path
+        self._reactor = reactor
+        self._store = store
+        self._exchanger = exchanger
+        self._peers = peers
+        self._directory = PeerDirectory(state.settings, store, peers)
+        self._readiness = Readiness(state)
+        self._callers = CallerFactory(forwarder.handle, self._read_limits)
+        self._checks = CallerFactory(self._readiness.handle, self._read_limits)
+        self._registrations = RegistrationFollower(state, self._forget)
+        self._tasks: list[asyncio.Task[None]] = []
+        self._ports: list[Any] = []
+        self._settings_bytes = b""
+
+    async def start(self) -> None:
+        """Listen for callers and follow the store."""
+        settings = self._state.settings
+        self._listen(settings.readiness_address, self._checks)
+        self._listen(settings.caller_address, self._callers)
+        self._listen_peers()
+        self._settings_bytes = self._settings_path.read_bytes()
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGHUP, self._reload)
+        for job in self._list_jobs():
+            self._tasks.append(loop.create_task(job))
+        log_event(
+            events.PROCESS_STARTED,
+            callers=str(settings.caller_address),
+            store=str(settings.store.address),
+            zone=settings.place.zone,
+        )
+
+    async def stop(self) -> None:
+        """Stop taking callers, finish what runs, then close."""
+        started_s = asyncio.get_running_loop().time()
+        log_event(events.PROCESS_STOPPING, connections=len(self._callers.connections))
+        self._state.draining = True
+        self._callers.draining = True
+        last_s = started_s + self._state.settings.grace_s - STOP_MARGIN_S
+        await self._wait(lambda now_s: now_s - started_s >= UNREADY_S)
+        await self._wait(lambda now_s: now_s >= last_s or not self._callers.connections)
+        for connection in list(self._callers.connections):
+            connection.close_if_idle()
+        await asyncio.sleep(CROSSING_S)
+        await self._wait(
+            lambda now_s: (
+                now_s >= last_s + STOP_MARGIN_S / 2 or not self._callers.connections
+            )
+        )
+        await self._close()
+
+    async def _close(self) -> None:
+        try:
+            async with asyncio.timeout(STOP_MARGIN_S / 4):
+                await self._directory.leave()
+        except TimeoutError:
+            log_event(gateway_events.GATEWAY_NOT_LISTED, reason="store is silent")
+        for task in self._tasks:
+            task.cancel()
+        for port in self._ports:
+            port.stopListening()
+        self._exchanger.close()
+        self._store.close()
+        log_event(events.PROCESS_STOPPED)
+
+    async def _wait(self, done: Callable[[float], bool]) -> None:
+        loop = asyncio.get_running_loop()
+        while not done(loop.time()):
+            await asyncio.sleep(0.05)
+
+    def _list_jobs(self) -> list[Coroutine[Any, Any, None]]:
+        configuration = ConfigurationFollower(self._state)
+        follow_configuration = Follower(
+            self._store,
+            ObjectKind.CONFIGURATION,
+            configuration.take_listing,
+            configuration.take_changes,
+            lambda reachable: None,
+        )
+        follow_registrations = Follower(
+            self._store,
+            ObjectKind.REGISTRATIONS,
+            self._registrations.take_listing,
+            self._registrations.take_changes,
+            self._note_store,
+        )
+        return [
+            follow_configuration.run(),
+            follow_registrations.run(),
+            self._directory.run(),
+            self._keep_house(),
+            self._watch_settings(),
+            self._greet_peers(),
+        ]
+
+    async def _keep_house(self) -> None:
+        ready = False
+        while True:
+            await asyncio.sleep(HOUSEKEEPING_S)
+            now_s = asyncio.get_running_loop().time()
+            self._registrations.drop_missing()
+            self._state.loads.drop_lost(now_s)
+            self._peers.count_gateways()
+            if self._readiness.ready != ready:
+                ready = self._readiness.ready
+                log_event(gateway_events.READINESS_CHANGED, ready=ready)
+
+    async def _greet_peers(self) -> None:
+        while True:
+            await asyncio.sleep(GREETING_S)
+            self._peers.greet()
+
+    async def _watch_settings(self) -> None:
+        while True:
+            await asyncio.sleep(SETTINGS_CHECK_S)
+            self._reload()
+
+    def _reload(self) -> None:
+        """Read the settings again; addresses stay as they were at the start."""
+        try:
+            content = self._settings_path.read_bytes()
+            if content == self._settings_bytes:
+                return
+            self._settings_bytes = content
+            self._state.settings = load_node_settings(self._settings_path)
+        except (OSError, SettingsError) as error:
+            log_event(gateway_events.SETTINGS_REFUSED, reason=str(error))
+            return
+        self._state.budgets.clear()
+        log_event(gateway_events.SETTINGS_RELOADED)
+
+    def _note_store(self, reachable: bool) -> None:
+        now_s = asyncio.get_running_loop().time()
+        self._state.members.note_store(reachable=reachable, now_s=now_s)
+
+    def _forget(self, upstream: UpstreamId) -> None:
+        self._state.forget(upstream)
+        self._exchanger.forget(upstream)
+
+    def _listen(self, address: Address, factory: CallerFactory) -> None:
+        try:
+            port = self._reactor.listenTCP(
+                address.port, factory, backlog=BACKLOG, interface=address.host
+            )
+        except OSError as error:
+            raise StepError("listen", str(address), str(error)) from error
+        self._ports.append(port)
+
+    def _listen_peers(self) -> None:
+        settings = self._state.settings
+        port = self._reactor.listenUDP(
+            settings.peer_port, self._peers, interface=settings.host
+        )
+        self._ports.append(port)
+
+    def _read_limits(self) -> ConnectionLimits:
+        limits = self._state.limits
+        return ConnectionLimits(
+            max_header_bytes=limits.max_header_bytes,
+            max_body_bytes=limits.max_body_bytes,
+            header_timeout_s=limits.header_timeout_s,
+            idle_timeout_s=limits.idle_timeout_s,
+        )
--- /dev/null
+++ b/bramleyport/gateway/_exchange.py
@@ -0,0 +1,125 @@
+"""Run single exchanges with upstreams."""
+
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from dataclasses import dataclass
+from typing import Final
+
+from bramleyport.core import RequestId, UpstreamId
+from bramleyport.fleet import Registration
+from bramleyport.gateway._state import GatewayState
+from bramleyport.http1 import (
+    Answer,
+    ConnectionPool,
+    HttpClient,
+    HttpRequest,
+    PoolLimits,
+    UpstreamConnection,
+)
+from bramleyport.platform import AnswerHead, decode_answer
+
+# A connection within a region opens in a few milliseconds; a lost packet is sent again
+# after a second, and by then another upstream has answered.
+CONNECT_TIMEOUT_S: Final = 0.4
+# Part of an upstream's connections that all gateways use together.
+CONNECTION_PART: Final = 0.8
+MIN_CONNECTIONS: Final = 4
+# Assumed where the configuration doesn't name the service.
+DEFAULT_CONNECTIONS: Final = 64
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Opened:
+    """Hold an exchange whose answer has begun."""
+
+    connection: UpstreamConnection
+    answer: Answer
+    head: AnswerHead
+
+
+class Exchanger:
+    """Send requests to upstreams over kept connections."""
+
+    def __init__(self, state: GatewayState, client: HttpClient) -> None:
+        self._state = state
+        self._client = client
+        self._pools: dict[UpstreamId, ConnectionPool] = {}
+
+    @asynccontextmanager
+    async def open(
+        self,
+        target: Registration,
+        request: HttpRequest,
+        request_id: RequestId,
+        *,
+        fresh: bool,
+    ) -> AsyncIterator[Opened]:
+        """Send a request and give its answer; what is left unread is aborted."""
+        pool = self._find_pool(target)
+        connection = await pool.acquire(fresh=fresh)
+        try:
+            connection.send(request, lambda answer: _belongs(answer, request_id))
+            answer = await connection.read_head()
+            head = decode_answer(answer.headers)
+            connection.idle_timeout_s = head.idle_timeout_s
+            yield Opened(connection=connection, answer=answer, head=head)
+        except BaseException:
+            # Closing tells the upstream to stop; nothing may be left on the connection.
+            connection.abort()
+            raise
+        pool.release(connection)
+
+    async def call(self, target: Registration, request: HttpRequest) -> Answer:
+        """Send a request of the gateway's own and return the whole answer."""
+        pool = self._find_pool(target)
+        connection = await pool.acquire()
+        try:
+            connection.send(request)
+            answer = await connection.read_head()
+            body = await connection.read_body()
+        except BaseException:
+            connection.abort()
+            raise
+        pool.release(connection)
+        return Answer(answer.status, answer.reason, answer.headers, body)
+
+    def forget(self, upstream: UpstreamId) -> None:
+        """Close the idle connections to an upstream that is gone."""
+        pool = self._pools.pop(upstream, None)
+        if pool is not None:
+            pool.close()
+
+    def close(self) -> None:
+        """Close all idle connections."""
+        for pool in self._pools.values():
+            pool.close()
+
+    def _find_pool(self, target: Registration) -> ConnectionPool:
+        pool = self._pools.get(target.upstream)
+        if pool is None or pool.peer != target.address:
+            limits = PoolLimits(
+                max_connections=self._limit_connections(target),
+                connect_timeout_s=CONNECT_TIMEOUT_S,
+            )
+            pool = ConnectionPool(self._client, target.address, limits)
+            self._pools[target.upstream] = pool
+        return pool
+
+    def _limit_connections(self, target: Registration) -> int:
+        configuration = self._state.configuration
+        service = configuration.services.get(target.service) if configuration else None
+        total = service.max_connections if service else DEFAULT_CONNECTIONS
+        share = int(total * CONNECTION_PART / max(1, self._state.gateways))
+        return max(MIN_CONNECTIONS, share)
+
+
+def _belongs(answer: Answer, request_id: RequestId) -> bool:
+    """Return whether an answer is the one to a request.
+
+    An answer to an earlier request can arrive late on a kept connection. Refusals may
+    lack the identifier.
+    """
+    found = decode_answer(answer.headers).request
+    if found is None:
+        return answer.status >= 400
+    return found == request_id
--- /dev/null
+++ b/bramleyport/gateway/_forward.py
@@ -0,0 +1,117 @@
+"""Take each request of a caller to its route and give it its final answer."""
+
+import asyncio
+from http import HTTPStatus
+from random import Random
+from typing import Final
+
+from bramleyport.fleet import Call, Route, choose_service
+from bramleyport.gateway._attempt import CallContext
+from bramleyport.gateway._plain import PlainServer
+from bramleyport.gateway._reply import reply
+from bramleyport.gateway._state import GatewayState
+from bramleyport.gateway._stream import StreamServer
+from bramleyport.http1 import CallerConnection, CallerGoneError, CallerRequest
+from bramleyport.platform import CallHead, decode_call
+from bramleyport.telemetry import events, gateway_events, log_event
+
+# The first configuration is read within a fraction of a second of a start.
+NO_CONFIG_RETRY_S: Final = 0.5
+
+
+class Forwarder:
+    """Serve the requests of callers."""
+
+    def __init__(
+        self,
+        state: GatewayState,
+        plain: PlainServer,
+        streams: StreamServer,
+        random: Random,
+    ) -> None:
+        self._state = state
+        self._plain = plain
+        self._streams = streams
+        self._random = random
+
+    async def handle(
+        self, request: CallerRequest, connection: CallerConnection
+    ) -> None:
+        """Give a request its final answer."""
+        head = decode_call(request.headers)
+        try:
+            await self._handle(request, connection, head)
+        except asyncio.CancelledError:
+            log_event(
+                gateway_events.CALLER_GONE,
+                request=head.request,
+                after_s=round(
+                    asyncio.get_running_loop().time() - request.received_s, 3
+                ),
+            )
+            raise
+        except CallerGoneError:
+            log_event(gateway_events.CALLER_GONE, request=head.request)
+            raise
+        except Exception as error:  # an answer is owed whatever went wrong
+            log_event(
+                events.HANDLER_FAILED,
+                step="serve call",
+                request=head.request,
+                error=repr(error),
+            )
+            connection.break_off()
+
+    async def _handle(
+        self, request: CallerRequest, connection: CallerConnection, head: CallHead
+    ) -> None:
+        routes = self._state.routes
+        if routes is None:
+            status = HTTPStatus.SERVICE_UNAVAILABLE
+            reply(connection, status, head.request, "no_config", NO_CONFIG_RETRY_S)
+            return
+        route = routes.find(_read_host(request), _read_path(request))
+        if route is None:
+            reply(connection, HTTPStatus.NOT_FOUND, head.request, "no_route")
+            return
+        if head.request is None:
+            reply(connection, HTTPStatus.BAD_REQUEST, None, "no_request_id")
+            return
+        await self._serve(request, connection, head, route)
+
+    async def _serve(
+        self,
+        request: CallerRequest,
+        connection: CallerConnection,
+        head: CallHead,
+        route: Route,
+    ) -> None:
+        assert head.request is not None
+        call = Call(
+            request=head.request,
+            route=route,
+            service=choose_service(route, self._random),
+            arrived_s=request.received_s,
+            deadline_s=request.received_s + min(head.patience_s, route.timeout_s),
+            prompt=head.prompt,
+        )
+        configuration = self._state.configuration
+        service = configuration.services.get(call.service) if configuration else None
+        engine = service.engine if service else None
+        context = CallContext(call, request, connection, engine)
+        self._state.find_budget(call.service).record_request(call.arrived_s)
+        if route.repeatability.streams:
+            await self._streams.serve(context, head.last_event)
+        else:
+            await self._plain.serve(context)
+
+
+def _read_host(request: CallerRequest) -> str:
+    for name, value in request.headers:
+        if name.lower() == b"host":
+            return value.decode("latin-1")
+    return ""
+
+
+def _read_path(request: CallerRequest) -> str:
+    return request.target.partition(b"?")[0].decode("latin-1")
--- /dev/null
+++ b/bramleyport/gateway/_outcome.py
@@ -0,0 +1,45 @@
+"""How attempts end, and what follows."""
+
+from dataclasses import dataclass
+from enum import Enum
+
+from bramleyport.core import UpstreamId
+from bramleyport.http1 import Answer
+
+
+class AttemptEnd(str, Enum):
+    """Name how an attempt without a complete answer ended."""
+
+    # The upstream says, or it is certain, that it did not run the call.
+    NOT_RUN = "not_run"
+    # The call may have run, may be running, or has run without a usable answer.
+    LOST = "lost"
+    # The upstream ran the call and answered with a failure of its own.
+    FAILED = "failed"
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class AttemptFailure:
+    """Describe an attempt without a usable answer."""
+
+    upstream: UpstreamId
+    end: AttemptEnd
+    reason: str
+    # The upstream's own failure, where it gave one.
+    answer: Answer | None = None
+
+
+@dataclass(slots=True)
+class Attempts:
+    """Count the attempts of one call."""
+
+    sends: int = 0
+    # Attempts that ended after the call may have run.
+    runs: int = 0
+    # An attempt is under way, or was when the call was given up.
+    in_flight: bool = False
+
+    @property
+    def may_have_run(self) -> bool:
+        """Return whether the call may have run at some upstream."""
+        return self.runs > 0 or self.in_flight
--- /dev/null
+++ b/bramleyport/gateway/_peer_messages.py
@@ -0,0 +1,93 @@
+"""Messages between gateways, as CBOR in datagrams."""
+
+from dataclasses import dataclass
+from typing import Any, Final
+
+import cbor2
+
+from bramleyport.core import ProcessId, RequestId, UpstreamId
+from bramleyport.fleet import PrefixId, PromptPart, Work
+
+FORMAT: Final = 1
+# Datagrams above the usual path MTU would be split, and lost if one part is.
+MAX_ITEMS: Final = 12
+
+
+class PeerMessageError(ValueError):
+    """Report a datagram that is no message of a gateway."""
+
+
+@dataclass(frozen=True, slots=True)
+class WorkRef:
+    """Name work at an upstream."""
+
+    upstream: UpstreamId
+    request: RequestId
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class PeerMessage:
+    """Tell what one gateway has sent to upstreams since its last message."""
+
+    process: ProcessId
+    # A gateway that leaves stops counting for the retry budget.
+    leaving: bool = False
+    started: tuple[Work, ...] = ()
+    read: tuple[WorkRef, ...] = ()
+    ended: tuple[WorkRef, ...] = ()
+
+
+def encode_message(message: PeerMessage) -> bytes:
+    """Return a message as bytes."""
+    return cbor2.dumps(
+        [
+            FORMAT,
+            message.process,
+            message.leaving,
+            [_encode_work(work) for work in message.started],
+            [[ref.upstream, ref.request] for ref in message.read],
+            [[ref.upstream, ref.request] for ref in message.ended],
+        ]
+    )
+
+
+def decode_message(data: bytes, now_s: float) -> PeerMessage:
+    """Return the message that a datagram holds; its work starts now."""
+    try:
+        form, process, leaving, started, read, ended = cbor2.loads(data)
+        if form != FORMAT:
+            raise PeerMessageError(f"format {form!r:.20} is not known")
+        return PeerMessage(
+            process=ProcessId(str(process)),
+            leaving=bool(leaving),
+            started=tuple(_decode_work(item, now_s) for item in started),
+            read=tuple(_decode_ref(item) for item in read),
+            ended=tuple(_decode_ref(item) for item in ended),
+        )
+    except (cbor2.CBORDecodeError, TypeError, ValueError) as error:
+        raise PeerMessageError(str(error)) from error
+
+
+def _encode_work(work: Work) -> list[Any]:
+    parts = [[part.prefix, part.tokens] for part in work.parts]
+    read_ms = round(work.read_s * 1000)
+    return [work.upstream, work.request, work.priority, read_ms, parts]
+
+
+def _decode_work(item: Any, now_s: float) -> Work:
+    upstream, request, priority, read_ms, parts = item
+    return Work(
+        request=RequestId(str(request)),
+        upstream=UpstreamId(str(upstream)),
+        priority=int(priority),
+        read_s=float(read_ms) / 1000,
+        started_s=now_s,
+        parts=tuple(
+            PromptPart(PrefixId(str(prefix)), int(tokens)) for prefix, tokens in parts
+        ),
+    )
+
+
+def _decode_ref(item: Any) -> WorkRef:
+    upstream, request = item
+    return WorkRef(UpstreamId(str(upstream)), RequestId(str(request)))
--- /dev/null
+++ b/bramleyport/gateway/_plain.py
@@ -0,0 +1,142 @@
+"""Serve calls whose answers are passed on as a whole."""
+
+import asyncio
+from typing import Final
+
+from bramleyport.admission import Rejected
+from bramleyport.fleet import Choice
+from bramleyport.gateway._attempt import AttemptSupport, CallContext
+from bramleyport.gateway._outcome import AttemptEnd, AttemptFailure
+from bramleyport.gateway._reply import relay_answer
+from bramleyport.http1 import Answer, ExchangeError, ExchangeFailure, HttpRequest
+from bramleyport.platform import AnswerHead, Delivery, encode_delivery
+
+# Part of the objective after which a call that may run twice goes to another upstream.
+PATIENCE_PART: Final = 0.5
+MIN_PATIENCE_S: Final = 0.15
+
+
+class PlainServer:
+    """Serve calls of plain services."""
+
+    def __init__(self, support: AttemptSupport) -> None:
+        self._support = support
+
+    async def serve(self, context: CallContext) -> None:
+        """Answer a call, with further attempts where it may be repeated."""
+        try:
+            async with asyncio.timeout_at(context.call.deadline_s):
+                await self._serve(context)
+        except TimeoutError:
+            self._support.give_up(context, "deadline")
+
+    async def _serve(self, context: CallContext) -> None:
+        while True:
+            choice = self._support.choose(context)
+            if isinstance(choice, Rejected):
+                if context.last_failure is None:
+                    self._support.refuse(context, choice)
+                else:
+                    self._support.give_up(context, choice.explanation.reason)
+                return
+            result = await self._try(context, choice)
+            if isinstance(result, Answer):
+                relay_answer(context.connection, result)
+                self._support.log_answered(context, result.status)
+                return
+            self._support.note_failure(context, result)
+            decision = self._support.may_retry(context)
+            if decision.reason != "retry":
+                self._support.give_up(context, decision.reason)
+                return
+            self._support.log_retry(context, decision)
+
+    async def _try(
+        self, context: CallContext, choice: Choice
+    ) -> Answer | AttemptFailure:
+        support = self._support
+        support.log_sent(context, choice)
+        support.begin(context)
+        support.tracker.start(context.call, choice.upstream, 0.0)
+        result = await self._run(context, choice)
+        context.attempts.in_flight = False
+        return result
+
+    async def _run(
+        self, context: CallContext, choice: Choice
+    ) -> Answer | AttemptFailure:
+        support = self._support
+        try:
+            async with asyncio.timeout(self._limit(context)):
+                return await self._exchange(context, choice)
+        except TimeoutError:
+            return self._fail(choice, AttemptEnd.LOST, "no answer in time")
+        except ExchangeError as error:
+            unsent = error.failure is ExchangeFailure.NOT_SENT
+            end = AttemptEnd.NOT_RUN if unsent else AttemptEnd.LOST
+            if unsent:
+                self._note_unreachable(choice)
+            return self._fail(choice, end, str(error))
+        finally:
+            support.tracker.end(context.call, choice.upstream)
+
+    async def _exchange(
+        self, context: CallContext, choice: Choice
+    ) -> Answer | AttemptFailure:
+        request = context.request
+        target = choice.upstream
+        delivery = Delivery(upstream=target.upstream, time_left_s=context.left_s)
+        sent = HttpRequest(
+            method=request.method,
+            target=request.target,
+            headers=encode_delivery(request.headers, delivery),
+            body=request.body,
+        )
+        fresh = not context.call.route.repeatability.may_rerun
+        async with self._support.exchanger.open(
+            target, sent, context.call.request, fresh=fresh
+        ) as opened:
+            body = await opened.connection.read_body()
+            answer = opened.answer
+            whole = Answer(answer.status, answer.reason, answer.headers, body)
+        return self._judge(context, choice, whole, opened.head)
+
+    def _judge(
+        self, context: CallContext, choice: Choice, answer: Answer, head: AnswerHead
+    ) -> Answer | AttemptFailure:
+        if head.not_run:
+            reason = f"declined with {answer.status}"
+            return self._fail(choice, AttemptEnd.NOT_RUN, reason)
+        if not head.signed or head.encoded:
+            reason = f"unusable answer {answer.status}"
+            return self._fail(choice, AttemptEnd.LOST, reason)
+        if answer.status >= 500 and context.call.route.repeatability.may_rerun:
+            return AttemptFailure(
+                upstream=choice.upstream.upstream,
+                end=AttemptEnd.FAILED,
+                reason=f"failed with {answer.status}",
+                answer=answer,
+            )
+        now_s = asyncio.get_running_loop().time()
+        failed = answer.status >= 500
+        self._support.state.record_result(
+            choice.upstream.upstream, failed=failed, now_s=now_s
+        )
+        return answer
+
+    def _note_unreachable(self, choice: Choice) -> None:
+        now_s = asyncio.get_running_loop().time()
+        upstream = choice.upstream.upstream
+        self._support.state.record_result(upstream, failed=True, now_s=now_s)
+
+    def _fail(self, choice: Choice, end: AttemptEnd, reason: str) -> AttemptFailure:
+        return AttemptFailure(upstream=choice.upstream.upstream, end=end, reason=reason)
+
+    def _limit(self, context: CallContext) -> float | None:
+        """Return how long one attempt may take; None leaves it to the deadline."""
+        route = context.call.route
+        if not route.repeatability.may_rerun:
+            return None
+        if context.attempts.runs + 1 >= route.max_attempts:
+            return None
+        return max(MIN_PATIENCE_S, PATIENCE_PART * route.objective_s)
--- /dev/null
+++ b/bramleyport/gateway/_prefill.py
@@ -0,0 +1,107 @@
+"""Have one engine read a prompt for another."""
+
+import asyncio
+
+from bramleyport.core import StepError, UpstreamId
+from bramleyport.fleet import Choice, Registration, Stage
+from bramleyport.gateway._attempt import CallContext
+from bramleyport.gateway._exchange import Exchanger
+from bramleyport.gateway._state import GatewayState
+from bramleyport.gateway._tracker import Tracker
+from bramleyport.http1 import ExchangeError, HttpRequest
+from bramleyport.platform import (
+    Delivery,
+    MalformedDocumentError,
+    decode_prefill,
+    encode_delivery,
+    make_handle_path,
+)
+from bramleyport.telemetry import gateway_events, log_event
+
+
+class PrefillError(StepError):
+    """Report that an engine did not read a prompt; the call has not run."""
+
+    def __init__(self, upstream: UpstreamId, reason: str) -> None:
+        super().__init__("prefill", upstream, reason)
+        self.upstream = upstream
+
+
+class Prefiller:
+    """Read prompts ahead of the upstreams that answer."""
+
+    def __init__(
+        self, state: GatewayState, exchanger: Exchanger, tracker: Tracker
+    ) -> None:
+        self._state = state
+        self._exchanger = exchanger
+        self._tracker = tracker
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    async def read(self, context: CallContext, choice: Choice) -> str:
+        """Return the handle under which the reader keeps the KV cache."""
+        reader = choice.prefill
+        assert reader is not None
+        self._tracker.start(context.call, reader, choice.read_s)
+        started_s = asyncio.get_running_loop().time()
+        try:
+            handle = await self._request(context, reader)
+        except (ExchangeError, MalformedDocumentError) as error:
+            self._note(reader, failed=True)
+            raise PrefillError(reader.upstream, str(error)) from error
+        finally:
+            self._tracker.finish_reading(context.call, reader)
+            self._tracker.end(context.call, reader)
+        self._note(reader, failed=False)
+        took_s = asyncio.get_running_loop().time() - started_s
+        if choice.wait_s == 0.0:
+            self._state.speeds.record(
+                reader.upstream, Stage.PREFILL, choice.unread_tokens, took_s
+            )
+        return handle
+
+    def free(self, reader: Registration, handle: str) -> None:
+        """Free a handle that nobody takes, without waiting for it."""
+        task = asyncio.ensure_future(self._free(reader, handle))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _request(self, context: CallContext, reader: Registration) -> str:
+        request = context.request
+        delivery = Delivery(
+            upstream=reader.upstream,
+            time_left_s=context.left_s,
+            priority=context.call.route.priority,
+            prefill_only=True,
+        )
+        sent = HttpRequest(
+            method=request.method,
+            target=request.target,
+            headers=encode_delivery(request.headers, delivery),
+            body=request.body,
+        )
+        async with self._exchanger.open(
+            reader, sent, context.call.request, fresh=False
+        ) as opened:
+            body = await opened.connection.read_body()
+            status = opened.answer.status
+        if status != 200:
+            raise PrefillError(reader.upstream, f"declined with {status}")
+        return decode_prefill(body).handle
+
+    async def _free(self, reader: Registration, handle: str) -> None:
+        path = make_handle_path(handle)
+        request = HttpRequest(method=b"DELETE", target=path, headers=[])
+        try:
+            await self._exchanger.call(reader, request)
+        except ExchangeError as error:
+            # The engine drops the handle by itself after its lifetime.
+            log_event(
+                gateway_events.HANDLE_NOT_FREED,
+                upstream=reader.upstream,
+                reason=str(error),
+            )
+
+    def _note(self, reader: Registration, *, failed: bool) -> None:
+        now_s = asyncio.get_running_loop().time()
+        self._state.record_result(reader.upstream, failed=failed, now_s=now_s)
--- /dev/null
+++ b/bramleyport/gateway/_readiness.py
@@ -0,0 +1,32 @@
+"""Tell the platform's balancer whether to send callers here."""
+
+from http import HTTPStatus
+
+from bramleyport.gateway._reply import reply
+from bramleyport.gateway._state import GatewayState
+from bramleyport.http1 import CallerConnection, CallerRequest
+from bramleyport.platform import READINESS_PATH
+
+
+class Readiness:
+    """Answer the balancer's checks."""
+
+    def __init__(self, state: GatewayState) -> None:
+        self._state = state
+
+    @property
+    def ready(self) -> bool:
+        """Return whether callers can be served."""
+        return self._state.routes is not None and not self._state.draining
+
+    async def handle(
+        self, request: CallerRequest, connection: CallerConnection
+    ) -> None:
+        """Answer one check."""
+        path = request.target.partition(b"?")[0]
+        if path != READINESS_PATH:
+            reply(connection, HTTPStatus.NOT_FOUND, None, "unknown path")
+        elif self.ready:
+            reply(connection, HTTPStatus.OK, None, "ready")
+        else:
+            reply(connection, HTTPStatus.SERVICE_UNAVAILABLE, None, "not ready")
--- /dev/null
+++ b/bramleyport/gateway/_state.py
@@ -0,0 +1,87 @@
+"""The state that the parts of a gateway share."""
+
+from dataclasses import dataclass, field
+from typing import Final
+
+from bramleyport.core import ServiceName, UpstreamId
+from bramleyport.fleet import (
+    CallerLimits,
+    Chooser,
+    Configuration,
+    LoadBook,
+    Membership,
+    PrefixIndex,
+    ReadSpeeds,
+    RouteTable,
+)
+from bramleyport.platform import NodeSettings
+from bramleyport.retries import OutlierEjector, RepeatBudget
+from bramleyport.telemetry import gateway_events, log_event
+
+# An upstream that failed this often in a row is left out for a while.
+EJECT_AFTER: Final = 3
+EJECT_S: Final = 2.0
+
+
+@dataclass(slots=True, kw_only=True)
+class GatewayState:
+    """Hold what a gateway knows and believes."""
+
+    settings: NodeSettings
+    members: Membership = field(default_factory=Membership)
+    loads: LoadBook = field(default_factory=LoadBook)
+    prefixes: PrefixIndex = field(default_factory=PrefixIndex)
+    speeds: ReadSpeeds = field(default_factory=ReadSpeeds)
+    ejector: OutlierEjector = field(
+        default_factory=lambda: OutlierEjector(
+            consecutive_failures=EJECT_AFTER, eject_s=EJECT_S
+        )
+    )
+    routes: RouteTable | None = None
+    budgets: dict[ServiceName, RepeatBudget] = field(default_factory=dict)
+    # Gateways that share the retry budget, this one included.
+    gateways: int = 1
+    draining: bool = False
+    chooser: Chooser = field(init=False)
+
+    def __post_init__(self) -> None:
+        self.chooser = Chooser(
+            self.settings.place, self.members, self.loads, self.prefixes, self.speeds
+        )
+
+    @property
+    def configuration(self) -> Configuration | None:
+        """Return the configuration in force."""
+        return self.routes.configuration if self.routes else None
+
+    @property
+    def limits(self) -> CallerLimits:
+        """Return the limits for callers in force."""
+        return self.configuration.limits if self.configuration else CallerLimits()
+
+    def find_budget(self, service: ServiceName) -> RepeatBudget:
+        """Return the budget for repeats of a service."""
+        budget = self.budgets.get(service)
+        if budget is None:
+            bounds = self.settings.retries
+            budget = RepeatBudget(bounds.ratio, bounds.extra, bounds.window_s)
+            self.budgets[service] = budget
+        return budget
+
+    def list_ejected(self, service: ServiceName, now_s: float) -> set[UpstreamId]:
+        """Return the upstreams of a service that failed too often of late."""
+        names = [item.upstream for item in self.members.list_ready(service)]
+        return self.ejector.find_ejected(names, now_s)
+
+    def record_result(
+        self, upstream: UpstreamId, *, failed: bool, now_s: float
+    ) -> None:
+        """Take the result of one exchange with an upstream."""
+        if self.ejector.record(upstream, failed=failed, now_s=now_s):
+            log_event(gateway_events.UPSTREAM_EJECTED, upstream=upstream)
+
+    def forget(self, upstream: UpstreamId) -> None:
+        """Drop all that was known of an upstream that is gone or began anew."""
+        self.loads.forget(upstream)
+        self.prefixes.forget(upstream)
+        self.speeds.forget(upstream)
--- /dev/null
+++ b/bramleyport/gateway/_stream.py
@@ -0,0 +1,282 @@
+"""Serve calls whose answers are event streams."""
+
+import asyncio
+from typing import Final
+
+from bramleyport.admission import Rejected
+from bramleyport.fleet import Choice, Repeatability, Stage
+from bramleyport.gateway._attempt import AttemptSupport, CallContext
+from bramleyport.gateway._events import BrokenStreamError, EventRelay
+from bramleyport.gateway._exchange import Opened
+from bramleyport.gateway._outcome import AttemptEnd, AttemptFailure
+from bramleyport.gateway._prefill import Prefiller, PrefillError
+from bramleyport.http1 import Answer, ExchangeError, ExchangeFailure, HttpRequest
+from bramleyport.platform import Delivery, encode_delivery
+from bramleyport.telemetry import gateway_events, log_event
+
+# A stream that can go on elsewhere is given up after a pause of this many times the
+# longest one that is in time, and well before its caller gives up.
+PAUSE_FACTOR: Final = 4.0
+MIN_PAUSE_S: Final = 0.6
+# A first event that is later than its forecast by this much is not coming.
+FORECAST_FACTOR: Final = 3.0
+FIRST_EVENT_SLACK_S: Final = 0.5
+
+
+class StreamServer:
+    """Serve calls of language services."""
+
+    def __init__(self, support: AttemptSupport, prefiller: Prefiller) -> None:
+        self._support = support
+        self._prefiller = prefiller
+
+    async def serve(self, context: CallContext, last_event: int) -> None:
+        """Answer a call; a stream that breaks goes on at another upstream."""
+        relay = EventRelay(context.connection, last_event)
+        try:
+            async with asyncio.timeout_at(context.call.deadline_s):
+                await self._serve(context, relay)
+        except TimeoutError:
+            self._end(context, relay, "deadline")
+
+    async def _serve(self, context: CallContext, relay: EventRelay) -> None:
+        while True:
+            choice = self._support.choose(context)
+            if isinstance(choice, Rejected):
+                self._decline(context, relay, choice)
+                return
+            failure = await self._try(context, choice, relay)
+            if failure is None:
+                self._support.log_answered(context, 200)
+                return
+            self._support.note_failure(context, failure)
+            decision = self._support.may_retry(context)
+            if decision.reason != "retry":
+                self._end(context, relay, decision.reason)
+                return
+            self._support.log_retry(context, decision)
+            if relay.started:
+                log_event(
+                    gateway_events.STREAM_RESUMED,
+                    request=context.call.request,
+                    last_event=relay.last_event,
+                )
+
+    def _decline(
+        self, context: CallContext, relay: EventRelay, decision: Rejected
+    ) -> None:
+        if context.last_failure is None:
+            self._support.refuse(context, decision)
+        else:
+            self._end(context, relay, decision.explanation.reason)
+
+    def _end(self, context: CallContext, relay: EventRelay, reason: str) -> None:
+        if not relay.started:
+            self._support.give_up(context, reason)
+            return
+        log_event(
+            gateway_events.STREAM_BROKEN_OFF,
+            request=context.call.request,
+            reason=reason,
+            last_event=relay.last_event,
+            left_s=round(context.left_s, 3),
+        )
+        context.connection.break_off()
+
+    async def _try(
+        self, context: CallContext, choice: Choice, relay: EventRelay
+    ) -> AttemptFailure | None:
+        try:
+            delivery = await self._prepare(context, choice)
+        except PrefillError as error:
+            return AttemptFailure(
+                upstream=error.upstream, end=AttemptEnd.NOT_RUN, reason=error.reason
+            )
+        if relay.started or relay.last_event:
+            delivery = self._continue_from(delivery, relay)
+        done = False
+        try:
+            failure = await self._send(context, choice, delivery, relay)
+            done = failure is None
+        finally:
+            if choice.prefill is not None and not done:
+                self._prefiller.free(choice.prefill, delivery.cache_handle)
+        return failure
+
+    async def _prepare(self, context: CallContext, choice: Choice) -> Delivery:
+        """Return how the call is sent, after its prompt was read where it is split."""
+        target = choice.upstream.upstream
+        priority = context.call.route.priority
+        self._support.log_sent(context, choice)
+        if choice.prefill is None:
+            return Delivery(
+                upstream=target, time_left_s=context.left_s, priority=priority
+            )
+        handle = await self._prefiller.read(context, choice)
+        return Delivery(
+            upstream=target,
+            time_left_s=context.left_s,
+            priority=priority,
+            cache_at=choice.prefill.address,
+            cache_handle=handle,
+        )
+
+    def _continue_from(self, delivery: Delivery, relay: EventRelay) -> Delivery:
+        return Delivery(
+            upstream=delivery.upstream,
+            time_left_s=delivery.time_left_s,
+            priority=delivery.priority,
+            cache_at=delivery.cache_at,
+            cache_handle=delivery.cache_handle,
+            last_event=relay.last_event,
+        )
+
+    async def _send(
+        self,
+        context: CallContext,
+        choice: Choice,
+        delivery: Delivery,
+        relay: EventRelay,
+    ) -> AttemptFailure | None:
+        self._support.begin(context)
+        tracker = self._support.tracker
+        read_s = 0.0 if choice.prefill else choice.read_s
+        tracker.start(context.call, choice.upstream, read_s)
+        failure = await self._run(context, choice, delivery, relay)
+        context.attempts.in_flight = False
+        return failure
+
+    async def _run(
+        self,
+        context: CallContext,
+        choice: Choice,
+        delivery: Delivery,
+        relay: EventRelay,
+    ) -> AttemptFailure | None:
+        tracker = self._support.tracker
+        try:
+            return await self._exchange(context, choice, delivery, relay)
+        except TimeoutError:
+            return _fail(choice, AttemptEnd.LOST, "no event in time")
+        except BrokenStreamError as error:
+            return _fail(choice, AttemptEnd.LOST, str(error))
+        except ExchangeError as error:
+            unsent = error.failure is ExchangeFailure.NOT_SENT
+            end = AttemptEnd.NOT_RUN if unsent else AttemptEnd.LOST
+            if unsent:
+                self._record(choice, failed=True)
+            return _fail(choice, end, str(error))
+        finally:
+            tracker.end(context.call, choice.upstream)
+
+    async def _exchange(
+        self,
+        context: CallContext,
+        choice: Choice,
+        delivery: Delivery,
+        relay: EventRelay,
+    ) -> AttemptFailure | None:
+        request = context.request
+        sent = HttpRequest(
+            method=request.method,
+            target=request.target,
+            headers=encode_delivery(request.headers, delivery),
+            body=request.body,
+        )
+        fresh = not context.call.route.repeatability.may_rerun
+        sent_s = asyncio.get_running_loop().time()
+        first_by_s = self._limit_first_event(context, choice, sent_s)
+        async with (
+            asyncio.timeout_at(first_by_s) as limit,
+            self._support.exchanger.open(
+                choice.upstream, sent, context.call.request, fresh=fresh
+            ) as opened,
+        ):
+            if opened.answer.status != 200 or not opened.head.signed:
+                return await self._judge(context, choice, opened)
+            relay.begin_attempt(opened.answer)
+            await self._relay_events(context, choice, opened, relay, limit, sent_s)
+        self._record(choice, failed=False)
+        return None
+
+    async def _relay_events(
+        self,
+        context: CallContext,
+        choice: Choice,
+        opened: Opened,
+        relay: EventRelay,
+        limit: asyncio.Timeout,
+        sent_s: float,
+    ) -> None:
+        first = True
+        while (data := await opened.connection.read_chunk()) is not None:
+            if relay.take(data):
+                now_s = asyncio.get_running_loop().time()
+                if first:
+                    self._note_first_event(context, choice, now_s - sent_s)
+                    first = False
+                limit.reschedule(self._limit_pause(context, now_s))
+            await context.connection.drain()
+        relay.finish()
+
+    async def _judge(
+        self, context: CallContext, choice: Choice, opened: Opened
+    ) -> AttemptFailure | None:
+        """Take an answer that is no stream."""
+        answer = opened.answer
+        if opened.head.not_run:
+            return _fail(choice, AttemptEnd.NOT_RUN, f"declined with {answer.status}")
+        body = await opened.connection.read_body()
+        whole = Answer(answer.status, answer.reason, answer.headers, body)
+        if not opened.head.signed or answer.status < 300:
+            return _fail(choice, AttemptEnd.LOST, f"unusable answer {answer.status}")
+        return AttemptFailure(
+            upstream=choice.upstream.upstream,
+            end=AttemptEnd.FAILED,
+            reason=f"failed with {answer.status}",
+            answer=whole,
+        )
+
+    def _note_first_event(
+        self, context: CallContext, choice: Choice, took_s: float
+    ) -> None:
+        self._support.tracker.finish_reading(context.call, choice.upstream)
+        # Only a reading that waited for no other tells the speed of the engine.
+        if choice.prefill is None and choice.wait_s == 0.0:
+            self._support.state.speeds.record(
+                choice.upstream.upstream,
+                choice.upstream.stage or Stage.DECODE,
+                choice.unread_tokens,
+                took_s,
+            )
+
+    def _limit_first_event(
+        self, context: CallContext, choice: Choice, now_s: float
+    ) -> float:
+        call = context.call
+        if not self._can_move(context):
+            return call.deadline_s
+        forecast_s = FORECAST_FACTOR * choice.forecast_s + FIRST_EVENT_SLACK_S
+        return min(call.deadline_s, now_s + max(call.route.objective_s, forecast_s))
+
+    def _limit_pause(self, context: CallContext, now_s: float) -> float:
+        call = context.call
+        if not self._can_move(context):
+            return call.deadline_s
+        pause_s = max(MIN_PAUSE_S, PAUSE_FACTOR * call.route.max_pause_s)
+        return min(call.deadline_s, now_s + pause_s)
+
+    def _can_move(self, context: CallContext) -> bool:
+        route = context.call.route
+        resumable = route.repeatability is Repeatability.STREAM_RESUMABLE
+        return resumable and context.attempts.runs + 1 < route.max_attempts
+
+    def _record(self, choice: Choice, *, failed: bool) -> None:
+        now_s = asyncio.get_running_loop().time()
+        self._support.state.record_result(
+            choice.upstream.upstream, failed=failed, now_s=now_s
+        )
+
+
+def _fail(choice: Choice, end: AttemptEnd, reason: str) -> AttemptFailure:
+    return AttemptFailure(upstream=choice.upstream.upstream, end=end, reason=reason)
--- /dev/null
+++ b/bramleyport/gateway/_tracker.py
@@ -0,0 +1,86 @@
+"""Record what is sent to upstreams, here and for the other gateways."""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from bramleyport.core import RequestId, UpstreamId
+from bramleyport.fleet import Call, Choice, Registration, Work
+from bramleyport.gateway._state import GatewayState
+
+
+@dataclass(slots=True)
+class Journaled:
+    """Collect what the other gateways have yet to hear."""
+
+    started: list[Work] = field(default_factory=list)
+    read: list[tuple[UpstreamId, RequestId]] = field(default_factory=list)
+    ended: list[tuple[UpstreamId, RequestId]] = field(default_factory=list)
+
+    def __bool__(self) -> bool:
+        return bool(self.started or self.read or self.ended)
+
+
+class Tracker:
+    """Keep the load of upstreams up to date with what this gateway sends."""
+
+    def __init__(self, state: GatewayState) -> None:
+        self._state = state
+        self._pending = Journaled()
+        self.on_pending: Callable[[], None] | None = None
+
+    def start(self, call: Call, target: Registration, read_s: float) -> None:
+        """Note that a call is sent to an upstream."""
+        parts = call.prompt.parts if call.prompt else ()
+        work = Work(
+            request=call.request,
+            upstream=target.upstream,
+            priority=call.route.priority,
+            read_s=read_s,
+            started_s=asyncio.get_running_loop().time(),
+            parts=parts,
+        )
+        self.apply(work)
+        self._pending.started.append(work)
+        self._announce()
+
+    def finish_reading(self, call: Call, target: Registration) -> None:
+        """Note that an upstream has read the prompt of a call."""
+        now_s = asyncio.get_running_loop().time()
+        self._state.loads.of(target.upstream).finish_reading(call.request, now_s)
+        self._pending.read.append((target.upstream, call.request))
+        self._announce()
+
+    def end(self, call: Call, target: Registration) -> None:
+        """Note that an upstream has nothing left to do for a call."""
+        now_s = asyncio.get_running_loop().time()
+        self._state.loads.of(target.upstream).remove(call.request, now_s)
+        self._pending.ended.append((target.upstream, call.request))
+        self._announce()
+
+    def apply(self, work: Work) -> None:
+        """Take work of this or another gateway into the load and the caches."""
+        self._state.loads.of(work.upstream).add(work)
+        registration = self._state.members.find(work.upstream)
+        configuration = self._state.configuration
+        if not work.parts or registration is None or configuration is None:
+            return
+        service = configuration.services.get(registration.service)
+        if service is not None and service.engine is not None:
+            capacity = service.engine.kv_capacity_tokens
+            self._state.prefixes.add(work.upstream, work.parts, capacity)
+
+    def take_pending(self) -> Journaled:
+        """Return and clear what the other gateways have yet to hear."""
+        pending = self._pending
+        self._pending = Journaled()
+        return pending
+
+    def _announce(self) -> None:
+        if self.on_pending is not None:
+            self.on_pending()
+
+
+def find_reader(choice: Choice) -> Registration:
+    """Return the upstream that reads the prompt."""
+    return choice.prefill or choice.upstream
--- /dev/null
+++ b/bramleyport/http1/__init__.py
@@ -0,0 +1,39 @@
+"""Serve and make HTTP/1.1 exchanges with control over each byte and connection.
+
+klein and treq hide what a gateway must know: whether an answer ended by its framing
+or with its connection, which bytes follow an answer, and when a caller has gone. Both
+sides therefore use the protocol library h11 on Twisted's transports.
+"""
+
+from bramleyport.http1._client import (
+    Answer,
+    ExchangeError,
+    ExchangeFailure,
+    HttpClient,
+    HttpRequest,
+    UpstreamConnection,
+)
+from bramleyport.http1._pool import ConnectionPool, PoolLimits
+from bramleyport.http1._server import (
+    CallerConnection,
+    CallerFactory,
+    CallerGoneError,
+    CallerRequest,
+    ConnectionLimits,
+)
+
+__all__ = [
+    "Answer",
+    "CallerConnection",
+    "CallerFactory",
+    "CallerGoneError",
+    "CallerRequest",
+    "ConnectionLimits",
+    "ConnectionPool",
+    "ExchangeError",
+    "ExchangeFailure",
+    "HttpClient",
+    "HttpRequest",
+    "PoolLimits",
+    "UpstreamConnection",
+]
--- /dev/null
+++ b/bramleyport/platform/__init__.py
@@ -0,0 +1,78 @@
+"""Translate between the users' platform and the project's own types.
+
+All names of the platform's protocol stand in this package and nowhere else. Nothing
+here decides what is done with the values.
+"""
+
+from bramleyport.platform._calls import (
+    AnswerHead,
+    CallHead,
+    Delivery,
+    decode_answer,
+    decode_call,
+    encode_answer_headers,
+    encode_delivery,
+    encode_own_headers,
+    read_event_id,
+)
+from bramleyport.platform._config import decode_configuration
+from bramleyport.platform._engines import (
+    READINESS_PATH,
+    PrefillResult,
+    decode_prefill,
+    make_handle_path,
+)
+from bramleyport.platform._gateways import decode_gateway, encode_gateway
+from bramleyport.platform._registrations import decode_registration
+from bramleyport.platform._settings import (
+    NodeSettings,
+    RetryBounds,
+    StoreSettings,
+    load_node_settings,
+    locate_settings,
+)
+from bramleyport.platform._store import (
+    ChangeBatch,
+    Listing,
+    ObjectKind,
+    ObjectName,
+    StoreClient,
+    StoredObject,
+    StoreError,
+    StoreFailure,
+)
+from bramleyport.platform._wire import MalformedDocumentError
+
+__all__ = [
+    "READINESS_PATH",
+    "AnswerHead",
+    "CallHead",
+    "ChangeBatch",
+    "Delivery",
+    "Listing",
+    "MalformedDocumentError",
+    "NodeSettings",
+    "ObjectKind",
+    "ObjectName",
+    "PrefillResult",
+    "RetryBounds",
+    "StoreClient",
+    "StoreError",
+    "StoreFailure",
+    "StoreSettings",
+    "StoredObject",
+    "decode_answer",
+    "decode_call",
+    "decode_configuration",
+    "decode_gateway",
+    "decode_prefill",
+    "decode_registration",
+    "encode_answer_headers",
+    "encode_delivery",
+    "encode_gateway",
+    "encode_own_headers",
+    "load_node_settings",
+    "locate_settings",
+    "make_handle_path",
+    "read_event_id",
+]
--- /dev/null
+++ b/bramleyport/platform/_store.py
@@ -0,0 +1,309 @@
+"""Call the platform's store."""
+
+import asyncio
+import json
+from collections.abc import Callable
+from dataclasses import dataclass
+from enum import Enum
+from typing import Any, Final, NewType
+from urllib.parse import quote
+
+from result import Err, Ok, Result
+
+from bramleyport.core import Revision
+from bramleyport.http1 import (
+    Answer,
+    ConnectionPool,
+    ExchangeError,
+    ExchangeFailure,
+    HttpClient,
+    HttpRequest,
+    PoolLimits,
+)
+from bramleyport.platform._settings import StoreSettings
+from bramleyport.platform._wire import (
+    Document,
+    MalformedDocumentError,
+    read_count,
+    read_flag,
+    read_table,
+    read_tables,
+    read_text,
+)
+
+ObjectName = NewType("ObjectName", str)
+
+# A healthy store answers in milliseconds; the rest allows for an overload.
+CALL_TIMEOUT_S: Final = 1.5
+CONNECT_TIMEOUT_S: Final = 0.5
+MAX_CONNECTIONS: Final = 8
+
+
+class ObjectKind(str, Enum):
+    """Name the kinds of objects that gateways read or write."""
+
+    CONFIGURATION = "config"
+    REGISTRATIONS = "servers"
+    GATEWAYS = "gateways"
+
+
+class StoreFailure(str, Enum):
+    """Classify failed calls by what may be concluded."""
+
+    CONFLICT = "conflict"
+    NOT_FOUND = "not_found"
+    # The history after the revision of a watch is gone.
+    EXPIRED = "expired"
+    # Refused before any effect.
+    REFUSED = "refused"
+    # A write may have taken effect, or may still do so.
+    UNKNOWN = "unknown"
+    INVALID = "invalid"
+
+
+_FAILURES: Final = {
+    400: StoreFailure.INVALID,
+    404: StoreFailure.NOT_FOUND,
+    409: StoreFailure.CONFLICT,
+    410: StoreFailure.EXPIRED,
+    429: StoreFailure.REFUSED,
+    503: StoreFailure.REFUSED,
+}
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class StoreError:
+    """Describe a failed call."""
+
+    failure: StoreFailure
+    step: str
+    reason: str
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class StoredObject:
+    """Hold one object of the store."""
+
+    name: ObjectName
+    revision: Revision
+    document: Document
+
+
+@dataclass(frozen=True, slots=True)
+class Listing:
+    """Hold the objects of a kind at one revision."""
+
+    revision: Revision
+    objects: tuple[StoredObject, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Change:
+    """Hold an object after a change, or its last state before its removal."""
+
+    object: StoredObject
+    removed: bool
+
+
+@dataclass(frozen=True, slots=True)
+class ChangeBatch:
+    """Hold the changes up to a revision."""
+
+    revision: Revision
+    changes: tuple[Change, ...]
+
+
+class StoreClient:
+    """Read, write and watch objects; every call returns a result."""
+
+    def __init__(
+        self,
+        client: HttpClient,
+        settings: StoreSettings,
+        on_call: Callable[[str, str], None] | None = None,
+    ) -> None:
+        limits = PoolLimits(
+            max_connections=MAX_CONNECTIONS, connect_timeout_s=CONNECT_TIMEOUT_S
+        )
+        self._pool = ConnectionPool(client, settings.address, limits)
+        self._on_call = on_call
+
+    async def list_objects(
+        self, kind: ObjectKind, *, stale: bool = False
+    ) -> Result[Listing, StoreError]:
+        """Read all objects of a kind; a stale read may be seconds old."""
+        objects: list[StoredObject] = []
+        after = ""
+        while True:
+            query = [f"after={quote(after, safe='')}"] if after else []
+            query += ["stale_ok=1"] if stale else []
+            page = await self._call("list", "GET", _make_path(kind, query=query))
+            if isinstance(page, Err):
+                return page
+            try:
+                items = read_tables(page.ok_value, "items")
+                objects += [_decode_object(item) for item in items]
+                revision = Revision(read_count(page.ok_value, "current_rev"))
+                more = read_flag(page.ok_value, "has_more", False)
+            except MalformedDocumentError as error:
+                return _reject("list", str(error))
+            if not more or not objects:
+                return Ok(Listing(revision, tuple(objects)))
+            after = objects[-1].name
+
+    async def watch(
+        self, kind: ObjectKind, since: Revision, wait_s: float
+    ) -> Result[ChangeBatch, StoreError]:
+        """Wait for changes after a revision."""
+        query = [f"watch={since}", f"wait_ms={int(wait_s * 1000)}"]
+        reply = await self._call(
+            "watch",
+            "GET",
+            _make_path(kind, query=query),
+            timeout_s=wait_s + CALL_TIMEOUT_S,
+        )
+        if isinstance(reply, Err):
+            return reply
+        try:
+            changes = tuple(
+                Change(
+                    _decode_object(read_table(event, "object")),
+                    read_flag(event, "deleted", False),
+                )
+                for event in read_tables(reply.ok_value, "events")
+            )
+            revision = Revision(read_count(reply.ok_value, "current_rev"))
+        except MalformedDocumentError as error:
+            return _reject("watch", str(error))
+        return Ok(ChangeBatch(revision, changes))
+
+    async def create(
+        self, kind: ObjectKind, name: ObjectName, document: Document
+    ) -> Result[StoredObject, StoreError]:
+        """Create an object that must not exist."""
+        body = {"metadata": {"name": name}, "spec": document}
+        return await self._write("create", "POST", _make_path(kind), body)
+
+    async def replace(
+        self,
+        kind: ObjectKind,
+        name: ObjectName,
+        document: Document,
+        revision: Revision | None = None,
+    ) -> Result[StoredObject, StoreError]:
+        """Replace an object, if given only while it has the revision."""
+        metadata: dict[str, Any] = {"name": name}
+        if revision is not None:
+            metadata["revision"] = revision
+        body = {"metadata": metadata, "spec": document}
+        return await self._write("replace", "PUT", _make_path(kind, name), body)
+
+    async def remove(
+        self, kind: ObjectKind, name: ObjectName
+    ) -> Result[None, StoreError]:
+        """Remove an object."""
+        reply = await self._call("remove", "DELETE", _make_path(kind, name))
+        return reply.map(lambda _: None)
+
+    def close(self) -> None:
+        """Close the idle connections."""
+        self._pool.close()
+
+    async def _write(
+        self, step: str, method: str, path: str, body: Document
+    ) -> Result[StoredObject, StoreError]:
+        reply = await self._call(step, method, path, body)
+        if isinstance(reply, Err):
+            return reply
+        try:
+            return Ok(_decode_object(reply.ok_value))
+        except MalformedDocumentError as error:
+            return _reject(step, str(error))
+
+    async def _call(
+        self,
+        step: str,
+        method: str,
+        path: str,
+        body: Document | None = None,
+        *,
+        timeout_s: float = CALL_TIMEOUT_S,
+    ) -> Result[Document, StoreError]:
+        request = HttpRequest(
+            method=method.encode(),
+            target=path.encode(),
+            headers=[(b"Content-Type", b"application/json")] if body else [],
+            body=json.dumps(body).encode() if body else b"",
+        )
+        result = await self._exchange(step, request, timeout_s)
+        if self._on_call is not None:
+            outcome = "ok"
+            if isinstance(result, Err):
+                outcome = result.err_value.failure.value
+            self._on_call(step, outcome)
+        return result
+
+    async def _exchange(
+        self, step: str, request: HttpRequest, timeout_s: float
+    ) -> Result[Document, StoreError]:
+        try:
+            async with asyncio.timeout(timeout_s):
+                answer = await self._run(request)
+        except TimeoutError:
+            reason = f"no answer within {timeout_s:.1f} s"
+            return _fail(StoreFailure.UNKNOWN, step, reason)
+        except ExchangeError as error:
+            unsent = error.failure is ExchangeFailure.NOT_SENT
+            failure = StoreFailure.REFUSED if unsent else StoreFailure.UNKNOWN
+            return _fail(failure, step, error.reason)
+        if answer.status >= 300:
+            failure = _FAILURES.get(answer.status, StoreFailure.UNKNOWN)
+            text = answer.body[:120].decode(errors="replace")
+            return _fail(failure, step, f"{answer.status} {text}")
+        try:
+            document = json.loads(answer.body) if answer.body else {}
+        except ValueError as error:
+            return _fail(StoreFailure.UNKNOWN, step, repr(error))
+        if not isinstance(document, dict):
+            return _fail(StoreFailure.UNKNOWN, step, "the answer is no table")
+        return Ok(document)
+
+    async def _run(self, request: HttpRequest) -> Answer:
+        connection = await self._pool.acquire()
+        try:
+            connection.send(request)
+            head = await connection.read_head()
+            body = await connection.read_body()
+        except BaseException:
+            # An unfinished exchange leaves the connection unusable.
+            connection.abort()
+            raise
+        self._pool.release(connection)
+        return Answer(head.status, head.reason, head.headers, body)
+
+
+def _make_path(
+    kind: ObjectKind, name: ObjectName | None = None, query: list[str] | None = None
+) -> str:
+    path = f"/-/objects/{kind.value}"
+    if name is not None:
+        path += f"/{quote(name, safe='')}"
+    return path + (f"?{'&'.join(query)}" if query else "")
+
+
+def _decode_object(document: Document) -> StoredObject:
+    metadata = read_table(document, "metadata")
+    spec = document.get("spec")
+    return StoredObject(
+        name=ObjectName(read_text(metadata, "name")),
+        revision=Revision(read_count(metadata, "revision")),
+        document=spec if isinstance(spec, dict) else {},
+    )
+
+
+def _fail(failure: StoreFailure, step: str, reason: str) -> Err[StoreError]:
+    return Err(StoreError(failure=failure, step=step, reason=reason))
+
+
+def _reject(step: str, reason: str) -> Err[StoreError]:
+    return _fail(StoreFailure.UNKNOWN, step, reason)
--- a/bramleyport/retries/__init__.py
+++ b/bramleyport/retries/__init__.py
@@ -15,6 +15,7 @@
 from bramleyport.retries._ejection import OutlierEjector, Standing
 from bramleyport.retries._guard import UPSTREAM_GUARDS, Screened, UpstreamGuard
 from bramleyport.retries._hedging import HEDGE_POLICIES, HedgePlan, HedgePolicy
+from bramleyport.retries._window import RepeatBudget
 
 __all__ = [
     "HEDGE_POLICIES",
@@ -27,6 +28,7 @@
     "HedgePlan",
     "HedgePolicy",
     "OutlierEjector",
+    "RepeatBudget",
     "RetryBudget",
     "RetryNow",
     "RetryPolicy",
--- a/bramleyport/retries/_ejection.py
+++ b/bramleyport/retries/_ejection.py
@@ -49,9 +49,13 @@
         self,
         max_fraction: float = MAX_EJECTED_FRACTION,
         min_kept: int = MIN_KEPT,
+        consecutive_failures: int = CONSECUTIVE_FAILURES,
+        eject_s: float = EJECT_S,
     ) -> None:
         self._max_fraction = max_fraction
         self._min_kept = min_kept
+        self._consecutive_failures = consecutive_failures
+        self._eject_s = eject_s
         self._health: dict[UpstreamId, Health] = {}
 
     def read(self, upstream: UpstreamId, now_s: float) -> Standing:
@@ -116,7 +120,8 @@
         if health.failure_rate <= typical + FAILURE_RATE_MARGIN:
             return False
         return (
-            health.consecutive >= CONSECUTIVE_FAILURES or health.samples >= MIN_SAMPLES
+            health.consecutive >= self._consecutive_failures
+            or health.samples >= MIN_SAMPLES
         )
 
     def _record_probation(self, health: Health, *, failed: bool, now_s: float) -> bool:
@@ -133,6 +138,6 @@
 
     def _eject(self, health: Health, now_s: float) -> None:
         health.standing = Standing.EJECTED
-        health.until_s = now_s + min(EJECT_MAX_S, EJECT_S * 2**health.ejections)
+        health.until_s = now_s + min(EJECT_MAX_S, self._eject_s * 2**health.ejections)
         health.ejections = min(10, health.ejections + 1)
         health.consecutive = 0
--- a/bramleyport/routing/__init__.py
+++ b/bramleyport/routing/__init__.py
@@ -1,9 +1,9 @@
 """Choose an upstream for each request."""
 
+from bramleyport.core import Place
 from bramleyport.routing import _affinity as _affinity, _least_loaded as _least_loaded
 from bramleyport.routing._base import (
     ROUTING_POLICIES,
-    Place,
     Route,
     RoutingPolicy,
     is_eligible,
--- a/bramleyport/routing/_affinity.py
+++ b/bramleyport/routing/_affinity.py
@@ -9,6 +9,7 @@
 from bramleyport.core import (
     EngineRole,
     Explanation,
+    Place,
     PrefixBlock,
     ServiceKind,
     UpstreamId,
@@ -16,7 +17,7 @@
     Work,
 )
 from bramleyport.estimate import Estimate, Estimator
-from bramleyport.routing._base import ROUTING_POLICIES, Place, Route, is_eligible
+from bramleyport.routing._base import ROUTING_POLICIES, Route, is_eligible
 from bramleyport.routing._transfer import TransferCost, can_split
 
 # The scan is bounded so that a decision costs the same at any number of upstreams.
--- a/bramleyport/routing/_base.py
+++ b/bramleyport/routing/_base.py
@@ -7,14 +7,12 @@
 
 from bramleyport.core import (
     Explanation,
-    RegionName,
     Registry,
     ServiceKind,
     UpstreamId,
     UpstreamState,
     UpstreamView,
     Work,
-    ZoneName,
 )
 
 
@@ -29,14 +27,6 @@
     explanation: Explanation
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class Place:
-    """Name the zone and region of the process that decides."""
-
-    zone: ZoneName
-    region: RegionName
-
-
 class RoutingPolicy(Protocol):
     """Choose an upstream for each request."""
 
--- a/bramleyport/routing/_least_loaded.py
+++ b/bramleyport/routing/_least_loaded.py
@@ -3,9 +3,9 @@
 from collections.abc import Sequence
 from random import Random
 
-from bramleyport.core import Explanation, UpstreamView, Work
+from bramleyport.core import Explanation, Place, UpstreamView, Work
 from bramleyport.estimate import Estimator
-from bramleyport.routing._base import ROUTING_POLICIES, Place, Route
+from bramleyport.routing._base import ROUTING_POLICIES, Route
 from bramleyport.routing._transfer import TransferCost
 
 
--- /dev/null
+++ b/bramleyport/telemetry/_gateway_events.py
@@ -0,0 +1,36 @@
+"""Numbered log events of the gateway."""
+
+from typing import Final
+
+from bramleyport.telemetry._events import define
+
+CALL_ARRIVED: Final = define(2601, "DEBUG", "call arrived")
+CALL_SENT: Final = define(2602, "INFO", "call sent to an upstream")
+CALL_REFUSED: Final = define(2603, "INFO", "call refused")
+CALL_FAILED: Final = define(2604, "WARNING", "call failed")
+CALL_ANSWERED: Final = define(2605, "INFO", "call answered")
+CALL_RETRIED: Final = define(2606, "INFO", "call tried again")
+CALLER_GONE: Final = define(2607, "INFO", "caller left before the answer was complete")
+STREAM_RESUMED: Final = define(2608, "INFO", "stream resumed at another upstream")
+STREAM_BROKEN_OFF: Final = define(2609, "WARNING", "stream broken off")
+ATTEMPT_LOST: Final = define(2610, "WARNING", "upstream gave no complete answer")
+ATTEMPT_NOT_RUN: Final = define(2611, "INFO", "upstream did not run the call")
+PREFILL_FAILED: Final = define(2612, "INFO", "prefill on another engine failed")
+HANDLE_NOT_FREED: Final = define(2613, "INFO", "handle of a KV cache not freed")
+CONFIG_APPLIED: Final = define(2621, "INFO", "configuration applied")
+CONFIG_INVALID: Final = define(2622, "WARNING", "configuration refused, last one kept")
+UPSTREAM_JOINED: Final = define(2623, "INFO", "upstream registered")
+UPSTREAM_CHANGED: Final = define(2624, "INFO", "upstream registration changed")
+UPSTREAM_LEFT: Final = define(2625, "INFO", "upstream removed")
+REGISTRATION_INVALID: Final = define(2626, "WARNING", "registration left out")
+STORE_LOST: Final = define(2627, "WARNING", "store does not answer, last state kept")
+STORE_BACK: Final = define(2628, "INFO", "store answers again")
+WATCH_RESTARTED: Final = define(2629, "INFO", "history of the watch is gone, read anew")
+UPSTREAM_EJECTED: Final = define(2630, "WARNING", "upstream ejected after failures")
+PEER_JOINED: Final = define(2631, "INFO", "peer gateway heard of")
+PEER_LOST: Final = define(2632, "INFO", "peer gateway silent")
+PEER_MESSAGE_INVALID: Final = define(2633, "WARNING", "message of a peer left out")
+SETTINGS_RELOADED: Final = define(2634, "INFO", "settings read again")
+SETTINGS_REFUSED: Final = define(2635, "WARNING", "new settings refused, old ones kept")
+GATEWAY_NOT_LISTED: Final = define(2636, "INFO", "gateway could not write its address")
+READINESS_CHANGED: Final = define(2637, "INFO", "readiness changed")
