--- a/bramleyport/fleet/_choice.py
+++ b/bramleyport/fleet/_choice.py
@@ -20,9 +20,13 @@
 
 # Seconds that a transfer between engines takes beside the bytes.
 TRANSFER_SETUP_S: Final = 0.005
+# Transfers between zones take this many times as long.
+OTHER_ZONE_FACTOR: Final = 2.0
 # Weight of the engine time that a choice uses against the time its caller waits. What
 # an engine reads needlessly delays the calls after this one.
 WORK_WEIGHT: Final = 0.5
+# Weight of the time for which a transfer occupies links, likewise.
+MOVE_WEIGHT: Final = 1.0
 # Bytes between zones are paid for; among about equal choices the own zone wins.
 OTHER_ZONE_S: Final = 0.01
 # Spreads first uses of a prefix alike in all gateways, without asking each other.
@@ -38,6 +42,8 @@
     upstream: Registration
     # Reads the prompt first, where that is faster.
     prefill: Registration | None = None
+    # Holds more of the prompt than the engine that reads it.
+    prefix_source: Registration | None = None
     # Expected time to the first byte of the answer.
     forecast_s: float = 0.0
     wait_s: float = 0.0
@@ -46,6 +52,22 @@
     explanation: Explanation
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Reading:
+    """Forecast how one engine would read a prompt."""
+
+    wait_s: float
+    read_s: float
+    fetch_s: float
+    unread: int
+    source: Registration | None
+
+    @property
+    def ready_s(self) -> float:
+        """Return the seconds until the prompt is read."""
+        return self.wait_s + self.fetch_s + self.read_s
+
+
 class Chooser:
     """Choose upstreams by forecast, cached prefixes and load."""
 
@@ -80,6 +102,17 @@
             return self._choose_plain(ready)
         return self._choose_engine(call, call.prompt, engine, ready, now_s)
 
+    def choose_target(
+        self, call: Call, excluded: Collection[UpstreamId], now_s: float
+    ) -> Registration | None:
+        """Return where a call whose prompt has been read elsewhere runs."""
+        decoders = [
+            item
+            for item in self._members.list_ready(call.service)
+            if item.upstream not in excluded and item.stage is not Stage.PREFILL
+        ]
+        return self._choose_decoder(decoders, now_s) if decoders else None
+
     def _choose_plain(self, ready: Sequence[Registration]) -> Choice | None:
         if not ready:
             return None
@@ -106,71 +139,124 @@
         ready: Sequence[Registration],
         now_s: float,
     ) -> Choice | None:
+        holder = self._find_holder(prompt, ready)
         decoders = [item for item in ready if item.stage is not Stage.PREFILL]
-        choices = [self._weigh_direct(call, prompt, item, now_s) for item in decoders]
+        choices = [
+            self._weigh_direct(
+                call,
+                item,
+                self._forecast_read(call, prompt, engine, item, holder, now_s),
+            )
+            for item in decoders
+        ]
         if decoders:
-            target = min(decoders, key=lambda item: self._rank_decoder(item, now_s))
+            target = self._choose_decoder(decoders, now_s)
             choices += [
-                self._weigh_split(call, prompt, engine, item, target, now_s)
+                self._weigh_split(
+                    prompt,
+                    engine,
+                    item,
+                    target,
+                    self._forecast_read(call, prompt, engine, item, holder, now_s),
+                )
                 for item in ready
                 if item.stage is Stage.PREFILL
             ]
         return min(choices, key=lambda pair: pair[0])[1] if choices else None
 
+    def _choose_decoder(
+        self, decoders: Sequence[Registration], now_s: float
+    ) -> Registration:
+        return min(decoders, key=lambda item: self._rank_decoder(item, now_s))
+
+    def _find_holder(
+        self, prompt: Prompt, ready: Sequence[Registration]
+    ) -> Registration | None:
+        """Return the engine that has read most of the prompt."""
+        best, most = None, 0
+        for item in ready:
+            tokens = self._prefixes.count_read(item.upstream, prompt)
+            same_zone = item.zone == self._place.zone
+            if tokens > most or (tokens == most > 0 and same_zone):
+                best, most = item, tokens
+        return best
+
     def _weigh_direct(
-        self, call: Call, prompt: Prompt, item: Registration, now_s: float
+        self, call: Call, item: Registration, reading: "Reading"
     ) -> tuple[float, Choice]:
-        wait_s, read_s, unread = self._forecast_read(call, prompt, item, now_s)
         running_s = RUNNING_S * len(self._loads.of(item.upstream))
-        forecast_s = wait_s + read_s + running_s
+        forecast_s = reading.ready_s + running_s
         choice = Choice(
             upstream=item,
+            prefix_source=reading.source,
             forecast_s=forecast_s,
-            wait_s=wait_s,
-            read_s=read_s,
-            unread_tokens=unread,
-            explanation=_explain("direct", forecast_s, wait_s, unread),
+            wait_s=reading.wait_s,
+            read_s=reading.read_s,
+            unread_tokens=reading.unread,
+            explanation=_explain("direct", forecast_s, reading),
         )
-        score = forecast_s + WORK_WEIGHT * read_s + self._spread(prompt, item)
-        return score + self._weigh_zone(item), choice
+        return forecast_s + self._weigh(call.prompt, item, reading), choice
 
     def _weigh_split(
         self,
-        call: Call,
         prompt: Prompt,
         engine: EngineTraits,
         reader: Registration,
         target: Registration,
-        now_s: float,
+        reading: "Reading",
     ) -> tuple[float, Choice]:
-        wait_s, read_s, unread = self._forecast_read(call, prompt, reader, now_s)
-        moved_s = prompt.tokens_in * engine.kv_token_bytes / engine.link_bytes_per_s
-        moved_s *= 1 if reader.zone == target.zone else 2
-        moved_s += TRANSFER_SETUP_S
+        moved_s = _forecast_transfer(engine, prompt.tokens_in, reader, target)
         # The engine that decodes reads at least the last token itself.
         step_s = self._speeds.forecast(target.upstream, Stage.DECODE, 1)
-        forecast_s = wait_s + read_s + moved_s + step_s
+        forecast_s = reading.ready_s + moved_s + step_s
         choice = Choice(
             upstream=target,
             prefill=reader,
+            prefix_source=reading.source,
             forecast_s=forecast_s,
-            wait_s=wait_s,
-            read_s=read_s,
-            unread_tokens=unread,
-            explanation=_explain("split", forecast_s, wait_s, unread),
+            wait_s=reading.wait_s,
+            read_s=reading.read_s,
+            unread_tokens=reading.unread,
+            explanation=_explain("split", forecast_s, reading),
         )
-        score = forecast_s + WORK_WEIGHT * read_s + self._spread(prompt, reader)
-        return score + self._weigh_zone(reader) + self._weigh_zone(target), choice
+        weight_s = self._weigh(prompt, reader, reading) + MOVE_WEIGHT * moved_s
+        return forecast_s + weight_s + self._weigh_zone(target), choice
 
     def _forecast_read(
-        self, call: Call, prompt: Prompt, item: Registration, now_s: float
-    ) -> tuple[float, float, int]:
+        self,
+        call: Call,
+        prompt: Prompt,
+        engine: EngineTraits,
+        item: Registration,
+        holder: Registration | None,
+        now_s: float,
+    ) -> "Reading":
         stage = item.stage or Stage.DECODE
         cached = self._prefixes.count_cached(item.upstream, prompt)
-        unread = max(0, prompt.tokens_in - cached)
-        read_s = self._speeds.forecast(item.upstream, stage, unread)
+        source, fetched, fetch_s = None, 0, 0.0
+        if holder is not None and holder.upstream != item.upstream:
+            held = self._prefixes.count_read(holder.upstream, prompt)
+            fetched = max(0, min(held, prompt.tokens_in) - cached)
+        if fetched > 0 and holder is not None:
+            source = holder
+            fetch_s = _forecast_transfer(engine, fetched, holder, item)
+        unread = max(0, prompt.tokens_in - cached - fetched)
         load = self._loads.of(item.upstream)
-        return load.forecast_wait(call.route.priority, now_s), read_s, unread
+        return Reading(
+            wait_s=load.forecast_wait(call.route.priority, now_s),
+            read_s=self._speeds.forecast(item.upstream, stage, unread),
+            fetch_s=fetch_s,
+            unread=unread,
+            source=source,
+        )
+
+    def _weigh(
+        self, prompt: Prompt | None, item: Registration, reading: "Reading"
+    ) -> float:
+        """Return what a choice costs beside the time its caller waits."""
+        cost_s = WORK_WEIGHT * reading.read_s + MOVE_WEIGHT * reading.fetch_s
+        spread_s = self._spread(prompt, item) if prompt else 0.0
+        return cost_s + spread_s + self._weigh_zone(item)
 
     def _rank_decoder(self, item: Registration, now_s: float) -> tuple[float, int]:
         load = self._loads.of(item.upstream)
@@ -187,10 +273,19 @@
         return SPREAD_S * (zlib.crc32(key) / 2**32)
 
 
-def _explain(reason: str, forecast_s: float, wait_s: float, unread: int) -> Explanation:
+def _forecast_transfer(
+    engine: EngineTraits, tokens: int, source: Registration, target: Registration
+) -> float:
+    seconds = tokens * engine.kv_token_bytes / engine.link_bytes_per_s
+    if source.zone != target.zone:
+        seconds *= OTHER_ZONE_FACTOR
+    return TRANSFER_SETUP_S + seconds
+
+
+def _explain(reason: str, forecast_s: float, reading: Reading) -> Explanation:
     numbers = {
         "forecast_s": round(forecast_s, 3),
-        "wait_s": round(wait_s, 3),
-        "unread_tokens": float(unread),
+        "wait_s": round(reading.wait_s, 3),
+        "unread_tokens": float(reading.unread),
     }
     return Explanation(reason=reason, numbers=numbers)
--- a/bramleyport/fleet/_load.py
+++ b/bramleyport/fleet/_load.py
@@ -49,12 +49,14 @@
         """Note work that is sent."""
         self._works[work.request] = work
 
-    def finish_reading(self, request: RequestId, now_s: float) -> None:
-        """Note that a prompt has been read."""
+    def finish_reading(self, request: RequestId, now_s: float) -> Work | None:
+        """Note that a prompt has been read; return its work if it was not known."""
         work = self._works.get(request)
-        if work is not None and work.reading:
-            work.reading = False
-            self._advanced_s = now_s
+        if work is None or not work.reading:
+            return None
+        work.reading = False
+        self._advanced_s = now_s
+        return work
 
     def remove(self, request: RequestId, now_s: float) -> None:
         """Note that work has ended."""
--- a/bramleyport/fleet/_prefixes.py
+++ b/bramleyport/fleet/_prefixes.py
@@ -13,26 +13,44 @@
     def __init__(self, capacity_tokens: int) -> None:
         self.capacity_tokens = capacity_tokens
         self._parts: OrderedDict[PrefixId, int] = OrderedDict()
+        # Parts that were sent to the engine and may still wait to be read.
+        self._unread: set[PrefixId] = set()
         self._tokens = 0
 
     def count_cached(self, parts: Iterable[PromptPart]) -> int:
-        """Return the tokens of the leading parts that are cached."""
-        cached = 0
-        for part in parts:
-            if part.prefix not in self._parts:
-                break
-            cached += part.tokens
-        return cached
+        """Return the tokens of the leading parts that are cached or being read."""
+        return self._count(parts, read_only=False)
+
+    def count_read(self, parts: Iterable[PromptPart]) -> int:
+        """Return the tokens of the leading parts that are certainly cached."""
+        return self._count(parts, read_only=True)
+
+    def confirm(self, parts: Iterable[PromptPart]) -> None:
+        """Note that the engine has read the parts."""
+        self._unread.difference_update(part.prefix for part in parts)
 
     def add(self, parts: Iterable[PromptPart]) -> None:
-        """Note that the parts were read or used just now."""
+        """Note that the parts are about to be read or used."""
         for part in parts:
+            if part.prefix not in self._parts:
+                self._unread.add(part.prefix)
             self._tokens += part.tokens - self._parts.pop(part.prefix, 0)
             self._parts[part.prefix] = part.tokens
         while self._tokens > self.capacity_tokens and self._parts:
-            _, tokens = self._parts.popitem(last=False)
+            prefix, tokens = self._parts.popitem(last=False)
+            self._unread.discard(prefix)
             self._tokens -= tokens
 
+    def _count(self, parts: Iterable[PromptPart], *, read_only: bool) -> int:
+        cached = 0
+        for part in parts:
+            if part.prefix not in self._parts:
+                break
+            if read_only and part.prefix in self._unread:
+                break
+            cached += part.tokens
+        return cached
+
 
 class PrefixIndex:
     """Hold the modelled prefix caches of all engines."""
@@ -47,6 +65,17 @@
             return 0
         return min(prompt.tokens_in, cache.count_cached(prompt.parts))
 
+    def count_read(self, upstream: UpstreamId, prompt: Prompt) -> int:
+        """Return how many tokens of a prompt another engine can fetch from this one."""
+        cache = self._caches.get(upstream)
+        return cache.count_read(prompt.parts) if cache else 0
+
+    def confirm(self, upstream: UpstreamId, parts: Iterable[PromptPart]) -> None:
+        """Note that an engine has read the parts."""
+        cache = self._caches.get(upstream)
+        if cache is not None:
+            cache.confirm(parts)
+
     def add(
         self, upstream: UpstreamId, parts: Iterable[PromptPart], capacity_tokens: int
     ) -> None:
--- a/bramleyport/gateway/_attempt.py
+++ b/bramleyport/gateway/_attempt.py
@@ -6,7 +6,7 @@
 
 from bramleyport.admission import Rejected
 from bramleyport.core import Explanation, UpstreamId
-from bramleyport.fleet import Call, Choice, EngineTraits, admit
+from bramleyport.fleet import Call, Choice, EngineTraits, Registration, admit
 from bramleyport.gateway._exchange import Exchanger
 from bramleyport.gateway._outcome import AttemptEnd, AttemptFailure, Attempts
 from bramleyport.gateway._reply import relay_answer, reply
@@ -73,6 +73,13 @@
             return decision
         return choice
 
+    def choose_target(self, context: CallContext) -> Registration | None:
+        """Choose where a call whose prompt has been read elsewhere runs."""
+        now_s = asyncio.get_running_loop().time()
+        call = context.call
+        excluded = self.state.list_ejected(call.service, now_s) | context.tried
+        return self.state.chooser.choose_target(call, excluded, now_s)
+
     def begin(self, context: CallContext) -> None:
         """Note that an attempt is sent."""
         context.attempts.sends += 1
--- a/bramleyport/gateway/_peers.py
+++ b/bramleyport/gateway/_peers.py
@@ -102,7 +102,7 @@
         for work in message.started:
             self._tracker.apply(work)
         for ref in message.read:
-            self._state.loads.of(ref.upstream).finish_reading(ref.request, now_s)
+            self._tracker.apply_read(ref.upstream, ref.request)
         for ref in message.ended:
             self._state.loads.of(ref.upstream).remove(ref.request, now_s)
 
--- a/bramleyport/gateway/_prefill.py
+++ b/bramleyport/gateway/_prefill.py
@@ -45,7 +45,7 @@
         self._tracker.start(context.call, reader, choice.read_s)
         started_s = asyncio.get_running_loop().time()
         try:
-            handle = await self._request(context, reader)
+            handle = await self._request(context, reader, choice.prefix_source)
         except (ExchangeError, MalformedDocumentError) as error:
             self._note(reader, failed=True)
             raise PrefillError(reader.upstream, str(error)) from error
@@ -66,13 +66,19 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    async def _request(self, context: CallContext, reader: Registration) -> str:
+    async def _request(
+        self,
+        context: CallContext,
+        reader: Registration,
+        source: Registration | None,
+    ) -> str:
         request = context.request
         delivery = Delivery(
             upstream=reader.upstream,
             time_left_s=context.left_s,
             priority=context.call.route.priority,
             prefill_only=True,
+            prefix_at=source.address if source else None,
         )
         sent = HttpRequest(
             method=request.method,
--- a/bramleyport/gateway/_stream.py
+++ b/bramleyport/gateway/_stream.py
@@ -1,6 +1,7 @@
 """Serve calls whose answers are event streams."""
 
 import asyncio
+from dataclasses import replace
 from typing import Final
 
 from bramleyport.admission import Rejected
@@ -92,6 +93,7 @@
             return AttemptFailure(
                 upstream=error.upstream, end=AttemptEnd.NOT_RUN, reason=error.reason
             )
+        choice = self._retarget(context, choice, delivery)
         if relay.started or relay.last_event:
             delivery = self._continue_from(delivery, relay)
         done = False
@@ -105,31 +107,40 @@
 
     async def _prepare(self, context: CallContext, choice: Choice) -> Delivery:
         """Return how the call is sent, after its prompt was read where it is split."""
-        target = choice.upstream.upstream
         priority = context.call.route.priority
         self._support.log_sent(context, choice)
         if choice.prefill is None:
+            source = choice.prefix_source
             return Delivery(
-                upstream=target, time_left_s=context.left_s, priority=priority
+                upstream=choice.upstream.upstream,
+                time_left_s=context.left_s,
+                priority=priority,
+                prefix_at=source.address if source else None,
             )
         handle = await self._prefiller.read(context, choice)
+        target = self._support.choose_target(context) or choice.upstream
         return Delivery(
-            upstream=target,
+            upstream=target.upstream,
             time_left_s=context.left_s,
             priority=priority,
             cache_at=choice.prefill.address,
             cache_handle=handle,
         )
 
+    def _retarget(
+        self, context: CallContext, choice: Choice, delivery: Delivery
+    ) -> Choice:
+        """Return the choice with the upstream that the delivery names.
+
+        While a prompt was read, the upstream chosen before may have begun to leave.
+        """
+        if delivery.upstream == choice.upstream.upstream:
+            return choice
+        target = self._support.state.members.find(delivery.upstream)
+        return replace(choice, upstream=target) if target else choice
+
     def _continue_from(self, delivery: Delivery, relay: EventRelay) -> Delivery:
-        return Delivery(
-            upstream=delivery.upstream,
-            time_left_s=delivery.time_left_s,
-            priority=delivery.priority,
-            cache_at=delivery.cache_at,
-            cache_handle=delivery.cache_handle,
-            last_event=relay.last_event,
-        )
+        return replace(delivery, last_event=relay.last_event)
 
     async def _send(
         self,
--- a/bramleyport/gateway/_tracker.py
+++ b/bramleyport/gateway/_tracker.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, field
 
 from bramleyport.core import RequestId, UpstreamId
-from bramleyport.fleet import Call, Choice, Registration, Work
+from bramleyport.fleet import Call, Registration, Work
 from bramleyport.gateway._state import GatewayState
 
 
@@ -46,8 +46,7 @@
 
     def finish_reading(self, call: Call, target: Registration) -> None:
         """Note that an upstream has read the prompt of a call."""
-        now_s = asyncio.get_running_loop().time()
-        self._state.loads.of(target.upstream).finish_reading(call.request, now_s)
+        self.apply_read(target.upstream, call.request)
         self._pending.read.append((target.upstream, call.request))
         self._announce()
 
@@ -70,6 +69,13 @@
             capacity = service.engine.kv_capacity_tokens
             self._state.prefixes.add(work.upstream, work.parts, capacity)
 
+    def apply_read(self, upstream: UpstreamId, request: RequestId) -> None:
+        """Note that an upstream has read the prompt of some gateway's call."""
+        now_s = asyncio.get_running_loop().time()
+        work = self._state.loads.of(upstream).finish_reading(request, now_s)
+        if work is not None:
+            self._state.prefixes.confirm(upstream, work.parts)
+
     def take_pending(self) -> Journaled:
         """Return and clear what the other gateways have yet to hear."""
         pending = self._pending
@@ -79,8 +85,3 @@
     def _announce(self) -> None:
         if self.on_pending is not None:
             self.on_pending()
-
-
-def find_reader(choice: Choice) -> Registration:
-    """Return the upstream that reads the prompt."""
-    return choice.prefill or choice.upstream
--- a/bramleyport/platform/_calls.py
+++ b/bramleyport/platform/_calls.py
@@ -105,6 +105,8 @@
     # Where the KV cache of the prompt lies, and under which handle.
     cache_at: Address | None = None
     cache_handle: str = ""
+    # An engine that has read more of the prompt than the one that is sent to.
+    prefix_at: Address | None = None
     # The last event that the caller has, where a stream goes on.
     last_event: int | None = None
 
@@ -125,6 +127,8 @@
     if delivery.cache_at is not None:
         source = f"{delivery.cache_at}/{delivery.cache_handle}"
         kept.append((b"Kv-Source", source.encode("latin-1")))
+    if delivery.prefix_at is not None:
+        kept.append((b"Kv-Fetch", str(delivery.prefix_at).encode()))
     if delivery.last_event is not None:
         kept.append((b"Last-Event-Id", str(delivery.last_event).encode()))
     return kept
