--- a/bramleyport/gateway/_attempt.py
+++ b/bramleyport/gateway/_attempt.py
@@ -40,6 +40,9 @@
         self.attempts = Attempts()
         self.tried: set[UpstreamId] = set()
         self.last_failure: AttemptFailure | None = None
+        # Seconds until the first event, and those until the prompt was read elsewhere.
+        self.first_event_s = 0.0
+        self.prefill_s = 0.0
 
     @property
     def left_s(self) -> float:
@@ -182,6 +185,8 @@
             request=context.call.request,
             status=status,
             took_s=round(now_s - context.call.arrived_s, 3),
+            first_event_s=round(context.first_event_s, 3),
+            prefill_s=round(context.prefill_s, 3),
             sends=context.attempts.sends,
         )
 
--- /dev/null
+++ b/bramleyport/gateway/_caches.py
@@ -0,0 +1,65 @@
+"""Learn after a restart which prefixes the engines have cached."""
+
+import asyncio
+from typing import Final
+
+from bramleyport.core import UpstreamId
+from bramleyport.fleet import Registration
+from bramleyport.gateway._exchange import Exchanger
+from bramleyport.gateway._state import GatewayState
+from bramleyport.http1 import ExchangeError, HttpRequest
+from bramleyport.platform import (
+    CACHE_LISTING_PATH,
+    MalformedDocumentError,
+    decode_cache_listing,
+)
+from bramleyport.telemetry import gateway_events, log_event
+
+CALL_TIMEOUT_S: Final = 1.0
+
+
+class CacheReader:
+    """Read the cache of each engine once, where this process knows nothing of it.
+
+    Later changes are known from the calls that the gateways send.
+    """
+
+    def __init__(self, state: GatewayState, exchanger: Exchanger) -> None:
+        self._state = state
+        self._exchanger = exchanger
+        self._known: set[UpstreamId] = set()
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    def read_new(self) -> None:
+        """Begin to read the caches of engines that were not read yet."""
+        if self._state.settings.first_start or self._state.configuration is None:
+            return
+        for registration in self._state.members.list_all():
+            if registration.upstream in self._known or registration.stage is None:
+                continue
+            self._known.add(registration.upstream)
+            task = asyncio.ensure_future(self._read(registration))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+
+    async def _read(self, target: Registration) -> None:
+        request = HttpRequest(method=b"GET", target=CACHE_LISTING_PATH, headers=[])
+        try:
+            async with asyncio.timeout(CALL_TIMEOUT_S):
+                answer = await self._exchanger.call(target, request)
+            if answer.status != 200:
+                raise MalformedDocumentError(f"status {answer.status}")
+            parts = decode_cache_listing(answer.body).parts
+        except (ExchangeError, MalformedDocumentError, TimeoutError) as error:
+            log_event(
+                gateway_events.CACHES_NOT_READ,
+                upstream=target.upstream,
+                reason=str(error),
+            )
+            return
+        capacity = self._state.find_cache_capacity(target)
+        self._state.prefixes.add(target.upstream, parts, capacity)
+        self._state.prefixes.confirm(target.upstream, parts)
+        log_event(
+            gateway_events.CACHES_READ, upstream=target.upstream, parts=len(parts)
+        )
--- a/bramleyport/gateway/_daemon.py
+++ b/bramleyport/gateway/_daemon.py
@@ -8,6 +8,7 @@
 
 from bramleyport.core import SettingsError, StepError, UpstreamId
 from bramleyport.fleet import Address
+from bramleyport.gateway._caches import CacheReader
 from bramleyport.gateway._exchange import Exchanger
 from bramleyport.gateway._forward import Forwarder
 from bramleyport.gateway._peers import GREETING_S, PeerDirectory, PeerLink
@@ -22,12 +23,12 @@
 from bramleyport.platform import ObjectKind, StoreClient, load_node_settings
 from bramleyport.telemetry import events, gateway_events, log_event
 
-# Callers reach a leaving gateway until the balancer has seen two failed checks, which it
-# makes once a second.
+# Callers reach a leaving gateway until the balancer has seen two failed checks, which
+# it makes once a second.
 UNREADY_S: Final = 3.0
 # Time for the last answers before the platform kills the process.
 STOP_MARGIN_S: Final = 1.0
-HOUSEKEEPING_S: Final = 0.5
+HOUSEKEEPING_S: Final = 0.25
 SETTINGS_CHECK_S: Final = 2.0
 BACKLOG: Final = 512
 # Requests in transit when the last connections close are answered within this time.
@@ -58,6 +59,7 @@
         self._callers = CallerFactory(forwarder.handle, self._read_limits)
         self._checks = CallerFactory(self._readiness.handle, self._read_limits)
         self._registrations = RegistrationFollower(state, self._forget)
+        self._caches = CacheReader(state, exchanger)
         self._tasks: list[asyncio.Task[None]] = []
         self._ports: list[Any] = []
         self._settings_bytes = b""
@@ -149,6 +151,7 @@
             await asyncio.sleep(HOUSEKEEPING_S)
             now_s = asyncio.get_running_loop().time()
             self._registrations.drop_missing()
+            self._caches.read_new()
             self._state.loads.drop_lost(now_s)
             self._peers.count_gateways()
             if self._readiness.ready != ready:
--- a/bramleyport/gateway/_prefill.py
+++ b/bramleyport/gateway/_prefill.py
@@ -54,6 +54,7 @@
             self._tracker.end(context.call, reader)
         self._note(reader, failed=False)
         took_s = asyncio.get_running_loop().time() - started_s
+        context.prefill_s = took_s
         if choice.wait_s == 0.0:
             self._state.speeds.record(
                 reader.upstream, Stage.PREFILL, choice.unread_tokens, took_s
--- a/bramleyport/gateway/_state.py
+++ b/bramleyport/gateway/_state.py
@@ -12,6 +12,7 @@
     Membership,
     PrefixIndex,
     ReadSpeeds,
+    Registration,
     RouteTable,
 )
 from bramleyport.platform import NodeSettings
@@ -68,6 +69,15 @@
             self.budgets[service] = budget
         return budget
 
+    def find_cache_capacity(self, registration: Registration) -> int:
+        """Return how many tokens an upstream can cache; 0 where it caches none."""
+        if self.configuration is None:
+            return 0
+        service = self.configuration.services.get(registration.service)
+        if service is None or service.engine is None:
+            return 0
+        return service.engine.kv_capacity_tokens
+
     def list_ejected(self, service: ServiceName, now_s: float) -> set[UpstreamId]:
         """Return the upstreams of a service that failed too often of late."""
         names = [item.upstream for item in self.members.list_ready(service)]
--- a/bramleyport/gateway/_stream.py
+++ b/bramleyport/gateway/_stream.py
@@ -252,6 +252,8 @@
         self, context: CallContext, choice: Choice, took_s: float
     ) -> None:
         self._support.tracker.finish_reading(context.call, choice.upstream)
+        now_s = asyncio.get_running_loop().time()
+        context.first_event_s = now_s - context.call.arrived_s
         # Only a reading that waited for no other tells the speed of the engine.
         if choice.prefill is None and choice.wait_s == 0.0:
             self._support.state.speeds.record(
--- a/bramleyport/gateway/_tracker.py
+++ b/bramleyport/gateway/_tracker.py
@@ -61,12 +61,10 @@
         """Take work of this or another gateway into the load and the caches."""
         self._state.loads.of(work.upstream).add(work)
         registration = self._state.members.find(work.upstream)
-        configuration = self._state.configuration
-        if not work.parts or registration is None or configuration is None:
+        if not work.parts or registration is None:
             return
-        service = configuration.services.get(registration.service)
-        if service is not None and service.engine is not None:
-            capacity = service.engine.kv_capacity_tokens
+        capacity = self._state.find_cache_capacity(registration)
+        if capacity:
             self._state.prefixes.add(work.upstream, work.parts, capacity)
 
     def apply_read(self, upstream: UpstreamId, request: RequestId) -> None:
--- a/bramleyport/platform/__init__.py
+++ b/bramleyport/platform/__init__.py
@@ -17,8 +17,11 @@
 )
 from bramleyport.platform._config import decode_configuration
 from bramleyport.platform._engines import (
+    CACHE_LISTING_PATH,
     READINESS_PATH,
+    CacheListing,
     PrefillResult,
+    decode_cache_listing,
     decode_prefill,
     make_handle_path,
 )
@@ -44,8 +47,10 @@
 from bramleyport.platform._wire import MalformedDocumentError
 
 __all__ = [
+    "CACHE_LISTING_PATH",
     "READINESS_PATH",
     "AnswerHead",
+    "CacheListing",
     "CallHead",
     "ChangeBatch",
     "Delivery",
@@ -62,6 +67,7 @@
     "StoreSettings",
     "StoredObject",
     "decode_answer",
+    "decode_cache_listing",
     "decode_call",
     "decode_configuration",
     "decode_gateway",
--- a/bramleyport/platform/_settings.py
+++ b/bramleyport/platform/_settings.py
@@ -20,6 +20,7 @@
     MalformedDocumentError,
     read_address,
     read_count,
+    read_flag,
     read_number,
     read_table,
     read_text,
@@ -64,6 +65,8 @@
     drain_s: float
     registration_interval_s: float
     lease_s: float
+    # The whole system starts for the first time, so that engines hold nothing yet.
+    first_start: bool
 
 
 def locate_settings() -> Path:
@@ -119,4 +122,5 @@
         drain_s=read_count(bounds, "drain_ms") / 1000,
         registration_interval_s=read_count(document, "heartbeat_ms") / 1000,
         lease_s=read_count(bounds, "lease_ms") / 1000,
+        first_start=read_flag(document, "first_start", False),
     )
--- a/bramleyport/telemetry/_gateway_events.py
+++ b/bramleyport/telemetry/_gateway_events.py
@@ -33,4 +33,6 @@
 SETTINGS_RELOADED: Final = define(2634, "INFO", "settings read again")
 SETTINGS_REFUSED: Final = define(2635, "WARNING", "new settings refused, old ones kept")
 GATEWAY_NOT_LISTED: Final = define(2636, "INFO", "gateway could not write its address")
+CACHES_READ: Final = define(2638, "INFO", "cached prefixes of an engine read")
+CACHES_NOT_READ: Final = define(2639, "INFO", "cached prefixes of an engine not read")
 READINESS_CHANGED: Final = define(2637, "INFO", "readiness changed")
--- a/bramleyport/telemetry/_throttle.py
+++ b/bramleyport/telemetry/_throttle.py
@@ -5,7 +5,8 @@
 from typing import Final
 
 WINDOW_S: Final = 10.0
-MAX_PER_WINDOW: Final = 50
+# A process serves some dozen requests a second; each must stay explainable.
+MAX_PER_WINDOW: Final = 500
 
 
 @dataclass(slots=True)
