Learn reading speeds from busy times and count the decoder's queue

Engines read several prompts by turns and by priority, so that the time of one prompt says little of their speed, and the wait at the engine that decodes was left out.

--- a/bramleyport/fleet/_choice.py
+++ b/bramleyport/fleet/_choice.py
@@ -9,7 +9,7 @@
 from bramleyport.fleet._load import LoadBook
 from bramleyport.fleet._members import Membership
 from bramleyport.fleet._prefixes import PrefixIndex
-from bramleyport.fleet._speed import ReadSpeeds
+from bramleyport.fleet._speed import ReadSpeeds, measure_effort
 from bramleyport.fleet._types import (
     Call,
     EngineTraits,
@@ -48,6 +48,7 @@
     forecast_s: float = 0.0
     wait_s: float = 0.0
     read_s: float = 0.0
+    effort: float = 0.0
     unread_tokens: int = 0
     explanation: Explanation
 
@@ -60,6 +61,7 @@
     read_s: float
     fetch_s: float
     unread: int
+    effort: float
     source: Registration | None
 
     @property
@@ -151,17 +153,15 @@
         ]
         if decoders:
             target = self._choose_decoder(decoders, now_s)
-            choices += [
-                self._weigh_split(
-                    prompt,
-                    engine,
-                    item,
-                    target,
-                    self._forecast_read(call, prompt, engine, item, holder, now_s),
+            for item in ready:
+                if item.stage is not Stage.PREFILL:
+                    continue
+                reading = self._forecast_read(call, prompt, engine, item, holder, now_s)
+                choices.append(
+                    self._weigh_split(
+                        call, prompt, engine, item, target, reading, now_s
+                    )
                 )
-                for item in ready
-                if item.stage is Stage.PREFILL
-            ]
         return min(choices, key=lambda pair: pair[0])[1] if choices else None
 
     def _choose_decoder(
@@ -192,6 +192,7 @@
             forecast_s=forecast_s,
             wait_s=reading.wait_s,
             read_s=reading.read_s,
+            effort=reading.effort,
             unread_tokens=reading.unread,
             explanation=_explain("direct", forecast_s, reading),
         )
@@ -199,16 +200,21 @@
 
     def _weigh_split(
         self,
+        call: Call,
         prompt: Prompt,
         engine: EngineTraits,
         reader: Registration,
         target: Registration,
         reading: "Reading",
+        now_s: float,
     ) -> tuple[float, Choice]:
         moved_s = _forecast_transfer(engine, prompt.tokens_in, reader, target)
-        # The engine that decodes reads at least the last token itself.
+        # The engine that decodes reads the last token itself, after earlier prompts.
         step_s = self._speeds.forecast(target.upstream, Stage.DECODE, 1)
-        forecast_s = reading.ready_s + moved_s + step_s
+        load = self._loads.of(target.upstream)
+        target_wait_s = load.forecast_wait(call.route.priority, now_s)
+        behind_s = max(0.0, target_wait_s - reading.ready_s)
+        forecast_s = reading.ready_s + moved_s + step_s + behind_s
         choice = Choice(
             upstream=target,
             prefill=reader,
@@ -216,6 +222,7 @@
             forecast_s=forecast_s,
             wait_s=reading.wait_s,
             read_s=reading.read_s,
+            effort=reading.effort,
             unread_tokens=reading.unread,
             explanation=_explain("split", forecast_s, reading),
         )
@@ -241,10 +248,12 @@
             source = holder
             fetch_s = _forecast_transfer(engine, fetched, holder, item)
         unread = max(0, prompt.tokens_in - cached - fetched)
+        effort = measure_effort(unread, prompt.tokens_in)
         load = self._loads.of(item.upstream)
         return Reading(
             wait_s=load.forecast_wait(call.route.priority, now_s),
-            read_s=self._speeds.forecast(item.upstream, stage, unread),
+            read_s=self._speeds.forecast(item.upstream, stage, effort),
+            effort=effort,
             fetch_s=fetch_s,
             unread=unread,
             source=source,
--- a/bramleyport/fleet/_load.py
+++ b/bramleyport/fleet/_load.py
@@ -12,6 +12,8 @@
 # Reading work that should be over by far is taken to be decoding.
 OVERDUE_FACTOR: Final = 3.0
 OVERDUE_MIN_S: Final = 1.0
+# Effort after which a busy engine's speed is sampled without waiting for it to idle.
+SAMPLE_EFFORT: Final = 20_000
 # Part of the forecast that is still expected of reading that is behind its forecast.
 MIN_REST: Final = 0.1
 
@@ -25,17 +27,42 @@
     priority: int
     # Time that the engine needs to read the prompt, without waiting.
     read_s: float
+    # The work of reading, which the speed of an engine is learnt from.
+    effort: float = 0.0
     started_s: float
     parts: tuple[PromptPart, ...] = ()
     # Set once the first event or the prefill's answer has come.
     reading: bool = True
 
 
+@dataclass(frozen=True, slots=True)
+class ReadSample:
+    """Hold how much an engine read in a time for which it always had prompts to read.
+
+    Engines read several prompts by turns and by priority, so the time of one prompt
+    says little of their speed.
+    """
+
+    effort: float
+    took_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class ReadWork:
+    """Hold work whose prompt has been read, and a sample of the speed if one is due."""
+
+    work: Work
+    sample: ReadSample | None
+
+
 class UpstreamLoad:
     """Hold the work at one upstream, in the order in which it was sent."""
 
     def __init__(self) -> None:
         self._works: dict[RequestId, Work] = {}
+        # Since when the engine always had prompts to read, and what it has read since.
+        self._busy_since_s = 0.0
+        self._busy_effort = 0.0
         # When the engine last finished reading a prompt.
         self._advanced_s = 0.0
 
@@ -47,21 +74,29 @@
 
     def add(self, work: Work) -> None:
         """Note work that is sent."""
+        if not any(known.reading for known in self._works.values()):
+            self._restart_sample(work.started_s)
         self._works[work.request] = work
 
-    def finish_reading(self, request: RequestId, now_s: float) -> Work | None:
-        """Note that a prompt has been read; return its work if it was not known."""
+    def finish_reading(self, request: RequestId, now_s: float) -> ReadWork | None:
+        """Note that a prompt has been read; return its work if that is news."""
         work = self._works.get(request)
         if work is None or not work.reading:
             return None
         work.reading = False
         self._advanced_s = now_s
-        return work
+        self._busy_effort += work.effort
+        return ReadWork(work, self._take_sample(now_s))
 
     def remove(self, request: RequestId, now_s: float) -> None:
         """Note that work has ended."""
-        if self._works.pop(request, None) is not None:
-            self._advanced_s = max(self._advanced_s, now_s)
+        work = self._works.pop(request, None)
+        if work is None:
+            return
+        self._advanced_s = max(self._advanced_s, now_s)
+        if work.reading:
+            # How much of it was read is not known.
+            self._restart_sample(now_s)
 
     def forecast_wait(self, priority: int, now_s: float) -> float:
         """Return the seconds until the engine has read what goes before new work."""
@@ -78,6 +113,13 @@
         began_s = max(self._advanced_s, min(work.started_s for work in waiting))
         return max(MIN_REST * total_s, total_s - max(0.0, now_s - began_s))
 
+    def count_reading(self, now_s: float) -> int:
+        """Return how many prompts the engine is expected to be reading still."""
+        return sum(
+            work.reading and not self._is_overdue(work, now_s)
+            for work in self._works.values()
+        )
+
     def drop_lost(self, now_s: float) -> None:
         """Drop work whose end was never heard of."""
         lost = [
@@ -88,6 +130,18 @@
         for request in lost:
             del self._works[request]
 
+    def _take_sample(self, now_s: float) -> ReadSample | None:
+        idle = not any(work.reading for work in self._works.values())
+        if not idle and self._busy_effort < SAMPLE_EFFORT:
+            return None
+        sample = ReadSample(self._busy_effort, now_s - self._busy_since_s)
+        self._restart_sample(now_s)
+        return sample
+
+    def _restart_sample(self, now_s: float) -> None:
+        self._busy_since_s = now_s
+        self._busy_effort = 0.0
+
     def _is_overdue(self, work: Work, now_s: float) -> bool:
         allowed_s = OVERDUE_FACTOR * work.read_s + OVERDUE_MIN_S
         return now_s - work.started_s > allowed_s
--- a/bramleyport/gateway/_caches.py
+++ b/bramleyport/gateway/_caches.py
@@ -1,9 +1,8 @@
 """Learn after a restart which prefixes the engines have cached."""
 
 import asyncio
-from typing import Final
+from typing import TYPE_CHECKING, Final
 
-from bramleyport.core import UpstreamId
 from bramleyport.fleet import Registration
 from bramleyport.gateway._exchange import Exchanger
 from bramleyport.gateway._state import GatewayState
@@ -15,6 +14,9 @@
 )
 from bramleyport.telemetry import gateway_events, log_event
 
+if TYPE_CHECKING:
+    from bramleyport.core import UpstreamId
+
 CALL_TIMEOUT_S: Final = 1.0
 
 
--- a/bramleyport/gateway/_daemon.py
+++ b/bramleyport/gateway/_daemon.py
@@ -27,12 +27,12 @@
 # it makes once a second.
 UNREADY_S: Final = 3.0
 # Time for the last answers before the platform kills the process.
-STOP_MARGIN_S: Final = 1.0
+STOP_MARGIN_S: Final = 0.5
+# A store that answers does so in milliseconds.
+LEAVE_TIMEOUT_S: Final = 0.2
 HOUSEKEEPING_S: Final = 0.25
 SETTINGS_CHECK_S: Final = 2.0
 BACKLOG: Final = 512
-# Requests in transit when the last connections close are answered within this time.
-CROSSING_S: Final = 0.1
 
 
 class Gateway:
@@ -88,22 +88,18 @@
         log_event(events.PROCESS_STOPPING, connections=len(self._callers.connections))
         self._state.draining = True
         self._callers.draining = True
-        last_s = started_s + self._state.settings.grace_s - STOP_MARGIN_S
+        stop_s = started_s + self._state.settings.grace_s - STOP_MARGIN_S
         await self._wait(lambda now_s: now_s - started_s >= UNREADY_S)
-        await self._wait(lambda now_s: now_s >= last_s or not self._callers.connections)
+        # From here on a call is taken only if its caller stops waiting before the end.
+        self._state.stop_s = stop_s
         for connection in list(self._callers.connections):
             connection.close_if_idle()
-        await asyncio.sleep(CROSSING_S)
-        await self._wait(
-            lambda now_s: (
-                now_s >= last_s + STOP_MARGIN_S / 2 or not self._callers.connections
-            )
-        )
+        await self._wait(lambda now_s: now_s >= stop_s or not self._callers.connections)
         await self._close()
 
     async def _close(self) -> None:
         try:
-            async with asyncio.timeout(STOP_MARGIN_S / 4):
+            async with asyncio.timeout(LEAVE_TIMEOUT_S):
                 await self._directory.leave()
         except TimeoutError:
             log_event(gateway_events.GATEWAY_NOT_LISTED, reason="store is silent")
--- a/bramleyport/gateway/_exchange.py
+++ b/bramleyport/gateway/_exchange.py
@@ -1,5 +1,6 @@
 """Run single exchanges with upstreams."""
 
+import asyncio
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from dataclasses import dataclass
@@ -61,6 +62,7 @@
             connection.send(request, lambda answer: _belongs(answer, request_id))
             answer = await connection.read_head()
             head = decode_answer(answer.headers)
+            self._state.heard_s[target.upstream] = asyncio.get_running_loop().time()
             connection.idle_timeout_s = head.idle_timeout_s
             yield Opened(connection=connection, answer=answer, head=head)
         except BaseException:
--- a/bramleyport/gateway/_forward.py
+++ b/bramleyport/gateway/_forward.py
@@ -17,6 +17,8 @@
 
 # The first configuration is read within a fraction of a second of a start.
 NO_CONFIG_RETRY_S: Final = 0.5
+# The next connection goes to another gateway, which can serve at once.
+STOPPING_RETRY_S: Final = 0.05
 
 
 class Forwarder:
@@ -95,6 +97,11 @@
             deadline_s=request.received_s + min(head.patience_s, route.timeout_s),
             prompt=head.prompt,
         )
+        stop_s = self._state.stop_s
+        if stop_s is not None and call.deadline_s > stop_s:
+            status = HTTPStatus.SERVICE_UNAVAILABLE
+            reply(connection, status, call.request, "stopping", STOPPING_RETRY_S)
+            return
         configuration = self._state.configuration
         service = configuration.services.get(call.service) if configuration else None
         engine = service.engine if service else None
--- a/bramleyport/gateway/_peer_messages.py
+++ b/bramleyport/gateway/_peer_messages.py
@@ -71,16 +71,18 @@
 def _encode_work(work: Work) -> list[Any]:
     parts = [[part.prefix, part.tokens] for part in work.parts]
     read_ms = round(work.read_s * 1000)
-    return [work.upstream, work.request, work.priority, read_ms, parts]
+    effort = round(work.effort)
+    return [work.upstream, work.request, work.priority, read_ms, effort, parts]
 
 
 def _decode_work(item: Any, now_s: float) -> Work:
-    upstream, request, priority, read_ms, parts = item
+    upstream, request, priority, read_ms, effort, parts = item
     return Work(
         request=RequestId(str(request)),
         upstream=UpstreamId(str(upstream)),
         priority=int(priority),
         read_s=float(read_ms) / 1000,
+        effort=float(effort),
         started_s=now_s,
         parts=tuple(
             PromptPart(PrefixId(str(prefix)), int(tokens)) for prefix, tokens in parts
--- a/bramleyport/gateway/_plain.py
+++ b/bramleyport/gateway/_plain.py
@@ -57,7 +57,7 @@
         support = self._support
         support.log_sent(context, choice)
         support.begin(context)
-        support.tracker.start(context.call, choice.upstream, 0.0)
+        support.tracker.start(context.call, choice.upstream)
         result = await self._run(context, choice)
         context.attempts.in_flight = False
         return result
--- a/bramleyport/gateway/_prefill.py
+++ b/bramleyport/gateway/_prefill.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from bramleyport.core import StepError, UpstreamId
-from bramleyport.fleet import Choice, Registration, Stage
+from bramleyport.fleet import Choice, Registration
 from bramleyport.gateway._attempt import CallContext
 from bramleyport.gateway._exchange import Exchanger
 from bramleyport.gateway._state import GatewayState
@@ -42,7 +42,7 @@
         """Return the handle under which the reader keeps the KV cache."""
         reader = choice.prefill
         assert reader is not None
-        self._tracker.start(context.call, reader, choice.read_s)
+        self._tracker.start(context.call, reader, choice.read_s, choice.effort)
         started_s = asyncio.get_running_loop().time()
         try:
             handle = await self._request(context, reader, choice.prefix_source)
@@ -53,12 +53,7 @@
             self._tracker.finish_reading(context.call, reader)
             self._tracker.end(context.call, reader)
         self._note(reader, failed=False)
-        took_s = asyncio.get_running_loop().time() - started_s
-        context.prefill_s = took_s
-        if choice.wait_s == 0.0:
-            self._state.speeds.record(
-                reader.upstream, Stage.PREFILL, choice.unread_tokens, took_s
-            )
+        context.prefill_s = asyncio.get_running_loop().time() - started_s
         return handle
 
     def free(self, reader: Registration, handle: str) -> None:
--- a/bramleyport/gateway/_state.py
+++ b/bramleyport/gateway/_state.py
@@ -40,9 +40,13 @@
     )
     routes: RouteTable | None = None
     budgets: dict[ServiceName, RepeatBudget] = field(default_factory=dict)
+    # When each upstream last sent anything.
+    heard_s: dict[UpstreamId, float] = field(default_factory=dict)
     # Gateways that share the retry budget, this one included.
     gateways: int = 1
     draining: bool = False
+    # Set while stopping: calls that may last beyond it are refused.
+    stop_s: float | None = None
     chooser: Chooser = field(init=False)
 
     def __post_init__(self) -> None:
@@ -93,5 +97,6 @@
     def forget(self, upstream: UpstreamId) -> None:
         """Drop all that was known of an upstream that is gone or began anew."""
         self.loads.forget(upstream)
+        self.heard_s.pop(upstream, None)
         self.prefixes.forget(upstream)
         self.speeds.forget(upstream)
--- a/bramleyport/gateway/_stream.py
+++ b/bramleyport/gateway/_stream.py
@@ -1,15 +1,18 @@
 """Serve calls whose answers are event streams."""
 
 import asyncio
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
 from dataclasses import replace
 from typing import Final
 
 from bramleyport.admission import Rejected
-from bramleyport.fleet import Choice, Repeatability, Stage
+from bramleyport.fleet import Choice, Repeatability
 from bramleyport.gateway._attempt import AttemptSupport, CallContext
 from bramleyport.gateway._events import BrokenStreamError, EventRelay
 from bramleyport.gateway._exchange import Opened
 from bramleyport.gateway._outcome import AttemptEnd, AttemptFailure
+from bramleyport.gateway._patience import Patience
 from bramleyport.gateway._prefill import Prefiller, PrefillError
 from bramleyport.http1 import Answer, ExchangeError, ExchangeFailure, HttpRequest
 from bramleyport.platform import Delivery, encode_delivery
@@ -151,8 +154,10 @@
     ) -> AttemptFailure | None:
         self._support.begin(context)
         tracker = self._support.tracker
-        read_s = 0.0 if choice.prefill else choice.read_s
-        tracker.start(context.call, choice.upstream, read_s)
+        if choice.prefill is None:
+            tracker.start(context.call, choice.upstream, choice.read_s, choice.effort)
+        else:
+            tracker.start(context.call, choice.upstream)
         failure = await self._run(context, choice, delivery, relay)
         context.attempts.in_flight = False
         return failure
@@ -195,10 +200,9 @@
             body=request.body,
         )
         fresh = not context.call.route.repeatability.may_rerun
-        sent_s = asyncio.get_running_loop().time()
-        first_by_s = self._limit_first_event(context, choice, sent_s)
         async with (
-            asyncio.timeout_at(first_by_s) as limit,
+            asyncio.timeout_at(context.call.deadline_s) as limit,
+            self._wait_first(context, choice, limit) as patience,
             self._support.exchanger.open(
                 choice.upstream, sent, context.call.request, fresh=fresh
             ) as opened,
@@ -206,7 +210,7 @@
             if opened.answer.status != 200 or not opened.head.signed:
                 return await self._judge(context, choice, opened)
             relay.begin_attempt(opened.answer)
-            await self._relay_events(context, choice, opened, relay, limit, sent_s)
+            await self._relay_events(context, choice, opened, relay, patience)
         self._record(choice, failed=False)
         return None
 
@@ -216,17 +220,17 @@
         choice: Choice,
         opened: Opened,
         relay: EventRelay,
-        limit: asyncio.Timeout,
-        sent_s: float,
+        patience: Patience,
     ) -> None:
         first = True
         while (data := await opened.connection.read_chunk()) is not None:
             if relay.take(data):
                 now_s = asyncio.get_running_loop().time()
                 if first:
-                    self._note_first_event(context, choice, now_s - sent_s)
+                    self._note_first_event(context, choice)
                     first = False
-                limit.reschedule(self._limit_pause(context, now_s))
+                self._support.state.heard_s[choice.upstream.upstream] = now_s
+                patience.wait_next(self._limit_pause(context, now_s))
             await context.connection.drain()
         relay.finish()
 
@@ -248,20 +252,25 @@
             answer=whole,
         )
 
-    def _note_first_event(
-        self, context: CallContext, choice: Choice, took_s: float
-    ) -> None:
+    def _note_first_event(self, context: CallContext, choice: Choice) -> None:
         self._support.tracker.finish_reading(context.call, choice.upstream)
         now_s = asyncio.get_running_loop().time()
         context.first_event_s = now_s - context.call.arrived_s
-        # Only a reading that waited for no other tells the speed of the engine.
-        if choice.prefill is None and choice.wait_s == 0.0:
-            self._support.state.speeds.record(
-                choice.upstream.upstream,
-                choice.upstream.stage or Stage.DECODE,
-                choice.unread_tokens,
-                took_s,
-            )
+
+    @asynccontextmanager
+    async def _wait_first(
+        self, context: CallContext, choice: Choice, limit: asyncio.Timeout
+    ) -> AsyncIterator[Patience]:
+        """Bound the time to the first event."""
+        patience = Patience(self._support.state, choice.upstream.upstream, limit)
+        now_s = asyncio.get_running_loop().time()
+        until_s = self._limit_first_event(context, choice, now_s)
+        if until_s < context.call.deadline_s:
+            patience.wait_first(until_s, context.call.deadline_s)
+        try:
+            yield patience
+        finally:
+            patience.stop()
 
     def _limit_first_event(
         self, context: CallContext, choice: Choice, now_s: float
--- a/bramleyport/gateway/_tracker.py
+++ b/bramleyport/gateway/_tracker.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, field
 
 from bramleyport.core import RequestId, UpstreamId
-from bramleyport.fleet import Call, Registration, Work
+from bramleyport.fleet import Call, Registration, Stage, Work
 from bramleyport.gateway._state import GatewayState
 
 
@@ -29,7 +29,13 @@
         self._pending = Journaled()
         self.on_pending: Callable[[], None] | None = None
 
-    def start(self, call: Call, target: Registration, read_s: float) -> None:
+    def start(
+        self,
+        call: Call,
+        target: Registration,
+        read_s: float = 0.0,
+        effort: float = 0.0,
+    ) -> None:
         """Note that a call is sent to an upstream."""
         parts = call.prompt.parts if call.prompt else ()
         work = Work(
@@ -37,6 +43,7 @@
             upstream=target.upstream,
             priority=call.route.priority,
             read_s=read_s,
+            effort=effort,
             started_s=asyncio.get_running_loop().time(),
             parts=parts,
         )
@@ -70,9 +77,15 @@
     def apply_read(self, upstream: UpstreamId, request: RequestId) -> None:
         """Note that an upstream has read the prompt of some gateway's call."""
         now_s = asyncio.get_running_loop().time()
-        work = self._state.loads.of(upstream).finish_reading(request, now_s)
-        if work is not None:
-            self._state.prefixes.confirm(upstream, work.parts)
+        read = self._state.loads.of(upstream).finish_reading(request, now_s)
+        registration = self._state.members.find(upstream)
+        if read is None or registration is None:
+            return
+        self._state.prefixes.confirm(upstream, read.work.parts)
+        stage = registration.stage or Stage.DECODE
+        sample = read.sample
+        if sample is not None:
+            self._state.speeds.record(upstream, stage, sample.effort, sample.took_s)
 
     def take_pending(self) -> Journaled:
         """Return and clear what the other gateways have yet to hear."""
--- a/bramleyport/http1/_server.py
+++ b/bramleyport/http1/_server.py
@@ -233,7 +233,7 @@
             # The handler left the answer incomplete.
             self._close()
             return
-        if self._http.their_state is not h11.DONE:
+        if self._http.their_state is not h11.DONE or self._factory.draining:
             self._close()
             return
         self._http.start_next_cycle()
