--- a/bramleyport/fleet/__init__.py
+++ b/bramleyport/fleet/__init__.py
@@ -7,6 +7,7 @@
 from bramleyport.fleet._prefixes import PrefixCache, PrefixIndex
 from bramleyport.fleet._routes import RouteTable, choose_service
 from bramleyport.fleet._speed import ReadSpeeds
+from bramleyport.fleet._stages import EngineView, StageChange, StagePlanner
 from bramleyport.fleet._types import (
     Address,
     Call,
@@ -35,6 +36,7 @@
     "ConfigVersion",
     "Configuration",
     "EngineTraits",
+    "EngineView",
     "LoadBook",
     "Membership",
     "PrefixCache",
@@ -51,6 +53,8 @@
     "ServiceConfig",
     "ServiceShare",
     "Stage",
+    "StageChange",
+    "StagePlanner",
     "UpstreamLoad",
     "Work",
     "admit",
--- /dev/null
+++ b/bramleyport/fleet/_stages.py
@@ -0,0 +1,132 @@
+"""Decide which engines read prompts and which run the calls."""
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+from typing import Final
+
+from bramleyport.core import Explanation, UpstreamId
+from bramleyport.fleet._types import Registration, Stage
+
+# Engines that run calls and are kept for the loss of others.
+MIN_DECODERS: Final = 2
+# Part of the slots that running calls may take before another engine is added.
+SLOT_PART: Final = 0.4
+# Mean seconds of unread prompts per engine above which an engine is moved to reading.
+BACKLOG_S: Final = 0.1
+# Weight of the newest backlog in its mean; with four looks a second about a second.
+BACKLOG_WEIGHT: Final = 0.3
+# Engines that may change at once: a changing engine serves nobody for seconds.
+CHANGING_PART: Final = 0.25
+# An engine that has changed stays as it is for this time.
+SETTLE_S: Final = 10.0
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class EngineView:
+    """Hold what a planner knows of one engine."""
+
+    registration: Registration
+    # Seconds of prompts that it has yet to read.
+    backlog_s: float
+    running: int
+    changing: bool = False
+    ejected: bool = False
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class StageChange:
+    """Name an engine that is to change and why."""
+
+    upstream: UpstreamId
+    stage: Stage
+    explanation: Explanation
+
+
+class StagePlanner:
+    """Move engines between reading and running as the mix of work shifts.
+
+    Answers a mix whose prompts outgrow the engines that read them while those that run
+    calls are idle, and the way back when answers grow longer.
+    """
+
+    def __init__(self) -> None:
+        self._backlog_s = 0.0
+        self._changed_s: dict[UpstreamId, float] = {}
+
+    def plan(
+        self, engines: Sequence[EngineView], slots: int, now_s: float
+    ) -> StageChange | None:
+        """Return the next change, or None where the stages suit the work."""
+        alive = [view for view in engines if not view.ejected]
+        if not alive:
+            return None
+        self._observe(alive)
+        changing = sum(view.changing for view in alive)
+        settled = [view for view in alive if not view.changing]
+        decoders = [v for v in settled if v.registration.stage is Stage.DECODE]
+        readers = [v for v in settled if v.registration.stage is Stage.PREFILL]
+        if not decoders and not readers:
+            return None
+        needed = self._count_needed(alive, slots)
+        numbers = {
+            "decoders": float(len(decoders)),
+            "needed": float(needed),
+            "backlog_s": round(self._backlog_s, 3),
+            "changing": float(changing),
+        }
+        allowed = max(1, int(CHANGING_PART * len(alive)))
+        if changing >= allowed and decoders:
+            return None
+        if len(decoders) < needed:
+            return self._change(readers, Stage.DECODE, "few_decoders", numbers, now_s)
+        if len(decoders) > needed and self._backlog_s > BACKLOG_S:
+            return self._change(decoders, Stage.PREFILL, "backlog", numbers, now_s)
+        return None
+
+    def note_changed(self, upstream: UpstreamId, now_s: float) -> None:
+        """Note that an engine was told to change."""
+        self._changed_s[upstream] = now_s
+
+    def _observe(self, engines: Sequence[EngineView]) -> None:
+        mean_s = sum(view.backlog_s for view in engines) / len(engines)
+        self._backlog_s += BACKLOG_WEIGHT * (mean_s - self._backlog_s)
+
+    def _count_needed(self, engines: Sequence[EngineView], slots: int) -> int:
+        running = sum(view.running for view in engines)
+        by_slots = -(-running // max(1, int(slots * SLOT_PART)))
+        # One engine in each zone, so that the loss of a zone leaves some.
+        zones = len({view.registration.zone for view in engines})
+        by_loss = min(max(MIN_DECODERS, zones), max(1, len(engines) // 3))
+        return max(by_slots, by_loss)
+
+    def _change(
+        self,
+        candidates: Sequence[EngineView],
+        stage: Stage,
+        reason: str,
+        numbers: dict[str, float],
+        now_s: float,
+    ) -> StageChange | None:
+        free = [view for view in candidates if self._is_settled(view, now_s)]
+        if not free:
+            return None
+        zones = [view.registration.zone for view in candidates]
+        # Take from the zone that has most, so that each keeps some of both kinds.
+        best = min(
+            free,
+            key=lambda view: (
+                -zones.count(view.registration.zone),
+                round(view.backlog_s, 1),
+                view.running,
+                view.registration.upstream,
+            ),
+        )
+        return StageChange(
+            upstream=best.registration.upstream,
+            stage=stage,
+            explanation=Explanation(reason=reason, numbers=numbers),
+        )
+
+    def _is_settled(self, view: EngineView, now_s: float) -> bool:
+        changed_s = self._changed_s.get(view.registration.upstream)
+        return changed_s is None or now_s - changed_s >= SETTLE_S
--- a/bramleyport/fleet/_types.py
+++ b/bramleyport/fleet/_types.py
@@ -82,6 +82,8 @@
     kv_token_bytes: float
     link_bytes_per_s: float
     handle_lifetime_s: float
+    # How long a change of stage takes an engine out of service.
+    switch_s: float
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/bramleyport/gateway/_attempt.py
+++ b/bramleyport/gateway/_attempt.py
@@ -64,12 +64,12 @@
         """Choose an upstream, or say why there is none in time."""
         now_s = asyncio.get_running_loop().time()
         call = context.call
-        ejected = self.state.list_ejected(call.service, now_s)
+        avoided = self.state.list_avoided(call.service, now_s)
         chooser = self.state.chooser
-        excluded = ejected | context.tried
+        excluded = avoided | context.tried
         choice = chooser.choose(call, context.engine, excluded, now_s)
         if choice is None and context.tried:
-            choice = chooser.choose(call, context.engine, ejected, now_s)
+            choice = chooser.choose(call, context.engine, avoided, now_s)
         decision = admit(call, choice, now_s)
         if choice is None or isinstance(decision, Rejected):
             assert isinstance(decision, Rejected)
@@ -80,7 +80,7 @@
         """Choose where a call whose prompt has been read elsewhere runs."""
         now_s = asyncio.get_running_loop().time()
         call = context.call
-        excluded = self.state.list_ejected(call.service, now_s) | context.tried
+        excluded = self.state.list_avoided(call.service, now_s) | context.tried
         return self.state.chooser.choose_target(call, excluded, now_s)
 
     def begin(self, context: CallContext) -> None:
--- a/bramleyport/gateway/_daemon.py
+++ b/bramleyport/gateway/_daemon.py
@@ -13,6 +13,7 @@
 from bramleyport.gateway._forward import Forwarder
 from bramleyport.gateway._peers import GREETING_S, PeerDirectory, PeerLink
 from bramleyport.gateway._readiness import Readiness
+from bramleyport.gateway._stages import StageController
 from bramleyport.gateway._state import GatewayState
 from bramleyport.gateway._watch import (
     ConfigurationFollower,
@@ -60,6 +61,7 @@
         self._checks = CallerFactory(self._readiness.handle, self._read_limits)
         self._registrations = RegistrationFollower(state, self._forget)
         self._caches = CacheReader(state, exchanger)
+        self._stages = StageController(state, store, exchanger, peers)
         self._tasks: list[asyncio.Task[None]] = []
         self._ports: list[Any] = []
         self._settings_bytes = b""
@@ -139,6 +141,7 @@
             self._keep_house(),
             self._watch_settings(),
             self._greet_peers(),
+            self._stages.run(),
         ]
 
     async def _keep_house(self) -> None:
--- a/bramleyport/gateway/_peer_messages.py
+++ b/bramleyport/gateway/_peer_messages.py
@@ -25,6 +25,14 @@
     request: RequestId
 
 
+@dataclass(frozen=True, slots=True)
+class ChangingEngine:
+    """Name an engine that gets no work for some seconds."""
+
+    upstream: UpstreamId
+    for_s: float
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class PeerMessage:
     """Tell what one gateway has sent to upstreams since its last message."""
@@ -32,6 +40,8 @@
     process: ProcessId
     # A gateway that leaves stops counting for the retry budget.
     leaving: bool = False
+    # Engines that are about to change their stage.
+    changing: tuple[ChangingEngine, ...] = ()
     started: tuple[Work, ...] = ()
     read: tuple[WorkRef, ...] = ()
     ended: tuple[WorkRef, ...] = ()
@@ -47,6 +57,7 @@
             [_encode_work(work) for work in message.started],
             [[ref.upstream, ref.request] for ref in message.read],
             [[ref.upstream, ref.request] for ref in message.ended],
+            [[item.upstream, item.for_s] for item in message.changing],
         ]
     )
 
@@ -54,7 +65,7 @@
 def decode_message(data: bytes, now_s: float) -> PeerMessage:
     """Return the message that a datagram holds; its work starts now."""
     try:
-        form, process, leaving, started, read, ended = cbor2.loads(data)
+        form, process, leaving, started, read, ended, changing = cbor2.loads(data)
         if form != FORMAT:
             raise PeerMessageError(f"format {form!r:.20} is not known")
         return PeerMessage(
@@ -63,6 +74,10 @@
             started=tuple(_decode_work(item, now_s) for item in started),
             read=tuple(_decode_ref(item) for item in read),
             ended=tuple(_decode_ref(item) for item in ended),
+            changing=tuple(
+                ChangingEngine(UpstreamId(str(upstream)), float(for_s))
+                for upstream, for_s in changing
+            ),
         )
     except (cbor2.CBORDecodeError, TypeError, ValueError) as error:
         raise PeerMessageError(str(error)) from error
--- a/bramleyport/gateway/_peers.py
+++ b/bramleyport/gateway/_peers.py
@@ -14,6 +14,7 @@
 from bramleyport.fleet import Address
 from bramleyport.gateway._peer_messages import (
     MAX_ITEMS,
+    ChangingEngine,
     PeerMessage,
     PeerMessageError,
     WorkRef,
@@ -74,6 +75,22 @@
         process = self._state.settings.process
         self._send(PeerMessage(process=process, leaving=True))
 
+    def is_first(self) -> bool:
+        """Return whether this gateway comes first among those that are heard of."""
+        own = self._state.settings.process
+        return all(own < process for process in self._heard_s)
+
+    def announce_change(self, upstream: UpstreamId, until_s: float) -> None:
+        """Keep all gateways from sending work to an engine until a time."""
+        self._state.changing_until_s[upstream] = until_s
+        for_s = until_s - asyncio.get_running_loop().time()
+        self._send(
+            PeerMessage(
+                process=self._state.settings.process,
+                changing=(ChangingEngine(upstream, for_s),),
+            )
+        )
+
     def count_gateways(self) -> None:
         """Count the gateways that were heard of lately, this one included."""
         now_s = asyncio.get_running_loop().time()
@@ -99,6 +116,8 @@
         self._apply(message, now_s)
 
     def _apply(self, message: PeerMessage, now_s: float) -> None:
+        for item in message.changing:
+            self._state.changing_until_s[item.upstream] = now_s + item.for_s
         for work in message.started:
             self._tracker.apply(work)
         for ref in message.read:
--- /dev/null
+++ b/bramleyport/gateway/_stages.py
@@ -0,0 +1,206 @@
+"""Order engines to change their stage, from the one gateway that holds the lease."""
+
+import asyncio
+from collections.abc import Iterator
+from typing import TYPE_CHECKING, Final
+
+from bramleyport.core import FencingNumber, ServiceName, UpstreamId
+from bramleyport.fleet import EngineView, Registration, StageChange, StagePlanner
+from bramleyport.gateway._exchange import Exchanger
+from bramleyport.gateway._peers import PeerLink
+from bramleyport.gateway._state import GatewayState
+from bramleyport.http1 import ExchangeError
+from bramleyport.platform import (
+    EngineReport,
+    MalformedDocumentError,
+    OrderResult,
+    StageOrder,
+    StoreClient,
+    decode_order_status,
+    decode_report,
+    make_report_request,
+    make_stage_request,
+)
+from bramleyport.telemetry import gateway_events, log_event
+
+if TYPE_CHECKING:
+    from bramleyport.gateway._lease import OrderLease
+
+LOOK_S: Final = 0.25
+# The lease is kept for this long after the last order, then released.
+KEEP_LEASE_S: Final = 4.0
+# The other gateways stop sending to an engine within this time of being told.
+NOTICE_S: Final = 0.2
+CALL_TIMEOUT_S: Final = 1.0
+# An unanswered order may still be carried out within this time.
+DOUBT_S: Final = 13.0
+# The list of peers is complete by then; before, two gateways might both plan.
+FIRST_LOOK_S: Final = 2.0
+RANK_ALL: Final = 9
+
+
+class StageController:
+    """Plan and order stages while this gateway is the one that plans."""
+
+    def __init__(
+        self,
+        state: GatewayState,
+        store: StoreClient,
+        exchanger: Exchanger,
+        peers: PeerLink,
+    ) -> None:
+        self._state = state
+        self._store = store
+        self._exchanger = exchanger
+        self._peers = peers
+        self._planners: dict[ServiceName, StagePlanner] = {}
+        self._lease: OrderLease | None = None
+        self._lease_task: asyncio.Task[None] | None = None
+        self._wanted_until_s = 0.0
+        # Engines with an unanswered order, and until when it may still take effect.
+        self._in_doubt: dict[UpstreamId, float] = {}
+
+    async def run(self) -> None:
+        """Plan until cancelled."""
+        await asyncio.sleep(FIRST_LOOK_S)
+        try:
+            while True:
+                await self._look()
+                await asyncio.sleep(LOOK_S)
+        finally:
+            if self._lease_task is not None:
+                self._lease_task.cancel()
+
+    async def _look(self) -> None:
+        now_s = asyncio.get_running_loop().time()
+        if self._peers.is_first() and not self._state.draining:
+            for change, service in self._list_changes(now_s):
+                self._wanted_until_s = now_s + KEEP_LEASE_S
+                self._ensure_lease()
+                await self._apply(change, service)
+        if self._lease is not None:
+            self._lease.want(wanted=now_s < self._wanted_until_s)
+
+    def _list_changes(self, now_s: float) -> Iterator[tuple[StageChange, ServiceName]]:
+        configuration = self._state.configuration
+        for service in configuration.services.values() if configuration else ():
+            if service.engine is None:
+                continue
+            planner = self._planners.setdefault(service.name, StagePlanner())
+            views = self._view(service.name, now_s)
+            change = planner.plan(views, service.engine.slots, now_s)
+            if change is not None:
+                yield change, service.name
+
+    def _view(self, service: ServiceName, now_s: float) -> list[EngineView]:
+        ejected = self._state.list_ejected(service, now_s)
+        views = []
+        for item in self._state.members.list_ready(service):
+            if item.stage is None:
+                continue
+            load = self._state.loads.of(item.upstream)
+            in_doubt = self._in_doubt.get(item.upstream, 0.0) > now_s
+            views.append(
+                EngineView(
+                    registration=item,
+                    backlog_s=load.forecast_wait(RANK_ALL, now_s),
+                    running=len(load) - load.count_reading(now_s),
+                    changing=in_doubt or self._state.is_changing(item.upstream, now_s),
+                    ejected=item.upstream in ejected,
+                )
+            )
+        return views
+
+    def _ensure_lease(self) -> None:
+        if self._lease is not None:
+            return
+        # Loaded only by the gateway that plans: it takes time and memory.
+        from bramleyport.gateway._lease import OrderLease
+
+        settings = self._state.settings
+        self._lease = OrderLease(settings.process, self._store, settings.lease_s)
+        self._lease.want(wanted=True)
+        self._lease_task = asyncio.ensure_future(self._lease.run())
+
+    async def _apply(self, change: StageChange, service: ServiceName) -> None:
+        if self._lease is None or self._lease.find_fencing() is None:
+            return
+        target = self._state.members.find(change.upstream)
+        configuration = self._state.configuration
+        if target is None or configuration is None:
+            return
+        engine = configuration.services[service].engine
+        until_s = asyncio.get_running_loop().time() + (engine.switch_s if engine else 0)
+        self._peers.announce_change(change.upstream, until_s + CALL_TIMEOUT_S)
+        await asyncio.sleep(NOTICE_S)
+        self._lease.orders_in_flight += 1
+        try:
+            await self._order(target, change, service)
+        finally:
+            self._lease.orders_in_flight -= 1
+
+    async def _order(
+        self, target: Registration, change: StageChange, service: ServiceName
+    ) -> None:
+        now_s = asyncio.get_running_loop().time()
+        report = await self._read_report(target)
+        if report is None or report.busy or report.stage is change.stage:
+            return
+        # Checked last: the lease may have lapsed while the engine was asked.
+        assert self._lease is not None
+        fencing = self._lease.find_fencing()
+        if fencing is None:
+            return
+        self._planners[service].note_changed(change.upstream, now_s)
+        result = await self._send(target, change, report, fencing)
+        if result is OrderResult.UNKNOWN:
+            self._in_doubt[change.upstream] = now_s + DOUBT_S
+        log_event(
+            gateway_events.STAGE_ORDERED,
+            upstream=change.upstream,
+            stage=change.stage.value,
+            fencing=fencing,
+            expected=report.orders_accepted,
+            result=result.value,
+            reason=change.explanation.reason,
+            **change.explanation.numbers,
+        )
+
+    async def _send(
+        self,
+        target: Registration,
+        change: StageChange,
+        report: EngineReport,
+        fencing: FencingNumber,
+    ) -> OrderResult:
+        order = StageOrder(
+            upstream=change.upstream,
+            stage=change.stage,
+            holder=self._state.settings.process,
+            fencing=fencing,
+            expected=report.orders_accepted,
+        )
+        try:
+            async with asyncio.timeout(CALL_TIMEOUT_S):
+                answer = await self._exchanger.call(target, make_stage_request(order))
+        except (ExchangeError, TimeoutError) as error:
+            log_event(
+                gateway_events.ORDER_UNANSWERED,
+                upstream=change.upstream,
+                reason=str(error) or "no answer in time",
+            )
+            return OrderResult.UNKNOWN
+        return decode_order_status(answer.status)
+
+    async def _read_report(self, target: Registration) -> EngineReport | None:
+        try:
+            async with asyncio.timeout(CALL_TIMEOUT_S):
+                answer = await self._exchanger.call(target, make_report_request())
+            return decode_report(answer.body)
+        except (ExchangeError, MalformedDocumentError, TimeoutError) as error:
+            log_event(
+                gateway_events.REPORT_NOT_READ,
+                upstream=target.upstream,
+                reason=str(error) or "no answer in time",
+            )
+            return None
--- a/bramleyport/gateway/_state.py
+++ b/bramleyport/gateway/_state.py
@@ -42,6 +42,8 @@
     budgets: dict[ServiceName, RepeatBudget] = field(default_factory=dict)
     # When each upstream last sent anything.
     heard_s: dict[UpstreamId, float] = field(default_factory=dict)
+    # Engines that are about to change their stage, and until when they get no work.
+    changing_until_s: dict[UpstreamId, float] = field(default_factory=dict)
     # Gateways that share the retry budget, this one included.
     gateways: int = 1
     draining: bool = False
@@ -82,6 +84,19 @@
             return 0
         return service.engine.kv_capacity_tokens
 
+    def is_changing(self, upstream: UpstreamId, now_s: float) -> bool:
+        """Return whether an engine is changing its stage."""
+        return self.changing_until_s.get(upstream, 0.0) > now_s
+
+    def list_avoided(self, service: ServiceName, now_s: float) -> set[UpstreamId]:
+        """Return the upstreams of a service that get no new work at present."""
+        changing = {
+            upstream
+            for upstream, until_s in self.changing_until_s.items()
+            if until_s > now_s
+        }
+        return changing | self.list_ejected(service, now_s)
+
     def list_ejected(self, service: ServiceName, now_s: float) -> set[UpstreamId]:
         """Return the upstreams of a service that failed too often of late."""
         names = [item.upstream for item in self.members.list_ready(service)]
--- a/bramleyport/platform/_config.py
+++ b/bramleyport/platform/_config.py
@@ -98,6 +98,7 @@
         # The wire counts megabits.
         link_bytes_per_s=read_number(document, "link_mbps") * 1e6 / 8,
         handle_lifetime_s=read_number(document, "kv_hold_s"),
+        switch_s=read_number(document, "switch_s", 0.0),
     )
 
 
--- a/bramleyport/platform/_registrations.py
+++ b/bramleyport/platform/_registrations.py
@@ -2,6 +2,7 @@
 
 from bramleyport.core import ServiceName, UpstreamId, ZoneName
 from bramleyport.fleet import Registration, Stage
+from bramleyport.platform._engines import decode_stage
 from bramleyport.platform._wire import (
     Document,
     MalformedDocumentError,
@@ -11,7 +12,6 @@
 )
 
 _STATES = {"ready": False, "draining": True}
-_STAGES = {"prefill": Stage.PREFILL, "decode": Stage.DECODE}
 
 
 def decode_registration(name: str, document: Document) -> Registration:
@@ -36,6 +36,4 @@
         return None
     stage = read_text(document, "stage")
     # Plain services register an empty stage.
-    if stage and stage not in _STAGES:
-        raise MalformedDocumentError(f"stage is unknown: {stage!r:.60}")
-    return _STAGES.get(stage)
+    return decode_stage(stage) if stage else None
--- a/bramleyport/platform/_store.py
+++ b/bramleyport/platform/_store.py
@@ -45,6 +45,7 @@
     CONFIGURATION = "config"
     REGISTRATIONS = "servers"
     GATEWAYS = "gateways"
+    LEASES = "leases"
 
 
 class StoreFailure(str, Enum):
@@ -151,6 +152,18 @@
                 return Ok(Listing(revision, tuple(objects)))
             after = objects[-1].name
 
+    async def get(
+        self, kind: ObjectKind, name: ObjectName
+    ) -> Result[StoredObject, StoreError]:
+        """Read one object."""
+        reply = await self._call("get", "GET", _make_path(kind, name))
+        if isinstance(reply, Err):
+            return reply
+        try:
+            return Ok(_decode_object(reply.ok_value))
+        except MalformedDocumentError as error:
+            return _reject("get", str(error))
+
     async def watch(
         self, kind: ObjectKind, since: Revision, wait_s: float
     ) -> Result[ChangeBatch, StoreError]:
