Move spare engines to reading prompts, under a lease

The gateway that comes first among its peers plans, holds the lease of the store while it has orders to give, and moves engines one or two at a time; while nothing runs, all that are not needed against the loss of others. Upstreams that decline a call are left aside for half a second, which keeps the retry budget. Ruled out: to begin only once prompts wait.

--- a/bramleyport/fleet/_load.py
+++ b/bramleyport/fleet/_load.py
@@ -120,6 +120,10 @@
             for work in self._works.values()
         )
 
+    def count_running(self) -> int:
+        """Return how many calls the engine runs, their prompts being read."""
+        return sum(not work.reading for work in self._works.values())
+
     def drop_lost(self, now_s: float) -> None:
         """Drop work whose end was never heard of."""
         lost = [
--- a/bramleyport/fleet/_stages.py
+++ b/bramleyport/fleet/_stages.py
@@ -13,6 +13,10 @@
 SLOT_PART: Final = 0.4
 # Mean seconds of unread prompts per engine above which an engine is moved to reading.
 BACKLOG_S: Final = 0.1
+# Looks without any work after which spare engines are moved to reading. While nothing
+# runs a change costs no caller, and too few readers delay first events at once, where
+# too few that run calls fill their slots only slowly.
+IDLE_LOOKS: Final = 4
 # Weight of the newest backlog in its mean; with four looks a second about a second.
 BACKLOG_WEIGHT: Final = 0.3
 # Engines that may change at once: a changing engine serves nobody for seconds.
@@ -51,6 +55,7 @@
 
     def __init__(self) -> None:
         self._backlog_s = 0.0
+        self._idle_looks = 0
         self._changed_s: dict[UpstreamId, float] = {}
 
     def plan(
@@ -81,6 +86,8 @@
             return self._change(readers, Stage.DECODE, "few_decoders", numbers, now_s)
         if len(decoders) > needed and self._backlog_s > BACKLOG_S:
             return self._change(decoders, Stage.PREFILL, "backlog", numbers, now_s)
+        if len(decoders) > needed and self._idle_looks >= IDLE_LOOKS:
+            return self._change(decoders, Stage.PREFILL, "idle", numbers, now_s)
         return None
 
     def note_changed(self, upstream: UpstreamId, now_s: float) -> None:
@@ -90,6 +97,8 @@
     def _observe(self, engines: Sequence[EngineView]) -> None:
         mean_s = sum(view.backlog_s for view in engines) / len(engines)
         self._backlog_s += BACKLOG_WEIGHT * (mean_s - self._backlog_s)
+        busy = any(view.backlog_s > 0 or view.running for view in engines)
+        self._idle_looks = 0 if busy else self._idle_looks + 1
 
     def _count_needed(self, engines: Sequence[EngineView], slots: int) -> int:
         running = sum(view.running for view in engines)
--- a/bramleyport/gateway/_attempt.py
+++ b/bramleyport/gateway/_attempt.py
@@ -70,6 +70,9 @@
         choice = chooser.choose(call, context.engine, excluded, now_s)
         if choice is None and context.tried:
             choice = chooser.choose(call, context.engine, avoided, now_s)
+        if choice is None:
+            ejected = self.state.list_ejected(call.service, now_s)
+            choice = chooser.choose(call, context.engine, ejected, now_s)
         decision = admit(call, choice, now_s)
         if choice is None or isinstance(decision, Rejected):
             assert isinstance(decision, Rejected)
@@ -95,6 +98,7 @@
         now_s = asyncio.get_running_loop().time()
         if failure.end is AttemptEnd.NOT_RUN:
             event = gateway_events.ATTEMPT_NOT_RUN
+            self.state.note_declined(failure.upstream, now_s)
         else:
             context.attempts.runs += 1
             event = gateway_events.ATTEMPT_LOST
--- a/bramleyport/gateway/_stages.py
+++ b/bramleyport/gateway/_stages.py
@@ -32,6 +32,8 @@
 # The other gateways stop sending to an engine within this time of being told.
 NOTICE_S: Final = 0.2
 CALL_TIMEOUT_S: Final = 1.0
+# An engine finishes the calls that it runs before it changes.
+FINISH_S: Final = 0.7
 # An unanswered order may still be carried out within this time.
 DOUBT_S: Final = 13.0
 # The list of peers is complete by then; before, two gateways might both plan.
@@ -104,7 +106,7 @@
                 EngineView(
                     registration=item,
                     backlog_s=load.forecast_wait(RANK_ALL, now_s),
-                    running=len(load) - load.count_reading(now_s),
+                    running=load.count_running(),
                     changing=in_doubt or self._state.is_changing(item.upstream, now_s),
                     ejected=item.upstream in ejected,
                 )
@@ -130,8 +132,9 @@
         if target is None or configuration is None:
             return
         engine = configuration.services[service].engine
-        until_s = asyncio.get_running_loop().time() + (engine.switch_s if engine else 0)
-        self._peers.announce_change(change.upstream, until_s + CALL_TIMEOUT_S)
+        switch_s = engine.switch_s if engine else 0.0
+        until_s = asyncio.get_running_loop().time() + switch_s + FINISH_S
+        self._peers.announce_change(change.upstream, until_s)
         await asyncio.sleep(NOTICE_S)
         self._lease.orders_in_flight += 1
         try:
--- a/bramleyport/gateway/_state.py
+++ b/bramleyport/gateway/_state.py
@@ -22,6 +22,8 @@
 # An upstream that failed this often in a row is left out for a while.
 EJECT_AFTER: Final = 3
 EJECT_S: Final = 2.0
+# An upstream that is full or changes its stage declines calls for longer than this.
+DECLINED_S: Final = 0.5
 
 
 @dataclass(slots=True, kw_only=True)
@@ -44,6 +46,8 @@
     heard_s: dict[UpstreamId, float] = field(default_factory=dict)
     # Engines that are about to change their stage, and until when they get no work.
     changing_until_s: dict[UpstreamId, float] = field(default_factory=dict)
+    # Upstreams that declined a call, and until when others are preferred.
+    declined_until_s: dict[UpstreamId, float] = field(default_factory=dict)
     # Gateways that share the retry budget, this one included.
     gateways: int = 1
     draining: bool = False
@@ -90,12 +94,17 @@
 
     def list_avoided(self, service: ServiceName, now_s: float) -> set[UpstreamId]:
         """Return the upstreams of a service that get no new work at present."""
-        changing = {
+        avoided = {
             upstream
-            for upstream, until_s in self.changing_until_s.items()
+            for known in (self.changing_until_s, self.declined_until_s)
+            for upstream, until_s in known.items()
             if until_s > now_s
         }
-        return changing | self.list_ejected(service, now_s)
+        return avoided | self.list_ejected(service, now_s)
+
+    def note_declined(self, upstream: UpstreamId, now_s: float) -> None:
+        """Prefer others for a while to an upstream that declined a call."""
+        self.declined_until_s[upstream] = now_s + DECLINED_S
 
     def list_ejected(self, service: ServiceName, now_s: float) -> set[UpstreamId]:
         """Return the upstreams of a service that failed too often of late."""
@@ -113,5 +122,7 @@
         """Drop all that was known of an upstream that is gone or began anew."""
         self.loads.forget(upstream)
         self.heard_s.pop(upstream, None)
+        self.declined_until_s.pop(upstream, None)
+        self.changing_until_s.pop(upstream, None)
         self.prefixes.forget(upstream)
         self.speeds.forget(upstream)
