Test the gateway between stand-ins of the platform

Decisions are tested without I/O; calls, streams, splits and refusals over loopback against stand-ins that speak the platform's published form. Found and mended: a pool of two engines kept one that runs calls, an accepted order was given again while the registration did not show it, and a 421 without the statement that nothing ran was taken for a lost answer.

--- a/bramleyport/fleet/_stages.py
+++ b/bramleyport/fleet/_stages.py
@@ -105,7 +105,7 @@
         by_slots = -(-running // max(1, int(slots * SLOT_PART)))
         # One engine in each zone, so that the loss of a zone leaves some.
         zones = len({view.registration.zone for view in engines})
-        by_loss = min(max(MIN_DECODERS, zones), max(1, len(engines) // 3))
+        by_loss = max(MIN_DECODERS, min(zones, len(engines) // 3))
         return max(by_slots, by_loss)
 
     def _change(
--- a/bramleyport/gateway/_daemon.py
+++ b/bramleyport/gateway/_daemon.py
@@ -66,6 +66,11 @@
         self._ports: list[Any] = []
         self._settings_bytes = b""
 
+    @property
+    def state(self) -> GatewayState:
+        """Return what the gateway knows and believes."""
+        return self._state
+
     async def start(self) -> None:
         """Listen for callers and follow the store."""
         settings = self._state.settings
@@ -105,13 +110,20 @@
                 await self._directory.leave()
         except TimeoutError:
             log_event(gateway_events.GATEWAY_NOT_LISTED, reason="store is silent")
+        self.halt()
+        log_event(events.PROCESS_STOPPED)
+
+    def halt(self) -> None:
+        """Stop at once, without waiting for callers."""
         for task in self._tasks:
             task.cancel()
         for port in self._ports:
             port.stopListening()
+        for factory in (self._callers, self._checks):
+            for connection in list(factory.connections):
+                connection.break_off()
         self._exchanger.close()
         self._store.close()
-        log_event(events.PROCESS_STOPPED)
 
     async def _wait(self, done: Callable[[float], bool]) -> None:
         loop = asyncio.get_running_loop()
--- a/bramleyport/gateway/_exchange.py
+++ b/bramleyport/gateway/_exchange.py
@@ -61,7 +61,7 @@
         try:
             connection.send(request, lambda answer: _belongs(answer, request_id))
             answer = await connection.read_head()
-            head = decode_answer(answer.headers)
+            head = decode_answer(answer.status, answer.headers)
             self._state.heard_s[target.upstream] = asyncio.get_running_loop().time()
             connection.idle_timeout_s = head.idle_timeout_s
             yield Opened(connection=connection, answer=answer, head=head)
@@ -121,7 +121,7 @@
     An answer to an earlier request can arrive late on a kept connection. Refusals may
     lack the identifier.
     """
-    found = decode_answer(answer.headers).request
+    found = decode_answer(answer.status, answer.headers).request
     if found is None:
         return answer.status >= 400
     return found == request_id
--- a/bramleyport/gateway/_stages.py
+++ b/bramleyport/gateway/_stages.py
@@ -2,10 +2,17 @@
 
 import asyncio
 from collections.abc import Iterator
+from dataclasses import dataclass
 from typing import TYPE_CHECKING, Final
 
 from bramleyport.core import FencingNumber, ServiceName, UpstreamId
-from bramleyport.fleet import EngineView, Registration, StageChange, StagePlanner
+from bramleyport.fleet import (
+    EngineView,
+    Registration,
+    Stage,
+    StageChange,
+    StagePlanner,
+)
 from bramleyport.gateway._exchange import Exchanger
 from bramleyport.gateway._peers import PeerLink
 from bramleyport.gateway._state import GatewayState
@@ -36,11 +43,21 @@
 FINISH_S: Final = 0.7
 # An unanswered order may still be carried out within this time.
 DOUBT_S: Final = 13.0
+# The registration of an engine shows an accepted order within this time.
+SHOWN_WITHIN_S: Final = 10.0
 # The list of peers is complete by then; before, two gateways might both plan.
 FIRST_LOOK_S: Final = 2.0
 RANK_ALL: Final = 9
 
 
+@dataclass(frozen=True, slots=True)
+class OrderedStage:
+    """Hold the stage that an engine was told to take."""
+
+    stage: Stage
+    until_s: float
+
+
 class StageController:
     """Plan and order stages while this gateway is the one that plans."""
 
@@ -61,6 +78,7 @@
         self._wanted_until_s = 0.0
         # Engines with an unanswered order, and until when it may still take effect.
         self._in_doubt: dict[UpstreamId, float] = {}
+        self._ordered: dict[UpstreamId, OrderedStage] = {}
 
     async def run(self) -> None:
         """Plan until cancelled."""
@@ -101,18 +119,28 @@
             if item.stage is None:
                 continue
             load = self._state.loads.of(item.upstream)
-            in_doubt = self._in_doubt.get(item.upstream, 0.0) > now_s
             views.append(
                 EngineView(
                     registration=item,
                     backlog_s=load.forecast_wait(RANK_ALL, now_s),
                     running=load.count_running(),
-                    changing=in_doubt or self._state.is_changing(item.upstream, now_s),
+                    changing=self._is_changing(item, now_s),
                     ejected=item.upstream in ejected,
                 )
             )
         return views
 
+    def _is_changing(self, item: Registration, now_s: float) -> bool:
+        if self._state.is_changing(item.upstream, now_s):
+            return True
+        if self._in_doubt.get(item.upstream, 0.0) > now_s:
+            return True
+        ordered = self._ordered.get(item.upstream)
+        if ordered is None or now_s > ordered.until_s:
+            return False
+        # An accepted order counts until the registration shows its effect.
+        return item.stage is not ordered.stage
+
     def _ensure_lease(self) -> None:
         if self._lease is not None:
             return
@@ -155,6 +183,9 @@
         if fencing is None:
             return
         self._planners[service].note_changed(change.upstream, now_s)
+        self._ordered[change.upstream] = OrderedStage(
+            change.stage, now_s + SHOWN_WITHIN_S
+        )
         result = await self._send(target, change, report, fencing)
         if result is OrderResult.UNKNOWN:
             self._in_doubt[change.upstream] = now_s + DOUBT_S
--- a/bramleyport/platform/_calls.py
+++ b/bramleyport/platform/_calls.py
@@ -38,6 +38,8 @@
         b"pin-ms",
     )
 )
+# The upstream at the address is not the one that was meant, and runs nothing.
+OTHER_INSTANCE: Final = 421
 # Without the header the caller is taken to wait this long, in seconds.
 DEFAULT_PATIENCE_S: Final = 30.0
 
@@ -78,14 +80,16 @@
     )
 
 
-def decode_answer(headers: Iterable[tuple[bytes, bytes]]) -> AnswerHead:
-    """Read the headers of an upstream's answer."""
+def decode_answer(
+    status: int, headers: Iterable[tuple[bytes, bytes]]
+) -> AnswerHead:
+    """Read the status and headers of an upstream's answer."""
     values = {name.lower(): value for name, value in headers}
     request = values.get(b"request-id")
     instance = values.get(b"instance-id")
     return AnswerHead(
         request=RequestId(request.decode("latin-1")) if request else None,
-        not_run=b"not-run" in values,
+        not_run=b"not-run" in values or status == OTHER_INSTANCE,
         signed=b"server-stamp" in values,
         encoded=values.get(b"content-encoding", b"identity") != b"identity",
         instance=UpstreamId(instance.decode("latin-1")) if instance else None,
--- /dev/null
+++ b/tests/test_fleet_choice.py
@@ -0,0 +1,126 @@
+"""Guard where calls run: prefixes, queues, leaving and declined upstreams."""
+
+from bramleyport.core import UpstreamId
+from bramleyport.fleet import Repeatability, Stage
+from tests.fleet_builders import (
+    ENGINE,
+    PLAIN,
+    FleetModel,
+    make_call,
+    make_engine,
+    make_prompt,
+    make_route,
+)
+
+LONG = make_prompt(("shared", 13_000), ("own", 4_000))
+SHORT = make_prompt(("short", 150), ("own-short", 250))
+
+
+def test_cached_prefix_outweighs_an_idle_engine() -> None:
+    # Reading a shared prefix again delays every call behind it.
+    fleet = FleetModel(make_engine("cold"), make_engine("warm"))
+    fleet.prefixes.add(UpstreamId("warm"), LONG.parts[:1], 500_000)
+    fleet.prefixes.confirm(UpstreamId("warm"), LONG.parts[:1])
+    choice = fleet.chooser.choose(make_call(LONG), ENGINE, (), 0.0)
+    assert choice is not None
+    assert choice.upstream.upstream == "warm"
+    assert choice.unread_tokens == 4_000
+
+
+def test_prefix_is_fetched_when_its_holder_is_busy() -> None:
+    fleet = FleetModel(make_engine("free"), make_engine("busy"))
+    fleet.prefixes.add(UpstreamId("busy"), LONG.parts[:1], 500_000)
+    fleet.prefixes.confirm(UpstreamId("busy"), LONG.parts[:1])
+    fleet.send("busy", read_s=3.0)
+    choice = fleet.chooser.choose(make_call(LONG), ENGINE, (), 0.0)
+    assert choice is not None
+    assert choice.upstream.upstream == "free"
+    assert choice.prefix_source is not None
+    assert choice.prefix_source.upstream == "busy"
+    assert choice.unread_tokens == 4_000
+
+
+def test_prefix_that_is_still_being_read_is_not_fetched() -> None:
+    # The engine that has it in its queue would have nothing to send.
+    fleet = FleetModel(make_engine("free"), make_engine("reading"))
+    fleet.send("reading", read_s=9.0, prompt=LONG)
+    choice = fleet.chooser.choose(make_call(LONG), ENGINE, (), 0.0)
+    assert choice is not None
+    assert choice.upstream.upstream == "free"
+    assert choice.prefix_source is None
+
+
+def test_long_prompt_is_read_by_a_prefill_engine() -> None:
+    fleet = FleetModel(make_engine("d"), make_engine("p", Stage.PREFILL))
+    choice = fleet.chooser.choose(make_call(LONG), ENGINE, (), 0.0)
+    assert choice is not None
+    assert choice.prefill is not None
+    assert (choice.prefill.upstream, choice.upstream.upstream) == ("p", "d")
+
+
+def test_short_prompt_is_read_where_it_runs() -> None:
+    fleet = FleetModel(make_engine("d"), make_engine("p", Stage.PREFILL))
+    choice = fleet.chooser.choose(make_call(SHORT), ENGINE, (), 0.0)
+    assert choice is not None
+    assert choice.prefill is None
+
+
+def test_split_counts_the_queue_where_the_call_runs() -> None:
+    # The last token waits behind the prompts that the decoder reads.
+    fleet = FleetModel(make_engine("d"), make_engine("p", Stage.PREFILL))
+    fleet.send("d", read_s=2.0)
+    choice = fleet.chooser.choose(make_call(LONG), ENGINE, (), 0.0)
+    assert choice is not None
+    assert choice.forecast_s >= 2.0
+
+
+def test_flood_of_the_least_urgent_leaves_urgent_forecasts_alone() -> None:
+    fleet = FleetModel(make_engine("d"))
+    for number in range(50):
+        fleet.send("d", request=f"w{number}", read_s=0.2, priority=2)
+    urgent = fleet.chooser.choose(make_call(SHORT), ENGINE, (), 0.0)
+    late_route = make_route(priority=2)
+    late = fleet.chooser.choose(make_call(SHORT, route=late_route), ENGINE, (), 0.0)
+    assert urgent is not None
+    assert late is not None
+    assert urgent.wait_s == 0.0
+    assert late.wait_s > 5.0
+
+
+def test_draining_and_excluded_upstreams_get_nothing() -> None:
+    fleet = FleetModel(
+        make_engine("leaving", draining=True), make_engine("failed"), make_engine("ok")
+    )
+    choice = fleet.chooser.choose(make_call(SHORT), ENGINE, {UpstreamId("failed")}, 0.0)
+    assert choice is not None
+    assert choice.upstream.upstream == "ok"
+
+
+def test_no_decoder_means_no_choice() -> None:
+    fleet = FleetModel(make_engine("p", Stage.PREFILL))
+    assert fleet.chooser.choose(make_call(LONG), ENGINE, (), 0.0) is None
+
+
+def test_target_after_prefill_is_not_one_that_began_to_leave() -> None:
+    # The target was chosen before the prompt was read; DRAIN was broken by it.
+    fleet = FleetModel(make_engine("d1"), make_engine("d2"))
+    fleet.members.put(make_engine("d1", draining=True))
+    target = fleet.chooser.choose_target(make_call(LONG), (), 0.0)
+    assert target is not None
+    assert target.upstream == "d2"
+
+
+def test_plain_call_goes_to_the_least_loaded_and_nearest() -> None:
+    fleet = FleetModel(
+        make_engine("far", None, zone="b", service=PLAIN),
+        make_engine("near", None, service=PLAIN),
+    )
+    route = make_route(Repeatability.IDEMPOTENT, service=PLAIN)
+    first = fleet.chooser.choose(make_call(route=route), None, (), 0.0)
+    assert first is not None
+    assert first.upstream.upstream == "near"
+    for number in range(5):
+        fleet.send("near", request=f"w{number}")
+    second = fleet.chooser.choose(make_call(route=route), None, (), 0.0)
+    assert second is not None
+    assert second.upstream.upstream == "far"
--- /dev/null
+++ b/tests/test_fleet_load.py
@@ -0,0 +1,167 @@
+"""Guard the forecasts that choices and refusals rest on."""
+
+import pytest
+
+from bramleyport.admission import Admitted, Rejected
+from bramleyport.core import RequestId, UpstreamId
+from bramleyport.fleet import Choice, PrefixCache, ReadSpeeds, Stage, admit
+from bramleyport.fleet._speed import measure_effort
+from bramleyport.retries import RepeatBudget
+from tests.fleet_builders import FleetModel, make_call, make_engine, make_prompt
+
+ENGINE = UpstreamId("e")
+
+
+def test_wait_is_what_goes_first_less_what_is_done() -> None:
+    fleet = FleetModel(make_engine("e"))
+    fleet.send("e", request="a", read_s=1.0)
+    fleet.send("e", request="b", read_s=1.0)
+    load = fleet.loads.of(ENGINE)
+    assert load.forecast_wait(0, 0.0) == pytest.approx(2.0)
+    assert load.forecast_wait(0, 0.5) == pytest.approx(1.5)
+
+
+def test_overdue_reading_stops_counting() -> None:
+    # A call whose end was never heard of must not keep callers away for ever.
+    fleet = FleetModel(make_engine("e"))
+    fleet.send("e", read_s=0.5)
+    assert fleet.loads.of(ENGINE).forecast_wait(0, 60.0) == 0.0
+
+
+def test_lost_work_is_dropped() -> None:
+    fleet = FleetModel(make_engine("e"))
+    fleet.send("e")
+    fleet.loads.drop_lost(60.0)
+    assert len(fleet.loads.of(ENGINE)) == 0
+
+
+def test_read_work_runs_and_waits_no_more() -> None:
+    fleet = FleetModel(make_engine("e"))
+    fleet.send("e", request="a", read_s=1.0)
+    load = fleet.loads.of(ENGINE)
+    load.finish_reading(RequestId("a"), 1.0)
+    assert (load.count_running(), load.count_reading(1.0)) == (1, 0)
+    assert load.forecast_wait(9, 1.0) == 0.0
+
+
+def test_speed_sample_spans_the_busy_time_of_interleaved_prompts() -> None:
+    # An engine that reads two prompts by turns ends both late; the second seemed fast
+    # when its time was taken from the end of the first.
+    fleet = FleetModel(make_engine("e"))
+    fleet.send("e", request="a", effort=10_000)
+    fleet.send("e", request="b", effort=10_000)
+    load = fleet.loads.of(ENGINE)
+    first = load.finish_reading(RequestId("a"), 0.9)
+    second = load.finish_reading(RequestId("b"), 1.0)
+    assert first is not None
+    assert first.sample is None
+    assert second is not None
+    assert second.sample is not None
+    assert second.sample.effort / second.sample.took_s == pytest.approx(20_000)
+
+
+def test_cancelled_reading_spoils_no_sample() -> None:
+    fleet = FleetModel(make_engine("e"))
+    fleet.send("e", request="a", effort=30_000)
+    fleet.send("e", request="b", effort=1_000)
+    load = fleet.loads.of(ENGINE)
+    load.remove(RequestId("a"), 1.0)
+    read = load.finish_reading(RequestId("b"), 1.1)
+    assert read is not None
+    assert read.sample is not None
+    assert read.sample.took_s == pytest.approx(0.1)
+
+
+def test_speeds_follow_the_engines() -> None:
+    speeds = ReadSpeeds()
+    for _ in range(200):
+        speeds.record(ENGINE, Stage.PREFILL, 10_000, 1.0)
+    assert speeds.forecast(ENGINE, Stage.PREFILL, 10_000) == pytest.approx(1.0, rel=0.1)
+
+
+def test_one_slow_engine_is_known_and_the_others_are_not_blamed() -> None:
+    speeds = ReadSpeeds()
+    slow = UpstreamId("slow")
+    for _ in range(60):
+        speeds.record(ENGINE, Stage.DECODE, 10_000, 0.5)
+    before = speeds.forecast(ENGINE, Stage.DECODE, 10_000)
+    for _ in range(30):
+        speeds.record(slow, Stage.DECODE, 10_000, 2.5)
+    assert speeds.forecast(slow, Stage.DECODE, 10_000) > 4 * before
+    assert speeds.forecast(ENGINE, Stage.DECODE, 10_000) == pytest.approx(before)
+
+
+def test_attention_makes_the_end_of_a_long_prompt_dearer() -> None:
+    assert measure_effort(1_000, 50_000) > measure_effort(1_000, 1_000)
+
+
+def test_cache_forgets_the_least_recently_used_part() -> None:
+    cache = PrefixCache(100)
+    first, second, third = (make_prompt((name, 50)).parts for name in "abc")
+    cache.add(first)
+    cache.add(second)
+    cache.add(first)
+    cache.add(third)
+    assert cache.count_cached(first) == 50
+    assert cache.count_cached(second) == 0
+
+
+def test_cached_part_counts_only_behind_cached_parts() -> None:
+    cache = PrefixCache(1_000)
+    prompt = make_prompt(("a", 10), ("b", 20))
+    cache.add(prompt.parts[1:])
+    assert cache.count_cached(prompt.parts) == 0
+
+
+def test_part_counts_as_read_once_confirmed() -> None:
+    cache = PrefixCache(1_000)
+    parts = make_prompt(("a", 10)).parts
+    cache.add(parts)
+    assert (cache.count_cached(parts), cache.count_read(parts)) == (10, 0)
+    cache.confirm(parts)
+    assert cache.count_read(parts) == 10
+
+
+def make_choice(forecast_s: float) -> Choice:
+    from bramleyport.core import Explanation
+
+    return Choice(
+        upstream=make_engine("e"),
+        forecast_s=forecast_s,
+        explanation=Explanation(reason="direct"),
+    )
+
+
+def test_call_that_ends_too_late_is_refused_at_once() -> None:
+    decision = admit(make_call(deadline_s=1.0), make_choice(3.0), 0.0)
+    assert isinstance(decision, Rejected)
+    assert decision.explanation.reason == "too_late"
+    # By then the queue has shrunk enough for the call to fit.
+    assert decision.retry_after_s == pytest.approx(2.1)
+
+
+def test_call_that_fits_is_admitted() -> None:
+    assert isinstance(admit(make_call(), make_choice(0.2), 0.0), Admitted)
+
+
+def test_call_without_upstream_is_refused() -> None:
+    decision = admit(make_call(), None, 0.0)
+    assert isinstance(decision, Rejected)
+    assert decision.explanation.reason == "no_upstream"
+
+
+def test_repeats_stay_within_the_shared_bound() -> None:
+    # Gateways share the bound without asking each other.
+    budget = RepeatBudget(0.2, 50, 10.0)
+    for _ in range(100):
+        budget.record_request(0.0)
+    taken = sum(budget.take(1.0, processes=5) for _ in range(100))
+    assert taken <= 0.2 * 100 + 50 / 5
+    assert taken == 24
+
+
+def test_repeats_return_once_the_window_has_passed() -> None:
+    budget = RepeatBudget(0.0, 10, 10.0)
+    assert sum(budget.take(0.0, processes=1) for _ in range(20)) == 8
+    assert not budget.take(9.0, processes=1)
+    assert budget.take(10.5, processes=1)
--- /dev/null
+++ b/tests/test_fleet_stages.py
@@ -0,0 +1,107 @@
+"""Guard the moves of engines between reading prompts and running calls.
+
+Patterns: prompts outgrow their readers, answers grow long, engines are lost.
+"""
+
+from bramleyport.core import UpstreamId
+from bramleyport.fleet import EngineView, Stage, StageChange, StagePlanner
+from tests.fleet_builders import make_engine
+
+SLOTS = 64
+ZONES = "abc"
+
+
+def make_pool(
+    decoders: int,
+    readers: int,
+    *,
+    backlog_s: float = 0.0,
+    running: int = 0,
+    changing: int = 0,
+) -> list[EngineView]:
+    stages = [Stage.DECODE] * decoders + [Stage.PREFILL] * readers
+    return [
+        EngineView(
+            registration=make_engine(f"e{n}", stage, zone=ZONES[n % 3]),
+            backlog_s=backlog_s,
+            running=running if stage is Stage.DECODE else 0,
+            changing=n < changing,
+        )
+        for n, stage in enumerate(stages)
+    ]
+
+
+def plan_until_change(
+    planner: StagePlanner, pool: list[EngineView], looks: int = 20
+) -> StageChange | None:
+    for look in range(looks):
+        change = planner.plan(pool, SLOTS, look * 0.25)
+        if change is not None:
+            return change
+    return None
+
+
+def test_waiting_prompts_move_an_idle_engine_to_reading() -> None:
+    change = plan_until_change(StagePlanner(), make_pool(6, 3, backlog_s=0.5))
+    assert change is not None
+    assert change.stage is Stage.PREFILL
+    assert change.explanation.reason == "backlog"
+
+
+def test_one_glance_at_a_backlog_moves_nothing() -> None:
+    planner = StagePlanner()
+    assert planner.plan(make_pool(6, 3, backlog_s=0.2, running=1), SLOTS, 0.0) is None
+
+
+def test_idle_pool_keeps_one_decoder_a_zone() -> None:
+    planner = StagePlanner()
+    pool = make_pool(6, 3)
+    assert plan_until_change(planner, pool) is not None
+    assert plan_until_change(planner, make_pool(3, 6)) is None
+
+
+def test_long_answers_bring_decoders_back() -> None:
+    # 100 running calls on each of three engines fill more than their part of 64 slots.
+    change = plan_until_change(StagePlanner(), make_pool(3, 6, running=60), looks=1)
+    assert change is not None
+    assert change.stage is Stage.DECODE
+    assert change.explanation.reason == "few_decoders"
+
+
+def test_loss_of_all_decoders_is_answered_at_once() -> None:
+    pool = make_pool(0, 5, backlog_s=2.0)
+    change = plan_until_change(StagePlanner(), pool, looks=1)
+    assert change is not None
+    assert change.stage is Stage.DECODE
+
+
+def test_few_engines_change_at_the_same_time() -> None:
+    # A changing engine serves nobody for seconds.
+    pool = make_pool(6, 3, backlog_s=2.0, changing=2)
+    assert plan_until_change(StagePlanner(), pool) is None
+
+
+def test_changed_engine_is_left_alone_for_a_while() -> None:
+    planner = StagePlanner()
+    pool = make_pool(0, 2)
+    first = planner.plan(pool, SLOTS, 0.0)
+    assert first is not None
+    planner.note_changed(first.upstream, 0.0)
+    second = planner.plan(pool, SLOTS, 1.0)
+    assert second is not None
+    assert second.upstream != first.upstream
+    planner.note_changed(second.upstream, 1.0)
+    assert planner.plan(pool, SLOTS, 2.0) is None
+
+
+def test_ejected_engines_are_not_counted() -> None:
+    pool = make_pool(1, 3)
+    ejected = [
+        EngineView(registration=view.registration, backlog_s=0, running=0, ejected=True)
+        if view.registration.upstream == UpstreamId("e0")
+        else view
+        for view in pool
+    ]
+    change = plan_until_change(StagePlanner(), ejected, looks=1)
+    assert change is not None
+    assert change.stage is Stage.DECODE
--- /dev/null
+++ b/tests/test_gateway_calls.py
@@ -0,0 +1,270 @@
+"""Guard what callers get of plain calls: one true answer, and no second run."""
+
+import asyncio
+from collections.abc import Callable, Coroutine, Iterator
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from tests.gateway_fleet import GatewayFleet, make_config
+from tests.platform_standin import (
+    Script,
+    answer_without_length,
+    decline,
+    fail,
+    hang,
+    lose_answer,
+    make_extra,
+    truncate,
+)
+
+Run = Callable[[Coroutine[Any, Any, Any]], Any]
+
+
+@pytest.fixture
+def fleet(run: Run, tmp_path: Path) -> Iterator[GatewayFleet]:
+    fleet = GatewayFleet(tmp_path)
+    run(fleet.start())
+    yield fleet
+    run(fleet.stop())
+
+
+def script_all(fleet: GatewayFleet, script: Script) -> None:
+    for upstream in fleet.plain:
+        upstream.script = script
+
+
+def script_first(fleet: GatewayFleet, script: Script) -> None:
+    """Give the script to whichever upstream gets the first request."""
+
+    async def once(upstream: Any, request: Any, writer: Any) -> None:
+        for other in fleet.plain:
+            other.scripts.clear()
+        await script(upstream, request, writer)
+
+    for upstream in fleet.plain:
+        upstream.scripts = [once]
+
+
+def test_answer_is_passed_on_unchanged(fleet: GatewayFleet, run: Run) -> None:
+    caller = fleet.make_caller()
+    answer = run(caller.call("/read/x?y=1", method="GET", Request_Id="abc"))
+    assert (answer.status, answer.body) == (200, b"answer to abc")
+    assert answer.headers["server-stamp"].startswith("stamp.p")
+    sent = fleet.plain[0].runs + fleet.plain[1].runs
+    assert sent[0].request.target == "/read/x?y=1"
+
+
+def test_upstream_is_told_the_time_left_and_who_is_meant(
+    fleet: GatewayFleet, run: Run
+) -> None:
+    run(fleet.make_caller().call("/read/x", method="GET", Deadline_Ms="700"))
+    (sent,) = fleet.plain[0].runs + fleet.plain[1].runs
+    headers = sent.request.headers
+    assert 0 < int(headers["deadline-ms"]) <= 700
+    assert headers["expect-instance"] in ("p0", "p1")
+
+
+def test_callers_headers_for_the_system_do_not_pass(
+    fleet: GatewayFleet, run: Run
+) -> None:
+    smuggled = {"Kv_Source": "1.2.3.4:5/h", "Pin_Ms": "9", "Expect_Instance": "x"}
+    answer = run(fleet.make_caller().call("/post/x", body=b"b", **smuggled))
+    assert answer.status == 200
+    (sent,) = fleet.plain[0].runs + fleet.plain[1].runs
+    assert "kv-source" not in sent.request.headers
+    assert "pin-ms" not in sent.request.headers
+
+
+def test_lost_answer_of_an_idempotent_call_is_made_good(
+    fleet: GatewayFleet, run: Run
+) -> None:
+    script_first(fleet, lose_answer)
+    answer = run(fleet.make_caller().call("/read/x", method="GET"))
+    assert answer.status == 200
+    assert len(fleet.list_runs()) == 2
+
+
+@pytest.mark.parametrize("script", [lose_answer, truncate], ids=["lost", "truncated"])
+def test_lost_answer_of_a_posting_is_not_run_again(
+    fleet: GatewayFleet, run: Run, script: Script
+) -> None:
+    # A second run would bill twice; 503 would claim that the first did not happen.
+    script_all(fleet, script)
+    answer = run(fleet.make_caller().call("/post/x", body=b"b"))
+    assert answer.status == 502
+    assert len(fleet.list_runs()) == 1
+
+
+def test_posting_that_hangs_ends_at_its_timeout_without_a_promise(
+    fleet: GatewayFleet, run: Run
+) -> None:
+    script_all(fleet, hang)
+    answer = run(fleet.make_caller().call("/post/x", body=b"b", Deadline_Ms="300"))
+    assert answer.status == 504
+    assert len(fleet.list_runs()) == 1
+
+
+def test_declined_posting_runs_elsewhere_once(fleet: GatewayFleet, run: Run) -> None:
+    script_first(fleet, decline)
+    answer = run(fleet.make_caller().call("/post/x", body=b"b"))
+    assert answer.status == 200
+    assert len(fleet.list_runs()) == 1
+
+
+def test_posting_declined_everywhere_is_refused_with_a_time(
+    fleet: GatewayFleet, run: Run
+) -> None:
+    script_all(fleet, decline)
+    answer = run(fleet.make_caller().call("/post/x", body=b"b"))
+    assert answer.status == 503
+    assert float(answer.headers["retry-after"]) > 0
+    assert fleet.list_runs() == []
+
+
+def test_upstreams_own_failure_is_passed_on_with_its_signature(
+    fleet: GatewayFleet, run: Run
+) -> None:
+    script_all(fleet, fail)
+    answer = run(fleet.make_caller().call("/post/x", body=b"b"))
+    assert (answer.status, answer.body) == (500, b"failed")
+    assert "server-stamp" in answer.headers
+
+
+def test_failed_idempotent_call_is_tried_at_another_upstream(
+    fleet: GatewayFleet, run: Run
+) -> None:
+    script_first(fleet, fail)
+    assert run(fleet.make_caller().call("/read/x", method="GET")).status == 200
+
+
+def test_silent_upstream_is_left_for_another(fleet: GatewayFleet, run: Run) -> None:
+    script_first(fleet, hang)
+    assert run(fleet.make_caller().call("/read/x", method="GET")).status == 200
+
+
+def test_answer_of_another_request_reaches_nobody(
+    fleet: GatewayFleet, run: Run
+) -> None:
+    script_all(fleet, make_extra("somebody"))
+    answer = run(fleet.make_caller().call("/post/x", body=b"b", Request_Id="mine"))
+    assert answer.body == b"answer to mine"
+
+
+def test_answer_that_ends_with_its_connection_is_complete(
+    fleet: GatewayFleet, run: Run
+) -> None:
+    script_all(fleet, answer_without_length)
+    answer = run(fleet.make_caller().call("/post/x", body=b"b"))
+    assert (answer.status, answer.body) == (200, b"no length")
+
+
+def test_other_instance_at_the_address_runs_nothing(
+    fleet: GatewayFleet, run: Run
+) -> None:
+    # The address may belong to an upstream of another service by now.
+    for upstream in fleet.plain:
+        upstream.name = f"new-{upstream.name}"
+    answer = run(fleet.make_caller().call("/post/x", body=b"b"))
+    assert answer.status == 503
+    assert fleet.list_runs() == []
+
+
+def test_unreachable_upstream_costs_no_call(fleet: GatewayFleet, run: Run) -> None:
+    run(fleet.plain[0].stop())
+    caller = fleet.make_caller()
+    statuses = [run(caller.call("/post/x", body=b"b")).status for _ in range(4)]
+    assert statuses == [200] * 4
+    assert len(fleet.list_runs()) == 4
+
+
+def test_kept_connection_serves_many_requests(fleet: GatewayFleet, run: Run) -> None:
+    caller = fleet.make_caller()
+    for number in range(5):
+        answer = run(caller.call("/read/x", method="GET", Request_Id=f"n{number}"))
+        assert answer.body == f"answer to n{number}".encode()
+    assert fleet.plain[0].connections + fleet.plain[1].connections <= 2
+
+
+def test_request_inside_a_body_is_only_a_body(fleet: GatewayFleet, run: Run) -> None:
+    inner = b"POST /post/x HTTP/1.1\r\nHost: calls.example\r\nRequest-Id: in\r\n\r\n"
+    answer = run(fleet.make_caller().call("/post/x", body=inner, Request_Id="out"))
+    assert answer.status == 200
+    assert [request for _, request in fleet.list_runs()] == ["out"]
+    sent = fleet.plain[0].runs + fleet.plain[1].runs
+    assert sent[0].request.body == inner
+
+
+def test_two_framings_of_one_body_are_refused(fleet: GatewayFleet, run: Run) -> None:
+    async def send() -> bytes:
+        caller = fleet.make_caller()
+        await caller.open()
+        assert caller.writer is not None
+        assert caller.reader is not None
+        caller.writer.write(
+            b"POST /post/x HTTP/1.1\r\nHost: calls.example\r\nRequest-Id: a\r\n"
+            b"Content-Length: 4\r\nContent-Length: 5\r\n\r\nabcd"
+        )
+        return await caller.reader.read(100)
+
+    assert run(send()).startswith(b"HTTP/1.1 400")
+    assert fleet.list_runs() == []
+
+
+def test_slow_header_is_answered_408(fleet: GatewayFleet, run: Run) -> None:
+    async def send() -> bytes:
+        caller = fleet.make_caller()
+        await caller.open()
+        assert caller.writer is not None
+        assert caller.reader is not None
+        caller.writer.write(b"POST /post/x HT")
+        return await caller.reader.read(100)
+
+    assert run(send()).startswith(b"HTTP/1.1 408")
+
+
+def test_oversized_body_is_refused(fleet: GatewayFleet, run: Run) -> None:
+    answer = run(fleet.make_caller().call("/post/x", body=b"x" * 100_001))
+    assert answer.status == 413
+    assert fleet.list_runs() == []
+
+
+def test_unknown_route_is_answered_404(fleet: GatewayFleet, run: Run) -> None:
+    assert run(fleet.make_caller().call("/nowhere/x")).status == 404
+
+
+def test_caller_that_leaves_stops_the_upstream(fleet: GatewayFleet, run: Run) -> None:
+    left = asyncio.Event()
+
+    async def wait_for_close(upstream: Any, request: Any, writer: Any) -> None:
+        upstream.begin(request)
+        while not writer.transport.is_closing():
+            await asyncio.sleep(0.01)
+        left.set()
+
+    async def leave() -> None:
+        caller = fleet.make_caller()
+        await caller.send("/post/x", body=b"b")
+        await fleet.wait_for(fleet.list_runs)
+        caller.close()
+        await asyncio.wait_for(left.wait(), 20)
+
+    script_all(fleet, wait_for_close)
+    run(leave())
+
+
+def test_before_a_configuration_callers_are_told_to_come_back(
+    run: Run, tmp_path: Path
+) -> None:
+    # 404 would end the caller's attempts for good.
+    fleet = GatewayFleet(tmp_path)
+    run(fleet.start(configured=False))
+    assert run(fleet.ask_ready()) == 503
+    answer = run(fleet.make_caller().call("/post/x", body=b"b"))
+    assert answer.status == 503
+    assert "retry-after" in answer.headers
+    fleet.store.put("config", "main", make_config())
+    run(fleet.wait_for(lambda: fleet.state.routes is not None))
+    assert run(fleet.ask_ready()) == 200
+    run(fleet.stop())
--- /dev/null
+++ b/tests/test_gateway_streams.py
@@ -0,0 +1,217 @@
+"""Guard streams: whole events, in order, once, at one upstream after another."""
+
+import asyncio
+from collections.abc import Callable, Coroutine, Iterator
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from tests.gateway_fleet import LANGUAGE, GatewayFleet
+from tests.platform_standin import (
+    EVENT_COUNT,
+    Script,
+    UpstreamStandin,
+    answer_events,
+    decline,
+    fail,
+    hang,
+    make_break_off,
+    render_event,
+)
+
+Run = Callable[[Coroutine[Any, Any, Any]], Any]
+WHOLE = b"".join(render_event(number) for number in range(1, EVENT_COUNT + 1))
+PROMPT = {
+    "Model": "m",
+    "Token_Counts": "4000,10",
+    "Prompt_Prefix": "aa:3000,bb:1000",
+}
+
+
+@pytest.fixture
+def fleet(run: Run, tmp_path: Path) -> Iterator[GatewayFleet]:
+    fleet = GatewayFleet(tmp_path)
+    run(fleet.start())
+    yield fleet
+    run(fleet.stop())
+
+
+def script_first(fleet: GatewayFleet, script: Script) -> None:
+    async def once(upstream: Any, request: Any, writer: Any) -> None:
+        for other in fleet.engines:
+            other.scripts.clear()
+        await script(upstream, request, writer)
+
+    for upstream in fleet.engines:
+        upstream.scripts = [once]
+
+
+def test_stream_is_passed_on_whole(fleet: GatewayFleet, run: Run) -> None:
+    answer = run(fleet.make_caller().call("/stream/x", body=b"p", **PROMPT))
+    assert (answer.status, answer.body, answer.complete) == (200, WHOLE, True)
+    assert answer.headers["server-stamp"].startswith("stamp.d")
+
+
+@pytest.mark.parametrize("within_event", [False, True])
+@pytest.mark.parametrize("after", [0, 1, 3])
+def test_broken_stream_goes_on_elsewhere(
+    fleet: GatewayFleet, run: Run, after: int, within_event: bool
+) -> None:
+    script_first(fleet, make_break_off(after, within_event=within_event))
+    answer = run(fleet.make_caller().call("/stream/x", body=b"p", **PROMPT))
+    assert (answer.body, answer.complete) == (WHOLE, True)
+    assert len({name for name, _ in fleet.list_runs()}) == 2
+
+
+def test_resumed_stream_says_which_events_the_caller_has(
+    fleet: GatewayFleet, run: Run
+) -> None:
+    script_first(fleet, make_break_off(2))
+    run(fleet.make_caller().call("/stream/x", body=b"p", **PROMPT))
+    runs = [run for engine in fleet.engines for run in engine.runs]
+    resumed = [run.request.headers.get("last-event-id") for run in runs]
+    assert sorted(resumed, key=str) == ["2", None]
+
+
+def test_stream_that_may_run_once_is_broken_off(fleet: GatewayFleet, run: Run) -> None:
+    script_first(fleet, make_break_off(2))
+    answer = run(fleet.make_caller().call("/once/x", body=b"p", **PROMPT))
+    assert answer.body == WHOLE[: 2 * len(render_event(1))]
+    assert not answer.complete
+    assert len(fleet.list_runs()) == 1
+
+
+def test_silent_engine_is_left_before_the_first_event(
+    fleet: GatewayFleet, run: Run
+) -> None:
+    script_first(fleet, hang)
+    answer = run(fleet.make_caller().call("/stream/x", body=b"p", **PROMPT))
+    assert (answer.body, answer.complete) == (WHOLE, True)
+
+
+def test_engine_that_falls_silent_between_events_is_left(
+    fleet: GatewayFleet, run: Run
+) -> None:
+    async def pause(upstream: Any, request: Any, writer: Any) -> None:
+        await make_pause(upstream, request, writer)
+
+    script_first(fleet, pause)
+    answer = run(fleet.make_caller().call("/stream/x", body=b"p", **PROMPT))
+    assert (answer.body, answer.complete) == (WHOLE, True)
+
+
+async def make_pause(upstream: Any, request: Any, writer: Any) -> None:
+    from tests.platform_standin import start_stream, write_chunk
+
+    upstream.begin(request)
+    first = start_stream(upstream, request, writer)
+    write_chunk(writer, render_event(first))
+    await writer.drain()
+    await asyncio.sleep(60)
+
+
+def test_declined_stream_that_may_run_once_runs_elsewhere(
+    fleet: GatewayFleet, run: Run
+) -> None:
+    script_first(fleet, decline)
+    answer = run(fleet.make_caller().call("/once/x", body=b"p", **PROMPT))
+    assert (answer.body, answer.complete) == (WHOLE, True)
+    assert len(fleet.list_runs()) == 1
+
+
+def test_failure_of_the_engine_reaches_the_caller(
+    fleet: GatewayFleet, run: Run
+) -> None:
+    for engine in fleet.engines:
+        engine.script = fail
+    answer = run(fleet.make_caller().call("/once/x", body=b"p", **PROMPT))
+    assert answer.status == 500
+    assert len(fleet.list_runs()) == 1
+
+
+def test_event_that_comes_twice_is_passed_on_once(
+    fleet: GatewayFleet, run: Run
+) -> None:
+    async def repeat(upstream: Any, request: Any, writer: Any) -> None:
+        from tests.platform_standin import start_stream, write_chunk
+
+        upstream.begin(request)
+        start_stream(upstream, request, writer)
+        for number in (1, 1, 2, 3, 4, 5):
+            write_chunk(writer, render_event(number))
+        writer.write(b"0\r\n\r\n")
+
+    script_first(fleet, repeat)
+    answer = run(fleet.make_caller().call("/stream/x", body=b"p", **PROMPT))
+    assert answer.body == WHOLE
+
+
+async def add_reader(fleet: GatewayFleet) -> UpstreamStandin:
+    reader = UpstreamStandin("reader", service=LANGUAGE, stage="prefill")
+    await reader.start()
+    fleet.engines.append(reader)
+    reader.register(fleet.store)
+    await fleet.wait_for(lambda: len(fleet.state.members.list_all()) == 5)
+    return reader
+
+
+LONG = PROMPT | {"Token_Counts": "20000,10", "Prompt_Prefix": "aa:15000,bb:5000"}
+
+
+def test_long_prompt_is_read_elsewhere_and_taken_by_handle(
+    fleet: GatewayFleet, run: Run
+) -> None:
+    reader = run(add_reader(fleet))
+    answer = run(fleet.make_caller().call("/stream/x", body=b"p", **LONG))
+    assert (answer.body, answer.complete) == (WHOLE, True)
+    (ran,) = [run for engine in fleet.engines for run in engine.runs]
+    source = f"127.0.0.1:{reader.port}/reader-h1"
+    assert ran.request.headers["kv-source"] == source
+    assert reader.freed == []
+
+
+def test_handle_that_is_not_taken_is_freed(fleet: GatewayFleet, run: Run) -> None:
+    reader = run(add_reader(fleet))
+    script_first(fleet, decline)
+    answer = run(fleet.make_caller().call("/stream/x", body=b"p", **LONG))
+    assert answer.complete
+    run(fleet.wait_for(lambda: reader.freed))
+    assert reader.freed[0] == "reader-h1"
+
+
+def test_failed_reader_costs_no_call(fleet: GatewayFleet, run: Run) -> None:
+    reader = run(add_reader(fleet))
+    run(reader.stop())
+    answer = run(fleet.make_caller().call("/once/x", body=b"p", **LONG))
+    assert (answer.body, answer.complete) == (WHOLE, True)
+    assert len(fleet.list_runs()) == 1
+
+
+def test_shared_prefix_is_fetched_from_the_engine_that_has_it(
+    fleet: GatewayFleet, run: Run
+) -> None:
+    caller = fleet.make_caller()
+    run(caller.call("/stream/x", body=b"p", **PROMPT))
+    (first,) = [engine for engine in fleet.engines if engine.runs]
+
+    async def call_while_busy() -> None:
+        first.script = hang
+        busy = fleet.make_caller()
+        await busy.send("/once/x", body=b"p", **(LONG | {"Prompt_Prefix": "cc:20000"}))
+        await fleet.wait_for(lambda: len(fleet.list_runs()) == 2)
+        other = dict(PROMPT, Prompt_Prefix="aa:3000,dd:1000")
+        await fleet.make_caller().call("/stream/x", body=b"p", **other)
+
+    for engine in fleet.engines:
+        if engine is not first:
+            engine.script = answer_events
+    # The second engine is busy with a long prompt unless the first one is.
+    run(call_while_busy())
+    fetched = [
+        run.request.headers.get("kv-fetch")
+        for engine in fleet.engines
+        for run in engine.runs
+        if "dd:" in run.request.headers["prompt-prefix"]
+    ]
+    assert len(fetched) == 1
