--- a/bramleyport/gateway/_prefill.py
+++ b/bramleyport/gateway/_prefill.py
@@ -48,6 +48,12 @@
             handle = await self._request(context, reader, choice.prefix_source)
         except (ExchangeError, MalformedDocumentError) as error:
             self._note(reader, failed=True)
+            log_event(
+                gateway_events.PREFILL_FAILED,
+                request=context.call.request,
+                upstream=reader.upstream,
+                reason=str(error),
+            )
             raise PrefillError(reader.upstream, str(error)) from error
         finally:
             self._tracker.finish_reading(context.call, reader)
--- a/bramleyport/gateway/_state.py
+++ b/bramleyport/gateway/_state.py
@@ -17,7 +17,7 @@
 )
 from bramleyport.platform import NodeSettings
 from bramleyport.retries import OutlierEjector, RepeatBudget
-from bramleyport.telemetry import gateway_events, log_event
+from bramleyport.telemetry import log_event, routing_events
 
 # An upstream that failed this often in a row is left out for a while.
 EJECT_AFTER: Final = 3
@@ -116,7 +116,7 @@
     ) -> None:
         """Take the result of one exchange with an upstream."""
         if self.ejector.record(upstream, failed=failed, now_s=now_s):
-            log_event(gateway_events.UPSTREAM_EJECTED, upstream=upstream)
+            log_event(routing_events.UPSTREAM_EJECTED, upstream=upstream)
 
     def forget(self, upstream: UpstreamId) -> None:
         """Drop all that was known of an upstream that is gone or began anew."""
--- a/bramleyport/gateway/_stream.py
+++ b/bramleyport/gateway/_stream.py
@@ -61,7 +61,7 @@
             self._support.log_retry(context, decision)
             if relay.started:
                 log_event(
-                    gateway_events.STREAM_RESUMED,
+                    gateway_events.STREAM_MOVED,
                     request=context.call.request,
                     last_event=relay.last_event,
                 )
--- a/bramleyport/telemetry/_gateway_events.py
+++ b/bramleyport/telemetry/_gateway_events.py
@@ -4,14 +4,13 @@
 
 from bramleyport.telemetry._events import define
 
-CALL_ARRIVED: Final = define(2601, "DEBUG", "call arrived")
 CALL_SENT: Final = define(2602, "INFO", "call sent to an upstream")
 CALL_REFUSED: Final = define(2603, "INFO", "call refused")
 CALL_FAILED: Final = define(2604, "WARNING", "call failed")
 CALL_ANSWERED: Final = define(2605, "INFO", "call answered")
 CALL_RETRIED: Final = define(2606, "INFO", "call tried again")
 CALLER_GONE: Final = define(2607, "INFO", "caller left before the answer was complete")
-STREAM_RESUMED: Final = define(2608, "INFO", "stream resumed at another upstream")
+STREAM_MOVED: Final = define(2608, "INFO", "stream resumed at another upstream")
 STREAM_BROKEN_OFF: Final = define(2609, "WARNING", "stream broken off")
 ATTEMPT_LOST: Final = define(2610, "WARNING", "upstream gave no complete answer")
 ATTEMPT_NOT_RUN: Final = define(2611, "INFO", "upstream did not run the call")
@@ -26,7 +25,6 @@
 STORE_LOST: Final = define(2627, "WARNING", "store does not answer, last state kept")
 STORE_BACK: Final = define(2628, "INFO", "store answers again")
 WATCH_RESTARTED: Final = define(2629, "INFO", "history of the watch is gone, read anew")
-UPSTREAM_EJECTED: Final = define(2630, "WARNING", "upstream ejected after failures")
 PEER_JOINED: Final = define(2631, "INFO", "peer gateway heard of")
 PEER_LOST: Final = define(2632, "INFO", "peer gateway silent")
 PEER_MESSAGE_INVALID: Final = define(2633, "WARNING", "message of a peer left out")
