--- /dev/null
+++ b/tests/test_gateway_state.py
@@ -0,0 +1,269 @@
+"""Guard what a gateway believes: outages, lost history, old versions, orders, stops."""
+
+import asyncio
+from collections.abc import Callable, Coroutine, Iterator
+from pathlib import Path
+from typing import Any
+
+import pytest
+import yaml
+
+from bramleyport.fleet import Stage
+from tests.gateway_fleet import LANGUAGE, GatewayFleet, make_config, make_route
+from tests.platform_standin import UpstreamStandin
+
+Run = Callable[[Coroutine[Any, Any, Any]], Any]
+
+
+@pytest.fixture
+def fleet(run: Run, tmp_path: Path) -> Iterator[GatewayFleet]:
+    fleet = GatewayFleet(tmp_path)
+    run(fleet.start())
+    yield fleet
+    run(fleet.stop())
+
+
+def read_version(fleet: GatewayFleet) -> int:
+    return int(fleet.state.configuration.version)
+
+
+def test_newer_configuration_comes_into_force(fleet: GatewayFleet, run: Run) -> None:
+    added = make_route("added", "/added/", "idempotent")
+    config = make_config(5)
+    fleet.store.put("config", "main", config | {"routes": [*config["routes"], added]})
+    run(fleet.wait_for(lambda: read_version(fleet) == 5))
+    assert run(fleet.make_caller().call("/added/x", method="GET")).status == 200
+
+
+def test_older_configuration_never_returns(fleet: GatewayFleet, run: Run) -> None:
+    fleet.store.put("config", "main", make_config(9))
+    run(fleet.wait_for(lambda: read_version(fleet) == 9))
+    fleet.store.put("config", "main", make_config(4))
+    fleet.store.put("config", "main", make_config(10))
+    run(fleet.wait_for(lambda: read_version(fleet) != 9))
+    assert read_version(fleet) == 10
+
+
+def test_malformed_configuration_leaves_the_last_in_force(
+    fleet: GatewayFleet, run: Run
+) -> None:
+    fleet.store.put("config", "main", make_config(6) | {"routes": [{"name": 1}]})
+    fleet.store.put("config", "main", make_config(7))
+    run(fleet.wait_for(lambda: read_version(fleet) == 7))
+
+
+def test_lost_history_is_read_anew(fleet: GatewayFleet, run: Run) -> None:
+    # A watch from before the store dropped its history gets 410.
+    fleet.store.put("servers", "unknown-kind", {"service": 1})
+    fleet.store.delete("servers", "p0")
+    fleet.store.forget_history()
+    run(fleet.wait_for(lambda: len(fleet.state.members.list_all()) == 3))
+
+
+def test_outage_of_the_store_stops_no_call(fleet: GatewayFleet, run: Run) -> None:
+    fleet.store.silent = True
+    fleet.store.reset_all()
+    assert run(fleet.make_caller().call("/post/x", body=b"b")).status == 200
+    assert run(fleet.ask_ready()) == 200
+
+
+def test_registrations_that_lapse_in_an_outage_keep_their_upstreams(
+    fleet: GatewayFleet, run: Run
+) -> None:
+    async def lapse() -> None:
+        fleet.store.refuse_with = 503
+        fleet.store.reset_all()
+        calls = len(fleet.store.calls)
+        await fleet.wait_for(lambda: len(fleet.store.calls) > calls + 3)
+        for upstream in fleet.plain:
+            fleet.store.delete("servers", upstream.name)
+        fleet.store.forget_history()
+        fleet.store.refuse_with = None
+        calls = len(fleet.store.calls)
+        await fleet.wait_for(
+            lambda: any("servers" in call for call in fleet.store.calls[calls:])
+        )
+        await asyncio.sleep(0.1)
+
+    run(lapse())
+    assert run(fleet.make_caller().call("/post/x", body=b"b")).status == 200
+    for upstream in fleet.plain:
+        upstream.register(fleet.store)
+    run(fleet.wait_for(lambda: len(fleet.state.members.list_all()) == 4))
+
+
+def test_leaving_upstream_gets_no_new_calls(fleet: GatewayFleet, run: Run) -> None:
+    fleet.plain[0].register(fleet.store, state="draining")
+    run(fleet.wait_for(lambda: any(i.draining for i in fleet.state.members.list_all())))
+    caller = fleet.make_caller()
+    for _ in range(5):
+        assert run(caller.call("/post/x", body=b"b")).status == 200
+    assert fleet.plain[0].runs == []
+
+
+def test_entry_of_another_writer_is_left_out(fleet: GatewayFleet, run: Run) -> None:
+    fleet.store.put("servers", "ghost", {"service": "orders", "addr": 7})
+    fleet.store.put("servers", "ghost-2", "no table")
+    fleet.plain[0].register(fleet.store, slots=7)
+    run(
+        fleet.wait_for(
+            lambda: any(i.slots == 7 for i in fleet.state.members.list_all())
+        )
+    )
+    assert len(fleet.state.members.list_all()) == 4
+
+
+def test_upstream_that_began_anew_is_known_to_hold_nothing(
+    fleet: GatewayFleet, run: Run
+) -> None:
+    # It may start again under the name that it had.
+    prompt = {"Model": "m", "Token_Counts": "40,1", "Prompt_Prefix": "aa:30,bb:10"}
+    run(fleet.make_caller().call("/stream/x", body=b"p", **prompt))
+    (used,) = [engine for engine in fleet.engines if engine.runs]
+    caches = fleet.state.prefixes._caches
+    assert used.name in caches
+    used.register(fleet.store, born=2000)
+    run(fleet.wait_for(lambda: used.name not in caches))
+
+
+def test_settings_that_change_without_a_signal_are_read(
+    fleet: GatewayFleet, run: Run
+) -> None:
+    changed = dict(fleet.settings, bounds=dict(fleet.settings["bounds"], grace_s=3))
+    fleet.path.write_text(yaml.safe_dump(changed))
+    run(fleet.wait_for(lambda: fleet.state.settings.grace_s == 3))
+
+
+def test_broken_settings_leave_the_old_ones(fleet: GatewayFleet, run: Run) -> None:
+    fleet.path.write_text("{")
+    run(asyncio.sleep(0))
+    fleet.gateway._reload()
+    assert fleet.state.settings.grace_s == 8
+
+
+def test_stop_finishes_what_runs_and_tells_callers_to_leave(
+    run: Run, tmp_path: Path
+) -> None:
+    fleet = GatewayFleet(tmp_path)
+    run(fleet.start())
+
+    async def slow(upstream: Any, request: Any, writer: Any) -> None:
+        from tests.platform_standin import answer_whole
+
+        await asyncio.sleep(0.3)
+        await answer_whole(upstream, request, writer)
+
+    async def stop() -> Any:
+        for upstream in fleet.plain:
+            upstream.script = slow
+        caller = fleet.make_caller()
+        await caller.send("/post/x", body=b"b")
+        await fleet.wait_for(lambda: len(fleet.state.loads.of("p0")) or True)
+        await asyncio.sleep(0.05)
+        stopping = asyncio.ensure_future(fleet.gateway.stop())
+        await asyncio.sleep(0.05)
+        ready = await fleet.ask_ready()
+        answer = await caller.receive()
+        late = await fleet.make_caller().call("/read/x", method="GET")
+        await stopping
+        return ready, answer, late
+
+    ready, answer, late = run(stop())
+    assert ready == 503
+    assert (answer.status, answer.headers["connection"]) == (200, "close")
+    # New callers are served until the balancer has seen that it is not ready.
+    assert late.status == 200
+    run(fleet.stop())
+
+
+def test_late_in_a_stop_only_short_calls_are_taken(
+    fleet: GatewayFleet, run: Run
+) -> None:
+    # A call taken then was cut when the process ended.
+    fleet.state.draining = True
+    fleet.state.stop_s = asyncio.get_event_loop().time() + 1.0
+    long = run(fleet.make_caller().call("/post/x", body=b"b", Deadline_Ms="3000"))
+    short = run(fleet.make_caller().call("/post/x", body=b"b", Deadline_Ms="500"))
+    assert (long.status, short.status) == (503, 200)
+    assert len(fleet.list_runs()) == 1
+
+
+async def add_engines(fleet: GatewayFleet, count: int) -> list[UpstreamStandin]:
+    added = []
+    for number in range(count):
+        engine = UpstreamStandin(f"n{number}", service=LANGUAGE, stage="decode")
+        await engine.start()
+        fleet.engines.append(engine)
+        engine.register(fleet.store)
+        added.append(engine)
+    return added
+
+
+def list_orders(fleet: GatewayFleet) -> list[dict[str, Any]]:
+    return [order for engine in fleet.engines for order in engine.orders]
+
+
+def test_idle_engines_are_ordered_to_read_under_the_lease(
+    fleet: GatewayFleet, run: Run
+) -> None:
+    run(add_engines(fleet, 2))
+    run(fleet.wait_for(lambda: len(list_orders(fleet)) >= 1))
+    (first, *_) = list_orders(fleet)
+    assert first["op"] == "stage"
+    assert first["stage"] == Stage.PREFILL.value
+    lease = fleet.store.objects["leases", "stages"]["spec"]
+    assert first["fence"] == lease["fencing"]
+    assert first["expected"] == 0
+
+
+def test_without_the_store_nobody_orders(fleet: GatewayFleet, run: Run) -> None:
+    # Without a lease another gateway may be ordering the same engines.
+    async def starve() -> None:
+        await add_engines(fleet, 2)
+        await fleet.wait_for(lambda: len(fleet.state.members.list_all()) == 6)
+        fleet.store.refuse_with = 503
+        await asyncio.sleep(4.0)
+
+    run(starve())
+    assert list_orders(fleet) == []
+
+
+def test_only_the_first_of_the_gateways_plans(fleet: GatewayFleet, run: Run) -> None:
+    async def hear_of_another() -> None:
+        peers = fleet.gateway._peers
+        await add_engines(fleet, 2)
+        for _ in range(40):
+            peers._hear(
+                "a-gateway", ("127.0.0.1", 9), asyncio.get_running_loop().time()
+            )
+            await asyncio.sleep(0.1)
+
+    run(hear_of_another())
+    assert list_orders(fleet) == []
+
+
+def test_call_under_way_survives_the_removal_of_its_upstream(
+    fleet: GatewayFleet, run: Run
+) -> None:
+    # Some upstreams leave without notice and finish what they run.
+    async def remove_during_call() -> Any:
+        from tests.platform_standin import answer_whole
+
+        release = asyncio.Event()
+
+        async def wait(upstream: Any, request: Any, writer: Any) -> None:
+            await release.wait()
+            await answer_whole(upstream, request, writer)
+
+        for upstream in fleet.plain:
+            upstream.script = wait
+        caller = fleet.make_caller()
+        await caller.send("/post/x", body=b"b")
+        await asyncio.sleep(0.1)
+        for upstream in fleet.plain:
+            fleet.store.delete("servers", upstream.name)
+        await fleet.wait_for(lambda: len(fleet.state.members.list_all()) == 2)
+        release.set()
+        return await caller.receive()
+
+    assert run(remove_during_call()).status == 200
