Write structured logs to standard output and never wait for their reader

A reader that stops costs lines, which are counted in the next line, never requests. Structured lines went to standard error before and blocked on a full pipe.

--- a/bramleyport/telemetry/_logging.py
+++ b/bramleyport/telemetry/_logging.py
@@ -6,6 +6,7 @@
 
 from loguru import logger
 
+from bramleyport.telemetry._lines import LineWriter
 from bramleyport.telemetry._throttle import EventThrottle
 
 if TYPE_CHECKING:
@@ -19,10 +20,10 @@
 
 
 def configure_logging(*, json_lines: bool, level: str, process: str) -> None:
-    """Send log lines to standard error in the chosen form."""
+    """Send structured lines to standard output, or readable ones to standard error."""
     logger.remove()
     if json_lines:
-        logger.add(_write_json, level=level)
+        logger.add(_JsonLines(sys.stdout.fileno()), level=level)
     else:
         logger.add(sys.stderr, level=level, format=READABLE, colorize=False)
     logger.configure(extra={"process_id": process})
@@ -36,19 +37,29 @@
     if suppressed:
         fields["suppressed"] = suppressed
     details = " ".join(f"{name}={value}" for name, value in fields.items())
-    logger.bind(event=event.number, fields=fields).opt(depth=1).log(
+    bound = logger.bind(event=event.number, fields=fields, text=event.text)
+    bound.opt(depth=1).log(
         event.level, "{}", f"[{event.number}] {event.text} {details}".rstrip()
     )
 
 
-def _write_json(message: "Message") -> None:
-    record = message.record
-    line = {
-        "time": record["time"].isoformat(),
-        "level": record["level"].name,
-        "process": record["extra"].get("process_id", ""),
-        "event": record["extra"].get("event", 0),
-        "message": record["message"],
-        "fields": record["extra"].get("fields", {}),
-    }
-    sys.stderr.write(json.dumps(line, default=str) + "\n")
+class _JsonLines:
+    """Write each record as one line of JSON."""
+
+    def __init__(self, descriptor: int) -> None:
+        self._writer = LineWriter(descriptor)
+
+    def __call__(self, message: "Message") -> None:
+        record = message.record
+        line = {
+            "time": record["time"].isoformat(),
+            "level": record["level"].name,
+            "process": record["extra"].get("process_id", ""),
+            "event": record["extra"].get("event", 0),
+            "message": record["extra"].get("text", record["message"]),
+            "fields": record["extra"].get("fields", {}),
+        }
+        dropped = self._writer.take_dropped()
+        if dropped:
+            line["dropped"] = dropped
+        self._writer.write(json.dumps(line, default=str))
--- a/bramleyport/telemetry/_story.py
+++ b/bramleyport/telemetry/_story.py
@@ -28,6 +28,8 @@
     process: str
     event: int
     fields: Mapping[str, Any]
+    # Lines that the process could not write since its last one.
+    dropped: int = 0
 
     def render(self) -> str:
         """Return the line for people."""
@@ -74,6 +76,7 @@
                 process=str(record.get("process", "")),
                 event=int(record["event"]),
                 fields=record.get("fields") or {},
+                dropped=int(record.get("dropped", 0)),
             )
 
 
@@ -85,7 +88,7 @@
         raise NotFoundError(request)
     processes = {line.process for line in own}
     suppressed = sum(
-        int(line.fields.get("suppressed", 0))
+        int(line.fields.get("suppressed", 0)) + line.dropped
         for line in known
         if line.process in processes
     )
--- a/tests/fault_campaign.py
+++ b/tests/fault_campaign.py
@@ -88,7 +88,8 @@
                     role,
                     str(self.directory / f"{name}.yaml"),
                 ],
-                stderr=log,
+                stdout=log,
+                stderr=subprocess.STDOUT,
                 env={**os.environ, "PYTHONPATH": os.getcwd()},
             )
 
--- a/tests/process_fleet.py
+++ b/tests/process_fleet.py
@@ -150,7 +150,8 @@
                 command = ["tests.controlled_entry", str(path), str(roles)]
             self.processes[name] = subprocess.Popen(
                 [sys.executable, "-m", *command],
-                stderr=log,
+                stdout=log,
+                stderr=subprocess.STDOUT,
                 env={**os.environ, "PYTHONPATH": os.getcwd()},
             )
         self._hosts.append({**row, **place, "role": role, "port": peer_port})
--- a/tests/test_start_faults.py
+++ b/tests/test_start_faults.py
@@ -54,7 +54,7 @@
     assert "Traceback" not in ended.stderr
     lines = ended.stderr.splitlines()
     assert [line for line in lines if line.startswith(f"could not start: {step}")]
-    logged = [json.loads(line) for line in lines if line.startswith("{")]
+    logged = [json.loads(line) for line in ended.stdout.splitlines()]
     failed = [line for line in logged if line["event"] == 2361]
     assert len(failed) == 1
     fields = failed[0]["fields"]
