--- a/bramleyport/cli/_main.py
+++ b/bramleyport/cli/_main.py
@@ -64,7 +64,8 @@
 @main.command()
 @click.argument("settings", type=click.Path(), required=False)
 @click.option("--log-level", default="INFO", help="Least level that is logged.")
-def gateway(settings: str | None, log_level: str) -> None:
+@click.option("--metrics-port", type=int, help="Port that serves /metrics.")
+def gateway(settings: str | None, log_level: str, metrics_port: int | None) -> None:
     """Serve callers on the platform, with the settings file that it names."""
     from bramleyport.cli._runtime import fail_start, install_reactor, run_daemon
     from bramleyport.core import SettingsError
@@ -81,7 +82,7 @@
     except SettingsError as error:
         sys.exit(fail_start(error))
     configure_logging(json_lines=True, level=log_level, process=process)
-    sys.exit(run_daemon(lambda: build_gateway(path)))
+    sys.exit(run_daemon(lambda: build_gateway(path, metrics_port)))
 
 
 @main.command()
--- a/bramleyport/composition.py
+++ b/bramleyport/composition.py
@@ -275,7 +275,7 @@
     )
 
 
-def build_gateway(settings_path: Path) -> "Gateway":
+def build_gateway(settings_path: Path, metrics_port: int | None = None) -> "Gateway":
     """Build a gateway from the settings file of the platform."""
     from twisted.internet import reactor
 
@@ -283,6 +283,7 @@
     from bramleyport.gateway._daemon import Gateway
     from bramleyport.gateway._exchange import Exchanger
     from bramleyport.gateway._forward import Forwarder
+    from bramleyport.gateway._metrics import CallMetrics
     from bramleyport.gateway._peers import PeerLink
     from bramleyport.gateway._plain import PlainServer
     from bramleyport.gateway._prefill import Prefiller
@@ -291,16 +292,28 @@
     from bramleyport.gateway._tracker import Tracker
     from bramleyport.http1 import HttpClient
     from bramleyport.platform import StoreClient, load_node_settings
+    from bramleyport.telemetry import Metrics
 
     state = GatewayState(settings=load_node_settings(settings_path))
     client = HttpClient(reactor)
-    store = StoreClient(client, state.settings.store)
+    metrics = CallMetrics(Metrics())
+    store = StoreClient(client, state.settings.store, metrics.count_store_call)
     exchanger = Exchanger(state, client)
     tracker = Tracker(state)
-    support = AttemptSupport(state, exchanger, tracker)
+    support = AttemptSupport(state, exchanger, tracker, metrics)
     prefiller = Prefiller(state, exchanger, tracker)
     forwarder = Forwarder(
         state, PlainServer(support), StreamServer(support, prefiller), Random()
     )
     peers = PeerLink(state, tracker)
-    return Gateway(state, settings_path, reactor, store, exchanger, forwarder, peers)
+    return Gateway(
+        state,
+        settings_path,
+        reactor,
+        store,
+        exchanger,
+        forwarder,
+        peers,
+        metrics.metrics,
+        metrics_port,
+    )
--- a/bramleyport/gateway/_attempt.py
+++ b/bramleyport/gateway/_attempt.py
@@ -8,6 +8,7 @@
 from bramleyport.core import Explanation, UpstreamId
 from bramleyport.fleet import Call, Choice, EngineTraits, Registration, admit
 from bramleyport.gateway._exchange import Exchanger
+from bramleyport.gateway._metrics import CallMetrics
 from bramleyport.gateway._outcome import AttemptEnd, AttemptFailure, Attempts
 from bramleyport.gateway._reply import relay_answer, reply
 from bramleyport.gateway._state import GatewayState
@@ -54,11 +55,16 @@
     """Choose upstreams, decide on retries and give final answers."""
 
     def __init__(
-        self, state: GatewayState, exchanger: Exchanger, tracker: Tracker
+        self,
+        state: GatewayState,
+        exchanger: Exchanger,
+        tracker: Tracker,
+        metrics: CallMetrics,
     ) -> None:
         self.state = state
         self.exchanger = exchanger
         self.tracker = tracker
+        self.metrics = metrics
 
     def choose(self, context: CallContext) -> Choice | Rejected:
         """Choose an upstream, or say why there is none in time."""
@@ -96,6 +102,7 @@
         context.last_failure = failure
         context.tried.add(failure.upstream)
         now_s = asyncio.get_running_loop().time()
+        self.metrics.count_attempt(failure.end.value)
         if failure.end is AttemptEnd.NOT_RUN:
             event = gateway_events.ATTEMPT_NOT_RUN
             self.state.note_declined(failure.upstream, now_s)
@@ -150,6 +157,8 @@
         reason = decision.explanation.reason
         retry_after_s = decision.retry_after_s
         reply(context.connection, status, request, reason, retry_after_s)
+        self.metrics.count_refusal(reason)
+        self._count(context, "refused")
         log_event(
             gateway_events.CALL_REFUSED,
             request=request,
@@ -184,6 +193,9 @@
     def log_answered(self, context: CallContext, status: int) -> None:
         """Log that a call got the answer of an upstream."""
         now_s = asyncio.get_running_loop().time()
+        self._count(context, "answered")
+        if context.first_event_s:
+            self.metrics.observe_first_event(context.call, context.first_event_s)
         log_event(
             gateway_events.CALL_ANSWERED,
             request=context.call.request,
@@ -194,7 +206,13 @@
             sends=context.attempts.sends,
         )
 
+    def _count(self, context: CallContext, result: str) -> None:
+        now_s = asyncio.get_running_loop().time()
+        took_s = now_s - context.call.arrived_s
+        self.metrics.count_result(context.call, result, took_s)
+
     def _log_failed(self, context: CallContext, reason: str, status: int) -> None:
+        self._count(context, "failed")
         log_event(
             gateway_events.CALL_FAILED,
             request=context.call.request,
--- a/bramleyport/gateway/_daemon.py
+++ b/bramleyport/gateway/_daemon.py
@@ -11,20 +11,20 @@
 from bramleyport.gateway._caches import CacheReader
 from bramleyport.gateway._exchange import Exchanger
 from bramleyport.gateway._forward import Forwarder
+from bramleyport.gateway._metrics import MetricsPage
 from bramleyport.gateway._peers import GREETING_S, PeerDirectory, PeerLink
 from bramleyport.gateway._readiness import Readiness
 from bramleyport.gateway._stages import StageController
 from bramleyport.gateway._state import GatewayState
 from bramleyport.gateway._watch import (
-    CONFIGURATION_PAUSE_S,
-    REGISTRATIONS_PAUSE_S,
+    PAUSE_PART,
     ConfigurationFollower,
     Follower,
     RegistrationFollower,
 )
 from bramleyport.http1 import CallerFactory, ConnectionLimits
 from bramleyport.platform import ObjectKind, StoreClient, load_node_settings
-from bramleyport.telemetry import events, gateway_events, log_event
+from bramleyport.telemetry import Metrics, events, gateway_events, log_event
 
 # Callers reach a leaving gateway until the balancer has seen two failed checks, which
 # it makes once a second.
@@ -50,6 +50,8 @@
         exchanger: Exchanger,
         forwarder: Forwarder,
         peers: PeerLink,
+        metrics: Metrics,
+        metrics_port: int | None,
     ) -> None:
         self._state = state
         self._settings_path = settings_path
@@ -59,6 +61,9 @@
         self._peers = peers
         self._directory = PeerDirectory(state.settings, store, peers)
         self._readiness = Readiness(state)
+        self._metrics_port = metrics_port
+        page = MetricsPage(state, metrics)
+        self._pages = CallerFactory(page.handle, self._read_limits)
         self._callers = CallerFactory(forwarder.handle, self._read_limits)
         self._checks = CallerFactory(self._readiness.handle, self._read_limits)
         self._registrations = RegistrationFollower(state, self._forget)
@@ -79,6 +84,8 @@
         self._listen(settings.readiness_address, self._checks)
         self._listen(settings.caller_address, self._callers)
         self._listen_peers()
+        if self._metrics_port is not None:
+            self._listen(Address(settings.host, self._metrics_port), self._pages)
         self._settings_bytes = self._settings_path.read_bytes()
         loop = asyncio.get_running_loop()
         loop.add_signal_handler(signal.SIGHUP, self._reload)
@@ -121,7 +128,7 @@
             task.cancel()
         for port in self._ports:
             port.stopListening()
-        for factory in (self._callers, self._checks):
+        for factory in (self._callers, self._checks, self._pages):
             for connection in list(factory.connections):
                 connection.break_off()
         self._exchanger.close()
@@ -133,6 +140,7 @@
             await asyncio.sleep(0.05)
 
     def _list_jobs(self) -> list[Coroutine[Any, Any, None]]:
+        settings = self._state.settings
         configuration = ConfigurationFollower(self._state)
         follow_configuration = Follower(
             self._store,
@@ -140,7 +148,7 @@
             configuration.take_listing,
             configuration.take_changes,
             lambda reachable: None,
-            CONFIGURATION_PAUSE_S,
+            PAUSE_PART * settings.configure_s,
         )
         follow_registrations = Follower(
             self._store,
@@ -148,7 +156,7 @@
             self._registrations.take_listing,
             self._registrations.take_changes,
             self._note_store,
-            REGISTRATIONS_PAUSE_S,
+            PAUSE_PART * settings.drain_s,
         )
         return [
             follow_configuration.run(),
--- a/bramleyport/gateway/_stream.py
+++ b/bramleyport/gateway/_stream.py
@@ -85,6 +85,7 @@
             last_event=relay.last_event,
             left_s=round(context.left_s, 3),
         )
+        self._support.metrics.count_refusal("broken_off")
         context.connection.break_off()
 
     async def _try(
--- a/bramleyport/gateway/_watch.py
+++ b/bramleyport/gateway/_watch.py
@@ -29,10 +29,9 @@
 WATCH_S: Final = 8.0
 RETRY_FIRST_S: Final = 0.1
 RETRY_MAX_S: Final = 0.5
-# Changes within this time come with one call. Every gateway watches, so that each call
-# saved counts many times; the bounds for drains and configurations are seconds.
-CONFIGURATION_PAUSE_S: Final = 0.1
-REGISTRATIONS_PAUSE_S: Final = 0.3
+# Part of the bound for drains or configurations for which changes are collected, so
+# that they come with one call. Every gateway watches, and each call is paid for.
+PAUSE_PART: Final = 0.3
 
 CONFIGURATION_NAME: Final = ObjectName("main")
 
--- a/bramleyport/platform/_settings.py
+++ b/bramleyport/platform/_settings.py
@@ -62,7 +62,10 @@
     retries: RetryBounds
     # How long a process may take to stop after SIGTERM.
     grace_s: float
+    # Within these times a leaving upstream gets no more calls, and a configuration is
+    # in force.
     drain_s: float
+    configure_s: float
     registration_interval_s: float
     lease_s: float
     # The whole system starts for the first time, so that engines hold nothing yet.
@@ -120,6 +123,7 @@
         ),
         grace_s=read_number(bounds, "grace_s"),
         drain_s=read_count(bounds, "drain_ms") / 1000,
+        configure_s=read_count(bounds, "config_ms") / 1000,
         registration_interval_s=read_count(document, "heartbeat_ms") / 1000,
         lease_s=read_count(bounds, "lease_ms") / 1000,
         first_start=read_flag(document, "first_start", False),
--- a/tests/gateway_fleet.py
+++ b/tests/gateway_fleet.py
@@ -27,6 +27,7 @@
 }
 BOUNDS = {
     "drain_ms": 2000,
+    "config_ms": 2000,
     "grace_s": 8,
     "budget_ratio": 0.2,
     "budget_window_s": 10,
@@ -107,9 +108,16 @@
         self.settings: dict[str, Any] = {}
         self.path = folder / "settings.yaml"
         self.gateway: Any = None
+        self.metrics_port: int | None = None
         self._callers: list[RawCaller] = []
 
-    async def start(self, *, configured: bool = True, registered: bool = True) -> None:
+    async def start(
+        self,
+        *,
+        configured: bool = True,
+        registered: bool = True,
+        metrics: bool = False,
+    ) -> None:
         await self.store.start()
         for upstream in (*self.plain, *self.engines):
             await upstream.start()
@@ -119,7 +127,8 @@
             self.store.put("config", "main", make_config())
         self.settings = make_settings(self.store.port)
         self.path.write_text(yaml.safe_dump(self.settings))
-        self.gateway = build_gateway(self.path)
+        self.metrics_port = find_port() if metrics else None
+        self.gateway = build_gateway(self.path, self.metrics_port)
         await self.gateway.start()
         if configured:
             await self.wait_for(lambda: self.state.routes is not None)
@@ -153,6 +162,12 @@
         self._callers.append(caller)
         return (await caller.call("/-/ready", method="GET")).status
 
+    async def read_metrics(self) -> str:
+        assert self.metrics_port is not None
+        caller = RawCaller(self.metrics_port)
+        self._callers.append(caller)
+        return (await caller.call("/metrics", method="GET")).body.decode()
+
     async def wait_for(self, condition: Any, limit_s: float = 20.0) -> None:
         async with asyncio.timeout(limit_s):
             while not condition():
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -81,8 +81,9 @@
         self._writers.add(writer)
         try:
             await self.serve(reader, writer)
-        except (ConnectionError, asyncio.IncompleteReadError):
-            pass
+        except (ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError):
+            # The other side has gone, or the test is over.
+            return
         finally:
             self._writers.discard(writer)
             writer.close()
@@ -353,9 +354,9 @@
     ) -> None:
         upstream.begin(request)
         first = start_stream(upstream, request, writer)
-        for number in range(first, first + after):
+        for number in range(first, min(first + after, EVENT_COUNT + 1)):
             write_chunk(writer, render_event(number))
-        if within_event:
+        if within_event and first + after <= EVENT_COUNT:
             write_chunk(writer, render_event(first + after)[:9])
         await writer.drain()
         await asyncio.sleep(0.05)
--- a/tests/test_gateway_state.py
+++ b/tests/test_gateway_state.py
@@ -153,6 +153,16 @@
     run(fleet.wait_for(lambda: fleet.state.settings.grace_s == 3))
 
 
+def test_metrics_are_served_with_counts_of_calls(run: Run, tmp_path: Path) -> None:
+    fleet = GatewayFleet(tmp_path)
+    run(fleet.start(metrics=True))
+    run(fleet.make_caller().call("/read/x", method="GET"))
+    page = run(fleet.read_metrics())
+    assert 'bramleyport_requests_total{rank="0",result="answered"' in page
+    assert "bramleyport_answer_seconds_bucket" in page
+    run(fleet.stop())
+
+
 def test_broken_settings_leave_the_old_ones(fleet: GatewayFleet, run: Run) -> None:
     fleet.path.write_text("{")
     run(asyncio.sleep(0))
