Plan stages once fleet and peers are known; drop work of killed gateways

The first plan saw two of nine engines and ordered one that read prompts to run calls; a second gateway that came first took over and had to rest for the lease until traffic had begun; and the calls of a killed gateway counted as running for ten seconds, so that engines were ordered to run calls that nobody made. Now a plan waits until no engine has joined for 1.2 s and the list of gateways is fresh, and a gateway's work goes with its incarnation.

--- a/bramleyport/fleet/_load.py
+++ b/bramleyport/fleet/_load.py
@@ -31,6 +31,8 @@
     effort: float = 0.0
     started_s: float
     parts: tuple[PromptPart, ...] = ()
+    # The gateway that sent it; empty for this one.
+    origin: str = ""
     # Set once the first event or the prefill's answer has come.
     reading: bool = True
 
@@ -168,6 +170,12 @@
         """Drop the load of an upstream that is gone or has started again."""
         self._loads.pop(upstream, None)
 
+    def drop_origin(self, origin: str, now_s: float) -> None:
+        """Drop the work of a gateway that will not report its end."""
+        for load in self._loads.values():
+            for request in [work.request for work in load if work.origin == origin]:
+                load.remove(request, now_s)
+
     def drop_lost(self, now_s: float) -> None:
         """Drop work whose end was never heard of."""
         for load in self._loads.values():
--- a/bramleyport/gateway/_daemon.py
+++ b/bramleyport/gateway/_daemon.py
@@ -176,7 +176,7 @@
             self._registrations.drop_missing()
             self._caches.read_new()
             self._state.loads.drop_lost(now_s)
-            self._peers.count_gateways()
+            self._peers.drop_silent()
             if self._readiness.ready != ready:
                 ready = self._readiness.ready
                 log_event(gateway_events.READINESS_CHANGED, ready=ready)
--- a/bramleyport/gateway/_peer_messages.py
+++ b/bramleyport/gateway/_peer_messages.py
@@ -38,6 +38,8 @@
     """Tell what one gateway has sent to upstreams since its last message."""
 
     process: ProcessId
+    # Rises with each start of the process.
+    incarnation: int
     # A gateway that leaves stops counting for the retry budget.
     leaving: bool = False
     # Engines that are about to change their stage.
@@ -53,6 +55,7 @@
         [
             FORMAT,
             message.process,
+            message.incarnation,
             message.leaving,
             [_encode_work(work) for work in message.started],
             [[ref.upstream, ref.request] for ref in message.read],
@@ -65,11 +68,13 @@
 def decode_message(data: bytes, now_s: float) -> PeerMessage:
     """Return the message that a datagram holds; its work starts now."""
     try:
-        form, process, leaving, started, read, ended, changing = cbor2.loads(data)
-        if form != FORMAT:
-            raise PeerMessageError(f"format {form!r:.20} is not known")
+        fields = cbor2.loads(data)
+        if not isinstance(fields, list) or not fields or fields[0] != FORMAT:
+            raise PeerMessageError("the format is not known")
+        _, process, incarnation, leaving, started, read, ended, changing = fields
         return PeerMessage(
             process=ProcessId(str(process)),
+            incarnation=int(incarnation),
             leaving=bool(leaving),
             started=tuple(_decode_work(item, now_s) for item in started),
             read=tuple(_decode_ref(item) for item in read),
@@ -79,7 +84,7 @@
                 for upstream, for_s in changing
             ),
         )
-    except (cbor2.CBORDecodeError, TypeError, ValueError) as error:
+    except (cbor2.CBORDecodeError, TypeError, ValueError, OverflowError) as error:
         raise PeerMessageError(str(error)) from error
 
 
--- a/bramleyport/gateway/_peers.py
+++ b/bramleyport/gateway/_peers.py
@@ -5,6 +5,8 @@
 """
 
 import asyncio
+import time
+from dataclasses import replace
 from typing import Any, Final
 
 from result import Err
@@ -46,6 +48,8 @@
 # How often the list of gateways is read again; a stale read costs little.
 LIST_S: Final = 5.0
 LIST_RETRY_S: Final = 1.0
+# Reads after a start that must be fresh.
+FRESH_READS: Final = 2
 
 
 class PeerLink(DatagramProtocol):
@@ -59,45 +63,56 @@
         self._tracker = tracker
         self._addresses: dict[ProcessId, Address] = {}
         self._heard_s: dict[ProcessId, float] = {}
+        # The time of day may step back at a restart; then old work only lingers.
+        self._incarnation = time.time_ns() // 1_000_000
+        self._incarnations: dict[ProcessId, int] = {}
+        # When each gateway was first seen in the list.
+        self._listed_s: dict[ProcessId, float] = {}
         self._flush_timer: asyncio.TimerHandle | None = None
         tracker.on_pending = self._schedule
 
     def set_addresses(self, addresses: dict[ProcessId, Address]) -> None:
         """Take the addresses of the other gateways."""
+        now_s = asyncio.get_event_loop().time()
         self._addresses = addresses
+        self._listed_s = {
+            process: self._listed_s.get(process, now_s) for process in addresses
+        }
 
     def greet(self) -> None:
         """Tell the other gateways that this one is there."""
-        self._send(PeerMessage(process=self._state.settings.process))
+        self._send(self._make_message())
 
     def leave(self) -> None:
         """Tell the other gateways that this one is leaving."""
-        process = self._state.settings.process
-        self._send(PeerMessage(process=process, leaving=True))
+        self._send(self._make_message(leaving=True))
 
     def is_first(self) -> bool:
-        """Return whether this gateway comes first among those that are heard of."""
+        """Return whether this gateway comes first among those that may be there.
+
+        One that was listed just now counts before it is heard of.
+        """
+        now_s = asyncio.get_event_loop().time()
+        new = {
+            process
+            for process, listed_s in self._listed_s.items()
+            if now_s - listed_s < SILENT_S
+        }
         own = self._state.settings.process
-        return all(own < process for process in self._heard_s)
+        return all(own < process for process in new | set(self._heard_s))
 
     def announce_change(self, upstream: UpstreamId, until_s: float) -> None:
         """Keep all gateways from sending work to an engine until a time."""
         self._state.changing_until_s[upstream] = until_s
         for_s = until_s - asyncio.get_running_loop().time()
-        self._send(
-            PeerMessage(
-                process=self._state.settings.process,
-                changing=(ChangingEngine(upstream, for_s),),
-            )
-        )
+        self._send(self._make_message(changing=(ChangingEngine(upstream, for_s),)))
 
-    def count_gateways(self) -> None:
-        """Count the gateways that were heard of lately, this one included."""
+    def drop_silent(self) -> None:
+        """Stop counting gateways that were not heard of lately."""
         now_s = asyncio.get_running_loop().time()
         for process, heard_s in list(self._heard_s.items()):
             if now_s - heard_s > SILENT_S:
                 self._forget(process, "silent")
-        self._state.gateways = 1 + len(self._heard_s)
 
     def datagramReceived(self, data: bytes, addr: Any) -> None:  # noqa: N802
         """Take the news of a peer."""
@@ -113,13 +128,14 @@
             self._forget(message.process, "leaving")
             return
         self._hear(message.process, addr, now_s)
+        self._note_incarnation(message, now_s)
         self._apply(message, now_s)
 
     def _apply(self, message: PeerMessage, now_s: float) -> None:
         for item in message.changing:
             self._state.changing_until_s[item.upstream] = now_s + item.for_s
         for work in message.started:
-            self._tracker.apply(work)
+            self._tracker.apply(replace(work, origin=message.process))
         for ref in message.read:
             self._tracker.apply_read(ref.upstream, ref.request)
         for ref in message.ended:
@@ -132,8 +148,21 @@
         self._heard_s[process] = now_s
         self._state.gateways = 1 + len(self._heard_s)
 
+    def _note_incarnation(self, message: PeerMessage, now_s: float) -> None:
+        known = self._incarnations.get(message.process, 0)
+        if message.incarnation > known:
+            self._incarnations[message.process] = message.incarnation
+            self._state.loads.drop_origin(message.process, now_s)
+
+    def _make_message(self, **fields: Any) -> PeerMessage:
+        process = self._state.settings.process
+        return PeerMessage(process=process, incarnation=self._incarnation, **fields)
+
     def _forget(self, process: ProcessId, reason: str) -> None:
+        now_s = asyncio.get_event_loop().time()
+        self._state.loads.drop_origin(process, now_s)
         if self._heard_s.pop(process, None) is not None:
+            self._state.gateways = 1 + len(self._heard_s)
             log_event(gateway_events.PEER_LOST, peer=process, reason=reason)
 
     def _schedule(self) -> None:
@@ -149,8 +178,7 @@
             self._send(self._take_some(pending))
 
     def _take_some(self, pending: Journaled) -> PeerMessage:
-        message = PeerMessage(
-            process=self._state.settings.process,
+        message = self._make_message(
             started=tuple(pending.started[:MAX_ITEMS]),
             read=_make_refs(pending.read[:MAX_ITEMS]),
             ended=_make_refs(pending.ended[:MAX_ITEMS]),
@@ -181,11 +209,15 @@
 
     async def run(self) -> None:
         """Keep this gateway listed and know the others until cancelled."""
+        reads = 0
         while True:
             if not self._listed:
                 self._listed = await self._list_self()
-            found = await self._read()
-            await asyncio.sleep(LIST_S if found and self._listed else LIST_RETRY_S)
+            # Gateways that start together are not in a list that is seconds old.
+            found = await self._read(stale=reads >= FRESH_READS)
+            reads += found
+            settled = self._listed and reads >= FRESH_READS
+            await asyncio.sleep(LIST_S if settled else LIST_RETRY_S)
 
     async def leave(self) -> None:
         """Remove this gateway from the list."""
@@ -216,8 +248,8 @@
             return False
         return True
 
-    async def _read(self) -> bool:
-        listing = await self._store.list_objects(ObjectKind.GATEWAYS, stale=True)
+    async def _read(self, *, stale: bool) -> bool:
+        listing = await self._store.list_objects(ObjectKind.GATEWAYS, stale=stale)
         if isinstance(listing, Err):
             return False
         addresses = {}
--- a/bramleyport/gateway/_stages.py
+++ b/bramleyport/gateway/_stages.py
@@ -46,7 +46,9 @@
 # The registration of an engine shows an accepted order within this time.
 SHOWN_WITHIN_S: Final = 10.0
 # The list of peers is complete by then; before, two gateways might both plan.
-FIRST_LOOK_S: Final = 2.0
+FIRST_LOOK_S: Final = 2.5
+# While upstreams of a service join, those that are known say little of the mix.
+JOINING_S: Final = 1.2
 RANK_ALL: Final = 9
 
 
@@ -78,6 +80,8 @@
         self._wanted_until_s = 0.0
         # Engines with an unanswered order, and until when it may still take effect.
         self._in_doubt: dict[UpstreamId, float] = {}
+        # Engines of each service at the last look, and when some joined last.
+        self._counts: dict[ServiceName, tuple[int, float]] = {}
         self._ordered: dict[UpstreamId, OrderedStage] = {}
 
     async def run(self) -> None:
@@ -108,6 +112,8 @@
                 continue
             planner = self._planners.setdefault(service.name, StagePlanner())
             views = self._view(service.name, now_s)
+            if self._is_growing(service.name, len(views), now_s):
+                continue
             change = planner.plan(views, service.engine.slots, now_s)
             if change is not None:
                 yield change, service.name
@@ -130,6 +136,16 @@
             )
         return views
 
+    def _is_growing(self, service: ServiceName, count: int, now_s: float) -> bool:
+        """Return whether engines have joined a service a moment ago."""
+        known, _ = self._counts.get(service, (0, now_s))
+        if count > known:
+            self._counts[service] = (count, now_s)
+        _, joined_s = self._counts.get(service, (count, now_s))
+        if count < known:
+            self._counts[service] = (count, joined_s)
+        return now_s - joined_s < JOINING_S
+
     def _is_changing(self, item: Registration, now_s: float) -> bool:
         if self._state.is_changing(item.upstream, now_s):
             return True
--- /dev/null
+++ b/tests/test_gateway_peers.py
@@ -0,0 +1,136 @@
+"""Guard what gateways tell each other: load, leaving, restarts, malformed messages."""
+
+from collections.abc import Callable, Coroutine, Iterator
+from pathlib import Path
+from typing import Any
+
+import cbor2
+import pytest
+from hypothesis import given, strategies as st
+
+from bramleyport.core import ProcessId, RequestId, UpstreamId
+from bramleyport.fleet import Work
+from bramleyport.gateway._peer_messages import (
+    ChangingEngine,
+    PeerMessage,
+    PeerMessageError,
+    WorkRef,
+    decode_message,
+    encode_message,
+)
+from tests.fleet_builders import make_prompt
+from tests.gateway_fleet import GatewayFleet
+
+Run = Callable[[Coroutine[Any, Any, Any]], Any]
+PEER = ProcessId("z-peer")
+ADDRESS = ("127.0.0.1", 9)
+
+
+def make_work(request: str = "r1") -> Work:
+    return Work(
+        request=RequestId(request),
+        upstream=UpstreamId("d0"),
+        priority=1,
+        read_s=0.25,
+        effort=5_000,
+        started_s=0.0,
+        parts=make_prompt(("aa", 100), ("bb", 50)).parts,
+    )
+
+
+def make_message(**fields: Any) -> PeerMessage:
+    return PeerMessage(process=PEER, incarnation=1, **fields)
+
+
+@pytest.fixture
+def fleet(run: Run, tmp_path: Path) -> Iterator[GatewayFleet]:
+    fleet = GatewayFleet(tmp_path)
+    run(fleet.start())
+    yield fleet
+    run(fleet.stop())
+
+
+def hear(fleet: GatewayFleet, run: Run, message: PeerMessage) -> None:
+    async def receive() -> None:
+        fleet.gateway._peers.datagramReceived(encode_message(message), ADDRESS)
+
+    run(receive())
+
+
+def test_message_survives_its_encoding() -> None:
+    message = make_message(
+        started=(make_work(),),
+        read=(WorkRef(UpstreamId("d0"), RequestId("r2")),),
+        ended=(WorkRef(UpstreamId("d1"), RequestId("r3")),),
+        changing=(ChangingEngine(UpstreamId("d2"), 3.5),),
+    )
+    assert decode_message(encode_message(message), 0.0) == message
+
+
+@given(st.binary(max_size=200))
+def test_any_bytes_are_a_message_or_refused(data: bytes) -> None:
+    try:
+        decode_message(data, 0.0)
+    except PeerMessageError:
+        return
+
+
+@pytest.mark.parametrize("value", [7, [], [1], [2, "p", 1, False, [], [], [], []]])
+def test_other_formats_are_refused(value: Any) -> None:
+    with pytest.raises(PeerMessageError):
+        decode_message(cbor2.dumps(value), 0.0)
+
+
+def test_work_of_a_peer_counts_as_load_and_fills_caches(
+    fleet: GatewayFleet, run: Run
+) -> None:
+    hear(fleet, run, make_message(started=(make_work(),)))
+    assert len(fleet.state.loads.of(UpstreamId("d0"))) == 1
+    ref = WorkRef(UpstreamId("d0"), RequestId("r1"))
+    hear(fleet, run, make_message(read=(ref,)))
+    prompt = make_prompt(("aa", 100), ("cc", 9))
+    assert fleet.state.prefixes.count_read(UpstreamId("d0"), prompt) == 100
+    hear(fleet, run, make_message(ended=(ref,)))
+    assert len(fleet.state.loads.of(UpstreamId("d0"))) == 0
+
+
+def test_gateways_share_the_retry_budget_with_those_they_hear(
+    fleet: GatewayFleet, run: Run
+) -> None:
+    hear(fleet, run, make_message())
+    assert fleet.state.gateways == 2
+    hear(fleet, run, make_message(leaving=True))
+    assert fleet.state.gateways == 1
+
+
+def test_work_of_a_peer_that_restarted_is_dropped(
+    fleet: GatewayFleet, run: Run
+) -> None:
+    # A killed gateway never says that its calls ended; they counted as running, and
+    # engines were ordered to run calls that nobody made.
+    hear(fleet, run, make_message(started=(make_work(),)))
+    hear(fleet, run, PeerMessage(process=PEER, incarnation=2))
+    assert len(fleet.state.loads.of(UpstreamId("d0"))) == 0
+
+
+def test_work_of_a_peer_that_leaves_is_dropped(fleet: GatewayFleet, run: Run) -> None:
+    hear(fleet, run, make_message(started=(make_work(),)))
+    hear(fleet, run, make_message(leaving=True))
+    assert len(fleet.state.loads.of(UpstreamId("d0"))) == 0
+
+
+def test_changing_engine_gets_no_calls(fleet: GatewayFleet, run: Run) -> None:
+    hear(fleet, run, make_message(changing=(ChangingEngine(UpstreamId("d0"), 60.0),)))
+    prompt = {"Model": "m", "Token_Counts": "40,1", "Prompt_Prefix": "aa:30,bb:10"}
+    caller = fleet.make_caller()
+    for _ in range(4):
+        assert run(caller.call("/stream/x", body=b"p", **prompt)).status == 200
+    assert fleet.engines[0].runs == []
+
+
+def test_malformed_datagram_changes_nothing(fleet: GatewayFleet, run: Run) -> None:
+    async def receive() -> None:
+        fleet.gateway._peers.datagramReceived(b"not cbor", ADDRESS)
+
+    run(receive())
+    assert fleet.state.gateways == 1
--- a/tests/test_gateway_state.py
+++ b/tests/test_gateway_state.py
@@ -245,6 +245,40 @@
     assert first["expected"] == 0
 
 
+def test_engines_are_not_ordered_while_more_of_them_register(
+    fleet: GatewayFleet, run: Run
+) -> None:
+    # With two of nine known, one that should read was ordered to run calls.
+    async def register_slowly() -> None:
+        fleet.store.delete("servers", "d1")
+        for number in range(6):
+            engine = UpstreamStandin(f"s{number}", service=LANGUAGE, stage="prefill")
+            await engine.start()
+            fleet.engines.append(engine)
+            engine.register(fleet.store)
+            await asyncio.sleep(0.8)
+
+    run(register_slowly())
+    assert list_orders(fleet) == []
+
+
+def test_listed_gateway_that_was_not_heard_yet_may_come_first(
+    fleet: GatewayFleet, run: Run
+) -> None:
+    # Two gateways planned at the start, and the second had to wait for the lease of
+    # the first until traffic had begun.
+    from bramleyport.core import ProcessId
+    from bramleyport.fleet import Address
+
+    peers = fleet.gateway._peers
+    assert peers.is_first()
+    peers.set_addresses({ProcessId("a-gateway"): Address("127.0.0.1", 9)})
+    assert not peers.is_first()
+    run(asyncio.sleep(0))
+    peers._listed_s[ProcessId("a-gateway")] -= 60.0
+    assert peers.is_first()
+
+
 def test_without_the_store_nobody_orders(fleet: GatewayFleet, run: Run) -> None:
     # Without a lease another gateway may be ordering the same engines.
     async def starve() -> None:
