--- a/bramleyport/gateway/_patience.py
+++ b/bramleyport/gateway/_patience.py
@@ -6,6 +6,10 @@
 from bramleyport.core import UpstreamId
 from bramleyport.gateway._state import GatewayState
 
+# A prompt that is read later than forecast by this much waits at an upstream that has
+# failed, unless that one is busy.
+FORECAST_FACTOR: Final = 3.0
+FIRST_EVENT_SLACK_S: Final = 0.5
 # An upstream that reads prompts answers some call within this time.
 SILENT_S: Final = 0.8
 
--- a/bramleyport/gateway/_prefill.py
+++ b/bramleyport/gateway/_prefill.py
@@ -1,11 +1,18 @@
 """Have one engine read a prompt for another."""
 
 import asyncio
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
 
 from bramleyport.core import StepError, UpstreamId
 from bramleyport.fleet import Choice, Registration
 from bramleyport.gateway._attempt import CallContext
 from bramleyport.gateway._exchange import Exchanger
+from bramleyport.gateway._patience import (
+    FIRST_EVENT_SLACK_S,
+    FORECAST_FACTOR,
+    Patience,
+)
 from bramleyport.gateway._state import GatewayState
 from bramleyport.gateway._tracker import Tracker
 from bramleyport.http1 import ExchangeError, HttpRequest
@@ -45,7 +52,11 @@
         self._tracker.start(context.call, reader, choice.read_s, choice.effort)
         started_s = asyncio.get_running_loop().time()
         try:
-            handle = await self._request(context, reader, choice.prefix_source)
+            async with self._bound(context, choice, reader):
+                handle = await self._request(context, reader, choice.prefix_source)
+        except TimeoutError as error:
+            self._note(reader, failed=True)
+            raise PrefillError(reader.upstream, "no answer in time") from error
         except (ExchangeError, MalformedDocumentError) as error:
             self._note(reader, failed=True)
             log_event(
@@ -62,6 +73,24 @@
         context.prefill_s = asyncio.get_running_loop().time() - started_s
         return handle
 
+    @asynccontextmanager
+    async def _bound(
+        self, context: CallContext, choice: Choice, reader: Registration
+    ) -> AsyncIterator[None]:
+        """Bound the time of a prefill, longer while its reader is busy."""
+        call = context.call
+        forecast_s = FORECAST_FACTOR * (choice.wait_s + choice.read_s)
+        limit_s = max(call.route.objective_s, forecast_s + FIRST_EVENT_SLACK_S)
+        now_s = asyncio.get_running_loop().time()
+        async with asyncio.timeout_at(call.deadline_s) as limit:
+            patience = Patience(self._state, reader.upstream, limit)
+            if now_s + limit_s < call.deadline_s:
+                patience.wait_first(now_s + limit_s, call.deadline_s)
+            try:
+                yield
+            finally:
+                patience.stop()
+
     def free(self, reader: Registration, handle: str) -> None:
         """Free a handle that nobody takes, without waiting for it."""
         task = asyncio.ensure_future(self._free(reader, handle))
--- a/bramleyport/gateway/_stream.py
+++ b/bramleyport/gateway/_stream.py
@@ -12,7 +12,11 @@
 from bramleyport.gateway._events import BrokenStreamError, EventRelay
 from bramleyport.gateway._exchange import Opened
 from bramleyport.gateway._outcome import AttemptEnd, AttemptFailure
-from bramleyport.gateway._patience import Patience
+from bramleyport.gateway._patience import (
+    FIRST_EVENT_SLACK_S,
+    FORECAST_FACTOR,
+    Patience,
+)
 from bramleyport.gateway._prefill import Prefiller, PrefillError
 from bramleyport.http1 import Answer, ExchangeError, ExchangeFailure, HttpRequest
 from bramleyport.platform import Delivery, encode_delivery
@@ -22,9 +26,6 @@
 # longest one that is in time, and well before its caller gives up.
 PAUSE_FACTOR: Final = 4.0
 MIN_PAUSE_S: Final = 0.6
-# A first event that is later than its forecast by this much is not coming.
-FORECAST_FACTOR: Final = 3.0
-FIRST_EVENT_SLACK_S: Final = 0.5
 
 
 class StreamServer:
--- a/tests/gateway_fleet.py
+++ b/tests/gateway_fleet.py
@@ -79,7 +79,9 @@
     routes = [
         make_route("read", "/read/", "idempotent"),
         make_route("post", "/post/", "non_idempotent", max_attempts=1),
-        make_route("once", "/once/", "streaming", **stream, resumable=False),
+        make_route(
+            "once", "/once/", "streaming", **stream, resumable=False, timeout_ms=6000
+        ),
         make_route("stream", "/stream/", "streaming", **stream, resumable=True),
     ]
     limits = {
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -229,6 +229,7 @@
         self.orders: list[dict[str, Any]] = []
         self.freed: list[str] = []
         self.accepted_orders = 0
+        self.prefill_hangs = False
         self.script: Script = answer_whole
         self.scripts: list[Script] = []
         self._handles = itertools.count(1)
@@ -274,6 +275,8 @@
             writer.write(render(200))
         elif request.path == "/-/kv-list":
             writer.write(render(200, json.dumps({"held": []}).encode()))
+        elif headers.get("stage") == "prefill" and self.prefill_hangs:
+            await asyncio.sleep(60)
         elif headers.get("stage") == "prefill":
             handle = f"{self.name}-h{next(self._handles)}"
             body = json.dumps({"kv_handle": handle, "tokens": 1, "version": 1})
--- a/tests/test_gateway_streams.py
+++ b/tests/test_gateway_streams.py
@@ -188,6 +188,18 @@
     assert len(fleet.list_runs()) == 1
 
 
+def test_reader_that_hangs_is_left_for_another_engine(
+    fleet: GatewayFleet, run: Run
+) -> None:
+    # Its connection stays open, so that only a time limit shows it.
+    reader = run(add_reader(fleet))
+    reader.prefill_hangs = True
+    patient = LONG | {"Deadline_Ms": "6000"}
+    answer = run(fleet.make_caller().call("/once/x", body=b"p", **patient))
+    assert (answer.status, answer.body, answer.complete) == (200, WHOLE, True)
+    assert len(fleet.list_runs()) == 1
+
+
 def test_shared_prefix_is_fetched_from_the_engine_that_has_it(
     fleet: GatewayFleet, run: Run
 ) -> None:
