--- a/tests/test_real_processes.py
+++ b/tests/test_real_processes.py
@@ -33,10 +33,24 @@
     keys = [f"order-{n}" for n in range(8)]
     calls = [asyncio.ensure_future(fleet.post_order("entry-0", key)) for key in keys]
     while not fleet.plain.postings:
+        # Without this the wait was endless when all orders were refused.
+        assert not all(call.done() for call in calls), await describe_orders(calls)
         await asyncio.sleep(0.005)
     return keys, calls
 
 
+async def describe_orders(calls: "list[asyncio.Future[Answer]]") -> str:
+    """Say what the orders got, so that a run in which none ran shows why."""
+    results = await asyncio.gather(*calls, return_exceptions=True)
+    answers = [
+        repr(result)
+        if isinstance(result, BaseException)
+        else f"{result.status} {result.body[:200]!r}"
+        for result in results
+    ]
+    return "no order ran: " + "; ".join(answers)
+
+
 def test_killed_agent_loses_no_idempotent_answer(run: Run, tmp_path: Path) -> None:
     async def check() -> None:
         async with run_fleet(tmp_path) as fleet:
