--- a/bramleyport/gateway/_attempt.py
+++ b/bramleyport/gateway/_attempt.py
@@ -1,15 +1,15 @@
 """What plain calls and streams have in common."""
 
-import asyncio
 from http import HTTPStatus
 from typing import Final
 
 from bramleyport.admission import Rejected
 from bramleyport.core import Explanation, UpstreamId
 from bramleyport.fleet import Call, Choice, EngineTraits, Registration, admit
+from bramleyport.gateway._clock import read_now
 from bramleyport.gateway._exchange import Exchanger
 from bramleyport.gateway._metrics import CallMetrics
-from bramleyport.gateway._outcome import AttemptEnd, AttemptFailure, Attempts
+from bramleyport.gateway._outcome import AttemptEnd, Attempts, FailedAttempt
 from bramleyport.gateway._reply import relay_answer, reply
 from bramleyport.gateway._state import GatewayState
 from bramleyport.gateway._tracker import Tracker
@@ -40,7 +40,7 @@
         self.engine = engine
         self.attempts = Attempts()
         self.tried: set[UpstreamId] = set()
-        self.last_failure: AttemptFailure | None = None
+        self.last_failure: FailedAttempt | None = None
         # Seconds until the first event, and those until the prompt was read elsewhere.
         self.first_event_s = 0.0
         self.prefill_s = 0.0
@@ -48,7 +48,7 @@
     @property
     def left_s(self) -> float:
         """Return the seconds until nobody waits for the answer."""
-        return self.call.deadline_s - asyncio.get_running_loop().time()
+        return self.call.deadline_s - read_now()
 
 
 class AttemptSupport:
@@ -68,7 +68,7 @@
 
     def choose(self, context: CallContext) -> Choice | Rejected:
         """Choose an upstream, or say why there is none in time."""
-        now_s = asyncio.get_running_loop().time()
+        now_s = read_now()
         call = context.call
         avoided = self.state.list_avoided(call.service, now_s)
         chooser = self.state.chooser
@@ -87,7 +87,7 @@
 
     def choose_target(self, context: CallContext) -> Registration | None:
         """Choose where a call whose prompt has been read elsewhere runs."""
-        now_s = asyncio.get_running_loop().time()
+        now_s = read_now()
         call = context.call
         excluded = self.state.list_avoided(call.service, now_s) | context.tried
         return self.state.chooser.choose_target(call, excluded, now_s)
@@ -97,11 +97,11 @@
         context.attempts.sends += 1
         context.attempts.in_flight = True
 
-    def note_failure(self, context: CallContext, failure: AttemptFailure) -> None:
+    def note_failure(self, context: CallContext, failure: FailedAttempt) -> None:
         """Record a failed attempt."""
         context.last_failure = failure
         context.tried.add(failure.upstream)
-        now_s = asyncio.get_running_loop().time()
+        now_s = read_now()
         self.metrics.count_attempt(failure.end.value)
         if failure.end is AttemptEnd.NOT_RUN:
             event = gateway_events.ATTEMPT_NOT_RUN
@@ -122,7 +122,7 @@
     def may_retry(self, context: CallContext) -> Explanation:
         """Decide whether to try again; the reason is "retry" if so."""
         reason = self._find_obstacle(context) or "retry"
-        now_s = asyncio.get_running_loop().time()
+        now_s = read_now()
         budget = self.state.find_budget(context.call.service)
         if reason == "retry" and not budget.take(now_s, self.state.gateways):
             reason = "budget_spent"
@@ -192,7 +192,7 @@
 
     def log_answered(self, context: CallContext, status: int) -> None:
         """Log that a call got the answer of an upstream."""
-        now_s = asyncio.get_running_loop().time()
+        now_s = read_now()
         self._count(context, "answered")
         if context.first_event_s:
             self.metrics.observe_first_event(context.call, context.first_event_s)
@@ -207,7 +207,7 @@
         )
 
     def _count(self, context: CallContext, result: str) -> None:
-        now_s = asyncio.get_running_loop().time()
+        now_s = read_now()
         took_s = now_s - context.call.arrived_s
         self.metrics.count_result(context.call, result, took_s)
 
--- a/bramleyport/gateway/_daemon.py
+++ b/bramleyport/gateway/_daemon.py
@@ -9,6 +9,7 @@
 from bramleyport.core import SettingsError, StepError, UpstreamId
 from bramleyport.fleet import Address
 from bramleyport.gateway._caches import CacheReader
+from bramleyport.gateway._clock import read_now
 from bramleyport.gateway._exchange import Exchanger
 from bramleyport.gateway._forward import Forwarder
 from bramleyport.gateway._metrics import MetricsPage
@@ -100,7 +101,7 @@
 
     async def stop(self) -> None:
         """Stop taking callers, finish what runs, then close."""
-        started_s = asyncio.get_running_loop().time()
+        started_s = read_now()
         log_event(events.PROCESS_STOPPING, connections=len(self._callers.connections))
         self._state.draining = True
         self._callers.draining = True
@@ -172,7 +173,7 @@
         ready = False
         while True:
             await asyncio.sleep(HOUSEKEEPING_S)
-            now_s = asyncio.get_running_loop().time()
+            now_s = read_now()
             self._registrations.drop_missing()
             self._caches.read_new()
             self._state.loads.drop_lost(now_s)
@@ -206,7 +207,7 @@
         log_event(gateway_events.SETTINGS_RELOADED)
 
     def _note_store(self, reachable: bool) -> None:
-        now_s = asyncio.get_running_loop().time()
+        now_s = read_now()
         self._state.members.note_store(reachable=reachable, now_s=now_s)
 
     def _forget(self, upstream: UpstreamId) -> None:
--- a/bramleyport/gateway/_exchange.py
+++ b/bramleyport/gateway/_exchange.py
@@ -1,6 +1,5 @@
 """Run single exchanges with upstreams."""
 
-import asyncio
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from dataclasses import dataclass
@@ -8,6 +7,7 @@
 
 from bramleyport.core import RequestId, UpstreamId
 from bramleyport.fleet import Registration
+from bramleyport.gateway._clock import read_now
 from bramleyport.gateway._state import GatewayState
 from bramleyport.http1 import (
     Answer,
@@ -62,7 +62,7 @@
             connection.send(request, lambda answer: _belongs(answer, request_id))
             answer = await connection.read_head()
             head = decode_answer(answer.status, answer.headers)
-            self._state.heard_s[target.upstream] = asyncio.get_running_loop().time()
+            self._state.heard_s[target.upstream] = read_now()
             connection.idle_timeout_s = head.idle_timeout_s
             yield Opened(connection=connection, answer=answer, head=head)
         except BaseException:
--- a/bramleyport/gateway/_forward.py
+++ b/bramleyport/gateway/_forward.py
@@ -7,6 +7,7 @@
 
 from bramleyport.fleet import Call, Route, choose_service
 from bramleyport.gateway._attempt import CallContext
+from bramleyport.gateway._clock import read_now
 from bramleyport.gateway._plain import PlainServer
 from bramleyport.gateway._reply import reply
 from bramleyport.gateway._state import GatewayState
@@ -47,9 +48,7 @@
             log_event(
                 gateway_events.CALLER_GONE,
                 request=head.request,
-                after_s=round(
-                    asyncio.get_running_loop().time() - request.received_s, 3
-                ),
+                after_s=round(read_now() - request.received_s, 3),
             )
             raise
         except CallerGoneError:
--- a/bramleyport/gateway/_outcome.py
+++ b/bramleyport/gateway/_outcome.py
@@ -19,7 +19,7 @@
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
-class AttemptFailure:
+class FailedAttempt:
     """Describe an attempt without a usable answer."""
 
     upstream: UpstreamId
--- a/bramleyport/gateway/_peers.py
+++ b/bramleyport/gateway/_peers.py
@@ -14,6 +14,7 @@
 
 from bramleyport.core import ProcessId, UpstreamId
 from bramleyport.fleet import Address
+from bramleyport.gateway._clock import read_now
 from bramleyport.gateway._peer_messages import (
     MAX_ITEMS,
     ChangingEngine,
@@ -24,7 +25,7 @@
     encode_message,
 )
 from bramleyport.gateway._state import GatewayState
-from bramleyport.gateway._tracker import Journaled, Tracker
+from bramleyport.gateway._tracker import PendingNews, Tracker
 from bramleyport.platform import (
     MalformedDocumentError,
     NodeSettings,
@@ -73,7 +74,7 @@
 
     def set_addresses(self, addresses: dict[ProcessId, Address]) -> None:
         """Take the addresses of the other gateways."""
-        now_s = asyncio.get_event_loop().time()
+        now_s = read_now()
         self._addresses = addresses
         self._listed_s = {
             process: self._listed_s.get(process, now_s) for process in addresses
@@ -92,7 +93,7 @@
 
         One that was listed just now counts before it is heard of.
         """
-        now_s = asyncio.get_event_loop().time()
+        now_s = read_now()
         new = {
             process
             for process, listed_s in self._listed_s.items()
@@ -104,19 +105,19 @@
     def announce_change(self, upstream: UpstreamId, until_s: float) -> None:
         """Keep all gateways from sending work to an engine until a time."""
         self._state.changing_until_s[upstream] = until_s
-        for_s = until_s - asyncio.get_running_loop().time()
+        for_s = until_s - read_now()
         self._send(self._make_message(changing=(ChangingEngine(upstream, for_s),)))
 
     def drop_silent(self) -> None:
         """Stop counting gateways that were not heard of lately."""
-        now_s = asyncio.get_running_loop().time()
+        now_s = read_now()
         for process, heard_s in list(self._heard_s.items()):
             if now_s - heard_s > SILENT_S:
                 self._forget(process, "silent")
 
     def datagramReceived(self, data: bytes, addr: Any) -> None:  # noqa: N802
         """Take the news of a peer."""
-        now_s = asyncio.get_running_loop().time()
+        now_s = read_now()
         try:
             message = decode_message(data, now_s)
         except PeerMessageError as error:
@@ -159,7 +160,7 @@
         return PeerMessage(process=process, incarnation=self._incarnation, **fields)
 
     def _forget(self, process: ProcessId, reason: str) -> None:
-        now_s = asyncio.get_event_loop().time()
+        now_s = read_now()
         self._state.loads.drop_origin(process, now_s)
         if self._heard_s.pop(process, None) is not None:
             self._state.gateways = 1 + len(self._heard_s)
@@ -177,7 +178,7 @@
         while pending:
             self._send(self._take_some(pending))
 
-    def _take_some(self, pending: Journaled) -> PeerMessage:
+    def _take_some(self, pending: PendingNews) -> PeerMessage:
         message = self._make_message(
             started=tuple(pending.started[:MAX_ITEMS]),
             read=_make_refs(pending.read[:MAX_ITEMS]),
--- a/bramleyport/gateway/_plain.py
+++ b/bramleyport/gateway/_plain.py
@@ -6,7 +6,8 @@
 from bramleyport.admission import Rejected
 from bramleyport.fleet import Choice
 from bramleyport.gateway._attempt import AttemptSupport, CallContext
-from bramleyport.gateway._outcome import AttemptEnd, AttemptFailure
+from bramleyport.gateway._clock import read_now
+from bramleyport.gateway._outcome import AttemptEnd, FailedAttempt
 from bramleyport.gateway._reply import relay_answer
 from bramleyport.http1 import Answer, ExchangeError, ExchangeFailure, HttpRequest
 from bramleyport.platform import AnswerHead, Delivery, encode_delivery
@@ -53,7 +54,7 @@
 
     async def _try(
         self, context: CallContext, choice: Choice
-    ) -> Answer | AttemptFailure:
+    ) -> Answer | FailedAttempt:
         support = self._support
         support.log_sent(context, choice)
         support.begin(context)
@@ -64,7 +65,7 @@
 
     async def _run(
         self, context: CallContext, choice: Choice
-    ) -> Answer | AttemptFailure:
+    ) -> Answer | FailedAttempt:
         support = self._support
         try:
             async with asyncio.timeout(self._limit(context)):
@@ -82,7 +83,7 @@
 
     async def _exchange(
         self, context: CallContext, choice: Choice
-    ) -> Answer | AttemptFailure:
+    ) -> Answer | FailedAttempt:
         request = context.request
         target = choice.upstream
         delivery = Delivery(upstream=target.upstream, time_left_s=context.left_s)
@@ -103,7 +104,7 @@
 
     def _judge(
         self, context: CallContext, choice: Choice, answer: Answer, head: AnswerHead
-    ) -> Answer | AttemptFailure:
+    ) -> Answer | FailedAttempt:
         if head.not_run:
             reason = f"declined with {answer.status}"
             return self._fail(choice, AttemptEnd.NOT_RUN, reason)
@@ -111,13 +112,13 @@
             reason = f"unusable answer {answer.status}"
             return self._fail(choice, AttemptEnd.LOST, reason)
         if answer.status >= 500 and context.call.route.repeatability.may_rerun:
-            return AttemptFailure(
+            return FailedAttempt(
                 upstream=choice.upstream.upstream,
                 end=AttemptEnd.FAILED,
                 reason=f"failed with {answer.status}",
                 answer=answer,
             )
-        now_s = asyncio.get_running_loop().time()
+        now_s = read_now()
         failed = answer.status >= 500
         self._support.state.record_result(
             choice.upstream.upstream, failed=failed, now_s=now_s
@@ -125,12 +126,12 @@
         return answer
 
     def _note_unreachable(self, choice: Choice) -> None:
-        now_s = asyncio.get_running_loop().time()
+        now_s = read_now()
         upstream = choice.upstream.upstream
         self._support.state.record_result(upstream, failed=True, now_s=now_s)
 
-    def _fail(self, choice: Choice, end: AttemptEnd, reason: str) -> AttemptFailure:
-        return AttemptFailure(upstream=choice.upstream.upstream, end=end, reason=reason)
+    def _fail(self, choice: Choice, end: AttemptEnd, reason: str) -> FailedAttempt:
+        return FailedAttempt(upstream=choice.upstream.upstream, end=end, reason=reason)
 
     def _limit(self, context: CallContext) -> float | None:
         """Return how long one attempt may take; None leaves it to the deadline."""
--- a/bramleyport/gateway/_prefill.py
+++ b/bramleyport/gateway/_prefill.py
@@ -7,6 +7,7 @@
 from bramleyport.core import StepError, UpstreamId
 from bramleyport.fleet import Choice, Registration
 from bramleyport.gateway._attempt import CallContext
+from bramleyport.gateway._clock import read_now
 from bramleyport.gateway._exchange import Exchanger
 from bramleyport.gateway._patience import (
     FIRST_EVENT_SLACK_S,
@@ -50,7 +51,7 @@
         reader = choice.prefill
         assert reader is not None
         self._tracker.start(context.call, reader, choice.read_s, choice.effort)
-        started_s = asyncio.get_running_loop().time()
+        started_s = read_now()
         try:
             async with self._bound(context, choice, reader):
                 handle = await self._request(context, reader, choice.prefix_source)
@@ -70,7 +71,7 @@
             self._tracker.finish_reading(context.call, reader)
             self._tracker.end(context.call, reader)
         self._note(reader, failed=False)
-        context.prefill_s = asyncio.get_running_loop().time() - started_s
+        context.prefill_s = read_now() - started_s
         return handle
 
     @asynccontextmanager
@@ -81,7 +82,7 @@
         call = context.call
         forecast_s = FORECAST_FACTOR * (choice.wait_s + choice.read_s)
         limit_s = max(call.route.objective_s, forecast_s + FIRST_EVENT_SLACK_S)
-        now_s = asyncio.get_running_loop().time()
+        now_s = read_now()
         async with asyncio.timeout_at(call.deadline_s) as limit:
             patience = Patience(self._state, reader.upstream, limit)
             if now_s + limit_s < call.deadline_s:
@@ -140,5 +141,5 @@
             )
 
     def _note(self, reader: Registration, *, failed: bool) -> None:
-        now_s = asyncio.get_running_loop().time()
+        now_s = read_now()
         self._state.record_result(reader.upstream, failed=failed, now_s=now_s)
--- a/bramleyport/gateway/_stages.py
+++ b/bramleyport/gateway/_stages.py
@@ -13,6 +13,7 @@
     StageChange,
     StagePlanner,
 )
+from bramleyport.gateway._clock import read_now
 from bramleyport.gateway._exchange import Exchanger
 from bramleyport.gateway._peers import PeerLink
 from bramleyport.gateway._state import GatewayState
@@ -96,7 +97,7 @@
                 self._lease_task.cancel()
 
     async def _look(self) -> None:
-        now_s = asyncio.get_running_loop().time()
+        now_s = read_now()
         if self._peers.is_first() and not self._state.draining:
             for change, service in self._list_changes(now_s):
                 self._wanted_until_s = now_s + KEEP_LEASE_S
@@ -177,7 +178,7 @@
             return
         engine = configuration.services[service].engine
         switch_s = engine.switch_s if engine else 0.0
-        until_s = asyncio.get_running_loop().time() + switch_s + FINISH_S
+        until_s = read_now() + switch_s + FINISH_S
         self._peers.announce_change(change.upstream, until_s)
         await asyncio.sleep(NOTICE_S)
         self._lease.orders_in_flight += 1
@@ -189,7 +190,7 @@
     async def _order(
         self, target: Registration, change: StageChange, service: ServiceName
     ) -> None:
-        now_s = asyncio.get_running_loop().time()
+        now_s = read_now()
         report = await self._read_report(target)
         if report is None or report.busy or report.stage is change.stage:
             return
--- a/bramleyport/gateway/_stream.py
+++ b/bramleyport/gateway/_stream.py
@@ -9,9 +9,10 @@
 from bramleyport.admission import Rejected
 from bramleyport.fleet import Choice, Repeatability
 from bramleyport.gateway._attempt import AttemptSupport, CallContext
+from bramleyport.gateway._clock import read_now
 from bramleyport.gateway._events import BrokenStreamError, EventRelay
 from bramleyport.gateway._exchange import Opened
-from bramleyport.gateway._outcome import AttemptEnd, AttemptFailure
+from bramleyport.gateway._outcome import AttemptEnd, FailedAttempt
 from bramleyport.gateway._patience import (
     FIRST_EVENT_SLACK_S,
     FORECAST_FACTOR,
@@ -91,11 +92,11 @@
 
     async def _try(
         self, context: CallContext, choice: Choice, relay: EventRelay
-    ) -> AttemptFailure | None:
+    ) -> FailedAttempt | None:
         try:
             delivery = await self._prepare(context, choice)
         except PrefillError as error:
-            return AttemptFailure(
+            return FailedAttempt(
                 upstream=error.upstream, end=AttemptEnd.NOT_RUN, reason=error.reason
             )
         choice = self._retarget(context, choice, delivery)
@@ -153,7 +154,7 @@
         choice: Choice,
         delivery: Delivery,
         relay: EventRelay,
-    ) -> AttemptFailure | None:
+    ) -> FailedAttempt | None:
         self._support.begin(context)
         tracker = self._support.tracker
         if choice.prefill is None:
@@ -170,7 +171,7 @@
         choice: Choice,
         delivery: Delivery,
         relay: EventRelay,
-    ) -> AttemptFailure | None:
+    ) -> FailedAttempt | None:
         tracker = self._support.tracker
         try:
             return await self._exchange(context, choice, delivery, relay)
@@ -193,7 +194,7 @@
         choice: Choice,
         delivery: Delivery,
         relay: EventRelay,
-    ) -> AttemptFailure | None:
+    ) -> FailedAttempt | None:
         request = context.request
         sent = HttpRequest(
             method=request.method,
@@ -227,7 +228,7 @@
         first = True
         while (data := await opened.connection.read_chunk()) is not None:
             if relay.take(data):
-                now_s = asyncio.get_running_loop().time()
+                now_s = read_now()
                 if first:
                     self._note_first_event(context, choice)
                     first = False
@@ -238,7 +239,7 @@
 
     async def _judge(
         self, context: CallContext, choice: Choice, opened: Opened
-    ) -> AttemptFailure | None:
+    ) -> FailedAttempt | None:
         """Take an answer that is no stream."""
         answer = opened.answer
         if opened.head.not_run:
@@ -247,7 +248,7 @@
         whole = Answer(answer.status, answer.reason, answer.headers, body)
         if not opened.head.signed or answer.status < 300:
             return _fail(choice, AttemptEnd.LOST, f"unusable answer {answer.status}")
-        return AttemptFailure(
+        return FailedAttempt(
             upstream=choice.upstream.upstream,
             end=AttemptEnd.FAILED,
             reason=f"failed with {answer.status}",
@@ -256,7 +257,7 @@
 
     def _note_first_event(self, context: CallContext, choice: Choice) -> None:
         self._support.tracker.finish_reading(context.call, choice.upstream)
-        now_s = asyncio.get_running_loop().time()
+        now_s = read_now()
         context.first_event_s = now_s - context.call.arrived_s
 
     @asynccontextmanager
@@ -265,7 +266,7 @@
     ) -> AsyncIterator[Patience]:
         """Bound the time to the first event."""
         patience = Patience(self._support.state, choice.upstream.upstream, limit)
-        now_s = asyncio.get_running_loop().time()
+        now_s = read_now()
         until_s = self._limit_first_event(context, choice, now_s)
         if until_s < context.call.deadline_s:
             patience.wait_first(until_s, context.call.deadline_s)
@@ -296,11 +297,11 @@
         return resumable and context.attempts.runs + 1 < route.max_attempts
 
     def _record(self, choice: Choice, *, failed: bool) -> None:
-        now_s = asyncio.get_running_loop().time()
+        now_s = read_now()
         self._support.state.record_result(
             choice.upstream.upstream, failed=failed, now_s=now_s
         )
 
 
-def _fail(choice: Choice, end: AttemptEnd, reason: str) -> AttemptFailure:
-    return AttemptFailure(upstream=choice.upstream.upstream, end=end, reason=reason)
+def _fail(choice: Choice, end: AttemptEnd, reason: str) -> FailedAttempt:
+    return FailedAttempt(upstream=choice.upstream.upstream, end=end, reason=reason)
--- a/bramleyport/gateway/_tracker.py
+++ b/bramleyport/gateway/_tracker.py
@@ -1,16 +1,16 @@
 """Record what is sent to upstreams, here and for the other gateways."""
 
-import asyncio
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from bramleyport.core import RequestId, UpstreamId
 from bramleyport.fleet import Call, Registration, Stage, Work
+from bramleyport.gateway._clock import read_now
 from bramleyport.gateway._state import GatewayState
 
 
 @dataclass(slots=True)
-class Journaled:
+class PendingNews:
     """Collect what the other gateways have yet to hear."""
 
     started: list[Work] = field(default_factory=list)
@@ -26,7 +26,7 @@
 
     def __init__(self, state: GatewayState) -> None:
         self._state = state
-        self._pending = Journaled()
+        self._pending = PendingNews()
         self.on_pending: Callable[[], None] | None = None
 
     def start(
@@ -44,7 +44,7 @@
             priority=call.route.priority,
             read_s=read_s,
             effort=effort,
-            started_s=asyncio.get_running_loop().time(),
+            started_s=read_now(),
             parts=parts,
         )
         self.apply(work)
@@ -59,7 +59,7 @@
 
     def end(self, call: Call, target: Registration) -> None:
         """Note that an upstream has nothing left to do for a call."""
-        now_s = asyncio.get_running_loop().time()
+        now_s = read_now()
         self._state.loads.of(target.upstream).remove(call.request, now_s)
         self._pending.ended.append((target.upstream, call.request))
         self._announce()
@@ -76,7 +76,7 @@
 
     def apply_read(self, upstream: UpstreamId, request: RequestId) -> None:
         """Note that an upstream has read the prompt of some gateway's call."""
-        now_s = asyncio.get_running_loop().time()
+        now_s = read_now()
         read = self._state.loads.of(upstream).finish_reading(request, now_s)
         registration = self._state.members.find(upstream)
         if read is None or registration is None:
@@ -87,10 +87,10 @@
         if sample is not None:
             self._state.speeds.record(upstream, stage, sample.effort, sample.took_s)
 
-    def take_pending(self) -> Journaled:
+    def take_pending(self) -> PendingNews:
         """Return and clear what the other gateways have yet to hear."""
         pending = self._pending
-        self._pending = Journaled()
+        self._pending = PendingNews()
         return pending
 
     def _announce(self) -> None:
--- a/bramleyport/gateway/_watch.py
+++ b/bramleyport/gateway/_watch.py
@@ -8,6 +8,7 @@
 
 from bramleyport.core import Revision, UpstreamId
 from bramleyport.fleet import Registration, RouteTable
+from bramleyport.gateway._clock import read_now
 from bramleyport.gateway._state import GatewayState
 from bramleyport.platform import (
     ChangeBatch,
@@ -166,7 +167,7 @@
         """Replace what is known by a complete list."""
         found = [self._decode(item) for item in listing.objects]
         listed = [registration for registration in found if registration is not None]
-        now_s = asyncio.get_running_loop().time()
+        now_s = read_now()
         before = {item.upstream for item in self._state.members.list_all()}
         for registration in listed:
             self._note_change(registration)
@@ -177,7 +178,7 @@
 
     def take_changes(self, batch: ChangeBatch) -> None:
         """Apply changes."""
-        now_s = asyncio.get_running_loop().time()
+        now_s = read_now()
         for change in batch.changes:
             # A removed object still shows whether its upstream had said that it leaves.
             registration = self._decode(change.object)
@@ -191,7 +192,7 @@
 
     def drop_missing(self) -> None:
         """Drop upstreams whose lapsed registration did not come back."""
-        now_s = asyncio.get_running_loop().time()
+        now_s = read_now()
         for upstream in self._state.members.drop_missing(now_s):
             self._drop(upstream, "lapsed")
 
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -314,6 +314,20 @@
     }
 
 
+def script_first(upstreams: "list[UpstreamStandin]", script: Script) -> None:
+    """Give the script to whichever upstream gets the first request."""
+
+    async def once(
+        upstream: UpstreamStandin, request: RawRequest, writer: asyncio.StreamWriter
+    ) -> None:
+        for other in upstreams:
+            other.scripts.clear()
+        await script(upstream, request, writer)
+
+    for upstream in upstreams:
+        upstream.scripts = [once]
+
+
 EVENT_COUNT = 5
 
 
--- a/tests/test_gateway_calls.py
+++ b/tests/test_gateway_calls.py
@@ -16,6 +16,7 @@
     hang,
     lose_answer,
     make_extra,
+    script_first,
     truncate,
 )
 
@@ -35,18 +36,6 @@
         upstream.script = script
 
 
-def script_first(fleet: GatewayFleet, script: Script) -> None:
-    """Give the script to whichever upstream gets the first request."""
-
-    async def once(upstream: Any, request: Any, writer: Any) -> None:
-        for other in fleet.plain:
-            other.scripts.clear()
-        await script(upstream, request, writer)
-
-    for upstream in fleet.plain:
-        upstream.scripts = [once]
-
-
 def test_answer_is_passed_on_unchanged(fleet: GatewayFleet, run: Run) -> None:
     caller = fleet.make_caller()
     answer = run(caller.call("/read/x?y=1", method="GET", Request_Id="abc"))
@@ -80,7 +69,7 @@
 def test_lost_answer_of_an_idempotent_call_is_made_good(
     fleet: GatewayFleet, run: Run
 ) -> None:
-    script_first(fleet, lose_answer)
+    script_first(fleet.plain, lose_answer)
     answer = run(fleet.make_caller().call("/read/x", method="GET"))
     assert answer.status == 200
     assert len(fleet.list_runs()) == 2
@@ -107,7 +96,7 @@
 
 
 def test_declined_posting_runs_elsewhere_once(fleet: GatewayFleet, run: Run) -> None:
-    script_first(fleet, decline)
+    script_first(fleet.plain, decline)
     answer = run(fleet.make_caller().call("/post/x", body=b"b"))
     assert answer.status == 200
     assert len(fleet.list_runs()) == 1
@@ -135,12 +124,12 @@
 def test_failed_idempotent_call_is_tried_at_another_upstream(
     fleet: GatewayFleet, run: Run
 ) -> None:
-    script_first(fleet, fail)
+    script_first(fleet.plain, fail)
     assert run(fleet.make_caller().call("/read/x", method="GET")).status == 200
 
 
 def test_silent_upstream_is_left_for_another(fleet: GatewayFleet, run: Run) -> None:
-    script_first(fleet, hang)
+    script_first(fleet.plain, hang)
     assert run(fleet.make_caller().call("/read/x", method="GET")).status == 200
 
 
--- a/tests/test_gateway_streams.py
+++ b/tests/test_gateway_streams.py
@@ -10,7 +10,6 @@
 from tests.gateway_fleet import LANGUAGE, GatewayFleet
 from tests.platform_standin import (
     EVENT_COUNT,
-    Script,
     UpstreamStandin,
     answer_events,
     decline,
@@ -18,6 +17,7 @@
     hang,
     make_break_off,
     render_event,
+    script_first,
 )
 
 Run = Callable[[Coroutine[Any, Any, Any]], Any]
@@ -37,16 +37,6 @@
     run(fleet.stop())
 
 
-def script_first(fleet: GatewayFleet, script: Script) -> None:
-    async def once(upstream: Any, request: Any, writer: Any) -> None:
-        for other in fleet.engines:
-            other.scripts.clear()
-        await script(upstream, request, writer)
-
-    for upstream in fleet.engines:
-        upstream.scripts = [once]
-
-
 def test_stream_is_passed_on_whole(fleet: GatewayFleet, run: Run) -> None:
     answer = run(fleet.make_caller().call("/stream/x", body=b"p", **PROMPT))
     assert (answer.status, answer.body, answer.complete) == (200, WHOLE, True)
@@ -58,7 +48,7 @@
 def test_broken_stream_goes_on_elsewhere(
     fleet: GatewayFleet, run: Run, after: int, within_event: bool
 ) -> None:
-    script_first(fleet, make_break_off(after, within_event=within_event))
+    script_first(fleet.engines, make_break_off(after, within_event=within_event))
     answer = run(fleet.make_caller().call("/stream/x", body=b"p", **PROMPT))
     assert (answer.body, answer.complete) == (WHOLE, True)
     assert len({name for name, _ in fleet.list_runs()}) == 2
@@ -67,7 +57,7 @@
 def test_resumed_stream_says_which_events_the_caller_has(
     fleet: GatewayFleet, run: Run
 ) -> None:
-    script_first(fleet, make_break_off(2))
+    script_first(fleet.engines, make_break_off(2))
     run(fleet.make_caller().call("/stream/x", body=b"p", **PROMPT))
     runs = [run for engine in fleet.engines for run in engine.runs]
     resumed = [run.request.headers.get("last-event-id") for run in runs]
@@ -75,7 +65,7 @@
 
 
 def test_stream_that_may_run_once_is_broken_off(fleet: GatewayFleet, run: Run) -> None:
-    script_first(fleet, make_break_off(2))
+    script_first(fleet.engines, make_break_off(2))
     answer = run(fleet.make_caller().call("/once/x", body=b"p", **PROMPT))
     assert answer.body == WHOLE[: 2 * len(render_event(1))]
     assert not answer.complete
@@ -85,7 +75,7 @@
 def test_silent_engine_is_left_before_the_first_event(
     fleet: GatewayFleet, run: Run
 ) -> None:
-    script_first(fleet, hang)
+    script_first(fleet.engines, hang)
     answer = run(fleet.make_caller().call("/stream/x", body=b"p", **PROMPT))
     assert (answer.body, answer.complete) == (WHOLE, True)
 
@@ -96,7 +86,7 @@
     async def pause(upstream: Any, request: Any, writer: Any) -> None:
         await make_pause(upstream, request, writer)
 
-    script_first(fleet, pause)
+    script_first(fleet.engines, pause)
     answer = run(fleet.make_caller().call("/stream/x", body=b"p", **PROMPT))
     assert (answer.body, answer.complete) == (WHOLE, True)
 
@@ -114,7 +104,7 @@
 def test_declined_stream_that_may_run_once_runs_elsewhere(
     fleet: GatewayFleet, run: Run
 ) -> None:
-    script_first(fleet, decline)
+    script_first(fleet.engines, decline)
     answer = run(fleet.make_caller().call("/once/x", body=b"p", **PROMPT))
     assert (answer.body, answer.complete) == (WHOLE, True)
     assert len(fleet.list_runs()) == 1
@@ -142,7 +132,7 @@
             write_chunk(writer, render_event(number))
         writer.write(b"0\r\n\r\n")
 
-    script_first(fleet, repeat)
+    script_first(fleet.engines, repeat)
     answer = run(fleet.make_caller().call("/stream/x", body=b"p", **PROMPT))
     assert answer.body == WHOLE
 
@@ -173,7 +163,7 @@
 
 def test_handle_that_is_not_taken_is_freed(fleet: GatewayFleet, run: Run) -> None:
     reader = run(add_reader(fleet))
-    script_first(fleet, decline)
+    script_first(fleet.engines, decline)
     answer = run(fleet.make_caller().call("/stream/x", body=b"p", **LONG))
     assert answer.complete
     run(fleet.wait_for(lambda: reader.freed))
