--- a/bramleyport/gateway/_daemon.py
+++ b/bramleyport/gateway/_daemon.py
@@ -37,6 +37,11 @@
 HOUSEKEEPING_S: Final = 0.25
 SETTINGS_CHECK_S: Final = 2.0
 BACKLOG: Final = 512
+# A job that ended with an error is started again after this time.
+JOB_RETRY_S: Final = 0.5
+
+
+Job = Callable[[], Coroutine[Any, Any, None]]
 
 
 class Gateway:
@@ -91,7 +96,7 @@
         loop = asyncio.get_running_loop()
         loop.add_signal_handler(signal.SIGHUP, self._reload)
         for job in self._list_jobs():
-            self._tasks.append(loop.create_task(job))
+            self._tasks.append(loop.create_task(self._keep_running(job)))
         log_event(
             events.PROCESS_STARTED,
             callers=str(settings.caller_address),
@@ -140,7 +145,7 @@
         while not done(loop.time()):
             await asyncio.sleep(0.05)
 
-    def _list_jobs(self) -> list[Coroutine[Any, Any, None]]:
+    def _list_jobs(self) -> list[Job]:
         settings = self._state.settings
         configuration = ConfigurationFollower(self._state)
         follow_configuration = Follower(
@@ -160,15 +165,26 @@
             PAUSE_PART * settings.drain_s,
         )
         return [
-            follow_configuration.run(),
-            follow_registrations.run(),
-            self._directory.run(),
-            self._keep_house(),
-            self._watch_settings(),
-            self._greet_peers(),
-            self._stages.run(),
+            follow_configuration.run,
+            follow_registrations.run,
+            self._directory.run,
+            self._keep_house,
+            self._watch_settings,
+            self._greet_peers,
+            self._stages.run,
         ]
 
+    async def _keep_running(self, job: Job) -> None:
+        """Run a job, again if it ends with an error, until it ends by itself."""
+        while True:
+            try:
+                await job()
+                return
+            except Exception as error:  # logged; the process serves on without it
+                name = getattr(job, "__qualname__", repr(job))
+                log_event(events.HANDLER_FAILED, step=name, error=repr(error))
+                await asyncio.sleep(JOB_RETRY_S)
+
     async def _keep_house(self) -> None:
         ready = False
         while True:
--- a/bramleyport/platform/_wire.py
+++ b/bramleyport/platform/_wire.py
@@ -1,5 +1,6 @@
 """Check the types of decoded documents before their values are used."""
 
+import math
 from collections.abc import Mapping
 from typing import Any
 
@@ -25,6 +26,9 @@
     value = document.get(name, default)
     if isinstance(value, bool) or not isinstance(value, (int, float)):
         raise MalformedDocumentError(f"{name} is not a number: {value!r:.60}")
+    # JSON as it is read here also knows infinity and not-a-number.
+    if not math.isfinite(value):
+        raise MalformedDocumentError(f"{name} is not finite")
     return value
 
 
--- a/tests/test_gateway_state.py
+++ b/tests/test_gateway_state.py
@@ -145,6 +145,19 @@
     run(fleet.wait_for(lambda: used.name not in caches))
 
 
+def test_failed_job_is_started_again(fleet: GatewayFleet, run: Run) -> None:
+    # A follower that ended with an error left its gateway on old configurations.
+    runs = []
+
+    async def fail_once() -> None:
+        runs.append(1)
+        if len(runs) == 1:
+            raise KeyError("unexpected")
+
+    run(fleet.gateway._keep_running(fail_once))
+    assert len(runs) == 2
+
+
 def test_settings_that_change_without_a_signal_are_read(
     fleet: GatewayFleet, run: Run
 ) -> None:
--- a/tests/test_platform_contract.py
+++ b/tests/test_platform_contract.py
@@ -6,7 +6,9 @@
 
 import pytest
 import yaml
+from click.testing import CliRunner
 
+from bramleyport.cli._main import main
 from bramleyport.core import (
     FencingNumber,
     ProcessId,
@@ -78,6 +80,8 @@
         {"slots": "64"},
         {"slots": -1},
         {"slots": True},
+        {"slots": float("inf")},
+        {"slots": float("nan")},
         {"state": "sleeping"},
         {"stage": "both"},
         {"born": 1.5},
@@ -344,3 +348,14 @@
     path.write_text("- a\n")
     with pytest.raises(SettingsError):
         load_node_settings(path)
+
+
+def test_check_names_a_wrong_field_of_the_platforms_settings(tmp_path: Path) -> None:
+    path = tmp_path / "local.yaml"
+    settings = make_settings(8142)
+    path.write_text(yaml.safe_dump(settings))
+    assert CliRunner().invoke(main, ["check", "gateway", str(path)]).exit_code == 0
+    path.write_text(yaml.safe_dump(settings | {"ip": 7}))
+    result = CliRunner().invoke(main, ["check", "gateway", str(path)])
+    assert result.exit_code == 2
+    assert "ip is not a text" in result.output
