--- a/tests/test_gateway_soak.py
+++ b/tests/test_gateway_soak.py
@@ -61,6 +61,27 @@
     assert bool(checked.findings.broken) is broken
 
 
+@pytest.mark.parametrize(
+    ("code", "log", "broken"),
+    [
+        (0, b'{"event": 1001}', False),
+        (-15, b"", False),
+        (-15, b'{"event": 1001}', True),
+        (1, b"", True),
+    ],
+    ids=["stopped", "not listening yet", "stop not finished", "failed"],
+)
+def test_end_after_a_stop_is_checked(
+    tmp_path: Path, code: int, log: bytes, broken: bool
+) -> None:
+    checked = Soak(1, tmp_path)
+    earlier = b'{"event": 1001} of an earlier start'
+    (tmp_path / "g0.log").write_bytes(earlier + log)
+    checked.log_starts[0] = len(earlier)
+    checked._check_end(0, code)
+    assert bool(checked.findings.broken) is broken
+
+
 def test_run_that_no_caller_sent_is_found(tmp_path: Path) -> None:
     checked = Soak(1, tmp_path)
     request = RawRequest("POST", "/post/x", {"request-id": "inner"}, b"")
