--- a/tests/test_gateway_state.py
+++ b/tests/test_gateway_state.py
@@ -96,7 +96,7 @@
     fleet: GatewayFleet, run: Run
 ) -> None:
     # Only the removal reaches the watch; the object's last state says that it left.
-    # DRAIN on chb-ledger, trouble-1 --seed 148262528067.
+    # Found by a hunt: DRAIN, trouble-1 --seed 148262528067.
     async def leave() -> None:
         fleet.store.refuse_with = 503
         fleet.store.reset_all()
