Read a prompt apart once at most

After a prefill a call now goes where its prompt is read, with the prefix fetched. A test failed first.

--- a/bramleyport/fleet/_choice.py
+++ b/bramleyport/fleet/_choice.py
@@ -93,6 +93,8 @@
         engine: EngineTraits | None,
         excluded: Collection[UpstreamId],
         now_s: float,
+        *,
+        may_split: bool = True,
     ) -> Choice | None:
         """Return the best choice, or None where no upstream takes work."""
         ready = [
@@ -102,6 +104,8 @@
         ]
         if engine is None or call.prompt is None:
             return self._choose_plain(ready)
+        if not may_split:
+            ready = [item for item in ready if item.stage is not Stage.PREFILL]
         return self._choose_engine(call, call.prompt, engine, ready, now_s)
 
     def choose_target(
--- a/bramleyport/gateway/_attempt.py
+++ b/bramleyport/gateway/_attempt.py
@@ -71,20 +71,30 @@
         now_s = read_now()
         call = context.call
         avoided = self.state.list_avoided(call.service, now_s)
-        chooser = self.state.chooser
-        excluded = avoided | context.tried
-        choice = chooser.choose(call, context.engine, excluded, now_s)
+        choice = self._choose(context, avoided | context.tried, now_s)
         if choice is None and context.tried:
-            choice = chooser.choose(call, context.engine, avoided, now_s)
+            choice = self._choose(context, avoided, now_s)
         if choice is None:
             ejected = self.state.list_ejected(call.service, now_s)
-            choice = chooser.choose(call, context.engine, ejected, now_s)
+            choice = self._choose(context, ejected, now_s)
         decision = admit(call, choice, now_s)
         if choice is None or isinstance(decision, Rejected):
             assert isinstance(decision, Rejected)
             return decision
         return choice
 
+    def _choose(
+        self, context: CallContext, excluded: set[UpstreamId], now_s: float
+    ) -> Choice | None:
+        # The prompt is read apart once at most: a further prefill counts as a repeat.
+        return self.state.chooser.choose(
+            context.call,
+            context.engine,
+            excluded,
+            now_s,
+            may_split=not context.prefill_s,
+        )
+
     def choose_target(self, context: CallContext) -> Registration | None:
         """Choose where a call whose prompt has been read elsewhere runs."""
         now_s = read_now()
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -230,6 +230,7 @@
         self.freed: list[str] = []
         self.accepted_orders = 0
         self.prefill_hangs = False
+        self.prefills = 0
         self.script: Script = answer_whole
         self.scripts: list[Script] = []
         self._handles = itertools.count(1)
@@ -278,6 +279,7 @@
         elif headers.get("stage") == "prefill" and self.prefill_hangs:
             await asyncio.sleep(60)
         elif headers.get("stage") == "prefill":
+            self.prefills += 1
             handle = f"{self.name}-h{next(self._handles)}"
             body = json.dumps({"kv_handle": handle, "tokens": 1, "version": 1})
             writer.write(render(200, body.encode(), Request_Id=headers["request-id"]))
--- a/tests/test_gateway_streams.py
+++ b/tests/test_gateway_streams.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from bramleyport.fleet import Chooser
 from tests.gateway_fleet import LANGUAGE, GatewayFleet
 from tests.platform_standin import (
     EVENT_COUNT,
@@ -170,6 +171,25 @@
     assert reader.freed[0] == "reader-h1"
 
 
+def test_declined_handle_is_not_followed_by_another_prefill(
+    fleet: GatewayFleet, run: Run, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    # Each retry of a split call reached two engines while the budget counted one:
+    # BUDGET, trouble-3 --seed 629650778339.
+    weigh = Chooser._weigh_direct
+
+    def prefer_splits(*arguments: Any) -> Any:
+        score, choice = weigh(*arguments)
+        return score + 10.0, choice
+
+    monkeypatch.setattr(Chooser, "_weigh_direct", prefer_splits)
+    reader = run(add_reader(fleet))
+    script_first(fleet.engines, decline)
+    answer = run(fleet.make_caller().call("/stream/x", body=b"p", **LONG))
+    assert (answer.body, answer.complete) == (WHOLE, True)
+    assert reader.prefills == 1
+
+
 def test_failed_reader_costs_no_call(fleet: GatewayFleet, run: Run) -> None:
     reader = run(add_reader(fleet))
     run(reader.stop())
