--- a/bramleyport/gateway/_daemon.py
+++ b/bramleyport/gateway/_daemon.py
@@ -30,8 +30,9 @@
 # Callers reach a leaving gateway until the balancer has seen two failed checks, which
 # it makes once a second.
 UNREADY_S: Final = 3.0
-# Time for the last answers before the platform kills the process.
-STOP_MARGIN_S: Final = 0.5
+# Time for the interpreter to end before the platform kills the process; on the smallest
+# hosts it has a third of a core.
+STOP_MARGIN_S: Final = 1.0
 # A store that answers does so in milliseconds.
 LEAVE_TIMEOUT_S: Final = 0.2
 HOUSEKEEPING_S: Final = 0.25
