--- a/bramleyport/gateway/_attempt.py
+++ b/bramleyport/gateway/_attempt.py
@@ -197,6 +197,7 @@
             prefill=choice.prefill.upstream if choice.prefill else "",
             reason=choice.explanation.reason,
             left_s=round(context.left_s, 3),
+            tokens_out=context.call.prompt.tokens_out if context.call.prompt else 0,
             **choice.explanation.numbers,
         )
 
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -3,6 +3,7 @@
 import asyncio
 import itertools
 import json
+import time
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from typing import Any
@@ -214,6 +215,7 @@
 class Run:
     request: RawRequest
     ended: bool = False
+    started_s: float = field(default_factory=time.monotonic)
 
 
 class UpstreamStandin(RawServer):
--- /dev/null
+++ b/tests/soak/_seeds.py
@@ -0,0 +1,8 @@
+"""Seeds that failed once, each with its cause."""
+
+FAILED_SEEDS = {
+    110: "stopped before it listened: it may end by the signal",
+    116: "as 110",
+    117: "as 110",
+    118: "as 110",
+}
