Take prompts that were never read out of the modelled caches

Two faults: 1. A part of a prompt counted as cached from the moment a call with it was sent. When that call ended before its prompt was read (the caller left, the engine fell silent, a gateway was killed, a prefill failed), the part stayed in the model for good. The next call with that prompt was sent to run there, and its unexpected reading held up all others (28.8 s: nothing moved at that engine for 1.4 s). 2. A call that is tried again may not have its prompt read apart once more. Engines that only read prompts were left out altogether, also as the source of a fetch, so 19,386 tokens that such an engine held were read again. Parts now count their readers and are dropped when the last of them ends unread, here and at every gateway that hears of it; a failed prefill confirms nothing; holders are looked for among all engines.

Ruled out: transfers (14 ms for 20,000 tokens), processor time of the gateways (0.1 of a core), preemption (none was counted).

--- a/bramleyport/composition.py
+++ b/bramleyport/composition.py
@@ -313,6 +313,7 @@
         store,
         exchanger,
         forwarder,
+        tracker,
         peers,
         metrics.metrics,
         metrics_port,
--- a/bramleyport/fleet/_choice.py
+++ b/bramleyport/fleet/_choice.py
@@ -104,9 +104,9 @@
         ]
         if engine is None or call.prompt is None:
             return self._choose_plain(ready)
-        if not may_split:
-            ready = [item for item in ready if item.stage is not Stage.PREFILL]
-        return self._choose_engine(call, call.prompt, engine, ready, now_s)
+        return self._choose_engine(
+            call, call.prompt, engine, ready, now_s, may_split=may_split
+        )
 
     def choose_target(
         self, call: Call, excluded: Collection[UpstreamId], now_s: float
@@ -144,7 +144,10 @@
         engine: EngineTraits,
         ready: Sequence[Registration],
         now_s: float,
+        *,
+        may_split: bool,
     ) -> Choice | None:
+        # Also an engine that only reads prompts can send what it has read.
         holder = self._find_holder(prompt, ready)
         decoders = [item for item in ready if item.stage is not Stage.PREFILL]
         choices = [
@@ -155,7 +158,7 @@
             )
             for item in decoders
         ]
-        if decoders:
+        if decoders and may_split:
             target = self._choose_decoder(decoders, now_s)
             for item in ready:
                 if item.stage is not Stage.PREFILL:
--- a/bramleyport/fleet/_load.py
+++ b/bramleyport/fleet/_load.py
@@ -90,15 +90,16 @@
         self._busy_effort += work.effort
         return ReadWork(work, self._take_sample(now_s))
 
-    def remove(self, request: RequestId, now_s: float) -> None:
-        """Note that work has ended."""
+    def remove(self, request: RequestId, now_s: float) -> Work | None:
+        """Note that work has ended, and return it."""
         work = self._works.pop(request, None)
         if work is None:
-            return
+            return None
         self._advanced_s = max(self._advanced_s, now_s)
         if work.reading:
             # How much of it was read is not known.
             self._restart_sample(now_s)
+        return work
 
     def forecast_wait(self, priority: int, now_s: float) -> float:
         """Return the seconds until the engine has read what goes before new work."""
@@ -126,15 +127,16 @@
         """Return how many calls the engine runs, their prompts being read."""
         return sum(not work.reading for work in self._works.values())
 
-    def drop_lost(self, now_s: float) -> None:
-        """Drop work whose end was never heard of."""
+    def drop_lost(self, now_s: float) -> list[Work]:
+        """Drop and return work whose end was never heard of."""
         lost = [
-            work.request
+            work
             for work in self._works.values()
             if now_s - work.started_s > LOST_WORK_S
         ]
-        for request in lost:
-            del self._works[request]
+        for work in lost:
+            del self._works[work.request]
+        return lost
 
     def _take_sample(self, now_s: float) -> ReadSample | None:
         idle = not any(work.reading for work in self._works.values())
@@ -170,13 +172,14 @@
         """Drop the load of an upstream that is gone or has started again."""
         self._loads.pop(upstream, None)
 
-    def drop_origin(self, origin: str, now_s: float) -> None:
-        """Drop the work of a gateway that will not report its end."""
-        for load in self._loads.values():
-            for request in [work.request for work in load if work.origin == origin]:
-                load.remove(request, now_s)
-
-    def drop_lost(self, now_s: float) -> None:
-        """Drop work whose end was never heard of."""
-        for load in self._loads.values():
-            load.drop_lost(now_s)
+    def drop_origin(self, origin: str, now_s: float) -> list[Work]:
+        """Drop and return the work of a gateway that will not report its end."""
+        dropped = [work for load in self._loads.values() for work in load]
+        dropped = [work for work in dropped if work.origin == origin]
+        for work in dropped:
+            self.of(work.upstream).remove(work.request, now_s)
+        return dropped
+
+    def drop_lost(self, now_s: float) -> list[Work]:
+        """Drop and return work whose end was never heard of."""
+        return [work for load in self._loads.values() for work in load.drop_lost(now_s)]
--- a/bramleyport/fleet/_prefixes.py
+++ b/bramleyport/fleet/_prefixes.py
@@ -13,8 +13,8 @@
     def __init__(self, capacity_tokens: int) -> None:
         self.capacity_tokens = capacity_tokens
         self._parts: OrderedDict[PrefixId, int] = OrderedDict()
-        # Parts that were sent to the engine and may still wait to be read.
-        self._unread: set[PrefixId] = set()
+        # Parts that no call has read yet, and how many calls may still read them.
+        self._unread: dict[PrefixId, int] = {}
         self._tokens = 0
 
     def count_cached(self, parts: Iterable[PromptPart]) -> int:
@@ -27,18 +27,33 @@
 
     def confirm(self, parts: Iterable[PromptPart]) -> None:
         """Note that the engine has read the parts."""
-        self._unread.difference_update(part.prefix for part in parts)
+        for part in parts:
+            self._unread.pop(part.prefix, None)
+
+    def abandon(self, parts: Iterable[PromptPart]) -> None:
+        """Drop what only a call would have read that ended before."""
+        for part in parts:
+            readers = self._unread.get(part.prefix)
+            if readers is None:
+                continue
+            if readers > 1:
+                self._unread[part.prefix] = readers - 1
+                continue
+            del self._unread[part.prefix]
+            self._tokens -= self._parts.pop(part.prefix)
 
     def add(self, parts: Iterable[PromptPart]) -> None:
         """Note that the parts are about to be read or used."""
         for part in parts:
             if part.prefix not in self._parts:
-                self._unread.add(part.prefix)
+                self._unread[part.prefix] = 1
+            elif part.prefix in self._unread:
+                self._unread[part.prefix] += 1
             self._tokens += part.tokens - self._parts.pop(part.prefix, 0)
             self._parts[part.prefix] = part.tokens
         while self._tokens > self.capacity_tokens and self._parts:
             prefix, tokens = self._parts.popitem(last=False)
-            self._unread.discard(prefix)
+            self._unread.pop(prefix, None)
             self._tokens -= tokens
 
     def _count(self, parts: Iterable[PromptPart], *, read_only: bool) -> int:
@@ -76,6 +91,12 @@
         if cache is not None:
             cache.confirm(parts)
 
+    def abandon(self, upstream: UpstreamId, parts: Iterable[PromptPart]) -> None:
+        """Note that a call ended before an engine had read its prompt."""
+        cache = self._caches.get(upstream)
+        if cache is not None:
+            cache.abandon(parts)
+
     def add(
         self, upstream: UpstreamId, parts: Iterable[PromptPart], capacity_tokens: int
     ) -> None:
--- a/bramleyport/gateway/_daemon.py
+++ b/bramleyport/gateway/_daemon.py
@@ -17,6 +17,7 @@
 from bramleyport.gateway._readiness import Readiness
 from bramleyport.gateway._stages import StageController
 from bramleyport.gateway._state import GatewayState
+from bramleyport.gateway._tracker import Tracker
 from bramleyport.gateway._watch import (
     PAUSE_PART,
     ConfigurationFollower,
@@ -56,6 +57,7 @@
         store: StoreClient,
         exchanger: Exchanger,
         forwarder: Forwarder,
+        tracker: Tracker,
         peers: PeerLink,
         metrics: Metrics,
         metrics_port: int | None,
@@ -65,6 +67,7 @@
         self._reactor = reactor
         self._store = store
         self._exchanger = exchanger
+        self._tracker = tracker
         self._peers = peers
         self._directory = PeerDirectory(state.settings, store, peers)
         self._readiness = Readiness(state)
@@ -190,10 +193,9 @@
         ready = False
         while True:
             await asyncio.sleep(HOUSEKEEPING_S)
-            now_s = read_now()
             self._registrations.drop_missing()
             self._caches.read_new()
-            self._state.loads.drop_lost(now_s)
+            self._tracker.drop_lost()
             self._peers.drop_silent()
             if self._readiness.ready != ready:
                 ready = self._readiness.ready
--- a/bramleyport/gateway/_peers.py
+++ b/bramleyport/gateway/_peers.py
@@ -129,7 +129,7 @@
             self._forget(message.process, "leaving")
             return
         self._hear(message.process, addr, now_s)
-        self._note_incarnation(message, now_s)
+        self._note_incarnation(message)
         self._apply(message, now_s)
 
     def _apply(self, message: PeerMessage, now_s: float) -> None:
@@ -140,7 +140,7 @@
         for ref in message.read:
             self._tracker.apply_read(ref.upstream, ref.request)
         for ref in message.ended:
-            self._state.loads.of(ref.upstream).remove(ref.request, now_s)
+            self._tracker.apply_ended(ref.upstream, ref.request)
 
     def _hear(self, process: ProcessId, addr: Any, now_s: float) -> None:
         if process not in self._heard_s:
@@ -149,19 +149,18 @@
         self._heard_s[process] = now_s
         self._state.gateways = 1 + len(self._heard_s)
 
-    def _note_incarnation(self, message: PeerMessage, now_s: float) -> None:
+    def _note_incarnation(self, message: PeerMessage) -> None:
         known = self._incarnations.get(message.process, 0)
         if message.incarnation > known:
             self._incarnations[message.process] = message.incarnation
-            self._state.loads.drop_origin(message.process, now_s)
+            self._tracker.drop_origin(message.process)
 
     def _make_message(self, **fields: Any) -> PeerMessage:
         process = self._state.settings.process
         return PeerMessage(process=process, incarnation=self._incarnation, **fields)
 
     def _forget(self, process: ProcessId, reason: str) -> None:
-        now_s = read_now()
-        self._state.loads.drop_origin(process, now_s)
+        self._tracker.drop_origin(process)
         if self._heard_s.pop(process, None) is not None:
             self._state.gateways = 1 + len(self._heard_s)
             log_event(gateway_events.PEER_LOST, peer=process, reason=reason)
--- a/bramleyport/gateway/_prefill.py
+++ b/bramleyport/gateway/_prefill.py
@@ -67,8 +67,9 @@
                 reason=str(error),
             )
             raise PrefillError(reader.upstream, str(error)) from error
-        finally:
+        else:
             self._tracker.finish_reading(context.call, reader)
+        finally:
             self._tracker.end(context.call, reader)
         self._note(reader, failed=False)
         context.prefill_s = read_now() - started_s
--- a/bramleyport/gateway/_tracker.py
+++ b/bramleyport/gateway/_tracker.py
@@ -1,6 +1,6 @@
 """Record what is sent to upstreams, here and for the other gateways."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 
 from bramleyport.core import RequestId, UpstreamId
@@ -59,8 +59,7 @@
 
     def end(self, call: Call, target: Registration) -> None:
         """Note that an upstream has nothing left to do for a call."""
-        now_s = read_now()
-        self._state.loads.of(target.upstream).remove(call.request, now_s)
+        self.apply_ended(target.upstream, call.request)
         self._pending.ended.append((target.upstream, call.request))
         self._announce()
 
@@ -87,6 +86,26 @@
         if sample is not None:
             self._state.speeds.record(upstream, stage, sample.effort, sample.took_s)
 
+    def apply_ended(self, upstream: UpstreamId, request: RequestId) -> None:
+        """Note that an upstream has nothing left to do for some gateway's call."""
+        work = self._state.loads.of(upstream).remove(request, read_now())
+        if work is not None:
+            self._abandon([work])
+
+    def drop_origin(self, origin: str) -> None:
+        """Drop the work of a gateway that will not report its end."""
+        self._abandon(self._state.loads.drop_origin(origin, read_now()))
+
+    def drop_lost(self) -> None:
+        """Drop work whose end was never heard of."""
+        self._abandon(self._state.loads.drop_lost(read_now()))
+
+    def _abandon(self, works: Iterable[Work]) -> None:
+        """Take back that engines will have read prompts that nobody waits for."""
+        for work in works:
+            if work.reading:
+                self._state.prefixes.abandon(work.upstream, work.parts)
+
     def take_pending(self) -> PendingNews:
         """Return and clear what the other gateways have yet to hear."""
         pending = self._pending
--- a/tests/test_fleet_choice.py
+++ b/tests/test_fleet_choice.py
@@ -50,6 +50,19 @@
     assert choice.prefix_source is None
 
 
+def test_prefix_is_fetched_from_an_engine_that_only_reads_prompts() -> None:
+    # A stream that broke was read again as a whole, in the way of all that ran there.
+    fleet = FleetModel(make_engine("d"), make_engine("p", Stage.PREFILL))
+    fleet.prefixes.add(UpstreamId("p"), LONG.parts, 500_000)
+    fleet.prefixes.confirm(UpstreamId("p"), LONG.parts)
+    choice = fleet.chooser.choose(make_call(LONG), ENGINE, (), 0.0, may_split=False)
+    assert choice is not None
+    assert choice.prefill is None
+    assert choice.prefix_source is not None
+    assert choice.prefix_source.upstream == "p"
+    assert choice.unread_tokens == 0
+
+
 def test_long_prompt_is_read_by_a_prefill_engine() -> None:
     fleet = FleetModel(make_engine("d"), make_engine("p", Stage.PREFILL))
     choice = fleet.chooser.choose(make_call(LONG), ENGINE, (), 0.0)
--- a/tests/test_fleet_load.py
+++ b/tests/test_fleet_load.py
@@ -10,6 +10,7 @@
 from tests.fleet_builders import FleetModel, make_call, make_engine, make_prompt
 
 ENGINE = UpstreamId("e")
+PROMPT = make_prompt(("shared", 300), ("own", 100))
 
 
 def test_wait_is_what_goes_first_less_what_is_done() -> None:
@@ -113,6 +114,32 @@
     assert cache.count_cached(prompt.parts) == 0
 
 
+def test_part_that_nobody_will_read_is_not_cached() -> None:
+    # A caller that left before its prompt was read made the next one with that prompt
+    # wait for an engine that was thought to have it.
+    cache = PrefixCache(1_000)
+    cache.add(PROMPT.parts)
+    cache.abandon(PROMPT.parts)
+    assert cache.count_cached(PROMPT.parts) == 0
+
+
+def test_part_that_another_call_still_reads_stays() -> None:
+    cache = PrefixCache(1_000)
+    cache.add(PROMPT.parts)
+    cache.add(PROMPT.parts)
+    cache.abandon(PROMPT.parts)
+    assert cache.count_cached(PROMPT.parts) == PROMPT.tokens_in
+
+
+def test_part_that_was_read_stays_after_other_calls_end() -> None:
+    cache = PrefixCache(1_000)
+    cache.add(PROMPT.parts)
+    cache.add(PROMPT.parts)
+    cache.confirm(PROMPT.parts)
+    cache.abandon(PROMPT.parts)
+    assert cache.count_read(PROMPT.parts) == PROMPT.tokens_in
+
+
 def test_part_counts_as_read_once_confirmed() -> None:
     cache = PrefixCache(1_000)
     parts = make_prompt(("a", 10)).parts
--- a/tests/test_gateway_streams.py
+++ b/tests/test_gateway_streams.py
@@ -7,7 +7,9 @@
 
 import pytest
 
+from bramleyport.core import UpstreamId
 from bramleyport.fleet import Chooser
+from tests.fleet_builders import make_prompt
 from tests.gateway_fleet import LANGUAGE, GatewayFleet
 from tests.platform_standin import (
     EVENT_COUNT,
@@ -81,6 +83,31 @@
     assert (answer.body, answer.complete) == (WHOLE, True)
 
 
+def test_prompt_of_a_caller_that_left_is_not_taken_for_cached(
+    fleet: GatewayFleet, run: Run
+) -> None:
+    # The next call with that prompt was sent to an engine that had not read it.
+    async def leave() -> None:
+        for engine in fleet.engines:
+            engine.scripts = [hang]
+        caller = fleet.make_caller()
+        await caller.send("/stream/x", body=b"p", **PROMPT)
+        await fleet.wait_for(fleet.list_runs)
+        assert count_cached(fleet) == 4000
+        caller.close()
+        await fleet.wait_for(lambda: count_cached(fleet) == 0)
+
+    run(leave())
+
+
+def count_cached(fleet: GatewayFleet) -> int:
+    prompt = make_prompt(("aa", 3000), ("bb", 1000))
+    return max(
+        fleet.state.prefixes.count_cached(UpstreamId(engine.name), prompt)
+        for engine in fleet.engines
+    )
+
+
 def test_engine_that_falls_silent_between_events_is_left(
     fleet: GatewayFleet, run: Run
 ) -> None:
