Announce long prompts to the other gateways at once

News of calls waited up to 39 ms for the next datagram.

A prompt that keeps its engine busy for more than two intervals is announced at once.

Ruled out: order within an engine; equal priorities were read first come, first served in 28 of 28 pairs of a long prompt and a later short one.

The test failed before.

--- a/bramleyport/gateway/_peers.py
+++ b/bramleyport/gateway/_peers.py
@@ -42,6 +42,9 @@
 # of all gateways stay bounded.
 FLUSH_S: Final = 0.03
 FLUSH_PER_PEER_S: Final = 0.003
+# A prompt that keeps an engine busy for more than this many intervals is announced at
+# once: until they hear of it, the other gateways send theirs to the same idle engine.
+LONG_FACTOR: Final = 2.0
 # Without news a peer is greeted at this interval, so that it knows of this gateway.
 GREETING_S: Final = 2.0
 # A peer that is silent for this long doesn't count any more.
@@ -165,14 +168,21 @@
             self._state.gateways = 1 + len(self._heard_s)
             log_event(gateway_events.PEER_LOST, peer=process, reason=reason)
 
-    def _schedule(self) -> None:
-        if self._flush_timer is None and self._addresses:
-            delay_s = FLUSH_S + FLUSH_PER_PEER_S * len(self._addresses)
+    def _schedule(self, busy_s: float) -> None:
+        """Send news after a while, or at once if others would choose wrongly till then."""
+        if not self._addresses:
+            return
+        delay_s = FLUSH_S + FLUSH_PER_PEER_S * len(self._addresses)
+        if busy_s > LONG_FACTOR * delay_s:
+            self._flush()
+        elif self._flush_timer is None:
             loop = asyncio.get_running_loop()
             self._flush_timer = loop.call_later(delay_s, self._flush)
 
     def _flush(self) -> None:
-        self._flush_timer = None
+        if self._flush_timer is not None:
+            self._flush_timer.cancel()
+            self._flush_timer = None
         pending = self._tracker.take_pending()
         while pending:
             self._send(self._take_some(pending))
--- a/bramleyport/gateway/_tracker.py
+++ b/bramleyport/gateway/_tracker.py
@@ -27,7 +27,8 @@
     def __init__(self, state: GatewayState) -> None:
         self._state = state
         self._pending = PendingNews()
-        self.on_pending: Callable[[], None] | None = None
+        # Called with how long an engine will be busy with what was just sent.
+        self.on_pending: Callable[[float], None] | None = None
 
     def start(
         self,
@@ -49,7 +50,7 @@
         )
         self.apply(work)
         self._pending.started.append(work)
-        self._announce()
+        self._announce(work.read_s)
 
     def finish_reading(self, call: Call, target: Registration) -> None:
         """Note that an upstream has read the prompt of a call."""
@@ -112,6 +113,6 @@
         self._pending = PendingNews()
         return pending
 
-    def _announce(self) -> None:
+    def _announce(self, busy_s: float = 0.0) -> None:
         if self.on_pending is not None:
-            self.on_pending()
+            self.on_pending(busy_s)
--- a/tests/test_gateway_peers.py
+++ b/tests/test_gateway_peers.py
@@ -9,7 +9,7 @@
 from hypothesis import given, strategies as st
 
 from bramleyport.core import ProcessId, RequestId, UpstreamId
-from bramleyport.fleet import Work
+from bramleyport.fleet import Address, Work
 from bramleyport.gateway._peer_messages import (
     ChangingEngine,
     PeerMessage,
@@ -18,7 +18,7 @@
     decode_message,
     encode_message,
 )
-from tests.fleet_builders import make_prompt
+from tests.fleet_builders import make_call, make_engine, make_prompt
 from tests.gateway_fleet import GatewayFleet
 
 Run = Callable[[Coroutine[Any, Any, Any]], Any]
@@ -94,6 +94,21 @@
     assert len(fleet.state.loads.of(UpstreamId("d0"))) == 0
 
 
+@pytest.mark.parametrize(("read_s", "at_once"), [(0.5, True), (0.01, False)])
+def test_long_prompt_is_announced_before_others_choose(
+    fleet: GatewayFleet, run: Run, read_s: float, at_once: bool
+) -> None:
+    # Three gateways sent 20,000 tokens each to the same idle engine within 30 ms.
+    async def announce() -> None:
+        link = fleet.gateway._peers
+        link.set_addresses({ProcessId("peer"): Address("127.0.0.1", 9)})
+        call = make_call(make_prompt(("aa", 100)))
+        fleet.gateway._tracker.start(call, make_engine("d0"), read_s)
+        assert bool(fleet.gateway._tracker.take_pending()) is not at_once
+
+    run(announce())
+
+
 def test_gateways_share_the_retry_budget_with_those_they_hear(
     fleet: GatewayFleet, run: Run
 ) -> None:
