--- a/bramleyport/gateway/_peers.py
+++ b/bramleyport/gateway/_peers.py
@@ -169,7 +169,7 @@
             log_event(gateway_events.PEER_LOST, peer=process, reason=reason)
 
     def _schedule(self, busy_s: float) -> None:
-        """Send news after a while, or at once if others would choose wrongly till then."""
+        """Send news after a while, or at once if others would choose wrongly."""
         if not self._addresses:
             return
         delay_s = FLUSH_S + FLUSH_PER_PEER_S * len(self._addresses)
