Count slots and running time in forecasts; replace lost decoders at once

A fourth was just changing, so no other was ordered for three seconds.

* A forecast includes the wait for a slot, by priority, and a call is admitted only if its expected run ends in time too; run times are learnt by route.
* Reading a prompt beside running calls is weighed by the time that these lose.
* Engines are ordered back to running calls at once when fewer are left than are kept against losses; a decoder goes back to reading only if the others then stay well below the part of slots at which one is added; at most two thirds run calls.

--- a/bramleyport/fleet/__init__.py
+++ b/bramleyport/fleet/__init__.py
@@ -6,6 +6,7 @@
 from bramleyport.fleet._members import Membership
 from bramleyport.fleet._prefixes import PrefixCache, PrefixIndex
 from bramleyport.fleet._routes import RouteTable, choose_service
+from bramleyport.fleet._runs import RunTimes
 from bramleyport.fleet._speed import ReadSpeeds
 from bramleyport.fleet._stages import EngineView, StageChange, StagePlanner
 from bramleyport.fleet._types import (
@@ -50,6 +51,7 @@
     "Route",
     "RouteName",
     "RouteTable",
+    "RunTimes",
     "ServiceConfig",
     "ServiceShare",
     "Stage",
--- a/bramleyport/fleet/_admission.py
+++ b/bramleyport/fleet/_admission.py
@@ -23,10 +23,15 @@
             reason="no_upstream", numbers={"left_s": round(left_s, 3)}
         )
         return Rejected(explanation, NO_UPSTREAM_RETRY_S)
-    numbers = {**choice.explanation.numbers, "left_s": round(left_s, 3)}
-    if choice.forecast_s <= left_s * USABLE_PART:
+    numbers = {
+        **choice.explanation.numbers,
+        "run_s": round(choice.run_s, 3),
+        "left_s": round(left_s, 3),
+    }
+    needed_s = choice.forecast_s + choice.run_s
+    if needed_s <= left_s * USABLE_PART:
         return Admitted(Explanation(reason=choice.explanation.reason, numbers=numbers))
     # By then enough of the queue has been read for the call to fit.
-    over_s = choice.forecast_s - left_s * USABLE_PART
+    over_s = needed_s - left_s * USABLE_PART
     retry_s = min(MAX_RETRY_S, max(MIN_RETRY_S, over_s))
     return Rejected(Explanation(reason="too_late", numbers=numbers), retry_s)
--- a/bramleyport/fleet/_choice.py
+++ b/bramleyport/fleet/_choice.py
@@ -9,6 +9,7 @@
 from bramleyport.fleet._load import LoadBook
 from bramleyport.fleet._members import Membership
 from bramleyport.fleet._prefixes import PrefixIndex
+from bramleyport.fleet._runs import RunTimes
 from bramleyport.fleet._speed import ReadSpeeds, measure_effort
 from bramleyport.fleet._types import (
     Call,
@@ -31,8 +32,8 @@
 OTHER_ZONE_S: Final = 0.01
 # Spreads first uses of a prefix alike in all gateways, without asking each other.
 SPREAD_S: Final = 0.02
-# An engine that reads a prompt slows those that decode beside it a little.
-RUNNING_S: Final = 0.001
+# Weight of the time by which reading a prompt delays each call that runs beside it.
+RUNNING_WEIGHT: Final = 0.3
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -44,8 +45,9 @@
     prefill: Registration | None = None
     # Holds more of the prompt than the engine that reads it.
     prefix_source: Registration | None = None
-    # Expected time to the first byte of the answer.
+    # Expected time to the first byte of the answer, and from there to its end.
     forecast_s: float = 0.0
+    run_s: float = 0.0
     wait_s: float = 0.0
     read_s: float = 0.0
     effort: float = 0.0
@@ -80,12 +82,14 @@
         loads: LoadBook,
         prefixes: PrefixIndex,
         speeds: ReadSpeeds,
+        runs: RunTimes,
     ) -> None:
         self._place = place
         self._members = members
         self._loads = loads
         self._prefixes = prefixes
         self._speeds = speeds
+        self._runs = runs
 
     def choose(
         self,
@@ -191,19 +195,23 @@
     def _weigh_direct(
         self, call: Call, item: Registration, reading: "Reading"
     ) -> tuple[float, Choice]:
-        running_s = RUNNING_S * len(self._loads.of(item.upstream))
-        forecast_s = reading.ready_s + running_s
+        load = self._loads.of(item.upstream)
+        slot_s = self._runs.forecast_slot(call, load, item.slots)
+        forecast_s = reading.ready_s + max(0.0, slot_s - reading.wait_s)
         choice = Choice(
             upstream=item,
             prefix_source=reading.source,
             forecast_s=forecast_s,
+            run_s=self._runs.forecast(call),
             wait_s=reading.wait_s,
             read_s=reading.read_s,
             effort=reading.effort,
             unread_tokens=reading.unread,
             explanation=_explain("direct", forecast_s, reading),
         )
-        return forecast_s + self._weigh(call.prompt, item, reading), choice
+        delay_s = RUNNING_WEIGHT * reading.read_s * len(load)
+        weight_s = self._weigh(call.prompt, item, reading) + delay_s
+        return forecast_s + weight_s, choice
 
     def _weigh_split(
         self,
@@ -220,13 +228,15 @@
         step_s = self._speeds.forecast(target.upstream, Stage.DECODE, 1)
         load = self._loads.of(target.upstream)
         target_wait_s = load.forecast_wait(call.route.priority, now_s)
-        behind_s = max(0.0, target_wait_s - reading.ready_s)
+        slot_s = self._runs.forecast_slot(call, load, target.slots)
+        behind_s = max(0.0, max(target_wait_s, slot_s) - reading.ready_s)
         forecast_s = reading.ready_s + moved_s + step_s + behind_s
         choice = Choice(
             upstream=target,
             prefill=reader,
             prefix_source=reading.source,
             forecast_s=forecast_s,
+            run_s=self._runs.forecast(call),
             wait_s=reading.wait_s,
             read_s=reading.read_s,
             effort=reading.effort,
--- a/bramleyport/fleet/_load.py
+++ b/bramleyport/fleet/_load.py
@@ -123,6 +123,10 @@
             for work in self._works.values()
         )
 
+    def count_ahead(self, priority: int) -> int:
+        """Return how many calls take a slot before new work of a priority."""
+        return sum(work.priority <= priority for work in self._works.values())
+
     def count_running(self) -> int:
         """Return how many calls the engine runs, their prompts being read."""
         return sum(not work.reading for work in self._works.values())
--- a/bramleyport/fleet/_stages.py
+++ b/bramleyport/fleet/_stages.py
@@ -13,6 +13,12 @@
 DECODER_PART: Final = 1 / 3
 # Part of the slots that running calls may take before another engine is added.
 SLOT_PART: Final = 0.4
+# An engine goes back to reading only if the others then stay below this part; nearer to
+# the one above, engines would change to and fro.
+RETURN_SLOT_PART: Final = 0.25
+# Most of the engines that run calls, however many calls there are: prompts that nobody
+# has read fill no slots.
+MAX_DECODER_PART: Final = 2 / 3
 # Mean seconds of unread prompts per engine above which an engine is moved to reading.
 BACKLOG_S: Final = 0.1
 # Looks without any work after which spare engines are moved to reading. While nothing
@@ -37,6 +43,8 @@
     running: int
     changing: bool = False
     ejected: bool = False
+    # The stage that a changing engine was told to take, where that is known.
+    ordered: Stage | None = None
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -74,21 +82,26 @@
         readers = [v for v in settled if v.registration.stage is Stage.PREFILL]
         if not decoders and not readers:
             return None
-        needed = self._count_needed(alive, slots)
+        needed = self._count_needed(alive, slots, SLOT_PART)
+        coming = sum(view.changing and view.ordered is Stage.DECODE for view in alive)
         numbers = {
             "decoders": float(len(decoders)),
             "needed": float(needed),
             "backlog_s": round(self._backlog_s, 3),
             "changing": float(changing),
         }
+        if len(decoders) + coming < self._count_kept(engines):
+            # Engines were lost: the others would fill up before one more had changed.
+            return self._change(readers, Stage.DECODE, "lost_decoders", numbers, now_s)
         allowed = max(1, int(CHANGING_PART * len(alive)))
-        if changing >= allowed and decoders:
+        if changing >= allowed:
             return None
-        if len(decoders) < needed:
+        if len(decoders) + coming < needed:
             return self._change(readers, Stage.DECODE, "few_decoders", numbers, now_s)
-        if len(decoders) > needed and self._backlog_s > BACKLOG_S:
+        spare = len(decoders) > self._count_needed(alive, slots, RETURN_SLOT_PART)
+        if spare and self._backlog_s > BACKLOG_S:
             return self._change(decoders, Stage.PREFILL, "backlog", numbers, now_s)
-        if len(decoders) > needed and self._idle_looks >= IDLE_LOOKS:
+        if spare and self._idle_looks >= IDLE_LOOKS:
             return self._change(decoders, Stage.PREFILL, "idle", numbers, now_s)
         return None
 
@@ -102,11 +115,17 @@
         busy = any(view.backlog_s > 0 or view.running for view in engines)
         self._idle_looks = 0 if busy else self._idle_looks + 1
 
-    def _count_needed(self, engines: Sequence[EngineView], slots: int) -> int:
+    def _count_needed(
+        self, engines: Sequence[EngineView], slots: int, slot_part: float
+    ) -> int:
         running = sum(view.running for view in engines)
-        by_slots = -(-running // max(1, int(slots * SLOT_PART)))
-        by_loss = max(MIN_DECODERS, int(DECODER_PART * len(engines)))
-        return max(by_slots, by_loss)
+        by_slots = -(-running // max(1, int(slots * slot_part)))
+        most = int(MAX_DECODER_PART * len(engines))
+        return max(min(by_slots, most), self._count_kept(engines))
+
+    def _count_kept(self, engines: Sequence[EngineView]) -> int:
+        """Return how many engines run calls however few of these there are."""
+        return max(MIN_DECODERS, int(DECODER_PART * len(engines)))
 
     def _change(
         self,
--- a/bramleyport/gateway/_stages.py
+++ b/bramleyport/gateway/_stages.py
@@ -126,6 +126,7 @@
             if item.stage is None:
                 continue
             load = self._state.loads.of(item.upstream)
+            ordered = self._ordered.get(item.upstream)
             views.append(
                 EngineView(
                     registration=item,
@@ -133,6 +134,7 @@
                     running=load.count_running(),
                     changing=self._is_changing(item, now_s),
                     ejected=item.upstream in ejected,
+                    ordered=ordered.stage if ordered else None,
                 )
             )
         return views
--- a/bramleyport/gateway/_state.py
+++ b/bramleyport/gateway/_state.py
@@ -14,6 +14,7 @@
     ReadSpeeds,
     Registration,
     RouteTable,
+    RunTimes,
 )
 from bramleyport.platform import NodeSettings
 from bramleyport.retries import OutlierEjector, RepeatBudget
@@ -35,6 +36,7 @@
     loads: LoadBook = field(default_factory=LoadBook)
     prefixes: PrefixIndex = field(default_factory=PrefixIndex)
     speeds: ReadSpeeds = field(default_factory=ReadSpeeds)
+    runs: RunTimes = field(default_factory=RunTimes)
     ejector: OutlierEjector = field(
         default_factory=lambda: OutlierEjector(
             consecutive_failures=EJECT_AFTER, eject_s=EJECT_S
@@ -57,7 +59,12 @@
 
     def __post_init__(self) -> None:
         self.chooser = Chooser(
-            self.settings.place, self.members, self.loads, self.prefixes, self.speeds
+            self.settings.place,
+            self.members,
+            self.loads,
+            self.prefixes,
+            self.speeds,
+            self.runs,
         )
 
     @property
--- a/bramleyport/gateway/_stream.py
+++ b/bramleyport/gateway/_stream.py
@@ -53,6 +53,7 @@
                 return
             failure = await self._try(context, choice, relay)
             if failure is None:
+                self._note_run(context)
                 self._support.log_answered(context, 200)
                 return
             self._support.note_failure(context, failure)
@@ -68,6 +69,12 @@
                     last_event=relay.last_event,
                 )
 
+    def _note_run(self, context: CallContext) -> None:
+        """Learn how long the call ran, unless it ran in pieces."""
+        if context.attempts.runs == 0 and context.first_event_s:
+            began_s = context.call.arrived_s + context.first_event_s
+            self._support.state.runs.record(context.call, read_now() - began_s)
+
     def _decline(
         self, context: CallContext, relay: EventRelay, decision: Rejected
     ) -> None:
--- a/tests/fleet_builders.py
+++ b/tests/fleet_builders.py
@@ -27,6 +27,7 @@
     Repeatability,
     Route,
     RouteName,
+    RunTimes,
     ServiceConfig,
     ServiceShare,
     Stage,
@@ -142,8 +143,9 @@
         self.loads = LoadBook()
         self.prefixes = PrefixIndex()
         self.speeds = ReadSpeeds()
+        self.runs = RunTimes()
         self.chooser = Chooser(
-            PLACE, self.members, self.loads, self.prefixes, self.speeds
+            PLACE, self.members, self.loads, self.prefixes, self.speeds, self.runs
         )
         for engine in engines:
             self.members.put(engine)
--- a/tests/test_fleet_choice.py
+++ b/tests/test_fleet_choice.py
@@ -1,6 +1,8 @@
 """Guard where calls run: prefixes, queues, leaving and declined upstreams."""
 
-from bramleyport.core import UpstreamId
+import pytest
+
+from bramleyport.core import RequestId, UpstreamId
 from bramleyport.fleet import Repeatability, Stage
 from tests.fleet_builders import (
     ENGINE,
@@ -100,6 +102,40 @@
     assert late.wait_s > 5.0
 
 
+def test_calls_wait_for_a_slot_once_engines_are_full() -> None:
+    # Two of three engines were lost in a burst of the least urgent calls; the third
+    # took all of them though its slots were full, and most timed out.
+    fleet = FleetModel(make_engine("d"))
+    late_route = make_route(priority=2)
+    for number in range(160):
+        fleet.send("d", request=f"w{number}", priority=2)
+        fleet.loads.of(UpstreamId("d")).finish_reading(RequestId(f"w{number}"), 0.0)
+    late = make_call(SHORT, route=late_route)
+    fleet.runs.record(late, 2.0)
+    choice = fleet.chooser.choose(late, ENGINE, (), 0.0)
+    urgent = fleet.chooser.choose(make_call(SHORT), ENGINE, (), 0.0)
+    assert choice is not None
+    assert urgent is not None
+    assert choice.forecast_s == pytest.approx(97 * 2.0 / 64, rel=0.05)
+    assert choice.run_s == 2.0
+    assert urgent.forecast_s < 0.1
+
+
+def test_prompt_is_read_apart_rather_than_beside_many_running_calls() -> None:
+    # What an engine reads delays each call that runs there.
+    prompt = make_prompt(("shared", 300), ("own", 900))
+    fleet = FleetModel(make_engine("d"), make_engine("p", Stage.PREFILL))
+    quiet = fleet.chooser.choose(make_call(prompt), ENGINE, (), 0.0)
+    for number in range(30):
+        fleet.send("d", request=f"w{number}")
+        fleet.loads.of(UpstreamId("d")).finish_reading(RequestId(f"w{number}"), 0.0)
+    fleet.send("p", read_s=0.1)
+    busy = fleet.chooser.choose(make_call(prompt), ENGINE, (), 0.0)
+    assert quiet is not None
+    assert busy is not None
+    assert busy.prefill is not None
+
+
 def test_draining_and_excluded_upstreams_get_nothing() -> None:
     fleet = FleetModel(
         make_engine("leaving", draining=True), make_engine("failed"), make_engine("ok")
--- a/tests/test_fleet_load.py
+++ b/tests/test_fleet_load.py
@@ -149,12 +149,13 @@
     assert cache.count_read(parts) == 10
 
 
-def make_choice(forecast_s: float) -> Choice:
+def make_choice(forecast_s: float, run_s: float = 0.0) -> Choice:
     from bramleyport.core import Explanation
 
     return Choice(
         upstream=make_engine("e"),
         forecast_s=forecast_s,
+        run_s=run_s,
         explanation=Explanation(reason="direct"),
     )
 
@@ -167,6 +168,13 @@
     assert decision.retry_after_s == pytest.approx(2.1)
 
 
+def test_call_whose_answer_would_not_be_whole_in_time_is_refused() -> None:
+    # Answers that were cut at the deadline filled the slots of engines in a burst.
+    decision = admit(make_call(deadline_s=3.0), make_choice(1.0, run_s=2.5), 0.0)
+    assert isinstance(decision, Rejected)
+    assert admit(make_call(deadline_s=5.0), make_choice(1.0, run_s=2.5), 0.0)
+
+
 def test_call_that_fits_is_admitted() -> None:
     assert isinstance(admit(make_call(), make_choice(0.2), 0.0), Admitted)
 
--- a/tests/test_fleet_stages.py
+++ b/tests/test_fleet_stages.py
@@ -18,6 +18,7 @@
     backlog_s: float = 0.0,
     running: int = 0,
     changing: int = 0,
+    ordered: Stage | None = None,
 ) -> list[EngineView]:
     stages = [Stage.DECODE] * decoders + [Stage.PREFILL] * readers
     return [
@@ -26,6 +27,7 @@
             backlog_s=backlog_s,
             running=running if stage is Stage.DECODE else 0,
             changing=n < changing,
+            ordered=ordered if n < changing else None,
         )
         for n, stage in enumerate(stages)
     ]
@@ -75,6 +77,31 @@
     assert change.stage is Stage.DECODE
 
 
+def test_loss_of_most_decoders_is_answered_while_another_engine_changes() -> None:
+    # Two of three engines that ran calls crashed in a burst while a fourth changed; the
+    # one that was left served all calls for three seconds, and 260 of them timed out.
+    pool = make_pool(2, 5, running=64, changing=1, ordered=Stage.DECODE)
+    change = plan_until_change(StagePlanner(), pool[1:] + pool[:1], looks=1)
+    assert change is None
+    pool = make_pool(2, 7, running=64, changing=1, ordered=Stage.DECODE)
+    change = plan_until_change(StagePlanner(), pool, looks=1)
+    assert change is not None
+    assert change.stage is Stage.DECODE
+    assert change.explanation.reason == "lost_decoders"
+
+
+def test_many_running_calls_leave_engines_that_read() -> None:
+    pool = make_pool(6, 3, running=64)
+    assert plan_until_change(StagePlanner(), pool) is None
+
+
+def test_engine_that_would_be_needed_again_does_not_go_back_to_reading() -> None:
+    # Four engines were enough at one look and five at the next; they changed to and
+    # fro, each change taking one away for seconds.
+    pool = make_pool(5, 4, running=20, backlog_s=0.5)
+    assert plan_until_change(StagePlanner(), pool) is None
+
+
 def test_few_engines_change_at_the_same_time() -> None:
     # A changing engine serves nobody for seconds.
     pool = make_pool(6, 3, backlog_s=2.0, changing=2)
