Split the package of daemons by part in the path of a call

They are now entry (callers, outcomes, status), dispatch (attempts), keyed (calls with keys and their claims), links (connections between processes), control (pools under a lease) and agent. Modules only moved and lost their prefix; no function changed.

--- a/bramleyport/daemons/_agent_attempt.py
+++ b/bramleyport/agent/_attempt.py
@@ -6,10 +6,10 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING, Final
 
+from bramleyport.agent._schedule import WorkPart
+from bramleyport.agent._transfer import import_blocks
 from bramleyport.answers import FrameLog
 from bramleyport.core import Execution, UpstreamId
-from bramleyport.daemons._agent_schedule import WorkPart
-from bramleyport.daemons._agent_transfer import import_blocks
 from bramleyport.estimate import Observation
 from bramleyport.telemetry import authority_events, events, log_event
 from bramleyport.upstreams import (
--- a/bramleyport/daemons/_agent.py
+++ b/bramleyport/agent/_daemon.py
@@ -6,6 +6,13 @@
 from dataclasses import replace
 from typing import TYPE_CHECKING, Final
 
+from bramleyport.agent._attempt import AgentAttempt, Upstream, cancel_attempt
+from bramleyport.agent._cache import AgentCache
+from bramleyport.agent._engine_report import apply_report
+from bramleyport.agent._gate import WorkGate
+from bramleyport.agent._metrics import AgentMetrics
+from bramleyport.agent._prefill import AgentPrefill
+from bramleyport.agent._schedule import AgentSchedule
 from bramleyport.core import (
     AttemptId,
     Execution,
@@ -15,13 +22,6 @@
     UpstreamView,
     ZoneName,
 )
-from bramleyport.daemons._agent_attempt import AgentAttempt, Upstream, cancel_attempt
-from bramleyport.daemons._agent_cache import AgentCache
-from bramleyport.daemons._agent_metrics import AgentMetrics
-from bramleyport.daemons._agent_prefill import AgentPrefill
-from bramleyport.daemons._agent_schedule import AgentSchedule
-from bramleyport.daemons._engine_report import apply_report
-from bramleyport.daemons._gate import WorkGate
 from bramleyport.queueing import QueuePolicy, Refused as QueueRefused
 from bramleyport.telemetry import (
     Metrics,
@@ -51,9 +51,9 @@
 if TYPE_CHECKING:
     from websockets.asyncio.server import Server
 
-    from bramleyport.daemons._hub import PeerHub
-    from bramleyport.daemons._orders import OrderApplier
+    from bramleyport.agent._orders import OrderApplier
     from bramleyport.estimate import Estimator
+    from bramleyport.links._hub import PeerHub
     from bramleyport.settings import AgentSettings
     from bramleyport.transport import Connection, Identity
 
--- a/bramleyport/daemons/_gate.py
+++ b/bramleyport/agent/_gate.py
@@ -7,8 +7,8 @@
 from bramleyport.wire import Message, Refused
 
 if TYPE_CHECKING:
+    from bramleyport.agent._attempt import AgentAttempt
     from bramleyport.core import AttemptId
-    from bramleyport.daemons._agent_attempt import AgentAttempt
     from bramleyport.queueing import QueuePolicy
     from bramleyport.transport import Connection
 
--- a/bramleyport/daemons/_agent_metrics.py
+++ b/bramleyport/agent/_metrics.py
@@ -9,8 +9,8 @@
 from bramleyport.wire import LoadReport, unpack_load
 
 if TYPE_CHECKING:
+    from bramleyport.agent._attempt import AgentAttempt
     from bramleyport.core import Rank
-    from bramleyport.daemons._agent_attempt import AgentAttempt
 
 ObserveInterval = Callable[[float, float], None]
 
@@ -42,7 +42,7 @@
         if self._port is None:
             return
         # Loaded here, since an agent without the port needs no HTTP server.
-        from bramleyport.daemons._agent_site import serve_metrics
+        from bramleyport.agent._site import serve_metrics
 
         self._listening = await serve_metrics(
             address, self._port, lambda: self.render(make_report(), get_state())
--- a/bramleyport/daemons/_agent_prefill.py
+++ b/bramleyport/agent/_prefill.py
@@ -3,9 +3,9 @@
 import time
 from typing import TYPE_CHECKING
 
+from bramleyport.agent._attempt import AgentAttempt
+from bramleyport.agent._schedule import WorkPart
 from bramleyport.core import Execution, UpstreamId
-from bramleyport.daemons._agent_attempt import AgentAttempt
-from bramleyport.daemons._agent_schedule import WorkPart
 from bramleyport.estimate import Observation
 from bramleyport.telemetry import log_event, transfer_events
 from bramleyport.upstreams import EngineClient, PlainClient
--- a/bramleyport/daemons/_agent_schedule.py
+++ b/bramleyport/agent/_schedule.py
@@ -12,8 +12,8 @@
 from bramleyport.wire import Refused as RefusedMessage
 
 if TYPE_CHECKING:
-    from bramleyport.daemons._agent_attempt import AgentAttempt
-    from bramleyport.daemons._agent_metrics import AgentMetrics
+    from bramleyport.agent._attempt import AgentAttempt
+    from bramleyport.agent._metrics import AgentMetrics
     from bramleyport.estimate import Estimator
 
 MIN_RETRY_S: Final = 1.0
--- a/bramleyport/bench/_claim_fleet.py
+++ b/bramleyport/bench/_claim_fleet.py
@@ -4,9 +4,9 @@
 from typing import TYPE_CHECKING, Final
 
 from bramleyport.core import ProcessId, RegionName, Revision, ZoneName
-from bramleyport.daemons._claim_peers import ClaimPeers
-from bramleyport.daemons._claims import ClaimWriter
-from bramleyport.daemons._hub import PeerHub
+from bramleyport.keyed._claim_peers import ClaimPeers
+from bramleyport.keyed._claims import ClaimWriter
+from bramleyport.links._hub import PeerHub
 from bramleyport.membership import Host, HostList, HostState, ProcessRole
 from bramleyport.objectapi import ObjectClient
 from bramleyport.replication import HostStore, RecordStore, Replica, Topology
--- a/bramleyport/cli/_demo.py
+++ b/bramleyport/cli/_demo.py
@@ -22,8 +22,8 @@
 if TYPE_CHECKING:
     from twisted.internet.tcp import Port
 
-    from bramleyport.daemons._agent import AgentDaemon
-    from bramleyport.daemons._entry import EntryDaemon
+    from bramleyport.agent._daemon import AgentDaemon
+    from bramleyport.entry._daemon import EntryDaemon
 
 ENGINES: Final = 4
 MODEL: Final = "inspector-8b"
--- a/bramleyport/composition.py
+++ b/bramleyport/composition.py
@@ -10,10 +10,10 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from bramleyport.daemons._agent import AgentDaemon
-    from bramleyport.daemons._controller import Planner
-    from bramleyport.daemons._entry import EntryDaemon
-    from bramleyport.daemons._orders import OrderApplier
+    from bramleyport.agent._daemon import AgentDaemon
+    from bramleyport.agent._orders import OrderApplier
+    from bramleyport.control._controller import Planner
+    from bramleyport.entry._daemon import EntryDaemon
     from bramleyport.gateway._daemon import Gateway
     from bramleyport.settings import (
         AgentSettings,
@@ -88,10 +88,10 @@
 
 def build_agent(settings: "AgentSettings") -> "AgentDaemon":
     """Build an agent from its settings."""
+    from bramleyport.agent._daemon import AgentDaemon
     from bramleyport.core import ServiceKind
-    from bramleyport.daemons._agent import AgentDaemon
-    from bramleyport.daemons._hub import PeerHub
     from bramleyport.estimate import ESTIMATORS
+    from bramleyport.links._hub import PeerHub
     from bramleyport.queueing import QUEUE_POLICIES
     from bramleyport.replication import HostStore, RecordStore, Replica
     from bramleyport.telemetry import Metrics
@@ -123,9 +123,9 @@
 ) -> "OrderApplier | None":
     from uuid import uuid4
 
+    from bramleyport.agent._orders import OrderApplier
     from bramleyport.authority import OrderGuard
     from bramleyport.core import PoolName, RegionName, UpstreamId
-    from bramleyport.daemons._orders import OrderApplier
     from bramleyport.objectapi import ObjectClient
     from bramleyport.upstreams import EngineClient
 
@@ -148,21 +148,21 @@
 ) -> "EntryDaemon":
     """Build an entry from its settings."""
     from bramleyport.admission import ADMISSION_POLICIES
+    from bramleyport.control._controllers import Controllers
+    from bramleyport.control._pool_planner import FleetPlanner
     from bramleyport.core import ProcessId
-    from bramleyport.daemons._claim_peers import ClaimPeers
-    from bramleyport.daemons._claims import ClaimWriter
-    from bramleyport.daemons._controllers import Controllers
-    from bramleyport.daemons._dispatch import Dispatcher
-    from bramleyport.daemons._entry import EntryDaemon
-    from bramleyport.daemons._hub import PeerHub
-    from bramleyport.daemons._keyed import KeyedCalls
-    from bramleyport.daemons._outcomes import OutcomeCounter
-    from bramleyport.daemons._peers import AgentLinks
-    from bramleyport.daemons._pool_planner import FleetPlanner
-    from bramleyport.daemons._relay import CountRelay
-    from bramleyport.daemons._reports import CaseReporter
-    from bramleyport.daemons._status import FleetState, StatusReporter
+    from bramleyport.dispatch._dispatcher import Dispatcher
+    from bramleyport.entry._daemon import EntryDaemon
+    from bramleyport.entry._outcomes import OutcomeCounter
+    from bramleyport.entry._relay import CountRelay
+    from bramleyport.entry._reports import CaseReporter
+    from bramleyport.entry._status import FleetState, StatusReporter
     from bramleyport.estimate import ESTIMATORS
+    from bramleyport.keyed._calls import KeyedCalls
+    from bramleyport.keyed._claim_peers import ClaimPeers
+    from bramleyport.keyed._claims import ClaimWriter
+    from bramleyport.links._hub import PeerHub
+    from bramleyport.links._peers import AgentLinks
     from bramleyport.objectapi import ObjectClient
     from bramleyport.planning import ROLE_PLANNERS
     from bramleyport.replication import HostStore, RecordStore, Replica, Topology
--- /dev/null
+++ b/bramleyport/control/__init__.py
@@ -0,0 +1,1 @@
+"""Control of pools under a lease; import modules by name."""
--- a/bramleyport/daemons/_controller.py
+++ b/bramleyport/control/_controller.py
@@ -34,12 +34,12 @@
     WriteLease,
     WriteOrder,
 )
+from bramleyport.control._pool_store import PoolStore
 from bramleyport.core import ModelName, PoolName, RegionName, UpstreamId, UpstreamView
-from bramleyport.daemons._pool_store import PoolStore
 from bramleyport.telemetry import authority_events, lease_events, log_event
 
 if TYPE_CHECKING:
-    from bramleyport.daemons._order_counter import OrderCounter
+    from bramleyport.control._order_counter import OrderCounter
     from bramleyport.objectapi import ObjectClient
 
 TICK_S: Final = 0.25
--- a/bramleyport/daemons/_controllers.py
+++ b/bramleyport/control/_controllers.py
@@ -5,6 +5,8 @@
 from typing import TYPE_CHECKING, Final
 
 from bramleyport.authority import choose_candidates
+from bramleyport.control._controller import RELEASE_LIMIT_S, Planner, PoolController
+from bramleyport.control._order_counter import OrderCounter
 from bramleyport.core import (
     PoolName,
     ProcessId,
@@ -13,16 +15,14 @@
     UpstreamId,
     UpstreamView,
 )
-from bramleyport.daemons._controller import RELEASE_LIMIT_S, Planner, PoolController
-from bramleyport.daemons._order_counter import OrderCounter
-from bramleyport.daemons._pool_links import PoolLinks
+from bramleyport.links._pool_links import PoolLinks
 from bramleyport.membership import Host, HostState, ProcessRole
 from bramleyport.telemetry import Metrics, events, lease_events, log_event
 from bramleyport.wire import OrderNotice, OrderReport
 
 if TYPE_CHECKING:
-    from bramleyport.daemons._hub import PeerHub
-    from bramleyport.daemons._peers import AgentLinks
+    from bramleyport.links._hub import PeerHub
+    from bramleyport.links._peers import AgentLinks
     from bramleyport.objectapi import ObjectClient
     from bramleyport.settings import EntrySettings
 
--- a/bramleyport/daemons/_pool_planner.py
+++ b/bramleyport/control/_pool_planner.py
@@ -5,6 +5,7 @@
 from typing import Final
 
 from bramleyport.authority import EngineChange
+from bramleyport.control._controller import PoolState
 from bramleyport.core import (
     EngineRole,
     ModelName,
@@ -14,7 +15,6 @@
     UpstreamState,
     UpstreamView,
 )
-from bramleyport.daemons._controller import PoolState
 from bramleyport.planning import (
     Change,
     DemandMeter,
--- /dev/null
+++ b/bramleyport/dispatch/__init__.py
@@ -0,0 +1,1 @@
+"""Attempts of calls: choice, retry, race, prefill apart; import modules by name."""
--- a/bramleyport/daemons/_attempt_runner.py
+++ b/bramleyport/dispatch/_attempt_runner.py
@@ -16,19 +16,19 @@
     UpstreamView,
     Work,
 )
-from bramleyport.daemons._entry_attempt import (
+from bramleyport.dispatch._attempt import (
     AttemptResult,
     Call,
     EntryAttempt,
     OnChunk,
 )
-from bramleyport.daemons._entry_prefill import (
+from bramleyport.dispatch._first_chunk import FirstChunk, run_until_deadline
+from bramleyport.dispatch._prefill import (
     PREFILL_FAULTS,
     EntryPrefill,
     PrefillResult,
 )
-from bramleyport.daemons._first_chunk import FirstChunk, run_until_deadline
-from bramleyport.daemons._trace import note_attempt, note_decision
+from bramleyport.dispatch._trace import note_attempt, note_decision
 from bramleyport.estimate import Estimator, Observation
 from bramleyport.retries import AttemptFailure, FailureKind, HedgePolicy, UpstreamGuard
 from bramleyport.telemetry import (
@@ -42,7 +42,7 @@
 from bramleyport.wire import End, Message, Prefilled
 
 if TYPE_CHECKING:
-    from bramleyport.daemons._peers import AgentLink
+    from bramleyport.links._peers import AgentLink
     from bramleyport.transport import Connection
 
 
--- a/bramleyport/daemons/_dispatch.py
+++ b/bramleyport/dispatch/_dispatcher.py
@@ -18,16 +18,16 @@
     UpstreamView,
     Work,
 )
-from bramleyport.daemons._attempt_runner import AttemptRunner, DecisionReporter
-from bramleyport.daemons._entry_attempt import (
+from bramleyport.dispatch._attempt import (
     AttemptResult,
     Call,
     OnChunk,
 )
-from bramleyport.daemons._give_up import explain_give_up
-from bramleyport.daemons._prefill_step import DEFAULT_LIMIT_RATIO, PrefillStep
-from bramleyport.daemons._race import Start, race_attempts
-from bramleyport.daemons._trace import note_decision
+from bramleyport.dispatch._attempt_runner import AttemptRunner, DecisionReporter
+from bramleyport.dispatch._give_up import explain_give_up
+from bramleyport.dispatch._prefill_step import DEFAULT_LIMIT_RATIO, PrefillStep
+from bramleyport.dispatch._race import Start, race_attempts
+from bramleyport.dispatch._trace import note_decision
 from bramleyport.estimate import Estimator
 from bramleyport.retries import (
     HEDGE_POLICIES,
@@ -52,7 +52,7 @@
 from bramleyport.wire import Message
 
 if TYPE_CHECKING:
-    from bramleyport.daemons._peers import AgentLink, AgentLinks
+    from bramleyport.links._peers import AgentLink, AgentLinks
     from bramleyport.transport import Connection
     from bramleyport.wire import End
 
--- a/bramleyport/daemons/_first_chunk.py
+++ b/bramleyport/dispatch/_first_chunk.py
@@ -10,7 +10,7 @@
 
 if TYPE_CHECKING:
     from bramleyport.core import Work
-    from bramleyport.daemons._entry_attempt import (
+    from bramleyport.dispatch._attempt import (
         AttemptResult,
         EntryAttempt,
         OnChunk,
--- a/bramleyport/daemons/_entry_prefill.py
+++ b/bramleyport/dispatch/_prefill.py
@@ -7,13 +7,13 @@
 from result import Err, Ok, Result
 
 from bramleyport.core import AttemptId, Execution, Work
-from bramleyport.daemons._entry_attempt import POLL_S
+from bramleyport.dispatch._attempt import POLL_S
 from bramleyport.retries import AttemptFailure, FailureKind
 from bramleyport.wire import Cancel, Failed, Message, Prefill, Prefilled, Refused
 
 if TYPE_CHECKING:
-    from bramleyport.daemons._entry_attempt import Call
-    from bramleyport.daemons._peers import AgentLink
+    from bramleyport.dispatch._attempt import Call
+    from bramleyport.links._peers import AgentLink
     from bramleyport.transport import Connection
 
 # Failures of a prefill that say nothing of whole requests on the same engine.
--- a/bramleyport/daemons/_prefill_step.py
+++ b/bramleyport/dispatch/_prefill_step.py
@@ -6,16 +6,16 @@
 from result import Err
 
 from bramleyport.core import UpstreamId
-from bramleyport.daemons._entry_prefill import PREFILL_FAULTS
+from bramleyport.dispatch._prefill import PREFILL_FAULTS
 from bramleyport.retries import AttemptFailure
 from bramleyport.telemetry import Metrics, log_event, transfer_events
 
 if TYPE_CHECKING:
     from bramleyport.core import Work
-    from bramleyport.daemons._attempt_runner import AttemptRunner
-    from bramleyport.daemons._entry_attempt import Call
-    from bramleyport.daemons._entry_prefill import PrefillResult
-    from bramleyport.daemons._peers import AgentLink
+    from bramleyport.dispatch._attempt import Call
+    from bramleyport.dispatch._attempt_runner import AttemptRunner
+    from bramleyport.dispatch._prefill import PrefillResult
+    from bramleyport.links._peers import AgentLink
 
 DEFAULT_LIMIT_RATIO: Final = 2.0
 # Load reports lag, so a forecast of nearly nothing may be wrong by some seconds.
--- a/bramleyport/daemons/_race.py
+++ b/bramleyport/dispatch/_race.py
@@ -7,7 +7,7 @@
 from result import Err, Ok
 
 from bramleyport.core import Execution
-from bramleyport.daemons._entry_attempt import AttemptResult, OnChunk
+from bramleyport.dispatch._attempt import AttemptResult, OnChunk
 from bramleyport.retries import AttemptFailure
 
 Start = Callable[[OnChunk], Coroutine[Any, Any, AttemptResult]]
--- /dev/null
+++ b/bramleyport/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The entry, which serves callers; import modules by name."""
--- a/bramleyport/daemons/_entry.py
+++ b/bramleyport/entry/_daemon.py
@@ -23,13 +23,13 @@
     UpstreamId,
     Work,
 )
-from bramleyport.daemons._answer_writer import AnswerWriter, write_all
-from bramleyport.daemons._keyed import KeyedCalls, KeyedResult
-from bramleyport.daemons._outcomes import OutcomeCounter
-from bramleyport.daemons._records import StoreFollower
-from bramleyport.daemons._totals import StatusTotals
-from bramleyport.daemons._trace import RequestTrace, begin_trace
-from bramleyport.daemons._work import build_call, build_work, check_key, find_record
+from bramleyport.dispatch._trace import RequestTrace, begin_trace
+from bramleyport.entry._answer_writer import AnswerWriter, write_all
+from bramleyport.entry._outcomes import OutcomeCounter
+from bramleyport.entry._records import StoreFollower
+from bramleyport.entry._totals import StatusTotals
+from bramleyport.entry._work import build_call, build_work, check_key, find_record
+from bramleyport.keyed._calls import KeyedCalls, KeyedResult
 from bramleyport.objectapi import ObjectClient
 from bramleyport.telemetry import Journal, Metrics, TenantLabels, events, log_event
 from bramleyport.transport import listen, listen_http, stop_http
@@ -38,13 +38,13 @@
     from twisted.internet.tcp import Port
     from websockets.asyncio.server import Server
 
-    from bramleyport.daemons._controllers import Controllers
-    from bramleyport.daemons._dispatch import Dispatcher
-    from bramleyport.daemons._hub import PeerHub
-    from bramleyport.daemons._peers import AgentLinks
-    from bramleyport.daemons._relay import CountRelay
-    from bramleyport.daemons._reports import CaseReporter
-    from bramleyport.daemons._status import StatusReporter
+    from bramleyport.control._controllers import Controllers
+    from bramleyport.dispatch._dispatcher import Dispatcher
+    from bramleyport.entry._relay import CountRelay
+    from bramleyport.entry._reports import CaseReporter
+    from bramleyport.entry._status import StatusReporter
+    from bramleyport.links._hub import PeerHub
+    from bramleyport.links._peers import AgentLinks
     from bramleyport.records import ServiceRecord
     from bramleyport.replication import RecordStore
     from bramleyport.settings import EntrySettings
--- a/bramleyport/daemons/_outcomes.py
+++ b/bramleyport/entry/_outcomes.py
@@ -10,7 +10,7 @@
     ServiceName,
     Work,
 )
-from bramleyport.daemons._trace import RequestTrace
+from bramleyport.dispatch._trace import RequestTrace
 from bramleyport.records import CaseBuffer, CountBook, RankCounts
 
 
--- a/bramleyport/daemons/_records.py
+++ b/bramleyport/entry/_records.py
@@ -21,7 +21,7 @@
 from bramleyport.wire import ReplicaEntry
 
 if TYPE_CHECKING:
-    from bramleyport.daemons._hub import PeerHub
+    from bramleyport.links._hub import PeerHub
 
 RETRY_S: Final = 1.0
 # A short wait shows twice within the stall limit that the store still answers.
--- a/bramleyport/daemons/_relay.py
+++ b/bramleyport/entry/_relay.py
@@ -15,8 +15,8 @@
 from bramleyport.wire import Counts, ServiceCounts
 
 if TYPE_CHECKING:
-    from bramleyport.daemons._hub import PeerHub
-    from bramleyport.daemons._outcomes import OutcomeCounter
+    from bramleyport.entry._outcomes import OutcomeCounter
+    from bramleyport.links._hub import PeerHub
 
 TICK_S: Final = 1.0
 MIN_INTERVAL_S: Final = 2.0
--- a/bramleyport/daemons/_reports.py
+++ b/bramleyport/entry/_reports.py
@@ -21,7 +21,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from bramleyport.daemons._outcomes import OutcomeCounter
+    from bramleyport.entry._outcomes import OutcomeCounter
 
 TICK_S: Final = 1.0
 # One report at a time, so that the rate does not grow with the records: 0.06 writes/s;
--- a/bramleyport/daemons/_status.py
+++ b/bramleyport/entry/_status.py
@@ -35,7 +35,7 @@
 from bramleyport.telemetry import Journal, events, log_event, operator_events
 
 if TYPE_CHECKING:
-    from bramleyport.daemons._outcomes import OutcomeCounter
+    from bramleyport.entry._outcomes import OutcomeCounter
 
 INTERVAL_S: Final = 2.0
 COUNTS_INTERVAL_S: Final = 30.0
--- a/bramleyport/daemons/_work.py
+++ b/bramleyport/entry/_work.py
@@ -20,7 +20,7 @@
     count_tokens,
     digest_prefix,
 )
-from bramleyport.daemons._entry_attempt import Call
+from bramleyport.dispatch._attempt import Call
 from bramleyport.records import ServiceRecord
 
 DEFAULT_BLOCK_TOKENS = 1000
--- /dev/null
+++ b/bramleyport/keyed/__init__.py
@@ -0,0 +1,1 @@
+"""Calls with idempotency keys and their claims; import modules by name."""
--- a/bramleyport/daemons/_keyed.py
+++ b/bramleyport/keyed/_calls.py
@@ -22,14 +22,14 @@
     make_key,
 )
 from bramleyport.core import AttemptId, ErrorCode, Execution, ServeError, Work
-from bramleyport.daemons._entry_attempt import Call
-from bramleyport.daemons._unsent import UnsentAttempts
+from bramleyport.dispatch._attempt import Call
+from bramleyport.keyed._unsent import UnsentAttempts
 from bramleyport.objectapi import StoreFailure
 from bramleyport.telemetry import claim_events, events, log_event
 
 if TYPE_CHECKING:
-    from bramleyport.daemons._claims import ClaimWriter
-    from bramleyport.daemons._dispatch import Dispatcher
+    from bramleyport.dispatch._dispatcher import Dispatcher
+    from bramleyport.keyed._claims import ClaimWriter
 
 RUNNING_POLL_S: Final = 0.5
 RUNNING_POLL_MAX_S: Final = 4.0
--- a/bramleyport/daemons/_claim_peers.py
+++ b/bramleyport/keyed/_claim_peers.py
@@ -19,8 +19,8 @@
     choose_writer,
 )
 from bramleyport.core import ProcessId
-from bramleyport.daemons._claims import ClaimResult, Forwarded
-from bramleyport.daemons._hub import PeerHub
+from bramleyport.keyed._claims import ClaimResult, Forwarded
+from bramleyport.links._hub import PeerHub
 from bramleyport.membership import Host, HostState, ProcessRole
 from bramleyport.objectapi import StoreFailure
 from bramleyport.telemetry import claim_events, log_event
--- a/bramleyport/daemons/_claims.py
+++ b/bramleyport/keyed/_claims.py
@@ -25,7 +25,7 @@
     WriteSegment,
     choose_log,
 )
-from bramleyport.daemons._claim_store import ClaimStore, name_log
+from bramleyport.keyed._claim_store import ClaimStore, name_log
 from bramleyport.objectapi import ObjectClient, StoreError, StoreFailure
 from bramleyport.telemetry import claim_events, events, log_event
 
--- /dev/null
+++ b/bramleyport/links/__init__.py
@@ -0,0 +1,1 @@
+"""Connections between entries and agents; import modules by name."""
--- a/bramleyport/daemons/_hub.py
+++ b/bramleyport/links/_hub.py
@@ -8,7 +8,7 @@
 from typing import Any, Final
 
 from bramleyport.core import ProcessId, Revision
-from bramleyport.daemons._persistent import PersistentConnection
+from bramleyport.links._persistent import PersistentConnection
 from bramleyport.membership import (
     Added,
     Change,
--- a/bramleyport/daemons/_peers.py
+++ b/bramleyport/links/_peers.py
@@ -19,9 +19,9 @@
     UpstreamView,
     Work,
 )
-from bramleyport.daemons._hub import PeerHub
-from bramleyport.daemons._persistent import PersistentConnection
-from bramleyport.daemons._pool_discovery import PoolDiscovery
+from bramleyport.links._hub import PeerHub
+from bramleyport.links._persistent import PersistentConnection
+from bramleyport.links._pool_discovery import PoolDiscovery
 from bramleyport.membership import Host, HostState, MessageReceived, ProcessRole
 from bramleyport.routing import (
     CacheChange,
--- a/bramleyport/daemons/_pool_links.py
+++ b/bramleyport/links/_pool_links.py
@@ -5,12 +5,12 @@
 from contextlib import suppress
 from typing import TYPE_CHECKING, Final
 
-from bramleyport.daemons._peers import AgentLink
+from bramleyport.links._peers import AgentLink
 from bramleyport.telemetry import lease_events, log_event
 
 if TYPE_CHECKING:
     from bramleyport.core import PoolName, ProcessId, UpstreamId, UpstreamView
-    from bramleyport.daemons._peers import AgentLinks
+    from bramleyport.links._peers import AgentLinks
     from bramleyport.membership import Host
 
 # Few at a time: a new holder must not delay the agents' own work.
--- a/tests/claim_fleet.py
+++ b/tests/claim_fleet.py
@@ -10,7 +10,7 @@
 from bramleyport.bench._claim_fleet import ClaimNode, start_nodes
 from bramleyport.claims import choose_log, make_key
 from bramleyport.core import AccountId, RequestId, ServiceName
-from bramleyport.daemons._keyed import KeyedCalls
+from bramleyport.keyed._calls import KeyedCalls
 from bramleyport.standins import (
     LOOPBACK,
     ObjectApiStandin,
--- a/tests/test_agent_metrics.py
+++ b/tests/test_agent_metrics.py
@@ -6,6 +6,8 @@
 from collections.abc import Callable, Coroutine
 from typing import Any
 
+from bramleyport.agent._metrics import AgentMetrics
+from bramleyport.agent._orders import OrderApplier
 from bramleyport.authority import (
     ApplyOrder,
     Order,
@@ -22,8 +24,6 @@
     UpstreamId,
     UpstreamState,
 )
-from bramleyport.daemons._agent_metrics import AgentMetrics
-from bramleyport.daemons._orders import OrderApplier
 from bramleyport.telemetry import Metrics
 from bramleyport.upstreams import UpstreamError
 from bramleyport.wire import Message, pack_load
--- a/tests/test_claim_forwarding.py
+++ b/tests/test_claim_forwarding.py
@@ -10,7 +10,7 @@
 import bramleyport.claims._decide as decide_module
 from bramleyport.claims import ClaimDecisionKind, Decision
 from bramleyport.core import ErrorCode, Execution
-from bramleyport.daemons._claim_peers import AVOID_S, SILENT_S
+from bramleyport.keyed._claim_peers import AVOID_S, SILENT_S
 from bramleyport.transport import _endpoint
 from bramleyport.wire import (
     PROTOCOL_MIN,
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -23,7 +23,7 @@
     read_segment,
     write_segment,
 )
-from bramleyport.daemons._unsent import UnsentAttempts
+from bramleyport.keyed._unsent import UnsentAttempts
 from tests.claim_store import LogStore, drive
 
 DESIGN_LIMIT_BYTES = 512_000
--- a/tests/test_controllers.py
+++ b/tests/test_controllers.py
@@ -19,6 +19,9 @@
     OrderObject,
     Progress,
 )
+from bramleyport.control._controller import PoolController
+from bramleyport.control._controllers import Controllers, _list_entries
+from bramleyport.control._order_counter import OrderCounter
 from bramleyport.core import (
     EngineRole,
     PoolName,
@@ -29,11 +32,8 @@
     UpstreamView,
     ZoneName,
 )
-from bramleyport.daemons._controller import PoolController
-from bramleyport.daemons._controllers import Controllers, _list_entries
-from bramleyport.daemons._order_counter import OrderCounter
-from bramleyport.daemons._peers import AgentLink
-from bramleyport.daemons._pool_links import CONCURRENT_OPENS, PoolLinks
+from bramleyport.links._peers import AgentLink
+from bramleyport.links._pool_links import CONCURRENT_OPENS, PoolLinks
 from bramleyport.membership import Host, HostState, ProcessRole
 from bramleyport.telemetry import Metrics
 from tests.fleet import MODEL, FixedPlan, Fleet
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -14,10 +14,10 @@
 from bramleyport.answers import FrameLog
 from bramleyport.bench._routing import make_views, make_work
 from bramleyport.core import ErrorCode, Execution, UpstreamId, Work
-from bramleyport.daemons._dispatch import Dispatcher
-from bramleyport.daemons._entry_attempt import Call
-from bramleyport.daemons._peers import AgentLink
+from bramleyport.dispatch._attempt import Call
+from bramleyport.dispatch._dispatcher import Dispatcher
 from bramleyport.estimate import ESTIMATORS
+from bramleyport.links._peers import AgentLink
 from bramleyport.retries import (
     HEDGE_POLICIES,
     RETRY_POLICIES,
--- a/tests/test_keyed_calls.py
+++ b/tests/test_keyed_calls.py
@@ -20,9 +20,9 @@
     Targets,
     Work,
 )
-from bramleyport.daemons._claims import ClaimWriter
-from bramleyport.daemons._entry_attempt import Call
-from bramleyport.daemons._keyed import KeyedCalls
+from bramleyport.dispatch._attempt import Call
+from bramleyport.keyed._calls import KeyedCalls
+from bramleyport.keyed._claims import ClaimWriter
 from bramleyport.objectapi import ObjectClient
 from bramleyport.standins import (
     LOOPBACK,
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -27,10 +27,10 @@
     UpstreamId,
     Work,
 )
-from bramleyport.daemons import _status
-from bramleyport.daemons._outcomes import OutcomeCounter
-from bramleyport.daemons._relay import CountRelay
-from bramleyport.daemons._trace import begin_trace, note_attempt, note_decision
+from bramleyport.dispatch._trace import begin_trace, note_attempt, note_decision
+from bramleyport.entry import _status
+from bramleyport.entry._outcomes import OutcomeCounter
+from bramleyport.entry._relay import CountRelay
 from bramleyport.membership import Host, HostState, ProcessRole
 from bramleyport.records import (
     CASES_KEPT,
--- a/tests/test_pool_planner.py
+++ b/tests/test_pool_planner.py
@@ -1,5 +1,7 @@
 """Guard the planner's wiring: the pool it sees and the orders it asks for."""
 
+from bramleyport.control._controller import PoolState
+from bramleyport.control._pool_planner import FleetPlanner
 from bramleyport.core import (
     EngineLoad,
     EngineRole,
@@ -12,8 +14,6 @@
     UpstreamView,
     ZoneName,
 )
-from bramleyport.daemons._controller import PoolState
-from bramleyport.daemons._pool_planner import FleetPlanner
 from bramleyport.planning import Plan, PoolState as PlannedPool, RoleChange
 from bramleyport.telemetry import Metrics
 
--- a/tests/test_purity.py
+++ b/tests/test_purity.py
@@ -29,10 +29,15 @@
 ]
 FORBIDDEN = {"twisted", "asyncio", "websockets", "klein", "treq", "socket", "time"}
 SHELL = {
+    "agent",
     "callers",
-    "daemons",
+    "control",
+    "dispatch",
+    "entry",
     "gateway",
     "http1",
+    "keyed",
+    "links",
     "objectapi",
     "platform",
     "standins",
--- a/tests/test_race.py
+++ b/tests/test_race.py
@@ -20,10 +20,10 @@
     UpstreamState,
     ZoneName,
 )
-from bramleyport.daemons._entry_attempt import AttemptResult, OnChunk
-from bramleyport.daemons._hub import PeerHub
-from bramleyport.daemons._peers import AgentLink, AgentLinks
-from bramleyport.daemons._race import Start, race_attempts
+from bramleyport.dispatch._attempt import AttemptResult, OnChunk
+from bramleyport.dispatch._race import Start, race_attempts
+from bramleyport.links._hub import PeerHub
+from bramleyport.links._peers import AgentLink, AgentLinks
 from bramleyport.membership import Host, ProcessRole
 from bramleyport.replication import HostStore, RecordStore, Replica
 from bramleyport.retries import AttemptFailure, FailureKind
--- a/tests/test_ranked_queue.py
+++ b/tests/test_ranked_queue.py
@@ -7,6 +7,7 @@
 from hypothesis import given, settings, strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 
+from bramleyport.agent._schedule import AgentSchedule
 from bramleyport.core import (
     AccountId,
     AttemptId,
@@ -21,7 +22,6 @@
     Work,
     ZoneName,
 )
-from bramleyport.daemons._agent_schedule import AgentSchedule
 from bramleyport.estimate import LearnedEstimator
 from bramleyport.queueing import QUEUE_POLICIES, Queued, QueuedWork, Refused
 from bramleyport.queueing._accounts import MAX_IDLE_TAGS
--- a/tests/test_split.py
+++ b/tests/test_split.py
@@ -13,10 +13,10 @@
 from result import Err, Ok
 from twisted.web.client import ResponseFailed
 
+from bramleyport.agent._schedule import AgentSchedule, WorkPart
 from bramleyport.bench._routing import make_views, make_work
 from bramleyport.core import AttemptId, Rank, digest_prefix
-from bramleyport.daemons._agent_schedule import AgentSchedule, WorkPart
-from bramleyport.daemons._entry_attempt import Call
+from bramleyport.dispatch._attempt import Call
 from bramleyport.estimate import ESTIMATORS
 from bramleyport.queueing import QUEUE_POLICIES, Queued, Refused
 from bramleyport.settings import EntrySettings, TransferSettings, load_settings
--- a/tests/test_status.py
+++ b/tests/test_status.py
@@ -9,8 +9,8 @@
 from result import Err, Ok
 
 from bramleyport.core import ProcessId, Rank, Revision, ServiceName
-from bramleyport.daemons._outcomes import Outcome, OutcomeCounter
-from bramleyport.daemons._status import FleetState, StatusReporter
+from bramleyport.entry._outcomes import Outcome, OutcomeCounter
+from bramleyport.entry._status import FleetState, StatusReporter
 from bramleyport.objectapi import (
     Kind,
     Listing,
