Weigh reading beside running calls by how crowded the engine is

Pauses between events have room until an engine is crowded, so the weight now also grows with the part of slots taken.

Failures that were played against stand-ins are now explained from the gateway's log by a test each: refused under load, lost with its upstream, timed out in an outage.

--- a/bramleyport/fleet/_choice.py
+++ b/bramleyport/fleet/_choice.py
@@ -33,7 +33,7 @@
 # Spreads first uses of a prefix alike in all gateways, without asking each other.
 SPREAD_S: Final = 0.02
 # Weight of the time by which reading a prompt delays each call that runs beside it.
-RUNNING_WEIGHT: Final = 0.3
+RUNNING_WEIGHT: Final = 0.6
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -209,7 +209,9 @@
             unread_tokens=reading.unread,
             explanation=_explain("direct", forecast_s, reading),
         )
-        delay_s = RUNNING_WEIGHT * reading.read_s * len(load)
+        # Pauses between events have some room until an engine is crowded.
+        crowding = len(load) / max(1, item.slots)
+        delay_s = RUNNING_WEIGHT * reading.read_s * len(load) * crowding
         weight_s = self._weigh(call.prompt, item, reading) + delay_s
         return forecast_s + weight_s, choice
 
--- /dev/null
+++ b/tests/test_played_failures.py
@@ -0,0 +1,107 @@
+"""Guard that failures which were played are explained from the gateway's own log."""
+
+import asyncio
+from collections.abc import Callable, Coroutine, Iterator
+from pathlib import Path
+from typing import Any
+
+import pytest
+from click.testing import CliRunner
+
+from bramleyport.cli._main import main
+from bramleyport.core import RequestId, UpstreamId
+from bramleyport.fleet import Work
+from bramleyport.telemetry import configure_logging
+from tests.gateway_fleet import GatewayFleet
+from tests.platform_standin import hang, lose_answer, script_first
+
+Run = Callable[[Coroutine[Any, Any, Any]], Any]
+PROMPT = {"Model": "m", "Token_Counts": "4000,10", "Prompt_Prefix": "aa:3000,bb:1000"}
+LOST_STORE = '"event": 2627'
+
+
+class Log:
+    """Collect what a gateway writes to standard output."""
+
+    def __init__(self, capture: pytest.CaptureFixture[str]) -> None:
+        self._capture = capture
+        self._text = ""
+
+    def read(self) -> str:
+        self._text += self._capture.readouterr().out
+        return self._text
+
+    def explain(self, request: str) -> str:
+        result = CliRunner().invoke(main, ["explain", request], input=self.read())
+        assert result.exit_code == 0, result.output
+        return result.output
+
+
+@pytest.fixture
+def log(capfd: pytest.CaptureFixture[str]) -> Iterator[Log]:
+    configure_logging(json_lines=True, level="INFO", process="g1")
+    yield Log(capfd)
+    configure_logging(json_lines=False, level="INFO", process="")
+
+
+@pytest.fixture
+def fleet(log: Log, run: Run, tmp_path: Path) -> Iterator[GatewayFleet]:
+    fleet = GatewayFleet(tmp_path)
+    run(fleet.start())
+    yield fleet
+    run(fleet.stop())
+
+
+def test_call_refused_under_load(fleet: GatewayFleet, log: Log, run: Run) -> None:
+    for engine in fleet.engines:
+        name = UpstreamId(engine.name)
+        now_s = asyncio.get_event_loop().time()
+        work = Work(
+            request=RequestId("w"),
+            upstream=name,
+            priority=0,
+            read_s=9.0,
+            started_s=now_s,
+        )
+        fleet.state.loads.of(name).add(work)
+    caller = fleet.make_caller()
+    answer = run(caller.call("/stream/x", body=b"p", Request_Id="mine", **PROMPT))
+    assert answer.status == 503
+    story = log.explain("mine")
+    assert "cause: too_late" in story
+    assert "sends=0" in story
+    # The forecast that decided, and the time that was left.
+    assert "wait_s=" in story
+    assert "left_s=" in story
+
+
+def test_call_lost_with_its_upstream(fleet: GatewayFleet, log: Log, run: Run) -> None:
+    script_first(fleet.plain, lose_answer)
+    answer = run(fleet.make_caller().call("/post/x", body=b"b", Request_Id="mine"))
+    assert answer.status == 502
+    [(upstream, _)] = fleet.list_runs()
+    story = log.explain("mine")
+    assert "cause: not_repeatable" in story
+    assert f"upstream={upstream} end=lost" in story
+
+
+def test_call_that_timed_out_in_an_outage_of_the_store(
+    fleet: GatewayFleet, log: Log, run: Run
+) -> None:
+    async def play() -> int:
+        fleet.store.refuse_with = 503
+        fleet.store.reset_all()
+        await fleet.wait_for(lambda: LOST_STORE in log.read())
+        script_first(fleet.plain, hang)
+        caller = fleet.make_caller()
+        answer = await caller.call(
+            "/post/x", body=b"b", Request_Id="mine", Deadline_Ms="400"
+        )
+        return int(answer.status)
+
+    assert run(play()) == 504
+    story = log.explain("mine")
+    assert "cause: deadline" in story
+    believed, _, befell = story.partition("what befell the request")
+    assert "[2627]" in believed
+    assert "status=504" in befell
