--- a/bramleyport/fleet/_choice.py
+++ b/bramleyport/fleet/_choice.py
@@ -9,8 +9,9 @@
 from bramleyport.fleet._load import LoadBook
 from bramleyport.fleet._members import Membership
 from bramleyport.fleet._prefixes import PrefixIndex
+from bramleyport.fleet._reading import ReadForecaster, Reading, forecast_transfer
 from bramleyport.fleet._runs import RunTimes
-from bramleyport.fleet._speed import ReadSpeeds, measure_effort
+from bramleyport.fleet._speed import ReadSpeeds
 from bramleyport.fleet._types import (
     Call,
     EngineTraits,
@@ -19,10 +20,6 @@
     Stage,
 )
 
-# Seconds that a transfer between engines takes beside the bytes.
-TRANSFER_SETUP_S: Final = 0.005
-# Transfers between zones take this many times as long.
-OTHER_ZONE_FACTOR: Final = 2.0
 # Weight of the engine time that a choice uses against the time its caller waits. What
 # an engine reads needlessly delays the calls after this one.
 WORK_WEIGHT: Final = 0.5
@@ -55,23 +52,6 @@
     explanation: Explanation
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class Reading:
-    """Forecast how one engine would read a prompt."""
-
-    wait_s: float
-    read_s: float
-    fetch_s: float
-    unread: int
-    effort: float
-    source: Registration | None
-
-    @property
-    def ready_s(self) -> float:
-        """Return the seconds until the prompt is read."""
-        return self.wait_s + self.fetch_s + self.read_s
-
-
 class Chooser:
     """Choose upstreams by forecast, cached prefixes and load."""
 
@@ -87,8 +67,8 @@
         self._place = place
         self._members = members
         self._loads = loads
-        self._prefixes = prefixes
         self._speeds = speeds
+        self._readings = ReadForecaster(place, loads, prefixes, speeds)
         self._runs = runs
 
     def choose(
@@ -152,13 +132,13 @@
         may_split: bool,
     ) -> Choice | None:
         # Also an engine that only reads prompts can send what it has read.
-        holder = self._find_holder(prompt, ready)
+        holder = self._readings.find_holder(prompt, ready)
         decoders = [item for item in ready if item.stage is not Stage.PREFILL]
         choices = [
             self._weigh_direct(
                 call,
                 item,
-                self._forecast_read(call, prompt, engine, item, holder, now_s),
+                self._readings.forecast(call, prompt, engine, item, holder, now_s),
             )
             for item in decoders
         ]
@@ -167,7 +147,9 @@
             for item in ready:
                 if item.stage is not Stage.PREFILL:
                     continue
-                reading = self._forecast_read(call, prompt, engine, item, holder, now_s)
+                reading = self._readings.forecast(
+                    call, prompt, engine, item, holder, now_s
+                )
                 choices.append(
                     self._weigh_split(
                         call, prompt, engine, item, target, reading, now_s
@@ -180,35 +162,13 @@
     ) -> Registration:
         return min(decoders, key=lambda item: self._rank_decoder(item, now_s))
 
-    def _find_holder(
-        self, prompt: Prompt, ready: Sequence[Registration]
-    ) -> Registration | None:
-        """Return the engine that has read most of the prompt."""
-        best, most = None, 0
-        for item in ready:
-            tokens = self._prefixes.count_read(item.upstream, prompt)
-            same_zone = item.zone == self._place.zone
-            if tokens > most or (tokens == most > 0 and same_zone):
-                best, most = item, tokens
-        return best
-
     def _weigh_direct(
-        self, call: Call, item: Registration, reading: "Reading"
+        self, call: Call, item: Registration, reading: Reading
     ) -> tuple[float, Choice]:
         load = self._loads.of(item.upstream)
         slot_s = self._runs.forecast_slot(call, load, item.slots)
         forecast_s = reading.ready_s + max(0.0, slot_s - reading.wait_s)
-        choice = Choice(
-            upstream=item,
-            prefix_source=reading.source,
-            forecast_s=forecast_s,
-            run_s=self._runs.forecast(call),
-            wait_s=reading.wait_s,
-            read_s=reading.read_s,
-            effort=reading.effort,
-            unread_tokens=reading.unread,
-            explanation=_explain("direct", forecast_s, reading),
-        )
+        choice = self._make_choice(call, item, None, forecast_s, reading)
         # Pauses between events have some room until an engine is crowded.
         crowding = len(load) / max(1, item.slots)
         delay_s = RUNNING_WEIGHT * reading.read_s * len(load) * crowding
@@ -222,10 +182,10 @@
         engine: EngineTraits,
         reader: Registration,
         target: Registration,
-        reading: "Reading",
+        reading: Reading,
         now_s: float,
     ) -> tuple[float, Choice]:
-        moved_s = _forecast_transfer(engine, prompt.tokens_in, reader, target)
+        moved_s = forecast_transfer(engine, prompt.tokens_in, reader, target)
         # The engine that decodes reads the last token itself, after earlier prompts.
         step_s = self._speeds.forecast(target.upstream, Stage.DECODE, 1)
         load = self._loads.of(target.upstream)
@@ -233,7 +193,20 @@
         slot_s = self._runs.forecast_slot(call, load, target.slots)
         behind_s = max(0.0, max(target_wait_s, slot_s) - reading.ready_s)
         forecast_s = reading.ready_s + moved_s + step_s + behind_s
-        choice = Choice(
+        choice = self._make_choice(call, target, reader, forecast_s, reading)
+        weight_s = self._weigh(prompt, reader, reading) + MOVE_WEIGHT * moved_s
+        return forecast_s + weight_s + self._weigh_zone(target), choice
+
+    def _make_choice(
+        self,
+        call: Call,
+        target: Registration,
+        reader: Registration | None,
+        forecast_s: float,
+        reading: Reading,
+    ) -> Choice:
+        reason = "direct" if reader is None else "split"
+        return Choice(
             upstream=target,
             prefill=reader,
             prefix_source=reading.source,
@@ -243,43 +216,11 @@
             read_s=reading.read_s,
             effort=reading.effort,
             unread_tokens=reading.unread,
-            explanation=_explain("split", forecast_s, reading),
-        )
-        weight_s = self._weigh(prompt, reader, reading) + MOVE_WEIGHT * moved_s
-        return forecast_s + weight_s + self._weigh_zone(target), choice
-
-    def _forecast_read(
-        self,
-        call: Call,
-        prompt: Prompt,
-        engine: EngineTraits,
-        item: Registration,
-        holder: Registration | None,
-        now_s: float,
-    ) -> "Reading":
-        stage = item.stage or Stage.DECODE
-        cached = self._prefixes.count_cached(item.upstream, prompt)
-        source, fetched, fetch_s = None, 0, 0.0
-        if holder is not None and holder.upstream != item.upstream:
-            held = self._prefixes.count_read(holder.upstream, prompt)
-            fetched = max(0, min(held, prompt.tokens_in) - cached)
-        if fetched > 0 and holder is not None:
-            source = holder
-            fetch_s = _forecast_transfer(engine, fetched, holder, item)
-        unread = max(0, prompt.tokens_in - cached - fetched)
-        effort = measure_effort(unread, prompt.tokens_in)
-        load = self._loads.of(item.upstream)
-        return Reading(
-            wait_s=load.forecast_wait(call.route.priority, now_s),
-            read_s=self._speeds.forecast(item.upstream, stage, effort),
-            effort=effort,
-            fetch_s=fetch_s,
-            unread=unread,
-            source=source,
+            explanation=_explain(reason, forecast_s, reading),
         )
 
     def _weigh(
-        self, prompt: Prompt | None, item: Registration, reading: "Reading"
+        self, prompt: Prompt | None, item: Registration, reading: Reading
     ) -> float:
         """Return what a choice costs beside the time its caller waits."""
         cost_s = WORK_WEIGHT * reading.read_s + MOVE_WEIGHT * reading.fetch_s
@@ -301,15 +242,6 @@
         return SPREAD_S * (zlib.crc32(key) / 2**32)
 
 
-def _forecast_transfer(
-    engine: EngineTraits, tokens: int, source: Registration, target: Registration
-) -> float:
-    seconds = tokens * engine.kv_token_bytes / engine.link_bytes_per_s
-    if source.zone != target.zone:
-        seconds *= OTHER_ZONE_FACTOR
-    return TRANSFER_SETUP_S + seconds
-
-
 def _explain(reason: str, forecast_s: float, reading: Reading) -> Explanation:
     numbers = {
         "forecast_s": round(forecast_s, 3),
--- /dev/null
+++ b/bramleyport/fleet/_reading.py
@@ -0,0 +1,112 @@
+"""Forecast how engines would read a prompt."""
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+from typing import Final
+
+from bramleyport.core import Place
+from bramleyport.fleet._load import LoadBook
+from bramleyport.fleet._prefixes import PrefixIndex
+from bramleyport.fleet._speed import ReadSpeeds, measure_effort
+from bramleyport.fleet._types import Call, EngineTraits, Prompt, Registration, Stage
+
+# Seconds that a transfer between engines takes beside the bytes.
+TRANSFER_SETUP_S: Final = 0.005
+# Transfers between zones take this many times as long.
+OTHER_ZONE_FACTOR: Final = 2.0
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Reading:
+    """Forecast how one engine would read a prompt."""
+
+    wait_s: float
+    read_s: float
+    fetch_s: float
+    unread: int
+    effort: float
+    source: Registration | None
+
+    @property
+    def ready_s(self) -> float:
+        """Return the seconds until the prompt is read."""
+        return self.wait_s + self.fetch_s + self.read_s
+
+
+class ReadForecaster:
+    """Forecast readings by queue, cached prefixes and speed."""
+
+    def __init__(
+        self,
+        place: Place,
+        loads: LoadBook,
+        prefixes: PrefixIndex,
+        speeds: ReadSpeeds,
+    ) -> None:
+        self._place = place
+        self._loads = loads
+        self._prefixes = prefixes
+        self._speeds = speeds
+
+    def find_holder(
+        self, prompt: Prompt, engines: Sequence[Registration]
+    ) -> Registration | None:
+        """Return the engine that has read most of a prompt."""
+        best, most = None, 0
+        for item in engines:
+            tokens = self._prefixes.count_read(item.upstream, prompt)
+            same_zone = item.zone == self._place.zone
+            if tokens > most or (tokens == most > 0 and same_zone):
+                best, most = item, tokens
+        return best
+
+    def forecast(
+        self,
+        call: Call,
+        prompt: Prompt,
+        engine: EngineTraits,
+        item: Registration,
+        holder: Registration | None,
+        now_s: float,
+    ) -> Reading:
+        """Return how an engine would read a prompt, fetching what a holder has."""
+        stage = item.stage or Stage.DECODE
+        cached = self._prefixes.count_cached(item.upstream, prompt)
+        fetched = self._count_fetched(prompt, item, holder, cached)
+        source = holder if fetched else None
+        fetch_s = 0.0
+        if source is not None:
+            fetch_s = forecast_transfer(engine, fetched, source, item)
+        unread = max(0, prompt.tokens_in - cached - fetched)
+        effort = measure_effort(unread, prompt.tokens_in)
+        load = self._loads.of(item.upstream)
+        return Reading(
+            wait_s=load.forecast_wait(call.route.priority, now_s),
+            read_s=self._speeds.forecast(item.upstream, stage, effort),
+            effort=effort,
+            fetch_s=fetch_s,
+            unread=unread,
+            source=source,
+        )
+
+    def _count_fetched(
+        self,
+        prompt: Prompt,
+        item: Registration,
+        holder: Registration | None,
+        cached: int,
+    ) -> int:
+        if holder is None or holder.upstream == item.upstream:
+            return 0
+        held = self._prefixes.count_read(holder.upstream, prompt)
+        return max(0, min(held, prompt.tokens_in) - cached)
+
+
+def forecast_transfer(
+    engine: EngineTraits, tokens: int, source: Registration, target: Registration
+) -> float:
+    """Return the seconds for which the KV cache of some tokens is moved."""
+    seconds = tokens * engine.kv_token_bytes / engine.link_bytes_per_s
+    if source.zone != target.zone:
+        seconds *= OTHER_ZONE_FACTOR
+    return TRANSFER_SETUP_S + seconds
