Let streams that broke go on without the forecast of a whole run

The forecast of the time that an answer takes, added to admission today, also refused to continue a stream whose upstream had failed, although its caller had most of the events. The forecast now counts for the first attempt alone.

Not measured apart.

--- a/bramleyport/fleet/_admission.py
+++ b/bramleyport/fleet/_admission.py
@@ -15,20 +15,26 @@
 USABLE_PART: Final = 0.9
 
 
-def admit(call: Call, choice: Choice | None, now_s: float) -> Admitted | Rejected:
-    """Accept a call unless its forecast says that it ends too late."""
+def admit(
+    call: Call, choice: Choice | None, now_s: float, *, tried: bool = False
+) -> Admitted | Rejected:
+    """Accept a call unless its forecast says that it ends too late.
+
+    Of one that was tried before, part of the answer may be with its caller already.
+    """
     left_s = call.deadline_s - now_s
     if choice is None:
         explanation = Explanation(
             reason="no_upstream", numbers={"left_s": round(left_s, 3)}
         )
         return Rejected(explanation, NO_UPSTREAM_RETRY_S)
+    run_s = 0.0 if tried else choice.run_s
     numbers = {
         **choice.explanation.numbers,
-        "run_s": round(choice.run_s, 3),
+        "run_s": round(run_s, 3),
         "left_s": round(left_s, 3),
     }
-    needed_s = choice.forecast_s + choice.run_s
+    needed_s = choice.forecast_s + run_s
     if needed_s <= left_s * USABLE_PART:
         return Admitted(Explanation(reason=choice.explanation.reason, numbers=numbers))
     # By then enough of the queue has been read for the call to fit.
--- a/bramleyport/gateway/_attempt.py
+++ b/bramleyport/gateway/_attempt.py
@@ -77,7 +77,7 @@
         if choice is None:
             ejected = self.state.list_ejected(call.service, now_s)
             choice = self._choose(context, ejected, now_s)
-        decision = admit(call, choice, now_s)
+        decision = admit(call, choice, now_s, tried=bool(context.tried))
         if choice is None or isinstance(decision, Rejected):
             assert isinstance(decision, Rejected)
             return decision
--- a/tests/soak/_proxy.py
+++ b/tests/soak/_proxy.py
@@ -95,6 +95,8 @@
                 await asyncio.sleep(self.delay_s)
             while direction in self.held:
                 await asyncio.sleep(HELD_POLL_S)
+            if writer.is_closing():
+                raise ConnectionResetError
             if not link.silent:
                 writer.write(data)
                 await writer.drain()
