Keep the orders whose effect is unknown in a ledger of their own

StageController held them in two of its five maps, which also grew by one entry for every engine that was ever ordered. The ledger drops what has had its time.

--- a/bramleyport/gateway/_stages.py
+++ b/bramleyport/gateway/_stages.py
@@ -2,19 +2,18 @@
 
 import asyncio
 from collections.abc import Iterator
-from dataclasses import dataclass
 from typing import TYPE_CHECKING, Final
 
-from bramleyport.core import FencingNumber, ServiceName, UpstreamId
+from bramleyport.core import FencingNumber, ServiceName
 from bramleyport.fleet import (
     EngineView,
     Registration,
-    Stage,
     StageChange,
     StagePlanner,
 )
 from bramleyport.gateway._clock import read_now
 from bramleyport.gateway._exchange import Exchanger
+from bramleyport.gateway._order_ledger import OrderLedger
 from bramleyport.gateway._peers import PeerLink
 from bramleyport.gateway._state import GatewayState
 from bramleyport.http1 import ExchangeError
@@ -42,10 +41,6 @@
 CALL_TIMEOUT_S: Final = 1.0
 # An engine finishes the calls that it runs before it changes.
 FINISH_S: Final = 0.7
-# An unanswered order may still be carried out within this time.
-DOUBT_S: Final = 13.0
-# The registration of an engine shows an accepted order within this time.
-SHOWN_WITHIN_S: Final = 10.0
 # The list of peers is complete by then; before, two gateways might both plan.
 FIRST_LOOK_S: Final = 2.5
 # While upstreams of a service join, those that are known say little of the mix.
@@ -53,14 +48,6 @@
 RANK_ALL: Final = 9
 
 
-@dataclass(frozen=True, slots=True)
-class OrderedStage:
-    """Hold the stage that an engine was told to take."""
-
-    stage: Stage
-    until_s: float
-
-
 class StageController:
     """Plan and order stages while this gateway is the one that plans."""
 
@@ -79,11 +66,9 @@
         self._lease: OrderLease | None = None
         self._lease_task: asyncio.Task[None] | None = None
         self._wanted_until_s = 0.0
-        # Engines with an unanswered order, and until when it may still take effect.
-        self._in_doubt: dict[UpstreamId, float] = {}
         # Engines of each service at the last look, and when some joined last.
         self._counts: dict[ServiceName, tuple[int, float]] = {}
-        self._ordered: dict[UpstreamId, OrderedStage] = {}
+        self._orders = OrderLedger()
 
     async def run(self) -> None:
         """Plan until cancelled."""
@@ -98,6 +83,7 @@
 
     async def _look(self) -> None:
         now_s = read_now()
+        self._orders.drop_settled(now_s)
         if self._peers.is_first() and not self._state.draining:
             for change, service in self._list_changes(now_s):
                 self._wanted_until_s = now_s + KEEP_LEASE_S
@@ -126,15 +112,15 @@
             if item.stage is None:
                 continue
             load = self._state.loads.of(item.upstream)
-            ordered = self._ordered.get(item.upstream)
             views.append(
                 EngineView(
                     registration=item,
                     backlog_s=load.forecast_wait(RANK_ALL, now_s),
                     running=load.count_running(),
-                    changing=self._is_changing(item, now_s),
+                    changing=self._state.is_changing(item.upstream, now_s)
+                    or self._orders.is_open(item),
                     ejected=item.upstream in ejected,
-                    ordered=ordered.stage if ordered else None,
+                    ordered=self._orders.find_stage(item.upstream),
                 )
             )
         return views
@@ -149,17 +135,6 @@
             self._counts[service] = (count, joined_s)
         return now_s - joined_s < JOINING_S
 
-    def _is_changing(self, item: Registration, now_s: float) -> bool:
-        if self._state.is_changing(item.upstream, now_s):
-            return True
-        if self._in_doubt.get(item.upstream, 0.0) > now_s:
-            return True
-        ordered = self._ordered.get(item.upstream)
-        if ordered is None or now_s > ordered.until_s:
-            return False
-        # An accepted order counts until the registration shows its effect.
-        return item.stage is not ordered.stage
-
     def _ensure_lease(self) -> None:
         if self._lease is not None:
             return
@@ -202,12 +177,10 @@
         if fencing is None:
             return
         self._planners[service].note_changed(change.upstream, now_s)
-        self._ordered[change.upstream] = OrderedStage(
-            change.stage, now_s + SHOWN_WITHIN_S
-        )
+        self._orders.note_ordered(change.upstream, change.stage, now_s)
         result = await self._send(target, change, report, fencing)
         if result is OrderResult.UNKNOWN:
-            self._in_doubt[change.upstream] = now_s + DOUBT_S
+            self._orders.note_unanswered(change.upstream, now_s)
         log_event(
             gateway_events.STAGE_ORDERED,
             upstream=change.upstream,
