--- a/bramleyport/fleet/_choice.py
+++ b/bramleyport/fleet/_choice.py
@@ -29,6 +29,8 @@
 OTHER_ZONE_S: Final = 0.01
 # Spreads first uses of a prefix alike in all gateways, without asking each other.
 SPREAD_S: Final = 0.02
+# Part of the slots of an engine from which on calls that would end late are refused.
+CROWDED_PART: Final = 0.5
 # Weight of the time by which reading a prompt delays each call that runs beside it.
 RUNNING_WEIGHT: Final = 0.6
 
@@ -42,7 +44,8 @@
     prefill: Registration | None = None
     # Holds more of the prompt than the engine that reads it.
     prefix_source: Registration | None = None
-    # Expected time to the first byte of the answer, and from there to its end.
+    # Expected time to the first byte of the answer, and from there to its end on an
+    # engine that is crowded.
     forecast_s: float = 0.0
     run_s: float = 0.0
     wait_s: float = 0.0
@@ -211,7 +214,7 @@
             prefill=reader,
             prefix_source=reading.source,
             forecast_s=forecast_s,
-            run_s=self._runs.forecast(call),
+            run_s=self._forecast_run(call, target),
             wait_s=reading.wait_s,
             read_s=reading.read_s,
             effort=reading.effort,
@@ -219,6 +222,14 @@
             explanation=_explain(reason, forecast_s, reading),
         )
 
+    def _forecast_run(self, call: Call, target: Registration) -> float:
+        """Return how long a call runs, where it would take a slot from others."""
+        taken = len(self._loads.of(target.upstream))
+        if taken < CROWDED_PART * target.slots:
+            # Its answer may well be shorter than most, and nobody waits for the slot.
+            return 0.0
+        return self._runs.forecast(call)
+
     def _weigh(
         self, prompt: Prompt | None, item: Registration, reading: Reading
     ) -> float:
--- a/tests/ports.py
+++ b/tests/ports.py
@@ -18,10 +18,15 @@
     """Return a free port that no outgoing connection and no earlier call was given."""
     for offset in _offsets:
         port = LOWEST_PORT + offset % PORT_COUNT
-        with socket.socket() as probe:
-            try:
-                probe.bind(("127.0.0.1", port))
-            except OSError:
-                continue
+        if _is_free(port, socket.SOCK_STREAM) and _is_free(port, socket.SOCK_DGRAM):
             return port
     raise AssertionError("the offsets are endless")
+
+
+def _is_free(port: int, kind: socket.SocketKind) -> bool:
+    with socket.socket(type=kind) as probe:
+        try:
+            probe.bind(("127.0.0.1", port))
+        except OSError:
+            return False
+    return True
--- a/tests/test_fleet_choice.py
+++ b/tests/test_fleet_choice.py
@@ -121,6 +121,21 @@
     assert urgent.forecast_s < 0.1
 
 
+def test_run_of_an_answer_counts_only_on_a_crowded_engine() -> None:
+    # Half of the answers are far shorter than the mean; refusing them while slots are
+    # free serves nobody.
+    fleet = FleetModel(make_engine("d"))
+    call = make_call(SHORT)
+    fleet.runs.record(call, 2.0)
+    free = fleet.chooser.choose(call, ENGINE, (), 0.0)
+    for number in range(32):
+        fleet.send("d", request=f"w{number}")
+    crowded = fleet.chooser.choose(call, ENGINE, (), 0.0)
+    assert free is not None
+    assert crowded is not None
+    assert (free.run_s, crowded.run_s) == (0.0, 2.0)
+
+
 def test_prompt_is_read_apart_rather_than_beside_many_running_calls() -> None:
     # What an engine reads delays each call that runs there.
     prompt = make_prompt(("shared", 300), ("own", 900))
