Excuse silent connections beyond the end of a soak's faults; split the stand-ins

Trace: the connection of g1 to the store was silenced right after it had been opened again at 42.2 s, and its watch timed out at 51.75 s. It is now a span of time of its own; the bound and the check stay.

--- /dev/null
+++ b/tests/platform_standin/_http.py
@@ -0,0 +1,90 @@
+"""HTTP over raw sockets, as the stand-ins of the platform speak it."""
+
+import asyncio
+from dataclasses import dataclass
+from urllib.parse import parse_qs, urlsplit
+
+LOOPBACK = "127.0.0.1"
+
+
+@dataclass(slots=True)
+class RawRequest:
+    method: str
+    target: str
+    headers: dict[str, str]
+    body: bytes
+
+    @property
+    def path(self) -> str:
+        return urlsplit(self.target).path
+
+    @property
+    def query(self) -> dict[str, str]:
+        parsed = parse_qs(urlsplit(self.target).query)
+        return {name: values[0] for name, values in parsed.items()}
+
+
+async def read_request(reader: asyncio.StreamReader) -> RawRequest | None:
+    """Read one request; None at the end of the connection."""
+    try:
+        head = await reader.readuntil(b"\r\n\r\n")
+    except (asyncio.IncompleteReadError, ConnectionError):
+        return None
+    lines = head.decode("latin-1").split("\r\n")
+    method, target, _ = lines[0].split(" ")
+    headers = {}
+    for line in lines[1:]:
+        name, separator, value = line.partition(":")
+        if separator:
+            headers[name.lower()] = value.strip()
+    body = await reader.readexactly(int(headers.get("content-length", "0")))
+    return RawRequest(method, target, headers, body)
+
+
+def render(status: int, body: bytes = b"", **headers: str) -> bytes:
+    lines = [f"HTTP/1.1 {status} X", f"Content-Length: {len(body)}"]
+    lines += [f"{name.replace('_', '-')}: {value}" for name, value in headers.items()]
+    return "\r\n".join([*lines, "", ""]).encode() + body
+
+
+class RawServer:
+    """Serve connections with a function, and close all of them at the end."""
+
+    def __init__(self) -> None:
+        self.port = 0
+        self.connections = 0
+        self._server: asyncio.Server | None = None
+        self._writers: set[asyncio.StreamWriter] = set()
+
+    async def start(self, port: int = 0) -> None:
+        self._server = await asyncio.start_server(self._accept, LOOPBACK, port)
+        self.port = self._server.sockets[0].getsockname()[1]
+
+    async def stop(self) -> None:
+        assert self._server is not None
+        self._server.close()
+        self.reset_all()
+        await asyncio.sleep(0)
+
+    def reset_all(self) -> None:
+        for writer in list(self._writers):
+            writer.transport.abort()
+
+    async def _accept(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self.connections += 1
+        self._writers.add(writer)
+        try:
+            await self.serve(reader, writer)
+        except (ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError):
+            # The other side has gone, or the test is over.
+            return
+        finally:
+            self._writers.discard(writer)
+            writer.close()
+
+    async def serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        raise NotImplementedError
--- /dev/null
+++ b/tests/platform_standin/_store.py
@@ -0,0 +1,119 @@
+"""A stand-in of the platform's store."""
+
+import asyncio
+import json
+from typing import Any
+from urllib.parse import unquote
+
+from tests.platform_standin._http import RawRequest, RawServer, read_request, render
+
+
+class StoreStandin(RawServer):
+    """Keep objects as the platform's store does, with faults to switch on."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.revision = 1
+        self.objects: dict[tuple[str, str], dict[str, Any]] = {}
+        self.events: list[tuple[int, str, dict[str, Any], bool]] = []
+        self.calls: list[str] = []
+        self.oldest = 0
+        # Statuses that the next calls get in place of an answer.
+        self.refuse_with: int | None = None
+        self.silent = False
+        self._changed = asyncio.Event()
+
+    def put(self, kind: str, name: str, spec: Any) -> None:
+        self.revision += 1
+        metadata = {"name": name, "revision": self.revision}
+        item = {"metadata": metadata, "spec": spec, "status": None}
+        self.objects[kind, name] = item
+        self._announce(kind, item, deleted=False)
+
+    def delete(self, kind: str, name: str) -> None:
+        self.revision += 1
+        item = self.objects.pop((kind, name))
+        self._announce(kind, item, deleted=True)
+
+    def drop_superseded(self) -> None:
+        """Keep only the last event of each object."""
+        last = {
+            item["metadata"]["name"]: event
+            for event in self.events
+            for item in [event[2]]
+        }
+        self.events = [event for event in self.events if event in last.values()]
+
+    def forget_history(self) -> None:
+        """Drop the history; watches from before it are told so."""
+        self.oldest = self.revision
+        self._changed.set()
+
+    async def serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        while (request := await read_request(reader)) is not None:
+            self.calls.append(f"{request.method} {request.target}")
+            if self.silent:
+                await asyncio.sleep(60)
+            status, document = self.refuse_with, {}
+            if status is None:
+                status, document = await self._answer(request)
+            writer.write(render(status, json.dumps(document).encode()))
+            await writer.drain()
+
+    async def _answer(self, request: RawRequest) -> tuple[int, Any]:
+        steps = [unquote(step) for step in request.path.split("/")[3:]]
+        kind, name = steps[0], steps[1] if len(steps) > 1 else ""
+        if request.method == "GET" and "watch" in request.query:
+            return await self._watch(kind, request.query)
+        if request.method == "GET" and name:
+            found = self.objects.get((kind, name))
+            return (200, found) if found else (404, {})
+        if request.method == "GET":
+            items = [item for (k, _), item in self.objects.items() if k == kind]
+            listing = {"items": items, "has_more": False}
+            return 200, listing | {"current_rev": self.revision}
+        return self._change(request, kind, name)
+
+    def _change(self, request: RawRequest, kind: str, name: str) -> tuple[int, Any]:
+        document = json.loads(request.body) if request.body else {}
+        metadata = document.get("metadata", {})
+        name = name or metadata["name"]
+        known = self.objects.get((kind, name))
+        if request.method == "POST" and known:
+            return 409, known
+        if request.method != "POST" and known is None:
+            return 404, {}
+        if request.method == "DELETE":
+            self.delete(kind, name)
+            return 200, {}
+        expected = metadata.get("revision")
+        if known and expected not in (None, known["metadata"]["revision"]):
+            return 409, known
+        self.put(kind, name, document["spec"])
+        return 200, self.objects[kind, name]
+
+    async def _watch(self, kind: str, query: dict[str, str]) -> tuple[int, Any]:
+        since = int(query["watch"])
+        deadline_s = asyncio.get_running_loop().time() + int(query["wait_ms"]) / 1000
+        while True:
+            if since < self.oldest:
+                return 410, {}
+            found = [
+                {"object": item, "deleted": deleted}
+                for revision, k, item, deleted in self.events
+                if k == kind and revision > since
+            ]
+            left_s = deadline_s - asyncio.get_running_loop().time()
+            if found or left_s <= 0:
+                return 200, {"events": found, "current_rev": self.revision}
+            self._changed.clear()
+            try:
+                await asyncio.wait_for(self._changed.wait(), left_s)
+            except TimeoutError:
+                continue
+
+    def _announce(self, kind: str, item: dict[str, Any], *, deleted: bool) -> None:
+        self.events.append((self.revision, kind, item, deleted))
+        self._changed.set()
--- a/tests/soak/_faults.py
+++ b/tests/soak/_faults.py
@@ -205,7 +205,7 @@
     site.pick_proxy().silence_all()
     # This machine answers the keep-alive probes of both sides, so a gateway notices a
     # silent watch of the store by its timeout alone. Between hosts the probes fail.
-    await asyncio.sleep(WATCH_S + CALL_TIMEOUT_S)
+    site.record.impairments.excuse(WATCH_S + CALL_TIMEOUT_S)
 
 
 @unplanned
--- a/tests/soak/_findings.py
+++ b/tests/soak/_findings.py
@@ -42,6 +42,11 @@
         finally:
             span[1] = time.monotonic()
 
+    def excuse(self, for_s: float) -> None:
+        """Mark the time from now on, also beyond the end of the faults."""
+        now_s = time.monotonic()
+        self._spans.append([now_s, now_s + for_s])
+
     def overlap(self, start_s: float, end_s: float) -> bool:
         """Return whether anything was impaired between two times."""
         return any(
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,6 +1,7 @@
 """Guard the promises to callers while faults overlap, and the checks themselves."""
 
 import asyncio
+import time
 from collections.abc import Callable, Coroutine
 from pathlib import Path
 from typing import Any
@@ -116,6 +117,14 @@
     assert bool(record.findings.broken) is broken
 
 
+def test_excuse_outlasts_the_faults(record: Record) -> None:
+    # Faults are cancelled at their end; a connection that was silenced stays silent.
+    record.impairments.excuse(60.0)
+    now_s = time.monotonic()
+    assert record.impairments.overlap(now_s + 50.0, now_s + 51.0)
+    assert not record.impairments.overlap(now_s + 61.0, now_s + 62.0)
+
+
 @pytest.mark.parametrize(("late_s", "broken"), [(0.1, True), (-0.1, False)])
 def test_run_after_the_caller_has_left_is_found(
     record: Record, late_s: float, broken: bool
