--- /dev/null
+++ b/tests/test_known_red.py
@@ -0,0 +1,41 @@
+"""Guard that the list of known failures passes over nothing else."""
+
+import pytest
+
+from tests.known_red import load_entries, read_entries
+
+TESTS = """
+def test_listed():
+    assert False
+
+
+def test_other():
+    assert False
+"""
+ENTRY = "test_x.py::test_listed | make test | fails | 1"
+
+
+def test_only_the_listed_test_is_passed_over(
+    pytester: pytest.Pytester, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr("tests.conftest.load_entries", lambda: read_entries(ENTRY))
+    pytester.makepyfile(test_x=TESTS)
+    plugin = __import__("tests.conftest", fromlist=["conftest"])
+    result = pytester.inline_run(plugins=[plugin])
+    _, skipped, failed = result.listoutcomes()
+    assert [report.nodeid for report in failed] == ["test_x.py::test_other"]
+    assert [report.nodeid for report in skipped] == ["test_x.py::test_listed"]
+
+
+def test_entry_without_an_issue_is_an_error() -> None:
+    with pytest.raises(ValueError, match="KNOWN-RED"):
+        read_entries("test_x.py::test_listed | make test | fails |")
+
+
+def test_listed_tests_exist() -> None:
+    # A name that no test has would hide that the entry is out of date.
+    from tests.known_red import LIST
+
+    for entry in load_entries():
+        path, _, name = entry.test.partition("::")
+        assert f"def {name.partition('[')[0]}(" in (LIST.parent / path).read_text()
