End watches before an outage of the store is no excuse any more

All five gateways had sent their watch of the configuration into the outage; the store never answers such a call, and its timeout came 9.5 s later, at 34.67 s.

A watch and its answer now take 0.8 of the time for which an outage excuses old state (from the settings), 2.4 s where that is 3 s. Ruled out: keep-alive probes, which end connections that are silent for good after 3 s but not those of a silent store.

Cost: a gateway calls the store about every 2.3 s for each kind, 8.6 s before.

--- a/bramleyport/gateway/_daemon.py
+++ b/bramleyport/gateway/_daemon.py
@@ -23,6 +23,7 @@
     ConfigurationFollower,
     Follower,
     RegistrationFollower,
+    choose_watch_times,
 )
 from bramleyport.http1 import CallerFactory, ConnectionLimits
 from bramleyport.platform import ObjectKind, StoreClient, load_node_settings
@@ -159,6 +160,7 @@
             configuration.take_changes,
             lambda reachable: None,
             PAUSE_PART * settings.configure_s,
+            choose_watch_times(settings.stable_s),
         )
         follow_registrations = Follower(
             self._store,
@@ -167,6 +169,7 @@
             self._registrations.take_changes,
             self._note_store,
             PAUSE_PART * settings.drain_s,
+            choose_watch_times(settings.stable_s),
         )
         return [
             follow_configuration.run,
--- a/bramleyport/gateway/_watch.py
+++ b/bramleyport/gateway/_watch.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable, Iterable
+from dataclasses import dataclass
 from typing import Final
 
 from result import Err
@@ -25,9 +26,12 @@
 )
 from bramleyport.telemetry import gateway_events, log_event
 
-# Each watch ends by itself after this time. Connections that have gone silent are
-# noticed sooner, by the keep-alive probes of the sockets.
-WATCH_S: Final = 8.0
+# Part of the time for which an outage excuses old state. A watch that was sent into a
+# silent outage is never answered, so only its timeout ends it once the store is back.
+WATCH_PART: Final = 0.8
+# A store that answers slowly needs this long beyond the wait that it was asked for.
+ANSWER_S: Final = 0.7
+MIN_WAIT_S: Final = 0.3
 RETRY_FIRST_S: Final = 0.1
 RETRY_MAX_S: Final = 0.5
 # Part of the bound for drains or configurations for which changes are collected, so
@@ -37,6 +41,19 @@
 CONFIGURATION_NAME: Final = ObjectName("main")
 
 
+@dataclass(frozen=True, slots=True)
+class WatchTimes:
+    """Hold how long the store holds a watch, and how long its answer may take then."""
+
+    wait_s: float
+    answer_s: float = ANSWER_S
+
+
+def choose_watch_times(stable_s: float) -> WatchTimes:
+    """Return times that end a watch before an outage is no excuse any more."""
+    return WatchTimes(wait_s=max(MIN_WAIT_S, WATCH_PART * stable_s - ANSWER_S))
+
+
 class Follower:
     """Keep one kind of objects up to date by list and watch."""
 
@@ -48,6 +65,7 @@
         on_changes: Callable[[ChangeBatch], None],
         on_reachable: Callable[[bool], None],
         pause_s: float,
+        times: WatchTimes,
     ) -> None:
         self._store = store
         self._kind = kind
@@ -55,6 +73,7 @@
         self._on_changes = on_changes
         self._on_reachable = on_reachable
         self._pause_s = pause_s
+        self._times = times
         self._revision: Revision | None = None
         self._reachable = True
         self._retry_s = RETRY_FIRST_S
@@ -83,7 +102,9 @@
             self._note_reachable()
             self._on_listing(listing.ok_value)
             return None
-        batch = await self._store.watch(self._kind, self._revision, WATCH_S)
+        batch = await self._store.watch(
+            self._kind, self._revision, self._times.wait_s, self._times.answer_s
+        )
         if isinstance(batch, Err):
             return batch.err_value
         self._revision = max(self._revision, batch.ok_value.revision)
--- a/bramleyport/platform/_settings.py
+++ b/bramleyport/platform/_settings.py
@@ -26,6 +26,8 @@
     read_text,
 )
 
+# Used where the settings name no time after which an outage is over.
+DEFAULT_STABLE_MS: Final = 3_000
 FILE_VARIABLE: Final = "BRAMLEYPORT_NODE_FILE"
 _LOADER: Any = getattr(yaml, "CSafeLoader", yaml.SafeLoader)
 
@@ -66,6 +68,8 @@
     # in force.
     drain_s: float
     configure_s: float
+    # These times count again this long after the end of an outage of the store.
+    stable_s: float
     registration_interval_s: float
     lease_s: float
     # The whole system starts for the first time, so that engines hold nothing yet.
@@ -124,6 +128,7 @@
         grace_s=read_number(bounds, "grace_s"),
         drain_s=read_count(bounds, "drain_ms") / 1000,
         configure_s=read_count(bounds, "config_ms") / 1000,
+        stable_s=read_count(bounds, "stable_window_ms", DEFAULT_STABLE_MS) / 1000,
         registration_interval_s=read_count(document, "heartbeat_ms") / 1000,
         lease_s=read_count(bounds, "lease_ms") / 1000,
         first_start=read_flag(document, "first_start", False),
--- a/bramleyport/platform/_store.py
+++ b/bramleyport/platform/_store.py
@@ -165,15 +165,15 @@
             return _reject("get", str(error))
 
     async def watch(
-        self, kind: ObjectKind, since: Revision, wait_s: float
+        self, kind: ObjectKind, since: Revision, wait_s: float, answer_s: float
     ) -> Result[ChangeBatch, StoreError]:
-        """Wait for changes after a revision."""
+        """Wait for changes after a revision; the answer may come a little later."""
         query = [f"watch={since}", f"wait_ms={int(wait_s * 1000)}"]
         reply = await self._call(
             "watch",
             "GET",
             _make_path(kind, query=query),
-            timeout_s=wait_s + CALL_TIMEOUT_S,
+            timeout_s=wait_s + answer_s,
         )
         if isinstance(reply, Err):
             return reply
--- a/tests/soak/_faults.py
+++ b/tests/soak/_faults.py
@@ -8,15 +8,15 @@
 from random import Random
 from typing import Any, Final
 
-from bramleyport.gateway._watch import WATCH_S
-from bramleyport.platform._store import CALL_TIMEOUT_S
+from bramleyport.gateway._watch import choose_watch_times
 from tests.gateway_fleet import make_config, make_route
 from tests.platform_standin import StoreStandin, UpstreamStandin
-from tests.soak._checks import Drain, Record, RouteChange
+from tests.soak._checks import STABLE_S, Drain, Record, RouteChange
 from tests.soak._processes import GatewayProcess
 from tests.soak._proxy import Direction, FaultProxy
 
 MAX_FAULT_S = 2.0
+TIMES = choose_watch_times(STABLE_S)
 MAX_DELAY_S = 0.4
 # Upstreams go on serving for longer than drains may take.
 MAX_DRAIN_S = 6.0
@@ -205,7 +205,7 @@
     site.pick_proxy().silence_all()
     # This machine answers the keep-alive probes of both sides, so a gateway notices a
     # silent watch of the store by its timeout alone. Between hosts the probes fail.
-    site.record.impairments.excuse(WATCH_S + CALL_TIMEOUT_S)
+    site.record.impairments.excuse(TIMES.wait_s + TIMES.answer_s)
 
 
 @unplanned
--- a/tests/test_gateway_state.py
+++ b/tests/test_gateway_state.py
@@ -9,6 +9,7 @@
 import yaml
 
 from bramleyport.fleet import Stage
+from bramleyport.gateway._watch import RETRY_FIRST_S, choose_watch_times
 from tests.gateway_fleet import LANGUAGE, GatewayFleet, make_config, make_route
 from tests.platform_standin import UpstreamStandin
 
@@ -291,6 +292,33 @@
     assert peers.is_first()
 
 
+@pytest.mark.parametrize("stable_s", [1.5, 3.0, 4.0, 10.0])
+def test_watch_that_is_never_answered_ends_while_an_outage_excuses_it(
+    stable_s: float,
+) -> None:
+    # A watch that was sent into a silent outage kept five gateways on an old
+    # configuration for 5.4 s after the store was back.
+    times = choose_watch_times(stable_s)
+    assert times.wait_s > 0
+    assert times.wait_s + times.answer_s + RETRY_FIRST_S < stable_s
+
+
+def test_watch_sent_into_a_silent_outage_does_not_hold_up_a_configuration(
+    fleet: GatewayFleet, run: Run
+) -> None:
+    async def play() -> None:
+        fleet.store.silent = True
+        fleet.store.reset_all()
+        calls = len(fleet.store.calls)
+        await fleet.wait_for(lambda: len(fleet.store.calls) > calls + 1)
+        fleet.store.silent = False
+        fleet.store.put("config", "main", make_config(2))
+        # The store never answers the watches that it got while it was silent.
+        await fleet.wait_for(lambda: fleet.state.configuration.version == 2)
+
+    run(play())
+
+
 def test_without_the_store_nobody_orders(fleet: GatewayFleet, run: Run) -> None:
     # Without a lease another gateway may be ordering the same engines.
     async def starve() -> None:
