Bound what an upstream or a caller may cost by bytes without end

Cause: an answer's body, its events, interim answers and answers of other requests had no bound, and nothing paused the peer.

A connection now queues 256 kB and is then not listened to, takes 64 events a turn, and ends after 8 interim answers, 4 answers or 1 MB of other requests, a head of 16 kB or a whole answer of 8 MB. A stream ends with an event of over 256 kB; comments are passed on but don't count as progress. A caller that reads nothing is cut off 1 s after a broken answer. The caller's side takes its bytes by turns too.

Ruled out: a bound for the number of events of an answer, which depends on how many tokens an engine puts into one.

--- a/bramleyport/gateway/_events.py
+++ b/bramleyport/gateway/_events.py
@@ -1,9 +1,13 @@
 """Pass on an event stream in whole events and in order."""
 
+from typing import Final
+
 from bramleyport.http1 import Answer, CallerConnection
 from bramleyport.platform import encode_answer_headers, read_event_id
 
-_END = b"\n\n"
+_END: Final = b"\n\n"
+# A longer event is taken for a fault of its upstream.
+MAX_EVENT_BYTES: Final = 262_144
 
 
 class BrokenStreamError(ValueError):
@@ -29,12 +33,21 @@
             self._head = head
 
     def take(self, data: bytes) -> int:
-        """Pass on the complete events in some bytes and return their number."""
+        """Pass on the complete events in some bytes.
+
+        Return how many of them are news: those without a number, such as comments,
+        don't show that the upstream is getting on with its answer.
+        """
+        # Only the seam may complete a separator that began before.
+        seen = max(0, len(self._rest) - len(_END))
         self._rest += data
-        whole, separator, rest = self._rest.rpartition(_END)
-        if not separator:
+        end = self._rest.rfind(_END, seen)
+        if end < 0:
+            self._check_length()
             return 0
-        self._rest = rest
+        whole = self._rest[:end]
+        self._rest = self._rest[end + len(_END) :]
+        self._check_length()
         events = [event + _END for event in whole.split(_END)]
         return sum(self._pass_on(event) for event in events)
 
@@ -45,6 +58,10 @@
         self._start()
         self.connection.finish_answer()
 
+    def _check_length(self) -> None:
+        if len(self._rest) > MAX_EVENT_BYTES:
+            raise BrokenStreamError(f"an event is over {MAX_EVENT_BYTES} bytes")
+
     def _pass_on(self, event: bytes) -> bool:
         number = read_event_id(event)
         if number is not None:
@@ -54,7 +71,7 @@
         self._start()
         self.connection.write_body(event)
         self.events += 1
-        return True
+        return number is not None
 
     def _start(self) -> None:
         if self.started or self._head is None:
--- a/bramleyport/http1/__init__.py
+++ b/bramleyport/http1/__init__.py
@@ -5,13 +5,12 @@
 sides therefore use the protocol library h11 on Twisted's transports.
 """
 
-from bramleyport.http1._client import (
+from bramleyport.http1._client import HttpClient, UpstreamConnection
+from bramleyport.http1._messages import (
     Answer,
     ExchangeError,
     ExchangeFailure,
-    HttpClient,
     HttpRequest,
-    UpstreamConnection,
 )
 from bramleyport.http1._pool import ConnectionPool, PoolLimits
 from bramleyport.http1._server import (
--- /dev/null
+++ b/bramleyport/http1/_answers.py
@@ -0,0 +1,161 @@
+"""Read the answers on one connection, within bounds.
+
+A faulty upstream may send interim answers, answers of other requests, headers or
+framing without end. Each is bounded, and each call does a bounded amount of work.
+"""
+
+from collections.abc import Callable
+from enum import Enum
+from typing import Any, Final
+
+import h11
+
+from bramleyport.http1._messages import Answer, HttpRequest
+
+# Bytes of the status line and headers, of trailers, and of the line before a chunk.
+MAX_HEAD_BYTES: Final = 16_384
+MAX_INTERIM_ANSWERS: Final = 8
+# Answers of other requests that may come before the one that is expected.
+MAX_FOREIGN_ANSWERS: Final = 4
+MAX_FOREIGN_BYTES: Final = 1_048_576
+
+
+class MalformedAnswerError(ValueError):
+    """Report bytes that are no answer, or more of them than is allowed."""
+
+
+class Skipped(Enum):
+    """Stand for an event that is no part of the expected answer."""
+
+    INTERIM = "interim"
+    FOREIGN = "foreign"
+
+
+AnswerEvent = h11.Response | h11.Data | h11.EndOfMessage
+
+
+class AnswerParser:
+    """Turn the bytes of a connection into the events of the expected answers."""
+
+    def __init__(self, host: str) -> None:
+        self._host = host
+        self._http = _make_connection()
+        self._request: HttpRequest | None = None
+        self._matches: Callable[[Answer], bool] | None = None
+        self._foreign = False
+        self._foreign_answers = 0
+        self._foreign_bytes = 0
+        self._interim_answers = 0
+
+    @property
+    def idle(self) -> bool:
+        """Return whether no request is under way."""
+        return self._http.our_state is h11.IDLE
+
+    @property
+    def began(self) -> bool:
+        """Return whether the head of an answer was read."""
+        return self._http.their_state is not h11.SEND_RESPONSE
+
+    @property
+    def ended(self) -> bool:
+        """Return whether the answer is complete."""
+        return self._http.their_state in (h11.DONE, h11.MUST_CLOSE, h11.CLOSED)
+
+    @property
+    def ends_with_connection(self) -> bool:
+        """Return whether the peer may end the body by closing the connection."""
+        return self._http.their_state is h11.SEND_BODY
+
+    def start(
+        self, request: HttpRequest, matches: Callable[[Answer], bool] | None
+    ) -> bytes:
+        """Return a request as bytes; answers that don't match it are left out."""
+        self._request = request
+        self._matches = matches
+        self._foreign = False
+        self._foreign_answers = 0
+        self._foreign_bytes = 0
+        self._interim_answers = 0
+        return self._encode(request)
+
+    def receive(self, data: bytes) -> None:
+        """Take bytes of the peer; none stand for the end of the connection."""
+        self._http.receive_data(data)
+
+    def take(self) -> AnswerEvent | Skipped | None:
+        """Return the next event, or None until there are more bytes."""
+        try:
+            event = self._http.next_event()
+        except h11.RemoteProtocolError as error:
+            raise MalformedAnswerError(str(error)) from error
+        if event in (h11.NEED_DATA, h11.PAUSED):
+            return None
+        if isinstance(event, h11.ConnectionClosed):
+            return None
+        if isinstance(event, h11.InformationalResponse):
+            return self._skip_interim()
+        return self._sort(event)
+
+    def finish(self) -> bool:
+        """Expect the next request; return whether the peer sent more than answers."""
+        rest, _ = self._http.trailing_data
+        if self._http.our_state is h11.DONE and self._http.their_state is h11.DONE:
+            self._http.start_next_cycle()
+        return bool(rest)
+
+    def _sort(self, event: Any) -> AnswerEvent | Skipped:
+        """Tell the events of the expected answer from those of others."""
+        if isinstance(event, h11.Response) and self._matches is not None:
+            self._foreign = not self._matches(make_answer(event))
+        if not self._foreign:
+            assert isinstance(event, AnswerEvent)
+            return event
+        if isinstance(event, h11.Data):
+            self._foreign_bytes += len(event.data)
+        elif isinstance(event, h11.EndOfMessage):
+            self._end_foreign()
+        if self._foreign_bytes > MAX_FOREIGN_BYTES:
+            raise MalformedAnswerError("the answer of another request is too long")
+        return Skipped.FOREIGN
+
+    def _skip_interim(self) -> Skipped:
+        self._interim_answers += 1
+        if self._interim_answers > MAX_INTERIM_ANSWERS:
+            raise MalformedAnswerError("too many interim answers")
+        return Skipped.INTERIM
+
+    def _end_foreign(self) -> None:
+        """Expect the answer again after one of another request."""
+        assert self._request is not None
+        self._foreign = False
+        self._foreign_answers += 1
+        if self._foreign_answers > MAX_FOREIGN_ANSWERS:
+            raise MalformedAnswerError("too many answers of other requests")
+        rest, _ = self._http.trailing_data
+        self._http = _make_connection()
+        self._encode(self._request)
+        if rest:
+            self._http.receive_data(rest)
+
+    def _encode(self, request: HttpRequest) -> bytes:
+        headers = list(request.headers)
+        if request.body or request.method not in (b"GET", b"DELETE", b"HEAD"):
+            headers.append((b"Content-Length", str(len(request.body)).encode()))
+        if not any(name.lower() == b"host" for name, _ in headers):
+            headers.append((b"Host", self._host.encode()))
+        head = self._http.send(
+            h11.Request(method=request.method, target=request.target, headers=headers)
+        )
+        body = self._http.send(h11.Data(data=request.body)) if request.body else b""
+        end = self._http.send(h11.EndOfMessage())
+        return (head or b"") + (body or b"") + (end or b"")
+
+
+def make_answer(event: h11.Response) -> Answer:
+    """Return the status and headers of an answer."""
+    return Answer(event.status_code, bytes(event.reason), list(event.headers))
+
+
+def _make_connection() -> h11.Connection:
+    return h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
--- a/bramleyport/http1/_client.py
+++ b/bramleyport/http1/_client.py
@@ -3,8 +3,6 @@
 import asyncio
 from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass
-from enum import Enum
 from typing import Any, Final
 
 import h11
@@ -12,55 +10,28 @@
 from twisted.internet.protocol import ClientCreator, Protocol
 from twisted.python.failure import Failure
 
-from bramleyport.core import StepError
 from bramleyport.fleet import Address
+from bramleyport.http1._answers import (
+    AnswerEvent,
+    AnswerParser,
+    MalformedAnswerError,
+    Skipped,
+    make_answer,
+)
+from bramleyport.http1._messages import (
+    Answer,
+    ExchangeError,
+    ExchangeFailure,
+    HttpRequest,
+)
 from bramleyport.http1._sockets import watch_peer
 
-Headers = list[tuple[bytes, bytes]]
-
-MAX_HEADER_BYTES: Final = 65_536
-
-
-class ExchangeFailure(str, Enum):
-    """Classify failed exchanges by what the peer may have done."""
-
-    # No byte of the request was sent.
-    NOT_SENT = "not_sent"
-    # The request was sent, no answer began.
-    NO_ANSWER = "no_answer"
-    # The answer broke off or was not HTTP.
-    BROKEN = "broken"
-    TIMEOUT = "timeout"
-
-
-class ExchangeError(StepError):
-    """Report an exchange without a complete answer."""
-
-    def __init__(
-        self, failure: ExchangeFailure, step: str, peer: str, reason: str
-    ) -> None:
-        super().__init__(step, peer, reason)
-        self.failure = failure
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class HttpRequest:
-    """Hold one request as it is sent."""
-
-    method: bytes
-    target: bytes
-    headers: Headers
-    body: bytes = b""
-
-
-@dataclass(frozen=True, slots=True)
-class Answer:
-    """Hold the status and headers of an answer, and its body where it was read."""
-
-    status: int
-    reason: bytes
-    headers: Headers
-    body: bytes = b""
+# Events that are taken from one connection before others have their turn.
+EVENTS_PER_TURN: Final = 64
+# Bytes that wait to be read, beyond which the peer is not listened to.
+QUEUE_BYTES: Final = 262_144
+# A whole answer beyond this is taken for a fault of its upstream.
+MAX_ANSWER_BYTES: Final = 8_388_608
 
 
 class UpstreamConnection(Protocol):
@@ -78,15 +49,14 @@
         # Bytes that belong to no exchange make the connection unusable afterwards.
         self.tainted = False
         self.on_closed: Callable[[UpstreamConnection], None] | None = None
-        self._http = h11.Connection(
-            h11.CLIENT, max_incomplete_event_size=MAX_HEADER_BYTES
-        )
-        self._events: deque[Any] = deque()
+        self._parser = AnswerParser(str(peer))
+        self._events: deque[AnswerEvent] = deque()
+        self._queued_bytes = 0
+        # Set while the peer is not listened to.
+        self._paused = False
+        self._turn: asyncio.Handle | None = None
         self._waiter: asyncio.Future[None] | None = None
         self._error: ExchangeError | None = None
-        self._request: HttpRequest | None = None
-        self._matches: Callable[[Answer], bool] | None = None
-        self._skipping = False
 
     def connectionMade(self) -> None:  # noqa: N802
         """Prepare the socket."""
@@ -99,7 +69,7 @@
             not self.closed
             and not self.tainted
             and self._error is None
-            and self._http.our_state is h11.IDLE
+            and self._parser.idle
         )
 
     def send(
@@ -108,17 +78,15 @@
         matches: Callable[[Answer], bool] | None = None,
     ) -> None:
         """Send a request; answers that don't match it are skipped."""
-        self._request = request
-        self._matches = matches
         self._events.clear()
-        self._write(self._encode(request))
+        self._queued_bytes = 0
+        self.transport.write(self._parser.start(request, matches))
 
     async def read_head(self) -> Answer:
         """Wait for the status and headers of the answer."""
-        while True:
-            event = await self._next("read answer head")
-            if isinstance(event, h11.Response):
-                return _make_answer(event)
+        event = await self._next("read answer head")
+        assert isinstance(event, h11.Response)
+        return make_answer(event)
 
     async def read_chunk(self) -> bytes | None:
         """Wait for the next bytes of the body; None after the last."""
@@ -126,12 +94,18 @@
         if isinstance(event, h11.EndOfMessage):
             self._finish()
             return None
+        assert isinstance(event, h11.Data)
         return bytes(event.data)
 
-    async def read_body(self) -> bytes:
+    async def read_body(self, max_bytes: int = MAX_ANSWER_BYTES) -> bytes:
         """Wait for the whole body."""
         chunks = []
+        size = 0
         while (chunk := await self.read_chunk()) is not None:
+            size += len(chunk)
+            if size > max_bytes:
+                reason = f"over {max_bytes} bytes"
+                raise self._make_error(ExchangeFailure.BROKEN, "read body", reason)
             chunks.append(chunk)
         return b"".join(chunks)
 
@@ -149,102 +123,103 @@
         """Take bytes from the peer."""
         if self._error is not None:
             return
-        if self._http.our_state is h11.IDLE:
+        if self._parser.idle:
             # Bytes after a complete answer belong to no request.
             self.tainted = True
             self.transport.abortConnection()
             return
-        try:
-            self._http.receive_data(data)
-            self._pump()
-        except h11.RemoteProtocolError as error:
-            self._fail(ExchangeFailure.BROKEN, str(error))
-            self.transport.abortConnection()
+        if self._parser.ended:
+            # The answer is still being read; what follows it is left unread.
+            self.tainted = True
+            self._listen(listening=False)
+            return
+        self._parser.receive(data)
+        self._pump()
 
     def connectionLost(self, reason: Failure = Failure(ConnectionDone())) -> None:  # noqa: N802, B008
         """Take the end of the connection."""
         self.closed = True
-        if self._error is None and self._http.our_state is not h11.IDLE:
+        self._cancel_turn()
+        if self._error is None and not self._parser.idle:
             self._end(clean=bool(reason.check(ConnectionDone)), text=str(reason.value))
         if self.on_closed is not None:
             self.on_closed(self)
 
     def _end(self, *, clean: bool, text: str) -> None:
-        state = self._http.their_state
-        if clean and state is h11.SEND_BODY:
-            text = self._end_body() or text
-        if self._http.their_state in (h11.DONE, h11.MUST_CLOSE, h11.CLOSED):
+        try:
+            self._take_all()
+            if clean and self._parser.ends_with_connection:
+                self._parser.receive(b"")
+                self._take_all()
+        except MalformedAnswerError as error:
+            text = str(error)
+        if self._parser.ended:
             self._wake()
             return
-        began = state is not h11.SEND_RESPONSE
+        began = self._parser.began
         failure = ExchangeFailure.BROKEN if began else ExchangeFailure.NO_ANSWER
         self._fail(failure, text)
 
-    def _end_body(self) -> str:
-        """End a body that has no length; return the error where it has one."""
-        try:
-            self._http.receive_data(b"")
-            self._pump()
-        except h11.RemoteProtocolError as error:
-            return str(error)
-        return ""
-
-    def _encode(self, request: HttpRequest) -> bytes:
-        headers = list(request.headers)
-        if request.body or request.method not in (b"GET", b"DELETE", b"HEAD"):
-            headers.append((b"Content-Length", str(len(request.body)).encode()))
-        if not any(name.lower() == b"host" for name, _ in headers):
-            headers.append((b"Host", str(self.peer).encode()))
-        head = self._http.send(
-            h11.Request(method=request.method, target=request.target, headers=headers)
-        )
-        body = self._http.send(h11.Data(data=request.body)) if request.body else b""
-        end = self._http.send(h11.EndOfMessage())
-        return (head or b"") + (body or b"") + (end or b"")
-
-    def _write(self, data: bytes) -> None:
-        self.transport.write(data)
-
     def _pump(self) -> None:
-        while True:
-            event = self._http.next_event()
-            if event is h11.NEED_DATA or event is h11.PAUSED:
-                break
-            if isinstance(event, h11.ConnectionClosed):
-                break
-            self._take(event)
+        """Take events until there are no more, too many, or enough for one turn."""
+        self._cancel_turn()
+        try:
+            more = self._take_some()
+        except MalformedAnswerError as error:
+            self._fail(ExchangeFailure.BROKEN, str(error))
+            self.abort()
+            return
         self._wake()
+        full = self._queued_bytes >= QUEUE_BYTES
+        self._listen(listening=not (more or full))
+        if more and not full:
+            self._turn = asyncio.get_running_loop().call_soon(self._pump)
+
+    def _take_some(self) -> bool:
+        """Take the events of one turn; return whether there may be more."""
+        for _ in range(EVENTS_PER_TURN):
+            if self._queued_bytes >= QUEUE_BYTES:
+                return True
+            if not self._take_one():
+                return False
+        return True
+
+    def _take_all(self) -> None:
+        while self._take_one():
+            continue
+
+    def _take_one(self) -> bool:
+        event = self._parser.take()
+        if event is None:
+            return False
+        if isinstance(event, Skipped):
+            self.tainted |= event is Skipped.FOREIGN
+            return True
+        self._events.append(event)
+        if isinstance(event, h11.Data):
+            self._queued_bytes += len(event.data)
+        return True
+
+    def _listen(self, *, listening: bool) -> None:
+        if self.closed or listening != self._paused:
+            return
+        self._paused = not listening
+        if listening:
+            self.transport.resumeProducing()
+        else:
+            self.transport.pauseProducing()
 
-    def _take(self, event: Any) -> None:
-        if isinstance(event, h11.Response) and self._matches is not None:
-            self._skipping = not self._matches(_make_answer(event))
-            self.tainted |= self._skipping
-        if not self._skipping:
-            self._events.append(event)
-        elif isinstance(event, h11.EndOfMessage):
-            self._skip()
-
-    def _skip(self) -> None:
-        """Expect the answer again after one that belongs to another request."""
-        assert self._request is not None
-        rest, _ = self._http.trailing_data
-        self._skipping = False
-        self._http = h11.Connection(
-            h11.CLIENT, max_incomplete_event_size=MAX_HEADER_BYTES
-        )
-        self._encode(self._request)
-        if rest:
-            self._http.receive_data(rest)
+    def _cancel_turn(self) -> None:
+        if self._turn is not None:
+            self._turn.cancel()
+            self._turn = None
 
     def _finish(self) -> None:
         """Make the connection ready for the next exchange, or leave it unusable."""
-        rest, _ = self._http.trailing_data
-        if rest:
-            self.tainted = True
-        if self._http.our_state is h11.DONE and self._http.their_state is h11.DONE:
-            self._http.start_next_cycle()
+        self.tainted |= self._parser.finish()
+        self._listen(listening=True)
 
-    async def _next(self, step: str) -> Any:
+    async def _next(self, step: str) -> AnswerEvent:
         while not self._events:
             if self._error is not None:
                 raise self._error
@@ -252,7 +227,16 @@
                 raise self._make_error(ExchangeFailure.BROKEN, step, "closed")
             self._waiter = asyncio.get_running_loop().create_future()
             await self._waiter
-        return self._events.popleft()
+        event = self._events.popleft()
+        if isinstance(event, h11.Data):
+            self._note_read(len(event.data))
+        return event
+
+    def _note_read(self, size: int) -> None:
+        was_full = self._queued_bytes >= QUEUE_BYTES
+        self._queued_bytes -= size
+        if was_full and self._queued_bytes < QUEUE_BYTES and not self.closed:
+            self._turn = asyncio.get_running_loop().call_soon(self._pump)
 
     def _wake(self) -> None:
         if self._waiter is not None and not self._waiter.done():
@@ -269,10 +253,6 @@
         return ExchangeError(failure, step, str(self.peer), reason)
 
 
-def _make_answer(event: h11.Response) -> Answer:
-    return Answer(event.status_code, bytes(event.reason), list(event.headers))
-
-
 class HttpClient:
     """Open connections to peers."""
 
--- a/bramleyport/http1/_pool.py
+++ b/bramleyport/http1/_pool.py
@@ -5,12 +5,8 @@
 from typing import Final
 
 from bramleyport.fleet import Address
-from bramleyport.http1._client import (
-    ExchangeError,
-    ExchangeFailure,
-    HttpClient,
-    UpstreamConnection,
-)
+from bramleyport.http1._client import HttpClient, UpstreamConnection
+from bramleyport.http1._messages import ExchangeError, ExchangeFailure
 
 # Idle time after which a peer that names no limit of its own is taken to have closed.
 DEFAULT_IDLE_S: Final = 2.0
--- a/bramleyport/http1/_server.py
+++ b/bramleyport/http1/_server.py
@@ -16,6 +16,10 @@
 
 # Bytes of further requests that are read while one is being served.
 PIPELINE_BYTES: Final = 262_144
+# Events that are taken from one connection before others have their turn.
+EVENTS_PER_TURN: Final = 64
+# A caller that has not read the rest of a broken answer by then is cut off.
+BREAK_OFF_S: Final = 1.0
 
 
 class CallerGoneError(ConnectionError):
@@ -63,6 +67,7 @@
         self._body_bytes = 0
         self._task: asyncio.Task[None] | None = None
         self._timer: asyncio.TimerHandle | None = None
+        self._turn: asyncio.Handle | None = None
         self._writable = asyncio.Event()
         self._writable.set()
         self._refused = False
@@ -88,16 +93,15 @@
                 return
         elif self._head is None:
             self._await_head()
-        try:
-            self._http.receive_data(data)
-            self._pump()
-        except h11.RemoteProtocolError as error:
-            self._refuse(error.error_status_hint or 400)
+        self._http.receive_data(data)
+        self._pump()
 
     def connectionLost(self, reason: Failure = Failure(ConnectionDone())) -> None:  # noqa: N802, B008
         """Stop the work for a caller that has gone."""
         self.closed = True
         self._clear_timer()
+        if self._turn is not None:
+            self._turn.cancel()
         self._factory.connections.discard(self)
         self._writable.set()
         if self._task is not None:
@@ -156,6 +160,8 @@
         self.closed = True
         self.transport.unregisterProducer()
         self.transport.loseConnection()
+        # A caller that reads nothing would keep the connection open for good.
+        self._set_timer(BREAK_OFF_S, self.transport.abortConnection)
 
     def close_if_idle(self) -> None:
         """Close the connection if no request is being read or served."""
@@ -164,9 +170,10 @@
 
     def _close(self) -> None:
         self.closing = True
-        self._clear_timer()
         self.transport.unregisterProducer()
         self.transport.loseConnection()
+        idle_s = self._factory.read_limits().idle_timeout_s
+        self._set_timer(idle_s, self.transport.abortConnection)
 
     def _send(self, event: Any) -> None:
         if self.closed:
@@ -176,14 +183,34 @@
             self.transport.write(data)
 
     def _pump(self) -> None:
-        while self._task is None and not self._refused:
+        """Take events until there are no more, or enough for one turn."""
+        try:
+            more = self._take_some()
+        except h11.RemoteProtocolError as error:
+            self._refuse(error.error_status_hint or 400)
+            return
+        if more:
+            self.transport.pauseProducing()
+            self._turn = asyncio.get_running_loop().call_soon(self._continue)
+
+    def _continue(self) -> None:
+        self._turn = None
+        self.transport.resumeProducing()
+        self._pump()
+
+    def _take_some(self) -> bool:
+        """Take the events of one turn; return whether there may be more."""
+        for _ in range(EVENTS_PER_TURN):
+            if self._task is not None or self._refused:
+                return False
             event = self._http.next_event()
             if event is h11.NEED_DATA:
                 self._continue_if_expected()
-                return
+                return False
             if event is h11.PAUSED or isinstance(event, h11.ConnectionClosed):
-                return
+                return False
             self._take(event)
+        return True
 
     def _take(self, event: Any) -> None:
         limits = self._factory.read_limits()
@@ -240,10 +267,7 @@
         self._queued_bytes = 0
         limits = self._factory.read_limits()
         self._set_timer(limits.idle_timeout_s, self._close_idle)
-        try:
-            self._pump()
-        except h11.RemoteProtocolError as error:
-            self._refuse(error.error_status_hint or 400)
+        self._pump()
 
     def _refuse(self, status: int) -> None:
         """Answer a request that can't be read, and close."""
