Reproduce the refused orders of a red test by construction

What was seen: orders refused with 503 before any process was frozen. Held back by turns: the agent of the plain service for 0.7 and 2.5 s (all 201), the store's stand-in for 1.5 s (all 201) and for 3.5 s (all 503, store_unavailable, not run). The new test plays the last and repeats the orders: each runs once.

--- a/tests/test_real_processes.py
+++ b/tests/test_real_processes.py
@@ -2,10 +2,12 @@
 
 import asyncio
 import signal
+import time
 from collections.abc import Callable, Coroutine
 from pathlib import Path
 from typing import Any
 
+from bramleyport.objectapi._client import CALL_TIMEOUT_S
 from tests.http_client import Answer
 from tests.process_fleet import ProcessFleet, run_fleet
 
@@ -142,6 +144,38 @@
     run(check())
 
 
+def test_orders_refused_while_the_store_is_held_run_once_when_repeated(
+    run: Run, tmp_path: Path
+) -> None:
+    """Guards against a refusal that isn't true: each order runs once when repeated.
+
+    The stand-in of the store runs in the test's process. Held for longer than a call to
+    the store may take, it makes entries refuse all orders that wait for their claims.
+    """
+
+    async def check() -> None:
+        async with run_fleet(tmp_path) as fleet:
+            keys = [f"order-{n}" for n in range(4)]
+            calls = [fleet.post_order("entry-0", key) for key in keys]
+            held = asyncio.gather(*calls)
+            await asyncio.sleep(0.03)
+            time.sleep(CALL_TIMEOUT_S + 0.5)
+            answers = await held
+            for answer in answers:
+                assert answer.status in (201, 503), answer.body
+                if answer.status == 503:
+                    error = answer.json()["error"]
+                    assert error["code"] == "store_unavailable"
+                    assert answer.headers["retry-after"]
+            again = [fleet.post_order("entry-0", key) for key in keys]
+            answers = await asyncio.gather(*again)
+            bodies = [answer.body for answer in answers]
+            assert [answer.status for answer in answers] == [201] * 4, bodies
+            assert sorted(fleet.plain.postings) == keys
+
+    run(check())
+
+
 def test_killed_writer_of_claims_loses_and_repeats_no_order(
     run: Run, tmp_path: Path
 ) -> None:
