Keep the work of all gateways in a ledger that needs no event loop

The tracker of a gateway applied it to loads, caches and speeds; a model of many gateways needs the same without a process. Code moved, nothing decided anew.

--- a/bramleyport/fleet/__init__.py
+++ b/bramleyport/fleet/__init__.py
@@ -7,6 +7,7 @@
     choose_store_watchers,
     is_sharing,
 )
+from bramleyport.fleet._ledger import WorkLedger
 from bramleyport.fleet._load import LoadBook, UpstreamLoad, Work
 from bramleyport.fleet._members import Membership
 from bramleyport.fleet._pacing import NewsPacing
@@ -67,6 +68,7 @@
     "StagePlanner",
     "UpstreamLoad",
     "Work",
+    "WorkLedger",
     "admit",
     "choose_service",
     "choose_store_watchers",
--- a/bramleyport/gateway/_state.py
+++ b/bramleyport/gateway/_state.py
@@ -15,6 +15,7 @@
     Registration,
     RouteTable,
     RunTimes,
+    WorkLedger,
 )
 from bramleyport.platform import NodeSettings
 from bramleyport.retries import OutlierEjector, RepeatBudget
@@ -56,6 +57,7 @@
     # Set while stopping: calls that may last beyond it are refused.
     stop_s: float | None = None
     chooser: Chooser = field(init=False)
+    ledger: WorkLedger = field(init=False)
 
     def __post_init__(self) -> None:
         self.chooser = Chooser(
@@ -66,6 +68,13 @@
             self.speeds,
             self.runs,
         )
+        self.ledger = WorkLedger(
+            self.members,
+            self.loads,
+            self.prefixes,
+            self.speeds,
+            self.find_cache_capacity,
+        )
 
     @property
     def configuration(self) -> Configuration | None:
--- a/bramleyport/gateway/_tracker.py
+++ b/bramleyport/gateway/_tracker.py
@@ -1,10 +1,10 @@
 """Record what is sent to upstreams, here and for the other gateways."""
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from bramleyport.core import RequestId, UpstreamId
-from bramleyport.fleet import Call, Registration, Stage, Work
+from bramleyport.fleet import Call, Registration, Work
 from bramleyport.gateway._clock import read_now
 from bramleyport.gateway._state import GatewayState
 
@@ -25,7 +25,7 @@
     """Keep the load of upstreams up to date with what this gateway sends."""
 
     def __init__(self, state: GatewayState) -> None:
-        self._state = state
+        self._ledger = state.ledger
         self._pending = PendingNews()
         # Called with how long an engine will be busy with what was just sent.
         self.on_pending: Callable[[float], None] | None = None
@@ -65,47 +65,24 @@
         self._announce()
 
     def apply(self, work: Work) -> None:
-        """Take work of this or another gateway into the load and the caches."""
-        self._state.loads.of(work.upstream).add(work)
-        registration = self._state.members.find(work.upstream)
-        if not work.parts or registration is None:
-            return
-        capacity = self._state.find_cache_capacity(registration)
-        if capacity:
-            self._state.prefixes.add(work.upstream, work.parts, capacity)
+        """Take work of this or another gateway."""
+        self._ledger.start(work)
 
     def apply_read(self, upstream: UpstreamId, request: RequestId) -> None:
         """Note that an upstream has read the prompt of some gateway's call."""
-        now_s = read_now()
-        read = self._state.loads.of(upstream).finish_reading(request, now_s)
-        registration = self._state.members.find(upstream)
-        if read is None or registration is None:
-            return
-        self._state.prefixes.confirm(upstream, read.work.parts)
-        stage = registration.stage or Stage.DECODE
-        sample = read.sample
-        if sample is not None:
-            self._state.speeds.record(upstream, stage, sample.effort, sample.took_s)
+        self._ledger.finish_reading(upstream, request, read_now())
 
     def apply_ended(self, upstream: UpstreamId, request: RequestId) -> None:
         """Note that an upstream has nothing left to do for some gateway's call."""
-        work = self._state.loads.of(upstream).remove(request, read_now())
-        if work is not None:
-            self._abandon([work])
+        self._ledger.end(upstream, request, read_now())
 
     def drop_origin(self, origin: str) -> None:
         """Drop the work of a gateway that will not report its end."""
-        self._abandon(self._state.loads.drop_origin(origin, read_now()))
+        self._ledger.drop_origin(origin, read_now())
 
     def drop_lost(self) -> None:
         """Drop work whose end was never heard of."""
-        self._abandon(self._state.loads.drop_lost(read_now()))
-
-    def _abandon(self, works: Iterable[Work]) -> None:
-        """Take back that engines will have read prompts that nobody waits for."""
-        for work in works:
-            if work.reading:
-                self._state.prefixes.abandon(work.upstream, work.parts)
+        self._ledger.drop_lost(read_now())
 
     def take_pending(self) -> PendingNews:
         """Return and clear what the other gateways have yet to hear."""
