Choose where a KV cache goes by the transfers that wait there; model many gateways

Cause, found with the new model of gateways without a network (bench/_gateways_*): in a flood, all moves went to one engine of the own zone, because the ranking of targets rounded waits to 0.1 s and knew nothing of transfers, which run one after another over each link; forecasts said 0.3 s where calls took 4 s. Transfers are now part of what gateways tell each other and of the forecast.

Ruled out: the engines' own queues, whose waits were forecast within 10 ms.

--- /dev/null
+++ b/bramleyport/bench/_gateways_report.py
@@ -0,0 +1,90 @@
+"""Sum up runs of the gateway benchmark."""
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+from bramleyport.bench._gateways_run import GatewayRun
+from bramleyport.bench._gateways_scenario import GATEWAY_SCENARIOS
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class MixSummary:
+    """Sum up what the callers of one kind got."""
+
+    name: str
+    calls: int
+    in_time: float
+    late: float
+    refused: float
+    failed: float
+    median_s: float
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class GatewaySummary:
+    """Sum up one run."""
+
+    scenario: str
+    gateways: int
+    # Part of the value that answers in time would have earned.
+    value: float
+    mixes: tuple[MixSummary, ...]
+    sent_kb_per_s: float
+    read_tokens: int
+    moved_tokens: int
+
+
+def run_gateways(name: str, gateways: int, seed: int) -> GatewaySummary:
+    """Play a scenario with some number of gateways."""
+    scenario = GATEWAY_SCENARIOS[name].with_gateways(gateways)
+    run = GatewayRun(scenario, seed)
+    run.play()
+    earned = owed = 0.0
+    mixes = []
+    for mix in scenario.mixes:
+        outcome = run.outcomes[mix.name]
+        earned += mix.value * outcome.in_time + mix.late_value * outcome.late
+        owed += mix.value * outcome.calls
+        calls = max(1, outcome.calls)
+        times = sorted(outcome.first_s)
+        mixes.append(
+            MixSummary(
+                name=mix.name,
+                calls=outcome.calls,
+                in_time=outcome.in_time / calls,
+                late=outcome.late / calls,
+                refused=outcome.refused / calls,
+                failed=outcome.failed / calls,
+                median_s=times[len(times) // 2] if times else 0.0,
+            )
+        )
+    sent = run.sent_bytes / gateways / scenario.duration_s / 1000
+    return GatewaySummary(
+        scenario=name,
+        gateways=gateways,
+        value=earned / owed,
+        mixes=tuple(mixes),
+        sent_kb_per_s=sent,
+        read_tokens=sum(engine.read_tokens for engine in run.engines.values()),
+        moved_tokens=run.moved_tokens,
+    )
+
+
+def format_gateways(summaries: Sequence[GatewaySummary]) -> str:
+    """Return the summaries as a table."""
+    lines = [
+        "scenario             gateways  value  kB/s  Mtokens read  moved  "
+        "kind: in time/late/refused/failed, median ms"
+    ]
+    for item in summaries:
+        kinds = "  ".join(
+            f"{mix.name}: {mix.in_time:.3f}/{mix.late:.3f}/{mix.refused:.3f}"
+            f"/{mix.failed:.3f}, {mix.median_s * 1000:.0f}"
+            for mix in item.mixes
+        )
+        lines.append(
+            f"{item.scenario:20} {item.gateways:8}  {item.value:.3f} "
+            f"{item.sent_kb_per_s:5.1f}  {item.read_tokens / 1e6:12.2f} "
+            f"{item.moved_tokens / 1e6:6.2f}  {kinds}"
+        )
+    return "\n".join(lines)
--- a/bramleyport/fleet/__init__.py
+++ b/bramleyport/fleet/__init__.py
@@ -10,6 +10,7 @@
 from bramleyport.fleet._ledger import WorkLedger
 from bramleyport.fleet._load import LoadBook, UpstreamLoad, Work
 from bramleyport.fleet._members import Membership
+from bramleyport.fleet._moves import Move
 from bramleyport.fleet._pacing import NewsPacing
 from bramleyport.fleet._prefixes import PrefixCache, PrefixIndex
 from bramleyport.fleet._routes import RouteTable, choose_service
@@ -48,6 +49,7 @@
     "Freshness",
     "LoadBook",
     "Membership",
+    "Move",
     "NewsPacing",
     "PrefixCache",
     "PrefixId",
--- a/bramleyport/fleet/_choice.py
+++ b/bramleyport/fleet/_choice.py
@@ -8,8 +8,9 @@
 from bramleyport.core import Explanation, Place, UpstreamId
 from bramleyport.fleet._load import LoadBook
 from bramleyport.fleet._members import Membership
+from bramleyport.fleet._moves import Move, MoveForecaster
 from bramleyport.fleet._prefixes import PrefixIndex
-from bramleyport.fleet._reading import ReadForecaster, Reading, forecast_transfer
+from bramleyport.fleet._reading import ReadForecaster, Reading
 from bramleyport.fleet._runs import RunTimes
 from bramleyport.fleet._speed import ReadSpeeds
 from bramleyport.fleet._types import (
@@ -25,8 +26,6 @@
 WORK_WEIGHT: Final = 0.5
 # Weight of the time for which a transfer occupies links, likewise.
 MOVE_WEIGHT: Final = 1.0
-# Bytes between zones are paid for; among about equal choices the own zone wins.
-OTHER_ZONE_S: Final = 0.01
 # Spreads first uses of a prefix alike in all gateways, without asking each other.
 SPREAD_S: Final = 0.02
 # Part of the slots of an engine from which on calls that would end late are refused.
@@ -50,11 +49,23 @@
     run_s: float = 0.0
     wait_s: float = 0.0
     read_s: float = 0.0
+    fetch_s: float = 0.0
     effort: float = 0.0
     unread_tokens: int = 0
     explanation: Explanation
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class _Option:
+    """Hold one way to serve a call, and what it weighs in the choice."""
+
+    weight_s: float
+    forecast_s: float
+    target: Registration
+    reader: Registration | None
+    reading: Reading
+
+
 class Chooser:
     """Choose upstreams by forecast, cached prefixes and load."""
 
@@ -70,8 +81,8 @@
         self._place = place
         self._members = members
         self._loads = loads
-        self._speeds = speeds
         self._readings = ReadForecaster(place, loads, prefixes, speeds)
+        self._moves = MoveForecaster(place, loads, speeds, runs)
         self._runs = runs
 
     def choose(
@@ -96,15 +107,23 @@
         )
 
     def choose_target(
-        self, call: Call, excluded: Collection[UpstreamId], now_s: float
-    ) -> Registration | None:
-        """Return where a call whose prompt has been read elsewhere runs."""
+        self,
+        call: Call,
+        engine: EngineTraits,
+        reader: Registration,
+        excluded: Collection[UpstreamId],
+        now_s: float,
+    ) -> Move | None:
+        """Return where a call runs whose prompt a reader has read."""
         decoders = [
             item
             for item in self._members.list_ready(call.service)
             if item.upstream not in excluded and item.stage is not Stage.PREFILL
         ]
-        return self._choose_decoder(decoders, now_s) if decoders else None
+        if not decoders or call.prompt is None:
+            return None
+        options = self._moves.list_options(call, call.prompt, engine, decoders, now_s)
+        return options.choose(reader)
 
     def _choose_plain(self, ready: Sequence[Registration]) -> Choice | None:
         if not ready:
@@ -137,89 +156,69 @@
         # Also an engine that only reads prompts can send what it has read.
         holder = self._readings.find_holder(prompt, ready)
         decoders = [item for item in ready if item.stage is not Stage.PREFILL]
-        choices = [
-            self._weigh_direct(
-                call,
-                item,
-                self._readings.forecast(call, prompt, engine, item, holder, now_s),
-            )
-            for item in decoders
-        ]
+        readers = [item for item in ready if item.stage is Stage.PREFILL]
+        options = []
+        for item in decoders:
+            reading = self._readings.forecast(call, prompt, engine, item, holder, now_s)
+            options.append(self._weigh_direct(call, prompt, item, reading))
         if decoders and may_split:
-            target = self._choose_decoder(decoders, now_s)
-            for item in ready:
-                if item.stage is not Stage.PREFILL:
-                    continue
+            moves = self._moves.list_options(call, prompt, engine, decoders, now_s)
+            for item in readers:
                 reading = self._readings.forecast(
                     call, prompt, engine, item, holder, now_s
                 )
-                choices.append(
-                    self._weigh_split(
-                        call, prompt, engine, item, target, reading, now_s
-                    )
-                )
-        return min(choices, key=lambda pair: pair[0])[1] if choices else None
-
-    def _choose_decoder(
-        self, decoders: Sequence[Registration], now_s: float
-    ) -> Registration:
-        return min(decoders, key=lambda item: self._rank_decoder(item, now_s))
+                move = moves.choose(item)
+                options.append(self._weigh_split(prompt, item, reading, move))
+        if not options:
+            return None
+        return self._make_choice(call, min(options, key=lambda item: item.weight_s))
 
     def _weigh_direct(
-        self, call: Call, item: Registration, reading: Reading
-    ) -> tuple[float, Choice]:
+        self, call: Call, prompt: Prompt, item: Registration, reading: Reading
+    ) -> _Option:
         load = self._loads.of(item.upstream)
         slot_s = self._runs.forecast_slot(call, load, item.slots)
         forecast_s = reading.ready_s + max(0.0, slot_s - reading.wait_s)
-        choice = self._make_choice(call, item, None, forecast_s, reading)
         # Pauses between events have some room until an engine is crowded.
         crowding = len(load) / max(1, item.slots)
         delay_s = RUNNING_WEIGHT * reading.read_s * len(load) * crowding
-        weight_s = self._weigh(call.prompt, item, reading) + delay_s
-        return forecast_s + weight_s, choice
+        return _Option(
+            weight_s=forecast_s + self._weigh(prompt, item, reading) + delay_s,
+            forecast_s=forecast_s,
+            target=item,
+            reader=None,
+            reading=reading,
+        )
 
     def _weigh_split(
-        self,
-        call: Call,
-        prompt: Prompt,
-        engine: EngineTraits,
-        reader: Registration,
-        target: Registration,
-        reading: Reading,
-        now_s: float,
-    ) -> tuple[float, Choice]:
-        moved_s = forecast_transfer(engine, prompt.tokens_in, reader, target)
-        # The engine that decodes reads the last token itself, after earlier prompts.
-        step_s = self._speeds.forecast(target.upstream, Stage.DECODE, 1)
-        load = self._loads.of(target.upstream)
-        target_wait_s = load.forecast_wait(call.route.priority, now_s)
-        slot_s = self._runs.forecast_slot(call, load, target.slots)
-        behind_s = max(0.0, max(target_wait_s, slot_s) - reading.ready_s)
-        forecast_s = reading.ready_s + moved_s + step_s + behind_s
-        choice = self._make_choice(call, target, reader, forecast_s, reading)
-        weight_s = self._weigh(prompt, reader, reading) + MOVE_WEIGHT * moved_s
-        return forecast_s + weight_s + self._weigh_zone(target), choice
+        self, prompt: Prompt, reader: Registration, reading: Reading, move: Move
+    ) -> _Option:
+        forecast_s = move.forecast_first(reading.ready_s)
+        work_s = self._weigh(prompt, reader, reading) + MOVE_WEIGHT * move.moved_s
+        zone_s = self._moves.weigh_zone(move.target)
+        return _Option(
+            weight_s=forecast_s + work_s + zone_s,
+            forecast_s=forecast_s,
+            target=move.target,
+            reader=reader,
+            reading=reading,
+        )
 
-    def _make_choice(
-        self,
-        call: Call,
-        target: Registration,
-        reader: Registration | None,
-        forecast_s: float,
-        reading: Reading,
-    ) -> Choice:
-        reason = "direct" if reader is None else "split"
+    def _make_choice(self, call: Call, option: _Option) -> Choice:
+        reading = option.reading
+        reason = "direct" if option.reader is None else "split"
         return Choice(
-            upstream=target,
-            prefill=reader,
+            upstream=option.target,
+            prefill=option.reader,
             prefix_source=reading.source,
-            forecast_s=forecast_s,
-            run_s=self._forecast_run(call, target),
+            forecast_s=option.forecast_s,
+            run_s=self._forecast_run(call, option.target),
             wait_s=reading.wait_s,
             read_s=reading.read_s,
+            fetch_s=reading.fetch_s,
             effort=reading.effort,
             unread_tokens=reading.unread,
-            explanation=_explain(reason, forecast_s, reading),
+            explanation=_explain(reason, option.forecast_s, reading),
         )
 
     def _forecast_run(self, call: Call, target: Registration) -> float:
@@ -230,21 +229,10 @@
             return 0.0
         return self._runs.forecast(call)
 
-    def _weigh(
-        self, prompt: Prompt | None, item: Registration, reading: Reading
-    ) -> float:
+    def _weigh(self, prompt: Prompt, item: Registration, reading: Reading) -> float:
         """Return what a choice costs beside the time its caller waits."""
         cost_s = WORK_WEIGHT * reading.read_s + MOVE_WEIGHT * reading.fetch_s
-        spread_s = self._spread(prompt, item) if prompt else 0.0
-        return cost_s + spread_s + self._weigh_zone(item)
-
-    def _rank_decoder(self, item: Registration, now_s: float) -> tuple[float, int]:
-        load = self._loads.of(item.upstream)
-        elsewhere = int(item.zone != self._place.zone)
-        return (round(load.forecast_wait(9, now_s), 1), elsewhere * 4 + len(load))
-
-    def _weigh_zone(self, item: Registration) -> float:
-        return 0.0 if item.zone == self._place.zone else OTHER_ZONE_S
+        return cost_s + self._spread(prompt, item) + self._moves.weigh_zone(item)
 
     def _spread(self, prompt: Prompt, item: Registration) -> float:
         if len(prompt.parts) < 2:
--- a/bramleyport/fleet/_load.py
+++ b/bramleyport/fleet/_load.py
@@ -1,5 +1,6 @@
 """Track the work that all gateways have sent to each upstream."""
 
+import math
 from collections.abc import Iterator
 from dataclasses import dataclass
 from typing import Final
@@ -31,6 +32,8 @@
     effort: float = 0.0
     started_s: float
     parts: tuple[PromptPart, ...] = ()
+    # Time for which the upstream's link carries a KV cache for it.
+    moved_s: float = 0.0
     # The gateway that sent it; empty for this one.
     origin: str = ""
     # Set once the first event or the prefill's answer has come.
@@ -62,11 +65,15 @@
 
     def __init__(self) -> None:
         self._works: dict[RequestId, Work] = {}
+        # Those whose prompts are not read yet.
+        self._reading: dict[RequestId, Work] = {}
         # Since when the engine always had prompts to read, and what it has read since.
         self._busy_since_s = 0.0
         self._busy_effort = 0.0
         # When the engine last finished reading a prompt.
         self._advanced_s = 0.0
+        # When the transfers over its link will have ended.
+        self._link_free_s = 0.0
 
     def __len__(self) -> int:
         return len(self._works)
@@ -76,9 +83,13 @@
 
     def add(self, work: Work) -> None:
         """Note work that is sent."""
-        if not any(known.reading for known in self._works.values()):
+        if not self._reading:
             self._restart_sample(work.started_s)
         self._works[work.request] = work
+        self._reading[work.request] = work
+        if work.moved_s > 0:
+            begin_s = max(self._link_free_s, work.started_s)
+            self._link_free_s = begin_s + work.moved_s
 
     def finish_reading(self, request: RequestId, now_s: float) -> ReadWork | None:
         """Note that a prompt has been read; return its work if that is news."""
@@ -86,6 +97,7 @@
         if work is None or not work.reading:
             return None
         work.reading = False
+        del self._reading[request]
         self._advanced_s = now_s
         self._busy_effort += work.effort
         return ReadWork(work, self._take_sample(now_s))
@@ -96,32 +108,32 @@
         if work is None:
             return None
         self._advanced_s = max(self._advanced_s, now_s)
-        if work.reading:
+        if self._reading.pop(request, None) is not None:
             # How much of it was read is not known.
             self._restart_sample(now_s)
         return work
 
     def forecast_wait(self, priority: int, now_s: float) -> float:
         """Return the seconds until the engine has read what goes before new work."""
-        waiting = [
-            work
-            for work in self._works.values()
-            if work.reading
-            and work.priority <= priority
-            and not self._is_overdue(work, now_s)
-        ]
-        if not waiting:
+        total_s = 0.0
+        began_s = math.inf
+        for work in self._reading.values():
+            if work.priority > priority or self._is_overdue(work, now_s):
+                continue
+            total_s += work.read_s
+            began_s = min(began_s, work.started_s)
+        if not total_s:
             return 0.0
-        total_s = sum(work.read_s for work in waiting)
-        began_s = max(self._advanced_s, min(work.started_s for work in waiting))
+        began_s = max(self._advanced_s, began_s)
         return max(MIN_REST * total_s, total_s - max(0.0, now_s - began_s))
 
+    def forecast_link(self, now_s: float) -> float:
+        """Return the seconds until the transfers over its link have ended."""
+        return max(0.0, self._link_free_s - now_s)
+
     def count_reading(self, now_s: float) -> int:
         """Return how many prompts the engine is expected to be reading still."""
-        return sum(
-            work.reading and not self._is_overdue(work, now_s)
-            for work in self._works.values()
-        )
+        return sum(not self._is_overdue(work, now_s) for work in self._reading.values())
 
     def count_ahead(self, priority: int) -> int:
         """Return how many calls take a slot before new work of a priority."""
@@ -129,7 +141,7 @@
 
     def count_running(self) -> int:
         """Return how many calls the engine runs, their prompts being read."""
-        return sum(not work.reading for work in self._works.values())
+        return len(self._works) - len(self._reading)
 
     def drop_lost(self, now_s: float) -> list[Work]:
         """Drop and return work whose end was never heard of."""
@@ -140,11 +152,11 @@
         ]
         for work in lost:
             del self._works[work.request]
+            self._reading.pop(work.request, None)
         return lost
 
     def _take_sample(self, now_s: float) -> ReadSample | None:
-        idle = not any(work.reading for work in self._works.values())
-        if not idle and self._busy_effort < SAMPLE_EFFORT:
+        if self._reading and self._busy_effort < SAMPLE_EFFORT:
             return None
         sample = ReadSample(self._busy_effort, now_s - self._busy_since_s)
         self._restart_sample(now_s)
--- a/bramleyport/gateway/_attempt.py
+++ b/bramleyport/gateway/_attempt.py
@@ -5,7 +5,7 @@
 
 from bramleyport.admission import Rejected
 from bramleyport.core import Explanation, UpstreamId
-from bramleyport.fleet import Call, Choice, EngineTraits, Registration, admit
+from bramleyport.fleet import Call, Choice, EngineTraits, Move, Registration, admit
 from bramleyport.gateway._clock import read_now
 from bramleyport.gateway._exchange import Exchanger
 from bramleyport.gateway._metrics import CallMetrics
@@ -95,12 +95,19 @@
             may_split=not context.prefill_s,
         )
 
-    def choose_target(self, context: CallContext) -> Registration | None:
-        """Choose where a call whose prompt has been read elsewhere runs."""
+    def choose_target(self, context: CallContext, reader: Registration) -> Move | None:
+        """Choose where a call whose prompt a reader has read runs."""
+        if context.engine is None:
+            return None
         now_s = read_now()
         call = context.call
         excluded = self.state.list_avoided(call.service, now_s) | context.tried
-        return self.state.chooser.choose_target(call, excluded, now_s)
+        chooser = self.state.chooser
+        move = chooser.choose_target(call, context.engine, reader, excluded, now_s)
+        if move is None:
+            # Those that declined or failed of late may take it all the same.
+            move = chooser.choose_target(call, context.engine, reader, (), now_s)
+        return move
 
     def begin(self, context: CallContext) -> None:
         """Note that an attempt is sent."""
--- a/bramleyport/gateway/_peer_messages.py
+++ b/bramleyport/gateway/_peer_messages.py
@@ -111,11 +111,14 @@
     parts = [[part.prefix, part.tokens] for part in work.parts]
     read_ms = round(work.read_s * 1000)
     effort = round(work.effort)
-    return [work.upstream, work.request, work.priority, read_ms, effort, parts]
+    moved_ms = round(work.moved_s * 1000)
+    head = [work.upstream, work.request, work.priority, read_ms, effort]
+    return [*head, parts, moved_ms]
 
 
 def _decode_work(item: Any, now_s: float) -> Work:
-    upstream, request, priority, read_ms, effort, parts = item
+    # Gateways of the version before name no transfer.
+    upstream, request, priority, read_ms, effort, parts, *rest = item
     return Work(
         request=RequestId(str(request)),
         upstream=UpstreamId(str(upstream)),
@@ -126,6 +129,7 @@
         parts=tuple(
             PromptPart(PrefixId(str(prefix)), int(tokens)) for prefix, tokens in parts
         ),
+        moved_s=float(rest[0]) / 1000 if rest else 0.0,
     )
 
 
--- a/bramleyport/gateway/_prefill.py
+++ b/bramleyport/gateway/_prefill.py
@@ -50,7 +50,13 @@
         """Return the handle under which the reader keeps the KV cache."""
         reader = choice.prefill
         assert reader is not None
-        self._tracker.start(context.call, reader, choice.read_s, choice.effort)
+        self._tracker.start(
+            context.call,
+            reader,
+            read_s=choice.read_s,
+            effort=choice.effort,
+            moved_s=choice.fetch_s,
+        )
         started_s = read_now()
         try:
             async with self._bound(context, choice, reader):
--- a/bramleyport/gateway/_stream_attempt.py
+++ b/bramleyport/gateway/_stream_attempt.py
@@ -3,10 +3,10 @@
 import asyncio
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
-from dataclasses import replace
+from dataclasses import dataclass, replace
 from typing import Final
 
-from bramleyport.fleet import Choice, Repeatability
+from bramleyport.fleet import Choice, Registration, Repeatability
 from bramleyport.gateway._attempt import AttemptSupport, CallContext
 from bramleyport.gateway._clock import read_now
 from bramleyport.gateway._events import BrokenStreamError, EventRelay
@@ -27,6 +27,16 @@
 MIN_PAUSE_S: Final = 0.6
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Prepared:
+    """Hold how a call is sent once its prompt was read, if it is read apart."""
+
+    choice: Choice
+    delivery: Delivery
+    # Time for which a KV cache comes over the link of the upstream.
+    moved_s: float
+
+
 class StreamAttempts:
     """Run the attempts of streams, one upstream at a time."""
 
@@ -39,74 +49,74 @@
     ) -> FailedAttempt | None:
         """Send a call; return how it failed, or None once its answer is whole."""
         try:
-            delivery = await self._prepare(context, choice)
+            prepared = await self._prepare(context, choice)
         except PrefillError as error:
             return FailedAttempt(
                 upstream=error.upstream, end=AttemptEnd.NOT_RUN, reason=error.reason
             )
-        choice = self._retarget(context, choice, delivery)
         if relay.started or relay.last_event:
-            delivery = self._continue_from(delivery, relay)
+            prepared = self._continue_from(prepared, relay)
         done = False
         try:
-            failure = await self._send(context, choice, delivery, relay)
+            failure = await self._send(context, prepared, relay)
             done = failure is None
         finally:
             if choice.prefill is not None and not done:
-                self._prefiller.free(choice.prefill, delivery.cache_handle)
+                self._prefiller.free(choice.prefill, prepared.delivery.cache_handle)
         return failure
 
-    async def _prepare(self, context: CallContext, choice: Choice) -> Delivery:
+    async def _prepare(self, context: CallContext, choice: Choice) -> Prepared:
         """Return how the call is sent, after its prompt was read where it is split."""
-        priority = context.call.route.priority
         self._support.log_sent(context, choice)
-        if choice.prefill is None:
-            source = choice.prefix_source
-            return Delivery(
-                upstream=choice.upstream.upstream,
-                time_left_s=context.left_s,
-                priority=priority,
-                prefix_at=source.address if source else None,
-            )
+        if choice.prefill is not None:
+            return await self._read_apart(context, choice, choice.prefill)
+        source = choice.prefix_source
+        delivery = Delivery(
+            upstream=choice.upstream.upstream,
+            time_left_s=context.left_s,
+            priority=context.call.route.priority,
+            prefix_at=source.address if source else None,
+        )
+        return Prepared(choice=choice, delivery=delivery, moved_s=choice.fetch_s)
+
+    async def _read_apart(
+        self, context: CallContext, choice: Choice, reader: Registration
+    ) -> Prepared:
         handle = await self._prefiller.read(context, choice)
-        target = self._support.choose_target(context) or choice.upstream
-        return Delivery(
+        # While the prompt was read, the upstream chosen before may have begun to leave.
+        move = self._support.choose_target(context, reader)
+        if move is None:
+            self._prefiller.free(reader, handle)
+            raise PrefillError(choice.upstream.upstream, "no engine to run the call")
+        target = move.target
+        delivery = Delivery(
             upstream=target.upstream,
             time_left_s=context.left_s,
-            priority=priority,
-            cache_at=choice.prefill.address,
+            priority=context.call.route.priority,
+            cache_at=reader.address,
             cache_handle=handle,
         )
+        chosen = replace(choice, upstream=target)
+        return Prepared(choice=chosen, delivery=delivery, moved_s=move.moved_s)
 
-    def _retarget(
-        self, context: CallContext, choice: Choice, delivery: Delivery
-    ) -> Choice:
-        """Return the choice with the upstream that the delivery names.
-
-        While a prompt was read, the upstream chosen before may have begun to leave.
-        """
-        if delivery.upstream == choice.upstream.upstream:
-            return choice
-        target = self._support.state.members.find(delivery.upstream)
-        return replace(choice, upstream=target) if target else choice
-
-    def _continue_from(self, delivery: Delivery, relay: EventRelay) -> Delivery:
-        return replace(delivery, last_event=relay.last_event)
+    def _continue_from(self, prepared: Prepared, relay: EventRelay) -> Prepared:
+        delivery = replace(prepared.delivery, last_event=relay.last_event)
+        return replace(prepared, delivery=delivery)
 
     async def _send(
-        self,
-        context: CallContext,
-        choice: Choice,
-        delivery: Delivery,
-        relay: EventRelay,
+        self, context: CallContext, prepared: Prepared, relay: EventRelay
     ) -> FailedAttempt | None:
         self._support.begin(context)
-        tracker = self._support.tracker
-        if choice.prefill is None:
-            tracker.start(context.call, choice.upstream, choice.read_s, choice.effort)
-        else:
-            tracker.start(context.call, choice.upstream)
-        failure = await self._run(context, choice, delivery, relay)
+        choice = prepared.choice
+        apart = choice.prefill is not None
+        self._support.tracker.start(
+            context.call,
+            choice.upstream,
+            read_s=0.0 if apart else choice.read_s,
+            effort=0.0 if apart else choice.effort,
+            moved_s=prepared.moved_s,
+        )
+        failure = await self._run(context, choice, prepared.delivery, relay)
         context.attempts.in_flight = False
         return failure
 
--- a/bramleyport/gateway/_tracker.py
+++ b/bramleyport/gateway/_tracker.py
@@ -34,8 +34,10 @@
         self,
         call: Call,
         target: Registration,
+        *,
         read_s: float = 0.0,
         effort: float = 0.0,
+        moved_s: float = 0.0,
     ) -> None:
         """Note that a call is sent to an upstream."""
         parts = call.prompt.parts if call.prompt else ()
@@ -47,6 +49,7 @@
             effort=effort,
             started_s=read_now(),
             parts=parts,
+            moved_s=moved_s,
         )
         self.apply(work)
         self._pending.started.append(work)
--- a/tests/fleet_builders.py
+++ b/tests/fleet_builders.py
@@ -160,6 +160,7 @@
         started_s: float = 0.0,
         effort: float = 0.0,
         prompt: Prompt | None = None,
+        moved_s: float = 0.0,
     ) -> Work:
         parts = prompt.parts if prompt else ()
         work = Work(
@@ -170,6 +171,7 @@
             effort=effort,
             started_s=started_s,
             parts=parts,
+            moved_s=moved_s,
         )
         self.loads.of(work.upstream).add(work)
         if parts:
--- a/tests/test_fleet_choice.py
+++ b/tests/test_fleet_choice.py
@@ -169,9 +169,38 @@
     # The target was chosen before the prompt was read; DRAIN was broken by it.
     fleet = FleetModel(make_engine("d1"), make_engine("d2"))
     fleet.members.put(make_engine("d1", draining=True))
-    target = fleet.chooser.choose_target(make_call(LONG), (), 0.0)
-    assert target is not None
-    assert target.upstream == "d2"
+    reader = make_engine("p", Stage.PREFILL)
+    move = fleet.chooser.choose_target(make_call(LONG), ENGINE, reader, (), 0.0)
+    assert move is not None
+    assert move.target.upstream == "d2"
+
+
+def test_moves_spread_over_links_in_a_flood() -> None:
+    # Pattern: while other engines read short prompts, all moves went over one link.
+    names = [f"d{number}" for number in range(4)]
+    fleet = FleetModel(*(make_engine(name) for name in names))
+    reader = make_engine("p", Stage.PREFILL)
+    for name in names[1:]:
+        fleet.send(name, read_s=0.06)
+    targets = set()
+    for number in range(12):
+        call = make_call(LONG, request=f"r{number}")
+        move = fleet.chooser.choose_target(call, ENGINE, reader, (), 0.0)
+        assert move is not None
+        targets.add(move.target.upstream)
+        fleet.send(move.target.upstream, read_s=0.0, moved_s=move.moved_s)
+    assert len(targets) == 4
+
+
+def test_move_waits_for_the_transfers_before_it() -> None:
+    fleet = FleetModel(make_engine("d"), make_engine("p", Stage.PREFILL))
+    free = fleet.chooser.choose(make_call(LONG), ENGINE, (), 0.0)
+    fleet.send("d", read_s=0.0, moved_s=5.0)
+    busy = fleet.chooser.choose(make_call(LONG), ENGINE, (), 0.0)
+    assert free is not None
+    assert busy is not None
+    assert free.prefill is not None
+    assert busy.prefill is None or busy.forecast_s > 5.0
 
 
 def test_plain_call_goes_to_the_least_loaded_and_nearest() -> None:
--- a/tests/test_gateway_peers.py
+++ b/tests/test_gateway_peers.py
@@ -103,7 +103,7 @@
         link = fleet.gateway._peers
         link.set_addresses({ProcessId("peer"): Address("127.0.0.1", 9)})
         call = make_call(make_prompt(("aa", 100)))
-        fleet.gateway._tracker.start(call, make_engine("d0"), read_s)
+        fleet.gateway._tracker.start(call, make_engine("d0"), read_s=read_s)
         assert bool(fleet.gateway._tracker.take_pending()) is not at_once
 
     run(announce())
