--- a/bramleyport/bench/_command.py
+++ b/bramleyport/bench/_command.py
@@ -7,6 +7,7 @@
 
 import click
 
+from bramleyport.bench._gateways_scenario import GATEWAY_SCENARIOS
 from bramleyport.bench._policy_scenario import SCENARIOS
 from bramleyport.core import EngineRole
 
@@ -74,6 +75,38 @@
         click.echo(f"{format_table(summaries)}\n\n{format_causes(summaries)}")
 
 
+@bench.command()
+@click.option(
+    "--scenario",
+    "scenarios",
+    multiple=True,
+    type=click.Choice(sorted(GATEWAY_SCENARIOS)),
+    help="Scenario to run; may be repeated; all by default.",
+)
+@click.option(
+    "--gateways",
+    "counts",
+    multiple=True,
+    type=click.IntRange(1),
+    default=(1, 10, 30, 68),
+    help="Gateways that share the load; one knows all that is sent.",
+)
+@click.option("--seed", default=1, help="Seed of the calls.")
+def gateways(scenarios: Sequence[str], counts: Sequence[int], seed: int) -> None:
+    """Run many gateways, each with its own view, on modelled engines.
+
+    Example: bramleyport bench gateways --scenario long-prompts --gateways 68
+    """
+    from bramleyport.bench._gateways_report import format_gateways, run_gateways
+
+    summaries = [
+        run_gateways(name, count, seed)
+        for name in scenarios or list(GATEWAY_SCENARIOS)
+        for count in counts
+    ]
+    click.echo(format_gateways(summaries))
+
+
 def _plot(summaries: Sequence[Mapping[str, Any]]) -> str:
     from bramleyport.bench._svg import Chart, Line, render_charts
 
