--- a/bramleyport/fleet/_load.py
+++ b/bramleyport/fleet/_load.py
@@ -72,8 +72,9 @@
         self._busy_effort = 0.0
         # When the engine last finished reading a prompt.
         self._advanced_s = 0.0
-        # When the transfers over its link will have ended.
+        # When the transfers over its link will have ended, and their time so far.
         self._link_free_s = 0.0
+        self.moved_s = 0.0
 
     def __len__(self) -> int:
         return len(self._works)
@@ -90,6 +91,7 @@
         if work.moved_s > 0:
             begin_s = max(self._link_free_s, work.started_s)
             self._link_free_s = begin_s + work.moved_s
+            self.moved_s += work.moved_s
 
     def finish_reading(self, request: RequestId, now_s: float) -> ReadWork | None:
         """Note that a prompt has been read; return its work if that is news."""
--- a/bramleyport/fleet/_stages.py
+++ b/bramleyport/fleet/_stages.py
@@ -1,5 +1,6 @@
 """Decide which engines read prompts and which run the calls."""
 
+import math
 from collections.abc import Sequence
 from dataclasses import dataclass
 from typing import Final
@@ -13,6 +14,13 @@
 DECODER_PART: Final = 1 / 3
 # Part of the slots that running calls may take before another engine is added.
 SLOT_PART: Final = 0.4
+# Part of its time for which the link of an engine may carry KV caches before another
+# engine is added: calls wait for the transfers before theirs.
+LINK_PART: Final = 0.5
+# An engine goes back to reading only if the links of the others stay below this part.
+RETURN_LINK_PART: Final = 0.3
+# Weight of the newest look in the mean time of transfers; about a second.
+LINK_WEIGHT: Final = 0.3
 # An engine goes back to reading only if the others then stay below this part; nearer to
 # the one above, engines would change to and fro.
 RETURN_SLOT_PART: Final = 0.25
@@ -41,6 +49,8 @@
     # Seconds of prompts that it has yet to read.
     backlog_s: float
     running: int
+    # Seconds for which its link has carried KV caches since it was first known.
+    moved_s: float = 0.0
     changing: bool = False
     ejected: bool = False
     # The stage that a changing engine was told to take, where that is known.
@@ -66,6 +76,10 @@
     def __init__(self) -> None:
         self._backlog_s = 0.0
         self._idle_looks = 0
+        # Engines whose links would be carrying KV caches all the time.
+        self._links = 0.0
+        self._moved_s: dict[UpstreamId, float] = {}
+        self._looked_s: float | None = None
         self._changed_s: dict[UpstreamId, float] = {}
 
     def plan(
@@ -76,18 +90,20 @@
         if not alive:
             return None
         self._observe(alive)
+        self._observe_links(alive, now_s)
         changing = sum(view.changing for view in alive)
         settled = [view for view in alive if not view.changing]
         decoders = [v for v in settled if v.registration.stage is Stage.DECODE]
         readers = [v for v in settled if v.registration.stage is Stage.PREFILL]
         if not decoders and not readers:
             return None
-        needed = self._count_needed(alive, slots, SLOT_PART)
+        needed = self._count_needed(alive, slots, SLOT_PART, LINK_PART)
         coming = sum(view.changing and view.ordered is Stage.DECODE for view in alive)
         numbers = {
             "decoders": float(len(decoders)),
             "needed": float(needed),
             "backlog_s": round(self._backlog_s, 3),
+            "links": round(self._links, 2),
             "changing": float(changing),
         }
         if len(decoders) + coming < self._count_kept(engines):
@@ -98,7 +114,8 @@
             return None
         if len(decoders) + coming < needed:
             return self._change(readers, Stage.DECODE, "few_decoders", numbers, now_s)
-        spare = len(decoders) > self._count_needed(alive, slots, RETURN_SLOT_PART)
+        kept = self._count_needed(alive, slots, RETURN_SLOT_PART, RETURN_LINK_PART)
+        spare = len(decoders) > kept
         if spare and self._backlog_s > BACKLOG_S:
             return self._change(decoders, Stage.PREFILL, "backlog", numbers, now_s)
         if spare and self._idle_looks >= IDLE_LOOKS:
@@ -115,13 +132,31 @@
         busy = any(view.backlog_s > 0 or view.running for view in engines)
         self._idle_looks = 0 if busy else self._idle_looks + 1
 
+    def _observe_links(self, engines: Sequence[EngineView], now_s: float) -> None:
+        moved_s = {view.registration.upstream: view.moved_s for view in engines}
+        if self._looked_s is not None and now_s > self._looked_s:
+            # An engine that began anew counts from zero again.
+            added_s = sum(
+                max(0.0, total_s - self._moved_s.get(upstream, total_s))
+                for upstream, total_s in moved_s.items()
+            )
+            links = added_s / (now_s - self._looked_s)
+            self._links += LINK_WEIGHT * (links - self._links)
+        self._moved_s = moved_s
+        self._looked_s = now_s
+
     def _count_needed(
-        self, engines: Sequence[EngineView], slots: int, slot_part: float
+        self,
+        engines: Sequence[EngineView],
+        slots: int,
+        slot_part: float,
+        link_part: float,
     ) -> int:
         running = sum(view.running for view in engines)
         by_slots = -(-running // max(1, int(slots * slot_part)))
+        by_links = math.ceil(self._links / link_part)
         most = int(MAX_DECODER_PART * len(engines))
-        return max(min(by_slots, most), self._count_kept(engines))
+        return max(min(max(by_slots, by_links), most), self._count_kept(engines))
 
     def _count_kept(self, engines: Sequence[EngineView]) -> int:
         """Return how many engines run calls however few of these there are."""
--- a/bramleyport/gateway/_stages.py
+++ b/bramleyport/gateway/_stages.py
@@ -117,6 +117,7 @@
                     registration=item,
                     backlog_s=load.forecast_wait(RANK_ALL, now_s),
                     running=load.count_running(),
+                    moved_s=load.moved_s,
                     changing=self._state.is_changing(item.upstream, now_s)
                     or self._orders.is_open(item),
                     ejected=item.upstream in ejected,
--- a/tests/test_fleet_stages.py
+++ b/tests/test_fleet_stages.py
@@ -3,6 +3,8 @@
 Patterns: prompts outgrow their readers, answers grow long, engines are lost.
 """
 
+from dataclasses import replace
+
 from bramleyport.core import UpstreamId
 from bramleyport.fleet import EngineView, Stage, StageChange, StagePlanner
 from tests.fleet_builders import make_engine
@@ -95,6 +97,33 @@
     assert plan_until_change(StagePlanner(), pool) is None
 
 
+def test_busy_links_add_engines_that_run_calls() -> None:
+    # Pattern: a flood of long prompts with short answers fills no slots, but each KV
+    # cache waits for the transfers before it over a link.
+    pool = make_pool(4, 8)
+    planner = StagePlanner()
+    changes = []
+    for look in range(12):
+        moved = [
+            replace(view, moved_s=0.2 * look)
+            if view.registration.stage is Stage.DECODE
+            else view
+            for view in pool
+        ]
+        changes.append(planner.plan(moved, slots=12, now_s=look * 0.25))
+    found = [change for change in changes if change is not None]
+    assert found
+    assert found[0].stage is Stage.DECODE
+
+
+def test_quiet_links_add_none() -> None:
+    pool = make_pool(4, 8, backlog_s=0.01)
+    planner = StagePlanner()
+    for look in range(12):
+        moved = [replace(view, moved_s=0.02 * look) for view in pool]
+        assert planner.plan(moved, slots=12, now_s=look * 0.25) is None
+
+
 def test_engine_that_would_be_needed_again_does_not_go_back_to_reading() -> None:
     # Four engines were enough at one look and five at the next; they changed to and
     # fro, each change taking one away for seconds.
