--- a/bramleyport/fleet/__init__.py
+++ b/bramleyport/fleet/__init__.py
@@ -13,6 +13,7 @@
 from bramleyport.fleet._moves import Move
 from bramleyport.fleet._pacing import NewsPacing
 from bramleyport.fleet._prefixes import PrefixCache, PrefixIndex
+from bramleyport.fleet._reachability import Reachability
 from bramleyport.fleet._routes import RouteTable, choose_service
 from bramleyport.fleet._runs import RunTimes
 from bramleyport.fleet._speed import ReadSpeeds
@@ -56,6 +57,7 @@
     "PrefixIndex",
     "Prompt",
     "PromptPart",
+    "Reachability",
     "ReadSpeeds",
     "Registration",
     "Repeatability",
--- a/bramleyport/gateway/_attempt.py
+++ b/bramleyport/gateway/_attempt.py
@@ -18,6 +18,8 @@
 
 # Sends of one call that upstreams declined without running it, the last one included.
 MAX_SENDS: Final = 3
+# Upstreams of a call that can't be reached before it is refused.
+MAX_UNSENT: Final = 6
 # An upstream that is full has usually room again after this time.
 FULL_RETRY_S: Final = 0.3
 # With less time left a further attempt would hardly be answered.
@@ -120,7 +122,10 @@
         context.tried.add(failure.upstream)
         now_s = read_now()
         self.metrics.count_attempt(failure.end.value)
-        if failure.end is AttemptEnd.NOT_RUN:
+        if failure.end is AttemptEnd.UNSENT:
+            event = gateway_events.ATTEMPT_NOT_RUN
+            self._note_unsent(context, failure, now_s)
+        elif failure.end is AttemptEnd.NOT_RUN:
             event = gateway_events.ATTEMPT_NOT_RUN
             self.state.note_declined(failure.upstream, now_s)
         else:
@@ -136,15 +141,28 @@
             left_s=round(context.left_s, 3),
         )
 
+    def _note_unsent(
+        self, context: CallContext, failure: FailedAttempt, now_s: float
+    ) -> None:
+        context.attempts.unsent += 1
+        self.state.note_declined(failure.upstream, now_s)
+        if failure.refused:
+            self.tracker.note_refused(failure.upstream)
+
     def may_retry(self, context: CallContext) -> Explanation:
         """Decide whether to try again; the reason is "retry" if so."""
         reason = self._find_obstacle(context) or "retry"
         now_s = read_now()
         budget = self.state.find_budget(context.call.service)
-        if reason == "retry" and not budget.take(now_s, self.state.gateways):
-            reason = "budget_spent"
+        # What never arrived at an upstream is no repeat.
+        failure = context.last_failure
+        repeats = failure is None or failure.end is not AttemptEnd.UNSENT
+        if reason == "retry" and repeats:
+            taken = budget.take(now_s, self.state.gateways)
+            reason = "retry" if taken else "budget_spent"
         numbers = {
             "sends": float(context.attempts.sends),
+            "unsent": float(context.attempts.unsent),
             "runs": float(context.attempts.runs),
             "allowed": round(budget.allow(self.state.gateways), 1),
             "left_s": round(context.left_s, 3),
@@ -248,6 +266,8 @@
             return "deadline"
         if attempts.sends >= max(MAX_SENDS, route.max_attempts):
             return "sends_spent"
+        if attempts.unsent >= MAX_UNSENT:
+            return "unreachable"
         if not attempts.may_have_run:
             return None
         if not route.repeatability.may_rerun:
--- a/bramleyport/gateway/_outcome.py
+++ b/bramleyport/gateway/_outcome.py
@@ -4,12 +4,14 @@
 from enum import Enum
 
 from bramleyport.core import UpstreamId
-from bramleyport.http1 import Answer
+from bramleyport.http1 import Answer, ExchangeError, ExchangeFailure
 
 
 class AttemptEnd(str, Enum):
     """Name how an attempt without a complete answer ended."""
 
+    # Nothing of the call was sent, so it does not count as a send.
+    UNSENT = "unsent"
     # The upstream says, or it is certain, that it did not run the call.
     NOT_RUN = "not_run"
     # The call may have run, may be running, or has run without a usable answer.
@@ -25,15 +27,29 @@
     upstream: UpstreamId
     end: AttemptEnd
     reason: str
+    # The upstream's host refused the connection.
+    refused: bool = False
     # The upstream's own failure, where it gave one.
     answer: Answer | None = None
 
 
+def make_unsent(upstream: UpstreamId, error: ExchangeError) -> FailedAttempt:
+    """Return the failed attempt of an exchange of which nothing was sent."""
+    return FailedAttempt(
+        upstream=upstream,
+        end=AttemptEnd.UNSENT,
+        reason=str(error),
+        refused=error.failure is ExchangeFailure.REFUSED,
+    )
+
+
 @dataclass(slots=True)
 class Attempts:
     """Count the attempts of one call."""
 
     sends: int = 0
+    # Attempts that ended before anything was sent.
+    unsent: int = 0
     # Attempts that ended after the call may have run.
     runs: int = 0
     # An attempt is under way, or was when the call was given up.
--- a/bramleyport/gateway/_peer_messages.py
+++ b/bramleyport/gateway/_peer_messages.py
@@ -52,6 +52,8 @@
     started: tuple[Work, ...] = ()
     read: tuple[WorkRef, ...] = ()
     ended: tuple[WorkRef, ...] = ()
+    # Upstreams that refused a connection.
+    refused: tuple[UpstreamId, ...] = ()
 
 
 def encode_message(message: PeerMessage) -> bytes:
@@ -66,6 +68,7 @@
             [[ref.upstream, ref.request] for ref in message.read],
             [[ref.upstream, ref.request] for ref in message.ended],
             [[item.upstream, item.for_s] for item in message.changing],
+            list(message.refused),
         ]
     )
 
@@ -92,7 +95,8 @@
 def _decode_message(fields: list[Any], now_s: float) -> PeerMessage:
     if fields[0] != FORMAT:
         raise PeerMessageError("the format is not known")
-    _, process, incarnation, leaving, started, read, ended, changing = fields
+    # Gateways of the version before end with the changing engines.
+    _, process, incarnation, leaving, started, read, ended, changing, *rest = fields
     return PeerMessage(
         process=ProcessId(str(process)),
         incarnation=int(incarnation),
@@ -104,6 +108,7 @@
             ChangingEngine(UpstreamId(str(upstream)), float(for_s))
             for upstream, for_s in changing
         ),
+        refused=tuple(UpstreamId(str(item)) for item in (rest[0] if rest else ())),
     )
 
 
--- a/bramleyport/gateway/_peers.py
+++ b/bramleyport/gateway/_peers.py
@@ -158,6 +158,8 @@
     def _apply(self, message: PeerMessage, now_s: float) -> None:
         for item in message.changing:
             self._state.changing_until_s[item.upstream] = now_s + item.for_s
+        for upstream in message.refused:
+            self._tracker.apply_refused(upstream)
         for work in message.started:
             self._tracker.apply(replace(work, origin=message.process))
         for ref in message.read:
@@ -214,10 +216,12 @@
             started=tuple(pending.started[:MAX_ITEMS]),
             read=_make_refs(pending.read[:MAX_ITEMS]),
             ended=_make_refs(pending.ended[:MAX_ITEMS]),
+            refused=tuple(pending.refused[:MAX_ITEMS]),
         )
         del pending.started[:MAX_ITEMS]
         del pending.read[:MAX_ITEMS]
         del pending.ended[:MAX_ITEMS]
+        del pending.refused[:MAX_ITEMS]
         return message
 
     def _send(self, message: PeerMessage) -> None:
--- a/bramleyport/gateway/_plain.py
+++ b/bramleyport/gateway/_plain.py
@@ -7,9 +7,9 @@
 from bramleyport.fleet import Choice
 from bramleyport.gateway._attempt import AttemptSupport, CallContext
 from bramleyport.gateway._clock import read_now
-from bramleyport.gateway._outcome import AttemptEnd, FailedAttempt
+from bramleyport.gateway._outcome import AttemptEnd, FailedAttempt, make_unsent
 from bramleyport.gateway._reply import relay_answer
-from bramleyport.http1 import Answer, ExchangeError, ExchangeFailure, HttpRequest
+from bramleyport.http1 import Answer, ExchangeError, HttpRequest
 from bramleyport.platform import AnswerHead, Delivery, encode_delivery
 
 # Part of the objective after which a call that may run twice goes to another upstream.
@@ -73,11 +73,11 @@
         except TimeoutError:
             return self._fail(choice, AttemptEnd.LOST, "no answer in time")
         except ExchangeError as error:
-            unsent = error.failure is ExchangeFailure.NOT_SENT
-            end = AttemptEnd.NOT_RUN if unsent else AttemptEnd.LOST
-            if unsent:
+            if error.unsent:
+                context.attempts.sends -= 1
                 self._note_unreachable(choice)
-            return self._fail(choice, end, str(error))
+                return make_unsent(choice.upstream.upstream, error)
+            return self._fail(choice, AttemptEnd.LOST, str(error))
         finally:
             support.tracker.end(context.call, choice.upstream)
 
--- a/bramleyport/gateway/_prefill.py
+++ b/bramleyport/gateway/_prefill.py
@@ -9,6 +9,7 @@
 from bramleyport.gateway._attempt import CallContext
 from bramleyport.gateway._clock import read_now
 from bramleyport.gateway._exchange import Exchanger
+from bramleyport.gateway._outcome import AttemptEnd, FailedAttempt, make_unsent
 from bramleyport.gateway._patience import (
     FIRST_EVENT_SLACK_S,
     FORECAST_FACTOR,
@@ -30,9 +31,16 @@
 class PrefillError(StepError):
     """Report that an engine did not read a prompt; the call has not run."""
 
-    def __init__(self, upstream: UpstreamId, reason: str) -> None:
-        super().__init__("prefill", upstream, reason)
-        self.upstream = upstream
+    def __init__(self, attempt: FailedAttempt) -> None:
+        super().__init__("prefill", attempt.upstream, attempt.reason)
+        self.attempt = attempt
+
+
+def refuse_prefill(upstream: UpstreamId, reason: str) -> PrefillError:
+    """Return the error of an upstream that did not read a prompt."""
+    return PrefillError(
+        FailedAttempt(upstream=upstream, end=AttemptEnd.NOT_RUN, reason=reason)
+    )
 
 
 class Prefiller:
@@ -63,7 +71,7 @@
                 handle = await self._request(context, reader, choice.prefix_source)
         except TimeoutError as error:
             self._note(reader, failed=True)
-            raise PrefillError(reader.upstream, "no answer in time") from error
+            raise refuse_prefill(reader.upstream, "no answer in time") from error
         except (ExchangeError, MalformedDocumentError) as error:
             self._note(reader, failed=True)
             log_event(
@@ -72,7 +80,9 @@
                 upstream=reader.upstream,
                 reason=str(error),
             )
-            raise PrefillError(reader.upstream, str(error)) from error
+            if isinstance(error, ExchangeError) and error.unsent:
+                raise PrefillError(make_unsent(reader.upstream, error)) from error
+            raise refuse_prefill(reader.upstream, str(error)) from error
         else:
             self._tracker.finish_reading(context.call, reader)
         finally:
@@ -131,7 +141,7 @@
             body = await opened.connection.read_body()
             status = opened.answer.status
         if status != 200:
-            raise PrefillError(reader.upstream, f"declined with {status}")
+            raise refuse_prefill(reader.upstream, f"declined with {status}")
         return decode_prefill(body).handle
 
     async def _free(self, reader: Registration, handle: str) -> None:
--- a/bramleyport/gateway/_state.py
+++ b/bramleyport/gateway/_state.py
@@ -11,6 +11,7 @@
     LoadBook,
     Membership,
     PrefixIndex,
+    Reachability,
     ReadSpeeds,
     Registration,
     RouteTable,
@@ -43,6 +44,7 @@
             consecutive_failures=EJECT_AFTER, eject_s=EJECT_S
         )
     )
+    reachability: Reachability = field(default_factory=Reachability)
     routes: RouteTable | None = None
     budgets: dict[ServiceName, RepeatBudget] = field(default_factory=dict)
     # When each upstream last sent anything.
@@ -116,7 +118,9 @@
             for upstream, until_s in known.items()
             if until_s > now_s
         }
-        return avoided | self.list_ejected(service, now_s)
+        names = [item.upstream for item in self.members.list_ready(service)]
+        avoided |= self.reachability.find_unreachable(names, now_s)
+        return avoided | self.ejector.find_ejected(names, now_s)
 
     def note_declined(self, upstream: UpstreamId, now_s: float) -> None:
         """Prefer others for a while to an upstream that declined a call."""
@@ -127,6 +131,11 @@
         names = [item.upstream for item in self.members.list_ready(service)]
         return self.ejector.find_ejected(names, now_s)
 
+    def note_heard(self, upstream: UpstreamId, now_s: float) -> None:
+        """Note that an upstream has sent something."""
+        self.heard_s[upstream] = now_s
+        self.reachability.note_answer(upstream)
+
     def record_result(
         self, upstream: UpstreamId, *, failed: bool, now_s: float
     ) -> None:
@@ -138,6 +147,7 @@
         """Drop all that was known of an upstream that is gone or began anew."""
         self.loads.forget(upstream)
         self.heard_s.pop(upstream, None)
+        self.reachability.note_answer(upstream)
         self.declined_until_s.pop(upstream, None)
         self.changing_until_s.pop(upstream, None)
         self.prefixes.forget(upstream)
--- a/bramleyport/gateway/_stream_attempt.py
+++ b/bramleyport/gateway/_stream_attempt.py
@@ -11,14 +11,14 @@
 from bramleyport.gateway._clock import read_now
 from bramleyport.gateway._events import BrokenStreamError, EventRelay
 from bramleyport.gateway._exchange import Opened
-from bramleyport.gateway._outcome import AttemptEnd, FailedAttempt
+from bramleyport.gateway._outcome import AttemptEnd, FailedAttempt, make_unsent
 from bramleyport.gateway._patience import (
     FIRST_EVENT_SLACK_S,
     FORECAST_FACTOR,
     Patience,
 )
-from bramleyport.gateway._prefill import Prefiller, PrefillError
-from bramleyport.http1 import Answer, ExchangeError, ExchangeFailure, HttpRequest
+from bramleyport.gateway._prefill import Prefiller, PrefillError, refuse_prefill
+from bramleyport.http1 import Answer, ExchangeError, HttpRequest
 from bramleyport.platform import Delivery, encode_delivery
 
 # A stream that can go on elsewhere is given up after a pause of this many times the
@@ -51,9 +51,7 @@
         try:
             prepared = await self._prepare(context, choice)
         except PrefillError as error:
-            return FailedAttempt(
-                upstream=error.upstream, end=AttemptEnd.NOT_RUN, reason=error.reason
-            )
+            return error.attempt
         if relay.started or relay.last_event:
             prepared = self._continue_from(prepared, relay)
         done = False
@@ -87,7 +85,7 @@
         move = self._support.choose_target(context, reader)
         if move is None:
             self._prefiller.free(reader, handle)
-            raise PrefillError(choice.upstream.upstream, "no engine to run the call")
+            raise refuse_prefill(choice.upstream.upstream, "no engine to run the call")
         target = move.target
         delivery = Delivery(
             upstream=target.upstream,
@@ -135,11 +133,11 @@
         except BrokenStreamError as error:
             return _fail(choice, AttemptEnd.LOST, str(error))
         except ExchangeError as error:
-            unsent = error.failure is ExchangeFailure.NOT_SENT
-            end = AttemptEnd.NOT_RUN if unsent else AttemptEnd.LOST
-            if unsent:
+            if error.unsent:
+                context.attempts.sends -= 1
                 self._record(choice, failed=True)
-            return _fail(choice, end, str(error))
+                return make_unsent(choice.upstream.upstream, error)
+            return _fail(choice, AttemptEnd.LOST, str(error))
         finally:
             tracker.end(context.call, choice.upstream)
 
@@ -187,7 +185,7 @@
                 if first:
                     self._note_first_event(context, choice)
                     first = False
-                self._support.state.heard_s[choice.upstream.upstream] = now_s
+                self._support.state.note_heard(choice.upstream.upstream, now_s)
                 patience.wait_next(self._limit_pause(context, now_s))
             await context.connection.drain()
         relay.finish()
--- a/bramleyport/gateway/_tracker.py
+++ b/bramleyport/gateway/_tracker.py
@@ -2,12 +2,16 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from typing import Final
 
 from bramleyport.core import RequestId, UpstreamId
 from bramleyport.fleet import Call, Registration, Work
 from bramleyport.gateway._clock import read_now
 from bramleyport.gateway._state import GatewayState
 
+# News that others need before their next choice count as work that takes so long.
+URGENT_BUSY_S: Final = 1.0
+
 
 @dataclass(slots=True)
 class PendingNews:
@@ -16,9 +20,11 @@
     started: list[Work] = field(default_factory=list)
     read: list[tuple[UpstreamId, RequestId]] = field(default_factory=list)
     ended: list[tuple[UpstreamId, RequestId]] = field(default_factory=list)
+    # Upstreams that refused a connection.
+    refused: list[UpstreamId] = field(default_factory=list)
 
     def __bool__(self) -> bool:
-        return bool(self.started or self.read or self.ended)
+        return bool(self.started or self.read or self.ended or self.refused)
 
 
 class Tracker:
@@ -26,6 +32,7 @@
 
     def __init__(self, state: GatewayState) -> None:
         self._ledger = state.ledger
+        self._reachability = state.reachability
         self._pending = PendingNews()
         # Called with how long an engine will be busy with what was just sent.
         self.on_pending: Callable[[float], None] | None = None
@@ -67,6 +74,16 @@
         self._pending.ended.append((target.upstream, call.request))
         self._announce()
 
+    def note_refused(self, upstream: UpstreamId) -> None:
+        """Note that an upstream refused a connection, and tell the others at once."""
+        self.apply_refused(upstream)
+        self._pending.refused.append(upstream)
+        self._announce(URGENT_BUSY_S)
+
+    def apply_refused(self, upstream: UpstreamId) -> None:
+        """Note that an upstream refused some gateway's connection."""
+        self._reachability.note_refused(upstream, read_now())
+
     def apply(self, work: Work) -> None:
         """Take work of this or another gateway."""
         self._ledger.start(work)
--- a/bramleyport/http1/_client.py
+++ b/bramleyport/http1/_client.py
@@ -6,6 +6,7 @@
 from typing import Any, Final
 
 import h11
+from twisted.internet import error as network_errors
 from twisted.internet.error import ConnectionDone
 from twisted.internet.protocol import ClientCreator, Protocol
 from twisted.python.failure import Failure
@@ -269,8 +270,8 @@
                 peer.host, peer.port, timeout=timeout_s
             ).asFuture(loop)
         except Exception as error:  # Twisted raises many types for a failed connect
-            raise ExchangeError(
-                ExchangeFailure.NOT_SENT, "connect", str(peer), repr(error)
-            ) from error
+            refused = isinstance(error, network_errors.ConnectionRefusedError)
+            failure = ExchangeFailure.REFUSED if refused else ExchangeFailure.NOT_SENT
+            raise ExchangeError(failure, "connect", str(peer), repr(error)) from error
         connection.opened_s = loop.time()
         return connection
--- a/bramleyport/http1/_messages.py
+++ b/bramleyport/http1/_messages.py
@@ -13,6 +13,8 @@
 
     # No byte of the request was sent.
     NOT_SENT = "not_sent"
+    # Likewise: no process listens at the peer's address.
+    REFUSED = "refused"
     # The request was sent, no answer began.
     NO_ANSWER = "no_answer"
     # The answer broke off or was not HTTP.
@@ -29,6 +31,11 @@
         super().__init__(step, peer, reason)
         self.failure = failure
 
+    @property
+    def unsent(self) -> bool:
+        """Return whether no byte of the request was sent."""
+        return self.failure in (ExchangeFailure.NOT_SENT, ExchangeFailure.REFUSED)
+
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class HttpRequest:
--- a/bramleyport/platform/_store.py
+++ b/bramleyport/platform/_store.py
@@ -15,7 +15,6 @@
     Answer,
     ConnectionPool,
     ExchangeError,
-    ExchangeFailure,
     HttpClient,
     HttpRequest,
     PoolLimits,
@@ -266,8 +265,7 @@
             reason = f"no answer within {timeout_s:.1f} s"
             return _fail(StoreFailure.UNKNOWN, step, reason)
         except ExchangeError as error:
-            unsent = error.failure is ExchangeFailure.NOT_SENT
-            failure = StoreFailure.REFUSED if unsent else StoreFailure.UNKNOWN
+            failure = StoreFailure.REFUSED if error.unsent else StoreFailure.UNKNOWN
             return _fail(failure, step, error.reason)
         if answer.status >= 300:
             failure = _FAILURES.get(answer.status, StoreFailure.UNKNOWN)
--- a/tests/test_gateway_peers.py
+++ b/tests/test_gateway_peers.py
@@ -63,6 +63,7 @@
         read=(WorkRef(UpstreamId("d0"), RequestId("r2")),),
         ended=(WorkRef(UpstreamId("d1"), RequestId("r3")),),
         changing=(ChangingEngine(UpstreamId("d2"), 3.5),),
+        refused=(UpstreamId("d3"),),
     )
     assert decode_datagram(encode_message(message), 0.0) == message
 
@@ -109,6 +110,31 @@
     run(announce())
 
 
+def test_message_of_the_version_before_is_understood() -> None:
+    # Gateways are stopped and started one after another.
+    fields = cbor2.loads(encode_message(make_message(started=(make_work(),))))
+    fields[4] = [item[:6] for item in fields[4]]
+    found = decode_datagram(cbor2.dumps(fields[:8]), 0.0)
+    assert found == make_message(started=(make_work(),))
+
+
+@pytest.mark.parametrize("data", [b"\x81" * 5_000, b"\x9b" + b"\xff" * 8, b"\xbf" * 99])
+def test_datagram_that_nests_or_promises_too_much_is_refused(data: bytes) -> None:
+    # One malformed message took a whole process down.
+    with pytest.raises(PeerMessageError):
+        decode_datagram(data, 0.0)
+
+
+def test_upstream_that_refused_a_peer_gets_no_calls(
+    fleet: GatewayFleet, run: Run
+) -> None:
+    hear(fleet, run, make_message(refused=(UpstreamId("p0"),)))
+    for _ in range(4):
+        answer = run(fleet.make_caller().call("/read/x", method="GET"))
+        assert answer.status == 200
+    assert fleet.plain[0].runs == []
+
+
 def test_gateways_share_the_retry_budget_with_those_they_hear(
     fleet: GatewayFleet, run: Run
 ) -> None:
--- a/tests/test_gateway_streams.py
+++ b/tests/test_gateway_streams.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable, Coroutine, Iterator
+from dataclasses import replace
 from pathlib import Path
 from typing import Any
 
@@ -206,8 +207,8 @@
     weigh = Chooser._weigh_direct
 
     def prefer_splits(*arguments: Any) -> Any:
-        score, choice = weigh(*arguments)
-        return score + 10.0, choice
+        option = weigh(*arguments)
+        return replace(option, weight_s=option.weight_s + 10.0)
 
     monkeypatch.setattr(Chooser, "_weigh_direct", prefer_splits)
     reader = run(add_reader(fleet))
