--- a/tests/platform_standin/__init__.py
+++ b/tests/platform_standin/__init__.py
@@ -12,6 +12,7 @@
     render,
 )
 from tests.platform_standin._scripts import (
+    ENDLESS,
     answer_without_length,
     decline,
     fail,
@@ -39,6 +40,7 @@
 )
 
 __all__ = [
+    "ENDLESS",
     "EVENT_COUNT",
     "LOOPBACK",
     "CallerAnswer",
--- a/tests/platform_standin/_scripts.py
+++ b/tests/platform_standin/_scripts.py
@@ -114,3 +114,34 @@
         await answer_whole(upstream, request, writer)
 
     return script
+
+
+def make_endless(head: bytes, piece: bytes, *, pause_s: float = 0.0) -> Script:
+    """Return a script that sends bytes without end until the caller closes."""
+
+    async def script(
+        upstream: UpstreamStandin, request: RawRequest, writer: asyncio.StreamWriter
+    ) -> None:
+        upstream.begin(request).ended = True
+        writer.write(head)
+        try:
+            while not writer.is_closing():
+                writer.write(piece)
+                await writer.drain()
+                await asyncio.sleep(pause_s)
+        except ConnectionError:
+            return
+
+    return script
+
+
+_CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+# Ways in which the bytes of an upstream never end.
+ENDLESS: list[Script] = [
+    make_endless(_CHUNKED, b"10000\r\n" + b"x" * 65_536 + b"\r\n"),
+    make_endless(_CHUNKED, b"1\r\nx\r\n" * 4_000),
+    make_endless(_CHUNKED, b"1\r\nx\r\n", pause_s=0.1),
+    make_endless(b"", b"HTTP/1.1 100 Continue\r\n\r\n" * 500),
+    make_endless(b"HTTP/1.1 200 OK\r\n", b"x: y\r\n" * 500),
+    make_endless(b"", b"no answer at all "),
+]
--- a/tests/soak/_run.py
+++ b/tests/soak/_run.py
@@ -9,6 +9,7 @@
 
 from tests.gateway_fleet import LANGUAGE, PLAIN, make_config
 from tests.platform_standin import (
+    ENDLESS,
     RawRequest,
     Script,
     StoreStandin,
@@ -60,6 +61,12 @@
     PLANNED = "planned"
     # All faults together, upstreams that fail among them.
     MIXED = "mixed"
+    # Likewise, and upstreams whose bytes never end.
+    HOSTILE = "hostile"
+
+
+# Seeds draw one of these, so that seeds that failed once stay what they were.
+DRAWN_PROFILES = [Profile.PLANNED, Profile.MIXED]
 
 
 class Soak:
@@ -75,7 +82,7 @@
         bounds: bool,
     ) -> None:
         self._random = Random(seed)
-        drawn = self._random.choice(list(Profile))
+        drawn = self._random.choice(DRAWN_PROFILES)
         self._profile = profile or drawn
         self.findings = Findings()
         self.record = Record(self.findings, Impairments(), bounds=bounds)
@@ -92,6 +99,10 @@
         )
         self._callers = Callers(self.record, self._gateways, self._random)
 
+    @property
+    def _unplanned(self) -> bool:
+        return self._profile is not Profile.PLANNED
+
     async def run(self, seconds: float) -> Findings:
         """Soak for some seconds of faults and return what was seen."""
         try:
@@ -141,6 +152,8 @@
 
     def _make_script(self, upstream: UpstreamStandin) -> Script:
         faults = STREAM_FAULTS if upstream.stage else PLAIN_FAULTS
+        if self._profile is Profile.HOSTILE:
+            faults = faults + ENDLESS
 
         async def script(
             upstream: UpstreamStandin,
@@ -148,7 +161,7 @@
             writer: asyncio.StreamWriter,
         ) -> None:
             chosen: Script = answer_whole
-            failing = self._profile is Profile.MIXED and not self._callers.ending
+            failing = self._unplanned and not self._callers.ending
             if failing and self._random.random() < BAD_ANSWER_PART:
                 chosen = self._random.choice(faults)
             await asyncio.sleep(self._random.random() * 0.02)
@@ -158,7 +171,7 @@
 
     async def _inject(self) -> None:
         faults: dict[str, Fault] = dict(PLANNED)
-        if self._profile is Profile.MIXED:
+        if self._unplanned:
             faults |= UNPLANNED
         running: set[asyncio.Task[None]] = set()
         try:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -54,6 +54,19 @@
     return upstream
 
 
+def test_short_soak_with_endless_bytes_breaks_no_promise(run: Run) -> None:
+    findings = run(soak(11, 5.0, gateways=3, profile=Profile.HOSTILE, bounds=False))
+    assert findings.broken == []
+    assert findings.calls["post 200"] > 0
+
+
+def test_short_soak_of_many_gateways_breaks_no_promise(run: Run) -> None:
+    """Guards gateways that share what a few of them watch."""
+    findings = run(soak(12, 5.0, gateways=9, profile=Profile.PLANNED, bounds=False))
+    assert findings.broken == []
+    assert findings.calls["post 200"] > 0
+
+
 def test_short_soak_breaks_no_promise(run: Run) -> None:
     findings = run(soak(7, 5.0, gateways=3, profile=Profile.MIXED, bounds=False))
     assert findings.broken == []
