--- a/bramleyport/bench/_gateways_engine.py
+++ b/bramleyport/bench/_gateways_engine.py
@@ -14,6 +14,8 @@
 # At this many tokens of context, attention takes as long as the rest of the work.
 ATTENTION_TOKENS: Final = 60_000
 
+Action = Callable[[], None]
+
 
 @dataclass(slots=True, kw_only=True)
 class EngineCall:
@@ -25,8 +27,8 @@
     tokens_in: int
     # 0 for a prompt that is only read.
     tokens_out: int
-    on_read: Callable[[], None]
-    on_end: Callable[[], None]
+    on_read: Action
+    on_end: Action
     unread: int = 0
     produced: int = 0
     cancelled: bool = False
@@ -50,7 +52,7 @@
 
     model: EngineModel
     stage: Stage
-    schedule: Callable[[float, Callable[[], None]], None]
+    schedule: Callable[[float, Action], None]
     link: Link = field(default_factory=Link)
     cache: PrefixCache = field(init=False)
     read_tokens: int = 0
--- a/bramleyport/bench/_gateways_report.py
+++ b/bramleyport/bench/_gateways_report.py
@@ -42,7 +42,7 @@
     earned = owed = 0.0
     mixes = []
     for mix in scenario.mixes:
-        outcome = run.outcomes[mix.name]
+        outcome = run.world.outcomes[mix.name]
         earned += mix.value * outcome.in_time + mix.late_value * outcome.late
         owed += mix.value * outcome.calls
         calls = max(1, outcome.calls)
@@ -58,15 +58,15 @@
                 median_s=times[len(times) // 2] if times else 0.0,
             )
         )
-    sent = run.sent_bytes / gateways / scenario.duration_s / 1000
+    sent = run.world.network.sent_bytes / gateways / scenario.duration_s / 1000
     return GatewaySummary(
         scenario=name,
         gateways=gateways,
         value=earned / owed,
         mixes=tuple(mixes),
         sent_kb_per_s=sent,
-        read_tokens=sum(engine.read_tokens for engine in run.engines.values()),
-        moved_tokens=run.moved_tokens,
+        read_tokens=sum(engine.read_tokens for engine in run.world.engines.values()),
+        moved_tokens=run.world.moved_tokens,
     )
 
 
--- a/bramleyport/bench/_gateways_scenario.py
+++ b/bramleyport/bench/_gateways_scenario.py
@@ -61,7 +61,7 @@
     engine: EngineModel
     mixes: tuple[CallMix, ...]
     surges: tuple[Surge, ...] = ()
-    # Engines that stop answering, from the start of the second surge-free third on.
+    # Engines that stop answering after a third of the run.
     lost_engines: int = 0
 
     def with_gateways(self, gateways: int) -> "GatewayScenario":
--- a/bramleyport/bench/_policy_agent.py
+++ b/bramleyport/bench/_policy_agent.py
@@ -5,8 +5,8 @@
 from functools import partial
 from typing import TYPE_CHECKING, Final
 
-from bramleyport.bench._policy_clock import VirtualClock
 from bramleyport.bench._policy_record import Recorder, RequestRun
+from bramleyport.bench._virtual_clock import VirtualClock
 from bramleyport.core import (
     AttemptId,
     EngineLoad,
--- a/bramleyport/bench/_policy_entry.py
+++ b/bramleyport/bench/_policy_entry.py
@@ -14,9 +14,9 @@
     SimAgent,
     SimAttempt,
 )
-from bramleyport.bench._policy_clock import VirtualClock
 from bramleyport.bench._policy_record import Recorder, RequestRun
 from bramleyport.bench._policy_traffic import Request
+from bramleyport.bench._virtual_clock import VirtualClock
 from bramleyport.core import (
     AttemptId,
     EngineLoad,
--- a/bramleyport/bench/_policy_run.py
+++ b/bramleyport/bench/_policy_run.py
@@ -15,7 +15,6 @@
     SimAgent,
     read_rates,
 )
-from bramleyport.bench._policy_clock import VirtualClock
 from bramleyport.bench._policy_entry import NETWORK_S, SimEntry
 from bramleyport.bench._policy_record import Recorder
 from bramleyport.bench._policy_scenario import (
@@ -26,6 +25,7 @@
     Scenario,
 )
 from bramleyport.bench._policy_traffic import MODEL, ORDERS, Request, make_requests
+from bramleyport.bench._virtual_clock import VirtualClock
 from bramleyport.core import (
     EngineRole,
     PrefixBlock,
--- a/bramleyport/bench/_policy_clock.py
+++ b/bramleyport/bench/_virtual_clock.py
@@ -1,4 +1,4 @@
-"""Virtual clock of the policy benchmark."""
+"""Virtual clock of the benchmarks."""
 
 import heapq
 from collections.abc import Callable
--- a/tests/test_gateway_model.py
+++ b/tests/test_gateway_model.py
@@ -61,6 +61,6 @@
     scenario: GatewayScenario = GATEWAY_SCENARIOS["long-prompts-loss"]
     run = GatewayRun(scenario.with_gateways(10), seed=3)
     run.play()
-    for outcome in run.outcomes.values():
+    for outcome in run.world.outcomes.values():
         ended = outcome.in_time + outcome.late + outcome.refused + outcome.failed
         assert ended == outcome.calls
