Log and show the rate limits that upstreams name

The header is now decoded in platform/, the latest limit of each process of an upstream is kept, and lines 2644 to 2646, the fields limit_per_s and limit_age_s of 2602, and the gauge bramleyport_upstream_limit show it. Nothing is decided by it yet.

A limit that is no plain decimal number is ignored and logged once; the last one stays. Only an answer whose request was sent after the limit was last named raises or ends it, since answers overtake each other.

--- a/bramleyport/fleet/__init__.py
+++ b/bramleyport/fleet/__init__.py
@@ -13,6 +13,12 @@
 from bramleyport.fleet._pacing import UpdatePacing
 from bramleyport.fleet._prefill_speeds import PrefillSpeeds
 from bramleyport.fleet._prefixes import PrefixCache, PrefixIndex
+from bramleyport.fleet._rate_limits import (
+    RateLimitChange,
+    RateLimitNotice,
+    RateLimitTable,
+    compute_enforced_rate,
+)
 from bramleyport.fleet._reachability import Reachability
 from bramleyport.fleet._recorder import WorkRecorder
 from bramleyport.fleet._routes import RouteTable, choose_service
@@ -57,6 +63,9 @@
     "PrefixIndex",
     "Prompt",
     "PromptPart",
+    "RateLimitChange",
+    "RateLimitNotice",
+    "RateLimitTable",
     "Reachability",
     "Registration",
     "Repeatability",
@@ -76,5 +85,6 @@
     "admit",
     "choose_service",
     "choose_store_watchers",
+    "compute_enforced_rate",
     "is_watch_shared",
 ]
--- a/bramleyport/gateway/_attempt.py
+++ b/bramleyport/gateway/_attempt.py
@@ -230,6 +230,7 @@
             left_s=round(context.remaining_s, 3),
             tokens_out=context.call.prompt.tokens_out if context.call.prompt else 0,
             **choice.explanation.numbers,
+            **self.state.rate_limiter.describe(choice.first_upstream, read_now()),
         )
 
     def log_answered(self, context: CallContext, status: int) -> None:
--- a/bramleyport/gateway/_exchange.py
+++ b/bramleyport/gateway/_exchange.py
@@ -59,12 +59,12 @@
         pool = self._find_pool(target)
         connection = await pool.acquire(fresh=fresh)
         try:
+            sent_s = read_now()
             connection.send(
                 request, lambda answer: _matches_request(answer, request_id)
             )
             answer = await connection.read_head()
-            head = decode_answer(answer.status, answer.headers)
-            self._state.record_received(target.upstream, read_now())
+            head = self._record_head(target, answer, sent_s)
             connection.idle_timeout_s = head.idle_timeout_s
             yield OpenedExchange(connection=connection, answer=answer, head=head)
         except BaseException:
@@ -79,8 +79,10 @@
         pool = self._find_pool(target)
         connection = await pool.acquire()
         try:
+            sent_s = read_now()
             connection.send(request)
             answer = await connection.read_head()
+            self._record_head(target, answer, sent_s)
             body = await connection.read_body()
         except BaseException:
             connection.abort()
@@ -99,6 +101,15 @@
         for pool in self._pools.values():
             pool.close()
 
+    def _record_head(
+        self, target: Registration, answer: Answer, sent_s: float
+    ) -> AnswerHead:
+        now_s = read_now()
+        head = decode_answer(answer.status, answer.headers)
+        self._state.record_received(target.upstream, now_s)
+        self._state.rate_limiter.record_answer(target, head, sent_s, now_s)
+        return head
+
     def _find_pool(self, target: Registration) -> ConnectionPool:
         pool = self._pools.get(target.upstream)
         if pool is None or pool.peer != target.address:
--- a/bramleyport/gateway/_metrics.py
+++ b/bramleyport/gateway/_metrics.py
@@ -5,6 +5,7 @@
 
 from bramleyport.core import AccountId
 from bramleyport.fleet import Call
+from bramleyport.gateway._clock import read_now
 from bramleyport.gateway._reply import reply
 from bramleyport.gateway._state import GatewayState
 from bramleyport.http1 import CallerConnection, CallerRequest
@@ -70,5 +71,17 @@
         gauges.set({"name": "gateways"}, float(self._state.gateway_count))
         upstreams = len(self._state.members.list_all())
         gauges.set({"name": "upstreams"}, float(upstreams))
+        self._set_upstream_limits()
         body = self._metrics.render_text()
         connection.answer(HTTPStatus.OK.value, b"OK", [METRICS_TYPE], body)
+
+    def _set_upstream_limits(self) -> None:
+        gauge = self._metrics.upstream_limits
+        # Limits that have ended must not stay on the page.
+        gauge.values.clear()
+        now_s = read_now()
+        for registration in self._state.members.list_all():
+            figures = self._state.rate_limiter.describe(registration, now_s)
+            for name, value in figures.items():
+                labels = {"upstream": registration.upstream, "figure": name}
+                gauge.set(labels, value)
--- a/bramleyport/gateway/_state.py
+++ b/bramleyport/gateway/_state.py
@@ -18,6 +18,7 @@
     RouteTable,
     WorkRecorder,
 )
+from bramleyport.gateway._rate_limits import RateLimiter
 from bramleyport.platform import NodeSettings
 from bramleyport.retries import OutlierEjector, RepeatBudget
 from bramleyport.telemetry import log_event, routing_events
@@ -46,6 +47,7 @@
         )
     )
     reachability: Reachability = field(default_factory=Reachability)
+    rate_limiter: RateLimiter = field(default_factory=RateLimiter)
     routes: RouteTable | None = None
     budgets: dict[ServiceName, RepeatBudget] = field(default_factory=dict)
     # When each upstream last sent data.
--- a/bramleyport/platform/_headers.py
+++ b/bramleyport/platform/_headers.py
@@ -1,6 +1,7 @@
 """Decode and encode the headers of requests and answers."""
 
 import math
+import re
 from collections.abc import Iterable
 from dataclasses import dataclass
 from typing import Final
@@ -41,6 +42,10 @@
 )
 # Status of an upstream that is not the expected instance and has run nothing.
 OTHER_INSTANCE_STATUS: Final = 421
+# A decimal number without sign or exponent; longer ones are no rate of requests.
+_DECIMAL: Final = re.compile(rb"[0-9]{1,12}(\.[0-9]{0,12})?")
+# Bytes of an invalid value that are logged.
+MAX_DESCRIBED_BYTES: Final = 40
 # Applies to requests without a valid Deadline-Ms header.
 DEFAULT_TIME_LIMIT_S: Final = 30.0
 
@@ -68,6 +73,11 @@
     instance: UpstreamId | None
     # How long the upstream keeps an idle connection open; None if it did not say.
     idle_timeout_s: float | None
+    # Requests a second that the upstream takes from all gateways together; None if it
+    # names no limit or an invalid one.
+    rate_limit: float | None = None
+    # The limit as it was sent, if it is not a decimal number; empty otherwise.
+    invalid_rate_limit: str = ""
 
 
 def decode_call(headers: Iterable[tuple[bytes, bytes]]) -> CallHead:
@@ -89,6 +99,7 @@
     values = {name.lower(): value for name, value in headers}
     request = values.get(b"request-id")
     instance = values.get(b"instance-id")
+    rate_limit = _parse_rate(values.get(b"server-limit"))
     return AnswerHead(
         request=RequestId(request.decode("latin-1")) if request else None,
         not_run=b"not-run" in values or status == OTHER_INSTANCE_STATUS,
@@ -96,6 +107,12 @@
         encoded=values.get(b"content-encoding", b"identity") != b"identity",
         instance=UpstreamId(instance.decode("latin-1")) if instance else None,
         idle_timeout_s=_parse_idle_timeout(values.get(b"keep-alive")),
+        rate_limit=rate_limit,
+        invalid_rate_limit=(
+            _describe_invalid_rate(values.get(b"server-limit"))
+            if rate_limit is None
+            else ""
+        ),
     )
 
 
@@ -218,6 +235,16 @@
     return limit_ms / 1000 if math.isfinite(limit_ms) and limit_ms >= 0 else default_s
 
 
+def _parse_rate(value: bytes | None) -> float | None:
+    if value is None or not _DECIMAL.fullmatch(value.strip()):
+        return None
+    return float(value)
+
+
+def _describe_invalid_rate(value: bytes | None) -> str:
+    return "" if value is None else repr(value[:MAX_DESCRIBED_BYTES])
+
+
 def _parse_idle_timeout(value: bytes | None) -> float | None:
     for item in (value or b"").split(b","):
         name, _, seconds = item.strip().partition(b"=")
--- a/bramleyport/telemetry/_gateway_events.py
+++ b/bramleyport/telemetry/_gateway_events.py
@@ -49,4 +49,9 @@
 STAGE_ORDERED: Final = define(2641, "INFO", "engine ordered to change its stage")
 ORDER_UNANSWERED: Final = define(2642, "WARNING", "order not answered, may take effect")
 REPORT_NOT_READ: Final = define(2643, "INFO", "report of an engine not read")
+LIMIT_NAMED: Final = define(2644, "INFO", "rate limit of an upstream named or changed")
+LIMIT_ENDED: Final = define(2645, "INFO", "rate limit of an upstream ended")
+LIMIT_INVALID: Final = define(
+    2646, "WARNING", "invalid rate limit of an upstream ignored, last one kept"
+)
 READINESS_CHANGED: Final = define(2637, "INFO", "readiness changed")
--- a/bramleyport/telemetry/_metrics.py
+++ b/bramleyport/telemetry/_metrics.py
@@ -43,6 +43,11 @@
         self.gauges = Gauge(
             "bramleyport_state", "State by name", registry=self.registry
         )
+        self.upstream_limits = Gauge(
+            "bramleyport_upstream_limit",
+            "Rate limits that upstreams name: requests a second, and age in seconds",
+            registry=self.registry,
+        )
         self.first_token_s = self._histogram(
             "bramleyport_first_token_seconds", FIRST_TOKEN_BUCKETS_S
         )
--- a/tests/platform_standin/__init__.py
+++ b/tests/platform_standin/__init__.py
@@ -29,6 +29,7 @@
 from tests.platform_standin._upstream import (
     EVENT_COUNT,
     Script,
+    UpstreamArrival,
     UpstreamRun,
     UpstreamStandin,
     answer_normally,
@@ -49,6 +50,7 @@
     "RawServer",
     "Script",
     "StoreStandin",
+    "UpstreamArrival",
     "UpstreamRun",
     "UpstreamStandin",
     "answer_normally",
--- a/tests/platform_standin/_upstream.py
+++ b/tests/platform_standin/_upstream.py
@@ -31,6 +31,16 @@
     started_s: float = field(default_factory=time.monotonic)
 
 
+@dataclass(slots=True)
+class UpstreamArrival:
+    """Describe one request that reached an upstream, whether it ran or not."""
+
+    request: RawRequest
+    # The host and port of the sender's end of the connection.
+    peer: tuple[str, int]
+    arrived_s: float = field(default_factory=time.monotonic)
+
+
 class UpstreamStandin(RawServer):
     """Represent a worker of the platform that answers each request by a script."""
 
@@ -41,6 +51,9 @@
         self.stage = stage
         self.zone = "a"
         self.runs: list[UpstreamRun] = []
+        self.arrivals: list[UpstreamArrival] = []
+        # The rate limit that answers to calls name; empty for none.
+        self.limit = ""
         self.orders: list[dict[str, Any]] = []
         self.freed_handles: list[str] = []
         self.accepted_orders = 0
@@ -72,6 +85,8 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         while (request := await read_request(reader)) is not None:
+            peer = writer.get_extra_info("peername")
+            self.arrivals.append(UpstreamArrival(request, peer))
             await self._serve_one(request, writer)
             await writer.drain()
 
@@ -98,9 +113,9 @@
             self.prefill_count += 1
             handle = f"{self.name}-h{next(self._handles)}"
             body = json.dumps({"kv_handle": handle, "tokens": 1, "version": 1})
-            writer.write(
-                render_response(200, body.encode(), Request_Id=headers["request-id"])
-            )
+            answer_headers = {"Request_Id": headers["request-id"]}
+            answer_headers |= make_limit_headers(self)
+            writer.write(render_response(200, body.encode(), **answer_headers))
         else:
             script = self.next_scripts.pop(0) if self.next_scripts else self.script
             await script(self, request, writer)
@@ -135,9 +150,15 @@
     return {
         "Request_Id": request.headers["request-id"],
         "Server_Stamp": f"stamp.{upstream.name}",
+        **make_limit_headers(upstream),
     }
 
 
+def make_limit_headers(upstream: UpstreamStandin) -> dict[str, str]:
+    """Return the header that names the upstream's rate limit, if it has one."""
+    return {"Server_Limit": upstream.limit} if upstream.limit else {}
+
+
 EVENT_COUNT = 5
 
 
