--- /dev/null
+++ b/tests/gateway_group.py
@@ -0,0 +1,115 @@
+"""Run several gateways in the test process against one set of stand-ins."""
+
+import asyncio
+import itertools
+import time
+from collections import Counter
+from collections.abc import Sequence
+from pathlib import Path
+from typing import Any
+
+import yaml
+
+from bramleyport.composition import build_gateway
+from tests.gateway_fleet import LANGUAGE, PLAIN, make_config, make_settings
+from tests.platform_standin import RawCaller, StoreStandin, UpstreamStandin
+
+
+class GatewayGroup:
+    """Represent gateways that share a store and upstreams on loopback."""
+
+    def __init__(self, folder: Path, gateways: int, upstreams: Sequence[str]) -> None:
+        self.store = StoreStandin()
+        self.upstreams = [
+            UpstreamStandin(
+                name,
+                service=PLAIN if name.startswith("p") else LANGUAGE,
+                stage={"p": "", "d": "decode", "f": "prefill"}[name[0]],
+            )
+            for name in upstreams
+        ]
+        self.statuses: Counter[int] = Counter()
+        self.refused: list[str] = []
+        self.gateways: dict[str, Any] = {}
+        self._folder = folder
+        self._count = gateways
+        self._numbers = itertools.count()
+        self._ports: dict[str, int] = {}
+
+    async def start(self) -> None:
+        await self.store.start()
+        self.store.put("config", "main", make_config())
+        for upstream in self.upstreams:
+            await upstream.start()
+            upstream.register(self.store)
+        for number in range(self._count):
+            await self.start_gateway(f"g{number}")
+        await self.wait_for(
+            lambda: all(
+                gateway.state.gateway_count == self._count
+                for gateway in self.gateways.values()
+            )
+        )
+
+    async def start_gateway(self, name: str) -> None:
+        """Start a gateway under a name, at new ports."""
+        settings = make_settings(self.store.port) | {"node": name}
+        path = self._folder / f"{name}.yaml"
+        path.write_text(yaml.safe_dump(settings))
+        gateway = build_gateway(path)
+        await gateway.start()
+        self.gateways[name] = gateway
+        self._ports[name] = int(settings["listen"]["front"].rpartition(":")[2])
+        await self.wait_for(
+            lambda: (
+                gateway.state.routes is not None
+                and len(gateway.state.members.list_all()) == len(self.upstreams)
+            )
+        )
+
+    def stop_gateway(self, name: str) -> None:
+        """Stop a gateway at once, without a word to the others."""
+        self.gateways.pop(name).halt()
+        del self._ports[name]
+
+    async def stop(self) -> None:
+        for name in list(self.gateways):
+            self.stop_gateway(name)
+        for server in (*self.upstreams, self.store):
+            await server.stop()
+
+    async def wait_for(self, condition: Any, limit_s: float = 20.0) -> None:
+        async with asyncio.timeout(limit_s):
+            while not condition():
+                await asyncio.sleep(0.01)
+
+    async def send_calls(self, seconds: float, per_s: float, path: str) -> None:
+        """Send calls to the gateways in turn, each on a connection of its own."""
+        calls = set()
+        end_s = time.monotonic() + seconds
+        while time.monotonic() < end_s:
+            names = list(self._ports)
+            name = names[next(self._numbers) % len(names)]
+            calls.add(asyncio.ensure_future(self._send_call(self._ports[name], path)))
+            await asyncio.sleep(1 / per_s)
+        await asyncio.gather(*calls)
+
+    def list_runs(self) -> list[str]:
+        """Return the request of each run so far."""
+        return [
+            run.request.headers["request-id"]
+            for upstream in self.upstreams
+            for run in upstream.runs
+        ]
+
+    async def _send_call(self, port: int, path: str) -> None:
+        caller = RawCaller(port)
+        request = f"r{next(self._numbers)}"
+        try:
+            answer = await caller.call(path, body=b"b", Request_Id=request)
+        finally:
+            caller.close()
+        self.statuses[answer.status] += 1
+        if answer.status == 503:
+            assert float(answer.headers["retry-after"]) > 0
+            self.refused.append(request)
