Keep to the rate limits of upstreams, all gateways together

Cause: no gateway read the limit. A limit of all gateways together has to be divided, and no count of a single gateway may decide it.

Each gateway holds a fixed share and enforces it alone, so lost or stale updates can't make the sum exceed the limit. A gateway sends at least one request at a time, so as many gateways hold a share as the limit has requests a second, chosen by rendezvous hashing; the others send elsewhere. In t seconds all together send at most rate * t + max(1, ceil(rate)).

* Gateways count from their entry in the store or their first message until 60 s after the last, and nothing is sent to a limited upstream before the list of gateways was read: a missed gateway exceeds limits, one that is gone only leaves a share unused.
* First sends, retries, separate prefills, the decode after one, fetches of a cached prefix, orders, reports, cache listings and released handles count.
* Peers learn of a limit at once and once a second; one that has started gets all of them.
Limits belong to one process of an upstream.
* Calls over the limit go elsewhere or are refused at once with Retry-After (over_limit).
If all upstreams of a service are limited, more urgent calls come first, with a tenth left for the others.
* Limited engines are left out when stages are planned.

Ruled out: counting what peers report, which is late or lost just when a limit falls; one owner that grants permits, which two gateways can be at once after a split, and which costs a round trip a call; an equal share for every gateway, which with 100 of them lets 100 requests through at once.

--- a/bramleyport/fleet/__init__.py
+++ b/bramleyport/fleet/__init__.py
@@ -13,14 +13,17 @@
 from bramleyport.fleet._pacing import UpdatePacing
 from bramleyport.fleet._prefill_speeds import PrefillSpeeds
 from bramleyport.fleet._prefixes import PrefixCache, PrefixIndex
+from bramleyport.fleet._rank_reserve import RankReserve
 from bramleyport.fleet._rate_limits import (
     RateLimitChange,
     RateLimitNotice,
     RateLimitTable,
     compute_enforced_rate,
 )
+from bramleyport.fleet._rate_shares import RateShare, RateShares
 from bramleyport.fleet._reachability import Reachability
 from bramleyport.fleet._recorder import WorkRecorder
+from bramleyport.fleet._roster import GatewayRoster
 from bramleyport.fleet._routes import RouteTable, choose_service
 from bramleyport.fleet._stages import EngineView, StageChange, StagePlanner
 from bramleyport.fleet._transfers import Transfer
@@ -55,6 +58,7 @@
     "EngineTraits",
     "EngineView",
     "Freshness",
+    "GatewayRoster",
     "LoadTracker",
     "Membership",
     "PrefillSpeeds",
@@ -63,9 +67,12 @@
     "PrefixIndex",
     "Prompt",
     "PromptPart",
+    "RankReserve",
     "RateLimitChange",
     "RateLimitNotice",
     "RateLimitTable",
+    "RateShare",
+    "RateShares",
     "Reachability",
     "Registration",
     "Repeatability",
--- a/bramleyport/fleet/_rate_limits.py
+++ b/bramleyport/fleet/_rate_limits.py
@@ -33,7 +33,7 @@
     """Represent how a notice changes what is known of a limit."""
 
     NONE = "none"
-    # The limit is as known, and now known to be in force at a later time.
+    # The limit, or its end, is as known, and now known to hold at a later time.
     CONFIRMED = "confirmed"
     # The limit is new or has another rate.
     NAMED = "named"
@@ -91,7 +91,11 @@
         self, ended: RateLimitNotice, notice: RateLimitNotice
     ) -> RateLimitChange:
         # An answer to a request from before the end may still name the ended limit.
-        if notice.rate is None or notice.received_s < ended.sent_s:
+        if notice.rate is None:
+            sent_s = max(ended.sent_s, notice.sent_s)
+            self._notices[ended.upstream] = replace(ended, sent_s=sent_s)
+            return RateLimitChange.CONFIRMED
+        if notice.received_s < ended.sent_s:
             return RateLimitChange.NONE
         return self._replace(ended, notice)
 
@@ -99,8 +103,11 @@
         self, known: RateLimitNotice, notice: RateLimitNotice
     ) -> RateLimitChange:
         if notice.rate == known.rate:
-            received_s = max(known.received_s, notice.received_s)
-            self._notices[known.upstream] = replace(known, received_s=received_s)
+            self._notices[known.upstream] = replace(
+                known,
+                sent_s=max(known.sent_s, notice.sent_s),
+                received_s=max(known.received_s, notice.received_s),
+            )
             return RateLimitChange.CONFIRMED
         if notice.received_s < known.sent_s:
             return RateLimitChange.NONE
--- /dev/null
+++ b/bramleyport/fleet/_roster.py
@@ -0,0 +1,74 @@
+"""Track which gateways may be running."""
+
+from collections.abc import Collection
+from typing import Final
+
+from bramleyport.core import ProcessId
+
+# Time for which a gateway counts without a sign of life. It is long, because a share
+# that is computed for too few gateways exceeds bounds that all of them share.
+SILENT_KEEP_S: Final = 60.0
+
+
+class GatewayRoster:
+    """Track the gateways that may be running, including this one.
+
+    Gateways share bounds by their number. One that is counted though it is gone only
+    leaves a share unused, but one that is missed makes the others exceed the bound, so
+    gateways count from their entry in the store or their first message, whichever is
+    first, and for some time after their last sign of life.
+    """
+
+    def __init__(self, own: ProcessId) -> None:
+        self._seen_s: dict[ProcessId, float] = {}
+        # Listed gateways that have left or were silent for too long.
+        self._absent: set[ProcessId] = set()
+        self._gateways = frozenset((own,))
+        self._own = own
+        # Set once the list of gateways was read. Before, others may be running that
+        # have sent nothing yet.
+        self.is_complete = False
+
+    @property
+    def gateways(self) -> frozenset[ProcessId]:
+        """Return the gateways that may be running."""
+        return self._gateways
+
+    def record_listed(self, listed: Collection[ProcessId], now_s: float) -> None:
+        """Record the list of gateways in the store."""
+        self.is_complete = True
+        self._absent &= set(listed)
+        for process in listed:
+            if process not in self._absent:
+                self._seen_s.setdefault(process, now_s)
+        self._update()
+
+    def record_heard(self, process: ProcessId, now_s: float) -> None:
+        """Record a message of a gateway."""
+        self._absent.discard(process)
+        is_new = process not in self._seen_s
+        self._seen_s[process] = now_s
+        if is_new:
+            self._update()
+
+    def record_left(self, process: ProcessId) -> None:
+        """Record that a gateway has announced its end."""
+        self._absent.add(process)
+        if self._seen_s.pop(process, None) is not None:
+            self._update()
+
+    def drop_silent(self, now_s: float) -> None:
+        """Stop counting gateways without a sign of life for SILENT_KEEP_S."""
+        silent = [
+            process
+            for process, seen_s in self._seen_s.items()
+            if now_s - seen_s > SILENT_KEEP_S
+        ]
+        for process in silent:
+            del self._seen_s[process]
+        if silent:
+            self._absent.update(silent)
+            self._update()
+
+    def _update(self) -> None:
+        self._gateways = frozenset((self._own, *self._seen_s))
--- a/bramleyport/gateway/_attempt.py
+++ b/bramleyport/gateway/_attempt.py
@@ -72,17 +72,22 @@
         """Choose an upstream, or return why none can answer in time."""
         now_s = read_now()
         call = context.call
-        avoided = self.state.list_avoided(call.service, now_s)
+        blocked = self.state.list_blocked(call, now_s)
+        avoided = self.state.list_avoided(call.service, now_s) | blocked
         choice = self._choose(context, avoided | context.tried, now_s)
         if choice is None and context.tried:
             choice = self._choose(context, avoided, now_s)
         if choice is None:
-            ejected = self.state.list_ejected(call.service, now_s)
+            ejected = self.state.list_ejected(call.service, now_s) | blocked
             choice = self._choose(context, ejected, now_s)
+        if choice is None and blocked:
+            ready = self.state.members.list_ready(call.service)
+            return self.state.rate_limiter.refuse(ready, now_s)
         decision = admit(call, choice, now_s, tried=bool(context.tried))
         if choice is None or isinstance(decision, Rejected):
             assert isinstance(decision, Rejected)
             return decision
+        self.state.rate_limiter.take_choice(call, choice, now_s)
         return choice
 
     def _choose(
@@ -105,7 +110,9 @@
             return None
         now_s = read_now()
         call = context.call
+        blocked = self.state.list_blocked(call, now_s)
         excluded = self.state.list_avoided(call.service, now_s) | context.tried
+        excluded |= blocked
         chooser = self.state.chooser
         transfer = chooser.choose_transfer(
             call, context.engine, prefill_engine, excluded, now_s
@@ -113,8 +120,10 @@
         if transfer is None:
             # Fall back to engines that recently declined or failed a call.
             transfer = chooser.choose_transfer(
-                call, context.engine, prefill_engine, (), now_s
+                call, context.engine, prefill_engine, blocked, now_s
             )
+        if transfer is not None:
+            self.state.rate_limiter.take_call(call, transfer.target, now_s)
         return transfer
 
     def record_sent(self, context: CallContext) -> None:
--- a/bramleyport/gateway/_caches.py
+++ b/bramleyport/gateway/_caches.py
@@ -4,6 +4,7 @@
 from typing import TYPE_CHECKING, Final
 
 from bramleyport.fleet import Registration
+from bramleyport.gateway._clock import read_now
 from bramleyport.gateway._exchange import Exchanger
 from bramleyport.gateway._state import GatewayState
 from bramleyport.http1 import ExchangeError, HttpRequest
@@ -37,9 +38,13 @@
         """Start reading the cache listings of engines that were not read yet."""
         if self._state.settings.first_start or self._state.configuration is None:
             return
+        now_s = read_now()
         for registration in self._state.members.list_all():
             if registration.upstream in self._started or registration.stage is None:
                 continue
+            if not self._state.rate_limiter.has_permit(registration, now_s):
+                # All gateways may have restarted, and each reads from each engine.
+                continue
             self._started.add(registration.upstream)
             task = asyncio.ensure_future(self._read_cache(registration))
             self._tasks.add(task)
--- a/bramleyport/gateway/_exchange.py
+++ b/bramleyport/gateway/_exchange.py
@@ -80,6 +80,7 @@
         connection = await pool.acquire()
         try:
             sent_s = read_now()
+            self._state.rate_limiter.take(target, sent_s)
             connection.send(request)
             answer = await connection.read_head()
             self._record_head(target, answer, sent_s)
--- a/bramleyport/gateway/_forward.py
+++ b/bramleyport/gateway/_forward.py
@@ -106,6 +106,7 @@
         engine = service.engine if service else None
         context = CallContext(call, request, connection, engine)
         self._state.find_budget(call.service).record_request(call.arrived_s)
+        self._state.rate_limiter.record_call(call, read_now())
         if route.repeatability.streams:
             await self._streams.serve(context, head.last_event)
         else:
--- a/bramleyport/gateway/_peer_messages.py
+++ b/bramleyport/gateway/_peer_messages.py
@@ -1,5 +1,6 @@
 """Encode and decode messages between gateways as CBOR in datagrams."""
 
+import math
 from dataclasses import dataclass
 from typing import Any, Final
 
@@ -39,6 +40,22 @@
     duration_s: float
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class LimitUpdate:
+    """Describe what an answer said of the rate limit of its upstream.
+
+    Clocks of gateways differ, so times are sent as ages.
+    """
+
+    upstream: UpstreamId
+    # Start of the upstream's process in Unix milliseconds.
+    started_ms: int
+    # Requests a second; None if the answer named no limit.
+    rate: float | None
+    sent_age_s: float
+    received_age_s: float
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class PeerMessage:
     """Describe what one gateway has sent to upstreams since its last message."""
@@ -55,6 +72,7 @@
     ended: tuple[WorkRef, ...] = ()
     # Upstreams that refused a connection.
     refused: tuple[UpstreamId, ...] = ()
+    limits: tuple[LimitUpdate, ...] = ()
 
 
 def encode_message(message: PeerMessage) -> bytes:
@@ -70,6 +88,7 @@
             [[ref.upstream, ref.request] for ref in message.ended],
             [[item.upstream, item.duration_s] for item in message.changing],
             list(message.refused),
+            [_encode_limit(item) for item in message.limits],
         ]
     )
 
@@ -96,7 +115,7 @@
 def _decode_message(fields: list[Any], now_s: float) -> PeerMessage:
     if fields[0] != FORMAT:
         raise PeerMessageError("unknown message format")
-    # Messages of the previous version end with the changing engines.
+    # Messages of earlier versions end with the changing or with the refusing upstreams.
     _, process, incarnation, leaving, started, prefilled, ended, changing, *rest = (
         fields
     )
@@ -112,6 +131,7 @@
             for upstream, duration_s in changing
         ),
         refused=tuple(UpstreamId(str(item)) for item in (rest[0] if rest else ())),
+        limits=tuple(_decode_limit(item) for item in (rest[1] if rest[1:] else ())),
     )
 
 
@@ -141,6 +161,34 @@
     )
 
 
+def _encode_limit(update: LimitUpdate) -> list[Any]:
+    return [
+        update.upstream,
+        update.started_ms,
+        update.rate,
+        update.sent_age_s,
+        update.received_age_s,
+    ]
+
+
+def _decode_limit(item: Any) -> LimitUpdate:
+    upstream, started_ms, rate, sent_age_s, received_age_s = item
+    return LimitUpdate(
+        upstream=UpstreamId(str(upstream)),
+        started_ms=int(started_ms),
+        rate=None if rate is None else _read_amount(rate),
+        sent_age_s=_read_amount(sent_age_s),
+        received_age_s=_read_amount(received_age_s),
+    )
+
+
+def _read_amount(value: Any) -> float:
+    amount = float(value)
+    if not math.isfinite(amount) or amount < 0:
+        raise PeerMessageError(f"invalid amount: {value!r:.40}")
+    return amount
+
+
 def _decode_ref(item: Any) -> WorkRef:
     upstream, request = item
     return WorkRef(UpstreamId(str(upstream)), RequestId(str(request)))
--- a/bramleyport/gateway/_peers.py
+++ b/bramleyport/gateway/_peers.py
@@ -6,7 +6,7 @@
 
 import asyncio
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from dataclasses import replace
 from typing import Any, Final
 
@@ -16,6 +16,7 @@
 from bramleyport.core import ProcessId, UpstreamId
 from bramleyport.fleet import (
     Address,
+    RateLimitNotice,
     UpdatePacing,
     choose_store_watchers,
     is_watch_shared,
@@ -24,6 +25,7 @@
 from bramleyport.gateway._peer_messages import (
     MAX_ITEMS,
     ChangingEngine,
+    LimitUpdate,
     PeerMessage,
     PeerMessageError,
     WorkRef,
@@ -36,13 +38,20 @@
     StoreUpdateError,
     encode_store_update,
 )
-from bramleyport.gateway._work_tracker import PendingUpdates, WorkTracker
+from bramleyport.gateway._work_tracker import (
+    URGENT_BUSY_S,
+    PendingUpdates,
+    WorkTracker,
+)
 from bramleyport.platform import ObjectKind
 from bramleyport.telemetry import gateway_events, log_event
 
 # A gateway that has sent nothing for this long announces itself, so that its peers
 # still count it.
 ANNOUNCE_INTERVAL_S: Final = 2.0
+# Longest usual delay of an update. What an upstream said after a limit counts only if
+# it is certain that it was said later.
+MAX_UPDATE_DELAY_S: Final = 0.25
 # A peer that has sent nothing for this long is no longer counted.
 PEER_TIMEOUT_S: Final = 6.0
 
@@ -69,6 +78,7 @@
         self._sent_s = 0.0
         self._update_handlers: dict[ObjectKind, Callable[[StoreUpdate], None]] = {}
         tracker.on_updates_pending = self._schedule
+        state.rate_limiter.on_changed = lambda: self._schedule(URGENT_BUSY_S)
 
     @property
     def process(self) -> ProcessId:
@@ -102,6 +112,7 @@
         self._listed_s = {
             process: self._listed_s.get(process, now_s) for process in addresses
         }
+        self._state.roster.record_listed(addresses, now_s)
 
     def announce(self) -> None:
         """Tell the other gateways that this one is running."""
@@ -109,6 +120,7 @@
 
     def announce_if_idle(self) -> None:
         """Announce this gateway unless it has sent something recently."""
+        self._flush()
         if read_now() - self._sent_s >= ANNOUNCE_INTERVAL_S:
             self.announce()
 
@@ -142,6 +154,7 @@
         for process, last_received_s in list(self._last_received_s.items()):
             if now_s - last_received_s > PEER_TIMEOUT_S:
                 self._remove_peer(process, "silent")
+        self._state.roster.drop_silent(now_s)
 
     def datagramReceived(self, data: bytes, addr: Any) -> None:  # noqa: N802
         """Apply a message of a peer."""
@@ -159,6 +172,7 @@
             return
         if message.leaving:
             self._remove_peer(message.process, "leaving")
+            self._state.roster.record_left(message.process)
             return
         self._record_peer(message.process, addr, now_s)
         self._record_incarnation(message)
@@ -174,6 +188,9 @@
             self._state.changing_until_s[item.upstream] = now_s + item.duration_s
         for upstream in message.refused:
             self._tracker.apply_refused(upstream)
+        for update in message.limits:
+            notice = _make_notice(update, message.process, now_s)
+            self._state.rate_limiter.apply_notice(notice, now_s)
         for work in message.started:
             self._tracker.apply_started(replace(work, origin=message.process))
         for ref in message.prefilled:
@@ -182,17 +199,21 @@
             self._tracker.apply_ended(ref.upstream, ref.request)
 
     def _record_peer(self, process: ProcessId, addr: Any, now_s: float) -> None:
-        if process not in self._last_received_s:
+        is_new = process not in self._last_received_s
+        self._last_received_s[process] = now_s
+        self._state.roster.record_heard(process, now_s)
+        if is_new:
             log_event(gateway_events.PEER_JOINED, peer=process, address=addr)
             self._addresses.setdefault(process, Address(addr[0], addr[1]))
-        self._last_received_s[process] = now_s
-        self._state.gateway_count = 1 + len(self._last_received_s)
+            self._send_limits(self._addresses[process])
 
     def _record_incarnation(self, message: PeerMessage) -> None:
         known = self._incarnations.get(message.process, 0)
         if message.incarnation > known:
             self._incarnations[message.process] = message.incarnation
             self._tracker.drop_origin(message.process)
+            if known:
+                self._send_limits(self._addresses[message.process])
 
     def _make_message(self, **fields: Any) -> PeerMessage:
         return PeerMessage(
@@ -202,7 +223,6 @@
     def _remove_peer(self, process: ProcessId, reason: str) -> None:
         self._tracker.drop_origin(process)
         if self._last_received_s.pop(process, None) is not None:
-            self._state.gateway_count = 1 + len(self._last_received_s)
             log_event(gateway_events.PEER_LOST, peer=process, reason=reason)
 
     def _schedule(self, busy_s: float) -> None:
@@ -222,6 +242,7 @@
             self._flush_timer.cancel()
             self._flush_timer = None
         pending = self._tracker.take_pending()
+        pending.limits = self._state.rate_limiter.take_due_notices(read_now())
         while pending:
             self._send(self._take_batch(pending))
 
@@ -231,13 +252,23 @@
             prefilled=_make_refs(pending.prefilled[:MAX_ITEMS]),
             ended=_make_refs(pending.ended[:MAX_ITEMS]),
             refused=tuple(pending.refused[:MAX_ITEMS]),
+            limits=_make_updates(pending.limits[:MAX_ITEMS]),
         )
         del pending.started[:MAX_ITEMS]
         del pending.prefilled[:MAX_ITEMS]
         del pending.ended[:MAX_ITEMS]
         del pending.refused[:MAX_ITEMS]
+        del pending.limits[:MAX_ITEMS]
         return message
 
+    def _send_limits(self, address: Address) -> None:
+        """Send all known limits to a gateway that has started."""
+        notices = self._state.rate_limiter.list_notices()
+        while notices:
+            message = self._make_message(limits=_make_updates(notices[:MAX_ITEMS]))
+            del notices[:MAX_ITEMS]
+            self._write(encode_message(message), address)
+
     def _send(self, message: PeerMessage) -> None:
         self._send_data(encode_message(message))
 
@@ -246,8 +277,39 @@
             return
         self._sent_s = read_now()
         for address in self._addresses.values():
+            self._write(data, address)
+
+    def _write(self, data: bytes, address: Address) -> None:
+        if self.transport is not None:
             self.transport.write(data, (address.host, address.port))
 
 
 def _make_refs(pairs: list[tuple[UpstreamId, Any]]) -> tuple[WorkRef, ...]:
     return tuple(WorkRef(upstream, request) for upstream, request in pairs)
+
+
+def _make_updates(notices: Sequence[RateLimitNotice]) -> tuple[LimitUpdate, ...]:
+    now_s = read_now()
+    return tuple(
+        LimitUpdate(
+            upstream=notice.upstream,
+            started_ms=notice.started_ms,
+            rate=notice.rate,
+            sent_age_s=now_s - notice.sent_s,
+            received_age_s=now_s - notice.received_s,
+        )
+        for notice in notices
+    )
+
+
+def _make_notice(
+    update: LimitUpdate, process: ProcessId, now_s: float
+) -> RateLimitNotice:
+    return RateLimitNotice(
+        upstream=update.upstream,
+        started_ms=update.started_ms,
+        rate=update.rate,
+        sent_s=now_s - update.sent_age_s - MAX_UPDATE_DELAY_S,
+        received_s=now_s - update.received_age_s,
+        origin=process,
+    )
--- a/bramleyport/gateway/_rate_limits.py
+++ b/bramleyport/gateway/_rate_limits.py
@@ -1,24 +1,51 @@
-"""Track and log the rate limits that upstreams name in their answers."""
+"""Keep to the rate limits that upstreams name, together with the other gateways."""
 
-from bramleyport.core import UpstreamId
+import math
+from collections.abc import Callable, Sequence
+from typing import Final
+
+from bramleyport.admission import Rejected
+from bramleyport.core import Explanation, ProcessId, ServiceName, UpstreamId
 from bramleyport.fleet import (
+    Call,
+    Choice,
+    GatewayRoster,
+    RankReserve,
     RateLimitChange,
     RateLimitNotice,
     RateLimitTable,
+    RateShares,
     Registration,
+    Stage,
     compute_enforced_rate,
 )
 from bramleyport.platform import AnswerHead
 from bramleyport.telemetry import gateway_events, log_event
 
+# How often a gateway repeats to its peers what an upstream said to it.
+REPEAT_INTERVAL_S: Final = 1.0
+# Retry-After of calls that another gateway may send: a retry reaches one of them.
+RETRY_ELSEWHERE_S: Final = 0.3
+MIN_RETRY_S: Final = 0.1
+MAX_RETRY_S: Final = 3.0
+
 
 class RateLimiter:
-    """Track the rate limits of upstreams."""
+    """Decide which requests the rate limits of upstreams permit this gateway."""
 
-    def __init__(self) -> None:
+    def __init__(self, own: ProcessId, roster: GatewayRoster) -> None:
+        self._roster = roster
         self._table = RateLimitTable()
+        self._shares = RateShares(own, roster)
+        self._reserves: dict[ServiceName, RankReserve] = {}
         # The last invalid value of each upstream, which is logged once.
         self._invalid_values: dict[UpstreamId, str] = {}
+        # When this gateway last received an answer with or after a limit, and when it
+        # last told its peers.
+        self._observed_s: dict[UpstreamId, float] = {}
+        self._published_s: dict[UpstreamId, float] = {}
+        # Called when the peers should learn of a limit at once.
+        self.on_changed: Callable[[], None] | None = None
 
     def record_answer(
         self, target: Registration, head: AnswerHead, sent_s: float, now_s: float
@@ -31,46 +58,188 @@
             # Only an answer to a call shows that the limit has ended: upstreams need
             # not name it in answers to other requests.
             return
-        self._record(
-            RateLimitNotice(
-                upstream=target.upstream,
-                started_ms=target.started_ms,
-                rate=head.rate_limit,
-                sent_s=sent_s,
-                received_s=now_s,
-            )
+        notice = RateLimitNotice(
+            upstream=target.upstream,
+            started_ms=target.started_ms,
+            rate=head.rate_limit,
+            sent_s=sent_s,
+            received_s=now_s,
         )
+        change = self._record(notice, now_s)
+        if change is not RateLimitChange.NONE:
+            self._observed_s[target.upstream] = now_s
+        if change in (RateLimitChange.NAMED, RateLimitChange.ENDED):
+            self._published_s.pop(target.upstream, None)
+            if self.on_changed is not None:
+                self.on_changed()
+
+    def apply_notice(self, notice: RateLimitNotice, now_s: float) -> None:
+        """Record what an answer to another gateway says."""
+        self._record(notice, now_s)
+
+    def take_due_notices(self, now_s: float) -> list[RateLimitNotice]:
+        """Return what the peers are to be told now, of answers to this gateway.
+
+        Notices are repeated, since updates get lost: the others can't learn by
+        themselves that a limit has ended while they send nothing to its upstream.
+        """
+        due = [
+            notice
+            for notice in self._table.list_notices()
+            if self._is_due(notice, now_s)
+        ]
+        for notice in due:
+            self._published_s[notice.upstream] = now_s
+        return due
+
+    def list_notices(self) -> list[RateLimitNotice]:
+        """Return all limits that are known, for a gateway that has started."""
+        return [item for item in self._table.list_notices() if item.rate is not None]
 
     def find(self, target: Registration) -> RateLimitNotice | None:
         """Return the notice of the limit of an upstream, or None without a limit."""
         return self._table.find(target.upstream, target.started_ms)
 
+    def find_blocked(
+        self, call: Call, ready: Sequence[Registration], now_s: float
+    ) -> set[UpstreamId]:
+        """Return the upstreams to which a call must not be sent now."""
+        limited = {item.upstream for item in ready if self.find(item) is not None}
+        if not limited:
+            return set()
+        final = [item for item in ready if item.stage is not Stage.PREFILL]
+        if all(item.upstream in limited for item in final):
+            capacity_per_s = sum(self._find_share_rate(item, now_s) for item in final)
+            reserve = self._find_reserve(call.service)
+            if not reserve.may_send(call.route.priority, capacity_per_s, now_s):
+                return limited
+        return {
+            item.upstream
+            for item in ready
+            if item.upstream in limited and not self.has_permit(item, now_s)
+        }
+
+    def has_permit(self, target: Registration, now_s: float) -> bool:
+        """Return whether the limit of an upstream permits a request now."""
+        rate = self._find_rate(target)
+        if rate is None:
+            return True
+        if not self._roster.is_complete:
+            return False
+        return self._shares.count_permits(target.upstream, rate, now_s) >= 1.0
+
+    def take(self, target: Registration, now_s: float) -> None:
+        """Record that a request is sent to an upstream."""
+        rate = self._find_rate(target)
+        if rate is not None:
+            self._shares.take(target.upstream, rate, now_s)
+
+    def record_call(self, call: Call, now_s: float) -> None:
+        """Record that a call arrived, if any limit is known."""
+        if self._table.list_notices():
+            reserve = self._find_reserve(call.service)
+            reserve.record_call(call.route.priority, now_s)
+
+    def take_choice(self, call: Call, choice: Choice, now_s: float) -> None:
+        """Record that a call is sent to the first upstream of a choice."""
+        self.take_call(call, choice.first_upstream, now_s)
+        if choice.prefix_source is not None:
+            # This engine is asked for the prefix that it has cached.
+            self.take(choice.prefix_source, now_s)
+
+    def take_call(self, call: Call, target: Registration, now_s: float) -> None:
+        """Record that a call is sent to an upstream."""
+        if self.find(target) is not None:
+            self._find_reserve(call.service).record_sent(call.route.priority)
+        self.take(target, now_s)
+
+    def refuse(self, ready: Sequence[Registration], now_s: float) -> Rejected:
+        """Return the refusal of a call that only limits keep from being sent."""
+        limited = [item for item in ready if self.find(item) is not None]
+        waits_s = [self._forecast_wait(item, now_s) for item in limited]
+        wait_s = min(waits_s, default=math.inf)
+        if math.isinf(wait_s):
+            wait_s = RETRY_ELSEWHERE_S
+        numbers: dict[str, float] = {"limited": float(len(limited))}
+        if limited:
+            numbers |= self.describe(limited[waits_s.index(min(waits_s))], now_s)
+        retry_after_s = min(MAX_RETRY_S, max(MIN_RETRY_S, wait_s))
+        explanation = Explanation(reason="over_limit", numbers=numbers)
+        return Rejected(explanation, retry_after_s)
+
     def describe(self, target: Registration, now_s: float) -> dict[str, float]:
-        """Return the limit of an upstream and its age, for logs; empty without one."""
+        """Return the limit of an upstream, its age and this gateway's share of it.
+
+        The result is empty for an upstream without a limit.
+        """
         notice = self.find(target)
         if notice is None or notice.rate is None:
             return {}
+        share = self._shares.find_share(target.upstream, notice.rate, now_s)
         return {
             "limit_per_s": notice.rate,
             "limit_age_s": round(now_s - notice.received_s, 3),
+            "share_per_s": round(share.rate, 3),
+            "share_holders": float(share.holders),
+            "gateways": float(share.gateways),
         }
 
-    def _record(self, notice: RateLimitNotice) -> None:
+    def drop_ended(self, now_s: float) -> None:
+        """Drop what is no longer needed of limits that have ended."""
+        self._table.drop_ended(now_s)
+
+    def _record(self, notice: RateLimitNotice, now_s: float) -> RateLimitChange:
         change = self._table.record(notice)
         if change is RateLimitChange.NAMED and notice.rate is not None:
+            share = self._shares.find_share(notice.upstream, notice.rate, now_s)
             log_event(
                 gateway_events.LIMIT_NAMED,
                 upstream=notice.upstream,
                 limit_per_s=notice.rate,
+                limit_age_s=round(now_s - notice.received_s, 3),
                 enforced_per_s=compute_enforced_rate(notice.rate),
+                share_per_s=round(share.rate, 3),
+                share_holders=share.holders,
+                gateways=share.gateways,
                 origin=notice.origin,
             )
         elif change is RateLimitChange.ENDED:
+            self._shares.discard(notice.upstream)
             log_event(
                 gateway_events.LIMIT_ENDED,
                 upstream=notice.upstream,
                 origin=notice.origin,
             )
+        return change
+
+    def _is_due(self, notice: RateLimitNotice, now_s: float) -> bool:
+        observed_s = self._observed_s.get(notice.upstream)
+        if observed_s is None:
+            return False
+        published_s = self._published_s.get(notice.upstream)
+        if published_s is None:
+            return True
+        has_news = observed_s > published_s or notice.rate is None
+        return has_news and now_s - published_s >= REPEAT_INTERVAL_S
+
+    def _find_rate(self, target: Registration) -> float | None:
+        notice = self.find(target)
+        return notice.rate if notice else None
+
+    def _find_share_rate(self, target: Registration, now_s: float) -> float:
+        rate = self._find_rate(target)
+        if rate is None:
+            return 0.0
+        return self._shares.find_share(target.upstream, rate, now_s).rate
+
+    def _forecast_wait(self, target: Registration, now_s: float) -> float:
+        rate = self._find_rate(target)
+        if rate is None:
+            return 0.0
+        return self._shares.forecast_wait(target.upstream, rate, now_s)
+
+    def _find_reserve(self, service: ServiceName) -> RankReserve:
+        return self._reserves.setdefault(service, RankReserve())
 
     def _log_invalid(self, upstream: UpstreamId, value: str) -> None:
         if self._invalid_values.get(upstream) == value:
--- a/bramleyport/gateway/_stages.py
+++ b/bramleyport/gateway/_stages.py
@@ -113,7 +113,9 @@
         ejected = self._state.list_ejected(service, now_s)
         views = []
         for item in self._state.members.list_ready(service):
-            if item.stage is None:
+            if item.stage is None or self._state.rate_limiter.find(item) is not None:
+                # A limited engine serves few calls in either stage, and an order would
+                # be a further request to it. The others are planned without it.
                 continue
             load = self._state.loads.of(item.upstream)
             views.append(
--- a/bramleyport/gateway/_state.py
+++ b/bramleyport/gateway/_state.py
@@ -5,10 +5,12 @@
 
 from bramleyport.core import ServiceName, UpstreamId
 from bramleyport.fleet import (
+    Call,
     CallerLimits,
     Chooser,
     Configuration,
     DecodeTimes,
+    GatewayRoster,
     LoadTracker,
     Membership,
     PrefillSpeeds,
@@ -47,7 +49,6 @@
         )
     )
     reachability: Reachability = field(default_factory=Reachability)
-    rate_limiter: RateLimiter = field(default_factory=RateLimiter)
     routes: RouteTable | None = None
     budgets: dict[ServiceName, RepeatBudget] = field(default_factory=dict)
     # When each upstream last sent data.
@@ -56,15 +57,17 @@
     changing_until_s: dict[UpstreamId, float] = field(default_factory=dict)
     # Upstreams that declined a call, and until when they are avoided.
     declined_until_s: dict[UpstreamId, float] = field(default_factory=dict)
-    # Number of gateways that share the retry budget, including this one.
-    gateway_count: int = 1
     draining: bool = False
     # Set while stopping: calls with a later deadline are refused.
     stop_s: float | None = None
+    roster: GatewayRoster = field(init=False)
+    rate_limiter: RateLimiter = field(init=False)
     chooser: Chooser = field(init=False)
     recorder: WorkRecorder = field(init=False)
 
     def __post_init__(self) -> None:
+        self.roster = GatewayRoster(self.settings.process)
+        self.rate_limiter = RateLimiter(self.settings.process, self.roster)
         self.chooser = Chooser(
             self.settings.place,
             self.members,
@@ -81,6 +84,11 @@
             self.find_cache_capacity,
         )
 
+    @property
+    def gateway_count(self) -> int:
+        """Return how many gateways share the bounds, including this one."""
+        return len(self.roster.gateways)
+
     @property
     def configuration(self) -> Configuration | None:
         """Return the current configuration."""
@@ -125,6 +133,11 @@
         avoided |= self.reachability.find_unreachable(names, now_s)
         return avoided | self.ejector.find_ejected(names, now_s)
 
+    def list_blocked(self, call: Call, now_s: float) -> set[UpstreamId]:
+        """Return the upstreams whose rate limits do not permit a call now."""
+        ready = self.members.list_ready(call.service)
+        return self.rate_limiter.find_blocked(call, ready, now_s)
+
     def record_declined(self, upstream: UpstreamId, now_s: float) -> None:
         """Record that an upstream declined a call, to avoid it for a while."""
         self.declined_until_s[upstream] = now_s + AVOID_DECLINED_S
--- a/bramleyport/gateway/_work_tracker.py
+++ b/bramleyport/gateway/_work_tracker.py
@@ -5,7 +5,7 @@
 from typing import Final
 
 from bramleyport.core import RequestId, UpstreamId
-from bramleyport.fleet import Call, Registration, Work
+from bramleyport.fleet import Call, RateLimitNotice, Registration, Work
 from bramleyport.gateway._clock import read_now
 from bramleyport.gateway._state import GatewayState
 
@@ -23,9 +23,13 @@
     ended: list[tuple[UpstreamId, RequestId]] = field(default_factory=list)
     # Upstreams that refused a connection.
     refused: list[UpstreamId] = field(default_factory=list)
+    # What upstreams said of their rate limits.
+    limits: list[RateLimitNotice] = field(default_factory=list)
 
     def __bool__(self) -> bool:
-        return bool(self.started or self.prefilled or self.ended or self.refused)
+        return bool(
+            self.started or self.prefilled or self.ended or self.refused or self.limits
+        )
 
 
 class WorkTracker:
--- a/tests/gateway_group.py
+++ b/tests/gateway_group.py
@@ -33,6 +33,7 @@
         self.gateways: dict[str, Any] = {}
         self._folder = folder
         self._count = gateways
+        self._turns = itertools.count()
         self._numbers = itertools.count()
         self._ports: dict[str, int] = {}
 
@@ -89,7 +90,7 @@
         end_s = time.monotonic() + seconds
         while time.monotonic() < end_s:
             names = list(self._ports)
-            name = names[next(self._numbers) % len(names)]
+            name = names[next(self._turns) % len(names)]
             calls.add(asyncio.ensure_future(self._send_call(self._ports[name], path)))
             await asyncio.sleep(1 / per_s)
         await asyncio.gather(*calls)
