Play any number of gateways against a limit in virtual time

The limiter and roster of each gateway run as they are; updates between them are lost and delayed, answers overtake each other, gateways are killed, join and restart, groups stop hearing each other, and the limit falls, rises, ends or comes back with another process of the upstream. The upstream's side counts each 4 s.

Found by it: a limit written with 17 digits was taken for invalid, as sums of floats are; and a share of one permit a second lost a quarter of the limit to the pauses between calls (15 of 24 requests in 4 s), so half a permit more is kept: in t seconds at most rate * t + 1.5 * max(1, ceil(rate)).

Seen and left: if all gateways restart at once, nobody knows the limit until the first answer, and what arrives until then depends on the demand alone.

--- a/bramleyport/fleet/_rate_shares.py
+++ b/bramleyport/fleet/_rate_shares.py
@@ -9,9 +9,11 @@
 from bramleyport.fleet._roster import GatewayRoster
 from bramleyport.membership import choose
 
-# Unused permits are kept for this time, so a gateway may send that much of its share at
-# once.
+# Permits of this time are kept while no call needs them, one permit at least.
 MAX_SAVED_S: Final = 1.0
+# Part of a permit that is kept beyond that. Without it, a share that yields a permit a
+# second loses all the time from there to the next call.
+EXTRA_SAVED: Final = 0.5
 # Permits that a gateway may be short of after requests that can't wait.
 MAX_DEBT: Final = 4.0
 
@@ -29,7 +31,9 @@
     @property
     def capacity(self) -> float:
         """Return the largest number of permits that are kept."""
-        return max(1.0, self.rate * MAX_SAVED_S) if self.rate else 0.0
+        if not self.rate:
+            return 0.0
+        return max(1.0, self.rate * MAX_SAVED_S) + EXTRA_SAVED
 
 
 class RateShares:
@@ -39,7 +43,7 @@
     gateways can't make them exceed a limit. A gateway can't send less than one request
     at a time: if each of many gateways did so at once, they would exceed a low limit.
     So as many gateways hold a share as the limit has requests a second. In t seconds,
-    all of them together send at most rate * t + max(1, ceil(rate)) requests.
+    all of them together send at most rate * t + 1.5 * max(1, ceil(rate)) requests.
     """
 
     def __init__(self, own: ProcessId, roster: GatewayRoster) -> None:
--- a/bramleyport/gateway/_peer_messages.py
+++ b/bramleyport/gateway/_peer_messages.py
@@ -7,7 +7,7 @@
 import cbor2
 
 from bramleyport.core import ProcessId, RequestId, UpstreamId
-from bramleyport.fleet import PrefixId, PromptPart, Work
+from bramleyport.fleet import PrefixId, PromptPart, RateLimitNotice, Work
 from bramleyport.gateway._store_updates import (
     FORMAT as STORE_UPDATE_FORMAT,
     StoreUpdate,
@@ -20,6 +20,11 @@
 MAX_ITEMS: Final = 12
 
 
+# Longest usual delay of an update. A limit is raised or ended only by an answer to a
+# request that was certainly sent after the limit was received.
+MAX_UPDATE_DELAY_S: Final = 0.25
+
+
 class PeerMessageError(ValueError):
     """Report a datagram that is not a valid message of a gateway."""
 
@@ -75,6 +80,31 @@
     limits: tuple[LimitUpdate, ...] = ()
 
 
+def make_limit_update(notice: RateLimitNotice, now_s: float) -> LimitUpdate:
+    """Return the update that tells peers of a notice."""
+    return LimitUpdate(
+        upstream=notice.upstream,
+        started_ms=notice.started_ms,
+        rate=notice.rate,
+        sent_age_s=now_s - notice.sent_s,
+        received_age_s=now_s - notice.received_s,
+    )
+
+
+def make_limit_notice(
+    update: LimitUpdate, origin: ProcessId, now_s: float
+) -> RateLimitNotice:
+    """Return the notice in the update of a peer."""
+    return RateLimitNotice(
+        upstream=update.upstream,
+        started_ms=update.started_ms,
+        rate=update.rate,
+        sent_s=now_s - update.sent_age_s - MAX_UPDATE_DELAY_S,
+        received_s=now_s - update.received_age_s,
+        origin=origin,
+    )
+
+
 def encode_message(message: PeerMessage) -> bytes:
     """Return a message as the bytes of a datagram."""
     return cbor2.dumps(
--- a/bramleyport/gateway/_peers.py
+++ b/bramleyport/gateway/_peers.py
@@ -31,6 +31,8 @@
     WorkRef,
     decode_datagram,
     encode_message,
+    make_limit_notice,
+    make_limit_update,
 )
 from bramleyport.gateway._state import GatewayState
 from bramleyport.gateway._store_updates import (
@@ -49,9 +51,6 @@
 # A gateway that has sent nothing for this long announces itself, so that its peers
 # still count it.
 ANNOUNCE_INTERVAL_S: Final = 2.0
-# Longest usual delay of an update. What an upstream said after a limit counts only if
-# it is certain that it was said later.
-MAX_UPDATE_DELAY_S: Final = 0.25
 # A peer that has sent nothing for this long is no longer counted.
 PEER_TIMEOUT_S: Final = 6.0
 
@@ -189,7 +188,7 @@
         for upstream in message.refused:
             self._tracker.apply_refused(upstream)
         for update in message.limits:
-            notice = _make_notice(update, message.process, now_s)
+            notice = make_limit_notice(update, message.process, now_s)
             self._state.rate_limiter.apply_notice(notice, now_s)
         for work in message.started:
             self._tracker.apply_started(replace(work, origin=message.process))
@@ -290,26 +289,4 @@
 
 def _make_updates(notices: Sequence[RateLimitNotice]) -> tuple[LimitUpdate, ...]:
     now_s = read_now()
-    return tuple(
-        LimitUpdate(
-            upstream=notice.upstream,
-            started_ms=notice.started_ms,
-            rate=notice.rate,
-            sent_age_s=now_s - notice.sent_s,
-            received_age_s=now_s - notice.received_s,
-        )
-        for notice in notices
-    )
-
-
-def _make_notice(
-    update: LimitUpdate, process: ProcessId, now_s: float
-) -> RateLimitNotice:
-    return RateLimitNotice(
-        upstream=update.upstream,
-        started_ms=update.started_ms,
-        rate=update.rate,
-        sent_s=now_s - update.sent_age_s - MAX_UPDATE_DELAY_S,
-        received_s=now_s - update.received_age_s,
-        origin=process,
-    )
+    return tuple(make_limit_update(notice, now_s) for notice in notices)
--- a/bramleyport/platform/_headers.py
+++ b/bramleyport/platform/_headers.py
@@ -42,8 +42,8 @@
 )
 # Status of an upstream that is not the expected instance and has run nothing.
 OTHER_INSTANCE_STATUS: Final = 421
-# A decimal number without sign or exponent; longer ones are no rate of requests.
-_DECIMAL: Final = re.compile(rb"[0-9]{1,12}(\.[0-9]{0,12})?")
+# A decimal number without sign or exponent; more digits are no rate of requests.
+_DECIMAL: Final = re.compile(rb"[0-9]{1,12}(\.[0-9]{0,40})?")
 # Bytes of an invalid value that are logged.
 MAX_DESCRIBED_BYTES: Final = 40
 # Applies to requests without a valid Deadline-Ms header.
--- a/tests/test_upstream_limits.py
+++ b/tests/test_upstream_limits.py
@@ -3,11 +3,14 @@
 import time
 from collections.abc import Callable, Coroutine
 from pathlib import Path
+from random import Random
 from typing import Any
 
 import pytest
+from hypothesis import given, settings, strategies as st
 
 from tests.gateway_group import GatewayGroup
+from tests.limit_simulation import LimitSimulation
 from tests.rate_window import SETTLE_S, WINDOW_S, count_allowed, count_most_limited
 
 Run = Callable[[Coroutine[Any, Any, Any]], Any]
@@ -51,3 +54,105 @@
         assert not set(group.refused) & set(group.list_runs())
 
     run(check())
+
+
+def make_simulation(
+    seed: int, gateways: int, *, loss: float = 0.0, demand_per_s: float = 3.0
+) -> LimitSimulation:
+    simulation = LimitSimulation(Random(seed), loss, demand_per_s)
+    for number in range(gateways):
+        simulation.start_gateway(f"g{number}")
+    simulation.run(2.0)
+    return simulation
+
+
+@settings(max_examples=25)
+@given(
+    seed=st.integers(0, 2**32),
+    gateways=st.integers(1, 40),
+    rate=st.sampled_from([0.0, 0.05, 0.2, 0.7, 1.0, 2.6, 5.0, 20.0, 80.0]),
+    loss=st.sampled_from([0.0, 0.1, 0.5]),
+)
+def test_any_number_of_gateways_keeps_to_a_limit(
+    seed: int, gateways: int, rate: float, loss: float
+) -> None:
+    """Guards against shares whose sum exceeds the limit, and updates that get lost."""
+    simulation = make_simulation(seed, gateways, loss=loss)
+    simulation.change_limit(rate)
+    simulation.run(16.0)
+    assert simulation.count_excess() <= 0
+
+
+@settings(max_examples=25)
+@given(
+    seed=st.integers(0, 2**32),
+    gateways=st.integers(2, 24),
+    rate=st.sampled_from([0.2, 2.6, 8.0]),
+    events=st.lists(
+        st.sampled_from(["kill", "restart", "join", "upstream", "lower", "raise"]),
+        min_size=1,
+        max_size=6,
+    ),
+)
+def test_limit_holds_while_gateways_and_upstreams_come_and_go(
+    seed: int, gateways: int, rate: float, events: list[str]
+) -> None:
+    simulation = make_simulation(seed, gateways, loss=0.2)
+    simulation.change_limit(rate)
+    random = Random(seed)
+    for index, event in enumerate(events):
+        simulation.run(6.0 + index * (0.1 + 3.0 * random.random()))
+        name = f"g{random.randrange(gateways)}"
+        if event in ("kill", "restart"):
+            simulation.kill_gateway(name)
+        if event == "restart":
+            simulation.start_gateway(name)
+        elif event == "join":
+            simulation.start_gateway(f"n{index}")
+        elif event == "upstream":
+            simulation.restart_upstream()
+        elif event in ("lower", "raise"):
+            rate *= 0.4 if event == "lower" else 2.5
+            simulation.change_limit(rate)
+    simulation.run(simulation.now_s + 12.0)
+    assert simulation.count_excess() <= 0
+
+
+def test_all_gateways_that_restart_at_once_keep_to_a_limit() -> None:
+    """Guards against a gateway that knows neither its peers nor the limit yet.
+
+    What is sent before the first answer names the limit again depends on the demand.
+    """
+    simulation = make_simulation(1, 30, demand_per_s=0.4)
+    simulation.change_limit(2.0)
+    simulation.run(8.0)
+    for number in range(30):
+        simulation.kill_gateway(f"g{number}")
+        simulation.start_gateway(f"g{number}")
+    simulation.run(20.0)
+    assert simulation.count_excess() <= 0
+
+
+def test_limit_is_used_by_those_that_may_and_ends_for_all() -> None:
+    """Guards against shares that stay unused, and gateways that miss the end."""
+    simulation = make_simulation(1, 10, loss=0.3)
+    simulation.change_limit(6.0)
+    simulation.run(12.0)
+    used = sum(8.0 < time_s <= 12.0 for time_s in simulation.arrivals)
+    assert used >= 0.8 * 6.0 * 4
+    simulation.change_limit(None)
+    simulation.run(24.0)
+    after = sum(20.0 < time_s <= 24.0 for time_s in simulation.arrivals)
+    # All calls are sent again: ten gateways with three a second.
+    assert after >= 0.7 * 30.0 * 4
+
+
+def test_limit_holds_while_gateways_do_not_hear_each_other() -> None:
+    """Guards against two groups that each take the whole limit."""
+    simulation = make_simulation(3, 8)
+    simulation.change_limit(4.0)
+    simulation.run(10.0)
+    for gateway in list(simulation.gateways.values())[:4]:
+        gateway.group = 1
+    simulation.run(50.0)
+    assert simulation.count_excess() <= 0
