Name rate limits in the soak and check them from the upstream's side

Two profiles add limits to the planned operations and to all faults: upstreams name one or two limits in a row, and come back as another process without one.

--- a/tests/platform_standin/_upstream.py
+++ b/tests/platform_standin/_upstream.py
@@ -54,6 +54,7 @@
         self.arrivals: list[UpstreamArrival] = []
         # The rate limit that answers to calls name; empty for none.
         self.limit = ""
+        self.born_ms = 1000
         self.orders: list[dict[str, Any]] = []
         self.freed_handles: list[str] = []
         self.accepted_orders = 0
@@ -77,7 +78,7 @@
             "stage": self.stage,
             "models": [],
             "seq": 1,
-            "born": 1000,
+            "born": self.born_ms,
         }
         store.put("servers", self.name, registration | changes)
 
--- a/tests/soak/_checks.py
+++ b/tests/soak/_checks.py
@@ -12,6 +12,7 @@
     UpstreamStandin,
     render_event,
 )
+from tests.rate_window import SETTLE_S, WINDOW_S, count_allowed
 from tests.soak._findings import Findings, Impairments
 
 COMPLETE_STREAM = b"".join(render_event(number) for number in range(1, EVENT_COUNT + 1))
@@ -46,6 +47,16 @@
     until_s: float = float("inf")
 
 
+@dataclass(slots=True)
+class NamedLimit:
+    """Describe the period in which an upstream named one rate limit."""
+
+    upstream: str
+    rate: float
+    named_s: float
+    until_s: float = float("inf")
+
+
 @dataclass(slots=True)
 class RouteChange:
     """Describe when the store acknowledged a change of the extra route."""
@@ -66,6 +77,9 @@
     sent: dict[str, SentCall] = field(default_factory=dict)
     drains: list[Drain] = field(default_factory=list)
     route_changes: list[RouteChange] = field(default_factory=list)
+    limits: list[NamedLimit] = field(default_factory=list)
+    # Time windows in which a limit was checked.
+    limited_windows: int = 0
 
     def report_violation(self, text: str) -> None:
         """Record that a guarantee was violated."""
@@ -158,6 +172,30 @@
             )
 
 
+def check_limits(
+    observations: Observations, upstreams: Sequence[UpstreamStandin]
+) -> None:
+    """Check that upstreams get no more requests than the limits that they name."""
+    arrivals = {upstream.name: upstream.arrivals for upstream in upstreams}
+    for limit in observations.limits:
+        times_s = [item.arrived_s for item in arrivals[limit.upstream]]
+        for end_s in times_s:
+            if not limit.named_s + SETTLE_S <= end_s < limit.until_s:
+                continue
+            begin_s = max(end_s - WINDOW_S, limit.named_s + 0.5)
+            if observations.impairments.overlaps(begin_s - STABLE_S, end_s):
+                continue
+            observations.limited_windows += 1
+            count = sum(begin_s < time_s <= end_s for time_s in times_s)
+            if count <= count_allowed(limit.rate):
+                continue
+            observations.report_violation(
+                f"{limit.upstream}: {count} requests in {WINDOW_S:.0f} s at a limit of "
+                f"{limit.rate}, {end_s - limit.named_s:.2f} s after it was named"
+            )
+            break
+
+
 def check_disconnected_callers(
     observations: Observations, upstreams: Sequence[UpstreamStandin]
 ) -> None:
--- a/tests/soak/_faults.py
+++ b/tests/soak/_faults.py
@@ -11,7 +11,14 @@
 from bramleyport.gateway._follower import choose_watch_times
 from tests.gateway_fleet import BOUNDS, make_config, make_route
 from tests.platform_standin import StoreStandin, UpstreamStandin
-from tests.soak._checks import STABLE_S, Drain, Observations, RouteChange
+from tests.rate_window import SETTLE_S, WINDOW_S
+from tests.soak._checks import (
+    STABLE_S,
+    Drain,
+    NamedLimit,
+    Observations,
+    RouteChange,
+)
 from tests.soak._processes import GatewayProcess
 from tests.soak._proxy import Direction, FaultProxy
 
@@ -48,6 +55,13 @@
     def pick_duration_s(self) -> float:
         return self.random.random() * MAX_FAULT_S
 
+    def end_limit(self, upstream: UpstreamStandin) -> None:
+        """Make an upstream name no limit any more."""
+        upstream.limit = ""
+        for limit in self.observations.limits:
+            if limit.upstream == upstream.name:
+                limit.until_s = min(limit.until_s, time.monotonic())
+
     def register_upstream(self, upstream: UpstreamStandin, **changes: str) -> None:
         """Write the registration of an upstream with the address of its proxy."""
         address = f"127.0.0.1:{self.proxies[upstream.name].port}"
@@ -61,6 +75,21 @@
 PLANNED_OPERATIONS: Final[dict[str, Fault]] = {}
 
 
+# Limits that upstreams name, beside planned operations or all faults.
+LIMIT_CHANGES: Final[dict[str, Fault]] = {}
+LIMIT_RATES: Final = (1.0, 2.6, 6.0, 20.0)
+# A limit is checked after SETTLE_S, in windows of WINDOW_S.
+MIN_LIMIT_S: Final = SETTLE_S + WINDOW_S
+MAX_LIMIT_S: Final = 2 * MIN_LIMIT_S
+KEPT_LIMIT_FRACTION: Final = 0.8
+
+
+def register_limit_change(fault: Fault) -> Fault:
+    """Register a change of the rate limit of an upstream."""
+    LIMIT_CHANGES[fault.__name__] = fault
+    return fault
+
+
 def register_planned(fault: Fault) -> Fault:
     """Register a planned operation."""
     PLANNED_OPERATIONS[fault.__name__] = fault
@@ -142,6 +171,40 @@
     targets.observations.route_changes.append(RouteChange(time.monotonic(), present))
 
 
+@register_limit_change
+async def limit_upstream(targets: FaultTargets) -> None:
+    """Make an upstream name limits that fall or rise, and then none."""
+    upstream = targets.random.choice(targets.upstreams)
+    if upstream.limit:
+        return
+    for _ in range(targets.random.randint(1, 2)):
+        rate = targets.random.choice(LIMIT_RATES)
+        upstream.limit = str(rate)
+        limit = NamedLimit(upstream.name, rate, time.monotonic())
+        targets.observations.limits.append(limit)
+        try:
+            await asyncio.sleep(targets.random.uniform(MIN_LIMIT_S, MAX_LIMIT_S))
+        finally:
+            was_restarted = limit.until_s < float("inf")
+            if not was_restarted:
+                targets.end_limit(upstream)
+        if was_restarted:
+            return
+
+
+@register_limit_change
+async def restart_limited_upstream(targets: FaultTargets) -> None:
+    """Register a limited upstream as another process that names no limit yet."""
+    limited = [upstream for upstream in targets.upstreams if upstream.limit]
+    # Most limits last long enough to be checked.
+    if not limited or targets.random.random() < KEPT_LIMIT_FRACTION:
+        return
+    upstream = targets.random.choice(limited)
+    targets.end_limit(upstream)
+    upstream.born_ms += 1
+    targets.register_upstream(upstream)
+
+
 @register_unplanned
 async def pause_gateway(targets: FaultTargets) -> None:
     """Suspend a gateway with SIGSTOP for a while."""
--- a/tests/soak/_findings.py
+++ b/tests/soak/_findings.py
@@ -14,6 +14,8 @@
     calls: Counter[str] = field(default_factory=Counter)
     faults: Counter[str] = field(default_factory=Counter)
     violations: list[str] = field(default_factory=list)
+    # Time windows in which the rate limit of an upstream was checked.
+    limited_windows: int = 0
 
     def summarize(self) -> str:
         """Return one line with all counts."""
@@ -22,7 +24,8 @@
         )
         return (
             f"{sum(self.calls.values())} calls, {answered} answered 200, "
-            f"{sum(self.faults.values())} faults, {len(self.violations)} violations"
+            f"{sum(self.faults.values())} faults, {self.limited_windows} windows at "
+            f"limits, {len(self.violations)} violations"
         )
 
 
--- a/tests/soak/_soak_run.py
+++ b/tests/soak/_soak_run.py
@@ -28,9 +28,16 @@
     Observations,
     check_disconnected_callers,
     check_drains,
+    check_limits,
     check_runs,
 )
-from tests.soak._faults import PLANNED_OPERATIONS, UNPLANNED_FAULTS, Fault, FaultTargets
+from tests.soak._faults import (
+    LIMIT_CHANGES,
+    PLANNED_OPERATIONS,
+    UNPLANNED_FAULTS,
+    Fault,
+    FaultTargets,
+)
 from tests.soak._findings import Findings, Impairments
 from tests.soak._processes import GatewayProcess
 from tests.soak._proxy import FaultProxy
@@ -68,9 +75,12 @@
     MIXED = "mixed"
     # As MIXED, and also upstreams whose answers never end.
     HOSTILE = "hostile"
+    # As PLANNED and MIXED, and also upstreams that name rate limits.
+    LIMITS = "limits"
+    MIXED_LIMITS = "mixed_limits"
 
 
-# A seed chooses one of these. HOSTILE isn't among them, so that the seeds that have
+# A seed chooses one of these. The others aren't among them, so that the seeds that have
 # failed before still run with the same profile.
 DRAWN_PROFILES = [Profile.PLANNED, Profile.MIXED]
 
@@ -114,7 +124,11 @@
 
     @property
     def _injects_faults(self) -> bool:
-        return self._profile is not Profile.PLANNED
+        return self._profile not in (Profile.PLANNED, Profile.LIMITS)
+
+    @property
+    def _names_limits(self) -> bool:
+        return self._profile in (Profile.LIMITS, Profile.MIXED_LIMITS)
 
     async def run(self, seconds: float) -> Findings:
         """Inject faults for some seconds and return the findings."""
@@ -186,6 +200,8 @@
         faults: dict[str, Fault] = dict(PLANNED_OPERATIONS)
         if self._injects_faults:
             faults |= UNPLANNED_FAULTS
+        if self._names_limits:
+            faults |= LIMIT_CHANGES
         running: set[asyncio.Task[None]] = set()
         try:
             while True:
@@ -235,6 +251,8 @@
 
     def _check(self) -> None:
         check_runs(self.observations, self._upstreams)
+        check_limits(self.observations, self._upstreams)
+        self.findings.limited_windows = self.observations.limited_windows
         if self._profile is Profile.PLANNED and self.observations.check_time_limits:
             check_drains(self.observations, self._upstreams)
             check_disconnected_callers(self.observations, self._upstreams)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -11,10 +11,12 @@
 from tests.platform_standin import (
     CallerAnswer,
     RawRequest,
+    UpstreamArrival,
     UpstreamRun,
     UpstreamStandin,
     render_event,
 )
+from tests.rate_window import SETTLE_S
 from tests.soak import Findings, Impairments, Profile, run_soak
 from tests.soak._checks import (
     COMPLETE_STREAM,
@@ -23,6 +25,7 @@
     DRAIN_LIMIT_S,
     STABLE_S,
     Drain,
+    NamedLimit,
     Observations,
     RouteChange,
     SentCall,
@@ -30,6 +33,7 @@
     check_disconnected_callers,
     check_drains,
     check_extra_route,
+    check_limits,
     check_runs,
 )
 from tests.soak._processes import GatewayProcess
@@ -82,6 +86,35 @@
     assert findings.calls["stream 200"] > 0
 
 
+def test_guarantees_hold_while_upstreams_limit_their_rates(run: Run) -> None:
+    findings = run(
+        run_soak(24, 12.0, gateways=3, profile=Profile.LIMITS, check_time_limits=False)
+    )
+    assert findings.violations == []
+    assert findings.limited_windows > 0
+    assert findings.calls["post 200"] > 0
+
+
+@pytest.mark.parametrize(
+    ("requests", "after_s", "violated"),
+    [(21, SETTLE_S + 1.0, False), (22, SETTLE_S + 1.0, True), (22, 1.0, False)],
+    ids=["allowed", "too many", "not settled"],
+)
+def test_requests_over_a_limit_are_found(
+    observations: Observations, requests: int, after_s: float, violated: bool
+) -> None:
+    upstream = add_upstream_run(observations, "s1", "read", 0.0)
+    limit = NamedLimit("p0", 2.7, named_s=100.0)
+    observations.limits.append(limit)
+    request = upstream.runs[0].request
+    upstream.arrivals = [
+        UpstreamArrival(request, ("", 0), limit.named_s + after_s + 0.01 * number)
+        for number in range(requests)
+    ]
+    check_limits(observations, [upstream])
+    assert bool(observations.findings.violations) is violated
+
+
 @pytest.mark.parametrize(
     ("kind", "answer"),
     [
