Count the gateways that share connections and repeats before they are heard

* Connections to an upstream: the share was computed when the first call was sent and never again, for one gateway if no other had been heard by then; and each gateway had four at least, 400 of 100 where 100 gateways share a limit of 100.
The share now follows the number of gateways and is one at least.
* Repeats: until others were heard, each gateway took the extra repeats of all of them.
Until the list of gateways was read, or 5 s have passed in which some were heard, it takes none of them; those that follow from its own requests are its own.

--- a/bramleyport/fleet/_choice.py
+++ b/bramleyport/fleet/_choice.py
@@ -61,11 +61,6 @@
     prefill_tokens: int = 0
     explanation: Explanation
 
-    @property
-    def first_upstream(self) -> Registration:
-        """Return the upstream to which the call is sent first."""
-        return self.prefill or self.upstream
-
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class _Option:
--- a/bramleyport/fleet/_roster.py
+++ b/bramleyport/fleet/_roster.py
@@ -8,6 +8,8 @@
 # Time for which a gateway counts without a sign of life. It is long, because a share
 # that is computed for too few gateways exceeds bounds that all of them share.
 SILENT_KEEP_S: Final = 60.0
+# All gateways that know this one have sent something within this time of its start.
+LISTEN_S: Final = 5.0
 
 
 class GatewayRoster:
@@ -25,18 +27,24 @@
         self._absent: set[ProcessId] = set()
         self._gateways = frozenset((own,))
         self._own = own
-        # Set once the list of gateways was read. Before, others may be running that
-        # have sent nothing yet.
-        self.is_complete = False
+        # Set once the list of gateways was read, or they had time to send something.
+        # Before, others may be running that are not known yet.
+        self._is_complete = False
+        self._listening_since_s: float | None = None
 
     @property
     def gateways(self) -> frozenset[ProcessId]:
         """Return the gateways that may be running."""
         return self._gateways
 
+    @property
+    def count(self) -> int | None:
+        """Return how many gateways share bounds; None until that is known."""
+        return len(self._gateways) if self._is_complete else None
+
     def record_listed(self, listed: Collection[ProcessId], now_s: float) -> None:
         """Record the list of gateways in the store."""
-        self.is_complete = True
+        self._is_complete = True
         self._absent &= set(listed)
         for process in listed:
             if process not in self._absent:
@@ -59,6 +67,10 @@
 
     def drop_silent(self, now_s: float) -> None:
         """Stop counting gateways without a sign of life for SILENT_KEEP_S."""
+        if self._listening_since_s is None:
+            self._listening_since_s = now_s
+        if self._seen_s and now_s - self._listening_since_s >= LISTEN_S:
+            self._is_complete = True
         silent = [
             process
             for process, seen_s in self._seen_s.items()
--- a/bramleyport/gateway/_attempt.py
+++ b/bramleyport/gateway/_attempt.py
@@ -1,7 +1,7 @@
 """Choose upstreams, retries and final answers for plain and streamed calls."""
 
 from http import HTTPStatus
-from typing import Final
+from typing import Any, Final
 
 from bramleyport.admission import Rejected
 from bramleyport.core import Explanation, UpstreamId
@@ -269,9 +269,17 @@
             left_s=round(context.remaining_s, 3),
             tokens_out=context.call.prompt.tokens_out if context.call.prompt else 0,
             **choice.explanation.numbers,
-            **self.state.rate_limiter.describe(choice.first_upstream, read_now()),
+            **self._describe_limit(choice),
         )
 
+    def _describe_limit(self, choice: Choice) -> dict[str, Any]:
+        """Return the limit that a choice uses, that of the last upstream first."""
+        for target in (choice.upstream, choice.prefill):
+            figures = target and self.state.rate_limiter.describe(target, read_now())
+            if target and figures:
+                return {"limited": target.upstream, **figures}
+        return {}
+
     def log_answered(self, context: CallContext, status: int) -> None:
         """Log and count a call that an upstream has answered."""
         now_s = read_now()
--- a/bramleyport/gateway/_exchange.py
+++ b/bramleyport/gateway/_exchange.py
@@ -24,7 +24,6 @@
 CONNECT_TIMEOUT_S: Final = 0.4
 # Fraction of an upstream's connection limit that all gateways together may use.
 CONNECTION_FRACTION: Final = 0.8
-MIN_CONNECTIONS: Final = 4
 # Limit for a service that is not in the configuration.
 DEFAULT_CONNECTIONS: Final = 64
 
@@ -113,21 +112,23 @@
 
     def _find_pool(self, target: Registration) -> ConnectionPool:
         pool = self._pools.get(target.upstream)
+        limits = PoolLimits(
+            max_connections=self._limit_connections(target),
+            connect_timeout_s=CONNECT_TIMEOUT_S,
+        )
         if pool is None or pool.peer != target.address:
-            limits = PoolLimits(
-                max_connections=self._limit_connections(target),
-                connect_timeout_s=CONNECT_TIMEOUT_S,
-            )
             pool = ConnectionPool(self._client, target.address, limits)
             self._pools[target.upstream] = pool
+        # Gateways that share the upstream's limit may have joined or left.
+        pool.limits = limits
         return pool
 
     def _limit_connections(self, target: Registration) -> int:
         configuration = self._state.configuration
         service = configuration.services.get(target.service) if configuration else None
         total = service.max_connections if service else DEFAULT_CONNECTIONS
-        share = int(total * CONNECTION_FRACTION / max(1, self._state.gateway_count))
-        return max(MIN_CONNECTIONS, share)
+        gateways = len(self._state.roster.gateways)
+        return max(1, int(total * CONNECTION_FRACTION / gateways))
 
 
 def _matches_request(answer: Answer, request_id: RequestId) -> bool:
--- a/bramleyport/gateway/_metrics.py
+++ b/bramleyport/gateway/_metrics.py
@@ -68,7 +68,7 @@
         configuration = self._state.configuration
         version = configuration.version if configuration else 0
         gauges.set({"name": "configuration_version"}, float(version))
-        gauges.set({"name": "gateways"}, float(self._state.gateway_count))
+        gauges.set({"name": "gateways"}, float(self._state.gateway_count or 0))
         upstreams = len(self._state.members.list_all())
         gauges.set({"name": "upstreams"}, float(upstreams))
         self._set_upstream_limits()
--- a/bramleyport/gateway/_rate_limits.py
+++ b/bramleyport/gateway/_rate_limits.py
@@ -185,7 +185,7 @@
         wait_s = min(waits_s, default=math.inf)
         if math.isinf(wait_s):
             wait_s = RETRY_ELSEWHERE_S
-        numbers: dict[str, float] = {"limited": float(len(limited))}
+        numbers: dict[str, float] = {"limited_upstreams": float(len(limited))}
         if limited:
             numbers |= self.describe(limited[waits_s.index(min(waits_s))], now_s)
         retry_after_s = min(MAX_RETRY_S, max(MIN_RETRY_S, wait_s))
@@ -256,7 +256,7 @@
         rate = self._find_rate(target)
         if rate is None:
             return math.inf
-        if not self._roster.is_complete:
+        if self._roster.count is None:
             # The share would be computed for too few gateways.
             return 0.0
         return self._shares.count_permits(target.upstream, rate, now_s)
--- a/bramleyport/gateway/_state.py
+++ b/bramleyport/gateway/_state.py
@@ -85,9 +85,9 @@
         )
 
     @property
-    def gateway_count(self) -> int:
-        """Return how many gateways share the bounds, including this one."""
-        return len(self.roster.gateways)
+    def gateway_count(self) -> int | None:
+        """Return how many gateways share the bounds; None until that is known."""
+        return self.roster.count
 
     @property
     def configuration(self) -> Configuration | None:
--- a/bramleyport/retries/_repeat_budget.py
+++ b/bramleyport/retries/_repeat_budget.py
@@ -23,7 +23,7 @@
         self._requests.append(now_s)
         self._expire(now_s)
 
-    def take(self, now_s: float, processes: int) -> bool:
+    def take(self, now_s: float, processes: int | None) -> bool:
         """Record a repeat if this process's share of the bound allows it."""
         self._expire(now_s)
         if len(self._repeats) + 1 > self.allow(processes):
@@ -31,9 +31,12 @@
         self._repeats.append(now_s)
         return True
 
-    def allow(self, processes: int) -> float:
-        """Return how many repeats the window allows."""
-        share = self._extra / max(1, processes)
+    def allow(self, processes: int | None) -> float:
+        """Return how many repeats the window allows.
+
+        Until it is known how many processes share the extra repeats, none of them may.
+        """
+        share = self._extra / processes if processes else 0.0
         return USABLE_FRACTION * (self._ratio * len(self._requests) + share)
 
     def _expire(self, now_s: float) -> None:
