Check limits in the soak while gateways are killed, suspended or cut off

Now only windows in which a proxy held back the bytes of that upstream are left out, as requests then arrive together.

--- a/tests/soak/_checks.py
+++ b/tests/soak/_checks.py
@@ -1,7 +1,7 @@
 """Check guarantees against what callers and upstreams have observed."""
 
 import time
-from collections import Counter
+from collections import Counter, defaultdict
 from collections.abc import Sequence
 from dataclasses import dataclass, field
 
@@ -76,6 +76,11 @@
     check_time_limits: bool = True
     sent: dict[str, SentCall] = field(default_factory=dict)
     drains: list[Drain] = field(default_factory=list)
+    # When bytes on their way to an upstream were held back, by its name: requests that
+    # were sent one after another then arrive together.
+    held_back: defaultdict[str, Impairments] = field(
+        default_factory=lambda: defaultdict(Impairments)
+    )
     route_changes: list[RouteChange] = field(default_factory=list)
     limits: list[NamedLimit] = field(default_factory=list)
     # Time windows in which a limit was checked.
@@ -175,7 +180,10 @@
 def check_limits(
     observations: Observations, upstreams: Sequence[UpstreamStandin]
 ) -> None:
-    """Check that upstreams get no more requests than the limits that they name."""
+    """Check that upstreams get no more requests than the limits that they name.
+
+    Gateways that are killed, suspended or without the store keep to limits, too.
+    """
     arrivals = {upstream.name: upstream.arrivals for upstream in upstreams}
     for limit in observations.limits:
         times_s = [item.arrived_s for item in arrivals[limit.upstream]]
@@ -183,7 +191,7 @@
             if not limit.named_s + SETTLE_S <= end_s < limit.until_s:
                 continue
             begin_s = max(end_s - WINDOW_S, limit.named_s + 0.5)
-            if observations.impairments.overlaps(begin_s - STABLE_S, end_s):
+            if observations.held_back[limit.upstream].overlaps(begin_s, end_s):
                 continue
             observations.limited_windows += 1
             count = sum(begin_s < time_s <= end_s for time_s in times_s)
--- a/tests/soak/_faults.py
+++ b/tests/soak/_faults.py
@@ -4,6 +4,7 @@
 import signal
 import time
 from collections.abc import Callable, Coroutine, Sequence
+from contextlib import AbstractContextManager, nullcontext
 from dataclasses import dataclass
 from random import Random
 from typing import Any, Final
@@ -55,6 +56,13 @@
     def pick_duration_s(self) -> float:
         return self.random.random() * MAX_FAULT_S
 
+    def record_held_back(self, proxy: FaultProxy) -> AbstractContextManager[None]:
+        """Record that bytes through a proxy are held back within the block."""
+        for name, item in self.proxies.items():
+            if item is proxy:
+                return self.observations.held_back[name].record_span()
+        return nullcontext()
+
     def end_limit(self, upstream: UpstreamStandin) -> None:
         """Make an upstream name no limit any more."""
         upstream.limit = ""
@@ -281,7 +289,8 @@
     proxy = targets.pick_proxy()
     proxy.delay_s = targets.random.random() * MAX_DELAY_S
     try:
-        await asyncio.sleep(targets.pick_duration_s())
+        with targets.record_held_back(proxy):
+            await asyncio.sleep(targets.pick_duration_s())
     finally:
         proxy.delay_s = 0.0
 
@@ -295,6 +304,7 @@
     )
     proxy.held_directions |= directions
     try:
-        await asyncio.sleep(targets.pick_duration_s())
+        with targets.record_held_back(proxy):
+            await asyncio.sleep(targets.pick_duration_s())
     finally:
         proxy.held_directions -= directions
