Forget the limits of upstreams that left; shorten Retry-After over a limit

* What is known of a limit was kept for good for each upstream that was ever limited.
It is dropped 60 s after the registration has gone, since one that has only lapsed in an outage of the store may come back.
* A retry reaches any gateway, and each has permits of its own: over a limit callers are now told to come back after 0.3 s at most, where the share of one gateway gave up to 3 s.
* An answer 421 is another instance's, whose limit says nothing of the one that was meant.

--- a/bramleyport/fleet/_rate_limits.py
+++ b/bramleyport/fleet/_rate_limits.py
@@ -1,5 +1,6 @@
 """Track the rate limits that upstreams name in their answers."""
 
+from collections.abc import Collection
 from dataclasses import dataclass, replace
 from enum import Enum
 from typing import Final
@@ -11,6 +12,8 @@
 MIN_RATE: Final = 0.05
 # Time for which a gateway remembers that a limit has ended, to tell the others.
 ENDED_KEEP_S: Final = 30.0
+# Time for which the limit of an upstream without a registration is remembered.
+LEFT_KEEP_S: Final = 60.0
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -77,15 +80,22 @@
         """Return the latest notice of each upstream, ended limits included."""
         return list(self._notices.values())
 
-    def drop_ended(self, now_s: float) -> None:
-        """Drop limits that ended some time ago."""
-        for upstream, notice in list(self._notices.items()):
-            if notice.rate is None and now_s - notice.received_s > ENDED_KEEP_S:
-                del self._notices[upstream]
-
-    def discard(self, upstream: UpstreamId) -> None:
-        """Drop the limit of an upstream that is gone for good."""
-        self._notices.pop(upstream, None)
+    def drop_old(
+        self, registered: Collection[UpstreamId], now_s: float
+    ) -> list[UpstreamId]:
+        """Drop and return limits that have ended, and those of upstreams that left.
+
+        An upstream whose registration has only lapsed may come back with its limit.
+        """
+        old = [
+            upstream
+            for upstream, notice in self._notices.items()
+            if (notice.rate is None and now_s - notice.received_s > ENDED_KEEP_S)
+            or (upstream not in registered and now_s - notice.received_s > LEFT_KEEP_S)
+        ]
+        for upstream in old:
+            del self._notices[upstream]
+        return old
 
     def _record_after_end(
         self, ended: RateLimitNotice, notice: RateLimitNotice
--- a/bramleyport/gateway/_daemon.py
+++ b/bramleyport/gateway/_daemon.py
@@ -198,7 +198,7 @@
             self._caches.read_new()
             self._tracker.drop_expired()
             self._peers.drop_unresponsive()
-            self._state.rate_limiter.drop_ended(read_now())
+            self._state.drop_old_limits(read_now())
             if self._readiness.ready != ready:
                 ready = self._readiness.ready
                 log_event(gateway_events.READINESS_CHANGED, ready=ready)
--- a/bramleyport/gateway/_rate_limits.py
+++ b/bramleyport/gateway/_rate_limits.py
@@ -1,7 +1,7 @@
 """Keep to the rate limits that upstreams name, together with the other gateways."""
 
 import math
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Collection, Sequence
 from dataclasses import dataclass
 from typing import Final
 
@@ -29,7 +29,8 @@
 MAX_RESERVED_S: Final = 0.5
 # How often a gateway repeats to its peers what an upstream said to it.
 REPEAT_INTERVAL_S: Final = 1.0
-# Retry-After of calls that another gateway may send: a retry reaches one of them.
+# Longest Retry-After while there are other gateways. A retry reaches any of them, and
+# each has permits of its own, so a longer wait only delays the call.
 RETRY_ELSEWHERE_S: Final = 0.3
 MIN_RETRY_S: Final = 0.1
 MAX_RETRY_S: Final = 3.0
@@ -183,8 +184,8 @@
         limited = [item for item in ready if self.find(item) is not None]
         waits_s = [self._forecast_wait(item, now_s) for item in limited]
         wait_s = min(waits_s, default=math.inf)
-        if math.isinf(wait_s):
-            wait_s = RETRY_ELSEWHERE_S
+        if len(self._roster.gateways) > 1:
+            wait_s = min(wait_s, RETRY_ELSEWHERE_S)
         numbers: dict[str, float] = {"limited_upstreams": float(len(limited))}
         if limited:
             numbers |= self.describe(limited[waits_s.index(min(waits_s))], now_s)
@@ -209,9 +210,14 @@
             "gateways": float(share.gateways),
         }
 
-    def drop_ended(self, now_s: float) -> None:
-        """Drop what is no longer needed of limits that have ended."""
-        self._table.drop_ended(now_s)
+    def drop_old(self, registered: Collection[UpstreamId], now_s: float) -> None:
+        """Drop what is known of limits that have ended and of upstreams that left."""
+        for upstream in self._table.drop_old(registered, now_s):
+            self._shares.discard(upstream)
+            self._observed_s.pop(upstream, None)
+            self._published_s.pop(upstream, None)
+        for upstream in self._invalid_values.keys() - registered:
+            del self._invalid_values[upstream]
 
     def _record(self, notice: RateLimitNotice, now_s: float) -> RateLimitChange:
         change = self._table.record(notice)
--- a/bramleyport/gateway/_state.py
+++ b/bramleyport/gateway/_state.py
@@ -133,6 +133,11 @@
         avoided |= self.reachability.find_unreachable(names, now_s)
         return avoided | self.ejector.find_ejected(names, now_s)
 
+    def drop_old_limits(self, now_s: float) -> None:
+        """Drop rate limits that are no longer needed."""
+        registered = {item.upstream for item in self.members.list_all()}
+        self.rate_limiter.drop_old(registered, now_s)
+
     def list_limited(self, service: ServiceName) -> set[UpstreamId]:
         """Return the upstreams of a service whose rate is limited."""
         return self.rate_limiter.list_limited(self.members.list_ready(service))
--- a/bramleyport/platform/_headers.py
+++ b/bramleyport/platform/_headers.py
@@ -99,7 +99,9 @@
     values = {name.lower(): value for name, value in headers}
     request = values.get(b"request-id")
     instance = values.get(b"instance-id")
-    rate_limit = _parse_rate(values.get(b"server-limit"))
+    # Another instance at the address says nothing of the one that was meant.
+    limit = None if status == OTHER_INSTANCE_STATUS else values.get(b"server-limit")
+    rate_limit = _parse_rate(limit)
     return AnswerHead(
         request=RequestId(request.decode("latin-1")) if request else None,
         not_run=b"not-run" in values or status == OTHER_INSTANCE_STATUS,
@@ -108,11 +110,7 @@
         instance=UpstreamId(instance.decode("latin-1")) if instance else None,
         idle_timeout_s=_parse_idle_timeout(values.get(b"keep-alive")),
         rate_limit=rate_limit,
-        invalid_rate_limit=(
-            _describe_invalid_rate(values.get(b"server-limit"))
-            if rate_limit is None
-            else ""
-        ),
+        invalid_rate_limit=_describe_invalid_rate(limit) if rate_limit is None else "",
     )
 
 
--- a/tests/test_played_failures.py
+++ b/tests/test_played_failures.py
@@ -105,3 +105,32 @@
     state_log, _, request_log = explanation.partition("events of the request")
     assert "[2627]" in state_log
     assert "status=504" in request_log
+
+
+def test_call_refused_over_the_limits_of_its_upstreams(
+    fleet: GatewayFleet, log: Log, run: Run
+) -> None:
+    async def call_until_refused() -> int:
+        for upstream in fleet.plain:
+            upstream.limit = "0.5"
+        caller = fleet.make_caller()
+        for number in range(50):
+            request = f"mine-{number}"
+            answer = await caller.call("/post/x", body=b"b", Request_Id=request)
+            if answer.status != 200:
+                assert answer.status == 503
+                assert float(answer.headers["retry-after"]) > 0
+                return number
+        raise AssertionError("no call was refused")
+
+    number = run(call_until_refused())
+    explanation = log.explain(f"mine-{number}")
+    assert "cause: over_limit" in explanation
+    assert "sends=0" in explanation
+    # The limit, its age, and the share that refused the call.
+    assert "limit_per_s=0.5" in explanation
+    assert "limit_age_s=" in explanation
+    assert "share_per_s=0.5" in explanation
+    # When the limit became known, and from whom.
+    assert "[2644]" in explanation
+    assert f"mine-{number}" not in {request for _, request in fleet.list_runs()}
--- a/tests/test_rate_limits.py
+++ b/tests/test_rate_limits.py
@@ -141,10 +141,27 @@
     assert table.list_notices() == []
     table.record(make_notice(2.0, 10.0, 11.0))
     table.record(make_notice(None, 12.0, 13.0))
-    table.drop_ended(1000.0)
+    table.drop_old({UPSTREAM}, 1000.0)
     assert table.list_notices() == []
 
 
+def test_limit_of_an_upstream_that_left_is_dropped_after_a_while() -> None:
+    """Guards against memory that grows with each upstream that is replaced."""
+    table = RateLimitTable()
+    table.record(make_notice(2.0, 10.0, 11.0))
+    assert table.drop_old({UPSTREAM}, 1000.0) == []
+    # Its registration may have lapsed in an outage of the store.
+    assert table.drop_old(set(), 30.0) == []
+    assert table.drop_old(set(), 1000.0) == [UPSTREAM]
+    assert find_rate(table) is None
+
+
+def test_limit_of_another_instance_at_the_address_is_ignored() -> None:
+    head = decode_answer(421, [(b"Server-Limit", b"1"), (b"Not-Run", b"1")])
+    assert head.rate_limit is None
+    assert head.invalid_rate_limit == ""
+
+
 @pytest.fixture
 def fleet(run: Run, tmp_path: Path) -> Iterator[GatewayFleet]:
     fleet = GatewayFleet(tmp_path)
