--- a/tests/test_gateway_peers.py
+++ b/tests/test_gateway_peers.py
@@ -12,6 +12,7 @@
 from bramleyport.fleet import Address, Work
 from bramleyport.gateway._peer_messages import (
     ChangingEngine,
+    LimitUpdate,
     PeerMessage,
     PeerMessageError,
     WorkRef,
@@ -20,6 +21,7 @@
 )
 from tests.fleet_builders import make_call, make_engine, make_prompt
 from tests.gateway_fleet import GatewayFleet
+from tests.gateway_group import GatewayGroup
 
 Run = Callable[[Coroutine[Any, Any, Any]], Any]
 PEER = ProcessId("z-peer")
@@ -38,6 +40,16 @@
     )
 
 
+def make_limit_update(rate: float | None = 2.5, started_ms: int = 1000) -> LimitUpdate:
+    return LimitUpdate(
+        upstream=UpstreamId("p0"),
+        started_ms=started_ms,
+        rate=rate,
+        sent_age_s=1.0,
+        received_age_s=0.5,
+    )
+
+
 def make_message(**fields: Any) -> PeerMessage:
     return PeerMessage(process=PEER, incarnation=1, **fields)
 
@@ -64,6 +76,7 @@
         ended=(WorkRef(UpstreamId("d1"), RequestId("r3")),),
         changing=(ChangingEngine(UpstreamId("d2"), 3.5),),
         refused=(UpstreamId("d3"),),
+        limits=(make_limit_update(),),
     )
     assert decode_datagram(encode_message(message), 0.0) == message
 
@@ -180,3 +193,52 @@
 
     run(receive())
     assert fleet.state.gateway_count == 1
+
+
+@pytest.mark.parametrize("value", [-1.0, float("nan"), float("inf"), "much", []])
+def test_limit_that_is_no_rate_is_refused(value: Any) -> None:
+    fields = cbor2.loads(encode_message(make_message(limits=(make_limit_update(),))))
+    fields[-1][0][2] = value
+    with pytest.raises(PeerMessageError):
+        decode_datagram(cbor2.dumps(fields), 0.0)
+
+
+def test_message_without_limits_is_decoded() -> None:
+    # Gateways of the previous version send none.
+    fields = cbor2.loads(encode_message(make_message()))
+    assert decode_datagram(cbor2.dumps(fields[:-1]), 0.0) == make_message()
+
+
+def test_limit_named_to_a_peer_binds_this_gateway(
+    fleet: GatewayFleet, run: Run
+) -> None:
+    """Guards against a gateway that knows only what upstreams said to itself."""
+    limiter = fleet.state.rate_limiter
+    registration = fleet.state.members.find(UpstreamId("p0"))
+    deliver(fleet, run, make_message(limits=(make_limit_update(),)))
+    assert limiter.find(registration).rate == 2.5
+    # An update on an earlier process of the upstream says nothing of this one.
+    old = make_limit_update(rate=None, started_ms=999)
+    deliver(fleet, run, make_message(limits=(old,)))
+    assert limiter.find(registration).rate == 2.5
+
+
+def test_gateway_that_starts_learns_the_limits_from_its_peers(
+    run: Run, tmp_path: Path
+) -> None:
+    """Guards against a restarted gateway that sends until its own first answer."""
+
+    async def check() -> None:
+        group = GatewayGroup(tmp_path, 2, ("p0",))
+        await group.start()
+        try:
+            group.upstreams[0].limit = "2"
+            await group.send_calls(0.5, 20.0, "/post/x")
+            await group.start_gateway("g2")
+            state = group.gateways["g2"].state
+            target = state.members.find(UpstreamId("p0"))
+            await group.wait_for(lambda: state.rate_limiter.find(target) is not None)
+        finally:
+            await group.stop()
+
+    run(check())
