Skip the search for limits while none is known

Each attempt listed the upstreams of its service up to three times to find their limits. With no limit known nothing is listed.

--- a/bramleyport/fleet/_rate_limits.py
+++ b/bramleyport/fleet/_rate_limits.py
@@ -54,6 +54,9 @@
     def __init__(self) -> None:
         self._notices: dict[UpstreamId, RateLimitNotice] = {}
 
+    def __len__(self) -> int:
+        return len(self._notices)
+
     def record(self, notice: RateLimitNotice) -> RateLimitChange:
         """Record what an answer says and return what it changes."""
         known = self._notices.get(notice.upstream)
--- a/bramleyport/gateway/_peers.py
+++ b/bramleyport/gateway/_peers.py
@@ -118,7 +118,7 @@
         self._send(self._make_message())
 
     def announce_if_idle(self) -> None:
-        """Announce this gateway unless it has sent something recently."""
+        """Send pending updates, and announce this gateway if it has sent nothing."""
         self._flush()
         if read_now() - self._sent_s >= ANNOUNCE_INTERVAL_S:
             self.announce()
--- a/bramleyport/gateway/_rate_limits.py
+++ b/bramleyport/gateway/_rate_limits.py
@@ -114,6 +114,11 @@
         """Return the notice of the limit of an upstream, or None without a limit."""
         return self._table.find(target.upstream, target.started_ms)
 
+    @property
+    def knows_limits(self) -> bool:
+        """Return whether the limit of any upstream is known."""
+        return bool(self._table)
+
     def list_limited(self, ready: Sequence[Registration]) -> set[UpstreamId]:
         """Return the upstreams whose rate is limited."""
         return {item.upstream for item in ready if self.find(item) is not None}
@@ -151,7 +156,7 @@
 
     def record_call(self, call: Call, now_s: float) -> None:
         """Record that a call arrived, if any limit is known."""
-        if self._table.list_notices():
+        if self._table:
             reserve = self._find_reserve(call.service)
             reserve.record_call(call.route.priority, now_s)
 
--- a/bramleyport/gateway/_state.py
+++ b/bramleyport/gateway/_state.py
@@ -140,15 +140,21 @@
 
     def list_limited(self, service: ServiceName) -> set[UpstreamId]:
         """Return the upstreams of a service whose rate is limited."""
+        if not self.rate_limiter.knows_limits:
+            return set()
         return self.rate_limiter.list_limited(self.members.list_ready(service))
 
     def list_exhausted(self, service: ServiceName, now_s: float) -> set[UpstreamId]:
         """Return the upstreams of a service whose rate limits permit no request now."""
+        if not self.rate_limiter.knows_limits:
+            return set()
         ready = self.members.list_ready(service)
         return self.rate_limiter.list_exhausted(ready, now_s)
 
     def list_blocked(self, call: Call, now_s: float) -> set[UpstreamId]:
         """Return the upstreams whose rate limits do not permit a call now."""
+        if not self.rate_limiter.knows_limits:
+            return set()
         ready = self.members.list_ready(call.service)
         return self.rate_limiter.find_blocked(call, ready, now_s)
 
--- a/bramleyport/platform/_headers.py
+++ b/bramleyport/platform/_headers.py
@@ -73,8 +73,8 @@
     instance: UpstreamId | None
     # How long the upstream keeps an idle connection open; None if it did not say.
     idle_timeout_s: float | None
-    # Requests a second that the upstream takes from all gateways together; None if it
-    # names no limit or an invalid one.
+    # The Server-Limit header: requests a second that the upstream takes from all
+    # gateways together; None if it names no limit or an invalid one.
     rate_limit: float | None = None
     # The limit as it was sent, if it is not a decimal number; empty otherwise.
     invalid_rate_limit: str = ""
