Finish accepted calls while limits leave no other upstream

With limits there is no permit for the retry at that moment, so the call got 502 at once, and the request that it had used was lost.

* A call that may have run now waits for the next permit of its retry, if one comes before its deadline.
Calls that have not run are refused as before.
* An attempt is not abandoned for being slow while no upstream without a limit could take its retry.
* The rank is not considered again for a retry of an accepted call.

Evidence: four new tests failed before, with 502 instead of 200 or with three requests for one call.

--- a/bramleyport/gateway/_attempt.py
+++ b/bramleyport/gateway/_attempt.py
@@ -1,16 +1,25 @@
 """Choose upstreams, retries and final answers for plain and streamed calls."""
 
+import asyncio
 from http import HTTPStatus
 from typing import Any, Final
 
 from bramleyport.admission import Rejected
 from bramleyport.core import Explanation, UpstreamId
-from bramleyport.fleet import Call, Choice, EngineTraits, Registration, Transfer, admit
+from bramleyport.fleet import (
+    Call,
+    Choice,
+    EngineTraits,
+    Registration,
+    Stage,
+    Transfer,
+    admit,
+)
 from bramleyport.gateway._clock import read_now
 from bramleyport.gateway._exchange import Exchanger
 from bramleyport.gateway._metrics import CallMetrics
 from bramleyport.gateway._outcome import AttemptEnd, Attempts, FailedAttempt
-from bramleyport.gateway._rate_limits import Reservation
+from bramleyport.gateway._rate_limits import OVER_LIMIT, Reservation
 from bramleyport.gateway._reply import relay_answer, reply
 from bramleyport.gateway._state import GatewayState
 from bramleyport.gateway._work_tracker import WorkTracker
@@ -23,6 +32,8 @@
 MAX_UNSENT: Final = 6
 # A full upstream usually has capacity again after this time.
 RETRY_WHEN_FULL_S: Final = 0.3
+# Shortest wait for a permit, so that calls that wait for the same one do not poll.
+MIN_PERMIT_WAIT_S: Final = 0.02
 # With less time to the deadline a further attempt is unlikely to be answered.
 MIN_REMAINING_S: Final = 0.05
 
@@ -71,11 +82,54 @@
         self.tracker = tracker
         self.metrics = metrics
 
-    def choose(self, context: CallContext) -> Choice | Rejected:
-        """Choose an upstream, or return why none can answer in time."""
+    async def place(self, context: CallContext) -> Choice | Rejected:
+        """Choose an upstream, or return why none can answer in time.
+
+        A call that may have run fails if it is not retried, so it waits for a permit if
+        only rate limits keep it from being sent. Others are refused at once.
+        """
+        while True:
+            decision = self._choose_now(context)
+            if not isinstance(decision, Rejected):
+                return decision
+            wait_s = self._find_permit_wait(context, decision)
+            if wait_s is None:
+                return decision
+            await asyncio.sleep(wait_s)
+
+    def _find_permit_wait(
+        self, context: CallContext, decision: Rejected
+    ) -> float | None:
+        """Return how long a call waits for a permit; None if it does not wait."""
+        is_over_limit = decision.explanation.reason == OVER_LIMIT
+        if not is_over_limit or not context.attempts.may_have_run:
+            return None
+        ready = self.state.members.list_ready(context.call.service)
+        wait_s = self.state.rate_limiter.forecast_wait(ready, read_now())
+        if wait_s + MIN_REMAINING_S > context.remaining_s:
+            return None
+        return max(MIN_PERMIT_WAIT_S, wait_s)
+
+    def has_alternative(self, context: CallContext, target: Registration) -> bool:
+        """Return whether a call could be retried without a permit."""
+        service = context.call.service
+        limited = self.state.list_limited(service)
+        if not limited:
+            return True
+        excluded = limited | context.tried | {target.upstream}
+        return any(
+            item.upstream not in excluded and item.stage is not Stage.PREFILL
+            for item in self.state.members.list_ready(service)
+        )
+
+    def _choose_now(self, context: CallContext) -> Choice | Rejected:
         now_s = read_now()
         call = context.call
-        blocked = self.state.list_blocked(call, now_s)
+        if context.tried:
+            # The rank was considered when the call was accepted.
+            blocked = self.state.list_exhausted(call.service, now_s)
+        else:
+            blocked = self.state.list_blocked(call, now_s)
         avoided = self.state.list_avoided(call.service, now_s) | blocked
         choice = self._choose(context, avoided | context.tried, now_s)
         if choice is None and context.tried:
--- a/bramleyport/gateway/_plain.py
+++ b/bramleyport/gateway/_plain.py
@@ -33,7 +33,7 @@
 
     async def _serve(self, context: CallContext) -> None:
         while True:
-            choice = self._support.choose(context)
+            choice = await self._support.place(context)
             if isinstance(choice, Rejected):
                 if context.last_failure is None:
                     self._support.refuse(context, choice)
@@ -68,7 +68,7 @@
     ) -> Answer | FailedAttempt:
         support = self._support
         try:
-            async with asyncio.timeout(self._choose_timeout(context)):
+            async with asyncio.timeout(self._choose_timeout(context, choice)):
                 return await self._exchange(context, choice)
         except TimeoutError:
             return self._fail(choice, AttemptEnd.LOST, "no answer in time")
@@ -135,11 +135,13 @@
     def _fail(self, choice: Choice, end: AttemptEnd, reason: str) -> FailedAttempt:
         return FailedAttempt(upstream=choice.upstream.upstream, end=end, reason=reason)
 
-    def _choose_timeout(self, context: CallContext) -> float | None:
+    def _choose_timeout(self, context: CallContext, choice: Choice) -> float | None:
         """Return how long one attempt may take; None if only the deadline limits it."""
         route = context.call.route
         if not route.repeatability.may_repeat:
             return None
         if context.attempts.runs + 1 >= route.max_attempts:
             return None
+        if not self._support.has_alternative(context, choice.upstream):
+            return None
         return max(MIN_ATTEMPT_TIMEOUT_S, ATTEMPT_TIMEOUT_FRACTION * route.objective_s)
--- a/bramleyport/gateway/_rate_limits.py
+++ b/bramleyport/gateway/_rate_limits.py
@@ -27,6 +27,8 @@
 # Time for which a permit is kept for the decode after a separate prefill. A time window
 # may contain the requests for permits of this much more time.
 MAX_RESERVED_S: Final = 0.5
+# Why a call is refused that only rate limits keep from being sent.
+OVER_LIMIT: Final = "over_limit"
 # How often a gateway repeats to its peers what an upstream said to it.
 REPEAT_INTERVAL_S: Final = 1.0
 # Longest Retry-After while there are other gateways. A retry reaches any of them, and
@@ -187,17 +189,26 @@
     def refuse(self, ready: Sequence[Registration], now_s: float) -> Rejected:
         """Return the refusal of a call that only limits keep from being sent."""
         limited = [item for item in ready if self.find(item) is not None]
-        waits_s = [self._forecast_wait(item, now_s) for item in limited]
-        wait_s = min(waits_s, default=math.inf)
+        wait_s = self.forecast_wait(limited, now_s)
         if len(self._roster.gateways) > 1:
             wait_s = min(wait_s, RETRY_ELSEWHERE_S)
         numbers: dict[str, float] = {"limited_upstreams": float(len(limited))}
         if limited:
-            numbers |= self.describe(limited[waits_s.index(min(waits_s))], now_s)
+            next_free = min(limited, key=lambda item: self._find_wait(item, now_s))
+            numbers |= self.describe(next_free, now_s)
         retry_after_s = min(MAX_RETRY_S, max(MIN_RETRY_S, wait_s))
-        explanation = Explanation(reason="over_limit", numbers=numbers)
+        explanation = Explanation(reason=OVER_LIMIT, numbers=numbers)
         return Rejected(explanation, retry_after_s)
 
+    def forecast_wait(self, ready: Sequence[Registration], now_s: float) -> float:
+        """Return the seconds until a limit permits a call; infinite if none does."""
+        waits_s = (
+            self._find_wait(item, now_s)
+            for item in ready
+            if item.stage is not Stage.PREFILL and self.find(item) is not None
+        )
+        return min(waits_s, default=math.inf)
+
     def describe(self, target: Registration, now_s: float) -> dict[str, float]:
         """Return the limit of an upstream, its age and this gateway's share of it.
 
@@ -289,7 +300,7 @@
             per_s=sum(share.rate for share in shares),
         )
 
-    def _forecast_wait(self, target: Registration, now_s: float) -> float:
+    def _find_wait(self, target: Registration, now_s: float) -> float:
         rate = self._find_rate(target)
         if rate is None:
             return 0.0
--- a/bramleyport/gateway/_stream.py
+++ b/bramleyport/gateway/_stream.py
@@ -29,7 +29,7 @@
 
     async def _serve(self, context: CallContext, relay: EventRelay) -> None:
         while True:
-            choice = self._support.choose(context)
+            choice = await self._support.place(context)
             if isinstance(choice, Rejected):
                 self._end_unplaced(context, relay, choice)
                 return
--- a/bramleyport/gateway/_stream_attempt.py
+++ b/bramleyport/gateway/_stream_attempt.py
@@ -193,7 +193,8 @@
                     self._record_first_event(context, choice)
                     first = False
                 self._support.state.record_received(choice.upstream.upstream, now_s)
-                attempt_timeout.expect_next_event(self._limit_pause(context, now_s))
+                until_s = self._limit_pause(context, choice, now_s)
+                attempt_timeout.expect_next_event(until_s)
             await context.connection.drain()
         relay.finish()
 
@@ -241,22 +242,25 @@
         self, context: CallContext, choice: Choice, now_s: float
     ) -> float:
         call = context.call
-        if not self._can_resume(context):
+        if not self._can_resume(context, choice):
             return call.deadline_s
         forecast_s = FORECAST_FACTOR * choice.forecast_s + FIRST_EVENT_SLACK_S
         return min(call.deadline_s, now_s + max(call.route.objective_s, forecast_s))
 
-    def _limit_pause(self, context: CallContext, now_s: float) -> float:
+    def _limit_pause(self, context: CallContext, choice: Choice, now_s: float) -> float:
         call = context.call
-        if not self._can_resume(context):
+        if not self._can_resume(context, choice):
             return call.deadline_s
         pause_s = max(MIN_PAUSE_S, PAUSE_FACTOR * call.route.max_pause_s)
         return min(call.deadline_s, now_s + pause_s)
 
-    def _can_resume(self, context: CallContext) -> bool:
+    def _can_resume(self, context: CallContext, choice: Choice) -> bool:
         route = context.call.route
-        resumable = route.repeatability is Repeatability.STREAM_RESUMABLE
-        return resumable and context.attempts.runs + 1 < route.max_attempts
+        if route.repeatability is not Repeatability.STREAM_RESUMABLE:
+            return False
+        if context.attempts.runs + 1 >= route.max_attempts:
+            return False
+        return self._support.has_alternative(context, choice.upstream)
 
     def _record_result(self, choice: Choice, *, failed: bool) -> None:
         now_s = read_now()
--- a/tests/gateway_group.py
+++ b/tests/gateway_group.py
@@ -98,6 +98,13 @@
             await asyncio.sleep(1 / per_s)
         await asyncio.gather(*calls)
 
+    async def send_call(self, path: str) -> int:
+        """Send a call to the first gateway and return the status of its answer."""
+        before = Counter(self.statuses)
+        await self._send_call(next(iter(self._ports.values())), path, {})
+        (status,) = self.statuses - before
+        return status
+
     def list_runs(self) -> list[str]:
         """Return the request of each run so far."""
         return [
--- a/tests/test_upstream_limits.py
+++ b/tests/test_upstream_limits.py
@@ -1,5 +1,6 @@
 """Guard the rate limits that upstreams name, against all gateways together."""
 
+import asyncio
 import time
 from collections.abc import Callable, Coroutine
 from pathlib import Path
@@ -11,6 +12,13 @@
 
 from tests.gateway_group import GatewayGroup
 from tests.limit_simulation import LimitSimulation
+from tests.platform_standin import (
+    RawRequest,
+    Script,
+    UpstreamStandin,
+    answer_normally,
+    lose_answer,
+)
 from tests.rate_window import SETTLE_S, WINDOW_S, count_allowed, count_most_limited
 
 Run = Callable[[Coroutine[Any, Any, Any]], Any]
@@ -189,3 +197,64 @@
         gateway.group = 1
     simulation.run(50.0)
     assert simulation.count_excess() <= 0
+
+
+def make_slow(delay_s: float) -> Script:
+    async def answer_slowly(
+        upstream: UpstreamStandin, request: RawRequest, writer: asyncio.StreamWriter
+    ) -> None:
+        await asyncio.sleep(delay_s)
+        await answer_normally(upstream, request, writer)
+
+    return answer_slowly
+
+
+async def use_up_permits(group: GatewayGroup, path: str) -> None:
+    while not group.refused:
+        await group.send_calls(0.05, 50.0, path)
+
+
+@pytest.mark.parametrize(("upstream", "path"), [("p0", "/read/x"), ("d0", "/stream/x")])
+def test_call_that_may_have_run_waits_for_the_permit_of_its_retry(
+    run: Run, tmp_path: Path, upstream: str, path: str
+) -> None:
+    """Guards against failed calls that a retry a little later would have answered."""
+
+    async def check() -> None:
+        group = GatewayGroup(tmp_path, 1, (upstream,))
+        await group.start()
+        try:
+            (target,) = group.upstreams
+            target.limit = "2"
+            await use_up_permits(group, path)
+            await asyncio.sleep(0.6)
+            target.next_scripts.append(lose_answer)
+            assert await group.send_call(path) == 200
+        finally:
+            await group.stop()
+
+    run(check())
+
+
+@pytest.mark.parametrize(("upstream", "path"), [("p0", "/read/x"), ("d0", "/stream/x")])
+def test_attempt_is_not_abandoned_where_limits_leave_no_other_upstream(
+    run: Run, tmp_path: Path, upstream: str, path: str
+) -> None:
+    """Guards against requests of a limit that are spent on work that is given up."""
+
+    async def check() -> None:
+        group = GatewayGroup(tmp_path, 1, (upstream,))
+        await group.start()
+        try:
+            (target,) = group.upstreams
+            target.limit = "2"
+            await use_up_permits(group, path)
+            await asyncio.sleep(0.6)
+            before = len(target.arrivals)
+            target.next_scripts.append(make_slow(1.0))
+            assert await group.send_call(path) == 200
+            assert len(target.arrivals) == before + 1
+        finally:
+            await group.stop()
+
+    run(check())
