Give played failures a log throttle of their own

test_call_refused_over_the_limits_of_its_upstreams failed once, after tests that simulate gateways: their lines 2644 had used up the 500 of an event that a process logs in 10 s, so the line that the test looks for was suppressed.

--- a/tests/test_played_failures.py
+++ b/tests/test_played_failures.py
@@ -11,7 +11,8 @@
 from bramleyport.cli._main import main
 from bramleyport.core import RequestId, UpstreamId
 from bramleyport.fleet import Work
-from bramleyport.telemetry import configure_logging
+from bramleyport.telemetry import _logging, configure_logging
+from bramleyport.telemetry._throttle import EventThrottle
 from tests.gateway_fleet import GatewayFleet
 from tests.platform_standin import hang, lose_answer, script_first_request
 
@@ -38,7 +39,11 @@
 
 
 @pytest.fixture
-def log(capfd: pytest.CaptureFixture[str]) -> Iterator[Log]:
+def log(
+    capfd: pytest.CaptureFixture[str], monkeypatch: pytest.MonkeyPatch
+) -> Iterator[Log]:
+    # Other tests of this process may have used up what is logged of an event in 10 s.
+    monkeypatch.setattr(_logging, "_throttle", EventThrottle())
     configure_logging(json_lines=True, level="INFO", process="g1")
     yield Log(capfd)
     configure_logging(json_lines=False, level="INFO", process="")
