--- a/tests/platform_standin/_upstream.py
+++ b/tests/platform_standin/_upstream.py
@@ -36,8 +36,6 @@
     """Describe one request that reached an upstream, whether it ran or not."""
 
     request: RawRequest
-    # The host and port of the sender's end of the connection.
-    peer: tuple[str, int]
     arrived_s: float = field(default_factory=time.monotonic)
 
 
@@ -86,8 +84,7 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         while (request := await read_request(reader)) is not None:
-            peer = writer.get_extra_info("peername")
-            self.arrivals.append(UpstreamArrival(request, peer))
+            self.arrivals.append(UpstreamArrival(request))
             await self._serve_one(request, writer)
             await writer.drain()
 
--- a/tests/rate_window.py
+++ b/tests/rate_window.py
@@ -1,6 +1,5 @@
 """Check the requests at an upstream against the rate limit that it has named."""
 
-from collections import deque
 from collections.abc import Iterable
 
 WINDOW_S = 4.0
@@ -16,18 +15,6 @@
     return ALLOWED_FACTOR * rate * WINDOW_S + ALLOWED_EXTRA
 
 
-def count_most(times_s: Iterable[float]) -> int:
-    """Return the largest number of requests in any window."""
-    window: deque[float] = deque()
-    most = 0
-    for time_s in sorted(times_s):
-        window.append(time_s)
-        while window[0] <= time_s - WINDOW_S:
-            window.popleft()
-        most = max(most, len(window))
-    return most
-
-
 def count_most_limited(times_s: Iterable[float], named_s: float) -> int:
     """Return the largest number of requests in a window that the limit binds.
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -108,7 +108,7 @@
     observations.limits.append(limit)
     request = upstream.runs[0].request
     upstream.arrivals = [
-        UpstreamArrival(request, ("", 0), limit.named_s + after_s + 0.01 * number)
+        UpstreamArrival(request, limit.named_s + after_s + 0.01 * number)
         for number in range(requests)
     ]
     check_limits(observations, [upstream])
--- a/tests/test_upstream_limits.py
+++ b/tests/test_upstream_limits.py
@@ -2,7 +2,8 @@
 
 import asyncio
 import time
-from collections.abc import Callable, Coroutine
+from collections.abc import AsyncIterator, Callable, Coroutine
+from contextlib import asynccontextmanager
 from pathlib import Path
 from random import Random
 from typing import Any
@@ -209,9 +210,21 @@
     return answer_slowly
 
 
-async def use_up_permits(group: GatewayGroup, path: str) -> None:
-    while not group.refused:
-        await group.send_calls(0.05, 50.0, path)
+@asynccontextmanager
+async def run_with_one_permit(
+    folder: Path, upstream: str, path: str
+) -> AsyncIterator[GatewayGroup]:
+    """Run a gateway that may send one request now and the next one in half a second."""
+    group = GatewayGroup(folder, 1, (upstream,))
+    await group.start()
+    try:
+        group.upstreams[0].limit = "2"
+        while not group.refused:
+            await group.send_calls(0.05, 50.0, path)
+        await asyncio.sleep(0.6)
+        yield group
+    finally:
+        await group.stop()
 
 
 @pytest.mark.parametrize(("upstream", "path"), [("p0", "/read/x"), ("d0", "/stream/x")])
@@ -221,17 +234,9 @@
     """Guards against failed calls that a retry a little later would have answered."""
 
     async def check() -> None:
-        group = GatewayGroup(tmp_path, 1, (upstream,))
-        await group.start()
-        try:
-            (target,) = group.upstreams
-            target.limit = "2"
-            await use_up_permits(group, path)
-            await asyncio.sleep(0.6)
-            target.next_scripts.append(lose_answer)
+        async with run_with_one_permit(tmp_path, upstream, path) as group:
+            group.upstreams[0].next_scripts.append(lose_answer)
             assert await group.send_call(path) == 200
-        finally:
-            await group.stop()
 
     run(check())
 
@@ -243,18 +248,11 @@
     """Guards against requests of a limit that are spent on work that is given up."""
 
     async def check() -> None:
-        group = GatewayGroup(tmp_path, 1, (upstream,))
-        await group.start()
-        try:
+        async with run_with_one_permit(tmp_path, upstream, path) as group:
             (target,) = group.upstreams
-            target.limit = "2"
-            await use_up_permits(group, path)
-            await asyncio.sleep(0.6)
             before = len(target.arrivals)
             target.next_scripts.append(make_slow(1.0))
             assert await group.send_call(path) == 200
             assert len(target.arrivals) == before + 1
-        finally:
-            await group.stop()
 
     run(check())
