--- a/tests/soak/_seeds.py
+++ b/tests/soak/_seeds.py
@@ -6,5 +6,6 @@
     116: "same cause as seed 110",
     117: "same cause as seed 110",
     118: "same cause as seed 110",
+    717: "SIGHUP after a gateway had stopped ended it; with the profile mixed_limits",
     243: "a watch on a silent connection to the store timed out after 9.5 s",
 }
--- a/tests/test_gateway_process.py
+++ b/tests/test_gateway_process.py
@@ -13,6 +13,7 @@
 from tests.ports import find_port
 
 STARTED = b'"event": 1001'
+STOPPED = b'"event": 1003'
 START_LIMIT_S = 60.0
 # Interval of the signals, short enough that some arrive before the gateway listens.
 SIGNAL_INTERVAL_S = 0.005
@@ -50,6 +51,35 @@
         process.wait()
 
 
+def test_reload_signal_after_a_stop_does_not_change_the_exit_code(
+    tmp_path: Path,
+) -> None:
+    # The event loop restores the default action of SIGHUP when it closes, which is some
+    # time before the process has exited. Seed 717 of the soak, profile mixed_limits.
+    settings, log = tmp_path / "settings.yaml", tmp_path / "log"
+    settings.write_text(yaml.safe_dump(make_settings(find_port())))
+    process = start(settings, log)
+    try:
+        wait_for_log(log, STARTED)
+        process.send_signal(signal.SIGTERM)
+        wait_for_log(log, STOPPED)
+        deadline_s = time.monotonic() + START_LIMIT_S
+        while process.poll() is None:
+            assert time.monotonic() < deadline_s
+            process.send_signal(signal.SIGHUP)
+        assert process.returncode == 0
+    finally:
+        process.kill()
+        process.wait()
+
+
+def wait_for_log(log: Path, text: bytes) -> None:
+    deadline_s = time.monotonic() + START_LIMIT_S
+    while text not in log.read_bytes():
+        assert time.monotonic() < deadline_s
+        time.sleep(SIGNAL_INTERVAL_S)
+
+
 def read_status(process: "subprocess.Popen[bytes]") -> bytes:
     return Path(f"/proc/{process.pid}/status").read_bytes()
 
