Describe an engine to entries after the last read of a report

Callers of the first data path saw an engine without work after a change of its role: entries kept it as CHANGING until its next change.

Cause: the agent described its engine after the load report, then read the cache events, then posted. A change that ended during that read posted LIVE first and was overwritten by the older CHANGING; the next report found no difference and posted nothing. Now the description is made after both reads, and is compared with the last one posted.

--- a/bramleyport/agent/_daemon.py
+++ b/bramleyport/agent/_daemon.py
@@ -95,7 +95,7 @@
             self._attempts,
             self._running,
             lambda: self._connections,
-            self._describe,
+            self._post_description,
             self._metrics.count_refusal,
         )
         self._leaving = False
@@ -106,6 +106,7 @@
             region=identity.region,
         )
         self._cache = AgentCache(self._view)
+        self._posted: UpstreamInfo | None = None
         self._scheduler = AgentScheduler(queue, estimator, self._view, metrics)
         self._deferred_retry: asyncio.TimerHandle | None = None
         self._server: Server | None = None
@@ -328,18 +329,26 @@
         while True:
             await asyncio.sleep(self.settings.load_interval_s)
             self._connections = {c for c in self._connections if not c.closed.is_set()}
-            before = self._describe()
-            await self._read_upstream()
-            after = self._describe()
-            cache = None
-            if isinstance(self._upstream, EngineClient):
-                cache = await self._cache.read(self._upstream, time.monotonic())
-            for connection in list(self._connections):
-                if after != before:
-                    connection.post(after)
-                connection.post(self._make_load_report())
-                if cache is not None:
-                    connection.post(cache)
+            await self._report()
+
+    async def _report(self) -> None:
+        await self._read_upstream()
+        cache = None
+        if isinstance(self._upstream, EngineClient):
+            cache = await self._cache.read(self._upstream, time.monotonic())
+        # An order may have begun or ended a change during either read, so the
+        # description is made after both.
+        self._post_description()
+        self._gate.post_all(self._make_load_report())
+        if cache is not None:
+            self._gate.post_all(cache)
+
+    def _post_description(self) -> None:
+        """Describe the upstream to all peers unless the last description holds."""
+        description = self._describe()
+        if description != self._posted:
+            self._posted = description
+            self._gate.post_all(description)
 
     async def _read_upstream(self) -> None:
         if not isinstance(self._upstream, EngineClient):
--- a/bramleyport/agent/_gate.py
+++ b/bramleyport/agent/_gate.py
@@ -22,7 +22,7 @@
         attempts: "dict[AttemptId, AgentAttempt]",
         running: "set[AttemptId]",
         connections: "Callable[[], set[Connection]]",
-        describe: Callable[[], Message],
+        post_description: Callable[[], None],
         count_refusal: Callable[[str], None],
     ) -> None:
         self.ledger = AttemptLedger()
@@ -31,7 +31,7 @@
         self._attempts = attempts
         self._running = running
         self._connections = connections
-        self._describe = describe
+        self._post_description = post_description
         self._count_refusal = count_refusal
 
     def refuse(
@@ -55,7 +55,7 @@
             if self._queue.cancel(attempt_id):
                 connection = self._attempts.pop(attempt_id).connection
                 self.refuse(connection, attempt_id, "changing")
-        self.post_all(self._describe())
+        self._post_description()
 
     def is_idle(self) -> bool:
         """Return whether no work is running on the upstream."""
@@ -65,7 +65,7 @@
         """Accept new work again."""
         if self.changing:
             self.changing = False
-            self.post_all(self._describe())
+            self._post_description()
 
     def post_all(self, message: Message) -> None:
         """Send a message to every connected peer."""
