Keep agents reporting after malformed or missing answers of their engine

Callers saw an engine that was down, or in its old role, treated as sound: the task that reports it had ended. Cause: a load report or cache event with a missing field or another type raised KeyError or TypeError in that task, and nothing awaited it; a read that was never answered held it for good. A report is applied whole or not at all.

--- a/bramleyport/agent/_daemon.py
+++ b/bramleyport/agent/_daemon.py
@@ -8,7 +8,7 @@
 
 from bramleyport.agent._attempt import AgentAttempt, Upstream, cancel_attempt
 from bramleyport.agent._cache import AgentCache
-from bramleyport.agent._engine_report import apply_report
+from bramleyport.agent._engine_report import MalformedReportError, apply_report
 from bramleyport.agent._gate import WorkGate
 from bramleyport.agent._metrics import AgentMetrics
 from bramleyport.agent._prefill import AgentPrefill
@@ -329,7 +329,10 @@
         while True:
             await asyncio.sleep(self.settings.load_interval_s)
             self._connections = {c for c in self._connections if not c.closed.is_set()}
-            await self._report()
+            try:
+                await self._report()
+            except Exception as error:  # one faulty report must not be the last one
+                log_event(events.HANDLER_FAILED, step="report", error=repr(error))
 
     async def _report(self) -> None:
         await self._read_upstream()
@@ -356,17 +359,17 @@
             return
         try:
             report = await self._upstream.read_load()
-        except UpstreamError as error:
+            apply_report(self._view, report, time.monotonic())
+        except (UpstreamError, MalformedReportError) as error:
             self._view.state = UpstreamState.SUSPECT
             log_event(
                 events.UPSTREAM_CALL_FAILED,
                 step="load",
-                peer=error.peer,
-                reason=error.reason,
+                peer=self.settings.upstream_url,
+                reason=str(error),
             )
             return
         self._view.state = UpstreamState.LIVE
-        apply_report(self._view, report, time.monotonic())
         self._metrics.record_role(self._view.role)
 
     def _describe(self) -> UpstreamInfo:
--- a/bramleyport/agent/_engine_report.py
+++ b/bramleyport/agent/_engine_report.py
@@ -6,20 +6,46 @@
 from bramleyport.core import EngineLoad, EngineRates, EngineRole, UpstreamView
 
 
+class MalformedReportError(ValueError):
+    """Report an answer of an engine that is no load report."""
+
+
 def apply_report(view: UpstreamView, report: Mapping[str, Any], now_s: float) -> None:
-    """Update the view of an engine from its load report."""
-    view.role = EngineRole(report["role"])
-    view.models = frozenset(report["models"])
-    view.versions = frozenset(report.get("versions", ()))
-    view.adapters = frozenset(report["adapters"])
-    view.block_tokens = int(report["block_tokens"])
+    """Update the view of an engine from its load report.
+
+    Raise MalformedReportError and leave the view unchanged if a field is missing or of
+    another type.
+    """
+    try:
+        role = EngineRole(report["role"])
+        models = frozenset(report["models"])
+        versions = frozenset(report.get("versions", ()))
+        adapters = frozenset(report["adapters"])
+        block_tokens = int(report["block_tokens"])
+        rates = _read_rates(report)
+        load = _read_load(report, now_s)
+    except (AttributeError, KeyError, TypeError, ValueError, OverflowError) as error:
+        raise MalformedReportError(repr(error)) from error
+    view.role = role
+    view.models = models
+    view.versions = versions
+    view.adapters = adapters
+    view.block_tokens = block_tokens
+    view.rates = rates
+    view.load = load
     _apply_kv(view, report.get("kv"))
-    view.rates = EngineRates(
+
+
+def _read_rates(report: Mapping[str, Any]) -> EngineRates:
+    return EngineRates(
         prefill_tokens_per_s=float(report["prefill_tokens_per_s"]),
         decode_tokens_per_s=float(report["decode_tokens_per_s"]),
         max_streams=int(report["max_streams"]),
     )
-    view.load = EngineLoad(
+
+
+def _read_load(report: Mapping[str, Any], now_s: float) -> EngineLoad:
+    return EngineLoad(
         taken_s=now_s,
         running=int(report["running"]),
         queued=int(report["queued"]),
--- a/bramleyport/upstreams/_engine.py
+++ b/bramleyport/upstreams/_engine.py
@@ -1,14 +1,19 @@
 """Client of a model engine."""
 
+import asyncio
 import json
 from collections.abc import AsyncIterator, Mapping
 from dataclasses import dataclass
-from typing import Any
+from typing import Any, Final
 
 from bramleyport.core import Execution, PrefixBlock
 from bramleyport.upstreams._body import BodyReader, BodyTruncatedError
 from bramleyport.upstreams._http import UpstreamError, UpstreamHttpClient
 
+# An engine answers reads within milliseconds. One that accepts connections and never
+# answers would otherwise hold its agent's reports for good.
+READ_TIMEOUT_S: Final = 5.0
+
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Completion:
@@ -104,13 +109,17 @@
 
     async def read_load(self) -> Mapping[str, Any]:
         """Return the engine's load report, which may be out of date."""
-        value: Mapping[str, Any] = await self._http.request_json("GET", "/load")
+        value: Mapping[str, Any] = await self._read("/load")
         return value
 
     async def read_cache_events(self, since: int) -> list[CacheEvent]:
         """Return the cache events after a sequence number."""
-        value = await self._http.request_json("GET", f"/cache-events?since={since}")
-        return [_decode_cache_event(event) for event in value["events"]]
+        path = f"/cache-events?since={since}"
+        value = await self._read(path)
+        try:
+            return [_decode_cache_event(event) for event in value["events"]]
+        except (KeyError, TypeError, ValueError) as error:
+            raise self._make_malformed_error(path, error) from error
 
     async def read_order(self) -> Mapping[str, Any]:
         """Return the latest order of the engine and its current state."""
@@ -123,6 +132,17 @@
         value: Mapping[str, Any] = await self._http.request_json("PUT", "/order", body)
         return value
 
+    async def _read(self, path: str) -> Any:
+        """Send a GET request that fails if its answer takes too long."""
+        try:
+            async with asyncio.timeout(READ_TIMEOUT_S):
+                return await self._http.request_json("GET", path)
+        except TimeoutError as error:
+            reason = f"no answer within {READ_TIMEOUT_S:g} s"
+            raise UpstreamError(
+                path, self._http.base_url, reason, Execution.UNKNOWN
+            ) from error
+
     def _make_malformed_error(self, path: str, error: Exception) -> UpstreamError:
         reason = f"malformed answer: {error!r}"
         return UpstreamError(path, self._http.base_url, reason, Execution.UNKNOWN)
