Leave the limit of an attempt alone once its deadline has passed

Operators saw event 1901, 'Cannot change state of expiring Timeout'. Cause: the check for a busy upstream and the deadline of the attempt were due in one turn of the loop, and the check set a limit that had expired. No call was affected: the attempt ends at its deadline either way.

test_check_after_the_deadline_raises_no_error holds the loop until both are due; it failed with that message before.

--- a/bramleyport/gateway/_attempt_timeout.py
+++ b/bramleyport/gateway/_attempt_timeout.py
@@ -43,6 +43,9 @@
             self._timer = None
 
     def _check(self) -> None:
+        if self._limit.expired():
+            # The check and the deadline were due in the same turn of the loop.
+            return
         loop = asyncio.get_running_loop()
         now_s = loop.time()
         last_received_s = self._state.last_received_s.get(self._upstream, 0.0)
