Start the test fleet's work only once its plain upstream is live

test_frozen_writer_of_claims_loses_and_repeats_no_order failed in two of about 35 runs: six orders refused at admission with no_upstream. Cause: the fleet counted as ready when the status page had a cell 'orders', which the row of the record with that name has, too, before the upstream is connected. Page and admission read the same views, and both were right. The row of the upstream is matched now, up to its state.

--- a/tests/process_fleet.py
+++ b/tests/process_fleet.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import os
+import re
 import signal
 import subprocess
 import sys
@@ -14,6 +15,7 @@
 import yaml
 
 from bramleyport.cli._demo import RECORDS
+from bramleyport.core import UpstreamState
 from bramleyport.standins import (
     EngineProfile,
     EngineStandin,
@@ -28,6 +30,7 @@
 
 READY_LIMIT_S = 60  # only a hang reaches this limit
 MODEL = "inspector-8b"
+ZONE = "zone-0"
 
 
 class ProcessFleet:
@@ -133,7 +136,7 @@
 
     def _spawn(self, name: str, role: str, extra: dict[str, Any]) -> None:
         peer_port = find_port()
-        identity = {"process": name, "zone": "zone-0", "region": "region-0"}
+        identity = {"process": name, "zone": ZONE, "region": "region-0"}
         location = {"address": "127.0.0.1"}
         settings = {
             "process": {
@@ -164,7 +167,7 @@
     async def _wait_until_serving(self) -> None:
         async with asyncio.timeout(READY_LIMIT_S):
             for entry in ("entry-0", "entry-1"):
-                while not await self._lists_all_upstreams(entry):
+                while not await self.shows_all_upstreams(entry):
                     self._check_running()
                     await asyncio.sleep(0.1)
 
@@ -174,14 +177,30 @@
             log = self.directory / f"{name}.log"
             assert process.poll() is None, f"{name} exited: {log.read_text()[-2000:]}"
 
-    async def _lists_all_upstreams(self, entry: str) -> bool:
-        head = b"GET /status HTTP/1.0\r\n\r\n"
+    async def fetch_status_page(self, entry: str) -> bytes:
+        """Return the status page of an entry; empty while it does not listen."""
         try:
-            page = await exchange_raw(self.ports[entry], head)
+            return await exchange_raw(
+                self.ports[entry], b"GET /status HTTP/1.0\r\n\r\n"
+            )
         except OSError:
-            return False
+            return b""
+
+    async def shows_all_upstreams(self, entry: str) -> bool:
+        page = await self.fetch_status_page(entry)
         names = [f"engine-{index}" for index in range(len(self.engines))]
-        return all(f"<td>{name}</td>".encode() in page for name in [*names, "orders"])
+        return all(is_live_on_page(page, name) for name in [*names, "orders"])
+
+
+def is_live_on_page(page: bytes, upstream: str) -> bool:
+    """Return whether a status page shows an upstream as live.
+
+    The row is matched up to its state, since the page names records in other tables and
+    an upstream may have the name of a record.
+    """
+    state = UpstreamState.LIVE.value
+    row = rf"<tr><td>{upstream}</td><td>{ZONE}</td><td>[^<]*</td><td>{state}</td>"
+    return re.search(row.encode(), page) is not None
 
 
 @asynccontextmanager
--- a/tests/test_real_processes.py
+++ b/tests/test_real_processes.py
@@ -9,7 +9,12 @@
 
 from bramleyport.objectapi._client import CALL_TIMEOUT_S
 from tests.http_client import Answer
-from tests.process_fleet import ProcessFleet, run_fleet
+from tests.process_fleet import (
+    READY_LIMIT_S,
+    ProcessFleet,
+    is_live_on_page,
+    run_fleet,
+)
 
 Run = Callable[[Coroutine[Any, Any, Any]], Any]
 TOKEN_COUNT = 60
@@ -123,6 +128,44 @@
     run(check())
 
 
+def test_fleet_is_not_ready_before_its_plain_upstream_is_connected(
+    run: Run, tmp_path: Path
+) -> None:
+    """Guards against orders that are refused because the fleet is still starting."""
+
+    class LatePlainFleet(ProcessFleet):
+        def _spawn(self, name: str, role: str, extra: dict[str, Any]) -> None:
+            super()._spawn(name, role, extra)
+            if name == "agent-plain":
+                self.send_signal(name, signal.SIGSTOP)
+
+    async def check() -> None:
+        fleet = LatePlainFleet(tmp_path, 1, orders_named_roles=False)
+        start = asyncio.ensure_future(fleet.start())
+        try:
+            await asyncio.wait_for(wait_for_engine_on_page(fleet), READY_LIMIT_S)
+            # The record has the same name as the upstream and is on the page already.
+            assert not await fleet.shows_all_upstreams("entry-0")
+            assert not start.done()
+            fleet.send_signal("agent-plain", signal.SIGCONT)
+            await start
+            assert (await fleet.post_order("entry-0", "order-0")).status == 201
+        finally:
+            start.cancel()
+            await fleet.stop()
+
+    run(check())
+
+
+async def wait_for_engine_on_page(fleet: ProcessFleet) -> None:
+    while True:
+        if "entry-0" in fleet.ports:
+            page = await fleet.fetch_status_page("entry-0")
+            if is_live_on_page(page, "engine-0"):
+                return
+        await asyncio.sleep(0.05)
+
+
 def test_frozen_writer_of_claims_loses_and_repeats_no_order(
     run: Run, tmp_path: Path
 ) -> None:
