Restart an engine's speed sample when work on it expires

After the loss of a gateway its unfinished prefills expire after 10 s. The sample of the engine's speed went on over them, so the engine counted as up to a hundred times slower until the next samples. Work that ends early restarts the sample already; expired work does so now. test_expired_prefill_does_not_distort_samples measured 10.2 s for a prefill of 0.1 s before.

--- a/bramleyport/fleet/_load.py
+++ b/bramleyport/fleet/_load.py
@@ -161,7 +161,9 @@
         ]
         for work in expired:
             del self._works[work.request]
-            self._prefilling.pop(work.request, None)
+            if self._prefilling.pop(work.request, None) is not None:
+                # How much of the prompt was prefilled is unknown.
+                self._restart_sample(now_s)
         return expired
 
     def _take_sample(self, now_s: float) -> PrefillSample | None:
--- a/tests/test_fleet_load.py
+++ b/tests/test_fleet_load.py
@@ -5,6 +5,7 @@
 from bramleyport.admission import Admitted, Rejected
 from bramleyport.core import RequestId, UpstreamId
 from bramleyport.fleet import Choice, PrefillSpeeds, PrefixCache, Stage, admit
+from bramleyport.fleet._load import WORK_EXPIRY_S
 from bramleyport.fleet._prefill_speeds import compute_prefill_cost
 from bramleyport.retries import RepeatBudget
 from tests.fleet_builders import FleetModel, make_call, make_engine, make_prompt
@@ -73,6 +74,20 @@
     assert read.sample.elapsed_s == pytest.approx(0.1)
 
 
+def test_expired_prefill_does_not_distort_samples() -> None:
+    """Guards against an engine that counts as slow after a gateway was lost."""
+    fleet = FleetModel(make_engine("e"))
+    fleet.send("e", request="a", prefill_cost=30_000)
+    load = fleet.loads.of(ENGINE)
+    expired_s = WORK_EXPIRY_S + 0.1
+    fleet.send("e", request="b", prefill_cost=1_000, started_s=expired_s - 1.0)
+    load.drop_expired(expired_s)
+    read = load.finish_prefill(RequestId("b"), expired_s + 0.1)
+    assert read is not None
+    assert read.sample is not None
+    assert read.sample.elapsed_s == pytest.approx(0.1)
+
+
 def test_speeds_follow_the_engines() -> None:
     speeds = PrefillSpeeds()
     for _ in range(200):
