Keep a connected host that moved to a new address

A host at a new address counted as silent from the list that named the address, even if its process had connected from there before, and a later list without it removed it. The silence of a connected host begins with the end of its last connection, which is reported in any case. The new test got Removed for a connected host before.

--- a/bramleyport/membership/_membership.py
+++ b/bramleyport/membership/_membership.py
@@ -234,7 +234,10 @@
             if address_changed:
                 # The incarnation at the new address becomes known on connecting.
                 member.host = host
-                member.silent_since_s = now_s
+                # A connected process may have connected from the new address already.
+                # The end of its last connection is reported in any case.
+                if member.silent_since_s is not None:
+                    member.silent_since_s = now_s
             member.leaving = None
             if host.state is HostState.LEAVING:
                 member.leaving = LeavingSource.HOST_LIST
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -166,6 +166,20 @@
     assert len(membership.hosts) == 10
 
 
+def test_process_that_connected_from_its_new_address_does_not_count_as_silent() -> None:
+    """Guards against the removal of a connected host that moved, by a later list."""
+    membership = make_membership()
+    membership.step(Disconnected(A), 1.0)
+    membership.step(Connected(process=A, incarnation=6), 2.0)
+    others = tuple(make_host(index) for index in range(1, 10))
+    moved = (replace(make_host(0), port=9999), *others)
+    membership.step(HostList(revision=Revision(2), hosts=moved), 3.0)
+    membership.step(HostList(revision=Revision(3), hosts=others), 4.0)
+    assert membership.step(Tick(), 3600.0) == []
+    membership.step(Disconnected(A), 3600.0)
+    assert membership.step(Tick(), 3700.0) == [Removed(A)]
+
+
 def test_new_host_is_added() -> None:
     host = make_host(3)
     changes = Membership().step(HostList(revision=Revision(1), hosts=(host,)), 0.0)
