Forget rejected versions and progress of records and entries that are gone

Memory grew with each rejected record and each restarted entry. A rejected version is dropped with its record or once a valid one replaces it. Progress as old as the stall timeout counts like none, so dropping it changes no choice.

--- a/bramleyport/replication/_revisions.py
+++ b/bramleyport/replication/_revisions.py
@@ -198,7 +198,7 @@
             if current is not None and current.revision >= item.revision:
                 continue
             if item.revision >= self.invalid.get(item.name, Revision(0)):
-                self.invalid.pop(item.name, None)
+                self._forget_invalid(item.name)
             self._removed.pop(item.name, None)
             self.items[item.name] = item
             self._digest = None
@@ -207,13 +207,17 @@
     def _remove(self, name: str, revision: Revision) -> None:
         if self.items.pop(name, None) is not None:
             self._digest = None
-        self.invalid.pop(name, None)
+        self._forget_invalid(name)
         self._removed.pop(name, None)
         self._removed[name] = revision
         while len(self._removed) > MAX_REMOVALS:
             oldest = next(iter(self._removed))
             self._delta_floor = max(self._delta_floor, self._removed.pop(oldest))
 
+    def _forget_invalid(self, name: str) -> None:
+        self.invalid.pop(name, None)
+        self._refused.pop(name, None)
+
     def _advance(
         self,
         revision: Revision,
--- a/bramleyport/replication/_topology.py
+++ b/bramleyport/replication/_topology.py
@@ -130,6 +130,12 @@
 
     def _update_suspects(self, now_s: float) -> None:
         stall_timeout_s = self._policy.stall_timeout_s
+        # Progress as old as the stall timeout counts like none, so it is forgotten.
+        self._progress_s = {
+            process: answered_s
+            for process, answered_s in self._progress_s.items()
+            if now_s - answered_s < stall_timeout_s
+        }
         for process, since_s in self._chosen_s.items():
             seen_s = max(since_s, self._get_progress(process))
             if now_s - seen_s >= stall_timeout_s:
--- a/tests/test_replication.py
+++ b/tests/test_replication.py
@@ -222,6 +222,20 @@
     assert get_version(store, "a") == "1"
 
 
+def test_rejected_versions_are_forgotten_with_their_records() -> None:
+    """Guards against memory that grows with every rejected record."""
+    store = RecordStore()
+    store.update_from_listing(Revision(1), [make_entry("a", 1)])
+    for number in range(2, 50, 2):
+        name = f"record-{number}"
+        rejected = make_entry(name, number, valid=False)
+        store.update_from_changes(Revision(number), [rejected])
+        store.update_from_listing(Revision(number + 1), [make_entry("a", 1)])
+    store.update_from_changes(Revision(60), [make_entry("b", 60, valid=False)])
+    store.update_from_changes(Revision(61), [make_entry("b", 61)])
+    assert not store.document_set._refused
+
+
 def test_new_process_gets_the_last_valid_version_from_a_peer() -> None:
     """A new watcher finds only the invalid version in the store."""
     store, network = FakeStore(), Network(2)
@@ -353,6 +367,16 @@
     assert len(chosen) == min(2, count)
 
 
+def test_progress_of_processes_that_have_ended_is_forgotten() -> None:
+    """Guards against memory that grows with every restart of an entry."""
+    topology = Topology(ProcessId("entry-0"), ZoneName("zone-0"))
+    for second in range(100):
+        name = ProcessId(f"ended-{second}")
+        topology.record_progress(name, 0.0, float(second))
+        topology.step(make_entries(3), float(second))
+    assert len(topology._progress_s) < 10
+
+
 def test_other_entries_watch_when_no_watcher_makes_progress() -> None:
     hosts = make_entries(6)
     zone = ZoneName("zone-0")
