Repeat the first read of an order object until it is answered

An engine whose object was created after the last list got no order for up to 60 s if the one read that its agent's report caused failed: the holder kept the operation's number and did not read again.

--- a/bramleyport/authority/_order_tracker.py
+++ b/bramleyport/authority/_order_tracker.py
@@ -155,6 +155,14 @@
         return now_s >= self.repeat_after_s
 
 
+@dataclass(slots=True, kw_only=True)
+class _Lookup:
+    """Describe a read of an object that was not on the last list."""
+
+    op: int
+    retry_at_s: float
+
+
 class OrderTracker:
     """Track the order objects of one pool and decide which orders to write."""
 
@@ -165,7 +173,7 @@
         self._until_s = 0.0
         self._settling = False
         self._tracked: dict[UpstreamId, _TrackedObject] = {}
-        self._lookup_ops: set[int] = set()
+        self._lookups: dict[UpstreamId, _Lookup] = {}
         self._op = 0
         self._list_op = 0
         self._next_list_s = 0.0
@@ -195,7 +203,7 @@
             self._fencing, self._until_s = event.fencing, event.until_s
             self._settling = False
             self._tracked.clear()
-            self._lookup_ops.clear()
+            self._lookups.clear()
             return self._list(now_s)
         if isinstance(event, Extended):
             self._until_s = event.until_s
@@ -206,6 +214,7 @@
         if isinstance(event, Revoked):
             self._fencing = None
             self._tracked.clear()
+            self._lookups.clear()
             return []
         if self._fencing is None or now_s >= self._until_s:
             return []
@@ -217,8 +226,9 @@
             return self._plan(event, now_s)
         if isinstance(event, OrderReported):
             return self._handle_report(event, now_s)
-        if isinstance(event, OrderObjectRead) and event.op in self._lookup_ops:
-            return self._handle_lookup(event, now_s)
+        lookup = self._lookups.get(event.upstream)
+        if lookup is not None and lookup.op == event.op:
+            return self._handle_lookup(lookup, event, now_s)
         return self._handle_reply(event, now_s)
 
     def _start_op(self) -> int:
@@ -237,6 +247,9 @@
                 actions.append(self._read(tracked, now_s))
             elif not tracked.op and now_s >= tracked.notify_at_s:
                 actions += self._notify(tracked, now_s)
+        for upstream, lookup in self._lookups.items():
+            if now_s >= lookup.retry_at_s:
+                actions.append(self._look_up(upstream, now_s))
         if now_s >= self._next_list_s:
             actions += self._list(now_s)
         return actions
@@ -250,6 +263,7 @@
         for removed_upstream in set(self._tracked) - listed:
             del self._tracked[removed_upstream]
         for found in event.objects:
+            self._lookups.pop(found.upstream, None)
             tracked = self._tracked.setdefault(
                 found.upstream, _TrackedObject(object=found)
             )
@@ -263,14 +277,26 @@
         tracked = self._tracked.get(event.upstream)
         if tracked is not None:
             return [] if tracked.op else [self._read(tracked, now_s)]
+        if event.upstream in self._lookups:
+            return []
         # The engine's object was created after the last list.
-        self._lookup_ops.add(self._start_op())
-        return [ReadOrderObject(op=self._op, upstream=event.upstream)]
+        return [self._look_up(event.upstream, now_s)]
+
+    def _look_up(self, upstream: UpstreamId, now_s: float) -> TrackerAction:
+        lookup = _Lookup(op=self._start_op(), retry_at_s=now_s + REPLY_TIMEOUT_S)
+        self._lookups[upstream] = lookup
+        return ReadOrderObject(op=lookup.op, upstream=upstream)
 
     def _handle_lookup(
-        self, event: OrderObjectRead, now_s: float
+        self,
+        lookup: _Lookup,
+        event: OrderObjectRead | OrderWritten | OrderNotWritten,
+        now_s: float,
     ) -> list[TrackerAction]:
-        self._lookup_ops.discard(event.op)
+        if not isinstance(event, OrderObjectRead):
+            lookup.retry_at_s = now_s + RETRY_DELAY_S
+            return []
+        del self._lookups[event.upstream]
         found = event.object
         if found is None or found.order.pool != self.pool:
             return []
--- a/tests/test_authority.py
+++ b/tests/test_authority.py
@@ -20,6 +20,7 @@
     ListOrders,
     Order,
     OrderExecutor,
+    OrderNotWritten,
     OrderObject,
     OrderObjectRead,
     OrderReported,
@@ -35,7 +36,11 @@
     choose_candidates,
     make_engine_fencing,
 )
-from bramleyport.authority._order_tracker import FAILED_RETRY_DELAY_S
+from bramleyport.authority._order_tracker import (
+    FAILED_RETRY_DELAY_S,
+    REPLY_TIMEOUT_S as TRACKER_REPLY_TIMEOUT_S,
+    RETRY_DELAY_S as TRACKER_RETRY_DELAY_S,
+)
 from bramleyport.core import (
     EngineRole,
     FencingNumber,
@@ -322,6 +327,31 @@
     assert sealing.object.order.sealed == 1
 
 
+@pytest.mark.parametrize("answered", [True, False], ids=["failed", "unanswered"])
+def test_order_whose_first_read_failed_is_read_again(answered: bool) -> None:
+    """Guards against an engine that gets no order until the next listing."""
+    name = UpstreamId("engine-0")
+    tracker = OrderTracker(POOL, lambda: "token")
+    listing = tracker.step(Granted(fencing=FencingNumber(1), until_s=60.0), 0.0)[0]
+    assert isinstance(listing, ListOrders)
+    tracker.step(OrdersListed(op=listing.op, objects=()), 0.1)
+    reading = tracker.step(OrderReported(upstream=name), 0.2)[0]
+    assert isinstance(reading, ReadOrderObject)
+    # The agent reports again while the read is pending.
+    assert tracker.step(OrderReported(upstream=name), 0.2) == []
+    due_s = 0.2 + TRACKER_REPLY_TIMEOUT_S
+    if answered:
+        assert tracker.step(OrderNotWritten(op=reading.op, upstream=name), 0.3) == []
+        due_s = 0.3 + TRACKER_RETRY_DELAY_S
+    assert tracker.step(Tick(), due_s - 0.1) == []
+    (second,) = tracker.step(Tick(), due_s)
+    assert isinstance(second, ReadOrderObject)
+    assert second.op != reading.op
+    none = OrderObjectRead(op=second.op, upstream=name, object=None)
+    assert tracker.step(none, due_s + 0.1) == []
+    assert tracker.step(Tick(), due_s + 10.0) == []
+
+
 def test_failed_order_is_not_repeated_at_once() -> None:
     """Guards against repeated orders to a failing engine that exhaust store writes."""
     name = UpstreamId("engine-0")
