Expect uneven swings of the demand to last beyond their mean interval

Cause: the expected remaining time of a shift was the distance to the mean interval, so near 0 just after it, and the planner changed nothing then, also where intervals vary. It is at least the standard deviation of the intervals now. Samples without demand lowered the mean of short work alone; all means are over the same samples now.

--- a/bramleyport/planning/_trend.py
+++ b/bramleyport/planning/_trend.py
@@ -3,7 +3,7 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 from itertools import pairwise
-from statistics import fmean, median
+from statistics import fmean, median, pstdev
 from typing import Final
 
 from bramleyport.planning._base import DemandSample, EngineCosts
@@ -51,19 +51,17 @@
     samples: Sequence[DemandSample], costs: EngineCosts, now_s: float
 ) -> Trend | None:
     """Return the trend, or None with too few samples."""
-    demands = [(s.at_s, _to_demand(s, costs)) for s in samples]
-    demands = [
-        (sampled_s, d) for sampled_s, d in demands if d.engine_seconds(costs) > 0
-    ]
-    if len(demands) < MIN_SAMPLES:
+    samples = [s for s in samples if _to_demand(s, costs).engine_seconds(costs) > 0]
+    if len(samples) < MIN_SAMPLES:
         return None
-    recent = [d for _, d in demands[-LEVEL_SAMPLES:]]
+    demands = [_to_demand(s, costs) for s in samples]
+    recent = demands[-LEVEL_SAMPLES:]
     total = fmean(d.engine_seconds(costs) for d in recent)
     share = fmean(d.prefill for d in recent) / total
-    shares = [d.prefill / d.engine_seconds(costs) for _, d in demands]
+    shares = [d.prefill / d.engine_seconds(costs) for d in demands]
     differences = [abs(b - a) for a, b in pairwise(shares)]
     noise = median(differences) * MEDIAN_TO_DEVIATION / LEVEL_SAMPLES**0.5
-    times = [sampled_s for sampled_s, _ in demands]
+    times = [s.at_s for s in samples]
     return Trend(
         engine_seconds=total,
         short_s=fmean(s.short_s_per_s for s in samples[-LEVEL_SAMPLES:]),
@@ -94,7 +92,8 @@
     """Return how long the share is expected to stay above or below its midpoint.
 
     This is the time left of the mean interval between past crossings. After that
-    interval, it is the time by which the interval has been exceeded.
+    interval, it is the time by which the interval has been exceeded. It is at least the
+    standard deviation of the intervals: uneven ones do not end at their mean.
     """
     midpoint = (max(shares) + min(shares)) / 2
     band = max(MIN_BAND, 2 * noise * LEVEL_SAMPLES**0.5)
@@ -108,6 +107,7 @@
             side = current_side
     if len(crossings) < 3:
         return DEFAULT_PERSISTENCE_S
-    mean_s = (crossings[-1] - crossings[0]) / (len(crossings) - 1)
-    elapsed_s = now_s - crossings[-1]
-    return min(MAX_PERSISTENCE_S, max(mean_s - elapsed_s, elapsed_s - mean_s))
+    intervals_s = [end_s - begin_s for begin_s, end_s in pairwise(crossings)]
+    mean_s = fmean(intervals_s)
+    difference_s = abs(now_s - crossings[-1] - mean_s)
+    return min(MAX_PERSISTENCE_S, max(difference_s, pstdev(intervals_s)))
--- a/tests/test_planning.py
+++ b/tests/test_planning.py
@@ -21,6 +21,7 @@
     compute_capacity_factor,
 )
 from bramleyport.planning._capacity import Demand
+from bramleyport.planning._trend import _estimate_persistence, measure_trend
 
 ZONES = [ZoneName(name) for name in "abc"]
 MODEL = ModelName("m")
@@ -242,6 +243,33 @@
     )
 
 
+def test_uneven_swings_are_not_expected_to_end_after_their_mean() -> None:
+    """Guards against a planner that changes nothing just after the mean interval."""
+    times = [0.0]
+    shares = [0.2]
+    side = 0.8
+    # The share crosses its midpoint every 60 or 140 s, 100 s on average.
+    for interval_s in (60.0, 140.0, 60.0, 140.0, 60.0, 140.0):
+        times += [times[-1] + 5.0 * (step + 1) for step in range(int(interval_s / 5))]
+        shares += [side] * int(interval_s / 5)
+        side = 1.0 - side
+    last_crossing_s = times[-1] - 140.0 + 5.0
+    now_s = last_crossing_s + 100.0
+    expected_s = _estimate_persistence(times, shares, 0.0, now_s)
+    # The standard deviation of the intervals.
+    assert expected_s >= 39.0
+
+
+def test_samples_without_demand_do_not_count_as_short_work() -> None:
+    """Guards against a mean of short work over other samples than the demand's."""
+    demand = make_demand([0.5] * 20, 6.0, 0.3)
+    idle = replace(demand[-1], at_s=NOW_S + 5, prefill_s_per_s=0.0)
+    idle = replace(idle, decode_s_per_s=0.0, short_s_per_s=0.0)
+    trend = measure_trend((*demand, idle), EngineCosts(), NOW_S + 5)
+    assert trend is not None
+    assert trend.short_s == demand[-1].short_s_per_s
+
+
 def test_zone_without_decode_is_repaired() -> None:
     """A zone that lost its last decode engine must get another one."""
     engines = (
