Restart background jobs of entries and agents after an unexpected error

Nothing awaited the jobs that tick the membership, follow the store, write the status of records, sum counts, refuse late work and reopen connections. An unexpected error in one ended it without a log line, and the process served on with old hosts, records or counts. Found as the class of the fault that ended an agent's reports. Gateways restart their jobs already; that function is now the package supervision, which all use.

Ruled out as causes from outside: rows of the host list and records are validated one by one, so a malformed document does not raise in these jobs.

The gateway's own code only calls the moved function.

--- a/bramleyport/agent/_daemon.py
+++ b/bramleyport/agent/_daemon.py
@@ -23,6 +23,7 @@
     ZoneName,
 )
 from bramleyport.queueing import QueuePolicy, Refused as QueueRefused
+from bramleyport.supervision import supervise
 from bramleyport.telemetry import (
     Metrics,
     authority_events,
@@ -142,8 +143,8 @@
         )
         self._hub.start()
         self._tasks = [
-            asyncio.ensure_future(self._report_forever()),
-            asyncio.ensure_future(self._expire_forever()),
+            asyncio.ensure_future(supervise(self._report_forever)),
+            asyncio.ensure_future(supervise(self._expire_forever)),
         ]
         if self._orders is not None:
             self._tasks.append(asyncio.ensure_future(self._orders.run(self._gate)))
@@ -329,10 +330,7 @@
         while True:
             await asyncio.sleep(self.settings.load_interval_s)
             self._connections = {c for c in self._connections if not c.closed.is_set()}
-            try:
-                await self._report()
-            except Exception as error:  # one faulty report must not be the last one
-                log_event(events.HANDLER_FAILED, step="report", error=repr(error))
+            await self._report()
 
     async def _report(self) -> None:
         await self._read_upstream()
--- a/bramleyport/entry/_daemon.py
+++ b/bramleyport/entry/_daemon.py
@@ -31,6 +31,7 @@
 from bramleyport.entry._work import build_call, build_work, check_key, find_record
 from bramleyport.keyed._calls import KeyedCalls, KeyedResult
 from bramleyport.objectapi import ObjectClient
+from bramleyport.supervision import supervise
 from bramleyport.telemetry import BoundedLabels, Journal, Metrics, events, log_event
 from bramleyport.transport import listen, listen_http, stop_http
 
@@ -126,7 +127,7 @@
         self._hub.on_topology = self._follower.update
         self._hub.start(process.seeds)
         reporters = (self._status, self._relay, self._reports)
-        self._tasks = [asyncio.ensure_future(item.run()) for item in reporters]
+        self._tasks = [asyncio.ensure_future(supervise(item.run)) for item in reporters]
         if self.controllers is not None:
             self._tasks += self.controllers.start()
         site = make_site(CallerApp(self).app.resource(), self.settings.max_body_bytes)
--- a/bramleyport/entry/_store_follower.py
+++ b/bramleyport/entry/_store_follower.py
@@ -17,6 +17,7 @@
     WatchEventType,
 )
 from bramleyport.replication import Applied, Changes
+from bramleyport.supervision import supervise
 from bramleyport.telemetry import log_event, membership_events
 from bramleyport.wire import ReplicaEntry
 
@@ -165,17 +166,17 @@
                 Kind.HOSTS: HostUpdater(self._hub),
             }
             self._tasks = [
-                asyncio.ensure_future(
-                    KindWatcher(
-                        self._client, kind, updater, self._hub.record_store_answer
-                    ).run()
-                )
-                for kind, updater in updaters.items()
+                asyncio.ensure_future(supervise(self._make_watcher(*item).run))
+                for item in updaters.items()
             ]
         elif not watching and self._tasks:
             log_event(membership_events.WATCH_STOPPED)
             self.stop()
 
+    def _make_watcher(self, kind: Kind, updater: Updater) -> KindWatcher:
+        on_answer = self._hub.record_store_answer
+        return KindWatcher(self._client, kind, updater, on_answer)
+
     def stop(self) -> None:
         """Stop watching."""
         for task in self._tasks:
--- a/bramleyport/gateway/_daemon.py
+++ b/bramleyport/gateway/_daemon.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import signal
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable
 from pathlib import Path
 from typing import Any, Final
 
@@ -26,6 +26,7 @@
 from bramleyport.gateway._work_tracker import WorkTracker
 from bramleyport.http1 import CallerFactory, ConnectionLimits
 from bramleyport.platform import ObjectKind, StoreClient, load_node_settings
+from bramleyport.supervision import Job, supervise
 from bramleyport.telemetry import Metrics, events, gateway_events, log_event
 
 # The load balancer checks readiness once a second, and it sends new callers until two
@@ -39,11 +40,6 @@
 HOUSEKEEPING_INTERVAL_S: Final = 0.25
 SETTINGS_POLL_INTERVAL_S: Final = 2.0
 BACKLOG: Final = 512
-# Delay before a job that ended with an error is restarted.
-JOB_RESTART_DELAY_S: Final = 0.5
-
-
-Job = Callable[[], Coroutine[Any, Any, None]]
 
 
 class Gateway:
@@ -100,7 +96,7 @@
         loop = asyncio.get_running_loop()
         loop.add_signal_handler(signal.SIGHUP, self._reload)
         for job in self._list_jobs():
-            self._tasks.append(loop.create_task(self._supervise(job)))
+            self._tasks.append(loop.create_task(supervise(job)))
         log_event(
             events.PROCESS_STARTED,
             callers=str(settings.caller_address),
@@ -179,17 +175,6 @@
         self._peers.subscribe(kind, follower.receive_update)
         return follower
 
-    async def _supervise(self, job: Job) -> None:
-        """Run a job, and restart it after an error, until it returns."""
-        while True:
-            try:
-                await job()
-                return
-            except Exception as error:  # logged; the process keeps serving
-                name = getattr(job, "__qualname__", repr(job))
-                log_event(events.HANDLER_FAILED, step=name, error=repr(error))
-                await asyncio.sleep(JOB_RESTART_DELAY_S)
-
     async def _run_housekeeping(self) -> None:
         ready = False
         while True:
--- a/bramleyport/links/_hub.py
+++ b/bramleyport/links/_hub.py
@@ -30,6 +30,7 @@
     Tick,
 )
 from bramleyport.replication import Changes, Replica, Send, Topology, choose_reporter
+from bramleyport.supervision import supervise
 from bramleyport.telemetry import events, log_event, membership_events
 from bramleyport.transport import Connection, Identity
 from bramleyport.wire import (
@@ -99,7 +100,7 @@
     def start(self, seeds: tuple[str, ...] = ()) -> None:
         """Start to track peers; connect to the seeds until hosts are known."""
         self._seeds = [self._make_link(f"ws://{seed}", None) for seed in seeds]
-        self._ticker = asyncio.ensure_future(self._tick_forever())
+        self._ticker = asyncio.ensure_future(supervise(self._tick_forever))
 
     async def close(self) -> None:
         """Close the connections that this hub opened."""
--- a/bramleyport/links/_persistent_connection.py
+++ b/bramleyport/links/_persistent_connection.py
@@ -5,6 +5,7 @@
 from typing import Any, Final
 
 from bramleyport.core import ProcessId, Revision, StepError
+from bramleyport.supervision import supervise
 from bramleyport.telemetry import events, log_event, membership_events
 from bramleyport.transport import Connection, Handler, Identity, open_connection
 
@@ -42,7 +43,7 @@
         self._on_message = on_message
         self._state_changed = asyncio.Event()
         self._tasks: set[asyncio.Future[None]] = set()
-        self._reconnect_task = asyncio.ensure_future(self._keep_connected())
+        self._reconnect_task = asyncio.ensure_future(supervise(self._keep_connected))
 
     def retire(self) -> None:
         """Stop reconnecting; an open connection is used until it closes."""
--- a/tests/test_gateway_state.py
+++ b/tests/test_gateway_state.py
@@ -10,6 +10,7 @@
 
 from bramleyport.fleet import Stage
 from bramleyport.gateway._follower import RETRY_FIRST_S, choose_watch_times
+from bramleyport.supervision import supervise
 from tests.gateway_fleet import LANGUAGE, GatewayFleet, make_config, make_route
 from tests.platform_standin import UpstreamStandin
 
@@ -161,7 +162,7 @@
         if len(runs) == 1:
             raise KeyError("unexpected")
 
-    run(fleet.gateway._supervise(fail_once))
+    run(supervise(fail_once))
     assert len(runs) == 2
 
 
--- a/tests/test_purity.py
+++ b/tests/test_purity.py
@@ -49,6 +49,7 @@
     "objectapi",
     "platform",
     "standins",
+    "supervision",
     "transport",
     "upstreams",
 }
