Bound the answers and events that an agent reads from its engine

Cause: an agent read each answer of its engine into memory whole, without a bound, and an event of a stream until its end. An engine that sends without end took the agent's 64 MB with one answer; the gateways' own client is bounded already. An answer has 8 MB at most and an event 256 kB; beyond it the connection is closed and the call counts as unknown, since it may have run. A cancelled read closes its connection.

Not bounded: the answers of the object API.

--- a/bramleyport/upstreams/_body.py
+++ b/bramleyport/upstreams/_body.py
@@ -10,12 +10,21 @@
 from twisted.web.http import PotentialDataLoss
 
 HIGH_WATER_CHUNKS: Final = 64
+# Load reports, cache events and lists of blocks are far smaller. An agent has 64 MB.
+MAX_BODY_BYTES: Final = 8 * 2**20
 
 
 class BodyTruncatedError(Exception):
     """Report a body that ended before it was complete."""
 
 
+class BodyTooLargeError(Exception):
+    """Report a body, or a part of one, that exceeds its bound."""
+
+    def __init__(self, limit_bytes: int) -> None:
+        super().__init__(f"exceeds {limit_bytes} bytes")
+
+
 class BodyReader(Protocol):
     """Represent a response body, whose chunks are read by one asynchronous reader."""
 
@@ -46,6 +55,20 @@
             self._resume()
             yield chunk
 
+    async def read_all(self) -> bytes:
+        """Return the whole body.
+
+        Raise BodyTooLargeError for a body without an end in sight, and
+        BodyTruncatedError.
+        """
+        content = bytearray()
+        async for chunk in self.read():
+            content += chunk
+            if len(content) > MAX_BODY_BYTES:
+                self.stop()
+                raise BodyTooLargeError(MAX_BODY_BYTES)
+        return bytes(content)
+
     def stop(self) -> None:
         """Close the connection of the body."""
         if self.transport is not None:
--- a/bramleyport/upstreams/_engine.py
+++ b/bramleyport/upstreams/_engine.py
@@ -7,12 +7,18 @@
 from typing import Any, Final
 
 from bramleyport.core import Execution, PrefixBlock
-from bramleyport.upstreams._body import BodyReader, BodyTruncatedError
+from bramleyport.upstreams._body import (
+    BodyReader,
+    BodyTooLargeError,
+    BodyTruncatedError,
+)
 from bramleyport.upstreams._http import UpstreamError, UpstreamHttpClient
 
 # An engine answers reads within milliseconds. One that accepts connections and never
 # answers would otherwise hold its agent's reports for good.
 READ_TIMEOUT_S: Final = 5.0
+# An event contains the text of one token.
+MAX_EVENT_BYTES: Final = 256 * 1024
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -163,7 +169,7 @@
                 yield event
                 if isinstance(event, CompletionEnd):
                     return
-        except BodyTruncatedError as error:
+        except (BodyTooLargeError, BodyTruncatedError) as error:
             raise UpstreamError(
                 path, self._http.base_url, str(error), Execution.UNKNOWN
             ) from error
@@ -179,6 +185,8 @@
     async for chunk in reader.read():
         pending += chunk
         *events, pending = pending.split(b"\n\n")
+        if len(pending) > MAX_EVENT_BYTES:
+            raise BodyTooLargeError(MAX_EVENT_BYTES)
         for event in events:
             value = json.loads(event.removeprefix(b"data: "))
             if value.get("done"):
--- a/bramleyport/upstreams/_http.py
+++ b/bramleyport/upstreams/_http.py
@@ -4,12 +4,16 @@
 import json
 from typing import Any
 
-import treq
 from twisted.internet.error import ConnectError
 from twisted.web.http_headers import Headers
 
 from bramleyport.core import Execution
 from bramleyport.transport import make_http_client
+from bramleyport.upstreams._body import (
+    BodyReader,
+    BodyTooLargeError,
+    BodyTruncatedError,
+)
 
 
 class UpstreamError(Exception):
@@ -65,11 +69,15 @@
         """Send a request and return its decoded JSON answer."""
         headers = {"Content-Type": "application/json"}
         response = await self.request(method, path, headers, body)
-        loop = asyncio.get_running_loop()
+        reader = BodyReader()
+        response.deliverBody(reader)
         try:
-            content = await treq.content(response).asFuture(loop)
-        except Exception as error:  # Twisted raises many types for a truncated body
+            content = await reader.read_all()
+        except (BodyTooLargeError, BodyTruncatedError) as error:
             raise self._make_error(method, path, error, Execution.UNKNOWN) from error
+        except asyncio.CancelledError:
+            reader.stop()
+            raise
         if response.code >= 400:
             raise UpstreamError(
                 path,
