Cancel what a test leaves running before the next one

Cause, from the log of the run: a test of keyed calls left the endless retry of a claim's outcome running; its store had stopped, and the upstream of the later test got the store's port. Listing the tasks after each test shows one such retry for each of the tests of keyed calls and of claim forwarding, and none with this change.

Ruled out: a gateway that sends calls without an id; the request was for the path of a claim log.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -17,6 +17,9 @@
 
 pytest_plugins = ["pytester"]
 
+# Only a task that ignores its cancellation reaches this limit.
+END_LIMIT_S = 5.0
+
 T = TypeVar("T")
 Run = Callable[[Awaitable[T]], T]
 
@@ -42,6 +45,17 @@
     return asyncio.get_event_loop()
 
 
+@pytest.fixture(autouse=True)
+def end_tasks(loop: asyncio.AbstractEventLoop) -> Iterator[None]:
+    """Cancel what a test leaves running; it would call ports that later tests reuse."""
+    yield
+    left = asyncio.all_tasks(loop)
+    for task in left:
+        task.cancel()
+    if left:
+        loop.run_until_complete(asyncio.wait(left, timeout=END_LIMIT_S))
+
+
 @pytest.fixture
 def run(loop: asyncio.AbstractEventLoop) -> Callable[[Coroutine[Any, Any, T]], T]:
     """Return a function that runs a coroutine, with a time limit against hangs."""
