Keep the retry budgets when the settings change

Callers saw nothing at once; after a reload the gateway repeated calls as if the window held no repeats yet, so a service could get twice the repeats that its bound allows in one window.

Cause: Gateway._reload cleared all budgets, so that the next one takes the new bounds, and with them the requests and repeats of the window.

The bounds of the budgets in use are now replaced, and what they have counted stays.

--- a/bramleyport/gateway/_daemon.py
+++ b/bramleyport/gateway/_daemon.py
@@ -209,7 +209,7 @@
         except (OSError, SettingsError) as error:
             log_event(gateway_events.SETTINGS_REFUSED, reason=str(error))
             return
-        self._state.budgets.clear()
+        self._state.apply_retry_bounds()
         log_event(gateway_events.SETTINGS_RELOADED)
 
     def _remove_upstream(self, upstream: UpstreamId) -> None:
--- a/bramleyport/gateway/_state.py
+++ b/bramleyport/gateway/_state.py
@@ -108,6 +108,12 @@
             self.budgets[service] = budget
         return budget
 
+    def apply_retry_bounds(self) -> None:
+        """Apply the retry bounds of changed settings to the budgets in use."""
+        bounds = self.settings.retries
+        for budget in self.budgets.values():
+            budget.change_bounds(bounds.ratio, bounds.extra, bounds.window_s)
+
     def find_cache_capacity(self, registration: Registration) -> int:
         """Return how many tokens an upstream can cache; 0 if it has no cache."""
         if self.configuration is None:
--- a/bramleyport/retries/_repeat_budget.py
+++ b/bramleyport/retries/_repeat_budget.py
@@ -18,6 +18,12 @@
         self._requests: deque[float] = deque()
         self._repeats: deque[float] = deque()
 
+    def change_bounds(self, ratio: float, extra: float, window_s: float) -> None:
+        """Apply other bounds to the requests and repeats that are known."""
+        self._ratio = ratio
+        self._extra = extra
+        self._window_s = window_s
+
     def record_request(self, now_s: float) -> None:
         """Record a request of a caller."""
         self._requests.append(now_s)
--- a/tests/test_gateway_state.py
+++ b/tests/test_gateway_state.py
@@ -8,10 +8,11 @@
 import pytest
 import yaml
 
+from bramleyport.core import ServiceName
 from bramleyport.fleet import Stage
 from bramleyport.gateway._follower import RETRY_FIRST_S, choose_watch_times
 from bramleyport.supervision import supervise
-from tests.gateway_fleet import LANGUAGE, GatewayFleet, make_config, make_route
+from tests.gateway_fleet import LANGUAGE, PLAIN, GatewayFleet, make_config, make_route
 from tests.platform_standin import UpstreamStandin
 
 Run = Callable[[Coroutine[Any, Any, Any]], Any]
@@ -382,3 +383,36 @@
         return await caller.receive()
 
     assert run(remove_during_call()).status == 200
+
+
+def test_changed_settings_keep_the_repeats_of_the_window(
+    fleet: GatewayFleet, run: Run
+) -> None:
+    """Guards against a reload after which the whole retry budget is spent again."""
+
+    async def spend_and_reload() -> float:
+        budget = fleet.state.find_budget(ServiceName(PLAIN))
+        now_s = asyncio.get_running_loop().time()
+        await fleet.wait_for(lambda: budget.take(now_s, 1) is False)
+        changed = fleet.settings | {"heartbeat_ms": 1300}
+        fleet.path.write_text(yaml.safe_dump(changed))
+        fleet.gateway._reload()
+        return now_s
+
+    now_s = run(spend_and_reload())
+    assert not fleet.state.find_budget(ServiceName(PLAIN)).take(now_s, 1)
+
+
+def test_changed_retry_bounds_apply_to_the_budgets_in_use(
+    fleet: GatewayFleet, run: Run
+) -> None:
+    """Guards against budgets that keep the bounds of the settings at the start."""
+
+    async def reload_without_extra() -> None:
+        fleet.state.find_budget(ServiceName(PLAIN))
+        bounds = fleet.settings["bounds"] | {"budget_extra_tries": 0}
+        fleet.path.write_text(yaml.safe_dump(fleet.settings | {"bounds": bounds}))
+        fleet.gateway._reload()
+
+    run(reload_without_extra())
+    assert fleet.state.find_budget(ServiceName(PLAIN)).allow(1) == 0.0
