Answer calls that end with an unexpected error

Callers saw a closed connection without an answer, on a connection that was kept and sound, although nothing of an answer had been sent. An error outside a call left the connection open, and the caller waited until its own deadline.

Cause: the handler truncated the answer after any error, and CallerConnection did not handle errors of its handler.

The caller now gets 502, or 503 with Retry-After if no attempt may have run, since 503 states that. Only an answer that has begun is truncated.

--- a/bramleyport/gateway/_forward.py
+++ b/bramleyport/gateway/_forward.py
@@ -9,7 +9,7 @@
 from bramleyport.gateway._attempt import CallContext
 from bramleyport.gateway._clock import read_now
 from bramleyport.gateway._plain import PlainServer
-from bramleyport.gateway._reply import reply
+from bramleyport.gateway._reply import answer_failed_call, reply
 from bramleyport.gateway._state import GatewayState
 from bramleyport.gateway._stream import StreamServer
 from bramleyport.http1 import CallerConnection, CallerDisconnectedError, CallerRequest
@@ -42,8 +42,11 @@
     ) -> None:
         """Answer a request."""
         head = decode_call(request.headers)
+        context = None
         try:
-            await self._handle(request, connection, head)
+            context = self._accept(request, connection, head)
+            if context is not None:
+                await self._run(context, head.last_event)
         except asyncio.CancelledError:
             log_event(
                 gateway_events.CALLER_DISCONNECTED,
@@ -61,32 +64,34 @@
                 request=head.request,
                 error=repr(error),
             )
-            connection.truncate_answer()
+            may_have_run = context is not None and context.attempts.may_have_run
+            answer_failed_call(connection, head.request, may_have_run=may_have_run)
 
-    async def _handle(
+    def _accept(
         self, request: CallerRequest, connection: CallerConnection, head: CallHead
-    ) -> None:
+    ) -> CallContext | None:
+        """Return the call of a request, or answer a request that is not served."""
         routes = self._state.routes
         if routes is None:
             status = HTTPStatus.SERVICE_UNAVAILABLE
             reply(connection, status, head.request, "no_config", RETRY_WITHOUT_CONFIG_S)
-            return
+            return None
         route = routes.find(_read_host(request), _read_path(request))
         if route is None:
             reply(connection, HTTPStatus.NOT_FOUND, head.request, "no_route")
-            return
+            return None
         if head.request is None:
             reply(connection, HTTPStatus.BAD_REQUEST, None, "no_request_id")
-            return
-        await self._serve(request, connection, head, route)
+            return None
+        return self._accept_on_route(request, connection, head, route)
 
-    async def _serve(
+    def _accept_on_route(
         self,
         request: CallerRequest,
         connection: CallerConnection,
         head: CallHead,
         route: Route,
-    ) -> None:
+    ) -> CallContext | None:
         assert head.request is not None
         call = Call(
             request=head.request,
@@ -100,15 +105,18 @@
         if stop_s is not None and call.deadline_s > stop_s:
             status = HTTPStatus.SERVICE_UNAVAILABLE
             reply(connection, status, call.request, "stopping", RETRY_WHEN_STOPPING_S)
-            return
+            return None
         configuration = self._state.configuration
         service = configuration.services.get(call.service) if configuration else None
         engine = service.engine if service else None
         context = CallContext(call, request, connection, engine)
         self._state.find_budget(call.service).record_request(call.arrived_s)
         self._state.rate_limiter.record_call(call, read_now())
-        if route.repeatability.streams:
-            await self._streams.serve(context, head.last_event)
+        return context
+
+    async def _run(self, context: CallContext, last_event: int) -> None:
+        if context.call.route.repeatability.streams:
+            await self._streams.serve(context, last_event)
         else:
             await self._plain.serve(context)
 
--- a/bramleyport/http1/_server.py
+++ b/bramleyport/http1/_server.py
@@ -131,6 +131,11 @@
             self._task is None and self._head is None and not self._has_buffered_bytes
         )
 
+    @property
+    def answerable(self) -> bool:
+        """Return whether a request waits for an answer of which nothing was sent."""
+        return not self.closed and self._http.our_state is h11.SEND_RESPONSE
+
     @property
     def _has_buffered_bytes(self) -> bool:
         rest, _ = self._http.trailing_data
@@ -254,6 +259,10 @@
             await self._factory.handler(request, self)
         except CallerDisconnectedError:
             return
+        except Exception:
+            # The caller must not wait for an answer that nobody will send.
+            self.truncate_answer()
+            raise
         finally:
             self._task = None
         if not self.closed:
