Distrust refusals that name no request on used connections

A faulty upstream wrote a refusal without a request id once more on a kept connection. The gateway took it as the answer to the call that was waiting: the call was sent to a second upstream while it ran at the first, or was refused with 503 though it had run.

Error answers without an id matched any request. An earlier answer can only be meant if the connection carried an earlier exchange or bytes of another request, so such an answer is now no answer there: what may not run twice gets 502, other calls are tried elsewhere. On a new connection it still counts, and that connection is closed afterwards. Upstreams echo the id, so sound refusals are not affected.

--- a/bramleyport/gateway/_exchange.py
+++ b/bramleyport/gateway/_exchange.py
@@ -12,6 +12,8 @@
 from bramleyport.http1 import (
     Answer,
     ConnectionPool,
+    ExchangeError,
+    ExchangeFailure,
     HttpClient,
     HttpRequest,
     PoolLimits,
@@ -63,6 +65,7 @@
                 request, lambda answer: _matches_request(answer, request_id)
             )
             answer = await connection.read_head()
+            _check_origin(connection, answer)
             head = self._record_head(target, answer, sent_s)
             connection.idle_timeout_s = head.idle_timeout_s
             yield OpenedExchange(connection=connection, answer=answer, head=head)
@@ -131,6 +134,22 @@
         return max(1, int(total * CONNECTION_FRACTION / gateways))
 
 
+def _check_origin(connection: UpstreamConnection, answer: Answer) -> None:
+    """Raise ExchangeError for an answer that may belong to an earlier request.
+
+    An upstream whose answers name no request gets a new connection for each call, on
+    which its answers can belong to no other.
+    """
+    if decode_answer(answer.status, answer.headers).request is not None:
+        return
+    if connection.may_carry_other_answers:
+        reason = f"answer {answer.status} names no request"
+        raise ExchangeError(
+            ExchangeFailure.BROKEN, "match answer", str(connection.peer), reason
+        )
+    connection.tainted = True
+
+
 def _matches_request(answer: Answer, request_id: RequestId) -> bool:
     """Return whether an answer belongs to a request.
 
--- a/bramleyport/http1/_client.py
+++ b/bramleyport/http1/_client.py
@@ -47,8 +47,10 @@
         self.idle_since_s = 0.0
         self.idle_timeout_s: float | None = None
         self.closed = False
-        # Set after bytes that belong to no exchange; the connection is not reused then.
+        # Set after bytes that belong to no exchange, or to one that the answer does not
+        # name; the connection is not reused then.
         self.tainted = False
+        self._exchange_count = 0
         self.on_closed: Callable[[UpstreamConnection], None] | None = None
         self._parser = AnswerParser(str(peer))
         self._events: deque[AnswerEvent] = deque()
@@ -73,6 +75,11 @@
             and self._parser.idle
         )
 
+    @property
+    def may_carry_other_answers(self) -> bool:
+        """Return whether an answer may belong to another than the last request."""
+        return self.tainted or self._exchange_count > 1
+
     def send(
         self,
         request: HttpRequest,
@@ -81,6 +88,7 @@
         """Send a request; answers that don't match it are skipped."""
         self._events.clear()
         self._queued_bytes = 0
+        self._exchange_count += 1
         self.transport.write(self._parser.start(request, matches))
 
     async def read_head(self) -> Answer:
