Send a call at most once on each connection

An upstream declined a call, got it again on the same connection and repeated its refusal before it ran the call. The caller got 503 for a call that ran. Both attempts have the same request id, so the id can't tell a repeated refusal from a new one; the same holds for a separate prefill and the decode after it.

A call now remembers the connections on which it was sent, and the pool leaves these out when the call is sent again. Weighed: closing each connection on which a refusal arrived, which costs a new connection for each call that a full upstream declines; remembering refused ids for each connection, which needs a bound. The call itself knows all of its attempts and ends with them. In a full pool an excluded idle connection is replaced.

Before the change test_declined_call_is_not_sent_on_the_same_connection_again failed for plain calls with 503 `sends_spent`; a stream's connection was closed after each refusal already.

--- a/bramleyport/gateway/_attempt.py
+++ b/bramleyport/gateway/_attempt.py
@@ -23,7 +23,7 @@
 from bramleyport.gateway._reply import relay_answer, reply
 from bramleyport.gateway._state import GatewayState
 from bramleyport.gateway._work_tracker import WorkTracker
-from bramleyport.http1 import CallerConnection, CallerRequest
+from bramleyport.http1 import CallerConnection, CallerRequest, UpstreamConnection
 from bramleyport.telemetry import gateway_events, log_event
 
 # Sends of one call, including those that upstreams declined without running it.
@@ -54,6 +54,8 @@
         self.engine = engine
         self.attempts = Attempts()
         self.tried: set[UpstreamId] = set()
+        # The connections on which the call was sent, which its retries avoid.
+        self.used_connections: set[UpstreamConnection] = set()
         self.last_failure: FailedAttempt | None = None
         # The permit for the decode after a separate prefill that is running.
         self.reservation: Reservation | None = None
--- a/bramleyport/gateway/_exchange.py
+++ b/bramleyport/gateway/_exchange.py
@@ -55,10 +55,17 @@
         request_id: RequestId,
         *,
         fresh: bool,
+        used_connections: set[UpstreamConnection],
     ) -> AsyncIterator[OpenedExchange]:
-        """Send a request and yield its answer; abort it if not read to the end."""
+        """Send a request and yield its answer; abort it if not read to the end.
+
+        The request is sent on none of the used connections, and its own is added: an
+        upstream may repeat the answer to an earlier attempt, and all attempts of a
+        call have the same request identifier.
+        """
         pool = self._find_pool(target)
-        connection = await pool.acquire(fresh=fresh)
+        connection = await pool.acquire(fresh=fresh, excluded=used_connections)
+        used_connections.add(connection)
         try:
             sent_s = read_now()
             connection.send(
--- a/bramleyport/gateway/_plain.py
+++ b/bramleyport/gateway/_plain.py
@@ -97,7 +97,11 @@
         )
         fresh = not context.call.route.repeatability.may_repeat
         async with self._support.exchanger.open(
-            target, sent, context.call.request, fresh=fresh
+            target,
+            sent,
+            context.call.request,
+            fresh=fresh,
+            used_connections=context.used_connections,
         ) as opened:
             body = await opened.connection.read_body()
             answer = opened.answer
--- a/bramleyport/gateway/_prefill.py
+++ b/bramleyport/gateway/_prefill.py
@@ -144,7 +144,11 @@
             body=request.body,
         )
         async with self._exchanger.open(
-            prefill_engine, sent, context.call.request, fresh=False
+            prefill_engine,
+            sent,
+            context.call.request,
+            fresh=False,
+            used_connections=context.used_connections,
         ) as opened:
             body = await opened.connection.read_body()
             status = opened.answer.status
--- a/bramleyport/gateway/_stream_attempt.py
+++ b/bramleyport/gateway/_stream_attempt.py
@@ -167,7 +167,11 @@
             asyncio.timeout_at(context.call.deadline_s) as limit,
             self._limit_attempt_time(context, choice, limit) as attempt_timeout,
             self._support.exchanger.open(
-                choice.upstream, sent, context.call.request, fresh=fresh
+                choice.upstream,
+                sent,
+                context.call.request,
+                fresh=fresh,
+                used_connections=context.used_connections,
             ) as opened,
         ):
             if opened.answer.status != 200 or not opened.head.stamped:
--- a/bramleyport/http1/_pool.py
+++ b/bramleyport/http1/_pool.py
@@ -1,6 +1,7 @@
 """Pool of connections to one upstream."""
 
 import asyncio
+from collections.abc import Collection
 from dataclasses import dataclass
 from typing import Final
 
@@ -38,25 +39,45 @@
         self._open_count = 0
 
     async def acquire(
-        self, *, fresh: bool = False, timeout_s: float | None = None
+        self,
+        *,
+        fresh: bool = False,
+        timeout_s: float | None = None,
+        excluded: Collection[UpstreamConnection] = (),
     ) -> UpstreamConnection:
         """Return an idle connection or a new one.
 
         With `fresh`, only a connection that was used a short time ago is reused.
+        Excluded connections stay in the pool, unless it is full.
         """
-        now_s = asyncio.get_running_loop().time()
-        while self._idle:
-            connection = self._idle.pop()
-            idle_s = now_s - connection.idle_since_s
-            if connection.reusable and idle_s <= self._get_max_idle(connection, fresh):
-                return connection
-            connection.close()
+        connection = self._take_idle(fresh, excluded)
+        if connection is not None:
+            return connection
+        if self._open_count >= self.limits.max_connections and self._idle:
+            self._discard(self._idle.pop(0))
         if self._open_count >= self.limits.max_connections:
             raise ExchangeError(
                 ExchangeFailure.NOT_SENT, "connect", str(self.peer), "pool is full"
             )
         return await self._connect(timeout_s)
 
+    def _take_idle(
+        self, fresh: bool, excluded: Collection[UpstreamConnection]
+    ) -> UpstreamConnection | None:
+        now_s = asyncio.get_running_loop().time()
+        kept = [item for item in self._idle if item in excluded]
+        candidates = [item for item in self._idle if item not in excluded]
+        taken = None
+        while candidates and taken is None:
+            connection = candidates.pop()
+            idle_s = now_s - connection.idle_since_s
+            if connection.reusable and idle_s <= self._get_max_idle(connection, fresh):
+                taken = connection
+            else:
+                connection.close()
+        self._idle = kept + candidates
+        return taken
+
     def release(self, connection: UpstreamConnection) -> None:
         """Return a connection to the pool after an exchange."""
         if not connection.reusable:
@@ -84,6 +105,12 @@
         connection.on_closed = self._remove
         return connection
 
+    def _discard(self, connection: UpstreamConnection) -> None:
+        """Close an idle connection at once and count it as closed."""
+        connection.on_closed = None
+        connection.abort()
+        self._open_count -= 1
+
     def _remove(self, connection: UpstreamConnection) -> None:
         self._open_count -= 1
         if connection in self._idle:
--- a/tests/test_repeated_answers.py
+++ b/tests/test_repeated_answers.py
@@ -8,7 +8,9 @@
 
 import pytest
 
-from bramleyport.http1 import _pool
+from bramleyport.core import RequestId, UpstreamId
+from bramleyport.http1 import ConnectionPool, HttpRequest, PoolLimits, _pool
+from bramleyport.platform import ForwardOptions, encode_forward_headers
 from tests.gateway_fleet import GatewayFleet
 from tests.platform_standin import (
     RawRequest,
@@ -104,3 +106,101 @@
     for _ in range(CALL_COUNT):
         assert run(caller.call("/post/x", body=b"b")).status == 503
     assert fleet.list_runs() == []
+
+
+class DecliningOnce:
+    """Decline each request once, and repeat that if it comes on the same connection."""
+
+    def __init__(self) -> None:
+        self._declined: set[tuple[str, str]] = set()
+        self._carried: set[tuple[asyncio.StreamWriter, str]] = set()
+
+    async def __call__(
+        self,
+        upstream: UpstreamStandin,
+        request: RawRequest,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        name = request.headers["request-id"]
+        refusal = render_refusal(503, Request_Id=name)
+        if (upstream.name, name) not in self._declined:
+            self._declined.add((upstream.name, name))
+            self._carried.add((writer, name))
+            writer.write(refusal)
+            return
+        if (writer, name) in self._carried:
+            writer.write(refusal)
+        await answer_normally(upstream, request, writer)
+
+
+@pytest.mark.parametrize(("path", "headers"), [POST, ONCE], ids=["plain", "stream"])
+def test_declined_call_is_not_sent_on_the_same_connection_again(
+    fleet: GatewayFleet, run: Run, path: str, headers: dict[str, str]
+) -> None:
+    # The upstream repeated its refusal before it ran the call, which was answered 503.
+    script = DecliningOnce()
+    for upstream in (*fleet.plain, *fleet.engines):
+        upstream.script = script
+    caller = fleet.make_caller()
+    for _ in range(CALL_COUNT):
+        answer = run(caller.call(path, body=b"b", **headers))
+        assert answer.status == 200
+    runs = Counter(request for _, request in fleet.list_runs())
+    assert len(runs) == CALL_COUNT
+    assert set(runs.values()) == {1}
+
+
+async def send_through(
+    fleet: GatewayFleet, upstream: UpstreamStandin, used: set[Any], *, prefill: bool
+) -> bytes:
+    """Send a request with one identifier to an upstream and return the answer."""
+    exchanger = fleet.gateway._exchanger
+    name = UpstreamId(upstream.name)
+    (target,) = [m for m in fleet.state.members.list_all() if m.upstream == name]
+    options = ForwardOptions(upstream=name, remaining_time_s=3.0, prefill_only=prefill)
+    headers = encode_forward_headers([(b"Request-Id", b"r1")], options)
+    request = HttpRequest(method=b"POST", target=b"/once/x", headers=headers)
+    async with exchanger.open(
+        target, request, RequestId("r1"), fresh=True, used_connections=used
+    ) as opened:
+        body: bytes = await opened.connection.read_body()
+    return body
+
+
+def test_decode_is_not_sent_on_the_connection_of_its_prefill(
+    fleet: GatewayFleet, run: Run
+) -> None:
+    # Both have the same request identifier, so a repeated answer to the prefill would
+    # be taken as that of the decode.
+    async def play() -> None:
+        engine = fleet.engines[0]
+        used: set[Any] = set()
+        assert b"kv_handle" in await send_through(fleet, engine, used, prefill=True)
+        assert b"token 5" in await send_through(fleet, engine, used, prefill=False)
+        assert engine.connection_count == 2
+        # Other calls may use both connections.
+        await send_through(fleet, engine, set(), prefill=False)
+        assert engine.connection_count == 2
+
+    run(play())
+
+
+def test_full_pool_replaces_an_idle_connection_that_is_excluded(
+    fleet: GatewayFleet, run: Run
+) -> None:
+    # Otherwise a retry at an upstream with one connection would never be sent.
+    async def play() -> None:
+        exchanger = fleet.gateway._exchanger
+        address = fleet.state.members.list_all()[0].address
+        limits = PoolLimits(max_connections=1, connect_timeout_s=5.0)
+        pool = ConnectionPool(exchanger._client, address, limits)
+        first = await pool.acquire()
+        pool.release(first)
+        second = await pool.acquire(excluded={first})
+        assert second is not first
+        await fleet.wait_for(lambda: first.closed)
+        pool.release(second)
+        assert await pool.acquire() is second
+        second.abort()
+
+    run(play())
