Give up a silent attempt only if its retry is assured

Callers saw a stream cut after a pause of 0.6 s, or a 502, although the upstream was sound and would have gone on: the retry budget was spent, no other upstream could be chosen, or the retry was not admitted.

Cause: an attempt ended for its upstream's silence first, and whether a retry was possible was decided afterwards.

The repeat is now reserved in the budget, and the other upstream chosen and admitted, before the attempt is given up; the retry uses both. Otherwise the limit is checked again each 0.25 s until the deadline (2614). CallContext and the decisions on retries have moved out of _attempt.py.

--- a/bramleyport/composition.py
+++ b/bramleyport/composition.py
@@ -305,7 +305,7 @@
     exchanger = Exchanger(state, client)
     tracker = WorkTracker(state)
     support = AttemptSupport(state, exchanger, tracker, metrics)
-    prefiller = Prefiller(state, exchanger, tracker)
+    prefiller = Prefiller(state, exchanger, tracker, support.retries)
     forwarder = Forwarder(
         state, PlainServer(support), StreamServer(support, prefiller), Random()
     )
--- a/bramleyport/gateway/_attempt.py
+++ b/bramleyport/gateway/_attempt.py
@@ -7,66 +7,27 @@
 from bramleyport.admission import Rejected
 from bramleyport.core import Explanation, UpstreamId
 from bramleyport.fleet import (
-    Call,
     Choice,
-    EngineTraits,
     Registration,
-    Stage,
     Transfer,
     admit,
 )
+from bramleyport.gateway._call_context import CallContext
 from bramleyport.gateway._clock import read_now
 from bramleyport.gateway._exchange import Exchanger
 from bramleyport.gateway._metrics import CallMetrics
-from bramleyport.gateway._outcome import AttemptEnd, Attempts, FailedAttempt
+from bramleyport.gateway._outcome import AttemptEnd, FailedAttempt
 from bramleyport.gateway._rate_limits import OVER_LIMIT, Reservation
 from bramleyport.gateway._reply import relay_answer, reply
+from bramleyport.gateway._retries import MIN_REMAINING_S, RetryDecider
 from bramleyport.gateway._state import GatewayState
 from bramleyport.gateway._work_tracker import WorkTracker
-from bramleyport.http1 import CallerConnection, CallerRequest, UpstreamConnection
 from bramleyport.telemetry import gateway_events, log_event
 
-# Sends of one call, including those that upstreams declined without running it.
-MAX_SENDS: Final = 3
-# Attempts of one call that reach no upstream before the call is refused.
-MAX_UNSENT: Final = 6
 # A full upstream usually has capacity again after this time.
 RETRY_WHEN_FULL_S: Final = 0.3
 # Shortest wait for a permit, so that calls that wait for the same one do not poll.
 MIN_PERMIT_WAIT_S: Final = 0.02
-# With less time to the deadline a further attempt is unlikely to be answered.
-MIN_REMAINING_S: Final = 0.05
-
-
-class CallContext:
-    """Represent one call while it is served."""
-
-    def __init__(
-        self,
-        call: Call,
-        request: CallerRequest,
-        connection: CallerConnection,
-        engine: EngineTraits | None,
-    ) -> None:
-        self.call = call
-        self.request = request
-        self.connection = connection
-        self.engine = engine
-        self.attempts = Attempts()
-        self.tried: set[UpstreamId] = set()
-        # The connections on which the call was sent, which its retries avoid.
-        self.used_connections: set[UpstreamConnection] = set()
-        self.last_failure: FailedAttempt | None = None
-        # The permit for the decode after a separate prefill that is running.
-        self.reservation: Reservation | None = None
-        # Time to the first event, and time that a separate prefill took; 0 if none.
-        self.first_event_s = 0.0
-        self.prefill_elapsed_s = 0.0
-
-    @property
-    def remaining_s(self) -> float:
-        """Return the seconds to the deadline of the call."""
-        return self.call.deadline_s - read_now()
 
 
 class AttemptSupport:
@@ -83,6 +44,7 @@
         self.exchanger = exchanger
         self.tracker = tracker
         self.metrics = metrics
+        self.retries = RetryDecider(state)
 
     async def place(self, context: CallContext) -> Choice | Rejected:
         """Choose an upstream, or return why none can answer in time.
@@ -90,10 +52,14 @@
         A call that may have run fails if it is not retried, so it waits for a permit if
         only rate limits keep it from being sent. Others are refused at once.
         """
+        reserved = context.reserved_choice
+        context.reserved_choice = None
         while True:
             decision = self._choose_now(context)
             if not isinstance(decision, Rejected):
                 return decision
+            if reserved is not None and self._can_use_reserved(context, reserved):
+                return reserved
             wait_s = self._find_permit_wait(context, decision)
             if wait_s is None:
                 return decision
@@ -112,17 +78,12 @@
             return None
         return max(MIN_PERMIT_WAIT_S, wait_s)
 
-    def has_alternative(self, context: CallContext, target: Registration) -> bool:
-        """Return whether a call could be retried without a permit."""
+    def _can_use_reserved(self, context: CallContext, choice: Choice) -> bool:
+        """Return whether the upstream of a reserved retry still takes calls."""
         service = context.call.service
-        limited = self.state.list_limited(service)
-        if not limited:
-            return True
-        excluded = limited | context.tried | {target.upstream}
-        return any(
-            item.upstream not in excluded and item.stage is not Stage.PREFILL
-            for item in self.state.members.list_ready(service)
-        )
+        return choice.upstream in self.state.members.list_ready(
+            service
+        ) and choice.upstream.upstream not in self.state.list_limited(service)
 
     def _choose_now(self, context: CallContext) -> Choice | Rejected:
         now_s = read_now()
@@ -250,26 +211,6 @@
         if failure.refused:
             self.tracker.report_refused(failure.upstream)
 
-    def decide_retry(self, context: CallContext) -> Explanation:
-        """Decide whether to retry a call; the reason is "retry" if so."""
-        reason = self._find_retry_obstacle(context) or "retry"
-        now_s = read_now()
-        budget = self.state.find_budget(context.call.service)
-        # A retry of an attempt that never reached an upstream needs no retry budget.
-        failure = context.last_failure
-        is_repeat = failure is None or failure.end is not AttemptEnd.UNSENT
-        if reason == "retry" and is_repeat:
-            taken = budget.take(now_s, self.state.gateway_count)
-            reason = "retry" if taken else "budget_spent"
-        numbers = {
-            "sends": float(context.attempts.sends),
-            "unsent": float(context.attempts.unsent),
-            "runs": float(context.attempts.runs),
-            "allowed": round(budget.allow(self.state.gateway_count), 1),
-            "left_s": round(context.remaining_s, 3),
-        }
-        return Explanation(reason=reason, numbers=numbers)
-
     def give_up(self, context: CallContext, reason: str) -> None:
         """Send the final answer to a call whose attempts have failed."""
         failure = context.last_failure
@@ -368,20 +309,3 @@
             sends=context.attempts.sends,
             runs=context.attempts.runs,
         )
-
-    def _find_retry_obstacle(self, context: CallContext) -> str | None:
-        attempts = context.attempts
-        route = context.call.route
-        if context.remaining_s < MIN_REMAINING_S:
-            return "deadline"
-        if attempts.sends >= max(MAX_SENDS, route.max_attempts):
-            return "sends_spent"
-        if attempts.unsent >= MAX_UNSENT:
-            return "unreachable"
-        if not attempts.may_have_run:
-            return None
-        if not route.repeatability.may_repeat:
-            return "not_repeatable"
-        if attempts.runs >= route.max_attempts:
-            return "attempts_spent"
-        return None
--- a/bramleyport/gateway/_attempt_timeout.py
+++ b/bramleyport/gateway/_attempt_timeout.py
@@ -1,7 +1,8 @@
 """Time out attempts whose upstream is inactive rather than busy."""
 
 import asyncio
-from typing import Final
+from collections.abc import Callable
+from typing import Final, Protocol
 
 from bramleyport.core import UpstreamId
 from bramleyport.gateway._state import GatewayState
@@ -12,48 +13,80 @@
 FIRST_EVENT_SLACK_S: Final = 0.5
 # An upstream that is prefilling prompts sends an event of some call within this time.
 INACTIVITY_TIMEOUT_S: Final = 0.8
+# How often an attempt whose limit has passed is checked again while it is kept.
+RECHECK_INTERVAL_S: Final = 0.25
+
+
+class Retry(Protocol):
+    """Define how the retry of an attempt is assured before the attempt is given up."""
+
+    def reserve(self) -> bool:
+        """Reserve the retry, and return whether it is assured."""
+
+    def release(self) -> None:
+        """Give back the retry, since the attempt goes on."""
 
 
 class AttemptTimeout:
-    """Extend the limit of an attempt while its upstream is active and has a queue."""
+    """Give up an attempt for its upstream's silence if its retry is assured.
+
+    An attempt without an assured retry is kept until its deadline, since its upstream
+    may still answer.
+    """
 
     def __init__(
-        self, state: GatewayState, upstream: UpstreamId, limit: asyncio.Timeout
+        self,
+        state: GatewayState,
+        upstream: UpstreamId,
+        limit: asyncio.Timeout,
+        retry: Retry,
     ) -> None:
         self._state = state
         self._upstream = upstream
         self._limit = limit
+        self._retry = retry
         self._timer: asyncio.TimerHandle | None = None
 
     def expect_first_event(self, until_s: float, deadline_s: float) -> None:
         """Set the limit for the first event, extended while the upstream is busy."""
-        self._limit.reschedule(deadline_s)
-        loop = asyncio.get_running_loop()
-        self._timer = loop.call_at(min(until_s, deadline_s), self._check)
+        self._set(min(until_s, deadline_s), deadline_s, self._check)
 
-    def expect_next_event(self, until_s: float) -> None:
-        """Set the limit for the next event."""
-        self.stop()
-        self._limit.reschedule(until_s)
+    def expect_next_data(self, until_s: float, deadline_s: float) -> None:
+        """Set the limit for the next event, or for a whole answer."""
+        self._retry.release()
+        self._set(min(until_s, deadline_s), deadline_s, self._give_up)
 
     def stop(self) -> None:
-        """Stop extending the limit."""
+        """Stop checking the limit."""
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
 
+    def _set(self, due_s: float, deadline_s: float, check: Callable[[], None]) -> None:
+        self.stop()
+        self._limit.reschedule(deadline_s)
+        if due_s < deadline_s:
+            self._arm(due_s, check)
+
+    def _arm(self, due_s: float, check: Callable[[], None]) -> None:
+        self._timer = asyncio.get_running_loop().call_at(due_s, check)
+
     def _check(self) -> None:
-        if self._limit.expired():
-            # The check and the deadline were due in the same turn of the loop.
-            return
-        loop = asyncio.get_running_loop()
-        now_s = loop.time()
+        now_s = asyncio.get_running_loop().time()
         last_received_s = self._state.last_received_s.get(self._upstream, 0.0)
         queued = self._state.loads.of(self._upstream).count_prefilling(now_s)
         # This attempt is itself counted among those in the queue.
         if queued > 1 and now_s - last_received_s < INACTIVITY_TIMEOUT_S:
-            self._timer = loop.call_at(
-                last_received_s + INACTIVITY_TIMEOUT_S, self._check
-            )
+            self._arm(last_received_s + INACTIVITY_TIMEOUT_S, self._check)
+            return
+        self._give_up()
+
+    def _give_up(self) -> None:
+        if self._limit.expired():
+            # The check and the deadline were due in the same turn of the loop.
             return
-        self._limit.reschedule(now_s)
+        now_s = asyncio.get_running_loop().time()
+        if self._retry.reserve():
+            self._limit.reschedule(now_s)
+        else:
+            self._arm(now_s + RECHECK_INTERVAL_S, self._give_up)
--- /dev/null
+++ b/bramleyport/gateway/_call_context.py
@@ -0,0 +1,57 @@
+"""Define what a gateway knows of a call while it is served."""
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from bramleyport.fleet import Call, Choice, EngineTraits
+from bramleyport.gateway._clock import read_now
+from bramleyport.gateway._outcome import Attempts, FailedAttempt
+from bramleyport.http1 import CallerConnection, CallerRequest, UpstreamConnection
+
+if TYPE_CHECKING:
+    from bramleyport.core import UpstreamId
+    from bramleyport.gateway._rate_limits import Reservation
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ReservedRetry:
+    """Describe a retry that is assured before its attempt is given up."""
+
+    # When the repeat was taken from the retry budget.
+    taken_s: float
+    choice: Choice
+
+
+class CallContext:
+    """Represent one call while it is served."""
+
+    def __init__(
+        self,
+        call: Call,
+        request: CallerRequest,
+        connection: CallerConnection,
+        engine: EngineTraits | None,
+    ) -> None:
+        self.call = call
+        self.request = request
+        self.connection = connection
+        self.engine = engine
+        self.attempts = Attempts()
+        self.tried: set[UpstreamId] = set()
+        # The connections on which the call was sent, which its retries avoid.
+        self.used_connections: set[UpstreamConnection] = set()
+        self.last_failure: FailedAttempt | None = None
+        # The permit for the decode after a separate prefill that is running.
+        self.reservation: Reservation | None = None
+        # The retry of the attempt that is being given up.
+        self.reserved_retry: ReservedRetry | None = None
+        # Where the next attempt may be sent if nothing better is found.
+        self.reserved_choice: Choice | None = None
+        # Time to the first event, and time that a separate prefill took; 0 if none.
+        self.first_event_s = 0.0
+        self.prefill_elapsed_s = 0.0
+
+    @property
+    def remaining_s(self) -> float:
+        """Return the seconds to the deadline of the call."""
+        return self.call.deadline_s - read_now()
--- a/bramleyport/gateway/_forward.py
+++ b/bramleyport/gateway/_forward.py
@@ -6,7 +6,7 @@
 from typing import Final
 
 from bramleyport.fleet import Call, Route, choose_service
-from bramleyport.gateway._attempt import CallContext
+from bramleyport.gateway._call_context import CallContext
 from bramleyport.gateway._clock import read_now
 from bramleyport.gateway._plain import PlainServer
 from bramleyport.gateway._reply import answer_failed_call, reply
--- a/bramleyport/gateway/_plain.py
+++ b/bramleyport/gateway/_plain.py
@@ -1,14 +1,19 @@
 """Serve calls whose answers are relayed as a whole."""
 
 import asyncio
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
 from typing import Final
 
 from bramleyport.admission import Rejected
 from bramleyport.fleet import Choice
-from bramleyport.gateway._attempt import AttemptSupport, CallContext
+from bramleyport.gateway._attempt import AttemptSupport
+from bramleyport.gateway._attempt_timeout import AttemptTimeout
+from bramleyport.gateway._call_context import CallContext
 from bramleyport.gateway._clock import read_now
 from bramleyport.gateway._outcome import AttemptEnd, FailedAttempt, make_unsent
 from bramleyport.gateway._reply import relay_answer
+from bramleyport.gateway._retries import AttemptRetry
 from bramleyport.http1 import Answer, ExchangeError, HttpRequest
 from bramleyport.platform import AnswerHead, ForwardOptions, encode_forward_headers
 
@@ -30,6 +35,8 @@
                 await self._serve(context)
         except TimeoutError:
             self._support.give_up(context, "deadline")
+        finally:
+            self._support.retries.release(context)
 
     async def _serve(self, context: CallContext) -> None:
         while True:
@@ -46,7 +53,7 @@
                 self._support.log_answered(context, result.status)
                 return
             self._support.record_failure(context, result)
-            decision = self._support.decide_retry(context)
+            decision = self._support.retries.decide(context)
             if decision.reason != "retry":
                 self._support.give_up(context, decision.reason)
                 return
@@ -68,7 +75,10 @@
     ) -> Answer | FailedAttempt:
         support = self._support
         try:
-            async with asyncio.timeout(self._choose_timeout(context, choice)):
+            async with (
+                asyncio.timeout_at(context.call.deadline_s) as limit,
+                self._limit_attempt_time(context, choice, limit),
+            ):
                 return await self._exchange(context, choice)
         except TimeoutError:
             return self._fail(choice, AttemptEnd.LOST, "no answer in time")
@@ -139,13 +149,21 @@
     def _fail(self, choice: Choice, end: AttemptEnd, reason: str) -> FailedAttempt:
         return FailedAttempt(upstream=choice.upstream.upstream, end=end, reason=reason)
 
-    def _choose_timeout(self, context: CallContext, choice: Choice) -> float | None:
-        """Return how long one attempt may take; None if only the deadline limits it."""
+    @asynccontextmanager
+    async def _limit_attempt_time(
+        self, context: CallContext, choice: Choice, limit: asyncio.Timeout
+    ) -> AsyncIterator[None]:
+        """Limit the time of an attempt while its call may be retried."""
+        upstream = choice.upstream.upstream
+        retry = AttemptRetry(self._support.retries, context, upstream)
+        attempt_timeout = AttemptTimeout(self._support.state, upstream, limit, retry)
         route = context.call.route
-        if not route.repeatability.may_repeat:
-            return None
-        if context.attempts.runs + 1 >= route.max_attempts:
-            return None
-        if not self._support.has_alternative(context, choice.upstream):
-            return None
-        return max(MIN_ATTEMPT_TIMEOUT_S, ATTEMPT_TIMEOUT_FRACTION * route.objective_s)
+        may_retry = context.attempts.runs + 1 < route.max_attempts
+        if route.repeatability.may_repeat and may_retry:
+            limit_s = ATTEMPT_TIMEOUT_FRACTION * route.objective_s
+            until_s = read_now() + max(MIN_ATTEMPT_TIMEOUT_S, limit_s)
+            attempt_timeout.expect_next_data(until_s, context.call.deadline_s)
+        try:
+            yield
+        finally:
+            attempt_timeout.stop()
--- a/bramleyport/gateway/_prefill.py
+++ b/bramleyport/gateway/_prefill.py
@@ -6,15 +6,16 @@
 
 from bramleyport.core import StepError, UpstreamId
 from bramleyport.fleet import Choice, Registration
-from bramleyport.gateway._attempt import CallContext
 from bramleyport.gateway._attempt_timeout import (
     FIRST_EVENT_SLACK_S,
     FORECAST_FACTOR,
     AttemptTimeout,
 )
+from bramleyport.gateway._call_context import CallContext
 from bramleyport.gateway._clock import read_now
 from bramleyport.gateway._exchange import Exchanger
 from bramleyport.gateway._outcome import AttemptEnd, FailedAttempt, make_unsent
+from bramleyport.gateway._retries import AttemptRetry, RetryDecider
 from bramleyport.gateway._state import GatewayState
 from bramleyport.gateway._work_tracker import WorkTracker
 from bramleyport.http1 import ExchangeError, HttpRequest
@@ -47,11 +48,16 @@
     """Represent the separate prefills that this gateway runs."""
 
     def __init__(
-        self, state: GatewayState, exchanger: Exchanger, tracker: WorkTracker
+        self,
+        state: GatewayState,
+        exchanger: Exchanger,
+        tracker: WorkTracker,
+        retries: RetryDecider,
     ) -> None:
         self._state = state
         self._exchanger = exchanger
         self._tracker = tracker
+        self._retries = retries
         self._tasks: set[asyncio.Task[None]] = set()
 
     async def run_prefill(self, context: CallContext, choice: Choice) -> str:
@@ -105,13 +111,12 @@
         call = context.call
         forecast_s = FORECAST_FACTOR * (choice.wait_s + choice.prefill_s)
         limit_s = max(call.route.objective_s, forecast_s + FIRST_EVENT_SLACK_S)
-        now_s = read_now()
+        upstream = prefill_engine.upstream
+        # A prefill is not a run of the call.
+        retry = AttemptRetry(self._retries, context, upstream, lost_runs=0)
         async with asyncio.timeout_at(call.deadline_s) as limit:
-            attempt_timeout = AttemptTimeout(
-                self._state, prefill_engine.upstream, limit
-            )
-            if now_s + limit_s < call.deadline_s:
-                attempt_timeout.expect_first_event(now_s + limit_s, call.deadline_s)
+            attempt_timeout = AttemptTimeout(self._state, upstream, limit, retry)
+            attempt_timeout.expect_first_event(read_now() + limit_s, call.deadline_s)
             try:
                 yield
             finally:
--- /dev/null
+++ b/bramleyport/gateway/_retries.py
@@ -0,0 +1,162 @@
+"""Decide whether calls are retried, before and after their attempts end."""
+
+from typing import Final
+
+from bramleyport.admission import Rejected
+from bramleyport.core import Explanation, UpstreamId
+from bramleyport.fleet import Choice, admit
+from bramleyport.gateway._call_context import CallContext, ReservedRetry
+from bramleyport.gateway._clock import read_now
+from bramleyport.gateway._outcome import AttemptEnd
+from bramleyport.gateway._state import GatewayState
+from bramleyport.telemetry import gateway_events, log_event
+
+# Sends of one call, including those that upstreams declined without running it.
+MAX_SENDS: Final = 3
+# Attempts of one call that reach no upstream before the call is refused.
+MAX_UNSENT: Final = 6
+# With less time to the deadline a further attempt is unlikely to be answered.
+MIN_REMAINING_S: Final = 0.05
+
+
+class RetryDecider:
+    """Decide on retries within the bounds of the call and of its service."""
+
+    def __init__(self, state: GatewayState) -> None:
+        self._state = state
+
+    def decide(self, context: CallContext) -> Explanation:
+        """Decide whether to retry a call; the reason is "retry" if so."""
+        reason = self._find_obstacle(context) or "retry"
+        # A retry of an attempt that never reached an upstream needs no retry budget.
+        failure = context.last_failure
+        is_repeat = failure is None or failure.end is not AttemptEnd.UNSENT
+        if reason == "retry" and is_repeat and not self._take_repeat(context):
+            reason = "budget_spent"
+        budget = self._state.find_budget(context.call.service)
+        numbers = {
+            "sends": float(context.attempts.sends),
+            "unsent": float(context.attempts.unsent),
+            "runs": float(context.attempts.runs),
+            "allowed": round(budget.allow(self._state.gateway_count), 1),
+            "left_s": round(context.remaining_s, 3),
+        }
+        return Explanation(reason=reason, numbers=numbers)
+
+    def reserve(
+        self, context: CallContext, upstream: UpstreamId, *, lost_runs: int
+    ) -> str | None:
+        """Reserve the retry of a silent attempt; return why that is not possible.
+
+        A call that has not run needs no retry to be ended: it can be refused.
+        """
+        if context.reserved_retry is not None:
+            return None
+        if not context.attempts.may_have_run:
+            return None
+        obstacle = self._find_obstacle(context, lost_runs)
+        if obstacle is not None:
+            return obstacle
+        now_s = read_now()
+        budget = self._state.find_budget(context.call.service)
+        if not budget.take(now_s, self._state.gateway_count):
+            return "budget_spent"
+        choice = self._choose_alternative(context, upstream, now_s)
+        if isinstance(choice, Rejected):
+            budget.give_back(now_s)
+            return choice.explanation.reason
+        context.reserved_retry = ReservedRetry(taken_s=now_s, choice=choice)
+        return None
+
+    def release(self, context: CallContext) -> None:
+        """Give back a reserved retry that is not needed."""
+        reserved = context.reserved_retry
+        if reserved is not None:
+            context.reserved_retry = None
+            budget = self._state.find_budget(context.call.service)
+            budget.give_back(reserved.taken_s)
+
+    def _take_repeat(self, context: CallContext) -> bool:
+        reserved = context.reserved_retry
+        if reserved is not None:
+            context.reserved_retry = None
+            context.reserved_choice = reserved.choice
+            return True
+        budget = self._state.find_budget(context.call.service)
+        return budget.take(read_now(), self._state.gateway_count)
+
+    def _choose_alternative(
+        self, context: CallContext, upstream: UpstreamId, now_s: float
+    ) -> Choice | Rejected:
+        """Choose another upstream that no rate limit keeps from taking the retry."""
+        call = context.call
+        excluded = self._state.list_avoided(call.service, now_s) | context.tried
+        excluded |= self._state.list_limited(call.service) | {upstream}
+        choice = self._state.chooser.choose(
+            call,
+            context.engine,
+            excluded,
+            now_s,
+            may_split=not context.prefill_elapsed_s,
+        )
+        decision = admit(call, choice, now_s, tried=True)
+        if choice is None or isinstance(decision, Rejected):
+            assert isinstance(decision, Rejected)
+            return decision
+        return choice
+
+    def _find_obstacle(self, context: CallContext, lost_runs: int = 0) -> str | None:
+        """Return what forbids a retry after so many more runs are lost."""
+        attempts = context.attempts
+        route = context.call.route
+        if context.remaining_s < MIN_REMAINING_S:
+            return "deadline"
+        if attempts.sends >= max(MAX_SENDS, route.max_attempts):
+            return "sends_spent"
+        if attempts.unsent >= MAX_UNSENT:
+            return "unreachable"
+        if not attempts.may_have_run:
+            return None
+        if not route.repeatability.may_repeat:
+            return "not_repeatable"
+        if attempts.runs + lost_runs >= route.max_attempts:
+            return "attempts_spent"
+        return None
+
+
+class AttemptRetry:
+    """Represent the retry without which a silent attempt is not given up."""
+
+    def __init__(
+        self,
+        retries: RetryDecider,
+        context: CallContext,
+        upstream: UpstreamId,
+        *,
+        lost_runs: int = 1,
+    ) -> None:
+        self._retries = retries
+        self._context = context
+        self._upstream = upstream
+        self._lost_runs = lost_runs
+        self._logged = False
+
+    def reserve(self) -> bool:
+        """Reserve the retry, and return whether it is assured."""
+        obstacle = self._retries.reserve(
+            self._context, self._upstream, lost_runs=self._lost_runs
+        )
+        if obstacle is not None and not self._logged:
+            self._logged = True
+            log_event(
+                gateway_events.SILENT_ATTEMPT_KEPT,
+                request=self._context.call.request,
+                upstream=self._upstream,
+                reason=obstacle,
+                left_s=round(self._context.remaining_s, 3),
+            )
+        return obstacle is None
+
+    def release(self) -> None:
+        """Give back the retry, since the attempt goes on."""
+        self._retries.release(self._context)
--- a/bramleyport/gateway/_stream.py
+++ b/bramleyport/gateway/_stream.py
@@ -3,7 +3,8 @@
 import asyncio
 
 from bramleyport.admission import Rejected
-from bramleyport.gateway._attempt import AttemptSupport, CallContext
+from bramleyport.gateway._attempt import AttemptSupport
+from bramleyport.gateway._call_context import CallContext
 from bramleyport.gateway._clock import read_now
 from bramleyport.gateway._event_relay import EventRelay
 from bramleyport.gateway._prefill import Prefiller
@@ -26,6 +27,8 @@
                 await self._serve(context, relay)
         except TimeoutError:
             self._fail(context, relay, "deadline")
+        finally:
+            self._support.retries.release(context)
 
     async def _serve(self, context: CallContext, relay: EventRelay) -> None:
         while True:
@@ -39,7 +42,7 @@
                 self._support.log_answered(context, 200)
                 return
             self._support.record_failure(context, failure)
-            decision = self._support.decide_retry(context)
+            decision = self._support.retries.decide(context)
             if decision.reason != "retry":
                 self._fail(context, relay, decision.reason)
                 return
--- a/bramleyport/gateway/_stream_attempt.py
+++ b/bramleyport/gateway/_stream_attempt.py
@@ -7,17 +7,19 @@
 from typing import Final
 
 from bramleyport.fleet import Choice, Registration, Repeatability
-from bramleyport.gateway._attempt import AttemptSupport, CallContext
+from bramleyport.gateway._attempt import AttemptSupport
 from bramleyport.gateway._attempt_timeout import (
     FIRST_EVENT_SLACK_S,
     FORECAST_FACTOR,
     AttemptTimeout,
 )
+from bramleyport.gateway._call_context import CallContext
 from bramleyport.gateway._clock import read_now
 from bramleyport.gateway._event_relay import BrokenStreamError, EventRelay
 from bramleyport.gateway._exchange import OpenedExchange
 from bramleyport.gateway._outcome import AttemptEnd, FailedAttempt, make_unsent
 from bramleyport.gateway._prefill import Prefiller, PrefillError, make_prefill_error
+from bramleyport.gateway._retries import AttemptRetry
 from bramleyport.http1 import Answer, ExchangeError, HttpRequest
 from bramleyport.platform import ForwardOptions, encode_forward_headers
 
@@ -197,8 +199,8 @@
                     self._record_first_event(context, choice)
                     first = False
                 self._support.state.record_received(choice.upstream.upstream, now_s)
-                until_s = self._limit_pause(context, choice, now_s)
-                attempt_timeout.expect_next_event(until_s)
+                until_s = self._limit_pause(context, now_s)
+                attempt_timeout.expect_next_data(until_s, context.call.deadline_s)
             await context.connection.drain()
         relay.finish()
 
@@ -230,13 +232,11 @@
         self, context: CallContext, choice: Choice, limit: asyncio.Timeout
     ) -> AsyncIterator[AttemptTimeout]:
         """Limit the time of an attempt, first that to its first event."""
-        attempt_timeout = AttemptTimeout(
-            self._support.state, choice.upstream.upstream, limit
-        )
-        now_s = read_now()
-        until_s = self._limit_first_event(context, choice, now_s)
-        if until_s < context.call.deadline_s:
-            attempt_timeout.expect_first_event(until_s, context.call.deadline_s)
+        upstream = choice.upstream.upstream
+        retry = AttemptRetry(self._support.retries, context, upstream)
+        attempt_timeout = AttemptTimeout(self._support.state, upstream, limit, retry)
+        until_s = self._limit_first_event(context, choice, read_now())
+        attempt_timeout.expect_first_event(until_s, context.call.deadline_s)
         try:
             yield attempt_timeout
         finally:
@@ -246,25 +246,23 @@
         self, context: CallContext, choice: Choice, now_s: float
     ) -> float:
         call = context.call
-        if not self._can_resume(context, choice):
+        if not self._can_resume(context):
             return call.deadline_s
         forecast_s = FORECAST_FACTOR * choice.forecast_s + FIRST_EVENT_SLACK_S
         return min(call.deadline_s, now_s + max(call.route.objective_s, forecast_s))
 
-    def _limit_pause(self, context: CallContext, choice: Choice, now_s: float) -> float:
+    def _limit_pause(self, context: CallContext, now_s: float) -> float:
         call = context.call
-        if not self._can_resume(context, choice):
+        if not self._can_resume(context):
             return call.deadline_s
         pause_s = max(MIN_PAUSE_S, PAUSE_FACTOR * call.route.max_pause_s)
         return min(call.deadline_s, now_s + pause_s)
 
-    def _can_resume(self, context: CallContext, choice: Choice) -> bool:
+    def _can_resume(self, context: CallContext) -> bool:
         route = context.call.route
         if route.repeatability is not Repeatability.STREAM_RESUMABLE:
             return False
-        if context.attempts.runs + 1 >= route.max_attempts:
-            return False
-        return self._support.has_alternative(context, choice.upstream)
+        return context.attempts.runs + 1 < route.max_attempts
 
     def _record_result(self, choice: Choice, *, failed: bool) -> None:
         now_s = read_now()
--- a/bramleyport/retries/_repeat_budget.py
+++ b/bramleyport/retries/_repeat_budget.py
@@ -37,6 +37,11 @@
         self._repeats.append(now_s)
         return True
 
+    def give_back(self, taken_s: float) -> None:
+        """Remove a repeat that was recorded but not made."""
+        if taken_s in self._repeats:
+            self._repeats.remove(taken_s)
+
     def allow(self, processes: int | None) -> float:
         """Return how many repeats the window allows.
 
--- a/bramleyport/telemetry/_gateway_events.py
+++ b/bramleyport/telemetry/_gateway_events.py
@@ -20,6 +20,9 @@
 ATTEMPT_NOT_RUN: Final = define(2611, "INFO", "upstream did not run the call")
 PREFILL_FAILED: Final = define(2612, "INFO", "prefill on another engine failed")
 HANDLE_NOT_FREED: Final = define(2613, "INFO", "KV cache handle not released")
+SILENT_ATTEMPT_KEPT: Final = define(
+    2614, "INFO", "silent upstream waited for, no retry is assured"
+)
 CONFIG_APPLIED: Final = define(2621, "INFO", "configuration applied")
 CONFIG_INVALID: Final = define(2622, "WARNING", "configuration rejected, last one kept")
 UPSTREAM_JOINED: Final = define(2623, "INFO", "upstream registered")
--- a/tests/test_attempt_timeout.py
+++ b/tests/test_attempt_timeout.py
@@ -16,6 +16,16 @@
 UPSTREAM = UpstreamId("srv-0")
 
 
+class AssuredRetry:
+    """Represent a retry that is always assured."""
+
+    def reserve(self) -> bool:
+        return True
+
+    def release(self) -> None:
+        pass
+
+
 def make_state(works: int, last_received_s: float) -> Any:
     loads = LoadTracker()
     for number in range(works):
@@ -43,7 +53,7 @@
         with pytest.raises(TimeoutError):
             async with asyncio.timeout(None) as limit:
                 state = make_state(works, now_s)
-                attempt_timeout = AttemptTimeout(state, UPSTREAM, limit)
+                attempt_timeout = AttemptTimeout(state, UPSTREAM, limit, AssuredRetry())
                 attempt_timeout.expect_first_event(now_s + 0.01, now_s + 0.01)
                 # The loop is held until both are due.
                 time.sleep(0.02)
@@ -66,7 +76,7 @@
         deadline_s = now_s + 60.0
         async with asyncio.timeout(None) as limit:
             state = make_state(works, now_s)
-            attempt_timeout = AttemptTimeout(state, UPSTREAM, limit)
+            attempt_timeout = AttemptTimeout(state, UPSTREAM, limit, AssuredRetry())
             attempt_timeout.expect_first_event(now_s, deadline_s)
             attempt_timeout._check()
             limit_s = limit.when()
