Do not count a stall of the gateway as silence of upstreams

Callers saw calls repeated at another upstream, or streams cut where no repeat was left, right after the gateway's own loop had stood still, for instance while it decoded a large configuration.

Cause: on the first turn after a stall the limits of all attempts were due, and they applied although events waited in the sockets or were about to arrive.

Evidence: test_gateway_silence.py blocks the loop after an upstream has sent its events, before it sends them, and after a plain answer.

A check that is due now waits until the loop has processed what arrived, and 0.25 s if it was itself late by more than 0.1 s.

--- a/bramleyport/gateway/_attempt_timeout.py
+++ b/bramleyport/gateway/_attempt_timeout.py
@@ -16,6 +16,13 @@
 # How often an attempt whose limit has passed is checked again while it is kept.
 RECHECK_INTERVAL_S: Final = 0.25
 
+# Bytes that have arrived when a limit is due are processed within this time.
+ARRIVALS_S: Final = 0.01
+# A check that is later than this shows that the event loop was blocked or its host
+# suspended. Upstreams then get the time below to be heard.
+BLOCKED_LOOP_S: Final = 0.1
+AFTER_BLOCKED_LOOP_S: Final = 0.25
+
 
 class Retry(Protocol):
     """Define how the retry of an attempt is assured before the attempt is given up."""
@@ -31,7 +38,7 @@
     """Give up an attempt for its upstream's silence if its retry is assured.
 
     An attempt without an assured retry is kept until its deadline, since its upstream
-    may still answer.
+    may still answer. Before a limit applies, the event loop processes what has arrived.
     """
 
     def __init__(
@@ -69,7 +76,22 @@
             self._arm(due_s, check)
 
     def _arm(self, due_s: float, check: Callable[[], None]) -> None:
-        self._timer = asyncio.get_running_loop().call_at(due_s, check)
+        loop = asyncio.get_running_loop()
+        self._timer = loop.call_at(due_s, self._await_arrivals, due_s, check)
+
+    def _await_arrivals(self, due_s: float, check: Callable[[], None]) -> None:
+        """Check once the loop has processed what arrived before the limit was due."""
+        loop = asyncio.get_running_loop()
+        now_s = loop.time()
+        blocked = now_s - due_s > BLOCKED_LOOP_S
+        check_s = now_s + (AFTER_BLOCKED_LOOP_S if blocked else ARRIVALS_S)
+        self._timer = loop.call_at(check_s, self._check_unless_blocked, check_s, check)
+
+    def _check_unless_blocked(self, due_s: float, check: Callable[[], None]) -> None:
+        if asyncio.get_running_loop().time() - due_s > BLOCKED_LOOP_S:
+            self._await_arrivals(due_s, check)
+        else:
+            check()
 
     def _check(self) -> None:
         now_s = asyncio.get_running_loop().time()
--- a/tests/test_attempt_timeout.py
+++ b/tests/test_attempt_timeout.py
@@ -58,6 +58,8 @@
                 # The loop is held until both are due.
                 time.sleep(0.02)
                 await asyncio.sleep(5)
+        # A check that was due before the deadline may still run after it.
+        attempt_timeout._check()
         attempt_timeout.stop()
         await asyncio.sleep(0)
 
--- a/tests/test_gateway_silence.py
+++ b/tests/test_gateway_silence.py
@@ -1,6 +1,7 @@
 """Guard answers whose upstream falls silent and goes on, and nothing can replace it."""
 
 import asyncio
+import time
 from collections.abc import Callable, Coroutine, Iterator
 from dataclasses import replace
 from pathlib import Path
@@ -8,7 +9,7 @@
 
 import pytest
 
-from bramleyport.core import ServiceName
+from bramleyport.core import ServiceName, UpstreamId
 from bramleyport.gateway import _stream_attempt
 from bramleyport.gateway._clock import read_now
 from bramleyport.retries import RepeatBudget
@@ -164,3 +165,61 @@
     budget.give_back(1.0)
     assert budget.take(2.0, 1)
     assert not budget.take(3.0, 1)
+
+
+def make_blocking_stream(fleet: GatewayFleet, *, sent_before: bool) -> Any:
+    """Return a script that blocks the gateway's loop and sends events around that."""
+
+    async def script(
+        upstream: UpstreamStandin, request: RawRequest, writer: asyncio.StreamWriter
+    ) -> None:
+        upstream.record_run(request).ended = True
+        first = start_stream(upstream, request, writer)
+        write_chunk(writer, render_event(first))
+        # The gateway shares the loop, and waits for the next event from here on.
+        await fleet.wait_for(
+            lambda: (
+                upstream.name in fleet.state.last_received_s
+                and fleet.state.loads.of(UpstreamId(upstream.name)).count_prefilling(0)
+                == 0
+            )
+        )
+        if not sent_before:
+            time.sleep(SILENCE_S)
+            await asyncio.sleep(0.02)
+        for number in range(first + 1, EVENT_COUNT + 1):
+            write_chunk(writer, render_event(number))
+        if sent_before:
+            time.sleep(SILENCE_S)
+        writer.write(b"0\r\n\r\n")
+
+    return script
+
+
+@pytest.mark.parametrize("sent_before", [True, False])
+def test_stall_of_the_gateway_does_not_count_as_silence_of_an_upstream(
+    fleet: GatewayFleet, run: Run, sent_before: bool
+) -> None:
+    """Guards against a stream given up while its events wait in the socket."""
+    script = make_blocking_stream(fleet, sent_before=sent_before)
+    script_first_request(fleet.engines, script)
+    answer = run(fleet.make_caller().call("/stream/x", body=b"p", **PROMPT))
+    assert (answer.body, answer.complete) == (WHOLE, True)
+    assert len(fleet.list_runs()) == 1
+
+
+def test_plain_call_is_not_given_up_while_its_answer_waits_in_the_socket(
+    fleet: GatewayFleet, run: Run
+) -> None:
+    """Guards against a repeat of a call that was answered during a stall."""
+
+    async def answer_and_block(
+        upstream: UpstreamStandin, request: RawRequest, writer: asyncio.StreamWriter
+    ) -> None:
+        await answer_normally(upstream, request, writer)
+        time.sleep(SILENCE_S)
+
+    script_first_request(fleet.plain, answer_and_block)
+    answer = run(fleet.make_caller().call("/read/x", method="GET"))
+    assert answer.status == 200
+    assert len(fleet.list_runs()) == 1
