Apply changed limits for callers to open connections

Callers saw 431, 408 or a closed connection on a connection that had been opened, or had become idle, before the configuration allowed larger headers or longer times.

Cause: the header limit was read when a connection opened, and its timers kept the limits under which they had been set.

The parser of a connection is replaced between requests, or within a header for a larger limit, and a timer that is due reads its limit anew.

--- a/bramleyport/http1/_server.py
+++ b/bramleyport/http1/_server.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
+from functools import partial
 from typing import Any, Final
 
 import h11
@@ -59,10 +60,8 @@
 
     def __init__(self, factory: "CallerFactory") -> None:
         self._factory = factory
-        self._http = h11.Connection(
-            h11.SERVER,
-            max_incomplete_event_size=factory.read_limits().max_header_bytes,
-        )
+        self._max_header_bytes = factory.read_limits().max_header_bytes
+        self._http = _make_parser(self._max_header_bytes)
         self._head: h11.Request | None = None
         self._body: list[bytes] = []
         self._body_bytes = 0
@@ -81,7 +80,7 @@
         disable_write_delay(self.transport)
         self.transport.registerProducer(self, True)
         self._factory.connections.add(self)
-        self._set_timer(self._factory.read_limits().idle_timeout_s, self._close_idle)
+        self._limit_time(_read_idle_timeout, self._close)
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         """Process bytes from the caller."""
@@ -93,6 +92,7 @@
                 self.transport.abortConnection()
                 return
         elif self._head is None:
+            self._apply_header_limit()
             self._start_header_timer()
         self._http.receive_data(data)
         self._process_events()
@@ -225,7 +225,7 @@
         limits = self._factory.read_limits()
         if isinstance(event, h11.Request):
             self._head = event
-            self._set_timer(limits.idle_timeout_s, self._refuse_late_request)
+            self._limit_time(_read_idle_timeout, self._refuse_late_request)
         elif isinstance(event, h11.Data):
             self._body.append(bytes(event.data))
             self._body_bytes += len(event.data)
@@ -278,8 +278,8 @@
             return
         self._http.start_next_cycle()
         self._queued_bytes = 0
-        limits = self._factory.read_limits()
-        self._set_timer(limits.idle_timeout_s, self._close_idle)
+        self._apply_header_limit()
+        self._limit_time(_read_idle_timeout, self._close)
         self._process_events()
 
     def _refuse(self, status: int) -> None:
@@ -292,17 +292,43 @@
             self._send(h11.EndOfMessage())
         self._close()
 
+    def _apply_header_limit(self) -> None:
+        """Read a request under the limit in force when it begins, or a larger one."""
+        max_bytes = self._factory.read_limits().max_header_bytes
+        if max_bytes == self._max_header_bytes:
+            return
+        if max_bytes < self._max_header_bytes and self._has_buffered_bytes:
+            return
+        received, _ = self._http.trailing_data
+        self._max_header_bytes = max_bytes
+        self._http = _make_parser(max_bytes)
+        if received:
+            self._http.receive_data(received)
+
     def _start_header_timer(self) -> None:
         if self._has_buffered_bytes or self._timer is None:
             return
-        limits = self._factory.read_limits()
-        self._set_timer(limits.header_timeout_s, self._refuse_late_request)
+        self._limit_time(_read_header_timeout, self._refuse_late_request)
 
     def _refuse_late_request(self) -> None:
         self._refuse(408)
 
-    def _close_idle(self) -> None:
-        self._close()
+    def _limit_time(
+        self,
+        read_limit: Callable[[ConnectionLimits], float],
+        expire: Callable[[], None],
+        started_s: float | None = None,
+    ) -> None:
+        """Set the timer for a limit, which may change until the timer is due."""
+        now_s = asyncio.get_running_loop().time()
+        if started_s is None:
+            started_s = now_s
+        remaining_s = started_s + read_limit(self._factory.read_limits()) - now_s
+        if remaining_s <= 0:
+            expire()
+            return
+        check = partial(self._limit_time, read_limit, expire, started_s)
+        self._set_timer(remaining_s, check)
 
     def _set_timer(self, delay_s: float, callback: Callable[[], None]) -> None:
         self._clear_timer()
@@ -314,6 +340,18 @@
             self._timer = None
 
 
+def _make_parser(max_header_bytes: int) -> h11.Connection:
+    return h11.Connection(h11.SERVER, max_incomplete_event_size=max_header_bytes)
+
+
+def _read_idle_timeout(limits: ConnectionLimits) -> float:
+    return limits.idle_timeout_s
+
+
+def _read_header_timeout(limits: ConnectionLimits) -> float:
+    return limits.header_timeout_s
+
+
 class CallerFactory(Factory):
     """Track the connections of one listening port."""
 
