Answer calls that outlast the grace time of a stop

Callers saw a closed connection without an answer when the gateway exited while their call still ran.

Cause: the stop truncated all connections, also those on which nothing of an answer had been sent.

Evidence: test_calls_that_outlast_the_grace_time_are_answered stops a gateway during a call that was not sent, a plain call and a stream; all three failed before.

The stop now cancels the handlers first, and each ends its call: with 503 if no attempt may have run, else with 502, and by truncation only if the answer has begun.

--- a/bramleyport/gateway/_daemon.py
+++ b/bramleyport/gateway/_daemon.py
@@ -35,6 +35,8 @@
 # Time for the interpreter to exit before the platform kills the process. The smallest
 # hosts provide a third of a core.
 STOP_MARGIN_S: Final = 1.0
+# Time in which the last answers are written to their sockets.
+ANSWER_FLUSH_S: Final = 0.05
 # The store normally answers within milliseconds.
 LEAVE_TIMEOUT_S: Final = 0.2
 HOUSEKEEPING_INTERVAL_S: Final = 0.25
@@ -120,6 +122,10 @@
         await self._close()
 
     async def _close(self) -> None:
+        self._state.ending = True
+        for connection in list(self._callers.connections):
+            connection.cancel_request()
+        await asyncio.sleep(ANSWER_FLUSH_S)
         try:
             async with asyncio.timeout(LEAVE_TIMEOUT_S):
                 await self._directory.leave()
--- a/bramleyport/gateway/_forward.py
+++ b/bramleyport/gateway/_forward.py
@@ -48,6 +48,9 @@
             if context is not None:
                 await self._run(context, head.last_event)
         except asyncio.CancelledError:
+            if self._state.ending and not connection.closed:
+                _end_call(connection, head, context)
+                return
             log_event(
                 gateway_events.CALLER_DISCONNECTED,
                 request=head.request,
@@ -64,8 +67,7 @@
                 request=head.request,
                 error=repr(error),
             )
-            may_have_run = context is not None and context.attempts.may_have_run
-            answer_failed_call(connection, head.request, may_have_run=may_have_run)
+            _end_call(connection, head, context)
 
     def _accept(
         self, request: CallerRequest, connection: CallerConnection, head: CallHead
@@ -121,6 +123,13 @@
             await self._plain.serve(context)
 
 
+def _end_call(
+    connection: CallerConnection, head: CallHead, context: CallContext | None
+) -> None:
+    may_have_run = context is not None and context.attempts.may_have_run
+    answer_failed_call(connection, head.request, may_have_run=may_have_run)
+
+
 def _read_host(request: CallerRequest) -> str:
     for name, value in request.headers:
         if name.lower() == b"host":
--- a/bramleyport/gateway/_reply.py
+++ b/bramleyport/gateway/_reply.py
@@ -34,14 +34,14 @@
 def answer_failed_call(
     connection: CallerConnection, request: RequestId | None, *, may_have_run: bool
 ) -> None:
-    """End a call after an unexpected error, with an answer if none has begun.
+    """End a call that can't be served further, with an answer if none has begun.
 
     Status 503 states that the call has not run, so it needs certainty.
     """
     if not connection.answerable:
         connection.truncate_answer()
     elif may_have_run:
-        reply(connection, HTTPStatus.BAD_GATEWAY, request, "internal_error")
+        reply(connection, HTTPStatus.BAD_GATEWAY, request, "call_ended")
     else:
         status = HTTPStatus.SERVICE_UNAVAILABLE
-        reply(connection, status, request, "internal_error", RETRY_AFTER_ERROR_S)
+        reply(connection, status, request, "call_ended", RETRY_AFTER_ERROR_S)
--- a/bramleyport/gateway/_state.py
+++ b/bramleyport/gateway/_state.py
@@ -60,6 +60,8 @@
     draining: bool = False
     # Set while stopping: calls with a later deadline are refused.
     stop_s: float | None = None
+    # Set when calls that are still running are ended, before the process exits.
+    ending: bool = False
     roster: GatewayRoster = field(init=False)
     rate_limiter: RateLimiter = field(init=False)
     chooser: Chooser = field(init=False)
--- a/bramleyport/http1/_server.py
+++ b/bramleyport/http1/_server.py
@@ -172,6 +172,11 @@
         # forever.
         self._set_timer(ABORT_DELAY_S, self.transport.abortConnection)
 
+    def cancel_request(self) -> None:
+        """Cancel the handler of the request that is being served, if any."""
+        if self._task is not None:
+            self._task.cancel()
+
     def close_if_idle(self) -> None:
         """Close the connection if no request is being read or served."""
         if self.idle and not self.closed:
--- a/tests/test_gateway_state.py
+++ b/tests/test_gateway_state.py
@@ -10,10 +10,19 @@
 
 from bramleyport.core import ServiceName
 from bramleyport.fleet import Stage
+from bramleyport.gateway import _daemon
+from bramleyport.gateway._attempt import AttemptSupport
 from bramleyport.gateway._follower import RETRY_FIRST_S, choose_watch_times
 from bramleyport.supervision import supervise
-from tests.gateway_fleet import LANGUAGE, PLAIN, GatewayFleet, make_config, make_route
-from tests.platform_standin import UpstreamStandin
+from tests.gateway_fleet import (
+    BOUNDS,
+    LANGUAGE,
+    PLAIN,
+    GatewayFleet,
+    make_config,
+    make_route,
+)
+from tests.platform_standin import UpstreamStandin, hang
 
 Run = Callable[[Coroutine[Any, Any, Any]], Any]
 
@@ -416,3 +425,42 @@
 
     run(reload_without_extra())
     assert fleet.state.find_budget(ServiceName(PLAIN)).allow(1) == 0.0
+
+
+@pytest.mark.parametrize(
+    ("path", "method", "status"),
+    [("/post/x", "place", 503), ("/post/x", "", 502), ("/once/x", "", 502)],
+    ids=["not-run", "plain", "stream"],
+)
+def test_calls_that_outlast_the_grace_time_are_answered(
+    fleet: GatewayFleet,
+    run: Run,
+    monkeypatch: pytest.MonkeyPatch,
+    path: str,
+    method: str,
+    status: int,
+) -> None:
+    """Guards against a closed connection for a call of which nothing was answered."""
+
+    async def wait(*_: Any) -> None:
+        await asyncio.sleep(60)
+
+    if method:
+        monkeypatch.setattr(AttemptSupport, method, wait)
+    for upstream in (*fleet.plain, *fleet.engines):
+        upstream.script = hang
+    monkeypatch.setattr(_daemon, "UNREADY_DELAY_S", 0.0)
+    monkeypatch.setattr(_daemon, "STOP_MARGIN_S", BOUNDS["grace_s"])
+
+    async def stop() -> Any:
+        caller = fleet.make_caller()
+        await caller.send(path, body=b"b", Model="m", Token_Counts="9,9")
+        await fleet.wait_for(
+            lambda: method or any(item.runs for item in fleet.plain + fleet.engines)
+        )
+        await asyncio.sleep(0.05)
+        await fleet.gateway.stop()
+        return await caller.receive()
+
+    answer = run(stop())
+    assert (answer.status, answer.complete) == (status, True)
