Answer HEAD requests without a body

Callers saw their connection closed after a HEAD request that the gateway answered itself, as 404 or 503, and operators an unexpected error (1901).

Cause: the text of the answer was written as its body, which h11 rejects.

Evidence: test_answer_to_a_head_request_has_no_body[/nowhere/x] failed before; a relayed answer to HEAD did not.

The server remembers the method and omits the body.

--- a/bramleyport/http1/_server.py
+++ b/bramleyport/http1/_server.py
@@ -70,6 +70,7 @@
         self._next_batch: asyncio.Handle | None = None
         self._writable = asyncio.Event()
         self._writable.set()
+        self._omits_body = False
         self._refused = False
         self._queued_bytes = 0
         self.closed = False
@@ -156,10 +157,10 @@
         self._send(h11.EndOfMessage())
 
     def answer(self, status: int, reason: bytes, headers: Headers, body: bytes) -> None:
-        """Write a complete answer."""
+        """Write a complete answer; one to a HEAD request has no body."""
         length = (b"Content-Length", str(len(body)).encode())
         self.start_answer(status, reason, [*headers, length])
-        if body:
+        if body and not self._omits_body:
             self.write_body(body)
         self.finish_answer()
 
@@ -246,6 +247,7 @@
     def _start_handler(self) -> None:
         assert self._head is not None
         self._clear_timer()
+        self._omits_body = self._head.method == b"HEAD"
         loop = asyncio.get_running_loop()
         request = CallerRequest(
             method=self._head.method,
--- a/tests/test_gateway_calls.py
+++ b/tests/test_gateway_calls.py
@@ -16,6 +16,8 @@
     hang,
     lose_answer,
     make_misdirected_answer,
+    make_stamp_headers,
+    render_response,
     script_first_request,
     truncate,
 )
@@ -259,3 +261,31 @@
     run(fleet.wait_for(lambda: fleet.state.routes is not None))
     assert run(fleet.check_readiness()) == 200
     run(fleet.stop())
+
+
+@pytest.mark.parametrize("path", ["/nowhere/x", "/read/x"])
+def test_answer_to_a_head_request_has_no_body(
+    fleet: GatewayFleet, run: Run, path: str
+) -> None:
+    """Guards against an error (1901) and a closed connection after its headers."""
+
+    async def answer_head(upstream: Any, request: Any, writer: Any) -> None:
+        upstream.record_run(request).ended = True
+        headers = make_stamp_headers(upstream, request)
+        head = render_response(200, b"12345", **headers)
+        writer.write(head.removesuffix(b"12345"))
+
+    script_all(fleet, answer_head)
+
+    async def call_twice() -> list[str]:
+        caller = fleet.make_caller()
+        heads = []
+        for _ in range(2):
+            await caller.send(path, method="HEAD")
+            assert caller.reader is not None
+            head = await caller.reader.readuntil(b"\r\n\r\n")
+            heads.append(head.split(b" ")[1].decode())
+        return heads
+
+    status = "404" if path == "/nowhere/x" else "200"
+    assert run(call_twice()) == [status, status]
