--- a/bramleyport/platform/__init__.py
+++ b/bramleyport/platform/__init__.py
@@ -32,6 +32,7 @@
     encode_answer_headers,
     encode_forward_headers,
     encode_own_headers,
+    is_comment,
     read_event_id,
 )
 from bramleyport.platform._registrations import decode_registration
@@ -92,6 +93,7 @@
     "encode_forward_headers",
     "encode_gateway",
     "encode_own_headers",
+    "is_comment",
     "load_node_settings",
     "locate_settings",
     "make_handle_path",
--- a/bramleyport/platform/_headers.py
+++ b/bramleyport/platform/_headers.py
@@ -181,6 +181,11 @@
     return None
 
 
+def is_comment(event: bytes) -> bool:
+    """Return whether a server-sent event has only comments."""
+    return all(line.startswith(b":") for line in event.split(b"\n") if line)
+
+
 def _list_connection_headers(headers: Headers) -> set[bytes]:
     # The Connection header lists further hop-by-hop headers.
     return {
