Relay no stream that was not run or is encoded

A stamped 200 with Not-Run or Content-Encoding was relayed to the caller of a stream as a success, also in the middle of a stream that had broken off. The check of plain calls for both was missing for streams. Such an answer now ends the attempt: Not-Run as a refusal, an encoded one as lost.

Before the change the four cases of test_success_with_headers_of_a_failure_is_no_stream and the cases refusal_as_success and encoded in test_resumed_streams.py failed.

--- a/bramleyport/gateway/_stream_attempt.py
+++ b/bramleyport/gateway/_stream_attempt.py
@@ -176,7 +176,7 @@
                 used_connections=context.used_connections,
             ) as opened,
         ):
-            if opened.answer.status != 200 or not opened.head.stamped:
+            if not _is_stream(opened):
                 return await self._classify_answer(context, choice, opened)
             relay.begin_attempt(opened.answer)
             await self._relay_events(context, choice, opened, relay, attempt_timeout)
@@ -273,3 +273,9 @@
 
 def _fail(choice: Choice, end: AttemptEnd, reason: str) -> FailedAttempt:
     return FailedAttempt(upstream=choice.upstream.upstream, end=end, reason=reason)
+
+
+def _is_stream(opened: OpenedExchange) -> bool:
+    head = opened.head
+    sound = head.stamped and not head.not_run and not head.encoded
+    return sound and opened.answer.status == 200
--- a/tests/test_gateway_streams.py
+++ b/tests/test_gateway_streams.py
@@ -14,14 +14,18 @@
 from tests.gateway_fleet import LANGUAGE, GatewayFleet
 from tests.platform_standin import (
     EVENT_COUNT,
+    RawRequest,
+    Script,
     UpstreamStandin,
     decline,
     fail,
     hang,
+    make_stamp_headers,
     make_stream_abort,
     render_event,
     script_first_request,
     stream_events,
+    write_chunk,
 )
 
 Run = Callable[[Coroutine[Any, Any, Any]], Any]
@@ -265,3 +269,31 @@
         if "dd:" in run.request.headers["prompt-prefix"]
     ]
     assert len(fetched) == 1
+
+
+def make_marked_stream(header: str) -> Script:
+    """Return a script that streams all events under a head with another header."""
+
+    async def script(
+        upstream: UpstreamStandin, request: RawRequest, writer: asyncio.StreamWriter
+    ) -> None:
+        headers = make_stamp_headers(upstream, request)
+        lines = ["HTTP/1.1 200 OK", "Transfer-Encoding: chunked", header]
+        lines += [f"{key.replace('_', '-')}: {text}" for key, text in headers.items()]
+        writer.write("\r\n".join([*lines, "", ""]).encode())
+        write_chunk(writer, WHOLE)
+        writer.write(b"0\r\n\r\n")
+
+    return script
+
+
+@pytest.mark.parametrize("path", ["/stream/x", "/once/x"])
+@pytest.mark.parametrize("header", ["Not-Run: 1", "Content-Encoding: gzip"])
+def test_success_with_headers_of_a_failure_is_no_stream(
+    fleet: GatewayFleet, run: Run, header: str, path: str
+) -> None:
+    # It was relayed as a success, in the middle of a broken stream too.
+    for engine in fleet.engines:
+        engine.script = make_marked_stream(header)
+    answer = run(fleet.make_caller().call(path, body=b"p", **PROMPT))
+    assert answer.status == (503 if header.startswith("Not-Run") else 502)
--- a/tests/test_resumed_streams.py
+++ b/tests/test_resumed_streams.py
@@ -78,6 +78,9 @@
     "refusal_in_chunks": render_chunked(503, PAGE, *REFUSAL),
     "refusal_without_length": render_unframed(503, PAGE, *REFUSAL),
     "refusal_with_stamp": render_sized(503, PAGE, STAMP, *REFUSAL),
+    "refusal_as_success": render_chunked(
+        200, render_events(3, 4, 5), STAMP, STREAM, *REFUSAL
+    ),
     "other_instance": render_sized(421, PAGE, *OWN),
     "no_content": render_head(204, *OWN),
     "partial_content": render_chunked(206, render_events(3, 4, 5), *OWN_STREAM),
@@ -105,6 +108,9 @@
     "last_event_again": render_chunked(200, render_events(2, 3, 4, 5), *OWN_STREAM),
     "gap": render_chunked(200, render_events(4, 5), *OWN_STREAM),
     "no_stamp": render_chunked(200, render_events(3, 4, 5), ID, STREAM),
+    "encoded": render_chunked(
+        200, render_events(3, 4, 5), *OWN_STREAM, "Content-Encoding: gzip"
+    ),
 }
 
 
