Do not take a bare head for a complete success

An upstream that stopped after the head of its answer and closed the connection made an empty 200 if the head named no length: the caller of a plain service got it framed as whole, and the caller of a stream an end without events.

Such an answer looks the same as an empty body that ends with its connection. It is now complete only for other statuses than 2xx, so refusals without a body still count.

--- a/bramleyport/http1/_answer_parser.py
+++ b/bramleyport/http1/_answer_parser.py
@@ -49,6 +49,8 @@
         self._foreign_answers = 0
         self._foreign_bytes = 0
         self._interim_answers = 0
+        # Whether the end of the connection may be the end of the answer.
+        self._may_end_here = False
 
     @property
     def idle(self) -> bool:
@@ -67,8 +69,12 @@
 
     @property
     def ends_with_connection(self) -> bool:
-        """Return whether the peer may end the body by closing the connection."""
-        return self._http.their_state is h11.SEND_BODY
+        """Return whether the peer may end the body by closing the connection.
+
+        A success without any body looks the same as one whose upstream stopped after
+        the head, so it is not complete unless its framing says so.
+        """
+        return self._http.their_state is h11.SEND_BODY and self._may_end_here
 
     def start(
         self, request: HttpRequest, matches: Callable[[Answer], bool] | None
@@ -98,6 +104,10 @@
             return None
         if isinstance(event, h11.InformationalResponse):
             return self._skip_interim()
+        if isinstance(event, h11.Response):
+            self._may_end_here = event.status_code >= 300
+        elif isinstance(event, h11.Data):
+            self._may_end_here = True
         return self._skip_foreign(event)
 
     def finish(self) -> bool:
