Report malformed events of an engine as a broken stream

An engine's event that was no JSON, or had no text, raised an error that the agent did not expect: the attempt failed at once instead of being resumed on its engine. Such an event now counts as the end of the stream at that place, as a cut one does, and nothing of it is shown to the caller.

--- a/bramleyport/upstreams/_engine.py
+++ b/bramleyport/upstreams/_engine.py
@@ -21,6 +21,10 @@
 MAX_EVENT_BYTES: Final = 256 * 1024
 
 
+class MalformedEventError(ValueError):
+    """Report an event of a completion's stream that can't be decoded."""
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Completion:
     """Describe one completion that an engine runs."""
@@ -169,7 +173,7 @@
                 yield event
                 if isinstance(event, CompletionEnd):
                     return
-        except (BodyTooLargeError, BodyTruncatedError) as error:
+        except (BodyTooLargeError, BodyTruncatedError, MalformedEventError) as error:
             raise UpstreamError(
                 path, self._http.base_url, str(error), Execution.UNKNOWN
             ) from error
@@ -188,11 +192,17 @@
         if len(pending) > MAX_EVENT_BYTES:
             raise BodyTooLargeError(MAX_EVENT_BYTES)
         for event in events:
-            value = json.loads(event.removeprefix(b"data: "))
-            if value.get("done"):
-                yield CompletionEnd(int(value["output_tokens"]))
-            else:
-                yield Token(str(value["text"]))
+            yield _decode_stream_event(event)
+
+
+def _decode_stream_event(event: bytes) -> Token | CompletionEnd:
+    try:
+        value = json.loads(event.removeprefix(b"data: "))
+        if value.get("done"):
+            return CompletionEnd(int(value["output_tokens"]))
+        return Token(str(value["text"]))
+    except (AttributeError, KeyError, TypeError, ValueError) as error:
+        raise MalformedEventError(f"malformed event: {error!r}") from error
 
 
 def _decode_cache_event(event: Mapping[str, Any]) -> CacheEvent:
