Count server errors of an engine as work that may have run

An engine that failed while it ran a completion and answered 500 was recorded as not having run it, like any answer without a stream. The entry then ran the request at another engine, or told the caller that it had not run.

Only a 4xx and 503 show that a completion has not run; 500, 502, 504 and other answers without a stream leave it open.

Before the change the six cases with such a status of test_status_of_an_engine_tells_whether_a_completion_may_have_run failed.

--- a/bramleyport/upstreams/_engine.py
+++ b/bramleyport/upstreams/_engine.py
@@ -4,6 +4,7 @@
 import json
 from collections.abc import AsyncIterator, Mapping
 from dataclasses import dataclass
+from http import HTTPStatus
 from typing import Any, Final
 
 from bramleyport.core import Execution, PrefixBlock
@@ -165,7 +166,8 @@
         response = await self._http.request("POST", path, headers, data)
         if response.code != 200:
             reason = f"status {response.code}"
-            raise UpstreamError(path, self._http.base_url, reason, Execution.NOT_RUN)
+            execution = _determine_execution(response.code)
+            raise UpstreamError(path, self._http.base_url, reason, execution)
         reader = BodyReader()
         response.deliverBody(reader)
         try:
@@ -184,6 +186,15 @@
         )
 
 
+def _determine_execution(status: int) -> Execution:
+    """Return whether a completion may have run that has no stream as its answer.
+
+    Only errors of the caller and a full engine show that it has not run.
+    """
+    refused = 400 <= status < 500 or status == HTTPStatus.SERVICE_UNAVAILABLE
+    return Execution.NOT_RUN if refused else Execution.UNKNOWN
+
+
 async def _parse_events(reader: BodyReader) -> AsyncIterator[Token | CompletionEnd]:
     pending = b""
     async for chunk in reader.read():
--- a/tests/test_upstream_answers.py
+++ b/tests/test_upstream_answers.py
@@ -176,3 +176,35 @@
             assert error.execution is Execution.UNKNOWN
 
     run(scenario())
+
+
+@pytest.mark.parametrize(
+    ("status", "execution"),
+    [
+        (202, Execution.UNKNOWN),
+        (204, Execution.UNKNOWN),
+        (302, Execution.UNKNOWN),
+        (400, Execution.NOT_RUN),
+        (409, Execution.NOT_RUN),
+        (429, Execution.NOT_RUN),
+        (500, Execution.UNKNOWN),
+        (502, Execution.UNKNOWN),
+        (503, Execution.NOT_RUN),
+        (504, Execution.UNKNOWN),
+    ],
+)
+def test_status_of_an_engine_tells_whether_a_completion_may_have_run(
+    run: Run, status: int, execution: Execution
+) -> None:
+    """Guards against a second run of a completion that failed while it ran."""
+
+    async def scenario() -> None:
+        async with run_upstream() as (upstream, url):
+            head = b"HTTP/1.1 %d X\r\n" % status
+            length = b"" if status == 204 else b"Content-Length: 0\r\n"
+            upstream.answer = head + length + b"\r\n"
+            error = await read_completion(EngineClient(url))
+            assert error is not None
+            assert error.execution is execution
+
+    run(scenario())
