Do not relay refusals that may belong to calls that ran

A stamped 408, 429 or 503 without Not-Run was relayed. Callers take these statuses as a promise that the call has not run, which only Not-Run states.

For calls that may not run twice such an answer now counts as lost and the caller gets 502, which promises nothing. Calls that may be repeated get the answer as before.

Before the change the six cases of test_refusal_that_does_not_say_not_run_is_not_relayed failed.

--- a/bramleyport/gateway/_outcome.py
+++ b/bramleyport/gateway/_outcome.py
@@ -2,10 +2,21 @@
 
 from dataclasses import dataclass
 from enum import Enum
+from http import HTTPStatus
+from typing import Final
 
 from bramleyport.core import UpstreamId
 from bramleyport.http1 import Answer, ExchangeError, ExchangeFailure
 
+# Callers take these as a promise that their call has not run and never will.
+REFUSAL_STATUSES: Final = frozenset(
+    (
+        HTTPStatus.REQUEST_TIMEOUT,
+        HTTPStatus.TOO_MANY_REQUESTS,
+        HTTPStatus.SERVICE_UNAVAILABLE,
+    )
+)
+
 
 class AttemptEnd(str, Enum):
     """Represent how an attempt without a usable answer ended."""
--- a/bramleyport/gateway/_plain.py
+++ b/bramleyport/gateway/_plain.py
@@ -11,7 +11,12 @@
 from bramleyport.gateway._attempt_timeout import AttemptTimeout
 from bramleyport.gateway._call_context import CallContext
 from bramleyport.gateway._clock import read_now
-from bramleyport.gateway._outcome import AttemptEnd, FailedAttempt, make_unsent
+from bramleyport.gateway._outcome import (
+    REFUSAL_STATUSES,
+    AttemptEnd,
+    FailedAttempt,
+    make_unsent,
+)
 from bramleyport.gateway._reply import relay_answer
 from bramleyport.gateway._retries import AttemptRetry
 from bramleyport.http1 import Answer, ExchangeError, HttpRequest
@@ -127,7 +132,11 @@
         if not head.stamped or head.encoded:
             reason = f"unusable answer {answer.status}"
             return self._fail(choice, AttemptEnd.LOST, reason)
-        if answer.status >= 500 and context.call.route.repeatability.may_repeat:
+        may_repeat = context.call.route.repeatability.may_repeat
+        if answer.status in REFUSAL_STATUSES and not may_repeat:
+            reason = f"answered {answer.status}, but may have run"
+            return self._fail(choice, AttemptEnd.LOST, reason)
+        if answer.status >= 500 and may_repeat:
             return FailedAttempt(
                 upstream=choice.upstream.upstream,
                 end=AttemptEnd.FAILED,
--- a/bramleyport/gateway/_stream_attempt.py
+++ b/bramleyport/gateway/_stream_attempt.py
@@ -17,7 +17,12 @@
 from bramleyport.gateway._clock import read_now
 from bramleyport.gateway._event_relay import BrokenStreamError, EventRelay
 from bramleyport.gateway._exchange import OpenedExchange
-from bramleyport.gateway._outcome import AttemptEnd, FailedAttempt, make_unsent
+from bramleyport.gateway._outcome import (
+    REFUSAL_STATUSES,
+    AttemptEnd,
+    FailedAttempt,
+    make_unsent,
+)
 from bramleyport.gateway._prefill import Prefiller, PrefillError, make_prefill_error
 from bramleyport.gateway._retries import AttemptRetry
 from bramleyport.http1 import Answer, ExchangeError, HttpRequest
@@ -215,6 +220,10 @@
         complete = Answer(answer.status, answer.reason, answer.headers, body)
         if not opened.head.stamped or answer.status < 300:
             return _fail(choice, AttemptEnd.LOST, f"unusable answer {answer.status}")
+        may_repeat = context.call.route.repeatability.may_repeat
+        if answer.status in REFUSAL_STATUSES and not may_repeat:
+            reason = f"answered {answer.status}, but may have run"
+            return _fail(choice, AttemptEnd.LOST, reason)
         return FailedAttempt(
             upstream=choice.upstream.upstream,
             end=AttemptEnd.FAILED,
--- a/tests/test_repeated_answers.py
+++ b/tests/test_repeated_answers.py
@@ -16,6 +16,7 @@
     RawRequest,
     UpstreamStandin,
     answer_normally,
+    make_stamp_headers,
     render_response,
 )
 
@@ -204,3 +205,22 @@
         second.abort()
 
     run(play())
+
+
+@pytest.mark.parametrize("status", [408, 429, 503])
+@pytest.mark.parametrize(("path", "headers"), [POST, ONCE], ids=["plain", "stream"])
+def test_refusal_that_does_not_say_not_run_is_not_relayed(
+    fleet: GatewayFleet, run: Run, path: str, headers: dict[str, str], status: int
+) -> None:
+    # Its status promised callers that the call had not run, though it had.
+    async def refuse_late(
+        upstream: UpstreamStandin, request: RawRequest, writer: asyncio.StreamWriter
+    ) -> None:
+        upstream.record_run(request)
+        writer.write(render_response(status, **make_stamp_headers(upstream, request)))
+
+    for upstream in (*fleet.plain, *fleet.engines):
+        upstream.script = refuse_late
+    answer = run(fleet.make_caller().call(path, body=b"b", **headers))
+    assert answer.status == 502
+    assert len(fleet.list_runs()) == 1
