Count the time of a call from the first byte of its request

Callers that send a body slowly had left before the gateway answered 504, and upstreams got more time than the callers had left.

Cause: the deadline was counted from the moment at which the request was complete; the caller counts from sending.

Evidence: test_time_in_which_a_caller_sends_its_body_counts sends a body 0.5 s after its head; its upstream got 1,999 ms of 2,000 before.

The server records when it reads the first byte of a request, and the deadline is counted from then.

--- a/bramleyport/gateway/_forward.py
+++ b/bramleyport/gateway/_forward.py
@@ -100,7 +100,8 @@
             route=route,
             service=choose_service(route, self._random),
             arrived_s=request.received_s,
-            deadline_s=request.received_s + min(head.time_limit_s, route.timeout_s),
+            # The time of the caller runs while it sends its request.
+            deadline_s=request.began_s + min(head.time_limit_s, route.timeout_s),
             prompt=head.prompt,
         )
         stop_s = self._state.stop_s
--- a/bramleyport/http1/_server.py
+++ b/bramleyport/http1/_server.py
@@ -46,6 +46,8 @@
     target: bytes
     headers: Headers
     body: bytes
+    # When its first byte was read, and when it was complete.
+    began_s: float
     received_s: float
 
 
@@ -71,6 +73,7 @@
         self._writable = asyncio.Event()
         self._writable.set()
         self._omits_body = False
+        self._began_s = 0.0
         self._refused = False
         self._queued_bytes = 0
         self.closed = False
@@ -93,6 +96,8 @@
                 self.transport.abortConnection()
                 return
         elif self._head is None:
+            if not self._has_buffered_bytes:
+                self._began_s = asyncio.get_running_loop().time()
             self._apply_header_limit()
             self._start_header_timer()
         self._http.receive_data(data)
@@ -254,6 +259,7 @@
             target=self._head.target,
             headers=list(self._head.headers),
             body=b"".join(self._body),
+            began_s=self._began_s,
             received_s=loop.time(),
         )
         self._head = None
@@ -285,6 +291,7 @@
             return
         self._http.start_next_cycle()
         self._queued_bytes = 0
+        self._began_s = asyncio.get_running_loop().time()
         self._apply_header_limit()
         self._limit_time(_read_idle_timeout, self._close)
         self._process_events()
--- a/tests/test_gateway_calls.py
+++ b/tests/test_gateway_calls.py
@@ -289,3 +289,22 @@
 
     status = "404" if path == "/nowhere/x" else "200"
     assert run(call_twice()) == [status, status]
+
+
+def test_time_in_which_a_caller_sends_its_body_counts(
+    fleet: GatewayFleet, run: Run
+) -> None:
+    """Guards against an answer, and work of an upstream, after the caller has left."""
+
+    async def call_slowly() -> int:
+        caller = fleet.make_caller()
+        timed = {"Deadline_Ms": "2000", "Content_Length": "1"}
+        await caller.send("/read/x", method="PUT", **timed)
+        assert caller.writer is not None
+        await asyncio.sleep(0.5)
+        caller.writer.write(b"b")
+        return (await caller.receive()).status
+
+    assert run(call_slowly()) == 200
+    (sent,) = fleet.plain[0].runs + fleet.plain[1].runs
+    assert int(sent.request.headers["deadline-ms"]) <= 1500
