Tell a reset from the end of a plain service's answer

A plain service's answer without a length counted as complete also when its connection was reset, and when it closed right after its head: the caller got a short or empty 200. Twisted's HTTP client reports both ends in the same way, as a potential loss of data.

The connection of each call now records how it ended before the HTTP client sees the end, and a body without length is complete only after a close. A success without any body is complete only if its framing says so, as on the gateway's path.

--- a/bramleyport/transport/_http.py
+++ b/bramleyport/transport/_http.py
@@ -11,6 +11,7 @@
 from zope.interface import implementer
 
 from bramleyport.core import StepError
+from bramleyport.transport._connection_end import ConnectionEnd, RecordingEndpoint
 
 CONNECT_TIMEOUT_S: Final = 2.0
 # Twisted's default of 50 loses connections when many callers connect at once.
@@ -21,15 +22,17 @@
 class IpAddressEndpoints:
     """Represent a factory of endpoints that need no thread pool for name resolution."""
 
-    def __init__(self, reactor: Any) -> None:
+    def __init__(self, reactor: Any, end: ConnectionEnd | None = None) -> None:
         self._reactor = reactor
+        self._end = end
 
-    def endpointForURI(self, uri: URI) -> TCP4ClientEndpoint:  # noqa: N802
+    def endpointForURI(self, uri: URI) -> Any:  # noqa: N802
         """Return the endpoint for a URI whose host is an IP address."""
         host = uri.host.decode()
-        return TCP4ClientEndpoint(
+        endpoint = TCP4ClientEndpoint(
             self._reactor, host, uri.port, timeout=CONNECT_TIMEOUT_S
         )
+        return RecordingEndpoint(endpoint, self._end) if self._end else endpoint
 
 
 async def listen_http(site: Any, address: str, port: int) -> Any:
@@ -57,12 +60,17 @@
         await stopped.asFuture(asyncio.get_running_loop())
 
 
-def make_http_client(*, persistent: bool) -> tuple[Any, HTTPConnectionPool]:
-    """Return an HTTP client and the pool of its idle connections."""
+def make_http_client(
+    *, persistent: bool, end: ConnectionEnd | None = None
+) -> tuple[Any, HTTPConnectionPool]:
+    """Return an HTTP client and the pool of its idle connections.
+
+    The ends of its connections are recorded in `end`.
+    """
     # Imported here, because the import installs the default reactor if there is none.
     from twisted.internet import reactor
 
     pool = HTTPConnectionPool(reactor, persistent=persistent)
-    endpoints = IpAddressEndpoints(reactor)
+    endpoints = IpAddressEndpoints(reactor, end)
     agent = Agent.usingEndpointFactory(reactor, endpoints, pool=pool)
     return treq.client.HTTPClient(agent), pool
--- a/bramleyport/upstreams/_body.py
+++ b/bramleyport/upstreams/_body.py
@@ -9,6 +9,8 @@
 from twisted.web.client import ResponseDone
 from twisted.web.http import PotentialDataLoss
 
+from bramleyport.transport import ConnectionEnd
+
 HIGH_WATER_CHUNKS: Final = 64
 # Load reports, cache events and lists of blocks are far smaller. An agent has 64 MB.
 MAX_BODY_BYTES: Final = 8 * 2**20
@@ -28,12 +30,16 @@
 class BodyReader(Protocol):
     """Represent a response body, whose chunks are read by one asynchronous reader."""
 
-    def __init__(self) -> None:
+    def __init__(self, end: ConnectionEnd, *, may_be_empty: bool) -> None:
+        self._end = end
+        # Whether a close right after the head ends a body without length.
+        self._may_end_here = may_be_empty
         self._chunks: asyncio.Queue[bytes | BodyTruncatedError | None] = asyncio.Queue()
         self._paused = False
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         """Queue a chunk, and pause the sender if the reader is too slow."""
+        self._may_end_here = True
         self._chunks.put_nowait(data)
         if self._chunks.qsize() >= HIGH_WATER_CHUNKS and self.transport is not None:
             self._paused = True
@@ -41,9 +47,15 @@
 
     def connectionLost(self, reason: Failure | None = None) -> None:  # noqa: N802
         """Queue the end of the body."""
-        complete = reason is None or reason.check(ResponseDone, PotentialDataLoss)
+        complete = reason is None or self._is_complete(reason)
         self._chunks.put_nowait(None if complete else BodyTruncatedError(str(reason)))
 
+    def _is_complete(self, reason: Failure) -> bool:
+        if reason.check(PotentialDataLoss):
+            # The body had no length, so it ends with its connection.
+            return self._may_end_here and not self._end.reset
+        return reason.check(ResponseDone) is not None
+
     async def read(self) -> AsyncIterator[bytes]:
         """Yield the chunks until the body ends."""
         while True:
--- a/bramleyport/upstreams/_engine.py
+++ b/bramleyport/upstreams/_engine.py
@@ -168,8 +168,7 @@
             reason = f"status {response.code}"
             execution = _determine_execution(response.code)
             raise UpstreamError(path, self._http.base_url, reason, execution)
-        reader = BodyReader()
-        response.deliverBody(reader)
+        reader = response.open_body()
         try:
             async for event in _parse_events(reader):
                 yield event
--- a/bramleyport/upstreams/_http.py
+++ b/bramleyport/upstreams/_http.py
@@ -2,13 +2,14 @@
 
 import asyncio
 import json
-from typing import Any
+from dataclasses import dataclass
+from typing import Any, Final
 
 from twisted.internet.error import ConnectError
 from twisted.web.http_headers import Headers
 
 from bramleyport.core import Execution
-from bramleyport.transport import make_http_client
+from bramleyport.transport import ConnectionEnd, make_http_client
 from bramleyport.upstreams._body import (
     BodyReader,
     BodyTooLargeError,
@@ -35,21 +36,43 @@
         self.status = status
 
 
+# An error or a redirect may have no body; a success without one may have been cut.
+MIN_BODILESS_STATUS: Final = 300
+
+
+@dataclass(frozen=True, slots=True)
+class UpstreamResponse:
+    """Describe a response whose body is unread."""
+
+    code: int
+    headers: Headers
+    original: Any
+    end: ConnectionEnd
+
+    def open_body(self) -> BodyReader:
+        """Return a reader of the body."""
+        may_be_empty = self.code >= MIN_BODILESS_STATUS
+        reader = BodyReader(self.end, may_be_empty=may_be_empty)
+        self.original.deliverBody(reader)
+        return reader
+
+
 class UpstreamHttpClient:
     """Represent one upstream to which HTTP requests are sent."""
 
     def __init__(self, base_url: str) -> None:
         self.base_url = base_url.rstrip("/")
-        # The upstream may close a persistent connection at the moment when a call is
-        # sent, which leaves open whether the call ran. Each call therefore opens its
-        # own connection.
-        self._http, _ = make_http_client(persistent=False)
 
     async def request(
         self, method: str, path: str, headers: dict[str, str], body: bytes
-    ) -> Any:
+    ) -> UpstreamResponse:
         """Send a request and return the response with its body unread."""
-        deferred = self._http.request(
+        # The upstream may close a persistent connection at the moment when a call is
+        # sent, which leaves open whether the call ran. Each call therefore opens its
+        # own connection, whose end is recorded.
+        end = ConnectionEnd()
+        http, _ = make_http_client(persistent=False, end=end)
+        deferred = http.request(
             method,
             self.base_url + path,
             headers=Headers({name: [text] for name, text in headers.items()}),
@@ -63,14 +86,13 @@
             raise self._make_error(method, path, error, Execution.NOT_RUN) from error
         except Exception as error:  # Twisted raises many types for a failed exchange
             raise self._make_error(method, path, error, Execution.UNKNOWN) from error
-        return response
+        return UpstreamResponse(response.code, response.headers, response, end)
 
     async def request_json(self, method: str, path: str, body: bytes = b"") -> Any:
         """Send a request and return its decoded JSON answer."""
         headers = {"Content-Type": "application/json"}
         response = await self.request(method, path, headers, body)
-        reader = BodyReader()
-        response.deliverBody(reader)
+        reader = response.open_body()
         try:
             content = await reader.read_all()
         except (BodyTooLargeError, BodyTruncatedError) as error:
--- a/bramleyport/upstreams/_plain.py
+++ b/bramleyport/upstreams/_plain.py
@@ -36,8 +36,7 @@
             values = response.headers.getRawHeaders(name, [])
             if values:
                 forwarded[name] = values[0]
-        reader = BodyReader()
-        response.deliverBody(reader)
+        reader = response.open_body()
         return PlainResponse(
             status=response.code, headers=forwarded, body=self._read(path, reader)
         )
--- a/tests/test_upstream_answers.py
+++ b/tests/test_upstream_answers.py
@@ -88,6 +88,33 @@
         return None
 
 
+@pytest.mark.parametrize("resets", [False, True], ids=["closed", "reset"])
+@pytest.mark.parametrize("framing", HEADS)
+def test_cut_answer_of_a_service_is_not_complete(
+    run: Run, framing: str, resets: bool
+) -> None:
+    """Guards against a call that is answered with a part of its body."""
+
+    async def scenario() -> None:
+        head = HEADS[framing]
+        whole = head + BODIES[framing]
+        async with run_upstream() as (upstream, url):
+            client = PlainClient(url)
+            upstream.resets = resets
+            for cut in range(len(whole)):
+                upstream.answer = whole[:cut]
+                body = await try_call(client)
+                if framing == "unframed" and not resets and cut > len(head):
+                    assert body == whole[len(head) : cut]
+                else:
+                    assert body is None, whole[:cut]
+            upstream.answer = whole
+            expected = None if framing == "unframed" and resets else BODY
+            assert await try_call(client) == expected
+
+    run(scenario())
+
+
 def test_repeated_answer_does_not_reach_the_next_call(run: Run) -> None:
     """Guards against a refusal that is written once more after its connection."""
 
