Leave the deadline of a plain call to the call itself

Two timers were due at the deadline of a plain call; had the inner one run alone, the deadline would have counted as a failure of the upstream. The test guards that deadlines eject no upstream; it passed before too.

--- a/bramleyport/gateway/_attempt_timeout.py
+++ b/bramleyport/gateway/_attempt_timeout.py
@@ -56,12 +56,12 @@
 
     def expect_first_event(self, until_s: float, deadline_s: float) -> None:
         """Set the limit for the first event, extended while the upstream is busy."""
-        self._set(min(until_s, deadline_s), deadline_s, self._check)
+        self._set(until_s, deadline_s, self._check)
 
-    def expect_next_data(self, until_s: float, deadline_s: float) -> None:
+    def expect_next_data(self, until_s: float, deadline_s: float | None) -> None:
         """Set the limit for the next event, or for a whole answer."""
         self._retry.release()
-        self._set(min(until_s, deadline_s), deadline_s, self._give_up)
+        self._set(until_s, deadline_s, self._give_up)
 
     def stop(self) -> None:
         """Stop checking the limit."""
@@ -69,10 +69,12 @@
             self._timer.cancel()
             self._timer = None
 
-    def _set(self, due_s: float, deadline_s: float, check: Callable[[], None]) -> None:
+    def _set(
+        self, due_s: float, deadline_s: float | None, check: Callable[[], None]
+    ) -> None:
         self.stop()
         self._limit.reschedule(deadline_s)
-        if due_s < deadline_s:
+        if deadline_s is None or due_s < deadline_s:
             self._arm(due_s, check)
 
     def _arm(self, due_s: float, check: Callable[[], None]) -> None:
--- a/bramleyport/gateway/_plain.py
+++ b/bramleyport/gateway/_plain.py
@@ -81,7 +81,7 @@
         support = self._support
         try:
             async with (
-                asyncio.timeout_at(context.call.deadline_s) as limit,
+                asyncio.timeout(None) as limit,
                 self._limit_attempt_time(context, choice, limit),
             ):
                 return await self._exchange(context, choice)
@@ -171,7 +171,8 @@
         if route.repeatability.may_repeat and may_retry:
             limit_s = ATTEMPT_TIMEOUT_FRACTION * route.objective_s
             until_s = read_now() + max(MIN_ATTEMPT_TIMEOUT_S, limit_s)
-            attempt_timeout.expect_next_data(until_s, context.call.deadline_s)
+            # The deadline ends the call as a whole: it is no failure of the upstream.
+            attempt_timeout.expect_next_data(until_s, None)
         try:
             yield
         finally:
--- a/tests/test_gateway_calls.py
+++ b/tests/test_gateway_calls.py
@@ -7,7 +7,9 @@
 
 import pytest
 
-from tests.gateway_fleet import GatewayFleet, make_config
+from bramleyport.core import ServiceName
+from bramleyport.gateway._clock import read_now
+from tests.gateway_fleet import PLAIN, GatewayFleet, make_config
 from tests.platform_standin import (
     Script,
     answer_without_length,
@@ -308,3 +310,18 @@
     assert run(call_slowly()) == 200
     (sent,) = fleet.plain[0].runs + fleet.plain[1].runs
     assert int(sent.request.headers["deadline-ms"]) <= 1500
+
+
+def test_deadline_of_a_caller_is_no_failure_of_the_upstream(
+    fleet: GatewayFleet, run: Run
+) -> None:
+    """Guards against upstreams ejected because callers had little time."""
+    script_all(fleet, hang)
+
+    async def call_briefly() -> int:
+        answer = await fleet.make_caller().call("/post/x", body=b"b", Deadline_Ms="150")
+        return answer.status
+
+    statuses = [run(call_briefly()) for _ in range(8)]
+    assert statuses == [504] * 8
+    assert not fleet.state.list_ejected(ServiceName(PLAIN), read_now())
