Check the token count of a resumed completion

An engine that resumed a broken stream at another token than the agent asked for left a gap, or sent tokens twice, and the caller got the answer as whole.

Tokens of a stream have no number, but its end names how many were made. A resumed completion is now answered only if the agent has received as many; otherwise its attempt fails as one that may have run. A stream that did not break is not checked: engines may count tokens that they don't send.

--- a/bramleyport/agent/_attempt.py
+++ b/bramleyport/agent/_attempt.py
@@ -186,7 +186,8 @@
             next_token=self.output_tokens,
         )
         try:
-            await self._consume_tokens(engine.resume(job, self.output_tokens))
+            stream = engine.resume(job, self.output_tokens)
+            await self._consume_tokens(self._check_count(stream, cause.peer))
         except UpstreamError as error:
             # The first stream broke after the request was sent, so the engine may have
             # run it.
@@ -194,6 +195,21 @@
                 error.step, error.peer, error.reason, Execution.UNKNOWN
             ) from cause
 
+    async def _check_count(
+        self, stream: "AsyncIterator[Token | CompletionEnd]", peer: str
+    ) -> "AsyncIterator[Token | CompletionEnd]":
+        """Yield the events of a resumed stream; fail if tokens lack or come twice.
+
+        Tokens have no number, so only their count shows where the stream went on.
+        """
+        async for event in stream:
+            if isinstance(event, CompletionEnd):
+                made, received = event.output_tokens, self.output_tokens
+                if made != received:
+                    reason = f"{made} tokens were made, {received} received"
+                    raise UpstreamError("resume", peer, reason, Execution.UNKNOWN)
+            yield event
+
     def _record_token_time(self) -> None:
         now_s = time.monotonic()
         if self.output_tokens == 1:
