--- a/bramleyport/gateway/_attempt.py
+++ b/bramleyport/gateway/_attempt.py
@@ -200,6 +200,8 @@
             upstream=failure.upstream,
             end=failure.end.value,
             reason=failure.reason,
+            events=failure.events,
+            parts=_list_shared_parts(context.call),
             left_s=round(context.remaining_s, 3),
         )
 
@@ -309,3 +311,8 @@
             sends=context.attempts.sends,
             runs=context.attempts.runs,
         )
+
+
+def _list_shared_parts(call: Call) -> list[str]:
+    """Return the parts of a prompt that other calls may have, too."""
+    return [part.prefix for part in call.prompt.parts[:-1]] if call.prompt else []
--- a/bramleyport/gateway/_outcome.py
+++ b/bramleyport/gateway/_outcome.py
@@ -40,6 +40,8 @@
     reason: str
     # The host of the upstream refused the connection.
     refused: bool = False
+    # Events of a stream that this attempt has added to the answer.
+    events: int = 0
     # The error answer of the upstream, if it sent one.
     answer: Answer | None = None
 
--- a/bramleyport/gateway/_stream_attempt.py
+++ b/bramleyport/gateway/_stream_attempt.py
@@ -140,18 +140,21 @@
         relay: EventRelay,
     ) -> FailedAttempt | None:
         tracker = self._support.tracker
+        events_before = relay.events
         try:
             return await self._exchange(context, choice, options, relay)
         except TimeoutError:
             return _fail(choice, AttemptEnd.LOST, "no event in time")
         except BrokenStreamError as error:
-            return _fail(choice, AttemptEnd.LOST, str(error))
+            events = relay.events - events_before
+            return _fail(choice, AttemptEnd.LOST, str(error), events)
         except ExchangeError as error:
             if error.unsent:
                 context.attempts.sends -= 1
                 self._record_result(choice, failed=True)
                 return make_unsent(choice.upstream.upstream, error)
-            return _fail(choice, AttemptEnd.LOST, str(error))
+            events = relay.events - events_before
+            return _fail(choice, AttemptEnd.LOST, str(error), events)
         finally:
             tracker.end(context.call, choice.upstream)
 
@@ -280,8 +283,12 @@
         )
 
 
-def _fail(choice: Choice, end: AttemptEnd, reason: str) -> FailedAttempt:
-    return FailedAttempt(upstream=choice.upstream.upstream, end=end, reason=reason)
+def _fail(
+    choice: Choice, end: AttemptEnd, reason: str, events: int = 0
+) -> FailedAttempt:
+    return FailedAttempt(
+        upstream=choice.upstream.upstream, end=end, reason=reason, events=events
+    )
 
 
 def _is_stream(opened: OpenedExchange) -> bool:
