Show that a prompt part crashes engine after engine

Stand-in engines crash once they begin an answer on a prompt with a deadly part: the head and half an event, then all connections end, and the next process comes back at the same port under a new id.

--- a/tests/gateway_group.py
+++ b/tests/gateway_group.py
@@ -11,17 +11,30 @@
 import yaml
 
 from bramleyport.composition import build_gateway
-from tests.gateway_fleet import LANGUAGE, PLAIN, make_config, make_settings
-from tests.platform_standin import RawCaller, StoreStandin, UpstreamStandin
+from tests.gateway_fleet import BOUNDS, LANGUAGE, PLAIN, make_config, make_settings
+from tests.platform_standin import (
+    CallerAnswer,
+    RawCaller,
+    StoreStandin,
+    UpstreamStandin,
+)
 
 
 class GatewayGroup:
     """Represent gateways that share a store and upstreams on loopback."""
 
-    def __init__(self, folder: Path, gateways: int, upstreams: Sequence[str]) -> None:
+    def __init__(
+        self,
+        folder: Path,
+        gateways: int,
+        upstreams: Sequence[str],
+        *,
+        upstream_type: type[UpstreamStandin] = UpstreamStandin,
+        bounds: dict[str, float] | None = None,
+    ) -> None:
         self.store = StoreStandin()
         self.upstreams = [
-            UpstreamStandin(
+            upstream_type(
                 name,
                 service=PLAIN if name.startswith("p") else LANGUAGE,
                 stage={"p": "", "d": "decode", "f": "prefill"}[name[0]],
@@ -32,6 +45,7 @@
         self.refused: list[str] = []
         self.gateways: dict[str, Any] = {}
         self._folder = folder
+        self._bounds = BOUNDS | (bounds or {})
         self._count = gateways
         self._turns = itertools.count()
         self._numbers = itertools.count()
@@ -54,7 +68,8 @@
 
     async def start_gateway(self, name: str) -> None:
         """Start a gateway under a name, at new ports."""
-        settings = make_settings(self.store.port) | {"node": name}
+        settings = make_settings(self.store.port)
+        settings |= {"node": name, "bounds": self._bounds}
         path = self._folder / f"{name}.yaml"
         path.write_text(yaml.safe_dump(settings))
         gateway = build_gateway(path)
@@ -98,6 +113,18 @@
             await asyncio.sleep(1 / per_s)
         await asyncio.gather(*calls)
 
+    async def call_gateway(
+        self, name: str, path: str, **headers: str
+    ) -> CallerAnswer | None:
+        """Send a call to a gateway; return None if it gets no answer."""
+        caller = RawCaller(self._ports[name])
+        try:
+            return await caller.call(path, body=b"b", **headers)
+        except (OSError, asyncio.IncompleteReadError):
+            return None
+        finally:
+            caller.close()
+
     async def send_call(self, path: str) -> int:
         """Send a call to the first gateway and return the status of its answer."""
         before = Counter(self.statuses)
--- a/tests/platform_standin/__init__.py
+++ b/tests/platform_standin/__init__.py
@@ -4,6 +4,11 @@
     CallerAnswer,
     RawCaller,
 )
+from tests.platform_standin._crashes import (
+    CrashingEngine,
+    EngineCrash,
+    list_parts,
+)
 from tests.platform_standin._http import (
     LOOPBACK,
     RawRequest,
@@ -45,6 +50,8 @@
     "EVENT_COUNT",
     "LOOPBACK",
     "CallerAnswer",
+    "CrashingEngine",
+    "EngineCrash",
     "RawCaller",
     "RawRequest",
     "RawServer",
@@ -58,6 +65,7 @@
     "decline",
     "fail",
     "hang",
+    "list_parts",
     "lose_answer",
     "make_misdirected_answer",
     "make_stamp_headers",
--- /dev/null
+++ b/tests/platform_standin/_crashes.py
@@ -0,0 +1,159 @@
+"""Define an engine that crashes on parts of prompts, and comes back some time later."""
+
+import asyncio
+import time
+from dataclasses import dataclass, field
+
+from tests.platform_standin._http import RawRequest
+from tests.platform_standin._store import StoreStandin
+from tests.platform_standin._upstream import (
+    EVENT_COUNT,
+    UpstreamStandin,
+    render_event,
+    start_stream,
+    write_chunk,
+)
+from tests.ports import find_port
+
+# Between the last bytes of the request that is to blame and the end of all connections.
+CRASH_DELAY_S = 0.01
+PARTIAL_EVENT_BYTES = 9
+
+
+@dataclass(slots=True)
+class EngineCrash:
+    """Describe one crash of an engine."""
+
+    engine: str
+    # The part of a prompt that caused it, or None for another cause.
+    part: str | None
+    time_s: float = field(default_factory=time.monotonic)
+
+
+def list_parts(request: RawRequest) -> list[str]:
+    """Return the names of the parts of a request's prompt, in order."""
+    parts = request.headers.get("prompt-prefix", "").split(",")
+    return [part.partition(":")[0].strip() for part in parts if part]
+
+
+class CrashingEngine(UpstreamStandin):
+    """Represent an engine that crashes once it begins an answer on a deadly part."""
+
+    def __init__(self, name: str, *, service: str, stage: str = "") -> None:
+        super().__init__(name, service=service, stage=stage)
+        self.script = stream_or_crash
+        self.deadly_parts: set[str] = set()
+        self.crashes: list[EngineCrash] = []
+        self.is_down = False
+        # From a crash to the start of the next process at the same address.
+        self.down_s = 0.3
+        # From a crash to the removal of its registration.
+        self.registration_s = 0.5
+        self.keeps_id = False
+        # Between two events of a stream. A third of the streams pause as long before
+        # their heads, another third after them, and the others within each event, so
+        # that a crash finds all stages.
+        self.pause_s = 0.0
+        self.running = 0
+        self._store: StoreStandin | None = None
+        self._first_name = name
+        self._recoveries: set[asyncio.Task[None]] = set()
+
+    async def start(self, port: int = 0) -> None:
+        """Listen at a port that outgoing connections don't use while it is down."""
+        await super().start(port or find_port())
+        self.is_down = False
+
+    async def stop(self) -> None:
+        for recovery in self._recoveries:
+            recovery.cancel()
+        await super().stop()
+
+    def register(self, store: StoreStandin, **changes: object) -> None:
+        self._store = store
+        super().register(store, **changes)
+
+    def find_deadly_part(self, request: RawRequest) -> str | None:
+        parts = list_parts(request)[:-1]
+        return next((part for part in parts if part in self.deadly_parts), None)
+
+    def crash(self, part: str | None = None) -> None:
+        """End all connections, refuse new ones, and come back some time later."""
+        if self.is_down:
+            return
+        self.is_down = True
+        self.crashes.append(EngineCrash(self.name, part))
+        assert self._server is not None
+        self._server.close()
+        self.reset_connections()
+        for recovery in (self._recover(), self._remove_registration(self.name)):
+            task = asyncio.ensure_future(recovery)
+            self._recoveries.add(task)
+            task.add_done_callback(self._recoveries.discard)
+
+    async def _recover(self) -> None:
+        await asyncio.sleep(self.down_s)
+        if not self.keeps_id:
+            self.name = f"{self._first_name}-{len(self.crashes)}"
+        self.born_ms += 1000
+        await self.start(self.port)
+        assert self._store is not None
+        self.register(self._store)
+
+    async def _remove_registration(self, name: str) -> None:
+        await asyncio.sleep(self.registration_s)
+        if self._store is not None and name != self.name:
+            self._store.delete("servers", name)
+
+
+async def stream_or_crash(
+    upstream: UpstreamStandin, request: RawRequest, writer: asyncio.StreamWriter
+) -> None:
+    """Stream all events, or half of the first one before the engine crashes."""
+    assert isinstance(upstream, CrashingEngine)
+    part = upstream.find_deadly_part(request)
+    upstream.running += 1
+    try:
+        if part is None:
+            await _stream_with_pauses(upstream, request, writer)
+        else:
+            await _begin_and_crash(upstream, request, writer, part)
+    finally:
+        upstream.running -= 1
+
+
+async def _begin_and_crash(
+    engine: CrashingEngine,
+    request: RawRequest,
+    writer: asyncio.StreamWriter,
+    part: str,
+) -> None:
+    engine.record_run(request)
+    first = start_stream(engine, request, writer)
+    write_chunk(writer, render_event(first)[:PARTIAL_EVENT_BYTES])
+    await writer.drain()
+    await asyncio.sleep(CRASH_DELAY_S)
+    engine.crash(part)
+
+
+async def _stream_with_pauses(
+    engine: CrashingEngine, request: RawRequest, writer: asyncio.StreamWriter
+) -> None:
+    run = engine.record_run(request)
+    stage = len(engine.runs) % 3
+    if stage == 0:
+        await asyncio.sleep(engine.pause_s)
+    first = start_stream(engine, request, writer)
+    if stage == 1:
+        await asyncio.sleep(engine.pause_s)
+    for number in range(first, EVENT_COUNT + 1):
+        event = render_event(number)
+        if stage == 2:
+            write_chunk(writer, event[:PARTIAL_EVENT_BYTES])
+            await asyncio.sleep(engine.pause_s)
+            event = event[PARTIAL_EVENT_BYTES:]
+        write_chunk(writer, event)
+        await writer.drain()
+        await asyncio.sleep(engine.pause_s)
+    writer.write(b"0\r\n\r\n")
+    run.ended = True
--- /dev/null
+++ b/tests/prompt_traffic.py
@@ -0,0 +1,232 @@
+"""Send deadly and sound prompts to a group of gateways, and count what engines get."""
+
+import asyncio
+import itertools
+import time
+from collections import Counter
+from collections.abc import Awaitable, Callable, Iterable, Sequence
+from dataclasses import dataclass, field
+from pathlib import Path
+
+from tests.gateway_group import GatewayGroup
+from tests.platform_standin import (
+    CallerAnswer,
+    CrashingEngine,
+    EngineCrash,
+    list_parts,
+)
+
+STABLE_MS = 1000
+SEND_INTERVAL_S = 0.05
+# The platform's bound: after the stable window that begins with this crash, so many
+# deadly requests may still reach engines.
+BOUNDED_CRASH = 5
+MAX_LATE_ARRIVALS = 3
+# Sound requests and deadly ones contain one of these behind their first part.
+SHARED_PARTS = ("b0", "b1", "b2", "b3")
+
+
+@dataclass(slots=True)
+class SentPrompt:
+    """Describe a prompt that was sent to a gateway, and its answer."""
+
+    request: str
+    gateway: str
+    deadly_part: str | None
+    sent_s: float = field(default_factory=time.monotonic)
+    answer: CallerAnswer | None = None
+
+    @property
+    def is_served(self) -> bool:
+        answer = self.answer
+        return answer is not None and answer.status == 200 and answer.complete
+
+
+class PromptTraffic:
+    """Represent callers whose prompts share parts, and engines that crash on some."""
+
+    def __init__(self, folder: Path, gateways: int, engines: int) -> None:
+        self.group = GatewayGroup(
+            folder,
+            gateways,
+            [f"d{number}" for number in range(engines)],
+            upstream_type=CrashingEngine,
+            bounds={"stable_window_ms": STABLE_MS},
+        )
+        self.sent: list[SentPrompt] = []
+        self._numbers = itertools.count(1)
+
+    @property
+    def engines(self) -> list[CrashingEngine]:
+        return [
+            item for item in self.group.upstreams if isinstance(item, CrashingEngine)
+        ]
+
+    @property
+    def crashes(self) -> list[EngineCrash]:
+        """Return all crashes in the order of their times."""
+        found = [crash for engine in self.engines for crash in engine.crashes]
+        return sorted(found, key=lambda crash: crash.time_s)
+
+    def set_deadly_parts(self, *parts: str) -> None:
+        for engine in self.engines:
+            engine.deadly_parts = set(parts)
+
+    def set_pause(self, pause_s: float) -> None:
+        """Set how long engines pause in their streams."""
+        for engine in self.engines:
+            engine.pause_s = pause_s
+
+    async def send_sound(
+        self, path: str = "/once/x", *, first: str = "aa", gateway: str = ""
+    ) -> SentPrompt:
+        """Send a prompt on which no engine crashes, and wait for its answer."""
+        number = next(self._numbers)
+        shared = SHARED_PARTS[number % len(SHARED_PARTS)]
+        return await self._send(path, (first, shared), None, number, gateway)
+
+    async def send_deadly(
+        self, part: str, path: str = "/once/x", *, first: str = "aa", gateway: str = ""
+    ) -> SentPrompt:
+        """Send a prompt with a part on which engines crash, and wait for its answer."""
+        number = next(self._numbers)
+        shared = SHARED_PARTS[number % len(SHARED_PARTS)]
+        parts = (part, shared) if part == first else (first, shared, part)
+        return await self._send(path, parts, part, number, gateway)
+
+    async def _send(
+        self,
+        path: str,
+        parts: Sequence[str],
+        deadly_part: str | None,
+        number: int,
+        gateway: str,
+    ) -> SentPrompt:
+        names = sorted(self.group.gateways)
+        # Counted by the kind of prompt, so that each kind goes to all gateways in turn.
+        turn = sum(
+            (item.deadly_part is None) == (deadly_part is None) for item in self.sent
+        )
+        prompt = SentPrompt(
+            f"r{number}", gateway or names[turn % len(names)], deadly_part
+        )
+        self.sent.append(prompt)
+        prefix = ",".join(f"{name}:400" for name in (*parts, f"{number:x}"))
+        prompt.answer = await self.group.call_gateway(
+            prompt.gateway,
+            path,
+            Request_Id=prompt.request,
+            Model="m",
+            Token_Counts=f"{400 * (len(parts) + 1)},10",
+            Prompt_Prefix=prefix,
+        )
+        return prompt
+
+    async def wait_up(self) -> None:
+        """Wait until all engines are up."""
+        await self.group.wait_for(
+            lambda: not any(engine.is_down for engine in self.engines)
+        )
+
+    async def wait_recovered(self) -> None:
+        """Wait until all engines are up and all gateways know their registrations."""
+        await self.wait_up()
+        names = {engine.name for engine in self.engines}
+        await self.group.wait_for(
+            lambda: all(
+                {str(item.upstream) for item in gateway.state.members.list_all()}
+                == names
+                for gateway in self.group.gateways.values()
+            )
+        )
+
+    def have_crashes_ended(self) -> bool:
+        """Return whether engines have crashed, but not within two stable windows."""
+        settled_s = time.monotonic() - 2 * STABLE_MS / 1000
+        return bool(self.crashes) and self.crashes[-1].time_s < settled_s
+
+    def find_bounded_s(self, part: str) -> float | None:
+        """Return when the bound begins for a part, or None if it has not begun."""
+        times_s = [crash.time_s for crash in self.crashes if crash.part == part]
+        if len(times_s) < BOUNDED_CRASH:
+            return None
+        return times_s[BOUNDED_CRASH - 1] + STABLE_MS / 1000
+
+    def count_sent(self, part: str, *, bounded: bool) -> int:
+        """Return how many prompts with a part were sent, in all or under the bound."""
+        bounded_s = self.find_bounded_s(part)
+        return sum(
+            prompt.deadly_part == part
+            and (not bounded or (bounded_s is not None and prompt.sent_s > bounded_s))
+            for prompt in self.sent
+        )
+
+    def list_late_arrivals(self, part: str) -> list[str]:
+        """Return the requests under the bound that reached engines, each time."""
+        bounded_s = self.find_bounded_s(part)
+        late = {
+            prompt.request
+            for prompt in self.sent
+            if bounded_s is not None and prompt.sent_s > bounded_s
+        }
+        return [
+            arrival.request.headers["request-id"]
+            for engine in self.engines
+            for arrival in engine.arrivals
+            if part in list_parts(arrival.request)
+            and arrival.request.headers["request-id"] in late
+        ]
+
+    def list_refused_runs(self) -> list[str]:
+        """Return the requests that ran although their answer says that they did not."""
+        runs = set(self.group.list_runs())
+        return [
+            prompt.request
+            for prompt in self.sent
+            if prompt.request in runs
+            and prompt.answer is not None
+            and prompt.answer.status == 503
+        ]
+
+    def describe(self, *parts: str) -> str:
+        """Describe what was sent and what crashed, for the output of a failed test."""
+        lines = []
+        for part in parts:
+            caused = sum(crash.part == part for crash in self.crashes)
+            lines.append(
+                f"part {part}: {caused} crashes, "
+                f"{self.count_sent(part, bounded=False)} requests sent, "
+                f"{self.count_sent(part, bounded=True)} of them under the bound, "
+                f"{len(self.list_late_arrivals(part))} of these arrived at engines"
+            )
+            lines.append(f"  answers: {count_answers(self.sent, part)}")
+        lines.append(f"answers to sound requests: {count_answers(self.sent, None)}")
+        return "\n".join(lines)
+
+
+def count_answers(prompts: Iterable[SentPrompt], part: str | None) -> dict[str, int]:
+    """Count the answers to prompts with a deadly part, or to sound ones."""
+    counts: Counter[str] = Counter()
+    for prompt in prompts:
+        if prompt.deadly_part == part:
+            answer = prompt.answer
+            status = "closed" if answer is None else str(answer.status)
+            cut = answer is not None and not answer.complete
+            counts[f"{status} cut" if cut else status] += 1
+    return dict(counts)
+
+
+def count_served(prompts: Sequence[SentPrompt]) -> float:
+    """Return the fraction of the prompts that were answered in full."""
+    return sum(prompt.is_served for prompt in prompts) / len(prompts)
+
+
+async def send_until(
+    condition: Callable[[], bool], *senders: Callable[[], Awaitable[object]]
+) -> None:
+    """Call the senders again and again, beside each other, until a condition holds."""
+    tasks: list[asyncio.Future[object]] = []
+    while not condition():
+        tasks += [asyncio.ensure_future(send()) for send in senders]
+        await asyncio.sleep(SEND_INTERVAL_S)
+    await asyncio.gather(*tasks)
