Decide which prompt parts crash engines

Callers saw calls refused or broken because one part of some prompts crashed engine after engine. Nothing connected the crashes: retries and further calls with the part were placed as any others.

Change: a module without I/O that is told of calls that waited for their first event when their engine crashed, and of calls that were answered. A part is withheld after two crashes of different processes; calls are withheld only if they have all parts that the accused calls had in common, so that sound calls which share one of them are not. A part with which calls were answered needs four crashes over two seconds while other calls are answered, so that a loss of many engines at once accuses nothing that is shared. After a first crash in which an answer had begun, calls with the part wait for 5 to 15 s, a different time at each gateway. Memory is bounded. The gateway does not use it yet.

--- a/bramleyport/fleet/__init__.py
+++ b/bramleyport/fleet/__init__.py
@@ -2,6 +2,13 @@
 
 from bramleyport.fleet._admission import admit
 from bramleyport.fleet._choice import Choice, Chooser
+from bramleyport.fleet._crash_evidence import (
+    CrashEvidence,
+    CrashId,
+    CrashReport,
+    HarmlessPart,
+    Verdict,
+)
 from bramleyport.fleet._decode_times import DecodeTimes
 from bramleyport.fleet._freshness import (
     Freshness,
@@ -54,11 +61,15 @@
     "Chooser",
     "ConfigVersion",
     "Configuration",
+    "CrashEvidence",
+    "CrashId",
+    "CrashReport",
     "DecodeTimes",
     "EngineTraits",
     "EngineView",
     "Freshness",
     "GatewayRoster",
+    "HarmlessPart",
     "LoadTracker",
     "Membership",
     "PermitSupply",
@@ -88,6 +99,7 @@
     "Transfer",
     "UpdatePacing",
     "UpstreamLoad",
+    "Verdict",
     "Work",
     "WorkRecorder",
     "admit",
--- /dev/null
+++ b/bramleyport/fleet/_crash_evidence.py
@@ -0,0 +1,335 @@
+"""Find the prompt parts under which upstreams crash.
+
+A part may crash every upstream that begins to answer a prompt with it. It shows in the
+calls that wait for their first event when upstreams crash. Calls that are answered
+show which parts are harmless.
+"""
+
+import hashlib
+import math
+import zlib
+from collections import OrderedDict
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass, field, replace
+from typing import Final
+
+from bramleyport.core import ProcessId, UpstreamId
+from bramleyport.fleet._types import PrefixId, PromptPart
+
+# Crashes of different upstream processes after which calls with a part are withheld.
+CRASHES_TO_WITHHOLD: Final = 2
+# The same for a part with which a call was answered before, together with the time that
+# they must span and the calls that this gateway must have answered meanwhile: many
+# upstreams may crash at once for another reason, and then nothing is answered.
+CRASHES_DESPITE_ANSWERS: Final = 4
+MIN_SPAN_S: Final = 2.0
+MIN_OTHERS_ANSWERED: Final = 10
+# Time for which a part is withheld after a first crash, if an answer with it had begun.
+# An engine that crashed is usually back by then. Gateways add different times, so that
+# not all of them try the part again at once.
+HOLD_S: Final = 5.0
+HOLD_SPREAD_S: Final = 10.0
+# Time between two calls of one gateway with a part that was withheld after one crash.
+TRIAL_INTERVAL_S: Final = 1.0
+# Time for which a part that was not accused again stays suspect.
+SUSPECT_KEEP_S: Final = 300.0
+# Bounds of the memory for any number of different parts.
+MAX_HARMLESS: Final = 8192
+MAX_SUSPECTS: Final = 1024
+MAX_VERDICTS: Final = 256
+MAX_CRASHES: Final = 8
+# Parts of one prompt that are considered.
+MAX_PARTS: Final = 32
+# A longer identifier is replaced by its digest.
+MAX_PART_CHARS: Final = 64
+
+
+@dataclass(frozen=True, slots=True)
+class CrashId:
+    """Identify a crash by the process of the upstream that ended."""
+
+    upstream: UpstreamId
+    # Start of the process in Unix milliseconds.
+    started_ms: int
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class CrashReport:
+    """Describe a call that waited for its first event when its upstream crashed."""
+
+    crash: CrashId
+    at_s: float = field(compare=False)
+    # The parts of its prompt that calls may share.
+    parts: frozenset[PrefixId]
+    # Those with which no answered call was known to the gateway that reports.
+    unproven: frozenset[PrefixId]
+    # The head of the answer had arrived: the call may be the one that its upstream
+    # crashed under.
+    answer_began: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class HarmlessPart:
+    """Describe a part by the time at which a call with it was last answered."""
+
+    part: PrefixId
+    answered_s: float
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Verdict:
+    """Describe a part under which upstreams crash."""
+
+    part: PrefixId
+    # Calls are withheld if their prompts have all of these parts: the part itself, and
+    # those that every accused call had and that are not known to be harmless.
+    companions: frozenset[PrefixId]
+    crashes: int
+
+
+@dataclass(slots=True)
+class _Suspect:
+    """Track the crashes that accuse a part."""
+
+    companions: frozenset[PrefixId]
+    first_s: float
+    last_s: float
+    # Calls that this gateway had answered before the first crash.
+    answered_before: int
+    # Calls are withheld until then though a single crash may have had another cause.
+    held_until_s: float = 0.0
+    crashes: set[CrashId] = field(default_factory=set)
+
+
+def list_shared_parts(parts: Sequence[PromptPart]) -> list[PrefixId]:
+    """Return the parts of a prompt that calls may share.
+
+    The last part belongs to one call or session.
+    """
+    return [_shorten(part.prefix) for part in parts[:-1][:MAX_PARTS]]
+
+
+class CrashEvidence:
+    """Decide which prompt parts are harmless, suspect or the cause of crashes."""
+
+    def __init__(self, process: ProcessId) -> None:
+        self._process = process
+        # When a call with a part was last answered; the longest unused part first.
+        self._answered_s: OrderedDict[PrefixId, float] = OrderedDict()
+        self._answered_calls = 0
+        # The part that was not accused for the longest time first.
+        self._suspects: OrderedDict[PrefixId, _Suspect] = OrderedDict()
+        self._verdicts: OrderedDict[PrefixId, Verdict] = OrderedDict()
+
+    @property
+    def verdicts(self) -> tuple[Verdict, ...]:
+        """Return the parts under which calls are withheld, the oldest first."""
+        return tuple(self._verdicts.values())
+
+    def make_report(
+        self,
+        crash: CrashId,
+        parts: Sequence[PromptPart],
+        now_s: float,
+        *,
+        answer_began: bool,
+    ) -> CrashReport | None:
+        """Return the report of a call at a crashed upstream, if it has shared parts."""
+        shared = frozenset(list_shared_parts(parts))
+        if not shared:
+            return None
+        unproven = frozenset(part for part in shared if part not in self._answered_s)
+        return CrashReport(
+            crash=crash,
+            at_s=now_s,
+            parts=shared,
+            unproven=unproven,
+            answer_began=answer_began,
+        )
+
+    def has_unproven(self, parts: Sequence[PromptPart]) -> bool:
+        """Return whether a prompt has a shared part that no answered call had."""
+        return any(part not in self._answered_s for part in list_shared_parts(parts))
+
+    def record_answered(
+        self, parts: Sequence[PromptPart], now_s: float
+    ) -> list[HarmlessPart]:
+        """Record an answered call; return its parts that were accused until now."""
+        self._answered_calls += 1
+        shared = list_shared_parts(parts)
+        accused = [part for part in shared if self._is_accused(part)]
+        for part in shared:
+            self.apply_harmless(HarmlessPart(part, now_s))
+        return [HarmlessPart(part, now_s) for part in accused]
+
+    def apply_harmless(self, notice: HarmlessPart) -> None:
+        """Record that a call of any gateway with a part was answered."""
+        part = notice.part
+        known_s = self._answered_s.get(part, notice.answered_s)
+        self._answered_s[part] = max(known_s, notice.answered_s)
+        self._answered_s.move_to_end(part)
+        while len(self._answered_s) > MAX_HARMLESS:
+            self._answered_s.popitem(last=False)
+        if not self._is_accused(part):
+            return
+        suspect = self._suspects.get(part)
+        verdict = self._verdicts.get(part)
+        if suspect is None or notice.answered_s >= suspect.first_s:
+            self.release(part)
+        elif verdict is not None and verdict.crashes < CRASHES_DESPITE_ANSWERS:
+            del self._verdicts[part]
+
+    def find_harmless(self, parts: Iterable[PrefixId]) -> list[HarmlessPart]:
+        """Return those of the parts with which a call was answered."""
+        return [
+            HarmlessPart(part, self._answered_s[part])
+            for part in parts
+            if part in self._answered_s
+        ]
+
+    def record_crash(self, report: CrashReport, now_s: float) -> list[Verdict]:
+        """Record a crash; return the verdicts that are new or name fewer companions."""
+        self._drop_old(now_s)
+        unproven = frozenset(
+            part for part in report.unproven if part not in self._answered_s
+        )
+        verdicts = []
+        for part in sorted(report.parts):
+            if self._answered_s.get(part, -math.inf) >= report.at_s:
+                # The report was late, or was sent again.
+                continue
+            suspect = self._accuse(report, part, unproven | {part})
+            if report.answer_began and part in unproven and suspect.held_until_s == 0:
+                suspect.held_until_s = report.at_s + HOLD_S + self._choose_spread(part)
+            if not self._is_convicted(part, suspect):
+                continue
+            verdict = Verdict(
+                part=part,
+                companions=suspect.companions,
+                crashes=len(suspect.crashes),
+            )
+            if self.apply_verdict(verdict):
+                verdicts.append(self._verdicts[part])
+        return verdicts
+
+    def apply_verdict(self, verdict: Verdict) -> bool:
+        """Apply a verdict of any gateway; return whether it withholds further calls."""
+        if not self.is_plausible(verdict):
+            return False
+        companions = frozenset(
+            part for part in verdict.companions if part not in self._answered_s
+        )
+        known = self._verdicts.get(verdict.part)
+        if known is not None:
+            companions &= known.companions
+            companions |= {verdict.part}
+            if companions == known.companions:
+                return False
+        self._verdicts[verdict.part] = replace(
+            verdict, companions=companions | {verdict.part}
+        )
+        while len(self._verdicts) > MAX_VERDICTS:
+            self._verdicts.popitem(last=False)
+        return True
+
+    def is_plausible(self, verdict: Verdict) -> bool:
+        """Return whether no answered call contradicts a verdict."""
+        if verdict.part not in self._answered_s:
+            return True
+        return verdict.crashes >= CRASHES_DESPITE_ANSWERS
+
+    def release(self, part: PrefixId) -> None:
+        """Drop what accuses a part, as itself and as a companion of others."""
+        self._suspects.pop(part, None)
+        self._verdicts.pop(part, None)
+        for suspect in self._suspects.values():
+            suspect.companions -= {part}
+        for name, verdict in self._verdicts.items():
+            if part in verdict.companions:
+                self._verdicts[name] = replace(
+                    verdict, companions=verdict.companions - {part}
+                )
+
+    def find_verdict(self, parts: Sequence[PromptPart]) -> Verdict | None:
+        """Return the verdict under which a call is withheld, if there is one."""
+        if not self._verdicts:
+            return None
+        shared = set(list_shared_parts(parts))
+        found = [
+            verdict
+            for part in sorted(shared & self._verdicts.keys())
+            if (verdict := self._verdicts[part]).companions <= shared
+        ]
+        return found[0] if found else None
+
+    def forecast_hold(self, parts: Sequence[PromptPart], now_s: float) -> float:
+        """Return for how many seconds a call is withheld after a first crash."""
+        if not self._suspects:
+            return 0.0
+        shared = set(list_shared_parts(parts))
+        holds_s = (
+            suspect.held_until_s - now_s
+            for part in shared & self._suspects.keys()
+            if (suspect := self._suspects[part]).companions <= shared
+        )
+        return max(0.0, max(holds_s, default=0.0))
+
+    def take_trial(self, parts: Sequence[PromptPart], now_s: float) -> bool:
+        """Return whether a call tries a part that was withheld after a first crash."""
+        held = [
+            self._suspects[part]
+            for part in list_shared_parts(parts)
+            if part in self._suspects and self._suspects[part].held_until_s
+        ]
+        for suspect in held:
+            suspect.held_until_s = now_s + TRIAL_INTERVAL_S
+        return bool(held)
+
+    def _choose_spread(self, part: PrefixId) -> float:
+        key = f"{part}/{self._process}".encode()
+        return HOLD_SPREAD_S * zlib.crc32(key) / 2**32
+
+    def _is_accused(self, part: PrefixId) -> bool:
+        return part in self._suspects or part in self._verdicts
+
+    def _is_convicted(self, part: PrefixId, suspect: _Suspect) -> bool:
+        if part not in self._answered_s:
+            return len(suspect.crashes) >= CRASHES_TO_WITHHOLD
+        others = self._answered_calls - suspect.answered_before
+        return (
+            len(suspect.crashes) >= CRASHES_DESPITE_ANSWERS
+            and suspect.last_s - suspect.first_s >= MIN_SPAN_S
+            and others >= MIN_OTHERS_ANSWERED
+        )
+
+    def _accuse(
+        self, report: CrashReport, part: PrefixId, companions: frozenset[PrefixId]
+    ) -> _Suspect:
+        at_s = report.at_s
+        suspect = self._suspects.get(part)
+        if suspect is None:
+            suspect = _Suspect(companions, at_s, at_s, self._answered_calls)
+            self._suspects[part] = suspect
+        self._suspects.move_to_end(part)
+        suspect.companions &= companions
+        suspect.first_s = min(suspect.first_s, at_s)
+        suspect.last_s = max(suspect.last_s, at_s)
+        if len(suspect.crashes) < MAX_CRASHES:
+            suspect.crashes.add(report.crash)
+        while len(self._suspects) > MAX_SUSPECTS:
+            self._suspects.popitem(last=False)
+        return suspect
+
+    def _drop_old(self, now_s: float) -> None:
+        while self._suspects:
+            part = next(iter(self._suspects))
+            if now_s - self._suspects[part].last_s <= SUSPECT_KEEP_S:
+                return
+            del self._suspects[part]
+
+
+def _shorten(part: PrefixId) -> PrefixId:
+    if len(part) <= MAX_PART_CHARS:
+        return part
+    digest = hashlib.blake2b(part.encode(), digest_size=16)
+    return PrefixId(digest.hexdigest())
