Withhold calls with prompt parts that crash engines

Change: an attempt that breaks before its first event is held against the parts of its prompt once its engine refuses connections or its registration ends. Gateways send each other these reports, what they know to be harmless, and verdicts; reports are repeated for 3 s. Verdicts are kept in the store and followed by each gateway itself, so that they outlast restarts and reach gateways that hear no other. Withheld calls are refused at once. After 60 s, and then at doubled intervals, one gateway may try one call, by a conditional update of the verdict, on an engine with the least work. An answered call ends the verdict everywhere.

--- a/bramleyport/composition.py
+++ b/bramleyport/composition.py
@@ -284,6 +284,7 @@
     from twisted.internet import reactor
 
     from bramleyport.gateway._attempt import AttemptSupport
+    from bramleyport.gateway._crash_guard import CrashGuard
     from bramleyport.gateway._daemon import Gateway
     from bramleyport.gateway._exchange import Exchanger
     from bramleyport.gateway._forward import Forwarder
@@ -293,6 +294,7 @@
     from bramleyport.gateway._prefill import Prefiller
     from bramleyport.gateway._state import GatewayState
     from bramleyport.gateway._stream import StreamServer
+    from bramleyport.gateway._verdict_store import VerdictStore
     from bramleyport.gateway._work_tracker import WorkTracker
     from bramleyport.http1 import HttpClient
     from bramleyport.platform import StoreClient, load_node_settings
@@ -304,12 +306,14 @@
     store = StoreClient(client, state.settings.store, metrics.count_store_call)
     exchanger = Exchanger(state, client)
     tracker = WorkTracker(state)
-    support = AttemptSupport(state, exchanger, tracker, metrics)
+    verdicts = VerdictStore(state, store)
+    guard = CrashGuard(state, exchanger, verdicts)
+    support = AttemptSupport(state, exchanger, tracker, metrics, guard)
     prefiller = Prefiller(state, exchanger, tracker, support.retries)
     forwarder = Forwarder(
         state, PlainServer(support), StreamServer(support, prefiller), Random()
     )
-    peers = PeerLink(state, tracker)
+    peers = PeerLink(state, tracker, guard)
     return Gateway(
         state,
         settings_path,
@@ -319,6 +323,8 @@
         forwarder,
         tracker,
         peers,
+        guard,
+        verdicts,
         metrics.metrics,
         metrics_port,
     )
--- a/bramleyport/gateway/_attempt.py
+++ b/bramleyport/gateway/_attempt.py
@@ -7,6 +7,7 @@
 from bramleyport.admission import Rejected
 from bramleyport.core import Explanation, UpstreamId
 from bramleyport.fleet import (
+    Call,
     Choice,
     Registration,
     Transfer,
@@ -14,6 +15,7 @@
 )
 from bramleyport.gateway._call_context import CallContext
 from bramleyport.gateway._clock import read_now
+from bramleyport.gateway._crash_guard import CrashGuard
 from bramleyport.gateway._exchange import Exchanger
 from bramleyport.gateway._metrics import CallMetrics
 from bramleyport.gateway._outcome import AttemptEnd, FailedAttempt
@@ -39,12 +41,14 @@
         exchanger: Exchanger,
         tracker: WorkTracker,
         metrics: CallMetrics,
+        guard: CrashGuard,
     ) -> None:
         self.state = state
         self.exchanger = exchanger
         self.tracker = tracker
         self.metrics = metrics
         self.retries = RetryDecider(state)
+        self.guard = guard
 
     async def place(self, context: CallContext) -> Choice | Rejected:
         """Choose an upstream, or return why none can answer in time.
@@ -80,6 +84,8 @@
 
     def _can_use_reserved(self, context: CallContext, choice: Choice) -> bool:
         """Return whether the upstream of a reserved retry still takes calls."""
+        if self.guard.find_refusal(context.call) is not None:
+            return False
         service = context.call.service
         return choice.upstream in self.state.members.list_ready(
             service
@@ -88,6 +94,10 @@
     def _choose_now(self, context: CallContext) -> Choice | Rejected:
         now_s = read_now()
         call = context.call
+        context.is_trial = self.guard.take_trial(call)
+        refusal = self.guard.find_refusal(call)
+        if refusal is not None and not context.is_trial:
+            return refusal
         if context.tried:
             # The rank was considered when the call was accepted.
             blocked = self.state.list_exhausted(call.service, now_s)
@@ -114,12 +124,15 @@
         self, context: CallContext, excluded: set[UpstreamId], now_s: float
     ) -> Choice | None:
         # At most one separate prefill per call: another one would count as a repeat.
+        may_split = not context.prefill_elapsed_s and not context.is_trial
+        if context.is_trial:
+            excluded = excluded | self.state.list_busier(context.call.service)
         return self.state.chooser.choose(
             context.call,
             context.engine,
             excluded,
             now_s,
-            may_split=not context.prefill_elapsed_s,
+            may_split=may_split,
             limited=self.state.list_limited(context.call.service),
         )
 
@@ -127,7 +140,7 @@
         self, context: CallContext, prefill_engine: Registration
     ) -> Transfer | None:
         """Choose the engine that decodes a call after its prefill on another one."""
-        if context.engine is None:
+        if context.engine is None or self.guard.is_withheld(context.call):
             return None
         now_s = read_now()
         call = context.call
@@ -212,6 +225,7 @@
         self.state.record_declined(failure.upstream, now_s)
         if failure.refused:
             self.tracker.report_refused(failure.upstream)
+            self.guard.confirm_crash(failure.upstream)
 
     def give_up(self, context: CallContext, reason: str) -> None:
         """Send the final answer to a call whose attempts have failed."""
--- a/bramleyport/gateway/_call_context.py
+++ b/bramleyport/gateway/_call_context.py
@@ -43,6 +43,8 @@
         self.last_failure: FailedAttempt | None = None
         # The permit for the decode after a separate prefill that is running.
         self.reservation: Reservation | None = None
+        # The call has a part that may crash its upstream, and tests whether it does.
+        self.is_trial = False
         # The retry of the attempt that is being given up.
         self.reserved_retry: ReservedRetry | None = None
         # Where the next attempt may be sent if nothing better is found.
--- /dev/null
+++ b/bramleyport/gateway/_crash_guard.py
@@ -0,0 +1,267 @@
+"""Withhold calls whose prompts have parts under which upstreams crash."""
+
+import asyncio
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+from typing import Final
+
+from bramleyport.admission import Rejected
+from bramleyport.core import Explanation, UpstreamId
+from bramleyport.fleet import (
+    Call,
+    CrashId,
+    CrashReport,
+    HarmlessPart,
+    PrefixId,
+    Registration,
+    Verdict,
+)
+from bramleyport.gateway._clock import read_now
+from bramleyport.gateway._exchange import Exchanger
+from bramleyport.gateway._state import GatewayState
+from bramleyport.gateway._verdict_store import VerdictStore, log_verdict
+from bramleyport.http1 import ExchangeError, ExchangeFailure
+from bramleyport.telemetry import gateway_events, log_event
+
+WITHHELD_PART: Final = "withheld_part"
+SUSPECT_PART: Final = "suspect_part"
+# Time for which a broken call waits to learn whether its upstream has ended.
+CHECK_TIMEOUT_S: Final = 0.1
+# Time for which a broken call accuses its parts if its upstream is found to have ended.
+BROKEN_KEEP_S: Final = 10.0
+MAX_BROKEN: Final = 1024
+# Time for which own reports are sent to gateways that start, and for which they are
+# repeated to all.
+REPORT_KEEP_S: Final = 60.0
+REPORT_REPEAT_S: Final = 3.0
+MAX_REPORTS: Final = 24
+MIN_RETRY_S: Final = 1.0
+
+
+@dataclass(slots=True)
+class CrashUpdates:
+    """Describe what the other gateways have to learn of crashes."""
+
+    reports: list[CrashReport] = field(default_factory=list)
+    harmless: list[HarmlessPart] = field(default_factory=list)
+    verdicts: list[Verdict] = field(default_factory=list)
+
+    def __bool__(self) -> bool:
+        return bool(self.reports or self.harmless or self.verdicts)
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class _BrokenCall:
+    """Describe a call whose connection broke before its first event."""
+
+    target: Registration
+    call: Call
+    at_s: float
+    answer_began: bool
+
+
+class CrashGuard:
+    """Collect evidence on prompt parts from attempts and other gateways."""
+
+    def __init__(
+        self, state: GatewayState, exchanger: Exchanger, verdicts: VerdictStore
+    ) -> None:
+        self._state = state
+        self._evidence = state.crash_evidence
+        self._exchanger = exchanger
+        self._verdicts = verdicts
+        self._broken: list[_BrokenCall] = []
+        self._pending = CrashUpdates()
+        # Own reports with the time at which they were made.
+        self._reports: list[tuple[float, CrashReport]] = []
+        self._checks: dict[UpstreamId, asyncio.Task[None]] = {}
+        # Called when the other gateways have to be told at once.
+        self.on_updates_pending: Callable[[], None] | None = None
+
+    def find_refusal(self, call: Call) -> Rejected | None:
+        """Return why a call must not be sent to any upstream, or None."""
+        if call.prompt is None:
+            return None
+        verdict = self._evidence.find_verdict(call.prompt.parts)
+        if verdict is not None:
+            return self._refuse(verdict)
+        hold_s = self._evidence.forecast_hold(call.prompt.parts, read_now())
+        if hold_s <= 0:
+            return None
+        return Rejected(Explanation(reason=SUSPECT_PART, numbers={}), hold_s)
+
+    def take_trial(self, call: Call) -> bool:
+        """Return whether a call tries a part that is withheld or that was withheld."""
+        if call.prompt is None:
+            return False
+        now_s = read_now()
+        verdict = self._evidence.find_verdict(call.prompt.parts)
+        if verdict is not None:
+            return self._verdicts.take_trial(verdict.part, now_s)
+        if self._evidence.forecast_hold(call.prompt.parts, now_s) > 0:
+            return False
+        return self._evidence.take_trial(call.prompt.parts, now_s)
+
+    def _refuse(self, verdict: Verdict) -> Rejected:
+        wait_s = self._verdicts.forecast_trial(verdict.part, read_now())
+        explanation = Explanation(
+            reason=WITHHELD_PART, numbers={"crashes": float(verdict.crashes)}
+        )
+        return Rejected(explanation, max(MIN_RETRY_S, wait_s))
+
+    def is_withheld(self, call: Call) -> bool:
+        """Return whether upstreams crash under the prompt of a call."""
+        if call.prompt is None:
+            return False
+        return self._evidence.find_verdict(call.prompt.parts) is not None
+
+    def record_answered(self, call: Call) -> None:
+        """Record that a call was answered to its end."""
+        if call.prompt is None:
+            return
+        withheld = self._list_withheld()
+        accused = self._evidence.record_answered(call.prompt.parts, read_now())
+        if not accused:
+            return
+        self._pending.harmless += accused
+        self._notify()
+        for part in withheld - self._list_withheld():
+            self._verdicts.remove(part)
+            log_event(
+                gateway_events.PART_RELEASED,
+                part=part,
+                reason="a call was answered",
+                request=call.request,
+            )
+
+    async def record_broken(
+        self, call: Call, target: Registration, error: ExchangeError
+    ) -> None:
+        """Record that a connection broke before the first event of a call.
+
+        A call that may have crashed its upstream waits until that is known, so that it
+        is not sent again before.
+        """
+        if call.prompt is None or len(call.prompt.parts) < 2:
+            return
+        now_s = read_now()
+        answer_began = error.failure is ExchangeFailure.BROKEN
+        self._drop_old(now_s)
+        self._broken.append(
+            _BrokenCall(target=target, call=call, at_s=now_s, answer_began=answer_began)
+        )
+        del self._broken[:-MAX_BROKEN]
+        check = self._start_check(target)
+        if answer_began and self._evidence.has_unproven(call.prompt.parts):
+            await asyncio.wait([check], timeout=CHECK_TIMEOUT_S)
+
+    def _start_check(self, target: Registration) -> asyncio.Task[None]:
+        check = self._checks.get(target.upstream)
+        if check is None:
+            check = asyncio.ensure_future(self._check_listening(target))
+            self._checks[target.upstream] = check
+            check.add_done_callback(lambda _: self._checks.pop(target.upstream, None))
+        return check
+
+    def confirm_crash(self, upstream: UpstreamId) -> None:
+        """Report the broken calls of an upstream whose process has ended."""
+        now_s = read_now()
+        self._drop_old(now_s)
+        broken = [item for item in self._broken if item.target.upstream == upstream]
+        self._broken = [item for item in self._broken if item not in broken]
+        for item in broken:
+            self._report(item, now_s)
+
+    def apply_report(self, report: CrashReport, origin: str) -> None:
+        """Apply the report of another gateway."""
+        self._object(report.unproven)
+        for verdict in self._evidence.record_crash(report, read_now()):
+            log_verdict(verdict, origin)
+
+    def apply_harmless(self, notice: HarmlessPart) -> None:
+        """Apply what another gateway knows of a part."""
+        self._pending.harmless = [
+            item for item in self._pending.harmless if item.part != notice.part
+        ]
+        withheld = self._list_withheld()
+        self._evidence.apply_harmless(notice)
+        for part in withheld - self._list_withheld():
+            log_event(
+                gateway_events.PART_RELEASED,
+                part=part,
+                reason="another gateway had a call answered",
+            )
+
+    def apply_verdict(self, verdict: Verdict, origin: str) -> None:
+        """Apply the verdict of another gateway."""
+        if not self._evidence.is_plausible(verdict):
+            self._object([verdict.part])
+        elif self._evidence.apply_verdict(verdict):
+            log_verdict(verdict, origin)
+
+    def take_updates(self) -> CrashUpdates:
+        """Return and clear what the other gateways have to learn."""
+        updates = self._pending
+        self._pending = CrashUpdates()
+        return updates
+
+    def list_known(self) -> CrashUpdates:
+        """Return what a gateway that starts has to learn."""
+        self._drop_old(read_now())
+        return CrashUpdates(
+            reports=[report for _, report in self._reports],
+            verdicts=list(self._evidence.verdicts[-MAX_REPORTS:]),
+        )
+
+    def repeat_reports(self) -> None:
+        """Send recent reports again, as datagrams may be lost."""
+        since_s = read_now() - REPORT_REPEAT_S
+        recent = [report for at_s, report in self._reports if at_s >= since_s]
+        known = set(self._pending.reports)
+        self._pending.reports += [item for item in recent if item not in known]
+
+    async def _check_listening(self, target: Registration) -> None:
+        if await self._exchanger.is_refusing(target):
+            self.confirm_crash(target.upstream)
+
+    def _report(self, item: _BrokenCall, now_s: float) -> None:
+        assert item.call.prompt is not None
+        crash = CrashId(item.target.upstream, item.target.started_ms)
+        report = self._evidence.make_report(
+            crash, item.call.prompt.parts, now_s, answer_began=item.answer_began
+        )
+        if report is None:
+            return
+        log_event(
+            gateway_events.CRASH_REPORTED,
+            request=item.call.request,
+            upstream=crash.upstream,
+            unproven=sorted(report.unproven),
+            proven=sorted(report.parts - report.unproven),
+            answer_began=report.answer_began,
+        )
+        self._reports.append((now_s, report))
+        self._pending.reports.append(report)
+        for verdict in self._evidence.record_crash(report, now_s):
+            log_verdict(verdict, "")
+            self._pending.verdicts.append(verdict)
+            self._verdicts.write(verdict)
+        self._notify()
+
+    def _list_withheld(self) -> set[PrefixId]:
+        return {verdict.part for verdict in self._evidence.verdicts}
+
+    def _object(self, parts: Iterable[PrefixId]) -> None:
+        """Tell the others of parts that this gateway knows to be harmless."""
+        self._pending.harmless += self._evidence.find_harmless(parts)
+
+    def _notify(self) -> None:
+        if self.on_updates_pending is not None:
+            self.on_updates_pending()
+
+    def _drop_old(self, now_s: float) -> None:
+        broken_s = now_s - BROKEN_KEEP_S
+        self._broken = [item for item in self._broken if item.at_s >= broken_s]
+        reported_s = now_s - REPORT_KEEP_S
+        kept = [item for item in self._reports if item[0] >= reported_s]
+        self._reports = kept[-MAX_REPORTS:]
--- a/bramleyport/gateway/_daemon.py
+++ b/bramleyport/gateway/_daemon.py
@@ -10,8 +10,15 @@
 from bramleyport.fleet import Address
 from bramleyport.gateway._caches import CacheReader
 from bramleyport.gateway._clock import read_now
+from bramleyport.gateway._crash_guard import CrashGuard
 from bramleyport.gateway._exchange import Exchanger
-from bramleyport.gateway._follower import Follower, StateUpdater, choose_watch_times
+from bramleyport.gateway._follower import (
+    Follower,
+    StateUpdater,
+    UnsharedLink,
+    WatchTimes,
+    choose_watch_times,
+)
 from bramleyport.gateway._forward import Forwarder
 from bramleyport.gateway._metrics import MetricsPage
 from bramleyport.gateway._peer_directory import PeerDirectory
@@ -23,6 +30,7 @@
     ConfigurationUpdater,
     RegistrationUpdater,
 )
+from bramleyport.gateway._verdict_store import VerdictStore
 from bramleyport.gateway._work_tracker import WorkTracker
 from bramleyport.http1 import CallerFactory, ConnectionLimits
 from bramleyport.platform import ObjectKind, StoreClient, load_node_settings
@@ -41,6 +49,8 @@
 LEAVE_TIMEOUT_S: Final = 0.2
 HOUSEKEEPING_INTERVAL_S: Final = 0.25
 SETTINGS_POLL_INTERVAL_S: Final = 2.0
+# Duration of a watch for verdicts on prompt parts.
+VERDICT_WAIT_S: Final = 20.0
 BACKLOG: Final = 512
 
 
@@ -57,6 +67,8 @@
         forwarder: Forwarder,
         tracker: WorkTracker,
         peers: PeerLink,
+        guard: CrashGuard,
+        verdicts: VerdictStore,
         metrics: Metrics,
         metrics_port: int | None,
     ) -> None:
@@ -67,6 +79,8 @@
         self._exchanger = exchanger
         self._tracker = tracker
         self._peers = peers
+        self._guard = guard
+        self._verdicts = verdicts
         self._directory = PeerDirectory(state.settings, store, peers)
         self._readiness = Readiness(state)
         self._metrics_port = metrics_port
@@ -166,6 +180,8 @@
         return [
             follow_configuration.run,
             follow_registrations.run,
+            self._make_verdict_follower().run,
+            self._verdicts.run,
             self._directory.run,
             self._run_housekeeping,
             self._watch_settings,
@@ -181,6 +197,18 @@
         self._peers.subscribe(kind, follower.receive_update)
         return follower
 
+    def _make_verdict_follower(self) -> Follower:
+        # Each gateway follows the verdicts itself: they change rarely, and one that
+        # hears no other gateway has to know them, too.
+        times = WatchTimes(
+            wait_s=VERDICT_WAIT_S,
+            shared_wait_s=VERDICT_WAIT_S,
+            pause_s=0.0,
+            fresh_s=0.0,
+        )
+        link = UnsharedLink(self._peers.process)
+        return Follower(self._store, ObjectKind.VERDICTS, self._verdicts, times, link)
+
     async def _run_housekeeping(self) -> None:
         ready = False
         while True:
@@ -197,6 +225,7 @@
     async def _announce_periodically(self) -> None:
         while True:
             await asyncio.sleep(ANNOUNCE_INTERVAL_S / 2)
+            self._guard.repeat_reports()
             self._peers.announce_if_idle()
 
     async def _watch_settings(self) -> None:
@@ -221,6 +250,7 @@
     def _remove_upstream(self, upstream: UpstreamId) -> None:
         self._state.remove_upstream(upstream)
         self._exchanger.close_pool(upstream)
+        self._guard.confirm_crash(upstream)
 
     def _listen(self, address: Address, factory: CallerFactory) -> None:
         try:
--- a/bramleyport/gateway/_exchange.py
+++ b/bramleyport/gateway/_exchange.py
@@ -100,6 +100,15 @@
         pool.release(connection)
         return Answer(answer.status, answer.reason, answer.headers, body)
 
+    async def is_refusing(self, target: Registration) -> bool:
+        """Return whether the host of an upstream refuses a new connection."""
+        try:
+            connection = await self._client.connect(target.address, CONNECT_TIMEOUT_S)
+        except ExchangeError as error:
+            return error.failure is ExchangeFailure.REFUSED
+        connection.close()
+        return False
+
     def close_pool(self, upstream: UpstreamId) -> None:
         """Close the idle connections to a removed upstream."""
         pool = self._pools.pop(upstream, None)
--- a/bramleyport/gateway/_follower.py
+++ b/bramleyport/gateway/_follower.py
@@ -95,6 +95,24 @@
         """Send an update to the other gateways."""
 
 
+class UnsharedLink:
+    """Represent the link of a kind of objects that each gateway follows itself."""
+
+    def __init__(self, process: ProcessId) -> None:
+        self.process = process
+
+    def is_sharing(self) -> bool:
+        """Return that no gateway watches the store on behalf of others."""
+        return False
+
+    def is_store_watcher(self) -> bool:
+        """Return that this gateway watches the store."""
+        return True
+
+    def publish_update(self, update: StoreUpdate) -> None:
+        """Send nothing, since the other gateways read the store themselves."""
+
+
 class StateUpdater(Protocol):
     """Represent the receiver of the objects that a follower reads."""
 
--- a/bramleyport/gateway/_peer_messages.py
+++ b/bramleyport/gateway/_peer_messages.py
@@ -7,7 +7,17 @@
 import cbor2
 
 from bramleyport.core import ProcessId, RequestId, UpstreamId
-from bramleyport.fleet import PrefixId, PromptPart, RateLimitNotice, Work
+from bramleyport.fleet import (
+    CrashId,
+    CrashReport,
+    HarmlessPart,
+    PrefixId,
+    PromptPart,
+    RateLimitNotice,
+    Verdict,
+    Work,
+)
+from bramleyport.gateway._clock import read_now
 from bramleyport.gateway._store_updates import (
     FORMAT as STORE_UPDATE_FORMAT,
     StoreUpdate,
@@ -18,6 +28,8 @@
 # Keeps datagrams below the usual path MTU: a larger one is fragmented, and the loss of
 # one fragment loses all of it.
 MAX_ITEMS: Final = 12
+# The same for items that may name up to 32 prompt parts.
+MAX_REPORTS: Final = 2
 
 
 # Longest usual delay of an update. A limit is raised or ended only by an answer to a
@@ -78,6 +90,9 @@
     # Upstreams that refused a connection.
     refused: tuple[UpstreamId, ...] = ()
     limits: tuple[LimitUpdate, ...] = ()
+    reports: tuple[CrashReport, ...] = ()
+    harmless: tuple[HarmlessPart, ...] = ()
+    verdicts: tuple[Verdict, ...] = ()
 
 
 def make_limit_update(notice: RateLimitNotice, now_s: float) -> LimitUpdate:
@@ -119,6 +134,9 @@
             [[item.upstream, item.duration_s] for item in message.changing],
             list(message.refused),
             [_encode_limit(item) for item in message.limits],
+            [_encode_report(item) for item in message.reports],
+            [[item.part, read_now() - item.answered_s] for item in message.harmless],
+            [_encode_verdict(item) for item in message.verdicts],
         ]
     )
 
@@ -145,7 +163,8 @@
 def _decode_message(fields: list[Any], now_s: float) -> PeerMessage:
     if fields[0] != FORMAT:
         raise PeerMessageError("unknown message format")
-    # Messages of earlier versions end with the changing or with the refusing upstreams.
+    # Messages of earlier versions end with the changing or the refusing upstreams, or
+    # with the limits.
     _, process, incarnation, leaving, started, prefilled, ended, changing, *rest = (
         fields
     )
@@ -162,6 +181,14 @@
         ),
         refused=tuple(UpstreamId(str(item)) for item in (rest[0] if rest else ())),
         limits=tuple(_decode_limit(item) for item in (rest[1] if rest[1:] else ())),
+        reports=tuple(
+            _decode_report(item, now_s) for item in (rest[2] if rest[2:] else ())
+        ),
+        harmless=tuple(
+            HarmlessPart(PrefixId(str(part)), now_s - _read_amount(age_s))
+            for part, age_s in (rest[3] if rest[3:] else ())
+        ),
+        verdicts=tuple(_decode_verdict(item) for item in (rest[4] if rest[4:] else ())),
     )
 
 
@@ -212,6 +239,41 @@
     )
 
 
+def _encode_report(report: CrashReport) -> list[Any]:
+    crash = report.crash
+    parts = [sorted(report.parts), sorted(report.unproven)]
+    age_s = read_now() - report.at_s
+    return [crash.upstream, crash.started_ms, age_s, *parts, report.answer_began]
+
+
+def _decode_report(item: Any, now_s: float) -> CrashReport:
+    upstream, started_ms, age_s, parts, unproven, answer_began = item
+    return CrashReport(
+        crash=CrashId(UpstreamId(str(upstream)), int(started_ms)),
+        at_s=now_s - _read_amount(age_s),
+        parts=_decode_parts(parts),
+        unproven=_decode_parts(unproven),
+        answer_began=bool(answer_began),
+    )
+
+
+def _encode_verdict(verdict: Verdict) -> list[Any]:
+    return [verdict.part, sorted(verdict.companions), verdict.crashes]
+
+
+def _decode_verdict(item: Any) -> Verdict:
+    part, companions, crashes = item
+    return Verdict(
+        part=PrefixId(str(part)),
+        companions=_decode_parts(companions),
+        crashes=int(crashes),
+    )
+
+
+def _decode_parts(items: Any) -> frozenset[PrefixId]:
+    return frozenset(PrefixId(str(item)) for item in items)
+
+
 def _read_amount(value: Any) -> float:
     amount = float(value)
     if not math.isfinite(amount) or amount < 0:
--- a/bramleyport/gateway/_peers.py
+++ b/bramleyport/gateway/_peers.py
@@ -22,8 +22,10 @@
     is_watch_shared,
 )
 from bramleyport.gateway._clock import read_now
+from bramleyport.gateway._crash_guard import CrashGuard, CrashUpdates
 from bramleyport.gateway._peer_messages import (
     MAX_ITEMS,
+    MAX_REPORTS,
     ChangingEngine,
     LimitUpdate,
     PeerMessage,
@@ -61,9 +63,12 @@
     # Twisted declares its transports as interfaces without their methods.
     transport: Any = None
 
-    def __init__(self, state: GatewayState, tracker: WorkTracker) -> None:
+    def __init__(
+        self, state: GatewayState, tracker: WorkTracker, guard: CrashGuard
+    ) -> None:
         self._state = state
         self._tracker = tracker
+        self._guard = guard
         self._addresses: dict[ProcessId, Address] = {}
         self._last_received_s: dict[ProcessId, float] = {}
         # If the wall clock steps back across a restart, peers keep the work of the
@@ -78,6 +83,7 @@
         self._update_handlers: dict[ObjectKind, Callable[[StoreUpdate], None]] = {}
         tracker.on_updates_pending = self._schedule
         state.rate_limiter.on_changed = lambda: self._schedule(URGENT_BUSY_S)
+        guard.on_updates_pending = lambda: self._schedule(URGENT_BUSY_S)
 
     @property
     def process(self) -> ProcessId:
@@ -187,6 +193,8 @@
             self._state.changing_until_s[item.upstream] = now_s + item.duration_s
         for upstream in message.refused:
             self._tracker.apply_refused(upstream)
+            self._guard.confirm_crash(upstream)
+        self._apply_crashes(message)
         for update in message.limits:
             notice = make_limit_notice(update, message.process, now_s)
             self._state.rate_limiter.apply_notice(notice, now_s)
@@ -197,6 +205,14 @@
         for ref in message.ended:
             self._tracker.apply_ended(ref.upstream, ref.request)
 
+    def _apply_crashes(self, message: PeerMessage) -> None:
+        for notice in message.harmless:
+            self._guard.apply_harmless(notice)
+        for report in message.reports:
+            self._guard.apply_report(report, message.process)
+        for verdict in message.verdicts:
+            self._guard.apply_verdict(verdict, message.process)
+
     def _record_peer(self, process: ProcessId, addr: Any, now_s: float) -> None:
         is_new = process not in self._last_received_s
         self._last_received_s[process] = now_s
@@ -204,7 +220,7 @@
         if is_new:
             log_event(gateway_events.PEER_JOINED, peer=process, address=addr)
             self._addresses.setdefault(process, Address(addr[0], addr[1]))
-            self._send_limits(self._addresses[process])
+            self._send_known(self._addresses[process])
 
     def _record_incarnation(self, message: PeerMessage) -> None:
         known = self._incarnations.get(message.process, 0)
@@ -212,7 +228,7 @@
             self._incarnations[message.process] = message.incarnation
             self._tracker.drop_origin(message.process)
             if known:
-                self._send_limits(self._addresses[message.process])
+                self._send_known(self._addresses[message.process])
 
     def _make_message(self, **fields: Any) -> PeerMessage:
         return PeerMessage(
@@ -242,6 +258,7 @@
             self._flush_timer = None
         pending = self._tracker.take_pending()
         pending.limits = self._state.rate_limiter.take_due_notices(read_now())
+        pending.crashes = self._guard.take_updates()
         while pending:
             self._send(self._take_batch(pending))
 
@@ -252,6 +269,7 @@
             ended=_make_refs(pending.ended[:MAX_ITEMS]),
             refused=tuple(pending.refused[:MAX_ITEMS]),
             limits=_make_updates(pending.limits[:MAX_ITEMS]),
+            **_take_crashes(pending.crashes),
         )
         del pending.started[:MAX_ITEMS]
         del pending.prefilled[:MAX_ITEMS]
@@ -260,8 +278,12 @@
         del pending.limits[:MAX_ITEMS]
         return message
 
-    def _send_limits(self, address: Address) -> None:
-        """Send all known limits to a gateway that has started."""
+    def _send_known(self, address: Address) -> None:
+        """Send what is known of limits and crashes to a gateway that has started."""
+        crashes = self._guard.list_known()
+        while crashes:
+            message = self._make_message(**_take_crashes(crashes))
+            self._write(encode_message(message), address)
         notices = self._state.rate_limiter.list_notices()
         while notices:
             message = self._make_message(limits=_make_updates(notices[:MAX_ITEMS]))
@@ -283,6 +305,19 @@
             self.transport.write(data, (address.host, address.port))
 
 
+def _take_crashes(crashes: CrashUpdates) -> dict[str, Any]:
+    """Remove what fits into one message, and return it as fields of the message."""
+    fields = {
+        "reports": tuple(crashes.reports[:MAX_REPORTS]),
+        "harmless": tuple(crashes.harmless[:MAX_ITEMS]),
+        "verdicts": tuple(crashes.verdicts[:MAX_REPORTS]),
+    }
+    del crashes.reports[:MAX_REPORTS]
+    del crashes.harmless[:MAX_ITEMS]
+    del crashes.verdicts[:MAX_REPORTS]
+    return fields
+
+
 def _make_refs(pairs: list[tuple[UpstreamId, Any]]) -> tuple[WorkRef, ...]:
     return tuple(WorkRef(upstream, request) for upstream, request in pairs)
 
--- a/bramleyport/gateway/_plain.py
+++ b/bramleyport/gateway/_plain.py
@@ -92,6 +92,7 @@
                 context.attempts.sends -= 1
                 self._record_unreachable(choice)
                 return make_unsent(choice.upstream.upstream, error)
+            await support.guard.record_broken(context.call, choice.upstream, error)
             return self._fail(choice, AttemptEnd.LOST, str(error))
         finally:
             support.tracker.end(context.call, choice.upstream)
@@ -145,6 +146,8 @@
             )
         now_s = read_now()
         failed = answer.status >= 500
+        if not failed:
+            self._support.guard.record_answered(context.call)
         self._support.state.record_result(
             choice.upstream.upstream, failed=failed, now_s=now_s
         )
--- a/bramleyport/gateway/_state.py
+++ b/bramleyport/gateway/_state.py
@@ -9,6 +9,7 @@
     CallerLimits,
     Chooser,
     Configuration,
+    CrashEvidence,
     DecodeTimes,
     GatewayRoster,
     LoadTracker,
@@ -18,6 +19,7 @@
     Reachability,
     Registration,
     RouteTable,
+    Stage,
     WorkRecorder,
 )
 from bramleyport.gateway._rate_limits import RateLimiter
@@ -62,12 +64,14 @@
     stop_s: float | None = None
     # Set when calls that are still running are ended, before the process exits.
     ending: bool = False
+    crash_evidence: CrashEvidence = field(init=False)
     roster: GatewayRoster = field(init=False)
     rate_limiter: RateLimiter = field(init=False)
     chooser: Chooser = field(init=False)
     recorder: WorkRecorder = field(init=False)
 
     def __post_init__(self) -> None:
+        self.crash_evidence = CrashEvidence(self.settings.process)
         self.roster = GatewayRoster(self.settings.process)
         self.rate_limiter = RateLimiter(self.settings.process, self.roster)
         self.chooser = Chooser(
@@ -166,6 +170,16 @@
         ready = self.members.list_ready(call.service)
         return self.rate_limiter.find_blocked(call, ready, now_s)
 
+    def list_busier(self, service: ServiceName) -> set[UpstreamId]:
+        """Return all upstreams of a service but those with the least work."""
+        running = {
+            item.upstream: len(self.loads.of(item.upstream))
+            for item in self.members.list_ready(service)
+            if item.stage is not Stage.PREFILL
+        }
+        least = min(running.values(), default=0)
+        return {upstream for upstream, count in running.items() if count > least}
+
     def record_declined(self, upstream: UpstreamId, now_s: float) -> None:
         """Record that an upstream declined a call, to avoid it for a while."""
         self.declined_until_s[upstream] = now_s + AVOID_DECLINED_S
--- a/bramleyport/gateway/_stream.py
+++ b/bramleyport/gateway/_stream.py
@@ -39,6 +39,7 @@
             failure = await self._attempts.run(context, choice, relay)
             if failure is None:
                 self._record_decode_time(context)
+                self._support.guard.record_answered(context.call)
                 self._support.log_answered(context, 200)
                 return
             self._support.record_failure(context, failure)
--- a/bramleyport/gateway/_stream_attempt.py
+++ b/bramleyport/gateway/_stream_attempt.py
@@ -154,6 +154,9 @@
                 self._record_result(choice, failed=True)
                 return make_unsent(choice.upstream.upstream, error)
             events = relay.events - events_before
+            if events == 0:
+                guard = self._support.guard
+                await guard.record_broken(context.call, choice.upstream, error)
             return _fail(choice, AttemptEnd.LOST, str(error), events)
         finally:
             tracker.end(context.call, choice.upstream)
--- /dev/null
+++ b/bramleyport/gateway/_verdict_store.py
@@ -0,0 +1,239 @@
+"""Keep the verdicts on prompt parts in the store, so that they outlast gateways."""
+
+import asyncio
+import hashlib
+from dataclasses import dataclass
+from typing import Final
+
+from result import Err
+
+from bramleyport.core import Revision
+from bramleyport.fleet import PrefixId, Verdict
+from bramleyport.gateway._clock import read_now
+from bramleyport.gateway._state import GatewayState
+from bramleyport.platform import (
+    ChangeBatch,
+    Listing,
+    MalformedDocumentError,
+    ObjectKind,
+    ObjectName,
+    StoreClient,
+    StoredObject,
+    StoreError,
+    StoreFailure,
+    VerdictDocument,
+    decode_verdict,
+    encode_verdict,
+)
+from bramleyport.telemetry import gateway_events, log_event
+
+KIND: Final = ObjectKind.VERDICTS
+# Time after which one call with a withheld part is tried. It doubles after each trial.
+FIRST_TRIAL_S: Final = 60.0
+MAX_TRIAL_DOUBLINGS: Final = 6
+# Time for which a permitted trial waits for a call with its part.
+TRIAL_KEEP_S: Final = 30.0
+WRITE_RETRY_S: Final = 1.0
+
+
+@dataclass(slots=True, kw_only=True)
+class _StoredVerdict:
+    document: VerdictDocument
+    revision: Revision
+    # When this gateway learned of the verdict or of its last trial.
+    changed_s: float
+
+
+class VerdictStore:
+    """Write verdicts to the store, apply those of it, and permit trials.
+
+    A trial is permitted by a conditional update of the stored verdict, so that there is
+    one at a time whatever the number of gateways.
+    """
+
+    def __init__(self, state: GatewayState, store: StoreClient) -> None:
+        self._state = state
+        self._store = store
+        self._stored: dict[PrefixId, _StoredVerdict] = {}
+        # Verdicts of this gateway that the store does not have yet.
+        self._unwritten: dict[PrefixId, Verdict] = {}
+        # Parts that were released but may still be in the store.
+        self._unremoved: set[PrefixId] = set()
+        self._trial_until_s: dict[PrefixId, float] = {}
+        self._requested_trials: set[PrefixId] = set()
+        self._work_pending = asyncio.Event()
+
+    def apply_listing(self, listing: Listing) -> None:
+        """Replace the stored verdicts with a complete list."""
+        before = set(self._stored)
+        listed = {self._apply_stored(item) for item in listing.objects}
+        for part in before - listed:
+            self._release(part, "no longer stored")
+
+    def apply_changes(self, batch: ChangeBatch) -> None:
+        """Apply changes of stored verdicts."""
+        for change in batch.changes:
+            if not change.removed:
+                self._apply_stored(change.object)
+                continue
+            document = _decode(change.object)
+            if document is not None:
+                self._release(document.verdict.part, "removed from the store")
+
+    def record_store_state(self, *, reachable: bool) -> None:
+        """Keep the verdicts, whether or not the store answers."""
+
+    def write(self, verdict: Verdict) -> None:
+        """Write a verdict in the background."""
+        self._unwritten[verdict.part] = verdict
+        self._work_pending.set()
+
+    def remove(self, part: PrefixId) -> None:
+        """Remove the verdict on a part that proved harmless, in the background."""
+        self._unwritten.pop(part, None)
+        self._unremoved.add(part)
+        self._work_pending.set()
+
+    def take_trial(self, part: PrefixId, now_s: float) -> bool:
+        """Return whether a call with a withheld part may be sent as a trial."""
+        if self._trial_until_s.pop(part, 0.0) > now_s:
+            return True
+        if self.forecast_trial(part, now_s) <= 0 and part in self._stored:
+            self._requested_trials.add(part)
+            self._work_pending.set()
+        return False
+
+    def forecast_trial(self, part: PrefixId, now_s: float) -> float:
+        """Return the seconds until a call with a withheld part may be tried."""
+        stored = self._stored.get(part)
+        if stored is None:
+            return FIRST_TRIAL_S
+        doublings = min(stored.document.trials, MAX_TRIAL_DOUBLINGS)
+        interval_s = FIRST_TRIAL_S * (1 << doublings)
+        return max(0.0, stored.changed_s + interval_s - now_s)
+
+    async def run(self) -> None:
+        """Write what is pending until cancelled."""
+        while True:
+            await self._work_pending.wait()
+            self._work_pending.clear()
+            if not await self._write_pending():
+                await asyncio.sleep(WRITE_RETRY_S)
+                self._work_pending.set()
+
+    async def _write_pending(self) -> bool:
+        """Return whether nothing is left to be written."""
+        for part in list(self._unremoved):
+            if await self._remove_one(part):
+                self._unremoved.discard(part)
+        for part, verdict in list(self._unwritten.items()):
+            if await self._write_one(verdict) and self._unwritten.get(part) == verdict:
+                del self._unwritten[part]
+        while self._requested_trials:
+            await self._request_trial(self._requested_trials.pop())
+        return not self._unwritten and not self._unremoved
+
+    async def _write_one(self, verdict: Verdict) -> bool:
+        stored = self._stored.get(verdict.part)
+        name = _make_name(verdict.part)
+        trials = stored.document.trials if stored else 0
+        document = encode_verdict(verdict, trials)
+        result = await self._store.create(KIND, name, document)
+        conflict = isinstance(result, Err) and (
+            result.err_value.failure is StoreFailure.CONFLICT
+        )
+        if conflict and (stored is None or stored.document.verdict != verdict):
+            # Another gateway was first, or the verdict names fewer companions now.
+            revision = stored.revision if stored else None
+            result = await self._store.replace(KIND, name, document, revision)
+        if isinstance(result, Err) and not conflict:
+            _log_failure(verdict.part, result.err_value)
+            return False
+        return True
+
+    async def _remove_one(self, part: PrefixId) -> bool:
+        result = await self._store.remove(KIND, _make_name(part))
+        if isinstance(result, Err) and (
+            result.err_value.failure is not StoreFailure.NOT_FOUND
+        ):
+            _log_failure(part, result.err_value)
+            return False
+        return True
+
+    async def _request_trial(self, part: PrefixId) -> None:
+        stored = self._stored.get(part)
+        if stored is None:
+            return
+        document = encode_verdict(stored.document.verdict, stored.document.trials + 1)
+        name = _make_name(part)
+        result = await self._store.replace(KIND, name, document, stored.revision)
+        if isinstance(result, Err):
+            # Another gateway has the trial, or the store does not answer.
+            return
+        self._trial_until_s[part] = read_now() + TRIAL_KEEP_S
+        log_event(
+            gateway_events.TRIAL_PERMITTED,
+            part=part,
+            trials=stored.document.trials + 1,
+        )
+
+    def _apply_stored(self, item: StoredObject) -> PrefixId | None:
+        document = _decode(item)
+        if document is None:
+            return None
+        verdict = document.verdict
+        evidence = self._state.crash_evidence
+        if not evidence.is_plausible(verdict):
+            self.remove(verdict.part)
+            return None
+        known = self._stored.get(verdict.part)
+        self._stored[verdict.part] = _StoredVerdict(
+            document=document,
+            revision=item.revision,
+            changed_s=read_now()
+            if known is None or known.document.trials != document.trials
+            else known.changed_s,
+        )
+        if evidence.apply_verdict(verdict):
+            log_verdict(verdict, "store")
+        return verdict.part
+
+    def _release(self, part: PrefixId, reason: str) -> None:
+        self._stored.pop(part, None)
+        self._trial_until_s.pop(part, None)
+        if any(item.part == part for item in self._state.crash_evidence.verdicts):
+            self._state.crash_evidence.release(part)
+            log_event(gateway_events.PART_RELEASED, part=part, reason=reason)
+
+
+def log_verdict(verdict: Verdict, origin: str) -> None:
+    """Log that calls with a part are withheld from now on."""
+    log_event(
+        gateway_events.PART_WITHHELD,
+        part=verdict.part,
+        companions=sorted(verdict.companions - {verdict.part}),
+        crashes=verdict.crashes,
+        origin=origin,
+    )
+
+
+def _make_name(part: PrefixId) -> ObjectName:
+    digest = hashlib.blake2b(part.encode(), digest_size=16)
+    return ObjectName(digest.hexdigest())
+
+
+def _decode(item: StoredObject) -> VerdictDocument | None:
+    try:
+        return decode_verdict(item.document)
+    except MalformedDocumentError as error:
+        log_event(gateway_events.VERDICT_INVALID, object=item.name, reason=str(error))
+        return None
+
+
+def _log_failure(part: PrefixId, error: StoreError) -> None:
+    log_event(
+        gateway_events.VERDICT_NOT_WRITTEN,
+        part=part,
+        failure=error.failure.value,
+        reason=error.reason,
+    )
--- a/bramleyport/gateway/_work_tracker.py
+++ b/bramleyport/gateway/_work_tracker.py
@@ -7,6 +7,7 @@
 from bramleyport.core import RequestId, UpstreamId
 from bramleyport.fleet import Call, RateLimitNotice, Registration, Work
 from bramleyport.gateway._clock import read_now
+from bramleyport.gateway._crash_guard import CrashUpdates
 from bramleyport.gateway._state import GatewayState
 
 # Refused connections are sent as urgently as work that keeps an engine busy for this
@@ -25,10 +26,16 @@
     refused: list[UpstreamId] = field(default_factory=list)
     # What upstreams said of their rate limits.
     limits: list[RateLimitNotice] = field(default_factory=list)
+    crashes: CrashUpdates = field(default_factory=CrashUpdates)
 
     def __bool__(self) -> bool:
         return bool(
-            self.started or self.prefilled or self.ended or self.refused or self.limits
+            self.started
+            or self.prefilled
+            or self.ended
+            or self.refused
+            or self.limits
+            or self.crashes
         )
 
 
--- a/bramleyport/platform/__init__.py
+++ b/bramleyport/platform/__init__.py
@@ -54,6 +54,11 @@
     StoreError,
     StoreFailure,
 )
+from bramleyport.platform._verdicts import (
+    VerdictDocument,
+    decode_verdict,
+    encode_verdict,
+)
 
 __all__ = [
     "CACHE_LISTING_PATH",
@@ -80,6 +85,7 @@
     "StoreFailure",
     "StoreSettings",
     "StoredObject",
+    "VerdictDocument",
     "decode_answer",
     "decode_cache_listing",
     "decode_call",
@@ -89,10 +95,12 @@
     "decode_prefill",
     "decode_registration",
     "decode_report",
+    "decode_verdict",
     "encode_answer_headers",
     "encode_forward_headers",
     "encode_gateway",
     "encode_own_headers",
+    "encode_verdict",
     "is_comment",
     "load_node_settings",
     "locate_settings",
--- a/bramleyport/platform/_store.py
+++ b/bramleyport/platform/_store.py
@@ -45,6 +45,7 @@
     REGISTRATIONS = "servers"
     GATEWAYS = "gateways"
     LEASES = "leases"
+    VERDICTS = "verdicts"
 
 
 class StoreFailure(str, Enum):
--- a/bramleyport/telemetry/_gateway_events.py
+++ b/bramleyport/telemetry/_gateway_events.py
@@ -57,4 +57,18 @@
 LIMIT_INVALID: Final = define(
     2646, "WARNING", "invalid rate limit of an upstream ignored, last one kept"
 )
+CRASH_REPORTED: Final = define(
+    2650, "WARNING", "upstream crashed before the first event of a call"
+)
+PART_WITHHELD: Final = define(
+    2651, "WARNING", "calls with a prompt part that crashes upstreams withheld"
+)
+PART_RELEASED: Final = define(2652, "INFO", "withheld prompt part released")
+TRIAL_PERMITTED: Final = define(
+    2653, "INFO", "trial of a call with a withheld prompt part permitted"
+)
+VERDICT_NOT_WRITTEN: Final = define(
+    2654, "WARNING", "verdict on a prompt part not written to the store"
+)
+VERDICT_INVALID: Final = define(2655, "WARNING", "invalid verdict in the store ignored")
 READINESS_CHANGED: Final = define(2637, "INFO", "readiness changed")
--- a/tests/test_gateway_peers.py
+++ b/tests/test_gateway_peers.py
@@ -26,6 +26,8 @@
 Run = Callable[[Coroutine[Any, Any, Any]], Any]
 PEER = ProcessId("z-peer")
 ADDRESS = ("127.0.0.1", 9)
+# Position of the limits in an encoded message.
+LIMITS_INDEX = 9
 
 
 def make_work(request: str = "r1") -> Work:
@@ -198,15 +200,16 @@
 @pytest.mark.parametrize("value", [-1.0, float("nan"), float("inf"), "much", []])
 def test_limit_that_is_no_rate_is_refused(value: Any) -> None:
     fields = cbor2.loads(encode_message(make_message(limits=(make_limit_update(),))))
-    fields[-1][0][2] = value
+    fields[LIMITS_INDEX][0][2] = value
     with pytest.raises(PeerMessageError):
         decode_datagram(cbor2.dumps(fields), 0.0)
 
 
-def test_message_without_limits_is_decoded() -> None:
-    # Gateways of the previous version send none.
+@pytest.mark.parametrize("length", [LIMITS_INDEX, LIMITS_INDEX + 1])
+def test_message_of_an_earlier_version_is_decoded(length: int) -> None:
+    # Gateways of earlier versions send no limits, or no reports of crashes.
     fields = cbor2.loads(encode_message(make_message()))
-    assert decode_datagram(cbor2.dumps(fields[:-1]), 0.0) == make_message()
+    assert decode_datagram(cbor2.dumps(fields[:length]), 0.0) == make_message()
 
 
 def test_limit_named_to_a_peer_binds_this_gateway(
