Let the soak crash engines on parts of prompts

The profile `crashes`: six engines that crash on one part of prompts or on two, crashes of other causes, gateways that are killed and stopped. Checked from what engines received: at most three requests with a part later than the stable window after its fifth crash, whichever gateways were killed; and that sound prompts are served once the crashes end.

--- a/tests/platform_standin/_crashes.py
+++ b/tests/platform_standin/_crashes.py
@@ -70,8 +70,10 @@
         await super().stop()
 
     def register(self, store: StoreStandin, **changes: object) -> None:
+        """Write this engine's registration to the store while it is up."""
         self._store = store
-        super().register(store, **changes)
+        if not self.is_down:
+            super().register(store, **changes)
 
     def find_deadly_part(self, request: RawRequest) -> str | None:
         parts = list_parts(request)[:-1]
@@ -102,7 +104,7 @@
 
     async def _remove_registration(self, name: str) -> None:
         await asyncio.sleep(self.registration_s)
-        if self._store is not None and name != self.name:
+        if self._store is not None and (self.is_down or name != self.name):
             self._store.delete("servers", name)
 
 
--- a/tests/prompt_traffic.py
+++ b/tests/prompt_traffic.py
@@ -8,20 +8,12 @@
 from dataclasses import dataclass, field
 from pathlib import Path
 
+from tests.crash_bound import find_bounded_s, list_crashes, list_late_arrivals
 from tests.gateway_group import GatewayGroup
-from tests.platform_standin import (
-    CallerAnswer,
-    CrashingEngine,
-    EngineCrash,
-    list_parts,
-)
+from tests.platform_standin import CallerAnswer, CrashingEngine, EngineCrash
 
 STABLE_MS = 1000
 SEND_INTERVAL_S = 0.05
-# The platform's bound: after the stable window that begins with this crash, so many
-# deadly requests may still reach engines.
-BOUNDED_CRASH = 5
-MAX_LATE_ARRIVALS = 3
 # Sound requests and deadly ones contain one of these behind their first part.
 SHARED_PARTS = ("b0", "b1", "b2", "b3")
 
@@ -65,8 +57,7 @@
     @property
     def crashes(self) -> list[EngineCrash]:
         """Return all crashes in the order of their times."""
-        found = [crash for engine in self.engines for crash in engine.crashes]
-        return sorted(found, key=lambda crash: crash.time_s)
+        return list_crashes(self.engines)
 
     def set_deadly_parts(self, *parts: str) -> None:
         for engine in self.engines:
@@ -147,10 +138,7 @@
 
     def find_bounded_s(self, part: str) -> float | None:
         """Return when the bound begins for a part, or None if it has not begun."""
-        times_s = [crash.time_s for crash in self.crashes if crash.part == part]
-        if len(times_s) < BOUNDED_CRASH:
-            return None
-        return times_s[BOUNDED_CRASH - 1] + STABLE_MS / 1000
+        return find_bounded_s(self.engines, part, STABLE_MS / 1000)
 
     def count_sent(self, part: str, *, bounded: bool) -> int:
         """Return how many prompts with a part were sent, in all or under the bound."""
@@ -163,19 +151,9 @@
 
     def list_late_arrivals(self, part: str) -> list[str]:
         """Return the requests under the bound that reached engines, each time."""
+        sent_s = {prompt.request: prompt.sent_s for prompt in self.sent}
         bounded_s = self.find_bounded_s(part)
-        late = {
-            prompt.request
-            for prompt in self.sent
-            if bounded_s is not None and prompt.sent_s > bounded_s
-        }
-        return [
-            arrival.request.headers["request-id"]
-            for engine in self.engines
-            for arrival in engine.arrivals
-            if part in list_parts(arrival.request)
-            and arrival.request.headers["request-id"] in late
-        ]
+        return list_late_arrivals(self.engines, part, bounded_s, sent_s)
 
     def list_refused_runs(self) -> list[str]:
         """Return the requests that ran although their answer says that they did not."""
--- a/tests/soak/_callers.py
+++ b/tests/soak/_callers.py
@@ -7,6 +7,7 @@
 
 from tests.platform_standin import RawCaller
 from tests.soak._checks import Observations, SentCall, check_answer, check_extra_route
+from tests.soak._deadly_prompts import Prompts
 from tests.soak._processes import GatewayProcess
 
 KINDS = ("read", "post", "once", "stream", "extra")
@@ -17,7 +18,6 @@
 PERSISTENT_FRACTION = 0.4
 # Fraction of the calls whose caller disconnects before the answer.
 DISCONNECT_FRACTION = 0.03
-PREFIX_COUNT = 5
 
 
 class Callers:
@@ -32,6 +32,7 @@
         self._record = observations
         self._gateways = gateways
         self._random = random
+        self.prompts = Prompts(random)
         self._number = 0
         self.stopping = False
 
@@ -77,9 +78,8 @@
         call = self._record.sent[name]
         headers = {"Request_Id": name, "Deadline_Ms": str(DEADLINE_MS)}
         if kind in ("once", "stream"):
-            prefix = self._random.randrange(PREFIX_COUNT)
-            headers |= {"Model": "m", "Token_Counts": "4000,10"}
-            headers |= {"Prompt_Prefix": f"a{prefix}:3000,{name[1:]}:1000"}
+            call.deadly_part = self.prompts.pick_deadly_part()
+            headers |= self.prompts.pick_headers(name[1:], call.deadly_part)
         await caller.send(f"/{kind}/x", body=b"b", **headers)
         if self._random.random() < DISCONNECT_FRACTION:
             await asyncio.sleep(self._random.random() * 0.1)
--- a/tests/soak/_checks.py
+++ b/tests/soak/_checks.py
@@ -36,6 +36,8 @@
     answer: CallerAnswer | None = None
     # When the caller closed its connection without waiting for the answer.
     disconnected_s: float | None = None
+    # The part of its prompt on which engines crash.
+    deadly_part: str | None = None
 
 
 @dataclass(slots=True)
--- a/tests/soak/_faults.py
+++ b/tests/soak/_faults.py
@@ -11,7 +11,7 @@
 
 from bramleyport.gateway._follower import choose_watch_times
 from tests.gateway_fleet import BOUNDS, make_config, make_route
-from tests.platform_standin import StoreStandin, UpstreamStandin
+from tests.platform_standin import CrashingEngine, StoreStandin, UpstreamStandin
 from tests.rate_window import SETTLE_S, WINDOW_S
 from tests.soak._checks import (
     STABLE_S,
@@ -71,7 +71,11 @@
                 limit.until_s = min(limit.until_s, time.monotonic())
 
     def register_upstream(self, upstream: UpstreamStandin, **changes: str) -> None:
-        """Write the registration of an upstream with the address of its proxy."""
+        """Write the registration of an upstream, with the address of its proxy."""
+        if isinstance(upstream, CrashingEngine):
+            # A proxy would accept connections while the engine is down.
+            upstream.register(self.store, **changes)
+            return
         address = f"127.0.0.1:{self.proxies[upstream.name].port}"
         upstream.register(self.store, addr=address, **changes)
 
@@ -92,6 +96,16 @@
 KEPT_LIMIT_FRACTION: Final = 0.8
 
 
+# What happens beside engines that crash on parts of prompts.
+CRASH_FAULTS: Final[dict[str, Fault]] = {}
+
+
+def register_crash_fault(fault: Fault) -> Fault:
+    """Register a fault that also occurs beside engines that crash."""
+    CRASH_FAULTS[fault.__name__] = fault
+    return fault
+
+
 def register_limit_change(fault: Fault) -> Fault:
     """Register a change of the rate limit of an upstream."""
     LIMIT_CHANGES[fault.__name__] = fault
@@ -133,6 +147,7 @@
     return code
 
 
+@register_crash_fault
 @register_planned
 async def stop_gateway(targets: FaultTargets) -> None:
     """Stop a gateway with SIGTERM, as the platform does, and start it again."""
@@ -224,6 +239,14 @@
         gateway.send_if_running(signal.SIGCONT)
 
 
+@register_crash_fault
+async def crash_engine(targets: FaultTargets) -> None:
+    """Crash an engine for a cause other than a prompt."""
+    engines = [item for item in targets.upstreams if isinstance(item, CrashingEngine)]
+    targets.random.choice(engines).crash()
+
+
+@register_crash_fault
 @register_unplanned
 async def kill_gateway(targets: FaultTargets) -> None:
     """Kill a gateway and start it again."""
--- a/tests/soak/_findings.py
+++ b/tests/soak/_findings.py
@@ -16,6 +16,8 @@
     violations: list[str] = field(default_factory=list)
     # Time windows in which the rate limit of an upstream was checked.
     limited_windows: int = 0
+    # Crashes by the part of a prompt that caused them.
+    crashes: Counter[str] = field(default_factory=Counter)
 
     def summarize(self) -> str:
         """Return one line with all counts."""
@@ -25,7 +27,8 @@
         return (
             f"{sum(self.calls.values())} calls, {answered} answered 200, "
             f"{sum(self.faults.values())} faults, {self.limited_windows} windows at "
-            f"limits, {len(self.violations)} violations"
+            f"limits, crashes by part: {dict(self.crashes)}, "
+            f"{len(self.violations)} violations"
         )
 
 
--- a/tests/soak/_soak_run.py
+++ b/tests/soak/_soak_run.py
@@ -3,6 +3,7 @@
 import asyncio
 import signal
 import tempfile
+import time
 from enum import Enum
 from pathlib import Path
 from random import Random
@@ -10,6 +11,7 @@
 from tests.gateway_fleet import LANGUAGE, PLAIN, make_config
 from tests.platform_standin import (
     ENDLESS_ANSWERS,
+    CrashingEngine,
     RawRequest,
     Script,
     StoreStandin,
@@ -31,7 +33,10 @@
     check_limits,
     check_runs,
 )
+from tests.soak._crash_checks import check_deadly_parts, check_sound_prompts
+from tests.soak._deadly_prompts import DEADLY_PARTS
 from tests.soak._faults import (
+    CRASH_FAULTS,
     LIMIT_CHANGES,
     PLANNED_OPERATIONS,
     UNPLANNED_FAULTS,
@@ -48,6 +53,10 @@
 RECOVERY_WAIT_S = 9.0
 MAX_FAULT_INTERVAL_S = 0.8
 BAD_ANSWER_FRACTION = 0.15
+CRASHING_ENGINES = 6
+# Before engines crash on parts of prompts, as a measure of what is served without.
+SOUND_S = 2.0
+MAX_EVENT_INTERVAL_S = 0.05
 PLAIN_FAULTS: list[Script] = [
     lose_answer,
     truncate,
@@ -78,6 +87,8 @@
     # As PLANNED and MIXED, and also upstreams that name rate limits.
     LIMITS = "limits"
     MIXED_LIMITS = "mixed_limits"
+    # Engines that crash on parts of prompts, and gateways that end.
+    CRASHES = "crashes"
 
 
 # A seed chooses one of these. The others aren't among them, so that the seeds that have
@@ -108,9 +119,19 @@
         self._folder = folder
         self._gateway_count = gateways
         self._upstreams = [UpstreamStandin(f"p{n}", service=PLAIN) for n in range(3)]
-        self._upstreams += [
-            UpstreamStandin(f"d{n}", service=LANGUAGE, stage="decode") for n in range(3)
-        ]
+        self._engines: list[CrashingEngine] = []
+        if self._profile is Profile.CRASHES:
+            self._engines = [
+                CrashingEngine(f"d{n}", service=LANGUAGE, stage="decode")
+                for n in range(CRASHING_ENGINES)
+            ]
+            self._upstreams += self._engines
+        else:
+            self._upstreams += [
+                UpstreamStandin(f"d{n}", service=LANGUAGE, stage="decode")
+                for n in range(3)
+            ]
+        self._deadly_from_s = 0.0
         self._gateways: list[GatewayProcess] = []
         self._targets = FaultTargets(
             self._random,
@@ -124,7 +145,7 @@
 
     @property
     def _injects_faults(self) -> bool:
-        return self._profile not in (Profile.PLANNED, Profile.LIMITS)
+        return self._profile not in (Profile.PLANNED, Profile.LIMITS, Profile.CRASHES)
 
     @property
     def _names_limits(self) -> bool:
@@ -143,7 +164,12 @@
     async def _start(self) -> None:
         await self._store.start()
         self._store.put("config", "main", make_config())
+        for engine in self._engines:
+            await engine.start()
+            self._targets.register_upstream(engine)
         for upstream in self._upstreams:
+            if isinstance(upstream, CrashingEngine):
+                continue
             await upstream.start()
             upstream.script = self._make_script(upstream)
             proxy = FaultProxy(upstream.port)
@@ -169,6 +195,9 @@
             asyncio.ensure_future(self._callers.send_calls()) for _ in range(count)
         ]
         faults = asyncio.ensure_future(self._inject_faults())
+        if self._profile is Profile.CRASHES:
+            await asyncio.sleep(SOUND_S)
+            self._add_deadly_parts()
         await asyncio.sleep(seconds)
         faults.cancel()
         await asyncio.gather(faults, return_exceptions=True)
@@ -196,8 +225,19 @@
 
         return script
 
+    def _add_deadly_parts(self) -> None:
+        """Make engines crash on one part of prompts or on two, and callers send it."""
+        parts = DEADLY_PARTS[: self._random.randint(1, len(DEADLY_PARTS))]
+        for engine in self._engines:
+            engine.deadly_parts = set(parts)
+            engine.pause_s = self._random.random() * MAX_EVENT_INTERVAL_S
+        self._deadly_from_s = time.monotonic()
+        self._callers.prompts.deadly_parts = parts
+
     async def _inject_faults(self) -> None:
         faults: dict[str, Fault] = dict(PLANNED_OPERATIONS)
+        if self._profile is Profile.CRASHES:
+            faults = dict(CRASH_FAULTS)
         if self._injects_faults:
             faults |= UNPLANNED_FAULTS
         if self._names_limits:
@@ -252,6 +292,10 @@
     def _check(self) -> None:
         check_runs(self.observations, self._upstreams)
         check_limits(self.observations, self._upstreams)
+        if self._engines:
+            parts = self._callers.prompts.deadly_parts
+            check_deadly_parts(self.observations, self._engines, parts)
+            check_sound_prompts(self.observations, self._engines, self._deadly_from_s)
         self.findings.limited_windows = self.observations.limited_windows
         if self._profile is Profile.PLANNED and self.observations.check_time_limits:
             check_drains(self.observations, self._upstreams)
--- a/tests/test_crashing_parts.py
+++ b/tests/test_crashing_parts.py
@@ -8,8 +8,8 @@
 
 import pytest
 
+from tests.crash_bound import MAX_LATE_ARRIVALS
 from tests.prompt_traffic import (
-    MAX_LATE_ARRIVALS,
     PromptTraffic,
     count_served,
     send_until,
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -10,6 +10,8 @@
 
 from tests.platform_standin import (
     CallerAnswer,
+    CrashingEngine,
+    EngineCrash,
     RawRequest,
     UpstreamArrival,
     UpstreamRun,
@@ -36,6 +38,7 @@
     check_limits,
     check_runs,
 )
+from tests.soak._crash_checks import check_deadly_parts, check_sound_prompts
 from tests.soak._processes import GatewayProcess
 from tests.soak._proxy import Direction, FaultProxy
 
@@ -95,6 +98,63 @@
     assert findings.calls["post 200"] > 0
 
 
+# Guards the withholding of prompts on which engines crash, while gateways are killed.
+def test_guarantees_hold_while_engines_crash_on_prompts(run: Run) -> None:
+    findings = run(
+        run_soak(3, 6.0, gateways=3, profile=Profile.CRASHES, check_time_limits=False)
+    )
+    assert findings.violations == []
+    assert findings.crashes.total() > 0
+    assert findings.calls["stream 200"] > 0
+
+
+def make_crashed_engine(crashes: int, arrivals: int) -> CrashingEngine:
+    """Return an engine that crashed on a part before time 10 and got it after that."""
+    engine = CrashingEngine("d0", service="language", stage="decode")
+    for number in range(crashes):
+        engine.crashes.append(EngineCrash("d0", "dead", time_s=float(number)))
+    for number in range(arrivals):
+        headers = {"request-id": f"s{number}", "prompt-prefix": "a1:9,dead:9,f:9"}
+        request = RawRequest("POST", "/once/x", headers, b"")
+        engine.arrivals.append(UpstreamArrival(request))
+    return engine
+
+
+# Guards the check against bounds that begin too late, too early or not at all.
+@pytest.mark.parametrize(
+    ("crashes", "arrivals", "sent_s", "violated"),
+    [(5, 4, 7.1, True), (5, 3, 7.1, False), (5, 4, 6.9, False), (4, 4, 7.1, False)],
+)
+def test_deadly_requests_at_engines_are_found(
+    observations: Observations,
+    crashes: int,
+    arrivals: int,
+    sent_s: float,
+    violated: bool,
+) -> None:
+    engine = make_crashed_engine(crashes, arrivals)
+    for number in range(arrivals):
+        observations.sent[f"s{number}"] = SentCall("once", sent_s, deadly_part="dead")
+    check_deadly_parts(observations, [engine], ["dead"])
+    assert bool(observations.findings.violations) is violated
+
+
+# Guards the check against sound prompts that are withheld unnoticed.
+@pytest.mark.parametrize(("refused", "violated"), [(4, False), (6, True)])
+def test_refused_sound_prompts_are_found(
+    observations: Observations, refused: int, violated: bool
+) -> None:
+    engine = make_crashed_engine(5, 0)
+    for number in range(20):
+        after = number >= 10
+        status = 503 if after and number < 10 + refused else 200
+        call = SentCall("once", 20.0 if after else -1.0)
+        call.answer = CallerAnswer(status, {}, b"", True)
+        observations.sent[f"s{number}"] = call
+    check_sound_prompts(observations, [engine], deadly_from_s=0.0)
+    assert bool(observations.findings.violations) is violated
+
+
 @pytest.mark.parametrize(
     ("requests", "after_s", "violated"),
     [(21, SETTLE_S + 1.0, False), (22, SETTLE_S + 1.0, True), (22, 1.0, False)],
