Let the soak answer some parts before engines crash on them

In four of ten runs with the profile crashes, callers send the parts before engines crash on them: a part that was answered before has to be withheld as well.

--- a/tests/soak/_soak_run.py
+++ b/tests/soak/_soak_run.py
@@ -57,6 +57,8 @@
 # Before engines crash on parts of prompts, as a measure of what is served without.
 SOUND_S = 2.0
 MAX_EVENT_INTERVAL_S = 0.05
+# Fraction of the runs in which deadly parts are harmless at first.
+ANSWERED_BEFORE_FRACTION = 0.4
 PLAIN_FAULTS: list[Script] = [
     lose_answer,
     truncate,
@@ -132,6 +134,7 @@
                 for n in range(3)
             ]
         self._deadly_from_s = 0.0
+        self._deadly_parts: tuple[str, ...] = ()
         self._gateways: list[GatewayProcess] = []
         self._targets = FaultTargets(
             self._random,
@@ -190,6 +193,8 @@
         self._gateways.append(gateway)
 
     async def _run_under_faults(self, seconds: float) -> None:
+        if self._profile is Profile.CRASHES:
+            self._choose_deadly_parts()
         count = CALLERS_PER_GATEWAY * len(self._gateways)
         callers = [
             asyncio.ensure_future(self._callers.send_calls()) for _ in range(count)
@@ -225,9 +230,16 @@
 
         return script
 
+    def _choose_deadly_parts(self) -> None:
+        """Choose the parts; in some runs engines answer them before they crash."""
+        count = self._random.randint(1, len(DEADLY_PARTS))
+        self._deadly_parts = DEADLY_PARTS[:count]
+        if self._random.random() < ANSWERED_BEFORE_FRACTION:
+            self._callers.prompts.deadly_parts = self._deadly_parts
+
     def _add_deadly_parts(self) -> None:
-        """Make engines crash on one part of prompts or on two, and callers send it."""
-        parts = DEADLY_PARTS[: self._random.randint(1, len(DEADLY_PARTS))]
+        """Make engines crash on the chosen parts, and callers send them."""
+        parts = self._deadly_parts
         for engine in self._engines:
             engine.deadly_parts = set(parts)
             engine.pause_s = self._random.random() * MAX_EVENT_INTERVAL_S
