Show that gateways that start blame parts that others answer

A gateway that starts gets the recent crash reports of its peers, but knows no answered part: two crashes convict the first part of all prompts there.

--- a/tests/crash_simulation.py
+++ b/tests/crash_simulation.py
@@ -74,6 +74,8 @@
     group: int = 0
     # When a peer last reported a part as harmless.
     heard_s: dict[PrefixId, float] = field(default_factory=dict)
+    # Own reports, which gateways that start get as well.
+    reports: list[CrashReport] = field(default_factory=list)
 
 
 @dataclass(slots=True)
@@ -122,8 +124,8 @@
         for peer in list(self.gateways.values()):
             if peer is gateway or not peer.running:
                 continue
-            for verdict in peer.evidence.verdicts:
-                self._deliver(peer, gateway, verdict)
+            for notice in (*peer.reports, *peer.evidence.verdicts):
+                self._deliver(peer, gateway, notice)
 
     def kill_gateway(self, name: str) -> None:
         self.gateways.pop(name).running = False
@@ -150,6 +152,15 @@
         bounded_s = self.crashes[BOUNDED_CRASH - 1] + STABLE_S
         return sum(sent_s > bounded_s for sent_s in self.deadly_sends)
 
+    def list_blamed(self) -> set[PrefixId]:
+        """Return the parts that gateways withhold though no engine crashes on them."""
+        return {
+            verdict.part
+            for gateway in self.gateways.values()
+            for verdict in gateway.evidence.verdicts
+            if verdict.part != DEADLY
+        }
+
     def compute_sound_sent(self) -> float:
         """Return which fraction of the sound prompts is sent after the last crash."""
         settled_s = self.crashes[-1] + 2 * STABLE_S
@@ -212,6 +223,7 @@
         )
         if report is None or not gateway.running:
             return
+        gateway.reports.append(report)
         for verdict in gateway.evidence.record_crash(report, self.now_s):
             self._broadcast(gateway, verdict)
         for number in range(REPEATS):
@@ -252,6 +264,6 @@
             if gateway.heard_s.get(notice.part, -1.0) < since_s:
                 self._broadcast(gateway, notice)
 
-        for notice in gateway.evidence.find_harmless(parts):
+        for notice in gateway.evidence.find_harmless(sorted(parts)):
             at_s = since_s + self.random.random() * MAX_OBJECTION_S
             self.call_at(at_s, lambda notice=notice: send(notice))
--- a/tests/soak/_seeds.py
+++ b/tests/soak/_seeds.py
@@ -8,4 +8,6 @@
     118: "same cause as seed 110",
     717: "SIGHUP after a gateway had stopped ended it; with the profile mixed_limits",
     243: "a watch on a silent connection to the store timed out after 9.5 s",
+    107: "same cause as seed 209",
+    209: "gateways that started blamed parts of sound prompts; profile crashes",
 }
--- a/tests/test_crash_simulation.py
+++ b/tests/test_crash_simulation.py
@@ -49,6 +49,7 @@
     print(f"{len(simulation.crashes)} crashes, {simulation.count_late_sends()} late")
     assert simulation.count_late_sends() <= MAX_LATE_ARRIVALS
     assert simulation.compute_sound_sent() >= 0.5
+    assert simulation.list_blamed() == set()
 
 
 # Guards against groups of gateways of which each learns from crashes of its own only;
@@ -68,3 +69,20 @@
     simulation.run(50.0)
     print(f"{len(simulation.crashes)} crashes, {simulation.count_late_sends()} late")
     assert len(simulation.deadly_sends) - sends <= MAX_LATE_ARRIVALS
+
+
+# Guards against a gateway that starts, gets reports of crashes, and blames the parts
+# that all others answer prompts with: sound prompts would find it refusing for good.
+@pytest.mark.parametrize("seed", range(5))
+def test_gateway_that_starts_blames_no_part_that_others_answer(seed: int) -> None:
+    simulation = make_simulation(seed, 4, 0.0)
+    simulation.run(10.0)
+    simulation.begin_deadly()
+    simulation.run(20.0)
+    for engine in simulation.engines[:4]:
+        simulation.crash_engine(engine)
+    simulation.run(21.0)
+    simulation.kill_gateway("g0")
+    simulation.start_gateway("g0")
+    simulation.run(22.0)
+    assert simulation.list_blamed() == set()
