Judge crashing parts by what all gateways know

Cause: a gateway convicted parts by the answers that it knew itself; and a part with which calls were answered before was convicted only after ten other answers of one gateway.

Change: reports say which parts are proven harmless, and all gateways believe that; what is sent again, and what gateways that start are told, leaves out what was answered since. A part with which calls were answered is convicted after four crashes in which an answer had begun. A crash that a verdict explains accuses no such part.

--- a/bramleyport/fleet/_crash_evidence.py
+++ b/bramleyport/fleet/_crash_evidence.py
@@ -18,12 +18,10 @@
 
 # Crashes of different upstream processes after which calls with a part are withheld.
 CRASHES_TO_WITHHOLD: Final = 2
-# The same for a part with which a call was answered before, together with the time that
-# they must span and the calls that this gateway must have answered meanwhile: many
-# upstreams may crash at once for another reason, and then nothing is answered.
+# The same for a part with which a call was answered before. Only crashes count in which
+# an answer had begun: many upstreams may crash at once for another reason, while most
+# calls at them wait or have had events.
 CRASHES_DESPITE_ANSWERS: Final = 4
-MIN_SPAN_S: Final = 2.0
-MIN_OTHERS_ANSWERED: Final = 10
 # Time for which a part is withheld after a first crash, if an answer with it had begun.
 # An engine that crashed is usually back by then. Gateways add different times, so that
 # not all of them try the part again at once.
@@ -94,11 +92,13 @@
     companions: frozenset[PrefixId]
     first_s: float
     last_s: float
-    # Calls that this gateway had answered before the first crash.
-    answered_before: int
     # Calls are withheld until then though a single crash may have had another cause.
     held_until_s: float = 0.0
     crashes: set[CrashId] = field(default_factory=set)
+    # Those in which an answer to a call with the part had begun.
+    begun: set[CrashId] = field(default_factory=set)
+    # A gateway that reported a crash knows an answered call with the part.
+    proven: bool = False
 
 
 def list_shared_parts(parts: Sequence[PromptPart]) -> list[PrefixId]:
@@ -116,7 +116,6 @@
         self._process = process
         # When a call with a part was last answered; the longest unused part first.
         self._answered_s: OrderedDict[PrefixId, float] = OrderedDict()
-        self._answered_calls = 0
         # The part that was not accused for the longest time first.
         self._suspects: OrderedDict[PrefixId, _Suspect] = OrderedDict()
         self._verdicts: OrderedDict[PrefixId, Verdict] = OrderedDict()
@@ -147,6 +146,13 @@
             answer_began=answer_began,
         )
 
+    def update_report(self, report: CrashReport) -> CrashReport:
+        """Return a report without the parts that were answered since."""
+        parts = frozenset(
+            part for part in report.parts if not self._is_answered_since(part, report)
+        )
+        return replace(report, parts=parts, unproven=report.unproven & parts)
+
     def has_unproven(self, parts: Sequence[PromptPart]) -> bool:
         """Return whether a prompt has a shared part that no answered call had."""
         return any(part not in self._answered_s for part in list_shared_parts(parts))
@@ -155,7 +161,6 @@
         self, parts: Sequence[PromptPart], now_s: float
     ) -> list[HarmlessPart]:
         """Record an answered call; return its parts that were accused until now."""
-        self._answered_calls += 1
         shared = list_shared_parts(parts)
         accused = [part for part in shared if self._is_accused(part)]
         for part in shared:
@@ -194,10 +199,7 @@
             part for part in report.unproven if part not in self._answered_s
         )
         verdicts = []
-        for part in sorted(report.parts):
-            if self._answered_s.get(part, -math.inf) >= report.at_s:
-                # The report was late, or was sent again.
-                continue
+        for part in self._list_accused(report, unproven):
             suspect = self._accuse(report, part, unproven | {part})
             if report.answer_began and part in unproven and suspect.held_until_s == 0:
                 suspect.held_until_s = report.at_s + HOLD_S + self._choose_spread(part)
@@ -289,18 +291,40 @@
         key = f"{part}/{self._process}".encode()
         return HOLD_SPREAD_S * zlib.crc32(key) / 2**32
 
+    def _list_accused(
+        self, report: CrashReport, unproven: frozenset[PrefixId]
+    ) -> list[PrefixId]:
+        """Return the parts that a crash accuses.
+
+        A late or repeated report accuses no part that was answered since. A crash that
+        parts with a verdict explain accuses no part with which calls were answered.
+        """
+        accused = {
+            part for part in report.parts if not self._is_answered_since(part, report)
+        }
+        explanation = self._find_explanation(report)
+        if explanation:
+            accused &= explanation | unproven
+        return sorted(accused)
+
+    def _find_explanation(self, report: CrashReport) -> set[PrefixId]:
+        """Return the parts that are known to crash upstreams and explain a crash."""
+        return {
+            part
+            for part in report.parts & self._verdicts.keys()
+            if self._verdicts[part].companions <= report.parts
+        }
+
+    def _is_answered_since(self, part: PrefixId, report: CrashReport) -> bool:
+        return self._answered_s.get(part, -math.inf) >= report.at_s
+
     def _is_accused(self, part: PrefixId) -> bool:
         return part in self._suspects or part in self._verdicts
 
     def _is_convicted(self, part: PrefixId, suspect: _Suspect) -> bool:
-        if part not in self._answered_s:
+        if part not in self._answered_s and not suspect.proven:
             return len(suspect.crashes) >= CRASHES_TO_WITHHOLD
-        others = self._answered_calls - suspect.answered_before
-        return (
-            len(suspect.crashes) >= CRASHES_DESPITE_ANSWERS
-            and suspect.last_s - suspect.first_s >= MIN_SPAN_S
-            and others >= MIN_OTHERS_ANSWERED
-        )
+        return len(suspect.begun) >= CRASHES_DESPITE_ANSWERS
 
     def _accuse(
         self, report: CrashReport, part: PrefixId, companions: frozenset[PrefixId]
@@ -308,14 +332,17 @@
         at_s = report.at_s
         suspect = self._suspects.get(part)
         if suspect is None:
-            suspect = _Suspect(companions, at_s, at_s, self._answered_calls)
+            suspect = _Suspect(companions, at_s, at_s)
             self._suspects[part] = suspect
         self._suspects.move_to_end(part)
         suspect.companions &= companions
+        suspect.proven |= part not in report.unproven
         suspect.first_s = min(suspect.first_s, at_s)
         suspect.last_s = max(suspect.last_s, at_s)
         if len(suspect.crashes) < MAX_CRASHES:
             suspect.crashes.add(report.crash)
+        if report.answer_began and len(suspect.begun) < MAX_CRASHES:
+            suspect.begun.add(report.crash)
         while len(self._suspects) > MAX_SUSPECTS:
             self._suspects.popitem(last=False)
         return suspect
--- a/bramleyport/gateway/_crash_guard.py
+++ b/bramleyport/gateway/_crash_guard.py
@@ -74,6 +74,7 @@
         self._pending = CrashUpdates()
         # Own reports with the time at which they were made.
         self._reports: list[tuple[float, CrashReport]] = []
+        self._own_verdicts: list[tuple[float, Verdict]] = []
         self._checks: dict[UpstreamId, asyncio.Task[None]] = {}
         # Called when the other gateways have to be told at once.
         self.on_updates_pending: Callable[[], None] | None = None
@@ -209,16 +210,28 @@
         """Return what a gateway that starts has to learn."""
         self._drop_old(read_now())
         return CrashUpdates(
-            reports=[report for _, report in self._reports],
+            reports=[
+                self._evidence.update_report(report) for _, report in self._reports
+            ],
             verdicts=list(self._evidence.verdicts[-MAX_REPORTS:]),
         )
 
     def repeat_reports(self) -> None:
-        """Send recent reports again, as datagrams may be lost."""
+        """Send recent reports and verdicts again, as datagrams may be lost."""
         since_s = read_now() - REPORT_REPEAT_S
-        recent = [report for at_s, report in self._reports if at_s >= since_s]
+        recent = [
+            self._evidence.update_report(report)
+            for at_s, report in self._reports
+            if at_s >= since_s
+        ]
         known = set(self._pending.reports)
         self._pending.reports += [item for item in recent if item not in known]
+        # Gateways that know the part to be harmless object each time.
+        self._own_verdicts = [item for item in self._own_verdicts if item[0] >= since_s]
+        in_force = self._evidence.verdicts
+        self._pending.verdicts += [
+            verdict for _, verdict in self._own_verdicts if verdict in in_force
+        ]
 
     async def _check_listening(self, target: Registration) -> None:
         if await self._exchanger.is_refusing(target):
@@ -245,6 +258,7 @@
         for verdict in self._evidence.record_crash(report, now_s):
             log_verdict(verdict, "")
             self._pending.verdicts.append(verdict)
+            self._own_verdicts.append((now_s, verdict))
             self._verdicts.write(verdict)
         self._notify()
 
