--- a/tests/soak/_seeds.py
+++ b/tests/soak/_seeds.py
@@ -9,5 +9,8 @@
     717: "SIGHUP after a gateway had stopped ended it; with the profile mixed_limits",
     243: "a watch on a silent connection to the store timed out after 9.5 s",
     107: "same cause as seed 209",
+    214: "same cause as seed 209",
+    216: "same cause as seed 209",
+    231: "same cause as seed 209",
     209: "gateways that started blamed parts of sound prompts; profile crashes",
 }
