Close gaps that a review of the crash guard found

Change: crashes by a close within the first event of an answer without length accuse parts, too. A separate prefill is not followed by a decode while its part waits. A part is convicted after two crashes only if an answer had begun in one, else after three. A stream that began before the crashes, an old notice or a removal from the store no longer erase later evidence; a pending removal ends no newer verdict; a failed replacement is tried again; each gateway that reported a crash stores the verdict. Answers of 3xx and 4xx prove nothing. Reports and verdicts of peers are bounded. A restarted peer without an address costs no message. An event number of thousands of digits ended a call without an answer and is ignored now.

Evidence: tests/test_crash_evidence.py, tests/test_withheld_parts.py, tests/test_platform_contract.py.

--- a/bramleyport/fleet/__init__.py
+++ b/bramleyport/fleet/__init__.py
@@ -3,6 +3,9 @@
 from bramleyport.fleet._admission import admit
 from bramleyport.fleet._choice import Choice, Chooser
 from bramleyport.fleet._crash_evidence import (
+    MAX_CRASHES,
+    MAX_PART_CHARS,
+    MAX_PARTS,
     CrashEvidence,
     CrashId,
     CrashReport,
@@ -54,6 +57,9 @@
 )
 
 __all__ = [
+    "MAX_CRASHES",
+    "MAX_PARTS",
+    "MAX_PART_CHARS",
     "Address",
     "Call",
     "CallerLimits",
--- a/bramleyport/fleet/_crash_evidence.py
+++ b/bramleyport/fleet/_crash_evidence.py
@@ -16,8 +16,10 @@
 from bramleyport.core import ProcessId, UpstreamId
 from bramleyport.fleet._types import PrefixId, PromptPart
 
-# Crashes of different upstream processes after which calls with a part are withheld.
+# Crashes of different upstream processes after which calls with a part are withheld: if
+# an answer had begun in one of them, and if in none.
 CRASHES_TO_WITHHOLD: Final = 2
+CRASHES_WITHOUT_ANSWER: Final = 3
 # The same for a part with which a call was answered before. Only crashes count in which
 # an answer had begun: many upstreams may crash at once for another reason, while most
 # calls at them wait or have had events.
@@ -158,18 +160,23 @@
         return any(part not in self._answered_s for part in list_shared_parts(parts))
 
     def record_answered(
-        self, parts: Sequence[PromptPart], now_s: float
+        self, parts: Sequence[PromptPart], answered_s: float
     ) -> list[HarmlessPart]:
-        """Record an answered call; return its parts that were accused until now."""
+        """Record a call by the time of its first event; return its accused parts."""
         shared = list_shared_parts(parts)
         accused = [part for part in shared if self._is_accused(part)]
         for part in shared:
-            self.apply_harmless(HarmlessPart(part, now_s))
-        return [HarmlessPart(part, now_s) for part in accused]
+            self.apply_harmless(HarmlessPart(part, answered_s))
+        for part in accused:
+            if part not in self._suspects:
+                self.release(part)
+        return [HarmlessPart(part, answered_s) for part in accused]
 
     def apply_harmless(self, notice: HarmlessPart) -> None:
         """Record that a call of any gateway with a part was answered."""
         part = notice.part
+        if part not in self._answered_s:
+            self._remove_companion(part)
         known_s = self._answered_s.get(part, notice.answered_s)
         self._answered_s[part] = max(known_s, notice.answered_s)
         self._answered_s.move_to_end(part)
@@ -179,7 +186,7 @@
             return
         suspect = self._suspects.get(part)
         verdict = self._verdicts.get(part)
-        if suspect is None or notice.answered_s >= suspect.first_s:
+        if suspect is not None and notice.answered_s >= suspect.first_s:
             self.release(part)
         elif verdict is not None and verdict.crashes < CRASHES_DESPITE_ANSWERS:
             del self._verdicts[part]
@@ -226,6 +233,8 @@
             companions &= known.companions
             companions |= {verdict.part}
             if companions == known.companions:
+                crashes = max(known.crashes, verdict.crashes)
+                self._verdicts[verdict.part] = replace(known, crashes=crashes)
                 return False
         self._verdicts[verdict.part] = replace(
             verdict, companions=companions | {verdict.part}
@@ -240,14 +249,22 @@
             return True
         return verdict.crashes >= CRASHES_DESPITE_ANSWERS
 
+    def drop_verdict(self, part: PrefixId) -> None:
+        """Drop the verdict on a part; the crashes that accuse it still count."""
+        self._verdicts.pop(part, None)
+
     def release(self, part: PrefixId) -> None:
         """Drop what accuses a part, as itself and as a companion of others."""
         self._suspects.pop(part, None)
         self._verdicts.pop(part, None)
-        for suspect in self._suspects.values():
-            suspect.companions -= {part}
+        self._remove_companion(part)
+
+    def _remove_companion(self, part: PrefixId) -> None:
+        for name, suspect in self._suspects.items():
+            if name != part:
+                suspect.companions -= {part}
         for name, verdict in self._verdicts.items():
-            if part in verdict.companions:
+            if part in verdict.companions and name != part:
                 self._verdicts[name] = replace(
                     verdict, companions=verdict.companions - {part}
                 )
@@ -278,10 +295,12 @@
 
     def take_trial(self, parts: Sequence[PromptPart], now_s: float) -> bool:
         """Return whether a call tries a part that was withheld after a first crash."""
+        shared = set(list_shared_parts(parts))
         held = [
-            self._suspects[part]
-            for part in list_shared_parts(parts)
-            if part in self._suspects and self._suspects[part].held_until_s
+            suspect
+            for part in shared & self._suspects.keys()
+            if (suspect := self._suspects[part]).held_until_s
+            and suspect.companions <= shared
         ]
         for suspect in held:
             suspect.held_until_s = now_s + TRIAL_INTERVAL_S
@@ -323,7 +342,8 @@
 
     def _is_convicted(self, part: PrefixId, suspect: _Suspect) -> bool:
         if part not in self._answered_s and not suspect.proven:
-            return len(suspect.crashes) >= CRASHES_TO_WITHHOLD
+            needed = CRASHES_TO_WITHHOLD if suspect.begun else CRASHES_WITHOUT_ANSWER
+            return len(suspect.crashes) >= needed
         return len(suspect.begun) >= CRASHES_DESPITE_ANSWERS
 
     def _accuse(
--- a/bramleyport/gateway/_attempt.py
+++ b/bramleyport/gateway/_attempt.py
@@ -140,7 +140,8 @@
         self, context: CallContext, prefill_engine: Registration
     ) -> Transfer | None:
         """Choose the engine that decodes a call after its prefill on another one."""
-        if context.engine is None or self.guard.is_withheld(context.call):
+        refusal = self.guard.find_refusal(context.call)
+        if context.engine is None or refusal is not None:
             return None
         now_s = read_now()
         call = context.call
--- a/bramleyport/gateway/_crash_guard.py
+++ b/bramleyport/gateway/_crash_guard.py
@@ -20,7 +20,6 @@
 from bramleyport.gateway._exchange import Exchanger
 from bramleyport.gateway._state import GatewayState
 from bramleyport.gateway._verdict_store import VerdictStore, log_verdict
-from bramleyport.http1 import ExchangeError, ExchangeFailure
 from bramleyport.telemetry import gateway_events, log_event
 
 WITHHELD_PART: Final = "withheld_part"
@@ -110,18 +109,12 @@
         )
         return Rejected(explanation, max(MIN_RETRY_S, wait_s))
 
-    def is_withheld(self, call: Call) -> bool:
-        """Return whether upstreams crash under the prompt of a call."""
-        if call.prompt is None:
-            return False
-        return self._evidence.find_verdict(call.prompt.parts) is not None
-
-    def record_answered(self, call: Call) -> None:
-        """Record that a call was answered to its end."""
+    def record_answered(self, call: Call, answered_s: float) -> None:
+        """Record that a call was answered to its end, and when that began."""
         if call.prompt is None:
             return
         withheld = self._list_withheld()
-        accused = self._evidence.record_answered(call.prompt.parts, read_now())
+        accused = self._evidence.record_answered(call.prompt.parts, answered_s)
         if not accused:
             return
         self._pending.harmless += accused
@@ -136,7 +129,7 @@
             )
 
     async def record_broken(
-        self, call: Call, target: Registration, error: ExchangeError
+        self, call: Call, target: Registration, *, answer_began: bool
     ) -> None:
         """Record that a connection broke before the first event of a call.
 
@@ -146,7 +139,6 @@
         if call.prompt is None or len(call.prompt.parts) < 2:
             return
         now_s = read_now()
-        answer_began = error.failure is ExchangeFailure.BROKEN
         self._drop_old(now_s)
         self._broken.append(
             _BrokenCall(target=target, call=call, at_s=now_s, answer_began=answer_began)
@@ -178,6 +170,8 @@
         self._object(report.unproven)
         for verdict in self._evidence.record_crash(report, read_now()):
             log_verdict(verdict, origin)
+            if any(verdict.part in own.parts for _, own in self._reports):
+                self._verdicts.write(verdict)
 
     def apply_harmless(self, notice: HarmlessPart) -> None:
         """Apply what another gateway knows of a part."""
@@ -267,7 +261,9 @@
 
     def _object(self, parts: Iterable[PrefixId]) -> None:
         """Tell the others of parts that this gateway knows to be harmless."""
-        self._pending.harmless += self._evidence.find_harmless(parts)
+        pending = {notice.part for notice in self._pending.harmless}
+        unsent = [part for part in parts if part not in pending]
+        self._pending.harmless += self._evidence.find_harmless(unsent)
 
     def _notify(self) -> None:
         if self.on_updates_pending is not None:
--- a/bramleyport/gateway/_peer_messages.py
+++ b/bramleyport/gateway/_peer_messages.py
@@ -8,6 +8,9 @@
 
 from bramleyport.core import ProcessId, RequestId, UpstreamId
 from bramleyport.fleet import (
+    MAX_CRASHES,
+    MAX_PART_CHARS,
+    MAX_PARTS,
     CrashId,
     CrashReport,
     HarmlessPart,
@@ -266,14 +269,24 @@
     return Verdict(
         part=PrefixId(str(part)),
         companions=_decode_parts(companions),
-        crashes=int(crashes),
+        crashes=_read_count(crashes),
     )
 
 
 def _decode_parts(items: Any) -> frozenset[PrefixId]:
+    if not isinstance(items, list) or len(items) > MAX_PARTS:
+        raise PeerMessageError(f"not a list of up to {MAX_PARTS} parts: {items!r:.40}")
+    if any(len(str(item)) > MAX_PART_CHARS for item in items):
+        raise PeerMessageError(f"part over {MAX_PART_CHARS} characters")
     return frozenset(PrefixId(str(item)) for item in items)
 
 
+def _read_count(value: Any) -> int:
+    if not isinstance(value, int) or not 0 <= value <= MAX_CRASHES:
+        raise PeerMessageError(f"not a count of crashes: {value!r:.40}")
+    return value
+
+
 def _read_amount(value: Any) -> float:
     amount = float(value)
     if not math.isfinite(amount) or amount < 0:
--- a/bramleyport/gateway/_peers.py
+++ b/bramleyport/gateway/_peers.py
@@ -227,8 +227,9 @@
         if message.incarnation > known:
             self._incarnations[message.process] = message.incarnation
             self._tracker.drop_origin(message.process)
-            if known:
-                self._send_known(self._addresses[message.process])
+            address = self._addresses.get(message.process)
+            if known and address is not None:
+                self._send_known(address)
 
     def _make_message(self, **fields: Any) -> PeerMessage:
         return PeerMessage(
--- a/bramleyport/gateway/_plain.py
+++ b/bramleyport/gateway/_plain.py
@@ -92,7 +92,9 @@
                 context.attempts.sends -= 1
                 self._record_unreachable(choice)
                 return make_unsent(choice.upstream.upstream, error)
-            await support.guard.record_broken(context.call, choice.upstream, error)
+            await support.guard.record_broken(
+                context.call, choice.upstream, answer_began=error.answer_began
+            )
             return self._fail(choice, AttemptEnd.LOST, str(error))
         finally:
             support.tracker.end(context.call, choice.upstream)
@@ -146,8 +148,8 @@
             )
         now_s = read_now()
         failed = answer.status >= 500
-        if not failed:
-            self._support.guard.record_answered(context.call)
+        if answer.status < 300:
+            self._support.guard.record_answered(context.call, now_s)
         self._support.state.record_result(
             choice.upstream.upstream, failed=failed, now_s=now_s
         )
--- a/bramleyport/gateway/_stream.py
+++ b/bramleyport/gateway/_stream.py
@@ -39,7 +39,7 @@
             failure = await self._attempts.run(context, choice, relay)
             if failure is None:
                 self._record_decode_time(context)
-                self._support.guard.record_answered(context.call)
+                self._record_answered(context)
                 self._support.log_answered(context, 200)
                 return
             self._support.record_failure(context, failure)
@@ -55,6 +55,10 @@
                     last_event=relay.last_event,
                 )
 
+    def _record_answered(self, context: CallContext) -> None:
+        answered_s = context.call.arrived_s + context.first_event_s
+        self._support.guard.record_answered(context.call, answered_s)
+
     def _record_decode_time(self, context: CallContext) -> None:
         """Record the decode time of a call that needed only one attempt."""
         if context.attempts.runs == 0 and context.first_event_s:
--- a/bramleyport/gateway/_stream_attempt.py
+++ b/bramleyport/gateway/_stream_attempt.py
@@ -147,6 +147,7 @@
             return _fail(choice, AttemptEnd.LOST, "no event in time")
         except BrokenStreamError as error:
             events = relay.events - events_before
+            await self._record_broken(context, choice, events, answer_began=True)
             return _fail(choice, AttemptEnd.LOST, str(error), events)
         except ExchangeError as error:
             if error.unsent:
@@ -154,13 +155,22 @@
                 self._record_result(choice, failed=True)
                 return make_unsent(choice.upstream.upstream, error)
             events = relay.events - events_before
-            if events == 0:
-                guard = self._support.guard
-                await guard.record_broken(context.call, choice.upstream, error)
+            await self._record_broken(
+                context, choice, events, answer_began=error.answer_began
+            )
             return _fail(choice, AttemptEnd.LOST, str(error), events)
         finally:
             tracker.end(context.call, choice.upstream)
 
+    async def _record_broken(
+        self, context: CallContext, choice: Choice, events: int, *, answer_began: bool
+    ) -> None:
+        """Record an attempt that broke before its first event."""
+        if events == 0:
+            await self._support.guard.record_broken(
+                context.call, choice.upstream, answer_began=answer_began
+            )
+
     async def _exchange(
         self,
         context: CallContext,
--- a/bramleyport/gateway/_verdict_store.py
+++ b/bramleyport/gateway/_verdict_store.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 from typing import Final
 
-from result import Err
+from result import Err, Result
 
 from bramleyport.core import Revision
 from bramleyport.fleet import PrefixId, Verdict
@@ -85,6 +85,7 @@
 
     def write(self, verdict: Verdict) -> None:
         """Write a verdict in the background."""
+        self._unremoved.discard(verdict.part)
         self._unwritten[verdict.part] = verdict
         self._work_pending.set()
 
@@ -139,14 +140,13 @@
         trials = stored.document.trials if stored else 0
         document = encode_verdict(verdict, trials)
         result = await self._store.create(KIND, name, document)
-        conflict = isinstance(result, Err) and (
-            result.err_value.failure is StoreFailure.CONFLICT
-        )
-        if conflict and (stored is None or stored.document.verdict != verdict):
+        if _is_conflict(result) and (
+            stored is None or stored.document.verdict != verdict
+        ):
             # Another gateway was first, or the verdict names fewer companions now.
             revision = stored.revision if stored else None
             result = await self._store.replace(KIND, name, document, revision)
-        if isinstance(result, Err) and not conflict:
+        if isinstance(result, Err) and not _is_conflict(result):
             _log_failure(verdict.part, result.err_value)
             return False
         return True
@@ -186,6 +186,7 @@
         if not evidence.is_plausible(verdict):
             self.remove(verdict.part)
             return None
+        self._unremoved.discard(verdict.part)
         known = self._stored.get(verdict.part)
         self._stored[verdict.part] = _StoredVerdict(
             document=document,
@@ -202,7 +203,7 @@
         self._stored.pop(part, None)
         self._trial_until_s.pop(part, None)
         if any(item.part == part for item in self._state.crash_evidence.verdicts):
-            self._state.crash_evidence.release(part)
+            self._state.crash_evidence.drop_verdict(part)
             log_event(gateway_events.PART_RELEASED, part=part, reason=reason)
 
 
@@ -217,6 +218,12 @@
     )
 
 
+def _is_conflict(result: Result[StoredObject, StoreError]) -> bool:
+    if isinstance(result, Err):
+        return result.err_value.failure is StoreFailure.CONFLICT
+    return False
+
+
 def _make_name(part: PrefixId) -> ObjectName:
     digest = hashlib.blake2b(part.encode(), digest_size=16)
     return ObjectName(digest.hexdigest())
--- a/bramleyport/http1/_messages.py
+++ b/bramleyport/http1/_messages.py
@@ -36,6 +36,11 @@
         """Return whether no byte of the request was sent."""
         return self.failure in (ExchangeFailure.NOT_SENT, ExchangeFailure.REFUSED)
 
+    @property
+    def answer_began(self) -> bool:
+        """Return whether the head of an answer had arrived."""
+        return self.failure is ExchangeFailure.BROKEN
+
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class HttpRequest:
--- a/bramleyport/platform/_headers.py
+++ b/bramleyport/platform/_headers.py
@@ -46,6 +46,8 @@
 _DECIMAL: Final = re.compile(rb"[0-9]{1,12}(\.[0-9]{0,40})?")
 # Bytes of an invalid value that are logged.
 MAX_DESCRIBED_BYTES: Final = 40
+# A longer number is no count of tokens or events.
+MAX_COUNT_DIGITS: Final = 18
 # Applies to requests without a valid Deadline-Ms header.
 DEFAULT_TIME_LIMIT_S: Final = 30.0
 
@@ -225,7 +227,7 @@
 
 
 def _parse_count(value: bytes | None) -> int | None:
-    if value is not None and value.isdigit():
+    if value is not None and value.isdigit() and len(value) <= MAX_COUNT_DIGITS:
         return int(value)
     return None
 
--- a/tests/test_crash_evidence.py
+++ b/tests/test_crash_evidence.py
@@ -35,7 +35,7 @@
     engine: str,
     *names: str,
     now_s: float = NOW_S,
-    answer_began: bool = False,
+    answer_began: bool = True,
 ) -> list[Verdict]:
     report = evidence.make_report(
         CrashId(UpstreamId(engine), 1),
@@ -99,7 +99,7 @@
     evidence = make_evidence()
     evidence.record_answered(make_parts("shared"), NOW_S - 50)
     for number in range(10):
-        crash(evidence, f"e{number}", "shared")
+        crash(evidence, f"e{number}", "shared", answer_began=False)
     assert evidence.verdicts == ()
 
 
@@ -151,7 +151,7 @@
 def test_crash_before_any_answer_began_holds_nothing() -> None:
     """Guards against refusing calls that only waited at an engine that crashed."""
     evidence = make_evidence()
-    crash(evidence, "e1", "waiting")
+    crash(evidence, "e1", "waiting", answer_began=False)
     assert evidence.forecast_hold(make_parts("waiting"), NOW_S) == 0
     assert not evidence.take_trial(make_parts("waiting"), NOW_S)
 
@@ -259,3 +259,36 @@
     evidence.record_answered(make_parts("shared"), NOW_S + 1)
     updated = evidence.update_report(report)
     assert updated.parts == updated.unproven == {"bad"}
+
+
+def test_two_crashes_before_any_answer_began_withhold_nothing() -> None:
+    """Guards against withholding what only waited at two engines of a lost rack."""
+    evidence = make_evidence()
+    assert crash(evidence, "e1", "new", answer_began=False) == []
+    assert crash(evidence, "e2", "new", answer_began=False) == []
+    assert crash(evidence, "e3", "new", answer_began=False) != []
+
+
+def test_stream_that_began_before_the_crashes_releases_nothing() -> None:
+    """Guards against a verdict that ends since an older stream reaches its end."""
+    evidence = make_evidence()
+    for number in range(CRASHES_DESPITE_ANSWERS):
+        crash(evidence, f"e{number}", "bad")
+    evidence.apply_verdict(
+        Verdict(
+            part=PrefixId("bad"),
+            companions=frozenset((PrefixId("bad"),)),
+            crashes=CRASHES_DESPITE_ANSWERS,
+        )
+    )
+    evidence.record_answered(make_parts("bad"), NOW_S - 1)
+    assert evidence.find_verdict(make_parts("bad"))
+
+
+def test_part_proven_harmless_is_no_companion_of_a_stored_verdict() -> None:
+    """Guards against calls with a bad part that pass for lack of a harmless one."""
+    evidence = make_evidence()
+    pair = frozenset((PrefixId("bad"), PrefixId("shared")))
+    evidence.apply_verdict(Verdict(part=PrefixId("bad"), companions=pair, crashes=2))
+    evidence.record_answered(make_parts("shared"), NOW_S)
+    assert evidence.find_verdict(make_parts("other", "bad"))
--- a/tests/test_platform_contract.py
+++ b/tests/test_platform_contract.py
@@ -363,3 +363,8 @@
     result = CliRunner().invoke(main, ["check", "gateway", str(path)])
     assert result.exit_code == 2
     assert "ip is not a string" in result.output
+
+
+def test_event_number_of_thousands_of_digits_is_ignored() -> None:
+    """Guards against a call that ends without an answer for a number it can't read."""
+    assert decode_call([(b"Last-Event-Id", b"9" * 5000)]).last_event == 0
--- a/tests/test_withheld_parts.py
+++ b/tests/test_withheld_parts.py
@@ -4,6 +4,7 @@
 from pathlib import Path
 from typing import Any
 
+import cbor2
 import pytest
 
 from bramleyport.core import ProcessId, UpstreamId
@@ -11,6 +12,7 @@
 from bramleyport.gateway import _verdict_store
 from bramleyport.gateway._peer_messages import (
     PeerMessage,
+    PeerMessageError,
     decode_datagram,
     encode_message,
 )
@@ -194,3 +196,24 @@
         await traffic.group.stop()
 
     run(check())
+
+
+@pytest.mark.parametrize(
+    ("position", "value"),
+    [
+        (10, [["e", 1, 0.0, ["p"] * 33, [], True]]),
+        (10, [["e", 1, 0.0, ["p" * 65], [], True]]),
+        (10, [["e", 1, -1.0, ["p"], [], True]]),
+        (12, [["p", ["p"], 10**400]]),
+        (12, [["p", ["p"], -1]]),
+    ],
+)
+def test_report_or_verdict_beyond_its_bounds_is_refused(
+    position: int, value: list[Any]
+) -> None:
+    """Guards against memory and errors that one message of a peer would cost."""
+    message = PeerMessage(process=ProcessId("g"), incarnation=1)
+    fields = cbor2.loads(encode_message(message))
+    fields[position] = value
+    with pytest.raises(PeerMessageError):
+        decode_datagram(cbor2.dumps(fields), 0.0)
