Log the phases of a planned stop, and the calls that it cuts

The log of a gateway that cut a call named neither when its stop had stopped waiting nor that a request was left unanswered, so the hypotheses in docs/incidents/stops.md could not be told apart. Events 2656 and 2657 do. No logic is changed.

--- a/bramleyport/gateway/_daemon.py
+++ b/bramleyport/gateway/_daemon.py
@@ -130,6 +130,7 @@
         await self._wait(lambda now_s: now_s - started_s >= UNREADY_DELAY_S)
         # From now on only calls whose deadline is before the end are accepted.
         self._state.stop_s = stop_s
+        self._log_phase("restricted")
         for connection in list(self._callers.connections):
             connection.close_if_idle()
         await self._wait(lambda now_s: now_s >= stop_s or not self._callers.connections)
@@ -137,6 +138,7 @@
 
     async def _close(self) -> None:
         self._state.ending = True
+        self._log_phase("closing")
         for connection in list(self._callers.connections):
             connection.cancel_request()
         await asyncio.sleep(ANSWER_FLUSH_S)
@@ -147,6 +149,9 @@
             log_event(
                 gateway_events.GATEWAY_NOT_LISTED, reason="store did not answer in time"
             )
+        cut = sum(connection.serving for connection in self._callers.connections)
+        if cut:
+            log_event(gateway_events.CALLS_CUT, calls=cut)
         self.halt()
         log_event(events.PROCESS_STOPPED)
 
@@ -162,6 +167,15 @@
         self._exchanger.close()
         self._store.close()
 
+    def _log_phase(self, phase: str) -> None:
+        connections = self._callers.connections
+        log_event(
+            gateway_events.STOP_ADVANCED,
+            phase=phase,
+            connections=len(connections),
+            serving=sum(connection.serving for connection in connections),
+        )
+
     async def _wait(self, done: Callable[[float], bool]) -> None:
         loop = asyncio.get_running_loop()
         while not done(loop.time()):
--- a/bramleyport/http1/_server.py
+++ b/bramleyport/http1/_server.py
@@ -137,6 +137,11 @@
             self._task is None and self._head is None and not self._has_buffered_bytes
         )
 
+    @property
+    def serving(self) -> bool:
+        """Return whether a request is being served."""
+        return self._task is not None
+
     @property
     def answerable(self) -> bool:
         """Return whether a request waits for an answer of which nothing was sent."""
--- a/bramleyport/telemetry/_gateway_events.py
+++ b/bramleyport/telemetry/_gateway_events.py
@@ -72,3 +72,7 @@
 )
 VERDICT_INVALID: Final = define(2655, "WARNING", "invalid verdict in the store ignored")
 READINESS_CHANGED: Final = define(2637, "INFO", "readiness changed")
+STOP_ADVANCED: Final = define(2656, "INFO", "planned stop reached its next phase")
+CALLS_CUT: Final = define(
+    2657, "WARNING", "connections with unanswered requests closed"
+)
