--- a/tests/platform_standin/_store.py
+++ b/tests/platform_standin/_store.py
@@ -27,6 +27,8 @@
         self.refusal_status: int | None = None
         # Whether calls get no answer for 60 s.
         self.unresponsive = False
+        # Delay of each answer.
+        self.delay_s = 0.0
         self._changed = asyncio.Event()
 
     def put(self, kind: str, name: str, spec: Any) -> None:
@@ -65,6 +67,7 @@
             status, document = self.refusal_status, {}
             if status is None:
                 status, document = await self._answer(request)
+            await asyncio.sleep(self.delay_s)
             writer.write(render_response(status, json.dumps(document).encode()))
             await writer.drain()
 
