Close the port for callers before a stop ends its wait for connections

Callers saw: a request that arrives late in a planned stop is passed on to an upstream and its connection is closed without an answer.

Cause: the stop ended in the first moment without a connection, but the ports listened until the process ended, for up to 0.25 s more; whatever arrived then was served and cut. The limit on deadlines began three seconds after the signal was handled, so a slow host accepted calls that outlast the stop. A connection whose first request was on its way was closed as idle, and a request whose body did not end was closed without an answer.

Change: the port closes in the moment in which no connection is open, after the kernel's queue was accepted; only then, and once all are gone, does the gateway leave the list of gateways and end. A new connection has a second for its first request. At the end of the grace time a request that is still read gets 503.

--- a/bramleyport/fleet/__init__.py
+++ b/bramleyport/fleet/__init__.py
@@ -35,6 +35,7 @@
 from bramleyport.fleet._recorder import WorkRecorder
 from bramleyport.fleet._roster import GatewayRoster
 from bramleyport.fleet._routes import RouteTable, choose_service
+from bramleyport.fleet._shutdown import ShutdownSchedule, plan_shutdown
 from bramleyport.fleet._stages import EngineView, StageChange, StagePlanner
 from bramleyport.fleet._transfers import Transfer
 from bramleyport.fleet._types import (
@@ -99,6 +100,7 @@
     "RouteTable",
     "ServiceConfig",
     "ServiceShare",
+    "ShutdownSchedule",
     "Stage",
     "StageChange",
     "StagePlanner",
@@ -113,4 +115,5 @@
     "choose_store_watchers",
     "compute_enforced_rate",
     "is_watch_shared",
+    "plan_shutdown",
 ]
--- a/bramleyport/gateway/_daemon.py
+++ b/bramleyport/gateway/_daemon.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import signal
-from collections.abc import Callable
 from pathlib import Path
 from typing import Any, Final
 
@@ -24,6 +23,7 @@
 from bramleyport.gateway._peer_directory import PeerDirectory
 from bramleyport.gateway._peers import ANNOUNCE_INTERVAL_S, PeerLink
 from bramleyport.gateway._readiness import Readiness
+from bramleyport.gateway._shutdown import Shutdown
 from bramleyport.gateway._stages import StageController
 from bramleyport.gateway._state import GatewayState
 from bramleyport.gateway._state_updaters import (
@@ -37,14 +37,6 @@
 from bramleyport.supervision import Job, supervise
 from bramleyport.telemetry import Metrics, events, gateway_events, log_event
 
-# The load balancer checks readiness once a second, and it sends new callers until two
-# checks have failed.
-UNREADY_DELAY_S: Final = 3.0
-# Time for the interpreter to exit before the platform kills the process. The smallest
-# hosts provide a third of a core.
-STOP_MARGIN_S: Final = 1.0
-# Time in which the last answers are written to their sockets.
-ANSWER_FLUSH_S: Final = 0.05
 # The store normally answers within milliseconds.
 LEAVE_TIMEOUT_S: Final = 0.2
 HOUSEKEEPING_INTERVAL_S: Final = 0.25
@@ -93,6 +85,8 @@
         self._stages = StageController(state, store, exchanger, peers)
         self._tasks: list[asyncio.Task[None]] = []
         self._ports: list[Any] = []
+        self._caller_port: Any = None
+        self._shutdown = Shutdown(state, self._callers)
         self._settings_bytes = b""
 
     @property
@@ -104,7 +98,7 @@
         """Listen for callers and start the background jobs."""
         settings = self._state.settings
         self._listen(settings.readiness_address, self._checks)
-        self._listen(settings.caller_address, self._callers)
+        self._caller_port = self._listen(settings.caller_address, self._callers)
         self._listen_peers()
         if self._metrics_port is not None:
             self._listen(Address(settings.host, self._metrics_port), self._pages)
@@ -121,27 +115,9 @@
         )
 
     async def stop(self) -> None:
-        """Stop accepting callers, finish running calls, then close."""
-        started_s = read_now()
+        """Stop accepting callers, finish running calls, then leave and close."""
         log_event(events.PROCESS_STOPPING, connections=len(self._callers.connections))
-        self._state.draining = True
-        self._callers.draining = True
-        stop_s = started_s + self._state.settings.grace_s - STOP_MARGIN_S
-        await self._wait(lambda now_s: now_s - started_s >= UNREADY_DELAY_S)
-        # From now on only calls whose deadline is before the end are accepted.
-        self._state.stop_s = stop_s
-        self._log_phase("restricted")
-        for connection in list(self._callers.connections):
-            connection.close_if_idle()
-        await self._wait(lambda now_s: now_s >= stop_s or not self._callers.connections)
-        await self._close()
-
-    async def _close(self) -> None:
-        self._state.ending = True
-        self._log_phase("closing")
-        for connection in list(self._callers.connections):
-            connection.cancel_request()
-        await asyncio.sleep(ANSWER_FLUSH_S)
+        await self._shutdown.run(self._caller_port)
         try:
             async with asyncio.timeout(LEAVE_TIMEOUT_S):
                 await self._directory.leave()
@@ -167,20 +143,6 @@
         self._exchanger.close()
         self._store.close()
 
-    def _log_phase(self, phase: str) -> None:
-        connections = self._callers.connections
-        log_event(
-            gateway_events.STOP_ADVANCED,
-            phase=phase,
-            connections=len(connections),
-            serving=sum(connection.serving for connection in connections),
-        )
-
-    async def _wait(self, done: Callable[[float], bool]) -> None:
-        loop = asyncio.get_running_loop()
-        while not done(loop.time()):
-            await asyncio.sleep(0.05)
-
     def _list_jobs(self) -> list[Job]:
         settings = self._state.settings
         follow_configuration = self._make_follower(
@@ -266,7 +228,7 @@
         self._exchanger.close_pool(upstream)
         self._guard.confirm_crash(upstream)
 
-    def _listen(self, address: Address, factory: CallerFactory) -> None:
+    def _listen(self, address: Address, factory: CallerFactory) -> Any:
         try:
             port = self._reactor.listenTCP(
                 address.port, factory, backlog=BACKLOG, interface=address.host
@@ -274,6 +236,7 @@
         except OSError as error:
             raise StepError("listen", str(address), str(error)) from error
         self._ports.append(port)
+        return port
 
     def _listen_peers(self) -> None:
         settings = self._state.settings
--- a/bramleyport/gateway/_forward.py
+++ b/bramleyport/gateway/_forward.py
@@ -104,8 +104,8 @@
             deadline_s=request.began_s + min(head.time_limit_s, route.timeout_s),
             prompt=head.prompt,
         )
-        stop_s = self._state.stop_s
-        if stop_s is not None and call.deadline_s > stop_s:
+        shutdown = self._state.shutdown
+        if shutdown and not shutdown.accepts(call.arrived_s, call.deadline_s):
             status = HTTPStatus.SERVICE_UNAVAILABLE
             reply(connection, status, call.request, "stopping", RETRY_WHEN_STOPPING_S)
             return None
--- /dev/null
+++ b/bramleyport/gateway/_shutdown.py
@@ -0,0 +1,104 @@
+"""Stop taking calls without cutting those that were accepted."""
+
+import asyncio
+from collections.abc import Callable
+from enum import Enum
+from typing import Any, Final
+
+from bramleyport.fleet import plan_shutdown
+from bramleyport.gateway._clock import read_now
+from bramleyport.gateway._state import GatewayState
+from bramleyport.http1 import CallerFactory
+from bramleyport.telemetry import gateway_events, log_event
+
+# The load balancer checks readiness once a second, and it sends new callers until two
+# checks have failed.
+UNREADY_DELAY_S: Final = 3.0
+# Age from which a connection that has carried no request counts as idle. Its caller
+# sends the first request as soon as the connection is open.
+FIRST_REQUEST_S: Final = 1.0
+# Time in which the last answers are read by their callers.
+ANSWER_FLUSH_S: Final = 0.3
+POLL_INTERVAL_S: Final = 0.05
+
+
+class StopPhase(str, Enum):
+    """Represent how far a planned stop has come."""
+
+    # All calls are served while the load balancer learns of the stop.
+    DRAINING = "draining"
+    # Idle connections are closed, and the port in the first moment without any.
+    LEAVING = "leaving"
+    # No connection can arrive any more; those that are open are served to their end.
+    PORT_CLOSED = "port_closed"
+    # Calls that still run get their final answer.
+    ENDING = "ending"
+
+
+class Shutdown:
+    """Stop the port for callers, then finish or end the calls of its connections.
+
+    The port is closed before the process stops waiting for connections: a connection
+    that arrived after the last check would be cut by the end of the process.
+    """
+
+    def __init__(self, state: GatewayState, callers: CallerFactory) -> None:
+        self._state = state
+        self._callers = callers
+        self._port: Any = None
+
+    async def run(self, port: Any) -> None:
+        """Return once no caller waits for an answer, or the time for the stop is up."""
+        started_s = read_now()
+        self._port = port
+        schedule = plan_shutdown(started_s, self._state.settings.grace_s)
+        self._state.shutdown = schedule
+        self._callers.draining = True
+        self._log_phase(StopPhase.DRAINING)
+        await self._wait(
+            lambda: False, min(started_s + UNREADY_DELAY_S, schedule.end_s)
+        )
+        self._log_phase(StopPhase.LEAVING)
+        await self._wait(self._has_finished, schedule.end_s)
+        if not self._callers.connections and self._port is None:
+            return
+        await self._end_calls()
+
+    def _has_finished(self) -> bool:
+        """Close what is idle; return whether nothing is open any more."""
+        for connection in list(self._callers.connections):
+            connection.close_if_idle(FIRST_REQUEST_S)
+        if not self._callers.connections:
+            self._close_port()
+        return not self._callers.connections
+
+    async def _end_calls(self) -> None:
+        self._close_port()
+        self._state.ending = True
+        self._log_phase(StopPhase.ENDING)
+        for connection in list(self._callers.connections):
+            connection.end_request()
+        end_s = read_now() + ANSWER_FLUSH_S
+        await self._wait(lambda: not self._callers.connections, end_s)
+
+    def _close_port(self) -> None:
+        if self._port is None:
+            return
+        # Connections that the kernel has accepted would be reset with the port.
+        self._port.doRead()
+        self._port.stopListening()
+        self._port = None
+        self._log_phase(StopPhase.PORT_CLOSED)
+
+    async def _wait(self, done: Callable[[], bool], until_s: float) -> None:
+        while not done() and read_now() < until_s:
+            await asyncio.sleep(POLL_INTERVAL_S)
+
+    def _log_phase(self, phase: StopPhase) -> None:
+        connections = self._callers.connections
+        log_event(
+            gateway_events.STOP_ADVANCED,
+            phase=phase.value,
+            connections=len(connections),
+            serving=sum(connection.serving for connection in connections),
+        )
--- a/bramleyport/gateway/_state.py
+++ b/bramleyport/gateway/_state.py
@@ -19,6 +19,7 @@
     Reachability,
     Registration,
     RouteTable,
+    ShutdownSchedule,
     Stage,
     WorkRecorder,
 )
@@ -59,9 +60,8 @@
     changing_until_s: dict[UpstreamId, float] = field(default_factory=dict)
     # Upstreams that declined a call, and until when they are avoided.
     declined_until_s: dict[UpstreamId, float] = field(default_factory=dict)
-    draining: bool = False
-    # Set while stopping: calls with a later deadline are refused.
-    stop_s: float | None = None
+    # Set from the beginning of a planned stop.
+    shutdown: ShutdownSchedule | None = None
     # Set when calls that are still running are ended, before the process exits.
     ending: bool = False
     crash_evidence: CrashEvidence = field(init=False)
@@ -90,6 +90,11 @@
             self.find_cache_capacity,
         )
 
+    @property
+    def draining(self) -> bool:
+        """Return whether the gateway is stopping."""
+        return self.shutdown is not None
+
     @property
     def gateway_count(self) -> int | None:
         """Return how many gateways share the bounds; None until that is known."""
--- a/bramleyport/http1/_server.py
+++ b/bramleyport/http1/_server.py
@@ -73,7 +73,9 @@
         self._writable = asyncio.Event()
         self._writable.set()
         self._omits_body = False
+        self._opened_s = 0.0
         self._began_s = 0.0
+        self._request_count = 0
         self._refused = False
         self._queued_bytes = 0
         self.closed = False
@@ -83,6 +85,7 @@
         """Register the connection and wait for its first request."""
         disable_write_delay(self.transport)
         self.transport.registerProducer(self, True)
+        self._opened_s = asyncio.get_running_loop().time()
         self._factory.connections.add(self)
         self._limit_time(_read_idle_timeout, self._close)
 
@@ -183,14 +186,26 @@
         # forever.
         self._set_timer(ABORT_DELAY_S, self.transport.abortConnection)
 
-    def cancel_request(self) -> None:
-        """Cancel the handler of the request that is being served, if any."""
+    def end_request(self) -> None:
+        """Cancel the request that is being served, or refuse the one that is read."""
         if self._task is not None:
             self._task.cancel()
+        elif self.closed or self.closing:
+            return
+        elif self.idle:
+            self._close()
+        else:
+            self._refuse(503)
 
-    def close_if_idle(self) -> None:
-        """Close the connection if no request is being read or served."""
-        if self.idle and not self.closed:
+    def close_if_idle(self, first_request_s: float) -> None:
+        """Close the connection if no request is being read or served.
+
+        One that has carried no request yet is idle only after `first_request_s`.
+        """
+        if not self.idle or self.closed or self.closing:
+            return
+        age_s = asyncio.get_running_loop().time() - self._opened_s
+        if self._request_count or age_s >= first_request_s:
             self._close()
 
     def _close(self) -> None:
@@ -270,6 +285,7 @@
         self._head = None
         self._body = []
         self._body_bytes = 0
+        self._request_count += 1
         self._task = loop.create_task(self._serve(request))
 
     async def _serve(self, request: CallerRequest) -> None:
--- a/tests/test_gateway_state.py
+++ b/tests/test_gateway_state.py
@@ -9,8 +9,7 @@
 import yaml
 
 from bramleyport.core import ServiceName
-from bramleyport.fleet import Stage
-from bramleyport.gateway import _daemon
+from bramleyport.fleet import ShutdownSchedule, Stage, _shutdown
 from bramleyport.gateway._attempt import AttemptSupport
 from bramleyport.gateway._follower import RETRY_FIRST_S, choose_watch_times
 from bramleyport.supervision import supervise
@@ -242,8 +241,8 @@
     fleet: GatewayFleet, run: Run
 ) -> None:
     # A longer call accepted then was aborted when the process exited.
-    fleet.state.draining = True
-    fleet.state.stop_s = asyncio.get_event_loop().time() + 1.0
+    now_s = asyncio.get_event_loop().time()
+    fleet.state.shutdown = ShutdownSchedule(restricted_from_s=now_s, end_s=now_s + 1.0)
     long = run(fleet.make_caller().call("/post/x", body=b"b", Deadline_Ms="3000"))
     short = run(fleet.make_caller().call("/post/x", body=b"b", Deadline_Ms="500"))
     assert (long.status, short.status) == (503, 200)
@@ -449,8 +448,7 @@
         monkeypatch.setattr(AttemptSupport, method, wait)
     for upstream in (*fleet.plain, *fleet.engines):
         upstream.script = hang
-    monkeypatch.setattr(_daemon, "UNREADY_DELAY_S", 0.0)
-    monkeypatch.setattr(_daemon, "STOP_MARGIN_S", BOUNDS["grace_s"])
+    monkeypatch.setattr(_shutdown, "STOP_MARGIN_S", BOUNDS["grace_s"])
 
     async def stop() -> Any:
         caller = fleet.make_caller()
--- a/tests/test_gateway_stops.py
+++ b/tests/test_gateway_stops.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable, Coroutine
+from dataclasses import replace
 from pathlib import Path
 from typing import Any
 
@@ -111,10 +112,10 @@
 def test_request_whose_body_does_not_end_is_refused_at_the_end_of_a_stop(
     fleet: GatewayFleet, run: Run
 ) -> None:
-    """Guards against a connection that is closed without a word on what became of it."""
+    """Guards against a request that is cut without a word on whether it ran."""
 
     async def stop() -> int:
-        fleet.state.settings = _with_grace(fleet, 3.0)
+        fleet.state.settings = replace(fleet.state.settings, grace_s=3.0)
         caller = fleet.make_caller()
         await caller.open()
         assert caller.writer is not None
@@ -127,9 +128,3 @@
 
     assert run(stop()) == 503
     assert fleet.list_runs() == []
-
-
-def _with_grace(fleet: GatewayFleet, grace_s: float) -> Any:
-    from dataclasses import replace
-
-    return replace(fleet.state.settings, grace_s=grace_s)
