Answer pipelined requests before a connection closes in a stop

Callers saw: of several requests sent on one connection, those behind the first got no answer when the gateway was stopped, though it had read them.

Cause: in a stop each answer announces the end of its connection, which is closed after it with whatever else has arrived. Change: an answer announces it only if no further request has arrived by then. The test failed before.

--- a/bramleyport/http1/_server.py
+++ b/bramleyport/http1/_server.py
@@ -150,6 +150,14 @@
         """Return whether a request waits for an answer of which nothing was sent."""
         return not self.closed and self._http.our_state is h11.SEND_RESPONSE
 
+    @property
+    def _should_close(self) -> bool:
+        """Return whether the connection is closed after the current answer.
+
+        Requests that have arrived behind the current one are answered first.
+        """
+        return self._factory.draining and not self._has_buffered_bytes
+
     @property
     def _has_buffered_bytes(self) -> bool:
         rest, _ = self._http.trailing_data
@@ -157,7 +165,7 @@
 
     def start_answer(self, status: int, reason: bytes, headers: Headers) -> None:
         """Write the status and headers of an answer."""
-        if self._factory.draining:
+        if self._should_close:
             headers = [*headers, (b"Connection", b"close")]
         self._send(h11.Response(status_code=status, reason=reason, headers=headers))
 
@@ -307,7 +315,7 @@
             # The handler left the answer incomplete.
             self._close()
             return
-        if self._http.their_state is not h11.DONE or self._factory.draining:
+        if self._http.their_state is not h11.DONE or self._should_close:
             self._close()
             return
         self._http.start_next_cycle()
