--- a/bramleyport/platform/__init__.py
+++ b/bramleyport/platform/__init__.py
@@ -35,6 +35,14 @@
     is_comment,
     read_event_id,
 )
+from bramleyport.platform._objects import (
+    Change,
+    ChangeBatch,
+    Listing,
+    ObjectKind,
+    ObjectName,
+    StoredObject,
+)
 from bramleyport.platform._registrations import decode_registration
 from bramleyport.platform._settings import (
     NodeSettings,
@@ -43,17 +51,7 @@
     load_node_settings,
     locate_settings,
 )
-from bramleyport.platform._store import (
-    Change,
-    ChangeBatch,
-    Listing,
-    ObjectKind,
-    ObjectName,
-    StoreClient,
-    StoredObject,
-    StoreError,
-    StoreFailure,
-)
+from bramleyport.platform._store import StoreClient, StoreError, StoreFailure
 from bramleyport.platform._verdicts import (
     VerdictDocument,
     decode_verdict,
--- a/bramleyport/platform/_store.py
+++ b/bramleyport/platform/_store.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from enum import Enum
-from typing import Any, Final, NewType
+from typing import Any, Final
 from urllib.parse import quote
 
 from result import Err, Ok, Result
@@ -19,35 +19,25 @@
     HttpRequest,
     PoolLimits,
 )
-from bramleyport.platform._documents import (
-    Document,
-    MalformedDocumentError,
-    read_count,
-    read_flag,
-    read_mapping,
-    read_mappings,
-    read_string,
+from bramleyport.platform._documents import Document, MalformedDocumentError
+from bramleyport.platform._objects import (
+    ChangeBatch,
+    Listing,
+    ObjectKind,
+    ObjectName,
+    StoredObject,
+    decode_changes,
+    decode_object,
+    decode_page,
 )
 from bramleyport.platform._settings import StoreSettings
 
-ObjectName = NewType("ObjectName", str)
-
 # A healthy store answers in milliseconds; the limit allows for an overloaded one.
 CALL_TIMEOUT_S: Final = 1.5
 CONNECT_TIMEOUT_S: Final = 0.5
 MAX_CONNECTIONS: Final = 8
 
 
-class ObjectKind(str, Enum):
-    """Represent the kinds of objects that gateways read or write."""
-
-    CONFIGURATION = "config"
-    REGISTRATIONS = "servers"
-    GATEWAYS = "gateways"
-    LEASES = "leases"
-    VERDICTS = "verdicts"
-
-
 class StoreFailure(str, Enum):
     """Classify failed calls by what they may have changed."""
 
@@ -81,39 +71,6 @@
     reason: str
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class StoredObject:
-    """Represent one object of the store."""
-
-    name: ObjectName
-    revision: Revision
-    document: Document
-
-
-@dataclass(frozen=True, slots=True)
-class Listing:
-    """Represent all objects of a kind at one revision."""
-
-    revision: Revision
-    objects: tuple[StoredObject, ...]
-
-
-@dataclass(frozen=True, slots=True)
-class Change:
-    """Represent a changed object, or the last state of a removed one."""
-
-    object: StoredObject
-    removed: bool
-
-
-@dataclass(frozen=True, slots=True)
-class ChangeBatch:
-    """Represent the changes of a watch up to a revision."""
-
-    revision: Revision
-    changes: tuple[Change, ...]
-
-
 class StoreClient:
     """Represent the store; failed calls return errors instead of raising them."""
 
@@ -142,14 +99,12 @@
             if isinstance(page, Err):
                 return page
             try:
-                items = read_mappings(page.ok_value, "items")
-                objects += [_decode_object(item) for item in items]
-                revision = Revision(read_count(page.ok_value, "current_rev"))
-                more = read_flag(page.ok_value, "has_more", False)
+                part = decode_page(page.ok_value)
             except MalformedDocumentError as error:
                 return _make_malformed_error("list", str(error))
-            if not more or not objects:
-                return Ok(Listing(revision, tuple(objects)))
+            objects += part.listing.objects
+            if not part.has_more or not objects:
+                return Ok(Listing(part.listing.revision, tuple(objects)))
             after = objects[-1].name
 
     async def get(
@@ -160,7 +115,7 @@
         if isinstance(reply, Err):
             return reply
         try:
-            return Ok(_decode_object(reply.ok_value))
+            return Ok(decode_object(reply.ok_value))
         except MalformedDocumentError as error:
             return _make_malformed_error("get", str(error))
 
@@ -181,17 +136,9 @@
         if isinstance(reply, Err):
             return reply
         try:
-            changes = tuple(
-                Change(
-                    _decode_object(read_mapping(event, "object")),
-                    read_flag(event, "deleted", False),
-                )
-                for event in read_mappings(reply.ok_value, "events")
-            )
-            revision = Revision(read_count(reply.ok_value, "current_rev"))
+            return Ok(decode_changes(reply.ok_value))
         except MalformedDocumentError as error:
             return _make_malformed_error("watch", str(error))
-        return Ok(ChangeBatch(revision, changes))
 
     async def create(
         self, kind: ObjectKind, name: ObjectName, document: Document
@@ -232,7 +179,7 @@
         if isinstance(reply, Err):
             return reply
         try:
-            return Ok(_decode_object(reply.ok_value))
+            return Ok(decode_object(reply.ok_value))
         except MalformedDocumentError as error:
             return _make_malformed_error(step, str(error))
 
@@ -308,16 +255,6 @@
     return path + (f"?{'&'.join(query)}" if query else "")
 
 
-def _decode_object(document: Document) -> StoredObject:
-    metadata = read_mapping(document, "metadata")
-    spec = document.get("spec")
-    return StoredObject(
-        name=ObjectName(read_string(metadata, "name")),
-        revision=Revision(read_count(metadata, "revision")),
-        document=spec if isinstance(spec, dict) else {},
-    )
-
-
 def _make_error(failure: StoreFailure, step: str, reason: str) -> Err[StoreError]:
     return Err(StoreError(failure=failure, step=step, reason=reason))
 
