Pass the bodies of the store's answers to the decoder of its objects

The client parsed each body as a whole before the objects in it were looked at, so nothing could be isolated that makes a body unreadable.

--- a/bramleyport/platform/_documents.py
+++ b/bramleyport/platform/_documents.py
@@ -1,5 +1,6 @@
 """Check the types of decoded documents before their values are used."""
 
+import json
 import math
 from collections.abc import Mapping
 from typing import Any
@@ -13,6 +14,17 @@
     """Report a document with missing fields or fields of the wrong type."""
 
 
+def parse_document(body: bytes) -> Document:
+    """Return the document in the body of a message; an empty body has no fields."""
+    try:
+        document = json.loads(body) if body else {}
+    except ValueError as error:
+        raise MalformedDocumentError(repr(error)) from error
+    if not isinstance(document, dict):
+        raise MalformedDocumentError("the body is not a mapping")
+    return document
+
+
 def read_string(document: Document, name: str, default: str | None = None) -> str:
     """Return a string field."""
     value = document.get(name, default)
--- a/bramleyport/platform/_objects.py
+++ b/bramleyport/platform/_objects.py
@@ -7,6 +7,7 @@
 from bramleyport.core import Revision
 from bramleyport.platform._documents import (
     Document,
+    parse_document,
     read_count,
     read_flag,
     read_mapping,
@@ -68,20 +69,22 @@
     has_more: bool
 
 
-def decode_page(document: Document) -> ListPage:
+def decode_page(body: bytes) -> ListPage:
     """Return one page of the objects of a kind."""
-    objects = tuple(decode_object(item) for item in read_mappings(document, "items"))
+    document = parse_document(body)
+    objects = tuple(_decode_object(item) for item in read_mappings(document, "items"))
     revision = Revision(read_count(document, "current_rev"))
     return ListPage(
         Listing(revision, objects), has_more=read_flag(document, "has_more", False)
     )
 
 
-def decode_changes(document: Document) -> ChangeBatch:
+def decode_changes(body: bytes) -> ChangeBatch:
     """Return the changes that a watch has answered."""
+    document = parse_document(body)
     changes = tuple(
         Change(
-            decode_object(read_mapping(event, "object")),
+            _decode_object(read_mapping(event, "object")),
             read_flag(event, "deleted", False),
         )
         for event in read_mappings(document, "events")
@@ -89,8 +92,12 @@
     return ChangeBatch(Revision(read_count(document, "current_rev")), changes)
 
 
-def decode_object(document: Document) -> StoredObject:
-    """Return one stored object."""
+def decode_answered_object(body: bytes) -> StoredObject:
+    """Return the object that a call has read or written."""
+    return _decode_object(parse_document(body))
+
+
+def _decode_object(document: Document) -> StoredObject:
     metadata = read_mapping(document, "metadata")
     spec = document.get("spec")
     return StoredObject(
--- a/bramleyport/platform/_store.py
+++ b/bramleyport/platform/_store.py
@@ -26,8 +26,8 @@
     ObjectKind,
     ObjectName,
     StoredObject,
+    decode_answered_object,
     decode_changes,
-    decode_object,
     decode_page,
 )
 from bramleyport.platform._settings import StoreSettings
@@ -115,7 +115,7 @@
         if isinstance(reply, Err):
             return reply
         try:
-            return Ok(decode_object(reply.ok_value))
+            return Ok(decode_answered_object(reply.ok_value))
         except MalformedDocumentError as error:
             return _make_malformed_error("get", str(error))
 
@@ -179,7 +179,7 @@
         if isinstance(reply, Err):
             return reply
         try:
-            return Ok(decode_object(reply.ok_value))
+            return Ok(decode_answered_object(reply.ok_value))
         except MalformedDocumentError as error:
             return _make_malformed_error(step, str(error))
 
@@ -191,7 +191,7 @@
         body: Document | None = None,
         *,
         timeout_s: float = CALL_TIMEOUT_S,
-    ) -> Result[Document, StoreError]:
+    ) -> Result[bytes, StoreError]:
         request = HttpRequest(
             method=method.encode(),
             target=path.encode(),
@@ -208,7 +208,8 @@
 
     async def _exchange(
         self, step: str, request: HttpRequest, timeout_s: float
-    ) -> Result[Document, StoreError]:
+    ) -> Result[bytes, StoreError]:
+        """Return the body of the answer to a call."""
         try:
             async with asyncio.timeout(timeout_s):
                 answer = await self._run(request)
@@ -222,15 +223,7 @@
             failure = _FAILURES.get(answer.status, StoreFailure.UNKNOWN)
             text = answer.body[:120].decode(errors="replace")
             return _make_error(failure, step, f"{answer.status} {text}")
-        try:
-            document = json.loads(answer.body) if answer.body else {}
-        except ValueError as error:
-            return _make_error(StoreFailure.UNKNOWN, step, repr(error))
-        if not isinstance(document, dict):
-            return _make_error(
-                StoreFailure.UNKNOWN, step, "the answer is not a mapping"
-            )
-        return Ok(document)
+        return Ok(answer.body)
 
     async def _run(self, request: HttpRequest) -> Answer:
         connection = await self._pool.acquire()
