Show further requests that a planned stop of a gateway cuts

Tests that fail on: connections in the kernel's queue and requests that wait to be read when the port closes, idle connections are closed, or calls are ended; a call that is cancelled before its first step; grace times under six seconds; and an answer that is read slowly under a short idle limit. Calls that wait in one of several attempts, or for a separate prefill, are answered rightly; their tests pass.

--- a/tests/gateway_fleet.py
+++ b/tests/gateway_fleet.py
@@ -175,6 +175,14 @@
             while not condition():
                 await asyncio.sleep(0.01)
 
+    def list_arrivals(self) -> list[str]:
+        """Return the requests that reached an upstream, whether they ran or not."""
+        return [
+            arrival.request.headers["request-id"]
+            for upstream in (*self.plain, *self.engines)
+            for arrival in upstream.arrivals
+        ]
+
     def list_runs(self) -> list[tuple[str, str]]:
         """Return the upstream and request of each run so far."""
         return [
--- a/tests/test_gateway_stops.py
+++ b/tests/test_gateway_stops.py
@@ -1,6 +1,8 @@
 """Guard that a planned stop of a gateway cuts nothing that it has accepted."""
 
 import asyncio
+import socket
+import time
 from collections.abc import Callable, Coroutine
 from dataclasses import replace
 from pathlib import Path
@@ -8,12 +10,21 @@
 
 import pytest
 
-from tests.gateway_fleet import GatewayFleet
+from bramleyport.fleet import plan_shutdown
+from tests.gateway_fleet import GatewayFleet, make_config
 from tests.platform_standin import (
+    LOOPBACK,
     RawCaller,
     RawRequest,
+    Script,
     UpstreamStandin,
     answer_normally,
+    hang,
+    lose_answer,
+    make_stamp_headers,
+    make_stream_abort,
+    render_response,
+    script_first_request,
 )
 
 Run = Callable[[Coroutine[Any, Any, Any]], Any]
@@ -128,3 +139,303 @@
 
     assert run(stop()) == 503
     assert fleet.list_runs() == []
+
+
+def connect_with_request(port: int, name: str) -> socket.socket:
+    """Open a connection and send a request, before the gateway's loop goes on."""
+    connection = socket.create_connection((LOOPBACK, port))
+    connection.sendall(render_request(name))
+    connection.setblocking(False)
+    return connection
+
+
+def render_request(name: str, path: str = "/post/x") -> bytes:
+    head = f"POST {path} HTTP/1.1\r\nHost: calls.example\r\nContent-Length: 0\r\n"
+    return f"{head}Request-Id: {name}\r\nDeadline-Ms: 3000\r\n\r\n".encode()
+
+
+async def read_status(connection: socket.socket) -> str:
+    """Return the status of an answer, or how the connection ended without one."""
+    loop = asyncio.get_running_loop()
+    try:
+        data = await loop.sock_recv(connection, 65_536)
+    except ConnectionError:
+        return "reset"
+    return data.split(b" ")[1].decode() if data else "closed"
+
+
+def call_before(target: Any, name: str, action: Callable[[], None]) -> None:
+    """Make an action happen in the instant before the next call of a method."""
+    method = getattr(target, name)
+
+    def call_both(*args: Any) -> Any:
+        setattr(target, name, method)
+        action()
+        return method(*args)
+
+    setattr(target, name, call_both)
+
+
+def test_connections_that_wait_to_be_accepted_are_served_as_the_port_closes(
+    fleet: GatewayFleet, run: Run
+) -> None:
+    """Guards against a port that resets connections in the queue of the kernel."""
+    waiting: list[socket.socket] = []
+
+    def connect() -> None:
+        waiting.extend(connect_with_request(fleet.port, f"w{n}") for n in range(30))
+
+    async def stop() -> list[str]:
+        # After single connections a port accepts few in one turn of the loop.
+        for _ in range(2):
+            await send_one(fleet.make_caller())
+        call_before(fleet.gateway._shutdown, "_close_port", connect)
+        stopping = asyncio.ensure_future(fleet.gateway.stop())
+        await fleet.wait_for(lambda: waiting)
+        ends = await asyncio.gather(*map(read_status, waiting))
+        await stopping
+        return ends
+
+    ends = run(stop())
+    for connection in waiting:
+        connection.close()
+    assert ends == ["200"] * 30
+
+
+def test_port_is_closed_in_the_turn_of_the_loop_that_closes_it(
+    fleet: GatewayFleet, run: Run
+) -> None:
+    """Guards against connections that arrive between the last accept and the close."""
+
+    async def stop() -> None:
+        shutdown, later = fleet.gateway._shutdown, []
+        close_port = shutdown._close_port
+
+        def close_and_connect() -> None:
+            is_first = shutdown._port is not None
+            close_port()
+            if is_first:
+                with socket.socket() as connection:
+                    later.append(connection.connect_ex((LOOPBACK, fleet.port)))
+
+        shutdown._close_port = close_and_connect
+        await fleet.gateway.stop()
+        assert later and later[0] != 0
+
+    run(stop())
+
+
+def test_connections_that_wait_to_be_accepted_at_the_end_are_answered(
+    fleet: GatewayFleet, run: Run
+) -> None:
+    """Guards against requests that arrive in the instant in which a stop ends calls."""
+    waiting: list[socket.socket] = []
+
+    def connect() -> None:
+        waiting.extend(connect_with_request(fleet.port, f"w{n}") for n in range(5))
+
+    async def stop() -> list[str]:
+        fleet.state.settings = replace(fleet.state.settings, grace_s=3.0)
+        for upstream in fleet.plain:
+            upstream.script = hang
+        caller = fleet.make_caller()
+        await caller.send("/post/x", body=b"b", Request_Id="q1")
+        stopping = asyncio.ensure_future(fleet.gateway.stop())
+        await asyncio.sleep(PAUSE_S)
+        call_before(fleet.gateway._shutdown, "_close_port", connect)
+        await fleet.wait_for(lambda: waiting)
+        ends = await asyncio.gather(*map(read_status, waiting))
+        await stopping
+        return ends
+
+    ends = run(stop())
+    for connection in waiting:
+        connection.close()
+    assert ends == ["503"] * 5
+
+
+def test_request_that_is_read_in_the_turn_in_which_calls_end_is_answered(
+    fleet: GatewayFleet, run: Run
+) -> None:
+    """Guards against a call that is cancelled before its first step."""
+
+    async def stop() -> str:
+        caller = fleet.make_caller()
+        await caller.open()
+        await fleet.wait_for(lambda: fleet.gateway._callers.connections)
+        (connection,) = fleet.gateway._callers.connections
+        fleet.state.shutdown = plan_shutdown(time.monotonic() - 60.0, 20.0)
+        fleet.state.ending = True
+        connection.dataReceived(render_request("w1"))
+        connection.end_request()
+        async with asyncio.timeout(2):
+            return str((await caller.receive()).status)
+
+    assert run(stop()) == "503"
+    assert fleet.list_runs() == []
+
+
+def test_request_on_an_open_connection_is_served_as_idle_ones_are_closed(
+    fleet: GatewayFleet, run: Run
+) -> None:
+    """Guards against closing a connection whose next request waits to be read."""
+
+    async def stop() -> str:
+        kept = connect_with_request(fleet.port, "w1")
+        assert await read_status(kept) == "200"
+        (connection,) = fleet.gateway._callers.connections
+        call_before(
+            connection, "close_if_idle", lambda: kept.sendall(render_request("w2"))
+        )
+        stopping = asyncio.ensure_future(fleet.gateway.stop())
+        status = await read_status(kept)
+        await stopping
+        kept.close()
+        return status
+
+    assert run(stop()) == "200"
+
+
+@pytest.mark.parametrize("grace_s", [1.0, 2.0, 5.0, 8.0, 20.0])
+def test_calls_run_until_the_last_sixth_of_the_grace_time(grace_s: float) -> None:
+    """Guards against a margin that ends calls early when the grace time is short."""
+    schedule = plan_shutdown(100.0, grace_s)
+    assert 100.0 + grace_s * 5 / 6 <= schedule.end_s < 100.0 + grace_s
+    assert schedule.restricted_from_s <= schedule.end_s
+
+
+@pytest.mark.parametrize("grace_s", [1.0, 2.0])
+def test_stop_with_a_short_grace_time_finishes_calls_and_ends_in_time(
+    fleet: GatewayFleet, run: Run, grace_s: float
+) -> None:
+    """Guards against cut calls, and against a kill by the platform, on short stops."""
+
+    async def stop() -> tuple[list[int], float]:
+        fleet.state.settings = replace(fleet.state.settings, grace_s=grace_s)
+        fleet.store.delay_s = 30.0
+        short, long = fleet.make_caller(), fleet.make_caller()
+        await short.send("/post/x", body=b"b", Request_Id="short")
+        await fleet.wait_for(lambda: len(fleet.list_arrivals()) == 1)
+        fleet.plain[0].script = fleet.plain[1].script = hang
+        await long.send("/post/x", body=b"b", Request_Id="long")
+        await fleet.wait_for(lambda: len(fleet.list_arrivals()) == 2)
+        began_s = time.monotonic()
+        stopping = asyncio.ensure_future(fleet.gateway.stop())
+        statuses = [(await caller.receive()).status for caller in (short, long)]
+        await stopping
+        return statuses, time.monotonic() - began_s
+
+    statuses, took_s = run(stop())
+    assert statuses == [200, 502]
+    assert took_s < grace_s
+
+
+GRACE_S = 3.0
+# Calls of plain routes may take 2 s, so they are sent when less than that is left.
+SEND_AFTER_S = 0.8
+
+
+@pytest.mark.parametrize(
+    ("path", "scripts", "status", "reason"),
+    [
+        # The first attempt is lost, the next one is silent.
+        ("/read/x", [lose_answer, hang], 502, "call_ended"),
+        ("/post/x", [hang, hang], 502, "call_ended"),
+        ("/once/x", [hang, hang], 502, "call_ended"),
+        ("/stream/x", [make_stream_abort(0), hang], 502, "call_ended"),
+    ],
+)
+def test_calls_that_may_have_run_are_not_reported_as_not_run_at_the_end(
+    fleet: GatewayFleet,
+    run: Run,
+    path: str,
+    scripts: list[Script],
+    status: int,
+    reason: str,
+) -> None:
+    """Guards against a 503 for a call that waits in one of several attempts."""
+
+    async def stop() -> Any:
+        fleet.state.settings = replace(fleet.state.settings, grace_s=GRACE_S)
+        first, last = scripts
+        for upstream in (*fleet.plain, *fleet.engines):
+            upstream.script = last
+        targets = fleet.engines if path in ("/once/x", "/stream/x") else fleet.plain
+        script_first_request(targets, first)
+        stopping = asyncio.ensure_future(fleet.gateway.stop())
+        await asyncio.sleep(SEND_AFTER_S)
+        answer = await fleet.make_caller().call(path, body=b"b")
+        await stopping
+        return answer
+
+    answer = run(stop())
+    assert (answer.status, answer.body.decode().strip()) == (status, reason)
+
+
+def test_call_that_waits_for_its_separate_prefill_is_reported_as_not_run(
+    fleet: GatewayFleet, run: Run
+) -> None:
+    """Guards against a 502 or a cut for a call of which only the prompt was read."""
+
+    async def stop() -> int:
+        fleet.state.settings = replace(fleet.state.settings, grace_s=GRACE_S)
+        choose = fleet.state.chooser.choose
+
+        def split(*args: Any, **options: Any) -> Any:
+            choice = choose(*args, **options)
+            return choice and replace(choice, prefill=find_prefill_engine(fleet))
+
+        fleet.state.chooser.choose = split
+        for engine in fleet.engines:
+            engine.prefill_hangs = True
+        stopping = asyncio.ensure_future(fleet.gateway.stop())
+        await asyncio.sleep(SEND_AFTER_S)
+        answer = await fleet.make_caller().call(
+            "/once/x", body=b"b", Deadline_Ms="6000"
+        )
+        await stopping
+        return answer.status
+
+    assert run(stop()) == 503
+    assert fleet.list_runs() == []
+    assert fleet.list_arrivals()
+
+
+def find_prefill_engine(fleet: GatewayFleet) -> Any:
+    """Return the registration of an engine for separate prefills."""
+    return fleet.state.members.list_ready("language")[0]
+
+
+def test_answer_that_is_read_slowly_outlasts_short_idle_limits(
+    fleet: GatewayFleet, run: Run
+) -> None:
+    """Guards against aborting a closing connection while its caller still reads."""
+    body = b"x" * 8_000_000
+
+    async def answer_at_length(
+        upstream: UpstreamStandin, request: RawRequest, writer: asyncio.StreamWriter
+    ) -> None:
+        upstream.record_run(request).ended = True
+        headers = make_stamp_headers(upstream, request)
+        writer.write(render_response(200, body, **headers))
+
+    async def stop() -> int:
+        for upstream in fleet.plain:
+            upstream.script = answer_at_length
+        config = make_config(2)
+        config["limits"]["idle_timeout_ms"] = 500
+        fleet.store.put("config", "main", config)
+        await fleet.wait_for(lambda: fleet.state.limits.idle_timeout_s == 0.5)
+        slow = connect_with_request(fleet.port, "w1")
+        await fleet.wait_for(lambda: len(fleet.list_runs()) == 1)
+        stopping = asyncio.ensure_future(fleet.gateway.stop())
+        received = 0
+        loop = asyncio.get_running_loop()
+        while received < len(body):
+            received += len(await loop.sock_recv(slow, 400_000))
+            await asyncio.sleep(PAUSE_S)
+        await stopping
+        slow.close()
+        return received
+
+    assert run(stop()) >= len(body)
