Serve connections that wait in the queue of a port that closes

Callers saw: a connection that was open, and on which a request had been sent, was reset in the moment in which a gateway that is stopped closes its port.

Cause: a port of Twisted accepts only as many connections at once as the turn of the loop before, and stopListening closes it in a later turn of the loop. Change: all connections in the kernel's queue are accepted, and the port is closed at once.

--- a/bramleyport/gateway/_daemon.py
+++ b/bramleyport/gateway/_daemon.py
@@ -23,7 +23,7 @@
 from bramleyport.gateway._peer_directory import PeerDirectory
 from bramleyport.gateway._peers import ANNOUNCE_INTERVAL_S, PeerLink
 from bramleyport.gateway._readiness import Readiness
-from bramleyport.gateway._shutdown import Shutdown
+from bramleyport.gateway._shutdown import BACKLOG, Shutdown
 from bramleyport.gateway._stages import StageController
 from bramleyport.gateway._state import GatewayState
 from bramleyport.gateway._state_updaters import (
@@ -43,7 +43,6 @@
 SETTINGS_POLL_INTERVAL_S: Final = 2.0
 # Duration of a watch for verdicts on prompt parts.
 VERDICT_WAIT_S: Final = 20.0
-BACKLOG: Final = 512
 
 
 class Gateway:
--- a/bramleyport/gateway/_shutdown.py
+++ b/bramleyport/gateway/_shutdown.py
@@ -8,9 +8,11 @@
 from bramleyport.fleet import plan_shutdown
 from bramleyport.gateway._clock import read_now
 from bramleyport.gateway._state import GatewayState
-from bramleyport.http1 import CallerFactory
+from bramleyport.http1 import CallerFactory, close_port
 from bramleyport.telemetry import gateway_events, log_event
 
+# Connections that the kernel keeps until they are accepted.
+BACKLOG: Final = 512
 # The load balancer checks readiness once a second, and it sends new callers until two
 # checks have failed.
 UNREADY_DELAY_S: Final = 3.0
@@ -84,9 +86,7 @@
     def _close_port(self) -> None:
         if self._port is None:
             return
-        # Connections that the kernel has accepted would be reset with the port.
-        self._port.doRead()
-        self._port.stopListening()
+        close_port(self._port, BACKLOG)
         self._port = None
         self._log_phase(StopPhase.PORT_CLOSED)
 
--- a/bramleyport/http1/__init__.py
+++ b/bramleyport/http1/__init__.py
@@ -14,6 +14,7 @@
     HttpRequest,
 )
 from bramleyport.http1._pool import ConnectionPool, PoolLimits
+from bramleyport.http1._port import close_port
 from bramleyport.http1._server import (
     CallerConnection,
     CallerDisconnectedError,
@@ -36,4 +37,5 @@
     "HttpRequest",
     "PoolLimits",
     "UpstreamConnection",
+    "close_port",
 ]
