Answer requests that arrive as a stop ends the calls that still run

Callers saw: a request that was sent just before the end of the grace time got no answer, and its connection was closed or reset.

Cause: at the end connections without a request were closed at once, also those whose request waited to be read; and a request that was read in the same turn of the loop was cancelled before its handler began, so nobody answered it. Change: at the end such connections have the time of the last answers to send their request, which gets 503, as does each request whose handler has not begun.

--- a/bramleyport/gateway/_forward.py
+++ b/bramleyport/gateway/_forward.py
@@ -104,8 +104,7 @@
             deadline_s=request.began_s + min(head.time_limit_s, route.timeout_s),
             prompt=head.prompt,
         )
-        shutdown = self._state.shutdown
-        if shutdown and not shutdown.accepts(call.arrived_s, call.deadline_s):
+        if self._is_too_late(call):
             status = HTTPStatus.SERVICE_UNAVAILABLE
             reply(connection, status, call.request, "stopping", RETRY_WHEN_STOPPING_S)
             return None
@@ -117,6 +116,14 @@
         self._state.rate_limiter.record_call(call, read_now())
         return context
 
+    def _is_too_late(self, call: Call) -> bool:
+        """Return whether a call may outlast the gateway, which is being stopped."""
+        shutdown = self._state.shutdown
+        if shutdown is None:
+            return False
+        accepts = shutdown.accepts(call.arrived_s, call.deadline_s)
+        return self._state.ending or not accepts
+
     async def _run(self, context: CallContext, last_event: int) -> None:
         if context.call.route.repeatability.streams:
             await self._streams.serve(context, last_event)
--- a/bramleyport/gateway/_shutdown.py
+++ b/bramleyport/gateway/_shutdown.py
@@ -81,7 +81,7 @@
         for connection in list(self._callers.connections):
             connection.end_request()
         end_s = read_now() + ANSWER_FLUSH_S
-        await self._wait(lambda: not self._callers.connections, end_s)
+        await self._wait(self._has_finished, end_s)
 
     def _close_port(self) -> None:
         if self._port is None:
--- a/bramleyport/http1/_server.py
+++ b/bramleyport/http1/_server.py
@@ -76,6 +76,7 @@
         self._opened_s = 0.0
         self._began_s = 0.0
         self._request_count = 0
+        self._serving_began = False
         self._refused = False
         self._queued_bytes = 0
         self.closed = False
@@ -195,14 +196,14 @@
         self._set_timer(ABORT_DELAY_S, self.transport.abortConnection)
 
     def end_request(self) -> None:
-        """Cancel the request that is being served, or refuse the one that is read."""
+        """Cancel the request that is being served, or refuse the one that is read.
+
+        The handler itself refuses a request that it has not begun to serve.
+        """
         if self._task is not None:
-            self._task.cancel()
-        elif self.closed or self.closing:
-            return
-        elif self.idle:
-            self._close()
-        else:
+            if self._serving_began:
+                self._task.cancel()
+        elif not (self.idle or self.closed or self.closing):
             self._refuse(503)
 
     def close_if_idle(self, first_request_s: float) -> None:
@@ -294,9 +295,12 @@
         self._body = []
         self._body_bytes = 0
         self._request_count += 1
+        # A task that is cancelled before its first step answers nothing.
+        self._serving_began = False
         self._task = loop.create_task(self._serve(request))
 
     async def _serve(self, request: CallerRequest) -> None:
+        self._serving_began = True
         try:
             await self._factory.handler(request, self)
         except CallerDisconnectedError:
