Read what has arrived before an idle connection is closed in a stop

Callers saw: a request on an open connection got no answer if it arrived in the instant in which a gateway that is stopped closes its idle connections.

Cause: whether a connection is idle was decided from what the event loop had read last, which is older the longer the loop was blocked. Change: the connection is read once more before it is closed. The test failed before each time and passes now.

--- a/bramleyport/http1/_server.py
+++ b/bramleyport/http1/_server.py
@@ -211,6 +211,9 @@
 
         One that has carried no request yet is idle only after `first_request_s`.
         """
+        if self.idle and not (self.closed or self.closing):
+            # The next request may have arrived since the event loop read last.
+            self.transport.doRead()
         if not self.idle or self.closed or self.closing:
             return
         age_s = asyncio.get_running_loop().time() - self._opened_s
