Serve calls for most of the grace time also if it is short

Callers saw: with a grace time of one to five seconds, calls that ran when a gateway was stopped were ended with 502 up to a second before the grace time, at one second at once.

Cause: a second was kept for the exit however short the grace time is. Change: at most 15 % are kept, and the waits for the last answers and for the store are parts of it. At six seconds and more nothing changes.

A test of calls at the end of the grace time sets the margin to the whole grace time; it now also sets the fraction, and checks what it did.

--- a/bramleyport/gateway/_daemon.py
+++ b/bramleyport/gateway/_daemon.py
@@ -116,9 +116,10 @@
     async def stop(self) -> None:
         """Stop accepting callers, finish running calls, then leave and close."""
         log_event(events.PROCESS_STOPPING, connections=len(self._callers.connections))
-        await self._shutdown.run(self._caller_port)
+        schedule = await self._shutdown.run(self._caller_port)
         try:
-            async with asyncio.timeout(LEAVE_TIMEOUT_S):
+            leave_s = min(read_now() + LEAVE_TIMEOUT_S, schedule.exit_s)
+            async with asyncio.timeout_at(leave_s):
                 await self._directory.leave()
         except TimeoutError:
             log_event(
--- a/bramleyport/gateway/_shutdown.py
+++ b/bramleyport/gateway/_shutdown.py
@@ -5,7 +5,7 @@
 from enum import Enum
 from typing import Any, Final
 
-from bramleyport.fleet import plan_shutdown
+from bramleyport.fleet import ShutdownSchedule, plan_shutdown
 from bramleyport.gateway._clock import read_now
 from bramleyport.gateway._state import GatewayState
 from bramleyport.http1 import CallerFactory, close_port
@@ -19,8 +19,6 @@
 # Age from which a connection that has carried no request counts as idle. Its caller
 # sends the first request as soon as the connection is open.
 FIRST_REQUEST_S: Final = 1.0
-# Time in which the last answers are read by their callers.
-ANSWER_FLUSH_S: Final = 0.3
 POLL_INTERVAL_S: Final = 0.05
 
 
@@ -49,7 +47,7 @@
         self._callers = callers
         self._port: Any = None
 
-    async def run(self, port: Any) -> None:
+    async def run(self, port: Any) -> ShutdownSchedule:
         """Return once no caller waits for an answer, or the time for the stop is up."""
         started_s = read_now()
         self._port = port
@@ -63,8 +61,9 @@
         self._log_phase(StopPhase.LEAVING)
         await self._wait(self._has_finished, schedule.end_s)
         if not self._callers.connections and self._port is None:
-            return
-        await self._end_calls()
+            return schedule
+        await self._end_calls(schedule.flushed_s)
+        return schedule
 
     def _has_finished(self) -> bool:
         """Close what is idle; return whether nothing is open any more."""
@@ -74,14 +73,13 @@
             self._close_port()
         return not self._callers.connections
 
-    async def _end_calls(self) -> None:
+    async def _end_calls(self, flushed_s: float) -> None:
         self._close_port()
         self._state.ending = True
         self._log_phase(StopPhase.ENDING)
         for connection in list(self._callers.connections):
             connection.end_request()
-        end_s = read_now() + ANSWER_FLUSH_S
-        await self._wait(self._has_finished, end_s)
+        await self._wait(self._has_finished, flushed_s)
 
     def _close_port(self) -> None:
         if self._port is None:
--- a/tests/test_gateway_state.py
+++ b/tests/test_gateway_state.py
@@ -449,6 +449,7 @@
     for upstream in (*fleet.plain, *fleet.engines):
         upstream.script = hang
     monkeypatch.setattr(_shutdown, "STOP_MARGIN_S", BOUNDS["grace_s"])
+    monkeypatch.setattr(_shutdown, "MAX_MARGIN_FRACTION", 1.0)
 
     async def stop() -> Any:
         caller = fleet.make_caller()
