Let callers read their last answer to its end in a stop

Callers saw: a long answer that a caller reads slowly was reset in a planned stop once the idle limit had passed, though bytes were still being read.

Cause: a connection that is closed after its last answer was aborted after the idle limit, counted from the answer. Change: in a stop only the end of the grace time limits how long its caller may read. The test failed before each time and passes now; 102 tests of limits, hostile answers and malformed requests pass.

--- a/bramleyport/http1/_server.py
+++ b/bramleyport/http1/_server.py
@@ -224,8 +224,11 @@
         self.closing = True
         self.transport.unregisterProducer()
         self.transport.loseConnection()
-        idle_s = self._factory.read_limits().idle_timeout_s
-        self._set_timer(idle_s, self.transport.abortConnection)
+        self._clear_timer()
+        # The end of the grace time limits how long callers may read in a stop.
+        if not self._factory.draining:
+            idle_s = self._factory.read_limits().idle_timeout_s
+            self._set_timer(idle_s, self.transport.abortConnection)
 
     def _send(self, event: Any) -> None:
         if self.closed:
