Answer what an entry has read before its process ends

Callers saw: in a planned stop of an entry a long answer that was read slowly was cut, and so were a request that was still read, one that outlasted the drain limit, and connections in the kernel's queue as the port closed.

Cause: the stop waited for the requests in flight only, not for the bytes of their answers nor for requests that were still read; and the port was closed as that of a gateway was. Change: the port closes after its queue was accepted, in a package that gateways share; then idle connections are closed, and the stop waits until none is open. At the drain limit requests that run get 502, those that are read 503.

--- a/bramleyport/agent/_metrics.py
+++ b/bramleyport/agent/_metrics.py
@@ -51,7 +51,7 @@
     async def close(self) -> None:
         """Stop serving the metrics."""
         if self._listener is not None:
-            await stop_http(self._listener)
+            stop_http(self._listener)
 
     def make_interval_observer(
         self, rank: "Rank", observe: ObserveInterval
--- a/bramleyport/callers/__init__.py
+++ b/bramleyport/callers/__init__.py
@@ -1,7 +1,7 @@
 """HTTP interface for callers."""
 
 from bramleyport.callers._app import CallerApp, CallerHandler, send_error
-from bramleyport.callers._channel import make_site
+from bramleyport.callers._channel import CallerSite, make_site
 from bramleyport.callers._render import (
     ChunkRenderer,
     render_complete_answer,
@@ -17,6 +17,7 @@
     "CallerDisconnectedError",
     "CallerHandler",
     "CallerRequest",
+    "CallerSite",
     "CallerStream",
     "ChunkRenderer",
     "EntryState",
--- a/bramleyport/entry/_daemon.py
+++ b/bramleyport/entry/_daemon.py
@@ -10,6 +10,7 @@
     CallerApp,
     CallerDisconnectedError,
     CallerRequest,
+    CallerSite,
     CallerStream,
     EntryState,
     make_site,
@@ -52,6 +53,8 @@
     from bramleyport.transport import Identity
 
 RETRY_AFTER_STOP_S: Final = 1.0
+# Time in which the last answers are read by their callers.
+ANSWER_FLUSH_S: Final = 0.3
 MAX_EVENTS_SHOWN: Final = 25
 
 
@@ -95,8 +98,10 @@
         self._reports = reports
         self._tenants = BoundedLabels()
         self._stopping = False
-        self._in_flight = 0
+        self._ending = False
+        self._in_flight: set[asyncio.Task[None]] = set()
         self._tasks: list[asyncio.Task[None]] = []
+        self._site: CallerSite | None = None
         self._listening: Port | None = None
         self._server: Server | None = None
 
@@ -130,9 +135,11 @@
         self._tasks = [asyncio.ensure_future(supervise(item.run)) for item in reporters]
         if self.controllers is not None:
             self._tasks += self.controllers.start()
-        site = make_site(CallerApp(self).app.resource(), self.settings.max_body_bytes)
+        self._site = make_site(
+            CallerApp(self).app.resource(), self.settings.max_body_bytes
+        )
         self._listening = await listen_http(
-            site, process.address, self.settings.http_port
+            self._site, process.address, self.settings.http_port
         )
         log_event(events.PROCESS_STARTED, role="entry", process=process.process)
 
@@ -146,7 +153,8 @@
         while self._in_flight and time.monotonic() < deadline_s:
             await asyncio.sleep(0.05)
         if self._listening is not None:
-            await stop_http(self._listening)
+            stop_http(self._listening)
+        await self._drain_callers(deadline_s)
         await self._keyed.drain(deadline_s - time.monotonic())
         await releasing
         self._relay.send(time.monotonic())
@@ -163,6 +171,19 @@
         await self._client.close()
         log_event(events.PROCESS_STOPPED, process=self.settings.process.process)
 
+    async def _drain_callers(self, deadline_s: float) -> None:
+        """Wait until callers have their answers; at the deadline end their requests."""
+        if self._site is None:
+            return
+        await self._site.drain(deadline_s)
+        if not self._site.channels:
+            return
+        self._ending = True
+        for task in self._in_flight:
+            task.cancel()
+        self._site.refuse_unread(_make_stopping_error())
+        await self._site.drain(time.monotonic() + ANSWER_FLUSH_S)
+
     async def _release_leases(self) -> None:
         # Released at once, so that other entries can take the leases before the
         # requests in flight have finished.
@@ -198,7 +219,7 @@
             zone=process.zone,
             unready_reason=self.explain_unready(),
             revision=self.records.revision,
-            in_flight=self._in_flight,
+            in_flight=len(self._in_flight),
             records=self.records.records,
             counts={n: self._outcomes.get_counts(n) for n in self.records.records},
             statuses=self._totals.statuses,
@@ -211,7 +232,7 @@
         """Return the metrics in the Prometheus text format."""
         state = {
             "records_revision": self.records.revision,
-            "requests_in_flight": self._in_flight,
+            "requests_in_flight": len(self._in_flight),
             "upstreams_usable": len(self._links.list_views()),
             "ready": int(self.explain_unready() is None),
         }
@@ -228,12 +249,18 @@
         if self._stopping:
             await send_error(stream, _make_stopping_error())
             return
-        self._in_flight += 1
+        task = asyncio.current_task()
+        assert task is not None
+        self._in_flight.add(task)
         trace = begin_trace()
         try:
             error = await self._serve(request, stream, trace)
+        except asyncio.CancelledError:
+            if not self._ending or stream.disconnected.is_set():
+                raise
+            error = _make_ended_error()
         finally:
-            self._in_flight -= 1
+            self._in_flight.discard(task)
         result = error.code.value if error else "ok"
         labels = {"service": request.target[:80], "rank": request.rank.value}
         self._metrics.requests.inc({**labels, "result": result})
@@ -371,3 +398,12 @@
         step="serve",
         retry_after_s=RETRY_AFTER_STOP_S,
     )
+
+
+def _make_ended_error() -> ServeError:
+    return ServeError(
+        code=ErrorCode.UPSTREAM_FAILED,
+        message="this entry has stopped before the answer",
+        execution=Execution.UNKNOWN,
+        step="serve",
+    )
--- a/bramleyport/gateway/_daemon.py
+++ b/bramleyport/gateway/_daemon.py
@@ -23,7 +23,7 @@
 from bramleyport.gateway._peer_directory import PeerDirectory
 from bramleyport.gateway._peers import ANNOUNCE_INTERVAL_S, PeerLink
 from bramleyport.gateway._readiness import Readiness
-from bramleyport.gateway._shutdown import BACKLOG, Shutdown
+from bramleyport.gateway._shutdown import Shutdown
 from bramleyport.gateway._stages import StageController
 from bramleyport.gateway._state import GatewayState
 from bramleyport.gateway._state_updaters import (
@@ -33,6 +33,7 @@
 from bramleyport.gateway._verdict_store import VerdictStore
 from bramleyport.gateway._work_tracker import WorkTracker
 from bramleyport.http1 import CallerFactory, ConnectionLimits
+from bramleyport.listening import BACKLOG
 from bramleyport.platform import ObjectKind, StoreClient, load_node_settings
 from bramleyport.supervision import Job, supervise
 from bramleyport.telemetry import Metrics, events, gateway_events, log_event
--- a/bramleyport/gateway/_shutdown.py
+++ b/bramleyport/gateway/_shutdown.py
@@ -8,11 +8,10 @@
 from bramleyport.fleet import ShutdownSchedule, plan_shutdown
 from bramleyport.gateway._clock import read_now
 from bramleyport.gateway._state import GatewayState
-from bramleyport.http1 import CallerFactory, close_port
+from bramleyport.http1 import CallerFactory
+from bramleyport.listening import close_port
 from bramleyport.telemetry import gateway_events, log_event
 
-# Connections that the kernel keeps until they are accepted.
-BACKLOG: Final = 512
 # The load balancer checks readiness once a second, and it sends new callers until two
 # checks have failed.
 UNREADY_DELAY_S: Final = 3.0
@@ -84,7 +83,7 @@
     def _close_port(self) -> None:
         if self._port is None:
             return
-        close_port(self._port, BACKLOG)
+        close_port(self._port)
         self._port = None
         self._log_phase(StopPhase.PORT_CLOSED)
 
--- a/bramleyport/http1/__init__.py
+++ b/bramleyport/http1/__init__.py
@@ -14,7 +14,6 @@
     HttpRequest,
 )
 from bramleyport.http1._pool import ConnectionPool, PoolLimits
-from bramleyport.http1._port import close_port
 from bramleyport.http1._server import (
     CallerConnection,
     CallerDisconnectedError,
@@ -37,5 +36,4 @@
     "HttpRequest",
     "PoolLimits",
     "UpstreamConnection",
-    "close_port",
 ]
--- a/bramleyport/transport/_http.py
+++ b/bramleyport/transport/_http.py
@@ -11,11 +11,10 @@
 from zope.interface import implementer
 
 from bramleyport.core import StepError
+from bramleyport.listening import BACKLOG, close_port
 from bramleyport.transport._connection_end import ConnectionEnd, RecordingEndpoint
 
 CONNECT_TIMEOUT_S: Final = 2.0
-# Twisted's default of 50 loses connections when many callers connect at once.
-LISTEN_BACKLOG: Final = 1024
 
 
 @implementer(IAgentEndpointFactory)
@@ -42,9 +41,7 @@
     """
     from twisted.internet import reactor
 
-    endpoint = TCP4ServerEndpoint(
-        reactor, port, backlog=LISTEN_BACKLOG, interface=address
-    )
+    endpoint = TCP4ServerEndpoint(reactor, port, backlog=BACKLOG, interface=address)
     try:
         return await endpoint.listen(site).asFuture(asyncio.get_running_loop())
     except CannotListenError as error:
@@ -53,11 +50,9 @@
         raise StepError("listen", f"{address}:{port}", reason) from error
 
 
-async def stop_http(listener: Any) -> None:
+def stop_http(listener: Any) -> None:
     """Stop accepting connections; open ones stay open."""
-    stopped = listener.stopListening()
-    if stopped is not None:
-        await stopped.asFuture(asyncio.get_running_loop())
+    close_port(listener)
 
 
 def make_http_client(
--- a/tests/test_entry_stops.py
+++ b/tests/test_entry_stops.py
@@ -108,10 +108,10 @@
     entry, waiting = demo.entries[0], []
     stop_http = _daemon.stop_http
 
-    async def connect_and_stop(listener: Any) -> None:
+    def connect_and_stop(listener: Any) -> Any:
         if listener is entry._listening:
             waiting.extend(connect(entry.port, REQUEST) for _ in range(40))
-        await stop_http(listener)
+        return stop_http(listener)
 
     async def stop() -> list[str]:
         for _ in range(2):
--- a/tests/test_purity.py
+++ b/tests/test_purity.py
@@ -46,6 +46,7 @@
     "http1",
     "keyed",
     "links",
+    "listening",
     "objectapi",
     "platform",
     "standins",
