Soak planned stops with callers that go on until the processes end

The soak never caught calls that a planned stop cuts: its callers used proxies that accept connections after a gateway is gone, all calls ended within milliseconds, and a connection that ended without an answer was no violation.

The profile `stops` has no unplanned fault. Callers send a call over each new connection at a low rate, keep connections, pipeline, send in pieces and read slowly; answers take up to 7 s, the store answers slowly, idle limits change, stops overlap, SIGHUP and further SIGTERMs come, and a process is killed at its grace time. A call that was read, or reached an upstream, and got no answer is a violation, unless its time was up or an upstream still worked on it in the last sixth of the grace time.

--- a/tests/soak/_soak_run.py
+++ b/tests/soak/_soak_run.py
@@ -46,6 +46,7 @@
 from tests.soak._findings import Findings, Impairments
 from tests.soak._processes import GatewayProcess
 from tests.soak._proxy import FaultProxy
+from tests.soak._stop_soak import StopSoak
 
 CALLERS_PER_GATEWAY = 3
 START_LIMIT_S = 30.0
@@ -91,6 +92,8 @@
     MIXED_LIMITS = "mixed_limits"
     # Engines that crash on parts of prompts, and gateways that end.
     CRASHES = "crashes"
+    # Planned stops only, with callers that go on until the processes end.
+    STOPS = "stops"
 
 
 # A seed chooses one of these. The others aren't among them, so that the seeds that have
@@ -324,13 +327,17 @@
 ) -> Findings:
     """Run one soak test; its log folder is kept if it found a violation."""
     folder = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
-    test = Soak(
-        seed,
-        folder,
-        gateways=gateways,
-        profile=profile,
-        check_time_limits=check_time_limits,
-    )
+    test: Soak | StopSoak
+    if profile is Profile.STOPS:
+        test = StopSoak(seed, folder, gateways=gateways)
+    else:
+        test = Soak(
+            seed,
+            folder,
+            gateways=gateways,
+            profile=profile,
+            check_time_limits=check_time_limits,
+        )
     findings = await test.run(seconds)
     if not findings.violations:
         for path in folder.iterdir():
--- /dev/null
+++ b/tests/soak/_stop_callers.py
@@ -0,0 +1,204 @@
+"""Define callers that use gateways until their processes end."""
+
+import asyncio
+import time
+from collections.abc import Awaitable, Callable, Sequence
+from random import Random
+from typing import Final
+
+from tests.platform_standin import LOOPBACK, CallerAnswer, RawCaller
+from tests.soak._checks import Observations, SentCall, check_answer
+from tests.soak._processes import GatewayProcess
+from tests.soak._stop_checks import StopCall, StopObservations
+
+KINDS: Final = ("read", "post", "once", "stream")
+# Long enough for answers that outlast a stop, and limits within one.
+LIMITS_S: Final = (0.8, 2.0, 5.0, 9.0)
+# By then each call has reached its deadline.
+ANSWER_TIMEOUT_S: Final = 12.0
+# Callers at a low rate leave moments in which a gateway has no connection.
+MAX_PAUSE_S: Final = 0.5
+MAX_PIECE_PAUSE_S: Final = 0.2
+BODY: Final = b"b" * 60
+
+Behaviour = Callable[["StopCallers", GatewayProcess], Awaitable[None]]
+BEHAVIOURS: Final[dict[str, Behaviour]] = {}
+
+
+def register_behaviour(behaviour: Behaviour) -> Behaviour:
+    """Register how a caller uses one connection."""
+    BEHAVIOURS[behaviour.__name__] = behaviour
+    return behaviour
+
+
+class StopCallers:
+    """Represent all callers; they send calls until `stopping` is set."""
+
+    def __init__(
+        self, stops: StopObservations, answers: Observations, random: Random
+    ) -> None:
+        self.random = random
+        self.stopping = False
+        self._stops = stops
+        self._answers = answers
+        self._number = 0
+
+    async def use(
+        self, gateways: Sequence[GatewayProcess], behaviours: Sequence[Behaviour]
+    ) -> None:
+        """Use one connection after another, each in one of some ways."""
+        while not self.stopping:
+            behave = self.random.choice(behaviours)
+            try:
+                await behave(self, self.random.choice(gateways))
+            except (OSError, asyncio.IncompleteReadError):
+                self._answers.findings.calls["closed"] += 1
+            await self.pause()
+
+    async def pause(self, most_s: float = MAX_PAUSE_S) -> None:
+        """Wait for a moment."""
+        await asyncio.sleep(self.random.random() * most_s)
+
+    async def open(self, gateway: GatewayProcess) -> RawCaller:
+        """Open a connection to the port of a gateway itself."""
+        caller = RawCaller(gateway.caller_proxy.server_port)
+        caller.reader, caller.writer = await asyncio.open_connection(
+            LOOPBACK, caller.port
+        )
+        return caller
+
+    async def send(
+        self, caller: RawCaller, gateway: GatewayProcess, *, pieces: int = 1
+    ) -> StopCall:
+        """Send a call, its body in pieces."""
+        assert caller.writer is not None
+        call = self._make_call(gateway)
+        data = _render(call)
+        size = len(data) // pieces + 1
+        try:
+            for start in range(0, len(data), size):
+                if start:
+                    await self.pause(MAX_PIECE_PAUSE_S)
+                caller.writer.write(data[start : start + size])
+                await caller.writer.drain()
+        except OSError:
+            call.cut_s = time.monotonic()
+            raise
+        call.sent_s = time.monotonic()
+        return call
+
+    async def receive(self, caller: RawCaller, call: StopCall) -> CallerAnswer:
+        """Receive the answer of a call, or record when its connection ended."""
+        try:
+            async with asyncio.timeout(ANSWER_TIMEOUT_S):
+                answer = await caller.receive()
+        except (OSError, asyncio.IncompleteReadError, TimeoutError) as error:
+            call.cut_s = time.monotonic()
+            if isinstance(error, TimeoutError):
+                call.limit_s = float("inf")
+                raise ConnectionError("no answer") from error
+            raise
+        if not answer.complete:
+            call.cut_s = time.monotonic()
+            raise ConnectionError("incomplete answer")
+        call.answered_s = time.monotonic()
+        call.status, call.reason = answer.status, _read_reason(answer)
+        self._answers.sent[call.name].answer = answer
+        check_answer(self._answers, call.name, call.kind, answer)
+        return answer
+
+    def _make_call(self, gateway: GatewayProcess) -> StopCall:
+        self._number += 1
+        call = StopCall(
+            name=f"s{self._number:x}",
+            kind=self.random.choice(KINDS),
+            gateway=gateway.name,
+            limit_s=self.random.choice(LIMITS_S),
+            began_s=time.monotonic(),
+        )
+        self._stops.calls.append(call)
+        self._answers.sent[call.name] = SentCall(call.kind, call.began_s)
+        return call
+
+
+@register_behaviour
+async def call_once(callers: StopCallers, gateway: GatewayProcess) -> None:
+    """Send one call over a new connection."""
+    caller = await callers.open(gateway)
+    try:
+        await callers.receive(caller, await callers.send(caller, gateway))
+    finally:
+        caller.close()
+
+
+@register_behaviour
+async def keep_calling(callers: StopCallers, gateway: GatewayProcess) -> None:
+    """Send calls over a connection until the gateway closes it."""
+    caller = await callers.open(gateway)
+    try:
+        while not callers.stopping:
+            call = await callers.send(caller, gateway)
+            answer = await callers.receive(caller, call)
+            if answer.headers.get("connection", "").lower() == "close":
+                return
+            await callers.pause()
+    finally:
+        caller.close()
+
+
+@register_behaviour
+async def send_in_pieces(callers: StopCallers, gateway: GatewayProcess) -> None:
+    """Send one call in pieces, on a connection that waits for its first byte."""
+    caller = await callers.open(gateway)
+    try:
+        await callers.pause(MAX_PIECE_PAUSE_S)
+        call = await callers.send(caller, gateway, pieces=callers.random.randint(2, 6))
+        await callers.receive(caller, call)
+    finally:
+        caller.close()
+
+
+@register_behaviour
+async def pipeline(callers: StopCallers, gateway: GatewayProcess) -> None:
+    """Send several calls before the first answer."""
+    caller = await callers.open(gateway)
+    calls: list[StopCall] = []
+    try:
+        for _ in range(callers.random.randint(2, 4)):
+            calls.append(await callers.send(caller, gateway))
+        for call in calls:
+            await callers.receive(caller, call)
+    finally:
+        _record_dropped(calls)
+        caller.close()
+
+
+@register_behaviour
+async def read_slowly(callers: StopCallers, gateway: GatewayProcess) -> None:
+    """Send one call, and read its answer some time after it has arrived."""
+    caller = await callers.open(gateway)
+    try:
+        call = await callers.send(caller, gateway)
+        await callers.pause(2.0)
+        await callers.receive(caller, call)
+    finally:
+        caller.close()
+
+
+def _record_dropped(calls: list[StopCall]) -> None:
+    """Record that calls behind the one whose connection ended were cut, too."""
+    cut_s = next((call.cut_s for call in calls if call.cut_s is not None), None)
+    for call in calls:
+        if cut_s is not None and call.answered_s is None:
+            call.cut_s = cut_s
+
+
+def _render(call: StopCall) -> bytes:
+    lines = [f"POST /{call.kind}/x HTTP/1.1", "Host: calls.example"]
+    lines += [f"Request-Id: {call.name}", f"Deadline-Ms: {int(call.limit_s * 1000)}"]
+    lines += [f"Content-Length: {len(BODY)}", "", ""]
+    return "\r\n".join(lines).encode() + BODY
+
+
+def _read_reason(answer: CallerAnswer) -> str:
+    return answer.body.decode(errors="replace").strip() if answer.status >= 500 else ""
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -41,6 +41,13 @@
 from tests.soak._crash_checks import check_deadly_parts, check_sound_prompts
 from tests.soak._processes import GatewayProcess
 from tests.soak._proxy import Direction, FaultProxy
+from tests.soak._stop_checks import (
+    PlannedStop,
+    StopCall,
+    StopObservations,
+    UpstreamWork,
+    check_stops,
+)
 
 Run = Callable[[Coroutine[Any, Any, Any]], Any]
 
@@ -332,3 +339,72 @@
         server.close()
 
     run(check())
+
+
+# Guards what is accepted by a gateway that is stopped, while its callers go on.
+def test_planned_stops_cut_no_call(run: Run) -> None:
+    findings = run(run_soak(1, 6.0, gateways=3, profile=Profile.STOPS))
+    assert findings.violations == []
+    assert findings.faults["stop_gateway"] > 0
+    assert findings.calls["post 200"] > 0
+
+
+GRACE_S = 6.0
+
+
+# Guards the check against cuts that it misses, and against those that are allowed: the
+# end of the caller's limit, an upstream that works for too long, bytes just sent.
+@pytest.mark.parametrize(
+    ("sent_s", "cut_s", "limit_s", "work", "violated"),
+    [
+        (3.5, 3.8, 2.0, None, True),
+        (3.5, 3.6, 2.0, None, False),
+        (3.5, 3.6, 2.0, UpstreamWork(3.5), True),
+        (3.5, 5.5, 2.0, UpstreamWork(3.5), False),
+        (2.9, 5.1, 9.0, UpstreamWork(3.0), False),
+        (3.1, 5.1, 9.0, UpstreamWork(3.1), True),
+        (2.9, 5.1, 9.0, UpstreamWork(3.0, 4.9), True),
+        (2.9, 4.9, 9.0, UpstreamWork(3.0), True),
+        (None, 3.8, 2.0, None, False),
+    ],
+)
+def test_unanswered_calls_are_found(
+    sent_s: float | None,
+    cut_s: float,
+    limit_s: float,
+    work: UpstreamWork | None,
+    violated: bool,
+) -> None:
+    observations = StopObservations(Findings())
+    observations.stops.append(PlannedStop("g0", GRACE_S, 0.0, 6.0))
+    began_s = sent_s if sent_s is not None else 3.5
+    call = StopCall("s1", "post", "g0", limit_s, began_s, sent_s, cut_s=cut_s)
+    observations.calls.append(call)
+    if work is not None:
+        observations.work["s1"] = work
+    check_stops(observations)
+    assert bool(observations.findings.violations) is violated
+
+
+# Guards the check against answers that deny a run or end a call too soon.
+@pytest.mark.parametrize(
+    ("status", "reason", "answered_s", "has_run", "violated"),
+    [
+        (503, "stopping", 3.5, False, False),
+        (503, "stopping", 3.5, True, True),
+        (502, "call_ended", 5.1, True, False),
+        (502, "call_ended", 4.9, True, True),
+    ],
+)
+def test_wrong_answers_in_a_stop_are_found(
+    status: int, reason: str, answered_s: float, has_run: bool, violated: bool
+) -> None:
+    observations = StopObservations(Findings())
+    observations.stops.append(PlannedStop("g0", GRACE_S, 0.0, 6.0))
+    call = StopCall("s1", "post", "g0", 9.0, 3.0, 3.0, status=status, reason=reason)
+    call.answered_s = answered_s
+    observations.calls.append(call)
+    if has_run:
+        observations.work["s1"] = UpstreamWork(3.0)
+    check_stops(observations)
+    assert bool(observations.findings.violations) is violated
