Show what one odd entry of another writer costs the other entries

The decoders are tested one by one with values that no worker writes. The stand-in of the store takes raw bytes anywhere in an entry.

--- a/tests/platform_standin/__init__.py
+++ b/tests/platform_standin/__init__.py
@@ -16,6 +16,10 @@
     read_request,
     render_response,
 )
+from tests.platform_standin._odd_entries import (
+    ODD_FIELDS,
+    ODD_METADATA,
+)
 from tests.platform_standin._scripts import (
     ENDLESS_ANSWERS,
     answer_without_length,
@@ -29,6 +33,7 @@
     truncate,
 )
 from tests.platform_standin._store import (
+    RawJson,
     StoreStandin,
 )
 from tests.platform_standin._upstream import (
@@ -49,10 +54,13 @@
     "ENDLESS_ANSWERS",
     "EVENT_COUNT",
     "LOOPBACK",
+    "ODD_FIELDS",
+    "ODD_METADATA",
     "CallerAnswer",
     "CrashingEngine",
     "EngineCrash",
     "RawCaller",
+    "RawJson",
     "RawRequest",
     "RawServer",
     "Script",
--- a/tests/platform_standin/_store.py
+++ b/tests/platform_standin/_store.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+from dataclasses import dataclass
 from typing import Any
 from urllib.parse import unquote
 
@@ -13,6 +14,30 @@
 )
 
 
+@dataclass(frozen=True, slots=True)
+class RawJson:
+    """Represent bytes that stand in a body as they are, valid JSON or not."""
+
+    text: bytes
+
+
+def render_json(document: Any) -> bytes:
+    """Return a document as JSON, with the raw bytes that it contains."""
+    raw: dict[bytes, bytes] = {}
+
+    def stand_in(value: Any) -> str:
+        if not isinstance(value, RawJson):
+            raise TypeError(f"not serializable: {type(value)}")
+        mark = f"raw bytes {len(raw)}"
+        raw[json.dumps(mark).encode()] = value.text
+        return mark
+
+    body = json.dumps(document, default=stand_in).encode()
+    for mark, text in raw.items():
+        body = body.replace(mark, text)
+    return body
+
+
 class StoreStandin(RawServer):
     """Represent the platform's object store, with faults that tests switch on."""
 
@@ -32,9 +57,13 @@
         self._changed = asyncio.Event()
 
     def put(self, kind: str, name: str, spec: Any) -> None:
-        self.revision += 1
-        metadata = {"name": name, "revision": self.revision}
+        metadata = {"name": name, "revision": self.revision + 1}
         item = {"metadata": metadata, "spec": spec, "status": None}
+        self.put_item(kind, name, item)
+
+    def put_item(self, kind: str, name: str, item: Any) -> None:
+        """Write an entry as it is, whatever its metadata says."""
+        self.revision += 1
         self.objects[kind, name] = item
         self._record_event(kind, item, deleted=False)
 
@@ -68,7 +97,7 @@
             if status is None:
                 status, document = await self._answer(request)
             await asyncio.sleep(self.delay_s)
-            writer.write(render_response(status, json.dumps(document).encode()))
+            writer.write(render_response(status, render_json(document)))
             await writer.drain()
 
     async def _answer(self, request: RawRequest) -> tuple[int, Any]:
--- /dev/null
+++ b/tests/test_odd_entries.py
@@ -0,0 +1,292 @@
+"""Guard that one odd entry of another writer costs the other entries nothing.
+
+An entry that was nested too deeply, had a number too large or a port out of range made
+gateways stop to follow their lists.
+"""
+
+import asyncio
+from collections.abc import Callable, Coroutine, Iterator
+from pathlib import Path
+from typing import Any
+
+import pytest
+from loguru import logger
+from result import Ok
+
+from bramleyport.core import Revision
+from bramleyport.gateway import _state_updaters
+from bramleyport.gateway._state_updaters import RegistrationUpdater
+from bramleyport.platform import (
+    Listing,
+    ObjectKind,
+    ObjectName,
+    StoreClient,
+    StoredObject,
+    decode_registration,
+)
+from bramleyport.telemetry import gateway_events
+from tests.gateway_fleet import PLAIN, GatewayFleet, make_config, make_route
+from tests.platform_standin import ODD_FIELDS, ODD_METADATA, RawJson, UpstreamStandin
+from tests.platform_standin._odd_entries import REFUSED_DEPTH, make_nested
+from tests.platform_standin._store import render_json
+
+Run = Callable[[Coroutine[Any, Any, Any]], Any]
+# Several times what a change takes to come into force.
+CHANGE_LIMIT_S = 5.0
+NESTED = make_nested(REFUSED_DEPTH)
+
+
+@pytest.fixture
+def fleet(run: Run, tmp_path: Path) -> Iterator[GatewayFleet]:
+    """Provide a fleet that is not started."""
+    fleet = GatewayFleet(tmp_path)
+    yield fleet
+    run(fleet.stop())
+
+
+def make_upstream(name: str) -> UpstreamStandin:
+    """Return an upstream that is registered, but never called."""
+    upstream = UpstreamStandin(name, service=PLAIN)
+    upstream.port = 9
+    return upstream
+
+
+def list_names(fleet: GatewayFleet) -> set[str]:
+    return {item.upstream for item in fleet.state.members.list_all()}
+
+
+async def check_following(fleet: GatewayFleet, label: str) -> None:
+    """Check that an upstream that comes and one that leaves are noticed."""
+    name = label.replace(" ", "-")
+    make_upstream(name).register(fleet.store)
+    try:
+        await fleet.wait_for(lambda: name in list_names(fleet), CHANGE_LIMIT_S)
+        fleet.store.delete("servers", name)
+        await fleet.wait_for(lambda: name not in list_names(fleet), CHANGE_LIMIT_S)
+    except TimeoutError:
+        raise AssertionError(f"the list is not followed: {label}") from None
+
+
+async def check_new_route(fleet: GatewayFleet, version: int = 7) -> None:
+    """Check that a new route comes into force and is served."""
+    added = make_route("added", "/added/", "idempotent")
+    config = make_config(version)
+    fleet.store.put("config", "main", config | {"routes": [*config["routes"], added]})
+    await fleet.wait_for(
+        lambda: fleet.state.configuration.version == version, CHANGE_LIMIT_S
+    )
+    assert (await fleet.make_caller().call("/added/x", method="GET")).status == 200
+
+
+# Guards running gateways: all of them stopped to follow the list, for good.
+def test_odd_registration_costs_no_other_change(fleet: GatewayFleet, run: Run) -> None:
+    async def check() -> None:
+        await fleet.start()
+        for label, fields in ODD_FIELDS.items():
+            make_upstream("odd").register(fleet.store, **fields)
+            await check_following(fleet, label)
+            assert "odd" not in list_names(fleet), label
+        await check_new_route(fleet)
+        assert len(list_names(fleet)) == 4
+
+    run(check())
+
+
+def test_odd_metadata_costs_no_other_change(fleet: GatewayFleet, run: Run) -> None:
+    async def check() -> None:
+        await fleet.start()
+        for label, metadata in ODD_METADATA.items():
+            item = {"metadata": metadata, "spec": {}}
+            fleet.store.put_item("servers", label, item)
+            await check_following(fleet, label)
+        assert len(list_names(fleet)) == 4
+
+    run(check())
+
+
+# Guards starts: the gateway served nothing while the odd entries were in the lists.
+def test_gateway_starts_beside_odd_entries(fleet: GatewayFleet, run: Run) -> None:
+    async def check() -> None:
+        for label, fields in ODD_FIELDS.items():
+            make_upstream(label.replace(" ", "-")).register(fleet.store, **fields)
+        for label, metadata in ODD_METADATA.items():
+            item = {"metadata": metadata, "spec": {}}
+            fleet.store.put_item("servers", label, item)
+        for kind in ("config", "claims", "gateways", "verdicts"):
+            fleet.store.put(kind, "odd", NESTED)
+        async with asyncio.timeout(CHANGE_LIMIT_S):
+            await fleet.start()
+        assert len(list_names(fleet)) == 4
+        assert (await fleet.make_caller().call("/post/x", body=b"b")).status == 200
+        await check_following(fleet, "new")
+
+    run(check())
+
+
+# Guards the operator's next change: it never came into force.
+def test_valid_configuration_follows_an_odd_one(fleet: GatewayFleet, run: Run) -> None:
+    async def check() -> None:
+        await fleet.start()
+        fleet.store.put("config", "main", make_config(5) | {"more": NESTED})
+        await asyncio.sleep(0.3)
+        assert (await fleet.make_caller().call("/post/x", body=b"b")).status == 200
+        await check_new_route(fleet)
+
+    run(check())
+
+
+# Guards calls: an upstream went on to be used by what its registration had said.
+def test_upstream_with_an_odd_registration_is_not_used(
+    fleet: GatewayFleet, run: Run
+) -> None:
+    async def check() -> None:
+        await fleet.start()
+        odd = fleet.plain[0]
+        for relist in (False, True):
+            odd.register(fleet.store, models=NESTED)
+            if relist:
+                fleet.store.discard_history()
+            await fleet.wait_for(
+                lambda: odd.name not in list_names(fleet), CHANGE_LIMIT_S
+            )
+            odd.register(fleet.store)
+            await fleet.wait_for(lambda: odd.name in list_names(fleet), CHANGE_LIMIT_S)
+
+    run(check())
+
+
+# Guards the window after an outage, in which missing registrations may be renewed.
+def test_odd_registration_is_not_used_after_an_outage(
+    fleet: GatewayFleet, run: Run
+) -> None:
+    async def check() -> None:
+        await fleet.start()
+        updater = RegistrationUpdater(fleet.state, lambda upstream: None)
+        updater.record_store_state(reachable=False)
+        updater.record_store_state(reachable=True)
+        odd = StoredObject(
+            name=ObjectName("p0"), revision=Revision(9), document={"state": "odd"}
+        )
+        updater.apply_listing(Listing(Revision(9), (odd,)))
+        assert "p0" not in list_names(fleet)
+        assert "p1" in list_names(fleet)
+
+    run(check())
+
+
+# Guards the other entries of a batch against a fault of the code that applies one.
+def test_unexpected_failure_costs_one_entry_only(
+    fleet: GatewayFleet,
+    run: Run,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    def fail_for_one(name: str, document: Any) -> Any:
+        if name == "p0":
+            raise KeyError("unexpected")
+        return decode_registration(name, document)
+
+    monkeypatch.setattr(_state_updaters, "decode_registration", fail_for_one)
+
+    async def check() -> None:
+        for upstream in fleet.plain:
+            upstream.port = 9
+            upstream.register(fleet.store)
+        await fleet.start(registered=False)
+        await fleet.wait_for(lambda: list_names(fleet) == {"p1"}, CHANGE_LIMIT_S)
+        fleet.plain[0].register(fleet.store, slots=1)
+        await check_following(fleet, "new")
+
+    run(check())
+
+
+def test_odd_gateway_entry_costs_no_other(fleet: GatewayFleet, run: Run) -> None:
+    async def check() -> None:
+        fleet.store.put("gateways", "odd", {"address": NESTED})
+        fleet.store.put("gateways", "odd-2", {"address": "127.0.0.1:\u00b2"})
+        fleet.store.put("gateways", "g2", {"address": "127.0.0.1:9"})
+        await fleet.start()
+        await fleet.wait_for(
+            lambda: set(fleet.gateway._peers._addresses) == {"g2"}, CHANGE_LIMIT_S
+        )
+
+    run(check())
+
+
+# Guards withheld prompts: an odd verdict hid the ones that were stored after it.
+def test_odd_verdict_costs_no_other(fleet: GatewayFleet, run: Run) -> None:
+    async def check() -> None:
+        await fleet.start()
+        verdict = {"part": "a", "companions": ["a"], "crashes": 9, "trials": 0}
+        odd: list[Any] = [NESTED, verdict | {"crashes": 10**400}]
+        odd += [verdict | {"part": "\ud800"}, verdict | {"companions": ["\ud800"]}]
+        odd += [verdict | {"part": RawJson(b"9" * 5_000)}]
+        for number, item in enumerate(odd):
+            fleet.store.put("verdicts", f"odd-{number}", item)
+            part = f"part-{number}"
+            stored = {"part": part, "companions": [part], "crashes": 9, "trials": 0}
+            fleet.store.put("verdicts", f"v-{number}", stored)
+            await fleet.wait_for(
+                lambda part=part: any(
+                    item.part == part for item in fleet.state.crash_evidence.verdicts
+                ),
+                CHANGE_LIMIT_S,
+            )
+
+    run(check())
+
+
+def make_page(names: list[Any], *, has_more: bool) -> bytes:
+    """Return a page of entries; a name that is no string makes its entry odd."""
+    items = [
+        {"metadata": {"name": name, "revision": 1}, "spec": {}, "status": NESTED}
+        for name in names
+    ]
+    return render_json({"items": items, "has_more": has_more, "current_rev": 9})
+
+
+PAGES: list[tuple[list[list[Any]], list[str]]] = [
+    ([["a", "b"], ["c"]], ["a", "b", "c"]),
+    ([["a", 7], [8, "c"]], ["a", "c"]),
+    ([["a", "\u0663"], ["c"]], ["a", "c"]),
+    # A store that answers the same or nothing again does not come to its end.
+    ([["a"], ["a"], ["a"], ["c"]], ["a"]),
+    ([["a"], [], [], ["c"]], ["a"]),
+]
+
+
+# Guards paging: it never ended, or the entries behind an odd one were not read.
+def test_pages_are_read_to_the_end(run: Run, monkeypatch: pytest.MonkeyPatch) -> None:
+    answers: list[bytes] = []
+
+    async def answer(*_: Any, **__: Any) -> Any:
+        return Ok(answers.pop(0) if len(answers) > 1 else answers[0])
+
+    async def check(found: list[str]) -> None:
+        async with asyncio.timeout(CHANGE_LIMIT_S):
+            listing = await store.list_objects(ObjectKind.REGISTRATIONS)
+        assert sorted({item.name for item in listing.ok_value.objects}) == found
+        assert listing.ok_value.revision == 9
+
+    monkeypatch.setattr(StoreClient, "_call", answer)
+    store = object.__new__(StoreClient)
+    for pages, found in PAGES:
+        answers[:] = [
+            make_page(names, has_more=number < len(pages))
+            for number, names in enumerate(pages, 1)
+        ]
+        run(check(found))
+
+
+# Guards the log: an odd entry was reported each time that it was read.
+def test_odd_entry_is_logged_once(fleet: GatewayFleet, run: Run) -> None:
+    async def check() -> None:
+        await fleet.start()
+        for _ in range(3):
+            make_upstream("odd").register(fleet.store, slots=10**400)
+            await check_following(fleet, "new")
+
+    logged: list[int] = []
+    sink = logger.add(lambda m: logged.append(m.record["extra"].get("event", 0)))
+    run(check())
+    logger.remove(sink)
+    assert logged.count(gateway_events.REGISTRATION_INVALID.number) == 1
