Refuse what no worker writes in registrations, gateways' entries and verdicts

Callers saw: one registration with a huge count or an odd port ended the follower of the list with another error than the expected one; others were taken as valid, with ports in other digits, a host with a line break, or 1e308 slots.

Cause: the typed readers raised OverflowError for large integers, ValueError for digits that int() refuses, RecursionError in the text of their own errors, and checked no bounds.

--- a/bramleyport/platform/_registrations.py
+++ b/bramleyport/platform/_registrations.py
@@ -5,6 +5,7 @@
 from bramleyport.platform._documents import (
     Document,
     MalformedDocumentError,
+    describe,
     read_address,
     read_count,
     read_string,
@@ -18,7 +19,7 @@
     """Return the registration in the spec of a stored object."""
     state = read_string(document, "state")
     if state not in _STATES:
-        raise MalformedDocumentError(f"unknown state: {state!r:.60}")
+        raise MalformedDocumentError(f"unknown state: {describe(state)}")
     return Registration(
         upstream=UpstreamId(name),
         service=ServiceName(read_string(document, "service")),
--- a/bramleyport/platform/_verdicts.py
+++ b/bramleyport/platform/_verdicts.py
@@ -6,9 +6,10 @@
 from bramleyport.platform._documents import (
     Document,
     MalformedDocumentError,
+    describe,
     read_count,
-    read_string,
 )
+from bramleyport.platform._prefixes import decode_prefix
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -31,7 +32,7 @@
 
 def decode_verdict(document: Document) -> VerdictDocument:
     """Return the verdict in a document."""
-    part = PrefixId(read_string(document, "part"))
+    part = decode_prefix(document.get("part"))
     return VerdictDocument(
         verdict=Verdict(
             part=part,
@@ -45,7 +46,5 @@
 def _decode_companions(document: Document) -> frozenset[PrefixId]:
     companions = document.get("companions")
     if not isinstance(companions, list):
-        raise MalformedDocumentError(f"companions is no list: {companions!r:.60}")
-    if not all(isinstance(item, str) for item in companions):
-        raise MalformedDocumentError(f"companions holds no text: {companions!r:.60}")
-    return frozenset(PrefixId(item) for item in companions)
+        raise MalformedDocumentError(f"companions is no list: {describe(companions)}")
+    return frozenset(decode_prefix(item) for item in companions)
