Refuse configurations with values out of bounds

Cause: the fields were checked for their types only. One odd route or service makes its configuration invalid, so that the last valid one stays in force.

--- a/bramleyport/platform/_config.py
+++ b/bramleyport/platform/_config.py
@@ -1,5 +1,8 @@
 """Decode the operator's configuration."""
 
+import re
+from typing import Final
+
 from bramleyport.core import ServiceName
 from bramleyport.fleet import (
     CallerLimits,
@@ -15,14 +18,20 @@
 from bramleyport.platform._documents import (
     Document,
     MalformedDocumentError,
+    describe,
+    read_amount,
     read_count,
     read_flag,
     read_mapping,
     read_mappings,
-    read_number,
+    read_positive,
+    read_positive_count,
     read_string,
 )
 
+# Printable ASCII without spaces.
+_HOST: Final = re.compile("[!-~]{1,253}")
+
 
 def decode_configuration(document: Document) -> Configuration:
     """Return the configuration in the spec of a stored object."""
@@ -38,18 +47,32 @@
 def _decode_route(document: Document) -> Route:
     return Route(
         name=RouteName(read_string(document, "name")),
-        host=read_string(document, "host").lower(),
-        path_prefix=read_string(document, "path_prefix"),
+        host=_decode_host(document),
+        path_prefix=_decode_path_prefix(document),
         repeatability=_decode_repeatability(document),
-        timeout_s=read_number(document, "timeout_ms") / 1000,
-        objective_s=read_number(document, "slo_ms") / 1000,
+        timeout_s=read_positive(document, "timeout_ms") / 1000,
+        objective_s=read_amount(document, "slo_ms") / 1000,
         priority=read_count(document, "priority", 0),
         services=_decode_shares(document),
         max_attempts=max(1, read_count(document, "max_attempts", 1)),
-        max_pause_s=read_number(document, "gap_slo_ms", 0) / 1000,
+        max_pause_s=read_amount(document, "gap_slo_ms", 0) / 1000,
     )
 
 
+def _decode_host(document: Document) -> str:
+    host = read_string(document, "host").lower()
+    if not _HOST.fullmatch(host):
+        raise MalformedDocumentError(f"not a host: {describe(host)}")
+    return host
+
+
+def _decode_path_prefix(document: Document) -> str:
+    prefix = read_string(document, "path_prefix")
+    if not prefix.startswith("/"):
+        raise MalformedDocumentError(f"not a path prefix: {describe(prefix)}")
+    return prefix
+
+
 def _decode_repeatability(document: Document) -> Repeatability:
     # The route kind determines whether a call may be repeated. For streams, a separate
     # flag does.
@@ -62,7 +85,7 @@
         return Repeatability.IDEMPOTENT
     if kind == "non_idempotent":
         return Repeatability.AT_MOST_ONCE
-    raise MalformedDocumentError(f"route_kind is unknown: {kind!r:.60}")
+    raise MalformedDocumentError(f"route_kind is unknown: {describe(kind)}")
 
 
 def _decode_shares(document: Document) -> tuple[ServiceShare, ...]:
@@ -70,12 +93,15 @@
     split = read_mappings(document, "split")
     if not split:
         return (ServiceShare(ServiceName(read_string(document, "service")), 1.0),)
-    return tuple(
+    shares = tuple(
         ServiceShare(
-            ServiceName(read_string(choice, "service")), read_number(choice, "weight")
+            ServiceName(read_string(choice, "service")), read_amount(choice, "weight")
         )
         for choice in split
     )
+    if not any(share.weight for share in shares):
+        raise MalformedDocumentError("no service of a split has a weight")
+    return shares
 
 
 def _decode_service(document: Document) -> ServiceConfig:
@@ -85,27 +111,27 @@
     return ServiceConfig(
         name=ServiceName(read_string(document, "name")),
         health_path=read_string(document, "health_path"),
-        max_connections=read_count(document, "max_conns"),
+        max_connections=read_positive_count(document, "max_conns"),
         engine=engine,
     )
 
 
 def _decode_engine(document: Document) -> EngineTraits:
     return EngineTraits(
-        slots=read_count(document, "slots"),
+        slots=read_positive_count(document, "slots"),
         kv_capacity_tokens=read_count(document, "kv_capacity"),
-        kv_token_bytes=read_number(document, "kv_token_bytes"),
+        kv_token_bytes=read_amount(document, "kv_token_bytes"),
         # The configuration gives megabits per second.
-        link_bytes_per_s=read_number(document, "link_mbps") * 1e6 / 8,
-        handle_lifetime_s=read_number(document, "kv_hold_s"),
-        switch_s=read_number(document, "switch_s", 0.0),
+        link_bytes_per_s=read_positive(document, "link_mbps") * 1e6 / 8,
+        handle_lifetime_s=read_amount(document, "kv_hold_s"),
+        switch_s=read_amount(document, "switch_s", 0.0),
     )
 
 
 def _decode_limits(document: Document) -> CallerLimits:
     return CallerLimits(
-        max_header_bytes=read_count(document, "max_header_bytes"),
+        max_header_bytes=read_positive_count(document, "max_header_bytes"),
         max_body_bytes=read_count(document, "max_body_bytes"),
-        header_timeout_s=read_number(document, "header_timeout_ms") / 1000,
-        idle_timeout_s=read_number(document, "idle_timeout_ms") / 1000,
+        header_timeout_s=read_positive(document, "header_timeout_ms") / 1000,
+        idle_timeout_s=read_amount(document, "idle_timeout_ms") / 1000,
     )
