Read the other entries of a list if one of them cannot be parsed

Callers saw: with one entry nested too deeply, with a number of too many digits or bytes that are no UTF-8, gateways that ran did not follow the list any more: new upstreams got no calls, those that had left got them all, and no newer configuration came into force. Gateways that started served nothing.

Cause: one body holds all entries, and the parser refuses the whole body. An entry with odd metadata made the list malformed, too, and a store that repeats a page was read without end.

Change: a body that the parser refuses is split in its bytes, without recursion and in linear time, and each entry is parsed by itself. An entry that can't be read has a fault and its name; without a readable name it is listed apart. Pages have to advance; a list whose pages do not is an error, since what it lacks is not gone.

--- a/bramleyport/platform/_objects.py
+++ b/bramleyport/platform/_objects.py
@@ -1,22 +1,33 @@
 """Decode the objects of the platform's store, their lists and their changes."""
 
-from dataclasses import dataclass
+import re
+from collections.abc import Mapping
+from dataclasses import dataclass, replace
 from enum import Enum
-from typing import NewType
+from typing import Any, Final, NewType
 
 from bramleyport.core import Revision
 from bramleyport.platform._documents import (
     Document,
+    MalformedDocumentError,
+    describe,
     parse_document,
     read_count,
     read_flag,
     read_mapping,
-    read_mappings,
     read_string,
 )
+from bramleyport.platform._json_slices import (
+    UnparsedSlice,
+    parse_entries,
+    parse_members,
+)
 
 ObjectName = NewType("ObjectName", str)
 
+# Names are sent in headers.
+_NAME: Final = re.compile("[ -~]{1,256}")
+
 
 class ObjectKind(str, Enum):
     """Represent the kinds of objects that gateways read or write."""
@@ -35,6 +46,21 @@
     name: ObjectName
     revision: Revision
     document: Document
+    # Why the object can't be read, if its name can.
+    fault: str = ""
+
+    def read_document(self) -> Document:
+        """Return the document, or raise MalformedDocumentError if it is unreadable."""
+        if self.fault:
+            raise MalformedDocumentError(self.fault)
+        return self.document
+
+
+@dataclass(frozen=True, slots=True)
+class NamelessObject:
+    """Describe an entry of which not even the name can be read."""
+
+    reason: str
 
 
 @dataclass(frozen=True, slots=True)
@@ -43,6 +69,7 @@
 
     revision: Revision
     objects: tuple[StoredObject, ...]
+    nameless: tuple[NamelessObject, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -59,6 +86,7 @@
 
     revision: Revision
     changes: tuple[Change, ...]
+    nameless: tuple[NamelessObject, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -67,29 +95,42 @@
 
     listing: Listing
     has_more: bool
+    # Name of the last entry with a readable name; empty if there is none.
+    last_name: str
 
 
 def decode_page(body: bytes) -> ListPage:
     """Return one page of the objects of a kind."""
-    document = parse_document(body)
-    objects = tuple(_decode_object(item) for item in read_mappings(document, "items"))
-    revision = Revision(read_count(document, "current_rev"))
+    page = parse_entries(body, "items")
+    revision = Revision(read_count(page.fields, "current_rev"))
+    objects = []
+    nameless = []
+    for entry in page.entries:
+        item = _decode_entry(entry, revision)
+        if isinstance(item, NamelessObject):
+            nameless.append(item)
+        else:
+            objects.append(item)
     return ListPage(
-        Listing(revision, objects), has_more=read_flag(document, "has_more", False)
+        Listing(revision, tuple(objects), tuple(nameless)),
+        has_more=read_flag(page.fields, "has_more", False),
+        last_name=objects[-1].name if objects else "",
     )
 
 
 def decode_changes(body: bytes) -> ChangeBatch:
     """Return the changes that a watch has answered."""
-    document = parse_document(body)
-    changes = tuple(
-        Change(
-            _decode_object(read_mapping(event, "object")),
-            read_flag(event, "deleted", False),
-        )
-        for event in read_mappings(document, "events")
-    )
-    return ChangeBatch(Revision(read_count(document, "current_rev")), changes)
+    batch = parse_entries(body, "events")
+    revision = Revision(read_count(batch.fields, "current_rev"))
+    changes = []
+    nameless = []
+    for entry in batch.entries:
+        change = _decode_change(entry, revision)
+        if isinstance(change, NamelessObject):
+            nameless.append(change)
+        else:
+            changes.append(change)
+    return ChangeBatch(revision, tuple(changes), tuple(nameless))
 
 
 def decode_answered_object(body: bytes) -> StoredObject:
@@ -97,11 +138,62 @@
     return _decode_object(parse_document(body))
 
 
+def _decode_change(entry: Any, latest: Revision) -> Change | NamelessObject:
+    try:
+        event = _read_members(entry)
+    except MalformedDocumentError as error:
+        return NamelessObject(str(error))
+    item = _decode_entry(event.get("object"), latest)
+    if isinstance(item, NamelessObject):
+        return item
+    try:
+        return Change(item, read_flag(event, "deleted", False))
+    except MalformedDocumentError as error:
+        return Change(replace(item, fault=str(error)), removed=False)
+
+
+def _decode_entry(entry: Any, latest: Revision) -> StoredObject | NamelessObject:
+    """Return the object in an entry; it has a fault if it can't be read."""
+    try:
+        if isinstance(entry, UnparsedSlice):
+            raise MalformedDocumentError(entry.reason)
+        return _decode_object(_read_members(entry))
+    except MalformedDocumentError as error:
+        return _decode_unreadable(entry, latest, str(error))
+
+
+def _decode_unreadable(
+    entry: Any, latest: Revision, reason: str
+) -> StoredObject | NamelessObject:
+    try:
+        metadata = _read_members(_read_members(entry).get("metadata"))
+        name = _read_name(metadata)
+    except MalformedDocumentError as error:
+        return NamelessObject(f"{reason}; {error}")
+    # Its revision may be odd, too; it is not newer than what was read with it.
+    return StoredObject(name=name, revision=latest, document={}, fault=reason)
+
+
 def _decode_object(document: Document) -> StoredObject:
     metadata = read_mapping(document, "metadata")
     spec = document.get("spec")
     return StoredObject(
-        name=ObjectName(read_string(metadata, "name")),
+        name=_read_name(metadata),
         revision=Revision(read_count(metadata, "revision")),
         document=spec if isinstance(spec, dict) else {},
     )
+
+
+def _read_members(value: Any) -> Document:
+    if isinstance(value, UnparsedSlice):
+        return parse_members(value)
+    if not isinstance(value, Mapping):
+        raise MalformedDocumentError(f"not a mapping: {describe(value)}")
+    return value
+
+
+def _read_name(metadata: Document) -> ObjectName:
+    name = read_string(metadata, "name")
+    if not _NAME.fullmatch(name):
+        raise MalformedDocumentError(f"not a name: {describe(name)}")
+    return ObjectName(name)
--- a/bramleyport/platform/_store.py
+++ b/bramleyport/platform/_store.py
@@ -23,6 +23,7 @@
 from bramleyport.platform._objects import (
     ChangeBatch,
     Listing,
+    NamelessObject,
     ObjectKind,
     ObjectName,
     StoredObject,
@@ -91,7 +92,9 @@
     ) -> Result[Listing, StoreError]:
         """Read all objects of a kind; a stale read may be seconds old."""
         objects: list[StoredObject] = []
+        nameless: list[NamelessObject] = []
         after = ""
+        cursors: set[str] = set()
         while True:
             query = [f"after={quote(after, safe='')}"] if after else []
             query += ["stale_ok=1"] if stale else []
@@ -103,9 +106,14 @@
             except MalformedDocumentError as error:
                 return _make_malformed_error("list", str(error))
             objects += part.listing.objects
-            if not part.has_more or not objects:
-                return Ok(Listing(part.listing.revision, tuple(objects)))
-            after = objects[-1].name
+            nameless += part.listing.nameless
+            if not part.has_more:
+                revision = part.listing.revision
+                return Ok(Listing(revision, tuple(objects), tuple(nameless)))
+            after = part.last_name
+            if not after or after in cursors:
+                return _make_malformed_error("list", "the pages don't advance")
+            cursors.add(after)
 
     async def get(
         self, kind: ObjectKind, name: ObjectName
--- a/tests/platform_standin/__init__.py
+++ b/tests/platform_standin/__init__.py
@@ -19,6 +19,8 @@
 from tests.platform_standin._odd_entries import (
     ODD_FIELDS,
     ODD_METADATA,
+    REFUSED_DEPTH,
+    make_nested,
 )
 from tests.platform_standin._scripts import (
     ENDLESS_ANSWERS,
@@ -56,6 +58,7 @@
     "LOOPBACK",
     "ODD_FIELDS",
     "ODD_METADATA",
+    "REFUSED_DEPTH",
     "CallerAnswer",
     "CrashingEngine",
     "EngineCrash",
@@ -76,6 +79,7 @@
     "list_parts",
     "lose_answer",
     "make_misdirected_answer",
+    "make_nested",
     "make_stamp_headers",
     "make_stream_abort",
     "read_request",
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -11,7 +11,7 @@
 
 import pytest
 from loguru import logger
-from result import Ok
+from result import Err, Ok
 
 from bramleyport.core import Revision
 from bramleyport.gateway import _state_updaters
@@ -57,12 +57,17 @@
 
 async def check_following(fleet: GatewayFleet, label: str) -> None:
     """Check that an upstream that comes and one that leaves are noticed."""
-    name = label.replace(" ", "-")
-    make_upstream(name).register(fleet.store)
+    came = f"came-{label.replace(' ', '-')}"
+    make_upstream(came).register(fleet.store)
+    for left in [name for kind, name in fleet.store.objects if name.startswith("came")]:
+        if left != came:
+            fleet.store.delete("servers", left)
+
+    def is_followed() -> bool:
+        return [n for n in list_names(fleet) if n.startswith("came")] == [came]
+
     try:
-        await fleet.wait_for(lambda: name in list_names(fleet), CHANGE_LIMIT_S)
-        fleet.store.delete("servers", name)
-        await fleet.wait_for(lambda: name not in list_names(fleet), CHANGE_LIMIT_S)
+        await fleet.wait_for(is_followed, CHANGE_LIMIT_S)
     except TimeoutError:
         raise AssertionError(f"the list is not followed: {label}") from None
 
@@ -87,7 +92,7 @@
             await check_following(fleet, label)
             assert "odd" not in list_names(fleet), label
         await check_new_route(fleet)
-        assert len(list_names(fleet)) == 4
+        assert len(list_names(fleet)) == 5
 
     run(check())
 
@@ -99,7 +104,7 @@
             item = {"metadata": metadata, "spec": {}}
             fleet.store.put_item("servers", label, item)
             await check_following(fleet, label)
-        assert len(list_names(fleet)) == 4
+        assert len(list_names(fleet)) == 5
 
     run(check())
 
@@ -155,6 +160,19 @@
     run(check())
 
 
+# Guards the same if the change does not say which upstream it is about.
+def test_upstream_with_odd_metadata_is_not_used(fleet: GatewayFleet, run: Run) -> None:
+    async def check() -> None:
+        await fleet.start()
+        odd = fleet.plain[0]
+        fleet.store.put_item("servers", odd.name, {"metadata": NESTED, "spec": {}})
+        await fleet.wait_for(lambda: odd.name not in list_names(fleet), CHANGE_LIMIT_S)
+        odd.register(fleet.store)
+        await fleet.wait_for(lambda: odd.name in list_names(fleet), CHANGE_LIMIT_S)
+
+    run(check())
+
+
 # Guards the window after an outage, in which missing registrations may be renewed.
 def test_odd_registration_is_not_used_after_an_outage(
     fleet: GatewayFleet, run: Run
@@ -235,6 +253,33 @@
     run(check())
 
 
+# Guards calls against a deadly prompt whose stored verdict was overwritten.
+def test_verdict_that_becomes_odd_stays_in_force(fleet: GatewayFleet, run: Run) -> None:
+    verdict = {"part": "a", "companions": ["a"], "crashes": 9, "trials": 0}
+
+    def list_parts() -> set[str]:
+        return {item.part for item in fleet.state.crash_evidence.verdicts}
+
+    async def check() -> None:
+        await fleet.start()
+        fleet.store.put("verdicts", "v", verdict)
+        await fleet.wait_for(lambda: list_parts() == {"a"}, CHANGE_LIMIT_S)
+        for number, relist in enumerate((False, True)):
+            fleet.store.put("verdicts", "v", NESTED)
+            if relist:
+                fleet.store.discard_history()
+            other = verdict | {"part": f"b{number}", "companions": []}
+            fleet.store.put("verdicts", f"other-{number}", other)
+            await fleet.wait_for(
+                lambda part=other["part"]: part in list_parts(), CHANGE_LIMIT_S
+            )
+            assert "a" in list_parts()
+        fleet.store.delete("verdicts", "v")
+        await fleet.wait_for(lambda: "a" not in list_parts(), CHANGE_LIMIT_S)
+
+    run(check())
+
+
 def make_page(names: list[Any], *, has_more: bool) -> bytes:
     """Return a page of entries; a name that is no string makes its entry odd."""
     items = [
@@ -244,13 +289,14 @@
     return render_json({"items": items, "has_more": has_more, "current_rev": 9})
 
 
-PAGES: list[tuple[list[list[Any]], list[str]]] = [
+# Pages, and the names that are found in them; None if the list can't be read.
+PAGES: list[tuple[list[list[Any]], list[str] | None]] = [
     ([["a", "b"], ["c"]], ["a", "b", "c"]),
     ([["a", 7], [8, "c"]], ["a", "c"]),
     ([["a", "\u0663"], ["c"]], ["a", "c"]),
-    # A store that answers the same or nothing again does not come to its end.
-    ([["a"], ["a"], ["a"], ["c"]], ["a"]),
-    ([["a"], [], [], ["c"]], ["a"]),
+    # What is on the last page stays unknown, and the upstreams on it are kept.
+    ([["a"], ["b"], ["a"], ["c"]], None),
+    ([["a"], [], [], ["c"]], None),
 ]
 
 
@@ -261,10 +307,13 @@
     async def answer(*_: Any, **__: Any) -> Any:
         return Ok(answers.pop(0) if len(answers) > 1 else answers[0])
 
-    async def check(found: list[str]) -> None:
+    async def check(found: list[str] | None) -> None:
         async with asyncio.timeout(CHANGE_LIMIT_S):
             listing = await store.list_objects(ObjectKind.REGISTRATIONS)
-        assert sorted({item.name for item in listing.ok_value.objects}) == found
+        assert isinstance(listing, Err) is (found is None)
+        if isinstance(listing, Err):
+            return
+        assert sorted(item.name for item in listing.ok_value.objects) == found
         assert listing.ok_value.revision == 9
 
     monkeypatch.setattr(StoreClient, "_call", answer)
@@ -281,9 +330,9 @@
 def test_odd_entry_is_logged_once(fleet: GatewayFleet, run: Run) -> None:
     async def check() -> None:
         await fleet.start()
-        for _ in range(3):
+        for number in range(3):
             make_upstream("odd").register(fleet.store, slots=10**400)
-            await check_following(fleet, "new")
+            await check_following(fleet, f"new {number}")
 
     logged: list[int] = []
     sink = logger.add(lambda m: logged.append(m.record["extra"].get("event", 0)))
