Refuse odd answers of engines, and odd entries of their caches alone

Callers saw: a handle with a line break or beyond Latin-1 ended their call with an unexpected error. Operators saw: one odd entry hid all cached prefixes of an engine, and a nested report ended the planning of stages.

Cause: the answers were parsed apart from the typed readers, and only one kind of failure was expected. An idle time of hundreds of digits was taken as infinite.

--- a/bramleyport/gateway/_caches.py
+++ b/bramleyport/gateway/_caches.py
@@ -57,7 +57,7 @@
                 answer = await self._exchanger.call(target, request)
             if answer.status != 200:
                 raise MalformedDocumentError(f"status {answer.status}")
-            parts = decode_cache_listing(answer.body).parts
+            listing = decode_cache_listing(answer.body)
         except (ExchangeError, MalformedDocumentError, TimeoutError) as error:
             log_event(
                 gateway_events.CACHES_NOT_READ,
@@ -65,9 +65,13 @@
                 reason=str(error),
             )
             return
+        parts = listing.parts
         capacity = self._state.find_cache_capacity(target)
         self._state.prefixes.add(target.upstream, parts, capacity)
         self._state.prefixes.confirm(target.upstream, parts)
         log_event(
-            gateway_events.CACHES_READ, upstream=target.upstream, parts=len(parts)
+            gateway_events.CACHES_READ,
+            upstream=target.upstream,
+            parts=len(parts),
+            invalid_entries=listing.invalid_entries,
         )
--- a/bramleyport/platform/_engines.py
+++ b/bramleyport/platform/_engines.py
@@ -1,20 +1,28 @@
 """Make the gateway's own calls to engines and decode the answers."""
 
 import json
+import re
 from dataclasses import dataclass
 from enum import Enum
-from typing import Final
+from typing import Any, Final
 
 from bramleyport.core import FencingNumber, ProcessId, UpstreamId
-from bramleyport.fleet import PrefixId, PromptPart, Stage
+from bramleyport.fleet import PromptPart, Stage
 from bramleyport.http1 import HttpRequest
 from bramleyport.platform._documents import (
     Document,
     MalformedDocumentError,
+    describe,
+    parse_document,
     read_count,
     read_flag,
     read_string,
 )
+from bramleyport.platform._json_slices import parse_entries
+from bramleyport.platform._prefixes import decode_prefix
+
+# Handles are sent in headers and paths.
+_HANDLE: Final = re.compile("[!-~]{1,512}")
 
 
 @dataclass(frozen=True, slots=True)
@@ -26,7 +34,10 @@
 
 def decode_prefill(body: bytes) -> PrefillResult:
     """Return the result of a prefill-only request."""
-    return PrefillResult(read_string(_parse(body, "prefill result"), "kv_handle"))
+    handle = read_string(_parse(body, "prefill result"), "kv_handle")
+    if not _HANDLE.fullmatch(handle):
+        raise MalformedDocumentError(f"not a handle: {describe(handle)}")
+    return PrefillResult(handle)
 
 
 @dataclass(frozen=True, slots=True)
@@ -34,18 +45,31 @@
     """Describe the prompt parts that an engine has cached."""
 
     parts: tuple[PromptPart, ...]
+    # Entries that can't be read.
+    invalid_entries: int = 0
 
 
 def decode_cache_listing(body: bytes) -> CacheListing:
     """Return the listing of an engine's cache."""
-    document = _parse(body, "cache listing")
+    if not body:
+        raise MalformedDocumentError("cache listing: the body is empty")
     parts = []
-    for entry in document.get("held") or []:
-        # An entry has an empty string, the part, its number of tokens and its model.
-        if not isinstance(entry, list) or len(entry) < 3:
-            raise MalformedDocumentError(f"invalid cache entry: {entry!r:.60}")
-        parts.append(PromptPart(PrefixId(str(entry[1])), int(entry[2])))
-    return CacheListing(tuple(parts))
+    invalid_entries = 0
+    for entry in parse_entries(body, "held").entries:
+        try:
+            parts.append(_decode_cache_entry(entry))
+        except MalformedDocumentError:
+            invalid_entries += 1
+    return CacheListing(tuple(parts), invalid_entries)
+
+
+def _decode_cache_entry(entry: Any) -> PromptPart:
+    # An entry has an empty string, the part, its number of tokens and its model.
+    if not isinstance(entry, list) or len(entry) < 3:
+        raise MalformedDocumentError(f"not a cache entry: {describe(entry)}")
+    return PromptPart(
+        decode_prefix(entry[1]), read_count({"tokens": entry[2]}, "tokens")
+    )
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -61,7 +85,7 @@
 def decode_report(body: bytes) -> EngineReport:
     """Return an engine's report."""
     document = _parse(body, "report")
-    stage = document.get("stage")
+    stage = read_string(document, "stage") if document.get("stage") else ""
     return EngineReport(
         stage=decode_stage(stage) if stage else None,
         busy=read_flag(document, "busy", False),
@@ -140,7 +164,7 @@
     try:
         return Stage(text)
     except ValueError as error:
-        raise MalformedDocumentError(f"unknown stage: {text!r:.60}") from error
+        raise MalformedDocumentError(f"unknown stage: {describe(text)}") from error
 
 
 def make_handle_path(handle: str) -> bytes:
@@ -150,12 +174,9 @@
 
 def _parse(body: bytes, subject: str) -> Document:
     try:
-        document = json.loads(body)
-    except ValueError as error:
+        return parse_document(body)
+    except MalformedDocumentError as error:
         raise MalformedDocumentError(f"{subject}: {error}") from error
-    if not isinstance(document, dict):
-        raise MalformedDocumentError(f"{subject} is not a mapping")
-    return document
 
 
 READINESS_PATH: Final = b"/-/ready"
--- a/bramleyport/platform/_headers.py
+++ b/bramleyport/platform/_headers.py
@@ -253,6 +253,6 @@
 def _parse_idle_timeout(value: bytes | None) -> float | None:
     for item in (value or b"").split(b","):
         name, _, seconds = item.strip().partition(b"=")
-        if name.lower() == b"timeout" and seconds.isdigit():
-            return float(seconds)
+        if name.lower() == b"timeout":
+            return _parse_count(seconds)
     return None
