Send a store update without changes that cannot be encoded

Operators saw: the follower of a watching gateway ended with the error of the encoder and began again, each time that it read the same change, which no other gateway got.

Cause: JSON permits lone surrogates and deeper nesting than CBOR does. Change: the update goes without changes, as one that is too large does, and the others read the store; the same if an entry has a fault. Updates with numbers that cannot be converted are refused like other malformed ones.

--- a/bramleyport/gateway/_store_updates.py
+++ b/bramleyport/gateway/_store_updates.py
@@ -37,7 +37,8 @@
     reachable: bool = True
     # Set in the first update after an outage of the store.
     returned: bool = False
-    # None if they do not fit into a datagram and have to be read from the store.
+    # None if they can't be encoded, or not within a datagram, and have to be read from
+    # the store.
     changes: tuple[Change, ...] | None = None
 
 
@@ -70,8 +71,15 @@
             returned=bool(returned),
             changes=_unpack(packed),
         )
-    except (cbor2.CBORDecodeError, zlib.error, TypeError, ValueError) as error:
-        raise StoreUpdateError(str(error)) from error
+    except (
+        cbor2.CBORDecodeError,
+        zlib.error,
+        OverflowError,
+        RecursionError,
+        TypeError,
+        ValueError,
+    ) as error:
+        raise StoreUpdateError(type(error).__name__) from error
 
 
 def select_unseen(changes: Sequence[Change], known: Revision) -> tuple[Change, ...]:
@@ -94,11 +102,17 @@
 def _pack(changes: tuple[Change, ...] | None) -> bytes | None:
     if changes is None:
         return None
+    if any(item.object.fault for item in changes):
+        return None
     rows = [
         [item.object.name, item.object.revision, item.removed, item.object.document]
         for item in changes
     ]
-    packed = zlib.compress(cbor2.dumps(rows))
+    try:
+        packed = zlib.compress(cbor2.dumps(rows))
+    except (cbor2.CBOREncodeError, ValueError, RecursionError):
+        # A document may hold what JSON permits and CBOR does not.
+        return None
     return packed if len(packed) <= MAX_PACKED_BYTES else None
 
 
