Read the list again after a change without a readable name

Callers saw: an upstream whose entry got odd metadata was used on, by what its registration had said before, though a gateway that starts doesn't use it.

Cause: a change without a readable name says nothing of the object it is about. Change: the follower reads the list after such a change, and its update goes without changes, so that the others do the same. The test failed before.

--- a/bramleyport/gateway/_follower.py
+++ b/bramleyport/gateway/_follower.py
@@ -253,7 +253,12 @@
         returned = self._record_reachable()
         self._apply(batch.ok_value.changes, batch.ok_value.revision)
         revision = batch.ok_value.revision
-        self._publish(since, revision, age_s, returned, batch.ok_value.changes)
+        if batch.ok_value.nameless:
+            # Any object may have changed; the next call reads all of them.
+            self._publish(since, revision, age_s, returned, None)
+            self._revision = None
+        else:
+            self._publish(since, revision, age_s, returned, batch.ok_value.changes)
         return None
 
     def _publish(
