Apply the objects of a list one by one, and stop using odd registrations

Callers saw: an upstream whose registration became odd was used on by gateways that watched the store, and was dropped by those that read the list, after an outage of the store two seconds later. A stored verdict that became odd released its part where the list was read. An unexpected error in applying one object cost all others of its batch, and the job began again, with the same error.

Cause: each updater caught the failures it expected, in its own way. Change: a guard decodes and applies each object, logs what is wrong with it once (2626, 2622, 2655, 2633 and, for unexpected errors, 2660), and goes on. An odd registration names no upstream to use, from either source, and is used again once it is readable. The last valid verdict and the last valid address of a gateway are kept while their entries are odd.

--- a/bramleyport/fleet/_members.py
+++ b/bramleyport/fleet/_members.py
@@ -50,6 +50,10 @@
         elif member.missing_until_s is None:
             member.missing_until_s = self._find_renewal_end(now_s)
 
+    def drop(self, upstream: UpstreamId) -> bool:
+        """Remove an upstream at once; return whether it was known."""
+        return self._members.pop(upstream, None) is not None
+
     def replace_all(self, listed: list[Registration], now_s: float) -> None:
         """Replace all registrations; remove upstreams that are not listed."""
         names = {registration.upstream for registration in listed}
--- a/bramleyport/gateway/_peer_directory.py
+++ b/bramleyport/gateway/_peer_directory.py
@@ -7,14 +7,15 @@
 
 from bramleyport.core import ProcessId
 from bramleyport.fleet import Address
+from bramleyport.gateway._object_guard import ObjectGuard
 from bramleyport.gateway._peers import PeerLink
 from bramleyport.platform import (
     Document,
-    MalformedDocumentError,
     NodeSettings,
     ObjectKind,
     ObjectName,
     StoreClient,
+    StoredObject,
     StoreFailure,
     decode_gateway,
     encode_gateway,
@@ -36,6 +37,8 @@
         self._settings = settings
         self._store = store
         self._link = link
+        self._guard = ObjectGuard(gateway_events.PEER_MESSAGE_INVALID)
+        self._addresses: dict[ProcessId, Address] = {}
         self._is_listed = False
         # Set once a list was read, which shows all gateways listed before this one.
         self._has_read_list = False
@@ -94,20 +97,24 @@
         listing = await self._store.list_objects(ObjectKind.GATEWAYS, stale=stale)
         if isinstance(listing, Err):
             return False
+        self._guard.report_nameless(listing.ok_value.nameless)
+        self._guard.retain({item.name for item in listing.ok_value.objects})
         addresses = {}
         for item in listing.ok_value.objects:
             if item.name == self._name:
                 # After a restart the entry of the earlier process may still be valid.
                 self._is_listed = self._is_listed or item.document == self._document
                 continue
-            try:
-                addresses[ProcessId(item.name)] = decode_gateway(item.document)
-            except MalformedDocumentError as error:
-                log_event(
-                    gateway_events.PEER_MESSAGE_INVALID,
-                    peer=item.name,
-                    reason=str(error),
-                )
+            process = ProcessId(item.name)
+            # The last valid address of a gateway whose entry is odd is kept.
+            address = self._guard.decode(item, _decode) or self._addresses.get(process)
+            if address is not None:
+                addresses[process] = address
+        self._addresses = addresses
         self._link.set_addresses(addresses)
         self._link.announce()
         return True
+
+
+def _decode(item: StoredObject) -> Address:
+    return decode_gateway(item.read_document())
--- a/bramleyport/gateway/_state_updaters.py
+++ b/bramleyport/gateway/_state_updaters.py
@@ -1,16 +1,18 @@
 """Update the state of the gateway from the objects in the store."""
 
 from collections.abc import Callable, Iterable
+from functools import partial
 from typing import Final
 
 from bramleyport.core import UpstreamId
-from bramleyport.fleet import Registration, RouteTable
+from bramleyport.fleet import Configuration, Registration, RouteTable
 from bramleyport.gateway._clock import read_now
+from bramleyport.gateway._object_guard import ObjectGuard
 from bramleyport.gateway._state import GatewayState
 from bramleyport.platform import (
+    Change,
     ChangeBatch,
     Listing,
-    MalformedDocumentError,
     ObjectName,
     StoredObject,
     decode_configuration,
@@ -26,9 +28,11 @@
 
     def __init__(self, state: GatewayState) -> None:
         self._state = state
+        self._guard = ObjectGuard(gateway_events.CONFIG_INVALID)
 
     def apply_listing(self, listing: Listing) -> None:
         """Apply the configuration in a complete list."""
+        self._guard.report_nameless(listing.nameless)
         self._apply(listing.objects)
 
     def apply_changes(self, batch: ChangeBatch) -> None:
@@ -41,17 +45,11 @@
     def _apply(self, objects: Iterable[StoredObject]) -> None:
         for item in objects:
             if item.name == CONFIGURATION_NAME:
-                self._apply_one(item)
+                self._guard.apply(item, partial(self._apply_one, item))
 
     def _apply_one(self, item: StoredObject) -> None:
-        try:
-            configuration = decode_configuration(item.document)
-        except MalformedDocumentError as error:
-            log_event(
-                gateway_events.CONFIG_INVALID,
-                revision=item.revision,
-                reason=str(error),
-            )
+        configuration = self._guard.decode(item, _decode_configuration)
+        if configuration is None:
             return
         current = self._state.configuration
         # Answers may arrive out of order; an older version never replaces a newer one.
@@ -74,16 +72,20 @@
     ) -> None:
         self._state = state
         self._on_removed = on_removed
-        self._invalid_reasons: dict[ObjectName, str] = {}
+        self._guard = ObjectGuard(gateway_events.REGISTRATION_INVALID)
 
     def apply_listing(self, listing: Listing) -> None:
         """Replace the known upstreams with a complete list."""
-        found = [self._decode(item) for item in listing.objects]
-        listed = [registration for registration in found if registration is not None]
+        self._guard.report_nameless(listing.nameless)
+        self._guard.retain({item.name for item in listing.objects})
+        listed = []
+        for item in listing.objects:
+            registration = self._decode(item)
+            if registration is not None:
+                listed.append(registration)
+                self._guard.apply(item, partial(self._record_change, registration))
         now_s = read_now()
         before = {item.upstream for item in self._state.members.list_all()}
-        for registration in listed:
-            self._record_change(registration)
         self._state.members.replace_all(listed, now_s)
         after = {item.upstream for item in self._state.members.list_all()}
         for upstream in before - after:
@@ -93,15 +95,8 @@
         """Apply changes of registrations."""
         now_s = read_now()
         for change in batch.changes:
-            # The last state of a removed object shows if its upstream was draining.
-            registration = self._decode(change.object)
-            if registration is not None and (
-                not change.removed or registration.draining
-            ):
-                self._record_change(registration)
-                self._state.members.put(registration)
-            if change.removed:
-                self._remove(UpstreamId(change.object.name), now_s)
+            action = partial(self._apply_change, change, now_s)
+            self._guard.apply(change.object, action)
 
     def record_store_state(self, *, reachable: bool) -> None:
         """Record whether the store answers; an outage lets registrations expire."""
@@ -113,6 +108,16 @@
         for upstream in self._state.members.drop_missing(now_s):
             self._report_removed(upstream, "lapsed")
 
+    def _apply_change(self, change: Change, now_s: float) -> None:
+        # The last state of a removed object shows if its upstream was draining.
+        registration = self._decode(change.object)
+        if registration is not None and (not change.removed or registration.draining):
+            self._record_change(registration)
+            self._state.members.put(registration)
+        if change.removed:
+            self._guard.forget(change.object.name)
+            self._remove(UpstreamId(change.object.name), now_s)
+
     def _remove(self, upstream: UpstreamId, now_s: float) -> None:
         self._state.members.remove(upstream, now_s)
         if self._state.members.find(upstream) is None:
@@ -147,21 +152,19 @@
             self._on_removed(registration.upstream)
 
     def _decode(self, item: StoredObject) -> Registration | None:
-        try:
-            registration = decode_registration(item.name, item.document)
-        except MalformedDocumentError as error:
-            self._log_invalid(item, str(error))
-            return None
-        self._invalid_reasons.pop(item.name, None)
+        """Return the registration of an upstream, which is not used if it is invalid.
+
+        Unlike a missing registration, an invalid one is not expected to be renewed.
+        """
+        registration = self._guard.decode(item, _decode_registration)
+        if registration is None and self._state.members.drop(UpstreamId(item.name)):
+            self._report_removed(UpstreamId(item.name), "invalid registration")
         return registration
 
-    def _log_invalid(self, item: StoredObject, reason: str) -> None:
-        if self._invalid_reasons.get(item.name) == reason:
-            return
-        self._invalid_reasons[item.name] = reason
-        log_event(
-            gateway_events.REGISTRATION_INVALID,
-            upstream=item.name,
-            revision=item.revision,
-            reason=reason,
-        )
+
+def _decode_configuration(item: StoredObject) -> Configuration:
+    return decode_configuration(item.read_document())
+
+
+def _decode_registration(item: StoredObject) -> Registration:
+    return decode_registration(item.name, item.read_document())
--- a/bramleyport/gateway/_verdict_store.py
+++ b/bramleyport/gateway/_verdict_store.py
@@ -3,6 +3,7 @@
 import asyncio
 import hashlib
 from dataclasses import dataclass
+from functools import partial
 from typing import Final
 
 from result import Err, Result
@@ -10,11 +11,11 @@
 from bramleyport.core import Revision
 from bramleyport.fleet import PrefixId, Verdict
 from bramleyport.gateway._clock import read_now
+from bramleyport.gateway._object_guard import ObjectGuard
 from bramleyport.gateway._state import GatewayState
 from bramleyport.platform import (
     ChangeBatch,
     Listing,
-    MalformedDocumentError,
     ObjectKind,
     ObjectName,
     StoreClient,
@@ -38,6 +39,7 @@
 
 @dataclass(slots=True, kw_only=True)
 class _StoredVerdict:
+    name: ObjectName
     document: VerdictDocument
     revision: Revision
     # When this gateway learned of the verdict or of its last trial.
@@ -54,6 +56,7 @@
     def __init__(self, state: GatewayState, store: StoreClient) -> None:
         self._state = state
         self._store = store
+        self._guard = ObjectGuard(gateway_events.VERDICT_INVALID)
         self._stored: dict[PrefixId, _StoredVerdict] = {}
         # Verdicts of this gateway that the store does not have yet.
         self._unwritten: dict[PrefixId, Verdict] = {}
@@ -65,20 +68,21 @@
 
     def apply_listing(self, listing: Listing) -> None:
         """Replace the stored verdicts with a complete list."""
+        self._guard.report_nameless(listing.nameless)
+        self._guard.retain({item.name for item in listing.objects})
         before = set(self._stored)
-        listed = {self._apply_stored(item) for item in listing.objects}
+        listed = {
+            self._guard.apply(item, partial(self._apply_stored, item))
+            for item in listing.objects
+        }
         for part in before - listed:
             self._release(part, "no longer stored")
 
     def apply_changes(self, batch: ChangeBatch) -> None:
         """Apply changes of stored verdicts."""
         for change in batch.changes:
-            if not change.removed:
-                self._apply_stored(change.object)
-                continue
-            document = _decode(change.object)
-            if document is not None:
-                self._release(document.verdict.part, "removed from the store")
+            action = self._release_stored if change.removed else self._apply_stored
+            self._guard.apply(change.object, partial(action, change.object))
 
     def record_store_state(self, *, reachable: bool) -> None:
         """Keep the verdicts, whether or not the store answers."""
@@ -177,10 +181,24 @@
             trials=stored.document.trials + 1,
         )
 
+    def _release_stored(self, item: StoredObject) -> PrefixId | None:
+        """Release the part of a verdict that was removed from the store."""
+        document = self._guard.decode(item, _decode)
+        self._guard.forget(item.name)
+        part = document.verdict.part if document else self._find_part(item.name)
+        if part is not None:
+            self._release(part, "removed from the store")
+        return part
+
+    def _find_part(self, name: ObjectName) -> PrefixId | None:
+        """Return the part on which an object has held a valid verdict."""
+        return next((p for p, item in self._stored.items() if item.name == name), None)
+
     def _apply_stored(self, item: StoredObject) -> PrefixId | None:
-        document = _decode(item)
+        """Apply a verdict and return its part; the last valid one stays in force."""
+        document = self._guard.decode(item, _decode)
         if document is None:
-            return None
+            return self._find_part(item.name)
         verdict = document.verdict
         evidence = self._state.crash_evidence
         if not evidence.is_plausible(verdict):
@@ -189,6 +207,7 @@
         self._unremoved.discard(verdict.part)
         known = self._stored.get(verdict.part)
         self._stored[verdict.part] = _StoredVerdict(
+            name=item.name,
             document=document,
             revision=item.revision,
             changed_s=read_now()
@@ -229,12 +248,8 @@
     return ObjectName(digest.hexdigest())
 
 
-def _decode(item: StoredObject) -> VerdictDocument | None:
-    try:
-        return decode_verdict(item.document)
-    except MalformedDocumentError as error:
-        log_event(gateway_events.VERDICT_INVALID, object=item.name, reason=str(error))
-        return None
+def _decode(item: StoredObject) -> VerdictDocument:
+    return decode_verdict(item.read_document())
 
 
 def _log_failure(part: PrefixId, error: StoreError) -> None:
--- a/bramleyport/telemetry/_gateway_events.py
+++ b/bramleyport/telemetry/_gateway_events.py
@@ -72,6 +72,9 @@
 )
 VERDICT_INVALID: Final = define(2655, "WARNING", "invalid verdict in the store ignored")
 READINESS_CHANGED: Final = define(2637, "INFO", "readiness changed")
+OBJECT_NOT_APPLIED: Final = define(
+    2660, "ERROR", "unexpected error in applying an object of the store"
+)
 STOP_ADVANCED: Final = define(2656, "INFO", "planned stop reached its next phase")
 CALLS_CUT: Final = define(
     2657, "WARNING", "connections with unanswered requests closed"
