Leave odd entries in the store in soak tests

The profile odd_entries runs planned operations while another writer leaves odd registrations, odd metadata among the objects of each kind, and an odd configuration before a valid one. After the faults each gateway has to follow a last change of the configuration.

--- a/tests/soak/_callers.py
+++ b/tests/soak/_callers.py
@@ -43,12 +43,12 @@
             await self._use(RawCaller(gateway.caller_proxy.port))
             await asyncio.sleep(self._random.random() * 0.05)
 
-    async def is_serving(self, gateway: GatewayProcess) -> bool:
+    async def is_serving(self, gateway: GatewayProcess, path: str = "/read/x") -> bool:
         """Return whether the gateway answers a call with status 200."""
         caller = RawCaller(gateway.caller_proxy.server_port)
         name = self._name("read")
         try:
-            answer = await caller.call("/read/x", method="GET", Request_Id=name)
+            answer = await caller.call(path, method="GET", Request_Id=name)
         except (OSError, asyncio.IncompleteReadError):
             return False
         finally:
--- a/tests/soak/_faults.py
+++ b/tests/soak/_faults.py
@@ -10,8 +10,16 @@
 from typing import Any, Final
 
 from bramleyport.gateway._follower import choose_watch_times
-from tests.gateway_fleet import BOUNDS, make_config, make_route
-from tests.platform_standin import CrashingEngine, StoreStandin, UpstreamStandin
+from tests.gateway_fleet import BOUNDS, PLAIN, make_config, make_route
+from tests.platform_standin import (
+    ODD_FIELDS,
+    ODD_METADATA,
+    REFUSED_DEPTH,
+    CrashingEngine,
+    StoreStandin,
+    UpstreamStandin,
+    make_nested,
+)
 from tests.rate_window import SETTLE_S, WINDOW_S
 from tests.soak._checks import (
     STABLE_S,
@@ -96,6 +104,12 @@
 KEPT_LIMIT_FRACTION: Final = 0.8
 
 
+# Odd entries that another writer leaves in the store, beside planned operations.
+ODD_ENTRIES: Final[dict[str, Fault]] = {}
+# Kinds among whose objects an odd entry is left.
+ODD_KINDS: Final = ("servers", "config", "gateways", "verdicts")
+
+
 # What happens beside engines that crash on parts of prompts.
 CRASH_FAULTS: Final[dict[str, Fault]] = {}
 
@@ -112,6 +126,12 @@
     return fault
 
 
+def register_odd_entry(fault: Fault) -> Fault:
+    """Register a writer that leaves odd entries in the store."""
+    ODD_ENTRIES[fault.__name__] = fault
+    return fault
+
+
 def register_planned(fault: Fault) -> Fault:
     """Register a planned operation."""
     PLANNED_OPERATIONS[fault.__name__] = fault
@@ -228,6 +248,42 @@
     targets.register_upstream(upstream)
 
 
+@register_odd_entry
+async def leave_odd_fields(targets: FaultTargets) -> None:
+    """Leave a registration with an odd field for a while."""
+    odd = UpstreamStandin(f"odd-{targets.random.random()}", service=PLAIN)
+    # Calls to its port, which nobody listens on, would be noticed.
+    odd.port = 9
+    odd.register(targets.store, **targets.random.choice(list(ODD_FIELDS.values())))
+    try:
+        await asyncio.sleep(targets.pick_duration_s())
+    finally:
+        targets.store.delete("servers", odd.name)
+
+
+@register_odd_entry
+async def leave_odd_metadata(targets: FaultTargets) -> None:
+    """Leave an entry of any kind with odd metadata for a while."""
+    kind = targets.random.choice(ODD_KINDS)
+    name = f"odd-{targets.random.random()}"
+    metadata = targets.random.choice(list(ODD_METADATA.values()))
+    targets.store.put_item(kind, name, {"metadata": metadata, "spec": {}})
+    try:
+        await asyncio.sleep(targets.pick_duration_s())
+    finally:
+        targets.store.delete(kind, name)
+
+
+@register_odd_entry
+async def overwrite_configuration(targets: FaultTargets) -> None:
+    """Overwrite the configuration with an odd one, then with a valid one."""
+    config = targets.store.objects["config", "main"]["spec"]
+    version = config["version"]
+    odd = {"version": version + 1, "more": make_nested(REFUSED_DEPTH)}
+    targets.store.put("config", "main", config | odd)
+    targets.store.put("config", "main", config | {"version": version + 2})
+
+
 @register_unplanned
 async def pause_gateway(targets: FaultTargets) -> None:
     """Suspend a gateway with SIGSTOP for a while."""
--- a/tests/soak/_soak_run.py
+++ b/tests/soak/_soak_run.py
@@ -8,7 +8,7 @@
 from pathlib import Path
 from random import Random
 
-from tests.gateway_fleet import LANGUAGE, PLAIN, make_config
+from tests.gateway_fleet import LANGUAGE, PLAIN, make_config, make_route
 from tests.platform_standin import (
     ENDLESS_ANSWERS,
     CrashingEngine,
@@ -38,6 +38,7 @@
 from tests.soak._faults import (
     CRASH_FAULTS,
     LIMIT_CHANGES,
+    ODD_ENTRIES,
     PLANNED_OPERATIONS,
     UNPLANNED_FAULTS,
     Fault,
@@ -91,11 +92,20 @@
     MIXED_LIMITS = "mixed_limits"
     # Engines that crash on parts of prompts, and gateways that end.
     CRASHES = "crashes"
+    # As PLANNED, and also odd entries of another writer in the store.
+    ODD_ENTRIES = "odd_entries"
 
 
 # A seed chooses one of these. The others aren't among them, so that the seeds that have
 # failed before still run with the same profile.
 DRAWN_PROFILES = [Profile.PLANNED, Profile.MIXED]
+# Profiles without unplanned faults.
+FAULTLESS_PROFILES = (
+    Profile.PLANNED,
+    Profile.LIMITS,
+    Profile.CRASHES,
+    Profile.ODD_ENTRIES,
+)
 
 
 class Soak:
@@ -148,7 +158,7 @@
 
     @property
     def _injects_faults(self) -> bool:
-        return self._profile not in (Profile.PLANNED, Profile.LIMITS, Profile.CRASHES)
+        return self._profile not in FAULTLESS_PROFILES
 
     @property
     def _names_limits(self) -> bool:
@@ -254,6 +264,8 @@
             faults |= UNPLANNED_FAULTS
         if self._names_limits:
             faults |= LIMIT_CHANGES
+        if self._profile is Profile.ODD_ENTRIES:
+            faults |= ODD_ENTRIES
         running: set[asyncio.Task[None]] = set()
         try:
             while True:
@@ -284,11 +296,26 @@
             self.observations.report_violation(
                 "a gateway does not serve calls after the faults have ended"
             )
+        if self._profile is Profile.ODD_ENTRIES:
+            await self._check_following()
+
+    async def _check_following(self) -> None:
+        """Check that each gateway gets to know a route that is added now."""
+        config = self._store.objects["config", "main"]["spec"]
+        routes = [*config["routes"], make_route("last", "/last/", "idempotent")]
+        changes = {"version": config["version"] + 1, "routes": routes}
+        self._store.put("config", "main", config | changes)
+        try:
+            await self._wait_ready("/last/x")
+        except TimeoutError:
+            self.observations.report_violation(
+                "a gateway does not follow the configuration any more"
+            )
 
-    async def _wait_ready(self) -> None:
+    async def _wait_ready(self, path: str = "/read/x") -> None:
         async with asyncio.timeout(START_LIMIT_S):
             for gateway in self._gateways:
-                while not await self._callers.is_serving(gateway):
+                while not await self._callers.is_serving(gateway, path):
                     await asyncio.sleep(0.1)
 
     async def _stop(self) -> None:
@@ -309,7 +336,8 @@
             check_deadly_parts(self.observations, self._engines, parts)
             check_sound_prompts(self.observations, self._engines, self._deadly_from_s)
         self.findings.limited_windows = self.observations.limited_windows
-        if self._profile is Profile.PLANNED and self.observations.check_time_limits:
+        keeps_times = self._profile in (Profile.PLANNED, Profile.ODD_ENTRIES)
+        if keeps_times and self.observations.check_time_limits:
             check_drains(self.observations, self._upstreams)
             check_disconnected_callers(self.observations, self._upstreams)
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -39,6 +39,7 @@
     check_runs,
 )
 from tests.soak._crash_checks import check_deadly_parts, check_sound_prompts
+from tests.soak._faults import ODD_ENTRIES
 from tests.soak._processes import GatewayProcess
 from tests.soak._proxy import Direction, FaultProxy
 
@@ -108,6 +109,23 @@
     assert findings.calls["stream 200"] > 0
 
 
+# Guards the lists that gateways follow: each odd entry stopped all of them for good.
+@pytest.mark.parametrize("gateways", [3, 9], ids=["few", "sharing"])
+def test_guarantees_hold_beside_odd_entries(run: Run, gateways: int) -> None:
+    findings = run(
+        run_soak(
+            29,
+            5.0,
+            gateways=gateways,
+            profile=Profile.ODD_ENTRIES,
+            check_time_limits=False,
+        )
+    )
+    assert findings.violations == []
+    assert sum(findings.faults[name] for name in ODD_ENTRIES) > 0
+    assert findings.calls["post 200"] > 0
+
+
 def make_crashed_engine(crashes: int, arrivals: int) -> CrashingEngine:
     """Return an engine that crashed on a part before time 10 and got it after that."""
     engine = CrashingEngine("d0", service="language", stage="decode")
