--- a/tests/platform_standin/__init__.py
+++ b/tests/platform_standin/__init__.py
@@ -16,6 +16,12 @@
     read_request,
     render_response,
 )
+from tests.platform_standin._odd_entries import (
+    ODD_FIELDS,
+    ODD_METADATA,
+    REFUSED_DEPTH,
+    make_nested,
+)
 from tests.platform_standin._scripts import (
     ENDLESS_ANSWERS,
     answer_without_length,
@@ -29,6 +35,7 @@
     truncate,
 )
 from tests.platform_standin._store import (
+    RawJson,
     StoreStandin,
 )
 from tests.platform_standin._upstream import (
@@ -49,10 +56,14 @@
     "ENDLESS_ANSWERS",
     "EVENT_COUNT",
     "LOOPBACK",
+    "ODD_FIELDS",
+    "ODD_METADATA",
+    "REFUSED_DEPTH",
     "CallerAnswer",
     "CrashingEngine",
     "EngineCrash",
     "RawCaller",
+    "RawJson",
     "RawRequest",
     "RawServer",
     "Script",
@@ -68,6 +79,7 @@
     "list_parts",
     "lose_answer",
     "make_misdirected_answer",
+    "make_nested",
     "make_stamp_headers",
     "make_stream_abort",
     "read_request",
