--- a/bramleyport/gateway/_store_updates.py
+++ b/bramleyport/gateway/_store_updates.py
@@ -8,7 +8,13 @@
 import cbor2
 
 from bramleyport.core import ProcessId, Revision
-from bramleyport.platform import Change, ObjectKind, ObjectName, StoredObject
+from bramleyport.platform import (
+    Change,
+    ObjectKind,
+    ObjectName,
+    StoredObject,
+    decode_object_name,
+)
 
 FORMAT: Final = 2
 # A datagram above the usual path MTU is fragmented, and the loss of one fragment loses
@@ -131,6 +137,8 @@
     if not isinstance(document, dict):
         raise StoreUpdateError("a document is not a mapping")
     found = StoredObject(
-        name=ObjectName(str(name)), revision=Revision(int(revision)), document=document
+        name=decode_object_name(name),
+        revision=Revision(int(revision)),
+        document=document,
     )
     return Change(found, bool(removed))
--- a/bramleyport/platform/__init__.py
+++ b/bramleyport/platform/__init__.py
@@ -43,6 +43,7 @@
     ObjectKind,
     ObjectName,
     StoredObject,
+    decode_object_name,
 )
 from bramleyport.platform._registrations import decode_registration
 from bramleyport.platform._settings import (
@@ -91,6 +92,7 @@
     "decode_call",
     "decode_configuration",
     "decode_gateway",
+    "decode_object_name",
     "decode_order_status",
     "decode_prefill",
     "decode_registration",
--- a/bramleyport/platform/_objects.py
+++ b/bramleyport/platform/_objects.py
@@ -15,7 +15,6 @@
     read_count,
     read_flag,
     read_mapping,
-    read_string,
 )
 from bramleyport.platform._json_slices import (
     UnparsedSlice,
@@ -99,6 +98,13 @@
     last_name: str
 
 
+def decode_object_name(value: object) -> ObjectName:
+    """Return the name of an object."""
+    if not isinstance(value, str) or not _NAME.fullmatch(value):
+        raise MalformedDocumentError(f"not a name: {describe(value)}")
+    return ObjectName(value)
+
+
 def decode_page(body: bytes) -> ListPage:
     """Return one page of the objects of a kind."""
     page = parse_entries(body, "items")
@@ -167,7 +173,7 @@
 ) -> StoredObject | NamelessObject:
     try:
         metadata = _read_members(_read_members(entry).get("metadata"))
-        name = _read_name(metadata)
+        name = decode_object_name(metadata.get("name"))
     except MalformedDocumentError as error:
         return NamelessObject(f"{reason}; {error}")
     # Its revision may be odd, too; it is not newer than what was read with it.
@@ -178,7 +184,7 @@
     metadata = read_mapping(document, "metadata")
     spec = document.get("spec")
     return StoredObject(
-        name=_read_name(metadata),
+        name=decode_object_name(metadata.get("name")),
         revision=Revision(read_count(metadata, "revision")),
         document=spec if isinstance(spec, dict) else {},
     )
@@ -190,10 +196,3 @@
     if not isinstance(value, Mapping):
         raise MalformedDocumentError(f"not a mapping: {describe(value)}")
     return value
-
-
-def _read_name(metadata: Document) -> ObjectName:
-    name = read_string(metadata, "name")
-    if not _NAME.fullmatch(name):
-        raise MalformedDocumentError(f"not a name: {describe(name)}")
-    return ObjectName(name)
--- a/tests/test_odd_documents.py
+++ b/tests/test_odd_documents.py
@@ -4,9 +4,11 @@
 """
 
 import math
+import zlib
 from collections.abc import Callable
 from typing import Any
 
+import cbor2
 import pytest
 
 from bramleyport.core import ProcessId, Revision
@@ -267,3 +269,13 @@
         odd[index] = value
         with pytest.raises(StoreUpdateError):
             decode_store_update(odd)
+
+
+# Guards requests: the name of an upstream is sent in one of their headers.
+def test_changes_of_odd_names_are_refused() -> None:
+    for name in ("", "a\r\nX: y", "\u0663", "n" * 5_000, 7):
+        rows = [[name, 5, False, {}]]
+        packed = zlib.compress(cbor2.dumps(rows))
+        fields = [FORMAT, "g", "servers", 3, 5, 0, True, False, packed]
+        with pytest.raises(StoreUpdateError):
+            decode_store_update(fields)
