Keep the order lease's job running beside an odd lease

Operators saw: after an unexpected error in reading the stored lease, no engine was ordered to change its stage any more until the gateway started again.

Cause: the job of the lease was the only one that nothing restarts, and its manager waits for the answer to its read. The test failed before.

--- a/bramleyport/gateway/_lease.py
+++ b/bramleyport/gateway/_lease.py
@@ -4,11 +4,12 @@
 import uuid
 from typing import Final
 
-from result import Err, Ok
+from result import Err, Ok, Result
 
 from bramleyport.authority import (
     CandidacyChanged,
     Granted,
+    Lease,
     LeaseAction,
     LeaseConflict,
     LeaseEvent,
@@ -27,7 +28,13 @@
 )
 from bramleyport.core import FencingNumber, ProcessId, Revision
 from bramleyport.gateway._clock import read_boot_time
-from bramleyport.platform import ObjectKind, ObjectName, StoreClient, StoreFailure
+from bramleyport.platform import (
+    Document,
+    ObjectKind,
+    ObjectName,
+    StoreClient,
+    StoreFailure,
+)
 from bramleyport.telemetry import authority_events, gateway_events, log_event
 
 LEASE_NAME: Final = ObjectName("stages")
@@ -108,7 +115,7 @@
             if result.err_value.failure is StoreFailure.NOT_FOUND:
                 return LeaseRead(op=action.op, lease=None, version=0)
             return LeaseFailed(op=action.op)
-        lease = read_lease(result.ok_value.document)
+        lease = _read_lease(result.ok_value.document)
         if isinstance(lease, Err):
             log_event(authority_events.ORDER_OBJECT_INVALID, reason=lease.err_value)
             return LeaseFailed(op=action.op)
@@ -131,3 +138,11 @@
         if failure is StoreFailure.UNKNOWN:
             return LeaseInDoubt(op=action.op)
         return LeaseFailed(op=action.op)
+
+
+def _read_lease(document: Document) -> Result[Lease, str]:
+    """Return the lease in a document, whatever another writer has left in it."""
+    try:
+        return read_lease(document)
+    except (OverflowError, RecursionError) as error:
+        return Err(type(error).__name__)
--- a/bramleyport/gateway/_stages.py
+++ b/bramleyport/gateway/_stages.py
@@ -28,6 +28,7 @@
     make_report_request,
     make_stage_request,
 )
+from bramleyport.supervision import supervise
 from bramleyport.telemetry import gateway_events, log_event
 
 if TYPE_CHECKING:
@@ -150,7 +151,7 @@
         settings = self._state.settings
         self._lease = OrderLease(settings.process, self._store, settings.lease_s)
         self._lease.set_wanted(wanted=True)
-        self._lease_task = asyncio.ensure_future(self._lease.run())
+        self._lease_task = asyncio.ensure_future(supervise(self._lease.run))
 
     async def _apply(self, change: StageChange, service: ServiceName) -> None:
         if self._lease is None or self._lease.find_fencing() is None:
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -14,7 +14,7 @@
 from result import Err, Ok
 
 from bramleyport.core import Revision
-from bramleyport.gateway import _state_updaters
+from bramleyport.gateway import _lease, _state_updaters
 from bramleyport.gateway._state_updaters import RegistrationUpdater
 from bramleyport.platform import (
     Listing,
@@ -326,6 +326,30 @@
         run(check(found))
 
 
+# Guards changes of stages: the job ended for good, so that no engine got an order.
+def test_odd_lease_does_not_end_its_job(
+    fleet: GatewayFleet, run: Run, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    reads: list[Any] = []
+
+    def fail(spec: Any) -> Any:
+        reads.append(spec)
+        raise RecursionError("unexpected")
+
+    monkeypatch.setattr(_lease, "read_lease", fail)
+
+    async def check() -> None:
+        fleet.store.put("leases", "stages", {"holder": 1})
+        await fleet.start()
+        stages = fleet.gateway._stages
+        stages._wanted_until_s = float("inf")
+        stages._ensure_lease()
+        await fleet.wait_for(lambda: len(reads) >= 3, CHANGE_LIMIT_S)
+        stages._lease_task.cancel()
+
+    run(check())
+
+
 # Guards the log: an odd entry was reported each time that it was read.
 def test_odd_entry_is_logged_once(fleet: GatewayFleet, run: Run) -> None:
     async def check() -> None:
