Refuse updates of other gateways with an age that is no number of seconds

An age that is infinite, negative or no number was taken over, so that state counted as current for ever or never. The reason of a refused update is logged again, cut to a bounded length.

--- a/bramleyport/gateway/_store_updates.py
+++ b/bramleyport/gateway/_store_updates.py
@@ -1,5 +1,6 @@
 """Encode the updates that share the results of store watches among gateways."""
 
+import math
 import zlib
 from collections.abc import Sequence
 from dataclasses import dataclass
@@ -22,6 +23,7 @@
 MAX_PACKED_BYTES: Final = 1_200
 # Bounds the decompressed size of a datagram that may be malformed.
 MAX_UNPACKED_BYTES: Final = 262_144
+MAX_REASON_CHARS: Final = 160
 
 
 class StoreUpdateError(ValueError):
@@ -72,7 +74,7 @@
             kind=ObjectKind(kind),
             since=Revision(int(since)),
             revision=Revision(int(revision)),
-            age_s=float(age_ms) / 1000,
+            age_s=_decode_age(age_ms),
             reachable=bool(reachable),
             returned=bool(returned),
             changes=_unpack(packed),
@@ -85,7 +87,8 @@
         TypeError,
         ValueError,
     ) as error:
-        raise StoreUpdateError(type(error).__name__) from error
+        reason = f"{type(error).__name__}: {error}"[:MAX_REASON_CHARS]
+        raise StoreUpdateError(reason) from error
 
 
 def select_unseen(changes: Sequence[Change], known: Revision) -> tuple[Change, ...]:
@@ -105,6 +108,14 @@
     return tuple(unseen)
 
 
+def _decode_age(age_ms: Any) -> float:
+    """Return the age of an update in seconds."""
+    age_s = float(age_ms) / 1000
+    if not math.isfinite(age_s) or age_s < 0:
+        raise StoreUpdateError("the age is out of range")
+    return age_s
+
+
 def _pack(changes: tuple[Change, ...] | None) -> bytes | None:
     if changes is None:
         return None
--- a/bramleyport/platform/_documents.py
+++ b/bramleyport/platform/_documents.py
@@ -17,7 +17,6 @@
 # Workers write their addresses again with each renewal of their registrations.
 MAX_CACHED_ADDRESSES: Final = 4_096
 MAX_DESCRIBED_CHARS: Final = 60
-MAX_REASON_CHARS: Final = 160
 _PORT: Final = re.compile("[0-9]{1,5}")
 # Control characters would end a header or a line of a log, and lone surrogates can't be
 # encoded. A tab may occur within the value of a header.
@@ -33,9 +32,7 @@
     try:
         return json.loads(text)
     except (ValueError, RecursionError) as error:
-        # The error of bytes that are no UTF-8 holds the whole text.
-        reason = str(error)[:MAX_REASON_CHARS]
-        raise MalformedDocumentError(f"{type(error).__name__}: {reason}") from error
+        raise MalformedDocumentError(f"{type(error).__name__}: {error}") from error
 
 
 def parse_document(body: bytes) -> Document:
