Show that a signal after a stop changes the exit code

A further SIGTERM or SIGINT that arrives after a gateway has stopped, but before its process has exited, ends it with code -15 or -2.

--- a/tests/test_gateway_process.py
+++ b/tests/test_gateway_process.py
@@ -7,6 +7,7 @@
 import time
 from pathlib import Path
 
+import pytest
 import yaml
 
 from tests.gateway_fleet import make_settings
@@ -51,11 +52,12 @@
         process.wait()
 
 
-def test_reload_signal_after_a_stop_does_not_change_the_exit_code(
-    tmp_path: Path,
+@pytest.mark.parametrize("number", [signal.SIGHUP, signal.SIGTERM, signal.SIGINT])
+def test_signal_after_a_stop_does_not_change_the_exit_code(
+    tmp_path: Path, number: signal.Signals
 ) -> None:
-    # The event loop restores the default action of SIGHUP when it closes, which is some
-    # time before the process has exited. Seed 717 of the soak, profile mixed_limits.
+    # The default actions of signals are restored some time before the process has
+    # exited. Seed 717 of the soak, profile mixed_limits, and seed 4, profile stops.
     settings, log = tmp_path / "settings.yaml", tmp_path / "log"
     settings.write_text(yaml.safe_dump(make_settings(find_port())))
     process = start(settings, log)
@@ -66,7 +68,7 @@
         deadline_s = time.monotonic() + START_LIMIT_S
         while process.poll() is None:
             assert time.monotonic() < deadline_s
-            process.send_signal(signal.SIGHUP)
+            process.send_signal(number)
         assert process.returncode == 0
     finally:
         process.kill()
