Ignore further signals once a process is being stopped

Operators saw: a process that got another SIGTERM or SIGINT as it exited, after its stop, ended with code -15 or -2, as if it had been killed.

Cause: Twisted restores the default actions of these signals when its reactor ends, which is up to 0.5 s before the interpreter exits. Change: they are blocked from the first one on, SIGHUP from the end of the stop on, for entries and agents, too.

--- a/bramleyport/cli/_main.py
+++ b/bramleyport/cli/_main.py
@@ -1,6 +1,5 @@
 """Main command group of the bramleyport program."""
 
-import signal
 import sys
 from pathlib import Path
 from typing import TYPE_CHECKING, TypeVar
@@ -87,11 +86,7 @@
     except SettingsError as error:
         sys.exit(report_failed_start(error))
     configure_logging(json_lines=True, level=log_level, process=process)
-    exit_code = run_daemon(lambda: build_gateway(path, metrics_port))
-    # The event loop restores the default action of SIGHUP when it closes, which would
-    # end the process with a failure although all its work is done.
-    signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})
-    sys.exit(exit_code)
+    sys.exit(run_daemon(lambda: build_gateway(path, metrics_port)))
 
 
 @main.command()
--- a/bramleyport/cli/_runtime.py
+++ b/bramleyport/cli/_runtime.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import gc
+import signal
 import sys
 from collections.abc import Awaitable, Callable
 from typing import Any, Final, Protocol
@@ -114,5 +115,9 @@
 
 
 async def _stop_all(daemons: list[Daemon]) -> None:
+    # Once the reactor has ended, the default actions of these signals would end the
+    # process with a failure although all its work is done.
+    signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGTERM, signal.SIGINT})
     for daemon in daemons:
         await daemon.stop()
+    signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})
