Attribute a call to the stop of its own process in the soak

The check now looks for the stop of the process that the call was sent to, and a caller that reads slowly notices at once that its connection ends without an answer. A test guards the first.

--- a/tests/soak/_stop_callers.py
+++ b/tests/soak/_stop_callers.py
@@ -19,6 +19,8 @@
 # Callers at a low rate leave moments in which a gateway has no connection.
 MAX_PAUSE_S: Final = 0.5
 MAX_PIECE_PAUSE_S: Final = 0.2
+MAX_UNREAD_S: Final = 2.0
+UNREAD_POLL_INTERVAL_S: Final = 0.02
 BODY: Final = b"b" * 60
 
 Behaviour = Callable[["StopCallers", GatewayProcess], Awaitable[None]]
@@ -179,12 +181,22 @@
     caller = await callers.open(gateway)
     try:
         call = await callers.send(caller, gateway)
-        await callers.pause(2.0)
+        await _wait_unread(caller, callers.random.random() * MAX_UNREAD_S)
         await callers.receive(caller, call)
     finally:
         caller.close()
 
 
+async def _wait_unread(caller: RawCaller, duration_s: float) -> None:
+    """Read nothing for a while, unless the connection ends without an answer."""
+    assert caller.reader is not None
+    until_s = time.monotonic() + duration_s
+    while time.monotonic() < until_s:
+        if caller.reader.at_eof() or caller.reader.exception() is not None:
+            return
+        await asyncio.sleep(UNREAD_POLL_INTERVAL_S)
+
+
 def _record_dropped(calls: list[StopCall]) -> None:
     """Record that calls behind the one whose connection ended were cut, too."""
     cut_s = next((call.cut_s for call in calls if call.cut_s is not None), None)
--- a/tests/soak/_stop_checks.py
+++ b/tests/soak/_stop_checks.py
@@ -98,12 +98,14 @@
 
 
 def _find_stop(observations: StopObservations, call: StopCall) -> PlannedStop | None:
-    """Return the stop of the gateway in which a call ended."""
+    """Return the stop of the process that a call was sent to, if it began meanwhile.
+
+    A caller that reads slowly may see the end of its call in the next stop.
+    """
     ended_s = call.cut_s or call.answered_s or float("inf")
     for stop in observations.stops:
-        is_within = stop.signalled_s <= ended_s <= stop.exited_s + READ_S
-        if stop.gateway == call.gateway and is_within:
-            return stop
+        if stop.gateway == call.gateway and stop.exited_s >= call.began_s:
+            return stop if stop.signalled_s <= ended_s else None
     return None
 
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -408,3 +408,15 @@
         observations.work["s1"] = UpstreamWork(3.0)
     check_stops(observations)
     assert bool(observations.findings.violations) is violated
+
+
+def test_call_is_checked_against_the_stop_of_its_own_process() -> None:
+    """Guards against blaming a stop for a call that the one before has ended."""
+    observations = StopObservations(Findings())
+    observations.stops.append(PlannedStop("g0", GRACE_S, 0.0, 5.2))
+    observations.stops.append(PlannedStop("g0", GRACE_S, 7.0, 12.0))
+    call = StopCall("s1", "post", "g0", 9.0, 2.9, 2.9, answered_s=7.4)
+    call.status, call.reason = 502, "call_ended"
+    observations.calls.append(call)
+    check_stops(observations)
+    assert observations.findings.violations == []
