--- a/tests/test_gateway_stops.py
+++ b/tests/test_gateway_stops.py
@@ -13,6 +13,7 @@
 from bramleyport.fleet import plan_shutdown
 from tests.gateway_fleet import GatewayFleet, make_config
 from tests.platform_standin import (
+    EVENT_COUNT,
     LOOPBACK,
     RawCaller,
     RawRequest,
@@ -23,6 +24,7 @@
     lose_answer,
     make_stamp_headers,
     make_stream_abort,
+    render_event,
     render_response,
     script_first_request,
 )
@@ -439,3 +441,69 @@
         return received
 
     assert run(stop()) >= len(body)
+
+
+def test_stream_is_resumed_at_another_upstream_in_a_stop(
+    fleet: GatewayFleet, run: Run
+) -> None:
+    """Guards against a stop that ends a stream whose first upstream has failed."""
+
+    async def stop() -> Any:
+        for engine in fleet.engines:
+            engine.script = answer_late
+        script_first_request(fleet.engines, make_stream_abort(2))
+        stopping = asyncio.ensure_future(fleet.gateway.stop())
+        await asyncio.sleep(PAUSE_S)
+        answer = await fleet.make_caller().call("/stream/x", body=b"b")
+        await stopping
+        return answer
+
+    answer = run(stop())
+    assert (answer.status, answer.complete) == (200, True)
+    events = b"".join(render_event(number) for number in range(1, EVENT_COUNT + 1))
+    assert answer.body == events
+
+
+BLOCKED_S = 0.5
+
+
+@pytest.mark.parametrize("blocked_from_s", [0.0, 2.8, 3.0])
+def test_requests_that_arrive_while_the_loop_is_blocked_are_served(
+    fleet: GatewayFleet, run: Run, blocked_from_s: float
+) -> None:
+    """Guards against closing connections by what was read before the loop stood."""
+
+    async def stop() -> list[str]:
+        kept = connect_with_request(fleet.port, "w1")
+        assert await read_status(kept) == "200"
+        loop = asyncio.get_running_loop()
+        stopping = asyncio.ensure_future(fleet.gateway.stop())
+        await asyncio.sleep(blocked_from_s)
+        try:
+            kept.sendall(render_request("w2"))
+        except ConnectionError:
+            kept.close()
+        new = connect_with_request(fleet.port, "w3")
+        loop.call_soon(time.sleep, BLOCKED_S)
+        ends = [await read_status(item) for item in (kept, new) if item.fileno() >= 0]
+        await stopping
+        return ends
+
+    assert set(run(stop())) == {"200"}
+
+
+def test_silent_store_does_not_delay_the_end_of_a_stop(
+    fleet: GatewayFleet, run: Run
+) -> None:
+    """Guards against a kill by the platform while a gateway waits for the store."""
+
+    async def stop() -> float:
+        fleet.store.unresponsive = True
+        began_s = time.monotonic()
+        caller = fleet.make_caller()
+        stopping = asyncio.ensure_future(fleet.gateway.stop())
+        assert (await caller.call("/post/x", body=b"b")).status == 200
+        await stopping
+        return time.monotonic() - began_s
+
+    assert run(stop()) < fleet.state.settings.grace_s
