--- a/tests/soak/_processes.py
+++ b/tests/soak/_processes.py
@@ -13,6 +13,7 @@
 from tests.gateway_fleet import make_settings
 from tests.soak._proxy import FaultProxy
 
+NANOSECONDS_PER_S = 1_000_000_000
 STARTED_EVENT = b'"event": 1001'
 
 
@@ -75,6 +76,15 @@
             self.process.kill()
             self.process.wait()
 
+    def read_waited_s(self) -> float:
+        """Return how long the process was ready to run, but had no processor."""
+        assert self.process is not None
+        try:
+            fields = Path(f"/proc/{self.process.pid}/schedstat").read_text().split()
+        except OSError:
+            return 0.0
+        return int(fields[1]) / NANOSECONDS_PER_S if fields else 0.0
+
     def describe_bad_exit(self, code: int) -> str | None:
         """Return the error if a process that got SIGTERM ended with a wrong exit code.
 
--- a/tests/soak/_stop_checks.py
+++ b/tests/soak/_stop_checks.py
@@ -42,7 +42,13 @@
             for name, time_s in times.items()
             if time_s is not None
         }
-        return f"{self.name} ({self.kind}, {self.gateway}): {shown}"
+        text = f"{self.name} ({self.kind}, {self.gateway}): {shown}"
+        if stop is None:
+            return text
+        return (
+            f"{text}, grace time {stop.grace_s} s, of which the process waited "
+            f"{stop.waited_s:.2f} s for a processor"
+        )
 
 
 @dataclass(slots=True)
@@ -53,6 +59,8 @@
     grace_s: float
     signalled_s: float
     exited_s: float = float("inf")
+    # Time in the stop for which the process was ready to run, but had no processor.
+    waited_s: float = 0.0
 
     @property
     def served_until_s(self) -> float:
--- a/tests/soak/_stop_soak.py
+++ b/tests/soak/_stop_soak.py
@@ -202,6 +202,7 @@
         process = gateway.process
         assert process is not None
         grace_s = self._graces_s[gateway.name]
+        waited_before_s = gateway.read_waited_s()
         stop = PlannedStop(gateway.name, grace_s, time.monotonic())
         self._stops.stops.append(stop)
         self.findings.faults["stop_gateway"] += 1
@@ -209,6 +210,8 @@
         signals = asyncio.ensure_future(self._send_signals(gateway, grace_s))
         try:
             while process.poll() is None:
+                waited_s = gateway.read_waited_s() - waited_before_s
+                stop.waited_s = max(stop.waited_s, waited_s)
                 self._kill_late(gateway, stop)
                 await asyncio.sleep(EXIT_POLL_INTERVAL_S)
         finally:
--- a/tests/test_gateway_stops.py
+++ b/tests/test_gateway_stops.py
@@ -9,8 +9,10 @@
 from typing import Any
 
 import pytest
+from loguru import logger
 
 from bramleyport.fleet import plan_shutdown
+from bramleyport.telemetry import gateway_events
 from tests.gateway_fleet import GatewayFleet, make_config
 from tests.platform_standin import (
     EVENT_COUNT,
@@ -507,3 +509,31 @@
         return time.monotonic() - began_s
 
     assert run(stop()) < fleet.state.settings.grace_s
+
+
+@pytest.mark.parametrize("path", ["/post/x", "/once/x"])
+def test_calls_that_a_stop_ends_are_logged(
+    fleet: GatewayFleet, run: Run, path: str
+) -> None:
+    """Guards against calls that end without a word in the log on the cause."""
+    failed: list[Any] = []
+
+    def collect(message: Any) -> None:
+        extra = message.record["extra"]
+        if extra.get("event") == gateway_events.CALL_FAILED.number:
+            failed.append(extra["fields"])
+
+    async def stop() -> None:
+        fleet.state.settings = replace(fleet.state.settings, grace_s=2.0)
+        for upstream in (*fleet.plain, *fleet.engines):
+            upstream.script = hang
+        await fleet.make_caller().send(path, body=b"b", Request_Id="q9")
+        await fleet.wait_for(lambda: fleet.list_runs())
+        await fleet.gateway.stop()
+
+    sink = logger.add(collect)
+    run(stop())
+    logger.remove(sink)
+    assert [(item["request"], item["reason"]) for item in failed] == [
+        ("q9", "stopping")
+    ]
