Log the calls that the end of a planned stop has ended

Operators saw: of a call that outlasted the grace time the log had 2602 and nothing after it, so that it could not be told from one that was cut.

Cause: such calls were answered without a line in the log. Change: 2604 names each with the reason `stopping`.

--- a/bramleyport/gateway/_forward.py
+++ b/bramleyport/gateway/_forward.py
@@ -49,6 +49,7 @@
                 await self._run(context, head.last_event)
         except asyncio.CancelledError:
             if self._state.ending and not connection.closed:
+                _log_ended_call(head, context)
                 _end_call(connection, head, context)
                 return
             log_event(
@@ -138,6 +139,18 @@
     answer_failed_call(connection, head.request, may_have_run=may_have_run)
 
 
+def _log_ended_call(head: CallHead, context: CallContext | None) -> None:
+    log_event(
+        gateway_events.CALL_FAILED,
+        request=head.request,
+        route=context.call.route.name if context else "",
+        reason="stopping",
+        left_s=round(context.remaining_s, 3) if context else 0.0,
+        sends=context.attempts.sends if context else 0,
+        runs=context.attempts.runs if context else 0,
+    )
+
+
 def _read_host(request: CallerRequest) -> str:
     for name, value in request.headers:
         if name.lower() == b"host":
