Guard work that arrives as an agent closes its port

The moment that cut calls at gateways and entries is harmless at agents: they refuse new work from the beginning of a stop on, and the refusal is sent.

--- a/tests/test_planned_stops.py
+++ b/tests/test_planned_stops.py
@@ -204,6 +204,42 @@
     run(check())
 
 
+def test_work_that_arrives_as_an_agent_closes_its_port_is_refused(
+    demo: Any, run: Run
+) -> None:
+    """Guards against work that is reported as unknown although it was not run."""
+
+    async def check() -> None:
+        agent = demo.agents[0]
+        process = replace(demo.entries[0].settings.process, process="entry-9")
+        peer = await open_connection(
+            f"ws://127.0.0.1:{agent.port}", build_identity(process), lambda: Revision(0)
+        )
+        received: list[Message] = []
+
+        def take(connection: Connection, message: Message) -> None:
+            received.append(message)
+            if isinstance(message, Leaving):
+                connection.post(message)
+
+        running = asyncio.ensure_future(peer.run(take))
+        await wait_until(lambda: bool(received))
+        inner = next(item for item in agent._connections if item.peer == "entry-9")
+        close = agent._server.close
+
+        def receive_and_close() -> None:
+            agent._handle(inner, make_execute("late"))
+            close()
+
+        agent._server.close = receive_and_close
+        await agent.stop()
+        await running
+        refused = [m for m in received if isinstance(m, Refused)]
+        assert [(m.attempt, m.reason) for m in refused] == [("late", "leaving")]
+
+    run(check())
+
+
 def make_execute(attempt: str = "attempt-1") -> Execute:
     work = Work(
         request=RequestId("r"),
