--- a/tests/test_gateway_stops.py
+++ b/tests/test_gateway_stops.py
@@ -9,10 +9,13 @@
 from typing import Any
 
 import pytest
+from loguru import logger
 
 from bramleyport.fleet import plan_shutdown
+from bramleyport.telemetry import gateway_events
 from tests.gateway_fleet import GatewayFleet, make_config
 from tests.platform_standin import (
+    EVENT_COUNT,
     LOOPBACK,
     RawCaller,
     RawRequest,
@@ -23,6 +26,7 @@
     lose_answer,
     make_stamp_headers,
     make_stream_abort,
+    render_event,
     render_response,
     script_first_request,
 )
@@ -439,3 +443,97 @@
         return received
 
     assert run(stop()) >= len(body)
+
+
+def test_stream_is_resumed_at_another_upstream_in_a_stop(
+    fleet: GatewayFleet, run: Run
+) -> None:
+    """Guards against a stop that ends a stream whose first upstream has failed."""
+
+    async def stop() -> Any:
+        for engine in fleet.engines:
+            engine.script = answer_late
+        script_first_request(fleet.engines, make_stream_abort(2))
+        stopping = asyncio.ensure_future(fleet.gateway.stop())
+        await asyncio.sleep(PAUSE_S)
+        answer = await fleet.make_caller().call("/stream/x", body=b"b")
+        await stopping
+        return answer
+
+    answer = run(stop())
+    assert (answer.status, answer.complete) == (200, True)
+    events = b"".join(render_event(number) for number in range(1, EVENT_COUNT + 1))
+    assert answer.body == events
+
+
+BLOCKED_S = 0.5
+
+
+@pytest.mark.parametrize("blocked_from_s", [0.0, 2.8, 3.0])
+def test_requests_that_arrive_while_the_loop_is_blocked_are_served(
+    fleet: GatewayFleet, run: Run, blocked_from_s: float
+) -> None:
+    """Guards against closing connections by what was read before the loop stood."""
+
+    async def stop() -> list[str]:
+        kept = connect_with_request(fleet.port, "w1")
+        assert await read_status(kept) == "200"
+        loop = asyncio.get_running_loop()
+        stopping = asyncio.ensure_future(fleet.gateway.stop())
+        await asyncio.sleep(blocked_from_s)
+        try:
+            kept.sendall(render_request("w2"))
+        except ConnectionError:
+            kept.close()
+        new = connect_with_request(fleet.port, "w3")
+        loop.call_soon(time.sleep, BLOCKED_S)
+        ends = [await read_status(item) for item in (kept, new) if item.fileno() >= 0]
+        await stopping
+        return ends
+
+    assert set(run(stop())) == {"200"}
+
+
+def test_silent_store_does_not_delay_the_end_of_a_stop(
+    fleet: GatewayFleet, run: Run
+) -> None:
+    """Guards against a kill by the platform while a gateway waits for the store."""
+
+    async def stop() -> float:
+        fleet.store.unresponsive = True
+        began_s = time.monotonic()
+        caller = fleet.make_caller()
+        stopping = asyncio.ensure_future(fleet.gateway.stop())
+        assert (await caller.call("/post/x", body=b"b")).status == 200
+        await stopping
+        return time.monotonic() - began_s
+
+    assert run(stop()) < fleet.state.settings.grace_s
+
+
+@pytest.mark.parametrize("path", ["/post/x", "/once/x"])
+def test_calls_that_a_stop_ends_are_logged(
+    fleet: GatewayFleet, run: Run, path: str
+) -> None:
+    """Guards against calls that end without a word in the log on the cause."""
+    failed: list[Any] = []
+
+    def collect(message: Any) -> None:
+        extra = message.record["extra"]
+        if extra.get("event") == gateway_events.CALL_FAILED.number:
+            failed.append(extra["fields"])
+
+    async def stop() -> None:
+        fleet.state.settings = replace(fleet.state.settings, grace_s=2.0)
+        for upstream in (*fleet.plain, *fleet.engines):
+            upstream.script = hang
+        await fleet.make_caller().send(path, body=b"b", Request_Id="q9")
+        await fleet.wait_for(lambda: fleet.list_runs())
+        await fleet.gateway.stop()
+
+    sink = logger.add(collect)
+    run(stop())
+    logger.remove(sink)
+    assert [(item["request"], item["reason"]) for item in failed] == [
+        ("q9", "stopping")
+    ]
