Let the stand-in of the store come back from a copy

Each answer names the era in which it was made. Waiting watches are cut or answered by the new era, and answers can be held beyond the end of theirs. A write that changes nothing leaves the revision, as the protocol says.

--- a/tests/platform_standin/__init__.py
+++ b/tests/platform_standin/__init__.py
@@ -29,6 +29,7 @@
     truncate,
 )
 from tests.platform_standin._store import (
+    StoreCopy,
     StoreStandin,
 )
 from tests.platform_standin._upstream import (
@@ -56,6 +57,7 @@
     "RawRequest",
     "RawServer",
     "Script",
+    "StoreCopy",
     "StoreStandin",
     "UpstreamArrival",
     "UpstreamRun",
--- a/tests/platform_standin/_store.py
+++ b/tests/platform_standin/_store.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import json
+from collections.abc import Callable
+from dataclasses import dataclass
 from typing import Any
 from urllib.parse import unquote
 
@@ -12,6 +14,18 @@
     render_response,
 )
 
+Event = tuple[int, str, dict[str, Any], bool]
+
+
+@dataclass(frozen=True, slots=True)
+class StoreCopy:
+    """Describe the content of a store at one moment."""
+
+    revision: int
+    objects: dict[tuple[str, str], dict[str, Any]]
+    events: list[Event]
+    oldest_revision: int
+
 
 class StoreStandin(RawServer):
     """Represent the platform's object store, with faults that tests switch on."""
@@ -20,7 +34,9 @@
         super().__init__()
         self.revision = 1
         self.objects: dict[tuple[str, str], dict[str, Any]] = {}
-        self.events: list[tuple[int, str, dict[str, Any], bool]] = []
+        self.events: list[Event] = []
+        # Rises each time that the store comes back from a copy.
+        self.era = 1
         self.calls: list[str] = []
         self.oldest_revision = 0
         # If set, every call gets this status instead of its answer.
@@ -29,9 +45,20 @@
         self.unresponsive = False
         # Delay of each answer.
         self.delay_s = 0.0
+        # Whether the store accepts no connections.
+        self.is_down = False
+        # Selects the requests whose answers are made at once and sent on release.
+        self.should_hold: Callable[[RawRequest], bool] = lambda request: False
+        self.held_count = 0
+        self._released = asyncio.Event()
         self._changed = asyncio.Event()
+        self._cut_era = 0
 
     def put(self, kind: str, name: str, spec: Any) -> None:
+        """Write an object; a write that changes nothing leaves its revision."""
+        known = self.objects.get((kind, name))
+        if known is not None and _is_unchanged(kind, known["spec"], spec):
+            return
         self.revision += 1
         metadata = {"name": name, "revision": self.revision}
         item = {"metadata": metadata, "spec": spec, "status": None}
@@ -52,6 +79,46 @@
         }
         self.events = [event for event in self.events if event in last.values()]
 
+    def copy(self) -> StoreCopy:
+        """Return a copy of the content, from which the store may come back."""
+        return StoreCopy(
+            self.revision, dict(self.objects), list(self.events), self.oldest_revision
+        )
+
+    def restore(self, copy: StoreCopy, *, cut_watches: bool = True) -> None:
+        """Come back from a copy in a new era.
+
+        Waiting watches lose their connection, or the new era answers them.
+        """
+        self.revision = copy.revision
+        self.objects = dict(copy.objects)
+        self.events = list(copy.events)
+        self.oldest_revision = copy.oldest_revision
+        self.era += 1
+        if cut_watches:
+            self._cut_era = self.era
+        self._changed.set()
+
+    async def restore_after_outage(
+        self, copy: StoreCopy, outage_s: float, *, cut_watches: bool = True
+    ) -> None:
+        """Be unreachable for a while and come back from a copy."""
+        self.is_down = True
+        self.reset_connections()
+        await asyncio.sleep(outage_s)
+        self.restore(copy, cut_watches=cut_watches)
+        self.is_down = False
+
+    def hold_answers(self, should_hold: Callable[[RawRequest], bool]) -> None:
+        """Make the answers to some requests at once, but send them on release."""
+        self._released = asyncio.Event()
+        self.should_hold = should_hold
+
+    def release_answers(self) -> None:
+        """Send the held answers, and hold no more."""
+        self.should_hold = lambda request: False
+        self._released.set()
+
     def discard_history(self) -> None:
         """Expire all events; older watches get status 410 and must list again."""
         self.oldest_revision = self.revision
@@ -60,15 +127,20 @@
     async def serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        while (request := await read_request(reader)) is not None:
+        while not self.is_down and (request := await read_request(reader)) is not None:
             self.calls.append(f"{request.method} {request.target}")
             if self.unresponsive:
                 await asyncio.sleep(60)
             status, document = self.refusal_status, {}
             if status is None:
                 status, document = await self._answer(request)
+            body = json.dumps(document).encode()
+            response = render_response(status, body, Store_Era=str(self.era))
+            if self.should_hold(request):
+                self.held_count += 1
+                await self._released.wait()
             await asyncio.sleep(self.delay_s)
-            writer.write(render_response(status, json.dumps(document).encode()))
+            writer.write(response)
             await writer.drain()
 
     async def _answer(self, request: RawRequest) -> tuple[int, Any]:
@@ -104,10 +176,12 @@
         return 200, self.objects[kind, name]
 
     async def _watch(self, kind: str, query: dict[str, str]) -> tuple[int, Any]:
-        since = int(query["watch"])
+        since, era = int(query["watch"]), self.era
         deadline_s = asyncio.get_running_loop().time() + int(query["wait_ms"]) / 1000
         while True:
-            if since < self.oldest_revision:
+            if era < self._cut_era:
+                raise ConnectionAbortedError
+            if not self.oldest_revision <= since <= self.revision:
                 return 410, {}
             found = [
                 {"object": item, "deleted": deleted}
@@ -126,3 +200,10 @@
     def _record_event(self, kind: str, item: dict[str, Any], *, deleted: bool) -> None:
         self.events.append((self.revision, kind, item, deleted))
         self._changed.set()
+
+
+def _is_unchanged(kind: str, known: Any, new: Any) -> bool:
+    """Return whether a write changes nothing, or of an upstream only its counter."""
+    if kind == "servers" and isinstance(known, dict) and isinstance(new, dict):
+        return {**known, "seq": 0} == {**new, "seq": 0}
+    return bool(known == new)
--- a/tests/platform_standin/_upstream.py
+++ b/tests/platform_standin/_upstream.py
@@ -53,6 +53,8 @@
         # The rate limit that answers to calls name; empty for none.
         self.limit = ""
         self.born_ms = 1000
+        # Rises each time that the upstream writes its registration.
+        self.sequence = 0
         self.orders: list[dict[str, Any]] = []
         self.freed_handles: list[str] = []
         self.accepted_orders = 0
@@ -65,6 +67,7 @@
 
     def register(self, store: StoreStandin, **changes: Any) -> None:
         """Write this upstream's registration to the store."""
+        self.sequence += 1
         registration = {
             "service": self.service,
             "addr": f"{LOOPBACK}:{self.port}",
@@ -75,7 +78,7 @@
             "cold_left_ms": 0,
             "stage": self.stage,
             "models": [],
-            "seq": 1,
+            "seq": self.sequence,
             "born": self.born_ms,
         }
         store.put("servers", self.name, registration | changes)
