--- a/tests/platform_standin/_store.py
+++ b/tests/platform_standin/_store.py
@@ -54,10 +54,14 @@
         self._changed = asyncio.Event()
         self._cut_era = 0
 
+    def has_spec(self, kind: str, name: str, spec: Any) -> bool:
+        """Return whether writing an object would change nothing."""
+        known = self.objects.get((kind, name))
+        return known is not None and _is_unchanged(kind, known["spec"], spec)
+
     def put(self, kind: str, name: str, spec: Any) -> None:
         """Write an object; a write that changes nothing leaves its revision."""
-        known = self.objects.get((kind, name))
-        if known is not None and _is_unchanged(kind, known["spec"], spec):
+        if self.has_spec(kind, name, spec):
             return
         self.revision += 1
         metadata = {"name": name, "revision": self.revision}
--- a/tests/soak/_callers.py
+++ b/tests/soak/_callers.py
@@ -2,15 +2,25 @@
 
 import asyncio
 import time
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from random import Random
 
 from tests.platform_standin import RawCaller
-from tests.soak._checks import Observations, SentCall, check_answer, check_extra_route
+from tests.soak._checks import (
+    Observations,
+    SentCall,
+    ServedVersion,
+    check_answer,
+    check_extra_route,
+)
+from tests.soak._configurations import make_version_path
 from tests.soak._deadly_prompts import Prompts
 from tests.soak._processes import GatewayProcess
 
 KINDS = ("read", "post", "once", "stream", "extra")
+# Calls that only one of the newest versions of the configuration routes.
+VERSION_KIND = "version"
+NEWEST_VERSIONS = 3
 DEADLINE_MS = 1500
 # A gateway that sends no answer for this long has lost the call.
 ANSWER_TIMEOUT_S = 6.0
@@ -33,6 +43,9 @@
         self._gateways = gateways
         self._random = random
         self.prompts = Prompts(random)
+        self.kinds: tuple[str, ...] = KINDS
+        # Returns the newest version of the configuration.
+        self.read_version: Callable[[], int] = lambda: 1
         self._number = 0
         self.stopping = False
 
@@ -40,28 +53,28 @@
         """Open one connection after another and send calls over each."""
         while not self.stopping:
             gateway = self._random.choice(self._gateways)
-            await self._use(RawCaller(gateway.caller_proxy.port))
+            await self._use(gateway, RawCaller(gateway.caller_proxy.port))
             await asyncio.sleep(self._random.random() * 0.05)
 
-    async def is_serving(self, gateway: GatewayProcess) -> bool:
+    async def is_serving(self, gateway: GatewayProcess, path: str = "/read/x") -> bool:
         """Return whether the gateway answers a call with status 200."""
         caller = RawCaller(gateway.caller_proxy.server_port)
         name = self._name("read")
         try:
-            answer = await caller.call("/read/x", method="GET", Request_Id=name)
+            answer = await caller.call(path, method="GET", Request_Id=name)
         except (OSError, asyncio.IncompleteReadError):
             return False
         finally:
             caller.close()
         return answer.status == 200
 
-    async def _use(self, caller: RawCaller) -> None:
+    async def _use(self, gateway: GatewayProcess, caller: RawCaller) -> None:
         """Send some calls over one connection, or until the gateway closes it."""
         is_persistent = self._random.random() < PERSISTENT_FRACTION
         count = 10_000 if is_persistent else self._random.randint(1, 5)
         try:
             for _ in range(count):
-                if self.stopping or not await self._call(caller):
+                if self.stopping or not await self._call(gateway, caller):
                     return
                 await asyncio.sleep(self._random.random() * 0.05)
         except (OSError, asyncio.IncompleteReadError):
@@ -71,16 +84,21 @@
         finally:
             caller.close()
 
-    async def _call(self, caller: RawCaller) -> bool:
+    async def _call(self, gateway: GatewayProcess, caller: RawCaller) -> bool:
         """Send one call and return whether the connection can be reused."""
-        kind = self._random.choice(KINDS)
+        kind = self._random.choice(self.kinds)
         name = self._name(kind)
         call = self._record.sent[name]
         headers = {"Request_Id": name, "Deadline_Ms": str(DEADLINE_MS)}
         if kind in ("once", "stream"):
             call.deadly_part = self.prompts.pick_deadly_part()
             headers |= self.prompts.pick_headers(name[1:], call.deadly_part)
-        await caller.send(f"/{kind}/x", body=b"b", **headers)
+        path, version = f"/{kind}/x", 0
+        if kind == VERSION_KIND:
+            version = self._pick_version()
+            path = f"{make_version_path(version)}x"
+        started_s = gateway.started_s
+        await caller.send(path, body=b"b", **headers)
         if self._random.random() < DISCONNECT_FRACTION:
             await asyncio.sleep(self._random.random() * 0.1)
             caller.close()
@@ -91,8 +109,20 @@
         check_answer(self._record, name, kind, call.answer)
         if kind == "extra":
             check_extra_route(self._record, name, call.answer.status)
+        if kind == VERSION_KIND and call.answer.status == 200:
+            answered_s = time.monotonic()
+            if gateway.started_s == started_s:
+                self._record.versions.append(
+                    ServedVersion(
+                        gateway.name, started_s, version, call.sent_s, answered_s
+                    )
+                )
         return call.answer.headers.get("connection", "").lower() != "close"
 
+    def _pick_version(self) -> int:
+        newest = self.read_version()
+        return self._random.randint(max(1, newest - NEWEST_VERSIONS + 1), newest)
+
     def _name(self, kind: str) -> str:
         self._number += 1
         # Without its "s", the name identifies the part of a prompt that is unique to
--- a/tests/soak/_checks.py
+++ b/tests/soak/_checks.py
@@ -67,6 +67,18 @@
     present: bool
 
 
+@dataclass(frozen=True, slots=True)
+class ServedVersion:
+    """Describe a call that only one version of the configuration routes."""
+
+    gateway: str
+    # When the process of the gateway was started.
+    started_s: float
+    version: int
+    sent_s: float
+    answered_s: float
+
+
 @dataclass(slots=True)
 class Observations:
     """Track what was sent and changed, for the checks."""
@@ -85,6 +97,7 @@
     )
     route_changes: list[RouteChange] = field(default_factory=list)
     limits: list[NamedLimit] = field(default_factory=list)
+    versions: list[ServedVersion] = field(default_factory=list)
     # Time windows in which a limit was checked.
     limited_windows: int = 0
 
@@ -135,6 +148,21 @@
         )
 
 
+def check_versions(observations: Observations) -> None:
+    """Check that no process routes by an older version after a newer one."""
+    newest: dict[tuple[str, float], list[ServedVersion]] = defaultdict(list)
+    for item in observations.versions:
+        newest[item.gateway, item.started_s].append(item)
+    for served in newest.values():
+        for later in served:
+            earlier = [item for item in served if item.answered_s < later.sent_s]
+            known = max((item.version for item in earlier), default=0)
+            if known > later.version:
+                observations.report_violation(
+                    f"{later.gateway}: version {later.version} after {known}"
+                )
+
+
 def check_runs(
     observations: Observations, upstreams: Sequence[UpstreamStandin]
 ) -> None:
--- a/tests/soak/_faults.py
+++ b/tests/soak/_faults.py
@@ -10,7 +10,7 @@
 from typing import Any, Final
 
 from bramleyport.gateway._follower import choose_watch_times
-from tests.gateway_fleet import BOUNDS, make_config, make_route
+from tests.gateway_fleet import BOUNDS
 from tests.platform_standin import CrashingEngine, StoreStandin, UpstreamStandin
 from tests.rate_window import SETTLE_S, WINDOW_S
 from tests.soak._checks import (
@@ -20,6 +20,7 @@
     Observations,
     RouteChange,
 )
+from tests.soak._configurations import make_versioned_config
 from tests.soak._processes import GatewayProcess
 from tests.soak._proxy import Direction, FaultProxy
 
@@ -43,6 +44,8 @@
     upstreams: Sequence[UpstreamStandin]
     # Proxies in front of the upstreams, by upstream name.
     proxies: dict[str, FaultProxy]
+    # The version that the operator has written last.
+    version: int = 1
 
     def pick_gateway(self) -> GatewayProcess:
         return self.random.choice(self.gateways)
@@ -70,6 +73,12 @@
             if limit.upstream == upstream.name:
                 limit.until_s = min(limit.until_s, time.monotonic())
 
+    def end_drains(self, upstream: UpstreamStandin) -> None:
+        """Record that an upstream is no longer draining."""
+        for drain in self.observations.drains:
+            if drain.upstream == upstream.name:
+                drain.until_s = min(drain.until_s, time.monotonic())
+
     def register_upstream(self, upstream: UpstreamStandin, **changes: str) -> None:
         """Write the registration of an upstream, with the address of its proxy."""
         if isinstance(upstream, CrashingEngine):
@@ -178,18 +187,18 @@
     try:
         await asyncio.sleep(targets.random.random() * MAX_DRAIN_S)
     finally:
-        drain.until_s = time.monotonic()
+        targets.end_drains(upstream)
         targets.register_upstream(upstream)
 
 
 @register_planned
 async def change_configuration(targets: FaultTargets) -> None:
     """Write a newer configuration, with or without the extra route."""
-    version = targets.store.objects["config", "main"]["spec"]["version"] + 1
+    if targets.store.is_down:
+        return
+    targets.version += 1
     present = targets.random.random() < 0.5
-    config = make_config(version)
-    if present:
-        config["routes"].append(make_route("extra", "/extra/", "idempotent"))
+    config = make_versioned_config(targets.version, extra=present)
     targets.store.put("config", "main", config)
     targets.observations.route_changes.append(RouteChange(time.monotonic(), present))
 
--- a/tests/soak/_findings.py
+++ b/tests/soak/_findings.py
@@ -16,6 +16,8 @@
     violations: list[str] = field(default_factory=list)
     # Time windows in which the rate limit of an upstream was checked.
     limited_windows: int = 0
+    # How often the store came back from a copy.
+    restored_count: int = 0
     # Crashes by the part of a prompt that caused them.
     crashes: Counter[str] = field(default_factory=Counter)
 
@@ -28,6 +30,7 @@
             f"{sum(self.calls.values())} calls, {answered} answered 200, "
             f"{sum(self.faults.values())} faults, {self.limited_windows} windows at "
             f"limits, crashes by part: {dict(self.crashes)}, "
+            f"store restored {self.restored_count} times, "
             f"{len(self.violations)} violations"
         )
 
--- a/tests/soak/_seeds.py
+++ b/tests/soak/_seeds.py
@@ -13,4 +13,7 @@
     216: "same cause as seed 209",
     231: "same cause as seed 209",
     209: "gateways that started blamed parts of sound prompts; profile crashes",
+    11: "updates compared revisions of two eras; profile restored, nine gateways",
+    12: "same cause as seed 11",
+    13: "same cause as seed 11",
 }
--- a/tests/soak/_soak_run.py
+++ b/tests/soak/_soak_run.py
@@ -25,14 +25,16 @@
     make_stream_abort,
     truncate,
 )
-from tests.soak._callers import Callers
+from tests.soak._callers import KINDS, VERSION_KIND, Callers
 from tests.soak._checks import (
     Observations,
     check_disconnected_callers,
     check_drains,
     check_limits,
     check_runs,
+    check_versions,
 )
+from tests.soak._configurations import make_version_path
 from tests.soak._crash_checks import check_deadly_parts, check_sound_prompts
 from tests.soak._deadly_prompts import DEADLY_PARTS
 from tests.soak._faults import (
@@ -46,6 +48,11 @@
 from tests.soak._findings import Findings, Impairments
 from tests.soak._processes import GatewayProcess
 from tests.soak._proxy import FaultProxy
+from tests.soak._restored_store import (
+    FIRST_RESTORE_FAULTS,
+    RESTORE_FAULTS,
+    RestorableStore,
+)
 
 CALLERS_PER_GATEWAY = 3
 START_LIMIT_S = 30.0
@@ -91,6 +98,9 @@
     MIXED_LIMITS = "mixed_limits"
     # Engines that crash on parts of prompts, and gateways that end.
     CRASHES = "crashes"
+    # As PLANNED and MIXED, and also a store that comes back from old copies.
+    RESTORED = "restored"
+    RESTORED_MIXED = "restored_mixed"
 
 
 # A seed chooses one of these. The others aren't among them, so that the seeds that have
@@ -117,7 +127,7 @@
         self.observations = Observations(
             self.findings, Impairments(), check_time_limits=check_time_limits
         )
-        self._store = StoreStandin()
+        self._store = RestorableStore() if self._restores_store else StoreStandin()
         self._folder = folder
         self._gateway_count = gateways
         self._upstreams = [UpstreamStandin(f"p{n}", service=PLAIN) for n in range(3)]
@@ -145,10 +155,22 @@
             {},
         )
         self._callers = Callers(self.observations, self._gateways, self._random)
+        if self._restores_store:
+            self._callers.kinds = (*KINDS, VERSION_KIND)
+            self._callers.read_version = lambda: self._targets.version
 
     @property
     def _injects_faults(self) -> bool:
-        return self._profile not in (Profile.PLANNED, Profile.LIMITS, Profile.CRASHES)
+        return self._profile not in (
+            Profile.PLANNED,
+            Profile.LIMITS,
+            Profile.CRASHES,
+            Profile.RESTORED,
+        )
+
+    @property
+    def _restores_store(self) -> bool:
+        return self._profile in (Profile.RESTORED, Profile.RESTORED_MIXED)
 
     @property
     def _names_limits(self) -> bool:
@@ -199,12 +221,18 @@
         callers = [
             asyncio.ensure_future(self._callers.send_calls()) for _ in range(count)
         ]
+        copies: asyncio.Future[None] | None = None
+        if isinstance(self._store, RestorableStore):
+            copies = asyncio.ensure_future(self._store.take_copies())
+            await asyncio.sleep(0)
         faults = asyncio.ensure_future(self._inject_faults())
         if self._profile is Profile.CRASHES:
             await asyncio.sleep(SOUND_S)
             self._add_deadly_parts()
         await asyncio.sleep(seconds)
         faults.cancel()
+        if copies is not None:
+            copies.cancel()
         await asyncio.gather(faults, return_exceptions=True)
         await self._end_faults()
         await self._check_recovery()
@@ -254,10 +282,14 @@
             faults |= UNPLANNED_FAULTS
         if self._names_limits:
             faults |= LIMIT_CHANGES
+        if self._restores_store:
+            faults |= RESTORE_FAULTS
+        # However short a run is, the store is restored once.
+        first = list(reversed(FIRST_RESTORE_FAULTS)) if self._restores_store else []
         running: set[asyncio.Task[None]] = set()
         try:
             while True:
-                name = self._random.choice(list(faults))
+                name = first.pop() if first else self._random.choice(list(faults))
                 self.findings.faults[name] += 1
                 running.add(asyncio.ensure_future(faults[name](self._targets)))
                 await asyncio.sleep(self._random.random() * MAX_FAULT_INTERVAL_S)
@@ -286,9 +318,13 @@
             )
 
     async def _wait_ready(self) -> None:
+        path = "/read/x"
+        if self._restores_store and self._targets.version > 1:
+            # Only the newest configuration routes this.
+            path = f"{make_version_path(self._targets.version)}x"
         async with asyncio.timeout(START_LIMIT_S):
             for gateway in self._gateways:
-                while not await self._callers.is_serving(gateway):
+                while not await self._callers.is_serving(gateway, path):
                     await asyncio.sleep(0.1)
 
     async def _stop(self) -> None:
@@ -304,12 +340,14 @@
     def _check(self) -> None:
         check_runs(self.observations, self._upstreams)
         check_limits(self.observations, self._upstreams)
+        check_versions(self.observations)
         if self._engines:
             parts = self._callers.prompts.deadly_parts
             check_deadly_parts(self.observations, self._engines, parts)
             check_sound_prompts(self.observations, self._engines, self._deadly_from_s)
         self.findings.limited_windows = self.observations.limited_windows
-        if self._profile is Profile.PLANNED and self.observations.check_time_limits:
+        has_limits = self._profile in (Profile.PLANNED, Profile.RESTORED)
+        if has_limits and self.observations.check_time_limits:
             check_drains(self.observations, self._upstreams)
             check_disconnected_callers(self.observations, self._upstreams)
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -31,12 +31,14 @@
     Observations,
     RouteChange,
     SentCall,
+    ServedVersion,
     check_answer,
     check_disconnected_callers,
     check_drains,
     check_extra_route,
     check_limits,
     check_runs,
+    check_versions,
 )
 from tests.soak._crash_checks import check_deadly_parts, check_sound_prompts
 from tests.soak._processes import GatewayProcess
@@ -108,6 +110,36 @@
     assert findings.calls["stream 200"] > 0
 
 
+# Guards against gateways that follow the old history of a store that came back from a
+# copy, so that the newest configuration never comes into force.
+def test_guarantees_hold_while_the_store_is_restored(run: Run) -> None:
+    findings = run(
+        run_soak(11, 3.0, gateways=8, profile=Profile.RESTORED, check_time_limits=False)
+    )
+    assert findings.violations == []
+    assert findings.restored_count > 0
+    assert findings.calls["post 200"] > 0
+    assert findings.calls["version 200"] > 0
+
+
+# Guards the check against older versions that are missed, and against calls that were
+# under way at the same time or met another process.
+@pytest.mark.parametrize(
+    ("sent_s", "started_s", "violated"),
+    [(12.0, 1.0, True), (10.5, 1.0, False), (12.0, 2.0, False)],
+    ids=["later", "meanwhile", "restarted"],
+)
+def test_older_version_after_a_newer_one_is_found(
+    observations: Observations, sent_s: float, started_s: float, violated: bool
+) -> None:
+    observations.versions += [
+        ServedVersion("g0", 1.0, version=2, sent_s=10.0, answered_s=11.0),
+        ServedVersion("g0", started_s, version=1, sent_s=sent_s, answered_s=13.0),
+    ]
+    check_versions(observations)
+    assert bool(observations.findings.violations) is violated
+
+
 def make_crashed_engine(crashes: int, arrivals: int) -> CrashingEngine:
     """Return an engine that crashed on a part before time 10 and got it after that."""
     engine = CrashingEngine("d0", service="language", stage="decode")
