--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -8,8 +8,10 @@
 from typing import Any
 
 import pytest
+from result import Err
 
 from bramleyport.fleet import PrefixId, Verdict
+from bramleyport.platform import StoreError, StoreFailure
 from tests.platform_standin import RawRequest
 from tests.restored_group import (
     CALLS_PER_S,
@@ -33,9 +35,12 @@
     folder: Path,
     gateways: int,
     script: Callable[[RestoredGroup], Coroutine[Any, Any, None]],
+    *,
+    names_era: bool = True,
 ) -> None:
     async def whole() -> None:
         group = RestoredGroup(folder, gateways)
+        group.store.names_era = names_era
         try:
             await group.start()
             await script(group)
@@ -62,7 +67,8 @@
     group.write_config(version, "newest")
     group.store.delete("servers", "p1")
     group.get("p8").register(group.store)
-    group.store.delete("servers", "p0")
+    if ("servers", "p0") in group.store.objects:
+        group.store.delete("servers", "p0")
     group.get("p9").register(group.store)
 
 
@@ -243,6 +249,50 @@
     run_group(run, tmp_path, gateways, script)
 
 
+# Guards against a gateway that drops what the others tell it of the new era, because it
+# can't read the store itself.
+def test_gateway_without_the_store_follows_the_new_era_by_others(
+    run: Run, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def refuse(step: str, request: Any, timeout_s: float) -> Any:
+        error = StoreError(failure=StoreFailure.REFUSED, step=step, reason="429")
+        return Err(error)
+
+    async def script(group: RestoredGroup) -> None:
+        copy = group.store.copy()
+        group.write_config(2, "second")
+        await group.wait_for_version(2)
+        group.store.restore(copy)
+        gateway = next(
+            gateway
+            for gateway in group.gateways.values()
+            if not gateway._peers.is_store_watcher()
+        )
+        monkeypatch.setattr(gateway._store, "_exchange", refuse)
+        await asyncio.sleep(0.5)
+        group.write_config(3, "newest")
+        await asyncio.sleep(SETTLED_S)
+        assert set((await group.call_all("/newest/x")).values()) == {200}
+
+    run_group(run, tmp_path, 9, script)
+
+
+# Guards against gateways that follow no changes of a store that names no era.
+@own_and_shared_watches
+def test_store_that_names_no_era_is_followed(
+    run: Run, tmp_path: Path, gateways: int
+) -> None:
+    async def script(group: RestoredGroup) -> None:
+        await change_after_copy(group)
+        await group.start_unregistered_upstream("p8")
+        group.store.discard_history()
+        group.store.reset_connections()
+        write_again(group, 3)
+        await check_newest_state(group)
+
+    run_group(run, tmp_path, gateways, script, names_era=False)
+
+
 # Guards against gateways that each call the store for ever after it was restored,
 # because they wait for a revision of the old era.
 def test_gateways_that_do_not_watch_make_no_calls_after_a_restored_store(
