--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -24,6 +24,9 @@
 
 Run = Callable[[Coroutine[Any, Any, Any]], Any]
 ALL_UPSTREAMS = (*UPSTREAMS, "p8", "p9")
+# An upstream writes its entry once in this time; it expires without three such writes.
+HEARTBEAT_S = 1.2
+EXPIRY_HEARTBEATS = 3
 # Fewer than eight gateways watch the store themselves; of more, a few do so for all.
 own_and_shared_watches = pytest.mark.parametrize(
     "gateways", [3, 9], ids=["own watches", "shared watches"]
@@ -216,6 +219,29 @@
     run_group(run, tmp_path, gateways, script)
 
 
+# Guards against an upstream that is out for good because its entry had expired before
+# the store was restored: it is alive, and what it writes changes only its counter, of
+# which no watch tells.
+@own_and_shared_watches
+def test_upstream_whose_entry_had_expired_is_used_from_the_copy(
+    run: Run, tmp_path: Path, gateways: int
+) -> None:
+    async def script(group: RestoredGroup) -> None:
+        copy = group.store.copy()
+        group.store.delete("servers", "p0")
+        await group.wait_for_ready("p1", "p2")
+        group.store.restore(copy)
+        for _ in range(EXPIRY_HEARTBEATS + 1):
+            group.get("p0").register(group.store)
+            await asyncio.sleep(HEARTBEAT_S)
+        await asyncio.sleep(SETTLED_S)
+        settled_s = time.monotonic()
+        await group.send_calls(1.0, CALLS_PER_S, "/read/x")
+        assert group.count_calls("p0", settled_s) > 0
+
+    run_group(run, tmp_path, gateways, script)
+
+
 # Guards against a copy that takes back a configuration that gateways have.
 @own_and_shared_watches
 def test_copy_takes_back_no_configuration(
