--- a/tests/soak/_findings.py
+++ b/tests/soak/_findings.py
@@ -1,11 +1,14 @@
 """Collect what a soak test has observed."""
 
+import asyncio
 import time
 from collections import Counter
 from collections.abc import Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass, field
 
+STALL_POLL_S = 0.05
+
 
 @dataclass(slots=True)
 class Findings:
@@ -21,6 +24,17 @@
     # Crashes by the part of a prompt that caused them.
     crashes: Counter[str] = field(default_factory=Counter)
 
+    # How long the process of the soak test itself stood still at most, in seconds.
+    longest_stall_s: float = 0.0
+
+    async def measure_stalls(self) -> None:
+        """Measure for how long this process stands still, until cancelled."""
+        while True:
+            started_s = time.monotonic()
+            await asyncio.sleep(STALL_POLL_S)
+            stall_s = time.monotonic() - started_s - STALL_POLL_S
+            self.longest_stall_s = max(self.longest_stall_s, stall_s)
+
     def summarize(self) -> str:
         """Return one line with all counts."""
         answered = sum(
@@ -31,6 +45,7 @@
             f"{sum(self.faults.values())} faults, {self.limited_windows} windows at "
             f"limits, crashes by part: {dict(self.crashes)}, "
             f"store restored {self.restored_count} times, "
+            f"longest stall {self.longest_stall_s:.2f} s, "
             f"{len(self.violations)} violations"
         )
 
--- a/tests/soak/_soak_run.py
+++ b/tests/soak/_soak_run.py
@@ -178,10 +178,12 @@
 
     async def run(self, seconds: float) -> Findings:
         """Inject faults for some seconds and return the findings."""
+        stalls = asyncio.ensure_future(self.findings.measure_stalls())
         try:
             await self._start()
             await self._run_under_faults(seconds)
         finally:
+            stalls.cancel()
             await self._stop()
         self._check()
         return self.findings
