--- a/tests/platform_standin/__init__.py
+++ b/tests/platform_standin/__init__.py
@@ -36,6 +36,7 @@
 )
 from tests.platform_standin._store import (
     RawJson,
+    StoreCopy,
     StoreStandin,
 )
 from tests.platform_standin._upstream import (
@@ -67,6 +68,7 @@
     "RawRequest",
     "RawServer",
     "Script",
+    "StoreCopy",
     "StoreStandin",
     "UpstreamArrival",
     "UpstreamRun",
--- a/tests/soak/_faults.py
+++ b/tests/soak/_faults.py
@@ -10,7 +10,7 @@
 from typing import Any, Final
 
 from bramleyport.gateway._follower import choose_watch_times
-from tests.gateway_fleet import BOUNDS, PLAIN, make_config, make_route
+from tests.gateway_fleet import BOUNDS, PLAIN
 from tests.platform_standin import (
     ODD_FIELDS,
     ODD_METADATA,
@@ -28,6 +28,7 @@
     Observations,
     RouteChange,
 )
+from tests.soak._configurations import make_versioned_config
 from tests.soak._processes import GatewayProcess
 from tests.soak._proxy import Direction, FaultProxy
 
@@ -51,6 +52,8 @@
     upstreams: Sequence[UpstreamStandin]
     # Proxies in front of the upstreams, by upstream name.
     proxies: dict[str, FaultProxy]
+    # The version that the operator has written last.
+    version: int = 1
 
     def pick_gateway(self) -> GatewayProcess:
         return self.random.choice(self.gateways)
@@ -78,6 +81,18 @@
             if limit.upstream == upstream.name:
                 limit.until_s = min(limit.until_s, time.monotonic())
 
+    def end_drains(self, upstream: UpstreamStandin) -> None:
+        """Record that an upstream is no longer draining."""
+        for drain in self.observations.drains:
+            if drain.upstream == upstream.name:
+                drain.until_s = min(drain.until_s, time.monotonic())
+
+    def restart_upstream(self, upstream: UpstreamStandin) -> None:
+        """Register an upstream as another process, which names no limit yet."""
+        self.end_limit(upstream)
+        upstream.born_ms += 1
+        self.register_upstream(upstream)
+
     def register_upstream(self, upstream: UpstreamStandin, **changes: str) -> None:
         """Write the registration of an upstream, with the address of its proxy."""
         if isinstance(upstream, CrashingEngine):
@@ -185,7 +200,10 @@
 
 @register_planned
 async def drain_upstream(targets: FaultTargets) -> None:
-    """Register an upstream as draining, and later as ready again."""
+    """Register an upstream as draining, and later start it again.
+
+    A process that drains ends; the next one under its id was started later.
+    """
     upstream = targets.random.choice(targets.upstreams)
     if any(
         drain.upstream == upstream.name and drain.until_s == float("inf")
@@ -198,18 +216,18 @@
     try:
         await asyncio.sleep(targets.random.random() * MAX_DRAIN_S)
     finally:
-        drain.until_s = time.monotonic()
-        targets.register_upstream(upstream)
+        targets.end_drains(upstream)
+        targets.restart_upstream(upstream)
 
 
 @register_planned
 async def change_configuration(targets: FaultTargets) -> None:
     """Write a newer configuration, with or without the extra route."""
-    version = targets.store.objects["config", "main"]["spec"]["version"] + 1
+    if targets.store.is_down:
+        return
+    targets.version += 1
     present = targets.random.random() < 0.5
-    config = make_config(version)
-    if present:
-        config["routes"].append(make_route("extra", "/extra/", "idempotent"))
+    config = make_versioned_config(targets.version, extra=present)
     targets.store.put("config", "main", config)
     targets.observations.route_changes.append(RouteChange(time.monotonic(), present))
 
@@ -243,9 +261,7 @@
     if not limited or targets.random.random() < KEPT_LIMIT_FRACTION:
         return
     upstream = targets.random.choice(limited)
-    targets.end_limit(upstream)
-    upstream.born_ms += 1
-    targets.register_upstream(upstream)
+    targets.restart_upstream(upstream)
 
 
 @register_odd_entry
@@ -278,10 +294,10 @@
 async def overwrite_configuration(targets: FaultTargets) -> None:
     """Overwrite the configuration with an odd one, then with a valid one."""
     config = targets.store.objects["config", "main"]["spec"]
-    version = config["version"]
-    odd = {"version": version + 1, "more": make_nested(REFUSED_DEPTH)}
+    targets.version += 2
+    odd = {"version": targets.version - 1, "more": make_nested(REFUSED_DEPTH)}
     targets.store.put("config", "main", config | odd)
-    targets.store.put("config", "main", config | {"version": version + 2})
+    targets.store.put("config", "main", config | {"version": targets.version})
 
 
 @register_unplanned
