Compare revisions of the store only within their era

What callers saw: after the store came back from a copy, gateways served an older configuration, or none of what was written since, for good: a watch from a revision that the restored store had given out again got no 410, and updates between gateways compared revisions of different histories.

Cause: a revision was a number, and a number means another state in each era. Change: one type holds era and number; it is what lists, changes, conditional writes, updates between gateways and followers carry. The store's client drops answers of an era that has ended, refuses conditions from one and ends watches that wait in one; a follower reads the list again. Updates name their era; those without one are of the first.

--- a/bramleyport/authority/_lease.py
+++ b/bramleyport/authority/_lease.py
@@ -19,7 +19,7 @@
 
 from bramleyport.authority._documents import Lease
 from bramleyport.charts import ChartMachine, load_chart
-from bramleyport.core import FencingNumber
+from bramleyport.core import FencingNumber, StoreRevision
 
 LEASE_TTL_S: Final = 10.0
 RENEW_INTERVAL_S: Final = 3.0
@@ -37,6 +37,9 @@
 # The holder that a released lease names.
 NO_HOLDER: Final = ""
 
+# What a store gives an object at each write; compared for equality only.
+LeaseVersion = int | StoreRevision
+
 
 @dataclass(frozen=True, slots=True)
 class Tick:
@@ -49,7 +52,7 @@
 
     op: int
     lease: Lease | None
-    version: int
+    version: LeaseVersion
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -57,7 +60,7 @@
     """Report that a write of the lease took effect."""
 
     op: int
-    version: int
+    version: LeaseVersion
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -117,7 +120,7 @@
     """Write the lease if it has the expected version, or create it for None."""
 
     op: int
-    expected: int | None
+    expected: LeaseVersion | None
     lease: Lease
 
 
@@ -168,7 +171,7 @@
         self._op = 0
         self._op_sent_s: float | None = None
         self._next_due_s = 0.0
-        self._version: int | None = None
+        self._version: LeaseVersion | None = None
         self._highest_fencing = 0
         self._unchanged_since_s = 0.0
         self._was_read = False
@@ -280,7 +283,9 @@
         self._next_due_s = min(now_s + POLL_INTERVAL_S, expiry_s)
         return "taken"
 
-    def _record_version(self, lease: Lease, version: int, now_s: float) -> None:
+    def _record_version(
+        self, lease: Lease, version: LeaseVersion, now_s: float
+    ) -> None:
         self._was_read = True
         self._highest_fencing = max(self._highest_fencing, lease.fencing)
         self._version, self._unchanged_since_s = version, now_s
--- a/bramleyport/control/_pool_store.py
+++ b/bramleyport/control/_pool_store.py
@@ -79,6 +79,7 @@
         if action.expected is None:
             result = await self._client.create(Kind.LEASES, name, spec, {})
         else:
+            assert isinstance(action.expected, int)
             version = ObjectVersion(action.expected)
             result = await self._client.update(Kind.LEASES, name, version, spec, {})
         if isinstance(result, Ok):
--- a/bramleyport/core/__init__.py
+++ b/bramleyport/core/__init__.py
@@ -31,6 +31,7 @@
     RequestId,
     Revision,
     ServiceName,
+    StoreEra,
     UpstreamId,
     ZoneName,
 )
@@ -45,6 +46,7 @@
     ServiceKind,
     UpstreamState,
 )
+from bramleyport.core._store_revision import StoreRevision
 from bramleyport.core._views import (
     CachedPrefixes,
     EngineLoad,
@@ -93,6 +95,8 @@
     "ServiceName",
     "SettingsError",
     "StepError",
+    "StoreEra",
+    "StoreRevision",
     "Targets",
     "UnknownPolicyError",
     "UpstreamId",
--- a/bramleyport/core/_ids.py
+++ b/bramleyport/core/_ids.py
@@ -15,5 +15,7 @@
 RequestId = NewType("RequestId", str)
 Revision = NewType("Revision", int)
 ServiceName = NewType("ServiceName", str)
+# Rises each time the platform restores its store from a copy.
+StoreEra = NewType("StoreEra", int)
 UpstreamId = NewType("UpstreamId", str)
 ZoneName = NewType("ZoneName", str)
--- a/bramleyport/fleet/_types.py
+++ b/bramleyport/fleet/_types.py
@@ -137,6 +137,8 @@
     # and its work.
     started_ms: int
     stage: Stage | None = None
+    # Rises with each time that the process writes its registration; 0 if unknown.
+    sequence: int = field(default=0, compare=False)
 
 
 @dataclass(frozen=True, slots=True)
--- a/bramleyport/gateway/_follower.py
+++ b/bramleyport/gateway/_follower.py
@@ -6,10 +6,10 @@
 
 from result import Err
 
-from bramleyport.core import ProcessId, Revision
+from bramleyport.core import ProcessId, StoreEra, StoreRevision
 from bramleyport.fleet import Freshness
 from bramleyport.gateway._clock import read_boot_time, read_now
-from bramleyport.gateway._store_updates import StoreUpdate, select_unseen
+from bramleyport.gateway._store_updates import NO_REVISION, StoreUpdate, select_unseen
 from bramleyport.platform import (
     Change,
     ChangeBatch,
@@ -116,8 +116,12 @@
 class StateUpdater(Protocol):
     """Represent the receiver of the objects that a follower reads."""
 
-    def apply_listing(self, listing: Listing) -> None:
-        """Replace all objects with a complete list."""
+    def apply_listing(self, listing: Listing, *, restored: bool) -> None:
+        """Replace all objects with a complete list.
+
+        If the store was restored, objects of the list may be older than those that
+        are replaced, and some that were written since may be missing.
+        """
 
     def apply_changes(self, batch: ChangeBatch) -> None:
         """Apply changes."""
@@ -148,12 +152,17 @@
         self._times = times
         self._link = link
         self._freshness = Freshness(times.fresh_s)
-        self._revision: Revision | None = None
+        self._revision: StoreRevision | None = None
+        # The era of the last list.
+        self._era: StoreEra | None = None
         self._reachable = True
         self._retry_s = RETRY_FIRST_S
         # The newest revision that a gateway has published.
-        self._published_revision = Revision(0)
+        self._published_revision = NO_REVISION
+        # A peer has read the store in an era that is not known here yet.
+        self._list_needed = False
         self._call_needed = asyncio.Event()
+        store.eras.on_restored.append(lambda _: self._call_needed.set())
 
     async def run(self) -> None:
         """Call the store, or wait for updates of peers, until cancelled."""
@@ -180,13 +189,14 @@
             self._freshness.revoke(update.process)
             self._call_needed.set()
             return
-        if self._revision is None:
+        if self._revision is None or update.revision.era < self._revision.era:
             return
         if update.returned and self._reachable:
             # Report the outage first, because registrations that expired during it may
             # be renewed.
             self._updater.record_store_state(reachable=False)
         if update.revision > self._revision and not self._apply_update(update):
+            self._list_needed |= update.revision.era > self._revision.era
             self._published_revision = max(self._published_revision, update.revision)
             self._call_needed.set()
             return
@@ -198,10 +208,12 @@
         assert self._revision is not None
         if update.changes is None or update.since > self._revision:
             return False
+        if update.revision.era > self._revision.era:
+            return False
         self._apply(update.changes, update.revision)
         return True
 
-    def _apply(self, changes: tuple[Change, ...], revision: Revision) -> None:
+    def _apply(self, changes: tuple[Change, ...], revision: StoreRevision) -> None:
         assert self._revision is not None
         if revision < self._revision:
             # The update of a peer has already brought a newer revision.
@@ -212,8 +224,9 @@
 
     def _measure_idle_time(self) -> float:
         """Return for how many seconds the state stays current without a call."""
-        if self._revision is None or self._link.is_store_watcher():
+        if self._needs_list() or self._link.is_store_watcher():
             return 0.0
+        assert self._revision is not None
         if self._published_revision > self._revision:
             return 0.0
         return self._freshness.measure_remaining(read_now())
@@ -226,22 +239,36 @@
         except TimeoutError:
             return
 
+    def _needs_list(self) -> bool:
+        """Return whether the changes since the known revision can't be read."""
+        if self._revision is None or self._list_needed:
+            return True
+        return self._revision.era < self._store.eras.newest
+
     async def _call_store(self) -> StoreError | None:
-        if self._revision is None:
+        if self._needs_list():
             return await self._list()
+        assert self._revision is not None
         return await self._watch(self._revision)
 
     async def _list(self) -> StoreError | None:
         listing = await self._store.list_objects(self._kind)
         if isinstance(listing, Err):
             return listing.err_value
-        self._revision = listing.ok_value.revision
+        revision = listing.ok_value.revision
+        restored = self._era is not None and revision.era > self._era
+        self._revision, self._era = revision, revision.era
+        self._list_needed = False
         returned = self._record_reachable()
-        self._updater.apply_listing(listing.ok_value)
-        self._publish(self._revision, self._revision, 0.0, returned, None)
+        if restored:
+            log_event(
+                gateway_events.STORE_RESTORED, kind=self._kind.value, revision=revision
+            )
+        self._updater.apply_listing(listing.ok_value, restored=restored)
+        self._publish(revision, revision, 0.0, returned, None)
         return None
 
-    async def _watch(self, since: Revision) -> StoreError | None:
+    async def _watch(self, since: StoreRevision) -> StoreError | None:
         times = self._times
         wait_s = times.shared_wait_s if self._link.is_sharing() else times.wait_s
         started_s = read_boot_time()
@@ -263,8 +290,8 @@
 
     def _publish(
         self,
-        since: Revision,
-        revision: Revision,
+        since: StoreRevision,
+        revision: StoreRevision,
         age_s: float,
         returned: bool,
         changes: tuple[Change, ...] | None,
--- a/bramleyport/gateway/_lease.py
+++ b/bramleyport/gateway/_lease.py
@@ -25,7 +25,7 @@
     read_lease,
     write_lease,
 )
-from bramleyport.core import FencingNumber, ProcessId, Revision
+from bramleyport.core import FencingNumber, ProcessId, StoreRevision
 from bramleyport.gateway._clock import read_boot_time
 from bramleyport.platform import ObjectKind, ObjectName, StoreClient, StoreFailure
 from bramleyport.telemetry import authority_events, gateway_events, log_event
@@ -121,8 +121,10 @@
         if action.expected is None:
             result = await self._store.create(kind, LEASE_NAME, document)
         else:
-            revision = Revision(action.expected)
-            result = await self._store.replace(kind, LEASE_NAME, document, revision)
+            assert isinstance(action.expected, StoreRevision)
+            result = await self._store.replace(
+                kind, LEASE_NAME, document, action.expected
+            )
         if isinstance(result, Ok):
             return LeaseWritten(op=action.op, version=result.ok_value.revision)
         failure = result.err_value.failure
--- a/bramleyport/gateway/_state_updaters.py
+++ b/bramleyport/gateway/_state_updaters.py
@@ -30,7 +30,7 @@
         self._state = state
         self._guard = ObjectGuard(gateway_events.CONFIG_INVALID)
 
-    def apply_listing(self, listing: Listing) -> None:
+    def apply_listing(self, listing: Listing, *, restored: bool) -> None:
         """Apply the configuration in a complete list."""
         self._guard.report_nameless(listing.nameless)
         self._apply(listing.objects)
@@ -74,21 +74,21 @@
         self._on_removed = on_removed
         self._guard = ObjectGuard(gateway_events.REGISTRATION_INVALID)
 
-    def apply_listing(self, listing: Listing) -> None:
+    def apply_listing(self, listing: Listing, *, restored: bool) -> None:
         """Replace the known upstreams with a complete list."""
         self._guard.report_nameless(listing.nameless)
         self._guard.retain({item.name for item in listing.objects})
-        listed = []
-        for item in listing.objects:
-            registration = self._decode(item)
-            if registration is not None:
-                listed.append(registration)
-                self._guard.apply(item, partial(self._record_change, registration))
+        found = [self._decode(item) for item in listing.objects]
+        listed = [registration for registration in found if registration is not None]
         now_s = read_now()
-        before = {item.upstream for item in self._state.members.list_all()}
-        self._state.members.replace_all(listed, now_s)
-        after = {item.upstream for item in self._state.members.list_all()}
-        for upstream in before - after:
+        before = self._index_members()
+        if restored:
+            self._state.members.record_restored(now_s)
+        self._state.members.replace_all(listed, now_s, restored=restored)
+        after = self._index_members()
+        for upstream, registration in after.items():
+            self._record_change(before.get(upstream), registration)
+        for upstream in before.keys() - after.keys():
             self._report_removed(upstream, "not listed")
 
     def apply_changes(self, batch: ChangeBatch) -> None:
@@ -112,14 +112,15 @@
         # The last state of a removed object shows if its upstream was draining.
         registration = self._decode(change.object)
         if registration is not None and (not change.removed or registration.draining):
-            self._record_change(registration)
-            self._state.members.put(registration)
+            self._put(registration)
         if change.removed:
             self._guard.forget(change.object.name)
-            self._remove(UpstreamId(change.object.name), now_s)
+            self._remove(UpstreamId(change.object.name), now_s, registration)
 
-    def _remove(self, upstream: UpstreamId, now_s: float) -> None:
-        self._state.members.remove(upstream, now_s)
+    def _remove(
+        self, upstream: UpstreamId, now_s: float, last: Registration | None
+    ) -> None:
+        self._state.members.remove(upstream, now_s, last)
         if self._state.members.find(upstream) is None:
             self._report_removed(upstream, "removed")
 
@@ -127,8 +128,19 @@
         log_event(gateway_events.UPSTREAM_LEFT, upstream=upstream, reason=reason)
         self._on_removed(upstream)
 
-    def _record_change(self, registration: Registration) -> None:
+    def _index_members(self) -> dict[UpstreamId, Registration]:
+        return {item.upstream: item for item in self._state.members.list_all()}
+
+    def _put(self, registration: Registration) -> None:
         known = self._state.members.find(registration.upstream)
+        self._state.members.put(registration)
+        current = self._state.members.find(registration.upstream)
+        assert current is not None
+        self._record_change(known, current)
+
+    def _record_change(
+        self, known: Registration | None, registration: Registration
+    ) -> None:
         if known == registration:
             return
         event = (
--- a/bramleyport/gateway/_store_updates.py
+++ b/bramleyport/gateway/_store_updates.py
@@ -7,7 +7,7 @@
 
 import cbor2
 
-from bramleyport.core import ProcessId, Revision
+from bramleyport.core import ProcessId, Revision, StoreEra, StoreRevision
 from bramleyport.platform import Change, ObjectKind, ObjectName, StoredObject
 
 FORMAT: Final = 2
@@ -16,6 +16,8 @@
 MAX_PACKED_BYTES: Final = 1_200
 # Bounds the decompressed size of a datagram that may be malformed.
 MAX_UNPACKED_BYTES: Final = 262_144
+# Before the first answer of the store.
+NO_REVISION: Final = StoreRevision(StoreEra(0), Revision(0))
 
 
 class StoreUpdateError(ValueError):
@@ -29,8 +31,8 @@
     process: ProcessId
     kind: ObjectKind
     # The update covers the changes after `since`, up to and including `revision`.
-    since: Revision = Revision(0)
-    revision: Revision = Revision(0)
+    since: StoreRevision = NO_REVISION
+    revision: StoreRevision = NO_REVISION
     # Seconds that may have passed since the store sent its answer.
     age_s: float = 0.0
     # False while the store does not answer the sender.
@@ -48,28 +50,32 @@
         FORMAT,
         update.process,
         update.kind.value,
-        update.since,
-        update.revision,
+        update.since.number,
+        update.revision.number,
         round(update.age_s * 1000),
         update.reachable,
         update.returned,
         _pack(update.changes),
+        update.revision.era,
     ]
 
 
 def decode_store_update(fields: Sequence[Any]) -> StoreUpdate:
     """Return the update that the fields of a datagram describe."""
     try:
-        _, process, kind, since, revision, age_ms, reachable, returned, packed = fields
+        _, process, kind, since, revision, age_ms, reachable, returned, *rest = fields
+        # Updates of earlier versions name no era.
+        packed, named_era = rest if rest[1:] else (*rest, 0)
+        era = StoreEra(int(named_era))
         return StoreUpdate(
             process=ProcessId(str(process)),
             kind=ObjectKind(kind),
-            since=Revision(int(since)),
-            revision=Revision(int(revision)),
+            since=StoreRevision(era, Revision(int(since))),
+            revision=StoreRevision(era, Revision(int(revision))),
             age_s=float(age_ms) / 1000,
             reachable=bool(reachable),
             returned=bool(returned),
-            changes=_unpack(packed),
+            changes=_unpack(packed, era),
         )
     except (
         cbor2.CBORDecodeError,
@@ -82,7 +88,9 @@
         raise StoreUpdateError(type(error).__name__) from error
 
 
-def select_unseen(changes: Sequence[Change], known: Revision) -> tuple[Change, ...]:
+def select_unseen(
+    changes: Sequence[Change], known: StoreRevision
+) -> tuple[Change, ...]:
     """Return the changes that are not part of the known revision.
 
     The revision of a removal is not known, so removals are always returned, together
@@ -105,7 +113,12 @@
     if any(item.object.fault for item in changes):
         return None
     rows = [
-        [item.object.name, item.object.revision, item.removed, item.object.document]
+        [
+            item.object.name,
+            item.object.revision.number,
+            item.removed,
+            item.object.document,
+        ]
         for item in changes
     ]
     try:
@@ -116,21 +129,23 @@
     return packed if len(packed) <= MAX_PACKED_BYTES else None
 
 
-def _unpack(packed: bytes | None) -> tuple[Change, ...] | None:
+def _unpack(packed: bytes | None, era: StoreEra) -> tuple[Change, ...] | None:
     if packed is None:
         return None
     unpacker = zlib.decompressobj()
     data = unpacker.decompress(packed, MAX_UNPACKED_BYTES)
     if not unpacker.eof:
         raise StoreUpdateError("the changes are truncated or too long")
-    return tuple(_decode_change(row) for row in cbor2.loads(data))
+    return tuple(_decode_change(row, era) for row in cbor2.loads(data))
 
 
-def _decode_change(row: Any) -> Change:
+def _decode_change(row: Any, era: StoreEra) -> Change:
     name, revision, removed, document = row
     if not isinstance(document, dict):
         raise StoreUpdateError("a document is not a mapping")
     found = StoredObject(
-        name=ObjectName(str(name)), revision=Revision(int(revision)), document=document
+        name=ObjectName(str(name)),
+        revision=StoreRevision(era, Revision(int(revision))),
+        document=document,
     )
     return Change(found, bool(removed))
--- a/bramleyport/gateway/_verdict_store.py
+++ b/bramleyport/gateway/_verdict_store.py
@@ -8,7 +8,7 @@
 
 from result import Err, Result
 
-from bramleyport.core import Revision
+from bramleyport.core import StoreRevision
 from bramleyport.fleet import PrefixId, Verdict
 from bramleyport.gateway._clock import read_now
 from bramleyport.gateway._object_guard import ObjectGuard
@@ -41,7 +41,7 @@
 class _StoredVerdict:
     name: ObjectName
     document: VerdictDocument
-    revision: Revision
+    revision: StoreRevision
     # When this gateway learned of the verdict or of its last trial.
     changed_s: float
 
@@ -66,7 +66,7 @@
         self._requested_trials: set[PrefixId] = set()
         self._work_pending = asyncio.Event()
 
-    def apply_listing(self, listing: Listing) -> None:
+    def apply_listing(self, listing: Listing, *, restored: bool) -> None:
         """Replace the stored verdicts with a complete list."""
         self._guard.report_nameless(listing.nameless)
         self._guard.retain({item.name for item in listing.objects})
--- a/bramleyport/platform/_headers.py
+++ b/bramleyport/platform/_headers.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass
 from typing import Final
 
-from bramleyport.core import ModelName, RequestId, UpstreamId
+from bramleyport.core import ModelName, RequestId, StoreEra, UpstreamId
 from bramleyport.fleet import Address, PrefixId, Prompt, PromptPart
 
 Headers = list[tuple[bytes, bytes]]
@@ -175,6 +175,13 @@
     return headers
 
 
+def decode_store_era(headers: Iterable[tuple[bytes, bytes]]) -> StoreEra | None:
+    """Return the era that an answer of the store names, if it names one."""
+    values = {name.lower(): value for name, value in headers}
+    era = _parse_count(values.get(b"store-era", b"").strip())
+    return None if era is None else StoreEra(era)
+
+
 def read_event_id(event: bytes) -> int | None:
     """Return the id of a server-sent event, or None if it has no numeric id."""
     for line in event.split(b"\n"):
--- a/bramleyport/platform/_objects.py
+++ b/bramleyport/platform/_objects.py
@@ -6,7 +6,7 @@
 from enum import Enum
 from typing import Any, Final, NewType
 
-from bramleyport.core import Revision
+from bramleyport.core import Revision, StoreEra, StoreRevision
 from bramleyport.platform._documents import (
     Document,
     MalformedDocumentError,
@@ -44,7 +44,7 @@
     """Represent one object of the store."""
 
     name: ObjectName
-    revision: Revision
+    revision: StoreRevision
     document: Document
     # Why the object can't be read, if its name can.
     fault: str = ""
@@ -67,7 +67,7 @@
 class Listing:
     """Represent all objects of a kind at one revision."""
 
-    revision: Revision
+    revision: StoreRevision
     objects: tuple[StoredObject, ...]
     nameless: tuple[NamelessObject, ...] = ()
 
@@ -84,7 +84,7 @@
 class ChangeBatch:
     """Represent the changes of a watch up to a revision."""
 
-    revision: Revision
+    revision: StoreRevision
     changes: tuple[Change, ...]
     nameless: tuple[NamelessObject, ...] = ()
 
@@ -99,10 +99,10 @@
     last_name: str
 
 
-def decode_page(body: bytes) -> ListPage:
+def decode_page(body: bytes, era: StoreEra) -> ListPage:
     """Return one page of the objects of a kind."""
     page = parse_entries(body, "items")
-    revision = Revision(read_count(page.fields, "current_rev"))
+    revision = _read_revision(page.fields, "current_rev", era)
     objects = []
     nameless = []
     for entry in page.entries:
@@ -118,10 +118,10 @@
     )
 
 
-def decode_changes(body: bytes) -> ChangeBatch:
+def decode_changes(body: bytes, era: StoreEra) -> ChangeBatch:
     """Return the changes that a watch has answered."""
     batch = parse_entries(body, "events")
-    revision = Revision(read_count(batch.fields, "current_rev"))
+    revision = _read_revision(batch.fields, "current_rev", era)
     changes = []
     nameless = []
     for entry in batch.entries:
@@ -133,12 +133,12 @@
     return ChangeBatch(revision, tuple(changes), tuple(nameless))
 
 
-def decode_answered_object(body: bytes) -> StoredObject:
+def decode_answered_object(body: bytes, era: StoreEra) -> StoredObject:
     """Return the object that a call has read or written."""
-    return _decode_object(parse_document(body))
+    return _decode_object(parse_document(body), era)
 
 
-def _decode_change(entry: Any, latest: Revision) -> Change | NamelessObject:
+def _decode_change(entry: Any, latest: StoreRevision) -> Change | NamelessObject:
     try:
         event = _read_members(entry)
     except MalformedDocumentError as error:
@@ -152,18 +152,18 @@
         return Change(replace(item, fault=str(error)), removed=False)
 
 
-def _decode_entry(entry: Any, latest: Revision) -> StoredObject | NamelessObject:
+def _decode_entry(entry: Any, latest: StoreRevision) -> StoredObject | NamelessObject:
     """Return the object in an entry; it has a fault if it can't be read."""
     try:
         if isinstance(entry, UnparsedSlice):
             raise MalformedDocumentError(entry.reason)
-        return _decode_object(_read_members(entry))
+        return _decode_object(_read_members(entry), latest.era)
     except MalformedDocumentError as error:
         return _decode_unreadable(entry, latest, str(error))
 
 
 def _decode_unreadable(
-    entry: Any, latest: Revision, reason: str
+    entry: Any, latest: StoreRevision, reason: str
 ) -> StoredObject | NamelessObject:
     try:
         metadata = _read_members(_read_members(entry).get("metadata"))
@@ -174,12 +174,12 @@
     return StoredObject(name=name, revision=latest, document={}, fault=reason)
 
 
-def _decode_object(document: Document) -> StoredObject:
+def _decode_object(document: Document, era: StoreEra) -> StoredObject:
     metadata = read_mapping(document, "metadata")
     spec = document.get("spec")
     return StoredObject(
         name=_read_name(metadata),
-        revision=Revision(read_count(metadata, "revision")),
+        revision=_read_revision(metadata, "revision", era),
         document=spec if isinstance(spec, dict) else {},
     )
 
@@ -197,3 +197,7 @@
     if not _NAME.fullmatch(name):
         raise MalformedDocumentError(f"not a name: {describe(name)}")
     return ObjectName(name)
+
+
+def _read_revision(document: Document, name: str, era: StoreEra) -> StoreRevision:
+    return StoreRevision(era, Revision(read_count(document, name)))
--- a/bramleyport/platform/_registrations.py
+++ b/bramleyport/platform/_registrations.py
@@ -29,6 +29,8 @@
         draining=_STATES[state],
         started_ms=read_count(document, "born", 0),
         stage=_decode_stage(document),
+        # In an engine's report, this wire name means the count of orders.
+        sequence=read_count(document, "seq", 0),
     )
 
 
--- a/bramleyport/platform/_store.py
+++ b/bramleyport/platform/_store.py
@@ -10,7 +10,7 @@
 
 from result import Err, Ok, Result
 
-from bramleyport.core import Revision
+from bramleyport.core import StoreEra, StoreRevision
 from bramleyport.http1 import (
     Answer,
     ConnectionPool,
@@ -20,6 +20,7 @@
     PoolLimits,
 )
 from bramleyport.platform._documents import Document, MalformedDocumentError
+from bramleyport.platform._headers import decode_store_era
 from bramleyport.platform._objects import (
     ChangeBatch,
     Listing,
@@ -32,6 +33,7 @@
     decode_page,
 )
 from bramleyport.platform._settings import StoreSettings
+from bramleyport.platform._store_eras import StoreEras
 
 # A healthy store answers in milliseconds; the limit allows for an overloaded one.
 CALL_TIMEOUT_S: Final = 1.5
@@ -51,6 +53,8 @@
     # A write may have taken effect, or may still take effect.
     UNKNOWN = "unknown"
     INVALID = "invalid"
+    # The answer is of an era that has ended; what it says is no longer in the store.
+    OUTDATED = "outdated"
 
 
 _FAILURES: Final = {
@@ -63,6 +67,12 @@
 }
 
 
+@dataclass(frozen=True, slots=True)
+class _StoreAnswer:
+    era: StoreEra
+    body: bytes
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class StoreError:
     """Describe a failed call to the store."""
@@ -86,6 +96,7 @@
         )
         self._pool = ConnectionPool(client, settings.address, limits)
         self._on_call = on_call
+        self.eras = StoreEras()
 
     async def list_objects(
         self, kind: ObjectKind, *, stale: bool = False
@@ -95,17 +106,23 @@
         nameless: list[NamelessObject] = []
         after = ""
         cursors: set[str] = set()
+        first_era: StoreEra | None = None
         while True:
             query = [f"after={quote(after, safe='')}"] if after else []
             query += ["stale_ok=1"] if stale else []
             page = await self._call("list", "GET", _make_path(kind, query=query))
             if isinstance(page, Err):
                 return page
+            answer = page.ok_value
             try:
-                part = decode_page(page.ok_value)
+                part = decode_page(answer.body, answer.era)
             except MalformedDocumentError as error:
                 return _make_malformed_error("list", str(error))
+            first_era = answer.era if first_era is None else first_era
             objects += part.listing.objects
+            if part.listing.revision.era != first_era:
+                reason = "the store was restored between two pages"
+                return _make_error(StoreFailure.EXPIRED, "list", reason)
             nameless += part.listing.nameless
             if not part.has_more:
                 revision = part.listing.revision
@@ -123,28 +140,36 @@
         if isinstance(reply, Err):
             return reply
         try:
-            return Ok(decode_answered_object(reply.ok_value))
+            return Ok(decode_answered_object(reply.ok_value.body, reply.ok_value.era))
         except MalformedDocumentError as error:
             return _make_malformed_error("get", str(error))
 
     async def watch(
-        self, kind: ObjectKind, since: Revision, wait_s: float, answer_s: float
+        self, kind: ObjectKind, since: StoreRevision, wait_s: float, answer_s: float
     ) -> Result[ChangeBatch, StoreError]:
         """Wait for changes after a revision.
 
-        The store waits for up to `wait_s`; its answer may take `answer_s` longer.
+        The store waits for up to `wait_s`; its answer may take `answer_s` longer. A
+        watch whose era has ended is expired: the store may have given out the revision
+        again, and then it answers with the changes after another state.
         """
-        query = [f"watch={since}", f"wait_ms={int(wait_s * 1000)}"]
-        reply = await self._call(
-            "watch",
-            "GET",
-            _make_path(kind, query=query),
-            timeout_s=wait_s + answer_s,
-        )
+        query = [f"watch={since.number}", f"wait_ms={int(wait_s * 1000)}"]
+        path = _make_path(kind, query=query)
+        try:
+            async with asyncio.timeout(None) as limit:
+                with self.eras.guard_watch(limit):
+                    if since.era == self.eras.newest:
+                        reply = await self._call(
+                            "watch", "GET", path, timeout_s=wait_s + answer_s
+                        )
+        except TimeoutError:
+            return _make_ended_era_error("watch")
+        if since.era != self.eras.newest:
+            return _make_ended_era_error("watch")
         if isinstance(reply, Err):
             return reply
         try:
-            return Ok(decode_changes(reply.ok_value))
+            return Ok(decode_changes(reply.ok_value.body, reply.ok_value.era))
         except MalformedDocumentError as error:
             return _make_malformed_error("watch", str(error))
 
@@ -160,14 +185,27 @@
         kind: ObjectKind,
         name: ObjectName,
         document: Document,
-        revision: Revision | None = None,
+        revision: StoreRevision | None = None,
     ) -> Result[StoredObject, StoreError]:
-        """Replace an object; given a revision, only if the object still has it."""
+        """Replace an object; given a revision, only if the object still has it.
+
+        An object never has a revision of an era that has ended.
+        """
         metadata: dict[str, Any] = {"name": name}
         if revision is not None:
-            metadata["revision"] = revision
+            if revision.era != self.eras.newest:
+                reason = f"revision {revision} is of an era that has ended"
+                return _make_error(StoreFailure.CONFLICT, "replace", reason)
+            metadata["revision"] = revision.number
         body = {"metadata": metadata, "spec": document}
-        return await self._write("replace", "PUT", _make_path(kind, name), body)
+        result = await self._write("replace", "PUT", _make_path(kind, name), body)
+        if revision is None or isinstance(result, Err):
+            return result
+        if result.ok_value.revision.era != revision.era:
+            # The number was compared with one that means another state.
+            reason = "the store was restored while the call was under way"
+            return _make_error(StoreFailure.UNKNOWN, "replace", reason)
+        return result
 
     async def remove(
         self, kind: ObjectKind, name: ObjectName
@@ -187,7 +225,7 @@
         if isinstance(reply, Err):
             return reply
         try:
-            return Ok(decode_answered_object(reply.ok_value))
+            return Ok(decode_answered_object(reply.ok_value.body, reply.ok_value.era))
         except MalformedDocumentError as error:
             return _make_malformed_error(step, str(error))
 
@@ -199,7 +237,7 @@
         body: Document | None = None,
         *,
         timeout_s: float = CALL_TIMEOUT_S,
-    ) -> Result[bytes, StoreError]:
+    ) -> Result[_StoreAnswer, StoreError]:
         request = HttpRequest(
             method=method.encode(),
             target=path.encode(),
@@ -216,8 +254,8 @@
 
     async def _exchange(
         self, step: str, request: HttpRequest, timeout_s: float
-    ) -> Result[bytes, StoreError]:
-        """Return the body of the answer to a call."""
+    ) -> Result[_StoreAnswer, StoreError]:
+        """Return the answer to a call unless its era has ended."""
         try:
             async with asyncio.timeout(timeout_s):
                 answer = await self._run(request)
@@ -227,11 +265,16 @@
         except ExchangeError as error:
             failure = StoreFailure.REFUSED if error.unsent else StoreFailure.UNKNOWN
             return _make_error(failure, step, error.reason)
+        newest = self.eras.newest
+        era = self.eras.record(decode_store_era(answer.headers))
+        if era < newest:
+            reason = f"answer of era {era} after one of era {newest}"
+            return _make_error(StoreFailure.OUTDATED, step, reason)
         if answer.status >= 300:
             failure = _FAILURES.get(answer.status, StoreFailure.UNKNOWN)
             text = answer.body[:120].decode(errors="replace")
             return _make_error(failure, step, f"{answer.status} {text}")
-        return Ok(answer.body)
+        return Ok(_StoreAnswer(era, answer.body))
 
     async def _run(self, request: HttpRequest) -> Answer:
         connection = await self._pool.acquire()
@@ -262,3 +305,8 @@
 
 def _make_malformed_error(step: str, reason: str) -> Err[StoreError]:
     return _make_error(StoreFailure.UNKNOWN, step, reason)
+
+
+def _make_ended_era_error(step: str) -> Err[StoreError]:
+    reason = "the store was restored from a copy"
+    return _make_error(StoreFailure.EXPIRED, step, reason)
--- /dev/null
+++ b/bramleyport/platform/_store_eras.py
@@ -0,0 +1,53 @@
+"""Track the era of the platform's store across its answers."""
+
+import asyncio
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from typing import Final
+
+from bramleyport.core import StoreEra
+
+# Applies until an answer names an era, and to stores that name none.
+FIRST_ERA: Final = StoreEra(0)
+
+
+class StoreEras:
+    """Track the newest era, and end the watches that wait in an older one."""
+
+    def __init__(self) -> None:
+        self._newest: StoreEra | None = None
+        self._watches: set[asyncio.Timeout] = set()
+        # Called with the new era when the store was restored from a copy.
+        self.on_restored: list[Callable[[StoreEra], None]] = []
+
+    @property
+    def newest(self) -> StoreEra:
+        """Return the newest era that an answer has named."""
+        return FIRST_ERA if self._newest is None else self._newest
+
+    def record(self, named: StoreEra | None) -> StoreEra:
+        """Record the era that an answer names and return the era of the answer."""
+        if named is None:
+            return self.newest
+        if self._newest is None:
+            self._newest = named
+        elif named > self._newest:
+            self._newest = named
+            self._end_watches()
+            for notify in self.on_restored:
+                notify(named)
+        return named
+
+    @contextmanager
+    def guard_watch(self, limit: asyncio.Timeout) -> Iterator[None]:
+        """Let the limit of a watch expire as soon as a later era begins."""
+        self._watches.add(limit)
+        try:
+            yield
+        finally:
+            self._watches.discard(limit)
+
+    def _end_watches(self) -> None:
+        now_s = asyncio.get_running_loop().time()
+        for limit in self._watches:
+            limit.reschedule(now_s)
--- a/bramleyport/telemetry/_gateway_events.py
+++ b/bramleyport/telemetry/_gateway_events.py
@@ -79,3 +79,6 @@
 CALLS_CUT: Final = define(
     2657, "WARNING", "connections with unanswered requests closed"
 )
+STORE_RESTORED: Final = define(
+    2658, "WARNING", "store restored from a copy, listing compared with last state"
+)
--- a/tests/test_store_updates.py
+++ b/tests/test_store_updates.py
@@ -9,7 +9,7 @@
 from hypothesis import given, strategies as st
 from result import Err, Ok
 
-from bramleyport.core import ProcessId, Revision
+from bramleyport.core import ProcessId, Revision, StoreEra, StoreRevision
 from bramleyport.fleet import Freshness, choose_store_watchers
 from bramleyport.gateway import _follower
 from bramleyport.gateway._follower import Follower, WatchTimes
@@ -30,6 +30,7 @@
     StoreError,
     StoreFailure,
 )
+from bramleyport.platform._store_eras import StoreEras
 
 Run = Callable[[Coroutine[Any, Any, Any]], Any]
 KIND = ObjectKind.REGISTRATIONS
@@ -40,29 +41,36 @@
 )
 
 
-def make_change(name: str, revision: int, *, removed: bool = False) -> Change:
-    document = {"at": revision}
-    return Change(
-        StoredObject(
-            name=ObjectName(name), revision=Revision(revision), document=document
-        ),
-        removed,
+def make_revision(number: int, era: int = 1) -> StoreRevision:
+    return StoreRevision(StoreEra(era), Revision(number))
+
+
+def make_change(
+    name: str, revision: int, *, removed: bool = False, era: int = 1
+) -> Change:
+    stored = StoredObject(
+        name=ObjectName(name),
+        revision=make_revision(revision, era),
+        document={"at": revision},
     )
+    return Change(stored, removed)
 
 
 class MemoryStore:
     """Represent a store with the objects of one kind and their changes."""
 
     def __init__(self) -> None:
-        self.revision = Revision(1)
-        self.events: list[tuple[Revision, Change]] = []
+        self.revision = make_revision(1)
+        self.events: list[tuple[StoreRevision, Change]] = []
+        self.views: list[StoreView] = []
         self.calls: list[ProcessId] = []
         self.disconnected: set[ProcessId] = set()
         self._changed = asyncio.Event()
 
     def put(self, name: str, *, size: int = 0, removed: bool = False) -> None:
-        self.revision = Revision(self.revision + 1)
-        change = make_change(name, self.revision, removed=removed)
+        number, era = self.revision.number + 1, self.revision.era
+        self.revision = make_revision(number, era)
+        change = make_change(name, number, removed=removed, era=era)
         # Random digits don't compress well.
         change.object.document["text"] = json.dumps(
             [number * 7919 % 10007 for number in range(size)]
@@ -70,8 +78,23 @@
         self.events.append((self.revision, change))
         self._changed.set()
 
+    def restore(self, number: int) -> None:
+        """Begin a new era with the state of an earlier revision."""
+        era = self.revision.era + 1
+        kept = [change for revision, change in self.events if revision.number <= number]
+        self.revision = make_revision(number, era)
+        self.events = []
+        for change in kept:
+            found = change.object
+            copied = make_change(found.name, found.revision.number, era=era)
+            copied.object.document.update(found.document)
+            self.events.append((copied.object.revision, copied))
+        self._changed.set()
+
     def make_view(self, process: ProcessId) -> "StoreView":
-        return StoreView(self, process)
+        view = StoreView(self, process)
+        self.views.append(view)
+        return view
 
     async def wait(self, wait_s: float) -> None:
         self._changed.clear()
@@ -88,26 +111,37 @@
     def __init__(self, store: MemoryStore, process: ProcessId) -> None:
         self._store = store
         self._process = process
+        self.eras = StoreEras()
 
     async def list_objects(self, kind: ObjectKind) -> Any:
         if (failure := self._call()) is not None:
             return failure
-        return Ok(Listing(self._store.revision, ()))
+        newest = {
+            change.object.name: change
+            for _, change in self._store.events
+            if self._store.revision.era > 1
+        }
+        objects = tuple(item.object for item in newest.values() if not item.removed)
+        return Ok(Listing(self._store.revision, objects))
 
     async def watch(
-        self, kind: ObjectKind, since: Revision, wait_s: float, answer_s: float
+        self, kind: ObjectKind, since: StoreRevision, wait_s: float, answer_s: float
     ) -> Any:
         if (failure := self._call()) is not None:
             return failure
-        if not self._list(since):
+        if not self._list(since) and since.era == self._store.revision.era:
             await self._store.wait(wait_s)
+        if self.eras.record(self._store.revision.era) != since.era:
+            error = StoreError(failure=StoreFailure.EXPIRED, step="s", reason="era")
+            return Err(error)
         return Ok(ChangeBatch(self._store.revision, self._list(since)))
 
-    def _list(self, since: Revision) -> tuple[Change, ...]:
+    def _list(self, since: StoreRevision) -> tuple[Change, ...]:
         return tuple(c for revision, c in self._store.events if revision > since)
 
     def _call(self) -> Any:
         self._store.calls.append(self._process)
+        self.eras.record(self._store.revision.era)
         if self._process in self._store.disconnected:
             error = StoreError(failure=StoreFailure.REFUSED, step="s", reason="cut")
             return Err(error)
@@ -138,8 +172,8 @@
         self.objects: dict[ObjectName, int] = {}
         self.reachable: list[bool] = []
 
-    def apply_listing(self, listing: Listing) -> None:
-        self.objects.clear()
+    def apply_listing(self, listing: Listing, *, restored: bool) -> None:
+        self.objects = {item.name: item.document["at"] for item in listing.objects}
 
     def apply_changes(self, batch: ChangeBatch) -> None:
         for change in batch.changes:
@@ -313,17 +347,77 @@
         update = StoreUpdate(
             process=NAMES[0],
             kind=KIND,
-            since=follower._revision or Revision(0),
-            revision=Revision(30),
+            since=follower._revision or make_revision(0),
+            revision=make_revision(30),
             changes=(make_change("u", 20), make_change("u", 30)),
         )
         follower.receive_update(update)
-        follower._apply((make_change("u", 20),), Revision(25))
+        follower._apply((make_change("u", 20),), make_revision(25))
         assert updater.objects == {ObjectName("u"): 30}
 
     run_script(run, network, script())
 
 
+def test_changes_of_a_new_era_are_found_though_its_revisions_overtake_the_old(
+    network: Network, run: Run
+) -> None:
+    """Guards against comparing revisions of a restored store with older ones."""
+
+    async def script() -> None:
+        for number in range(4):
+            network.store.put(f"u{number}")
+        await network.wait_for(lambda: network.has_object("u3"))
+        network.store.restore(network.store.revision.number - 3)
+        for number in range(6):
+            network.store.put(f"v{number}")
+        await network.wait_for(lambda: network.has_object("v5"))
+        assert network.has_object("v0") and not network.has_object("u3", NAMES[:1])
+
+    run_script(run, network, script())
+
+
+def test_calls_end_with_the_first_answers_of_a_new_era(
+    network: Network, run: Run
+) -> None:
+    """Guards against gateways that call the store for ever after it was restored."""
+
+    async def script() -> None:
+        for number in range(9):
+            network.store.put(f"u{number}")
+        await network.wait_for(lambda: network.has_object("u8"))
+        network.store.restore(2)
+        network.store.put("v")
+        await network.wait_for(lambda: network.has_object("v"))
+        await asyncio.sleep(TIMES.fresh_s)
+        network.store.calls.clear()
+        await asyncio.sleep(2 * TIMES.fresh_s)
+        assert not set(network.store.calls) & set(network.others)
+
+    run_script(run, network, script())
+
+
+def test_late_update_of_an_older_era_is_ignored(network: Network, run: Run) -> None:
+    """Guards against an update that was sent before the store was restored."""
+
+    async def script() -> None:
+        follower = network._followers[network.others[0]]
+        network.store.restore(1)
+        network.store.put("v")
+        await network.wait_for(lambda: network.has_object("v"))
+        late = StoreUpdate(
+            process=NAMES[0],
+            kind=KIND,
+            since=make_revision(1),
+            revision=make_revision(90),
+            changes=(make_change("old", 90),),
+        )
+        follower.receive_update(late)
+        assert not network.has_object("old", network.others[:1])
+        assert follower._published_revision.era == 2
+
+    run_script(run, network, script())
+
+
 def test_changes_after_a_removal_are_applied_again() -> None:
     # The revision of a removal is not known, so later changes may not be skipped.
     changes = [
@@ -332,7 +426,7 @@
         make_change("v", 6),
         make_change("w", 9),
     ]
-    names = [c.object.name for c in select_unseen(changes, Revision(7))]
+    names = [c.object.name for c in select_unseen(changes, make_revision(7))]
     assert names == ["u", "u", "w"]
 
 
@@ -380,8 +474,8 @@
     update = StoreUpdate(
         process=NAMES[0],
         kind=KIND,
-        since=Revision(3),
-        revision=Revision(9),
+        since=make_revision(3),
+        revision=make_revision(9),
         age_s=0.25,
         returned=True,
         changes=(make_change("u", 5), make_change("v", 9, removed=True)),
@@ -390,7 +484,7 @@
 
 
 @given(
-    st.lists(st.one_of(st.none(), st.integers(), st.text(), st.binary()), max_size=9)
+    st.lists(st.one_of(st.none(), st.integers(), st.text(), st.binary()), max_size=10)
 )
 def test_any_fields_are_decoded_or_refused(fields: list[Any]) -> None:
     try:
