Let no restored list take back that an upstream drains or has left

What callers saw: calls went to an upstream that had drained after the copy was made from which the store was restored, because the copy named it ready.

Cause: the list of a restored store replaced what was known as if it were newer. Change: of a listed and a known registration of one process the one with the higher sequence counts; a process that drains stays draining until it starts again; one that has left stays away unless its registration was written after it left; what the copy lacks is kept as long as what expires in an outage.

--- a/bramleyport/fleet/_members.py
+++ b/bramleyport/fleet/_members.py
@@ -1,9 +1,10 @@
 """Track which upstreams take work, from their registrations."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Final
 
 from bramleyport.core import ServiceName, UpstreamId
+from bramleyport.fleet._departures import Departures
 from bramleyport.fleet._types import Registration
 
 # Upstreams whose registrations expired during an outage of the store register again
@@ -27,6 +28,7 @@
         self._members: dict[UpstreamId, Member] = {}
         self._store_recovered_s: float | None = None
         self._store_unreachable = False
+        self._departures = Departures()
 
     def record_store(self, *, reachable: bool, now_s: float) -> None:
         """Record whether the store answers."""
@@ -34,19 +36,35 @@
             self._store_recovered_s = now_s
         self._store_unreachable = not reachable
 
+    def record_restored(self, now_s: float) -> None:
+        """Record that the store was restored from a copy, which may lack upstreams."""
+        self._store_recovered_s = now_s
+        self._store_unreachable = False
+
     def put(self, registration: Registration) -> Registration | None:
         """Add a registration and return the one that it replaces."""
         known = self._members.get(registration.upstream)
+        if known is not None and _keeps_draining(known.registration, registration):
+            registration = replace(registration, draining=True)
         self._members[registration.upstream] = Member(registration)
+        self._departures.record_returned(registration.upstream)
         return known.registration if known else None
 
-    def remove(self, upstream: UpstreamId, now_s: float) -> None:
-        """Remove an upstream unless its registration may still be renewed."""
+    def remove(
+        self, upstream: UpstreamId, now_s: float, last: Registration | None = None
+    ) -> None:
+        """Remove an upstream unless its registration may still be renewed.
+
+        Its last registration is given if the store has told it.
+        """
         member = self._members.get(upstream)
         if member is None:
             return
         if member.registration.draining or not self._may_return(now_s):
             del self._members[upstream]
+            self._departures.record(
+                last or member.registration, now_s, is_last=last is not None
+            )
         elif member.missing_until_s is None:
             member.missing_until_s = self._find_renewal_end(now_s)
 
@@ -54,14 +72,35 @@
         """Remove an upstream at once; return whether it was known."""
         return self._members.pop(upstream, None) is not None
 
-    def replace_all(self, listed: list[Registration], now_s: float) -> None:
-        """Replace all registrations; remove upstreams that are not listed."""
+    def replace_all(
+        self, listed: list[Registration], now_s: float, *, restored: bool = False
+    ) -> None:
+        """Replace all registrations; remove upstreams that are not listed.
+
+        A list of a restored store takes back nothing that was written after its copy.
+        """
+        if restored:
+            listed = [self._merge(item) for item in listed if self._is_current(item)]
         names = {registration.upstream for registration in listed}
         for upstream in [name for name in self._members if name not in names]:
             self.remove(upstream, now_s)
         for registration in listed:
             self.put(registration)
 
+    def _is_current(self, listed: Registration) -> bool:
+        return listed.upstream in self._members or self._departures.precede(listed)
+
+    def _merge(self, listed: Registration) -> Registration:
+        """Return the later one of a listed and the known registration."""
+        known = self.find(listed.upstream)
+        if known is None:
+            return listed
+        is_later = (known.started_ms, known.sequence) > (
+            listed.started_ms,
+            listed.sequence,
+        )
+        return known if is_later else listed
+
     def drop_missing(self, now_s: float) -> list[UpstreamId]:
         """Drop and return the upstreams whose registrations were not renewed."""
         gone = [
@@ -70,7 +109,8 @@
             if member.missing_until_s is not None and now_s >= member.missing_until_s
         ]
         for name in gone:
-            del self._members[name]
+            registration = self._members.pop(name).registration
+            self._departures.record(registration, now_s, is_last=False)
         return gone
 
     def list_ready(self, service: ServiceName) -> list[Registration]:
@@ -102,3 +142,12 @@
         if self._store_unreachable or self._store_recovered_s is None:
             return now_s + RENEWAL_S
         return self._store_recovered_s + RENEWAL_S
+
+
+def _keeps_draining(known: Registration, new: Registration) -> bool:
+    """Return whether a process that was draining is still the same one.
+
+    A process that drains ends. If a registration says that it is ready again, it was
+    written earlier than the one that said that it drains.
+    """
+    return known.draining and known.started_ms == new.started_ms > 0
