--- a/bramleyport/gateway/_follower.py
+++ b/bramleyport/gateway/_follower.py
@@ -116,7 +116,7 @@
 class StateUpdater(Protocol):
     """Represent the receiver of the objects that a follower reads."""
 
-    def apply_listing(self, listing: Listing, *, restored: bool) -> None:
+    def apply_listing(self, listing: Listing, *, restored: bool = False) -> None:
         """Replace all objects with a complete list.
 
         If the store was restored, objects of the list may be older than those that
--- a/bramleyport/gateway/_state_updaters.py
+++ b/bramleyport/gateway/_state_updaters.py
@@ -30,7 +30,7 @@
         self._state = state
         self._guard = ObjectGuard(gateway_events.CONFIG_INVALID)
 
-    def apply_listing(self, listing: Listing, *, restored: bool) -> None:
+    def apply_listing(self, listing: Listing, *, restored: bool = False) -> None:
         """Apply the configuration in a complete list."""
         self._guard.report_nameless(listing.nameless)
         self._apply(listing.objects)
@@ -74,7 +74,7 @@
         self._on_removed = on_removed
         self._guard = ObjectGuard(gateway_events.REGISTRATION_INVALID)
 
-    def apply_listing(self, listing: Listing, *, restored: bool) -> None:
+    def apply_listing(self, listing: Listing, *, restored: bool = False) -> None:
         """Replace the known upstreams with a complete list."""
         self._guard.report_nameless(listing.nameless)
         self._guard.retain({item.name for item in listing.objects})
--- a/bramleyport/gateway/_verdict_store.py
+++ b/bramleyport/gateway/_verdict_store.py
@@ -66,7 +66,7 @@
         self._requested_trials: set[PrefixId] = set()
         self._work_pending = asyncio.Event()
 
-    def apply_listing(self, listing: Listing, *, restored: bool) -> None:
+    def apply_listing(self, listing: Listing, *, restored: bool = False) -> None:
         """Replace the stored verdicts with a complete list."""
         self._guard.report_nameless(listing.nameless)
         self._guard.retain({item.name for item in listing.objects})
