--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -13,7 +13,7 @@
 from loguru import logger
 from result import Err, Ok
 
-from bramleyport.core import Revision
+from bramleyport.core import Revision, StoreEra, StoreRevision
 from bramleyport.gateway import _state_updaters
 from bramleyport.gateway._state_updaters import RegistrationUpdater
 from bramleyport.platform import (
@@ -24,6 +24,7 @@
     StoredObject,
     decode_registration,
 )
+from bramleyport.platform._store import _StoreAnswer
 from bramleyport.telemetry import gateway_events
 from tests.gateway_fleet import PLAIN, GatewayFleet, make_config, make_route
 from tests.platform_standin import ODD_FIELDS, ODD_METADATA, RawJson, UpstreamStandin
@@ -305,7 +306,8 @@
     answers: list[bytes] = []
 
     async def answer(*_: Any, **__: Any) -> Any:
-        return Ok(answers.pop(0) if len(answers) > 1 else answers[0])
+        body = answers.pop(0) if len(answers) > 1 else answers[0]
+        return Ok(_StoreAnswer(StoreEra(2), body))
 
     async def check(found: list[str] | None) -> None:
         async with asyncio.timeout(CHANGE_LIMIT_S):
@@ -314,7 +316,7 @@
         if isinstance(listing, Err):
             return
         assert sorted(item.name for item in listing.ok_value.objects) == found
-        assert listing.ok_value.revision == 9
+        assert listing.ok_value.revision == StoreRevision(StoreEra(2), Revision(9))
 
     monkeypatch.setattr(StoreClient, "_call", answer)
     store = object.__new__(StoreClient)
