Let no restored lease give orders two holders or a number twice

Cause: a candidate took what the store said as the newest state of the lease, and the next fencing number from it, though a copy lowers what else only rises. Change: each era has fencing numbers above those of earlier eras; a lease with a lower one tells nothing of the last holder. Whoever learns of a new era stops acting and forgets the lease. It waits for a whole TTL unless it held the lease, and then only until its own time would have ended. Within an era, the revision bounds the numbers from below: a late write of the era before may replace a lease, as revisions are given out again, and the simulation found one number of two holders that way. A process that can't know of earlier holders waits as well; only a lease that certainly nobody held before needs no rest before the first order. Leases of a store that names no era are as before.

--- a/bramleyport/authority/_lease.py
+++ b/bramleyport/authority/_lease.py
@@ -11,15 +11,24 @@
 without a holder. That write raises the fencing number, because an abandoned order write
 may still take effect before the next holder seals the order object. Agents then drop
 that order, because its number differs from the lease's.
+
+A store that is restored from a copy may name no holder, or an earlier one, while the
+last one still acts and does not know of it. So each era has fencing numbers above those
+of earlier eras; a lease with a lower one tells nothing of the last holder. Whoever
+learns of a new era stops acting and waits for a TTL before it takes such a lease. Only
+the holder may write it again at once, until its own time would have ended, because
+nobody else can have acquired the lease by then.
 """
 
+import math
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Final
 
 from bramleyport.authority._documents import Lease
+from bramleyport.authority._fencing import find_fencing_base, find_fencing_floor
 from bramleyport.charts import ChartMachine, load_chart
-from bramleyport.core import FencingNumber, StoreRevision
+from bramleyport.core import FencingNumber, StoreEra, StoreRevision
 
 LEASE_TTL_S: Final = 10.0
 RENEW_INTERVAL_S: Final = 3.0
@@ -96,6 +105,13 @@
     """Report that none of this holder's order writes is in flight."""
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class EraObserved:
+    """Report the era that the store names; it rises when the store is restored."""
+
+    era: StoreEra
+
+
 LeaseEvent = (
     Tick
     | LeaseRead
@@ -105,6 +121,7 @@
     | LeaseInDoubt
     | CandidacyChanged
     | OrdersSettled
+    | EraObserved
 )
 
 
@@ -130,6 +147,8 @@
 
     fencing: FencingNumber
     until_s: float
+    # Certainly nobody has held the lease before.
+    is_first: bool = False
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -157,12 +176,23 @@
     lease: Lease
     sent_s: float
     op: int
+    is_first: bool
 
 
 class LeaseManager:
-    """Decide when to acquire, renew and release one lease."""
-
-    def __init__(self, holder: str, make_token: Callable[[], str]) -> None:
+    """Decide when to acquire, renew and release one lease.
+
+    The era is that of the store, if it is known. If an earlier holder may act that the
+    store does not name, the time is given by which it has certainly stopped.
+    """
+
+    def __init__(
+        self,
+        holder: str,
+        make_token: Callable[[], str],
+        era: StoreEra | None = None,
+        earlier_holder_until_s: float | None = None,
+    ) -> None:
         self.holder = holder
         self.until_s = 0.0
         self.fencing: FencingNumber | None = None
@@ -175,6 +205,10 @@
         self._highest_fencing = 0
         self._unchanged_since_s = 0.0
         self._was_read = False
+        self._era = era
+        self._earlier_holder_until_s = earlier_holder_until_s
+        # Until then this process may write the lease that it held in the last era.
+        self._rewrite_until_s = -math.inf
         self._pending: _Pending | None = None
         self._candidate = True
 
@@ -202,6 +236,8 @@
         actions: list[LeaseAction] = []
         if self.fencing is not None and now_s >= self.until_s:
             actions += self._advance("lapsed", now_s)
+        if isinstance(event, EraObserved):
+            return actions + self._observe_era(event.era, now_s)
         if isinstance(event, CandidacyChanged):
             self._candidate = event.candidate
             return actions + self._check_candidacy(now_s)
@@ -221,6 +257,18 @@
             return actions + self._advance("dismissed", now_s)
         return actions + self._advance(self._classify(event, now_s), now_s)
 
+    def _observe_era(self, era: StoreEra, now_s: float) -> list[LeaseAction]:
+        if self._era is not None and era <= self._era:
+            return []
+        self._era = era
+        self._earlier_holder_until_s = now_s + LEASE_TTL_S
+        is_holder = self.fencing is not None
+        self._rewrite_until_s = self.until_s if is_holder else -math.inf
+        self._was_read, self._version, self._pending = False, None, None
+        self._abandon_call()
+        self._next_due_s = now_s
+        return self._advance("restored", now_s)
+
     def _check_candidacy(self, now_s: float) -> list[LeaseAction]:
         # Await the answer to a call in flight: it may make this process the holder.
         if self._op_sent_s is not None:
@@ -264,12 +312,19 @@
         pending = self._pending
         if event.lease is None:
             self._was_read, self._version = True, None
-            return "free"
+            return self._check_expiry(self._find_earlier_expiry(now_s), now_s)
         if not self._was_read or event.version != self._version:
             self._record_version(event.lease, event.version, now_s)
         in_doubt = self._machine.state.endswith("_in_doubt")
         if in_doubt and pending and event.lease.token == pending.lease.token:
             return "confirmed"
+        expiry_s = self._unchanged_since_s + LEASE_TTL_S
+        if event.lease.fencing < find_fencing_floor(self._era):
+            # It is of a copy, or was written in an earlier era and arrived late.
+            if now_s < self._rewrite_until_s:
+                return "free"
+            expiry_s = max(expiry_s, self._find_earlier_expiry(now_s))
+            return self._check_expiry(expiry_s, now_s)
         # A renewal can't continue a lease that another holder released.
         if event.lease.holder == NO_HOLDER:
             return "free" if self.fencing is None else "taken"
@@ -277,7 +332,15 @@
         # expired, under a higher number. It replaces another's only after its expiry.
         if event.lease.holder == self.holder:
             return "free"
-        expiry_s = self._unchanged_since_s + LEASE_TTL_S
+        return self._check_expiry(expiry_s, now_s)
+
+    def _find_earlier_expiry(self, now_s: float) -> float:
+        """Return when a holder that the store may not name has stopped acting."""
+        if self._earlier_holder_until_s is None or now_s < self._rewrite_until_s:
+            return -math.inf
+        return self._earlier_holder_until_s
+
+    def _check_expiry(self, expiry_s: float, now_s: float) -> str:
         if now_s >= expiry_s:
             return "free"
         self._next_due_s = min(now_s + POLL_INTERVAL_S, expiry_s)
@@ -307,7 +370,7 @@
     def _do_write(self, now_s: float) -> LeaseAction:
         fencing = self.fencing
         if fencing is None:
-            fencing = FencingNumber(self._highest_fencing + 1)
+            fencing = self._choose_fencing()
         lease = Lease(holder=self.holder, fencing=fencing, token=self._make_token())
         return self._write(lease, now_s)
 
@@ -320,11 +383,17 @@
 
     def _write(self, lease: Lease, now_s: float) -> LeaseAction:
         op = self._start_op(now_s)
-        self._pending = _Pending(lease=lease, sent_s=now_s, op=op)
+        is_first = self._version is None and self._earlier_holder_until_s is None
+        self._pending = _Pending(lease=lease, sent_s=now_s, op=op, is_first=is_first)
         return WriteLease(op=op, expected=self._version, lease=lease)
 
+    def _choose_fencing(self) -> FencingNumber:
+        revision = self._version if isinstance(self._version, StoreRevision) else None
+        base = find_fencing_base(self._era, revision)
+        return FencingNumber(max(self._highest_fencing, base) + 1)
+
     def _make_released_lease(self) -> Lease:
-        fencing = FencingNumber(self._highest_fencing + 1)
+        fencing = self._choose_fencing()
         return Lease(holder=NO_HOLDER, fencing=fencing, token=self._make_token())
 
     def _confirm_pending(self, now_s: float) -> FencingNumber:
@@ -335,7 +404,12 @@
 
     def _do_grant(self, now_s: float) -> LeaseAction:
         self.fencing = self._confirm_pending(now_s)
-        return Granted(fencing=self.fencing, until_s=self.until_s)
+        assert self._pending is not None
+        return Granted(
+            fencing=self.fencing,
+            until_s=self.until_s,
+            is_first=self._pending.is_first,
+        )
 
     def _do_extend(self, now_s: float) -> LeaseAction:
         self._confirm_pending(now_s)
--- a/bramleyport/gateway/_lease.py
+++ b/bramleyport/gateway/_lease.py
@@ -7,7 +7,9 @@
 from result import Err, Ok
 
 from bramleyport.authority import (
+    LEASE_TTL_S,
     CandidacyChanged,
+    EraObserved,
     Granted,
     LeaseAction,
     LeaseConflict,
@@ -25,7 +27,7 @@
     read_lease,
     write_lease,
 )
-from bramleyport.core import FencingNumber, ProcessId, StoreRevision
+from bramleyport.core import FencingNumber, ProcessId, StoreEra, StoreRevision
 from bramleyport.gateway._clock import read_boot_time
 from bramleyport.platform import ObjectKind, ObjectName, StoreClient, StoreFailure
 from bramleyport.telemetry import authority_events, gateway_events, log_event
@@ -38,14 +40,30 @@
     """Track the lease for orders: acquired while wanted, released afterwards."""
 
     def __init__(
-        self, process: ProcessId, store: StoreClient, handover_s: float
+        self,
+        process: ProcessId,
+        store: StoreClient,
+        handover_s: float,
+        *,
+        first_start: bool,
     ) -> None:
         # A restarted process counts as a different holder.
         self._holder = f"{process}-{uuid.uuid4().hex[:8]}"
         self._store = store
         self._handover_s = handover_s
-        self._lease_manager = LeaseManager(self._holder, lambda: uuid.uuid4().hex)
-        self._lease_manager.step(CandidacyChanged(candidate=False), read_boot_time())
+        now_s = read_boot_time()
+        # A restored store, or one from before this process, may name no holder that
+        # is at work.
+        is_sole = first_start and not store.eras.was_restored
+        self._lease_manager = LeaseManager(
+            self._holder,
+            lambda: uuid.uuid4().hex,
+            era=store.eras.named,
+            earlier_holder_until_s=None if is_sole else now_s + LEASE_TTL_S,
+        )
+        self._lease_manager.step(CandidacyChanged(candidate=False), now_s)
+        # The era may rise while a call to the store for the lease is under way.
+        store.eras.on_restored.append(self._record_era)
         self._pending_change: CandidacyChanged | None = None
         self._usable_from_s = 0.0
         self.orders_in_flight = 0
@@ -76,30 +94,44 @@
         actions = self._lease_manager.step(event, read_boot_time())
         while actions:
             answer = await self._execute(actions.pop(0))
+            self._observe_era()
             if answer is not None:
                 actions += self._lease_manager.step(answer, read_boot_time())
 
+    def _observe_era(self) -> None:
+        era = self._store.eras.named
+        if era is not None:
+            self._record_era(era)
+
+    def _record_era(self, era: StoreEra) -> None:
+        event = EraObserved(era=era)
+        for action in self._lease_manager.step(event, read_boot_time()):
+            self._record(action)
+
     async def _execute(self, action: LeaseAction) -> LeaseEvent | None:
         if isinstance(action, ReadLease):
             return await self._read(action)
         if isinstance(action, WriteLease):
             return await self._write(action)
+        self._record(action)
+        return None
+
+    def _record(self, action: LeaseAction) -> None:
         if isinstance(action, Granted):
-            self._record_granted(action.fencing)
+            self._record_granted(action)
         elif not isinstance(action, SettleOrders):
             log_event(gateway_events.LEASE_CHANGED, change=type(action).__name__)
-        return None
 
-    def _record_granted(self, fencing: FencingNumber) -> None:
+    def _record_granted(self, granted: Granted) -> None:
         # The previous holder may have sent orders until the lease changed hands, and
         # they may still be under way. The first holder has no predecessor.
-        is_first = fencing <= 1
-        self._usable_from_s = read_boot_time() + (0.0 if is_first else self._handover_s)
+        rest_s = 0.0 if granted.is_first else self._handover_s
+        self._usable_from_s = read_boot_time() + rest_s
         log_event(
             gateway_events.LEASE_CHANGED,
             change="granted",
             holder=self._holder,
-            fencing=fencing,
+            fencing=granted.fencing,
         )
 
     async def _read(self, action: ReadLease) -> LeaseEvent:
--- a/bramleyport/gateway/_stages.py
+++ b/bramleyport/gateway/_stages.py
@@ -148,7 +148,12 @@
         from bramleyport.gateway._lease import OrderLease
 
         settings = self._state.settings
-        self._lease = OrderLease(settings.process, self._store, settings.lease_s)
+        self._lease = OrderLease(
+            settings.process,
+            self._store,
+            settings.lease_s,
+            first_start=settings.first_start,
+        )
         self._lease.set_wanted(wanted=True)
         self._lease_task = asyncio.ensure_future(self._lease.run())
 
--- a/bramleyport/platform/_store_eras.py
+++ b/bramleyport/platform/_store_eras.py
@@ -16,6 +16,7 @@
 
     def __init__(self) -> None:
         self._newest: StoreEra | None = None
+        self._was_restored = False
         self._watches: set[asyncio.Timeout] = set()
         # Called with the new era when the store was restored from a copy.
         self.on_restored: list[Callable[[StoreEra], None]] = []
@@ -25,6 +26,16 @@
         """Return the newest era that an answer has named."""
         return FIRST_ERA if self._newest is None else self._newest
 
+    @property
+    def named(self) -> StoreEra | None:
+        """Return the newest era, or None if no answer has named one."""
+        return self._newest
+
+    @property
+    def was_restored(self) -> bool:
+        """Return whether answers have named more than one era."""
+        return self._was_restored
+
     def record(self, named: StoreEra | None) -> StoreEra:
         """Record the era that an answer names and return the era of the answer."""
         if named is None:
@@ -33,6 +44,7 @@
             self._newest = named
         elif named > self._newest:
             self._newest = named
+            self._was_restored = True
             self._end_watches()
             for notify in self.on_restored:
                 notify(named)
