Write verdicts again that a restored store lacks, and none that was released

What was seen: after a restore all gateways released a part whose verdict the copy lacked, so engines would crash under it again; a part released since the copy was made was withheld again; the count of trials fell back, so trials came early; and a conditional write with a revision of an ended era counted as "another gateway was first", so it was lost.

Cause: the list of a restored store replaced what was known as if it were newer. Change: what is known and missing is kept and written again; of a known and a listed verdict the companions that both have and the higher counts stand. A revision of an ended era is read again before the write. Answers to writes are recorded as well, so that a verdict which no watch has shown before a restore isn't forgotten.

Event 2680 tells of a verdict written again.

--- a/bramleyport/gateway/_verdict_store.py
+++ b/bramleyport/gateway/_verdict_store.py
@@ -2,16 +2,18 @@
 
 import asyncio
 import hashlib
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from functools import partial
 from typing import Final
 
-from result import Err, Result
+from result import Err, Ok, Result
 
 from bramleyport.core import StoreRevision
 from bramleyport.fleet import PrefixId, Verdict
 from bramleyport.gateway._clock import read_now
 from bramleyport.gateway._object_guard import ObjectGuard
+from bramleyport.gateway._released_verdicts import ReleasedVerdicts
+from bramleyport.gateway._repair_queue import RepairQueue
 from bramleyport.gateway._state import GatewayState
 from bramleyport.platform import (
     ChangeBatch,
@@ -39,8 +41,9 @@
 
 @dataclass(slots=True, kw_only=True)
 class _StoredVerdict:
-    name: ObjectName
+    # What is known of the verdict, and what the store has of it.
     document: VerdictDocument
+    written: VerdictDocument
     revision: StoreRevision
     # When this gateway learned of the verdict or of its last trial.
     changed_s: float
@@ -51,6 +54,9 @@
 
     A trial is permitted by a conditional update of the stored verdict, so that there is
     one at a time whatever the number of gateways.
+
+    A store that is restored from a copy takes back nothing: verdicts and trials that it
+    lacks are written again, and verdicts released since the copy are removed again.
     """
 
     def __init__(self, state: GatewayState, store: StoreClient) -> None:
@@ -64,19 +70,29 @@
         self._unremoved: set[PrefixId] = set()
         self._trial_until_s: dict[PrefixId, float] = {}
         self._requested_trials: set[PrefixId] = set()
+        self._released = ReleasedVerdicts()
+        # Parts whose verdict a restored store lacks, or has though it was released.
+        self._repairs = RepairQueue(
+            state.settings.process, lambda: state.roster.gateways
+        )
         self._work_pending = asyncio.Event()
 
     def apply_listing(self, listing: Listing, *, restored: bool = False) -> None:
         """Replace the stored verdicts with a complete list."""
         self._guard.report_nameless(listing.nameless)
         self._guard.retain({item.name for item in listing.objects})
-        before = set(self._stored)
+        known = set(self._stored)
+        if restored:
+            known |= {item.part for item in self._state.crash_evidence.verdicts}
         listed = {
             self._guard.apply(item, partial(self._apply_stored, item))
             for item in listing.objects
         }
-        for part in before - listed:
-            self._release(part, "no longer stored")
+        for part in known - listed:
+            if not restored:
+                self._release(part, "no longer stored")
+            elif part not in self._unremoved:
+                self._schedule_repair(part)
 
     def apply_changes(self, batch: ChangeBatch) -> None:
         """Apply changes of stored verdicts."""
@@ -95,7 +111,12 @@
 
     def remove(self, part: PrefixId) -> None:
         """Remove the verdict on a part that proved harmless, in the background."""
-        self._unwritten.pop(part, None)
+        verdict = self._unwritten.pop(part, None)
+        if part in self._stored:
+            self._record_released(self._stored[part].document)
+        elif verdict is not None:
+            self._record_released(VerdictDocument(verdict=verdict, trials=0))
+        self._repairs.drop(part)
         self._unremoved.add(part)
         self._work_pending.set()
 
@@ -120,17 +141,95 @@
     async def run(self) -> None:
         """Write what is pending until cancelled."""
         while True:
-            await self._work_pending.wait()
+            await self._wait_for_work()
             self._work_pending.clear()
+            await self._repair_due()
             if not await self._write_pending():
                 await asyncio.sleep(WRITE_RETRY_S)
                 self._work_pending.set()
 
+    async def _wait_for_work(self) -> None:
+        due_s = self._repairs.find_next()
+        try:
+            async with asyncio.timeout_at(due_s):
+                await self._work_pending.wait()
+        except TimeoutError:
+            return
+
+    async def _repair_due(self) -> None:
+        for key in self._repairs.take_due(read_now()):
+            part = PrefixId(key)
+            if not await self._repair(part):
+                self._repairs.postpone(part, read_now() + WRITE_RETRY_S)
+
+    async def _repair(self, part: PrefixId) -> bool:
+        """Write what is known of a part, and return whether it is in the store."""
+        document = self._find_document(part)
+        if document is None:
+            is_released = self._released.is_recent(part, read_now())
+            return not is_released or await self._remove_one(part)
+        spec = encode_verdict(document.verdict, document.trials)
+        result = await self._store.create(KIND, _make_name(part), spec)
+        if _is_conflict(result):
+            if not await self._read_again(part):
+                return False
+            stored = self._stored.get(part)
+            if stored is None or stored.document == stored.written:
+                return True
+            document = stored.document
+            spec = encode_verdict(document.verdict, document.trials)
+            name, revision = _make_name(part), stored.revision
+            result = await self._store.replace(KIND, name, spec, revision)
+        if isinstance(result, Err):
+            _log_failure(part, result.err_value)
+            return False
+        log_event(gateway_events.VERDICT_REWRITTEN, part=part, trials=document.trials)
+        self._apply_answered(result.ok_value)
+        return True
+
+    async def _read_again(self, part: PrefixId) -> bool:
+        """Return whether the stored verdict on a part was read."""
+        result = await self._store.get(KIND, _make_name(part))
+        if isinstance(result, Err):
+            _log_failure(part, result.err_value)
+            return False
+        self._apply_answered(result.ok_value)
+        return True
+
+    def _find_document(self, part: PrefixId) -> VerdictDocument | None:
+        stored = self._stored.get(part)
+        if stored is not None:
+            return stored.document
+        for verdict in self._state.crash_evidence.verdicts:
+            if verdict.part == part:
+                return VerdictDocument(verdict=verdict, trials=0)
+        return None
+
+    def _schedule_repair(self, part: PrefixId) -> None:
+        self._repairs.add(part, read_now())
+        self._work_pending.set()
+
+    def _record_released(self, document: VerdictDocument) -> None:
+        self._released.record(document, self._store.eras.newest, read_now())
+
+    def _apply_answered(self, item: StoredObject) -> None:
+        """Apply an object of an answer, which the watch may have overtaken."""
+        document = self._guard.decode(item, _decode)
+        if document is None:
+            return
+        part = document.verdict.part
+        if part in self._unremoved or self._released.is_recent(part, read_now()):
+            return
+        known = self._stored.get(part)
+        if known is None or known.revision < item.revision:
+            self._apply_stored(item)
+
     async def _write_pending(self) -> bool:
         """Return whether nothing is left to be written."""
         for part in list(self._unremoved):
-            if await self._remove_one(part):
+            if await self._remove_one(part) and part in self._unremoved:
                 self._unremoved.discard(part)
+                self._release(part, "removed from the store")
         for part, verdict in list(self._unwritten.items()):
             if await self._write_one(verdict) and self._unwritten.get(part) == verdict:
                 del self._unwritten[part]
@@ -148,13 +247,23 @@
             stored is None or stored.document.verdict != verdict
         ):
             # Another gateway was first, or the verdict names fewer companions now.
+            if stored is not None and self._is_outdated(stored):
+                # It is written at the next try, on what the restored store has.
+                await self._read_again(verdict.part)
+                return False
             revision = stored.revision if stored else None
             result = await self._store.replace(KIND, name, document, revision)
         if isinstance(result, Err) and not _is_conflict(result):
             _log_failure(verdict.part, result.err_value)
             return False
+        if isinstance(result, Ok):
+            self._apply_answered(result.ok_value)
         return True
 
+    def _is_outdated(self, stored: _StoredVerdict) -> bool:
+        """Return whether a verdict has its revision from an era that has ended."""
+        return stored.revision.era < self._store.eras.newest
+
     async def _remove_one(self, part: PrefixId) -> bool:
         result = await self._store.remove(KIND, _make_name(part))
         if isinstance(result, Err) and (
@@ -166,6 +275,10 @@
 
     async def _request_trial(self, part: PrefixId) -> None:
         stored = self._stored.get(part)
+        if stored is not None and self._is_outdated(stored):
+            # A local conflict would not mean that another gateway has the trial.
+            await self._read_again(part)
+            stored = self._stored.get(part)
         if stored is None:
             return
         document = encode_verdict(stored.document.verdict, stored.document.trials + 1)
@@ -187,12 +300,13 @@
         self._guard.forget(item.name)
         part = document.verdict.part if document else self._find_part(item.name)
         if part is not None:
+            self._repairs.drop(part)
             self._release(part, "removed from the store")
         return part
 
     def _find_part(self, name: ObjectName) -> PrefixId | None:
         """Return the part on which an object has held a valid verdict."""
-        return next((p for p, item in self._stored.items() if item.name == name), None)
+        return next((part for part in self._stored if _make_name(part) == name), None)
 
     def _apply_stored(self, item: StoredObject) -> PrefixId | None:
         """Apply a verdict and return its part; the last valid one stays in force."""
@@ -201,25 +315,48 @@
             return self._find_part(item.name)
         verdict = document.verdict
         evidence = self._state.crash_evidence
+        if self._released.is_copy(document, item.revision.era, read_now()):
+            self._schedule_repair(verdict.part)
+            return None
         if not evidence.is_plausible(verdict):
             self.remove(verdict.part)
             return None
         self._unremoved.discard(verdict.part)
-        known = self._stored.get(verdict.part)
-        self._stored[verdict.part] = _StoredVerdict(
-            name=item.name,
-            document=document,
-            revision=item.revision,
-            changed_s=read_now()
-            if known is None or known.document.trials != document.trials
-            else known.changed_s,
-        )
+        self._stored[verdict.part] = self._merge(document, item.revision)
         if evidence.apply_verdict(verdict):
             log_verdict(verdict, "store")
         return verdict.part
 
+    def _merge(
+        self, document: VerdictDocument, revision: StoreRevision
+    ) -> _StoredVerdict:
+        """Return a stored verdict with what is known beyond it.
+
+        The store has less only after it was restored, until that is written again.
+        """
+        known = self._stored.get(document.verdict.part)
+        merged = document
+        if known is not None and (
+            revision.era > known.revision.era or known.document != known.written
+        ):
+            merged = _merge_documents(known.document, document)
+        part = document.verdict.part
+        if merged == document:
+            self._repairs.drop(part)
+        else:
+            self._schedule_repair(part)
+        is_known = known is not None and known.document.trials == merged.trials
+        return _StoredVerdict(
+            document=merged,
+            written=document,
+            revision=revision,
+            changed_s=known.changed_s if known and is_known else read_now(),
+        )
+
     def _release(self, part: PrefixId, reason: str) -> None:
-        self._stored.pop(part, None)
+        stored = self._stored.pop(part, None)
+        if stored is not None:
+            self._record_released(stored.document)
         self._trial_until_s.pop(part, None)
         if any(item.part == part for item in self._state.crash_evidence.verdicts):
             self._state.crash_evidence.drop_verdict(part)
@@ -237,6 +374,20 @@
     )
 
 
+def _merge_documents(
+    known: VerdictDocument, listed: VerdictDocument
+) -> VerdictDocument:
+    """Return what was found last: fewer companions, more crashes and more trials."""
+    return VerdictDocument(
+        verdict=replace(
+            known.verdict,
+            companions=known.verdict.companions & listed.verdict.companions,
+            crashes=max(known.verdict.crashes, listed.verdict.crashes),
+        ),
+        trials=max(known.trials, listed.trials),
+    )
+
+
 def _is_conflict(result: Result[StoredObject, StoreError]) -> bool:
     if isinstance(result, Err):
         return result.err_value.failure is StoreFailure.CONFLICT
--- a/bramleyport/telemetry/_gateway_events.py
+++ b/bramleyport/telemetry/_gateway_events.py
@@ -82,3 +82,6 @@
 STORE_RESTORED: Final = define(
     2658, "WARNING", "store restored from a copy, listing compared with last state"
 )
+VERDICT_REWRITTEN: Final = define(
+    2680, "INFO", "verdict on a prompt part written again to a restored store"
+)
