--- a/bramleyport/fleet/_roster.py
+++ b/bramleyport/fleet/_roster.py
@@ -10,6 +10,9 @@
 SILENT_KEEP_S: Final = 60.0
 # All gateways that know this one have sent something within this time of its start.
 LISTEN_S: Final = 5.0
+# A store is restored from a copy that is some seconds old, so a gateway that has left
+# before this time is in no copy.
+LEFT_KEEP_S: Final = 60.0
 
 
 class GatewayRoster:
@@ -25,6 +28,8 @@
         self._seen_s: dict[ProcessId, float] = {}
         # Listed gateways that have left or were silent for too long.
         self._absent: set[ProcessId] = set()
+        # When gateways that left lately did so, whether or not they are listed.
+        self._left_s: dict[ProcessId, float] = {}
         self._gateways = frozenset((own,))
         self._own = own
         # Set once the list of gateways was read, or they had time to send something.
@@ -42,9 +47,16 @@
         """Return how many gateways share bounds; None until that is known."""
         return len(self._gateways) if self._is_complete else None
 
-    def record_listed(self, listed: Collection[ProcessId], now_s: float) -> None:
-        """Record the list of gateways in the store."""
+    def record_listed(
+        self, listed: Collection[ProcessId], now_s: float, *, restored: bool = False
+    ) -> None:
+        """Record the list of gateways in the store.
+
+        The list of a restored store may name gateways that have left since its copy.
+        """
         self._is_complete = True
+        if restored:
+            self._absent |= {item for item in listed if self.has_left(item, now_s)}
         self._absent &= set(listed)
         for process in listed:
             if process not in self._absent:
@@ -54,17 +66,26 @@
     def record_heard(self, process: ProcessId, now_s: float) -> None:
         """Record a message of a gateway."""
         self._absent.discard(process)
+        self._left_s.pop(process, None)
         is_new = process not in self._seen_s
         self._seen_s[process] = now_s
         if is_new:
             self._update()
 
-    def record_left(self, process: ProcessId) -> None:
+    def record_left(self, process: ProcessId, now_s: float) -> None:
         """Record that a gateway has announced its end."""
         self._absent.add(process)
+        self._left_s[process] = now_s
+        for name in [name for name in self._left_s if not self.has_left(name, now_s)]:
+            del self._left_s[name]
         if self._seen_s.pop(process, None) is not None:
             self._update()
 
+    def has_left(self, process: ProcessId, now_s: float) -> bool:
+        """Return whether a gateway has announced its end lately."""
+        left_s = self._left_s.get(process)
+        return left_s is not None and now_s - left_s <= LEFT_KEEP_S
+
     def drop_silent(self, now_s: float) -> None:
         """Stop counting gateways without a sign of life for SILENT_KEEP_S."""
         if self._listening_since_s is None:
--- a/bramleyport/gateway/_daemon.py
+++ b/bramleyport/gateway/_daemon.py
@@ -73,7 +73,7 @@
         self._peers = peers
         self._guard = guard
         self._verdicts = verdicts
-        self._directory = PeerDirectory(state.settings, store, peers)
+        self._directory = PeerDirectory(state.settings, store, peers, state.roster)
         self._readiness = Readiness(state)
         self._metrics_port = metrics_port
         page = MetricsPage(state, metrics)
--- a/bramleyport/gateway/_peers.py
+++ b/bramleyport/gateway/_peers.py
@@ -110,14 +110,27 @@
         """Send a store update to the other gateways."""
         self._send_data(cbor2.dumps(encode_store_update(update)))
 
-    def set_addresses(self, addresses: dict[ProcessId, Address]) -> None:
-        """Set the addresses of the other gateways."""
+    def set_addresses(
+        self, addresses: dict[ProcessId, Address], *, restored: bool = False
+    ) -> None:
+        """Set the addresses of the other gateways.
+
+        Those that are heard keep theirs: a restored store may lack their entries.
+        """
         now_s = read_now()
-        self._addresses = addresses
+        roster = self._state.roster
+        roster.record_listed(addresses, now_s, restored=restored)
+        heard = {
+            process: address
+            for process, address in self._addresses.items()
+            if process in self._last_received_s
+        }
+        self._addresses = heard | addresses
         self._listed_s = {
-            process: self._listed_s.get(process, now_s) for process in addresses
+            process: self._listed_s.get(process, now_s)
+            for process in addresses
+            if process in roster.gateways
         }
-        self._state.roster.record_listed(addresses, now_s)
 
     def announce(self) -> None:
         """Tell the other gateways that this one is running."""
@@ -177,7 +190,7 @@
             return
         if message.leaving:
             self._remove_peer(message.process, "leaving")
-            self._state.roster.record_left(message.process)
+            self._state.roster.record_left(message.process, now_s)
             return
         self._record_peer(message.process, addr, now_s)
         self._record_incarnation(message)
--- a/bramleyport/telemetry/_gateway_events.py
+++ b/bramleyport/telemetry/_gateway_events.py
@@ -85,3 +85,6 @@
 VERDICT_REWRITTEN: Final = define(
     2680, "INFO", "verdict on a prompt part written again to a restored store"
 )
+LEFT_GATEWAY_REMOVED: Final = define(
+    2681, "INFO", "entry of a gateway that has left removed from a restored store"
+)
--- a/tests/test_shared_bounds.py
+++ b/tests/test_shared_bounds.py
@@ -93,6 +93,6 @@
     assert roster.count == 1
     roster.record_heard(other, 63.0)
     assert roster.count == 2
-    roster.record_left(other)
+    roster.record_left(other, 63.0)
     roster.record_listed({other}, 64.0)
     assert roster.count == 1
