Split the merge of known and stored verdicts from their store

The merge is a pure function now, with the question whether the store has all that is known beside it. A gateway that can't write its entry keeps to stale reads of the list: only one that was listed has a stale list without it checked by a fresh one.

--- a/bramleyport/gateway/_peer_directory.py
+++ b/bramleyport/gateway/_peer_directory.py
@@ -193,9 +193,10 @@
             # After a restart the entry of the earlier process may still be valid.
             self._is_listed = self._has_entry = self._has_read_list = True
             return
-        self._has_read_list = not stale
-        if not stale:
-            self._is_listed = False
+        if stale:
+            self._has_read_list = not self._is_listed
+        else:
+            self._has_read_list, self._is_listed = True, False
 
 
 def _decode(item: StoredObject) -> Address:
--- a/bramleyport/gateway/_verdict_store.py
+++ b/bramleyport/gateway/_verdict_store.py
@@ -2,19 +2,18 @@
 
 import asyncio
 import hashlib
-from dataclasses import dataclass, replace
 from functools import partial
 from typing import Final
 
 from result import Err, Ok, Result
 
-from bramleyport.core import StoreRevision
 from bramleyport.fleet import PrefixId, Verdict
 from bramleyport.gateway._clock import read_now
 from bramleyport.gateway._object_guard import ObjectGuard
 from bramleyport.gateway._released_verdicts import ReleasedVerdicts
 from bramleyport.gateway._repair_queue import RepairQueue
 from bramleyport.gateway._state import GatewayState
+from bramleyport.gateway._stored_verdict import StoredVerdict, merge_stored
 from bramleyport.platform import (
     ChangeBatch,
     Listing,
@@ -39,16 +38,6 @@
 WRITE_RETRY_S: Final = 1.0
 
 
-@dataclass(slots=True, kw_only=True)
-class _StoredVerdict:
-    # What is known of the verdict, and what the store has of it.
-    document: VerdictDocument
-    written: VerdictDocument
-    revision: StoreRevision
-    # When this gateway learned of the verdict or of its last trial.
-    changed_s: float
-
-
 class VerdictStore:
     """Write verdicts to the store, apply those of it, and permit trials.
 
@@ -63,7 +52,7 @@
         self._state = state
         self._store = store
         self._guard = ObjectGuard(gateway_events.VERDICT_INVALID)
-        self._stored: dict[PrefixId, _StoredVerdict] = {}
+        self._stored: dict[PrefixId, StoredVerdict] = {}
         # Verdicts of this gateway that the store does not have yet.
         self._unwritten: dict[PrefixId, Verdict] = {}
         # Parts that were released but may still be in the store.
@@ -174,7 +163,7 @@
             if not await self._read_again(part):
                 return False
             stored = self._stored.get(part)
-            if stored is None or stored.document == stored.written:
+            if stored is None or stored.is_complete:
                 return True
             document = stored.document
             spec = encode_verdict(document.verdict, document.trials)
@@ -260,7 +249,7 @@
             self._apply_answered(result.ok_value)
         return True
 
-    def _is_outdated(self, stored: _StoredVerdict) -> bool:
+    def _is_outdated(self, stored: StoredVerdict) -> bool:
         """Return whether a verdict has its revision from an era that has ended."""
         return stored.revision.era < self._store.eras.newest
 
@@ -322,37 +311,18 @@
             self.remove(verdict.part)
             return None
         self._unremoved.discard(verdict.part)
-        self._stored[verdict.part] = self._merge(document, item.revision)
+        stored = merge_stored(
+            self._stored.get(verdict.part), document, item.revision, read_now()
+        )
+        self._stored[verdict.part] = stored
+        if stored.is_complete:
+            self._repairs.drop(verdict.part)
+        else:
+            self._schedule_repair(verdict.part)
         if evidence.apply_verdict(verdict):
             log_verdict(verdict, "store")
         return verdict.part
 
-    def _merge(
-        self, document: VerdictDocument, revision: StoreRevision
-    ) -> _StoredVerdict:
-        """Return a stored verdict with what is known beyond it.
-
-        The store has less only after it was restored, until that is written again.
-        """
-        known = self._stored.get(document.verdict.part)
-        merged = document
-        if known is not None and (
-            revision.era > known.revision.era or known.document != known.written
-        ):
-            merged = _merge_documents(known.document, document)
-        part = document.verdict.part
-        if merged == document:
-            self._repairs.drop(part)
-        else:
-            self._schedule_repair(part)
-        is_known = known is not None and known.document.trials == merged.trials
-        return _StoredVerdict(
-            document=merged,
-            written=document,
-            revision=revision,
-            changed_s=known.changed_s if known and is_known else read_now(),
-        )
-
     def _release(self, part: PrefixId, reason: str) -> None:
         stored = self._stored.pop(part, None)
         if stored is not None:
@@ -374,20 +344,6 @@
     )
 
 
-def _merge_documents(
-    known: VerdictDocument, listed: VerdictDocument
-) -> VerdictDocument:
-    """Return what was found last: fewer companions, more crashes and more trials."""
-    return VerdictDocument(
-        verdict=replace(
-            known.verdict,
-            companions=known.verdict.companions & listed.verdict.companions,
-            crashes=max(known.verdict.crashes, listed.verdict.crashes),
-        ),
-        trials=max(known.trials, listed.trials),
-    )
-
-
 def _is_conflict(result: Result[StoredObject, StoreError]) -> bool:
     if isinstance(result, Err):
         return result.err_value.failure is StoreFailure.CONFLICT
