--- a/bramleyport/gateway/_stored_verdict.py
+++ b/bramleyport/gateway/_stored_verdict.py
@@ -3,13 +3,14 @@
 from dataclasses import dataclass, replace
 
 from bramleyport.core import StoreRevision
-from bramleyport.platform import VerdictDocument
+from bramleyport.platform import ObjectName, StoredObject, VerdictDocument
 
 
 @dataclass(slots=True, kw_only=True)
 class StoredVerdict:
     """Represent a verdict in the store, and what is known of it beyond that."""
 
+    name: ObjectName
     document: VerdictDocument
     # What the store has. It has less only after it was restored from a copy.
     written: VerdictDocument
@@ -26,20 +27,24 @@
 def merge_stored(
     known: StoredVerdict | None,
     written: VerdictDocument,
-    revision: StoreRevision,
+    item: StoredObject,
     now_s: float,
 ) -> StoredVerdict:
     """Return a stored verdict with what was known of it in an earlier era."""
     document = written
     if known is not None and (
-        revision.era > known.revision.era or not known.is_complete
+        item.revision.era > known.revision.era or not known.is_complete
     ):
         document = _merge_documents(known.document, written)
     changed_s = now_s
     if known is not None and known.document.trials == document.trials:
         changed_s = known.changed_s
     return StoredVerdict(
-        document=document, written=written, revision=revision, changed_s=changed_s
+        name=item.name,
+        document=document,
+        written=written,
+        revision=item.revision,
+        changed_s=changed_s,
     )
 
 
--- a/bramleyport/gateway/_verdict_store.py
+++ b/bramleyport/gateway/_verdict_store.py
@@ -295,7 +295,7 @@
 
     def _find_part(self, name: ObjectName) -> PrefixId | None:
         """Return the part on which an object has held a valid verdict."""
-        return next((part for part in self._stored if _make_name(part) == name), None)
+        return next((p for p, item in self._stored.items() if item.name == name), None)
 
     def _apply_stored(self, item: StoredObject) -> PrefixId | None:
         """Apply a verdict and return its part; the last valid one stays in force."""
@@ -312,7 +312,7 @@
             return None
         self._unremoved.discard(verdict.part)
         stored = merge_stored(
-            self._stored.get(verdict.part), document, item.revision, read_now()
+            self._stored.get(verdict.part), document, item, read_now()
         )
         self._stored[verdict.part] = stored
         if stored.is_complete:
