--- a/bramleyport/telemetry/_gateway_events.py
+++ b/bramleyport/telemetry/_gateway_events.py
@@ -79,3 +79,12 @@
 CALLS_CUT: Final = define(
     2657, "WARNING", "connections with unanswered requests closed"
 )
+STORE_RESTORED: Final = define(
+    2658, "WARNING", "store restored from a copy, listing compared with last state"
+)
+VERDICT_REWRITTEN: Final = define(
+    2680, "INFO", "verdict on a prompt part written again to a restored store"
+)
+LEFT_GATEWAY_REMOVED: Final = define(
+    2681, "INFO", "entry of a gateway that has left removed from a restored store"
+)
