--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -17,6 +17,8 @@
 from bramleyport.gateway import _lease, _state_updaters
 from bramleyport.gateway._state_updaters import RegistrationUpdater
 from bramleyport.platform import (
+    Change,
+    ChangeBatch,
     Listing,
     ObjectKind,
     ObjectName,
@@ -217,6 +219,41 @@
     run(check())
 
 
+# Guards the same for what follows from an object that was decoded.
+@pytest.mark.parametrize("listed", [False, True], ids=["watch", "list"])
+def test_unexpected_failure_of_a_consequence_costs_one_entry_only(
+    fleet: GatewayFleet, run: Run, listed: bool
+) -> None:
+    def fail_for_one(upstream: str) -> None:
+        if upstream == "p0":
+            raise KeyError("unexpected")
+
+    async def check() -> None:
+        await fleet.start()
+        updater = RegistrationUpdater(fleet.state, fail_for_one)
+        for upstream in fleet.plain:
+            # A restarted process has lost what is known of the earlier one.
+            upstream.register(fleet.store, born=upstream.born_ms + 1, slots=1)
+        objects = tuple(
+            StoredObject(
+                name=ObjectName(item["metadata"]["name"]),
+                revision=Revision(item["metadata"]["revision"]),
+                document=item["spec"],
+            )
+            for (kind, _), item in fleet.store.objects.items()
+            if kind == "servers"
+        )
+        if listed:
+            updater.apply_listing(Listing(Revision(99), objects))
+        else:
+            changes = tuple(Change(item, removed=False) for item in objects)
+            updater.apply_changes(ChangeBatch(Revision(99), changes))
+        assert fleet.state.members.find("p1").slots == 1
+        assert len(list_names(fleet)) == 4
+
+    run(check())
+
+
 def test_odd_gateway_entry_costs_no_other(fleet: GatewayFleet, run: Run) -> None:
     async def check() -> None:
         fleet.store.put("gateways", "odd", {"address": NESTED})
