--- a/bramleyport/gateway/_verdict_store.py
+++ b/bramleyport/gateway/_verdict_store.py
@@ -77,6 +77,9 @@
             self._guard.apply(item, partial(self._apply_stored, item))
             for item in listing.objects
         }
+        if listing.nameless:
+            # Any of the missing verdicts may be among them.
+            return
         for part in known - listed:
             if not restored:
                 self._release(part, "no longer stored")
