--- a/tests/soak/_stop_checks.py
+++ b/tests/soak/_stop_checks.py
@@ -2,7 +2,6 @@
 
 from dataclasses import dataclass, field
 
-from bramleyport.fleet import plan_shutdown
 from tests.soak._checks import NOT_RUN_STATUSES
 from tests.soak._findings import Findings
 
@@ -12,6 +11,10 @@
 LATE_CALL_S = 3.0
 # Until then calls run to their end, as a fraction of the grace time.
 SERVED_FRACTION = 5 / 6
+# Time that a gateway leaves its interpreter to exit, at most and as a fraction of the
+# grace time.
+MAX_EXIT_S = 0.5
+EXIT_FRACTION = 0.075
 # Deadlines begin when the first byte is read, and end connections a little later.
 DEADLINE_SLACK_S = 0.1
 
@@ -66,7 +69,7 @@
     @property
     def was_starved(self) -> bool:
         """Return whether its host kept the process from exiting in the grace time."""
-        return self.waited_s > self.grace_s - plan_shutdown(0.0, self.grace_s).exit_s
+        return self.waited_s > min(MAX_EXIT_S, EXIT_FRACTION * self.grace_s)
 
     @property
     def served_until_s(self) -> float:
