Leave out odd items of messages between gateways, and bound their values

One item of another type, a huge number or a value that is not finite made the whole datagram invalid, so that the other work, limits and reports in it were lost. Other odd values were taken as valid: an infinite duration kept an engine from all work for good, a transfer of 1e300 s kept its link busy for good, and a huge incarnation or start time hid all later restarts and limits.

Cause: one try block around the whole message, and conversions with int, float and str, which accept numbers of other types and without bounds.

Items are now decoded one by one, with types and bounds checked; those that are not valid are left out with event 2670. A message is refused only if its head is not valid.

--- a/bramleyport/gateway/_peer_messages.py
+++ b/bramleyport/gateway/_peer_messages.py
@@ -1,8 +1,8 @@
 """Encode and decode messages between gateways as CBOR in datagrams."""
 
-import math
-from dataclasses import dataclass
-from typing import Any, Final
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+from typing import Any, Final, TypeVar
 
 import cbor2
 
@@ -21,6 +21,24 @@
     Work,
 )
 from bramleyport.gateway._clock import read_now
+from bramleyport.gateway._peer_fields import (
+    MAX_AGE_S,
+    MAX_CHANGE_S,
+    MAX_COST,
+    MAX_RATE,
+    MAX_TRANSFER_S,
+    MAX_WORK_S,
+    PeerMessageError,
+    read_amount,
+    read_count,
+    read_duration,
+    read_flag,
+    read_integer,
+    read_list,
+    read_name,
+    read_row,
+    read_start_ms,
+)
 from bramleyport.gateway._store_updates import (
     FORMAT as STORE_UPDATE_FORMAT,
     StoreUpdate,
@@ -38,10 +56,11 @@
 # Longest usual delay of an update. A limit is raised or ended only by an answer to a
 # request that was certainly sent after the limit was received.
 MAX_UPDATE_DELAY_S: Final = 0.25
+MS_PER_S: Final = 1000
+# Messages of the earliest version end with the engines that change their stage.
+MIN_LISTS: Final = 4
 
-
-class PeerMessageError(ValueError):
-    """Report a datagram that is not a valid message of a gateway."""
+T = TypeVar("T")
 
 
 @dataclass(frozen=True, slots=True)
@@ -96,6 +115,8 @@
     reports: tuple[CrashReport, ...] = ()
     harmless: tuple[HarmlessPart, ...] = ()
     verdicts: tuple[Verdict, ...] = ()
+    # Why items of the datagram were left out.
+    invalid: tuple[str, ...] = field(default=(), compare=False)
 
 
 def make_limit_update(notice: RateLimitNotice, now_s: float) -> LimitUpdate:
@@ -155,69 +176,103 @@
         return _decode_message(fields, now_s)
     except (
         cbor2.CBORDecodeError,
+        ArithmeticError,
         TypeError,
         ValueError,
-        OverflowError,
         RecursionError,
     ) as error:
         raise PeerMessageError(repr(error)) from error
 
 
+class _ItemDecoder:
+    """Decode the items of a message, and leave out those that are not valid."""
+
+    def __init__(self, lists: list[Any]) -> None:
+        self._lists = lists
+        self.invalid: list[str] = []
+
+    def decode(self, index: int, decode_item: Callable[[Any], T]) -> tuple[T, ...]:
+        """Return the valid items of a list; messages of earlier versions lack some."""
+        if index >= len(self._lists):
+            return ()
+        items = self._lists[index]
+        if not isinstance(items, list):
+            self.invalid.append(f"list {index}: {type(items).__name__}")
+            return ()
+        return tuple(self._decode_each(index, items, decode_item))
+
+    def _decode_each(
+        self, index: int, items: list[Any], decode_item: Callable[[Any], T]
+    ) -> Iterable[T]:
+        for item in items:
+            try:
+                yield decode_item(item)
+            except PeerMessageError as error:
+                self.invalid.append(f"list {index}: {error}")
+
+
 def _decode_message(fields: list[Any], now_s: float) -> PeerMessage:
     if fields[0] != FORMAT:
         raise PeerMessageError("unknown message format")
-    # Messages of earlier versions end with the changing or the refusing upstreams, or
-    # with the limits.
-    _, process, incarnation, leaving, started, prefilled, ended, changing, *rest = (
-        fields
-    )
+    _, process, incarnation, leaving, *lists = fields
+    if len(lists) < MIN_LISTS:
+        raise PeerMessageError(f"a message of {len(lists)} lists")
+    decoder = _ItemDecoder(lists)
     return PeerMessage(
-        process=ProcessId(str(process)),
-        incarnation=int(incarnation),
-        leaving=bool(leaving),
-        started=tuple(_decode_work(item, now_s) for item in started),
-        prefilled=tuple(_decode_ref(item) for item in prefilled),
-        ended=tuple(_decode_ref(item) for item in ended),
-        changing=tuple(
-            ChangingEngine(UpstreamId(str(upstream)), float(duration_s))
-            for upstream, duration_s in changing
-        ),
-        refused=tuple(UpstreamId(str(item)) for item in (rest[0] if rest else ())),
-        limits=tuple(_decode_limit(item) for item in (rest[1] if rest[1:] else ())),
-        reports=tuple(
-            _decode_report(item, now_s) for item in (rest[2] if rest[2:] else ())
-        ),
-        harmless=tuple(
-            HarmlessPart(PrefixId(str(part)), now_s - _read_amount(age_s))
-            for part, age_s in (rest[3] if rest[3:] else ())
-        ),
-        verdicts=tuple(_decode_verdict(item) for item in (rest[4] if rest[4:] else ())),
+        process=ProcessId(read_name(process)),
+        incarnation=read_count(incarnation),
+        leaving=read_flag(leaving),
+        started=decoder.decode(0, lambda item: _decode_work(item, now_s)),
+        prefilled=decoder.decode(1, _decode_ref),
+        ended=decoder.decode(2, _decode_ref),
+        changing=decoder.decode(3, _decode_change),
+        refused=decoder.decode(4, lambda item: UpstreamId(read_name(item))),
+        limits=decoder.decode(5, _decode_limit),
+        reports=decoder.decode(6, lambda item: _decode_report(item, now_s)),
+        harmless=decoder.decode(7, lambda item: _decode_harmless(item, now_s)),
+        verdicts=decoder.decode(8, _decode_verdict),
+        # Evaluated last, when all lists are decoded.
+        invalid=tuple(decoder.invalid),
     )
 
 
 def _encode_work(work: Work) -> list[Any]:
     parts = [[part.prefix, part.tokens] for part in work.parts]
-    prefill_ms = round(work.prefill_s * 1000)
+    prefill_ms = round(work.prefill_s * MS_PER_S)
     prefill_cost = round(work.prefill_cost)
-    transfer_ms = round(work.transfer_s * 1000)
+    transfer_ms = round(work.transfer_s * MS_PER_S)
     head = [work.upstream, work.request, work.priority, prefill_ms, prefill_cost]
     return [*head, parts, transfer_ms]
 
 
 def _decode_work(item: Any, now_s: float) -> Work:
     # Messages of the previous version lack the transfer time.
-    upstream, request, priority, prefill_ms, prefill_cost, parts, *rest = item
+    row = read_row(item, 6, 7)
+    upstream, request, priority, prefill_ms, prefill_cost, parts, *rest = row
+    transfer_ms = rest[0] if rest else 0
     return Work(
-        request=RequestId(str(request)),
-        upstream=UpstreamId(str(upstream)),
-        priority=int(priority),
-        prefill_s=float(prefill_ms) / 1000,
-        prefill_cost=float(prefill_cost),
+        request=RequestId(read_name(request)),
+        upstream=UpstreamId(read_name(upstream)),
+        priority=read_integer(priority),
+        prefill_s=read_amount(prefill_ms, MAX_WORK_S * MS_PER_S) / MS_PER_S,
+        prefill_cost=read_amount(prefill_cost, MAX_COST),
         started_s=now_s,
-        parts=tuple(
-            PromptPart(PrefixId(str(prefix)), int(tokens)) for prefix, tokens in parts
-        ),
-        transfer_s=float(rest[0]) / 1000 if rest else 0.0,
+        parts=tuple(_decode_part(part) for part in read_list(parts)),
+        transfer_s=read_amount(transfer_ms, MAX_TRANSFER_S * MS_PER_S) / MS_PER_S,
+    )
+
+
+def _decode_part(item: Any) -> PromptPart:
+    prefix, tokens = read_row(item, 2)
+    if not isinstance(prefix, str):
+        raise PeerMessageError("a prompt part without a name")
+    return PromptPart(PrefixId(prefix), read_count(tokens))
+
+
+def _decode_change(item: Any) -> ChangingEngine:
+    upstream, duration_s = read_row(item, 2)
+    return ChangingEngine(
+        UpstreamId(read_name(upstream)), read_duration(duration_s, MAX_CHANGE_S)
     )
 
 
@@ -232,13 +287,13 @@
 
 
 def _decode_limit(item: Any) -> LimitUpdate:
-    upstream, started_ms, rate, sent_age_s, received_age_s = item
+    upstream, started_ms, rate, sent_age_s, received_age_s = read_row(item, 5)
     return LimitUpdate(
-        upstream=UpstreamId(str(upstream)),
-        started_ms=int(started_ms),
-        rate=None if rate is None else _read_amount(rate),
-        sent_age_s=_read_amount(sent_age_s),
-        received_age_s=_read_amount(received_age_s),
+        upstream=UpstreamId(read_name(upstream)),
+        started_ms=read_start_ms(started_ms),
+        rate=None if rate is None else read_amount(rate, MAX_RATE),
+        sent_age_s=read_amount(sent_age_s, MAX_AGE_S),
+        received_age_s=read_amount(received_age_s, MAX_AGE_S),
     )
 
 
@@ -250,13 +305,20 @@
 
 
 def _decode_report(item: Any, now_s: float) -> CrashReport:
-    upstream, started_ms, age_s, parts, unproven, answer_began = item
+    upstream, started_ms, age_s, parts, unproven, answer_began = read_row(item, 6)
     return CrashReport(
-        crash=CrashId(UpstreamId(str(upstream)), int(started_ms)),
-        at_s=now_s - _read_amount(age_s),
-        parts=_decode_parts(parts),
-        unproven=_decode_parts(unproven),
-        answer_began=bool(answer_began),
+        crash=CrashId(UpstreamId(read_name(upstream)), read_start_ms(started_ms)),
+        at_s=now_s - read_amount(age_s, MAX_AGE_S),
+        parts=_decode_shared_parts(parts),
+        unproven=_decode_shared_parts(unproven),
+        answer_began=read_flag(answer_began),
+    )
+
+
+def _decode_harmless(item: Any, now_s: float) -> HarmlessPart:
+    part, age_s = read_row(item, 2)
+    return HarmlessPart(
+        _decode_shared_part(part), now_s - read_amount(age_s, MAX_AGE_S)
     )
 
 
@@ -265,35 +327,26 @@
 
 
 def _decode_verdict(item: Any) -> Verdict:
-    part, companions, crashes = item
+    part, companions, crashes = read_row(item, 3)
     return Verdict(
-        part=PrefixId(str(part)),
-        companions=_decode_parts(companions),
-        crashes=_read_count(crashes),
+        part=_decode_shared_part(part),
+        companions=_decode_shared_parts(companions),
+        crashes=read_count(crashes, MAX_CRASHES),
     )
 
 
-def _decode_parts(items: Any) -> frozenset[PrefixId]:
-    if not isinstance(items, list) or len(items) > MAX_PARTS:
-        raise PeerMessageError(f"not a list of up to {MAX_PARTS} parts: {items!r:.40}")
-    if any(len(str(item)) > MAX_PART_CHARS for item in items):
-        raise PeerMessageError(f"part over {MAX_PART_CHARS} characters")
-    return frozenset(PrefixId(str(item)) for item in items)
-
-
-def _read_count(value: Any) -> int:
-    if not isinstance(value, int) or not 0 <= value <= MAX_CRASHES:
-        raise PeerMessageError(f"not a count of crashes: {value!r:.40}")
-    return value
+def _decode_shared_parts(items: Any) -> frozenset[PrefixId]:
+    return frozenset(
+        _decode_shared_part(item) for item in read_row(items, 0, MAX_PARTS)
+    )
 
 
-def _read_amount(value: Any) -> float:
-    amount = float(value)
-    if not math.isfinite(amount) or amount < 0:
-        raise PeerMessageError(f"invalid amount: {value!r:.40}")
-    return amount
+def _decode_shared_part(item: Any) -> PrefixId:
+    if not isinstance(item, str) or len(item) > MAX_PART_CHARS:
+        raise PeerMessageError(f"no text of up to {MAX_PART_CHARS} characters")
+    return PrefixId(item)
 
 
 def _decode_ref(item: Any) -> WorkRef:
-    upstream, request = item
-    return WorkRef(UpstreamId(str(upstream)), RequestId(str(request)))
+    upstream, request = read_row(item, 2)
+    return WorkRef(UpstreamId(read_name(upstream)), RequestId(read_name(request)))
--- a/bramleyport/gateway/_peers.py
+++ b/bramleyport/gateway/_peers.py
@@ -23,13 +23,13 @@
 )
 from bramleyport.gateway._clock import read_now
 from bramleyport.gateway._crash_guard import CrashGuard, CrashUpdates
+from bramleyport.gateway._peer_fields import MAX_CLOCK_AHEAD_MS, PeerMessageError
 from bramleyport.gateway._peer_messages import (
     MAX_ITEMS,
     MAX_REPORTS,
     ChangingEngine,
     LimitUpdate,
     PeerMessage,
-    PeerMessageError,
     WorkRef,
     decode_datagram,
     encode_message,
@@ -169,6 +169,13 @@
         except (PeerMessageError, StoreUpdateError) as error:
             log_event(gateway_events.PEER_MESSAGE_INVALID, peer=addr, reason=str(error))
             return
+        if isinstance(message, PeerMessage) and message.invalid:
+            log_event(
+                gateway_events.PEER_ITEM_INVALID,
+                peer=message.process,
+                count=len(message.invalid),
+                reason=message.invalid[0],
+            )
         if message.process == self.process:
             return
         if isinstance(message, StoreUpdate):
@@ -223,6 +230,9 @@
             self._send_known(self._addresses[process])
 
     def _record_incarnation(self, message: PeerMessage) -> None:
+        if message.incarnation > time.time_ns() // 1_000_000 + MAX_CLOCK_AHEAD_MS:
+            # It would hide all later restarts of the peer.
+            return
         known = self._incarnations.get(message.process, 0)
         if message.incarnation > known:
             self._incarnations[message.process] = message.incarnation
--- a/bramleyport/telemetry/_gateway_events.py
+++ b/bramleyport/telemetry/_gateway_events.py
@@ -71,6 +71,9 @@
     2654, "WARNING", "verdict on a prompt part not written to the store"
 )
 VERDICT_INVALID: Final = define(2655, "WARNING", "invalid verdict in the store ignored")
+PEER_ITEM_INVALID: Final = define(
+    2670, "WARNING", "invalid items in a message from a peer left out"
+)
 READINESS_CHANGED: Final = define(2637, "INFO", "readiness changed")
 STOP_ADVANCED: Final = define(2656, "INFO", "planned stop reached its next phase")
 CALLS_CUT: Final = define(
