Apply each item of a peer's message even if an earlier one fails

An unexpected error while one item was applied skipped all later items of the datagram, such as the limits after an upstream that refused a connection, and left the protocol's handler. The same held for handlers of store updates.

--- a/bramleyport/gateway/_peers.py
+++ b/bramleyport/gateway/_peers.py
@@ -6,9 +6,9 @@
 
 import asyncio
 import time
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 from dataclasses import replace
-from typing import Any, Final
+from typing import Any, Final, TypeVar
 
 import cbor2
 from twisted.internet.protocol import DatagramProtocol
@@ -18,6 +18,7 @@
     Address,
     RateLimitNotice,
     UpdatePacing,
+    Work,
     choose_store_watchers,
     is_watch_shared,
 )
@@ -48,7 +49,7 @@
     WorkTracker,
 )
 from bramleyport.platform import ObjectKind
-from bramleyport.telemetry import gateway_events, log_event
+from bramleyport.telemetry import events, gateway_events, log_event
 
 # A gateway that has sent nothing for this long announces itself, so that its peers
 # still count it.
@@ -56,6 +57,8 @@
 # A peer that has sent nothing for this long is no longer counted.
 PEER_TIMEOUT_S: Final = 6.0
 
+T = TypeVar("T")
+
 
 class PeerLink(DatagramProtocol):
     """Represent the link by which messages are exchanged with the other gateways."""
@@ -193,32 +196,44 @@
     def _dispatch_store_update(self, update: StoreUpdate) -> None:
         handler = self._update_handlers.get(update.kind)
         if handler is not None:
-            handler(update)
+            _apply_each([update], handler)
 
     def _apply(self, message: PeerMessage, now_s: float) -> None:
-        for item in message.changing:
+        origin = message.process
+
+        def apply_changing(item: ChangingEngine) -> None:
             self._state.changing_until_s[item.upstream] = now_s + item.duration_s
-        for upstream in message.refused:
-            self._tracker.apply_refused(upstream)
-            self._guard.confirm_crash(upstream)
-        self._apply_crashes(message)
-        for update in message.limits:
-            notice = make_limit_notice(update, message.process, now_s)
+
+        def apply_limit(update: LimitUpdate) -> None:
+            notice = make_limit_notice(update, origin, now_s)
             self._state.rate_limiter.apply_notice(notice, now_s)
-        for work in message.started:
-            self._tracker.apply_started(replace(work, origin=message.process))
-        for ref in message.prefilled:
-            self._tracker.apply_prefilled(ref.upstream, ref.request)
-        for ref in message.ended:
-            self._tracker.apply_ended(ref.upstream, ref.request)
+
+        def apply_started(work: Work) -> None:
+            self._tracker.apply_started(replace(work, origin=origin))
+
+        _apply_each(message.changing, apply_changing)
+        _apply_each(message.refused, self._apply_refused)
+        self._apply_crashes(message)
+        _apply_each(message.limits, apply_limit)
+        _apply_each(message.started, apply_started)
+        _apply_each(message.prefilled, self._apply_prefilled)
+        _apply_each(message.ended, self._apply_ended)
+
+    def _apply_refused(self, upstream: UpstreamId) -> None:
+        self._tracker.apply_refused(upstream)
+        self._guard.confirm_crash(upstream)
+
+    def _apply_prefilled(self, ref: WorkRef) -> None:
+        self._tracker.apply_prefilled(ref.upstream, ref.request)
+
+    def _apply_ended(self, ref: WorkRef) -> None:
+        self._tracker.apply_ended(ref.upstream, ref.request)
 
     def _apply_crashes(self, message: PeerMessage) -> None:
-        for notice in message.harmless:
-            self._guard.apply_harmless(notice)
-        for report in message.reports:
-            self._guard.apply_report(report, message.process)
-        for verdict in message.verdicts:
-            self._guard.apply_verdict(verdict, message.process)
+        guard, origin = self._guard, message.process
+        _apply_each(message.harmless, guard.apply_harmless)
+        _apply_each(message.reports, lambda item: guard.apply_report(item, origin))
+        _apply_each(message.verdicts, lambda item: guard.apply_verdict(item, origin))
 
     def _record_peer(self, process: ProcessId, addr: Any, now_s: float) -> None:
         is_new = process not in self._last_received_s
@@ -316,6 +331,15 @@
             self.transport.write(data, (address.host, address.port))
 
 
+def _apply_each(items: Iterable[T], apply_item: Callable[[T], None]) -> None:
+    """Apply each item; an unexpected error costs only the item that causes it."""
+    for item in items:
+        try:
+            apply_item(item)
+        except Exception as error:  # logged; the others are applied
+            log_event(events.HANDLER_FAILED, step="apply peer item", error=repr(error))
+
+
 def _take_crashes(crashes: CrashUpdates) -> dict[str, Any]:
     """Remove what fits into one message, and return it as fields of the message."""
     fields = {
