Send the other items when one can't be encoded for the peers

A name with a lone surrogate, or a forecast that is not finite, raised an error while a message to the other gateways was encoded. All updates that waited with it were lost, and the error reached the call that had caused the sending. A document with such text stopped the gateway that had read it from the store.

Items that can't be encoded are left out with event 2671; a store update is sent without its changes, so that the others read them from the store.

--- a/bramleyport/gateway/_peer_messages.py
+++ b/bramleyport/gateway/_peer_messages.py
@@ -1,6 +1,6 @@
 """Encode and decode messages between gateways as CBOR in datagrams."""
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass, field
 from typing import Any, Final, TypeVar
 
@@ -44,6 +44,7 @@
     StoreUpdate,
     decode_store_update,
 )
+from bramleyport.telemetry import gateway_events, log_event
 
 FORMAT: Final = 1
 # Keeps datagrams below the usual path MTU: a larger one is fragmented, and the loss of
@@ -59,6 +60,14 @@
 MS_PER_S: Final = 1000
 # Messages of the earliest version end with the engines that change their stage.
 MIN_LISTS: Final = 4
+# Raised for names with lone surrogates and for numbers that are not finite.
+ENCODING_ERRORS: Final = (
+    cbor2.CBOREncodeError,
+    ArithmeticError,
+    TypeError,
+    ValueError,
+    RecursionError,
+)
 
 T = TypeVar("T")
 
@@ -145,24 +154,42 @@
 
 
 def encode_message(message: PeerMessage) -> bytes:
-    """Return a message as the bytes of a datagram."""
-    return cbor2.dumps(
-        [
-            FORMAT,
-            message.process,
-            message.incarnation,
-            message.leaving,
-            [_encode_work(work) for work in message.started],
-            [[ref.upstream, ref.request] for ref in message.prefilled],
-            [[ref.upstream, ref.request] for ref in message.ended],
-            [[item.upstream, item.duration_s] for item in message.changing],
-            list(message.refused),
-            [_encode_limit(item) for item in message.limits],
-            [_encode_report(item) for item in message.reports],
-            [[item.part, read_now() - item.answered_s] for item in message.harmless],
-            [_encode_verdict(item) for item in message.verdicts],
-        ]
-    )
+    """Return a message as the bytes of a datagram, without what can't be encoded."""
+    head = [FORMAT, message.process, message.incarnation, message.leaving]
+    lists: list[tuple[Sequence[Any], Callable[[Any], Any]]] = [
+        (message.started, _encode_work),
+        (message.prefilled, _encode_ref),
+        (message.ended, _encode_ref),
+        (message.changing, _encode_change),
+        (message.refused, str),
+        (message.limits, _encode_limit),
+        (message.reports, _encode_report),
+        (message.harmless, _encode_harmless),
+        (message.verdicts, _encode_verdict),
+    ]
+    try:
+        rows = [[encode(item) for item in items] for items, encode in lists]
+        return cbor2.dumps([*head, *rows])
+    except ENCODING_ERRORS:
+        rows = [list(_encode_each(items, encode)) for items, encode in lists]
+        return cbor2.dumps([*head, *rows])
+
+
+def _encode_each(
+    items: Sequence[Any], encode_item: Callable[[Any], Any]
+) -> Iterable[Any]:
+    for item in items:
+        try:
+            row = encode_item(item)
+            cbor2.dumps(row)
+        except ENCODING_ERRORS as error:
+            log_event(
+                gateway_events.PEER_ITEM_NOT_SENT,
+                kind=type(item).__name__,
+                reason=repr(error),
+            )
+            continue
+        yield row
 
 
 def decode_datagram(data: bytes, now_s: float) -> PeerMessage | StoreUpdate:
@@ -269,6 +296,10 @@
     return PromptPart(PrefixId(prefix), read_count(tokens))
 
 
+def _encode_change(item: ChangingEngine) -> list[Any]:
+    return [item.upstream, item.duration_s]
+
+
 def _decode_change(item: Any) -> ChangingEngine:
     upstream, duration_s = read_row(item, 2)
     return ChangingEngine(
@@ -315,6 +346,10 @@
     )
 
 
+def _encode_harmless(item: HarmlessPart) -> list[Any]:
+    return [item.part, read_now() - item.answered_s]
+
+
 def _decode_harmless(item: Any, now_s: float) -> HarmlessPart:
     part, age_s = read_row(item, 2)
     return HarmlessPart(
@@ -347,6 +382,10 @@
     return PrefixId(item)
 
 
+def _encode_ref(ref: WorkRef) -> list[Any]:
+    return [ref.upstream, ref.request]
+
+
 def _decode_ref(item: Any) -> WorkRef:
     upstream, request = read_row(item, 2)
     return WorkRef(UpstreamId(read_name(upstream)), RequestId(read_name(request)))
--- a/bramleyport/gateway/_peers.py
+++ b/bramleyport/gateway/_peers.py
@@ -26,6 +26,7 @@
 from bramleyport.gateway._crash_guard import CrashGuard, CrashUpdates
 from bramleyport.gateway._peer_fields import MAX_CLOCK_AHEAD_MS, PeerMessageError
 from bramleyport.gateway._peer_messages import (
+    ENCODING_ERRORS,
     MAX_ITEMS,
     MAX_REPORTS,
     ChangingEngine,
@@ -111,7 +112,17 @@
 
     def publish_update(self, update: StoreUpdate) -> None:
         """Send a store update to the other gateways."""
-        self._send_data(cbor2.dumps(encode_store_update(update)))
+        try:
+            data = cbor2.dumps(encode_store_update(update))
+        except ENCODING_ERRORS as error:
+            log_event(
+                gateway_events.PEER_ITEM_NOT_SENT,
+                kind=update.kind.value,
+                reason=repr(error),
+            )
+            # The others read the changes from the store.
+            data = cbor2.dumps(encode_store_update(replace(update, changes=None)))
+        self._send_data(data)
 
     def set_addresses(self, addresses: dict[ProcessId, Address]) -> None:
         """Set the addresses of the other gateways."""
--- a/bramleyport/telemetry/_gateway_events.py
+++ b/bramleyport/telemetry/_gateway_events.py
@@ -74,6 +74,9 @@
 PEER_ITEM_INVALID: Final = define(
     2670, "WARNING", "invalid items in a message from a peer left out"
 )
+PEER_ITEM_NOT_SENT: Final = define(
+    2671, "WARNING", "item that can't be encoded left out of a message to the peers"
+)
 READINESS_CHANGED: Final = define(2637, "INFO", "readiness changed")
 STOP_ADVANCED: Final = define(2656, "INFO", "planned stop reached its next phase")
 CALLS_CUT: Final = define(
