Report every text that isn't JSON by one type of error

A body that nests deeply raised RecursionError, which the clients of the object API and of engines did not catch: what followed the store, reported an engine or ran a completion ended with an unexpected error instead of a failed call, and a completion whose stream held such an event was not resumed.

parse_json turns each failure of the parser into MalformedJsonError; the clients, the records and the callers' requests use it.

--- a/bramleyport/callers/_request.py
+++ b/bramleyport/callers/_request.py
@@ -1,6 +1,5 @@
 """Parse callers' requests; each error states that the request was not run."""
 
-import json
 from collections.abc import Mapping
 from dataclasses import dataclass
 from typing import Any, Final
@@ -12,9 +11,11 @@
     AdapterName,
     ErrorCode,
     Execution,
+    MalformedJsonError,
     Rank,
     ServeError,
     ServiceKind,
+    parse_json,
 )
 
 DEFAULT_MAX_TOKENS: Final = 256
@@ -90,8 +91,8 @@
     if isinstance(common_headers, Err):
         return common_headers
     try:
-        document = json.loads(body)
-    except (ValueError, RecursionError):
+        document = parse_json(body)
+    except MalformedJsonError:
         return Err(make_refusal(ErrorCode.MALFORMED, "the body is not JSON"))
     if not isinstance(document, dict):
         return Err(make_refusal(ErrorCode.MALFORMED, "the body is not a JSON object"))
--- a/bramleyport/core/__init__.py
+++ b/bramleyport/core/__init__.py
@@ -34,6 +34,7 @@
     UpstreamId,
     ZoneName,
 )
+from bramleyport.core._parsing import MalformedJsonError, is_encodable, parse_json
 from bramleyport.core._place import Place
 from bramleyport.core._problems import Problem, list_problems
 from bramleyport.core._prompt import CHARACTERS_PER_TOKEN, count_tokens, digest_prefix
@@ -73,6 +74,7 @@
     "Explanation",
     "FencingNumber",
     "LaggingProcess",
+    "MalformedJsonError",
     "ModelName",
     "ModelVersion",
     "Outcome",
@@ -103,7 +105,9 @@
     "ZoneName",
     "count_tokens",
     "digest_prefix",
+    "is_encodable",
     "list_problems",
     "make_strict_converter",
+    "parse_json",
     "read_yaml",
 ]
--- a/bramleyport/objectapi/_client.py
+++ b/bramleyport/objectapi/_client.py
@@ -11,7 +11,12 @@
 from twisted.internet.error import ConnectError
 from twisted.web.http_headers import Headers
 
-from bramleyport.core import Revision, make_strict_converter
+from bramleyport.core import (
+    MalformedJsonError,
+    Revision,
+    make_strict_converter,
+    parse_json,
+)
 from bramleyport.objectapi._types import (
     Document,
     Kind,
@@ -181,8 +186,8 @@
             text = content[:200].decode(errors="replace")
             return Err(self._make_error(failure, step, f"{response.code} {text}"))
         try:
-            return Ok(json.loads(content) if content else None)
-        except ValueError as error:
+            return Ok(parse_json(content) if content else None)
+        except MalformedJsonError as error:
             return Err(self._make_error(StoreFailure.UNKNOWN, step, repr(error)))
 
     def _decode(self, value: Any, kind: type[Any]) -> Result[Any, StoreError]:
--- a/bramleyport/replication/_store.py
+++ b/bramleyport/replication/_store.py
@@ -9,7 +9,13 @@
 from cattrs import BaseValidationError
 from result import Err, Ok, Result
 
-from bramleyport.core import Revision, ServiceName, make_strict_converter
+from bramleyport.core import (
+    MalformedJsonError,
+    Revision,
+    ServiceName,
+    make_strict_converter,
+    parse_json,
+)
 from bramleyport.membership import Host
 from bramleyport.records import ServiceRecord, parse_record
 from bramleyport.replication._revisions import Outcome, RevisionedSet
@@ -158,8 +164,8 @@
 
 def _read_name(document: bytes) -> str:
     try:
-        value = json.loads(document)
-    except ValueError:
+        value = parse_json(document)
+    except MalformedJsonError:
         return ""
     return str(value.get("name", "")) if isinstance(value, dict) else ""
 
@@ -168,9 +174,9 @@
 @lru_cache(maxsize=4096)
 def _parse_record(document: bytes) -> Result[ServiceRecord, list[str]]:
     try:
-        value = json.loads(document)
-    except ValueError as error:
-        return Err([f"not JSON: {error}"])
+        value = parse_json(document)
+    except MalformedJsonError as error:
+        return Err([str(error)])
     if not isinstance(value, dict):
         return Err(["not an object"])
     return parse_record(value).map_err(
@@ -181,7 +187,7 @@
 @lru_cache(maxsize=8192)
 def _parse_host(document: bytes) -> Result[Host, list[str]]:
     try:
-        return Ok(_converter.structure(json.loads(document), Host))
+        return Ok(_converter.structure(parse_json(document), Host))
     except (BaseValidationError, ValueError, TypeError, KeyError) as error:
         return Err([f"malformed host: {type(error).__name__}"])
 
--- a/bramleyport/upstreams/_engine.py
+++ b/bramleyport/upstreams/_engine.py
@@ -7,7 +7,7 @@
 from http import HTTPStatus
 from typing import Any, Final
 
-from bramleyport.core import Execution, PrefixBlock
+from bramleyport.core import Execution, PrefixBlock, parse_json
 from bramleyport.upstreams._body import (
     BodyReader,
     BodyTooLargeError,
@@ -207,7 +207,7 @@
 
 def _decode_stream_event(event: bytes) -> Token | CompletionEnd:
     try:
-        value = json.loads(event.removeprefix(b"data: "))
+        value = parse_json(event.removeprefix(b"data: "))
         if value.get("done"):
             return CompletionEnd(int(value["output_tokens"]))
         return Token(str(value["text"]))
--- a/bramleyport/upstreams/_http.py
+++ b/bramleyport/upstreams/_http.py
@@ -1,14 +1,13 @@
 """HTTP client of upstreams; its errors tell whether a call may have run."""
 
 import asyncio
-import json
 from dataclasses import dataclass
 from typing import Any, Final
 
 from twisted.internet.error import ConnectError
 from twisted.web.http_headers import Headers
 
-from bramleyport.core import Execution
+from bramleyport.core import Execution, MalformedJsonError, parse_json
 from bramleyport.transport import ConnectionEnd, make_http_client
 from bramleyport.upstreams._body import (
     BodyReader,
@@ -109,8 +108,8 @@
                 response.code,
             )
         try:
-            return json.loads(content)
-        except ValueError as error:
+            return parse_json(content)
+        except MalformedJsonError as error:
             raise self._make_error(method, path, error, Execution.UNKNOWN) from error
 
     def _make_error(
