Decode objects of a listing or a watch one by one

One object that was not valid, such as one without a version, made the whole answer of the object API an error. Entries and agents read the same listing again and again, and got no records, hosts or orders; a watch never passed the change. A name with a lone surrogate counted as valid and failed later, where the names of all records are digested.

Objects and changes are decoded one by one; those that are not valid are left out with event 2672. Text that can't be encoded is refused by the strict converter.

--- a/bramleyport/core/_converter.py
+++ b/bramleyport/core/_converter.py
@@ -3,6 +3,8 @@
 from enum import Enum
 from typing import TYPE_CHECKING, Any
 
+from bramleyport.core._parsing import is_encodable
+
 if TYPE_CHECKING:
     from cattrs import Converter
 
@@ -22,6 +24,8 @@
 def _check_str(value: object, target: type) -> object:
     if not isinstance(value, str):
         raise TypeError(f"expected text, got {value!r}")
+    if not is_encodable(value):
+        raise TypeError(f"expected text that can be encoded, got {value!r}")
     # cattrs also uses the hook of a class for its subclasses, here string enumerations.
     if isinstance(target, type) and issubclass(target, Enum):
         return target(value)
--- a/bramleyport/objectapi/_client.py
+++ b/bramleyport/objectapi/_client.py
@@ -2,7 +2,9 @@
 
 import asyncio
 import json
-from typing import TYPE_CHECKING, Any, Final
+from collections.abc import Iterable
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Any, Final, TypeVar
 
 import treq
 from cattrs import BaseValidationError
@@ -27,6 +29,7 @@
     StoreError,
     StoreFailure,
     WatchBatch,
+    WatchEvent,
 )
 from bramleyport.telemetry import events, log_event
 from bramleyport.transport import make_http_client
@@ -48,9 +51,39 @@
     503: StoreFailure.UNAVAILABLE,
 }
 
+DECODING_ERRORS: Final = (
+    BaseValidationError,
+    ArithmeticError,
+    AttributeError,
+    KeyError,
+    RecursionError,
+    TypeError,
+    ValueError,
+)
+# Characters of the reason for which an object is left out that are logged.
+MAX_REASON_CHARS: Final = 200
+
+T = TypeVar("T")
+
 _converter = make_strict_converter()
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class _RawListing:
+    """Describe a listing whose objects are not decoded yet."""
+
+    revision: Revision
+    items: tuple[Any, ...]
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class _RawBatch:
+    """Describe the changes of a watch that are not decoded yet."""
+
+    revision: Revision
+    events: tuple[Any, ...]
+
+
 class ObjectClient:
     """Represent a connection to the object API; errors are returned, not raised."""
 
@@ -72,7 +105,7 @@
     async def list_all(self, kind: Kind) -> Result[Listing, StoreError]:
         """Read all objects of a kind."""
         reply = await self._call("list", "GET", f"/objects/{kind.value}")
-        return reply.and_then(lambda value: self._decode(value, Listing))
+        return reply.and_then(self._decode_listing)
 
     async def create(
         self, kind: Kind, name: ObjectName, spec: Document, status: Document
@@ -109,7 +142,7 @@
         reply = await self._call(
             "watch", "GET", url, call_timeout_s=timeout_s + CALL_TIMEOUT_S
         )
-        return reply.and_then(lambda value: self._decode(value, WatchBatch))
+        return reply.and_then(self._decode_batch)
 
     async def close(self) -> None:
         """Close the idle connections."""
@@ -190,12 +223,44 @@
         except MalformedJsonError as error:
             return Err(self._make_error(StoreFailure.UNKNOWN, step, repr(error)))
 
-    def _decode(self, value: Any, kind: type[Any]) -> Result[Any, StoreError]:
+    def _decode(self, value: Any, kind: type[T]) -> Result[T, StoreError]:
         try:
             return Ok(_converter.structure(value, kind))
-        except (BaseValidationError, ValueError, TypeError, KeyError) as error:
+        except DECODING_ERRORS as error:
             return Err(self._make_error(StoreFailure.UNKNOWN, "decode", repr(error)))
 
+    def _decode_listing(self, value: Any) -> Result[Listing, StoreError]:
+        """Return a listing without the objects that are not valid."""
+        listing = self._decode(value, _RawListing)
+        return listing.map(
+            lambda found: Listing(
+                revision=found.revision,
+                items=tuple(self._decode_each(found.items, StoredObject)),
+            )
+        )
+
+    def _decode_batch(self, value: Any) -> Result[WatchBatch, StoreError]:
+        """Return the changes of a watch without those that are not valid."""
+        batch = self._decode(value, _RawBatch)
+        return batch.map(
+            lambda found: WatchBatch(
+                revision=found.revision,
+                events=tuple(self._decode_each(found.events, WatchEvent)),
+            )
+        )
+
+    def _decode_each(self, items: Iterable[Any], kind: type[T]) -> Iterable[T]:
+        for item in items:
+            decoded = self._decode(item, kind)
+            if isinstance(decoded, Ok):
+                yield decoded.ok_value
+                continue
+            log_event(
+                events.OBJECT_INVALID,
+                peer=self.base_url,
+                reason=decoded.err_value.message[:MAX_REASON_CHARS],
+            )
+
     def _make_error(self, failure: StoreFailure, step: str, message: str) -> StoreError:
         return StoreError(
             failure=failure, step=step, peer=self.base_url, message=message
--- a/bramleyport/telemetry/_events.py
+++ b/bramleyport/telemetry/_events.py
@@ -38,6 +38,9 @@
 )
 CONNECT_FAILED: Final = define(1106, "WARNING", "connection attempt failed")
 STORE_CALL_FAILED: Final = define(1201, "WARNING", "object API call failed")
+OBJECT_INVALID: Final = define(
+    2672, "WARNING", "invalid object of the object API left out"
+)
 RECORDS_APPLIED: Final = define(1301, "INFO", "records in force changed")
 RECORD_INVALID: Final = define(1302, "WARNING", "record rejected, last valid one kept")
 STATUS_NOT_WRITTEN: Final = define(1303, "INFO", "record status not written")
