Refuse a record that nests too deeply to be converted

A record with some 900 levels can be parsed, but not converted to the newest schema, described or encoded again: RecursionError left the entry's follower, which read the same listing again and again and applied no record.

The document is refused like any other that is not valid: with a reason, and the last valid version stays in force.

--- a/bramleyport/entry/_store_follower.py
+++ b/bramleyport/entry/_store_follower.py
@@ -186,5 +186,13 @@
 
 
 def _make_entry(item: StoredObject, *, removed: bool = False) -> ReplicaEntry:
-    document = None if removed else json.dumps(dict(item.spec)).encode()
+    document = None if removed else _encode_spec(item)
     return ReplicaEntry(name=item.name, revision=item.revision, document=document)
+
+
+def _encode_spec(item: StoredObject) -> bytes:
+    try:
+        return json.dumps(dict(item.spec)).encode()
+    except RecursionError:
+        # Refused as a document that is not JSON, and the last valid one is kept.
+        return b""
--- a/bramleyport/records/_document_parser.py
+++ b/bramleyport/records/_document_parser.py
@@ -49,6 +49,15 @@
     Processes ignore unknown fields, which a newer version may have written. The command
     line rejects them with `strict`, because there they are spelling errors.
     """
+    try:
+        return _parse_any_schema(document, strict=strict)
+    except RecursionError:
+        return Err([_make_problem((), "the document nests too deeply")])
+
+
+def _parse_any_schema(
+    document: Mapping[str, Any], *, strict: bool
+) -> Result[ServiceRecord, list[Problem]]:
     schema = document.get("schema", "v2")
     if schema not in SCHEMAS:
         reason = f"expected one of {', '.join(SCHEMAS)}, got {str(schema)[:40]!r}"
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -50,6 +50,7 @@
 DEEP: Final = b"[" * 100_000 + b"]" * 100_000
 # Deep enough for a parser, but not for what copies, prints or compares the value.
 HALF_DEEP: Final = 400
+NEARLY_TOO_DEEP: Final = 900
 LONG_NUMBER: Final = b"9" * 5_000
 UNPARSABLE: Final = [DEEP, LONG_NUMBER, b'"\xff"', b"{"]
 
@@ -199,6 +200,10 @@
 
 
 ODD_RECORDS: Final = [
+    {"schema": nest(NEARLY_TOO_DEEP)},
+    {"schema": "v1", "later": nest(NEARLY_TOO_DEEP)},
+    {"ranks": nest(NEARLY_TOO_DEEP)},
+    {"later": nest(2 * NEARLY_TOO_DEEP)},
     {"name": nest(HALF_DEEP)},
     {"ranks": nest(HALF_DEEP)},
     {"schema": nest(HALF_DEEP)},
