Leave out odd rows of the host list one by one

A row that was no object or named no process made an entry ignore the whole host list, and an object without a list made it ignore all others, for as long as they were there: hosts that came or left were not noticed. A row with a port out of range or an address that is no host counted as valid, and one with a huge incarnation hid all later restarts of its process.

Rows that name no process are left out, and rows that describe no host are refused, both with event 2673; a known host keeps its last valid row. An object without a list keeps its last valid version.

--- a/bramleyport/entry/_store_follower.py
+++ b/bramleyport/entry/_store_follower.py
@@ -2,12 +2,12 @@
 
 import asyncio
 import json
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Iterator
 from typing import TYPE_CHECKING, Any, Final, Protocol
 
 from result import Err
 
-from bramleyport.core import Revision
+from bramleyport.core import Revision, is_encodable
 from bramleyport.objectapi import (
     Kind,
     ObjectClient,
@@ -117,7 +117,10 @@
 
     def apply_listing(self, revision: Revision, items: Iterable[StoredObject]) -> None:
         """Apply the complete host list."""
-        self._objects = {item.name: item for item in items}
+        known = self._objects
+        self._objects = {}
+        for item in items:
+            self._keep(item, known.get(item.name))
         changed = [item.revision for item in self._objects.values()]
         self._update_hosts(max(changed, default=revision))
 
@@ -129,21 +132,28 @@
             if event.type is WatchEventType.DELETED:
                 self._objects.pop(event.object.name, None)
             else:
-                self._objects[event.object.name] = event.object
+                self._keep(event.object, self._objects.get(event.object.name))
         if latest:
             self._update_hosts(latest)
 
+    def _keep(self, item: StoredObject, last_valid: StoredObject | None) -> None:
+        """Replace an object by a new version, unless that one has no list."""
+        if isinstance(item.spec.get("hosts", []), list):
+            self._objects[item.name] = item
+            return
+        log_event(membership_events.HOST_LIST_REFUSED, name=item.name)
+        if last_valid is not None:
+            self._objects[item.name] = last_valid
+
     def _update_hosts(self, revision: Revision) -> None:
         rows: list[Any] = []
         for item in self._objects.values():
-            value: Any = item.spec.get("hosts", [])
-            if not isinstance(value, list) or not all(
-                isinstance(row, dict) and row.get("process") for row in value
-            ):
-                log_event(membership_events.HOST_LIST_REFUSED, name=item.name)
-                return
-            rows.extend(value)
-        if self._hub.replica.hosts.update_from_rows(revision, rows):
+            rows.extend(_list_rows(item))
+        store = self._hub.replica.hosts
+        is_changed = store.update_from_rows(revision, rows)
+        for name, reasons in store.refused.items():
+            log_event(membership_events.HOST_ROW_INVALID, host=name, reasons=reasons)
+        if is_changed:
             self._hub.apply(Changes(hosts=True, sends=self._hub.replica.push()))
 
 
@@ -185,6 +195,20 @@
         self._hub.stop_watching()
 
 
+def _list_rows(item: StoredObject) -> Iterator[dict[str, Any]]:
+    """Yield the rows of a host list that name a process."""
+    for row in item.spec.get("hosts", []):
+        name = row.get("process") if isinstance(row, dict) else None
+        if isinstance(name, str) and name and is_encodable(name):
+            yield row
+        else:
+            log_event(
+                membership_events.HOST_ROW_INVALID,
+                name=item.name,
+                reasons=["the row names no process"],
+            )
+
+
 def _make_entry(item: StoredObject, *, removed: bool = False) -> ReplicaEntry:
     document = None if removed else _encode_spec(item)
     return ReplicaEntry(name=item.name, revision=item.revision, document=document)
--- a/bramleyport/membership/__init__.py
+++ b/bramleyport/membership/__init__.py
@@ -1,6 +1,11 @@
 """Membership of the fleet: which hosts are live, leaving or gone."""
 
-from bramleyport.membership._hosts import Host, HostState, ProcessRole
+from bramleyport.membership._hosts import (
+    Host,
+    HostState,
+    ProcessRole,
+    list_host_problems,
+)
 from bramleyport.membership._membership import (
     Added,
     AvailabilityReported,
@@ -40,5 +45,6 @@
     "StateChanged",
     "Tick",
     "choose",
+    "list_host_problems",
     "rank",
 ]
--- a/bramleyport/replication/_store.py
+++ b/bramleyport/replication/_store.py
@@ -16,7 +16,7 @@
     make_strict_converter,
     parse_json,
 )
-from bramleyport.membership import Host
+from bramleyport.membership import Host, list_host_problems
 from bramleyport.records import ServiceRecord, parse_record
 from bramleyport.replication._revisions import Outcome, RevisionedSet
 from bramleyport.wire import ReplicaEntry, ReplicaPart
@@ -118,6 +118,8 @@
         # Coverage is not tracked: it can make peers send each other all hosts, a large
         # message, and the list is delayed anyway.
         self.document_set = RevisionedSet(_validate_host, follow_coverage=False)
+        # Why rows of the last update are not in effect.
+        self.refused: Mapping[str, list[str]] = {}
 
     @property
     def revision(self) -> Revision:
@@ -137,10 +139,7 @@
         self, revision: Revision, rows: Iterable[Mapping[str, Any]]
     ) -> bool:
         """Apply the rows of the store's list and return whether any changed."""
-        documents = {
-            str(row.get("process", "")): json.dumps(row, sort_keys=True).encode()
-            for row in rows
-        }
+        documents = {str(row.get("process", "")): _encode_row(row) for row in rows}
         known = self.document_set.items
         # Only changed rows are given the new revision, which keeps deltas small.
         changed = [
@@ -149,17 +148,29 @@
             if name not in known or known[name].document != document
         ]
         if self.revision == 0:
-            return self.document_set.apply_listing(revision, changed).changed
+            return self._finish(self.document_set.apply_listing(revision, changed))
         changed += [
             ReplicaEntry(name=name, revision=revision)
             for name in known
             if name not in documents
         ]
-        return self.document_set.apply_change(revision, changed).changed
+        return self._finish(self.document_set.apply_change(revision, changed))
 
     def merge(self, part: ReplicaPart) -> bool:
         """Apply a peer's list and return whether it changed this one."""
-        return self.document_set.merge(part).changed
+        return self._finish(self.document_set.merge(part))
+
+    def _finish(self, outcome: Outcome) -> bool:
+        self.refused = outcome.refused
+        return outcome.changed
+
+
+def _encode_row(row: Mapping[str, Any]) -> bytes:
+    try:
+        return json.dumps(row, sort_keys=True).encode()
+    except RecursionError:
+        # Refused as a document that is not JSON, and the last valid one is kept.
+        return b""
 
 
 def _read_name(document: bytes) -> str:
@@ -187,9 +198,11 @@
 @lru_cache(maxsize=8192)
 def _parse_host(document: bytes) -> Result[Host, list[str]]:
     try:
-        return Ok(_converter.structure(parse_json(document), Host))
+        host = _converter.structure(parse_json(document), Host)
     except (BaseValidationError, ValueError, TypeError, KeyError) as error:
         return Err([f"malformed host: {type(error).__name__}"])
+    reasons = list_host_problems(host)
+    return Err(reasons) if reasons else Ok(host)
 
 
 def _validate_record(document: bytes) -> list[str]:
--- a/bramleyport/telemetry/_membership_events.py
+++ b/bramleyport/telemetry/_membership_events.py
@@ -9,6 +9,9 @@
 HOST_REMOVED: Final = define(2403, "INFO", "host removed")
 HOST_STATE_CHANGED: Final = define(2404, "INFO", "host state changed")
 HOST_LIST_REFUSED: Final = define(2405, "WARNING", "malformed host list rejected")
+HOST_ROW_INVALID: Final = define(
+    2673, "WARNING", "invalid row of the host list left out"
+)
 WATCH_STARTED: Final = define(2406, "INFO", "store watch for the zone started")
 WATCH_STOPPED: Final = define(2407, "INFO", "store watch for the zone stopped")
 CONNECTION_REPLACED: Final = define(2408, "INFO", "connection replaced by a new one")
