--- a/bramleyport/telemetry/_routing_events.py
+++ b/bramleyport/telemetry/_routing_events.py
@@ -14,3 +14,6 @@
 CACHE_VIEW_UNCERTAIN: Final = define(2141, "INFO", "gap in cache reports")
 CACHE_EVENTS_LOST: Final = define(2142, "INFO", "gap in cache events, view rebuilt")
 SUBSET_CHANGED: Final = define(2151, "INFO", "subset of upstreams changed")
+CACHE_EVENT_INVALID: Final = define(
+    2674, "WARNING", "invalid cache event of an engine left out"
+)
