--- a/bramleyport/core/__init__.py
+++ b/bramleyport/core/__init__.py
@@ -34,7 +34,13 @@
     UpstreamId,
     ZoneName,
 )
-from bramleyport.core._parsing import MalformedJsonError, is_encodable, parse_json
+from bramleyport.core._parsing import (
+    MalformedJsonError,
+    is_encodable,
+    parse_json,
+    read_amount,
+    read_count,
+)
 from bramleyport.core._place import Place
 from bramleyport.core._problems import Problem, list_problems
 from bramleyport.core._prompt import CHARACTERS_PER_TOKEN, count_tokens, digest_prefix
@@ -109,5 +115,7 @@
     "list_problems",
     "make_strict_converter",
     "parse_json",
+    "read_amount",
+    "read_count",
     "read_yaml",
 ]
--- a/bramleyport/upstreams/_engine.py
+++ b/bramleyport/upstreams/_engine.py
@@ -7,7 +7,7 @@
 from http import HTTPStatus
 from typing import Any, Final
 
-from bramleyport.core import Execution, PrefixBlock, parse_json
+from bramleyport.core import Execution, PrefixBlock, parse_json, read_count
 from bramleyport.telemetry import log_event, routing_events
 from bramleyport.upstreams._body import (
     BodyReader,
@@ -21,8 +21,6 @@
 READ_TIMEOUT_S: Final = 5.0
 # An event contains the text of one token.
 MAX_EVENT_BYTES: Final = 256 * 1024
-# A larger number is no count of tokens, blocks or events.
-MAX_COUNT: Final = 2**53
 # Characters of the reason for which an event is left out that are logged.
 MAX_REASON_CHARS: Final = 200
 
@@ -119,7 +117,7 @@
         body = {"source": source, "blocks": [block.hex() for block in blocks]}
         value = await self._http.request_json("POST", path, json.dumps(body).encode())
         try:
-            return _read_count(value["imported"])
+            return read_count(value["imported"])
         except (KeyError, TypeError, ValueError) as error:
             raise self._make_malformed_error(path, error) from error
 
@@ -227,23 +225,15 @@
     try:
         value = parse_json(event.removeprefix(b"data: "))
         if value.get("done"):
-            return CompletionEnd(_read_count(value["output_tokens"]))
+            return CompletionEnd(read_count(value["output_tokens"]))
         return Token(str(value["text"]))
     except (AttributeError, KeyError, TypeError, ValueError) as error:
         raise MalformedEventError(f"malformed event: {error!r}") from error
 
 
-def _read_count(value: Any) -> int:
-    if isinstance(value, bool) or not isinstance(value, int):
-        raise TypeError(f"not a whole number: {type(value).__name__}")
-    if not 0 <= value <= MAX_COUNT:
-        raise ValueError(f"not a number from 0 to {MAX_COUNT}")
-    return value
-
-
 def _decode_cache_event(event: Mapping[str, Any]) -> CacheEvent:
     return CacheEvent(
-        sequence=_read_count(event["sequence"]),
+        sequence=read_count(event["sequence"]),
         stored=tuple(PrefixBlock(bytes.fromhex(b)) for b in event["stored"]),
         evicted=tuple(PrefixBlock(bytes.fromhex(b)) for b in event["evicted"]),
     )
