Refuse callers' bodies that no message to an agent can carry

A body with max_tokens of 10**400, or with a lone surrogate in its prompt, model or adapter, counted as valid. It failed later, where the work for an agent was encoded, and the caller got an answer that left open whether the request had run; a number above 64 bits made the agent close the connection of all calls.

Such bodies get 400, not run.

--- a/bramleyport/callers/_request.py
+++ b/bramleyport/callers/_request.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Mapping
 from dataclasses import dataclass
-from typing import Any, Final
+from typing import Any, Final, TypeGuard
 
 from result import Err, Ok, Result
 
@@ -15,10 +15,13 @@
     Rank,
     ServeError,
     ServiceKind,
+    is_encodable,
     parse_json,
 )
 
 DEFAULT_MAX_TOKENS: Final = 256
+# Messages to agents carry no whole numbers above 64 bits.
+MAX_OUTPUT_TOKENS: Final = 1_000_000_000
 MAX_KEY_CHARACTERS: Final = 200
 ANONYMOUS_ACCOUNT: Final = AccountId("anonymous")
 
@@ -147,27 +150,31 @@
 
 
 def _check_fields(document: Mapping[str, Any]) -> ServeError | None:
-    if not isinstance(document.get("model"), str):
+    if not _is_text(document.get("model")):
         return make_refusal(ErrorCode.MALFORMED, "model must be text")
     max_tokens = document.get("max_tokens", DEFAULT_MAX_TOKENS)
     if (
         isinstance(max_tokens, bool)
         or not isinstance(max_tokens, int)
-        or max_tokens < 1
+        or not 0 < max_tokens <= MAX_OUTPUT_TOKENS
     ):
-        return make_refusal(
-            ErrorCode.MALFORMED, "max_tokens must be a whole number above 0"
-        )
+        message = f"max_tokens must be a whole number from 1 to {MAX_OUTPUT_TOKENS}"
+        return make_refusal(ErrorCode.MALFORMED, message)
     if not isinstance(document.get("stream", False), bool):
         return make_refusal(ErrorCode.MALFORMED, "stream must be true or false")
-    if not isinstance(document.get("adapter", ""), str | None):
+    adapter = document.get("adapter")
+    if adapter is not None and not _is_text(adapter):
         return make_refusal(ErrorCode.MALFORMED, "adapter must be text")
     return None
 
 
+def _is_text(value: object) -> TypeGuard[str]:
+    return isinstance(value, str) and is_encodable(value)
+
+
 def _read_prompt(document: Mapping[str, Any]) -> Result[str, ServeError]:
     prompt = document.get("prompt")
-    if not isinstance(prompt, str) or not prompt:
+    if not _is_text(prompt) or not prompt:
         return Err(make_refusal(ErrorCode.MALFORMED, "prompt must be text"))
     return Ok(prompt)
 
@@ -182,8 +189,8 @@
     for index, item in enumerate(messages):
         if not (
             isinstance(item, dict)
-            and isinstance(item.get("role"), str)
-            and isinstance(item.get("content"), str)
+            and _is_text(item.get("role"))
+            and _is_text(item.get("content"))
         ):
             message = f"messages[{index}] must have role and content as text"
             return Err(make_refusal(ErrorCode.MALFORMED, message))
