Report every segment that can't be read as malformed

A segment of a claim log with an odd answer or time raised ExceptionGroup or OverflowError, which ended the worker of the log instead of one read. A key with a lone surrogate counted as valid and failed when it was looked up. A first number of 10**30 made a log forget its claims, and a trim delete segments without end; a trim of a log with a number of another type raised an error.

Such a segment or number is malformed, as others are: its log answers that the calls were not run until a valid one is read.

--- a/bramleyport/claims/_segment.py
+++ b/bramleyport/claims/_segment.py
@@ -5,8 +5,10 @@
 from dataclasses import dataclass
 from typing import Any, Final
 
+from cattrs import BaseValidationError
+
 from bramleyport.claims._changes import ClaimState, StoredAnswer
-from bramleyport.core import make_strict_converter
+from bramleyport.core import is_encodable, make_strict_converter
 
 # Each append writes the whole head segment, and each log in use keeps its head in
 # memory. Segments therefore have a quarter of the size that the design allows (512 kB).
@@ -67,8 +69,14 @@
             sealed_s=None if sealed_s is None else float(sealed_s),
             write_token=str(document["write_token"]),
         )
-    except (KeyError, TypeError, IndexError) as error:
-        raise ValueError(f"malformed segment: {error!r}") from error
+    except (
+        BaseValidationError,
+        ArithmeticError,
+        LookupError,
+        RecursionError,
+        TypeError,
+    ) as error:
+        raise ValueError(f"malformed segment: {type(error).__name__}") from error
 
 
 def find_answer(segment: Segment, key: str) -> StoredAnswer | None:
@@ -97,6 +105,8 @@
 def _load_entry(row: list[Any]) -> LogEntry:
     state = ClaimState(row[0])
     key, attempt = str(row[1]), str(row[2])
+    if not is_encodable(key):
+        raise ValueError("malformed segment: a key that can't be encoded")
     bytes.fromhex(attempt)
     entry = LogEntry(state=state, key=key, attempt=attempt, at_s=float(row[3]))
     if state is ClaimState.CLAIMED:
--- a/bramleyport/keyed/_claim_store.py
+++ b/bramleyport/keyed/_claim_store.py
@@ -1,7 +1,8 @@
 """Storage of claim logs in the object API."""
 
 from collections.abc import Mapping
-from typing import Final
+from dataclasses import dataclass
+from typing import Final, TypeGuard
 
 from result import Err, Ok, Result
 
@@ -33,9 +34,19 @@
 )
 from bramleyport.telemetry import claim_events, log_event
 
+# The names of segments have numbers of eight digits.
+SEGMENT_NUMBER_LIMIT: Final = 10**8
 _ABSENT: Final = ObjectVersion(0)
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class _LogNumbers:
+    """Describe the first segment of a log, and up to which one all were deleted."""
+
+    first: int = 0
+    trimmed: int = 0
+
+
 class ClaimStore:
     """Read and write the segments of each log, and the object with its first number."""
 
@@ -47,11 +58,12 @@
         found = await self._get(name_log(log))
         if isinstance(found, Err):
             return CallFailed(op=action.op)
-        first = 0 if found.ok_value is None else found.ok_value.spec.get("first")
-        if not isinstance(first, int):
-            log_event(claim_events.CLAIM_SEGMENT_INVALID, object=name_log(log))
+        if found.ok_value is None:
+            return FirstNumberRead(op=action.op, first=0)
+        numbers = _parse_numbers(name_log(log), found.ok_value)
+        if numbers is None:
             return CallFailed(op=action.op)
-        return FirstNumberRead(op=action.op, first=first)
+        return FirstNumberRead(op=action.op, first=numbers.first)
 
     async def read(self, log: int, action: ReadSegment) -> StoreEvent:
         """Read a segment."""
@@ -105,20 +117,19 @@
         if isinstance(found, Err):
             return
         stored = found.ok_value
-        recorded, trimmed = 0, 0
-        if stored is not None:
-            recorded = int(stored.spec.get("first", 0))
-            trimmed = int(stored.spec.get("trimmed", 0))
-        if first <= recorded:
+        numbers = _LogNumbers() if stored is None else _parse_numbers(name, stored)
+        if numbers is None or first <= numbers.first:
             return
-        for number in range(trimmed, recorded):
+        for number in range(numbers.trimmed, numbers.first):
             if not await self._delete(name_segment(log, number)):
                 return
         version = _ABSENT if stored is None else stored.version
-        spec = {"first": first, "trimmed": recorded}
+        spec = {"first": first, "trimmed": numbers.first}
         if isinstance(await self._put(name, version, spec), Ok):
             log_event(
-                claim_events.CLAIM_LOG_TRIMMED, log=log, deleted=recorded - trimmed
+                claim_events.CLAIM_LOG_TRIMMED,
+                log=log,
+                deleted=numbers.first - numbers.trimmed,
             )
 
     async def _get(self, name: ObjectName) -> Result[StoredObject | None, StoreError]:
@@ -156,6 +167,19 @@
     return ObjectName(f"log-{log:02d}-{number:08d}")
 
 
+def _parse_numbers(name: ObjectName, stored: StoredObject) -> _LogNumbers | None:
+    first = stored.spec.get("first")
+    trimmed = stored.spec.get("trimmed", 0)
+    if _is_segment_number(first) and _is_segment_number(trimmed):
+        return _LogNumbers(first=first, trimmed=trimmed)
+    log_event(claim_events.CLAIM_SEGMENT_INVALID, object=name)
+    return None
+
+
+def _is_segment_number(value: object) -> TypeGuard[int]:
+    return type(value) is int and 0 <= value < SEGMENT_NUMBER_LIMIT
+
+
 def _parse(name: ObjectName, stored: StoredObject) -> Segment | None:
     try:
         return read_segment(stored.spec)
