--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -24,10 +24,12 @@
     UpstreamView,
     ZoneName,
 )
+from bramleyport.entry._outcome_counter import OutcomeCounter
 from bramleyport.entry._store_follower import HostUpdater, RecordUpdater
 from bramleyport.keyed._claim_store import ClaimStore
 from bramleyport.objectapi import (
     Kind,
+    Listing,
     ObjectClient,
     ObjectName,
     ObjectVersion,
@@ -38,6 +40,7 @@
 from bramleyport.standins import read_port, serve_app, stop_listening
 from bramleyport.upstreams import EngineClient, UpstreamError
 from tests.test_replication import RANKS
+from tests.test_status import make_reporter
 from tests.test_upstream_answers import (
     TOKENS,
     read_completion,
@@ -584,3 +587,31 @@
         assert isinstance(event, CallFailed), value
         run(store.trim(0, 5))
         assert client.changed == [], value
+
+
+class FakeRecordClient:
+    """Represent a store of records that keeps the names of those written to it."""
+
+    def __init__(self, specs: dict[str, Any]) -> None:
+        self._items = tuple(make_stored(name, 7, spec) for name, spec in specs.items())
+        self.written: list[str] = []
+
+    async def list_all(self, _: Kind) -> Any:
+        """Return all records."""
+        return Ok(Listing(revision=Revision(7), items=self._items))
+
+    async def update(self, _: Kind, name: ObjectName, *__: Any) -> Any:
+        """Record a written status."""
+        self.written.append(name)
+        return Ok(self._items[0])
+
+
+def test_odd_record_does_not_hide_the_status_of_the_others(run: Run) -> None:
+    """Guards against statuses that are not written because of one odd record."""
+    odd = {"later": nest(2 * NEARLY_TOO_DEEP)}
+    client = FakeRecordClient(
+        {"a": make_record("a"), "odd": odd, "z": make_record("z")}
+    )
+    reporter = make_reporter(client, OutcomeCounter())  # type: ignore[arg-type]
+    run(reporter.report())
+    assert {"a", "z"} <= set(client.written)
