Write the status of each record even if an earlier one fails

A record that nests too deeply to be encoded again raised RecursionError while its status was built. The round ended there, and the statuses of all records after it were not written in any round.

--- a/bramleyport/entry/_status_reporter.py
+++ b/bramleyport/entry/_status_reporter.py
@@ -99,10 +99,21 @@
         if isinstance(listing, Err):
             return
         for item in listing.ok_value.items:
-            self._resolve_in_doubt(item)
-            status = self._build_status(item)
-            if self._is_due(item, status):
-                await self._write(item, status)
+            try:
+                await self._report_record(item)
+            except Exception as error:  # one record must not hide the others
+                log_event(
+                    events.HANDLER_FAILED,
+                    step="status",
+                    record=item.name,
+                    error=repr(error),
+                )
+
+    async def _report_record(self, item: StoredObject) -> None:
+        self._resolve_in_doubt(item)
+        status = self._build_status(item)
+        if self._is_due(item, status):
+            await self._write(item, status)
 
     async def _write(self, item: StoredObject, status: RecordStatus) -> None:
         self._written_s[item.name] = asyncio.get_running_loop().time()
