Read amounts in messages between gateways by the shared function

Work with values that later versions append is also read again, and the reason for which a lease or an order is refused has a bound in the log.

--- a/bramleyport/authority/_documents.py
+++ b/bramleyport/authority/_documents.py
@@ -23,6 +23,8 @@
 # a call that arrives after the next order. Its low part is the incarnation, so the
 # engine refuses a replaced agent.
 INCARNATION_LIMIT: Final = 1_000_000
+# Characters of the reason for which a document is refused that are logged.
+MAX_REASON_CHARS: Final = 200
 
 
 class Progress(str, Enum):
@@ -140,7 +142,7 @@
     try:
         return Ok(_converter.structure(spec, Lease))
     except (BaseValidationError, TypeError, ValueError) as error:
-        return Err(repr(error))
+        return Err(repr(error)[:MAX_REASON_CHARS])
 
 
 def write_lease(lease: Lease) -> dict[str, object]:
@@ -160,7 +162,7 @@
         order = _converter.structure(spec, Order)
         progress = _converter.structure(status, AgentProgress)
     except (BaseValidationError, TypeError, ValueError) as error:
-        return Err(repr(error))
+        return Err(repr(error)[:MAX_REASON_CHARS])
     return Ok(
         OrderObject(upstream=upstream, version=version, order=order, progress=progress)
     )
--- a/bramleyport/gateway/_peer_fields.py
+++ b/bramleyport/gateway/_peer_fields.py
@@ -4,6 +4,8 @@
 import time
 from typing import Any, Final
 
+from bramleyport.core import read_amount
+
 # The bounds are far beyond what gateways send: within them, a value of another writer
 # costs no more than the work or the limit that it describes.
 MAX_NAME_CHARS: Final = 1024
@@ -66,16 +68,6 @@
     return int(value)
 
 
-def read_amount(value: Any, most: float) -> float:
-    """Return a finite number from 0."""
-    if isinstance(value, bool) or not isinstance(value, int | float):
-        raise PeerMessageError(f"not a number: {_describe(value)}")
-    # Compared before it is converted: huge whole numbers don't fit into a float.
-    if not 0 <= value <= most:
-        raise PeerMessageError(f"not a number from 0 to {most:g}")
-    return float(value)
-
-
 def read_duration(value: Any, most_s: float) -> float:
     """Return seconds; a time that has passed already counts as none."""
     if isinstance(value, float) and math.isfinite(value) and value < 0:
--- a/bramleyport/gateway/_peer_messages.py
+++ b/bramleyport/gateway/_peer_messages.py
@@ -6,7 +6,7 @@
 
 import cbor2
 
-from bramleyport.core import ProcessId, RequestId, UpstreamId
+from bramleyport.core import ProcessId, RequestId, UpstreamId, read_amount
 from bramleyport.fleet import (
     MAX_CRASHES,
     MAX_PART_CHARS,
@@ -29,7 +29,6 @@
     MAX_TRANSFER_S,
     MAX_WORK_S,
     PeerMessageError,
-    read_amount,
     read_count,
     read_duration,
     read_flag,
@@ -60,6 +59,7 @@
 MS_PER_S: Final = 1000
 # Messages of the earliest version end with the engines that change their stage.
 MIN_LISTS: Final = 4
+MAX_WORK_VALUES: Final = 16
 # Raised for names with lone surrogates and for numbers that are not finite.
 ENCODING_ERRORS: Final = (
     cbor2.CBOREncodeError,
@@ -234,7 +234,7 @@
         for item in items:
             try:
                 yield decode_item(item)
-            except PeerMessageError as error:
+            except ValueError as error:
                 self.invalid.append(f"list {index}: {error}")
 
 
@@ -273,8 +273,8 @@
 
 
 def _decode_work(item: Any, now_s: float) -> Work:
-    # Messages of the previous version lack the transfer time.
-    row = read_row(item, 6, 7)
+    # Messages of the previous version lack the transfer time; later ones may add more.
+    row = read_row(item, 6, MAX_WORK_VALUES)
     upstream, request, priority, prefill_ms, prefill_cost, parts, *rest = row
     transfer_ms = rest[0] if rest else 0
     return Work(
