--- a/tests/test_odd_peer_items.py
+++ b/tests/test_odd_peer_items.py
@@ -1,5 +1,7 @@
 """Guard against one odd item of another gateway that costs more than itself."""
 
+import asyncio
+import socket
 import time
 from collections.abc import Callable, Coroutine, Iterator
 from decimal import Decimal
@@ -320,6 +322,39 @@
     assert fleet.state.gateway_count == 2
 
 
+def test_gateway_reads_its_port_after_any_odd_datagram(
+    fleet: GatewayFleet, run: Run
+) -> None:
+    """Guards against a datagram after which a gateway hears no peer any more."""
+    odd = [
+        b"",
+        b"\xff",
+        b"\x81" * 5_000,
+        cbor2.dumps(nest(300)),
+        cbor2.dumps([2, PEER, 10**400, Decimal("1E400"), None, [], {}, 0, b"x"]),
+        cbor2.dumps([1, "\u0000" * 40_000, 1, False, [], [], [], []]),
+        *(
+            cbor2.dumps(make_fields(**{name: [item]}))
+            for name in LIST_NAMES
+            for item in ODD_ITEMS
+        ),
+    ]
+    valid = encode_message(make_message(started=(make_work(),)))
+
+    async def send() -> None:
+        port = fleet.gateway._peers.transport.getHost().port
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sender:
+            for data in [*odd, valid]:
+                sender.sendto(data, ("127.0.0.1", port))
+                await asyncio.sleep(0)
+        deadline_s = read_now() + 5.0
+        while not len(fleet.state.loads.of(UpstreamId("d0"))):
+            assert read_now() < deadline_s
+            await asyncio.sleep(0.01)
+
+    run(send())
+
+
 def list_sent(fleet: GatewayFleet) -> list[bytes]:
     """Return the datagrams that the gateway sends from now on."""
     sent: list[bytes] = []
