--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -117,6 +117,10 @@
     make_object("x", version="one"),
     make_object("x", version=None),
     make_object("x", version=1e308),
+    make_object("x", version=10**30),
+    make_object("x", version=-1),
+    make_object("x", revision=10**30),
+    make_object("x", revision=-1),
     make_object("x", revision=nest(HALF_DEEP)),
     make_object(7),
     make_object("\ud800"),
@@ -155,6 +159,19 @@
         assert batch.ok_value.revision == 5
 
 
+def test_revision_out_of_bounds_is_an_error_of_its_call(
+    server: Server, run: Run
+) -> None:
+    """Guards against a revision that hides all later changes, here and at peers."""
+    raw, client = server
+    for revision in [10**30, -1, 1e308]:
+        raw.body = json.dumps(
+            {"revision": revision, "items": [], "events": []}
+        ).encode()
+        assert isinstance(run(client.list_all(Kind.SERVICES)), Err)
+        assert isinstance(run(client.watch(Kind.SERVICES, Revision(1), 0.1)), Err)
+
+
 def test_answer_that_cannot_be_parsed_is_an_error_of_its_call(
     server: Server, run: Run
 ) -> None:
