Leave out objects whose revision or version no store gives

One object with a revision of 10**30 counted as valid. The records or hosts took it as their own revision: all later changes counted as older and were ignored, and the heartbeat that named it was a number above 64 bits, for which each peer closed the connection.

Revisions and versions have bounds; an object beyond them is left out, and an answer beyond them is an error of its call.

--- a/bramleyport/objectapi/_client.py
+++ b/bramleyport/objectapi/_client.py
@@ -30,6 +30,7 @@
     StoreFailure,
     WatchBatch,
     WatchEvent,
+    check_number,
 )
 from bramleyport.telemetry import events, log_event
 from bramleyport.transport import make_http_client
@@ -75,6 +76,10 @@
     revision: Revision
     items: tuple[Any, ...]
 
+    def __post_init__(self) -> None:
+        """Check the revision."""
+        check_number(self.revision)
+
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class _RawBatch:
@@ -83,6 +88,10 @@
     revision: Revision
     events: tuple[Any, ...]
 
+    def __post_init__(self) -> None:
+        """Check the revision."""
+        check_number(self.revision)
+
 
 class ObjectClient:
     """Represent a connection to the object API; errors are returned, not raised."""
--- a/bramleyport/objectapi/_types.py
+++ b/bramleyport/objectapi/_types.py
@@ -3,7 +3,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 from enum import Enum
-from typing import Any, NewType
+from typing import Any, Final, NewType
 
 from bramleyport.core import Revision
 
@@ -13,6 +13,17 @@
 Document = Mapping[str, Any]
 
 
+# A huge revision would hide all later changes, also at the peers that hear of it, and
+# messages between processes carry no whole numbers above 64 bits.
+MAX_NUMBER: Final = 2**53
+
+
+def check_number(value: int) -> None:
+    """Raise ValueError for a number that no store gives to a version or a revision."""
+    if not 0 <= value <= MAX_NUMBER:
+        raise ValueError(f"not a number from 0 to {MAX_NUMBER}")
+
+
 class Kind(str, Enum):
     """Represent the kinds of objects that the system uses."""
 
@@ -35,6 +46,11 @@
     spec: Document = field(default_factory=dict)
     status: Document = field(default_factory=dict)
 
+    def __post_init__(self) -> None:
+        """Check the numbers that the store has given."""
+        check_number(self.version)
+        check_number(self.revision)
+
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Listing:
