--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -558,6 +558,22 @@
         return
 
 
+def test_number_out_of_bounds_in_a_lease_or_an_order_is_refused() -> None:
+    """Guards against numbers that engines refuse for good, or no message can carry."""
+    lease = {"holder": "h", "fencing": 1, "token": "t"}
+    order, progress = {"sequence": 1, "fencing": 1, "sealed": 1}, {"incarnation": 1}
+    assert isinstance(read_lease(lease), Ok)
+    assert isinstance(read_order(UpstreamId("u"), 1, order, progress), Ok)
+    for odd in [10**30, 2**63, -1]:
+        assert isinstance(read_lease(lease | {"fencing": odd}), Err)
+        for name in order:
+            found = read_order(UpstreamId("u"), 1, order | {name: odd}, progress)
+            assert isinstance(found, Err), name
+        for name in ("incarnation", "sequence"):
+            found = read_order(UpstreamId("u"), 1, order, progress | {name: odd})
+            assert isinstance(found, Err), name
+
+
 @given(st.dictionaries(st.sampled_from(["holder", "fencing", "token"]), JSON))
 def test_any_lease_is_read_or_refused(spec: Any) -> None:
     """Guards against an unexpected error that ends a controller."""
