Refuse leases and orders with numbers that engines can't compare

A fencing number of 10**30 in a lease counted as valid, and every later holder continued from it: engines that compare numbers of 64 bits would refuse all orders for good. The sequence of such an order was a number that no message can carry, so that each notice or report of it closed the connection.

Numbers have bounds, within which the number that an engine compares fits into 64 bits. Beyond them, the lease or order is refused like any other that is not valid, with event 2317, and a later valid one counts.

--- a/bramleyport/authority/_documents.py
+++ b/bramleyport/authority/_documents.py
@@ -23,6 +23,8 @@
 # a call that arrives after the next order. Its low part is the incarnation, so the
 # engine refuses a replaced agent.
 INCARNATION_LIMIT: Final = 1_000_000
+# The number that an engine compares then fits into 64 bits.
+MAX_NUMBER: Final = 2**43
 # Characters of the reason for which a document is refused that are logged.
 MAX_REASON_CHARS: Final = 200
 
@@ -140,9 +142,11 @@
 def read_lease(spec: Mapping[str, object]) -> Result[Lease, str]:
     """Build a lease from its stored document."""
     try:
-        return Ok(_converter.structure(spec, Lease))
+        lease = _converter.structure(spec, Lease)
+        _check_numbers(lease.fencing)
     except (BaseValidationError, TypeError, ValueError) as error:
         return Err(repr(error)[:MAX_REASON_CHARS])
+    return Ok(lease)
 
 
 def write_lease(lease: Lease) -> dict[str, object]:
@@ -161,6 +165,8 @@
     try:
         order = _converter.structure(spec, Order)
         progress = _converter.structure(status, AgentProgress)
+        _check_numbers(order.sequence, order.fencing, order.sealed)
+        _check_numbers(progress.sequence, progress.incarnation)
     except (BaseValidationError, TypeError, ValueError) as error:
         return Err(repr(error)[:MAX_REASON_CHARS])
     return Ok(
@@ -168,6 +174,11 @@
     )
 
 
+def _check_numbers(*numbers: int) -> None:
+    if not all(0 <= number <= MAX_NUMBER for number in numbers):
+        raise ValueError(f"not a number from 0 to {MAX_NUMBER}")
+
+
 def write_order(order: Order) -> dict[str, object]:
     """Return the document that stores the controller's part."""
     document: dict[str, object] = _converter.unstructure(order)
