--- a/bramleyport/core/__init__.py
+++ b/bramleyport/core/__init__.py
@@ -35,6 +35,13 @@
     UpstreamId,
     ZoneName,
 )
+from bramleyport.core._parsing import (
+    MalformedJsonError,
+    is_encodable,
+    parse_json,
+    read_amount,
+    read_count,
+)
 from bramleyport.core._place import Place
 from bramleyport.core._problems import Problem, list_problems
 from bramleyport.core._prompt import CHARACTERS_PER_TOKEN, count_tokens, digest_prefix
@@ -75,6 +82,7 @@
     "Explanation",
     "FencingNumber",
     "LaggingProcess",
+    "MalformedJsonError",
     "ModelName",
     "ModelVersion",
     "Outcome",
@@ -107,7 +115,11 @@
     "ZoneName",
     "count_tokens",
     "digest_prefix",
+    "is_encodable",
     "list_problems",
     "make_strict_converter",
+    "parse_json",
+    "read_amount",
+    "read_count",
     "read_yaml",
 ]
--- a/bramleyport/telemetry/_gateway_events.py
+++ b/bramleyport/telemetry/_gateway_events.py
@@ -71,6 +71,12 @@
     2654, "WARNING", "verdict on a prompt part not written to the store"
 )
 VERDICT_INVALID: Final = define(2655, "WARNING", "invalid verdict in the store ignored")
+PEER_ITEM_INVALID: Final = define(
+    2670, "WARNING", "invalid items in a message from a peer left out"
+)
+PEER_ITEM_NOT_SENT: Final = define(
+    2671, "WARNING", "item that can't be encoded left out of a message to the peers"
+)
 READINESS_CHANGED: Final = define(2637, "INFO", "readiness changed")
 OBJECT_NOT_APPLIED: Final = define(
     2660, "ERROR", "unexpected error in applying an object of the store"
