--- a/tests/restored_group.py
+++ b/tests/restored_group.py
@@ -33,8 +33,10 @@
 class RestoredGroup(GatewayGroup):
     """Represent gateways with three upstreams whose store may be restored."""
 
-    def __init__(self, folder: Path, gateways: int) -> None:
-        super().__init__(folder, gateways, UPSTREAMS)
+    def __init__(
+        self, folder: Path, gateways: int, bounds: dict[str, float] | None = None
+    ) -> None:
+        super().__init__(folder, gateways, UPSTREAMS, bounds=bounds)
         for upstream in self.upstreams:
             upstream.script = answer_slowly
 
--- a/tests/test_restored_lease.py
+++ b/tests/test_restored_lease.py
@@ -1,25 +1,29 @@
 """Guard that orders have one holder at a time when a restored store lost its lease."""
 
 import asyncio
+import math
 import time
 from collections.abc import Callable, Coroutine
 from itertools import combinations
 from pathlib import Path
-from typing import Any, NamedTuple
+from typing import TYPE_CHECKING, Any, NamedTuple
 
 import pytest
 
 from bramleyport.authority import Lease, _lease as lease_times, write_lease
-from bramleyport.core import FencingNumber, ProcessId
+from bramleyport.core import FencingNumber
 from bramleyport.gateway import _lease
-from bramleyport.gateway._lease import OrderLease
 from tests.platform_standin import StoreCopy
 from tests.restored_group import RestoredGroup
 
+if TYPE_CHECKING:
+    from bramleyport.gateway._lease import OrderLease
+
 Run = Callable[[Coroutine[Any, Any, Any]], Any]
 # The times of a lease are a fifth of the usual ones, in the same proportions.
 TIME_SCALE = 0.2
-HANDOVER_S = 3.0 * TIME_SCALE
+HANDOVER_MS = 600
+HANDOVER_S = HANDOVER_MS / 1000
 # Enough for a lease to expire and to be taken over twice.
 RUN_S = 6.0
 SCALED_TIMES = (
@@ -43,21 +47,19 @@
 
 
 class Candidates:
-    """Track which candidates for the lease may give orders, and when."""
+    """Track which gateways may give orders under the lease, and when."""
 
     def __init__(self, group: RestoredGroup) -> None:
         self._group = group
         self.leases: dict[str, OrderLease] = {}
         self.turns: list[Turn] = []
-        self._tasks: list[asyncio.Task[None]] = []
 
-    def add(self, name: str, gateway: str) -> None:
-        """Let a further candidate want the lease."""
-        store = self._group.gateways[gateway]._store
-        lease = OrderLease(ProcessId(name), store, HANDOVER_S)
-        lease.set_wanted(wanted=True)
-        self.leases[name] = lease
-        self._tasks.append(asyncio.ensure_future(lease.run()))
+    def add(self, name: str) -> None:
+        """Let a gateway want the lease from now on."""
+        stages = self._group.gateways[name]._stages
+        stages._wanted_until_s = math.inf
+        stages._ensure_lease()
+        self.leases[name] = stages._lease
 
     async def observe(self, seconds: float) -> None:
         """Record turns for a while."""
@@ -73,11 +75,6 @@
             while self.leases[name].find_fencing() is None:
                 await self.observe(0.02)
 
-    def stop(self) -> None:
-        """Stop all candidates."""
-        for task in self._tasks:
-            task.cancel()
-
     def check(self) -> None:
         """Check that turns do not overlap and that numbers rise with each of them."""
         assert self.turns
@@ -118,29 +115,30 @@
 def test_orders_have_one_holder_after_a_restored_store(
     run: Run, tmp_path: Path, monkeypatch: pytest.MonkeyPatch, older: str, joins: str
 ) -> None:
-    for name in SCALED_TIMES:
-        value = getattr(lease_times, name)
-        monkeypatch.setattr(lease_times, name, value * TIME_SCALE)
+    for module in (lease_times, _lease):
+        for name in SCALED_TIMES:
+            if hasattr(module, name):
+                value = getattr(module, name) * TIME_SCALE
+                monkeypatch.setattr(module, name, value)
     monkeypatch.setattr(_lease, "TICK_S", 0.02)
 
     async def check() -> None:
-        group = RestoredGroup(tmp_path, 2)
+        group = RestoredGroup(tmp_path, 2, {"lease_ms": HANDOVER_MS})
         await group.start()
         candidates = Candidates(group)
         try:
             copy = write_older_lease(group, older)
-            candidates.add("first", "g0")
-            await candidates.wait_for_holder("first")
+            candidates.add("g0")
+            await candidates.wait_for_holder("g0")
             if joins == "before":
-                candidates.add("second", "g1")
+                candidates.add("g1")
                 await candidates.observe(0.5)
             group.store.restore(copy)
             if joins == "after":
-                candidates.add("second", "g1")
+                candidates.add("g1")
             await candidates.observe(RUN_S)
             candidates.check()
         finally:
-            candidates.stop()
             await group.stop()
 
     run(check())
