--- a/tests/test_odd_objects.py
+++ b/tests/test_odd_objects.py
@@ -1,4 +1,4 @@
-"""Guard against one odd object or entry of another writer that costs more than itself."""
+"""Guard against one odd object of another writer that costs more than itself."""
 
 import json
 from collections.abc import Callable, Coroutine, Iterator
