Heed what upstreams say of themselves in their answers

What was seen on the landed source: an upstream whose answers say that it leaves got calls as long as its registration said ready; one that turned a call away and named a time until which it wants none got calls half a second later.

Change: every answer of an upstream, heads and trailers, to calls, prefills, reports, orders and cache listings, is read in one place (the exchanger). Saying that it leaves counts as a registration that drains: the same record holds both, until the process's next start. Other gateways are told, and one that starts gets what its peers know. A named time is a pause: it blocks calls, retries, prefills and the gateway's own requests as an exhausted rate limit does, it is never shortened, and one request tries first at its end. Calls that no upstream permits wait if half of their time is left then, else they are refused with the time that is left.

--- a/bramleyport/fleet/__init__.py
+++ b/bramleyport/fleet/__init__.py
@@ -18,9 +18,11 @@
     choose_store_watchers,
     is_watch_shared,
 )
+from bramleyport.fleet._leaving import LeavingUpstream
 from bramleyport.fleet._load import LoadTracker, UpstreamLoad, Work
 from bramleyport.fleet._members import Membership
 from bramleyport.fleet._pacing import UpdatePacing
+from bramleyport.fleet._pauses import UpstreamPauses
 from bramleyport.fleet._prefill_speeds import PrefillSpeeds
 from bramleyport.fleet._prefixes import PrefixCache, PrefixIndex
 from bramleyport.fleet._rank_reserve import PermitSupply, RankReserve
@@ -77,6 +79,7 @@
     "Freshness",
     "GatewayRoster",
     "HarmlessPart",
+    "LeavingUpstream",
     "LoadTracker",
     "Membership",
     "PermitSupply",
@@ -107,6 +110,7 @@
     "Transfer",
     "UpdatePacing",
     "UpstreamLoad",
+    "UpstreamPauses",
     "Verdict",
     "Work",
     "WorkRecorder",
--- a/bramleyport/fleet/_members.py
+++ b/bramleyport/fleet/_members.py
@@ -5,6 +5,7 @@
 
 from bramleyport.core import ServiceName, UpstreamId
 from bramleyport.fleet._departures import Departures
+from bramleyport.fleet._leaving import LeavingProcesses, LeavingUpstream
 from bramleyport.fleet._types import Registration
 
 # Upstreams whose registrations expired during an outage of the store register again
@@ -29,6 +30,7 @@
         self._store_recovered_s: float | None = None
         self._store_unreachable = False
         self._departures = Departures()
+        self._leaving = LeavingProcesses()
 
     def record_store(self, *, reachable: bool, now_s: float) -> None:
         """Record whether the store answers."""
@@ -44,12 +46,31 @@
     def put(self, registration: Registration) -> Registration | None:
         """Add a registration and return the one that it replaces."""
         known = self._members.get(registration.upstream)
-        if known is not None and _keeps_draining(known.registration, registration):
+        if registration.draining and registration.started_ms:
+            self._leaving.record(registration.upstream, registration.started_ms)
+        elif self._leaving.includes(registration):
             registration = replace(registration, draining=True)
         self._members[registration.upstream] = Member(registration)
         self._departures.record_returned(registration.upstream)
         return known.registration if known else None
 
+    def record_leaving(self, upstream: UpstreamId, started_ms: int) -> bool:
+        """Record that a process said that it is leaving; return whether that is new."""
+        if not self._leaving.record(upstream, started_ms):
+            return False
+        member = self._members.get(upstream)
+        if member is not None and self._leaving.includes(member.registration):
+            member.registration = replace(member.registration, draining=True)
+        return True
+
+    def list_leaving(self) -> list[LeavingUpstream]:
+        """Return the registered upstreams that are leaving."""
+        return [
+            LeavingUpstream(item.upstream, item.started_ms)
+            for item in self.list_all()
+            if item.draining
+        ]
+
     def remove(
         self, upstream: UpstreamId, now_s: float, last: Registration | None = None
     ) -> None:
@@ -142,12 +163,3 @@
         if self._store_unreachable or self._store_recovered_s is None:
             return now_s + RENEWAL_S
         return self._store_recovered_s + RENEWAL_S
-
-
-def _keeps_draining(known: Registration, new: Registration) -> bool:
-    """Return whether a process that was draining is still the same one.
-
-    A process that drains ends. If a registration says that it is ready again, it was
-    written earlier than the one that said that it drains.
-    """
-    return known.draining and known.started_ms == new.started_ms > 0
--- a/bramleyport/gateway/_attempt.py
+++ b/bramleyport/gateway/_attempt.py
@@ -22,7 +22,7 @@
 from bramleyport.gateway._rate_limits import OVER_LIMIT, Reservation
 from bramleyport.gateway._reply import relay_answer, reply
 from bramleyport.gateway._retries import MIN_REMAINING_S, RetryDecider
-from bramleyport.gateway._state import GatewayState
+from bramleyport.gateway._state import PAUSED, GatewayState
 from bramleyport.gateway._work_tracker import WorkTracker
 from bramleyport.telemetry import gateway_events, log_event
 
@@ -30,6 +30,11 @@
 RETRY_WHEN_FULL_S: Final = 0.3
 # Shortest wait for a permit, so that calls that wait for the same one do not poll.
 MIN_PERMIT_WAIT_S: Final = 0.02
+# Fraction of the time left that a call may wait for the end of a pause, so that an
+# upstream has enough time to answer it then.
+PAUSE_WAIT_FRACTION: Final = 0.5
+# Another upstream may take calls before the pause ends.
+MAX_PAUSE_POLL_S: Final = 0.1
 
 
 class AttemptSupport:
@@ -73,8 +78,13 @@
         self, context: CallContext, decision: Rejected
     ) -> float | None:
         """Return how long a call waits for a permit; None if it does not wait."""
-        is_over_limit = decision.explanation.reason == OVER_LIMIT
-        if not is_over_limit or not context.attempts.may_have_run:
+        reason = decision.explanation.reason
+        if reason == PAUSED:
+            wait_s = decision.retry_after_s
+            if wait_s > PAUSE_WAIT_FRACTION * context.remaining_s:
+                return None
+            return min(MAX_PAUSE_POLL_S, max(MIN_PERMIT_WAIT_S, wait_s))
+        if reason != OVER_LIMIT or not context.attempts.may_have_run:
             return None
         ready = self.state.members.list_ready(context.call.service)
         wait_s = self.state.rate_limiter.forecast_wait(ready, read_now())
@@ -87,9 +97,10 @@
         if self.guard.find_refusal(context.call) is not None:
             return False
         service = context.call.service
-        return choice.upstream in self.state.members.list_ready(
-            service
-        ) and choice.upstream.upstream not in self.state.list_limited(service)
+        blocked = self.state.list_limited(service)
+        blocked |= self.state.list_paused(service, read_now())
+        ready = self.state.members.list_ready(service)
+        return choice.upstream in ready and choice.upstream.upstream not in blocked
 
     def _choose_now(self, context: CallContext) -> Choice | Rejected:
         now_s = read_now()
@@ -111,13 +122,15 @@
             ejected = self.state.list_ejected(call.service, now_s) | blocked
             choice = self._choose(context, ejected, now_s)
         if choice is None and blocked:
-            ready = self.state.members.list_ready(call.service)
-            return self.state.rate_limiter.refuse(ready, now_s)
+            return self.state.refuse_blocked(call.service, now_s)
         decision = admit(call, choice, now_s, tried=bool(context.tried))
         if choice is None or isinstance(decision, Rejected):
             assert isinstance(decision, Rejected)
             return decision
         context.reservation = self.state.rate_limiter.take_choice(call, choice, now_s)
+        for target in (choice.upstream, choice.prefill):
+            if target is not None:
+                self.state.pauses.record_sent(target.upstream, now_s)
         return choice
 
     def _choose(
@@ -174,6 +187,7 @@
     def _take_transfer(
         self, context: CallContext, target: Registration, now_s: float
     ) -> None:
+        self.state.pauses.record_sent(target.upstream, now_s)
         reservation = context.reservation
         if reservation is not None and reservation.target.upstream == target.upstream:
             context.reservation = None
--- a/bramleyport/gateway/_caches.py
+++ b/bramleyport/gateway/_caches.py
@@ -42,6 +42,10 @@
         for registration in self._state.members.list_all():
             if registration.upstream in self._started or registration.stage is None:
                 continue
+            if registration.draining or self._state.pauses.is_paused(
+                registration.upstream, now_s
+            ):
+                continue
             if not self._state.rate_limiter.has_permit(registration, now_s):
                 # All gateways may have restarted, and each reads from each engine.
                 continue
--- a/bramleyport/gateway/_exchange.py
+++ b/bramleyport/gateway/_exchange.py
@@ -19,7 +19,8 @@
     PoolLimits,
     UpstreamConnection,
 )
-from bramleyport.platform import AnswerHead, decode_answer
+from bramleyport.platform import AnswerHead, decode_answer, decode_trailers
+from bramleyport.telemetry import gateway_events, log_event
 
 # A connection within a region opens in a few milliseconds. A lost packet is sent again
 # only after a second, by which time another upstream can answer.
@@ -76,6 +77,7 @@
             head = self._record_head(target, answer, sent_s)
             connection.idle_timeout_s = head.idle_timeout_s
             yield OpenedExchange(connection=connection, answer=answer, head=head)
+            self._record_trailers(target, connection)
         except BaseException:
             # Closing the connection makes the upstream stop, and keeps unread bytes of
             # this exchange from reaching the next one.
@@ -86,14 +88,21 @@
     async def call(self, target: Registration, request: HttpRequest) -> Answer:
         """Send a request of the gateway itself and return the complete answer."""
         pool = self._find_pool(target)
+        if self._state.pauses.is_paused(target.upstream, read_now()):
+            reason = "the upstream wants no requests now"
+            raise ExchangeError(
+                ExchangeFailure.NOT_SENT, "call", str(pool.peer), reason
+            )
         connection = await pool.acquire()
         try:
             sent_s = read_now()
+            self._state.pauses.record_sent(target.upstream, sent_s)
             self._state.rate_limiter.take(target, sent_s)
             connection.send(request)
             answer = await connection.read_head()
             self._record_head(target, answer, sent_s)
             body = await connection.read_body()
+            self._record_trailers(target, connection)
         except BaseException:
             connection.abort()
             raise
@@ -127,8 +136,32 @@
         head = decode_answer(answer.status, answer.headers)
         self._state.record_received(target.upstream, now_s)
         self._state.rate_limiter.record_answer(target, head, sent_s, now_s)
+        self._record_signals(target, head, now_s)
         return head
 
+    def _record_signals(
+        self, target: Registration, head: AnswerHead, now_s: float
+    ) -> None:
+        """Record whether an upstream leaves, and whether it wants no requests now."""
+        if head.leaving:
+            self._state.record_leaving(target.upstream, target.started_ms)
+        if head.invalid_pause:
+            log_event(
+                gateway_events.PAUSE_INVALID,
+                upstream=target.upstream,
+                value=head.invalid_pause,
+            )
+        if head.pause_s is not None:
+            self._state.record_pause(target.upstream, head.pause_s, now_s)
+        else:
+            self._state.pauses.record_answer(target.upstream, now_s)
+
+    def _record_trailers(
+        self, target: Registration, connection: UpstreamConnection
+    ) -> None:
+        if connection.trailers and decode_trailers(connection.trailers):
+            self._state.record_leaving(target.upstream, target.started_ms)
+
     def _find_pool(self, target: Registration) -> ConnectionPool:
         pool = self._pools.get(target.upstream)
         limits = PoolLimits(
--- a/bramleyport/gateway/_peer_messages.py
+++ b/bramleyport/gateway/_peer_messages.py
@@ -14,6 +14,7 @@
     CrashId,
     CrashReport,
     HarmlessPart,
+    LeavingUpstream,
     PrefixId,
     PromptPart,
     RateLimitNotice,
@@ -124,6 +125,8 @@
     reports: tuple[CrashReport, ...] = ()
     harmless: tuple[HarmlessPart, ...] = ()
     verdicts: tuple[Verdict, ...] = ()
+    # Upstreams that said in an answer that they leave.
+    leaving_upstreams: tuple[LeavingUpstream, ...] = ()
     # Why items of the datagram were left out.
     invalid: tuple[str, ...] = field(default=(), compare=False)
 
@@ -166,6 +169,7 @@
         (message.reports, _encode_report),
         (message.harmless, _encode_harmless),
         (message.verdicts, _encode_verdict),
+        (message.leaving_upstreams, _encode_leaving),
     ]
     try:
         rows = [[encode(item) for item in items] for items, encode in lists]
@@ -258,6 +262,7 @@
         reports=decoder.decode(6, lambda item: _decode_report(item, now_s)),
         harmless=decoder.decode(7, lambda item: _decode_harmless(item, now_s)),
         verdicts=decoder.decode(8, _decode_verdict),
+        leaving_upstreams=decoder.decode(9, _decode_leaving),
         # Evaluated last, when all lists are decoded.
         invalid=tuple(decoder.invalid),
     )
@@ -386,6 +391,15 @@
     return [ref.upstream, ref.request]
 
 
+def _encode_leaving(item: LeavingUpstream) -> list[Any]:
+    return [item.upstream, item.started_ms]
+
+
+def _decode_leaving(item: Any) -> LeavingUpstream:
+    upstream, started_ms = read_row(item, 2)
+    return LeavingUpstream(UpstreamId(read_name(upstream)), read_start_ms(started_ms))
+
+
 def _decode_ref(item: Any) -> WorkRef:
     upstream, request = read_row(item, 2)
     return WorkRef(UpstreamId(read_name(upstream)), RequestId(read_name(request)))
--- a/bramleyport/gateway/_peers.py
+++ b/bramleyport/gateway/_peers.py
@@ -16,6 +16,7 @@
 from bramleyport.core import ProcessId, UpstreamId
 from bramleyport.fleet import (
     Address,
+    LeavingUpstream,
     RateLimitNotice,
     UpdatePacing,
     Work,
@@ -88,6 +89,7 @@
         tracker.on_updates_pending = self._schedule
         state.rate_limiter.on_changed = lambda: self._schedule(URGENT_BUSY_S)
         guard.on_updates_pending = lambda: self._schedule(URGENT_BUSY_S)
+        state.on_leaving = lambda: self._schedule(URGENT_BUSY_S)
 
     @property
     def process(self) -> ProcessId:
@@ -235,7 +237,11 @@
         def apply_started(work: Work) -> None:
             self._tracker.apply_started(replace(work, origin=origin))
 
+        def apply_leaving(item: LeavingUpstream) -> None:
+            self._state.record_leaving(item.upstream, item.started_ms, origin=origin)
+
         _apply_each(message.changing, apply_changing)
+        _apply_each(message.leaving_upstreams, apply_leaving)
         _apply_each(message.refused, self._apply_refused)
         self._apply_crashes(message)
         _apply_each(message.limits, apply_limit)
@@ -309,6 +315,7 @@
         pending = self._tracker.take_pending()
         pending.limits = self._state.rate_limiter.take_due_notices(read_now())
         pending.crashes = self._guard.take_updates()
+        self._send_leaving(self._state.pending_leaving, self._send)
         while pending:
             self._send(self._take_batch(pending))
 
@@ -339,6 +346,18 @@
             message = self._make_message(limits=_make_updates(notices[:MAX_ITEMS]))
             del notices[:MAX_ITEMS]
             self._write(encode_message(message), address)
+        self._send_leaving(
+            self._state.members.list_leaving(),
+            lambda message: self._write(encode_message(message), address),
+        )
+
+    def _send_leaving(
+        self, items: list[LeavingUpstream], send: Callable[[PeerMessage], None]
+    ) -> None:
+        """Send which upstreams are leaving, and remove them from the list."""
+        while items:
+            send(self._make_message(leaving_upstreams=tuple(items[:MAX_ITEMS])))
+            del items[:MAX_ITEMS]
 
     def _send(self, message: PeerMessage) -> None:
         self._send_data(encode_message(message))
--- a/bramleyport/gateway/_retries.py
+++ b/bramleyport/gateway/_retries.py
@@ -92,6 +92,7 @@
         call = context.call
         excluded = self._state.list_avoided(call.service, now_s) | context.tried
         excluded |= self._state.list_limited(call.service) | {upstream}
+        excluded |= self._state.list_paused(call.service, now_s)
         choice = self._state.chooser.choose(
             call,
             context.engine,
--- a/bramleyport/gateway/_state.py
+++ b/bramleyport/gateway/_state.py
@@ -1,9 +1,11 @@
 """Define the state that the parts of a gateway share."""
 
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Final
 
-from bramleyport.core import ServiceName, UpstreamId
+from bramleyport.admission import Rejected
+from bramleyport.core import Explanation, ServiceName, UpstreamId
 from bramleyport.fleet import (
     Call,
     CallerLimits,
@@ -12,6 +14,7 @@
     CrashEvidence,
     DecodeTimes,
     GatewayRoster,
+    LeavingUpstream,
     LoadTracker,
     Membership,
     PrefillSpeeds,
@@ -21,12 +24,13 @@
     RouteTable,
     ShutdownSchedule,
     Stage,
+    UpstreamPauses,
     WorkRecorder,
 )
 from bramleyport.gateway._rate_limits import RateLimiter
 from bramleyport.platform import NodeSettings
 from bramleyport.retries import OutlierEjector, RepeatBudget
-from bramleyport.telemetry import log_event, routing_events
+from bramleyport.telemetry import gateway_events, log_event, routing_events
 
 # An upstream that fails this often in a row is ejected for the duration below.
 EJECT_AFTER_FAILURES: Final = 3
@@ -34,6 +38,8 @@
 # How long an upstream that declined a call is avoided. One that is full or changes its
 # stage declines calls for longer than this.
 AVOID_DECLINED_S: Final = 0.5
+# Why a call is refused while all upstreams that could answer it want no requests.
+PAUSED: Final = "upstreams_paused"
 
 
 @dataclass(slots=True, kw_only=True)
@@ -60,6 +66,12 @@
     changing_until_s: dict[UpstreamId, float] = field(default_factory=dict)
     # Upstreams that declined a call, and until when they are avoided.
     declined_until_s: dict[UpstreamId, float] = field(default_factory=dict)
+    # Upstreams that want no requests from this gateway for a while.
+    pauses: UpstreamPauses = field(default_factory=UpstreamPauses)
+    # Upstreams that said in an answer that they leave, which the peers don't know yet.
+    pending_leaving: list[LeavingUpstream] = field(default_factory=list)
+    # Called when the peers should learn of them.
+    on_leaving: Callable[[], None] | None = None
     # Set from the beginning of a planned stop.
     shutdown: ShutdownSchedule | None = None
     # Set when calls that are still running are ended, before the process exits.
@@ -162,18 +174,59 @@
         return self.rate_limiter.list_limited(self.members.list_ready(service))
 
     def list_exhausted(self, service: ServiceName, now_s: float) -> set[UpstreamId]:
-        """Return the upstreams of a service whose rate limits permit no request now."""
+        """Return the upstreams of a service that permit no request now."""
+        paused = self.list_paused(service, now_s)
         if not self.rate_limiter.knows_limits:
+            return paused
+        ready = self.members.list_ready(service)
+        return paused | self.rate_limiter.list_exhausted(ready, now_s)
+
+    def list_paused(self, service: ServiceName, now_s: float) -> set[UpstreamId]:
+        """Return the upstreams of a service that want no request now."""
+        if not self.pauses:
             return set()
         ready = self.members.list_ready(service)
-        return self.rate_limiter.list_exhausted(ready, now_s)
+        names = (item.upstream for item in ready)
+        return {name for name in names if self.pauses.is_paused(name, now_s)}
+
+    def refuse_blocked(self, service: ServiceName, now_s: float) -> Rejected:
+        """Return the refusal of a call that no upstream of its service permits now."""
+        paused = self.list_paused(service, now_s)
+        ready = self.members.list_ready(service)
+        limited = self.list_limited(service) - paused
+        if limited or not paused:
+            open_ones = [item for item in ready if item.upstream not in paused]
+            return self.rate_limiter.refuse(open_ones, now_s)
+        wait_s = min(self.pauses.find_wait(name, now_s) for name in paused)
+        numbers = {"paused_upstreams": float(len(paused))}
+        return Rejected(Explanation(reason=PAUSED, numbers=numbers), wait_s)
+
+    def record_leaving(
+        self, upstream: UpstreamId, started_ms: int, origin: str = ""
+    ) -> None:
+        """Record that a process said in an answer that it leaves, here or to a peer."""
+        if not self.members.record_leaving(upstream, started_ms):
+            return
+        log_event(gateway_events.UPSTREAM_LEAVING, upstream=upstream, origin=origin)
+        if not origin:
+            self.pending_leaving.append(LeavingUpstream(upstream, started_ms))
+            if self.on_leaving is not None:
+                self.on_leaving()
+
+    def record_pause(self, upstream: UpstreamId, pause_s: float, now_s: float) -> None:
+        """Record that an upstream wants no requests for a while."""
+        if pause_s > 0 and self.pauses.record(upstream, pause_s, now_s):
+            log_event(
+                gateway_events.UPSTREAM_PAUSED, upstream=upstream, pause_s=pause_s
+            )
 
     def list_blocked(self, call: Call, now_s: float) -> set[UpstreamId]:
-        """Return the upstreams whose rate limits do not permit a call now."""
+        """Return the upstreams that do not permit a call now."""
+        paused = self.list_paused(call.service, now_s)
         if not self.rate_limiter.knows_limits:
-            return set()
+            return paused
         ready = self.members.list_ready(call.service)
-        return self.rate_limiter.find_blocked(call, ready, now_s)
+        return paused | self.rate_limiter.find_blocked(call, ready, now_s)
 
     def list_busier(self, service: ServiceName) -> set[UpstreamId]:
         """Return all upstreams of a service but those with the least work."""
@@ -215,3 +268,4 @@
         self.changing_until_s.pop(upstream, None)
         self.prefixes.discard(upstream)
         self.speeds.discard(upstream)
+        self.pauses.discard(upstream)
--- a/bramleyport/http1/_client.py
+++ b/bramleyport/http1/_client.py
@@ -23,6 +23,7 @@
     Answer,
     ExchangeError,
     ExchangeFailure,
+    Headers,
     HttpRequest,
 )
 from bramleyport.http1._socket_options import enable_peer_timeout
@@ -50,6 +51,8 @@
         # Set after bytes that belong to no exchange, or to one that the answer does not
         # name; the connection is not reused then.
         self.tainted = False
+        # Headers after the body of the last answer that was read to its end.
+        self.trailers: Headers = []
         self._exchange_count = 0
         self.on_closed: Callable[[UpstreamConnection], None] | None = None
         self._parser = AnswerParser(str(peer))
@@ -89,6 +92,7 @@
         self._events.clear()
         self._queued_bytes = 0
         self._exchange_count += 1
+        self.trailers = []
         self.transport.write(self._parser.start(request, matches))
 
     async def read_head(self) -> Answer:
@@ -101,6 +105,7 @@
         """Wait for the next bytes of the body; return None at its end."""
         event = await self._wait_for_event("read answer body")
         if isinstance(event, h11.EndOfMessage):
+            self.trailers = list(event.headers)
             self._finish()
             return None
         assert isinstance(event, h11.Data)
--- a/bramleyport/platform/_headers.py
+++ b/bramleyport/platform/_headers.py
@@ -42,6 +42,8 @@
 )
 # Status of an upstream that is not the expected instance and has run nothing.
 OTHER_INSTANCE_STATUS: Final = 421
+# Status of an upstream that turns a request away.
+UNAVAILABLE_STATUS: Final = 503
 # A decimal number without sign or exponent; more digits are no rate of requests.
 _DECIMAL: Final = re.compile(rb"[0-9]{1,12}(\.[0-9]{0,40})?")
 # Bytes of an invalid value that are logged.
@@ -80,6 +82,13 @@
     rate_limit: float | None = None
     # The limit as it was sent, if it is not a decimal number; empty otherwise.
     invalid_rate_limit: str = ""
+    # The upstream ends soon and takes no new work.
+    leaving: bool = False
+    # For how long the upstream, which turned a request away, wants none from this
+    # gateway; None if it did not say.
+    pause_s: float | None = None
+    # The pause as it was sent, if it is not a decimal number; empty otherwise.
+    invalid_pause: str = ""
 
 
 def decode_call(headers: Iterable[tuple[bytes, bytes]]) -> CallHead:
@@ -102,8 +111,11 @@
     request = values.get(b"request-id")
     instance = values.get(b"instance-id")
     # Another instance at the address says nothing of the one that was meant.
-    limit = None if status == OTHER_INSTANCE_STATUS else values.get(b"server-limit")
+    is_other = status == OTHER_INSTANCE_STATUS
+    limit = None if is_other else values.get(b"server-limit")
     rate_limit = _parse_rate(limit)
+    pause = values.get(b"retry-after") if status == UNAVAILABLE_STATUS else None
+    pause_s = _parse_rate(pause)
     return AnswerHead(
         request=RequestId(request.decode("latin-1")) if request else None,
         not_run=b"not-run" in values or status == OTHER_INSTANCE_STATUS,
@@ -112,10 +124,22 @@
         instance=UpstreamId(instance.decode("latin-1")) if instance else None,
         idle_timeout_s=_parse_idle_timeout(values.get(b"keep-alive")),
         rate_limit=rate_limit,
-        invalid_rate_limit=_describe_invalid_rate(limit) if rate_limit is None else "",
+        invalid_rate_limit=_describe_invalid(limit) if rate_limit is None else "",
+        leaving=not is_other and _says_leaving(values),
+        pause_s=pause_s,
+        invalid_pause=_describe_invalid(pause) if pause_s is None else "",
     )
 
 
+def decode_trailers(headers: Iterable[tuple[bytes, bytes]]) -> bool:
+    """Return whether the trailers of an answer say that its upstream is leaving."""
+    return _says_leaving({name.lower(): value for name, value in headers})
+
+
+def _says_leaving(values: dict[bytes, bytes]) -> bool:
+    return values.get(b"server-leaving", b"").strip() == b"1"
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class ForwardOptions:
     """Describe how an upstream is to handle a forwarded request."""
@@ -253,7 +277,7 @@
     return float(value)
 
 
-def _describe_invalid_rate(value: bytes | None) -> str:
+def _describe_invalid(value: bytes | None) -> str:
     return "" if value is None else repr(value[:MAX_DESCRIBED_BYTES])
 
 
--- a/bramleyport/telemetry/_gateway_events.py
+++ b/bramleyport/telemetry/_gateway_events.py
@@ -94,3 +94,6 @@
 LEFT_GATEWAY_REMOVED: Final = define(
     2681, "INFO", "entry of a gateway that has left removed from a restored store"
 )
+UPSTREAM_LEAVING: Final = define(2690, "INFO", "upstream said that it is leaving")
+UPSTREAM_PAUSED: Final = define(2691, "INFO", "upstream wants no requests for a while")
+PAUSE_INVALID: Final = define(2692, "WARNING", "invalid pause of an upstream ignored")
--- a/tests/platform_standin/_scripts.py
+++ b/tests/platform_standin/_scripts.py
@@ -68,9 +68,10 @@
     upstream: UpstreamStandin, request: RawRequest, writer: asyncio.StreamWriter
 ) -> None:
     """Refuse the request without running it."""
-    writer.write(
-        render_response(503, Not_Run="1", Request_Id=request.headers["request-id"])
-    )
+    headers = {"Not_Run": "1", "Request_Id": request.headers["request-id"]}
+    if upstream.pause:
+        headers["Retry_After"] = upstream.pause
+    writer.write(render_response(503, **headers))
 
 
 async def fail(
--- a/tests/platform_standin/_upstream.py
+++ b/tests/platform_standin/_upstream.py
@@ -52,6 +52,10 @@
         self.arrivals: list[UpstreamArrival] = []
         # The rate limit that answers to calls name; empty for none.
         self.limit = ""
+        # Whether answers to calls say that this upstream leaves.
+        self.leaving = False
+        # The time that refusals name in Retry-After; empty for none.
+        self.pause = ""
         self.born_ms = 1000
         # Rises each time that the upstream writes its registration.
         self.sequence = 0
@@ -115,7 +119,7 @@
             handle = f"{self.name}-h{next(self._handles)}"
             body = json.dumps({"kv_handle": handle, "tokens": 1, "version": 1})
             answer_headers = {"Request_Id": headers["request-id"]}
-            answer_headers |= make_limit_headers(self)
+            answer_headers |= make_state_headers(self)
             writer.write(render_response(200, body.encode(), **answer_headers))
         else:
             script = self.next_scripts.pop(0) if self.next_scripts else self.script
@@ -151,13 +155,14 @@
     return {
         "Request_Id": request.headers["request-id"],
         "Server_Stamp": f"stamp.{upstream.name}",
-        **make_limit_headers(upstream),
+        **make_state_headers(upstream),
     }
 
 
-def make_limit_headers(upstream: UpstreamStandin) -> dict[str, str]:
-    """Return the header that names the upstream's rate limit, if it has one."""
-    return {"Server_Limit": upstream.limit} if upstream.limit else {}
+def make_state_headers(upstream: UpstreamStandin) -> dict[str, str]:
+    """Return the headers in which an upstream tells of its limit and its end."""
+    headers = {"Server_Limit": upstream.limit} if upstream.limit else {}
+    return headers | ({"Server_Leaving": "1"} if upstream.leaving else {})
 
 
 EVENT_COUNT = 5
