Let a gateway that starts after a restore learn from its peers

A gateway that starts while the store has an older copy knows neither the newer configuration nor which upstreams have drained: it would route by the old one, and send calls to an upstream that the copy names ready.

--- a/bramleyport/fleet/__init__.py
+++ b/bramleyport/fleet/__init__.py
@@ -58,6 +58,7 @@
     ServiceShare,
     Stage,
 )
+from bramleyport.fleet._version_gap import VersionGap
 
 __all__ = [
     "MAX_CRASHES",
@@ -112,6 +113,7 @@
     "UpstreamLoad",
     "UpstreamPauses",
     "Verdict",
+    "VersionGap",
     "Work",
     "WorkRecorder",
     "admit",
--- a/bramleyport/fleet/_departures.py
+++ b/bramleyport/fleet/_departures.py
@@ -4,6 +4,7 @@
 from typing import Final
 
 from bramleyport.core import UpstreamId
+from bramleyport.fleet._leaving import LeavingUpstream
 from bramleyport.fleet._types import Registration
 
 # A store that is restored comes back from a copy that is some seconds old, so what left
@@ -17,6 +18,7 @@
     started_ms: int
     # Of its last registration; None if that was not seen.
     sequence: int | None
+    draining: bool
     left_s: float
 
 
@@ -35,6 +37,7 @@
         self._departures[registration.upstream] = _Departure(
             started_ms=registration.started_ms,
             sequence=registration.sequence if is_last else None,
+            draining=registration.draining,
             left_s=now_s,
         )
         self._drop_old(now_s)
@@ -54,6 +57,14 @@
             registration.sequence > departure.sequence
         )
 
+    def list_drained(self) -> list[LeavingUpstream]:
+        """Return the processes that were draining when they left."""
+        return [
+            LeavingUpstream(upstream, departure.started_ms)
+            for upstream, departure in self._departures.items()
+            if departure.draining
+        ]
+
     def _drop_old(self, now_s: float) -> None:
         for upstream, departure in list(self._departures.items()):
             is_old = now_s - departure.left_s > DEPARTURE_KEEP_S
--- a/bramleyport/fleet/_members.py
+++ b/bramleyport/fleet/_members.py
@@ -64,12 +64,13 @@
         return True
 
     def list_leaving(self) -> list[LeavingUpstream]:
-        """Return the registered upstreams that are leaving."""
-        return [
+        """Return the upstreams that are leaving, or drained and have left lately."""
+        draining = [
             LeavingUpstream(item.upstream, item.started_ms)
             for item in self.list_all()
             if item.draining
         ]
+        return draining + self._departures.list_drained()
 
     def remove(
         self, upstream: UpstreamId, now_s: float, last: Registration | None = None
--- a/bramleyport/gateway/_forward.py
+++ b/bramleyport/gateway/_forward.py
@@ -75,7 +75,7 @@
     ) -> CallContext | None:
         """Return the call of a request, or answer a request that is not served."""
         routes = self._state.routes
-        if routes is None:
+        if routes is None or not self._state.is_configured(read_now()):
             status = HTTPStatus.SERVICE_UNAVAILABLE
             reply(connection, status, head.request, "no_config", RETRY_WITHOUT_CONFIG_S)
             return None
--- a/bramleyport/gateway/_peer_messages.py
+++ b/bramleyport/gateway/_peer_messages.py
@@ -11,6 +11,7 @@
     MAX_CRASHES,
     MAX_PART_CHARS,
     MAX_PARTS,
+    ConfigVersion,
     CrashId,
     CrashReport,
     HarmlessPart,
@@ -127,6 +128,8 @@
     verdicts: tuple[Verdict, ...] = ()
     # Upstreams that said in an answer that they leave.
     leaving_upstreams: tuple[LeavingUpstream, ...] = ()
+    # Version of the configuration in force; 0 if there is none.
+    version: ConfigVersion = ConfigVersion(0)
     # Why items of the datagram were left out.
     invalid: tuple[str, ...] = field(default=(), compare=False)
 
@@ -170,6 +173,7 @@
         (message.harmless, _encode_harmless),
         (message.verdicts, _encode_verdict),
         (message.leaving_upstreams, _encode_leaving),
+        ((message.version,), int),
     ]
     try:
         rows = [[encode(item) for item in items] for items, encode in lists]
@@ -263,6 +267,7 @@
         harmless=decoder.decode(7, lambda item: _decode_harmless(item, now_s)),
         verdicts=decoder.decode(8, _decode_verdict),
         leaving_upstreams=decoder.decode(9, _decode_leaving),
+        version=_decode_version(decoder),
         # Evaluated last, when all lists are decoded.
         invalid=tuple(decoder.invalid),
     )
@@ -391,6 +396,11 @@
     return [ref.upstream, ref.request]
 
 
+def _decode_version(decoder: _ItemDecoder) -> ConfigVersion:
+    versions = decoder.decode(10, lambda item: ConfigVersion(read_count(item)))
+    return versions[0] if versions else ConfigVersion(0)
+
+
 def _encode_leaving(item: LeavingUpstream) -> list[Any]:
     return [item.upstream, item.started_ms]
 
--- a/bramleyport/gateway/_peers.py
+++ b/bramleyport/gateway/_peers.py
@@ -225,6 +225,8 @@
             _apply_each([update], handler)
 
     def _apply(self, message: PeerMessage, now_s: float) -> None:
+        own = self._state.version
+        self._state.version_gap.record_heard(message.version, own, now_s)
         origin = message.process
 
         def apply_changing(item: ChangingEngine) -> None:
@@ -288,7 +290,10 @@
 
     def _make_message(self, **fields: Any) -> PeerMessage:
         return PeerMessage(
-            process=self.process, incarnation=self._incarnation, **fields
+            process=self.process,
+            incarnation=self._incarnation,
+            version=self._state.version,
+            **fields,
         )
 
     def _remove_peer(self, process: ProcessId, reason: str) -> None:
@@ -336,7 +341,8 @@
         return message
 
     def _send_known(self, address: Address) -> None:
-        """Send what is known of limits and crashes to a gateway that has started."""
+        """Send what is known of the fleet to a gateway that has started."""
+        self._write(encode_message(self._make_message()), address)
         crashes = self._guard.list_known()
         while crashes:
             message = self._make_message(**_take_crashes(crashes))
--- a/bramleyport/gateway/_readiness.py
+++ b/bramleyport/gateway/_readiness.py
@@ -2,6 +2,7 @@
 
 from http import HTTPStatus
 
+from bramleyport.gateway._clock import read_now
 from bramleyport.gateway._reply import reply
 from bramleyport.gateway._state import GatewayState
 from bramleyport.http1 import CallerConnection, CallerRequest
@@ -17,7 +18,7 @@
     @property
     def ready(self) -> bool:
         """Return whether calls can be served."""
-        return self._state.routes is not None and not self._state.draining
+        return self._state.is_configured(read_now()) and not self._state.draining
 
     async def handle(
         self, request: CallerRequest, connection: CallerConnection
--- a/bramleyport/gateway/_state.py
+++ b/bramleyport/gateway/_state.py
@@ -11,6 +11,7 @@
     CallerLimits,
     Chooser,
     Configuration,
+    ConfigVersion,
     CrashEvidence,
     DecodeTimes,
     GatewayRoster,
@@ -25,6 +26,7 @@
     ShutdownSchedule,
     Stage,
     UpstreamPauses,
+    VersionGap,
     WorkRecorder,
 )
 from bramleyport.gateway._rate_limits import RateLimiter
@@ -38,6 +40,9 @@
 # How long an upstream that declined a call is avoided. One that is full or changes its
 # stage declines calls for longer than this.
 AVOID_DECLINED_S: Final = 0.5
+# Fraction of the time limit for a new configuration for which a gateway that has
+# started may serve with an older one than its peers have.
+VERSION_GAP_FRACTION: Final = 0.5
 # Why a call is refused while all upstreams that could answer it want no requests.
 PAUSED: Final = "upstreams_paused"
 
@@ -79,6 +84,7 @@
     crash_evidence: CrashEvidence = field(init=False)
     roster: GatewayRoster = field(init=False)
     rate_limiter: RateLimiter = field(init=False)
+    version_gap: VersionGap = field(init=False)
     chooser: Chooser = field(init=False)
     recorder: WorkRecorder = field(init=False)
 
@@ -86,6 +92,8 @@
         self.crash_evidence = CrashEvidence(self.settings.process)
         self.roster = GatewayRoster(self.settings.process)
         self.rate_limiter = RateLimiter(self.settings.process, self.roster)
+        tolerated_s = VERSION_GAP_FRACTION * self.settings.configuration_limit_s
+        self.version_gap = VersionGap(tolerated_s)
         self.chooser = Chooser(
             self.settings.place,
             self.members,
@@ -117,6 +125,15 @@
         """Return the current configuration."""
         return self.routes.configuration if self.routes else None
 
+    @property
+    def version(self) -> ConfigVersion:
+        """Return the version of the current configuration; 0 if there is none."""
+        return self.configuration.version if self.configuration else ConfigVersion(0)
+
+    def is_configured(self, now_s: float) -> bool:
+        """Return whether calls can be routed by the current configuration."""
+        return self.routes is not None and not self.version_gap.is_open(now_s)
+
     @property
     def limits(self) -> CallerLimits:
         """Return the limits for callers of the current configuration."""
--- a/bramleyport/gateway/_state_updaters.py
+++ b/bramleyport/gateway/_state_updaters.py
@@ -56,6 +56,7 @@
         if current is not None and configuration.version <= current.version:
             return
         self._state.routes = RouteTable(configuration)
+        self._state.version_gap.record_applied(configuration.version, read_now())
         log_event(
             gateway_events.CONFIG_APPLIED,
             version=configuration.version,
