Use what peers tell of a new era, and upstreams that a restored store keeps

A gateway that the store refuses dropped what its peers told of the new era, because it had not read its list: changes of the new era are applied now, and the list replaces them once it is read. An upstream whose entry had expired before the restore stayed out for good, as what it writes changes only its counter: what the store keeps longer than its expiry is used again.

--- a/bramleyport/fleet/_members.py
+++ b/bramleyport/fleet/_members.py
@@ -31,6 +31,9 @@
         self._store_unreachable = False
         self._departures = Departures()
         self._leaving = LeavingProcesses()
+        # Registrations of a restored store whose upstreams had left before.
+        self._unconfirmed: dict[UpstreamId, Registration] = {}
+        self._restored_s = 0.0
 
     def record_store(self, *, reachable: bool, now_s: float) -> None:
         """Record whether the store answers."""
@@ -50,6 +53,7 @@
             self._leaving.record(registration.upstream, registration.started_ms)
         elif self._leaving.includes(registration):
             registration = replace(registration, draining=True)
+        self._unconfirmed.pop(registration.upstream, None)
         self._members[registration.upstream] = Member(registration)
         self._departures.record_returned(registration.upstream)
         return known.registration if known else None
@@ -79,6 +83,7 @@
 
         Its last registration is given if the store has told it.
         """
+        self._unconfirmed.pop(upstream, None)
         member = self._members.get(upstream)
         if member is None:
             return
@@ -92,6 +97,7 @@
 
     def drop(self, upstream: UpstreamId) -> bool:
         """Remove an upstream at once; return whether it was known."""
+        self._unconfirmed.pop(upstream, None)
         return self._members.pop(upstream, None) is not None
 
     def replace_all(
@@ -101,14 +107,32 @@
 
         A list of a restored store takes back nothing that was written after its copy.
         """
+        self._unconfirmed = {}
         if restored:
+            self._unconfirmed = {
+                item.upstream: item for item in listed if not self._is_current(item)
+            }
             listed = [self._merge(item) for item in listed if self._is_current(item)]
+            self._restored_s = now_s
         names = {registration.upstream for registration in listed}
         for upstream in [name for name in self._members if name not in names]:
             self.remove(upstream, now_s)
         for registration in listed:
             self.put(registration)
 
+    def confirm_remaining(self, now_s: float, expiry_s: float) -> list[UpstreamId]:
+        """Add and return the upstreams that a restored store has kept.
+
+        They had left, as far as was known, but the store removes registrations that
+        are not renewed within `expiry_s`.
+        """
+        if not self._unconfirmed or now_s - self._restored_s < expiry_s:
+            return []
+        remaining = list(self._unconfirmed.values())
+        for registration in remaining:
+            self.put(registration)
+        return [registration.upstream for registration in remaining]
+
     def _is_current(self, listed: Registration) -> bool:
         return listed.upstream in self._members or self._departures.precede(listed)
 
--- a/bramleyport/gateway/_follower.py
+++ b/bramleyport/gateway/_follower.py
@@ -161,6 +161,8 @@
         self._published_revision = NO_REVISION
         # A peer has read the store in an era that is not known here yet.
         self._list_needed = False
+        # The newest revision of that era whose changes a peer has told.
+        self._ahead_revision = NO_REVISION
         self._call_needed = asyncio.Event()
         store.eras.on_restored.append(lambda _: self._call_needed.set())
 
@@ -191,25 +193,39 @@
             return
         if self._revision is None or update.revision.era < self._revision.era:
             return
+        if update.revision.era > self._revision.era:
+            self._receive_new_era(update)
+            return
         if update.returned and self._reachable:
             # Report the outage first, because registrations that expired during it may
             # be renewed.
             self._updater.record_store_state(reachable=False)
         if update.revision > self._revision and not self._apply_update(update):
-            self._list_needed |= update.revision.era > self._revision.era
             self._published_revision = max(self._published_revision, update.revision)
             self._call_needed.set()
             return
         self._updater.record_store_state(reachable=True)
         self._freshness.confirm(update.process, read_now() - update.age_s)
 
+    def _receive_new_era(self, update: StoreUpdate) -> None:
+        """Apply the changes of an era whose list was not read here yet.
+
+        This gateway may not reach the store. What was written in the new era is newer
+        than all that is known, and the list, once it is read, replaces it.
+        """
+        self._list_needed = True
+        self._call_needed.set()
+        if update.changes is None or update.revision <= self._ahead_revision:
+            return
+        unseen = select_unseen(update.changes, self._ahead_revision)
+        self._ahead_revision = update.revision
+        self._updater.apply_changes(ChangeBatch(update.revision, unseen))
+
     def _apply_update(self, update: StoreUpdate) -> bool:
         """Apply the changes of an update; return whether that was possible."""
         assert self._revision is not None
         if update.changes is None or update.since > self._revision:
             return False
-        if update.revision.era > self._revision.era:
-            return False
         self._apply(update.changes, update.revision)
         return True
 
--- a/bramleyport/gateway/_state_updaters.py
+++ b/bramleyport/gateway/_state_updaters.py
@@ -20,6 +20,9 @@
 )
 from bramleyport.telemetry import gateway_events, log_event
 
+# The store removes a registration after three intervals without a renewal; one more is
+# for its notice to arrive.
+EXPIRY_INTERVALS: Final = 4
 CONFIGURATION_NAME: Final = ObjectName("main")
 
 
@@ -106,6 +109,7 @@
     def drop_lapsed(self) -> None:
         """Remove upstreams whose expired registration was not renewed."""
         now_s = read_now()
+        self._confirm_remaining(now_s)
         for upstream in self._state.members.drop_missing(now_s):
             self._report_removed(upstream, "lapsed")
 
@@ -129,6 +133,15 @@
         log_event(gateway_events.UPSTREAM_LEFT, upstream=upstream, reason=reason)
         self._on_removed(upstream)
 
+    def _confirm_remaining(self, now_s: float) -> None:
+        """Use upstreams again whose registrations a restored store has kept."""
+        interval_s = self._state.settings.registration_interval_s
+        expiry_s = EXPIRY_INTERVALS * interval_s
+        for upstream in self._state.members.confirm_remaining(now_s, expiry_s):
+            registration = self._state.members.find(upstream)
+            if registration is not None:
+                self._record_change(None, registration)
+
     def _index_members(self) -> dict[UpstreamId, Registration]:
         return {item.upstream: item for item in self._state.members.list_all()}
 
