Mend what a review of stops, odd entries and eras found

One address that no datagram can be sent to ended calls, kept other gateways from hearing of this one, and ended a planned stop before its end: errors of sending are logged, and an error in a stop no longer keeps the process from closing. A watch whose answer can't be decoded was repeated for ever: the list is read next. The second list of a restored store counted as new: lists count as restored for a minute. An answer with a wrong, higher era made all later ones late: an answer to a request that was sent when that era was known ends it. An error in one part that depends on the era hid it from the others. An upstream whose clock stepped back across its restart stayed out: only the very process that left counts. Another writer's object released the verdict on a part. Settings with values that the parser can't convert gave no settings error.

--- a/bramleyport/fleet/_leaving.py
+++ b/bramleyport/fleet/_leaving.py
@@ -32,10 +32,9 @@
 
     def record(self, upstream: UpstreamId, started_ms: int) -> bool:
         """Record that a process is leaving; return whether that was not known."""
-        known_ms = self._started_ms.get(upstream)
-        if known_ms is not None and known_ms >= started_ms:
+        if self._started_ms.pop(upstream, None) == started_ms:
+            self._started_ms[upstream] = started_ms
             return False
-        self._started_ms.pop(upstream, None)
         self._started_ms[upstream] = started_ms
         if len(self._started_ms) > MAX_PROCESSES:
             del self._started_ms[next(iter(self._started_ms))]
@@ -43,5 +42,9 @@
 
     def includes(self, registration: Registration) -> bool:
         """Return whether the process of a registration is leaving."""
-        known_ms = self._started_ms.get(registration.upstream)
-        return known_ms is not None and registration.started_ms <= known_ms
+        return self._started_ms.get(registration.upstream) == registration.started_ms
+
+    def forget_unknown_start(self, upstream: UpstreamId) -> None:
+        """Forget a process without a known start, which its successor looks like."""
+        if self._started_ms.get(upstream) == 0:
+            del self._started_ms[upstream]
--- a/bramleyport/fleet/_members.py
+++ b/bramleyport/fleet/_members.py
@@ -60,9 +60,12 @@
 
     def record_leaving(self, upstream: UpstreamId, started_ms: int) -> bool:
         """Record that a process said that it is leaving; return whether that is new."""
+        member = self._members.get(upstream)
+        if member is not None and member.registration.started_ms != started_ms:
+            # It is about an earlier process, or one that has not registered yet.
+            return False
         if not self._leaving.record(upstream, started_ms):
             return False
-        member = self._members.get(upstream)
         if member is not None and self._leaving.includes(member.registration):
             member.registration = replace(member.registration, draining=True)
         return True
@@ -89,6 +92,7 @@
             return
         if member.registration.draining or not self._may_return(now_s):
             del self._members[upstream]
+            self._leaving.forget_unknown_start(upstream)
             self._departures.record(
                 last or member.registration, now_s, is_last=last is not None
             )
--- a/bramleyport/gateway/_daemon.py
+++ b/bramleyport/gateway/_daemon.py
@@ -6,7 +6,7 @@
 from typing import Any, Final
 
 from bramleyport.core import SettingsError, StepError, UpstreamId
-from bramleyport.fleet import Address
+from bramleyport.fleet import Address, ShutdownSchedule
 from bramleyport.gateway._caches import CacheReader
 from bramleyport.gateway._clock import read_now
 from bramleyport.gateway._crash_guard import CrashGuard
@@ -117,20 +117,27 @@
     async def stop(self) -> None:
         """Stop accepting callers, finish running calls, then leave and close."""
         log_event(events.PROCESS_STOPPING, connections=len(self._callers.connections))
-        schedule = await self._shutdown.run(self._caller_port)
         try:
-            leave_s = min(read_now() + LEAVE_TIMEOUT_S, schedule.exit_s)
+            schedule = await self._shutdown.run(self._caller_port)
+            await self._leave(schedule)
+        except Exception as error:  # the process has to end all the same
+            log_event(events.HANDLER_FAILED, step="stop", error=repr(error))
+        cut = sum(connection.serving for connection in self._callers.connections)
+        if cut:
+            log_event(gateway_events.CALLS_CUT, calls=cut)
+        self.halt()
+        log_event(events.PROCESS_STOPPED)
+
+    async def _leave(self, schedule: ShutdownSchedule) -> None:
+        """Leave the list of gateways, if the store answers in time."""
+        leave_s = min(read_now() + LEAVE_TIMEOUT_S, schedule.exit_s)
+        try:
             async with asyncio.timeout_at(leave_s):
                 await self._directory.leave()
         except TimeoutError:
             log_event(
                 gateway_events.GATEWAY_NOT_LISTED, reason="store did not answer in time"
             )
-        cut = sum(connection.serving for connection in self._callers.connections)
-        if cut:
-            log_event(gateway_events.CALLS_CUT, calls=cut)
-        self.halt()
-        log_event(events.PROCESS_STOPPED)
 
     def halt(self) -> None:
         """Stop at once, without waiting for callers."""
--- a/bramleyport/gateway/_follower.py
+++ b/bramleyport/gateway/_follower.py
@@ -1,6 +1,7 @@
 """Follow one kind of objects in the store, by watches or by updates of peers."""
 
 import asyncio
+import math
 from dataclasses import dataclass
 from typing import Final, Protocol
 
@@ -42,6 +43,9 @@
 UPDATE_DELAY_S: Final = 0.4
 # How often a gateway that relies on updates checks whether it has to watch the store.
 POLL_INTERVAL_S: Final = 0.5
+# Time for which lists of a restored store may hold objects that are older than those
+# that were known before. By then all of them were written again or have expired.
+COPY_KEEP_S: Final = 60.0
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -155,6 +159,8 @@
         self._revision: StoreRevision | None = None
         # The era of the last list.
         self._era: StoreEra | None = None
+        # When the first list of an era after the first one was read.
+        self._restored_s = -math.inf
         self._reachable = True
         self._retry_s = RETRY_FIRST_S
         # The newest revision that a gateway has published.
@@ -181,6 +187,9 @@
                 log_event(gateway_events.WATCH_RESTARTED, kind=self._kind.value)
                 self._revision = None
                 continue
+            if error.failure is StoreFailure.MALFORMED:
+                # The same watch would be answered with the same bytes.
+                self._list_needed = True
             self._record_failure(error)
             await asyncio.sleep(self._retry_s)
             self._retry_s = min(self._limit_retry(), self._retry_s * 2)
@@ -272,11 +281,14 @@
         if isinstance(listing, Err):
             return listing.err_value
         revision = listing.ok_value.revision
-        restored = self._era is not None and revision.era > self._era
+        began = self._era is not None and revision.era != self._era
+        if began:
+            self._restored_s = read_now()
+        restored = read_now() - self._restored_s < COPY_KEEP_S
         self._revision, self._era = revision, revision.era
         self._list_needed = False
         returned = self._record_reachable()
-        if restored:
+        if began:
             log_event(
                 gateway_events.STORE_RESTORED, kind=self._kind.value, revision=revision
             )
--- a/bramleyport/gateway/_peers.py
+++ b/bramleyport/gateway/_peers.py
@@ -58,6 +58,7 @@
 ANNOUNCE_INTERVAL_S: Final = 2.0
 # A peer that has sent nothing for this long is no longer counted.
 PEER_TIMEOUT_S: Final = 6.0
+MAX_UNSENT_REASONS: Final = 1_000
 
 T = TypeVar("T")
 
@@ -85,6 +86,8 @@
         self._flush_timer: asyncio.TimerHandle | None = None
         self._pacing = UpdatePacing()
         self._sent_s = 0.0
+        # The last error of sending to an address, which is logged once.
+        self._unsent_reasons: dict[Address, int | None] = {}
         self._update_handlers: dict[ObjectKind, Callable[[StoreUpdate], None]] = {}
         tracker.on_updates_pending = self._schedule
         state.rate_limiter.on_changed = lambda: self._schedule(URGENT_BUSY_S)
@@ -376,8 +379,23 @@
             self._write(data, address)
 
     def _write(self, data: bytes, address: Address) -> None:
-        if self.transport is not None:
+        if self.transport is None:
+            return
+        try:
             self.transport.write(data, (address.host, address.port))
+        except OSError as error:
+            # The datagram is lost; the other gateways still have to get theirs.
+            self._log_unsent(address, error)
+
+    def _log_unsent(self, address: Address, error: OSError) -> None:
+        if self._unsent_reasons.get(address) == error.errno:
+            return
+        if len(self._unsent_reasons) >= MAX_UNSENT_REASONS:
+            self._unsent_reasons.clear()
+        self._unsent_reasons[address] = error.errno
+        log_event(
+            gateway_events.PEER_UNREACHABLE, address=str(address), reason=str(error)
+        )
 
 
 def _apply_each(items: Iterable[T], apply_item: Callable[[T], None]) -> None:
--- a/bramleyport/gateway/_state_updaters.py
+++ b/bramleyport/gateway/_state_updaters.py
@@ -20,9 +20,9 @@
 )
 from bramleyport.telemetry import gateway_events, log_event
 
-# The store removes a registration after three intervals without a renewal; one more is
-# for its notice to arrive.
-EXPIRY_INTERVALS: Final = 4
+# The store removes a registration after three intervals without a renewal, which begin
+# when it is back; the others are for its notice to arrive.
+EXPIRY_INTERVALS: Final = 6
 CONFIGURATION_NAME: Final = ObjectName("main")
 
 
@@ -90,8 +90,12 @@
             self._state.members.record_restored(now_s)
         self._state.members.replace_all(listed, now_s, restored=restored)
         after = self._index_members()
-        for upstream, registration in after.items():
-            self._record_change(before.get(upstream), registration)
+        for item in listing.objects:
+            upstream = UpstreamId(item.name)
+            if upstream in after:
+                known = before.get(upstream)
+                action = partial(self._record_change, known, after[upstream])
+                self._guard.apply(item, action)
         for upstream in before.keys() - after.keys():
             self._report_removed(upstream, "not listed")
 
--- a/bramleyport/gateway/_verdict_store.py
+++ b/bramleyport/gateway/_verdict_store.py
@@ -291,6 +291,10 @@
         document = self._guard.decode(item, _decode)
         self._guard.forget(item.name)
         part = document.verdict.part if document else self._find_part(item.name)
+        stored = self._stored.get(part) if part is not None else None
+        if stored is not None and stored.name != item.name:
+            # Another writer's object about the same part.
+            return None
         if part is not None:
             self._repairs.drop(part)
             self._release(part, "removed from the store")
@@ -311,8 +315,14 @@
             self._schedule_repair(verdict.part)
             return None
         if not evidence.is_plausible(verdict):
-            self.remove(verdict.part)
+            if item.name == _make_name(verdict.part):
+                self.remove(verdict.part)
             return None
+        known = self._stored.get(verdict.part)
+        own_name = _make_name(verdict.part)
+        if known is not None and known.name == own_name != item.name:
+            # Another writer's object about the same part.
+            return verdict.part
         self._unremoved.discard(verdict.part)
         stored = merge_stored(
             self._stored.get(verdict.part), document, item, read_now()
--- a/bramleyport/platform/_settings.py
+++ b/bramleyport/platform/_settings.py
@@ -96,7 +96,10 @@
     except OSError as error:
         reason = error.strerror or repr(error)
         raise SettingsError("read settings", str(path), reason) from error
-    except (yaml.YAMLError, MalformedDocumentError) as error:
+    except (ArithmeticError, AttributeError, LookupError, RecursionError) as error:
+        # The parser lets errors of its conversions out.
+        raise SettingsError("check settings", str(path), repr(error)) from error
+    except (yaml.YAMLError, ValueError) as error:
         raise SettingsError("check settings", str(path), str(error)) from error
 
 
--- a/bramleyport/platform/_store.py
+++ b/bramleyport/platform/_store.py
@@ -39,6 +39,7 @@
 CALL_TIMEOUT_S: Final = 1.5
 CONNECT_TIMEOUT_S: Final = 0.5
 MAX_CONNECTIONS: Final = 8
+STALE_QUERY: Final = "stale_ok=1"
 
 
 class StoreFailure(str, Enum):
@@ -53,6 +54,8 @@
     # A write may have taken effect, or may still take effect.
     UNKNOWN = "unknown"
     INVALID = "invalid"
+    # The answer can't be decoded.
+    MALFORMED = "malformed"
     # The answer is of an era that has ended; what it says is no longer in the store.
     OUTDATED = "outdated"
 
@@ -109,7 +112,7 @@
         first_era: StoreEra | None = None
         while True:
             query = [f"after={quote(after, safe='')}"] if after else []
-            query += ["stale_ok=1"] if stale else []
+            query += [STALE_QUERY] if stale else []
             page = await self._call("list", "GET", _make_path(kind, query=query))
             if isinstance(page, Err):
                 return page
@@ -256,6 +259,9 @@
         self, step: str, request: HttpRequest, timeout_s: float
     ) -> Result[_StoreAnswer, StoreError]:
         """Return the answer to a call unless its era has ended."""
+        # A stale read may be answered by what the store was some time ago.
+        is_stale = request.target.endswith(STALE_QUERY.encode())
+        known = None if is_stale else self.eras.named
         try:
             async with asyncio.timeout(timeout_s):
                 answer = await self._run(request)
@@ -265,10 +271,9 @@
         except ExchangeError as error:
             failure = StoreFailure.REFUSED if error.unsent else StoreFailure.UNKNOWN
             return _make_error(failure, step, error.reason)
-        newest = self.eras.newest
-        era = self.eras.record(decode_store_era(answer.headers))
-        if era < newest:
-            reason = f"answer of era {era} after one of era {newest}"
+        era = self.eras.record(decode_store_era(answer.headers), known)
+        if era < self.eras.newest:
+            reason = f"answer of era {era} after one of era {self.eras.newest}"
             return _make_error(StoreFailure.OUTDATED, step, reason)
         if answer.status >= 300:
             failure = _FAILURES.get(answer.status, StoreFailure.UNKNOWN)
@@ -304,7 +309,7 @@
 
 
 def _make_malformed_error(step: str, reason: str) -> Err[StoreError]:
-    return _make_error(StoreFailure.UNKNOWN, step, reason)
+    return _make_error(StoreFailure.MALFORMED, step, reason)
 
 
 def _make_ended_era_error(step: str) -> Err[StoreError]:
--- a/bramleyport/platform/_store_eras.py
+++ b/bramleyport/platform/_store_eras.py
@@ -6,6 +6,7 @@
 from typing import Final
 
 from bramleyport.core import StoreEra
+from bramleyport.telemetry import events, log_event
 
 # Applies until an answer names an era, and to stores that name none.
 FIRST_ERA: Final = StoreEra(0)
@@ -36,18 +37,22 @@
         """Return whether answers have named more than one era."""
         return self._was_restored
 
-    def record(self, named: StoreEra | None) -> StoreEra:
-        """Record the era that an answer names and return the era of the answer."""
+    def record(self, named: StoreEra | None, known: StoreEra | None = None) -> StoreEra:
+        """Record the era that an answer names and return the era of the answer.
+
+        An answer of an older era is late, unless the newest one was `known` when its
+        request was sent: then no later era has begun, and the answer that named one
+        was wrong.
+        """
         if named is None:
             return self.newest
         if self._newest is None:
             self._newest = named
-        elif named > self._newest:
+        elif named > self._newest or named < self._newest == known:
             self._newest = named
             self._was_restored = True
             self._end_watches()
-            for notify in self.on_restored:
-                notify(named)
+            self._notify(named)
         return named
 
     @contextmanager
@@ -60,6 +65,13 @@
             self._watches.discard(limit)
 
     def _end_watches(self) -> None:
-        now_s = asyncio.get_running_loop().time()
         for limit in self._watches:
-            limit.reschedule(now_s)
+            if not limit.expired():
+                limit.reschedule(asyncio.get_running_loop().time())
+
+    def _notify(self, era: StoreEra) -> None:
+        for notify in self.on_restored:
+            try:
+                notify(era)
+            except Exception as error:  # the others have to learn of the era
+                log_event(events.HANDLER_FAILED, step="new era", error=repr(error))
--- a/bramleyport/telemetry/_gateway_events.py
+++ b/bramleyport/telemetry/_gateway_events.py
@@ -97,3 +97,4 @@
 UPSTREAM_LEAVING: Final = define(2690, "INFO", "upstream said that it is leaving")
 UPSTREAM_PAUSED: Final = define(2691, "INFO", "upstream wants no requests for a while")
 PAUSE_INVALID: Final = define(2692, "WARNING", "invalid pause of an upstream ignored")
+PEER_UNREACHABLE: Final = define(2659, "WARNING", "datagram to a peer not sent")
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -14,8 +14,10 @@
 from result import Err, Ok
 
 from bramleyport.core import Revision, StoreEra, StoreRevision
+from bramleyport.fleet import PrefixId
 from bramleyport.gateway import _lease, _state_updaters
 from bramleyport.gateway._state_updaters import RegistrationUpdater
+from bramleyport.gateway._verdict_store import _make_name
 from bramleyport.platform import (
     Change,
     ChangeBatch,
@@ -409,3 +411,40 @@
     run(check())
     logger.remove(sink)
     assert logged.count(gateway_events.REGISTRATION_INVALID.number) == 1
+
+
+# Guards against a watch that is repeated for ever, because its answer can't be decoded.
+@pytest.mark.parametrize("spec", [b'{"a":', b"]", b'"a'])
+def test_following_goes_on_after_an_unbalanced_entry_is_gone(
+    fleet: GatewayFleet, run: Run, spec: bytes
+) -> None:
+    async def check() -> None:
+        await fleet.start()
+        fleet.store.put("servers", "odd", RawJson(spec))
+        await asyncio.sleep(1.5)
+        fleet.store.delete("servers", "odd")
+        await check_following(fleet, "unbalanced")
+
+    run(check())
+
+
+# Guards against another writer's object that releases the valid verdict on its part.
+def test_second_object_of_a_part_releases_nothing(
+    fleet: GatewayFleet, run: Run
+) -> None:
+    async def check() -> None:
+        part = PrefixId("5c1e07a2")
+        spec = {"part": part, "companions": [], "crashes": 3, "trials": 0}
+        fleet.store.put("verdicts", _make_name(part), spec)
+        await fleet.start()
+        evidence = fleet.state.crash_evidence
+        await fleet.wait_for(lambda: evidence.verdicts)
+        for crashes in (0, 3):
+            fleet.store.put("verdicts", "other", spec | {"crashes": crashes})
+            await asyncio.sleep(0.3)
+            fleet.store.delete("verdicts", "other")
+            await asyncio.sleep(0.5)
+        assert [item.part for item in evidence.verdicts] == [part]
+        assert ("verdicts", _make_name(part)) in fleet.store.objects
+
+    run(check())
--- a/tests/test_upstream_signals.py
+++ b/tests/test_upstream_signals.py
@@ -206,3 +206,13 @@
     members.put(make_registration(6))
     assert len(members.list_ready(ServiceName("s"))) == 1
     assert not members.record_leaving(NAME, 5)
+
+
+@pytest.mark.parametrize("born", [4, 6])
+def test_upstream_that_starts_again_is_used_whatever_its_clock_says(born: int) -> None:
+    """Guards against an upstream that is out for good after its clock stepped back."""
+    members = Membership()
+    members.put(make_registration(5, draining=True))
+    members.remove(NAME, 1.0)
+    members.put(make_registration(born))
+    assert len(members.list_ready(ServiceName("s"))) == 1
