Split messages of callers, batches for peers and the sending of datagrams

The test of an update that can't be encoded names revisions with their era now, as updates hold them.

--- a/bramleyport/gateway/_peers.py
+++ b/bramleyport/gateway/_peers.py
@@ -6,7 +6,7 @@
 
 import asyncio
 import time
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Iterable
 from dataclasses import replace
 from typing import Any, Final, TypeVar
 
@@ -17,19 +17,23 @@
 from bramleyport.fleet import (
     Address,
     LeavingUpstream,
-    RateLimitNotice,
     UpdatePacing,
     Work,
     choose_store_watchers,
     is_watch_shared,
 )
 from bramleyport.gateway._clock import read_now
-from bramleyport.gateway._crash_guard import CrashGuard, CrashUpdates
+from bramleyport.gateway._crash_guard import CrashGuard
+from bramleyport.gateway._datagram_sender import DatagramSender
+from bramleyport.gateway._peer_batches import (
+    make_updates,
+    take_batch,
+    take_crashes,
+)
 from bramleyport.gateway._peer_fields import MAX_CLOCK_AHEAD_MS, PeerMessageError
 from bramleyport.gateway._peer_messages import (
     ENCODING_ERRORS,
     MAX_ITEMS,
-    MAX_REPORTS,
     ChangingEngine,
     LimitUpdate,
     PeerMessage,
@@ -37,7 +41,6 @@
     decode_datagram,
     encode_message,
     make_limit_notice,
-    make_limit_update,
 )
 from bramleyport.gateway._state import GatewayState
 from bramleyport.gateway._store_updates import (
@@ -47,7 +50,6 @@
 )
 from bramleyport.gateway._work_tracker import (
     URGENT_BUSY_S,
-    PendingUpdates,
     WorkTracker,
 )
 from bramleyport.platform import ObjectKind
@@ -58,7 +60,6 @@
 ANNOUNCE_INTERVAL_S: Final = 2.0
 # A peer that has sent nothing for this long is no longer counted.
 PEER_TIMEOUT_S: Final = 6.0
-MAX_UNSENT_REASONS: Final = 1_000
 
 T = TypeVar("T")
 
@@ -86,8 +87,7 @@
         self._flush_timer: asyncio.TimerHandle | None = None
         self._pacing = UpdatePacing()
         self._sent_s = 0.0
-        # The last error of sending to an address, which is logged once.
-        self._unsent_reasons: dict[Address, int | None] = {}
+        self._sender = DatagramSender()
         self._update_handlers: dict[ObjectKind, Callable[[StoreUpdate], None]] = {}
         tracker.on_updates_pending = self._schedule
         state.rate_limiter.on_changed = lambda: self._schedule(URGENT_BUSY_S)
@@ -325,34 +325,18 @@
         pending.crashes = self._guard.take_updates()
         self._send_leaving(self._state.pending_leaving, self._send)
         while pending:
-            self._send(self._take_batch(pending))
-
-    def _take_batch(self, pending: PendingUpdates) -> PeerMessage:
-        message = self._make_message(
-            started=tuple(pending.started[:MAX_ITEMS]),
-            prefilled=_make_refs(pending.prefilled[:MAX_ITEMS]),
-            ended=_make_refs(pending.ended[:MAX_ITEMS]),
-            refused=tuple(pending.refused[:MAX_ITEMS]),
-            limits=_make_updates(pending.limits[:MAX_ITEMS]),
-            **_take_crashes(pending.crashes),
-        )
-        del pending.started[:MAX_ITEMS]
-        del pending.prefilled[:MAX_ITEMS]
-        del pending.ended[:MAX_ITEMS]
-        del pending.refused[:MAX_ITEMS]
-        del pending.limits[:MAX_ITEMS]
-        return message
+            self._send(self._make_message(**take_batch(pending)))
 
     def _send_known(self, address: Address) -> None:
         """Send what is known of the fleet to a gateway that has started."""
         self._write(encode_message(self._make_message()), address)
         crashes = self._guard.list_known()
         while crashes:
-            message = self._make_message(**_take_crashes(crashes))
+            message = self._make_message(**take_crashes(crashes))
             self._write(encode_message(message), address)
         notices = self._state.rate_limiter.list_notices()
         while notices:
-            message = self._make_message(limits=_make_updates(notices[:MAX_ITEMS]))
+            message = self._make_message(limits=make_updates(notices[:MAX_ITEMS]))
             del notices[:MAX_ITEMS]
             self._write(encode_message(message), address)
         self._send_leaving(
@@ -379,23 +363,8 @@
             self._write(data, address)
 
     def _write(self, data: bytes, address: Address) -> None:
-        if self.transport is None:
-            return
-        try:
-            self.transport.write(data, (address.host, address.port))
-        except OSError as error:
-            # The datagram is lost; the other gateways still have to get theirs.
-            self._log_unsent(address, error)
-
-    def _log_unsent(self, address: Address, error: OSError) -> None:
-        if self._unsent_reasons.get(address) == error.errno:
-            return
-        if len(self._unsent_reasons) >= MAX_UNSENT_REASONS:
-            self._unsent_reasons.clear()
-        self._unsent_reasons[address] = error.errno
-        log_event(
-            gateway_events.PEER_UNREACHABLE, address=str(address), reason=str(error)
-        )
+        if self.transport is not None:
+            self._sender.send(self.transport, data, address)
 
 
 def _apply_each(items: Iterable[T], apply_item: Callable[[T], None]) -> None:
@@ -405,25 +374,3 @@
             apply_item(item)
         except Exception as error:  # logged; the others are applied
             log_event(events.HANDLER_FAILED, step="apply peer item", error=repr(error))
-
-
-def _take_crashes(crashes: CrashUpdates) -> dict[str, Any]:
-    """Remove what fits into one message, and return it as fields of the message."""
-    fields = {
-        "reports": tuple(crashes.reports[:MAX_REPORTS]),
-        "harmless": tuple(crashes.harmless[:MAX_ITEMS]),
-        "verdicts": tuple(crashes.verdicts[:MAX_REPORTS]),
-    }
-    del crashes.reports[:MAX_REPORTS]
-    del crashes.harmless[:MAX_ITEMS]
-    del crashes.verdicts[:MAX_REPORTS]
-    return fields
-
-
-def _make_refs(pairs: list[tuple[UpstreamId, Any]]) -> tuple[WorkRef, ...]:
-    return tuple(WorkRef(upstream, request) for upstream, request in pairs)
-
-
-def _make_updates(notices: Sequence[RateLimitNotice]) -> tuple[LimitUpdate, ...]:
-    now_s = read_now()
-    return tuple(make_limit_update(notice, now_s) for notice in notices)
--- a/bramleyport/http1/__init__.py
+++ b/bramleyport/http1/__init__.py
@@ -6,6 +6,11 @@
 Twisted's transports.
 """
 
+from bramleyport.http1._caller_messages import (
+    CallerDisconnectedError,
+    CallerRequest,
+    ConnectionLimits,
+)
 from bramleyport.http1._client import HttpClient, UpstreamConnection
 from bramleyport.http1._messages import (
     Answer,
@@ -14,13 +19,7 @@
     HttpRequest,
 )
 from bramleyport.http1._pool import ConnectionPool, PoolLimits
-from bramleyport.http1._server import (
-    CallerConnection,
-    CallerDisconnectedError,
-    CallerFactory,
-    CallerRequest,
-    ConnectionLimits,
-)
+from bramleyport.http1._server import CallerConnection, CallerFactory
 
 __all__ = [
     "Answer",
--- a/bramleyport/http1/_server.py
+++ b/bramleyport/http1/_server.py
@@ -2,7 +2,6 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
 from functools import partial
 from typing import Any, Final
 
@@ -11,10 +10,14 @@
 from twisted.internet.protocol import Factory, Protocol
 from twisted.python.failure import Failure
 
+from bramleyport.http1._caller_messages import (
+    CallerDisconnectedError,
+    CallerRequest,
+    ConnectionLimits,
+)
+from bramleyport.http1._messages import Headers
 from bramleyport.http1._socket_options import disable_write_delay
 
-Headers = list[tuple[bytes, bytes]]
-
 # Bytes of further requests that are buffered while a request is being served.
 MAX_PIPELINED_BYTES: Final = 262_144
 # Events of one connection that are processed before the event loop serves others.
@@ -24,33 +27,6 @@
 ABORT_DELAY_S: Final = 1.0
 
 
-class CallerDisconnectedError(ConnectionError):
-    """Report that the caller closed its connection."""
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class ConnectionLimits:
-    """Describe the limits on the size and time of callers' requests."""
-
-    max_header_bytes: int
-    max_body_bytes: int
-    header_timeout_s: float
-    idle_timeout_s: float
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class CallerRequest:
-    """Describe one complete request of a caller."""
-
-    method: bytes
-    target: bytes
-    headers: Headers
-    body: bytes
-    # When its first byte was read, and when it was complete.
-    began_s: float
-    received_s: float
-
-
 Handler = Callable[[CallerRequest, "CallerConnection"], Awaitable[None]]
 
 
--- a/tests/test_odd_peer_items.py
+++ b/tests/test_odd_peer_items.py
@@ -12,7 +12,14 @@
 import pytest
 from hypothesis import given, strategies as st
 
-from bramleyport.core import ProcessId, RequestId, Revision, UpstreamId
+from bramleyport.core import (
+    ProcessId,
+    RequestId,
+    Revision,
+    StoreEra,
+    StoreRevision,
+    UpstreamId,
+)
 from bramleyport.fleet import (
     Address,
     CrashId,
@@ -41,6 +48,7 @@
     make_work,
 )
 
+THIRD = StoreRevision(StoreEra(1), Revision(3))
 Run = Callable[[Coroutine[Any, Any, Any]], Any]
 
 # Position of the first list in an encoded message.
@@ -413,13 +421,13 @@
         peers._flush()
         sent = list_sent(fleet)
         stored = StoredObject(
-            name=ObjectName("u"), revision=Revision(3), document={"host": "\ud800"}
+            name=ObjectName("u"), revision=THIRD, document={"host": "\ud800"}
         )
         peers.publish_update(
             StoreUpdate(
                 process=ProcessId("g"),
                 kind=ObjectKind.REGISTRATIONS,
-                revision=Revision(3),
+                revision=THIRD,
                 changes=(Change(stored, removed=False),),
             )
         )
@@ -428,5 +436,5 @@
 
     updates = [decode_datagram(data, 0.0) for data in run(send())]
     (update,) = [item for item in updates if isinstance(item, StoreUpdate)]
-    assert update.revision == 3
+    assert update.revision == THIRD
     assert update.changes is None
