Bound the revisions and eras in updates of other gateways

A revision of 10**30 in an update counted as newer than any that the store gives out, so that a gateway called the store at each update. The cases added to test_odd_updates_are_refused failed before. The tests of updates name revisions with their era now.

--- a/bramleyport/gateway/_store_updates.py
+++ b/bramleyport/gateway/_store_updates.py
@@ -24,6 +24,8 @@
 # Bounds the decompressed size of a datagram that may be malformed.
 MAX_UNPACKED_BYTES: Final = 262_144
 MAX_REASON_CHARS: Final = 160
+# No store gives out a higher revision or era.
+MAX_COUNT: Final = 2**53 - 1
 # Before the first answer of the store.
 NO_REVISION: Final = StoreRevision(StoreEra(0), Revision(0))
 
@@ -74,12 +76,12 @@
         _, process, kind, since, revision, age_ms, reachable, returned, *rest = fields
         # Updates of earlier versions name no era.
         packed, named_era = rest if rest[1:] else (*rest, 0)
-        era = StoreEra(int(named_era))
+        era = StoreEra(_decode_count(named_era))
         return StoreUpdate(
             process=ProcessId(str(process)),
             kind=ObjectKind(kind),
-            since=StoreRevision(era, Revision(int(since))),
-            revision=StoreRevision(era, Revision(int(revision))),
+            since=StoreRevision(era, Revision(_decode_count(since))),
+            revision=StoreRevision(era, Revision(_decode_count(revision))),
             age_s=_decode_age(age_ms),
             reachable=bool(reachable),
             returned=bool(returned),
@@ -97,6 +99,12 @@
         raise StoreUpdateError(reason) from error
 
 
+def _decode_count(value: Any) -> int:
+    if not isinstance(value, int) or not 0 <= value <= MAX_COUNT:
+        raise StoreUpdateError(f"not a count: {type(value).__name__}")
+    return value
+
+
 def select_unseen(
     changes: Sequence[Change], known: StoreRevision
 ) -> tuple[Change, ...]:
--- a/tests/test_odd_documents.py
+++ b/tests/test_odd_documents.py
@@ -13,7 +13,7 @@
 import pytest
 from hypothesis import given, strategies as st
 
-from bramleyport.core import ProcessId, Revision
+from bramleyport.core import ProcessId, Revision, StoreEra, StoreRevision
 from bramleyport.fleet import PrefixId, PromptPart
 from bramleyport.gateway._store_updates import (
     FORMAT,
@@ -51,6 +51,7 @@
 
 MANY_NINES = "9" * MANY_DIGITS
 HUGE = 10**400
+FIFTH = StoreRevision(StoreEra(1), Revision(5))
 
 
 def make_deep_value() -> list[Any]:
@@ -246,11 +247,11 @@
 
 
 def make_update(document: dict[str, Any]) -> StoreUpdate:
-    item = StoredObject(name=ObjectName("u"), revision=Revision(5), document=document)
+    item = StoredObject(name=ObjectName("u"), revision=FIFTH, document=document)
     return StoreUpdate(
         process=ProcessId("g"),
         kind=ObjectKind.REGISTRATIONS,
-        revision=Revision(5),
+        revision=FIFTH,
         changes=(Change(item, removed=False),),
     )
 
@@ -315,15 +316,16 @@
     for value in (DEEP, "\ud800"):
         update = make_update({"x": value})
         decoded = decode_store_update(encode_store_update(update))
-        assert decoded.revision == 5
+        assert decoded.revision == FIFTH
         assert decoded.changes is None
 
 
 # Guards the receivers of datagrams: only this error is expected of the decoder.
 def test_odd_updates_are_refused() -> None:
-    fields: list[Any] = [FORMAT, "g", "servers", 3, 5, 0, True, False, None]
+    fields: list[Any] = [FORMAT, "g", "servers", 3, 5, 0, True, False, None, 1]
     decode_store_update(fields)
     cases = [(2, DEEP), (3, math.inf), (4, -math.inf)]
+    cases += [(index, value) for index in (3, 4, 9) for value in (HUGE, -1)]
     cases += [(5, age) for age in (HUGE, math.inf, math.nan, -1, DEEP)]
     for index, value in cases:
         odd = [*fields]
