Find the end of an outage of the store without waiting for a change

Callers' requests reached an upstream 2.0 to 2.2 s after it had left (DRAIN), at a gateway that the store had turned away until 1.7 s before.

Cause: after an outage the watch of the registrations waited for a change as it always does, so that the outage seemed to end with that change, the removal of the upstream. For two seconds after an outage a missing upstream is kept, as its registration may be written again. Change: while the store counts as unreachable a watch asks for an answer at once.

--- a/bramleyport/gateway/_follower.py
+++ b/bramleyport/gateway/_follower.py
@@ -299,6 +299,9 @@
     async def _watch(self, since: StoreRevision) -> StoreError | None:
         times = self._times
         wait_s = times.shared_wait_s if self._link.is_sharing() else times.wait_s
+        if not self._reachable:
+            # An answer that waits for a change would hide when the outage has ended.
+            wait_s = 0.0
         started_s = read_boot_time()
         batch = await self._store.watch(self._kind, since, wait_s, times.answer_s)
         if isinstance(batch, Err):
--- a/tests/test_store_updates.py
+++ b/tests/test_store_updates.py
@@ -337,6 +337,35 @@
     run_script(run, network, script())
 
 
+def test_end_of_an_outage_is_found_without_waiting_for_a_change(
+    network: Network, run: Run, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards the time for which upstreams may be missing after an outage.
+
+    It began with the removal of an upstream that left 1.7 s after the outage, so calls
+    went to it for 2 s more.
+    """
+    watcher = next(iter(network.watchers))
+    waits_s: list[float] = []
+
+    async def wait(wait_s: float) -> None:
+        waits_s.append(wait_s)
+        await asyncio.sleep(min(wait_s, 0.05))
+
+    async def script() -> None:
+        network.store.disconnected = set(network.watchers)
+        reachable = network.updaters[watcher].reachable
+        await network.wait_for(lambda: reachable[-1] is False)
+        network.stop([name for name in NAMES if name != watcher])
+        waits_s.clear()
+        network.store.disconnected = set()
+        await network.wait_for(lambda: len(waits_s) > 1)
+        assert waits_s[0] == 0.0 < waits_s[1]
+
+    monkeypatch.setattr(network.store, "wait", wait)
+    run_script(run, network, script())
+
+
 def test_late_answer_of_a_watch_does_not_undo_newer_updates(run: Run) -> None:
     network = Network()
 
