--- a/bramleyport/fleet/__init__.py
+++ b/bramleyport/fleet/__init__.py
@@ -39,6 +39,12 @@
 from bramleyport.fleet._routes import RouteTable, choose_service
 from bramleyport.fleet._shutdown import ShutdownSchedule, plan_shutdown
 from bramleyport.fleet._stages import EngineView, StageChange, StagePlanner
+from bramleyport.fleet._traits import (
+    RequestHead,
+    RequestIdentity,
+    TraitId,
+    read_request_head,
+)
 from bramleyport.fleet._transfers import Transfer
 from bramleyport.fleet._types import (
     Address,
@@ -99,6 +105,8 @@
     "Reachability",
     "Registration",
     "Repeatability",
+    "RequestHead",
+    "RequestIdentity",
     "Route",
     "RouteName",
     "RouteTable",
@@ -108,6 +116,7 @@
     "Stage",
     "StageChange",
     "StagePlanner",
+    "TraitId",
     "Transfer",
     "UpdatePacing",
     "UpstreamLoad",
@@ -122,4 +131,5 @@
     "compute_enforced_rate",
     "is_watch_shared",
     "plan_shutdown",
+    "read_request_head",
 ]
--- a/bramleyport/fleet/_types.py
+++ b/bramleyport/fleet/_types.py
@@ -11,6 +11,7 @@
     UpstreamId,
     ZoneName,
 )
+from bramleyport.fleet._traits import RequestIdentity
 
 RouteName = NewType("RouteName", str)
 PrefixId = NewType("PrefixId", str)
@@ -170,3 +171,4 @@
     # When the timeout of the caller or of the route expires, whichever is first.
     deadline_s: float
     prompt: Prompt | None = None
+    identity: RequestIdentity | None = field(default=None, compare=False)
--- a/bramleyport/gateway/_attempt.py
+++ b/bramleyport/gateway/_attempt.py
@@ -230,6 +230,7 @@
             reason=failure.reason,
             events=failure.events,
             parts=_list_shared_parts(context.call),
+            identity=_describe_identity(context.call, failure),
             left_s=round(context.remaining_s, 3),
         )
 
@@ -345,3 +346,10 @@
 def _list_shared_parts(call: Call) -> list[str]:
     """Return the parts of a prompt that other calls may have, too."""
     return [part.prefix for part in call.prompt.parts[:-1]] if call.prompt else []
+
+
+def _describe_identity(call: Call, failure: FailedAttempt) -> str:
+    """Return what repeats of a request that was lost have in common."""
+    if call.identity is None or failure.end is not AttemptEnd.LOST:
+        return ""
+    return call.identity.trait
--- a/bramleyport/gateway/_forward.py
+++ b/bramleyport/gateway/_forward.py
@@ -5,7 +5,7 @@
 from random import Random
 from typing import Final
 
-from bramleyport.fleet import Call, Route, choose_service
+from bramleyport.fleet import Call, RequestIdentity, Route, choose_service
 from bramleyport.gateway._call_context import CallContext
 from bramleyport.gateway._clock import read_now
 from bramleyport.gateway._plain import PlainServer
@@ -104,6 +104,7 @@
             # The time of the caller runs while it sends its request.
             deadline_s=request.began_s + min(head.time_limit_s, route.timeout_s),
             prompt=head.prompt,
+            identity=_identify(request, head),
         )
         if self._is_too_late(call):
             status = HTTPStatus.SERVICE_UNAVAILABLE
@@ -151,6 +152,19 @@
     )
 
 
+def _identify(request: CallerRequest, head: CallHead) -> RequestIdentity:
+    """Return the identity of a request; its last prompt part may differ each time."""
+    parts = head.prompt.parts[:-1] if head.prompt else ()
+    fields = [
+        request.method,
+        _read_host(request).encode("latin-1"),
+        request.target,
+        *head.caller,
+        *(part.prefix.encode("latin-1") for part in parts),
+    ]
+    return RequestIdentity(fields, request.body)
+
+
 def _read_host(request: CallerRequest) -> str:
     for name, value in request.headers:
         if name.lower() == b"host":
--- a/bramleyport/platform/_headers.py
+++ b/bramleyport/platform/_headers.py
@@ -44,6 +44,13 @@
 OTHER_INSTANCE_STATUS: Final = 421
 # Status of an upstream that turns a request away.
 UNAVAILABLE_STATUS: Final = 503
+# Headers that tell who the caller is.
+_CALLER_HEADERS: Final = (
+    b"authorization",
+    b"cookie",
+    b"x-account",
+    b"x-api-key",
+)
 # A decimal number without sign or exponent; more digits are no rate of requests.
 _DECIMAL: Final = re.compile(rb"[0-9]{1,12}(\.[0-9]{0,40})?")
 # Bytes of an invalid value that are logged.
@@ -62,6 +69,8 @@
     time_limit_s: float
     last_event: int
     prompt: Prompt | None
+    # What the request says of its caller; it may contain secrets.
+    caller: tuple[bytes, ...] = ()
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -102,6 +111,7 @@
         ),
         last_event=_parse_count_or_zero(values.get(b"last-event-id")),
         prompt=_decode_prompt(values),
+        caller=tuple(values.get(name, b"") for name in _CALLER_HEADERS),
     )
 
 
