--- a/tests/crash_bound.py
+++ b/tests/crash_bound.py
@@ -20,7 +20,7 @@
     engines: Sequence[CrashingEngine], part: str, stable_s: float
 ) -> float | None:
     """Return when the bound begins for a part, or None if it has not begun."""
-    times_s = [crash.time_s for crash in list_crashes(engines) if crash.part == part]
+    times_s = [crash.time_s for crash in list_crashes(engines) if crash.cause == part]
     if len(times_s) < BOUNDED_CRASH:
         return None
     return times_s[BOUNDED_CRASH - 1] + stable_s
--- a/tests/gateway_group.py
+++ b/tests/gateway_group.py
@@ -114,12 +114,12 @@
         await asyncio.gather(*calls)
 
     async def call_gateway(
-        self, name: str, path: str, **headers: str
+        self, name: str, path: str, *, body: bytes = b"b", **headers: str
     ) -> CallerAnswer | None:
         """Send a call to a gateway; return None if it gets no answer."""
         caller = RawCaller(self._ports[name])
         try:
-            return await caller.call(path, body=b"b", **headers)
+            return await caller.call(path, body=body, **headers)
         except (OSError, asyncio.IncompleteReadError):
             return None
         finally:
--- a/tests/platform_standin/_crashes.py
+++ b/tests/platform_standin/_crashes.py
@@ -1,4 +1,4 @@
-"""Define an engine that crashes on parts of prompts, and comes back some time later."""
+"""Define an upstream that crashes on some calls, and comes back some time later."""
 
 import asyncio
 import time
@@ -9,6 +9,7 @@
 from tests.platform_standin._upstream import (
     EVENT_COUNT,
     UpstreamStandin,
+    answer_normally,
     render_event,
     start_stream,
     write_chunk,
@@ -25,8 +26,8 @@
     """Describe one crash of an engine."""
 
     engine: str
-    # The part of a prompt that caused it, or None for another cause.
-    part: str | None
+    # The part of a prompt or the body that caused it, or None for another cause.
+    cause: str | None
     time_s: float = field(default_factory=time.monotonic)
 
 
@@ -37,12 +38,13 @@
 
 
 class CrashingEngine(UpstreamStandin):
-    """Represent an engine that crashes once it begins an answer on a deadly part."""
+    """Represent an upstream that crashes once it begins to run a deadly call."""
 
     def __init__(self, name: str, *, service: str, stage: str = "") -> None:
         super().__init__(name, service=service, stage=stage)
         self.script = stream_or_crash
         self.deadly_parts: set[str] = set()
+        self.deadly_bodies: set[str] = set()
         self.crashes: list[EngineCrash] = []
         self.is_down = False
         # From a crash to the start of the next process at the same address.
@@ -79,12 +81,19 @@
         parts = list_parts(request)[:-1]
         return next((part for part in parts if part in self.deadly_parts), None)
 
-    def crash(self, part: str | None = None) -> None:
+    def find_cause(self, request: RawRequest) -> str | None:
+        """Return the body or the part of a request on which this upstream crashes."""
+        body = request.body.decode("latin-1")
+        if body in self.deadly_bodies:
+            return body
+        return self.find_deadly_part(request)
+
+    def crash(self, cause: str | None = None) -> None:
         """End all connections, refuse new ones, and come back some time later."""
         if self.is_down:
             return
         self.is_down = True
-        self.crashes.append(EngineCrash(self.name, part))
+        self.crashes.append(EngineCrash(self.name, cause))
         assert self._server is not None
         self._server.close()
         self.reset_connections()
@@ -111,15 +120,18 @@
 async def stream_or_crash(
     upstream: UpstreamStandin, request: RawRequest, writer: asyncio.StreamWriter
 ) -> None:
-    """Stream all events, or half of the first one before the engine crashes."""
+    """Answer a call, or begin to and crash."""
     assert isinstance(upstream, CrashingEngine)
-    part = upstream.find_deadly_part(request)
+    cause = upstream.find_cause(request)
     upstream.running += 1
     try:
-        if part is None:
+        if cause is not None:
+            await _begin_and_crash(upstream, request, writer, cause)
+        elif upstream.stage:
             await _stream_with_pauses(upstream, request, writer)
         else:
-            await _begin_and_crash(upstream, request, writer, part)
+            await asyncio.sleep(upstream.pause_s)
+            await answer_normally(upstream, request, writer)
     finally:
         upstream.running -= 1
 
@@ -128,14 +140,16 @@
     engine: CrashingEngine,
     request: RawRequest,
     writer: asyncio.StreamWriter,
-    part: str,
+    cause: str,
 ) -> None:
+    """Crash before the head of a plain answer, or within the first event."""
     engine.record_run(request)
-    first = start_stream(engine, request, writer)
-    write_chunk(writer, render_event(first)[:PARTIAL_EVENT_BYTES])
-    await writer.drain()
+    if engine.stage:
+        first = start_stream(engine, request, writer)
+        write_chunk(writer, render_event(first)[:PARTIAL_EVENT_BYTES])
+        await writer.drain()
     await asyncio.sleep(CRASH_DELAY_S)
-    engine.crash(part)
+    engine.crash(cause)
 
 
 async def _stream_with_pauses(
--- a/tests/prompt_traffic.py
+++ b/tests/prompt_traffic.py
@@ -178,7 +178,7 @@
         """Describe what was sent and what crashed, for the output of a failed test."""
         lines = []
         for part in parts:
-            caused = sum(crash.part == part for crash in self.crashes)
+            caused = sum(crash.cause == part for crash in self.crashes)
             lines.append(
                 f"part {part}: {caused} crashes, "
                 f"{self.count_sent(part, bounded=False)} requests sent, "
--- a/tests/soak/_crash_checks.py
+++ b/tests/soak/_crash_checks.py
@@ -26,7 +26,7 @@
     for part in parts:
         bounded_s = find_bounded_s(engines, part, STABLE_S)
         late = list_late_arrivals(engines, part, bounded_s, sent_s)
-        crashes = sum(crash.part == part for crash in list_crashes(engines))
+        crashes = sum(crash.cause == part for crash in list_crashes(engines))
         observations.findings.crashes[part] = crashes
         if len(late) > MAX_LATE_ARRIVALS:
             observations.report_violation(
