Withhold requests that crash upstreams, by the mechanism for prompt parts

Cause: only prompt parts could be accused of a crash. CrashGuard returned at once for a call without a prompt or with one part, so no evidence on a whole request existed at any gateway, and each retry and each repeat took the next upstream.

Change: what can be accused is a trait, a shared part or the request (method, host, target, caller, shared parts, body), with one kind of report, verdict, trial, release and stored object. Two crashes suffice if the request was the only one that one of them broke, three beside others, up to five beside a crowd that broke as often. A part is not blamed for crashes that one request explains (two, if it was answered before). An answered repeat clears a request at all gateways. Digests are computed for calls that break, and for those whose path, caller and length match an accused one; bodies are not kept. Verdicts in the store are bounded.

After a first crash, only the same request is held for 5 to 15 s; other calls with its unanswered part are held for up to 2 s, since they may be sound.

--- a/bramleyport/fleet/__init__.py
+++ b/bramleyport/fleet/__init__.py
@@ -4,12 +4,13 @@
 from bramleyport.fleet._choice import Choice, Chooser
 from bramleyport.fleet._crash_evidence import (
     MAX_CRASHES,
-    MAX_PART_CHARS,
-    MAX_PARTS,
+    MAX_VERDICTS,
     CrashEvidence,
+)
+from bramleyport.fleet._crash_reports import (
     CrashId,
     CrashReport,
-    HarmlessPart,
+    HarmlessTrait,
     Verdict,
 )
 from bramleyport.fleet._decode_times import DecodeTimes
@@ -40,12 +41,15 @@
 from bramleyport.fleet._shutdown import ShutdownSchedule, plan_shutdown
 from bramleyport.fleet._stages import EngineView, StageChange, StagePlanner
 from bramleyport.fleet._traits import (
-    RequestHead,
+    MAX_TRAIT_CHARS,
+    MAX_TRAITS,
+    CallTraits,
     RequestIdentity,
     TraitId,
-    read_request_head,
+    is_request,
 )
 from bramleyport.fleet._transfers import Transfer
+from bramleyport.fleet._trials import choose_trial_interval
 from bramleyport.fleet._types import (
     Address,
     Call,
@@ -68,10 +72,12 @@
 
 __all__ = [
     "MAX_CRASHES",
-    "MAX_PARTS",
-    "MAX_PART_CHARS",
+    "MAX_TRAITS",
+    "MAX_TRAIT_CHARS",
+    "MAX_VERDICTS",
     "Address",
     "Call",
+    "CallTraits",
     "CallerLimits",
     "Choice",
     "Chooser",
@@ -85,7 +91,7 @@
     "EngineView",
     "Freshness",
     "GatewayRoster",
-    "HarmlessPart",
+    "HarmlessTrait",
     "LeavingUpstream",
     "LoadTracker",
     "Membership",
@@ -105,7 +111,6 @@
     "Reachability",
     "Registration",
     "Repeatability",
-    "RequestHead",
     "RequestIdentity",
     "Route",
     "RouteName",
@@ -128,8 +133,9 @@
     "admit",
     "choose_service",
     "choose_store_watchers",
+    "choose_trial_interval",
     "compute_enforced_rate",
+    "is_request",
     "is_watch_shared",
     "plan_shutdown",
-    "read_request_head",
 ]
--- a/bramleyport/fleet/_crash_evidence.py
+++ b/bramleyport/fleet/_crash_evidence.py
@@ -1,382 +1,405 @@
-"""Find the prompt parts under which upstreams crash.
+"""Find the prompt parts and the whole requests under which upstreams crash.
 
-A part may crash every upstream that begins to answer a prompt with it. It shows in the
-calls that wait for their first event when upstreams crash. Calls that are answered
-show which parts are harmless.
+A part may crash every upstream that begins to answer a prompt with it, a request every
+one that begins to run it. It shows in the calls that wait for their first event when
+upstreams crash. Calls that are answered show which of their traits are harmless.
 """
 
-import hashlib
 import math
 import zlib
-from collections import OrderedDict
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable
 from dataclasses import dataclass, field, replace
 from typing import Final
 
-from bramleyport.core import ProcessId, UpstreamId
-from bramleyport.fleet._types import PrefixId, PromptPart
-
-# Crashes of different upstream processes after which calls with a part are withheld: if
-# an answer had begun in one of them, and if in none.
+from bramleyport.core import ProcessId
+from bramleyport.fleet._answered_traits import AnsweredTraits
+from bramleyport.fleet._crash_record import CrashRecord
+from bramleyport.fleet._crash_reports import (
+    CrashId,
+    CrashReport,
+    HarmlessTrait,
+    Verdict,
+)
+from bramleyport.fleet._trait_table import TraitTable
+from bramleyport.fleet._traits import CallTraits, TraitId, is_request
+
+# Crashes of different upstream processes after which calls with a trait are withheld,
+# with strong evidence and without: an answer to a call with a part had begun in one of
+# them, an answer to a request in two, or a request was the only one that one broke.
 CRASHES_TO_WITHHOLD: Final = 2
 CRASHES_WITHOUT_ANSWER: Final = 3
 # The same for a part with which a call was answered before. Only crashes count in which
 # an answer had begun: many upstreams may crash at once for another reason, while most
 # calls at them wait or have had events.
 CRASHES_DESPITE_ANSWERS: Final = 4
-# Time for which a part is withheld after a first crash, if an answer with it had begun.
-# An engine that crashed is usually back by then. Gateways add different times, so that
-# not all of them try the part again at once.
+# A crash in which so many other requests have broken as often as this one shows little
+# of each; after the larger number of crashes that does not count any more.
+MAX_TIED_REQUESTS: Final = 4
+CRASHES_DESPITE_TIES: Final = 5
+# A part is not to blame for crashes that so few requests explain: if it was never
+# answered, and if it was.
+COVERING_REQUESTS: Final = 1
+COVERING_REQUESTS_DESPITE_ANSWERS: Final = 2
+# Time for which a request with a part that was never answered is withheld after a first
+# crash, if its answer had begun. An engine that crashed is usually back by then.
+# Gateways add different times, so that not all of them try it again at once.
 HOLD_S: Final = 5.0
 HOLD_SPREAD_S: Final = 10.0
+# The longest time for which other calls with the part are withheld: the first of them
+# that is answered shows that the part is harmless.
+PART_HOLD_SPREAD_S: Final = 2.0
 # Time between two calls of one gateway with a part that was withheld after one crash.
 TRIAL_INTERVAL_S: Final = 1.0
-# Time for which a part that was not accused again stays suspect.
+# Time for which a trait that was not accused again stays suspect.
 SUSPECT_KEEP_S: Final = 300.0
-# Bounds of the memory for any number of different parts.
-MAX_HARMLESS: Final = 8192
+# Bounds of the memory for any number of different traits.
 MAX_SUSPECTS: Final = 1024
-MAX_VERDICTS: Final = 256
+MAX_VERDICTS: Final = 2048
 MAX_CRASHES: Final = 8
-# Parts of one prompt that are considered.
-MAX_PARTS: Final = 32
-# A longer identifier is replaced by its digest.
-MAX_PART_CHARS: Final = 64
-
-
-@dataclass(frozen=True, slots=True)
-class CrashId:
-    """Identify a crash by the process of the upstream that ended."""
-
-    upstream: UpstreamId
-    # Start of the process in Unix milliseconds.
-    started_ms: int
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class CrashReport:
-    """Describe a call that waited for its first event when its upstream crashed."""
-
-    crash: CrashId
-    at_s: float = field(compare=False)
-    # The parts of its prompt that calls may share.
-    parts: frozenset[PrefixId]
-    # Those with which no answered call was known to the gateway that reports.
-    unproven: frozenset[PrefixId]
-    # The head of the answer had arrived: the call may be the one that its upstream
-    # crashed under.
-    answer_began: bool = False
-
-
-@dataclass(frozen=True, slots=True)
-class HarmlessPart:
-    """Describe a part by the time at which a call with it was last answered."""
-
-    part: PrefixId
-    answered_s: float
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class Verdict:
-    """Describe a part under which upstreams crash."""
-
-    part: PrefixId
-    # Calls are withheld if their prompts have all of these parts: the part itself, and
-    # those that every accused call had and that are not known to be harmless.
-    companions: frozenset[PrefixId]
-    crashes: int
 
 
 @dataclass(slots=True)
 class _Suspect:
-    """Track the crashes that accuse a part."""
+    """Track the crashes that accuse a trait."""
 
-    companions: frozenset[PrefixId]
+    companions: frozenset[TraitId]
     first_s: float
     last_s: float
     # Calls are withheld until then though a single crash may have had another cause.
     held_until_s: float = 0.0
     crashes: set[CrashId] = field(default_factory=set)
-    # Those in which an answer to a call with the part had begun.
+    # Those in which an answer to a call with the trait had begun.
     begun: set[CrashId] = field(default_factory=set)
-    # A gateway that reported a crash knows an answered call with the part.
+    # A gateway that reported a crash knows an answered call with the trait.
     proven: bool = False
 
 
-def list_shared_parts(parts: Sequence[PromptPart]) -> list[PrefixId]:
-    """Return the parts of a prompt that calls may share.
-
-    The last part belongs to one call or session.
-    """
-    return [_shorten(part.prefix) for part in parts[:-1][:MAX_PARTS]]
-
-
 class CrashEvidence:
-    """Decide which prompt parts are harmless, suspect or the cause of crashes."""
+    """Decide which traits of calls are harmless, suspect or the cause of crashes."""
 
     def __init__(self, process: ProcessId) -> None:
         self._process = process
-        # When a call with a part was last answered; the longest unused part first.
-        self._answered_s: OrderedDict[PrefixId, float] = OrderedDict()
-        # The part that was not accused for the longest time first.
-        self._suspects: OrderedDict[PrefixId, _Suspect] = OrderedDict()
-        self._verdicts: OrderedDict[PrefixId, Verdict] = OrderedDict()
+        self._answered = AnsweredTraits()
+        # The trait that was not accused for the longest time first.
+        self._suspects: TraitTable[_Suspect] = TraitTable(MAX_SUSPECTS)
+        self._verdicts: TraitTable[Verdict] = TraitTable(MAX_VERDICTS)
+        self._record = CrashRecord()
 
     @property
     def verdicts(self) -> tuple[Verdict, ...]:
-        """Return the parts under which calls are withheld, the oldest first."""
+        """Return the traits under which calls are withheld, the oldest first."""
         return tuple(self._verdicts.values())
 
+    def has_verdict(self, trait: TraitId) -> bool:
+        """Return whether calls with a trait are withheld."""
+        return trait in self._verdicts
+
     def make_report(
-        self,
-        crash: CrashId,
-        parts: Sequence[PromptPart],
-        now_s: float,
-        *,
-        answer_began: bool,
+        self, crash: CrashId, traits: CallTraits, now_s: float, *, answer_began: bool
     ) -> CrashReport | None:
-        """Return the report of a call at a crashed upstream, if it has shared parts."""
-        shared = frozenset(list_shared_parts(parts))
-        if not shared:
+        """Return the report of a call at a crashed upstream, if it has traits."""
+        found = traits.list_all()
+        if not found:
             return None
-        unproven = frozenset(part for part in shared if part not in self._answered_s)
         return CrashReport(
             crash=crash,
             at_s=now_s,
-            parts=shared,
-            unproven=unproven,
+            traits=found,
+            unproven=self._answered.select_unproven(found),
             answer_began=answer_began,
         )
 
     def update_report(self, report: CrashReport) -> CrashReport:
-        """Return a report without the parts that were answered since."""
-        parts = frozenset(
-            part for part in report.parts if not self._is_answered_since(part, report)
+        """Return a report without the traits that were answered since."""
+        traits = frozenset(
+            trait
+            for trait in report.traits
+            if not self._is_answered_since(trait, report)
         )
-        return replace(report, parts=parts, unproven=report.unproven & parts)
+        return replace(report, traits=traits, unproven=report.unproven & traits)
 
-    def has_unproven(self, parts: Sequence[PromptPart]) -> bool:
-        """Return whether a prompt has a shared part that no answered call had."""
-        return any(part not in self._answered_s for part in list_shared_parts(parts))
+    def may_withhold_next(self, traits: CallTraits, *, answer_began: bool) -> bool:
+        """Return whether one more crash may have calls with some trait withheld."""
+        if self._suspects.list_of(CallTraits(identity=traits.identity)):
+            return True
+        return answer_began and any(map(self._answered.is_unproven, traits.parts))
 
     def record_answered(
-        self, parts: Sequence[PromptPart], answered_s: float
-    ) -> list[HarmlessPart]:
-        """Record a call by the time of its first event; return its accused parts."""
-        shared = list_shared_parts(parts)
-        accused = [part for part in shared if self._is_accused(part)]
-        for part in shared:
-            self.apply_harmless(HarmlessPart(part, answered_s))
-        for part in accused:
-            if part not in self._suspects:
-                self.release(part)
-        return [HarmlessPart(part, answered_s) for part in accused]
-
-    def apply_harmless(self, notice: HarmlessPart) -> None:
-        """Record that a call of any gateway with a part was answered."""
-        part = notice.part
-        if part not in self._answered_s:
-            self._remove_companion(part)
-        known_s = self._answered_s.get(part, notice.answered_s)
-        self._answered_s[part] = max(known_s, notice.answered_s)
-        self._answered_s.move_to_end(part)
-        while len(self._answered_s) > MAX_HARMLESS:
-            self._answered_s.popitem(last=False)
-        if not self._is_accused(part):
-            return
-        suspect = self._suspects.get(part)
-        verdict = self._verdicts.get(part)
+        self, traits: CallTraits, answered_s: float
+    ) -> list[HarmlessTrait]:
+        """Record a call by the time of its first event; return its accused traits."""
+        accused = list(
+            dict.fromkeys(
+                (*self._suspects.list_of(traits), *self._verdicts.list_of(traits))
+            )
+        )
+        requests = [trait for trait in accused if is_request(trait)]
+        for trait in (*traits.parts, *requests):
+            self.apply_harmless(HarmlessTrait(trait, answered_s))
+        for trait in accused:
+            if trait not in self._suspects:
+                self.release(trait)
+        return [HarmlessTrait(trait, answered_s) for trait in accused]
+
+    def apply_harmless(self, notice: HarmlessTrait) -> None:
+        """Record that a call of any gateway with a trait was answered."""
+        trait = notice.trait
+        if trait not in self._answered:
+            self._remove_companion(trait)
+        self._answered.record(trait, notice.answered_s)
+        suspect = self._suspects.get(trait)
+        verdict = self._verdicts.get(trait)
         if suspect is not None and notice.answered_s >= suspect.first_s:
-            self.release(part)
-        elif verdict is not None and verdict.crashes < CRASHES_DESPITE_ANSWERS:
-            del self._verdicts[part]
-
-    def find_harmless(self, parts: Iterable[PrefixId]) -> list[HarmlessPart]:
-        """Return those of the parts with which a call was answered."""
+            self.release(trait)
+        elif verdict is not None and self._is_refuted(verdict, suspect):
+            self._verdicts.pop(trait)
+
+    def find_harmless(
+        self, traits: Iterable[TraitId], since_s: float = math.inf
+    ) -> list[HarmlessTrait]:
+        """Return the traits with which a call was answered; requests only if since."""
         return [
-            HarmlessPart(part, self._answered_s[part])
-            for part in parts
-            if part in self._answered_s
+            HarmlessTrait(trait, self._answered.find(trait))
+            for trait in traits
+            if trait in self._answered
+            and (not is_request(trait) or self._answered.find(trait) >= since_s)
         ]
 
     def record_crash(self, report: CrashReport, now_s: float) -> list[Verdict]:
         """Record a crash; return the verdicts that are new or name fewer companions."""
-        self._drop_old(now_s)
-        unproven = frozenset(
-            part for part in report.unproven if part not in self._answered_s
-        )
+        self.drop_old(now_s)
+        self._record.record(report.crash, report.traits)
+        self._record_explanation(report)
+        unproven = self._answered.select_unproven(report.unproven)
         verdicts = []
-        for part in self._list_accused(report, unproven):
-            suspect = self._accuse(report, part, unproven | {part})
-            if report.answer_began and part in unproven and suspect.held_until_s == 0:
-                suspect.held_until_s = report.at_s + HOLD_S + self._choose_spread(part)
-            if not self._is_convicted(part, suspect):
+        for trait in self._list_accused(report, unproven):
+            companions = frozenset((trait,))
+            if not is_request(trait):
+                companions |= unproven
+            suspect = self._accuse(report, trait, companions)
+            self._hold(report, trait, suspect, unproven)
+            if not self._is_convicted(trait, suspect, report.crash):
                 continue
             verdict = Verdict(
-                part=part,
+                trait=trait,
                 companions=suspect.companions,
                 crashes=len(suspect.crashes),
             )
             if self.apply_verdict(verdict):
-                verdicts.append(self._verdicts[part])
+                verdicts.append(self._verdicts[trait])
         return verdicts
 
     def apply_verdict(self, verdict: Verdict) -> bool:
         """Apply a verdict of any gateway; return whether it withholds further calls."""
         if not self.is_plausible(verdict):
             return False
-        companions = frozenset(
-            part for part in verdict.companions if part not in self._answered_s
-        )
-        known = self._verdicts.get(verdict.part)
+        companions = self._answered.select_unproven(verdict.companions)
+        known = self._verdicts.get(verdict.trait)
         if known is not None:
             companions &= known.companions
-            companions |= {verdict.part}
+            companions |= {verdict.trait}
             if companions == known.companions:
                 crashes = max(known.crashes, verdict.crashes)
-                self._verdicts[verdict.part] = replace(known, crashes=crashes)
+                self._verdicts.put(verdict.trait, replace(known, crashes=crashes))
                 return False
-        self._verdicts[verdict.part] = replace(
-            verdict, companions=companions | {verdict.part}
-        )
-        while len(self._verdicts) > MAX_VERDICTS:
-            self._verdicts.popitem(last=False)
+        companions |= {verdict.trait}
+        self._verdicts.put(verdict.trait, replace(verdict, companions=companions))
         return True
 
     def is_plausible(self, verdict: Verdict) -> bool:
         """Return whether no answered call contradicts a verdict."""
-        if verdict.part not in self._answered_s:
+        if verdict.trait not in self._answered:
             return True
-        return verdict.crashes >= CRASHES_DESPITE_ANSWERS
+        return (
+            not is_request(verdict.trait) and verdict.crashes >= CRASHES_DESPITE_ANSWERS
+        )
 
-    def drop_verdict(self, part: PrefixId) -> None:
-        """Drop the verdict on a part; the crashes that accuse it still count."""
-        self._verdicts.pop(part, None)
+    def drop_verdict(self, trait: TraitId) -> None:
+        """Drop the verdict on a trait; the crashes that accuse it still count."""
+        self._verdicts.pop(trait)
 
-    def release(self, part: PrefixId) -> None:
-        """Drop what accuses a part, as itself and as a companion of others."""
-        self._suspects.pop(part, None)
-        self._verdicts.pop(part, None)
-        self._remove_companion(part)
+    def release(self, trait: TraitId) -> None:
+        """Drop what accuses a trait, as itself and as a companion of others."""
+        self._suspects.pop(trait)
+        self._verdicts.pop(trait)
+        self._remove_companion(trait)
 
-    def _remove_companion(self, part: PrefixId) -> None:
+    def _remove_companion(self, trait: TraitId) -> None:
         for name, suspect in self._suspects.items():
-            if name != part:
-                suspect.companions -= {part}
-        for name, verdict in self._verdicts.items():
-            if part in verdict.companions and name != part:
-                self._verdicts[name] = replace(
-                    verdict, companions=verdict.companions - {part}
-                )
-
-    def find_verdict(self, parts: Sequence[PromptPart]) -> Verdict | None:
+            if name != trait:
+                suspect.companions -= {trait}
+        for name, verdict in list(self._verdicts.items()):
+            if trait in verdict.companions and name != trait:
+                companions = verdict.companions - {trait}
+                self._verdicts.put(name, replace(verdict, companions=companions))
+
+    def find_verdict(self, traits: CallTraits) -> Verdict | None:
         """Return the verdict under which a call is withheld, if there is one."""
-        if not self._verdicts:
-            return None
-        shared = set(list_shared_parts(parts))
-        found = [
-            verdict
-            for part in sorted(shared & self._verdicts.keys())
-            if (verdict := self._verdicts[part]).companions <= shared
-        ]
-        return found[0] if found else None
+        found = (self._verdicts[trait] for trait in self._verdicts.list_of(traits))
+        return next(
+            (
+                verdict
+                for verdict in found
+                if all(map(traits.includes, verdict.companions))
+            ),
+            None,
+        )
 
-    def forecast_hold(self, parts: Sequence[PromptPart], now_s: float) -> float:
+    def forecast_hold(self, traits: CallTraits, now_s: float) -> float:
         """Return for how many seconds a call is withheld after a first crash."""
-        if not self._suspects:
-            return 0.0
-        shared = set(list_shared_parts(parts))
-        holds_s = (
-            suspect.held_until_s - now_s
-            for part in shared & self._suspects.keys()
-            if (suspect := self._suspects[part]).companions <= shared
-        )
+        holds_s = (item.held_until_s - now_s for item in self._list_held(traits))
         return max(0.0, max(holds_s, default=0.0))
 
-    def take_trial(self, parts: Sequence[PromptPart], now_s: float) -> bool:
+    def take_trial(self, traits: CallTraits, now_s: float) -> bool:
         """Return whether a call tries a part that was withheld after a first crash."""
-        shared = set(list_shared_parts(parts))
-        held = [
-            suspect
-            for part in shared & self._suspects.keys()
-            if (suspect := self._suspects[part]).held_until_s
-            and suspect.companions <= shared
-        ]
+        held = self._list_held(traits)
         for suspect in held:
             suspect.held_until_s = now_s + TRIAL_INTERVAL_S
         return bool(held)
 
-    def _choose_spread(self, part: PrefixId) -> float:
-        key = f"{part}/{self._process}".encode()
-        return HOLD_SPREAD_S * zlib.crc32(key) / 2**32
+    def drop_old(self, now_s: float) -> None:
+        """Drop what shows nothing any more."""
+        while self._suspects:
+            trait = next(iter(self._suspects))
+            if now_s - self._suspects[trait].last_s <= SUSPECT_KEEP_S:
+                break
+            self._suspects.pop(trait)
+        self._answered.drop_old(now_s)
+
+    def _list_held(self, traits: CallTraits) -> list[_Suspect]:
+        """Return the suspects for which a call is withheld, or was."""
+        held = (self._suspects[trait] for trait in self._suspects.list_of(traits))
+        return [
+            suspect
+            for suspect in held
+            if suspect.held_until_s
+            and all(
+                trait in traits.parts
+                for trait in suspect.companions
+                if not is_request(trait)
+            )
+        ]
+
+    def _hold(
+        self,
+        report: CrashReport,
+        trait: TraitId,
+        suspect: _Suspect,
+        unproven: frozenset[TraitId],
+    ) -> None:
+        """Hold what may have crashed an engine when a first crash accuses it."""
+        if trait not in unproven or suspect.held_until_s or not report.answer_began:
+            return
+        if all(map(is_request, unproven)):
+            return
+        key = f"{trait}/{self._process}".encode()
+        spread = zlib.crc32(key) / 2**32
+        if is_request(trait):
+            hold_s = HOLD_S + spread * HOLD_SPREAD_S
+        else:
+            hold_s = spread * PART_HOLD_SPREAD_S
+        suspect.held_until_s = report.at_s + hold_s
 
     def _list_accused(
-        self, report: CrashReport, unproven: frozenset[PrefixId]
-    ) -> list[PrefixId]:
-        """Return the parts that a crash accuses.
+        self, report: CrashReport, unproven: frozenset[TraitId]
+    ) -> list[TraitId]:
+        """Return the traits that a crash accuses.
 
-        A late or repeated report accuses no part that was answered since. A crash that
-        parts with a verdict explain accuses no part with which calls were answered.
+        A late or repeated report accuses no trait that was answered since. A crash that
+        traits with a verdict explain accuses no other request, and no part with which
+        calls were answered.
         """
         accused = {
-            part for part in report.parts if not self._is_answered_since(part, report)
+            trait
+            for trait in report.traits
+            if not self._is_answered_since(trait, report)
         }
         explanation = self._find_explanation(report)
         if explanation:
             accused &= explanation | unproven
+        if self._record.is_explained(report.crash):
+            accused = {
+                trait
+                for trait in accused
+                if not is_request(trait) or trait in explanation
+            }
         return sorted(accused)
 
-    def _find_explanation(self, report: CrashReport) -> set[PrefixId]:
-        """Return the parts that are known to crash upstreams and explain a crash."""
+    def _record_explanation(self, report: CrashReport) -> None:
+        if any(map(is_request, self._find_explanation(report))):
+            self._record.record_explained(report.crash)
+
+    def _find_explanation(self, report: CrashReport) -> set[TraitId]:
+        """Return the traits that are known to crash upstreams and explain a crash."""
         return {
-            part
-            for part in report.parts & self._verdicts.keys()
-            if self._verdicts[part].companions <= report.parts
+            trait
+            for trait in report.traits
+            if (verdict := self._verdicts.get(trait)) is not None
+            and verdict.companions <= report.traits
         }
 
-    def _is_answered_since(self, part: PrefixId, report: CrashReport) -> bool:
-        return self._answered_s.get(part, -math.inf) >= report.at_s
+    def _is_answered_since(self, trait: TraitId, report: CrashReport) -> bool:
+        return self._answered.find(trait) >= report.at_s
+
+    def _is_refuted(self, verdict: Verdict, suspect: _Suspect | None) -> bool:
+        """Return whether an answer before the crashes ends a verdict."""
+        if is_request(verdict.trait):
+            # Without a suspect, the verdict is another gateway's, whose times are
+            # unknown. Answers to requests are told only if they are later.
+            return suspect is None
+        return verdict.crashes < CRASHES_DESPITE_ANSWERS
+
+    def _is_convicted(self, trait: TraitId, suspect: _Suspect, newest: CrashId) -> bool:
+        if is_request(trait):
+            return self._is_request_convicted(trait, suspect, newest)
+        if trait not in self._answered and not suspect.proven:
+            needed = CRASHES_TO_WITHHOLD if suspect.begun else CRASHES_WITHOUT_ANSWER
+            found, covering = len(suspect.crashes), COVERING_REQUESTS
+        else:
+            needed = CRASHES_DESPITE_ANSWERS
+            found, covering = len(suspect.begun), COVERING_REQUESTS_DESPITE_ANSWERS
+        if found < needed:
+            return False
+        return not self._record.is_covered(suspect.crashes, covering)
 
-    def _is_accused(self, part: PrefixId) -> bool:
-        return part in self._suspects or part in self._verdicts
+    def _is_request_convicted(
+        self, trait: TraitId, suspect: _Suspect, newest: CrashId
+    ) -> bool:
+        found = len(suspect.crashes)
+        if found < CRASHES_TO_WITHHOLD:
+            return False
+        # Other gateways may have more to report of the newest crash.
+        was_alone = any(
+            self._record.is_alone(trait, crash) for crash in suspect.crashes - {newest}
+        )
+        if was_alone or len(suspect.begun) >= CRASHES_TO_WITHHOLD:
+            return True
+        if found < CRASHES_WITHOUT_ANSWER:
+            return False
+        return found >= CRASHES_DESPITE_TIES or self._count_tied(newest, found) <= (
+            MAX_TIED_REQUESTS
+        )
 
-    def _is_convicted(self, part: PrefixId, suspect: _Suspect) -> bool:
-        if part not in self._answered_s and not suspect.proven:
-            needed = CRASHES_TO_WITHHOLD if suspect.begun else CRASHES_WITHOUT_ANSWER
-            return len(suspect.crashes) >= needed
-        return len(suspect.begun) >= CRASHES_DESPITE_ANSWERS
+    def _count_tied(self, crash: CrashId, crashes: int) -> int:
+        """Return how many requests of a crash have broken in so many crashes."""
+        suspects = map(self._suspects.get, self._record.find_requests(crash))
+        counts = (len(item.crashes) for item in suspects if item is not None)
+        # One of them is the request itself.
+        return sum(count >= crashes for count in counts) - 1
 
     def _accuse(
-        self, report: CrashReport, part: PrefixId, companions: frozenset[PrefixId]
+        self, report: CrashReport, trait: TraitId, companions: frozenset[TraitId]
     ) -> _Suspect:
         at_s = report.at_s
-        suspect = self._suspects.get(part)
-        if suspect is None:
-            suspect = _Suspect(companions, at_s, at_s)
-            self._suspects[part] = suspect
-        self._suspects.move_to_end(part)
+        suspect = self._suspects.get(trait) or _Suspect(companions, at_s, at_s)
+        self._suspects.put(trait, suspect, renew=True)
         suspect.companions &= companions
-        suspect.proven |= part not in report.unproven
+        suspect.proven |= trait not in report.unproven
         suspect.first_s = min(suspect.first_s, at_s)
         suspect.last_s = max(suspect.last_s, at_s)
         if len(suspect.crashes) < MAX_CRASHES:
             suspect.crashes.add(report.crash)
         if report.answer_began and len(suspect.begun) < MAX_CRASHES:
             suspect.begun.add(report.crash)
-        while len(self._suspects) > MAX_SUSPECTS:
-            self._suspects.popitem(last=False)
+        self._answered.record_accused(trait)
         return suspect
-
-    def _drop_old(self, now_s: float) -> None:
-        while self._suspects:
-            part = next(iter(self._suspects))
-            if now_s - self._suspects[part].last_s <= SUSPECT_KEEP_S:
-                return
-            del self._suspects[part]
-
-
-def _shorten(part: PrefixId) -> PrefixId:
-    if len(part) <= MAX_PART_CHARS:
-        return part
-    digest = hashlib.blake2b(part.encode(), digest_size=16)
-    return PrefixId(digest.hexdigest())
--- /dev/null
+++ b/bramleyport/fleet/_crash_record.py
@@ -0,0 +1,64 @@
+"""Record which requests were broken in each crash, to tell causes from bystanders."""
+
+from collections import OrderedDict
+from collections.abc import Collection, Iterable
+from typing import Final
+
+from bramleyport.fleet._crash_reports import CrashId
+from bramleyport.fleet._traits import TraitId, is_request
+
+# Bounds of the memory for any number of crashes and of requests in one.
+MAX_RECORDED_CRASHES: Final = 512
+MAX_REQUESTS: Final = 64
+
+
+class CrashRecord:
+    """Track the whole requests that waited at upstreams when these crashed."""
+
+    def __init__(self) -> None:
+        # The crash that was reported first comes first.
+        self._requests: OrderedDict[CrashId, set[TraitId]] = OrderedDict()
+        # Crashes in which a call ran that is known to crash upstreams.
+        self._explained: set[CrashId] = set()
+
+    def record(self, crash: CrashId, traits: Iterable[TraitId]) -> None:
+        """Record the request among the traits of a call that a crash broke."""
+        requests = self._requests.setdefault(crash, set())
+        for trait in traits:
+            if is_request(trait) and len(requests) < MAX_REQUESTS:
+                requests.add(trait)
+        while len(self._requests) > MAX_RECORDED_CRASHES:
+            oldest, _ = self._requests.popitem(last=False)
+            self._explained.discard(oldest)
+
+    def record_explained(self, crash: CrashId) -> None:
+        """Record that a call that is known to crash upstreams ran in a crash."""
+        if crash in self._requests:
+            self._explained.add(crash)
+
+    def is_explained(self, crash: CrashId) -> bool:
+        """Return whether the cause of a crash is known."""
+        return crash in self._explained
+
+    def find_requests(self, crash: CrashId) -> Collection[TraitId]:
+        """Return the requests that a crash broke, as far as they were reported."""
+        return self._requests.get(crash, ())
+
+    def is_alone(self, trait: TraitId, crash: CrashId) -> bool:
+        """Return whether a request is the only one that a crash broke."""
+        return self._requests.get(crash) == {trait}
+
+    def is_covered(self, crashes: Collection[CrashId], most: int) -> bool:
+        """Return whether so few requests that each crash broke one of them exist."""
+        if not crashes:
+            return True
+        if most == 0:
+            return False
+        first = min(crashes, key=lambda crash: len(self.find_requests(crash)))
+        return any(
+            self.is_covered(
+                [item for item in crashes if request not in self.find_requests(item)],
+                most - 1,
+            )
+            for request in self.find_requests(first)
+        )
--- a/bramleyport/fleet/_traits.py
+++ b/bramleyport/fleet/_traits.py
@@ -2,7 +2,9 @@
 
 import hashlib
 from collections.abc import Iterable
+from dataclasses import dataclass
 from functools import cached_property
+from itertools import islice
 from typing import Final, NewType
 
 # A part of prompts, or a whole request.
@@ -10,6 +12,10 @@
 # What all requests with the same method, target, caller and length of the body share.
 RequestHead = NewType("RequestHead", str)
 
+# Traits of one call that are considered: its whole request, and parts of its prompt.
+MAX_TRAITS: Final = 32
+# A longer name of a part is replaced by its digest.
+MAX_TRAIT_CHARS: Final = 64
 # The names of prompt parts contain no colon.
 _REQUEST_PREFIX: Final = "request:"
 _HEAD_BYTES: Final = 8
@@ -42,9 +48,54 @@
         body = hashlib.blake2b(self._body, digest_size=_BODY_BYTES)
         return TraitId(f"{_REQUEST_PREFIX}{self.head}.{body.hexdigest()}")
 
+    def release_body(self) -> None:
+        """Compute the digests now, and keep nothing else."""
+        assert self.trait
+        self._fields, self._body = (), b""
+
 
 def read_request_head(trait: TraitId) -> RequestHead | None:
     """Return the head in the trait of a request; None for a part of prompts."""
     if not trait.startswith(_REQUEST_PREFIX):
         return None
     return RequestHead(trait.removeprefix(_REQUEST_PREFIX).partition(".")[0])
+
+
+@dataclass(frozen=True, slots=True)
+class CallTraits:
+    """Describe what a call may have in common with others that crash upstreams."""
+
+    # The parts of its prompt but the last, which belongs to one call or session.
+    parts: tuple[TraitId, ...] = ()
+    identity: RequestIdentity | None = None
+
+    def includes(self, trait: TraitId) -> bool:
+        """Return whether the call has a trait; digest the body only if it may."""
+        head = read_request_head(trait)
+        if head is None:
+            return trait in self.parts
+        identity = self.identity
+        return (
+            identity is not None and identity.head == head and identity.trait == trait
+        )
+
+    def list_all(self) -> frozenset[TraitId]:
+        """Return all traits; this digests the body."""
+        request = () if self.identity is None else (self.identity.trait,)
+        return frozenset((*self.parts, *request))
+
+
+def make_part_traits(names: Iterable[str]) -> tuple[TraitId, ...]:
+    """Return the traits of the shared parts of a prompt."""
+    return tuple(_shorten(name) for name in islice(names, MAX_TRAITS - 1))
+
+
+def is_request(trait: TraitId) -> bool:
+    """Return whether a trait is that of a whole request."""
+    return trait.startswith(_REQUEST_PREFIX)
+
+
+def _shorten(name: str) -> TraitId:
+    if len(name) <= MAX_TRAIT_CHARS:
+        return TraitId(name)
+    return TraitId(hashlib.blake2b(name.encode(), digest_size=16).hexdigest())
--- a/bramleyport/fleet/_types.py
+++ b/bramleyport/fleet/_types.py
@@ -11,7 +11,7 @@
     UpstreamId,
     ZoneName,
 )
-from bramleyport.fleet._traits import RequestIdentity
+from bramleyport.fleet._traits import CallTraits, RequestIdentity, make_part_traits
 
 RouteName = NewType("RouteName", str)
 PrefixId = NewType("PrefixId", str)
@@ -172,3 +172,11 @@
     deadline_s: float
     prompt: Prompt | None = None
     identity: RequestIdentity | None = field(default=None, compare=False)
+
+    @property
+    def traits(self) -> CallTraits:
+        """Return what the call may have in common with others that crash upstreams."""
+        parts = self.prompt.parts[:-1] if self.prompt else ()
+        return CallTraits(
+            make_part_traits(part.prefix for part in parts), self.identity
+        )
--- a/bramleyport/gateway/_attempt.py
+++ b/bramleyport/gateway/_attempt.py
@@ -63,6 +63,7 @@
         """
         reserved = context.reserved_choice
         context.reserved_choice = None
+        await self.guard.request_trial(context.call)
         while True:
             decision = self._choose_now(context)
             if not isinstance(decision, Rejected):
@@ -121,6 +122,8 @@
         if choice is None:
             ejected = self.state.list_ejected(call.service, now_s) | blocked
             choice = self._choose(context, ejected, now_s)
+        if choice is None and context.is_trial:
+            self.guard.return_trial(call)
         if choice is None and blocked:
             return self.state.refuse_blocked(call.service, now_s)
         decision = admit(call, choice, now_s, tried=bool(context.tried))
--- a/bramleyport/gateway/_peer_messages.py
+++ b/bramleyport/gateway/_peer_messages.py
@@ -9,16 +9,17 @@
 from bramleyport.core import ProcessId, RequestId, UpstreamId, read_amount
 from bramleyport.fleet import (
     MAX_CRASHES,
-    MAX_PART_CHARS,
-    MAX_PARTS,
+    MAX_TRAIT_CHARS,
+    MAX_TRAITS,
     ConfigVersion,
     CrashId,
     CrashReport,
-    HarmlessPart,
+    HarmlessTrait,
     LeavingUpstream,
     PrefixId,
     PromptPart,
     RateLimitNotice,
+    TraitId,
     Verdict,
     Work,
 )
@@ -51,7 +52,7 @@
 # Keeps datagrams below the usual path MTU: a larger one is fragmented, and the loss of
 # one fragment loses all of it.
 MAX_ITEMS: Final = 12
-# The same for items that may name up to 32 prompt parts.
+# The same for items that may name up to 32 traits of calls.
 MAX_REPORTS: Final = 2
 
 
@@ -124,7 +125,7 @@
     refused: tuple[UpstreamId, ...] = ()
     limits: tuple[LimitUpdate, ...] = ()
     reports: tuple[CrashReport, ...] = ()
-    harmless: tuple[HarmlessPart, ...] = ()
+    harmless: tuple[HarmlessTrait, ...] = ()
     verdicts: tuple[Verdict, ...] = ()
     # Upstreams that said in an answer that they leave.
     leaving_upstreams: tuple[LeavingUpstream, ...] = ()
@@ -340,56 +341,52 @@
 
 def _encode_report(report: CrashReport) -> list[Any]:
     crash = report.crash
-    parts = [sorted(report.parts), sorted(report.unproven)]
+    traits = [sorted(report.traits), sorted(report.unproven)]
     age_s = read_now() - report.at_s
-    return [crash.upstream, crash.started_ms, age_s, *parts, report.answer_began]
+    return [crash.upstream, crash.started_ms, age_s, *traits, report.answer_began]
 
 
 def _decode_report(item: Any, now_s: float) -> CrashReport:
-    upstream, started_ms, age_s, parts, unproven, answer_began = read_row(item, 6)
+    upstream, started_ms, age_s, traits, unproven, answer_began = read_row(item, 6)
     return CrashReport(
         crash=CrashId(UpstreamId(read_name(upstream)), read_start_ms(started_ms)),
         at_s=now_s - read_amount(age_s, MAX_AGE_S),
-        parts=_decode_shared_parts(parts),
-        unproven=_decode_shared_parts(unproven),
+        traits=_decode_traits(traits),
+        unproven=_decode_traits(unproven),
         answer_began=read_flag(answer_began),
     )
 
 
-def _encode_harmless(item: HarmlessPart) -> list[Any]:
-    return [item.part, read_now() - item.answered_s]
+def _encode_harmless(item: HarmlessTrait) -> list[Any]:
+    return [item.trait, read_now() - item.answered_s]
 
 
-def _decode_harmless(item: Any, now_s: float) -> HarmlessPart:
-    part, age_s = read_row(item, 2)
-    return HarmlessPart(
-        _decode_shared_part(part), now_s - read_amount(age_s, MAX_AGE_S)
-    )
+def _decode_harmless(item: Any, now_s: float) -> HarmlessTrait:
+    trait, age_s = read_row(item, 2)
+    return HarmlessTrait(_decode_trait(trait), now_s - read_amount(age_s, MAX_AGE_S))
 
 
 def _encode_verdict(verdict: Verdict) -> list[Any]:
-    return [verdict.part, sorted(verdict.companions), verdict.crashes]
+    return [verdict.trait, sorted(verdict.companions), verdict.crashes]
 
 
 def _decode_verdict(item: Any) -> Verdict:
-    part, companions, crashes = read_row(item, 3)
+    trait, companions, crashes = read_row(item, 3)
     return Verdict(
-        part=_decode_shared_part(part),
-        companions=_decode_shared_parts(companions),
+        trait=_decode_trait(trait),
+        companions=_decode_traits(companions),
         crashes=read_count(crashes, MAX_CRASHES),
     )
 
 
-def _decode_shared_parts(items: Any) -> frozenset[PrefixId]:
-    return frozenset(
-        _decode_shared_part(item) for item in read_row(items, 0, MAX_PARTS)
-    )
+def _decode_traits(items: Any) -> frozenset[TraitId]:
+    return frozenset(_decode_trait(item) for item in read_row(items, 0, MAX_TRAITS))
 
 
-def _decode_shared_part(item: Any) -> PrefixId:
-    if not isinstance(item, str) or len(item) > MAX_PART_CHARS:
-        raise PeerMessageError(f"no text of up to {MAX_PART_CHARS} characters")
-    return PrefixId(item)
+def _decode_trait(item: Any) -> TraitId:
+    if not isinstance(item, str) or len(item) > MAX_TRAIT_CHARS:
+        raise PeerMessageError(f"no text of up to {MAX_TRAIT_CHARS} characters")
+    return TraitId(item)
 
 
 def _encode_ref(ref: WorkRef) -> list[Any]:
--- a/bramleyport/gateway/_plain.py
+++ b/bramleyport/gateway/_plain.py
@@ -148,7 +148,7 @@
             )
         now_s = read_now()
         failed = answer.status >= 500
-        if answer.status < 300:
+        if not failed:
             self._support.guard.record_answered(context.call, now_s)
         self._support.state.record_result(
             choice.upstream.upstream, failed=failed, now_s=now_s
--- a/bramleyport/gateway/_released_verdicts.py
+++ b/bramleyport/gateway/_released_verdicts.py
@@ -4,7 +4,7 @@
 from typing import Final
 
 from bramleyport.core import StoreEra
-from bramleyport.fleet import PrefixId
+from bramleyport.fleet import TraitId
 from bramleyport.platform import VerdictDocument
 
 # A store is restored from a copy that is some seconds old.
@@ -23,19 +23,19 @@
     """Track the verdicts that were released lately, in the order of their release."""
 
     def __init__(self) -> None:
-        self._releases: dict[PrefixId, _Release] = {}
+        self._releases: dict[TraitId, _Release] = {}
 
     def record(self, document: VerdictDocument, era: StoreEra, now_s: float) -> None:
         """Record that a verdict was released in an era of the store."""
-        part = document.verdict.part
-        self._releases.pop(part, None)
-        self._releases[part] = _Release(document, era, now_s)
+        trait = document.verdict.trait
+        self._releases.pop(trait, None)
+        self._releases[trait] = _Release(document, era, now_s)
         while len(self._releases) > MAX_RELEASED:
             del self._releases[next(iter(self._releases))]
 
-    def is_recent(self, part: PrefixId, now_s: float) -> bool:
-        """Return whether the verdict on a part was released lately."""
-        release = self._releases.get(part)
+    def is_recent(self, trait: TraitId, now_s: float) -> bool:
+        """Return whether the verdict on a trait was released lately."""
+        release = self._releases.get(trait)
         return release is not None and now_s - release.released_s <= RELEASE_KEEP_S
 
     def is_copy(self, document: VerdictDocument, era: StoreEra, now_s: float) -> bool:
@@ -43,10 +43,10 @@
 
         One that counts further crashes or trials was written after its release.
         """
-        part = document.verdict.part
-        if not self.is_recent(part, now_s):
+        trait = document.verdict.trait
+        if not self.is_recent(trait, now_s):
             return False
-        release = self._releases[part]
+        release = self._releases[trait]
         released = release.document
         return (
             era > release.era
--- a/bramleyport/platform/_verdicts.py
+++ b/bramleyport/platform/_verdicts.py
@@ -1,8 +1,8 @@
-"""Encode and decode the stored objects that name prompt parts which crash upstreams."""
+"""Encode and decode the stored objects that name what crashes upstreams."""
 
 from dataclasses import dataclass
 
-from bramleyport.fleet import PrefixId, Verdict
+from bramleyport.fleet import TraitId, Verdict
 from bramleyport.platform._documents import (
     Document,
     MalformedDocumentError,
@@ -14,7 +14,7 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class VerdictDocument:
-    """Describe a stored verdict and the trials that its part has had."""
+    """Describe a stored verdict and the trials that its trait has had."""
 
     verdict: Verdict
     trials: int
@@ -23,7 +23,7 @@
 def encode_verdict(verdict: Verdict, trials: int) -> Document:
     """Return the document of a verdict."""
     return {
-        "part": verdict.part,
+        "part": verdict.trait,
         "companions": sorted(verdict.companions),
         "crashes": verdict.crashes,
         "trials": trials,
@@ -32,19 +32,23 @@
 
 def decode_verdict(document: Document) -> VerdictDocument:
     """Return the verdict in a document."""
-    part = decode_prefix(document.get("part"))
+    trait = _decode_trait(document.get("part"))
     return VerdictDocument(
         verdict=Verdict(
-            part=part,
-            companions=_decode_companions(document) | {part},
+            trait=trait,
+            companions=_decode_companions(document) | {trait},
             crashes=read_count(document, "crashes"),
         ),
         trials=read_count(document, "trials", 0),
     )
 
 
-def _decode_companions(document: Document) -> frozenset[PrefixId]:
+def _decode_companions(document: Document) -> frozenset[TraitId]:
     companions = document.get("companions")
     if not isinstance(companions, list):
         raise MalformedDocumentError(f"companions is no list: {describe(companions)}")
-    return frozenset(decode_prefix(item) for item in companions)
+    return frozenset(_decode_trait(item) for item in companions)
+
+
+def _decode_trait(value: object) -> TraitId:
+    return TraitId(decode_prefix(value))
--- a/bramleyport/telemetry/_gateway_events.py
+++ b/bramleyport/telemetry/_gateway_events.py
@@ -60,15 +60,15 @@
 CRASH_REPORTED: Final = define(
     2650, "WARNING", "upstream crashed before the first event of a call"
 )
-PART_WITHHELD: Final = define(
-    2651, "WARNING", "calls with a prompt part that crashes upstreams withheld"
+TRAIT_WITHHELD: Final = define(
+    2651, "WARNING", "calls with a trait that crashes upstreams withheld"
 )
-PART_RELEASED: Final = define(2652, "INFO", "withheld prompt part released")
+TRAIT_RELEASED: Final = define(2652, "INFO", "withheld trait of calls released")
 TRIAL_PERMITTED: Final = define(
-    2653, "INFO", "trial of a call with a withheld prompt part permitted"
+    2653, "INFO", "trial of a call with a withheld trait permitted"
 )
 VERDICT_NOT_WRITTEN: Final = define(
-    2654, "WARNING", "verdict on a prompt part not written to the store"
+    2654, "WARNING", "verdict on a trait of calls not written to the store"
 )
 VERDICT_INVALID: Final = define(2655, "WARNING", "invalid verdict in the store ignored")
 PEER_ITEM_INVALID: Final = define(
@@ -89,7 +89,7 @@
     2658, "WARNING", "store restored from a copy, listing compared with last state"
 )
 VERDICT_REWRITTEN: Final = define(
-    2680, "INFO", "verdict on a prompt part written again to a restored store"
+    2680, "INFO", "verdict on a trait of calls written again to a restored store"
 )
 LEFT_GATEWAY_REMOVED: Final = define(
     2681, "INFO", "entry of a gateway that has left removed from a restored store"
