--- a/bramleyport/gateway/_attempt.py
+++ b/bramleyport/gateway/_attempt.py
@@ -220,7 +220,7 @@
             self._record_unsent(context, failure, now_s)
         elif failure.end is AttemptEnd.NOT_RUN:
             event = gateway_events.ATTEMPT_NOT_RUN
-            self.state.record_declined(failure.upstream, now_s)
+            self._record_declined(failure, now_s)
         else:
             context.attempts.runs += 1
             event = gateway_events.ATTEMPT_LOST
@@ -241,6 +241,9 @@
         self, context: CallContext, failure: FailedAttempt, now_s: float
     ) -> None:
         context.attempts.unsent += 1
+        self._record_declined(failure, now_s)
+
+    def _record_declined(self, failure: FailedAttempt, now_s: float) -> None:
         self.state.record_declined(failure.upstream, now_s)
         if failure.refused:
             self.tracker.report_refused(failure.upstream)
--- a/bramleyport/gateway/_outcome.py
+++ b/bramleyport/gateway/_outcome.py
@@ -38,7 +38,8 @@
     upstream: UpstreamId
     end: AttemptEnd
     reason: str
-    # The host of the upstream refused the connection.
+    # The process of the upstream has ended: its host refused the connection, or another
+    # process answered at its address.
     refused: bool = False
     # Events of a stream that this attempt has added to the answer.
     events: int = 0
@@ -56,6 +57,18 @@
     )
 
 
+def make_declined(
+    upstream: UpstreamId, status: int, instance: UpstreamId | None
+) -> FailedAttempt:
+    """Return the failed attempt for a call that was not run, and by which process."""
+    return FailedAttempt(
+        upstream=upstream,
+        end=AttemptEnd.NOT_RUN,
+        reason=f"declined with {status}",
+        refused=instance not in (None, upstream),
+    )
+
+
 @dataclass(slots=True)
 class Attempts:
     """Count the attempts of one call."""
--- a/bramleyport/gateway/_plain.py
+++ b/bramleyport/gateway/_plain.py
@@ -15,6 +15,7 @@
     REFUSAL_STATUSES,
     AttemptEnd,
     FailedAttempt,
+    make_declined,
     make_unsent,
 )
 from bramleyport.gateway._reply import relay_answer
@@ -130,8 +131,8 @@
         self, context: CallContext, choice: Choice, answer: Answer, head: AnswerHead
     ) -> Answer | FailedAttempt:
         if head.not_run:
-            reason = f"declined with {answer.status}"
-            return self._fail(choice, AttemptEnd.NOT_RUN, reason)
+            name = choice.upstream.upstream
+            return make_declined(name, answer.status, head.instance)
         if not head.stamped or head.encoded:
             reason = f"unusable answer {answer.status}"
             return self._fail(choice, AttemptEnd.LOST, reason)
--- a/bramleyport/gateway/_stream_attempt.py
+++ b/bramleyport/gateway/_stream_attempt.py
@@ -21,6 +21,7 @@
     REFUSAL_STATUSES,
     AttemptEnd,
     FailedAttempt,
+    make_declined,
     make_unsent,
 )
 from bramleyport.gateway._prefill import Prefiller, PrefillError, make_prefill_error
@@ -231,7 +232,8 @@
         """Return how an attempt without a stream as its answer ended."""
         answer = opened.answer
         if opened.head.not_run:
-            return _fail(choice, AttemptEnd.NOT_RUN, f"declined with {answer.status}")
+            name = choice.upstream.upstream
+            return make_declined(name, answer.status, opened.head.instance)
         body = await opened.connection.read_body()
         complete = Answer(answer.status, answer.reason, answer.headers, body)
         if not opened.head.stamped or answer.status < 300:
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -116,6 +116,25 @@
     run(check())
 
 
+# Guards against crashes that nobody sees as such: the next process of the upstream
+# accepts connections before one is tried, under a new identifier or the same.
+@pytest.mark.parametrize("keeps_id", [False, True])
+def test_request_is_withheld_though_upstreams_are_back_at_once(
+    run: Run, tmp_path: Path, keeps_id: bool
+) -> None:
+    async def check() -> None:
+        async with run_traffic(tmp_path, 2) as traffic:
+            for upstream in traffic.upstreams:
+                upstream.down_s = 0.0
+                upstream.registration_s = 3.0
+                upstream.keeps_id = keeps_id
+            traffic.set_deadly(DEADLY)
+            await traffic.send_to_all("/read/x", 4.0, DEADLY)
+            check_bound(traffic, DEADLY)
+
+    run(check())
+
+
 # Guards against refusing what only shares its path, caller and prompt with a request
 # that crashes upstreams: the parts of the prompt are not to blame.
 def test_prompt_parts_of_a_deadly_request_are_served(run: Run, tmp_path: Path) -> None:
