Soak gateways while upstreams of all kinds crash on whole requests

Profile requests: one deadly request to each kind of route, a sound one that is repeated, others that are unique, beside crashes of other causes, stops and kills of gateways.

--- a/tests/soak/_callers.py
+++ b/tests/soak/_callers.py
@@ -46,6 +46,8 @@
         self.kinds: tuple[str, ...] = KINDS
         # Returns the newest version of the configuration.
         self.read_version: Callable[[], int] = lambda: 1
+        # Whether some requests have the same body as others, by kind.
+        self.repeats_requests = False
         self._number = 0
         self.stopping = False
 
@@ -90,7 +92,12 @@
         name = self._name(kind)
         call = self._record.sent[name]
         headers = {"Request_Id": name, "Deadline_Ms": str(DEADLINE_MS)}
-        if kind in ("once", "stream"):
+        body = "b"
+        if self.repeats_requests:
+            call.body = body = self.prompts.pick_body(kind, name)
+            if kind in ("once", "stream"):
+                headers |= self.prompts.make_headers(0, name[1:])
+        elif kind in ("once", "stream"):
             call.deadly_part = self.prompts.pick_deadly_part()
             headers |= self.prompts.pick_headers(name[1:], call.deadly_part)
         path, version = f"/{kind}/x", 0
@@ -98,7 +105,7 @@
             version = self._pick_version()
             path = f"{make_version_path(version)}x"
         started_s = gateway.started_s
-        await caller.send(path, body=b"b", **headers)
+        await caller.send(path, body=body.encode(), **headers)
         if self._random.random() < DISCONNECT_FRACTION:
             await asyncio.sleep(self._random.random() * 0.1)
             caller.close()
--- a/tests/soak/_checks.py
+++ b/tests/soak/_checks.py
@@ -38,6 +38,7 @@
     disconnected_s: float | None = None
     # The part of its prompt on which engines crash.
     deadly_part: str | None = None
+    body: str = ""
 
 
 @dataclass(slots=True)
--- a/tests/soak/_crash_checks.py
+++ b/tests/soak/_crash_checks.py
@@ -10,7 +10,12 @@
     list_late_arrivals,
 )
 from tests.platform_standin import CrashingEngine
+from tests.request_traffic import (
+    BOUNDED_CRASH as BOUNDED_REQUEST_CRASH,
+    MAX_LATE_REPEATS,
+)
 from tests.soak._checks import STABLE_S, Observations, SentCall
+from tests.soak._deadly_prompts import DEADLY_BODIES
 
 PROMPT_KINDS = ("once", "stream")
 
@@ -36,6 +41,34 @@
             )
 
 
+def check_deadly_requests(
+    observations: Observations, upstreams: Sequence[CrashingEngine]
+) -> None:
+    """Check that few repeats of a request reach upstreams after some crashes."""
+    for body in DEADLY_BODIES.values():
+        times_s = [
+            item.time_s for item in list_crashes(upstreams) if item.cause == body
+        ]
+        observations.findings.crashes[body] = len(times_s)
+        if len(times_s) < BOUNDED_REQUEST_CRASH:
+            continue
+        bounded_s = times_s[BOUNDED_REQUEST_CRASH - 1] + STABLE_S
+        late = [
+            arrival
+            for upstream in upstreams
+            for arrival in upstream.arrivals
+            if arrival.request.body.decode("latin-1") == body
+            and observations.sent[arrival.request.headers["request-id"]].sent_s
+            > bounded_s
+        ]
+        if len(late) > MAX_LATE_REPEATS:
+            observations.report_violation(
+                f"request {body!r}: {len(late)} repeats reached upstreams, sent later "
+                f"than {STABLE_S:.0f} s after crash {BOUNDED_REQUEST_CRASH}; "
+                f"{len(times_s)} crashes"
+            )
+
+
 def check_sound_prompts(
     observations: Observations, engines: Sequence[CrashingEngine], deadly_from_s: float
 ) -> None:
@@ -46,7 +79,10 @@
     answered = [
         call
         for call in observations.sent.values()
-        if call.kind in PROMPT_KINDS and call.deadly_part is None and call.answer
+        if call.kind in PROMPT_KINDS
+        and call.deadly_part is None
+        and call.body not in DEADLY_BODIES.values()
+        and call.answer
     ]
     before = [call for call in answered if call.sent_s < deadly_from_s]
     after = [call for call in answered if call.sent_s > settled_s]
--- a/tests/soak/_deadly_prompts.py
+++ b/tests/soak/_deadly_prompts.py
@@ -1,4 +1,4 @@
-"""Choose prompts of which some crash each engine that answers them."""
+"""Choose prompts and bodies of which some crash each upstream that runs them."""
 
 from random import Random
 
@@ -7,6 +7,11 @@
 # Fraction of the prompts that have a deadly part, once there are such parts.
 DEADLY_FRACTION = 0.1
 DEADLY_PARTS = ("dead", "fade")
+# The body of the request on which upstreams crash, by the kind of its route.
+DEADLY_BODIES = {kind: f"deadly {kind}" for kind in ("read", "post", "once", "stream")}
+# Fractions of the calls that are this request, and a sound one that is repeated, too.
+DEADLY_REQUEST_FRACTION = 0.05
+POLL_FRACTION = 0.2
 
 
 class Prompts:
@@ -22,9 +27,23 @@
             return self._random.choice(self.deadly_parts)
         return None
 
+    def pick_body(self, kind: str, unique: str) -> str:
+        """Return the body of the next request to a kind of route."""
+        draw = self._random.random()
+        if draw < DEADLY_REQUEST_FRACTION and kind in DEADLY_BODIES:
+            return DEADLY_BODIES[kind]
+        return "poll" if draw < POLL_FRACTION else unique
+
     def pick_headers(self, unique_part: str, deadly_part: str | None) -> dict[str, str]:
         """Return the headers of a prompt whose last part is unique."""
-        parts = [f"a{self._random.randrange(PREFIX_COUNT)}:3000"]
+        prefix = self._random.randrange(PREFIX_COUNT)
+        return self.make_headers(prefix, unique_part, deadly_part)
+
+    def make_headers(
+        self, prefix: int, unique_part: str, deadly_part: str | None = None
+    ) -> dict[str, str]:
+        """Return the headers of a prompt with a first part."""
+        parts = [f"a{prefix}:3000"]
         if deadly_part is not None:
             shared = f"b{self._random.randrange(SHARED_COUNT)}:400"
             parts += [shared, f"{deadly_part}:400"]
--- a/tests/soak/_soak_run.py
+++ b/tests/soak/_soak_run.py
@@ -35,8 +35,12 @@
     check_versions,
 )
 from tests.soak._configurations import make_version_path
-from tests.soak._crash_checks import check_deadly_parts, check_sound_prompts
-from tests.soak._deadly_prompts import DEADLY_PARTS
+from tests.soak._crash_checks import (
+    check_deadly_parts,
+    check_deadly_requests,
+    check_sound_prompts,
+)
+from tests.soak._deadly_prompts import DEADLY_BODIES, DEADLY_PARTS
 from tests.soak._faults import (
     CRASH_FAULTS,
     LIMIT_CHANGES,
@@ -100,6 +104,8 @@
     MIXED_LIMITS = "mixed_limits"
     # Engines that crash on parts of prompts, and gateways that end.
     CRASHES = "crashes"
+    # As CRASHES, but upstreams of all kinds crash on whole requests.
+    REQUESTS = "requests"
     # Planned stops only, with callers that go on until the processes end.
     STOPS = "stops"
     # As PLANNED, and also odd entries of another writer in the store.
@@ -117,9 +123,11 @@
     Profile.PLANNED,
     Profile.LIMITS,
     Profile.CRASHES,
+    Profile.REQUESTS,
     Profile.ODD_ENTRIES,
     Profile.RESTORED,
 )
+CRASH_PROFILES = (Profile.CRASHES, Profile.REQUESTS)
 # Profiles whose time limits are checked; impairments are left out.
 TIMED_PROFILES = (Profile.PLANNED, Profile.ODD_ENTRIES, Profile.RESTORED)
 
@@ -148,11 +156,17 @@
         self._gateway_count = gateways
         self._upstreams = [UpstreamStandin(f"p{n}", service=PLAIN) for n in range(3)]
         self._engines: list[CrashingEngine] = []
-        if self._profile is Profile.CRASHES:
+        if self._profile in CRASH_PROFILES:
             self._engines = [
                 CrashingEngine(f"d{n}", service=LANGUAGE, stage="decode")
                 for n in range(CRASHING_ENGINES)
             ]
+            if self._profile is Profile.REQUESTS:
+                self._upstreams = []
+                self._engines += [
+                    CrashingEngine(f"p{n}", service=PLAIN)
+                    for n in range(CRASHING_ENGINES)
+                ]
             self._upstreams += self._engines
         else:
             self._upstreams += [
@@ -230,6 +244,8 @@
     async def _run_under_faults(self, seconds: float) -> None:
         if self._profile is Profile.CRASHES:
             self._choose_deadly_parts()
+        if self._profile is Profile.REQUESTS:
+            self._callers.repeats_requests = True
         count = CALLERS_PER_GATEWAY * len(self._gateways)
         callers = [
             asyncio.ensure_future(self._callers.send_calls()) for _ in range(count)
@@ -242,6 +258,11 @@
         if self._profile is Profile.CRASHES:
             await asyncio.sleep(SOUND_S)
             self._add_deadly_parts()
+        if self._profile is Profile.REQUESTS:
+            await asyncio.sleep(SOUND_S)
+            self._deadly_from_s = time.monotonic()
+            for engine in self._engines:
+                engine.deadly_bodies = set(DEADLY_BODIES.values())
         await asyncio.sleep(seconds)
         faults.cancel()
         if copies is not None:
@@ -289,7 +310,7 @@
 
     async def _inject_faults(self) -> None:
         faults: dict[str, Fault] = dict(PLANNED_OPERATIONS)
-        if self._profile is Profile.CRASHES:
+        if self._profile in CRASH_PROFILES:
             faults = dict(CRASH_FAULTS)
         if self._injects_faults:
             faults |= UNPLANNED_FAULTS
@@ -372,6 +393,8 @@
         check_runs(self.observations, self._upstreams)
         check_limits(self.observations, self._upstreams)
         check_versions(self.observations)
+        if self._profile is Profile.REQUESTS:
+            check_deadly_requests(self.observations, self._engines)
         if self._engines:
             parts = self._callers.prompts.deadly_parts
             check_deadly_parts(self.observations, self._engines, parts)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -40,7 +40,12 @@
     check_runs,
     check_versions,
 )
-from tests.soak._crash_checks import check_deadly_parts, check_sound_prompts
+from tests.soak._crash_checks import (
+    check_deadly_parts,
+    check_deadly_requests,
+    check_sound_prompts,
+)
+from tests.soak._deadly_prompts import DEADLY_BODIES
 from tests.soak._faults import ODD_ENTRIES
 from tests.soak._processes import GatewayProcess
 from tests.soak._proxy import Direction, FaultProxy
@@ -165,6 +170,35 @@
     assert bool(observations.findings.violations) is violated
 
 
+# Guards the withholding of requests that crash upstreams, while gateways are killed.
+def test_guarantees_hold_while_upstreams_crash_on_requests(run: Run) -> None:
+    findings = run(
+        run_soak(5, 6.0, gateways=3, profile=Profile.REQUESTS, check_time_limits=False)
+    )
+    assert findings.violations == []
+    assert findings.crashes.total() > 0
+    assert findings.calls["read 200"] > 0
+
+
+# Guards the check itself: repeats that are sent under the bound have to be counted.
+@pytest.mark.parametrize(("late", "violations"), [(3, 0), (4, 1)])
+def test_repeats_of_a_deadly_request_are_counted(
+    observations: Observations, late: int, violations: int
+) -> None:
+    upstream = CrashingEngine("p0", service="orders")
+    for number in range(3):
+        crash = EngineCrash("p0", DEADLY_BODIES["read"], time_s=float(number))
+        upstream.crashes.append(crash)
+    for number in range(late):
+        headers = {"request-id": f"s{number}"}
+        body = DEADLY_BODIES["read"].encode()
+        request = RawRequest("POST", "/read/x", headers, body)
+        upstream.arrivals.append(UpstreamArrival(request))
+        observations.sent[f"s{number}"] = SentCall("read", 2.1 + STABLE_S)
+    check_deadly_requests(observations, [upstream])
+    assert len(observations.findings.violations) == violations
+
+
 def make_crashed_engine(crashes: int, arrivals: int) -> CrashingEngine:
     """Return an engine that crashed on a part before time 10 and got it after that."""
     engine = CrashingEngine("d0", service="language", stage="decode")
