--- a/bramleyport/gateway/_metrics.py
+++ b/bramleyport/gateway/_metrics.py
@@ -72,7 +72,7 @@
         upstreams = len(self._state.members.list_all())
         gauges.set({"name": "upstreams"}, float(upstreams))
         withheld = len(self._state.crash_evidence.verdicts)
-        gauges.set({"name": "withheld_parts"}, float(withheld))
+        gauges.set({"name": "withheld_traits"}, float(withheld))
         self._set_upstream_limits()
         body = self._metrics.render_text()
         connection.answer(HTTPStatus.OK.value, b"OK", [METRICS_TYPE], body)
