Read the software version of upstreams and what a request resumes

An entry without a version, or with one of another type, is an odd one. No decision uses either yet.

--- a/bramleyport/fleet/__init__.py
+++ b/bramleyport/fleet/__init__.py
@@ -66,6 +66,7 @@
     RouteName,
     ServiceConfig,
     ServiceShare,
+    SoftwareVersion,
     Stage,
 )
 from bramleyport.fleet._version_gap import VersionGap
@@ -118,6 +119,7 @@
     "ServiceConfig",
     "ServiceShare",
     "ShutdownSchedule",
+    "SoftwareVersion",
     "Stage",
     "StageChange",
     "StagePlanner",
--- a/bramleyport/fleet/_types.py
+++ b/bramleyport/fleet/_types.py
@@ -16,6 +16,8 @@
 RouteName = NewType("RouteName", str)
 PrefixId = NewType("PrefixId", str)
 ConfigVersion = NewType("ConfigVersion", int)
+# Of the software of an upstream, not of the weights of its models.
+SoftwareVersion = NewType("SoftwareVersion", str)
 
 
 @dataclass(frozen=True, slots=True)
@@ -138,6 +140,7 @@
     # and its work.
     started_ms: int
     stage: Stage | None = None
+    version: SoftwareVersion = SoftwareVersion("")
     # Rises with each time that the process writes its registration; 0 if unknown.
     sequence: int = field(default=0, compare=False)
 
@@ -171,6 +174,9 @@
     # When the timeout of the caller or of the route expires, whichever is first.
     deadline_s: float
     prompt: Prompt | None = None
+    # The request that brought the first event of the stream that this one resumes; None
+    # if the caller does not say. A request that resumes nothing is its own origin.
+    origin: RequestId | None = None
     identity: RequestIdentity | None = field(default=None, compare=False)
 
     @property
--- a/bramleyport/gateway/_attempt.py
+++ b/bramleyport/gateway/_attempt.py
@@ -299,6 +299,8 @@
             request=context.call.request,
             route=context.call.route.name,
             upstream=choice.upstream.upstream,
+            version=choice.upstream.version,
+            origin=context.call.origin or "",
             prefill=choice.prefill.upstream if choice.prefill else "",
             reason=choice.explanation.reason,
             left_s=round(context.remaining_s, 3),
--- a/bramleyport/gateway/_forward.py
+++ b/bramleyport/gateway/_forward.py
@@ -104,6 +104,7 @@
             # The time of the caller runs while it sends its request.
             deadline_s=request.began_s + min(head.time_limit_s, route.timeout_s),
             prompt=head.prompt,
+            origin=head.resumes if head.last_event else head.request,
             identity=_identify(request, head),
         )
         if self._is_too_late(call):
--- a/bramleyport/gateway/_state_updaters.py
+++ b/bramleyport/gateway/_state_updaters.py
@@ -174,6 +174,7 @@
             zone=registration.zone,
             draining=registration.draining,
             stage=registration.stage.value if registration.stage else "",
+            version=registration.version,
         )
         if known is not None and (
             known.started_ms != registration.started_ms
--- a/bramleyport/platform/_headers.py
+++ b/bramleyport/platform/_headers.py
@@ -69,6 +69,8 @@
     time_limit_s: float
     last_event: int
     prompt: Prompt | None
+    # The request that brought the first event of a stream that is resumed.
+    resumes: RequestId | None = None
     # What the request says of its caller; it may contain secrets.
     caller: tuple[bytes, ...] = ()
 
@@ -103,22 +105,25 @@
 def decode_call(headers: Iterable[tuple[bytes, bytes]]) -> CallHead:
     """Decode the headers of a caller's request; invalid values are ignored."""
     values = {name.lower(): value for name, value in headers}
-    request = values.get(b"request-id")
     return CallHead(
-        request=RequestId(request.decode("latin-1")) if request else None,
+        request=_decode_request(values.get(b"request-id")),
         time_limit_s=_parse_milliseconds(
             values.get(b"deadline-ms"), DEFAULT_TIME_LIMIT_S
         ),
         last_event=_parse_count_or_zero(values.get(b"last-event-id")),
         prompt=_decode_prompt(values),
+        resumes=_decode_request(values.get(b"resumes")),
         caller=tuple(values.get(name, b"") for name in _CALLER_HEADERS),
     )
 
 
+def _decode_request(value: bytes | None) -> RequestId | None:
+    return RequestId(value.decode("latin-1")) if value else None
+
+
 def decode_answer(status: int, headers: Iterable[tuple[bytes, bytes]]) -> AnswerHead:
     """Decode the status and headers of an upstream's answer."""
     values = {name.lower(): value for name, value in headers}
-    request = values.get(b"request-id")
     instance = values.get(b"instance-id")
     # Another instance at the address says nothing of the one that was meant.
     is_other = status == OTHER_INSTANCE_STATUS
@@ -127,7 +132,7 @@
     pause = values.get(b"retry-after") if status == UNAVAILABLE_STATUS else None
     pause_s = _parse_rate(pause)
     return AnswerHead(
-        request=RequestId(request.decode("latin-1")) if request else None,
+        request=_decode_request(values.get(b"request-id")),
         not_run=b"not-run" in values or status == OTHER_INSTANCE_STATUS,
         stamped=b"server-stamp" in values,
         encoded=values.get(b"content-encoding", b"identity") != b"identity",
--- a/bramleyport/platform/_registrations.py
+++ b/bramleyport/platform/_registrations.py
@@ -1,7 +1,7 @@
 """Decode the registrations of upstreams in the store."""
 
 from bramleyport.core import ServiceName, UpstreamId, ZoneName
-from bramleyport.fleet import Registration, Stage
+from bramleyport.fleet import Registration, SoftwareVersion, Stage
 from bramleyport.platform._documents import (
     Document,
     MalformedDocumentError,
@@ -29,6 +29,7 @@
         draining=_STATES[state],
         started_ms=read_count(document, "born", 0),
         stage=_decode_stage(document),
+        version=SoftwareVersion(read_string(document, "version")),
         # In an engine's report, this wire name means the count of orders.
         sequence=read_count(document, "seq", 0),
     )
