--- a/tests/platform_standin/__init__.py
+++ b/tests/platform_standin/__init__.py
@@ -52,9 +52,15 @@
     stream_events,
     write_chunk,
 )
+from tests.platform_standin._versions import (
+    EVENTS_BEFORE_BREAK,
+    VersionedEngine,
+    read_versions,
+)
 
 __all__ = [
     "ENDLESS_ANSWERS",
+    "EVENTS_BEFORE_BREAK",
     "EVENT_COUNT",
     "LOOPBACK",
     "ODD_FIELDS",
@@ -73,6 +79,7 @@
     "UpstreamArrival",
     "UpstreamRun",
     "UpstreamStandin",
+    "VersionedEngine",
     "answer_normally",
     "answer_without_length",
     "decline",
@@ -85,6 +92,7 @@
     "make_stamp_headers",
     "make_stream_abort",
     "read_request",
+    "read_versions",
     "render_event",
     "render_response",
     "script_first_request",
--- a/tests/platform_standin/_upstream.py
+++ b/tests/platform_standin/_upstream.py
@@ -48,6 +48,8 @@
         self.service = service
         self.stage = stage
         self.zone = "a"
+        # The version of its software, which its events name.
+        self.version = "v1"
         self.runs: list[UpstreamRun] = []
         self.arrivals: list[UpstreamArrival] = []
         # The rate limit that answers to calls name; empty for none.
@@ -76,7 +78,7 @@
             "service": self.service,
             "addr": f"{LOOPBACK}:{self.port}",
             "zone": self.zone,
-            "version": "v1",
+            "version": self.version,
             "slots": 64 if self.stage else 6,
             "state": "ready",
             "cold_left_ms": 0,
