Go on with streams only at the software version that began them

Cause: no gateway knew versions; the next upstream was chosen by forecast alone.

Change: the version at which a stream begins follows from its identifier, by weighted rendezvous hashing over shares that the store keeps for each service (one small object, written when a version joins, leaves or its part of the slots changes by 15 points). Earlier shares stay there for as long as streams may have followed them. So any gateway, after all were killed too, deduces the version from what Resumes names, and goes on at it; where the shares disagree on a stream, its gateway tells the others, and one that does not know refuses it at once. New shares are known for drain_ms before streams follow them; a version is used only once the store knows it; a gateway whose view may be old refuses what it does not know by itself. If no upstream of the version of a new stream is left, it begins at another, and the others are told. Retries, reserved retries, the decode after a separate prefill and the choice of a split route keep to the version as well.

--- a/bramleyport/composition.py
+++ b/bramleyport/composition.py
@@ -295,6 +295,7 @@
     from bramleyport.gateway._state import GatewayState
     from bramleyport.gateway._stream import StreamServer
     from bramleyport.gateway._verdict_store import VerdictStore
+    from bramleyport.gateway._version_store import VersionStore
     from bramleyport.gateway._work_tracker import WorkTracker
     from bramleyport.http1 import HttpClient
     from bramleyport.platform import StoreClient, load_node_settings
@@ -325,6 +326,7 @@
         peers,
         guard,
         verdicts,
+        VersionStore(state, store),
         metrics.metrics,
         metrics_port,
     )
--- a/bramleyport/fleet/__init__.py
+++ b/bramleyport/fleet/__init__.py
@@ -40,6 +40,7 @@
 from bramleyport.fleet._routes import RouteTable, choose_service
 from bramleyport.fleet._shutdown import ShutdownSchedule, plan_shutdown
 from bramleyport.fleet._stages import EngineView, StageChange, StagePlanner
+from bramleyport.fleet._stream_versions import BegunStream, StreamVersions
 from bramleyport.fleet._traits import (
     MAX_TRAIT_CHARS,
     MAX_TRAITS,
@@ -70,6 +71,7 @@
     Stage,
 )
 from bramleyport.fleet._version_gap import VersionGap
+from bramleyport.fleet._version_shares import VersionShares, compute_shares
 
 __all__ = [
     "MAX_CRASHES",
@@ -77,6 +79,7 @@
     "MAX_TRAIT_CHARS",
     "MAX_VERDICTS",
     "Address",
+    "BegunStream",
     "Call",
     "CallTraits",
     "CallerLimits",
@@ -123,6 +126,7 @@
     "Stage",
     "StageChange",
     "StagePlanner",
+    "StreamVersions",
     "TraitId",
     "Transfer",
     "UpdatePacing",
@@ -130,6 +134,7 @@
     "UpstreamPauses",
     "Verdict",
     "VersionGap",
+    "VersionShares",
     "Work",
     "WorkRecorder",
     "admit",
@@ -137,6 +142,7 @@
     "choose_store_watchers",
     "choose_trial_interval",
     "compute_enforced_rate",
+    "compute_shares",
     "is_request",
     "is_watch_shared",
     "plan_shutdown",
--- a/bramleyport/gateway/_attempt.py
+++ b/bramleyport/gateway/_attempt.py
@@ -23,6 +23,7 @@
 from bramleyport.gateway._reply import relay_answer, reply
 from bramleyport.gateway._retries import MIN_REMAINING_S, RetryDecider
 from bramleyport.gateway._state import PAUSED, GatewayState
+from bramleyport.gateway._version_choice import VersionChooser
 from bramleyport.gateway._work_tracker import WorkTracker
 from bramleyport.telemetry import gateway_events, log_event
 
@@ -54,6 +55,7 @@
         self.metrics = metrics
         self.retries = RetryDecider(state)
         self.guard = guard
+        self.versions = VersionChooser(state)
 
     async def place(self, context: CallContext) -> Choice | Rejected:
         """Choose an upstream, or return why none can answer in time.
@@ -100,6 +102,7 @@
         service = context.call.service
         blocked = self.state.list_limited(service)
         blocked |= self.state.list_paused(service, read_now())
+        blocked |= self.versions.list_excluded(context)
         ready = self.state.members.list_ready(service)
         return choice.upstream in ready and choice.upstream.upstream not in blocked
 
@@ -115,13 +118,14 @@
             blocked = self.state.list_exhausted(call.service, now_s)
         else:
             blocked = self.state.list_blocked(call, now_s)
-        avoided = self.state.list_avoided(call.service, now_s) | blocked
-        choice = self._choose(context, avoided | context.tried, now_s)
-        if choice is None and context.tried:
-            choice = self._choose(context, avoided, now_s)
-        if choice is None:
-            ejected = self.state.list_ejected(call.service, now_s) | blocked
-            choice = self._choose(context, ejected, now_s)
+        excluded = blocked | self.versions.list_excluded(context)
+        others = self.versions.list_others(context)
+        choice = self._choose_stepwise(context, excluded | others, now_s)
+        if choice is None and others:
+            choice = self._choose_stepwise(context, excluded, now_s)
+        absent = self.versions.find_obstacle(context) if choice is None else None
+        if absent is not None:
+            return absent
         if choice is None and context.is_trial:
             self.guard.return_trial(call)
         if choice is None and blocked:
@@ -136,6 +140,20 @@
                 self.state.pauses.record_sent(target.upstream, now_s)
         return choice
 
+    def _choose_stepwise(
+        self, context: CallContext, excluded: set[UpstreamId], now_s: float
+    ) -> Choice | None:
+        """Choose an upstream, one that is avoided or was tried if there is no other."""
+        service = context.call.service
+        avoided = self.state.list_avoided(service, now_s) | excluded
+        choice = self._choose(context, avoided | context.tried, now_s)
+        if choice is None and context.tried:
+            choice = self._choose(context, avoided, now_s)
+        if choice is None:
+            ejected = self.state.list_ejected(service, now_s) | excluded
+            choice = self._choose(context, ejected, now_s)
+        return choice
+
     def _choose(
         self, context: CallContext, excluded: set[UpstreamId], now_s: float
     ) -> Choice | None:
@@ -165,16 +183,18 @@
         exhausted = self.state.list_exhausted(call.service, now_s)
         if reservation is not None:
             exhausted.discard(reservation.target.upstream)
-        excluded = self.state.list_avoided(call.service, now_s) | context.tried
+        avoided = self.state.list_avoided(call.service, now_s) | context.tried
+        exhausted |= self.versions.list_excluded(context)
+        others = self.versions.list_others(context)
         chooser = self.state.chooser
-        transfer = chooser.choose_transfer(
-            call, context.engine, prefill_engine, excluded | exhausted, now_s
-        )
-        if transfer is None:
-            # Fall back to engines that recently declined or failed a call.
+        # Fall back to engines that recently declined or failed a call, then to those of
+        # other versions if the stream has not begun.
+        for excluded in (avoided | exhausted | others, exhausted | others, exhausted):
             transfer = chooser.choose_transfer(
-                call, context.engine, prefill_engine, exhausted, now_s
+                call, context.engine, prefill_engine, excluded, now_s
             )
+            if transfer is not None:
+                break
         if transfer is not None:
             self._take_transfer(context, transfer.target, now_s)
         return transfer
@@ -247,7 +267,7 @@
         self.state.record_declined(failure.upstream, now_s)
         if failure.refused:
             self.tracker.report_refused(failure.upstream)
-            self.guard.confirm_crash(failure.upstream)
+            self.guard.record_refused(failure.upstream)
 
     def give_up(self, context: CallContext, reason: str) -> None:
         """Send the final answer to a call whose attempts have failed."""
--- a/bramleyport/gateway/_call_context.py
+++ b/bramleyport/gateway/_call_context.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from bramleyport.fleet import Call, Choice, EngineTraits
+from bramleyport.fleet import Call, Choice, EngineTraits, SoftwareVersion
 from bramleyport.gateway._clock import read_now
 from bramleyport.gateway._outcome import Attempts, FailedAttempt
 from bramleyport.http1 import CallerConnection, CallerRequest, UpstreamConnection
@@ -49,6 +49,10 @@
         self.reserved_retry: ReservedRetry | None = None
         # Where the next attempt may be sent if nothing better is found.
         self.reserved_choice: Choice | None = None
+        # The software version of the upstreams that may write the events of the stream,
+        # once it has any, and that at which it begins if that is possible.
+        self.version: SoftwareVersion | None = None
+        self.preferred_version: SoftwareVersion | None = None
         # Time to the first event, and time that a separate prefill took; 0 if none.
         self.first_event_s = 0.0
         self.prefill_elapsed_s = 0.0
--- a/bramleyport/gateway/_crash_guard.py
+++ b/bramleyport/gateway/_crash_guard.py
@@ -168,6 +168,11 @@
             check.add_done_callback(lambda _: self._checks.pop(target.upstream, None))
         return check
 
+    def record_refused(self, upstream: UpstreamId) -> None:
+        """Record that the registered process of an upstream seems to have ended."""
+        self._state.record_ended(upstream, read_now())
+        self.confirm_crash(upstream)
+
     def confirm_crash(self, upstream: UpstreamId) -> None:
         """Report the broken calls of an upstream whose process has ended."""
         now_s = read_now()
@@ -241,7 +246,7 @@
 
     async def _check_listening(self, target: Registration) -> None:
         if await self._exchanger.is_refusing(target):
-            self.confirm_crash(target.upstream)
+            self.record_refused(target.upstream)
 
     def _report(self, item: _BrokenCall, now_s: float) -> None:
         crash = CrashId(item.target.upstream, item.target.started_ms)
--- a/bramleyport/gateway/_daemon.py
+++ b/bramleyport/gateway/_daemon.py
@@ -31,6 +31,7 @@
     RegistrationUpdater,
 )
 from bramleyport.gateway._verdict_store import VerdictStore
+from bramleyport.gateway._version_store import VersionStore
 from bramleyport.gateway._work_tracker import WorkTracker
 from bramleyport.http1 import CallerFactory, ConnectionLimits
 from bramleyport.listening import BACKLOG
@@ -44,6 +45,8 @@
 SETTINGS_POLL_INTERVAL_S: Final = 2.0
 # Duration of a watch for verdicts on prompt parts.
 VERDICT_WAIT_S: Final = 20.0
+# Duration of a watch for shares of software versions.
+VERSION_WAIT_S: Final = 20.0
 
 
 class Gateway:
@@ -61,6 +64,7 @@
         peers: PeerLink,
         guard: CrashGuard,
         verdicts: VerdictStore,
+        versions: VersionStore,
         metrics: Metrics,
         metrics_port: int | None,
     ) -> None:
@@ -73,6 +77,7 @@
         self._peers = peers
         self._guard = guard
         self._verdicts = verdicts
+        self._versions = versions
         self._directory = PeerDirectory(state.settings, store, peers, state.roster)
         self._readiness = Readiness(state)
         self._metrics_port = metrics_port
@@ -166,6 +171,8 @@
             follow_registrations.run,
             self._make_verdict_follower().run,
             self._verdicts.run,
+            self._make_version_follower().run,
+            self._versions.run,
             self._directory.run,
             self._run_housekeeping,
             self._watch_settings,
@@ -193,6 +200,18 @@
         link = UnsharedLink(self._peers.process)
         return Follower(self._store, ObjectKind.VERDICTS, self._verdicts, times, link)
 
+    def _make_version_follower(self) -> Follower:
+        # The shares change with releases only, and new streams follow them late, so a
+        # watch by each gateway suffices.
+        times = WatchTimes(
+            wait_s=VERSION_WAIT_S,
+            shared_wait_s=VERSION_WAIT_S,
+            pause_s=0.0,
+            fresh_s=0.0,
+        )
+        link = UnsharedLink(self._peers.process)
+        return Follower(self._store, ObjectKind.VERSIONS, self._versions, times, link)
+
     async def _run_housekeeping(self) -> None:
         ready = False
         while True:
--- a/bramleyport/gateway/_follower.py
+++ b/bramleyport/gateway/_follower.py
@@ -130,8 +130,8 @@
     def apply_changes(self, batch: ChangeBatch) -> None:
         """Apply changes."""
 
-    def record_store_state(self, *, reachable: bool) -> None:
-        """Record whether the store answers."""
+    def record_store_state(self, *, reachable: bool, age_s: float = 0.0) -> None:
+        """Record whether the store answers, and how old its last answer is."""
 
 
 class Follower:
@@ -213,7 +213,7 @@
             self._published_revision = max(self._published_revision, update.revision)
             self._call_needed.set()
             return
-        self._updater.record_store_state(reachable=True)
+        self._updater.record_store_state(reachable=True, age_s=update.age_s)
         self._freshness.confirm(update.process, read_now() - update.age_s)
 
     def _receive_new_era(self, update: StoreUpdate) -> None:
@@ -308,7 +308,7 @@
             return batch.err_value
         # The answer may have waited in the socket buffer while this host was suspended.
         age_s = max(0.0, read_boot_time() - started_s - wait_s)
-        returned = self._record_reachable()
+        returned = self._record_reachable(age_s)
         self._apply(batch.ok_value.changes, batch.ok_value.revision)
         revision = batch.ok_value.revision
         if batch.ok_value.nameless:
@@ -352,14 +352,14 @@
         )
         return SHARED_RETRY_MAX_S if relies_on_updates else RETRY_MAX_S
 
-    def _record_reachable(self) -> bool:
+    def _record_reachable(self, age_s: float = 0.0) -> bool:
         """Record an answer of the store; return whether it ends an outage."""
         self._retry_s = RETRY_FIRST_S
         returned = not self._reachable
         if returned:
             self._reachable = True
             log_event(gateway_events.STORE_AVAILABLE, kind=self._kind.value)
-        self._updater.record_store_state(reachable=True)
+        self._updater.record_store_state(reachable=True, age_s=age_s)
         return returned
 
     def _record_failure(self, error: StoreError) -> None:
--- a/bramleyport/gateway/_forward.py
+++ b/bramleyport/gateway/_forward.py
@@ -5,7 +5,14 @@
 from random import Random
 from typing import Final
 
-from bramleyport.fleet import Call, RequestIdentity, Route, choose_service
+from bramleyport.core import ServiceName
+from bramleyport.fleet import (
+    Call,
+    Repeatability,
+    RequestIdentity,
+    Route,
+    choose_service,
+)
 from bramleyport.gateway._call_context import CallContext
 from bramleyport.gateway._clock import read_now
 from bramleyport.gateway._plain import PlainServer
@@ -99,7 +106,7 @@
         call = Call(
             request=head.request,
             route=route,
-            service=choose_service(route, self._random),
+            service=self._choose_service(route, head),
             arrived_s=request.received_s,
             # The time of the caller runs while it sends its request.
             deadline_s=request.began_s + min(head.time_limit_s, route.timeout_s),
@@ -119,6 +126,20 @@
         self._state.rate_limiter.record_call(call, read_now())
         return context
 
+    def _choose_service(self, route: Route, head: CallHead) -> ServiceName:
+        """Choose a service; that of a stream that is resumed by its identifier."""
+        if route.repeatability is not Repeatability.STREAM_RESUMABLE:
+            return choose_service(route, self._random)
+        origin = (head.resumes if head.last_event else None) or head.request
+        assert origin is not None
+        known = self._state.stream_versions.find_stream(origin, read_now())
+        if known is not None and any(
+            share.service == known.service for share in route.services
+        ):
+            return known.service
+        # The same at each gateway.
+        return choose_service(route, Random(origin))
+
     def _is_too_late(self, call: Call) -> bool:
         """Return whether a call may outlast the gateway, which is being stopped."""
         shutdown = self._state.shutdown
--- a/bramleyport/gateway/_peer_messages.py
+++ b/bramleyport/gateway/_peer_messages.py
@@ -6,11 +6,18 @@
 
 import cbor2
 
-from bramleyport.core import ProcessId, RequestId, UpstreamId, read_amount
+from bramleyport.core import (
+    ProcessId,
+    RequestId,
+    ServiceName,
+    UpstreamId,
+    read_amount,
+)
 from bramleyport.fleet import (
     MAX_CRASHES,
     MAX_TRAIT_CHARS,
     MAX_TRAITS,
+    BegunStream,
     ConfigVersion,
     CrashId,
     CrashReport,
@@ -19,6 +26,7 @@
     PrefixId,
     PromptPart,
     RateLimitNotice,
+    SoftwareVersion,
     TraitId,
     Verdict,
     Work,
@@ -129,6 +137,8 @@
     verdicts: tuple[Verdict, ...] = ()
     # Upstreams that said in an answer that they leave.
     leaving_upstreams: tuple[LeavingUpstream, ...] = ()
+    # Streams whose software version their identifiers do not tell.
+    streams: tuple[BegunStream, ...] = ()
     # Version of the configuration in force; 0 if there is none.
     version: ConfigVersion = ConfigVersion(0)
     # Why items of the datagram were left out.
@@ -175,6 +185,7 @@
         (message.verdicts, _encode_verdict),
         (message.leaving_upstreams, _encode_leaving),
         ((message.version,), int),
+        (message.streams, _encode_stream),
     ]
     try:
         rows = [[encode(item) for item in items] for items, encode in lists]
@@ -269,6 +280,7 @@
         verdicts=decoder.decode(8, _decode_verdict),
         leaving_upstreams=decoder.decode(9, _decode_leaving),
         version=_decode_version(decoder),
+        streams=decoder.decode(11, _decode_stream),
         # Evaluated last, when all lists are decoded.
         invalid=tuple(decoder.invalid),
     )
@@ -407,6 +419,19 @@
     return LeavingUpstream(UpstreamId(read_name(upstream)), read_start_ms(started_ms))
 
 
+def _encode_stream(item: BegunStream) -> list[Any]:
+    return [item.origin, item.service, item.version]
+
+
+def _decode_stream(item: Any) -> BegunStream:
+    origin, service, version = read_row(item, 3)
+    return BegunStream(
+        origin=RequestId(read_name(origin)),
+        service=ServiceName(read_name(service)),
+        version=SoftwareVersion(read_name(version)),
+    )
+
+
 def _decode_ref(item: Any) -> WorkRef:
     upstream, request = read_row(item, 2)
     return WorkRef(UpstreamId(read_name(upstream)), RequestId(read_name(request)))
--- a/bramleyport/gateway/_peers.py
+++ b/bramleyport/gateway/_peers.py
@@ -16,6 +16,7 @@
 from bramleyport.core import ProcessId, UpstreamId
 from bramleyport.fleet import (
     Address,
+    BegunStream,
     LeavingUpstream,
     UpdatePacing,
     Work,
@@ -93,6 +94,7 @@
         state.rate_limiter.on_changed = lambda: self._schedule(URGENT_BUSY_S)
         guard.on_updates_pending = lambda: self._schedule(URGENT_BUSY_S)
         state.on_leaving = lambda: self._schedule(URGENT_BUSY_S)
+        state.on_streams = lambda: self._schedule(URGENT_BUSY_S)
 
     @property
     def process(self) -> ProcessId:
@@ -245,6 +247,10 @@
         def apply_leaving(item: LeavingUpstream) -> None:
             self._state.record_leaving(item.upstream, item.started_ms, origin=origin)
 
+        def apply_stream(item: BegunStream) -> None:
+            self._state.stream_versions.record_begun(item, now_s, is_own=False)
+
+        _apply_each(message.streams, apply_stream)
         _apply_each(message.changing, apply_changing)
         _apply_each(message.leaving_upstreams, apply_leaving)
         _apply_each(message.refused, self._apply_refused)
@@ -256,7 +262,7 @@
 
     def _apply_refused(self, upstream: UpstreamId) -> None:
         self._tracker.apply_refused(upstream)
-        self._guard.confirm_crash(upstream)
+        self._guard.record_refused(upstream)
 
     def _apply_prefilled(self, ref: WorkRef) -> None:
         self._tracker.apply_prefilled(ref.upstream, ref.request)
@@ -324,6 +330,7 @@
         pending.limits = self._state.rate_limiter.take_due_notices(read_now())
         pending.crashes = self._guard.take_updates()
         self._send_leaving(self._state.pending_leaving, self._send)
+        self._send_streams(self._state.pending_streams, self._send)
         while pending:
             self._send(self._make_message(**take_batch(pending)))
 
@@ -343,6 +350,18 @@
             self._state.members.list_leaving(),
             lambda message: self._write(encode_message(message), address),
         )
+        self._send_streams(
+            self._state.stream_versions.list_ambiguous(),
+            lambda message: self._write(encode_message(message), address),
+        )
+
+    def _send_streams(
+        self, items: list[BegunStream], send: Callable[[PeerMessage], None]
+    ) -> None:
+        """Send at which versions streams began, and remove them from the list."""
+        while items:
+            send(self._make_message(streams=tuple(items[:MAX_ITEMS])))
+            del items[:MAX_ITEMS]
 
     def _send_leaving(
         self, items: list[LeavingUpstream], send: Callable[[PeerMessage], None]
--- a/bramleyport/gateway/_retries.py
+++ b/bramleyport/gateway/_retries.py
@@ -9,6 +9,7 @@
 from bramleyport.gateway._clock import read_now
 from bramleyport.gateway._outcome import AttemptEnd
 from bramleyport.gateway._state import GatewayState
+from bramleyport.gateway._version_choice import VersionChooser
 from bramleyport.telemetry import gateway_events, log_event
 
 # Sends of one call, including those that upstreams declined without running it.
@@ -24,6 +25,7 @@
 
     def __init__(self, state: GatewayState) -> None:
         self._state = state
+        self._versions = VersionChooser(state)
 
     def decide(self, context: CallContext) -> Explanation:
         """Decide whether to retry a call; the reason is "retry" if so."""
@@ -93,6 +95,7 @@
         excluded = self._state.list_avoided(call.service, now_s) | context.tried
         excluded |= self._state.list_limited(call.service) | {upstream}
         excluded |= self._state.list_paused(call.service, now_s)
+        excluded |= self._versions.list_excluded(context)
         choice = self._state.chooser.choose(
             call,
             context.engine,
--- a/bramleyport/gateway/_state.py
+++ b/bramleyport/gateway/_state.py
@@ -1,5 +1,6 @@
 """Define the state that the parts of a gateway share."""
 
+import math
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Final
@@ -7,6 +8,7 @@
 from bramleyport.admission import Rejected
 from bramleyport.core import Explanation, ServiceName, UpstreamId
 from bramleyport.fleet import (
+    BegunStream,
     Call,
     CallerLimits,
     Chooser,
@@ -25,6 +27,7 @@
     RouteTable,
     ShutdownSchedule,
     Stage,
+    StreamVersions,
     UpstreamPauses,
     VersionGap,
     WorkRecorder,
@@ -43,10 +46,22 @@
 # Fraction of the time limit for a new configuration for which a gateway that has
 # started may serve with an older one than its peers have.
 VERSION_GAP_FRACTION: Final = 0.5
+# Time for which a refused connection shows that a process has ended: the next one has
+# registered by then, or the same one only did not listen yet.
+ENDED_KEEP_S: Final = 5.0
 # Why a call is refused while all upstreams that could answer it want no requests.
 PAUSED: Final = "upstreams_paused"
 
 
+@dataclass(frozen=True, slots=True)
+class EndedProcess:
+    """Identify a process of an upstream that seems to have ended."""
+
+    # Start of the process in Unix milliseconds.
+    started_ms: int
+    until_s: float
+
+
 @dataclass(slots=True, kw_only=True)
 class GatewayState:
     """Describe what a gateway knows of upstreams, peers and its configuration."""
@@ -77,6 +92,16 @@
     pending_leaving: list[LeavingUpstream] = field(default_factory=list)
     # Called when the peers should learn of them.
     on_leaving: Callable[[], None] | None = None
+    stream_versions: StreamVersions = field(default_factory=StreamVersions)
+    # Streams whose versions the peers have to be told, and have not been yet.
+    pending_streams: list[BegunStream] = field(default_factory=list)
+    # Called when there are any.
+    on_streams: Callable[[], None] | None = None
+    # Registered processes that seem to have ended: another one, of another version, may
+    # answer in the place of each.
+    ended_processes: dict[UpstreamId, EndedProcess] = field(default_factory=dict)
+    # When the registrations were last known to be current.
+    registrations_confirmed_s: float = -math.inf
     # Set from the beginning of a planned stop.
     shutdown: ShutdownSchedule | None = None
     # Set when calls that are still running are ended, before the process exits.
@@ -230,6 +255,30 @@
             if self.on_leaving is not None:
                 self.on_leaving()
 
+    def tell_streams(self, streams: list[BegunStream]) -> None:
+        """Tell the peers at which versions streams began that they can't deduce."""
+        self.pending_streams += streams
+        if streams and self.on_streams is not None:
+            self.on_streams()
+
+    def record_ended(self, upstream: UpstreamId, now_s: float) -> None:
+        """Record that the registered process of an upstream seems to have ended."""
+        registration = self.members.find(upstream)
+        if registration is not None:
+            until_s = now_s + ENDED_KEEP_S
+            self.ended_processes[upstream] = EndedProcess(
+                registration.started_ms, until_s
+            )
+
+    def has_ended(self, registration: Registration, now_s: float) -> bool:
+        """Return whether the process of a registration seems to have ended."""
+        ended = self.ended_processes.get(registration.upstream)
+        return (
+            ended is not None
+            and ended.started_ms == registration.started_ms
+            and ended.until_s > now_s
+        )
+
     def record_pause(self, upstream: UpstreamId, pause_s: float, now_s: float) -> None:
         """Record that an upstream wants no requests for a while."""
         if pause_s > 0 and self.pauses.record(upstream, pause_s, now_s):
@@ -286,3 +335,4 @@
         self.prefixes.discard(upstream)
         self.speeds.discard(upstream)
         self.pauses.discard(upstream)
+        self.ended_processes.pop(upstream, None)
--- a/bramleyport/gateway/_state_updaters.py
+++ b/bramleyport/gateway/_state_updaters.py
@@ -42,7 +42,7 @@
         """Apply the configurations in changes."""
         self._apply(change.object for change in batch.changes if not change.removed)
 
-    def record_store_state(self, *, reachable: bool) -> None:
+    def record_store_state(self, *, reachable: bool, age_s: float = 0.0) -> None:
         """Keep the configuration, whether or not the store answers."""
 
     def _apply(self, objects: Iterable[StoredObject]) -> None:
@@ -106,9 +106,13 @@
             action = partial(self._apply_change, change, now_s)
             self._guard.apply(change.object, action)
 
-    def record_store_state(self, *, reachable: bool) -> None:
+    def record_store_state(self, *, reachable: bool, age_s: float = 0.0) -> None:
         """Record whether the store answers; an outage lets registrations expire."""
-        self._state.members.record_store(reachable=reachable, now_s=read_now())
+        now_s = read_now()
+        self._state.members.record_store(reachable=reachable, now_s=now_s)
+        if reachable:
+            confirmed_s = max(self._state.registrations_confirmed_s, now_s - age_s)
+            self._state.registrations_confirmed_s = confirmed_s
 
     def drop_lapsed(self) -> None:
         """Remove upstreams whose expired registration was not renewed."""
--- a/bramleyport/gateway/_stream.py
+++ b/bramleyport/gateway/_stream.py
@@ -24,6 +24,10 @@
         relay = EventRelay(context.connection, last_event)
         try:
             async with asyncio.timeout_at(context.call.deadline_s):
+                refusal = await self._support.versions.prepare(context, last_event)
+                if refusal is not None:
+                    self._support.refuse(context, refusal)
+                    return
                 await self._serve(context, relay)
         except TimeoutError:
             self._fail(context, relay, "deadline")
--- a/bramleyport/gateway/_stream_attempt.py
+++ b/bramleyport/gateway/_stream_attempt.py
@@ -215,7 +215,10 @@
     ) -> None:
         first = True
         while (data := await opened.connection.read_chunk()) is not None:
-            if relay.relay_events(data):
+            new_events = relay.relay_events(data)
+            if relay.started:
+                self._support.versions.record_begun(context, choice)
+            if new_events:
                 now_s = read_now()
                 if first:
                     self._record_first_event(context, choice)
--- /dev/null
+++ b/bramleyport/gateway/_version_store.py
@@ -0,0 +1,253 @@
+"""Keep the shares of software versions in the store, and follow those of it."""
+
+import asyncio
+from dataclasses import dataclass
+from functools import partial
+from typing import Final
+
+from result import Err
+
+from bramleyport.core import ServiceName, StoreRevision
+from bramleyport.fleet import Repeatability, VersionShares, compute_shares
+from bramleyport.gateway._clock import read_now
+from bramleyport.gateway._object_guard import ObjectGuard
+from bramleyport.gateway._repair_queue import RepairQueue
+from bramleyport.gateway._state import GatewayState
+from bramleyport.platform import (
+    ChangeBatch,
+    Listing,
+    ObjectKind,
+    ObjectName,
+    SharesDocument,
+    StoreClient,
+    StoredObject,
+    StoreFailure,
+    decode_shares,
+    encode_shares,
+)
+from bramleyport.telemetry import gateway_events, log_event
+
+KIND: Final = ObjectKind.VERSIONS
+CHECK_INTERVAL_S: Final = 0.1
+# Time for which a version without an upstream that decodes keeps its share: one that
+# has crashed is usually back soon.
+ABSENT_KEEP_S: Final = 1.0
+# Time between two changes of the shares of a service, unless a version joins or leaves.
+MIN_CHANGE_INTERVAL_S: Final = 5.0
+WRITE_RETRY_S: Final = 1.0
+# Earlier shares that are kept at most; until one is removed, none is added.
+MAX_EPOCHS: Final = 8
+# Time for which a stream may go on, as a multiple of the longest timeout of a route:
+# a caller may take it up again near the end of that time.
+KEEP_FACTOR: Final = 2.0
+MIN_KEEP_S: Final = 10.0
+
+
+@dataclass(frozen=True, slots=True)
+class _StoredShares:
+    revision: StoreRevision
+    shares: tuple[VersionShares, ...]
+
+
+class VersionStore:
+    """Write the shares of versions, and apply those that any gateway has written.
+
+    Streams follow no shares that are not in the store, and shares stay there for as
+    long as streams that followed them may go on. So a gateway that starts knows what
+    streams may have followed, whoever began them.
+    """
+
+    def __init__(self, state: GatewayState, store: StoreClient) -> None:
+        self._state = state
+        self._store = store
+        self._guard = ObjectGuard(gateway_events.SHARES_INVALID)
+        # What the store has, and its revision.
+        self._stored: dict[ServiceName, _StoredShares] = {}
+        self._is_listed = False
+        # Since when the shares of a service have needed a change.
+        self._wanted_since_s: dict[ServiceName, float] = {}
+        self._changed_s: dict[ServiceName, float] = {}
+        self._turns = RepairQueue(state.settings.process, lambda: state.roster.gateways)
+
+    def apply_listing(self, listing: Listing, *, restored: bool = False) -> None:
+        """Apply a complete list; one of a restored store takes back nothing."""
+        self._is_listed = True
+        self._guard.report_nameless(listing.nameless)
+        self._guard.retain({item.name for item in listing.objects})
+        listed = {
+            self._guard.apply(item, partial(self._apply, item, restored=restored))
+            for item in listing.objects
+        }
+        for service in [name for name in self._stored if name not in listed]:
+            del self._stored[service]
+
+    def apply_changes(self, batch: ChangeBatch) -> None:
+        """Apply changed shares; removed ones are written again."""
+        for change in batch.changes:
+            if change.removed:
+                self._forget(change.object)
+            else:
+                action = partial(self._apply, change.object, restored=False)
+                self._guard.apply(change.object, action)
+
+    def record_store_state(self, *, reachable: bool, age_s: float = 0.0) -> None:
+        """Keep the shares, whether or not the store answers."""
+
+    async def run(self) -> None:
+        """Write what has to be changed until cancelled."""
+        while True:
+            await asyncio.sleep(CHECK_INTERVAL_S)
+            self._update_times()
+            if not self._is_listed:
+                continue
+            now_s = read_now()
+            for service in self._list_services():
+                self._check(service, now_s)
+            for name in self._turns.take_due(now_s):
+                await self._write(ServiceName(name))
+
+    def _update_times(self) -> None:
+        versions = self._state.stream_versions
+        versions.activation_s = self._state.settings.drain_limit_s
+        configuration = self._state.configuration
+        if configuration is not None:
+            timeouts_s = (route.timeout_s for route in configuration.routes)
+            longest_s = max(timeouts_s, default=0.0)
+            versions.keep_s = max(MIN_KEEP_S, KEEP_FACTOR * longest_s)
+
+    def _list_services(self) -> list[ServiceName]:
+        """Return the services with streams that may be resumed."""
+        configuration = self._state.configuration
+        if configuration is None:
+            return []
+        return sorted(
+            {
+                share.service
+                for route in configuration.routes
+                if route.repeatability is Repeatability.STREAM_RESUMABLE
+                for share in route.services
+            }
+        )
+
+    def _check(self, service: ServiceName, now_s: float) -> None:
+        """Schedule a write if the shares of a service have to be changed."""
+        wanted = self._find_wanted(service, now_s)
+        if wanted is None:
+            self._wanted_since_s.pop(service, None)
+            self._turns.drop(service)
+        else:
+            self._turns.add(service, now_s)
+
+    def _find_wanted(
+        self, service: ServiceName, now_s: float
+    ) -> list[VersionShares] | None:
+        """Return the shares that the store should have, or None if it has them."""
+        versions = self._state.stream_versions
+        known = versions.list_shares(service)
+        kept = known
+        superseded_s = versions.find_superseded_s(service)
+        if superseded_s is not None and now_s - superseded_s > versions.keep_s:
+            kept = known[1:]
+        desired = self._compute_desired(service, now_s)
+        if desired is not None and self._should_change(service, known, desired, now_s):
+            kept = [item for item in kept if item != desired] + [desired]
+        stored = self._stored.get(service)
+        if not kept or (stored is not None and stored.shares == tuple(kept)):
+            return None
+        return kept if len(kept) <= MAX_EPOCHS else None
+
+    def _compute_desired(
+        self, service: ServiceName, now_s: float
+    ) -> VersionShares | None:
+        ready = self._state.members.list_ready(service)
+        names = [item.upstream for item in ready]
+        lost = self._state.reachability.find_unreachable(names, now_s)
+        return compute_shares(item for item in ready if item.upstream not in lost)
+
+    def _should_change(
+        self,
+        service: ServiceName,
+        known: list[VersionShares],
+        desired: VersionShares,
+        now_s: float,
+    ) -> bool:
+        if not known:
+            return True
+        newest = known[-1]
+        if not newest.differs_from(desired):
+            self._wanted_since_s.pop(service, None)
+            return False
+        since_s = self._wanted_since_s.setdefault(service, now_s)
+        if desired.versions - newest.versions:
+            return True
+        if newest.versions - desired.versions:
+            return now_s - since_s >= ABSENT_KEEP_S
+        changed_s = self._changed_s.get(service)
+        return changed_s is None or now_s - changed_s >= MIN_CHANGE_INTERVAL_S
+
+    async def _write(self, service: ServiceName) -> None:
+        now_s = read_now()
+        wanted = self._find_wanted(service, now_s)
+        if wanted is None:
+            return
+        name = ObjectName(service)
+        document = encode_shares(SharesDocument(service, tuple(wanted)))
+        stored = self._stored.get(service)
+        if stored is None:
+            result = await self._store.create(KIND, name, document)
+        else:
+            result = await self._store.replace(KIND, name, document, stored.revision)
+        if isinstance(result, Err) and (
+            result.err_value.failure is StoreFailure.CONFLICT
+        ):
+            # Another gateway was first, or the watch has not told yet.
+            result = await self._store.get(KIND, name)
+        if isinstance(result, Err):
+            log_event(
+                gateway_events.SHARES_NOT_WRITTEN,
+                service=service,
+                failure=result.err_value.failure.value,
+                reason=result.err_value.reason,
+            )
+            self._turns.postpone(service, read_now() + WRITE_RETRY_S)
+            return
+        self._guard.apply(
+            result.ok_value, partial(self._apply, result.ok_value, restored=False)
+        )
+
+    def _apply(self, item: StoredObject, *, restored: bool) -> ServiceName | None:
+        document = self._guard.decode(item, _decode)
+        if document is None:
+            return None
+        service = document.service
+        known = self._stored.get(service)
+        if item.name != ObjectName(service) or (
+            known and known.revision >= item.revision
+        ):
+            return service
+        self._stored[service] = _StoredShares(item.revision, document.shares)
+        versions = self._state.stream_versions
+        shares = list(document.shares)
+        if restored:
+            # What was known is written again, after what the copy has.
+            before = versions.list_shares(service)
+            shares = [known for known in shares if known not in before] + before
+        now_s = read_now()
+        if shares and shares[-1:] != versions.list_shares(service)[-1:]:
+            self._changed_s[service] = now_s
+            log_event(
+                gateway_events.SHARES_CHANGED,
+                service=service,
+                shares=dict(shares[-1].shares),
+                earlier=len(shares) - 1,
+            )
+        self._state.tell_streams(versions.set_shares(service, shares, now_s))
+        return service
+
+    def _forget(self, item: StoredObject) -> None:
+        """Write shares again that another writer has removed."""
+        self._stored.pop(ServiceName(item.name), None)
+
+
+def _decode(item: StoredObject) -> SharesDocument:
+    return decode_shares(item.read_document())
--- a/bramleyport/platform/__init__.py
+++ b/bramleyport/platform/__init__.py
@@ -60,6 +60,11 @@
     decode_verdict,
     encode_verdict,
 )
+from bramleyport.platform._version_shares import (
+    SharesDocument,
+    decode_shares,
+    encode_shares,
+)
 
 __all__ = [
     "CACHE_LISTING_PATH",
@@ -81,6 +86,7 @@
     "OrderResult",
     "PrefillResult",
     "RetryBounds",
+    "SharesDocument",
     "StageOrder",
     "StoreClient",
     "StoreError",
@@ -98,12 +104,14 @@
     "decode_prefill",
     "decode_registration",
     "decode_report",
+    "decode_shares",
     "decode_trailers",
     "decode_verdict",
     "encode_answer_headers",
     "encode_forward_headers",
     "encode_gateway",
     "encode_own_headers",
+    "encode_shares",
     "encode_verdict",
     "is_comment",
     "load_node_settings",
--- a/bramleyport/platform/_objects.py
+++ b/bramleyport/platform/_objects.py
@@ -36,6 +36,7 @@
     GATEWAYS = "gateways"
     LEASES = "leases"
     VERDICTS = "verdicts"
+    VERSIONS = "stream-versions"
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/bramleyport/telemetry/_gateway_events.py
+++ b/bramleyport/telemetry/_gateway_events.py
@@ -97,4 +97,13 @@
 UPSTREAM_LEAVING: Final = define(2690, "INFO", "upstream said that it is leaving")
 UPSTREAM_PAUSED: Final = define(2691, "INFO", "upstream wants no requests for a while")
 PAUSE_INVALID: Final = define(2692, "WARNING", "invalid pause of an upstream ignored")
+SHARES_CHANGED: Final = define(
+    2693, "INFO", "shares of software versions in new streams changed"
+)
+SHARES_NOT_WRITTEN: Final = define(
+    2694, "WARNING", "shares of software versions not written to the store"
+)
+SHARES_INVALID: Final = define(
+    2695, "WARNING", "invalid shares of software versions in the store ignored"
+)
 PEER_UNREACHABLE: Final = define(2659, "WARNING", "datagram to a peer not sent")
--- a/tests/gateway_fleet.py
+++ b/tests/gateway_fleet.py
@@ -83,9 +83,6 @@
             "once", "/once/", "streaming", **stream, resumable=False, timeout_ms=6000
         ),
         make_route("stream", "/stream/", "streaming", **stream, resumable=True),
-        make_route(
-            "broken", "/broken/", "streaming", **stream, resumable=True, max_attempts=1
-        ),
     ]
     limits = {
         "max_header_bytes": 16384,
--- a/tests/test_gateway_restores.py
+++ b/tests/test_gateway_restores.py
@@ -9,7 +9,12 @@
 from result import Err, Ok
 
 from bramleyport.core import ProcessId, Revision, StoreEra, StoreRevision
-from bramleyport.fleet import Address, ConfigVersion, GatewayRoster
+from bramleyport.fleet import (
+    Address,
+    ConfigVersion,
+    GatewayRoster,
+    StreamVersions,
+)
 from bramleyport.gateway import _peer_directory, _repair_queue
 from bramleyport.gateway._clock import read_now
 from bramleyport.gateway._peer_directory import PeerDirectory
@@ -101,6 +106,7 @@
         roster=GatewayRoster(process),
         rate_limiter=SimpleNamespace(list_notices=list),
         members=SimpleNamespace(list_leaving=list),
+        stream_versions=StreamVersions(),
         version=ConfigVersion(0),
     )
     tracker: Any = SimpleNamespace(drop_origin=lambda _: None)
--- a/tests/test_software_versions.py
+++ b/tests/test_software_versions.py
@@ -56,17 +56,26 @@
         for engine, version in zip(self.engines, versions, strict=True):
             engine.version = version
         self.streams: list[Stream] = []
+        # Engines that drain.
+        self.left: list[VersionedEngine] = []
 
     @property
     def engines(self) -> list[VersionedEngine]:
         return [e for e in self.group.upstreams if isinstance(e, VersionedEngine)]
 
     def set_breaks(self, *, breaks: bool) -> None:
-        for engine in self.engines:
+        for engine in (*self.engines, *self.left):
             engine.breaks = breaks
 
-    async def settle(self) -> None:
-        """Wait until all gateways know which versions serve."""
+    async def start(self) -> None:
+        """Start, and wait until all gateways know which versions serve."""
+        await self.group.start()
+        config = self.group.store.objects["config", "main"]["spec"]
+        stream = next(item for item in config["routes"] if item["name"] == "stream")
+        broken = stream | {"name": "broken", "path_prefix": "/broken/"}
+        routes = [*config["routes"], broken | {"max_attempts": 1}]
+        changes = {"version": config["version"] + 1, "routes": routes}
+        self.group.store.put("config", "main", config | changes)
         await asyncio.sleep(2.5)
 
     async def begin(self, count: int = STREAMS, prefix: str = "first") -> None:
@@ -117,6 +126,23 @@
         for name in ("n0", "n1", "n2"):
             await self.group.start_gateway(name)
 
+    async def replace_engine(self, engine: VersionedEngine, version: str) -> None:
+        """Start an engine of another version, and drain the one that it replaces."""
+        name = f"{engine.name}-{version}"
+        new = VersionedEngine(name, service=engine.service, stage=engine.stage)
+        new.version = version
+        await new.start()
+        new.register(self.group.store)
+        self.group.upstreams.append(new)
+        engine.register(self.group.store, state="draining")
+        self.group.upstreams.remove(engine)
+        self.left.append(engine)
+
+    async def stop(self) -> None:
+        await self.group.stop()
+        for engine in self.left:
+            await engine.stop()
+
     def count_mixed(self) -> int:
         return sum(stream.is_mixed for stream in self.streams)
 
@@ -147,12 +173,11 @@
     folder: Path, versions: tuple[str, ...] = TWO_VERSIONS
 ) -> AsyncIterator[VersionedGroup]:
     versioned = VersionedGroup(folder, versions)
-    await versioned.group.start()
-    await versioned.settle()
+    await versioned.start()
     try:
         yield versioned
     finally:
-        await versioned.group.stop()
+        await versioned.stop()
 
 
 # Guards against a gateway that goes on with a stream at an engine of another version.
@@ -235,11 +260,9 @@
 def test_streams_go_on_during_a_release(run: Run, tmp_path: Path) -> None:
     async def check() -> None:
         async with run_versions(tmp_path, ("v1",) * 6) as versioned:
-            for number, engine in enumerate(versioned.engines[:4]):
+            for number in range(4):
                 await versioned.begin(6, f"step{number}-")
-                engine.version = "v2"
-                engine.born_ms += 1
-                engine.register(versioned.group.store)
+                await versioned.replace_engine(versioned.engines[0], "v2")
                 await asyncio.sleep(0.3)
                 await versioned.resume(versioned.choose_other)
             versioned.check(complete=12)
