Give up the shares of versions that have left at once

A check that found nothing to write reset the time since when a change was due, so a version that had left kept its share until another one came, and shares never followed the slots. A version whose upstreams are all gone or draining loses its share at once now. A stream that its version can't begin in time begins at another; before, it was refused (too_late) beside upstreams with room.

--- a/bramleyport/gateway/_attempt.py
+++ b/bramleyport/gateway/_attempt.py
@@ -120,25 +120,45 @@
             blocked = self.state.list_blocked(call, now_s)
         excluded = blocked | self.versions.list_excluded(context)
         others = self.versions.list_others(context)
-        choice = self._choose_stepwise(context, excluded | others, now_s)
-        if choice is None and others:
-            choice = self._choose_stepwise(context, excluded, now_s)
-        absent = self.versions.find_obstacle(context) if choice is None else None
-        if absent is not None:
-            return absent
-        if choice is None and context.is_trial:
-            self.guard.return_trial(call)
-        if choice is None and blocked:
-            return self.state.refuse_blocked(call.service, now_s)
+        decision = self._decide(context, excluded | others, now_s, blocked=blocked)
+        if isinstance(decision, Rejected) and others:
+            decision = self._decide(context, excluded, now_s, blocked=blocked)
+        if isinstance(decision, Rejected):
+            if context.is_trial:
+                self.guard.return_trial(call)
+            return decision
+        self._take_permits(context, decision, now_s)
+        return decision
+
+    def _decide(
+        self,
+        context: CallContext,
+        excluded: set[UpstreamId],
+        now_s: float,
+        *,
+        blocked: set[UpstreamId],
+    ) -> Choice | Rejected:
+        """Choose among the upstreams that are not excluded, or return why not."""
+        call = context.call
+        choice = self._choose_stepwise(context, excluded, now_s)
+        if choice is None:
+            absent = self.versions.find_obstacle(context)
+            if absent is not None:
+                return absent
+            if blocked:
+                return self.state.refuse_blocked(call.service, now_s)
         decision = admit(call, choice, now_s, tried=bool(context.tried))
-        if choice is None or isinstance(decision, Rejected):
-            assert isinstance(decision, Rejected)
+        if isinstance(decision, Rejected):
             return decision
-        context.reservation = self.state.rate_limiter.take_choice(call, choice, now_s)
+        assert choice is not None
+        return choice
+
+    def _take_permits(self, context: CallContext, choice: Choice, now_s: float) -> None:
+        limiter = self.state.rate_limiter
+        context.reservation = limiter.take_choice(context.call, choice, now_s)
         for target in (choice.upstream, choice.prefill):
             if target is not None:
                 self.state.pauses.record_sent(target.upstream, now_s)
-        return choice
 
     def _choose_stepwise(
         self, context: CallContext, excluded: set[UpstreamId], now_s: float
--- a/bramleyport/gateway/_state.py
+++ b/bramleyport/gateway/_state.py
@@ -97,8 +97,8 @@
     pending_streams: list[BegunStream] = field(default_factory=list)
     # Called when there are any.
     on_streams: Callable[[], None] | None = None
-    # Registered processes that seem to have ended: another one, of another version, may
-    # answer in the place of each.
+    # Registered processes that seem to have ended: another one, of another version,
+    # may answer in the place of each.
     ended_processes: dict[UpstreamId, EndedProcess] = field(default_factory=dict)
     # When the registrations were last known to be current.
     registrations_confirmed_s: float = -math.inf
--- a/bramleyport/gateway/_version_store.py
+++ b/bramleyport/gateway/_version_store.py
@@ -29,8 +29,8 @@
 
 KIND: Final = ObjectKind.VERSIONS
 CHECK_INTERVAL_S: Final = 0.1
-# Time for which a version without an upstream that decodes keeps its share: one that
-# has crashed is usually back soon.
+# Time for which a version keeps its share while all its upstreams are unreachable: one
+# that has crashed is usually back soon.
 ABSENT_KEEP_S: Final = 1.0
 # Time between two changes of the shares of a service, unless a version joins or leaves.
 MIN_CHANGE_INTERVAL_S: Final = 5.0
@@ -133,7 +133,6 @@
         """Schedule a write if the shares of a service have to be changed."""
         wanted = self._find_wanted(service, now_s)
         if wanted is None:
-            self._wanted_since_s.pop(service, None)
             self._turns.drop(service)
         else:
             self._turns.add(service, now_s)
@@ -180,8 +179,11 @@
         since_s = self._wanted_since_s.setdefault(service, now_s)
         if desired.versions - newest.versions:
             return True
-        if newest.versions - desired.versions:
-            return now_s - since_s >= ABSENT_KEEP_S
+        missing = newest.versions - desired.versions
+        if missing:
+            ready = self._state.members.list_ready(service)
+            is_registered = any(item.version in missing for item in ready)
+            return not is_registered or now_s - since_s >= ABSENT_KEEP_S
         changed_s = self._changed_s.get(service)
         return changed_s is None or now_s - changed_s >= MIN_CHANGE_INTERVAL_S
 
