--- a/tests/platform_standin/_versions.py
+++ b/tests/platform_standin/_versions.py
@@ -1,6 +1,7 @@
 """Define an engine whose events name its software version, and that breaks off."""
 
 import asyncio
+from collections.abc import Callable
 
 from tests.platform_standin._http import RawRequest
 from tests.platform_standin._upstream import (
@@ -21,6 +22,8 @@
         self.script = stream_versions
         # Whether streams from the first event on break off after some events.
         self.breaks = False
+        # Returns whether any other stream breaks off.
+        self.draw_break: Callable[[], bool] = lambda: False
         # Between two events.
         self.pause_s = 0.0
 
@@ -42,8 +45,9 @@
     assert isinstance(upstream, VersionedEngine)
     run = upstream.record_run(request)
     first = start_stream(upstream, request, writer)
+    breaks = (upstream.breaks and first == 1) or upstream.draw_break()
     for number in range(first, EVENT_COUNT + 1):
-        if upstream.breaks and first == 1 and number > EVENTS_BEFORE_BREAK:
+        if breaks and number > EVENTS_BEFORE_BREAK:
             await writer.drain()
             writer.transport.abort()
             return
--- a/tests/soak/_soak_run.py
+++ b/tests/soak/_soak_run.py
@@ -59,6 +59,7 @@
     RestorableStore,
 )
 from tests.soak._stop_soak import StopSoak
+from tests.soak._version_soak import VersionSoak
 
 CALLERS_PER_GATEWAY = 3
 START_LIMIT_S = 30.0
@@ -106,6 +107,8 @@
     CRASHES = "crashes"
     # As CRASHES, but upstreams of all kinds crash on whole requests.
     REQUESTS = "requests"
+    # Engines of several versions that come and go, and streams that are taken up again.
+    VERSIONS = "versions"
     # Planned stops only, with callers that go on until the processes end.
     STOPS = "stops"
     # As PLANNED, and also odd entries of another writer in the store.
@@ -416,9 +419,11 @@
 ) -> Findings:
     """Run one soak test; its log folder is kept if it found a violation."""
     folder = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
-    test: Soak | StopSoak
+    test: Soak | StopSoak | VersionSoak
     if profile is Profile.STOPS:
         test = StopSoak(seed, folder, gateways=gateways)
+    elif profile is Profile.VERSIONS:
+        test = VersionSoak(seed, folder, gateways=gateways)
     else:
         test = Soak(
             seed,
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -180,6 +180,15 @@
     assert findings.calls["read 200"] > 0
 
 
+# Guards streams against events of two versions, while engines and gateways come and go.
+def test_guarantees_hold_while_versions_change(run: Run) -> None:
+    findings = run(
+        run_soak(5, 6.0, gateways=3, profile=Profile.VERSIONS, check_time_limits=False)
+    )
+    assert findings.violations == []
+    assert findings.calls["resumed 200"] > 0
+
+
 # Guards the check itself: repeats that are sent under the bound have to be counted.
 @pytest.mark.parametrize(("late", "violations"), [(3, 0), (4, 1)])
 def test_repeats_of_a_deadly_request_are_counted(
