--- a/bramleyport/gateway/_peer_batches.py
+++ b/bramleyport/gateway/_peer_batches.py
@@ -7,13 +7,8 @@
 from bramleyport.fleet import RateLimitNotice
 from bramleyport.gateway._clock import read_now
 from bramleyport.gateway._crash_guard import CrashUpdates
-from bramleyport.gateway._peer_messages import (
-    MAX_ITEMS,
-    MAX_REPORTS,
-    LimitUpdate,
-    WorkRef,
-    make_limit_update,
-)
+from bramleyport.gateway._peer_messages import MAX_ITEMS, MAX_REPORTS, make_limit_update
+from bramleyport.gateway._shared_facts import LimitUpdate, WorkRef
 from bramleyport.gateway._work_tracker import PendingUpdates
 
 
--- a/bramleyport/gateway/_peers.py
+++ b/bramleyport/gateway/_peers.py
@@ -35,14 +35,12 @@
 from bramleyport.gateway._peer_messages import (
     ENCODING_ERRORS,
     MAX_ITEMS,
-    ChangingEngine,
-    LimitUpdate,
     PeerMessage,
-    WorkRef,
     decode_datagram,
     encode_message,
     make_limit_notice,
 )
+from bramleyport.gateway._shared_facts import ChangingEngine, LimitUpdate, WorkRef
 from bramleyport.gateway._state import GatewayState
 from bramleyport.gateway._store_updates import (
     StoreUpdate,
--- a/tests/limit_simulation.py
+++ b/tests/limit_simulation.py
@@ -8,12 +8,9 @@
 
 from bramleyport.core import ProcessId
 from bramleyport.fleet import GatewayRoster, Registration
-from bramleyport.gateway._peer_messages import (
-    LimitUpdate,
-    make_limit_notice,
-    make_limit_update,
-)
+from bramleyport.gateway._peer_messages import make_limit_notice, make_limit_update
 from bramleyport.gateway._rate_limits import RateLimiter
+from bramleyport.gateway._shared_facts import LimitUpdate
 from bramleyport.platform import decode_answer
 from tests.fleet_builders import make_call, make_engine
 from tests.rate_window import SETTLE_S, WINDOW_S, count_allowed
--- a/tests/test_gateway_peers.py
+++ b/tests/test_gateway_peers.py
@@ -1,6 +1,7 @@
 """Guard messages between gateways: load, shutdown, restarts, malformed data."""
 
 from collections.abc import Callable, Coroutine, Iterator
+from dataclasses import fields
 from pathlib import Path
 from typing import Any
 
@@ -8,17 +9,20 @@
 import pytest
 from hypothesis import given, strategies as st
 
-from bramleyport.core import ProcessId, RequestId, UpstreamId
-from bramleyport.fleet import Address, Work
+from bramleyport.core import ProcessId, RequestId, ServiceName, UpstreamId
+from bramleyport.fleet import Address, BegunStream, SoftwareVersion, Work
 from bramleyport.gateway._peer_fields import PeerMessageError
 from bramleyport.gateway._peer_messages import (
-    ChangingEngine,
-    LimitUpdate,
     PeerMessage,
-    WorkRef,
     decode_datagram,
     encode_message,
 )
+from bramleyport.gateway._shared_facts import (
+    FACTS,
+    ChangingEngine,
+    LimitUpdate,
+    WorkRef,
+)
 from tests.fleet_builders import make_call, make_engine, make_prompt
 from tests.gateway_fleet import GatewayFleet
 from tests.gateway_group import GatewayGroup
@@ -248,3 +252,26 @@
             await group.stop()
 
     run(check())
+
+
+def test_each_shared_fact_has_a_scope_an_end_and_a_bound() -> None:
+    """Guards against a kind of fact that is told, but never ends or has no bound."""
+    assert {fact.field for fact in FACTS} <= {item.name for item in fields(PeerMessage)}
+    assert len({fact.field for fact in FACTS}) == len(FACTS)
+    assert all(fact.scope and fact.end and fact.bound for fact in FACTS)
+
+
+def test_streams_survive_encoding_and_decoding() -> None:
+    """Guards against gateways that can't read at which versions streams began."""
+    stream = BegunStream(
+        origin=RequestId("r"), service=ServiceName("s"), version=SoftwareVersion("v1")
+    )
+    message = PeerMessage(process=ProcessId("g"), incarnation=1, streams=(stream,))
+    assert decode_datagram(encode_message(message), 0.0) == message
+
+
+def test_message_of_a_later_version_is_read() -> None:
+    """Guards against gateways that stop hearing those that tell further facts."""
+    message = PeerMessage(process=ProcessId("g"), incarnation=1)
+    later = [*cbor2.loads(encode_message(message)), [["a fact", 1]]]
+    assert decode_datagram(cbor2.dumps(later), 0.0) == message
--- a/tests/test_odd_peer_items.py
+++ b/tests/test_odd_peer_items.py
@@ -31,12 +31,11 @@
 from bramleyport.gateway._clock import read_now
 from bramleyport.gateway._peer_fields import PeerMessageError
 from bramleyport.gateway._peer_messages import (
-    ChangingEngine,
     PeerMessage,
-    WorkRef,
     decode_datagram,
     encode_message,
 )
+from bramleyport.gateway._shared_facts import ChangingEngine, WorkRef
 from bramleyport.gateway._store_updates import StoreUpdate
 from bramleyport.platform import Change, ObjectKind, ObjectName, StoredObject
 from tests.gateway_fleet import GatewayFleet
