Mend streams that a gateway which had just started joined

It had begun beside its version, and the gateway that took it up had started 12 ms before: it kept what it was told for no time at all until it had a configuration, and then deduced the version that the stream should have had. A gateway keeps it from the start now, waits half a second after its first list for what the others tell, and streams that began beside their version are told twice.

A stream begins beside its version only if no upstream of that is left. That it did so for lack of time, too, let streams be joined after all gateways were killed under load.

--- a/bramleyport/fleet/_stream_versions.py
+++ b/bramleyport/fleet/_stream_versions.py
@@ -9,6 +9,8 @@
 from bramleyport.fleet._types import SoftwareVersion
 from bramleyport.fleet._version_shares import VersionShares
 
+# Time for which streams are known before the first configuration.
+DEFAULT_KEEP_S: Final = 60.0
 # Bound of the memory for streams that have begun; the oldest ones are forgotten first.
 MAX_STREAMS: Final = 16_384
 
@@ -53,7 +55,7 @@
         # no gateway learns of them later than of a stream that did.
         self.activation_s = 0.0
         # Time for which a stream may go on.
-        self.keep_s = 0.0
+        self.keep_s = DEFAULT_KEEP_S
 
     def list_shares(self, service: ServiceName) -> list[VersionShares]:
         """Return all shares that streams of a service may have, the newest last."""
--- a/bramleyport/gateway/_attempt.py
+++ b/bramleyport/gateway/_attempt.py
@@ -120,9 +120,9 @@
             blocked = self.state.list_blocked(call, now_s)
         excluded = blocked | self.versions.list_excluded(context)
         others = self.versions.list_others(context)
+        if others and self.versions.is_lost(context, now_s):
+            others = set()
         decision = self._decide(context, excluded | others, now_s, blocked=blocked)
-        if isinstance(decision, Rejected) and others:
-            decision = self._decide(context, excluded, now_s, blocked=blocked)
         if isinstance(decision, Rejected):
             if context.is_trial:
                 self.guard.return_trial(call)
@@ -207,9 +207,11 @@
         exhausted |= self.versions.list_excluded(context)
         others = self.versions.list_others(context)
         chooser = self.state.chooser
-        # Fall back to engines that recently declined or failed a call, then to those of
-        # other versions if the stream has not begun.
-        for excluded in (avoided | exhausted | others, exhausted | others, exhausted):
+        if others and self.versions.is_lost(context, now_s):
+            others = set()
+        exhausted |= others
+        # Fall back to engines that recently declined or failed a call.
+        for excluded in (avoided | exhausted, exhausted):
             transfer = chooser.choose_transfer(
                 call, context.engine, prefill_engine, excluded, now_s
             )
--- a/bramleyport/gateway/_state.py
+++ b/bramleyport/gateway/_state.py
@@ -92,6 +92,8 @@
     pending_leaving: list[LeavingUpstream] = field(default_factory=list)
     # Called when the peers should learn of them.
     on_leaving: Callable[[], None] | None = None
+    # When the shares of software versions were first listed.
+    versions_listed_s: float | None = None
     stream_versions: StreamVersions = field(default_factory=StreamVersions)
     # Streams whose versions the peers have to be told, and have not been yet.
     pending_streams: list[BegunStream] = field(default_factory=list)
--- a/bramleyport/gateway/_version_choice.py
+++ b/bramleyport/gateway/_version_choice.py
@@ -26,6 +26,10 @@
 # The first shares of a service are in the store within this time of the first start.
 FIRST_SHARES_WAIT_S: Final = 0.5
 POLL_INTERVAL_S: Final = 0.02
+# Time after the first list of shares within which the other gateways answer a new one.
+PEERS_WAIT_S: Final = 0.5
+# Time after which a stream is told once more, as a datagram may be lost.
+REPEAT_AFTER_S: Final = 0.2
 
 
 class VersionChooser:
@@ -42,7 +46,7 @@
         if call.route.repeatability is not Repeatability.STREAM_RESUMABLE:
             return None
         if last_event:
-            return self._require_version(context)
+            return await self._require_version(context)
         await self._wait_for_shares(context)
         assert call.origin is not None
         context.preferred_version = self._state.stream_versions.choose(
@@ -74,6 +78,16 @@
             if item.version != version
         }
 
+    def is_lost(self, context: CallContext, now_s: float) -> bool:
+        """Return whether no upstream of the version that a call prefers is left."""
+        version = context.preferred_version
+        own = [item for item in self._list_decoders(context) if item.version == version]
+        names = [item.upstream for item in own]
+        lost = self._state.reachability.find_unreachable(names, now_s)
+        return all(
+            item.upstream in lost or self._state.has_ended(item, now_s) for item in own
+        )
+
     def find_obstacle(self, context: CallContext) -> Rejected | None:
         """Return the refusal of a call if no upstream of its version is left."""
         if context.version is None or any(
@@ -99,9 +113,22 @@
         )
         if self._state.stream_versions.record_begun(stream, read_now()):
             self._state.tell_streams([stream])
-
-    def _require_version(self, context: CallContext) -> Rejected | None:
+            # Others may deduce another version if they are not told.
+            loop = asyncio.get_running_loop()
+            loop.call_later(REPEAT_AFTER_S, self._state.tell_streams, [stream])
+
+    async def _wait_for_peers(self) -> None:
+        """Wait until the other gateways had time to tell what can't be deduced."""
+        listed_s = self._state.versions_listed_s
+        if listed_s is None:
+            listed_s = read_now()
+        remaining_s = listed_s + PEERS_WAIT_S - read_now()
+        if remaining_s > 0:
+            await asyncio.sleep(remaining_s)
+
+    async def _require_version(self, context: CallContext) -> Rejected | None:
         call = context.call
+        await self._wait_for_peers()
         versions = self._state.stream_versions
         known = versions.find_stream(call.origin, read_now()) if call.origin else None
         if known is not None and known.service == call.service:
--- a/bramleyport/gateway/_version_store.py
+++ b/bramleyport/gateway/_version_store.py
@@ -63,7 +63,6 @@
         self._guard = ObjectGuard(gateway_events.SHARES_INVALID)
         # What the store has, and its revision.
         self._stored: dict[ServiceName, _StoredShares] = {}
-        self._is_listed = False
         # Since when the shares of a service have needed a change.
         self._wanted_since_s: dict[ServiceName, float] = {}
         self._changed_s: dict[ServiceName, float] = {}
@@ -71,7 +70,8 @@
 
     def apply_listing(self, listing: Listing, *, restored: bool = False) -> None:
         """Apply a complete list; one of a restored store takes back nothing."""
-        self._is_listed = True
+        if self._state.versions_listed_s is None:
+            self._state.versions_listed_s = read_now()
         self._guard.report_nameless(listing.nameless)
         self._guard.retain({item.name for item in listing.objects})
         listed = {
@@ -98,7 +98,7 @@
         while True:
             await asyncio.sleep(CHECK_INTERVAL_S)
             self._update_times()
-            if not self._is_listed:
+            if self._state.versions_listed_s is None:
                 continue
             now_s = read_now()
             for service in self._list_services():
