Give the configuration in force to gateways that start from an old copy

Peers told their version, not the configuration. One of them, the first by rendezvous hashing, sends it in datagrams now to a gateway that names an older version just after its start or for more than a second; also when the store gives none.

--- a/bramleyport/gateway/_daemon.py
+++ b/bramleyport/gateway/_daemon.py
@@ -9,6 +9,7 @@
 from bramleyport.fleet import Address, ShutdownSchedule
 from bramleyport.gateway._caches import CacheReader
 from bramleyport.gateway._clock import read_now
+from bramleyport.gateway._configuration_offers import ConfigurationOffers
 from bramleyport.gateway._crash_guard import CrashGuard
 from bramleyport.gateway._exchange import Exchanger
 from bramleyport.gateway._follower import (
@@ -158,9 +159,13 @@
 
     def _list_jobs(self) -> list[Job]:
         settings = self._state.settings
+        configurations = ConfigurationUpdater(self._state)
+        offers = ConfigurationOffers(self._state, configurations.apply_document)
+        self._peers.list_chunks = offers.list_chunks
+        self._peers.on_configuration = offers.receive
         follow_configuration = self._make_follower(
             ObjectKind.CONFIGURATION,
-            ConfigurationUpdater(self._state),
+            configurations,
             settings.configuration_limit_s,
         )
         follow_registrations = self._make_follower(
--- a/bramleyport/gateway/_peer_messages.py
+++ b/bramleyport/gateway/_peer_messages.py
@@ -20,6 +20,11 @@
     Verdict,
     Work,
 )
+from bramleyport.gateway._configuration_chunks import (
+    FORMAT as CHUNK_FORMAT,
+    ConfigurationChunk,
+    decode_chunk,
+)
 from bramleyport.gateway._peer_fields import (
     PeerMessageError,
     read_count,
@@ -150,12 +155,16 @@
         yield row
 
 
-def decode_datagram(data: bytes, now_s: float) -> PeerMessage | StoreUpdate:
+def decode_datagram(
+    data: bytes, now_s: float
+) -> PeerMessage | StoreUpdate | ConfigurationChunk:
     """Return the message in a datagram; the work in it is taken to start now."""
     try:
         fields = cbor2.loads(data)
         if not isinstance(fields, list) or not fields:
             raise PeerMessageError("the datagram is not a list")
+        if fields[0] == CHUNK_FORMAT:
+            return decode_chunk(fields)
         if fields[0] == STORE_UPDATE_FORMAT:
             return decode_store_update(fields)
         return _decode_message(fields, now_s)
--- a/bramleyport/gateway/_peers.py
+++ b/bramleyport/gateway/_peers.py
@@ -5,10 +5,11 @@
 """
 
 import asyncio
+import math
 import time
 from collections.abc import Callable, Iterable
 from dataclasses import replace
-from typing import Any, Final, TypeVar
+from typing import Any, Final, Protocol, TypeVar
 
 import cbor2
 from twisted.internet.protocol import DatagramProtocol
@@ -17,6 +18,7 @@
 from bramleyport.fleet import (
     Address,
     BegunStream,
+    ConfigVersion,
     LeavingUpstream,
     UpdatePacing,
     Work,
@@ -24,6 +26,7 @@
     is_watch_shared,
 )
 from bramleyport.gateway._clock import read_now
+from bramleyport.gateway._configuration_chunks import ConfigurationChunk
 from bramleyport.gateway._crash_guard import CrashGuard
 from bramleyport.gateway._datagram_sender import DatagramSender
 from bramleyport.gateway._peer_batches import (
@@ -60,9 +63,21 @@
 # A peer that has sent nothing for this long is no longer counted.
 PEER_TIMEOUT_S: Final = 6.0
 
+# Time for which a gateway may not have read the configuration after its start.
+STARTING_S: Final = 5.0
+
 T = TypeVar("T")
 
 
+class ChunkSource(Protocol):
+    """Return the datagrams of the configuration for another gateway."""
+
+    def __call__(
+        self, process: ProcessId, version: ConfigVersion, *, is_starting: bool
+    ) -> list[Any]:
+        """Return them if it names an older version, and none otherwise."""
+
+
 class PeerLink(DatagramProtocol):
     """Represent the link by which messages are exchanged with the other gateways."""
 
@@ -88,6 +103,12 @@
         self._sent_s = 0.0
         self._sender = DatagramSender()
         self._update_handlers: dict[ObjectKind, Callable[[StoreUpdate], None]] = {}
+        # Returns the datagrams of the configuration for a gateway that names an older
+        # version, and receives those of others.
+        self.list_chunks: ChunkSource | None = None
+        # When each gateway was first heard, or started again.
+        self._started_s: dict[ProcessId, float] = {}
+        self.on_configuration: Callable[[ConfigurationChunk], None] | None = None
         tracker.on_updates_pending = self._schedule
         state.rate_limiter.on_changed = lambda: self._schedule(URGENT_BUSY_S)
         guard.on_updates_pending = lambda: self._schedule(URGENT_BUSY_S)
@@ -210,6 +231,10 @@
             )
         if message.process == self.process:
             return
+        if isinstance(message, ConfigurationChunk):
+            if self.on_configuration is not None:
+                self.on_configuration(message)
+            return
         if isinstance(message, StoreUpdate):
             self._record_peer(message.process, addr, now_s)
             self._dispatch_store_update(message)
@@ -221,6 +246,20 @@
         self._record_peer(message.process, addr, now_s)
         self._record_incarnation(message)
         self._apply(message, now_s)
+        self._offer_configuration(message)
+
+    def _offer_configuration(self, message: PeerMessage) -> None:
+        address = self._addresses.get(message.process)
+        if self.list_chunks is None or address is None:
+            return
+        started_s = self._started_s.get(message.process, -math.inf)
+        chunks = self.list_chunks(
+            message.process,
+            message.version,
+            is_starting=read_now() - started_s < STARTING_S,
+        )
+        for fields in chunks:
+            self._write(cbor2.dumps(fields), address)
 
     def _dispatch_store_update(self, update: StoreUpdate) -> None:
         handler = self._update_handlers.get(update.kind)
@@ -289,6 +328,7 @@
             return
         known = self._incarnations.get(message.process, 0)
         if message.incarnation > known:
+            self._started_s[message.process] = read_now()
             self._incarnations[message.process] = message.incarnation
             self._tracker.drop_origin(message.process)
             address = self._addresses.get(message.process)
--- a/bramleyport/gateway/_state.py
+++ b/bramleyport/gateway/_state.py
@@ -33,7 +33,7 @@
     WorkRecorder,
 )
 from bramleyport.gateway._rate_limits import RateLimiter
-from bramleyport.platform import NodeSettings
+from bramleyport.platform import Document, NodeSettings
 from bramleyport.retries import OutlierEjector, RepeatBudget
 from bramleyport.telemetry import gateway_events, log_event, routing_events
 
@@ -92,6 +92,9 @@
     pending_leaving: list[LeavingUpstream] = field(default_factory=list)
     # Called when the peers should learn of them.
     on_leaving: Callable[[], None] | None = None
+    # The configuration in force as it was read, and since when.
+    configuration_document: Document | None = None
+    configuration_applied_s: float = -math.inf
     # When the shares of software versions were first listed.
     versions_listed_s: float | None = None
     stream_versions: StreamVersions = field(default_factory=StreamVersions)
--- a/bramleyport/gateway/_state_updaters.py
+++ b/bramleyport/gateway/_state_updaters.py
@@ -12,6 +12,7 @@
 from bramleyport.platform import (
     Change,
     ChangeBatch,
+    Document,
     Listing,
     ObjectName,
     StoredObject,
@@ -52,18 +53,28 @@
 
     def _apply_one(self, item: StoredObject) -> None:
         configuration = self._guard.decode(item, _decode_configuration)
-        if configuration is None:
-            return
+        if configuration is not None:
+            self._put(configuration, item.document, str(item.revision))
+
+    def apply_document(self, document: Document, origin: str) -> None:
+        """Apply a configuration that another gateway has in force."""
+        self._put(decode_configuration(document), document, origin)
+
+    def _put(
+        self, configuration: Configuration, document: Document, origin: str
+    ) -> None:
         current = self._state.configuration
         # Answers may arrive out of order; an older version never replaces a newer one.
         if current is not None and configuration.version <= current.version:
             return
         self._state.routes = RouteTable(configuration)
+        self._state.configuration_document = document
+        self._state.configuration_applied_s = read_now()
         self._state.version_gap.record_applied(configuration.version, read_now())
         log_event(
             gateway_events.CONFIG_APPLIED,
             version=configuration.version,
-            revision=item.revision,
+            revision=origin,
             routes=len(configuration.routes),
         )
 
