--- a/tests/soak/_checks.py
+++ b/tests/soak/_checks.py
@@ -91,6 +91,8 @@
     check_time_limits: bool = True
     sent: dict[str, SentCall] = field(default_factory=dict)
     drains: list[Drain] = field(default_factory=list)
+    # Upstreams that said in an answer that they leave.
+    leaving: list[Drain] = field(default_factory=list)
     # When bytes on their way to an upstream were held back, by its name: requests that
     # were sent one after another then arrive together.
     held_back: defaultdict[str, Impairments] = field(
--- a/tests/soak/_soak_run.py
+++ b/tests/soak/_soak_run.py
@@ -58,6 +58,7 @@
     RESTORE_FAULTS,
     RestorableStore,
 )
+from tests.soak._signal_faults import SIGNALS, check_leaving
 from tests.soak._stop_soak import StopSoak
 from tests.soak._version_soak import VersionSoak
 
@@ -107,6 +108,8 @@
     CRASHES = "crashes"
     # As CRASHES, but upstreams of all kinds crash on whole requests.
     REQUESTS = "requests"
+    # As PLANNED, and also upstreams that say in answers what they want.
+    SIGNALS = "signals"
     # Engines of several versions that come and go, and streams that are taken up again.
     VERSIONS = "versions"
     # Planned stops only, with callers that go on until the processes end.
@@ -129,6 +132,7 @@
     Profile.REQUESTS,
     Profile.ODD_ENTRIES,
     Profile.RESTORED,
+    Profile.SIGNALS,
 )
 CRASH_PROFILES = (Profile.CRASHES, Profile.REQUESTS)
 # Profiles whose time limits are checked; impairments are left out.
@@ -321,6 +325,8 @@
             faults |= LIMIT_CHANGES
         if self._profile is Profile.ODD_ENTRIES:
             faults |= ODD_ENTRIES
+        if self._profile is Profile.SIGNALS:
+            faults |= SIGNALS
         if self._restores_store:
             faults |= RESTORE_FAULTS
         # However short a run is, the store is restored once.
@@ -396,6 +402,7 @@
         check_runs(self.observations, self._upstreams)
         check_limits(self.observations, self._upstreams)
         check_versions(self.observations)
+        check_leaving(self.observations, self._upstreams, len(self._gateways))
         if self._profile is Profile.REQUESTS:
             check_deadly_requests(self.observations, self._engines)
         if self._engines:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -180,6 +180,15 @@
     assert findings.calls["read 200"] > 0
 
 
+# Guards what upstreams say of themselves in answers, beside planned operations.
+def test_guarantees_hold_while_upstreams_leave_and_pause(run: Run) -> None:
+    findings = run(
+        run_soak(5, 6.0, gateways=3, profile=Profile.SIGNALS, check_time_limits=False)
+    )
+    assert findings.violations == []
+    assert findings.calls["post 200"] > 0
+
+
 # Guards streams against events of two versions, while engines and gateways come and go.
 def test_guarantees_hold_while_versions_change(run: Run) -> None:
     findings = run(
