Split the weighing of crashes from the evidence, and send all lists alike

fleet/_convictions.py decides how many crashes suffice; three senders of lists to other gateways, and two followers of kinds that each gateway reads itself, were alike but for names. Decisions are unchanged: the tests of evidence, messages and withheld parts pass.

--- a/bramleyport/fleet/_crash_evidence.py
+++ b/bramleyport/fleet/_crash_evidence.py
@@ -8,11 +8,16 @@
 import math
 import zlib
 from collections.abc import Iterable
-from dataclasses import dataclass, field, replace
+from dataclasses import replace
 from typing import Final
 
 from bramleyport.core import ProcessId
 from bramleyport.fleet._answered_traits import AnsweredTraits
+from bramleyport.fleet._convictions import (
+    CRASHES_DESPITE_ANSWERS,
+    ConvictionRules,
+    Suspect,
+)
 from bramleyport.fleet._crash_record import CrashRecord
 from bramleyport.fleet._crash_reports import (
     CrashId,
@@ -23,23 +28,6 @@
 from bramleyport.fleet._trait_table import TraitTable
 from bramleyport.fleet._traits import CallTraits, TraitId, is_request
 
-# Crashes of different upstream processes after which calls with a trait are withheld,
-# with strong evidence and without: an answer to a call with a part had begun in one of
-# them, an answer to a request in two, or a request was the only one that one broke.
-CRASHES_TO_WITHHOLD: Final = 2
-CRASHES_WITHOUT_ANSWER: Final = 3
-# The same for a part with which a call was answered before. Only crashes count in which
-# an answer had begun: many upstreams may crash at once for another reason, while most
-# calls at them wait or have had events.
-CRASHES_DESPITE_ANSWERS: Final = 4
-# A crash in which so many other requests have broken as often as this one shows little
-# of each; after the larger number of crashes that does not count any more.
-MAX_TIED_REQUESTS: Final = 4
-CRASHES_DESPITE_TIES: Final = 5
-# A part is not to blame for crashes that so few requests explain: if it was never
-# answered, and if it was.
-COVERING_REQUESTS: Final = 1
-COVERING_REQUESTS_DESPITE_ANSWERS: Final = 2
 # Time for which a request with a part that was never answered is withheld after a first
 # crash, if its answer had begun. An engine that crashed is usually back by then.
 # Gateways add different times, so that not all of them try it again at once.
@@ -58,22 +46,6 @@
 MAX_CRASHES: Final = 8
 
 
-@dataclass(slots=True)
-class _Suspect:
-    """Track the crashes that accuse a trait."""
-
-    companions: frozenset[TraitId]
-    first_s: float
-    last_s: float
-    # Calls are withheld until then though a single crash may have had another cause.
-    held_until_s: float = 0.0
-    crashes: set[CrashId] = field(default_factory=set)
-    # Those in which an answer to a call with the trait had begun.
-    begun: set[CrashId] = field(default_factory=set)
-    # A gateway that reported a crash knows an answered call with the trait.
-    proven: bool = False
-
-
 class CrashEvidence:
     """Decide which traits of calls are harmless, suspect or the cause of crashes."""
 
@@ -81,9 +53,12 @@
         self._process = process
         self._answered = AnsweredTraits()
         # The trait that was not accused for the longest time first.
-        self._suspects: TraitTable[_Suspect] = TraitTable(MAX_SUSPECTS)
+        self._suspects: TraitTable[Suspect] = TraitTable(MAX_SUSPECTS)
         self._verdicts: TraitTable[Verdict] = TraitTable(MAX_VERDICTS)
         self._record = CrashRecord()
+        self._convictions = ConvictionRules(
+            self._record, self._suspects, self._answered
+        )
 
     @property
     def verdicts(self) -> tuple[Verdict, ...]:
@@ -178,7 +153,7 @@
                 companions |= unproven
             suspect = self._accuse(report, trait, companions)
             self._hold(report, trait, suspect, unproven)
-            if not self._is_convicted(trait, suspect, report.crash):
+            if not self._convictions.includes(trait, suspect, report.crash):
                 continue
             verdict = Verdict(
                 trait=trait,
@@ -266,7 +241,7 @@
             self._suspects.pop(trait)
         self._answered.drop_old(now_s)
 
-    def _list_held(self, traits: CallTraits) -> list[_Suspect]:
+    def _list_held(self, traits: CallTraits) -> list[Suspect]:
         """Return the suspects for which a call is withheld, or was."""
         held = (self._suspects[trait] for trait in self._suspects.list_of(traits))
         return [
@@ -284,7 +259,7 @@
         self,
         report: CrashReport,
         trait: TraitId,
-        suspect: _Suspect,
+        suspect: Suspect,
         unproven: frozenset[TraitId],
     ) -> None:
         """Hold what may have crashed an engine when a first crash accuses it."""
@@ -341,7 +316,7 @@
     def _is_answered_since(self, trait: TraitId, report: CrashReport) -> bool:
         return self._answered.find(trait) >= report.at_s
 
-    def _is_refuted(self, verdict: Verdict, suspect: _Suspect | None) -> bool:
+    def _is_refuted(self, verdict: Verdict, suspect: Suspect | None) -> bool:
         """Return whether an answer before the crashes ends a verdict."""
         if is_request(verdict.trait):
             # Without a suspect, the verdict is another gateway's, whose times are
@@ -349,49 +324,11 @@
             return suspect is None
         return verdict.crashes < CRASHES_DESPITE_ANSWERS
 
-    def _is_convicted(self, trait: TraitId, suspect: _Suspect, newest: CrashId) -> bool:
-        if is_request(trait):
-            return self._is_request_convicted(trait, suspect, newest)
-        if trait not in self._answered and not suspect.proven:
-            needed = CRASHES_TO_WITHHOLD if suspect.begun else CRASHES_WITHOUT_ANSWER
-            found, covering = len(suspect.crashes), COVERING_REQUESTS
-        else:
-            needed = CRASHES_DESPITE_ANSWERS
-            found, covering = len(suspect.begun), COVERING_REQUESTS_DESPITE_ANSWERS
-        if found < needed:
-            return False
-        return not self._record.is_covered(suspect.crashes, covering)
-
-    def _is_request_convicted(
-        self, trait: TraitId, suspect: _Suspect, newest: CrashId
-    ) -> bool:
-        found = len(suspect.crashes)
-        if found < CRASHES_TO_WITHHOLD:
-            return False
-        # Other gateways may have more to report of the newest crash.
-        was_alone = any(
-            self._record.is_alone(trait, crash) for crash in suspect.crashes - {newest}
-        )
-        if was_alone or len(suspect.begun) >= CRASHES_TO_WITHHOLD:
-            return True
-        if found < CRASHES_WITHOUT_ANSWER:
-            return False
-        return found >= CRASHES_DESPITE_TIES or self._count_tied(newest, found) <= (
-            MAX_TIED_REQUESTS
-        )
-
-    def _count_tied(self, crash: CrashId, crashes: int) -> int:
-        """Return how many requests of a crash have broken in so many crashes."""
-        suspects = map(self._suspects.get, self._record.find_requests(crash))
-        counts = (len(item.crashes) for item in suspects if item is not None)
-        # One of them is the request itself.
-        return sum(count >= crashes for count in counts) - 1
-
     def _accuse(
         self, report: CrashReport, trait: TraitId, companions: frozenset[TraitId]
-    ) -> _Suspect:
+    ) -> Suspect:
         at_s = report.at_s
-        suspect = self._suspects.get(trait) or _Suspect(companions, at_s, at_s)
+        suspect = self._suspects.get(trait) or Suspect(companions, at_s, at_s)
         self._suspects.put(trait, suspect, renew=True)
         suspect.companions &= companions
         suspect.proven |= trait not in report.unproven
--- a/bramleyport/gateway/_daemon.py
+++ b/bramleyport/gateway/_daemon.py
@@ -44,10 +44,8 @@
 LEAVE_TIMEOUT_S: Final = 0.2
 HOUSEKEEPING_INTERVAL_S: Final = 0.25
 SETTINGS_POLL_INTERVAL_S: Final = 2.0
-# Duration of a watch for verdicts on prompt parts.
-VERDICT_WAIT_S: Final = 20.0
-# Duration of a watch for shares of software versions.
-VERSION_WAIT_S: Final = 20.0
+# Duration of a watch for objects that change rarely.
+OWN_WAIT_S: Final = 20.0
 
 
 class Gateway:
@@ -174,9 +172,9 @@
         return [
             follow_configuration.run,
             follow_registrations.run,
-            self._make_verdict_follower().run,
+            self._make_own_follower(ObjectKind.VERDICTS, self._verdicts).run,
             self._verdicts.run,
-            self._make_version_follower().run,
+            self._make_own_follower(ObjectKind.VERSIONS, self._versions).run,
             self._versions.run,
             self._directory.run,
             self._run_housekeeping,
@@ -193,29 +191,14 @@
         self._peers.subscribe(kind, follower.receive_update)
         return follower
 
-    def _make_verdict_follower(self) -> Follower:
-        # Each gateway follows the verdicts itself: they change rarely, and one that
+    def _make_own_follower(self, kind: ObjectKind, updater: StateUpdater) -> Follower:
+        # Each gateway follows these kinds itself: they change rarely, and one that
         # hears no other gateway has to know them, too.
         times = WatchTimes(
-            wait_s=VERDICT_WAIT_S,
-            shared_wait_s=VERDICT_WAIT_S,
-            pause_s=0.0,
-            fresh_s=0.0,
+            wait_s=OWN_WAIT_S, shared_wait_s=OWN_WAIT_S, pause_s=0.0, fresh_s=0.0
         )
         link = UnsharedLink(self._peers.process)
-        return Follower(self._store, ObjectKind.VERDICTS, self._verdicts, times, link)
-
-    def _make_version_follower(self) -> Follower:
-        # The shares change with releases only, and new streams follow them late, so a
-        # watch by each gateway suffices.
-        times = WatchTimes(
-            wait_s=VERSION_WAIT_S,
-            shared_wait_s=VERSION_WAIT_S,
-            pause_s=0.0,
-            fresh_s=0.0,
-        )
-        link = UnsharedLink(self._peers.process)
-        return Follower(self._store, ObjectKind.VERSIONS, self._versions, times, link)
+        return Follower(self._store, kind, updater, times, link)
 
     async def _run_housekeeping(self) -> None:
         ready = False
--- a/bramleyport/gateway/_peers.py
+++ b/bramleyport/gateway/_peers.py
@@ -367,8 +367,8 @@
         pending = self._tracker.take_pending()
         pending.limits = self._state.rate_limiter.take_due_notices(read_now())
         pending.crashes = self._guard.take_updates()
-        self._send_leaving(self._state.pending_leaving, self._send)
-        self._send_streams(self._state.pending_streams, self._send)
+        self._send_items("leaving_upstreams", self._state.pending_leaving, self._send)
+        self._send_items("streams", self._state.pending_streams, self._send)
         while pending:
             self._send(self._make_message(**take_batch(pending)))
 
@@ -379,34 +379,22 @@
         while crashes:
             message = self._make_message(**take_crashes(crashes))
             self._write(encode_message(message), address)
-        notices = self._state.rate_limiter.list_notices()
-        while notices:
-            message = self._make_message(limits=make_updates(notices[:MAX_ITEMS]))
-            del notices[:MAX_ITEMS]
+
+        def send(message: PeerMessage) -> None:
             self._write(encode_message(message), address)
-        self._send_leaving(
-            self._state.members.list_leaving(),
-            lambda message: self._write(encode_message(message), address),
-        )
-        self._send_streams(
-            self._state.stream_versions.list_ambiguous(),
-            lambda message: self._write(encode_message(message), address),
-        )
 
-    def _send_streams(
-        self, items: list[BegunStream], send: Callable[[PeerMessage], None]
-    ) -> None:
-        """Send at which versions streams began, and remove them from the list."""
-        while items:
-            send(self._make_message(streams=tuple(items[:MAX_ITEMS])))
-            del items[:MAX_ITEMS]
+        state = self._state
+        limits = list(make_updates(state.rate_limiter.list_notices()))
+        self._send_items("limits", limits, send)
+        self._send_items("leaving_upstreams", state.members.list_leaving(), send)
+        self._send_items("streams", state.stream_versions.list_ambiguous(), send)
 
-    def _send_leaving(
-        self, items: list[LeavingUpstream], send: Callable[[PeerMessage], None]
+    def _send_items(
+        self, field: str, items: list[Any], send: Callable[[PeerMessage], None]
     ) -> None:
-        """Send which upstreams are leaving, and remove them from the list."""
+        """Send items of one kind of fact, and remove them from the list."""
         while items:
-            send(self._make_message(leaving_upstreams=tuple(items[:MAX_ITEMS])))
+            send(self._make_message(**{field: tuple(items[:MAX_ITEMS])}))
             del items[:MAX_ITEMS]
 
     def _send(self, message: PeerMessage) -> None:
--- a/tests/test_crash_evidence.py
+++ b/tests/test_crash_evidence.py
@@ -14,8 +14,8 @@
     is_request,
 )
 from bramleyport.fleet._answered_traits import MAX_HARMLESS
+from bramleyport.fleet._convictions import CRASHES_DESPITE_ANSWERS
 from bramleyport.fleet._crash_evidence import (
-    CRASHES_DESPITE_ANSWERS,
     HOLD_S,
     HOLD_SPREAD_S,
     MAX_SUSPECTS,
--- a/tests/test_request_evidence.py
+++ b/tests/test_request_evidence.py
@@ -14,12 +14,8 @@
     choose_trial_interval,
     is_request,
 )
-from bramleyport.fleet._crash_evidence import (
-    CRASHES_DESPITE_ANSWERS,
-    CRASHES_DESPITE_TIES,
-    MAX_SUSPECTS,
-    MAX_VERDICTS,
-)
+from bramleyport.fleet._convictions import CRASHES_DESPITE_ANSWERS, CRASHES_DESPITE_TIES
+from bramleyport.fleet._crash_evidence import MAX_SUSPECTS, MAX_VERDICTS
 from bramleyport.fleet._traits import make_part_traits
 
 NOW_S = 100.0
