--- a/bramleyport/fleet/_crash_evidence.py
+++ b/bramleyport/fleet/_crash_evidence.py
@@ -262,7 +262,7 @@
         suspect: Suspect,
         unproven: frozenset[TraitId],
     ) -> None:
-        """Hold what may have crashed an engine when a first crash accuses it."""
+        """Withhold what a first crash accuses for a while, if it may be the cause."""
         if trait not in unproven or suspect.held_until_s or not report.answer_began:
             return
         if all(map(is_request, unproven)):
--- a/bramleyport/gateway/_attempt.py
+++ b/bramleyport/gateway/_attempt.py
@@ -53,9 +53,9 @@
         self.exchanger = exchanger
         self.tracker = tracker
         self.metrics = metrics
-        self.retries = RetryDecider(state)
-        self.guard = guard
         self.versions = VersionChooser(state)
+        self.retries = RetryDecider(state, self.versions)
+        self.guard = guard
 
     async def place(self, context: CallContext) -> Choice | Rejected:
         """Choose an upstream, or return why none can answer in time.
--- a/bramleyport/gateway/_retries.py
+++ b/bramleyport/gateway/_retries.py
@@ -23,9 +23,9 @@
 class RetryDecider:
     """Decide on retries within the bounds of the call and of its service."""
 
-    def __init__(self, state: GatewayState) -> None:
+    def __init__(self, state: GatewayState, versions: VersionChooser) -> None:
         self._state = state
-        self._versions = VersionChooser(state)
+        self._versions = versions
 
     def decide(self, context: CallContext) -> Explanation:
         """Decide whether to retry a call; the reason is "retry" if so."""
--- a/bramleyport/gateway/_version_choice.py
+++ b/bramleyport/gateway/_version_choice.py
@@ -7,6 +7,7 @@
 from bramleyport.core import Explanation, ServiceName, UpstreamId
 from bramleyport.fleet import (
     BegunStream,
+    Call,
     Choice,
     Registration,
     Repeatability,
@@ -127,26 +128,39 @@
             await asyncio.sleep(remaining_s)
 
     async def _require_version(self, context: CallContext) -> Rejected | None:
+        """Find the version that began the stream that a caller takes up."""
+        context.version = self._recall_version(context.call)
+        if context.version is None:
+            await self._wait_for_peers()
+            context.version = self._recall_version(context.call)
+        if context.version is None and self._is_current():
+            context.version = self._deduce_version(context)
+        if context.version is not None:
+            return None
+        # It is ambiguous for at most as long as it may go on at all.
+        explanation = Explanation(reason=VERSION_UNKNOWN, numbers={})
+        return Rejected(explanation, RETRY_WHEN_ABSENT_S)
+
+    def _recall_version(self, call: Call) -> SoftwareVersion | None:
+        """Return the version of a stream that began here or was told."""
+        if call.origin is None:
+            return None
+        known = self._state.stream_versions.find_stream(call.origin, read_now())
+        if known is None or known.service != call.service:
+            return None
+        return known.version
+
+    def _deduce_version(self, context: CallContext) -> SoftwareVersion | None:
+        """Return the version that a stream must have had, if that is certain."""
         call = context.call
-        await self._wait_for_peers()
         versions = self._state.stream_versions
-        known = versions.find_stream(call.origin, read_now()) if call.origin else None
-        if known is not None and known.service == call.service:
-            context.version = known.version
-            return None
         registered = self._list_versions(context)
-        version: SoftwareVersion | None = None
-        if self._is_current():
-            if call.origin is not None:
-                version = versions.deduce(call.service, call.origin, registered)
-            elif versions.list_versions(call.service) == registered != set():
-                version = next(iter(registered)) if len(registered) == 1 else None
-        if version is None:
-            # It is ambiguous for at most as long as it may go on at all.
-            explanation = Explanation(reason=VERSION_UNKNOWN, numbers={})
-            return Rejected(explanation, RETRY_WHEN_ABSENT_S)
-        context.version = version
-        return None
+        if call.origin is not None:
+            return versions.deduce(call.service, call.origin, registered)
+        # The caller does not say which stream it is: there must have been one version.
+        known = versions.list_versions(call.service)
+        only = len(known) == 1 and known.issuperset(registered)
+        return next(iter(known)) if only else None
 
     def _is_current(self) -> bool:
         """Return whether no version may have got streams that is not known here."""
