Check the shares of versions only when something has changed

Each gateway looked at all registrations of each service ten times a second, 210,000 a second at the target size. It does so when registrations or the configuration change, and once a second otherwise.

--- a/bramleyport/fleet/_members.py
+++ b/bramleyport/fleet/_members.py
@@ -27,6 +27,8 @@
 
     def __init__(self) -> None:
         self._members: dict[UpstreamId, Member] = {}
+        # Rises with each change of the registrations.
+        self.change_count = 0
         self._store_recovered_s: float | None = None
         self._store_unreachable = False
         self._departures = Departures()
@@ -49,6 +51,7 @@
     def put(self, registration: Registration) -> Registration | None:
         """Add a registration and return the one that it replaces."""
         known = self._members.get(registration.upstream)
+        self.change_count += 1
         if registration.draining and registration.started_ms:
             self._leaving.record(registration.upstream, registration.started_ms)
         elif self._leaving.includes(registration):
@@ -66,6 +69,7 @@
             return False
         if not self._leaving.record(upstream, started_ms):
             return False
+        self.change_count += 1
         if member is not None and self._leaving.includes(member.registration):
             member.registration = replace(member.registration, draining=True)
         return True
@@ -90,6 +94,7 @@
         member = self._members.get(upstream)
         if member is None:
             return
+        self.change_count += 1
         if member.registration.draining or not self._may_return(now_s):
             del self._members[upstream]
             self._leaving.forget_unknown_start(upstream)
@@ -102,6 +107,7 @@
     def drop(self, upstream: UpstreamId) -> bool:
         """Remove an upstream at once; return whether it was known."""
         self._unconfirmed.pop(upstream, None)
+        self.change_count += 1
         return self._members.pop(upstream, None) is not None
 
     def replace_all(
@@ -159,6 +165,7 @@
             if member.missing_until_s is not None and now_s >= member.missing_until_s
         ]
         for name in gone:
+            self.change_count += 1
             registration = self._members.pop(name).registration
             self._departures.record(registration, now_s, is_last=False)
         return gone
--- a/bramleyport/gateway/_version_store.py
+++ b/bramleyport/gateway/_version_store.py
@@ -1,6 +1,7 @@
 """Keep the shares of software versions in the store, and follow those of it."""
 
 import asyncio
+import math
 from dataclasses import dataclass
 from functools import partial
 from typing import Final
@@ -8,7 +9,12 @@
 from result import Err
 
 from bramleyport.core import ServiceName, StoreRevision
-from bramleyport.fleet import Repeatability, VersionShares, compute_shares
+from bramleyport.fleet import (
+    ConfigVersion,
+    Repeatability,
+    VersionShares,
+    compute_shares,
+)
 from bramleyport.gateway._clock import read_now
 from bramleyport.gateway._object_guard import ObjectGuard
 from bramleyport.gateway._repair_queue import RepairQueue
@@ -29,6 +35,8 @@
 
 KIND: Final = ObjectKind.VERSIONS
 CHECK_INTERVAL_S: Final = 0.1
+# The same while nothing changes: a check looks at all registrations.
+QUIET_INTERVAL_S: Final = 1.0
 # Time for which a version keeps its share while all its upstreams are unreachable: one
 # that has crashed is usually back soon.
 ABSENT_KEEP_S: Final = 1.0
@@ -66,6 +74,9 @@
         # Since when the shares of a service have needed a change.
         self._wanted_since_s: dict[ServiceName, float] = {}
         self._changed_s: dict[ServiceName, float] = {}
+        # The registrations and the configuration of the last check, and when it was.
+        self._checked_changes: tuple[int, ConfigVersion] | None = None
+        self._checked_s = -math.inf
         self._turns = RepairQueue(state.settings.process, lambda: state.roster.gateways)
 
     def apply_listing(self, listing: Listing, *, restored: bool = False) -> None:
@@ -97,15 +108,26 @@
         """Write what has to be changed until cancelled."""
         while True:
             await asyncio.sleep(CHECK_INTERVAL_S)
-            self._update_times()
             if self._state.versions_listed_s is None:
                 continue
             now_s = read_now()
-            for service in self._list_services():
-                self._check(service, now_s)
+            if self._is_check_due(now_s):
+                self._update_times()
+                for service in self._list_services():
+                    self._check(service, now_s)
             for name in self._turns.take_due(now_s):
                 await self._write(ServiceName(name))
 
+    def _is_check_due(self, now_s: float) -> bool:
+        """Return whether something has changed, or was not checked lately."""
+        changes = (self._state.members.change_count, self._state.version)
+        if changes == self._checked_changes and (
+            now_s - self._checked_s < QUIET_INTERVAL_S
+        ):
+            return False
+        self._checked_changes, self._checked_s = changes, now_s
+        return True
+
     def _update_times(self) -> None:
         versions = self._state.stream_versions
         versions.activation_s = self._state.settings.drain_limit_s
