Wait in two tests until the outage of the store is noticed for registrations

Gateways follow one kind more now, so the four could be others, and the outage was over before the follower of registrations had met it. It waits until a refused call for registrations is repeated, as does the test of an upstream that drains meanwhile: no less is checked.

--- a/tests/test_gateway_state.py
+++ b/tests/test_gateway_state.py
@@ -82,14 +82,23 @@
     assert run(fleet.check_readiness()) == 200
 
 
+async def wait_until_outage_is_noticed(fleet: GatewayFleet) -> None:
+    """Wait until the gateway repeats a call for registrations that was refused."""
+    begun = len(fleet.store.calls)
+
+    def is_repeated() -> bool:
+        return sum("servers" in call for call in fleet.store.calls[begun:]) >= 2
+
+    await fleet.wait_for(is_repeated)
+
+
 def test_registrations_that_expire_in_an_outage_keep_their_upstreams(
     fleet: GatewayFleet, run: Run
 ) -> None:
     async def expire_registrations() -> None:
         fleet.store.refusal_status = 503
         fleet.store.reset_connections()
-        calls = len(fleet.store.calls)
-        await fleet.wait_for(lambda: len(fleet.store.calls) > calls + 3)
+        await wait_until_outage_is_noticed(fleet)
         for upstream in fleet.plain:
             fleet.store.delete("servers", upstream.name)
         fleet.store.discard_history()
@@ -115,8 +124,7 @@
     async def leave() -> None:
         fleet.store.refusal_status = 503
         fleet.store.reset_connections()
-        calls = len(fleet.store.calls)
-        await fleet.wait_for(lambda: len(fleet.store.calls) > calls + 3)
+        await wait_until_outage_is_noticed(fleet)
         fleet.plain[0].register(fleet.store, state="draining")
         fleet.store.delete("servers", "p0")
         fleet.store.drop_superseded_events()
