--- a/tests/test_store_eras.py
+++ b/tests/test_store_eras.py
@@ -117,7 +117,7 @@
         def apply_listing(self, listing: Any, *, restored: bool = False) -> None:
             restored_flags.append(restored)
 
-        def record_store_state(self, *, reachable: bool) -> None:
+        def record_store_state(self, *, reachable: bool, age_s: float = 0.0) -> None:
             pass
 
     async def check() -> None:
--- a/tests/test_store_updates.py
+++ b/tests/test_store_updates.py
@@ -182,7 +182,7 @@
             else:
                 self.objects[change.object.name] = change.object.document["at"]
 
-    def record_store_state(self, *, reachable: bool) -> None:
+    def record_store_state(self, *, reachable: bool, age_s: float = 0.0) -> None:
         if not self.reachable or self.reachable[-1] != reachable:
             self.reachable.append(reachable)
 
