--- a/bramleyport/fleet/_stream_versions.py
+++ b/bramleyport/fleet/_stream_versions.py
@@ -77,10 +77,6 @@
             return []
         return [item for item in self.list_ambiguous() if item.service == service]
 
-    def remove_service(self, service: ServiceName) -> None:
-        """Forget the shares of a service."""
-        self._shares.pop(service, None)
-
     def find_superseded_s(self, service: ServiceName) -> float | None:
         """Return when the oldest shares were superseded, or None if they are not."""
         known = self._shares.get(service, ())
