--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -733,3 +733,91 @@
     record.write("rule held" if held else "rule broken")
     print("rule held" if held else "rule broken")
     sys.exit(0 if held else 1)
+
+
+SWITCH_S = 3.0
+KV_HOLD_S = 5.0
+ENGINE = {
+    "slots": 64,
+    "kv_capacity": 536565,
+    "kv_token_bytes": 163840,
+    "link_mbps": 1900000.0,
+    "kv_hold_s": KV_HOLD_S,
+    "switch_s": SWITCH_S,
+}
+
+
+class Engine(Worker):
+    """A model worker with a stage: it prefills prompts, or streams answers."""
+
+    def __init__(
+        self, name: str, service: str, store: Store, script: Script, stage: str
+    ) -> None:
+        super().__init__(name, service, store, script, stage)
+        self.order_count = 0
+        self._handles: dict[str, float] = {}
+        self._busy = False
+        self._changes: set[asyncio.Task[None]] = set()
+
+    async def _serve_one(self, request: Request, writer: asyncio.StreamWriter) -> None:
+        path = urlsplit(request.target).path
+        if request.headers.get("expect-instance", self.name) != self.name:
+            writer.write(render(421, Instance_Id=self.name, Not_Run="1"))
+        elif path == "/-/report":
+            report = {"stage": self.stage, "models": [], "busy": self._busy}
+            report |= {"seq": self.order_count, "waiting": 0, "running": 0}
+            report |= {"kv_used": 0, "kv_total": ENGINE["kv_capacity"]}
+            report |= {"kv_handles": len(self._handles), "born": self.born}
+            writer.write(render(200, json.dumps(report).encode()))
+        elif path == "/-/order":
+            self._accept_order(json.loads(request.body), writer)
+        elif path.startswith("/-/kv-handle/"):
+            found = self._handles.pop(path.rpartition("/")[2], None)
+            writer.write(render(404 if found is None else 200))
+        elif path == "/-/kv-list":
+            writer.write(render(200, json.dumps({"held": []}).encode()))
+        elif path.startswith("/-/"):
+            writer.write(render(404))
+        elif self._busy:
+            writer.write(render(503, Not_Run="1", Request_Id=request.id))
+        elif request.headers.get("stage") == "prefill":
+            self._prefill(request, writer)
+        elif self.stage == "prefill":
+            writer.write(render(421, Not_Run="1", Request_Id=request.id))
+        else:
+            await self.script(self, request, writer)
+
+    def _prefill(self, request: Request, writer: asyncio.StreamWriter) -> None:
+        if self.stage != "prefill":
+            writer.write(render(421, Not_Run="1", Request_Id=request.id))
+            return
+        handle = os.urandom(6).hex()
+        self._handles[handle] = time.monotonic() + KV_HOLD_S
+        body = json.dumps({"kv_handle": handle, "tokens": 1460, "version": 1}).encode()
+        writer.write(
+            render(200, body, Request_Id=request.id, Keep_Alive=f"timeout={self.idle_s}")
+        )
+
+    def _accept_order(
+        self, order: dict[str, Any], writer: asyncio.StreamWriter
+    ) -> None:
+        expected = order.get("expected", self.order_count)
+        if self._busy or expected != self.order_count:
+            writer.write(render(409))
+            return
+        if order["stage"] == self.stage:
+            writer.write(render(200))
+            return
+        self.order_count += 1
+        self._busy = True
+        change = asyncio.ensure_future(self._change_stage(order["stage"]))
+        self._changes.add(change)
+        change.add_done_callback(self._changes.discard)
+        writer.write(render(202))
+
+    async def _change_stage(self, stage: str) -> None:
+        await asyncio.sleep(SWITCH_S)
+        self.stage = stage
+        self._busy = False
+        if self._server is not None:
+            self.register()
