Review case 4: the pools of the workers fill up for ever, too

Cause: as in case 2, a connection that is reset right after it was opened is counted as open for ever; here workers reset what exceeds max_conns.

--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -128,6 +128,21 @@
             reset(writer)
         await asyncio.sleep(0)
 
+    def count_channels(self) -> int:
+        """Return how many channels are open."""
+        return len(self._writers)
+
+    async def adopt(self, accepted: socket.socket) -> None:
+        """Serve a connection that a door has accepted."""
+        reader = asyncio.StreamReader()
+
+        def make_protocol() -> asyncio.StreamReaderProtocol:
+            return asyncio.StreamReaderProtocol(reader, self._accept)
+
+        await asyncio.get_running_loop().connect_accepted_socket(
+            make_protocol, accepted
+        )
+
     def reset_port(self, port: int) -> None:
         """Reset the channels that were opened to a port."""
         for writer in list(self._writers):
@@ -184,17 +199,6 @@
         """Listen on another port, so that one machine can be turned away."""
         return Door(self)
 
-    async def adopt(self, accepted: socket.socket) -> None:
-        """Serve a connection that a door has accepted."""
-        reader = asyncio.StreamReader()
-
-        def make_protocol() -> asyncio.StreamReaderProtocol:
-            return asyncio.StreamReaderProtocol(reader, self._accept)
-
-        await asyncio.get_running_loop().connect_accepted_socket(
-            make_protocol, accepted
-        )
-
     def put(self, kind: str, name: str, spec: dict[str, Any]) -> int:
         """Write an object as the operator or a worker does."""
         known = self.objects.get((kind, name))
@@ -300,10 +304,12 @@
 
 
 class Door:
-    """A port of the store that can reset each new channel as soon as it is open."""
+    """A port of a server that can reset each new channel as soon as it is open."""
 
-    def __init__(self, store: Store) -> None:
-        self._store = store
+    def __init__(self, server: Server) -> None:
+        self._server = server
+        # Channels beyond this are reset.
+        self.max_channels = 10_000
         self._loop = asyncio.get_running_loop()
         self._listener = socket.create_server((HOST, 0), backlog=128)
         self.port = int(self._listener.getsockname()[1])
@@ -315,7 +321,7 @@
     def turn_away(self) -> None:
         """Reset the open channels and, until it is allowed again, each new one."""
         self.resets = True
-        self._store.reset_port(self.port)
+        self._server.reset_port(self.port)
 
     def allow(self) -> None:
         """Serve new channels again."""
@@ -324,7 +330,7 @@
     def _run(self) -> None:
         while True:
             accepted, _ = self._listener.accept()
-            if self.resets:
+            if self.resets or self._server.count_channels() >= self.max_channels:
                 self.reset_count += 1
                 time.sleep(RESET_DELAYS_S[self.reset_count % len(RESET_DELAYS_S)])
                 accepted.setsockopt(
@@ -334,7 +340,7 @@
                 continue
             self.served_count += 1
             accepted.setblocking(False)
-            asyncio.run_coroutine_threadsafe(self._store.adopt(accepted), self._loop)
+            asyncio.run_coroutine_threadsafe(self._server.adopt(accepted), self._loop)
 
 
 @dataclass
