--- a/review/1/case.py
+++ b/review/1/case.py
@@ -8,7 +8,7 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "common"))
 
-from standins import (  # noqa: E402
+from standins import (
     ENGINE,
     Engine,
     Gateway,
@@ -54,30 +54,37 @@
 
     @property
     def versions(self) -> set[str]:
+        """Return the software versions that wrote its events."""
         return {data.split(" ")[1] for _, data in self.events}
 
 
 async def case(record: Record, folder: Path, trouble: bool) -> bool:
+    """Start the stand-ins and gateways, and play the case."""
     store = Store(record)
     await store.start()
     engines = []
     for number in range(PREFILLERS + OLD_DECODERS + NEW_DECODERS):
         stage = "prefill" if number < PREFILLERS else "decode"
         engines.append(await start_engine(f"e{number}", store, stage))
-    old, new = engines[:-NEW_DECODERS], engines[-NEW_DECODERS:]
+    new = engines[-NEW_DECODERS:]
     for engine in new:
         engine.version = "1.1"
     for engine in engines:
         engine.register()
     route = make_route(
-        "query", "streaming", "llm", timeout_ms=5000, slo_ms=2000, gap_slo_ms=200,
-        priority=2, sticky=True, resumable=True,
+        "query",
+        "streaming",
+        "llm",
+        timeout_ms=5000,
+        slo_ms=2000,
+        gap_slo_ms=200,
+        priority=2,
+        sticky=True,
+        resumable=True,
     )
     service = {"name": "llm", "health_path": "/h", "max_conns": 360, "engine": ENGINE}
     store.put("config", "main", make_config(1, [route], [service]))
-    gateways = [
-        Gateway(f"g{n}", store.port, folder, record) for n in range(GATEWAYS)
-    ]
+    gateways = [Gateway(f"g{n}", store.port, folder, record) for n in range(GATEWAYS)]
     try:
         for gateway in gateways:
             await gateway.start()
@@ -92,14 +99,20 @@
 
 
 async def start_engine(name: str, store: Store, stage: str) -> Engine:
+    """Start a model worker."""
     engine = Engine(name, "llm", store, make_stream(EVENTS, GAP_S), stage)
     await engine.start()
     return engine
 
 
 async def play(
-    record: Record, store: Store, new: list[Engine], gateways: list[Gateway], trouble: bool
+    record: Record,
+    store: Store,
+    new: list[Engine],
+    gateways: list[Gateway],
+    trouble: bool,
 ) -> bool:
+    """Play the case and return whether the rule held."""
     streams: list[Stream] = []
     calls: set[asyncio.Task[None]] = set()
 
@@ -136,7 +149,9 @@
     await asyncio.gather(*calls, return_exceptions=True)
     mixed = [stream for stream in streams if len(stream.versions) > 1]
     for stream in mixed:
-        record.write("events of two versions", stream=stream.request, events=stream.events)
+        record.write(
+            "events of two versions", stream=stream.request, events=stream.events
+        )
     complete = sum(len(stream.events) == EVENTS for stream in streams)
     record.write("total", streams=len(streams), complete=complete, mixed=len(mixed))
     assert complete >= len(streams) / 4
@@ -171,7 +186,13 @@
             "Deadline_Ms": str(int(left_s * 1000)),
             "Model": "m",
             "Token_Counts": "1460,14",
-            "Prompt_Prefix": f"a{number % 8:x}:210,b{number % 99:x}:140,c{number:x}:1110",
+            "Prompt_Prefix": ",".join(
+                (
+                    f"a{number % 8:x}:210",
+                    f"b{number % 99:x}:140",
+                    f"c{number:x}:1110",
+                )
+            ),
         }
         if stream.events:
             headers["Last_Event_Id"] = str(stream.events[-1][0])
@@ -184,9 +205,14 @@
             first = request
         stream.events += found
         record.write(
-            "answer", gateway=gateway.name, request=request, status=answer.status,
-            complete=answer.complete, resumes=headers.get("Resumes", "none"),
-            events=len(found), workers=",".join(sorted({data for _, data in found})),
+            "answer",
+            gateway=gateway.name,
+            request=request,
+            status=answer.status,
+            complete=answer.complete,
+            resumes=headers.get("Resumes", "none"),
+            events=len(found),
+            workers=",".join(sorted({data for _, data in found})),
         )
         if answer.status == 200 and answer.complete:
             return
