--- a/review/3/case.py
+++ b/review/3/case.py
@@ -160,6 +160,8 @@
             after_s=f"{run.at_s - acked_s:.3f}",
         )
     if door:
+        answer = await call_once(gateways[0].ready_port, "GET", "/-/ready")
+        record.write("readiness", gateway=gateways[0].name, status=answer.status)
         record.write(
             "channels that the store has accepted from the gateway since",
             count=door.served_count - served,
