Log how the software version of a stream was found

A call that is sent (2602) names the version of its upstream, but not whether a stream begins there by its shares or beside them, nor whether a stream that is taken up was recalled here or by a peer, or deduced from the shares.

--- a/bramleyport/gateway/_attempt.py
+++ b/bramleyport/gateway/_attempt.py
@@ -342,6 +342,7 @@
             route=context.call.route.name,
             upstream=choice.upstream.upstream,
             version=choice.upstream.version,
+            version_source=self.versions.describe_source(context, choice),
             origin=context.call.origin or "",
             prefill=choice.prefill.upstream if choice.prefill else "",
             reason=choice.explanation.reason,
--- a/bramleyport/gateway/_call_context.py
+++ b/bramleyport/gateway/_call_context.py
@@ -1,6 +1,7 @@
 """Define what a gateway knows of a call while it is served."""
 
 from dataclasses import dataclass
+from enum import Enum
 from typing import TYPE_CHECKING
 
 from bramleyport.fleet import Call, Choice, EngineTraits, SoftwareVersion
@@ -22,6 +23,20 @@
     choice: Choice
 
 
+class VersionSource(str, Enum):
+    """Represent how the software version of a stream became known."""
+
+    NONE = ""
+    # It begins at the version that the shares give it.
+    SHARES = "shares"
+    # It begins beside that version, as no upstream of it is left.
+    EXCEPTION = "exception"
+    # It began here, or its gateway told of it.
+    RECALLED = "recalled"
+    # All shares that it may have followed give it this version.
+    DEDUCED = "deduced"
+
+
 class CallContext:
     """Represent one call while it is served."""
 
@@ -53,6 +68,7 @@
         # once it has any, and that at which it begins if that is possible.
         self.version: SoftwareVersion | None = None
         self.preferred_version: SoftwareVersion | None = None
+        self.version_source = VersionSource.NONE
         # Time to the first event, and time that a separate prefill took; 0 if none.
         self.first_event_s = 0.0
         self.prefill_elapsed_s = 0.0
--- a/bramleyport/gateway/_version_choice.py
+++ b/bramleyport/gateway/_version_choice.py
@@ -14,7 +14,7 @@
     SoftwareVersion,
     Stage,
 )
-from bramleyport.gateway._call_context import CallContext
+from bramleyport.gateway._call_context import CallContext, VersionSource
 from bramleyport.gateway._clock import read_now
 from bramleyport.gateway._state import GatewayState
 
@@ -118,6 +118,14 @@
             loop = asyncio.get_running_loop()
             loop.call_later(REPEAT_AFTER_S, self._state.tell_streams, [stream])
 
+    def describe_source(self, context: CallContext, choice: Choice) -> str:
+        """Return why a stream is sent to an upstream of this version."""
+        if context.version is None and context.preferred_version is not None:
+            is_preferred = choice.upstream.version == context.preferred_version
+            source = VersionSource.SHARES if is_preferred else VersionSource.EXCEPTION
+            return source.value
+        return context.version_source.value
+
     async def _wait_for_peers(self) -> None:
         """Wait until the other gateways had time to tell what can't be deduced."""
         listed_s = self._state.versions_listed_s
@@ -129,11 +137,13 @@
 
     async def _require_version(self, context: CallContext) -> Rejected | None:
         """Find the version that began the stream that a caller takes up."""
+        context.version_source = VersionSource.RECALLED
         context.version = self._recall_version(context.call)
         if context.version is None:
             await self._wait_for_peers()
             context.version = self._recall_version(context.call)
         if context.version is None and self._is_current():
+            context.version_source = VersionSource.DEDUCED
             context.version = self._deduce_version(context)
         if context.version is not None:
             return None
