Count the places of a connection pool by the connections that take them

Cause: the pool kept a number beside the connections. It was raised before HttpClient.connect, and lowered by on_closed, which was set when connect had returned. Twisted hands a connection out one turn of the loop after it opened; a reset that arrived in that turn ran connectionLost before on_closed was set, so the number was never lowered. A connection whose awaited connect was cancelled in the turn of its result stayed open, too.

Why this works: a connection is in the set of the pool from before it opens until it ends, and is told its pool when it is made, so there is no moment in which its end is not noticed; the count is the length of that set. A connection that ended before it could carry anything is an error with nothing sent, so its call may go on elsewhere.

--- a/bramleyport/http1/_client.py
+++ b/bramleyport/http1/_client.py
@@ -40,10 +40,15 @@
     """Represent a connection to an upstream that carries one exchange at a time."""
 
     # Twisted declares its transports as interfaces without their methods.
-    transport: Any
+    transport: Any = None
 
-    def __init__(self, peer: Address) -> None:
+    def __init__(
+        self,
+        peer: Address,
+        on_closed: "Callable[[UpstreamConnection], None] | None" = None,
+    ) -> None:
         self.peer = peer
+        self._on_closed = on_closed
         self.opened_s = 0.0
         self.idle_since_s = 0.0
         self.idle_timeout_s: float | None = None
@@ -54,7 +59,6 @@
         # Headers after the body of the last answer that was read to its end.
         self.trailers: Headers = []
         self._exchange_count = 0
-        self.on_closed: Callable[[UpstreamConnection], None] | None = None
         self._parser = AnswerParser(str(peer))
         self._events: deque[AnswerEvent] = deque()
         self._queued_bytes = 0
@@ -125,7 +129,7 @@
 
     def abort(self) -> None:
         """Close the connection at once, so that the peer stops its work."""
-        if not self.closed:
+        if self.transport is not None and not self.closed:
             self.transport.abortConnection()
 
     def close(self) -> None:
@@ -159,8 +163,8 @@
             self._handle_close(
                 clean=bool(reason.check(ConnectionDone)), text=str(reason.value)
             )
-        if self.on_closed is not None:
-            self.on_closed(self)
+        if self._on_closed is not None:
+            self._on_closed(self)
 
     def _handle_close(self, *, clean: bool, text: str) -> None:
         try:
@@ -281,18 +285,27 @@
         self._reactor = reactor
 
     async def connect(self, peer: Address, timeout_s: float) -> UpstreamConnection:
+        """Return a new connection; if that fails, nothing was sent."""
+        connection = UpstreamConnection(peer)
+        await self.open(connection, timeout_s)
+        return connection
+
+    async def open(self, connection: UpstreamConnection, timeout_s: float) -> None:
         """Open a connection; if that fails, nothing was sent."""
         loop = asyncio.get_running_loop()
+        peer = connection.peer
         # Twisted's endpoints would load TLS libraries, which take memory and time at
         # startup.
-        creator = ClientCreator(self._reactor, UpstreamConnection, peer)
+        creator = ClientCreator(self._reactor, lambda: connection)
         try:
-            connection: UpstreamConnection = await creator.connectTCP(
-                peer.host, peer.port, timeout=timeout_s
-            ).asFuture(loop)
+            await creator.connectTCP(peer.host, peer.port, timeout=timeout_s).asFuture(
+                loop
+            )
         except Exception as error:  # Twisted raises many types for a failed connect
             refused = isinstance(error, network_errors.ConnectionRefusedError)
             failure = ExchangeFailure.REFUSED if refused else ExchangeFailure.NOT_SENT
             raise ExchangeError(failure, "connect", str(peer), repr(error)) from error
+        if connection.closed:
+            reason = "closed by the peer as it opened"
+            raise ExchangeError(ExchangeFailure.NOT_SENT, "connect", str(peer), reason)
         connection.opened_s = loop.time()
-        return connection
--- a/bramleyport/http1/_pool.py
+++ b/bramleyport/http1/_pool.py
@@ -29,14 +29,19 @@
 
 
 class ConnectionPool:
-    """Track the idle and open connections to one upstream."""
+    """Track the idle and open connections to one upstream.
+
+    A place is taken by a connection, not by a number beside it, so that it is free when
+    the connection has ended, whatever its call awaits at that time.
+    """
 
     def __init__(self, client: HttpClient, peer: Address, limits: PoolLimits) -> None:
         self.peer = peer
         self.limits = limits
         self._client = client
+        # All connections that take a place, from before they open until they end.
+        self._open: set[UpstreamConnection] = set()
         self._idle: list[UpstreamConnection] = []
-        self._open_count = 0
 
     async def acquire(
         self,
@@ -53,9 +58,9 @@
         connection = self._take_idle(fresh, excluded)
         if connection is not None:
             return connection
-        if self._open_count >= self.limits.max_connections and self._idle:
+        if self._is_full and self._idle:
             self._discard(self._idle.pop(0))
-        if self._open_count >= self.limits.max_connections:
+        if self._is_full:
             raise ExchangeError(
                 ExchangeFailure.NOT_SENT, "connect", str(self.peer), "pool is full"
             )
@@ -92,27 +97,31 @@
             connection.close()
         self._idle.clear()
 
+    @property
+    def _is_full(self) -> bool:
+        return len(self._open) >= self.limits.max_connections
+
     async def _connect(self, timeout_s: float | None) -> UpstreamConnection:
-        self._open_count += 1
         limit_s = self.limits.connect_timeout_s
         if timeout_s is not None:
             limit_s = min(limit_s, timeout_s)
+        # The peer may close it before the call below returns.
+        connection = UpstreamConnection(self.peer, self._remove)
+        self._open.add(connection)
         try:
-            connection = await self._client.connect(self.peer, limit_s)
+            await self._client.open(connection, limit_s)
         except BaseException:
-            self._open_count -= 1
+            self._discard(connection)
             raise
-        connection.on_closed = self._remove
         return connection
 
     def _discard(self, connection: UpstreamConnection) -> None:
-        """Close an idle connection at once and count it as closed."""
-        connection.on_closed = None
+        """Close a connection at once and free its place."""
         connection.abort()
-        self._open_count -= 1
+        self._open.discard(connection)
 
     def _remove(self, connection: UpstreamConnection) -> None:
-        self._open_count -= 1
+        self._open.discard(connection)
         if connection in self._idle:
             self._idle.remove(connection)
 
