Begin streams only at versions that stored shares give them

All upstreams of one version crashed for 2 s; 1.5 s later all gateways were killed. Streams that began meanwhile at the other version were taken up at gateways that had just started, and went on at the version that had been away.

Cause: a stream that began beside the version of its shares was an exception that only memory knew, told by datagrams. Whoever lacked it deduced the other version and took that for certain. That nothing was missed was judged by registrations confirmed within 3 s, or by any datagram of half the gateways, even the first ones after a cut.

Change: no stream begins beside the shares. If no upstream of its version is left, its gateway writes shares without that version first, at once (the next gateway in order 50 ms later), and the stream waits for them, 0.5 s at most; the newest shares count before their time for such a stream. Without the store, half of the other gateways have to send a message from then on, and none may name newer shares: messages carry the newest revision of the shares, and a gateway announces a newer one at once. A reserved retry kept to no version before the first event; it keeps to that of the shares now. Shares written while the store was restored no longer drop what was known.

Why this works: a version that some stream began at stands in the store before the stream begins, and stays there for as long as it may go on, so what all shares agree on leaves out no stream.

Left open: the store reaches only a gateway that hears no other, and more than half of the others reach neither; then newer shares may be missed.

--- a/bramleyport/composition.py
+++ b/bramleyport/composition.py
@@ -295,6 +295,7 @@
     from bramleyport.gateway._state import GatewayState
     from bramleyport.gateway._stream import StreamServer
     from bramleyport.gateway._verdict_store import VerdictStore
+    from bramleyport.gateway._version_choice import VersionChooser
     from bramleyport.gateway._version_store import VersionStore
     from bramleyport.gateway._work_tracker import WorkTracker
     from bramleyport.http1 import HttpClient
@@ -309,7 +310,9 @@
     tracker = WorkTracker(state)
     verdicts = VerdictStore(state, store)
     guard = CrashGuard(state, exchanger, verdicts)
-    support = AttemptSupport(state, exchanger, tracker, metrics, guard)
+    version_store = VersionStore(state, store)
+    versions = VersionChooser(state, version_store)
+    support = AttemptSupport(state, exchanger, tracker, metrics, guard, versions)
     prefiller = Prefiller(state, exchanger, tracker, support.retries)
     forwarder = Forwarder(
         state, PlainServer(support), StreamServer(support, prefiller), Random()
@@ -326,7 +329,7 @@
         peers,
         guard,
         verdicts,
-        VersionStore(state, store),
+        version_store,
         metrics.metrics,
         metrics_port,
     )
--- a/bramleyport/fleet/__init__.py
+++ b/bramleyport/fleet/__init__.py
@@ -38,6 +38,7 @@
 from bramleyport.fleet._recorder import WorkRecorder
 from bramleyport.fleet._roster import GatewayRoster
 from bramleyport.fleet._routes import RouteTable, choose_service
+from bramleyport.fleet._shares_knowledge import SharesKnowledge
 from bramleyport.fleet._shutdown import ShutdownSchedule, plan_shutdown
 from bramleyport.fleet._stages import EngineView, StageChange, StagePlanner
 from bramleyport.fleet._stream_versions import BegunStream, StreamVersions
@@ -122,6 +123,7 @@
     "RouteTable",
     "ServiceConfig",
     "ServiceShare",
+    "SharesKnowledge",
     "ShutdownSchedule",
     "SoftwareVersion",
     "Stage",
--- a/bramleyport/fleet/_roster.py
+++ b/bramleyport/fleet/_roster.py
@@ -103,12 +103,5 @@
             self._absent.update(silent)
             self._update()
 
-    def has_heard_most(self, now_s: float, within_s: float) -> bool:
-        """Return whether half of the other gateways sent something lately."""
-        if not self._is_complete:
-            return False
-        heard = sum(now_s - seen_s <= within_s for seen_s in self._seen_s.values())
-        return 2 * heard >= len(self._seen_s)
-
     def _update(self) -> None:
         self._gateways = frozenset((self._own, *self._seen_s))
--- a/bramleyport/fleet/_stream_versions.py
+++ b/bramleyport/fleet/_stream_versions.py
@@ -43,8 +43,9 @@
     """Decide at which version new streams begin and others go on.
 
     A stream gets its version from its identifier and from shares that the store keeps,
-    with all earlier shares that streams may still have. Where these disagree on a
-    stream, only a gateway that knows it by itself, or was told, can go on with it.
+    with all earlier shares that streams may still have. It begins at no other version,
+    so what all these shares agree on is certain. Where they disagree on a stream, only
+    a gateway that knows it by itself, or was told, can go on with it.
     """
 
     def __init__(self) -> None:
@@ -52,7 +53,7 @@
         self._shares: dict[ServiceName, list[_KnownShares]] = {}
         self._streams: OrderedDict[RequestId, _KnownStream] = OrderedDict()
         # Time for which shares are only known before new streams follow them, so that
-        # no gateway learns of them later than of a stream that did.
+        # few streams are ambiguous at a gateway which has not read them yet.
         self.activation_s = 0.0
         # Time for which a stream may go on.
         self.keep_s = DEFAULT_KEEP_S
@@ -83,16 +84,26 @@
         return known[1].since_s if len(known) > 1 else None
 
     def choose(
-        self, service: ServiceName, origin: RequestId, now_s: float
+        self,
+        service: ServiceName,
+        origin: RequestId,
+        now_s: float,
+        lost: Collection[SoftwareVersion] = (),
     ) -> SoftwareVersion | None:
-        """Return the version at which a stream begins; None if no shares are known."""
+        """Return the version at which a stream begins.
+
+        The newest shares count before their time for a stream whose version is lost.
+        The result is None if no shares are known, or if they give it a lost version.
+        """
         known = self._shares.get(service)
         if not known:
             return None
-        active = [
-            item for item in known if now_s - item.since_s >= self.activation_s
-        ] or known[:1]
-        return active[-1].shares.choose(origin)
+        active = [item for item in known if now_s - item.since_s >= self.activation_s]
+        for item in (*active[-1:], known[-1]):
+            version = item.shares.choose(origin)
+            if version not in lost:
+                return version
+        return None
 
     def list_versions(self, service: ServiceName) -> frozenset[SoftwareVersion]:
         """Return the versions that the store knows for a service."""
--- a/bramleyport/gateway/_attempt.py
+++ b/bramleyport/gateway/_attempt.py
@@ -48,13 +48,14 @@
         tracker: WorkTracker,
         metrics: CallMetrics,
         guard: CrashGuard,
+        versions: VersionChooser,
     ) -> None:
         self.state = state
         self.exchanger = exchanger
         self.tracker = tracker
         self.metrics = metrics
-        self.versions = VersionChooser(state)
-        self.retries = RetryDecider(state, self.versions)
+        self.versions = versions
+        self.retries = RetryDecider(state, versions)
         self.guard = guard
 
     async def place(self, context: CallContext) -> Choice | Rejected:
@@ -67,6 +68,7 @@
         context.reserved_choice = None
         await self.guard.request_trial(context.call)
         while True:
+            await self.versions.settle(context)
             decision = self._choose_now(context)
             if not isinstance(decision, Rejected):
                 return decision
@@ -119,10 +121,7 @@
         else:
             blocked = self.state.list_blocked(call, now_s)
         excluded = blocked | self.versions.list_excluded(context)
-        others = self.versions.list_others(context)
-        if others and self.versions.is_lost(context, now_s):
-            others = set()
-        decision = self._decide(context, excluded | others, now_s, blocked=blocked)
+        decision = self._decide(context, excluded, now_s, blocked=blocked)
         if isinstance(decision, Rejected):
             if context.is_trial:
                 self.guard.return_trial(call)
@@ -205,11 +204,7 @@
             exhausted.discard(reservation.target.upstream)
         avoided = self.state.list_avoided(call.service, now_s) | context.tried
         exhausted |= self.versions.list_excluded(context)
-        others = self.versions.list_others(context)
         chooser = self.state.chooser
-        if others and self.versions.is_lost(context, now_s):
-            others = set()
-        exhausted |= others
         # Fall back to engines that recently declined or failed a call.
         for excluded in (avoided | exhausted, exhausted):
             transfer = chooser.choose_transfer(
@@ -342,7 +337,7 @@
             route=context.call.route.name,
             upstream=choice.upstream.upstream,
             version=choice.upstream.version,
-            version_source=self.versions.describe_source(context, choice),
+            version_source=context.version_source.value,
             origin=context.call.origin or "",
             prefill=choice.prefill.upstream if choice.prefill else "",
             reason=choice.explanation.reason,
--- a/bramleyport/gateway/_call_context.py
+++ b/bramleyport/gateway/_call_context.py
@@ -29,8 +29,9 @@
     NONE = ""
     # It begins at the version that the shares give it.
     SHARES = "shares"
-    # It begins beside that version, as no upstream of it is left.
-    EXCEPTION = "exception"
+    # The newest shares give it this version before their time, as no upstream of the
+    # other one is left.
+    FALLBACK = "fallback"
     # It began here, or its gateway told of it.
     RECALLED = "recalled"
     # All shares that it may have followed give it this version.
@@ -65,7 +66,7 @@
         # Where the next attempt may be sent if nothing better is found.
         self.reserved_choice: Choice | None = None
         # The software version of the upstreams that may write the events of the stream,
-        # once it has any, and that at which it begins if that is possible.
+        # once it has any, and the only one at which it may begin.
         self.version: SoftwareVersion | None = None
         self.preferred_version: SoftwareVersion | None = None
         self.version_source = VersionSource.NONE
--- a/bramleyport/gateway/_peer_messages.py
+++ b/bramleyport/gateway/_peer_messages.py
@@ -8,6 +8,7 @@
 
 from bramleyport.core import (
     ProcessId,
+    StoreRevision,
     UpstreamId,
 )
 from bramleyport.fleet import (
@@ -95,6 +96,8 @@
     leaving_upstreams: tuple[LeavingUpstream, ...] = ()
     # Streams whose software version their identifiers do not tell.
     streams: tuple[BegunStream, ...] = ()
+    # The newest shares of software versions that its sender knows, if it knows any.
+    shares_revision: tuple[StoreRevision, ...] = ()
     # Version of the configuration in force; 0 if there is none.
     version: ConfigVersion = ConfigVersion(0)
     # Why items of the datagram were left out.
--- a/bramleyport/gateway/_peers.py
+++ b/bramleyport/gateway/_peers.py
@@ -14,7 +14,7 @@
 import cbor2
 from twisted.internet.protocol import DatagramProtocol
 
-from bramleyport.core import ProcessId, UpstreamId
+from bramleyport.core import ProcessId, StoreRevision, UpstreamId
 from bramleyport.fleet import (
     Address,
     BegunStream,
@@ -114,6 +114,7 @@
         guard.on_updates_pending = lambda: self._schedule(URGENT_BUSY_S)
         state.on_leaving = lambda: self._schedule(URGENT_BUSY_S)
         state.on_streams = lambda: self._schedule(URGENT_BUSY_S)
+        state.on_shares = self.announce
 
     @property
     def process(self) -> ProcessId:
@@ -284,9 +285,13 @@
         def apply_leaving(item: LeavingUpstream) -> None:
             self._state.record_leaving(item.upstream, item.started_ms, origin=origin)
 
+        def apply_revision(revision: StoreRevision) -> None:
+            self._state.shares_knowledge.record_told(origin, revision, now_s)
+
         def apply_stream(item: BegunStream) -> None:
             self._state.stream_versions.record_begun(item, now_s, is_own=False)
 
+        _apply_each(message.shares_revision, apply_revision)
         _apply_each(message.streams, apply_stream)
         _apply_each(message.changing, apply_changing)
         _apply_each(message.leaving_upstreams, apply_leaving)
@@ -336,10 +341,12 @@
                 self._send_known(address)
 
     def _make_message(self, **fields: Any) -> PeerMessage:
+        shares_revision = self._state.shares_knowledge.own
         return PeerMessage(
             process=self.process,
             incarnation=self._incarnation,
             version=self._state.version,
+            shares_revision=(shares_revision,) if shares_revision else (),
             **fields,
         )
 
--- a/bramleyport/gateway/_repair_queue.py
+++ b/bramleyport/gateway/_repair_queue.py
@@ -19,17 +19,22 @@
     """
 
     def __init__(
-        self, own: ProcessId, list_gateways: Callable[[], Collection[ProcessId]]
+        self,
+        own: ProcessId,
+        list_gateways: Callable[[], Collection[ProcessId]],
+        *,
+        turn_s: float = TURN_S,
     ) -> None:
         self._own = own
         self._list_gateways = list_gateways
+        self._turn_s = turn_s
         self._due_s: dict[str, float] = {}
 
     def add(self, key: str, now_s: float) -> None:
         """Add an object to be written, at this gateway's turn."""
         gateways = {self._own, *self._list_gateways()}
         turn = rank(key, gateways).index(self._own)
-        self._due_s.setdefault(key, now_s + turn * TURN_S)
+        self._due_s.setdefault(key, now_s + turn * self._turn_s)
 
     def postpone(self, key: str, due_s: float) -> None:
         """Repeat a repair that has failed."""
--- a/bramleyport/gateway/_shared_facts.py
+++ b/bramleyport/gateway/_shared_facts.py
@@ -9,7 +9,15 @@
 from enum import Enum
 from typing import Any, Final
 
-from bramleyport.core import RequestId, ServiceName, UpstreamId, read_amount
+from bramleyport.core import (
+    RequestId,
+    Revision,
+    ServiceName,
+    StoreEra,
+    StoreRevision,
+    UpstreamId,
+    read_amount,
+)
 from bramleyport.fleet import (
     MAX_CRASHES,
     MAX_TRAIT_CHARS,
@@ -374,6 +382,22 @@
     )
 
 
+def _encode_revision(revision: StoreRevision) -> list[Any]:
+    return [revision.era, revision.number]
+
+
+@register_fact(
+    "shares_revision",
+    _encode_revision,
+    scope=Scope.GATEWAY,
+    end="it tells another, or it is not running any more",
+    bound="one for each gateway",
+)
+def _decode_revision(item: Any, _: float) -> StoreRevision:
+    era, number = read_row(item, 2)
+    return StoreRevision(StoreEra(read_count(era)), Revision(read_count(number)))
+
+
 def _decode_ref(item: Any) -> WorkRef:
     upstream, request = read_row(item, 2)
     return WorkRef(UpstreamId(read_name(upstream)), RequestId(read_name(request)))
--- a/bramleyport/gateway/_state.py
+++ b/bramleyport/gateway/_state.py
@@ -25,7 +25,9 @@
     Reachability,
     Registration,
     RouteTable,
+    SharesKnowledge,
     ShutdownSchedule,
+    SoftwareVersion,
     Stage,
     StreamVersions,
     UpstreamPauses,
@@ -98,6 +100,9 @@
     # When the shares of software versions were first listed.
     versions_listed_s: float | None = None
     stream_versions: StreamVersions = field(default_factory=StreamVersions)
+    shares_knowledge: SharesKnowledge = field(default_factory=SharesKnowledge)
+    # Called when the peers should learn that newer shares are known here.
+    on_shares: Callable[[], None] | None = None
     # Streams whose versions the peers have to be told, and have not been yet.
     pending_streams: list[BegunStream] = field(default_factory=list)
     # Called when there are any.
@@ -105,8 +110,6 @@
     # Registered processes that seem to have ended: another one, of another version,
     # may answer in the place of each.
     ended_processes: dict[UpstreamId, EndedProcess] = field(default_factory=dict)
-    # When the registrations were last known to be current.
-    registrations_confirmed_s: float = -math.inf
     # Set from the beginning of a planned stop.
     shutdown: ShutdownSchedule | None = None
     # Set when calls that are still running are ended, before the process exits.
@@ -284,6 +287,21 @@
             and ended.until_s > now_s
         )
 
+    def list_live_versions(
+        self, service: ServiceName, now_s: float
+    ) -> set[SoftwareVersion]:
+        """Return the versions of which an upstream that decodes may answer."""
+        ready = self.members.list_ready(service)
+        names = [item.upstream for item in ready]
+        unreachable = self.reachability.find_unreachable(names, now_s)
+        return {
+            item.version
+            for item in ready
+            if item.stage is not Stage.PREFILL
+            and item.upstream not in unreachable
+            and not self.has_ended(item, now_s)
+        }
+
     def record_pause(self, upstream: UpstreamId, pause_s: float, now_s: float) -> None:
         """Record that an upstream wants no requests for a while."""
         if pause_s > 0 and self.pauses.record(upstream, pause_s, now_s):
--- a/bramleyport/gateway/_state_updaters.py
+++ b/bramleyport/gateway/_state_updaters.py
@@ -121,9 +121,6 @@
         """Record whether the store answers; an outage lets registrations expire."""
         now_s = read_now()
         self._state.members.record_store(reachable=reachable, now_s=now_s)
-        if reachable:
-            confirmed_s = max(self._state.registrations_confirmed_s, now_s - age_s)
-            self._state.registrations_confirmed_s = confirmed_s
 
     def drop_lapsed(self) -> None:
         """Remove upstreams whose expired registration was not renewed."""
--- a/bramleyport/gateway/_version_choice.py
+++ b/bramleyport/gateway/_version_choice.py
@@ -1,7 +1,7 @@
 """Choose at which software version a call begins its stream, or goes on with one."""
 
 import asyncio
-from typing import Final
+from typing import Final, Protocol
 
 from bramleyport.admission import Rejected
 from bramleyport.core import Explanation, ServiceName, UpstreamId
@@ -27,17 +27,40 @@
 # The first shares of a service are in the store within this time of the first start.
 FIRST_SHARES_WAIT_S: Final = 0.5
 POLL_INTERVAL_S: Final = 0.02
+# Time for which a stream waits for shares that give it a version that serves.
+CHANGED_SHARES_WAIT_S: Final = 0.5
 # Time after the first list of shares within which the other gateways answer a new one.
 PEERS_WAIT_S: Final = 0.5
+# Time for which a stream that is taken up waits for the store and then for the peers,
+# which send updates of their calls all the time.
+PEERS_CONFIRM_S: Final = 1.5
 # Time after which a stream is told once more, as a datagram may be lost.
 REPEAT_AFTER_S: Final = 0.2
 
 
+class SharesSource(Protocol):
+    """Represent the shares of versions in the store."""
+
+    def can_change(self, service: ServiceName) -> bool:
+        """Return whether the store has not refused a change lately."""
+
+    def request_change(self, service: ServiceName) -> None:
+        """Write shares without the versions that are lost."""
+
+    async def confirm(self, service: ServiceName) -> bool:
+        """Read the shares; return whether those that are known now are current."""
+
+
 class VersionChooser:
-    """Decide which upstreams may write the events of a call."""
+    """Decide which upstreams may write the events of a call.
+
+    A stream begins only at a version that shares in the store give it. So whoever has
+    read these since then can tell at which versions it may have begun.
+    """
 
-    def __init__(self, state: GatewayState) -> None:
+    def __init__(self, state: GatewayState, shares: SharesSource) -> None:
         self._state = state
+        self._shares = shares
         # Since when calls to a service have found no shares.
         self._missing_since_s: dict[ServiceName, float] = {}
 
@@ -49,11 +72,45 @@
         if last_event:
             return await self._require_version(context)
         await self._wait_for_shares(context)
+        return None
+
+    async def settle(self, context: CallContext) -> None:
+        """Find the version at which a stream begins.
+
+        If none of the upstreams of its version is left, this waits for shares that
+        give it another one.
+        """
+        call = context.call
+        if (
+            context.version is not None
+            or call.route.repeatability is not Repeatability.STREAM_RESUMABLE
+        ):
+            return
+        until_s = min(read_now() + CHANGED_SHARES_WAIT_S, call.deadline_s)
+        while not self._set_preferred(context) and self._can_wait(context, until_s):
+            self._shares.request_change(call.service)
+            await asyncio.sleep(POLL_INTERVAL_S)
+
+    def _set_preferred(self, context: CallContext) -> bool:
+        """Set the version that the shares give a stream; return whether they do."""
+        call, now_s = context.call, read_now()
         assert call.origin is not None
-        context.preferred_version = self._state.stream_versions.choose(
-            call.service, call.origin, read_now()
+        versions = self._state.stream_versions
+        live = self._state.list_live_versions(call.service, now_s)
+        # If nothing is left, other shares would not help.
+        lost = versions.list_versions(call.service) - live if live else frozenset()
+        chosen = versions.choose(call.service, call.origin, now_s, lost)
+        context.preferred_version = chosen
+        is_usual = chosen == versions.choose(call.service, call.origin, now_s)
+        context.version_source = (
+            VersionSource.SHARES if is_usual else VersionSource.FALLBACK
         )
-        return None
+        return chosen is not None
+
+    def _can_wait(self, context: CallContext, until_s: float) -> bool:
+        service = context.call.service
+        is_known = bool(self._state.stream_versions.list_versions(service))
+        return is_known and read_now() < until_s and self._shares.can_change(service)
 
     def list_excluded(self, context: CallContext) -> set[UpstreamId]:
         """Return the upstreams that must not write the events of a call."""
@@ -68,32 +125,12 @@
             if item.version not in allowed or self._state.has_ended(item, now_s)
         }
 
-    def list_others(self, context: CallContext) -> set[UpstreamId]:
-        """Return the upstreams of versions at which a call begins only if it must."""
-        version = context.preferred_version
-        if version is None or context.version is not None:
-            return set()
-        return {
-            item.upstream
-            for item in self._list_decoders(context)
-            if item.version != version
-        }
-
-    def is_lost(self, context: CallContext, now_s: float) -> bool:
-        """Return whether no upstream of the version that a call prefers is left."""
-        version = context.preferred_version
-        own = [item for item in self._list_decoders(context) if item.version == version]
-        names = [item.upstream for item in own]
-        lost = self._state.reachability.find_unreachable(names, now_s)
-        return all(
-            item.upstream in lost or self._state.has_ended(item, now_s) for item in own
-        )
-
     def find_obstacle(self, context: CallContext) -> Rejected | None:
         """Return the refusal of a call if no upstream of its version is left."""
-        if context.version is None or any(
-            item.version == context.version for item in self._list_decoders(context)
-        ):
+        if context.call.route.repeatability is not Repeatability.STREAM_RESUMABLE:
+            return None
+        allowed = self._list_allowed(context)
+        if any(item.version in allowed for item in self._list_decoders(context)):
             return None
         return Rejected(
             Explanation(reason=VERSION_ABSENT, numbers={}), RETRY_WHEN_ABSENT_S
@@ -118,14 +155,6 @@
             loop = asyncio.get_running_loop()
             loop.call_later(REPEAT_AFTER_S, self._state.tell_streams, [stream])
 
-    def describe_source(self, context: CallContext, choice: Choice) -> str:
-        """Return why a stream is sent to an upstream of this version."""
-        if context.version is None and context.preferred_version is not None:
-            is_preferred = choice.upstream.version == context.preferred_version
-            source = VersionSource.SHARES if is_preferred else VersionSource.EXCEPTION
-            return source.value
-        return context.version_source.value
-
     async def _wait_for_peers(self) -> None:
         """Wait until the other gateways had time to tell what can't be deduced."""
         listed_s = self._state.versions_listed_s
@@ -142,13 +171,19 @@
         if context.version is None:
             await self._wait_for_peers()
             context.version = self._recall_version(context.call)
-        if context.version is None and self._is_current():
+        if context.version is not None:
+            return None
+        is_current = await self._is_current(context.call.service)
+        context.version = self._recall_version(context.call)
+        if context.version is None and is_current:
             context.version_source = VersionSource.DEDUCED
             context.version = self._deduce_version(context)
         if context.version is not None:
             return None
         # It is ambiguous for at most as long as it may go on at all.
-        explanation = Explanation(reason=VERSION_UNKNOWN, numbers={})
+        known = self._state.stream_versions.list_shares(context.call.service)
+        numbers = {"is_current": float(is_current), "shares": float(len(known))}
+        explanation = Explanation(reason=VERSION_UNKNOWN, numbers=numbers)
         return Rejected(explanation, RETRY_WHEN_ABSENT_S)
 
     def _recall_version(self, call: Call) -> SoftwareVersion | None:
@@ -172,31 +207,47 @@
         only = len(known) == 1 and known.issuperset(registered)
         return next(iter(known)) if only else None
 
-    def _is_current(self) -> bool:
-        """Return whether no version may have got streams that is not known here."""
-        now_s = read_now()
-        limit_s = self._state.settings.stable_s
-        if now_s - self._state.registrations_confirmed_s <= limit_s:
+    async def _is_current(self, service: ServiceName) -> bool:
+        """Return whether streams have begun by no shares that are not known here.
+
+        Without the store, what the peers tell from now on has to be enough.
+        """
+        began_s = read_now()
+        if await self._shares.confirm(service):
             return True
-        return self._state.roster.has_heard_most(now_s, limit_s)
+        while not self._is_confirmed_by_peers(began_s):
+            if read_now() - began_s > PEERS_CONFIRM_S:
+                return False
+            await asyncio.sleep(POLL_INTERVAL_S)
+        return True
+
+    def _is_confirmed_by_peers(self, since_s: float) -> bool:
+        state = self._state
+        if state.roster.count is None:
+            return False
+        others = state.roster.gateways - {state.settings.process}
+        return state.shares_knowledge.is_current(others, since_s)
 
     async def _wait_for_shares(self, context: CallContext) -> None:
-        """Wait until the store knows the versions, unless there is only one."""
+        """Wait until the store knows the versions."""
         service = context.call.service
         versions = self._state.stream_versions
         while not versions.list_versions(service):
             missing_since_s = self._missing_since_s.setdefault(service, read_now())
-            is_late = read_now() - missing_since_s > FIRST_SHARES_WAIT_S
-            if is_late or len(self._list_versions(context)) < 2:
+            if read_now() - missing_since_s > FIRST_SHARES_WAIT_S:
                 return
             await asyncio.sleep(POLL_INTERVAL_S)
 
     def _list_allowed(self, context: CallContext) -> frozenset[SoftwareVersion]:
-        """Return the version of a stream; before it begins, those in the store."""
-        if context.version is not None:
-            return frozenset((context.version,))
-        listed = self._state.stream_versions.list_versions(context.call.service)
-        return listed or frozenset(self._list_versions(context))
+        """Return the version of a stream, or at which it may begin."""
+        version = context.version or context.preferred_version
+        if version is not None:
+            return frozenset((version,))
+        known = self._state.stream_versions.list_versions(context.call.service)
+        registered = frozenset(self._list_versions(context))
+        # A service without shares can't be served otherwise while the store is away.
+        is_only = not known and len(registered) == 1
+        return registered if is_only else frozenset()
 
     def _list_versions(self, context: CallContext) -> set[SoftwareVersion]:
         return {item.version for item in self._list_decoders(context)}
--- a/bramleyport/gateway/_version_store.py
+++ b/bramleyport/gateway/_version_store.py
@@ -16,6 +16,7 @@
     compute_shares,
 )
 from bramleyport.gateway._clock import read_now
+from bramleyport.gateway._fresh_reads import FreshReads
 from bramleyport.gateway._object_guard import ObjectGuard
 from bramleyport.gateway._repair_queue import RepairQueue
 from bramleyport.gateway._state import GatewayState
@@ -43,6 +44,10 @@
 # Time between two changes of the shares of a service, unless a version joins or leaves.
 MIN_CHANGE_INTERVAL_S: Final = 5.0
 WRITE_RETRY_S: Final = 1.0
+# Time that each gateway gets before the next one writes shares that streams wait for.
+URGENT_TURN_S: Final = 0.05
+# Time for which a stream that is taken up waits for the store.
+CONFIRM_TIMEOUT_S: Final = 0.5
 # Earlier shares that are kept at most; until one is removed, none is added.
 MAX_EPOCHS: Final = 8
 # Time for which a stream may go on, as a multiple of the longest timeout of a route:
@@ -77,7 +82,17 @@
         # The registrations and the configuration of the last check, and when it was.
         self._checked_changes: tuple[int, ConfigVersion] | None = None
         self._checked_s = -math.inf
-        self._turns = RepairQueue(state.settings.process, lambda: state.roster.gateways)
+        own = state.settings.process
+        self._turns = RepairQueue(own, lambda: state.roster.gateways)
+        # Services of which streams wait for shares without a lost version, and until
+        # when the store is not asked for such a change again.
+        self._requested: set[ServiceName] = set()
+        self._urgent = RepairQueue(
+            own, lambda: state.roster.gateways, turn_s=URGENT_TURN_S
+        )
+        self._blocked_until_s: dict[ServiceName, float] = {}
+        self._wake = asyncio.Event()
+        self._reads: dict[ServiceName, FreshReads[bool]] = {}
 
     def apply_listing(self, listing: Listing, *, restored: bool = False) -> None:
         """Apply a complete list; one of a restored store takes back nothing."""
@@ -107,7 +122,7 @@
     async def run(self) -> None:
         """Write what has to be changed until cancelled."""
         while True:
-            await asyncio.sleep(CHECK_INTERVAL_S)
+            await self._wait()
             if self._state.versions_listed_s is None:
                 continue
             now_s = read_now()
@@ -115,9 +130,61 @@
                 self._update_times()
                 for service in self._list_services():
                     self._check(service, now_s)
-            for name in self._turns.take_due(now_s):
+            for name in (*self._urgent.take_due(now_s), *self._turns.take_due(now_s)):
                 await self._write(ServiceName(name))
 
+    def can_change(self, service: ServiceName) -> bool:
+        """Return whether the store has not refused a change lately."""
+        return read_now() >= self._blocked_until_s.get(service, -math.inf)
+
+    def request_change(self, service: ServiceName) -> None:
+        """Write shares without the versions that are lost."""
+        self._requested.add(service)
+        self._urgent.add(service, read_now())
+        self._wake.set()
+
+    async def confirm(self, service: ServiceName) -> bool:
+        """Read the shares; return whether those that are known now are current."""
+        reads = self._reads.get(service)
+        if reads is None:
+            reads = self._reads[service] = FreshReads(partial(self._read, service))
+        try:
+            async with asyncio.timeout(CONFIRM_TIMEOUT_S):
+                return await reads.request()
+        except TimeoutError:
+            return False
+
+    async def _read(self, service: ServiceName) -> bool:
+        result = await self._store.get(KIND, ObjectName(service))
+        if isinstance(result, Err):
+            log_event(
+                gateway_events.SHARES_NOT_READ,
+                service=service,
+                failure=result.err_value.failure.value,
+                reason=result.err_value.reason,
+            )
+            return False
+        item = result.ok_value
+        known = self._stored.get(service)
+        if known is None or known.revision.era != item.revision.era:
+            # A restored store may lack shares, until its list was read.
+            return False
+        self._guard.apply(item, partial(self._apply, item, restored=False))
+        return self._stored[service].revision >= item.revision
+
+    async def _wait(self) -> None:
+        """Wait until shares are checked again, or have to be written."""
+        self._wake.clear()
+        wait_s = CHECK_INTERVAL_S
+        due_s = self._urgent.find_next()
+        if due_s is not None:
+            wait_s = min(wait_s, max(0.0, due_s - read_now()))
+        try:
+            async with asyncio.timeout(wait_s):
+                await self._wake.wait()
+        except TimeoutError:
+            return
+
     def _is_check_due(self, now_s: float) -> bool:
         """Return whether something has changed, or was not checked lately."""
         changes = (self._state.members.change_count, self._state.version)
@@ -181,9 +248,8 @@
         self, service: ServiceName, now_s: float
     ) -> VersionShares | None:
         ready = self._state.members.list_ready(service)
-        names = [item.upstream for item in ready]
-        lost = self._state.reachability.find_unreachable(names, now_s)
-        return compute_shares(item for item in ready if item.upstream not in lost)
+        live = self._state.list_live_versions(service, now_s)
+        return compute_shares(item for item in ready if item.version in live)
 
     def _should_change(
         self,
@@ -205,13 +271,15 @@
         if missing:
             ready = self._state.members.list_ready(service)
             is_registered = any(item.version in missing for item in ready)
-            return not is_registered or now_s - since_s >= ABSENT_KEEP_S
+            is_due = service in self._requested or now_s - since_s >= ABSENT_KEEP_S
+            return not is_registered or is_due
         changed_s = self._changed_s.get(service)
         return changed_s is None or now_s - changed_s >= MIN_CHANGE_INTERVAL_S
 
     async def _write(self, service: ServiceName) -> None:
         now_s = read_now()
         wanted = self._find_wanted(service, now_s)
+        self._requested.discard(service)
         if wanted is None:
             return
         name = ObjectName(service)
@@ -233,7 +301,9 @@
                 failure=result.err_value.failure.value,
                 reason=result.err_value.reason,
             )
-            self._turns.postpone(service, read_now() + WRITE_RETRY_S)
+            retry_s = read_now() + WRITE_RETRY_S
+            self._turns.postpone(service, retry_s)
+            self._blocked_until_s[service] = retry_s
             return
         self._guard.apply(
             result.ok_value, partial(self._apply, result.ok_value, restored=False)
@@ -250,11 +320,12 @@
         ):
             return service
         self._stored[service] = _StoredShares(item.revision, document.shares)
+        self._record_known(item.revision)
         versions = self._state.stream_versions
         shares = list(document.shares)
-        if restored:
+        before = versions.list_shares(service)
+        if restored or known is None or known.revision.era != item.revision.era:
             # What was known is written again, after what the copy has.
-            before = versions.list_shares(service)
             shares = [known for known in shares if known not in before] + before
         now_s = read_now()
         if shares and shares[-1:] != versions.list_shares(service)[-1:]:
@@ -268,6 +339,17 @@
         self._state.tell_streams(versions.set_shares(service, shares, now_s))
         return service
 
+    def _record_known(self, revision: StoreRevision) -> None:
+        """Record the newest shares, and tell the peers at once that there are any.
+
+        One that does not reach the store deduces no version until it has read them.
+        """
+        knowledge = self._state.shares_knowledge
+        before = knowledge.own
+        knowledge.record_own(revision)
+        if knowledge.own != before and self._state.on_shares is not None:
+            self._state.on_shares()
+
     def _forget(self, item: StoredObject) -> None:
         """Write shares again that another writer has removed."""
         self._stored.pop(ServiceName(item.name), None)
--- a/bramleyport/telemetry/_gateway_events.py
+++ b/bramleyport/telemetry/_gateway_events.py
@@ -103,6 +103,9 @@
 SHARES_NOT_WRITTEN: Final = define(
     2694, "WARNING", "shares of software versions not written to the store"
 )
+SHARES_NOT_READ: Final = define(
+    2696, "WARNING", "shares of software versions not read, version not deduced by them"
+)
 SHARES_INVALID: Final = define(
     2695, "WARNING", "invalid shares of software versions in the store ignored"
 )
--- a/tests/gateway_group.py
+++ b/tests/gateway_group.py
@@ -9,8 +9,10 @@
 from typing import Any
 
 import yaml
+from result import Err
 
 from bramleyport.composition import build_gateway
+from bramleyport.platform import StoreError, StoreFailure
 from tests.gateway_fleet import BOUNDS, LANGUAGE, PLAIN, make_config, make_settings
 from tests.platform_standin import (
     CallerAnswer,
@@ -50,6 +52,9 @@
         self._turns = itertools.count()
         self._numbers = itertools.count()
         self._ports: dict[str, int] = {}
+        # Gateways that don't hear each other, and those that don't reach the store.
+        self._silenced: set[str] = set()
+        self._storeless: set[str] = set()
 
     async def start(self) -> None:
         await self.store.start()
@@ -73,6 +78,7 @@
         path = self._folder / f"{name}.yaml"
         path.write_text(yaml.safe_dump(settings))
         gateway = build_gateway(path)
+        self._make_separable(name, gateway)
         await gateway.start()
         self.gateways[name] = gateway
         self._ports[name] = int(settings["listen"]["front"].rpartition(":")[2])
@@ -88,6 +94,41 @@
         self.gateways.pop(name).halt()
         del self._ports[name]
 
+    def cut_off(self, name: str, *, store: bool) -> None:
+        """Cut a gateway off from the others, and from the store if so."""
+        self._silenced.add(name)
+        if store:
+            self._storeless.add(name)
+
+    def reconnect(self, name: str) -> None:
+        """End the cut of a gateway."""
+        self._silenced.discard(name)
+        self._storeless.discard(name)
+
+    def _make_separable(self, name: str, gateway: Any) -> None:
+        """Make the messages and the store calls of a gateway fail while it is cut."""
+        peers, store = gateway._peers, gateway._store
+        receive, send, exchange = peers.datagramReceived, peers._write, store._exchange
+        lost = StoreError(failure=StoreFailure.UNKNOWN, step="cut", reason="cut off")
+
+        def receive_if_connected(data: bytes, address: Any) -> None:
+            if name not in self._silenced:
+                receive(data, address)
+
+        def send_if_connected(data: bytes, address: Any) -> None:
+            if name not in self._silenced:
+                send(data, address)
+
+        async def exchange_if_connected(*arguments: Any) -> Any:
+            if name in self._storeless:
+                return Err(lost)
+            result = await exchange(*arguments)
+            return Err(lost) if name in self._storeless else result
+
+        peers.datagramReceived = receive_if_connected
+        peers._write = send_if_connected
+        store._exchange = exchange_if_connected
+
     async def stop(self) -> None:
         for name in list(self.gateways):
             self.stop_gateway(name)
--- /dev/null
+++ b/tests/test_absent_versions.py
@@ -0,0 +1,79 @@
+"""Guard streams that begin while all engines of a software version are away."""
+
+import asyncio
+from collections.abc import Callable, Coroutine
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from tests.test_software_versions import VersionedGroup, run_versions
+
+Run = Callable[[Coroutine[Any, Any, Any]], Any]
+
+# So many streams begin while a version is away that some prefer it.
+STREAMS = 24
+# All engines of one version crash, the others are most of the fleet.
+VERSIONS = ("v1", "v1", "v1", "v1", "v2", "v2")
+
+
+async def crash_version(versioned: VersionedGroup, version: str) -> list[str]:
+    """Stop all engines of a version at once; their registrations stay for now."""
+    crashed = [item for item in versioned.engines if item.version == version]
+    for engine in crashed:
+        versioned.group.upstreams.remove(engine)
+        await engine.stop()
+    return [engine.name for engine in crashed]
+
+
+async def bring_back(versioned: VersionedGroup, names: list[str], version: str) -> None:
+    """Start engines of a version under new identifiers."""
+    for name in names:
+        versioned.group.store.delete("servers", name)
+        await versioned.start_engine(f"{name}-back", version)
+
+
+# Guards against streams that go on at a version which was away when they began.
+@pytest.mark.parametrize("killed", ["all", "none"])
+def test_streams_that_began_while_a_version_was_away_are_not_joined(
+    run: Run, tmp_path: Path, killed: str
+) -> None:
+    async def check() -> None:
+        async with run_versions(tmp_path, VERSIONS) as versioned:
+            crashed = await crash_version(versioned, "v2")
+            await versioned.begin(STREAMS, "away")
+            begun = {stream.versions[0] for stream in versioned.streams}
+            assert begun == {"v1"}
+            await bring_back(versioned, crashed, "v2")
+            if killed == "all":
+                await versioned.replace_gateways()
+                await versioned.resume(lambda _: "n1")
+            else:
+                await versioned.resume(versioned.choose_other)
+            # Without their gateways, those that the shares tell can go on.
+            versioned.check(complete=STREAMS // 2 if killed == "all" else STREAMS)
+
+    run(check())
+
+
+# Guards against a gateway that trusts its peers right after it was cut off from them.
+@pytest.mark.parametrize("loses_store", [False, True])
+def test_gateway_that_was_cut_off_joins_no_streams(
+    run: Run, tmp_path: Path, loses_store: bool
+) -> None:
+    async def check() -> None:
+        async with run_versions(tmp_path, VERSIONS) as versioned:
+            group = versioned.group
+            apart = sorted(group.gateways)[0]
+            group.cut_off(apart, store=loses_store)
+            crashed = await crash_version(versioned, "v2")
+            others = [name for name in sorted(group.gateways) if name != apart]
+            await versioned.begin(STREAMS, "away", names=others)
+            await bring_back(versioned, crashed, "v2")
+            await asyncio.sleep(3.0)
+            group.reconnect(apart)
+            await asyncio.sleep(0.1)
+            await versioned.resume(lambda _: apart)
+            versioned.check(complete=STREAMS // 2)
+
+    run(check())
--- a/tests/test_gateway_restores.py
+++ b/tests/test_gateway_restores.py
@@ -13,6 +13,7 @@
     Address,
     ConfigVersion,
     GatewayRoster,
+    SharesKnowledge,
     StreamVersions,
 )
 from bramleyport.gateway import _peer_directory, _repair_queue
@@ -107,6 +108,7 @@
         rate_limiter=SimpleNamespace(list_notices=list),
         members=SimpleNamespace(list_leaving=list),
         stream_versions=StreamVersions(),
+        shares_knowledge=SharesKnowledge(),
         version=ConfigVersion(0),
     )
     tracker: Any = SimpleNamespace(drop_origin=lambda _: None)
--- a/tests/test_software_versions.py
+++ b/tests/test_software_versions.py
@@ -1,7 +1,7 @@
 """Guard streams against being joined from events of two software versions."""
 
 import asyncio
-from collections.abc import AsyncIterator, Callable, Coroutine
+from collections.abc import AsyncIterator, Callable, Coroutine, Sequence
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -9,6 +9,7 @@
 
 import pytest
 
+from tests.gateway_fleet import LANGUAGE
 from tests.gateway_group import GatewayGroup
 from tests.platform_standin import (
     EVENT_COUNT,
@@ -78,10 +79,16 @@
         self.group.store.put("config", "main", config | changes)
         await asyncio.sleep(2.5)
 
-    async def begin(self, count: int = STREAMS, prefix: str = "first") -> None:
-        """Begin streams at all gateways that break off after their first events."""
+    async def begin(
+        self,
+        count: int = STREAMS,
+        prefix: str = "first",
+        *,
+        names: Sequence[str] = (),
+    ) -> None:
+        """Begin streams that break off after their first events, at all gateways."""
         self.set_breaks(breaks=True)
-        names = sorted(self.group.gateways)
+        names = names or sorted(self.group.gateways)
         for number in range(count):
             name = names[number % len(names)]
             stream = Stream(f"{prefix}{number}", name)
@@ -128,16 +135,19 @@
 
     async def replace_engine(self, engine: VersionedEngine, version: str) -> None:
         """Start an engine of another version, and drain the one that it replaces."""
-        name = f"{engine.name}-{version}"
-        new = VersionedEngine(name, service=engine.service, stage=engine.stage)
-        new.version = version
-        await new.start()
-        new.register(self.group.store)
-        self.group.upstreams.append(new)
+        await self.start_engine(f"{engine.name}-{version}", version)
         engine.register(self.group.store, state="draining")
         self.group.upstreams.remove(engine)
         self.left.append(engine)
 
+    async def start_engine(self, name: str, version: str) -> None:
+        """Start an engine that decodes, and register it."""
+        engine = VersionedEngine(name, service=LANGUAGE, stage="decode")
+        engine.version = version
+        await engine.start()
+        engine.register(self.group.store)
+        self.group.upstreams.append(engine)
+
     async def stop(self) -> None:
         await self.group.stop()
         for engine in self.left:
