Bound the received bytes that all connections of a process hold

It can happen here: each answer was bounded (8 MB whole, 256 kB queued), all answers together were not.

Cause: no bound for the process; and a failed read kept its up to 8 MB alive for longer than its call needed: the connection kept the error that it had raised, whose traceback kept the frame of the reader with all its chunks, and the call keeps the connections it has used. Work was bounded for one connection and turn of the loop, not for all.

Change: all connections report what they hold to one budget, a fifth of the host's memory by the settings. When it is used up the largest answer gives way, one of unknown length counting four times, with the ordinary end of a broken answer. A body belongs to its connection, not to a frame, and is dropped with it. A declared length beyond 8 MB fails at once. Connections with many events left are processed in turn, two in a turn of the loop.

Why this works: a byte counts from its arrival until it is passed on or its connection is dropped, and nothing else keeps it. Not in the budget: bodies of callers and what waits to be read by callers.

--- a/bramleyport/composition.py
+++ b/bramleyport/composition.py
@@ -7,7 +7,7 @@
 from functools import partial
 from pathlib import Path
 from random import Random
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Final
 
 if TYPE_CHECKING:
     from bramleyport.agent._daemon import AgentDaemon
@@ -26,6 +26,11 @@
     from bramleyport.upstreams import EngineClient, PlainClient
 
 
+# Fraction of its host's memory that a gateway uses for answers that it is reading. Each
+# byte may be there more than once, and the process needs some for all else.
+RECEIVE_FRACTION: Final = 0.2
+
+
 def build_identity(settings: "ProcessSettings") -> "Identity":
     """Build the identity that a process presents to its peers."""
     from bramleyport.core import ProcessId, RegionName, SettingsError, ZoneName
@@ -303,7 +308,8 @@
     from bramleyport.telemetry import Metrics
 
     state = GatewayState(settings=load_node_settings(settings_path))
-    client = HttpClient(reactor)
+    max_bytes = int(RECEIVE_FRACTION * state.settings.memory_bytes)
+    client = HttpClient(reactor, max_bytes)
     metrics = CallMetrics(Metrics())
     store = StoreClient(client, state.settings.store, metrics.count_store_call)
     exchanger = Exchanger(state, client)
--- a/bramleyport/http1/_client.py
+++ b/bramleyport/http1/_client.py
@@ -26,6 +26,7 @@
     Headers,
     HttpRequest,
 )
+from bramleyport.http1._receiving import DEFAULT_MAX_BYTES, ReceiveContext
 from bramleyport.http1._socket_options import enable_peer_timeout
 
 # Events of one connection that are processed before the event loop serves others.
@@ -46,9 +47,16 @@
         self,
         peer: Address,
         on_closed: "Callable[[UpstreamConnection], None] | None" = None,
+        context: ReceiveContext | None = None,
     ) -> None:
         self.peer = peer
         self._on_closed = on_closed
+        self._context = context or ReceiveContext()
+        # What the answer says of the length of its body, and what was read of it. The
+        # frame of a reader would keep it for as long as the traceback of an error.
+        self._declared_bytes: int | None = None
+        self._body: list[bytes] = []
+        self._read_bytes = 0
         self.opened_s = 0.0
         self.idle_since_s = 0.0
         self.idle_timeout_s: float | None = None
@@ -64,7 +72,6 @@
         self._queued_bytes = 0
         # Set while reading from the peer is paused.
         self._paused = False
-        self._next_batch: asyncio.Handle | None = None
         self._waiter: asyncio.Future[None] | None = None
         self._error: ExchangeError | None = None
 
@@ -93,8 +100,8 @@
         matches: Callable[[Answer], bool] | None = None,
     ) -> None:
         """Send a request; answers that don't match it are skipped."""
-        self._events.clear()
-        self._queued_bytes = 0
+        self._drop_received()
+        self._declared_bytes = None
         self._exchange_count += 1
         self.trailers = []
         self.transport.write(self._parser.start(request, matches))
@@ -117,18 +124,53 @@
 
     async def read_body(self, max_bytes: int = MAX_ANSWER_BYTES) -> bytes:
         """Wait for the complete body."""
-        chunks = []
-        size = 0
+        self._check_size(self._declared_bytes or 0, max_bytes)
         while (chunk := await self.read_chunk()) is not None:
-            size += len(chunk)
-            if size > max_bytes:
-                reason = f"over {max_bytes} bytes"
-                raise self._make_error(ExchangeFailure.BROKEN, "read body", reason)
-            chunks.append(chunk)
-        return b"".join(chunks)
+            self._body.append(chunk)
+            self._read_bytes += len(chunk)
+            self._check_size(self._read_bytes, max_bytes)
+            self._report_held()
+        body = b"".join(self._body)
+        self._drop_received()
+        return body
+
+    def _check_size(self, size: int, max_bytes: int) -> None:
+        if size > max_bytes:
+            reason = f"over {max_bytes} bytes"
+            raise self._make_error(ExchangeFailure.BROKEN, "read body", reason)
+
+    @property
+    def length_is_known(self) -> bool:
+        """Return whether the answer has said how long it is."""
+        return self._declared_bytes is not None
+
+    def give_way(self) -> None:
+        """Drop the answer, since memory is used up."""
+        held = self._queued_bytes + self._read_bytes
+        self._fail(ExchangeFailure.BROKEN, f"memory is used up, {held} bytes dropped")
+        self._drop_received()
+        self._abort_transport()
+
+    def _report_held(self) -> None:
+        """Report what is held; this may drop the answer."""
+        self._context.budget.hold(self, self._queued_bytes + self._read_bytes)
+
+    def _drop_received(self) -> None:
+        """Drop what was received, since nobody reads it any more."""
+        self._events.clear()
+        self._body.clear()
+        self._queued_bytes = self._read_bytes = 0
+        self._report_held()
 
     def abort(self) -> None:
         """Close the connection at once, so that the peer stops its work."""
+        # A call keeps the connections that it has used until it ends.
+        self.tainted = True
+        self._drop_received()
+        self._parser = AnswerParser(str(self.peer))
+        self._abort_transport()
+
+    def _abort_transport(self) -> None:
         if self.transport is not None and not self.closed:
             self.transport.abortConnection()
 
@@ -158,7 +200,7 @@
     def connectionLost(self, reason: Failure = Failure(ConnectionDone())) -> None:  # noqa: N802, B008
         """Process the end of the connection."""
         self.closed = True
-        self._cancel_next_batch()
+        self._context.turns.discard(self)
         if self._error is None and not self._parser.idle:
             self._handle_close(
                 clean=bool(reason.check(ConnectionDone)), text=str(reason.value)
@@ -183,24 +225,25 @@
 
     def _process_events(self) -> None:
         """Process a batch of events, then schedule the next one or wait for bytes."""
-        self._cancel_next_batch()
+        self._context.turns.discard(self)
         try:
             more = self._process_batch()
         except MalformedAnswerError as error:
             self._fail(ExchangeFailure.BROKEN, str(error))
-            self.abort()
+            # What was received before is still read.
+            self._abort_transport()
             return
         self._wake_reader()
         full = self._queued_bytes >= MAX_QUEUED_BYTES
         self._set_reading(reading=not (more or full))
         if more and not full:
-            self._next_batch = asyncio.get_running_loop().call_soon(
-                self._process_events
-            )
+            self._context.turns.add(self, self._process_events)
 
     def _process_batch(self) -> bool:
         """Process up to one batch of events; return whether there may be more."""
         for _ in range(EVENTS_PER_BATCH):
+            if self._error is not None:
+                return False
             if self._queued_bytes >= MAX_QUEUED_BYTES:
                 return True
             if not self._process_one():
@@ -208,7 +251,7 @@
         return True
 
     def _process_all(self) -> None:
-        while self._process_one():
+        while self._error is None and self._process_one():
             continue
 
     def _process_one(self) -> bool:
@@ -221,6 +264,9 @@
         self._events.append(event)
         if isinstance(event, h11.Data):
             self._queued_bytes += len(event.data)
+            self._report_held()
+        elif isinstance(event, h11.Response):
+            self._declared_bytes = _read_length(event)
         return True
 
     def _set_reading(self, *, reading: bool) -> None:
@@ -232,11 +278,6 @@
         else:
             self.transport.pauseProducing()
 
-    def _cancel_next_batch(self) -> None:
-        if self._next_batch is not None:
-            self._next_batch.cancel()
-            self._next_batch = None
-
     def _finish(self) -> None:
         """Prepare the connection for the next exchange if it can be reused."""
         self.tainted |= self._parser.finish()
@@ -258,10 +299,9 @@
     def _record_read(self, size: int) -> None:
         was_full = self._queued_bytes >= MAX_QUEUED_BYTES
         self._queued_bytes -= size
+        self._report_held()
         if was_full and self._queued_bytes < MAX_QUEUED_BYTES and not self.closed:
-            self._next_batch = asyncio.get_running_loop().call_soon(
-                self._process_events
-            )
+            self._context.turns.add(self, self._process_events)
 
     def _wake_reader(self) -> None:
         if self._waiter is not None and not self._waiter.done():
@@ -278,15 +318,37 @@
         return ExchangeError(failure, step, str(self.peer), reason)
 
 
+def _read_length(event: h11.Response) -> int | None:
+    """Return the length that an answer declares; the parser has checked it."""
+    for name, value in event.headers:
+        if name == b"content-length":
+            return int(value)
+    return None
+
+
 class HttpClient:
     """Represent the client side of HTTP on one reactor."""
 
-    def __init__(self, reactor: Any) -> None:
+    def __init__(self, reactor: Any, max_bytes: int = DEFAULT_MAX_BYTES) -> None:
         self._reactor = reactor
+        self._context = ReceiveContext(max_bytes)
+
+    @property
+    def received_bytes(self) -> int:
+        """Return the bytes of answers that all connections hold."""
+        return self._context.budget.used_bytes
+
+    def make_connection(
+        self,
+        peer: Address,
+        on_closed: Callable[[UpstreamConnection], None] | None = None,
+    ) -> UpstreamConnection:
+        """Return a connection that is not open yet."""
+        return UpstreamConnection(peer, on_closed, self._context)
 
     async def connect(self, peer: Address, timeout_s: float) -> UpstreamConnection:
         """Return a new connection; if that fails, nothing was sent."""
-        connection = UpstreamConnection(peer)
+        connection = self.make_connection(peer)
         await self.open(connection, timeout_s)
         return connection
 
--- a/bramleyport/http1/_pool.py
+++ b/bramleyport/http1/_pool.py
@@ -106,7 +106,7 @@
         if timeout_s is not None:
             limit_s = min(limit_s, timeout_s)
         # The peer may close it before the call below returns.
-        connection = UpstreamConnection(self.peer, self._remove)
+        connection = self._client.make_connection(self.peer, self._remove)
         self._open.add(connection)
         try:
             await self._client.open(connection, limit_s)
