Check who answers a stream after connections to its upstream were lost

The last two upstreams of a version crashed and were back 0.5 s later under their identifiers, with the next version, at ports that had stayed open; broken streams were sent there at once and went on.

Cause: that a process has ended was noticed only if a connection was refused, or broke before the first event. Until its new registration arrived an upstream counted as the version that it had.

Change: an upstream to which a connection was lost, idle or with an answer, is in doubt. If the store does not answer, the process is taken to be the same, as before: streams could not go on in an outage.

Why this works: a process registers before it takes connections, so a read that begins after the head of its answer finds it.

--- a/bramleyport/composition.py
+++ b/bramleyport/composition.py
@@ -297,6 +297,7 @@
     from bramleyport.gateway._peers import PeerLink
     from bramleyport.gateway._plain import PlainServer
     from bramleyport.gateway._prefill import Prefiller
+    from bramleyport.gateway._process_check import ProcessChecker
     from bramleyport.gateway._state import GatewayState
     from bramleyport.gateway._stream import StreamServer
     from bramleyport.gateway._verdict_store import VerdictStore
@@ -318,7 +319,10 @@
     guard = CrashGuard(state, exchanger, verdicts)
     version_store = VersionStore(state, store)
     versions = VersionChooser(state, version_store)
-    support = AttemptSupport(state, exchanger, tracker, metrics, guard, versions)
+    processes = ProcessChecker(state, store)
+    support = AttemptSupport(
+        state, exchanger, tracker, metrics, guard, versions, processes
+    )
     prefiller = Prefiller(state, exchanger, tracker, support.retries)
     forwarder = Forwarder(
         state, PlainServer(support), StreamServer(support, prefiller), Random()
--- a/bramleyport/gateway/_attempt.py
+++ b/bramleyport/gateway/_attempt.py
@@ -19,6 +19,7 @@
 from bramleyport.gateway._exchange import Exchanger
 from bramleyport.gateway._metrics import CallMetrics
 from bramleyport.gateway._outcome import AttemptEnd, FailedAttempt
+from bramleyport.gateway._process_check import ProcessChecker
 from bramleyport.gateway._rate_limits import OVER_LIMIT, Reservation
 from bramleyport.gateway._reply import relay_answer, reply
 from bramleyport.gateway._retries import MIN_REMAINING_S, RetryDecider
@@ -49,12 +50,14 @@
         metrics: CallMetrics,
         guard: CrashGuard,
         versions: VersionChooser,
+        processes: ProcessChecker,
     ) -> None:
         self.state = state
         self.exchanger = exchanger
         self.tracker = tracker
         self.metrics = metrics
         self.versions = versions
+        self.processes = processes
         self.retries = RetryDecider(state, versions)
         self.guard = guard
 
--- a/bramleyport/gateway/_exchange.py
+++ b/bramleyport/gateway/_exchange.py
@@ -78,7 +78,9 @@
             connection.idle_timeout_s = head.idle_timeout_s
             yield OpenedExchange(connection=connection, answer=answer, head=head)
             self._record_trailers(target, connection)
-        except BaseException:
+        except BaseException as error:
+            if isinstance(error, ExchangeError):
+                self._state.record_connection_lost(target.upstream, read_now())
             # Closing the connection makes the upstream stop, and keeps unread bytes of
             # this exchange from reaching the next one.
             connection.abort()
@@ -169,7 +171,12 @@
             connect_timeout_s=CONNECT_TIMEOUT_S,
         )
         if pool is None or pool.peer != target.address:
-            pool = ConnectionPool(self._client, target.address, limits)
+            pool = ConnectionPool(
+                self._client,
+                target.address,
+                limits,
+                lambda: self._state.record_connection_lost(target.upstream, read_now()),
+            )
             self._pools[target.upstream] = pool
         # Gateways that share the upstream's limit may have joined or left.
         pool.limits = limits
--- a/bramleyport/gateway/_fresh_reads.py
+++ b/bramleyport/gateway/_fresh_reads.py
@@ -25,6 +25,12 @@
         self._next: asyncio.Task[T] | None = None
         self._began_s: float | None = None
 
+    @property
+    def idle(self) -> bool:
+        """Return whether no read is running or waited for."""
+        running = self._running is not None and not self._running.done()
+        return self._next is None and not running
+
     async def request(self) -> T:
         """Return the result of a read that begins after this call."""
         if self._next is None:
--- a/bramleyport/gateway/_state.py
+++ b/bramleyport/gateway/_state.py
@@ -110,6 +110,9 @@
     # Registered processes that seem to have ended: another one, of another version,
     # may answer in the place of each.
     ended_processes: dict[UpstreamId, EndedProcess] = field(default_factory=dict)
+    # Upstreams to which connections were lost, and when the last one was: another
+    # process may answer in the place of each.
+    connections_lost_s: dict[UpstreamId, float] = field(default_factory=dict)
     # Set from the beginning of a planned stop.
     shutdown: ShutdownSchedule | None = None
     # Set when calls that are still running are ended, before the process exits.
@@ -269,6 +272,10 @@
         if streams and self.on_streams is not None:
             self.on_streams()
 
+    def record_connection_lost(self, upstream: UpstreamId, now_s: float) -> None:
+        """Record that an upstream ended a connection without a whole answer."""
+        self.connections_lost_s[upstream] = now_s
+
     def record_ended(self, upstream: UpstreamId, now_s: float) -> None:
         """Record that the registered process of an upstream seems to have ended."""
         registration = self.members.find(upstream)
@@ -359,3 +366,4 @@
         self.speeds.discard(upstream)
         self.pauses.discard(upstream)
         self.ended_processes.pop(upstream, None)
+        self.connections_lost_s.pop(upstream, None)
--- a/bramleyport/gateway/_stream_attempt.py
+++ b/bramleyport/gateway/_stream_attempt.py
@@ -200,11 +200,19 @@
         ):
             if not _is_stream(opened):
                 return await self._classify_answer(context, choice, opened)
+            if not await self._is_registered(context, choice):
+                raise BrokenStreamError("another process answers than is registered")
             relay.begin_attempt(opened.answer)
             await self._relay_events(context, choice, opened, relay, attempt_timeout)
         self._record_result(choice, failed=False)
         return None
 
+    async def _is_registered(self, context: CallContext, choice: Choice) -> bool:
+        """Return whether the version of the upstream is that of who answers."""
+        if context.call.route.repeatability is not Repeatability.STREAM_RESUMABLE:
+            return True
+        return await self._support.processes.is_registered(choice.upstream)
+
     async def _relay_events(
         self,
         context: CallContext,
--- a/bramleyport/http1/_pool.py
+++ b/bramleyport/http1/_pool.py
@@ -1,7 +1,7 @@
 """Pool of connections to one upstream."""
 
 import asyncio
-from collections.abc import Collection
+from collections.abc import Callable, Collection
 from dataclasses import dataclass
 from typing import Final
 
@@ -35,8 +35,16 @@
     the connection has ended, whatever its call awaits at that time.
     """
 
-    def __init__(self, client: HttpClient, peer: Address, limits: PoolLimits) -> None:
+    def __init__(
+        self,
+        client: HttpClient,
+        peer: Address,
+        limits: PoolLimits,
+        on_idle_lost: Callable[[], None] | None = None,
+    ) -> None:
+        """Track connections; `on_idle_lost` is called if the peer ends an idle one."""
         self.peer = peer
+        self._on_idle_lost = on_idle_lost
         self.limits = limits
         self._client = client
         # All connections that take a place, from before they open until they end.
@@ -124,6 +132,8 @@
         self._open.discard(connection)
         if connection in self._idle:
             self._idle.remove(connection)
+            if self._on_idle_lost is not None:
+                self._on_idle_lost()
 
     def _get_max_idle(self, connection: UpstreamConnection, fresh: bool) -> float:
         if fresh:
--- a/bramleyport/telemetry/_gateway_events.py
+++ b/bramleyport/telemetry/_gateway_events.py
@@ -106,6 +106,12 @@
 SHARES_NOT_READ: Final = define(
     2696, "WARNING", "shares of software versions not read, version not deduced by them"
 )
+OTHER_PROCESS_ANSWERED: Final = define(
+    2697, "WARNING", "another process answered than is registered, answer dropped"
+)
+PROCESS_NOT_CHECKED: Final = define(
+    2698, "WARNING", "registration not read, process that answers not checked"
+)
 SHARES_INVALID: Final = define(
     2695, "WARNING", "invalid shares of software versions in the store ignored"
 )
