Give a list of several pages the revision of its first page

Cause: the list had the revision of its last page, from which the watch went on. What changed in the part that had been read was in neither.

Change: the list has the revision of its first page. What the later pages show already is told again by the watch, which changes nothing.

The other store client (object API) reads lists without pages.

Why this works: each change after the first page is among the changes after its revision.

--- a/bramleyport/platform/_store.py
+++ b/bramleyport/platform/_store.py
@@ -104,12 +104,16 @@
     async def list_objects(
         self, kind: ObjectKind, *, stale: bool = False
     ) -> Result[Listing, StoreError]:
-        """Read all objects of a kind; a stale read may be seconds old."""
+        """Read all objects of a kind; a stale read may be seconds old.
+
+        The list has the revision of its first page: what changes between two pages is
+        among the changes after it, whether or not the later pages show it, too.
+        """
         objects: list[StoredObject] = []
         nameless: list[NamelessObject] = []
         after = ""
         cursors: set[str] = set()
-        first_era: StoreEra | None = None
+        first: StoreRevision | None = None
         while True:
             query = [f"after={quote(after, safe='')}"] if after else []
             query += [STALE_QUERY] if stale else []
@@ -121,15 +125,14 @@
                 part = decode_page(answer.body, answer.era)
             except MalformedDocumentError as error:
                 return _make_malformed_error("list", str(error))
-            first_era = answer.era if first_era is None else first_era
+            first = part.listing.revision if first is None else first
             objects += part.listing.objects
-            if part.listing.revision.era != first_era:
+            if part.listing.revision.era != first.era:
                 reason = "the store was restored between two pages"
                 return _make_error(StoreFailure.EXPIRED, "list", reason)
             nameless += part.listing.nameless
             if not part.has_more:
-                revision = part.listing.revision
-                return Ok(Listing(revision, tuple(objects), tuple(nameless)))
+                return Ok(Listing(first, tuple(objects), tuple(nameless)))
             after = part.last_name
             if not after or after in cursors:
                 return _make_malformed_error("list", "the pages don't advance")
