Read the entries beside one with a bracket too many or too few

Cause: the parts of a body that is no JSON were found by counting brackets and quotes, so such an entry took those behind it with it, and the whole answer counted as malformed.

Change: if the field that each body has is not found so, or an unreadable entry seems to hold others, entries are found by how they begin (an opening brace and a known member, not as the value of another), which a string can't hold unescaped. Each is parsed by itself. An event that can't be read as a whole makes its object unreadable, though a part of it may look whole.

Why this works: where an entry begins does not depend on those before it.

--- a/bramleyport/platform/_json_slices.py
+++ b/bramleyport/platform/_json_slices.py
@@ -25,6 +25,15 @@
 # Strings, containers and commas of one container. A page of a list has some hundred
 # entries; the bound keeps the time short that a body of another kind takes.
 MAX_BOUNDARIES: Final = 100_000
+# Where entries begin, if brackets tell nothing. In a string the quotes are escaped.
+_ENTRY: Final = re.compile(
+    rb'(?<=[\[,\s])\{\s*+"(?:metadata|object|deleted|spec|status)"\s*+:', re.DOTALL
+)
+_AFTER_COLON: Final = re.compile(rb":\s*\Z")
+# The end of a list of entries, with the plain fields behind it.
+_TAIL: Final = re.compile(
+    rb'\](?:\s*+,\s*+"\w++"\s*+:\s*+(?:true|false|null|-?\d++))*+\s*+\}\s*+\Z'
+)
 _OPENING: Final = b"{["
 _CLOSING: Final = b"}]"
 
@@ -46,12 +55,29 @@
     entries: list[Any]
 
 
-def parse_entries(body: bytes, name: str) -> EntryList:
-    """Return the entries in a field of a body, each parsed by itself if necessary."""
+def parse_entries(body: bytes, name: str, required: str = "") -> EntryList:
+    """Return the entries in a field of a body, each parsed by itself if necessary.
+
+    If a required field is not found, an entry with a bracket too many or too few hides
+    it, and the entries are found by how they begin.
+    """
+    try:
+        return _read_entries(parse_document(body), name)
+    except MalformedDocumentError as error:
+        reason = str(error)
     try:
-        fields = parse_document(body)
+        fields = parse_members(UnparsedSlice(body, reason))
+        found = _read_entries(fields, name)
+        if not required or (required in fields and not _has_swallowed(found)):
+            return found
     except MalformedDocumentError as error:
-        fields = parse_members(UnparsedSlice(body, str(error)))
+        reason = str(error)
+        if not required:
+            raise
+    return _find_entries(body, name, reason)
+
+
+def _read_entries(fields: Document, name: str) -> EntryList:
     entries = fields.get(name) or []
     if isinstance(entries, UnparsedSlice):
         entries = _parse_elements(entries)
@@ -60,6 +86,41 @@
     return EntryList(fields, entries)
 
 
+def _has_swallowed(found: EntryList) -> bool:
+    """Return whether an unreadable entry seems to hold others behind it."""
+    unparsed = (item for item in found.entries if isinstance(item, UnparsedSlice))
+    return any(_find_starts(item.text, 1, len(item.text)) for item in unparsed)
+
+
+def _find_starts(text: bytes, begin: int, end: int) -> list[int]:
+    """Return where entries begin; a value of a member is none."""
+    return [
+        match.start()
+        for match in _ENTRY.finditer(text, begin, end)
+        if not _AFTER_COLON.search(text, max(0, match.start() - 32), match.start())
+    ]
+
+
+def _find_entries(body: bytes, name: str, reason: str) -> EntryList:
+    """Return the entries between the places at which entries begin."""
+    tail = _TAIL.search(body)
+    if tail is None:
+        raise MalformedDocumentError(reason)
+    starts = _find_starts(body, 0, tail.start())
+    if not starts:
+        raise MalformedDocumentError(reason)
+    fields = parse_document(body[: starts[0]] + tail[0])
+    if fields.get(name) != []:
+        raise MalformedDocumentError(reason)
+    ends = [*starts[1:], tail.start()]
+    parts = [body[start:end] for start, end in zip(starts, ends, strict=True)]
+    return EntryList(fields, [_parse_slice(_strip_comma(part)) for part in parts])
+
+
+def _strip_comma(part: bytes) -> bytes:
+    return part.rstrip().removesuffix(b",")
+
+
 def parse_members(value: UnparsedSlice) -> dict[str, Any]:
     """Return the members of an object; members with unreadable names are left out."""
     members = {}
--- a/bramleyport/platform/_objects.py
+++ b/bramleyport/platform/_objects.py
@@ -25,6 +25,8 @@
 ObjectName = NewType("ObjectName", str)
 
 # Names are sent in headers.
+# The field of each list and of each batch of changes that names its revision.
+REVISION_FIELD: Final = "current_rev"
 _NAME: Final = re.compile("[ -~]{1,256}")
 
 
@@ -108,8 +110,8 @@
 
 def decode_page(body: bytes, era: StoreEra) -> ListPage:
     """Return one page of the objects of a kind."""
-    page = parse_entries(body, "items")
-    revision = _read_revision(page.fields, "current_rev", era)
+    page = parse_entries(body, "items", REVISION_FIELD)
+    revision = _read_revision(page.fields, REVISION_FIELD, era)
     objects = []
     nameless = []
     for entry in page.entries:
@@ -127,8 +129,8 @@
 
 def decode_changes(body: bytes, era: StoreEra) -> ChangeBatch:
     """Return the changes that a watch has answered."""
-    batch = parse_entries(body, "events")
-    revision = _read_revision(batch.fields, "current_rev", era)
+    batch = parse_entries(body, "events", REVISION_FIELD)
+    revision = _read_revision(batch.fields, REVISION_FIELD, era)
     changes = []
     nameless = []
     for entry in batch.entries:
@@ -153,6 +155,9 @@
     item = _decode_entry(event.get("object"), latest)
     if isinstance(item, NamelessObject):
         return item
+    if isinstance(entry, UnparsedSlice) and not item.fault:
+        # What looks whole may be a part of it, up to a bracket too many.
+        item = replace(item, fault=entry.reason)
     try:
         return Change(item, read_flag(event, "deleted", False))
     except MalformedDocumentError as error:
