--- a/tests/soak/_version_soak.py
+++ b/tests/soak/_version_soak.py
@@ -21,7 +21,7 @@
 )
 from tests.soak._findings import Findings
 from tests.soak._processes import GatewayProcess
-from tests.soak._proxy import FaultProxy
+from tests.soak._proxy import Direction, FaultProxy
 
 START_LIMIT_S: Final = 30.0
 POLL_INTERVAL_S: Final = 0.02
@@ -256,6 +256,49 @@
     await soak.start_engine(engine.version)
 
 
+@register_version_fault
+async def crash_version(soak: VersionSoak) -> None:
+    """End all engines of a version at once, and start as many others soon."""
+    version = soak.random.choice(VERSIONS)
+    ended = [item for item in soak.engines if item.version == version]
+    if len(ended) == len(soak.engines):
+        return
+    for engine in ended:
+        await soak.end_engine(engine)
+    await asyncio.sleep(soak.random.random() * 2)
+    for engine in ended:
+        await soak.start_engine(engine.version)
+
+
+@register_version_fault
+async def replace_process(soak: VersionSoak) -> None:
+    """Start another version under the identifier and at the port of an engine."""
+    engine = soak.random.choice(soak.engines)
+    engine.version = soak.random.choice(VERSIONS)
+    engine.born_ms += 1000
+    engine.register(soak.store)
+    engine.reset_connections()
+
+
+@register_version_fault
+async def reset_store_connections(soak: VersionSoak) -> None:
+    """Reset the connections of one gateway to the store, again and again."""
+    gateway = soak.random.choice(soak.gateways)
+    end_s = time.monotonic() + 2 * soak.random.random()
+    while time.monotonic() < end_s:
+        gateway.store_proxy.reset_connections()
+        await asyncio.sleep(soak.random.random() * 0.01)
+
+
+@register_version_fault
+async def silence_store(soak: VersionSoak) -> None:
+    """Let the store be silent to one gateway for a while."""
+    gateway = soak.random.choice(soak.gateways)
+    gateway.store_proxy.held_directions = set(Direction)
+    await asyncio.sleep(3 * soak.random.random())
+    gateway.store_proxy.held_directions = set()
+
+
 @register_version_fault
 async def stop_gateway(soak: VersionSoak) -> None:
     """Stop a gateway with SIGTERM and start it again."""
