Check who goes on with a stream even if no connection was lost

Change: the head of an answer that goes on with a stream always waits for a read of the registration that begins after it, one for all that ask meanwhile.

Open: a stream that begins at such an upstream counts as one of the version that was registered.

--- a/bramleyport/gateway/_process_check.py
+++ b/bramleyport/gateway/_process_check.py
@@ -36,13 +36,14 @@
         self._store = store
         self._reads: dict[UpstreamId, FreshReads[Registration | None]] = {}
 
-    async def is_registered(self, target: Registration) -> bool:
+    async def is_registered(self, target: Registration, *, goes_on: bool) -> bool:
         """Return whether the process that answers now is the registered one.
 
-        While the store does not tell, it is taken to be that one.
+        A stream that goes on is always checked: there may have been no connection to
+        lose when the process was replaced. While the store does not tell, it is taken
+        to be the registered one.
         """
-        lost_s = self._state.connections_lost_s.get(target.upstream)
-        if lost_s is None:
+        if not goes_on and target.upstream not in self._state.connections_lost_s:
             return True
         began_s = read_now()
         found = await self._read(target)
@@ -50,7 +51,8 @@
             return True
         if (found.started_ms, found.version) == (target.started_ms, target.version):
             # A connection may have been lost since the read began.
-            if self._state.connections_lost_s.get(target.upstream, began_s) < began_s:
+            lost_s = self._state.connections_lost_s.get(target.upstream, began_s)
+            if lost_s < began_s:
                 del self._state.connections_lost_s[target.upstream]
             return True
         log_event(
--- a/bramleyport/gateway/_stream_attempt.py
+++ b/bramleyport/gateway/_stream_attempt.py
@@ -200,18 +200,22 @@
         ):
             if not _is_stream(opened):
                 return await self._classify_answer(context, choice, opened)
-            if not await self._is_registered(context, choice):
+            if not await self._is_registered(context, choice, relay):
                 raise BrokenStreamError("another process answers than is registered")
             relay.begin_attempt(opened.answer)
             await self._relay_events(context, choice, opened, relay, attempt_timeout)
         self._record_result(choice, failed=False)
         return None
 
-    async def _is_registered(self, context: CallContext, choice: Choice) -> bool:
+    async def _is_registered(
+        self, context: CallContext, choice: Choice, relay: EventRelay
+    ) -> bool:
         """Return whether the version of the upstream is that of who answers."""
         if context.call.route.repeatability is not Repeatability.STREAM_RESUMABLE:
             return True
-        return await self._support.processes.is_registered(choice.upstream)
+        goes_on = relay.started or relay.last_event > 0
+        processes = self._support.processes
+        return await processes.is_registered(choice.upstream, goes_on=goes_on)
 
     async def _relay_events(
         self,
--- a/tests/test_replaced_processes.py
+++ b/tests/test_replaced_processes.py
@@ -63,3 +63,30 @@
             versioned.check(complete=STREAMS // 4)
 
     run(check())
+
+
+# Guards against streams that go on at a replaced process of which the gateway had no
+# connection that could have been lost.
+def test_streams_go_on_at_no_process_that_was_replaced_unseen(
+    run: Run, tmp_path: Path
+) -> None:
+    async def check() -> None:
+        async with run_versions(tmp_path, ("v1", "v2", "v2")) as versioned:
+            await versioned.begin()
+            # Idle connections are closed after some seconds.
+            await asyncio.sleep(3.0)
+            engine = versioned.engines[0]
+            store = versioned.group.store
+            store.hold_answers(lambda request: "servers?watch" in request.target)
+            for gateway in versioned.group.gateways.values():
+                gateway.state.connections_lost_s.clear()
+                gateway._exchanger.close()
+            await asyncio.sleep(0.1)
+            runs = len(engine.runs)
+            replace_process(versioned, engine)
+            await versioned.resume(versioned.choose_other)
+            store.release_answers()
+            versioned.check(complete=STREAMS // 4)
+            assert len(engine.runs) > runs
+
+    run(check())
