Refuse no answer whose declared body is not sent

The check of declared lengths took the length in the answer to a HEAD request, or in a 304, for that of a body, and refused it as too large; both such calls would have got 502. The new test failed for both before. A HEAD request, 204 and 304 declare nothing to be read.

--- a/bramleyport/http1/_client.py
+++ b/bramleyport/http1/_client.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections import deque
 from collections.abc import Callable
+from http import HTTPStatus
 from typing import Any, Final
 
 import h11
@@ -52,6 +53,8 @@
         self.peer = peer
         self._on_closed = on_closed
         self._context = context or ReceiveContext()
+        # Whether the body that an answer declares follows its head.
+        self._expects_body = True
         # What the answer says of the length of its body, and what was read of it. The
         # frame of a reader would keep it for as long as the traceback of an error.
         self._declared_bytes: int | None = None
@@ -102,6 +105,7 @@
         """Send a request; answers that don't match it are skipped."""
         self._drop_received()
         self._declared_bytes = None
+        self._expects_body = request.method != b"HEAD"
         self._exchange_count += 1
         self.trailers = []
         self.transport.write(self._parser.start(request, matches))
@@ -265,7 +269,7 @@
         if isinstance(event, h11.Data):
             self._queued_bytes += len(event.data)
             self._report_held()
-        elif isinstance(event, h11.Response):
+        elif isinstance(event, h11.Response) and self._expects_body:
             self._declared_bytes = _read_length(event)
         return True
 
@@ -320,6 +324,8 @@
 
 def _read_length(event: h11.Response) -> int | None:
     """Return the length that an answer declares; the parser has checked it."""
+    if event.status_code in (HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED):
+        return None
     for name, value in event.headers:
         if name == b"content-length":
             return int(value)
--- a/tests/test_receive_budget.py
+++ b/tests/test_receive_budget.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable, Coroutine
 from typing import Any
 
+import pytest
 from hypothesis import HealthCheck, settings, strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
@@ -164,6 +165,33 @@
     run(check())
 
 
+# Guards against refusing an answer whose declared body is not sent.
+@pytest.mark.parametrize(("method", "status"), [(b"HEAD", 200), (b"GET", 304)])
+def test_length_without_a_body_is_no_large_answer(
+    run: Run, method: bytes, status: int
+) -> None:
+    async def answer(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        head = f"HTTP/1.1 {status} X\r\nContent-Length: {10**9}\r\n\r\n"
+        writer.write(head.encode())
+
+    async def check() -> None:
+        from twisted.internet import reactor
+
+        server = await asyncio.start_server(answer, LOOPBACK, 0)
+        port = server.sockets[0].getsockname()[1]
+        connection = await HttpClient(reactor).connect(Address(LOOPBACK, port), 1.0)
+        connection.send(HttpRequest(method=method, target=b"/x", headers=[], body=b""))
+        assert (await connection.read_head()).status == status
+        assert await connection.read_body() == b""
+        connection.abort()
+        server.close()
+
+    run(check())
+
+
 # Guards against an event loop that is held by many connections with tiny pieces.
 def test_few_connections_are_processed_in_one_turn(run: Run) -> None:
     async def check() -> None:
