--- a/bramleyport/gateway/_repair_queue.py
+++ b/bramleyport/gateway/_repair_queue.py
@@ -23,11 +23,11 @@
         own: ProcessId,
         list_gateways: Callable[[], Collection[ProcessId]],
         *,
-        turn_s: float = TURN_S,
+        turn_s: float | None = None,
     ) -> None:
         self._own = own
         self._list_gateways = list_gateways
-        self._turn_s = turn_s
+        self._turn_s = TURN_S if turn_s is None else turn_s
         self._due_s: dict[str, float] = {}
 
     def add(self, key: str, now_s: float) -> None:
