Leave the event loop of the tests in place after the test of listed pages

Cause: test_listed_pages.py called asyncio.run(), which takes the event loop of the main thread away when it returns. Tests that read the clock outside of a coroutine and run later in the same process then find none.

Evidence: pytest tests/test_listed_pages.py tests/test_odd_peer_items.py: 6 failed and 9 passed before, 15 passed after. With the check in conftest.py and without the change of the test, the test of listed pages itself ends with an error.

Change: the test runs on the loop that all tests share. After each test the suite checks that this loop is still the current one, so that the test that removes it fails, and not those after it.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -54,6 +54,8 @@
         task.cancel()
     if left:
         loop.run_until_complete(asyncio.wait(left, timeout=END_LIMIT_S))
+    # asyncio.run() leaves no event loop for the tests that follow.
+    assert asyncio.get_event_loop() is loop
 
 
 @pytest.fixture
--- a/tests/test_listed_pages.py
+++ b/tests/test_listed_pages.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import json
-from collections.abc import Callable, Coroutine
 from typing import Any
 from urllib.parse import parse_qs, urlsplit
 
@@ -17,8 +16,6 @@
 from bramleyport.platform._settings import StoreSettings
 from bramleyport.platform._store import _StoreAnswer
 
-Run = Callable[[Coroutine[Any, Any, Any]], Any]
-
 PAGE_SIZE = 3
 NAMES = [f"e{number}" for number in range(8)]
 KIND = ObjectKind.REGISTRATIONS
@@ -106,9 +103,9 @@
 @settings(max_examples=300)
 @given(changes=CHANGES)
 def test_changes_between_two_pages_are_not_missed(
-    changes: list[tuple[int, str, bool]],
+    loop: asyncio.AbstractEventLoop, changes: list[tuple[int, str, bool]]
 ) -> None:
     store = PagedStore(changes)
-    found = asyncio.run(follow(store))
+    found = loop.run_until_complete(follow(store))
     assert store.pages >= len(store.objects) / PAGE_SIZE - 2
     assert found == {name: item["spec"]["at"] for name, item in store.objects.items()}
