Limit the time of each request that the gateway sends for itself

What callers saw: an engine that answers no request to free a handle kept a connection for each, for good. At the limit of the pool (240 in the test) calls of that gateway found 'pool is full' at a sound engine.

Cause: Prefiller._delete_handle called Exchanger.call without a time limit, which each of its other three callers set for itself.

Change: Exchanger.call sets the limit of 1 s and raises ExchangeError, so no caller can leave it out, and none has two errors to handle.

--- a/bramleyport/gateway/_caches.py
+++ b/bramleyport/gateway/_caches.py
@@ -1,7 +1,7 @@
 """Read which prefixes the engines have cached after a restart of the gateway."""
 
 import asyncio
-from typing import TYPE_CHECKING, Final
+from typing import TYPE_CHECKING
 
 from bramleyport.fleet import Registration
 from bramleyport.gateway._clock import read_now
@@ -18,8 +18,6 @@
 if TYPE_CHECKING:
     from bramleyport.core import UpstreamId
 
-CALL_TIMEOUT_S: Final = 1.0
-
 
 class CacheReader:
     """Track which engines' cache listings were read since a restart.
@@ -57,12 +55,11 @@
     async def _read_cache(self, target: Registration) -> None:
         request = HttpRequest(method=b"GET", target=CACHE_LISTING_PATH, headers=[])
         try:
-            async with asyncio.timeout(CALL_TIMEOUT_S):
-                answer = await self._exchanger.call(target, request)
+            answer = await self._exchanger.call(target, request)
             if answer.status != 200:
                 raise MalformedDocumentError(f"status {answer.status}")
             listing = decode_cache_listing(answer.body)
-        except (ExchangeError, MalformedDocumentError, TimeoutError) as error:
+        except (ExchangeError, MalformedDocumentError) as error:
             log_event(
                 gateway_events.CACHES_NOT_READ,
                 upstream=target.upstream,
--- a/bramleyport/gateway/_exchange.py
+++ b/bramleyport/gateway/_exchange.py
@@ -1,5 +1,6 @@
 """Exchange single requests and answers with upstreams."""
 
+import asyncio
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from dataclasses import dataclass
@@ -25,6 +26,8 @@
 # A connection within a region opens in a few milliseconds. A lost packet is sent again
 # only after a second, by which time another upstream can answer.
 CONNECT_TIMEOUT_S: Final = 0.4
+# Time for the whole answer to a request of the gateway itself.
+CALL_TIMEOUT_S: Final = 1.0
 # Fraction of an upstream's connection limit that all gateways together may use.
 CONNECTION_FRACTION: Final = 0.8
 # Limit for a service that is not in the configuration.
@@ -95,6 +98,18 @@
             raise ExchangeError(
                 ExchangeFailure.NOT_SENT, "call", str(pool.peer), reason
             )
+        try:
+            async with asyncio.timeout(CALL_TIMEOUT_S):
+                return await self._call(pool, target, request)
+        except TimeoutError as error:
+            reason = "no answer in time"
+            raise ExchangeError(
+                ExchangeFailure.TIMEOUT, "call", str(pool.peer), reason
+            ) from error
+
+    async def _call(
+        self, pool: ConnectionPool, target: Registration, request: HttpRequest
+    ) -> Answer:
         connection = await pool.acquire()
         try:
             sent_s = read_now()
--- a/bramleyport/gateway/_stages.py
+++ b/bramleyport/gateway/_stages.py
@@ -40,7 +40,6 @@
 # Time after which all gateways have received the announcement of a change and send the
 # engine no more calls.
 ANNOUNCEMENT_DELAY_S: Final = 0.2
-CALL_TIMEOUT_S: Final = 1.0
 # Time for an engine to finish its running calls before it changes.
 FINISH_TIME_S: Final = 0.7
 # The list of peers is complete by then. Earlier, two gateways could both start to plan.
@@ -219,26 +218,24 @@
             expected=report.orders_accepted,
         )
         try:
-            async with asyncio.timeout(CALL_TIMEOUT_S):
-                answer = await self._exchanger.call(target, make_stage_request(order))
-        except (ExchangeError, TimeoutError) as error:
+            answer = await self._exchanger.call(target, make_stage_request(order))
+        except ExchangeError as error:
             log_event(
                 gateway_events.ORDER_UNANSWERED,
                 upstream=change.upstream,
-                reason=str(error) or "no answer in time",
+                reason=str(error),
             )
             return OrderResult.UNKNOWN
         return decode_order_status(answer.status)
 
     async def _read_report(self, target: Registration) -> EngineReport | None:
         try:
-            async with asyncio.timeout(CALL_TIMEOUT_S):
-                answer = await self._exchanger.call(target, make_report_request())
+            answer = await self._exchanger.call(target, make_report_request())
             return decode_report(answer.body)
-        except (ExchangeError, MalformedDocumentError, TimeoutError) as error:
+        except (ExchangeError, MalformedDocumentError) as error:
             log_event(
                 gateway_events.REPORT_NOT_READ,
                 upstream=target.upstream,
-                reason=str(error) or "no answer in time",
+                reason=str(error),
             )
             return None
--- a/tests/platform_standin/_upstream.py
+++ b/tests/platform_standin/_upstream.py
@@ -63,6 +63,7 @@
         self.sequence = 0
         self.orders: list[dict[str, Any]] = []
         self.freed_handles: list[str] = []
+        self.frees_hang = False
         self.accepted_orders = 0
         self.prefill_hangs = False
         self.prefill_count = 0
@@ -109,6 +110,8 @@
         elif request.path == "/-/order":
             self._record_order(json.loads(request.body))
             writer.write(render_response(202))
+        elif request.path.startswith("/-/kv-handle/") and self.frees_hang:
+            await asyncio.sleep(60)
         elif request.path.startswith("/-/kv-handle/"):
             self.freed_handles.append(request.path.rpartition("/")[2])
             writer.write(render_response(200))
