Keep no connection in the pool of a removed upstream

What callers saw: nothing by itself; a connection that was in use as its upstream was removed or moved stayed open until its peer closed it, and its end then counted as a lost connection of the process that had taken the identifier, whose next stream waited for a read of its registration.

Cause: release() put each connection back, also after close(). A pool for another address replaced the earlier one without closing it.

--- a/bramleyport/gateway/_exchange.py
+++ b/bramleyport/gateway/_exchange.py
@@ -136,15 +136,15 @@
         return False
 
     def close_pool(self, upstream: UpstreamId) -> None:
-        """Close the idle connections to a removed upstream."""
+        """Close the connections to a removed upstream as soon as they are idle."""
         pool = self._pools.pop(upstream, None)
         if pool is not None:
             pool.close()
 
     def close(self) -> None:
-        """Close all idle connections."""
-        for pool in self._pools.values():
-            pool.close()
+        """Close all connections as soon as they are idle."""
+        for upstream in list(self._pools):
+            self.close_pool(upstream)
 
     def _record_head(
         self, target: Registration, answer: Answer, sent_s: float
@@ -186,6 +186,7 @@
             connect_timeout_s=CONNECT_TIMEOUT_S,
         )
         if pool is None or pool.peer != target.address:
+            self.close_pool(target.upstream)
             pool = ConnectionPool(
                 self._client,
                 target.address,
--- a/bramleyport/http1/_pool.py
+++ b/bramleyport/http1/_pool.py
@@ -50,6 +50,7 @@
         # All connections that take a place, from before they open until they end.
         self._open: set[UpstreamConnection] = set()
         self._idle: list[UpstreamConnection] = []
+        self._closed = False
 
     async def acquire(
         self,
@@ -93,14 +94,15 @@
 
     def release(self, connection: UpstreamConnection) -> None:
         """Return a connection to the pool after an exchange."""
-        if not connection.reusable:
+        if self._closed or not connection.reusable:
             connection.abort()
             return
         connection.idle_since_s = asyncio.get_running_loop().time()
         self._idle.append(connection)
 
     def close(self) -> None:
-        """Close the idle connections."""
+        """Close all connections as soon as they are idle."""
+        self._closed = True
         for connection in self._idle:
             connection.close()
         self._idle.clear()
--- a/tests/test_pool_places.py
+++ b/tests/test_pool_places.py
@@ -189,3 +189,22 @@
         assert failures
 
     run(check())
+
+
+# Guards against connections to removed upstreams that stay open for good.
+def test_closed_pool_keeps_no_connection(run: Run) -> None:
+    async def check() -> None:
+        peer = ResettingPeer(1)
+        peer.is_sound = True
+        server = asyncio.ensure_future(peer.serve())
+        pool = make_pool(peer.address)
+        calls = [asyncio.ensure_future(call(pool)) for _ in range(PLACES)]
+        await asyncio.sleep(0)
+        pool.close()
+        await asyncio.gather(*calls)
+        await asyncio.sleep(0.05)
+        assert not pool._open
+        server.cancel()
+        peer.close()
+
+    run(check())
