Keep the lease for stage orders when a plan fails

What callers saw: after one error in a plan the gateway that plans ordered no stages any more, so engines kept their stages while the mix of prompts and outputs shifted.

Cause: StageController.run cancelled the task of the lease in finally, also after an error. Supervision started run again, which took the lease for one that is being renewed, because its object was there.

Change: only a cancellation of run cancels the task of the lease.

Evidence: test_lease_is_kept_after_a_failed_plan failed before (the task was cancelled), passes now.

--- a/bramleyport/gateway/_stages.py
+++ b/bramleyport/gateway/_stages.py
@@ -73,15 +73,16 @@
         self._orders = StageOrderTracker()
 
     async def run(self) -> None:
-        """Plan and order stages until cancelled."""
-        await asyncio.sleep(START_DELAY_S)
+        """Plan and order stages until cancelled; the lease is kept after an error."""
         try:
+            await asyncio.sleep(START_DELAY_S)
             while True:
                 await self._poll()
                 await asyncio.sleep(POLL_INTERVAL_S)
-        finally:
+        except asyncio.CancelledError:
             if self._lease_task is not None:
                 self._lease_task.cancel()
+            raise
 
     async def _poll(self) -> None:
         now_s = read_now()
--- /dev/null
+++ b/tests/test_stage_control.py
@@ -0,0 +1,74 @@
+"""Guard the gateway that orders stages against ends of its own jobs."""
+
+from collections.abc import Callable, Coroutine, Iterator
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from bramleyport.core import Explanation, ServiceName, UpstreamId
+from bramleyport.fleet import Stage, StageChange, StagePlanner
+from bramleyport.gateway import _stages
+from bramleyport.supervision import _jobs
+from tests.gateway_fleet import LANGUAGE, GatewayFleet
+
+Run = Callable[[Coroutine[Any, Any, Any]], Any]
+
+CHANGE = StageChange(
+    upstream=UpstreamId("d0"),
+    stage=Stage.PREFILL,
+    explanation=Explanation(reason="backlog", numbers={}),
+)
+
+
+@pytest.fixture
+def fleet(
+    run: Run, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> Iterator[GatewayFleet]:
+    monkeypatch.setattr(_stages, "START_DELAY_S", 0.1)
+    monkeypatch.setattr(_jobs, "RESTART_DELAY_S", 0.1)
+    fleet = GatewayFleet(tmp_path)
+    run(fleet.start())
+    yield fleet
+    run(fleet.stop())
+
+
+class PlannedChanges:
+    """Represent plans that fail as often as they are told to."""
+
+    def __init__(self, service: str) -> None:
+        self.service = ServiceName(service)
+        self.failures = 0
+        self.plans = 0
+
+    def __call__(self, now_s: float) -> list[tuple[StageChange, ServiceName]]:
+        self.plans += 1
+        if self.failures:
+            self.failures -= 1
+            raise RuntimeError("no plan")
+        return [(CHANGE, self.service)]
+
+
+def plan_changes(stages: Any) -> PlannedChanges:
+    """Have a gateway order the same change again and again."""
+    stages._planners[ServiceName(LANGUAGE)] = StagePlanner()
+    stages._list_changes = PlannedChanges(LANGUAGE)
+    planned: PlannedChanges = stages._list_changes
+    return planned
+
+
+# Guards against a gateway that orders no stages any more after one plan has failed, as
+# it neither renews its lease nor lets others have it.
+def test_lease_is_kept_after_a_failed_plan(run: Run, fleet: GatewayFleet) -> None:
+    async def check() -> None:
+        stages = fleet.gateway._stages
+        planned = plan_changes(stages)
+        engine = fleet.engines[0]
+        await fleet.wait_for(lambda: engine.orders)
+        planned.failures = 1
+        await fleet.wait_for(lambda: planned.failures == 0)
+        count = len(engine.orders)
+        await fleet.wait_for(lambda: len(engine.orders) > count + 2)
+        assert not stages._lease_task.done()
+
+    run(check())
