Order no change of a service that the configuration has dropped

What callers saw: no stage was ordered for 3 s for each such change.

Cause: the services of a plan are those of the configuration at its beginning; each change takes a while to order. A service that a newer configuration no longer has raised KeyError, which ended the plan.

Evidence: test_change_of_a_dropped_service_is_not_ordered failed before (KeyError in each of 5 plans), passes now.

--- a/bramleyport/gateway/_stages.py
+++ b/bramleyport/gateway/_stages.py
@@ -163,9 +163,11 @@
             return
         target = self._state.members.find(change.upstream)
         configuration = self._state.configuration
-        if target is None or configuration is None:
+        # The configuration may have dropped the service since the change was planned.
+        known = configuration.services.get(service) if configuration else None
+        if target is None or known is None:
             return
-        engine = configuration.services[service].engine
+        engine = known.engine
         switch_s = engine.switch_s if engine else 0.0
         until_s = read_now() + switch_s + FINISH_TIME_S
         self._peers.announce_change(change.upstream, until_s)
--- a/tests/test_stage_control.py
+++ b/tests/test_stage_control.py
@@ -72,3 +72,30 @@
         assert not stages._lease_task.done()
 
     run(check())
+
+
+# Guards against a plan that fails as the configuration drops its service meanwhile.
+def test_change_of_a_dropped_service_is_not_ordered(
+    run: Run, fleet: GatewayFleet
+) -> None:
+    async def check() -> None:
+        stages = fleet.gateway._stages
+        planned = plan_changes(stages)
+        await fleet.wait_for(lambda: fleet.engines[0].orders)
+        errors = []
+        poll = stages._poll
+
+        async def record_errors() -> None:
+            try:
+                await poll()
+            except Exception as error:
+                errors.append(error)
+                raise
+
+        stages._poll = record_errors
+        planned.service = ServiceName("dropped")
+        plans = planned.plans
+        await fleet.wait_for(lambda: planned.plans > plans + 4)
+        assert errors == []
+
+    run(check())
