Ask an upstream which process it has if the store does not tell

The class is a check that counts a missing answer as a good one.

Change: if the store does not tell, the upstream is asked for its report. It names the start of its process, as all that an upstream says of itself does.

Why it works: the report is asked for after the answer has begun, so a report of the registered process shows that the answer was its own.

--- a/bramleyport/composition.py
+++ b/bramleyport/composition.py
@@ -319,7 +319,7 @@
     guard = CrashGuard(state, exchanger, verdicts)
     version_store = VersionStore(state, store)
     versions = VersionChooser(state, version_store)
-    processes = ProcessChecker(state, store)
+    processes = ProcessChecker(state, store, exchanger)
     support = AttemptSupport(
         state, exchanger, tracker, metrics, guard, versions, processes
     )
--- a/bramleyport/platform/_engines.py
+++ b/bramleyport/platform/_engines.py
@@ -80,6 +80,8 @@
     # The engine is applying an order.
     busy: bool
     orders_accepted: int
+    # Start of the process in Unix milliseconds; 0 if it does not say.
+    started_ms: int = 0
 
 
 def decode_report(body: bytes) -> EngineReport:
@@ -91,6 +93,7 @@
         busy=read_flag(document, "busy", False),
         # In other messages, the wire name means other counts.
         orders_accepted=read_count(document, "seq"),
+        started_ms=read_count(document, "born", 0),
     )
 
 
--- a/bramleyport/telemetry/_gateway_events.py
+++ b/bramleyport/telemetry/_gateway_events.py
@@ -110,7 +110,9 @@
     2697, "WARNING", "another process answered than is registered, answer dropped"
 )
 PROCESS_NOT_CHECKED: Final = define(
-    2698, "WARNING", "registration not read, process that answers not checked"
+    2698,
+    "WARNING",
+    "registration or report not read, process that answers not known from it",
 )
 SHARES_INVALID: Final = define(
     2695, "WARNING", "invalid shares of software versions in the store ignored"
--- a/tests/platform_standin/_upstream.py
+++ b/tests/platform_standin/_upstream.py
@@ -106,6 +106,7 @@
             writer.write(render_response(421, Instance_Id=self.name))
         elif request.path == "/-/report":
             report = {"stage": self.stage, "busy": False, "seq": self.accepted_orders}
+            report |= {"born": self.born_ms}
             writer.write(render_response(200, json.dumps(report).encode()))
         elif request.path == "/-/order":
             self._record_order(json.loads(request.body))
--- a/tests/test_replaced_processes.py
+++ b/tests/test_replaced_processes.py
@@ -33,6 +33,28 @@
     engine.reset_connections()
 
 
+async def replace_while_streaming(versioned: VersionedGroup, path: str) -> None:
+    """Replace the processes of a version while streams of theirs run."""
+    names = sorted(versioned.group.gateways)
+    for engine in versioned.engines:
+        engine.pause_s = 0.1
+    for number in range(STREAMS):
+        stream = Stream(f"s{number}", names[number % 3])
+        versioned.streams.append(stream)
+    calls = [
+        asyncio.ensure_future(
+            versioned._call(stream, stream.gateway, stream.request, path)
+        )
+        for stream in versioned.streams
+    ]
+    await asyncio.sleep(0.25)
+    for engine in versioned.engines[:2]:
+        replace_process(versioned, engine)
+    await asyncio.gather(*calls)
+    begun = {stream.versions[0] for stream in versioned.streams}
+    assert begun == {"v1", "v2"}
+
+
 # Guards against streams that go on, or begin, at a process of another version that has
 # taken the place of the registered one.
 @pytest.mark.parametrize("path", [PATH, BROKEN_PATH])
@@ -41,25 +63,29 @@
 ) -> None:
     async def check() -> None:
         async with run_versions(tmp_path, VERSIONS) as versioned:
-            names = sorted(versioned.group.gateways)
-            for engine in versioned.engines:
-                engine.pause_s = 0.1
-            for number in range(STREAMS):
-                stream = Stream(f"s{number}", names[number % 3])
-                versioned.streams.append(stream)
-            calls = [
-                asyncio.ensure_future(
-                    versioned._call(stream, stream.gateway, stream.request, path)
-                )
-                for stream in versioned.streams
-            ]
-            await asyncio.sleep(0.25)
-            for engine in versioned.engines[:2]:
-                replace_process(versioned, engine)
-            await asyncio.gather(*calls)
+            await replace_while_streaming(versioned, path)
             await versioned.resume(versioned.choose_other)
-            begun = {stream.versions[0] for stream in versioned.streams}
-            assert begun == {"v1", "v2"}
+            versioned.check(complete=STREAMS // 4)
+
+    run(check())
+
+
+# Guards against streams that go on at a replaced process while no registration can be
+# read that shows it.
+@pytest.mark.parametrize("status", [503, 429, None])
+def test_processes_are_checked_while_the_store_does_not_tell(
+    run: Run, tmp_path: Path, status: int | None
+) -> None:
+    async def check() -> None:
+        async with run_versions(tmp_path, VERSIONS) as versioned:
+            store = versioned.group.store
+            # Without a status, it is silent.
+            store.hold_answers(lambda request: not status or "watch" in request.target)
+            store.refusal_status = status
+            await replace_while_streaming(versioned, PATH)
+            await versioned.resume(versioned.choose_other)
+            store.refusal_status = None
+            store.release_answers()
             versioned.check(complete=STREAMS // 4)
 
     run(check())
