Correct the version of a stream once a later process is known to write it

Cause: a stream's version was that of the registration known as its first event came, for good. A later registration changed nothing about streams that were running.

Change: what arrives 0.2 s or more after the registration of a new process at the same address is the new one's. As its predecessor's connections have ended, so is the whole answer. The gateway records the version anew and tells the others, whatever it told before (2699). If the stream had begun elsewhere, the attempt is broken off. A process that leaves may serve beside its successor, so it is left out.

--- a/bramleyport/fleet/_members.py
+++ b/bramleyport/fleet/_members.py
@@ -74,6 +74,10 @@
             member.registration = replace(member.registration, draining=True)
         return True
 
+    def is_leaving(self, registration: Registration) -> bool:
+        """Return whether the process of a registration is known to leave."""
+        return registration.draining or self._leaving.includes(registration)
+
     def list_leaving(self) -> list[LeavingUpstream]:
         """Return the upstreams that are leaving, or drained and have left lately."""
         draining = [
--- a/bramleyport/gateway/_state.py
+++ b/bramleyport/gateway/_state.py
@@ -51,6 +51,9 @@
 # Time for which a refused connection shows that a process has ended: the next one has
 # registered by then, or the same one only did not listen yet.
 ENDED_KEEP_S: Final = 5.0
+# Time after the registration of a process is known within which what its predecessor
+# wrote arrives.
+SUCCESSION_S: Final = 0.2
 # Why a call is refused while all upstreams that could answer it want no requests.
 PAUSED: Final = "upstreams_paused"
 
@@ -113,6 +116,8 @@
     # Upstreams to which connections were lost, and when the last one was: another
     # process may answer in the place of each.
     connections_lost_s: dict[UpstreamId, float] = field(default_factory=dict)
+    # Since when the registered process of each upstream is known.
+    processes_known_s: dict[UpstreamId, float] = field(default_factory=dict)
     # Set from the beginning of a planned stop.
     shutdown: ShutdownSchedule | None = None
     # Set when calls that are still running are ended, before the process exits.
@@ -294,6 +299,25 @@
             and ended.until_s > now_s
         )
 
+    def find_successor(
+        self, registration: Registration, now_s: float
+    ) -> Registration | None:
+        """Return the process that has taken the place of another one for a while.
+
+        It is returned only if the other one must have ended: a process that leaves may
+        serve for a while beside its successor, and a process at another address too.
+        """
+        found = self.members.find(registration.upstream)
+        if (
+            found is None
+            or found.started_ms == registration.started_ms
+            or found.address != registration.address
+            or self.members.is_leaving(registration)
+        ):
+            return None
+        known_s = self.processes_known_s.get(registration.upstream, now_s)
+        return found if now_s - known_s > SUCCESSION_S else None
+
     def list_live_versions(
         self, service: ServiceName, now_s: float
     ) -> set[SoftwareVersion]:
@@ -367,3 +391,4 @@
         self.pauses.discard(upstream)
         self.ended_processes.pop(upstream, None)
         self.connections_lost_s.pop(upstream, None)
+        self.processes_known_s.pop(upstream, None)
--- a/bramleyport/gateway/_state_updaters.py
+++ b/bramleyport/gateway/_state_updaters.py
@@ -193,6 +193,8 @@
             or known.address != registration.address
         ):
             self._on_removed(registration.upstream)
+        if known is None or known.started_ms != registration.started_ms:
+            self._state.processes_known_s[registration.upstream] = read_now()
 
     def _decode(self, item: StoredObject) -> Registration | None:
         """Return the registration of an upstream, which is not used if it is invalid.
--- a/bramleyport/gateway/_stream_attempt.py
+++ b/bramleyport/gateway/_stream_attempt.py
@@ -226,7 +226,15 @@
         attempt_timeout: AttemptTimeout,
     ) -> None:
         first = True
-        while (data := await opened.connection.read_chunk()) is not None:
+        goes_on = relay.started or relay.last_event > 0
+        connection = opened.connection
+        while True:
+            all_read = connection.all_read
+            data = await connection.read_chunk()
+            if data is None:
+                break
+            if all_read:
+                self._check_writer(context, choice, goes_on=goes_on)
             new_events = relay.relay_events(data)
             if relay.started:
                 self._support.versions.record_begun(context, choice)
@@ -241,6 +249,23 @@
             await context.connection.drain()
         relay.finish()
 
+    def _check_writer(
+        self, context: CallContext, choice: Choice, *, goes_on: bool
+    ) -> None:
+        """Check which process wrote what has just arrived.
+
+        If a later process has taken the place of the one that was meant, it wrote the
+        whole answer: the connections of its predecessor have ended.
+        """
+        if context.call.route.repeatability is not Repeatability.STREAM_RESUMABLE:
+            return
+        writer = self._support.state.find_successor(choice.upstream, read_now())
+        if writer is None or writer.version == context.version:
+            return
+        if goes_on:
+            raise BrokenStreamError("another process answers than was registered")
+        self._support.versions.correct_begun(context, writer)
+
     async def _classify_answer(
         self, context: CallContext, choice: Choice, opened: OpenedExchange
     ) -> FailedAttempt | None:
--- a/bramleyport/gateway/_version_choice.py
+++ b/bramleyport/gateway/_version_choice.py
@@ -17,6 +17,7 @@
 from bramleyport.gateway._call_context import CallContext, VersionSource
 from bramleyport.gateway._clock import read_now
 from bramleyport.gateway._state import GatewayState
+from bramleyport.telemetry import gateway_events, log_event
 
 # No gateway knows the version of a stream, so that it can't go on.
 VERSION_UNKNOWN: Final = "version_unknown"
@@ -150,10 +151,34 @@
             origin=call.origin, service=call.service, version=context.version
         )
         if self._state.stream_versions.record_begun(stream, read_now()):
-            self._state.tell_streams([stream])
             # Others may deduce another version if they are not told.
-            loop = asyncio.get_running_loop()
-            loop.call_later(REPEAT_AFTER_S, self._state.tell_streams, [stream])
+            self._tell(stream)
+
+    def correct_begun(self, context: CallContext, registration: Registration) -> None:
+        """Record that another process began a stream than the one that was meant."""
+        call = context.call
+        log_event(
+            gateway_events.VERSION_CORRECTED,
+            request=call.request,
+            upstream=registration.upstream,
+            version=context.version or "",
+            found=registration.version,
+        )
+        context.version = registration.version
+        if call.origin is None:
+            return
+        stream = BegunStream(
+            origin=call.origin, service=call.service, version=registration.version
+        )
+        self._state.stream_versions.record_begun(stream, read_now())
+        # Others may have been told the version that was meant.
+        self._tell(stream)
+
+    def _tell(self, stream: BegunStream) -> None:
+        """Tell the other gateways of a stream, twice, as a datagram may be lost."""
+        self._state.tell_streams([stream])
+        loop = asyncio.get_running_loop()
+        loop.call_later(REPEAT_AFTER_S, self._state.tell_streams, [stream])
 
     async def _wait_for_peers(self) -> None:
         """Wait until the other gateways had time to tell what can't be deduced."""
--- a/bramleyport/http1/_client.py
+++ b/bramleyport/http1/_client.py
@@ -143,6 +143,11 @@
             reason = f"over {max_bytes} bytes"
             raise self._make_error(ExchangeFailure.BROKEN, "read body", reason)
 
+    @property
+    def all_read(self) -> bool:
+        """Return whether all bytes of the answer that have arrived were read."""
+        return not self._events and not self._paused
+
     @property
     def length_is_known(self) -> bool:
         """Return whether the answer has said how long it is."""
--- a/bramleyport/telemetry/_gateway_events.py
+++ b/bramleyport/telemetry/_gateway_events.py
@@ -114,6 +114,9 @@
     "WARNING",
     "registration or report not read, process that answers not known from it",
 )
+VERSION_CORRECTED: Final = define(
+    2699, "WARNING", "stream began at a later process than was meant, version corrected"
+)
 SHARES_INVALID: Final = define(
     2695, "WARNING", "invalid shares of software versions in the store ignored"
 )
--- a/tests/test_replaced_processes.py
+++ b/tests/test_replaced_processes.py
@@ -7,11 +7,11 @@
 
 import pytest
 
+from bramleyport.core import UpstreamId
 from tests.platform_standin import VersionedEngine
 from tests.test_software_versions import (
     BROKEN_PATH,
     PATH,
-    Stream,
     VersionedGroup,
     run_versions,
 )
@@ -35,18 +35,9 @@
 
 async def replace_while_streaming(versioned: VersionedGroup, path: str) -> None:
     """Replace the processes of a version while streams of theirs run."""
-    names = sorted(versioned.group.gateways)
     for engine in versioned.engines:
         engine.pause_s = 0.1
-    for number in range(STREAMS):
-        stream = Stream(f"s{number}", names[number % 3])
-        versioned.streams.append(stream)
-    calls = [
-        asyncio.ensure_future(
-            versioned._call(stream, stream.gateway, stream.request, path)
-        )
-        for stream in versioned.streams
-    ]
+    calls = versioned.start_streams(STREAMS, path)
     await asyncio.sleep(0.25)
     for engine in versioned.engines[:2]:
         replace_process(versioned, engine)
@@ -116,3 +107,38 @@
             assert len(engine.runs) > runs
 
     run(check())
+
+
+# Guards against a stream that is taken for one of the registered version though a
+# process of another one, whose registration arrived later, began it.
+def test_streams_that_began_at_a_process_replaced_unseen_are_not_joined(
+    run: Run, tmp_path: Path
+) -> None:
+    async def check() -> None:
+        async with run_versions(tmp_path, VERSIONS) as versioned:
+            store = versioned.group.store
+            for engine in versioned.engines:
+                engine.pause_s = 0.25
+            store.hold_answers(lambda request: "servers?watch" in request.target)
+            replace_process(versioned, versioned.engines[0])
+            for gateway in versioned.group.gateways.values():
+                gateway.state.connections_lost_s.clear()
+            calls = versioned.start_streams(STREAMS, BROKEN_PATH)
+            await asyncio.sleep(0.1)
+            store.release_answers()
+            gateways = versioned.group.gateways.values()
+            await versioned.group.wait_for(
+                lambda: all(
+                    gateway.state.members.find(UpstreamId("d0")).version == "v2"
+                    for gateway in gateways
+                )
+            )
+            await asyncio.sleep(0.5)
+            for engine in versioned.engines:
+                engine.reset_connections()
+            await asyncio.gather(*calls)
+            assert not any(stream.is_complete for stream in versioned.streams)
+            await versioned.resume(versioned.choose_other)
+            versioned.check(complete=STREAMS // 4)
+
+    run(check())
--- a/tests/test_software_versions.py
+++ b/tests/test_software_versions.py
@@ -97,6 +97,17 @@
             assert len(stream.versions) == EVENTS_BEFORE_BREAK
         self.set_breaks(breaks=False)
 
+    def start_streams(self, count: int, path: str) -> list[asyncio.Future[None]]:
+        """Start streams beside each other at all gateways."""
+        names = sorted(self.group.gateways)
+        for number in range(count):
+            stream = Stream(f"s{number}", names[number % len(names)])
+            self.streams.append(stream)
+        return [
+            asyncio.ensure_future(self._call(item, item.gateway, item.request, path))
+            for item in self.streams
+        ]
+
     async def resume(self, choose: Callable[[Stream], str]) -> None:
         """Take all streams that are not complete up again at the chosen gateways."""
         for stream in self.streams:
