Take no earlier process of a restored store for the writer of a stream

What callers would see: after the store had come back from an old copy, a stream whose upstream had been replaced before counted as one of the version before, and was refused or joined wrongly. Found by reading.

Cause: the successor of a process was any other one under its identifier. Change: only one that started later is.

Evidence: test_writer_is_the_meant_process: 1 of 6 in tests/test_successors.py failed before, none after; the others hold the cases that were meant from the beginning.

--- a/bramleyport/gateway/_state.py
+++ b/bramleyport/gateway/_state.py
@@ -305,12 +305,13 @@
         """Return the process that has taken the place of another one for a while.
 
         It is returned only if the other one must have ended: a process that leaves may
-        serve for a while beside its successor, and a process at another address too.
+        serve for a while beside its successor, and a process at another address too. A
+        restored store may name an earlier process.
         """
         found = self.members.find(registration.upstream)
         if (
             found is None
-            or found.started_ms == registration.started_ms
+            or found.started_ms <= registration.started_ms
             or found.address != registration.address
             or self.members.is_leaving(registration)
         ):
