Use no answer after a lost connection if nobody tells whose it is

Cause: a check of the process that was not answered within 0.3 s by the store, and then by the upstream, counted as passed. Where the host is busy, both are late, while the new process has begun to answer.

Change: the upstream is asked after 0.2 s beside the store, and both may take 1 s in all. If neither tells, the answer is used only if no connection to the upstream was lost. An upstream that answers without the start of its process is taken to be the same, as before.

Evidence: test_streams_are_not_joined_while_reports_are_late, with a silent store and reports that come after 0.5 s or never: 15 of 24 mixed in both before, none now. 15 passed in the two files of its kind.

--- a/bramleyport/gateway/_process_check.py
+++ b/bramleyport/gateway/_process_check.py
@@ -26,21 +26,25 @@
 )
 from bramleyport.telemetry import gateway_events, log_event
 
-# Time for which the events of an answer wait for the store, and then for the upstream.
-CHECK_TIMEOUT_S: Final = 0.3
+# Time for which the events of an answer wait for the store and the upstream to tell.
+CHECK_TIMEOUT_S: Final = 1.0
+# Time after which the upstream is asked if the store has not told by then.
+REPORT_DELAY_S: Final = 0.2
 
 
 @dataclass(frozen=True, slots=True)
 class _FoundProcess:
     """Describe the process that an upstream has now."""
 
-    # Start of the process in Unix milliseconds.
+    # Start of the process in Unix milliseconds; 0 if it does not say.
     started_ms: int
     # None if the process itself answered, which does not say it.
     version: SoftwareVersion | None
 
-    def is_registered_by(self, registration: Registration) -> bool:
-        """Return whether a registration is that of this process."""
+    def may_be(self, registration: Registration) -> bool:
+        """Return whether nothing speaks against this being a registered process."""
+        if self.version is None and 0 in (self.started_ms, registration.started_ms):
+            return True
         return self.started_ms == registration.started_ms and (
             self.version is None or self.version == registration.version
         )
@@ -73,15 +77,17 @@
 
         A stream that goes on is always checked: there may have been no connection to
         lose when the process was replaced. If neither the store nor the upstream tells,
-        it is taken to be the registered one.
+        the answer is used only if no connection was lost.
         """
-        if not goes_on and target.upstream not in self._state.connections_lost_s:
+        lost = target.upstream in self._state.connections_lost_s
+        if not goes_on and not lost:
             return True
         began_s = read_now()
         found = await self._find_process(target)
         if found is None:
-            return True
-        if found.is_registered_by(target):
+            _log_unread(target, "neither the store nor the upstream told in time")
+            return not lost
+        if found.may_be(target):
             # A connection may have been lost since the read began.
             lost_s = self._state.connections_lost_s.get(target.upstream, began_s)
             if lost_s < began_s:
@@ -98,23 +104,44 @@
         return False
 
     async def _find_process(self, target: Registration) -> _FoundProcess | None:
-        found = await self._share(self._registrations, target, self._read_registration)
-        if found is None:
-            found = await self._share(self._reports, target, self._read_report)
-        return found
+        """Return the first that is told, by the store or else by the upstream."""
+        until_s = read_now() + CHECK_TIMEOUT_S
+        stored = asyncio.ensure_future(
+            self._share(self._registrations, target, self._read_registration)
+        )
+        sources = [stored]
+        try:
+            await asyncio.wait([stored], timeout=REPORT_DELAY_S)
+            found = _get_result(stored)
+            if found is None:
+                sources.append(
+                    asyncio.ensure_future(
+                        self._share(self._reports, target, self._read_report)
+                    )
+                )
+            waiting = {item for item in sources if not item.done()}
+            while found is None and waiting and read_now() < until_s:
+                done, waiting = await asyncio.wait(
+                    waiting,
+                    timeout=until_s - read_now(),
+                    return_when=asyncio.FIRST_COMPLETED,
+                )
+                found = next(filter(None, map(_get_result, done)), None)
+            return found
+        finally:
+            for item in sources:
+                item.cancel()
 
     async def _share(
         self, running: _SharedReads, target: Registration, read: _Read
     ) -> _FoundProcess | None:
         """Return the result of a read that all who ask meanwhile share."""
         reads = running.get(target.upstream)
-        if reads is None:
+        # One that all gave up waiting for may be of an earlier process.
+        if reads is None or reads.idle:
             reads = running[target.upstream] = FreshReads(partial(read, target))
         try:
-            async with asyncio.timeout(CHECK_TIMEOUT_S):
-                return await reads.request()
-        except TimeoutError:
-            return None
+            return await reads.request()
         finally:
             if reads.idle:
                 running.pop(target.upstream, None)
@@ -139,12 +166,13 @@
         except (ExchangeError, MalformedDocumentError) as error:
             _log_unread(target, str(error))
             return None
-        if not found.started_ms or not target.started_ms:
-            _log_unread(target, "start of the process unknown")
-            return None
         return _FoundProcess(found.started_ms, None)
 
 
+def _get_result(source: asyncio.Future[_FoundProcess | None]) -> _FoundProcess | None:
+    return source.result() if source.done() else None
+
+
 def _log_unread(target: Registration, reason: str) -> None:
     log_event(
         gateway_events.PROCESS_NOT_CHECKED, upstream=target.upstream, reason=reason
--- a/tests/platform_standin/_upstream.py
+++ b/tests/platform_standin/_upstream.py
@@ -64,6 +64,7 @@
         self.orders: list[dict[str, Any]] = []
         self.freed_handles: list[str] = []
         self.frees_hang = False
+        self.report_delay_s = 0.0
         self.accepted_orders = 0
         self.prefill_hangs = False
         self.prefill_count = 0
@@ -107,6 +108,7 @@
         elif request.path == "/-/report":
             report = {"stage": self.stage, "busy": False, "seq": self.accepted_orders}
             report |= {"born": self.born_ms}
+            await asyncio.sleep(self.report_delay_s)
             writer.write(render_response(200, json.dumps(report).encode()))
         elif request.path == "/-/order":
             self._record_order(json.loads(request.body))
--- a/tests/test_replaced_processes.py
+++ b/tests/test_replaced_processes.py
@@ -109,6 +109,25 @@
     run(check())
 
 
+# Guards against taking a process for the registered one because nobody tells in time.
+@pytest.mark.parametrize("report_delay_s", [0.5, 60.0])
+def test_streams_are_not_joined_while_reports_are_late(
+    run: Run, tmp_path: Path, report_delay_s: float
+) -> None:
+    async def check() -> None:
+        async with run_versions(tmp_path, VERSIONS) as versioned:
+            store = versioned.group.store
+            for engine in versioned.engines:
+                engine.report_delay_s = report_delay_s
+            store.hold_answers(lambda request: True)
+            await replace_while_streaming(versioned, PATH)
+            store.release_answers()
+            await versioned.resume(versioned.choose_other)
+            versioned.check(complete=STREAMS // 4)
+
+    run(check())
+
+
 # Guards against a stream that is taken for one of the registered version though a
 # process of another one, whose registration arrived later, began it.
 def test_streams_that_began_at_a_process_replaced_unseen_are_not_joined(
