Replace the processes in tests once each stream has brought an event

Cause: the test replaced the processes 0.25 s after it had started its streams, begun or not. If the loop of the test process stands still that long, the sleep is over before any request has reached an upstream; then all streams begin at the new version and there is nothing to check.

The check that streams began at both versions stays, and is stricter, as all streams have begun. The test of streams that began at a process replaced unseen waits in the same way in place of 0.1 s.

--- a/tests/gateway_group.py
+++ b/tests/gateway_group.py
@@ -46,6 +46,8 @@
         self.statuses: Counter[int] = Counter()
         self.refused: list[str] = []
         self.gateways: dict[str, Any] = {}
+        # Those whose call goes on.
+        self.callers: list[RawCaller] = []
         self._folder = folder
         self._bounds = BOUNDS | (bounds or {})
         self._count = gateways
@@ -159,11 +161,13 @@
     ) -> CallerAnswer | None:
         """Send a call to a gateway; return None if it gets no answer."""
         caller = RawCaller(self._ports[name])
+        self.callers.append(caller)
         try:
             return await caller.call(path, body=body, **headers)
         except (OSError, asyncio.IncompleteReadError):
             return None
         finally:
+            self.callers.remove(caller)
             caller.close()
 
     async def send_call(self, path: str) -> int:
--- a/tests/platform_standin/_caller.py
+++ b/tests/platform_standin/_caller.py
@@ -28,6 +28,8 @@
     request_numbers: "itertools.count[int]" = field(
         default_factory=lambda: itertools.count(1)
     )
+    # What arrived of the chunked body that is read, or was read last.
+    received: bytearray = field(default_factory=bytearray)
 
     async def open(self) -> None:
         streams = await asyncio.open_connection(LOOPBACK, self.port)
@@ -89,13 +91,13 @@
             length = int(headers["content-length"])
             body = await self.reader.readexactly(length)
             return body, True
-        body = b""
+        self.received.clear()
         try:
             while True:
                 size = int((await self.reader.readuntil(b"\r\n")).strip(), 16)
                 chunk = await self.reader.readexactly(size + 2)
                 if size == 0:
-                    return body, True
-                body += chunk[:-2]
+                    return bytes(self.received), True
+                self.received += chunk[:-2]
         except (asyncio.IncompleteReadError, ConnectionError):
-            return body, False
+            return bytes(self.received), False
--- a/tests/test_replaced_processes.py
+++ b/tests/test_replaced_processes.py
@@ -38,7 +38,7 @@
     for engine in versioned.engines:
         engine.pause_s = 0.1
     calls = versioned.start_streams(STREAMS, path)
-    await asyncio.sleep(0.25)
+    await versioned.wait_for_first_events()
     for engine in versioned.engines[:2]:
         replace_process(versioned, engine)
     await asyncio.gather(*calls)
@@ -143,7 +143,7 @@
             for gateway in versioned.group.gateways.values():
                 gateway.state.connections_lost_s.clear()
             calls = versioned.start_streams(STREAMS, BROKEN_PATH)
-            await asyncio.sleep(0.1)
+            await versioned.wait_for_first_events()
             store.release_answers()
             gateways = versioned.group.gateways.values()
             await versioned.group.wait_for(
--- a/tests/test_software_versions.py
+++ b/tests/test_software_versions.py
@@ -108,6 +108,16 @@
             for item in self.streams
         ]
 
+    async def wait_for_first_events(self) -> None:
+        """Wait until each started stream has brought its caller an event."""
+        callers = self.group.callers
+        await self.group.wait_for(
+            lambda: (
+                len(callers) == len(self.streams)
+                and all(caller.received for caller in callers)
+            )
+        )
+
     async def resume(self, choose: Callable[[Stream], str]) -> None:
         """Take all streams that are not complete up again at the chosen gateways."""
         for stream in self.streams:
