--- /dev/null
+++ b/tests/test_ports.py
@@ -0,0 +1,44 @@
+"""Guard the processes of tests against a port that another one was given."""
+
+import subprocess
+import sys
+
+PORTS = 50
+# Both processes draw from the same port on, and keep what they drew until told.
+DRAW = f"""
+import itertools, sys
+from tests import ports
+ports._offsets = itertools.count(0)
+print(*[ports.find_port() for _ in range({PORTS})], flush=True)
+sys.stdin.read()
+"""
+
+
+def start_drawing() -> subprocess.Popen[str]:
+    return subprocess.Popen(
+        [sys.executable, "-c", DRAW],
+        stdin=subprocess.PIPE,
+        stdout=subprocess.PIPE,
+        text=True,
+    )
+
+
+def read_ports(process: subprocess.Popen[str]) -> set[str]:
+    assert process.stdout is not None
+    return set(process.stdout.readline().split())
+
+
+# Guards against two processes that draw before either has bound its ports.
+def test_processes_that_draw_at_once_draw_different_ports() -> None:
+    with start_drawing() as first, start_drawing() as second:
+        drawn = [read_ports(first), read_ports(second)]
+    assert [len(ports) for ports in drawn] == [PORTS, PORTS]
+    assert not drawn[0] & drawn[1]
+
+
+# Guards against ports that stay reserved once their process has ended.
+def test_ports_of_an_ended_process_are_drawn_again() -> None:
+    with start_drawing() as first:
+        drawn = read_ports(first)
+    with start_drawing() as second:
+        assert read_ports(second) & drawn
