Let an upstream of the soak that starts again say no more that it leaves

Cause, in the soak: an upstream says in its answers that it leaves (fault leave_by_answer) while another operation ends that starts the same upstream again. The new process is registered under a later `born`, so gateways may use it, rightly; but the stand-in went on saying that it leaves, and the check went on counting from the answer of the process before it. Each gateway sends the new process one call before it hears again, one of them two within 7 ms, and the check allows one for each.

Why this works: starting an upstream again ends what the process before it said, as it does for limits, and ends the period that is checked. The leave that was going on notices the new process and starts no other one. Calls to the process that left are checked as before.

--- a/tests/soak/_faults.py
+++ b/tests/soak/_faults.py
@@ -87,9 +87,17 @@
             if drain.upstream == upstream.name:
                 drain.until_s = min(drain.until_s, time.monotonic())
 
+    def end_leaving(self, upstream: UpstreamStandin) -> None:
+        """Make an upstream say in its answers no more that it leaves."""
+        upstream.leaving = False
+        for drain in self.observations.leaving:
+            if drain.upstream == upstream.name:
+                drain.until_s = min(drain.until_s, time.monotonic())
+
     def restart_upstream(self, upstream: UpstreamStandin) -> None:
-        """Register an upstream as another process, which names no limit yet."""
+        """Register an upstream as another process, which says nothing of itself yet."""
         self.end_limit(upstream)
+        self.end_leaving(upstream)
         upstream.born_ms += 1
         self.register_upstream(upstream)
 
--- a/tests/soak/_signal_faults.py
+++ b/tests/soak/_signal_faults.py
@@ -30,19 +30,26 @@
     if upstream.leaving or upstream.pause:
         return
     upstream.leaving = True
+    process_ms = upstream.born_ms
     began_s = time.monotonic()
-    await asyncio.sleep(DRAIN_LIMIT_S / 2)
-    answered = [run for run in upstream.runs if run.started_s >= began_s and run.ended]
-    if answered:
-        drain = Drain(upstream.name, answered[0].started_s)
-        targets.observations.leaving.append(drain)
     try:
-        await asyncio.sleep(LEAVING_S)
+        await asyncio.sleep(DRAIN_LIMIT_S / 2)
+        if upstream.born_ms == process_ms:
+            record_leaving(targets.observations, upstream, began_s)
+            await asyncio.sleep(LEAVING_S)
     finally:
-        if answered:
-            drain.until_s = time.monotonic()
-        upstream.leaving = False
-        targets.restart_upstream(upstream)
+        # Another operation may have replaced the process.
+        if upstream.born_ms == process_ms:
+            targets.restart_upstream(upstream)
+
+
+def record_leaving(
+    observations: Observations, upstream: UpstreamStandin, began_s: float
+) -> None:
+    """Record since when gateways know that an upstream leaves, if any was told."""
+    answered = [run for run in upstream.runs if run.started_s >= began_s and run.ended]
+    if answered:
+        observations.leaving.append(Drain(upstream.name, answered[0].started_s))
 
 
 @register_signal
