Ask the upstream who writes when a stream begins on a connection not known

What callers saw: events of two software versions in one stream (ORDER). It began at a process that had replaced the registered one unseen, broke off at once, was taken for one of the registered version and went on there.

Cause: whether somebody else answers was asked only after a sign: a lost connection, or a later registration that is known for 0.2 s. With no connection open there is nothing to lose, and the registration may come after the stream has ended.

Why this works: a process registers before it takes connections, processes of an address only follow one another, and a connection stays with one. So the report of an upstream, asked for after the connection opened, names the registered process, or the connection leads to a later one. The start of a stream is not delayed; only a broken one waits for the report, 1 s at most. Until the later process's registration is known, the stream has the version "(unknown)" and goes on nowhere, told to the other gateways by the message that exists. A connection takes over what is shown of one that is open when it opens, so an upstream in use is not asked again; asks are shared, at most 100 a second for each upstream; an upstream with a rate limit is not asked, the store is. What remains: a stream that breaks off before the report comes.

--- a/bramleyport/fleet/__init__.py
+++ b/bramleyport/fleet/__init__.py
@@ -53,6 +53,7 @@
 from bramleyport.fleet._transfers import Transfer
 from bramleyport.fleet._trials import TRIAL_SPACING_S, choose_trial_interval
 from bramleyport.fleet._types import (
+    UNKNOWN_VERSION,
     Address,
     Call,
     CallerLimits,
@@ -80,6 +81,7 @@
     "MAX_TRAIT_CHARS",
     "MAX_VERDICTS",
     "TRIAL_SPACING_S",
+    "UNKNOWN_VERSION",
     "Address",
     "BegunStream",
     "Call",
--- a/bramleyport/fleet/_types.py
+++ b/bramleyport/fleet/_types.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass, field
 from enum import Enum
-from typing import NewType
+from typing import Final, NewType
 
 from bramleyport.core import (
     ModelName,
@@ -18,6 +18,8 @@
 ConfigVersion = NewType("ConfigVersion", int)
 # Of the software of an upstream, not of the weights of its models.
 SoftwareVersion = NewType("SoftwareVersion", str)
+# Of a stream whose writer is not registered as far as is known: it goes on nowhere.
+UNKNOWN_VERSION: Final = SoftwareVersion("(unknown)")
 
 
 @dataclass(frozen=True, slots=True)
--- a/bramleyport/gateway/_process_check.py
+++ b/bramleyport/gateway/_process_check.py
@@ -4,15 +4,14 @@
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from functools import partial
-from typing import Final
+from typing import TYPE_CHECKING, Final
 
 from result import Err
 
-from bramleyport.core import UpstreamId
 from bramleyport.fleet import Registration, SoftwareVersion
 from bramleyport.gateway._clock import read_now
 from bramleyport.gateway._exchange import Exchanger
-from bramleyport.gateway._fresh_reads import FreshReads
+from bramleyport.gateway._fresh_reads import MIN_INTERVAL_S, FreshReads
 from bramleyport.gateway._state import GatewayState
 from bramleyport.http1 import ExchangeError
 from bramleyport.platform import (
@@ -26,14 +25,19 @@
 )
 from bramleyport.telemetry import gateway_events, log_event
 
+if TYPE_CHECKING:
+    from bramleyport.core import UpstreamId
+
 # Time for which the events of an answer wait for the store and the upstream to tell.
 CHECK_TIMEOUT_S: Final = 1.0
 # Time after which the upstream is asked if the store has not told by then.
 REPORT_DELAY_S: Final = 0.2
+# Time between two requests for the report of one upstream, on many new connections.
+REPORT_INTERVAL_S: Final = 0.01
 
 
 @dataclass(frozen=True, slots=True)
-class _FoundProcess:
+class FoundProcess:
     """Describe the process that an upstream has now."""
 
     # Start of the process in Unix milliseconds; 0 if it does not say.
@@ -50,8 +54,29 @@
         )
 
 
-_Read = Callable[[Registration], Awaitable[_FoundProcess | None]]
-_SharedReads = dict[UpstreamId, FreshReads[_FoundProcess | None]]
+_Read = Callable[[Registration], Awaitable[FoundProcess | None]]
+
+
+class _SharedReads:
+    """Share the reads of what one source says of each upstream."""
+
+    def __init__(self, read: _Read, interval_s: float) -> None:
+        self._read = read
+        self._interval_s = interval_s
+        self._running: dict[UpstreamId, FreshReads[FoundProcess | None]] = {}
+
+    async def request(self, target: Registration) -> FoundProcess | None:
+        """Return the result of a read that all who ask meanwhile share."""
+        reads = self._running.get(target.upstream)
+        # One that all gave up waiting for may be of an earlier process.
+        if reads is None or reads.idle:
+            reads = FreshReads(partial(self._read, target), self._interval_s)
+            self._running[target.upstream] = reads
+        try:
+            return await reads.request()
+        finally:
+            if reads.idle and self._running.get(target.upstream) is reads:
+                del self._running[target.upstream]
 
 
 class ProcessChecker:
@@ -69,8 +94,8 @@
         self._state = state
         self._store = store
         self._exchanger = exchanger
-        self._registrations: _SharedReads = {}
-        self._reports: _SharedReads = {}
+        self._registrations = _SharedReads(self._read_registration, MIN_INTERVAL_S)
+        self._reports = _SharedReads(self._read_report, REPORT_INTERVAL_S)
 
     async def is_registered(self, target: Registration, *, goes_on: bool) -> bool:
         """Return whether the process that answers now is the registered one.
@@ -103,22 +128,31 @@
         self._state.record_ended(target.upstream, read_now())
         return False
 
-    async def _find_process(self, target: Registration) -> _FoundProcess | None:
+    async def read_process(self, target: Registration) -> FoundProcess | None:
+        """Return which process answers at the address of an upstream now.
+
+        The store is asked only if the upstream does not say it. An upstream whose rate
+        is limited is not asked.
+        """
+        found = None
+        if self._state.rate_limiter.find(target) is None:
+            found = await self._reports.request(target)
+        return found or await self.read_registration(target)
+
+    async def read_registration(self, target: Registration) -> FoundProcess | None:
+        """Return the process that is registered under an identifier now."""
+        return await self._registrations.request(target)
+
+    async def _find_process(self, target: Registration) -> FoundProcess | None:
         """Return the first that is told, by the store or else by the upstream."""
         until_s = read_now() + CHECK_TIMEOUT_S
-        stored = asyncio.ensure_future(
-            self._share(self._registrations, target, self._read_registration)
-        )
+        stored = asyncio.ensure_future(self.read_registration(target))
         sources = [stored]
         try:
             await asyncio.wait([stored], timeout=REPORT_DELAY_S)
             found = _get_result(stored)
             if found is None:
-                sources.append(
-                    asyncio.ensure_future(
-                        self._share(self._reports, target, self._read_report)
-                    )
-                )
+                sources.append(asyncio.ensure_future(self._reports.request(target)))
             waiting = {item for item in sources if not item.done()}
             while found is None and waiting and read_now() < until_s:
                 done, waiting = await asyncio.wait(
@@ -132,21 +166,7 @@
             for item in sources:
                 item.cancel()
 
-    async def _share(
-        self, running: _SharedReads, target: Registration, read: _Read
-    ) -> _FoundProcess | None:
-        """Return the result of a read that all who ask meanwhile share."""
-        reads = running.get(target.upstream)
-        # One that all gave up waiting for may be of an earlier process.
-        if reads is None or reads.idle:
-            reads = running[target.upstream] = FreshReads(partial(read, target))
-        try:
-            return await reads.request()
-        finally:
-            if reads.idle:
-                running.pop(target.upstream, None)
-
-    async def _read_registration(self, target: Registration) -> _FoundProcess | None:
+    async def _read_registration(self, target: Registration) -> FoundProcess | None:
         name = ObjectName(target.upstream)
         result = await self._store.get(ObjectKind.REGISTRATIONS, name)
         if isinstance(result, Err):
@@ -157,19 +177,19 @@
         except MalformedDocumentError as error:
             _log_unread(target, str(error))
             return None
-        return _FoundProcess(found.started_ms, found.version)
+        return FoundProcess(found.started_ms, found.version)
 
-    async def _read_report(self, target: Registration) -> _FoundProcess | None:
+    async def _read_report(self, target: Registration) -> FoundProcess | None:
         try:
             answer = await self._exchanger.call(target, make_report_request())
             found = decode_report(answer.body)
         except (ExchangeError, MalformedDocumentError) as error:
             _log_unread(target, str(error))
             return None
-        return _FoundProcess(found.started_ms, None)
+        return FoundProcess(found.started_ms, None)
 
 
-def _get_result(source: asyncio.Future[_FoundProcess | None]) -> _FoundProcess | None:
+def _get_result(source: asyncio.Future[FoundProcess | None]) -> FoundProcess | None:
     return source.result() if source.done() else None
 
 
--- a/bramleyport/gateway/_stream_attempt.py
+++ b/bramleyport/gateway/_stream_attempt.py
@@ -26,6 +26,7 @@
 )
 from bramleyport.gateway._prefill import Prefiller, PrefillError, make_prefill_error
 from bramleyport.gateway._retries import AttemptRetry
+from bramleyport.gateway._writer_check import WriterCheck
 from bramleyport.http1 import Answer, ExchangeError, HttpRequest
 from bramleyport.platform import ForwardOptions, encode_forward_headers
 
@@ -142,12 +143,15 @@
     ) -> FailedAttempt | None:
         tracker = self._support.tracker
         events_before = relay.events
+        check = self._make_check(context, choice)
         try:
-            return await self._exchange(context, choice, options, relay)
+            return await self._exchange(context, choice, options, relay, check)
         except TimeoutError:
+            await check.settle()
             return _fail(choice, AttemptEnd.LOST, "no event in time")
         except BrokenStreamError as error:
             events = relay.events - events_before
+            await check.settle()
             await self._record_broken(context, choice, events, answer_began=True)
             return _fail(choice, AttemptEnd.LOST, str(error), events)
         except ExchangeError as error:
@@ -156,6 +160,7 @@
                 self._record_result(choice, failed=True)
                 return make_unsent(choice.upstream.upstream, error)
             events = relay.events - events_before
+            await check.settle()
             await self._record_broken(
                 context, choice, events, answer_began=error.answer_began
             )
@@ -163,6 +168,16 @@
         finally:
             tracker.end(context.call, choice.upstream)
 
+    def _make_check(self, context: CallContext, choice: Choice) -> WriterCheck:
+        support = self._support
+        return WriterCheck(
+            support.state,
+            support.processes,
+            support.versions,
+            context,
+            choice.upstream,
+        )
+
     async def _record_broken(
         self, context: CallContext, choice: Choice, events: int, *, answer_began: bool
     ) -> None:
@@ -178,6 +193,7 @@
         choice: Choice,
         options: ForwardOptions,
         relay: EventRelay,
+        check: WriterCheck,
     ) -> FailedAttempt | None:
         request = context.request
         sent = HttpRequest(
@@ -202,8 +218,12 @@
                 return await self._classify_answer(context, choice, opened)
             if not await self._is_registered(context, choice, relay):
                 raise BrokenStreamError("another process answers than is registered")
+            if not (relay.started or relay.last_event):
+                check.start(opened.connection)
             relay.begin_attempt(opened.answer)
-            await self._relay_events(context, choice, opened, relay, attempt_timeout)
+            await self._relay_events(
+                context, choice, opened, relay, attempt_timeout, check
+            )
         self._record_result(choice, failed=False)
         return None
 
@@ -224,6 +244,7 @@
         opened: OpenedExchange,
         relay: EventRelay,
         attempt_timeout: AttemptTimeout,
+        check: WriterCheck,
     ) -> None:
         first = True
         goes_on = relay.started or relay.last_event > 0
@@ -237,7 +258,7 @@
                 self._check_writer(context, choice, goes_on=goes_on)
             new_events = relay.relay_events(data)
             if relay.started:
-                self._support.versions.record_begun(context, choice)
+                self._support.versions.record_begun(context, check.version)
             if new_events:
                 now_s = read_now()
                 if first:
@@ -264,7 +285,7 @@
             return
         if goes_on:
             raise BrokenStreamError("another process answers than was registered")
-        self._support.versions.correct_begun(context, writer)
+        self._support.versions.correct_begun(context, writer.upstream, writer.version)
 
     async def _classify_answer(
         self, context: CallContext, choice: Choice, opened: OpenedExchange
--- a/bramleyport/gateway/_version_choice.py
+++ b/bramleyport/gateway/_version_choice.py
@@ -6,9 +6,9 @@
 from bramleyport.admission import Rejected
 from bramleyport.core import Explanation, ServiceName, UpstreamId
 from bramleyport.fleet import (
+    UNKNOWN_VERSION,
     BegunStream,
     Call,
-    Choice,
     Registration,
     Repeatability,
     SoftwareVersion,
@@ -133,11 +133,11 @@
         allowed = self._list_allowed(context)
         if any(item.version in allowed for item in self._list_decoders(context)):
             return None
-        return Rejected(
-            Explanation(reason=VERSION_ABSENT, numbers={}), RETRY_WHEN_ABSENT_S
-        )
+        is_unknown = context.version == UNKNOWN_VERSION
+        reason = VERSION_UNKNOWN if is_unknown else VERSION_ABSENT
+        return Rejected(Explanation(reason=reason, numbers={}), RETRY_WHEN_ABSENT_S)
 
-    def record_begun(self, context: CallContext, choice: Choice) -> None:
+    def record_begun(self, context: CallContext, version: SoftwareVersion) -> None:
         """Record that a stream has its first event, and so its version."""
         call = context.call
         if (
@@ -146,7 +146,7 @@
             or call.route.repeatability is not Repeatability.STREAM_RESUMABLE
         ):
             return
-        context.version = choice.upstream.version
+        context.version = version
         stream = BegunStream(
             origin=call.origin, service=call.service, version=context.version
         )
@@ -154,22 +154,22 @@
             # Others may deduce another version if they are not told.
             self._tell(stream)
 
-    def correct_begun(self, context: CallContext, registration: Registration) -> None:
+    def correct_begun(
+        self, context: CallContext, upstream: UpstreamId, version: SoftwareVersion
+    ) -> None:
         """Record that another process began a stream than the one that was meant."""
         call = context.call
         log_event(
             gateway_events.VERSION_CORRECTED,
             request=call.request,
-            upstream=registration.upstream,
+            upstream=upstream,
             version=context.version or "",
-            found=registration.version,
+            found=version,
         )
-        context.version = registration.version
+        context.version = version
         if call.origin is None:
             return
-        stream = BegunStream(
-            origin=call.origin, service=call.service, version=registration.version
-        )
+        stream = BegunStream(origin=call.origin, service=call.service, version=version)
         self._state.stream_versions.record_begun(stream, read_now())
         # Others may have been told the version that was meant.
         self._tell(stream)
--- a/bramleyport/http1/_pool.py
+++ b/bramleyport/http1/_pool.py
@@ -123,6 +123,8 @@
         except BaseException:
             self._discard(connection)
             raise
+        # The process at the other end of an open connection has not been replaced.
+        connection.process_known = any(item.process_known for item in self._open)
         return connection
 
     def _discard(self, connection: UpstreamConnection) -> None:
--- a/tests/test_replaced_processes.py
+++ b/tests/test_replaced_processes.py
@@ -161,3 +161,43 @@
             versioned.check(complete=STREAMS // 4)
 
     run(check())
+
+
+# Guards against streams that a process replaced unseen begins and breaks off at once:
+# its registration arrives just before, after it, or not at all.
+@pytest.mark.parametrize("told_s", [0.0, 0.1, None])
+@pytest.mark.parametrize("is_silent", [False, True])
+def test_short_streams_of_a_process_replaced_unseen_are_not_joined(
+    run: Run, tmp_path: Path, told_s: float | None, is_silent: bool
+) -> None:
+    async def check() -> None:
+        async with run_versions(tmp_path, VERSIONS) as versioned:
+            store = versioned.group.store
+            for engine in versioned.engines:
+                engine.pause_s = 0.25
+            store.hold_answers(lambda request: is_silent or "watch" in request.target)
+            for gateway in versioned.group.gateways.values():
+                gateway._exchanger.close()
+            await asyncio.sleep(0.1)
+            replace_process(versioned, versioned.engines[0])
+            for gateway in versioned.group.gateways.values():
+                gateway.state.connections_lost_s.clear()
+            calls = versioned.start_streams(STREAMS, BROKEN_PATH)
+            await versioned.wait_for_first_events()
+            await asyncio.sleep(0.15)
+            if told_s == 0.0:
+                store.release_answers()
+                await asyncio.sleep(0.02)
+            for engine in versioned.engines:
+                engine.reset_connections()
+            if told_s:
+                await asyncio.sleep(told_s)
+                store.release_answers()
+            await asyncio.gather(*calls)
+            for engine in versioned.engines:
+                engine.pause_s = 0.0
+            store.release_answers()
+            await versioned.resume(versioned.choose_other)
+            versioned.check(complete=STREAMS // 4)
+
+    run(check())
--- a/tests/version_simulation.py
+++ b/tests/version_simulation.py
@@ -327,8 +327,7 @@
             if engine is None:
                 break
             if engine.upstream in self.engines:
-                choice: Any = _Chosen(engine)
-                gateway.chooser.record_begun(context, choice)
+                gateway.chooser.record_begun(context, engine.version)
                 self.streams[request] = engine.version
                 self.began_s[request] = self.loop.time()
                 self.begun += 1
@@ -386,10 +385,3 @@
         ready: Iterable[Registration] = gateway.state.members.list_ready(SERVICE)
         left = [item for item in ready if item.upstream not in excluded]
         return self.random.choice(left) if left else None
-
-
-class _Chosen:
-    """Represent the part of a choice that tells the version of its upstream."""
-
-    def __init__(self, upstream: Registration) -> None:
-        self.upstream = upstream
