Let what a connection shows of its process hold for 0.5 s on new ones

Cause: a new connection was taken to lead to the process that another open connection had shown at any time before. A gateway that is cut off from an upstream does not learn that its connections have ended, so they seem to be open after the upstream was replaced, and the first new one took over what they had shown.

Why this works: what was shown is kept with its time and taken over for 0.5 s, without being renewed. So a burst of connections asks once, and an upstream to which connections open all the time is asked twice a second.

--- a/bramleyport/gateway/_writer_check.py
+++ b/bramleyport/gateway/_writer_check.py
@@ -52,7 +52,7 @@
         """Begin to find out who writes, unless that is known of the connection."""
         repeatability = self._context.call.route.repeatability
         is_needed = repeatability is Repeatability.STREAM_RESUMABLE
-        if is_needed and not connection.process_known:
+        if is_needed and connection.process_shown_s is None:
             self._task = asyncio.ensure_future(self._correct(connection))
 
     async def settle(self) -> None:
@@ -66,7 +66,7 @@
         if found is None:
             return
         if found.may_be(self._target):
-            connection.process_known = True
+            connection.process_shown_s = asyncio.get_running_loop().time()
             return
         if connection.closed or self._state.members.is_leaving(self._target):
             # Either of them may have written what has arrived.
--- a/bramleyport/http1/_client.py
+++ b/bramleyport/http1/_client.py
@@ -67,9 +67,9 @@
         # Set after bytes that belong to no exchange, or to one that the answer does not
         # name; the connection is not reused then.
         self.tainted = False
-        # Set once it is shown which process the peer is, on this connection or on one
-        # that was open when this one opened.
-        self.process_known = False
+        # When it was shown which process the peer is, on this connection or, shortly
+        # before this one opened, on another; None if it was not.
+        self.process_shown_s: float | None = None
         # Headers after the body of the last answer that was read to its end.
         self.trailers: Headers = []
         self._exchange_count = 0
--- a/bramleyport/http1/_pool.py
+++ b/bramleyport/http1/_pool.py
@@ -18,6 +18,8 @@
 # that must not run twice is not sent on such a connection, since a reset would leave
 # open whether the request ran.
 MAX_FRESH_IDLE_S: Final = 0.25
+# Time for which it holds for new connections, too, which process the peer is.
+SHOWN_KEEP_S: Final = 0.5
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -123,10 +125,24 @@
         except BaseException:
             self._discard(connection)
             raise
-        # The process at the other end of an open connection has not been replaced.
-        connection.process_known = any(item.process_known for item in self._open)
+        connection.process_shown_s = self._find_shown()
         return connection
 
+    def _find_shown(self) -> float | None:
+        """Return when an open connection has shown lately which process the peer is.
+
+        While that connection is open, no other process is at its address. A connection
+        that was cut off may seem to be open for longer.
+        """
+        times_s = (item.process_shown_s for item in self._open)
+        shown_s = max(
+            (time_s for time_s in times_s if time_s is not None), default=None
+        )
+        now_s = asyncio.get_running_loop().time()
+        if shown_s is None or now_s - shown_s > SHOWN_KEEP_S:
+            return None
+        return shown_s
+
     def _discard(self, connection: UpstreamConnection) -> None:
         """Close a connection at once and free its place."""
         connection.abort()
