--- /dev/null
+++ b/tests/test_away_versions.py
@@ -0,0 +1,74 @@
+"""Guard calls that only upstreams which will be back can serve."""
+
+import asyncio
+from collections.abc import Callable, Coroutine
+from pathlib import Path
+from typing import Any
+
+from tests.test_absent_versions import bring_back, crash_version
+from tests.test_software_versions import VersionedGroup, run_versions
+
+Run = Callable[[Coroutine[Any, Any, Any]], Any]
+
+VERSIONS = ("v1", "v1", "v1", "v1", "v2", "v2")
+STREAMS = 24
+# Within the time for which a call of the stand-in's routes can wait.
+AWAY_S = 0.5
+
+
+async def begin_at_both_versions(versioned: VersionedGroup) -> None:
+    await versioned.begin(STREAMS)
+    assert {stream.versions[0] for stream in versioned.streams} == {"v1", "v2"}
+
+
+# Guards against refusing streams that their callers take up while the last upstreams of
+# their version are away for a moment.
+def test_streams_of_a_version_that_is_back_soon_go_on(run: Run, tmp_path: Path) -> None:
+    async def check() -> None:
+        async with run_versions(tmp_path, VERSIONS) as versioned:
+            await begin_at_both_versions(versioned)
+            crashed = await crash_version(versioned, "v2")
+            resumed = versioned.resume_together(versioned.choose_other)
+            await asyncio.sleep(AWAY_S)
+            await bring_back(versioned, crashed, "v2")
+            await resumed
+            versioned.check(complete=STREAMS)
+
+    run(check())
+
+
+# Guards against streams that a gateway breaks off while their version is away for a
+# moment, though it could go on with them.
+def test_running_streams_wait_for_their_version(run: Run, tmp_path: Path) -> None:
+    async def check() -> None:
+        async with run_versions(tmp_path, VERSIONS) as versioned:
+            for engine in versioned.engines:
+                engine.pause_s = 0.1
+            calls = versioned.start_streams(STREAMS, "/stream/x")
+            await versioned.wait_for_first_events()
+            crashed = await crash_version(versioned, "v2")
+            await asyncio.sleep(AWAY_S)
+            await bring_back(versioned, crashed, "v2")
+            await asyncio.gather(*calls)
+            versioned.check(complete=STREAMS)
+
+    run(check())
+
+
+# Guards against holding calls for a version of which nothing is registered any more.
+def test_streams_of_a_version_that_is_gone_are_refused_at_once(
+    run: Run, tmp_path: Path
+) -> None:
+    async def check() -> None:
+        async with run_versions(tmp_path, VERSIONS) as versioned:
+            await begin_at_both_versions(versioned)
+            crashed = await crash_version(versioned, "v2")
+            resumed = versioned.resume_together(versioned.choose_other)
+            for name in crashed:
+                versioned.group.store.delete("servers", name)
+            await resumed
+            ends = {s.last.status for s in versioned.streams if s.last is not None}
+            assert ends == {200, 503}
+            versioned.check(complete=STREAMS // 4)
+
+    run(check())
--- a/tests/test_fleet_stages.py
+++ b/tests/test_fleet_stages.py
@@ -6,7 +6,13 @@
 from dataclasses import replace
 
 from bramleyport.core import UpstreamId
-from bramleyport.fleet import EngineView, Stage, StageChange, StagePlanner
+from bramleyport.fleet import (
+    EngineView,
+    SoftwareVersion,
+    Stage,
+    StageChange,
+    StagePlanner,
+)
 from tests.fleet_builders import make_engine
 
 SLOTS = 64
@@ -192,3 +198,50 @@
 def test_engine_with_a_rate_limit_keeps_its_stage_beside_unlimited_decoders() -> None:
     pool = limit_pool(make_pool(3, 6, decoding=10), {"e0", "e8"})
     assert plan_until_change(StagePlanner(), pool, polls=3) is None
+
+
+def set_versions(pool: list[EngineView], versions: str) -> list[EngineView]:
+    """Return engines of the software versions that one letter each names."""
+    return [
+        replace(
+            view,
+            registration=replace(view.registration, version=SoftwareVersion(version)),
+        )
+        for view, version in zip(pool, versions, strict=True)
+    ]
+
+
+def test_each_version_keeps_two_decoders() -> None:
+    """Guards against streams of a version that one crash leaves without a decoder."""
+    planner = StagePlanner()
+    pool = set_versions(make_pool(5, 4, backlog_s=0.5), "aaaab" + "aaab")
+    for poll in range(20):
+        change = planner.plan(pool, SLOTS, poll * 0.25)
+        if change is None:
+            continue
+        pool = [
+            replace(view, registration=replace(view.registration, stage=change.stage))
+            if view.registration.upstream == change.upstream
+            else view
+            for view in pool
+        ]
+    decoders = [v.registration for v in pool if v.registration.stage is Stage.DECODE]
+    assert sorted(item.version for item in decoders) == ["a", "a", "b", "b"]
+
+
+def test_lost_decoders_are_replaced_by_engines_of_their_version() -> None:
+    """Guards against a version of which engines live and none decodes."""
+    pool = set_versions(make_pool(3, 4), "aaa" + "abba")
+    change = plan_until_change(StagePlanner(), pool, polls=1)
+    assert change is not None
+    assert (change.stage, change.explanation.reason) == (Stage.DECODE, "lost_decoders")
+    assert change.upstream in ("e4", "e5")
+
+
+def test_limited_decoders_of_a_version_are_replaced() -> None:
+    """Guards against versions whose only decoders have rate limits."""
+    pool = set_versions(make_pool(5, 4), "aaabb" + "abba")
+    change = plan_until_change(StagePlanner(), limit_pool(pool, {"e3", "e4"}), polls=1)
+    assert change is not None
+    assert change.stage is Stage.DECODE
+    assert change.upstream in ("e6", "e7")
--- a/tests/test_software_versions.py
+++ b/tests/test_software_versions.py
@@ -123,15 +123,30 @@
         for stream in self.streams:
             if stream.is_complete:
                 continue
-            stream.resumed += 1
-            await self._call(
-                stream,
-                choose(stream),
-                f"{stream.request}r{stream.resumed}",
-                BROKEN_PATH,
-                Resumes=stream.request,
-                Last_Event_Id=str(len(stream.versions)),
+            await self._resume_stream(stream, choose(stream))
+
+    async def _resume_stream(self, stream: Stream, gateway: str) -> None:
+        stream.resumed += 1
+        await self._call(
+            stream,
+            gateway,
+            f"{stream.request}r{stream.resumed}",
+            BROKEN_PATH,
+            Resumes=stream.request,
+            Last_Event_Id=str(len(stream.versions)),
+        )
+
+    def resume_together(
+        self, choose: Callable[[Stream], str]
+    ) -> asyncio.Future[list[None]]:
+        """Take all streams that are not complete up again, beside each other."""
+        return asyncio.gather(
+            *(
+                self._resume_stream(stream, choose(stream))
+                for stream in self.streams
+                if not stream.is_complete
             )
+        )
 
     async def _call(
         self, stream: Stream, gateway: str, request: str, path: str, **headers: str
