Plan the stages of engines for each software version

Callers that took up streams were refused although engines of their software version lived: nothing of that version decoded. Stages were planned for a service as a whole, so orders (backlog, idle) took the decoders of one version away, and two engines that crashed at once were the last ones. No order brought others of the version back, as the service had enough decoders.

Each version at which streams may go on keeps two decode engines and a third of its own engines. If it has fewer, an engine of that version is ordered to decode at once, even one that has only just changed to prefill. Spare decoders are taken from the version with the largest part of them. Engines that are out of reach don't count as decoders, and limited engines are judged by version as well.

--- a/bramleyport/fleet/__init__.py
+++ b/bramleyport/fleet/__init__.py
@@ -38,9 +38,16 @@
 from bramleyport.fleet._recorder import WorkRecorder
 from bramleyport.fleet._roster import GatewayRoster
 from bramleyport.fleet._routes import RouteTable, choose_service
+from bramleyport.fleet._serving import (
+    AbsentUpstream,
+    ServingGroup,
+    ServingScope,
+    writes_answers,
+)
 from bramleyport.fleet._shares_knowledge import SharesKnowledge
 from bramleyport.fleet._shutdown import ShutdownSchedule, plan_shutdown
-from bramleyport.fleet._stages import EngineView, StageChange, StagePlanner
+from bramleyport.fleet._stage_pools import EngineView
+from bramleyport.fleet._stages import StageChange, StagePlanner
 from bramleyport.fleet._stream_versions import BegunStream, StreamVersions
 from bramleyport.fleet._traits import (
     MAX_TRAIT_CHARS,
@@ -82,6 +89,7 @@
     "MAX_VERDICTS",
     "TRIAL_SPACING_S",
     "UNKNOWN_VERSION",
+    "AbsentUpstream",
     "Address",
     "BegunStream",
     "Call",
@@ -125,6 +133,8 @@
     "RouteTable",
     "ServiceConfig",
     "ServiceShare",
+    "ServingGroup",
+    "ServingScope",
     "SharesKnowledge",
     "ShutdownSchedule",
     "SoftwareVersion",
@@ -151,4 +161,5 @@
     "is_request",
     "is_watch_shared",
     "plan_shutdown",
+    "writes_answers",
 ]
--- a/bramleyport/fleet/_stages.py
+++ b/bramleyport/fleet/_stages.py
@@ -1,17 +1,21 @@
 """Decide which engines prefill prompts and which decode."""
 
 import math
-from collections.abc import Sequence
+from collections.abc import Collection, Sequence
 from dataclasses import dataclass
 from typing import Final
 
 from bramleyport.core import Explanation, UpstreamId
-from bramleyport.fleet._types import Registration, Stage
+from bramleyport.fleet._stage_pools import (
+    MIN_DECODER_FRACTION,
+    MIN_DECODERS,
+    EngineView,
+    list_for_decode,
+    list_spare,
+    split_by_version,
+)
+from bramleyport.fleet._types import SoftwareVersion, Stage
 
-# Least number of decode engines, in case some fail, and their least fraction of all
-# engines: each receives the KV caches of its calls over one link, one after another.
-MIN_DECODERS: Final = 2
-MIN_DECODER_FRACTION: Final = 1 / 3
 # Fraction of the slots that decoding calls may use before another decode engine is
 # added.
 SLOT_FRACTION: Final = 0.4
@@ -46,29 +50,12 @@
 SETTLE_S: Final = 10.0
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class EngineView:
-    """Describe the state of one engine as far as a planner needs it."""
-
-    registration: Registration
-    # Seconds of prefill that it has queued.
-    backlog_s: float
-    decoding_calls: int
-    # Seconds for which its link has carried KV caches since its load was first tracked.
-    transfer_s: float = 0.0
-    changing: bool = False
-    ejected: bool = False
-    # The engine names a rate limit.
-    limited: bool = False
-    # The stage that a changing engine was ordered to take, if known.
-    ordered_stage: Stage | None = None
+@dataclass(frozen=True, slots=True)
+class _Order:
+    """Describe the last order to an engine."""
 
-    @property
-    def next_stage(self) -> Stage | None:
-        """Return the stage that the engine has or changes to."""
-        if self.changing and self.ordered_stage is not None:
-            return self.ordered_stage
-        return self.registration.stage
+    at_s: float
+    stage: Stage | None
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -94,20 +81,31 @@
         self._busy_links = 0.0
         self._transfer_s: dict[UpstreamId, float] = {}
         self._last_poll_s: float | None = None
-        self._changed_s: dict[UpstreamId, float] = {}
+        self._orders: dict[UpstreamId, _Order] = {}
 
     def plan(
-        self, engines: Sequence[EngineView], slots: int, now_s: float
+        self,
+        engines: Sequence[EngineView],
+        slots: int,
+        now_s: float,
+        versions: Collection[SoftwareVersion] | None = None,
     ) -> StageChange | None:
-        """Return the next change, or None if the stages suit the work."""
+        """Return the next change, or None if the stages suit the work.
+
+        Streams may go on at `versions`, or at all if that is None.
+        """
         unlimited = [view for view in engines if not view.limited]
-        change = self._plan_unlimited(unlimited, slots, now_s)
+        change = self._plan_unlimited(unlimited, slots, now_s, versions)
         if change is not None:
             return change
         return self._plan_limited(engines, now_s)
 
     def _plan_unlimited(
-        self, engines: Sequence[EngineView], slots: int, now_s: float
+        self,
+        engines: Sequence[EngineView],
+        slots: int,
+        now_s: float,
+        versions: Collection[SoftwareVersion] | None,
     ) -> StageChange | None:
         """Return the next change of engines whose rate is not limited."""
         alive = [view for view in engines if not view.ejected]
@@ -121,10 +119,12 @@
         prefill_engines = [v for v in settled if v.registration.stage is Stage.PREFILL]
         if not decoders and not prefill_engines:
             return None
-        needed = self._count_needed(alive, slots, SLOT_FRACTION, LINK_FRACTION)
-        becoming_decoders = sum(
-            view.changing and view.ordered_stage is Stage.DECODE for view in alive
+        pools = split_by_version(alive, versions)
+        floors = sum(pool.floor for pool in pools)
+        needed = max(
+            floors, self._count_needed(alive, slots, SLOT_FRACTION, LINK_FRACTION)
         )
+        becoming_decoders = sum(pool.becoming for pool in pools)
         numbers = {
             "decoders": float(len(decoders)),
             "needed": float(needed),
@@ -132,32 +132,54 @@
             "links": round(self._busy_links, 2),
             "changing": float(changing),
         }
+        # Decode engines have failed. The others would fill up, and streams of their
+        # version would go on nowhere, if this waited until a changing engine is done.
+        for pool in pools:
+            if pool.count < pool.floor:
+                change = self._replace_lost(pool.prefill_engines, numbers, now_s)
+                if change is not None:
+                    return change
         if len(decoders) + becoming_decoders < self._count_min_decoders(engines):
-            # Decode engines have failed. The others would fill up if this waited until
-            # a changing engine is done.
-            return self._make_change(
-                prefill_engines, Stage.DECODE, "lost_decoders", numbers, now_s
-            )
+            return self._replace_lost(prefill_engines, numbers, now_s)
         allowed = max(1, int(CHANGING_FRACTION * len(alive)))
         if changing >= allowed:
             return None
         if len(decoders) + becoming_decoders < needed:
+            candidates = list_for_decode(pools)
             return self._make_change(
-                prefill_engines, Stage.DECODE, "few_decoders", numbers, now_s
+                candidates, Stage.DECODE, "few_decoders", numbers, now_s
             )
-        needed_after = self._count_needed(
-            alive, slots, RETURN_SLOT_FRACTION, RETURN_LINK_FRACTION
+        needed_after = max(
+            floors,
+            self._count_needed(
+                alive, slots, RETURN_SLOT_FRACTION, RETURN_LINK_FRACTION
+            ),
         )
-        spare = len(decoders) > needed_after
-        if spare and self._backlog_s > BACKLOG_S:
-            return self._make_change(decoders, Stage.PREFILL, "backlog", numbers, now_s)
-        if spare and self._idle_polls >= IDLE_POLLS:
-            return self._make_change(decoders, Stage.PREFILL, "idle", numbers, now_s)
+        if len(decoders) <= needed_after:
+            return None
+        spare = list_spare(pools)
+        if self._backlog_s > BACKLOG_S:
+            return self._make_change(spare, Stage.PREFILL, "backlog", numbers, now_s)
+        if self._idle_polls >= IDLE_POLLS:
+            return self._make_change(spare, Stage.PREFILL, "idle", numbers, now_s)
         return None
 
-    def record_change(self, upstream: UpstreamId, now_s: float) -> None:
-        """Record that an engine was ordered to change."""
-        self._changed_s[upstream] = now_s
+    def record_change(
+        self, upstream: UpstreamId, now_s: float, stage: Stage | None = None
+    ) -> None:
+        """Record that an engine was ordered to change, and to which stage if known."""
+        self._orders[upstream] = _Order(now_s, stage)
+
+    def _replace_lost(
+        self,
+        prefill_engines: Sequence[EngineView],
+        numbers: dict[str, float],
+        now_s: float,
+    ) -> StageChange | None:
+        """Change an engine, even one that has only just changed to prefill."""
+        return self._make_change(
+            prefill_engines, Stage.DECODE, "lost_decoders", numbers, now_s, urgent=True
+        )
 
     def _plan_limited(
         self, engines: Sequence[EngineView], now_s: float
@@ -171,8 +193,19 @@
         changing = sum(view.changing for view in alive)
         if changing >= max(1, int(CHANGING_FRACTION * len(alive))):
             return None
-        decoders = [view for view in alive if view.next_stage is Stage.DECODE]
-        prefill_engines = [view for view in alive if view.next_stage is Stage.PREFILL]
+        versions = sorted({view.registration.version for view in alive})
+        for version in versions:
+            pool = [view for view in alive if view.registration.version == version]
+            change = self._plan_limited_version(pool, changing, now_s)
+            if change is not None:
+                return change
+        return None
+
+    def _plan_limited_version(
+        self, engines: Sequence[EngineView], changing: int, now_s: float
+    ) -> StageChange | None:
+        decoders = [view for view in engines if view.next_stage is Stage.DECODE]
+        prefill_engines = [view for view in engines if view.next_stage is Stage.PREFILL]
         if not all(view.limited for view in decoders):
             return None
         if len(decoders) >= len(prefill_engines):
@@ -182,7 +215,7 @@
         ]
         numbers = {
             "decoders": float(len(decoders)),
-            "limited": float(sum(view.limited for view in alive)),
+            "limited": float(sum(view.limited for view in engines)),
             "changing": float(changing),
         }
         return self._make_change(
@@ -235,8 +268,15 @@
         reason: str,
         numbers: dict[str, float],
         now_s: float,
+        *,
+        urgent: bool = False,
     ) -> StageChange | None:
-        free = [view for view in candidates if self._is_settled(view, now_s)]
+        free = [
+            view
+            for view in candidates
+            if self._is_settled(view, now_s)
+            or (urgent and self._has_reached_prefill(view))
+        ]
         if not free:
             return None
         zones = [view.registration.zone for view in candidates]
@@ -258,5 +298,10 @@
         )
 
     def _is_settled(self, view: EngineView, now_s: float) -> bool:
-        changed_s = self._changed_s.get(view.registration.upstream)
-        return changed_s is None or now_s - changed_s >= SETTLE_S
+        order = self._orders.get(view.registration.upstream)
+        return order is None or now_s - order.at_s >= SETTLE_S
+
+    def _has_reached_prefill(self, view: EngineView) -> bool:
+        """Return whether an engine has carried out its last order, to prefill."""
+        order = self._orders.get(view.registration.upstream)
+        return order is not None and order.stage is Stage.PREFILL
--- /dev/null
+++ b/bramleyport/gateway/_serving.py
@@ -0,0 +1,38 @@
+"""Find the upstreams that can serve some calls, as this gateway knows them."""
+
+from bramleyport.fleet import (
+    AbsentUpstream,
+    Registration,
+    ServingGroup,
+    ServingScope,
+    writes_answers,
+)
+from bramleyport.gateway._state import GatewayState
+
+
+def find_serving_group(
+    state: GatewayState, scope: ServingScope, now_s: float
+) -> ServingGroup:
+    """Return which upstreams in a scope write answers now, and which will.
+
+    An upstream that has crashed is expected back for as long as its registration
+    stands; one that changes its stage, once it has done so.
+    """
+    registered = state.members.list_ready(scope.service)
+    names = [item.upstream for item in registered]
+    unreachable = state.reachability.find_unreachable(names, now_s)
+    ready: list[Registration] = []
+    absent: list[AbsentUpstream] = []
+    for item in registered:
+        if not scope.includes(item):
+            continue
+        is_changing = state.is_changing(item.upstream, now_s)
+        if not writes_answers(item):
+            if is_changing:
+                due_s = state.changing_until_s[item.upstream]
+                absent.append(AbsentUpstream(item, due_s))
+        elif item.upstream in unreachable or state.has_ended(item, now_s):
+            absent.append(AbsentUpstream(item))
+        elif not is_changing:
+            ready.append(item)
+    return ServingGroup(ready=tuple(ready), absent=tuple(absent))
--- a/bramleyport/gateway/_stages.py
+++ b/bramleyport/gateway/_stages.py
@@ -8,12 +8,15 @@
 from bramleyport.fleet import (
     EngineView,
     Registration,
+    ServingScope,
     StageChange,
     StagePlanner,
+    writes_answers,
 )
 from bramleyport.gateway._clock import read_now
 from bramleyport.gateway._exchange import Exchanger
 from bramleyport.gateway._peers import PeerLink
+from bramleyport.gateway._serving import find_serving_group
 from bramleyport.gateway._stage_orders import StageOrderTracker
 from bramleyport.gateway._state import GatewayState
 from bramleyport.http1 import ExchangeError
@@ -104,13 +107,16 @@
             views = self._make_engine_views(service.name, now_s)
             if self._is_growing(service.name, len(views), now_s):
                 continue
-            change = planner.plan(views, service.engine.slots, now_s)
+            versions = self._state.stream_versions.list_versions(service.name)
+            change = planner.plan(views, service.engine.slots, now_s, versions or None)
             if change is not None:
                 yield change, service.name
 
     def _make_engine_views(
         self, service: ServiceName, now_s: float
     ) -> list[EngineView]:
+        group = find_serving_group(self._state, ServingScope(service), now_s)
+        absent = {item.registration.upstream for item in group.absent}
         ejected = self._state.list_ejected(service, now_s)
         views = []
         for item in self._state.members.list_ready(service):
@@ -125,7 +131,9 @@
                     transfer_s=load.transfer_s,
                     changing=self._state.is_changing(item.upstream, now_s)
                     or self._orders.is_pending(item),
-                    ejected=item.upstream in ejected,
+                    # An engine that changes its stage is absent, and will decode.
+                    ejected=item.upstream in ejected
+                    or (writes_answers(item) and item.upstream in absent),
                     limited=self._state.rate_limiter.find(item) is not None,
                     ordered_stage=self._orders.find_ordered_stage(item.upstream),
                 )
@@ -190,7 +198,7 @@
         fencing = self._lease.find_fencing()
         if fencing is None:
             return
-        self._planners[service].record_change(change.upstream, now_s)
+        self._planners[service].record_change(change.upstream, now_s, change.stage)
         self._orders.record_ordered(change.upstream, change.stage, now_s)
         result = await self._send_order(target, change, report, fencing)
         if result is OrderResult.UNKNOWN:
@@ -198,6 +206,7 @@
         log_event(
             gateway_events.STAGE_ORDERED,
             upstream=change.upstream,
+            version=target.version,
             stage=change.stage.value,
             fencing=fencing,
             expected=report.orders_accepted,
