Keep decode engines of a version rather than order more

Two decode engines of a version are left when others change to prefill, and one is ordered back at once only if none of a version serves that gets new streams, or if all that decode are out of reach. Engines that crashed count while their registration stands.

--- a/bramleyport/fleet/_stage_pools.py
+++ b/bramleyport/fleet/_stage_pools.py
@@ -25,6 +25,8 @@
     transfer_s: float = 0.0
     changing: bool = False
     ejected: bool = False
+    # The engine is out of reach, and expected back while its registration stands.
+    away: bool = False
     # The engine names a rate limit.
     limited: bool = False
     # The stage that a changing engine was ordered to take, if known.
@@ -48,18 +50,20 @@
     prefill_engines: tuple[EngineView, ...]
     # Engines that were ordered to decode and do not yet.
     becoming: int
-    # Least number of engines that decode.
+    # Least number of decode engines that are left when others change to prefill.
     floor: int
 
     @property
-    def count(self) -> int:
-        """Return how many engines decode, or will."""
-        return len(self.decode_engines) + self.becoming
+    def is_lost(self) -> bool:
+        """Return whether streams may go on here, and no engine decodes or soon will."""
+        has_streams = bool(self.decode_engines) or self.floor > 0
+        serves = any(not view.away for view in self.decode_engines)
+        return has_streams and not serves and not self.becoming
 
     @property
     def density(self) -> float:
         """Return the part of the engines that decode."""
-        return self.count / self.size
+        return (len(self.decode_engines) + self.becoming) / self.size
 
 
 def split_by_version(
@@ -96,7 +100,7 @@
 
 
 def _compute_floor(engines: int) -> int:
-    """Return how many of the engines of a version decode even without calls."""
+    """Return how many engines of a version go on to decode, even without calls."""
     return min(engines, max(MIN_DECODERS, int(MIN_DECODER_FRACTION * engines)))
 
 
@@ -110,7 +114,11 @@
 
 def list_spare(pools: Sequence[VersionPool]) -> Sequence[EngineView]:
     """Return the decode engines of the version with the largest part of them."""
-    candidates = [pool for pool in pools if len(pool.decode_engines) > pool.floor]
+    candidates = [
+        pool
+        for pool in pools
+        if sum(not view.away for view in pool.decode_engines) > pool.floor
+    ]
     if not candidates:
         return ()
     return max(candidates, key=lambda pool: pool.density).decode_engines
--- a/bramleyport/fleet/_stages.py
+++ b/bramleyport/fleet/_stages.py
@@ -92,7 +92,7 @@
     ) -> StageChange | None:
         """Return the next change, or None if the stages suit the work.
 
-        Streams may go on at `versions`, or at all if that is None.
+        New streams begin at `versions`, or at all if that is None.
         """
         unlimited = [view for view in engines if not view.limited]
         change = self._plan_unlimited(unlimited, slots, now_s, versions)
@@ -120,10 +120,7 @@
         if not decoders and not prefill_engines:
             return None
         pools = split_by_version(alive, versions)
-        floors = sum(pool.floor for pool in pools)
-        needed = max(
-            floors, self._count_needed(alive, slots, SLOT_FRACTION, LINK_FRACTION)
-        )
+        needed = self._count_needed(alive, slots, SLOT_FRACTION, LINK_FRACTION)
         becoming_decoders = sum(pool.becoming for pool in pools)
         numbers = {
             "decoders": float(len(decoders)),
@@ -135,12 +132,12 @@
         # Decode engines have failed. The others would fill up, and streams of their
         # version would go on nowhere, if this waited until a changing engine is done.
         for pool in pools:
-            if pool.count < pool.floor:
+            if pool.is_lost:
                 change = self._replace_lost(pool.prefill_engines, numbers, now_s)
                 if change is not None:
                     return change
         if len(decoders) + becoming_decoders < self._count_min_decoders(engines):
-            return self._replace_lost(prefill_engines, numbers, now_s)
+            return self._replace_lost(list_for_decode(pools), numbers, now_s)
         allowed = max(1, int(CHANGING_FRACTION * len(alive)))
         if changing >= allowed:
             return None
@@ -149,11 +146,8 @@
             return self._make_change(
                 candidates, Stage.DECODE, "few_decoders", numbers, now_s
             )
-        needed_after = max(
-            floors,
-            self._count_needed(
-                alive, slots, RETURN_SLOT_FRACTION, RETURN_LINK_FRACTION
-            ),
+        needed_after = self._count_needed(
+            alive, slots, RETURN_SLOT_FRACTION, RETURN_LINK_FRACTION
         )
         if len(decoders) <= needed_after:
             return None
--- a/bramleyport/gateway/_stages.py
+++ b/bramleyport/gateway/_stages.py
@@ -107,8 +107,9 @@
             views = self._make_engine_views(service.name, now_s)
             if self._is_growing(service.name, len(views), now_s):
                 continue
-            versions = self._state.stream_versions.list_versions(service.name)
-            change = planner.plan(views, service.engine.slots, now_s, versions or None)
+            shares = self._state.stream_versions.list_shares(service.name)
+            versions = shares[-1].versions if shares else None
+            change = planner.plan(views, service.engine.slots, now_s, versions)
             if change is not None:
                 yield change, service.name
 
@@ -131,9 +132,9 @@
                     transfer_s=load.transfer_s,
                     changing=self._state.is_changing(item.upstream, now_s)
                     or self._orders.is_pending(item),
-                    # An engine that changes its stage is absent, and will decode.
-                    ejected=item.upstream in ejected
-                    or (writes_answers(item) and item.upstream in absent),
+                    ejected=item.upstream in ejected,
+                    # An engine that changes its stage is absent, but not away.
+                    away=writes_answers(item) and item.upstream in absent,
                     limited=self._state.rate_limiter.find(item) is not None,
                     ordered_stage=self._orders.find_ordered_stage(item.upstream),
                 )
