Hold calls for upstreams that will be back within their time

Callers that took up streams were refused within milliseconds, with seconds left, because the last decode engines of their version had just crashed or were changing their stage; running streams were broken off. Each place listed the upstreams of a service by a filter of its own, and none told "away" from "gone".

A ServingScope names the upstreams that may write the answer of a call: a service, and the versions of a stream. A ServingGroup has those that can do it now and those that are away: out of reach while their registration stands, or changing to decode. A streamed call whose group is away is held for up to half of its remaining time, all waits together, and released with the others in order of rank. If nothing of its version is registered, it is refused at once; a refusal tells when the group is expected back.

Evidence: two tests of test_away_versions.py failed before (8 of 24 streams refused or broken off) and pass.

--- a/bramleyport/gateway/_attempt.py
+++ b/bramleyport/gateway/_attempt.py
@@ -10,6 +10,7 @@
     Call,
     Choice,
     Registration,
+    ServingGroup,
     Transfer,
     admit,
 )
@@ -24,6 +25,7 @@
 from bramleyport.gateway._rate_limits import OVER_LIMIT, Reservation
 from bramleyport.gateway._reply import OwnStatus, refuse, relay_answer, reply
 from bramleyport.gateway._retries import MIN_REMAINING_S, RetryDecider
+from bramleyport.gateway._return_queue import ReturnQueue
 from bramleyport.gateway._state import PAUSED, GatewayState
 from bramleyport.gateway._version_choice import VersionChooser
 from bramleyport.gateway._work_tracker import WorkTracker
@@ -33,9 +35,13 @@
 RETRY_WHEN_FULL_S: Final = 0.3
 # Shortest wait for a permit, so that calls that wait for the same one do not poll.
 MIN_PERMIT_WAIT_S: Final = 0.02
-# Fraction of the time left that a call may wait for the end of a pause, so that an
-# upstream has enough time to answer it then.
-PAUSE_WAIT_FRACTION: Final = 0.5
+# Fraction of the time left that a call may wait for the end of a pause or for an
+# upstream that will be back, which then has enough time to answer it.
+WAIT_FRACTION: Final = 0.5
+# Time after which a call that finds no upstream at hand is sent again by its caller.
+AWAY_RETRY_S: Final = 1.0
+# Why a call is refused whose upstreams are away, and may be back.
+UPSTREAMS_AWAY: Final = "upstreams_away"
 # Another upstream may take calls before the pause ends.
 MAX_PAUSE_POLL_S: Final = 0.1
 
@@ -60,6 +66,7 @@
         self.versions = versions
         self.processes = processes
         self.retries = RetryDecider(state, versions)
+        self._returns = ReturnQueue(state)
         self.guard = guard
 
     async def place(self, context: CallContext) -> Choice | Rejected:
@@ -79,9 +86,35 @@
             if reserved is not None and self._can_use_reserved(context, reserved):
                 return reserved
             wait_s = self._find_permit_wait(context, decision)
-            if wait_s is None:
+            if wait_s is not None:
+                await asyncio.sleep(wait_s)
+            elif not await self._wait_for_return(context, decision):
                 return decision
-            await asyncio.sleep(wait_s)
+
+    async def _wait_for_return(self, context: CallContext, decision: Rejected) -> bool:
+        """Wait for an upstream that is away; return whether one may be back."""
+        if decision.explanation.reason != UPSTREAMS_AWAY:
+            return False
+        now_s = read_now()
+        until_s = context.find_wait_end(WAIT_FRACTION)
+        group = self.versions.find_group(context, now_s)
+        due_s = group.find_due_s(now_s)
+        if due_s is None or due_s >= until_s:
+            return False
+        if not context.was_held:
+            context.was_held = True
+            log_event(
+                gateway_events.CALL_HELD,
+                request=context.call.request,
+                priority=context.call.route.priority,
+                version=context.version or context.preferred_version or "",
+                absent=len(group.absent),
+                due_s=round(due_s - now_s, 3),
+                left_s=round(context.remaining_s, 3),
+            )
+        scope = self.versions.find_scope(context)
+        await self._returns.wait(scope, context.call, until_s)
+        return True
 
     def _find_permit_wait(
         self, context: CallContext, decision: Rejected
@@ -90,7 +123,7 @@
         reason = decision.explanation.reason
         if reason == PAUSED:
             wait_s = decision.retry_after_s
-            if wait_s > PAUSE_WAIT_FRACTION * context.remaining_s:
+            if wait_s > WAIT_FRACTION * context.remaining_s:
                 return None
             return min(MAX_PAUSE_POLL_S, max(MIN_PERMIT_WAIT_S, wait_s))
         if reason != OVER_LIMIT or not context.attempts.may_have_run:
@@ -143,9 +176,12 @@
     ) -> Choice | Rejected:
         """Choose among the upstreams that are not excluded, or return why not."""
         call = context.call
+        group = self.versions.find_group(context, now_s)
+        if group.is_returning and call.route.repeatability.streams:
+            return _refuse_away(group, now_s)
         choice = self._choose_stepwise(context, excluded, now_s)
         if choice is None:
-            absent = self.versions.find_obstacle(context)
+            absent = self.versions.find_obstacle(context, group)
             if absent is not None:
                 return absent
             if blocked:
@@ -285,7 +321,12 @@
             self.tracker.report_refused(failure.upstream)
             self.guard.record_refused(failure.upstream)
 
-    def give_up(self, context: CallContext, reason: str) -> None:
+    def give_up(
+        self,
+        context: CallContext,
+        reason: str,
+        retry_after_s: float = RETRY_WHEN_FULL_S,
+    ) -> None:
         """Send the final answer to a call whose attempts have failed."""
         failure = context.last_failure
         call = context.call
@@ -302,7 +343,7 @@
             reply(context.connection, status, call.request, reason)
             self._log_failed(context, reason, status.value)
             return
-        self.refuse(context, Rejected(Explanation(reason=reason), RETRY_WHEN_FULL_S))
+        self.refuse(context, Rejected(Explanation(reason=reason), retry_after_s))
 
     def refuse(self, context: CallContext, decision: Rejected) -> None:
         """Refuse a call that has not run, and tell the caller when to retry."""
@@ -395,6 +436,14 @@
         )
 
 
+def _refuse_away(group: ServingGroup, now_s: float) -> Rejected:
+    """Return the refusal of a call whose upstreams are all away."""
+    due_s = group.find_due_s(now_s)
+    wait_s = AWAY_RETRY_S if due_s is None else max(AWAY_RETRY_S, due_s - now_s)
+    numbers = {"absent": float(len(group.absent))}
+    return Rejected(Explanation(reason=UPSTREAMS_AWAY, numbers=numbers), wait_s)
+
+
 def _list_shared_parts(call: Call) -> list[str]:
     """Return the parts of a prompt that other calls may have, too."""
     return [part.prefix for part in call.prompt.parts[:-1]] if call.prompt else []
--- a/bramleyport/gateway/_call_context.py
+++ b/bramleyport/gateway/_call_context.py
@@ -72,10 +72,19 @@
         self.version: SoftwareVersion | None = None
         self.preferred_version: SoftwareVersion | None = None
         self.version_source = VersionSource.NONE
+        # Until when the call may wait for upstreams that are away, once it has.
+        self._wait_end_s: float | None = None
+        self.was_held = False
         # Time to the first event, and time that a separate prefill took; 0 if none.
         self.first_event_s = 0.0
         self.prefill_elapsed_s = 0.0
 
+    def find_wait_end(self, fraction: float) -> float:
+        """Return until when the call may wait, from now on, for all its waits."""
+        if self._wait_end_s is None:
+            self._wait_end_s = read_now() + fraction * self.remaining_s
+        return self._wait_end_s
+
     @property
     def remaining_s(self) -> float:
         """Return the seconds to the deadline of the call."""
--- a/bramleyport/gateway/_plain.py
+++ b/bramleyport/gateway/_plain.py
@@ -54,7 +54,8 @@
                 if context.last_failure is None:
                     self._support.refuse(context, choice)
                 else:
-                    self._support.give_up(context, choice.explanation.reason)
+                    reason = choice.explanation.reason
+                    self._support.give_up(context, reason, choice.retry_after_s)
                 return
             result = await self._run_attempt(context, choice)
             if isinstance(result, RelayableAnswer):
--- a/bramleyport/gateway/_state.py
+++ b/bramleyport/gateway/_state.py
@@ -27,7 +27,6 @@
     RouteTable,
     SharesKnowledge,
     ShutdownSchedule,
-    SoftwareVersion,
     Stage,
     StreamVersions,
     UpstreamPauses,
@@ -319,21 +318,6 @@
         known_s = self.processes_known_s.get(registration.upstream, now_s)
         return found if now_s - known_s > SUCCESSION_S else None
 
-    def list_live_versions(
-        self, service: ServiceName, now_s: float
-    ) -> set[SoftwareVersion]:
-        """Return the versions of which an upstream that decodes may answer."""
-        ready = self.members.list_ready(service)
-        names = [item.upstream for item in ready]
-        unreachable = self.reachability.find_unreachable(names, now_s)
-        return {
-            item.version
-            for item in ready
-            if item.stage is not Stage.PREFILL
-            and item.upstream not in unreachable
-            and not self.has_ended(item, now_s)
-        }
-
     def record_pause(self, upstream: UpstreamId, pause_s: float, now_s: float) -> None:
         """Record that an upstream wants no requests for a while."""
         if pause_s > 0 and self.pauses.record(upstream, pause_s, now_s):
--- a/bramleyport/gateway/_stream.py
+++ b/bramleyport/gateway/_stream.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from bramleyport.admission import Rejected
-from bramleyport.gateway._attempt import AttemptSupport
+from bramleyport.gateway._attempt import RETRY_WHEN_FULL_S, AttemptSupport
 from bramleyport.gateway._call_context import CallContext
 from bramleyport.gateway._clock import read_now
 from bramleyport.gateway._event_relay import EventRelay
@@ -75,11 +75,18 @@
         if context.last_failure is None:
             self._support.refuse(context, decision)
         else:
-            self._fail(context, relay, decision.explanation.reason)
+            reason = decision.explanation.reason
+            self._fail(context, relay, reason, decision.retry_after_s)
 
-    def _fail(self, context: CallContext, relay: EventRelay, reason: str) -> None:
+    def _fail(
+        self,
+        context: CallContext,
+        relay: EventRelay,
+        reason: str,
+        retry_after_s: float = RETRY_WHEN_FULL_S,
+    ) -> None:
         if not relay.started:
-            self._support.give_up(context, reason)
+            self._support.give_up(context, reason, retry_after_s)
             return
         log_event(
             gateway_events.STREAM_ABORTED,
--- a/bramleyport/gateway/_version_choice.py
+++ b/bramleyport/gateway/_version_choice.py
@@ -11,11 +11,14 @@
     Call,
     Registration,
     Repeatability,
+    ServingGroup,
+    ServingScope,
     SoftwareVersion,
-    Stage,
+    writes_answers,
 )
 from bramleyport.gateway._call_context import CallContext, VersionSource
 from bramleyport.gateway._clock import read_now
+from bramleyport.gateway._serving import find_serving_group
 from bramleyport.gateway._state import GatewayState
 from bramleyport.telemetry import gateway_events, log_event
 
@@ -97,7 +100,9 @@
         call, now_s = context.call, read_now()
         assert call.origin is not None
         versions = self._state.stream_versions
-        live = self._state.list_live_versions(call.service, now_s)
+        live = find_serving_group(
+            self._state, ServingScope(call.service), now_s
+        ).versions
         # If nothing is left, other shares would not help.
         lost = versions.list_versions(call.service) - live if live else frozenset()
         chosen = versions.choose(call.service, call.origin, now_s, lost)
@@ -113,25 +118,36 @@
         is_known = bool(self._state.stream_versions.list_versions(service))
         return is_known and read_now() < until_s and self._shares.can_change(service)
 
+    def find_scope(self, context: CallContext) -> ServingScope:
+        """Return which upstreams may write the answer of a call."""
+        call = context.call
+        if call.route.repeatability is not Repeatability.STREAM_RESUMABLE:
+            return ServingScope(call.service)
+        return ServingScope(call.service, self._list_allowed(context))
+
+    def find_group(self, context: CallContext, now_s: float) -> ServingGroup:
+        """Return the upstreams that can write the answer of a call now, or soon."""
+        return find_serving_group(self._state, self.find_scope(context), now_s)
+
     def list_excluded(self, context: CallContext) -> set[UpstreamId]:
         """Return the upstreams that must not write the events of a call."""
         call = context.call
         if call.route.repeatability is not Repeatability.STREAM_RESUMABLE:
             return set()
-        now_s = read_now()
-        allowed = self._list_allowed(context)
+        usable = self.find_group(context, read_now()).names
         return {
             item.upstream
             for item in self._list_decoders(context)
-            if item.version not in allowed or self._state.has_ended(item, now_s)
+            if item.upstream not in usable
         }
 
-    def find_obstacle(self, context: CallContext) -> Rejected | None:
+    def find_obstacle(
+        self, context: CallContext, group: ServingGroup
+    ) -> Rejected | None:
         """Return the refusal of a call if no upstream of its version is left."""
         if context.call.route.repeatability is not Repeatability.STREAM_RESUMABLE:
             return None
-        allowed = self._list_allowed(context)
-        if any(item.version in allowed for item in self._list_decoders(context)):
+        if group.ready or group.absent:
             return None
         is_unknown = context.version == UNKNOWN_VERSION
         reason = VERSION_UNKNOWN if is_unknown else VERSION_ABSENT
@@ -281,5 +297,5 @@
         return [
             item
             for item in self._state.members.list_ready(context.call.service)
-            if item.stage is not Stage.PREFILL
+            if writes_answers(item)
         ]
--- a/bramleyport/gateway/_version_store.py
+++ b/bramleyport/gateway/_version_store.py
@@ -12,6 +12,7 @@
 from bramleyport.fleet import (
     ConfigVersion,
     Repeatability,
+    ServingScope,
     VersionShares,
     compute_shares,
 )
@@ -19,6 +20,7 @@
 from bramleyport.gateway._fresh_reads import FreshReads
 from bramleyport.gateway._object_guard import ObjectGuard
 from bramleyport.gateway._repair_queue import RepairQueue
+from bramleyport.gateway._serving import find_serving_group
 from bramleyport.gateway._state import GatewayState
 from bramleyport.platform import (
     ChangeBatch,
@@ -248,7 +250,8 @@
         self, service: ServiceName, now_s: float
     ) -> VersionShares | None:
         ready = self._state.members.list_ready(service)
-        live = self._state.list_live_versions(service, now_s)
+        scope = ServingScope(service)
+        live = find_serving_group(self._state, scope, now_s).versions
         return compute_shares(item for item in ready if item.version in live)
 
     def _should_change(
--- a/bramleyport/telemetry/_gateway_events.py
+++ b/bramleyport/telemetry/_gateway_events.py
@@ -23,6 +23,7 @@
 SILENT_ATTEMPT_KEPT: Final = define(
     2614, "INFO", "silent upstream waited for, no retry is assured"
 )
+CALL_HELD: Final = define(2615, "INFO", "call waits for an upstream to be back")
 CONFIG_APPLIED: Final = define(2621, "INFO", "configuration applied")
 CONFIG_INVALID: Final = define(2622, "WARNING", "configuration rejected, last one kept")
 UPSTREAM_JOINED: Final = define(2623, "INFO", "upstream registered")
--- a/tests/platform_standin/__init__.py
+++ b/tests/platform_standin/__init__.py
@@ -73,6 +73,7 @@
     EVENTS_BEFORE_BREAK,
     VersionedEngine,
     read_versions,
+    stream_versions,
 )
 
 __all__ = [
@@ -128,6 +129,7 @@
     "script_first_request",
     "start_stream",
     "stream_events",
+    "stream_versions",
     "truncate",
     "write_chunk",
 ]
--- a/tests/test_away_versions.py
+++ b/tests/test_away_versions.py
@@ -12,7 +12,8 @@
 
 VERSIONS = ("v1", "v1", "v1", "v1", "v2", "v2")
 STREAMS = 24
-# Within the time for which a call of the stand-in's routes can wait.
+# Long enough for calls to wait until gateways have read that upstreams are back.
+TIMEOUT_MS = 8000
 AWAY_S = 0.5
 
 
@@ -25,7 +26,7 @@
 # their version are away for a moment.
 def test_streams_of_a_version_that_is_back_soon_go_on(run: Run, tmp_path: Path) -> None:
     async def check() -> None:
-        async with run_versions(tmp_path, VERSIONS) as versioned:
+        async with run_versions(tmp_path, VERSIONS, timeout_ms=TIMEOUT_MS) as versioned:
             await begin_at_both_versions(versioned)
             crashed = await crash_version(versioned, "v2")
             resumed = versioned.resume_together(versioned.choose_other)
@@ -41,7 +42,7 @@
 # moment, though it could go on with them.
 def test_running_streams_wait_for_their_version(run: Run, tmp_path: Path) -> None:
     async def check() -> None:
-        async with run_versions(tmp_path, VERSIONS) as versioned:
+        async with run_versions(tmp_path, VERSIONS, timeout_ms=TIMEOUT_MS) as versioned:
             for engine in versioned.engines:
                 engine.pause_s = 0.1
             calls = versioned.start_streams(STREAMS, "/stream/x")
@@ -60,7 +61,7 @@
     run: Run, tmp_path: Path
 ) -> None:
     async def check() -> None:
-        async with run_versions(tmp_path, VERSIONS) as versioned:
+        async with run_versions(tmp_path, VERSIONS, timeout_ms=TIMEOUT_MS) as versioned:
             await begin_at_both_versions(versioned)
             crashed = await crash_version(versioned, "v2")
             resumed = versioned.resume_together(versioned.choose_other)
--- a/tests/test_software_versions.py
+++ b/tests/test_software_versions.py
@@ -51,7 +51,10 @@
 class VersionedGroup:
     """Represent gateways, engines of two versions, and callers that resume streams."""
 
-    def __init__(self, folder: Path, versions: tuple[str, ...]) -> None:
+    def __init__(
+        self, folder: Path, versions: tuple[str, ...], timeout_ms: int
+    ) -> None:
+        self.timeout_ms = timeout_ms
         names = [f"d{number}" for number in range(len(versions))]
         self.group = GatewayGroup(folder, 3, names, upstream_type=VersionedEngine)
         for engine, version in zip(self.engines, versions, strict=True):
@@ -73,6 +76,7 @@
         await self.group.start()
         config = self.group.store.objects["config", "main"]["spec"]
         stream = next(item for item in config["routes"] if item["name"] == "stream")
+        stream["timeout_ms"] = self.timeout_ms
         broken = stream | {"name": "broken", "path_prefix": "/broken/"}
         routes = [*config["routes"], broken | {"max_attempts": 1}]
         changes = {"version": config["version"] + 1, "routes": routes}
@@ -216,9 +220,9 @@
 
 @asynccontextmanager
 async def run_versions(
-    folder: Path, versions: tuple[str, ...] = TWO_VERSIONS
+    folder: Path, versions: tuple[str, ...] = TWO_VERSIONS, *, timeout_ms: int = 2000
 ) -> AsyncIterator[VersionedGroup]:
-    versioned = VersionedGroup(folder, versions)
+    versioned = VersionedGroup(folder, versions, timeout_ms)
     await versioned.start()
     try:
         yield versioned
