Send a call whose attempt was lost on no connection that was idle then

Streams were broken off with attempts_spent and seconds left: two engines crashed at once, and the second attempt went to the other one on an idle connection of which the gateway had not been told yet that its peer is gone. It counted as sent, and the attempts were spent.

A retry is sent on no connection that was idle when an attempt of its call was lost. A new connection to a process that has ended is refused, which spends no attempt.

Evidence: test_retry_uses_no_connection_that_was_idle_before failed before (502 attempts_spent) and passes.

--- a/bramleyport/gateway/_attempt.py
+++ b/bramleyport/gateway/_attempt.py
@@ -295,6 +295,7 @@
             self._record_declined(failure, now_s)
         else:
             event = gateway_events.ATTEMPT_LOST
+            context.lost_s = now_s
             self.state.record_result(failure.upstream, failed=True, now_s=now_s)
         log_event(
             event,
--- a/bramleyport/gateway/_call_context.py
+++ b/bramleyport/gateway/_call_context.py
@@ -59,6 +59,8 @@
         # The connections on which the call was sent, which its retries avoid.
         self.used_connections: set[UpstreamConnection] = set()
         self.last_failure: FailedAttempt | None = None
+        # When an attempt was last lost after it was sent.
+        self.lost_s: float | None = None
         # The permit for the decode after a separate prefill that is running.
         self.reservation: Reservation | None = None
         # The call has a part that may crash its upstream, and tests whether it does.
--- a/bramleyport/gateway/_exchange.py
+++ b/bramleyport/gateway/_exchange.py
@@ -36,17 +36,22 @@
 
 
 @dataclass(frozen=True, slots=True)
-class _UsedConnections(Container[UpstreamConnection]):
-    """Represent the connections on which a call was sent, or a namesake of it lately.
+class _UnusableConnections(Container[UpstreamConnection]):
+    """Represent the idle connections on which a call must not be sent.
 
-    An answer to either, if the upstream repeats it, would be taken for one to the call.
+    On those that carried the call, or a namesake of it lately, an answer to either, if
+    the upstream repeats it, would be taken for one to the call. Those that were idle
+    when an attempt was lost may belong to a process that ended at the same moment.
     """
 
     used: set[UpstreamConnection]
     request_id: RequestId
+    lost_s: float | None
 
     def __contains__(self, connection: object) -> bool:
         assert isinstance(connection, UpstreamConnection)
+        if self.lost_s is not None and connection.idle_since_s <= self.lost_s:
+            return True
         return connection in self.used or self.request_id in connection.request_names
 
 
@@ -79,17 +84,19 @@
         fresh: bool,
         used_connections: set[UpstreamConnection],
         record: AttemptRecord,
+        lost_s: float | None = None,
     ) -> AsyncIterator[OpenedExchange]:
         """Send a request and yield its answer; abort it if not read to the end.
 
         The request is sent on none of the used connections, and its own is added: an
         upstream may repeat the answer to an earlier attempt, and all attempts of a
         call have the same request identifier. Callers may use one again, too, so a
-        connection that carried it lately is avoided as well. The record tells when the
-        request is sent, and whether the upstream refuses it.
+        connection that carried it lately is avoided as well, and one that was idle when
+        an attempt of the call was lost, at `lost_s`. The record tells when the request
+        is sent, and whether the upstream refuses it.
         """
         pool = self._find_pool(target)
-        excluded = _UsedConnections(used_connections, request_id)
+        excluded = _UnusableConnections(used_connections, request_id, lost_s)
         connection = await pool.acquire(fresh=fresh, excluded=excluded)
         used_connections.add(connection)
         connection.request_names.append(request_id)
--- a/bramleyport/gateway/_plain.py
+++ b/bramleyport/gateway/_plain.py
@@ -128,6 +128,7 @@
             context.call.request,
             fresh=fresh,
             used_connections=context.used_connections,
+            lost_s=context.lost_s,
             record=record,
         ) as opened:
             limit_s = None if opened.refusal is None else REFUSAL_BODY_TIMEOUT_S
--- a/bramleyport/gateway/_stream_attempt.py
+++ b/bramleyport/gateway/_stream_attempt.py
@@ -236,6 +236,7 @@
                 context.call.request,
                 fresh=fresh,
                 used_connections=context.used_connections,
+                lost_s=context.lost_s,
                 record=record,
             ) as opened,
         ):
--- a/tests/test_away_versions.py
+++ b/tests/test_away_versions.py
@@ -5,8 +5,16 @@
 from pathlib import Path
 from typing import Any
 
+from tests.gateway_group import GatewayGroup
+from tests.platform_standin import (
+    EVENT_COUNT,
+    RawRequest,
+    VersionedEngine,
+    read_versions,
+    stream_versions,
+)
 from tests.test_absent_versions import bring_back, crash_version
-from tests.test_software_versions import VersionedGroup, run_versions
+from tests.test_software_versions import PROMPT, VersionedGroup, run_versions
 
 Run = Callable[[Coroutine[Any, Any, Any]], Any]
 
@@ -73,3 +81,51 @@
             versioned.check(complete=STREAMS // 4)
 
     run(check())
+
+
+class _ReplacedEngine(VersionedEngine):
+    """Represent an engine whose earlier connections end with their next request."""
+
+    def __init__(self, name: str, *, service: str, stage: str = "") -> None:
+        super().__init__(name, service=service, stage=stage)
+        self.script = self._stream
+        self.is_replaced = False
+        self._known: set[asyncio.StreamWriter] = set()
+
+    async def _stream(
+        self, upstream: Any, request: RawRequest, writer: asyncio.StreamWriter
+    ) -> None:
+        if self.is_replaced and writer in self._known:
+            writer.transport.abort()
+            return
+        self._known.add(writer)
+        await stream_versions(upstream, request, writer)
+
+
+# Guards against a last attempt on a connection whose peer ended with that of the first,
+# which the gateway has not been told yet.
+def test_retry_uses_no_connection_that_was_idle_before(
+    run: Run, tmp_path: Path
+) -> None:
+    async def check() -> None:
+        group = GatewayGroup(tmp_path, 1, ("d0", "d1"), upstream_type=_ReplacedEngine)
+        await group.start()
+        try:
+            engines = [e for e in group.upstreams if isinstance(e, _ReplacedEngine)]
+            # Streams at both engines leave idle connections behind.
+            while not all(engine.runs for engine in engines):
+                await asyncio.gather(
+                    *(group.call_gateway("g0", "/stream/x", **PROMPT) for _ in range(6))
+                )
+            for engine in engines:
+                engine.is_replaced = True
+            for number in range(6):
+                answer = await group.call_gateway(
+                    "g0", "/stream/x", Request_Id=f"last{number}", **PROMPT
+                )
+                assert answer is not None
+                assert len(read_versions(answer.body)) == EVENT_COUNT
+        finally:
+            await group.stop()
+
+    run(check())
