Limit ejected upstreams among those that can serve a call

Streams of a version were broken off with no_upstream while its engines lived: both had failed more often than the rest and were ejected, and the limit on ejected upstreams counted the whole service, in which seven others were left.

The limit holds among the upstreams of the call's serving group, and among the others.

--- a/bramleyport/gateway/_attempt.py
+++ b/bramleyport/gateway/_attempt.py
@@ -179,7 +179,7 @@
         group = self.versions.find_group(context, now_s)
         if group.is_returning and call.route.repeatability.streams:
             return _refuse_away(group, now_s)
-        choice = self._choose_stepwise(context, excluded, now_s)
+        choice = self._choose_stepwise(context, group, excluded, now_s)
         if choice is None:
             absent = self.versions.find_obstacle(context, group)
             if absent is not None:
@@ -200,7 +200,11 @@
                 self.state.pauses.record_sent(target.upstream, now_s)
 
     def _choose_stepwise(
-        self, context: CallContext, excluded: set[UpstreamId], now_s: float
+        self,
+        context: CallContext,
+        group: ServingGroup,
+        excluded: set[UpstreamId],
+        now_s: float,
     ) -> Choice | None:
         """Choose an upstream, one that is avoided or was tried if there is no other."""
         service = context.call.service
@@ -209,8 +213,8 @@
         if choice is None and context.tried:
             choice = self._choose(context, avoided, now_s)
         if choice is None:
-            ejected = self.state.list_ejected(service, now_s) | excluded
-            choice = self._choose(context, ejected, now_s)
+            ejected = self.state.list_ejected(service, now_s, group.names)
+            choice = self._choose(context, ejected | excluded, now_s)
         return choice
 
     def _choose(
--- a/bramleyport/gateway/_state.py
+++ b/bramleyport/gateway/_state.py
@@ -1,7 +1,7 @@
 """Define the state that the parts of a gateway share."""
 
 import math
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from dataclasses import dataclass, field
 from typing import Final
 
@@ -347,10 +347,21 @@
         """Record that an upstream declined a call, to avoid it for a while."""
         self.declined_until_s[upstream] = now_s + AVOID_DECLINED_S
 
-    def list_ejected(self, service: ServiceName, now_s: float) -> set[UpstreamId]:
-        """Return the upstreams of a service that recently failed too often."""
+    def list_ejected(
+        self,
+        service: ServiceName,
+        now_s: float,
+        serving: Collection[UpstreamId] = (),
+    ) -> set[UpstreamId]:
+        """Return the upstreams of a service that recently failed too often.
+
+        Some of those that can serve a call (`serving`) always stay in use, however many
+        others there are.
+        """
         names = [item.upstream for item in self.members.list_ready(service)]
-        return self.ejector.find_ejected(names, now_s)
+        others = [name for name in names if name not in serving]
+        ejected = self.ejector.find_ejected(others, now_s)
+        return ejected | self.ejector.find_ejected(sorted(serving), now_s)
 
     def record_received(self, upstream: UpstreamId, now_s: float) -> None:
         """Record that an upstream has sent data."""
--- a/tests/test_away_versions.py
+++ b/tests/test_away_versions.py
@@ -1,10 +1,14 @@
 """Guard calls that only upstreams which will be back can serve."""
 
 import asyncio
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable, Coroutine, Sequence
 from pathlib import Path
 from typing import Any
 
+from bramleyport.core import ServiceName
+from bramleyport.gateway._clock import read_now
+from bramleyport.gateway._state import GatewayState
+from tests.gateway_fleet import LANGUAGE
 from tests.gateway_group import GatewayGroup
 from tests.platform_standin import (
     EVENT_COUNT,
@@ -23,6 +27,8 @@
 # Long enough for calls to wait until gateways have read that upstreams are back.
 TIMEOUT_MS = 8000
 AWAY_S = 0.5
+# So many that an upstream is ejected if all of its own are failures.
+RESULTS = 20
 
 
 async def begin_at_both_versions(versioned: VersionedGroup) -> None:
@@ -83,6 +89,31 @@
     run(check())
 
 
+# Guards against a limit on ejected upstreams that counts those of other versions: all
+# that could go on with a stream would be left out.
+def test_ejected_upstreams_of_a_version_take_its_streams(
+    run: Run, tmp_path: Path
+) -> None:
+    async def check() -> None:
+        async with run_versions(tmp_path, VERSIONS) as versioned:
+            await begin_at_both_versions(versioned)
+            for gateway in versioned.group.gateways.values():
+                eject(gateway.state, ("d4", "d5"))
+            await versioned.resume(versioned.choose_other)
+            versioned.check(complete=STREAMS)
+
+    run(check())
+
+
+def eject(state: GatewayState, names: Sequence[str]) -> None:
+    """Record that some upstreams failed and all others did not."""
+    for _ in range(RESULTS):
+        for item in state.members.list_all():
+            failed = item.upstream in names
+            state.record_result(item.upstream, failed=failed, now_s=read_now())
+    assert state.list_ejected(ServiceName(LANGUAGE), read_now()) >= set(names)
+
+
 class _ReplacedEngine(VersionedEngine):
     """Represent an engine whose earlier connections end with their next request."""
 
