Judge limits, pauses and trials among the upstreams that can serve a call

A take-up whose upstreams wanted no requests for a moment was refused at once with over_limit, because an upstream of another version has a rate limit. Three more rules counted a whole service where only the upstreams of a version can answer: when less urgent calls leave permits to others, how long a call waits for a permit, and which upstreams are too busy for the trial of a withheld call.

All four take the serving group of the call.

Evidence: test_streams_wait_for_paused_upstreams_of_their_version failed before (8 of 24 refused) and passes. The other three are read, not shown by a test.

--- a/bramleyport/bench/_gateways_call.py
+++ b/bramleyport/bench/_gateways_call.py
@@ -16,6 +16,7 @@
     Registration,
     Work,
     admit,
+    writes_answers,
 )
 from bramleyport.platform import AnswerHead
 
@@ -56,7 +57,8 @@
         now_s = state.clock.now_s
         gateway.limiter.record_call(self._call, now_s)
         ready = gateway.members.list_ready(SERVICE)
-        blocked = gateway.limiter.find_blocked(self._call, ready, now_s)
+        final = [item for item in ready if writes_answers(item)]
+        blocked = gateway.limiter.find_blocked(self._call, ready, final, now_s)
         choice = gateway.chooser.choose(
             self._call,
             state.traits,
--- a/bramleyport/gateway/_attempt.py
+++ b/bramleyport/gateway/_attempt.py
@@ -128,8 +128,9 @@
             return min(MAX_PAUSE_POLL_S, max(MIN_PERMIT_WAIT_S, wait_s))
         if reason != OVER_LIMIT or not context.attempts.may_have_run:
             return None
-        ready = self.state.members.list_ready(context.call.service)
-        wait_s = self.state.rate_limiter.forecast_wait(ready, read_now())
+        now_s = read_now()
+        ready = self.versions.find_group(context, now_s).ready
+        wait_s = self.state.rate_limiter.forecast_wait(ready, now_s)
         if wait_s + MIN_REMAINING_S > context.remaining_s:
             return None
         return max(MIN_PERMIT_WAIT_S, wait_s)
@@ -152,13 +153,13 @@
         refusal = self.guard.find_refusal(call)
         if refusal is not None and not context.is_trial:
             return refusal
+        group = self.versions.find_group(context, now_s)
         if context.tried:
             # The rank was considered when the call was accepted.
             blocked = self.state.list_exhausted(call.service, now_s)
         else:
-            blocked = self.state.list_blocked(call, now_s)
-        excluded = blocked | self.versions.list_excluded(context)
-        decision = self._decide(context, excluded, now_s, blocked=blocked)
+            blocked = self.state.list_blocked(call, group, now_s)
+        decision = self._decide(context, group, now_s, blocked=blocked)
         if isinstance(decision, Rejected):
             if context.is_trial:
                 self.guard.return_trial(call)
@@ -169,23 +170,23 @@
     def _decide(
         self,
         context: CallContext,
-        excluded: set[UpstreamId],
+        group: ServingGroup,
         now_s: float,
         *,
         blocked: set[UpstreamId],
     ) -> Choice | Rejected:
-        """Choose among the upstreams that are not excluded, or return why not."""
+        """Choose among the upstreams that are not blocked, or return why not."""
         call = context.call
-        group = self.versions.find_group(context, now_s)
         if group.is_returning and call.route.repeatability.streams:
             return _refuse_away(group, now_s)
+        excluded = blocked | self.versions.list_excluded(context)
         choice = self._choose_stepwise(context, group, excluded, now_s)
         if choice is None:
             absent = self.versions.find_obstacle(context, group)
             if absent is not None:
                 return absent
             if blocked:
-                return self.state.refuse_blocked(call.service, now_s)
+                return self.state.refuse_blocked(group, now_s)
         decision = admit(call, choice, now_s, tried=bool(context.tried))
         if isinstance(decision, Rejected):
             return decision
@@ -209,21 +210,25 @@
         """Choose an upstream, one that is avoided or was tried if there is no other."""
         service = context.call.service
         avoided = self.state.list_avoided(service, now_s) | excluded
-        choice = self._choose(context, avoided | context.tried, now_s)
+        choice = self._choose(context, group, avoided | context.tried, now_s)
         if choice is None and context.tried:
-            choice = self._choose(context, avoided, now_s)
+            choice = self._choose(context, group, avoided, now_s)
         if choice is None:
             ejected = self.state.list_ejected(service, now_s, group.names)
-            choice = self._choose(context, ejected | excluded, now_s)
+            choice = self._choose(context, group, ejected | excluded, now_s)
         return choice
 
     def _choose(
-        self, context: CallContext, excluded: set[UpstreamId], now_s: float
+        self,
+        context: CallContext,
+        group: ServingGroup,
+        excluded: set[UpstreamId],
+        now_s: float,
     ) -> Choice | None:
         # At most one separate prefill per call: another one would count as a repeat.
         may_split = not context.prefill_elapsed_s and not context.is_trial
         if context.is_trial:
-            excluded = excluded | self.state.list_busier(context.call.service)
+            excluded = excluded | self.state.list_busier(group)
         return self.state.chooser.choose(
             context.call,
             context.engine,
--- a/bramleyport/gateway/_rate_limits.py
+++ b/bramleyport/gateway/_rate_limits.py
@@ -141,13 +141,19 @@
         return {item.upstream for item in ready if self.find(item) is not None}
 
     def find_blocked(
-        self, call: Call, ready: Sequence[Registration], now_s: float
+        self,
+        call: Call,
+        ready: Sequence[Registration],
+        final: Sequence[Registration],
+        now_s: float,
     ) -> set[UpstreamId]:
-        """Return the upstreams to which a call must not be sent now."""
+        """Return the upstreams to which a call must not be sent now.
+
+        Only those in `final` may write its answer.
+        """
         limited = self.list_limited(ready)
         if not limited:
             return set()
-        final = [item for item in ready if item.stage is not Stage.PREFILL]
         if all(item.upstream in limited for item in final):
             reserve = self._find_reserve(call.service)
             supply = self._sum_supply(final, now_s)
--- a/bramleyport/gateway/_state.py
+++ b/bramleyport/gateway/_state.py
@@ -25,9 +25,9 @@
     Reachability,
     Registration,
     RouteTable,
+    ServingGroup,
     SharesKnowledge,
     ShutdownSchedule,
-    Stage,
     StreamVersions,
     UpstreamPauses,
     VersionGap,
@@ -246,13 +246,11 @@
         names = (item.upstream for item in ready)
         return {name for name in names if self.pauses.is_paused(name, now_s)}
 
-    def refuse_blocked(self, service: ServiceName, now_s: float) -> Rejected:
-        """Return the refusal of a call that no upstream of its service permits now."""
-        paused = self.list_paused(service, now_s)
-        ready = self.members.list_ready(service)
-        limited = self.list_limited(service) - paused
-        if limited or not paused:
-            open_ones = [item for item in ready if item.upstream not in paused]
+    def refuse_blocked(self, group: ServingGroup, now_s: float) -> Rejected:
+        """Return the refusal of a call that none of its upstreams permits now."""
+        paused = {name for name in group.names if self.pauses.is_paused(name, now_s)}
+        open_ones = [item for item in group.ready if item.upstream not in paused]
+        if not paused or self.rate_limiter.list_limited(open_ones):
             return self.rate_limiter.refuse(open_ones, now_s)
         wait_s = min(self.pauses.find_wait(name, now_s) for name in paused)
         numbers = {"paused_upstreams": float(len(paused))}
@@ -325,20 +323,21 @@
                 gateway_events.UPSTREAM_PAUSED, upstream=upstream, pause_s=pause_s
             )
 
-    def list_blocked(self, call: Call, now_s: float) -> set[UpstreamId]:
+    def list_blocked(
+        self, call: Call, group: ServingGroup, now_s: float
+    ) -> set[UpstreamId]:
         """Return the upstreams that do not permit a call now."""
         paused = self.list_paused(call.service, now_s)
         if not self.rate_limiter.knows_limits:
             return paused
         ready = self.members.list_ready(call.service)
-        return paused | self.rate_limiter.find_blocked(call, ready, now_s)
+        blocked = self.rate_limiter.find_blocked(call, ready, group.ready, now_s)
+        return paused | blocked
 
-    def list_busier(self, service: ServiceName) -> set[UpstreamId]:
-        """Return all upstreams of a service but those with the least work."""
+    def list_busier(self, group: ServingGroup) -> set[UpstreamId]:
+        """Return all upstreams of a group but those with the least work."""
         running = {
-            item.upstream: len(self.loads.of(item.upstream))
-            for item in self.members.list_ready(service)
-            if item.stage is not Stage.PREFILL
+            item.upstream: len(self.loads.of(item.upstream)) for item in group.ready
         }
         least = min(running.values(), default=0)
         return {upstream for upstream, count in running.items() if count > least}
--- a/tests/limit_simulation.py
+++ b/tests/limit_simulation.py
@@ -142,7 +142,7 @@
         call = make_call(deadline_s=self.now_s + 5.0)
         limiter = gateway.limiter
         target = self.target
-        if limiter.find_blocked(call, [target], self.now_s):
+        if limiter.find_blocked(call, [target], [target], self.now_s):
             return
         limiter.take(target, self.now_s)
         sent_s = self.now_s
--- a/tests/test_away_versions.py
+++ b/tests/test_away_versions.py
@@ -5,7 +5,8 @@
 from pathlib import Path
 from typing import Any
 
-from bramleyport.core import ServiceName
+from bramleyport.core import ServiceName, UpstreamId
+from bramleyport.fleet import RateLimitNotice
 from bramleyport.gateway._clock import read_now
 from bramleyport.gateway._state import GatewayState
 from tests.gateway_fleet import LANGUAGE
@@ -29,6 +30,7 @@
 AWAY_S = 0.5
 # So many that an upstream is ejected if all of its own are failures.
 RESULTS = 20
+LIMIT_PER_S = 50.0
 
 
 async def begin_at_both_versions(versioned: VersionedGroup) -> None:
@@ -105,6 +107,38 @@
     run(check())
 
 
+# Guards against refusing a call at once for the rate limit of another version, though
+# the upstreams of its own only want no requests for a moment.
+def test_streams_wait_for_paused_upstreams_of_their_version(
+    run: Run, tmp_path: Path
+) -> None:
+    async def check() -> None:
+        async with run_versions(tmp_path, VERSIONS, timeout_ms=TIMEOUT_MS) as versioned:
+            await begin_at_both_versions(versioned)
+            for gateway in versioned.group.gateways.values():
+                limit(gateway.state, "d0")
+                for name in ("d4", "d5"):
+                    gateway.state.record_pause(UpstreamId(name), AWAY_S, read_now())
+            await versioned.resume_together(versioned.choose_other)
+            versioned.check(complete=STREAMS)
+
+    run(check())
+
+
+def limit(state: GatewayState, name: str) -> None:
+    registration = state.members.find(UpstreamId(name))
+    assert registration is not None
+    notice = RateLimitNotice(
+        upstream=registration.upstream,
+        started_ms=registration.started_ms,
+        rate=LIMIT_PER_S,
+        sent_s=read_now(),
+        received_s=read_now(),
+    )
+    state.rate_limiter.apply_notice(notice, read_now())
+    assert state.list_limited(ServiceName(LANGUAGE)) == {name}
+
+
 def eject(state: GatewayState, names: Sequence[str]) -> None:
     """Record that some upstreams failed and all others did not."""
     for _ in range(RESULTS):
