Let the stand-ins of tests listen at reserved ports

Stand-ins, proxies and relays listened at ports that the system chose, and gave them back when they stopped. Another test process could get the same port a moment later, and whoever still called the old server reached the new one and ran the script of its test. Ports from `find_port` are reserved against the other test processes, and outgoing connections don't take them. The engines that crash had them already.

Servers that the demo starts still listen at ports that the system chooses.

--- a/tests/claim_fleet.py
+++ b/tests/claim_fleet.py
@@ -19,6 +19,7 @@
     stop_listening,
 )
 from bramleyport.wire import End
+from tests.ports import find_port
 from tests.test_keyed_calls import CALL, make_work
 
 
@@ -51,7 +52,7 @@
         self._port: Any = None
 
     async def start(self, count: int = 3) -> None:
-        self._port = await serve_app(self.store.app, 0)
+        self._port = await serve_app(self.store.app, find_port())
         url = f"http://{LOOPBACK}:{read_port(self._port)}"
         self.nodes = await start_nodes(count, url)
         self.keyed = [KeyedCalls(n.claims, self.dispatcher) for n in self.nodes]  # type: ignore[arg-type]
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -10,6 +10,7 @@
     serve_app,
     stop_listening,
 )
+from tests.ports import find_port
 
 ZONE = "lk-west-a"
 REGION = "lk-west"
@@ -28,7 +29,7 @@
         self.store_url = await self.serve(self.store.app)
 
     async def serve(self, app: Any) -> str:
-        listening = await serve_app(app, 0)
+        listening = await serve_app(app, find_port())
         self._listening.append(listening)
         return f"http://{LOOPBACK}:{read_port(listening)}"
 
--- a/tests/platform_standin/_crashes.py
+++ b/tests/platform_standin/_crashes.py
@@ -14,7 +14,6 @@
     start_stream,
     write_chunk,
 )
-from tests.ports import find_port
 
 # Between the last bytes of the request that is to blame and the end of all connections.
 CRASH_DELAY_S = 0.01
@@ -62,8 +61,7 @@
         self._recoveries: set[asyncio.Task[None]] = set()
 
     async def start(self, port: int = 0) -> None:
-        """Listen at a port that outgoing connections don't use while it is down."""
-        await super().start(port or find_port())
+        await super().start(port)
         self.is_down = False
 
     async def stop(self) -> None:
--- a/tests/platform_standin/_http.py
+++ b/tests/platform_standin/_http.py
@@ -6,6 +6,8 @@
 from dataclasses import dataclass
 from urllib.parse import parse_qs, urlsplit
 
+from tests.ports import find_port
+
 LOOPBACK = "127.0.0.1"
 
 
@@ -71,7 +73,9 @@
         self._writers: set[asyncio.StreamWriter] = set()
 
     async def start(self, port: int = 0) -> None:
-        self._server = await asyncio.start_server(self._accept, LOOPBACK, port)
+        self._server = await asyncio.start_server(
+            self._accept, LOOPBACK, port or find_port()
+        )
         self.port = self._server.sockets[0].getsockname()[1]
 
     async def stop(self) -> None:
--- a/tests/process_fleet.py
+++ b/tests/process_fleet.py
@@ -130,7 +130,7 @@
         return None
 
     async def _serve(self, app: Any) -> str:
-        listening = await serve_app(app, 0)
+        listening = await serve_app(app, find_port())
         self._listening.append(listening)
         return f"http://127.0.0.1:{read_port(listening)}"
 
--- a/tests/relay.py
+++ b/tests/relay.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+from tests.ports import find_port
+
 
 class Relay:
     """Forward TCP connections to a server; those in `frozen` drop their bytes."""
@@ -13,7 +15,9 @@
         self._port = port
 
     async def start(self) -> str:
-        self.listener = await asyncio.start_server(self._accept, "127.0.0.1", 0)
+        self.listener = await asyncio.start_server(
+            self._accept, "127.0.0.1", find_port()
+        )
         return f"ws://127.0.0.1:{self.listener.sockets[0].getsockname()[1]}"
 
     async def _accept(
--- a/tests/soak/_proxy.py
+++ b/tests/soak/_proxy.py
@@ -4,6 +4,7 @@
 from enum import Enum
 
 from tests.platform_standin import LOOPBACK, reset_connection
+from tests.ports import find_port
 
 CHUNK_BYTES = 65_536
 HELD_POLL_INTERVAL_S = 0.02
@@ -49,7 +50,7 @@
         self._connections: set[_ProxiedConnection] = set()
 
     async def start(self) -> None:
-        self._server = await asyncio.start_server(self._accept, LOOPBACK, 0)
+        self._server = await asyncio.start_server(self._accept, LOOPBACK, find_port())
         self.port = self._server.sockets[0].getsockname()[1]
 
     def stop(self) -> None:
--- a/tests/test_agent_reports.py
+++ b/tests/test_agent_reports.py
@@ -10,6 +10,7 @@
 from bramleyport.standins import LOOPBACK
 from bramleyport.upstreams import EngineClient, UpstreamError, _engine
 from tests.fleet import Fleet
+from tests.ports import find_port
 
 Run = Callable[[Coroutine[Any, Any, Any]], Any]
 
@@ -120,7 +121,9 @@
     monkeypatch.setattr(_engine, "READ_TIMEOUT_S", 0.1)
 
     async def scenario() -> None:
-        server = await asyncio.start_server(lambda reader, writer: None, LOOPBACK, 0)
+        server = await asyncio.start_server(
+            lambda reader, writer: None, LOOPBACK, find_port()
+        )
         port = server.sockets[0].getsockname()[1]
         client = EngineClient(f"http://{LOOPBACK}:{port}")
         with pytest.raises(UpstreamError):
--- a/tests/test_attempt_review.py
+++ b/tests/test_attempt_review.py
@@ -34,6 +34,7 @@
     render_response,
     script_first_request,
 )
+from tests.ports import find_port
 
 Run = Callable[[Coroutine[Any, Any, Any]], Any]
 PATHS = ["/post/x", "/once/x"]
@@ -96,7 +97,7 @@
     def __init__(self) -> None:
         super().__init__(daemon=True)
         self.received = b""
-        self._server = socket.create_server((LOOPBACK, 0))
+        self._server = socket.create_server((LOOPBACK, find_port()))
         self.port = self._server.getsockname()[1]
 
     def run(self) -> None:
--- a/tests/test_attempt_states.py
+++ b/tests/test_attempt_states.py
@@ -28,6 +28,7 @@
     render_response,
     script_first_request,
 )
+from tests.ports import find_port
 
 Run = Callable[[Coroutine[Any, Any, Any]], Any]
 # Shorter than the time limit of a connection that does not open.
@@ -50,7 +51,7 @@
 def full_port() -> Iterator[int]:
     """Return a port on which new connections neither open nor fail."""
     with socket.socket() as server:
-        server.bind((LOOPBACK, 0))
+        server.bind((LOOPBACK, find_port()))
         server.listen(0)
         waiting = [socket.socket() for _ in range(4)]
         for client in waiting:
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -13,6 +13,7 @@
 from bramleyport.core import Revision
 from bramleyport.records import RecordStatus, write_status
 from bramleyport.standins import ObjectApiStandin, read_port, serve_app, stop_listening
+from tests.ports import find_port
 
 RECORD = """\
 schema: v2
@@ -46,7 +47,7 @@
     run: Callable[[Coroutine[Any, Any, Any]], Any],
 ) -> Iterator[Platform]:
     standin = ObjectApiStandin()
-    listener = run(serve_app(standin.app, 0))
+    listener = run(serve_app(standin.app, find_port()))
     yield Platform(tmp_path, standin, f"http://127.0.0.1:{read_port(listener)}")
     run(stop_listening(listener))
 
--- a/tests/test_contract_engine.py
+++ b/tests/test_contract_engine.py
@@ -27,6 +27,7 @@
     Token,
     UpstreamError,
 )
+from tests.ports import find_port
 
 Run = Callable[[Coroutine[Any, Any, Any]], Any]
 PROFILE = EngineProfile(block_tokens=10, role_change_s=0.01, step_base_s=0.002)
@@ -37,7 +38,7 @@
     def __init__(self, run: Run, *, checks_fencing: bool) -> None:
         self.run = run
         self.standin = EngineStandin(("m",), PROFILE, checks_fencing=checks_fencing)
-        self.listening = run(serve_app(self.standin.app, 0))
+        self.listening = run(serve_app(self.standin.app, find_port()))
         self.client = EngineClient(f"http://127.0.0.1:{read_port(self.listening)}")
 
     def run_with_engine(self, coroutine: Coroutine[Any, Any, Any]) -> Any:
@@ -173,7 +174,7 @@
 
 def test_plain_call_returns_status_headers_and_body(run: Run) -> None:
     standin = PlainStandin()
-    listening = run(serve_app(standin.app, 0))
+    listening = run(serve_app(standin.app, find_port()))
     client = PlainClient(f"http://127.0.0.1:{read_port(listening)}")
 
     async def call() -> tuple[int, str, bytes]:
--- a/tests/test_contract_object_api.py
+++ b/tests/test_contract_object_api.py
@@ -19,6 +19,7 @@
 )
 from bramleyport.objectapi._client import CALL_TIMEOUT_S
 from bramleyport.standins import ObjectApiStandin, read_port, serve_app, stop_listening
+from tests.ports import find_port
 
 Run = Callable[[Coroutine[Any, Any, Any]], Any]
 NAME = ObjectName("a")
@@ -27,7 +28,7 @@
 @pytest.fixture
 def api(run: Run) -> Iterator[tuple[ObjectApiStandin, ObjectClient]]:
     standin = ObjectApiStandin()
-    listening = run(serve_app(standin.app, 0))
+    listening = run(serve_app(standin.app, find_port()))
     client = ObjectClient(f"http://127.0.0.1:{read_port(listening)}")
     yield standin, client
     run(client.close())
--- a/tests/test_endless_upstreams.py
+++ b/tests/test_endless_upstreams.py
@@ -10,6 +10,7 @@
 from bramleyport.core import Execution
 from bramleyport.standins import LOOPBACK
 from bramleyport.upstreams import Completion, EngineClient, UpstreamError
+from tests.ports import find_port
 
 Run = Callable[[Coroutine[Any, Any, Any]], Any]
 HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\n"
@@ -50,7 +51,7 @@
     begin: bytes,
 ) -> AsyncIterator[tuple[EndlessUpstream, EngineClient]]:
     upstream = EndlessUpstream(begin)
-    server = await asyncio.start_server(upstream.answer, LOOPBACK, 0)
+    server = await asyncio.start_server(upstream.answer, LOOPBACK, find_port())
     port = server.sockets[0].getsockname()[1]
     try:
         yield upstream, EngineClient(f"http://{LOOPBACK}:{port}")
--- a/tests/test_keyed_calls.py
+++ b/tests/test_keyed_calls.py
@@ -33,6 +33,7 @@
     stop_listening,
 )
 from bramleyport.wire import End
+from tests.ports import find_port
 
 Run = Callable[[Coroutine[Any, Any, Any]], Any]
 CALL = Call(method="POST", path="/postings", headers={}, body=b"{}")
@@ -74,7 +75,7 @@
         self.clients: list[ObjectClient] = []
 
     async def start(self) -> None:
-        self.port = await serve_app(self.store.app, 0)
+        self.port = await serve_app(self.store.app, find_port())
 
     def make_entry(self) -> KeyedCalls:
         client = ObjectClient(f"http://{LOOPBACK}:{read_port(self.port)}")
--- a/tests/test_odd_objects.py
+++ b/tests/test_odd_objects.py
@@ -39,6 +39,7 @@
 from bramleyport.replication import HostStore, RecordStore, Replica
 from bramleyport.standins import read_port, serve_app, stop_listening
 from bramleyport.upstreams import EngineClient, UpstreamError
+from tests.ports import find_port
 from tests.test_replication import RANKS
 from tests.test_status import make_reporter
 from tests.test_upstream_answers import (
@@ -92,7 +93,7 @@
 @pytest.fixture
 def server(run: Run) -> Iterator[tuple[RawServer, ObjectClient]]:
     raw = RawServer()
-    listening = run(serve_app(raw.app, 0))
+    listening = run(serve_app(raw.app, find_port()))
     client = ObjectClient(f"http://127.0.0.1:{read_port(listening)}")
     yield raw, client
     run(client.close())
--- a/tests/test_ports.py
+++ b/tests/test_ports.py
@@ -2,6 +2,12 @@
 
 import subprocess
 import sys
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+from tests.platform_standin import StoreStandin
+
+Run = Callable[[Coroutine[Any, Any, Any]], Any]
 
 PORTS = 50
 # Both processes draw from the same port on, and keep what they drew until told.
@@ -42,3 +48,19 @@
         drawn = read_ports(first)
     with start_drawing() as second:
         assert read_ports(second) & drawn
+
+
+# Guards against a server of another process at the port of a stopped stand-in: whoever
+# still calls the stand-in would reach that server, and run the script of its test.
+def test_port_of_a_stopped_stand_in_is_given_to_no_other_process(run: Run) -> None:
+    store = StoreStandin()
+
+    async def start_and_stop() -> None:
+        await store.start()
+        await store.stop()
+
+    run(start_and_stop())
+    reserve = f"from tests import ports; print(ports._reserve({store.port}))"
+    command = [sys.executable, "-c", reserve]
+    reserved = subprocess.run(command, stdout=subprocess.PIPE, text=True, check=True)
+    assert reserved.stdout.strip() == "False"
--- a/tests/test_receive_budget.py
+++ b/tests/test_receive_budget.py
@@ -17,6 +17,7 @@
     ReceiveBudget,
 )
 from tests.platform_standin import LOOPBACK
+from tests.ports import find_port
 
 Run = Callable[[Coroutine[Any, Any, Any]], Any]
 
@@ -146,7 +147,7 @@
 
         servers, addresses = [], []
         for handler in (answer_endlessly, answer_soundly):
-            server = await asyncio.start_server(handler, LOOPBACK, 0)
+            server = await asyncio.start_server(handler, LOOPBACK, find_port())
             servers.append(server)
             addresses.append(Address(LOOPBACK, server.sockets[0].getsockname()[1]))
         readers = [
@@ -180,7 +181,7 @@
     async def check() -> None:
         from twisted.internet import reactor
 
-        server = await asyncio.start_server(answer, LOOPBACK, 0)
+        server = await asyncio.start_server(answer, LOOPBACK, find_port())
         port = server.sockets[0].getsockname()[1]
         connection = await HttpClient(reactor).connect(Address(LOOPBACK, port), 1.0)
         connection.send(HttpRequest(method=method, target=b"/x", headers=[], body=b""))
--- a/tests/test_repeated_store_answers.py
+++ b/tests/test_repeated_store_answers.py
@@ -19,6 +19,7 @@
     StoreFailure,
 )
 from bramleyport.standins import LOOPBACK
+from tests.ports import find_port
 
 Run = Callable[[Coroutine[Any, Any, Any]], Any]
 LOG = 0
@@ -69,7 +70,7 @@
 @asynccontextmanager
 async def run_store() -> AsyncIterator[tuple[RepeatingStore, ObjectClient]]:
     store = RepeatingStore()
-    server = await asyncio.start_server(store.serve, LOOPBACK, 0)
+    server = await asyncio.start_server(store.serve, LOOPBACK, find_port())
     client = ObjectClient(f"http://{LOOPBACK}:{server.sockets[0].getsockname()[1]}")
     try:
         yield store, client
--- a/tests/test_upstream_answers.py
+++ b/tests/test_upstream_answers.py
@@ -19,6 +19,7 @@
     PlainClient,
     UpstreamError,
 )
+from tests.ports import find_port
 
 Run = Callable[[Coroutine[Any, Any, Any]], Any]
 BODY = b"a body of a few words"
@@ -66,7 +67,7 @@
 @asynccontextmanager
 async def run_upstream() -> AsyncIterator[tuple[ScriptedUpstream, str]]:
     upstream = ScriptedUpstream()
-    server = await asyncio.start_server(upstream.serve, LOOPBACK, 0)
+    server = await asyncio.start_server(upstream.serve, LOOPBACK, find_port())
     port = server.sockets[0].getsockname()[1]
     try:
         yield upstream, f"http://{LOOPBACK}:{port}"
