Run the tests in several processes

`make unit` starts as many processes as there are processors, at most eight, with pytest-xdist. They take tests from each other once their own are done (worksteal), as the tests differ from milliseconds to a minute.

--- a/Makefile
+++ b/Makefile
@@ -21,7 +21,7 @@
 	$(BIN)/mypy
 
 unit: $(VENV)/.installed
-	$(BIN)/python -m pytest
+	$(BIN)/python -m pytest -n auto --maxprocesses 8 --dist worksteal
 
 format: $(VENV)/.installed
 	$(BIN)/ruff check --fix bramleyport tests
