Hold that a stall of connecting entries causes no direct writes

Evidence: stalls of the process and slow turns of its loop, put in while the three entries connect. The new test failed for each of its three stalls on the code before and passes now.

--- a/tests/test_claim_forwarding.py
+++ b/tests/test_claim_forwarding.py
@@ -48,6 +48,31 @@
     run(check())
 
 
+@pytest.mark.parametrize("stall_s", [0.7, 1.5, 3.5])
+def test_stall_while_entries_connect_makes_no_other_entry_write(
+    run: Run, stall_s: float
+) -> None:
+    """Guards against direct writes as the process stands still on a loaded machine."""
+
+    async def stall() -> None:
+        await asyncio.sleep(0.01)
+        time.sleep(stall_s)
+
+    async def check() -> None:
+        stalled = asyncio.ensure_future(stall())
+        fleet = ClaimFleet()
+        await fleet.start()
+        keys = fleet.find_keys(0, 1)
+        check_answers(fleet, keys, await post_all(fleet, 0, keys))
+        check_answers(fleet, keys, await post_all(fleet, 2, keys))
+        await stalled
+        assert not fleet.nodes[0].claims._writers
+        assert not fleet.nodes[2].claims._writers
+        await fleet.stop()
+
+    run(check())
+
+
 def test_peers_of_an_older_version_are_sent_no_claims(
     run: Run, monkeypatch: pytest.MonkeyPatch
 ) -> None:
