Give back the ports of ended tests to the other processes

A process of the tests kept up to 2,000 of the 12,000 ports reserved until it ended. Eight that each run a part of the suite would have taken all of them, and `find_port` raised `none of 12000 ports is free`. Each test now gives back all but the latest 200, which are kept for a while against callers that it left behind. Within one test or soak the limit is 2,000 as before.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -9,6 +9,7 @@
 
 from bramleyport.cli._runtime import install_reactor
 from tests.known_red import load_entries
+from tests.ports import release_ports
 
 install_reactor()
 
@@ -54,6 +55,7 @@
         task.cancel()
     if left:
         loop.run_until_complete(asyncio.wait(left, timeout=END_LIMIT_S))
+    release_ports()
     # asyncio.run() leaves no event loop for the tests that follow.
     assert asyncio.get_event_loop() is loop
 
--- a/tests/ports.py
+++ b/tests/ports.py
@@ -15,6 +15,8 @@
 PORTS_PER_PROCESS = 200
 # One test or soak takes fewer; several processes share all ports.
 RESERVED_PORTS = 2_000
+# Of the ports of a test that has ended: what it left behind may still call them.
+KEPT_PORTS = 200
 
 _offsets = itertools.count(os.getpid() * PORTS_PER_PROCESS)
 # One byte for each port; its lock reserves the port and ends with the process.
@@ -31,6 +33,16 @@
     raise RuntimeError(f"none of {PORT_COUNT} ports is free")
 
 
+def release_ports() -> None:
+    """Give back the ports of ended tests, except for the latest ones."""
+    _release_beyond(KEPT_PORTS)
+
+
+def _release_beyond(count: int) -> None:
+    while len(_reserved) > count:
+        fcntl.lockf(_reservations, fcntl.LOCK_UN, 1, _reserved.popleft())
+
+
 def _reserve(port: int) -> bool:
     """Return whether no other process reserves or uses a port, and reserve it."""
     try:
@@ -38,8 +50,7 @@
     except BlockingIOError:
         return False
     _reserved.append(port)
-    if len(_reserved) > RESERVED_PORTS:
-        fcntl.lockf(_reservations, fcntl.LOCK_UN, 1, _reserved.popleft())
+    _release_beyond(RESERVED_PORTS)
     return _is_free(port, socket.SOCK_STREAM) and _is_free(port, socket.SOCK_DGRAM)
 
 
