Go on with a planned stop after an unexpected error within it

Callers would see: in a planned stop a connection is closed without an answer although its call runs.

Cause: any exception of a step of the stop (closing an idle connection, closing the port, a check while it waits) ended the whole stop, and `halt` cut every call that was running, at once instead of at the end of the grace time.

Change: each step is tried by itself. An error is logged (1901 with the step), and the stop goes on: a connection that cannot be closed and serves nothing is aborted, a port that cannot be closed is tried again and its calls are served, and calls run until the grace time ends them.

Evidence: the three tests of tests/test_gateway_stop_errors.py failed before: each call was cut 3.0 s after the signal, after 1901 with step `stop` and 2657.

--- a/bramleyport/gateway/_shutdown.py
+++ b/bramleyport/gateway/_shutdown.py
@@ -3,14 +3,15 @@
 import asyncio
 from collections.abc import Callable
 from enum import Enum
+from functools import partial
 from typing import Any, Final
 
 from bramleyport.fleet import ShutdownSchedule, plan_shutdown
 from bramleyport.gateway._clock import read_now
 from bramleyport.gateway._state import GatewayState
-from bramleyport.http1 import CallerFactory
+from bramleyport.http1 import CallerConnection, CallerFactory
 from bramleyport.listening import close_port
-from bramleyport.telemetry import gateway_events, log_event
+from bramleyport.telemetry import events, gateway_events, log_event
 
 # The load balancer checks readiness once a second, and it sends new callers until two
 # checks have failed.
@@ -38,7 +39,8 @@
     """Stop the port for callers, then finish or end the calls of its connections.
 
     The port is closed before the process stops waiting for connections: a connection
-    that arrived after the last check would be cut by the end of the process.
+    that arrived after the last check would be cut by the end of the process. An
+    unexpected error is logged, and the other connections are served all the same.
     """
 
     def __init__(self, state: GatewayState, callers: CallerFactory) -> None:
@@ -67,30 +69,50 @@
     def _has_finished(self) -> bool:
         """Close what is idle; return whether nothing is open any more."""
         for connection in list(self._callers.connections):
-            connection.close_if_idle(FIRST_REQUEST_S)
+            self._close_if_idle(connection)
         if not self._callers.connections:
             self._close_port()
-        return not self._callers.connections
+        return not self._callers.connections and self._port is None
+
+    def _close_if_idle(self, connection: CallerConnection) -> None:
+        close = partial(connection.close_if_idle, FIRST_REQUEST_S)
+        if not self._attempt("close idle connection", close) and not connection.serving:
+            # Whatever it has sent cannot be read.
+            connection.transport.abortConnection()
 
     async def _end_calls(self, flushed_s: float) -> None:
         self._close_port()
         self._state.ending = True
         self._log_phase(StopPhase.ENDING)
         for connection in list(self._callers.connections):
-            connection.end_request()
+            self._attempt("end request", connection.end_request)
         await self._wait(self._has_finished, flushed_s)
 
     def _close_port(self) -> None:
         if self._port is None:
             return
-        close_port(self._port)
-        self._port = None
-        self._log_phase(StopPhase.PORT_CLOSED)
+        # As long as the port cannot be closed, calls that arrive there are served.
+        if self._attempt("close port", partial(close_port, self._port)):
+            self._port = None
+            self._log_phase(StopPhase.PORT_CLOSED)
 
     async def _wait(self, done: Callable[[], bool], until_s: float) -> None:
-        while not done() and read_now() < until_s:
+        while not self._is_done(done) and read_now() < until_s:
             await asyncio.sleep(POLL_INTERVAL_S)
 
+    def _is_done(self, done: Callable[[], bool]) -> bool:
+        results: list[bool] = []
+        return self._attempt("stop", lambda: results.append(done())) and results[0]
+
+    def _attempt(self, step: str, action: Callable[[], None]) -> bool:
+        """Return whether a step of the stop succeeded; log an error of it."""
+        try:
+            action()
+        except Exception as error:  # calls are served to the end of the grace time
+            log_event(events.HANDLER_FAILED, step=step, error=repr(error))
+            return False
+        return True
+
     def _log_phase(self, phase: StopPhase) -> None:
         connections = self._callers.connections
         log_event(
