Report a gateway process of the soak of stops that does not start

It did not notice that the process had ended, and its log was left unread. An error in the tasks that stop the gateways was dropped.

Now the wait ends at once if the process does, and its error has the end of the log. What ends the stops of a gateway early counts as a violation, since the soak tests less from then on.

The new test of tests/test_soak.py holds the report.

--- a/tests/soak/_processes.py
+++ b/tests/soak/_processes.py
@@ -1,5 +1,6 @@
 """Run the gateway processes of a soak test."""
 
+import asyncio
 import os
 import signal
 import subprocess
@@ -16,6 +17,14 @@
 
 NANOSECONDS_PER_S = 1_000_000_000
 STARTED_EVENT = b'"event": 1001'
+START_LIMIT_S = 30.0
+POLL_INTERVAL_S = 0.02
+# End of the log of a process that has not started, as far as it is reported.
+REPORTED_LOG_BYTES = 2_000
+
+
+class StartError(Exception):
+    """Represent a gateway process that has not started."""
 
 
 @dataclass(slots=True)
@@ -116,6 +125,23 @@
         """Return whether the process has logged that it listens for callers."""
         return STARTED_EVENT in self._log.read_bytes()[self.log_start :]
 
+    async def wait_started(self) -> None:
+        """Wait until the process listens; raise StartError with its log if not."""
+        until_s = time.monotonic() + START_LIMIT_S
+        while not self.has_logged_start():
+            if not self.is_running:
+                raise StartError(self._describe_start("ended before it listened"))
+            if time.monotonic() > until_s:
+                raise StartError(self._describe_start("does not listen"))
+            await asyncio.sleep(POLL_INTERVAL_S)
+
+    def _describe_start(self, what: str) -> str:
+        after_s = time.monotonic() - self.started_s
+        log = self._log.read_bytes()[self.log_start :][-REPORTED_LOG_BYTES:]
+        return (
+            f"{self.name} {what} after {after_s:.1f} s: {log.decode(errors='replace')}"
+        )
+
     @property
     def _settings(self) -> Path:
         return self.folder / f"{self.name}.yaml"
--- a/tests/soak/_stop_soak.py
+++ b/tests/soak/_stop_soak.py
@@ -3,7 +3,7 @@
 import asyncio
 import signal
 import time
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable, Coroutine, Sequence
 from pathlib import Path
 from random import Random
 from typing import Any, Final
@@ -30,7 +30,6 @@
     check_stops,
 )
 
-START_LIMIT_S: Final = 30.0
 EXIT_POLL_INTERVAL_S: Final = 0.02
 GRACES_S: Final = (2.0, 4.0, 8.0)
 MAX_RUN_S: Final = 1.5
@@ -107,7 +106,7 @@
             gateway = await self._add_gateway(f"g{number}")
             gateway.start()
         for gateway in self.gateways:
-            await self._wait_started(gateway)
+            await gateway.wait_started()
 
     async def _add_gateway(self, name: str) -> GatewayProcess:
         store_proxy, caller_proxy = FaultProxy(self.store.port), FaultProxy(0)
@@ -126,11 +125,6 @@
         settings["bounds"]["grace_s"] = grace_s
         path.write_text(yaml.safe_dump(settings))
 
-    async def _wait_started(self, gateway: GatewayProcess) -> None:
-        async with asyncio.timeout(START_LIMIT_S):
-            while not gateway.has_logged_start():
-                await asyncio.sleep(EXIT_POLL_INTERVAL_S)
-
     async def _run_stops(self, seconds: float) -> None:
         callers = self._start_callers()
         stops = [
@@ -142,13 +136,20 @@
         changes.cancel()
         for stop in stops:
             stop.cancel()
-        await asyncio.gather(changes, *stops, return_exceptions=True)
+        results = await asyncio.gather(changes, *stops, return_exceptions=True)
+        self._report_errors(results)
         self._callers.stopping = True
         await asyncio.wait(callers, timeout=SETTLE_S)
         for caller in callers:
             caller.cancel()
         await asyncio.gather(*callers, return_exceptions=True)
 
+    def _report_errors(self, results: Sequence[BaseException | None]) -> None:
+        """Report what ended the stops of a gateway early, which tested less then."""
+        for result in results:
+            if isinstance(result, Exception):
+                self.findings.violations.append(f"the soak failed: {result!r}")
+
     def _start_callers(self) -> list["asyncio.Task[None]"]:
         """Start callers at a low rate for one half, of all kinds for the other."""
         middle = (len(self.gateways) + 1) // 2
@@ -195,7 +196,7 @@
             await asyncio.sleep(self.random.random() * MAX_RUN_S)
             await self._stop_once(gateway)
             gateway.start()
-            await self._wait_started(gateway)
+            await gateway.wait_started()
 
     async def _stop_once(self, gateway: GatewayProcess) -> None:
         """Stop a gateway, with further signals until its process has ended."""
--- a/tests/test_process_stops.py
+++ b/tests/test_process_stops.py
@@ -85,7 +85,7 @@
     gateway.prepare()
     gateway.start()
     try:
-        await wait_until(gateway.has_logged_start)
+        await gateway.wait_started()
         fleet = ProcessFleet(gateway, upstreams)
         await wait_until_served(fleet)
         yield fleet
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -47,7 +47,7 @@
 )
 from tests.soak._deadly_prompts import DEADLY_BODIES
 from tests.soak._faults import ODD_ENTRIES
-from tests.soak._processes import GatewayProcess
+from tests.soak._processes import GatewayProcess, StartError
 from tests.soak._proxy import Direction, FaultProxy
 from tests.soak._stop_checks import (
     PlannedStop,
@@ -443,6 +443,27 @@
     run(check())
 
 
+# Guards against a soak that waits 30 s for a process that has ended, and says nothing.
+def test_gateway_process_that_does_not_start_is_reported_with_its_log(
+    tmp_path: Path, run: Run
+) -> None:
+    async def check() -> None:
+        gateway = GatewayProcess("g0", tmp_path, FaultProxy(0), FaultProxy(0))
+        gateway.prepare()
+        server = await asyncio.start_server(
+            lambda *_: None, "127.0.0.1", gateway.caller_proxy.server_port
+        )
+        gateway.start()
+        try:
+            with pytest.raises(StartError, match=r"g0 ended before .* could not start"):
+                await gateway.wait_started()
+        finally:
+            gateway.kill()
+            server.close()
+
+    run(check())
+
+
 # Guards what is accepted by a gateway that is stopped, while its callers go on.
 def test_planned_stops_cut_no_call(run: Run) -> None:
     findings = run(run_soak(1, 6.0, gateways=3, profile=Profile.STOPS))
