Soak planned stops with connections that are mostly idle

The callers of the soak either opened a connection for each call or kept theirs busy; none kept one idle until the gateway closes it and then used a new one, as callers with pooled connections do.

One of the gateways with a low rate now has three such callers. The others keep their callers, so with three gateways one has callers at a low rate instead of two; those of all kinds have the two new kinds besides.

--- a/tests/soak/_stop_callers.py
+++ b/tests/soak/_stop_callers.py
@@ -3,6 +3,7 @@
 import asyncio
 import time
 from collections.abc import Awaitable, Callable, Sequence
+from dataclasses import dataclass
 from random import Random
 from typing import Final
 
@@ -23,7 +24,11 @@
 ANSWER_TIMEOUT_S: Final = 12.0
 # Callers at a low rate leave moments in which a gateway has no connection.
 MAX_PAUSE_S: Final = 0.5
+# Longest time between calls over a connection that is mostly idle.
+RARE_PAUSE_S: Final = 3.0
 MAX_PIECE_PAUSE_S: Final = 0.2
+# As long as a gateway needs to end once it waits for no connection.
+MAX_REOPEN_PAUSE_S: Final = 0.2
 MAX_UNREAD_S: Final = 2.0
 UNREAD_POLL_INTERVAL_S: Final = 0.02
 BODY: Final = b"b" * 60
@@ -50,14 +55,12 @@
         self._answers = answers
         self._number = 0
 
-    async def use(
-        self, gateways: Sequence[GatewayProcess], behaviours: Sequence[Behaviour]
-    ) -> None:
-        """Use one connection after another, each in one of some ways."""
+    async def use(self, gateway: GatewayProcess, group: "CallerGroup") -> None:
+        """Use one connection after another, each in one of the ways of a group."""
         while not self.stopping:
-            behave = self.random.choice(behaviours)
+            behave = self.random.choice(group.behaviours)
             try:
-                await behave(self, self.random.choice(gateways))
+                await behave(self, gateway)
             except (OSError, asyncio.IncompleteReadError):
                 self._answers.findings.calls["closed"] += 1
             await self.pause()
@@ -153,6 +156,35 @@
         caller.close()
 
 
+@register_behaviour
+async def call_rarely(callers: StopCallers, gateway: GatewayProcess) -> None:
+    """Send a few calls over a connection that is mostly idle."""
+    caller = await callers.open(gateway)
+    try:
+        while not (callers.stopping or _has_ended(caller)):
+            await callers.receive(caller, await callers.send(caller, gateway))
+            await _wait_unread(caller, callers.random.random() * RARE_PAUSE_S)
+    finally:
+        caller.close()
+
+
+@register_behaviour
+async def call_after_close(callers: StopCallers, gateway: GatewayProcess) -> None:
+    """Keep a connection idle until the gateway closes it, then use a new one.
+
+    In a stop the new one may arrive in the moment in which no other is left.
+    """
+    caller = await callers.open(gateway)
+    try:
+        await callers.receive(caller, await callers.send(caller, gateway))
+        while not (callers.stopping or _has_ended(caller)):
+            await _wait_unread(caller, RARE_PAUSE_S)
+    finally:
+        caller.close()
+    await callers.pause(MAX_REOPEN_PAUSE_S)
+    await call_once(callers, gateway)
+
+
 @register_behaviour
 async def send_in_pieces(callers: StopCallers, gateway: GatewayProcess) -> None:
     """Send one call in pieces, on a connection that waits for its first byte."""
@@ -194,14 +226,33 @@
 
 async def _wait_unread(caller: RawCaller, duration_s: float) -> None:
     """Read nothing for a while, unless the connection ends without an answer."""
-    assert caller.reader is not None
     until_s = time.monotonic() + duration_s
-    while time.monotonic() < until_s:
-        if caller.reader.at_eof() or caller.reader.exception() is not None:
-            return
+    while time.monotonic() < until_s and not _has_ended(caller):
         await asyncio.sleep(UNREAD_POLL_INTERVAL_S)
 
 
+def _has_ended(caller: RawCaller) -> bool:
+    """Return whether a connection has ended and nothing is left to read."""
+    assert caller.reader is not None
+    return caller.reader.at_eof() or caller.reader.exception() is not None
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class CallerGroup:
+    """Describe the callers of one gateway."""
+
+    count: int
+    behaviours: Sequence[Behaviour]
+
+
+# With each group a gateway has other moments without a connection.
+SPARSE_CALLERS: Final = CallerGroup(count=2, behaviours=(call_once,))
+RARE_CALLERS: Final = CallerGroup(
+    count=3, behaviours=(call_rarely, call_after_close, send_in_pieces)
+)
+MIXED_CALLERS: Final = CallerGroup(count=4, behaviours=tuple(BEHAVIOURS.values()))
+
+
 def _record_dropped(calls: list[StopCall]) -> None:
     """Record that calls behind the one whose connection ended were cut, too."""
     cut_s = next((call.cut_s for call in calls if call.cut_s is not None), None)
--- a/tests/soak/_stop_soak.py
+++ b/tests/soak/_stop_soak.py
@@ -1,6 +1,7 @@
 """Stop gateways again and again, while their callers go on, and check the calls."""
 
 import asyncio
+import itertools
 import signal
 import time
 from collections.abc import Callable, Coroutine, Sequence
@@ -22,7 +23,12 @@
 from tests.soak._findings import Findings, Impairments
 from tests.soak._processes import GatewayProcess
 from tests.soak._proxy import FaultProxy
-from tests.soak._stop_callers import BEHAVIOURS, StopCallers, call_once
+from tests.soak._stop_callers import (
+    MIXED_CALLERS,
+    RARE_CALLERS,
+    SPARSE_CALLERS,
+    StopCallers,
+)
 from tests.soak._stop_checks import (
     PlannedStop,
     StopObservations,
@@ -42,8 +48,6 @@
 ROUTE_TIMEOUT_MS: Final = 9000
 # After the last stop each call has reached its deadline.
 SETTLE_S: Final = 10.0
-SPARSE_CALLERS: Final = 2
-MIXED_CALLERS: Final = 4
 
 Change = Callable[["StopSoak"], Coroutine[Any, Any, None]]
 CHANGES: Final[dict[str, Change]] = {}
@@ -153,18 +157,15 @@
     def _start_callers(self) -> list["asyncio.Task[None]"]:
         """Start callers at a low rate for one half, of all kinds for the other."""
         middle = (len(self.gateways) + 1) // 2
-        behaviours = list(BEHAVIOURS.values())
-        runs = [
-            self._callers.use([gateway], [call_once])
-            for gateway in self.gateways[:middle]
-            for _ in range(SPARSE_CALLERS)
-        ]
-        runs += [
-            self._callers.use([gateway], behaviours)
-            for gateway in self.gateways[middle:]
-            for _ in range(MIXED_CALLERS)
+        low_rates = itertools.cycle((SPARSE_CALLERS, RARE_CALLERS))
+        groups = [next(low_rates) for _ in range(middle)]
+        groups += [MIXED_CALLERS] * (len(self.gateways) - middle)
+        runs = zip(self.gateways, groups, strict=True)
+        return [
+            asyncio.ensure_future(self._callers.use(gateway, group))
+            for gateway, group in runs
+            for _ in range(group.count)
         ]
-        return [asyncio.ensure_future(run) for run in runs]
 
     def _make_script(self) -> Script:
         async def script(
