--- a/tests/soak/_stop_soak.py
+++ b/tests/soak/_stop_soak.py
@@ -1,9 +1,10 @@
 """Stop gateways again and again, while their callers go on, and check the calls."""
 
 import asyncio
+import itertools
 import signal
 import time
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable, Coroutine, Sequence
 from pathlib import Path
 from random import Random
 from typing import Any, Final
@@ -22,7 +23,12 @@
 from tests.soak._findings import Findings, Impairments
 from tests.soak._processes import GatewayProcess
 from tests.soak._proxy import FaultProxy
-from tests.soak._stop_callers import BEHAVIOURS, StopCallers, call_once
+from tests.soak._stop_callers import (
+    MIXED_CALLERS,
+    RARE_CALLERS,
+    SPARSE_CALLERS,
+    StopCallers,
+)
 from tests.soak._stop_checks import (
     PlannedStop,
     StopObservations,
@@ -30,7 +36,6 @@
     check_stops,
 )
 
-START_LIMIT_S: Final = 30.0
 EXIT_POLL_INTERVAL_S: Final = 0.02
 GRACES_S: Final = (2.0, 4.0, 8.0)
 MAX_RUN_S: Final = 1.5
@@ -43,8 +48,6 @@
 ROUTE_TIMEOUT_MS: Final = 9000
 # After the last stop each call has reached its deadline.
 SETTLE_S: Final = 10.0
-SPARSE_CALLERS: Final = 2
-MIXED_CALLERS: Final = 4
 
 Change = Callable[["StopSoak"], Coroutine[Any, Any, None]]
 CHANGES: Final[dict[str, Change]] = {}
@@ -107,7 +110,7 @@
             gateway = await self._add_gateway(f"g{number}")
             gateway.start()
         for gateway in self.gateways:
-            await self._wait_started(gateway)
+            await gateway.wait_started()
 
     async def _add_gateway(self, name: str) -> GatewayProcess:
         store_proxy, caller_proxy = FaultProxy(self.store.port), FaultProxy(0)
@@ -126,11 +129,6 @@
         settings["bounds"]["grace_s"] = grace_s
         path.write_text(yaml.safe_dump(settings))
 
-    async def _wait_started(self, gateway: GatewayProcess) -> None:
-        async with asyncio.timeout(START_LIMIT_S):
-            while not gateway.has_logged_start():
-                await asyncio.sleep(EXIT_POLL_INTERVAL_S)
-
     async def _run_stops(self, seconds: float) -> None:
         callers = self._start_callers()
         stops = [
@@ -142,28 +140,32 @@
         changes.cancel()
         for stop in stops:
             stop.cancel()
-        await asyncio.gather(changes, *stops, return_exceptions=True)
+        results = await asyncio.gather(changes, *stops, return_exceptions=True)
+        self._report_errors(results)
         self._callers.stopping = True
         await asyncio.wait(callers, timeout=SETTLE_S)
         for caller in callers:
             caller.cancel()
         await asyncio.gather(*callers, return_exceptions=True)
 
+    def _report_errors(self, results: Sequence[BaseException | None]) -> None:
+        """Report what ended the stops of a gateway early, which tested less then."""
+        for result in results:
+            if isinstance(result, Exception):
+                self.findings.violations.append(f"the soak failed: {result!r}")
+
     def _start_callers(self) -> list["asyncio.Task[None]"]:
         """Start callers at a low rate for one half, of all kinds for the other."""
         middle = (len(self.gateways) + 1) // 2
-        behaviours = list(BEHAVIOURS.values())
-        runs = [
-            self._callers.use([gateway], [call_once])
-            for gateway in self.gateways[:middle]
-            for _ in range(SPARSE_CALLERS)
-        ]
-        runs += [
-            self._callers.use([gateway], behaviours)
-            for gateway in self.gateways[middle:]
-            for _ in range(MIXED_CALLERS)
+        low_rates = itertools.cycle((SPARSE_CALLERS, RARE_CALLERS))
+        groups = [next(low_rates) for _ in range(middle)]
+        groups += [MIXED_CALLERS] * (len(self.gateways) - middle)
+        runs = zip(self.gateways, groups, strict=True)
+        return [
+            asyncio.ensure_future(self._callers.use(gateway, group))
+            for gateway, group in runs
+            for _ in range(group.count)
         ]
-        return [asyncio.ensure_future(run) for run in runs]
 
     def _make_script(self) -> Script:
         async def script(
@@ -195,7 +197,7 @@
             await asyncio.sleep(self.random.random() * MAX_RUN_S)
             await self._stop_once(gateway)
             gateway.start()
-            await self._wait_started(gateway)
+            await gateway.wait_started()
 
     async def _stop_once(self, gateway: GatewayProcess) -> None:
         """Stop a gateway, with further signals until its process has ended."""
