Withhold a request that was answered lately only after three crashes

Callers of a sound request that is repeated often got 503 `withheld_request`: two crashes of other causes, shortly after each other, had broken it off, and its answer had begun in both.

Cause: answers to a request counted only once it was accused, so nothing was known of those before the first crash, and a request that had been answered all the time was judged like one that never was.

Change: a gateway remembers, by a hash that it alone can use, which requests it had answered in the last minute. One that it had answered three times or more is not listed as unproven in its reports of crashes, as parts are; a request of which any report says so takes three crashes, whatever the evidence. A request that was never answered takes two as before. The verdict on the other comes with the third crash, from which the bound of three later repeats counts, and trials are three as before, so the bound holds. Reports without a request in `unproven` are contested as before if a later answer is known. The messages between gateways keep their form: a gateway of the build before reads such a report and goes on needing two crashes.

Evidence: the two tests of test_request_evidence.py that have "answered_lately" in their names fail without the change, each with a verdict after two crashes.

--- a/bramleyport/fleet/_convictions.py
+++ b/bramleyport/fleet/_convictions.py
@@ -14,6 +14,8 @@
 # them, an answer to a request in two, or a request was the only one that one broke.
 CRASHES_TO_WITHHOLD: Final = 2
 CRASHES_WITHOUT_ANSWER: Final = 3
+# The same for a request that was answered several times lately, whatever the evidence.
+CRASHES_DESPITE_RECENT_ANSWERS: Final = 3
 # The same for a part with which a call was answered before. Only crashes count in which
 # an answer had begun: many upstreams may crash at once for another reason, while most
 # calls at them wait or have had events.
@@ -40,7 +42,8 @@
     crashes: set[CrashId] = field(default_factory=set)
     # Those in which an answer to a call with the trait had begun.
     begun: set[CrashId] = field(default_factory=set)
-    # A gateway that reported a crash knows an answered call with the trait.
+    # A gateway that reported a crash knows an answered call with the trait; for a
+    # request, several calls of the last minute.
     proven: bool = False
 
 
@@ -75,13 +78,16 @@
         self, trait: TraitId, suspect: Suspect, newest: CrashId
     ) -> bool:
         found = len(suspect.crashes)
-        if found < CRASHES_TO_WITHHOLD:
+        needed = (
+            CRASHES_DESPITE_RECENT_ANSWERS if suspect.proven else CRASHES_TO_WITHHOLD
+        )
+        if found < needed:
             return False
         # Other gateways may have more to report of the newest crash.
         was_alone = any(
             self._record.is_alone(trait, crash) for crash in suspect.crashes - {newest}
         )
-        if was_alone or len(suspect.begun) >= CRASHES_TO_WITHHOLD:
+        if was_alone or len(suspect.begun) >= needed:
             return True
         if found < CRASHES_WITHOUT_ANSWER:
             return False
--- a/bramleyport/fleet/_crash_evidence.py
+++ b/bramleyport/fleet/_crash_evidence.py
@@ -25,6 +25,7 @@
     HarmlessTrait,
     Verdict,
 )
+from bramleyport.fleet._recent_requests import RecentRequests
 from bramleyport.fleet._trait_table import TraitTable
 from bramleyport.fleet._traits import CallTraits, TraitId, is_request
 
@@ -52,6 +53,7 @@
     def __init__(self, process: ProcessId) -> None:
         self._process = process
         self._answered = AnsweredTraits()
+        self._recent = RecentRequests()
         # The trait that was not accused for the longest time first.
         self._suspects: TraitTable[Suspect] = TraitTable(MAX_SUSPECTS)
         self._verdicts: TraitTable[Verdict] = TraitTable(MAX_VERDICTS)
@@ -80,10 +82,18 @@
             crash=crash,
             at_s=now_s,
             traits=found,
-            unproven=self._answered.select_unproven(found),
+            unproven=self._select_unproven(traits, now_s),
             answer_began=answer_began,
         )
 
+    def _select_unproven(self, traits: CallTraits, now_s: float) -> frozenset[TraitId]:
+        """Return the traits of a call for which no answer speaks; digest its body."""
+        unproven = self._answered.select_unproven(traits.list_all())
+        identity = traits.identity
+        if identity is not None and self._recent.includes(identity, now_s):
+            return unproven - {identity.trait}
+        return unproven
+
     def update_report(self, report: CrashReport) -> CrashReport:
         """Return a report without the traits that were answered since."""
         traits = frozenset(
@@ -103,6 +113,8 @@
         self, traits: CallTraits, answered_s: float
     ) -> list[HarmlessTrait]:
         """Record a call by the time of its first event; return its accused traits."""
+        if traits.identity is not None:
+            self._recent.record(traits.identity, answered_s)
         accused = list(
             dict.fromkeys(
                 (*self._suspects.list_of(traits), *self._verdicts.list_of(traits))
@@ -145,7 +157,7 @@
         self.drop_old(now_s)
         self._record.record(report.crash, report.traits)
         self._record_explanation(report)
-        unproven = self._answered.select_unproven(report.unproven)
+        unproven = self._answered.select_unproven(report.contestable)
         verdicts = []
         for trait in self._list_accused(report, unproven):
             companions = frozenset((trait,))
--- a/bramleyport/fleet/_crash_reports.py
+++ b/bramleyport/fleet/_crash_reports.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass, field
 
 from bramleyport.core import UpstreamId
-from bramleyport.fleet._traits import TraitId
+from bramleyport.fleet._traits import TraitId, is_request
 
 
 @dataclass(frozen=True, slots=True)
@@ -22,12 +22,18 @@
     crash: CrashId
     at_s: float = field(compare=False)
     traits: frozenset[TraitId]
-    # Those with which no answered call was known to the gateway that reports.
+    # Those with which no answered call was known to the gateway that reports; of
+    # requests, no several calls of the last minute.
     unproven: frozenset[TraitId]
     # The head of the answer had arrived: the call may be the one that its upstream
     # crashed under.
     answer_began: bool = False
 
+    @property
+    def contestable(self) -> frozenset[TraitId]:
+        """Return the traits that a single answer may clear: all but proven parts."""
+        return self.unproven.union(filter(is_request, self.traits))
+
 
 @dataclass(frozen=True, slots=True)
 class HarmlessTrait:
--- a/bramleyport/fleet/_traits.py
+++ b/bramleyport/fleet/_traits.py
@@ -11,6 +11,8 @@
 TraitId = NewType("TraitId", str)
 # What all requests with the same method, target, caller and length of the body share.
 RequestHead = NewType("RequestHead", str)
+# A hash of a whole request that only the process that computed it can use.
+LocalRequestKey = NewType("LocalRequestKey", int)
 
 # Traits of one call that are considered: its whole request, and parts of its prompt.
 MAX_TRAITS: Final = 32
@@ -48,9 +50,15 @@
         body = hashlib.blake2b(self._body, digest_size=_BODY_BYTES)
         return TraitId(f"{_REQUEST_PREFIX}{self.head}.{body.hexdigest()}")
 
+    @cached_property
+    def local_key(self) -> LocalRequestKey:
+        """Return a hash of the whole request, which costs far less than its digest."""
+        return LocalRequestKey(hash((self._fields, self._body)))
+
     def release_body(self) -> None:
-        """Compute the digests now, and keep nothing else."""
+        """Compute the digests and the hash now, and keep nothing else."""
         assert self.trait
+        assert self.local_key is not None
         self._fields, self._body = (), b""
 
 
--- a/bramleyport/gateway/_crash_guard.py
+++ b/bramleyport/gateway/_crash_guard.py
@@ -187,7 +187,7 @@
 
     def apply_report(self, report: CrashReport, origin: str) -> None:
         """Apply the report of another gateway."""
-        self._object(report.unproven, report.at_s)
+        self._object(report.contestable, report.at_s)
         for verdict in self._evidence.record_crash(report, read_now()):
             log_verdict(verdict, origin)
             if any(verdict.trait in own.traits for _, own in self._reports):
--- a/tests/crash_simulation.py
+++ b/tests/crash_simulation.py
@@ -262,7 +262,7 @@
     def _apply(self, gateway: SimulatedGateway, notice: Notice) -> None:
         evidence = gateway.evidence
         if isinstance(notice, CrashReport):
-            self._object(gateway, notice.unproven)
+            self._object(gateway, notice.contestable)
             evidence.record_crash(notice, self.now_s)
         elif isinstance(notice, HarmlessTrait):
             gateway.heard_s[notice.trait] = self.now_s
--- a/tests/test_request_evidence.py
+++ b/tests/test_request_evidence.py
@@ -16,6 +16,11 @@
 )
 from bramleyport.fleet._convictions import CRASHES_DESPITE_ANSWERS, CRASHES_DESPITE_TIES
 from bramleyport.fleet._crash_evidence import MAX_SUSPECTS, MAX_VERDICTS
+from bramleyport.fleet._recent_requests import (
+    MAX_RECENT_REQUESTS,
+    MIN_RECENT_ANSWERS,
+    RECENT_REQUEST_KEEP_S,
+)
 from bramleyport.fleet._traits import make_part_traits
 
 NOW_S = 100.0
@@ -54,6 +59,16 @@
     return verdicts
 
 
+def record_answers(
+    evidence: CrashEvidence,
+    call: CallTraits,
+    answered_s: float,
+    count: int = MIN_RECENT_ANSWERS,
+) -> None:
+    for _ in range(count):
+        evidence.record_answered(call, answered_s)
+
+
 def test_two_crashes_suffice_for_a_request_that_was_alone() -> None:
     """Guards against a third upstream that is lost to a cause that is known."""
     evidence = make_evidence()
@@ -64,6 +79,46 @@
     assert evidence.find_verdict(make_call("bad", path="/y")) is None
 
 
+def test_request_answered_lately_is_withheld_after_three_crashes() -> None:
+    """Guards against refusing a sound request that two unrelated crashes broke off."""
+    evidence = make_evidence()
+    call = make_call("poll")
+    record_answers(evidence, call, NOW_S - 1)
+    for number in range(2):
+        assert crash(evidence, f"p{number}", [call], answer_began=True) == []
+    assert len(crash(evidence, "p2", [call], answer_began=True)) == 1
+
+
+def test_request_answered_long_ago_is_withheld_after_two_crashes() -> None:
+    """Guards against answers that delay a verdict though much has changed since."""
+    evidence = make_evidence()
+    call = make_call("bad")
+    record_answers(evidence, call, NOW_S - RECENT_REQUEST_KEEP_S - 1)
+    crash(evidence, "p0", [call], answer_began=True)
+    assert len(crash(evidence, "p1", [call], answer_began=True)) == 1
+
+
+def test_few_answers_do_not_delay_a_verdict() -> None:
+    """Guards against a third upstream lost to a request that one upstream answers."""
+    evidence = make_evidence()
+    call = make_call("bad")
+    record_answers(evidence, call, NOW_S - 1, MIN_RECENT_ANSWERS - 1)
+    crash(evidence, "p0", [call], answer_began=True)
+    assert len(crash(evidence, "p1", [call], answer_began=True)) == 1
+
+
+def test_gateways_learn_from_reports_that_a_request_was_answered_lately() -> None:
+    """Guards against a verdict at gateways that did not answer the request lately."""
+    evidence, other = make_evidence(), make_evidence()
+    call = make_call("poll")
+    record_answers(evidence, call, NOW_S - 1)
+    for number in range(2):
+        crash_id = CrashId(UpstreamId(f"p{number}"), 1)
+        report = evidence.make_report(crash_id, call, NOW_S, answer_began=True)
+        assert report is not None
+        assert other.record_crash(report, NOW_S) == []
+
+
 def test_three_crashes_suffice_beside_five_others() -> None:
     """Guards against requests that hide behind those that break beside them."""
     evidence = make_evidence()
@@ -180,11 +235,23 @@
     assert len(evidence._verdicts._heads) <= MAX_VERDICTS
 
 
+def test_memory_is_bounded_for_any_number_of_answered_requests() -> None:
+    """Guards against memory that grows with the calls of the last minute."""
+    evidence = make_evidence()
+    for number in range(2 * MAX_RECENT_REQUESTS):
+        evidence.record_answered(make_call(f"{number}"), NOW_S)
+    assert len(evidence._recent) <= MAX_RECENT_REQUESTS
+    late_s = NOW_S + RECENT_REQUEST_KEEP_S + 1
+    evidence.record_answered(make_call("late"), late_s)
+    assert len(evidence._recent) == 1
+
+
 def test_released_body_leaves_the_identity_as_it_was() -> None:
     """Guards against bodies that are kept for as long as their digests are needed."""
     one, two = (RequestIdentity([b"GET", b"/x"], b"body") for _ in range(2))
     one.release_body()
     assert (one.head, one.trait) == (two.head, two.trait)
+    assert one.local_key == two.local_key
     assert one._body == b""
 
 
