Clear a request that was answered before its upstream proved to have ended

Callers of a sound request that is repeated often got 503 `withheld_request` though it had been answered after each crash that broke it off.

Cause: a broken call accuses its request once the upstream refuses connections, starts again or loses its registration, up to 10 s later, and the accusation bore that later time. Answers that had come in between did not count: they were not remembered, as the request was not accused yet, and they were earlier than the accusation.

Change: a report bears the time at which the call broke. If the gateway that reports had the request answered since then, by the memory of recent answers, it clears it at once and tells the others so with the report. The request stays in the record of the crash, so that another request does not count as the only one that the crash broke.

Evidence: test_answer_before_a_crash_is_confirmed_clears_its_request fails without the change, with a verdict after two crashes. An answer that another gateway had in between is still not known there, unless the request was accused before.

--- a/bramleyport/fleet/_crash_evidence.py
+++ b/bramleyport/fleet/_crash_evidence.py
@@ -72,20 +72,29 @@
         return trait in self._verdicts
 
     def make_report(
-        self, crash: CrashId, traits: CallTraits, now_s: float, *, answer_began: bool
+        self, crash: CrashId, traits: CallTraits, broke_s: float, *, answer_began: bool
     ) -> CrashReport | None:
-        """Return the report of a call at a crashed upstream, if it has traits."""
+        """Return the report of a call that broke at an upstream, if it has traits."""
         found = traits.list_all()
         if not found:
             return None
         return CrashReport(
             crash=crash,
-            at_s=now_s,
+            at_s=broke_s,
             traits=found,
-            unproven=self._select_unproven(traits, now_s),
+            unproven=self._select_unproven(traits, broke_s),
             answer_began=answer_began,
         )
 
+    def find_answered_since(
+        self, traits: CallTraits, broke_s: float
+    ) -> list[HarmlessTrait]:
+        """Return the request of a call if it was answered after the call broke."""
+        identity = traits.identity
+        if identity is None or self._recent.find(identity) < broke_s:
+            return []
+        return [HarmlessTrait(identity.trait, self._recent.find(identity))]
+
     def _select_unproven(self, traits: CallTraits, now_s: float) -> frozenset[TraitId]:
         """Return the traits of a call for which no answer speaks; digest its body."""
         unproven = self._answered.select_unproven(traits.list_all())
--- a/bramleyport/fleet/_recent_requests.py
+++ b/bramleyport/fleet/_recent_requests.py
@@ -1,5 +1,6 @@
 """Remember which requests this gateway has had answered several times lately."""
 
+import math
 from collections import OrderedDict
 from dataclasses import dataclass
 from typing import Final
@@ -43,6 +44,11 @@
         if len(self._answers) > MAX_RECENT_REQUESTS:
             self._answers.popitem(last=False)
 
+    def find(self, identity: RequestIdentity) -> float:
+        """Return when a request was last answered; -inf if unknown."""
+        answers = self._answers.get(identity.local_key)
+        return -math.inf if answers is None else answers.last_s
+
     def includes(self, identity: RequestIdentity, now_s: float) -> bool:
         """Return whether a request was answered several times lately."""
         answers = self._answers.get(identity.local_key)
--- a/bramleyport/gateway/_crash_guard.py
+++ b/bramleyport/gateway/_crash_guard.py
@@ -134,14 +134,7 @@
             return
         self._pending.harmless += accused
         self._notify()
-        for trait in withheld - self._list_withheld():
-            self._verdicts.remove(trait)
-            log_event(
-                gateway_events.TRAIT_RELEASED,
-                trait=trait,
-                reason="a call was answered",
-                request=call.request,
-            )
+        self._remove_released(withheld, call)
 
     async def record_broken(
         self, call: Call, target: Registration, *, answer_began: bool
@@ -254,10 +247,11 @@
     def _report(self, item: _BrokenCall, now_s: float) -> None:
         crash = CrashId(item.target.upstream, item.target.started_ms)
         report = self._evidence.make_report(
-            crash, item.call.traits, now_s, answer_began=item.answer_began
+            crash, item.call.traits, item.at_s, answer_began=item.answer_began
         )
         if report is None:
             return
+        self._apply_answered_since(item)
         log_event(
             gateway_events.CRASH_REPORTED,
             request=item.call.request,
@@ -275,6 +269,25 @@
             self._verdicts.write(verdict)
         self._notify()
 
+    def _apply_answered_since(self, item: _BrokenCall) -> None:
+        """Clear the request of a broken call if it was answered since then."""
+        withheld = self._list_withheld()
+        for notice in self._evidence.find_answered_since(item.call.traits, item.at_s):
+            self._evidence.apply_harmless(notice)
+            self._pending.harmless.append(notice)
+        self._remove_released(withheld, item.call)
+
+    def _remove_released(self, withheld: set[TraitId], call: Call) -> None:
+        """Remove the verdicts that were in force before an answer to a call."""
+        for trait in withheld - self._list_withheld():
+            self._verdicts.remove(trait)
+            log_event(
+                gateway_events.TRAIT_RELEASED,
+                trait=trait,
+                reason="a call was answered",
+                request=call.request,
+            )
+
     def _list_withheld(self) -> set[TraitId]:
         return {verdict.trait for verdict in self._evidence.verdicts}
 
