Test a verdict on a request that ran as its part was withheld

test_one_gateway_tries_a_withheld_part_and_all_release_it waited for all verdicts to end without a further call. A request that is running at an engine when the verdict on its part comes may crash that engine, its second, and gets a verdict of its own. The trial of the part by another request releases the part; the verdict on the request stays until that request comes again.

That is kept. The answer to another request shows nothing of this one, which crashed two upstreams itself; if it is deadly, a release without an answer of its own could exceed the bound of three later repeats.

The order is a test of its own now: the request is held at a draining engine until the verdict on its part stands at all gateways. Its trial by another request leaves the verdict on the request, so the old test could not pass in that order: its wait was wrong. In its place it waits until no part is withheld, without a further call as before, and then sends the prompts again until no gateway withholds anything.

--- a/tests/platform_standin/_crashes.py
+++ b/tests/platform_standin/_crashes.py
@@ -45,6 +45,8 @@
         self.script = stream_or_crash
         self.deadly_parts: set[str] = set()
         self.deadly_bodies: set[str] = set()
+        # While it is set, deadly calls that have begun here wait for it to crash this.
+        self.crash_gate: asyncio.Event | None = None
         self.crashes: list[EngineCrash] = []
         self.is_down = False
         # From a crash to the start of the next process at the same address.
@@ -149,6 +151,8 @@
         write_chunk(writer, render_event(first)[:PARTIAL_EVENT_BYTES])
         await writer.drain()
     await asyncio.sleep(CRASH_DELAY_S)
+    if engine.crash_gate is not None:
+        await engine.crash_gate.wait()
     engine.crash(cause)
 
 
--- a/tests/prompt_traffic.py
+++ b/tests/prompt_traffic.py
@@ -50,6 +50,7 @@
         self.sent: list[SentPrompt] = []
         self._numbers = itertools.count(1)
         self._part_tokens = 400
+        self._deadline_ms = 3000
 
     @property
     def engines(self) -> list[CrashingEngine]:
@@ -75,6 +76,10 @@
         """Set the size of each part of the prompts."""
         self._part_tokens = tokens
 
+    def set_deadline(self, deadline_ms: int) -> None:
+        """Set the time that callers allow for each prompt."""
+        self._deadline_ms = deadline_ms
+
     async def send_sound(
         self, path: str = "/once/x", *, first: str = "aa", gateway: str = ""
     ) -> SentPrompt:
@@ -84,11 +89,17 @@
         return await self._send(path, (first, shared), None, number, gateway)
 
     async def send_deadly(
-        self, part: str, path: str = "/once/x", *, first: str = "aa", gateway: str = ""
+        self,
+        part: str,
+        path: str = "/once/x",
+        *,
+        first: str = "aa",
+        shared: str = "",
+        gateway: str = "",
     ) -> SentPrompt:
         """Send a prompt with a part on which engines crash, and wait for its answer."""
         number = next(self._numbers)
-        shared = SHARED_PARTS[number % len(SHARED_PARTS)]
+        shared = shared or SHARED_PARTS[number % len(SHARED_PARTS)]
         parts = (part, shared) if part == first else (first, shared, part)
         return await self._send(path, parts, part, number, gateway)
 
@@ -118,6 +129,7 @@
             Model="m",
             Token_Counts=f"{tokens * (len(parts) + 1)},10",
             Prompt_Prefix=prefix,
+            Deadline_Ms=str(self._deadline_ms),
         )
         return prompt
 
--- a/tests/test_withheld_parts.py
+++ b/tests/test_withheld_parts.py
@@ -1,5 +1,6 @@
 """Guard that what gateways know of crashing prompts outlasts them and can end."""
 
+import asyncio
 from collections.abc import Callable, Coroutine
 from pathlib import Path
 from typing import Any
@@ -15,12 +16,15 @@
     TraitId,
     Verdict,
     _trials,
+    is_request,
 )
+from bramleyport.gateway import _stream_attempt, _verdict_store
 from bramleyport.gateway._peer_messages import (
     PeerMessage,
     decode_datagram,
     encode_message,
 )
+from tests.platform_standin import CrashingEngine
 from tests.prompt_traffic import PromptTraffic, SentPrompt, send_until
 
 Run = Callable[[Coroutine[Any, Any, Any]], Any]
@@ -28,6 +32,10 @@
 DEADLY = "dead"
 ENGINES = ["d0", "d1", "d2", "d3"]
 STABLE_MS = 500
+# Enough for one trial of each of four requests.
+RELEASE_LIMIT_S = 60.0
+# More than it takes until a part is withheld.
+HELD_CALL_MS = 20_000
 
 
 async def start_withholding(folder: Path, gateways: int = 3) -> PromptTraffic:
@@ -50,6 +58,22 @@
     )
 
 
+def find_withheld(traffic: PromptTraffic) -> set[TraitId]:
+    """Return the traits that any gateway withholds."""
+    return {
+        verdict.trait
+        for gateway in traffic.group.gateways.values()
+        for verdict in gateway.state.crash_evidence.verdicts
+    }
+
+
+def is_request_withheld_everywhere(traffic: PromptTraffic) -> bool:
+    return all(
+        any(is_request(item.trait) for item in gateway.state.crash_evidence.verdicts)
+        for gateway in traffic.group.gateways.values()
+    )
+
+
 def list_stored(traffic: PromptTraffic) -> list[str]:
     return [
         item["spec"]["part"]
@@ -108,13 +132,14 @@
             lambda: traffic.send_deadly(DEADLY, "/stream/x"),
         )
         await traffic.group.wait_for(
-            lambda: (
-                not any(
-                    gateway.state.crash_evidence.verdicts
-                    for gateway in traffic.group.gateways.values()
-                )
-            )
+            lambda: all(map(is_request, find_withheld(traffic)))
         )
+        # A request that crashed two engines itself is released by its own trial.
+        async with asyncio.timeout(RELEASE_LIMIT_S):
+            await send_until(
+                lambda: not find_withheld(traffic),
+                lambda: traffic.send_deadly(DEADLY, "/stream/x"),
+            )
         await traffic.group.wait_for(lambda: not list_stored(traffic))
         assert (await traffic.send_deadly(DEADLY, "/stream/x")).is_served
         await traffic.group.stop()
@@ -122,6 +147,96 @@
     run(check())
 
 
+async def withhold_part_and_request(folder: Path) -> PromptTraffic:
+    """Return traffic that withholds a part, and one request that ran meanwhile."""
+    traffic = PromptTraffic(folder, 3, ENGINES, STABLE_MS)
+    await traffic.group.start()
+    traffic.set_deadly_parts(DEADLY)
+    traffic.set_deadline(HELD_CALL_MS)
+    gate = asyncio.Event()
+    for engine in traffic.engines:
+        engine.crash_gate = gate
+    held = asyncio.ensure_future(send_own(traffic))
+    await traffic.group.wait_for(lambda: find_holding(traffic))
+    (holding,) = find_holding(traffic)
+    # Others run elsewhere.
+    holding.register(traffic.group.store, state="draining")
+    await traffic.group.wait_for(lambda: is_draining_everywhere(traffic))
+    for engine in traffic.engines:
+        if engine is not holding:
+            engine.crash_gate = None
+    await send_until(lambda: bool(traffic.crashes), lambda: send_own(traffic))
+    await send_until(
+        lambda: is_withheld_everywhere(traffic) and bool(list_stored(traffic)),
+        lambda: send_other(traffic),
+    )
+    assert not is_request_withheld_everywhere(traffic)
+    gate.set()
+    await held
+    holding.crash_gate = None
+    await traffic.group.wait_for(lambda: is_request_withheld_everywhere(traffic))
+    return traffic
+
+
+def is_draining_everywhere(traffic: PromptTraffic) -> bool:
+    return all(
+        any(item.draining for item in gateway.state.members.list_all())
+        for gateway in traffic.group.gateways.values()
+    )
+
+
+def find_holding(traffic: PromptTraffic) -> list[CrashingEngine]:
+    """Return the engines at which a deadly call has begun and waits."""
+    return [engine for engine in traffic.engines if engine.running]
+
+
+async def send_own(traffic: PromptTraffic) -> SentPrompt:
+    """Send the request on which an engine crashes after the verdict on its part."""
+    return await traffic.send_deadly(DEADLY, "/stream/x", shared="own")
+
+
+async def send_other(traffic: PromptTraffic) -> SentPrompt:
+    """Send another request with the same part."""
+    return await traffic.send_deadly(DEADLY, "/stream/x", shared="other")
+
+
+# Guards against a request that stays refused for ever, since the part that it shares
+# with others was withheld first, and against one that is trusted for their answers.
+@pytest.mark.parametrize("send_trial", [send_own, send_other])
+def test_request_withheld_beside_its_part_is_released_by_its_own_answer(
+    run: Run,
+    tmp_path: Path,
+    monkeypatch: pytest.MonkeyPatch,
+    send_trial: Callable[[PromptTraffic], Coroutine[Any, Any, SentPrompt]],
+) -> None:
+    async def check() -> None:
+        monkeypatch.setattr(_trials, "FIRST_REQUEST_TRIAL_S", _trials.LONG_PAUSE_S)
+        monkeypatch.setattr(_verdict_store, "TRIAL_SPACING_S", 0.0)
+        monkeypatch.setattr(_stream_attempt, "FIRST_EVENT_SLACK_S", HELD_CALL_MS)
+        traffic = await withhold_part_and_request(tmp_path)
+        traffic.set_deadly_parts()
+        await traffic.wait_recovered()
+        monkeypatch.setattr(_trials, "FIRST_TRIAL_S", 0.0)
+        count = len(traffic.sent)
+        await send_until(
+            lambda: any(item.is_served for item in traffic.sent[count:]),
+            lambda: send_trial(traffic),
+        )
+        await traffic.group.wait_for(lambda: DEADLY not in find_withheld(traffic))
+        if send_trial is send_other:
+            assert is_request_withheld_everywhere(traffic)
+            answer = (await send_own(traffic)).answer
+            assert answer is not None
+            assert answer.status == 503
+            monkeypatch.setattr(_trials, "FIRST_REQUEST_TRIAL_S", 0.0)
+            assert (await send_own(traffic)).is_served
+        await traffic.group.wait_for(lambda: not find_withheld(traffic))
+        await traffic.group.wait_for(lambda: not list_stored(traffic))
+        await traffic.group.stop()
+
+    run(check())
+
+
 def test_trial_that_crashes_its_engine_delays_the_next_one(
     run: Run, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
