Test a session whose engine says that it leaves in a stream that goes on

No test had a session in it: the caller's next prompts hold most of the one that an engine is answering, so that this engine is the one to be preferred for its cache, while the head of that answer says `Server-Leaving`.

The test sends turns of a session until one engine gets them, holds the stream of the next turn after its first event, and expects that the next turn at each gateway is served by another engine, and that the held stream goes on to its end at the leaving one, with each event once.

--- a/tests/test_upstream_signals.py
+++ b/tests/test_upstream_signals.py
@@ -11,9 +11,11 @@
 
 from bramleyport.core import ServiceName, UpstreamId, ZoneName
 from bramleyport.fleet import Address, Membership, Registration, UpstreamPauses
+from tests.gateway_fleet import LANGUAGE
 from tests.gateway_group import GatewayGroup
 from tests.platform_standin import (
     EVENT_COUNT,
+    CallerAnswer,
     RawRequest,
     UpstreamStandin,
     decline,
@@ -29,6 +31,8 @@
 PAUSE_S = 2.5
 # Requests that were under way when an upstream asked for a pause may still arrive.
 IN_FLIGHT_S = 0.5
+# Prompts of a session after which its engine is known to have its cache.
+TURNS = 3
 
 
 @asynccontextmanager
@@ -137,6 +141,101 @@
     run(check())
 
 
+class HeldStream:
+    """Represent a stream that goes on only once it is let to."""
+
+    def __init__(self) -> None:
+        self._gate = asyncio.Event()
+
+    def let_go_on(self) -> None:
+        self._gate.set()
+
+    async def run(
+        self,
+        upstream: UpstreamStandin,
+        request: RawRequest,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        run = upstream.record_run(request)
+        first = start_stream(upstream, request, writer)
+        for number in range(first, EVENT_COUNT + 1):
+            write_chunk(writer, render_event(number))
+            await writer.drain()
+            await self._gate.wait()
+        writer.write(b"0\r\n\r\n")
+        run.ended = True
+
+
+async def send_turn(group: GatewayGroup, gateway: str, request: str) -> CallerAnswer:
+    """Send the next prompt of a session, most of which earlier ones had."""
+    answer = await group.call_gateway(
+        gateway,
+        "/stream/x",
+        Request_Id=request,
+        Model="m",
+        Token_Counts="4009,10",
+        Prompt_Prefix=f"s0:2000,s1:2000,{request}:9",
+        Deadline_Ms="20000",
+    )
+    assert answer is not None
+    return answer
+
+
+def find_runner(group: GatewayGroup, request: str) -> UpstreamStandin | None:
+    """Return the upstream that ran a request."""
+    return next(
+        (
+            upstream
+            for upstream in group.upstreams
+            for run in upstream.runs
+            if run.request.headers["request-id"] == request
+        ),
+        None,
+    )
+
+
+def count_ready(group: GatewayGroup) -> set[int]:
+    """Return how many engines the gateways may choose, each of them."""
+    service = ServiceName(LANGUAGE)
+    return {
+        len(gateway.state.members.list_ready(service))
+        for gateway in group.gateways.values()
+    }
+
+
+# Guards against a session that follows its prompt's cache to an engine that leaves, and
+# against a stream that is cut off since its engine has said so.
+def test_session_moves_when_its_engine_says_that_it_leaves(
+    run: Run, tmp_path: Path
+) -> None:
+    async def check() -> None:
+        async with run_group(tmp_path, "d0", "d1", "d2") as group:
+            for number in range(TURNS):
+                assert (await send_turn(group, "g0", f"t{number}")).complete
+            engine = find_runner(group, f"t{TURNS - 1}")
+            assert engine is not None
+            assert find_runner(group, f"t{TURNS - 2}") is engine
+            held = HeldStream()
+            engine.leaving, engine.script = True, held.run
+            stream = asyncio.ensure_future(send_turn(group, "g0", "held"))
+            await group.wait_for(lambda: find_runner(group, "held"))
+            assert find_runner(group, "held") is engine
+            await group.wait_for(lambda: count_ready(group) == {2})
+            runs = len(engine.runs)
+            for gateway in group.gateways:
+                answer = await send_turn(group, gateway, f"next-{gateway}")
+                assert (answer.status, answer.complete) == (200, True)
+                assert find_runner(group, f"next-{gateway}") is not engine
+            held.let_go_on()
+            answer = await stream
+            assert (answer.status, answer.complete) == (200, True)
+            events = [render_event(number) for number in range(1, EVENT_COUNT + 1)]
+            assert answer.body == b"".join(events)
+            assert len(engine.runs) == runs
+
+    run(check())
+
+
 @pytest.mark.parametrize("all_pause", [False, True], ids=["one", "all"])
 def test_upstream_that_wants_a_pause_gets_one(
     run: Run, tmp_path: Path, all_pause: bool
