Send the notice of an answered request once for all calls of a crash

A crash that broke off several calls of one request, which was answered before the upstream proved to have ended, put one notice of that answer for each call into the next messages to the other gateways. The others of a crash are left out now.

Evidence: test_notice_of_an_answer_is_sent_once_for_all_calls_of_a_crash fails without the change, with three notices.

--- a/bramleyport/gateway/_crash_guard.py
+++ b/bramleyport/gateway/_crash_guard.py
@@ -274,7 +274,8 @@
         withheld = self._list_withheld()
         for notice in self._evidence.find_answered_since(item.call.traits, item.at_s):
             self._evidence.apply_harmless(notice)
-            self._pending.harmless.append(notice)
+            if notice not in self._pending.harmless:
+                self._pending.harmless.append(notice)
         self._remove_released(withheld, item.call)
 
     def _remove_released(self, withheld: set[TraitId], call: Call) -> None:
--- a/tests/test_crash_guard.py
+++ b/tests/test_crash_guard.py
@@ -84,6 +84,22 @@
     run(check())
 
 
+# Guards against messages that grow with the calls of one request that a crash broke.
+def test_notice_of_an_answer_is_sent_once_for_all_calls_of_a_crash(run: Run) -> None:
+    async def check() -> None:
+        gateway = GuardedGateway("g0")
+        for _ in range(3):
+            await gateway.break_call(make_call("poll"), "p0")
+        await asyncio.sleep(ANSWER_STEP_S)
+        gateway.answer(make_call("poll"))
+        gateway.confirm("p0")
+        updates = gateway.guard.take_updates()
+        assert len(updates.reports) == 3
+        assert len(updates.harmless) == 1
+
+    run(check())
+
+
 # Guards against answers from before the crashes that hide a request which has turned
 # bad, and against answers to other requests.
 @pytest.mark.parametrize("answered", ["poll", "other"])
