Read registrations at once while calls wait for upstreams

Calls that were held for a crashed upstream were sent 0.55 s after it was back: a gateway pauses for up to 0.6 s after each change of registrations, to collect changes. Callers had left by then, as they do about 2 s after the last event.

While any call is held, the pause is 0.1 s. The metric held_calls counts such calls; the documents say what a scope, a group and away mean.

Evidence: test_registrations_are_read_at_once_while_calls_wait failed before (no watch in 20 s) and passes.

--- a/bramleyport/gateway/_daemon.py
+++ b/bramleyport/gateway/_daemon.py
@@ -188,6 +188,7 @@
     ) -> Follower:
         times = choose_watch_times(self._state.settings.stable_s, bound_s)
         follower = Follower(self._store, kind, updater, times, self._peers)
+        follower.is_urgent = lambda: self._state.held_calls > 0
         self._peers.subscribe(kind, follower.receive_update)
         return follower
 
--- a/bramleyport/gateway/_follower.py
+++ b/bramleyport/gateway/_follower.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import math
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Final, Protocol
 
@@ -43,6 +44,8 @@
 UPDATE_DELAY_S: Final = 0.4
 # How often a gateway that relies on updates checks whether it has to watch the store.
 POLL_INTERVAL_S: Final = 0.5
+# Pause after a watch while calls wait for changes.
+URGENT_PAUSE_S: Final = 0.1
 # Time for which lists of a restored store may hold objects that are older than those
 # that were known before. By then all of them were written again or have expired.
 COPY_KEEP_S: Final = 60.0
@@ -170,6 +173,8 @@
         # The newest revision of that era whose changes a peer has told.
         self._ahead_revision = NO_REVISION
         self._call_needed = asyncio.Event()
+        # Returns whether calls wait for changes.
+        self.is_urgent: Callable[[], bool] = lambda: False
         store.eras.on_restored.append(lambda _: self._call_needed.set())
 
     async def run(self) -> None:
@@ -181,7 +186,7 @@
                 continue
             error = await self._call_store()
             if error is None:
-                await asyncio.sleep(self._times.pause_s)
+                await self._pause()
                 continue
             if error.failure is StoreFailure.EXPIRED:
                 log_event(gateway_events.WATCH_RESTARTED, kind=self._kind.value)
@@ -256,6 +261,15 @@
             return 0.0
         return self._freshness.measure_remaining(read_now())
 
+    async def _pause(self) -> None:
+        """Wait while changes are collected, or for less if they are awaited."""
+        began_s = read_now()
+        until_s = began_s + self._times.pause_s
+        while read_now() < until_s:
+            await asyncio.sleep(min(URGENT_PAUSE_S, until_s - read_now()))
+            if self.is_urgent():
+                return
+
     async def _wait_for_update(self, idle_s: float) -> None:
         self._call_needed.clear()
         try:
--- a/bramleyport/gateway/_metrics.py
+++ b/bramleyport/gateway/_metrics.py
@@ -69,6 +69,7 @@
         version = configuration.version if configuration else 0
         gauges.set({"name": "configuration_version"}, float(version))
         gauges.set({"name": "gateways"}, float(self._state.gateway_count or 0))
+        gauges.set({"name": "held_calls"}, float(self._state.held_calls))
         upstreams = len(self._state.members.list_all())
         gauges.set({"name": "upstreams"}, float(upstreams))
         withheld = len(self._state.crash_evidence.verdicts)
--- a/bramleyport/gateway/_return_queue.py
+++ b/bramleyport/gateway/_return_queue.py
@@ -40,6 +40,7 @@
         released = asyncio.get_running_loop().create_future()
         item = _HeldCall(call, released)
         self._held.setdefault(scope, []).append(item)
+        self._state.held_calls += 1
         self._schedule()
         try:
             async with asyncio.timeout_at(until_s):
@@ -65,6 +66,7 @@
                 _release(held)
 
     def _remove(self, scope: ServingScope, item: _HeldCall) -> None:
+        self._state.held_calls -= 1
         held = self._held[scope]
         held.remove(item)
         if not held:
--- a/tests/test_away_versions.py
+++ b/tests/test_away_versions.py
@@ -5,10 +5,22 @@
 from pathlib import Path
 from typing import Any
 
-from bramleyport.core import ServiceName, UpstreamId
+from result import Ok
+
+from bramleyport.core import (
+    ProcessId,
+    Revision,
+    ServiceName,
+    StoreEra,
+    StoreRevision,
+    UpstreamId,
+)
 from bramleyport.fleet import RateLimitNotice
 from bramleyport.gateway._clock import read_now
+from bramleyport.gateway._follower import Follower, UnsharedLink, WatchTimes
 from bramleyport.gateway._state import GatewayState
+from bramleyport.platform import Listing, ObjectKind
+from bramleyport.platform._store_eras import StoreEras
 from tests.gateway_fleet import LANGUAGE
 from tests.gateway_group import GatewayGroup
 from tests.platform_standin import (
@@ -31,6 +43,8 @@
 # So many that an upstream is ejected if all of its own are failures.
 RESULTS = 20
 LIMIT_PER_S = 50.0
+# Longer than the test waits.
+LONG_S = 40.0
 
 
 async def begin_at_both_versions(versioned: VersionedGroup) -> None:
@@ -125,6 +139,43 @@
     run(check())
 
 
+# Guards against calls that wait for upstreams which are back, while changes of
+# registrations are collected.
+def test_registrations_are_read_at_once_while_calls_wait(run: Run) -> None:
+    class Store:
+        eras = StoreEras()
+
+        def __init__(self) -> None:
+            self.watched = asyncio.Event()
+
+        async def list_objects(self, kind: ObjectKind) -> Any:
+            return Ok(Listing(StoreRevision(StoreEra(0), Revision(5)), ()))
+
+        async def watch(self, *arguments: Any) -> Any:
+            self.watched.set()
+            await asyncio.Event().wait()
+
+    class Updater:
+        def apply_listing(self, listing: Listing, *, restored: bool = False) -> None:
+            pass
+
+        def record_store_state(self, *, reachable: bool, age_s: float = 0.0) -> None:
+            pass
+
+    async def check() -> None:
+        store: Any = Store()
+        updater: Any = Updater()
+        link = UnsharedLink(ProcessId("g"))
+        times = WatchTimes(wait_s=1, shared_wait_s=1, pause_s=LONG_S, fresh_s=1)
+        follower = Follower(store, ObjectKind.REGISTRATIONS, updater, times, link)
+        follower.is_urgent = lambda: True
+        task = asyncio.ensure_future(follower.run())
+        await asyncio.wait_for(store.watched.wait(), LONG_S / 2)
+        task.cancel()
+
+    run(check())
+
+
 def limit(state: GatewayState, name: str) -> None:
     registration = state.members.find(UpstreamId(name))
     assert registration is not None
