Tell silent gateways through the store how streams began

Cause: where the stored shares disagree on a stream, its gateway told its version by datagram only.

Evidence: the new test cuts three gateways off from each other alone, loses one of two versions for 3 s, and takes 48 streams up at others.

A gateway that is about to refuse a stream as unknown lists these objects first. The facts are written by the gateway that began the streams, so nothing is guessed.

--- a/bramleyport/composition.py
+++ b/bramleyport/composition.py
@@ -289,6 +289,7 @@
     from twisted.internet import reactor
 
     from bramleyport.gateway._attempt import AttemptSupport
+    from bramleyport.gateway._begun_stream_store import BegunStreamStore
     from bramleyport.gateway._crash_guard import CrashGuard
     from bramleyport.gateway._daemon import Gateway
     from bramleyport.gateway._exchange import Exchanger
@@ -318,7 +319,8 @@
     verdicts = VerdictStore(state, store)
     guard = CrashGuard(state, exchanger, verdicts)
     version_store = VersionStore(state, store)
-    versions = VersionChooser(state, version_store)
+    begun_streams = BegunStreamStore(state, store)
+    versions = VersionChooser(state, version_store, begun_streams)
     processes = ProcessChecker(state, store, exchanger)
     support = AttemptSupport(
         state, exchanger, tracker, metrics, guard, versions, processes
@@ -340,6 +342,7 @@
         guard,
         verdicts,
         version_store,
+        begun_streams,
         metrics.metrics,
         metrics_port,
     )
--- a/bramleyport/fleet/_roster.py
+++ b/bramleyport/fleet/_roster.py
@@ -1,5 +1,6 @@
 """Track which gateways may be running."""
 
+import math
 from collections.abc import Collection
 from typing import Final
 
@@ -36,6 +37,7 @@
         # Before, others may be running that are not known yet.
         self._is_complete = False
         self._listening_since_s: float | None = None
+        self._unsent_s = -math.inf
 
     @property
     def gateways(self) -> frozenset[ProcessId]:
@@ -72,6 +74,18 @@
         if is_new:
             self._update()
 
+    def record_unsent(self, now_s: float) -> None:
+        """Record that a message to another gateway could not be sent."""
+        self._unsent_s = now_s
+
+    def may_miss_messages(self, since_s: float) -> bool:
+        """Return whether another gateway may not get what this one sends.
+
+        One of which nothing was heard since then may not hear this one either.
+        """
+        is_silent = any(seen_s < since_s for seen_s in self._seen_s.values())
+        return is_silent or self._unsent_s >= since_s
+
     def record_left(self, process: ProcessId, now_s: float) -> None:
         """Record that a gateway has announced its end."""
         self._absent.add(process)
--- a/bramleyport/fleet/_stream_versions.py
+++ b/bramleyport/fleet/_stream_versions.py
@@ -52,6 +52,8 @@
         # By service; the newest shares last.
         self._shares: dict[ServiceName, list[_KnownShares]] = {}
         self._streams: OrderedDict[RequestId, _KnownStream] = OrderedDict()
+        # The own ones whose version can't be deduced, in the order of their beginnings.
+        self._ambiguous: dict[RequestId, _KnownStream] = {}
         # Time for which shares are only known before new streams follow them, so that
         # few streams are ambiguous at a gateway which has not read them yet.
         self.activation_s = 0.0
@@ -67,6 +69,8 @@
     ) -> list[BegunStream]:
         """Set what the store has; return own streams that are ambiguous now."""
         before = self._shares.get(service, [])
+        if [item.shares for item in before] == list(stored):
+            return []
         since_s = {item.shares: item.since_s for item in before}
         if before and before[-1].shares != stored[-1]:
             # They may have been in force before, but not since.
@@ -74,9 +78,10 @@
         self._shares[service] = [
             _KnownShares(shares, since_s.get(shares, now_s)) for shares in stored
         ]
+        self._update_ambiguous()
         if len(stored) <= len(before):
             return []
-        return [item for item in self.list_ambiguous() if item.service == service]
+        return [item for item in self.list_ambiguous(now_s) if item.service == service]
 
     def find_superseded_s(self, service: ServiceName) -> float | None:
         """Return when the oldest shares were superseded, or None if they are not."""
@@ -141,24 +146,38 @@
         self, stream: BegunStream, now_s: float, *, is_own: bool = True
     ) -> bool:
         """Record that a stream has begun; return whether its version is ambiguous."""
-        self._streams.pop(stream.origin, None)
-        self._streams[stream.origin] = _KnownStream(stream, now_s, is_own)
+        self._drop(stream.origin)
+        known = self._streams[stream.origin] = _KnownStream(stream, now_s, is_own)
         while self._streams:
-            oldest = next(iter(self._streams.values()))
+            origin, oldest = next(iter(self._streams.items()))
             is_old = now_s - oldest.begun_s > self.keep_s
             if len(self._streams) <= MAX_STREAMS and not is_old:
                 break
-            self._streams.popitem(last=False)
-        return self._is_ambiguous(stream)
+            self._drop(origin)
+        is_ambiguous = self._is_ambiguous(stream)
+        if is_own and is_ambiguous:
+            self._ambiguous[stream.origin] = known
+        return is_ambiguous
 
-    def list_ambiguous(self) -> list[BegunStream]:
+    def list_ambiguous(self, now_s: float) -> list[BegunStream]:
         """Return the own streams of which other gateways have to be told."""
         return [
             item.stream
-            for item in self._streams.values()
-            if item.is_own and self._is_ambiguous(item.stream)
+            for item in self._ambiguous.values()
+            if now_s - item.begun_s <= self.keep_s
         ]
 
+    def _drop(self, origin: RequestId) -> None:
+        self._streams.pop(origin, None)
+        self._ambiguous.pop(origin, None)
+
+    def _update_ambiguous(self) -> None:
+        self._ambiguous = {
+            origin: item
+            for origin, item in self._streams.items()
+            if item.is_own and self._is_ambiguous(item.stream)
+        }
+
     def _is_ambiguous(self, stream: BegunStream) -> bool:
         known = self._shares.get(stream.service)
         return not known or any(
--- a/bramleyport/gateway/_call_context.py
+++ b/bramleyport/gateway/_call_context.py
@@ -37,6 +37,8 @@
     RECALLED = "recalled"
     # All shares that it may have followed give it this version.
     DEDUCED = "deduced"
+    # Its gateway has written it to the store.
+    STORED = "stored"
 
 
 class CallContext:
--- a/bramleyport/gateway/_daemon.py
+++ b/bramleyport/gateway/_daemon.py
@@ -7,6 +7,7 @@
 
 from bramleyport.core import SettingsError, StepError, UpstreamId
 from bramleyport.fleet import Address, ShutdownSchedule
+from bramleyport.gateway._begun_stream_store import BegunStreamStore
 from bramleyport.gateway._caches import CacheReader
 from bramleyport.gateway._clock import read_now
 from bramleyport.gateway._configuration_offers import ConfigurationOffers
@@ -64,6 +65,7 @@
         guard: CrashGuard,
         verdicts: VerdictStore,
         versions: VersionStore,
+        begun_streams: BegunStreamStore,
         metrics: Metrics,
         metrics_port: int | None,
     ) -> None:
@@ -77,6 +79,7 @@
         self._guard = guard
         self._verdicts = verdicts
         self._versions = versions
+        self._begun_streams = begun_streams
         self._directory = PeerDirectory(state.settings, store, peers, state.roster)
         self._readiness = Readiness(state)
         self._metrics_port = metrics_port
@@ -176,6 +179,7 @@
             self._verdicts.run,
             self._make_own_follower(ObjectKind.VERSIONS, self._versions).run,
             self._versions.run,
+            self._begun_streams.run,
             self._directory.run,
             self._run_housekeeping,
             self._watch_settings,
--- a/bramleyport/gateway/_datagram_sender.py
+++ b/bramleyport/gateway/_datagram_sender.py
@@ -14,12 +14,14 @@
     def __init__(self) -> None:
         self._reasons: dict[Address, int | None] = {}
 
-    def send(self, transport: Any, data: bytes, address: Address) -> None:
-        """Send a datagram; one that can't be sent is lost like any other."""
+    def send(self, transport: Any, data: bytes, address: Address) -> bool:
+        """Return whether a datagram was sent; otherwise it is lost like any other."""
         try:
             transport.write(data, (address.host, address.port))
         except OSError as error:
             self._log_unsent(address, error)
+            return False
+        return True
 
     def _log_unsent(self, address: Address, error: OSError) -> None:
         if self._reasons.get(address) == error.errno:
--- a/bramleyport/gateway/_fresh_reads.py
+++ b/bramleyport/gateway/_fresh_reads.py
@@ -23,7 +23,7 @@
         self, read: Callable[[], Awaitable[T]], interval_s: float = MIN_INTERVAL_S
     ) -> None:
         self._read = read
-        self._interval_s = interval_s
+        self.interval_s = interval_s
         self._running: asyncio.Task[T] | None = None
         self._next: asyncio.Task[T] | None = None
         self._began_s: float | None = None
@@ -45,7 +45,7 @@
         if running is not None:
             await asyncio.wait([running])
         if self._began_s is not None:
-            await asyncio.sleep(self._began_s + self._interval_s - read_now())
+            await asyncio.sleep(self._began_s + self.interval_s - read_now())
         self._running, self._next = self._next, None
         self._began_s = read_now()
         return await self._read()
--- a/bramleyport/gateway/_peers.py
+++ b/bramleyport/gateway/_peers.py
@@ -394,7 +394,8 @@
         limits = list(make_updates(state.rate_limiter.list_notices()))
         self._send_items("limits", limits, send)
         self._send_items("leaving_upstreams", state.members.list_leaving(), send)
-        self._send_items("streams", state.stream_versions.list_ambiguous(), send)
+        streams = state.stream_versions.list_ambiguous(read_now())
+        self._send_items("streams", streams, send)
 
     def _send_items(
         self, field: str, items: list[Any], send: Callable[[PeerMessage], None]
@@ -415,8 +416,10 @@
             self._write(data, address)
 
     def _write(self, data: bytes, address: Address) -> None:
-        if self.transport is not None:
-            self._sender.send(self.transport, data, address)
+        if self.transport is None:
+            return
+        if not self._sender.send(self.transport, data, address):
+            self._state.roster.record_unsent(read_now())
 
 
 def _apply_each(items: Iterable[T], apply_item: Callable[[T], None]) -> None:
--- a/bramleyport/gateway/_version_choice.py
+++ b/bramleyport/gateway/_version_choice.py
@@ -4,7 +4,7 @@
 from typing import Final, Protocol
 
 from bramleyport.admission import Rejected
-from bramleyport.core import Explanation, ServiceName, UpstreamId
+from bramleyport.core import Explanation, RequestId, ServiceName, UpstreamId
 from bramleyport.fleet import (
     UNKNOWN_VERSION,
     BegunStream,
@@ -52,6 +52,15 @@
         """Read the shares; return whether those that are known now are current."""
 
 
+class StreamSource(Protocol):
+    """Represent the versions of streams in the store."""
+
+    async def find_version(
+        self, service: ServiceName, origin: RequestId
+    ) -> SoftwareVersion | None:
+        """Return the version of a stream that any gateway has written, read anew."""
+
+
 class VersionChooser:
     """Decide which upstreams may write the events of a call.
 
@@ -59,9 +68,12 @@
     read these since then can tell at which versions it may have begun.
     """
 
-    def __init__(self, state: GatewayState, shares: SharesSource) -> None:
+    def __init__(
+        self, state: GatewayState, shares: SharesSource, streams: StreamSource
+    ) -> None:
         self._state = state
         self._shares = shares
+        self._streams = streams
         # Since when calls to a service have found no shares.
         self._missing_since_s: dict[ServiceName, float] = {}
 
@@ -203,6 +215,11 @@
         if context.version is None and is_current:
             context.version_source = VersionSource.DEDUCED
             context.version = self._deduce_version(context)
+        if context.version is None and context.call.origin is not None:
+            context.version_source = VersionSource.STORED
+            context.version = await self._streams.find_version(
+                context.call.service, context.call.origin
+            )
         if context.version is not None:
             return None
         # It is ambiguous for at most as long as it may go on at all.
--- a/bramleyport/platform/__init__.py
+++ b/bramleyport/platform/__init__.py
@@ -4,6 +4,10 @@
 values and makes no decision about them.
 """
 
+from bramleyport.platform._begun_streams import (
+    decode_begun_streams,
+    encode_begun_streams,
+)
 from bramleyport.platform._config import decode_configuration
 from bramleyport.platform._documents import Document, MalformedDocumentError
 from bramleyport.platform._engines import (
@@ -95,6 +99,7 @@
     "StoredObject",
     "VerdictDocument",
     "decode_answer",
+    "decode_begun_streams",
     "decode_cache_listing",
     "decode_call",
     "decode_configuration",
@@ -108,6 +113,7 @@
     "decode_trailers",
     "decode_verdict",
     "encode_answer_headers",
+    "encode_begun_streams",
     "encode_forward_headers",
     "encode_gateway",
     "encode_own_headers",
--- a/bramleyport/platform/_objects.py
+++ b/bramleyport/platform/_objects.py
@@ -39,6 +39,7 @@
     LEASES = "leases"
     VERDICTS = "verdicts"
     VERSIONS = "stream-versions"
+    BEGUN_STREAMS = "begun-streams"
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/bramleyport/telemetry/_gateway_events.py
+++ b/bramleyport/telemetry/_gateway_events.py
@@ -120,4 +120,13 @@
 SHARES_INVALID: Final = define(
     2695, "WARNING", "invalid shares of software versions in the store ignored"
 )
+STREAMS_NOT_WRITTEN: Final = define(
+    2682, "WARNING", "versions of streams not written to the store"
+)
+STREAMS_NOT_READ: Final = define(
+    2683, "WARNING", "versions of streams not read from the store"
+)
+STREAMS_INVALID: Final = define(
+    2684, "WARNING", "invalid versions of streams in the store ignored"
+)
 PEER_UNREACHABLE: Final = define(2659, "WARNING", "datagram to a peer not sent")
--- a/tests/test_absent_versions.py
+++ b/tests/test_absent_versions.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from tests.test_software_versions import VersionedGroup, run_versions
+from tests.test_software_versions import TWO_VERSIONS, VersionedGroup, run_versions
 
 Run = Callable[[Coroutine[Any, Any, Any]], Any]
 
@@ -15,6 +15,7 @@
 STREAMS = 24
 # All engines of one version crash, the others are most of the fleet.
 VERSIONS = ("v1", "v1", "v1", "v1", "v2", "v2")
+ABSENCE_S = 3.0
 
 
 async def crash_version(versioned: VersionedGroup, version: str) -> list[str]:
@@ -33,6 +34,18 @@
         await versioned.start_engine(f"{name}-back", version)
 
 
+async def wait_for_engines(versioned: VersionedGroup) -> None:
+    """Wait until all gateways know exactly the engines that run."""
+    group = versioned.group
+    names = {engine.name for engine in group.upstreams}
+    await group.wait_for(
+        lambda: all(
+            {item.upstream for item in gateway.state.members.list_all()} == names
+            for gateway in group.gateways.values()
+        )
+    )
+
+
 # Guards against streams that go on at a version which was away when they began.
 @pytest.mark.parametrize("killed", ["all", "none"])
 def test_streams_that_began_while_a_version_was_away_are_not_joined(
@@ -77,3 +90,30 @@
             versioned.check(complete=STREAMS // 2)
 
     run(check())
+
+
+# Guards against refusing streams that began around a change of shares because a
+# datagram was the only way to tell other gateways their versions.
+@pytest.mark.parametrize("gateways_killed", [False, True])
+def test_streams_go_on_while_gateways_hear_no_other(
+    run: Run, tmp_path: Path, gateways_killed: bool
+) -> None:
+    async def check() -> None:
+        async with run_versions(tmp_path, TWO_VERSIONS) as versioned:
+            group = versioned.group
+            for name in sorted(group.gateways):
+                group.cut_off(name, store=False)
+            await versioned.begin(STREAMS, "before")
+            crashed = await crash_version(versioned, "v2")
+            await versioned.begin(STREAMS, "away")
+            await asyncio.sleep(ABSENCE_S)
+            await bring_back(versioned, crashed, "v2")
+            await wait_for_engines(versioned)
+            if gateways_killed:
+                await versioned.replace_gateways()
+                await versioned.resume(lambda _: "n1")
+            else:
+                await versioned.resume(versioned.choose_other)
+            versioned.check(complete=2 * STREAMS)
+
+    run(check())
--- a/tests/version_simulation.py
+++ b/tests/version_simulation.py
@@ -1,6 +1,7 @@
 """Simulate gateways that begin and take up streams while versions come and go."""
 
 import asyncio
+from collections import Counter
 from collections.abc import Iterable
 from dataclasses import replace
 from pathlib import Path
@@ -35,6 +36,7 @@
     Stage,
 )
 from bramleyport.gateway._attempt_record import Attempts
+from bramleyport.gateway._begun_stream_store import BegunStreamStore
 from bramleyport.gateway._call_context import CallContext
 from bramleyport.gateway._follower import Follower, UnsharedLink, WatchTimes
 from bramleyport.gateway._state import GatewayState
@@ -79,22 +81,24 @@
 
 
 class SharedStore:
-    """Represent the store: objects of one kind with conditional writes."""
+    """Represent the store: objects by kind and name with conditional writes."""
 
     def __init__(self) -> None:
         self.number = 1
-        self.objects: dict[str, tuple[int, Any]] = {}
+        self.objects: dict[tuple[Any, str], tuple[int, Any]] = {}
         self.changed = asyncio.Event()
-        self.writes = 0
+        self.writes_by_kind: Counter[Any] = Counter()
 
-    def write(self, name: str, document: Any, expected: int | None) -> int | None:
+    def write(
+        self, kind: Any, name: str, document: Any, expected: int | None
+    ) -> int | None:
         """Write an object; return its revision, or None for a conflict."""
-        known = self.objects.get(name)
+        known = self.objects.get((kind, name))
         if (known[0] if known else None) != expected:
             return None
         self.number += 1
-        self.writes += 1
-        self.objects[name] = (self.number, document)
+        self.writes_by_kind[kind] += 1
+        self.objects[kind, name] = (self.number, document)
         self.changed.set()
         self.changed = asyncio.Event()
         return self.number
@@ -109,22 +113,26 @@
         self._store = store
 
     async def list_objects(self, kind: Any, *, stale: bool = False) -> Any:
-        found = await self._answer(lambda: self._make_listing())
+        found = await self._answer(lambda: self._make_listing(kind))
         return found if isinstance(found, Err) else Ok(found)
 
     async def get(self, kind: Any, name: str) -> Any:
-        found = await self._answer(lambda: self._store.objects.get(name))
+        found = await self._answer(lambda: self._store.objects.get((kind, name)))
         if isinstance(found, Err):
             return found
         return Ok(_make_object(name, found)) if found else _fail(StoreFailure.NOT_FOUND)
 
     async def create(self, kind: Any, name: str, document: Any) -> Any:
-        return await self._write(name, document, None)
+        return await self._write(kind, name, document, None)
 
     async def replace(
         self, kind: Any, name: str, document: Any, revision: StoreRevision
     ) -> Any:
-        return await self._write(name, document, revision.number)
+        return await self._write(kind, name, document, revision.number)
+
+    async def remove(self, kind: Any, name: str) -> Any:
+        found = await self._answer(lambda: self._store.objects.pop((kind, name), None))
+        return found if isinstance(found, Err) else Ok(None)
 
     async def watch(
         self, kind: Any, since: StoreRevision, wait_s: float, answer_s: float
@@ -135,12 +143,14 @@
                     await self._store.changed.wait()
             except TimeoutError:
                 pass
-        found = await self._answer(lambda: self._make_changes(since))
+        found = await self._answer(lambda: self._make_changes(kind, since))
         return found if isinstance(found, Err) else Ok(found)
 
-    async def _write(self, name: str, document: Any, expected: int | None) -> Any:
+    async def _write(
+        self, kind: Any, name: str, document: Any, expected: int | None
+    ) -> Any:
         number = await self._answer(
-            lambda: self._store.write(name, document, expected) or 0
+            lambda: self._store.write(kind, name, document, expected) or 0
         )
         if isinstance(number, Err):
             return number
@@ -157,14 +167,18 @@
         await asyncio.sleep(LATENCY_S)
         return _fail(StoreFailure.UNKNOWN) if self.cut else found
 
-    def _make_listing(self) -> Listing:
-        items = (_make_object(*item) for item in self._store.objects.items())
+    def _make_listing(self, kind: Any) -> Listing:
+        items = (
+            _make_object(name, found)
+            for (stored, name), found in self._store.objects.items()
+            if stored == kind
+        )
         return Listing(StoreRevision(ERA, Revision(self._store.number)), tuple(items))
 
-    def _make_changes(self, since: StoreRevision) -> ChangeBatch:
+    def _make_changes(self, kind: Any, since: StoreRevision) -> ChangeBatch:
         changes = tuple(
             Change(item, removed=False)
-            for item in self._make_listing().objects
+            for item in self._make_listing(kind).objects
             if item.revision > since
         )
         return ChangeBatch(StoreRevision(ERA, Revision(self._store.number)), changes)
@@ -192,7 +206,8 @@
         self.deaf = False
         store: Any = self.link
         self.versions = VersionStore(self.state, store)
-        self.chooser = VersionChooser(self.state, self.versions)
+        self.streams = BegunStreamStore(self.state, store)
+        self.chooser = VersionChooser(self.state, self.versions, self.streams)
         times = WatchTimes(wait_s=20.0, shared_wait_s=20.0, pause_s=0.0, fresh_s=0.0)
         follower = Follower(store, KIND, self.versions, times, UnsharedLink(self.name))
         self._world = world
@@ -203,6 +218,7 @@
         self._tasks = [
             loop.create_task(follower.run()),
             loop.create_task(self.versions.run()),
+            loop.create_task(self.streams.run()),
             loop.create_task(self._announce()),
         ]
 
@@ -287,7 +303,9 @@
 
     def configure(self, state: GatewayState) -> None:
         """Set what a gateway reads of the configuration and the registrations."""
-        state.roster.record_listed([ProcessId(name) for name in GATEWAYS], 0.0)
+        own = state.settings.process
+        others = [ProcessId(name) for name in GATEWAYS if name != own]
+        state.roster.record_listed(others, self.loop.time())
         for engine in self.engines.values():
             state.members.put(engine)
 
