Share which upstream processes have ended

What callers saw: streams were refused (version_unknown) after the last decoders of a version had crashed and gateways had started again beside it. The shares of new streams changed back and forth (in the trace {v1: 1.0}, {v1: .333, v1.1: .667} and {v1: 1.0} within 0.8 s), and each change made more streams ambiguous.

Cause: that a process has ended was known to the gateway that found out, and to those that were told at that moment of a refused connection. A gateway that started later read the registrations, which stand for some seconds after a crash, counted the version as live and wrote shares with it. What the report suspected, that living gateways forget refused connections after 1 s, is not what the trace shows: both wrong shares came from gateways 0.1 s after their start.

Why it works: the fact names the process by its start, is told once a second at most and never passed on, and each gateway that starts is told those in force. A process that registers again, or 5 s, ends it. A refused connection alone ends no process at the gateways that are told of it, as it names none.

--- a/bramleyport/fleet/__init__.py
+++ b/bramleyport/fleet/__init__.py
@@ -14,6 +14,7 @@
     Verdict,
 )
 from bramleyport.fleet._decode_times import DecodeTimes
+from bramleyport.fleet._ended import EndedProcess
 from bramleyport.fleet._freshness import (
     Freshness,
     choose_store_watchers,
@@ -95,6 +96,7 @@
     "CrashId",
     "CrashReport",
     "DecodeTimes",
+    "EndedProcess",
     "EngineTraits",
     "EngineView",
     "Freshness",
--- a/bramleyport/gateway/_peer_messages.py
+++ b/bramleyport/gateway/_peer_messages.py
@@ -15,6 +15,7 @@
     BegunStream,
     ConfigVersion,
     CrashReport,
+    EndedProcess,
     HarmlessTrait,
     LeavingUpstream,
     RateLimitNotice,
@@ -98,6 +99,8 @@
     streams: tuple[BegunStream, ...] = ()
     # The newest shares of software versions that its sender knows, if it knows any.
     shares_revision: tuple[StoreRevision, ...] = ()
+    # Upstream processes that seem to have ended.
+    ended_processes: tuple[EndedProcess, ...] = ()
     # Version of the configuration in force; 0 if there is none.
     version: ConfigVersion = ConfigVersion(0)
     # Why items of the datagram were left out.
--- a/bramleyport/gateway/_peers.py
+++ b/bramleyport/gateway/_peers.py
@@ -113,6 +113,7 @@
         state.rate_limiter.on_changed = lambda: self._schedule(URGENT_BUSY_S)
         guard.on_updates_pending = lambda: self._schedule(URGENT_BUSY_S)
         state.on_leaving = lambda: self._schedule(URGENT_BUSY_S)
+        state.on_ended = lambda: self._schedule(URGENT_BUSY_S)
         state.on_streams = lambda: self._schedule(URGENT_BUSY_S)
         state.on_shares = self.announce
 
@@ -295,6 +296,7 @@
         _apply_each(message.streams, apply_stream)
         _apply_each(message.changing, apply_changing)
         _apply_each(message.leaving_upstreams, apply_leaving)
+        _apply_each(message.ended_processes, self._state.apply_ended)
         _apply_each(message.refused, self._apply_refused)
         self._apply_crashes(message)
         _apply_each(message.limits, apply_limit)
@@ -304,7 +306,7 @@
 
     def _apply_refused(self, upstream: UpstreamId) -> None:
         self._tracker.apply_refused(upstream)
-        self._guard.record_refused(upstream)
+        self._guard.confirm_crash(upstream)
 
     def _apply_prefilled(self, ref: WorkRef) -> None:
         self._tracker.apply_prefilled(ref.upstream, ref.request)
@@ -376,6 +378,7 @@
         pending.crashes = self._guard.take_updates()
         self._send_items("leaving_upstreams", self._state.pending_leaving, self._send)
         self._send_items("streams", self._state.pending_streams, self._send)
+        self._send_items("ended_processes", self._state.pending_ended, self._send)
         while pending:
             self._send(self._make_message(**take_batch(pending)))
 
@@ -394,8 +397,10 @@
         limits = list(make_updates(state.rate_limiter.list_notices()))
         self._send_items("limits", limits, send)
         self._send_items("leaving_upstreams", state.members.list_leaving(), send)
-        streams = state.stream_versions.list_ambiguous(read_now())
+        now_s = read_now()
+        streams = state.stream_versions.list_ambiguous(now_s)
         self._send_items("streams", streams, send)
+        self._send_items("ended_processes", state.list_ended(now_s), send)
 
     def _send_items(
         self, field: str, items: list[Any], send: Callable[[PeerMessage], None]
--- a/bramleyport/gateway/_shared_facts.py
+++ b/bramleyport/gateway/_shared_facts.py
@@ -26,6 +26,7 @@
     ConfigVersion,
     CrashId,
     CrashReport,
+    EndedProcess,
     HarmlessTrait,
     LeavingUpstream,
     PrefixId,
@@ -56,6 +57,8 @@
 
 MS_PER_S: Final = 1000
 MAX_WORK_VALUES: Final = 16
+# Longest time for which a process counts as ended after a peer has told of it.
+MAX_ENDED_S: Final = 10.0
 
 Encoder = Callable[[Any], Any]
 # Decodes an item that arrived at a point in time.
@@ -398,6 +401,26 @@
     return StoreRevision(StoreEra(read_count(era)), Revision(read_count(number)))
 
 
+def _encode_ended_process(item: EndedProcess) -> list[Any]:
+    return [item.upstream, item.started_ms, max(0.0, item.until_s - read_now())]
+
+
+@register_fact(
+    "ended_processes",
+    _encode_ended_process,
+    scope=Scope.PROCESS,
+    end="the next process registers, or some seconds have passed",
+    bound="8,192 processes",
+)
+def _decode_ended_process(item: Any, now_s: float) -> EndedProcess:
+    upstream, started_ms, remaining_s = read_row(item, 3)
+    return EndedProcess(
+        UpstreamId(read_name(upstream)),
+        read_start_ms(started_ms),
+        until_s=now_s + read_duration(remaining_s, MAX_ENDED_S),
+    )
+
+
 def _decode_ref(item: Any) -> WorkRef:
     upstream, request = read_row(item, 2)
     return WorkRef(UpstreamId(read_name(upstream)), RequestId(read_name(request)))
--- a/bramleyport/gateway/_state.py
+++ b/bramleyport/gateway/_state.py
@@ -16,6 +16,7 @@
     ConfigVersion,
     CrashEvidence,
     DecodeTimes,
+    EndedProcess,
     GatewayRoster,
     LeavingUpstream,
     LoadTracker,
@@ -51,6 +52,10 @@
 # Time for which a refused connection shows that a process has ended: the next one has
 # registered by then, or the same one only did not listen yet.
 ENDED_KEEP_S: Final = 5.0
+# Time after which the peers are told of the same process again.
+ENDED_REPEAT_S: Final = 1.0
+# Processes that are known to have ended; the oldest ones are forgotten first.
+MAX_ENDED: Final = 8_192
 # Time after the registration of a process is known within which what its predecessor
 # wrote arrives.
 SUCCESSION_S: Final = 0.2
@@ -58,15 +63,6 @@
 PAUSED: Final = "upstreams_paused"
 
 
-@dataclass(frozen=True, slots=True)
-class EndedProcess:
-    """Identify a process of an upstream that seems to have ended."""
-
-    # Start of the process in Unix milliseconds.
-    started_ms: int
-    until_s: float
-
-
 @dataclass(slots=True, kw_only=True)
 class GatewayState:
     """Describe what a gateway knows of upstreams, peers and its configuration."""
@@ -113,6 +109,10 @@
     # Registered processes that seem to have ended: another one, of another version,
     # may answer in the place of each.
     ended_processes: dict[UpstreamId, EndedProcess] = field(default_factory=dict)
+    # Those that the peers don't know yet.
+    pending_ended: list[EndedProcess] = field(default_factory=list)
+    # Called when the peers should learn of them.
+    on_ended: Callable[[], None] | None = None
     # Upstreams to which connections were lost, and when the last one was: another
     # process may answer in the place of each.
     connections_lost_s: dict[UpstreamId, float] = field(default_factory=dict)
@@ -284,11 +284,33 @@
     def record_ended(self, upstream: UpstreamId, now_s: float) -> None:
         """Record that the registered process of an upstream seems to have ended."""
         registration = self.members.find(upstream)
-        if registration is not None:
-            until_s = now_s + ENDED_KEEP_S
-            self.ended_processes[upstream] = EndedProcess(
-                registration.started_ms, until_s
-            )
+        if registration is None:
+            return
+        is_known = self.has_ended(registration, now_s + ENDED_KEEP_S - ENDED_REPEAT_S)
+        ended = EndedProcess(
+            upstream, registration.started_ms, until_s=now_s + ENDED_KEEP_S
+        )
+        self.ended_processes[upstream] = ended
+        if not is_known:
+            self.pending_ended.append(ended)
+            if self.on_ended is not None:
+                self.on_ended()
+
+    def apply_ended(self, ended: EndedProcess) -> None:
+        """Record that a peer found a process to have ended."""
+        known = self.ended_processes.get(ended.upstream)
+        if known is not None and known.started_ms > ended.started_ms:
+            return
+        registration = self.members.find(ended.upstream)
+        if registration is not None and registration.started_ms > ended.started_ms:
+            return
+        self.ended_processes[ended.upstream] = ended
+        if len(self.ended_processes) > MAX_ENDED:
+            del self.ended_processes[next(iter(self.ended_processes))]
+
+    def list_ended(self, now_s: float) -> list[EndedProcess]:
+        """Return the processes that seem to have ended."""
+        return [item for item in self.ended_processes.values() if item.until_s > now_s]
 
     def has_ended(self, registration: Registration, now_s: float) -> bool:
         """Return whether the process of a registration seems to have ended."""
--- a/tests/gateway_group.py
+++ b/tests/gateway_group.py
@@ -73,8 +73,10 @@
             )
         )
 
-    async def start_gateway(self, name: str) -> None:
+    async def start_gateway(self, name: str, registered: int | None = None) -> None:
         """Start a gateway under a name, at new ports."""
+        if registered is None:
+            registered = len(self.upstreams)
         settings = make_settings(self.store.port)
         settings |= {"node": name, "bounds": self._bounds}
         path = self._folder / f"{name}.yaml"
@@ -87,7 +89,7 @@
         await self.wait_for(
             lambda: (
                 gateway.state.routes is not None
-                and len(gateway.state.members.list_all()) == len(self.upstreams)
+                and len(gateway.state.members.list_all()) == registered
             )
         )
 
--- a/tests/test_absent_versions.py
+++ b/tests/test_absent_versions.py
@@ -1,12 +1,15 @@
 """Guard streams that begin while all engines of a software version are away."""
 
 import asyncio
-from collections.abc import Callable, Coroutine
+import itertools
+from collections.abc import Callable, Coroutine, Sequence
 from pathlib import Path
 from typing import Any
 
 import pytest
 
+from bramleyport.membership import rank
+from tests.gateway_fleet import LANGUAGE
 from tests.test_software_versions import TWO_VERSIONS, VersionedGroup, run_versions
 
 Run = Callable[[Coroutine[Any, Any, Any]], Any]
@@ -16,6 +19,8 @@
 # All engines of one version crash, the others are most of the fleet.
 VERSIONS = ("v1", "v1", "v1", "v1", "v2", "v2")
 ABSENCE_S = 3.0
+# A gateway that has started has checked the shares within this time.
+SETTLED_S = 1.0
 
 
 async def crash_version(versioned: VersionedGroup, version: str) -> list[str]:
@@ -117,3 +122,36 @@
             versioned.check(complete=2 * STREAMS)
 
     run(check())
+
+
+# Guards against a gateway that starts while a version is away, counts its crashed
+# engines as live by their registrations, and writes shares that change back and forth.
+def test_gateway_that_starts_gives_no_share_to_a_version_that_is_away(
+    run: Run, tmp_path: Path
+) -> None:
+    async def check() -> None:
+        async with run_versions(tmp_path, TWO_VERSIONS) as versioned:
+            group = versioned.group
+            await crash_version(versioned, "v2")
+            await versioned.begin(STREAMS, "away")
+            shares = group.store.objects["stream-versions", LANGUAGE]
+            assert list_versions(shares) == {"v1"}
+            name = choose_first_writer(LANGUAGE, sorted(group.gateways))
+            # The crashed engines are still registered.
+            await group.start_gateway(name, registered=len(TWO_VERSIONS))
+            await asyncio.sleep(SETTLED_S)
+            assert group.store.objects["stream-versions", LANGUAGE] == shares
+
+    run(check())
+
+
+def list_versions(shares: Any) -> set[str]:
+    """Return the versions to which stored shares give new streams."""
+    newest = shares["spec"]["epochs"][-1]["shares"]
+    return {item["version"] for item in newest}
+
+
+def choose_first_writer(key: str, others: Sequence[str]) -> str:
+    """Return a name for a gateway that writes an object before the others."""
+    names = (f"late{number}" for number in itertools.count())
+    return next(name for name in names if rank(key, [*others, name])[0] == name)
--- a/tests/test_gateway_peers.py
+++ b/tests/test_gateway_peers.py
@@ -1,7 +1,8 @@
 """Guard messages between gateways: load, shutdown, restarts, malformed data."""
 
+import math
 from collections.abc import Callable, Coroutine, Iterator
-from dataclasses import fields
+from dataclasses import fields, replace
 from pathlib import Path
 from typing import Any
 
@@ -10,7 +11,14 @@
 from hypothesis import given, strategies as st
 
 from bramleyport.core import ProcessId, RequestId, ServiceName, UpstreamId
-from bramleyport.fleet import Address, BegunStream, SoftwareVersion, Work
+from bramleyport.fleet import (
+    Address,
+    BegunStream,
+    EndedProcess,
+    SoftwareVersion,
+    Work,
+)
+from bramleyport.gateway._clock import read_now
 from bramleyport.gateway._peer_fields import PeerMessageError
 from bramleyport.gateway._peer_messages import (
     PeerMessage,
@@ -23,6 +31,7 @@
     LimitUpdate,
     WorkRef,
 )
+from bramleyport.gateway._state import MAX_ENDED
 from tests.fleet_builders import make_call, make_engine, make_prompt
 from tests.gateway_fleet import GatewayFleet
 from tests.gateway_group import GatewayGroup
@@ -275,3 +284,46 @@
     message = PeerMessage(process=ProcessId("g"), incarnation=1)
     later = [*cbor2.loads(encode_message(message)), [["a fact", 1]]]
     assert decode_datagram(cbor2.dumps(later), 0.0) == message
+
+
+def test_refused_connection_of_a_peer_ends_only_the_process_that_it_meant(
+    fleet: GatewayFleet, run: Run
+) -> None:
+    """Guards against a process that gets no streams as the one before it had ended."""
+    target = fleet.state.members.find(UpstreamId("d0"))
+    before = EndedProcess(target.upstream, target.started_ms - 1, until_s=math.inf)
+    refused = make_message(refused=(target.upstream,))
+    told = make_message(ended_processes=(replace(before, until_s=read_now() + 3.0),))
+    deliver(fleet, run, refused)
+    deliver(fleet, run, told)
+    assert not fleet.state.has_ended(target, read_now())
+    ended = EndedProcess(target.upstream, target.started_ms, read_now() + 3.0)
+    deliver(fleet, run, make_message(ended_processes=(ended,)))
+    assert fleet.state.has_ended(target, read_now())
+
+
+def test_ended_processes_are_told_once_and_not_passed_on(
+    fleet: GatewayFleet,
+) -> None:
+    """Guards against gateways that tell each other of one process for ever."""
+    state = fleet.state
+    target = state.members.find(UpstreamId("d0"))
+    for _ in range(5):
+        state.record_ended(target.upstream, read_now())
+    assert [item.upstream for item in state.pending_ended] == [target.upstream]
+    state.pending_ended.clear()
+    other = state.members.find(UpstreamId("d1"))
+    state.apply_ended(EndedProcess(other.upstream, other.started_ms, read_now() + 3.0))
+    assert not state.pending_ended
+    known = {item.upstream for item in state.list_ended(read_now())}
+    assert known == {target.upstream, other.upstream}
+    state.remove_upstream(target.upstream)
+    assert [item.upstream for item in state.list_ended(read_now())] == [other.upstream]
+
+
+def test_memory_of_ended_processes_is_bounded(fleet: GatewayFleet) -> None:
+    """Guards against a gateway that keeps whatever processes it is told of."""
+    for number in range(MAX_ENDED + 10):
+        upstream = UpstreamId(f"unknown{number}")
+        fleet.state.apply_ended(EndedProcess(upstream, 1, read_now() + 3.0))
+    assert len(fleet.state.ended_processes) == MAX_ENDED
