Order no engine that is away to change its stage

An engine that has crashed could be ordered to prefill. As read, its order fails, and its announcement keeps it out of use for the switch time while no other one changes. Cause: the spare decode engines of a version are counted without those that are away, but these were still candidates, and the first ones, as an engine that has crashed has no calls. A prefill engine was never known to be away.

Evidence: the new test failed with an order to prefill for the crashed e0 (reason "idle"). Now engines in any stage that have crashed are known to be away and get no order.

--- a/bramleyport/fleet/_stages.py
+++ b/bramleyport/fleet/_stages.py
@@ -268,8 +268,11 @@
         free = [
             view
             for view in candidates
-            if self._is_settled(view, now_s)
-            or (urgent and self._has_reached_prefill(view))
+            if not view.away
+            and (
+                self._is_settled(view, now_s)
+                or (urgent and self._has_reached_prefill(view))
+            )
         ]
         if not free:
             return None
--- a/bramleyport/gateway/_stages.py
+++ b/bramleyport/gateway/_stages.py
@@ -8,15 +8,13 @@
 from bramleyport.fleet import (
     EngineView,
     Registration,
-    ServingScope,
     StageChange,
     StagePlanner,
-    writes_answers,
 )
 from bramleyport.gateway._clock import read_now
 from bramleyport.gateway._exchange import Exchanger
 from bramleyport.gateway._peers import PeerLink
-from bramleyport.gateway._serving import find_serving_group
+from bramleyport.gateway._serving import list_away
 from bramleyport.gateway._stage_orders import StageOrderTracker
 from bramleyport.gateway._state import GatewayState
 from bramleyport.http1 import ExchangeError
@@ -116,8 +114,7 @@
     def _make_engine_views(
         self, service: ServiceName, now_s: float
     ) -> list[EngineView]:
-        group = find_serving_group(self._state, ServingScope(service), now_s)
-        absent = {item.registration.upstream for item in group.absent}
+        away = list_away(self._state, service, now_s)
         ejected = self._state.list_ejected(service, now_s)
         views = []
         for item in self._state.members.list_ready(service):
@@ -133,8 +130,7 @@
                     changing=self._state.is_changing(item.upstream, now_s)
                     or self._orders.is_pending(item),
                     ejected=item.upstream in ejected,
-                    # An engine that changes its stage is absent, but not away.
-                    away=writes_answers(item) and item.upstream in absent,
+                    away=item.upstream in away,
                     limited=self._state.rate_limiter.find(item) is not None,
                     ordered_stage=self._orders.find_ordered_stage(item.upstream),
                 )
--- a/tests/test_fleet_stages.py
+++ b/tests/test_fleet_stages.py
@@ -245,3 +245,19 @@
     assert change is not None
     assert change.stage is Stage.DECODE
     assert change.upstream in ("e6", "e7")
+
+
+def set_away(pool: list[EngineView], names: set[str]) -> list[EngineView]:
+    return [replace(v, away=v.registration.upstream in names) for v in pool]
+
+
+def test_engines_that_are_away_get_no_orders() -> None:
+    """Guards against orders to crashed engines, which seem idle, in place of others."""
+    spare = plan_until_change(StagePlanner(), set_away(make_pool(5, 3), {"e0", "e3"}))
+    assert spare is not None
+    assert spare.stage is Stage.PREFILL
+    assert spare.upstream not in ("e0", "e3")
+    lost = set_away(make_pool(0, 3), {"e0"})
+    change = plan_until_change(StagePlanner(), lost, polls=1)
+    assert change is not None
+    assert change.upstream != "e0"
