Plan decode engines for all versions whose streams may go on

The newest shares leave out a version that no engine serves for a second. The planner looked at these alone, so engines of such a version that prefill stayed there once its decode engines had left, though streams that followed earlier shares may go on for twice the longest timeout: their callers are refused with `version_absent` while engines of the version live.

Evidence: the new test failed, as no change was planned for a version that only earlier shares have. The versions of all shares that are kept count now, as for the streams themselves.

--- a/bramleyport/fleet/_stages.py
+++ b/bramleyport/fleet/_stages.py
@@ -92,7 +92,7 @@
     ) -> StageChange | None:
         """Return the next change, or None if the stages suit the work.
 
-        New streams begin at `versions`, or at all if that is None.
+        Streams may begin or go on at `versions`, or at all if that is None.
         """
         unlimited = [view for view in engines if not view.limited]
         change = self._plan_unlimited(unlimited, slots, now_s, versions)
--- a/bramleyport/gateway/_stages.py
+++ b/bramleyport/gateway/_stages.py
@@ -105,9 +105,9 @@
             views = self._make_engine_views(service.name, now_s)
             if self._is_growing(service.name, len(views), now_s):
                 continue
-            shares = self._state.stream_versions.list_shares(service.name)
-            versions = shares[-1].versions if shares else None
-            change = planner.plan(views, service.engine.slots, now_s, versions)
+            # Those of all streams that may go on, not only of the new ones.
+            versions = self._state.stream_versions.list_versions(service.name)
+            change = planner.plan(views, service.engine.slots, now_s, versions or None)
             if change is not None:
                 yield change, service.name
 
