Send an engine no calls until it has left the decode stage

Streams that were taken up were refused with sends_spent within 30 ms: an engine that had been ordered to prefill still ended its streams. Its change was announced for the usual time only, so it counted as a decoder of its version again and turned each call away.

An engine that accepted the order to prefill counts as changing until it is registered in its new stage, 10 s at most. Any registration in another stage ends an announced change.

Evidence: test_engine_gets_no_calls_until_it_is_registered_in_its_new_stage failed before and passes.

--- a/bramleyport/gateway/_stages.py
+++ b/bramleyport/gateway/_stages.py
@@ -8,6 +8,7 @@
 from bramleyport.fleet import (
     EngineView,
     Registration,
+    Stage,
     StageChange,
     StagePlanner,
 )
@@ -49,6 +50,8 @@
 # the known engines do not show the actual mix of stages.
 JOIN_SETTLE_TIME_S: Final = 1.2
 LOWEST_PRIORITY: Final = 9
+# Longest time for which an engine that leaves the decode stage has calls to end.
+LEAVING_STAGE_S: Final = 10.0
 
 
 class StageController:
@@ -200,6 +203,9 @@
         result = await self._send_order(target, change, report, fencing)
         if result is OrderResult.UNKNOWN:
             self._orders.record_unanswered(change.upstream, now_s)
+        elif result is OrderResult.ACCEPTED and change.stage is Stage.PREFILL:
+            # Its streams may take longer to end than usual, and it takes no new ones.
+            self._peers.announce_change(change.upstream, now_s + LEAVING_STAGE_S)
         log_event(
             gateway_events.STAGE_ORDERED,
             upstream=change.upstream,
--- a/bramleyport/gateway/_state_updaters.py
+++ b/bramleyport/gateway/_state_updaters.py
@@ -193,6 +193,9 @@
             or known.address != registration.address
         ):
             self._on_removed(registration.upstream)
+        if known is not None and known.stage is not registration.stage:
+            # The change that was announced is over.
+            self._state.changing_until_s.pop(registration.upstream, None)
         if known is None or known.started_ms != registration.started_ms:
             self._state.processes_known_s[registration.upstream] = read_now()
 
--- a/tests/test_stage_control.py
+++ b/tests/test_stage_control.py
@@ -9,8 +9,9 @@
 from bramleyport.core import Explanation, ServiceName, UpstreamId
 from bramleyport.fleet import Stage, StageChange, StagePlanner
 from bramleyport.gateway import _stages
+from bramleyport.gateway._clock import read_now
 from bramleyport.supervision import _jobs
-from tests.gateway_fleet import LANGUAGE, GatewayFleet
+from tests.gateway_fleet import ENGINE, LANGUAGE, GatewayFleet
 
 Run = Callable[[Coroutine[Any, Any, Any]], Any]
 
@@ -99,3 +100,23 @@
         assert errors == []
 
     run(check())
+
+
+# Guards against calls to an engine that decodes no new ones and still ends its streams, for
+# longer than a change of its stage usually takes.
+def test_engine_gets_no_calls_until_it_is_registered_in_its_new_stage(
+    run: Run, fleet: GatewayFleet, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(_stages, "FINISH_TIME_S", -ENGINE["switch_s"])
+
+    async def check() -> None:
+        plan_changes(fleet.gateway._stages)
+        engine = fleet.engines[0]
+        await fleet.wait_for(lambda: engine.orders)
+        state = fleet.state
+        await fleet.wait_for(lambda: state.is_changing(CHANGE.upstream, read_now()))
+        engine.stage = "prefill"
+        engine.register(fleet.store)
+        await fleet.wait_for(lambda: not state.is_changing(CHANGE.upstream, read_now()))
+
+    run(check())
