Keep the shares of a version that may be back soon

Streams that a killed gateway had begun were refused with version_unknown while their version was about to return: its upstreams had crashed just before, and a stream that was to begin there made the others write shares without it at once. These made all streams of the version ambiguous that only the killed gateway knew.

A new stream waits for its version while it can still meet its objective, and asks for other shares then; nobody writes shares without a version that is registered unless a stream asks. A gateway that has not read any shares begins no stream by itself: the simulation of versions found that it joined streams of two versions with the shares kept (begun without knowledge of shares, and deduced by others). A wait of the job that writes shares is 1 ms at least.

Evidence: the order of events that the simulation found joins one stream without the check of read shares and none with it.

--- a/bramleyport/gateway/_attempt.py
+++ b/bramleyport/gateway/_attempt.py
@@ -15,7 +15,7 @@
     admit,
 )
 from bramleyport.gateway._attempt_record import InvalidTransitionError
-from bramleyport.gateway._call_context import CallContext
+from bramleyport.gateway._call_context import WAIT_FRACTION, CallContext
 from bramleyport.gateway._clock import read_now
 from bramleyport.gateway._crash_guard import CrashGuard
 from bramleyport.gateway._exchange import Exchanger
@@ -35,9 +35,6 @@
 RETRY_WHEN_FULL_S: Final = 0.3
 # Shortest wait for a permit, so that calls that wait for the same one do not poll.
 MIN_PERMIT_WAIT_S: Final = 0.02
-# Fraction of the time left that a call may wait for the end of a pause or for an
-# upstream that will be back, which then has enough time to answer it.
-WAIT_FRACTION: Final = 0.5
 # Time after which a call that finds no upstream at hand is sent again by its caller.
 AWAY_RETRY_S: Final = 1.0
 # Why a call is refused whose upstreams are away, and may be back.
@@ -96,7 +93,9 @@
         if decision.explanation.reason != UPSTREAMS_AWAY:
             return False
         now_s = read_now()
-        until_s = context.find_wait_end(WAIT_FRACTION)
+        until_s = context.find_wait_end()
+        if context.version is None and now_s < context.find_change_time():
+            until_s = context.find_change_time()
         group = self.versions.find_group(context, now_s)
         due_s = group.find_due_s(now_s)
         if due_s is None or due_s >= until_s:
--- a/bramleyport/gateway/_call_context.py
+++ b/bramleyport/gateway/_call_context.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 from enum import Enum
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Final
 
 from bramleyport.fleet import Call, Choice, EngineTraits, SoftwareVersion
 from bramleyport.gateway._attempt_record import Attempts
@@ -15,6 +15,14 @@
     from bramleyport.gateway._rate_limits import Reservation
 
 
+# Fraction of the time left that a call may wait for the end of a pause or for an
+# upstream that will be back, which then has enough time to answer it.
+WAIT_FRACTION: Final = 0.5
+# Time before it misses its objective from which a stream asks for shares that give it
+# another version than one that is away.
+CHANGE_LEAD_S: Final = 0.25
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class ReservedRetry:
     """Describe a retry that is assured before its attempt is given up."""
@@ -76,19 +84,28 @@
         self.version: SoftwareVersion | None = None
         self.preferred_version: SoftwareVersion | None = None
         self.version_source = VersionSource.NONE
-        # Until when the call may wait for upstreams that are away, once it has.
+        # Until when the call may wait for upstreams that are away, once it has, and
+        # from when on it asks for shares that give it another version.
         self._wait_end_s: float | None = None
+        self._change_s: float | None = None
         self.was_held = False
         # Time to the first event, and time that a separate prefill took; 0 if none.
         self.first_event_s = 0.0
         self.prefill_elapsed_s = 0.0
 
-    def find_wait_end(self, fraction: float) -> float:
+    def find_wait_end(self) -> float:
         """Return until when the call may wait, from now on, for all its waits."""
         if self._wait_end_s is None:
-            self._wait_end_s = read_now() + fraction * self.remaining_s
+            self._wait_end_s = read_now() + WAIT_FRACTION * self.remaining_s
         return self._wait_end_s
 
+    def find_change_time(self) -> float:
+        """Return from when on a stream asks for shares without an absent version."""
+        if self._change_s is None:
+            wait_s = min(WAIT_FRACTION * self.remaining_s, self.call.route.objective_s)
+            self._change_s = read_now() + max(0.0, wait_s - CHANGE_LEAD_S)
+        return self._change_s
+
     @property
     def remaining_s(self) -> float:
         """Return the seconds to the deadline of the call."""
--- a/bramleyport/gateway/_follower.py
+++ b/bramleyport/gateway/_follower.py
@@ -263,11 +263,12 @@
 
     async def _pause(self) -> None:
         """Wait while changes are collected, or for less if they are awaited."""
-        began_s = read_now()
-        until_s = began_s + self._times.pause_s
-        while read_now() < until_s:
-            await asyncio.sleep(min(URGENT_PAUSE_S, until_s - read_now()))
-            if self.is_urgent():
+        remaining_s = self._times.pause_s
+        while True:
+            step_s = min(URGENT_PAUSE_S, remaining_s)
+            await asyncio.sleep(step_s)
+            remaining_s -= step_s
+            if remaining_s <= 0 or self.is_urgent():
                 return
 
     async def _wait_for_update(self, idle_s: float) -> None:
--- a/bramleyport/gateway/_version_choice.py
+++ b/bramleyport/gateway/_version_choice.py
@@ -94,7 +94,8 @@
         """Find the version at which a stream begins.
 
         If none of the upstreams of its version is left, this waits for shares that
-        give it another one.
+        give it another one. While they may be back soon, the shares stay: a change
+        makes streams ambiguous that began at gateways which were killed since.
         """
         call = context.call
         if (
@@ -103,10 +104,33 @@
         ):
             return
         until_s = min(read_now() + CHANGED_SHARES_WAIT_S, call.deadline_s)
-        while not self._set_preferred(context) and self._can_wait(context, until_s):
+        while not self._set_preferred(context):
+            change_s = context.find_change_time()
+            if self._prefer_returning(context, change_s):
+                return
+            if not self._can_wait(context, until_s):
+                self._prefer_returning(context, call.deadline_s)
+                return
             self._shares.request_change(call.service)
             await asyncio.sleep(POLL_INTERVAL_S)
 
+    def _prefer_returning(self, context: CallContext, until_s: float) -> bool:
+        """Prefer the version of a stream if it may be back in time; return whether."""
+        call, now_s = context.call, read_now()
+        assert call.origin is not None
+        versions = self._state.stream_versions
+        version = versions.choose(call.service, call.origin, now_s)
+        if version is None or now_s >= until_s:
+            return False
+        scope = ServingScope(call.service, frozenset((version,)))
+        group = find_serving_group(self._state, scope, now_s)
+        due_s = group.find_due_s(now_s)
+        if not group.is_returning or due_s is None or due_s >= until_s:
+            return False
+        context.preferred_version = version
+        context.version_source = VersionSource.SHARES
+        return True
+
     def _set_preferred(self, context: CallContext) -> bool:
         """Set the version that the shares give a stream; return whether they do."""
         call, now_s = context.call, read_now()
@@ -303,8 +327,10 @@
             return frozenset((version,))
         known = self._state.stream_versions.list_versions(context.call.service)
         registered = frozenset(self._list_versions(context))
-        # A service without shares can't be served otherwise while the store is away.
-        is_only = not known and len(registered) == 1
+        # A service that has no shares can't be served otherwise while the store takes
+        # no writes. One whose shares were not read yet may have any.
+        is_listed = self._state.versions_listed_s is not None
+        is_only = is_listed and not known and len(registered) == 1
         return registered if is_only else frozenset()
 
     def _list_versions(self, context: CallContext) -> set[SoftwareVersion]:
--- a/bramleyport/gateway/_version_store.py
+++ b/bramleyport/gateway/_version_store.py
@@ -40,12 +40,10 @@
 CHECK_INTERVAL_S: Final = 0.1
 # The same while nothing changes: a check looks at all registrations.
 QUIET_INTERVAL_S: Final = 1.0
-# Time for which a version keeps its share while all its upstreams are unreachable: one
-# that has crashed is usually back soon.
-ABSENT_KEEP_S: Final = 1.0
 # Time between two changes of the shares of a service, unless a version joins or leaves.
 MIN_CHANGE_INTERVAL_S: Final = 5.0
 WRITE_RETRY_S: Final = 1.0
+MIN_WAIT_S: Final = 0.001
 # Time that each gateway gets before the next one writes shares that streams wait for.
 URGENT_TURN_S: Final = 0.05
 # Time for which a stream that is taken up waits for the store.
@@ -78,8 +76,6 @@
         self._guard = ObjectGuard(gateway_events.SHARES_INVALID)
         # What the store has, and its revision.
         self._stored: dict[ServiceName, _StoredShares] = {}
-        # Since when the shares of a service have needed a change.
-        self._wanted_since_s: dict[ServiceName, float] = {}
         self._changed_s: dict[ServiceName, float] = {}
         # The registrations and the configuration of the last check, and when it was.
         self._checked_changes: tuple[int, ConfigVersion] | None = None
@@ -180,7 +176,8 @@
         wait_s = CHECK_INTERVAL_S
         due_s = self._urgent.find_next()
         if due_s is not None:
-            wait_s = min(wait_s, max(0.0, due_s - read_now()))
+            # A wait that rounds to nothing would not move the clock to that moment.
+            wait_s = min(wait_s, max(MIN_WAIT_S, due_s - read_now()))
         try:
             async with asyncio.timeout(wait_s):
                 await self._wake.wait()
@@ -265,17 +262,15 @@
             return True
         newest = known[-1]
         if not newest.differs_from(desired):
-            self._wanted_since_s.pop(service, None)
             return False
-        since_s = self._wanted_since_s.setdefault(service, now_s)
         if desired.versions - newest.versions:
             return True
         missing = newest.versions - desired.versions
         if missing:
             ready = self._state.members.list_ready(service)
+            # One that has crashed is usually back soon, and has its share then.
             is_registered = any(item.version in missing for item in ready)
-            is_due = service in self._requested or now_s - since_s >= ABSENT_KEEP_S
-            return not is_registered or is_due
+            return not is_registered or service in self._requested
         changed_s = self._changed_s.get(service)
         return changed_s is None or now_s - changed_s >= MIN_CHANGE_INTERVAL_S
 
