Check upstreams that seem to have ended while calls wait for them

Calls that wait for a version go on in the moment in which its next process is registered. If it does not listen yet, each is refused a connection. That marks the new process, at all gateways, as ended for 5 s, so the calls waited again and were refused `upstreams_away` at half of their time, though the process listened 0.1 s later. The same happened to streams that may not be resumed after one refused connection to each upstream of a service, all of which listen.

Cause: the mark of an ended process ends by time or with another registration, and calls that are held send nothing that could show that it is wrong.

Now the gateway that holds calls asks such an upstream for its report, every 0.2 s, over a port that has to take a new connection, and takes the mark back if the registered process answers. It is the start of the process that shows this, so no stream begins or goes on at another version.

--- a/bramleyport/gateway/_attempt.py
+++ b/bramleyport/gateway/_attempt.py
@@ -66,7 +66,7 @@
         self.versions = versions
         self.processes = processes
         self.retries = RetryDecider(state, versions)
-        self._returns = ReturnQueue(state)
+        self._returns = ReturnQueue(state, processes)
         self.guard = guard
 
     async def place(self, context: CallContext) -> Choice | Rejected:
--- a/bramleyport/gateway/_process_check.py
+++ b/bramleyport/gateway/_process_check.py
@@ -139,6 +139,18 @@
             found = await self._reports.request(target)
         return found or await self.read_registration(target)
 
+    async def has_returned(self, target: Registration) -> bool:
+        """Return whether the registered process takes connections and says who it is.
+
+        An upstream whose rate is limited is not asked.
+        """
+        if self._state.rate_limiter.find(target) is not None:
+            return False
+        if await self._exchanger.is_refusing(target):
+            return False
+        found = await self._reports.request(target)
+        return found is not None and 0 < found.started_ms == target.started_ms
+
     async def read_registration(self, target: Registration) -> FoundProcess | None:
         """Return the process that is registered under an identifier now."""
         return await self._registrations.request(target)
--- a/bramleyport/gateway/_return_queue.py
+++ b/bramleyport/gateway/_return_queue.py
@@ -2,14 +2,20 @@
 
 import asyncio
 from dataclasses import dataclass
-from typing import Final
+from typing import TYPE_CHECKING, Final
 
-from bramleyport.fleet import Call, ServingScope
+from bramleyport.fleet import Call, Registration, ServingGroup, ServingScope
 from bramleyport.gateway._clock import read_now
+from bramleyport.gateway._process_check import ProcessChecker
 from bramleyport.gateway._serving import find_serving_group
 from bramleyport.gateway._state import GatewayState
 
+if TYPE_CHECKING:
+    from bramleyport.core import UpstreamId
+
 POLL_INTERVAL_S: Final = 0.02
+# Time between two checks whether an upstream that refused a connection takes them.
+CHECK_INTERVAL_S: Final = 0.2
 
 
 @dataclass(frozen=True, slots=True)
@@ -30,8 +36,11 @@
     that each is placed, or refused for lack of time, behind those that go before it.
     """
 
-    def __init__(self, state: GatewayState) -> None:
+    def __init__(self, state: GatewayState, processes: ProcessChecker) -> None:
         self._state = state
+        self._processes = processes
+        # Upstreams that are checked now, or were lately.
+        self._checks: dict[UpstreamId, asyncio.Task[None]] = {}
         self._held: dict[ServingScope, list[_HeldCall]] = {}
         self._timer: asyncio.TimerHandle | None = None
 
@@ -61,9 +70,29 @@
         self._schedule()
         for scope, held in list(self._held.items()):
             group = find_serving_group(self._state, scope, read_now())
-            if not group.is_returning:
+            if group.is_returning:
+                self._check_ended(group)
+            else:
                 _release(held)
 
+    def _check_ended(self, group: ServingGroup) -> None:
+        """Check the processes that seem to have ended, and may only not listen yet."""
+        for item in group.absent:
+            target = item.registration
+            is_ended = self._state.has_ended(target, read_now())
+            if is_ended and target.upstream not in self._checks:
+                check = asyncio.ensure_future(self._check_process(target))
+                self._checks[target.upstream] = check
+
+    async def _check_process(self, target: Registration) -> None:
+        try:
+            if await self._processes.has_returned(target):
+                self._state.ended_processes.pop(target.upstream, None)
+            else:
+                await asyncio.sleep(CHECK_INTERVAL_S)
+        finally:
+            del self._checks[target.upstream]
+
     def _remove(self, scope: ServingScope, item: _HeldCall) -> None:
         held = self._held[scope]
         held.remove(item)
--- /dev/null
+++ b/tests/test_returning_upstreams.py
@@ -0,0 +1,70 @@
+"""Guard calls that wait for upstreams which are away."""
+
+import asyncio
+from collections.abc import Callable, Coroutine
+from pathlib import Path
+from typing import Any
+
+from tests.platform_standin import VersionedEngine
+from tests.test_software_versions import PROMPT, VersionedGroup, run_versions
+
+Run = Callable[[Coroutine[Any, Any, Any]], Any]
+
+VERSIONS = ("v1", "v1", "v1", "v1", "v2", "v2")
+STREAMS = 24
+TIMEOUT_MS = 8000
+AWAY_S = 0.5
+# Between the registration of a process and the moment from which it listens.
+LISTEN_DELAY_S = 0.1
+
+
+def list_engines(versioned: VersionedGroup, version: str) -> list[VersionedEngine]:
+    return [item for item in versioned.engines if item.version == version]
+
+
+async def restart(versioned: VersionedGroup, engine: VersionedEngine) -> None:
+    """Start the next process of an engine, which registers before it listens."""
+    engine.born_ms += 1
+    engine.register(versioned.group.store)
+    await asyncio.sleep(LISTEN_DELAY_S)
+    await engine.start(engine.port)
+
+
+# Guards against a long wait for a process that registers just before it listens: calls
+# are sent to it at once, and are refused.
+def test_streams_wait_for_a_process_that_does_not_listen_yet(
+    run: Run, tmp_path: Path
+) -> None:
+    async def check() -> None:
+        async with run_versions(tmp_path, VERSIONS, timeout_ms=TIMEOUT_MS) as versioned:
+            await versioned.begin(STREAMS)
+            engines = list_engines(versioned, "v2")
+            for engine in engines:
+                await engine.stop()
+            resumed = versioned.resume_together(versioned.choose_other)
+            await asyncio.sleep(AWAY_S)
+            await asyncio.gather(*(restart(versioned, item) for item in engines))
+            await resumed
+            versioned.check(complete=STREAMS)
+
+    run(check())
+
+
+# Guards against calls that wait for seconds, and are refused then, as a connection was
+# refused to each upstream of their service, though all of them listen.
+def test_calls_are_sent_to_upstreams_that_refused_only_one_connection(
+    run: Run, tmp_path: Path
+) -> None:
+    async def check() -> None:
+        async with run_versions(tmp_path, ("v1", "v1")) as versioned:
+            for gateway in versioned.group.gateways.values():
+                for engine in versioned.engines:
+                    gateway._guard.record_refused(engine.name)
+            for name in versioned.group.gateways:
+                answer = await versioned.group.call_gateway(
+                    name, "/once/x", Request_Id=f"once-{name}", **PROMPT
+                )
+                assert answer is not None
+                assert answer.status == 200
+
+    run(check())
