Hold new streams whose version is away while the shares can't change

New streams were refused `version_absent` at once, with nearly all of their time left, if no upstream of the version that the shares give them served at the moment and the store took no other shares (an outage, a refused write, too many earlier shares). The same streams, taken up again, were held for the version since.

Cause: a stream without a version that serves had no version at all, so that nothing was expected back for it.

Evidence: the first new test failed with 16 of 24 streams complete and 8 refused `version_absent`. Now the stream keeps the version of the shares in force, at which it may begin anyway, and waits for it like others.

--- a/bramleyport/gateway/_attempt.py
+++ b/bramleyport/gateway/_attempt.py
@@ -42,6 +42,8 @@
 AWAY_RETRY_S: Final = 1.0
 # Why a call is refused whose upstreams are away, and may be back.
 UPSTREAMS_AWAY: Final = "upstreams_away"
+# Other shares may give a stream that has not begun a version that serves.
+SHARES_POLL_S: Final = 0.2
 # Another upstream may take calls before the pause ends.
 MAX_PAUSE_POLL_S: Final = 0.1
 
@@ -113,6 +115,8 @@
                 left_s=round(context.remaining_s, 3),
             )
         scope = self.versions.find_scope(context)
+        if context.version is None:
+            until_s = min(until_s, now_s + SHARES_POLL_S)
         await self._returns.wait(scope, context.call, until_s)
         return True
 
--- a/bramleyport/gateway/_version_choice.py
+++ b/bramleyport/gateway/_version_choice.py
@@ -96,7 +96,10 @@
             await asyncio.sleep(POLL_INTERVAL_S)
 
     def _set_preferred(self, context: CallContext) -> bool:
-        """Set the version that the shares give a stream; return whether they do."""
+        """Set the version that the shares give a stream; return whether it serves.
+
+        Otherwise the stream may wait until the version is back.
+        """
         call, now_s = context.call, read_now()
         assert call.origin is not None
         versions = self._state.stream_versions
@@ -106,10 +109,12 @@
         # If nothing is left, other shares would not help.
         lost = versions.list_versions(call.service) - live if live else frozenset()
         chosen = versions.choose(call.service, call.origin, now_s, lost)
-        context.preferred_version = chosen
-        is_usual = chosen == versions.choose(call.service, call.origin, now_s)
+        usual = versions.choose(call.service, call.origin, now_s)
+        context.preferred_version = usual if chosen is None else chosen
         context.version_source = (
-            VersionSource.SHARES if is_usual else VersionSource.FALLBACK
+            VersionSource.SHARES
+            if context.preferred_version == usual
+            else VersionSource.FALLBACK
         )
         return chosen is not None
 
--- a/tests/test_returning_upstreams.py
+++ b/tests/test_returning_upstreams.py
@@ -5,6 +5,9 @@
 from pathlib import Path
 from typing import Any
 
+import pytest
+
+from bramleyport.gateway._version_store import VersionStore
 from tests.platform_standin import VersionedEngine
 from tests.test_software_versions import PROMPT, VersionedGroup, run_versions
 
@@ -68,3 +71,47 @@
                 assert answer.status == 200
 
     run(check())
+
+
+# Guards against refusing new streams at once as the store takes no other shares, though
+# the version that the shares give them is back soon.
+def test_new_streams_wait_for_their_version_if_shares_cannot_change(
+    run: Run, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(VersionStore, "can_change", lambda *_: False)
+
+    async def check() -> None:
+        async with run_versions(tmp_path, VERSIONS, timeout_ms=TIMEOUT_MS) as versioned:
+            engines = list_engines(versioned, "v2")
+            for engine in engines:
+                await engine.stop()
+                for gateway in versioned.group.gateways.values():
+                    gateway._guard.record_refused(engine.name)
+            calls = versioned.start_streams(STREAMS, "/stream/x")
+            await asyncio.sleep(AWAY_S)
+            await asyncio.gather(*(restart(versioned, item) for item in engines))
+            await asyncio.gather(*calls)
+            versioned.check(complete=STREAMS)
+
+    run(check())
+
+
+# Guards against streams that wait for their version although other shares have been
+# written since, by which they can begin.
+def test_new_streams_begin_by_other_shares_while_they_wait(
+    run: Run, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(VersionStore, "can_change", lambda *_: False)
+
+    async def check() -> None:
+        async with run_versions(tmp_path, VERSIONS, timeout_ms=TIMEOUT_MS) as versioned:
+            crashed = list_engines(versioned, "v2")
+            for engine in crashed:
+                await engine.stop()
+                for gateway in versioned.group.gateways.values():
+                    gateway._guard.record_refused(engine.name)
+            await asyncio.gather(*versioned.start_streams(STREAMS, "/stream/x"))
+            versioned.check(complete=STREAMS)
+            assert {item.versions[0] for item in versioned.streams} == {"v1"}
+
+    run(check())
