Count the repeats of calls that wait when they are sent

A call whose attempt was lost takes its repeat from the retry budget at once, but may now wait for seconds until an upstream is back, when all calls that wait are sent together. A window from then on could hold these repeats and as many again as the budget allows, which counted the first ones in an earlier window.

Now a repeat is counted anew when its call has waited.

--- a/bramleyport/gateway/_attempt.py
+++ b/bramleyport/gateway/_attempt.py
@@ -118,6 +118,7 @@
         if context.version is None:
             until_s = min(until_s, now_s + SHARES_POLL_S)
         await self._returns.wait(scope, context.call, until_s)
+        self.retries.postpone(context)
         return True
 
     def _find_permit_wait(
--- a/bramleyport/gateway/_call_context.py
+++ b/bramleyport/gateway/_call_context.py
@@ -67,6 +67,8 @@
         self.is_trial = False
         # The retry of the attempt that is being given up.
         self.reserved_retry: ReservedRetry | None = None
+        # When the latest repeat was taken from the retry budget, if any was.
+        self.repeat_taken_s: float | None = None
         # Where the next attempt may be sent if nothing better is found.
         self.reserved_choice: Choice | None = None
         # The software version of the upstreams that may write the events of the stream,
--- a/bramleyport/gateway/_retries.py
+++ b/bramleyport/gateway/_retries.py
@@ -104,9 +104,23 @@
         if reserved is not None:
             context.reserved_retry = None
             context.reserved_choice = reserved.choice
+            context.repeat_taken_s = reserved.taken_s
             return True
         budget = self._state.find_budget(context.call.service)
-        return budget.take(read_now(), self._state.gateway_count)
+        now_s = read_now()
+        if not budget.take(now_s, self._state.gateway_count):
+            return False
+        context.repeat_taken_s = now_s
+        return True
+
+    def postpone(self, context: CallContext) -> None:
+        """Count the repeat of a call that has waited when it is made."""
+        if context.repeat_taken_s is None:
+            return
+        now_s = read_now()
+        budget = self._state.find_budget(context.call.service)
+        budget.postpone(context.repeat_taken_s, now_s)
+        context.repeat_taken_s = now_s
 
     def _choose_alternative(
         self, context: CallContext, upstream: UpstreamId, now_s: float
--- a/bramleyport/retries/_repeat_budget.py
+++ b/bramleyport/retries/_repeat_budget.py
@@ -42,6 +42,11 @@
         if taken_s in self._repeats:
             self._repeats.remove(taken_s)
 
+    def postpone(self, taken_s: float, now_s: float) -> None:
+        """Record that a repeat is made later than it was taken."""
+        self.give_back(taken_s)
+        self._repeats.append(now_s)
+
     def allow(self, processes: int | None) -> float:
         """Return how many repeats the window allows.
 
--- a/tests/test_returning_upstreams.py
+++ b/tests/test_returning_upstreams.py
@@ -7,7 +7,10 @@
 
 import pytest
 
+from bramleyport.core import ServiceName
+from bramleyport.gateway._clock import read_now
 from bramleyport.gateway._version_store import VersionStore
+from tests.gateway_fleet import LANGUAGE
 from tests.platform_standin import VersionedEngine
 from tests.test_software_versions import PROMPT, VersionedGroup, run_versions
 
@@ -115,3 +118,33 @@
             assert {item.versions[0] for item in versioned.streams} == {"v1"}
 
     run(check())
+
+
+# Guards against more repeats in a window than the budget allows: those of calls that
+# wait arrive together, later than they were taken.
+def test_repeats_of_calls_that_wait_count_when_they_are_sent(
+    run: Run, tmp_path: Path
+) -> None:
+    async def check() -> None:
+        async with run_versions(tmp_path, VERSIONS, timeout_ms=TIMEOUT_MS) as versioned:
+            for engine in versioned.engines:
+                engine.pause_s = 0.1
+            calls = versioned.start_streams(STREAMS, "/stream/x")
+            await versioned.wait_for_first_events()
+            engines = list_engines(versioned, "v2")
+            for engine in engines:
+                await engine.stop()
+            await asyncio.sleep(AWAY_S)
+            back_s = read_now()
+            await asyncio.gather(*(restart(versioned, item) for item in engines))
+            await asyncio.gather(*calls)
+            versioned.check(complete=STREAMS)
+            repeats_s = [
+                taken_s
+                for gateway in versioned.group.gateways.values()
+                for taken_s in gateway.state.find_budget(ServiceName(LANGUAGE))._repeats
+            ]
+            assert repeats_s
+            assert min(repeats_s) >= back_s
+
+    run(check())
