Order an engine again that crashed before it changed its stage

An engine that is ordered to decode and crashes comes back in its old stage. Its order counted for 10 s more: it was taken for an engine that will decode soon, and it was not ordered again, so a version whose only other engines had been lost stayed without one that decodes.

Cause: orders were kept by the name of the engine, and not by its process, which alone has got them.

An order to another process than the registered one is neither pending nor a reason to keep the stage now. One that was not answered still is, as it may arrive late.

--- a/bramleyport/fleet/_stages.py
+++ b/bramleyport/fleet/_stages.py
@@ -56,6 +56,8 @@
 
     at_s: float
     stage: Stage | None
+    # Start of the process that was ordered, in Unix milliseconds, if known.
+    started_ms: int | None
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -159,10 +161,14 @@
         return None
 
     def record_change(
-        self, upstream: UpstreamId, now_s: float, stage: Stage | None = None
+        self,
+        upstream: UpstreamId,
+        now_s: float,
+        stage: Stage | None = None,
+        started_ms: int | None = None,
     ) -> None:
         """Record that an engine was ordered to change, and to which stage if known."""
-        self._orders[upstream] = _Order(now_s, stage)
+        self._orders[upstream] = _Order(now_s, stage, started_ms)
 
     def _replace_lost(
         self,
@@ -296,7 +302,10 @@
 
     def _is_settled(self, view: EngineView, now_s: float) -> bool:
         order = self._orders.get(view.registration.upstream)
-        return order is None or now_s - order.at_s >= SETTLE_S
+        if order is None or now_s - order.at_s >= SETTLE_S:
+            return True
+        # The next process of an engine that has crashed got no order.
+        return order.started_ms not in (None, view.registration.started_ms)
 
     def _has_reached_prefill(self, view: EngineView) -> bool:
         """Return whether an engine has carried out its last order, to prefill."""
--- a/bramleyport/gateway/_stage_orders.py
+++ b/bramleyport/gateway/_stage_orders.py
@@ -17,6 +17,8 @@
     """Describe the stage that an engine was ordered to take."""
 
     stage: Stage
+    # Start of the process that was ordered, in Unix milliseconds; 0 if it is not known.
+    started_ms: int
     until_s: float
 
 
@@ -28,10 +30,10 @@
         # Engines with an unanswered order, and until when the order may take effect.
         self._unanswered_until_s: dict[UpstreamId, float] = {}
 
-    def record_ordered(self, upstream: UpstreamId, stage: Stage, now_s: float) -> None:
+    def record_ordered(self, target: Registration, stage: Stage, now_s: float) -> None:
         """Record an order to an engine."""
-        self._ordered_stages[upstream] = OrderedStage(
-            stage, now_s + ACCEPTED_ORDER_TIMEOUT_S
+        self._ordered_stages[target.upstream] = OrderedStage(
+            stage, target.started_ms, now_s + ACCEPTED_ORDER_TIMEOUT_S
         )
 
     def record_unanswered(self, upstream: UpstreamId, now_s: float) -> None:
@@ -48,8 +50,13 @@
         if item.upstream in self._unanswered_until_s:
             return True
         ordered = self._ordered_stages.get(item.upstream)
-        # An accepted order is pending until the registration shows the new stage.
-        return ordered is not None and item.stage is not ordered.stage
+        # An accepted order is pending until the registration shows the new stage, or
+        # that of another process, which has got no order.
+        return (
+            ordered is not None
+            and ordered.started_ms == item.started_ms
+            and item.stage is not ordered.stage
+        )
 
     def drop_expired(self, now_s: float) -> None:
         """Remove the orders that can no longer take effect."""
--- a/bramleyport/gateway/_stages.py
+++ b/bramleyport/gateway/_stages.py
@@ -195,8 +195,10 @@
         fencing = self._lease.find_fencing()
         if fencing is None:
             return
-        self._planners[service].record_change(change.upstream, now_s, change.stage)
-        self._orders.record_ordered(change.upstream, change.stage, now_s)
+        self._planners[service].record_change(
+            change.upstream, now_s, change.stage, target.started_ms
+        )
+        self._orders.record_ordered(target, change.stage, now_s)
         result = await self._send_order(target, change, report, fencing)
         if result is OrderResult.UNKNOWN:
             self._orders.record_unanswered(change.upstream, now_s)
--- a/tests/test_fleet_stages.py
+++ b/tests/test_fleet_stages.py
@@ -261,3 +261,19 @@
     change = plan_until_change(StagePlanner(), lost, polls=1)
     assert change is not None
     assert change.upstream != "e0"
+
+
+def test_engine_that_crashed_as_it_changed_is_ordered_again() -> None:
+    """Guards against a version without decode engines until its last order is old."""
+    planner = StagePlanner()
+    pool = make_pool(0, 1)
+    change = planner.plan(pool, SLOTS, 0.0)
+    assert change is not None
+    planner.record_change(change.upstream, 0.0, change.stage, 1)
+    restarted = [
+        replace(view, registration=replace(view.registration, started_ms=2))
+        for view in pool
+    ]
+    again = planner.plan(restarted, SLOTS, 1.0)
+    assert again is not None
+    assert again.stage is Stage.DECODE
