Remove a call from those that wait without comparing it with the others

Each call that ends its wait was searched for in a list, comparing its fields with those of the calls before it. In a play 1,000 calls that left in another order than they came took 0.14 s, and 3,000 took 0.87 s, while the event loop does nothing else, in the moment in which all are released. With a set it is 0.4 and 1.1 ms.

--- a/bramleyport/gateway/_return_queue.py
+++ b/bramleyport/gateway/_return_queue.py
@@ -18,7 +18,7 @@
 CHECK_INTERVAL_S: Final = 0.2
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(frozen=True, slots=True, eq=False)
 class _HeldCall:
     call: Call
     released: asyncio.Future[None]
@@ -41,14 +41,14 @@
         self._processes = processes
         # Upstreams that are checked now, or were lately.
         self._checks: dict[UpstreamId, asyncio.Task[None]] = {}
-        self._held: dict[ServingScope, list[_HeldCall]] = {}
+        self._held: dict[ServingScope, set[_HeldCall]] = {}
         self._timer: asyncio.TimerHandle | None = None
 
     async def wait(self, scope: ServingScope, call: Call, until_s: float) -> None:
         """Return once an upstream is back, none is expected, or the time is up."""
         released = asyncio.get_running_loop().create_future()
         item = _HeldCall(call, released)
-        self._held.setdefault(scope, []).append(item)
+        self._held.setdefault(scope, set()).add(item)
         self._schedule()
         try:
             async with asyncio.timeout_at(until_s):
@@ -100,7 +100,7 @@
             del self._held[scope]
 
 
-def _release(held: list[_HeldCall]) -> None:
+def _release(held: set[_HeldCall]) -> None:
     """Let calls go on; the event loop resumes them in this order."""
     for item in sorted(held, key=lambda item: item.rank):
         if not item.released.done():
