Let a call meet all crashed upstreams of its service before it is refused

A stream whose version had lost eight engines at once was refused `unreachable` within milliseconds, with nearly all of its time left: six of them had refused it a connection. Others waited for the version to be back. Cause: the number of upstreams that a call may fail to reach was the same for a service of two upstreams and of twenty.

Evidence: the new test failed with that refusal (`unsent=6`, `sends=0`). The limit is two for each upstream of the service now, and not less than before: one that has crashed, and one that does not listen yet when it is back.

--- a/bramleyport/gateway/_retries.py
+++ b/bramleyport/gateway/_retries.py
@@ -15,8 +15,10 @@
 
 # Sends of one call, including those that upstreams declined without running it.
 MAX_SENDS: Final = 3
-# Attempts of one call that reach no upstream before the call is refused.
-MAX_UNSENT: Final = 6
+# Attempts of one call that reach no upstream before the call is refused, and the same
+# for each upstream of its service: many may crash together.
+MIN_UNSENT: Final = 6
+UNSENT_PER_UPSTREAM: Final = 2
 # With less time to the deadline a further attempt is unlikely to be answered.
 MIN_REMAINING_S: Final = 0.05
 
@@ -154,7 +156,7 @@
             return "deadline"
         if attempts.sends >= max(MAX_SENDS, route.max_attempts):
             return "sends_spent"
-        if attempts.unsent + lost_unsent >= MAX_UNSENT:
+        if attempts.unsent + lost_unsent >= self._limit_unsent(context):
             return "unreachable"
         if not attempts.may_have_run:
             return None
@@ -164,6 +166,10 @@
             return "attempts_spent"
         return None
 
+    def _limit_unsent(self, context: CallContext) -> int:
+        upstreams = len(self._state.members.list_ready(context.call.service))
+        return max(MIN_UNSENT, UNSENT_PER_UPSTREAM * upstreams)
+
 
 class AttemptRetry:
     """Represent the retry without which a silent attempt is not given up."""
--- a/tests/test_returning_upstreams.py
+++ b/tests/test_returning_upstreams.py
@@ -20,6 +20,8 @@
 STREAMS = 24
 TIMEOUT_MS = 8000
 AWAY_S = 0.5
+# More than a call may fail to reach at a small service.
+CRASHED = 8
 # Between the registration of a process and the moment from which it listens.
 LISTEN_DELAY_S = 0.1
 
@@ -148,3 +150,24 @@
             assert min(repeats_s) >= back_s
 
     run(check())
+
+
+# Guards against refusing a stream as it has met as many upstreams that have crashed
+# together as a call may fail to reach.
+def test_stream_waits_after_many_upstreams_refused_it(run: Run, tmp_path: Path) -> None:
+    async def check() -> None:
+        versions = ("v1",) * CRASHED + ("v2",) * CRASHED
+        async with run_versions(tmp_path, versions, timeout_ms=TIMEOUT_MS) as versioned:
+            await versioned.begin(CRASHED)
+            engines = list_engines(versioned, "v2")
+            for engine in engines:
+                await engine.stop()
+            began = [item for item in versioned.streams if item.versions[0] == "v2"]
+            versioned.streams = began[:1]
+            resumed = versioned.resume_together(versioned.choose_other)
+            await asyncio.sleep(AWAY_S)
+            await asyncio.gather(*(restart(versioned, item) for item in engines))
+            await resumed
+            versioned.check(complete=1)
+
+    run(check())
