Plan stages while engines are replaced one after another

An engine that joins suspends the planning of stages of its service for 1.2 s, and each one that is back after it was replaced counted as joining. A release that replaces an engine each second left no poll in which stages were planned, so lost decode engines of a version were not replaced until it was over.

Evidence: the new test failed, as 11 polls of such a release planned nothing while a version had no decode engine. Engines join now if there are more than there were in the last 10 s, as when the first registrations are read.

--- a/bramleyport/gateway/_stages.py
+++ b/bramleyport/gateway/_stages.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Iterator
+from dataclasses import dataclass
 from typing import TYPE_CHECKING, Final
 
 from bramleyport.core import FencingNumber, ServiceName
@@ -48,9 +49,29 @@
 # Stages are planned once no engine of the service has joined for this long: until then,
 # the known engines do not show the actual mix of stages.
 JOIN_SETTLE_TIME_S: Final = 1.2
+# An engine that is replaced or restarts is back within this time, and then has not
+# joined.
+REPLACEMENT_TIME_S: Final = 10.0
 LOWEST_PRIORITY: Final = 9
 
 
+@dataclass(slots=True)
+class _EngineCount:
+    """Describe how many engines a service has had lately."""
+
+    most: int
+    most_s: float
+    # When there were last more than ever lately.
+    joined_s: float
+
+    def record(self, count: int, now_s: float) -> None:
+        """Record the count of a poll."""
+        if count > self.most:
+            self.joined_s = now_s
+        if count >= self.most or now_s - self.most_s > REPLACEMENT_TIME_S:
+            self.most, self.most_s = count, now_s
+
+
 class StageController:
     """Decide and order the stages of engines while this gateway is first by name."""
 
@@ -69,8 +90,7 @@
         self._lease: OrderLease | None = None
         self._lease_task: asyncio.Task[None] | None = None
         self._wanted_until_s = 0.0
-        # Engine count of each service at the last poll, and when it last increased.
-        self._engine_counts: dict[ServiceName, tuple[int, float]] = {}
+        self._engine_counts: dict[ServiceName, _EngineCount] = {}
         self._orders = StageOrderTracker()
 
     async def run(self) -> None:
@@ -139,13 +159,9 @@
 
     def _is_growing(self, service: ServiceName, count: int, now_s: float) -> bool:
         """Return whether engines have joined a service recently."""
-        previous_count, _ = self._engine_counts.get(service, (0, now_s))
-        if count > previous_count:
-            self._engine_counts[service] = (count, now_s)
-        _, joined_s = self._engine_counts.get(service, (count, now_s))
-        if count < previous_count:
-            self._engine_counts[service] = (count, joined_s)
-        return now_s - joined_s < JOIN_SETTLE_TIME_S
+        known = self._engine_counts.setdefault(service, _EngineCount(0, now_s, now_s))
+        known.record(count, now_s)
+        return now_s - known.joined_s < JOIN_SETTLE_TIME_S
 
     def _ensure_lease(self) -> None:
         if self._lease is not None:
--- a/tests/test_stage_versions.py
+++ b/tests/test_stage_versions.py
@@ -16,6 +16,8 @@
 Run = Callable[[Coroutine[Any, Any, Any]], Any]
 
 SERVICE = ServiceName(LANGUAGE)
+POLLS = 12
+REPLACED_S = 0.5
 ENGINES = {
     "a0": ("v1", Stage.DECODE),
     "a1": ("v1", Stage.DECODE),
@@ -68,3 +70,27 @@
         ]
 
     run(check())
+
+
+# Guards against lost decode engines that are not replaced while a release takes one
+# engine after another out for a moment.
+def test_stages_are_planned_during_a_release(run: Run, fleet: GatewayFleet) -> None:
+    async def check() -> None:
+        state, stages = fleet.state, fleet.gateway._stages
+        register_engines(state)
+        v1, v2 = SoftwareVersion("v1"), SoftwareVersion("v2")
+        both = VersionShares(((v1, 0.5), (v2, 0.5)))
+        state.stream_versions.set_shares(SERVICE, [both], read_now())
+        replaced = state.members.find(UpstreamId("a2"))
+        now_s = read_now()
+        assert not list(stages._list_changes(now_s))
+        changes = []
+        for poll in range(1, POLLS):
+            if poll % 2:
+                state.members.drop(replaced.upstream)
+            else:
+                state.members.put(replaced)
+            changes += stages._list_changes(now_s + poll * REPLACED_S)
+        assert {change.upstream for change, _ in changes} == {UpstreamId("b0")}
+
+    run(check())
