Keep permits of a version only for the urgent calls that it gets

If all upstreams that may write the answer of a stream have rate limits, less urgent calls leave permits for urgent ones. The permits were those of the upstreams of one version since, but the urgent calls were those of the whole service. So less urgent streams of a version with a part of the upstreams were refused `over_limit` though its permits sufficed for all.

The urgent calls count now in the part that the upstreams of the version get, as far as the numbers of upstreams tell.

--- a/bramleyport/fleet/_rank_reserve.py
+++ b/bramleyport/fleet/_rank_reserve.py
@@ -25,6 +25,8 @@
     most: float
     # Permits that are added each second.
     per_s: float
+    # Fraction of the calls of the service that these permits are for.
+    demand_fraction: float = 1.0
 
 
 @dataclass(slots=True)
@@ -54,7 +56,7 @@
 
     def may_send(self, priority: int, supply: PermitSupply, now_s: float) -> bool:
         """Return whether permits suffice for a call and for more urgent ones."""
-        urgent_per_s = self._count_more_urgent(priority, now_s)
+        urgent_per_s = supply.demand_fraction * self._count_more_urgent(priority, now_s)
         if not urgent_per_s:
             self._credits.pop(priority, None)
             return True
--- a/bramleyport/gateway/_rate_limits.py
+++ b/bramleyport/gateway/_rate_limits.py
@@ -21,6 +21,7 @@
     Registration,
     Stage,
     compute_enforced_rate,
+    writes_answers,
 )
 from bramleyport.platform import AnswerHead
 from bramleyport.telemetry import gateway_events, log_event
@@ -154,9 +155,10 @@
         limited = self.list_limited(ready)
         if not limited:
             return set()
-        if all(item.upstream in limited for item in final):
+        if final and all(item.upstream in limited for item in final):
             reserve = self._find_reserve(call.service)
-            supply = self._sum_supply(final, now_s)
+            fraction = _compute_demand_fraction(ready, final)
+            supply = self._sum_supply(final, fraction, now_s)
             if not reserve.may_send(call.route.priority, supply, now_s):
                 return limited
         return self.list_exhausted(ready, now_s)
@@ -316,7 +318,7 @@
         return self._shares.count_permits(target.upstream, rate, now_s)
 
     def _sum_supply(
-        self, targets: Sequence[Registration], now_s: float
+        self, targets: Sequence[Registration], demand_fraction: float, now_s: float
     ) -> PermitSupply:
         """Return the permits for upstreams that are all limited."""
         shares = [
@@ -330,6 +332,7 @@
             ),
             most=sum(share.capacity for share in shares),
             per_s=sum(share.rate for share in shares),
+            demand_fraction=demand_fraction,
         )
 
     def _find_wait(self, target: Registration, now_s: float) -> float:
@@ -346,3 +349,17 @@
             return
         self._invalid_values[upstream] = value
         log_event(gateway_events.LIMIT_INVALID, upstream=upstream, value=value)
+
+
+def _compute_demand_fraction(
+    ready: Sequence[Registration], final: Sequence[Registration]
+) -> float:
+    """Return which part of the calls of a service the upstreams in `final` get.
+
+    Those of other software versions get the others.
+    """
+    versions = {item.version for item in final}
+    others = sum(
+        writes_answers(item) and item.version not in versions for item in ready
+    )
+    return len(final) / (len(final) + others)
