--- a/bramleyport/fleet/__init__.py
+++ b/bramleyport/fleet/__init__.py
@@ -14,6 +14,7 @@
     Verdict,
 )
 from bramleyport.fleet._decode_times import DecodeTimes
+from bramleyport.fleet._ended import EndedProcess
 from bramleyport.fleet._freshness import (
     Freshness,
     choose_store_watchers,
@@ -103,6 +104,7 @@
     "CrashId",
     "CrashReport",
     "DecodeTimes",
+    "EndedProcess",
     "EngineTraits",
     "EngineView",
     "Freshness",
