--- a/bramleyport/gateway/_attempt.py
+++ b/bramleyport/gateway/_attempt.py
@@ -39,6 +39,8 @@
 AWAY_RETRY_S: Final = 1.0
 # Why a call is refused whose upstreams are away, and may be back.
 UPSTREAMS_AWAY: Final = "upstreams_away"
+# Other shares may give a stream that has not begun a version that serves.
+SHARES_POLL_S: Final = 0.2
 # Another upstream may take calls before the pause ends.
 MAX_PAUSE_POLL_S: Final = 0.1
 
@@ -63,7 +65,7 @@
         self.versions = versions
         self.processes = processes
         self.retries = RetryDecider(state, versions)
-        self._returns = ReturnQueue(state)
+        self._returns = ReturnQueue(state, processes)
         self.guard = guard
 
     async def place(self, context: CallContext) -> Choice | Rejected:
@@ -112,7 +114,10 @@
                 left_s=round(context.remaining_s, 3),
             )
         scope = self.versions.find_scope(context)
+        if context.version is None:
+            until_s = min(until_s, now_s + SHARES_POLL_S)
         await self._returns.wait(scope, context.call, until_s)
+        self.retries.postpone(context)
         return True
 
     def _find_permit_wait(
