Crash the last decoders of a version in a soak whose engines change their stages

The profile `version_stages` has stand-ins that prefill or decode, change by order after a switch time, and answer 421 in the wrong stage and 503 while they change. After the gateways have ordered the stages of idle engines, up to two decoders of a version end at once and come back after 1 to 3 s under new identifiers, beside gateways that are killed and the faults of the profile `versions`. The check is the users' rule: of 12 or more streams that were taken up at gateways in touch while two engines of their version were there, in any stage, the fraction that goes on is at least half of that of new streams that begin. An engine that changes its stage by order counts as there, since no order of the system's own may excuse it.

--- a/tests/platform_standin/__init__.py
+++ b/tests/platform_standin/__init__.py
@@ -47,6 +47,7 @@
     script_first_request,
     truncate,
 )
+from tests.platform_standin._staged_engine import StagedEngine
 from tests.platform_standin._store import (
     RawJson,
     StoreCopy,
@@ -95,6 +96,7 @@
     "RawServer",
     "RepeatedPrefillAnswer",
     "Script",
+    "StagedEngine",
     "StoreCopy",
     "StoreStandin",
     "UpstreamArrival",
--- a/tests/platform_standin/_upstream.py
+++ b/tests/platform_standin/_upstream.py
@@ -66,6 +66,8 @@
         self.frees_hang = False
         self.report_delay_s = 0.0
         self.accepted_orders = 0
+        # Whether it carries out an order.
+        self.busy = False
         self.prefill_hangs = False
         self.prefill_count = 0
         # How separate prefills are answered.
@@ -152,7 +154,7 @@
 ) -> None:
     """Answer a request of a gateway itself at once."""
     if request.path == "/-/report":
-        report = {"stage": upstream.stage, "busy": False}
+        report = {"stage": upstream.stage, "busy": upstream.busy}
         report |= {"seq": upstream.accepted_orders, "born": upstream.born_ms}
         await asyncio.sleep(upstream.report_delay_s)
         writer.write(render_response(200, json.dumps(report).encode()))
--- a/tests/soak/_soak_run.py
+++ b/tests/soak/_soak_run.py
@@ -63,6 +63,7 @@
 from tests.soak._signal_faults import SIGNALS, check_leaving
 from tests.soak._stop_soak import StopSoak
 from tests.soak._version_soak import VersionSoak
+from tests.soak._version_stage_soak import VersionStageSoak
 
 CALLERS_PER_GATEWAY = 3
 START_LIMIT_S = 30.0
@@ -114,6 +115,8 @@
     SIGNALS = "signals"
     # Engines of several versions that come and go, and streams that are taken up again.
     VERSIONS = "versions"
+    # As VERSIONS, and also engines that change their stages by order.
+    VERSION_STAGES = "version_stages"
     # Planned stops only, with callers that go on until the processes end.
     STOPS = "stops"
     # Calls that must run at most once, while upstreams refuse them or lose answers.
@@ -440,6 +443,8 @@
         test = StopSoak(seed, folder, gateways=gateways)
     elif profile is Profile.VERSIONS:
         test = VersionSoak(seed, folder, gateways=gateways)
+    elif profile is Profile.VERSION_STAGES:
+        test = VersionStageSoak(seed, folder, gateways=gateways)
     elif profile is Profile.RUNS:
         test = RunSoak(
             seed, folder, gateways=gateways, scenario=scenario, sources=sources
--- a/tests/soak/_version_soak.py
+++ b/tests/soak/_version_soak.py
@@ -1,9 +1,7 @@
 """Replace engines by other versions while streams break off and are taken up again."""
 
 import asyncio
-import signal
 import time
-from collections.abc import Callable, Coroutine
 from dataclasses import dataclass, field
 from pathlib import Path
 from random import Random
@@ -19,36 +17,34 @@
     VersionedEngine,
     read_versions,
 )
+from tests.soak._checks import STABLE_S
 from tests.soak._findings import Findings
 from tests.soak._processes import GatewayProcess
-from tests.soak._proxy import Direction, FaultProxy
+from tests.soak._proxy import FaultProxy
+from tests.soak._version_faults import VERSION_FAULTS, VERSIONS
 
 START_LIMIT_S: Final = 30.0
 POLL_INTERVAL_S: Final = 0.02
 ENGINES: Final = 6
-VERSIONS: Final = ("v1", "v2", "v3")
 BREAK_FRACTION: Final = 0.3
+EVENT_PAUSE_S: Final = 0.01
 MAX_TAKE_UPS: Final = 4
 MAX_FAULT_INTERVAL_S: Final = 1.5
-# Engines that drain serve for a while.
-DRAIN_S: Final = 3.0
 SETTLE_S: Final = 4.0
 CALLERS_PER_GATEWAY: Final = 3
 ANSWER_TIMEOUT_S: Final = 6.0
 # From so many streams that are taken up, the fraction that goes on is checked.
 MIN_TAKE_UPS: Final = 12
 MIN_GONE_ON_FRACTION: Final = 0.5
-# All gateways were killed, or lost the store, so lately that some streams are unknown.
-UNKNOWN_S: Final = 12.0
 
-Fault = Callable[["VersionSoak"], Coroutine[Any, Any, None]]
-VERSION_FAULTS: Final[dict[str, Fault]] = {}
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class TakeUpState:
+    """Describe what a caller may expect of a gateway at one moment."""
 
-def register_version_fault(fault: Fault) -> Fault:
-    """Register what happens beside streams of several versions."""
-    VERSION_FAULTS[fault.__name__] = fault
-    return fault
+    in_touch: bool
+    # Engines of the version of its stream, in any stage.
+    serving: int
 
 
 @dataclass(slots=True)
@@ -57,6 +53,7 @@
 
     request: str
     versions: list[str] = field(default_factory=list)
+    began_s: float = field(default_factory=time.monotonic)
 
     @property
     def is_complete(self) -> bool:
@@ -66,6 +63,17 @@
 class VersionSoak:
     """Represent one soak test of streams at engines of several versions."""
 
+    engine_count = ENGINES
+    callers_per_gateway = CALLERS_PER_GATEWAY
+    event_pause_s = EVENT_PAUSE_S
+    break_fraction = BREAK_FRACTION
+    # Time of calls before the first fault.
+    calm_s = 0.0
+    # Time that a caller gives a stream over all its requests; None to name no time.
+    stream_limit_s: float | None = None
+    # How often a caller takes up a stream again after a refusal.
+    max_refusals = MAX_TAKE_UPS
+
     def __init__(self, seed: int, folder: Path, *, gateways: int) -> None:
         self.random = Random(seed)
         self.findings = Findings()
@@ -73,6 +81,10 @@
         self.gateways: list[GatewayProcess] = []
         self.engines: list[VersionedEngine] = []
         self.unknown_until_s = 0.0
+        # When each gateway's connections were impaired last, by its name.
+        self.impaired_s: dict[str, float] = {}
+        self.store_impaired_s = 0.0
+        self.faults = VERSION_FAULTS
         self._folder = folder
         self._gateway_count = gateways
         self._left: list[VersionedEngine] = []
@@ -89,43 +101,63 @@
             await self._run(seconds)
         finally:
             await self._stop()
-        if (
-            self._taken_up >= MIN_TAKE_UPS
-            and self._gone_on < MIN_GONE_ON_FRACTION * self._taken_up
-        ):
-            self.findings.violations.append(
-                f"{self._gone_on} of {self._taken_up} taken-up streams went on"
-            )
+        self.findings.violations += self.list_lost()
         return self.findings
 
+    def list_lost(self) -> list[str]:
+        """Return how many streams went on, if they were too few."""
+        required = MIN_GONE_ON_FRACTION * self._taken_up
+        if self._taken_up < MIN_TAKE_UPS or self._gone_on >= required:
+            return []
+        return [f"{self._gone_on} of {self._taken_up} taken-up streams went on"]
+
     async def start_engine(self, version: str) -> VersionedEngine:
         """Start an engine of a version and register it."""
         self._number += 1
-        name = f"d{self._number}"
-        engine = VersionedEngine(name, service=LANGUAGE, stage="decode")
+        engine = self.make_engine(f"d{self._number}")
         engine.version = version
-        engine.pause_s = 0.01
-        engine.draw_break = lambda: self.random.random() < BREAK_FRACTION
+        engine.pause_s = self.event_pause_s
+        engine.draw_break = lambda: self.random.random() < self.break_fraction
         await engine.start()
         engine.register(self.store)
         self.engines.append(engine)
         return engine
 
+    def make_engine(self, name: str) -> VersionedEngine:
+        """Return a new engine."""
+        return VersionedEngine(name, service=LANGUAGE, stage="decode")
+
+    def list_first_versions(self) -> list[str]:
+        """Return the versions of the engines at the start."""
+        return [VERSIONS[number % 2] for number in range(self.engine_count)]
+
+    def make_config(self) -> dict[str, Any]:
+        """Return the configuration of the gateways."""
+        return make_config()
+
     async def end_engine(self, engine: VersionedEngine) -> None:
         """End an engine at once, and remove its registration."""
+        await self.crash_engine(engine)
+        self.remove_registration(engine)
+
+    async def crash_engine(self, engine: VersionedEngine) -> None:
+        """End an engine at once; its registration stays."""
         self.engines.remove(engine)
         self._left.append(engine)
         await engine.stop()
+
+    def remove_registration(self, engine: VersionedEngine) -> None:
+        """Remove the registration of an engine, if it is there."""
         if ("servers", engine.name) in self.store.objects:
             self.store.delete("servers", engine.name)
 
     async def _start(self) -> None:
         await self.store.start()
-        self.store.put("config", "main", make_config())
+        self.store.put("config", "main", self.make_config())
         await self._plain.start()
         self._plain.register(self.store)
-        for number in range(ENGINES):
-            await self.start_engine(VERSIONS[number % 2])
+        for version in self.list_first_versions():
+            await self.start_engine(version)
         for number in range(self._gateway_count):
             store_proxy, caller_proxy = FaultProxy(self.store.port), FaultProxy(0)
             await store_proxy.start()
@@ -138,10 +170,14 @@
         async with asyncio.timeout(START_LIMIT_S):
             while not all(item.has_logged_start() for item in self.gateways):
                 await asyncio.sleep(POLL_INTERVAL_S)
+        await self.settle()
+
+    async def settle(self) -> None:
+        """Wait until the gateways know the engines."""
         await asyncio.sleep(SETTLE_S)
 
     async def _run(self, seconds: float) -> None:
-        count = CALLERS_PER_GATEWAY * len(self.gateways)
+        count = self.callers_per_gateway * len(self.gateways)
         callers = [asyncio.ensure_future(self._send_streams()) for _ in range(count)]
         faults = asyncio.ensure_future(self._inject_faults())
         await asyncio.sleep(seconds)
@@ -152,15 +188,20 @@
 
     async def _inject_faults(self) -> None:
         running: set[asyncio.Future[None]] = set()
+        await asyncio.sleep(self.calm_s)
         try:
             while True:
-                name = self.random.choice(list(VERSION_FAULTS))
+                name = self.choose_fault()
                 self.findings.faults[name] += 1
-                running.add(asyncio.ensure_future(VERSION_FAULTS[name](self)))
+                running.add(asyncio.ensure_future(self.faults[name](self)))
                 await asyncio.sleep(self.random.random() * MAX_FAULT_INTERVAL_S)
         finally:
             await asyncio.gather(*running, return_exceptions=True)
 
+    def choose_fault(self) -> str:
+        """Return the name of the next fault."""
+        return self.random.choice(list(self.faults))
+
     async def _send_streams(self) -> None:
         while not self._stopping:
             self._number += 1
@@ -170,12 +211,16 @@
     async def _follow(self, stream: TakenStream) -> None:
         """Send a request, and take its stream up again until it is complete."""
         wait_s = 0.0
+        refusals = 0
         for attempt in range(1 + MAX_TAKE_UPS):
             await asyncio.sleep(wait_s)
             resumes = bool(stream.versions)
             is_known = time.monotonic() > self.unknown_until_s
             serving = sum(e.version in stream.versions for e in self.engines)
-            answer = await self._call(stream, attempt)
+            gateway = self.random.choice(self.gateways)
+            before = self.observe(stream, gateway)
+            answer = await self._call(stream, attempt, gateway)
+            self.record_answer(stream, answer, (before, self.observe(stream, gateway)))
             status = "closed" if answer is None else str(answer.status)
             self.findings.calls[f"{'resumed' if resumes else 'new'} {status}"] += 1
             if answer is not None and answer.status == 200:
@@ -189,11 +234,40 @@
                 )
             if stream.is_complete or len(set(stream.versions)) > 1:
                 return
+            refusals += answer is not None and answer.status != 200
+            if refusals > self.max_refusals:
+                return
             retry_after = answer.headers.get("retry-after", "0.1") if answer else "0.1"
             wait_s = min(1.5, float(retry_after))
 
-    async def _call(self, stream: TakenStream, attempt: int) -> CallerAnswer | None:
-        gateway = self.random.choice(self.gateways)
+    def observe(self, stream: TakenStream, gateway: GatewayProcess) -> TakeUpState:
+        """Return what a caller may expect of a gateway now."""
+        return TakeUpState(
+            in_touch=self._is_in_touch(gateway),
+            serving=sum(e.version in stream.versions for e in self.engines),
+        )
+
+    def _is_in_touch(self, gateway: GatewayProcess) -> bool:
+        """Return whether nothing has impaired a gateway or the store lately."""
+        since_s = time.monotonic() - STABLE_S
+        impaired_s = self.impaired_s.get(gateway.name, 0.0)
+        return (
+            gateway.is_running
+            and gateway.stop_sent_s is None
+            and max(gateway.started_s, impaired_s, self.store_impaired_s) < since_s
+        )
+
+    def record_answer(
+        self,
+        stream: TakenStream,
+        answer: CallerAnswer | None,
+        states: tuple[TakeUpState, TakeUpState],
+    ) -> None:
+        """Note an answer, with the states before and after the call."""
+
+    async def _call(
+        self, stream: TakenStream, attempt: int, gateway: GatewayProcess
+    ) -> CallerAnswer | None:
         caller = RawCaller(gateway.caller_proxy.port)
         headers = {
             "Model": "m",
@@ -201,6 +275,9 @@
             "Prompt_Prefix": f"a{self.random.randrange(3)}:400,b0:400,c:9",
             "Request_Id": f"{stream.request}.{attempt}",
         }
+        if self.stream_limit_s is not None:
+            left_s = stream.began_s + self.stream_limit_s - time.monotonic()
+            headers["Deadline_Ms"] = str(max(1, round(left_s * 1000)))
         if not stream.versions:
             stream.request = headers["Request_Id"]
         else:
@@ -221,107 +298,3 @@
             gateway.caller_proxy.stop()
         for server in (*self.engines, *self._left, self._plain, self.store):
             await server.stop()
-
-
-async def _restart(gateway: GatewayProcess, number: signal.Signals) -> None:
-    process = gateway.process
-    if process is None or process.poll() is not None:
-        return
-    gateway.send_if_running(number)
-    while process.poll() is None:
-        await asyncio.sleep(POLL_INTERVAL_S)
-    if gateway.process is process:
-        gateway.start()
-
-
-@register_version_fault
-async def release_version(soak: VersionSoak) -> None:
-    """Replace an engine by one of another version; the old one drains."""
-    old = soak.random.choice(soak.engines)
-    await soak.start_engine(soak.random.choice(VERSIONS))
-    old.register(soak.store, state="draining")
-    await asyncio.sleep(DRAIN_S)
-    if old in soak.engines:
-        await soak.end_engine(old)
-
-
-@register_version_fault
-async def crash_engine(soak: VersionSoak) -> None:
-    """End an engine at once, and start another one of its version soon."""
-    if len(soak.engines) < ENGINES - 1:
-        return
-    engine = soak.random.choice(soak.engines)
-    await soak.end_engine(engine)
-    await asyncio.sleep(soak.random.random())
-    await soak.start_engine(engine.version)
-
-
-@register_version_fault
-async def crash_version(soak: VersionSoak) -> None:
-    """End all engines of a version at once, and start as many others soon."""
-    version = soak.random.choice(VERSIONS)
-    ended = [item for item in soak.engines if item.version == version]
-    if len(ended) == len(soak.engines):
-        return
-    for engine in ended:
-        await soak.end_engine(engine)
-    await asyncio.sleep(soak.random.random() * 2)
-    for engine in ended:
-        await soak.start_engine(engine.version)
-
-
-@register_version_fault
-async def replace_process(soak: VersionSoak) -> None:
-    """Start another version under the identifier and at the port of an engine."""
-    engine = soak.random.choice(soak.engines)
-    engine.version = soak.random.choice(VERSIONS)
-    engine.born_ms += 1000
-    engine.register(soak.store)
-    engine.reset_connections()
-
-
-@register_version_fault
-async def reset_store_connections(soak: VersionSoak) -> None:
-    """Reset the connections of one gateway to the store, again and again."""
-    gateway = soak.random.choice(soak.gateways)
-    end_s = time.monotonic() + 2 * soak.random.random()
-    while time.monotonic() < end_s:
-        gateway.store_proxy.reset_connections()
-        await asyncio.sleep(soak.random.random() * 0.01)
-
-
-@register_version_fault
-async def silence_store(soak: VersionSoak) -> None:
-    """Let the store be silent to one gateway for a while."""
-    gateway = soak.random.choice(soak.gateways)
-    gateway.store_proxy.held_directions = set(Direction)
-    await asyncio.sleep(3 * soak.random.random())
-    gateway.store_proxy.held_directions = set()
-
-
-@register_version_fault
-async def stop_gateway(soak: VersionSoak) -> None:
-    """Stop a gateway with SIGTERM and start it again."""
-    await _restart(soak.random.choice(soak.gateways), signal.SIGTERM)
-
-
-@register_version_fault
-async def kill_gateway(soak: VersionSoak) -> None:
-    """Kill a gateway and start it again."""
-    await _restart(soak.random.choice(soak.gateways), signal.SIGKILL)
-
-
-@register_version_fault
-async def kill_all_gateways(soak: VersionSoak) -> None:
-    """Kill all gateways at once and start them again."""
-    soak.unknown_until_s = time.monotonic() + UNKNOWN_S
-    await asyncio.gather(*(_restart(item, signal.SIGKILL) for item in soak.gateways))
-
-
-@register_version_fault
-async def refuse_store_calls(soak: VersionSoak) -> None:
-    """Make the store refuse every call for a while."""
-    soak.unknown_until_s = time.monotonic() + UNKNOWN_S
-    soak.store.refusal_status = soak.random.choice((503, 429))
-    await asyncio.sleep(soak.random.random() * 2)
-    soak.store.refusal_status = None
--- /dev/null
+++ b/tests/soak/_version_stage_soak.py
@@ -0,0 +1,173 @@
+"""Crash the decode engines of a version while gateways order the stages of engines."""
+
+import asyncio
+import time
+from pathlib import Path
+from random import Random
+from typing import Any, Final
+
+from tests.gateway_fleet import ENGINE, LANGUAGE, PLAIN, make_config
+from tests.platform_standin import (
+    CallerAnswer,
+    StagedEngine,
+    VersionedEngine,
+    read_versions,
+)
+from tests.soak._lost_streams import MIN_SERVING, LostStreams
+from tests.soak._version_faults import (
+    VERSION_FAULTS,
+    VERSIONS,
+    kill_all_gateways,
+    kill_gateway,
+)
+from tests.soak._version_soak import TakenStream, TakeUpState, VersionSoak
+
+# Numbers of engines and of their versions.
+FLEETS: Final = ((3, 2), (4, 2), (9, 2), (9, 2), (9, 3))
+SWITCH_TIMES_S: Final = (1.0, 3.0)
+# Each crash breaks enough streams for the check.
+STAGE_CALLERS_PER_GATEWAY: Final = 20
+# Longer than a crash lasts.
+STREAM_LIMIT_S: Final = 5.0
+STAGE_EVENT_PAUSE_S: Final = 0.08
+# Most streams break only as their engines crash.
+STAGE_BREAK_FRACTION: Final = 0.02
+CRASHED_DECODERS: Final = 2
+MIN_CRASH_S, MAX_CRASH_S = 1.0, 3.0
+MAX_REGISTRATION_S: Final = 1.0
+CRASH: Final = "crash_decoders"
+# Fraction of the faults that are such crashes.
+CRASH_FRACTION: Final = 0.7
+# What becomes of gateways at the moment of a crash.
+KILLS: Final = (None, None, None, kill_gateway, kill_gateway, kill_all_gateways)
+# Orders to engines have ended once no stage has changed for this long.
+ORDERS_END_S: Final = 5.0
+SETTLE_LIMIT_S: Final = 30.0
+SETTLE_POLL_S: Final = 0.1
+
+
+class VersionStageSoak(VersionSoak):
+    """Represent one soak test whose engines change their stages by order."""
+
+    callers_per_gateway = STAGE_CALLERS_PER_GATEWAY
+    event_pause_s = STAGE_EVENT_PAUSE_S
+    calm_s = 1.0
+    break_fraction = STAGE_BREAK_FRACTION
+    stream_limit_s = STREAM_LIMIT_S
+    max_refusals = 1
+
+    def __init__(self, seed: int, folder: Path, *, gateways: int) -> None:
+        super().__init__(seed, folder, gateways=gateways)
+        # Draws of callers don't change what a seed crashes.
+        self.crash_random = Random(seed)
+        self.engine_count, self._version_count = self.crash_random.choice(FLEETS)
+        self.lost_streams = LostStreams()
+        # Whether crashed engines are not back yet.
+        self.is_crashed = False
+        self.faults = VERSION_FAULTS | {CRASH: crash_decoders}
+        self._switch_s = self.crash_random.choice(SWITCH_TIMES_S)
+
+    def list_lost(self) -> list[str]:
+        """Return the versions of which too few streams went on."""
+        return self.lost_streams.list_violations()
+
+    def make_engine(self, name: str) -> VersionedEngine:
+        """Return a new engine that decodes."""
+        engine = StagedEngine(name, service=LANGUAGE, stage="decode")
+        engine.switch_s = self._switch_s
+        return engine
+
+    def make_config(self) -> dict[str, Any]:
+        """Return a configuration whose streams outlast a crash."""
+        config = make_config()
+        for route in config["routes"]:
+            if route["name"] == "stream":
+                route["timeout_ms"] = round(STREAM_LIMIT_S * 1000)
+        for service in config["services"]:
+            if service["name"] != PLAIN:
+                service["engine"] = ENGINE | {"switch_s": self._switch_s}
+        return config
+
+    def list_first_versions(self) -> list[str]:
+        """Return the versions of the engines at the start, in any order."""
+        count = self._version_count
+        versions = [VERSIONS[n % count] for n in range(self.engine_count)]
+        self.crash_random.shuffle(versions)
+        return versions
+
+    async def settle(self) -> None:
+        """Wait until the gateways have ordered the stages of idle engines."""
+        await super().settle()
+        settled_s = time.monotonic()
+        async with asyncio.timeout(SETTLE_LIMIT_S):
+            while time.monotonic() < settled_s + ORDERS_END_S:
+                await asyncio.sleep(SETTLE_POLL_S)
+                ordered_s = max(engine.ordered_s for engine in self._list_staged())
+                settled_s = max(settled_s, ordered_s)
+
+    def _list_staged(self) -> list[StagedEngine]:
+        return [item for item in self.engines if isinstance(item, StagedEngine)]
+
+    def list_decoders(self) -> list[StagedEngine]:
+        """Return the engines that decode."""
+        return [engine for engine in self._list_staged() if engine.stage == "decode"]
+
+    def choose_crashed(self) -> list[StagedEngine]:
+        """Return decode engines of a version, if possible the last ones."""
+        groups: dict[str, list[StagedEngine]] = {}
+        for engine in self.list_decoders():
+            groups.setdefault(engine.version, []).append(engine)
+        last = [group for group in groups.values() if len(group) <= CRASHED_DECODERS]
+        candidates = last or list(groups.values())
+        if not candidates:
+            return []
+        group = self.crash_random.choice(candidates)
+        return self.crash_random.sample(group, min(CRASHED_DECODERS, len(group)))
+
+    def choose_fault(self) -> str:
+        """Return the name of the next fault; the first one is a crash."""
+        if not self.findings.faults or self.crash_random.random() < CRASH_FRACTION:
+            return CRASH
+        return super().choose_fault()
+
+    def record_answer(
+        self,
+        stream: TakenStream,
+        answer: CallerAnswer | None,
+        states: tuple[TakeUpState, TakeUpState],
+    ) -> None:
+        """Count new streams and those that are taken up at gateways in touch."""
+        if not all(state.in_touch for state in states):
+            return
+        goes_on = answer is not None and bool(read_versions(answer.body))
+        if not stream.versions:
+            self.lost_streams.record_new(begun=goes_on)
+        elif all(state.serving >= MIN_SERVING for state in states):
+            request, version = stream.request, stream.versions[0]
+            self.lost_streams.record_taken_up(request, version, goes_on=goes_on)
+
+
+async def crash_decoders(soak: VersionSoak) -> None:
+    """End decode engines of a version at once, and start as many others soon."""
+    assert isinstance(soak, VersionStageSoak)
+    if soak.is_crashed:
+        return
+    crashed = soak.choose_crashed()
+    if not crashed:
+        return
+    version = crashed[0].version
+    soak.is_crashed = True
+    for engine in crashed:
+        await soak.crash_engine(engine)
+    down_s = soak.crash_random.uniform(MIN_CRASH_S, MAX_CRASH_S)
+    registered_s = soak.crash_random.uniform(0.0, MAX_REGISTRATION_S)
+    kill = soak.crash_random.choice(KILLS)
+    killing = [asyncio.ensure_future(kill(soak))] if kill is not None else []
+    await asyncio.sleep(registered_s)
+    for engine in crashed:
+        soak.remove_registration(engine)
+    await asyncio.sleep(down_s - registered_s)
+    for _ in crashed:
+        await soak.start_engine(version)
+    soak.is_crashed = False
+    await asyncio.gather(*killing)
