Find calls that were refused after a run, or sent after a refusal, by the order search

The first shows only in calls that may be repeated, as others get no attempt after one that may have run, and the search did not check these. It now checks for them too that none is refused by the gateway after it has run; answers of upstreams that ran them are relayed, so those with a stamp don't count. The second needs a call that is still being sent after its answer, which cancelling prevents: the mutation lets attempts outlive their calls, and a new profile ends processes while connections open. A test shows that the record alone keeps such calls from being sent.

Searches take a profile in place of the flag for repeats, and mutations name theirs.

--- a/tests/order_search/__main__.py
+++ b/tests/order_search/__main__.py
@@ -8,6 +8,7 @@
 
 from tests.order_search import Rule, SeedResult, search_seed
 from tests.order_search._mutations import MUTATIONS
+from tests.order_search._profiles import NAMED_PROFILES
 
 
 def _parse_arguments() -> argparse.Namespace:
@@ -16,7 +17,7 @@
     parser.add_argument("--first", type=int, default=0, help="the first seed")
     parser.add_argument("--mutation", choices=sorted(MUTATIONS), help="fault to put in")
     parser.add_argument(
-        "--repeats", action="store_true", help="callers repeat refused calls"
+        "--profile", choices=sorted(NAMED_PROFILES), help="faults that are frequent"
     )
     parser.add_argument(
         "--needless", action="store_true", help="also show needless failures"
@@ -41,14 +42,15 @@
     shown = set(Rule) if arguments.needless else {Rule.TWICE, Rule.REFUSED}
     counts: Counter[str] = Counter()
     statuses: Counter[int | None] = Counter()
+    profile = NAMED_PROFILES.get(arguments.profile)
     with ExitStack() as stack:
         if arguments.mutation:
             patch = stack.enter_context(pytest.MonkeyPatch.context())
             mutation = MUTATIONS[arguments.mutation]
             mutation.apply(patch)
-            arguments.repeats |= mutation.repeats_refused
+            profile = profile or mutation.profile
         for seed in range(arguments.first, arguments.first + arguments.seeds):
-            result = search_seed(seed, repeats_refused=arguments.repeats)
+            result = search_seed(seed, profile)
             counts.update(item.rule.value for item in result.violations)
             statuses.update(call.status for call in result.calls if call.runs_once)
             _print_violations(result, shown, trace=arguments.trace)
--- a/tests/order_search/_callers.py
+++ b/tests/order_search/_callers.py
@@ -107,6 +107,7 @@
         record = self._request.record
         known = record.status
         record.status = read_status(self._written)
+        record.is_stamped = b"\r\nserver-stamp:" in self._written.lower()
         if known is None and record.status in PROMISES:
             self._on_refused(self._request, read_retry_after(self._written))
 
--- a/tests/order_search/_mutations.py
+++ b/tests/order_search/_mutations.py
@@ -4,8 +4,11 @@
 `_search.py`.
 """
 
+import asyncio
+import contextlib
 from collections.abc import Callable
 from dataclasses import dataclass
+from functools import partial
 from typing import Any, Final
 
 import pytest
@@ -20,7 +23,11 @@
     _retries,
     _stream_attempt,
 )
-from bramleyport.gateway._attempt_record import AttemptRecord, AttemptState
+from bramleyport.gateway._attempt_record import (
+    AttemptRecord,
+    Attempts,
+    AttemptState,
+)
 from bramleyport.http1 import (
     CallerConnection,
     ConnectionPool,
@@ -28,6 +35,7 @@
     ExchangeFailure,
     UpstreamConnection,
 )
+from tests.order_search._profiles import ENDING, REPEATING, Profile
 
 Apply = Callable[[pytest.MonkeyPatch], None]
 
@@ -37,22 +45,16 @@
     """Describe a fault that is put into the gateway."""
 
     apply: Apply
-    # It shows only if callers repeat refused calls.
-    repeats_refused: bool
+    # It shows with this profile only; None for those that seeds choose.
+    profile: Profile | None
 
 
 MUTATIONS: Final[dict[str, Mutation]] = {}
 
 
-def mutation(apply: Apply) -> Apply:
+def mutation(apply: Apply, profile: Profile | None = None) -> Apply:
     """Add a mutation under the name of its function."""
-    MUTATIONS[apply.__name__] = Mutation(apply=apply, repeats_refused=False)
-    return apply
-
-
-def repeat_mutation(apply: Apply) -> Apply:
-    """Add a mutation that shows only if callers repeat refused calls."""
-    MUTATIONS[apply.__name__] = Mutation(apply=apply, repeats_refused=True)
+    MUTATIONS[apply.__name__] = Mutation(apply=apply, profile=profile)
     return apply
 
 
@@ -137,6 +139,20 @@
     )
 
 
+@mutation
+def only_the_last_attempt_counts(patch: pytest.MonkeyPatch) -> None:
+    def may_have_run(attempts: Any) -> bool:
+        return bool(attempts._records) and attempts._records[-1].may_have_run
+
+    patch.setattr(Attempts, "may_have_run", property(may_have_run))
+
+
+@partial(mutation, profile=ENDING)
+def call_is_sent_after_its_refusal(patch: pytest.MonkeyPatch) -> None:
+    outlive_calls(patch)
+    patch.setattr(AttemptRecord, "close", lambda record: None)
+
+
 @mutation
 def lost_attempt_counts_as_refused(patch: pytest.MonkeyPatch) -> None:
     def record_refused(record: Any) -> None:
@@ -170,7 +186,7 @@
     patch.setattr(ConnectionPool, "acquire", acquire_any)
 
 
-@repeat_mutation
+@partial(mutation, profile=REPEATING)
 def repeated_call_is_sent_on_its_earlier_connection(patch: pytest.MonkeyPatch) -> None:
     def contains(connections: Any, connection: Any) -> bool:
         return connection in connections.used
@@ -269,6 +285,21 @@
     patch.setattr(_prefill, "encode_forward_headers", encode_without_stage)
 
 
+def outlive_calls(patch: pytest.MonkeyPatch) -> None:
+    """Let the attempts of a call go on after the call has ended."""
+    run = _forward.Forwarder._run
+
+    async def run_to_its_end(*arguments: Any) -> None:
+        # Its caller has an answer already, or is gone.
+        with contextlib.suppress(Exception):
+            await run(*arguments)
+
+    async def run_apart(*arguments: Any) -> None:
+        await asyncio.shield(asyncio.ensure_future(run_to_its_end(*arguments)))
+
+    patch.setattr(_forward.Forwarder, "_run", run_apart)
+
+
 def raise_in_attempts(patch: pytest.MonkeyPatch) -> None:
     """Raise the error of another exchange, which was not sent, inside attempts."""
 
--- a/tests/order_search/_network.py
+++ b/tests/order_search/_network.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from random import Random
-from typing import Any, Final, Protocol
+from typing import Any, Protocol
 
 from twisted.internet import error
 from twisted.internet.base import BaseConnector
@@ -283,9 +283,6 @@
         return connector
 
 
-CONNECT_DELAYS_S: Final = (0.0, 0.0, 0.01, 0.01, 0.05, 0.39, 0.4)
-
-
 class Network:
     """Represent all connections of one gateway process."""
 
@@ -319,7 +316,7 @@
         listener = self.listeners.get(address)
         results = self.profile.connects
         (result,) = self.random.choices(list(results), list(results.values()))
-        delay_s = self.random.choice(CONNECT_DELAYS_S)
+        delay_s = self.random.choice(self.profile.connect_delays_s)
         if listener is None or result == "refuse":
             self.note(f"connect to {address} is refused after {delay_s} s")
             refusal = error.ConnectionRefusedError()
--- a/tests/order_search/_observations.py
+++ b/tests/order_search/_observations.py
@@ -47,22 +47,31 @@
     # The upstreams that began to run it.
     runs: list[str] = field(default_factory=list)
     status: int | None = None
+    # Whether the answer is that of an upstream which ran the call.
+    is_stamped: bool = False
     # The turn in which the gateway wrote the status.
     answered_turn: int | None = None
 
     def check(self) -> list[Rule]:
         """Return the rules that were broken, once nothing more can happen."""
-        if not self.runs_once:
-            return []
         broken = []
-        if self.runs and self._count_runs() > 1:
+        if self.runs_once and self.runs and self._count_runs() > 1:
             broken.append(Rule.TWICE)
-        if self.status in PROMISES and self.runs:
+        if self.promises_no_run and self.runs:
             broken.append(Rule.REFUSED)
-        if self.status in FAILURES and self._is_known_not_run():
+        if self.runs_once and self.status in FAILURES and self._is_known_not_run():
             broken.append(Rule.NEEDLESS_FAILURE)
         return broken
 
+    @property
+    def promises_no_run(self) -> bool:
+        """Return whether the answer says that the call has not run.
+
+        The answer of an upstream to a call that may be repeated is relayed unchanged.
+        """
+        is_relayed = self.is_stamped and not self.runs_once
+        return self.status in PROMISES and not is_relayed
+
     def _count_runs(self) -> int:
         """Return how often the call was run in this and all earlier tries."""
         before = self.earlier._count_runs() if self.earlier else 0
--- a/tests/order_search/_profiles.py
+++ b/tests/order_search/_profiles.py
@@ -8,6 +8,7 @@
 # How opening a connection ends.
 SOUND_CONNECTS: Final[Weights] = {"open": 97, "refuse": 1, "silence": 1, "reset": 1}
 FAULTY_CONNECTS: Final[Weights] = {"open": 70, "refuse": 12, "silence": 9, "reset": 9}
+CONNECT_DELAYS_S: Final = (0.0, 0.0, 0.01, 0.01, 0.05, 0.39, 0.4)
 # How the bytes of a connection reach the upstream.
 SOUND_LINKS: Final[Weights] = {"at once": 97, "late": 1, "first bytes": 1, "never": 1}
 FAULTY_LINKS: Final[Weights] = {
@@ -26,6 +27,7 @@
     """Describe how often which faults occur in one run."""
 
     connects: Weights = field(default_factory=lambda: SOUND_CONNECTS)
+    connect_delays_s: tuple[float, ...] = CONNECT_DELAYS_S
     links: Weights = field(default_factory=lambda: SOUND_LINKS)
     # Weights of plans for calls in place of their own.
     plans: Weights = field(default_factory=dict)
@@ -38,7 +40,11 @@
     arrivals_s: float = 2.4
     own_requests: int = 6
     stop_fraction: float = 0.3
+    # The times within which a process has to end once it is stopped.
+    graces_s: tuple[float, ...] = (0.1, 0.5, 1.0, 2.0)
     disconnecting_fraction: float = 0.1
+    # Callers repeat refused calls.
+    repeats_refused: bool = False
 
 
 # Upstreams do nothing but run calls or refuse them.
@@ -63,6 +69,15 @@
     own_requests=0,
     stop_fraction=0.0,
     disconnecting_fraction=0.0,
+    repeats_refused=True,
+)
+# Processes end while connections open, so that calls are refused before they are sent.
+ENDING: Final = Profile(
+    connect_delays_s=(0.05, 0.1, 0.2, 0.3, 0.39),
+    plans={"run and answer": 200},
+    stop_fraction=1.0,
+    graces_s=(1.0, 2.0),
+    disconnecting_fraction=0.0,
 )
 PROFILES: Final = (
     # Upstreams repeat each refusal.
@@ -98,3 +113,5 @@
         disconnecting_fraction=0.2,
     ),
 )
+# Profiles that no seed chooses, by the names that the command line uses.
+NAMED_PROFILES: Final = {"ending": ENDING, "repeating": REPEATING}
--- a/tests/order_search/_search.py
+++ b/tests/order_search/_search.py
@@ -23,7 +23,7 @@
 from tests.order_search._callers import Caller, CallRequest
 from tests.order_search._network import Network
 from tests.order_search._observations import CallId, CallRecord, Rule
-from tests.order_search._profiles import PROFILES, REPEATING
+from tests.order_search._profiles import PROFILES, Profile
 from tests.order_search._upstreams import Upstream
 
 SETTINGS_NAME: Final = "settings.yaml"
@@ -44,8 +44,6 @@
 REPEAT_DELAYS_S: Final = (0.0, 0.0, 0.01, 0.05)
 MAX_TRIES: Final = 3
 MIN_LIMIT_S: Final = 0.1
-# The times within which a process has to end once it is stopped.
-GRACES_S: Final = (0.1, 0.5, 1.0, 2.0)
 
 SHORT_PROMPT: Final = {"Model": "m", "Token-Counts": "40,1"}
 LONG_PROMPT: Final = {"Model": "m", "Token-Counts": "20000,10"}
@@ -113,12 +111,11 @@
 class SeededRun:
     """Represent one gateway with the callers and upstreams of one seed."""
 
-    def __init__(self, seed: int, *, repeats_refused: bool) -> None:
+    def __init__(self, seed: int, profile: Profile | None) -> None:
         self.seed = seed
-        self._repeats_refused = repeats_refused
         self.random = Random(seed)
         self.agenda = Agenda(self.random)
-        self.profile = REPEATING if repeats_refused else PROFILES[seed % len(PROFILES)]
+        self.profile = profile or PROFILES[seed % len(PROFILES)]
         self.network = Network(self.random, self.agenda, self.profile)
         self.calls: dict[tuple[CallId, int], CallRecord] = {}
         self.errors: list[str] = []
@@ -220,7 +217,7 @@
         delay_s = min(wait_s, MAX_WAIT_FRACTION * left_s)
         delay_s += self.random.choice(REPEAT_DELAYS_S)
         limit_s = left_s - delay_s
-        if not self._repeats_refused or limit_s < MIN_LIMIT_S:
+        if not self.profile.repeats_refused or limit_s < MIN_LIMIT_S:
             return
         if refused.number + 1 < MAX_TRIES:
             record = replace(
@@ -258,7 +255,7 @@
 
     def _stop(self) -> None:
         state = self._gateway.state
-        grace_s = self.random.choice(GRACES_S)
+        grace_s = self.random.choice(self.profile.graces_s)
         state.settings = replace(state.settings, grace_s=grace_s)
         self.network.note(f"the gateway is told to stop within {grace_s} s")
         self._start(self._end_gateway())
@@ -276,10 +273,10 @@
         self.errors.append(f"{context['message']}: {context.get('exception')!r}")
 
 
-def search_seed(seed: int, *, repeats_refused: bool = False) -> SeedResult:
-    """Run one seed without log lines; callers may repeat calls that were refused."""
+def search_seed(seed: int, profile: Profile | None = None) -> SeedResult:
+    """Run one seed without log lines; it chooses the profile if none is given."""
     logger.disable("bramleyport")
     try:
-        return SeededRun(seed, repeats_refused=repeats_refused).run()
+        return SeededRun(seed, profile).run()
     finally:
         logger.enable("bramleyport")
--- a/tests/test_order_search.py
+++ b/tests/test_order_search.py
@@ -7,10 +7,15 @@
 import pytest
 
 from tests.order_search import Rule, search_seed
-from tests.order_search._mutations import MUTATIONS, raise_in_attempts
+from tests.order_search._mutations import (
+    MUTATIONS,
+    outlive_calls,
+    raise_in_attempts,
+)
+from tests.order_search._profiles import ENDING, NAMED_PROFILES, Profile
 
 SEEDS = range(100)
-REPEATED_SEEDS = range(60)
+NAMED_SEEDS = range(60)
 PROMISED = (Rule.TWICE, Rule.REFUSED)
 
 
@@ -33,9 +38,9 @@
     """Guard against a search that would pass whatever the gateway does."""
     mutation = MUTATIONS[name]
     mutation.apply(monkeypatch)
-    seeds = REPEATED_SEEDS if mutation.repeats_refused else SEEDS
+    seeds = SEEDS if mutation.profile is None else NAMED_SEEDS
     for seed in seeds:
-        result = search_seed(seed, repeats_refused=mutation.repeats_refused)
+        result = search_seed(seed, mutation.profile)
         # The mutation fits the code that it changes.
         assert result.errors == []
         if result.list_broken(PROMISED):
@@ -43,11 +48,12 @@
     pytest.fail(f"not found by {len(seeds)} seeds")
 
 
-def test_no_call_that_its_caller_repeats_runs_twice_or_after_a_refusal() -> None:
-    """Guard against refusals of an earlier try that count for the caller's next one."""
+@pytest.mark.parametrize("profile", NAMED_PROFILES.values(), ids=NAMED_PROFILES)
+def test_no_call_runs_twice_or_after_a_refusal_in_a_profile(profile: Profile) -> None:
+    """Guard against refusals that count for a caller's next try, or come too early."""
     found = []
-    for seed in REPEATED_SEEDS:
-        result = search_seed(seed, repeats_refused=True)
+    for seed in NAMED_SEEDS:
+        result = search_seed(seed, profile)
         found += [(seed, item.rule, item.call) for item in result.list_broken(PROMISED)]
         assert result.errors == []
     assert found == []
@@ -61,6 +67,15 @@
     assert not any(search_seed(seed).list_broken(PROMISED) for seed in SEEDS)
 
 
+def test_call_that_outlives_its_refusal_is_not_sent(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guard against a record that permits to send a call after its refusal."""
+    outlive_calls(monkeypatch)
+    results = [search_seed(seed, ENDING) for seed in NAMED_SEEDS]
+    assert not any(result.list_broken(PROMISED) for result in results)
+
+
 def test_same_seed_gives_the_same_run() -> None:
     """Guard against seeds whose traces can't be repeated."""
     assert search_seed(7).trace == search_seed(7).trace
