--- a/tests/soak/_version_stage_soak.py
+++ b/tests/soak/_version_stage_soak.py
@@ -34,7 +34,10 @@
 STAGE_BREAK_FRACTION: Final = 0.02
 CRASHED_DECODERS: Final = 2
 MIN_CRASH_S, MAX_CRASH_S = 1.0, 3.0
-MAX_REGISTRATION_S: Final = 1.0
+# The platform removes a registration after three heartbeats of silence.
+MIN_REGISTRATION_S, MAX_REGISTRATION_S = 2.4, 3.6
+# Fraction of the engines that prefill when they start again.
+PREFILL_FRACTION: Final = 0.35
 CRASH: Final = "crash_decoders"
 # Fraction of the faults that are such crashes.
 CRASH_FRACTION: Final = 0.7
@@ -72,8 +75,11 @@
         return self.lost_streams.list_violations()
 
     def make_engine(self, name: str) -> VersionedEngine:
-        """Return a new engine that decodes."""
-        engine = StagedEngine(name, service=LANGUAGE, stage="decode")
+        """Return a new engine; those of the start decode."""
+        is_first = not self.findings.faults
+        prefills = self.crash_random.random() < PREFILL_FRACTION and not is_first
+        stage = "prefill" if prefills else "decode"
+        engine = StagedEngine(name, service=LANGUAGE, stage=stage)
         engine.switch_s = self._switch_s
         return engine
 
@@ -152,22 +158,28 @@
     assert isinstance(soak, VersionStageSoak)
     if soak.is_crashed:
         return
-    crashed = soak.choose_crashed()
-    if not crashed:
-        return
-    version = crashed[0].version
     soak.is_crashed = True
+    crashed = soak.choose_crashed()
     for engine in crashed:
         await soak.crash_engine(engine)
-    down_s = soak.crash_random.uniform(MIN_CRASH_S, MAX_CRASH_S)
-    registered_s = soak.crash_random.uniform(0.0, MAX_REGISTRATION_S)
     kill = soak.crash_random.choice(KILLS)
-    killing = [asyncio.ensure_future(kill(soak))] if kill is not None else []
-    await asyncio.sleep(registered_s)
+    effects = [start_again(soak, crashed), forget_registrations(soak, crashed)]
+    await asyncio.gather(*effects, *([kill(soak)] if kill is not None else []))
+
+
+async def start_again(soak: VersionStageSoak, crashed: list[StagedEngine]) -> None:
+    """Start as many engines as have crashed, in any stage."""
+    await asyncio.sleep(soak.crash_random.uniform(MIN_CRASH_S, MAX_CRASH_S))
     for engine in crashed:
-        soak.remove_registration(engine)
-    await asyncio.sleep(down_s - registered_s)
-    for _ in crashed:
-        await soak.start_engine(version)
+        await soak.start_engine(engine.version)
     soak.is_crashed = False
-    await asyncio.gather(*killing)
+
+
+async def forget_registrations(
+    soak: VersionStageSoak, crashed: list[StagedEngine]
+) -> None:
+    """Remove the registrations of engines that have crashed."""
+    silence_s = soak.crash_random.uniform(MIN_REGISTRATION_S, MAX_REGISTRATION_S)
+    await asyncio.sleep(silence_s)
+    for engine in crashed:
+        soak.remove_registration(engine)
