--- a/bramleyport/telemetry/_gateway_events.py
+++ b/bramleyport/telemetry/_gateway_events.py
@@ -23,6 +23,7 @@
 SILENT_ATTEMPT_KEPT: Final = define(
     2614, "INFO", "silent upstream waited for, no retry is assured"
 )
+CALL_HELD: Final = define(2615, "INFO", "call waits for an upstream to be back")
 CONFIG_APPLIED: Final = define(2621, "INFO", "configuration applied")
 CONFIG_INVALID: Final = define(2622, "WARNING", "configuration rejected, last one kept")
 UPSTREAM_JOINED: Final = define(2623, "INFO", "upstream registered")
@@ -120,4 +121,13 @@
 SHARES_INVALID: Final = define(
     2695, "WARNING", "invalid shares of software versions in the store ignored"
 )
+STREAMS_NOT_WRITTEN: Final = define(
+    2682, "WARNING", "versions of streams not written to the store"
+)
+STREAMS_NOT_READ: Final = define(
+    2683, "WARNING", "versions of streams not read from the store"
+)
+STREAMS_INVALID: Final = define(
+    2684, "WARNING", "invalid versions of streams in the store ignored"
+)
 PEER_UNREACHABLE: Final = define(2659, "WARNING", "datagram to a peer not sent")
--- a/tests/platform_standin/__init__.py
+++ b/tests/platform_standin/__init__.py
@@ -74,6 +74,7 @@
     EVENTS_BEFORE_BREAK,
     VersionedEngine,
     read_versions,
+    stream_versions,
 )
 
 __all__ = [
@@ -130,6 +131,7 @@
     "script_first_request",
     "start_stream",
     "stream_events",
+    "stream_versions",
     "truncate",
     "write_chunk",
 ]
