--- a/tests/order_search/_mutations.py
+++ b/tests/order_search/_mutations.py
@@ -191,7 +191,7 @@
     def contains(connections: Any, connection: Any) -> bool:
         return connection in connections.used
 
-    patch.setattr(_exchange._UsedConnections, "__contains__", contains)
+    patch.setattr(_exchange._UnusableConnections, "__contains__", contains)
 
 
 @mutation
