Search orders in which streams are taken up while their engines are away

A second search lets one gateway plan the stages of nine engines of two versions, whose changes take 3 s, crashes up to two engines that decode version v2, and takes up streams of v2 around that; new engines come back after 1 to 2 s. Its rule is that of the soak (LostStreams).

It has one gateway without a store: orders are carried out as they are planned, without lease, request or refusal, and shares of versions are set by the search. So it can't find faults of the lease, of gateways that disagree, or of streams of a killed gateway; the soak of stages does.

--- a/tests/order_search/_mutations.py
+++ b/tests/order_search/_mutations.py
@@ -7,12 +7,13 @@
 import asyncio
 import contextlib
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from functools import partial
 from typing import Any, Final
 
 import pytest
 
+from bramleyport.fleet import StagePlanner
 from bramleyport.gateway import (
     _attempt,
     _exchange,
@@ -21,7 +22,9 @@
     _prefill,
     _reply,
     _retries,
+    _return_queue,
     _stream_attempt,
+    _version_choice,
 )
 from bramleyport.gateway._attempt_record import (
     AttemptRecord,
@@ -50,6 +53,8 @@
 
 
 MUTATIONS: Final[dict[str, Mutation]] = {}
+# These lose streams whose engines are away for a while.
+VERSION_MUTATIONS: Final[dict[str, Apply]] = {}
 
 
 def mutation(apply: Apply, profile: Profile | None = None) -> Apply:
@@ -58,6 +63,12 @@
     return apply
 
 
+def version_mutation(apply: Apply) -> Apply:
+    """Add a mutation that loses streams under the name of its function."""
+    VERSION_MUTATIONS[apply.__name__] = apply
+    return apply
+
+
 def _forget_sending(
     patch: pytest.MonkeyPatch, is_meant: Callable[[str | Exception], bool]
 ) -> None:
@@ -245,6 +256,41 @@
     patch.setattr(CallerConnection, "end_request", refuse)
 
 
+@version_mutation
+def stages_are_planned_without_versions(patch: pytest.MonkeyPatch) -> None:
+    plan = StagePlanner.plan
+
+    def plan_as_one(
+        planner: Any, engines: Any, slots: int, now_s: float, versions: Any = None
+    ) -> Any:
+        views = [
+            replace(view, registration=replace(view.registration, version="v1"))
+            for view in engines
+        ]
+        return plan(planner, views, slots, now_s)
+
+    patch.setattr(StagePlanner, "plan", plan_as_one)
+
+
+@version_mutation
+def calls_wait_for_no_upstream(patch: pytest.MonkeyPatch) -> None:
+    async def refuse_to_wait(*_: Any) -> bool:
+        return False
+
+    patch.setattr(_attempt.AttemptSupport, "_wait_for_return", refuse_to_wait)
+
+
+@version_mutation
+def crashed_upstreams_count_as_gone(patch: pytest.MonkeyPatch) -> None:
+    find_group = _version_choice.find_serving_group
+
+    def find_present(*arguments: Any) -> Any:
+        return replace(find_group(*arguments), absent=())
+
+    for module in (_version_choice, _return_queue):
+        patch.setattr(module, "find_serving_group", find_present)
+
+
 @mutation
 def call_that_may_have_run_is_retried(patch: pytest.MonkeyPatch) -> None:
     find_obstacle = _retries.RetryDecider._find_obstacle
--- a/tests/order_search/_plans.py
+++ b/tests/order_search/_plans.py
@@ -17,6 +17,8 @@
 LATE_S: Final = 1.2
 LATE_RUNS_S: Final = (0.05, 0.4, 1.0, 2.5, 4.0)
 EVENTS: Final = 3
+# When the process of an upstream was started.
+BORN_MS: Final = 1000
 
 
 class Plans:
@@ -66,7 +68,8 @@
     headers = {"Request_Id": request, "Server_Stamp": exchange.upstream.name}
     if status == 200 and exchange.is_stream:
         headers |= {"Content_Type": "text/event-stream"}
-        events = b"".join(render_event(number + 1) for number in range(EVENTS))
+        first = int(exchange.request.headers.get("last-event-id", "0")) + 1
+        events = b"".join(render_event(n) for n in range(first, EVENTS + 1))
         return render_response(status, events, **headers)
     return render_response(status, b"answer to " + request.encode(), **headers)
 
@@ -262,6 +265,13 @@
     exchange.after(choose_delay(exchange), lambda: exchange.write(answer))
 
 
+@OWN_REQUESTS.register("report", 0)
+def report(exchange: "UpstreamExchange") -> None:
+    """Say what an upstream is asked before a stream goes on there."""
+    document = {"stage": exchange.upstream.stage, "seq": 0, "born": BORN_MS}
+    exchange.write(render_response(200, json.dumps(document).encode()))
+
+
 @OWN_REQUESTS.register("answer twice", 10)
 def answer_own_twice(exchange: "UpstreamExchange") -> None:
     status = exchange.random.choice((200, 404, 503))
--- a/tests/order_search/_profiles.py
+++ b/tests/order_search/_profiles.py
@@ -31,6 +31,8 @@
     links: Weights = field(default_factory=lambda: SOUND_LINKS)
     # Weights of plans for calls in place of their own.
     plans: Weights = field(default_factory=dict)
+    # The same for requests of the gateway itself.
+    own_plans: Weights = field(default_factory=dict)
     delays_s: tuple[float, ...] = LONG_DELAYS_S
     # Fraction of the delays that end exactly at the deadline of the call.
     deadline_fraction: float = 0.2
@@ -59,6 +61,17 @@
     "refuse": 40,
     "run and answer": 40,
 }
+# Upstreams do what they are asked to, unless they crash.
+WORKING: Final = Profile(
+    connects={"open": 1},
+    connect_delays_s=SHORT_DELAYS_S,
+    links={"at once": 1},
+    plans={"run and answer": 10_000},
+    own_plans={"report": 10_000},
+    delays_s=(0.01, 0.05, 0.1, 0.25),
+    deadline_fraction=0.0,
+    disconnecting_fraction=0.0,
+)
 # Callers repeat refused calls; few other calls use the connections meanwhile.
 REPEATING: Final = Profile(
     plans=REFUSING | {"refuse": 120},
--- a/tests/order_search/_search.py
+++ b/tests/order_search/_search.py
@@ -23,6 +23,7 @@
 from tests.order_search._callers import Caller, CallRequest
 from tests.order_search._network import Network
 from tests.order_search._observations import CallId, CallRecord, Rule
+from tests.order_search._plans import BORN_MS
 from tests.order_search._profiles import PROFILES, Profile
 from tests.order_search._upstreams import Upstream
 
@@ -149,11 +150,15 @@
             errors=self.errors,
         )
 
-    async def _serve(self) -> None:
+    def _build(self, configuration: dict[str, Any]) -> None:
         with mock.patch("twisted.internet.reactor", self.network.reactor, create=True):
             folder = Path(_make_settings_folder().name)
             self._gateway = build_gateway(folder / SETTINGS_NAME)
-        ConfigurationUpdater(self._gateway.state).apply_document(make_config(), "test")
+        updater = ConfigurationUpdater(self._gateway.state)
+        updater.apply_document(configuration, "test")
+
+    async def _serve(self) -> None:
+        self._build(make_config())
         self._stages = self.random.choice(FLEETS)
         for number, (name, stage) in enumerate(self._stages.items()):
             self._add_upstream(name, stage, f"10.0.0.{number + 1}:80")
@@ -170,21 +175,24 @@
     def _choose_time(self) -> float:
         return self.random.randint(0, round(self.profile.arrivals_s / GRID_S)) * GRID_S
 
-    def _add_upstream(self, name: str, stage: str, address: str) -> None:
+    def _add_upstream(
+        self, name: str, stage: str, address: str, version: str = "v1"
+    ) -> Upstream:
         upstream = Upstream(name, address, stage, self.network, self.calls)
         self.network.listeners[address] = upstream
         document = {
             "service": LANGUAGE if stage else PLAIN,
             "addr": address,
             "zone": "a",
-            "version": "v1",
+            "version": version,
             "slots": 64,
             "state": "ready",
             "stage": stage,
             "seq": 1,
-            "born": 1000,
+            "born": BORN_MS,
         }
         self._gateway.state.members.put(decode_registration(name, document))
+        return upstream
 
     def _add_call(self, number: int) -> None:
         (kind,) = self.random.choices(CALL_KINDS, [kind.weight for kind in CALL_KINDS])
--- a/tests/order_search/_upstreams.py
+++ b/tests/order_search/_upstreams.py
@@ -33,9 +33,19 @@
         self.stage = stage
         self.network = network
         self._calls = calls
+        self._connections: list[UpstreamConnectionEnd] = []
 
     def accept(self, transport: MemoryTransport) -> "UpstreamConnectionEnd":
-        return UpstreamConnectionEnd(self, transport)
+        connection = UpstreamConnectionEnd(self, transport)
+        self._connections.append(connection)
+        return connection
+
+    def crash(self) -> None:
+        """End all connections, and refuse new ones."""
+        self.network.note(f"{self.name} crashes")
+        del self.network.listeners[self.address]
+        for connection in self._connections:
+            connection.end(reset=True, drop=True)
 
     def find_call(self, request: RawRequest) -> CallRecord | None:
         """Return the call of a request; None for a request of the gateway itself."""
@@ -105,7 +115,7 @@
     def _serve(self, request: RawRequest) -> None:
         exchange = UpstreamExchange(self, request, self._attempts.popleft())
         if exchange.call is None:
-            plans, weights = OWN_REQUESTS, {}
+            plans, weights = OWN_REQUESTS, self.network.profile.own_plans
         elif request.headers.get("stage") == "prefill":
             plans, weights = PREFILLS, {}
         else:
--- a/tests/test_order_search.py
+++ b/tests/test_order_search.py
@@ -9,13 +9,16 @@
 from tests.order_search import Rule, search_seed
 from tests.order_search._mutations import (
     MUTATIONS,
+    VERSION_MUTATIONS,
     outlive_calls,
     raise_in_attempts,
 )
 from tests.order_search._profiles import ENDING, NAMED_PROFILES, Profile
+from tests.order_search._version_search import search_versions
 
 SEEDS = range(100)
 NAMED_SEEDS = range(60)
+VERSION_SEEDS = range(12)
 PROMISED = (Rule.TWICE, Rule.REFUSED)
 
 
@@ -76,6 +79,23 @@
     assert not any(result.list_broken(PROMISED) for result in results)
 
 
+def test_no_streams_of_a_version_are_lost() -> None:
+    """Guard against take-ups that are refused while their engines are soon back."""
+    runs = [search_versions(seed) for seed in VERSION_SEEDS]
+    assert [run.errors for run in runs if run.errors] == []
+    found = [(run.seed, run.lost_streams.list_violations()) for run in runs]
+    assert [item for item in found if item[1]] == []
+
+
+@pytest.mark.parametrize("name", VERSION_MUTATIONS)
+def test_search_finds_lost_streams(name: str, monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guard against a search that would pass however stages are planned."""
+    VERSION_MUTATIONS[name](monkeypatch)
+    runs = [search_versions(seed) for seed in VERSION_SEEDS]
+    assert [run.errors for run in runs if run.errors] == []
+    assert any(run.lost_streams.list_violations() for run in runs)
+
+
 def test_same_seed_gives_the_same_run() -> None:
     """Guard against seeds whose traces can't be repeated."""
     assert search_seed(7).trace == search_seed(7).trace
