--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -198,6 +198,17 @@
     assert findings.calls["resumed 200"] > 0
 
 
+# Guards streams that are taken up while the last engines that decode their version are
+# away, beside others of it that prefill.
+def test_streams_go_on_while_decoders_of_a_version_crash(run: Run) -> None:
+    profile = Profile.VERSION_STAGES
+    findings = run(
+        run_soak(306, 6.0, gateways=3, profile=profile, check_time_limits=False)
+    )
+    assert findings.violations == []
+    assert findings.calls["resumed 200"] > 0
+
+
 # Guards the check itself: repeats that are sent under the bound have to be counted.
 @pytest.mark.parametrize(("late", "violations"), [(3, 0), (4, 1)])
 def test_repeats_of_a_deadly_request_are_counted(
