--- a/tests/soak/_version_soak.py
+++ b/tests/soak/_version_soak.py
@@ -240,6 +240,10 @@
             retry_after = answer.headers.get("retry-after", "0.1") if answer else "0.1"
             wait_s = min(1.5, float(retry_after))
 
+    def make_body(self, stream: TakenStream) -> bytes:
+        """Return the body of all requests for a stream."""
+        return b"b"
+
     def observe(self, stream: TakenStream, gateway: GatewayProcess) -> TakeUpState:
         """Return what a caller may expect of a gateway now."""
         return TakeUpState(
@@ -283,9 +287,10 @@
         else:
             headers["Resumes"] = stream.request
             headers["Last_Event_Id"] = str(len(stream.versions))
+        body = self.make_body(stream)
         try:
             async with asyncio.timeout(ANSWER_TIMEOUT_S):
-                return await caller.call("/stream/x", body=b"b", **headers)
+                return await caller.call("/stream/x", body=body, **headers)
         except (OSError, asyncio.IncompleteReadError, TimeoutError):
             return None
         finally:
--- a/tests/soak/_version_stage_soak.py
+++ b/tests/soak/_version_stage_soak.py
@@ -101,6 +101,10 @@
         self.crash_random.shuffle(versions)
         return versions
 
+    def make_body(self, stream: TakenStream) -> bytes:
+        """Return one of its own, as equal requests that crash engines are withheld."""
+        return stream.request.encode()
+
     async def settle(self) -> None:
         """Wait until the gateways have ordered the stages of idle engines."""
         await super().settle()
