--- a/tests/soak/_lost_streams.py
+++ b/tests/soak/_lost_streams.py
@@ -4,12 +4,12 @@
 from dataclasses import dataclass, field
 from typing import Final
 
-# From so many streams of a version that are taken up, the fraction is checked.
+# Least number of streams taken up for which the fraction that goes on is checked.
 MIN_TAKEN_UP: Final = 12
-# So many engines of the version of a stream have to serve, in any stage.
+# Least number of engines of a stream's version, in any stage, for it to count.
 MIN_SERVING: Final = 2
-# Fraction of the fraction of new streams that begin.
-MIN_FRACTION: Final = 0.5
+# Least ratio of that fraction to the fraction of new streams that begin.
+MIN_RATIO: Final = 0.5
 SHOWN_REQUESTS: Final = 3
 
 
@@ -57,7 +57,7 @@
     def _is_lost(self, streams: TakenUpStreams) -> bool:
         taken_up, gone_on = len(streams.taken_up), len(streams.gone_on)
         # Multiplied out, as no new stream may have been sent.
-        lost = gone_on * self.new < MIN_FRACTION * taken_up * self.begun
+        lost = gone_on * self.new < MIN_RATIO * taken_up * self.begun
         return taken_up >= MIN_TAKEN_UP and lost
 
     def _describe(self, name: str, streams: TakenUpStreams) -> str:
