--- a/tests/test_gateway_streams.py
+++ b/tests/test_gateway_streams.py
@@ -17,6 +17,7 @@
     RawRequest,
     Script,
     UpstreamStandin,
+    answer_prefill,
     decline,
     fail,
     hang,
@@ -196,6 +197,37 @@
     assert prefill_engine.freed_handles == []
 
 
+# Guards against a prefill in vain: once the first shares of versions had come, a call
+# that was placed before them was decoded nowhere.
+def test_call_prefilled_as_the_first_shares_of_versions_come_is_decoded(
+    run: Run, tmp_path: Path
+) -> None:
+    fleet = GatewayFleet(tmp_path)
+
+    async def answer_after_shares(upstream: Any, request: Any, writer: Any) -> None:
+        fleet.store.release_answers()
+        versions = fleet.state.stream_versions
+        await fleet.wait_for(lambda: versions.list_versions(LANGUAGE))
+        await answer_prefill(upstream, request, writer)
+
+    async def check() -> None:
+        fleet.store.hold_answers(lambda request: "/stream-versions" in request.target)
+        await fleet.start()
+        prefill_engine = await add_prefill_engine(fleet)
+        prefill_engine.prefill_script = answer_after_shares
+        answer = await fleet.make_caller().call("/stream/x", body=b"p", **LONG)
+        assert (answer.body, answer.complete) == (WHOLE, True)
+        assert prefill_engine.prefill_count == 1
+        (ran,) = [run for engine in fleet.engines for run in engine.runs]
+        assert "kv-source" in ran.request.headers
+        assert prefill_engine.freed_handles == []
+
+    try:
+        run(check())
+    finally:
+        run(fleet.stop())
+
+
 def test_unused_handle_is_freed(fleet: GatewayFleet, run: Run) -> None:
     prefill_engine = run(add_prefill_engine(fleet))
     script_first_request(fleet.engines, decline)
