Name a request without an identifier that ran in a test

`GatewayFleet.list_runs` ended with a KeyError where a request without `Request-Id` had run a script. It now fails with that request, target and headers, in its message.

--- a/tests/gateway_fleet.py
+++ b/tests/gateway_fleet.py
@@ -10,6 +10,7 @@
 from tests.platform_standin import (
     LOOPBACK,
     RawCaller,
+    RawRequest,
     StoreStandin,
     UpstreamStandin,
 )
@@ -182,13 +183,21 @@
             for upstream in (*self.plain, *self.engines)
             for arrival in upstream.arrivals
             # A gateway's own requests name none.
-            if "request-id" in arrival.request.headers
+            if _is_call(arrival.request)
         ]
 
     def list_runs(self) -> list[tuple[str, str]]:
         """Return the upstream and request of each run so far."""
-        return [
-            (upstream.name, run.request.headers["request-id"])
+        runs = [
+            (upstream.name, run.request)
             for upstream in (*self.plain, *self.engines)
             for run in upstream.runs
         ]
+        # A gateway sends no call without an identifier.
+        assert [request for _, request in runs if not _is_call(request)] == []
+        return [(upstream, request.headers["request-id"]) for upstream, request in runs]
+
+
+def _is_call(request: RawRequest) -> bool:
+    """Return whether a request has the identifier of a call."""
+    return "request-id" in request.headers
