--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -36,9 +36,20 @@
 
 
 def pytest_terminal_summary(terminalreporter: Any) -> None:
-    """Print the tests that may fail."""
+    """Print the tests that may fail, and whether they did."""
     for entry in load_entries():
-        terminalreporter.write_line(f"known failure: {entry.test}: {entry.seen}")
+        outcome = _find_outcome(terminalreporter.stats, entry.test)
+        line = f"known failure ({outcome}): {entry.test}: {entry.seen}"
+        terminalreporter.write_line(line)
+
+
+def _find_outcome(stats: dict[str, list[Any]], test: str) -> str:
+    for outcome in ("xfailed", "xpassed"):
+        for report in stats.get(outcome, ()):
+            # Tests of a group have its name behind theirs.
+            if report.nodeid == test or report.nodeid.startswith(f"{test}@"):
+                return outcome
+    return "not run"
 
 
 @pytest.fixture(scope="session")
--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -66,8 +66,8 @@
     pytester.makepyfile(test_x=GROUPED_TESTS)
     result = pytester.runpytest_subprocess("-n", "2", "--dist", "loadgroup")
     result.assert_outcomes(xfailed=1, failed=1)
-    lines = [line for line in result.outlines if line.startswith("known failure:")]
-    assert lines == ["known failure: test_x.py::test_listed: fails"]
+    lines = [line for line in result.outlines if line.startswith("known failure")]
+    assert lines == ["known failure (xfailed): test_x.py::test_listed: fails"]
 
 
 def test_entry_without_an_issue_is_an_error() -> None:
