--- a/bramleyport/gateway/_call_context.py
+++ b/bramleyport/gateway/_call_context.py
@@ -37,6 +37,8 @@
     RECALLED = "recalled"
     # All shares that it may have followed give it this version.
     DEDUCED = "deduced"
+    # Its gateway has written it to the store.
+    STORED = "stored"
 
 
 class CallContext:
@@ -59,6 +61,8 @@
         # The connections on which the call was sent, which its retries avoid.
         self.used_connections: set[UpstreamConnection] = set()
         self.last_failure: FailedAttempt | None = None
+        # When an attempt was last lost after it was sent.
+        self.lost_s: float | None = None
         # The permit for the decode after a separate prefill that is running.
         self.reservation: Reservation | None = None
         # The call has a part that may crash its upstream, and tests whether it does.
@@ -72,10 +76,19 @@
         self.version: SoftwareVersion | None = None
         self.preferred_version: SoftwareVersion | None = None
         self.version_source = VersionSource.NONE
+        # Until when the call may wait for upstreams that are away, once it has.
+        self._wait_end_s: float | None = None
+        self.was_held = False
         # Time to the first event, and time that a separate prefill took; 0 if none.
         self.first_event_s = 0.0
         self.prefill_elapsed_s = 0.0
 
+    def find_wait_end(self, fraction: float) -> float:
+        """Return until when the call may wait, from now on, for all its waits."""
+        if self._wait_end_s is None:
+            self._wait_end_s = read_now() + fraction * self.remaining_s
+        return self._wait_end_s
+
     @property
     def remaining_s(self) -> float:
         """Return the seconds to the deadline of the call."""
--- a/bramleyport/gateway/_plain.py
+++ b/bramleyport/gateway/_plain.py
@@ -54,7 +54,8 @@
                 if context.last_failure is None:
                     self._support.refuse(context, choice)
                 else:
-                    self._support.give_up(context, choice.explanation.reason)
+                    reason = choice.explanation.reason
+                    self._support.give_up(context, reason, choice.retry_after_s)
                 return
             result = await self._run_attempt(context, choice)
             if isinstance(result, RelayableAnswer):
@@ -127,6 +128,7 @@
             context.call.request,
             fresh=fresh,
             used_connections=context.used_connections,
+            lost_s=context.lost_s,
             record=record,
         ) as opened:
             limit_s = None if opened.refusal is None else REFUSAL_BODY_TIMEOUT_S
--- a/bramleyport/gateway/_state.py
+++ b/bramleyport/gateway/_state.py
@@ -1,7 +1,7 @@
 """Define the state that the parts of a gateway share."""
 
 import math
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from dataclasses import dataclass, field
 from typing import Final
 
@@ -16,6 +16,7 @@
     ConfigVersion,
     CrashEvidence,
     DecodeTimes,
+    EndedProcess,
     GatewayRoster,
     LeavingUpstream,
     LoadTracker,
@@ -25,10 +26,9 @@
     Reachability,
     Registration,
     RouteTable,
+    ServingGroup,
     SharesKnowledge,
     ShutdownSchedule,
-    SoftwareVersion,
-    Stage,
     StreamVersions,
     UpstreamPauses,
     VersionGap,
@@ -51,6 +51,10 @@
 # Time for which a refused connection shows that a process has ended: the next one has
 # registered by then, or the same one only did not listen yet.
 ENDED_KEEP_S: Final = 5.0
+# Time after which the peers are told of the same process again.
+ENDED_REPEAT_S: Final = 1.0
+# Processes that are known to have ended; the oldest ones are forgotten first.
+MAX_ENDED: Final = 8_192
 # Time after the registration of a process is known within which what its predecessor
 # wrote arrives.
 SUCCESSION_S: Final = 0.2
@@ -58,15 +62,6 @@
 PAUSED: Final = "upstreams_paused"
 
 
-@dataclass(frozen=True, slots=True)
-class EndedProcess:
-    """Identify a process of an upstream that seems to have ended."""
-
-    # Start of the process in Unix milliseconds.
-    started_ms: int
-    until_s: float
-
-
 @dataclass(slots=True, kw_only=True)
 class GatewayState:
     """Describe what a gateway knows of upstreams, peers and its configuration."""
@@ -91,6 +86,8 @@
     changing_until_s: dict[UpstreamId, float] = field(default_factory=dict)
     # Upstreams that declined a call, and until when they are avoided.
     declined_until_s: dict[UpstreamId, float] = field(default_factory=dict)
+    # Calls that wait for upstreams that are away.
+    held_calls: int = 0
     # Upstreams that want no requests from this gateway for a while.
     pauses: UpstreamPauses = field(default_factory=UpstreamPauses)
     # Upstreams that said in an answer that they leave, which the peers don't know yet.
@@ -113,6 +110,10 @@
     # Registered processes that seem to have ended: another one, of another version,
     # may answer in the place of each.
     ended_processes: dict[UpstreamId, EndedProcess] = field(default_factory=dict)
+    # Those that the peers don't know yet.
+    pending_ended: list[EndedProcess] = field(default_factory=list)
+    # Called when the peers should learn of them.
+    on_ended: Callable[[], None] | None = None
     # Upstreams to which connections were lost, and when the last one was: another
     # process may answer in the place of each.
     connections_lost_s: dict[UpstreamId, float] = field(default_factory=dict)
@@ -247,13 +248,11 @@
         names = (item.upstream for item in ready)
         return {name for name in names if self.pauses.is_paused(name, now_s)}
 
-    def refuse_blocked(self, service: ServiceName, now_s: float) -> Rejected:
-        """Return the refusal of a call that no upstream of its service permits now."""
-        paused = self.list_paused(service, now_s)
-        ready = self.members.list_ready(service)
-        limited = self.list_limited(service) - paused
-        if limited or not paused:
-            open_ones = [item for item in ready if item.upstream not in paused]
+    def refuse_blocked(self, group: ServingGroup, now_s: float) -> Rejected:
+        """Return the refusal of a call that none of its upstreams permits now."""
+        paused = {name for name in group.names if self.pauses.is_paused(name, now_s)}
+        open_ones = [item for item in group.ready if item.upstream not in paused]
+        if not paused or self.rate_limiter.list_limited(open_ones):
             return self.rate_limiter.refuse(open_ones, now_s)
         wait_s = min(self.pauses.find_wait(name, now_s) for name in paused)
         numbers = {"paused_upstreams": float(len(paused))}
@@ -284,11 +283,33 @@
     def record_ended(self, upstream: UpstreamId, now_s: float) -> None:
         """Record that the registered process of an upstream seems to have ended."""
         registration = self.members.find(upstream)
-        if registration is not None:
-            until_s = now_s + ENDED_KEEP_S
-            self.ended_processes[upstream] = EndedProcess(
-                registration.started_ms, until_s
-            )
+        if registration is None:
+            return
+        is_known = self.has_ended(registration, now_s + ENDED_KEEP_S - ENDED_REPEAT_S)
+        ended = EndedProcess(
+            upstream, registration.started_ms, until_s=now_s + ENDED_KEEP_S
+        )
+        self.ended_processes[upstream] = ended
+        if not is_known:
+            self.pending_ended.append(ended)
+            if self.on_ended is not None:
+                self.on_ended()
+
+    def apply_ended(self, ended: EndedProcess) -> None:
+        """Record that a peer found a process to have ended."""
+        known = self.ended_processes.get(ended.upstream)
+        if known is not None and known.started_ms > ended.started_ms:
+            return
+        registration = self.members.find(ended.upstream)
+        if registration is not None and registration.started_ms > ended.started_ms:
+            return
+        self.ended_processes[ended.upstream] = ended
+        if len(self.ended_processes) > MAX_ENDED:
+            del self.ended_processes[next(iter(self.ended_processes))]
+
+    def list_ended(self, now_s: float) -> list[EndedProcess]:
+        """Return the processes that seem to have ended."""
+        return [item for item in self.ended_processes.values() if item.until_s > now_s]
 
     def has_ended(self, registration: Registration, now_s: float) -> bool:
         """Return whether the process of a registration seems to have ended."""
@@ -319,21 +340,6 @@
         known_s = self.processes_known_s.get(registration.upstream, now_s)
         return found if now_s - known_s > SUCCESSION_S else None
 
-    def list_live_versions(
-        self, service: ServiceName, now_s: float
-    ) -> set[SoftwareVersion]:
-        """Return the versions of which an upstream that decodes may answer."""
-        ready = self.members.list_ready(service)
-        names = [item.upstream for item in ready]
-        unreachable = self.reachability.find_unreachable(names, now_s)
-        return {
-            item.version
-            for item in ready
-            if item.stage is not Stage.PREFILL
-            and item.upstream not in unreachable
-            and not self.has_ended(item, now_s)
-        }
-
     def record_pause(self, upstream: UpstreamId, pause_s: float, now_s: float) -> None:
         """Record that an upstream wants no requests for a while."""
         if pause_s > 0 and self.pauses.record(upstream, pause_s, now_s):
@@ -341,20 +347,21 @@
                 gateway_events.UPSTREAM_PAUSED, upstream=upstream, pause_s=pause_s
             )
 
-    def list_blocked(self, call: Call, now_s: float) -> set[UpstreamId]:
+    def list_blocked(
+        self, call: Call, group: ServingGroup, now_s: float
+    ) -> set[UpstreamId]:
         """Return the upstreams that do not permit a call now."""
         paused = self.list_paused(call.service, now_s)
         if not self.rate_limiter.knows_limits:
             return paused
         ready = self.members.list_ready(call.service)
-        return paused | self.rate_limiter.find_blocked(call, ready, now_s)
+        blocked = self.rate_limiter.find_blocked(call, ready, group.ready, now_s)
+        return paused | blocked
 
-    def list_busier(self, service: ServiceName) -> set[UpstreamId]:
-        """Return all upstreams of a service but those with the least work."""
+    def list_busier(self, group: ServingGroup) -> set[UpstreamId]:
+        """Return all upstreams of a group but those with the least work."""
         running = {
-            item.upstream: len(self.loads.of(item.upstream))
-            for item in self.members.list_ready(service)
-            if item.stage is not Stage.PREFILL
+            item.upstream: len(self.loads.of(item.upstream)) for item in group.ready
         }
         least = min(running.values(), default=0)
         return {upstream for upstream, count in running.items() if count > least}
@@ -363,10 +370,21 @@
         """Record that an upstream declined a call, to avoid it for a while."""
         self.declined_until_s[upstream] = now_s + AVOID_DECLINED_S
 
-    def list_ejected(self, service: ServiceName, now_s: float) -> set[UpstreamId]:
-        """Return the upstreams of a service that recently failed too often."""
+    def list_ejected(
+        self,
+        service: ServiceName,
+        now_s: float,
+        serving: Collection[UpstreamId] = (),
+    ) -> set[UpstreamId]:
+        """Return the upstreams of a service that recently failed too often.
+
+        Some of those that can serve a call (`serving`) always stay in use, however many
+        others there are.
+        """
         names = [item.upstream for item in self.members.list_ready(service)]
-        return self.ejector.find_ejected(names, now_s)
+        others = [name for name in names if name not in serving]
+        ejected = self.ejector.find_ejected(others, now_s)
+        return ejected | self.ejector.find_ejected(sorted(serving), now_s)
 
     def record_received(self, upstream: UpstreamId, now_s: float) -> None:
         """Record that an upstream has sent data."""
