End the processes of tests with the tests that started them

A soak or a test process that was killed left its gateways running: they went on calling their store, at ports that other tests had got by then. The kernel now kills the processes of the soaks, the process fleets and the tests of processes once their parent has ended.

--- a/tests/fault_campaign.py
+++ b/tests/fault_campaign.py
@@ -24,6 +24,7 @@
 install_reactor()  # before treq imports the default reactor
 
 from bramleyport.core import REFUSAL_STATUSES  # noqa: E402
+from tests.child_processes import end_with_parent  # noqa: E402
 from tests.http_client import Answer  # noqa: E402
 from tests.process_fleet import ProcessFleet  # noqa: E402
 from tests.relay import Relay  # noqa: E402
@@ -92,6 +93,7 @@
                 stdout=log,
                 stderr=subprocess.STDOUT,
                 env={**os.environ, "PYTHONPATH": os.getcwd()},
+                preexec_fn=end_with_parent,
             )
 
     async def wait_for_exit(self, name: str) -> int:
--- a/tests/process_fleet.py
+++ b/tests/process_fleet.py
@@ -25,6 +25,7 @@
     serve_app,
     stop_listening,
 )
+from tests.child_processes import end_with_parent
 from tests.http_client import Answer, exchange_raw, fetch
 from tests.ports import find_port
 
@@ -161,6 +162,7 @@
                 stdout=log,
                 stderr=subprocess.STDOUT,
                 env={**os.environ, "PYTHONPATH": os.getcwd()},
+                preexec_fn=end_with_parent,
             )
         self._hosts.append({**identity, **location, "role": role, "port": peer_port})
 
--- a/tests/soak/_busy_processes.py
+++ b/tests/soak/_busy_processes.py
@@ -4,6 +4,8 @@
 import sys
 from typing import Final
 
+from tests.child_processes import end_with_parent
+
 # Each process also ends by itself, in case that its soak test is killed.
 BUSY_PROGRAM: Final = """
 import time
@@ -24,7 +26,9 @@
         """Start the processes."""
         for _ in range(self._count):
             command = [sys.executable, "-c", BUSY_PROGRAM]
-            self._processes.append(subprocess.Popen(command))
+            self._processes.append(
+                subprocess.Popen(command, preexec_fn=end_with_parent)
+            )
 
     def stop(self) -> None:
         """Kill the processes."""
--- a/tests/soak/_processes.py
+++ b/tests/soak/_processes.py
@@ -11,6 +11,7 @@
 
 import yaml
 
+from tests.child_processes import end_with_parent
 from tests.gateway_fleet import make_settings
 from tests.platform_standin import LOOPBACK
 from tests.soak._proxy import FaultProxy
@@ -67,6 +68,7 @@
                 stderr=subprocess.STDOUT,
                 env={**os.environ, "PYTHONPATH": self.source},
                 cwd=self.source,
+                preexec_fn=end_with_parent,
             )
         self.started_s = time.monotonic()
         self.stop_sent_s = None
--- a/tests/soak/_upstream_processes.py
+++ b/tests/soak/_upstream_processes.py
@@ -12,6 +12,7 @@
 from random import Random
 from typing import Final
 
+from tests.child_processes import end_with_parent
 from tests.gateway_fleet import LANGUAGE, PLAIN
 from tests.platform_standin import RawRequest, StoreStandin, UpstreamRun
 from tests.ports import find_port
@@ -73,6 +74,7 @@
                 stdout=log,
                 stderr=subprocess.STDOUT,
                 env={**os.environ, "PYTHONPATH": os.getcwd()},
+                preexec_fn=end_with_parent,
             )
 
     async def wait_listening(self) -> None:
--- a/tests/test_gateway_memory.py
+++ b/tests/test_gateway_memory.py
@@ -12,6 +12,7 @@
 import pytest
 import yaml
 
+from tests.child_processes import end_with_parent
 from tests.gateway_fleet import LANGUAGE, PLAIN, make_config, make_settings
 from tests.platform_standin import (
     RawCaller,
@@ -83,6 +84,7 @@
             stdout=log,
             stderr=subprocess.STDOUT,
             env={**os.environ, "PYTHONPATH": os.getcwd()},
+            preexec_fn=end_with_parent,
         )
     port = int(settings["listen"]["front"].rpartition(":")[2])
     try:
--- a/tests/test_gateway_process.py
+++ b/tests/test_gateway_process.py
@@ -10,6 +10,7 @@
 import pytest
 import yaml
 
+from tests.child_processes import end_with_parent
 from tests.gateway_fleet import make_settings
 from tests.ports import find_port
 
@@ -24,7 +25,11 @@
     command = [sys.executable, "-m", "bramleyport", "gateway", str(settings)]
     with log.open("wb") as output:
         return subprocess.Popen(
-            command, stdout=output, stderr=subprocess.STDOUT, env=dict(os.environ)
+            command,
+            stdout=output,
+            stderr=subprocess.STDOUT,
+            env=dict(os.environ),
+            preexec_fn=end_with_parent,
         )
 
 
--- a/tests/test_packaging.py
+++ b/tests/test_packaging.py
@@ -17,6 +17,7 @@
 
 from bramleyport.cli import main
 from bramleyport.packaging._zipapp import build_zipapp
+from tests.child_processes import end_with_parent
 from tests.ports import find_port
 
 EXAMPLES = Path(__file__).parent.parent / "examples"
@@ -94,6 +95,7 @@
         cwd=work,
         env=environment,
         stderr=subprocess.DEVNULL,
+        preexec_fn=end_with_parent,
     )
     yield process, settings, work
     process.kill()
