Give the stub of a gateway's state the processes that have ended

`test_running_gateway_that_the_copy_lacks_still_gets_updates` failed in a whole run on with an AttributeError: since a gateway also sends its peers which processes of upstreams have ended, and the state in this test had no such list. The file passes with an empty one.

--- a/tests/test_gateway_restores.py
+++ b/tests/test_gateway_restores.py
@@ -108,6 +108,7 @@
         rate_limiter=SimpleNamespace(list_notices=list),
         members=SimpleNamespace(list_leaving=list),
         stream_versions=StreamVersions(),
+        list_ended=lambda now_s: [],
         shares_knowledge=SharesKnowledge(),
         version=ConfigVersion(0),
     )
