--- a/bramleyport/gateway/_attempt.py
+++ b/bramleyport/gateway/_attempt.py
@@ -10,6 +10,7 @@
     Call,
     Choice,
     Registration,
+    ServingGroup,
     Transfer,
     admit,
 )
@@ -24,6 +25,7 @@
 from bramleyport.gateway._rate_limits import OVER_LIMIT, Reservation
 from bramleyport.gateway._reply import OwnStatus, refuse, relay_answer, reply
 from bramleyport.gateway._retries import MIN_REMAINING_S, RetryDecider
+from bramleyport.gateway._return_queue import ReturnQueue
 from bramleyport.gateway._state import PAUSED, GatewayState
 from bramleyport.gateway._version_choice import VersionChooser
 from bramleyport.gateway._work_tracker import WorkTracker
@@ -33,9 +35,13 @@
 RETRY_WHEN_FULL_S: Final = 0.3
 # Shortest wait for a permit, so that calls that wait for the same one do not poll.
 MIN_PERMIT_WAIT_S: Final = 0.02
-# Fraction of the time left that a call may wait for the end of a pause, so that an
-# upstream has enough time to answer it then.
-PAUSE_WAIT_FRACTION: Final = 0.5
+# Fraction of the time left that a call may wait for the end of a pause or for an
+# upstream that will be back, which then has enough time to answer it.
+WAIT_FRACTION: Final = 0.5
+# Time after which a call that finds no upstream at hand is sent again by its caller.
+AWAY_RETRY_S: Final = 1.0
+# Why a call is refused whose upstreams are away, and may be back.
+UPSTREAMS_AWAY: Final = "upstreams_away"
 # Another upstream may take calls before the pause ends.
 MAX_PAUSE_POLL_S: Final = 0.1
 
@@ -60,6 +66,7 @@
         self.versions = versions
         self.processes = processes
         self.retries = RetryDecider(state, versions)
+        self._returns = ReturnQueue(state)
         self.guard = guard
 
     async def place(self, context: CallContext) -> Choice | Rejected:
@@ -79,9 +86,35 @@
             if reserved is not None and self._can_use_reserved(context, reserved):
                 return reserved
             wait_s = self._find_permit_wait(context, decision)
-            if wait_s is None:
+            if wait_s is not None:
+                await asyncio.sleep(wait_s)
+            elif not await self._wait_for_return(context, decision):
                 return decision
-            await asyncio.sleep(wait_s)
+
+    async def _wait_for_return(self, context: CallContext, decision: Rejected) -> bool:
+        """Wait for an upstream that is away; return whether one may be back."""
+        if decision.explanation.reason != UPSTREAMS_AWAY:
+            return False
+        now_s = read_now()
+        until_s = context.find_wait_end(WAIT_FRACTION)
+        group = self.versions.find_group(context, now_s)
+        due_s = group.find_due_s(now_s)
+        if due_s is None or due_s >= until_s:
+            return False
+        if not context.was_held:
+            context.was_held = True
+            log_event(
+                gateway_events.CALL_HELD,
+                request=context.call.request,
+                priority=context.call.route.priority,
+                version=context.version or context.preferred_version or "",
+                absent=len(group.absent),
+                due_s=round(due_s - now_s, 3),
+                left_s=round(context.remaining_s, 3),
+            )
+        scope = self.versions.find_scope(context)
+        await self._returns.wait(scope, context.call, until_s)
+        return True
 
     def _find_permit_wait(
         self, context: CallContext, decision: Rejected
@@ -90,13 +123,14 @@
         reason = decision.explanation.reason
         if reason == PAUSED:
             wait_s = decision.retry_after_s
-            if wait_s > PAUSE_WAIT_FRACTION * context.remaining_s:
+            if wait_s > WAIT_FRACTION * context.remaining_s:
                 return None
             return min(MAX_PAUSE_POLL_S, max(MIN_PERMIT_WAIT_S, wait_s))
         if reason != OVER_LIMIT or not context.attempts.may_have_run:
             return None
-        ready = self.state.members.list_ready(context.call.service)
-        wait_s = self.state.rate_limiter.forecast_wait(ready, read_now())
+        now_s = read_now()
+        ready = self.versions.find_group(context, now_s).ready
+        wait_s = self.state.rate_limiter.forecast_wait(ready, now_s)
         if wait_s + MIN_REMAINING_S > context.remaining_s:
             return None
         return max(MIN_PERMIT_WAIT_S, wait_s)
@@ -119,13 +153,13 @@
         refusal = self.guard.find_refusal(call)
         if refusal is not None and not context.is_trial:
             return refusal
+        group = self.versions.find_group(context, now_s)
         if context.tried:
             # The rank was considered when the call was accepted.
             blocked = self.state.list_exhausted(call.service, now_s)
         else:
-            blocked = self.state.list_blocked(call, now_s)
-        excluded = blocked | self.versions.list_excluded(context)
-        decision = self._decide(context, excluded, now_s, blocked=blocked)
+            blocked = self.state.list_blocked(call, group, now_s)
+        decision = self._decide(context, group, now_s, blocked=blocked)
         if isinstance(decision, Rejected):
             if context.is_trial:
                 self.guard.return_trial(call)
@@ -136,20 +170,23 @@
     def _decide(
         self,
         context: CallContext,
-        excluded: set[UpstreamId],
+        group: ServingGroup,
         now_s: float,
         *,
         blocked: set[UpstreamId],
     ) -> Choice | Rejected:
-        """Choose among the upstreams that are not excluded, or return why not."""
+        """Choose among the upstreams that are not blocked, or return why not."""
         call = context.call
-        choice = self._choose_stepwise(context, excluded, now_s)
+        if group.is_returning and call.route.repeatability.streams:
+            return _refuse_away(group, now_s)
+        excluded = blocked | self.versions.list_excluded(context)
+        choice = self._choose_stepwise(context, group, excluded, now_s)
         if choice is None:
-            absent = self.versions.find_obstacle(context)
+            absent = self.versions.find_obstacle(context, group)
             if absent is not None:
                 return absent
             if blocked:
-                return self.state.refuse_blocked(call.service, now_s)
+                return self.state.refuse_blocked(group, now_s)
         decision = admit(call, choice, now_s, tried=bool(context.tried))
         if isinstance(decision, Rejected):
             return decision
@@ -164,26 +201,34 @@
                 self.state.pauses.record_sent(target.upstream, now_s)
 
     def _choose_stepwise(
-        self, context: CallContext, excluded: set[UpstreamId], now_s: float
+        self,
+        context: CallContext,
+        group: ServingGroup,
+        excluded: set[UpstreamId],
+        now_s: float,
     ) -> Choice | None:
         """Choose an upstream, one that is avoided or was tried if there is no other."""
         service = context.call.service
         avoided = self.state.list_avoided(service, now_s) | excluded
-        choice = self._choose(context, avoided | context.tried, now_s)
+        choice = self._choose(context, group, avoided | context.tried, now_s)
         if choice is None and context.tried:
-            choice = self._choose(context, avoided, now_s)
+            choice = self._choose(context, group, avoided, now_s)
         if choice is None:
-            ejected = self.state.list_ejected(service, now_s) | excluded
-            choice = self._choose(context, ejected, now_s)
+            ejected = self.state.list_ejected(service, now_s, group.names)
+            choice = self._choose(context, group, ejected | excluded, now_s)
         return choice
 
     def _choose(
-        self, context: CallContext, excluded: set[UpstreamId], now_s: float
+        self,
+        context: CallContext,
+        group: ServingGroup,
+        excluded: set[UpstreamId],
+        now_s: float,
     ) -> Choice | None:
         # At most one separate prefill per call: another one would count as a repeat.
         may_split = not context.prefill_elapsed_s and not context.is_trial
         if context.is_trial:
-            excluded = excluded | self.state.list_busier(context.call.service)
+            excluded = excluded | self.state.list_busier(group)
         return self.state.chooser.choose(
             context.call,
             context.engine,
@@ -259,6 +304,7 @@
             self._record_declined(failure, now_s)
         else:
             event = gateway_events.ATTEMPT_LOST
+            context.lost_s = now_s
             self.state.record_result(failure.upstream, failed=True, now_s=now_s)
         log_event(
             event,
@@ -285,7 +331,12 @@
             self.tracker.report_refused(failure.upstream)
             self.guard.record_refused(failure.upstream)
 
-    def give_up(self, context: CallContext, reason: str) -> None:
+    def give_up(
+        self,
+        context: CallContext,
+        reason: str,
+        retry_after_s: float = RETRY_WHEN_FULL_S,
+    ) -> None:
         """Send the final answer to a call whose attempts have failed."""
         failure = context.last_failure
         call = context.call
@@ -302,7 +353,7 @@
             reply(context.connection, status, call.request, reason)
             self._log_failed(context, reason, status.value)
             return
-        self.refuse(context, Rejected(Explanation(reason=reason), RETRY_WHEN_FULL_S))
+        self.refuse(context, Rejected(Explanation(reason=reason), retry_after_s))
 
     def refuse(self, context: CallContext, decision: Rejected) -> None:
         """Refuse a call that has not run, and tell the caller when to retry."""
@@ -395,6 +446,14 @@
         )
 
 
+def _refuse_away(group: ServingGroup, now_s: float) -> Rejected:
+    """Return the refusal of a call whose upstreams are all away."""
+    due_s = group.find_due_s(now_s)
+    wait_s = AWAY_RETRY_S if due_s is None else max(AWAY_RETRY_S, due_s - now_s)
+    numbers = {"absent": float(len(group.absent))}
+    return Rejected(Explanation(reason=UPSTREAMS_AWAY, numbers=numbers), wait_s)
+
+
 def _list_shared_parts(call: Call) -> list[str]:
     """Return the parts of a prompt that other calls may have, too."""
     return [part.prefix for part in call.prompt.parts[:-1]] if call.prompt else []
