Guard stops against calls that are held for upstreams which are away

The tests hold that such a call is refused with 503 as the stop ends, and served if its upstreams are back before.

--- a/tests/test_stops_of_waiting_calls.py
+++ b/tests/test_stops_of_waiting_calls.py
@@ -8,6 +8,8 @@
 
 import pytest
 
+from bramleyport.core import UpstreamId
+from bramleyport.gateway._clock import read_now
 from bramleyport.gateway._crash_guard import CrashGuard
 from bramleyport.gateway._process_check import ProcessChecker
 from bramleyport.gateway._version_choice import VersionChooser
@@ -118,3 +120,54 @@
         return status
 
     assert run(stop()) == 200
+
+
+def crash_engines(fleet: GatewayFleet) -> None:
+    """Let the gateway find that all engines have crashed and may be back."""
+    for engine in fleet.engines:
+        fleet.state.record_ended(UpstreamId(engine.name), read_now())
+
+
+@pytest.mark.parametrize("path", [LONG_PATH, "/stream/x"])
+def test_call_that_is_held_for_its_upstreams_is_refused_at_the_end_of_a_stop(
+    fleet: GatewayFleet, run: Run, path: str
+) -> None:
+    """Guards against a process that ends with calls which wait for their upstreams."""
+
+    async def stop() -> int:
+        fleet.state.settings = replace(fleet.state.settings, grace_s=GRACE_S)
+        crash_engines(fleet)
+        stopping = asyncio.ensure_future(fleet.gateway.stop())
+        # Calls are held for up to half of their time, 1 s of that of a short route.
+        await asyncio.sleep(2.0)
+        caller = fleet.make_caller()
+        answer = await caller.call(path, body=b"b", Deadline_Ms=DEADLINE_MS)
+        assert fleet.state.ending
+        await stopping
+        return answer.status
+
+    assert run(stop()) == 503
+    assert fleet.list_runs() == []
+
+
+def test_call_that_is_held_is_served_if_its_upstreams_are_back_within_a_stop(
+    fleet: GatewayFleet, run: Run
+) -> None:
+    """Guards against a stop that ends while a call waits for its upstreams."""
+
+    async def stop() -> int:
+        crash_engines(fleet)
+        caller = fleet.make_caller()
+        stopping = asyncio.ensure_future(fleet.gateway.stop())
+        await asyncio.sleep(2.0)
+        await caller.send(LONG_PATH, body=b"b", Deadline_Ms=DEADLINE_MS)
+        # The gateway closes what is idle 3 s after the signal.
+        await asyncio.sleep(1.5)
+        assert not stopping.done()
+        assert fleet.list_runs() == []
+        fleet.state.ended_processes.clear()
+        status = (await caller.receive()).status
+        await stopping
+        return status
+
+    assert run(stop()) == 200
