Keep the share of a version that is back where its registration is read late

What callers saw: nothing by itself, but each change of shares makes more streams ambiguous, and so refused (version_unknown) once their gateway is killed.

Shares without that version, the newest ones until 18.205 s, were known, but only the shares in force and the newest ones were considered.

Why it works: a stream whose version is lost to its gateway follows the shares that were the newest ones lately. Shares that were first read together with newer ones may be due to be dropped, and are not followed.

--- a/bramleyport/fleet/_stream_versions.py
+++ b/bramleyport/fleet/_stream_versions.py
@@ -3,6 +3,7 @@
 from collections import OrderedDict
 from collections.abc import Collection, Sequence
 from dataclasses import dataclass
+from itertools import pairwise
 from typing import Final
 
 from bramleyport.core import RequestId, ServiceName
@@ -97,19 +98,34 @@
     ) -> SoftwareVersion | None:
         """Return the version at which a stream begins.
 
-        The newest shares count before their time for a stream whose version is lost.
-        The result is None if no shares are known, or if they give it a lost version.
+        Newer shares count before their time for a stream whose version is lost. The
+        result is None if no shares are known, or if they give it a lost version.
         """
         known = self._shares.get(service)
         if not known:
             return None
         active = [item for item in known if now_s - item.since_s >= self.activation_s]
-        for item in (*active[-1:], known[-1]):
+        for item in (*active[-1:], known[-1], *self._list_superseded(known, now_s)):
             version = item.shares.choose(origin)
             if version not in lost:
                 return version
         return None
 
+    def _list_superseded(
+        self, known: Sequence[_KnownShares], now_s: float
+    ) -> list[_KnownShares]:
+        """Return shares that were the newest ones lately, the last of them first.
+
+        A gateway that does not know an upstream yet for which newer ones were written
+        can follow these, and need not have that version's share taken back. Those that
+        it never knew as the newest ones may be due to be dropped.
+        """
+        return [
+            item
+            for item, newer in reversed(list(pairwise(known)))
+            if item.since_s < newer.since_s and now_s - item.since_s < self.activation_s
+        ]
+
     def list_versions(self, service: ServiceName) -> frozenset[SoftwareVersion]:
         """Return the versions that the store knows for a service."""
         return frozenset(
--- a/tests/test_version_machine.py
+++ b/tests/test_version_machine.py
@@ -8,6 +8,7 @@
 from hypothesis import HealthCheck, settings, strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
+from bramleyport.gateway._version_store import KIND
 from tests.version_simulation import GATEWAYS, V1, V2, VersionWorld
 
 STEPS = 40
@@ -157,3 +158,36 @@
     world.close()
     assert not world.mixed
     assert world.resumed >= 6
+
+
+# Guards against shares that change back and forth, and so make streams ambiguous, as
+# gateways read the registration of a version that is back one after another.
+@pytest.mark.parametrize("late", GATEWAYS)
+def test_gateway_that_reads_registrations_late_takes_no_share_back(
+    tmp_path: Path, late: str
+) -> None:
+    world = VersionWorld(tmp_path, seed=1)
+    world.crash(V2)
+    for name in GATEWAYS * 8:
+        world.run(world.begin(name))
+    world.drop_ended()
+    world.run(world.pass_time(1.8))
+    assert list_versions_written(world)[-1] == {V1}
+    before = len(world.store.history)
+    world.add_engine(V2, names=[name for name in GATEWAYS if name != late])
+    for _ in range(30):
+        world.run(world.begin(late))
+        world.run(world.pass_time(0.05))
+    world.reconnect(late)
+    world.run(world.pass_time(3.0))
+    world.close()
+    assert list_versions_written(world)[before:] == [{V1, V2}]
+
+
+def list_versions_written(world: VersionWorld) -> list[set[str]]:
+    """Return the versions in the newest shares of each write of them."""
+    return [
+        {item["version"] for item in document["epochs"][-1]["shares"]}
+        for kind, document in world.store.history
+        if kind is KIND
+    ]
--- a/tests/test_version_shares.py
+++ b/tests/test_version_shares.py
@@ -180,3 +180,25 @@
     """Guards against an object of another writer that decides where streams begin."""
     with pytest.raises(MalformedDocumentError):
         decode_shares({"service": "language", "epochs": epochs})
+
+
+# Guards against a gateway that has the share of a version taken back, because it does
+# not know its upstreams yet, instead of following the shares before.
+def test_streams_of_a_lost_version_follow_shares_that_were_the_newest_lately() -> None:
+    versions = make_versions(HALF)
+    versions.set_shares(SERVICE, [HALF, ONE], now_s=10.0)
+    versions.set_shares(SERVICE, [HALF, ONE, QUARTER], now_s=10.5)
+    found = {versions.choose(SERVICE, item, 11.0, {V2}) for item in ORIGINS}
+    assert found == {V1}
+    # From then on the newest ones count, which give V2 some of the streams.
+    found = {versions.choose(SERVICE, item, 13.0, {V2}) for item in ORIGINS}
+    assert found == {V1, None}
+
+
+# Guards against streams that follow shares which others drop before the streams end.
+def test_streams_follow_no_older_shares_that_were_read_with_newer_ones() -> None:
+    versions = StreamVersions()
+    versions.activation_s, versions.keep_s = ACTIVATION_S, KEEP_S
+    versions.set_shares(SERVICE, [ONE, QUARTER, LAST], now_s=10.0)
+    found = {versions.choose(SERVICE, item, 10.5, {V2}) for item in ORIGINS}
+    assert found == {None}
--- a/tests/version_simulation.py
+++ b/tests/version_simulation.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections import Counter
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 from dataclasses import replace
 from pathlib import Path
 from random import Random
@@ -88,6 +88,7 @@
         self.objects: dict[tuple[Any, str], tuple[int, Any]] = {}
         self.changed = asyncio.Event()
         self.writes_by_kind: Counter[Any] = Counter()
+        self.history: list[tuple[Any, Any]] = []
 
     def write(
         self, kind: Any, name: str, document: Any, expected: int | None
@@ -98,6 +99,7 @@
             return None
         self.number += 1
         self.writes_by_kind[kind] += 1
+        self.history.append((kind, document))
         self.objects[kind, name] = (self.number, document)
         self.changed.set()
         self.changed = asyncio.Event()
@@ -283,7 +285,10 @@
         self.run(asyncio.sleep(0))
         self.loop.close()
 
-    def add_engine(self, version: SoftwareVersion) -> None:
+    def add_engine(
+        self, version: SoftwareVersion, *, names: Sequence[str] = GATEWAYS
+    ) -> None:
+        """Start an engine, whose registration only the named gateways read now."""
         self._number += 1
         engine = Registration(
             upstream=UpstreamId(f"e{self._number}"),
@@ -298,7 +303,7 @@
         )
         self.engines[engine.upstream] = engine
         for gateway in self.gateways.values():
-            if not gateway.link.cut:
+            if not gateway.link.cut and gateway.name in names:
                 gateway.state.members.put(engine)
 
     def configure(self, state: GatewayState) -> None:
