Store streams that can't be deduced also while gateways hear each other

Cause: those that were told of these streams by datagrams were killed, too.

Why it works: each gateway writes its ambiguous streams twice a second at most, and a tenth of the store's writes for all together. There are none unless shares have changed lately, so a fleet in calm writes nothing.

A gateway counts as silent after 3.5 s: gateways in calm send something every two or three seconds, so 2.5 s opened the faster pace without need.

--- a/bramleyport/gateway/_begun_stream_store.py
+++ b/bramleyport/gateway/_begun_stream_store.py
@@ -1,7 +1,8 @@
-"""Tell gateways that don't hear this one, through the store, how streams began."""
+"""Tell gateways through the store at which versions streams began."""
 
 import asyncio
 import math
+from dataclasses import dataclass
 from typing import Final, TypeVar
 
 from result import Err, Result
@@ -27,30 +28,44 @@
 KIND: Final = ObjectKind.BEGUN_STREAMS
 CHECK_INTERVAL_S: Final = 0.1
 RETRY_INTERVAL_S: Final = 1.0
-# Least time between two writes, and between two reads.
-WRITE_INTERVAL_S: Final = 0.25
+# Least time between two reads, and fraction of the store's rate of reads that all
+# gateways together may use for this.
 READ_INTERVAL_S: Final = 0.1
-# Fractions of the store's rates that all gateways together may use for this.
-WRITES_FRACTION: Final = 0.25
 READS_FRACTION: Final = 0.1
 # Time for which a stream that is taken up waits for the store.
 READ_TIMEOUT_S: Final = 0.5
 # Time without a message after which a gateway may not hear this one either. Each
-# announces itself every two seconds.
-SILENT_AFTER_S: Final = 2.5
+# announces itself every two or three seconds.
+SILENT_AFTER_S: Final = 3.5
 # Streams in one object at most; the newest ones are kept.
 MAX_STORED: Final = 512
 
+
+@dataclass(frozen=True, slots=True)
+class WritePace:
+    """Define how often streams are written."""
+
+    # Least time between two writes of one gateway.
+    interval_s: float
+    # Fraction of the store's rate of writes that all gateways together may use.
+    fraction: float
+
+
+# The store is the only way to tell gateways that hear nothing; the others need it only
+# after many were killed at once.
+SILENT_PACE: Final = WritePace(interval_s=0.25, fraction=0.25)
+USUAL_PACE: Final = WritePace(interval_s=0.5, fraction=0.1)
+
 T = TypeVar("T")
 Streams = dict[RequestId, BegunStream]
 
 
 class BegunStreamStore:
-    """Keep in the store at which versions streams began, where peers may not be told.
+    """Keep in the store at which versions streams began that can't be deduced.
 
-    Only streams whose version can't be deduced are written, and only while some gateway
-    is silent. Each gateway has one object, which it removes when no stream in it may go
-    on any more.
+    There are none unless shares have changed lately. Peers are told of them, too, but
+    one may hear nothing, and all that were told may be killed at once. Each gateway has
+    one object, which it removes when no stream in it may go on any more.
     """
 
     def __init__(self, state: GatewayState, store: StoreClient) -> None:
@@ -65,9 +80,8 @@
         # Streams of an earlier process on this host, and until when they may go on.
         self._inherited: Streams = {}
         self._inherited_until_s = -math.inf
-        self._due_s = -math.inf
-        # The store was restored from a copy that may lack what was written.
-        self._is_lost = False
+        self._written_s = -math.inf
+        self._retry_s = -math.inf
         self._reads = FreshReads(self._read_all, READ_INTERVAL_S)
         store.eras.on_restored.append(self._record_restored)
 
@@ -76,7 +90,7 @@
         while True:
             await asyncio.sleep(CHECK_INTERVAL_S)
             now_s = read_now()
-            if now_s < self._due_s:
+            if now_s < self._retry_s:
                 continue
             if not self._has_read_own:
                 await self._read_own()
@@ -104,7 +118,7 @@
         return stream.version
 
     def _record_restored(self, _: StoreEra) -> None:
-        self._is_lost = self._is_lost or bool(self._written)
+        # The copy may lack what was written.
         self._has_read_own = False
 
     def _compute_interval(self, fraction: float, calls_per_s: float) -> float:
@@ -113,8 +127,11 @@
 
     async def _update(self, now_s: float) -> None:
         """Write streams that are missing, or remove the object if none is needed."""
+        if now_s - self._written_s < self._choose_interval(now_s):
+            return
         wanted = self._list_wanted(now_s)
-        if self._is_outdated(now_s) or self._is_missing(wanted, now_s):
+        is_missing = not wanted.keys() <= self._written.keys()
+        if is_missing or self._is_outdated(now_s):
             await self._write(wanted)
         elif self._written and not self._written.keys() & wanted.keys():
             await self._remove()
@@ -127,13 +144,6 @@
         newest = list((inherited | own).items())[-MAX_STORED:]
         return dict(newest)
 
-    def _is_missing(self, wanted: Streams, now_s: float) -> bool:
-        """Return whether gateways that may not have been told lack a stream."""
-        roster = self._state.roster
-        if not self._is_lost and not roster.may_miss_messages(now_s - SILENT_AFTER_S):
-            return False
-        return not wanted.keys() <= self._written.keys()
-
     def _is_outdated(self, now_s: float) -> bool:
         """Return whether the version of a written stream was corrected since."""
         versions = self._state.stream_versions
@@ -156,18 +166,17 @@
             self._has_read_own = False
             return
         self._own, self._written = stored, streams
-        self._is_lost = False
-        self._postpone()
+        self._written_s = read_now()
 
     async def _remove(self) -> None:
         result = await self._store.remove(KIND, self._name)
         if isinstance(result, Err) and (
             result.err_value.failure is not StoreFailure.NOT_FOUND
         ):
-            self._due_s = read_now() + RETRY_INTERVAL_S
+            self._retry_s = read_now() + RETRY_INTERVAL_S
             return
         self._own, self._written = None, {}
-        self._postpone()
+        self._written_s = read_now()
 
     async def _read_own(self) -> None:
         """Read what this gateway, or an earlier process on this host, has written."""
@@ -217,13 +226,15 @@
             return result.ok_value
         error = result.err_value
         log_event(event, failure=error.failure.value, reason=error.reason)
-        self._due_s = read_now() + RETRY_INTERVAL_S
+        self._retry_s = read_now() + RETRY_INTERVAL_S
         return None
 
-    def _postpone(self) -> None:
+    def _choose_interval(self, now_s: float) -> float:
+        """Return the time between two writes of this gateway."""
+        is_silent = self._state.roster.may_miss_messages(now_s - SILENT_AFTER_S)
+        pace = SILENT_PACE if is_silent else USUAL_PACE
         rate = self._state.settings.store.writes_per_s
-        interval_s = self._compute_interval(WRITES_FRACTION, rate)
-        self._due_s = read_now() + max(WRITE_INTERVAL_S, interval_s)
+        return max(pace.interval_s, self._compute_interval(pace.fraction, rate))
 
 
 def _decode(item: StoredObject) -> list[BegunStream]:
--- a/tests/test_absent_versions.py
+++ b/tests/test_absent_versions.py
@@ -8,6 +8,7 @@
 
 import pytest
 
+from bramleyport.gateway._clock import read_now
 from bramleyport.membership import rank
 from tests.gateway_fleet import LANGUAGE
 from tests.test_software_versions import TWO_VERSIONS, VersionedGroup, run_versions
@@ -124,6 +125,44 @@
     run(check())
 
 
+# Guards against refusing streams around a change of shares after all gateways that
+# were told of them are gone.
+def test_streams_around_a_change_of_shares_outlast_a_kill_of_all_gateways(
+    run: Run, tmp_path: Path
+) -> None:
+    async def check() -> None:
+        async with run_versions(tmp_path, TWO_VERSIONS) as versioned:
+            await versioned.begin(STREAMS, "before")
+            crashed = await crash_version(versioned, "v2")
+            await versioned.begin(STREAMS, "away")
+            await bring_back(versioned, crashed, "v2")
+            await wait_for_engines(versioned)
+            await versioned.group.wait_for(lambda: are_streams_stored(versioned))
+            await versioned.replace_gateways()
+            await versioned.resume(lambda _: "n1")
+            versioned.check(complete=2 * STREAMS)
+
+    run(check())
+
+
+def are_streams_stored(versioned: VersionedGroup) -> bool:
+    """Return whether the store has all streams whose versions can't be deduced."""
+    group = versioned.group
+    stored = {
+        request
+        for (kind, _), item in group.store.objects.items()
+        if kind == "begun-streams"
+        for streams in item["spec"]["groups"]
+        for request in streams["requests"]
+    }
+    now_s = read_now()
+    return stored >= {
+        stream.origin
+        for gateway in group.gateways.values()
+        for stream in gateway.state.stream_versions.list_ambiguous(now_s)
+    }
+
+
 # Guards against a gateway that starts while a version is away, counts its crashed
 # engines as live by their registrations, and writes shares that change back and forth.
 def test_gateway_that_starts_gives_no_share_to_a_version_that_is_away(
