Log which stream a refused take-up names

The log named the request that was refused as version_unknown, but not the stream, so nothing showed when and at which gateway it had begun.

--- a/bramleyport/gateway/_version_choice.py
+++ b/bramleyport/gateway/_version_choice.py
@@ -222,6 +222,11 @@
             )
         if context.version is not None:
             return None
+        log_event(
+            gateway_events.VERSION_NOT_KNOWN,
+            request=context.call.request,
+            origin=context.call.origin or "",
+        )
         # It is ambiguous for at most as long as it may go on at all.
         known = self._state.stream_versions.list_shares(context.call.service)
         numbers = {"is_current": float(is_current), "shares": float(len(known))}
--- a/bramleyport/telemetry/_gateway_events.py
+++ b/bramleyport/telemetry/_gateway_events.py
@@ -129,4 +129,7 @@
 STREAMS_INVALID: Final = define(
     2684, "WARNING", "invalid versions of streams in the store ignored"
 )
+VERSION_NOT_KNOWN: Final = define(
+    2685, "INFO", "version of a stream that is taken up not known"
+)
 PEER_UNREACHABLE: Final = define(2659, "WARNING", "datagram to a peer not sent")
