--- a/bramleyport/gateway/_attempt.py
+++ b/bramleyport/gateway/_attempt.py
@@ -96,7 +96,8 @@
             return False
         now_s = read_now()
         until_s = context.find_wait_end()
-        if context.version is None and now_s < context.find_change_time():
+        begins = context.version is None and context.preferred_version is not None
+        if begins and now_s < context.find_change_time():
             until_s = context.find_change_time()
         group = self.versions.find_group(context, now_s)
         due_s = group.find_due_s(now_s)
@@ -114,7 +115,7 @@
                 left_s=round(context.remaining_s, 3),
             )
         scope = self.versions.find_scope(context)
-        if context.version is None:
+        if begins:
             until_s = min(until_s, now_s + SHARES_POLL_S)
         await self._returns.wait(scope, context.call, until_s)
         self.retries.postpone(context)
--- a/tests/test_stage_control.py
+++ b/tests/test_stage_control.py
@@ -102,8 +102,8 @@
     run(check())
 
 
-# Guards against calls to an engine that decodes no new ones and still ends its streams, for
-# longer than a change of its stage usually takes.
+# Guards against calls to an engine that takes no new ones and still ends its streams,
+# for longer than a change of its stage usually takes.
 def test_engine_gets_no_calls_until_it_is_registered_in_its_new_stage(
     run: Run, fleet: GatewayFleet, monkeypatch: pytest.MonkeyPatch
 ) -> None:
