Simulate crashes of other causes under sound requests that are repeated

In the simulation each prompt was a request of its own, so it could not show a sound request that is refused after crashes of other causes. Eight sound requests come again and again now at 5 or 24 gateways, one message in ten is lost, and the busiest engine crashes twice a second, known at once or 1 s later.

The test expects that no gateway comes to a verdict on fewer than three crashes, and that half of the sound prompts are sent at least, as the tests of deadly prompts do.

--- a/tests/crash_simulation.py
+++ b/tests/crash_simulation.py
@@ -89,12 +89,17 @@
     engine_count: int
     deadly_per_s: float = 5.0
     sound_per_s: float = 60.0
+    # Sound prompts come as so many requests, again and again; as different ones if 0.
+    sound_requests: int = 0
+    confirm_s: float = CONFIRM_S
     now_s: float = 0.0
     # Each crash on a deadly prompt, and each deadly prompt that was sent to an engine.
     crashes: list[float] = field(default_factory=list)
     deadly_sends: list[float] = field(default_factory=list)
     # Each sound prompt, with whether it was sent.
     sound: list[SoundPrompt] = field(default_factory=list)
+    # Each verdict at the gateway that came to it.
+    verdicts: list[Verdict] = field(default_factory=list)
     gateways: dict[str, SimulatedGateway] = field(default_factory=dict)
     engines: list[SimulatedEngine] = field(default_factory=list)
     _events: list[tuple[float, int, Callable[[], None]]] = field(default_factory=list)
@@ -137,6 +142,7 @@
         """End the process of an engine; the gateways of its calls learn of that."""
         crash = CrashId(engine.upstream, engine.started_ms)
         broken = list(engine.waiting.values())
+        broke_s = self.now_s
         engine.waiting.clear()
         engine.started_ms += 1
         engine.upstream = UpstreamId(f"{engine.upstream}x")
@@ -144,8 +150,10 @@
         for call in broken:
             began = call.is_deadly or self.random.random() < 0.3
             self.call_at(
-                self.now_s + CONFIRM_S,
-                lambda call=call, began=began: self._report(call, crash, began),
+                broke_s + self.confirm_s,
+                lambda call=call, began=began: self._report(
+                    call, crash, broke_s, answer_began=began
+                ),
             )
 
     def count_late_sends(self) -> int:
@@ -155,6 +163,13 @@
         bounded_s = self.crashes[BOUNDED_CRASH - 1] + STABLE_S
         return sum(sent_s > bounded_s for sent_s in self.deadly_sends)
 
+    def repeat_crashes(self, per_s: float) -> None:
+        """Begin to crash engines for other causes, each time the busiest one."""
+        self._repeat(per_s, self._crash_busiest)
+
+    def _crash_busiest(self) -> None:
+        self.crash_engine(max(self.engines, key=lambda engine: len(engine.waiting)))
+
     def list_blamed(self) -> set[TraitId]:
         """Return the parts that gateways withhold though no engine crashes on them."""
         return {
@@ -165,8 +180,8 @@
         }
 
     def compute_sound_sent(self) -> float:
-        """Return which fraction of the sound prompts is sent after the last crash."""
-        settled_s = self.crashes[-1] + 2 * STABLE_S
+        """Return which fraction of the sound prompts is sent after the deadly ones."""
+        settled_s = self.crashes[-1] + 2 * STABLE_S if self.crashes else 0.0
         after = [prompt.is_sent for prompt in self.sound if prompt.at_s > settled_s]
         return sum(after) / len(after)
 
@@ -190,7 +205,10 @@
             return
         gateway = self.random.choice(running)
         number = next(self._numbers)
-        identity = RequestIdentity([b"POST"], f"request {number}".encode())
+        body = f"request {number}"
+        if not is_deadly and self.sound_requests:
+            body = f"sound {number % self.sound_requests}"
+        identity = RequestIdentity([b"POST"], body.encode())
         traits = CallTraits(make_part_traits(names), identity)
         evidence = gateway.evidence
         if evidence.find_verdict(traits) or evidence.forecast_hold(traits, self.now_s):
@@ -220,15 +238,22 @@
         for notice in call.gateway.evidence.record_answered(call.traits, self.now_s):
             self._broadcast(call.gateway, notice)
 
-    def _report(self, call: SimulatedCall, crash: CrashId, began: bool) -> None:
+    def _report(
+        self, call: SimulatedCall, crash: CrashId, broke_s: float, *, answer_began: bool
+    ) -> None:
         gateway = call.gateway
-        report = gateway.evidence.make_report(
-            crash, call.traits, self.now_s, answer_began=began
+        evidence = gateway.evidence
+        report = evidence.make_report(
+            crash, call.traits, broke_s, answer_began=answer_began
         )
         if report is None or not gateway.running:
             return
+        for notice in evidence.find_answered_since(call.traits, broke_s):
+            evidence.apply_harmless(notice)
+            self._broadcast(gateway, notice)
         gateway.reports.append(report)
         for verdict in gateway.evidence.record_crash(report, self.now_s):
+            self.verdicts.append(verdict)
             self._broadcast_verdict(gateway, verdict, REPEATS)
         for number in range(REPEATS):
             at_s = self.now_s + number * REPEAT_INTERVAL_S
--- a/tests/test_crash_simulation.py
+++ b/tests/test_crash_simulation.py
@@ -7,6 +7,9 @@
 from tests.crash_bound import MAX_LATE_ARRIVALS
 from tests.crash_simulation import STABLE_S, CrashSimulation
 
+# Crashes that a request which was answered all the time may break before a verdict.
+REPEATED_CRASHES = 3
+
 
 def make_simulation(seed: int, gateways: int, loss: float) -> CrashSimulation:
     simulation = CrashSimulation(Random(seed), loss, engine_count=20)
@@ -30,6 +33,28 @@
     assert simulation.compute_sound_sent() >= 0.5
 
 
+# Guards against refusing sound requests that callers repeat, since they were running at
+# engines that crashed for other causes, which the gateways learn at once or later.
+@pytest.mark.parametrize("seed", range(3))
+@pytest.mark.parametrize("confirm_s", [0.01, 1.0])
+@pytest.mark.parametrize("gateways", [5, 24])
+def test_repeated_sound_requests_are_served_while_engines_crash(
+    gateways: int, confirm_s: float, seed: int
+) -> None:
+    simulation = make_simulation(seed, gateways, 0.1)
+    simulation.sound_requests = 8
+    simulation.confirm_s = confirm_s
+    # Each gateway has each request answered several times.
+    simulation.run(60.0)
+    simulation.repeat_crashes(2.0)
+    simulation.run(90.0)
+    sent = simulation.compute_sound_sent()
+    print(f"{len(simulation.verdicts)} verdicts; {sent:.3f} of sound prompts sent")
+    early = [item for item in simulation.verdicts if item.crashes < REPEATED_CRASHES]
+    assert early == []
+    assert sent >= 0.5
+
+
 # Guards against gateways that start, or start again, and try each deadly prompt anew.
 @pytest.mark.parametrize("seed", range(3))
 @pytest.mark.parametrize("gateways", [5, 24, 68])
