Send the notice of an answer again with the report of the crash

Callers of a sound request got 503 `withheld_request` where a gateway had not got the notice that the request had been answered after an earlier crash, so that crashes added up there; its verdict then held at all gateways.

The report that is sent again leaves out what was answered since, which clears nothing.

Change: with each report that is sent again go the answers that the gateway knows of since the call broke, its own and those of others.

Evidence: test_notice_of_an_answer_is_sent_again_with_the_report fails without the change: the gateway that lost the notice still accuses the request.

--- a/bramleyport/gateway/_crash_guard.py
+++ b/bramleyport/gateway/_crash_guard.py
@@ -224,15 +224,14 @@
         )
 
     def repeat_reports(self) -> None:
-        """Send recent reports and verdicts again, as datagrams may be lost."""
+        """Send recent reports, answers and verdicts again, as datagrams may be lost."""
         since_s = read_now() - REPORT_REPEAT_S
-        recent = [
-            self._evidence.update_report(report)
-            for at_s, report in self._reports
-            if at_s >= since_s
-        ]
+        recent = [report for at_s, report in self._reports if at_s >= since_s]
+        for report in recent:
+            self._object(report.contestable, report.at_s)
+        updated = map(self._evidence.update_report, recent)
         known = set(self._pending.reports)
-        self._pending.reports += [item for item in recent if item not in known]
+        self._pending.reports += [item for item in updated if item not in known]
         # Gateways that know the trait to be harmless object each time.
         self._own_verdicts = [item for item in self._own_verdicts if item[0] >= since_s]
         in_force = self._evidence.verdicts
--- a/tests/crash_simulation.py
+++ b/tests/crash_simulation.py
@@ -255,9 +255,17 @@
         for verdict in gateway.evidence.record_crash(report, self.now_s):
             self.verdicts.append(verdict)
             self._broadcast_verdict(gateway, verdict, REPEATS)
-        for number in range(REPEATS):
+        self._broadcast(gateway, report)
+        for number in range(1, REPEATS):
             at_s = self.now_s + number * REPEAT_INTERVAL_S
-            self.call_at(at_s, lambda: self._broadcast(gateway, report))
+            self.call_at(at_s, lambda: self._repeat_report(gateway, report))
+
+    def _repeat_report(self, gateway: SimulatedGateway, report: CrashReport) -> None:
+        """Send a report again, and the answers that came since the call broke."""
+        evidence = gateway.evidence
+        for notice in evidence.find_harmless(sorted(report.contestable), report.at_s):
+            self._broadcast(gateway, notice)
+        self._broadcast(gateway, evidence.update_report(report))
 
     def _broadcast_verdict(
         self, gateway: SimulatedGateway, verdict: Verdict, repeats: int
--- a/tests/test_crash_guard.py
+++ b/tests/test_crash_guard.py
@@ -46,6 +46,10 @@
     def confirm(self, upstream: str) -> None:
         self.guard.confirm_crash(UpstreamId(upstream))
 
+    def accuses(self, call: Any) -> bool:
+        """Return whether a crash accuses the request of a call."""
+        return self.evidence.may_withhold_next(call.traits, answer_began=False)
+
     def send_to(self, other: "GuardedGateway") -> None:
         """Send the other gateway all updates that are pending."""
         updates = self.guard.take_updates()
@@ -84,6 +88,26 @@
     run(check())
 
 
+# Guards against crashes that add up at a gateway which did not get the notice that the
+# request of the earlier ones was answered: one message in ten may be lost.
+def test_notice_of_an_answer_is_sent_again_with_the_report(run: Run) -> None:
+    async def check() -> None:
+        gateway, other = GuardedGateway("g0"), GuardedGateway("g1")
+        call = make_call("poll")
+        await gateway.break_call(call, "p0")
+        gateway.confirm("p0")
+        gateway.send_to(other)
+        assert other.accuses(call)
+        await asyncio.sleep(ANSWER_STEP_S)
+        gateway.answer(call)
+        assert gateway.guard.take_updates().harmless
+        gateway.guard.repeat_reports()
+        gateway.send_to(other)
+        assert not other.accuses(call)
+
+    run(check())
+
+
 # Guards against messages that grow with the calls of one request that a crash broke.
 def test_notice_of_an_answer_is_sent_once_for_all_calls_of_a_crash(run: Run) -> None:
     async def check() -> None:
