Begin a stream by the shares that came while its prompt was prefilled

A prompt was prefilled in vain: its call had found no shares of versions and was placed at the only registered version; the first shares came meanwhile, and a call without a version was allowed nowhere then ("no engine to decode the call"), although they name the same version.

A call that has no version takes that of the shares once there are any. A gateway that is alone may begin streams before it has read shares, as no other can have written any.

--- a/bramleyport/gateway/_version_choice.py
+++ b/bramleyport/gateway/_version_choice.py
@@ -320,15 +320,22 @@
 
     def _list_allowed(self, context: CallContext) -> frozenset[SoftwareVersion]:
         """Return the version of a stream, or at which it may begin."""
+        call = context.call
+        versions = self._state.stream_versions
+        if context.preferred_version is None and call.origin is not None:
+            # The first shares may have come since the call was placed.
+            chosen = versions.choose(call.service, call.origin, read_now())
+            context.preferred_version = chosen
         version = context.version or context.preferred_version
         if version is not None:
             return frozenset((version,))
-        known = self._state.stream_versions.list_versions(context.call.service)
+        known = versions.list_versions(call.service)
         registered = frozenset(self._list_versions(context))
         # A service that has no shares can't be served otherwise while the store takes
-        # no writes. One whose shares were not read yet may have any.
-        is_listed = self._state.versions_listed_s is not None
-        is_only = is_listed and not known and len(registered) == 1
+        # no writes. If they were not read yet, another gateway may have written some.
+        is_alone = self._state.roster.count == 1
+        may_know = is_alone or self._state.versions_listed_s is not None
+        is_only = may_know and not known and len(registered) == 1
         return registered if is_only else frozenset()
 
     def _list_versions(self, context: CallContext) -> set[SoftwareVersion]:
