--- a/bramleyport/fleet/_stream_versions.py
+++ b/bramleyport/fleet/_stream_versions.py
@@ -134,6 +134,18 @@
             for version in item.shares.versions
         )
 
+    def list_recent_versions(
+        self, service: ServiceName, now_s: float, recent_s: float
+    ) -> frozenset[SoftwareVersion]:
+        """Return the versions that new streams have, or had a moment ago."""
+        known = self._shares.get(service, [])
+        return frozenset(
+            version
+            for item, later in zip(known, [*known[1:], None], strict=True)
+            if later is None or now_s - later.since_s < recent_s
+            for version in item.shares.versions
+        )
+
     def find_stream(self, origin: RequestId, now_s: float) -> BegunStream | None:
         """Return a stream that began here, or of which another gateway told."""
         known = self._streams.get(origin)
--- a/bramleyport/gateway/_stages.py
+++ b/bramleyport/gateway/_stages.py
@@ -7,8 +7,10 @@
 
 from bramleyport.core import FencingNumber, ServiceName
 from bramleyport.fleet import (
+    EngineTraits,
     EngineView,
     Registration,
+    SoftwareVersion,
     Stage,
     StageChange,
     StagePlanner,
@@ -19,6 +21,7 @@
 from bramleyport.gateway._serving import list_away
 from bramleyport.gateway._stage_orders import StageOrderTracker
 from bramleyport.gateway._state import GatewayState
+from bramleyport.gateway._version_store import KEEP_FACTOR
 from bramleyport.http1 import ExchangeError
 from bramleyport.platform import (
     EngineReport,
@@ -128,12 +131,20 @@
             views = self._make_engine_views(service.name, now_s)
             if self._is_growing(service.name, len(views), now_s):
                 continue
-            # Those of all streams that may go on, not only of the new ones.
-            versions = self._state.stream_versions.list_versions(service.name)
+            versions = self._list_versions(service.name, service.engine, now_s)
             change = planner.plan(views, service.engine.slots, now_s, versions or None)
             if change is not None:
                 yield change, service.name
 
+    def _list_versions(
+        self, service: ServiceName, engine: EngineTraits, now_s: float
+    ) -> frozenset[SoftwareVersion]:
+        """Return the versions whose streams may go on once an engine has changed."""
+        versions = self._state.stream_versions
+        # Twice the longest timeout is kept.
+        recent_s = max(0.0, versions.keep_s / KEEP_FACTOR - engine.switch_s)
+        return versions.list_recent_versions(service, now_s, recent_s)
+
     def _make_engine_views(
         self, service: ServiceName, now_s: float
     ) -> list[EngineView]:
