--- a/bramleyport/gateway/_state.py
+++ b/bramleyport/gateway/_state.py
@@ -1,7 +1,7 @@
 """Define the state that the parts of a gateway share."""
 
 import math
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from dataclasses import dataclass, field
 from typing import Final
 
@@ -26,10 +26,9 @@
     Reachability,
     Registration,
     RouteTable,
+    ServingGroup,
     SharesKnowledge,
     ShutdownSchedule,
-    SoftwareVersion,
-    Stage,
     StreamVersions,
     UpstreamPauses,
     VersionGap,
@@ -87,6 +86,8 @@
     changing_until_s: dict[UpstreamId, float] = field(default_factory=dict)
     # Upstreams that declined a call, and until when they are avoided.
     declined_until_s: dict[UpstreamId, float] = field(default_factory=dict)
+    # Calls that wait for upstreams that are away.
+    held_calls: int = 0
     # Upstreams that want no requests from this gateway for a while.
     pauses: UpstreamPauses = field(default_factory=UpstreamPauses)
     # Upstreams that said in an answer that they leave, which the peers don't know yet.
@@ -247,13 +248,11 @@
         names = (item.upstream for item in ready)
         return {name for name in names if self.pauses.is_paused(name, now_s)}
 
-    def refuse_blocked(self, service: ServiceName, now_s: float) -> Rejected:
-        """Return the refusal of a call that no upstream of its service permits now."""
-        paused = self.list_paused(service, now_s)
-        ready = self.members.list_ready(service)
-        limited = self.list_limited(service) - paused
-        if limited or not paused:
-            open_ones = [item for item in ready if item.upstream not in paused]
+    def refuse_blocked(self, group: ServingGroup, now_s: float) -> Rejected:
+        """Return the refusal of a call that none of its upstreams permits now."""
+        paused = {name for name in group.names if self.pauses.is_paused(name, now_s)}
+        open_ones = [item for item in group.ready if item.upstream not in paused]
+        if not paused or self.rate_limiter.list_limited(open_ones):
             return self.rate_limiter.refuse(open_ones, now_s)
         wait_s = min(self.pauses.find_wait(name, now_s) for name in paused)
         numbers = {"paused_upstreams": float(len(paused))}
@@ -341,21 +340,6 @@
         known_s = self.processes_known_s.get(registration.upstream, now_s)
         return found if now_s - known_s > SUCCESSION_S else None
 
-    def list_live_versions(
-        self, service: ServiceName, now_s: float
-    ) -> set[SoftwareVersion]:
-        """Return the versions of which an upstream that decodes may answer."""
-        ready = self.members.list_ready(service)
-        names = [item.upstream for item in ready]
-        unreachable = self.reachability.find_unreachable(names, now_s)
-        return {
-            item.version
-            for item in ready
-            if item.stage is not Stage.PREFILL
-            and item.upstream not in unreachable
-            and not self.has_ended(item, now_s)
-        }
-
     def record_pause(self, upstream: UpstreamId, pause_s: float, now_s: float) -> None:
         """Record that an upstream wants no requests for a while."""
         if pause_s > 0 and self.pauses.record(upstream, pause_s, now_s):
@@ -363,20 +347,21 @@
                 gateway_events.UPSTREAM_PAUSED, upstream=upstream, pause_s=pause_s
             )
 
-    def list_blocked(self, call: Call, now_s: float) -> set[UpstreamId]:
+    def list_blocked(
+        self, call: Call, group: ServingGroup, now_s: float
+    ) -> set[UpstreamId]:
         """Return the upstreams that do not permit a call now."""
         paused = self.list_paused(call.service, now_s)
         if not self.rate_limiter.knows_limits:
             return paused
         ready = self.members.list_ready(call.service)
-        return paused | self.rate_limiter.find_blocked(call, ready, now_s)
+        blocked = self.rate_limiter.find_blocked(call, ready, group.ready, now_s)
+        return paused | blocked
 
-    def list_busier(self, service: ServiceName) -> set[UpstreamId]:
-        """Return all upstreams of a service but those with the least work."""
+    def list_busier(self, group: ServingGroup) -> set[UpstreamId]:
+        """Return all upstreams of a group but those with the least work."""
         running = {
-            item.upstream: len(self.loads.of(item.upstream))
-            for item in self.members.list_ready(service)
-            if item.stage is not Stage.PREFILL
+            item.upstream: len(self.loads.of(item.upstream)) for item in group.ready
         }
         least = min(running.values(), default=0)
         return {upstream for upstream, count in running.items() if count > least}
@@ -385,10 +370,21 @@
         """Record that an upstream declined a call, to avoid it for a while."""
         self.declined_until_s[upstream] = now_s + AVOID_DECLINED_S
 
-    def list_ejected(self, service: ServiceName, now_s: float) -> set[UpstreamId]:
-        """Return the upstreams of a service that recently failed too often."""
+    def list_ejected(
+        self,
+        service: ServiceName,
+        now_s: float,
+        serving: Collection[UpstreamId] = (),
+    ) -> set[UpstreamId]:
+        """Return the upstreams of a service that recently failed too often.
+
+        Some of those that can serve a call (`serving`) always stay in use, however many
+        others there are.
+        """
         names = [item.upstream for item in self.members.list_ready(service)]
-        return self.ejector.find_ejected(names, now_s)
+        others = [name for name in names if name not in serving]
+        ejected = self.ejector.find_ejected(others, now_s)
+        return ejected | self.ejector.find_ejected(sorted(serving), now_s)
 
     def record_received(self, upstream: UpstreamId, now_s: float) -> None:
         """Record that an upstream has sent data."""
--- a/tests/platform_standin/_crashes.py
+++ b/tests/platform_standin/_crashes.py
@@ -14,7 +14,6 @@
     start_stream,
     write_chunk,
 )
-from tests.ports import find_port
 
 # Between the last bytes of the request that is to blame and the end of all connections.
 CRASH_DELAY_S = 0.01
@@ -45,6 +44,8 @@
         self.script = stream_or_crash
         self.deadly_parts: set[str] = set()
         self.deadly_bodies: set[str] = set()
+        # While it is set, deadly calls that have begun here wait for it to crash this.
+        self.crash_gate: asyncio.Event | None = None
         self.crashes: list[EngineCrash] = []
         self.is_down = False
         # From a crash to the start of the next process at the same address.
@@ -62,8 +63,7 @@
         self._recoveries: set[asyncio.Task[None]] = set()
 
     async def start(self, port: int = 0) -> None:
-        """Listen at a port that outgoing connections don't use while it is down."""
-        await super().start(port or find_port())
+        await super().start(port)
         self.is_down = False
 
     async def stop(self) -> None:
@@ -149,6 +149,8 @@
         write_chunk(writer, render_event(first)[:PARTIAL_EVENT_BYTES])
         await writer.drain()
     await asyncio.sleep(CRASH_DELAY_S)
+    if engine.crash_gate is not None:
+        await engine.crash_gate.wait()
     engine.crash(cause)
 
 
