Place calls in a module of their own, and retry held ones on new connections

A call whose upstreams answered as other processes was held, sent again on the connection on which the gateway had asked one for its report, and failed with 502: a refusal that names no request counts only on a connection that carried nothing else. After a wait, a call uses no connection that was idle meanwhile. Evidence: test_split_runs.py [replace_decoders] failed before (502 for 503) and passes.

--- a/bramleyport/gateway/_call_context.py
+++ b/bramleyport/gateway/_call_context.py
@@ -69,7 +69,7 @@
         # The connections on which the call was sent, which its retries avoid.
         self.used_connections: set[UpstreamConnection] = set()
         self.last_failure: FailedAttempt | None = None
-        # When an attempt was last lost after it was sent.
+        # When an attempt was last lost after it was sent, or upstreams were awaited.
         self.lost_s: float | None = None
         # The permit for the decode after a separate prefill that is running.
         self.reservation: Reservation | None = None
--- a/tests/test_split_runs.py
+++ b/tests/test_split_runs.py
@@ -15,7 +15,7 @@
 from bramleyport.admission import Admitted
 from bramleyport.core import Explanation, UpstreamId
 from bramleyport.fleet import Stage, TraitId, Verdict
-from bramleyport.gateway import _attempt
+from bramleyport.gateway import _placement
 from bramleyport.gateway._clock import read_now
 from bramleyport.gateway._retries import MIN_REMAINING_S
 from bramleyport.http1 import ExchangeError, HttpClient, _pool
@@ -414,7 +414,7 @@
 ) -> None:
     # The call was refused while it ran, if the answer and the deadline came at once.
     admitted = Admitted(Explanation(reason="test"))
-    monkeypatch.setattr(_attempt, "admit", lambda *_, **__: admitted)
+    monkeypatch.setattr(_placement, "admit", lambda *_, **__: admitted)
     due_s: dict[str, float] = {}
 
     async def wait(request: RawRequest) -> None:
