--- a/bramleyport/gateway/_return_queue.py
+++ b/bramleyport/gateway/_return_queue.py
@@ -1,4 +1,4 @@
-"""Hold calls until an upstream that can serve them is back, in order of rank."""
+"""Make calls wait until an upstream that can serve them is back, in order of rank."""
 
 import asyncio
 from dataclasses import dataclass
