--- a/tests/order_search/_mutations.py
+++ b/tests/order_search/_mutations.py
@@ -18,6 +18,7 @@
     _attempt,
     _exchange,
     _forward,
+    _placement,
     _plain,
     _prefill,
     _reply,
@@ -277,7 +278,7 @@
     async def refuse_to_wait(*_: Any) -> bool:
         return False
 
-    patch.setattr(_attempt.AttemptSupport, "_wait_for_return", refuse_to_wait)
+    patch.setattr(_placement.Placement, "_wait_for_return", refuse_to_wait)
 
 
 @version_mutation
--- a/tests/order_search/_version_search.py
+++ b/tests/order_search/_version_search.py
@@ -87,7 +87,9 @@
                 stages._planners[service].record_change(
                     change.upstream, now_s, change.stage
                 )
-                stages._orders.record_ordered(change.upstream, change.stage, now_s)
+                target = self._gateway.state.members.find(change.upstream)
+                assert target is not None
+                stages._orders.record_ordered(target, change.stage, now_s)
                 self._change_stage(change, now_s)
 
     def _change_stage(self, change: StageChange, now_s: float) -> None:
--- a/tests/test_stops_of_waiting_calls.py
+++ b/tests/test_stops_of_waiting_calls.py
@@ -122,21 +122,26 @@
     assert run(stop()) == 200
 
 
-def crash_engines(fleet: GatewayFleet) -> None:
+async def find_no_process(*_: Any) -> bool:
+    return False
+
+
+def crash_engines(fleet: GatewayFleet, monkeypatch: pytest.MonkeyPatch) -> None:
     """Let the gateway find that all engines have crashed and may be back."""
+    monkeypatch.setattr(ProcessChecker, "has_returned", find_no_process)
     for engine in fleet.engines:
         fleet.state.record_ended(UpstreamId(engine.name), read_now())
 
 
 @pytest.mark.parametrize("path", [LONG_PATH, "/stream/x"])
 def test_call_that_is_held_for_its_upstreams_is_refused_at_the_end_of_a_stop(
-    fleet: GatewayFleet, run: Run, path: str
+    fleet: GatewayFleet, run: Run, path: str, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """Guards against a process that ends with calls which wait for their upstreams."""
 
     async def stop() -> int:
         fleet.state.settings = replace(fleet.state.settings, grace_s=GRACE_S)
-        crash_engines(fleet)
+        crash_engines(fleet, monkeypatch)
         stopping = asyncio.ensure_future(fleet.gateway.stop())
         # Calls are held for up to half of their time, 1 s of that of a short route.
         await asyncio.sleep(2.0)
@@ -151,12 +156,12 @@
 
 
 def test_call_that_is_held_is_served_if_its_upstreams_are_back_within_a_stop(
-    fleet: GatewayFleet, run: Run
+    fleet: GatewayFleet, run: Run, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """Guards against a stop that ends while a call waits for its upstreams."""
 
     async def stop() -> int:
-        crash_engines(fleet)
+        crash_engines(fleet, monkeypatch)
         caller = fleet.make_caller()
         stopping = asyncio.ensure_future(fleet.gateway.stop())
         await asyncio.sleep(2.0)
