--- a/bramleyport/gateway/_placement.py
+++ b/bramleyport/gateway/_placement.py
@@ -80,6 +80,7 @@
             return False
         now_s = read_now()
         until_s = context.find_wait_end()
+        # The call begins a stream that may be resumed, at a version that may change.
         begins = context.version is None and context.preferred_version is not None
         if begins and now_s < context.find_change_time():
             until_s = context.find_change_time()
--- a/bramleyport/gateway/_retries.py
+++ b/bramleyport/gateway/_retries.py
@@ -15,10 +15,11 @@
 
 # Sends of one call, including those that upstreams declined without running it.
 MAX_SENDS: Final = 3
-# Attempts of one call that reach no upstream before the call is refused, and the same
-# for each upstream of its service: many may crash together.
-MIN_UNSENT: Final = 6
+# Attempts of one call that reach no upstream before the call is refused, for each
+# upstream of its service, as many may crash together; and the least and most of them.
 UNSENT_PER_UPSTREAM: Final = 2
+MIN_UNSENT: Final = 6
+MAX_UNSENT: Final = 24
 # With less time to the deadline a further attempt is unlikely to be answered.
 MIN_REMAINING_S: Final = 0.05
 
@@ -168,7 +169,7 @@
 
     def _limit_unsent(self, context: CallContext) -> int:
         upstreams = len(self._state.members.list_ready(context.call.service))
-        return max(MIN_UNSENT, UNSENT_PER_UPSTREAM * upstreams)
+        return min(MAX_UNSENT, max(MIN_UNSENT, UNSENT_PER_UPSTREAM * upstreams))
 
 
 class AttemptRetry:
