Hold streams that have begun for three quarters of their time

A stream of a caller that allows 5 s, broken off after a second, was refused 2 s later, just before its version was back: calls were held for half of their time. Only upstreams of its version can go on with it, so refusing it earlier gains nothing.

--- a/bramleyport/gateway/_call_context.py
+++ b/bramleyport/gateway/_call_context.py
@@ -18,6 +18,8 @@
 # Fraction of the time left that a call may wait for the end of a pause or for an
 # upstream that will be back, which then has enough time to answer it.
 WAIT_FRACTION: Final = 0.5
+# The same for a stream that has begun: only upstreams of its version can go on with it.
+BEGUN_WAIT_FRACTION: Final = 0.75
 # Time before it misses its objective from which a stream asks for shares that give it
 # another version than one that is away.
 CHANGE_LEAD_S: Final = 0.25
@@ -98,7 +100,9 @@
     def find_wait_end(self) -> float:
         """Return until when the call may wait, from now on, for all its waits."""
         if self._wait_end_s is None:
-            self._wait_end_s = read_now() + WAIT_FRACTION * self.remaining_s
+            has_begun = self.version is not None
+            fraction = BEGUN_WAIT_FRACTION if has_begun else WAIT_FRACTION
+            self._wait_end_s = read_now() + fraction * self.remaining_s
         return self._wait_end_s
 
     def find_change_time(self) -> float:
--- a/tests/test_away_versions.py
+++ b/tests/test_away_versions.py
@@ -40,6 +40,8 @@
 # Long enough for calls to wait until gateways have read that upstreams are back.
 TIMEOUT_MS = 8000
 AWAY_S = 0.5
+# More than half of the three seconds that callers allow.
+LONG_AWAY_S = 1.7
 # So many that an upstream is ejected if all of its own are failures.
 RESULTS = 20
 LIMIT_PER_S = 50.0
@@ -68,6 +70,22 @@
     run(check())
 
 
+# Guards against refusing streams that nothing else can go on with, while most of their
+# time is left for an upstream that is back.
+def test_begun_streams_wait_for_most_of_their_time(run: Run, tmp_path: Path) -> None:
+    async def check() -> None:
+        async with run_versions(tmp_path, VERSIONS, timeout_ms=TIMEOUT_MS) as versioned:
+            await begin_at_both_versions(versioned)
+            crashed = await crash_version(versioned, "v2")
+            resumed = versioned.resume_together(versioned.choose_other)
+            await asyncio.sleep(LONG_AWAY_S)
+            await bring_back(versioned, crashed, "v2")
+            await resumed
+            versioned.check(complete=STREAMS)
+
+    run(check())
+
+
 # Guards against streams that a gateway breaks off while their version is away for a
 # moment, though it could go on with them.
 def test_running_streams_wait_for_their_version(run: Run, tmp_path: Path) -> None:
