Identify client accounts by their keys, and never pass the keys on

Nothing decoded tenants, api_keys and anonymous of the configuration: the key of a caller was passed to upstreams, and a removed key still served. A request on a route that is not anonymous now needs a key of the configuration in force, else it is answered 401 and runs nowhere. The key is checked again before each attempt. Upstreams get the account's name, never the key nor a name that the caller sent. The priority of an account goes before that of the route in all ranking. Without accounts in the configuration no header is touched.

--- a/bramleyport/fleet/__init__.py
+++ b/bramleyport/fleet/__init__.py
@@ -1,6 +1,17 @@
 """Decide, without I/O, which upstreams serve the calls of a gateway."""
 
+from bramleyport.fleet._accounts import (
+    AccountIndex,
+    ApiKey,
+    ClientAccount,
+    SharedKey,
+)
 from bramleyport.fleet._admission import admit
+from bramleyport.fleet._authentication import (
+    UnknownKey,
+    authenticate,
+    may_still_run,
+)
 from bramleyport.fleet._choice import Choice, Chooser
 from bramleyport.fleet._crash_evidence import (
     MAX_CRASHES,
@@ -91,13 +102,16 @@
     "TRIAL_SPACING_S",
     "UNKNOWN_VERSION",
     "AbsentUpstream",
+    "AccountIndex",
     "Address",
+    "ApiKey",
     "BegunStream",
     "Call",
     "CallTraits",
     "CallerLimits",
     "Choice",
     "Chooser",
+    "ClientAccount",
     "ConfigVersion",
     "Configuration",
     "CrashEvidence",
@@ -137,6 +151,7 @@
     "ServiceShare",
     "ServingGroup",
     "ServingScope",
+    "SharedKey",
     "SharesKnowledge",
     "ShutdownSchedule",
     "SoftwareVersion",
@@ -146,6 +161,7 @@
     "StreamVersions",
     "TraitId",
     "Transfer",
+    "UnknownKey",
     "UpdatePacing",
     "UpstreamLoad",
     "UpstreamPauses",
@@ -155,6 +171,7 @@
     "Work",
     "WorkRecorder",
     "admit",
+    "authenticate",
     "choose_service",
     "choose_store_watchers",
     "choose_trial_interval",
@@ -162,6 +179,7 @@
     "compute_shares",
     "is_request",
     "is_watch_shared",
+    "may_still_run",
     "plan_shutdown",
     "writes_answers",
 ]
--- a/bramleyport/fleet/_decode_times.py
+++ b/bramleyport/fleet/_decode_times.py
@@ -36,6 +36,6 @@
 
     def forecast_slot(self, call: Call, load: UpstreamLoad, slots: int) -> float:
         """Return the seconds until an engine has a slot for a call."""
-        ahead = load.count_ahead(call.route.priority)
+        ahead = load.count_ahead(call.priority)
         missing = max(0, ahead + 1 - slots)
         return missing * self._service_means_s.get(call.service, 0.0) / max(1, slots)
--- a/bramleyport/fleet/_prefill.py
+++ b/bramleyport/fleet/_prefill.py
@@ -82,7 +82,7 @@
         prefill_cost = compute_prefill_cost(uncached, prompt.tokens_in)
         load = self._loads.of(candidate.upstream)
         return PrefillForecast(
-            wait_s=load.forecast_wait(call.route.priority, now_s),
+            wait_s=load.forecast_wait(call.priority, now_s),
             prefill_s=self._speeds.forecast(candidate.upstream, stage, prefill_cost),
             prefill_cost=prefill_cost,
             fetch_s=fetch_s,
--- a/bramleyport/fleet/_transfers.py
+++ b/bramleyport/fleet/_transfers.py
@@ -77,7 +77,7 @@
 
     def _forecast(self, call: Call, candidate: Registration, now_s: float) -> "_Target":
         load = self._loads.of(candidate.upstream)
-        wait_s = load.forecast_wait(call.route.priority, now_s)
+        wait_s = load.forecast_wait(call.priority, now_s)
         # Prefill on the same engine lengthens the gaps between the call's tokens.
         prefill_delay_s = load.forecast_wait(LOWEST_PRIORITY, now_s)
         prefill_delay_s = min(prefill_delay_s, self._decode_times.forecast(call))
--- a/bramleyport/fleet/_types.py
+++ b/bramleyport/fleet/_types.py
@@ -5,12 +5,14 @@
 from typing import Final, NewType
 
 from bramleyport.core import (
+    AccountId,
     ModelName,
     RequestId,
     ServiceName,
     UpstreamId,
     ZoneName,
 )
+from bramleyport.fleet._accounts import AccountIndex, ApiKey, ClientAccount
 from bramleyport.fleet._traits import CallTraits, RequestIdentity, make_part_traits
 
 RouteName = NewType("RouteName", str)
@@ -76,6 +78,8 @@
     max_attempts: int
     # Longest pause between events that still counts as in time; 0 if unset.
     max_pause_s: float = 0.0
+    # Calls need no key of a client account.
+    anonymous: bool = False
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -119,6 +123,8 @@
     routes: tuple[Route, ...]
     services: dict[ServiceName, ServiceConfig]
     limits: CallerLimits = field(default_factory=CallerLimits)
+    # None if the configuration knows no client accounts, so that calls need no key.
+    accounts: AccountIndex | None = None
 
 
 class Stage(str, Enum):
@@ -180,6 +186,23 @@
     # if the caller does not say. A request that resumes nothing is its own origin.
     origin: RequestId | None = None
     identity: RequestIdentity | None = field(default=None, compare=False)
+    # The client account that the key named when the call arrived, and that key.
+    account: ClientAccount | None = field(default=None, compare=False)
+    key: ApiKey | None = field(default=None, compare=False, repr=False)
+    # The configuration knew client accounts when the call arrived.
+    has_accounts: bool = False
+
+    @property
+    def priority(self) -> int:
+        """Return the rank of the call: that of its account, or else of its route."""
+        if self.account is not None and self.account.priority is not None:
+            return self.account.priority
+        return self.route.priority
+
+    @property
+    def account_name(self) -> AccountId | None:
+        """Return the name of the client account, if the call has one."""
+        return self.account.name if self.account else None
 
     @property
     def traits(self) -> CallTraits:
--- a/bramleyport/gateway/_attempt.py
+++ b/bramleyport/gateway/_attempt.py
@@ -20,7 +20,14 @@
 from bramleyport.gateway._outcome import AttemptEnd, FailedAttempt
 from bramleyport.gateway._placement import Placement
 from bramleyport.gateway._process_check import ProcessChecker
-from bramleyport.gateway._reply import OwnStatus, refuse, relay_answer, reply
+from bramleyport.gateway._reply import (
+    UNKNOWN_KEY,
+    OwnStatus,
+    refuse,
+    relay_answer,
+    reply,
+    reply_unknown_key,
+)
 from bramleyport.gateway._retries import RetryDecider
 from bramleyport.gateway._state import GatewayState
 from bramleyport.gateway._version_choice import VersionChooser
@@ -134,6 +141,9 @@
         """Refuse a call that has not run, and tell the caller when to retry."""
         request = context.call.request
         reason = decision.explanation.reason
+        if reason == UNKNOWN_KEY:
+            self._refuse_key(context)
+            return
         retry_after_s = decision.retry_after_s
         proof = context.attempts.close_unless_run()
         if proof is None:
@@ -153,6 +163,20 @@
             **decision.explanation.numbers,
         )
 
+    def _refuse_key(self, context: CallContext) -> None:
+        """Answer a call whose key was taken away while it waited."""
+        call = context.call
+        context.attempts.close()
+        reply_unknown_key(context.connection, call.request)
+        self.metrics.count_refusal(UNKNOWN_KEY)
+        self._count_result(context, "refused")
+        log_event(
+            gateway_events.KEY_REFUSED,
+            request=call.request,
+            route=call.route.name,
+            has_key=call.key is not None,
+        )
+
     def log_retry(self, context: CallContext, decision: Explanation) -> None:
         """Log the retry of a call."""
         log_event(
--- a/bramleyport/gateway/_forward.py
+++ b/bramleyport/gateway/_forward.py
@@ -5,19 +5,28 @@
 from random import Random
 from typing import Final
 
+from result import Err
+
 from bramleyport.core import RequestId, ServiceName
 from bramleyport.fleet import (
     Call,
+    ClientAccount,
     Repeatability,
     RequestIdentity,
     Route,
+    authenticate,
     choose_service,
 )
 from bramleyport.gateway._attempt_record import Attempts, NotRunProof
 from bramleyport.gateway._call_context import CallContext
 from bramleyport.gateway._clock import read_now
 from bramleyport.gateway._plain import PlainServer
-from bramleyport.gateway._reply import answer_failed_call, refuse, reply
+from bramleyport.gateway._reply import (
+    answer_failed_call,
+    refuse,
+    reply,
+    reply_unknown_key,
+)
 from bramleyport.gateway._state import GatewayState
 from bramleyport.gateway._stream import StreamServer
 from bramleyport.http1 import CallerConnection, CallerDisconnectedError, CallerRequest
@@ -98,10 +107,23 @@
         if route is None:
             reply(connection, HTTPStatus.NOT_FOUND, head.request, "no_route")
             return None
+        identified = authenticate(routes.configuration, route, head.key)
+        if isinstance(identified, Err):
+            log_event(
+                gateway_events.KEY_REFUSED,
+                request=head.request,
+                route=route.name,
+                has_key=identified.err_value.has_key,
+            )
+            reply_unknown_key(connection, head.request)
+            return None
         if head.request is None:
             reply(connection, HTTPStatus.BAD_REQUEST, None, "no_request_id")
             return None
-        return self._accept_on_route(request, connection, head, route, attempts)
+        account = identified.ok_value
+        return self._accept_on_route(
+            request, connection, head, route, attempts, account
+        )
 
     def _accept_on_route(
         self,
@@ -110,6 +132,7 @@
         head: CallHead,
         route: Route,
         attempts: Attempts,
+        account: ClientAccount | None,
     ) -> CallContext | None:
         assert head.request is not None
         call = Call(
@@ -121,7 +144,10 @@
             deadline_s=request.began_s + min(head.time_limit_s, route.timeout_s),
             prompt=head.prompt,
             origin=head.resumes if head.last_event else head.request,
-            identity=_identify(request, head),
+            identity=_identify(request, head, account),
+            account=account,
+            key=head.key,
+            has_accounts=self._has_accounts,
         )
         if self._is_too_late(call):
             proof = NotRunProof(attempts.close())
@@ -135,6 +161,11 @@
         self._state.rate_limiter.record_call(call, read_now())
         return context
 
+    @property
+    def _has_accounts(self) -> bool:
+        configuration = self._state.configuration
+        return configuration is not None and configuration.accounts is not None
+
     def _choose_service(self, route: Route, head: CallHead) -> ServiceName:
         """Choose a service; that of a stream that is resumed by its identifier."""
         if route.repeatability is not Repeatability.STREAM_RESUMABLE:
@@ -176,7 +207,9 @@
     )
 
 
-def _identify(request: CallerRequest, head: CallHead) -> RequestIdentity:
+def _identify(
+    request: CallerRequest, head: CallHead, account: ClientAccount | None
+) -> RequestIdentity:
     """Return the identity of a request; its last prompt part may differ each time."""
     parts = head.prompt.parts[:-1] if head.prompt else ()
     fields = [
@@ -184,6 +217,7 @@
         _read_host(request).encode("latin-1"),
         request.target,
         *head.caller,
+        *([account.name.encode("latin-1")] if account else ()),
         *(part.prefix.encode("latin-1") for part in parts),
     ]
     return RequestIdentity(fields, request.body)
--- a/bramleyport/gateway/_metrics.py
+++ b/bramleyport/gateway/_metrics.py
@@ -47,7 +47,7 @@
 
     def _label(self, call: Call) -> dict[str, str]:
         name = self._routes.choose(AccountId(call.route.name))
-        return {"service": name, "rank": str(call.route.priority)}
+        return {"service": name, "rank": str(call.priority)}
 
 
 class MetricsPage:
--- a/bramleyport/gateway/_placement.py
+++ b/bramleyport/gateway/_placement.py
@@ -11,12 +11,14 @@
     ServingGroup,
     Transfer,
     admit,
+    may_still_run,
 )
 from bramleyport.gateway._call_context import WAIT_FRACTION, CallContext
 from bramleyport.gateway._clock import read_now
 from bramleyport.gateway._crash_guard import CrashGuard
 from bramleyport.gateway._process_check import ProcessChecker
 from bramleyport.gateway._rate_limits import OVER_LIMIT, Reservation
+from bramleyport.gateway._reply import UNKNOWN_KEY
 from bramleyport.gateway._retries import MIN_REMAINING_S, RetryDecider
 from bramleyport.gateway._return_queue import ReturnQueue
 from bramleyport.gateway._state import PAUSED, GatewayState
@@ -63,6 +65,8 @@
         await self._guard.request_trial(context.call)
         while True:
             await self._versions.settle(context)
+            if not self._may_still_run(context):
+                return Rejected(Explanation(reason=UNKNOWN_KEY), 0.0)
             decision = self._choose_now(context)
             if not isinstance(decision, Rejected):
                 return decision
@@ -74,6 +78,10 @@
             elif not await self._wait_for_return(context, decision):
                 return decision
 
+    def _may_still_run(self, context: CallContext) -> bool:
+        configuration = self._state.configuration
+        return configuration is None or may_still_run(configuration, context.call)
+
     async def _wait_for_return(self, context: CallContext, decision: Rejected) -> bool:
         """Wait for an upstream that is away; return whether one may be back."""
         if decision.explanation.reason != UPSTREAMS_AWAY:
@@ -93,7 +101,7 @@
             log_event(
                 gateway_events.CALL_HELD,
                 request=context.call.request,
-                priority=context.call.route.priority,
+                priority=context.call.priority,
                 version=context.version or context.preferred_version or "",
                 absent=len(group.absent),
                 due_s=round(due_s - now_s, 3),
@@ -237,6 +245,8 @@
         refusal = self._guard.find_refusal(context.call)
         if context.engine is None or refusal is not None:
             return None
+        if not self._may_still_run(context):
+            return None
         now_s = read_now()
         call = context.call
         reservation = self._find_reservation(context, now_s)
--- a/bramleyport/gateway/_plain.py
+++ b/bramleyport/gateway/_plain.py
@@ -113,7 +113,10 @@
         request = context.request
         target = choice.upstream
         options = ForwardOptions(
-            upstream=target.upstream, remaining_time_s=context.remaining_s
+            has_accounts=context.call.has_accounts,
+            account=context.call.account_name,
+            upstream=target.upstream,
+            remaining_time_s=context.remaining_s,
         )
         sent = HttpRequest(
             method=request.method,
--- a/bramleyport/gateway/_prefill.py
+++ b/bramleyport/gateway/_prefill.py
@@ -150,9 +150,11 @@
     ) -> str:
         request = context.request
         options = ForwardOptions(
+            has_accounts=context.call.has_accounts,
+            account=context.call.account_name,
             upstream=prefill_engine.upstream,
             remaining_time_s=context.remaining_s,
-            priority=context.call.route.priority,
+            priority=context.call.priority,
             prefill_only=True,
             prefix_address=source.address if source else None,
         )
--- a/bramleyport/gateway/_rate_limits.py
+++ b/bramleyport/gateway/_rate_limits.py
@@ -159,7 +159,7 @@
             reserve = self._find_reserve(call.service)
             fraction = _compute_demand_fraction(ready, final)
             supply = self._sum_supply(final, fraction, now_s)
-            if not reserve.may_send(call.route.priority, supply, now_s):
+            if not reserve.may_send(call.priority, supply, now_s):
                 return limited
         return self.list_exhausted(ready, now_s)
 
@@ -183,7 +183,7 @@
         """Record that a call arrived, if any limit is known."""
         if self._table:
             reserve = self._find_reserve(call.service)
-            reserve.record_call(call.route.priority, now_s)
+            reserve.record_call(call.priority, now_s)
 
     def take_choice(
         self, call: Call, choice: Choice, now_s: float
@@ -196,7 +196,7 @@
         if choice.prefill is not None:
             targets.append(choice.prefill)
         if self.list_limited(targets):
-            self._find_reserve(call.service).record_sent(call.route.priority)
+            self._find_reserve(call.service).record_sent(call.priority)
         for target in targets:
             self.take(target, now_s)
         if choice.prefill is None or self.find(choice.upstream) is None:
--- a/bramleyport/gateway/_reply.py
+++ b/bramleyport/gateway/_reply.py
@@ -13,10 +13,13 @@
 # An unexpected error rarely repeats for the same call.
 RETRY_AFTER_ERROR_S: Final = 0.1
 TEXT_TYPE: Final = (b"Content-Type", b"text/plain")
+# Why a request is answered 401.
+UNKNOWN_KEY: Final = "unknown_key"
 # Statuses that say nothing of whether a call has run.
 OwnStatus = Literal[
     HTTPStatus.OK,
     HTTPStatus.BAD_REQUEST,
+    HTTPStatus.UNAUTHORIZED,
     HTTPStatus.NOT_FOUND,
     HTTPStatus.BAD_GATEWAY,
     HTTPStatus.GATEWAY_TIMEOUT,
@@ -52,6 +55,11 @@
     _reply(connection, status, request, reason, None)
 
 
+def reply_unknown_key(connection: CallerConnection, request: RequestId | None) -> None:
+    """Answer a request whose key names no client account."""
+    reply(connection, HTTPStatus.UNAUTHORIZED, request, UNKNOWN_KEY)
+
+
 def refuse(
     connection: CallerConnection,
     proof: NotRunProof,
--- a/bramleyport/gateway/_return_queue.py
+++ b/bramleyport/gateway/_return_queue.py
@@ -26,7 +26,7 @@
     @property
     def rank(self) -> tuple[int, float]:
         """Return the order of calls: the most urgent first, then the oldest."""
-        return (self.call.route.priority, self.call.arrived_s)
+        return (self.call.priority, self.call.arrived_s)
 
 
 class ReturnQueue:
--- a/bramleyport/gateway/_stream_attempt.py
+++ b/bramleyport/gateway/_stream_attempt.py
@@ -83,9 +83,11 @@
             return await self._prefill_separately(context, choice, choice.prefill)
         source = choice.prefix_source
         options = ForwardOptions(
+            has_accounts=context.call.has_accounts,
+            account=context.call.account_name,
             upstream=choice.upstream.upstream,
             remaining_time_s=context.remaining_s,
-            priority=context.call.route.priority,
+            priority=context.call.priority,
             prefix_address=source.address if source else None,
         )
         return PreparedCall(choice=choice, options=options, transfer_s=choice.fetch_s)
@@ -101,9 +103,11 @@
             raise
         target = transfer.target
         options = ForwardOptions(
+            has_accounts=context.call.has_accounts,
+            account=context.call.account_name,
             upstream=target.upstream,
             remaining_time_s=context.remaining_s,
-            priority=context.call.route.priority,
+            priority=context.call.priority,
             cache_address=prefill_engine.address,
             cache_handle=handle,
         )
--- a/bramleyport/gateway/_work_tracker.py
+++ b/bramleyport/gateway/_work_tracker.py
@@ -63,7 +63,7 @@
         work = Work(
             request=call.request,
             upstream=target.upstream,
-            priority=call.route.priority,
+            priority=call.priority,
             prefill_s=prefill_s,
             prefill_cost=prefill_cost,
             started_s=read_now(),
--- a/bramleyport/platform/_config.py
+++ b/bramleyport/platform/_config.py
@@ -3,9 +3,12 @@
 import re
 from typing import Final
 
-from bramleyport.core import ServiceName
+from bramleyport.core import AccountId, ServiceName
 from bramleyport.fleet import (
+    AccountIndex,
+    ApiKey,
     CallerLimits,
+    ClientAccount,
     Configuration,
     ConfigVersion,
     EngineTraits,
@@ -28,9 +31,12 @@
     read_positive_count,
     read_string,
 )
+from bramleyport.telemetry import gateway_events, log_event
 
 # Printable ASCII without spaces.
 _HOST: Final = re.compile("[!-~]{1,253}")
+# What a header can hold as one value: printable ASCII, without spaces at its ends.
+_HEADER_VALUE: Final = re.compile("[!-~]([ -~]{0,510}[!-~])?")
 
 
 def decode_configuration(document: Document) -> Configuration:
@@ -41,9 +47,63 @@
         routes=tuple(_decode_route(item) for item in read_mappings(document, "routes")),
         services={service.name: service for service in services},
         limits=_decode_limits(read_mapping(document, "limits")),
+        accounts=_decode_accounts(document),
     )
 
 
+def _decode_accounts(document: Document) -> AccountIndex | None:
+    """Return the client accounts; an odd entry among them is left out."""
+    if "tenants" not in document:
+        return None
+    entries = document["tenants"]
+    if not isinstance(entries, list):
+        # Without a single usable key, calls with keys are refused and none runs under
+        # a wrong name.
+        log_event(gateway_events.ACCOUNT_INVALID, reason="tenants is not a list")
+        return AccountIndex(())
+    accounts = []
+    for entry in entries:
+        try:
+            accounts.append(_decode_account(entry))
+        except MalformedDocumentError as error:
+            log_event(gateway_events.ACCOUNT_INVALID, reason=str(error))
+    index = AccountIndex(accounts)
+    for shared in index.shared_keys:
+        names = f"{shared.first} and {shared.second}"
+        reason = f"one key is held by {names}"
+        log_event(gateway_events.ACCOUNT_INVALID, reason=reason)
+    if index.unused_keys:
+        reason = f"{index.unused_keys} keys are over the limit"
+        log_event(gateway_events.ACCOUNT_INVALID, reason=reason)
+    return index
+
+
+def _decode_account(entry: object) -> ClientAccount:
+    if not isinstance(entry, dict):
+        raise MalformedDocumentError("an account is not a mapping")
+    name = read_string(entry, "name")
+    if not _HEADER_VALUE.fullmatch(name):
+        raise MalformedDocumentError(f"not a name of an account: {describe(name)}")
+    keys = entry.get("api_keys")
+    if not isinstance(keys, list):
+        raise MalformedDocumentError(f"the keys of {describe(name)} are not a list")
+    priority = None
+    if entry.get("priority") is not None:
+        priority = read_count(entry, "priority")
+    # Keys are never described: an error would bring them into the log.
+    valid = tuple(ApiKey(key) for key in keys if _is_key(key))
+    if len(valid) < len(keys):
+        log_event(
+            gateway_events.ACCOUNT_INVALID,
+            reason=f"{len(keys) - len(valid)} keys of {describe(name)} are malformed",
+        )
+    return ClientAccount(name=AccountId(name), keys=valid, priority=priority)
+
+
+def _is_key(value: object) -> bool:
+    return isinstance(value, str) and _HEADER_VALUE.fullmatch(value) is not None
+
+
 def _decode_route(document: Document) -> Route:
     return Route(
         name=RouteName(read_string(document, "name")),
@@ -56,6 +116,7 @@
         services=_decode_shares(document),
         max_attempts=max(1, read_count(document, "max_attempts", 1)),
         max_pause_s=read_amount(document, "gap_slo_ms", 0) / 1000,
+        anonymous=read_flag(document, "anonymous", False),
     )
 
 
--- a/bramleyport/platform/_headers.py
+++ b/bramleyport/platform/_headers.py
@@ -3,11 +3,11 @@
 import math
 import re
 from collections.abc import Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Final
 
-from bramleyport.core import ModelName, RequestId, StoreEra, UpstreamId
-from bramleyport.fleet import Address, PrefixId, Prompt, PromptPart
+from bramleyport.core import AccountId, ModelName, RequestId, StoreEra, UpstreamId
+from bramleyport.fleet import Address, ApiKey, PrefixId, Prompt, PromptPart
 
 Headers = list[tuple[bytes, bytes]]
 
@@ -40,6 +40,10 @@
         b"pin-ms",
     )
 )
+# Headers that are not passed on where calls belong to client accounts: the key is a
+# secret of the caller, and the account is named by the gateway.
+_KEY_HEADER: Final = b"api-key"
+_SET_FOR_ACCOUNTS: Final = frozenset((_KEY_HEADER, b"tenant"))
 # Status of an upstream that is not the expected instance and has run nothing.
 OTHER_INSTANCE_STATUS: Final = 421
 # Status of an upstream that turns a request away.
@@ -72,7 +76,9 @@
     # The request that brought the first event of a stream that is resumed.
     resumes: RequestId | None = None
     # What the request says of its caller; it may contain secrets.
-    caller: tuple[bytes, ...] = ()
+    caller: tuple[bytes, ...] = field(default=(), repr=False)
+    # The key of a client account; None if there is none, or more than one.
+    key: ApiKey | None = field(default=None, repr=False)
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -104,7 +110,8 @@
 
 def decode_call(headers: Iterable[tuple[bytes, bytes]]) -> CallHead:
     """Decode the headers of a caller's request; invalid values are ignored."""
-    values = {name.lower(): value for name, value in headers}
+    pairs = [(name.lower(), value) for name, value in headers]
+    values = dict(pairs)
     return CallHead(
         request=_decode_request(values.get(b"request-id")),
         time_limit_s=_parse_milliseconds(
@@ -114,9 +121,16 @@
         prompt=_decode_prompt(values),
         resumes=_decode_request(values.get(b"resumes")),
         caller=tuple(values.get(name, b"") for name in _CALLER_HEADERS),
+        key=_decode_key([value for name, value in pairs if name == _KEY_HEADER]),
     )
 
 
+def _decode_key(values: list[bytes]) -> ApiKey | None:
+    if len(values) != 1 or not values[0]:
+        return None
+    return ApiKey(values[0].decode("latin-1"))
+
+
 def _decode_request(value: bytes | None) -> RequestId | None:
     return RequestId(value.decode("latin-1")) if value else None
 
@@ -171,6 +185,10 @@
     prefix_address: Address | None = None
     # The last event that the caller received, if a stream is resumed.
     last_event: int | None = None
+    # Whether calls belong to client accounts, and the one of this call; it has none on
+    # a route that needs no key.
+    has_accounts: bool = False
+    account: AccountId | None = None
 
 
 def encode_forward_headers(headers: Headers, options: ForwardOptions) -> Headers:
@@ -178,10 +196,14 @@
     dropped = _PER_CONNECTION | _SET_BY_GATEWAY | _list_connection_headers(headers)
     if options.last_event is not None:
         dropped |= {b"last-event-id"}
+    if options.has_accounts:
+        dropped |= _SET_FOR_ACCOUNTS
     kept = [pair for pair in headers if pair[0].lower() not in dropped]
     remaining_ms = max(1, int(options.remaining_time_s * 1000))
     kept.append((b"Deadline-Ms", str(remaining_ms).encode()))
     kept.append((b"Expect-Instance", options.upstream.encode("latin-1")))
+    if options.account is not None:
+        kept.append((b"Tenant", options.account.encode("latin-1")))
     if options.priority is not None:
         kept.append((b"Request-Priority", str(options.priority).encode()))
     if options.prefill_only:
--- a/bramleyport/telemetry/_gateway_events.py
+++ b/bramleyport/telemetry/_gateway_events.py
@@ -24,6 +24,12 @@
     2614, "INFO", "silent upstream waited for, no retry is assured"
 )
 CALL_HELD: Final = define(2615, "INFO", "call waits for an upstream to be back")
+KEY_REFUSED: Final = define(
+    2616, "INFO", "request refused, its key names no client account"
+)
+ACCOUNT_INVALID: Final = define(
+    2617, "WARNING", "invalid client account or key left out"
+)
 CONFIG_APPLIED: Final = define(2621, "INFO", "configuration applied")
 CONFIG_INVALID: Final = define(2622, "WARNING", "configuration rejected, last one kept")
 UPSTREAM_JOINED: Final = define(2623, "INFO", "upstream registered")
