--- a/bramleyport/fleet/__init__.py
+++ b/bramleyport/fleet/__init__.py
@@ -4,7 +4,6 @@
     AccountIndex,
     ApiKey,
     ClientAccount,
-    SharedKey,
 )
 from bramleyport.fleet._admission import admit
 from bramleyport.fleet._authentication import (
@@ -151,7 +150,6 @@
     "ServiceShare",
     "ServingGroup",
     "ServingScope",
-    "SharedKey",
     "SharesKnowledge",
     "ShutdownSchedule",
     "SoftwareVersion",
--- a/bramleyport/fleet/_accounts.py
+++ b/bramleyport/fleet/_accounts.py
@@ -3,7 +3,7 @@
 import hashlib
 import hmac
 import secrets
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 from dataclasses import dataclass, field
 from typing import Final, NewType
 
@@ -26,14 +26,6 @@
     priority: int | None = None
 
 
-@dataclass(frozen=True, slots=True)
-class SharedKey:
-    """Describe a key that two accounts hold, and that therefore names neither."""
-
-    first: AccountId
-    second: AccountId
-
-
 class AccountIndex:
     """Map keys to the client accounts of one configuration.
 
@@ -41,20 +33,23 @@
     time of a look-up nor a dump of the index tells a caller how close a guess was.
     """
 
-    def __init__(self, accounts: Iterable[ClientAccount]) -> None:
+    def __init__(
+        self, accounts: Iterable[ClientAccount], problems: Sequence[str] = ()
+    ) -> None:
         self._secret = secrets.token_bytes(DIGEST_BYTES)
         self._by_digest: dict[bytes, tuple[ApiKey, ClientAccount]] = {}
-        self.shared_keys: list[SharedKey] = []
-        # Keys beyond the limit, which are refused.
-        self.unused_keys = 0
-        self.accounts: dict[AccountId, ClientAccount] = {}
+        # Why accounts and keys of the configuration are not used.
+        self.problems = list(problems)
+        # Keys that two accounts hold, and that therefore name neither.
         shared: set[bytes] = set()
+        unused = 0
         for account in accounts:
-            self.accounts[account.name] = account
             for key in account.keys:
-                self._add(key, account, shared)
+                unused += not self._add(key, account, shared)
         for digest in shared:
             del self._by_digest[digest]
+        if unused:
+            self.problems.append(f"{unused} keys are over the limit of {MAX_KEYS}")
 
     def __len__(self) -> int:
         return len(self._by_digest)
@@ -68,18 +63,19 @@
         is_same = hmac.compare_digest(_encode(known), _encode(key))
         return account if is_same else None
 
-    def _add(self, key: ApiKey, account: ClientAccount, shared: set[bytes]) -> None:
+    def _add(self, key: ApiKey, account: ClientAccount, shared: set[bytes]) -> bool:
+        """Add a key; return False if there are too many."""
         digest = self._digest(key)
         known = self._by_digest.get(digest)
-        if known is not None:
-            if known[1].name != account.name:
-                shared.add(digest)
-                self.shared_keys.append(SharedKey(known[1].name, account.name))
-            return
-        if len(self._by_digest) >= MAX_KEYS:
-            self.unused_keys += 1
-            return
-        self._by_digest[digest] = (key, account)
+        if known is None:
+            if len(self._by_digest) >= MAX_KEYS:
+                return False
+            self._by_digest[digest] = (key, account)
+        elif known[1].name != account.name:
+            shared.add(digest)
+            names = f"{known[1].name} and {account.name}"
+            self.problems.append(f"one key is held by {names}")
+        return True
 
     def _digest(self, key: ApiKey) -> bytes:
         return hashlib.blake2b(
--- a/bramleyport/gateway/_state_updaters.py
+++ b/bramleyport/gateway/_state_updaters.py
@@ -76,7 +76,10 @@
             version=configuration.version,
             revision=origin,
             routes=len(configuration.routes),
+            keys=len(configuration.accounts or ()),
         )
+        for reason in configuration.accounts.problems if configuration.accounts else ():
+            log_event(gateway_events.ACCOUNT_INVALID, reason=reason)
 
 
 class RegistrationUpdater:
--- a/bramleyport/platform/__init__.py
+++ b/bramleyport/platform/__init__.py
@@ -9,7 +9,11 @@
     encode_begun_streams,
 )
 from bramleyport.platform._config import decode_configuration
-from bramleyport.platform._documents import Document, MalformedDocumentError
+from bramleyport.platform._documents import (
+    Document,
+    MalformedDocumentError,
+    parse_document,
+)
 from bramleyport.platform._engines import (
     CACHE_LISTING_PATH,
     READINESS_PATH,
@@ -125,5 +129,6 @@
     "make_handle_path",
     "make_report_request",
     "make_stage_request",
+    "parse_document",
     "read_event_id",
 ]
--- a/bramleyport/platform/_config.py
+++ b/bramleyport/platform/_config.py
@@ -31,7 +31,6 @@
     read_positive_count,
     read_string,
 )
-from bramleyport.telemetry import gateway_events, log_event
 
 # Printable ASCII without spaces.
 _HOST: Final = re.compile("[!-~]{1,253}")
@@ -57,28 +56,19 @@
         return None
     entries = document["tenants"]
     if not isinstance(entries, list):
-        # Without a single usable key, calls with keys are refused and none runs under
-        # a wrong name.
-        log_event(gateway_events.ACCOUNT_INVALID, reason="tenants is not a list")
-        return AccountIndex(())
-    accounts = []
+        # No key is known then: calls are refused, and none runs under a wrong name.
+        return AccountIndex((), ["tenants is not a list"])
+    accounts: list[ClientAccount] = []
+    problems: list[str] = []
     for entry in entries:
         try:
-            accounts.append(_decode_account(entry))
+            accounts.append(_decode_account(entry, problems))
         except MalformedDocumentError as error:
-            log_event(gateway_events.ACCOUNT_INVALID, reason=str(error))
-    index = AccountIndex(accounts)
-    for shared in index.shared_keys:
-        names = f"{shared.first} and {shared.second}"
-        reason = f"one key is held by {names}"
-        log_event(gateway_events.ACCOUNT_INVALID, reason=reason)
-    if index.unused_keys:
-        reason = f"{index.unused_keys} keys are over the limit"
-        log_event(gateway_events.ACCOUNT_INVALID, reason=reason)
-    return index
-
-
-def _decode_account(entry: object) -> ClientAccount:
+            problems.append(str(error))
+    return AccountIndex(accounts, problems)
+
+
+def _decode_account(entry: object, problems: list[str]) -> ClientAccount:
     if not isinstance(entry, dict):
         raise MalformedDocumentError("an account is not a mapping")
     name = read_string(entry, "name")
@@ -93,10 +83,8 @@
     # Keys are never described: an error would bring them into the log.
     valid = tuple(ApiKey(key) for key in keys if _is_key(key))
     if len(valid) < len(keys):
-        log_event(
-            gateway_events.ACCOUNT_INVALID,
-            reason=f"{len(keys) - len(valid)} keys of {describe(name)} are malformed",
-        )
+        count = len(keys) - len(valid)
+        problems.append(f"{count} keys of {describe(name)} are malformed")
     return ClientAccount(name=AccountId(name), keys=valid, priority=priority)
 
 
