Order calls of one account by the priority of their routes

Where accounts have priorities, that of the route was dropped. The rank of a call is now the priority of its account, then that of its route, mapped to the ten ranks of engines by the configuration.

--- a/bramleyport/fleet/__init__.py
+++ b/bramleyport/fleet/__init__.py
@@ -38,6 +38,7 @@
 from bramleyport.fleet._prefill_speeds import PrefillSpeeds
 from bramleyport.fleet._prefixes import PrefixCache, PrefixIndex
 from bramleyport.fleet._rank_reserve import PermitSupply, RankReserve
+from bramleyport.fleet._ranks import RankTable
 from bramleyport.fleet._rate_limits import (
     RateLimitChange,
     RateLimitNotice,
@@ -134,6 +135,7 @@
     "Prompt",
     "PromptPart",
     "RankReserve",
+    "RankTable",
     "RateLimitChange",
     "RateLimitNotice",
     "RateLimitTable",
--- a/bramleyport/fleet/_accounts.py
+++ b/bramleyport/fleet/_accounts.py
@@ -38,12 +38,16 @@
     ) -> None:
         self._secret = secrets.token_bytes(DIGEST_BYTES)
         self._by_digest: dict[bytes, tuple[ApiKey, ClientAccount]] = {}
+        # The priorities that accounts have, if any.
+        self.priorities: set[int] = set()
         # Why accounts and keys of the configuration are not used.
         self.problems = list(problems)
         # Keys that two accounts hold, and that therefore name neither.
         shared: set[bytes] = set()
         unused = 0
         for account in accounts:
+            if account.priority is not None:
+                self.priorities.add(account.priority)
             for key in account.keys:
                 unused += not self._add(key, account, shared)
         for digest in shared:
--- a/bramleyport/fleet/_types.py
+++ b/bramleyport/fleet/_types.py
@@ -13,6 +13,7 @@
     ZoneName,
 )
 from bramleyport.fleet._accounts import AccountIndex, ApiKey, ClientAccount
+from bramleyport.fleet._ranks import RankTable
 from bramleyport.fleet._traits import CallTraits, RequestIdentity, make_part_traits
 
 RouteName = NewType("RouteName", str)
@@ -125,6 +126,13 @@
     limits: CallerLimits = field(default_factory=CallerLimits)
     # None if the configuration knows no client accounts, so that calls need no key.
     accounts: AccountIndex | None = None
+    ranks: RankTable | None = None
+
+    def find_rank(self, route: Route, account: ClientAccount | None) -> int | None:
+        """Return the rank of a call; None if the priority of its route alone counts."""
+        if self.ranks is None:
+            return None
+        return self.ranks.find(account.priority if account else None, route.priority)
 
 
 class Stage(str, Enum):
@@ -192,12 +200,13 @@
     # The configuration knew client accounts when the call arrived.
     has_accounts: bool = False
 
+    # By the priorities of its account and route; None if the route's alone counts.
+    rank: int | None = None
+
     @property
     def priority(self) -> int:
-        """Return the rank of the call: that of its account, or else of its route."""
-        if self.account is not None and self.account.priority is not None:
-            return self.account.priority
-        return self.route.priority
+        """Return the rank of the call among others; 0 is the most urgent."""
+        return self.route.priority if self.rank is None else self.rank
 
     @property
     def account_name(self) -> AccountId | None:
--- a/bramleyport/gateway/_forward.py
+++ b/bramleyport/gateway/_forward.py
@@ -134,7 +134,9 @@
         attempts: Attempts,
         account: ClientAccount | None,
     ) -> CallContext | None:
+        configuration = self._state.configuration
         assert head.request is not None
+        assert configuration is not None
         call = Call(
             request=head.request,
             route=route,
@@ -147,25 +149,20 @@
             identity=_identify(request, head, account),
             account=account,
             key=head.key,
-            has_accounts=self._has_accounts,
+            has_accounts=configuration.accounts is not None,
+            rank=configuration.find_rank(route, account),
         )
         if self._is_too_late(call):
             proof = NotRunProof(attempts.close())
             refuse(connection, proof, call.request, "stopping", RETRY_WHEN_STOPPING_S)
             return None
-        configuration = self._state.configuration
-        service = configuration.services.get(call.service) if configuration else None
+        service = configuration.services.get(call.service)
         engine = service.engine if service else None
         context = CallContext(call, request, connection, engine, attempts)
         self._state.find_budget(call.service).record_request(call.arrived_s)
         self._state.rate_limiter.record_call(call, read_now())
         return context
 
-    @property
-    def _has_accounts(self) -> bool:
-        configuration = self._state.configuration
-        return configuration is not None and configuration.accounts is not None
-
     def _choose_service(self, route: Route, head: CallHead) -> ServiceName:
         """Choose a service; that of a stream that is resumed by its identifier."""
         if route.repeatability is not Repeatability.STREAM_RESUMABLE:
--- a/bramleyport/platform/_config.py
+++ b/bramleyport/platform/_config.py
@@ -12,6 +12,7 @@
     Configuration,
     ConfigVersion,
     EngineTraits,
+    RankTable,
     Repeatability,
     Route,
     RouteName,
@@ -41,12 +42,18 @@
 def decode_configuration(document: Document) -> Configuration:
     """Return the configuration in the spec of a stored object."""
     services = [_decode_service(item) for item in read_mappings(document, "services")]
+    routes = tuple(_decode_route(item) for item in read_mappings(document, "routes"))
+    accounts = _decode_accounts(document)
+    ranks = None
+    if accounts is not None and accounts.priorities:
+        ranks = RankTable(accounts.priorities, (route.priority for route in routes))
     return Configuration(
         version=ConfigVersion(read_count(document, "version")),
-        routes=tuple(_decode_route(item) for item in read_mappings(document, "routes")),
+        routes=routes,
         services={service.name: service for service in services},
         limits=_decode_limits(read_mapping(document, "limits")),
-        accounts=_decode_accounts(document),
+        accounts=accounts,
+        ranks=ranks,
     )
 
 
--- a/tests/test_client_accounts.py
+++ b/tests/test_client_accounts.py
@@ -11,7 +11,8 @@
 
 from bramleyport.cli._check import check
 from bramleyport.core import AccountId
-from bramleyport.fleet import AccountIndex, ApiKey, ClientAccount
+from bramleyport.fleet import AccountIndex, ApiKey, ClientAccount, RankTable
+from bramleyport.fleet._ranks import MAX_RANKS
 from bramleyport.platform import decode_configuration
 from tests.gateway_fleet import GatewayFleet, make_config, make_route
 from tests.platform_standin import RawRequest, decline, lose_answer
@@ -223,3 +224,18 @@
     assert result.exit_code != 0
     assert "north and east" in result.output
     assert KEY not in result.output
+
+
+def test_route_orders_the_calls_of_accounts_with_one_priority() -> None:
+    """Guards against short urgent calls that wait behind long ones of their account."""
+    table = RankTable([1, 1, 0], [0, 1, 2])
+    pairs = [(0, 0), (None, 0), (0, 1), (0, 2), (1, 0), (1, 1), (None, 1), (1, 2)]
+    ranks = [table.find(account, route) for account, route in pairs]
+    assert ranks == sorted(ranks)
+    assert table.find(1, 0) < table.find(1, 2) < table.find(None, 2) < MAX_RANKS
+    many = RankTable(range(40), range(5))
+    assert {many.find(39, 4), many.find(0, 0)} == {MAX_RANKS - 1, 0}
+
+
+def test_without_priorities_of_accounts_routes_keep_theirs() -> None:
+    assert RankTable([], [0, 7]).find(None, 7) == 7
