Report the usage of client accounts by window under a lease

Cause: nothing counted requests by client account, and no gateway reported them. Change: gateways count runs by window and tell the counts to three candidates in datagrams; the holder of the lease 'duties' settles each window in the store before it sends the report. The lease code takes a name and times; stage orders keep theirs. Without 'cloud' in the settings nothing of it is built.

--- a/bramleyport/authority/_lease.py
+++ b/bramleyport/authority/_lease.py
@@ -50,6 +50,23 @@
 LeaseVersion = int | StoreRevision
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class LeaseTimes:
+    """Define the times of one lease, which all its candidates must share."""
+
+    ttl_s: float = LEASE_TTL_S
+    renew_interval_s: float = RENEW_INTERVAL_S
+    poll_interval_s: float = POLL_INTERVAL_S
+    # Time before the end of the TTL from which a holder does not act any more.
+    act_margin_s: float = ACT_MARGIN_S
+    reply_timeout_s: float = REPLY_TIMEOUT_S
+    renewal_reply_timeout_s: float = RENEWAL_REPLY_TIMEOUT_S
+    retry_delay_s: float = RETRY_DELAY_S
+
+
+DEFAULT_LEASE_TIMES: Final = LeaseTimes()
+
+
 @dataclass(frozen=True, slots=True)
 class Tick:
     """Report that time has passed."""
@@ -192,7 +209,9 @@
         make_token: Callable[[], str],
         era: StoreEra | None = None,
         earlier_holder_until_s: float | None = None,
+        times: LeaseTimes = DEFAULT_LEASE_TIMES,
     ) -> None:
+        self._times = times
         self.holder = holder
         self.until_s = 0.0
         self.fencing: FencingNumber | None = None
@@ -261,7 +280,7 @@
         if self._era is not None and era <= self._era:
             return []
         self._era = era
-        self._earlier_holder_until_s = now_s + LEASE_TTL_S
+        self._earlier_holder_until_s = now_s + self._times.ttl_s
         is_holder = self.fencing is not None
         self._rewrite_until_s = self.until_s if is_holder else -math.inf
         self._was_read, self._version, self._pending = False, None, None
@@ -285,7 +304,8 @@
 
     def _get_reply_timeout(self) -> float:
         is_renewing = self._machine.state == "renewing"
-        return RENEWAL_REPLY_TIMEOUT_S if is_renewing else REPLY_TIMEOUT_S
+        times = self._times
+        return times.renewal_reply_timeout_s if is_renewing else times.reply_timeout_s
 
     def _is_late_renewal(self, event: LeaseEvent) -> bool:
         """Return whether a renewal is answered while the lease is read to check it."""
@@ -297,7 +317,7 @@
         )
 
     def _classify(self, event: LeaseEvent, now_s: float) -> str:
-        self._next_due_s = now_s + RETRY_DELAY_S
+        self._next_due_s = now_s + self._times.retry_delay_s
         if isinstance(event, LeaseRead):
             return self._classify_read(event, now_s)
         if isinstance(event, LeaseWritten):
@@ -318,7 +338,7 @@
         in_doubt = self._machine.state.endswith("_in_doubt")
         if in_doubt and pending and event.lease.token == pending.lease.token:
             return "confirmed"
-        expiry_s = self._unchanged_since_s + LEASE_TTL_S
+        expiry_s = self._unchanged_since_s + self._times.ttl_s
         if event.lease.fencing < find_fencing_floor(self._era):
             # It is of a copy, or was written in an earlier era and arrived late.
             if now_s < self._rewrite_until_s:
@@ -343,7 +363,7 @@
     def _check_expiry(self, expiry_s: float, now_s: float) -> str:
         if now_s >= expiry_s:
             return "free"
-        self._next_due_s = min(now_s + POLL_INTERVAL_S, expiry_s)
+        self._next_due_s = min(now_s + self._times.poll_interval_s, expiry_s)
         return "taken"
 
     def _record_version(
@@ -398,8 +418,9 @@
 
     def _confirm_pending(self, now_s: float) -> FencingNumber:
         assert self._pending is not None
-        self.until_s = self._pending.sent_s + LEASE_TTL_S - ACT_MARGIN_S
-        self._next_due_s = self._pending.sent_s + RENEW_INTERVAL_S
+        act_s = self._times.ttl_s - self._times.act_margin_s
+        self.until_s = self._pending.sent_s + act_s
+        self._next_due_s = self._pending.sent_s + self._times.renew_interval_s
         return self._pending.lease.fencing
 
     def _do_grant(self, now_s: float) -> LeaseAction:
--- a/bramleyport/composition.py
+++ b/bramleyport/composition.py
@@ -15,6 +15,11 @@
     from bramleyport.control._pool_controller import Planner
     from bramleyport.entry._daemon import EntryDaemon
     from bramleyport.gateway._daemon import Gateway
+    from bramleyport.gateway._duties import DutyRunner
+    from bramleyport.gateway._peers import PeerLink
+    from bramleyport.gateway._state import GatewayState
+    from bramleyport.http1 import HttpClient
+    from bramleyport.platform import StoreClient
     from bramleyport.settings import (
         AgentSettings,
         EntrySettings,
@@ -345,4 +350,21 @@
         begun_streams,
         metrics.metrics,
         metrics_port,
+        _build_duties(state, store, peers, client, metrics.metrics),
     )
+
+
+def _build_duties(
+    state: "GatewayState",
+    store: "StoreClient",
+    peers: "PeerLink",
+    client: "HttpClient",
+    metrics: "Metrics",
+) -> "DutyRunner | None":
+    """Build the duties of a gateway; none if its settings name none."""
+    settings = state.settings.duties
+    if settings is None:
+        return None
+    from bramleyport.gateway._duties import DutyRunner
+
+    return DutyRunner(state, store, peers, client, metrics, settings)
--- a/bramleyport/gateway/_attempt.py
+++ b/bramleyport/gateway/_attempt.py
@@ -71,6 +71,11 @@
         """Choose the engine that decodes a call after its prefill on another one."""
         return self._placement.choose_transfer(context, prefill_engine)
 
+    def record_run(self, call: Call, began_s: float) -> None:
+        """Record that an upstream began to run a call, for the usage of its account."""
+        if self.state.on_run is not None and call.account_name is not None:
+            self.state.on_run(call.account_name, began_s)
+
     def record_failure(self, context: CallContext, failure: FailedAttempt) -> None:
         """Record a failed attempt."""
         context.last_failure = failure
--- a/bramleyport/gateway/_daemon.py
+++ b/bramleyport/gateway/_daemon.py
@@ -3,7 +3,7 @@
 import asyncio
 import signal
 from pathlib import Path
-from typing import Any, Final
+from typing import TYPE_CHECKING, Any, Final
 
 from bramleyport.core import SettingsError, StepError, UpstreamId
 from bramleyport.fleet import Address, ShutdownSchedule
@@ -41,6 +41,9 @@
 from bramleyport.supervision import Job, supervise
 from bramleyport.telemetry import Metrics, events, gateway_events, log_event
 
+if TYPE_CHECKING:
+    from bramleyport.gateway._duties import DutyRunner
+
 # The store normally answers within milliseconds.
 LEAVE_TIMEOUT_S: Final = 0.2
 HOUSEKEEPING_INTERVAL_S: Final = 0.25
@@ -68,6 +71,7 @@
         begun_streams: BegunStreamStore,
         metrics: Metrics,
         metrics_port: int | None,
+        duties: "DutyRunner | None" = None,
     ) -> None:
         self._state = state
         self._settings_path = settings_path
@@ -83,6 +87,7 @@
         self._directory = PeerDirectory(state.settings, store, peers, state.roster)
         self._readiness = Readiness(state)
         self._metrics_port = metrics_port
+        self._duties = duties
         page = MetricsPage(state, metrics)
         self._pages = CallerFactory(page.handle, self._read_limits)
         self._callers = CallerFactory(forwarder.handle, self._read_limits)
@@ -137,6 +142,8 @@
 
     async def _leave(self, schedule: ShutdownSchedule) -> None:
         """Leave the list of gateways, if the store answers in time."""
+        if self._duties is not None:
+            self._duties.leave()
         leave_s = min(read_now() + LEAVE_TIMEOUT_S, schedule.exit_s)
         try:
             async with asyncio.timeout_at(leave_s):
@@ -157,6 +164,8 @@
                 connection.truncate_answer()
         self._exchanger.close()
         self._store.close()
+        if self._duties is not None:
+            self._duties.close()
 
     def _list_jobs(self) -> list[Job]:
         settings = self._state.settings
@@ -172,7 +181,7 @@
         follow_registrations = self._make_follower(
             ObjectKind.REGISTRATIONS, self._registrations, settings.drain_limit_s
         )
-        return [
+        jobs = [
             follow_configuration.run,
             follow_registrations.run,
             self._make_own_follower(ObjectKind.VERDICTS, self._verdicts).run,
@@ -186,6 +195,7 @@
             self._announce_periodically,
             self._stages.run,
         ]
+        return jobs if self._duties is None else [*jobs, self._duties.run]
 
     def _make_follower(
         self, kind: ObjectKind, updater: StateUpdater, bound_s: float
--- a/bramleyport/gateway/_event_relay.py
+++ b/bramleyport/gateway/_event_relay.py
@@ -23,6 +23,8 @@
         self.last_event = last_event
         self.started = False
         self.events = 0
+        # Whether the attempt has sent an event, also one that the caller has already.
+        self.attempt_began = False
         self._buffer = b""
         self._answer_head: Answer | None = None
         # Whether each event forwarded so far had the number after that of the last one.
@@ -38,6 +40,7 @@
         Raise BrokenStreamError if the answer can't continue the stream.
         """
         self._buffer = b""
+        self.attempt_began = False
         self._expects_next_event = self.started or self.last_event > 0
         if not self.started:
             self._answer_head = head
@@ -82,6 +85,7 @@
 
     def _forward_event(self, event: bytes) -> bool:
         number = read_event_id(event)
+        self.attempt_began |= not is_comment(event)
         if self._expects_next_event:
             self._check_next_event(event, number)
         if number is None:
--- a/bramleyport/gateway/_lease.py
+++ b/bramleyport/gateway/_lease.py
@@ -1,4 +1,4 @@
-"""Acquire the lease that permits orders to engines, through the platform's store."""
+"""Acquire a lease that permits orders or duties, through the platform's store."""
 
 import asyncio
 import uuid
@@ -7,7 +7,6 @@
 from result import Err, Ok, Result
 
 from bramleyport.authority import (
-    LEASE_TTL_S,
     CandidacyChanged,
     EraObserved,
     Granted,
@@ -19,6 +18,7 @@
     LeaseInDoubt,
     LeaseManager,
     LeaseRead,
+    LeaseTimes,
     LeaseWritten,
     OrdersSettled,
     ReadLease,
@@ -39,7 +39,8 @@
 )
 from bramleyport.telemetry import authority_events, gateway_events, log_event
 
-LEASE_NAME: Final = ObjectName("stages")
+STAGES_LEASE: Final = ObjectName("stages")
+DEFAULT_TIMES: Final = LeaseTimes()
 TICK_S: Final = 0.1
 # Failures by which the store says that it has not written. An answer that can't be
 # decoded, or is of an era that has ended, may be one to a write that took effect.
@@ -49,7 +50,11 @@
 
 
 class OrderLease:
-    """Track the lease for orders: acquired while wanted, released afterwards."""
+    """Track one lease: acquired while wanted, released afterwards.
+
+    Its fencing number is given only after a rest from the grant, within which the
+    orders of the previous holder that are under way arrive.
+    """
 
     def __init__(
         self,
@@ -58,7 +63,10 @@
         handover_s: float,
         *,
         first_start: bool,
+        name: ObjectName = STAGES_LEASE,
+        times: LeaseTimes = DEFAULT_TIMES,
     ) -> None:
+        self._name = name
         # A restarted process counts as a different holder.
         self._holder = f"{process}-{uuid.uuid4().hex[:8]}"
         self._store = store
@@ -71,7 +79,8 @@
             self._holder,
             lambda: uuid.uuid4().hex,
             era=store.eras.named,
-            earlier_holder_until_s=None if is_sole else now_s + LEASE_TTL_S,
+            earlier_holder_until_s=None if is_sole else now_s + times.ttl_s,
+            times=times,
         )
         self._lease_manager.step(CandidacyChanged(candidate=False), now_s)
         # The era may rise while a call to the store for the lease is under way.
@@ -84,6 +93,11 @@
         """Set whether the lease is needed."""
         self._pending_change = CandidacyChanged(candidate=wanted)
 
+    @property
+    def is_held(self) -> bool:
+        """Return whether this process holds the lease, within its first rest too."""
+        return self._lease_manager.may_act(read_boot_time())
+
     def find_fencing(self) -> FencingNumber | None:
         """Return the fencing number for orders, or None without the lease."""
         now_s = read_boot_time()
@@ -132,7 +146,11 @@
         if isinstance(action, Granted):
             self._record_granted(action)
         elif not isinstance(action, SettleOrders):
-            log_event(gateway_events.LEASE_CHANGED, change=type(action).__name__)
+            log_event(
+                gateway_events.LEASE_CHANGED,
+                lease=self._name,
+                change=type(action).__name__,
+            )
 
     def _record_granted(self, granted: Granted) -> None:
         # The previous holder may have sent orders until the lease changed hands, and
@@ -141,13 +159,14 @@
         self._usable_from_s = read_boot_time() + rest_s
         log_event(
             gateway_events.LEASE_CHANGED,
+            lease=self._name,
             change="granted",
             holder=self._holder,
             fencing=granted.fencing,
         )
 
     async def _read(self, action: ReadLease) -> LeaseEvent:
-        result = await self._store.get(ObjectKind.LEASES, LEASE_NAME)
+        result = await self._store.get(ObjectKind.LEASES, self._name)
         if isinstance(result, Err):
             if result.err_value.failure is StoreFailure.NOT_FOUND:
                 return LeaseRead(op=action.op, lease=None, version=0)
@@ -163,11 +182,11 @@
         document = write_lease(action.lease)
         kind = ObjectKind.LEASES
         if action.expected is None:
-            result = await self._store.create(kind, LEASE_NAME, document)
+            result = await self._store.create(kind, self._name, document)
         else:
             assert isinstance(action.expected, StoreRevision)
             result = await self._store.replace(
-                kind, LEASE_NAME, document, action.expected
+                kind, self._name, document, action.expected
             )
         if isinstance(result, Ok):
             return LeaseWritten(op=action.op, version=result.ok_value.revision)
--- a/bramleyport/gateway/_peer_messages.py
+++ b/bramleyport/gateway/_peer_messages.py
@@ -11,6 +11,7 @@
     StoreRevision,
     UpstreamId,
 )
+from bramleyport.duties import WindowCounts
 from bramleyport.fleet import (
     BegunStream,
     ConfigVersion,
@@ -37,6 +38,7 @@
     FACTS,
     ChangingEngine,
     Decoder,
+    DutyStatus,
     LimitUpdate,
     SharedFact,
     WorkRef,
@@ -101,6 +103,9 @@
     shares_revision: tuple[StoreRevision, ...] = ()
     # Upstream processes that seem to have ended.
     ended_processes: tuple[EndedProcess, ...] = ()
+    # At most one, if this gateway has duties.
+    duty_status: tuple[DutyStatus, ...] = ()
+    usage: tuple[WindowCounts, ...] = ()
     # Version of the configuration in force; 0 if there is none.
     version: ConfigVersion = ConfigVersion(0)
     # Why items of the datagram were left out.
--- a/bramleyport/gateway/_peers.py
+++ b/bramleyport/gateway/_peers.py
@@ -7,7 +7,7 @@
 import asyncio
 import math
 import time
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection, Iterable
 from dataclasses import replace
 from typing import Any, Final, Protocol, TypeVar
 
@@ -15,6 +15,7 @@
 from twisted.internet.protocol import DatagramProtocol
 
 from bramleyport.core import ProcessId, StoreRevision, UpstreamId
+from bramleyport.duties import Origin, WindowCounts
 from bramleyport.fleet import (
     Address,
     BegunStream,
@@ -43,7 +44,12 @@
     encode_message,
     make_limit_notice,
 )
-from bramleyport.gateway._shared_facts import ChangingEngine, LimitUpdate, WorkRef
+from bramleyport.gateway._shared_facts import (
+    ChangingEngine,
+    DutyStatus,
+    LimitUpdate,
+    WorkRef,
+)
 from bramleyport.gateway._state import GatewayState
 from bramleyport.gateway._store_updates import (
     StoreUpdate,
@@ -63,6 +69,9 @@
 # A peer that has sent nothing for this long is no longer counted.
 PEER_TIMEOUT_S: Final = 6.0
 
+# Time after which a message to all gateways carries the status of the duties again.
+STATUS_INTERVAL_S: Final = 1.0
+
 # Time for which a gateway may not have read the configuration after its start.
 STARTING_S: Final = 5.0
 
@@ -78,6 +87,19 @@
         """Return them if it names an older version, and none otherwise."""
 
 
+class DutyLink(Protocol):
+    """Make and receive what gateways tell each other of their duties."""
+
+    def make_status(self) -> DutyStatus | None:
+        """Return the status of this gateway; None while no duty is active."""
+
+    def apply_status(self, process: ProcessId, status: DutyStatus) -> None:
+        """Apply the status of another gateway."""
+
+    def apply_usage(self, origin: Origin, counts: WindowCounts) -> None:
+        """Apply counts of another gateway."""
+
+
 class PeerLink(DatagramProtocol):
     """Represent the link by which messages are exchanged with the other gateways."""
 
@@ -109,6 +131,9 @@
         # When each gateway was first heard, or started again.
         self._started_s: dict[ProcessId, float] = {}
         self.on_configuration: Callable[[ConfigurationChunk], None] | None = None
+        # Set if this gateway has duties.
+        self.duty_link: DutyLink | None = None
+        self._status_sent_s = -math.inf
         tracker.on_updates_pending = self._schedule
         state.rate_limiter.on_changed = lambda: self._schedule(URGENT_BUSY_S)
         guard.on_updates_pending = lambda: self._schedule(URGENT_BUSY_S)
@@ -122,6 +147,25 @@
         """Return the name of this gateway."""
         return self._state.settings.process
 
+    @property
+    def incarnation(self) -> int:
+        """Return the start of this process in Unix milliseconds."""
+        return self._incarnation
+
+    @property
+    def heard(self) -> Collection[ProcessId]:
+        """Return the other gateways that have sent something lately."""
+        return self._last_received_s.keys()
+
+    def send_usage(
+        self, process: ProcessId, status: DutyStatus, counts: tuple[WindowCounts, ...]
+    ) -> None:
+        """Send usage counts to one gateway, in one datagram."""
+        address = self._addresses.get(process)
+        if address is not None:
+            message = self._make_message(duty_status=(status,), usage=counts)
+            self._write(encode_message(message), address)
+
     def subscribe(
         self, kind: ObjectKind, on_update: Callable[[StoreUpdate], None]
     ) -> None:
@@ -292,6 +336,7 @@
         def apply_stream(item: BegunStream) -> None:
             self._state.stream_versions.record_begun(item, now_s, is_own=False)
 
+        self._apply_duties(message)
         _apply_each(message.shares_revision, apply_revision)
         _apply_each(message.streams, apply_stream)
         _apply_each(message.changing, apply_changing)
@@ -304,6 +349,16 @@
         _apply_each(message.prefilled, self._apply_prefilled)
         _apply_each(message.ended, self._apply_ended)
 
+    def _apply_duties(self, message: PeerMessage) -> None:
+        link = self.duty_link
+        if link is None:
+            return
+        origin = Origin(message.process, message.incarnation)
+        _apply_each(
+            message.duty_status, lambda item: link.apply_status(origin.process, item)
+        )
+        _apply_each(message.usage, lambda item: link.apply_usage(origin, item))
+
     def _apply_refused(self, upstream: UpstreamId) -> None:
         self._tracker.apply_refused(upstream)
         self._guard.confirm_crash(upstream)
@@ -411,7 +466,18 @@
             del items[:MAX_ITEMS]
 
     def _send(self, message: PeerMessage) -> None:
-        self._send_data(encode_message(message))
+        self._send_data(encode_message(self._add_status(message)))
+
+    def _add_status(self, message: PeerMessage) -> PeerMessage:
+        """Add the status of the duties to a message to all, once in a while."""
+        now_s = read_now()
+        if self.duty_link is None or now_s - self._status_sent_s < STATUS_INTERVAL_S:
+            return message
+        status = self.duty_link.make_status()
+        if status is None:
+            return message
+        self._status_sent_s = now_s
+        return replace(message, duty_status=(status,))
 
     def _send_data(self, data: bytes) -> None:
         if self.transport is None:
--- a/bramleyport/gateway/_plain.py
+++ b/bramleyport/gateway/_plain.py
@@ -6,7 +6,8 @@
 from typing import Final
 
 from bramleyport.admission import Rejected
-from bramleyport.fleet import Choice
+from bramleyport.duties import RunTimes
+from bramleyport.fleet import Call, Choice, RouteName
 from bramleyport.gateway._attempt import AttemptSupport
 from bramleyport.gateway._attempt_record import AttemptRecord, AttemptState
 from bramleyport.gateway._attempt_timeout import AttemptTimeout
@@ -36,6 +37,7 @@
 
     def __init__(self, support: AttemptSupport) -> None:
         self._support = support
+        self._run_times: RunTimes[RouteName] = RunTimes()
 
     async def serve(self, context: CallContext) -> None:
         """Answer a call, and retry it where that is permitted."""
@@ -86,6 +88,7 @@
     ) -> RelayableAnswer | FailedAttempt:
         support = self._support
         upstream = choice.upstream.upstream
+        sent_s = read_now()
         try:
             async with (
                 asyncio.timeout(None) as limit,
@@ -106,6 +109,21 @@
             return make_failed(upstream, record, error)
         finally:
             support.tracker.end(context.call, choice.upstream)
+            self._record_run(context.call, record, sent_s)
+
+    def _record_run(self, call: Call, record: AttemptRecord, sent_s: float) -> None:
+        """Record a run for the usage, unless nothing was sent or it was refused.
+
+        Upstreams begin most calls at once, so one whose answer was lost has run in all
+        likelihood.
+        """
+        if not record.may_have_run or self._support.state.on_run is None:
+            return
+        ended_s = read_now()
+        route = call.route.name
+        self._run_times.record(route, ended_s - sent_s)
+        began_s = self._run_times.estimate_begin(route, sent_s, ended_s)
+        self._support.record_run(call, began_s)
 
     async def _exchange(
         self, context: CallContext, choice: Choice, record: AttemptRecord
--- a/bramleyport/gateway/_state.py
+++ b/bramleyport/gateway/_state.py
@@ -6,7 +6,7 @@
 from typing import Final
 
 from bramleyport.admission import Rejected
-from bramleyport.core import Explanation, ServiceName, UpstreamId
+from bramleyport.core import AccountId, Explanation, ServiceName, UpstreamId
 from bramleyport.fleet import (
     BegunStream,
     Call,
@@ -119,6 +119,9 @@
     connections_lost_s: dict[UpstreamId, float] = field(default_factory=dict)
     # Since when the registered process of each upstream is known.
     processes_known_s: dict[UpstreamId, float] = field(default_factory=dict)
+    # Called when an upstream began to run a call of an account, and when it did; None
+    # if this gateway reports no usage.
+    on_run: Callable[[AccountId, float], None] | None = None
     # Set from the beginning of a planned stop.
     shutdown: ShutdownSchedule | None = None
     # Set when calls that are still running are ended, before the process exits.
--- a/bramleyport/gateway/_stream_attempt.py
+++ b/bramleyport/gateway/_stream_attempt.py
@@ -277,6 +277,7 @@
         check: WriterCheck,
     ) -> None:
         first = True
+        has_begun = False
         goes_on = relay.started or relay.last_event > 0
         connection = opened.connection
         while True:
@@ -286,7 +287,12 @@
                 break
             if all_read:
                 self._check_writer(context, choice, goes_on=goes_on)
-            new_events = relay.relay_events(data)
+            try:
+                new_events = relay.relay_events(data)
+            finally:
+                if relay.attempt_began and not has_begun:
+                    has_begun = True
+                    self._support.record_run(context.call, read_now())
             if relay.started:
                 self._support.versions.record_begun(context, check.version)
             if new_events:
--- a/bramleyport/platform/__init__.py
+++ b/bramleyport/platform/__init__.py
@@ -10,6 +10,13 @@
 )
 from bramleyport.platform._config import decode_configuration
 from bramleyport.platform._documents import Document, MalformedDocumentError
+from bramleyport.platform._duties import (
+    DutyAnswer,
+    DutyClient,
+    DutyResult,
+    ScaleOrder,
+    UsageReport,
+)
 from bramleyport.platform._engines import (
     CACHE_LISTING_PATH,
     READINESS_PATH,
@@ -52,6 +59,8 @@
 )
 from bramleyport.platform._registrations import decode_registration
 from bramleyport.platform._settings import (
+    Duty,
+    DutySettings,
     NodeSettings,
     RetryBounds,
     StoreSettings,
@@ -59,6 +68,7 @@
     locate_settings,
 )
 from bramleyport.platform._store import StoreClient, StoreError, StoreFailure
+from bramleyport.platform._usage_ledger import decode_ledger, encode_ledger
 from bramleyport.platform._verdicts import (
     VerdictDocument,
     decode_verdict,
@@ -79,6 +89,11 @@
     "Change",
     "ChangeBatch",
     "Document",
+    "Duty",
+    "DutyAnswer",
+    "DutyClient",
+    "DutyResult",
+    "DutySettings",
     "EngineReport",
     "ForwardOptions",
     "Listing",
@@ -90,6 +105,7 @@
     "OrderResult",
     "PrefillResult",
     "RetryBounds",
+    "ScaleOrder",
     "SharesDocument",
     "StageOrder",
     "StoreClient",
@@ -97,6 +113,7 @@
     "StoreFailure",
     "StoreSettings",
     "StoredObject",
+    "UsageReport",
     "VerdictDocument",
     "decode_answer",
     "decode_begun_streams",
@@ -104,6 +121,7 @@
     "decode_call",
     "decode_configuration",
     "decode_gateway",
+    "decode_ledger",
     "decode_object_name",
     "decode_order_status",
     "decode_prefill",
@@ -116,6 +134,7 @@
     "encode_begun_streams",
     "encode_forward_headers",
     "encode_gateway",
+    "encode_ledger",
     "encode_own_headers",
     "encode_shares",
     "encode_verdict",
--- a/bramleyport/platform/_objects.py
+++ b/bramleyport/platform/_objects.py
@@ -40,6 +40,7 @@
     VERDICTS = "verdicts"
     VERSIONS = "stream-versions"
     BEGUN_STREAMS = "begun-streams"
+    USAGE = "usage"
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/bramleyport/platform/_settings.py
+++ b/bramleyport/platform/_settings.py
@@ -2,6 +2,7 @@
 
 import os
 from dataclasses import dataclass
+from enum import Enum
 from pathlib import Path
 from typing import Any, Final
 
@@ -19,16 +20,23 @@
     Document,
     MalformedDocumentError,
     read_address,
+    read_amount,
     read_count,
     read_flag,
     read_mapping,
     read_number,
+    read_positive,
     read_string,
 )
 
 # Used if the settings have no stable_window_ms.
 DEFAULT_STABLE_MS: Final = 3_000
 DEFAULT_MEMORY_MB: Final = 200
+# Used where the bounds don't state the times of usage windows.
+DEFAULT_WINDOW_S: Final = 5.0
+DEFAULT_USAGE_LATE_S: Final = 10.0
+DEFAULT_THAW_MS: Final = 300
+DEFAULT_CALLS_PER_S: Final = 1.0
 BYTES_PER_MB: Final = 1_048_576
 FILE_VARIABLE: Final = "BRAMLEYPORT_NODE_FILE"
 _LOADER: Any = getattr(yaml, "CSafeLoader", yaml.SafeLoader)
@@ -52,6 +60,30 @@
     window_s: float
 
 
+class Duty(str, Enum):
+    """Represent the calls to the platform API that gateways have to make."""
+
+    USAGE = "usage"
+    SCALE = "scale"
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class DutySettings:
+    """Describe the duties of all gateways together, and the platform API."""
+
+    address: Address
+    duties: frozenset[Duty]
+    # Calls to the platform API a second that all gateways together may make.
+    calls_per_s: float
+    # Duration of a usage window, and time after its end at which its report is due.
+    window_s: float
+    usage_late_s: float
+    # The platform API refuses fencing numbers below the highest that it has seen.
+    checks_fencing: bool
+    # Time within which calls arrive that were sent as their process was paused.
+    thaw_s: float
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class NodeSettings:
     """Describe the settings of one process on the platform."""
@@ -78,6 +110,8 @@
     memory_bytes: int
     # The whole system starts for the first time, so engines have nothing cached yet.
     first_start: bool
+    # None if the gateways have no duties.
+    duties: DutySettings | None = None
 
 
 def locate_settings() -> Path:
@@ -149,4 +183,36 @@
         lease_s=read_count(bounds, "lease_ms") / 1000,
         memory_bytes=_read_memory_mb(document) * BYTES_PER_MB,
         first_start=read_flag(document, "first_start", False),
+        duties=_decode_duties(document, bounds),
     )
+
+
+def _decode_duties(document: Document, bounds: Document) -> DutySettings | None:
+    """Return the duties; ones of later versions are left to gateways of these."""
+    if document.get("cloud") is None:
+        return None
+    cloud = read_mapping(document, "cloud")
+    names = cloud.get("duties") or []
+    if not isinstance(names, list):
+        raise MalformedDocumentError(f"duties is not a list: {names!r:.60}")
+    duties = frozenset(duty for duty in Duty if duty.value in names)
+    if not duties:
+        return None
+    window_s = DEFAULT_WINDOW_S
+    if "window_s" in bounds:
+        window_s = read_positive(bounds, "window_s")
+    return DutySettings(
+        address=read_address(cloud, "addr"),
+        duties=duties,
+        calls_per_s=_read_calls_per_s(cloud),
+        window_s=window_s,
+        usage_late_s=read_amount(bounds, "usage_late_s", DEFAULT_USAGE_LATE_S),
+        checks_fencing=read_flag(bounds, "fence_checked", False),
+        thaw_s=read_count(bounds, "thaw_ms", DEFAULT_THAW_MS) / 1000,
+    )
+
+
+def _read_calls_per_s(cloud: Document) -> float:
+    if "duties_per_s" not in cloud:
+        return DEFAULT_CALLS_PER_S
+    return read_positive(cloud, "duties_per_s")
--- a/bramleyport/telemetry/__init__.py
+++ b/bramleyport/telemetry/__init__.py
@@ -3,6 +3,7 @@
 from bramleyport.telemetry import (
     _authority_events as authority_events,
     _claim_events as claim_events,
+    _duty_events as duty_events,
     _events as events,
     _gateway_events as gateway_events,
     _lease_events as lease_events,
@@ -43,6 +44,7 @@
     "build_timeline",
     "claim_events",
     "configure_logging",
+    "duty_events",
     "events",
     "gateway_events",
     "lease_events",
--- a/bramleyport/telemetry/_gateway_events.py
+++ b/bramleyport/telemetry/_gateway_events.py
@@ -55,7 +55,7 @@
 )
 CACHES_READ: Final = define(2638, "INFO", "cached prefixes of an engine read")
 CACHES_NOT_READ: Final = define(2639, "INFO", "cached prefixes of an engine not read")
-LEASE_CHANGED: Final = define(2640, "INFO", "order lease changed")
+LEASE_CHANGED: Final = define(2640, "INFO", "lease of orders or duties changed")
 STAGE_ORDERED: Final = define(2641, "INFO", "engine ordered to change its stage")
 ORDER_UNANSWERED: Final = define(2642, "WARNING", "order not answered, may take effect")
 REPORT_NOT_READ: Final = define(2643, "INFO", "report of an engine not read")
--- a/bramleyport/telemetry/_metrics.py
+++ b/bramleyport/telemetry/_metrics.py
@@ -40,6 +40,10 @@
         self.orders = self._count(
             "bramleyport_orders_total", "Orders by progress or refusal"
         )
+        self.duty_calls = self._count(
+            "bramleyport_duty_calls_total",
+            "Calls to the platform API by duty and result",
+        )
         self.gauges = Gauge(
             "bramleyport_state", "State by name", registry=self.registry
         )
--- a/tests/gateway_group.py
+++ b/tests/gateway_group.py
@@ -33,6 +33,8 @@
         *,
         upstream_type: type[UpstreamStandin] = UpstreamStandin,
         bounds: dict[str, float] | None = None,
+        settings: dict[str, Any] | None = None,
+        config: dict[str, Any] | None = None,
     ) -> None:
         self.store = StoreStandin()
         self.upstreams = [
@@ -50,6 +52,8 @@
         self.callers: list[RawCaller] = []
         self._folder = folder
         self._bounds = BOUNDS | (bounds or {})
+        self._settings = settings or {}
+        self._config = config or {}
         self._count = gateways
         self._turns = itertools.count()
         self._numbers = itertools.count()
@@ -60,7 +64,7 @@
 
     async def start(self) -> None:
         await self.store.start()
-        self.store.put("config", "main", make_config())
+        self.store.put("config", "main", make_config(**self._config))
         for upstream in self.upstreams:
             await upstream.start()
             upstream.register(self.store)
@@ -78,7 +82,7 @@
         if registered is None:
             registered = len(self.upstreams)
         settings = make_settings(self.store.port)
-        settings |= {"node": name, "bounds": self._bounds}
+        settings |= {"node": name, "bounds": self._bounds} | self._settings
         path = self._folder / f"{name}.yaml"
         path.write_text(yaml.safe_dump(settings))
         gateway = build_gateway(path)
--- a/tests/platform_standin/__init__.py
+++ b/tests/platform_standin/__init__.py
@@ -28,6 +28,7 @@
     REFUSED_DEPTH,
     make_nested,
 )
+from tests.platform_standin._platform_api import DutyCall, PlatformApiStandin
 from tests.platform_standin._prefill_scripts import (
     PREFILL_FAULTS,
     RepeatedPrefillAnswer,
@@ -89,8 +90,10 @@
     "CallerAnswer",
     "ConnectionEnd",
     "CrashingEngine",
+    "DutyCall",
     "EngineCrash",
     "ObservingCaller",
+    "PlatformApiStandin",
     "RawCaller",
     "RawJson",
     "RawRequest",
