--- a/bramleyport/platform/__init__.py
+++ b/bramleyport/platform/__init__.py
@@ -14,6 +14,13 @@
     MalformedDocumentError,
     parse_document,
 )
+from bramleyport.platform._duties import (
+    DutyAnswer,
+    DutyClient,
+    DutyResult,
+    ScaleOrder,
+    UsageReport,
+)
 from bramleyport.platform._engines import (
     CACHE_LISTING_PATH,
     READINESS_PATH,
@@ -56,6 +63,8 @@
 )
 from bramleyport.platform._registrations import decode_registration
 from bramleyport.platform._settings import (
+    Duty,
+    DutySettings,
     NodeSettings,
     RetryBounds,
     StoreSettings,
@@ -63,6 +72,7 @@
     locate_settings,
 )
 from bramleyport.platform._store import StoreClient, StoreError, StoreFailure
+from bramleyport.platform._usage_ledger import decode_ledger, encode_ledger
 from bramleyport.platform._verdicts import (
     VerdictDocument,
     decode_verdict,
@@ -83,6 +93,11 @@
     "Change",
     "ChangeBatch",
     "Document",
+    "Duty",
+    "DutyAnswer",
+    "DutyClient",
+    "DutyResult",
+    "DutySettings",
     "EngineReport",
     "ForwardOptions",
     "Listing",
@@ -94,6 +109,7 @@
     "OrderResult",
     "PrefillResult",
     "RetryBounds",
+    "ScaleOrder",
     "SharesDocument",
     "StageOrder",
     "StoreClient",
@@ -101,6 +117,7 @@
     "StoreFailure",
     "StoreSettings",
     "StoredObject",
+    "UsageReport",
     "VerdictDocument",
     "decode_answer",
     "decode_begun_streams",
@@ -108,6 +125,7 @@
     "decode_call",
     "decode_configuration",
     "decode_gateway",
+    "decode_ledger",
     "decode_object_name",
     "decode_order_status",
     "decode_prefill",
@@ -120,6 +138,7 @@
     "encode_begun_streams",
     "encode_forward_headers",
     "encode_gateway",
+    "encode_ledger",
     "encode_own_headers",
     "encode_shares",
     "encode_verdict",
