Spread calls evenly while the load information is stale

Several gateways that choose by the same information send to the same upstream until they learn of each other's calls. The work that peers have sent and not reported yet is now estimated as its rate times the delay of updates. It is assumed to fill the upstreams with the lowest scores up to a level; a call goes to one below the level: to one assigned to this gateway alone if there is one, else by chance, weighted by the distance from the level. Calls leave an engine that has their prefix cached only for others that have it, and first uses of a prefix go to one engine. A single gateway chooses as before.

--- a/bramleyport/fleet/__init__.py
+++ b/bramleyport/fleet/__init__.py
@@ -25,6 +25,7 @@
 )
 from bramleyport.fleet._decode_times import DecodeTimes
 from bramleyport.fleet._ended import EndedProcess
+from bramleyport.fleet._even_load import EvenLoad
 from bramleyport.fleet._freshness import (
     Freshness,
     choose_store_watchers,
@@ -91,6 +92,7 @@
     SoftwareVersion,
     Stage,
 )
+from bramleyport.fleet._unseen_load import UnseenLoad
 from bramleyport.fleet._version_gap import VersionGap
 from bramleyport.fleet._version_shares import VersionShares, compute_shares
 
@@ -121,6 +123,7 @@
     "EndedProcess",
     "EngineTraits",
     "EngineView",
+    "EvenLoad",
     "Freshness",
     "GatewayRoster",
     "HarmlessTrait",
@@ -162,6 +165,7 @@
     "TraitId",
     "Transfer",
     "UnknownKey",
+    "UnseenLoad",
     "UpdatePacing",
     "UpstreamLoad",
     "UpstreamPauses",
--- a/bramleyport/fleet/_choice.py
+++ b/bramleyport/fleet/_choice.py
@@ -7,6 +7,7 @@
 
 from bramleyport.core import Explanation, Place, UpstreamId
 from bramleyport.fleet._decode_times import DecodeTimes
+from bramleyport.fleet._even_load import EvenLoad, compute_amount
 from bramleyport.fleet._load import LoadTracker
 from bramleyport.fleet._members import Membership
 from bramleyport.fleet._prefill import PrefillForecast, PrefillForecaster
@@ -73,6 +74,26 @@
     prefill_engine: Registration | None
     estimate: PrefillForecast
 
+    @property
+    def prefilled_by(self) -> Registration:
+        """Return the engine that prefills the prompt."""
+        return self.prefill_engine or self.target
+
+    def can_replace(self, best: "_Option", limited: Collection[UpstreamId]) -> bool:
+        """Return whether only the load makes this option worse than the best one."""
+        own, other = self.prefilled_by, best.prefilled_by
+        return (
+            own.stage is other.stage
+            and own.zone == other.zone
+            and self.estimate.uncached <= best.estimate.uncached
+            and self.estimate.fetch_s <= best.estimate.fetch_s
+            and (not limited or self.is_limited(limited) == best.is_limited(limited))
+        )
+
+    def is_limited(self, limited: Collection[UpstreamId]) -> bool:
+        """Return whether a rate limit applies to an engine of this option."""
+        return self.target.upstream in limited or self.prefilled_by.upstream in limited
+
 
 class Chooser:
     """Choose upstreams by latency forecast, cached prefixes and load."""
@@ -85,10 +106,13 @@
         prefixes: PrefixIndex,
         speeds: PrefillSpeeds,
         decode_times: DecodeTimes,
+        even_load: EvenLoad | None = None,
     ) -> None:
         self._place = place
         self._members = members
         self._loads = loads
+        # None if no other gateways choose at the same time.
+        self._even_load = even_load
         self._prefill_forecaster = PrefillForecaster(place, loads, prefixes, speeds)
         self._transfer_forecaster = TransferForecaster(
             place, loads, speeds, decode_times
@@ -116,7 +140,7 @@
             if candidate.upstream not in excluded
         ]
         if engine is None or call.prompt is None:
-            return self._choose_plain(ready)
+            return self._choose_plain(ready, now_s)
         return self._choose_engine(
             call,
             call.prompt,
@@ -147,27 +171,67 @@
         options = self._transfer_forecaster.list_options(
             call, call.prompt, engine, decoders, now_s
         )
-        return options.choose(prefill_engine)
+        return options.choose_evenly(prefill_engine, self._even_load, now_s)
 
-    def _choose_plain(self, ready: Sequence[Registration]) -> Choice | None:
+    def _choose_plain(
+        self, ready: Sequence[Registration], now_s: float
+    ) -> Choice | None:
         if not ready:
             return None
-        best = min(ready, key=self._rank_plain)
+        best, spread = self._spread_plain(ready, self._rank_plain(ready), now_s)
         running = len(self._loads.of(best.upstream))
         numbers = {"running": float(running), "candidates": float(len(ready))}
+        numbers |= _describe_spread(spread)
         return Choice(
             upstream=best,
             explanation=Explanation(reason="least_loaded", numbers=numbers),
         )
 
-    def _rank_plain(self, candidate: Registration) -> tuple[float, int, int]:
-        running = len(self._loads.of(candidate.upstream))
-        in_other_zone = int(candidate.zone != self._place.zone)
-        # More work doesn't slow a plain upstream until half of its slots are in use.
-        occupancy = (
-            0.0 if running < candidate.slots / 2 else running / max(1, candidate.slots)
-        )
-        return (occupancy, in_other_zone, running)
+    def _rank_plain(
+        self, ready: Sequence[Registration]
+    ) -> list[tuple[float, bool, int]]:
+        """Return the occupancy, the zone and the load of each; the lowest is best."""
+        own_zone, find_load = self._place.zone, self._loads.of
+        ranks = []
+        for candidate in ready:
+            running = len(find_load(candidate.upstream))
+            # More work doesn't slow a plain upstream until half of its slots are in
+            # use.
+            is_free = running < candidate.slots / 2
+            occupancy = 0.0 if is_free else running / max(1, candidate.slots)
+            ranks.append((occupancy, candidate.zone != own_zone, running))
+        return ranks
+
+    def _spread_plain(
+        self,
+        ready: Sequence[Registration],
+        ranks: Sequence[tuple[float, bool, int]],
+        now_s: float,
+    ) -> tuple[Registration, int]:
+        """Return one of the best upstreams, and among how many it was chosen."""
+        lowest = min(ranks)
+        best = ready[ranks.index(lowest)]
+        unseen = self._even_load and self._even_load.estimate(best, now_s)
+        if not self._even_load or not unseen:
+            return best, 1
+        amount = compute_amount(unseen.calls, 1.0)
+        occupancy, in_other_zone, running = lowest
+        if occupancy:
+            similar = [
+                number for number, rank in enumerate(ranks) if rank[1] == in_other_zone
+            ]
+            costs = [best.slots * ranks[number][0] for number in similar]
+        else:
+            equal = [ready[index] for index, rank in enumerate(ranks) if rank == lowest]
+            if amount <= len(equal):
+                # The unseen calls don't fill these up to the next number of calls.
+                return self._even_load.choose_equal(equal, now_s), len(equal)
+            highest = (occupancy, in_other_zone, running + amount)
+            similar = [index for index, rank in enumerate(ranks) if rank <= highest]
+            costs = [ranks[index][2] for index in similar]
+        upstreams = [ready[index] for index in similar]
+        pick = self._even_load.choose(upstreams, costs, amount, now_s)
+        return upstreams[pick.index], pick.spread
 
     def _choose_engine(
         self,
@@ -211,7 +275,45 @@
         if not options:
             return None
         best = min(options, key=lambda option: option.score_s)
-        return self._make_choice(call, best, is_limited=best.target.upstream in limited)
+        best, spread = self._spread_options(prompt, options, best, limited, now_s)
+        is_limited = best.target.upstream in limited
+        return self._make_choice(call, best, is_limited=is_limited, spread=spread)
+
+    def _spread_options(
+        self,
+        prompt: Prompt,
+        options: Sequence[_Option],
+        best: _Option,
+        limited: Collection[UpstreamId],
+        now_s: float,
+    ) -> tuple[_Option, int]:
+        """Return an option that is as good as the best, and among how many it is."""
+        if self._even_load is None:
+            return best, 1
+        unseen = self._even_load.estimate(best.prefilled_by, now_s)
+        if unseen is None:
+            return best, 1
+        amount = compute_amount(unseen.prefill_s, best.estimate.prefill_s)
+        highest_s = best.score_s + amount
+        similar = [
+            option
+            for option in options
+            if option.score_s <= highest_s and option.can_replace(best, limited)
+        ]
+        if len(similar) == 1:
+            return best, 1
+        # The first uses of a prefix go to one engine, which then has it cached.
+        is_first_use = (
+            len(prompt.parts) > 1 and best.estimate.uncached >= prompt.tokens_in
+        )
+        pick = self._even_load.choose(
+            [option.prefilled_by for option in similar],
+            [option.score_s for option in similar],
+            amount,
+            now_s,
+            shared_key=prompt.parts[0].prefix if is_first_use else None,
+        )
+        return similar[pick.index], pick.spread
 
     def _score_direct(
         self,
@@ -258,7 +360,9 @@
             estimate=estimate,
         )
 
-    def _make_choice(self, call: Call, option: _Option, *, is_limited: bool) -> Choice:
+    def _make_choice(
+        self, call: Call, option: _Option, *, is_limited: bool, spread: int
+    ) -> Choice:
         estimate = option.estimate
         reason = "direct" if option.prefill_engine is None else "split"
         return Choice(
@@ -272,7 +376,7 @@
             fetch_s=estimate.fetch_s,
             prefill_cost=estimate.prefill_cost,
             prefill_tokens=estimate.uncached,
-            explanation=_explain(reason, option.forecast_s, estimate),
+            explanation=_explain(reason, option.forecast_s, estimate, spread),
         )
 
     def _forecast_decode(
@@ -308,10 +412,17 @@
         return MAX_HASH_BIAS_S * (zlib.crc32(key) / 2**32)
 
 
-def _explain(reason: str, forecast_s: float, estimate: PrefillForecast) -> Explanation:
+def _explain(
+    reason: str, forecast_s: float, estimate: PrefillForecast, spread: int
+) -> Explanation:
     numbers = {
         "forecast_s": round(forecast_s, 3),
         "wait_s": round(estimate.wait_s, 3),
         "unread_tokens": float(estimate.uncached),
     }
-    return Explanation(reason=reason, numbers=numbers)
+    return Explanation(reason=reason, numbers=numbers | _describe_spread(spread))
+
+
+def _describe_spread(spread: int) -> dict[str, float]:
+    """Return among how many upstreams a choice was spread, if it was."""
+    return {"spread": float(spread)} if spread > 1 else {}
--- a/bramleyport/fleet/_recorder.py
+++ b/bramleyport/fleet/_recorder.py
@@ -8,6 +8,7 @@
 from bramleyport.fleet._prefill_speeds import PrefillSpeeds
 from bramleyport.fleet._prefixes import PrefixIndex
 from bramleyport.fleet._types import Registration, Stage
+from bramleyport.fleet._unseen_load import UnseenLoad
 
 
 class WorkRecorder:
@@ -20,6 +21,7 @@
         prefixes: PrefixIndex,
         speeds: PrefillSpeeds,
         find_capacity: Callable[[Registration], int],
+        unseen: UnseenLoad | None = None,
     ) -> None:
         self._members = members
         self._loads = loads
@@ -27,12 +29,17 @@
         self._speeds = speeds
         # Returns how many tokens an upstream can cache; 0 if it caches none.
         self._find_capacity = find_capacity
+        self._unseen = unseen
 
     def start(self, work: Work) -> None:
         """Record work that is sent."""
         self._loads.of(work.upstream).add(work)
         registration = self._members.find(work.upstream)
-        if not work.parts or registration is None:
+        if registration is None:
+            return
+        if self._unseen is not None:
+            self._unseen.record_work(work, registration)
+        if not work.parts:
             return
         capacity = self._find_capacity(registration)
         if capacity:
--- a/bramleyport/fleet/_transfers.py
+++ b/bramleyport/fleet/_transfers.py
@@ -7,10 +7,12 @@
 
 from bramleyport.core import Place, ZoneName
 from bramleyport.fleet._decode_times import DecodeTimes
+from bramleyport.fleet._even_load import EvenLoad, compute_amount
 from bramleyport.fleet._load import LoadTracker
 from bramleyport.fleet._prefill import forecast_transfer
 from bramleyport.fleet._prefill_speeds import PrefillSpeeds
 from bramleyport.fleet._types import Call, EngineTraits, Prompt, Registration
+from bramleyport.fleet._unseen_load import find_group
 
 # Traffic between zones costs money, so the gateway's own zone is preferred among
 # similar choices.
@@ -129,13 +131,35 @@
             best = self._best[prefill_engine.zone] = self._find_best(prefill_engine)
         return best
 
+    def choose_evenly(
+        self, prefill_engine: Registration, even_load: EvenLoad | None, now_s: float
+    ) -> Transfer:
+        """Return one of the transfers that are as good as the best one."""
+        scored = self._score(prefill_engine)
+        best = min(scored)[2]
+        unseen = even_load and even_load.estimate(best.target, now_s)
+        if not even_load or not unseen:
+            return best
+        group = find_group(best.target)
+        similar = [item for item in scored if find_group(item[2].target) == group]
+        pick = even_load.choose(
+            [transfer.target for _, _, transfer in similar],
+            [score_s for score_s, _, _ in similar],
+            compute_amount(unseen.transfer_s + unseen.prefill_s, best.transfer_s),
+            now_s,
+        )
+        return similar[pick.index][2]
+
     def _find_best(self, prefill_engine: Registration) -> Transfer:
+        return min(self._score(prefill_engine))[2]
+
+    def _score(self, prefill_engine: Registration) -> list[tuple[float, int, Transfer]]:
         scored = []
         for number, target in enumerate(self._targets):
             transfer = self._make_transfer(prefill_engine, target)
             score_s = transfer.forecast_first_token(0.0) + target.extra_cost_s
             scored.append((score_s, number, transfer))
-        return min(scored)[2]
+        return scored
 
     def _make_transfer(self, prefill_engine: Registration, target: _Target) -> Transfer:
         candidate = target.registration
--- a/bramleyport/gateway/_peers.py
+++ b/bramleyport/gateway/_peers.py
@@ -429,6 +429,7 @@
             self._flush_timer.cancel()
             self._flush_timer = None
         pending = self._tracker.take_pending()
+        self._state.unseen_load.record_update(pending.started, read_now())
         pending.limits = self._state.rate_limiter.take_due_notices(read_now())
         pending.crashes = self._guard.take_updates()
         self._send_items("leaving_upstreams", self._state.pending_leaving, self._send)
--- a/bramleyport/gateway/_state.py
+++ b/bramleyport/gateway/_state.py
@@ -3,6 +3,7 @@
 import math
 from collections.abc import Callable, Collection
 from dataclasses import dataclass, field
+from random import Random
 from typing import Final
 
 from bramleyport.admission import Rejected
@@ -17,6 +18,7 @@
     CrashEvidence,
     DecodeTimes,
     EndedProcess,
+    EvenLoad,
     GatewayRoster,
     LeavingUpstream,
     LoadTracker,
@@ -30,6 +32,7 @@
     SharesKnowledge,
     ShutdownSchedule,
     StreamVersions,
+    UnseenLoad,
     UpstreamPauses,
     VersionGap,
     WorkRecorder,
@@ -72,6 +75,7 @@
     prefixes: PrefixIndex = field(default_factory=PrefixIndex)
     speeds: PrefillSpeeds = field(default_factory=PrefillSpeeds)
     decode_times: DecodeTimes = field(default_factory=DecodeTimes)
+    random: Random = field(default_factory=Random)
     ejector: OutlierEjector = field(
         default_factory=lambda: OutlierEjector(
             consecutive_failures=EJECT_AFTER_FAILURES, ejection_s=EJECT_DURATION_S
@@ -130,6 +134,7 @@
     roster: GatewayRoster = field(init=False)
     rate_limiter: RateLimiter = field(init=False)
     version_gap: VersionGap = field(init=False)
+    unseen_load: UnseenLoad = field(init=False)
     chooser: Chooser = field(init=False)
     recorder: WorkRecorder = field(init=False)
 
@@ -139,6 +144,7 @@
         self.rate_limiter = RateLimiter(self.settings.process, self.roster)
         tolerated_s = VERSION_GAP_FRACTION * self.settings.configuration_limit_s
         self.version_gap = VersionGap(tolerated_s)
+        self.unseen_load = UnseenLoad(self.settings.process)
         self.chooser = Chooser(
             self.settings.place,
             self.members,
@@ -146,6 +152,13 @@
             self.prefixes,
             self.speeds,
             self.decode_times,
+            EvenLoad(
+                self.settings.process,
+                self.members,
+                self.unseen_load,
+                self.random,
+                lambda: self.gateway_count,
+            ),
         )
         self.recorder = WorkRecorder(
             self.members,
@@ -153,6 +166,7 @@
             self.prefixes,
             self.speeds,
             self.find_cache_capacity,
+            self.unseen_load,
         )
 
     @property
