Let the gateway bench spread calls as gateways do

The modelled gateways measure the delay of their updates and name the sender of work, so the bench shows what spreading gains and costs with whole choices.

--- a/bramleyport/bench/_gateways_call.py
+++ b/bramleyport/bench/_gateways_call.py
@@ -250,6 +250,7 @@
                     started_s=clock.now_s,
                     parts=parts,
                     transfer_s=transfer_s,
+                    origin="" if receiver is gateway else gateway.process,
                 )
             )
 
--- a/bramleyport/bench/_gateways_view.py
+++ b/bramleyport/bench/_gateways_view.py
@@ -1,6 +1,7 @@
 """State of the fleet in one modelled gateway, and updates between gateways."""
 
 from collections.abc import Callable, Sequence
+from random import Random
 from typing import Final
 
 from bramleyport.bench._virtual_clock import VirtualClock
@@ -8,12 +9,14 @@
 from bramleyport.fleet import (
     Chooser,
     DecodeTimes,
+    EvenLoad,
     GatewayRoster,
     LoadTracker,
     Membership,
     PrefillSpeeds,
     PrefixIndex,
     Registration,
+    UnseenLoad,
     UpdatePacing,
     WorkRecorder,
 )
@@ -73,8 +76,21 @@
         prefixes = PrefixIndex()
         speeds = PrefillSpeeds()
         self.decode_times = DecodeTimes()
+        self.unseen_load = UnseenLoad(self.process)
         self.chooser = Chooser(
-            self.place, self.members, self.loads, prefixes, speeds, self.decode_times
+            self.place,
+            self.members,
+            self.loads,
+            prefixes,
+            speeds,
+            self.decode_times,
+            EvenLoad(
+                self.process,
+                self.members,
+                self.unseen_load,
+                Random(len(network.gateways)),
+                lambda: self.roster.count,
+            ),
         )
         self.recorder = WorkRecorder(
             self.members,
@@ -82,10 +98,13 @@
             prefixes,
             speeds,
             lambda _: capacity_tokens,
+            self.unseen_load,
         )
         self.avoided: set[UpstreamId] = set()
         self._pacing = UpdatePacing()
         self._pending: list[Update] = []
+        # Prefill time of the work of each pending update, and since when it is pending.
+        self._pending_since: list[tuple[float, float]] = []
         self._flushing = False
 
     def publish_update(self, update: Update, busy_s: float = 0.0) -> None:
@@ -95,6 +114,7 @@
         if not peers:
             return
         self._pending.append(update)
+        self._pending_since.append((busy_s, self._network.clock.now_s))
         if self._pacing.allow_now(peers, busy_s, self._network.clock.now_s):
             self._flush()
         elif not self._flushing:
@@ -108,5 +128,9 @@
 
     def _flush(self) -> None:
         pending, self._pending = self._pending, []
+        for busy_s, since_s in self._pending_since:
+            delay_s = self._network.clock.now_s - since_s
+            self.unseen_load.record_delay(busy_s, delay_s)
+        self._pending_since.clear()
         if pending:
             self._network.send(self, pending)
--- a/bramleyport/fleet/_unseen_load.py
+++ b/bramleyport/fleet/_unseen_load.py
@@ -7,7 +7,6 @@
 
 import math
 from collections import Counter
-from collections.abc import Iterable
 from dataclasses import dataclass, field
 from typing import Final
 
@@ -60,14 +59,13 @@
         self._long_delay_s = 0.0
         self._delay_s = FLUSH_INTERVAL_S / 2
 
-    def record_update(self, sent: Iterable[Work], now_s: float) -> None:
-        """Record that the peers are told of work that this gateway has sent."""
-        for work in sent:
-            delay_s = min(MAX_DELAY_S, max(0.0, now_s - work.started_s))
-            if _is_long(work):
-                self._long_delay_s += DELAY_WEIGHT * (delay_s - self._long_delay_s)
-            else:
-                self._delay_s += DELAY_WEIGHT * (delay_s - self._delay_s)
+    def record_delay(self, prefill_s: float, delay_s: float) -> None:
+        """Record how long work was sent before the peers are told of it."""
+        delay_s = min(MAX_DELAY_S, max(0.0, delay_s))
+        if prefill_s > LONG_PREFILL_S:
+            self._long_delay_s += DELAY_WEIGHT * (delay_s - self._long_delay_s)
+        else:
+            self._delay_s += DELAY_WEIGHT * (delay_s - self._delay_s)
 
     def record_work(self, work: Work, upstream: Registration) -> None:
         """Record work that this gateway sends, or that a peer has told."""
@@ -78,7 +76,7 @@
         rates.decay(work.started_s)
         rates.count_origin(work.origin or self._own, work.started_s)
         if work.origin:
-            rates.add(work, TRANSIT_S + self._find_delay(work))
+            rates.add(work, TRANSIT_S + self._find_delay(work.prefill_s))
 
     def estimate(self, group: LoadGroup, now_s: float) -> UnseenWork:
         """Return the unseen work at a group of upstreams."""
@@ -96,8 +94,8 @@
         active = {origin for origin, count in calls.items() if count >= least}
         return sorted(active | {self._own})
 
-    def _find_delay(self, work: Work) -> float:
-        return self._long_delay_s if _is_long(work) else self._delay_s
+    def _find_delay(self, prefill_s: float) -> float:
+        return self._long_delay_s if prefill_s > LONG_PREFILL_S else self._delay_s
 
 
 def find_group(upstream: Registration) -> LoadGroup:
@@ -105,10 +103,6 @@
     return LoadGroup(upstream.service, upstream.zone, upstream.stage)
 
 
-def _is_long(work: Work) -> bool:
-    return work.prefill_s > LONG_PREFILL_S
-
-
 @dataclass(slots=True)
 class _GroupRates:
     """Sum up recent work and its delays, with weights that decay over time."""
--- a/bramleyport/gateway/_peers.py
+++ b/bramleyport/gateway/_peers.py
@@ -429,7 +429,7 @@
             self._flush_timer.cancel()
             self._flush_timer = None
         pending = self._tracker.take_pending()
-        self._state.unseen_load.record_update(pending.started, read_now())
+        self._record_delays(pending.started)
         pending.limits = self._state.rate_limiter.take_due_notices(read_now())
         pending.crashes = self._guard.take_updates()
         self._send_items("leaving_upstreams", self._state.pending_leaving, self._send)
@@ -438,6 +438,12 @@
         while pending:
             self._send(self._make_message(**take_batch(pending)))
 
+    def _record_delays(self, sent: Iterable[Work]) -> None:
+        now_s = read_now()
+        for work in sent:
+            delay_s = now_s - work.started_s
+            self._state.unseen_load.record_delay(work.prefill_s, delay_s)
+
     def _send_known(self, address: Address) -> None:
         """Send what is known of the fleet to a gateway that has started."""
         self._write(encode_message(self._make_message()), address)
--- a/tests/stale_load_model.py
+++ b/tests/stale_load_model.py
@@ -235,15 +235,9 @@
         """Let each gateway measure how late the others hear of its work."""
         delay_s = max(0.0, self.scenario.age_s - TRANSIT_S)
         for unseen in self._unseen:
-            for prefill_s in (0.0, 1.0):
-                work = Work(
-                    request=RequestId("r"),
-                    upstream=self._engines[0].registration.upstream,
-                    priority=0,
-                    prefill_s=prefill_s,
-                    started_s=0.0,
-                )
-                unseen.record_update([work] * 200, delay_s)
+            for _ in range(200):
+                unseen.record_delay(0.0, delay_s)
+                unseen.record_delay(1.0, delay_s)
 
 
 def print_table() -> None:
--- a/tests/test_even_load.py
+++ b/tests/test_even_load.py
@@ -215,7 +215,7 @@
             prefill_s=0.02,
             started_s=now_s,
         )
-        unseen.record_update([work], now_s + 0.095)
+        unseen.record_delay(work.prefill_s, 0.095)
         unseen.record_work(replace(work, origin="g2"), upstream)
     estimate = unseen.estimate(find_group(upstream), 10.0)
     assert estimate.calls == pytest.approx(100 * 0.1, rel=0.05)
