--- a/tests/test_even_load.py
+++ b/tests/test_even_load.py
@@ -91,6 +91,14 @@
         assert found.p99_wait_s <= 1.2 * full.p99_wait_s, age_s
 
 
+def test_queues_are_near_those_of_full_knowledge_as_updates_are_paced() -> None:
+    # Updates on long prompts are sent at once.
+    full = StaleLoadModel(Scenario(age_s=0.0, use=0.9)).run()
+    scenario = Scenario(age_s=0.025, long_age_s=0.005, gateways=3, use=0.9)
+    found = StaleLoadModel(scenario).run()
+    assert found.p99_wait_s <= 1.2 * full.p99_wait_s
+
+
 @pytest.mark.parametrize(("use", "age_s", "gateways"), [(0.7, 0.1, 3), (0.9, 0.4, 30)])
 def test_queues_are_shorter_and_prefixes_are_found_as_often(
     use: float, age_s: float, gateways: int
