Count the delay of overtaken prompts, and hold fewer large pools for decode

Urgent prompts went to engines with queues of less urgent ones, as these don't delay them, and pushed whole queues back while decode engines were idle. Half of the delay of those overtaken now counts as a cost of the choice. And a third of all engines was held for decode whatever the load: 9 of 27 engines ran ten calls in all. Pools keep a third of the first nine engines, and a twelfth of the others; links and slots are planned by load.

--- a/bramleyport/fleet/_choice.py
+++ b/bramleyport/fleet/_choice.py
@@ -25,6 +25,9 @@
 # Weight of the prefill time that a choice costs, relative to the time that its caller
 # waits. Needless prefill on an engine delays the calls after this one.
 ENGINE_TIME_WEIGHT: Final = 0.5
+# Weight of the time by which an urgent prompt delays each less urgent one that it
+# overtakes.
+OVERTAKEN_WEIGHT: Final = 0.5
 # Weight of the time for which a transfer occupies links, relative to the same time.
 TRANSFER_WEIGHT: Final = 1.0
 # Largest bias from a hash of prefix and upstream, by which all gateways send the first
@@ -397,7 +400,9 @@
     ) -> float:
         """Return the cost of a choice in addition to the time that its caller waits."""
         cost_s = (
-            ENGINE_TIME_WEIGHT * estimate.prefill_s + TRANSFER_WEIGHT * estimate.fetch_s
+            ENGINE_TIME_WEIGHT * estimate.prefill_s
+            + OVERTAKEN_WEIGHT * estimate.prefill_s * estimate.behind
+            + TRANSFER_WEIGHT * estimate.fetch_s
         )
         return (
             cost_s
--- a/bramleyport/fleet/_load.py
+++ b/bramleyport/fleet/_load.py
@@ -53,6 +53,19 @@
     elapsed_s: float
 
 
+@dataclass(frozen=True, slots=True)
+class QueueForecast:
+    """Describe the place of new work among the prompts that an engine has."""
+
+    # Until those ahead are prefilled.
+    wait_s: float
+    # How many less urgent ones would wait longer.
+    behind: int
+
+
+EMPTY_QUEUE: Final = QueueForecast(0.0, 0)
+
+
 @dataclass(frozen=True, slots=True)
 class PrefilledWork:
     """Describe work whose prompt is prefilled, with a speed sample if one is due."""
@@ -120,7 +133,13 @@
     def forecast_wait(
         self, priority: int, now_s: float, overhead_s: float = 0.0
     ) -> float:
-        """Return the seconds until the prompts ahead of new work are prefilled.
+        """Return the seconds until the prompts ahead of new work are prefilled."""
+        return self.forecast_queue(priority, now_s, overhead_s).wait_s
+
+    def forecast_queue(
+        self, priority: int, now_s: float, overhead_s: float = 0.0
+    ) -> QueueForecast:
+        """Return the place of new work among the prompts that wait.
 
         An engine prefills one prompt to its end, even a less urgent one, and then the
         most urgent one that waits. The end of a prefill is known `overhead_s` later.
@@ -131,14 +150,14 @@
             if not self._is_overdue(work, now_s)
         ]
         if not waiting:
-            return 0.0
+            return EMPTY_QUEUE
         began_s = max(
             self._last_progress_s - overhead_s, min(work.started_s for work in waiting)
         )
         running, end_s = _advance(waiting, began_s, now_s)
-        ahead_s = sum(work.prefill_s for work in waiting if work.priority <= priority)
+        ahead = [work.prefill_s for work in waiting if work.priority <= priority]
         rest_s = max(MIN_REMAINING_FRACTION * running.prefill_s, end_s - now_s)
-        return rest_s + ahead_s
+        return QueueForecast(rest_s + sum(ahead), len(waiting) - len(ahead))
 
     def forecast_link(self, now_s: float) -> float:
         """Return the seconds until the transfers over the engine's link have ended."""
--- a/bramleyport/fleet/_prefill.py
+++ b/bramleyport/fleet/_prefill.py
@@ -21,6 +21,8 @@
     """Describe the forecast for the prefill of a prompt by one engine."""
 
     wait_s: float
+    # How many less urgent prompts would wait longer.
+    behind: int
     # Time for which the prompt occupies the engine.
     prefill_s: float
     # Time to the first token in addition to that.
@@ -84,8 +86,10 @@
         uncached = max(0, prompt.tokens_in - cached - fetched)
         prefill_cost = compute_prefill_cost(uncached, prompt.tokens_in)
         load = self._loads.of(candidate.upstream)
+        queue = load.forecast_queue(call.priority, now_s, self._speeds.overhead_s)
         return PrefillForecast(
-            wait_s=load.forecast_wait(call.priority, now_s, self._speeds.overhead_s),
+            wait_s=queue.wait_s,
+            behind=queue.behind,
             overhead_s=self._speeds.overhead_s,
             prefill_s=self._speeds.forecast(candidate.upstream, stage, prefill_cost),
             prefill_cost=prefill_cost,
--- a/bramleyport/fleet/_stage_pools.py
+++ b/bramleyport/fleet/_stage_pools.py
@@ -7,10 +7,15 @@
 from bramleyport.fleet._serving import ServingScope
 from bramleyport.fleet._types import Registration, SoftwareVersion, Stage
 
-# Least number of decode engines, in case some fail, and their least fraction of all
-# engines: each receives the KV caches of its calls over one link, one after another.
+# Least number of decode engines, in case some fail, and their least fraction of the
+# engines of a small pool: each receives the KV caches of its calls over one link, one
+# after another.
 MIN_DECODERS: Final = 2
 MIN_DECODER_FRACTION: Final = 1 / 3
+SMALL_POOL: Final = 9
+# Least fraction of further engines: a larger pool loses a smaller part of its engines
+# at once, and the links that its load needs are counted anyway.
+MIN_FURTHER_FRACTION: Final = 1 / 12
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -87,7 +92,9 @@
                     view.changing and view.ordered_stage is Stage.DECODE
                     for view in found
                 ),
-                floor=_compute_floor(len(found)) if has_streams else 0,
+                floor=min(len(found), count_min_decoders(len(found)))
+                if has_streams
+                else 0,
             )
         )
     return pools
@@ -99,9 +106,12 @@
     return tuple(view for view in engines if view.registration.stage is stage)
 
 
-def _compute_floor(engines: int) -> int:
-    """Return how many engines of a version go on to decode, even without calls."""
-    return min(engines, max(MIN_DECODERS, int(MIN_DECODER_FRACTION * engines)))
+def count_min_decoders(engines: int) -> int:
+    """Return how many engines of a pool decode at least, even without calls."""
+    small = min(engines, SMALL_POOL)
+    further = engines - small
+    least = int(MIN_DECODER_FRACTION * small + MIN_FURTHER_FRACTION * further)
+    return max(MIN_DECODERS, least)
 
 
 def list_for_decode(pools: Sequence[VersionPool]) -> Sequence[EngineView]:
--- a/bramleyport/fleet/_stages.py
+++ b/bramleyport/fleet/_stages.py
@@ -7,9 +7,8 @@
 
 from bramleyport.core import Explanation, UpstreamId
 from bramleyport.fleet._stage_pools import (
-    MIN_DECODER_FRACTION,
-    MIN_DECODERS,
     EngineView,
+    count_min_decoders,
     list_for_decode,
     list_spare,
     split_by_version,
@@ -138,7 +137,7 @@
                 change = self._replace_lost(pool.prefill_engines, numbers, now_s)
                 if change is not None:
                     return change
-        if len(decoders) + becoming_decoders < self._count_min_decoders(engines):
+        if len(decoders) + becoming_decoders < count_min_decoders(len(engines)):
             return self._replace_lost(list_for_decode(pools), numbers, now_s)
         allowed = max(1, int(CHANGING_FRACTION * len(alive)))
         if changing >= allowed:
@@ -254,13 +253,9 @@
         max_decoders = int(MAX_DECODER_FRACTION * len(engines))
         return max(
             min(max(by_slots, by_links), max_decoders),
-            self._count_min_decoders(engines),
+            count_min_decoders(len(engines)),
         )
 
-    def _count_min_decoders(self, engines: Sequence[EngineView]) -> int:
-        """Return the number of decode engines that is kept even without calls."""
-        return max(MIN_DECODERS, int(MIN_DECODER_FRACTION * len(engines)))
-
     def _make_change(
         self,
         candidates: Sequence[EngineView],
--- a/tests/test_fleet_choice.py
+++ b/tests/test_fleet_choice.py
@@ -105,6 +105,18 @@
     assert late.wait_s > 5.0
 
 
+def test_urgent_prompt_goes_where_it_overtakes_no_others() -> None:
+    """Guards against urgent prompts that each delay a whole queue."""
+    fleet = FleetModel(make_engine("a"), make_engine("b"))
+    for number in range(6):
+        fleet.send("a", request=f"w{number}", prefill_s=0.001, priority=2)
+    fleet.send("b", prefill_s=0.015)
+    prompt = make_prompt(("own", 400))
+    choice = fleet.chooser.choose(make_call(prompt), ENGINE, (), 0.0)
+    assert choice is not None
+    assert choice.upstream.upstream == "b"
+
+
 def test_calls_wait_for_a_slot_once_engines_are_full() -> None:
     # Two of three engines failed in a burst of calls of the lowest priority. The third
     # got all calls though its slots were full, and most calls timed out.
--- a/tests/test_fleet_stages.py
+++ b/tests/test_fleet_stages.py
@@ -5,6 +5,8 @@
 
 from dataclasses import replace
 
+import pytest
+
 from bramleyport.core import UpstreamId
 from bramleyport.fleet import (
     EngineView,
@@ -13,6 +15,7 @@
     StageChange,
     StagePlanner,
 )
+from bramleyport.fleet._stage_pools import count_min_decoders
 from tests.fleet_builders import make_engine
 
 SLOTS = 64
@@ -51,6 +54,14 @@
     return None
 
 
+@pytest.mark.parametrize(
+    ("engines", "least"), [(1, 2), (6, 2), (9, 3), (22, 4), (27, 4), (60, 7)]
+)
+def test_large_pools_keep_a_smaller_part_for_decode(engines: int, least: int) -> None:
+    """Guards against prefill that queues up while a third of the engines idle."""
+    assert count_min_decoders(engines) == least
+
+
 def test_queued_prompts_change_an_idle_engine_to_prefill() -> None:
     change = plan_until_change(StagePlanner(), make_pool(6, 3, backlog_s=0.5))
     assert change is not None
