Reject invalid statuses, and successes of requests that were not received

h11 accepts any three digits: 600 and 999 reached callers as answers (000, 099 and 1000 did not). They now fail the attempt as one that may have run.

An upstream that answers 200 without a length while the upload is still being written, sends a part and ends its side in order gave the caller that part as a complete answer. The end of the connection now ends a success only if the peer's host has acknowledged the whole request. Errors may still be answered before.

A connection with unsent bytes of an answered request is not used again: these would hold up the next request, and take memory while it is idle.

--- a/bramleyport/http1/_answer_parser.py
+++ b/bramleyport/http1/_answer_parser.py
@@ -17,6 +17,8 @@
 # a chunk.
 MAX_HEAD_BYTES: Final = 16_384
 MAX_INTERIM_ANSWERS: Final = 8
+# The protocol has no higher status; the library accepts three digits of any value.
+MAX_STATUS: Final = 599
 # Answers to other requests that are skipped before the expected answer.
 MAX_FOREIGN_ANSWERS: Final = 4
 MAX_FOREIGN_BYTES: Final = 1_048_576
@@ -51,6 +53,7 @@
         self._interim_answers = 0
         # Whether the end of the connection may be the end of the answer.
         self._may_end_here = False
+        self._is_success = False
 
     @property
     def idle(self) -> bool:
@@ -67,14 +70,16 @@
         """Return whether the answer is complete."""
         return self._http.their_state in (h11.DONE, h11.MUST_CLOSE, h11.CLOSED)
 
-    @property
-    def ends_with_connection(self) -> bool:
+    def can_end_with_connection(self, *, has_request: bool) -> bool:
         """Return whether the peer may end the body by closing the connection.
 
         A success without any body looks the same as one whose upstream stopped after
-        the head, so it is not complete unless its framing says so.
+        the head, so it is not complete unless its framing says so. Nor is a success
+        of a request that the peer's host did not receive whole (`has_request`); errors
+        may be answered before.
         """
-        return self._http.their_state is h11.SEND_BODY and self._may_end_here
+        may_end = self._may_end_here and (has_request or not self._is_success)
+        return self._http.their_state is h11.SEND_BODY and may_end
 
     def start(
         self, request: HttpRequest, matches: Callable[[Answer], bool] | None
@@ -105,7 +110,10 @@
         if isinstance(event, h11.InformationalResponse):
             return self._skip_interim()
         if isinstance(event, h11.Response):
+            if event.status_code > MAX_STATUS:
+                raise MalformedAnswerError(f"invalid status {event.status_code}")
             self._may_end_here = event.status_code >= 300
+            self._is_success = event.status_code < 300
         elif isinstance(event, h11.Data):
             self._may_end_here = True
         return self._skip_foreign(event)
--- a/bramleyport/http1/_client.py
+++ b/bramleyport/http1/_client.py
@@ -9,8 +9,10 @@
 import h11
 from twisted.internet import error as network_errors
 from twisted.internet.error import ConnectionDone
+from twisted.internet.interfaces import IHalfCloseableProtocol
 from twisted.internet.protocol import ClientCreator, Protocol
 from twisted.python.failure import Failure
+from zope.interface import implementer
 
 from bramleyport.fleet import Address
 from bramleyport.http1._answer_parser import (
@@ -28,7 +30,11 @@
     HttpRequest,
 )
 from bramleyport.http1._receiving import DEFAULT_MAX_BYTES, ReceiveContext
-from bramleyport.http1._socket_options import enable_peer_timeout
+from bramleyport.http1._socket_options import (
+    count_unacknowledged_bytes,
+    count_unsent_bytes,
+    enable_peer_timeout,
+)
 
 # Events of one connection that are processed before the event loop serves others.
 EVENTS_PER_BATCH: Final = 64
@@ -40,6 +46,7 @@
 MAX_ANSWER_BYTES: Final = 8_388_608
 
 
+@implementer(IHalfCloseableProtocol)
 class UpstreamConnection(Protocol):
     """Represent a connection to an upstream that carries one exchange at a time."""
 
@@ -66,6 +73,8 @@
         self.idle_since_s = 0.0
         self.idle_timeout_s: float | None = None
         self.closed = False
+        # Whether the peer's host had the whole request when the peer ended its side.
+        self._peer_has_request = True
         # Set after bytes that belong to no exchange, or to one that the answer does not
         # name; the connection is not reused then.
         self.tainted = False
@@ -100,6 +109,11 @@
             and self._parser.idle
         )
 
+    @property
+    def has_unsent_bytes(self) -> bool:
+        """Return whether a part of the last request waits for the peer to read."""
+        return count_unsent_bytes(self.transport) > 0
+
     @property
     def may_carry_other_answers(self) -> bool:
         """Return whether an answer may belong to another than the last request."""
@@ -221,6 +235,15 @@
         self._parser.receive(data)
         self._process_events()
 
+    def readConnectionLost(self) -> None:  # noqa: N802
+        """Close the connection of a peer that has ended its side."""
+        unread = count_unacknowledged_bytes(self.transport)
+        self._peer_has_request = not (unread or self.has_unsent_bytes)
+        self.transport.connectionLost(Failure(ConnectionDone()))
+
+    def writeConnectionLost(self) -> None:  # noqa: N802
+        """Do nothing: this side does not end before the peer."""
+
     def connectionLost(self, reason: Failure = Failure(ConnectionDone())) -> None:  # noqa: N802, B008
         """Process the end of the connection."""
         self.closed = True
@@ -235,7 +258,9 @@
     def _handle_close(self, *, clean: bool, text: str) -> None:
         try:
             self._process_all()
-            if clean and self._parser.ends_with_connection:
+            if clean and self._parser.can_end_with_connection(
+                has_request=self._peer_has_request
+            ):
                 self._parser.receive(b"")
                 self._process_all()
         except MalformedAnswerError as error:
--- a/bramleyport/http1/_pool.py
+++ b/bramleyport/http1/_pool.py
@@ -96,7 +96,9 @@
 
     def release(self, connection: UpstreamConnection) -> None:
         """Return a connection to the pool after an exchange."""
-        if self._closed or not connection.reusable:
+        # A request that was answered before it was read whole must not hold up others.
+        unread = connection.reusable and connection.has_unsent_bytes
+        if self._closed or unread or not connection.reusable:
             connection.abort()
             return
         connection.idle_since_s = asyncio.get_running_loop().time()
--- a/tests/test_cut_answers.py
+++ b/tests/test_cut_answers.py
@@ -13,8 +13,9 @@
 
 from bramleyport.gateway._state import GatewayState
 from bramleyport.http1 import ExchangeError
-from tests.gateway_fleet import GatewayFleet
-from tests.platform_standin import RawRequest, Script, UpstreamStandin
+from tests.gateway_fleet import PLAIN, GatewayFleet, make_config
+from tests.platform_standin import LOOPBACK, RawRequest, Script, UpstreamStandin
+from tests.ports import find_port
 from tests.test_hostile_answers import open_connection, render_chunks
 
 Run = Callable[[Coroutine[Any, Any, Any]], Any]
@@ -95,6 +96,123 @@
     assert run(read_cut_answer(head, reset=False, size=10_000)) == b""
 
 
+@pytest.mark.parametrize("status", ["000", "099", "600", "999", "1000"])
+def test_invalid_status_is_no_answer(
+    fleet: GatewayFleet, run: Run, status: str
+) -> None:
+    """Guards against statuses that no caller understands, and against a second run."""
+    head = START.replace(b"200", status.encode()) + b"Content-Length: 4\r\n\r\n"
+    for upstream in fleet.plain:
+        upstream.script = make_cut_script(head + b"part", reset=False)
+    answer = run(fleet.make_caller().call("/post/x", body=b"b", Request_Id="q1"))
+    assert answer.status == 502
+    assert len(fleet.list_runs()) == 1
+
+
+LONG_UPLOAD_BYTES = 4_000_000
+# More than one side's buffer in the kernel, less than both together.
+SHORT_UPLOAD_BYTES = 400_000
+READ_BYTES = 16_384
+# Time in which the gateway reads the part of the answer.
+PART_READ_S = 0.1
+PARTS = {
+    "no length": START + b"\r\npart",
+    "chunked": START + b"Transfer-Encoding: chunked\r\n\r\n4\r\npart\r\n",
+    "length": START + b"Content-Length: 1000\r\n\r\npart",
+}
+
+
+class EarlyUpstream(UpstreamStandin):
+    """Represent an upstream that answers before it has read the request's body."""
+
+    part = b""
+    resets = False
+
+    async def start(self, port: int = 0) -> None:
+        self._listener = socket.create_server((LOOPBACK, find_port()))
+        self._listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, READ_BYTES)
+        self._listener.setblocking(False)
+        self.port = self._listener.getsockname()[1]
+        self._connections: list[socket.socket] = []
+        self._task = asyncio.ensure_future(self._accept_all())
+
+    async def stop(self) -> None:
+        self._task.cancel()
+        for connection in (self._listener, *self._connections):
+            connection.close()
+
+    async def _accept_all(self) -> None:
+        loop = asyncio.get_running_loop()
+        while True:
+            connection, _ = await loop.sock_accept(self._listener)
+            self._connections.append(connection)
+            await self._answer(connection)
+
+    async def _answer(self, connection: socket.socket) -> None:
+        loop = asyncio.get_running_loop()
+        head = b""
+        while b"\r\n\r\n" not in head:
+            head += await loop.sock_recv(connection, READ_BYTES)
+        lines = head.lower().split(b"\r\n")
+        name = next(line for line in lines if line.startswith(b"request-id:"))
+        request_id = name.partition(b":")[2].strip()
+        fields = {"request-id": request_id.decode()}
+        self.record_run(RawRequest("POST", "/", fields, b""))
+        await loop.sock_sendall(connection, self.part.replace(b"own", request_id))
+        await asyncio.sleep(PART_READ_S)
+        if self.resets:
+            linger = struct.pack("ii", 1, 0)
+            connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+            connection.close()
+        else:
+            connection.shutdown(socket.SHUT_WR)
+
+
+@pytest.fixture
+def early_fleet(run: Run, tmp_path: Path) -> Iterator[GatewayFleet]:
+    fleet = GatewayFleet(tmp_path)
+    fleet.plain = [EarlyUpstream("early", service=PLAIN)]
+    run(fleet.start())
+    limits = make_config()["limits"] | {"max_body_bytes": LONG_UPLOAD_BYTES}
+    fleet.store.put("config", "main", make_config(version=2, limits=limits))
+    run(fleet.wait_for(lambda: fleet.state.configuration.version == 2))
+    yield fleet
+    run(fleet.stop())
+
+
+@pytest.mark.parametrize("pause_s", [0.0, 0.02], ids=["at_once", "slowly"])
+@pytest.mark.parametrize("size", [SHORT_UPLOAD_BYTES, LONG_UPLOAD_BYTES])
+@pytest.mark.parametrize("resets", [False, True], ids=["closed", "reset"])
+@pytest.mark.parametrize("framing", PARTS)
+def test_part_of_an_answer_to_an_unread_upload_is_not_complete(
+    early_fleet: GatewayFleet,
+    run: Run,
+    framing: str,
+    resets: bool,
+    size: int,
+    pause_s: float,
+) -> None:
+    """Guards against a part of an answer that ends before its request was read."""
+    (upstream,) = early_fleet.plain
+    assert isinstance(upstream, EarlyUpstream)
+    upstream.part, upstream.resets = PARTS[framing], resets
+
+    async def call() -> bytes:
+        reader, writer = await asyncio.open_connection(LOOPBACK, early_fleet.port)
+        head = "POST /post/x HTTP/1.1\r\nHost: calls.example\r\nRequest-Id: q1\r\n"
+        writer.write(f"{head}Content-Length: {size}\r\n\r\n".encode())
+        for _ in range(10):
+            writer.write(b"x" * (size // 10))
+            await writer.drain()
+            await asyncio.sleep(pause_s)
+        answer = await reader.readuntil(b"\r\n")
+        writer.close()
+        return answer
+
+    assert b" 502 " in run(call())
+    assert len(early_fleet.list_runs()) == 1
+
+
 def make_cut_script(sent: bytes, *, reset: bool) -> Script:
     """Return a script that runs a request, sends some bytes and disconnects."""
 
