Move the factory of caller connections to its own module

A connection that begins to wait is marked before its bytes are counted, since counting may close it.

--- a/bramleyport/http1/__init__.py
+++ b/bramleyport/http1/__init__.py
@@ -7,6 +7,7 @@
 """
 
 from bramleyport.http1._caller_budget import CallerBudget, Release
+from bramleyport.http1._caller_factory import CallerFactory
 from bramleyport.http1._caller_messages import (
     CallerDisconnectedError,
     CallerRequest,
@@ -20,7 +21,7 @@
     HttpRequest,
 )
 from bramleyport.http1._pool import ConnectionPool, PoolLimits
-from bramleyport.http1._server import CallerConnection, CallerFactory
+from bramleyport.http1._server import CallerConnection
 from bramleyport.http1._socket_options import limit_receive_buffer
 
 __all__ = [
--- a/bramleyport/http1/_budget_share.py
+++ b/bramleyport/http1/_budget_share.py
@@ -1,5 +1,6 @@
 """Count what one connection to a caller holds, and make it give way to others."""
 
+import weakref
 from typing import Any, Protocol
 
 from bramleyport.http1._caller_budget import CallerBudget, ClosingCost
@@ -43,7 +44,8 @@
     def __init__(
         self, connection: SharingConnection, parser: RequestParser, budget: CallerBudget
     ) -> None:
-        self._connection = connection
+        # A cycle would keep what a closed connection holds until the next collection.
+        self._connection: SharingConnection = weakref.proxy(connection)
         self._parser = parser
         self._budget = budget
         self._running_bytes = 0
--- a/bramleyport/http1/_caller_budget.py
+++ b/bramleyport/http1/_caller_budget.py
@@ -109,8 +109,10 @@
 
         Only privileged connections use the reserved ones.
         """
-        reserved = 0 if privileged else min(RESERVED_CONNECTIONS, self._spare)
-        while len(self._connections) >= self.max_connections - reserved:
+        limit = self.max_connections
+        if not privileged:
+            limit -= min(RESERVED_CONNECTIONS, limit // 2)
+        while len(self._connections) >= limit:
             oldest = self._find_cheapest()
             if oldest is None:
                 self._report(self._describe(Shortage.CONNECTIONS, holder))
@@ -122,10 +124,6 @@
         self._connections.add(holder)
         return True
 
-    @property
-    def _spare(self) -> int:
-        return self.max_connections // 2
-
     def remove(self, holder: Holder) -> None:
         """Forget a connection that is closed."""
         self._connections.discard(holder)
--- a/bramleyport/http1/_server.py
+++ b/bramleyport/http1/_server.py
@@ -1,22 +1,19 @@
 """HTTP/1.1 server for callers."""
 
 import asyncio
-from collections.abc import Awaitable, Callable
-from typing import Any, Final
+from typing import TYPE_CHECKING, Any, Final
 
 import h11
 from twisted.internet.error import ConnectionDone
 from twisted.internet.interfaces import IHalfCloseableProtocol
-from twisted.internet.protocol import Factory, Protocol
+from twisted.internet.protocol import Protocol
 from twisted.python.failure import Failure
 from zope.interface import implementer
 
 from bramleyport.http1._budget_share import BudgetShare
-from bramleyport.http1._caller_budget import CallerBudget
 from bramleyport.http1._caller_messages import (
     CallerDisconnectedError,
     CallerRequest,
-    ConnectionLimits,
 )
 from bramleyport.http1._connection_state import ConnectionState
 from bramleyport.http1._connection_timer import (
@@ -32,6 +29,9 @@
 )
 from bramleyport.http1._unread_answers import UnreadAnswers
 
+if TYPE_CHECKING:
+    from bramleyport.http1._caller_factory import CallerFactory
+
 # Bytes of further requests that are buffered while a request is being served. What
 # arrives beyond them is discarded: a reset would tell the caller that nobody has read
 # the request that is being served, and unread bytes would hide that it disconnects.
@@ -48,9 +48,6 @@
 END_BYTES: Final = 1
 
 
-Handler = Callable[[CallerRequest, "CallerConnection"], Awaitable[None]]
-
-
 @implementer(IHalfCloseableProtocol)
 class CallerConnection(Protocol):
     """Represent a caller's connection, which serves one request after another.
@@ -101,8 +98,8 @@
         if self.serving or self.state is ConnectionState.WAITING:
             self._queue(data)
         elif self._must_wait_for_reader:
-            self._queue(data)
             self._wait_for_reader()
+            self._queue(data)
         else:
             self._read(data)
 
@@ -481,30 +478,3 @@
 
     def _refuse_late_request(self) -> None:
         self._refuse(408)
-
-
-class CallerFactory(Factory):
-    """Track the connections of one listening port."""
-
-    noisy = False
-
-    def __init__(
-        self,
-        handler: Handler,
-        read_limits: Callable[[], ConnectionLimits],
-        budget: CallerBudget | None = None,
-        *,
-        privileged: bool = False,
-    ) -> None:
-        self.handler = handler
-        self.read_limits = read_limits
-        self.budget = budget or CallerBudget()
-        # Whether its connections may use those that the budget reserves.
-        self.privileged = privileged
-        self.connections: set[CallerConnection] = set()
-        # If set, each answer tells its caller to close the connection.
-        self.draining = False
-
-    def buildProtocol(self, addr: Any) -> CallerConnection:  # noqa: N802
-        """Return the protocol of a new connection."""
-        return CallerConnection(self)
