--- a/bramleyport/http1/__init__.py
+++ b/bramleyport/http1/__init__.py
@@ -6,6 +6,8 @@
 Twisted's transports.
 """
 
+from bramleyport.http1._caller_budget import CallerBudget, Release
+from bramleyport.http1._caller_factory import CallerFactory
 from bramleyport.http1._caller_messages import (
     CallerDisconnectedError,
     CallerRequest,
@@ -19,10 +21,12 @@
     HttpRequest,
 )
 from bramleyport.http1._pool import ConnectionPool, PoolLimits
-from bramleyport.http1._server import CallerConnection, CallerFactory
+from bramleyport.http1._server import CallerConnection
+from bramleyport.http1._socket_options import limit_receive_buffer
 
 __all__ = [
     "Answer",
+    "CallerBudget",
     "CallerConnection",
     "CallerDisconnectedError",
     "CallerFactory",
@@ -34,5 +38,7 @@
     "HttpClient",
     "HttpRequest",
     "PoolLimits",
+    "Release",
     "UpstreamConnection",
+    "limit_receive_buffer",
 ]
--- a/bramleyport/settings/_reference.py
+++ b/bramleyport/settings/_reference.py
@@ -17,6 +17,27 @@
 without a default is required. Unknown fields are rejected. Settings of gateways come
 from the platform: [operations](OPERATIONS.md) lists those that have defaults.
 """
+# A gateway reads the settings file of the platform, which has other fields as well.
+PAGE_END: Final = """
+## gateway
+
+The platform provides the settings file; these fields limit what callers may hold. They
+apply from the start of the process.
+
+| Field | Type | Default |
+| --- | --- | --- |
+| `limits.memory_mb` | int | `200` |
+| `limits.max_fds` | int | `1024` |
+
+0.15 of `limits.memory_mb` is for requests that are read, queued or run and for unread
+answers of all callers together; 0.2 of it for answers of upstreams. Half of
+`limits.max_fds`, or of what the process may open if that is less, is for connections of
+callers; readiness checks and metrics have 16 of them to themselves.
+
+Not settable, for each connection of a caller: 256 KB of requests behind the one that is
+served, 1 MB of unread answers before the next request begins, 128 KB in the kernel that
+was not read yet.
+"""
 
 
 def render_reference() -> str:
@@ -29,7 +50,7 @@
         parts += [
             f"| `{n}` | {t} | {d} |\n" for n, t, d in _list_rows(settings_type, "")
         ]
-    return "".join(parts)
+    return "".join([*parts, PAGE_END])
 
 
 def _list_rows(settings_type: type[Any], prefix: str) -> Iterator[tuple[str, str, str]]:
