--- a/bramleyport/duties/_clock.py
+++ b/bramleyport/duties/_clock.py
@@ -2,7 +2,7 @@
 
 import math
 from collections import deque
-from statistics import median
+from collections.abc import Iterable
 from typing import Final
 
 from bramleyport.core import ProcessId
@@ -59,8 +59,8 @@
         clock.sampled_s = steady_s
         clock.offsets_s.append(wall_s - steady_s)
         self._drop_silent(steady_s)
-        self._offset_s = median(
-            median(item.offsets_s) for item in self._clocks.values()
+        self._offset_s = _find_median(
+            _find_median(item.offsets_s) for item in self._clocks.values()
         )
 
     def convert(self, steady_s: float) -> float:
@@ -74,3 +74,12 @@
             for process, clock in self._clocks.items()
             if steady_s - clock.sampled_s < CLOCK_TIMEOUT_S
         }
+
+
+def _find_median(values: Iterable[float]) -> float:
+    """Return the median; the module `statistics` takes too much memory."""
+    ordered = sorted(values)
+    middle = len(ordered) // 2
+    if len(ordered) % 2:
+        return ordered[middle]
+    return (ordered[middle - 1] + ordered[middle]) / 2
--- a/bramleyport/duties/_windows.py
+++ b/bramleyport/duties/_windows.py
@@ -91,7 +91,7 @@
 
         That keeps the sum of all windows right.
         """
-        window = max(window, self._first_open)
+        window = max(window, self._first_open, self._first)
         self._counts.setdefault(window, Counter())[account] += 1
 
     def close_before(self, first_open: WindowId) -> None:
--- a/bramleyport/fleet/__init__.py
+++ b/bramleyport/fleet/__init__.py
@@ -50,6 +50,12 @@
 from bramleyport.fleet._recorder import WorkRecorder
 from bramleyport.fleet._roster import GatewayRoster
 from bramleyport.fleet._routes import RouteTable, choose_service
+from bramleyport.fleet._scale_plan import (
+    ScaleBounds,
+    ScaleChange,
+    ScalePlan,
+    ZoneLoad,
+)
 from bramleyport.fleet._serving import (
     AbsentUpstream,
     ServingGroup,
@@ -147,6 +153,9 @@
     "Route",
     "RouteName",
     "RouteTable",
+    "ScaleBounds",
+    "ScaleChange",
+    "ScalePlan",
     "ServiceConfig",
     "ServiceShare",
     "ServingGroup",
@@ -170,6 +179,7 @@
     "VersionShares",
     "Work",
     "WorkRecorder",
+    "ZoneLoad",
     "admit",
     "authenticate",
     "choose_service",
--- a/bramleyport/fleet/_types.py
+++ b/bramleyport/fleet/_types.py
@@ -13,6 +13,7 @@
     ZoneName,
 )
 from bramleyport.fleet._accounts import AccountIndex, ApiKey, ClientAccount
+from bramleyport.fleet._scale_plan import ScaleBounds
 from bramleyport.fleet._traits import CallTraits, RequestIdentity, make_part_traits
 
 RouteName = NewType("RouteName", str)
@@ -103,6 +104,8 @@
     health_path: str
     max_connections: int
     engine: EngineTraits | None = None
+    # None if gateways don't order how many upstreams it has.
+    scale: ScaleBounds | None = None
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/bramleyport/gateway/_duties.py
+++ b/bramleyport/gateway/_duties.py
@@ -11,10 +11,11 @@
 from bramleyport.gateway._clock import read_now
 from bramleyport.gateway._lease import OrderLease
 from bramleyport.gateway._peers import PeerLink
+from bramleyport.gateway._scaling import ScaleController
 from bramleyport.gateway._state import GatewayState
 from bramleyport.gateway._usage import UsageExchange
 from bramleyport.http1 import HttpClient
-from bramleyport.platform import DutyClient, DutySettings, ObjectName, StoreClient
+from bramleyport.platform import Duty, DutyClient, DutySettings, ObjectName, StoreClient
 from bramleyport.supervision import supervise
 from bramleyport.telemetry import Metrics, duty_events, log_event
 
@@ -63,6 +64,7 @@
         self._reporter = UsageReporter(
             self.find_fencing, store, self._sender, self._exchange
         )
+        self._scaling = ScaleController(state, self._sender, self.find_fencing, metrics)
         self._wanted = False
         self._was_held = False
 
@@ -79,6 +81,8 @@
             self._reporter.run_settling,
             self._reporter.run_sending,
         ]
+        if Duty.SCALE in self._settings.duties:
+            jobs.append(self._scaling.run)
         await asyncio.gather(*(supervise(job) for job in jobs))
 
     def leave(self) -> None:
--- a/bramleyport/gateway/_usage.py
+++ b/bramleyport/gateway/_usage.py
@@ -44,6 +44,8 @@
 # Time within which all gateways have told what they know to one that starts, and their
 # counts to a new candidate.
 LISTEN_S: Final = 2.5
+# How often a gateway that stops tells its counts for the last time.
+LAST_TELLINGS: Final = 2
 # Difference of this host's clock from the median that is reported.
 MAX_DEVIATION_S: Final = 0.5
 # Bytes of the row of a window beside its accounts, and of an account beside its name.
@@ -66,13 +68,15 @@
         self._process = state.settings.process
         self._times = WindowTimes.plan(settings.window_s, settings.usage_late_s)
         self._reports_usage = Duty.USAGE in settings.duties
+        self._orders_scale = Duty.SCALE in settings.duties
+        self._was_counting = False
         self._clock = GroupClock(self._process)
         self._clock.record(self._process, time.time(), read_boot_time())
         self._first = self._times.find_window(self._read_wall_time())
         self._own = OwnCounts(self._first)
         self._group = GroupCounts(self._times)
         self._settled: WindowId | None = None
-        # Those that get the counts, and when this gateway became one of them.
+        # Those that are told the counts, and since when this gateway is.
         self._targets: frozenset[ProcessId] = frozenset()
         self._candidate_since_s = math.inf
         self._turn = 0
@@ -88,6 +92,21 @@
 
     @property
     def is_active(self) -> bool:
+        """Return whether there is anything to report or to order."""
+        return self._is_counting or self._is_scaling
+
+    @property
+    def _is_scaling(self) -> bool:
+        """Return whether there are services whose upstreams are ordered."""
+        configuration = self._state.configuration
+        return (
+            self._orders_scale
+            and configuration is not None
+            and any(item.scale for item in configuration.services.values())
+        )
+
+    @property
+    def _is_counting(self) -> bool:
         """Return whether there are client accounts whose usage is reported."""
         configuration = self._state.configuration
         return (
@@ -109,10 +128,12 @@
     @property
     def is_complete(self) -> bool:
         """Return whether the gateways have had time to tell what they know."""
-        return read_now() - self._candidate_since_s >= LISTEN_S
+        listened_s = read_now() - self._candidate_since_s
+        return self._is_counting and listened_s >= LISTEN_S
 
     def record_run(self, account: AccountId, began_s: float) -> None:
         """Count a request that an upstream began to run."""
+        self._begin_counting()
         steady_s = read_boot_time() - (read_now() - began_s)
         window = self._times.find_window(self._clock.convert(steady_s))
         self._own.record(account, window)
@@ -132,13 +153,13 @@
         if status is None:
             self._candidate_since_s = math.inf
             return
-        if self._process not in candidates:
+        if self._process not in candidates and not status.fencing:
             self._candidate_since_s = math.inf
         elif self._candidate_since_s == math.inf:
             self._candidate_since_s = read_now()
         targets = candidates | ({self._holder} if self._holder else set())
         targets -= {self._process}
-        windows = list(self._own.list_windows()) if self.is_active else []
+        windows = list(self._own.list_windows()) if self._is_counting else []
         for item in windows:
             self._group.apply(self._make_origin(), item, read_now())
         for target in targets:
@@ -153,8 +174,10 @@
         self._own.close_before(
             WindowId(self._times.find_window(self._read_wall_time()) + 1)
         )
-        self._targets = frozenset()
-        self.tell()
+        # Once more, as a datagram may be lost.
+        for _ in range(LAST_TELLINGS):
+            self._targets = frozenset()
+            self.tell()
 
     def make_status(self) -> DutyStatus | None:
         """Return the status of this gateway; None while no duty is active."""
@@ -233,7 +256,16 @@
         self._own.drop_before(following)
         self._group.drop_before(following)
 
+    def _begin_counting(self) -> None:
+        """Begin with the current window when there first are accounts."""
+        is_counting = self._is_counting
+        if is_counting and not self._was_counting:
+            self._first = self._find_current()
+            self._own.drop_before(self._first)
+        self._was_counting = is_counting
+
     def _update_windows(self) -> None:
+        self._begin_counting()
         first_open = self._times.find_first_open(self._read_wall_time())
         self._own.close_before(first_open)
         self._group.drop_before(WindowId(first_open - KEPT_WINDOWS))
--- a/bramleyport/platform/_config.py
+++ b/bramleyport/platform/_config.py
@@ -15,6 +15,7 @@
     Repeatability,
     Route,
     RouteName,
+    ScaleBounds,
     ServiceConfig,
     ServiceShare,
 )
@@ -174,9 +175,20 @@
         health_path=read_string(document, "health_path"),
         max_connections=read_positive_count(document, "max_conns"),
         engine=engine,
+        scale=_decode_scale(document),
     )
 
 
+def _decode_scale(document: Document) -> ScaleBounds | None:
+    if document.get("scale") is None:
+        return None
+    scale = read_mapping(document, "scale")
+    least, most = read_count(scale, "min"), read_count(scale, "max")
+    if least > most:
+        raise MalformedDocumentError(f"scale has min {least} above max {most}")
+    return ScaleBounds(least=least, most=most, boot_s=read_amount(scale, "boot_s"))
+
+
 def _decode_engine(document: Document) -> EngineTraits:
     return EngineTraits(
         slots=read_positive_count(document, "slots"),
--- a/bramleyport/telemetry/_duty_events.py
+++ b/bramleyport/telemetry/_duty_events.py
@@ -28,6 +28,10 @@
 DUTY_HOLDER_CHANGED: Final = define(
     2739, "INFO", "this gateway began or ceased to hold the duties"
 )
+SCALE_ORDERED: Final = define(2740, "INFO", "number of upstreams ordered")
+SCALE_NOT_ORDERED: Final = define(
+    2741, "WARNING", "order for a number of upstreams not accepted, sent again"
+)
 CLOCK_DEVIATES: Final = define(
     2742, "WARNING", "wall clock of this host differs from the clock of the gateways"
 )
--- a/bramleyport/telemetry/_metrics.py
+++ b/bramleyport/telemetry/_metrics.py
@@ -47,6 +47,11 @@
         self.gauges = Gauge(
             "bramleyport_state", "State by name", registry=self.registry
         )
+        self.scale = Gauge(
+            "bramleyport_scale",
+            "Upstreams of a service in a zone: serving, and ordered",
+            registry=self.registry,
+        )
         self.upstream_limits = Gauge(
             "bramleyport_upstream_limit",
             "Rate limits that upstreams name: requests a second, and age in seconds",
--- a/tests/test_usage_reports.py
+++ b/tests/test_usage_reports.py
@@ -7,8 +7,19 @@
 from pathlib import Path
 from typing import Any
 
+import pytest
+
+from bramleyport.gateway import _lease
+from bramleyport.gateway._clock import read_boot_time
 from tests.gateway_group import GatewayGroup
-from tests.platform_standin import LOOPBACK, PlatformApiStandin, decline, lose_answer
+from tests.platform_standin import (
+    LOOPBACK,
+    PlatformApiStandin,
+    decline,
+    fail,
+    lose_answer,
+    make_stream_abort,
+)
 
 WINDOW_S = 1.0
 BOUNDS = {"window_s": WINDOW_S, "usage_late_s": 3.0, "thaw_ms": 100}
@@ -39,7 +50,7 @@
         group = GatewayGroup(
             folder,
             gateways,
-            ("p0", "p1", "d0"),
+            ("p0", "p1", "d0", "d1"),
             bounds=BOUNDS,
             settings={"cloud": cloud},
             config=config,
@@ -91,8 +102,10 @@
     run: Run, tmp_path: Path
 ) -> None:
     async def scenario(group: GatewayGroup, api: PlatformApiStandin) -> None:
-        # Refused attempts count nowhere, and one whose answer was lost counts.
-        group.upstreams[0].next_scripts = [decline, lose_answer]
+        # Refused attempts count nowhere. One whose answer was lost counts, a failure of
+        # the upstream too, and a resumed stream counts at both upstreams.
+        group.upstreams[0].next_scripts = [decline, lose_answer, fail]
+        group.upstreams[2].next_scripts = [make_stream_abort(2)]
         await group.send_calls(3.0, 30, "/read/x", Api_Key="k1")
         await group.send_calls(1.0, 20, "/stream/x", Api_Key="k2")
         await wait_until_reported(group, api, time.time())
@@ -120,6 +133,24 @@
     run_group(run, tmp_path, scenario)
 
 
+# Guards against a holder that others don't tell their counts to, as gateways that come
+# before it by name are candidates in its place.
+def test_holder_goes_on_when_other_gateways_become_candidates(
+    run: Run, tmp_path: Path
+) -> None:
+    async def scenario(group: GatewayGroup, api: PlatformApiStandin) -> None:
+        await group.wait_for(lambda: api.calls)
+        for name in ("a0", "a1", "a2"):
+            await group.start_gateway(name)
+        await group.send_calls(3.0, 30, "/read/x", Api_Key="k1")
+        await wait_until_reported(group, api, time.time())
+        check_reports(api)
+        assert {call.holder for call in api.calls} == {"g0"}
+        assert count_reported(api) == count_runs(group)
+
+    run_group(run, tmp_path, scenario, gateways=1)
+
+
 def test_reports_are_sent_again_and_the_store_may_be_away(
     run: Run, tmp_path: Path
 ) -> None:
@@ -153,6 +184,22 @@
     run_group(run, tmp_path, scenario, gateways=2)
 
 
+def test_holder_whose_host_was_suspended_sends_nothing_under_its_old_lease(
+    run: Run, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def scenario(group: GatewayGroup, api: PlatformApiStandin) -> None:
+        await group.wait_for(lambda: api.calls)
+        old = api.calls[-1].fencing
+        # The monotonic clock stands still while a host is suspended.
+        monkeypatch.setattr(_lease, "read_boot_time", lambda: read_boot_time() + 60.0)
+        sent = len(api.calls)
+        await group.wait_for(lambda: len(api.calls) > sent + 2)
+        assert min(call.fencing for call in api.calls[sent:]) > old
+        check_reports(api)
+
+    run_group(run, tmp_path, scenario, gateways=1)
+
+
 def test_nothing_is_sent_without_accounts_or_the_duty(run: Run, tmp_path: Path) -> None:
     async def scenario(group: GatewayGroup, api: PlatformApiStandin) -> None:
         await asyncio.sleep(4.0)
