Hand the duties over at a planned stop, and keep calls off a silent platform API

Cause: a holder that drained gave up the lease though all gateways might be stopping; each report had its own backoff, so many that wait were sent at the full rate to an API that does not answer; run times were learnt from calls that got no answer. Change: the holder releases the lease after its calls have ended and tells its counts last; the sender backs off as a whole; only answered calls teach run times. What the messages between gateways say of duties is in a module of its own.

--- a/bramleyport/duties/_sender.py
+++ b/bramleyport/duties/_sender.py
@@ -2,10 +2,10 @@
 
 import asyncio
 from collections.abc import Callable
-from typing import Protocol
+from typing import Final, Protocol
 
 from bramleyport.core import FencingNumber
-from bramleyport.duties._pacing import CallPacing
+from bramleyport.duties._pacing import Backoff, CallPacing
 from bramleyport.platform import (
     DutyAnswer,
     DutyClient,
@@ -15,6 +15,8 @@
 )
 from bramleyport.telemetry import Metrics
 
+_OVERLOADED: Final = frozenset((DutyResult.LIMITED, DutyResult.UNANSWERED))
+
 
 class DutyLease(Protocol):
     """Represent the lease of the duties, which is released between calls only."""
@@ -40,13 +42,20 @@
         self._find_lease = find_lease
         self._metrics = metrics
         self._turn = asyncio.Lock()
+        # While the platform API does not answer, or takes no more calls.
+        self._backoff = Backoff()
 
     async def send(self, call: UsageReport | ScaleOrder) -> DutyAnswer:
         """Send a call when its turn has come."""
         async with self._turn:
-            now_s = asyncio.get_running_loop().time()
-            await asyncio.sleep(self._pacing.take(now_s))
+            loop = asyncio.get_running_loop()
+            ready_s = max(loop.time(), self._backoff.until_s)
+            await asyncio.sleep(ready_s - loop.time() + self._pacing.take(ready_s))
             answer = await self._send(call)
+            if answer.result in _OVERLOADED:
+                self._backoff.record_failure(loop.time())
+            else:
+                self._backoff = Backoff()
         duty = "usage" if isinstance(call, UsageReport) else "scale"
         self._metrics.duty_calls.inc({"duty": duty, "result": answer.result.value})
         return answer
--- a/bramleyport/gateway/_daemon.py
+++ b/bramleyport/gateway/_daemon.py
@@ -143,7 +143,7 @@
     async def _leave(self, schedule: ShutdownSchedule) -> None:
         """Leave the list of gateways, if the store answers in time."""
         if self._duties is not None:
-            self._duties.leave()
+            await self._leave_duties(self._duties, schedule)
         leave_s = min(read_now() + LEAVE_TIMEOUT_S, schedule.exit_s)
         try:
             async with asyncio.timeout_at(leave_s):
@@ -153,6 +153,17 @@
                 gateway_events.GATEWAY_NOT_LISTED, reason="store did not answer in time"
             )
 
+    async def _leave_duties(
+        self, duties: "DutyRunner", schedule: ShutdownSchedule
+    ) -> None:
+        """Give up the duties; otherwise their lease expires after some seconds."""
+        leave_s = min(read_now() + LEAVE_TIMEOUT_S, schedule.exit_s)
+        try:
+            async with asyncio.timeout_at(leave_s):
+                await duties.leave()
+        except TimeoutError:
+            duties.tell_last_counts()
+
     def halt(self) -> None:
         """Stop at once, without waiting for callers."""
         for task in self._tasks:
--- a/bramleyport/gateway/_duties.py
+++ b/bramleyport/gateway/_duties.py
@@ -21,6 +21,7 @@
 
 DUTIES_LEASE: Final = ObjectName("duties")
 POLL_INTERVAL_S: Final = 0.25
+RELEASE_POLL_S: Final = 0.02
 # The list of peers is complete by then. Earlier, each gateway could be a candidate.
 START_DELAY_S: Final = 2.5
 # A holder tells its status every 0.25 s. Candidates read the lease only after it has
@@ -67,6 +68,7 @@
         self._scaling = ScaleController(state, self._sender, self.find_fencing, metrics)
         self._wanted = False
         self._was_held = False
+        self._is_leaving = False
 
     def find_fencing(self) -> FencingNumber | None:
         """Return the fencing number for the duties, or None while they aren't held."""
@@ -85,8 +87,16 @@
             jobs.append(self._scaling.run)
         await asyncio.gather(*(supervise(job) for job in jobs))
 
-    def leave(self) -> None:
-        """Tell the other gateways what was counted here before this one exits."""
+    async def leave(self) -> None:
+        """Release the lease, and tell the others what was counted, before the exit."""
+        self._is_leaving = True
+        self._update_candidacy()
+        while self._lease is not None and not self._lease.is_idle:
+            await asyncio.sleep(RELEASE_POLL_S)
+        self.tell_last_counts()
+
+    def tell_last_counts(self) -> None:
+        """Tell the other gateways what was counted here, for the last time."""
         self._exchange.leave()
 
     def close(self) -> None:
@@ -122,13 +132,14 @@
         self._report_held()
 
     def _is_wanted(self) -> bool:
-        if not self._exchange.is_active:
-            return False
-        if self._state.draining and self._peers.heard:
+        if self._is_leaving or not self._exchange.is_active:
             return False
         if self._lease is not None and self._lease.is_held:
-            # Whoever holds the duties keeps them, so that they change hands rarely.
+            # Whoever holds the duties keeps them to the end of a planned stop, too: all
+            # gateways may be stopping.
             return True
+        if self._state.draining and self._peers.heard:
+            return False
         silence_s = read_now() - self._exchange.holder_heard_s
         return self._exchange.is_candidate and silence_s > HOLDER_SILENT_S
 
--- a/bramleyport/gateway/_lease.py
+++ b/bramleyport/gateway/_lease.py
@@ -95,6 +95,11 @@
         """Set whether the lease is needed."""
         self._pending_change = CandidacyChanged(candidate=wanted)
 
+    @property
+    def is_idle(self) -> bool:
+        """Return whether the lease is neither wanted nor still to be released."""
+        return self._pending_change is None and self._lease_manager.idle
+
     @property
     def is_held(self) -> bool:
         """Return whether this process holds the lease, within its first rest too."""
--- a/bramleyport/gateway/_peers.py
+++ b/bramleyport/gateway/_peers.py
@@ -30,6 +30,7 @@
 from bramleyport.gateway._configuration_chunks import ConfigurationChunk
 from bramleyport.gateway._crash_guard import CrashGuard
 from bramleyport.gateway._datagram_sender import DatagramSender
+from bramleyport.gateway._duty_messages import DutyMessages
 from bramleyport.gateway._peer_batches import (
     make_updates,
     take_batch,
@@ -69,9 +70,6 @@
 # A peer that has sent nothing for this long is no longer counted.
 PEER_TIMEOUT_S: Final = 6.0
 
-# Time after which a message to all gateways carries the status of the duties again.
-STATUS_INTERVAL_S: Final = 1.0
-
 # Time for which a gateway may not have read the configuration after its start.
 STARTING_S: Final = 5.0
 
@@ -87,19 +85,6 @@
         """Return them if it names an older version, and none otherwise."""
 
 
-class DutyLink(Protocol):
-    """Make and receive what gateways tell each other of their duties."""
-
-    def make_status(self) -> DutyStatus | None:
-        """Return the status of this gateway; None while no duty is active."""
-
-    def apply_status(self, process: ProcessId, status: DutyStatus) -> None:
-        """Apply the status of another gateway."""
-
-    def apply_usage(self, origin: Origin, counts: WindowCounts) -> None:
-        """Apply counts of another gateway."""
-
-
 class PeerLink(DatagramProtocol):
     """Represent the link by which messages are exchanged with the other gateways."""
 
@@ -131,9 +116,7 @@
         # When each gateway was first heard, or started again.
         self._started_s: dict[ProcessId, float] = {}
         self.on_configuration: Callable[[ConfigurationChunk], None] | None = None
-        # Set if this gateway has duties.
-        self.duty_link: DutyLink | None = None
-        self._status_sent_s = -math.inf
+        self.duties = DutyMessages()
         tracker.on_updates_pending = self._schedule
         state.rate_limiter.on_changed = lambda: self._schedule(URGENT_BUSY_S)
         guard.on_updates_pending = lambda: self._schedule(URGENT_BUSY_S)
@@ -336,7 +319,11 @@
         def apply_stream(item: BegunStream) -> None:
             self._state.stream_versions.record_begun(item, now_s, is_own=False)
 
-        self._apply_duties(message)
+        _apply_each(
+            message.duty_status, lambda item: self.duties.apply_status(origin, item)
+        )
+        counted = Origin(origin, message.incarnation)
+        _apply_each(message.usage, lambda item: self.duties.apply_usage(counted, item))
         _apply_each(message.shares_revision, apply_revision)
         _apply_each(message.streams, apply_stream)
         _apply_each(message.changing, apply_changing)
@@ -349,16 +336,6 @@
         _apply_each(message.prefilled, self._apply_prefilled)
         _apply_each(message.ended, self._apply_ended)
 
-    def _apply_duties(self, message: PeerMessage) -> None:
-        link = self.duty_link
-        if link is None:
-            return
-        origin = Origin(message.process, message.incarnation)
-        _apply_each(
-            message.duty_status, lambda item: link.apply_status(origin.process, item)
-        )
-        _apply_each(message.usage, lambda item: link.apply_usage(origin, item))
-
     def _apply_refused(self, upstream: UpstreamId) -> None:
         self._tracker.apply_refused(upstream)
         self._guard.confirm_crash(upstream)
@@ -466,18 +443,7 @@
             del items[:MAX_ITEMS]
 
     def _send(self, message: PeerMessage) -> None:
-        self._send_data(encode_message(self._add_status(message)))
-
-    def _add_status(self, message: PeerMessage) -> PeerMessage:
-        """Add the status of the duties to a message to all, once in a while."""
-        now_s = read_now()
-        if self.duty_link is None or now_s - self._status_sent_s < STATUS_INTERVAL_S:
-            return message
-        status = self.duty_link.make_status()
-        if status is None:
-            return message
-        self._status_sent_s = now_s
-        return replace(message, duty_status=(status,))
+        self._send_data(encode_message(self.duties.add_status(message)))
 
     def _send_data(self, data: bytes) -> None:
         if self.transport is None:
--- a/bramleyport/gateway/_plain.py
+++ b/bramleyport/gateway/_plain.py
@@ -119,10 +119,7 @@
         """
         if not record.may_have_run or self._support.state.on_run is None:
             return
-        ended_s = read_now()
-        route = call.route.name
-        self._run_times.record(route, ended_s - sent_s)
-        began_s = self._run_times.estimate_begin(route, sent_s, ended_s)
+        began_s = self._run_times.estimate_begin(call.route.name, sent_s, read_now())
         self._support.record_run(call, began_s)
 
     async def _exchange(
@@ -130,6 +127,7 @@
     ) -> RelayableAnswer | FailedAttempt:
         request = context.request
         target = choice.upstream
+        began_s = read_now()
         options = ForwardOptions(
             has_accounts=context.call.has_accounts,
             account=context.call.account_name,
@@ -155,6 +153,8 @@
             limit_s = None if opened.refusal is None else REFUSAL_BODY_TIMEOUT_S
             async with asyncio.timeout(limit_s):
                 body = await opened.connection.read_body()
+            if opened.refusal is None:
+                self._run_times.record(context.call.route.name, read_now() - began_s)
             answer = opened.answer
             complete = Answer(answer.status, answer.reason, answer.headers, body)
         return self._classify_answer(context, choice, complete, opened, record)
--- a/bramleyport/gateway/_usage.py
+++ b/bramleyport/gateway/_usage.py
@@ -86,7 +86,7 @@
         self.holder_heard_s = -math.inf
         self._find_fencing = find_fencing
         self._first_unsent = WindowId(0)
-        peers.duty_link = self
+        peers.duties.link = self
         if self._reports_usage:
             state.on_run = self.record_run
 
@@ -196,7 +196,8 @@
         if status.fencing:
             self._holder, self.holder_heard_s = process, read_now()
         elif process == self._holder:
-            self._holder = None
+            # It was released, or has ended.
+            self._holder, self.holder_heard_s = None, -math.inf
         if 0 < status.settled <= self._find_current():
             self._record_settled(WindowId(status.settled))
             self.record_sent_before(WindowId(status.first_unsent))
--- a/tests/gateway_group.py
+++ b/tests/gateway_group.py
@@ -99,7 +99,12 @@
 
     def stop_gateway(self, name: str) -> None:
         """Stop a gateway at once, without a word to the others."""
-        self.gateways.pop(name).halt()
+        self.gateways[name].halt()
+        self.forget_gateway(name)
+
+    def forget_gateway(self, name: str) -> None:
+        """Send no more calls to a gateway that has stopped."""
+        del self.gateways[name]
         del self._ports[name]
 
     def cut_off(self, name: str, *, store: bool) -> None:
--- a/tests/test_usage_reports.py
+++ b/tests/test_usage_reports.py
@@ -133,6 +133,24 @@
     run_group(run, tmp_path, scenario)
 
 
+def test_planned_stop_of_the_holder_loses_no_counts(run: Run, tmp_path: Path) -> None:
+    async def scenario(group: GatewayGroup, api: PlatformApiStandin) -> None:
+        await group.send_calls(2.0, 30, "/read/x", Api_Key="k1")
+        await group.wait_for(lambda: api.calls)
+        # Counted at the holder after it last told the others, in part.
+        await group.send_calls(0.3, 100, "/read/x", Api_Key="k2")
+        stopped = api.calls[-1].holder
+        await group.gateways[stopped].stop()
+        group.forget_gateway(stopped)
+        await group.send_calls(1.0, 30, "/read/x", Api_Key="k2")
+        await wait_until_reported(group, api, time.time())
+        check_reports(api)
+        assert {call.holder for call in api.calls} > {stopped}
+        assert count_reported(api) == count_runs(group)
+
+    run_group(run, tmp_path, scenario)
+
+
 # Guards against a holder that others don't tell their counts to, as gateways that come
 # before it by name are candidates in its place.
 def test_holder_goes_on_when_other_gateways_become_candidates(
