Order no fewer upstreams while those of a zone restart

Cause: a new holder took the upstreams that served as the ordered number; with none of them ready it would have ordered the least, below what the platform has. Change: the first number is that within the bounds, and higher ones are taken over as upstreams come back.

--- a/bramleyport/fleet/_scale_plan.py
+++ b/bramleyport/fleet/_scale_plan.py
@@ -89,8 +89,6 @@
     def observe(self, load: ZoneLoad, now_s: float) -> None:
         """Record the load at one moment."""
         self._serving = load.serving
-        if self._ordered is None:
-            self._ordered = load.serving
         self._samples.append((now_s, load.upstreams))
         while now_s - self._samples[0][0] > TREND_S:
             self._samples.popleft()
@@ -102,6 +100,9 @@
 
     def choose(self, bounds: ScaleBounds, now_s: float) -> ScaleChange | None:
         """Return the number to order; None if the last one still holds."""
+        if self._ordered is None:
+            # The platform keeps to the bounds by itself, also while some restart.
+            self._ordered = bounds.clamp(self._serving)
         self._adopt_excess(bounds, now_s)
         assert self._ordered is not None
         load = self._average(now_s)
@@ -148,8 +149,9 @@
         """Take over a higher number that an earlier holder must have ordered."""
         assert self._ordered is not None
         settled_s = self._ordered_s + bounds.boot_s + DOWN_MARGIN_S
-        if self._serving > self._ordered and now_s >= settled_s:
-            self.record_ordered(self._serving, now_s)
+        serving = min(self._serving, bounds.most)
+        if serving > self._ordered and now_s >= settled_s:
+            self.record_ordered(serving, now_s)
 
     def _average(self, now_s: float) -> float:
         recent = [load for at_s, load in self._samples if now_s - at_s <= MEAN_S]
--- a/tests/test_scale_orders.py
+++ b/tests/test_scale_orders.py
@@ -62,7 +62,11 @@
 
 def test_orders_stay_within_changed_bounds_and_keep_one() -> None:
     plan = ScalePlan()
+    plan.observe(ZoneLoad(serving=0, filled=0.0), 0.0)
+    # Guards against fewer upstreams than the platform has, while all of them restart.
+    assert plan.choose(ScaleBounds(least=0, most=9, boot_s=1.0), 0.0) is None
     plan.observe(ZoneLoad(serving=6, filled=0.0), 0.0)
+    plan.record_ordered(6, 0.0)
     for bounds, desired in (
         (ScaleBounds(least=0, most=4, boot_s=1.0), 4),
         (ScaleBounds(least=7, most=9, boot_s=1.0), 7),
