--- a/bramleyport/fleet/__init__.py
+++ b/bramleyport/fleet/__init__.py
@@ -51,6 +51,12 @@
 from bramleyport.fleet._recorder import WorkRecorder
 from bramleyport.fleet._roster import GatewayRoster
 from bramleyport.fleet._routes import RouteTable, choose_service
+from bramleyport.fleet._scale_plan import (
+    ScaleBounds,
+    ScaleChange,
+    ScalePlan,
+    ZoneLoad,
+)
 from bramleyport.fleet._serving import (
     AbsentUpstream,
     ServingGroup,
@@ -151,6 +157,9 @@
     "Route",
     "RouteName",
     "RouteTable",
+    "ScaleBounds",
+    "ScaleChange",
+    "ScalePlan",
     "ServiceConfig",
     "ServiceShare",
     "ServingGroup",
@@ -174,6 +183,7 @@
     "VersionShares",
     "Work",
     "WorkRecorder",
+    "ZoneLoad",
     "admit",
     "authenticate",
     "choose_service",
