Count unseen work by its own mean call, and split off the choice of plain upstreams

The level rose with the length of the call that was to be sent, so long prompts were spread over slower engines for a few short ones that were unseen. It now rises by one unseen call of mean length at most.

--- a/bramleyport/fleet/_choice.py
+++ b/bramleyport/fleet/_choice.py
@@ -10,6 +10,7 @@
 from bramleyport.fleet._even_load import EvenLoad, compute_amount
 from bramleyport.fleet._load import LoadTracker
 from bramleyport.fleet._members import Membership
+from bramleyport.fleet._plain_choice import PlainChooser
 from bramleyport.fleet._prefill import PrefillForecast, PrefillForecaster
 from bramleyport.fleet._prefill_speeds import PrefillSpeeds
 from bramleyport.fleet._prefixes import PrefixIndex
@@ -113,6 +114,7 @@
         self._loads = loads
         # None if no other gateways choose at the same time.
         self._even_load = even_load
+        self._plain_chooser = PlainChooser(place, loads, even_load)
         self._prefill_forecaster = PrefillForecaster(place, loads, prefixes, speeds)
         self._transfer_forecaster = TransferForecaster(
             place, loads, speeds, decode_times
@@ -178,7 +180,7 @@
     ) -> Choice | None:
         if not ready:
             return None
-        best, spread = self._spread_plain(ready, self._rank_plain(ready), now_s)
+        best, spread = self._plain_chooser.choose(ready, now_s)
         running = len(self._loads.of(best.upstream))
         numbers = {"running": float(running), "candidates": float(len(ready))}
         numbers |= _describe_spread(spread)
@@ -187,52 +189,6 @@
             explanation=Explanation(reason="least_loaded", numbers=numbers),
         )
 
-    def _rank_plain(
-        self, ready: Sequence[Registration]
-    ) -> list[tuple[float, bool, int]]:
-        """Return the occupancy, the zone and the load of each; the lowest is best."""
-        own_zone, find_load = self._place.zone, self._loads.of
-        ranks = []
-        for candidate in ready:
-            running = len(find_load(candidate.upstream))
-            # More work doesn't slow a plain upstream until half of its slots are in
-            # use.
-            is_free = running < candidate.slots / 2
-            occupancy = 0.0 if is_free else running / max(1, candidate.slots)
-            ranks.append((occupancy, candidate.zone != own_zone, running))
-        return ranks
-
-    def _spread_plain(
-        self,
-        ready: Sequence[Registration],
-        ranks: Sequence[tuple[float, bool, int]],
-        now_s: float,
-    ) -> tuple[Registration, int]:
-        """Return one of the best upstreams, and among how many it was chosen."""
-        lowest = min(ranks)
-        best = ready[ranks.index(lowest)]
-        unseen = self._even_load and self._even_load.estimate(best, now_s)
-        if not self._even_load or not unseen:
-            return best, 1
-        amount = compute_amount(unseen.calls, 1.0)
-        occupancy, in_other_zone, running = lowest
-        if occupancy:
-            similar = [
-                number for number, rank in enumerate(ranks) if rank[1] == in_other_zone
-            ]
-            costs = [best.slots * ranks[number][0] for number in similar]
-        else:
-            equal = [ready[index] for index, rank in enumerate(ranks) if rank == lowest]
-            if amount <= len(equal):
-                # The unseen calls don't fill these up to the next number of calls.
-                return self._even_load.choose_equal(equal, now_s), len(equal)
-            highest = (occupancy, in_other_zone, running + amount)
-            similar = [index for index, rank in enumerate(ranks) if rank <= highest]
-            costs = [ranks[index][2] for index in similar]
-        upstreams = [ready[index] for index in similar]
-        pick = self._even_load.choose(upstreams, costs, amount, now_s)
-        return upstreams[pick.index], pick.spread
-
     def _choose_engine(
         self,
         call: Call,
@@ -293,7 +249,7 @@
         unseen = self._even_load.estimate(best.prefilled_by, now_s)
         if unseen is None:
             return best, 1
-        amount = compute_amount(unseen.prefill_s, best.estimate.prefill_s)
+        amount = compute_amount(unseen.prefill_s, unseen.calls)
         highest_s = best.score_s + amount
         similar = [
             option
--- a/bramleyport/fleet/_even_load.py
+++ b/bramleyport/fleet/_even_load.py
@@ -29,9 +29,6 @@
     find_group,
 )
 
-# Work arrives in whole calls, so a mean of less than a call understates what the one
-# unseen call adds where there is one.
-CALL_FACTOR: Final = 2.0
 # Less unseen work than this fraction of a call changes no choice.
 MIN_UNSEEN_CALLS: Final = 0.001
 # Time for which the assignment of upstreams to gateways is used.
@@ -107,14 +104,14 @@
         return Pick(self._random.choices(near, slack)[0], len(near))
 
     def choose_equal(
-        self, upstreams: Sequence[Registration], now_s: float
-    ) -> Registration:
+        self, upstreams: Sequence[Registration], equal: Sequence[int], now_s: float
+    ) -> int:
         """Choose one of some upstreams of a group that have the same cost."""
-        assigned = self._list_assigned(upstreams[0], now_s)
-        for candidate in upstreams:
-            if candidate.upstream in assigned:
-                return candidate
-        return self._random.choice(upstreams)
+        assigned = self._list_assigned(upstreams[equal[0]], now_s)
+        for index in equal:
+            if upstreams[index].upstream in assigned:
+                return index
+        return self._random.choice(equal)
 
     def _list_assigned(
         self, upstream: Registration, now_s: float
@@ -136,9 +133,13 @@
         return assign(names, gateways.index(self._own), len(gateways))
 
 
-def compute_amount(unseen: float, call: float) -> float:
-    """Return what unseen work may add to the costs, given what a call adds."""
-    return unseen + CALL_FACTOR * min(unseen, call)
+def compute_amount(unseen: float, calls: float) -> float:
+    """Return how much unseen work may be, given its mean and that of its calls.
+
+    Work arrives in whole calls, so a mean of less than a call understates what one adds
+    where there is one.
+    """
+    return unseen + unseen / max(1.0, calls)
 
 
 def assign(
--- a/bramleyport/fleet/_transfers.py
+++ b/bramleyport/fleet/_transfers.py
@@ -137,15 +137,17 @@
         """Return one of the transfers that are as good as the best one."""
         scored = self._score(prefill_engine)
         best = min(scored)[2]
-        unseen = even_load and even_load.estimate(best.target, now_s)
-        if not even_load or not unseen:
+        if even_load is None:
+            return best
+        unseen = even_load.estimate(best.target, now_s)
+        if unseen is None:
             return best
         group = find_group(best.target)
         similar = [item for item in scored if find_group(item[2].target) == group]
         pick = even_load.choose(
             [transfer.target for _, _, transfer in similar],
             [score_s for score_s, _, _ in similar],
-            compute_amount(unseen.transfer_s + unseen.prefill_s, best.transfer_s),
+            compute_amount(unseen.transfer_s + unseen.prefill_s, unseen.calls),
             now_s,
         )
         return similar[pick.index][2]
--- a/tests/stale_load_model.py
+++ b/tests/stale_load_model.py
@@ -217,7 +217,7 @@
         pick = chooser.choose(
             [option.engine.registration for option in similar],
             [option.cost_s for option in similar],
-            compute_amount(unseen.prefill_s, best.prefill_s),
+            compute_amount(unseen.prefill_s, unseen.calls),
             now_s,
             shared_key=prefix if is_first_use else None,
         )
@@ -244,11 +244,11 @@
                 break
 
     def _report(self, work: Work) -> None:
-        heard_s = work.started_s + self.scenario.age_s
+        heard = replace(work, started_s=work.started_s + self.scenario.age_s)
+        own = replace(heard, origin="")
         for name, unseen in zip(self._names, self._unseen, strict=True):
-            origin = "" if work.origin == name else work.origin
-            heard = replace(work, started_s=heard_s, origin=origin)
-            unseen.record_work(heard, self._engines[0].registration)
+            told = own if work.origin == name else heard
+            unseen.record_work(told, self._engines[0].registration)
 
     def _set_delays(self) -> None:
         """Let each gateway measure how late the others hear of its work."""
