Leave out unseen work that an idle engine has finished

At information 400 ms old, most of the short prompts that were not known yet had been prefilled already, and calls were spread as if they waited.

--- a/bramleyport/fleet/_choice.py
+++ b/bramleyport/fleet/_choice.py
@@ -249,7 +249,9 @@
         unseen = self._even_load.estimate(best.prefilled_by, now_s)
         if unseen is None:
             return best, 1
-        amount = compute_amount(unseen.prefill_s, unseen.calls)
+        amount = compute_amount(
+            unseen.limit_prefill(best.estimate.wait_s), unseen.mean_prefill_s
+        )
         highest_s = best.score_s + amount
         similar = [
             option
--- a/bramleyport/fleet/_even_load.py
+++ b/bramleyport/fleet/_even_load.py
@@ -133,13 +133,13 @@
         return assign(names, gateways.index(self._own), len(gateways))
 
 
-def compute_amount(unseen: float, calls: float) -> float:
+def compute_amount(unseen: float, call: float) -> float:
     """Return how much unseen work may be, given its mean and that of its calls.
 
     Work arrives in whole calls, so a mean of less than a call understates what one adds
     where there is one.
     """
-    return unseen + unseen / max(1.0, calls)
+    return unseen + min(unseen, call)
 
 
 def assign(
--- a/bramleyport/fleet/_plain_choice.py
+++ b/bramleyport/fleet/_plain_choice.py
@@ -33,7 +33,7 @@
         unseen = self._even_load.estimate(best, now_s)
         if unseen is None:
             return best, 1
-        amount = compute_amount(unseen.calls, unseen.calls)
+        amount = compute_amount(unseen.calls, 1.0)
         if lowest[0]:
             pick = _spread_crowded(self._even_load, ready, ranks, best, amount, now_s)
         else:
--- a/bramleyport/fleet/_transfers.py
+++ b/bramleyport/fleet/_transfers.py
@@ -142,12 +142,13 @@
         unseen = even_load.estimate(best.target, now_s)
         if unseen is None:
             return best
+        delay_s = unseen.transfer_s + unseen.limit_prefill(best.queue_s)
         group = find_group(best.target)
         similar = [item for item in scored if find_group(item[2].target) == group]
         pick = even_load.choose(
             [transfer.target for _, _, transfer in similar],
             [score_s for score_s, _, _ in similar],
-            compute_amount(unseen.transfer_s + unseen.prefill_s, unseen.calls),
+            compute_amount(delay_s, delay_s / unseen.calls),
             now_s,
         )
         return similar[pick.index][2]
--- a/bramleyport/fleet/_unseen_load.py
+++ b/bramleyport/fleet/_unseen_load.py
@@ -47,6 +47,23 @@
     calls: float = 0.0
     prefill_s: float = 0.0
     transfer_s: float = 0.0
+    # Mean delay until prefill is known, by its duration.
+    delay_s: float = 0.0
+
+    @property
+    def mean_prefill_s(self) -> float:
+        """Return the mean prefill time of an unseen call."""
+        return self.prefill_s / self.calls
+
+    def limit_prefill(self, wait_s: float) -> float:
+        """Return how much prefill is not finished yet at upstreams with this wait.
+
+        An upstream that was idle since has finished what it was sent earlier.
+        """
+        if not self.delay_s:
+            return 0.0
+        unfinished_s = wait_s + self.mean_prefill_s
+        return self.prefill_s * min(1.0, unfinished_s / self.delay_s)
 
 
 class UnseenLoad:
@@ -84,7 +101,9 @@
         if rates is None:
             return UnseenWork()
         rates.decay(now_s)
-        return UnseenWork(rates.calls, rates.prefill_s, rates.transfer_s)
+        return UnseenWork(
+            rates.calls, rates.prefill_s, rates.transfer_s, rates.find_delay()
+        )
 
     def list_active(self, group: LoadGroup) -> list[str]:
         """Return the gateways that share a group of upstreams, with this one."""
@@ -111,6 +130,8 @@
     calls: float = 0.0
     prefill_s: float = 0.0
     transfer_s: float = 0.0
+    # Prefill time a second.
+    prefill_rate: float = 0.0
     # Calls of each gateway in this window and in the one before.
     window_started_s: float = 0.0
     origins: Counter[str] = field(default_factory=Counter)
@@ -121,6 +142,7 @@
         weight = delay_s / RATE_WINDOW_S
         self.calls += weight
         self.prefill_s += weight * work.prefill_s
+        self.prefill_rate += work.prefill_s / RATE_WINDOW_S
         self.transfer_s += weight * work.transfer_s
 
     def count_origin(self, origin: str, now_s: float) -> None:
@@ -137,3 +159,8 @@
         self.calls *= factor
         self.prefill_s *= factor
         self.transfer_s *= factor
+        self.prefill_rate *= factor
+
+    def find_delay(self) -> float:
+        """Return the mean delay of prefill."""
+        return self.prefill_s / self.prefill_rate if self.prefill_rate else 0.0
--- a/tests/stale_load_model.py
+++ b/tests/stale_load_model.py
@@ -114,6 +114,7 @@
     engine: Engine
     cost_s: float
     uncached: int
+    wait_s: float
     prefill_s: float
     fetch_s: float
 
@@ -190,13 +191,14 @@
             cost = compute_prefill_cost(uncached, own + tokens)
             prefill_s = OVERHEAD_S + cost / TOKENS_PER_S / engine.speed
             key = f"{prefix}/{engine.registration.upstream}".encode()
+            wait_s = engine.forecast_wait(gateway, now_s)
             cost_s = (
-                engine.forecast_wait(gateway, now_s)
+                wait_s
                 + (1 + ENGINE_TIME_WEIGHT) * prefill_s
                 + (1 + TRANSFER_WEIGHT) * fetch_s
                 + (MAX_HASH_BIAS_S * crc32(key) / 2**32 if prefix else 0.0)
             )
-            options.append(Option(engine, cost_s, uncached, prefill_s, fetch_s))
+            options.append(Option(engine, cost_s, uncached, wait_s, prefill_s, fetch_s))
         return options
 
     def _choose(
@@ -217,7 +219,7 @@
         pick = chooser.choose(
             [option.engine.registration for option in similar],
             [option.cost_s for option in similar],
-            compute_amount(unseen.prefill_s, unseen.calls),
+            compute_amount(unseen.limit_prefill(best.wait_s), unseen.mean_prefill_s),
             now_s,
             shared_key=prefix if is_first_use else None,
         )
--- a/tests/test_even_load.py
+++ b/tests/test_even_load.py
@@ -228,4 +228,7 @@
     estimate = unseen.estimate(find_group(upstream), 10.0)
     assert estimate.calls == pytest.approx(100 * 0.1, rel=0.05)
     assert estimate.prefill_s == pytest.approx(100 * 0.1 * 0.02, rel=0.05)
+    # An idle engine has finished all but the newest call of 20 ms.
+    assert estimate.limit_prefill(0.0) == pytest.approx(100 * 0.02 * 0.02, rel=0.05)
+    assert estimate.limit_prefill(1.0) == estimate.prefill_s
     assert unseen.estimate(find_group(upstream), 20.0).calls < 0.01
