--- a/tests/stale_load_model.py
+++ b/tests/stale_load_model.py
@@ -114,6 +114,7 @@
     engine: Engine
     cost_s: float
     uncached: int
+    wait_s: float
     prefill_s: float
     fetch_s: float
 
@@ -190,13 +191,14 @@
             cost = compute_prefill_cost(uncached, own + tokens)
             prefill_s = OVERHEAD_S + cost / TOKENS_PER_S / engine.speed
             key = f"{prefix}/{engine.registration.upstream}".encode()
+            wait_s = engine.forecast_wait(gateway, now_s)
             cost_s = (
-                engine.forecast_wait(gateway, now_s)
+                wait_s
                 + (1 + ENGINE_TIME_WEIGHT) * prefill_s
                 + (1 + TRANSFER_WEIGHT) * fetch_s
                 + (MAX_HASH_BIAS_S * crc32(key) / 2**32 if prefix else 0.0)
             )
-            options.append(Option(engine, cost_s, uncached, prefill_s, fetch_s))
+            options.append(Option(engine, cost_s, uncached, wait_s, prefill_s, fetch_s))
         return options
 
     def _choose(
@@ -217,7 +219,7 @@
         pick = chooser.choose(
             [option.engine.registration for option in similar],
             [option.cost_s for option in similar],
-            compute_amount(unseen.prefill_s, best.prefill_s),
+            compute_amount(unseen.limit_prefill(best.wait_s), unseen.mean_prefill_s),
             now_s,
             shared_key=prefix if is_first_use else None,
         )
@@ -244,11 +246,11 @@
                 break
 
     def _report(self, work: Work) -> None:
-        heard_s = work.started_s + self.scenario.age_s
+        heard = replace(work, started_s=work.started_s + self.scenario.age_s)
+        own = replace(heard, origin="")
         for name, unseen in zip(self._names, self._unseen, strict=True):
-            origin = "" if work.origin == name else work.origin
-            heard = replace(work, started_s=heard_s, origin=origin)
-            unseen.record_work(heard, self._engines[0].registration)
+            told = own if work.origin == name else heard
+            unseen.record_work(told, self._engines[0].registration)
 
     def _set_delays(self) -> None:
         """Let each gateway measure how late the others hear of its work."""
