Share the slots of a service among accounts by max-min fairness

First come, first served gave one account that floods a service nearly all of it. Each gateway now decides, from the work that all gateways tell each other of, whether a call is sent, waits or is refused at once: an account under its fair share within its rank is always admitted, others while capacity is free. Datagrams gain the account of each started work item.

--- a/bramleyport/composition.py
+++ b/bramleyport/composition.py
@@ -293,6 +293,7 @@
     from bramleyport.gateway._crash_guard import CrashGuard
     from bramleyport.gateway._daemon import Gateway
     from bramleyport.gateway._exchange import Exchanger
+    from bramleyport.gateway._fair_room import RoomQueue
     from bramleyport.gateway._forward import Forwarder
     from bramleyport.gateway._metrics import CallMetrics
     from bramleyport.gateway._peers import PeerLink
@@ -322,8 +323,9 @@
     begun_streams = BegunStreamStore(state, store)
     versions = VersionChooser(state, version_store, begun_streams)
     processes = ProcessChecker(state, store, exchanger)
+    rooms = RoomQueue(state, tracker)
     support = AttemptSupport(
-        state, exchanger, tracker, metrics, guard, versions, processes
+        state, exchanger, tracker, metrics, guard, versions, processes, rooms
     )
     prefiller = Prefiller(state, exchanger, tracker, support.retries)
     forwarder = Forwarder(
@@ -343,6 +345,7 @@
         verdicts,
         version_store,
         begun_streams,
+        rooms,
         metrics.metrics,
         metrics_port,
     )
--- a/bramleyport/fleet/__init__.py
+++ b/bramleyport/fleet/__init__.py
@@ -6,7 +6,7 @@
     ClientAccount,
     SharedKey,
 )
-from bramleyport.fleet._admission import admit
+from bramleyport.fleet._admission import USABLE_FRACTION, admit
 from bramleyport.fleet._authentication import (
     UnknownKey,
     authenticate,
@@ -24,15 +24,31 @@
     HarmlessTrait,
     Verdict,
 )
-from bramleyport.fleet._decode_times import DecodeTimes
+from bramleyport.fleet._decode_times import CallTimes, DecodeTimes
 from bramleyport.fleet._ended import EndedProcess
+from bramleyport.fleet._fair_room import (
+    MAX_WAITING,
+    AccountUse,
+    Admit,
+    FairRoom,
+    Refuse,
+    RoomCall,
+    RoomUse,
+    Wait,
+)
 from bramleyport.fleet._freshness import (
     Freshness,
     choose_store_watchers,
     is_watch_shared,
 )
 from bramleyport.fleet._leaving import LeavingUpstream
-from bramleyport.fleet._load import LoadTracker, UpstreamLoad, Work
+from bramleyport.fleet._load import (
+    NO_ACCOUNT,
+    AccountRank,
+    LoadTracker,
+    UpstreamLoad,
+    Work,
+)
 from bramleyport.fleet._members import Membership
 from bramleyport.fleet._pacing import UpdatePacing
 from bramleyport.fleet._pauses import UpstreamPauses
@@ -48,6 +64,13 @@
 from bramleyport.fleet._rate_shares import RateShare, RateShares
 from bramleyport.fleet._reachability import Reachability
 from bramleyport.fleet._recorder import WorkRecorder
+from bramleyport.fleet._room_use import (
+    extend_for_one,
+    has_free_prefill,
+    has_free_slots,
+    measure_prefill,
+    measure_slots,
+)
 from bramleyport.fleet._roster import GatewayRoster
 from bramleyport.fleet._routes import RouteTable, choose_service
 from bramleyport.fleet._serving import (
@@ -99,14 +122,21 @@
     "MAX_TRAITS",
     "MAX_TRAIT_CHARS",
     "MAX_VERDICTS",
+    "MAX_WAITING",
+    "NO_ACCOUNT",
     "TRIAL_SPACING_S",
     "UNKNOWN_VERSION",
+    "USABLE_FRACTION",
     "AbsentUpstream",
     "AccountIndex",
+    "AccountRank",
+    "AccountUse",
     "Address",
+    "Admit",
     "ApiKey",
     "BegunStream",
     "Call",
+    "CallTimes",
     "CallTraits",
     "CallerLimits",
     "Choice",
@@ -121,6 +151,7 @@
     "EndedProcess",
     "EngineTraits",
     "EngineView",
+    "FairRoom",
     "Freshness",
     "GatewayRoster",
     "HarmlessTrait",
@@ -141,9 +172,12 @@
     "RateShare",
     "RateShares",
     "Reachability",
+    "Refuse",
     "Registration",
     "Repeatability",
     "RequestIdentity",
+    "RoomCall",
+    "RoomUse",
     "Route",
     "RouteName",
     "RouteTable",
@@ -168,6 +202,7 @@
     "Verdict",
     "VersionGap",
     "VersionShares",
+    "Wait",
     "Work",
     "WorkRecorder",
     "admit",
@@ -177,9 +212,14 @@
     "choose_trial_interval",
     "compute_enforced_rate",
     "compute_shares",
+    "extend_for_one",
+    "has_free_prefill",
+    "has_free_slots",
     "is_request",
     "is_watch_shared",
     "may_still_run",
+    "measure_prefill",
+    "measure_slots",
     "plan_shutdown",
     "writes_answers",
 ]
--- a/bramleyport/fleet/_load.py
+++ b/bramleyport/fleet/_load.py
@@ -1,13 +1,16 @@
 """Track the work that all gateways have sent to each upstream."""
 
 import math
+from collections import Counter
 from collections.abc import Iterator
 from dataclasses import dataclass
 from typing import Final
 
-from bramleyport.core import RequestId, UpstreamId
+from bramleyport.core import AccountId, RequestId, UpstreamId
 from bramleyport.fleet._types import PromptPart
 
+# Of work that belongs to no client account, or whose gateway names none.
+NO_ACCOUNT: Final = AccountId("")
 # Work is dropped if its end has not been reported after this time.
 WORK_EXPIRY_S: Final = 10.0
 # Prefill counts as finished after OVERDUE_FACTOR times its forecast plus OVERDUE_MIN_S.
@@ -36,12 +39,21 @@
     parts: tuple[PromptPart, ...] = ()
     # Time for which the upstream's link carries a KV cache for the request.
     transfer_s: float = 0.0
+    account: AccountId = NO_ACCOUNT
     # The gateway that sent the request; empty for this one.
     origin: str = ""
     # True until the first event or the answer to the prefill arrives.
     prefilling: bool = True
 
 
+@dataclass(frozen=True, slots=True)
+class AccountRank:
+    """Represent the work of one account in one rank."""
+
+    account: AccountId
+    priority: int
+
+
 @dataclass(frozen=True, slots=True)
 class PrefillSample:
     """Describe how much an engine prefilled while it always had prompts queued.
@@ -67,6 +79,10 @@
 
     def __init__(self) -> None:
         self._works: dict[RequestId, Work] = {}
+        # How many works each account has here.
+        self.counts: Counter[AccountRank] = Counter()
+        # How many works this gateway has sent itself.
+        self.own_count = 0
         # Work whose prompts are not prefilled yet.
         self._prefilling: dict[RequestId, Work] = {}
         # Since when the engine always had prompts queued, and the cost of those that it
@@ -89,7 +105,10 @@
         """Record work that is sent."""
         if not self._prefilling:
             self._restart_sample(work.started_s)
+        self._forget(work.request)
         self._works[work.request] = work
+        self.counts[AccountRank(work.account, work.priority)] += 1
+        self.own_count += not work.origin
         self._prefilling[work.request] = work
         if work.transfer_s > 0:
             begin_s = max(self._link_free_at_s, work.started_s)
@@ -109,7 +128,7 @@
 
     def remove(self, request: RequestId, now_s: float) -> Work | None:
         """Record that work has ended, and return it."""
-        work = self._works.pop(request, None)
+        work = self._forget(request)
         if work is None:
             return None
         self._last_progress_s = max(self._last_progress_s, now_s)
@@ -140,9 +159,15 @@
 
     def count_prefilling(self, now_s: float) -> int:
         """Return how many prompts the engine presumably still has to prefill."""
-        return sum(
-            not self._is_overdue(work, now_s) for work in self._prefilling.values()
-        )
+        return len(self.list_prefilling(now_s))
+
+    def list_prefilling(self, now_s: float) -> list[Work]:
+        """Return the work whose prompts the engine presumably still prefills."""
+        return [
+            work
+            for work in self._prefilling.values()
+            if not self._is_overdue(work, now_s)
+        ]
 
     def count_ahead(self, priority: int) -> int:
         """Return how many calls get a slot before new work of a priority."""
@@ -160,12 +185,23 @@
             if now_s - work.started_s > WORK_EXPIRY_S
         ]
         for work in expired:
-            del self._works[work.request]
+            self._forget(work.request)
             if self._prefilling.pop(work.request, None) is not None:
                 # How much of the prompt was prefilled is unknown.
                 self._restart_sample(now_s)
         return expired
 
+    def _forget(self, request: RequestId) -> Work | None:
+        work = self._works.pop(request, None)
+        if work is None:
+            return None
+        key = AccountRank(work.account, work.priority)
+        self.counts[key] -= 1
+        if not self.counts[key]:
+            del self.counts[key]
+        self.own_count -= not work.origin
+        return work
+
     def _take_sample(self, now_s: float) -> PrefillSample | None:
         if self._prefilling and self._busy_cost < MIN_BUSY_SAMPLE_COST:
             return None
--- a/bramleyport/gateway/_attempt.py
+++ b/bramleyport/gateway/_attempt.py
@@ -16,6 +16,7 @@
 from bramleyport.gateway._clock import read_now
 from bramleyport.gateway._crash_guard import CrashGuard
 from bramleyport.gateway._exchange import Exchanger
+from bramleyport.gateway._fair_room import RoomQueue
 from bramleyport.gateway._metrics import CallMetrics
 from bramleyport.gateway._outcome import AttemptEnd, FailedAttempt
 from bramleyport.gateway._placement import Placement
@@ -50,6 +51,7 @@
         guard: CrashGuard,
         versions: VersionChooser,
         processes: ProcessChecker,
+        rooms: RoomQueue,
     ) -> None:
         self.state = state
         self.exchanger = exchanger
@@ -59,7 +61,10 @@
         self.processes = processes
         self.retries = RetryDecider(state, versions)
         self.guard = guard
-        self._placement = Placement(state, guard, versions, processes, self.retries)
+        self.rooms = rooms
+        self._placement = Placement(
+            state, guard, versions, processes, self.retries, rooms
+        )
 
     async def place(self, context: CallContext) -> Choice | Rejected:
         """Choose an upstream, or return why none can answer in time."""
--- a/bramleyport/gateway/_daemon.py
+++ b/bramleyport/gateway/_daemon.py
@@ -13,6 +13,7 @@
 from bramleyport.gateway._configuration_offers import ConfigurationOffers
 from bramleyport.gateway._crash_guard import CrashGuard
 from bramleyport.gateway._exchange import Exchanger
+from bramleyport.gateway._fair_room import RoomQueue
 from bramleyport.gateway._follower import (
     Follower,
     StateUpdater,
@@ -66,6 +67,7 @@
         verdicts: VerdictStore,
         versions: VersionStore,
         begun_streams: BegunStreamStore,
+        rooms: RoomQueue,
         metrics: Metrics,
         metrics_port: int | None,
     ) -> None:
@@ -83,7 +85,7 @@
         self._directory = PeerDirectory(state.settings, store, peers, state.roster)
         self._readiness = Readiness(state)
         self._metrics_port = metrics_port
-        page = MetricsPage(state, metrics)
+        page = MetricsPage(state, metrics, rooms)
         self._pages = CallerFactory(page.handle, self._read_limits)
         self._callers = CallerFactory(forwarder.handle, self._read_limits)
         self._checks = CallerFactory(self._readiness.handle, self._read_limits)
--- a/bramleyport/gateway/_metrics.py
+++ b/bramleyport/gateway/_metrics.py
@@ -6,6 +6,7 @@
 from bramleyport.core import AccountId
 from bramleyport.fleet import Call
 from bramleyport.gateway._clock import read_now
+from bramleyport.gateway._fair_room import RoomQueue
 from bramleyport.gateway._reply import reply
 from bramleyport.gateway._state import GatewayState
 from bramleyport.http1 import CallerConnection, CallerRequest
@@ -53,9 +54,11 @@
 class MetricsPage:
     """Represent the metrics page of this process."""
 
-    def __init__(self, state: GatewayState, metrics: Metrics) -> None:
+    def __init__(self, state: GatewayState, metrics: Metrics, rooms: RoomQueue) -> None:
         self._state = state
         self._metrics = metrics
+        self._rooms = rooms
+        self._accounts = BoundedLabels()
 
     async def handle(
         self, request: CallerRequest, connection: CallerConnection
@@ -70,11 +73,14 @@
         gauges.set({"name": "configuration_version"}, float(version))
         gauges.set({"name": "gateways"}, float(self._state.gateway_count or 0))
         gauges.set({"name": "held_calls"}, float(self._state.held_calls))
+        waiting = self._state.waiting_calls
+        gauges.set({"name": "waiting_calls"}, float(waiting))
         upstreams = len(self._state.members.list_all())
         gauges.set({"name": "upstreams"}, float(upstreams))
         withheld = len(self._state.crash_evidence.verdicts)
         gauges.set({"name": "withheld_traits"}, float(withheld))
         self._set_upstream_limits()
+        self._set_account_capacity()
         body = self._metrics.render_text()
         connection.answer(HTTPStatus.OK.value, b"OK", [METRICS_TYPE], body)
 
@@ -88,3 +94,18 @@
             for name, value in figures.items():
                 labels = {"upstream": registration.upstream, "figure": name}
                 gauge.set(labels, value)
+
+    def _set_account_capacity(self) -> None:
+        gauge = self._metrics.account_capacity
+        # Accounts that ask no more must not stay on the page.
+        gauge.values.clear()
+        for service, uses in self._rooms.list_accounts().items():
+            for use in uses:
+                labels = {
+                    "service": service,
+                    "account": self._accounts.choose(use.key.account),
+                    "rank": str(use.key.priority),
+                }
+                gauge.set({**labels, "figure": "occupied"}, use.occupied)
+                gauge.set({**labels, "figure": "waiting"}, float(use.waiting))
+                gauge.set({**labels, "figure": "share"}, use.share)
--- a/bramleyport/gateway/_peer_batches.py
+++ b/bramleyport/gateway/_peer_batches.py
@@ -4,18 +4,20 @@
 from typing import Any
 
 from bramleyport.core import UpstreamId
-from bramleyport.fleet import RateLimitNotice
+from bramleyport.fleet import NO_ACCOUNT, RateLimitNotice, Work
 from bramleyport.gateway._clock import read_now
 from bramleyport.gateway._crash_guard import CrashUpdates
 from bramleyport.gateway._peer_messages import MAX_ITEMS, MAX_REPORTS, make_limit_update
-from bramleyport.gateway._shared_facts import LimitUpdate, WorkRef
+from bramleyport.gateway._shared_facts import LimitUpdate, WorkAccount, WorkRef
 from bramleyport.gateway._work_tracker import PendingUpdates
 
 
 def take_batch(pending: PendingUpdates) -> dict[str, Any]:
     """Remove what fits into one message, and return it as fields of the message."""
+    started = tuple(pending.started[:MAX_ITEMS])
     fields = {
-        "started": tuple(pending.started[:MAX_ITEMS]),
+        "started": started,
+        "accounts": _list_accounts(started),
         "prefilled": _make_refs(pending.prefilled[:MAX_ITEMS]),
         "ended": _make_refs(pending.ended[:MAX_ITEMS]),
         "refused": tuple(pending.refused[:MAX_ITEMS]),
@@ -42,6 +44,14 @@
     return fields
 
 
+def _list_accounts(started: Sequence[Work]) -> tuple[WorkAccount, ...]:
+    return tuple(
+        WorkAccount(work.request, work.account)
+        for work in started
+        if work.account != NO_ACCOUNT
+    )
+
+
 def _make_refs(pairs: list[tuple[UpstreamId, Any]]) -> tuple[WorkRef, ...]:
     return tuple(WorkRef(upstream, request) for upstream, request in pairs)
 
--- a/bramleyport/gateway/_peer_messages.py
+++ b/bramleyport/gateway/_peer_messages.py
@@ -39,6 +39,7 @@
     Decoder,
     LimitUpdate,
     SharedFact,
+    WorkAccount,
     WorkRef,
 )
 from bramleyport.gateway._store_updates import (
@@ -101,6 +102,8 @@
     shares_revision: tuple[StoreRevision, ...] = ()
     # Upstream processes that seem to have ended.
     ended_processes: tuple[EndedProcess, ...] = ()
+    # The client accounts of the work that has started.
+    accounts: tuple[WorkAccount, ...] = ()
     # Version of the configuration in force; 0 if there is none.
     version: ConfigVersion = ConfigVersion(0)
     # Why items of the datagram were left out.
--- a/bramleyport/gateway/_peers.py
+++ b/bramleyport/gateway/_peers.py
@@ -16,6 +16,7 @@
 
 from bramleyport.core import ProcessId, StoreRevision, UpstreamId
 from bramleyport.fleet import (
+    NO_ACCOUNT,
     Address,
     BegunStream,
     ConfigVersion,
@@ -272,6 +273,7 @@
         own = self._state.version
         self._state.version_gap.record_heard(message.version, own, now_s)
         origin = message.process
+        accounts = {item.request: item.account for item in message.accounts}
 
         def apply_changing(item: ChangingEngine) -> None:
             self._state.changing_until_s[item.upstream] = now_s + item.duration_s
@@ -281,7 +283,8 @@
             self._state.rate_limiter.apply_notice(notice, now_s)
 
         def apply_started(work: Work) -> None:
-            self._tracker.apply_started(replace(work, origin=origin))
+            account = accounts.get(work.request, NO_ACCOUNT)
+            self._tracker.apply_started(replace(work, origin=origin, account=account))
 
         def apply_leaving(item: LeavingUpstream) -> None:
             self._state.record_leaving(item.upstream, item.started_ms, origin=origin)
--- a/bramleyport/gateway/_placement.py
+++ b/bramleyport/gateway/_placement.py
@@ -16,6 +16,7 @@
 from bramleyport.gateway._call_context import WAIT_FRACTION, CallContext
 from bramleyport.gateway._clock import read_now
 from bramleyport.gateway._crash_guard import CrashGuard
+from bramleyport.gateway._fair_room import RoomQueue
 from bramleyport.gateway._process_check import ProcessChecker
 from bramleyport.gateway._rate_limits import OVER_LIMIT, Reservation
 from bramleyport.gateway._reply import UNKNOWN_KEY
@@ -47,11 +48,13 @@
         versions: VersionChooser,
         processes: ProcessChecker,
         retries: RetryDecider,
+        rooms: RoomQueue,
     ) -> None:
         self._state = state
         self._guard = guard
         self._versions = versions
         self._retries = retries
+        self._rooms = rooms
         self._returns = ReturnQueue(state, processes)
 
     async def place(self, context: CallContext) -> Choice | Rejected:
@@ -66,7 +69,12 @@
         while True:
             await self._versions.settle(context)
             if not self._may_still_run(context):
-                return Rejected(Explanation(reason=UNKNOWN_KEY), 0.0)
+                return _refuse_key()
+            refusal = await self._rooms.enter(context)
+            if not self._may_still_run(context):
+                return _refuse_key()
+            if refusal is not None:
+                return refusal
             decision = self._choose_now(context)
             if not isinstance(decision, Rejected):
                 return decision
@@ -293,6 +301,10 @@
             context.reservation = None
 
 
+def _refuse_key() -> Rejected:
+    return Rejected(Explanation(reason=UNKNOWN_KEY), 0.0)
+
+
 def _refuse_away(group: ServingGroup, now_s: float) -> Rejected:
     """Return the refusal of a call whose upstreams are all away."""
     due_s = group.find_due_s(now_s)
--- a/bramleyport/gateway/_plain.py
+++ b/bramleyport/gateway/_plain.py
@@ -76,9 +76,12 @@
         support.log_sent(context, choice)
         record = context.attempts.begin()
         support.tracker.start(context.call, choice.upstream)
+        began_s = read_now()
         result = await self._run_exchange(context, choice, record)
         if isinstance(result, FailedAttempt):
             record.record_end()
+        else:
+            support.rooms.record_run(context.call, read_now() - began_s)
         return result
 
     async def _run_exchange(
--- a/bramleyport/gateway/_shared_facts.py
+++ b/bramleyport/gateway/_shared_facts.py
@@ -10,6 +10,7 @@
 from typing import Any, Final
 
 from bramleyport.core import (
+    AccountId,
     RequestId,
     Revision,
     ServiceName,
@@ -124,6 +125,14 @@
     request: RequestId
 
 
+@dataclass(frozen=True, slots=True)
+class WorkAccount:
+    """Describe for which client account the work of the same message is done."""
+
+    request: RequestId
+    account: AccountId
+
+
 @dataclass(frozen=True, slots=True)
 class ChangingEngine:
     """Describe an engine that must get no work for some seconds."""
@@ -421,6 +430,22 @@
     )
 
 
+def _encode_account(item: WorkAccount) -> list[Any]:
+    return [item.request, item.account]
+
+
+@register_fact(
+    "accounts",
+    _encode_account,
+    scope=Scope.CALL,
+    end="the work ends that the same message tells of",
+    bound="one for each work in flight",
+)
+def _decode_account(item: Any, _: float) -> WorkAccount:
+    request, account = read_row(item, 2)
+    return WorkAccount(RequestId(read_name(request)), AccountId(read_name(account)))
+
+
 def _decode_ref(item: Any) -> WorkRef:
     upstream, request = read_row(item, 2)
     return WorkRef(UpstreamId(read_name(upstream)), RequestId(read_name(request)))
--- a/bramleyport/gateway/_state.py
+++ b/bramleyport/gateway/_state.py
@@ -88,6 +88,8 @@
     declined_until_s: dict[UpstreamId, float] = field(default_factory=dict)
     # Calls that wait for upstreams that are away.
     held_calls: int = 0
+    # Calls that wait for their accounts' share of a service.
+    waiting_calls: int = 0
     # Upstreams that want no requests from this gateway for a while.
     pauses: UpstreamPauses = field(default_factory=UpstreamPauses)
     # Upstreams that said in an answer that they leave, which the peers don't know yet.
--- a/bramleyport/gateway/_work_tracker.py
+++ b/bramleyport/gateway/_work_tracker.py
@@ -5,7 +5,7 @@
 from typing import Final
 
 from bramleyport.core import RequestId, UpstreamId
-from bramleyport.fleet import Call, RateLimitNotice, Registration, Work
+from bramleyport.fleet import NO_ACCOUNT, Call, RateLimitNotice, Registration, Work
 from bramleyport.gateway._clock import read_now
 from bramleyport.gateway._crash_guard import CrashUpdates
 from bramleyport.gateway._state import GatewayState
@@ -48,6 +48,8 @@
         self._pending = PendingUpdates()
         # Called with the time for which the newly sent work keeps its engine busy.
         self.on_updates_pending: Callable[[float], None] | None = None
+        # Called when an upstream has less to do.
+        self.on_capacity_freed: Callable[[], None] | None = None
 
     def start(
         self,
@@ -69,6 +71,7 @@
             started_s=read_now(),
             parts=parts,
             transfer_s=transfer_s,
+            account=call.account_name or NO_ACCOUNT,
         )
         self.apply_started(work)
         self._pending.started.append(work)
@@ -103,18 +106,22 @@
     def apply_prefilled(self, upstream: UpstreamId, request: RequestId) -> None:
         """Record that an upstream has finished the prefill of any gateway's call."""
         self._recorder.finish_prefill(upstream, request, read_now())
+        self._notify_freed()
 
     def apply_ended(self, upstream: UpstreamId, request: RequestId) -> None:
         """Record that an upstream has no more work for any gateway's call."""
         self._recorder.end(upstream, request, read_now())
+        self._notify_freed()
 
     def drop_origin(self, origin: str) -> None:
         """Remove the work of a gateway that will not report when it ends."""
         self._recorder.drop_origin(origin, read_now())
+        self._notify_freed()
 
     def drop_expired(self) -> None:
         """Remove work whose end was never reported."""
         self._recorder.drop_expired(read_now())
+        self._notify_freed()
 
     def take_pending(self) -> PendingUpdates:
         """Return and clear the changes that were not sent to the other gateways yet."""
@@ -122,6 +129,10 @@
         self._pending = PendingUpdates()
         return pending
 
+    def _notify_freed(self) -> None:
+        if self.on_capacity_freed is not None:
+            self.on_capacity_freed()
+
     def _notify_pending(self, busy_s: float = 0.0) -> None:
         if self.on_updates_pending is not None:
             self.on_updates_pending(busy_s)
--- a/bramleyport/queueing/_account_queue.py
+++ b/bramleyport/queueing/_account_queue.py
@@ -115,9 +115,7 @@
             own_s = max(0.0, self._idle_tags.get(account, 0.0) - self._virtual_time_s)
         else:
             own_s = max(0.0, backlog.tag - self._virtual_time_s) + backlog.cost_s
-        # Before the new work has its turn, each other account is charged at most as
-        # much as this one.
-        return min(self.cost_s, own_s + len(self._active) * (own_s + cost_s))
+        return bound_cost_ahead(self.cost_s, own_s, len(self._active), cost_s)
 
     def _store_idle_tag(self, account: AccountId, tag: float) -> None:
         if tag <= self._virtual_time_s:
@@ -127,5 +125,13 @@
             self._idle_tags.popitem(last=False)
 
 
+def bound_cost_ahead(queued: float, own: float, accounts: int, cost: float) -> float:
+    """Return the most that a fair queue takes before new work of an account.
+
+    Before it has its turn, each queued account is charged at most as much as its own.
+    """
+    return min(queued, own + accounts * (own + cost))
+
+
 def _make_deadline_key(entry: QueueEntry) -> tuple[float, int, AttemptId]:
     return (entry.item.deadline_s, entry.number, entry.item.attempt)
--- a/bramleyport/telemetry/_gateway_events.py
+++ b/bramleyport/telemetry/_gateway_events.py
@@ -24,6 +24,12 @@
     2614, "INFO", "silent upstream waited for, no retry is assured"
 )
 CALL_HELD: Final = define(2615, "INFO", "call waits for an upstream to be back")
+CALL_WAITS: Final = define(
+    2720, "INFO", "call waits, its account has its share of the service"
+)
+CALL_ADMITTED: Final = define(
+    2721, "INFO", "waiting call goes on, its account's share or capacity is free"
+)
 KEY_REFUSED: Final = define(
     2616, "INFO", "request refused, its key names no client account"
 )
--- a/bramleyport/telemetry/_metrics.py
+++ b/bramleyport/telemetry/_metrics.py
@@ -48,6 +48,11 @@
             "Rate limits that upstreams name: requests a second, and age in seconds",
             registry=self.registry,
         )
+        self.account_capacity = Gauge(
+            "bramleyport_account_capacity",
+            "What accounts have of services that they share: slots, or prefill seconds",
+            registry=self.registry,
+        )
         self.first_token_s = self._histogram(
             "bramleyport_first_token_seconds", FIRST_TOKEN_BUCKETS_S
         )
