Keep attempts of plain calls while others wait for the same service

An idempotent call is tried elsewhere after half of its objective. While calls wait for a share, a repeat takes capacity that others ask for, and the abandoned run still occupies a slot.

--- a/bramleyport/gateway/_fair_room.py
+++ b/bramleyport/gateway/_fair_room.py
@@ -88,7 +88,7 @@
             self._release_service(service, room)
         self._last_calls[service] = call
         use = self._measure(service, call, now_s)
-        places = MAX_WAITING - self._state.waiting_calls
+        places = MAX_WAITING - len(self._waiting)
         max_s = self._find_longest_wait(context, use, now_s)
         decision = room.decide(call, use, max_s, places)
         if isinstance(decision, Admit):
@@ -138,7 +138,7 @@
         released = asyncio.get_running_loop().create_future()
         room.add(call)
         self._waiting[call] = _WaitingCall(context.call, released)
-        self._state.waiting_calls += 1
+        self._state.waiting_calls[context.call.service] += 1
         self._schedule()
         try:
             async with asyncio.timeout_at(began_s + max_s):
@@ -152,7 +152,7 @@
             self._release_soon()
             raise
         finally:
-            self._state.waiting_calls -= 1
+            self._state.waiting_calls[context.call.service] -= 1
             del self._waiting[call]
             room.remove(call)
         log_event(
--- a/bramleyport/gateway/_metrics.py
+++ b/bramleyport/gateway/_metrics.py
@@ -73,7 +73,7 @@
         gauges.set({"name": "configuration_version"}, float(version))
         gauges.set({"name": "gateways"}, float(self._state.gateway_count or 0))
         gauges.set({"name": "held_calls"}, float(self._state.held_calls))
-        waiting = self._state.waiting_calls
+        waiting = self._state.waiting_calls.total()
         gauges.set({"name": "waiting_calls"}, float(waiting))
         upstreams = len(self._state.members.list_all())
         gauges.set({"name": "upstreams"}, float(upstreams))
--- a/bramleyport/gateway/_retries.py
+++ b/bramleyport/gateway/_retries.py
@@ -6,6 +6,7 @@
 from bramleyport.core import Explanation, UpstreamId
 from bramleyport.fleet import Choice, admit
 from bramleyport.gateway._attempt_record import AttemptRecord, AttemptState
+from bramleyport.gateway._attempt_timeout import INACTIVITY_TIMEOUT_S
 from bramleyport.gateway._call_context import CallContext, ReservedRetry
 from bramleyport.gateway._clock import read_now
 from bramleyport.gateway._outcome import AttemptEnd
@@ -67,10 +68,12 @@
             return self._find_opening_obstacle(context, upstream)
         if not context.attempts.may_have_run:
             return None
+        now_s = read_now()
+        if self._is_busy(context, upstream, now_s):
+            return "upstream_busy"
         obstacle = self._find_obstacle(context, lost_runs=lost_runs)
         if obstacle is not None:
             return obstacle
-        now_s = read_now()
         budget = self._state.find_budget(context.call.service)
         if not budget.take(now_s, self._state.gateway_count):
             return "budget_spent"
@@ -81,6 +84,18 @@
         context.reserved_retry = ReservedRetry(taken_s=now_s, choice=choice)
         return None
 
+    def _is_busy(
+        self, context: CallContext, upstream: UpstreamId, now_s: float
+    ) -> bool:
+        """Return whether a plain upstream is heard of a service for which calls wait.
+
+        A repeat would take capacity that other accounts ask for.
+        """
+        if context.engine or not self._state.waiting_calls[context.call.service]:
+            return False
+        last_received_s = self._state.last_received_s.get(upstream, 0.0)
+        return now_s - last_received_s < INACTIVITY_TIMEOUT_S
+
     def _find_opening_obstacle(
         self, context: CallContext, upstream: UpstreamId
     ) -> str | None:
--- a/bramleyport/gateway/_state.py
+++ b/bramleyport/gateway/_state.py
@@ -1,6 +1,7 @@
 """Define the state that the parts of a gateway share."""
 
 import math
+from collections import Counter
 from collections.abc import Callable, Collection
 from dataclasses import dataclass, field
 from typing import Final
@@ -89,7 +90,7 @@
     # Calls that wait for upstreams that are away.
     held_calls: int = 0
     # Calls that wait for their accounts' share of a service.
-    waiting_calls: int = 0
+    waiting_calls: Counter[ServiceName] = field(default_factory=Counter)
     # Upstreams that want no requests from this gateway for a while.
     pauses: UpstreamPauses = field(default_factory=UpstreamPauses)
     # Upstreams that said in an answer that they leave, which the peers don't know yet.
