Test fair sharing: the decision, a flood at three gateways, ends of waits

A waiting call ends its wait with capacity, lost ends of work, a killed gateway, a removed key, disabled accounts, a caller that leaves, a stop, and its time.

--- a/bramleyport/fleet/__init__.py
+++ b/bramleyport/fleet/__init__.py
@@ -33,6 +33,7 @@
     FairRoom,
     Refuse,
     RoomCall,
+    RoomDecision,
     RoomUse,
     Wait,
 )
@@ -177,6 +178,7 @@
     "Repeatability",
     "RequestIdentity",
     "RoomCall",
+    "RoomDecision",
     "RoomUse",
     "Route",
     "RouteName",
--- a/tests/busy_upstream.py
+++ b/tests/busy_upstream.py
@@ -68,7 +68,7 @@
     async def call_until(self, account: str, gateway: str, until_s: float) -> None:
         """Send calls of an account to a gateway, one after the other."""
         loop = asyncio.get_running_loop()
-        while loop.time() < until_s:
+        while loop.time() < until_s and gateway in self.group.gateways:
             status = await self.call(account, gateway)
             if status != 200:
                 await asyncio.sleep(RETRY_S)
--- /dev/null
+++ b/tests/test_fair_room.py
@@ -0,0 +1,171 @@
+"""Guard the decision which calls of an account are sent, wait or are refused."""
+
+import pytest
+from hypothesis import given, strategies as st
+
+from bramleyport.core import AccountId, RequestId, UpstreamId
+from bramleyport.fleet import (
+    AccountRank,
+    Admit,
+    FairRoom,
+    LoadTracker,
+    Refuse,
+    RoomCall,
+    RoomDecision,
+    RoomUse,
+    Stage,
+    Wait,
+    Work,
+    has_free_prefill,
+    measure_prefill,
+    measure_slots,
+)
+from bramleyport.fleet._fair_room import find_fair_share
+from tests.fleet_builders import make_engine
+
+CAPACITY = 18.0
+PLACES = 100
+
+
+def make_call(account: str, priority: int = 0) -> RoomCall:
+    return RoomCall(AccountRank(AccountId(account), priority), objective_s=0.4)
+
+
+def make_use(*held: tuple[str, int, float], capacity: float = CAPACITY) -> RoomUse:
+    """Return the use of slots by accounts, in ranks."""
+    return RoomUse(
+        capacity=capacity,
+        used=sum(count for _, _, count in held),
+        occupied={make_call(name, rank).key: count for name, rank, count in held},
+        call_size=1.0,
+        entry_size=1.0,
+        calls_per_s=10.0,
+        extension=0.0,
+    )
+
+
+FLOODED = make_use(("flood", 0, 17.0), ("a", 0, 1.0))
+
+
+def decide(room: FairRoom, call: RoomCall, max_wait_s: float) -> RoomDecision:
+    return room.decide(call, FLOODED, max_wait_s, PLACES - len(room))
+
+
+@given(st.floats(0.1, 100), st.lists(st.floats(0, 100), min_size=1, max_size=20))
+def test_shares_divide_all_capacity_and_no_more(
+    capacity: float, demands: list[float]
+) -> None:
+    """Guards against capacity that is left idle, or promised twice."""
+    share = find_fair_share(capacity, demands)
+    given_out = sum(min(share, demand) for demand in demands)
+    assert given_out == pytest.approx(min(capacity, sum(demands)))
+
+
+def test_small_account_is_admitted_and_the_flood_waits_or_is_refused() -> None:
+    """Guards against a small account behind a flood, and waits to the deadline."""
+    room = FairRoom()
+    assert room.decide(make_call("flood"), make_use(), 0.0, PLACES) == Admit()
+    assert decide(room, make_call("b"), 0.0) == Admit()
+    for _ in range(10):
+        room.add(make_call("flood"))
+    assert decide(room, make_call("flood"), 1.2) == Wait(1.2)
+    refusal = decide(room, make_call("flood"), 1.0)
+    assert refusal == Refuse(retry_after_s=pytest.approx(1.1))
+
+
+def test_no_account_takes_all_places() -> None:
+    """Guards against a flood that keeps others from waiting."""
+    room = FairRoom()
+    for _ in range(PLACES // 2):
+        room.add(make_call("flood"))
+    assert isinstance(decide(room, make_call("flood"), 99.0), Refuse)
+    room.add(make_call("c"))
+    assert isinstance(decide(room, make_call("a", 1), 99.0), Admit | Wait)
+
+
+def test_release_follows_rank_then_occupancy_then_age() -> None:
+    """Guards against another order than docs/hard-load.md states."""
+    room = FairRoom()
+    calls = [make_call("x", 1), *map(make_call, "bacca")]
+    for call in calls:
+        room.add(call)
+    use = make_use(("b", 0, 2.0), ("c", 0, 1.0), ("d", 0, 10.0))
+    released = []
+    while (call := room.release_next(lambda _: use)) is not None:
+        released.append(calls.index(call))
+    # What is released counts as occupied: a has 1 after its first call, as c has.
+    assert released == [2, 3, 5, 1, 4, 0]
+
+
+def test_free_slot_goes_to_one_call() -> None:
+    """Guards against two calls that are released before the first one is sent."""
+    room = FairRoom()
+    use = make_use(("flood", 0, 16.0), ("a", 0, 1.0))
+    for _ in range(2):
+        room.add(make_call("flood"))
+    call = room.release_next(lambda _: use)
+    assert call is not None
+    assert room.release_next(lambda _: use) is None
+    room.remove(call)
+    assert room.release_next(lambda _: use) is not None
+
+
+def test_less_urgent_rank_keeps_a_part() -> None:
+    """Guards against a rank that is refused altogether under an urgent flood."""
+    room = FairRoom()
+    use = make_use(("flood", 0, CAPACITY))
+    assert room.decide(make_call("a", 1), use, 0.0, PLACES) == Admit()
+    use = make_use(("flood", 0, CAPACITY), ("a", 1, 2.0))
+    assert room.decide(make_call("a", 1), use, 9.0, PLACES) == Wait(9.0)
+    assert room.decide(make_call("b", 0), use, 0.0, PLACES) == Admit()
+
+
+def test_account_counts_as_asking_for_a_while() -> None:
+    """Guards against a lone account that is held for one that has gone."""
+    room = FairRoom()
+    room.record_asking([AccountId("a"), AccountId("b"), AccountId("c")], 0.0)
+    room.record_asking([AccountId("a")], 20.0)
+    assert room.is_shared(20.0)
+    assert not room.is_shared(40.0)
+
+
+def make_work(request: str, upstream: str, origin: str, prefill_s: float) -> Work:
+    return Work(
+        request=RequestId(request),
+        upstream=UpstreamId(upstream),
+        priority=0,
+        prefill_s=prefill_s,
+        started_s=0.0,
+        origin=origin,
+        account=AccountId(origin),
+    )
+
+
+def test_slots_are_measured_over_all_gateways() -> None:
+    """Guards against work that is not counted, or still counted after its end."""
+    loads = LoadTracker()
+    target = make_engine("p0", None)
+    for origin in ("", "g1", "g2", "g2"):
+        loads.of(target.upstream).add(make_work(f"of {origin}", "p0", origin, 0.0))
+    use = measure_slots([target], loads, 0.5, 2)
+    # One request is sent again under its identifier.
+    assert (use.used, sum(use.occupied.values()), use.calls_per_s) == (3.0, 3.0, 6.0)
+    loads.drop_origin("g1", 0.0)
+    loads.drop_expired(99.0)
+    assert not measure_slots([target], loads, 0.5, 2).occupied
+
+
+def test_engines_are_scarce_only_beyond_the_objective() -> None:
+    """Guards against calls to engines that are held although they would be in time."""
+    loads = LoadTracker()
+    engines = [make_engine("f0", Stage.PREFILL), make_engine("d0")]
+    loads.of(UpstreamId("d0")).add(make_work("r", "d0", "flood", 0.75))
+    assert has_free_prefill(engines, loads, 0, 0.4, 0.0)
+    loads.of(UpstreamId("f0")).add(make_work("r", "f0", "flood", 0.75))
+    assert not has_free_prefill(engines, loads, 0, 0.4, 0.0)
+    # More urgent calls are prefilled first.
+    assert has_free_prefill(engines, loads, -1, 0.4, 0.0)
+    flood, room = make_call("flood"), FairRoom()
+    use = measure_prefill(engines, loads, flood.key, 0.4, 1, 0.0)
+    assert room.decide(flood, use, 99.0, PLACES) == Wait(99.0)
+    assert room.decide(make_call("a"), use, 0.0, PLACES) == Admit()
--- a/tests/test_fair_sharing.py
+++ b/tests/test_fair_sharing.py
@@ -1,11 +1,24 @@
 """Guard that no account takes the capacity that others ask for."""
 
+import asyncio
 from collections.abc import Callable, Coroutine, Iterator
+from dataclasses import replace
 from pathlib import Path
 from typing import Any
 
+import cbor2
 import pytest
 
+from bramleyport.core import AccountId, ProcessId, RequestId, UpstreamId
+from bramleyport.fleet import Work
+from bramleyport.fleet._load import WORK_EXPIRY_S
+from bramleyport.gateway._clock import read_now
+from bramleyport.gateway._peer_messages import (
+    PeerMessage,
+    decode_datagram,
+    encode_message,
+)
+from bramleyport.gateway._shared_facts import FACTS
 from tests.busy_upstream import AccountCallers, BusyUpstream, make_accounts
 from tests.gateway_fleet import make_config
 from tests.gateway_group import GatewayGroup
@@ -52,3 +65,147 @@
     served = [callers.find_served(name) for name in OTHERS]
     assert min(served) >= GOAL, callers.statuses
     assert callers.statuses["flood"][200] > 0
+
+
+def fill(gateway: Any, age_s: float = 0.0) -> list[Work]:
+    """Let a gateway hear of work of two accounts in all slots and a queue."""
+    works = [
+        Work(
+            request=RequestId(f"peer-{number}"),
+            upstream=UpstreamId(f"p{number % 3}"),
+            priority=0,
+            prefill_s=0.0,
+            started_s=read_now() - age_s,
+            origin="peer",
+            account=AccountId("flood" if number else "a"),
+        )
+        for number in range(8)
+    ]
+    for work in works:
+        gateway._tracker.apply_started(work)
+    return works
+
+
+async def start_waiting(callers: AccountCallers) -> "asyncio.Task[int]":
+    """Send a call of the flood to a gateway, and return once it waits."""
+    call = asyncio.ensure_future(callers.call("flood", "g0"))
+    state = callers.group.gateways["g0"].state
+    await callers.group.wait_for(state.waiting_calls.total)
+    return call
+
+
+def end_work(group: GatewayGroup, works: list[Work]) -> None:
+    for work in works[3:]:
+        group.gateways["g0"]._tracker.apply_ended(work.upstream, work.request)
+
+
+def lose_ends(group: GatewayGroup, _: list[Work]) -> None:
+    """Do nothing: the work expires soon, as `fill` let it begin long ago."""
+
+
+def lose_gateway(group: GatewayGroup, _: list[Work]) -> None:
+    group.gateways["g0"]._tracker.drop_origin("peer")
+
+
+def remove_key(group: GatewayGroup, _: list[Work]) -> None:
+    put_accounts(group, 3, *OTHERS)
+
+
+def disable_accounts(group: GatewayGroup, _: list[Work]) -> None:
+    group.store.put("config", "main", make_config(3))
+
+
+def leave(group: GatewayGroup, _: list[Work]) -> None:
+    group.callers[0].close()
+
+
+def stop_gateway(group: GatewayGroup, _: list[Work]) -> "asyncio.Task[None]":
+    state = group.gateways["g0"].state
+    state.settings = replace(state.settings, grace_s=1.0)
+    return asyncio.ensure_future(group.gateways["g0"].stop())
+
+
+def wait_for_the_time(_: GatewayGroup, __: list[Work]) -> None:
+    """Do nothing: the call can wait only for a part of its time."""
+
+
+@pytest.mark.parametrize(
+    ("act", "age_s", "status"),
+    [
+        (end_work, 0.0, 200),
+        (lose_ends, WORK_EXPIRY_S - 0.3, 200),
+        (lose_gateway, 0.0, 200),
+        (remove_key, 0.0, 401),
+        (disable_accounts, 0.0, 200),
+        (leave, 0.0, 0),
+        (stop_gateway, 0.0, 503),
+        (wait_for_the_time, 0.0, 503),
+    ],
+)
+def test_waiting_call_ends_its_wait(
+    group: GatewayGroup,
+    run: Run,
+    act: Callable[[GatewayGroup, list[Work]], Any],
+    age_s: float,
+    status: int,
+) -> None:
+    """Guards against a call that is held though its wait has an end, or no sense."""
+    callers = AccountCallers(group)
+
+    async def check() -> int:
+        works = fill(group.gateways["g0"], age_s)
+        call = await start_waiting(callers)
+        # Another account has its share meanwhile.
+        assert await callers.call("b", "g0") == 200
+        stop = act(group, works)
+        status = await call
+        if stop is not None:
+            await stop
+        return status
+
+    assert run(check()) == status
+    state_waits = [gateway.state.waiting_calls for gateway in group.gateways.values()]
+    assert not any(waits.total() for waits in state_waits)
+    assert bool([run for run in group.list_runs() if "flood" in run]) is (status == 200)
+
+
+def test_flood_leaves_the_others_their_share_when_a_gateway_is_killed(
+    group: GatewayGroup, run: Run
+) -> None:
+    """Guards against work of a killed gateway that takes the share of others."""
+    callers = AccountCallers(group)
+
+    async def check() -> None:
+        flood = asyncio.ensure_future(callers.flood(4.0, 39, OTHERS[:2]))
+        await asyncio.sleep(1.0)
+        group.stop_gateway("g2")
+        await flood
+
+    run(check())
+    assert "g2" not in group.gateways
+    assert min(callers.find_served(name) for name in OTHERS[:2]) >= GOAL
+
+
+def test_peers_learn_the_accounts_of_work(group: GatewayGroup, run: Run) -> None:
+    """Guards against gateways that know only the accounts of their own work."""
+    callers = AccountCallers(group)
+    load = group.gateways["g1"].state.loads
+
+    def list_accounts() -> set[str]:
+        works = [work for name in ("p0", "p1", "p2") for work in load.of(name)]
+        return {work.account for work in works}
+
+    async def check() -> None:
+        call = asyncio.ensure_future(callers.call("a", "g0"))
+        await group.wait_for(lambda: list_accounts() == {"a"})
+        assert await call == 200
+
+    run(check())
+
+
+def test_message_without_accounts_is_read() -> None:
+    """Guards against gateways that do not hear those of earlier versions."""
+    message = PeerMessage(process=ProcessId("g"), incarnation=1)
+    assert FACTS[-1].field == "accounts"
+    earlier = cbor2.loads(encode_message(message))[:-1]
+    assert decode_datagram(cbor2.dumps(earlier), 0.0) == message
