--- a/tests/busy_upstream.py
+++ b/tests/busy_upstream.py
@@ -1,7 +1,10 @@
 """Stand-ins of plain upstreams with few slots, and callers of client accounts."""
 
 import asyncio
+import itertools
+import uuid
 from collections import Counter
+from collections.abc import Sequence
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -53,9 +56,9 @@
     await answer_normally(upstream, request, writer)
 
 
-def make_accounts(*names: str, **fields: Any) -> list[dict[str, Any]]:
+def make_accounts(*names: str) -> list[dict[str, Any]]:
     """Return accounts of the configuration, each with one key."""
-    return [{"name": name, "api_keys": [f"{name}-key"]} | fields for name in names]
+    return [{"name": name, "api_keys": [f"{name}-key"]} for name in names]
 
 
 @dataclass(slots=True)
@@ -65,39 +68,34 @@
     group: GatewayGroup
     statuses: dict[str, Counter[int]] = field(default_factory=dict)
 
-    async def call_until(self, account: str, gateway: str, until_s: float) -> None:
-        """Send calls of an account to a gateway, one after the other."""
-        loop = asyncio.get_running_loop()
-        while loop.time() < until_s and gateway in self.group.gateways:
-            status = await self.call(account, gateway)
-            if status != 200:
-                await asyncio.sleep(RETRY_S)
-
     async def call(self, account: str, gateway: str) -> int:
         """Send one call; return its status, or 0 if its connection was lost."""
-        request = f"{account}-{gateway}-{next(self.group.numbers)}"
+        statuses = self.statuses.setdefault(account, Counter())
         answer = await self.group.call_gateway(
-            gateway, "/read/x", Request_Id=request, Api_Key=f"{account}-key"
+            gateway,
+            "/read/x",
+            Request_Id=f"{account}-{uuid.uuid4()}",
+            Api_Key=f"{account}-key",
         )
         status = answer.status if answer else 0
-        self.statuses.setdefault(account, Counter())[status] += 1
+        statuses[status] += 1
         return status
 
     def find_served(self, account: str) -> float:
         """Return the fraction of the calls of an account that were answered."""
-        statuses = self.statuses[account]
-        return statuses[200] / statuses.total()
+        return self.statuses[account][200] / self.statuses[account].total()
 
-    async def flood(
-        self, seconds: float, flooders: int, others: tuple[str, ...]
-    ) -> None:
+    async def flood(self, seconds: float, flooders: int, others: Sequence[str]) -> None:
         """Send calls of one account by many callers, and by one of each other."""
-        gateways = list(self.group.gateways)
+        gateways = itertools.cycle(list(self.group.gateways))
         until_s = asyncio.get_running_loop().time() + seconds
         accounts = ["flood"] * flooders + list(others)
         await asyncio.gather(
-            *(
-                self.call_until(account, gateways[number % len(gateways)], until_s)
-                for number, account in enumerate(accounts)
-            )
+            *(self._call_until(item, next(gateways), until_s) for item in accounts)
         )
+
+    async def _call_until(self, account: str, gateway: str, until_s: float) -> None:
+        loop = asyncio.get_running_loop()
+        while loop.time() < until_s and gateway in self.group.gateways:
+            if await self.call(account, gateway) != 200:
+                await asyncio.sleep(RETRY_S)
--- a/tests/gateway_group.py
+++ b/tests/gateway_group.py
@@ -52,7 +52,7 @@
         self._bounds = BOUNDS | (bounds or {})
         self._count = gateways
         self._turns = itertools.count()
-        self.numbers = itertools.count()
+        self._numbers = itertools.count()
         self._ports: dict[str, int] = {}
         # Gateways that don't hear each other, and those that don't reach the store.
         self._silenced: set[str] = set()
@@ -189,7 +189,7 @@
 
     async def _send_call(self, port: int, path: str, headers: dict[str, str]) -> None:
         caller = RawCaller(port)
-        request = f"r{next(self.numbers)}"
+        request = f"r{next(self._numbers)}"
         try:
             answer = await caller.call(path, body=b"b", Request_Id=request, **headers)
         finally:
