--- a/bramleyport/gateway/_metrics.py
+++ b/bramleyport/gateway/_metrics.py
@@ -1,5 +1,6 @@
 """Count calls and attempts, and serve the metrics page."""
 
+import math
 from http import HTTPStatus
 from typing import Final
 
@@ -108,4 +109,5 @@
                 }
                 gauge.set({**labels, "figure": "occupied"}, use.occupied)
                 gauge.set({**labels, "figure": "waiting"}, float(use.waiting))
-                gauge.set({**labels, "figure": "share"}, use.share)
+                if math.isfinite(use.share):
+                    gauge.set({**labels, "figure": "share"}, use.share)
