--- a/bramleyport/fleet/_fair_room.py
+++ b/bramleyport/fleet/_fair_room.py
@@ -28,6 +28,19 @@
 ASKING_S: Final = 30.0
 # Accounts whose last calls are remembered: any two show that capacity is shared.
 MAX_ASKING: Final = 2
+# Gateways from which on a shortage is shared by quotas: so many would otherwise send
+# their calls to the same free slots.
+MIN_QUOTA_GATEWAYS: Final = 5
+# Time after its last sign for which a shortage is assumed.
+SHORTAGE_S: Final = 2.0
+# Part of the free capacity that the quotas of all gateways take up before they know of
+# the effect.
+QUOTA_GAIN: Final = 0.5
+# Part of its share that an account may have at other gateways and still be admitted
+# here without a quota, as if they sent no more of its calls at the same time.
+ELSEWHERE_FRACTION: Final = 0.25
+# Allowance for forecasts of waits that are too short.
+FORECAST_FACTOR: Final = 1.25
 MIN_RETRY_S: Final = 0.1
 MAX_RETRY_S: Final = 3.0
 
@@ -50,6 +63,12 @@
     entry_size: float
     # How many of the calls that wait here are forecast to be admitted each second.
     calls_per_s: float
+    # By work of this gateway, of which it knows at once.
+    own: float
+    own_occupied: Mapping[AccountRank, float]
+    gateways: int
+    # Time after which a gateway knows of the work of others.
+    delay_s: float
     # What may be used here beyond the capacity while only one account asks.
     extension: float
 
@@ -128,6 +147,10 @@
         self._released_counts: Counter[AccountRank] = Counter()
         # When the accounts that asked last did so.
         self._asked_s: OrderedDict[AccountId, float] = OrderedDict()
+        # How much this gateway may use beyond the shares of accounts in a shortage.
+        self._quota = 0.0
+        self._quota_s = -math.inf
+        self._short_s = -math.inf
 
     def __len__(self) -> int:
         return sum(rank.count for rank in self._waiting.values())
@@ -145,21 +168,53 @@
         recent = (now_s - asked_s <= ASKING_S for asked_s in self._asked_s.values())
         return sum(recent) > 1
 
-    def has_free(self, use: RoomUse) -> bool:
-        """Return whether capacity is free, or nothing is known to have any."""
-        used = use.used + use.call_size * len(self._released)
-        return use.capacity <= 0 or used < use.capacity
+    def is_short(self, now_s: float) -> bool:
+        """Return whether calls wait, or could not be sent a moment ago."""
+        return now_s - self._short_s <= SHORTAGE_S
+
+    def has_free(self, use: RoomUse, now_s: float) -> bool:
+        """Return whether capacity is free here, or nothing is known to have any.
+
+        In a shortage many gateways see the same free capacity, late. Each then uses
+        what its own work leaves of a quota, which follows the free capacity.
+        """
+        released = use.call_size * len(self._released)
+        if use.capacity <= 0 or use.used + released < use.capacity:
+            if use.gateways < MIN_QUOTA_GATEWAYS or not self.is_short(now_s):
+                return True
+        elif use.gateways < MIN_QUOTA_GATEWAYS:
+            return False
+        self._update_quota(use, now_s)
+        return use.own + released + use.call_size <= self._quota
+
+    def _update_quota(self, use: RoomUse, now_s: float) -> None:
+        if now_s - self._quota_s > SHORTAGE_S:
+            self._quota = use.own
+            self._quota_s = now_s
+        periods = (now_s - self._quota_s) / use.delay_s
+        self._quota_s = now_s
+        free = (use.capacity - use.used) / use.gateways
+        part = use.capacity / use.gateways
+        self._quota += QUOTA_GAIN * free * periods
+        self._quota = max(0.0, min(self._quota, use.own + part + use.call_size))
 
     def decide(
-        self, call: RoomCall, use: RoomUse, max_wait_s: float, places: int
+        self,
+        call: RoomCall,
+        use: RoomUse,
+        *,
+        max_wait_s: float,
+        places: int,
+        now_s: float,
     ) -> RoomDecision:
         """Decide on a call, by how long it can wait and the places that are left."""
-        if self.has_free(use) or self._is_under_share(call.key, use, asking=1):
+        if self.has_free(use, now_s) or self._is_under_share(call.key, use, asking=1):
             return Admit()
+        self._short_s = now_s
         wait_s = self.forecast_wait(call.key, use)
         # No account takes all places: it may hold as many as are left for others.
         is_full = self._count_waiting(call.key) >= places
-        if wait_s > max_wait_s or is_full:
+        if FORECAST_FACTOR * wait_s > max_wait_s or is_full:
             return Refuse(self.forecast_retry(call.key, use))
         return Wait(max_wait_s)
 
@@ -181,16 +236,20 @@
             del self._released_counts[call.key]
         return True
 
-    def release_next(self, measure: Callable[[RoomCall], RoomUse]) -> RoomCall | None:
+    def release_next(
+        self, measure: Callable[[RoomCall], RoomUse], now_s: float
+    ) -> RoomCall | None:
         """Release and return the next call that may be sent now, if any may.
 
         The most urgent rank goes first, then the account that occupies least, then the
         call that has waited longest.
         """
+        if self._waiting:
+            self._short_s = now_s
         for _, rank in sorted(self._waiting.items()):
             use = measure(next(iter(next(iter(rank.accounts.values())))))
             call = self._find_first(rank, use)
-            if self.has_free(use) or self._is_under_share(call.key, use):
+            if self.has_free(use, now_s) or self._is_under_share(call.key, use):
                 self.release(call)
                 return call
         return None
@@ -256,6 +315,11 @@
         self, key: AccountRank, use: RoomUse, *, asking: int = 0
     ) -> bool:
         share = self.find_share(key, use, asking=asking)
+        if use.gateways >= MIN_QUOTA_GATEWAYS:
+            # Other gateways may be sending calls of the account at this moment.
+            elsewhere = use.occupied.get(key, 0.0) - use.own_occupied.get(key, 0.0)
+            if elsewhere > ELSEWHERE_FRACTION * min(share, use.capacity):
+                return False
         return self._occupied(key, use) + use.entry_size <= share
 
     def _occupied(self, key: AccountRank, use: RoomUse) -> float:
--- a/bramleyport/fleet/_load.py
+++ b/bramleyport/fleet/_load.py
@@ -81,8 +81,8 @@
         self._works: dict[RequestId, Work] = {}
         # How many works each account has here.
         self.counts: Counter[AccountRank] = Counter()
-        # How many works this gateway has sent itself.
-        self.own_count = 0
+        # The same for those that this gateway has sent itself.
+        self.own_counts: Counter[AccountRank] = Counter()
         # Work whose prompts are not prefilled yet.
         self._prefilling: dict[RequestId, Work] = {}
         # Since when the engine always had prompts queued, and the cost of those that it
@@ -107,8 +107,8 @@
             self._restart_sample(work.started_s)
         self._forget(work.request)
         self._works[work.request] = work
-        self.counts[AccountRank(work.account, work.priority)] += 1
-        self.own_count += not work.origin
+        for counts in self._list_counts(work):
+            counts[AccountRank(work.account, work.priority)] += 1
         self._prefilling[work.request] = work
         if work.transfer_s > 0:
             begin_s = max(self._link_free_at_s, work.started_s)
@@ -196,12 +196,15 @@
         if work is None:
             return None
         key = AccountRank(work.account, work.priority)
-        self.counts[key] -= 1
-        if not self.counts[key]:
-            del self.counts[key]
-        self.own_count -= not work.origin
+        for counts in self._list_counts(work):
+            counts[key] -= 1
+            if not counts[key]:
+                del counts[key]
         return work
 
+    def _list_counts(self, work: Work) -> list[Counter[AccountRank]]:
+        return [self.counts] if work.origin else [self.counts, self.own_counts]
+
     def _take_sample(self, now_s: float) -> PrefillSample | None:
         if self._prefilling and self._busy_cost < MIN_BUSY_SAMPLE_COST:
             return None
--- a/bramleyport/fleet/_pacing.py
+++ b/bramleyport/fleet/_pacing.py
@@ -14,6 +14,11 @@
 LONG_PREFILL_S: Final = 0.06
 
 
+def compute_update_delay(peers: int) -> float:
+    """Return the seconds after which peers are told of what is not urgent."""
+    return max(FLUSH_INTERVAL_S, peers / DATAGRAMS_PER_S)
+
+
 class UpdatePacing:
     """Decide when pending updates are sent to the peers."""
 
@@ -24,7 +29,7 @@
 
     def choose_delay(self, peers: int) -> float:
         """Return the seconds for which updates are collected."""
-        return max(FLUSH_INTERVAL_S, peers / DATAGRAMS_PER_S)
+        return compute_update_delay(peers)
 
     def allow_now(self, peers: int, busy_s: float, now_s: float) -> bool:
         """Return whether an update is sent at once, by the duration of its work."""
--- a/bramleyport/fleet/_room_use.py
+++ b/bramleyport/fleet/_room_use.py
@@ -8,6 +8,7 @@
 
 from bramleyport.fleet._fair_room import RoomUse
 from bramleyport.fleet._load import AccountRank, LoadTracker
+from bramleyport.fleet._pacing import compute_update_delay
 from bramleyport.fleet._types import Registration
 
 # What a call needs of the share of its account at a plain service.
@@ -23,12 +24,14 @@
     """Return the use of the slots of plain upstreams, whose calls run for a time."""
     capacity = sum(item.slots for item in ready)
     occupied: Counter[AccountRank] = Counter()
-    used, own = 0, 0
+    own_occupied: Counter[AccountRank] = Counter()
+    used = 0
     for item in ready:
         load = loads.of(item.upstream)
         occupied.update(load.counts)
+        own_occupied.update(load.own_counts)
         used += len(load)
-        own += load.own_count
+    own = own_occupied.total()
     fraction = max(1 / gateways, own / used if used else 0.0)
     # The others' newest calls are not known here, so each gateway keeps to its part.
     own_left = ALONE_FACTOR * capacity / gateways - own
@@ -39,6 +42,10 @@
         call_size=ONE_SLOT,
         entry_size=ONE_SLOT,
         calls_per_s=fraction * capacity / run_s if run_s > 0 else 0.0,
+        own=float(own),
+        own_occupied=own_occupied,
+        gateways=gateways,
+        delay_s=compute_update_delay(gateways - 1),
         extension=max(0.0, used - capacity + own_left),
     )
 
@@ -101,5 +108,10 @@
         call_size=mean_s,
         entry_size=0.0,
         calls_per_s=fraction * len(ready) / mean_s if mean_s > 0 else 0.0,
+        # Gateways tell each other at once of long prompts, so that no quota is needed.
+        own=0.0,
+        own_occupied={},
+        gateways=1,
+        delay_s=compute_update_delay(0),
         extension=math.inf,
     )
--- a/bramleyport/gateway/_fair_room.py
+++ b/bramleyport/gateway/_fair_room.py
@@ -82,15 +82,14 @@
         service = context.call.service
         room = self._rooms.setdefault(service, FairRoom())
         room.record_asking([key.account], now_s)
-        if self._has_free(service, call, now_s):
-            if not room:
-                return None
-            self._release_service(service, room)
+        if not room.is_short(now_s) and self._has_free(service, call, now_s):
+            return None
+        self._release_service(service, room)
         self._last_calls[service] = call
         use = self._measure(service, call, now_s)
         places = MAX_WAITING - len(self._waiting)
         max_s = self._find_longest_wait(context, use, now_s)
-        decision = room.decide(call, use, max_s, places)
+        decision = room.decide(call, use, max_wait_s=max_s, places=places, now_s=now_s)
         if isinstance(decision, Admit):
             return None
         if isinstance(decision, Refuse):
@@ -257,7 +256,7 @@
         def measure(call: RoomCall) -> RoomUse:
             return self._measure(service, call, now_s)
 
-        while (released := room.release_next(measure)) is not None:
+        while (released := room.release_next(measure, now_s)) is not None:
             self._resume(released)
 
     def _check_configuration(self) -> None:
