--- a/bramleyport/fleet/_fair_room.py
+++ b/bramleyport/fleet/_fair_room.py
@@ -141,7 +141,7 @@
 
     def __init__(self) -> None:
         self._waiting: dict[int, _WaitingRank] = {}
-        self._numbers = 0
+        self._next_number = 0
         # Calls that were released and are not counted as work yet.
         self._released: dict[RoomCall, None] = {}
         self._released_counts: Counter[AccountRank] = Counter()
@@ -178,16 +178,19 @@
         In a shortage many gateways see the same free capacity, late. Each then uses
         what its own work leaves of a quota, which follows the free capacity.
         """
+        if use.capacity <= 0:
+            return True
         released = use.call_size * len(self._released)
-        if use.capacity <= 0 or use.used + released < use.capacity:
-            if use.gateways < MIN_QUOTA_GATEWAYS or not self.is_short(now_s):
-                return True
-        elif use.gateways < MIN_QUOTA_GATEWAYS:
-            return False
+        is_free = use.used + released < use.capacity
+        if use.gateways < MIN_QUOTA_GATEWAYS:
+            return is_free
+        if is_free and not self.is_short(now_s):
+            return True
         self._update_quota(use, now_s)
         return use.own + released + use.call_size <= self._quota
 
     def _update_quota(self, use: RoomUse, now_s: float) -> None:
+        """Let the quota take up, or give back, a part of what is free or lacking."""
         if now_s - self._quota_s > SHORTAGE_S:
             self._quota = use.own
             self._quota_s = now_s
@@ -221,20 +224,19 @@
     def add(self, call: RoomCall) -> None:
         """Record that a call waits."""
         rank = self._waiting.setdefault(call.key.priority, _WaitingRank())
-        rank.accounts.setdefault(call.key.account, {})[call] = self._numbers
+        rank.accounts.setdefault(call.key.account, {})[call] = self._next_number
         rank.count += 1
-        self._numbers += 1
+        self._next_number += 1
 
-    def remove(self, call: RoomCall) -> bool:
-        """Record that a call goes on or has left; return whether it was released."""
+    def remove(self, call: RoomCall) -> None:
+        """Record that a call goes on, as it was released, or has left."""
         if call not in self._released:
             self._remove_waiting(call)
-            return False
+            return
         del self._released[call]
         self._released_counts[call.key] -= 1
         if not self._released_counts[call.key]:
             del self._released_counts[call.key]
-        return True
 
     def release_next(
         self, measure: Callable[[RoomCall], RoomUse], now_s: float
--- a/bramleyport/fleet/_room_use.py
+++ b/bramleyport/fleet/_room_use.py
@@ -52,7 +52,8 @@
 
 def extend_for_one(use: RoomUse) -> RoomUse:
     """Return the use that applies while only one account asks."""
-    return replace(use, capacity=use.capacity + use.extension)
+    # Each gateway keeps to its part, so that none needs a quota.
+    return replace(use, capacity=use.capacity + use.extension, gateways=1)
 
 
 def has_free_prefill(
--- a/tests/test_fair_room.py
+++ b/tests/test_fair_room.py
@@ -74,6 +74,8 @@
     """Guards against a small account behind a flood, and waits to the deadline."""
     room = FairRoom()
     assert decide(room, make_call("flood"), 0.0, make_use()) == Admit()
+    no_upstream = make_use(("flood", 0, 1.0), capacity=0.0)
+    assert decide(room, make_call("flood"), 0.0, no_upstream) == Admit()
     assert decide(room, make_call("b"), 0.0) == Admit()
     for _ in range(10):
         room.add(make_call("flood"))
