Merge fair sharing of capacity among client accounts

A less urgent prompt that an engine has begun delays urgent ones, but is no queue that accounts share, so the measure of scarce prefill leaves it out.

--- a/bramleyport/fleet/__init__.py
+++ b/bramleyport/fleet/__init__.py
@@ -5,7 +5,7 @@
     ApiKey,
     ClientAccount,
 )
-from bramleyport.fleet._admission import admit
+from bramleyport.fleet._admission import USABLE_FRACTION, admit
 from bramleyport.fleet._authentication import (
     UnknownKey,
     authenticate,
@@ -23,16 +23,33 @@
     HarmlessTrait,
     Verdict,
 )
-from bramleyport.fleet._decode_times import DecodeTimes
+from bramleyport.fleet._decode_times import CallTimes, DecodeTimes
 from bramleyport.fleet._ended import EndedProcess
 from bramleyport.fleet._even_load import EvenLoad
+from bramleyport.fleet._fair_room import (
+    MAX_WAITING,
+    AccountUse,
+    Admit,
+    FairRoom,
+    Refuse,
+    RoomCall,
+    RoomDecision,
+    RoomUse,
+    Wait,
+)
 from bramleyport.fleet._freshness import (
     Freshness,
     choose_store_watchers,
     is_watch_shared,
 )
 from bramleyport.fleet._leaving import LeavingUpstream
-from bramleyport.fleet._load import LoadTracker, UpstreamLoad, Work
+from bramleyport.fleet._load import (
+    NO_ACCOUNT,
+    AccountRank,
+    LoadTracker,
+    UpstreamLoad,
+    Work,
+)
 from bramleyport.fleet._members import Membership
 from bramleyport.fleet._pacing import UpdatePacing
 from bramleyport.fleet._pauses import UpstreamPauses
@@ -49,6 +66,13 @@
 from bramleyport.fleet._rate_shares import RateShare, RateShares
 from bramleyport.fleet._reachability import Reachability
 from bramleyport.fleet._recorder import WorkRecorder
+from bramleyport.fleet._room_use import (
+    extend_for_one,
+    has_free_prefill,
+    has_free_slots,
+    measure_prefill,
+    measure_slots,
+)
 from bramleyport.fleet._roster import GatewayRoster
 from bramleyport.fleet._routes import RouteTable, choose_service
 from bramleyport.fleet._scale_plan import (
@@ -107,14 +131,21 @@
     "MAX_TRAITS",
     "MAX_TRAIT_CHARS",
     "MAX_VERDICTS",
+    "MAX_WAITING",
+    "NO_ACCOUNT",
     "TRIAL_SPACING_S",
     "UNKNOWN_VERSION",
+    "USABLE_FRACTION",
     "AbsentUpstream",
     "AccountIndex",
+    "AccountRank",
+    "AccountUse",
     "Address",
+    "Admit",
     "ApiKey",
     "BegunStream",
     "Call",
+    "CallTimes",
     "CallTraits",
     "CallerLimits",
     "Choice",
@@ -130,6 +161,7 @@
     "EngineTraits",
     "EngineView",
     "EvenLoad",
+    "FairRoom",
     "Freshness",
     "GatewayRoster",
     "HarmlessTrait",
@@ -151,9 +183,13 @@
     "RateShare",
     "RateShares",
     "Reachability",
+    "Refuse",
     "Registration",
     "Repeatability",
     "RequestIdentity",
+    "RoomCall",
+    "RoomDecision",
+    "RoomUse",
     "Route",
     "RouteName",
     "RouteTable",
@@ -181,6 +217,7 @@
     "Verdict",
     "VersionGap",
     "VersionShares",
+    "Wait",
     "Work",
     "WorkRecorder",
     "ZoneLoad",
@@ -191,9 +228,14 @@
     "choose_trial_interval",
     "compute_enforced_rate",
     "compute_shares",
+    "extend_for_one",
+    "has_free_prefill",
+    "has_free_slots",
     "is_request",
     "is_watch_shared",
     "may_still_run",
+    "measure_prefill",
+    "measure_slots",
     "plan_shutdown",
     "writes_answers",
 ]
--- a/bramleyport/fleet/_load.py
+++ b/bramleyport/fleet/_load.py
@@ -1,12 +1,15 @@
 """Track the work that all gateways have sent to each upstream."""
 
+from collections import Counter
 from collections.abc import Iterator
 from dataclasses import dataclass
 from typing import Final
 
-from bramleyport.core import RequestId, UpstreamId
+from bramleyport.core import AccountId, RequestId, UpstreamId
 from bramleyport.fleet._types import PromptPart
 
+# Of work that belongs to no client account, or whose gateway names none.
+NO_ACCOUNT: Final = AccountId("")
 # Work is dropped if its end has not been reported after this time.
 WORK_EXPIRY_S: Final = 10.0
 # Prefill counts as finished after OVERDUE_FACTOR times its forecast plus OVERDUE_MIN_S.
@@ -35,12 +38,21 @@
     parts: tuple[PromptPart, ...] = ()
     # Time for which the upstream's link carries a KV cache for the request.
     transfer_s: float = 0.0
+    account: AccountId = NO_ACCOUNT
     # The gateway that sent the request; empty for this one.
     origin: str = ""
     # True until the first event or the answer to the prefill arrives.
     prefilling: bool = True
 
 
+@dataclass(frozen=True, slots=True)
+class AccountRank:
+    """Represent the work of one account in one rank."""
+
+    account: AccountId
+    priority: int
+
+
 @dataclass(frozen=True, slots=True)
 class PrefillSample:
     """Describe how much an engine prefilled while it always had prompts queued.
@@ -59,11 +71,13 @@
 
     # Until those ahead are prefilled.
     wait_s: float
+    # Of that, for those of its rank and more urgent ones.
+    ranked_s: float
     # How many less urgent ones would wait longer.
     behind: int
 
 
-EMPTY_QUEUE: Final = QueueForecast(0.0, 0)
+EMPTY_QUEUE: Final = QueueForecast(0.0, 0.0, 0)
 
 
 @dataclass(frozen=True, slots=True)
@@ -79,6 +93,10 @@
 
     def __init__(self) -> None:
         self._works: dict[RequestId, Work] = {}
+        # How many works each account has here.
+        self.counts: Counter[AccountRank] = Counter()
+        # The same for those that this gateway has sent itself.
+        self.own_counts: Counter[AccountRank] = Counter()
         # Work whose prompts are not prefilled yet.
         self._prefilling: dict[RequestId, Work] = {}
         # Since when the engine always had prompts queued, and the cost of those that it
@@ -101,7 +119,10 @@
         """Record work that is sent."""
         if not self._prefilling:
             self._restart_sample(work.started_s)
+        self._forget(work.request)
         self._works[work.request] = work
+        for counts in self._list_counts(work):
+            counts[AccountRank(work.account, work.priority)] += 1
         self._prefilling[work.request] = work
         if work.transfer_s > 0:
             begin_s = max(self._link_free_at_s, work.started_s)
@@ -121,7 +142,7 @@
 
     def remove(self, request: RequestId, now_s: float) -> Work | None:
         """Record that work has ended, and return it."""
-        work = self._works.pop(request, None)
+        work = self._forget(request)
         if work is None:
             return None
         self._last_progress_s = max(self._last_progress_s, now_s)
@@ -157,7 +178,9 @@
         running, end_s = _advance(waiting, began_s, now_s)
         ahead = [work.prefill_s for work in waiting if work.priority <= priority]
         rest_s = max(MIN_REMAINING_FRACTION * running.prefill_s, end_s - now_s)
-        return QueueForecast(rest_s + sum(ahead), len(waiting) - len(ahead))
+        ahead_s = sum(ahead)
+        ranked_s = ahead_s + (rest_s if running.priority <= priority else 0.0)
+        return QueueForecast(rest_s + ahead_s, ranked_s, len(waiting) - len(ahead))
 
     def forecast_link(self, now_s: float) -> float:
         """Return the seconds until the transfers over the engine's link have ended."""
@@ -165,9 +188,15 @@
 
     def count_prefilling(self, now_s: float) -> int:
         """Return how many prompts the engine presumably still has to prefill."""
-        return sum(
-            not self._is_overdue(work, now_s) for work in self._prefilling.values()
-        )
+        return len(self.list_prefilling(now_s))
+
+    def list_prefilling(self, now_s: float) -> list[Work]:
+        """Return the work whose prompts the engine presumably still prefills."""
+        return [
+            work
+            for work in self._prefilling.values()
+            if not self._is_overdue(work, now_s)
+        ]
 
     def count_ahead(self, priority: int) -> int:
         """Return how many calls get a slot before new work of a priority."""
@@ -185,12 +214,26 @@
             if now_s - work.started_s > WORK_EXPIRY_S
         ]
         for work in expired:
-            del self._works[work.request]
+            self._forget(work.request)
             if self._prefilling.pop(work.request, None) is not None:
                 # How much of the prompt was prefilled is unknown.
                 self._restart_sample(now_s)
         return expired
 
+    def _forget(self, request: RequestId) -> Work | None:
+        work = self._works.pop(request, None)
+        if work is None:
+            return None
+        key = AccountRank(work.account, work.priority)
+        for counts in self._list_counts(work):
+            counts[key] -= 1
+            if not counts[key]:
+                del counts[key]
+        return work
+
+    def _list_counts(self, work: Work) -> list[Counter[AccountRank]]:
+        return [self.counts] if work.origin else [self.counts, self.own_counts]
+
     def _take_sample(self, now_s: float) -> PrefillSample | None:
         if self._prefilling and self._busy_cost < MIN_BUSY_SAMPLE_COST:
             return None
--- a/bramleyport/fleet/_stream_versions.py
+++ b/bramleyport/fleet/_stream_versions.py
@@ -139,9 +139,10 @@
     ) -> frozenset[SoftwareVersion]:
         """Return the versions that new streams have, or had a moment ago."""
         known = self._shares.get(service, [])
+        later_ones = [*known[1:], None] if known else []
         return frozenset(
             version
-            for item, later in zip(known, [*known[1:], None], strict=True)
+            for item, later in zip(known, later_ones, strict=True)
             if later is None or now_s - later.since_s < recent_s
             for version in item.shares.versions
         )
--- a/bramleyport/gateway/_daemon.py
+++ b/bramleyport/gateway/_daemon.py
@@ -13,6 +13,7 @@
 from bramleyport.gateway._configuration_offers import ConfigurationOffers
 from bramleyport.gateway._crash_guard import CrashGuard
 from bramleyport.gateway._exchange import Exchanger
+from bramleyport.gateway._fair_room import RoomQueue
 from bramleyport.gateway._follower import (
     Follower,
     StateUpdater,
@@ -75,6 +76,7 @@
         versions: VersionStore,
         begun_streams: BegunStreamStore,
         caller_budget: CallerBudget,
+        rooms: RoomQueue,
         metrics: Metrics,
         metrics_port: int | None,
         duties: "DutyRunner | None" = None,
@@ -94,7 +96,7 @@
         self._readiness = Readiness(state)
         self._metrics_port = metrics_port
         self._duties = duties
-        page = MetricsPage(state, metrics, caller_budget)
+        page = MetricsPage(state, metrics, caller_budget, rooms)
         self._pages = CallerFactory(
             page.handle, self._read_limits, caller_budget, privileged=True
         )
--- a/bramleyport/gateway/_metrics.py
+++ b/bramleyport/gateway/_metrics.py
@@ -1,11 +1,13 @@
 """Count calls and attempts, and serve the metrics page."""
 
+import math
 from http import HTTPStatus
 from typing import Final
 
 from bramleyport.core import AccountId
 from bramleyport.fleet import Call
 from bramleyport.gateway._clock import read_now
+from bramleyport.gateway._fair_room import RoomQueue
 from bramleyport.gateway._reply import reply
 from bramleyport.gateway._state import GatewayState
 from bramleyport.http1 import (
@@ -69,11 +71,17 @@
     """Represent the metrics page of this process."""
 
     def __init__(
-        self, state: GatewayState, metrics: Metrics, caller_budget: CallerBudget
+        self,
+        state: GatewayState,
+        metrics: Metrics,
+        caller_budget: CallerBudget,
+        rooms: RoomQueue,
     ) -> None:
         self._state = state
         self._caller_budget = caller_budget
         self._metrics = metrics
+        self._rooms = rooms
+        self._accounts = BoundedLabels()
 
     async def handle(
         self, request: CallerRequest, connection: CallerConnection
@@ -88,6 +96,8 @@
         gauges.set({"name": "configuration_version"}, float(version))
         gauges.set({"name": "gateways"}, float(self._state.gateway_count or 0))
         gauges.set({"name": "held_calls"}, float(self._state.held_calls))
+        waiting = self._state.waiting_calls.total()
+        gauges.set({"name": "waiting_calls"}, float(waiting))
         upstreams = len(self._state.members.list_all())
         gauges.set({"name": "upstreams"}, float(upstreams))
         withheld = len(self._state.crash_evidence.verdicts)
@@ -97,6 +107,7 @@
         held_bytes = self._caller_budget.used_bytes
         gauges.set({"name": "caller_held_bytes"}, float(held_bytes))
         self._set_upstream_limits()
+        self._set_account_capacity()
         body = self._metrics.render_text()
         connection.answer(HTTPStatus.OK.value, b"OK", [METRICS_TYPE], body)
 
@@ -110,3 +121,19 @@
             for name, value in figures.items():
                 labels = {"upstream": registration.upstream, "figure": name}
                 gauge.set(labels, value)
+
+    def _set_account_capacity(self) -> None:
+        gauge = self._metrics.account_capacity
+        # Accounts that ask no more must not stay on the page.
+        gauge.values.clear()
+        for service, uses in self._rooms.list_accounts().items():
+            for use in uses:
+                labels = {
+                    "service": service,
+                    "account": self._accounts.choose(use.key.account),
+                    "rank": str(use.key.priority),
+                }
+                gauge.set({**labels, "figure": "occupied"}, use.occupied)
+                gauge.set({**labels, "figure": "waiting"}, float(use.waiting))
+                if math.isfinite(use.share):
+                    gauge.set({**labels, "figure": "share"}, use.share)
--- a/bramleyport/gateway/_peer_messages.py
+++ b/bramleyport/gateway/_peer_messages.py
@@ -41,6 +41,7 @@
     DutyStatus,
     LimitUpdate,
     SharedFact,
+    WorkAccount,
     WorkRef,
 )
 from bramleyport.gateway._store_updates import (
@@ -106,6 +107,8 @@
     # At most one, if this gateway has duties.
     duty_status: tuple[DutyStatus, ...] = ()
     usage: tuple[WindowCounts, ...] = ()
+    # The client accounts of the work that has started.
+    accounts: tuple[WorkAccount, ...] = ()
     # Version of the configuration in force; 0 if there is none.
     version: ConfigVersion = ConfigVersion(0)
     # Why items of the datagram were left out.
--- a/tests/test_version_shares.py
+++ b/tests/test_version_shares.py
@@ -202,3 +202,9 @@
     versions.set_shares(SERVICE, [ONE, QUARTER, LAST], now_s=10.0)
     found = {versions.choose(SERVICE, item, 10.5, {V2}) for item in ORIGINS}
     assert found == {None}
+
+
+def test_service_without_shares_has_no_recent_versions() -> None:
+    """Guards against an error that ended each round of planning until shares came."""
+    versions = StreamVersions()
+    assert versions.list_recent_versions(ServiceName("new"), 0.0, 1.0) == frozenset()
