--- a/bramleyport/http1/_client.py
+++ b/bramleyport/http1/_client.py
@@ -335,7 +335,7 @@
     async def _wait_for_event(self, step: str) -> AnswerEvent:
         while not self._events:
             if self._error is not None:
-                raise self._error
+                raise self._error.copy()
             if self.closed:
                 raise self._make_error(ExchangeFailure.BROKEN, step, "closed")
             self._waiter = asyncio.get_running_loop().create_future()
--- a/bramleyport/http1/_messages.py
+++ b/bramleyport/http1/_messages.py
@@ -29,8 +29,16 @@
         self, failure: ExchangeFailure, step: str, peer: str, reason: str
     ) -> None:
         super().__init__(step, peer, reason)
+        self._fields = (failure, step, peer, reason)
         self.failure = failure
 
+    def copy(self) -> "ExchangeError":
+        """Return an error to raise while this one is kept.
+
+        Its traceback would keep the frames of the reader for as long as the error.
+        """
+        return ExchangeError(*self._fields)
+
     @property
     def unsent(self) -> bool:
         """Return whether no byte of this exchange's request was sent.
--- a/tests/test_cut_answers.py
+++ b/tests/test_cut_answers.py
@@ -1,8 +1,11 @@
 """Guard callers against answers that were cut: none of them may look complete."""
 
 import asyncio
+import contextlib
+import gc
 import socket
 import struct
+import weakref
 from collections.abc import Callable, Coroutine, Iterator
 from pathlib import Path
 from typing import Any
@@ -12,7 +15,7 @@
 from twisted.python.failure import Failure
 
 from bramleyport.gateway._state import GatewayState
-from bramleyport.http1 import ExchangeError
+from bramleyport.http1 import ExchangeError, UpstreamConnection
 from tests.gateway_fleet import PLAIN, GatewayFleet, make_config
 from tests.platform_standin import LOOPBACK, RawRequest, Script, UpstreamStandin
 from tests.ports import find_port
@@ -293,3 +296,23 @@
         else:
             assert answer.status == 502
         assert len(fleet.list_runs()) == count
+
+
+def test_error_of_an_answer_keeps_no_connection(run: Run) -> None:
+    """Guards against answers that stay in memory until the next collection."""
+
+    async def fail() -> "weakref.ref[UpstreamConnection]":
+        connection, _ = open_connection()
+        connection.dataReceived(HEADS["length"] + b"part")
+        connection.connectionLost(Failure(ConnectionLost()))
+        with contextlib.suppress(ExchangeError):
+            await connection.read_head()
+            await connection.read_body()
+        connection.abort()
+        return weakref.ref(connection)
+
+    gc.disable()
+    try:
+        assert run(fail())() is None
+    finally:
+        gc.enable()
