--- a/bramleyport/composition.py
+++ b/bramleyport/composition.py
@@ -304,13 +304,13 @@
     from bramleyport.gateway._crash_guard import CrashGuard
     from bramleyport.gateway._daemon import Gateway
     from bramleyport.gateway._exchange import Exchanger
-    from bramleyport.gateway._fair_room import RoomQueue
     from bramleyport.gateway._forward import Forwarder
     from bramleyport.gateway._metrics import CallMetrics
     from bramleyport.gateway._peers import PeerLink
     from bramleyport.gateway._plain import PlainServer
     from bramleyport.gateway._prefill import Prefiller
     from bramleyport.gateway._process_check import ProcessChecker
+    from bramleyport.gateway._sharing_queue import SharingQueue
     from bramleyport.gateway._state import GatewayState
     from bramleyport.gateway._stream import StreamServer
     from bramleyport.gateway._verdict_store import VerdictStore
@@ -339,9 +339,9 @@
     begun_streams = BegunStreamStore(state, store)
     versions = VersionChooser(state, version_store, begun_streams)
     processes = ProcessChecker(state, store, exchanger)
-    rooms = RoomQueue(state, tracker)
+    sharing = SharingQueue(state, tracker)
     support = AttemptSupport(
-        state, exchanger, tracker, metrics, guard, versions, processes, rooms
+        state, exchanger, tracker, metrics, guard, versions, processes, sharing
     )
     prefiller = Prefiller(state, exchanger, tracker, support.retries)
     forwarder = Forwarder(
@@ -362,7 +362,7 @@
         version_store,
         begun_streams,
         caller_budget,
-        rooms,
+        sharing,
         metrics.metrics,
         metrics_port,
         _build_duties(state, store, peers, client, metrics.metrics),
--- a/bramleyport/fleet/__init__.py
+++ b/bramleyport/fleet/__init__.py
@@ -11,6 +11,13 @@
     authenticate,
     may_still_run,
 )
+from bramleyport.fleet._capacity_use import (
+    extend_for_one,
+    has_free_prefill,
+    has_free_slots,
+    measure_prefill,
+    measure_slots,
+)
 from bramleyport.fleet._choice import Choice, Chooser
 from bramleyport.fleet._crash_evidence import (
     MAX_CRASHES,
@@ -26,15 +33,15 @@
 from bramleyport.fleet._decode_times import CallTimes, DecodeTimes
 from bramleyport.fleet._ended import EndedProcess
 from bramleyport.fleet._even_load import EvenLoad
-from bramleyport.fleet._fair_room import (
+from bramleyport.fleet._fair_sharing import (
     MAX_WAITING,
     AccountUse,
     Admit,
-    FairRoom,
+    CapacityUse,
+    FairSharing,
     Refuse,
-    RoomCall,
-    RoomDecision,
-    RoomUse,
+    SharingCall,
+    SharingDecision,
     Wait,
 )
 from bramleyport.fleet._freshness import (
@@ -66,13 +73,6 @@
 from bramleyport.fleet._rate_shares import RateShare, RateShares
 from bramleyport.fleet._reachability import Reachability
 from bramleyport.fleet._recorder import WorkRecorder
-from bramleyport.fleet._room_use import (
-    extend_for_one,
-    has_free_prefill,
-    has_free_slots,
-    measure_prefill,
-    measure_slots,
-)
 from bramleyport.fleet._roster import GatewayRoster
 from bramleyport.fleet._routes import RouteTable, choose_service
 from bramleyport.fleet._scale_plan import (
@@ -148,6 +148,7 @@
     "CallTimes",
     "CallTraits",
     "CallerLimits",
+    "CapacityUse",
     "Choice",
     "Chooser",
     "ClientAccount",
@@ -161,7 +162,7 @@
     "EngineTraits",
     "EngineView",
     "EvenLoad",
-    "FairRoom",
+    "FairSharing",
     "Freshness",
     "GatewayRoster",
     "HarmlessTrait",
@@ -187,9 +188,6 @@
     "Registration",
     "Repeatability",
     "RequestIdentity",
-    "RoomCall",
-    "RoomDecision",
-    "RoomUse",
     "Route",
     "RouteName",
     "RouteTable",
@@ -201,6 +199,8 @@
     "ServingGroup",
     "ServingScope",
     "SharesKnowledge",
+    "SharingCall",
+    "SharingDecision",
     "ShutdownSchedule",
     "SoftwareVersion",
     "Stage",
--- a/bramleyport/fleet/_room_use.py
+++ b/bramleyport/fleet/_capacity_use.py
@@ -6,7 +6,7 @@
 from dataclasses import replace
 from typing import Final
 
-from bramleyport.fleet._fair_room import RoomUse
+from bramleyport.fleet._fair_sharing import CapacityUse
 from bramleyport.fleet._load import AccountRank, LoadTracker
 from bramleyport.fleet._pacing import compute_update_delay
 from bramleyport.fleet._types import Registration
@@ -20,7 +20,7 @@
 
 def measure_slots(
     ready: Sequence[Registration], loads: LoadTracker, run_s: float, gateways: int
-) -> RoomUse:
+) -> CapacityUse:
     """Return the use of the slots of plain upstreams, whose calls run for a time."""
     capacity = sum(item.slots for item in ready)
     occupied: Counter[AccountRank] = Counter()
@@ -35,7 +35,7 @@
     fraction = max(1 / gateways, own / used if used else 0.0)
     # The others' newest calls are not known here, so each gateway keeps to its part.
     own_left = ALONE_FACTOR * capacity / gateways - own
-    return RoomUse(
+    return CapacityUse(
         capacity=float(capacity),
         used=float(used),
         occupied=occupied,
@@ -50,7 +50,7 @@
     )
 
 
-def extend_for_one(use: RoomUse) -> RoomUse:
+def extend_for_one(use: CapacityUse) -> CapacityUse:
     """Return the use that applies while only one account asks."""
     # Each gateway keeps to its part, so that none needs a quota.
     return replace(use, capacity=use.capacity + use.extension, gateways=1)
@@ -83,7 +83,7 @@
     objective_s: float,
     gateways: int,
     now_s: float,
-) -> RoomUse:
+) -> CapacityUse:
     """Return the use of the prefill time of engines, for calls of one rank.
 
     Engines prefill urgent prompts first, so only those of its own rank and of more
@@ -103,7 +103,7 @@
             own += not work.origin
     mean_s = total_s / count if total_s else objective_s
     fraction = max(1 / gateways, own / count if count else 0.0)
-    return RoomUse(
+    return CapacityUse(
         capacity=len(ready) * objective_s,
         used=outstanding_s,
         occupied=occupied,
--- a/bramleyport/fleet/_fair_room.py
+++ b/bramleyport/fleet/_fair_sharing.py
@@ -46,7 +46,7 @@
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
-class RoomUse:
+class CapacityUse:
     """Describe the capacity of a service, and who occupies it at all gateways.
 
     The unit is a slot of a plain service, or a second of prefill of an engine.
@@ -74,7 +74,7 @@
 
 
 @dataclass(frozen=True, slots=True, eq=False)
-class RoomCall:
+class SharingCall:
     """Represent one call that asks for capacity."""
 
     key: AccountRank
@@ -100,7 +100,7 @@
     retry_after_s: float
 
 
-RoomDecision = Admit | Wait | Refuse
+SharingDecision = Admit | Wait | Refuse
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -119,7 +119,7 @@
     """Represent the waiting calls of one rank, by account and oldest first."""
 
     count: int = 0
-    accounts: dict[AccountId, dict[RoomCall, int]] = field(default_factory=dict)
+    accounts: dict[AccountId, dict[SharingCall, int]] = field(default_factory=dict)
 
 
 def find_fair_share(capacity: float, demands: Iterable[float]) -> float:
@@ -136,14 +136,14 @@
     return math.inf
 
 
-class FairRoom:
+class FairSharing:
     """Decide which calls of a service are sent now, and which ones wait."""
 
     def __init__(self) -> None:
         self._waiting: dict[int, _WaitingRank] = {}
         self._next_number = 0
         # Calls that were released and are not counted as work yet.
-        self._released: dict[RoomCall, None] = {}
+        self._released: dict[SharingCall, None] = {}
         self._released_counts: Counter[AccountRank] = Counter()
         # When the accounts that asked last did so.
         self._asked_s: OrderedDict[AccountId, float] = OrderedDict()
@@ -172,7 +172,7 @@
         """Return whether calls wait, or could not be sent a moment ago."""
         return now_s - self._short_s <= SHORTAGE_S
 
-    def has_free(self, use: RoomUse, now_s: float) -> bool:
+    def has_free(self, use: CapacityUse, now_s: float) -> bool:
         """Return whether capacity is free here, or nothing is known to have any.
 
         In a shortage many gateways see the same free capacity, late. Each then uses
@@ -189,7 +189,7 @@
         self._update_quota(use, now_s)
         return use.own + released + use.call_size <= self._quota
 
-    def _update_quota(self, use: RoomUse, now_s: float) -> None:
+    def _update_quota(self, use: CapacityUse, now_s: float) -> None:
         """Let the quota take up, or give back, a part of what is free or lacking."""
         if now_s - self._quota_s > SHORTAGE_S:
             self._quota = use.own
@@ -203,13 +203,13 @@
 
     def decide(
         self,
-        call: RoomCall,
-        use: RoomUse,
+        call: SharingCall,
+        use: CapacityUse,
         *,
         max_wait_s: float,
         places: int,
         now_s: float,
-    ) -> RoomDecision:
+    ) -> SharingDecision:
         """Decide on a call, by how long it can wait and the places that are left."""
         if self.has_free(use, now_s) or self._is_under_share(call.key, use, asking=1):
             return Admit()
@@ -221,14 +221,14 @@
             return Refuse(self.forecast_retry(call.key, use))
         return Wait(max_wait_s)
 
-    def add(self, call: RoomCall) -> None:
+    def add(self, call: SharingCall) -> None:
         """Record that a call waits."""
         rank = self._waiting.setdefault(call.key.priority, _WaitingRank())
         rank.accounts.setdefault(call.key.account, {})[call] = self._next_number
         rank.count += 1
         self._next_number += 1
 
-    def remove(self, call: RoomCall) -> None:
+    def remove(self, call: SharingCall) -> None:
         """Record that a call goes on, as it was released, or has left."""
         if call not in self._released:
             self._remove_waiting(call)
@@ -239,8 +239,8 @@
             del self._released_counts[call.key]
 
     def release_next(
-        self, measure: Callable[[RoomCall], RoomUse], now_s: float
-    ) -> RoomCall | None:
+        self, measure: Callable[[SharingCall], CapacityUse], now_s: float
+    ) -> SharingCall | None:
         """Release and return the next call that may be sent now, if any may.
 
         The most urgent rank goes first, then the account that occupies least, then the
@@ -256,13 +256,13 @@
                 return call
         return None
 
-    def release(self, call: RoomCall) -> None:
+    def release(self, call: SharingCall) -> None:
         """Record that a waiting call may be sent."""
         self._remove_waiting(call)
         self._released[call] = None
         self._released_counts[call.key] += 1
 
-    def forecast_wait(self, key: AccountRank, use: RoomUse) -> float:
+    def forecast_wait(self, key: AccountRank, use: CapacityUse) -> float:
         """Return the seconds until a new call of an account would be released."""
         ahead = 0.0
         for priority, rank in self._waiting.items():
@@ -273,11 +273,13 @@
                 ahead += bound_cost_ahead(rank.count, own, len(rank.accounts), 1.0)
         return (ahead + 1.0) / use.calls_per_s if use.calls_per_s else math.inf
 
-    def forecast_retry(self, key: AccountRank, use: RoomUse) -> float:
+    def forecast_retry(self, key: AccountRank, use: CapacityUse) -> float:
         """Return after how many seconds a refused call should be sent again."""
         return min(MAX_RETRY_S, max(MIN_RETRY_S, self.forecast_wait(key, use)))
 
-    def find_share(self, key: AccountRank, use: RoomUse, *, asking: int = 0) -> float:
+    def find_share(
+        self, key: AccountRank, use: CapacityUse, *, asking: int = 0
+    ) -> float:
         """Return the fair share in a rank, if an account asks for further calls."""
         demands = {key.account: asking * use.call_size}
         urgent = 0.0
@@ -292,7 +294,7 @@
         left = max(MIN_RANK_FRACTION * use.capacity, use.capacity - urgent)
         return find_fair_share(left, demands.values())
 
-    def list_waiting(self) -> list[RoomCall]:
+    def list_waiting(self) -> list[SharingCall]:
         """Return the calls that wait, the most urgent first."""
         return [
             call
@@ -301,7 +303,7 @@
             for call in calls
         ]
 
-    def describe(self, use: RoomUse) -> list[AccountUse]:
+    def describe(self, use: CapacityUse) -> list[AccountUse]:
         """Return what each account has of the capacity."""
         return [
             AccountUse(
@@ -314,7 +316,7 @@
         ]
 
     def _is_under_share(
-        self, key: AccountRank, use: RoomUse, *, asking: int = 0
+        self, key: AccountRank, use: CapacityUse, *, asking: int = 0
     ) -> bool:
         share = self.find_share(key, use, asking=asking)
         if use.gateways >= MIN_QUOTA_GATEWAYS:
@@ -324,7 +326,7 @@
                 return False
         return self._occupied(key, use) + use.entry_size <= share
 
-    def _occupied(self, key: AccountRank, use: RoomUse) -> float:
+    def _occupied(self, key: AccountRank, use: CapacityUse) -> float:
         released = use.call_size * self._released_counts.get(key, 0)
         return use.occupied.get(key, 0.0) + released
 
@@ -332,7 +334,7 @@
         rank = self._waiting.get(key.priority)
         return len(rank.accounts.get(key.account, ())) if rank else 0
 
-    def _list_keys(self, use: RoomUse) -> set[AccountRank]:
+    def _list_keys(self, use: CapacityUse) -> set[AccountRank]:
         waiting = {
             AccountRank(account, priority)
             for priority, rank in self._waiting.items()
@@ -340,7 +342,7 @@
         }
         return waiting | use.occupied.keys() | self._released_counts.keys()
 
-    def _find_first(self, rank: _WaitingRank, use: RoomUse) -> RoomCall:
+    def _find_first(self, rank: _WaitingRank, use: CapacityUse) -> SharingCall:
         """Return the oldest call of the account that occupies least."""
         oldest = [next(iter(calls.items())) for calls in rank.accounts.values()]
         call, _ = min(
@@ -348,7 +350,7 @@
         )
         return call
 
-    def _remove_waiting(self, call: RoomCall) -> None:
+    def _remove_waiting(self, call: SharingCall) -> None:
         rank = self._waiting[call.key.priority]
         calls = rank.accounts[call.key.account]
         del calls[call]
--- a/bramleyport/gateway/_attempt.py
+++ b/bramleyport/gateway/_attempt.py
@@ -16,7 +16,6 @@
 from bramleyport.gateway._clock import read_now
 from bramleyport.gateway._crash_guard import CrashGuard
 from bramleyport.gateway._exchange import Exchanger
-from bramleyport.gateway._fair_room import RoomQueue
 from bramleyport.gateway._metrics import CallMetrics
 from bramleyport.gateway._outcome import AttemptEnd, FailedAttempt
 from bramleyport.gateway._placement import Placement
@@ -30,6 +29,7 @@
     reply_unknown_key,
 )
 from bramleyport.gateway._retries import RetryDecider
+from bramleyport.gateway._sharing_queue import SharingQueue
 from bramleyport.gateway._state import GatewayState
 from bramleyport.gateway._version_choice import VersionChooser
 from bramleyport.gateway._work_tracker import WorkTracker
@@ -51,7 +51,7 @@
         guard: CrashGuard,
         versions: VersionChooser,
         processes: ProcessChecker,
-        rooms: RoomQueue,
+        sharing: SharingQueue,
     ) -> None:
         self.state = state
         self.exchanger = exchanger
@@ -61,9 +61,9 @@
         self.processes = processes
         self.retries = RetryDecider(state, versions)
         self.guard = guard
-        self.rooms = rooms
+        self.sharing = sharing
         self._placement = Placement(
-            state, guard, versions, processes, self.retries, rooms
+            state, guard, versions, processes, self.retries, sharing
         )
 
     async def place(self, context: CallContext) -> Choice | Rejected:
--- a/bramleyport/gateway/_daemon.py
+++ b/bramleyport/gateway/_daemon.py
@@ -13,7 +13,6 @@
 from bramleyport.gateway._configuration_offers import ConfigurationOffers
 from bramleyport.gateway._crash_guard import CrashGuard
 from bramleyport.gateway._exchange import Exchanger
-from bramleyport.gateway._fair_room import RoomQueue
 from bramleyport.gateway._follower import (
     Follower,
     StateUpdater,
@@ -26,6 +25,7 @@
 from bramleyport.gateway._peer_directory import PeerDirectory
 from bramleyport.gateway._peers import ANNOUNCE_INTERVAL_S, PeerLink
 from bramleyport.gateway._readiness import Readiness
+from bramleyport.gateway._sharing_queue import SharingQueue
 from bramleyport.gateway._shutdown import Shutdown
 from bramleyport.gateway._stages import StageController
 from bramleyport.gateway._state import GatewayState
@@ -76,7 +76,7 @@
         versions: VersionStore,
         begun_streams: BegunStreamStore,
         caller_budget: CallerBudget,
-        rooms: RoomQueue,
+        sharing: SharingQueue,
         metrics: Metrics,
         metrics_port: int | None,
         duties: "DutyRunner | None" = None,
@@ -96,7 +96,7 @@
         self._readiness = Readiness(state)
         self._metrics_port = metrics_port
         self._duties = duties
-        page = MetricsPage(state, metrics, caller_budget, rooms)
+        page = MetricsPage(state, metrics, caller_budget, sharing)
         self._pages = CallerFactory(
             page.handle, self._read_limits, caller_budget, privileged=True
         )
--- a/bramleyport/gateway/_metrics.py
+++ b/bramleyport/gateway/_metrics.py
@@ -7,8 +7,8 @@
 from bramleyport.core import AccountId
 from bramleyport.fleet import Call
 from bramleyport.gateway._clock import read_now
-from bramleyport.gateway._fair_room import RoomQueue
 from bramleyport.gateway._reply import reply
+from bramleyport.gateway._sharing_queue import SharingQueue
 from bramleyport.gateway._state import GatewayState
 from bramleyport.http1 import (
     CallerBudget,
@@ -75,12 +75,12 @@
         state: GatewayState,
         metrics: Metrics,
         caller_budget: CallerBudget,
-        rooms: RoomQueue,
+        sharing: SharingQueue,
     ) -> None:
         self._state = state
         self._caller_budget = caller_budget
         self._metrics = metrics
-        self._rooms = rooms
+        self._sharing = sharing
         self._accounts = BoundedLabels()
 
     async def handle(
@@ -126,7 +126,7 @@
         gauge = self._metrics.account_capacity
         # Accounts that ask no more must not stay on the page.
         gauge.values.clear()
-        for service, uses in self._rooms.list_accounts().items():
+        for service, uses in self._sharing.list_accounts().items():
             for use in uses:
                 labels = {
                     "service": service,
--- a/bramleyport/gateway/_placement.py
+++ b/bramleyport/gateway/_placement.py
@@ -16,12 +16,12 @@
 from bramleyport.gateway._call_context import WAIT_FRACTION, CallContext
 from bramleyport.gateway._clock import read_now
 from bramleyport.gateway._crash_guard import CrashGuard
-from bramleyport.gateway._fair_room import RoomQueue
 from bramleyport.gateway._process_check import ProcessChecker
 from bramleyport.gateway._rate_limits import OVER_LIMIT, Reservation
 from bramleyport.gateway._reply import UNKNOWN_KEY
 from bramleyport.gateway._retries import MIN_REMAINING_S, RetryDecider
 from bramleyport.gateway._return_queue import ReturnQueue
+from bramleyport.gateway._sharing_queue import SharingQueue
 from bramleyport.gateway._state import PAUSED, GatewayState
 from bramleyport.gateway._version_choice import VersionChooser
 from bramleyport.telemetry import gateway_events, log_event
@@ -48,13 +48,13 @@
         versions: VersionChooser,
         processes: ProcessChecker,
         retries: RetryDecider,
-        rooms: RoomQueue,
+        sharing: SharingQueue,
     ) -> None:
         self._state = state
         self._guard = guard
         self._versions = versions
         self._retries = retries
-        self._rooms = rooms
+        self._sharing = sharing
         self._returns = ReturnQueue(state, processes)
 
     async def place(self, context: CallContext) -> Choice | Rejected:
@@ -70,7 +70,7 @@
             await self._versions.settle(context)
             if not self._may_still_run(context):
                 return _refuse_key()
-            refusal = await self._rooms.enter(context)
+            refusal = await self._sharing.enter(context)
             if not self._may_still_run(context):
                 return _refuse_key()
             if refusal is not None:
--- a/bramleyport/gateway/_plain.py
+++ b/bramleyport/gateway/_plain.py
@@ -83,7 +83,7 @@
         if isinstance(result, FailedAttempt):
             record.record_end()
         else:
-            support.rooms.record_run(context.call, read_now() - began_s)
+            support.sharing.record_run(context.call, read_now() - began_s)
         return result
 
     async def _run_exchange(
--- a/bramleyport/gateway/_fair_room.py
+++ b/bramleyport/gateway/_sharing_queue.py
@@ -16,12 +16,12 @@
     Admit,
     Call,
     CallTimes,
+    CapacityUse,
     Configuration,
-    FairRoom,
+    FairSharing,
     Refuse,
     Registration,
-    RoomCall,
-    RoomUse,
+    SharingCall,
     extend_for_one,
     has_free_prefill,
     has_free_slots,
@@ -50,15 +50,15 @@
     released: asyncio.Future[None]
 
 
-class RoomQueue:
+class SharingQueue:
     """Represent the calls that wait for their accounts' share of a service."""
 
     def __init__(self, state: GatewayState, tracker: WorkTracker) -> None:
         self._state = state
-        self._rooms: dict[ServiceName, FairRoom] = {}
-        self._waiting: dict[RoomCall, _WaitingCall] = {}
+        self._by_service: dict[ServiceName, FairSharing] = {}
+        self._waiting: dict[SharingCall, _WaitingCall] = {}
         # The last call that found no free capacity.
-        self._last_calls: dict[ServiceName, RoomCall] = {}
+        self._last_calls: dict[ServiceName, SharingCall] = {}
         self._run_times = CallTimes()
         # By which the keys of waiting calls were checked last.
         self._configuration: Configuration | None = None
@@ -78,33 +78,35 @@
         key = AccountRank(
             context.call.account_name or NO_ACCOUNT, context.call.priority
         )
-        call = RoomCall(key, context.call.route.objective_s)
+        call = SharingCall(key, context.call.route.objective_s)
         service = context.call.service
-        room = self._rooms.setdefault(service, FairRoom())
-        room.record_asking([key.account], now_s)
-        if not room.is_short(now_s) and self._has_free(service, call, now_s):
+        sharing = self._by_service.setdefault(service, FairSharing())
+        sharing.record_asking([key.account], now_s)
+        if not sharing.is_short(now_s) and self._has_free(service, call, now_s):
             return None
-        self._release_service(service, room)
+        self._release_service(service, sharing)
         self._last_calls[service] = call
         use = self._measure(service, call, now_s)
         places = MAX_WAITING - len(self._waiting)
         max_s = self._find_longest_wait(context, use, now_s)
-        decision = room.decide(call, use, max_wait_s=max_s, places=places, now_s=now_s)
+        decision = sharing.decide(
+            call, use, max_wait_s=max_s, places=places, now_s=now_s
+        )
         if isinstance(decision, Admit):
             return None
         if isinstance(decision, Refuse):
-            return _refuse(room, call, use, decision.retry_after_s)
-        return await self._wait(context, room, call, use, decision.max_s)
+            return _refuse(sharing, call, use, decision.retry_after_s)
+        return await self._wait(context, sharing, call, use, decision.max_s)
 
     def list_accounts(self) -> dict[ServiceName, list[AccountUse]]:
         """Return what accounts have of the services that they share."""
         now_s = read_now()
         return {
-            service: room.describe(
+            service: sharing.describe(
                 self._measure(service, self._last_calls[service], now_s)
             )
-            for service, room in self._rooms.items()
-            if service in self._last_calls and room.is_shared(now_s)
+            for service, sharing in self._by_service.items()
+            if service in self._last_calls and sharing.is_shared(now_s)
         }
 
     def _is_subject(self, context: CallContext) -> bool:
@@ -117,25 +119,25 @@
     async def _wait(
         self,
         context: CallContext,
-        room: FairRoom,
-        call: RoomCall,
-        use: RoomUse,
+        sharing: FairSharing,
+        call: SharingCall,
+        use: CapacityUse,
         max_s: float,
     ) -> Rejected | None:
         began_s = read_now()
-        numbers = _describe(room, call, use)
+        numbers = _describe(sharing, call, use)
         log_event(
             gateway_events.CALL_WAITS,
             request=context.call.request,
             service=context.call.service,
             account=call.key.account,
             priority=call.key.priority,
-            forecast_s=round(room.forecast_wait(call.key, use), 3),
+            forecast_s=round(sharing.forecast_wait(call.key, use), 3),
             left_s=round(context.remaining_s, 3),
             **numbers,
         )
         released = asyncio.get_running_loop().create_future()
-        room.add(call)
+        sharing.add(call)
         self._waiting[call] = _WaitingCall(context.call, released)
         self._state.waiting_calls[context.call.service] += 1
         self._schedule()
@@ -145,7 +147,7 @@
         except TimeoutError:
             self._release_soon()
             use = self._measure(context.call.service, call, read_now())
-            return _refuse(room, call, use, room.forecast_retry(call.key, use))
+            return _refuse(sharing, call, use, sharing.forecast_retry(call.key, use))
         except asyncio.CancelledError:
             # What was meant for a caller that has left goes to the next one.
             self._release_soon()
@@ -153,7 +155,7 @@
         finally:
             self._state.waiting_calls[context.call.service] -= 1
             del self._waiting[call]
-            room.remove(call)
+            sharing.remove(call)
         log_event(
             gateway_events.CALL_ADMITTED,
             request=context.call.request,
@@ -163,7 +165,7 @@
         return None
 
     def _find_longest_wait(
-        self, context: CallContext, use: RoomUse, now_s: float
+        self, context: CallContext, use: CapacityUse, now_s: float
     ) -> float:
         """Return how long a call can wait and still be answered in time."""
         left_s = USABLE_FRACTION * context.remaining_s
@@ -171,7 +173,7 @@
             left_s = min(left_s, self._state.shutdown.end_s - now_s)
         return left_s - self._forecast_run(context, use)
 
-    def _forecast_run(self, context: CallContext, use: RoomUse) -> float:
+    def _forecast_run(self, context: CallContext, use: CapacityUse) -> float:
         call = context.call
         if context.engine is not None:
             return use.call_size + self._state.decode_times.forecast(call)
@@ -193,7 +195,7 @@
         found = configuration.services.get(service) if configuration else None
         return found is not None and found.engine is not None
 
-    def _has_free(self, service: ServiceName, call: RoomCall, now_s: float) -> bool:
+    def _has_free(self, service: ServiceName, call: SharingCall, now_s: float) -> bool:
         ready = self._list_ready(service, now_s)
         loads = self._state.loads
         if not self._has_engines(service):
@@ -202,7 +204,9 @@
             ready, loads, call.key.priority, call.objective_s, now_s
         )
 
-    def _measure(self, service: ServiceName, call: RoomCall, now_s: float) -> RoomUse:
+    def _measure(
+        self, service: ServiceName, call: SharingCall, now_s: float
+    ) -> CapacityUse:
         ready = self._list_ready(service, now_s)
         loads = self._state.loads
         gateways = self._state.gateway_count or 1
@@ -213,10 +217,10 @@
         else:
             run_s = self._run_times.forecast_service(service) or call.objective_s
             use = measure_slots(ready, loads, run_s, gateways)
-        room = self._rooms[service]
+        sharing = self._by_service[service]
         accounts = {key.account for key in use.occupied} - {NO_ACCOUNT}
-        room.record_asking(accounts, now_s)
-        return use if room.is_shared(now_s) else extend_for_one(use)
+        sharing.record_asking(accounts, now_s)
+        return use if sharing.is_shared(now_s) else extend_for_one(use)
 
     def _schedule(self) -> None:
         if self._timer is None:
@@ -239,24 +243,24 @@
 
     def _release_all(self) -> None:
         self._release_handle = None
-        for service, room in self._rooms.items():
-            if room:
-                self._release_service(service, room)
+        for service, sharing in self._by_service.items():
+            if sharing:
+                self._release_service(service, sharing)
 
-    def _release_service(self, service: ServiceName, room: FairRoom) -> None:
+    def _release_service(self, service: ServiceName, sharing: FairSharing) -> None:
         """Release the calls of a service that may be sent now."""
         now_s = read_now()
         configuration = self._state.configuration
         has_accounts = configuration is not None and configuration.accounts is not None
         if not has_accounts:
-            for call in room.list_waiting():
-                self._release(room, call)
+            for call in sharing.list_waiting():
+                self._release(sharing, call)
             return
 
-        def measure(call: RoomCall) -> RoomUse:
+        def measure(call: SharingCall) -> CapacityUse:
             return self._measure(service, call, now_s)
 
-        while (released := room.release_next(measure, now_s)) is not None:
+        while (released := sharing.release_next(measure, now_s)) is not None:
             self._resume(released)
 
     def _check_configuration(self) -> None:
@@ -265,34 +269,36 @@
         if configuration is None or configuration is self._configuration:
             return
         self._configuration = configuration
-        for room in self._rooms.values():
-            for call in room.list_waiting():
+        for sharing in self._by_service.values():
+            for call in sharing.list_waiting():
                 if not may_still_run(configuration, self._waiting[call].call):
-                    self._release(room, call)
+                    self._release(sharing, call)
 
-    def _release(self, room: FairRoom, call: RoomCall) -> None:
-        room.release(call)
+    def _release(self, sharing: FairSharing, call: SharingCall) -> None:
+        sharing.release(call)
         self._resume(call)
 
-    def _resume(self, call: RoomCall) -> None:
+    def _resume(self, call: SharingCall) -> None:
         released = self._waiting[call].released
         if not released.done():
             released.set_result(None)
 
 
 def _refuse(
-    room: FairRoom, call: RoomCall, use: RoomUse, retry_after_s: float
+    sharing: FairSharing, call: SharingCall, use: CapacityUse, retry_after_s: float
 ) -> Rejected:
-    numbers = _describe(room, call, use)
+    numbers = _describe(sharing, call, use)
     return Rejected(Explanation(reason=OVER_SHARE, numbers=numbers), retry_after_s)
 
 
-def _describe(room: FairRoom, call: RoomCall, use: RoomUse) -> dict[str, float]:
-    share = min(use.capacity, room.find_share(call.key, use, asking=1))
+def _describe(
+    sharing: FairSharing, call: SharingCall, use: CapacityUse
+) -> dict[str, float]:
+    share = min(use.capacity, sharing.find_share(call.key, use, asking=1))
     return {
         "capacity": round(use.capacity, 3),
         "used": round(use.used, 3),
         "share": round(share, 3),
         "occupied": round(use.occupied.get(call.key, 0.0), 3),
-        "waiting": float(len(room)),
+        "waiting": float(len(sharing)),
     }
--- a/tests/test_fair_room.py
+++ b/tests/test_fair_sharing_decisions.py
@@ -9,12 +9,12 @@
 from bramleyport.fleet import (
     AccountRank,
     Admit,
-    FairRoom,
+    CapacityUse,
+    FairSharing,
     LoadTracker,
     Refuse,
-    RoomCall,
-    RoomDecision,
-    RoomUse,
+    SharingCall,
+    SharingDecision,
     Stage,
     Wait,
     Work,
@@ -22,20 +22,20 @@
     measure_prefill,
     measure_slots,
 )
-from bramleyport.fleet._fair_room import find_fair_share
+from bramleyport.fleet._fair_sharing import find_fair_share
 from tests.fleet_builders import make_engine
 
 CAPACITY = 18.0
 PLACES = 100
 
 
-def make_call(account: str, priority: int = 0) -> RoomCall:
-    return RoomCall(AccountRank(AccountId(account), priority), objective_s=0.4)
+def make_call(account: str, priority: int = 0) -> SharingCall:
+    return SharingCall(AccountRank(AccountId(account), priority), objective_s=0.4)
 
 
-def make_use(*held: tuple[str, int, float], capacity: float = CAPACITY) -> RoomUse:
+def make_use(*held: tuple[str, int, float], capacity: float = CAPACITY) -> CapacityUse:
     """Return the use of slots by accounts, in ranks."""
-    return RoomUse(
+    return CapacityUse(
         capacity=capacity,
         used=sum(count for _, _, count in held),
         occupied={make_call(name, rank).key: count for name, rank, count in held},
@@ -54,10 +54,13 @@
 
 
 def decide(
-    room: FairRoom, call: RoomCall, max_wait_s: float, use: RoomUse = FLOODED
-) -> RoomDecision:
-    places = PLACES - len(room)
-    return room.decide(call, use, max_wait_s=max_wait_s, places=places, now_s=0.0)
+    sharing: FairSharing,
+    call: SharingCall,
+    max_wait_s: float,
+    use: CapacityUse = FLOODED,
+) -> SharingDecision:
+    places = PLACES - len(sharing)
+    return sharing.decide(call, use, max_wait_s=max_wait_s, places=places, now_s=0.0)
 
 
 @given(st.floats(0.1, 100), st.lists(st.floats(0, 100), min_size=1, max_size=20))
@@ -72,38 +75,38 @@
 
 def test_small_account_is_admitted_and_the_flood_waits_or_is_refused() -> None:
     """Guards against a small account behind a flood, and waits to the deadline."""
-    room = FairRoom()
-    assert decide(room, make_call("flood"), 0.0, make_use()) == Admit()
+    sharing = FairSharing()
+    assert decide(sharing, make_call("flood"), 0.0, make_use()) == Admit()
     no_upstream = make_use(("flood", 0, 1.0), capacity=0.0)
-    assert decide(room, make_call("flood"), 0.0, no_upstream) == Admit()
-    assert decide(room, make_call("b"), 0.0) == Admit()
+    assert decide(sharing, make_call("flood"), 0.0, no_upstream) == Admit()
+    assert decide(sharing, make_call("b"), 0.0) == Admit()
     for _ in range(10):
-        room.add(make_call("flood"))
+        sharing.add(make_call("flood"))
     # It is forecast to wait 1.1 s, with an allowance.
-    assert decide(room, make_call("flood"), 1.5) == Wait(1.5)
-    refusal = decide(room, make_call("flood"), 1.2)
+    assert decide(sharing, make_call("flood"), 1.5) == Wait(1.5)
+    refusal = decide(sharing, make_call("flood"), 1.2)
     assert refusal == Refuse(retry_after_s=pytest.approx(1.1))
 
 
 def test_no_account_takes_all_places() -> None:
     """Guards against a flood that keeps others from waiting."""
-    room = FairRoom()
+    sharing = FairSharing()
     for _ in range(PLACES // 2):
-        room.add(make_call("flood"))
-    assert isinstance(decide(room, make_call("flood"), 99.0), Refuse)
-    room.add(make_call("c"))
-    assert isinstance(decide(room, make_call("a", 1), 99.0), Admit | Wait)
+        sharing.add(make_call("flood"))
+    assert isinstance(decide(sharing, make_call("flood"), 99.0), Refuse)
+    sharing.add(make_call("c"))
+    assert isinstance(decide(sharing, make_call("a", 1), 99.0), Admit | Wait)
 
 
 def test_release_follows_rank_then_occupancy_then_age() -> None:
     """Guards against another order than docs/hard-load.md states."""
-    room = FairRoom()
+    sharing = FairSharing()
     calls = [make_call("x", 1), *map(make_call, "bacca")]
     for call in calls:
-        room.add(call)
+        sharing.add(call)
     use = make_use(("b", 0, 2.0), ("c", 0, 1.0), ("d", 0, 10.0))
     released = []
-    while (call := room.release_next(lambda _: use, 0.0)) is not None:
+    while (call := sharing.release_next(lambda _: use, 0.0)) is not None:
         released.append(calls.index(call))
     # What is released counts as occupied: a has 1 after its first call, as c has.
     assert released == [2, 3, 5, 1, 4, 0]
@@ -111,34 +114,34 @@
 
 def test_free_slot_goes_to_one_call() -> None:
     """Guards against two calls that are released before the first one is sent."""
-    room = FairRoom()
+    sharing = FairSharing()
     use = make_use(("flood", 0, 16.0), ("a", 0, 1.0))
     for _ in range(2):
-        room.add(make_call("flood"))
-    call = room.release_next(lambda _: use, 0.0)
+        sharing.add(make_call("flood"))
+    call = sharing.release_next(lambda _: use, 0.0)
     assert call is not None
-    assert room.release_next(lambda _: use, 0.0) is None
-    room.remove(call)
-    assert room.release_next(lambda _: use, 0.0) is not None
+    assert sharing.release_next(lambda _: use, 0.0) is None
+    sharing.remove(call)
+    assert sharing.release_next(lambda _: use, 0.0) is not None
 
 
 def test_less_urgent_rank_keeps_a_part() -> None:
     """Guards against a rank that is refused altogether under an urgent flood."""
-    room = FairRoom()
+    sharing = FairSharing()
     use = make_use(("flood", 0, CAPACITY))
-    assert decide(room, make_call("a", 1), 0.0, use) == Admit()
+    assert decide(sharing, make_call("a", 1), 0.0, use) == Admit()
     use = make_use(("flood", 0, CAPACITY), ("a", 1, 2.0))
-    assert decide(room, make_call("a", 1), 9.0, use) == Wait(9.0)
-    assert decide(room, make_call("b", 0), 0.0, use) == Admit()
+    assert decide(sharing, make_call("a", 1), 9.0, use) == Wait(9.0)
+    assert decide(sharing, make_call("b", 0), 0.0, use) == Admit()
 
 
 def test_account_counts_as_asking_for_a_while() -> None:
     """Guards against a lone account that is held for one that has gone."""
-    room = FairRoom()
-    room.record_asking([AccountId("a"), AccountId("b"), AccountId("c")], 0.0)
-    room.record_asking([AccountId("a")], 20.0)
-    assert room.is_shared(20.0)
-    assert not room.is_shared(40.0)
+    sharing = FairSharing()
+    sharing.record_asking([AccountId("a"), AccountId("b"), AccountId("c")], 0.0)
+    sharing.record_asking([AccountId("a")], 20.0)
+    assert sharing.is_shared(20.0)
+    assert not sharing.is_shared(40.0)
 
 
 def make_work(request: str, upstream: str, origin: str, prefill_s: float) -> Work:
@@ -177,30 +180,30 @@
     assert not has_free_prefill(engines, loads, 0, 0.4, 0.0)
     # More urgent calls are prefilled first.
     assert has_free_prefill(engines, loads, -1, 0.4, 0.0)
-    flood, room = make_call("flood"), FairRoom()
+    flood, sharing = make_call("flood"), FairSharing()
     use = measure_prefill(engines, loads, flood.key, 0.4, 1, 0.0)
-    assert decide(room, flood, 99.0, use) == Wait(99.0)
-    assert decide(room, make_call("a"), 0.0, use) == Admit()
+    assert decide(sharing, flood, 99.0, use) == Wait(99.0)
+    assert decide(sharing, make_call("a"), 0.0, use) == Admit()
 
 
 def test_many_gateways_do_not_send_to_the_same_free_slots() -> None:
     """Guards against a swing between full queues and idle slots on late knowledge."""
     gateways, slots, run_steps, step_s = 20, 60.0, 5, 0.06
-    rooms = [FairRoom() for _ in range(gateways)]
+    sharings = [FairSharing() for _ in range(gateways)]
     # What each gateway sent in each step; it runs for the next ones.
     sent = [[int((n + k) % 10 < 3) for k in range(run_steps)] for n in range(gateways)]
     used = []
     for step in range(60):
         known = [sum(counts[-run_steps:]) for counts in sent]
-        for room, counts, own_known in zip(rooms, sent, known, strict=True):
+        for sharing, counts, own_known in zip(sharings, sent, known, strict=True):
             others = sum(known) - own_known
             counts.append(0)
             for _ in range(20):
-                room.add(make_call("flood"))
+                sharing.add(make_call("flood"))
 
             def measure(
-                call: RoomCall, counts: list[int] = counts, others: int = others
-            ) -> RoomUse:
+                call: SharingCall, counts: list[int] = counts, others: int = others
+            ) -> CapacityUse:
                 own = float(sum(counts[-run_steps:]))
                 return replace(
                     make_use(("flood", 0, own + others), capacity=slots),
@@ -210,8 +213,8 @@
                     delay_s=step_s,
                 )
 
-            while (call := room.release_next(measure, step * step_s)) is not None:
-                room.remove(call)
+            while (call := sharing.release_next(measure, step * step_s)) is not None:
+                sharing.remove(call)
                 counts[-1] += 1
         used.append(sum(sum(counts[-run_steps:]) for counts in sent))
     assert max(used) <= 1.5 * slots
