--- a/bramleyport/gateway/_duty_messages.py
+++ b/bramleyport/gateway/_duty_messages.py
@@ -6,9 +6,9 @@
 
 from bramleyport.core import ProcessId
 from bramleyport.duties import Origin, WindowCounts
+from bramleyport.gateway._account_facts import DutyStatus
 from bramleyport.gateway._clock import read_now
 from bramleyport.gateway._peer_messages import PeerMessage
-from bramleyport.gateway._shared_facts import DutyStatus
 
 # Time after which a message to all gateways carries the status of the duties again.
 STATUS_INTERVAL_S: Final = 1.0
--- a/bramleyport/gateway/_peer_batches.py
+++ b/bramleyport/gateway/_peer_batches.py
@@ -5,10 +5,11 @@
 
 from bramleyport.core import UpstreamId
 from bramleyport.fleet import NO_ACCOUNT, RateLimitNotice, Work
+from bramleyport.gateway._account_facts import WorkAccount
 from bramleyport.gateway._clock import read_now
 from bramleyport.gateway._crash_guard import CrashUpdates
 from bramleyport.gateway._peer_messages import MAX_ITEMS, MAX_REPORTS, make_limit_update
-from bramleyport.gateway._shared_facts import LimitUpdate, WorkAccount, WorkRef
+from bramleyport.gateway._shared_facts import LimitUpdate, WorkRef
 from bramleyport.gateway._work_tracker import PendingUpdates
 
 
--- a/bramleyport/gateway/_peer_messages.py
+++ b/bramleyport/gateway/_peer_messages.py
@@ -23,6 +23,7 @@
     Verdict,
     Work,
 )
+from bramleyport.gateway._account_facts import DutyStatus, WorkAccount
 from bramleyport.gateway._configuration_chunks import (
     FORMAT as CHUNK_FORMAT,
     ConfigurationChunk,
@@ -38,10 +39,8 @@
     FACTS,
     ChangingEngine,
     Decoder,
-    DutyStatus,
     LimitUpdate,
     SharedFact,
-    WorkAccount,
     WorkRef,
 )
 from bramleyport.gateway._store_updates import (
--- a/bramleyport/gateway/_peers.py
+++ b/bramleyport/gateway/_peers.py
@@ -27,6 +27,7 @@
     choose_store_watchers,
     is_watch_shared,
 )
+from bramleyport.gateway._account_facts import DutyStatus
 from bramleyport.gateway._clock import read_now
 from bramleyport.gateway._configuration_chunks import ConfigurationChunk
 from bramleyport.gateway._crash_guard import CrashGuard
@@ -46,12 +47,7 @@
     encode_message,
     make_limit_notice,
 )
-from bramleyport.gateway._shared_facts import (
-    ChangingEngine,
-    DutyStatus,
-    LimitUpdate,
-    WorkRef,
-)
+from bramleyport.gateway._shared_facts import ChangingEngine, LimitUpdate, WorkRef
 from bramleyport.gateway._state import GatewayState
 from bramleyport.gateway._store_updates import (
     StoreUpdate,
--- a/bramleyport/gateway/_shared_facts.py
+++ b/bramleyport/gateway/_shared_facts.py
@@ -10,7 +10,6 @@
 from typing import Any, Final
 
 from bramleyport.core import (
-    AccountId,
     RequestId,
     Revision,
     ServiceName,
@@ -19,7 +18,6 @@
     UpstreamId,
     read_amount,
 )
-from bramleyport.duties import WindowCounts, WindowId
 from bramleyport.fleet import (
     MAX_CRASHES,
     MAX_TRAIT_CHARS,
@@ -59,7 +57,6 @@
 
 MS_PER_S: Final = 1000
 MAX_WORK_VALUES: Final = 16
-MAX_STATUS_VALUES: Final = 16
 # Longest time for which a process counts as ended after a peer has told of it.
 MAX_ENDED_S: Final = 10.0
 
@@ -127,14 +124,6 @@
     request: RequestId
 
 
-@dataclass(frozen=True, slots=True)
-class WorkAccount:
-    """Describe for which client account the work of the same message is done."""
-
-    request: RequestId
-    account: AccountId
-
-
 @dataclass(frozen=True, slots=True)
 class ChangingEngine:
     """Describe an engine that must get no work for some seconds."""
@@ -159,20 +148,6 @@
     received_age_s: float
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class DutyStatus:
-    """Describe the clock of a gateway, and what it knows of the duties."""
-
-    # Wall time in Unix milliseconds as the message was made.
-    wall_ms: int
-    # Of the lease for the duties, if the gateway holds it; 0 otherwise.
-    fencing: int
-    # The newest usage window that it knows to be settled; 0 if none is.
-    settled: int
-    # All reports before this window were accepted, as far as it knows.
-    first_unsent: int = 0
-
-
 def _encode_work(work: Work) -> list[Any]:
     parts = [[part.prefix, part.tokens] for part in work.parts]
     prefill_ms = round(work.prefill_s * MS_PER_S)
@@ -446,66 +421,6 @@
     )
 
 
-def _encode_duty_status(status: DutyStatus) -> list[Any]:
-    return [status.wall_ms, status.fencing, status.settled, status.first_unsent]
-
-
-@register_fact(
-    "duty_status",
-    _encode_duty_status,
-    scope=Scope.GATEWAY,
-    end="it tells another, or 10 s have passed",
-    bound="64 clocks",
-)
-def _decode_duty_status(item: Any, _: float) -> DutyStatus:
-    # Later versions may add more.
-    row = read_row(item, 4, MAX_STATUS_VALUES)
-    wall_ms, fencing, settled, first_unsent = row[:4]
-    return DutyStatus(
-        wall_ms=read_count(wall_ms),
-        fencing=read_count(fencing),
-        settled=read_count(settled),
-        first_unsent=read_count(first_unsent),
-    )
-
-
-def _encode_usage(item: WindowCounts) -> list[Any]:
-    return [item.window, item.total, [list(pair) for pair in item.counts.items()]]
-
-
-@register_fact(
-    "usage",
-    _encode_usage,
-    scope=Scope.GATEWAY,
-    end="the window is settled",
-    bound="64 windows",
-)
-def _decode_usage(item: Any, _: float) -> WindowCounts:
-    window, total, counts = read_row(item, 3)
-    pairs = (read_row(pair, 2) for pair in read_list(counts))
-    return WindowCounts(
-        WindowId(read_count(window)),
-        {AccountId(read_name(name)): read_count(count) for name, count in pairs},
-        None if total is None else read_count(total),
-    )
-
-
-def _encode_account(item: WorkAccount) -> list[Any]:
-    return [item.request, item.account]
-
-
-@register_fact(
-    "accounts",
-    _encode_account,
-    scope=Scope.CALL,
-    end="the work ends that the same message tells of",
-    bound="one for each work in flight",
-)
-def _decode_account(item: Any, _: float) -> WorkAccount:
-    request, account = read_row(item, 2)
-    return WorkAccount(RequestId(read_name(request)), AccountId(read_name(account)))
-
-
 def _decode_ref(item: Any) -> WorkRef:
     upstream, request = read_row(item, 2)
     return WorkRef(UpstreamId(read_name(upstream)), RequestId(read_name(request)))
--- a/bramleyport/gateway/_usage.py
+++ b/bramleyport/gateway/_usage.py
@@ -20,9 +20,9 @@
     WindowId,
     WindowTimes,
 )
+from bramleyport.gateway._account_facts import DutyStatus
 from bramleyport.gateway._clock import read_boot_time, read_now
 from bramleyport.gateway._peers import PeerLink
-from bramleyport.gateway._shared_facts import DutyStatus
 from bramleyport.gateway._state import GatewayState
 from bramleyport.platform import Duty, DutySettings
 from bramleyport.telemetry import duty_events, log_event
