--- a/bramleyport/fleet/_plain_choice.py
+++ b/bramleyport/fleet/_plain_choice.py
@@ -37,7 +37,7 @@
         if lowest[0]:
             pick = _spread_crowded(self._even_load, ready, ranks, best, amount, now_s)
         else:
-            pick = _spread_free(self._even_load, ready, ranks, amount, now_s)
+            pick = _spread_free(self._even_load, ready, ranks, lowest, amount, now_s)
         return ready[pick.index], pick.spread
 
     def _rank(self, ready: Sequence[Registration]) -> list[_Rank]:
@@ -73,11 +73,11 @@
     even_load: EvenLoad,
     ready: Sequence[Registration],
     ranks: Sequence[_Rank],
+    lowest: _Rank,
     amount: float,
     now_s: float,
 ) -> Pick:
     """Choose among the upstreams that no more calls would slow, by their calls."""
-    lowest = min(ranks)
     equal = [index for index, rank in enumerate(ranks) if rank == lowest]
     if amount <= len(equal):
         # The unseen calls don't fill these up to the next number of calls.
