Let waiting calls go on under what their key names now

Cause: before each attempt a call was refused with 401 unless its key named the same account as on arrival. So a waiting call was refused on an anonymous route when its key was taken away, though the route needs none; when its valid key had moved to another account; and when accounts were first configured, though its key was among them.

Change: such a call is authenticated again by the configuration in force and goes on under the account that its key names, with the rank of that account, or without an account on an anonymous route. It asks for a share again under the new account. Calls whose key names no account are refused as before.

--- a/bramleyport/fleet/__init__.py
+++ b/bramleyport/fleet/__init__.py
@@ -10,6 +10,7 @@
     UnknownKey,
     authenticate,
     may_still_run,
+    renew_account,
 )
 from bramleyport.fleet._capacity_use import (
     extend_for_one,
@@ -237,5 +238,6 @@
     "measure_prefill",
     "measure_slots",
     "plan_shutdown",
+    "renew_account",
     "writes_answers",
 ]
--- a/bramleyport/fleet/_authentication.py
+++ b/bramleyport/fleet/_authentication.py
@@ -1,6 +1,6 @@
 """Decide whether a request may run, by the key of its client account."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from result import Err, Ok, Result
 
@@ -39,3 +39,19 @@
     if call.account is None:
         return call.route.anonymous and call.has_accounts
     return account is not None and account.name == call.account.name
+
+
+def renew_account(configuration: Configuration, call: Call) -> Result[Call, UnknownKey]:
+    """Return a call under the account that its key names by a later configuration."""
+    identified = authenticate(configuration, call.route, call.key)
+    if isinstance(identified, Err):
+        return identified
+    account = identified.ok_value
+    return Ok(
+        replace(
+            call,
+            account=account,
+            has_accounts=configuration.accounts is not None,
+            rank=configuration.find_rank(call.route, account),
+        )
+    )
--- a/bramleyport/gateway/_placement.py
+++ b/bramleyport/gateway/_placement.py
@@ -3,6 +3,8 @@
 import asyncio
 from typing import Final
 
+from result import Err
+
 from bramleyport.admission import Rejected
 from bramleyport.core import Explanation, UpstreamId
 from bramleyport.fleet import (
@@ -12,6 +14,7 @@
     Transfer,
     admit,
     may_still_run,
+    renew_account,
 )
 from bramleyport.gateway._call_context import WAIT_FRACTION, CallContext
 from bramleyport.gateway._clock import read_now
@@ -68,11 +71,12 @@
         await self._guard.request_trial(context.call)
         while True:
             await self._versions.settle(context)
-            if not self._may_still_run(context):
+            if not self._renew_account(context):
                 return _refuse_key()
             refusal = await self._sharing.enter(context)
             if not self._may_still_run(context):
-                return _refuse_key()
+                # Its key was taken away meanwhile, or names another account.
+                continue
             if refusal is not None:
                 return refusal
             decision = self._choose_now(context)
@@ -90,6 +94,18 @@
         configuration = self._state.configuration
         return configuration is None or may_still_run(configuration, context.call)
 
+    def _renew_account(self, context: CallContext) -> bool:
+        """Return whether a call may run, under the account that its key names now."""
+        if self._may_still_run(context):
+            return True
+        configuration = self._state.configuration
+        assert configuration is not None
+        renewed = renew_account(configuration, context.call)
+        if isinstance(renewed, Err):
+            return False
+        context.call = renewed.ok_value
+        return True
+
     async def _wait_for_return(self, context: CallContext, decision: Rejected) -> bool:
         """Wait for an upstream that is away; return whether one may be back."""
         if decision.explanation.reason != UPSTREAMS_AWAY:
--- a/tests/test_client_accounts.py
+++ b/tests/test_client_accounts.py
@@ -15,7 +15,12 @@
 from bramleyport.fleet._ranks import MAX_RANKS
 from bramleyport.platform import decode_configuration
 from tests.gateway_fleet import GatewayFleet, make_config, make_route
-from tests.platform_standin import RawRequest, decline, lose_answer
+from tests.platform_standin import (
+    RawRequest,
+    decline,
+    lose_answer,
+    script_first_request,
+)
 from tests.test_split_runs import SplitFleet
 
 Run = Callable[[Coroutine[Any, Any, Any]], Any]
@@ -143,6 +148,55 @@
     assert len(list_calls(fleet)) == 1
 
 
+@pytest.mark.parametrize(
+    ("before", "after", "anonymous", "names"),
+    [
+        # The key was taken away, but the route needs none.
+        (ACCOUNTS, ACCOUNTS[1:], True, ["north", None]),
+        # The key is valid all the time, and of another account now.
+        (ACCOUNTS, [{"name": "west", "api_keys": [KEY]}], False, ["north", "west"]),
+        # There were no accounts, so the header was one like others.
+        (None, ACCOUNTS, False, ["south", "north"]),
+    ],
+)
+def test_call_that_waits_goes_on_under_what_its_key_names_now(
+    fleet: SplitFleet,
+    run: Run,
+    before: list[Any] | None,
+    after: list[Any],
+    anonymous: bool,
+    names: list[str | None],
+) -> None:
+    """Guards against a 401 where the key is valid, or none is needed."""
+
+    def make(version: int, tenants: list[Any] | None) -> dict[str, Any]:
+        config = make_account_config(version, tenants=tenants)
+        config["routes"][-1]["anonymous"] = anonymous
+        if tenants is None:
+            del config["tenants"]
+        return config
+
+    async def change_accounts_between_attempts() -> int:
+        async def change(upstream: Any, request: Any, writer: Any) -> Any:
+            await apply(fleet, make(4, after))
+            return await decline(upstream, request, writer)
+
+        await apply(fleet, make(3, before))
+        script_first_request(fleet.plain, change)
+        headers = {"Api_Key": KEY, "Tenant": "south", "Deadline_Ms": "10000"}
+        return (await fleet.make_caller().call("/order/x", **headers)).status
+
+    assert run(change_accounts_between_attempts()) == 200
+    calls = list_calls(fleet)
+    assert {call.headers.get("tenant") for call in calls} == set(names)
+    assert "api-key" not in {
+        name
+        for call in calls
+        if call.headers.get("tenant") == names[-1]
+        for name in call.headers
+    }
+
+
 def test_known_keys_stay_in_force_while_the_store_is_away(
     fleet: SplitFleet, run: Run
 ) -> None:
