Let a draining gateway hold the duties if no candidate takes them

Cause: gateways take the first three by name, draining ones included, for the candidates, but one that drains never asked for the lease. If the holder ended while the next three all drained, as at the stop of a zone, nobody took the lease until their streams had ended, and windows were reported late by that time.

Change: a candidate that drains asks for the lease once none has been held for 4 s. Others that don't drain ask for it at once, as before.

--- a/bramleyport/gateway/_duties.py
+++ b/bramleyport/gateway/_duties.py
@@ -1,6 +1,7 @@
 """Hold the lease of the duties where this gateway is a candidate, and do them."""
 
 import asyncio
+import math
 from typing import Final
 
 from bramleyport.authority import LeaseTimes
@@ -27,6 +28,9 @@
 # A holder tells its status every 0.25 s. Candidates read the lease only after it has
 # told none for this long, so the store sees no calls of theirs meanwhile.
 HOLDER_SILENT_S: Final = 1.5
+# A gateway that drains leaves the duties to the other candidates, unless none of them
+# has taken the lease within this time: all of them may be draining.
+DRAINING_REST_S: Final = 4.0
 # Shorter than those of the lease for stage orders: the silence of a dead holder, the
 # rest of the TTL and the report have to fit into the time at which reports are due.
 LEASE_TIMES: Final = LeaseTimes(
@@ -69,6 +73,8 @@
         self._wanted = False
         self._was_held = False
         self._is_leaving = False
+        # When this gateway last knew of a holder.
+        self._holder_known_s = -math.inf
 
     def find_fencing(self) -> FencingNumber | None:
         """Return the fencing number for the duties, or None while they aren't held."""
@@ -134,14 +140,19 @@
     def _is_wanted(self) -> bool:
         if self._is_leaving or not self._exchange.is_active:
             return False
+        now_s = read_now()
         if self._lease is not None and self._lease.is_held:
+            self._holder_known_s = now_s
             # Whoever holds the duties keeps them to the end of a planned stop, too: all
             # gateways may be stopping.
             return True
-        if self._state.draining and self._peers.heard:
+        if now_s - self._exchange.holder_heard_s <= HOLDER_SILENT_S:
+            self._holder_known_s = now_s
             return False
-        silence_s = read_now() - self._exchange.holder_heard_s
-        return self._exchange.is_candidate and silence_s > HOLDER_SILENT_S
+        if self._state.draining and self._peers.heard:
+            rest_s = now_s - self._holder_known_s
+            return self._exchange.is_candidate and rest_s > DRAINING_REST_S
+        return self._exchange.is_candidate
 
     def _report_held(self) -> None:
         fencing = self.find_fencing()
--- a/tests/test_usage_reports.py
+++ b/tests/test_usage_reports.py
@@ -9,8 +9,9 @@
 
 import pytest
 
+from bramleyport.fleet import plan_shutdown
 from bramleyport.gateway import _lease
-from bramleyport.gateway._clock import read_boot_time
+from bramleyport.gateway._clock import read_boot_time, read_now
 from tests.gateway_group import GatewayGroup
 from tests.platform_standin import (
     LOOPBACK,
@@ -151,6 +152,25 @@
     run_group(run, tmp_path, scenario)
 
 
+# Guards against windows that nobody reports until the end of the stop of a zone: the
+# first gateways by name drain, and the others are no candidates.
+def test_draining_gateways_report_if_the_holder_ends_and_all_candidates_drain(
+    run: Run, tmp_path: Path
+) -> None:
+    async def scenario(group: GatewayGroup, api: PlatformApiStandin) -> None:
+        await group.wait_for(lambda: api.calls)
+        holder = api.calls[-1].holder
+        for name in ("g0", "g1", "g2", "g3"):
+            schedule = plan_shutdown(read_now(), 600.0)
+            group.gateways[name].state.shutdown = schedule
+        group.stop_gateway(holder)
+        await wait_until_reported(group, api, time.time())
+        check_reports(api)
+        assert {call.holder for call in api.calls} > {holder}
+
+    run_group(run, tmp_path, scenario, gateways=5)
+
+
 # Guards against a holder that others don't tell their counts to, as gateways that come
 # before it by name are candidates in its place.
 def test_holder_goes_on_when_other_gateways_become_candidates(
