Hold up no usage reports behind ones that are never answered

Cause: the earliest report whose delay had passed was sent first. A call without an answer takes 2 s, and the next one waits up to 4 s, so by then the delay of the earliest report had passed again: while the platform API accepted reports but answered after more than 2 s, the first two windows took turns and no later one was sent at all.

Change: of the reports that may be sent, the one that has not failed or failed longest ago goes first.

--- a/bramleyport/duties/_ledger.py
+++ b/bramleyport/duties/_ledger.py
@@ -159,14 +159,22 @@
         return added
 
     def find_unsent(self, now_s: float) -> tuple[WindowId, Counts] | None:
-        """Return the earliest report that may be sent now."""
+        """Return the earliest report that has not failed, or failed longest ago.
+
+        The platform API may accept reports and answer too late: the same ones again and
+        again would hold up all others.
+        """
         if not self._is_stored:
             return None
-        for window in sorted(self._settled):
-            item = self._settled[window]
-            if not item.sent and item.backoff.until_s <= now_s:
-                return window, item.counts
-        return None
+        ready = [
+            (item.backoff.until_s, window)
+            for window, item in self._settled.items()
+            if not item.sent and item.backoff.until_s <= now_s
+        ]
+        if not ready:
+            return None
+        _, window = min(ready)
+        return window, self._settled[window].counts
 
     def record_sent(self, window: WindowId) -> None:
         """Record that the platform API has accepted the report of a window."""
--- a/tests/test_usage_ledger.py
+++ b/tests/test_usage_ledger.py
@@ -22,7 +22,9 @@
     WindowId,
     WindowTimes,
 )
+from bramleyport.duties._pacing import MAX_DELAY_S
 from bramleyport.gateway._usage import MAX_COUNTS_BYTES, pack_counts
+from bramleyport.platform._duties import CALL_TIMEOUT_S
 from bramleyport.platform._usage_ledger import decode_ledger, encode_ledger
 
 ACCOUNT = AccountId("kelani")
@@ -208,6 +210,26 @@
         assert sorted(windows) == list(range(FIRST, max(windows) + 1))
 
 
+# Guards against windows that are never sent while the platform API accepts reports, but
+# answers later than the holder waits.
+def test_reports_that_are_never_answered_hold_up_no_others() -> None:
+    ledger = UsageLedger()
+    ledger.load(None, None, FIRST)
+    last = WindowId(FIRST + 9)
+    document = ledger.propose(lambda window: {} if window <= last else None)
+    assert document is not None
+    ledger.confirm(document)
+    now_s, sent = 0.0, set()
+    for _ in range(30):
+        found = ledger.find_unsent(now_s)
+        now_s += MAX_DELAY_S
+        if found is not None:
+            sent.add(found[0])
+            now_s += CALL_TIMEOUT_S
+            ledger.record_failure(found[0], now_s)
+    assert sent == set(range(FIRST, last + 1))
+
+
 # Guards against a document that the store refuses, and against lost reports.
 def test_document_stays_below_a_megabyte_while_reports_wait() -> None:
     ledger = UsageLedger()
