Keep reading after a request that ends with a batch of events

Cause: reading is paused between batches of 64 events. If the last event of a batch ended a request (a chunked body of 62 chunks in one read), reading was paused while the request was served, and the next batch did not resume it, as a request was being served by then. The next request of the connection was not read before the idle timeout, and a caller that left was not noticed.

Change: no further batch follows once a request was handed to its handler.

Result: the new test failed before (TimeoutError after 2 s) and passes.

--- a/bramleyport/http1/_server.py
+++ b/bramleyport/http1/_server.py
@@ -358,7 +358,8 @@
             if event is h11.PAUSED or isinstance(event, h11.ConnectionClosed):
                 return False
             self._process_event(event)
-        return True
+        # Nobody would resume reading after a request that ends with the batch.
+        return self.state is ConnectionState.READING
 
     def _process_event(self, event: Any) -> None:
         if isinstance(event, h11.EndOfMessage):
--- a/tests/test_caller_connections.py
+++ b/tests/test_caller_connections.py
@@ -15,6 +15,7 @@
 import pytest
 
 from bramleyport.http1 import CallerConnection, CallerRequest
+from bramleyport.http1._server import EVENTS_PER_BATCH
 from tests.gateway_fleet import GatewayFleet
 from tests.platform_standin import (
     LOOPBACK,
@@ -31,6 +32,8 @@
 
 ANSWER_S = 0.3
 SHORT_PAUSE_S = 0.1
+# Much less than the time after which idle connections are closed.
+ANSWERED_S = 2.0
 READ_BYTES = 65_536
 # Seven of them are more than is buffered behind a call that runs.
 PIPELINED_BODY_BYTES = 90_000
@@ -350,3 +353,24 @@
 
     caller = run(send())
     assert (caller.statuses, caller.end) == ([502], CLOSED)
+
+
+def test_request_that_ends_with_a_batch_of_events_leaves_its_connection_readable(
+    fleet: GatewayFleet, run: Run
+) -> None:
+    """Guards against a connection that stays paused after a body of many chunks."""
+
+    async def send() -> SocketCaller:
+        caller = SocketCaller(fleet.port)
+        # The head and the end are events, too.
+        chunks = b"1\r\nx\r\n" * (EVENTS_PER_BATCH - 2) + b"0\r\n\r\n"
+        head = render_request("q1", body=b"")
+        head = head.replace(b"Content-Length: 0", b"Transfer-Encoding: chunked")
+        await caller.send(head + chunks)
+        await fleet.wait_for(fleet.list_runs)
+        await caller.send(render_request("q2", "/post/x", b"b", "Connection: close"))
+        await caller.receive(ANSWERED_S)
+        caller.close()
+        return caller
+
+    assert run(send()).statuses == [200, 200]
