Abort a connection that was closed for a new one and reads nothing

Cause: an idle connection that gives way to a new one is closed once its last bytes are sent, and no longer counts. If its caller reads nothing, the rest of its answer (up to 64 kB) is never sent, and its descriptor stayed open for up to twice the idle timeout. A crowd that opens such connections one after another could hold any number of descriptors.

Change: it is aborted one second later, as other connections that end.

Result: the new test failed before (still open after 2 s) and passes.

--- a/bramleyport/http1/_server.py
+++ b/bramleyport/http1/_server.py
@@ -227,6 +227,8 @@
         self.transport.unregisterProducer()
         self.transport.loseConnection()
         self._enter(ConnectionState.CLOSED)
+        # The caller may not read the rest of its answer.
+        self._timer.start(ABORT_DELAY_S, self.transport.abortConnection)
         return True
 
     def refuse_for_memory(self) -> None:
--- a/tests/test_caller_budget.py
+++ b/tests/test_caller_budget.py
@@ -6,8 +6,11 @@
 from typing import Any
 
 import pytest
+from twisted.internet.tcp import Server
 
-from bramleyport.http1 import CallerBudget
+from bramleyport.http1 import CallerBudget, CallerConnection, CallerRequest
+from bramleyport.http1._server import ABORT_DELAY_S
+from bramleyport.http1._socket_options import count_unsent_bytes
 from tests.gateway_fleet import GatewayFleet
 from tests.platform_standin import hang
 from tests.test_caller_connections import (
@@ -24,6 +27,8 @@
 BODY_BYTES = 50_000
 # Answers of these sizes are sent, but the next one is not begun before they are read.
 UNREAD_BODY_BYTES = 1_200_000
+POLL_INTERVAL_S = 0.02
+SETTLED_POLLS = 100
 
 
 @pytest.fixture
@@ -171,3 +176,49 @@
             caller.close()
 
     run(call())
+
+
+async def answer_until_unsent(
+    request: CallerRequest, connection: CallerConnection
+) -> None:
+    """Write an answer of which the kernel does not take the last bytes."""
+    connection.start_answer(200, b"OK", [])
+    unsent = settled = 0
+    # After a while without progress, the kernel takes some more.
+    while settled < SETTLED_POLLS:
+        if unsent < Server.bufferSize // 2:
+            connection.write_body(b"x" * (Server.bufferSize // 4))
+            settled = 0
+        await asyncio.sleep(POLL_INTERVAL_S)
+        unsent = count_unsent_bytes(connection.transport)
+        settled += 1
+
+
+async def finish_unsent(request: CallerRequest, connection: CallerConnection) -> None:
+    await answer_until_unsent(request, connection)
+    connection.finish_answer()
+
+
+def test_connection_that_reads_nothing_is_closed_soon_for_a_new_one(
+    fleet: GatewayFleet, run: Run
+) -> None:
+    """Guards against descriptors of connections that the budget no longer counts."""
+
+    async def call() -> None:
+        fleet.gateway._callers.handler = finish_unsent
+        read_budget(fleet).max_connections = 4
+        first = SocketCaller(fleet.port, RECEIVE_BUFFER_BYTES)
+        await first.send(render_request("q1"))
+        connections = fleet.gateway._callers.connections
+        await fleet.wait_for(lambda: any(item._request_count for item in connections))
+        (connection,) = connections
+        await fleet.wait_for(lambda: connection.idle)
+        assert connection.writable
+        others = [SocketCaller(fleet.port) for _ in range(2)]
+        await fleet.wait_for(lambda: connection.closed)
+        async with asyncio.timeout(2 * ABORT_DELAY_S):
+            await fleet.wait_for(lambda: connection not in connections)
+        for caller in (first, *others):
+            caller.close()
+
+    run(call())
