Abort truncated answers when memory for callers is used up

As the largest holder it was asked to refuse the request that it reads, which it doesn't do any more: nothing was released, no other connection was asked, and the budget was exceeded for as long as that connection stayed.

Change: it is aborted, as connections that are closing are.

--- a/bramleyport/http1/_budget_share.py
+++ b/bramleyport/http1/_budget_share.py
@@ -115,8 +115,8 @@
     def give_way(self) -> None:
         """Release bytes, since the memory for callers is used up."""
         state = self._connection.state
-        is_closing = state is ConnectionState.CLOSING
-        if is_closing or self._unsent_bytes > self._parser.queued_bytes:
+        has_ended = state in (ConnectionState.CLOSING, ConnectionState.CLOSED)
+        if has_ended or self._unsent_bytes > self._parser.queued_bytes:
             self._connection.abort()
         elif state.has_request:
             self._connection.discard_queue()
--- a/tests/test_caller_budget.py
+++ b/tests/test_caller_budget.py
@@ -222,3 +222,39 @@
             caller.close()
 
     run(call())
+
+
+def test_truncated_answer_pays_with_what_is_queued_behind_it(
+    fleet: GatewayFleet, run: Run
+) -> None:
+    """Guards against a holder that releases nothing, and keeps others from paying."""
+    queued = asyncio.Event()
+
+    async def truncate(request: CallerRequest, connection: CallerConnection) -> None:
+        await queued.wait()
+        await answer_until_unsent(request, connection)
+        connection.truncate_answer()
+
+    async def call() -> None:
+        fleet.gateway._callers.handler = truncate
+        caller = SocketCaller(fleet.port, RECEIVE_BUFFER_BYTES)
+        await caller.send(render_request("q1"))
+        connections = fleet.gateway._callers.connections
+        await fleet.wait_for(lambda: any(item.serving for item in connections))
+        (connection,) = connections
+        await caller.send(render_request("q2", body=b"x" * 2 * BODY_BYTES))
+        await fleet.wait_for(lambda: read_budget(fleet).used_bytes > 2 * BODY_BYTES)
+        queued.set()
+        await fleet.wait_for(lambda: connection.closed)
+        read_budget(fleet).max_bytes = SMALL_BUDGET_BYTES
+        later = SocketCaller(fleet.port)
+        await later.send(render_request("later", body=b"x" * BODY_BYTES)[:-1])
+        await fleet.wait_for(
+            lambda: any(item._parser.held_bytes for item in connections - {connection})
+        )
+        await asyncio.sleep(0.1)
+        assert BODY_BYTES <= read_budget(fleet).used_bytes <= SMALL_BUDGET_BYTES
+        caller.close()
+        later.close()
+
+    run(call())
