Let no queue at one upstream hide the free slots of another

Cause: the free slots of a plain service were its slots less all work at its upstreams. Work that queues at one of them counted against the others: after an upstream came back while another had twice its slots in work (as far as one account alone may fill it), calls waited or were refused although all slots of the first were free.

Change: slots are counted as free at each upstream. Quotas and shares follow all work, as before; engines are measured as before.

--- a/bramleyport/fleet/_capacity_use.py
+++ b/bramleyport/fleet/_capacity_use.py
@@ -38,6 +38,7 @@
     return CapacityUse(
         capacity=float(capacity),
         used=float(used),
+        free=float(_count_free_slots(ready, loads)),
         occupied=occupied,
         call_size=ONE_SLOT,
         entry_size=ONE_SLOT,
@@ -53,7 +54,9 @@
 def extend_for_one(use: CapacityUse) -> CapacityUse:
     """Return the use that applies while only one account asks."""
     # Each gateway keeps to its part, so that none needs a quota.
-    return replace(use, capacity=use.capacity + use.extension, gateways=1)
+    capacity = use.capacity + use.extension
+    free = max(use.free, capacity - use.used)
+    return replace(use, capacity=capacity, free=free, gateways=1)
 
 
 def has_free_prefill(
@@ -73,7 +76,11 @@
 
 def has_free_slots(ready: Sequence[Registration], loads: LoadTracker) -> bool:
     """Return whether plain upstreams have a slot that no work occupies."""
-    return sum(item.slots - len(loads.of(item.upstream)) for item in ready) > 0
+    return _count_free_slots(ready, loads) > 0
+
+
+def _count_free_slots(ready: Sequence[Registration], loads: LoadTracker) -> int:
+    return sum(max(0, item.slots - len(loads.of(item.upstream))) for item in ready)
 
 
 def measure_prefill(
@@ -103,9 +110,11 @@
             own += not work.origin
     mean_s = total_s / count if total_s else objective_s
     fraction = max(1 / gateways, own / count if count else 0.0)
+    capacity_s = len(ready) * objective_s
     return CapacityUse(
-        capacity=len(ready) * objective_s,
+        capacity=capacity_s,
         used=outstanding_s,
+        free=capacity_s - outstanding_s,
         occupied=occupied,
         call_size=mean_s,
         entry_size=0.0,
--- a/bramleyport/fleet/_fair_sharing.py
+++ b/bramleyport/fleet/_fair_sharing.py
@@ -55,6 +55,8 @@
     capacity: float
     # By all work, also by work that belongs to no account.
     used: float
+    # What nobody uses. Work that queues at one upstream leaves the others' part free.
+    free: float
     occupied: Mapping[AccountRank, float]
     # What a call occupies on average.
     call_size: float
@@ -181,7 +183,7 @@
         if use.capacity <= 0:
             return True
         released = use.call_size * len(self._released)
-        is_free = use.used + released < use.capacity
+        is_free = released < use.free
         if use.gateways < MIN_QUOTA_GATEWAYS:
             return is_free
         if is_free and not self.is_short(now_s):
--- a/tests/test_fair_sharing_decisions.py
+++ b/tests/test_fair_sharing_decisions.py
@@ -19,6 +19,7 @@
     Wait,
     Work,
     has_free_prefill,
+    has_free_slots,
     measure_prefill,
     measure_slots,
 )
@@ -35,9 +36,11 @@
 
 def make_use(*held: tuple[str, int, float], capacity: float = CAPACITY) -> CapacityUse:
     """Return the use of slots by accounts, in ranks."""
+    used = sum(count for _, _, count in held)
     return CapacityUse(
         capacity=capacity,
-        used=sum(count for _, _, count in held),
+        used=used,
+        free=capacity - used,
         occupied={make_call(name, rank).key: count for name, rank, count in held},
         call_size=1.0,
         entry_size=1.0,
@@ -219,3 +222,26 @@
         used.append(sum(sum(counts[-run_steps:]) for counts in sent))
     assert max(used) <= 1.5 * slots
     assert min(used[20:]) >= 0.8 * slots
+
+
+def test_queue_at_one_upstream_hides_no_free_slots_at_another() -> None:
+    """Guards against calls that wait though an upstream that has returned is idle."""
+    loads = LoadTracker()
+    ready = [make_engine("p0", None), make_engine("p1", None)]
+    slots = ready[0].slots
+    for number in range(2 * slots):
+        origin = "g1" if number else "g2"
+        loads.of(UpstreamId("p0")).add(
+            replace(make_work("r", "p0", origin, 0.0), request=RequestId(f"r{number}"))
+        )
+    use = measure_slots(ready, loads, 0.5, 3)
+    assert use.used == use.capacity
+    assert has_free_slots(ready, loads)
+    sharing = FairSharing()
+    calls = [make_call("g1") for _ in range(2 * slots)]
+    for call in calls:
+        sharing.add(call)
+    released = 0
+    while sharing.release_next(lambda _: use, 0.0) is not None:
+        released += 1
+    assert released == slots
