--- a/bramleyport/http1/_server.py
+++ b/bramleyport/http1/_server.py
@@ -227,6 +227,8 @@
         self.transport.unregisterProducer()
         self.transport.loseConnection()
         self._enter(ConnectionState.CLOSED)
+        # The caller may not read the rest of its answer.
+        self._timer.start(ABORT_DELAY_S, self.transport.abortConnection)
         return True
 
     def refuse_for_memory(self) -> None:
@@ -358,7 +360,8 @@
             if event is h11.PAUSED or isinstance(event, h11.ConnectionClosed):
                 return False
             self._process_event(event)
-        return True
+        # Nobody would resume reading after a request that ends with the batch.
+        return self.state is ConnectionState.READING
 
     def _process_event(self, event: Any) -> None:
         if isinstance(event, h11.EndOfMessage):
