Forecast the queue of an engine in one pass

The walk over what an engine has finished scans the list only while there is more than one prompt, and engines without prompts cost nothing.

--- a/bramleyport/fleet/_load.py
+++ b/bramleyport/fleet/_load.py
@@ -3,6 +3,7 @@
 from collections import Counter
 from collections.abc import Iterator
 from dataclasses import dataclass
+from operator import attrgetter
 from typing import Final
 
 from bramleyport.core import AccountId, RequestId, UpstreamId
@@ -165,22 +166,22 @@
         An engine prefills one prompt to its end, even a less urgent one, and then the
         most urgent one that waits. The end of a prefill is known `overhead_s` later.
         """
-        waiting = [
-            work
-            for work in self._prefilling.values()
-            if not self._is_overdue(work, now_s)
-        ]
+        if not self._prefilling:
+            return EMPTY_QUEUE
+        waiting = self.list_prefilling(now_s)
         if not waiting:
             return EMPTY_QUEUE
-        began_s = max(
-            self._last_progress_s - overhead_s, min(work.started_s for work in waiting)
-        )
+        began_s = max(self._last_progress_s - overhead_s, min(map(_get_start, waiting)))
         running, end_s = _advance(waiting, began_s, now_s)
-        ahead = [work.prefill_s for work in waiting if work.priority <= priority]
         rest_s = max(MIN_REMAINING_FRACTION * running.prefill_s, end_s - now_s)
-        ahead_s = sum(ahead)
+        ahead_s, behind = 0.0, 0
+        for work in waiting:
+            if work.priority <= priority:
+                ahead_s += work.prefill_s
+            else:
+                behind += 1
         ranked_s = ahead_s + (rest_s if running.priority <= priority else 0.0)
-        return QueueForecast(rest_s + ahead_s, ranked_s, len(waiting) - len(ahead))
+        return QueueForecast(rest_s + ahead_s, ranked_s, behind)
 
     def forecast_link(self, now_s: float) -> float:
         """Return the seconds until the transfers over the engine's link have ended."""
@@ -256,25 +257,19 @@
     What it runs is removed from `waiting`, too.
     """
     at_s = began_s
-    while True:
+    while len(waiting) > 1:
         known = [work for work in waiting if work.started_s <= at_s]
-        if known:
-            running = min(known, key=_get_rank)
-        else:
-            running = min(waiting, key=_get_start)
-            at_s = running.started_s
+        running = min(known, key=_get_rank) if known else min(waiting, key=_get_start)
         waiting.remove(running)
-        at_s += running.prefill_s
-        if at_s > now_s or not waiting:
+        at_s = max(at_s, running.started_s) + running.prefill_s
+        if at_s > now_s:
             return running, at_s
+    running = waiting.pop()
+    return running, max(at_s, running.started_s) + running.prefill_s
 
 
-def _get_rank(work: Work) -> tuple[int, float]:
-    return (work.priority, work.started_s)
-
-
-def _get_start(work: Work) -> float:
-    return work.started_s
+_get_rank: Final = attrgetter("priority", "started_s")
+_get_start: Final = attrgetter("started_s")
 
 
 class LoadTracker:
--- a/bramleyport/fleet/_prefill.py
+++ b/bramleyport/fleet/_prefill.py
@@ -86,11 +86,12 @@
         uncached = max(0, prompt.tokens_in - cached - fetched)
         prefill_cost = compute_prefill_cost(uncached, prompt.tokens_in)
         load = self._loads.of(candidate.upstream)
-        queue = load.forecast_queue(call.priority, now_s, self._speeds.overhead_s)
+        overhead_s = self._speeds.overhead_s
+        queue = load.forecast_queue(call.priority, now_s, overhead_s)
         return PrefillForecast(
             wait_s=queue.wait_s,
             behind=queue.behind,
-            overhead_s=self._speeds.overhead_s,
+            overhead_s=overhead_s,
             prefill_s=self._speeds.forecast(candidate.upstream, stage, prefill_cost),
             prefill_cost=prefill_cost,
             fetch_s=fetch_s,
