Divide free slots among the gateways that send calls of the service

The quota of a gateway grew by its part among all gateways. Parts now go to gateways that sent calls of the service in the last seconds.

--- a/bramleyport/fleet/_unseen_load.py
+++ b/bramleyport/fleet/_unseen_load.py
@@ -105,6 +105,14 @@
             rates.calls, rates.prefill_s, rates.transfer_s, rates.find_delay()
         )
 
+    def count_senders(self, service: ServiceName) -> int:
+        """Return how many gateways sent calls of a service lately, with this one."""
+        senders: set[str] = {self._own}
+        for group, rates in self._groups.items():
+            if group.service == service:
+                senders.update(rates.earlier_origins, rates.origins)
+        return len(senders)
+
     def list_active(self, group: LoadGroup) -> list[str]:
         """Return the gateways that share a group of upstreams, with this one."""
         rates = self._groups.get(group)
--- a/bramleyport/gateway/_sharing_queue.py
+++ b/bramleyport/gateway/_sharing_queue.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections.abc import Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Final
 
 from bramleyport.admission import Rejected
@@ -217,6 +217,9 @@
         else:
             run_s = self._run_times.forecast_service(service) or call.objective_s
             use = measure_slots(ready, loads, run_s, gateways)
+            # Gateways that send no calls of the service need no part of its slots.
+            senders = self._state.unseen_load.count_senders(service)
+            use = replace(use, gateways=min(gateways, senders))
         sharing = self._by_service[service]
         accounts = {key.account for key in use.occupied} - {NO_ACCOUNT}
         sharing.record_asking(accounts, now_s)
--- a/tests/test_even_load.py
+++ b/tests/test_even_load.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from bramleyport.core import ProcessId, RequestId, UpstreamId
+from bramleyport.core import ProcessId, RequestId, ServiceName, UpstreamId
 from bramleyport.fleet import (
     Choice,
     Chooser,
@@ -232,3 +232,21 @@
     assert estimate.limit_prefill(0.0) == pytest.approx(100 * 0.02 * 0.02, rel=0.05)
     assert estimate.limit_prefill(1.0) == estimate.prefill_s
     assert unseen.estimate(find_group(upstream), 20.0).calls < 0.01
+
+
+def test_only_gateways_that_send_calls_of_a_service_share_it() -> None:
+    """Guards against idle slots that wait for gateways without calls to take them."""
+    unseen, upstream = UnseenLoad(OWN), make_engine("u")
+    assert unseen.count_senders(upstream.service) == 1
+    for number, origin in enumerate(["p1", "p2", "p1", ""]):
+        work = Work(
+            request=RequestId(f"r{number}"),
+            upstream=upstream.upstream,
+            priority=0,
+            prefill_s=0.1,
+            started_s=0.1 * number,
+            origin=origin,
+        )
+        unseen.record_work(work, upstream)
+    assert unseen.count_senders(upstream.service) == 3
+    assert unseen.count_senders(ServiceName("other")) == 1
