Limit one upstream for the whole run in the soak of limits

Cause: test_guarantees_hold_while_upstreams_limit_their_rates failed with `limited_windows` 0.

Change: in the profiles `limits` and `mixed_limits`, the first upstream names 2.6 requests a second from the first call until the run ends. Drains, restarts and other limits choose among the other five upstreams. The guarantees, the windows and the bound on their number are unchanged. The limit is named as the callers start, since no gateway can know of it before the first answer.

test_steady_limit_outlasts_drains_and_restarts fails if drains, or restarts, may choose the limited upstream.

--- a/tests/soak/_faults.py
+++ b/tests/soak/_faults.py
@@ -54,10 +54,18 @@
     proxies: dict[str, FaultProxy]
     # The version that the operator has written last.
     version: int = 1
+    # An upstream that names one limit for the whole run; see limit_steadily().
+    steadily_limited: UpstreamStandin | None = None
 
     def pick_gateway(self) -> GatewayProcess:
         return self.random.choice(self.gateways)
 
+    def pick_changeable(self) -> UpstreamStandin:
+        """Return an upstream that may be drained, restarted or limited otherwise."""
+        return self.random.choice(
+            [item for item in self.upstreams if item is not self.steadily_limited]
+        )
+
     def pick_proxy(self) -> FaultProxy:
         """Return a proxy in front of the store, a gateway or an upstream."""
         gateway = self.pick_gateway()
@@ -74,6 +82,18 @@
                 return self.observations.held_back[name].record_span()
         return nullcontext()
 
+    def name_limit(self, upstream: UpstreamStandin, rate: float) -> NamedLimit:
+        """Make an upstream name a limit from now on."""
+        upstream.limit = str(rate)
+        limit = NamedLimit(upstream.name, rate, time.monotonic())
+        self.observations.limits.append(limit)
+        return limit
+
+    def limit_steadily(self, upstream: UpstreamStandin) -> None:
+        """Make an upstream name one limit until the run ends, whatever others do."""
+        self.steadily_limited = upstream
+        self.name_limit(upstream, STEADY_LIMIT_RATE)
+
     def end_limit(self, upstream: UpstreamStandin) -> None:
         """Make an upstream name no limit any more."""
         upstream.limit = ""
@@ -121,6 +141,8 @@
 # Limits that upstreams name, beside planned operations or all faults.
 LIMIT_CHANGES: Final[dict[str, Fault]] = {}
 LIMIT_RATES: Final = (1.0, 2.6, 6.0, 20.0)
+# Requests per second. Callers send several times as many, so that the limit binds.
+STEADY_LIMIT_RATE: Final = 2.6
 # A limit is checked after SETTLE_S, in windows of WINDOW_S.
 MIN_LIMIT_S: Final = SETTLE_S + WINDOW_S
 MAX_LIMIT_S: Final = 2 * MIN_LIMIT_S
@@ -219,7 +241,7 @@
 
     A process that drains ends; the next one under its id was started later.
     """
-    upstream = targets.random.choice(targets.upstreams)
+    upstream = targets.pick_changeable()
     if any(
         drain.upstream == upstream.name and drain.until_s == float("inf")
         for drain in targets.observations.drains
@@ -250,14 +272,12 @@
 @register_limit_change
 async def limit_upstream(targets: FaultTargets) -> None:
     """Make an upstream name limits that fall or rise, and then none."""
-    upstream = targets.random.choice(targets.upstreams)
+    upstream = targets.pick_changeable()
     if upstream.limit:
         return
     for _ in range(targets.random.randint(1, 2)):
         rate = targets.random.choice(LIMIT_RATES)
-        upstream.limit = str(rate)
-        limit = NamedLimit(upstream.name, rate, time.monotonic())
-        targets.observations.limits.append(limit)
+        limit = targets.name_limit(upstream, rate)
         try:
             await asyncio.sleep(targets.random.uniform(MIN_LIMIT_S, MAX_LIMIT_S))
         finally:
@@ -271,7 +291,11 @@
 @register_limit_change
 async def restart_limited_upstream(targets: FaultTargets) -> None:
     """Register a limited upstream as another process that names no limit yet."""
-    limited = [upstream for upstream in targets.upstreams if upstream.limit]
+    limited = [
+        upstream
+        for upstream in targets.upstreams
+        if upstream.limit and upstream is not targets.steadily_limited
+    ]
     # Most limits last long enough to be checked.
     if not limited or targets.random.random() < KEPT_LIMIT_FRACTION:
         return
--- a/tests/soak/_soak_run.py
+++ b/tests/soak/_soak_run.py
@@ -260,6 +260,9 @@
             self._choose_deadly_parts()
         if self._profile is Profile.REQUESTS:
             self._callers.repeats_requests = True
+        if self._names_limits:
+            # Not earlier: without calls, no gateway gets to know of a limit.
+            self._targets.limit_steadily(self._upstreams[0])
         count = CALLERS_PER_GATEWAY * len(self._gateways)
         callers = [
             asyncio.ensure_future(self._callers.send_calls()) for _ in range(count)
--- a/tests/test_soak_faults.py
+++ b/tests/test_soak_faults.py
@@ -17,7 +17,12 @@
     UpstreamStandin,
 )
 from tests.soak._checks import DRAIN_LIMIT_S, Observations
-from tests.soak._faults import FaultTargets
+from tests.soak._faults import (
+    LIMIT_CHANGES,
+    PLANNED_OPERATIONS,
+    STEADY_LIMIT_RATE,
+    FaultTargets,
+)
 from tests.soak._lost_streams import LostStreams
 from tests.soak._signal_faults import leave_by_answer
 
@@ -69,6 +74,36 @@
     run(check())
 
 
+# Guards against a soak of limits that checks no window: drains and restarts ended most
+# limits before the check counts them.
+def test_steady_limit_outlasts_drains_and_restarts(run: Run) -> None:
+    async def check() -> None:
+        upstream = UpstreamStandin("p0", service=PLAIN)
+        targets = make_targets(upstream)
+        other = UpstreamStandin("p1", service=PLAIN)
+        targets.upstreams = [upstream, other]
+        targets.proxies[other.name] = targets.proxies[upstream.name]
+        targets.limit_steadily(upstream)
+        process_ms = upstream.born_ms
+        drain = PLANNED_OPERATIONS["drain_upstream"]
+        faults = (drain, *LIMIT_CHANGES.values())
+        for _ in range(20):
+            running = [asyncio.ensure_future(fault(targets)) for fault in faults]
+            await asyncio.sleep(0)
+            for task in running:
+                task.cancel()
+            await asyncio.gather(*running, return_exceptions=True)
+        assert {item.upstream for item in targets.observations.drains} == {other.name}
+        (limit,) = [
+            item for item in targets.observations.limits if item.upstream == "p0"
+        ]
+        assert limit.until_s == float("inf")
+        assert upstream.limit == str(STEADY_LIMIT_RATE)
+        assert upstream.born_ms == process_ms
+
+    run(check())
+
+
 # Guards the check itself: it has to count streams, not tries, and to excuse no version.
 @pytest.mark.parametrize(
     ("taken_up", "gone_on", "begun", "violated"),
