Count no stall of a process as slowness of a connection

What callers saw: 503 `store_unavailable`, not run, from an entry that stood still for 3.2 s as it opened its first connections to the store, though the store worked (test_stall_during_a_claim_refuses_no_call[0.15], 2 of 12 runs of its file).

But connecting had a limit of 2 s by the clock, in Twisted. After a stall its timer is due in the turn in which the connection is started, or before its completion is seen; the call then fails with Twisted's `TimeoutError`, and the load of a log with it. The log of the failed runs is not kept, so that this was the same timer is concluded from the same symptoms: the first `get` of each log, 1201 `TimeoutError`, 503 for both calls.

Change: LimitedEndpoint ends an attempt to connect after 20 polls of 0.1 s, and a stall counts as one of them. The error stays a ConnectError, so a store that accepts no connection is still known not to have executed the call. This holds for all HTTP clients of make_http_client.

--- a/bramleyport/transport/_connection_end.py
+++ b/bramleyport/transport/_connection_end.py
@@ -3,7 +3,6 @@
 from dataclasses import dataclass
 from typing import Any
 
-from twisted.internet.endpoints import TCP4ClientEndpoint
 from twisted.internet.error import ConnectionDone
 from twisted.internet.interfaces import IStreamClientEndpoint
 from twisted.protocols.policies import ProtocolWrapper, WrappingFactory
@@ -47,7 +46,7 @@
 class RecordingEndpoint:
     """Represent an endpoint that records the ends of its connections."""
 
-    def __init__(self, endpoint: TCP4ClientEndpoint, end: ConnectionEnd) -> None:
+    def __init__(self, endpoint: Any, end: ConnectionEnd) -> None:
         self._endpoint = endpoint
         self._end = end
 
--- a/bramleyport/transport/_http.py
+++ b/bramleyport/transport/_http.py
@@ -1,7 +1,7 @@
 """HTTP servers, and HTTP clients that connect by IP address."""
 
 import asyncio
-from typing import Any, Final
+from typing import Any
 
 import treq
 from twisted.internet.endpoints import TCP4ClientEndpoint, TCP4ServerEndpoint
@@ -12,10 +12,9 @@
 
 from bramleyport.core import StepError
 from bramleyport.listening import BACKLOG, close_port
+from bramleyport.transport._connect_limit import LimitedEndpoint
 from bramleyport.transport._connection_end import ConnectionEnd, RecordingEndpoint
 
-CONNECT_TIMEOUT_S: Final = 2.0
-
 
 @implementer(IAgentEndpointFactory)
 class IpAddressEndpoints:
@@ -28,9 +27,13 @@
     def endpointForURI(self, uri: URI) -> Any:  # noqa: N802
         """Return the endpoint for a URI whose host is an IP address."""
         host = uri.host.decode()
-        endpoint = TCP4ClientEndpoint(
-            self._reactor, host, uri.port, timeout=CONNECT_TIMEOUT_S
+        unlimited = TCP4ClientEndpoint(
+            self._reactor,
+            host,
+            uri.port,
+            timeout=None,  # type: ignore[arg-type]
         )
+        endpoint = LimitedEndpoint(self._reactor, unlimited)
         return RecordingEndpoint(endpoint, self._end) if self._end else endpoint
 
 
--- a/tests/test_claim_forwarding.py
+++ b/tests/test_claim_forwarding.py
@@ -201,6 +201,34 @@
     run(check())
 
 
+@pytest.mark.parametrize("turns", [1, 2, 3])
+def test_stall_as_an_entry_connects_to_the_store_refuses_no_call(
+    fleet: ClaimFleet, run: Run, turns: int
+) -> None:
+    """Guards against 503 as a stall hides that the store accepted the connection."""
+    client: Any = fleet.nodes[0].client
+    exchange = client._exchange
+    stalled = asyncio.Event()
+
+    async def stall_while_connecting(*call: Any) -> Any:
+        answer = asyncio.ensure_future(exchange(*call))
+        for _ in range(turns):
+            await asyncio.sleep(0)
+        if not stalled.is_set():
+            stalled.set()
+            time.sleep(CALL_TIMEOUT_S + 0.2)
+        return await answer
+
+    async def check() -> None:
+        intercept(fleet.nodes[1], lambda *_: True)
+        client._exchange = stall_while_connecting
+        keys = fleet.find_keys(0, 1, 2)
+        check_answers(fleet, keys, await post_all(fleet, 0, keys))
+        assert stalled.is_set()
+
+    run(check())
+
+
 @pytest.mark.parametrize("action", list(ClaimAction))
 def test_lost_decision_changes_nothing(
     fleet: ClaimFleet, run: Run, action: ClaimAction
--- a/tests/test_contract_object_api.py
+++ b/tests/test_contract_object_api.py
@@ -1,6 +1,7 @@
 """Test the contract of the object API, also under each fault."""
 
 import asyncio
+import socket
 import time
 from collections.abc import Callable, Coroutine, Iterator
 from typing import Any
@@ -19,6 +20,7 @@
 )
 from bramleyport.objectapi._client import CALL_TIMEOUT_S
 from bramleyport.standins import ObjectApiStandin, read_port, serve_app, stop_listening
+from bramleyport.transport._connect_limit import CONNECT_TIMEOUT_S
 from tests.ports import find_port
 
 Run = Callable[[Coroutine[Any, Any, Any]], Any]
@@ -161,6 +163,40 @@
     assert all(isinstance(result, Ok) for result in run(stall_during_calls()))
 
 
+# The moment of the stall decides whether the connection is being established in it.
+@pytest.mark.parametrize("turns", range(6))
+def test_stall_of_a_process_while_it_connects_fails_no_call(
+    api: Api, run: Run, turns: int
+) -> None:
+    """Guards against a time-out of a connection that the store accepted at once."""
+    _, client = api
+
+    async def stall_during_call() -> Any:
+        call = asyncio.ensure_future(client.list_all(Kind.ORDERS))
+        for _ in range(turns):
+            await asyncio.sleep(0)
+        time.sleep(CONNECT_TIMEOUT_S + 0.2)
+        return await call
+
+    result = run(stall_during_call())
+    assert isinstance(result, Ok), result
+
+
+def test_connection_that_is_not_accepted_ends_in_time(run: Run) -> None:
+    """Guards the limit itself, and that the call is known not to have been executed."""
+    with socket.socket() as listener, socket.socket() as first:
+        listener.bind(("127.0.0.1", 0))
+        # The kernel answers no further connection once the backlog is full.
+        listener.listen(0)
+        first.connect(listener.getsockname())
+        client = ObjectClient(f"http://127.0.0.1:{listener.getsockname()[1]}")
+        started_s = time.monotonic()
+        result = run(client.list_all(Kind.ORDERS))
+        elapsed_s = time.monotonic() - started_s
+    assert result.err_value.failure is StoreFailure.UNAVAILABLE
+    assert CONNECT_TIMEOUT_S <= elapsed_s < 2 * CONNECT_TIMEOUT_S
+
+
 def test_call_that_the_store_does_not_answer_ends_in_time(api: Api, run: Run) -> None:
     standin, client = api
     standin.faults.delay_s = 2 * CALL_TIMEOUT_S
