Count no unacknowledged bytes of a socket that is closed

The search over orders of events failed: the descriptor of a connection was read outside of the try that covers sockets without one. Its transports now have the send buffer that Twisted's have.

--- a/bramleyport/http1/_socket_options.py
+++ b/bramleyport/http1/_socket_options.py
@@ -63,9 +63,9 @@
 
 
 def _count_outgoing_bytes(transport: Any) -> int:
-    descriptor = transport.getHandle().fileno()
     try:
+        descriptor = transport.getHandle().fileno()
         count = fcntl.ioctl(descriptor, termios.TIOCOUTQ, struct.pack("i", 0))
-    except OSError:
+    except (OSError, ValueError):  # a closed socket has a negative descriptor
         return 0
     return int(struct.unpack("i", count)[0])
--- a/tests/order_search/_network.py
+++ b/tests/order_search/_network.py
@@ -79,9 +79,17 @@
         self._write_ending = False
         self._write_ended = False
         self._unsent = bytearray()
+        # Twisted's transports send from an offset, and queue more behind the buffer.
+        self.offset = 0
+        self._tempDataLen = 0
         self._arrivals: deque[_Arrival] = deque()
         self._end: Exception | None = None
 
+    @property
+    def dataBuffer(self) -> bytes:  # noqa: N802
+        """Return what was written and has not left yet, as Twisted's transports do."""
+        return bytes(self._unsent)
+
     def getHandle(self) -> _Socket:  # noqa: N802
         return _Socket()
 
