--- a/bramleyport/fleet/_prefill_speeds.py
+++ b/bramleyport/fleet/_prefill_speeds.py
@@ -13,6 +13,9 @@
 ATTENTION_TOKENS: Final = 60_000
 # Time to the first token in addition to prefill that is assumed until it is observed.
 INITIAL_OVERHEAD_S: Final = 0.015
+# Part of the overhead, at most, for which the engine prefills no other prompt: between
+# two prompts it schedules, and generates tokens for calls that decode.
+MAX_BUSY_OVERHEAD_S: Final = 0.015
 # A prompt has begun to be answered within this time on any idle engine.
 MAX_OVERHEAD_S: Final = 0.25
 # Samples over which the overhead is averaged.
@@ -111,12 +114,18 @@
 
         The engine prefills other prompts meanwhile.
         """
-        return self._overhead.seconds
+        return max(0.0, self._overhead.seconds - MAX_BUSY_OVERHEAD_S)
 
     def forecast(
         self, upstream: UpstreamId, stage: Stage, prefill_cost: float
     ) -> float:
         """Return the seconds for which prefill occupies an engine."""
+        busy_s = min(MAX_BUSY_OVERHEAD_S, self._overhead.seconds)
+        return busy_s + self._forecast_work(upstream, stage, prefill_cost)
+
+    def _forecast_work(
+        self, upstream: UpstreamId, stage: Stage, prefill_cost: float
+    ) -> float:
         factor = self._factors.get(upstream, 1.0)
         return prefill_cost * self._stages[stage].per_token_s * factor
 
@@ -127,10 +136,10 @@
         if prefill_cost < MIN_OVERHEAD_COST or elapsed_s <= 0:
             return
         speed = self._stages[stage]
-        expected_s = self.overhead_s + prefill_cost * speed.per_token_s
+        expected_s = self._overhead.seconds + prefill_cost * speed.per_token_s
         is_usual = elapsed_s < OUTLIER_FACTOR * expected_s
         if is_usual or speed.samples < SETTLED_SAMPLES:
-            work_s = self.forecast(upstream, stage, prefill_cost)
+            work_s = self._forecast_work(upstream, stage, prefill_cost)
             self._overhead.record(prefill_cost, work_s, elapsed_s)
         if prefill_cost >= MIN_SAMPLE_COST:
             self._record_speed(upstream, speed, prefill_cost, elapsed_s)
@@ -142,7 +151,7 @@
         prefill_cost: float,
         elapsed_s: float,
     ) -> None:
-        overhead_s = self.overhead_s
+        overhead_s = self._overhead.seconds
         prefill_s = max(elapsed_s - overhead_s, MIN_PREFILL_FRACTION * elapsed_s)
         # The more of the time is overhead, the less it says of the speed.
         trust = prefill_s / (prefill_s + overhead_s)
--- a/tests/order_search/_mutations.py
+++ b/tests/order_search/_mutations.py
@@ -251,7 +251,7 @@
 def served_request_is_refused_at_the_end(patch: pytest.MonkeyPatch) -> None:
     def refuse(connection: Any) -> None:
         if not connection.idle and connection.answerable:
-            connection._state = type(connection._state).READING
+            connection.state = type(connection.state).READING
             connection._refuse(503)
 
     patch.setattr(CallerConnection, "end_request", refuse)
--- a/tests/test_fleet_load.py
+++ b/tests/test_fleet_load.py
@@ -143,7 +143,8 @@
         cost = random.choice([900, 1_500] if engine == slow else [1_500, 20_000])
         elapsed_s = overhead_s + cost * token_s[engine]
         speeds.record(engine, Stage.PREFILL, cost, elapsed_s)
-    assert speeds.overhead_s == pytest.approx(overhead_s, abs=0.006)
+    nothing_s = speeds.overhead_s + speeds.forecast(slow, Stage.PREFILL, 0)
+    assert nothing_s == pytest.approx(overhead_s, abs=0.006)
     long_s = {
         engine: speeds.forecast(engine, Stage.PREFILL, 20_000) for engine in token_s
     }
