--- a/bramleyport/gateway/_duties.py
+++ b/bramleyport/gateway/_duties.py
@@ -1,4 +1,4 @@
-"""Hold the lease of the duties where this gateway is a candidate, and do them."""
+"""Do the duties of all gateways while this one has their lease."""
 
 import asyncio
 import math
--- a/bramleyport/gateway/_sharing_queue.py
+++ b/bramleyport/gateway/_sharing_queue.py
@@ -1,4 +1,4 @@
-"""Hold calls of accounts that have more than their share of a scarce service."""
+"""Make calls wait whose accounts have more than their share of a scarce service."""
 
 import asyncio
 from collections.abc import Sequence
--- a/tests/test_usage_reports.py
+++ b/tests/test_usage_reports.py
@@ -27,7 +27,7 @@
 ACCOUNTS = {
     "tenants": [
         {"name": "kelani", "api_keys": ["k1"]},
-        {"name": "okara", "api_keys": ["k2"]},
+        {"name": "east", "api_keys": ["k2"]},
     ]
 }
 Run = Callable[[Coroutine[Any, Any, Any]], Any]
