--- a/bramleyport/fleet/_stage_pools.py
+++ b/bramleyport/fleet/_stage_pools.py
@@ -7,15 +7,10 @@
 from bramleyport.fleet._serving import ServingScope
 from bramleyport.fleet._types import Registration, SoftwareVersion, Stage
 
-# Least number of decode engines, in case some fail, and their least fraction of the
-# engines of a small pool: each receives the KV caches of its calls over one link, one
-# after another.
+# Least number of decode engines, in case some fail, and their least fraction of all
+# engines: each receives the KV caches of its calls over one link, one after another.
 MIN_DECODERS: Final = 2
 MIN_DECODER_FRACTION: Final = 1 / 3
-SMALL_POOL: Final = 9
-# Least fraction of further engines: a larger pool loses a smaller part of its engines
-# at once, and the links that its load needs are counted anyway.
-MIN_FURTHER_FRACTION: Final = 1 / 12
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -108,10 +103,7 @@
 
 def count_min_decoders(engines: int) -> int:
     """Return how many engines of a pool decode at least, even without calls."""
-    small = min(engines, SMALL_POOL)
-    further = engines - small
-    least = int(MIN_DECODER_FRACTION * small + MIN_FURTHER_FRACTION * further)
-    return max(MIN_DECODERS, least)
+    return max(MIN_DECODERS, int(MIN_DECODER_FRACTION * engines))
 
 
 def list_for_decode(pools: Sequence[VersionPool]) -> Sequence[EngineView]:
--- a/tests/test_fleet_stages.py
+++ b/tests/test_fleet_stages.py
@@ -55,10 +55,10 @@
 
 
 @pytest.mark.parametrize(
-    ("engines", "least"), [(1, 2), (6, 2), (9, 3), (22, 4), (27, 4), (60, 7)]
+    ("engines", "least"), [(1, 2), (6, 2), (9, 3), (22, 7), (27, 9), (60, 20)]
 )
-def test_large_pools_keep_a_smaller_part_for_decode(engines: int, least: int) -> None:
-    """Guards against prefill that queues up while a third of the engines idle."""
+def test_a_third_of_the_engines_is_kept_for_decode(engines: int, least: int) -> None:
+    """Guards against links that are overrun once some of few decode engines fail."""
     assert count_min_decoders(engines) == least
 
 
