--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,4 +1,4 @@
-"""The part that crashes workers is the fortieth of the prompt."""
+"""A part crashes workers after the first event of the answer."""
 
 import sys
 from pathlib import Path
@@ -8,4 +8,4 @@
 
 import parts
 
-parts.run(before=0, between=38)
+parts.run(before=1)
