--- a/review/11/case.py
+++ b/review/11/case.py
@@ -41,7 +41,7 @@
     return DEADLY in arrival.request.headers.get("prompt-prefix", "")
 
 
-async def case(record: Record, trouble: bool) -> bool:
+async def check(record: Record, trouble: bool) -> bool:
     """Return whether too many requests with the part reached workers."""
     fleet = Fleet(record)
     crashes: list[float] = []
@@ -104,4 +104,4 @@
     return late > 3
 
 
-run(case, FOLDER)
+run(check, FOLDER)
--- a/review/12/case.py
+++ b/review/12/case.py
@@ -26,7 +26,7 @@
 SERVES_ON_S = 6.0
 
 
-async def case(record: Record, trouble: bool) -> bool:
+async def check(record: Record, trouble: bool) -> bool:
     """Return whether a request reached a worker too late after it was gone."""
     fleet = Fleet(record)
     removed: dict[str, float] = {}
@@ -89,4 +89,4 @@
     return bool(late)
 
 
-run(case, FOLDER)
+run(check, FOLDER)
