--- a/review/lab3/fleet.py
+++ b/review/lab3/fleet.py
@@ -1,6 +1,7 @@
 """Run gateways, a store and workers, and record all that passes."""
 
 import asyncio
+import shutil
 import time
 from collections import Counter
 from collections.abc import Coroutine
@@ -95,6 +96,7 @@
             gateway.stop()
         for server in (*self.workers, self.store):
             await server.close()
+        shutil.rmtree(self.folder, ignore_errors=True)
         for item in self.arrivals:
             ran = "runs" if item.ran else "is turned away"
             self.record.add(f"request {item.name} reaches {item.worker}, {ran}", item.at_s)
--- a/review/lab3/gateway.py
+++ b/review/lab3/gateway.py
@@ -49,9 +49,7 @@
 class Gateway:
     """Represent one machine of the class front and its process."""
 
-    def __init__(
-        self, name: str, store_port: int, folder: Path, *, bounds: dict[str, Any] = {}
-    ) -> None:
+    def __init__(self, name: str, store_port: int, folder: Path) -> None:
         self.name = name
         self.port, self.ready_port = find_port(), find_port()
         self.path = folder / f"{name}.yaml"
@@ -74,7 +72,7 @@
             "first_start": True,
             "limits": {"cpu_share": 0.817, "cores": 1, "memory_mb": 300, "max_fds": 4100},
             "heartbeat_ms": 1200,
-            "bounds": BOUNDS | bounds,
+            "bounds": BOUNDS,
             "platform_store": {
                 "addr": f"{LOOPBACK}:{store_port}",
                 "form": "objects",
