Let no name of a foreign entry keep a list from being read

Seen: an entry of another writer stood in the list of workers, under a name with characters such as & or a blank, and the list was longer than one page. After a restart of all processes almost no request was served.

Cause: the client of the store continued a list after whatever name came last, and gave the whole list up if the next page could not be had. What a store makes of an escaped name is not said anywhere. An entry under such a name with a sound body got calls, too.

A store that decodes the query, or compares it as it stands, serves; one that begins the list again, answers 400 or bytes that can't be read leaves no upstream known (2627 again and again, no 2623). That the name is escaped wrongly is refuted by the first of these.

Now a list continues after the last name of a page that reads the same escaped or not, so that the usual store gets the same calls as before. A list that can't be completed is used as far as it goes (2630), takes nothing away, and is read again; config/main is read by itself if it lacks it. Names that have to be escaped name no upstream. The same reader serves configurations, gateways, verdicts, versions and begun streams.

--- a/bramleyport/fleet/_members.py
+++ b/bramleyport/fleet/_members.py
@@ -115,9 +115,14 @@
         return self._members.pop(upstream, None) is not None
 
     def replace_all(
-        self, listed: list[Registration], now_s: float, *, restored: bool = False
+        self,
+        listed: list[Registration],
+        now_s: float,
+        *,
+        restored: bool = False,
+        is_complete: bool = True,
     ) -> None:
-        """Replace all registrations; remove upstreams that are not listed.
+        """Replace all registrations; remove upstreams that a complete list lacks.
 
         A list of a restored store takes back nothing that was written after its copy.
         """
@@ -129,7 +134,8 @@
             listed = [self._merge(item) for item in listed if self._is_current(item)]
             self._restored_s = now_s
         names = {registration.upstream for registration in listed}
-        for upstream in [name for name in self._members if name not in names]:
+        missing = [name for name in self._members if name not in names]
+        for upstream in missing if is_complete else ():
             self.remove(upstream, now_s)
         for registration in listed:
             self.put(registration)
--- a/bramleyport/gateway/_begun_stream_store.py
+++ b/bramleyport/gateway/_begun_stream_store.py
@@ -206,8 +206,7 @@
         )
         if listing is None:
             return {}
-        self._guard.report_nameless(listing.nameless)
-        self._guard.retain({item.name for item in listing.objects})
+        self._guard.record_listing(listing)
         listed: Streams = {}
         for item in listing.objects:
             listed |= self._decode(item)
--- a/bramleyport/gateway/_daemon.py
+++ b/bramleyport/gateway/_daemon.py
@@ -30,6 +30,7 @@
 from bramleyport.gateway._stages import StageController
 from bramleyport.gateway._state import GatewayState
 from bramleyport.gateway._state_updaters import (
+    CONFIGURATION_NAME,
     ConfigurationUpdater,
     RegistrationUpdater,
 )
@@ -43,7 +44,12 @@
     limit_receive_buffer,
 )
 from bramleyport.listening import BACKLOG
-from bramleyport.platform import ObjectKind, StoreClient, load_node_settings
+from bramleyport.platform import (
+    ObjectKind,
+    ObjectName,
+    StoreClient,
+    load_node_settings,
+)
 from bramleyport.supervision import Job, supervise
 from bramleyport.telemetry import Metrics, events, gateway_events, log_event
 
@@ -204,6 +210,7 @@
             ObjectKind.CONFIGURATION,
             configurations,
             settings.configuration_limit_s,
+            CONFIGURATION_NAME,
         )
         follow_registrations = self._make_follower(
             ObjectKind.REGISTRATIONS, self._registrations, settings.drain_limit_s
@@ -225,10 +232,14 @@
         return jobs if self._duties is None else [*jobs, self._duties.run]
 
     def _make_follower(
-        self, kind: ObjectKind, updater: StateUpdater, bound_s: float
+        self,
+        kind: ObjectKind,
+        updater: StateUpdater,
+        bound_s: float,
+        needed: ObjectName | None = None,
     ) -> Follower:
         times = choose_watch_times(self._state.settings.stable_s, bound_s)
-        follower = Follower(self._store, kind, updater, times, self._peers)
+        follower = Follower(self._store, kind, updater, times, self._peers, needed)
         follower.is_urgent = lambda: self._state.held_calls > 0
         self._peers.subscribe(kind, follower.receive_update)
         return follower
--- a/bramleyport/gateway/_follower.py
+++ b/bramleyport/gateway/_follower.py
@@ -17,6 +17,7 @@
     ChangeBatch,
     Listing,
     ObjectKind,
+    ObjectName,
     StoreClient,
     StoreError,
     StoreFailure,
@@ -46,6 +47,9 @@
 POLL_INTERVAL_S: Final = 0.5
 # Pause after a watch while calls wait for changes.
 URGENT_PAUSE_S: Final = 0.1
+# Time until an incomplete list is read again, which doubles while it stays incomplete.
+RELIST_FIRST_S: Final = 0.5
+RELIST_MAX_S: Final = 8.0
 # Time for which lists of a restored store may hold objects that are older than those
 # that were known before. By then all of them were written again or have expired.
 COPY_KEEP_S: Final = 60.0
@@ -124,10 +128,11 @@
     """Represent the receiver of the objects that a follower reads."""
 
     def apply_listing(self, listing: Listing, *, restored: bool = False) -> None:
-        """Replace all objects with a complete list.
+        """Replace all objects with a list.
 
-        If the store was restored, objects of the list may be older than those that
-        are replaced, and some that were written since may be missing.
+        Objects that an incomplete list lacks are kept. If the store was restored,
+        objects of the list may be older than those that are replaced, and some that
+        were written since may be missing.
         """
 
     def apply_changes(self, batch: ChangeBatch) -> None:
@@ -152,7 +157,10 @@
         updater: StateUpdater,
         times: WatchTimes,
         link: UpdateLink,
+        needed: ObjectName | None = None,
     ) -> None:
+        """Follow a kind of objects; `needed` names one that no list may lack."""
+        self._needed = needed
         self._store = store
         self._kind = kind
         self._updater = updater
@@ -170,6 +178,9 @@
         self._published_revision = NO_REVISION
         # A peer has read the store in an era that is not known here yet.
         self._list_needed = False
+        # When an incomplete list is read again, and the time until then.
+        self._relist_at_s = math.inf
+        self._relist_s = RELIST_FIRST_S
         # The newest revision of that era whose changes a peer has told.
         self._ahead_revision = NO_REVISION
         self._call_needed = asyncio.Event()
@@ -283,6 +294,8 @@
         """Return whether the changes since the known revision can't be read."""
         if self._revision is None or self._list_needed:
             return True
+        if read_now() >= self._relist_at_s:
+            return True
         return self._revision.era < self._store.eras.newest
 
     async def _call_store(self) -> StoreError | None:
@@ -292,7 +305,7 @@
         return await self._watch(self._revision)
 
     async def _list(self) -> StoreError | None:
-        listing = await self._store.list_objects(self._kind)
+        listing = await self._store.list_objects(self._kind, needed=self._needed)
         if isinstance(listing, Err):
             return listing.err_value
         revision = listing.ok_value.revision
@@ -302,6 +315,7 @@
         restored = read_now() - self._restored_s < COPY_KEEP_S
         self._revision, self._era = revision, revision.era
         self._list_needed = False
+        self._schedule_relist(is_complete=listing.ok_value.is_complete)
         returned = self._record_reachable()
         if began:
             log_event(
@@ -311,6 +325,14 @@
         self._publish(revision, revision, 0.0, returned, None)
         return None
 
+    def _schedule_relist(self, *, is_complete: bool) -> None:
+        """Read an incomplete list again later, less often the longer it stays so."""
+        if is_complete:
+            self._relist_at_s, self._relist_s = math.inf, RELIST_FIRST_S
+            return
+        self._relist_at_s = read_now() + self._relist_s
+        self._relist_s = min(RELIST_MAX_S, self._relist_s * 2)
+
     async def _watch(self, since: StoreRevision) -> StoreError | None:
         times = self._times
         wait_s = times.shared_wait_s if self._link.is_sharing() else times.wait_s
--- a/bramleyport/gateway/_object_guard.py
+++ b/bramleyport/gateway/_object_guard.py
@@ -1,10 +1,11 @@
 """Apply the objects of the store one by one, so that an odd one costs no other."""
 
 import traceback
-from collections.abc import Callable, Collection, Sequence
+from collections.abc import Callable, Sequence
 from typing import TYPE_CHECKING, Final, TypeVar
 
 from bramleyport.platform import (
+    Listing,
     MalformedDocumentError,
     NamelessObject,
     ObjectName,
@@ -51,7 +52,20 @@
             self._report(item, gateway_events.OBJECT_NOT_APPLIED, locate_error(error))
             return None
 
-    def report_nameless(self, entries: Sequence[NamelessObject]) -> None:
+    def record_listing(self, listing: Listing) -> None:
+        """Log the nameless entries of a list, and forget objects that are gone."""
+        self._report_nameless(listing.nameless)
+        if not listing.is_complete:
+            return
+        names = {item.name for item in listing.objects}
+        for name in [name for name in self._reasons if name not in names]:
+            del self._reasons[name]
+
+    def forget(self, name: ObjectName) -> None:
+        """Forget what was logged about an object that was removed."""
+        self._reasons.pop(name, None)
+
+    def _report_nameless(self, entries: Sequence[NamelessObject]) -> None:
         """Log the entries of which not even the names can be read."""
         for entry in entries:
             if entry.reason in self._nameless_reasons:
@@ -61,15 +75,6 @@
             self._nameless_reasons.add(entry.reason)
             log_event(self._invalid_event, object="", reason=entry.reason)
 
-    def forget(self, name: ObjectName) -> None:
-        """Forget what was logged about an object that was removed."""
-        self._reasons.pop(name, None)
-
-    def retain(self, names: Collection[ObjectName]) -> None:
-        """Forget what was logged about objects that are not listed any more."""
-        for name in [name for name in self._reasons if name not in names]:
-            del self._reasons[name]
-
     def _report(self, item: StoredObject, event: "Event", reason: str) -> None:
         if self._reasons.get(item.name) == reason:
             return
--- a/bramleyport/gateway/_peer_directory.py
+++ b/bramleyport/gateway/_peer_directory.py
@@ -171,9 +171,9 @@
 
     def _decode_addresses(self, listing: Listing) -> dict[ProcessId, Address]:
         """Return the addresses of the other gateways."""
-        self._guard.report_nameless(listing.nameless)
-        self._guard.retain({item.name for item in listing.objects})
-        addresses = {}
+        self._guard.record_listing(listing)
+        # Gateways on pages that could not be read keep their addresses.
+        addresses = {} if listing.is_complete else dict(self._addresses)
         for item in listing.objects:
             if item.name == self._name:
                 continue
@@ -187,13 +187,18 @@
         return addresses
 
     def _record_own(self, listing: Listing, *, stale: bool) -> None:
-        """Record whether this gateway is listed, which only a fresh list can deny."""
+        """Record whether this gateway is listed.
+
+        Only a fresh and complete list can deny it.
+        """
         own = [item.document for item in listing.objects if item.name == self._name]
         if own == [self._document]:
             # After a restart the entry of the earlier process may still be valid.
             self._is_listed = self._has_entry = self._has_read_list = True
             return
-        if stale:
+        if not listing.is_complete:
+            self._has_read_list = True
+        elif stale:
             self._has_read_list = not self._is_listed
         else:
             self._has_read_list, self._is_listed = True, False
--- a/bramleyport/gateway/_state_updaters.py
+++ b/bramleyport/gateway/_state_updaters.py
@@ -35,8 +35,8 @@
         self._guard = ObjectGuard(gateway_events.CONFIG_INVALID)
 
     def apply_listing(self, listing: Listing, *, restored: bool = False) -> None:
-        """Apply the configuration in a complete list."""
-        self._guard.report_nameless(listing.nameless)
+        """Apply the configuration in a list."""
+        self._guard.record_listing(listing)
         self._apply(listing.objects)
 
     def apply_changes(self, batch: ChangeBatch) -> None:
@@ -93,16 +93,17 @@
         self._guard = ObjectGuard(gateway_events.REGISTRATION_INVALID)
 
     def apply_listing(self, listing: Listing, *, restored: bool = False) -> None:
-        """Replace the known upstreams with a complete list."""
-        self._guard.report_nameless(listing.nameless)
-        self._guard.retain({item.name for item in listing.objects})
+        """Replace the known upstreams with a list."""
+        self._guard.record_listing(listing)
         found = [self._decode(item) for item in listing.objects]
         listed = [registration for registration in found if registration is not None]
         now_s = read_now()
         before = self._index_members()
         if restored:
             self._state.members.record_restored(now_s)
-        self._state.members.replace_all(listed, now_s, restored=restored)
+        self._state.members.replace_all(
+            listed, now_s, restored=restored, is_complete=listing.is_complete
+        )
         after = self._index_members()
         for item in listing.objects:
             upstream = UpstreamId(item.name)
--- a/bramleyport/gateway/_verdict_store.py
+++ b/bramleyport/gateway/_verdict_store.py
@@ -69,9 +69,8 @@
         self._work_pending = asyncio.Event()
 
     def apply_listing(self, listing: Listing, *, restored: bool = False) -> None:
-        """Replace the stored verdicts with a complete list."""
-        self._guard.report_nameless(listing.nameless)
-        self._guard.retain({item.name for item in listing.objects})
+        """Replace the stored verdicts with a list."""
+        self._guard.record_listing(listing)
         known = set(self._stored)
         if restored:
             known |= {item.trait for item in self._state.crash_evidence.verdicts}
@@ -79,7 +78,7 @@
             self._guard.apply(item, partial(self._apply_stored, item))
             for item in listing.objects
         }
-        if listing.nameless:
+        if listing.nameless or not listing.is_complete:
             # Any of the missing verdicts may be among them.
             return
         for trait in known - listed:
--- a/bramleyport/gateway/_version_store.py
+++ b/bramleyport/gateway/_version_store.py
@@ -96,15 +96,16 @@
         store.eras.on_restored.append(self._record_restored)
 
     def apply_listing(self, listing: Listing, *, restored: bool = False) -> None:
-        """Apply a complete list; one of a restored store takes back nothing."""
+        """Apply a list; one of a restored store takes back nothing."""
         if self._state.versions_listed_s is None:
             self._state.versions_listed_s = read_now()
-        self._guard.report_nameless(listing.nameless)
-        self._guard.retain({item.name for item in listing.objects})
+        self._guard.record_listing(listing)
         listed = {
             self._guard.apply(item, partial(self._apply, item, restored=restored))
             for item in listing.objects
         }
+        if not listing.is_complete:
+            return
         for service in [name for name in self._stored if name not in listed]:
             del self._stored[service]
 
--- a/bramleyport/platform/_objects.py
+++ b/bramleyport/platform/_objects.py
@@ -1,7 +1,7 @@
 """Decode the objects of the platform's store, their lists and their changes."""
 
 import re
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 from dataclasses import dataclass, replace
 from enum import Enum
 from typing import Any, Final, NewType
@@ -24,9 +24,9 @@
 
 ObjectName = NewType("ObjectName", str)
 
-# Names are sent in headers.
 # The field of each list and of each batch of changes that names its revision.
 REVISION_FIELD: Final = "current_rev"
+# Names are sent in headers.
 _NAME: Final = re.compile("[ -~]{1,256}")
 
 
@@ -69,11 +69,15 @@
 
 @dataclass(frozen=True, slots=True)
 class Listing:
-    """Represent all objects of a kind at one revision."""
+    """Represent the objects of a kind at one revision.
+
+    If it is not complete, the store has objects that could not be listed.
+    """
 
     revision: StoreRevision
     objects: tuple[StoredObject, ...]
     nameless: tuple[NamelessObject, ...] = ()
+    is_complete: bool = True
 
 
 @dataclass(frozen=True, slots=True)
@@ -99,8 +103,8 @@
 
     listing: Listing
     has_more: bool
-    # Name of the last entry with a readable name; empty if there is none.
-    last_name: str
+    # Names as the entries give them, in their order, also those of no valid object.
+    names: tuple[str, ...]
 
 
 def decode_object_name(value: object) -> ObjectName:
@@ -125,7 +129,19 @@
     return ListPage(
         Listing(revision, tuple(objects), tuple(nameless)),
         has_more=read_flag(page.fields, "has_more", False),
-        last_name=objects[-1].name if objects else "",
+        names=tuple(filter(None, map(_read_raw_name, page.entries))),
+    )
+
+
+def join_pages(pages: Sequence[ListPage]) -> Listing:
+    """Return the list in its pages, of which a later one may repeat objects."""
+    objects = {item.name: item for page in pages for item in page.listing.objects}
+    nameless = dict.fromkeys(item for page in pages for item in page.listing.nameless)
+    return Listing(
+        revision=pages[0].listing.revision,
+        objects=tuple(objects.values()),
+        nameless=tuple(nameless),
+        is_complete=not pages[-1].has_more,
     )
 
 
@@ -188,6 +204,15 @@
     return StoredObject(name=name, revision=latest, document={}, fault=reason)
 
 
+def _read_raw_name(entry: Any) -> str:
+    """Return the name that an entry gives itself; empty if it is no text."""
+    try:
+        name = _read_members(_read_members(entry).get("metadata")).get("name")
+    except MalformedDocumentError:
+        return ""
+    return name if isinstance(name, str) else ""
+
+
 def _decode_object(document: Document, era: StoreEra) -> StoredObject:
     metadata = read_mapping(document, "metadata")
     spec = document.get("spec")
--- a/bramleyport/platform/_registrations.py
+++ b/bramleyport/platform/_registrations.py
@@ -11,12 +11,19 @@
     read_string,
 )
 from bramleyport.platform._engines import decode_stage
+from bramleyport.platform._list_cursors import is_plain_name
 
 _STATES = {"ready": False, "draining": True}
 
 
 def decode_registration(name: str, document: Document) -> Registration:
-    """Return the registration in the spec of a stored object."""
+    """Return the registration in the spec of a stored object.
+
+    The name goes into headers, messages and logs, and names no upstream if another
+    writer has chosen it.
+    """
+    if not is_plain_name(name):
+        raise MalformedDocumentError(f"not the name of an upstream: {describe(name)}")
     state = read_string(document, "state")
     if state not in _STATES:
         raise MalformedDocumentError(f"unknown state: {describe(state)}")
--- a/bramleyport/platform/_store.py
+++ b/bramleyport/platform/_store.py
@@ -3,7 +3,7 @@
 import asyncio
 import json
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from enum import Enum
 from typing import Any, Final
 from urllib.parse import quote
@@ -21,25 +21,31 @@
 )
 from bramleyport.platform._documents import Document, MalformedDocumentError
 from bramleyport.platform._headers import decode_store_era
+from bramleyport.platform._list_cursors import ListCursors
 from bramleyport.platform._objects import (
     ChangeBatch,
     Listing,
-    NamelessObject,
+    ListPage,
     ObjectKind,
     ObjectName,
     StoredObject,
     decode_answered_object,
     decode_changes,
     decode_page,
+    join_pages,
 )
 from bramleyport.platform._settings import StoreSettings
 from bramleyport.platform._store_eras import StoreEras
+from bramleyport.telemetry import gateway_events, log_event
 
 # A healthy store answers in milliseconds; the limit allows for an overloaded one.
 CALL_TIMEOUT_S: Final = 1.5
 CONNECT_TIMEOUT_S: Final = 0.5
 MAX_CONNECTIONS: Final = 8
 STALE_QUERY: Final = "stale_ok=1"
+# What a name in a query may hold as it is. Some stores compare what is escaped as it
+# stands.
+CURSOR_CHARS: Final = ",/@"
 
 
 class StoreFailure(str, Enum):
@@ -102,41 +108,37 @@
         self.eras = StoreEras()
 
     async def list_objects(
-        self, kind: ObjectKind, *, stale: bool = False
+        self,
+        kind: ObjectKind,
+        *,
+        stale: bool = False,
+        needed: ObjectName | None = None,
     ) -> Result[Listing, StoreError]:
         """Read all objects of a kind; a stale read may be seconds old.
 
         The list has the revision of its first page: what changes between two pages is
-        among the changes after it, whether or not the later pages show it, too.
+        among the changes after it, whether or not the later pages show it, too. A list
+        whose later pages can't be read is incomplete, not an error. An object that is
+        needed is then read by itself.
         """
-        objects: list[StoredObject] = []
-        nameless: list[NamelessObject] = []
-        after = ""
-        cursors: set[str] = set()
-        first: StoreRevision | None = None
-        while True:
-            query = [f"after={quote(after, safe='')}"] if after else []
-            query += [STALE_QUERY] if stale else []
-            page = await self._call("list", "GET", _make_path(kind, query=query))
-            if isinstance(page, Err):
-                return page
-            answer = page.ok_value
-            try:
-                part = decode_page(answer.body, answer.era)
-            except MalformedDocumentError as error:
-                return _make_malformed_error("list", str(error))
-            first = part.listing.revision if first is None else first
-            objects += part.listing.objects
-            if part.listing.revision.era != first.era:
-                reason = "the store was restored between two pages"
-                return _make_error(StoreFailure.EXPIRED, "list", reason)
-            nameless += part.listing.nameless
-            if not part.has_more:
-                return Ok(Listing(first, tuple(objects), tuple(nameless)))
-            after = part.last_name
-            if not after or after in cursors:
-                return _make_malformed_error("list", "the pages don't advance")
-            cursors.add(after)
+        first = await self._read_page(kind, "", stale=stale)
+        if isinstance(first, Err):
+            return first
+        pages = [first.ok_value]
+        reason = await self._read_further_pages(kind, pages, stale=stale)
+        if len({page.listing.revision.era for page in pages}) > 1:
+            reason = "the store was restored between two pages"
+            return _make_error(StoreFailure.EXPIRED, "list", reason)
+        listing = join_pages(pages)
+        if listing.is_complete:
+            return Ok(listing)
+        log_event(
+            gateway_events.LIST_INCOMPLETE,
+            kind=kind.value,
+            objects=len(listing.objects),
+            reason=reason,
+        )
+        return await self._add_needed(kind, listing, needed)
 
     async def get(
         self, kind: ObjectKind, name: ObjectName
@@ -224,6 +226,52 @@
         """Close the idle connections."""
         self._pool.close()
 
+    async def _read_page(
+        self, kind: ObjectKind, after: str, *, stale: bool
+    ) -> Result[ListPage, StoreError]:
+        query = [f"after={quote(after, safe=CURSOR_CHARS)}"] if after else []
+        query += [STALE_QUERY] if stale else []
+        answer = await self._call("list", "GET", _make_path(kind, query=query))
+        if isinstance(answer, Err):
+            return answer
+        try:
+            return Ok(decode_page(answer.ok_value.body, answer.ok_value.era))
+        except MalformedDocumentError as error:
+            return _make_malformed_error("list", str(error))
+
+    async def _read_further_pages(
+        self, kind: ObjectKind, pages: list[ListPage], *, stale: bool
+    ) -> str:
+        """Add the pages after the first one; return why the next can't be read."""
+        cursors = ListCursors()
+        cursors.record_page(pages[0].names)
+        reason = "the pages don't advance"
+        while pages[-1].has_more and (after := cursors.choose()) is not None:
+            result = await self._read_page(kind, after, stale=stale)
+            if isinstance(result, Err):
+                error = result.err_value
+                reason = f"{error.failure.value}: {error.reason}"
+                if error.failure is StoreFailure.REFUSED:
+                    break
+                continue
+            page = result.ok_value
+            if cursors.record_page(page.names) or not page.has_more:
+                pages.append(page)
+        return reason
+
+    async def _add_needed(
+        self, kind: ObjectKind, listing: Listing, needed: ObjectName | None
+    ) -> Result[Listing, StoreError]:
+        """Read the object that is needed if a list does not have it."""
+        if needed is None or any(item.name == needed for item in listing.objects):
+            return Ok(listing)
+        found = await self.get(kind, needed)
+        if isinstance(found, Err):
+            return Ok(listing)
+        if found.ok_value.revision.era != listing.revision.era:
+            return Ok(listing)
+        return Ok(replace(listing, objects=(*listing.objects, found.ok_value)))
+
     async def _write(
         self, step: str, method: str, path: str, body: Document
     ) -> Result[StoredObject, StoreError]:
--- a/bramleyport/telemetry/_gateway_events.py
+++ b/bramleyport/telemetry/_gateway_events.py
@@ -47,6 +47,9 @@
 WATCH_RESTARTED: Final = define(
     2629, "INFO", "watch history expired, listing read again"
 )
+LIST_INCOMPLETE: Final = define(
+    2630, "WARNING", "list ends before its last page, objects listed so far used"
+)
 PEER_JOINED: Final = define(2631, "INFO", "peer gateway discovered")
 PEER_LOST: Final = define(2632, "INFO", "peer gateway lost")
 PEER_MESSAGE_INVALID: Final = define(
--- a/tests/platform_standin/__init__.py
+++ b/tests/platform_standin/__init__.py
@@ -50,6 +50,7 @@
 )
 from tests.platform_standin._staged_engine import StagedEngine
 from tests.platform_standin._store import (
+    CursorReading,
     RawJson,
     StoreCopy,
     StoreStandin,
@@ -90,6 +91,7 @@
     "CallerAnswer",
     "ConnectionEnd",
     "CrashingEngine",
+    "CursorReading",
     "DutyCall",
     "EngineCrash",
     "ObservingCaller",
--- a/tests/platform_standin/_http.py
+++ b/tests/platform_standin/_http.py
@@ -29,6 +29,13 @@
         parsed = parse_qs(urlsplit(self.target).query)
         return {name: values[0] for name, values in parsed.items()}
 
+    @property
+    def raw_query(self) -> dict[str, str]:
+        """Return the query with its values as they stand in it."""
+        query = urlsplit(self.target).query
+        fields = [field.partition("=") for field in query.split("&")]
+        return {name: value for name, _, value in fields}
+
 
 async def read_request(reader: asyncio.StreamReader) -> RawRequest | None:
     """Read one request; return None if the connection has ended."""
