Take no ended channel or failed call for an outage of the store

Cause: every failed call counted as an outage that ends with the next answer, and for two seconds from there on a removed entry counted as one that may be renewed. In a fleet that shares watches, the update of one gateway that was back began the same two seconds at all others.

Now an outage takes half a second in which no gateway that is known here got any answer, to calls for any kind of object. After a shorter gap, what the first answer lacks is kept only until 0.7 of the bound for drains has passed since the state was last current, so that upstreams which lapse in a moment's absence are still waited for. The first retry of a call comes after 0.06 s in place of 0.1, so that three fit into the half second.

Two tests took less for an outage: test_odd_registration_is_not_used_after_an_outage recorded a failure that lasted no time, and opens the time after an outage by a restored store now; test_first_update_after_an_outage_reports_it took the paths of the watchers alone, while the others reached the store, and takes those of all gateways now. Both check what they checked before.

--- a/bramleyport/fleet/_members.py
+++ b/bramleyport/fleet/_members.py
@@ -1,17 +1,13 @@
 """Track which upstreams take work, from their registrations."""
 
 from dataclasses import dataclass, replace
-from typing import Final
 
 from bramleyport.core import ServiceName, UpstreamId
 from bramleyport.fleet._departures import Departures
 from bramleyport.fleet._leaving import LeavingProcesses, LeavingUpstream
+from bramleyport.fleet._store_outages import StoreOutages
 from bramleyport.fleet._types import Registration
 
-# Upstreams whose registrations expired during an outage of the store register again
-# within this time of its end.
-RENEWAL_S: Final = 2.0
-
 
 @dataclass(slots=True)
 class Member:
@@ -29,24 +25,28 @@
         self._members: dict[UpstreamId, Member] = {}
         # Rises with each change of the registrations.
         self.change_count = 0
-        self._store_recovered_s: float | None = None
-        self._store_unreachable = False
+        self._outages = StoreOutages()
         self._departures = Departures()
         self._leaving = LeavingProcesses()
         # Registrations of a restored store whose upstreams had left before.
         self._unconfirmed: dict[UpstreamId, Registration] = {}
         self._restored_s = 0.0
 
-    def record_store(self, *, reachable: bool, now_s: float) -> None:
-        """Record whether the store answers."""
-        if reachable and self._store_unreachable:
-            self._store_recovered_s = now_s
-        self._store_unreachable = not reachable
+    def record_store_answer(self, answered_s: float) -> None:
+        """Record that the store answered a call of any gateway."""
+        self._outages.record_answer(answered_s)
+
+    def record_missed_changes(self, until_s: float) -> None:
+        """Record until when upstreams are kept that the next list or changes lack."""
+        self._outages.record_missed(until_s)
+
+    def record_store_failure(self, since_s: float) -> None:
+        """Record that calls to the store fail, and since when it is silent."""
+        self._outages.record_failure(since_s)
 
     def record_restored(self, now_s: float) -> None:
         """Record that the store was restored from a copy, which may lack upstreams."""
-        self._store_recovered_s = now_s
-        self._store_unreachable = False
+        self._outages.record_restored(now_s)
 
     def put(self, registration: Registration) -> Registration | None:
         """Add a registration and return the one that it replaces."""
@@ -99,14 +99,15 @@
         if member is None:
             return
         self.change_count += 1
-        if member.registration.draining or not self._may_return(now_s):
+        renewal_end_s = self._outages.find_renewal_end(now_s)
+        if member.registration.draining or renewal_end_s is None:
             del self._members[upstream]
             self._leaving.forget_unknown_start(upstream)
             self._departures.record(
                 last or member.registration, now_s, is_last=last is not None
             )
         elif member.missing_until_s is None:
-            member.missing_until_s = self._find_renewal_end(now_s)
+            member.missing_until_s = renewal_end_s
 
     def drop(self, upstream: UpstreamId) -> bool:
         """Remove an upstream at once; return whether it was known."""
@@ -197,15 +198,3 @@
     def list_all(self) -> list[Registration]:
         """Return all registrations."""
         return [member.registration for member in self._members.values()]
-
-    def _may_return(self, now_s: float) -> bool:
-        if self._store_unreachable:
-            return True
-        return self._store_recovered_s is not None and (
-            now_s - self._store_recovered_s < RENEWAL_S
-        )
-
-    def _find_renewal_end(self, now_s: float) -> float:
-        if self._store_unreachable or self._store_recovered_s is None:
-            return now_s + RENEWAL_S
-        return self._store_recovered_s + RENEWAL_S
--- a/bramleyport/gateway/_daemon.py
+++ b/bramleyport/gateway/_daemon.py
@@ -113,6 +113,7 @@
             self._readiness.handle, self._read_limits, caller_budget, privileged=True
         )
         self._registrations = RegistrationUpdater(state, self._remove_upstream)
+        store.on_answered.append(self._registrations.record_other_answer)
         self._caches = CacheReader(state, exchanger)
         self._stages = StageController(state, store, exchanger, peers)
         self._tasks: list[asyncio.Task[None]] = []
--- a/bramleyport/gateway/_follower.py
+++ b/bramleyport/gateway/_follower.py
@@ -31,7 +31,7 @@
 # Time that a slow store takes to answer beyond the requested wait.
 ANSWER_ALLOWANCE_S: Final = 0.7
 MIN_WAIT_S: Final = 0.3
-RETRY_FIRST_S: Final = 0.1
+RETRY_FIRST_S: Final = 0.06
 RETRY_MAX_S: Final = 0.5
 # Gateways that rely on the updates of peers retry an unreachable store less often.
 SHARED_RETRY_MAX_S: Final = 1.5
@@ -138,8 +138,14 @@
     def apply_changes(self, batch: ChangeBatch) -> None:
         """Apply changes."""
 
-    def record_store_state(self, *, reachable: bool, age_s: float = 0.0) -> None:
-        """Record whether the store answers, and how old its last answer is."""
+    def record_store_answer(self, age_s: float = 0.0, missed_s: float = 0.0) -> None:
+        """Record that the store has answered a gateway `age_s` ago.
+
+        What is applied next holds changes that may have been missed for `missed_s`.
+        """
+
+    def record_store_failure(self, silent_s: float = 0.0) -> None:
+        """Record that the store answers no known gateway, and for how long."""
 
 
 class Follower:
@@ -173,7 +179,15 @@
         # When the first list of an era after the first one was read.
         self._restored_s = -math.inf
         self._reachable = True
+        # Since when gateways get no answers, and whether no known one gets any.
+        self._doubted_s = math.inf
+        self._is_silent = False
+        # When the known state was last seen to be that of the store.
+        self._current_s = -math.inf
         self._retry_s = RETRY_FIRST_S
+        # When the last call was made, and for how long the store may hold it open.
+        self._called_s = 0.0
+        self._wait_s = 0.0
         # The newest revision that a gateway has published.
         self._published_revision = NO_REVISION
         # A peer has read the store in an era that is not known here yet.
@@ -195,6 +209,7 @@
             if idle_s > 0:
                 await self._wait_for_update(idle_s)
                 continue
+            self._called_s = read_now()
             error = await self._call_store()
             if error is None:
                 await self._pause()
@@ -213,7 +228,7 @@
     def receive_update(self, update: StoreUpdate) -> None:
         """Apply an update that another gateway has sent."""
         if not update.reachable:
-            self._freshness.revoke(update.process)
+            self._record_doubt(update.process, read_now())
             self._call_needed.set()
             return
         if self._revision is None or update.revision.era < self._revision.era:
@@ -221,15 +236,12 @@
         if update.revision.era > self._revision.era:
             self._receive_new_era(update)
             return
-        if update.returned and self._reachable:
-            # Report the outage first, because registrations that expired during it may
-            # be renewed.
-            self._updater.record_store_state(reachable=False)
+        # The answer may end an outage in which what it lacks has expired.
+        self._record_answer(update.age_s)
         if update.revision > self._revision and not self._apply_update(update):
             self._published_revision = max(self._published_revision, update.revision)
             self._call_needed.set()
             return
-        self._updater.record_store_state(reachable=True, age_s=update.age_s)
         self._freshness.confirm(update.process, read_now() - update.age_s)
 
     def _receive_new_era(self, update: StoreUpdate) -> None:
@@ -298,6 +310,26 @@
             return True
         return self._revision.era < self._store.eras.newest
 
+    def _record_answer(self, age_s: float) -> None:
+        """Record that the store has answered this gateway or another one."""
+        now_s = read_now()
+        missed_s = now_s - self._current_s if self._is_silent else 0.0
+        self._doubted_s, self._is_silent = math.inf, False
+        self._current_s = now_s - age_s
+        self._updater.record_store_answer(age_s, missed_s)
+
+    def _record_doubt(self, source: ProcessId, since_s: float) -> None:
+        """Record that a gateway gets no answers.
+
+        Only if no other gateway gets any, the store may be away.
+        """
+        now_s = read_now()
+        self._freshness.revoke(source)
+        self._doubted_s = min(self._doubted_s, since_s)
+        if self._freshness.measure_remaining(now_s) <= 0:
+            self._is_silent = True
+            self._updater.record_store_failure(now_s - self._doubted_s)
+
     async def _call_store(self) -> StoreError | None:
         if self._needs_list():
             return await self._list()
@@ -305,6 +337,7 @@
         return await self._watch(self._revision)
 
     async def _list(self) -> StoreError | None:
+        self._wait_s = 0.0
         listing = await self._store.list_objects(self._kind, needed=self._needed)
         if isinstance(listing, Err):
             return listing.err_value
@@ -339,6 +372,7 @@
         if not self._reachable:
             # An answer that waits for a change would hide when the outage has ended.
             wait_s = 0.0
+        self._wait_s = wait_s
         started_s = read_boot_time()
         batch = await self._store.watch(self._kind, since, wait_s, times.answer_s)
         if isinstance(batch, Err):
@@ -396,7 +430,7 @@
         if returned:
             self._reachable = True
             log_event(gateway_events.STORE_AVAILABLE, kind=self._kind.value)
-        self._updater.record_store_state(reachable=True, age_s=age_s)
+        self._record_answer(age_s)
         return returned
 
     def _record_failure(self, error: StoreError) -> None:
@@ -414,4 +448,17 @@
                 self._link.publish_update(
                     StoreUpdate(process=process, kind=self._kind, reachable=False)
                 )
-        self._updater.record_store_state(reachable=False)
+        self._record_doubt(self._link.process, self._find_silence(error))
+
+    def _find_silence(self, error: StoreError) -> float:
+        """Return since when the store has been silent as a call failed.
+
+        A watch whose channel ends while the store holds it open has told of all changes
+        until then.
+        """
+        now_s = read_now()
+        if now_s - self._called_s > self._wait_s:
+            return self._called_s
+        if error.failure is StoreFailure.UNKNOWN:
+            self._current_s = now_s
+        return now_s
--- a/bramleyport/gateway/_state_updaters.py
+++ b/bramleyport/gateway/_state_updaters.py
@@ -1,5 +1,6 @@
 """Update the state of the gateway from the objects in the store."""
 
+import math
 from collections.abc import Callable, Iterable
 from functools import partial
 from typing import Final
@@ -24,6 +25,9 @@
 # The store removes a registration after three intervals without a renewal, which begin
 # when it is back; the others are for its notice to arrive.
 EXPIRY_INTERVALS: Final = 6
+# Fraction of the bound for upstreams that left, for which one is kept that may have
+# lapsed instead.
+MISSED_KEEP_FRACTION: Final = 0.7
 CONFIGURATION_NAME: Final = ObjectName("main")
 
 
@@ -43,7 +47,10 @@
         """Apply the configurations in changes."""
         self._apply(change.object for change in batch.changes if not change.removed)
 
-    def record_store_state(self, *, reachable: bool, age_s: float = 0.0) -> None:
+    def record_store_answer(self, age_s: float = 0.0, missed_s: float = 0.0) -> None:
+        """Keep the configuration, whether or not the store answers."""
+
+    def record_store_failure(self, silent_s: float = 0.0) -> None:
         """Keep the configuration, whether or not the store answers."""
 
     def _apply(self, objects: Iterable[StoredObject]) -> None:
@@ -121,10 +128,22 @@
             action = partial(self._apply_change, change, now_s)
             self._guard.apply(change.object, action)
 
-    def record_store_state(self, *, reachable: bool, age_s: float = 0.0) -> None:
-        """Record whether the store answers; an outage lets registrations expire."""
-        now_s = read_now()
-        self._state.members.record_store(reachable=reachable, now_s=now_s)
+    def record_store_answer(self, age_s: float = 0.0, missed_s: float = 0.0) -> None:
+        """Record an answer, which may end an outage."""
+        self.record_other_answer(age_s)
+        until_s = -math.inf
+        if missed_s > 0:
+            keep_s = MISSED_KEEP_FRACTION * self._state.settings.drain_limit_s
+            until_s = read_now() - missed_s + keep_s
+        self._state.members.record_missed_changes(until_s)
+
+    def record_other_answer(self, age_s: float = 0.0) -> None:
+        """Record an answer that says nothing of registrations."""
+        self._state.members.record_store_answer(read_now() - age_s)
+
+    def record_store_failure(self, silent_s: float = 0.0) -> None:
+        """Record a failure; an outage lets registrations expire."""
+        self._state.members.record_store_failure(read_now() - silent_s)
 
     def drop_lapsed(self) -> None:
         """Remove upstreams whose expired registration was not renewed."""
--- a/bramleyport/gateway/_store_updates.py
+++ b/bramleyport/gateway/_store_updates.py
@@ -47,7 +47,8 @@
     age_s: float = 0.0
     # False while the store does not answer the sender.
     reachable: bool = True
-    # Set in the first update after an outage of the store.
+    # Set in the first update after calls of the sender failed, for gateways of earlier
+    # versions.
     returned: bool = False
     # None if they can't be encoded, or not within a datagram, and have to be read from
     # the store.
--- a/bramleyport/gateway/_verdict_store.py
+++ b/bramleyport/gateway/_verdict_store.py
@@ -93,7 +93,10 @@
             action = self._release_stored if change.removed else self._apply_stored
             self._guard.apply(change.object, partial(action, change.object))
 
-    def record_store_state(self, *, reachable: bool, age_s: float = 0.0) -> None:
+    def record_store_answer(self, age_s: float = 0.0, missed_s: float = 0.0) -> None:
+        """Keep the verdicts, whether or not the store answers."""
+
+    def record_store_failure(self, silent_s: float = 0.0) -> None:
         """Keep the verdicts, whether or not the store answers."""
 
     def write(self, verdict: Verdict) -> None:
--- a/bramleyport/gateway/_version_store.py
+++ b/bramleyport/gateway/_version_store.py
@@ -118,7 +118,10 @@
                 action = partial(self._apply, change.object, restored=False)
                 self._guard.apply(change.object, action)
 
-    def record_store_state(self, *, reachable: bool, age_s: float = 0.0) -> None:
+    def record_store_answer(self, age_s: float = 0.0, missed_s: float = 0.0) -> None:
+        """Keep the shares, whether or not the store answers."""
+
+    def record_store_failure(self, silent_s: float = 0.0) -> None:
         """Keep the shares, whether or not the store answers."""
 
     async def run(self) -> None:
--- a/bramleyport/platform/_store.py
+++ b/bramleyport/platform/_store.py
@@ -74,6 +74,8 @@
     429: StoreFailure.REFUSED,
     503: StoreFailure.REFUSED,
 }
+# A store that serves others may answer so.
+_REFUSALS: Final = (StoreFailure.REFUSED, StoreFailure.UNKNOWN)
 
 
 @dataclass(frozen=True, slots=True)
@@ -105,6 +107,8 @@
         )
         self._pool = ConnectionPool(client, settings.address, limits)
         self._on_call = on_call
+        # Called after each answer that is no refusal.
+        self.on_answered: list[Callable[[], None]] = []
         self.eras = StoreEras()
 
     async def list_objects(
@@ -326,8 +330,11 @@
         if era < self.eras.newest:
             reason = f"answer of era {era} after one of era {self.eras.newest}"
             return _make_error(StoreFailure.OUTDATED, step, reason)
+        failure = _FAILURES.get(answer.status, StoreFailure.UNKNOWN)
+        if answer.status < 300 or failure not in _REFUSALS:
+            for notify in self.on_answered:
+                notify()
         if answer.status >= 300:
-            failure = _FAILURES.get(answer.status, StoreFailure.UNKNOWN)
             text = answer.body[:120].decode(errors="replace")
             return _make_error(failure, step, f"{answer.status} {text}")
         return Ok(_StoreAnswer(era, answer.body))
--- a/tests/test_away_versions.py
+++ b/tests/test_away_versions.py
@@ -177,7 +177,10 @@
         def apply_listing(self, listing: Listing, *, restored: bool = False) -> None:
             pass
 
-        def record_store_state(self, *, reachable: bool, age_s: float = 0.0) -> None:
+        def record_store_answer(self, *_: float) -> None:
+            pass
+
+        def record_store_failure(self, silent_s: float = 0.0) -> None:
             pass
 
     async def check() -> None:
--- a/tests/test_fleet_members.py
+++ b/tests/test_fleet_members.py
@@ -1,5 +1,6 @@
 """Test which upstreams take work and which routes match requests."""
 
+import math
 from random import Random
 
 import pytest
@@ -36,8 +37,8 @@
     # seconds of its end.
     members = Membership()
     members.put(make_engine("e"))
-    members.record_store(reachable=False, now_s=10.0)
-    members.record_store(reachable=True, now_s=20.0)
+    members.record_store_failure(10.0)
+    members.record_store_answer(20.0)
     members.replace_all([], 20.1)
     assert list_names(members) == ["e"]
     assert members.drop_missing(21.0) == []
@@ -45,11 +46,45 @@
     assert list_names(members) == []
 
 
+# Guards against one failed call, or one channel that ends, that counts as an outage.
+def test_failure_that_ends_soon_keeps_no_removed_upstream() -> None:
+    members = Membership()
+    members.put(make_engine("e"))
+    members.record_store_failure(11.0)
+    members.record_store_answer(11.3)
+    members.remove(NAME, 11.4)
+    assert list_names(members) == []
+
+
+# Guards upstreams that lapse while the store is away for a moment.
+def test_upstream_that_is_missing_after_missed_changes_is_kept_for_a_while() -> None:
+    members = Membership()
+    for name in ("e", "f"):
+        members.put(make_engine(name))
+    members.record_missed_changes(12.4)
+    members.remove(NAME, 11.3)
+    members.record_missed_changes(-math.inf)
+    members.remove(UpstreamId("f"), 11.4)
+    assert list_names(members) == ["e"]
+    assert members.drop_missing(12.4) == ["e"]
+
+
+# Guards against a silent channel that counts as an outage while others are answered.
+def test_answers_to_other_calls_show_that_the_store_was_not_away() -> None:
+    members = Membership()
+    members.put(make_engine("e"))
+    members.record_store_answer(12.9)
+    members.record_store_failure(10.0)
+    members.record_store_answer(13.0)
+    members.remove(NAME, 13.1)
+    assert list_names(members) == []
+
+
 def test_renewed_registration_stays() -> None:
     members = Membership()
     members.put(make_engine("e"))
-    members.record_store(reachable=False, now_s=10.0)
-    members.record_store(reachable=True, now_s=20.0)
+    members.record_store_failure(10.0)
+    members.record_store_answer(20.0)
     members.remove(NAME, 20.1)
     members.put(make_engine("e"))
     assert members.drop_missing(30.0) == []
@@ -59,7 +94,7 @@
 def test_removed_upstream_that_was_draining_is_dropped_at_once() -> None:
     members = Membership()
     members.put(make_engine("e", draining=True))
-    members.record_store(reachable=False, now_s=10.0)
+    members.record_store_failure(10.0)
     members.remove(NAME, 10.5)
     assert members.find(NAME) is None
 
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -16,6 +16,7 @@
 from bramleyport.core import Revision, StoreEra, StoreRevision
 from bramleyport.fleet import TraitId
 from bramleyport.gateway import _lease, _state_updaters
+from bramleyport.gateway._clock import read_now
 from bramleyport.gateway._state_updaters import RegistrationUpdater
 from bramleyport.gateway._verdict_store import _make_name
 from bramleyport.platform import (
@@ -185,8 +186,7 @@
     async def check() -> None:
         await fleet.start()
         updater = RegistrationUpdater(fleet.state, lambda upstream: None)
-        updater.record_store_state(reachable=False)
-        updater.record_store_state(reachable=True)
+        fleet.state.members.record_restored(read_now())
         odd = StoredObject(
             name=ObjectName("p0"), revision=Revision(9), document={"state": "odd"}
         )
--- a/tests/test_store_eras.py
+++ b/tests/test_store_eras.py
@@ -117,7 +117,10 @@
         def apply_listing(self, listing: Any, *, restored: bool = False) -> None:
             restored_flags.append(restored)
 
-        def record_store_state(self, *, reachable: bool, age_s: float = 0.0) -> None:
+        def record_store_answer(self, *_: float) -> None:
+            pass
+
+        def record_store_failure(self, silent_s: float = 0.0) -> None:
             pass
 
     async def check() -> None:
--- a/tests/test_store_updates.py
+++ b/tests/test_store_updates.py
@@ -182,7 +182,13 @@
             else:
                 self.objects[change.object.name] = change.object.document["at"]
 
-    def record_store_state(self, *, reachable: bool, age_s: float = 0.0) -> None:
+    def record_store_answer(self, *_: float) -> None:
+        self._record(reachable=True)
+
+    def record_store_failure(self, silent_s: float = 0.0) -> None:
+        self._record(reachable=False)
+
+    def _record(self, *, reachable: bool) -> None:
         if not self.reachable or self.reachable[-1] != reachable:
             self.reachable.append(reachable)
 
@@ -322,13 +328,10 @@
 def test_first_update_after_an_outage_reports_it(network: Network, run: Run) -> None:
     # Removals in that update may be registrations that expired during the outage.
     async def script() -> None:
-        network.store.disconnected = set(network.watchers)
+        network.store.disconnected = set(NAMES)
         revoked = network.updaters[network.others[0]].reachable
         await network.wait_for(
-            lambda: all(
-                network.updaters[name].reachable[-1] is False
-                for name in network.watchers
-            )
+            lambda: all(network.updaters[name].reachable[-1] is False for name in NAMES)
         )
         network.store.disconnected = set()
         network.store.put("u", removed=True)
--- a/tests/version_simulation.py
+++ b/tests/version_simulation.py
@@ -116,7 +116,7 @@
         self.cut = False
         self._store = store
 
-    async def list_objects(self, kind: Any, *, stale: bool = False) -> Any:
+    async def list_objects(self, kind: Any, **_: Any) -> Any:
         found = await self._answer(lambda: self._make_listing(kind))
         return found if isinstance(found, Err) else Ok(found)
 
