Look at all parts of a prompt for what crashes upstreams

Cause: a call's traits were the first 31 parts; the rest was dropped without a word. A receiver refused rows of more than 32 traits, and messages about several long prompts exceeded a datagram, which the kernel refuses as a whole.

Log lines name 24 traits and say how many more there are.

--- a/bramleyport/fleet/__init__.py
+++ b/bramleyport/fleet/__init__.py
@@ -99,6 +99,7 @@
     CallTraits,
     RequestIdentity,
     TraitId,
+    describe_traits,
     is_request,
 )
 from bramleyport.fleet._transfers import Transfer
@@ -230,6 +231,7 @@
     "choose_trial_interval",
     "compute_enforced_rate",
     "compute_shares",
+    "describe_traits",
     "extend_for_one",
     "has_free_prefill",
     "has_free_slots",
--- a/bramleyport/fleet/_answered_traits.py
+++ b/bramleyport/fleet/_answered_traits.py
@@ -7,8 +7,10 @@
 
 from bramleyport.fleet._traits import TraitId, is_request
 
-# Bound of the memory for any number of different traits.
-MAX_HARMLESS: Final = 8192
+# Bounds of the memory for any number of different traits. A prompt may have thousands
+# of parts, and all of them are known to be harmless only as long as none is forgotten.
+MAX_PARTS: Final = 65_536
+MAX_REQUESTS: Final = 8192
 # Time for which an answer counts against late reports and verdicts on a request.
 ANSWERED_REQUEST_KEEP_S: Final = 60.0
 
@@ -48,7 +50,7 @@
         table = self._select(trait)
         table[trait] = max(self.find(trait), answered_s)
         table.move_to_end(trait)
-        if len(table) > MAX_HARMLESS:
+        if len(table) > (MAX_REQUESTS if is_request(trait) else MAX_PARTS):
             table.popitem(last=False)
 
     def record_accused(self, trait: TraitId) -> None:
--- a/bramleyport/fleet/_crash_evidence.py
+++ b/bramleyport/fleet/_crash_evidence.py
@@ -33,6 +33,7 @@
     record_run,
 )
 from bramleyport.fleet._recent_requests import RecentRequests
+from bramleyport.fleet._shared_sets import SharedSets
 from bramleyport.fleet._trait_table import TraitTable
 from bramleyport.fleet._traits import CallTraits, TraitId, is_request
 
@@ -49,7 +50,7 @@
 # Time for which a trait that was not accused again stays suspect.
 SUSPECT_KEEP_S: Final = 300.0
 # Bounds of the memory for any number of different traits.
-MAX_SUSPECTS: Final = 1024
+MAX_SUSPECTS: Final = 8192
 MAX_VERDICTS: Final = 2048
 MAX_CRASHES: Final = 8
 MAX_RUNS: Final = 16
@@ -145,6 +146,9 @@
             )
         )
         requests = [trait for trait in accused if is_request(trait)]
+        self._remove_companions(
+            trait for trait in (*traits.parts, *requests) if trait not in self._answered
+        )
         for trait in (*traits.parts, *requests):
             self.apply_harmless(HarmlessTrait(trait, answered_s))
         for trait in accused:
@@ -174,7 +178,7 @@
         """Record that a call of any gateway with a trait was answered."""
         trait = notice.trait
         if trait not in self._answered:
-            self._remove_companion(trait)
+            self._remove_companions((trait,))
         self._answered.record(trait, notice.answered_s)
         suspect = self._suspects.get(trait)
         verdict = self._verdicts.get(trait)
@@ -202,11 +206,12 @@
         self._record_explanation(report, now_s)
         unproven = self._answered.select_unproven(report.contestable)
         verdicts = []
+        intersections = SharedSets()
         for trait in self._list_accused(report, unproven):
             companions = frozenset((trait,))
             if not is_request(trait):
-                companions |= unproven
-            suspect = self._accuse(report, trait, companions)
+                companions = unproven if trait in unproven else unproven | companions
+            suspect = self._accuse(report, trait, companions, intersections)
             self._hold(report, trait, suspect, unproven)
             if not self._convictions.includes(trait, suspect, report.crash, now_s):
                 continue
@@ -253,17 +258,31 @@
         """Drop what accuses a trait, as itself and as a companion of others."""
         self._suspects.pop(trait)
         self._verdicts.pop(trait)
-        self._remove_companion(trait)
+        self._remove_companions((trait,))
 
-    def _remove_companion(self, trait: TraitId) -> None:
+    def _remove_companions(self, traits: Iterable[TraitId]) -> None:
+        """Remove traits from the companions of all others."""
+        removed = frozenset(traits)
+        if not removed or not self._has_companions(removed):
+            return
+        differences = SharedSets()
         for name, suspect in self._suspects.items():
-            if name != trait:
-                suspect.companions -= {trait}
+            companions = differences.subtract(suspect.companions, removed)
+            suspect.companions = _include(companions, name)
         for name, verdict in list(self._verdicts.items()):
-            if trait in verdict.companions and name != trait:
-                companions = verdict.companions - {trait}
+            companions = differences.subtract(verdict.companions, removed)
+            if len(_include(companions, name)) < len(verdict.companions):
+                companions = _include(companions, name)
                 self._verdicts.put(name, replace(verdict, companions=companions))
 
+    def _has_companions(self, traits: frozenset[TraitId]) -> bool:
+        """Return whether others have one of these traits as a companion."""
+        suspects, verdicts = self._suspects.values(), self._verdicts.values()
+        # Most of them share their sets.
+        known = {id(item.companions): item.companions for item in suspects}
+        known |= {id(item.companions): item.companions for item in verdicts}
+        return not all(map(traits.isdisjoint, known.values()))
+
     def find_verdict(self, traits: CallTraits) -> Verdict | None:
         """Return the verdict under which a call is withheld, if there is one."""
         found = (self._verdicts[trait] for trait in self._verdicts.list_of(traits))
@@ -380,7 +399,7 @@
             if other.runs.keys() >= explained
         }
         for crash, runs in list(suspect.runs.items()):
-            self._clear_crash(crash, kept | runs.alongside, now_s)
+            self._clear_crash(crash, kept.union(*runs.alongside), now_s)
 
     def _clear_crash(
         self, crash: CrashId, kept: Collection[TraitId], now_s: float
@@ -391,7 +410,9 @@
             if trait in kept or crash not in suspect.runs:
                 continue
             # Other gateways may have come to a verdict by more than is known here.
-            was_convicted = self._is_convicted(trait, suspect, now_s)
+            was_convicted = trait in self._verdicts and self._is_convicted(
+                trait, suspect, now_s
+            )
             suspect.drop_crash(crash)
             if was_convicted and not self._is_convicted(trait, suspect, now_s):
                 self._verdicts.pop(trait)
@@ -425,12 +446,16 @@
         return verdict.crashes < CRASHES_DESPITE_ANSWERS
 
     def _accuse(
-        self, report: CrashReport, trait: TraitId, companions: frozenset[TraitId]
+        self,
+        report: CrashReport,
+        trait: TraitId,
+        companions: frozenset[TraitId],
+        intersections: SharedSets,
     ) -> Suspect:
         at_s = report.at_s
         suspect = self._suspects.get(trait) or Suspect(companions, at_s, at_s)
         self._suspects.put(trait, suspect, renew=True)
-        suspect.companions &= companions
+        suspect.companions = intersections.intersect(suspect.companions, companions)
         suspect.proven |= trait not in report.unproven
         suspect.first_s = min(suspect.first_s, at_s)
         suspect.last_s = max(suspect.last_s, at_s)
@@ -445,3 +470,7 @@
             suspect.begun.add(report.crash)
         self._answered.record_accused(trait)
         return suspect
+
+
+def _include(companions: frozenset[TraitId], trait: TraitId) -> frozenset[TraitId]:
+    return companions if trait in companions else companions | {trait}
--- a/bramleyport/fleet/_crash_runs.py
+++ b/bramleyport/fleet/_crash_runs.py
@@ -36,8 +36,8 @@
     longest_s: float
     # The answer to one of them had just begun.
     is_early: bool = False
-    # What these calls had besides the trait.
-    alongside: set[TraitId] = field(default_factory=set)
+    # What each of these calls had besides the trait; the sets are those of reports.
+    alongside: set[frozenset[TraitId]] = field(default_factory=set)
 
     @property
     def weight(self) -> float:
@@ -55,7 +55,7 @@
     def add(self, report: CrashReport) -> None:
         """Add a call that the same crash broke."""
         run_s = report.ran_s or 0.0
-        self.alongside.update(report.traits)
+        self.alongside.add(report.traits)
         self.is_early |= _is_early(report)
         self.shortest_s = min(self.shortest_s, run_s)
         self.longest_s = max(self.longest_s, run_s)
--- a/bramleyport/fleet/_traits.py
+++ b/bramleyport/fleet/_traits.py
@@ -4,7 +4,6 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 from functools import cached_property
-from itertools import islice
 from typing import Final, NewType
 
 # A part of prompts, or a whole request.
@@ -14,8 +13,10 @@
 # A hash of a whole request that only the process that computed it can use.
 LocalRequestKey = NewType("LocalRequestKey", int)
 
-# Traits of one call that are considered: its whole request, and parts of its prompt.
-MAX_TRAITS: Final = 32
+# Far more than the parts of a prompt that fit into the head of a request.
+MAX_TRAITS: Final = 16_384
+# Traits that one line of a log names.
+MAX_LOGGED_TRAITS: Final = 24
 # A longer name of a part is replaced by its digest.
 MAX_TRAIT_CHARS: Final = 64
 # The names of prompt parts contain no colon.
@@ -69,7 +70,7 @@
     return RequestHead(trait.removeprefix(_REQUEST_PREFIX).partition(".")[0])
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(frozen=True)
 class CallTraits:
     """Describe what a call may have in common with others that crash upstreams."""
 
@@ -81,21 +82,34 @@
         """Return whether the call has a trait; digest the body only if it may."""
         head = read_request_head(trait)
         if head is None:
-            return trait in self.parts
+            return trait in self.part_set
         identity = self.identity
         return (
             identity is not None and identity.head == head and identity.trait == trait
         )
 
+    @cached_property
+    def part_set(self) -> frozenset[TraitId]:
+        """Return the parts without their order."""
+        return frozenset(self.parts)
+
     def list_all(self) -> frozenset[TraitId]:
         """Return all traits; this digests the body."""
         request = () if self.identity is None else (self.identity.trait,)
-        return frozenset((*self.parts, *request))
+        return self.part_set.union(request)
 
 
 def make_part_traits(names: Iterable[str]) -> tuple[TraitId, ...]:
     """Return the traits of the shared parts of a prompt."""
-    return tuple(_shorten(name) for name in islice(names, MAX_TRAITS - 1))
+    return tuple(_shorten(name) for name in names)
+
+
+def describe_traits(traits: Iterable[TraitId]) -> list[str]:
+    """Return traits for the log, and how many more there are."""
+    names = sorted(traits)
+    more = len(names) - MAX_LOGGED_TRAITS
+    rest = [f"and {more} more"] if more > 0 else []
+    return [*names[:MAX_LOGGED_TRAITS], *rest]
 
 
 def is_request(trait: TraitId) -> bool:
--- a/bramleyport/fleet/_types.py
+++ b/bramleyport/fleet/_types.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass, field
 from enum import Enum
+from functools import cached_property
 from typing import Final, NewType
 
 from bramleyport.core import (
@@ -15,7 +16,12 @@
 from bramleyport.fleet._accounts import AccountIndex, ApiKey, ClientAccount
 from bramleyport.fleet._ranks import RankTable
 from bramleyport.fleet._scale_plan import ScaleBounds
-from bramleyport.fleet._traits import CallTraits, RequestIdentity, make_part_traits
+from bramleyport.fleet._traits import (
+    CallTraits,
+    RequestIdentity,
+    TraitId,
+    make_part_traits,
+)
 
 RouteName = NewType("RouteName", str)
 PrefixId = NewType("PrefixId", str)
@@ -172,7 +178,7 @@
     tokens: int
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
+@dataclass(frozen=True, kw_only=True)
 class Prompt:
     """Describe the prompt and the expected output of a language request."""
 
@@ -181,6 +187,11 @@
     tokens_out: int
     parts: tuple[PromptPart, ...] = ()
 
+    @cached_property
+    def part_traits(self) -> tuple[TraitId, ...]:
+        """Return the traits of all parts but the last, which is the request's own."""
+        return make_part_traits(part.prefix for part in self.parts[:-1])
+
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Call:
@@ -219,7 +230,5 @@
     @property
     def traits(self) -> CallTraits:
         """Return what the call may have in common with others that crash upstreams."""
-        parts = self.prompt.parts[:-1] if self.prompt else ()
-        return CallTraits(
-            make_part_traits(part.prefix for part in parts), self.identity
-        )
+        parts = self.prompt.part_traits if self.prompt else ()
+        return CallTraits(parts, self.identity)
--- a/bramleyport/gateway/_crash_guard.py
+++ b/bramleyport/gateway/_crash_guard.py
@@ -16,6 +16,7 @@
     Registration,
     TraitId,
     Verdict,
+    describe_traits,
     is_request,
 )
 from bramleyport.gateway._clock import read_now
@@ -290,8 +291,8 @@
             gateway_events.CRASH_REPORTED,
             request=item.call.request,
             upstream=crash.upstream,
-            unproven=sorted(report.unproven),
-            proven=sorted(report.traits - report.unproven),
+            unproven=describe_traits(report.unproven),
+            proven=describe_traits(report.traits - report.unproven),
             answer_began=report.answer_began,
             ran_s=-1.0 if item.ran_s is None else round(item.ran_s, 3),
         )
--- a/bramleyport/gateway/_shared_facts.py
+++ b/bramleyport/gateway/_shared_facts.py
@@ -290,7 +290,7 @@
     _encode_report,
     scope=Scope.TRAIT,
     end="an answer clears the trait, or 300 s have passed",
-    bound="1,024 traits, 512 crashes",
+    bound="8,192 traits, 512 crashes",
 )
 def _decode_report(item: Any, now_s: float) -> CrashReport:
     # Gateways of earlier versions report no calls that had run.
@@ -316,7 +316,7 @@
     _encode_harmless,
     scope=Scope.TRAIT,
     end="others push it out; for a request, 60 s have passed",
-    bound="8,192 traits of each kind",
+    bound="65,536 parts and 8,192 requests",
 )
 def _decode_harmless(item: Any, now_s: float) -> HarmlessTrait:
     trait, age_s = read_row(item, 2)
--- a/bramleyport/gateway/_verdict_store.py
+++ b/bramleyport/gateway/_verdict_store.py
@@ -14,6 +14,7 @@
     TraitId,
     Verdict,
     choose_trial_interval,
+    describe_traits,
 )
 from bramleyport.gateway._clock import read_now
 from bramleyport.gateway._object_guard import ObjectGuard
@@ -372,7 +373,7 @@
     log_event(
         gateway_events.TRAIT_WITHHELD,
         trait=verdict.trait,
-        companions=sorted(verdict.companions - {verdict.trait}),
+        companions=describe_traits(verdict.companions - {verdict.trait}),
         crashes=verdict.crashes,
         origin=origin,
     )
--- a/tests/guarded_fleet.py
+++ b/tests/guarded_fleet.py
@@ -72,6 +72,8 @@
     # When upstreams crashed on the deadly part, and calls with it were sent to one.
     crashes_s: list[float] = field(default_factory=list)
     deadly_sent_s: list[float] = field(default_factory=list)
+    # Parts that all prompts have in front of the others.
+    lead: tuple[str, ...] = ()
     # Set once calls with the part crash upstreams, also those that were sent before.
     is_deadly: bool = False
     sound_sent: int = 0
@@ -191,7 +193,8 @@
 
     async def _serve(self, stream: Stream, gateway: GuardedGateway) -> None:
         identity = RequestIdentity([b"POST"], stream.body.encode())
-        traits = CallTraits(make_part_traits(stream.parts), identity)
+        parts = (*self.lead, *stream.parts) if stream.parts else ()
+        traits = CallTraits(make_part_traits(parts), identity)
         call: Any = SimpleNamespace(
             request=RequestId(stream.body), identity=identity, traits=traits
         )
--- a/tests/prompt_traffic.py
+++ b/tests/prompt_traffic.py
@@ -50,6 +50,7 @@
         self.sent: list[SentPrompt] = []
         self._numbers = itertools.count(1)
         self._part_tokens = 400
+        self._lead: tuple[str, ...] = ()
         self._deadline_ms = 3000
 
     @property
@@ -78,6 +79,10 @@
         for engine in self.engines:
             engine.pause_s = pause_s
 
+    def set_lead(self, parts: Sequence[str]) -> None:
+        """Set the parts that all prompts have in front of the others."""
+        self._lead = tuple(parts)
+
     def set_part_tokens(self, tokens: int) -> None:
         """Set the size of each part of the prompts."""
         self._part_tokens = tokens
@@ -127,6 +132,7 @@
             f"r{number}", gateway or names[turn % len(names)], deadly_part
         )
         self.sent.append(prompt)
+        parts = (*self._lead, *parts)
         prefix = ",".join(f"{name}:{tokens}" for name in (*parts, f"{number:x}"))
         prompt.answer = await self.group.call_gateway(
             prompt.gateway,
--- a/tests/test_crash_evidence.py
+++ b/tests/test_crash_evidence.py
@@ -13,7 +13,7 @@
     Verdict,
     is_request,
 )
-from bramleyport.fleet._answered_traits import MAX_HARMLESS
+from bramleyport.fleet._answered_traits import MAX_PARTS, MAX_REQUESTS
 from bramleyport.fleet._convictions import CRASHES_DESPITE_ANSWERS
 from bramleyport.fleet._crash_evidence import (
     HOLD_S,
@@ -201,17 +201,17 @@
 def test_memory_is_bounded_for_any_number_of_parts() -> None:
     """Guards against memory that grows with parts that never repeat."""
     evidence = make_evidence()
+    for number in range(2 * MAX_PARTS):
+        evidence.record_answered(make_parts(f"h{number}"), NOW_S)
     for number in range(2 * MAX_SUSPECTS):
         crash(evidence, f"e{number}", f"s{number}", "x" * 5000 + str(number))
-    for number in range(2 * MAX_HARMLESS):
-        evidence.record_answered(make_parts(f"h{number}"), NOW_S)
     for number in range(2 * MAX_VERDICTS):
         part = TraitId(f"v{number}")
         evidence.apply_verdict(
             Verdict(trait=part, companions=frozenset((part,)), crashes=2)
         )
     assert len(evidence._suspects) <= MAX_SUSPECTS
-    assert len(evidence._answered) <= MAX_HARMLESS
+    assert len(evidence._answered) <= MAX_PARTS + MAX_REQUESTS
     assert len(evidence.verdicts) <= MAX_VERDICTS
     assert all(len(part) <= 64 for part in evidence._suspects)
 
--- a/tests/test_withheld_parts.py
+++ b/tests/test_withheld_parts.py
@@ -10,6 +10,7 @@
 
 from bramleyport.core import ProcessId, UpstreamId
 from bramleyport.fleet import (
+    MAX_TRAITS,
     CrashId,
     CrashReport,
     HarmlessTrait,
@@ -321,7 +322,7 @@
 @pytest.mark.parametrize(
     ("position", "value"),
     [
-        (10, [["e", 1, 0.0, ["p"] * 33, [], True]]),
+        (10, [["e", 1, 0.0, ["p"] * (MAX_TRAITS + 1), [], True]]),
         (10, [["e", 1, 0.0, ["p" * 65], [], True]]),
         (10, [["e", 1, -1.0, ["p"], [], True]]),
         (12, [["p", ["p"], 10**400]]),
