Let the repeats of a gateway that starts grow with its age

Cause: each process that took the place of another one in the window could use a whole share of the extra repeats; what the others leave unused pays for one, and only processes that run now were counted.

Now the extra repeats of such a process grow with its age until the window is full, so that a chain of short lives has no more than one that lives on.

--- a/bramleyport/gateway/_state.py
+++ b/bramleyport/gateway/_state.py
@@ -41,10 +41,10 @@
 from bramleyport.gateway._rate_limits import RateLimiter
 from bramleyport.platform import Document, NodeSettings
 from bramleyport.retries import (
-    USABLE_FRACTION,
     OutlierEjector,
     RepeatBudget,
-    find_usable_fraction,
+    UsableShare,
+    find_usable_share,
 )
 from bramleyport.telemetry import gateway_events, log_event, routing_events
 
@@ -217,13 +217,13 @@
             self.budgets[service] = budget
         return budget
 
-    def find_usable_repeats(self, now_s: float) -> float:
+    def find_usable_repeats(self, now_s: float) -> UsableShare:
         """Return which part of its share of repeats this gateway may use now."""
         window_s = self.settings.retries.window_s
-        if now_s - self.replaced_s >= window_s:
-            return USABLE_FRACTION
         others = self.roster.count_new(now_s - window_s)
-        return find_usable_fraction(1 + others, len(self.roster.gateways))
+        return find_usable_share(
+            now_s - self.replaced_s, window_s, 1 + others, len(self.roster.gateways)
+        )
 
     def apply_retry_bounds(self) -> None:
         """Apply the retry bounds of changed settings to the budgets in use."""
--- a/bramleyport/retries/__init__.py
+++ b/bramleyport/retries/__init__.py
@@ -20,7 +20,9 @@
 from bramleyport.retries._repeat_budget import (
     USABLE_FRACTION,
     RepeatBudget,
+    UsableShare,
     find_usable_fraction,
+    find_usable_share,
 )
 from bramleyport.retries._retry_budget import RetryBudget
 
@@ -43,6 +45,8 @@
     "RetryPolicy",
     "Screened",
     "UpstreamGuard",
+    "UsableShare",
     "find_usable_fraction",
+    "find_usable_share",
     "is_repeatable",
 ]
--- a/tests/test_repeats_after_starts.py
+++ b/tests/test_repeats_after_starts.py
@@ -10,6 +10,7 @@
     USABLE_FRACTION,
     RepeatBudget,
     find_usable_fraction,
+    find_usable_share,
 )
 
 WINDOW_S = 10.0
@@ -38,15 +39,20 @@
                 self.roster.record_started(other.name, other.replaced_s)
 
     def take(self, now_s: float) -> bool:
-        usable = USABLE_FRACTION
-        if now_s - self.replaced_s < WINDOW_S:
-            others = self.roster.count_new(now_s - WINDOW_S)
-            usable = find_usable_fraction(1 + others, len(self.roster.gateways))
+        others = self.roster.count_new(now_s - WINDOW_S)
+        usable = find_usable_share(
+            now_s - self.replaced_s, WINDOW_S, 1 + others, len(self.roster.gateways)
+        )
         return self.budget.take(now_s, self.roster.count, usable)
 
 
-def play(seed: int, killed: int, kills_s: list[float]) -> tuple[float, int]:
-    """Return the largest excess over the bound, and the repeats in all."""
+def play(
+    seed: int, killed: int, kills_s: list[float], *, same: bool = False
+) -> tuple[float, int]:
+    """Return the largest excess over the bound, and the repeats in all.
+
+    Each time the same gateways are killed, or others.
+    """
     random = Random(seed)
     gateways = [Gateway(f"g{number}", -100.0) for number in range(GATEWAYS)]
     requests: list[float] = []
@@ -56,7 +62,8 @@
     while now_s < PLAYED_S:
         if kills and now_s >= kills[0]:
             kills.pop(0)
-            for index in random.sample(range(GATEWAYS), killed):
+            found = range(killed) if same else random.sample(range(GATEWAYS), killed)
+            for index in found:
                 gateways[index] = Gateway(f"g{index}", now_s + DOWN_S)
         up = [item for item in gateways if item.up_from_s <= now_s]
         for gateway in up:
@@ -97,6 +104,23 @@
     assert repeats >= usual / 2
 
 
+# Guards against processes of the same gateways that each have a share for their short
+# lives: what the others leave unused pays for one of them.
+@pytest.mark.parametrize("same", [False, True])
+@pytest.mark.parametrize("killed", [1, 2, 4])
+@pytest.mark.parametrize("interval_s", [0.7, 2.0, 4.5])
+def test_gateways_that_start_again_and_again_keep_to_the_bound(
+    interval_s: float, killed: int, same: bool
+) -> None:
+    kills = int((PLAYED_S - CALM_S) / interval_s)
+    kills_s = [CALM_S + number * interval_s for number in range(kills)]
+    excess, repeats = play(2, killed, kills_s, same=same)
+    assert excess <= 0
+    # The gateways that live on repeat calls as usual.
+    steady = (GATEWAYS - killed) / GATEWAYS if same else 0.0
+    assert repeats >= steady * play(2, killed, [])[1] / 2
+
+
 # Guards against a fleet that has few repeats whenever single gateways start.
 def test_gateway_that_starts_beside_others_has_its_whole_share() -> None:
     assert find_usable_fraction(1, GATEWAYS) == pytest.approx(USABLE_FRACTION)
