--- a/tests/soak/_deadly_prompts.py
+++ b/tests/soak/_deadly_prompts.py
@@ -7,6 +7,8 @@
 # Fraction of the prompts that have a deadly part, once there are such parts.
 DEADLY_FRACTION = 0.1
 DEADLY_PARTS = ("dead", "fade")
+# Parts that long prompts have besides.
+LEAD_COUNTS = (31, 40, 300, 1_200)
 # The body of the request on which upstreams crash, by the kind of its route.
 DEADLY_BODIES = {kind: f"deadly {kind}" for kind in ("read", "post", "once", "stream")}
 # Fractions of the calls that are this request, and a sound one that is repeated, too.
@@ -20,6 +22,12 @@
     def __init__(self, random: Random) -> None:
         self._random = random
         self.deadly_parts: tuple[str, ...] = ()
+        # What all prompts have behind their first part.
+        self.lead: list[str] = []
+
+    def choose_lead(self, random: Random) -> None:
+        """Choose how many parts all prompts have in common."""
+        self.lead = [f"c{number}:10" for number in range(random.choice(LEAD_COUNTS))]
 
     def pick_deadly_part(self) -> str | None:
         """Return the deadly part of the next prompt, or None for a sound one."""
@@ -43,7 +51,7 @@
         self, prefix: int, unique_part: str, deadly_part: str | None = None
     ) -> dict[str, str]:
         """Return the headers of a prompt with a first part."""
-        parts = [f"a{prefix}:3000"]
+        parts = [f"a{prefix}:3000", *self.lead]
         if deadly_part is not None:
             shared = f"b{self._random.randrange(SHARED_COUNT)}:400"
             parts += [shared, f"{deadly_part}:400"]
--- a/tests/soak/_soak_run.py
+++ b/tests/soak/_soak_run.py
@@ -65,6 +65,7 @@
 from tests.soak._scenarios import Scenario
 from tests.soak._signal_faults import SIGNALS, check_leaving
 from tests.soak._stop_soak import StopSoak
+from tests.soak._store_faults import PAGE_SIZE, READINGS, STORE_FAULTS
 from tests.soak._version_soak import VersionSoak
 from tests.soak._version_stage_soak import VersionStageSoak
 
@@ -132,6 +133,11 @@
     RUNS = "runs"
     # As PLANNED, and also odd entries of another writer in the store.
     ODD_ENTRIES = "odd_entries"
+    # As ODD_ENTRIES, on lists of several pages with foreign names, and also upstreams
+    # that leave silently, and channels to the store that are cut or slow.
+    CUT_CHANNELS = "cut_channels"
+    # As CRASHES, with prompts of many parts.
+    LONG_PROMPTS = "long_prompts"
     # As PLANNED and MIXED, and also a store that comes back from old copies.
     RESTORED = "restored"
     RESTORED_MIXED = "restored_mixed"
@@ -147,12 +153,16 @@
     Profile.CRASHES,
     Profile.REQUESTS,
     Profile.ODD_ENTRIES,
+    Profile.CUT_CHANNELS,
+    Profile.LONG_PROMPTS,
     Profile.RESTORED,
     Profile.SIGNALS,
 )
-CRASH_PROFILES = (Profile.CRASHES, Profile.REQUESTS)
+CRASH_PROFILES = (Profile.CRASHES, Profile.LONG_PROMPTS, Profile.REQUESTS)
+PROMPT_PROFILES = (Profile.CRASHES, Profile.LONG_PROMPTS)
+ODD_PROFILES = (Profile.ODD_ENTRIES, Profile.CUT_CHANNELS)
 # Profiles whose time limits are checked; impairments are left out.
-TIMED_PROFILES = (Profile.PLANNED, Profile.ODD_ENTRIES, Profile.RESTORED)
+TIMED_PROFILES = (Profile.PLANNED, *ODD_PROFILES, Profile.RESTORED)
 
 
 class Soak:
@@ -176,6 +186,9 @@
             self.findings, Impairments(), check_time_limits=check_time_limits
         )
         self._store = RestorableStore() if self._restores_store else StoreStandin()
+        if self._profile is Profile.CUT_CHANNELS:
+            self._store.page_size = PAGE_SIZE
+            self._store.cursor_reading = READINGS[seed % len(READINGS)]
         self._folder = folder
         self._gateway_count = gateways
         self._upstreams = [UpstreamStandin(f"p{n}", service=PLAIN) for n in range(3)]
@@ -266,8 +279,10 @@
         self._gateways.append(gateway)
 
     async def _run_under_faults(self, seconds: float) -> None:
-        if self._profile is Profile.CRASHES:
+        if self._profile in PROMPT_PROFILES:
             self._choose_deadly_parts()
+        if self._profile is Profile.LONG_PROMPTS:
+            self._callers.prompts.choose_lead(Random(self._seed))
         if self._profile is Profile.REQUESTS:
             self._callers.repeats_requests = True
         if self._names_limits:
@@ -282,7 +297,7 @@
             copies = asyncio.ensure_future(self._store.take_copies())
             await asyncio.sleep(0)
         faults = asyncio.ensure_future(self._inject_faults())
-        if self._profile is Profile.CRASHES:
+        if self._profile in PROMPT_PROFILES:
             await asyncio.sleep(SOUND_S)
             self._add_deadly_parts()
         if self._profile is Profile.REQUESTS:
@@ -346,8 +361,10 @@
             faults |= UNPLANNED_FAULTS
         if self._names_limits:
             faults |= LIMIT_CHANGES
-        if self._profile is Profile.ODD_ENTRIES:
+        if self._profile in ODD_PROFILES:
             faults |= ODD_ENTRIES
+        if self._profile is Profile.CUT_CHANNELS:
+            faults |= STORE_FAULTS
         if self._profile is Profile.SIGNALS:
             faults |= SIGNALS
         if self._restores_store:
@@ -388,7 +405,7 @@
             self.observations.report_violation(
                 "a gateway does not serve calls after the faults have ended"
             )
-        if self._profile is Profile.ODD_ENTRIES:
+        if self._profile in ODD_PROFILES:
             await self._check_following()
 
     async def _check_following(self) -> None:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -56,6 +56,7 @@
     UpstreamWork,
     check_stops,
 )
+from tests.soak._store_faults import STORE_FAULTS
 
 Run = Callable[[Coroutine[Any, Any, Any]], Any]
 
@@ -180,6 +181,28 @@
     assert findings.calls["read 200"] > 0
 
 
+# Guards lists of several pages with foreign names, and removals beside cut channels.
+def test_guarantees_hold_while_channels_to_the_store_are_cut(run: Run) -> None:
+    profile = Profile.CUT_CHANNELS
+    findings = run(
+        run_soak(2, 6.0, gateways=3, profile=profile, check_time_limits=False)
+    )
+    assert findings.violations == []
+    assert sum(findings.faults[name] for name in STORE_FAULTS) > 0
+    assert findings.calls["post 200"] > 0
+
+
+# Guards parts that crash engines behind many others, while gateways are killed.
+def test_guarantees_hold_while_engines_crash_on_long_prompts(run: Run) -> None:
+    profile = Profile.LONG_PROMPTS
+    findings = run(
+        run_soak(2, 6.0, gateways=3, profile=profile, check_time_limits=False)
+    )
+    assert findings.violations == []
+    assert findings.crashes.total() > 0
+    assert findings.calls["stream 200"] > 0
+
+
 # Guards what upstreams say of themselves in answers, beside planned operations.
 def test_guarantees_hold_while_upstreams_leave_and_pause(run: Run) -> None:
     findings = run(
