Take no state for current whose changes may still be under way

Seen: soak, profile cut_channels, beside a load of 30: a call reached an upstream 2.09 s after its entry was removed.

Cause: the store answered 0.3 s late, and the channel of a watch was cut while the answer with the removal was under way. The gateway took its state for current until the cut, and a watch that was held open for longer than it asked for, as its answer was late, for one that was silent all along.

Now a watch that was held open has told of the changes until the allowance for late answers before its end, and is silent only once that has passed, too.

--- a/bramleyport/gateway/_follower.py
+++ b/bramleyport/gateway/_follower.py
@@ -454,11 +454,12 @@
         """Return since when the store has been silent as a call failed.
 
         A watch whose channel ends while the store holds it open has told of all changes
-        until then.
+        but those whose answer may be under way.
         """
         now_s = read_now()
-        if now_s - self._called_s > self._wait_s:
+        if now_s - self._called_s >= self._wait_s + self._times.answer_s:
             return self._called_s
-        if error.failure is StoreFailure.UNKNOWN:
-            self._current_s = now_s
+        told_s = now_s - self._times.answer_s
+        if error.failure is StoreFailure.UNKNOWN and told_s > self._called_s:
+            self._current_s = max(self._current_s, told_s)
         return now_s
--- a/tests/test_store_outages.py
+++ b/tests/test_store_outages.py
@@ -65,6 +65,8 @@
         self.events: list[tuple[int, str, bool]] = []
         self.cut_until_s: dict[str, float] = {}
         self.refused: list[str] = []
+        # How late watches are answered.
+        self.late_s = 0.0
         self._changed = asyncio.Event()
         self._cut: dict[str, int] = {}
 
@@ -99,6 +101,7 @@
                     await self._changed.wait()
         except TimeoutError:
             pass
+        await asyncio.sleep(self.late_s)
         if self._cut.get(gateway, 0) != cuts:
             return make_error(StoreFailure.UNKNOWN)
         changes = tuple(
@@ -318,6 +321,10 @@
         self.fleet.store.refused = [names[chosen % len(names)]]
         self.fleet.pass_time(REFUSAL_INTERVAL_S)
 
+    @rule(late_s=st.sampled_from((0.0, 0.1, 0.3)))
+    def answer_late(self, late_s: float) -> None:
+        self.fleet.store.late_s = late_s
+
     @rule(chosen=st.integers(0, 11), duration_s=st.floats(0.1, 2.5))
     def lose_path(self, chosen: int, duration_s: float) -> None:
         names = self.fleet.names
@@ -343,3 +350,23 @@
         run_machine(Machine, examples=EXAMPLES, steps=STEPS)
     finally:
         asyncio.set_event_loop(loop)
+
+
+# Guards against a state that is taken for current until a watch was cut off, while the
+# answer with a removal was under way.
+@pytest.mark.parametrize("offset_s", [0.0, 0.5, 1.0, 1.5, 2.0, 2.5])
+def test_removal_in_an_answer_that_is_cut_off_is_not_late(
+    loop: asyncio.AbstractEventLoop, tmp_path: Path, offset_s: float
+) -> None:
+    try:
+        for tenths in range(1, 12):
+            fleet = OutageFleet(tmp_path, 1)
+            fleet.store.late_s = 0.4
+            fleet.pass_time(offset_s)
+            fleet.leave("u0")
+            fleet.pass_time(0.1 * tenths)
+            fleet.store.cut_channels(list(fleet.names))
+            fleet.pass_time(DRAIN_S + 1.0)
+            fleet.close()
+    finally:
+        asyncio.set_event_loop(loop)
