--- a/bramleyport/gateway/_state_updaters.py
+++ b/bramleyport/gateway/_state_updaters.py
@@ -27,7 +27,7 @@
 EXPIRY_INTERVALS: Final = 6
 # Fraction of the bound for upstreams that left, for which one is kept that may have
 # lapsed instead.
-MISSED_KEEP_FRACTION: Final = 0.8
+MISSED_KEEP_FRACTION: Final = 0.7
 CONFIGURATION_NAME: Final = ObjectName("main")
 
 
