Take a connection that the store does not answer in time for no outage

Cause: by the record of the case, the watch was cut 0.43 s before the removal, and the upstream was kept until 3.0 s after the cut, which is two seconds and the interval of dropping from 0.75 s after it. That is what a first retry takes that gets no connection within 0.5 s, and the second behind it; the log of the gateway was not kept. Half a second without an answer counted as an outage.

Now an outage takes 0.8 s.

--- a/bramleyport/fleet/_store_outages.py
+++ b/bramleyport/fleet/_store_outages.py
@@ -3,8 +3,9 @@
 import math
 from typing import Final
 
-# A call that failed is repeated three times within this time.
-MIN_OUTAGE_S: Final = 0.5
+# Registrations expire after several missed renewals. A call that fails at once is
+# repeated three times within this time, one that gets no connection in time once.
+MIN_OUTAGE_S: Final = 0.8
 # Upstreams whose registrations expired during an outage register again within this
 # time of its end.
 RENEWAL_S: Final = 2.0
